Lay out the repository: packages, checks, core and the outside protocols

Cause: nothing existed. Ruled out: an editable install (a worktree would run the main checkout's code); the scripts set PYTHONPATH instead. Change: packages per subject, pinned dependencies, black, ruff and mypy in bin/test, an import test that decision packages do no I/O, core hashing, invariants and identities, and the protocols assumed of the outside systems. Conclusion: ground for the thin path.

--- /dev/null
+++ b/hollyring/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from hollyring.cli import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/hollyring/core/__init__.py
@@ -0,0 +1,5 @@
+"""Identities, results, invariants and hashing that every other package may use."""
+
+from hollyring.core import errors, execution, identities, invariants, pieces, rendezvous
+
+__all__ = ["errors", "execution", "identities", "invariants", "pieces", "rendezvous"]
--- /dev/null
+++ b/hollyring/core/pieces.py
@@ -0,0 +1,67 @@
+"""Cutting a prompt into pieces and naming each prefix by a chained hash.
+
+The rule is the one the engines publish for their cache blocks: a piece is `PIECE_BYTES` of the
+rendered prompt and its name covers the salt and every piece before it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import xxhash
+
+TOKEN_BYTES = 4
+"""Bytes of prompt that the engines count as one token."""
+
+PIECE_TOKENS = 1024
+"""Tokens in one cached piece."""
+
+PIECE_BYTES = PIECE_TOKENS * TOKEN_BYTES
+
+
+def render(messages: Iterable[Mapping[str, object]]) -> bytes:
+    r"""Return the prompt bytes of a chat, by the engines' published template.
+
+    Examples
+    --------
+    >>> render([{"role": "user", "content": "Is Kigoma eligible?"}])
+    b'<|user|>\nIs Kigoma eligible?\n'
+    """
+    parts = [f"<|{message['role']}|>\n{message['content']}\n" for message in messages]
+    return "".join(parts).encode()
+
+
+def token_count(prompt: bytes) -> int:
+    """Return the tokens of `prompt`, the last one possibly short."""
+    return -(-len(prompt) // TOKEN_BYTES)
+
+
+def salt(organisation: str, model: str, version: str) -> int:
+    """Return the 64-bit salt that separates organisations, models and weights versions."""
+    return xxhash.xxh3_64_intdigest("\0".join((organisation, model, version)).encode())
+
+
+def chain(seed: int, prompt: bytes) -> list[int]:
+    """Return the 64-bit name of each whole piece of `prompt`, shortest prefix first.
+
+    Parameters
+    ----------
+    seed
+        The salt from `salt`.
+    prompt
+        Rendered prompt bytes; a last piece shorter than `PIECE_BYTES` has no name.
+
+    Examples
+    --------
+    >>> one, two = chain(7, b"x" * 2 * PIECE_BYTES)
+    >>> chain(7, b"x" * PIECE_BYTES) == [one]
+    True
+    >>> chain(8, b"x" * PIECE_BYTES) == [one]
+    False
+    """
+    names = []
+    view = memoryview(prompt)
+    for start in range(0, len(prompt) - PIECE_BYTES + 1, PIECE_BYTES):
+        seed = xxhash.xxh3_64_intdigest(view[start : start + PIECE_BYTES], seed=seed)
+        names.append(seed)
+    return names
--- /dev/null
+++ b/hollyring/core/rendezvous.py
@@ -0,0 +1,34 @@
+"""Rendezvous hashing: every VM ranks the same members in the same order without talking."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def weight(key: bytes, member: str) -> int:
+    """Return the 64-bit weight of `member` for `key`."""
+    return xxhash.xxh3_64_intdigest(member.encode(), seed=xxhash.xxh3_64_intdigest(key))
+
+
+def rank(key: bytes, members: Iterable[str]) -> list[str]:
+    """Return `members` in descending order of their weight for `key`.
+
+    Removing a member moves only the keys for which it ranked first.
+
+    Examples
+    --------
+    >>> rank(b"circular-7", ["vm-1", "vm-2", "vm-3"])[0] in {"vm-1", "vm-2", "vm-3"}
+    True
+    >>> full = rank(b"circular-7", ["vm-1", "vm-2", "vm-3"])
+    >>> rank(b"circular-7", full[1:]) == full[1:]
+    True
+
+    References
+    ----------
+    D. Thaler and C. Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+    """
+    seed = xxhash.xxh3_64_intdigest(key)
+    digest = xxhash.xxh3_64_intdigest
+    return sorted(members, key=lambda member: (-digest(member.encode(), seed=seed), member))
--- /dev/null
+++ b/hollyring/declaration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' library: declare a deployment and print its configuration."""
--- /dev/null
+++ b/hollyring/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Stream order and resumption, at-most-once execution, refusals and their truth."""
--- /dev/null
+++ b/hollyring/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, randomised runs, baselines and reports."""
--- /dev/null
+++ b/hollyring/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to upstreams: weights, adapters, roles, rollout pace and drain."""
--- /dev/null
+++ b/hollyring/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Prefix chains, the cache index, placement, retries and deadlines."""
--- /dev/null
+++ b/hollyring/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small fakes of the outside systems, for tests and demonstrations."""
