--- /dev/null
+++ b/hollyring/node/admin.py
@@ -0,0 +1,72 @@
+"""The operators' port: state dump, metrics and health. It is not the callers' port."""
+
+from __future__ import annotations
+
+import hmac
+import ipaddress
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from hollyring.node import asgi, metrics
+
+HTTP_UNAUTHORIZED = 401
+HTTP_NOT_FOUND = 404
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+
+class Admin:
+    """ASGI application of the admin port.
+
+    Parameters
+    ----------
+    key
+        Bearer token that operators show; empty admits loopback addresses only.
+    dump
+        Awaited for the state of the process, without secrets.
+    ready
+        Awaited to learn whether this VM serves callers.
+    """
+
+    __slots__ = ("_key", "_dump", "_ready", "_metrics")
+
+    def __init__(
+        self,
+        key: str,
+        dump: Callable[[], Awaitable[dict[str, Any]]],
+        ready: Callable[[], bool],
+        meter: metrics.Metrics,
+    ) -> None:
+        self._key = key
+        self._dump = dump
+        self._ready = ready
+        self._metrics = meter
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answer one request."""
+        if scope["type"] != "http":
+            return
+        if not self._allowed(scope):
+            await asgi.answer_json(send, HTTP_UNAUTHORIZED, {"error": {"code": "admin_key"}})
+            return
+        match scope["method"], scope["path"]:
+            case "GET", "/state":
+                await asgi.answer_json(send, HTTP_OK, await self._dump())
+            case "GET", "/metrics":
+                page = self._metrics.page().encode()
+                await asgi.answer(send, HTTP_OK, page, [asgi.TEXT_TYPE])
+            case "GET", "/ready":
+                ready = self._ready()
+                status = HTTP_OK if ready else HTTP_UNAVAILABLE
+                await asgi.answer_json(send, status, {"ready": ready})
+            case _:
+                await asgi.answer_json(send, HTTP_NOT_FOUND, {"error": {"code": "not_found"}})
+
+    def _allowed(self, scope: asgi.Scope) -> bool:
+        if not self._key:
+            client = scope.get("client")
+            return bool(client) and ipaddress.ip_address(client[0]).is_loopback
+        shown = asgi.header(scope, b"authorization").removeprefix("Bearer ")
+        return hmac.compare_digest(shown.encode(), self._key.encode())
--- /dev/null
+++ b/hollyring/node/answers.py
@@ -0,0 +1,94 @@
+"""The bytes that a caller receives: streamed events, whole completions, errors."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from hollyring.core import execution
+from hollyring.node import asgi
+
+EVENT_STREAM_HEADERS: asgi.Headers = [
+    (b"content-type", b"text/event-stream; charset=utf-8"),
+    (b"cache-control", b"no-cache"),
+]
+DONE = b"data: [DONE]\n\n"
+
+_encode = msgspec.json.encode
+
+
+class Chunks:
+    """Formats the events of one streamed answer.
+
+    Parameters
+    ----------
+    request_id
+        Identity of the request.
+    chat
+        Chat or plain completion.
+    model
+        The model's name as the caller gave it.
+    created
+        Seconds since the epoch.
+    """
+
+    __slots__ = ("_chat", "_head", "_base")
+
+    def __init__(self, request_id: str, chat: bool, model: str, created: int) -> None:
+        self._chat = chat
+        kind = "chat.completion.chunk" if chat else "text_completion"
+        base = {"id": request_id, "object": kind, "created": created, "model": model}
+        self._base = base
+        self._head = _encode(base)[:-1]
+
+    def text(self, text: str, finish_reason: str | None, identity: str) -> bytes:
+        """Return the event with generated `text`, which the caller may name to resume."""
+        content = _encode(text)
+        finish = _encode(finish_reason)
+        piece = b'"delta":{"content":' + content + b"}" if self._chat else b'"text":' + content
+        data = b'%b,"choices":[{"index":0,%b,"finish_reason":%b}]}' % (self._head, piece, finish)
+        return b"id: %b\ndata: %b\n\n" % (identity.encode(), data)
+
+    def usage(self, usage: dict[str, Any]) -> bytes:
+        """Return the event with the token counts."""
+        return b"data: " + _encode({**self._base, "choices": [], "usage": usage}) + b"\n\n"
+
+    def whole(self, text: str, finish_reason: str, usage: dict[str, Any]) -> dict[str, Any]:
+        """Return the completion as one JSON object."""
+        choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        kind = "chat.completion" if self._chat else "text_completion"
+        return {**self._base, "object": kind, "choices": [choice], "usage": usage}
+
+
+def usage(prompt_tokens: int, completion_tokens: int, cached_tokens: int) -> dict[str, Any]:
+    """Return token counts in the usual form."""
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": completion_tokens,
+        "total_tokens": prompt_tokens + completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": cached_tokens},
+    }
+
+
+def error(code: str, message: str, run: execution.Execution, kind: str = "") -> dict[str, Any]:
+    """Return an error in the usual JSON form with whether the request was run."""
+    body = {"message": message, "type": kind or code, "code": code, "execution": run.value}
+    return {"error": body}
+
+
+def error_event(code: str, message: str, run: execution.Execution) -> bytes:
+    """Return the explicit last event of a stream that cannot be completed."""
+    return b"event: error\ndata: " + _encode(error(code, message, run)) + b"\n\n"
+
+
+def retry_after(seconds: float | None) -> asgi.Headers:
+    """Return the header that tells a caller when to come back, in whole seconds."""
+    if seconds is None:
+        return []
+    return [(b"retry-after", str(max(1, math.ceil(seconds))).encode())]
--- /dev/null
+++ b/hollyring/node/completions.py
@@ -0,0 +1,281 @@
+"""One completion from top to bottom: rights, limits, routing, tries, delivery.
+
+The caller's answer is final at once when a request is given up on, and says when to come back.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+import uuid
+
+import anyio
+
+from hollyring.core import execution
+from hollyring.delivery import errors as delivery_errors
+from hollyring.delivery import events, refusal, stream
+from hollyring.node import answers, asgi, engines, errors, outlets, requests, rights, vm
+
+MAX_TRIES = 3
+"""Upstreams tried for one request before it is refused."""
+
+
+class _GivenUpError(errors.NodeError):
+    """The request ends with a refusal."""
+
+    def __init__(self, why: refusal.Refusal) -> None:
+        super().__init__(why.code)
+        self.why = why
+
+
+@dataclasses.dataclass(slots=True)
+class _Work:
+    """What is known of one request while it runs."""
+
+    caller: rights.Caller
+    completion: requests.Completion
+    request_id: str
+    outlet: outlets.Outlet
+    stream: stream.Stream
+    version: str
+    deadline: float
+    arrived: float
+    dispatched: bool = False
+    first_token: float = 0.0
+    usage: engines.Usage | None = None
+
+
+async def serve(
+    node: vm.VM, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send, chat: bool
+) -> None:
+    """Answer a caller's completion request."""
+    arrived = time.monotonic()
+    work = await _accept(node, scope, receive, send, chat, arrived)
+    if isinstance(work, refusal.Refusal):
+        node.metrics.count(f"refused_{work.code}")
+        await outlets.refuse(send, work)
+        return
+    admission = await node.limits.admit(
+        work.caller.organisation.name, work.completion.tokens, work.request_id, work.deadline
+    )
+    if admission is not None:
+        node.metrics.count(f"refused_{admission.code}")
+        await outlets.refuse(send, admission)
+        return
+    try:
+        await _run(node, work, receive)
+    finally:
+        node.limits.settle(work.caller.organisation.name, work.request_id, _used(work))
+
+
+def _used(work: _Work) -> int:
+    """Return the tokens that the request really took."""
+    if not work.dispatched:
+        return 0
+    return work.completion.prompt_tokens + work.stream.tokens
+
+
+async def _accept(
+    node: vm.VM,
+    scope: asgi.Scope,
+    receive: asgi.Receive,
+    send: asgi.Send,
+    chat: bool,
+    arrived: float,
+) -> _Work | refusal.Refusal:
+    """Return the work that a request asks for, or why it is refused before limits."""
+    bounds = node.settings.limits
+    stale = node.configuration.refusal()
+    if stale is not None:
+        return stale
+    configuration = node.configuration.current
+    caller = rights.authenticate(scope, configuration)
+    if isinstance(caller, refusal.Refusal):
+        return caller
+    try:
+        body = await asgi.read_body(receive, bounds.body_bytes, bounds.body_seconds)
+        completion = requests.parse(body, chat, bounds)
+        resumption = _resumption(scope)
+    except asgi.BodyTooLargeError:
+        return refusal.make("body_too_large")
+    except asgi.BodyTooSlowError:
+        return refusal.make("header_timeout")
+    except asgi.DisconnectedError:
+        return refusal.make("cancelled", ran=execution.Execution.NOT_RUN)
+    except requests.RequestError as error:
+        code = error.code if error.code in refusal.KINDS else "invalid_request"
+        return refusal.make(code, message=str(error))
+    except delivery_errors.EventIdError as error:
+        return refusal.make("invalid_request", message=f"last-event-id: {error}")
+    model = configuration.models.get(completion.model)
+    if model is None or not rights.permits(caller, completion.model):
+        return refusal.make("unknown_model")
+    request_id = resumption.last.request if resumption else f"req-{uuid.uuid4().hex}"
+    digest = events.request_digest(completion.prompt)
+    return _Work(
+        caller=caller,
+        completion=completion,
+        request_id=request_id,
+        outlet=outlets.Outlet(send, completion, request_id, bounds.reader_seconds),
+        stream=stream.Stream(request_id, digest, node.invariants, resumption),
+        version=model.version,
+        deadline=arrived + bounds.deadline_seconds,
+        arrived=arrived,
+    )
+
+
+def _resumption(scope: asgi.Scope) -> stream.Resumption | None:
+    shown = asgi.header(scope, b"last-event-id")
+    return stream.Resumption(events.parse(shown)) if shown else None
+
+
+async def _run(node: vm.VM, work: _Work, receive: asgi.Receive) -> None:
+    """Carry the request out until the caller has its last byte or has gone."""
+    gone = False
+
+    async def watch() -> None:
+        nonlocal gone
+        await asgi.wait_disconnect(receive)
+        gone = True
+        group.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(watch)
+        try:
+            await _finish(node, work)
+        except outlets.SlowReaderError:
+            node.metrics.count("slow_readers")
+        group.cancel_scope.cancel()
+    if gone and not work.stream.ended:
+        node.metrics.count("cancelled")
+
+
+async def _finish(node: vm.VM, work: _Work) -> None:
+    why: refusal.Refusal | None = None
+    with anyio.move_on_after(work.deadline - time.monotonic()) as limit:
+        try:
+            await _tries(node, work)
+        except _GivenUpError as error:
+            why = error.why
+    if limit.cancelled_caught:
+        why = refusal.make("deadline_exceeded" if work.dispatched else "deadline_not_sent")
+    if why is None:
+        node.metrics.count("completed")
+        return
+    node.metrics.count(f"refused_{why.code}")
+    work.stream.fail(why)
+    await work.outlet.fail(why)
+
+
+async def _tries(node: vm.VM, work: _Work) -> None:
+    """Try upstreams until the answer is whole.
+
+    Raises
+    ------
+    _GivenUpError
+        With the caller's final answer.
+    """
+    excluded: list[str] = []
+    while True:
+        place = await node.routing.route(work.completion, work.caller, work.version, excluded)
+        if isinstance(place, refusal.Refusal):
+            raise _GivenUpError(_truthful(work, place))
+        try:
+            await _attempt(node, work, place)
+            return
+        except engines.RefusedError as error:
+            node.routing.failed(place, error)
+            if error.status < engines.HTTP_SERVER_ERROR and error.status != engines.HTTP_TOO_MANY:
+                raise _GivenUpError(refusal.make("invalid_request", message=str(error))) from error
+        except errors.UpstreamError as error:
+            node.routing.failed(place, error)
+        excluded.append(place.upstream)
+        if len(excluded) >= MAX_TRIES or not node.routing.may_retry():
+            raise _GivenUpError(_truthful(work, refusal.make("no_upstream")))
+        node.metrics.count("retries")
+
+
+def _truthful(work: _Work, why: refusal.Refusal) -> refusal.Refusal:
+    """Return `why` without a claim that nothing ran once something was dispatched."""
+    return why.as_unknown() if work.dispatched else why
+
+
+async def _attempt(node: vm.VM, work: _Work, place: vm.Place) -> None:
+    attempt = work.stream.begin()
+    body = requests.engine_body(
+        work.completion,
+        requests.Placement(
+            request_id=f"{work.request_id}-{attempt.number}",
+            cache_salt=place.salt,
+            priority=0,
+            resume_text=attempt.resume_text,
+            resume_tokens=attempt.resume_tokens,
+        ),
+    )
+    path = "/v1/chat/completions" if work.completion.chat else "/v1/completions"
+    node.routing.dispatched(place, work.request_id)
+    tokens = 0
+    try:
+        generated = node.engines.stream(
+            place.address, path, body, work.deadline - time.monotonic()
+        )
+        work.dispatched = True
+        async for item in generated:
+            if isinstance(item, engines.Usage):
+                work.usage = item
+                continue
+            tokens = await _item(node, work, place, attempt.number, tokens, item)
+    except errors.UpstreamError as error:
+        work.dispatched = work.dispatched and (error.reached or attempt.number > 1)
+        work.stream.accept(stream.Lost(attempt.number))
+        raise
+    finally:
+        node.routing.finished(place, work.request_id, work.usage)
+    await _complete(node, work)
+
+
+async def _item(
+    node: vm.VM,
+    work: _Work,
+    place: vm.Place,
+    number: int,
+    tokens: int,
+    item: engines.Token,
+) -> int:
+    """Take one token from the engine and return how many this try has brought."""
+    if item.text:
+        if not work.first_token:
+            work.first_token = time.monotonic()
+            node.metrics.time("first_token", work.first_token - work.arrived)
+            node.routing.first_token(place, work.request_id)
+        await _step(work, work.stream.accept(stream.Token(number, tokens, item.text)))
+        tokens += 1
+    if item.finish_reason:
+        await _step(work, work.stream.accept(stream.Finish(number, tokens, item.finish_reason)))
+    if not rights.still_granted(work.caller, node.configuration.current):
+        raise _GivenUpError(refusal.make("key_withdrawn_midway"))
+    return tokens
+
+
+async def _step(work: _Work, step: stream.Step) -> None:
+    match step:
+        case stream.Deliver():
+            await work.outlet.text(step.text, str(step.identity))
+        case stream.Interrupted():
+            raise errors.UpstreamError("tokens out of order", reached=True)
+        case stream.Failed():
+            raise _GivenUpError(step.refusal)
+        case stream.Complete() | stream.Ignore():
+            return
+
+
+async def _complete(node: vm.VM, work: _Work) -> None:
+    """Hand on the end of the answer; an engine that ended without a finish has broken off."""
+    if not work.stream.complete:
+        raise errors.UpstreamError("ended without a finish", reached=True)
+    cached = work.usage.cached_tokens if work.usage else 0
+    usage = answers.usage(work.completion.prompt_tokens, work.stream.tokens, cached)
+    node.metrics.count("prompt_tokens", work.completion.prompt_tokens)
+    node.metrics.count("cached_tokens", cached)
+    node.metrics.count("generated_tokens", work.stream.tokens)
+    await work.outlet.complete(work.stream.reason, str(work.stream.identity), usage)
--- /dev/null
+++ b/hollyring/node/outlets.py
@@ -0,0 +1,103 @@
+"""Where a completion goes: a stream of events, or one JSON object at the end."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import anyio
+
+from hollyring.delivery import refusal
+from hollyring.node import answers, asgi, errors, requests
+
+
+class SlowReaderError(errors.NodeError):
+    """The caller does not take its answer in time."""
+
+
+def status_of(why: refusal.Refusal) -> dict[str, Any]:
+    """Return the JSON body of a refusal."""
+    return answers.error(why.code, why.message, why.execution)
+
+
+async def refuse(send: asgi.Send, why: refusal.Refusal) -> None:
+    """Send a refusal as a whole answer."""
+    headers = answers.retry_after(why.retry_after or None)
+    await asgi.answer_json(send, why.status, status_of(why), headers)
+
+
+class Outlet:
+    """The caller's side of one completion.
+
+    Parameters
+    ----------
+    send
+        The caller's ASGI channel.
+    completion
+        What was asked.
+    request_id
+        Identity of the request.
+    reader_seconds
+        Longest time in which the caller must take what is sent.
+    """
+
+    __slots__ = ("_send", "_completion", "_chunks", "_seconds", "_started", "_texts")
+
+    def __init__(
+        self,
+        send: asgi.Send,
+        completion: requests.Completion,
+        request_id: str,
+        reader_seconds: float,
+    ) -> None:
+        self._send = send
+        self._completion = completion
+        created = int(time.time())
+        self._chunks = answers.Chunks(request_id, completion.chat, completion.model, created)
+        self._seconds = reader_seconds
+        self._started = False
+        self._texts: list[str] = []
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller has received a part of the answer."""
+        return self._started
+
+    async def text(self, text: str, identity: str) -> None:
+        """Hand on generated text."""
+        if not self._completion.stream:
+            self._texts.append(text)
+            return
+        await self._write(self._chunks.text(text, None, identity))
+
+    async def complete(self, reason: str, identity: str, usage: dict[str, Any]) -> None:
+        """Hand on the end of a whole answer."""
+        if not self._completion.stream:
+            body = self._chunks.whole("".join(self._texts), reason, usage)
+            await self._bounded(asgi.answer_json(self._send, 200, body))
+            return
+        tail = self._chunks.text("", reason, identity)
+        if self._completion.include_usage:
+            tail += self._chunks.usage(usage)
+        await self._write(tail + answers.DONE, more=False)
+
+    async def fail(self, why: refusal.Refusal) -> None:
+        """Hand on a final error: a status if nothing was sent yet, else an error event."""
+        if not self._started:
+            await self._bounded(refuse(self._send, why))
+            return
+        event = answers.error_event(why.code, why.message, why.execution)
+        await self._write(event, more=False)
+
+    async def _write(self, data: bytes, more: bool = True) -> None:
+        if not self._started:
+            self._started = True
+            await asgi.start(self._send, 200, answers.EVENT_STREAM_HEADERS)
+        await self._bounded(asgi.write(self._send, data, more))
+
+    async def _bounded(self, sending: Any) -> None:
+        try:
+            with anyio.fail_after(self._seconds):
+                await sending
+        except TimeoutError as error:
+            raise SlowReaderError(f"not taken within {self._seconds:g} s") from error
--- /dev/null
+++ b/hollyring/node/part.py
@@ -0,0 +1,115 @@
+"""A part of the VM: a task that owns its state and takes typed messages from an inbox."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, Generic, TypeVar
+
+import anyio
+
+from hollyring.node import errors
+
+INBOX_MESSAGES = 10_000
+"""A part with a longer inbox is overloaded and refuses more."""
+
+MESSAGES_PER_TURN = 64
+"""Messages taken without letting other tasks run."""
+
+Reply = TypeVar("Reply")
+
+
+class OverloadedError(errors.NodeError):
+    """A part's inbox is full."""
+
+
+class Ticket(Generic[Reply]):
+    """Where the asker of a question waits for its answer."""
+
+    __slots__ = ("_event", "_value")
+
+    def __init__(self) -> None:
+        self._event = anyio.Event()
+        self._value: Reply | None = None
+
+    @property
+    def answered(self) -> bool:
+        """Whether an answer was given."""
+        return self._event.is_set()
+
+    def answer(self, value: Reply) -> None:
+        """Give the answer; only the first one counts."""
+        if self._event.is_set():
+            return
+        self._value = value
+        self._event.set()
+
+    async def wait(self) -> Reply:
+        """Return the answer once it is given."""
+        await self._event.wait()
+        return self._value  # type: ignore[return-value]
+
+
+class Part:
+    """Base of the parts. A subclass handles messages one at a time and ticks.
+
+    Parameters
+    ----------
+    tick_seconds
+        Time between two calls of `tick`.
+    """
+
+    def __init__(self, tick_seconds: float) -> None:
+        self._tick_seconds = tick_seconds
+        sender, receiver = anyio.create_memory_object_stream[Any](INBOX_MESSAGES)
+        self._sender = sender
+        self._receiver = receiver
+
+    @property
+    def now(self) -> float:
+        """Seconds of the monotonic clock."""
+        return time.monotonic()
+
+    def tell(self, message: object) -> None:
+        """Put `message` into the inbox.
+
+        Raises
+        ------
+        OverloadedError
+            If the inbox is full.
+        """
+        try:
+            self._sender.send_nowait(message)
+        except anyio.WouldBlock as error:
+            raise OverloadedError(type(self).__name__) from error
+
+    async def run(self) -> None:
+        """Handle messages and tick until cancelled."""
+        due = self.now + self._tick_seconds
+        while True:
+            with anyio.move_on_after(max(0.0, due - self.now)):
+                self.handle(await self._receiver.receive())
+                self._drain()
+            if self.now >= due:
+                self.tick()
+                due = max(due + self._tick_seconds, self.now)
+
+    def handle(self, message: Any) -> None:
+        """Take one message."""
+        raise NotImplementedError
+
+    def tick(self) -> None:
+        """Do what is due."""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the part's state without secrets."""
+        return {}
+
+    def _drain(self) -> None:
+        for _ in range(MESSAGES_PER_TURN):
+            try:
+                message = self._receiver.receive_nowait()
+            except anyio.WouldBlock:
+                return
+            self.handle(message)
+
+
--- /dev/null
+++ b/hollyring/node/peers.py
@@ -0,0 +1,256 @@
+"""Links between VMs: mutual proof of identity, then authenticated frames over TCP.
+
+A link carries messages one way, from the VM that opened it to the VM that accepted it. Each link
+is one task that owns its socket and takes messages from a bounded queue; a message that finds the
+queue full is dropped, as the network may drop it.
+
+A frame is a length of four bytes, a keyed digest of `TAG_BYTES` over the frame's number and its
+payload, and the payload. The session key comes from both ends' nonces and a peer key, so that
+somebody without a peer key can neither open a link nor put a frame into one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import secrets
+import struct
+from collections.abc import Awaitable, Callable
+
+import anyio
+import anyio.abc
+import anyio.streams.buffered
+
+from hollyring.core import identities
+from hollyring.node import errors, wire
+
+NONCE_BYTES = 16
+TAG_BYTES = 8
+PROOF_BYTES = 32
+HANDSHAKE_SECONDS = 2.0
+IDLE_SECONDS = 600.0
+"""A link without messages is closed after this time."""
+
+QUEUE_MESSAGES = 256
+MAX_NAME_BYTES = 256
+
+Receive = Callable[[identities.Incarnation, object], Awaitable[None]]
+
+
+class Frames:
+    """Numbered, authenticated frames in one direction of one link."""
+
+    __slots__ = ("_key", "_number")
+
+    def __init__(self, key: bytes) -> None:
+        self._key = key
+        self._number = 0
+
+    def tag(self, payload: bytes) -> bytes:
+        """Return the digest of the next frame and count the frame."""
+        prefix = struct.pack("!Q", self._number)
+        self._number += 1
+        return hashlib.blake2b(prefix + payload, key=self._key, digest_size=TAG_BYTES).digest()
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return the frame of `payload`."""
+        return struct.pack("!I", len(payload)) + self.tag(payload) + payload
+
+    def open(self, tag: bytes, payload: bytes) -> bytes:
+        """Return `payload` if `tag` is the next frame's.
+
+        Raises
+        ------
+        PeerError
+            If it is not.
+        """
+        if not hmac.compare_digest(tag, self.tag(payload)):
+            raise errors.PeerError("frame with a wrong digest")
+        return payload
+
+
+def _proof(key: str, label: bytes, *parts: bytes) -> bytes:
+    digest = hmac.new(key.encode(), label, hashlib.sha256)
+    for part in parts:
+        digest.update(struct.pack("!I", len(part)) + part)
+    return digest.digest()
+
+
+def _hello(me: identities.Incarnation) -> bytes:
+    name = me.name.encode()
+    return struct.pack("!HQ", len(name), me.number) + name
+
+
+async def _receive_hello(
+    stream: anyio.streams.buffered.BufferedByteReceiveStream,
+) -> identities.Incarnation:
+    length, number = struct.unpack("!HQ", await stream.receive_exactly(10))
+    if length > MAX_NAME_BYTES:
+        raise errors.PeerError("name too long")
+    try:
+        name = (await stream.receive_exactly(length)).decode()
+    except UnicodeDecodeError as error:
+        raise errors.PeerError("name is not text") from error
+    return identities.Incarnation(name, number)
+
+
+_LINK_FAILURES = (
+    OSError,
+    TimeoutError,
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+
+
+class Peers:
+    """This VM's links to the other VMs.
+
+    Parameters
+    ----------
+    me
+        This VM's incarnation, told to every peer.
+    keys
+        Peer keys, newest first.
+    codec
+        Turns messages into bytes and back.
+    receive
+        Awaited with sender and message for every message that arrives.
+    """
+
+    __slots__ = ("_me", "_keys", "_codec", "_receive", "_links", "_group", "_counts")
+
+    def __init__(
+        self, me: identities.Incarnation, keys: list[str], codec: wire.Wire, receive: Receive
+    ) -> None:
+        self._me = me
+        self._keys = list(keys)
+        self._codec = codec
+        self._receive = receive
+        self._links: dict[str, anyio.abc.ObjectSendStream[bytes]] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+        self._counts = {"sent": 0, "received": 0, "sent_bytes": 0, "received_bytes": 0}
+        self._counts |= {"dropped": 0, "refused": 0}
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Messages and bytes sent, received, dropped; handshakes refused."""
+        return dict(self._counts)
+
+    def change_keys(self, keys: list[str]) -> None:
+        """Use `keys` from now on; open links stay."""
+        self._keys = list(keys)
+
+    async def run(self, host: str, port: int) -> None:
+        """Accept links on `host`:`port` and serve until cancelled."""
+        listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+        async with listener, anyio.create_task_group() as group:
+            self._group = group
+            await listener.serve(self._accept, group)
+
+    def send(self, address: str, message: object) -> bool:
+        """Queue `message` for the peer at `address`; False if it had to be dropped."""
+        if self._group is None:
+            return False
+        payload = self._codec.encode(message)
+        link = self._links.get(address)
+        if link is None:
+            link, receiver = anyio.create_memory_object_stream[bytes](QUEUE_MESSAGES)
+            self._links[address] = link
+            self._group.start_soon(self._run_link, address, link, receiver)
+        try:
+            link.send_nowait(payload)
+        except (anyio.WouldBlock, anyio.ClosedResourceError, anyio.BrokenResourceError):
+            self._counts["dropped"] += 1
+            return False
+        return True
+
+    async def _run_link(
+        self,
+        address: str,
+        link: anyio.abc.ObjectSendStream[bytes],
+        queue: anyio.abc.ObjectReceiveStream[bytes],
+    ) -> None:
+        try:
+            await self._carry(address, queue)
+        except (*_LINK_FAILURES, errors.PeerError):
+            self._counts["dropped"] += 1
+        finally:
+            if self._links.get(address) is link:
+                del self._links[address]
+            queue.close()  # type: ignore[attr-defined]
+
+    async def _carry(self, address: str, queue: anyio.abc.ObjectReceiveStream[bytes]) -> None:
+        host, _, port = address.rpartition(":")
+        with anyio.fail_after(HANDSHAKE_SECONDS):
+            stream = await anyio.connect_tcp(host, int(port))
+        async with stream:
+            with anyio.fail_after(HANDSHAKE_SECONDS):
+                frames = await self._open(stream)
+            while True:
+                with anyio.move_on_after(IDLE_SECONDS) as idle:
+                    payload = await queue.receive()
+                if idle.cancelled_caught:
+                    return
+                with anyio.fail_after(HANDSHAKE_SECONDS):
+                    await stream.send(frames.seal(payload))
+                self._counts["sent"] += 1
+                self._counts["sent_bytes"] += len(payload) + TAG_BYTES + 4
+
+    async def _open(self, stream: anyio.abc.ByteStream) -> Frames:
+        """Prove who we are and have the acceptor prove that it holds the same key."""
+        buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
+        theirs = await buffered.receive_exactly(NONCE_BYTES)
+        mine = secrets.token_bytes(NONCE_BYTES)
+        hello = _hello(self._me)
+        key = self._keys[0]
+        await stream.send(hello + mine + _proof(key, b"open", theirs, mine, hello))
+        answer = await buffered.receive_exactly(PROOF_BYTES)
+        if not hmac.compare_digest(answer, _proof(key, b"accept", theirs, mine, hello)):
+            raise errors.PeerError("the peer did not prove who it is")
+        return Frames(_proof(key, b"session", theirs, mine, hello))
+
+    async def _accept(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            try:
+                with anyio.fail_after(HANDSHAKE_SECONDS):
+                    sender, frames, buffered = await self._admit(stream)
+                await self._receive_frames(sender, frames, buffered)
+            except errors.PeerError:
+                self._counts["refused"] += 1
+            except _LINK_FAILURES:
+                return
+
+    async def _admit(
+        self, stream: anyio.abc.SocketStream
+    ) -> tuple[identities.Incarnation, Frames, anyio.streams.buffered.BufferedByteReceiveStream]:
+        buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
+        mine = secrets.token_bytes(NONCE_BYTES)
+        await stream.send(mine)
+        sender = await _receive_hello(buffered)
+        theirs = await buffered.receive_exactly(NONCE_BYTES)
+        proof = await buffered.receive_exactly(PROOF_BYTES)
+        hello = _hello(sender)
+        for key in self._keys:
+            if hmac.compare_digest(proof, _proof(key, b"open", mine, theirs, hello)):
+                await stream.send(_proof(key, b"accept", mine, theirs, hello))
+                return sender, Frames(_proof(key, b"session", mine, theirs, hello)), buffered
+        raise errors.PeerError("a caller without a peer key")
+
+    async def _receive_frames(
+        self,
+        sender: identities.Incarnation,
+        frames: Frames,
+        buffered: anyio.streams.buffered.BufferedByteReceiveStream,
+    ) -> None:
+        while True:
+            head = await buffered.receive_exactly(4 + TAG_BYTES)
+            (length,) = struct.unpack("!I", head[:4])
+            if length > wire.MAX_MESSAGE_BYTES:
+                raise errors.PeerError(f"frame of {length} bytes")
+            payload = frames.open(head[4:], await buffered.receive_exactly(length))
+            message, _ = self._codec.decode(payload)
+            self._counts["received"] += 1
+            self._counts["received_bytes"] += length + TAG_BYTES + 4
+            await self._receive(sender, message)
--- /dev/null
+++ b/hollyring/node/platform.py
@@ -0,0 +1,178 @@
+"""Client of the platform's key-value service.
+
+Every call is bounded in time. A write whose answer is lost raises `errors.PlatformError`: it may
+have taken effect, and the caller decides by reading back.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import urllib.parse
+
+import anyio
+import httpcore
+import msgspec
+
+from hollyring.node import errors
+
+CALL_SECONDS = 2.0
+"""Longest wait for the answer to a call that is not a watch."""
+
+WATCH_SECONDS = 30.0
+"""Longest wait of one watch before it is asked again."""
+
+HTTP_OK = 200
+HTTP_NOT_MODIFIED = 304
+HTTP_NOT_FOUND = 404
+HTTP_CONFLICT = 409
+HTTP_TOO_MANY = 429
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Entry:
+    """A key's value and version; version 0 stands for an absent key."""
+
+    value: bytes
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Written:
+    """The outcome of a compare-and-swap: whether it took effect, and the present version."""
+
+    done: bool
+    version: int
+
+
+class _Vm(msgspec.Struct, frozen=True):
+    name: str
+    state: str
+
+
+class _Vms(msgspec.Struct, frozen=True):
+    vms: list[_Vm]
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    ttl: float
+    lease: str = ""
+
+
+class Platform:
+    """The platform's service at `url`.
+
+    Parameters
+    ----------
+    url
+        ``"http://IP:PORT"``.
+    """
+
+    __slots__ = ("_url", "_pool", "_calls")
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = httpcore.AsyncConnectionPool(max_connections=64, keepalive_expiry=60.0)
+        self._calls = {"read": 0, "write": 0, "watch": 0, "failed": 0}
+
+    @property
+    def calls(self) -> dict[str, int]:
+        """Calls made so far by kind, and how many of them failed."""
+        return dict(self._calls)
+
+    async def get(self, key: str) -> Entry:
+        """Return the present entry of `key`.
+
+        Raises
+        ------
+        PlatformError
+            If no usable answer came within `CALL_SECONDS`.
+        """
+        response = await self._call("read", "GET", self._path(key))
+        return _entry(response)
+
+    async def watch(self, key: str, version: int, seconds: float = WATCH_SECONDS) -> Entry | None:
+        """Return the entry of `key` once its version differs from `version`, else None."""
+        path = f"{self._path(key)}?watch={version}&wait={seconds:g}"
+        response = await self._call("watch", "GET", path, seconds + CALL_SECONDS)
+        return None if response.status == HTTP_NOT_MODIFIED else _entry(response)
+
+    async def put(self, key: str, value: bytes, version: int, lease: str = "") -> Written:
+        """Write `value` if the key's version is still `version` (0: absent)."""
+        path = f"{self._path(key)}?version={version}" + (f"&lease={lease}" if lease else "")
+        response = await self._call("write", "PUT", path, content=value)
+        return Written(response.status == HTTP_OK, _version(response))
+
+    async def delete(self, key: str, version: int) -> bool:
+        """Delete `key` if its version is still `version`; tell whether that took effect."""
+        response = await self._call("write", "DELETE", f"{self._path(key)}?version={version}")
+        return response.status == HTTP_OK
+
+    async def grant(self, ttl: float) -> str:
+        """Return the identity of a new lease of `ttl` seconds."""
+        content = msgspec.json.encode({"ttl": ttl})
+        response = await self._call("write", "POST", "/leases", content=content)
+        return msgspec.json.decode(response.content, type=_Lease).lease
+
+    async def renew(self, lease: str) -> bool:
+        """Renew a lease; False when it has lapsed."""
+        response = await self._call("write", "PUT", f"/leases/{lease}")
+        return response.status == HTTP_OK
+
+    async def release(self, lease: str) -> None:
+        """Give up a lease and the keys put under it."""
+        await self._call("write", "DELETE", f"/leases/{lease}")
+
+    async def vms(self) -> dict[str, str]:
+        """Return the lagging list of VMs: ``"live"`` or ``"leaving"`` by name."""
+        response = await self._call("read", "GET", "/vms")
+        return {vm.name: vm.state for vm in msgspec.json.decode(response.content, type=_Vms).vms}
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    def _path(self, key: str) -> str:
+        return "/kv/" + urllib.parse.quote(key, safe="/")
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        seconds: float = CALL_SECONDS,
+        content: bytes | None = None,
+    ) -> httpcore.Response:
+        self._calls[kind] += 1
+        try:
+            with anyio.fail_after(seconds):
+                response = await self._pool.request(method, self._url + path, content=content)
+        except (TimeoutError, OSError, *_FAILURES) as error:
+            self._calls["failed"] += 1
+            raise errors.PlatformError(f"{method} {path}: {type(error).__name__}") from error
+        if response.status == HTTP_TOO_MANY:
+            self._calls["failed"] += 1
+            raise errors.PlatformBusyError(f"{method} {path}: over the service's rate")
+        if response.status in (HTTP_OK, HTTP_NOT_MODIFIED, HTTP_NOT_FOUND, HTTP_CONFLICT):
+            return response
+        self._calls["failed"] += 1
+        raise errors.PlatformError(f"{method} {path}: status {response.status}")
+
+
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.ConnectionNotAvailable,
+)
+
+
+def _version(response: httpcore.Response) -> int:
+    for name, value in response.headers:
+        if name.lower() == b"x-version":
+            return int(value)
+    raise errors.PlatformError("answer without X-Version")
+
+
+def _entry(response: httpcore.Response) -> Entry:
+    version = _version(response)
+    return Entry(response.content if response.status == HTTP_OK else b"", version)
--- /dev/null
+++ b/hollyring/node/requests.py
@@ -0,0 +1,180 @@
+"""Reading a caller's completion request and writing the engine's."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import msgspec
+
+from hollyring.core import pieces
+from hollyring.node import errors, settings
+
+DEFAULT_OUTPUT_TOKENS = 256
+
+SAMPLING_FIELDS = ("temperature", "top_p", "top_k", "seed", "stop", "presence_penalty")
+SAMPLING_FIELDS += ("frequency_penalty", "logit_bias", "response_format", "tools", "tool_choice")
+"""Fields passed to the engine as the caller gave them; all others are dropped."""
+
+
+class RequestError(errors.NodeError):
+    """A request that cannot be understood.
+
+    Parameters
+    ----------
+    code
+        Stable code for the caller.
+    message
+        The field, its value and what is allowed.
+    """
+
+    def __init__(self, code: str, message: str) -> None:
+        super().__init__(message)
+        self.code = code
+
+
+class _Message(msgspec.Struct, frozen=True):
+    role: str
+    content: Any = ""
+
+
+class _StreamOptions(msgspec.Struct, frozen=True):
+    include_usage: bool = False
+
+
+class _Body(msgspec.Struct, frozen=True):
+    model: str
+    messages: list[_Message] | None = None
+    prompt: str | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    stream_options: _StreamOptions | None = None
+    n: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completion:
+    """One completion request as the rest of the VM sees it.
+
+    `prompt` holds the rendered bytes; `sampling` the fields passed on unchanged.
+    """
+
+    chat: bool
+    model: str
+    messages: list[dict[str, Any]]
+    prompt: bytes
+    prompt_tokens: int
+    max_tokens: int
+    stream: bool
+    include_usage: bool
+    sampling: dict[str, Any]
+
+    @property
+    def tokens(self) -> int:
+        """Tokens reserved against the organisation's rate: prompt and longest answer."""
+        return self.prompt_tokens + self.max_tokens
+
+
+def parse(body: bytes, chat: bool, bounds: settings.Limits) -> Completion:
+    """Return the completion request in `body`.
+
+    Raises
+    ------
+    RequestError
+        If the body is not JSON, a field has a wrong type or value, or a bound is exceeded.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=_Body)
+        everything = msgspec.json.decode(body)
+    except msgspec.ValidationError as error:
+        raise RequestError("invalid_request", str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise RequestError("invalid_json", "the body is not JSON") from error
+    if fields.n != 1:
+        raise RequestError("invalid_request", f"n: {fields.n}: allowed: 1")
+    messages = _messages(fields, chat)
+    prompt = pieces.render(messages) if chat else (fields.prompt or "").encode()
+    prompt_tokens = pieces.token_count(prompt)
+    if prompt_tokens > bounds.prompt_tokens:
+        allowed = bounds.prompt_tokens
+        raise RequestError(
+            "prompt_too_long", f"prompt of {prompt_tokens} tokens: allowed: {allowed}"
+        )
+    return Completion(
+        chat=chat,
+        model=fields.model,
+        messages=messages,
+        prompt=prompt,
+        prompt_tokens=prompt_tokens,
+        max_tokens=_max_tokens(fields, bounds),
+        stream=fields.stream,
+        include_usage=bool(fields.stream_options and fields.stream_options.include_usage),
+        sampling={name: everything[name] for name in SAMPLING_FIELDS if name in everything},
+    )
+
+
+def _max_tokens(fields: _Body, bounds: settings.Limits) -> int:
+    asked = fields.max_completion_tokens
+    if asked is None:
+        asked = fields.max_tokens
+    if asked is None:
+        return min(DEFAULT_OUTPUT_TOKENS, bounds.output_tokens)
+    if not 0 < asked <= bounds.output_tokens:
+        raise RequestError(
+            "invalid_request", f"max_tokens: {asked}: allowed: 1..{bounds.output_tokens}"
+        )
+    return asked
+
+
+def _messages(fields: _Body, chat: bool) -> list[dict[str, Any]]:
+    if not chat:
+        if fields.prompt is None:
+            raise RequestError("invalid_request", "prompt: missing: allowed: a string")
+        return []
+    if not fields.messages:
+        raise RequestError("invalid_request", "messages: allowed: one or more messages")
+    return [{"role": m.role, "content": _text(m.content)} for m in fields.messages]
+
+
+def _text(content: Any) -> str:
+    """Return the text of a message's content: a string, or a list of text parts."""
+    if isinstance(content, str):
+        return content
+    if content is None:
+        return ""
+    if isinstance(content, list):
+        parts = [part.get("text") for part in content if isinstance(part, dict)]
+        if len(parts) == len(content) and all(isinstance(part, str) for part in parts):
+            return "".join(parts)
+    raise RequestError("invalid_request", "content: allowed: a string or a list of text parts")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """What the VM adds to an engine's request: none of it comes from the caller."""
+
+    request_id: str
+    cache_salt: int
+    priority: int
+    resume_text: str = ""
+    resume_tokens: int = 0
+
+
+def engine_body(completion: Completion, placement: Placement) -> bytes:
+    """Return the body that the engine receives."""
+    body: dict[str, Any] = dict(completion.sampling)
+    body["model"] = completion.model
+    if completion.chat:
+        body["messages"] = completion.messages
+    else:
+        body["prompt"] = completion.prompt.decode()
+    body["max_tokens"] = completion.max_tokens - placement.resume_tokens
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["request_id"] = placement.request_id
+    body["cache_salt"] = str(placement.cache_salt)
+    body["priority"] = placement.priority
+    if placement.resume_text:
+        body["resume_text"] = placement.resume_text
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/hollyring/node/settings.py
@@ -0,0 +1,168 @@
+"""Settings of a VM process: read from a JSON file, all faults reported at once."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+from typing import Any
+
+import msgspec
+
+from hollyring.node import errors
+
+MIN_PEER_KEY_BYTES = 16
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds on what one caller may send or hold open."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 8_000_000
+    prompt_tokens: int = 200_000
+    output_tokens: int = 8_192
+    connections: int = 2_000
+    header_seconds: float = 10.0
+    body_seconds: float = 30.0
+    reader_seconds: float = 20.0
+    deadline_seconds: float = 120.0
+    shutdown_seconds: float = 60.0
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything a VM must be told before it starts.
+
+    Parameters
+    ----------
+    name, region, failure_domain
+        Where this VM stands; `name` is the roster's.
+    caller_address, peer_address, admin_address
+        ``"IP:PORT"`` to listen on for callers, for other VMs and for operators.
+    platform
+        ``"http://IP:PORT"`` of the platform's service.
+    peer_keys
+        Secrets shared by the VMs, newest first; links are opened with the first and accepted
+        with any, so that keys change during traffic.
+    admin_key
+        Bearer token of the admin port; empty leaves it open to loopback only.
+    """
+
+    name: str
+    region: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+    admin_address: str
+    platform: str
+    peer_keys: list[str]
+    admin_key: str = ""
+    policy: str = "prefix"
+    log_file: str = ""
+    limits: Limits = Limits()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of ``"IP:PORT"``.
+
+    Raises
+    ------
+    ValueError
+        If `address` is anything else.
+
+    Examples
+    --------
+    >>> split_address("127.0.0.1:7000")
+    ('127.0.0.1', 7000)
+    """
+    host, _, port = address.rpartition(":")
+    number = int(port)
+    if not 0 < number < 65_536:
+        raise ValueError(f"port {number} is not in 1..65535")
+    return str(ipaddress.ip_address(host.strip("[]"))), number
+
+
+def _address_findings(settings: Settings) -> list[str]:
+    findings = []
+    for field in ("caller_address", "peer_address", "admin_address"):
+        value = getattr(settings, field)
+        try:
+            split_address(value)
+        except ValueError:
+            findings.append(f'{field}: "{value}": allowed: "IP:PORT" with a port in 1..65535')
+    if not settings.platform.startswith("http://"):
+        findings.append(f'platform: "{settings.platform}": allowed: "http://IP:PORT"')
+    return findings
+
+
+def _value_findings(settings: Settings) -> list[str]:
+    findings = _address_findings(settings)
+    if not settings.peer_keys:
+        findings.append("peer_keys: []: allowed: one or more secrets")
+    if any(len(key) < MIN_PEER_KEY_BYTES for key in settings.peer_keys):
+        findings.append(f"peer_keys: (hidden): allowed: {MIN_PEER_KEY_BYTES} or more bytes each")
+    allowed = ("prefix", "least_loaded", "round_robin", "hash_only")
+    if settings.policy not in allowed:
+        findings.append(f'policy: "{settings.policy}": allowed: {", ".join(allowed)}')
+    for field in Limits.__struct_fields__:
+        value = getattr(settings.limits, field)
+        if value <= 0:
+            findings.append(f"limits.{field}: {value}: allowed: more than 0")
+    return findings
+
+
+def _field_finding(type_: type, prefix: str, name: str, value: Any) -> str | None:
+    field = next((f for f in msgspec.structs.fields(type_) if f.name == name), None)
+    if field is None:
+        return f"{prefix}{name}: unknown field: allowed: {', '.join(type_.__struct_fields__)}"
+    try:
+        msgspec.convert(value, field.type)
+    except msgspec.ValidationError as error:
+        shown = "(hidden)" if "key" in name else json.dumps(value)
+        return f"{prefix}{name}: {shown}: allowed: {error}"
+    return None
+
+
+def _shape_findings(document: dict[str, Any]) -> list[str]:
+    findings = []
+    for name, value in document.items():
+        finding = _field_finding(Settings, "", name, value)
+        if finding and name == "limits" and isinstance(value, dict):
+            parts = [_field_finding(Limits, "limits.", n, v) for n, v in value.items()]
+            findings += [part for part in parts if part]
+        elif finding:
+            findings.append(finding)
+    for field in msgspec.structs.fields(Settings):
+        if field.required and field.name not in document:
+            findings.append(f"{field.name}: missing: allowed: a value, it has no default")
+    return findings
+
+
+def parse(text: bytes | str) -> Settings:
+    """Return the settings in JSON `text`.
+
+    Raises
+    ------
+    SettingsError
+        Names every fault at once: field, value and what is allowed. Secrets are not shown.
+
+    Examples
+    --------
+    >>> try:
+    ...     parse('{"name": 3, "colour": "red"}')
+    ... except errors.SettingsError as error:
+    ...     print(error.findings[0])
+    name: 3: allowed: Expected `str`, got `int`
+    """
+    try:
+        document = msgspec.json.decode(text)
+    except msgspec.DecodeError as error:
+        raise errors.SettingsError([f"settings: not JSON: {error}"]) from error
+    if not isinstance(document, dict):
+        raise errors.SettingsError(["settings: allowed: a JSON object"])
+    findings = _shape_findings(document)
+    if findings:
+        raise errors.SettingsError(findings)
+    settings = msgspec.convert(document, Settings)
+    findings = _value_findings(settings)
+    if findings:
+        raise errors.SettingsError(findings)
+    return settings
--- /dev/null
+++ b/hollyring/node/wire.py
@@ -0,0 +1,117 @@
+"""Typed messages between VMs to bytes and back, by the thrift compact protocol.
+
+A message is a frozen data class of a decision package, registered under ``"package.Name"``. The
+thrift structs of the same names and fields are generated from `peer.thrift` (see
+``bin/generate``) and committed; `encode` and `decode` carry field by field between the two.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import types
+import typing
+from typing import Any
+
+from thrift.protocol import TCompactProtocol
+from thrift.Thrift import TException, TMessageType
+from thrift.transport import TTransport
+
+from hollyring.node import errors
+from hollyring.node.generated.peer import ttypes
+
+MAX_MESSAGE_BYTES = 4_000_000
+"""Longest message accepted from a peer."""
+
+
+class Wire:
+    """The messages that one VM understands.
+
+    Parameters
+    ----------
+    classes
+        Message classes by wire name.
+    """
+
+    __slots__ = ("_classes", "_names")
+
+    def __init__(self, classes: dict[str, type]) -> None:
+        self._classes = classes
+        self._names = {class_: name for name, class_ in classes.items()}
+
+    def encode(self, message: object, sequence: int = 0) -> bytes:
+        """Return the bytes of `message`, marked with `sequence`."""
+        buffer = TTransport.TMemoryBuffer()
+        protocol = TCompactProtocol.TCompactProtocol(buffer)
+        protocol.writeMessageBegin(self._names[type(message)], TMessageType.ONEWAY, sequence)
+        _to_thrift(message).write(protocol)
+        protocol.writeMessageEnd()
+        return buffer.getvalue()
+
+    def decode(self, data: bytes) -> tuple[object, int]:
+        """Return the message in `data` and its sequence number.
+
+        Raises
+        ------
+        PeerError
+            If `data` holds no message that this VM understands.
+        """
+        if len(data) > MAX_MESSAGE_BYTES:
+            raise errors.PeerError(f"message of {len(data)} bytes")
+        protocol = TCompactProtocol.TCompactProtocol(TTransport.TMemoryBuffer(data))
+        try:
+            name, _, sequence = protocol.readMessageBegin()
+            class_ = self._classes[name]
+            struct = getattr(ttypes, thrift_name(class_))()
+            struct.read(protocol)
+            return _from_thrift(struct, class_), sequence
+        except (TException, EOFError, KeyError, ValueError, TypeError, IndexError) as error:
+            raise errors.PeerError(f"unreadable message: {type(error).__name__}") from error
+
+
+def thrift_name(class_: type) -> str:
+    """Return the thrift struct's name of a message class, e.g. ``LimitsGrant``."""
+    package = class_.__module__.split(".")[1]
+    return package.capitalize() + class_.__name__
+
+
+@functools.cache
+def _plan(class_: type) -> list[tuple[str, type | None, bool]]:
+    hints = typing.get_type_hints(class_)
+    return [(f.name, *_nested(hints[f.name])) for f in dataclasses.fields(class_)]
+
+
+def _nested(hint: Any) -> tuple[type | None, bool]:
+    """Return the data class inside `hint`, if any, and whether `hint` is a list."""
+    origin = typing.get_origin(hint)
+    if origin in (typing.Union, types.UnionType):
+        inner = [part for part in typing.get_args(hint) if part is not type(None)]
+        return _nested(inner[0])
+    if origin in (list, tuple):
+        element, _ = _nested(typing.get_args(hint)[0])
+        return element, True
+    return (hint, False) if dataclasses.is_dataclass(hint) else (None, False)
+
+
+def _to_thrift(message: Any) -> Any:
+    struct = getattr(ttypes, thrift_name(type(message)))()
+    for name, nested, many in _plan(type(message)):
+        value = getattr(message, name)
+        if nested and value is not None:
+            value = [_to_thrift(item) for item in value] if many else _to_thrift(value)
+        setattr(struct, name, list(value) if many and value is not None else value)
+    return struct
+
+
+def _from_thrift(struct: Any, class_: type) -> Any:
+    values = {}
+    for name, nested, many in _plan(class_):
+        value = getattr(struct, name)
+        if nested and value is not None:
+            value = (
+                [_from_thrift(item, nested) for item in value]
+                if many
+                else _from_thrift(value, nested)
+            )
+        values[name] = value
+    return class_(**values)
