Add the stand-ins of the outside systems

Cause: the node needs a platform service, language servers, a plain service and a KV cache store to be written and shown against. Change: plain ASGI applications served by uvicorn that follow docs/protocols.md, each with its faults on a control port, and the commands that serve them. Not measured yet.

--- /dev/null
+++ b/hollyring/standins/asgi.py
@@ -0,0 +1,262 @@
+"""A thin layer over ASGI that the stand-ins share, and the control port's application."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import dataclasses
+import signal
+import time
+import urllib.parse
+from collections.abc import Awaitable, Callable, Iterator, MutableMapping
+from typing import Any
+
+import anyio
+import msgspec
+import uvicorn
+
+from hollyring.standins import errors
+
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+
+JSON: Headers = [(b"content-type", b"application/json")]
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One HTTP request with its whole body."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: Headers
+    body: bytes
+    receive: Receive
+    send: Send
+
+    def header(self, name: bytes) -> str:
+        """Return the first header `name` (lower case), or an empty string."""
+        return next((value.decode("latin-1") for key, value in self.headers if key == name), "")
+
+    def json(self) -> dict[str, Any]:
+        """Return the body as a JSON object.
+
+        Raises
+        ------
+        StandinError
+            If the body is not a JSON object.
+        """
+        try:
+            return msgspec.json.decode(self.body or b"{}", type=dict)
+        except msgspec.DecodeError as error:
+            raise errors.StandinError(400, "bad_json", str(error)) from error
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer."""
+        await self.send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def write(self, body: bytes, more: bool = True) -> None:
+        """Send a part of the answer's body."""
+        await self.send({"type": "http.response.body", "body": body, "more_body": more})
+
+    async def answer(self, status: int, body: bytes = b"", headers: Headers | None = None) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        await self.start(status, [length, *(headers or [])])
+        await self.write(body, more=False)
+
+    async def answer_json(self, status: int, value: object, headers: Headers | None = None) -> None:
+        """Send a whole answer as JSON."""
+        await self.answer(status, msgspec.json.encode(value), [*JSON, *(headers or [])])
+
+    async def disconnected(self) -> None:
+        """Return once the caller has closed the connection."""
+        while (await self.receive())["type"] != "http.disconnect":
+            pass
+
+
+@dataclasses.dataclass(slots=True)
+class Fault:
+    """A fault that is switched on.
+
+    Parameters
+    ----------
+    kind
+        Which fault; each stand-in lists its own.
+    value
+        Its size, e.g. seconds or a rate.
+    count
+        How often it strikes before it is gone; 0 for always.
+    seconds
+        How long it lasts; 0 for always.
+    mode
+        A variant, e.g. ``"hang"`` for an outage.
+    """
+
+    kind: str
+    value: float = 0.0
+    count: int = 0
+    seconds: float = 0.0
+    mode: str = ""
+
+
+class StandIn:
+    """What all stand-ins share: faults, counters and the control application.
+
+    The control application answers ``GET /counters``, ``GET /faults``, ``POST /faults`` with the
+    fields of `Fault`, and ``DELETE /faults[?kind=KIND]``.
+    """
+
+    fault_kinds: frozenset[str] = frozenset()
+
+    def __init__(self) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self._faults: dict[str, tuple[Fault, float]] = {}
+
+    def set_fault(self, fault: Fault) -> None:
+        """Switch `fault` on.
+
+        Raises
+        ------
+        StandinError
+            If this stand-in has no such fault.
+        """
+        if fault.kind not in self.fault_kinds:
+            known = ", ".join(sorted(self.fault_kinds))
+            raise errors.StandinError(400, "unknown_fault", f"{fault.kind!r}; known: {known}")
+        self._faults[fault.kind] = (fault, time.monotonic() + (fault.seconds or float("inf")))
+
+    def fault(self, kind: str) -> Fault | None:
+        """Return fault `kind` if it strikes now, and count the strike."""
+        found = self._faults.get(kind)
+        if found is None:
+            return None
+        fault, until = found
+        if time.monotonic() >= until:
+            del self._faults[kind]
+            return None
+        if fault.count == 1:
+            del self._faults[kind]
+        if fault.count > 1:
+            self._faults[kind] = (dataclasses.replace(fault, count=fault.count - 1), until)
+        self.counters[f"fault_{kind}"] += 1
+        return fault
+
+    async def handle(self, request: Request) -> None:
+        """Answer a request on the main port."""
+        raise NotImplementedError
+
+    async def handle_control(self, request: Request) -> None:
+        """Answer a request on the control port; subclasses add their own paths."""
+        match request.method, request.path:
+            case "GET", "/counters":
+                await request.answer_json(200, self.counters)
+            case "GET", "/faults":
+                await request.answer_json(200, [fault for fault, _ in self._faults.values()])
+            case "POST", "/faults":
+                await self._post_fault(request)
+            case "DELETE", "/faults":
+                kinds = [request.query["kind"]] if "kind" in request.query else list(self._faults)
+                for kind in kinds:
+                    self._faults.pop(kind, None)
+                await request.answer_json(200, {})
+            case _:
+                raise errors.StandinError(404, "not_found", request.path)
+
+    async def _post_fault(self, request: Request) -> None:
+        try:
+            fault = msgspec.json.decode(request.body, type=Fault)
+        except msgspec.DecodeError as error:
+            raise errors.StandinError(400, "bad_fault", str(error)) from error
+        self.set_fault(fault)
+        await request.answer_json(200, {})
+
+    async def run(self) -> None:
+        """Do background work for as long as the stand-in is served."""
+
+
+def application(
+    handle: Callable[[Request], Awaitable[None]],
+) -> Callable[[Message, Receive, Send], Awaitable[None]]:
+    """Return an ASGI application that gives whole requests to `handle`."""
+
+    async def app(scope: Message, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return
+        body = await _read(receive)
+        if body is None:
+            return
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        request = Request(
+            scope["method"], scope["path"], query, list(scope["headers"]), body, receive, send
+        )
+        try:
+            await handle(request)
+        except errors.StandinError as error:
+            detail = {"message": str(error), "code": error.code}
+            await request.answer_json(error.status, {"error": detail}, error.headers)
+        except errors.ConnectionCutError:
+            # The server closes a connection whose application returns without an answer.
+            return
+
+    return app
+
+
+async def _read(receive: Receive) -> bytes | None:
+    parts = []
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return parts[0] if len(parts) == 1 else b"".join(parts)
+
+
+class Server(uvicorn.Server):
+    """A server that leaves signals to `serve`."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture none."""
+        yield
+
+
+async def serve(standin: StandIn, host: str, port: int, control_port: int) -> None:
+    """Serve `standin` on `port` and its control application on `control_port` until SIGTERM."""
+    servers = [
+        _server(application(standin.handle), host, port),
+        _server(application(standin.handle_control), host, control_port),
+    ]
+    async with anyio.create_task_group() as background:
+        background.start_soon(standin.run)
+        background.start_soon(_stop_on_signal, servers)
+        async with anyio.create_task_group() as group:
+            for server in servers:
+                group.start_soon(server.serve)
+        background.cancel_scope.cancel()
+
+
+async def _stop_on_signal(servers: list[Server]) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            for server in servers:
+                server.should_exit = True
+
+
+def _server(app: Callable[..., Any], host: str, port: int) -> Server:
+    config = uvicorn.Config(
+        app,
+        host,
+        port,
+        log_level="critical",
+        http="httptools",
+        loop="asyncio",
+        lifespan="off",
+        access_log=False,
+        timeout_graceful_shutdown=1,
+    )
+    return Server(config)
--- /dev/null
+++ b/hollyring/standins/batching.py
@@ -0,0 +1,164 @@
+"""Continuous batching of the language server stand-in."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import time
+
+import anyio
+
+from hollyring.core import pieces
+from hollyring.standins import prefix_cache, text
+
+MAX_LAG_SECONDS = 0.5
+MIN_SLEEP_SECONDS = 0.002
+
+
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """How fast an engine works; `speed` shortens every duration."""
+
+    prefill_tokens_per_second: float = 8000.0
+    decode_step_seconds: float = 0.02
+    max_running: int = 32
+    prefill_chunk_tokens: int = 2048
+    speed: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """A request inside the engine."""
+
+    request_id: str
+    model: str
+    prompt: bytes
+    salt: int
+    priority: int
+    next_index: int
+    last_index: int
+    finish_reason: str = "length"
+    seed: int = 0
+    names: list[int] = dataclasses.field(default_factory=list)
+    cached: int = 0
+    to_prefill: int = -1
+    done: bool = False
+    cancelled: bool = False
+    tokens: list[str] = dataclasses.field(default_factory=list)
+    ready: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+    def wake(self) -> None:
+        """Wake the task that sends this job's tokens."""
+        self.ready.set()
+
+    async def take(self) -> list[str]:
+        """Wait for tokens and return all that are there; none if the job was cancelled."""
+        while not self.tokens and not self.done:
+            self.ready = anyio.Event()
+            await self.ready.wait()
+        taken, self.tokens = self.tokens, []
+        return taken
+
+
+class Batch:
+    """Waiting and running jobs, advanced a step at a time."""
+
+    def __init__(self, pace: Pace, cache: prefix_cache.PrefixCache) -> None:
+        self._pace = pace
+        self._cache = cache
+        self._waiting: list[tuple[int, int, Job]] = []
+        self._running: list[Job] = []
+        self._arrivals = 0
+        self._work = anyio.Event()
+        self.slowdown = 1.0
+
+    @property
+    def running(self) -> int:
+        """Number of jobs in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Number of jobs that wait for a place in the batch."""
+        return len(self._waiting)
+
+    @property
+    def queued_tokens(self) -> int:
+        """Prompt tokens still to be computed."""
+        queued = sum(pieces.token_count(job.prompt) for _, _, job in self._waiting)
+        return queued + sum(max(0, job.to_prefill) for job in self._running)
+
+    def submit(self, job: Job) -> None:
+        """Queue `job` by its priority."""
+        self._arrivals += 1
+        job.seed = text.seed(job.prompt)
+        job.names = pieces.chain(job.salt, job.prompt)
+        heapq.heappush(self._waiting, (job.priority, self._arrivals, job))
+        self._work.set()
+
+    def cancel(self, job: Job) -> None:
+        """Take `job` out wherever it is."""
+        if job.done:
+            return
+        job.done = job.cancelled = True
+        job.wake()
+        self._running = [other for other in self._running if other is not job]
+        self._waiting = [entry for entry in self._waiting if entry[2] is not job]
+        heapq.heapify(self._waiting)
+
+    def cancel_all(self) -> None:
+        """Take out every job."""
+        for job in [*self._running, *(entry[2] for entry in self._waiting)]:
+            self.cancel(job)
+
+    async def run(self) -> None:
+        """Advance the batch for ever."""
+        due = time.monotonic()
+        while True:
+            if not self._running and not self._waiting:
+                self._work = anyio.Event()
+                await self._work.wait()
+                due = time.monotonic()
+            now = time.monotonic()
+            self._cache.evict_idle(now)
+            due = max(due, now - MAX_LAG_SECONDS) + self.step(now)
+            ahead = due - time.monotonic()
+            await anyio.sleep(ahead if ahead > MIN_SLEEP_SECONDS else 0)
+
+    def step(self, now: float) -> float:
+        """Prefill a chunk, generate one token for each running job, return the step's seconds."""
+        self._admit(now)
+        prefilled = self._prefill(now)
+        finished = False
+        for job in self._running:
+            if job.to_prefill:
+                continue
+            job.tokens.append(text.token(job.seed, job.next_index))
+            job.next_index += 1
+            if job.next_index >= job.last_index:
+                job.done = finished = True
+            job.wake()
+        if finished:
+            self._running = [job for job in self._running if not job.done]
+        seconds = self._pace.decode_step_seconds + prefilled / self._pace.prefill_tokens_per_second
+        return seconds * self.slowdown / self._pace.speed
+
+    def _admit(self, now: float) -> None:
+        while self._waiting and len(self._running) < self._pace.max_running:
+            job = heapq.heappop(self._waiting)[2]
+            job.cached = prefix_cache.cached_tokens(self._cache.match(job.names, now))
+            total = pieces.token_count(job.prompt) + job.next_index
+            job.to_prefill = max(0, total - job.cached)
+            self._running.append(job)
+
+    def _prefill(self, now: float) -> int:
+        budget = self._pace.prefill_chunk_tokens
+        for job in self._running:
+            if not job.to_prefill or not budget:
+                continue
+            part = min(budget, job.to_prefill)
+            budget -= part
+            job.to_prefill -= part
+            if not job.to_prefill:
+                self._cache.store(job.names, now)
+        return self._pace.prefill_chunk_tokens - budget
--- /dev/null
+++ b/hollyring/standins/cache_store.py
@@ -0,0 +1,75 @@
+"""Stand-in of the KV cache store, and of the weight store from which engines load."""
+
+from __future__ import annotations
+
+import collections
+
+import anyio
+
+from hollyring.standins import asgi, errors
+
+
+class CacheStore(asgi.StandIn):
+    """Blocks by name, the oldest dropped beyond the capacity; weights at a limited rate.
+
+    ``GET /weights/MODEL/VERSION`` answers after `weights_seconds`, longer in proportion when
+    more than `weights_concurrency` load at once. Faults: ``slow`` (value: seconds), ``outage``
+    (503), ``loss`` (a block that is put is not kept).
+    """
+
+    fault_kinds = frozenset({"slow", "outage", "loss"})
+
+    def __init__(
+        self,
+        capacity: int = 100_000,
+        weights_seconds: float = 2.0,
+        weights_concurrency: int = 2,
+        speed: float = 1.0,
+    ) -> None:
+        super().__init__()
+        self._blocks: collections.OrderedDict[str, bytes] = collections.OrderedDict()
+        self._capacity = capacity
+        self._weights_seconds = weights_seconds / speed
+        self._weights_concurrency = weights_concurrency
+        self._loading = 0
+
+    async def handle(self, request: asgi.Request) -> None:
+        """Answer a call of the store's protocol."""
+        self.counters["writes" if request.method == "PUT" else "reads"] += 1
+        if slow := self.fault("slow"):
+            await anyio.sleep(slow.value)
+        if self.fault("outage"):
+            raise errors.StandinError(503, "unavailable")
+        match request.method, request.path.split("/")[1:]:
+            case "GET", ["blocks", name] if name in self._blocks:
+                await request.answer(200, self._blocks[name])
+            case "PUT", ["blocks", name]:
+                self._put(name, request.body)
+                await request.answer(200)
+            case "GET", ["has"]:
+                names = request.query.get("blocks", "").split(",")
+                present = [name for name in names if name in self._blocks]
+                await request.answer_json(200, {"present": present})
+            case "GET", ["weights", _, _]:
+                await self._load_weights()
+                await request.answer(200)
+            case _:
+                raise errors.StandinError(404, "not_found", request.path)
+
+    def _put(self, name: str, body: bytes) -> None:
+        if self.fault("loss"):
+            return
+        self._blocks[name] = body
+        self._blocks.move_to_end(name)
+        if len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+
+    async def _load_weights(self) -> None:
+        self._loading += 1
+        self.counters["weights"] += 1
+        self.counters["most_loading"] = max(self.counters["most_loading"], self._loading)
+        try:
+            over = max(1.0, self._loading / self._weights_concurrency)
+            await anyio.sleep(self._weights_seconds * over)
+        finally:
+            self._loading -= 1
