Keep one streamed answer in order and whole over several upstream tries

Cause: nothing numbers tokens by try yet, so a late token of an abandoned try could reach the caller and a cut stream could look whole. Ruled out: counting tokens only in Last-Event-ID, since a regenerated answer that differs would be spliced on unnoticed.

--- /dev/null
+++ b/hollyring/delivery/tests/test_stream.py
@@ -0,0 +1,156 @@
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from hollyring.core import execution, invariants
+from hollyring.delivery import errors, events, refusal, stream
+
+ANSWER = [f"{number:04d}" for number in range(40)]
+SEED = events.request_digest(b'{"model": "parish"}')
+
+
+@pytest.fixture
+def counters():
+    return invariants.Invariants()
+
+
+def serve(answer, attempt, start, stop):
+    """Feed tokens `start` to `stop` of the answer, as the try's upstream would send them."""
+    steps = []
+    for position, text in enumerate(ANSWER[start:stop]):
+        steps.append(answer.accept(stream.Token(attempt.number, position, text)))
+    return steps
+
+
+def texts(steps):
+    return [step.text for step in steps if isinstance(step, stream.Deliver)]
+
+
+def finish(answer, attempt):
+    position = len(ANSWER) - attempt.resume_tokens
+    return answer.accept(stream.Finish(attempt.number, position, "stop"))
+
+
+@hypothesis.given(strategies.lists(strategies.integers(0, 12), max_size=6))
+def test_answer_is_whole_whatever_the_tries(advances):
+    answer = stream.Stream("r", SEED, invariants.Invariants())
+    delivered, reached, abandoned = [], 0, []
+    for advance in advances:
+        attempt = answer.begin()
+        assert attempt.resume_text == "".join(ANSWER[:reached])
+        stop = min(len(ANSWER), reached + advance)
+        delivered += texts(serve(answer, attempt, reached, stop))
+        answer.accept(stream.Lost(attempt.number))
+        abandoned.append(attempt)
+        reached = stop
+        for old in abandoned:
+            late = stream.Token(old.number, stop, "late")
+            assert answer.accept(late) == stream.IGNORE
+    attempt = answer.begin()
+    delivered += texts(serve(answer, attempt, reached, len(ANSWER)))
+    assert isinstance(finish(answer, attempt), stream.Complete)
+    assert delivered == ANSWER and answer.text == "".join(ANSWER)
+
+
+@pytest.mark.parametrize("position", [0, 4, 6])
+def test_a_gap_or_repeat_in_a_try_is_never_passed_on(counters, position):
+    answer = stream.Stream("r", SEED, counters)
+    attempt = answer.begin()
+    serve(answer, attempt, 0, 5)
+    assert answer.accept(stream.Token(attempt.number, position, "odd")) == stream.Interrupted(1)
+    assert answer.accept(stream.Token(attempt.number, 5, "next")) == stream.IGNORE
+    assert answer.begin().resume_text == "".join(ANSWER[:5])
+
+
+def test_a_finish_after_a_gap_does_not_complete(counters):
+    answer = stream.Stream("r", SEED, counters)
+    attempt = answer.begin()
+    serve(answer, attempt, 0, 5)
+    assert answer.accept(stream.Finish(attempt.number, 7, "stop")) == stream.Interrupted(1)
+    assert not answer.complete
+
+
+def test_an_incomplete_answer_ends_in_an_error_and_takes_nothing_more(counters):
+    answer = stream.Stream("r", SEED, counters)
+    attempt = answer.begin()
+    serve(answer, attempt, 0, 5)
+    failed = answer.fail(refusal.make("stream_interrupted"))
+    assert failed.refusal.execution is execution.Execution.UNKNOWN
+    assert answer.accept(stream.Finish(attempt.number, 5, "stop")) == stream.IGNORE
+    assert answer.ended and not answer.complete
+    with pytest.raises(errors.StreamEndedError):
+        answer.begin()
+    with pytest.raises(invariants.InvariantError):
+        answer.fail(refusal.make("stream_interrupted"))
+
+
+@pytest.mark.parametrize("known", range(1, 40, 6))
+@pytest.mark.parametrize("with_text", [True, False])
+def test_a_caller_resumes_at_another_vm(counters, known, with_text):
+    first = stream.Stream("r", SEED, counters)
+    last = serve(first, first.begin(), 0, known)[-1].identity
+    text = "".join(ANSWER[:known]) if with_text else None
+    wish = stream.Resumption(events.parse(str(last)), text)
+    second = stream.Stream("other", SEED, counters, wish)
+    attempt = second.begin()
+    assert attempt.resume_tokens == (known if with_text else 0)
+    rest = texts(serve(second, attempt, attempt.resume_tokens, len(ANSWER)))
+    assert rest == ANSWER[known:]
+    ended = finish(second, attempt)
+    assert ended.identity == dataclasses.replace(second.identity, request="r")
+
+
+def test_a_different_answer_is_not_spliced_on(counters):
+    last = events.EventId("r", 3, events.text_digest(SEED, "".join(ANSWER[:3])))
+    answer = stream.Stream("r", SEED, counters, stream.Resumption(last))
+    attempt = answer.begin()
+    steps = [answer.accept(stream.Token(attempt.number, at, "diff")) for at in range(3)]
+    assert steps[:2] == [stream.IGNORE] * 2
+    assert steps[2].refusal.code == "resume_mismatch"
+
+
+def test_a_shorter_answer_is_not_taken_as_the_same(counters):
+    last = events.EventId("r", 3, events.text_digest(SEED, "".join(ANSWER[:3])))
+    answer = stream.Stream("r", SEED, counters, stream.Resumption(last))
+    attempt = answer.begin()
+    serve(answer, attempt, 0, 2)
+    step = answer.accept(stream.Finish(attempt.number, 2, "stop"))
+    assert step.refusal.code == "resume_mismatch"
+
+
+@pytest.mark.parametrize("seed, text", [(SEED, "wrong text"), (SEED + 1, "".join(ANSWER[:3]))])
+def test_wrong_text_or_another_request_is_refused(counters, seed, text):
+    last = events.EventId("r", 3, events.text_digest(SEED, "".join(ANSWER[:3])))
+    with pytest.raises(errors.EventIdError):
+        stream.Stream("r", seed, counters, stream.Resumption(last, text))
+
+
+def test_a_caller_that_has_everything_gets_nothing_more(counters):
+    answer = stream.Stream("r", SEED, counters)
+    attempt = answer.begin()
+    serve(answer, attempt, 0, len(ANSWER))
+    last = finish(answer, attempt).identity
+    with_text = stream.Stream("r", SEED, counters, stream.Resumption(last, "".join(ANSWER)))
+    assert with_text.ended and with_text.complete
+    without = stream.Stream("r", SEED, counters, stream.Resumption(last))
+    attempt = without.begin()
+    assert texts(serve(without, attempt, 0, len(ANSWER))) == []
+    assert isinstance(finish(without, attempt), stream.Complete)
+
+
+def test_text_is_bounded(counters):
+    answer = stream.Stream("r", SEED, counters)
+    attempt = answer.begin()
+    half = "x" * (stream.MAX_TEXT_BYTES // 2)
+    assert isinstance(answer.accept(stream.Token(attempt.number, 0, half)), stream.Deliver)
+    assert isinstance(answer.accept(stream.Token(attempt.number, 1, half)), stream.Deliver)
+    step = answer.accept(stream.Token(attempt.number, 2, "y"))
+    assert step.refusal.code == "answer_too_long"
+
+
+@pytest.mark.parametrize("text", ["", "r.1.ff", "r.1.xyz.0", "r.-1.ff.0", "r.01.ff.0", ".1.f.0"])
+def test_foreign_event_identities_are_refused(text):
+    with pytest.raises(errors.EventIdError):
+        events.parse(text)
