--- a/hollyring/cli/main.py
+++ b/hollyring/cli/main.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import pathlib
+
 import click
 
-import hollyring
+from hollyring.cli import standin
 
 VERSION = "0.1.0"
+EXIT_BAD_INPUT = 2
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -23,4 +26,31 @@
 
     Example: hollyring version
     """
-    click.echo(f"{hollyring.__name__} {VERSION}")
+    click.echo(f"hollyring {VERSION}")
+
+
+@main.command()
+@click.argument("settings_file", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path))
+@click.option("--check", is_flag=True, help="Check the settings and leave.")
+def serve(settings_file: pathlib.Path, check: bool) -> None:
+    """Run a VM process with the settings in SETTINGS_FILE.
+
+    Exit status 2 means that the settings are bad; every fault is printed.
+
+    Example: hollyring serve vm-1.json
+    """
+    from hollyring.node import errors, server, settings
+
+    try:
+        given = settings.parse(settings_file.read_bytes())
+    except errors.SettingsError as error:
+        for finding in error.findings:
+            click.echo(f"{settings_file}: {finding}", err=True)
+        raise SystemExit(EXIT_BAD_INPUT) from error
+    if check:
+        click.echo(f"{settings_file}: fine")
+        return
+    server.serve(given)
+
+
+main.add_command(standin.standin)
--- /dev/null
+++ b/hollyring/experiments/load.py
@@ -0,0 +1,268 @@
+"""Callers of a fleet: they ask which VM to use, keep the answer a while, and check what comes."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from hollyring.core import pieces
+from hollyring.standins import text
+
+TRIES = 4
+CONNECT_SECONDS = 1.0
+ANSWER_SECONDS = 60.0
+HTTP_OK = 200
+
+_FAILURES = (
+    OSError,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Caller:
+    """One organisation's client.
+
+    Parameters
+    ----------
+    organisation
+        Its name.
+    key
+        The secret it shows.
+    entries
+        Caller addresses ``"IP:PORT"`` in the order to use them.
+    """
+
+    organisation: str
+    key: str
+    entries: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What one request met, as its caller saw it.
+
+    Parameters
+    ----------
+    kind
+        ``"chat"``, ``"stream"`` or ``"order"``.
+    complete, right
+        Whether an answer came whole, and whether it was the expected one.
+    code
+        The refusal's code, empty for an answer.
+    tries
+        VMs asked.
+    first_token
+        Seconds until the first token, NaN for none.
+    """
+
+    kind: str
+    organisation: str
+    complete: bool = False
+    right: bool = False
+    code: str = ""
+    execution: str = ""
+    tries: int = 0
+    first_token: float = float("nan")
+    seconds: float = 0.0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    order: str = ""
+    served_by: str = ""
+
+
+class Client:
+    """Sends requests to the VMs and judges the answers.
+
+    A failed connection is tried again at the next VM; an order keeps its ``Idempotency-Key``.
+    """
+
+    __slots__ = ("_pool",)
+
+    def __init__(self) -> None:
+        self._pool = httpcore.AsyncConnectionPool(max_connections=1_000, keepalive_expiry=5.0)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._pool.aclose()
+
+    async def complete(
+        self, caller: Caller, model: str, prompt: str, max_tokens: int, stream: bool
+    ) -> Outcome:
+        """Ask for a chat completion and compare the answer with the expected one."""
+        messages = [{"role": "user", "content": prompt}]
+        body = {"model": model, "messages": messages, "max_tokens": max_tokens, "stream": stream}
+        if stream:
+            body["stream_options"] = {"include_usage": True}
+        wanted = "".join(text.expected(pieces.render(messages), max_tokens))
+        outcome = Outcome("stream" if stream else "chat", caller.organisation)
+        read = _read_stream if stream else _read_whole
+        started = time.monotonic()
+        content = msgspec.json.encode(body)
+        await self._try(caller, "/v1/chat/completions", content, outcome, read, started, wanted)
+        outcome.seconds = time.monotonic() - started
+        return outcome
+
+    async def order(self, caller: Caller, path: str, identity: str) -> Outcome:
+        """Send an order that must run at most once; repeats keep its identity."""
+        outcome = Outcome("order", caller.organisation, order=identity)
+        started = time.monotonic()
+        content = msgspec.json.encode({"order": identity})
+        headers = [(b"idempotency-key", identity.encode())]
+        await self._try(caller, path, content, outcome, _read_order, started, identity, headers)
+        outcome.seconds = time.monotonic() - started
+        return outcome
+
+    async def _try(
+        self,
+        caller: Caller,
+        path: str,
+        content: bytes,
+        outcome: Outcome,
+        read: Callable[..., Any],
+        started: float,
+        wanted: str,
+        extra: list[tuple[bytes, bytes]] | None = None,
+    ) -> None:
+        headers = [(b"authorization", f"Bearer {caller.key}".encode())]
+        headers += [(b"content-type", b"application/json"), *(extra or [])]
+        timeout = {"connect": CONNECT_SECONDS, "read": ANSWER_SECONDS, "write": ANSWER_SECONDS}
+        for number in range(TRIES):
+            entry = caller.entries[number % len(caller.entries)]
+            outcome.tries += 1
+            outcome.code = ""
+            outcome.served_by = entry
+            try:
+                request = self._pool.stream(
+                    "POST",
+                    f"http://{entry}{path}",
+                    headers=headers,
+                    content=content,
+                    extensions={"timeout": timeout},
+                )
+                async with request as response:
+                    await read(response, outcome, started, wanted)
+            except _FAILURES as error:
+                outcome.code = type(error).__name__
+                await anyio.sleep(0.05)
+                continue
+            if outcome.complete or outcome.code not in ("leaving", "configuration_stale"):
+                return
+
+
+async def _refused(response: httpcore.Response, outcome: Outcome) -> None:
+    error = msgspec.json.decode(await response.aread()).get("error", {})
+    outcome.code = error.get("code", f"status_{response.status}")
+    outcome.execution = error.get("execution", "")
+
+
+async def _read_whole(
+    response: httpcore.Response, outcome: Outcome, started: float, wanted: str
+) -> None:
+    if response.status != HTTP_OK:
+        await _refused(response, outcome)
+        return
+    answer = msgspec.json.decode(await response.aread())
+    outcome.first_token = time.monotonic() - started
+    outcome.complete = True
+    outcome.right = answer["choices"][0]["message"]["content"] == wanted
+    _note_usage(outcome, answer["usage"])
+
+
+async def _read_stream(
+    response: httpcore.Response, outcome: Outcome, started: float, wanted: str
+) -> None:
+    if response.status != HTTP_OK:
+        await _refused(response, outcome)
+        return
+    got: list[str] = []
+    rest = b""
+    async for part in response.aiter_stream():
+        lines = (rest + part).split(b"\n")
+        rest = lines.pop()
+        for line in lines:
+            if line.startswith(b"data: "):
+                _event(line[6:], outcome, started, got)
+    outcome.right = outcome.complete and "".join(got) == wanted
+
+
+def _event(data: bytes, outcome: Outcome, started: float, got: list[str]) -> None:
+    if data == b"[DONE]":
+        outcome.complete = True
+        return
+    event = msgspec.json.decode(data)
+    if "error" in event:
+        outcome.code = event["error"]["code"]
+        outcome.execution = event["error"]["execution"]
+        return
+    if event.get("usage"):
+        _note_usage(outcome, event["usage"])
+    for choice in event["choices"]:
+        if choice["delta"].get("content"):
+            if not got:
+                outcome.first_token = time.monotonic() - started
+            got.append(choice["delta"]["content"])
+
+
+async def _read_order(
+    response: httpcore.Response, outcome: Outcome, started: float, wanted: str
+) -> None:
+    if response.status != HTTP_OK:
+        await _refused(response, outcome)
+        return
+    answer = msgspec.json.decode(await response.aread())
+    outcome.complete = True
+    outcome.right = msgspec.json.decode(answer["body"])["order"] == wanted
+
+
+def _note_usage(outcome: Outcome, usage: dict[str, Any]) -> None:
+    outcome.prompt_tokens = usage["prompt_tokens"]
+    outcome.cached_tokens = usage["prompt_tokens_details"]["cached_tokens"]
+
+
+@dataclasses.dataclass(slots=True)
+class Prompts:
+    """Prompts whose prefixes nest: document, then parish or shop, then question.
+
+    Parameters
+    ----------
+    draw
+        Seeded randomness.
+    documents
+        Documents in circulation; rank r is drawn with weight 1/r.
+    document_bytes, parish_bytes
+        Lengths of the two shared levels.
+    """
+
+    draw: random.Random
+    documents: int = 12
+    parishes: int = 8
+    document_bytes: int = 40_000
+    parish_bytes: int = 6_000
+    shift: int = 0
+
+    def next(self) -> str:
+        """Return the next prompt."""
+        ranks = range(1, self.documents + 1)
+        rank = self.draw.choices(ranks, [1 / r for r in ranks])[0]
+        document = (rank + self.shift) % self.documents
+        parish = self.draw.randrange(self.parishes)
+        question = f"question {self.draw.randrange(1_000_000)}: is this parish eligible?"
+        return (
+            _filler(f"circular {document} ", self.document_bytes)
+            + _filler(f"parish {document}/{parish} ", self.parish_bytes)
+            + question
+        )
+
+
+def _filler(label: str, size: int) -> str:
+    return (label * (size // len(label) + 1))[:size]
--- /dev/null
+++ b/hollyring/node/catalogue.py
@@ -0,0 +1,25 @@
+"""The messages that VMs exchange, by wire name."""
+
+from __future__ import annotations
+
+from hollyring.limits import messages as limits
+
+MESSAGES: dict[str, type] = {
+    f"{class_.__module__.split('.')[1]}.{class_.__name__}": class_
+    for class_ in (
+        limits.Ask,
+        limits.Grant,
+        limits.Return,
+        limits.ConfirmRequest,
+        limits.Confirm,
+        limits.SettledQuery,
+        limits.Settled,
+    )
+}
+"""Message classes of all parts; each belongs to the package that its wire name begins with."""
+
+
+def thrift_name(class_: type) -> str:
+    """Return the thrift struct's name of a message class, e.g. ``LimitsGrant``."""
+    package = class_.__module__.split(".")[1]
+    return package.capitalize() + class_.__name__
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import time
 import uuid
@@ -14,7 +15,17 @@
 from hollyring.core import execution
 from hollyring.delivery import errors as delivery_errors
 from hollyring.delivery import events, refusal, stream
-from hollyring.node import answers, asgi, engines, errors, outlets, requests, rights, vm
+from hollyring.node import (
+    answers,
+    asgi,
+    engines,
+    errors,
+    outlets,
+    requests,
+    rights,
+    routing_part,
+    vm,
+)
 
 MAX_TRIES = 3
 """Upstreams tried for one request before it is refused."""
@@ -56,7 +67,7 @@
         await outlets.refuse(send, work)
         return
     admission = await node.limits.admit(
-        work.caller.organisation.name, work.completion.tokens, work.request_id, work.deadline
+        work.caller.organisation.name, work.completion.tokens, work.request_id
     )
     if admission is not None:
         node.metrics.count(f"refused_{admission.code}")
@@ -163,7 +174,8 @@
         node.metrics.count("completed")
         return
     node.metrics.count(f"refused_{why.code}")
-    work.stream.fail(why)
+    if not work.stream.ended:
+        work.stream.fail(why)
     await work.outlet.fail(why)
 
 
@@ -200,7 +212,7 @@
     return why.as_unknown() if work.dispatched else why
 
 
-async def _attempt(node: vm.VM, work: _Work, place: vm.Place) -> None:
+async def _attempt(node: vm.VM, work: _Work, place: routing_part.Place) -> None:
     attempt = work.stream.begin()
     body = requests.engine_body(
         work.completion,
@@ -220,11 +232,12 @@
             place.address, path, body, work.deadline - time.monotonic()
         )
         work.dispatched = True
-        async for item in generated:
-            if isinstance(item, engines.Usage):
-                work.usage = item
-                continue
-            tokens = await _item(node, work, place, attempt.number, tokens, item)
+        async with contextlib.aclosing(generated):
+            async for item in generated:
+                if isinstance(item, engines.Usage):
+                    work.usage = item
+                    continue
+                tokens = await _item(node, work, place, attempt.number, tokens, item)
     except errors.UpstreamError as error:
         work.dispatched = work.dispatched and (error.reached or attempt.number > 1)
         work.stream.accept(stream.Lost(attempt.number))
@@ -237,7 +250,7 @@
 async def _item(
     node: vm.VM,
     work: _Work,
-    place: vm.Place,
+    place: routing_part.Place,
     number: int,
     tokens: int,
     item: engines.Token,
--- a/hollyring/node/engines.py
+++ b/hollyring/node/engines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import Any
 
 import anyio
@@ -97,7 +97,7 @@
 
     async def stream(
         self, address: str, path: str, body: bytes, first_seconds: float
-    ) -> AsyncIterator[Token | Usage]:
+    ) -> AsyncGenerator[Token | Usage, None]:
         """Yield what the engine at `address` generates, then its usage.
 
         Closing the iterator closes the connection, which cancels the engine's work. The iterator
--- a/hollyring/node/idl.py
+++ b/hollyring/node/idl.py
@@ -10,7 +10,7 @@
 import typing
 from typing import Any
 
-from hollyring.node import catalogue, wire
+from hollyring.node import catalogue
 
 _SCALARS = {bool: "bool", int: "i64", float: "double", str: "string", bytes: "binary"}
 
@@ -25,7 +25,7 @@
 
 
 def _print_struct(class_: type, printed: dict[str, str]) -> None:
-    name = wire.thrift_name(class_)
+    name = catalogue.thrift_name(class_)
     if name in printed:
         return
     hints = typing.get_type_hints(class_)
@@ -43,7 +43,7 @@
         return f"list<{_type(typing.get_args(hint)[0], printed)}>"
     if dataclasses.is_dataclass(hint):
         _print_struct(typing.cast(type, hint), printed)
-        return wire.thrift_name(typing.cast(type, hint))
+        return catalogue.thrift_name(typing.cast(type, hint))
     return _SCALARS[hint]
 
 
--- /dev/null
+++ b/hollyring/node/limits_part.py
@@ -0,0 +1,146 @@
+"""The part that owns the limiter: admits requests, lends to peers, settles."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from hollyring import limits
+from hollyring.configuration import state
+from hollyring.core import identities, invariants
+from hollyring.delivery import refusal
+from hollyring.limits import holders, limiter
+from hollyring.limits import messages as limits_messages
+from hollyring.node import part
+
+TICK_SECONDS = 0.02
+
+Send = Callable[[str, object], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Admit:
+    organisation: str
+    tokens: int
+    request_id: str
+    ticket: part.Ticket[refusal.Refusal | None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Settle:
+    organisation: str
+    request_id: str
+    used: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Configure:
+    configuration: state.Configuration
+
+
+@dataclasses.dataclass(slots=True)
+class _FromPeer:
+    sender: str
+    message: Any
+
+
+class LimitsPart(part.Part):
+    """Owns this VM's `limits.Limiter`.
+
+    Parameters
+    ----------
+    send
+        Called with a VM's name and a message for it.
+    """
+
+    def __init__(
+        self, me: identities.Incarnation, counters: invariants.Invariants, send: Send
+    ) -> None:
+        super().__init__(TICK_SECONDS)
+        self._limiter = limits.Limiter(me, counters)
+        self._send = send
+        self._tickets: dict[str, part.Ticket[refusal.Refusal | None]] = {}
+        self._known: dict[str, holders.Limit] = {}
+        self._roster: holders.Roster | None = None
+
+    async def admit(
+        self, organisation: str, tokens: int, request_id: str
+    ) -> refusal.Refusal | None:
+        """Return None once the request may run, or why it may not."""
+        ticket: part.Ticket[refusal.Refusal | None] = part.Ticket()
+        self.tell(_Admit(organisation, tokens, request_id, ticket))
+        return await ticket.wait()
+
+    def settle(self, organisation: str, request_id: str, used: int) -> None:
+        """Return what an admitted request reserved and did not use."""
+        self.tell(_Settle(organisation, request_id, used))
+
+    def configure(self, configuration: state.Configuration) -> None:
+        """Apply the limits and the roster of a configuration that came into force."""
+        self.tell(_Configure(configuration))
+
+    def from_peer(self, sender: str, message: object) -> None:
+        """Take a limits message from another VM."""
+        self.tell(_FromPeer(sender, message))
+
+    def handle(self, message: Any) -> None:
+        """Take one message."""
+        match message:
+            case _Admit():
+                self._tickets[message.request_id] = message.ticket
+                effects = self._limiter.admit(
+                    message.organisation, message.tokens, message.request_id, self.now
+                )
+                self._carry_out(effects)
+            case _Settle():
+                self._carry_out(self._limiter.settle(message.request_id, message.used, self.now))
+            case _Configure():
+                self._configure(message.configuration)
+            case _FromPeer():
+                self._carry_out(self._limiter.receive(message.sender, message.message, self.now))
+
+    def tick(self) -> None:
+        """Let the limiter do what is due."""
+        self._carry_out(self._limiter.tick(self.now))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the limiter's state."""
+        return self._limiter.dump()
+
+    def _configure(self, configuration: state.Configuration) -> None:
+        wanted = {
+            item.name: holders.Limit(item.name, int(item.rate), int(item.burst))
+            for item in configuration.organisations.values()
+        }
+        changed = tuple(v for name, v in wanted.items() if self._known.get(name) != v)
+        removed = tuple(name for name in self._known if name not in wanted)
+        self._known = wanted
+        roster = self._new_roster(configuration)
+        self._limiter.configure(limiter.Update(roster, changed, removed), self.now)
+
+    def _new_roster(self, configuration: state.Configuration) -> holders.Roster | None:
+        slots = tuple(
+            holders.Slot(vm.name, vm.name, vm.failure_domain, vm.region)
+            for vm in sorted(configuration.vms.values(), key=lambda vm: vm.name)
+        )
+        if not slots or (self._roster and self._roster.slots == slots):
+            return None
+        self._roster = holders.Roster(1, slots, settled=1)
+        return self._roster
+
+    def _carry_out(self, effects: limits_messages.Effects) -> None:
+        for outgoing in effects.messages:
+            self._send(outgoing.receiver, outgoing.message)
+        for decision in effects.decisions:
+            ticket = self._tickets.pop(decision.request_id, None)
+            if ticket is not None:
+                ticket.answer(_refusal(decision))
+
+
+def _refusal(decision: limits_messages.Decision) -> refusal.Refusal | None:
+    match decision:
+        case limits_messages.Refused():
+            return refusal.make(decision.code, decision.retry_after or None)
+        case _:
+            return None
--- /dev/null
+++ b/hollyring/node/server.py
@@ -0,0 +1,178 @@
+"""The VM process: starts the parts, the ports and the links, and shuts down without a cut."""
+
+from __future__ import annotations
+
+import functools
+import signal
+import time
+from typing import Any
+
+import anyio
+import uvicorn
+
+from hollyring.configuration import state
+from hollyring.core import identities, invariants
+from hollyring.node import (
+    admin,
+    catalogue,
+    configuration_part,
+    engines,
+    front,
+    limits_part,
+    logs,
+    metrics,
+    peers,
+    platform,
+    routing_part,
+    settings,
+    vm,
+    wire,
+)
+
+MICROSECONDS = 1_000_000
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the process."""
+
+    def install_signal_handlers(self) -> None:
+        """Install none."""
+
+    def capture_signals(self) -> Any:
+        """Capture none."""
+        return _nothing()
+
+
+class _nothing:  # noqa: N801
+    def __enter__(self) -> None:
+        return
+
+    def __exit__(self, *_: object) -> None:
+        return
+
+
+class Process:
+    """One life of a VM process.
+
+    Parameters
+    ----------
+    given
+        The settings it was started with.
+    """
+
+    def __init__(self, given: settings.Settings) -> None:
+        self._settings = given
+        self._log = logs.Log("vm")
+        self._me = identities.Incarnation(given.name, int(time.time() * MICROSECONDS))
+        self._invariants = invariants.Invariants(strict=False)
+        self._metrics = metrics.Metrics()
+        self._platform = platform.Platform(given.platform)
+        self._peer_addresses: dict[str, str] = {}
+        codec = wire.Wire(catalogue.MESSAGES)
+        self._peers = peers.Peers(self._me, given.peer_keys, codec, self._from_peer)
+        self._limits = limits_part.LimitsPart(self._me, self._invariants, self._send)
+        self._routing = routing_part.RoutingPart()
+        self._configuration = configuration_part.ConfigurationPart(
+            self._platform, [self._configure, self._limits.configure, self._routing.configure]
+        )
+        self._engines = engines.Engines()
+        self._node = vm.VM(
+            self._me,
+            given,
+            self._configuration,
+            self._limits,
+            self._routing,
+            self._engines,
+            self._metrics,
+            self._invariants,
+        )
+        self._front = front.Front(self._node)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then finish what is open."""
+        callers = self._server(self._front, self._settings.caller_address)
+        operators = admin.Admin(
+            self._settings.admin_key, self._dump, lambda: self._ready, self._metrics
+        )
+        admins = self._server(operators, self._settings.admin_address)
+        host, port = settings.split_address(self._settings.peer_address)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._peers.run, host, port)
+            group.start_soon(self._limits.run)
+            group.start_soon(self._configuration.run)
+            group.start_soon(admins.serve)
+            group.start_soon(self._stop_on_signal, callers)
+            self._log.say("serving", incarnation=str(self._me))
+            await callers.serve()
+            self._log.say("all requests finished")
+            admins.should_exit = True
+            group.cancel_scope.cancel()
+
+    @property
+    def _ready(self) -> bool:
+        return self._configuration.refusal() is None
+
+    async def _stop_on_signal(self, callers: uvicorn.Server) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                self._log.say("shutting down", open_requests=self._front.open_requests)
+                callers.should_exit = True
+
+    def _server(self, app: Any, address: str) -> uvicorn.Server:
+        host, port = settings.split_address(address)
+        bounds = self._settings.limits
+        config = uvicorn.Config(
+            app,
+            host,
+            port,
+            http="httptools",
+            loop="asyncio",
+            lifespan="off",
+            access_log=False,
+            server_header=False,
+            log_level="critical",
+            timeout_graceful_shutdown=int(bounds.shutdown_seconds),
+        )
+        return _Server(config)
+
+    def _configure(self, configuration: state.Configuration) -> None:
+        self._peer_addresses = {item.name: item.peer_address for item in configuration.vms.values()}
+
+    def _send(self, name: str, message: object) -> None:
+        address = self._peer_addresses.get(name)
+        if address is not None:
+            self._peers.send(address, message)
+
+    async def _from_peer(self, sender: identities.Incarnation, message: object) -> None:
+        package = type(message).__module__.split(".")[1]
+        match package:
+            case "limits":
+                self._limits.from_peer(sender.name, message)
+            case _:
+                self._log.say("unexpected message", package=package)
+
+    async def _dump(self) -> dict[str, Any]:
+        return {
+            "vm": str(self._me),
+            "region": self._settings.region,
+            "failure_domain": self._settings.failure_domain,
+            "ready": self._ready,
+            "open_requests": self._front.open_requests,
+            "configuration": self._configuration.dump(),
+            "limits": self._limits.dump(),
+            "routing": self._routing.dump(),
+            "peers": self._peers.counts,
+            "platform": self._platform.calls,
+            "metrics": self._metrics.dump(),
+            "invariants": self._invariants.dump(),
+        }
+
+
+def serve(given: settings.Settings) -> None:
+    """Run a VM process with the settings `given` until it is told to stop."""
+    logs.open_log(given.log_file, given.name)
+    anyio.run(functools.partial(_run, given))
+
+
+async def _run(given: settings.Settings) -> None:
+    await Process(given).run()
--- /dev/null
+++ b/hollyring/node/vm.py
@@ -0,0 +1,35 @@
+"""What one request needs of its VM: the parts it asks, the clients it uses, its bounds."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from hollyring.core import identities, invariants
+from hollyring.node import (
+    configuration_part,
+    engines,
+    limits_part,
+    metrics,
+    routing_part,
+    settings,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VM:
+    """The running VM process.
+
+    Parameters
+    ----------
+    me
+        This life of the process.
+    """
+
+    me: identities.Incarnation
+    settings: settings.Settings
+    configuration: configuration_part.ConfigurationPart
+    limits: limits_part.LimitsPart
+    routing: routing_part.RoutingPart
+    engines: engines.Engines
+    metrics: metrics.Metrics
+    invariants: invariants.Invariants
--- a/hollyring/node/wire.py
+++ b/hollyring/node/wire.py
@@ -17,7 +17,7 @@
 from thrift.Thrift import TException, TMessageType
 from thrift.transport import TTransport
 
-from hollyring.node import errors
+from hollyring.node import catalogue, errors
 from hollyring.node.generated.peer import ttypes
 
 MAX_MESSAGE_BYTES = 4_000_000
@@ -62,19 +62,13 @@
         try:
             name, _, sequence = protocol.readMessageBegin()
             class_ = self._classes[name]
-            struct = getattr(ttypes, thrift_name(class_))()
+            struct = getattr(ttypes, catalogue.thrift_name(class_))()
             struct.read(protocol)
             return _from_thrift(struct, class_), sequence
         except (TException, EOFError, KeyError, ValueError, TypeError, IndexError) as error:
             raise errors.PeerError(f"unreadable message: {type(error).__name__}") from error
 
 
-def thrift_name(class_: type) -> str:
-    """Return the thrift struct's name of a message class, e.g. ``LimitsGrant``."""
-    package = class_.__module__.split(".")[1]
-    return package.capitalize() + class_.__name__
-
-
 @functools.cache
 def _plan(class_: type) -> list[tuple[str, type | None, bool]]:
     hints = typing.get_type_hints(class_)
@@ -94,7 +88,7 @@
 
 
 def _to_thrift(message: Any) -> Any:
-    struct = getattr(ttypes, thrift_name(type(message)))()
+    struct = getattr(ttypes, catalogue.thrift_name(type(message)))()
     for name, nested, many in _plan(type(message)):
         value = getattr(message, name)
         if nested and value is not None:
