Add declarations, configured objects and their checks

Ruled out: data classes for the configured objects, as msgspec decodes tagged unions and refuses unknown fields only for its own slotted classes; its omit_defaults, which compares by identity, so that a decoded object and an equal one made in Python encoded differently (seen: weight 1.0 was printed by one and not by the other). Defaults are left out by value instead.

Change: objects, an immutable configuration with a key table, the printed document, checks of form and meaning that name all faults at once, the operators' library and both examples.

--- /dev/null
+++ b/hollyring/configuration/checks.py
@@ -0,0 +1,212 @@
+"""Faults of meaning: what in a configuration contradicts itself."""
+
+from __future__ import annotations
+
+import collections
+import ipaddress
+import re
+from collections.abc import Collection, Iterable, Iterator
+
+from hollyring.configuration import errors, objects, state
+
+MIN_BURST_TOKENS = 1_024
+"""A smaller burst could not admit a single piece of a prompt."""
+
+MAX_RATE = 10_000_000.0
+"""Largest rate of an organisation, in tokens per second."""
+
+MAX_NAME_LENGTH = 128
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
+_NAME_RULE = f"letters, digits, '.', '_' and '-', at most {MAX_NAME_LENGTH}"
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_PATH = re.compile(r"(/[A-Za-z0-9._~-]+)+")
+_METHODS = ("DELETE", "GET", "HEAD", "PATCH", "POST", "PUT")
+_OWN_PATHS = ("/v1",)
+_HIDDEN = "(hidden)"
+
+
+def check(items: Iterable[objects.Object]) -> list[str]:
+    """Return every fault of a whole configuration: field, value and what is allowed.
+
+    Examples
+    --------
+    >>> check([objects.Deployment("bohari"), objects.Adapter("feast", "parish-7b", "1")])
+    ['adapter/feast.model: "parish-7b": allowed: a declared model: (none)']
+    """
+    listed = list(items)
+    findings = list(_duplicates(listed))
+    configuration = state.Configuration().changed(0, "", listed, [])
+    if configuration.deployment is None:
+        findings.append("deployment: missing: allowed: exactly one deployment")
+    for item in listed:
+        findings += _item_findings(configuration, item)
+    findings += _clashes(listed)
+    return findings
+
+
+def require(items: Iterable[objects.Object]) -> None:
+    """Refuse a configuration with faults.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        Names every fault at once.
+    """
+    findings = check(items)
+    if findings:
+        raise errors.InvalidConfigurationError(findings)
+
+
+def _finding(item: objects.Object, field: str, value: object, allowed: str) -> str:
+    shown = f'"{value}"' if isinstance(value, str) and value != _HIDDEN else str(value)
+    return f"{objects.identity(item)}.{field}: {shown}: allowed: {allowed}"
+
+
+def _duplicates(items: list[objects.Object]) -> Iterator[str]:
+    counts = collections.Counter(objects.identity(item) for item in items)
+    for identity, count in sorted(counts.items()):
+        if count > 1:
+            yield f"{identity}: declared {count} times: allowed: once"
+    deployments = [item.name for item in items if isinstance(item, objects.Deployment)]
+    if len(set(deployments)) > 1:
+        yield f"deployment: {', '.join(deployments)}: allowed: exactly one deployment"
+
+
+def _item_findings(configuration: state.Configuration, item: objects.Object) -> Iterator[str]:
+    if not isinstance(item, objects.Route):
+        yield from _name_findings(item, "name", item.name)
+    match item:
+        case objects.Deployment():
+            if item.concurrent_loads < 1:
+                yield _finding(item, "concurrent_loads", item.concurrent_loads, "1 or more")
+        case objects.Organisation():
+            yield from _organisation_findings(configuration, item)
+        case objects.Model():
+            yield from _name_findings(item, "version", item.version)
+        case objects.Adapter():
+            yield from _name_findings(item, "version", item.version)
+            yield from _reference_findings(item, "model", [item.model], configuration.models)
+        case objects.Upstream():
+            yield from _upstream_findings(configuration, item)
+        case objects.Route():
+            yield from _route_findings(configuration, item)
+        case objects.VM():
+            yield from _place_findings(item)
+            for field in ("caller_address", "peer_address", "admin_address"):
+                yield from _address_findings(item, field, getattr(item, field), "")
+
+
+def _organisation_findings(
+    configuration: state.Configuration, item: objects.Organisation
+) -> Iterator[str]:
+    if not 0 < item.rate <= MAX_RATE:
+        yield _finding(item, "rate", item.rate, f"more than 0, at most {MAX_RATE:.0f} tokens/s")
+    if item.burst < MIN_BURST_TOKENS:
+        yield _finding(item, "burst", item.burst, f"{MIN_BURST_TOKENS} tokens or more")
+    if not 0 < item.weight <= 1000:
+        yield _finding(item, "weight", item.weight, "more than 0, at most 1000")
+    yield from _reference_findings(item, "models", item.models, configuration.models)
+    identities = [key.identity for key in item.keys]
+    for index, key in enumerate(item.keys):
+        if identities.count(key.identity) > 1:
+            yield _finding(item, f"keys[{index}].identity", key.identity, "once an organisation")
+        yield from _name_findings(item, f"keys[{index}].identity", key.identity)
+        if not _DIGEST.fullmatch(key.digest):
+            allowed = "SHA-256 in 64 lowercase hexadecimal digits"
+            # What stands here may be a secret put in the wrong place.
+            yield _finding(item, f"keys[{index}].digest", _HIDDEN, allowed)
+
+
+def _upstream_findings(configuration: state.Configuration, item: objects.Upstream) -> Iterator[str]:
+    yield from _place_findings(item)
+    yield from _address_findings(item, "address", item.address, "http://")
+    yield from _reference_findings(item, "models", item.models, configuration.models)
+    if item.kind == "engine":
+        if not item.models:
+            yield _finding(item, "models", [], "one or more models for an engine")
+        return
+    if item.models:
+        yield _finding(item, "models", list(item.models), f"none for a {item.kind}")
+    if item.role != "mixed":
+        yield _finding(item, "role", item.role, f'"mixed" for a {item.kind}')
+    if item.checks_fencing:
+        yield _finding(item, "checks_fencing", "true", f"false for a {item.kind}")
+
+
+def _route_findings(configuration: state.Configuration, item: objects.Route) -> Iterator[str]:
+    if not _PATH.fullmatch(item.path_prefix):
+        yield _finding(item, "path_prefix", item.path_prefix, 'a path as "/orders/status"')
+    if any(item.path_prefix == own or item.path_prefix.startswith(own + "/") for own in _OWN_PATHS):
+        yield _finding(item, "path_prefix", item.path_prefix, "a path that is not under /v1")
+    services = {n: u for n, u in configuration.upstreams.items() if u.kind == "service"}
+    yield from _reference_findings(item, "upstreams", item.upstreams, services, "service")
+    if not item.upstreams:
+        yield _finding(item, "upstreams", [], "one or more services")
+    if not item.methods:
+        yield _finding(item, "methods", [], "one or more methods")
+    for method in item.methods:
+        if method not in _METHODS:
+            yield _finding(item, "methods", method, ", ".join(_METHODS))
+    if item.open_to_all and not item.idempotent:
+        allowed = "false where idempotent is false, as a repeat is known by its key"
+        yield _finding(item, "open_to_all", "true", allowed)
+
+
+def _name_findings(item: objects.Object, field: str, value: str) -> Iterator[str]:
+    if len(value) > MAX_NAME_LENGTH or not _NAME.fullmatch(value):
+        yield _finding(item, field, value, _NAME_RULE)
+
+
+def _place_findings(item: objects.Upstream | objects.VM) -> Iterator[str]:
+    yield from _name_findings(item, "region", item.region)
+    yield from _name_findings(item, "failure_domain", item.failure_domain)
+
+
+def _reference_findings(
+    item: objects.Object,
+    field: str,
+    names: Iterable[str],
+    known: Collection[str],
+    kind: str = "model",
+) -> Iterator[str]:
+    for name in names:
+        if name not in known:
+            allowed = ", ".join(sorted(known)) or "(none)"
+            yield _finding(item, field, name, f"a declared {kind}: {allowed}")
+
+
+def _address_findings(item: objects.Object, field: str, value: str, scheme: str) -> Iterator[str]:
+    host, _, port = value.removeprefix(scheme).rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        valid = value.startswith(scheme) and 0 < int(port) < 65_536
+    except ValueError:
+        valid = False
+    if not valid:
+        yield _finding(item, field, value, f'"{scheme}IP:PORT" with a port in 1..65535')
+
+
+def _clashes(items: list[objects.Object]) -> Iterator[str]:
+    addresses: dict[str, str] = {}
+    digests: dict[str, str] = {}
+    for item in items:
+        for field, value in _addresses(item):
+            holder = addresses.setdefault(value, f"{objects.identity(item)}.{field}")
+            if holder != f"{objects.identity(item)}.{field}":
+                yield _finding(item, field, value, f"an address of its own, {holder} has this one")
+        for index, key in enumerate(item.keys if isinstance(item, objects.Organisation) else ()):
+            place = f"{objects.identity(item)}.keys[{index}]"
+            holder = digests.setdefault(key.digest, place)
+            if holder != place:
+                allowed = f"a key granted once, {holder} has this one"
+                yield f"{place}.digest: {_HIDDEN}: allowed: {allowed}"
+
+
+def _addresses(item: objects.Object) -> Iterator[tuple[str, str]]:
+    match item:
+        case objects.Upstream():
+            yield "address", item.address.removeprefix("http://")
+        case objects.VM():
+            for field in ("caller_address", "peer_address", "admin_address"):
+                yield field, getattr(item, field)
--- /dev/null
+++ b/hollyring/configuration/documents.py
@@ -0,0 +1,122 @@
+"""The JSON document that a declaration prints, decoded strictly with all faults at once."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import typing
+
+import msgspec
+
+from hollyring.configuration import errors, objects
+
+FORMAT = 1
+"""Version of the document's layout."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Document:
+    """A whole configuration as declared.
+
+    Parameters
+    ----------
+    objects
+        Every object, in any order.
+    """
+
+    objects: list[objects.Object]
+
+
+def encode(document: Document) -> str:
+    """Return a document's JSON, one object a line so that version control shows each change.
+
+    Examples
+    --------
+    >>> print(encode(Document([objects.Model("parish-7b", "3")])))
+    {"format": 1, "objects": [
+    {"object":"model","name":"parish-7b","version":"3"}
+    ]}
+    <BLANKLINE>
+    """
+    lines = ",\n".join(objects.encode(item).decode() for item in document.objects)
+    return f'{{"format": {FORMAT}, "objects": [\n{lines}\n]}}\n'
+
+
+def decode(text: str | bytes) -> Document:
+    """Return the document in `text`.
+
+    Raises
+    ------
+    InvalidConfigurationError
+        Names every fault of form at once: field, value and what is allowed.
+
+    Examples
+    --------
+    >>> try:
+    ...     decode('{"format": 1, "objects": [{"object": "model", "name": 3, "colour": "red"}]}')
+    ... except errors.InvalidConfigurationError as error:
+    ...     print("\\n".join(error.findings))
+    objects[0] model.name: 3: allowed: Expected `str`, got `int`
+    objects[0] model.colour: unknown field: allowed: name, version
+    objects[0] model.version: missing: allowed: a value, it has no default
+    """
+    raw = _raw(text)
+    findings: list[str] = []
+    items: list[objects.Object] = []
+    for index, value in enumerate(raw):
+        faults = _faults(f"objects[{index}]", value)
+        findings += faults
+        if not faults:
+            items.append(msgspec.convert(value, objects.Object))
+    if findings:
+        raise errors.InvalidConfigurationError(findings)
+    return Document(items)
+
+
+def _raw(text: str | bytes) -> list[typing.Any]:
+    try:
+        raw = msgspec.json.decode(text)
+    except msgspec.DecodeError as error:
+        raise errors.InvalidConfigurationError([f"document: not JSON: {error}"]) from error
+    if not isinstance(raw, dict) or set(raw) != {"format", "objects"}:
+        allowed = 'allowed: a JSON object with the fields "format" and "objects"'
+        raise errors.InvalidConfigurationError([f"document: {allowed}"])
+    if raw["format"] != FORMAT:
+        shown = json.dumps(raw["format"])
+        raise errors.InvalidConfigurationError([f"format: {shown}: allowed: {FORMAT}"])
+    if not isinstance(raw["objects"], list):
+        raise errors.InvalidConfigurationError(["objects: allowed: a list"])
+    return raw["objects"]
+
+
+def _faults(path: str, value: typing.Any) -> list[str]:
+    if not isinstance(value, dict):
+        return [f"{path}: {json.dumps(value)}: allowed: a JSON object"]
+    kind = value.get("object")
+    type_ = objects.KINDS.get(kind) if isinstance(kind, str) else None
+    if type_ is None:
+        return [f"{path}.object: {json.dumps(kind)}: allowed: {', '.join(objects.KINDS)}"]
+    path = f"{path} {kind}"
+    fields = {field.encode_name: field for field in msgspec.structs.fields(type_)}
+    faults = []
+    for name, part in value.items():
+        if name == "object":
+            continue
+        if name not in fields:
+            faults.append(f"{path}.{name}: unknown field: allowed: {', '.join(fields)}")
+            continue
+        faults += _field_faults(f"{path}.{name}", fields[name].type, part)
+    for name, field in fields.items():
+        if field.required and name not in value:
+            faults.append(f"{path}.{name}: missing: allowed: a value, it has no default")
+    return faults
+
+
+def _field_faults(path: str, type_: typing.Any, value: typing.Any) -> list[str]:
+    try:
+        msgspec.convert(value, type_)
+    except msgspec.ValidationError as error:
+        # Among the keys there may be a secret where its digest belongs.
+        shown = "(hidden)" if path.endswith(".keys") else json.dumps(value)
+        return [f"{path}: {shown}: allowed: {error}"]
+    return []
--- /dev/null
+++ b/hollyring/configuration/state.py
@@ -0,0 +1,178 @@
+"""A configuration at one revision, immutable, with the lookups that requests need."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import types
+import typing
+from collections.abc import Iterable, Mapping
+
+from hollyring.configuration import objects
+
+_CONTENT_MODULUS = 1 << 256
+_T = typing.TypeVar("_T")
+
+Table = Mapping[str, objects.Object]
+
+
+def _hash(item: objects.Object) -> int:
+    return int.from_bytes(hashlib.sha256(objects.encode(item)).digest(), "big")
+
+
+def _empty() -> Mapping[str, typing.Any]:
+    return types.MappingProxyType({})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """Every configured object at one revision.
+
+    Parameters
+    ----------
+    revision
+        Number of the revision; 0 stands for the empty configuration before the first.
+    digest
+        SHA-256 of the revision's stored value, which in turn holds its predecessor's digest.
+    content
+        Sum of the objects' SHA-256 digests modulo 2**256: equal for equal objects, and brought
+        forward by a change without reading the other objects.
+
+    Examples
+    --------
+    >>> key = objects.Key("till-1", objects.key_digest("demo-key-kigoma"))
+    >>> organisation = objects.Organisation("kigoma", rate=50.0, burst=4000, keys=(key,))
+    >>> configuration = Configuration().changed(1, "", [organisation], [])
+    >>> configuration.organisation_of(objects.key_digest("demo-key-kigoma")).name
+    'kigoma'
+    >>> configuration.organisation_of(objects.key_digest("another")) is None
+    True
+    """
+
+    revision: int = 0
+    digest: str = ""
+    content: int = 0
+    _tables: Mapping[str, Table] = dataclasses.field(default_factory=_empty, repr=False)
+    _keys: Mapping[str, str] = dataclasses.field(default_factory=_empty, repr=False)
+
+    @property
+    def organisations(self) -> Mapping[str, objects.Organisation]:
+        """Organisations by name."""
+        return self._table(objects.Organisation)
+
+    @property
+    def models(self) -> Mapping[str, objects.Model]:
+        """Models by name."""
+        return self._table(objects.Model)
+
+    @property
+    def adapters(self) -> Mapping[str, objects.Adapter]:
+        """Adapters by name."""
+        return self._table(objects.Adapter)
+
+    @property
+    def upstreams(self) -> Mapping[str, objects.Upstream]:
+        """Upstreams by name."""
+        return self._table(objects.Upstream)
+
+    @property
+    def routes(self) -> Mapping[str, objects.Route]:
+        """Routes by path prefix."""
+        return self._table(objects.Route)
+
+    @property
+    def vms(self) -> Mapping[str, objects.VM]:
+        """The roster of VMs by name."""
+        return self._table(objects.VM)
+
+    @property
+    def deployment(self) -> objects.Deployment | None:
+        """The deployment as a whole, None while nothing is configured."""
+        return next(iter(self._table(objects.Deployment).values()), None)
+
+    def get(self, identity: objects.Identity) -> objects.Object | None:
+        """Return the object of this identity, None if there is none."""
+        return self._tables.get(identity.kind, {}).get(identity.name)
+
+    def items(self) -> Iterable[objects.Object]:
+        """Yield every object, ordered by kind and name."""
+        for kind in sorted(self._tables):
+            table = self._tables[kind]
+            yield from (table[name] for name in sorted(table))
+
+    def organisation_of(self, key_digest: str) -> objects.Organisation | None:
+        """Return the organisation that the key with this digest was granted to."""
+        name = self._keys.get(key_digest)
+        return None if name is None else self.organisations[name]
+
+    def key_of(self, key_digest: str) -> objects.Key | None:
+        """Return the granted key with this digest."""
+        organisation = self.organisation_of(key_digest)
+        if organisation is None:
+            return None
+        return next(key for key in organisation.keys if key.digest == key_digest)
+
+    def route_of(self, path: str) -> objects.Route | None:
+        """Return the route with the longest prefix of `path`, cut at whole segments."""
+        fitting = [prefix for prefix in self.routes if _covers(prefix, path)]
+        return self.routes[max(fitting, key=len)] if fitting else None
+
+    def changed(
+        self,
+        revision: int,
+        digest: str,
+        put: Iterable[objects.Object],
+        delete: Iterable[objects.Identity],
+    ) -> Configuration:
+        """Return a configuration with some objects put and others deleted.
+
+        Only the tables of the changed kinds are copied; the receiver stays as it is.
+        """
+        tables: dict[str, dict[str, objects.Object]] = {}
+        keys: dict[str, str] | None = None
+        content = self.content
+        for identity, item in _changes(put, delete):
+            table = tables.get(identity.kind)
+            if table is None:
+                table = tables[identity.kind] = dict(self._tables.get(identity.kind, {}))
+            old = table.pop(identity.name, None)
+            content += (_hash(item) if item else 0) - (_hash(old) if old else 0)
+            if item is not None:
+                table[identity.name] = item
+            if identity.kind == "organisation":
+                keys = dict(self._keys) if keys is None else keys
+                _change_keys(keys, old, item)
+        return Configuration(
+            revision,
+            digest,
+            content % _CONTENT_MODULUS,
+            {**self._tables, **tables},
+            self._keys if keys is None else keys,
+        )
+
+    def _table(self, type_: type[_T]) -> Mapping[str, _T]:
+        kind = type_.__struct_config__.tag  # type: ignore[attr-defined]
+        return typing.cast(Mapping[str, _T], self._tables.get(kind, _empty()))
+
+
+def _covers(prefix: str, path: str) -> bool:
+    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
+
+
+def _changes(
+    put: Iterable[objects.Object], delete: Iterable[objects.Identity]
+) -> Iterable[tuple[objects.Identity, objects.Object | None]]:
+    yield from ((identity, None) for identity in delete)
+    yield from ((objects.identity(item), item) for item in put)
+
+
+def _change_keys(
+    keys: dict[str, str], old: objects.Object | None, new: objects.Object | None
+) -> None:
+    # A key may move between organisations in one change, in either order.
+    if isinstance(old, objects.Organisation):
+        for key in old.keys:
+            if keys.get(key.digest) == old.name:
+                del keys[key.digest]
+    if isinstance(new, objects.Organisation):
+        keys.update((key.digest, new.name) for key in new.keys)
--- /dev/null
+++ b/hollyring/configuration/tests/test_checks.py
@@ -0,0 +1,114 @@
+import pytest
+
+from hollyring.configuration import checks, errors, objects
+
+DIGEST = objects.key_digest("demo-key-kigoma")
+KEY = objects.Key("till-1", DIGEST)
+
+
+def engine(name="e-1", port=9001, **fields):
+    fields = {"models": ("parish-7b",), **fields}
+    return objects.Upstream(name, "engine", f"http://127.0.0.1:{port}", "dar", "dar-1", **fields)
+
+
+def vm(name="vm-0", caller="127.0.0.1:1", peer="127.0.0.1:2", admin="127.0.0.1:3"):
+    return objects.VM(name, "dar", "dar-1", caller, peer, admin)
+
+
+GOOD = [
+    objects.Deployment("bohari", 2),
+    objects.Model("parish-7b", "3"),
+    objects.Adapter("feast", "parish-7b", "1"),
+    objects.Organisation("kigoma", 400.0, 40_000, keys=(KEY,), models=("parish-7b",)),
+    engine(),
+    objects.Upstream("orders-1", "service", "http://127.0.0.1:9100", "dar", "dar-1"),
+    objects.Upstream("cache", "cache_store", "http://127.0.0.1:9200", "dar", "dar-1"),
+    objects.Route("/orders", ("orders-1",), ("POST",)),
+    vm(),
+]
+FAULTS = {
+    "two deployments": (objects.Deployment("verrerie"), "exactly one deployment"),
+    "no loads": (objects.Deployment("bohari", 0), "concurrent_loads: 0: allowed: 1 or more"),
+    "same object twice": (objects.Model("parish-7b", "4"), "model/parish-7b: declared 2 times"),
+    "small burst": (objects.Organisation("o", 1.0, 5), "organisation/o.burst: 5: allowed: 1024"),
+    "no rate": (objects.Organisation("o", 0.0, 5000), "organisation/o.rate: 0.0: allowed: more"),
+    "no weight": (objects.Organisation("o", 1.0, 5000, 0.0), "organisation/o.weight: 0.0"),
+    "nan rate": (objects.Organisation("o", float("nan"), 5000), "organisation/o.rate: nan"),
+    "bad name": (objects.Model("a b", "1"), 'model/a b.name: "a b": allowed: letters'),
+    "unknown model": (
+        objects.Organisation("o", 1.0, 5000, models=("x",)),
+        'organisation/o.models: "x": allowed: a declared model: ',
+    ),
+    "same key twice": (
+        objects.Organisation("o", 1.0, 5000, keys=(objects.Key("till-2", DIGEST),)),
+        "organisation/o.keys[0].digest: (hidden): allowed: a key granted once",
+    ),
+    "key identity twice": (
+        objects.Organisation("o", 1.0, 5000, keys=(objects.Key("a", "0" * 64),) * 2),
+        'organisation/o.keys[0].identity: "a": allowed: once',
+    ),
+    "no digest": (
+        objects.Organisation("o", 1.0, 5000, keys=(objects.Key("a", "secret"),)),
+        "organisation/o.keys[0].digest: (hidden): allowed: SHA-256",
+    ),
+    "adapter of no model": (objects.Adapter("a", "x", "1"), 'adapter/a.model: "x"'),
+    "engine of no model": (engine("e-2", 9002, models=("x",)), 'upstream/e-2.models: "x"'),
+    "engine without models": (engine("e-2", 9002, models=()), "upstream/e-2.models: []"),
+    "address taken": (engine("e-2", 9001), "upstream/e-2.address:"),
+    "no address": (
+        objects.Upstream("s", "service", "http://store:80", "dar", "dar-1"),
+        'upstream/s.address: "http://store:80": allowed: "http://IP:PORT"',
+    ),
+    "port too large": (vm("vm-1", "127.0.0.1:65536", "127.0.0.1:5", "127.0.0.1:6"), "caller_addr"),
+    "service with models": (
+        objects.Upstream("s", "service", "http://127.0.0.1:5", "d", "d", ("parish-7b",)),
+        "upstream/s.models: ['parish-7b']: allowed: none for a service",
+    ),
+    "service with fencing": (
+        objects.Upstream("s", "service", "http://127.0.0.1:5", "d", "d", checks_fencing=True),
+        "upstream/s.checks_fencing",
+    ),
+    "service with role": (
+        objects.Upstream("s", "service", "http://127.0.0.1:5", "d", "d", role="decode"),
+        "upstream/s.role",
+    ),
+    "two VMs at one address": (vm("vm-1"), "vm/vm-1.caller_address: "),
+    "route to nothing": (objects.Route("/x", ("gone",)), 'route//x.upstreams: "gone"'),
+    "route to an engine": (objects.Route("/x", ("e-1",)), 'route//x.upstreams: "e-1"'),
+    "route without services": (objects.Route("/x", ()), "route//x.upstreams: []"),
+    "route with unknown method": (objects.Route("/x", ("orders-1",), ("BREW",)), "methods"),
+    "route without methods": (objects.Route("/x", ("orders-1",), ()), "route//x.methods: []"),
+    "route over our own paths": (objects.Route("/v1/chat", ("orders-1",)), "not under /v1"),
+    "route that is no path": (objects.Route("orders", ("orders-1",)), "path_prefix"),
+    "open route that may not repeat": (
+        objects.Route("/x", ("orders-1",), ("POST",), open_to_all=True),
+        "route//x.open_to_all",
+    ),
+}
+
+
+def test_good_configuration_has_no_findings():
+    assert checks.check(GOOD) == []
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_fault_is_named(fault):
+    item, expected = FAULTS[fault]
+    findings = checks.check([*GOOD, item])
+    assert any(expected in finding for finding in findings), findings
+
+
+def test_all_faults_are_named_at_once():
+    items = [item for item, _ in FAULTS.values()]
+    findings = checks.check([*GOOD, *items])
+    assert [f for f, (_, part) in FAULTS.items() if not any(part in x for x in findings)] == []
+
+
+def test_secret_in_the_place_of_a_digest_is_not_shown():
+    item = objects.Organisation("o", 1.0, 5000, keys=(objects.Key("a", "my-secret"),))
+    assert "my-secret" not in " ".join(checks.check([*GOOD, item]))
+
+
+def test_deployment_is_required():
+    with pytest.raises(errors.InvalidConfigurationError, match="deployment: missing"):
+        checks.require(GOOD[1:])
--- /dev/null
+++ b/hollyring/configuration/tests/test_objects.py
@@ -0,0 +1,67 @@
+import msgspec
+import pytest
+
+from hollyring.configuration import documents, objects, state
+
+KEY = objects.Key("till-1", objects.key_digest("demo-key-kigoma"))
+ITEMS = [
+    objects.Deployment("bohari", 2),
+    objects.Organisation("kigoma", 400.0, 40_000, 1.0, (KEY,)),
+    objects.Model("parish-7b", "3"),
+    objects.Adapter("feast", "parish-7b", "1"),
+    objects.Upstream("e", "engine", "http://127.0.0.1:1", "r", "d", ("parish-7b",), "mixed", True),
+    objects.Route("/orders", ("orders-1",), ("POST",)),
+    objects.VM("vm-0", "r", "d", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"),
+]
+
+
+@pytest.mark.parametrize("item", ITEMS)
+def test_decoded_object_encodes_to_the_same_bytes(item):
+    explicit = msgspec.json.decode(msgspec.json.encode(item), type=objects.Object)
+    assert explicit == item
+    assert objects.encode(explicit) == objects.encode(item)
+
+
+def test_document_survives_a_round_trip():
+    assert documents.decode(documents.encode(documents.Document(ITEMS))).objects == ITEMS
+
+
+def test_content_tells_equal_objects_whatever_the_order_of_changes():
+    forth = state.Configuration().changed(1, "a", ITEMS, [])
+    back = state.Configuration()
+    for item in reversed(ITEMS):
+        back = back.changed(back.revision + 1, "b", [item], [])
+    assert back.content == forth.content
+    assert list(back.items()) == list(forth.items())
+
+
+def test_content_returns_to_zero_when_everything_is_deleted():
+    full = state.Configuration().changed(1, "a", ITEMS, [])
+    assert full.content != 0
+    assert full.changed(2, "b", [], [objects.identity(i) for i in ITEMS]).content == 0
+
+
+def test_withdrawn_key_is_gone_from_the_next_revision_only():
+    before = state.Configuration().changed(1, "a", ITEMS, [])
+    after = before.changed(2, "b", [objects.Organisation("kigoma", 400.0, 40_000)], [])
+    assert before.key_of(KEY.digest) == KEY
+    assert after.organisation_of(KEY.digest) is None
+
+
+@pytest.mark.parametrize("first", ["old", "new"])
+def test_key_moves_between_organisations_in_one_change(first):
+    before = state.Configuration().changed(1, "a", ITEMS, [])
+    moved = [
+        objects.Organisation("kigoma", 400.0, 40_000),
+        objects.Organisation("tabora", 400.0, 40_000, keys=(KEY,)),
+    ]
+    after = before.changed(2, "b", moved if first == "old" else moved[::-1], [])
+    assert after.organisation_of(KEY.digest).name == "tabora"
+
+
+def test_route_is_the_longest_prefix_of_whole_segments():
+    routes = [objects.Route("/orders", ("a",)), objects.Route("/orders/status", ("b",))]
+    configuration = state.Configuration().changed(1, "a", routes, [])
+    assert configuration.route_of("/orders/status/7").upstreams == ("b",)
+    assert configuration.route_of("/orders/statuses").upstreams == ("a",)
+    assert configuration.route_of("/orderly") is None
--- /dev/null
+++ b/hollyring/declaration/tests/test_deployment.py
@@ -0,0 +1,63 @@
+import importlib.util
+import pathlib
+
+import pytest
+
+from hollyring import declaration
+from hollyring.configuration import checks, documents, objects, state
+
+EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
+
+
+def example(name):
+    spec = importlib.util.spec_from_file_location(name, EXAMPLES / f"{name}.py")
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module.declare(24_000)
+
+
+@pytest.fixture
+def deployment():
+    deployment = declaration.deployment("bohari", concurrent_loads=2)
+    deployment.organisation("kigoma", rate=400, burst=40_000)
+    return deployment
+
+
+@pytest.mark.parametrize(
+    ("name", "engines", "loads"), [("bohari", 6, 2), ("verrerie", 9, 3)], ids=["bohari", "verrerie"]
+)
+def test_example_is_the_deployment_of_the_brief(name, engines, loads):
+    items = documents.decode(example(name).json()).objects
+    configuration = state.Configuration().changed(1, "", items, [])
+    kinds = [upstream.kind for upstream in configuration.upstreams.values()]
+    assert checks.check(items) == []
+    assert (len(configuration.vms), len(configuration.organisations)) == (9, 5)
+    assert len({vm.failure_domain for vm in configuration.vms.values()}) == 3
+    assert [kinds.count(kind) for kind in ("engine", "cache_store", "service")] == [engines, 1, 3]
+    assert configuration.deployment.concurrent_loads == loads
+
+
+def test_printing_gives_the_digest_and_not_the_secret(deployment, capsys):
+    deployment.key("kigoma", "till-1", secret="demo-key-kigoma")
+    deployment.print()
+    printed = capsys.readouterr().out
+    assert "demo-key-kigoma" not in printed
+    assert objects.key_digest("demo-key-kigoma") in printed
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("tabora", "till-1", "secret", ""),
+        ("kigoma", "till-1", "", ""),
+        ("kigoma", "till-1", "secret", "0" * 64),
+    ],
+)
+def test_key_needs_its_organisation_and_one_of_secret_and_digest(deployment, arguments):
+    with pytest.raises(declaration.DeclarationError, match="till-1"):
+        deployment.key(*arguments)
+
+
+def test_second_declaration_of_an_object_is_refused(deployment):
+    with pytest.raises(declaration.DeclarationError, match="organisation/kigoma is declared twice"):
+        deployment.organisation("kigoma", rate=1, burst=2000)
