--- a/examples/bohari.py
+++ b/examples/bohari.py
@@ -17,11 +17,11 @@
 FAILURE_DOMAINS = ["dar-1", "dar-2", "dar-3"]
 ORGANISATIONS = {
     # name: (tokens a second, burst in tokens)
-    "kigoma": (4_000.0, 400_000),
-    "tabora": (3_000.0, 300_000),
-    "dodoma": (600.0, 60_000),
-    "lindi": (400.0, 40_000),
-    "mtwara": (400.0, 40_000),
+    "kigoma": (200_000.0, 2_000_000),
+    "tabora": (150_000.0, 1_500_000),
+    "dodoma": (30_000.0, 300_000),
+    "lindi": (20_000.0, 200_000),
+    "mtwara": (20_000.0, 200_000),
 }
 
 
--- a/examples/verrerie.py
+++ b/examples/verrerie.py
@@ -17,11 +17,11 @@
 FAILURE_DOMAINS = ["mru-1", "mru-2", "mru-3"]
 ORGANISATIONS = {
     # name: (tokens a second, burst in tokens)
-    "port-louis": (6_000.0, 600_000),
-    "curepipe": (4_000.0, 400_000),
-    "mahebourg": (800.0, 80_000),
-    "souillac": (500.0, 50_000),
-    "rodrigues": (300.0, 30_000),
+    "port-louis": (300_000.0, 3_000_000),
+    "curepipe": (200_000.0, 2_000_000),
+    "mahebourg": (40_000.0, 400_000),
+    "souillac": (25_000.0, 250_000),
+    "rodrigues": (15_000.0, 150_000),
 }
 
 
--- a/hollyring/cli/main.py
+++ b/hollyring/cli/main.py
@@ -30,7 +30,9 @@
 
 
 @main.command()
-@click.argument("settings_file", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path))
+@click.argument(
+    "settings_file", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+)
 @click.option("--check", is_flag=True, help="Check the settings and leave.")
 def serve(settings_file: pathlib.Path, check: bool) -> None:
     """Run a VM process with the settings in SETTINGS_FILE.
--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -17,6 +17,7 @@
 import time
 import urllib.parse
 from collections.abc import Iterator
+from typing import Any
 
 import anyio
 import httpcore
@@ -106,7 +107,7 @@
         """The upstreams."""
         return self._of(objects.Upstream)
 
-    def _of(self, type_: type) -> list:  # type: ignore[type-arg]
+    def _of(self, type_: type) -> list[Any]:
         return [item for item in self.document.objects if isinstance(item, type_)]
 
     def _programs(self, platform_port: int) -> Iterator[Program]:
@@ -151,9 +152,7 @@
             case _:
                 return self._standin(upstream.name, "service", port)
 
-    def _standin(
-        self, name: str, kind: str, port: int, extra: list[str] | None = None
-    ) -> Program:
+    def _standin(self, name: str, kind: str, port: int, extra: list[str] | None = None) -> Program:
         control = port + CONTROL_OFFSET
         arguments = ["standin", kind, "--port", str(port), "--control-port", str(control)]
         return Program(name, arguments + (extra or []), f"http://127.0.0.1:{control}/counters")
--- a/hollyring/node/admin.py
+++ b/hollyring/node/admin.py
@@ -42,9 +42,7 @@
         self._ready = ready
         self._metrics = meter
 
-    async def __call__(
-        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
-    ) -> None:
+    async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Answer one request."""
         if scope["type"] != "http":
             return
@@ -67,6 +65,6 @@
     def _allowed(self, scope: asgi.Scope) -> bool:
         if not self._key:
             client = scope.get("client")
-            return bool(client) and ipaddress.ip_address(client[0]).is_loopback
+            return client is not None and ipaddress.ip_address(client[0]).is_loopback
         shown = asgi.header(scope, b"authorization").removeprefix("Bearer ")
         return hmac.compare_digest(shown.encode(), self._key.encode())
--- a/hollyring/node/asgi.py
+++ b/hollyring/node/asgi.py
@@ -81,7 +81,9 @@
     await write(send, body, more=False)
 
 
-async def answer_json(send: Send, status: int, value: object, headers: Headers | None = None) -> None:
+async def answer_json(
+    send: Send, status: int, value: object, headers: Headers | None = None
+) -> None:
     """Send `value` as a whole JSON answer."""
     await answer(send, status, msgspec.json.encode(value), [JSON_TYPE, *(headers or [])])
 
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -228,9 +228,7 @@
     node.routing.dispatched(place, work.request_id)
     tokens = 0
     try:
-        generated = node.engines.stream(
-            place.address, path, body, work.deadline - time.monotonic()
-        )
+        generated = node.engines.stream(place.address, path, body, work.deadline - time.monotonic())
         work.dispatched = True
         async with contextlib.aclosing(generated):
             async for item in generated:
--- a/hollyring/node/logs.py
+++ b/hollyring/node/logs.py
@@ -8,7 +8,7 @@
 
 import pathlib
 import sys
-from typing import Any
+from typing import Any, BinaryIO
 
 import eliot
 import msgspec
@@ -39,13 +39,18 @@
     __slots__ = ("_stream",)
 
     def __init__(self, path: str) -> None:
-        self._stream = pathlib.Path(path).open("ab") if path else sys.stderr.buffer
+        self._stream = sys.stderr.buffer if not path else _open(path)
 
     def __call__(self, message: dict[str, Any]) -> None:
         self._stream.write(msgspec.json.encode(message, enc_hook=str) + b"\n")
         self._stream.flush()
 
 
+def _open(path: str) -> BinaryIO:
+    """Open a log file; it stays open for as long as the process runs."""
+    return pathlib.Path(path).open("ab")  # noqa: SIM115
+
+
 def open_log(path: str, vm: str) -> None:
     """Write all logs of this process to `path`, or to standard error if it is empty."""
     eliot.add_global_fields(vm=vm)
--- a/hollyring/node/metrics.py
+++ b/hollyring/node/metrics.py
@@ -55,7 +55,9 @@
 
     def page(self) -> str:
         """Return all counters and quantiles, one per line."""
-        lines = [f"hollyring_{name}_total {value}" for name, value in sorted(self._counters.items())]
+        lines = [
+            f"hollyring_{name}_total {value}" for name, value in sorted(self._counters.items())
+        ]
         for name in sorted(self._histograms):
             for quantile, seconds in self.quantiles(name).items():
                 label = f'{{quantile="{quantile}"}}'
--- a/hollyring/node/part.py
+++ b/hollyring/node/part.py
@@ -111,5 +111,3 @@
             except anyio.WouldBlock:
                 return
             self.handle(message)
-
-
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -20,6 +20,7 @@
 import anyio
 import anyio.abc
 import anyio.streams.buffered
+from anyio.streams import memory
 
 from hollyring.core import identities
 from hollyring.node import errors, wire
@@ -128,7 +129,7 @@
         self._keys = list(keys)
         self._codec = codec
         self._receive = receive
-        self._links: dict[str, anyio.abc.ObjectSendStream[bytes]] = {}
+        self._links: dict[str, memory.MemoryObjectSendStream[bytes]] = {}
         self._group: anyio.abc.TaskGroup | None = None
         self._counts = {"sent": 0, "received": 0, "sent_bytes": 0, "received_bytes": 0}
         self._counts |= {"dropped": 0, "refused": 0}
@@ -169,8 +170,8 @@
     async def _run_link(
         self,
         address: str,
-        link: anyio.abc.ObjectSendStream[bytes],
-        queue: anyio.abc.ObjectReceiveStream[bytes],
+        link: memory.MemoryObjectSendStream[bytes],
+        queue: memory.MemoryObjectReceiveStream[bytes],
     ) -> None:
         try:
             await self._carry(address, queue)
@@ -179,9 +180,9 @@
         finally:
             if self._links.get(address) is link:
                 del self._links[address]
-            queue.close()  # type: ignore[attr-defined]
+            queue.close()
 
-    async def _carry(self, address: str, queue: anyio.abc.ObjectReceiveStream[bytes]) -> None:
+    async def _carry(self, address: str, queue: memory.MemoryObjectReceiveStream[bytes]) -> None:
         host, _, port = address.rpartition(":")
         with anyio.fail_after(HANDSHAKE_SECONDS):
             stream = await anyio.connect_tcp(host, int(port))
--- a/hollyring/node/requests.py
+++ b/hollyring/node/requests.py
@@ -12,8 +12,19 @@
 
 DEFAULT_OUTPUT_TOKENS = 256
 
-SAMPLING_FIELDS = ("temperature", "top_p", "top_k", "seed", "stop", "presence_penalty")
-SAMPLING_FIELDS += ("frequency_penalty", "logit_bias", "response_format", "tools", "tool_choice")
+SAMPLING_FIELDS = (
+    "temperature",
+    "top_p",
+    "top_k",
+    "seed",
+    "stop",
+    "presence_penalty",
+    "frequency_penalty",
+    "logit_bias",
+    "response_format",
+    "tools",
+    "tool_choice",
+)
 """Fields passed to the engine as the caller gave them; all others are dropped."""
 
 
@@ -144,9 +155,9 @@
     if content is None:
         return ""
     if isinstance(content, list):
-        parts = [part.get("text") for part in content if isinstance(part, dict)]
-        if len(parts) == len(content) and all(isinstance(part, str) for part in parts):
-            return "".join(parts)
+        parts = [part.get("text") if isinstance(part, dict) else None for part in content]
+        if all(isinstance(part, str) for part in parts):
+            return "".join(map(str, parts))
     raise RequestError("invalid_request", "content: allowed: a string or a list of text parts")
 
 
--- a/hollyring/node/settings.py
+++ b/hollyring/node/settings.py
@@ -109,7 +109,7 @@
     return findings
 
 
-def _field_finding(type_: type, prefix: str, name: str, value: Any) -> str | None:
+def _field_finding(type_: type[msgspec.Struct], prefix: str, name: str, value: Any) -> str | None:
     field = next((f for f in msgspec.structs.fields(type_) if f.name == name), None)
     if field is None:
         return f"{prefix}{name}: unknown field: allowed: {', '.join(type_.__struct_fields__)}"
--- a/hollyring/node/wire.py
+++ b/hollyring/node/wire.py
@@ -84,12 +84,13 @@
     if origin in (list, tuple):
         element, _ = _nested(typing.get_args(hint)[0])
         return element, True
-    return (hint, False) if dataclasses.is_dataclass(hint) else (None, False)
+    nested = hint if isinstance(hint, type) and dataclasses.is_dataclass(hint) else None
+    return nested, False
 
 
 def _to_thrift(message: Any) -> Any:
     struct = getattr(ttypes, catalogue.thrift_name(type(message)))()
-    for name, nested, many in _plan(type(message)):
+    for name, nested, many in _plan(type(message)):  # type: ignore[arg-type]
         value = getattr(message, name)
         if nested and value is not None:
             value = [_to_thrift(item) for item in value] if many else _to_thrift(value)
