Claim non-idempotent calls before dispatch, in grouped logs

Cause: nothing keeps a call from running twice when its caller repeats it at another VM. Change: delivery.claims is the per-VM state machine from begin to reply, delivery.claimlog adds claims to one of 32 group logs by compare-and-swap, in batches, with older records in merged segments. Ruled out: one key per claim with a stored answer takes two writes per call; a claim kept only by a VM under a lease is lost with that VM.

--- a/hollyring/delivery/__init__.py
+++ b/hollyring/delivery/__init__.py
@@ -1,5 +1,27 @@
 """Stream order and resumption, at-most-once execution, refusals and their truth."""
 
-from hollyring.delivery import errors, events, refusal, stream
+from hollyring.delivery import (
+    calls,
+    claimlog,
+    claims,
+    errors,
+    events,
+    messages,
+    records,
+    refusal,
+    storage,
+    stream,
+)
 
-__all__ = ["errors", "events", "refusal", "stream"]
+__all__ = [
+    "calls",
+    "claimlog",
+    "claims",
+    "errors",
+    "events",
+    "messages",
+    "records",
+    "refusal",
+    "storage",
+    "stream",
+]
