Test the stand-ins and stop them by an event

Cause: the test of two engines and a store in one process hung: each server set its own signal handler and only the last one's was called. A second fault found by its test: event_loss was listed but not wired. Change: serve takes a stop event, the signal is received in one place; the prefix cache asks whether an event is lost.

--- a/hollyring/cli/standin.py
+++ b/hollyring/cli/standin.py
@@ -25,7 +25,7 @@
 def _serve(app: Any, host: str, port: int, control_port: int) -> None:
     from hollyring.standins import asgi
 
-    anyio.run(asgi.serve, app, host, port, control_port)
+    anyio.run(asgi.serve_until_signal, app, host, port, control_port)
 
 
 @click.group()
--- a/hollyring/standins/asgi.py
+++ b/hollyring/standins/asgi.py
@@ -225,26 +225,34 @@
         yield
 
 
-async def serve(standin: StandIn, host: str, port: int, control_port: int) -> None:
-    """Serve `standin` on `port` and its control application on `control_port` until SIGTERM."""
+async def serve(
+    standin: StandIn, host: str, port: int, control_port: int, stop: anyio.Event
+) -> None:
+    """Serve `standin` and its control application until `stop` is set."""
     servers = [
         _server(application(standin.handle), host, port),
         _server(application(standin.handle_control), host, control_port),
     ]
     async with anyio.create_task_group() as background:
         background.start_soon(standin.run)
-        background.start_soon(_stop_on_signal, servers)
         async with anyio.create_task_group() as group:
             for server in servers:
                 group.start_soon(server.serve)
+            await stop.wait()
+            for server in servers:
+                server.should_exit = True
         background.cancel_scope.cancel()
 
 
-async def _stop_on_signal(servers: list[Server]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            for server in servers:
-                server.should_exit = True
+async def serve_until_signal(standin: StandIn, host: str, port: int, control_port: int) -> None:
+    """Serve `standin` until SIGTERM or SIGINT."""
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(serve, standin, host, port, control_port, stop)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                stop.set()
+                return
 
 
 def _server(app: Callable[..., Any], host: str, port: int) -> Server:
--- a/hollyring/standins/engine.py
+++ b/hollyring/standins/engine.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import random
 import time
 from typing import Any
 
@@ -43,12 +44,13 @@
 class Engine(asgi.StandIn):
     """A language server.
 
-    Faults: ``slow`` (value: every step takes so many times as long), ``event_loss`` (a cache
-    event is lost), ``cut`` (a stream's connection is cut after ``value`` tokens), ``refuse``
-    (503 to new requests), ``stall`` (no answer head for ``value`` seconds), ``leaving``
-    (reported in the load), ``restart`` (at once: streams cut, cache empty, new incarnation),
-    ``lost_order_answer`` (an order takes effect, its connection is cut). The control port also
-    answers ``GET /seen`` (headers of late requests), ``GET /orders`` and ``GET /state``.
+    Faults: ``slow`` (value: every step takes so many times as long), ``event_loss`` (cache
+    events are lost, each with probability ``value``, 0 for surely), ``cut`` (a stream's
+    connection is cut after ``value`` tokens), ``refuse`` (503 to new requests), ``stall`` (no
+    answer for ``value`` seconds), ``leaving`` (reported in the load), ``restart`` (at once:
+    streams cut, cache empty, new incarnation), ``lost_order_answer`` (an order takes effect,
+    its connection is cut). The control port also answers ``GET /seen`` (headers of late
+    requests), ``GET /orders`` and ``GET /state``.
     """
 
     fault_kinds = frozenset(
@@ -62,7 +64,7 @@
         self._seen: collections.deque[list[str]] = collections.deque(maxlen=KEPT_HEADERS)
         self._jobs: dict[str, batching.Job] = {}
         self._pool = httpcore.AsyncConnectionPool()
-        self._leaving_since = 0.0
+        self._random = random.Random(self.settings.name)
         self._boot()
 
     @property
@@ -83,7 +85,7 @@
         settings = self.settings
         self._incarnation = max(time.time_ns() // 1000, getattr(self, "_incarnation", 0) + 1)
         self._cache = prefix_cache.PrefixCache(
-            settings.cache_blocks, settings.cache_idle_seconds / self._speed
+            settings.cache_blocks, settings.cache_idle_seconds / self._speed, self._loses_event
         )
         self._batch = batching.Batch(settings.pace, self._cache)
         self._store = model_store.ModelStore(
@@ -143,6 +145,12 @@
             case _:
                 await super().handle_control(request)
 
+    def _loses_event(self) -> bool:
+        fault = self.fault("event_loss")
+        if fault is None:
+            return False
+        return not fault.value or self._random.random() < fault.value
+
     def _fresh_report(self) -> dict[str, Any]:
         leaving = "leaving" in self._faults
         return {
--- a/hollyring/standins/prefix_cache.py
+++ b/hollyring/standins/prefix_cache.py
@@ -4,7 +4,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from hollyring.core import pieces
 
@@ -30,14 +30,19 @@
         How many blocks fit.
     idle_seconds
         A block unused for so long is evicted.
+    lost
+        Tells of each event whether it is lost, which leaves a gap.
     """
 
-    def __init__(self, capacity: int, idle_seconds: float) -> None:
+    def __init__(
+        self, capacity: int, idle_seconds: float, lost: Callable[[], bool] = lambda: False
+    ) -> None:
         self._capacity = capacity
         self._idle_seconds = idle_seconds
         self._used: collections.OrderedDict[int, float] = collections.OrderedDict()
         self._events: collections.deque[CacheEvent] = collections.deque(maxlen=KEPT_EVENTS)
         self._seq = 0
+        self._lost = lost
 
     @property
     def seq(self) -> int:
@@ -93,15 +98,12 @@
         """Return the number of the oldest event kept."""
         return self._events[0].seq if self._events else self._seq + 1
 
-    def lose_event(self) -> None:
-        """Drop the latest event from the log, which leaves a gap."""
-        if self._events:
-            self._events.pop()
-
     def _publish(self, kind: str, names: list[int], now: float) -> None:
         if not names and kind != "cleared":
             return
         self._seq += 1
+        if self._lost():
+            return
         self._events.append(CacheEvent(self._seq, kind, [f"{n:016x}" for n in names], now))
 
 
--- /dev/null
+++ b/hollyring/standins/tests/test_engine.py
@@ -0,0 +1,199 @@
+import dataclasses
+
+import anyio
+import pytest
+
+from hollyring.core import pieces
+from hollyring.standins import batching, engine, prefix_cache, text
+
+pytestmark = pytest.mark.anyio
+
+MESSAGES = [{"role": "user", "content": "c" * 3 * pieces.PIECE_BYTES}]
+PROMPT = pieces.render(MESSAGES)
+
+
+def chat(**fields):
+    usage = {"include_usage": True}
+    body = {"model": "parish", "messages": MESSAGES, "max_tokens": 8, "stream": True}
+    return {**body, "stream_options": usage, "cache_salt": "7", **fields}
+
+
+@pytest.fixture
+async def served(running, settings):
+    return running(engine.Engine(settings))
+
+
+def usage_of(answer):
+    return next(event["usage"] for event in answer.events if "usage" in event)
+
+
+def cached_tokens(answer):
+    return usage_of(answer)["prompt_tokens_details"]["cached_tokens"]
+
+
+async def test_stream_is_what_anybody_can_compute(served):
+    answer = await served[1]("POST", "/v1/chat/completions", chat())
+    assert answer.whole
+    assert answer.tokens == text.expected(PROMPT, 8)
+    assert answer.body.endswith(b"data: [DONE]\n\n")
+    assert usage_of(answer)["completion_tokens"] == 8
+    assert usage_of(answer)["prompt_tokens"] == pieces.token_count(PROMPT)
+
+
+async def test_whole_answer_and_completion(served):
+    answer = await served[1]("POST", "/v1/chat/completions", chat(stream=False))
+    choice = answer.json()["choices"][0]
+    assert choice["message"]["content"] == "".join(text.expected(PROMPT, 8))
+    body = {"model": "parish", "prompt": "Kigoma", "stop_after": 2}
+    choice = (await served[1]("POST", "/v1/completions", body)).json()["choices"][0]
+    assert choice["text"] == "".join(text.expected(b"Kigoma", 2))
+    assert choice["finish_reason"] == "stop"
+
+
+@pytest.mark.parametrize("resumed", [1, 5, 7])
+async def test_resume_goes_on_from_the_exact_token(served, resumed):
+    whole = text.expected(PROMPT, 8)
+    body = chat(resume_text="".join(whole[:resumed]))
+    answer = await served[1]("POST", "/v1/chat/completions", body)
+    assert answer.tokens == whole[resumed:]
+
+
+async def test_second_request_finds_the_prefix_cached(served):
+    first = await served[1]("POST", "/v1/chat/completions", chat())
+    second = await served[1]("POST", "/v1/chat/completions", chat())
+    other = await served[1]("POST", "/v1/chat/completions", chat(cache_salt="8"))
+    assert cached_tokens(first) == 0
+    assert cached_tokens(second) == 3 * pieces.PIECE_TOKENS
+    assert cached_tokens(other) == 0
+
+
+async def test_events_tell_what_is_cached(served):
+    await served[1]("POST", "/v1/chat/completions", chat())
+    await served[1]("POST", "/v1/chat/completions", chat(cache_salt="8"))
+    answer = (await served[1]("GET", "/events?after=0")).json()
+    blocks = set()
+    for event in answer["events"]:
+        change = blocks.update if event["kind"] == "stored" else blocks.difference_update
+        change(event["blocks"])
+    snapshot = (await served[1]("GET", "/cache")).json()
+    assert blocks == set(snapshot["blocks"])
+    assert len(blocks) == 4
+    assert answer["last"] == snapshot["seq"]
+    names = [f"{name:016x}" for name in pieces.chain(8, PROMPT)]
+    assert set(names) <= blocks
+
+
+async def test_lost_event_leaves_a_gap(served, fault):
+    await fault(served[0], "event_loss", count=1)
+    await served[1]("POST", "/v1/chat/completions", chat())
+    await served[1]("POST", "/v1/chat/completions", chat(cache_salt="8"))
+    events = (await served[1]("GET", "/events?after=0")).json()["events"]
+    assert events[0]["seq"] > 1
+
+
+async def test_restart_comes_back_empty_with_a_new_incarnation(served, fault):
+    await served[1]("POST", "/v1/chat/completions", chat())
+    before = (await served[1]("GET", "/cache")).json()
+    await fault(served[0], "restart")
+    after = (await served[1]("GET", "/cache")).json()
+    assert after["incarnation"] > before["incarnation"]
+    assert (before["blocks"] != [], after["blocks"]) == (True, [])
+    answer = await served[1]("POST", "/v1/chat/completions", chat())
+    assert answer.tokens == text.expected(PROMPT, 8)
+
+
+async def test_cut_stream_is_not_whole(served, fault):
+    await fault(served[0], "cut", value=3, count=1)
+    answer = await served[1]("POST", "/v1/chat/completions", chat())
+    assert not answer.whole
+    assert answer.tokens == text.expected(PROMPT, 3)
+
+
+@pytest.mark.parametrize("way", ["delete", "hang_up"])
+async def test_cancel_stops_the_work(running, settings, way):
+    settings.pace.speed = 1.0
+    standin, call = running(engine.Engine(settings))
+    hang_up = anyio.Event()
+    answers = []
+
+    async def ask():
+        body = chat(max_tokens=100_000, request_id="r1")
+        answers.append(await call("POST", "/v1/chat/completions", body, hang_up=hang_up))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(ask)
+        while not (await call("GET", "/load")).json()["running"]:
+            await anyio.sleep(0)
+        if way == "delete":
+            await call("DELETE", "/v1/requests/r1")
+        hang_up.set()
+    assert not answers[0].whole
+    assert (await call("GET", "/load")).json()["running"] == 0
+
+
+def test_smaller_priority_goes_first():
+    cache = prefix_cache.PrefixCache(10, 1e6)
+    batch = batching.Batch(batching.Pace(max_running=1), cache)
+    jobs = [
+        batching.Job(f"r{priority}", "parish", b"prompt", 0, priority, 0, 1)
+        for priority in (5, 1, 3)
+    ]
+    for job in jobs:
+        batch.submit(job)
+    done = []
+    for _ in jobs:
+        batch.step(0.0)
+        done += [job.request_id for job in jobs if job.done and job.request_id not in done]
+    assert done == ["r1", "r3", "r5"]
+
+
+def test_step_takes_longer_for_uncached_tokens():
+    cache = prefix_cache.PrefixCache(10, 1e6)
+    pace = batching.Pace(prefill_tokens_per_second=1000.0, decode_step_seconds=0.01)
+    batch = batching.Batch(pace, cache)
+    seconds = []
+    for _ in range(2):
+        batch.submit(batching.Job("r", "parish", b"x" * pieces.PIECE_BYTES, 0, 0, 0, 1))
+        seconds.append(batch.step(0.0))
+    assert seconds == pytest.approx([0.01 + 1.024, 0.01])
+
+
+def test_cache_evicts_least_recently_used_then_idle():
+    cache = prefix_cache.PrefixCache(2, 10.0)
+    cache.store([1], 0.0)
+    cache.store([2], 1.0)
+    cache.match([1], 2.0)
+    cache.store([3], 3.0)
+    assert cache.names == [f"{1:016x}", f"{3:016x}"]
+    cache.evict_idle(12.5)
+    assert cache.names == [f"{3:016x}"]
+
+
+async def test_load_order_takes_the_model_out_until_it_is_there(served):
+    standin, call = served
+    order = {"order_id": "o1", "fencing": 2, "kind": "load_model"}
+    order |= {"model": "parish", "version": "v2"}
+    assert (await call("POST", "/orders", order)).status == 202
+    assert standin.counters["fault_restart"] == 0
+    refused = await call("POST", "/v1/chat/completions", chat())
+    assert refused.json()["error"]["code"] == "model_not_loaded"
+    while "parish" not in (await call("GET", "/load")).json()["models"]:
+        await anyio.sleep(0)
+    assert (await call("GET", "/load")).json()["models"] == {"parish": "v2"}
+    assert (await call("POST", "/orders", order)).status == 202
+    assert (await call("GET", "/load")).json()["models"] == {"parish": "v2"}
+
+
+@pytest.mark.parametrize("checks, status", [(True, 409), (False, 202)])
+async def test_stale_order(running, settings, checks, status):
+    _, call = running(engine.Engine(dataclasses.replace(settings, checks_fencing=checks)))
+    role = {"kind": "set_role", "role": "decode"}
+    assert (await call("POST", "/orders", {"order_id": "a", "fencing": 2, **role})).status == 202
+    assert (await call("POST", "/orders", {"order_id": "b", "fencing": 1, **role})).status == status
+
+
+async def test_headers_seen_are_told(served, caller):
+    headers = [("Authorization", "Bearer secret")]
+    await served[1]("POST", "/v1/chat/completions", chat(), headers)
+    seen = (await caller(served[0].handle_control)("GET", "/seen")).json()
+    assert seen == [["authorization: Bearer secret"]]
--- /dev/null
+++ b/hollyring/standins/tests/test_service.py
@@ -0,0 +1,44 @@
+import pytest
+
+from hollyring.standins import cache_store, service
+
+pytestmark = pytest.mark.anyio
+
+HEADERS = [("X-Request-Id", "r1"), ("Idempotency-Key", "k1")]
+
+
+@pytest.fixture
+def orders():
+    return service.Service("orders")
+
+
+async def test_executions_are_counted(orders, caller):
+    call, control = caller(orders.handle), caller(orders.handle_control)
+    for _ in range(2):
+        answer = await call("POST", "/orders/kigoma", b"10 candles", HEADERS)
+    assert answer.json()["body"] == "10 candles"
+    assert (await call("GET", "/executions")).json() == {"r1": 2}
+    assert (await control("GET", "/idempotency")).json() == {"k1": 2}
+
+
+@pytest.mark.parametrize(
+    "kind, status, executions",
+    [("lost_answer", 0, 1), ("cut", 0, 0), ("refuse", 503, 0), ("late_answer", 200, 1)],
+)
+async def test_faults_before_and_after_the_execution(
+    orders, caller, fault, kind, status, executions
+):
+    await fault(orders, kind, count=1)
+    call = caller(orders.handle)
+    assert (await call("POST", "/orders", b"", HEADERS)).status == status
+    assert (await call("GET", "/executions")).json().get("r1", 0) == executions
+    assert (await call("POST", "/orders", b"", HEADERS)).status == 200
+
+
+async def test_cache_store_keeps_blocks(caller):
+    call = caller(cache_store.CacheStore(capacity=2).handle)
+    for name in ("a", "b", "c"):
+        await call("PUT", f"/blocks/{name}", name.encode())
+    assert (await call("GET", "/blocks/a")).status == 404
+    assert (await call("GET", "/blocks/c")).body == b"c"
+    assert (await call("GET", "/has?blocks=a,b,c")).json() == {"present": ["b", "c"]}
