--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
 
 MESSAGES: dict[str, type] = {
@@ -14,6 +15,8 @@
         limits.Confirm,
         limits.SettledQuery,
         limits.Settled,
+        delivery.ClaimQuestion,
+        delivery.ClaimAnswer,
     )
 }
 """Message classes of all parts; each belongs to the package that its wire name begins with."""
--- a/hollyring/node/front.py
+++ b/hollyring/node/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from hollyring.delivery import refusal
-from hollyring.node import asgi, completions, outlets, rights, vm
+from hollyring.node import asgi, completions, outlets, rights, services, vm
 
 HTTP_OK = 200
 
@@ -43,7 +43,7 @@
             case "GET", "/v1/models":
                 await _models(node, scope, send)
             case _:
-                await outlets.refuse(send, refusal.make("unknown_route"))
+                await services.serve(node, scope, receive, send)
 
 
 async def _models(node: vm.VM, scope: asgi.Scope, send: asgi.Send) -> None:
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -40,3 +40,26 @@
 struct LimitsSettled {
   1: optional i64 revision
 }
+
+struct DeliveryClaimQuestion {
+  1: optional binary key
+  2: optional string owner
+  3: optional i64 incarnation
+  4: optional i64 sequence
+}
+
+struct DeliveryHeader {
+  1: optional string name
+  2: optional string value
+}
+
+struct DeliveryAnswer {
+  1: optional i64 status
+  2: optional list<DeliveryHeader> headers
+  3: optional binary body
+}
+
+struct DeliveryClaimAnswer {
+  1: optional string outcome
+  2: optional list<DeliveryAnswer> answers
+}
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -21,9 +21,10 @@
 import anyio.abc
 import anyio.streams.buffered
 from anyio.streams import memory
+from thrift.Thrift import TMessageType
 
 from hollyring.core import identities
-from hollyring.node import errors, wire
+from hollyring.node import errors, part, wire
 
 NONCE_BYTES = 16
 TAG_BYTES = 8
@@ -34,8 +35,10 @@
 
 QUEUE_MESSAGES = 256
 MAX_NAME_BYTES = 256
+MAX_SEQUENCE = 1 << 31
 
-Receive = Callable[[identities.Incarnation, object], Awaitable[None]]
+Receive = Callable[[identities.Incarnation, object], Awaitable[object | None]]
+"""Takes a message; what it returns goes back to a sender that waits for a reply."""
 
 
 class Frames:
@@ -72,8 +75,8 @@
 
 def _proof(key: str, label: bytes, *parts: bytes) -> bytes:
     digest = hmac.new(key.encode(), label, hashlib.sha256)
-    for part in parts:
-        digest.update(struct.pack("!I", len(part)) + part)
+    for field in parts:
+        digest.update(struct.pack("!I", len(field)) + field)
     return digest.digest()
 
 
@@ -118,19 +121,40 @@
         Turns messages into bytes and back.
     receive
         Awaited with sender and message for every message that arrives.
+    address_of
+        Returns the peer address of a VM by name, None for one that is not on the roster.
     """
 
-    __slots__ = ("_me", "_keys", "_codec", "_receive", "_links", "_group", "_counts")
+    __slots__ = (
+        "_me",
+        "_keys",
+        "_codec",
+        "_receive",
+        "_links",
+        "_group",
+        "_counts",
+        "_waiting",
+        "_asked",
+        "_address_of",
+    )
 
     def __init__(
-        self, me: identities.Incarnation, keys: list[str], codec: wire.Wire, receive: Receive
+        self,
+        me: identities.Incarnation,
+        keys: list[str],
+        codec: wire.Wire,
+        receive: Receive,
+        address_of: Callable[[str], str | None],
     ) -> None:
+        self._address_of = address_of
         self._me = me
         self._keys = list(keys)
         self._codec = codec
         self._receive = receive
         self._links: dict[str, memory.MemoryObjectSendStream[bytes]] = {}
         self._group: anyio.abc.TaskGroup | None = None
+        self._waiting: dict[int, part.Ticket[object]] = {}
+        self._asked = 0
         self._counts = {"sent": 0, "received": 0, "sent_bytes": 0, "received_bytes": 0}
         self._counts |= {"dropped": 0, "refused": 0}
 
@@ -152,9 +176,26 @@
 
     def send(self, address: str, message: object) -> bool:
         """Queue `message` for the peer at `address`; False if it had to be dropped."""
+        return self._queue(address, self._codec.encode(message))
+
+    async def ask(self, address: str, message: object, seconds: float) -> object | None:
+        """Return the reply of the peer at `address`, or None if none came within `seconds`."""
+        self._asked = (self._asked + 1) % MAX_SEQUENCE
+        sequence = self._asked
+        ticket: part.Ticket[object] = part.Ticket()
+        self._waiting[sequence] = ticket
+        try:
+            if not self._queue(address, self._codec.encode(message, sequence, TMessageType.CALL)):
+                return None
+            with anyio.move_on_after(seconds):
+                return await ticket.wait()
+            return None
+        finally:
+            self._waiting.pop(sequence, None)
+
+    def _queue(self, address: str, payload: bytes) -> bool:
         if self._group is None:
             return False
-        payload = self._codec.encode(message)
         link = self._links.get(address)
         if link is None:
             link, receiver = anyio.create_memory_object_stream[bytes](QUEUE_MESSAGES)
@@ -251,7 +292,26 @@
             if length > wire.MAX_MESSAGE_BYTES:
                 raise errors.PeerError(f"frame of {length} bytes")
             payload = frames.open(head[4:], await buffered.receive_exactly(length))
-            message, _ = self._codec.decode(payload)
+            message, sequence, kind = self._codec.decode(payload)
             self._counts["received"] += 1
             self._counts["received_bytes"] += length + TAG_BYTES + 4
-            await self._receive(sender, message)
+            await self._take(sender, message, sequence, kind)
+
+    async def _take(
+        self, sender: identities.Incarnation, message: object, sequence: int, kind: int
+    ) -> None:
+        if kind == TMessageType.REPLY:
+            ticket = self._waiting.get(sequence)
+            if ticket is not None:
+                ticket.answer(message)
+            return
+        if kind == TMessageType.CALL and self._group is not None:
+            self._group.start_soon(self._reply, sender, message, sequence)
+            return
+        await self._receive(sender, message)
+
+    async def _reply(self, sender: identities.Incarnation, message: object, sequence: int) -> None:
+        reply = await self._receive(sender, message)
+        address = self._address_of(sender.name)
+        if reply is not None and address is not None:
+            self._queue(address, self._codec.encode(reply, sequence, TMessageType.REPLY))
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -12,9 +12,11 @@
 
 from hollyring.configuration import state
 from hollyring.core import identities, invariants
+from hollyring.delivery import messages as delivery_messages
 from hollyring.node import (
     admin,
     catalogue,
+    claims_part,
     configuration_part,
     engines,
     front,
@@ -24,6 +26,7 @@
     peers,
     platform,
     routing_part,
+    services,
     settings,
     vm,
     wire,
@@ -69,20 +72,28 @@
         self._platform = platform.Platform(given.platform)
         self._peer_addresses: dict[str, str] = {}
         codec = wire.Wire(catalogue.MESSAGES)
-        self._peers = peers.Peers(self._me, given.peer_keys, codec, self._from_peer)
+        self._peers = peers.Peers(
+            self._me, given.peer_keys, codec, self._from_peer, self._peer_addresses.get
+        )
         self._limits = limits_part.LimitsPart(self._me, self._invariants, self._send)
         self._routing = routing_part.RoutingPart()
         self._configuration = configuration_part.ConfigurationPart(
             self._platform, [self._configure, self._limits.configure, self._routing.configure]
         )
+        self._claims = claims_part.ClaimsPart(
+            self._me, self._invariants, self._platform, self._ask_peer
+        )
         self._engines = engines.Engines()
+        self._services = services.Services()
         self._node = vm.VM(
             self._me,
             given,
             self._configuration,
             self._limits,
             self._routing,
+            self._claims,
             self._engines,
+            self._services,
             self._metrics,
             self._invariants,
         )
@@ -99,6 +110,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._peers.run, host, port)
             group.start_soon(self._limits.run)
+            group.start_soon(self._claims.run)
             group.start_soon(self._configuration.run)
             group.start_soon(admins.serve)
             group.start_soon(self._stop_on_signal, callers)
@@ -136,20 +148,31 @@
         return _Server(config)
 
     def _configure(self, configuration: state.Configuration) -> None:
-        self._peer_addresses = {item.name: item.peer_address for item in configuration.vms.values()}
+        self._peer_addresses.clear()
+        for item in configuration.vms.values():
+            self._peer_addresses[item.name] = item.peer_address
 
     def _send(self, name: str, message: object) -> None:
         address = self._peer_addresses.get(name)
         if address is not None:
             self._peers.send(address, message)
 
-    async def _from_peer(self, sender: identities.Incarnation, message: object) -> None:
+    async def _ask_peer(self, name: str, message: object, seconds: float) -> object | None:
+        address = self._peer_addresses.get(name)
+        if address is None:
+            return None
+        return await self._peers.ask(address, message, seconds)
+
+    async def _from_peer(self, sender: identities.Incarnation, message: object) -> object | None:
         package = type(message).__module__.split(".")[1]
         match package:
             case "limits":
                 self._limits.from_peer(sender.name, message)
+            case "delivery" if isinstance(message, delivery_messages.ClaimQuestion):
+                return await self._claims.answer_peer(message)
             case _:
                 self._log.say("unexpected message", package=package)
+        return None
 
     async def _dump(self) -> dict[str, Any]:
         return {
@@ -160,6 +183,7 @@
             "open_requests": self._front.open_requests,
             "configuration": self._configuration.dump(),
             "limits": self._limits.dump(),
+            "claims": self._claims.dump(),
             "routing": self._routing.dump(),
             "peers": self._peers.counts,
             "platform": self._platform.calls,
--- a/hollyring/node/vm.py
+++ b/hollyring/node/vm.py
@@ -6,11 +6,13 @@
 
 from hollyring.core import identities, invariants
 from hollyring.node import (
+    claims_part,
     configuration_part,
     engines,
     limits_part,
     metrics,
     routing_part,
+    services,
     settings,
 )
 
@@ -30,6 +32,8 @@
     configuration: configuration_part.ConfigurationPart
     limits: limits_part.LimitsPart
     routing: routing_part.RoutingPart
+    claims: claims_part.ClaimsPart
     engines: engines.Engines
+    services: services.Services
     metrics: metrics.Metrics
     invariants: invariants.Invariants
--- a/hollyring/node/wire.py
+++ b/hollyring/node/wire.py
@@ -39,17 +39,17 @@
         self._classes = classes
         self._names = {class_: name for name, class_ in classes.items()}
 
-    def encode(self, message: object, sequence: int = 0) -> bytes:
-        """Return the bytes of `message`, marked with `sequence`."""
+    def encode(self, message: object, sequence: int = 0, kind: int = TMessageType.ONEWAY) -> bytes:
+        """Return the bytes of `message`; a call and its reply bear the same `sequence`."""
         buffer = TTransport.TMemoryBuffer()
         protocol = TCompactProtocol.TCompactProtocol(buffer)
-        protocol.writeMessageBegin(self._names[type(message)], TMessageType.ONEWAY, sequence)
+        protocol.writeMessageBegin(self._names[type(message)], kind, sequence)
         _to_thrift(message).write(protocol)
         protocol.writeMessageEnd()
         return buffer.getvalue()
 
-    def decode(self, data: bytes) -> tuple[object, int]:
-        """Return the message in `data` and its sequence number.
+    def decode(self, data: bytes) -> tuple[object, int, int]:
+        """Return the message in `data`, its sequence number and its kind (`TMessageType`).
 
         Raises
         ------
@@ -60,11 +60,11 @@
             raise errors.PeerError(f"message of {len(data)} bytes")
         protocol = TCompactProtocol.TCompactProtocol(TTransport.TMemoryBuffer(data))
         try:
-            name, _, sequence = protocol.readMessageBegin()
+            name, kind, sequence = protocol.readMessageBegin()
             class_ = self._classes[name]
             struct = getattr(ttypes, catalogue.thrift_name(class_))()
             struct.read(protocol)
-            return _from_thrift(struct, class_), sequence
+            return _from_thrift(struct, class_), sequence, kind
         except (TException, EOFError, KeyError, ValueError, TypeError, IndexError) as error:
             raise errors.PeerError(f"unreadable message: {type(error).__name__}") from error
 
