--- /dev/null
+++ b/hollyring/routing/index.py
@@ -0,0 +1,306 @@
+"""The cache index that a VM keeps of the upstreams it watches.
+
+Every upstream has one watcher among the live VMs, so that the whole fleet's index is spread over
+the VMs. The index may lag and may be wrong after lost events; that costs time, never correctness,
+because the engine matches a prompt's prefix itself.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Sequence
+
+from hollyring.routing import blocks, events
+
+MAX_BLOCKS = 400_000
+"""Most blocks that one VM indexes, over all its upstreams."""
+
+REORDER_EVENTS = 256
+"""Events held back for a missing earlier one before it is given up as lost."""
+
+REORDER_SECONDS = 1.0
+"""How long events are held back for a missing earlier one."""
+
+SNAPSHOT_BYTES_PER_BLOCK = 19
+"""Bytes of one block in an engine's snapshot."""
+
+RESYNC_BYTES_PER_SECOND = 500.0
+"""Mean rate of the snapshots that one VM fetches."""
+
+RESYNC_BURST_BYTES = 100_000.0
+"""Bytes of snapshots that may be fetched at once after a quiet time."""
+
+RESYNC_RETRY_SECONDS = 5.0
+"""A snapshot that was asked for and didn't come is asked for again after so long."""
+
+CONTRADICTIONS = 3
+"""Answers in a row with fewer cached pieces than indexed before the index is distrusted."""
+
+MIN_CONFIDENCE = 0.3
+"""Confidence in an index with unknown gaps."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Depth:
+    """How much of a chain an upstream holds.
+
+    Parameters
+    ----------
+    pieces
+        Leading pieces that are cached.
+    confidence
+        From 0 to 1: how likely they still are.
+    incarnation
+        The upstream's life that this is about.
+    """
+
+    pieces: int
+    confidence: float
+    incarnation: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Indexed:
+    table: blocks.BlockTable
+    incarnation: int = 0
+    applied: int = 0
+    synchronised: bool = False
+    lost_events: int = 0
+    contradictions: int = 0
+    asked_at: float = float("-inf")
+    held_since: float = 0.0
+    held: dict[int, events.CacheEvent] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """How the index fared."""
+
+    applied: int = 0
+    duplicates: int = 0
+    gaps: int = 0
+    dead_incarnation: int = 0
+    snapshots: int = 0
+    contradictions: int = 0
+
+
+class CacheIndex:
+    """Cached blocks of the watched upstreams.
+
+    Memory is bounded by `max_blocks`, shared evenly by the watched upstreams. When an upstream's
+    part is full, a new name displaces an arbitrary old one: fresh prefixes matter most, and a
+    forgotten one only makes the index more modest.
+
+    Parameters
+    ----------
+    max_blocks
+        Most blocks over all upstreams.
+    resync_bytes_per_second
+        Mean rate of snapshots.
+    """
+
+    __slots__ = ("_max_blocks", "_upstreams", "_rate", "_allowance", "_refilled_at", "counters")
+
+    def __init__(
+        self,
+        max_blocks: int = MAX_BLOCKS,
+        resync_bytes_per_second: float = RESYNC_BYTES_PER_SECOND,
+    ) -> None:
+        self._max_blocks = max_blocks
+        self._upstreams: dict[str, _Indexed] = {}
+        self._rate = resync_bytes_per_second
+        self._allowance = RESYNC_BURST_BYTES
+        self._refilled_at = float("-inf")
+        self.counters = Counters()
+
+    @property
+    def watched(self) -> list[str]:
+        """Names of the upstreams that are indexed."""
+        return list(self._upstreams)
+
+    @property
+    def size_bytes(self) -> int:
+        """Bytes of all tables."""
+        return sum(indexed.table.size_bytes for indexed in self._upstreams.values())
+
+    def __len__(self) -> int:
+        return sum(len(indexed.table) for indexed in self._upstreams.values())
+
+    def watch(self, upstreams: Iterable[str]) -> None:
+        """Index exactly `upstreams`, forgetting all others."""
+        names = list(upstreams)
+        limit = self._max_blocks // max(1, len(names))
+        self._upstreams = {
+            name: self._upstreams.get(name) or _Indexed(blocks.BlockTable(limit)) for name in names
+        }
+        for indexed in self._upstreams.values():
+            indexed.table.limit(limit)
+
+    def incarnation(self, upstream: str) -> int:
+        """Return the latest life of `upstream` that was seen, or 0."""
+        indexed = self._upstreams.get(upstream)
+        return indexed.incarnation if indexed else 0
+
+    def applied(self, upstream: str) -> int:
+        """Return the number of the last event applied: the node polls for those after it."""
+        indexed = self._upstreams.get(upstream)
+        return indexed.applied if indexed else 0
+
+    def observe_incarnation(self, upstream: str, incarnation: int) -> bool:
+        """Take note of a life of `upstream`; return False if it is an earlier one than known.
+
+        A later life begins with an empty cache.
+        """
+        indexed = self._upstreams.get(upstream)
+        if indexed is None or incarnation < indexed.incarnation:
+            return False
+        if incarnation > indexed.incarnation:
+            indexed.table.clear()
+            indexed.held.clear()
+            # A first sight may be in the middle of a life; a known engine's next life starts at 1.
+            indexed.synchronised = indexed.incarnation > 0
+            indexed.incarnation = incarnation
+            indexed.applied = indexed.lost_events = indexed.contradictions = 0
+        return True
+
+    def observe_events(self, upstream: str, batch: events.EventBatch, now: float) -> None:
+        """Apply a batch of events of a watched upstream."""
+        if not self.observe_incarnation(upstream, batch.incarnation):
+            self.counters.dead_incarnation += len(batch.events)
+            return
+        indexed = self._upstreams[upstream]
+        for event in batch.events:
+            if event.sequence <= indexed.applied or event.sequence in indexed.held:
+                self.counters.duplicates += 1
+                continue
+            if not indexed.held:
+                indexed.held_since = now
+            indexed.held[event.sequence] = event
+        self._apply_held(indexed, now)
+
+    def observe_snapshot(self, upstream: str, snapshot: events.Snapshot, now: float) -> None:
+        """Replace what is known of a watched upstream, and apply held events that came after."""
+        if not self.observe_incarnation(upstream, snapshot.incarnation):
+            self.counters.dead_incarnation += 1
+            return
+        indexed = self._upstreams[upstream]
+        if snapshot.sequence < indexed.applied:
+            indexed.asked_at = float("-inf")
+            return
+        indexed.table.clear()
+        indexed.table.update(snapshot.names)
+        indexed.applied = snapshot.sequence
+        indexed.synchronised = True
+        indexed.lost_events = indexed.contradictions = 0
+        indexed.asked_at = float("-inf")
+        for sequence in [held for held in indexed.held if held <= snapshot.sequence]:
+            del indexed.held[sequence]
+        self.counters.snapshots += 1
+        self._apply_held(indexed, now)
+
+    def contradict(self, upstream: str, expected: int, cached: int) -> None:
+        """Compare the pieces that the index expected with what the upstream's answer reported."""
+        indexed = self._upstreams.get(upstream)
+        if indexed is None or not expected:
+            return
+        if cached >= expected:
+            indexed.contradictions = 0
+            return
+        indexed.contradictions += 1
+        self.counters.contradictions += 1
+        if indexed.contradictions >= CONTRADICTIONS:
+            indexed.synchronised = False
+
+    def due_resync(self, now: float) -> list[str]:
+        """Return the upstreams whose snapshot the node should fetch now, within the byte rate."""
+        self._refill(now)
+        due = []
+        for name, indexed in self._upstreams.items():
+            if indexed.synchronised or now - indexed.asked_at < RESYNC_RETRY_SECONDS:
+                continue
+            cost = max(1, len(indexed.table)) * SNAPSHOT_BYTES_PER_BLOCK
+            if self._allowance < min(cost, RESYNC_BURST_BYTES):
+                continue
+            self._allowance -= cost
+            indexed.asked_at = now
+            due.append(name)
+        return due
+
+    def depth(self, upstream: str, names: Sequence[int]) -> Depth | None:
+        """Return how many leading `names` the upstream holds; None if it isn't watched."""
+        indexed = self._upstreams.get(upstream)
+        if indexed is None or not indexed.incarnation:
+            return None
+        table = indexed.table
+        pieces = 0
+        for name in names:
+            if name not in table:
+                break
+            pieces += 1
+        return Depth(pieces, self._confidence(indexed), indexed.incarnation)
+
+    def dump(self) -> dict[str, object]:
+        """Return counters and each upstream's state."""
+        return {
+            "counters": dataclasses.asdict(self.counters),
+            "blocks": len(self),
+            "bytes": self.size_bytes,
+            "upstreams": {
+                name: {
+                    "incarnation": indexed.incarnation,
+                    "applied": indexed.applied,
+                    "blocks": len(indexed.table),
+                    "displaced": indexed.table.displaced,
+                    "synchronised": indexed.synchronised,
+                    "lost_events": indexed.lost_events,
+                    "held": len(indexed.held),
+                }
+                for name, indexed in sorted(self._upstreams.items())
+            },
+        }
+
+    def _confidence(self, indexed: _Indexed) -> float:
+        if indexed.synchronised:
+            return 1.0
+        doubt = indexed.lost_events / max(1, len(indexed.table))
+        return max(MIN_CONFIDENCE, 1.0 - doubt) if indexed.lost_events else MIN_CONFIDENCE
+
+    def _apply_held(self, indexed: _Indexed, now: float) -> None:
+        while indexed.held:
+            event = indexed.held.pop(indexed.applied + 1, None)
+            if event is not None:
+                self._apply(indexed, event)
+                indexed.held_since = now
+                continue
+            late = now - indexed.held_since >= REORDER_SECONDS
+            if not late and len(indexed.held) <= REORDER_EVENTS:
+                return
+            self._skip_gap(indexed)
+
+    def _skip_gap(self, indexed: _Indexed) -> None:
+        following = min(indexed.held)
+        indexed.lost_events += following - indexed.applied - 1
+        indexed.applied = following - 1
+        indexed.synchronised = False
+        self.counters.gaps += 1
+
+    def _apply(self, indexed: _Indexed, event: events.CacheEvent) -> None:
+        indexed.applied = event.sequence
+        self.counters.applied += 1
+        if event.sequence == 1:
+            indexed.synchronised = True
+        match event.change:
+            case events.Change.STORED:
+                indexed.table.update(event.names)
+            case events.Change.REMOVED:
+                for name in event.names:
+                    indexed.table.discard(name)
+            case events.Change.CLEARED:
+                indexed.table.clear()
+                indexed.synchronised = True
+                indexed.lost_events = 0
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._refilled_at)
+        self._allowance = min(RESYNC_BURST_BYTES, self._allowance + elapsed * self._rate)
+        self._refilled_at = now
--- /dev/null
+++ b/hollyring/routing/load.py
@@ -0,0 +1,122 @@
+"""Estimates of upstreams' load from lagging reports and this VM's own dispatches."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from hollyring.routing import messages
+
+SMOOTHING_SECONDS = 5.0
+"""Time constant of the mean to which an ageing report decays."""
+
+DECAY_SECONDS = 2.0
+"""Time constant with which a report's excess over the mean is forgotten."""
+
+FRESH_SECONDS = 1.0
+"""A report younger than this needs no lookup."""
+
+MAX_OWN_SECONDS = 60.0
+"""An own dispatch without a first token stops counting as queued after so long."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Own:
+    at: float
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """What is known of one upstream's load.
+
+    Parameters
+    ----------
+    prefill_tokens_per_second
+        Its prefill speed, from the configuration until a report says more.
+    """
+
+    prefill_tokens_per_second: float
+    reported_at: float = float("-inf")
+    queued_tokens: float = 0.0
+    mean_queued_tokens: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    wait_seconds: float = 0.0
+    waited_at: float = float("-inf")
+    _own: dict[int, _Own] = dataclasses.field(default_factory=dict)
+
+    @property
+    def own_requests(self) -> int:
+        """This VM's dispatches that wait for their first token."""
+        return len(self._own)
+
+    def observe(self, report: messages.LoadReport, now: float) -> None:
+        """Take a report in; one older than the last is ignored."""
+        at = now - report.age_seconds
+        if at <= self.reported_at:
+            return
+        if math.isinf(self.reported_at):
+            self.mean_queued_tokens = report.queued_tokens
+        else:
+            weight = 1.0 - math.exp(-(at - self.reported_at) / SMOOTHING_SECONDS)
+            self.mean_queued_tokens += weight * (report.queued_tokens - self.mean_queued_tokens)
+        self.reported_at = at
+        self.queued_tokens = report.queued_tokens
+        self.running = report.running
+        self.waiting = report.waiting
+        if report.prefill_tokens_per_second > 0:
+            self.prefill_tokens_per_second = report.prefill_tokens_per_second
+
+    def dispatched(self, attempt: int, uncached_tokens: int, now: float) -> None:
+        """Count an own dispatch until its first token or a report that covers it."""
+        self._own[attempt] = _Own(now, uncached_tokens)
+
+    def first_token(self, attempt: int, now: float) -> None:
+        """Stop counting an own dispatch as queued, and learn how long it waited."""
+        own = self._own.pop(attempt, None)
+        if own is None:
+            return
+        waited = max(0.0, now - own.at - own.tokens / self.prefill_tokens_per_second)
+        self.wait_seconds = waited
+        self.waited_at = now
+
+    def forget(self, attempt: int) -> None:
+        """Stop counting an own dispatch that failed or ended."""
+        self._own.pop(attempt, None)
+
+    def restart(self) -> None:
+        """Forget the load of an earlier life."""
+        self._own.clear()
+        self.queued_tokens = self.mean_queued_tokens = self.wait_seconds = 0.0
+        self.running = self.waiting = 0
+        self.reported_at = self.waited_at = float("-inf")
+
+    def age(self, now: float) -> float:
+        """Return the age of the last report in seconds."""
+        return now - self.reported_at
+
+    def queue_seconds(self, now: float) -> float:
+        """Return how long a request sent now is expected to wait for its prefill."""
+        queued = self._reported_tokens(now) + self._unreported_tokens(now)
+        return queued / self.prefill_tokens_per_second + self._observed_wait(now)
+
+    def outstanding(self, now: float) -> int:
+        """Return the reported requests and this VM's own since the report."""
+        since = max(self.reported_at, now - MAX_OWN_SECONDS)
+        return self.running + self.waiting + sum(own.at > since for own in self._own.values())
+
+    def _reported_tokens(self, now: float) -> float:
+        if math.isinf(self.reported_at):
+            return 0.0
+        kept = math.exp(-self.age(now) / DECAY_SECONDS)
+        return self.mean_queued_tokens + kept * (self.queued_tokens - self.mean_queued_tokens)
+
+    def _unreported_tokens(self, now: float) -> float:
+        since = max(self.reported_at, now - MAX_OWN_SECONDS)
+        return sum(own.tokens for own in self._own.values() if own.at > since)
+
+    def _observed_wait(self, now: float) -> float:
+        if self.waited_at <= self.reported_at:
+            return 0.0
+        return self.wait_seconds * math.exp(-(now - self.waited_at) / DECAY_SECONDS)
--- /dev/null
+++ b/hollyring/routing/placement.py
@@ -0,0 +1,243 @@
+"""Choosing among upstreams by a policy."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+from collections.abc import Mapping, Sequence
+
+from hollyring.core import pieces, rendezvous
+from hollyring.routing import health, load, policies, prefix, requests, upstreams
+
+WARM_UP_SECONDS = 10.0
+"""A new or returning upstream takes its share of the prefixes step by step over this time."""
+
+CACHED_RANKS = 4096
+"""Affinity orders kept."""
+
+_FRACTION_BITS = 20
+
+
+T = typing.TypeVar("T")
+
+
+class Draw(typing.Protocol):
+    """What placement needs of ``random.Random``."""
+
+    def choice(self, seq: Sequence[T]) -> T:
+        """Return one of `seq`."""
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """An upstream and what is known of it now."""
+
+    upstream: upstreams.Upstream
+    load: load.Load
+    health: health.Health
+    incarnation: int
+    joined_at: float = float("-inf")
+
+    @property
+    def name(self) -> str:
+        """The upstream's name."""
+        return self.upstream.name
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """Leading pieces that an upstream is thought to hold."""
+
+    pieces: int
+    confidence: float
+    source: requests.Source
+
+
+NOTHING_HELD = Held(0, 0.0, requests.Source.NOTHING)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An upstream with its expectations for one request.
+
+    Parameters
+    ----------
+    state, held
+        The upstream and what it holds of the prompt.
+    cached_tokens
+        Expected cached prompt tokens.
+    prefill_seconds
+        Time to compute or import the rest.
+    seconds
+        Expected time to first token.
+    cost
+        What is minimised: `seconds` and the policy's weights.
+    import_pieces
+        Pieces to import from the cache store.
+    """
+
+    state: State
+    held: Held
+    cached_tokens: int
+    prefill_seconds: float
+    seconds: float
+    cost: float
+    import_pieces: int
+
+
+class Affinity:
+    """Orders of upstreams by rendezvous on a prefix, with the warming ones left out.
+
+    Every VM with the same pool computes the same order without talking.
+    """
+
+    __slots__ = ("_orders",)
+
+    def __init__(self) -> None:
+        self._orders: dict[tuple[int, str, str], list[State]] = {}
+
+    def clear(self) -> None:
+        """Forget all orders, since the pools changed."""
+        self._orders.clear()
+
+    def order(
+        self, request: requests.RouteRequest, pool: Mapping[str, State], depth: int
+    ) -> list[State]:
+        """Return the pool's upstreams for the prefix of `depth` pieces, best first."""
+        name = request.chain.name_at(depth)
+        key = (name, request.model, request.version)
+        order = self._orders.get(key)
+        if order is None:
+            ranked = rendezvous.rank(prefix.pack([name]), pool)
+            order = [pool[member] for member in ranked]
+            if len(self._orders) >= CACHED_RANKS:
+                self._orders.clear()
+            self._orders[key] = order
+        return order
+
+
+def warm(state: State, name: int, now: float) -> bool:
+    """Tell whether `state` may be the first choice for the prefix `name` by now."""
+    age = now - state.joined_at
+    if age >= WARM_UP_SECONDS:
+        return True
+    low = rendezvous.weight(prefix.pack([name]), state.name) & ((1 << _FRACTION_BITS) - 1)
+    return low < age / WARM_UP_SECONDS * (1 << _FRACTION_BITS)
+
+
+def evaluate(
+    policy: policies.Prefix,
+    request: requests.RouteRequest,
+    state: State,
+    held: Held,
+    position: int,
+    now: float,
+) -> Candidate:
+    """Return the expectations for sending `request` to one upstream.
+
+    Parameters
+    ----------
+    policy
+        Weights of the cost.
+    request
+        The request.
+    state, held
+        The upstream, and what it is thought to hold of the request's chain.
+    position
+        Its place in the affinity order.
+    now
+        Present time.
+    """
+    speed = state.load.prefill_tokens_per_second
+    cached = min(request.prompt_tokens, int(held.confidence * held.pieces * pieces.PIECE_TOKENS))
+    uncached = request.prompt_tokens - cached
+    prefill = uncached / speed
+    imported = _importable(request, state, cached)
+    if imported:
+        tokens = imported * pieces.PIECE_TOKENS - cached
+        prefill -= tokens / speed - tokens / state.upstream.import_tokens_per_second
+    seconds = state.upstream.distance_seconds + state.load.queue_seconds(now) + prefill
+    cost = seconds + prefill * (policy.waste_weight + policy.order_weight * position)
+    return Candidate(state, held, cached, prefill, seconds, cost, imported)
+
+
+def _importable(request: requests.RouteRequest, state: State, cached: int) -> int:
+    speed = state.upstream.import_tokens_per_second
+    if speed <= state.load.prefill_tokens_per_second:
+        return 0
+    return request.stored_pieces if request.stored_pieces * pieces.PIECE_TOKENS > cached else 0
+
+
+def candidates(
+    policy: policies.Prefix,
+    request: requests.RouteRequest,
+    pool: Mapping[str, State],
+    held: Mapping[str, Held],
+    affinity: Affinity,
+    now: float,
+) -> list[Candidate]:
+    """Return the upstreams worth considering for `request`.
+
+    They are the holders of a prefix and the first few by rendezvous; while all of these queue for
+    long, twice as many by rendezvous, so that a hot prefix spreads as its load grows.
+    """
+    found: dict[str, Candidate] = {}
+
+    def consider(state: State, position: int) -> None:
+        if state.name not in found and state.name in pool:
+            about = held.get(state.name, NOTHING_HELD)
+            found[state.name] = evaluate(policy, request, state, about, position, now)
+
+    for name in held:
+        if name in pool:
+            consider(pool[name], 0)
+    if not request.chain.names:
+        for position, state in enumerate(pool.values()):
+            consider(state, position and 1)
+        return list(found.values())
+    orders = [affinity.order(request, pool, depth) for depth in policy.affinity_pieces]
+    hashed = [request.chain.name_at(depth) for depth in policy.affinity_pieces]
+    for order, hashed_name in zip(orders[1:], hashed[1:], strict=True):
+        for state in _first(order, hashed_name, 1, now):
+            consider(state, policy.fanout)
+    width = policy.fanout
+    while True:
+        for position, state in enumerate(_first(orders[0], hashed[0], width, now)):
+            consider(state, position)
+        if width >= len(orders[0]) or not _busy(policy, found.values(), now):
+            return list(found.values())
+        width *= 2
+
+
+def _first(order: Sequence[State], name: int, count: int, now: float) -> list[State]:
+    first = []
+    for state in order:
+        if not state.health.usable(now) or not warm(state, name, now):
+            continue
+        first.append(state)
+        if len(first) == count:
+            return first
+    return first or list(order[:count])
+
+
+def _busy(policy: policies.Prefix, found: typing.Iterable[Candidate], now: float) -> bool:
+    waits = (candidate.seconds - candidate.prefill_seconds for candidate in found)
+    return min(waits, default=float("inf")) > policy.widen_after_seconds
+
+
+def choose(policy: policies.Prefix, found: Sequence[Candidate], draw: Draw) -> Candidate:
+    """Return the candidate of least cost, drawing among those within the policy's slack."""
+    best = min(candidate.cost for candidate in found)
+    limit = best + policy.slack_seconds + policy.slack_part * best
+    near = [candidate for candidate in found if candidate.cost <= limit]
+    return near[0] if len(near) == 1 else draw.choice(near)
+
+
+def least_loaded(pool: Mapping[str, State], now: float, draw: Draw) -> State:
+    """Return the upstream with the least waiting work, ties drawn at random."""
+    loads = {
+        name: (round(state.load.queue_seconds(now), 3), state.load.outstanding(now))
+        for name, state in pool.items()
+    }
+    least = min(loads.values())
+    return pool[draw.choice([name for name, value in loads.items() if value == least])]
--- /dev/null
+++ b/hollyring/routing/policies.py
@@ -0,0 +1,72 @@
+"""Placement policies, as an operator names them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prefix:
+    """Send a request where its first token is expected soonest.
+
+    Parameters
+    ----------
+    affinity_pieces
+        Depths, in pieces, of the prefixes by which candidates are hashed, main one first.
+    fanout
+        Candidates at the main depth while they are not busy.
+    widen_after_seconds
+        Expected queueing of all candidates beyond which twice as many are considered.
+    waste_weight
+        How much a second of recomputation counts beyond its own delay: it delays others too.
+    order_weight
+        Part of the uncached prefill by which each later candidate is handicapped, so that all VMs
+        fill the same upstream with a cold prefix.
+    slack_seconds, slack_part
+        Candidates this close to the best are drawn from at random.
+    lookup_stake_seconds
+        Expected recomputation above which the watchers are asked; infinite for never.
+    """
+
+    affinity_pieces: tuple[int, ...] = (4, 16)
+    fanout: int = 2
+    widen_after_seconds: float = 0.25
+    waste_weight: float = 0.5
+    order_weight: float = 0.1
+    slack_seconds: float = 0.005
+    slack_part: float = 0.02
+    lookup_stake_seconds: float = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoundRobin:
+    """Send requests to the upstreams in turn."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeastLoaded:
+    """Send a request where the fewest tokens and requests are waiting, whatever is cached."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HashOnly:
+    """Send a request to the first usable upstream by rendezvous on its prefix.
+
+    Parameters
+    ----------
+    affinity_pieces
+        Depth, in pieces, of the hashed prefix.
+    """
+
+    affinity_pieces: int = 4
+
+
+Policy = Prefix | RoundRobin | LeastLoaded | HashOnly
+
+NAMES: dict[str, Policy] = {
+    "prefix": Prefix(),
+    "round_robin": RoundRobin(),
+    "least_loaded": LeastLoaded(),
+    "hash_only": HashOnly(),
+}
+"""Policies by the name that the command line and the configuration give them."""
