Serve one request end to end over separate processes

Cause: nothing carried a caller's request. Ruled out: one task for all state (a part per decision package keeps each state machine in one task's hands and its messages typed); UDP for peers (bulk transfers need TCP anyway, and one authenticated transport is less code).

--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -161,6 +161,25 @@
         """Return the control port's URL of a stand-in."""
         return self.programs[name].ready_url.removesuffix("/counters")
 
+    async def start_all(self) -> None:
+        """Start the platform, submit the configuration, start the rest and wait until all serve."""
+        self.start("platform")
+        await self.wait_ready(["platform"])
+        await self.submit()
+        others = [name for name in self.programs if name != "platform"]
+        for name in others:
+            self.start(name)
+        await self.wait_ready(others)
+
+    async def submit(self) -> None:
+        """Submit the declared configuration as the first revision."""
+        content = documents.encode(self.document).encode()
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f"{self.platform_url}/kv/config/revision/1?version=0"
+            response = await pool.request("PUT", url, content=content)
+        if response.status != 200:
+            raise errors.ExperimentError(f"configuration not accepted: {response.status}")
+
     def start(self, name: str) -> None:
         """Start one process."""
         program = self.programs[name]
--- /dev/null
+++ b/hollyring/experiments/tests/conftest.py
@@ -0,0 +1,1 @@
+"""Fixtures of tests over separate processes."""
--- /dev/null
+++ b/hollyring/experiments/tests/test_whole_path.py
@@ -0,0 +1,119 @@
+"""One request served end to end by separate processes over sockets."""
+
+import random
+
+import anyio
+import httpcore
+import msgspec
+import openai
+import pytest
+
+from hollyring.configuration import documents, objects
+from hollyring.experiments import launcher, load
+
+SETTLE_SECONDS = 20.0
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def small_document(base):
+    """Two VMs, two engines and one ordering server."""
+    address = "127.0.0.1:{}".format
+    key = objects.Key("till", objects.key_digest("demo-key-kigoma"))
+    items = [
+        objects.Deployment("small"),
+        objects.Organisation("kigoma", 1_000_000.0, 4_000_000, keys=(key,)),
+        objects.Model("parish", "1"),
+        objects.Route("/orders", ("orders-0",), ("POST",)),
+        objects.Upstream("orders-0", "service", f"http://{address(base + 500)}", "r", "a"),
+    ]
+    for index, domain in enumerate("ab"):
+        ports = [address(base + offset + index) for offset in (0, 100, 200)]
+        items.append(objects.VM(f"vm-{index}", "r", domain, *ports))
+        engine = f"http://{address(base + 300 + index)}"
+        items.append(
+            objects.Upstream(f"engine-{index}", "engine", engine, "r", domain, ("parish",))
+        )
+    return documents.Document(items)
+
+
+@pytest.fixture
+async def fleet(tmp_path, anyio_backend):
+    base = launcher.free_base_port()
+    options = launcher.EngineOptions(speed=20.0)
+    started = launcher.Fleet(
+        small_document(base), tmp_path, base + launcher.PLATFORM_OFFSET, options
+    )
+    try:
+        await started.start_all()
+        yield started
+    finally:
+        started.stop()
+
+
+@pytest.fixture
+def caller(fleet):
+    return load.Caller("kigoma", "demo-key-kigoma", [vm.caller_address for vm in fleet.vms])
+
+
+async def until_admitted(client, caller):
+    """Wait until shares of a fresh fleet hold tokens."""
+    with anyio.fail_after(SETTLE_SECONDS):
+        while True:
+            outcome = await client.complete(caller, "parish", "ready?", 1, stream=False)
+            if outcome.complete:
+                return
+            await anyio.sleep(0.1)
+
+
+@pytest.mark.anyio
+async def test_requests_come_back_whole_and_orders_run_once(fleet, caller):
+    client = load.Client()
+    await until_admitted(client, caller)
+    prompts = load.Prompts(random.Random(1))
+    for stream in (True, False):
+        outcome = await client.complete(caller, "parish", prompts.next(), 20, stream)
+        assert (outcome.complete, outcome.right, outcome.code) == (True, True, "")
+    for _ in range(2):
+        outcome = await client.order(caller, "/orders", "order-7")
+        assert (outcome.complete, outcome.right) == (True, True)
+        caller.entries.reverse()
+    await client.close()
+    async with httpcore.AsyncConnectionPool() as pool:
+        url = fleet.control_url("orders-0")
+        answer = await pool.request("GET", f"{url}/executions")
+        assert list(msgspec.json.decode(answer.content).values()) == [1]
+        seen = await pool.request("GET", f"{url}/seen")
+        assert b"demo-key" not in seen.content
+        for name in ("engine-0", "engine-1"):
+            seen = await pool.request("GET", f"{fleet.control_url(name)}/seen")
+            assert b"demo-key" not in seen.content
+
+
+@pytest.mark.anyio
+async def test_ordinary_client_library_streams_a_chat(fleet, caller):
+    client = load.Client()
+    await until_admitted(client, caller)
+    await client.close()
+    library = openai.AsyncOpenAI(api_key=caller.key, base_url=f"http://{caller.entries[1]}/v1")
+    async with library:
+        models = await library.models.list()
+        assert [model.id for model in models.data] == ["parish"]
+        messages = [{"role": "user", "content": "Is Kigoma eligible?"}]
+        stream = await library.chat.completions.create(
+            model="parish", messages=messages, max_tokens=5, stream=True
+        )
+        pieces = [part.choices[0].delta.content async for part in stream if part.choices]
+    assert len([piece for piece in pieces if piece]) == 5
+
+
+@pytest.mark.anyio
+async def test_wrong_key_is_refused_and_says_so(fleet, caller):
+    client = load.Client()
+    stranger = load.Caller("kigoma", "not-a-key", caller.entries)
+    outcome = await client.complete(stranger, "parish", "hello", 1, stream=False)
+    await client.close()
+    assert (outcome.code, outcome.execution) == ("invalid_key", "not_run")
--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -4,6 +4,7 @@
 
 from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
+from hollyring.routing import messages as routing
 
 MESSAGES: dict[str, type] = {
     f"{class_.__module__.split('.')[1]}.{class_.__name__}": class_
@@ -17,6 +18,8 @@
         limits.Settled,
         delivery.ClaimQuestion,
         delivery.ClaimAnswer,
+        routing.Lookup,
+        routing.LookupAnswer,
     )
 }
 """Message classes of all parts; each belongs to the package that its wire name begins with."""
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -9,6 +9,7 @@
 import dataclasses
 import time
 import uuid
+from collections.abc import AsyncIterator
 
 import anyio
 
@@ -26,9 +27,7 @@
     routing_part,
     vm,
 )
-
-MAX_TRIES = 3
-"""Upstreams tried for one request before it is refused."""
+from hollyring.routing import retry
 
 
 class _GivenUpError(errors.NodeError):
@@ -61,6 +60,7 @@
 ) -> None:
     """Answer a caller's completion request."""
     arrived = time.monotonic()
+    node.retries.request()
     work = await _accept(node, scope, receive, send, chat, arrived)
     if isinstance(work, refusal.Refusal):
         node.metrics.count(f"refused_{work.code}")
@@ -187,24 +187,44 @@
     _GivenUpError
         With the caller's final answer.
     """
-    excluded: list[str] = []
+    terms = retry.Terms(idempotent=True, resumable=True, deadline=work.deadline)
+    tries = retry.Tries()
+    wanted = _wanted(work)
     while True:
-        place = await node.routing.route(work.completion, work.caller, work.version, excluded)
+        place = await node.routing.route(wanted)
         if isinstance(place, refusal.Refusal):
             raise _GivenUpError(_truthful(work, place))
+        tries.begin(place.upstream, place.failure_domain)
         try:
             await _attempt(node, work, place)
             return
         except engines.RefusedError as error:
-            node.routing.failed(place, error)
             if error.status < engines.HTTP_SERVER_ERROR and error.status != engines.HTTP_TOO_MANY:
                 raise _GivenUpError(refusal.make("invalid_request", message=str(error))) from error
+            failure = retry.Failure(execution.Execution.NOT_RUN, work.stream.tokens)
         except errors.UpstreamError as error:
-            node.routing.failed(place, error)
-        excluded.append(place.upstream)
-        if len(excluded) >= MAX_TRIES or not node.routing.may_retry():
+            ran = execution.Execution.UNKNOWN if error.reached else execution.Execution.NOT_RUN
+            failure = retry.Failure(ran, work.stream.tokens)
+        decision = tries.decide(failure, terms, node.retries.left, time.monotonic())
+        if isinstance(decision, retry.GiveUp):
             raise _GivenUpError(_truthful(work, refusal.make("no_upstream")))
+        node.retries.take(decision.cost)
         node.metrics.count("retries")
+        wanted = dataclasses.replace(
+            wanted, excluded=decision.excluded, avoided_domains=decision.avoided_domains
+        )
+
+
+def _wanted(work: _Work) -> routing_part.Wanted:
+    return routing_part.Wanted(
+        organisation=work.caller.organisation.name,
+        model=work.completion.model,
+        version=work.version,
+        prompt=work.completion.prompt,
+        prompt_tokens=work.completion.prompt_tokens,
+        max_tokens=work.completion.max_tokens,
+        deadline=work.deadline,
+    )
 
 
 def _truthful(work: _Work, why: refusal.Refusal) -> refusal.Refusal:
@@ -213,6 +233,13 @@
 
 
 async def _attempt(node: vm.VM, work: _Work, place: routing_part.Place) -> None:
+    """Carry out one try.
+
+    Raises
+    ------
+    UpstreamError
+        If it broke off; the stream is ready for the next try.
+    """
     attempt = work.stream.begin()
     body = requests.engine_body(
         work.completion,
@@ -225,26 +252,43 @@
         ),
     )
     path = "/v1/chat/completions" if work.completion.chat else "/v1/completions"
-    node.routing.dispatched(place, work.request_id)
-    tokens = 0
+    before = work.dispatched
+    work.dispatched = True
+    work.usage = None
     try:
-        generated = node.engines.stream(place.address, path, body, work.deadline - time.monotonic())
-        work.dispatched = True
+        seconds = work.deadline - time.monotonic()
+        generated = node.engines.stream(place.address, path, body, seconds)
         async with contextlib.aclosing(generated):
-            async for item in generated:
-                if isinstance(item, engines.Usage):
-                    work.usage = item
-                    continue
-                tokens = await _item(node, work, place, attempt.number, tokens, item)
+            await _take_all(node, work, place, attempt.number, generated)
     except errors.UpstreamError as error:
-        work.dispatched = work.dispatched and (error.reached or attempt.number > 1)
+        work.dispatched = before or error.reached
         work.stream.accept(stream.Lost(attempt.number))
+        node.routing.failed(place, lost=not isinstance(error, engines.RefusedError))
         raise
-    finally:
-        node.routing.finished(place, work.request_id, work.usage)
+    except BaseException:
+        node.routing.finished(place, None)
+        raise
+    node.routing.finished(place, work.usage.cached_tokens if work.usage else None)
     await _complete(node, work)
 
 
+async def _take_all(
+    node: vm.VM,
+    work: _Work,
+    place: routing_part.Place,
+    number: int,
+    generated: AsyncIterator[engines.Token | engines.Usage],
+) -> None:
+    tokens = 0
+    async for item in generated:
+        if isinstance(item, engines.Usage):
+            work.usage = item
+            continue
+        tokens = await _item(node, work, place, number, tokens, item)
+    if not work.stream.complete:
+        raise errors.UpstreamError("ended without a finish", reached=True)
+
+
 async def _item(
     node: vm.VM,
     work: _Work,
@@ -258,7 +302,7 @@
         if not work.first_token:
             work.first_token = time.monotonic()
             node.metrics.time("first_token", work.first_token - work.arrived)
-            node.routing.first_token(place, work.request_id)
+            node.routing.first_token(place)
         await _step(work, work.stream.accept(stream.Token(number, tokens, item.text)))
         tokens += 1
     if item.finish_reason:
@@ -281,9 +325,7 @@
 
 
 async def _complete(node: vm.VM, work: _Work) -> None:
-    """Hand on the end of the answer; an engine that ended without a finish has broken off."""
-    if not work.stream.complete:
-        raise errors.UpstreamError("ended without a finish", reached=True)
+    """Hand on the end of the answer."""
     cached = work.usage.cached_tokens if work.usage else 0
     usage = answers.usage(work.completion.prompt_tokens, work.stream.tokens, cached)
     node.metrics.count("prompt_tokens", work.completion.prompt_tokens)
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -63,3 +63,27 @@
   1: optional string outcome
   2: optional list<DeliveryAnswer> answers
 }
+
+struct RoutingLookup {
+  1: optional i64 lookup_id
+  2: optional list<string> upstreams
+  3: optional list<i64> depths
+  4: optional binary names
+}
+
+struct RoutingUpstreamState {
+  1: optional string upstream
+  2: optional i64 incarnation
+  3: optional i64 depth
+  4: optional double confidence
+  5: optional i64 queued_tokens
+  6: optional i64 running
+  7: optional i64 waiting
+  8: optional double prefill_tokens_per_second
+  9: optional double age_seconds
+}
+
+struct RoutingLookupAnswer {
+  1: optional i64 lookup_id
+  2: optional list<RoutingUpstreamState> states
+}
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -167,11 +167,18 @@
         """Use `keys` from now on; open links stay."""
         self._keys = list(keys)
 
-    async def run(self, host: str, port: int) -> None:
-        """Accept links on `host`:`port` and serve until cancelled."""
+    async def run(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept links on `host`:`port` and serve until cancelled; tell the port once bound."""
         listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
         async with listener, anyio.create_task_group() as group:
             self._group = group
+            task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
             await listener.serve(self._accept, group)
 
     def send(self, address: str, message: object) -> bool:
--- a/hollyring/node/routing_part.py
+++ b/hollyring/node/routing_part.py
@@ -1,76 +1,337 @@
-"""The part that owns the router: chooses upstreams."""
+"""The part that owns the router: chooses upstreams, watches its share of them, answers lookups."""
 
 from __future__ import annotations
 
-import collections
 import dataclasses
+import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from hollyring.configuration import state
-from hollyring.core import pieces, rendezvous
+import anyio
+import anyio.abc
+
+from hollyring.configuration import objects, state
+from hollyring.core import identities, invariants, pieces
 from hollyring.delivery import refusal
-from hollyring.node import errors, requests, rights
+from hollyring.node import part, watching
+from hollyring.routing import messages, policies, prefix, requests, router, upstreams
+
+TICK_SECONDS = 0.1
+
+LOOKUP_SECONDS = 0.02
+"""Longest wait for the watchers' answers; then the choice is made with what is held."""
+
+AskPeer = Callable[[str, object, float], Awaitable[object | None]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Place:
-    """Where one try goes."""
+    """Where one try goes.
+
+    Parameters
+    ----------
+    upstream, failure_domain, address
+        The upstream.
+    salt
+        Cache salt of organisation, model and weights version.
+    attempt
+        The router's number of the try.
+    """
 
     upstream: str
+    failure_domain: str
     address: str
     salt: int
+    attempt: int
 
 
-class RoutingPart:
-    """Chooses an upstream for each try."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """A request that needs an upstream."""
 
-    def __init__(self) -> None:
-        self._configuration = state.Configuration()
-        self._running: collections.Counter[str] = collections.Counter()
+    organisation: str
+    model: str
+    version: str
+    prompt: bytes
+    prompt_tokens: int
+    max_tokens: int
+    deadline: float
+    excluded: frozenset[str] = frozenset()
+    avoided_domains: frozenset[str] = frozenset()
 
-    def configure(self, configuration: state.Configuration) -> None:
-        """Take in a configuration that came into force."""
-        self._configuration = configuration
 
-    async def route(
+@dataclasses.dataclass(slots=True)
+class _Route:
+    request: requests.RouteRequest
+    may_look_up: bool
+    ticket: part.Ticket[Place | requests.Decision]
+
+
+@dataclasses.dataclass(slots=True)
+class _Answers:
+    request: requests.RouteRequest
+    answers: list[messages.LookupAnswer]
+
+
+@dataclasses.dataclass(slots=True)
+class _LookedUp:
+    lookup: messages.Lookup
+    ticket: part.Ticket[messages.LookupAnswer]
+
+
+@dataclasses.dataclass(slots=True)
+class _FirstToken:
+    attempt: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Finished:
+    attempt: int
+    cached_tokens: int | None
+
+
+@dataclasses.dataclass(slots=True)
+class _Failed:
+    attempt: int
+    lost: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Configure:
+    configuration: state.Configuration
+
+
+@dataclasses.dataclass(slots=True)
+class _Live:
+    vms: list[str]
+
+
+@dataclasses.dataclass(slots=True)
+class _Seen:
+    """What an upstream last said of itself."""
+
+    incarnation: int
+    models: dict[str, str]
+    leaving: bool
+
+
+class RoutingPart(part.Part):
+    """Owns this VM's `router.Router`.
+
+    Parameters
+    ----------
+    policy
+        Name of the placement policy.
+    ask_peer
+        Asks a VM by name and returns its reply, or None.
+    """
+
+    def __init__(
         self,
-        completion: requests.Completion,
-        caller: rights.Caller,
-        version: str,
-        excluded: list[str],
-    ) -> Place | refusal.Refusal:
-        """Return where the next try goes."""
-        salt = pieces.salt(caller.organisation.name, completion.model, version)
-        chain = pieces.chain(salt, completion.prompt)
-        names = [
-            u.name
-            for u in self._configuration.upstreams.values()
-            if u.kind == "engine" and u.name not in excluded and not u.leaving
-        ]
-        if not names:
-            return refusal.make("no_upstream")
-        key = (chain[0] if chain else salt).to_bytes(8, "big")
-        name = min(rendezvous.rank(key, names)[:2], key=lambda n: self._running[n])
-        return Place(name, self._configuration.upstreams[name].address, salt)
+        me: identities.Incarnation,
+        region: str,
+        failure_domain: str,
+        policy: str,
+        counters: invariants.Invariants,
+        ask_peer: AskPeer,
+    ) -> None:
+        super().__init__(TICK_SECONDS)
+        self._me = me
+        self._region = region
+        self._failure_domain = failure_domain
+        self._router = router.Router(me.name, policies.NAMES[policy], counters)
+        self._ask_peer = ask_peer
+        self._draw = random.Random(f"{me}")
+        self._configuration = state.Configuration()
+        self._live: list[str] = [me.name]
+        self._seen: dict[str, _Seen] = {}
+        self._watchers: dict[str, tuple[watching.Watcher, anyio.CancelScope]] = {}
+        self._group: anyio.abc.TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Handle messages and watch upstreams until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await super().run()
 
-    def dispatched(self, place: Place, request_id: str) -> None:
-        """Count a try."""
-        self._running[place.upstream] += 1
+    async def route(self, wanted: Wanted) -> Place | refusal.Refusal:
+        """Return where the next try goes; the try counts as dispatched from then on."""
+        chain = prefix.chain(wanted.organisation, wanted.model, wanted.version, wanted.prompt)
+        request = requests.RouteRequest(
+            wanted.organisation,
+            wanted.model,
+            wanted.version,
+            chain,
+            wanted.prompt_tokens,
+            wanted.max_tokens,
+            wanted.deadline,
+            wanted.excluded,
+            wanted.avoided_domains,
+        )
+        decision = await self._decide(request, may_look_up=True)
+        if isinstance(decision, requests.NeedLookup):
+            self.tell(_Answers(request, await self._look_up(decision)))
+            decision = await self._decide(request, may_look_up=False)
+        match decision:
+            case Place():
+                return decision
+            case requests.NoUpstream():
+                return refusal.make("no_upstream", retry_after=decision.retry_after)
+            case _:
+                return refusal.make("no_upstream")
 
-    def first_token(self, place: Place, request_id: str) -> None:
+    async def answer_peer(self, lookup: messages.Lookup) -> messages.LookupAnswer:
+        """Answer another VM's lookup."""
+        ticket: part.Ticket[messages.LookupAnswer] = part.Ticket()
+        self.tell(_LookedUp(lookup, ticket))
+        return await ticket.wait()
+
+    def first_token(self, place: Place) -> None:
         """Take note of a try's first token."""
+        self.tell(_FirstToken(place.attempt))
+
+    def finished(self, place: Place, cached_tokens: int | None) -> None:
+        """Take note of a try's end and the cached tokens that the upstream reported."""
+        self.tell(_Finished(place.attempt, cached_tokens))
+
+    def failed(self, place: Place, lost: bool) -> None:
+        """Take note of a failed try; `lost` if the connection was, not if it was refused."""
+        self.tell(_Failed(place.attempt, lost))
+
+    def configure(self, configuration: state.Configuration) -> None:
+        """Take in a configuration that came into force."""
+        self.tell(_Configure(configuration))
 
-    def finished(self, place: Place, request_id: str, usage: Any) -> None:
-        """Count a try's end."""
-        self._running[place.upstream] -= 1
+    def set_live(self, vms: list[str]) -> None:
+        """Take in the VMs of this region that are alive and share the watching."""
+        self.tell(_Live(vms))
 
-    def failed(self, place: Place, error: errors.UpstreamError) -> None:
-        """Take note of a failed try."""
+    def handle(self, message: Any) -> None:
+        """Take one message."""
+        match message:
+            case _Route():
+                message.ticket.answer(self._route(message))
+            case _Answers():
+                for answer in message.answers:
+                    self._router.observe_answer(message.request, answer, self.now)
+            case _LookedUp():
+                message.ticket.answer(self._router.answer(message.lookup, self.now))
+            case _FirstToken():
+                self._router.first_token(message.attempt, self.now)
+            case _Finished():
+                self._router.finished(message.attempt, message.cached_tokens, self.now)
+            case _Failed():
+                self._router.failed(message.attempt, self.now, lost=message.lost)
+            case _Configure():
+                self._configuration = message.configuration
+                self._configure()
+            case _Live():
+                self._live = message.vms
+                self._configure()
+            case _:
+                self._observe(message)
 
-    def may_retry(self) -> bool:
-        """Tell whether the budget admits a retry."""
-        return True
+    def tick(self) -> None:
+        """Fetch the snapshots that are due."""
+        for name in self._router.due_resync(self.now):
+            watcher = self._watchers.get(name)
+            if watcher is not None and self._group is not None:
+                self._group.start_soon(watcher[0].snapshot)
 
     def dump(self) -> dict[str, Any]:
-        """Return the state."""
-        return {"running": dict(self._running)}
+        """Return the router's state."""
+        return self._router.dump() | {"watched": sorted(self._watchers)}
+
+    async def _decide(
+        self, request: requests.RouteRequest, may_look_up: bool
+    ) -> Place | requests.Decision:
+        ticket: part.Ticket[Place | requests.Decision] = part.Ticket()
+        self.tell(_Route(request, may_look_up, ticket))
+        return await ticket.wait()
+
+    def _route(self, message: _Route) -> Place | requests.Decision:
+        request = message.request
+        decision = self._router.route(request, self.now, self._draw, message.may_look_up)
+        if not isinstance(decision, requests.Route):
+            return decision
+        attempt = self._router.dispatched(request, decision, self.now)
+        upstream = self._configuration.upstreams[decision.upstream]
+        salt = pieces.salt(request.organisation, request.model, request.version)
+        return Place(upstream.name, upstream.failure_domain, upstream.address, salt, attempt)
+
+    async def _look_up(self, need: requests.NeedLookup) -> list[messages.LookupAnswer]:
+        answers: list[messages.LookupAnswer] = []
+
+        async def ask(addressed: requests.AddressedLookup) -> None:
+            reply = await self._ask_peer(addressed.vm, addressed.lookup, LOOKUP_SECONDS)
+            if isinstance(reply, messages.LookupAnswer):
+                answers.append(reply)
+
+        async with anyio.create_task_group() as group:
+            for addressed in need.lookups:
+                group.start_soon(ask, addressed)
+        return answers
+
+    def _observe(self, message: watching.Observed) -> None:
+        match message:
+            case watching.Loaded():
+                self._learn(message)
+                self._router.observe_load(message.upstream, message.report, self.now)
+            case watching.Changed():
+                self._router.observe_events(message.upstream, message.batch, self.now)
+            case watching.Snapped():
+                self._router.observe_snapshot(message.upstream, message.snapshot, self.now)
+            case watching.Silent():
+                return
+
+    def _learn(self, message: watching.Loaded) -> None:
+        seen = _Seen(message.report.incarnation, message.models, message.leaving)
+        if self._seen.get(message.upstream) == seen:
+            return
+        self._seen[message.upstream] = seen
+        self._configure()
+
+    def _configure(self) -> None:
+        listed = [
+            self._listed(item)
+            for item in self._configuration.upstreams.values()
+            if item.kind == "engine" and item.region == self._region
+        ]
+        self._router.configure(listed, self._live, self.now)
+        self._watch(set(self._router.watched()))
+
+    def _listed(self, item: objects.Upstream) -> upstreams.Upstream:
+        seen = self._seen.get(item.name)
+        models = {name: self._configuration.models[name].version for name in item.models}
+        if seen is not None and seen.models:
+            models = {name: seen.models[name] for name in item.models if name in seen.models}
+        near = item.failure_domain == self._failure_domain
+        return upstreams.Upstream(
+            name=item.name,
+            failure_domain=item.failure_domain,
+            served=tuple(upstreams.Served(model, version) for model, version in models.items()),
+            incarnation=seen.incarnation if seen else 0,
+            distance_seconds=0.0005 if near else 0.001,
+            leaving=item.leaving or (seen is not None and seen.leaving),
+        )
+
+    def _watch(self, wanted: set[str]) -> None:
+        """Start and stop watchers so that exactly `wanted` upstreams are watched."""
+        for name in [name for name in self._watchers if name not in wanted]:
+            _, scope = self._watchers.pop(name)
+            scope.cancel()
+        if self._group is None:
+            return
+        for name in wanted - set(self._watchers):
+            address = self._configuration.upstreams[name].address
+            watcher = watching.Watcher(
+                name, address, self.tell, self._router.events_after, lambda: len(self._watchers)
+            )
+            scope = anyio.CancelScope()
+            self._watchers[name] = (watcher, scope)
+            self._group.start_soon(_run_within, scope, watcher.run)
+
+
+async def _run_within(scope: anyio.CancelScope, run: Callable[[], Awaitable[None]]) -> None:
+    with scope:
+        await run()
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -25,12 +25,14 @@
     metrics,
     peers,
     platform,
+    retries,
     routing_part,
     services,
     settings,
     vm,
     wire,
 )
+from hollyring.routing import messages as routing_messages
 
 MICROSECONDS = 1_000_000
 
@@ -76,7 +78,14 @@
             self._me, given.peer_keys, codec, self._from_peer, self._peer_addresses.get
         )
         self._limits = limits_part.LimitsPart(self._me, self._invariants, self._send)
-        self._routing = routing_part.RoutingPart()
+        self._routing = routing_part.RoutingPart(
+            self._me,
+            given.region,
+            given.failure_domain,
+            given.policy,
+            self._invariants,
+            self._ask_peer,
+        )
         self._configuration = configuration_part.ConfigurationPart(
             self._platform, [self._configure, self._limits.configure, self._routing.configure]
         )
@@ -94,6 +103,7 @@
             self._claims,
             self._engines,
             self._services,
+            retries.Retries(),
             self._metrics,
             self._invariants,
         )
@@ -108,9 +118,10 @@
         admins = self._server(operators, self._settings.admin_address)
         host, port = settings.split_address(self._settings.peer_address)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._peers.run, host, port)
+            await group.start(self._peers.run, host, port)
             group.start_soon(self._limits.run)
             group.start_soon(self._claims.run)
+            group.start_soon(self._routing.run)
             group.start_soon(self._configuration.run)
             group.start_soon(admins.serve)
             group.start_soon(self._stop_on_signal, callers)
@@ -168,6 +179,8 @@
         match package:
             case "limits":
                 self._limits.from_peer(sender.name, message)
+            case "routing" if isinstance(message, routing_messages.Lookup):
+                return await self._routing.answer_peer(message)
             case "delivery" if isinstance(message, delivery_messages.ClaimQuestion):
                 return await self._claims.answer_peer(message)
             case _:
--- /dev/null
+++ b/hollyring/node/tests/conftest.py
@@ -0,0 +1,1 @@
+"""Fixtures of the VM process's tests."""
--- /dev/null
+++ b/hollyring/node/tests/test_wire.py
@@ -0,0 +1,48 @@
+import dataclasses
+import pathlib
+
+import pytest
+from thrift.Thrift import TMessageType
+
+from hollyring.delivery import messages as delivery
+from hollyring.limits import messages as limits
+from hollyring.node import catalogue, errors, idl, wire
+from hollyring.routing import messages as routing
+
+CODEC = wire.Wire(catalogue.MESSAGES)
+STATE = routing.UpstreamState("engine-1", 7, 3, 0.5, 100, 2, 1, 8000.0, 0.25)
+EXAMPLES = [
+    limits.Ask("kigoma", 1, 2, 30_000),
+    delivery.ClaimQuestion(b"k" * 16, "vm-1", 5, 9),
+    delivery.ClaimAnswer("answered", [delivery.Answer(201, [delivery.Header("a", "b")], b"7")]),
+    routing.Lookup(3, ["engine-1"], [1, 2], b"\0" * 16),
+    routing.LookupAnswer(3, [STATE]),
+]
+
+
+@pytest.mark.parametrize("message", EXAMPLES, ids=lambda m: type(m).__name__)
+def test_message_comes_back_as_it_was(message):
+    data = CODEC.encode(message, 77, TMessageType.CALL)
+    assert CODEC.decode(data) == (message, 77, TMessageType.CALL)
+
+
+@pytest.mark.parametrize("message", EXAMPLES, ids=lambda m: type(m).__name__)
+def test_truncated_message_is_an_error(message):
+    data = CODEC.encode(message)
+    for size in range(len(data) - 1):
+        try:
+            decoded, _, _ = CODEC.decode(data[:size])
+        except errors.PeerError:
+            continue
+        assert decoded != message
+
+
+def test_committed_definition_is_the_one_of_the_data_classes():
+    committed = pathlib.Path(idl.__file__).with_name("peer.thrift").read_text()
+    assert committed == idl.definition()
+
+
+def test_every_message_is_a_frozen_data_class_with_slots():
+    for class_ in catalogue.MESSAGES.values():
+        assert dataclasses.is_dataclass(class_)
+        assert "__slots__" in vars(class_)
--- a/hollyring/node/vm.py
+++ b/hollyring/node/vm.py
@@ -11,6 +11,7 @@
     engines,
     limits_part,
     metrics,
+    retries,
     routing_part,
     services,
     settings,
@@ -35,5 +36,6 @@
     claims: claims_part.ClaimsPart
     engines: engines.Engines
     services: services.Services
+    retries: retries.Retries
     metrics: metrics.Metrics
     invariants: invariants.Invariants
--- /dev/null
+++ b/hollyring/node/watching.py
@@ -0,0 +1,196 @@
+"""Polls the upstreams that this VM watches: load reports and cache events."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import httpcore
+import msgspec
+
+from hollyring.node import engines, logs
+from hollyring.routing import errors as routing_errors
+from hollyring.routing import events
+from hollyring.routing import messages as routing_messages
+
+LOAD_SECONDS = 0.5
+"""Time between two load reports of one upstream while few are watched."""
+
+EVENT_SECONDS = 0.1
+"""Shortest time between two polls for events of one upstream while few are watched."""
+
+EVENT_WAIT_SECONDS = 5.0
+CALL_SECONDS = 3.0
+HTTP_OK = 200
+
+
+class _Load(msgspec.Struct, frozen=True):
+    incarnation: int
+    models: dict[str, str] = {}
+    running: int = 0
+    waiting: int = 0
+    queued_tokens: int = 0
+    prefill_tokens_per_second: float = 0.0
+    leaving: bool = False
+
+
+class _Event(msgspec.Struct, frozen=True):
+    seq: int
+    kind: str
+    blocks: list[str] = []
+
+
+class _Events(msgspec.Struct, frozen=True):
+    incarnation: int
+    events: list[_Event]
+
+
+class _Snapshot(msgspec.Struct, frozen=True):
+    incarnation: int
+    seq: int
+    blocks: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loaded:
+    """An upstream's load report and what it serves."""
+
+    upstream: str
+    report: routing_messages.LoadReport
+    models: dict[str, str]
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changed:
+    """Cache events of an upstream."""
+
+    upstream: str
+    batch: events.EventBatch
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapped:
+    """The whole cache of an upstream."""
+
+    upstream: str
+    snapshot: events.Snapshot
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """An upstream did not answer a poll."""
+
+    upstream: str
+
+
+Observed = Loaded | Changed | Snapped | Silent
+
+
+class Watcher:
+    """Watches one upstream for as long as it runs.
+
+    Parameters
+    ----------
+    name, address
+        The upstream.
+    tell
+        Takes what is observed.
+    events_after
+        Returns the sequence number after which events are wanted.
+    pace
+        Returns how many upstreams this VM watches: the more, the slower each is polled, so that a
+        VM's cost is bounded.
+    """
+
+    __slots__ = ("_name", "_address", "_tell", "_events_after", "_pace", "_pool", "_log")
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        tell: Callable[[Observed], None],
+        events_after: Callable[[str], int],
+        pace: Callable[[], int],
+    ) -> None:
+        self._name = name
+        self._address = address
+        self._tell = tell
+        self._events_after = events_after
+        self._pace = pace
+        self._pool = httpcore.AsyncConnectionPool(max_connections=4, keepalive_expiry=60.0)
+        self._log = logs.Log("watch")
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        async with self._pool, anyio.create_task_group() as group:
+            group.start_soon(self._follow_load)
+            group.start_soon(self._follow_events)
+
+    async def snapshot(self) -> None:
+        """Fetch the whole cache once."""
+        body = await self._get("/cache", CALL_SECONDS)
+        if body is None:
+            return
+        try:
+            found = msgspec.json.decode(body, type=_Snapshot)
+            names = tuple(int(block, 16) for block in found.blocks)
+        except (msgspec.MsgspecError, ValueError):
+            self._log.say("unreadable snapshot", upstream=self._name)
+            return
+        snapshot = events.Snapshot(found.incarnation, found.seq, names)
+        self._tell(Snapped(self._name, snapshot))
+
+    async def _follow_load(self) -> None:
+        while True:
+            body = await self._get("/load", CALL_SECONDS)
+            observed = Silent(self._name) if body is None else self._load(body)
+            if observed is not None:
+                self._tell(observed)
+            await anyio.sleep(LOAD_SECONDS * max(1, self._pace() / 2))
+
+    def _load(self, body: bytes) -> Observed | None:
+        try:
+            found = msgspec.json.decode(body, type=_Load)
+        except msgspec.MsgspecError:
+            self._log.say("unreadable load report", upstream=self._name)
+            return None
+        report = routing_messages.LoadReport(
+            found.incarnation,
+            found.running,
+            found.waiting,
+            found.queued_tokens,
+            found.prefill_tokens_per_second,
+        )
+        return Loaded(self._name, report, found.models, found.leaving)
+
+    async def _follow_events(self) -> None:
+        while True:
+            after = self._events_after(self._name)
+            path = f"/events?after={after}&wait={EVENT_WAIT_SECONDS:g}"
+            body = await self._get(path, EVENT_WAIT_SECONDS + CALL_SECONDS)
+            if body is not None:
+                self._events(body)
+            await anyio.sleep(EVENT_SECONDS * max(1, self._pace()))
+
+    def _events(self, body: bytes) -> None:
+        try:
+            found = msgspec.json.decode(body, type=_Events)
+            batch = tuple(events.cache_event(e.seq, e.kind, e.blocks) for e in found.events)
+        except (msgspec.MsgspecError, routing_errors.RoutingError, ValueError):
+            self._log.say("unreadable events", upstream=self._name)
+            return
+        if batch:
+            self._tell(Changed(self._name, events.EventBatch(found.incarnation, batch)))
+
+    async def _get(self, path: str, seconds: float) -> bytes | None:
+        failures: tuple[Any, ...] = (TimeoutError, *engines.FAILURES)
+        try:
+            with anyio.fail_after(seconds):
+                response = await self._pool.request("GET", self._address + path)
+        except failures:
+            return None
+        return response.content if response.status == HTTP_OK else None
