Put revisions in force on a VM, and submit them

Ruled out: one document with compare-and-swap, which at 4,700 organisations exceeds the platform service's 1 MB and would travel whole with each change; keeping only the head of what was read, after which a VM could not give a store that came back older what it lost (three tests of the follower failed so; a VM now keeps the stored values that it read).

--- /dev/null
+++ b/hollyring/configuration/choice.py
@@ -0,0 +1,44 @@
+"""Drawing peers at random from a seed."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import xxhash
+
+
+class Draws:
+    """A stream of numbers from a seed.
+
+    Examples
+    --------
+    >>> draws = Draws(7)
+    >>> 0 <= draws.fraction() < 1
+    True
+    >>> sorted(Draws(7).some(["vm-1", "vm-2"], 3))
+    ['vm-1', 'vm-2']
+    """
+
+    __slots__ = ("_seed", "_count")
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._count = 0
+
+    def integer(self) -> int:
+        """Return the next 64-bit number."""
+        self._count += 1
+        return xxhash.xxh3_64_intdigest(self._count.to_bytes(8, "big"), seed=self._seed)
+
+    def fraction(self) -> float:
+        """Return the next number in 0..1, 1 excluded."""
+        return (self.integer() >> 11) / (1 << 53)
+
+    def some(self, members: Sequence[str], count: int) -> list[str]:
+        """Return `count` different members, or all if there are fewer."""
+        if len(members) <= count:
+            return list(members)
+        drawn: set[int] = set()
+        while len(drawn) < count:
+            drawn.add(self.integer() % len(members))
+        return [members[index] for index in sorted(drawn)]
--- a/hollyring/configuration/errors.py
+++ b/hollyring/configuration/errors.py
@@ -23,3 +23,11 @@
     def __init__(self, findings: Sequence[str]) -> None:
         super().__init__("; ".join(findings))
         self.findings = list(findings)
+
+
+class UnusableRevisionError(ConfigurationError):
+    """A stored revision or snapshot that can't be decoded or contradicts itself."""
+
+
+class DivergedError(ConfigurationError):
+    """A stored revision that does not follow from what is in force."""
--- /dev/null
+++ b/hollyring/configuration/follower.py
@@ -0,0 +1,184 @@
+"""Following the platform's service from a VM: start, watch, verify, give back what it lost."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from hollyring.configuration import choice, errors, in_force, loading, messages, revisions, store
+
+WATCH_SECONDS = 5.0
+"""Longest wait of one watch; under `in_force.SILENCE_SECONDS`, so that the store is heard."""
+
+VERIFY_SECONDS = 30.0
+"""Period at which the store is asked for the revision in force."""
+
+RETRY_SECONDS = 1.0
+"""Longest pause after a failed call; the pause is drawn between half of it and the whole."""
+
+HOLD_SECONDS = 5.0
+"""Pause while the store holds a revision that can't be put in force."""
+
+PEERS_SECONDS = 1.5
+"""A starting VM leaves this long to its peers before it reads the whole from the store."""
+
+SPREAD_SECONDS = 2.0
+"""Over this long the VMs spread their attempts to give lost revisions back to the store."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answered:
+    answer: store.Answer
+    now: float
+
+
+_Steps = typing.Generator[store.Call, _Answered, None]
+
+
+class Follower:
+    """Asks for one call on the store at a time and feeds the answers to `InForce`.
+
+    Parameters
+    ----------
+    target
+        What is in force on this VM.
+    seed
+        Random integer, another one on each VM, that spreads the VMs' calls over time.
+    now
+        Present time.
+
+    Notes
+    -----
+    Revisions of a store that comes back older than it was are written back under their own keys,
+    verbatim and only if absent, so that any VM may do it and the first one settles it.
+    """
+
+    __slots__ = ("_target", "_draws", "_now", "_verified", "_sends", "_steps", "_call")
+
+    def __init__(self, target: in_force.InForce, seed: int, now: float) -> None:
+        self._target = target
+        self._draws = choice.Draws(seed)
+        self._now = now
+        self._verified = now
+        self._sends: list[messages.Send] = []
+        self._steps = self._run()
+        self._call = next(self._steps)
+
+    @property
+    def call(self) -> store.Call:
+        """The call to make next."""
+        return self._call
+
+    def on_answer(self, answer: store.Answer, now: float) -> list[messages.Send]:
+        """Take the answer to `call` and return what to tell peers."""
+        self._now = now
+        if not isinstance(answer, store.Failed | store.Waited):
+            self._target.on_store_heard(now)
+        self._call = self._steps.send(_Answered(answer, now))
+        sends, self._sends = self._sends, []
+        return sends
+
+    def _run(self) -> _Steps:
+        yield from self._start()
+        while True:
+            if self._now - self._verified >= VERIFY_SECONDS:
+                yield from self._verify()
+            yield from self._follow()
+
+    def _start(self) -> _Steps:
+        until = self._now + PEERS_SECONDS
+        while self._target.revision == 0 and self._now < until:
+            yield store.Pause(RETRY_SECONDS / 4)
+        reading = loading.Loading()
+        while self._target.revision == 0 and reading.call is not None:
+            answered = yield reading.call
+            if isinstance(answered.answer, store.Failed):
+                yield self._retry()
+                continue
+            try:
+                reading.on_answer(answered.answer)
+            except errors.ConfigurationError as error:
+                self._target.raise_alarm(in_force.Alarm.UNUSABLE, str(error))
+                yield store.Pause(HOLD_SECONDS)
+                reading = loading.Loading()
+        if reading.loaded is not None:
+            self._sends += self._target.on_loaded(reading.loaded, self._now)
+
+    def _follow(self) -> _Steps:
+        revision = self._target.revision
+        key = revisions.key(revision + 1)
+        # A watch would wait where a plain read answers at once that nothing is newer.
+        waits = self._target.caught_up or revision == 0
+        answered = yield store.Watch(key, WATCH_SECONDS) if waits else store.Read(key)
+        match answered.answer:
+            case store.Found(value):
+                self._sends += self._target.on_value(value, self._now)
+                if self._target.revision <= revision:
+                    yield store.Pause(HOLD_SECONDS)
+            case store.Absent():
+                self._target.on_store_current(revision, self._now)
+            case _:
+                # What the store has may have changed while it was away.
+                self._verified = self._now - VERIFY_SECONDS
+                yield self._retry()
+
+    def _verify(self) -> _Steps:
+        revision, digest = self._target.revision, self._target.configuration.digest
+        if revision == 0:
+            self._verified = self._now
+            return
+        answered = yield store.Read(revisions.key(revision))
+        match answered.answer:
+            case store.Found(value) if revisions.digest(value) == digest:
+                self._verified = self._now
+                self._target.clear_alarm(in_force.Alarm.STORE_OLDER)
+                self._target.clear_alarm(in_force.Alarm.DIVERGED)
+            case store.Found():
+                self._verified = self._now
+                self._diverged(revision)
+            case store.Absent():
+                detail = f"the store has no revision {revision}, which is in force"
+                self._target.raise_alarm(in_force.Alarm.STORE_OLDER, detail)
+                yield self._spread()
+                yield from self._give_back(revision)
+            case _:
+                yield self._retry()
+
+    def _give_back(self, newest: int) -> _Steps:
+        missing = newest
+        while missing > 1:
+            held = self._target.stored(missing)
+            if held is None:
+                # Another VM may hold what is missing.
+                yield store.Pause(HOLD_SECONDS)
+                return
+            answered = yield store.Read(revisions.key(missing - 1))
+            if isinstance(answered.answer, store.Found):
+                if revisions.decode(held).previous == revisions.digest(answered.answer.value):
+                    break
+                self._diverged(missing - 1)
+                yield store.Pause(HOLD_SECONDS)
+                return
+            if not isinstance(answered.answer, store.Absent):
+                yield self._retry()
+                return
+            missing -= 1
+        for revision in range(missing, newest + 1):
+            value = self._target.stored(revision)
+            if value is None:
+                yield store.Pause(HOLD_SECONDS)
+                return
+            answered = yield store.Write(revisions.key(revision), value)
+            if not isinstance(answered.answer, store.Written | store.Conflict):
+                yield self._retry()
+                return
+
+    def _diverged(self, revision: int) -> None:
+        detail = f"the store has another revision {revision} than the one in force"
+        self._target.raise_alarm(in_force.Alarm.DIVERGED, detail)
+
+    def _retry(self) -> store.Pause:
+        return store.Pause(RETRY_SECONDS * (0.5 + 0.5 * self._draws.fraction()))
+
+    def _spread(self) -> store.Pause:
+        return store.Pause(SPREAD_SECONDS * self._draws.fraction())
--- /dev/null
+++ b/hollyring/configuration/in_force.py
@@ -0,0 +1,397 @@
+"""The configuration in force on a VM: it only moves forward, fed by the store and by peers."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+from collections.abc import Sequence
+
+from hollyring.configuration import (
+    choice,
+    errors,
+    loading,
+    messages,
+    retained,
+    revisions,
+    snapshots,
+    state,
+    transfer,
+)
+from hollyring.core import invariants
+
+SILENCE_SECONDS = 10.0
+"""A VM that heard neither the store nor a peer for this long stops admitting."""
+
+TICK_SECONDS = 1.0
+"""Period at which `InForce.tick` is to be called."""
+
+GOSSIP_PEERS = 1
+"""Peers asked for their revision at each tick."""
+
+PUSH_PEERS = 2
+"""Peers told of a new revision as soon as it is in force."""
+
+PUSH_GAP_SECONDS = 0.25
+"""Shortest time between two rounds of telling peers at once."""
+
+START_PEERS = 3
+"""Peers whose revisions a starting VM compares."""
+
+START_SECONDS = 1.0
+"""Longest wait of a starting VM for more peers to answer."""
+
+START_STORE_SECONDS = 3.0
+"""A starting VM takes its peers' word for the latest only after the store was silent so long."""
+
+FETCH_SECONDS = 2.0
+"""A fetch without an answer is given up after this long."""
+
+DELTAS_BYTES = 64_000
+"""Size of the answer to one fetch of deltas."""
+
+
+class Admission(enum.StrEnum):
+    """Whether the configuration in force is fit to admit requests by, else why not."""
+
+    ADMITS = "admits"
+    NOT_CONFIGURED = "not_configured"
+    CATCHING_UP = "catching_up"
+    SILENT = "silent"
+
+
+class Alarm(enum.StrEnum):
+    """What an operator should know."""
+
+    DIVERGED = "diverged"
+    UNUSABLE = "unusable_revision"
+    STORE_OLDER = "store_older"
+
+
+@dataclasses.dataclass(slots=True)
+class _Fetch:
+    peer: str
+    at: float
+    target: int
+
+
+class InForce:
+    """What is in force on one VM, for one incarnation.
+
+    Parameters
+    ----------
+    checks
+        Counts the invariants.
+    now
+        Time of the start.
+
+    Notes
+    -----
+    A revision is put in force only if it directly follows the one before: its stored value holds
+    the digest of its predecessor's stored value, and the digest of the content that it gives. A
+    snapshot is put in force only if its number is higher and its content is what its revision
+    states.
+    """
+
+    __slots__ = (
+        "_checks",
+        "_configuration",
+        "_retained",
+        "_started",
+        "_heard_store",
+        "_heard_peer",
+        "_store_answered",
+        "_caught_up",
+        "_alarms",
+        "_counts",
+        "_peers",
+        "_draws",
+        "_offers",
+        "_fetch",
+        "_incoming",
+        "_outgoing",
+        "_pushed_at",
+    )
+
+    def __init__(self, checks: invariants.Invariants, now: float) -> None:
+        self._checks = checks
+        self._configuration = state.Configuration()
+        self._retained = retained.Retained()
+        self._started = now
+        self._heard_store = now
+        self._heard_peer = now
+        self._store_answered = False
+        self._caught_up = False
+        self._alarms: dict[Alarm, str] = {}
+        self._counts = {"from_store": 0, "from_peers": 0, "snapshots": 0, "silences": 0}
+        self._peers: Sequence[str] = ()
+        self._draws = choice.Draws(0)
+        self._offers: dict[str, int] = {}
+        self._fetch: _Fetch | None = None
+        self._incoming = transfer.Incoming()
+        self._outgoing = transfer.Outgoing()
+        self._pushed_at = -PUSH_GAP_SECONDS
+
+    @property
+    def configuration(self) -> state.Configuration:
+        """The configuration in force, immutable."""
+        return self._configuration
+
+    @property
+    def revision(self) -> int:
+        """Number of the revision in force, 0 before the first."""
+        return self._configuration.revision
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the store or peers were found to have nothing newer since the last silence."""
+        return self._caught_up
+
+    @property
+    def alarms(self) -> dict[Alarm, str]:
+        """What an operator should know now, with details."""
+        return dict(self._alarms)
+
+    def admission(self, now: float) -> Admission:
+        """Return whether requests may be admitted by this configuration."""
+        self._note_silence(now)
+        if now - self._heard > SILENCE_SECONDS:
+            return Admission.SILENT
+        if self.revision == 0:
+            return Admission.NOT_CONFIGURED
+        return Admission.ADMITS if self._caught_up else Admission.CATCHING_UP
+
+    def dump(self, now: float) -> dict[str, object]:
+        """Return the state for operators, without key digests."""
+        return {
+            "revision": self.revision,
+            "digest": self._configuration.digest,
+            "admission": str(self.admission(now)),
+            "alarms": {str(alarm): detail for alarm, detail in self._alarms.items()},
+            "seconds_since_store": round(now - self._heard_store, 3),
+            "seconds_since_peer": round(now - self._heard_peer, 3),
+            "organisations": len(self._configuration.organisations),
+            "oldest_retained": self._retained.oldest,
+            **self._counts,
+            "snapshots_sent": self._outgoing.sent,
+        }
+
+    def stored(self, revision: int) -> bytes | None:
+        """Return the stored value of a revision in force now or lately, if it is still held."""
+        return self._retained.get(revision)
+
+    def on_value(self, value: bytes, now: float) -> list[messages.Send]:
+        """Take the next revision's value, read from the store."""
+        self._hear_store(now)
+        before = self.revision
+        self._apply(value)
+        self._counts["from_store"] += self.revision - before
+        return self._push(now) if self.revision > before else []
+
+    def on_loaded(self, loaded: loading.Loaded, now: float) -> list[messages.Send]:
+        """Take a configuration that was read whole from the store."""
+        self._hear_store(now)
+        if loaded.configuration.revision > self.revision:
+            self._adopt(loaded.configuration, loaded.values)
+        self._caught_up = loaded.configuration.revision >= self.revision
+        return []
+
+    def on_store_current(self, revision: int, now: float) -> None:
+        """Take that the store has nothing after `revision`."""
+        self._hear_store(now)
+        if revision == self.revision and revision > 0:
+            self._caught_up = True
+
+    def on_store_heard(self, now: float) -> None:
+        """Take that the store answered."""
+        self._hear_store(now)
+
+    def raise_alarm(self, alarm: Alarm, detail: str) -> None:
+        """Tell operators of something until `clear_alarm`."""
+        self._alarms[alarm] = detail
+
+    def clear_alarm(self, alarm: Alarm) -> None:
+        """Tell no longer."""
+        self._alarms.pop(alarm, None)
+
+    def on_message(self, sender: str, message: messages.Message, now: float) -> list[messages.Send]:
+        """Take a peer's message and return the answers."""
+        self._note_silence(now)
+        self._heard_peer = now
+        match message:
+            case messages.Digest():
+                return self._on_digest(sender, message, now)
+            case messages.Fetch(after):
+                return self._on_fetch(sender, after, now)
+            case messages.Deltas():
+                return self._on_deltas(sender, message, now)
+            case messages.Segment():
+                return self._on_segment(sender, message, now)
+
+    def tick(self, now: float, peers: Sequence[str], seed: int) -> list[messages.Send]:
+        """Do what is due each `TICK_SECONDS`.
+
+        Parameters
+        ----------
+        now
+            Present time.
+        peers
+            Names of the other live VMs.
+        seed
+            Random 64-bit integer, a new one each time.
+        """
+        self._note_silence(now)
+        self._peers, self._draws = peers, choice.Draws(seed)
+        if self._fetch and now - self._fetch.at > FETCH_SECONDS:
+            self._offers.pop(self._fetch.peer, None)
+            self._fetch = None
+        sends = [] if self.revision else self._start_fetch(now)
+        count = GOSSIP_PEERS if self.revision else START_PEERS
+        return sends + [
+            messages.Send(peer, self._digest(answer=True))
+            for peer in self._draws.some(peers, count)
+        ]
+
+    @property
+    def _heard(self) -> float:
+        return max(self._heard_store, self._heard_peer)
+
+    def _note_silence(self, now: float) -> None:
+        if now - self._heard > SILENCE_SECONDS and self._caught_up:
+            self._caught_up = False
+            self._counts["silences"] += 1
+
+    def _note_peer_current(self, now: float) -> None:
+        # A starting VM lets the store speak first, for as long as it may be up.
+        if self._store_answered or now - self._started >= START_STORE_SECONDS:
+            self._caught_up = True
+
+    def _hear_store(self, now: float) -> None:
+        self._note_silence(now)
+        self._heard_store = now
+        self._store_answered = True
+
+    def _digest(self, answer: bool) -> messages.Digest:
+        return messages.Digest(self.revision, self._configuration.digest, answer)
+
+    def _push(self, now: float) -> list[messages.Send]:
+        if now - self._pushed_at < PUSH_GAP_SECONDS:
+            return []
+        self._pushed_at = now
+        digest = self._digest(answer=False)
+        return [messages.Send(peer, digest) for peer in self._draws.some(self._peers, PUSH_PEERS)]
+
+    def _on_digest(self, sender: str, message: messages.Digest, now: float) -> list[messages.Send]:
+        sends = []
+        if message.answer:
+            sends.append(messages.Send(sender, self._digest(answer=False)))
+        if message.revision == self.revision and message.digest != self._configuration.digest:
+            self.raise_alarm(Alarm.DIVERGED, f"{sender} has another revision {self.revision}")
+            return sends
+        if self.revision == 0:
+            self._offers[sender] = message.revision
+            return sends + self._start_fetch(now)
+        if message.revision > self.revision:
+            return sends + self._ask(sender, message.revision, now)
+        self._note_peer_current(now)
+        return sends
+
+    def _start_fetch(self, now: float) -> list[messages.Send]:
+        wanted = min(START_PEERS, max(1, len(self._peers)))
+        if len(self._offers) < wanted and now - self._started < START_SECONDS:
+            return []
+        peer = max(self._offers, key=lambda name: (self._offers[name], name), default=None)
+        if peer is None or self._offers[peer] == 0:
+            return []
+        return self._ask(peer, self._offers[peer], now)
+
+    def _ask(self, peer: str, target: int, now: float) -> list[messages.Send]:
+        if self._fetch and now - self._fetch.at <= FETCH_SECONDS:
+            return []
+        self._fetch = _Fetch(peer, now, target)
+        return [messages.Send(peer, messages.Fetch(self.revision))]
+
+    def _on_fetch(self, sender: str, after: int, now: float) -> list[messages.Send]:
+        if after >= self.revision:
+            return [messages.Send(sender, self._digest(answer=False))]
+        values = self._retained.after(after, DELTAS_BYTES)
+        if values is not None:
+            return [messages.Send(sender, messages.Deltas(after, values))]
+        segments = self._outgoing.send(self._configuration, self._retained.newest, now)
+        return [messages.Send(sender, segment) for segment in segments]
+
+    def _on_deltas(self, sender: str, message: messages.Deltas, now: float) -> list[messages.Send]:
+        before = self.revision
+        # Values in force already are skipped, and all of them if the first would leave a gap.
+        values = message.values[before - message.after :] if message.after <= before else []
+        for value in values:
+            if not self._apply(value):
+                break
+        self._counts["from_peers"] += self.revision - before
+        return self._after_transfer(sender, before, now)
+
+    def _on_segment(
+        self, sender: str, message: messages.Segment, now: float
+    ) -> list[messages.Send]:
+        if message.revision <= self.revision:
+            return []
+        snapshot = self._incoming.on_segment(sender, message)
+        if snapshot is None:
+            return []
+        before = self.revision
+        try:
+            configuration = snapshots.restore(snapshot)
+        except errors.UnusableRevisionError as error:
+            self.raise_alarm(Alarm.UNUSABLE, f"from {sender}: {error}")
+            return []
+        if configuration.revision > before:
+            values = retained.Retained()
+            values.restart(configuration.revision, message.head)
+            self._adopt(configuration, values)
+        return self._after_transfer(sender, before, now)
+
+    def _after_transfer(self, sender: str, before: int, now: float) -> list[messages.Send]:
+        if self.revision == before:
+            return []
+        fetch, self._fetch = self._fetch, None
+        if fetch is None or self.revision >= fetch.target:
+            if fetch is not None:
+                self._note_peer_current(now)
+            return self._push(now)
+        return self._push(now) + self._ask(sender, fetch.target, now)
+
+    def _apply(self, value: bytes) -> bool:
+        try:
+            number = revisions.decode(value).revision
+            if number <= self.revision:
+                return self._same(number, value)
+            configuration = revisions.advance(self._configuration, value)
+        except errors.DivergedError as error:
+            self.raise_alarm(Alarm.DIVERGED, str(error))
+            return False
+        except errors.UnusableRevisionError as error:
+            self.raise_alarm(Alarm.UNUSABLE, str(error))
+            return False
+        self._check_forward(configuration)
+        self._configuration = configuration
+        self._retained.append(value)
+        self.clear_alarm(Alarm.UNUSABLE)
+        return True
+
+    def _same(self, number: int, value: bytes) -> bool:
+        held = self._retained.get(number)
+        if held is None or held == value:
+            return True
+        self.raise_alarm(Alarm.DIVERGED, f"another revision {number} than the one in force")
+        return False
+
+    def _adopt(self, configuration: state.Configuration, values: retained.Retained) -> None:
+        self._check_forward(configuration)
+        self._configuration, self._retained = configuration, values
+        self._counts["snapshots"] += 1
+
+    def _check_forward(self, configuration: state.Configuration) -> None:
+        self._checks.check(
+            "configuration_goes_forward",
+            configuration.revision > self.revision,
+            f"revision {configuration.revision} after {self.revision}",
+        )
--- /dev/null
+++ b/hollyring/configuration/loading.py
@@ -0,0 +1,106 @@
+"""Reading the configuration from the platform's service: snapshot, then the deltas after it."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from hollyring.configuration import errors, retained, revisions, snapshots, state, store
+
+POINTER_ATTEMPTS = 3
+"""Snapshots that are tried before all deltas are read."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loaded:
+    """A configuration that was read, with the stored values that were read for it."""
+
+    configuration: state.Configuration
+    values: retained.Retained
+    pointer: store.Found | None
+
+
+class Loading:
+    """Reads a configuration, one call at a time.
+
+    Costs a read of the pointer, one for the snapshot's revision, one for each segment, and one for
+    each delta after it, of which there are at most `snapshots.EVERY_REVISIONS` unless a submitter
+    stopped between its change and its snapshot. If the snapshot can't be used, all deltas are read
+    from the first.
+    """
+
+    __slots__ = ("_calls", "_steps", "_call", "_loaded")
+
+    def __init__(self) -> None:
+        self._calls = 0
+        self._loaded: Loaded | None = None
+        self._steps = self._run()
+        self._call: store.Call | None = next(self._steps)
+
+    @property
+    def loaded(self) -> Loaded | None:
+        """What was read, once done."""
+        return self._loaded
+
+    @property
+    def calls(self) -> int:
+        """Calls answered so far."""
+        return self._calls
+
+    @property
+    def call(self) -> store.Call | None:
+        """The call to make next, None once done."""
+        return self._call
+
+    def on_answer(self, answer: store.Answer) -> None:
+        """Take the answer to `call`. After `Failed` the same call stands."""
+        if isinstance(answer, store.Failed):
+            return
+        self._calls += 1
+        try:
+            self._call = self._steps.send(answer)
+        except StopIteration:
+            self._call = None
+
+    def _run(self) -> typing.Generator[store.Call, store.Answer, None]:
+        configuration, values = state.Configuration(), retained.Retained()
+        pointer: store.Found | None = None
+        # A snapshot may be replaced and deleted while it is being read.
+        for _ in range(POINTER_ATTEMPTS):
+            answer = yield store.Read(snapshots.POINTER_KEY)
+            pointer = answer if isinstance(answer, store.Found) else None
+            if pointer is None:
+                break
+            snapshot = yield from self._snapshot(pointer)
+            if snapshot is not None:
+                configuration, head = snapshot
+                values.restart(configuration.revision, head)
+                break
+        while True:
+            answer = yield store.Read(revisions.key(configuration.revision + 1))
+            if not isinstance(answer, store.Found):
+                break
+            configuration = revisions.advance(configuration, answer.value)
+            values.append(answer.value)
+        self._loaded = Loaded(configuration, values, pointer)
+
+    def _snapshot(
+        self, found: store.Found
+    ) -> typing.Generator[store.Call, store.Answer, tuple[state.Configuration, bytes] | None]:
+        pointer = snapshots.decode_pointer(found.value)
+        if pointer is None:
+            return None
+        head = yield store.Read(revisions.key(pointer.revision))
+        if not isinstance(head, store.Found):
+            return None
+        segments = []
+        for index in range(pointer.segments):
+            answer = yield store.Read(snapshots.key(pointer.revision, index))
+            if not isinstance(answer, store.Found):
+                return None
+            segments.append(answer.value)
+        try:
+            snapshot = snapshots.Snapshot(head.value, segments)
+            return snapshots.restore(snapshot), head.value
+        except errors.UnusableRevisionError:
+            return None
--- /dev/null
+++ b/hollyring/configuration/retained.py
@@ -0,0 +1,84 @@
+"""The latest revisions' stored values, kept in memory for peers and for an older store."""
+
+from __future__ import annotations
+
+import collections
+
+MAX_COUNT = 512
+MAX_BYTES = 400_000
+
+
+class Retained:
+    """Stored values of consecutive revisions, oldest dropped first.
+
+    Examples
+    --------
+    >>> retained = Retained()
+    >>> retained.restart(4, b"four")
+    >>> retained.append(b"five")
+    >>> retained.get(5), retained.get(3)
+    (b'five', None)
+    >>> retained.after(4, 100)
+    [b'five']
+    >>> retained.after(2, 100) is None
+    True
+    """
+
+    __slots__ = ("_first", "_values", "_bytes")
+
+    def __init__(self) -> None:
+        self._first = 1
+        self._values: collections.deque[bytes] = collections.deque()
+        self._bytes = 0
+
+    @property
+    def oldest(self) -> int:
+        """Number of the oldest revision held; one after the newest if none is."""
+        return self._first
+
+    @property
+    def newest(self) -> bytes:
+        """Value of the newest revision held, empty if none is."""
+        return self._values[-1] if self._values else b""
+
+    def restart(self, revision: int, value: bytes) -> None:
+        """Hold nothing but the value of `revision`."""
+        self._first = revision
+        self._values.clear()
+        self._bytes = 0
+        self._push(value)
+
+    def append(self, value: bytes) -> None:
+        """Hold the value of the next revision, too."""
+        self._push(value)
+        while len(self._values) > 1 and self._over():
+            self._bytes -= len(self._values.popleft())
+            self._first += 1
+
+    def get(self, revision: int) -> bytes | None:
+        """Return the value of `revision`, None if it is not held."""
+        index = revision - self._first
+        return self._values[index] if 0 <= index < len(self._values) else None
+
+    def after(self, revision: int, max_bytes: int) -> list[bytes] | None:
+        """Return values that follow `revision`, at least one and up to `max_bytes`.
+
+        None if the one that follows has been dropped.
+        """
+        if revision + 1 < self._first:
+            return None
+        values: list[bytes] = []
+        size = 0
+        for index in range(revision + 1 - self._first, len(self._values)):
+            size += len(self._values[index])
+            if values and size > max_bytes:
+                break
+            values.append(self._values[index])
+        return values
+
+    def _push(self, value: bytes) -> None:
+        self._values.append(value)
+        self._bytes += len(value)
+
+    def _over(self) -> bool:
+        return len(self._values) > MAX_COUNT or self._bytes > MAX_BYTES
--- /dev/null
+++ b/hollyring/configuration/tests/conftest.py
@@ -0,0 +1,80 @@
+import dataclasses
+
+import pytest
+
+from hollyring.configuration import in_force, objects, revisions, state, store
+from hollyring.core import invariants
+
+
+@dataclasses.dataclass
+class Memory:
+    """A store that can be told to fail, to lose answers and to go back."""
+
+    values: dict = dataclasses.field(default_factory=dict)
+    counter: int = 0
+    down: bool = False
+    lose_answers: int = 0
+    calls: int = 0
+
+    def perform(self, call):
+        self.calls += 1
+        if self.down:
+            return store.Failed()
+        answer = self._perform(call)
+        if self.lose_answers and not isinstance(call, store.Pause):
+            self.lose_answers -= 1
+            return store.Failed()
+        return answer
+
+    def _perform(self, call):
+        match call:
+            case store.Read(key) | store.Watch(key):
+                held = self.values.get(key)
+                return store.Found(*held) if held else store.Absent()
+            case store.Write(key, value, version):
+                if self.values.get(key, (b"", 0))[1] != version:
+                    return store.Conflict()
+                self.counter += 1
+                self.values[key] = (value, self.counter)
+                return store.Written()
+            case store.Delete(key):
+                return store.Written() if self.values.pop(key, None) else store.Absent()
+            case _:
+                return store.Waited()
+
+
+def organisation(name, rate=100.0):
+    return objects.Organisation(name, rate, 40_000)
+
+
+def chain(count, configuration=None):
+    """Return stored values of `count` further revisions and the last configuration."""
+    configuration = configuration or state.Configuration()
+    values = []
+    for _ in range(count):
+        number = configuration.revision + 1
+        put = (organisation(f"o-{number % 5}", float(number)),)
+        values.append(revisions.successor(configuration, f"s-{number}", put, ()))
+        configuration = revisions.advance(configuration, values[-1])
+    return values, configuration
+
+
+def run(machine, memory):
+    """Drive a machine of the operator's side to its end."""
+    while machine.call is not None:
+        machine.on_answer(memory.perform(machine.call))
+
+
+@pytest.fixture
+def memory():
+    return Memory()
+
+
+@pytest.fixture
+def vm():
+    """A VM in force at revision 3, at time 0."""
+    target = in_force.InForce(invariants.Invariants(), 0.0)
+    for value in chain(3)[0]:
+        target.on_value(value, 0.0)
+    target.on_store_current(3, 0.0)
+    return target
--- /dev/null
+++ b/hollyring/configuration/tests/test_in_force.py
@@ -0,0 +1,177 @@
+import pytest
+
+from hollyring.configuration import in_force, messages, objects, revisions, state
+from hollyring.configuration.tests import conftest
+from hollyring.core import invariants
+
+PEERS = ["vm-1", "vm-2", "vm-3", "vm-4"]
+
+
+def fresh(now=0.0):
+    return in_force.InForce(invariants.Invariants(), now)
+
+
+def exchange(vms, now, sends):
+    """Deliver messages between VMs until none is left; return how many there were."""
+    count = 0
+    while sends:
+        sender, send = sends.pop(0)
+        count += 1
+        answers = vms[send.to].on_message(sender, send.message, now) if send.to in vms else []
+        sends += [(send.to, answer) for answer in answers]
+    return count
+
+
+def test_revision_is_in_force_only_after_its_predecessor(vm):
+    values, _ = conftest.chain(6)
+    vm.on_value(values[4], 1.0)
+    assert vm.revision == 3
+    assert in_force.Alarm.DIVERGED in vm.alarms
+
+
+def test_older_revision_changes_nothing(vm):
+    vm.on_value(conftest.chain(1)[0][0], 1.0)
+    assert vm.revision == 3
+    assert vm.alarms == {}
+
+
+def test_other_history_is_refused_and_told(vm):
+    _, other = conftest.chain(2)
+    other = revisions.advance(other, revisions.successor(other, "x", (), ()))
+    vm.on_value(revisions.successor(other, "y", (), ()), 1.0)
+    assert vm.revision == 3
+    assert "another history" in vm.alarms[in_force.Alarm.DIVERGED]
+
+
+def test_other_value_of_a_revision_in_force_is_told(vm):
+    _, other = conftest.chain(2)
+    vm.on_value(revisions.successor(other, "x", (), ()), 1.0)
+    assert "another revision 3" in vm.alarms[in_force.Alarm.DIVERGED]
+
+
+def test_value_that_does_not_give_its_content_is_refused(vm):
+    value = revisions.successor(vm.configuration, "s", (conftest.organisation("o-9"),), ())
+    vm.on_value(value.replace(b'"o-9"', b'"o-8"'), 1.0)
+    assert vm.revision == 3
+    assert in_force.Alarm.UNUSABLE in vm.alarms
+
+
+def test_value_of_a_later_program_is_kept_out_and_told(vm):
+    vm.on_value(b'{"revision": 4, "colour": "red"}', 1.0)
+    assert vm.revision == 3
+    assert in_force.Alarm.UNUSABLE in vm.alarms
+
+
+def test_silent_vm_stops_admitting_and_resumes_only_when_caught_up(vm):
+    edge = in_force.SILENCE_SECONDS
+    assert vm.admission(edge) == in_force.Admission.ADMITS
+    assert vm.admission(edge + 0.1) == in_force.Admission.SILENT
+    vm.on_message("vm-1", messages.Digest(4, "later", False), edge + 0.2)
+    assert vm.admission(edge + 0.2) == in_force.Admission.CATCHING_UP
+    vm.on_message("vm-1", messages.Deltas(3, [conftest.chain(4)[0][3]]), edge + 0.3)
+    assert vm.revision == 4
+    assert vm.admission(edge + 0.3) == in_force.Admission.ADMITS
+
+
+def test_paused_vm_is_silent_as_soon_as_it_wakes(vm):
+    vm.on_store_heard(1000.0)
+    assert vm.admission(1000.0) == in_force.Admission.CATCHING_UP
+
+
+def test_peers_keep_a_vm_admitting_while_the_store_is_away(vm):
+    now = 0.0
+    for _ in range(60):
+        now += 1.0
+        vm.on_message("vm-1", messages.Digest(3, vm.configuration.digest, False), now)
+    assert vm.admission(now) == in_force.Admission.ADMITS
+
+
+def test_change_travels_between_peers_as_a_delta(vm):
+    other = fresh()
+    values, _ = conftest.chain(4)
+    for value in values:
+        other.on_value(value, 0.0)
+    vms = {"vm-0": vm, "vm-1": other}
+    exchange(vms, 1.0, [("vm-0", send) for send in vm.tick(1.0, ["vm-1"], 5)])
+    assert vm.configuration.digest == other.configuration.digest
+    assert vm.dump(1.0)["from_peers"] == 1
+
+
+def test_lagging_vm_far_behind_gets_a_snapshot(vm):
+    other = fresh()
+    for value in conftest.chain(600)[0]:
+        other.on_value(value, 0.0)
+    assert other.dump(0.0)["oldest_retained"] > 4
+    vms = {"vm-0": vm, "vm-1": other}
+    exchange(vms, 1.0, [("vm-0", send) for send in vm.tick(1.0, ["vm-1"], 5)])
+    assert vm.configuration.digest == other.configuration.digest
+    assert vm.configuration.content == other.configuration.content
+
+
+def test_starting_vm_takes_the_highest_of_several_answers():
+    vms = {"vm-0": fresh()}
+    for index, count in enumerate([3, 5, 4]):
+        vms[f"vm-{index + 1}"] = fresh()
+        for value in conftest.chain(count)[0]:
+            vms[f"vm-{index + 1}"].on_value(value, 0.0)
+    sends = [("vm-0", send) for send in vms["vm-0"].tick(0.0, PEERS[:3], 5)]
+    exchange(vms, 0.0, sends)
+    assert vms["vm-0"].revision == 5
+
+
+def test_starting_vm_lets_the_store_speak_before_it_takes_its_peers_word():
+    starting = fresh()
+    starting.tick(0.0, ["vm-1"], 1)
+    values, last = conftest.chain(2)
+    starting.on_message("vm-1", messages.Digest(2, last.digest, False), 0.1)
+    starting.on_message("vm-1", messages.Deltas(0, values), 0.2)
+    assert starting.admission(0.2) == in_force.Admission.CATCHING_UP
+    starting.on_message("vm-1", messages.Digest(2, last.digest, False), 3.1)
+    assert starting.admission(3.1) == in_force.Admission.ADMITS
+
+
+def test_vm_without_configuration_does_not_admit():
+    assert fresh().admission(0.0) == in_force.Admission.NOT_CONFIGURED
+
+
+def test_falsified_snapshot_is_refused():
+    starting = fresh()
+    values, last = conftest.chain(2)
+    body = b"[" + objects.encode(conftest.organisation("intruder")) + b"]"
+    starting.on_message("vm-1", messages.Segment(2, values[-1], 0, 1, body), 0.1)
+    assert starting.revision == 0
+    assert in_force.Alarm.UNUSABLE in starting.alarms
+
+
+def test_withdrawn_key_stops_with_the_revision(vm):
+    key = objects.Key("till", objects.key_digest("demo"))
+    granted = objects.Organisation("o-1", 100.0, 40_000, keys=(key,))
+    withdrawn = objects.Organisation("o-1", 100.0, 40_000)
+    vm.on_value(revisions.successor(vm.configuration, "a", (granted,), ()), 1.0)
+    assert vm.configuration.organisation_of(key.digest) == granted
+    vm.on_value(revisions.successor(vm.configuration, "b", (withdrawn,), ()), 2.0)
+    assert vm.configuration.organisation_of(key.digest) is None
+
+
+@pytest.mark.parametrize("fleet", [9, 90, 360])
+def test_messages_of_a_tick_do_not_grow_with_the_fleet(vm, fleet):
+    peers = [f"vm-{index}" for index in range(1, fleet)]
+    assert len(vm.tick(1.0, peers, 7)) == in_force.GOSSIP_PEERS
+    value = revisions.successor(vm.configuration, "a", (), ())
+    assert len(vm.on_value(value, 2.0)) == in_force.PUSH_PEERS
+
+
+def test_dump_holds_no_key_digest(vm):
+    digest = objects.key_digest("demo")
+    granted = objects.Organisation("o-1", 1.0, 40_000, keys=(objects.Key("till", digest),))
+    vm.on_value(revisions.successor(vm.configuration, "a", (granted,), ()), 1.0)
+    assert digest not in str(vm.dump(1.0))
+
+
+def test_equal_revisions_hold_equal_configurations():
+    _, one = conftest.chain(7)
+    two = state.Configuration()
+    for value in conftest.chain(7)[0]:
+        two = revisions.advance(two, value)
+    assert (one.digest, one.content) == (two.digest, two.content)
+    assert list(one.items()) == list(two.items())
--- /dev/null
+++ b/hollyring/configuration/tests/test_submission.py
@@ -0,0 +1,139 @@
+import pytest
+
+from hollyring.configuration import (
+    documents,
+    errors,
+    loading,
+    objects,
+    publishing,
+    revisions,
+    snapshots,
+    state,
+    store,
+    submission,
+)
+from hollyring.configuration.tests import conftest
+
+DEPLOYMENT = objects.Deployment("bohari")
+
+
+def submit(memory, name, base=None):
+    base = base or state.Configuration()
+    declared = documents.Document([DEPLOYMENT, *base.items(), conftest.organisation(name)])
+    unique = {objects.identity(item): item for item in declared.objects}
+    change = submission.plan(base, documents.Document(list(unique.values())))
+    return submission.Submission(change, name, author=name)
+
+
+def test_accepted_submission_is_the_next_revision(memory):
+    tried = submit(memory, "a")
+    conftest.run(tried, memory)
+    assert tried.outcome == submission.Accepted(1)
+    assert memory.values["config/revision/1"][0] == tried.value
+
+
+def test_of_two_racing_submissions_one_loses_and_is_told_what_changed(memory):
+    first, second = submit(memory, "a"), submit(memory, "b")
+    conftest.run(second, memory)
+    conftest.run(first, memory)
+    assert second.outcome == submission.Accepted(1)
+    assert first.outcome.winner.author == "b"
+    assert "organisation/b" in map(str, first.outcome.winner.touched)
+
+
+@pytest.mark.parametrize("lost", [1, 2, 5, 19])
+def test_lost_answers_are_resolved_by_reading_back(memory, lost):
+    memory.lose_answers = lost
+    tried = submit(memory, "a")
+    conftest.run(tried, memory)
+    assert tried.outcome == submission.Accepted(1)
+
+
+def test_lost_answer_of_a_lost_race_is_a_lost_race(memory):
+    conftest.run(submit(memory, "b"), memory)
+    memory.lose_answers = 3
+    tried = submit(memory, "a")
+    conftest.run(tried, memory)
+    assert isinstance(tried.outcome, submission.Lost)
+
+
+def test_write_that_takes_effect_late_is_not_taken_for_another(memory):
+    tried = submit(memory, "a")
+    late = tried.call
+    tried.on_answer(store.Failed())
+    tried.on_answer(store.Waited())
+    tried.on_answer(memory.perform(tried.call))  # reads: absent
+    memory.perform(late)
+    conftest.run(tried, memory)
+    assert tried.outcome == submission.Accepted(1)
+
+
+def test_outcome_is_unknown_when_the_store_stays_away(memory):
+    memory.down = True
+    tried = submit(memory, "a")
+    conftest.run(tried, memory)
+    assert tried.outcome == submission.Unknown(1)
+
+
+def test_other_deployment_is_refused():
+    base = state.Configuration().changed(1, "", [DEPLOYMENT], [])
+    with pytest.raises(errors.ConfigurationError, match="allowed: bohari"):
+        submission.plan(base, documents.Document([objects.Deployment("verrerie")]))
+
+
+def test_change_too_large_for_one_value_is_refused():
+    items = [conftest.organisation(f"o-{index}") for index in range(20_000)]
+    change = submission.plan(state.Configuration(), documents.Document(items))
+    with pytest.raises(errors.ConfigurationError, match="submit it in parts"):
+        submission.Submission(change, "s")
+
+
+def grow(memory, count):
+    values, last = conftest.chain(count)
+    for index, value in enumerate(values):
+        memory.perform(store.Write(revisions.key(index + 1), value))
+    return values, last
+
+
+def load(memory):
+    reading = loading.Loading()
+    conftest.run(reading, memory)
+    return reading
+
+
+def test_snapshot_saves_the_deltas_before_it(memory):
+    values, last = grow(memory, 40)
+    conftest.run(publishing.Publishing(last, values[-1], None), memory)
+    reading = load(memory)
+    assert reading.loaded.configuration.digest == last.digest
+    assert reading.loaded.configuration.content == last.content
+    assert reading.calls == 4  # pointer, revision, one segment, nothing newer
+
+
+def test_unusable_snapshot_costs_calls_and_not_correctness(memory):
+    values, last = grow(memory, 40)
+    conftest.run(publishing.Publishing(last, values[-1], None), memory)
+    memory.values[snapshots.key(40, 0)] = (b"[]", 1)
+    assert load(memory).loaded.configuration.content == last.content
+
+
+def test_third_snapshot_deletes_the_first(memory):
+    values, _ = grow(memory, 48)
+    configuration = state.Configuration()
+    for index, value in enumerate(values):
+        configuration = revisions.advance(configuration, value)
+        pointer = memory.perform(store.Read(snapshots.POINTER_KEY))
+        found = pointer if isinstance(pointer, store.Found) else None
+        if snapshots.due(index + 1, found and snapshots.decode_pointer(found.value)):
+            conftest.run(publishing.Publishing(configuration, value, found), memory)
+    kept = sorted(key for key in memory.values if key.startswith("config/snapshot/"))
+    assert kept == ["config/snapshot/32/0", "config/snapshot/48/0"]
+
+
+def test_snapshot_of_the_two_year_size_keeps_to_the_stores_limit():
+    keys = tuple(objects.Key(f"k-{index}", "0" * 64) for index in range(3))
+    items = [objects.Organisation(f"o-{i}", 1.0, 40_000, keys=keys) for i in range(4_700)]
+    configuration = state.Configuration().changed(1, "", items, [])
+    taken = snapshots.take(configuration, b"")
+    assert max(map(len, taken.segments)) < revisions.MAX_VALUE_BYTES
+    assert len(taken.segments) <= 8
