Explore every history of a claimed call and keep the promises checked

Cause: the claim machines were unproved. Found by the random run and mended: a VM whose own attempt under a key was not yet decided refused another body as reused, with "not run", although that body had run elsewhere; and a second local sequence for a key ended in outcome unknown where the first one was at hand. Checked: bin/test hollyring/delivery hollyring/core hollyring/experiments.

--- a/hollyring/delivery/claimlog.py
+++ b/hollyring/delivery/claimlog.py
@@ -69,8 +69,8 @@
 @dataclasses.dataclass(slots=True)
 class _Pending:
     record: records.Record
-    loads: int
-    """Loads of the head that must be exceeded before a foreign claim is reported; -1: any."""
+    fresh: bool
+    """Read the head again before a foreign claim is reported."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,7 +147,6 @@
         "_head",
         "_version",
         "_stale",
-        "_loads",
         "_doubt",
         "_sealed_at",
         "_segments",
@@ -176,7 +175,6 @@
         self._head = records.Head([], [])
         self._version = 0
         self._stale = True
-        self._loads = 0
         self._doubt = -1
         self._sealed_at = -1
         self._segments: dict[int, list[records.Record]] = {}
@@ -223,7 +221,7 @@
             self._withdraw(record)
         if len(self._pending) >= MAX_PENDING:
             return [Unavailable(record)]
-        self._pending.append(_Pending(record, self._loads if fresh else -1))
+        self._pending.append(_Pending(record, fresh))
         return self._advance(now, wall)
 
     def tick(self, now: float, wall: float) -> list[Action]:
@@ -298,7 +296,7 @@
                 waiting.append(pending)
             elif record.released or (present == record):
                 settled.append(Granted(record))
-            elif self._loads > pending.loads:
+            elif not pending.fresh:
                 assert present is not None
                 settled.append(Existing(record, present))
             else:
@@ -387,8 +385,9 @@
             self._failed(now)
             return
         if event.key == head_key(self._group):
-            self._loads += 1
             self._stale = False
+            for pending in self._pending:
+                pending.fresh = False
             self._take(stored, event.version)
             return
         if event.version == 0:
--- a/hollyring/delivery/claims.py
+++ b/hollyring/delivery/claims.py
@@ -29,6 +29,9 @@
 
 FINISHED = (calls.Phase.ANSWERED, calls.Phase.UNKNOWN, calls.Phase.NOT_SENT)
 
+UNDECIDED = (calls.Phase.CLAIMING, calls.Phase.ASKING)
+"""Phases in which the key may turn out to belong to another request."""
+
 Final = messages.Answer | refusal.Refusal
 
 
@@ -131,13 +134,13 @@
         if age < -claimlog.CLOCK_MARGIN_SECONDS:
             return self._reply(call, refusal.make("idempotency_key_early"))
         state = self._calls.get(self._keys.get(call.key, 0)) if call.key else None
-        if state is None:
+        if state is None or state.phase is calls.Phase.NOT_SENT:
+            return self._start(call, now, wall)
+        if state.call.body != call.body and state.phase in UNDECIDED:
             return self._start(call, now, wall)
         if state.call.body != call.body:
             return self._reply(call, refusal.make("idempotency_key_reused"))
         match state.phase:
-            case calls.Phase.NOT_SENT:
-                return self._start(call, now, wall)
             case calls.Phase.ANSWERED:
                 return self._reply(call, state.answer or refusal.make("answer_forgotten"))
             case calls.Phase.UNKNOWN:
@@ -295,12 +298,22 @@
         return [self._ask(state, by, 0.0)]
 
     def _own(self, state: _State, by: records.Record) -> list[calls.Action]:
-        """Go on from an earlier claim of this life, if it is remembered and was never sent."""
+        """Go on from an earlier claim of this life, as far as that is remembered."""
         earlier = self._calls.get(by.sequence)
-        if earlier is None or earlier.phase is not calls.Phase.NOT_SENT:
+        if earlier is None:
             return self._drop(state, refusal.make("outcome_unknown"))
-        mine = _record(state, self._owner)
-        return [calls.Append(by.release()), calls.Append(mine, fresh=True)]
+        match earlier.phase:
+            case calls.Phase.NOT_SENT:
+                mine = _record(state, self._owner)
+                return [calls.Append(by.release()), calls.Append(mine, fresh=True)]
+            case calls.Phase.ANSWERED:
+                return self._drop(state, earlier.answer or refusal.make("answer_forgotten"))
+            case calls.Phase.UNKNOWN:
+                return self._drop(state, refusal.make("outcome_unknown"))
+        earlier.open += state.open
+        self._open[earlier.sequence] = earlier
+        self._remove(state)
+        return []
 
     def _ask(self, state: _State, by: records.Record, delay: float) -> calls.AskOwner:
         state.holder = by
--- /dev/null
+++ b/hollyring/delivery/tests/test_claims.py
@@ -0,0 +1,190 @@
+import pytest
+
+from hollyring.core import execution, identities, invariants
+from hollyring.delivery import calls, claimlog, claims, messages, records, refusal
+
+KEY = b"k" * 16
+BODY = b"b" * 8
+ANSWER = messages.Answer(201, [messages.Header("content-type", "text/plain")], b"order 7")
+OTHER = records.Record(KEY, BODY, "vm-2", 4, 9, False, 0)
+
+
+@pytest.fixture
+def vm():
+    return claims.Claims(identities.Incarnation("vm-1", 1), invariants.Invariants())
+
+
+def call(name="r-1", key=KEY, body=BODY, **more):
+    return calls.Call(name, key, body, more.pop("deadline", 30.0), **more)
+
+
+def granted(vm, one):
+    (append,) = vm.begin(one, 0.0, 0.0)
+    (dispatch,) = vm.settle(claimlog.Granted(append.record), 0.0)
+    return dispatch
+
+
+def refused(actions):
+    (reply,) = [one for one in actions if isinstance(one, calls.Reply)]
+    return reply.answer.code, reply.answer.execution
+
+
+def existing(vm, one=None):
+    (append,) = vm.begin(one or call(), 0.0, 0.0)
+    return append.record, vm.settle(claimlog.Existing(append.record, OTHER), 0.0)
+
+
+@pytest.mark.parametrize("now, wall", [(30.0, 0.0), (1.0, 43_201.0), (1.0, -43_201.0)])
+def test_a_paused_vm_sends_nothing(vm, now, wall):
+    dispatch = granted(vm, call())
+    assert not vm.may_send(dispatch.sequence, now, wall)
+
+
+def test_call_without_key_is_dispatched_without_a_claim(vm):
+    (dispatch,) = vm.begin(call(key=b""), 0.0, 0.0)
+    assert vm.may_send(dispatch.sequence, 0.0, 0.0)
+    assert not vm.may_send(dispatch.sequence, 0.0, 0.0)
+    assert refused(vm.connection_lost(dispatch.sequence))[0] == "outcome_unknown"
+    assert len(vm.begin(call("r-2", key=b""), 0.0, 0.0)) == 1
+
+
+def test_repeats_wait_for_the_first_and_get_its_answer(vm):
+    dispatch = granted(vm, call())
+    vm.may_send(dispatch.sequence, 0.0, 0.0)
+    assert vm.begin(call("r-2"), 0.0, 0.0) == []
+    replies = vm.answered(dispatch.sequence, ANSWER)
+    assert replies == [calls.Reply("r-1", ANSWER), calls.Reply("r-2", ANSWER)]
+
+
+def test_late_answer_is_kept_for_repeats(vm):
+    dispatch = granted(vm, call())
+    vm.may_send(dispatch.sequence, 0.0, 0.0)
+    assert refused(vm.tick(30.0)) == ("deadline_exceeded", execution.Execution.UNKNOWN)
+    assert vm.answered(dispatch.sequence, ANSWER) == []
+    assert vm.begin(call("r-2"), 31.0, 31.0) == [calls.Reply("r-2", ANSWER)]
+
+
+def test_each_waiting_request_has_its_own_deadline(vm):
+    dispatch = granted(vm, call(deadline=5.0))
+    vm.may_send(dispatch.sequence, 0.0, 0.0)
+    vm.begin(call("r-2", deadline=9.0), 0.0, 0.0)
+    assert vm.due == 5.0
+    assert [one.identity for one in vm.tick(5.0)] == ["r-1"]
+    assert [one.identity for one in vm.answered(dispatch.sequence, ANSWER)] == ["r-2"]
+
+
+def test_lost_connection_is_answered_at_once_and_so_are_repeats(vm):
+    dispatch = granted(vm, call())
+    vm.may_send(dispatch.sequence, 0.0, 0.0)
+    unknown = ("outcome_unknown", execution.Execution.UNKNOWN)
+    assert refused(vm.connection_lost(dispatch.sequence)) == unknown
+    assert refused(vm.begin(call("r-2"), 1.0, 1.0)) == unknown
+
+
+def test_refused_connection_releases_the_claim(vm):
+    dispatch = granted(vm, call())
+    actions = vm.not_sent(dispatch.sequence)
+    assert refused(actions) == ("upstream_unreachable", execution.Execution.NOT_RUN)
+    assert actions[0].record.released
+    assert not vm.may_send(dispatch.sequence, 0.0, 0.0)
+
+
+def test_unreachable_platform_is_told_soon_and_claims_nothing_about_the_key(vm):
+    vm.begin(call(), 0.0, 0.0)
+    assert vm.tick(claims.CLAIM_SECONDS - 0.1) == []
+    actions = vm.tick(claims.CLAIM_SECONDS)
+    assert refused(actions) == ("claims_unavailable", execution.Execution.UNKNOWN)
+
+
+def test_claim_granted_after_giving_up_is_released_not_dispatched(vm):
+    (append,) = vm.begin(call(), 0.0, 0.0)
+    vm.tick(claims.CLAIM_SECONDS)
+    assert vm.settle(claimlog.Granted(append.record), 4.0) == [
+        calls.Append(append.record.release())
+    ]
+
+
+@pytest.mark.parametrize(
+    "outcome, answers, code",
+    [
+        ("forgotten", [], "outcome_unknown"),
+        (None, [], "outcome_unknown"),
+        ("answered", [], "answer_forgotten"),
+    ],
+)
+def test_repeat_elsewhere_learns_what_the_owner_knows(vm, outcome, answers, code):
+    record, (ask,) = existing(vm)
+    assert ask.question == messages.ClaimQuestion(KEY, "vm-2", 4, 9)
+    known = outcome and messages.ClaimAnswer(outcome, answers)
+    assert refused(vm.owner_answered(record.sequence, known, 0.1))[0] == code
+
+
+def test_repeat_elsewhere_gets_the_first_answer(vm):
+    record, _ = existing(vm)
+    known = messages.ClaimAnswer("answered", [ANSWER])
+    assert vm.owner_answered(record.sequence, known, 0.1) == [calls.Reply("r-1", ANSWER)]
+
+
+def test_owner_is_asked_again_while_the_call_runs(vm):
+    record, _ = existing(vm)
+    (ask,) = vm.owner_answered(record.sequence, messages.ClaimAnswer("running", []), 0.1)
+    assert ask.delay == claims.ASK_AGAIN_SECONDS
+    assert refused(vm.tick(30.0))[0] == "call_in_progress"
+
+
+def test_unsent_claim_elsewhere_is_claimed_anew(vm):
+    record, _ = existing(vm)
+    (append,) = vm.owner_answered(record.sequence, messages.ClaimAnswer("not_sent", []), 0.1)
+    assert append == calls.Append(record, fresh=True)
+
+
+def test_owner_answers_only_for_its_own_life(vm):
+    dispatch = granted(vm, call())
+    asked = messages.ClaimQuestion(KEY, "vm-1", 1, dispatch.sequence)
+    assert vm.question(asked)[0].outcome == "running"
+    earlier_life = messages.ClaimQuestion(KEY, "vm-1", 0, dispatch.sequence)
+    assert vm.question(earlier_life)[0].outcome == "forgotten"
+    vm.may_send(dispatch.sequence, 0.0, 0.0)
+    vm.answered(dispatch.sequence, ANSWER)
+    assert vm.question(asked)[0] == messages.ClaimAnswer("answered", [ANSWER])
+
+
+def test_two_bodies_under_one_key_are_refused(vm):
+    granted(vm, call())
+    reused = ("idempotency_key_reused", execution.Execution.NOT_RUN)
+    assert refused(vm.begin(call("r-2", body=b"c" * 8), 0.0, 0.0)) == reused
+    other = claims.Claims(identities.Incarnation("vm-3", 1), invariants.Invariants())
+    assert refused(existing(other, call(body=b"c" * 8))[1]) == reused
+
+
+def test_a_body_seen_before_the_claim_decides_nothing(vm):
+    vm.begin(call(), 0.0, 0.0)
+    assert isinstance(vm.begin(call("r-2", body=b"c" * 8), 0.0, 0.0)[0], calls.Append)
+
+
+@pytest.mark.parametrize("wall, code", [(86_401.0, "expired"), (-301.0, "early")])
+def test_keys_that_bear_a_time_are_held_to_it(vm, wall, code):
+    actions = vm.begin(call(key_time=0.0), 0.0, wall)
+    assert refused(actions)[0] == f"idempotency_key_{code}"
+
+
+def test_memory_is_bounded(vm, monkeypatch):
+    monkeypatch.setattr(claims, "MAX_CALLS", 10)
+    monkeypatch.setattr(claims, "MAX_KEPT_BYTES", 5 * len(ANSWER.body))
+    for number in range(30):
+        dispatch = granted(vm, call(key=bytes([number]) * 16))
+        vm.may_send(dispatch.sequence, 0.0, 0.0)
+        vm.answered(dispatch.sequence, ANSWER)
+    assert vm.remembered <= 10
+    first, last = (vm.begin(call(key=bytes([n]) * 16), 0.0, 0.0)[0] for n in (22, 29))
+    assert first.answer.code == "answer_forgotten"
+    assert first.answer.execution is execution.Execution.RUN
+    assert last.answer == ANSWER
+
+
+def test_every_refusal_has_a_status_and_a_sentence():
+    for code, kind in refusal.KINDS.items():
+        assert refusal.make(code).code == code
+        assert 400 <= kind.status < 600 and kind.message.endswith(".")
+        assert kind.retry_after >= 0
+    assert refusal.make("rate_limited").as_unknown().execution is execution.Execution.UNKNOWN
--- /dev/null
+++ b/hollyring/experiments/tests/test_delivery.py
@@ -0,0 +1,65 @@
+import msgspec
+import pytest
+from click import testing
+from hypothesis import settings, stateful, strategies
+
+from hollyring.experiments import delivery, delivery_world
+
+ORDER = delivery_world.Attempt(b"k" * 16, b"order")
+OTHER = delivery_world.Attempt(b"k" * 16, b"other")
+
+
+@pytest.mark.parametrize(
+    "attempts, faults, seal_records",
+    [([ORDER], 2, 256), ([ORDER, ORDER], 1, 256), ([ORDER, OTHER], 1, 256), ([ORDER], 2, 0)],
+)
+def test_every_order_of_messages_and_faults_keeps_the_promises(attempts, faults, seal_records):
+    explored = delivery.explore(attempts, faults=faults, seal_records=seal_records)
+    assert explored.ends > 0
+    assert explored.unanswered == 0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_random_runs_keep_the_promises(seed):
+    world = delivery.run(seed, vms=9, steps=3_000)
+    assert world.executions > 10
+    assert world.outcomes["answer"] > 10
+
+
+def test_command_prints_json():
+    result = testing.CliRunner().invoke(delivery.delivery, ["--steps", "500", "--json"])
+    assert result.exit_code == 0, result.output
+    assert msgspec.json.decode(result.output)["promises"]["at_most_once"]["violations"] == 0
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Hypothesis picks attempts, deliveries and faults; the world checks after each."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = delivery_world.World(vms=3, seal_records=2)
+        self.begun = 0
+
+    @stateful.rule(
+        vm=strategies.integers(0, 2), key=strategies.integers(0, 2), other=strategies.booleans()
+    )
+    def begin(self, vm, key, other):
+        attempt = delivery_world.Attempt(bytes([key]) * 16, b"other" if other else b"order")
+        self.world.begin(self.begun, attempt, vm)
+        self.begun += 1
+
+    @stateful.rule(picks=strategies.lists(strategies.integers(0, 1000), min_size=1, max_size=8))
+    def go_on(self, picks):
+        for pick in picks:
+            steps = self.world.steps()
+            if steps:
+                self.world.do(steps[pick % len(steps)])
+
+    @stateful.rule(pick=strategies.integers(0, 1000))
+    def fail(self, pick):
+        faults = self.world.faults()
+        self.world.do(faults[pick % len(faults)])
+
+
+ClaimMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestClaims = ClaimMachine.TestCase
