Follow the store and the peers for what is in force

Cause: the thin path read one document from one key. Change: the configuration part runs the follower and InForce of the configuration package, gossips by the peer link, and admits nothing while it is silent or catching up; the launcher submits by compare-and-swap. Conclusion: the thin path's stub is gone.

--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -16,14 +16,16 @@
 import sys
 import time
 import urllib.parse
+import uuid
 from collections.abc import Iterator
 from typing import Any
 
 import anyio
 import httpcore
 
-from hollyring.configuration import documents, objects
+from hollyring.configuration import documents, objects, state, submission
 from hollyring.experiments import errors
+from hollyring.node import platform, store_calls
 
 CONTROL_OFFSET = 50
 """A stand-in's control port is its port plus this."""
@@ -173,12 +175,14 @@
 
     async def submit(self) -> None:
         """Submit the declared configuration as the first revision."""
-        content = documents.encode(self.document).encode()
-        async with httpcore.AsyncConnectionPool() as pool:
-            url = f"{self.platform_url}/kv/config/revision/1?version=0"
-            response = await pool.request("PUT", url, content=content)
-        if response.status != 200:
-            raise errors.ExperimentError(f"configuration not accepted: {response.status}")
+        client = platform.Platform(self.platform_url)
+        change = submission.plan(state.Configuration(), self.document)
+        submitted = submission.Submission(change, uuid.uuid4().hex, "launcher")
+        while submitted.call is not None:
+            submitted.on_answer(await store_calls.perform(client, submitted.call))
+        await client.close()
+        if not isinstance(submitted.outcome, submission.Accepted):
+            raise errors.ExperimentError(f"configuration not accepted: {submitted.outcome}")
 
     def start(self, name: str) -> None:
         """Start one process."""
--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hollyring.configuration import messages as configuration
 from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
 from hollyring.routing import messages as routing
@@ -9,6 +10,10 @@
 MESSAGES: dict[str, type] = {
     f"{class_.__module__.split('.')[1]}.{class_.__name__}": class_
     for class_ in (
+        configuration.Digest,
+        configuration.Fetch,
+        configuration.Deltas,
+        configuration.Segment,
         limits.Ask,
         limits.Grant,
         limits.Return,
--- a/hollyring/node/configuration_part.py
+++ b/hollyring/node/configuration_part.py
@@ -1,55 +1,126 @@
-"""The part that owns what is in force: follows the platform's service."""
+"""The part that owns what is in force: follows the platform's service and the other VMs."""
 
 from __future__ import annotations
 
+import dataclasses
+import random
 from collections.abc import Callable
 from typing import Any
 
-import anyio
-
-from hollyring.configuration import documents, state
+from hollyring import configuration
+from hollyring.configuration import in_force, messages, state, store
+from hollyring.core import identities, invariants
 from hollyring.delivery import refusal
-from hollyring.node import errors, logs, platform
+from hollyring.node import logs, part, platform, store_calls
 
-RETRY_SECONDS = 0.5
+SEED_BITS = 64
 
 Listener = Callable[[state.Configuration], None]
+Send = Callable[[str, object], None]
+
+
+@dataclasses.dataclass(slots=True)
+class _Answered:
+    answer: store.Answer
+    ticket: part.Ticket[None]
+
+
+@dataclasses.dataclass(slots=True)
+class _FromPeer:
+    sender: str
+    message: messages.Message
+
 
+class ConfigurationPart(part.Part):
+    """Owns this VM's `InForce` and the follower of the store.
 
-class ConfigurationPart:
-    """Keeps the configuration in force on this VM."""
+    Parameters
+    ----------
+    client
+        The platform's service.
+    send
+        Called with a VM's name and a message for it.
+    live_peers
+        Returns the names of the other VMs that are alive.
+    listeners
+        Called with each configuration that comes into force.
+    """
 
-    def __init__(self, client: platform.Platform, listeners: list[Listener]) -> None:
+    def __init__(
+        self,
+        me: identities.Incarnation,
+        counters: invariants.Invariants,
+        client: platform.Platform,
+        send: Send,
+        live_peers: Callable[[], list[str]],
+        listeners: list[Listener],
+    ) -> None:
+        super().__init__(in_force.TICK_SECONDS)
+        self._draw = random.Random(f"configuration of {me}")
         self._client = client
+        self._send = send
+        self._live_peers = live_peers
         self._listeners = listeners
         self._log = logs.Log("config")
-        self.current = state.Configuration()
+        self._in_force = configuration.InForce(counters, self.now)
+        self._follower = configuration.Follower(self._in_force, self._seed(), self.now)
+        self._told = state.Configuration()
+        self._admission = in_force.Admission.NOT_CONFIGURED
+
+    @property
+    def current(self) -> state.Configuration:
+        """The configuration in force; it never changes in place."""
+        return self._in_force.configuration
 
     def refusal(self) -> refusal.Refusal | None:
-        """Return why this VM admits nothing, None while it does."""
-        return None if self.current.revision else refusal.make("configuration_stale")
+        """Return why this VM admits nothing now, None while it admits."""
+        if self._in_force.admission(self.now) is in_force.Admission.ADMITS:
+            return None
+        return refusal.make("configuration_stale")
 
-    async def run(self) -> None:
-        """Follow the revisions until cancelled."""
+    async def follow(self) -> None:
+        """Make the calls on the store that the follower asks for, until cancelled."""
         while True:
-            key = f"config/revision/{self.current.revision + 1}"
-            try:
-                entry = await self._client.watch(key, 0)
-            except errors.PlatformError:
-                await anyio.sleep(RETRY_SECONDS)
-                continue
-            if entry is not None and entry.version:
-                self._apply(entry.value)
+            answer = await store_calls.perform(self._client, self._follower.call)
+            ticket: part.Ticket[None] = part.Ticket()
+            self.tell(_Answered(answer, ticket))
+            await ticket.wait()
+
+    def from_peer(self, sender: str, message: messages.Message) -> None:
+        """Take a message about the configuration from another VM."""
+        self.tell(_FromPeer(sender, message))
+
+    def handle(self, message: Any) -> None:
+        """Take one message."""
+        match message:
+            case _Answered():
+                self._send_all(self._follower.on_answer(message.answer, self.now))
+                message.ticket.answer(None)
+            case _FromPeer():
+                self._send_all(self._in_force.on_message(message.sender, message.message, self.now))
+
+    def tick(self) -> None:
+        """Gossip, and note whether this VM admits."""
+        self._send_all(self._in_force.tick(self.now, self._live_peers(), self._seed()))
+        admission = self._in_force.admission(self.now)
+        if admission is not self._admission:
+            self._admission = admission
+            self._log.say("admission changed", admission=str(admission))
 
     def dump(self) -> dict[str, Any]:
-        """Return the state."""
-        return {"revision": self.current.revision}
-
-    def _apply(self, value: bytes) -> None:
-        document = documents.decode(value)
-        self.current = state.Configuration().changed(
-            self.current.revision + 1, "", document.objects, []
-        )
-        self._log.say("revision in force", revision=self.current.revision)
+        """Return the state without key digests."""
+        return self._in_force.dump(self.now)
+
+    def _seed(self) -> int:
+        return self._draw.getrandbits(SEED_BITS)
+
+    def _send_all(self, sends: list[messages.Send]) -> None:
+        for send in sends:
+            self._send(send.to, send.message)
+        current = self._in_force.configuration
+        if current.revision == self._told.revision:
+            return
+        self._told = current
+        self._log.say("revision in force", revision=current.revision)
         for listener in self._listeners:
-            listener(self.current)
+            listener(current)
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -1,5 +1,28 @@
 // Messages between VMs. Printed by bin/generate; do not edit.
 
+struct ConfigurationDigest {
+  1: optional i64 revision
+  2: optional string digest
+  3: optional bool answer
+}
+
+struct ConfigurationFetch {
+  1: optional i64 after
+}
+
+struct ConfigurationDeltas {
+  1: optional i64 after
+  2: optional list<binary> values
+}
+
+struct ConfigurationSegment {
+  1: optional i64 revision
+  2: optional binary head
+  3: optional i64 index
+  4: optional i64 count
+  5: optional binary body
+}
+
 struct LimitsAsk {
   1: optional string organisation
   2: optional i64 incarnation
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -87,7 +87,12 @@
             self._ask_peer,
         )
         self._configuration = configuration_part.ConfigurationPart(
-            self._platform, [self._configure, self._limits.configure, self._routing.configure]
+            self._me,
+            self._invariants,
+            self._platform,
+            self._send,
+            self._live_peers,
+            [self._configure, self._limits.configure, self._routing.configure],
         )
         self._claims = claims_part.ClaimsPart(
             self._me, self._invariants, self._platform, self._ask_peer
@@ -123,6 +128,7 @@
             group.start_soon(self._claims.run)
             group.start_soon(self._routing.run)
             group.start_soon(self._configuration.run)
+            group.start_soon(self._configuration.follow)
             group.start_soon(admins.serve)
             group.start_soon(self._stop_on_signal, callers)
             self._log.say("serving", incarnation=str(self._me))
@@ -163,6 +169,9 @@
         for item in configuration.vms.values():
             self._peer_addresses[item.name] = item.peer_address
 
+    def _live_peers(self) -> list[str]:
+        return [name for name in self._peer_addresses if name != self._me.name]
+
     def _send(self, name: str, message: object) -> None:
         address = self._peer_addresses.get(name)
         if address is not None:
@@ -177,6 +186,8 @@
     async def _from_peer(self, sender: identities.Incarnation, message: object) -> object | None:
         package = type(message).__module__.split(".")[1]
         match package:
+            case "configuration":
+                self._configuration.from_peer(sender.name, message)  # type: ignore[arg-type]
             case "limits":
                 self._limits.from_peer(sender.name, message)
             case "routing" if isinstance(message, routing_messages.Lookup):
--- /dev/null
+++ b/hollyring/node/store_calls.py
@@ -0,0 +1,47 @@
+"""Makes the calls on the platform's service that the configuration's machines ask for."""
+
+from __future__ import annotations
+
+import anyio
+
+from hollyring.configuration import store
+from hollyring.node import errors, platform
+
+
+async def perform(client: platform.Platform, call: store.Call) -> store.Answer:
+    """Make one call and return its answer; a call without a usable answer has `Failed`."""
+    try:
+        return await _perform(client, call)
+    except errors.PlatformError:
+        return store.Failed()
+
+
+async def _perform(client: platform.Platform, call: store.Call) -> store.Answer:
+    match call:
+        case store.Pause():
+            await anyio.sleep(call.seconds)
+            return store.Waited()
+        case store.Read():
+            return _found(await client.get(call.key))
+        case store.Watch():
+            return _found(await client.watch(call.key, 0, call.seconds))
+        case store.Write():
+            written = await client.put(call.key, call.value, call.version)
+            return store.Written() if written.done else store.Conflict()
+        case store.Delete():
+            return await _delete(client, call.key)
+
+
+def _found(entry: platform.Entry | None) -> store.Answer:
+    if entry is None or not entry.version:
+        return store.Absent()
+    return store.Found(entry.value, entry.version)
+
+
+async def _delete(client: platform.Platform, key: str) -> store.Answer:
+    """Delete a key whatever its version; one that keeps changing is left alone."""
+    entry = await client.get(key)
+    if not entry.version:
+        return store.Absent()
+    done = await client.delete(key, entry.version)
+    return store.Written() if done else store.Failed()
