--- a/hollyring/membership/__init__.py
+++ b/hollyring/membership/__init__.py
@@ -1,1 +1,5 @@
-"""Liveness of VMs and upstreams, entry addresses for callers, and leases."""
+"""Liveness of VMs, the addresses that callers are told, and leases."""
+
+from hollyring.membership import entry, errors, leases
+
+__all__ = ["entry", "errors", "leases"]
--- /dev/null
+++ b/hollyring/membership/leases.py
@@ -0,0 +1,357 @@
+"""The one lease client: exclusive rights through the platform's service, with fencing numbers.
+
+The holder counts its time from the moment at which it sent the call that began or renewed the
+lease, which is never later than the service counts from; clocks are monotonic, so steps of the
+wall clock change nothing.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from hollyring.core import identities
+
+DRIFT = 0.02
+"""Share of the time to live by which two clocks may drift apart."""
+
+MARGIN_SECONDS = 0.25
+"""Further time before expiry in which the holder no longer acts."""
+
+RENEW_SHARE = 1.0 / 3.0
+"""Share of the time to live after which a lease is renewed."""
+
+RETRY_SECONDS = 0.5
+RETRY_LIMIT_SECONDS = 8.0
+
+
+class Phase(enum.Enum):
+    """How far the client has come."""
+
+    IDLE = enum.auto()
+    READING = enum.auto()
+    GRANTING = enum.auto()
+    WRITING = enum.auto()
+    CONFIRMING = enum.auto()
+    HELD = enum.auto()
+    CLOSED = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadHolder:
+    """Read the key; outcomes `Holder` and `Failed`. `call` comes back with the outcome."""
+
+    call: int
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Ask for a lease of `ttl` seconds; outcomes `LeaseGranted` and `Failed`."""
+
+    call: int
+    ttl: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteHolder:
+    """Compare-and-swap the key under a lease; outcomes `HolderWritten`, `Refused`, `Failed`."""
+
+    call: int
+    key: str
+    value: bytes
+    version: int
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RenewLease:
+    """Renew a lease; outcomes `Renewed`, `Refused` when it has lapsed, and `Failed`."""
+
+    call: int
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseLease:
+    """Give a lease up; its outcome is not needed."""
+
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acquired:
+    """The lease is held; orders bear this fencing number."""
+
+    fencing: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The lease is no longer held."""
+
+    fencing: int
+
+
+Action = ReadHolder | GrantLease | WriteHolder | RenewLease | ReleaseLease | Acquired | Lost
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """The key's value and version; version 0 for an absent key."""
+
+    call: int
+    value: bytes
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """The service granted this lease."""
+
+    call: int
+    lease: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HolderWritten:
+    """The write took effect, as this version."""
+
+    call: int
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewed:
+    """The lease was renewed."""
+
+    call: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The service refused: another holds the key, or the lease has lapsed."""
+
+    call: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """No answer; the call may have taken effect."""
+
+    call: int
+
+
+Event = Holder | LeaseGranted | HolderWritten | Renewed | Refused | Failed
+
+
+class Lease:
+    """One VM's claim on an exclusive right.
+
+    Parameters
+    ----------
+    key
+        Key of the platform's service that stands for the right.
+    owner
+        This life of this VM.
+    ttl
+        Seconds that the lease lives without renewal.
+
+    Examples
+    --------
+    >>> lease = Lease("leases/orders", identities.Incarnation("vm-1", 1), ttl=10.0)
+    >>> lease.tick(now=0.0)
+    [ReadHolder(call=1, key='leases/orders')]
+    >>> lease.handle(Holder(1, b"", 0), now=0.0)
+    [GrantLease(call=2, ttl=10.0)]
+    >>> write, = lease.handle(LeaseGranted(2, "L1"), now=0.1)
+    >>> lease.handle(HolderWritten(write.call, 41), now=0.2)
+    [Acquired(fencing=41)]
+    >>> lease.fencing(now=5.0), lease.fencing(now=9.9)
+    (41, None)
+    """
+
+    __slots__ = (
+        "_key",
+        "_value",
+        "_ttl",
+        "_phase",
+        "_call",
+        "_pending",
+        "_lease",
+        "_sent_at",
+        "_renew_sent_at",
+        "_expires_at",
+        "_fencing",
+        "_due",
+        "_failures",
+        "_version",
+    )
+
+    def __init__(self, key: str, owner: identities.Incarnation, ttl: float) -> None:
+        self._key = key
+        self._value = str(owner).encode()
+        self._ttl = ttl
+        self._phase = Phase.IDLE
+        self._call = 0
+        self._pending = 0
+        self._lease = ""
+        self._sent_at = 0.0
+        self._renew_sent_at = 0.0
+        self._expires_at = 0.0
+        self._fencing = 0
+        self._due = 0.0
+        self._failures = 0
+        self._version = 0
+
+    @property
+    def due(self) -> float | None:
+        """When `tick` has work to do, or None."""
+        if self._phase is Phase.HELD:
+            return self._expires_at if self._pending else min(self._due, self._expires_at)
+        return self._due if self._phase is Phase.IDLE else None
+
+    @property
+    def phase(self) -> Phase:
+        """How far the client has come, for the state dump."""
+        return self._phase
+
+    def fencing(self, now: float, needed: float = 0.0) -> int | None:
+        """Return the fencing number if an act that takes `needed` seconds may begin now.
+
+        Asked before each act; a holder that was paused past expiry finds out here.
+        """
+        if self._phase is not Phase.HELD or now + needed >= self._expires_at:
+            return None
+        return self._fencing
+
+    def remaining(self, now: float) -> float:
+        """Return the seconds for which the holder may still act; 0 when it may not."""
+        return max(0.0, self._expires_at - now) if self._phase is Phase.HELD else 0.0
+
+    def tick(self, now: float) -> list[Action]:
+        """Begin to acquire, renew, or notice expiry, as the time demands."""
+        if self._phase is Phase.HELD and now >= self._expires_at:
+            return self._lose(now)
+        if now < self._due or self._pending:
+            return []
+        if self._phase is Phase.IDLE:
+            self._phase = Phase.READING
+            return [ReadHolder(self._next_call(), self._key)]
+        if self._phase is Phase.HELD:
+            self._renew_sent_at = now
+            return [RenewLease(self._next_call(), self._lease)]
+        return []
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take in the outcome of a call; outcomes of calls given up are ignored."""
+        if event.call != self._pending or self._phase is Phase.CLOSED:
+            return []
+        self._pending = 0
+        if self._phase is Phase.HELD and now >= self._expires_at:
+            return self._lose(now)
+        match event, self._phase:
+            case Holder(), Phase.READING:
+                return self._read(event, now)
+            case Holder(), Phase.CONFIRMING:
+                return self._confirm(event, now)
+            case LeaseGranted(), Phase.GRANTING:
+                self._lease = event.lease
+                return self._write()
+            case HolderWritten(), Phase.WRITING:
+                return self._hold(event.version, now)
+            case Failed(), Phase.WRITING:
+                return self._confirm_write()
+            case Refused(), Phase.WRITING:
+                return self._release(now)
+            case Failed(), Phase.CONFIRMING:
+                return self._confirm_again(now)
+            case Renewed(), Phase.HELD:
+                self._prolong(self._renew_sent_at)
+                return []
+            case Failed(), Phase.HELD:
+                self._back_off(now)
+                return []
+            case Refused(), Phase.HELD:
+                return self._lose(now)
+        self._phase = Phase.IDLE
+        self._back_off(now)
+        return []
+
+    def close(self) -> list[Action]:
+        """Give the right up for good; call it when the last act under it has ended."""
+        held = self._phase is Phase.HELD
+        self._phase = Phase.CLOSED
+        self._pending = 0
+        actions: list[Action] = [ReleaseLease(self._lease)] if self._lease else []
+        return [*actions, Lost(self._fencing)] if held else actions
+
+    def _read(self, event: Holder, now: float) -> list[Action]:
+        if event.version != 0:
+            self._phase = Phase.IDLE
+            self._due = now + self._ttl / 2
+            return []
+        self._version = event.version
+        self._phase = Phase.GRANTING
+        self._sent_at = now
+        return [GrantLease(self._next_call(), self._ttl)]
+
+    def _write(self) -> list[Action]:
+        self._phase = Phase.WRITING
+        call = self._next_call()
+        return [WriteHolder(call, self._key, self._token(), self._version, self._lease)]
+
+    def _token(self) -> bytes:
+        """Return the value that tells this acquisition from every other one."""
+        return self._value + b"/" + self._lease.encode()
+
+    def _confirm_write(self) -> list[Action]:
+        self._phase = Phase.CONFIRMING
+        return [ReadHolder(self._next_call(), self._key)]
+
+    def _confirm(self, event: Holder, now: float) -> list[Action]:
+        """Decide by reading back whether a write without an answer took effect."""
+        if event.value == self._token() and event.version:
+            return self._hold(event.version, now)
+        return self._release(now)
+
+    def _confirm_again(self, now: float) -> list[Action]:
+        if now >= self._end(self._sent_at):
+            return self._release(now)
+        return self._confirm_write()
+
+    def _hold(self, version: int, now: float) -> list[Action]:
+        self._fencing = version
+        self._prolong(self._sent_at)
+        if now >= self._expires_at:
+            return self._release(now)
+        self._phase = Phase.HELD
+        return [Acquired(version)]
+
+    def _release(self, now: float) -> list[Action]:
+        """Give up this try; the write, should it land late, goes with its lease."""
+        lease, self._lease = self._lease, ""
+        self._phase = Phase.IDLE
+        self._back_off(now)
+        return [ReleaseLease(lease)] if lease else []
+
+    def _lose(self, now: float) -> list[Action]:
+        return [Lost(self._fencing), *self._release(now)]
+
+    def _prolong(self, sent_at: float) -> None:
+        self._failures = 0
+        self._expires_at = self._end(sent_at)
+        self._due = sent_at + self._ttl * RENEW_SHARE
+
+    def _end(self, sent_at: float) -> float:
+        return sent_at + self._ttl * (1.0 - DRIFT) - MARGIN_SECONDS
+
+    def _back_off(self, now: float) -> None:
+        self._failures += 1
+        pause = RETRY_SECONDS * 2 ** min(self._failures - 1, 10)
+        self._due = now + min(RETRY_LIMIT_SECONDS, self._ttl / 6, pause)
+
+    def _next_call(self) -> int:
+        self._call += 1
+        self._pending = self._call
+        return self._call
