--- a/hollyring/standins/cache_store.py
+++ b/hollyring/standins/cache_store.py
@@ -56,6 +56,10 @@
             case _:
                 raise errors.StandinError(404, "not_found", request.path)
 
+    def loading_seconds(self, loading: int) -> float:
+        """Return how long weights take while `loading` engines load."""
+        return self._weights_seconds * max(1.0, loading / self._weights_concurrency)
+
     def _put(self, name: str, body: bytes) -> None:
         if self.fault("loss"):
             return
@@ -69,7 +73,6 @@
         self.counters["weights"] += 1
         self.counters["most_loading"] = max(self.counters["most_loading"], self._loading)
         try:
-            over = max(1.0, self._loading / self._weights_concurrency)
-            await anyio.sleep(self._weights_seconds * over)
+            await anyio.sleep(self.loading_seconds(self._loading))
         finally:
             self._loading -= 1
--- a/hollyring/standins/tests/test_service.py
+++ b/hollyring/standins/tests/test_service.py
@@ -1,3 +1,4 @@
+import anyio
 import pytest
 
 from hollyring.standins import cache_store, service
@@ -42,3 +43,14 @@
     assert (await call("GET", "/blocks/a")).status == 404
     assert (await call("GET", "/blocks/c")).body == b"c"
     assert (await call("GET", "/has?blocks=a,b,c")).json() == {"present": ["b", "c"]}
+
+
+async def test_weight_store_counts_what_loads_at_once(caller):
+    store = cache_store.CacheStore(weights_seconds=0.05, weights_concurrency=2)
+    call = caller(store.handle)
+    async with anyio.create_task_group() as group:
+        for number in range(3):
+            group.start_soon(call, "GET", f"/weights/parish/v{number}")
+    assert store.counters["most_loading"] == 3
+    assert store.loading_seconds(2) == store.loading_seconds(1)
+    assert store.loading_seconds(4) == pytest.approx(2 * store.loading_seconds(2))
