--- /dev/null
+++ b/hollyring/experiments/demo.py
@@ -0,0 +1,211 @@
+"""The demonstration: a deployment as separate processes, traffic, two kills, and the promises."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import pathlib
+import random
+import signal
+import time
+from collections.abc import Callable
+
+import anyio
+import httpcore
+import msgspec
+
+from hollyring.configuration import documents, objects
+from hollyring.experiments import launcher, load
+
+SEED = 7
+OUTPUT_TOKENS = 40
+CALLERS = 12
+PAUSE_SECONDS = 0.1
+SETTLE_SECONDS = 3.0
+KILL_VM_AT = 0.3
+KILL_ENGINE_AT = 0.5
+"""Parts of the run after which a VM and a language server are killed."""
+
+DRAIN_SECONDS = 20.0
+ORDERS_PATH = "/orders"
+REFUSALS_EXPECTED = frozenset({"outcome_unknown"})
+
+Say = Callable[[str], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Promise:
+    """One promise, how often it was put to the test and how often it was broken."""
+
+    name: str
+    trials: int
+    violations: int
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What the run saw.
+
+    Parameters
+    ----------
+    first_token
+        Seconds by quantile.
+    hit_rate
+        Cached part of all prompt tokens, from 0 to 1.
+    """
+
+    requests: int = 0
+    complete: int = 0
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
+    retried: int = 0
+    hit_rate: float = 0.0
+    first_token: dict[str, float] = dataclasses.field(default_factory=dict)
+    processes: int = 0
+    promises: list[Promise] = dataclasses.field(default_factory=list)
+
+    @property
+    def kept(self) -> bool:
+        """Whether no promise was broken."""
+        return not any(promise.violations for promise in self.promises)
+
+
+async def run(
+    document: documents.Document,
+    folder: pathlib.Path,
+    platform_port: int,
+    seconds: float,
+    say: Say,
+) -> Report:
+    """Run the demonstration and return its report."""
+    fleet = launcher.Fleet(document, folder, platform_port, launcher.EngineOptions(speed=4.0))
+    try:
+        say(f"starting {len(fleet.programs)} processes, logs in {folder}")
+        await fleet.start_all()
+        await anyio.sleep(SETTLE_SECONDS)
+        return await _drive(fleet, seconds, say)
+    finally:
+        fleet.stop()
+
+
+async def _drive(fleet: launcher.Fleet, seconds: float, say: Say) -> Report:
+    outcomes: list[load.Outcome] = []
+    client = load.Client()
+    ends = time.monotonic() + seconds
+    say(f"driving chat, streams and orders for {seconds:g} s")
+    async with anyio.create_task_group() as group:
+        for number in range(CALLERS):
+            group.start_soon(_caller, fleet, client, number, ends, outcomes)
+        await anyio.sleep(seconds * KILL_VM_AT)
+        victim = fleet.vms[0].name
+        say(f"killing {victim}")
+        fleet.signal(victim, signal.SIGKILL)
+        await anyio.sleep(seconds * (KILL_ENGINE_AT - KILL_VM_AT))
+        engine = next(u.name for u in fleet.upstreams if u.kind == "engine")
+        say(f"killing {engine}")
+        fleet.signal(engine, signal.SIGKILL)
+    await client.close()
+    return await _report(fleet, outcomes)
+
+
+async def _caller(
+    fleet: launcher.Fleet,
+    client: load.Client,
+    number: int,
+    ends: float,
+    outcomes: list[load.Outcome],
+) -> None:
+    """Send requests one after the other until the time is up."""
+    draw = random.Random(f"{SEED}-{number}")
+    names = [item.name for item in fleet.document.objects if isinstance(item, objects.Organisation)]
+    organisation = names[number % len(names)]
+    model = next(item.name for item in fleet.document.objects if isinstance(item, objects.Model))
+    entries = [vm.caller_address for vm in fleet.vms]
+    caller = load.Caller(organisation, f"demo-key-{organisation}", entries)
+    prompts = load.Prompts(draw)
+    counter = 0
+    while time.monotonic() < ends:
+        counter += 1
+        caller.entries = await client.entry(caller.entries)
+        match counter % 3:
+            case 0:
+                identity = f"order-{number}-{counter}"
+                outcomes.append(await client.order(caller, ORDERS_PATH, identity))
+                outcomes.append(await client.order(caller, ORDERS_PATH, identity))
+            case kind:
+                outcomes.append(
+                    await client.complete(
+                        caller, model, prompts.next(), OUTPUT_TOKENS, stream=kind == 1
+                    )
+                )
+        await anyio.sleep(PAUSE_SECONDS * draw.random())
+
+
+async def _report(fleet: launcher.Fleet, outcomes: list[load.Outcome]) -> Report:
+    report = Report(requests=len(outcomes), processes=len(fleet.programs))
+    report.complete = sum(outcome.complete for outcome in outcomes)
+    report.refused = dict(collections.Counter(o.code for o in outcomes if o.code))
+    report.retried = sum(outcome.tries > 1 for outcome in outcomes)
+    prompt_tokens = sum(outcome.prompt_tokens for outcome in outcomes)
+    cached_tokens = sum(outcome.cached_tokens for outcome in outcomes)
+    report.hit_rate = cached_tokens / prompt_tokens if prompt_tokens else 0.0
+    report.first_token = quantiles([o.first_token for o in outcomes])
+    executions = await _executions(fleet)
+    report.promises = _promises(outcomes, executions) + await _inside(fleet)
+    return report
+
+
+def quantiles(seconds: list[float]) -> dict[str, float]:
+    """Return p50, p95 and p99 of `seconds` without its NaN values; empty if none are left."""
+    known = sorted(value for value in seconds if not math.isnan(value))
+    if not known:
+        return {}
+    last = len(known) - 1
+    return {f"p{q}": known[min(last, math.ceil(q / 100 * len(known)) - 1)] for q in (50, 95, 99)}
+
+
+def _promises(outcomes: list[load.Outcome], executions: collections.Counter[str]) -> list[Promise]:
+    chats = [outcome for outcome in outcomes if outcome.kind != "order"]
+    orders = [outcome for outcome in outcomes if outcome.kind == "order"]
+    whole = [outcome for outcome in chats if outcome.complete]
+    answered = [outcome for outcome in orders if outcome.complete]
+    lost = [o for o in chats if not o.complete and not o.execution]
+    ran = sum(executions.values())
+    known = {outcome.order for outcome in answered}
+    return [
+        Promise("every answer is the caller's own, whole and in order", len(whole),
+                sum(not outcome.right for outcome in whole)),
+        Promise("every chat has a final answer", len(chats), len(lost)),
+        Promise("an order runs at most once", len(executions),
+                sum(count > 1 for count in executions.values())),
+        Promise("an answered order ran", len(known), max(0, len(known) - ran)),
+        Promise("a repeated order gets the first answer or a truthful refusal", len(orders),
+                sum(not o.complete and not o.execution for o in orders)),
+    ]  # fmt: skip
+
+
+async def _executions(fleet: launcher.Fleet) -> collections.Counter[str]:
+    """Return how often the services executed each order, by their own books."""
+    total: collections.Counter[str] = collections.Counter()
+    async with httpcore.AsyncConnectionPool() as pool:
+        for upstream in fleet.upstreams:
+            if upstream.kind != "service":
+                continue
+            response = await pool.request("GET", f"{fleet.control_url(upstream.name)}/executions")
+            total.update(msgspec.json.decode(response.content, type=dict[str, int]))
+    return total
+
+
+async def _inside(fleet: launcher.Fleet) -> list[Promise]:
+    """Return the invariants that the VMs checked inside, summed over those alive."""
+    checks: collections.Counter[str] = collections.Counter()
+    violations: collections.Counter[str] = collections.Counter()
+    async with httpcore.AsyncConnectionPool() as pool:
+        for vm in fleet.vms:
+            if not fleet.running(vm.name):
+                continue
+            response = await pool.request("GET", f"http://{vm.admin_address}/state")
+            for name, counts in msgspec.json.decode(response.content)["invariants"].items():
+                checks[name] += counts["checks"]
+                violations[name] += counts["violations"]
+    return [Promise(f"inside: {name}", checks[name], violations[name]) for name in sorted(checks)]
--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -35,6 +35,7 @@
 POLL_SECONDS = 0.05
 STOP_SECONDS = 10.0
 PEER_KEY = "demonstration-peer-key"
+SEEDS = 3
 PORTS_PER_FLEET = 700
 
 
@@ -133,6 +134,7 @@
             "admin_address": vm.admin_address,
             "platform": self.platform_url,
             "peer_keys": [PEER_KEY],
+            "seeds": [other.peer_address for other in self.vms[:SEEDS]],
             "log_file": str(self._folder / f"{vm.name}.log"),
             **self._vm_settings,
         }
--- a/hollyring/experiments/load.py
+++ b/hollyring/experiments/load.py
@@ -86,15 +86,36 @@
     A failed connection is tried again at the next VM; an order keeps its ``Idempotency-Key``.
     """
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pool", "_entries", "_keep_until")
 
     def __init__(self) -> None:
         self._pool = httpcore.AsyncConnectionPool(max_connections=1_000, keepalive_expiry=5.0)
+        self._entries: list[str] = []
+        self._keep_until = 0.0
 
     async def close(self) -> None:
         """Close the connections."""
         await self._pool.aclose()
 
+    async def entry(self, known: list[str]) -> list[str]:
+        """Return which VMs to use, asked of the first of `known` that answers; kept a while."""
+        now = time.monotonic()
+        if self._entries and now < self._keep_until:
+            return self._entries
+        for address in self._entries or known:
+            try:
+                with anyio.fail_after(CONNECT_SECONDS):
+                    response = await self._pool.request("GET", f"http://{address}/v1/entry")
+                found = msgspec.json.decode(response.content)
+                entries = [vm["address"] for vm in found["vms"]]
+            except (*_FAILURES, msgspec.MsgspecError, KeyError):
+                continue
+            if entries:
+                self._entries = entries
+                self._keep_until = now + found["keep_seconds"]
+                return entries
+        return known
+
     async def complete(
         self, caller: Caller, model: str, prompt: str, max_tokens: int, stream: bool
     ) -> Outcome:
--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -5,6 +5,7 @@
 from hollyring.configuration import messages as configuration
 from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
+from hollyring.membership import messages as membership
 from hollyring.routing import messages as routing
 
 MESSAGES: dict[str, type] = {
@@ -23,6 +24,11 @@
         limits.Settled,
         delivery.ClaimQuestion,
         delivery.ClaimAnswer,
+        membership.Ping,
+        membership.Ack,
+        membership.PingRequest,
+        membership.SyncRequest,
+        membership.Sync,
         routing.Lookup,
         routing.LookupAnswer,
     )
--- a/hollyring/node/front.py
+++ b/hollyring/node/front.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import urllib.parse
+
 from hollyring.delivery import refusal
-from hollyring.node import asgi, completions, outlets, rights, services, vm
+from hollyring.node import asgi, completions, membership_part, outlets, rights, services, vm
 
 HTTP_OK = 200
 
@@ -42,6 +44,8 @@
                 await completions.serve(node, scope, receive, send, chat=False)
             case "GET", "/v1/models":
                 await _models(node, scope, send)
+            case "GET", "/v1/entry":
+                await _entry(node, scope, send)
             case _:
                 await services.serve(node, scope, receive, send)
 
@@ -58,3 +62,24 @@
         if rights.permits(caller, model.name)
     ]
     await asgi.answer_json(send, HTTP_OK, {"object": "list", "data": models})
+
+
+async def _entry(node: vm.VM, scope: asgi.Scope, send: asgi.Send) -> None:
+    """Tell a caller which VMs to use, in order, and how long to keep the answer."""
+    query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
+    caller = membership_part.caller_of(
+        scope.get("client"), query.get("failure_domain", ""), query.get("region", "")
+    )
+    found = await node.membership.entry(caller)
+    vms = [
+        {
+            "name": item.name,
+            "address": item.address,
+            "failure_domain": item.failure_domain,
+            "region": item.region,
+        }
+        for item in found.vms
+    ]
+    keep = (b"cache-control", f"max-age={int(found.keep_seconds)}".encode())
+    body = {"vms": vms, "keep_seconds": found.keep_seconds}
+    await asgi.answer_json(send, HTTP_OK, body, [keep])
--- a/hollyring/node/routing_part.py
+++ b/hollyring/node/routing_part.py
@@ -4,15 +4,18 @@
 
 import dataclasses
 import random
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
 import anyio.abc
+import msgspec
 
 from hollyring.configuration import objects, state
 from hollyring.core import identities, invariants, pieces
 from hollyring.delivery import refusal
+from hollyring.membership import members
 from hollyring.node import part, watching
 from hollyring.routing import messages, policies, prefix, requests, router, upstreams
 
@@ -21,6 +24,12 @@
 LOOKUP_SECONDS = 0.02
 """Longest wait for the watchers' answers; then the choice is made with what is held."""
 
+UPSTREAM_ENTRY = "upstream/"
+"""Prefix of the entries by which a watcher tells all VMs what an upstream serves."""
+
+MILLISECONDS = 1_000
+
+PutEntry = Callable[[str, int, bytes], None]
 AskPeer = Callable[[str, object, float], Awaitable[object | None]]
 
 
@@ -106,9 +115,15 @@
     vms: list[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Heard:
+    upstream: str
+    value: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class _Seen:
-    """What an upstream last said of itself."""
+    """What an upstream last said of itself: its life, versions by model, whether it leaves."""
 
     incarnation: int
     models: dict[str, str]
@@ -124,6 +139,8 @@
         Name of the placement policy.
     ask_peer
         Asks a VM by name and returns its reply, or None.
+    put_entry
+        Lets a small value travel to every VM: name, version, value.
     """
 
     def __init__(
@@ -134,8 +151,10 @@
         policy: str,
         counters: invariants.Invariants,
         ask_peer: AskPeer,
+        put_entry: PutEntry,
     ) -> None:
         super().__init__(TICK_SECONDS)
+        self._put_entry = put_entry
         self._me = me
         self._region = region
         self._failure_domain = failure_domain
@@ -202,6 +221,10 @@
         """Take in a configuration that came into force."""
         self.tell(_Configure(configuration))
 
+    def upstream_heard(self, entry: str, value: bytes) -> None:
+        """Take in what another VM's watcher says of an upstream."""
+        self.tell(_Heard(entry.removeprefix(UPSTREAM_ENTRY), value))
+
     def set_live(self, vms: list[str]) -> None:
         """Take in the VMs of this region that are alive and share the watching."""
         self.tell(_Live(vms))
@@ -225,6 +248,8 @@
             case _Configure():
                 self._configuration = message.configuration
                 self._configure()
+            case _Heard():
+                self._hear(message)
             case _Live():
                 self._live = message.vms
                 self._configure()
@@ -289,6 +314,22 @@
         if self._seen.get(message.upstream) == seen:
             return
         self._seen[message.upstream] = seen
+        value = msgspec.msgpack.encode([seen.incarnation, seen.models, seen.leaving])
+        if len(value) <= members.MAX_VALUE_BYTES:
+            version = int(time.time() * MILLISECONDS)
+            self._put_entry(UPSTREAM_ENTRY + message.upstream, version, value)
+        self._configure()
+
+    def _hear(self, message: _Heard) -> None:
+        if message.upstream in self._watchers:
+            return
+        try:
+            incarnation, models, leaving = msgspec.msgpack.decode(
+                message.value, type=tuple[int, dict[str, str], bool]
+            )
+        except msgspec.MsgspecError:
+            return
+        self._seen[message.upstream] = _Seen(incarnation, models, leaving)
         self._configure()
 
     def _configure(self) -> None:
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -13,6 +13,7 @@
 from hollyring.configuration import state
 from hollyring.core import identities, invariants
 from hollyring.delivery import messages as delivery_messages
+from hollyring.membership import messages
 from hollyring.node import (
     admin,
     catalogue,
@@ -22,6 +23,7 @@
     front,
     limits_part,
     logs,
+    membership_part,
     metrics,
     peers,
     platform,
@@ -72,10 +74,25 @@
         self._invariants = invariants.Invariants(strict=False)
         self._metrics = metrics.Metrics()
         self._platform = platform.Platform(given.platform)
-        self._peer_addresses: dict[str, str] = {}
         codec = wire.Wire(catalogue.MESSAGES)
         self._peers = peers.Peers(
-            self._me, given.peer_keys, codec, self._from_peer, self._peer_addresses.get
+            self._me, given.peer_keys, codec, self._from_peer, self._address_of
+        )
+        self._roster: dict[str, str] = {}
+        self._membership = membership_part.MembershipPart(
+            messages.Profile(
+                given.name,
+                self._me.number,
+                given.peer_address,
+                given.caller_address,
+                given.failure_domain,
+                given.region,
+            ),
+            given.seeds,
+            self._platform,
+            self._peers.send,
+            self._on_live,
+            self._on_entry,
         )
         self._limits = limits_part.LimitsPart(self._me, self._invariants, self._send)
         self._routing = routing_part.RoutingPart(
@@ -85,13 +102,14 @@
             given.policy,
             self._invariants,
             self._ask_peer,
+            self._membership.put,
         )
         self._configuration = configuration_part.ConfigurationPart(
             self._me,
             self._invariants,
             self._platform,
             self._send,
-            self._live_peers,
+            self._membership.live_peers,
             [self._configure, self._limits.configure, self._routing.configure],
         )
         self._claims = claims_part.ClaimsPart(
@@ -106,6 +124,7 @@
             self._limits,
             self._routing,
             self._claims,
+            self._membership,
             self._engines,
             self._services,
             retries.Retries(),
@@ -126,6 +145,8 @@
             await group.start(self._peers.run, host, port)
             group.start_soon(self._limits.run)
             group.start_soon(self._claims.run)
+            group.start_soon(self._membership.run)
+            group.start_soon(self._membership.follow_list)
             group.start_soon(self._routing.run)
             group.start_soon(self._configuration.run)
             group.start_soon(self._configuration.follow)
@@ -165,20 +186,25 @@
         return _Server(config)
 
     def _configure(self, configuration: state.Configuration) -> None:
-        self._peer_addresses.clear()
-        for item in configuration.vms.values():
-            self._peer_addresses[item.name] = item.peer_address
+        self._roster = {item.name: item.peer_address for item in configuration.vms.values()}
+
+    def _on_live(self, live: membership_part.Live) -> None:
+        self._routing.set_live(live.region_names)
+
+    def _on_entry(self, entry: messages.Entry) -> None:
+        if entry.name.startswith(routing_part.UPSTREAM_ENTRY):
+            self._routing.upstream_heard(entry.name, entry.value)
 
-    def _live_peers(self) -> list[str]:
-        return [name for name in self._peer_addresses if name != self._me.name]
+    def _address_of(self, name: str) -> str | None:
+        return self._membership.address_of(name) or self._roster.get(name)
 
     def _send(self, name: str, message: object) -> None:
-        address = self._peer_addresses.get(name)
+        address = self._address_of(name)
         if address is not None:
             self._peers.send(address, message)
 
     async def _ask_peer(self, name: str, message: object, seconds: float) -> object | None:
-        address = self._peer_addresses.get(name)
+        address = self._address_of(name)
         if address is None:
             return None
         return await self._peers.ask(address, message, seconds)
@@ -188,6 +214,10 @@
         match package:
             case "configuration":
                 self._configuration.from_peer(sender.name, message)  # type: ignore[arg-type]
+            case "membership":
+                address = self._address_of(sender.name)
+                if address is not None:
+                    self._membership.from_peer(address, message)  # type: ignore[arg-type]
             case "limits":
                 self._limits.from_peer(sender.name, message)
             case "routing" if isinstance(message, routing_messages.Lookup):
@@ -206,6 +236,7 @@
             "ready": self._ready,
             "open_requests": self._front.open_requests,
             "configuration": self._configuration.dump(),
+            "membership": self._membership.dump(),
             "limits": self._limits.dump(),
             "claims": self._claims.dump(),
             "routing": self._routing.dump(),
--- a/hollyring/node/settings.py
+++ b/hollyring/node/settings.py
@@ -39,6 +39,8 @@
         ``"IP:PORT"`` to listen on for callers, for other VMs and for operators.
     platform
         ``"http://IP:PORT"`` of the platform's service.
+    seeds
+        Peer addresses of some VMs to ask when this one starts; any that runs will do.
     peer_keys
         Secrets shared by the VMs, newest first; links are opened with the first and accepted
         with any, so that keys change during traffic.
@@ -54,6 +56,7 @@
     admin_address: str
     platform: str
     peer_keys: list[str]
+    seeds: list[str] = []
     admin_key: str = ""
     policy: str = "prefix"
     log_file: str = ""
@@ -80,13 +83,21 @@
     return str(ipaddress.ip_address(host.strip("[]"))), number
 
 
+def _is_address(value: str) -> bool:
+    try:
+        split_address(value)
+    except ValueError:
+        return False
+    return True
+
+
 def _address_findings(settings: Settings) -> list[str]:
-    findings = []
+    findings = [
+        f'seeds: "{seed}": allowed: "IP:PORT"' for seed in settings.seeds if not _is_address(seed)
+    ]
     for field in ("caller_address", "peer_address", "admin_address"):
         value = getattr(settings, field)
-        try:
-            split_address(value)
-        except ValueError:
+        if not _is_address(value):
             findings.append(f'{field}: "{value}": allowed: "IP:PORT" with a port in 1..65535')
     if not settings.platform.startswith("http://"):
         findings.append(f'platform: "{settings.platform}": allowed: "http://IP:PORT"')
--- a/hollyring/node/vm.py
+++ b/hollyring/node/vm.py
@@ -10,6 +10,7 @@
     configuration_part,
     engines,
     limits_part,
+    membership_part,
     metrics,
     retries,
     routing_part,
@@ -34,6 +35,7 @@
     limits: limits_part.LimitsPart
     routing: routing_part.RoutingPart
     claims: claims_part.ClaimsPart
+    membership: membership_part.MembershipPart
     engines: engines.Engines
     services: services.Services
     retries: retries.Retries
