Add the config commands

Change: config check, print, apply, show, history, wait, on a small blocking client of the platform's service. A change larger than one value goes in several revisions, references first. Names the upstream role 'both', as the engines report it.

Ruled out: one compare-and-swap on a pointer to the latest revision, which would need a second write for the change itself.

--- /dev/null
+++ b/hollyring/cli/config.py
@@ -0,0 +1,395 @@
+"""``hollyring config``: check, submit and look at configurations."""
+
+from __future__ import annotations
+
+import datetime
+import getpass
+import pathlib
+import sys
+import time
+import typing
+import uuid
+
+import click
+import httpcore
+import msgspec
+
+from hollyring.cli import platform
+from hollyring.configuration import (
+    checks,
+    documents,
+    errors,
+    loading,
+    objects,
+    publishing,
+    revisions,
+    snapshots,
+    state,
+    store,
+    submission,
+)
+
+EXIT_BAD_INPUT = 2
+EXIT_LOST_RACE = 3
+EXIT_UNKNOWN = 4
+
+LOAD_FAILURES = 5
+"""Failed calls after which the platform's service is given up."""
+
+POLL_SECONDS = 0.5
+"""Pause between two looks at the VMs."""
+
+_FILE = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+
+
+def _platform_option(function: typing.Callable[..., typing.Any]) -> typing.Any:
+    return click.option(
+        "--platform",
+        "url",
+        required=True,
+        envvar="HOLLYRING_PLATFORM",
+        help="http://IP:PORT of the platform's service, or HOLLYRING_PLATFORM.",
+    )(function)
+
+
+def _json_option(function: typing.Callable[..., typing.Any]) -> typing.Any:
+    return click.option("--json", "as_json", is_flag=True, help="Print JSON.")(function)
+
+
+@click.group()
+def config() -> None:
+    """Check, submit and look at configurations.
+
+    A declaration prints its configuration when it is run.
+
+    Exit status: 0 done; 2 bad input; 3 another change was accepted first; 4 the platform's service
+    or a VM could not be reached, or the outcome is unknown.
+
+    \b
+    Example:
+      python examples/bohari.py > bohari.json
+      hollyring config check bohari.json
+      hollyring config apply bohari.json --platform http://127.0.0.1:9020
+    """
+
+
+@config.command()
+@click.argument("file", type=_FILE)
+@_json_option
+def check(file: pathlib.Path, as_json: bool) -> None:
+    """Refuse what contradicts itself in FILE, all faults at once.
+
+    Example: hollyring config check bohari.json
+    """
+    document = _read(file, as_json)
+    _say(
+        {"outcome": "fine", "objects": len(document.objects)},
+        f"{file}: fine, {len(document.objects)} objects",
+        as_json,
+    )
+
+
+@config.command("print")
+@_platform_option
+def print_(url: str) -> None:
+    """Print the configuration in force, in the form that a declaration prints.
+
+    Example: hollyring config print --platform http://127.0.0.1:9020 | diff bohari.json -
+    """
+    loaded = _load(platform.Platform(url), False)
+    items = list(loaded.configuration.items())
+    click.echo(documents.encode(documents.Document(items)), nl=False)
+
+
+@config.command()
+@click.argument("file", type=_FILE)
+@_platform_option
+@click.option("--author", default=getpass.getuser, help="Who submits.  [default: you]")
+@click.option("--base", type=int, help="Refuse unless this revision is the latest.")
+@click.option("--dry-run", is_flag=True, help="Print what would change and submit nothing.")
+@_json_option
+def apply(
+    file: pathlib.Path, url: str, author: str, base: int | None, dry_run: bool, as_json: bool
+) -> None:
+    """Submit the configuration in FILE.
+
+    What is in force and not in FILE is deleted. Give --base in scripts, so that a change that the
+    file does not know yet is not undone.
+
+    \b
+    Example:
+      hollyring config apply bohari.json --platform http://127.0.0.1:9020 --base 41
+    """
+    document = _read(file, as_json)
+    client = platform.Platform(url)
+    loaded = _load(client, as_json)
+    if base is not None and loaded.configuration.revision != base:
+        _refuse_base(client, base, loaded.configuration.revision, as_json)
+    configuration = loaded.configuration
+    while True:
+        change = _plan(configuration, document, as_json)
+        if dry_run or (change.empty and configuration is loaded.configuration):
+            _say(_plan_report(change, "nothing submitted"), _plan_text(change), as_json)
+            return
+        if change.empty:
+            return
+        value = _submit(client, change, author, as_json)
+        configuration = revisions.advance(configuration, value)
+        _publish(client, configuration, value, loaded.pointer)
+        if change.whole:
+            return
+
+
+@config.command()
+@_platform_option
+@_json_option
+def show(url: str, as_json: bool) -> None:
+    """Show the latest revision and how many objects of each kind it holds.
+
+    Example: hollyring config show --platform http://127.0.0.1:9020
+    """
+    configuration = _load(platform.Platform(url), as_json).configuration
+    counts = dict.fromkeys(objects.KINDS, 0)
+    for item in configuration.items():
+        counts[objects.identity(item).kind] += 1
+    report = {
+        "revision": configuration.revision,
+        "digest": configuration.digest,
+        "objects": counts,
+    }
+    lines = [f"revision {configuration.revision}"]
+    lines += [f"{count:6} {kind}" for kind, count in counts.items()]
+    _say(report, "\n".join(lines), as_json)
+
+
+@config.command()
+@_platform_option
+@click.option("--limit", default=20, show_default=True, help="Revisions to show, newest first.")
+@_json_option
+def history(url: str, limit: int, as_json: bool) -> None:
+    """Show who changed what, newest first.
+
+    Example: hollyring config history --platform http://127.0.0.1:9020 --limit 5
+    """
+    client = platform.Platform(url)
+    newest = _load(client, as_json).configuration.revision
+    found = _revisions(client, range(newest, max(0, newest - limit), -1))
+    _say([_report(one) for one in found], "\n".join(_text(one) for one in found), as_json)
+
+
+@config.command()
+@click.argument("revision", type=int)
+@click.option("--vm", "vms", multiple=True, help="IP:PORT of a VM's admin port; repeatable.")
+@click.option(
+    "--platform",
+    "url",
+    envvar="HOLLYRING_PLATFORM",
+    help="Ask every VM on the roster in force there, where no --vm is given.",
+)
+@click.option("--admin-key", default="", envvar="HOLLYRING_ADMIN_KEY", help="Admin bearer token.")
+@click.option("--timeout", default=30.0, show_default=True, help="Seconds.")
+@_json_option
+def wait(
+    revision: int,
+    vms: tuple[str, ...],
+    url: str | None,
+    admin_key: str,
+    timeout: float,
+    as_json: bool,
+) -> None:
+    """Wait until REVISION is in force on every VM, and tell where it is.
+
+    Exit status 4 if it is not in force everywhere in time.
+
+    \b
+    Example:
+      hollyring config wait 42 --platform http://127.0.0.1:9020
+      hollyring config wait 42 --vm 127.0.0.1:20200 --vm 127.0.0.1:20201
+    """
+    if not vms and url is None:
+        raise click.UsageError("give --vm or --platform")
+    addresses = list(vms) or _roster(platform.Platform(str(url)), as_json)
+    until = time.monotonic() + timeout
+    found: dict[str, int | None] = dict.fromkeys(addresses)
+    while True:
+        for address in addresses:
+            if (found[address] or 0) < revision:
+                found[address] = _revision_at(address, admin_key)
+        behind = [address for address in addresses if (found[address] or 0) < revision]
+        if not behind or time.monotonic() >= until:
+            break
+        time.sleep(POLL_SECONDS)
+    shown = {a: "not reachable" if r is None else f"revision {r}" for a, r in found.items()}
+    lines = [f"{address}: {text}" for address, text in shown.items()]
+    lines.append(f"in force on {len(addresses) - len(behind)} of {len(addresses)} VMs")
+    _say({"revision": revision, "vms": found, "behind": behind}, "\n".join(lines), as_json)
+    if behind:
+        sys.exit(EXIT_UNKNOWN)
+
+
+def _read(file: pathlib.Path, as_json: bool) -> documents.Document:
+    try:
+        document = documents.decode(file.read_bytes())
+        checks.require(document.objects)
+    except errors.InvalidConfigurationError as error:
+        text = "\n".join(f"{file}: {finding}" for finding in error.findings)
+        _fail({"outcome": "invalid", "findings": error.findings}, text, EXIT_BAD_INPUT, as_json)
+    return document
+
+
+def _load(client: platform.Platform, as_json: bool) -> loading.Loaded:
+    reading = loading.Loading()
+    try:
+        client.run(reading, LOAD_FAILURES)
+    except errors.ConfigurationError as error:
+        _fail({"outcome": "unusable", "error": str(error)}, str(error), EXIT_BAD_INPUT, as_json)
+    if reading.loaded is None:
+        text = "the platform's service is not reachable; nothing was submitted"
+        _fail({"outcome": "unreachable"}, text, EXIT_UNKNOWN, as_json)
+    return reading.loaded
+
+
+def _plan(
+    configuration: state.Configuration, document: documents.Document, as_json: bool
+) -> submission.Plan:
+    try:
+        return submission.plan(configuration, document)
+    except errors.ConfigurationError as error:
+        report = {"outcome": "invalid", "findings": [str(error)]}
+        _fail(report, str(error), EXIT_BAD_INPUT, as_json)
+
+
+def _submit(
+    client: platform.Platform, change: submission.Plan, author: str, as_json: bool
+) -> bytes:
+    at = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
+    tried = submission.Submission(change, uuid.uuid4().hex, author, at)
+    client.run(tried, submission.ATTEMPTS)
+    revision = change.base.revision + 1
+    match tried.outcome:
+        case submission.Accepted():
+            report = {**_plan_report(change, "accepted"), "revision": revision}
+            _say(report, f"{_plan_text(change)}\naccepted as revision {revision}", as_json)
+        case submission.Lost(winner):
+            _lost([winner], change, as_json)
+        case _:
+            text = (
+                f"outcome unknown: this may be revision {revision}, now or later\n"
+                "Find out with: hollyring config history --limit 1; applying again is safe."
+            )
+            _fail({"outcome": "unknown", "revision": revision}, text, EXIT_UNKNOWN, as_json)
+    return tried.value
+
+
+def _publish(
+    client: platform.Platform,
+    configuration: state.Configuration,
+    head: bytes,
+    pointer: store.Found | None,
+) -> None:
+    decoded = snapshots.decode_pointer(pointer.value) if pointer else None
+    if snapshots.due(configuration.revision, decoded):
+        # If this fails, the next submitter finds a snapshot due again.
+        client.run(publishing.Publishing(configuration, head, pointer), 1)
+
+
+def _refuse_base(client: platform.Platform, base: int, newest: int, as_json: bool) -> None:
+    text = f"the latest revision is {newest}, not {base}"
+    if newest < base:
+        _fail({"outcome": "lost", "changes": []}, text, EXIT_LOST_RACE, as_json)
+    click.echo(text, err=True)
+    _lost(_revisions(client, range(base + 1, newest + 1)), None, as_json)
+
+
+def _lost(
+    winners: list[revisions.Revision], change: submission.Plan | None, as_json: bool
+) -> typing.NoReturn:
+    mine = {objects.identity(item) for item in change.put} if change else set()
+    mine |= set(change.delete) if change else set()
+    lines = ["another change was accepted first; nothing of yours was:"]
+    for winner in winners:
+        lines.append(_text(winner))
+        lines += [f"  you change {name}, too" for name in winner.touched if name in mine]
+    report = {"outcome": "lost", "changes": [_report(winner) for winner in winners]}
+    _fail(report, "\n".join(lines), EXIT_LOST_RACE, as_json)
+
+
+def _revisions(client: platform.Platform, numbers: range) -> list[revisions.Revision]:
+    found = []
+    for number in numbers:
+        answer = client.perform(store.Read(revisions.key(number)))
+        if isinstance(answer, store.Found):
+            found.append(revisions.decode(answer.value))
+    return found
+
+
+def _roster(client: platform.Platform, as_json: bool) -> list[str]:
+    configuration = _load(client, as_json).configuration
+    return [vm.admin_address for _, vm in sorted(configuration.vms.items())]
+
+
+class _ConfigurationState(msgspec.Struct):
+    revision: int
+
+
+class _State(msgspec.Struct):
+    configuration: _ConfigurationState
+
+
+def _revision_at(address: str, admin_key: str) -> int | None:
+    headers = [("Authorization", f"Bearer {admin_key}")] if admin_key else []
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), platform.CALL_SECONDS)
+    try:
+        response = httpcore.request(
+            "GET", f"http://{address}/state", headers=headers, extensions={"timeout": timeouts}
+        )
+        return msgspec.json.decode(response.content, type=_State).configuration.revision
+    except (*platform.FAILURES, msgspec.DecodeError):
+        return None
+
+
+def _plan_report(change: submission.Plan, outcome: str) -> dict[str, object]:
+    return {
+        "outcome": outcome,
+        "base": change.base.revision,
+        "added": [str(name) for name in change.added],
+        "changed": [str(name) for name in change.replaced],
+        "deleted": [str(name) for name in change.delete],
+    }
+
+
+def _plan_text(change: submission.Plan) -> str:
+    if change.empty:
+        return f"nothing to change, revision {change.base.revision} is as declared"
+    lines = [f"+ {name}" for name in change.added]
+    lines += [f"~ {name}" for name in change.replaced]
+    lines += [f"- {name}" for name in change.delete]
+    return "\n".join(lines)
+
+
+def _report(revision: revisions.Revision) -> dict[str, object]:
+    return {
+        "revision": revision.revision,
+        "author": revision.author,
+        "at": revision.at,
+        "submission": revision.submission,
+        "put": [str(objects.identity(item)) for item in revision.put],
+        "deleted": [str(name) for name in revision.delete],
+    }
+
+
+def _text(revision: revisions.Revision) -> str:
+    names = ", ".join(str(name) for name in revision.touched)
+    return f"revision {revision.revision} by {revision.author} at {revision.at}: {names}"
+
+
+def _say(report: object, text: str, as_json: bool) -> None:
+    click.echo(msgspec.json.encode(report).decode() if as_json else text)
+
+
+def _fail(report: object, text: str, status: int, as_json: bool) -> typing.NoReturn:
+    if as_json:
+        _say(report, text, as_json)
+    else:
+        click.echo(text, err=True)
+    sys.exit(status)
--- /dev/null
+++ b/hollyring/cli/tests/conftest.py
@@ -0,0 +1,53 @@
+import contextlib
+import json
+import socket
+
+import anyio
+import anyio.from_thread
+import httpcore
+import pytest
+
+from hollyring.standins import asgi
+from hollyring.standins import platform as platforms
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Served:
+    """A stand-in of the platform's service on loopback, with its control port."""
+
+    def __init__(self, url, control):
+        self.url = url
+        self._control = control
+
+    def post(self, path, content=None):
+        body = json.dumps(content or {}).encode()
+        response = httpcore.request("POST", f"{self._control}{path}", content=body)
+        assert response.status == 200, response.content
+
+    def fault(self, kind, **fields):
+        self.post("/faults", {"kind": kind, **fields})
+
+
+def _answers(port):
+    with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port), 1):
+        return True
+    return False
+
+
+@pytest.fixture
+def served():
+    port, control = free_port(), free_port()
+    with anyio.from_thread.start_blocking_portal("asyncio") as portal:
+        stop = portal.call(anyio.Event)
+        standin = platforms.Platform()
+        done = portal.start_task_soon(asgi.serve, standin, "127.0.0.1", port, control, stop)
+        while not (_answers(port) and _answers(control)):
+            portal.call(anyio.sleep, 0.01)
+        yield Served(f"http://127.0.0.1:{port}", f"http://127.0.0.1:{control}")
+        portal.call(stop.set)
+        done.result()
--- a/hollyring/configuration/checks.py
+++ b/hollyring/configuration/checks.py
@@ -128,8 +128,8 @@
         return
     if item.models:
         yield _finding(item, "models", list(item.models), f"none for a {item.kind}")
-    if item.role != "mixed":
-        yield _finding(item, "role", item.role, f'"mixed" for a {item.kind}')
+    if item.role != "both":
+        yield _finding(item, "role", item.role, f'"both" for a {item.kind}')
     if item.checks_fencing:
         yield _finding(item, "checks_fencing", "true", f"false for a {item.kind}")
 
--- a/hollyring/configuration/objects.py
+++ b/hollyring/configuration/objects.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-EngineRole = typing.Literal["mixed", "prefill", "decode"]
+EngineRole = typing.Literal["both", "prefill", "decode"]
 UpstreamKind = typing.Literal["engine", "cache_store", "service"]
 
 
@@ -129,7 +129,7 @@
     region: str
     failure_domain: str
     models: tuple[str, ...] = ()
-    role: EngineRole = "mixed"
+    role: EngineRole = "both"
     checks_fencing: bool = False
     leaving: bool = False
 
--- a/hollyring/configuration/submission.py
+++ b/hollyring/configuration/submission.py
@@ -13,14 +13,24 @@
 RETRY_SECONDS = 0.5
 """Pause after a call without a usable answer."""
 
+MAX_PLAN_BYTES = 700_000
+"""Size of the objects put by one revision; leaves room for names of deleted objects."""
+
+# Objects stand behind those that they refer to, so that each part of a plan is consistent.
+_ORDER = ["deployment", "model", "adapter", "upstream", "vm", "route", "organisation"]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """The objects by which a declaration differs from a configuration."""
+    """The objects by which a declaration differs from a configuration.
+
+    `whole` is false where the difference is too large for one revision and this is its first part.
+    """
 
     base: state.Configuration
     put: tuple[objects.Object, ...]
     delete: tuple[objects.Identity, ...]
+    whole: bool = True
 
     @property
     def empty(self) -> bool:
@@ -92,7 +102,16 @@
         raise errors.ConfigurationError(
             f"deployment: {', '.join(names)}: allowed: {base.deployment.name}, in force here"
         )
-    put = [item for name, item in sorted(wanted.items()) if base.get(name) != item]
+    ordered = sorted(wanted, key=lambda name: (_ORDER.index(name.kind), name))
+    put: list[objects.Object] = []
+    size = 0
+    for name in ordered:
+        if base.get(name) == wanted[name]:
+            continue
+        size += len(objects.encode(wanted[name])) + 1
+        if put and size > MAX_PLAN_BYTES:
+            return Plan(base, tuple(put), (), whole=False)
+        put.append(wanted[name])
     present = [objects.identity(item) for item in base.items()]
     return Plan(base, tuple(put), tuple(name for name in present if name not in wanted))
 
--- a/hollyring/declaration/deployment.py
+++ b/hollyring/declaration/deployment.py
@@ -91,7 +91,7 @@
         region: str,
         failure_domain: str,
         models: Iterable[str] = (),
-        role: objects.EngineRole = "mixed",
+        role: objects.EngineRole = "both",
         checks_fencing: bool = False,
         leaving: bool = False,
     ) -> None:
