--- a/hollyring/cli/main.py
+++ b/hollyring/cli/main.py
@@ -6,7 +6,7 @@
 
 import click
 
-from hollyring.cli import standin
+from hollyring.cli import config, operate, standin
 
 VERSION = "0.1.0"
 EXIT_BAD_INPUT = 2
@@ -55,4 +55,16 @@
     server.serve(given)
 
 
+@main.group()
+def experiment() -> None:
+    """Measure mechanisms and try them under faults, on this machine only.
+
+    Example: hollyring experiment limits --seed 1
+    """
+
+
+main.add_command(config.config)
 main.add_command(standin.standin)
+main.add_command(operate.state)
+main.add_command(operate.load)
+main.add_command(operate.demo)
--- /dev/null
+++ b/hollyring/cli/operate.py
@@ -0,0 +1,136 @@
+"""Commands that look at and exercise a running fleet: ``state``, ``load`` and ``demo``."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import anyio
+import click
+import httpcore
+import msgspec
+
+EXIT_BROKEN = 1
+EXIT_BAD_INPUT = 2
+EXIT_UNREACHABLE = 4
+CONNECT_SECONDS = 2.0
+
+
+@click.command()
+@click.argument("address")
+@click.option("--key", envvar="HOLLYRING_ADMIN_KEY", default="", help="Key of the admin port.")
+def state(address: str, key: str) -> None:
+    """Print the state of the VM whose admin port is ADDRESS, as JSON.
+
+    Exit status 4 means that it could not be reached.
+
+    Example: hollyring state 127.0.0.1:20200
+    """
+    headers = [(b"authorization", f"Bearer {key}".encode())] if key else []
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), CONNECT_SECONDS)
+    try:
+        response = httpcore.request(
+            "GET", f"http://{address}/state", headers=headers, extensions={"timeout": timeout}
+        )
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+        click.echo(f"{address}: not reached: {type(error).__name__}", err=True)
+        raise SystemExit(EXIT_UNREACHABLE) from error
+    click.echo(json.dumps(msgspec.json.decode(response.content), indent=2))
+    if response.status != 200:
+        raise SystemExit(EXIT_BROKEN)
+
+
+@click.command()
+@click.argument("entries", nargs=-1, required=True)
+@click.option("--key", envvar="HOLLYRING_KEY", required=True, help="Key of the organisation.")
+@click.option("--organisation", default="", help="Its name, for the report.")
+@click.option("--model", required=True)
+@click.option("--seconds", default=10.0, show_default=True, help="At most 600.")
+@click.option("--callers", default=4, show_default=True, help="At most 200.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def load(
+    entries: tuple[str, ...],
+    key: str,
+    organisation: str,
+    model: str,
+    seconds: float,
+    callers: int,
+    seed: int,
+    as_json: bool,
+) -> None:
+    """Send nested-prefix chats to the VMs at ENTRIES ("IP:PORT") and report.
+
+    Answers are compared with those of the stand-in language server.
+
+    Example: hollyring load 127.0.0.1:20000 --key demo-key-kigoma --model parish-assistant
+    """
+    from hollyring.experiments import demo
+    from hollyring.experiments import load as loads
+
+    seconds, callers = min(seconds, 600.0), min(callers, 200)
+    outcomes: list[loads.Outcome] = []
+
+    async def one(client: loads.Client, number: int, ends: float) -> None:
+        prompts = loads.Prompts(random.Random(f"{seed}-{number}"))
+        caller = loads.Caller(organisation, key, list(entries))
+        while time.monotonic() < ends:
+            caller.entries = await client.entry(caller.entries)
+            outcomes.append(await client.complete(caller, model, prompts.next(), 40, stream=True))
+
+    async def run() -> None:
+        client = loads.Client()
+        async with anyio.create_task_group() as group:
+            for number in range(callers):
+                group.start_soon(one, client, number, time.monotonic() + seconds)
+        await client.close()
+
+    anyio.run(run)
+    report = {
+        "requests": len(outcomes),
+        "complete": sum(outcome.complete for outcome in outcomes),
+        "wrong": sum(outcome.complete and not outcome.right for outcome in outcomes),
+        "first_token": demo.quantiles([outcome.first_token for outcome in outcomes]),
+        "codes": sorted({outcome.code for outcome in outcomes if outcome.code}),
+    }
+    click.echo(json.dumps(report, indent=None if as_json else 2))
+
+
+@click.command()
+@click.option("--seconds", default=15.0, show_default=True, help="Length of the traffic.")
+@click.option("--base-port", default=0, help="First port; 0 looks for free ones.")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def demo(seconds: float, base_port: int, as_json: bool) -> None:
+    """Run a deployment on loopback, kill a VM and a language server, and report.
+
+    Starts nine VMs in three failure domains, six language servers, a cache store, three ordering
+    servers and the platform's service, each a process of its own. Exit status 1 means that a
+    promise was broken.
+
+    Example: hollyring demo --seconds 20
+    """
+    from hollyring.experiments import demo as demos
+    from hollyring.experiments import launcher
+
+    def say(sentence: str) -> None:
+        click.echo(f"demo: {sentence}", err=True)
+
+    root = pathlib.Path(__file__).parents[2]
+    sys.path.insert(0, str(root / "examples"))
+    import bohari  # type: ignore[import-not-found]
+
+    base = base_port or launcher.free_base_port()
+    document = bohari.declare(base).document
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="hollyring-demo-"))
+    port = base + launcher.PLATFORM_OFFSET
+    report = anyio.run(demos.run, document, folder, port, seconds, say)
+    if as_json:
+        click.echo(msgspec.json.encode(report))
+    else:
+        click.echo(demos.render(report))
+    if not report.kept:
+        raise SystemExit(EXIT_BROKEN)
--- a/hollyring/experiments/demo.py
+++ b/hollyring/experiments/demo.py
@@ -209,3 +209,20 @@
                 checks[name] += counts["checks"]
                 violations[name] += counts["violations"]
     return [Promise(f"inside: {name}", checks[name], violations[name]) for name in sorted(checks)]
+
+
+def render(report: Report) -> str:
+    """Return the report as text for a terminal."""
+    lines = [
+        f"processes         {report.processes}",
+        f"requests          {report.requests}",
+        f"complete          {report.complete}",
+        f"retried elsewhere {report.retried}",
+        f"refused           {report.refused or 'none'}",
+        f"hit rate          {report.hit_rate:.3f}",
+    ]
+    lines += [f"first token {q:<5} {seconds:.3f} s" for q, seconds in report.first_token.items()]
+    lines.append("")
+    lines.append(f"{'trials':>8} {'broken':>7}  promise")
+    lines += [f"{p.trials:>8} {p.violations:>7}  {p.name}" for p in report.promises]
+    return "\n".join(lines)
--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -36,6 +36,9 @@
 STOP_SECONDS = 10.0
 PEER_KEY = "demonstration-peer-key"
 SEEDS = 3
+LEAVE_SECONDS = 0.5
+"""Callers of an experiment keep their answers no longer once it ends."""
+
 PORTS_PER_FLEET = 700
 
 
@@ -136,6 +139,7 @@
             "peer_keys": [PEER_KEY],
             "seeds": [other.peer_address for other in self.vms[:SEEDS]],
             "log_file": str(self._folder / f"{vm.name}.log"),
+            "limits": {"leave_seconds": LEAVE_SECONDS},
             **self._vm_settings,
         }
 
--- /dev/null
+++ b/hollyring/node/bounded.py
@@ -0,0 +1,84 @@
+"""The callers' HTTP protocol with bounds on connections, header size and slow senders."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import msgspec
+from uvicorn.protocols.http import httptools_impl
+
+from hollyring.delivery import refusal
+from hollyring.node import answers, settings
+
+REASONS = {408: "Request Timeout", 429: "Too Many Requests", 431: "Header Fields Too Large"}
+
+
+def protocol(bounds: settings.Limits) -> type[httptools_impl.HttpToolsProtocol]:
+    """Return a protocol class that holds callers to `bounds`."""
+
+    class Bounded(httptools_impl.HttpToolsProtocol):
+        """One connection of a caller."""
+
+        _head_bytes = 0
+        _in_head = True
+        _timer: asyncio.TimerHandle | None = None
+
+        def connection_made(self, transport: Any) -> None:
+            super().connection_made(transport)
+            if len(self.connections) > bounds.connections:
+                self._refuse(refusal.make("too_many_connections"))
+                return
+            self._begin_head()
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            self._stop_timer()
+            super().connection_lost(exc)
+
+        def data_received(self, data: bytes) -> None:
+            if self.transport.is_closing():
+                return
+            self._head_bytes += len(data) if self._in_head else 0
+            super().data_received(data)
+            if self._in_head and self._head_bytes > bounds.header_bytes:
+                self._refuse(refusal.make("headers_too_large"))
+
+        def on_message_begin(self) -> None:
+            super().on_message_begin()
+            if not self._in_head:
+                self._begin_head()
+
+        def on_headers_complete(self) -> None:
+            self._in_head = False
+            self._stop_timer()
+            super().on_headers_complete()
+
+        def _begin_head(self) -> None:
+            self._head_bytes = 0
+            self._in_head = True
+            self._stop_timer()
+            self._timer = self.loop.call_later(bounds.header_seconds, self._head_late)
+
+        def _head_late(self) -> None:
+            self._timer = None
+            if self._head_bytes:
+                self._refuse(refusal.make("header_timeout"))
+                return
+            self.transport.close()
+
+        def _stop_timer(self) -> None:
+            if self._timer is not None:
+                self._timer.cancel()
+                self._timer = None
+
+        def _refuse(self, why: refusal.Refusal) -> None:
+            """Write a whole answer without the application, then close."""
+            body = msgspec.json.encode(answers.error(why.code, why.message, why.execution))
+            head = [f"HTTP/1.1 {why.status} {REASONS[why.status]}", "connection: close"]
+            head += ["content-type: application/json", f"content-length: {len(body)}"]
+            for name, value in answers.retry_after(why.retry_after or None):
+                head.append(f"{name.decode()}: {value.decode()}")
+            self.transport.write("\r\n".join([*head, "", ""]).encode() + body)
+            self.transport.close()
+
+    return Bounded
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -87,6 +87,72 @@
   2: optional list<DeliveryAnswer> answers
 }
 
+struct MembershipProfile {
+  1: optional string name
+  2: optional i64 number
+  3: optional string address
+  4: optional string caller_address
+  5: optional string failure_domain
+  6: optional string region
+}
+
+struct MembershipUpdate {
+  1: optional string name
+  2: optional i64 number
+  3: optional i64 refutation
+  4: optional i64 status
+}
+
+struct MembershipEntry {
+  1: optional string name
+  2: optional i64 version
+  3: optional binary value
+}
+
+struct MembershipNews {
+  1: optional list<MembershipProfile> profiles
+  2: optional list<MembershipUpdate> updates
+  3: optional list<MembershipEntry> entries
+}
+
+struct MembershipPing {
+  1: optional i64 sequence
+  2: optional string sender
+  3: optional i64 number
+  4: optional string target
+  5: optional i64 target_number
+  6: optional i64 digest
+  7: optional MembershipNews news
+}
+
+struct MembershipAck {
+  1: optional i64 sequence
+  2: optional string sender
+  3: optional i64 number
+  4: optional i64 digest
+  5: optional MembershipNews news
+}
+
+struct MembershipPingRequest {
+  1: optional i64 sequence
+  2: optional string sender
+  3: optional i64 number
+  4: optional string target
+  5: optional i64 target_number
+}
+
+struct MembershipSyncRequest {
+  1: optional MembershipProfile profile
+  2: optional list<i64> digests
+}
+
+struct MembershipSync {
+  1: optional string sender
+  2: optional i64 number
+  3: optional bool more
+  4: optional MembershipNews news
+}
+
 struct RoutingLookup {
   1: optional i64 lookup_id
   2: optional list<string> upstreams
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -16,6 +16,7 @@
 from hollyring.membership import messages
 from hollyring.node import (
     admin,
+    bounded,
     catalogue,
     claims_part,
     configuration_part,
@@ -132,10 +133,12 @@
             self._invariants,
         )
         self._front = front.Front(self._node)
+        self._leaving = False
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish what is open."""
-        callers = self._server(self._front, self._settings.caller_address)
+        protocol = bounded.protocol(self._settings.limits)
+        callers = self._server(self._front, self._settings.caller_address, protocol)
         operators = admin.Admin(
             self._settings.admin_key, self._dump, lambda: self._ready, self._metrics
         )
@@ -152,6 +155,7 @@
             group.start_soon(self._configuration.follow)
             group.start_soon(admins.serve)
             group.start_soon(self._stop_on_signal, callers)
+            group.start_soon(self._stop_when_replaced, callers)
             self._log.say("serving", incarnation=str(self._me))
             await callers.serve()
             self._log.say("all requests finished")
@@ -160,22 +164,38 @@
 
     @property
     def _ready(self) -> bool:
-        return self._configuration.refusal() is None
+        return self._configuration.refusal() is None and not self._leaving
 
     async def _stop_on_signal(self, callers: uvicorn.Server) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                self._log.say("shutting down", open_requests=self._front.open_requests)
-                callers.should_exit = True
-
-    def _server(self, app: Any, address: str) -> uvicorn.Server:
+                await self._leave(callers)
+
+    async def _leave(self, callers: uvicorn.Server) -> None:
+        """Take this VM out of the entry answers, then finish what is open."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._log.say("leaving", open_requests=self._front.open_requests)
+        self._membership.leave()
+        await anyio.sleep(self._settings.limits.leave_seconds)
+        self._log.say("taking no more requests", open_requests=self._front.open_requests)
+        callers.should_exit = True
+
+    async def _stop_when_replaced(self, callers: uvicorn.Server) -> None:
+        """Stop at once when a later life of this VM runs: its rights are the other's now."""
+        await self._membership.replaced()
+        callers.force_exit = True
+        callers.should_exit = True
+
+    def _server(self, app: Any, address: str, http: Any = "httptools") -> uvicorn.Server:
         host, port = settings.split_address(address)
         bounds = self._settings.limits
         config = uvicorn.Config(
             app,
             host,
             port,
-            http="httptools",
+            http=http,
             loop="asyncio",
             lifespan="off",
             access_log=False,
@@ -234,6 +254,7 @@
             "region": self._settings.region,
             "failure_domain": self._settings.failure_domain,
             "ready": self._ready,
+            "leaving": self._leaving,
             "open_requests": self._front.open_requests,
             "configuration": self._configuration.dump(),
             "membership": self._membership.dump(),
--- a/hollyring/node/settings.py
+++ b/hollyring/node/settings.py
@@ -14,7 +14,11 @@
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Bounds on what one caller may send or hold open."""
+    """Bounds on what one caller may send or hold open, and on leaving.
+
+    `leave_seconds` is how long a leaving VM still takes callers that were told of it before; after
+    it, requests under way have `shutdown_seconds` to finish.
+    """
 
     header_bytes: int = 16_384
     body_bytes: int = 8_000_000
@@ -25,6 +29,7 @@
     body_seconds: float = 30.0
     reader_seconds: float = 20.0
     deadline_seconds: float = 120.0
+    leave_seconds: float = 12.0
     shutdown_seconds: float = 60.0
 
 
