--- /dev/null
+++ b/hollyring/limits/borrower.py
@@ -0,0 +1,150 @@
+"""One VM's waiting requests of one organisation, and the tokens it has borrowed for them."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from hollyring.limits import holders, settings
+
+
+@dataclasses.dataclass(slots=True)
+class Loan:
+    """Tokens that a holder has debited for this VM.
+
+    Parameters
+    ----------
+    holder
+        The VM that debited them, perhaps this one.
+    given
+        Tokens of the whole loan.
+    left
+        Tokens that are neither spent nor returned.
+    expires
+        Time in seconds, by this VM's clock, from which they may not be spent.
+    returned
+        Tokens that went back so far.
+    """
+
+    holder: str
+    organisation: str
+    ask: int
+    given: int
+    left: int
+    expires: float
+    returned: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Part:
+    """What one request has spent of one loan."""
+
+    loan: Loan
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """A request that waits for tokens until `deadline`, in seconds."""
+
+    request_id: str
+    tokens: int
+    deadline: float
+
+
+@dataclasses.dataclass(slots=True)
+class Asked:
+    """An ask that is in flight."""
+
+    holder: str
+    tokens: int
+    sent: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    left: int
+    at: float
+    blocked_until: float = 0.0
+
+
+class Borrower:
+    """Requests, borrowed tokens and what is known of the holders of one organisation."""
+
+    __slots__ = ("organisation", "waiting", "loans", "asked", "used_at", "_known")
+
+    def __init__(self, organisation: str) -> None:
+        self.organisation = organisation
+        self.waiting: collections.deque[Waiting] = collections.deque()
+        self.loans: collections.deque[Loan] = collections.deque()
+        self.asked: dict[int, Asked] = {}
+        self.used_at = 0.0
+        self._known: dict[str, _Known] = {}
+
+    @property
+    def available(self) -> int:
+        """Borrowed tokens that are not spent."""
+        return sum(loan.left for loan in self.loans)
+
+    @property
+    def wanted(self) -> int:
+        """Tokens of all waiting requests."""
+        return sum(request.tokens for request in self.waiting)
+
+    def expected(self, now: float) -> int:
+        """Return the tokens in asks that may still be answered in time."""
+        return sum(
+            ask.tokens for ask in self.asked.values() if now - ask.sent < settings.ASK_TIMEOUT
+        )
+
+    def spend(self, tokens: int) -> list[Part]:
+        """Take `tokens` from the loans, those that expire first before the others."""
+        parts = []
+        while tokens:
+            loan = self.loans[0]
+            taken = min(tokens, loan.left)
+            loan.left -= taken
+            tokens -= taken
+            parts.append(Part(loan, taken))
+            if not loan.left:
+                self.loans.popleft()
+        return parts
+
+    def expire(self, now: float) -> list[Loan]:
+        """Remove and return the loans that may not be spent any more."""
+        kept = [loan for loan in self.loans if loan.expires > now]
+        if len(kept) == len(self.loans):
+            return []
+        expired = [loan for loan in self.loans if loan.expires <= now]
+        self.loans = collections.deque(kept)
+        return expired
+
+    def time_out(self, now: float) -> None:
+        """Pass over holders that did not answer and forget asks too old to be of use."""
+        for number, ask in list(self.asked.items()):
+            age = now - ask.sent
+            if age >= settings.ASK_TIMEOUT:
+                known = self._known.setdefault(ask.holder, _Known(0, ask.sent))
+                known.blocked_until = max(known.blocked_until, ask.sent + settings.BACKOFF_SECONDS)
+            if age >= settings.LOAN_SECONDS:
+                del self.asked[number]
+
+    def heard(self, holder: str, left: int, now: float) -> None:
+        """Note what a holder has left by its own word."""
+        self._known[holder] = _Known(left, now)
+
+    def is_asked(self, holder: str) -> bool:
+        """Tell whether an ask to `holder` is in flight."""
+        return any(ask.holder == holder for ask in self.asked.values())
+
+    def estimate(self, holder: str, portion: holders.Portion, now: float) -> int:
+        """Return the tokens that `holder` may lend beyond what it is being asked for."""
+        known = self._known.get(holder)
+        if known is None:
+            left = portion.burst
+        elif now < known.blocked_until:
+            left = 0
+        else:
+            left = min(portion.burst, int(known.left + (now - known.at) * portion.rate))
+        asked = sum(ask.tokens for ask in self.asked.values() if ask.holder == holder)
+        return max(0, left - asked)
--- /dev/null
+++ b/hollyring/limits/holders.py
@@ -0,0 +1,125 @@
+"""Which VMs hold a share of an organisation's rate and burst."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from hollyring.core import rendezvous
+from hollyring.limits import errors
+
+DEFAULT_HOLDERS = 9
+"""Holders of each organisation, where the fleet has as many VMs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """An organisation's rate in tokens a second and its burst in tokens."""
+
+    organisation: str
+    rate: int
+    burst: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slot:
+    """A place in the fleet, its VM of now, and where it stands.
+
+    Shares belong to slots: a VM that replaces another in its slot moves no share.
+    """
+
+    name: str
+    vm: str
+    failure_domain: str = ""
+    region: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Roster:
+    """The slots of the fleet by one configuration revision.
+
+    Parameters
+    ----------
+    revision
+        Revision of the configuration in which the slots last changed.
+    slots
+        All slots; each VM fills at most one.
+    retiring
+        VMs that have left the slots and are not yet known destroyed.
+    settled
+        Latest roster revision known settled when this one was written. The first roster of
+        a fleet has no predecessor and names itself.
+    holders
+        Holders of each organisation.
+    """
+
+    revision: int
+    slots: tuple[Slot, ...]
+    retiring: tuple[str, ...] = ()
+    settled: int = 0
+    holders: int = DEFAULT_HOLDERS
+
+    def __post_init__(self) -> None:
+        vms = [slot.vm for slot in self.slots]
+        if not vms or len(set(vms)) < len(vms) or self.holders < 1:
+            raise errors.ConfigurationError(f"roster {self.revision} has no or shared slots")
+
+    @property
+    def members(self) -> frozenset[str]:
+        """VMs that may spend by this roster or an earlier one."""
+        return frozenset(slot.vm for slot in self.slots) | frozenset(self.retiring)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Portion:
+    """A holder's part of a rate (tokens a second) and of a burst (tokens)."""
+
+    rate: float
+    burst: int
+
+    def smaller(self, other: Portion) -> Portion:
+        """Return the lower rate and the lower burst of both."""
+        return Portion(min(self.rate, other.rate), min(self.burst, other.burst))
+
+
+NOTHING = Portion(0.0, 0)
+
+
+def holders(organisation: str, roster: Roster) -> tuple[Slot, ...]:
+    """Return the slots that hold `organisation`, spread over failure domains.
+
+    Examples
+    --------
+    >>> slots = tuple(Slot(f"s{i}", f"vm-{i}", f"fd-{i % 3}") for i in range(9))
+    >>> chosen = holders("parish-4", Roster(1, slots, holders=3))
+    >>> len({slot.failure_domain for slot in chosen})
+    3
+    """
+    by_name = {slot.name: slot for slot in roster.slots}
+    seen: collections.Counter[str] = collections.Counter()
+    rows = []
+    for position, name in enumerate(rendezvous.rank(organisation.encode(), by_name)):
+        domain = by_name[name].failure_domain
+        rows.append((seen[domain], position, name))
+        seen[domain] += 1
+    return tuple(by_name[name] for _, _, name in sorted(rows)[: roster.holders])
+
+
+def portion(limit: Limit, vm: str, chosen: tuple[Slot, ...]) -> Portion:
+    """Return the part of `limit` that `vm` holds among the `chosen` slots.
+
+    The parts of all holders add up to the limit.
+
+    Examples
+    --------
+    >>> slots = (Slot("a", "vm-1"), Slot("b", "vm-2"), Slot("c", "vm-3"))
+    >>> portion(Limit("shop", 30, 100), "vm-1", slots)
+    Portion(rate=10.0, burst=34)
+    >>> portion(Limit("shop", 30, 100), "vm-9", slots)
+    Portion(rate=0.0, burst=0)
+    """
+    for index, slot in enumerate(chosen):
+        if slot.vm == vm:
+            count = len(chosen)
+            return Portion(limit.rate / count, limit.burst // count + (index < limit.burst % count))
+    return NOTHING
--- /dev/null
+++ b/hollyring/limits/settings.py
@@ -0,0 +1,52 @@
+"""Named constants of the limits protocol."""
+
+CLOCK_DRIFT = 0.0005
+"""Largest relative error of a VM's monotonic clock."""
+
+LOAN_SECONDS = 0.3
+"""A borrower spends borrowed tokens within this time of sending its ask, by its own clock."""
+
+HOLD_SECONDS = LOAN_SECONDS * (1 + 4 * CLOCK_DRIFT)
+"""A holder counts lent tokens as outstanding for this time after the debit, by its own clock."""
+
+ASK_TIMEOUT = 0.1
+"""Seconds after which an unanswered holder is passed over."""
+
+BACKOFF_SECONDS = 1.0
+"""Seconds for which a holder that did not answer is not asked again."""
+
+PATIENCE_SECONDS = 0.25
+"""Longest time in seconds that a request waits for borrowed tokens."""
+
+FANOUT = 8
+"""Asks that one VM has in flight for one organisation."""
+
+NOTICE_PART = 8
+"""A borrower reports a loan as spent at once if it is more than this part of the burst."""
+
+MAX_PENDING = 256
+"""Requests of one organisation that wait at one VM for borrowed tokens."""
+
+MAX_LOANS = 512
+"""Loans that a holder keeps of one organisation; beyond it lends nothing."""
+
+MAX_REFUNDABLE = 128
+"""Spent loans of one organisation for which a holder still takes tokens back."""
+
+MAX_RESERVATIONS = 4096
+"""Unsettled requests that a VM remembers."""
+
+IDLE_SECONDS = 10.0
+"""Seconds after which what a VM knows of an unused organisation's holders is dropped."""
+
+FENCE_POLL_SECONDS = 1.0
+"""Seconds between two polls of a roster change that is not yet settled."""
+
+COLLECTORS = 3
+"""VMs that collect the confirmations of one roster change."""
+
+MIN_RETRY_AFTER = 0.05
+"""Smallest `retry_after` in seconds."""
+
+MAX_RETRY_AFTER = 60.0
+"""Largest `retry_after` in seconds."""
--- /dev/null
+++ b/hollyring/limits/tests/test_limiter.py
@@ -0,0 +1,123 @@
+import pytest
+
+from hollyring.core import execution, identities, invariants
+from hollyring.limits import holders, limiter, messages, settings
+
+START = settings.HOLD_SECONDS
+LIMIT = holders.Limit("shop", 300, 900)
+
+
+def roster(vms=3, revision=1, **other):
+    slots = tuple(holders.Slot(f"s{i}", f"vm-{i}", f"fd-{i}") for i in range(vms))
+    return holders.Roster(revision, slots, **{"settled": revision, **other})
+
+
+def start(name, number=1, now=0.0, members=None, limit=LIMIT):
+    state = limiter.Limiter(identities.Incarnation(name, number), invariants.Invariants())
+    state.configure(limiter.Update(members or roster(), (limit,)), now)
+    return state
+
+
+@pytest.fixture
+def fleet():
+    states = {f"vm-{i}": start(f"vm-{i}") for i in range(3)}
+    for state in states.values():
+        state.tick(START)
+    return states
+
+
+def carry(fleet, sender, effects, now):
+    """Deliver messages until none is left and return every decision."""
+    decisions = list(effects.decisions)
+    for outgoing in effects.messages:
+        if outgoing.receiver in fleet:
+            answer = fleet[outgoing.receiver].receive(sender, outgoing.message, now)
+            decisions += carry(fleet, outgoing.receiver, answer, now)
+    return decisions
+
+
+def admit(fleet, vm, tokens, now, request="r"):
+    for state in fleet.values():
+        state.tick(now)
+    return carry(fleet, vm, fleet[vm].admit("shop", tokens, request, now), now)
+
+
+@pytest.mark.parametrize("vm", ["vm-0", "vm-1", "vm-2"])
+def test_one_vm_can_spend_the_whole_burst(fleet, vm):
+    assert admit(fleet, vm, 900, START + 4) == [messages.Admitted("r", "shop", 900)]
+    (refused,) = admit(fleet, vm, 300, START + 4, "s")
+    assert refused.code == "rate_limited"
+    assert refused.execution is execution.Execution.NOT_RUN
+    assert refused.retry_after == pytest.approx(1.0, abs=0.1)
+    assert isinstance(admit(fleet, "vm-0", 290, START + 5, "t")[0], messages.Admitted)
+
+
+def test_new_life_starts_empty(fleet):
+    fleet["vm-1"] = start("vm-1", 2, now=100.0)
+    assert admit(fleet, "vm-1", 601, 100.0)[0].code == "rate_limited"
+    assert isinstance(admit(fleet, "vm-1", 600, 100.0, "s")[0], messages.Admitted)
+
+
+def test_cost_above_burst_is_refused_at_once(fleet):
+    (refused,) = fleet["vm-0"].admit("shop", 901, "r", START).decisions
+    assert (refused.code, refused.retry_after) == ("request_exceeds_burst", 0.0)
+
+
+def test_unused_tokens_come_back_once(fleet):
+    admit(fleet, "vm-0", 900, START + 4)
+    effects = fleet["vm-0"].settle("r", 100, START + 4)
+    for _ in range(2):
+        carry(fleet, "vm-0", effects, START + 4)
+    assert isinstance(admit(fleet, "vm-1", 800, START + 4, "s")[0], messages.Admitted)
+    assert admit(fleet, "vm-2", 10, START + 4, "t")[0].code == "rate_limited"
+
+
+def test_doubled_ask_debits_once(fleet):
+    ask = messages.Ask("shop", 1, 7, 200)
+    first, second = (fleet["vm-0"].receive("vm-1", ask, START + 4) for _ in range(2))
+    assert first == second
+    assert first.messages[0].message.left == 100
+
+
+def test_late_tokens_are_not_spent(fleet):
+    asks = fleet["vm-0"].admit("shop", 900, "r", START + 4).messages
+    fleet["vm-0"].tick(START + 4 + settings.PATIENCE_SECONDS)
+    late = START + 4 + settings.LOAN_SECONDS
+    for outgoing in asks:
+        answer = fleet[outgoing.receiver].receive("vm-0", outgoing.message, START + 4)
+        taken = fleet["vm-0"].receive(outgoing.receiver, answer.messages[0].message, late)
+        assert taken.decisions == []
+    assert fleet["vm-0"].dump()["admitted"] == 0
+
+
+def test_silent_holder_is_passed_over(fleet):
+    del fleet["vm-1"], fleet["vm-2"]
+    assert admit(fleet, "vm-0", 400, START + 4) == []
+    assert fleet["vm-0"].tick(START + 4 + 1.1 * settings.ASK_TIMEOUT).decisions == []
+    effects = fleet["vm-0"].tick(START + 4 + 2.3 * settings.ASK_TIMEOUT)
+    assert [decision.code for decision in effects.decisions] == ["rate_limited"]
+
+
+def test_replaced_vm_must_have_stopped_before_the_new_one_grows(fleet):
+    slots = tuple(
+        holders.Slot(f"s{i}", name, f"fd-{i}") for i, name in enumerate(["vm-0", "vm-1", "vm-9"])
+    )
+    changed = holders.Roster(2, slots, ("vm-2",), settled=1)
+    now = 20.0
+    fleet["vm-9"] = start("vm-9", now=now, members=changed)
+    for vm in ["vm-0", "vm-1"]:
+        fleet[vm].configure(limiter.Update(changed), now)
+    deaf = fleet.pop("vm-2")
+    for _ in range(60):
+        now += 0.1
+        for vm, state in fleet.items():
+            carry(fleet, vm, state.tick(now), now)
+    assert admit(fleet, "vm-9", 601, now)[0].code == "rate_limited"
+    deaf.configure(limiter.Update(changed), now)
+    fleet["vm-2"] = deaf
+    for _ in range(60):
+        now += 0.1
+        for vm, state in fleet.items():
+            carry(fleet, vm, state.tick(now), now)
+    assert fleet["vm-9"].dump()["settled"] == 2
+    assert isinstance(admit(fleet, "vm-9", 700, now, "s")[0], messages.Admitted)
