--- a/hollyring/limits/limiter.py
+++ b/hollyring/limits/limiter.py
@@ -118,7 +118,7 @@
                 self._take(sender, message, now, effects)
             case messages.Return():
                 key = (sender, message.incarnation, message.ask)
-                self._give_back(message.organisation, key, message.tokens, now)
+                self._give_back(key, message, now)
             case _:
                 effects.messages.extend(self._layout.receive(sender, message, now))
         return effects
@@ -218,7 +218,7 @@
         """Serve waiting requests in order, as far as tokens go; ask for more or refuse."""
         state.time_out(now)
         for loan in state.expire(now):
-            self._return(loan, loan.left, now, effects)
+            self._release(loan, now, effects)
         while state.waiting and self._serve_first(state, now, effects):
             pass
         if state.waiting:
@@ -226,8 +226,7 @@
             return
         self._waiting.pop(state.organisation, None)
         while state.loans:
-            loan = state.loans.popleft()
-            self._return(loan, loan.left, now, effects)
+            self._release(state.loans.popleft(), now, effects)
 
     def _serve_first(self, state: borrower.Borrower, now: float, effects: messages.Effects) -> bool:
         """Decide on the first waiting request; return False while it has to wait."""
@@ -235,7 +234,7 @@
         self._borrow_own(state, first.tokens - state.available, now)
         if state.available >= first.tokens:
             state.waiting.popleft()
-            self._admit(state, first, effects)
+            self._admit(state, first, now, effects)
             return True
         learned = self._limits.get(state.organisation)
         if learned is None:
@@ -259,10 +258,12 @@
             return
         self._last_ask += 1
         given = own.lend((self._vm.name, self._vm.number, self._last_ask), tokens, now)
-        self._check(own, now)
+        self._check(own)
         if given:
             expires = now + settings.LOAN_SECONDS
-            loan = borrower.Loan(self._vm.name, state.organisation, self._last_ask, given, expires)
+            loan = borrower.Loan(
+                self._vm.name, state.organisation, self._last_ask, given, given, expires
+            )
             state.loans.append(loan)
 
     def _estimates(
@@ -298,6 +299,8 @@
         for holder, estimate in estimates:
             if deficit <= 0 or len(state.asked) >= settings.FANOUT:
                 return
+            if state.is_asked(holder):
+                continue
             tokens = min(deficit, estimate)
             deficit -= tokens
             self._last_ask += 1
@@ -311,7 +314,7 @@
         if own is not None:
             given = own.lend((sender, ask.incarnation, ask.ask), ask.tokens, now)
             left = own.left(now)
-            self._check(own, now)
+            self._check(own)
         grant = messages.Grant(ask.organisation, ask.incarnation, ask.ask, given, left)
         effects.send(sender, grant)
 
@@ -326,33 +329,49 @@
             return
         state.heard(sender, grant.left, now)
         expires = ask.sent + settings.LOAN_SECONDS
-        loan = borrower.Loan(sender, grant.organisation, grant.ask, grant.tokens, expires)
         if grant.tokens:
+            loan = borrower.Loan(
+                sender, grant.organisation, grant.ask, grant.tokens, grant.tokens, expires
+            )
             state.loans.append(loan)
         self._pump(state, now, effects)
 
+    def _release(self, loan: borrower.Loan, now: float, effects: messages.Effects) -> None:
+        """Return all that is left of a loan."""
+        left, loan.left = loan.left, 0
+        self._return(loan, left, now, effects)
+
     def _return(
         self, loan: borrower.Loan, tokens: int, now: float, effects: messages.Effects
     ) -> None:
         loan.returned += tokens
+        spent = loan.left == 0
+        back = messages.Return(loan.organisation, self._vm.number, loan.ask, loan.returned, spent)
         if loan.holder == self._vm.name:
             key = (self._vm.name, self._vm.number, loan.ask)
-            self._give_back(loan.organisation, key, loan.returned, now)
+            self._give_back(key, back, now)
             return
-        back = messages.Return(loan.organisation, self._vm.number, loan.ask, loan.returned)
         effects.send(loan.holder, back)
 
-    def _give_back(self, organisation: str, key: share.LoanKey, total: int, now: float) -> None:
-        own = self._shares.get(organisation)
+    def _give_back(self, key: share.LoanKey, back: messages.Return, now: float) -> None:
+        own = self._shares.get(back.organisation)
         if own is None:
             return
-        own.give_back(key, total, now)
-        self._check(own, now)
+        own.give_back(key, back.tokens, now, back.spent)
+        self._check(own)
 
     def _admit(
-        self, state: borrower.Borrower, request: borrower.Waiting, effects: messages.Effects
+        self,
+        state: borrower.Borrower,
+        request: borrower.Waiting,
+        now: float,
+        effects: messages.Effects,
     ) -> None:
-        self._reservations[request.request_id] = state.spend(request.tokens)
+        parts = state.spend(request.tokens)
+        for part in parts:
+            if self._reports(part.loan):
+                self._return(part.loan, 0, now, effects)
+        self._reservations[request.request_id] = parts
         if len(self._reservations) > settings.MAX_RESERVATIONS:
             del self._reservations[next(iter(self._reservations))]
         self._admitted += 1
@@ -373,7 +392,17 @@
         self._refused[code] = self._refused.get(code, 0) + 1
         effects.decisions.append(messages.Refused(request_id, organisation, code, retry_after))
 
-    def _check(self, own: share.Share, now: float) -> None:
+    def _reports(self, loan: borrower.Loan) -> bool:
+        """Tell whether the holder should learn at once that a loan is spent."""
+        learned = self._limits.get(loan.organisation)
+        if loan.left or learned is None:
+            return False
+        if loan.holder == self._vm.name:
+            return True
+        parts = max(1, len(self._layout.chosen(loan.organisation)))
+        return loan.given * settings.NOTICE_PART * parts > learned.limit.burst
+
+    def _check(self, own: share.Share) -> None:
         bound = max(own.portion.burst, own.outstanding)
         self._invariants.check("share_within_burst", own.promised <= bound + 1e-6)
 
--- a/hollyring/limits/messages.py
+++ b/hollyring/limits/messages.py
@@ -30,12 +30,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Return:
-    """Unused tokens of a loan go back; `tokens` is the sum of all returns of this loan."""
+    """Unused tokens of a loan go back; `tokens` is the sum of all returns of this loan.
+
+    Once it is `spent`, nothing of the loan will be spent any more.
+    """
 
     organisation: str
     incarnation: int
     ask: int
     tokens: int
+    spent: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
