Weigh placement by replayed decisions: spill only when queues say so

A second of recomputation now weighs more the longer the queue, and the first upstream by rendezvous is presumed to hold what all VMs send there.

--- /dev/null
+++ b/hollyring/experiments/routing_replay.py
@@ -0,0 +1,392 @@
+"""Replay of a workload through the routing decisions alone.
+
+Every VM's `Router` is the real one; each upstream is an LRU cache and a prefill queue, computed
+and not run. It steers the design and is no measurement of the product: `hollyring.experiments
+.routing` measures real VMs and engines.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterator
+
+from hollyring.core import invariants, pieces
+from hollyring.experiments import routing_report, routing_workload
+from hollyring.routing import (
+    events,
+    index,
+    messages,
+    policies,
+    prefix,
+    requests,
+    router,
+    upstreams,
+)
+
+ROUND_TRIP_SECONDS = 0.001
+REPORT_SECONDS = 0.5
+POLL_SECONDS = 0.05
+DECODE_SECONDS = 0.02
+FRAME_BYTES = 40
+"""Bytes of framing, addresses and numbers around a message."""
+
+PUSHED_BYTES = 30
+"""Bytes of one upstream's load in a push."""
+
+STATE_BYTES = 60
+"""Bytes of one upstream's state in an answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Size and faults of a replay."""
+
+    vms: int = 9
+    upstreams: int = 6
+    failure_domains: int = 3
+    cache_blocks: int = 400
+    idle_seconds: float = 30.0
+    prefill_tokens_per_second: float = 8000.0
+    event_lag_seconds: float = 0.2
+    event_loss: float = 0.01
+    load_lag_seconds: float = 0.5
+    rate: float = 12.0
+    seconds: float = 120.0
+    crash_at: float = 80.0
+    lookups: bool = True
+    watchers: bool = True
+    push_loads_seconds: float = 0.0
+    told_the_truth: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    arrival: routing_workload.Arrival
+    request: requests.RouteRequest
+    vm: int
+    tries: int = 0
+    attempt: int = 0
+    incarnation: int = 0
+
+
+class _Upstream:
+    """An LRU cache of blocks and a queue of prefills, computed in virtual time."""
+
+    def __init__(self, name: str, settings: Settings, draw: random.Random) -> None:
+        self.name = name
+        self.incarnation = 1
+        self.blocks: collections.OrderedDict[int, float] = collections.OrderedDict()
+        self.queue: collections.deque[_Job] = collections.deque()
+        self.busy = False
+        self.sequence = 0
+        self.published: list[tuple[float, events.CacheEvent]] = []
+        self._settings = settings
+        self._draw = draw
+
+    def depth(self, names: tuple[int, ...]) -> int:
+        """Return the cached leading pieces of a chain."""
+        for count, name in enumerate(names):
+            if name not in self.blocks:
+                return count
+        return len(names)
+
+    def touch(self, names: tuple[int, ...], now: float) -> None:
+        """Mark cached blocks as used."""
+        for name in reversed(names):
+            self.blocks[name] = now
+            self.blocks.move_to_end(name)
+
+    def store(self, names: tuple[int, ...], now: float) -> None:
+        """Cache a prompt's blocks and evict others."""
+        added = [name for name in names if name not in self.blocks]
+        self.touch(names, now)
+        self._publish(events.Change.STORED, added, now)
+        removed = []
+        while len(self.blocks) > self._settings.cache_blocks:
+            removed.append(self.blocks.popitem(last=False)[0])
+        self._publish(events.Change.REMOVED, removed, now)
+
+    def evict_idle(self, now: float) -> None:
+        """Evict blocks unused for long."""
+        removed = []
+        while self.blocks:
+            name = next(iter(self.blocks))
+            if self.blocks[name] >= now - self._settings.idle_seconds:
+                break
+            del self.blocks[name]
+            removed.append(name)
+        self._publish(events.Change.REMOVED, removed, now)
+
+    def crash(self) -> list[_Job]:
+        """Lose everything; return the requests that were cut."""
+        cut = list(self.queue)
+        self.queue.clear()
+        self.blocks.clear()
+        self.published.clear()
+        self.busy = False
+        self.sequence = 0
+        self.incarnation += 1
+        return cut
+
+    def take_events(self, now: float) -> events.EventBatch:
+        """Return the events that are old enough to be published by now."""
+        ready = [e for at, e in self.published if at <= now - self._settings.event_lag_seconds]
+        self.published = self.published[len(ready) :]
+        return events.EventBatch(self.incarnation, tuple(ready))
+
+    def _publish(self, change: events.Change, names: list[int], now: float) -> None:
+        if not names:
+            return
+        self.sequence += 1
+        if self._draw.random() >= self._settings.event_loss:
+            event = events.CacheEvent(self.sequence, change, tuple(names))
+            self.published.append((now, event))
+
+
+class _Truth(index.CacheIndex):
+    """An index that is told the truth of every upstream at once: the reference."""
+
+    def __init__(self, fleet: dict[str, _Upstream]) -> None:
+        super().__init__()
+        self._fleet = fleet
+
+    @property
+    def watched(self) -> list[str]:
+        """Every upstream."""
+        return list(self._fleet)
+
+    def depth(self, upstream: str, names: tuple[int, ...]) -> index.Depth | None:  # type: ignore[override]
+        """Return what the upstream holds now."""
+        one = self._fleet[upstream]
+        return index.Depth(one.depth(names), 1.0, one.incarnation)
+
+
+class Replay:
+    """One policy on one workload.
+
+    Parameters
+    ----------
+    policy
+        The placement policy.
+    workload, settings, seed
+        What is replayed.
+    """
+
+    def __init__(
+        self,
+        policy: policies.Policy,
+        workload: routing_workload.Workload,
+        settings: Settings,
+        seed: int,
+    ) -> None:
+        self._settings = settings
+        self._workload = workload
+        self._seed = seed
+        self._draw = random.Random(seed + 2)
+        self._now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        names = [f"ls-{number + 1}" for number in range(settings.upstreams)]
+        self._fleet = {name: _Upstream(name, settings, self._draw) for name in names}
+        self._invariants = invariants.Invariants()
+        served = (upstreams.Served(routing_workload.MODEL, routing_workload.VERSION),)
+        listed = [
+            upstreams.Upstream(
+                name,
+                f"domain-{number % settings.failure_domains}",
+                served,
+                prefill_tokens_per_second=settings.prefill_tokens_per_second,
+            )
+            for number, name in enumerate(names)
+        ]
+        self._vms = [f"vm-{number + 1}" for number in range(settings.vms)]
+        self._routers = []
+        for vm in self._vms:
+            told = _Truth(self._fleet) if settings.told_the_truth else None
+            one = router.Router(vm, policy, self._invariants, told)
+            one.configure(listed, self._vms, 0.0)
+            self._routers.append(one)
+        self.report = routing_report.Tally()
+
+    def run(self) -> routing_report.Tally:
+        """Replay the whole workload and return the tally."""
+        settings = self._settings
+        arrivals = routing_workload.arrivals(
+            self._workload, settings.rate, settings.seconds, self._seed
+        )
+        self._next_arrival(arrivals)
+        self._every(REPORT_SECONDS, self._report_loads)
+        if settings.push_loads_seconds:
+            self._every(settings.push_loads_seconds, self._push_loads)
+        if settings.watchers:
+            self._every(POLL_SECONDS, self._poll_events)
+        if 0 < settings.crash_at < settings.seconds:
+            self._at(settings.crash_at, lambda: self._crash(next(iter(self._fleet))))
+        while self._events:
+            self._now, _, action = heapq.heappop(self._events)
+            action()
+        for one in self._routers:
+            self.report.lookups += one.counters.lookups
+        return self.report
+
+    def _at(self, at: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at, next(self._order), action))
+
+    def _every(self, seconds: float, action: Callable[[], None]) -> None:
+        def again() -> None:
+            action()
+            if self._now < self._settings.seconds + 10.0:
+                self._at(self._now + seconds, again)
+
+        self._at(seconds, again)
+
+    def _next_arrival(self, arrivals: Iterator[routing_workload.Arrival]) -> None:
+        arrival = next(arrivals, None)
+        if arrival is None:
+            return
+
+        def arrive() -> None:
+            self._arrive(arrival)
+            self._next_arrival(arrivals)
+
+        self._at(arrival.at, arrive)
+
+    def _arrive(self, arrival: routing_workload.Arrival) -> None:
+        model, version = routing_workload.MODEL, routing_workload.VERSION
+        chain = prefix.chain(arrival.organisation, model, version, arrival.prompt)
+        request = requests.RouteRequest(
+            arrival.organisation,
+            model,
+            version,
+            chain,
+            pieces.token_count(arrival.prompt),
+            arrival.answer_tokens,
+            arrival.at + 60.0,
+        )
+        self._route(_Job(arrival, request, self._draw.randrange(len(self._vms))))
+
+    def _route(self, job: _Job) -> None:
+        one = self._routers[job.vm]
+        decision = one.route(job.request, self._now, self._draw, self._settings.lookups)
+        if isinstance(decision, requests.NeedLookup):
+            for asked in decision.lookups:
+                self._look_up(job, asked)
+            self._at(self._now + ROUND_TRIP_SECONDS, lambda: self._decide(job))
+            return
+        self._send(job, decision)
+
+    def _look_up(self, job: _Job, asked: requests.AddressedLookup) -> None:
+        watcher = self._routers[self._vms.index(asked.vm)]
+        answer = watcher.answer(asked.lookup, self._now)
+        self._routers[job.vm].observe_answer(job.request, answer, self._now)
+        lookup = asked.lookup
+        self.report.control_bytes += 2 * FRAME_BYTES + len(lookup.names) + 4 * len(lookup.depths)
+        self.report.control_bytes += STATE_BYTES * len(answer.states) + 8 * len(lookup.upstreams)
+
+    def _decide(self, job: _Job) -> None:
+        one = self._routers[job.vm]
+        self._send(job, one.route(job.request, self._now, self._draw, may_look_up=False))
+
+    def _send(self, job: _Job, decision: requests.Decision) -> None:
+        if not isinstance(decision, requests.Route):
+            self.report.refused += 1
+            return
+        one = self._routers[job.vm]
+        job.attempt = one.dispatched(job.request, decision, self._now)
+        upstream = self._fleet[decision.upstream]
+        upstream.queue.append(job)
+        self._start(upstream)
+
+    def _start(self, upstream: _Upstream) -> None:
+        if upstream.busy or not upstream.queue:
+            return
+        upstream.busy = True
+        upstream.evict_idle(self._now)
+        job = upstream.queue[0]
+        names = job.request.chain.names
+        cached = upstream.depth(names)
+        upstream.touch(names[:cached], self._now)
+        elsewhere = max(other.depth(names) for other in self._fleet.values())
+        cached_tokens = cached * pieces.PIECE_TOKENS
+        seconds = (job.request.prompt_tokens - cached_tokens) / (
+            self._settings.prefill_tokens_per_second
+        ) + DECODE_SECONDS
+        wasted = (elsewhere - cached) * pieces.PIECE_TOKENS
+        life = upstream.incarnation
+
+        def prefilled() -> None:
+            if upstream.incarnation == life:
+                self._first_token(upstream, job, cached_tokens, wasted)
+
+        self._at(self._now + seconds, prefilled)
+
+    def _first_token(self, upstream: _Upstream, job: _Job, cached: int, wasted: int) -> None:
+        upstream.queue.popleft()
+        upstream.busy = False
+        upstream.store(job.request.chain.names, self._now)
+        one = self._routers[job.vm]
+        one.first_token(job.attempt, self._now)
+        self.report.add(
+            job.arrival.organisation,
+            self._now - job.arrival.at,
+            job.request.prompt_tokens,
+            cached,
+            wasted,
+        )
+        done = self._now + job.arrival.answer_tokens * DECODE_SECONDS
+        self._at(done, lambda: one.finished(job.attempt, cached, self._now))
+        self._start(upstream)
+
+    def _report_loads(self) -> None:
+        for name, upstream in self._fleet.items():
+            speed = self._settings.prefill_tokens_per_second
+            queued = sum(
+                job.request.prompt_tokens
+                - upstream.depth(job.request.chain.names) * pieces.PIECE_TOKENS
+                for job in upstream.queue
+            )
+            waiting = len(upstream.queue)
+            lag = self._settings.load_lag_seconds
+            report = messages.LoadReport(
+                upstream.incarnation, 0, waiting, queued, speed, age_seconds=lag
+            )
+            self._at(self._now + lag, lambda name=name, report=report: self._hear(name, report))
+
+    def _hear(self, name: str, report: messages.LoadReport) -> None:
+        for one in self._routers:
+            if name in one.watched() or self._settings.told_the_truth:
+                one.observe_load(name, report, self._now)
+
+    def _push_loads(self) -> None:
+        for one in self._routers:
+            loads = one.watched_loads(self._now)
+            if not loads.states:
+                continue
+            for other in self._routers:
+                if other is not one:
+                    other.observe_loads(loads, self._now)
+                    self.report.control_bytes += FRAME_BYTES + PUSHED_BYTES * len(loads.states)
+
+    def _poll_events(self) -> None:
+        for name, upstream in self._fleet.items():
+            batch = upstream.take_events(self._now)
+            watcher = next(one for one in self._routers if name in one.watched())
+            self.report.events += len(batch.events)
+            watcher.observe_events(name, batch, self._now)
+            if name in watcher.due_resync(self._now):
+                self.report.snapshot_blocks += len(upstream.blocks)
+                snapshot = events.Snapshot(
+                    upstream.incarnation, upstream.sequence, tuple(upstream.blocks)
+                )
+                watcher.observe_snapshot(name, snapshot, self._now)
+
+    def _crash(self, name: str) -> None:
+        for job in self._fleet[name].crash():
+            one = self._routers[job.vm]
+            one.failed(job.attempt, self._now)
+            job.request = dataclasses.replace(job.request, excluded=frozenset({name}))
+            self._route(job)
--- /dev/null
+++ b/hollyring/experiments/routing_report.py
@@ -0,0 +1,89 @@
+"""The five measures of a routing comparison."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Sequence
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """What one policy did to one workload."""
+
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    wasted_tokens: int = 0
+    refused: int = 0
+    failed: int = 0
+    lookups: int = 0
+    control_bytes: int = 0
+    events: int = 0
+    snapshot_blocks: int = 0
+    first_tokens: dict[str, list[float]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+
+    def add(self, organisation: str, seconds: float, prompt: int, cached: int, wasted: int) -> None:
+        """Count one answered request."""
+        self.first_tokens[organisation].append(seconds)
+        self.prompt_tokens += prompt
+        self.cached_tokens += cached
+        self.wasted_tokens += wasted
+
+    def summary(self) -> Summary:
+        """Return the measures."""
+        every = sorted(seconds for each in self.first_tokens.values() for seconds in each)
+        worst = max(
+            (quantile(sorted(each), 0.95), name) for name, each in self.first_tokens.items()
+        )
+        return Summary(
+            requests=len(every),
+            hit_rate=round(self.cached_tokens / max(1, self.prompt_tokens), 4),
+            p50=round(quantile(every, 0.5), 4),
+            p95=round(quantile(every, 0.95), 4),
+            p99=round(quantile(every, 0.99), 4),
+            wasted_tokens=self.wasted_tokens,
+            worst_organisation=worst[1],
+            worst_p95=round(worst[0], 4),
+            refused=self.refused,
+            failed=self.failed,
+            lookups=self.lookups,
+            control_bytes=self.control_bytes,
+            events=self.events,
+            snapshot_blocks=self.snapshot_blocks,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """The measures: times to first token in seconds, of all and of the worst-served one."""
+
+    requests: int
+    hit_rate: float
+    p50: float
+    p95: float
+    p99: float
+    wasted_tokens: int
+    worst_organisation: str
+    worst_p95: float
+    refused: int
+    failed: int
+    lookups: int
+    control_bytes: int
+    events: int
+    snapshot_blocks: int
+
+
+def quantile(ordered: Sequence[float], part: float) -> float:
+    """Return the nearest-rank quantile of an ordered sequence; 0 of an empty one.
+
+    Examples
+    --------
+    >>> quantile([1.0, 2.0, 3.0, 4.0], 0.5)
+    2.0
+    """
+    if not ordered:
+        return 0.0
+    return ordered[max(0, math.ceil(part * len(ordered)) - 1)]
--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -156,8 +156,12 @@
     if imported:
         tokens = imported * pieces.PIECE_TOKENS - cached
         prefill -= tokens / speed - tokens / state.upstream.import_tokens_per_second
-    seconds = state.upstream.distance_seconds + state.load.queue_seconds(now) + prefill
-    cost = seconds + prefill * (policy.waste_weight + policy.order_weight * position)
+    queueing = state.load.queue_seconds(now)
+    seconds = state.upstream.distance_seconds + queueing + prefill
+    presumed = policy.home_presumption if position == 0 else 0.0
+    avoidable = prefill * (1.0 - presumed + policy.order_weight * position)
+    weight = policy.waste_weight + queueing / policy.crowding_seconds
+    cost = seconds + avoidable * weight
     return Candidate(state, held, cached, prefill, seconds, cost, imported)
 
 
--- a/hollyring/routing/policies.py
+++ b/hollyring/routing/policies.py
@@ -19,23 +19,34 @@
         Expected queueing of all candidates beyond which twice as many are considered.
     waste_weight
         How much a second of recomputation counts beyond its own delay: it delays others too.
+    crowding_seconds
+        Queueing that counts as one more request delayed by a recomputation: the longer the queue,
+        the more requests wait behind, and spreading a prefix would waste what they need.
     order_weight
         Part of the uncached prefill by which each later candidate is handicapped, so that all VMs
         fill the same upstream with a cold prefix.
+    home_presumption
+        Part of the prompt that the first upstream by rendezvous is presumed to hold or to be about
+        to hold, since all VMs send it there first.
     slack_seconds, slack_part
         Candidates this close to the best are drawn from at random.
     lookup_stake_seconds
         Expected recomputation above which the watchers are asked; infinite for never.
+    lookup_candidates
+        The most upstreams asked about for one request, cheapest first.
     """
 
     affinity_pieces: tuple[int, ...] = (4, 16)
     fanout: int = 2
     widen_after_seconds: float = 0.25
-    waste_weight: float = 0.5
+    waste_weight: float = 16.0
+    crowding_seconds: float = 0.1
+    home_presumption: float = 1.0
     order_weight: float = 0.1
     slack_seconds: float = 0.005
     slack_part: float = 0.02
-    lookup_stake_seconds: float = 0.2
+    lookup_stake_seconds: float = 0.5
+    lookup_candidates: int = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -27,8 +27,8 @@
 MAX_PENDING = 20_000
 """Dispatches followed at once; the oldest is given up beyond it."""
 
-MAX_LOOKUP_CANDIDATES = 4
-"""Upstreams asked about for one request."""
+DEPTH_STEP = 4
+"""Ratio between the depths at which a lookup names the chain."""
 
 KNOWN_CONFIDENCE = 0.5
 """Confidence in a held prefix below which it is worth asking about."""
@@ -214,6 +214,22 @@
         states = [self._describe(name, lookup.depths, names, now) for name in lookup.upstreams]
         return messages.LookupAnswer(lookup.lookup_id, [state for state in states if state])
 
+    def watched_loads(self, now: float) -> messages.Loads:
+        """Return the loads of the upstreams that this VM watches, for its peers."""
+        watched = [self._states[name] for name in self._index.watched if name in self._states]
+        return messages.Loads(
+            [
+                messages.UpstreamLoad(state.name, state.load.report(state.incarnation, now))
+                for state in watched
+                if state.load.age(now) < MAX_PENDING_SECONDS
+            ]
+        )
+
+    def observe_loads(self, loads: messages.Loads, now: float) -> None:
+        """Take in the loads that another watcher pushed."""
+        for one in loads.states:
+            self.observe_load(one.upstream, one.report, now)
+
     def observe_answer(
         self, request: requests.RouteRequest, answer: messages.LookupAnswer, now: float
     ) -> None:
@@ -409,7 +425,7 @@
         found = placement.candidates(policy, request, pool, held, self._affinity, now)
         chosen = placement.choose(policy, found, draw)
         if may_look_up and chosen.prefill_seconds >= policy.lookup_stake_seconds:
-            lookups = self._worth_asking(request, found, now)
+            lookups = self._worth_asking(policy, request, found)
             if lookups:
                 self.counters.lookups += len(lookups)
                 return requests.NeedLookup(lookups)
@@ -436,13 +452,13 @@
 
     def _worth_asking(
         self,
+        policy: policies.Prefix,
         request: requests.RouteRequest,
         found: Sequence[placement.Candidate],
-        now: float,
     ) -> tuple[requests.AddressedLookup, ...]:
         by_vm: dict[str, list[str]] = {}
         cheapest = sorted(found, key=lambda candidate: candidate.cost)
-        for candidate in cheapest[:MAX_LOOKUP_CANDIDATES]:
+        for candidate in cheapest[: policy.lookup_candidates]:
             name = candidate.state.name
             watcher = self._watchers[name]
             if watcher == self._vm or candidate.held.confidence >= KNOWN_CONFIDENCE:
@@ -507,8 +523,12 @@
 
 
 def _sparse_depths(pieces_count: int) -> list[int]:
-    depths = [1 << power for power in range(pieces_count.bit_length())]
-    return [*(depth for depth in depths if depth < pieces_count), pieces_count]
+    depths = []
+    depth = 1
+    while depth < pieces_count:
+        depths.append(depth)
+        depth *= DEPTH_STEP
+    return [*depths, pieces_count]
 
 
 def _report(about: messages.UpstreamState) -> messages.LoadReport:
