Keep VMs' liveness by bounded heartbeats with suspicion and refutation

Cause: nothing tells which VMs live but the platform's lagging list. Change: membership.members pings one member a period, asks three others before suspecting, passes on bounded news, compares tables by digests; beliefs, table and gossip hold what is believed and passed on. Ruled out: every VM pinging every other, since that grows with the fleet; judging across regions, since a lost link would suspect whole regions. Checked: bin/test hollyring/membership hollyring/core, 48 passed.

--- a/hollyring/membership/__init__.py
+++ b/hollyring/membership/__init__.py
@@ -1,5 +1,25 @@
 """Liveness of VMs, the addresses that callers are told, and leases."""
 
-from hollyring.membership import entry, errors, leases
+from hollyring.membership import (
+    actions,
+    beliefs,
+    entry,
+    errors,
+    gossip,
+    leases,
+    members,
+    messages,
+    table,
+)
 
-__all__ = ["entry", "errors", "leases"]
+__all__ = [
+    "actions",
+    "beliefs",
+    "entry",
+    "errors",
+    "gossip",
+    "leases",
+    "members",
+    "messages",
+    "table",
+]
--- /dev/null
+++ b/hollyring/membership/beliefs.py
@@ -0,0 +1,223 @@
+"""What one VM believes of the others, how it learns better, and what it passes on."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from hollyring.core import identities
+from hollyring.membership import actions, gossip, messages, table
+
+PERIOD_SECONDS = 1.0
+
+LEAST_SUSPICION_PERIODS = 4
+"""Periods in which a suspect may refute, at least; they grow with the fleet's logarithm."""
+
+DEAD_SECONDS = 3_600.0
+"""How long a dead member is remembered, and now and then asked whether it lives."""
+
+MAX_ENTRIES = 1_024
+
+
+class Beliefs:
+    """The table of members and entries, changed by news only.
+
+    Parameters
+    ----------
+    me
+        This life of this VM.
+    """
+
+    __slots__ = (
+        "_me",
+        "_table",
+        "_gossip",
+        "_entries",
+        "_refutation",
+        "_status",
+        "_suspects",
+        "_dead",
+        "_replaced",
+        "_counts",
+    )
+
+    def __init__(self, me: messages.Profile) -> None:
+        self._me = me
+        self._table = table.Table(me)
+        self._gossip = gossip.Gossip()
+        self._gossip.add(me)
+        self._entries: dict[str, messages.Entry] = {}
+        self._refutation = 0
+        self._status = messages.Status.ALIVE
+        self._suspects: set[str] = set()
+        self._dead: dict[str, float] = {}
+        self._replaced = False
+        self._counts = {"suspected": 0, "died": 0, "refuted": 0}
+
+    @property
+    def known(self) -> table.Table:
+        """Members and digests."""
+        return self._table
+
+    @property
+    def entries(self) -> dict[str, messages.Entry]:
+        """The highest version heard of each entry."""
+        return self._entries
+
+    @property
+    def status(self) -> messages.Status:
+        """This VM's own status."""
+        return self._status
+
+    @property
+    def replaced(self) -> bool:
+        """Whether a later life of this VM is known to run."""
+        return self._replaced
+
+    @property
+    def dead(self) -> list[str]:
+        """Members taken for dead and not forgotten yet."""
+        return list(self._dead)
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """How often members were suspected and taken for dead, and this life refuted that."""
+        return dict(self._counts)
+
+    def alive(self, region: str = "") -> list[table.Member]:
+        """Return the members not taken for dead, of one region or of all."""
+        return [
+            member
+            for member in self._table.members.values()
+            if member.status is not messages.Status.DEAD
+            and (not region or member.profile.region == region)
+        ]
+
+    def leave(self) -> None:
+        """Tell the others that this VM takes no new callers."""
+        self._status = messages.Status.LEAVING
+        self._refutation += 1
+        self._gossip.add(self.my_update())
+
+    def my_update(self) -> messages.Update:
+        """Return what this life says of itself."""
+        status = int(self._status)
+        return messages.Update(self._me.name, self._me.number, self._refutation, status)
+
+    def news(self, first: list[gossip.Item]) -> messages.News:
+        """Return what the next heartbeat carries."""
+        return self._gossip.take(len(self._table.members) + 1, first)
+
+    def contradiction(self, name: str, number: int) -> list[gossip.Item]:
+        """Return what a life must hear because something else is believed of it."""
+        member = self._table.members.get(name)
+        if member is None:
+            return []
+        if member.profile.number > number:
+            return [member.profile]
+        return [] if member.status is messages.Status.ALIVE else [member.update]
+
+    def forgive(self, seconds: float) -> None:
+        """Give every suspect more time, after this VM itself stood still."""
+        for name in self._suspects:
+            self._table.members[name].deadline += seconds
+
+    def say(self, name: str, status: messages.Status, now: float, patience: float = 1.0) -> Heard:
+        """Believe something of a member's present life, as this VM's own finding."""
+        update = dataclasses.replace(self._table.members[name].update, status=int(status))
+        return self.hear_update(update, now, patience)
+
+    def expire(self, now: float) -> Heard:
+        """Take suspects for dead whose time is up, and forget the long dead."""
+        heard: Heard = []
+        for name in sorted(self._suspects):
+            if now >= self._table.members[name].deadline:
+                heard += self.say(name, messages.Status.DEAD, now)
+        for name in [name for name, since in self._dead.items() if since + DEAD_SECONDS < now]:
+            del self._dead[name]
+            self._table.remove(name)
+            self._entries.pop(load_entry(name), None)
+        return heard
+
+    def hear(self, news: messages.News, now: float, patience: float = 1.0) -> Heard:
+        """Take in news; `patience` lengthens the time that suspects get."""
+        heard: Heard = []
+        for profile in news.profiles:
+            heard += self.hear_profile(profile)
+        for update in news.updates:
+            heard += self.hear_update(update, now, patience)
+        for entry in news.entries:
+            heard += self.hear_entry(entry)
+        return heard
+
+    def hear_profile(self, profile: messages.Profile) -> Heard:
+        """Take in a life; a later one takes an earlier one's place."""
+        if profile.name == self._me.name:
+            return self._hear_of_me(profile.number)
+        if not self._table.add(profile):
+            return []
+        self._suspects.discard(profile.name)
+        self._dead.pop(profile.name, None)
+        self._gossip.add(profile)
+        return [actions.Changed(profile, messages.Status.ALIVE)]
+
+    def hear_update(self, update: messages.Update, now: float, patience: float = 1.0) -> Heard:
+        """Take in what is said of a life, unless as much is known."""
+        if update.name == self._me.name:
+            return self._refute(update)
+        if not self._table.apply(update):
+            return []
+        member = self._table.members[update.name]
+        self._suspects.discard(update.name)
+        self._dead.pop(update.name, None)
+        self._gossip.add(update)
+        match member.status:
+            case messages.Status.SUSPECT:
+                self._counts["suspected"] += 1
+                self._suspects.add(update.name)
+                member.deadline = now + patience * self._suspicion_seconds()
+            case messages.Status.DEAD:
+                self._counts["died"] += 1
+                self._dead[update.name] = now
+        return [actions.Changed(member.profile, member.status)]
+
+    def hear_entry(self, entry: messages.Entry) -> Heard:
+        """Take in an entry, if its version is higher than the one known."""
+        known = self._entries.get(entry.name)
+        if known is not None and known.version >= entry.version:
+            return []
+        if known is None and len(self._entries) >= MAX_ENTRIES:
+            return []
+        self._entries[entry.name] = entry
+        self._gossip.add(entry)
+        return [actions.EntryChanged(entry)]
+
+    def _suspicion_seconds(self) -> float:
+        doublings = math.ceil(math.log2(len(self._table.members) + 2))
+        return PERIOD_SECONDS * max(LEAST_SUSPICION_PERIODS, doublings)
+
+    def _hear_of_me(self, number: int) -> Heard:
+        if number <= self._me.number or self._replaced:
+            return []
+        self._replaced = True
+        return [actions.Replaced(identities.Incarnation(self._me.name, number))]
+
+    def _refute(self, update: messages.Update) -> Heard:
+        """Contradict what is wrongly said of this life."""
+        if update.number != self._me.number:
+            return self._hear_of_me(update.number)
+        mine = (self._refutation, self._status)
+        if self._replaced or (update.refutation, update.status) <= mine:
+            return []
+        self._counts["refuted"] += 1
+        self._refutation = update.refutation + 1
+        self._gossip.add(self.my_update())
+        return []
+
+
+Heard = list[actions.Action]
+
+
+def load_entry(name: str) -> str:
+    """Return the name of the entry that bears a VM's load."""
+    return f"load/{name}"
