--- a/hollyring/cli/operate.py
+++ b/hollyring/cli/operate.py
@@ -121,7 +121,7 @@
 
     root = pathlib.Path(__file__).parents[2]
     sys.path.insert(0, str(root / "examples"))
-    import bohari  # type: ignore[import-not-found]
+    import bohari
 
     base = base_port or launcher.free_base_port()
     document = bohari.declare(base).document
--- a/hollyring/node/front.py
+++ b/hollyring/node/front.py
@@ -70,7 +70,7 @@
     caller = membership_part.caller_of(
         scope.get("client"), query.get("failure_domain", ""), query.get("region", "")
     )
-    found = await node.membership.entry(caller)
+    found = await node.membership.advise(caller)
     vms = [
         {
             "name": item.name,
--- a/hollyring/node/membership_part.py
+++ b/hollyring/node/membership_part.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from hollyring.membership import entry, members, messages
+from hollyring.membership import actions, entry, members, messages
 from hollyring.node import errors, logs, part, platform
 
 TICK_SECONDS = 0.05
@@ -22,7 +22,7 @@
 
 LEAVING = "leaving"
 
-SendTo = Callable[[str, object], None]
+SendTo = Callable[[str, object], bool]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +119,7 @@
         """Return once a later life of this VM is known to run."""
         await self._replaced.wait()
 
-    async def entry(self, caller: entry.Caller) -> entry.Answer:
+    async def advise(self, caller: entry.Caller) -> entry.Answer:
         """Return which VMs a caller should use."""
         ticket: part.Ticket[entry.Answer] = part.Ticket()
         self.tell(_Entry(caller, ticket))
@@ -199,19 +199,19 @@
             )
         return found
 
-    def _act(self, actions: list[members.Action]) -> None:
-        for action in actions:
+    def _act(self, wanted: list[actions.Action]) -> None:
+        for action in wanted:
             match action:
-                case members.Send():
+                case actions.Send():
                     self._send(action.address, action.message)
-                case members.Changed():
+                case actions.Changed():
                     status = action.status.name.lower()
                     self._log.say("member changed", member=action.profile.name, status=status)
-                case members.EntryChanged():
+                case actions.EntryChanged():
                     self._on_entry(action.entry)
-                case members.Paused():
+                case actions.Paused():
                     self._log.say("process stood still", seconds=action.seconds)
-                case members.Replaced():
+                case actions.Replaced():
                     self._log.say("a later life of this VM runs", by=str(action.by))
                     self._replaced.set()
 
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -43,6 +43,7 @@
   2: optional i64 incarnation
   3: optional i64 ask
   4: optional i64 tokens
+  5: optional bool spent
 }
 
 struct LimitsConfirmRequest {
