Give orders to upstreams by one lease holder, safe against interruption

Found by the world and mended: an order was forgotten when its upstream restarted although the new life could still take it; the bound of an order left out the time to send and the lag of reports, so a second try of a load that had ended was under way unnoticed (3 loads at once where 2 are allowed); the attempt was counted under the identity of the attempt, so a third try never came.

--- /dev/null
+++ b/hollyring/experiments/rollout.py
@@ -0,0 +1,92 @@
+"""``experiment rollout``: orders to upstreams under faults, with the promises checked."""
+
+from __future__ import annotations
+
+import dataclasses
+import sys
+
+import click
+import msgspec
+
+from hollyring.core import invariants
+from hollyring.experiments import rollout_world
+from hollyring.fleet import rollout as rollouts
+
+SETTLE_SECONDS = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What one run showed."""
+
+    seed: int
+    upstreams: int
+    steps: int
+    violations: int
+    converged: bool
+    settle_seconds: float
+    counts: dict[str, int]
+    invariants: dict[str, dict[str, object]]
+
+
+def run(
+    seed: int,
+    upstreams: int,
+    steps: int,
+    strict: bool = False,
+    faults: rollout_world.Faults | None = None,
+) -> Report:
+    """Run a world under faults for `steps` ticks, then without until it converges.
+
+    Parameters
+    ----------
+    seed, upstreams, steps
+        Of the run.
+    strict
+        Raise on the first violation.
+    faults
+        Chances of the faults.
+    """
+    pace = rollouts.Pace(weights_concurrency=2 + seed % 2, weights_seconds=4.0, lease_seconds=5.0)
+    counter = invariants.Invariants(strict)
+    chances = faults or rollout_world.Faults()
+    world = rollout_world.World(seed, upstreams, pace, chances, counter)
+    world.declare_versions()
+    for _ in range(steps):
+        world.step()
+    world.faults = rollout_world.NO_FAULTS
+    stopped_at = world.now
+    while not world.converged and world.now < stopped_at + SETTLE_SECONDS + 30 * upstreams:
+        world.step()
+    return Report(
+        seed,
+        upstreams,
+        steps,
+        counter.violations,
+        world.converged,
+        world.now - stopped_at,
+        dict(world.counts),
+        counter.dump(),
+    )
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--upstreams", default=6, show_default=True)
+@click.option("--steps", default=2000, show_default=True, help="Ticks of 0.25 s under faults.")
+@click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
+def rollout(seed: int, upstreams: int, steps: int, as_json: bool) -> None:
+    """Roll versions, adapters and roles out while holders and upstreams fail.
+
+    Ends with status 1 if a promise was broken or the fleet did not converge afterwards.
+
+    Example: hollyring experiment rollout --seed 7 --upstreams 9 --json
+    """
+    report = run(seed, upstreams, steps)
+    if as_json:
+        click.echo(msgspec.json.encode(report))
+    else:
+        click.echo(f"violations {report.violations}, converged {report.converged}")
+        for name, count in sorted(report.counts.items()):
+            click.echo(f"  {name} {count}")
+    sys.exit(int(report.violations > 0 or not report.converged))
--- /dev/null
+++ b/hollyring/fleet/rollout.py
@@ -0,0 +1,374 @@
+"""Orders to upstreams, given by the one holder of a lease until what is declared is served.
+
+Nothing is kept: what is left to do is the difference between the declared targets and what the
+upstreams report, so that the next holder finishes what a crashed one began.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from hollyring.core import invariants
+from hollyring.fleet import errors, messages, targets
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """Bounds that a rollout relies on.
+
+    Parameters
+    ----------
+    weights_concurrency
+        Loads at once that the weight store serves at full speed.
+    weights_seconds
+        The longest load at that concurrency.
+    lease_seconds
+        Life of the lease whose holder gives orders.
+    flight_seconds
+        The longest time from the start of sending an order to its arrival; the sender closes
+        the connection then.
+    report_lag_seconds
+        The greatest age of a state when it is observed.
+    report_timeout_seconds
+        An upstream not heard for so long is neither counted as serving nor given orders.
+    retry_seconds
+        Wait before an order that was not sent is given again.
+    send_seconds
+        A given order that was not begun to be sent for so long is dropped.
+    """
+
+    weights_concurrency: int = 2
+    weights_seconds: float = 15.0
+    lease_seconds: float = 10.0
+    flight_seconds: float = 2.0
+    report_lag_seconds: float = 2.0
+    report_timeout_seconds: float = 10.0
+    retry_seconds: float = 1.0
+    send_seconds: float = 0.5
+
+    @property
+    def arrival_seconds(self) -> float:
+        """The longest time from giving an order to its arrival."""
+        return self.send_seconds + self.flight_seconds
+
+    @property
+    def order_seconds(self) -> float:
+        """The longest time from giving an order until a state that is heard shows its effect."""
+        return self.arrival_seconds + self.weights_seconds + self.report_lag_seconds
+
+
+@dataclasses.dataclass(slots=True)
+class _Given:
+    order: messages.Order
+    order_id: str
+    at: float
+    outcome: messages.Outcome | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Observed:
+    state: messages.UpstreamState
+    heard_at: float
+
+
+class Rollout:
+    """Gives orders while its VM holds the lease.
+
+    Parameters
+    ----------
+    pace
+        Bounds.
+    invariant_counter
+        Counts ``weights_paced``, ``last_server_kept``, ``one_order_at_a_time``,
+        ``orders_within_lease`` and ``no_order_to_leaving_upstream``.
+    """
+
+    def __init__(self, pace: Pace, invariant_counter: invariants.Invariants) -> None:
+        self._pace = pace
+        self._invariants = invariant_counter
+        self._targets: dict[str, targets.Target] = {}
+        self._observed: dict[str, _Observed] = {}
+        self._given: dict[str, _Given] = {}
+        self._attempts: collections.Counter[str] = collections.Counter()
+        self._not_before: dict[str, float] = {}
+        self._fencing = 0
+        self._holds = False
+        self._ready_at = 0.0
+        self._blocked: dict[str, str] = {}
+
+    @property
+    def holds(self) -> bool:
+        """Whether this VM gives orders."""
+        return self._holds
+
+    @property
+    def blocked(self) -> dict[str, str]:
+        """Upstreams that wait, each with the model or adapter that would lose its last server."""
+        return dict(self._blocked)
+
+    def declare(self, declared: Iterable[targets.Target]) -> None:
+        """Replace the declared targets."""
+        self._targets = {target.upstream: target for target in declared}
+        for upstream in [name for name in self._observed if name not in self._targets]:
+            del self._observed[upstream]
+
+    def acquire(self, fencing: int, now: float, released: bool = False) -> None:
+        """Take up the lease.
+
+        Parameters
+        ----------
+        fencing
+            Number of this holding, above every earlier one.
+        released
+            The earlier holder gave the lease back and had no order in flight.
+
+        Raises
+        ------
+        StaleFencingError
+            If `fencing` is not above the last one of this VM.
+        """
+        if fencing <= self._fencing:
+            raise errors.StaleFencingError(f"{fencing} after {self._fencing}")
+        self._fencing = fencing
+        self._holds = True
+        self._given.clear()
+        self._attempts.clear()
+        self._not_before.clear()
+        wait = 0.0 if released else self._pace.lease_seconds
+        self._ready_at = now + wait + self._pace.flight_seconds
+
+    def lose(self) -> None:
+        """Stop giving orders."""
+        self._holds = False
+        self._given.clear()
+
+    def observe(self, state: messages.UpstreamState, now: float) -> None:
+        """Take in what an upstream reports; a state older than the last is ignored."""
+        known = self._observed.get(state.upstream)
+        if known is not None and state.is_older(known.state):
+            return
+        if state.upstream in self._targets:
+            self._observed[state.upstream] = _Observed(state, now)
+
+    def heard(self, upstream: str, now: float) -> None:
+        """Note that the state of `upstream` was confirmed to be unchanged."""
+        if known := self._observed.get(upstream):
+            known.heard_at = now
+
+    def answered(self, upstream: str, order_id: str, outcome: messages.Outcome, now: float) -> None:
+        """Take in what became of an order."""
+        given = self._given.get(upstream)
+        if given is None or given.order.order_id != order_id:
+            return
+        match outcome:
+            case messages.Outcome.STALE_FENCING:
+                self.lose()
+            case messages.Outcome.NOT_SENT:
+                del self._given[upstream]
+                self._not_before[upstream] = now + self._pace.retry_seconds
+            case _:
+                given.outcome = outcome
+
+    def step(self, remaining: float, now: float) -> list[messages.Order]:
+        """Return the orders to send now.
+
+        Parameters
+        ----------
+        remaining
+            Seconds for which the lease is surely held.
+        """
+        if not self._holds or remaining <= 0 or now < self._ready_at:
+            return []
+        self._settle(now)
+        self._blocked.clear()
+        servers = self._servers(now)
+        loading = sum(targets.loads_weights(given.order.change) for given in self._given.values())
+        orders = []
+        for target in sorted(self._targets.values(), key=self._urgency):
+            change = self._next_change(target, servers, loading, now)
+            if change is None:
+                continue
+            order = self._give(target, change, remaining, now)
+            loading += targets.loads_weights(change)
+            self._take_out(servers, target.upstream, change)
+            self._check(order, servers, loading, remaining)
+            orders.append(order)
+        return orders
+
+    def dump(self) -> dict[str, object]:
+        """Return what the state dump shows."""
+        return {
+            "holds": self._holds,
+            "fencing": self._fencing,
+            "given": {name: given.order.order_id for name, given in sorted(self._given.items())},
+            "blocked": dict(sorted(self._blocked.items())),
+            "left": sum(self._differs(name) for name in self._targets),
+        }
+
+    def _differs(self, upstream: str) -> bool:
+        observed = self._observed.get(upstream)
+        if observed is None:
+            return True
+        return any(True for _ in targets.changes(self._targets[upstream], observed.state))
+
+    def _known(self, upstream: str, now: float) -> messages.UpstreamState | None:
+        observed = self._observed.get(upstream)
+        if observed is None:
+            return None
+        # A state heard before this may not show what the last holder's orders did.
+        oldest = self._ready_at + self._pace.report_lag_seconds
+        if observed.heard_at < max(oldest, now - self._pace.report_timeout_seconds):
+            return None
+        return observed.state
+
+    def _settle(self, now: float) -> None:
+        """Drop the orders that were carried out, and those that can no longer be under way."""
+        for upstream, given in list(self._given.items()):
+            observed = self._observed.get(upstream)
+            arrived = given.outcome is not None or now >= given.at + self._pace.arrival_seconds
+            done = observed is not None and targets.shows(observed.state, given.order.change)
+            if arrived and done:
+                del self._given[upstream]
+                continue
+            # A restarted upstream may have taken the order in its new life, so it counts as well.
+            over_at = given.at + self._pace.order_seconds
+            heard = observed is not None and observed.heard_at >= over_at
+            if now < over_at or not heard and now < over_at + self._pace.report_timeout_seconds:
+                continue
+            if given.outcome is messages.Outcome.ACCEPTED:
+                self._attempts[given.order_id] += 1
+            del self._given[upstream]
+
+    def _servers(self, now: float) -> dict[tuple[str, str], set[str]]:
+        """Return the upstreams that surely serve, by model or adapter and capability."""
+        servers: dict[tuple[str, str], set[str]] = collections.defaultdict(set)
+        for upstream in self._targets:
+            state = self._known(upstream, now)
+            if state is None or state.leaving:
+                continue
+            for capability in targets.capabilities(state.role):
+                for entry in state.models:
+                    servers[entry.model, capability].add(upstream)
+            for adapter in state.adapters:
+                servers[adapter, ""].add(upstream)
+        for upstream, given in self._given.items():
+            self._take_out(servers, upstream, given.order.change)
+        return servers
+
+    def _take_out(
+        self,
+        servers: dict[tuple[str, str], set[str]],
+        upstream: str,
+        change: messages.Change,
+    ) -> None:
+        for key in self._lost(upstream, change):
+            servers[key].discard(upstream)
+
+    def _lost(self, upstream: str, change: messages.Change) -> list[tuple[str, str]]:
+        """Return what `upstream` stops serving with `change`, for a while or for good."""
+        observed = self._observed.get(upstream)
+        if observed is None:
+            return []
+        state = observed.state
+        has = targets.capabilities(state.role)
+        match change:
+            case messages.LoadModel(model, _) if state.version(model):
+                return [(model, capability) for capability in has]
+            case messages.SetRole(role):
+                lost = has - targets.capabilities(role)
+                return [(entry.model, c) for entry in state.models for c in lost]
+            case messages.UnloadAdapter(adapter):
+                return [(adapter, "")]
+        return []
+
+    def _urgency(self, target: targets.Target) -> tuple[int, str]:
+        """Order upstreams that serve nothing first: loading there takes nobody out."""
+        observed = self._observed.get(target.upstream)
+        serving = len(observed.state.models) if observed else 0
+        return (min(serving, 1), target.upstream)
+
+    def _next_change(
+        self,
+        target: targets.Target,
+        servers: dict[tuple[str, str], set[str]],
+        loading: int,
+        now: float,
+    ) -> messages.Change | None:
+        upstream = target.upstream
+        if upstream in self._given or now < self._not_before.get(upstream, now):
+            return None
+        state = self._known(upstream, now)
+        if state is None or state.leaving:
+            return None
+        for change in targets.changes(target, state):
+            if targets.loads_weights(change) and not self._may_load(loading, now):
+                continue
+            name = self._last_served(upstream, change, servers)
+            if name is None:
+                return change
+            self._blocked[upstream] = name
+        return None
+
+    def _may_load(self, loading: int, now: float) -> bool:
+        # Loads that the last holder ordered are over by then.
+        settled_at = self._ready_at + self._pace.weights_seconds
+        return now >= settled_at and loading < self._pace.weights_concurrency
+
+    def _last_served(
+        self,
+        upstream: str,
+        change: messages.Change,
+        servers: dict[tuple[str, str], set[str]],
+    ) -> str | None:
+        """Return the model or adapter that `change` would leave without a server."""
+        for name, capability in self._lost(upstream, change):
+            if servers[name, capability] - {upstream}:
+                continue
+            if self._is_wanted(name, capability, change):
+                return name
+        return None
+
+    def _is_wanted(self, name: str, capability: str, change: messages.Change) -> bool:
+        """Tell whether some target keeps what `change` gives up for good."""
+        match change:
+            case messages.LoadModel():
+                return True
+            case messages.SetRole():
+                return any(
+                    capability in targets.capabilities(target.role)
+                    and any(entry.model == name for entry in target.models)
+                    for target in self._targets.values()
+                )
+            case _:
+                return any(name in target.adapters for target in self._targets.values())
+
+    def _give(
+        self, target: targets.Target, change: messages.Change, remaining: float, now: float
+    ) -> messages.Order:
+        order_id = first_id = targets.order_id(target, change)
+        if attempt := self._attempts[first_id]:
+            # The upstream took the order and did not do it: the same identity does nothing.
+            order_id = f"{first_id}:{self._fencing}.{attempt}"
+        send_by = now + min(remaining, self._pace.send_seconds)
+        order = messages.Order(order_id, self._fencing, target.upstream, change, send_by)
+        self._invariants.check("one_order_at_a_time", target.upstream not in self._given, order_id)
+        self._given[target.upstream] = _Given(order, first_id, now)
+        return order
+
+    def _check(
+        self,
+        order: messages.Order,
+        servers: dict[tuple[str, str], set[str]],
+        loading: int,
+        remaining: float,
+    ) -> None:
+        check = self._invariants.check
+        check("weights_paced", loading <= self._pace.weights_concurrency, order.order_id)
+        check("orders_within_lease", remaining > 0, order.order_id)
+        leaving = self._observed[order.upstream].state.leaving
+        check("no_order_to_leaving_upstream", not leaving, order.order_id)
+        lost = self._lost(order.upstream, order.change)
+        kept = all(servers[key] or not self._is_wanted(*key, order.change) for key in lost)
+        check("last_server_kept", kept, order.order_id)
