--- a/hollyring/experiments/routing_replay.py
+++ b/hollyring/experiments/routing_replay.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -354,7 +355,7 @@
             report = messages.LoadReport(
                 upstream.incarnation, 0, waiting, queued, speed, age_seconds=lag
             )
-            self._at(self._now + lag, lambda name=name, report=report: self._hear(name, report))
+            self._at(self._now + lag, functools.partial(self._hear, name, report))
 
     def _hear(self, name: str, report: messages.LoadReport) -> None:
         for one in self._routers:
--- a/hollyring/experiments/routing_workload.py
+++ b/hollyring/experiments/routing_workload.py
@@ -51,7 +51,8 @@
 
 BOHARI = Workload("bohari")
 VERRERIE = Workload("verrerie", documents=24, document_pieces=(10, 24), subjects=40, zipf=0.9)
-WORKLOADS = {workload.name: workload for workload in (BOHARI, VERRERIE)}
+HOT = Workload("hot", organisation_shares=(0.8, 0.1, 0.1), zipf=2.5)
+WORKLOADS = {workload.name: workload for workload in (BOHARI, VERRERIE, HOT)}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/membership_part.py
+++ b/hollyring/node/membership_part.py
@@ -230,4 +230,3 @@
     """Return who asks, by the address the request came from and what it says of itself."""
     identity = f"{client[0]}:{client[1]}" if client else ""
     return entry.Caller(identity.encode(), failure_domain, region)
-
--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -131,6 +131,7 @@
     state: State,
     held: Held,
     position: int,
+    reuse: float,
     now: float,
 ) -> Candidate:
     """Return the expectations for sending `request` to one upstream.
@@ -145,6 +146,8 @@
         The upstream, and what it is thought to hold of the request's chain.
     position
         Its place in the affinity order.
+    reuse
+        Requests among which a new copy of the prefix will soon be shared.
     now
         Present time.
     """
@@ -161,7 +164,7 @@
     presumed = policy.home_presumption if position == 0 else 0.0
     avoidable = prefill * (1.0 - presumed + policy.order_weight * position)
     weight = policy.waste_weight + queueing / policy.crowding_seconds
-    cost = seconds + avoidable * weight
+    cost = seconds + avoidable * weight / reuse
     return Candidate(state, held, cached, prefill, seconds, cost, imported)
 
 
@@ -178,19 +181,21 @@
     pool: Mapping[str, State],
     held: Mapping[str, Held],
     affinity: Affinity,
+    reuse: float,
     now: float,
 ) -> list[Candidate]:
     """Return the upstreams worth considering for `request`.
 
-    They are the holders of a prefix and the first few by rendezvous; while all of these queue for
-    long, twice as many by rendezvous, so that a hot prefix spreads as its load grows.
+    `reuse` is the number of requests among which a new copy of the prefix is shared. Considered
+    are the holders of a prefix and the first few by rendezvous; while all of these queue for long,
+    twice as many by rendezvous, so that a hot prefix spreads as its load grows.
     """
     found: dict[str, Candidate] = {}
 
     def consider(state: State, position: int) -> None:
         if state.name not in found and state.name in pool:
             about = held.get(state.name, NOTHING_HELD)
-            found[state.name] = evaluate(policy, request, state, about, position, now)
+            found[state.name] = evaluate(policy, request, state, about, position, reuse, now)
 
     for name in held:
         if name in pool:
--- a/hollyring/routing/policies.py
+++ b/hollyring/routing/policies.py
@@ -25,6 +25,9 @@
     order_weight
         Part of the uncached prefill by which each later candidate is handicapped, so that all VMs
         fill the same upstream with a cold prefix.
+    reuse_weight
+        Part of this VM's recent requests under a prefix that will share a new copy of it; the more,
+        the less its recomputation weighs, so that hot prefixes spread.
     home_presumption
         Part of the prompt that the first upstream by rendezvous is presumed to hold or to be about
         to hold, since all VMs send it there first.
@@ -39,8 +42,9 @@
     affinity_pieces: tuple[int, ...] = (4, 16)
     fanout: int = 2
     widen_after_seconds: float = 0.25
-    waste_weight: float = 16.0
+    waste_weight: float = 8.0
     crowding_seconds: float = 0.1
+    reuse_weight: float = 2.0
     home_presumption: float = 1.0
     order_weight: float = 0.1
     slack_seconds: float = 0.005
--- /dev/null
+++ b/hollyring/routing/popularity.py
@@ -0,0 +1,43 @@
+"""How often this VM lately sent requests under each prefix."""
+
+from __future__ import annotations
+
+import collections
+import math
+
+HALF_LIFE_SECONDS = 10.0
+MAX_NAMES = 8192
+"""Most prefixes counted; the one unused for longest is forgotten beyond it."""
+
+
+class Popularity:
+    """Exponentially decaying counts of requests by prefix name.
+
+    Examples
+    --------
+    >>> counts = Popularity()
+    >>> counts.add(17, now=0.0)
+    >>> counts.add(17, now=0.0)
+    >>> counts.count(17, now=0.0), counts.count(17, now=HALF_LIFE_SECONDS)
+    (2.0, 1.0)
+    """
+
+    __slots__ = ("_counts",)
+
+    def __init__(self) -> None:
+        self._counts: collections.OrderedDict[int, tuple[float, float]] = collections.OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._counts)
+
+    def add(self, name: int, now: float) -> None:
+        """Count one request under the prefix `name`."""
+        self._counts[name] = (self.count(name, now) + 1.0, now)
+        self._counts.move_to_end(name)
+        if len(self._counts) > MAX_NAMES:
+            self._counts.popitem(last=False)
+
+    def count(self, name: int, now: float) -> float:
+        """Return the decayed number of requests under the prefix `name`."""
+        count, at = self._counts.get(name, (0.0, now))
+        return count * math.exp2((at - now) / HALF_LIFE_SECONDS)
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -17,6 +17,7 @@
     messages,
     placement,
     policies,
+    popularity,
     prefix,
     requests,
     upstreams,
@@ -99,6 +100,7 @@
         self._invariants = invariants
         self._index = cache_index or index.CacheIndex()
         self._memory = memory.Sightings()
+        self._popularity = popularity.Popularity()
         self._states: dict[str, placement.State] = {}
         self._lives: dict[str, int] = {}
         self._watchers: dict[str, str] = {}
@@ -269,6 +271,8 @@
             state.load.dispatched(attempt, request.prompt_tokens - expected, now)
             state.health.dispatched(attempt)
             self._memory.remember(route.upstream, route.incarnation, names, now)
+        if names and isinstance(self._policy, policies.Prefix):
+            self._popularity.add(request.chain.name_at(self._policy.affinity_pieces[0]), now)
         return attempt
 
     def first_token(self, attempt: int, now: float) -> None:
@@ -422,7 +426,8 @@
         may_look_up: bool,
     ) -> requests.Decision:
         held = self._held(request, now)
-        found = placement.candidates(policy, request, pool, held, self._affinity, now)
+        reuse = self._reuse(policy, request, now)
+        found = placement.candidates(policy, request, pool, held, self._affinity, reuse, now)
         chosen = placement.choose(policy, found, draw)
         if may_look_up and chosen.prefill_seconds >= policy.lookup_stake_seconds:
             lookups = self._worth_asking(policy, request, found)
@@ -439,6 +444,12 @@
             chosen.held.source,
         )
 
+    def _reuse(self, policy: policies.Prefix, request: requests.RouteRequest, now: float) -> float:
+        if not request.chain.names:
+            return 1.0
+        name = request.chain.name_at(policy.affinity_pieces[0])
+        return max(1.0, policy.reuse_weight * self._popularity.count(name, now))
+
     def _plain(
         self, request: requests.RouteRequest, state: placement.State, now: float
     ) -> requests.Route:
