--- a/hollyring/limits/borrower.py
+++ b/hollyring/limits/borrower.py
@@ -16,8 +16,10 @@
     ----------
     holder
         The VM that debited them, perhaps this one.
+    given
+        Tokens of the whole loan.
     left
-        Tokens that are not spent yet.
+        Tokens that are neither spent nor returned.
     expires
         Time in seconds, by this VM's clock, from which they may not be spent.
     returned
@@ -27,6 +29,7 @@
     holder: str
     organisation: str
     ask: int
+    given: int
     left: int
     expires: float
     returned: int = 0
@@ -130,13 +133,18 @@
         """Note what a holder has left by its own word."""
         self._known[holder] = _Known(left, now)
 
+    def is_asked(self, holder: str) -> bool:
+        """Tell whether an ask to `holder` is in flight."""
+        return any(ask.holder == holder for ask in self.asked.values())
+
     def estimate(self, holder: str, portion: holders.Portion, now: float) -> int:
-        """Return the tokens that `holder` may lend if asked now."""
-        if any(ask.holder == holder for ask in self.asked.values()):
-            return 0
+        """Return the tokens that `holder` may lend beyond what it is being asked for."""
         known = self._known.get(holder)
         if known is None:
-            return portion.burst
-        if now < known.blocked_until:
-            return 0
-        return min(portion.burst, int(known.left + (now - known.at) * portion.rate))
+            left = portion.burst
+        elif now < known.blocked_until:
+            left = 0
+        else:
+            left = min(portion.burst, int(known.left + (now - known.at) * portion.rate))
+        asked = sum(ask.tokens for ask in self.asked.values() if ask.holder == holder)
+        return max(0, left - asked)
--- a/hollyring/limits/settings.py
+++ b/hollyring/limits/settings.py
@@ -3,7 +3,7 @@
 CLOCK_DRIFT = 0.0005
 """Largest relative error of a VM's monotonic clock."""
 
-LOAN_SECONDS = 1.0
+LOAN_SECONDS = 0.3
 """A borrower spends borrowed tokens within this time of sending its ask, by its own clock."""
 
 HOLD_SECONDS = LOAN_SECONDS * (1 + 4 * CLOCK_DRIFT)
@@ -15,12 +15,15 @@
 BACKOFF_SECONDS = 1.0
 """Seconds for which a holder that did not answer is not asked again."""
 
-PATIENCE_SECONDS = 0.5
+PATIENCE_SECONDS = 0.25
 """Longest time in seconds that a request waits for borrowed tokens."""
 
 FANOUT = 8
 """Asks that one VM has in flight for one organisation."""
 
+NOTICE_PART = 8
+"""A borrower reports a loan as spent at once if it is more than this part of the burst."""
+
 MAX_PENDING = 256
 """Requests of one organisation that wait at one VM for borrowed tokens."""
 
--- a/hollyring/limits/share.py
+++ b/hollyring/limits/share.py
@@ -94,8 +94,12 @@
         self._loans[key] = _Loan(given, now + settings.HOLD_SECONDS)
         return given
 
-    def give_back(self, key: LoanKey, total: int, now: float) -> None:
-        """Credit a loan's unused tokens, of which `total` have come back so far in all."""
+    def give_back(self, key: LoanKey, total: int, now: float, spent: bool = False) -> None:
+        """Credit a loan's unused tokens, of which `total` have come back so far in all.
+
+        Of a loan that is `spent` nothing will be spent any more: it no longer holds up the
+        refill.
+        """
         self._advance(now)
         lent = key in self._loans
         loan = self._loans.get(key) or self._refunds.get(key)
@@ -109,6 +113,8 @@
             self._lent -= credit
         else:
             self._refundable -= credit
+        if lent and spent:
+            self._close(key)
         self._fill(self._at)
 
     def _advance(self, now: float) -> None:
@@ -118,11 +124,16 @@
             if loan.expires > now:
                 break
             self._fill(loan.expires)
-            self._lent -= loan.tokens
-            self._refundable += loan.tokens
-            self._refunds[key] = self._loans.pop(key)
+            self._close(key)
         self._fill(now)
 
+    def _close(self, key: LoanKey) -> None:
+        """Keep a loan only for what may still come back of it."""
+        loan = self._loans.pop(key)
+        self._lent -= loan.tokens
+        self._refundable += loan.tokens
+        self._refunds[key] = loan
+
     def _fill(self, now: float) -> None:
         elapsed = max(0.0, now - self._at) * (1 - settings.CLOCK_DRIFT)
         self._at = max(self._at, now)
