--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -101,15 +101,15 @@
         self._orders.clear()
 
     def order(
-        self, request: requests.RouteRequest, pool: Mapping[str, State], depth: int
+        self, request: requests.RouteRequest, serving: Mapping[str, State], depth: int
     ) -> list[State]:
-        """Return the pool's upstreams for the prefix of `depth` pieces, best first."""
+        """Return all `serving` upstreams for the prefix of `depth` pieces, best first."""
         name = request.chain.name_at(depth)
         key = (name, request.model, request.version)
         order = self._orders.get(key)
         if order is None:
-            ranked = rendezvous.rank(prefix.pack([name]), pool)
-            order = [pool[member] for member in ranked]
+            ranked = rendezvous.rank(prefix.pack([name]), serving)
+            order = [serving[member] for member in ranked]
             if len(self._orders) >= CACHED_RANKS:
                 self._orders.clear()
             self._orders[key] = order
@@ -178,13 +178,14 @@
 def candidates(
     policy: policies.Prefix,
     request: requests.RouteRequest,
+    serving: Mapping[str, State],
     pool: Mapping[str, State],
     held: Mapping[str, Held],
     affinity: Affinity,
     reuse: float,
     now: float,
 ) -> list[Candidate]:
-    """Return the upstreams worth considering for `request`.
+    """Return the upstreams of `pool` worth considering for `request`.
 
     `reuse` is the number of requests among which a new copy of the prefix is shared. Considered
     are the holders of a prefix and the first few by rendezvous; while all of these queue for long,
@@ -193,7 +194,7 @@
     found: dict[str, Candidate] = {}
 
     def consider(state: State, position: int) -> None:
-        if state.name not in found and state.name in pool:
+        if state.name not in found:
             about = held.get(state.name, NOTHING_HELD)
             found[state.name] = evaluate(policy, request, state, about, position, reuse, now)
 
@@ -204,29 +205,32 @@
         for position, state in enumerate(pool.values()):
             consider(state, position and 1)
         return list(found.values())
-    orders = [affinity.order(request, pool, depth) for depth in policy.affinity_pieces]
+    orders = [affinity.order(request, serving, depth) for depth in policy.affinity_pieces]
     hashed = [request.chain.name_at(depth) for depth in policy.affinity_pieces]
     for order, hashed_name in zip(orders[1:], hashed[1:], strict=True):
-        for state in _first(order, hashed_name, 1, now):
+        for state in _first(order, pool, hashed_name, 1, now):
             consider(state, policy.fanout)
     width = policy.fanout
     while True:
-        for position, state in enumerate(_first(orders[0], hashed[0], width, now)):
+        for position, state in enumerate(_first(orders[0], pool, hashed[0], width, now)):
             consider(state, position)
         if width >= len(orders[0]) or not _busy(policy, found.values(), now):
             return list(found.values())
         width *= 2
 
 
-def _first(order: Sequence[State], name: int, count: int, now: float) -> list[State]:
+def _first(
+    order: Sequence[State], pool: Mapping[str, State], name: int, count: int, now: float
+) -> list[State]:
+    allowed = [state for state in order if state.name in pool]
     first = []
-    for state in order:
-        if not state.health.usable(now) or not warm(state, name, now):
+    for state in allowed:
+        if not warm(state, name, now):
             continue
         first.append(state)
         if len(first) == count:
             return first
-    return first or list(order[:count])
+    return first or allowed[:count]
 
 
 def _busy(policy: policies.Prefix, found: typing.Iterable[Candidate], now: float) -> bool:
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -196,7 +196,7 @@
             return requests.NoUpstream(requests.Unroutable.ALL_TRIED, RETRY_AFTER_SECONDS)
         match self._policy:
             case policies.Prefix() as policy:
-                return self._route_by_prefix(policy, request, pool, now, draw, may_look_up)
+                return self._route_by_prefix(policy, request, serving, pool, now, draw, may_look_up)
             case policies.RoundRobin():
                 names = sorted(pool)
                 return self._plain(request, pool[names[next(self._turn) % len(names)]], now)
@@ -420,6 +420,7 @@
         self,
         policy: policies.Prefix,
         request: requests.RouteRequest,
+        serving: Mapping[str, placement.State],
         pool: Mapping[str, placement.State],
         now: float,
         draw: placement.Draw,
@@ -427,7 +428,9 @@
     ) -> requests.Decision:
         held = self._held(request, now)
         reuse = self._reuse(policy, request, now)
-        found = placement.candidates(policy, request, pool, held, self._affinity, reuse, now)
+        found = placement.candidates(
+            policy, request, serving, pool, held, self._affinity, reuse, now
+        )
         chosen = placement.choose(policy, found, draw)
         if may_look_up and chosen.prefill_seconds >= policy.lookup_stake_seconds:
             lookups = self._worth_asking(policy, request, found)
--- /dev/null
+++ b/hollyring/routing/tests/conftest.py
@@ -0,0 +1,58 @@
+import random
+
+import pytest
+
+from hollyring.core import invariants, pieces
+from hollyring.routing import messages, policies, prefix, requests, router, upstreams
+
+SERVED = (upstreams.Served("parish", "v1"),)
+
+
+@pytest.fixture
+def draw():
+    return random.Random(1)
+
+
+@pytest.fixture
+def listed():
+    """Return a function that lists upstreams over three failure domains."""
+
+    def build(count, **fields):
+        return [
+            upstreams.Upstream(f"ls-{n}", f"domain-{n % 3}", SERVED, incarnation=1, **fields)
+            for n in range(count)
+        ]
+
+    return build
+
+
+@pytest.fixture
+def make_router(listed):
+    def build(policy=None, count=6, vm="vm-1", vms=("vm-1",)):
+        one = router.Router(vm, policy or policies.Prefix(), invariants.Invariants())
+        one.configure(listed(count), vms, 0.0)
+        return one
+
+    return build
+
+
+@pytest.fixture
+def make_request():
+    def build(document=b"circular", pieces_count=10, organisation="bohari", **fields):
+        size = pieces_count * pieces.PIECE_BYTES
+        prompt = (document * (size // len(document) + 1))[:size] + b"Eligible?"
+        chain = prefix.chain(organisation, "parish", "v1", prompt)
+        tokens = pieces.token_count(prompt)
+        return requests.RouteRequest(
+            organisation, "parish", "v1", chain, tokens, 50, 1000.0, **fields
+        )
+
+    return build
+
+
+@pytest.fixture
+def report():
+    def build(queued_tokens=0, incarnation=1, age=0.0, running=0):
+        return messages.LoadReport(incarnation, running, 0, queued_tokens, 8000.0, age)
+
+    return build
--- /dev/null
+++ b/hollyring/routing/tests/test_estimates.py
@@ -0,0 +1,123 @@
+import random
+
+import pytest
+
+from hollyring.core import pieces
+from hollyring.routing import errors, events, health, load, memory, prefix
+
+
+@pytest.fixture
+def estimate():
+    return load.Load(8000.0)
+
+
+def test_own_dispatch_counts_until_a_later_report_covers_it(estimate, report):
+    estimate.observe(report(), 0.0)
+    estimate.dispatched(1, 16_000, 1.0)
+    assert estimate.queue_seconds(1.0) == pytest.approx(2.0)
+    estimate.observe(report(8000, age=0.5), 1.4)
+    assert estimate.queue_seconds(1.4) > 2.5
+    estimate.observe(report(8000, age=0.1), 1.5)
+    assert estimate.queue_seconds(1.5) < 1.1
+
+
+def test_reports_out_of_order_are_ignored(estimate, report):
+    estimate.observe(report(8000), 5.0)
+    estimate.observe(report(0, age=3.0), 5.1)
+    assert estimate.queued_tokens == 8000
+
+
+def test_old_report_decays_to_the_mean(estimate, report):
+    for now in range(20):
+        estimate.observe(report(800), float(now))
+    estimate.observe(report(80_000), 20.0)
+    assert estimate.queue_seconds(20.0) > 9.0
+    assert estimate.queue_seconds(40.0) < 3.0
+
+
+def test_slow_upstream_is_suspended_and_finds_its_way_back():
+    record = health.Health()
+    draw = random.Random(1)
+    for n in range(50):
+        record.first_token(n, draw.uniform(0.2, 0.5), 0.3, float(n))
+    assert record.usable(50.0)
+    while not record.on_probation:
+        record.first_token(99, 3.0, 0.3, 50.0)
+    assert not record.usable(50.1)
+    now, trials = 50.0, 0
+    while record.on_probation:
+        now += 0.1
+        if not record.usable(now):
+            continue
+        trials += 1
+        record.dispatched(1000 + trials)
+        assert not record.usable(now)
+        record.first_token(1000 + trials, 0.3, 0.3, now)
+    assert now < 50.0 + 30.0
+    assert trials < 8
+
+
+def test_steadily_slow_hardware_is_not_suspended():
+    record = health.Health()
+    for n in range(200):
+        record.first_token(n, 3.0, 0.3, float(n))
+    assert record.usable(200.0)
+
+
+def test_failures_suspend_ever_longer_up_to_a_bound():
+    record = health.Health()
+    now, waits = 0.0, []
+    for attempt in range(1, 12):
+        record.dispatched(attempt)
+        record.failed(attempt, now)
+        if record.on_probation:
+            waits.append(record.suspended_until - now)
+            now = record.suspended_until
+    assert waits == sorted(waits)
+    assert waits[-1] == health.MAX_SUSPENSION_SECONDS
+
+
+def test_remembered_prefix_fades_sooner_where_it_was_evicted():
+    seen = memory.Sightings()
+    seen.remember("ls-1", 1, [11, 12], 0.0)
+    before = seen.recall([11, 12, 13], {"ls-1": 1}, 5.0)["ls-1"]
+    for _ in range(5):
+        seen.learn("ls-1", 3.0, kept=False)
+    after = seen.recall([11, 12, 13], {"ls-1": 1}, 5.0)["ls-1"]
+    assert before.pieces == after.pieces == 2
+    assert after.confidence < before.confidence / 2
+
+
+def test_memory_of_another_life_is_passed_over():
+    seen = memory.Sightings()
+    seen.remember("ls-1", 1, [11, 12], 0.0)
+    seen.remember("ls-1", 2, [11], 1.0)
+    assert seen.recall([11, 12], {"ls-1": 2}, 1.0)["ls-1"].pieces == 1
+    assert seen.recall([11, 12], {"ls-1": 3}, 1.0) == {}
+
+
+def test_memory_is_bounded():
+    seen = memory.Sightings(max_names=100)
+    for name in range(1000):
+        seen.remember("ls-1", 1, [name], float(name))
+    assert len(seen) == 100
+    assert seen.recall([999], {"ls-1": 1}, 999.0)
+
+
+@pytest.mark.parametrize("text", ["", "zz", "00000000000000fg", "0" * 17])
+def test_bad_block_names_are_refused(text):
+    with pytest.raises(errors.BlockNameError):
+        events.cache_event(1, "stored", [text])
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_builder_equals_the_chain_of_the_whole(seed):
+    draw = random.Random(seed)
+    prompt = draw.randbytes(5 * pieces.PIECE_BYTES + draw.randrange(pieces.PIECE_BYTES))
+    builder = prefix.ChainBuilder("bohari", "parish", "v1")
+    rest = prompt
+    while rest:
+        cut = draw.randrange(1, 9000)
+        builder.feed(rest[:cut])
+        rest = rest[cut:]
+    assert builder.chain() == prefix.chain("bohari", "parish", "v1", prompt)
--- /dev/null
+++ b/hollyring/routing/tests/test_index.py
@@ -0,0 +1,150 @@
+import random
+
+import pytest
+
+from hollyring.routing import events, index
+
+SEEDS = range(40)
+
+
+class Engine:
+    """A cache that publishes its changes; `lives` keeps what each life published."""
+
+    def __init__(self, draw):
+        self.draw = draw
+        self.incarnation = 1
+        self.sequence = 0
+        self.blocks = set()
+        self.ever = set()
+
+    def change(self):
+        self.sequence += 1
+        kind = self.draw.choices(list(events.Change), [6, 4, 0.2])[0]
+        match kind:
+            case events.Change.STORED:
+                names = tuple(self.draw.getrandbits(16) + 1 for _ in range(3))
+                self.blocks.update(names)
+                self.ever.update(names)
+            case events.Change.REMOVED:
+                names = tuple(self.draw.sample(sorted(self.blocks), min(2, len(self.blocks))))
+                self.blocks.difference_update(names)
+            case events.Change.CLEARED:
+                names = ()
+                self.blocks.clear()
+        event = events.CacheEvent(self.sequence, kind, names)
+        return events.EventBatch(self.incarnation, (event,))
+
+    def crash(self):
+        self.incarnation += 1
+        self.sequence = 0
+        self.blocks = set()
+
+    def snapshot(self):
+        return events.Snapshot(self.incarnation, self.sequence, tuple(self.blocks))
+
+
+@pytest.fixture
+def cache_index():
+    one = index.CacheIndex()
+    one.watch(["ls-1"])
+    return one
+
+
+def held(cache_index, names):
+    return {name for name in names if cache_index.depth("ls-1", [name]).pieces}
+
+
+def deliver(cache_index, flight, draw, loss=0.0, now=0.0):
+    """Deliver batches late, doubled, out of order and some never."""
+    flight = [batch for batch in flight if draw.random() >= loss]
+    flight += draw.sample(flight, len(flight) // 3)
+    for position in range(len(flight) - 1):
+        other = min(len(flight) - 1, position + draw.randrange(6))
+        flight[position], flight[other] = flight[other], flight[position]
+    for batch in flight:
+        cache_index.observe_events("ls-1", batch, now)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_late_doubled_and_reordered_events_give_the_truth(cache_index, seed):
+    draw = random.Random(seed)
+    engine = Engine(draw)
+    deliver(cache_index, [engine.change() for _ in range(120)], draw)
+    assert held(cache_index, engine.ever) == engine.blocks
+    assert len(cache_index) == len(engine.blocks)
+    assert cache_index.depth("ls-1", []).confidence == 1.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_dead_engines_events_are_never_seen(cache_index, seed):
+    draw = random.Random(seed)
+    engine = Engine(draw)
+    first = [engine.change() for _ in range(60)]
+    old = set(engine.blocks)
+    engine.crash()
+    second = [engine.change() for _ in range(20)]
+    mixed = first[:30] + second + first[30:]
+    deliver(cache_index, mixed, draw)
+    cache_index.observe_incarnation("ls-1", 2)
+    assert held(cache_index, old - engine.blocks) == set()
+    assert cache_index.incarnation("ls-1") == 2
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_gap_lowers_confidence_until_a_snapshot(cache_index, seed):
+    draw = random.Random(seed)
+    engine = Engine(draw)
+    deliver(cache_index, [engine.change() for _ in range(30)], draw)
+    engine.change()
+    after = [engine.change() for _ in range(3)]
+    if any(batch.events[0].change is events.Change.CLEARED for batch in after):
+        return
+    deliver(cache_index, after, draw)
+    late = index.REORDER_SECONDS
+    cache_index.observe_events("ls-1", after[0], late)
+    assert cache_index.depth("ls-1", []).confidence < 1.0
+    assert cache_index.due_resync(late) == ["ls-1"]
+    assert cache_index.due_resync(late) == []
+    cache_index.observe_snapshot("ls-1", engine.snapshot(), late)
+    assert held(cache_index, engine.ever) == engine.blocks
+    assert cache_index.depth("ls-1", []).confidence == 1.0
+
+
+def test_snapshot_older_than_the_events_is_refused(cache_index):
+    engine = Engine(random.Random(1))
+    before = engine.snapshot()
+    deliver(cache_index, [engine.change() for _ in range(10)], random.Random(1))
+    cache_index.observe_snapshot("ls-1", before, 0.0)
+    assert held(cache_index, engine.ever) == engine.blocks
+
+
+def test_snapshots_keep_to_their_byte_rate():
+    one = index.CacheIndex()
+    one.watch([f"ls-{n}" for n in range(4)])
+    names = tuple(range(1, 50_001))
+    fetched = 0
+    for second in range(3600):
+        for name in one.due_resync(float(second)):
+            fetched += index.SNAPSHOT_BYTES_PER_BLOCK * len(names)
+            one.observe_snapshot(name, events.Snapshot(1, second, names), float(second))
+            for _ in range(index.CONTRADICTIONS):
+                one.contradict(name, 5, 0)
+    # Before the first snapshot the size is unknown: each upstream may overdraw once.
+    unknown = 4 * index.SNAPSHOT_BYTES_PER_BLOCK * len(names)
+    allowed = index.RESYNC_BURST_BYTES + 3600 * index.RESYNC_BYTES_PER_SECOND
+    assert 0 < fetched <= allowed + unknown
+
+
+def test_memory_is_bounded():
+    one = index.CacheIndex(max_blocks=1000)
+    one.watch(["ls-1", "ls-2"])
+    for name in one.watched:
+        one.observe_snapshot(name, events.Snapshot(1, 1, tuple(range(1, 5000))), 0.0)
+    assert len(one) <= 1000
+
+
+def test_answers_that_contradict_the_index_call_for_a_snapshot(cache_index):
+    cache_index.observe_snapshot("ls-1", events.Snapshot(1, 1, (7,)), 0.0)
+    for _ in range(index.CONTRADICTIONS):
+        cache_index.contradict("ls-1", 1, 0)
+    assert cache_index.due_resync(1.0) == ["ls-1"]
--- /dev/null
+++ b/hollyring/routing/tests/test_router.py
@@ -0,0 +1,231 @@
+import dataclasses
+import random
+
+import pytest
+
+from hollyring.core import invariants
+from hollyring.routing import events, messages, policies, requests, upstreams
+
+
+def send(one, request, now, draw, first_token=None, cached=None):
+    route = one.route(request, now, draw, may_look_up=False)
+    attempt = one.dispatched(request, route, now)
+    if first_token is not None:
+        one.first_token(attempt, now + first_token)
+        one.finished(attempt, cached, now + first_token)
+    return route
+
+
+def test_all_vms_send_a_cold_prefix_to_the_same_upstream(make_router, make_request):
+    vms = [f"vm-{n}" for n in range(9)]
+    chosen = set()
+    for vm in vms:
+        one = make_router(vm=vm, vms=vms)
+        chosen.add(send(one, make_request(), 0.0, random.Random(vm)).upstream)
+    assert len(chosen) == 1
+
+
+def test_question_follows_its_document(make_router, make_request, draw):
+    one = make_router(count=60)
+    first = send(one, make_request(), 0.0, draw, first_token=1.3, cached=0)
+    second = send(one, make_request(), 2.0, draw)
+    assert second.upstream == first.upstream
+    assert second.expected_cached_tokens > 0.9 * 10 * 1024
+    assert second.source is requests.Source.MEMORY
+
+
+def test_busy_holder_is_left_for_a_free_upstream(make_router, make_request, draw, report):
+    one = make_router()
+    first = send(one, make_request(), 0.0, draw, first_token=1.3, cached=0)
+    for name in ("ls-0", "ls-1", "ls-2", "ls-3", "ls-4", "ls-5"):
+        queued = 400_000 if name == first.upstream else 0
+        one.observe_load(name, report(queued), 2.0)
+    assert send(one, make_request(), 2.0, draw).upstream != first.upstream
+
+
+def test_hot_prefix_widens_and_narrows(make_router, make_request, draw):
+    one = make_router(count=12)
+    request = make_request()
+    used = [send(one, request, n * 0.005, draw).upstream for n in range(400)]
+    assert len(set(used)) > 2
+    calm = [send(one, request, 200.0 + 20 * n, draw, 0.1).upstream for n in range(20)]
+    assert len(set(calm)) == 1
+
+
+def test_own_dispatches_count_before_the_next_report(make_router, make_request, draw, report):
+    one = make_router(policies.LeastLoaded())
+    for n in range(6):
+        one.observe_load(f"ls-{n}", report(), 0.0)
+    documents = [b"%08d" % n for n in range(6)]
+    used = {send(one, make_request(d), 0.1, draw).upstream for d in documents}
+    assert len(used) == 6
+
+
+def test_no_herding_on_a_lagging_report(make_router, make_request, report):
+    vms = [f"vm-{n}" for n in range(9)]
+    counts = dict.fromkeys([f"ls-{n}" for n in range(6)], 0)
+    for number, vm in enumerate(vms):
+        one = make_router(vm=vm, vms=vms)
+        for n in range(6):
+            one.observe_load(f"ls-{n}", report(0 if n == 0 else 4000), 0.0)
+        for n in range(20):
+            request = make_request(b"%04d%04d" % (number, n))
+            counts[send(one, request, 0.1, random.Random(n)).upstream] += 1
+    assert max(counts.values()) < 2 * sum(counts.values()) / 6
+
+
+def test_new_upstream_is_filled_step_by_step(make_router, make_request, draw, listed):
+    one = make_router(count=5)
+    one.configure(listed(6), ["vm-1"], 100.0)
+    newcomer = "ls-5"
+
+    def share(now):
+        routes = [
+            one.route(make_request(b"%06d" % n, 5), now, draw, may_look_up=False)
+            for n in range(300)
+        ]
+        return sum(route.upstream == newcomer for route in routes)
+
+    early, late = share(101.0), share(120.0)
+    assert early < late / 3
+    assert late > 20
+
+
+def test_restart_invalidates_at_once(make_router, make_request, draw, report):
+    one = make_router()
+    first = send(one, make_request(), 0.0, draw, first_token=1.3, cached=0)
+    one.observe_load(first.upstream, report(incarnation=2), 2.0)
+    again = one.route(make_request(), 2.0, draw)
+    assert again.expected_cached_tokens == 0
+    late = events.EventBatch(1, (events.CacheEvent(1, "stored", make_request().chain.names),))
+    one.observe_events(first.upstream, late, 2.1)
+    assert one.route(make_request(), 2.1, draw).expected_cached_tokens == 0
+
+
+def test_lost_connection_invalidates_what_was_remembered(make_router, make_request, draw):
+    one = make_router(count=1)
+    send(one, make_request(), 0.0, draw, first_token=1.3, cached=0)
+    attempt = one.dispatched(make_request(), one.route(make_request(), 2.0, draw), 2.0)
+    one.failed(attempt, 2.5, lost=True)
+    assert one.route(make_request(), 2.6, draw).expected_cached_tokens == 0
+
+
+@pytest.mark.parametrize("fault", ["incarnation", "organisation", "version"])
+def test_dispatch_asserts_what_it_relies_on(make_router, make_request, draw, listed, fault):
+    one = make_router()
+    request = make_request()
+    send(one, request, 0.0, draw, first_token=1.3, cached=0)
+    route = one.route(request, 2.0, draw)
+    match fault:
+        case "incarnation":
+            route = dataclasses.replace(route, incarnation=7)
+        case "organisation":
+            request = dataclasses.replace(request, organisation="verrerie")
+        case "version":
+            newer = (upstreams.Served("parish", "v2"),)
+            one.configure([dataclasses.replace(u, served=newer) for u in listed(6)], ["vm-1"], 3.0)
+    with pytest.raises(invariants.InvariantError):
+        one.dispatched(request, route, 3.0)
+
+
+def test_other_organisation_shares_no_prefix(make_router, make_request, draw):
+    one = make_router(count=1)
+    send(one, make_request(), 0.0, draw, first_token=1.3, cached=0)
+    other = one.route(make_request(organisation="verrerie"), 2.0, draw)
+    assert other.expected_cached_tokens == 0
+
+
+def test_lookup_finds_what_another_vm_filled(make_router, make_request, draw):
+    vms = ["vm-1", "vm-2"]
+    routers = {vm: make_router(vm=vm, vms=vms) for vm in vms}
+    request = make_request()
+    asker = next(
+        vm for vm in vms if isinstance(routers[vm].route(request, 0.0, draw), requests.NeedLookup)
+    )
+    need = routers[asker].route(request, 0.0, draw)
+    addressed = need.lookups[0]
+    watched = addressed.lookup.upstreams[-1]
+    watcher = routers[addressed.vm]
+    snapshot = events.Snapshot(1, 5, request.chain.names)
+    watcher.observe_snapshot(watched, snapshot, 0.0)
+    answer = watcher.answer(addressed.lookup, 0.0)
+    routers[asker].observe_answer(request, answer, 0.0)
+    route = routers[asker].route(request, 0.0, draw, may_look_up=False)
+    assert (route.upstream, route.expected_cached_tokens) == (watched, 10 * 1024)
+
+
+def test_silent_watcher_costs_only_knowledge(make_router, make_request, draw):
+    one = make_router(vms=["vm-1", "vm-2", "vm-3"])
+    assert isinstance(one.route(make_request(), 0.0, draw), requests.NeedLookup)
+    assert isinstance(one.route(make_request(), 0.02, draw, may_look_up=False), requests.Route)
+
+
+def test_malformed_lookup_gets_no_state(make_router):
+    one = make_router()
+    answer = one.answer(messages.Lookup(1, ["ls-1", "nobody"], [1, 2], b"x" * 8), 0.0)
+    assert answer.states == []
+
+
+def test_retry_goes_elsewhere_and_prefers_another_domain(make_router, make_request, draw):
+    one = make_router()
+    first = send(one, make_request(), 0.0, draw)
+    domain = f"domain-{int(first.upstream[-1]) % 3}"
+    again = make_request(excluded=frozenset({first.upstream}), avoided_domains=frozenset({domain}))
+    route = one.route(again, 0.0, draw, may_look_up=False)
+    assert int(route.upstream[-1]) % 3 != int(first.upstream[-1]) % 3
+
+
+@pytest.mark.parametrize("policy", policies.NAMES.values(), ids=policies.NAMES)
+def test_reasons_for_no_upstream(make_router, make_request, draw, policy):
+    one = make_router(policy, count=2)
+    tried = one.route(make_request(excluded=frozenset({"ls-0", "ls-1"})), 0.0, draw)
+    unknown = one.route(dataclasses.replace(make_request(), version="v9"), 0.0, draw)
+    assert tried.reason is requests.Unroutable.ALL_TRIED
+    assert unknown.reason is requests.Unroutable.NOT_SERVED
+
+
+def test_importing_from_the_cache_store_counts(make_router, make_request, draw, listed):
+    one = make_router(count=1)
+    one.configure(listed(1, import_tokens_per_second=80_000.0), ["vm-1"], 0.0)
+    cold = one.route(make_request(), 0.0, draw)
+    stored = one.route(make_request(stored_pieces=8), 0.0, draw)
+    assert (cold.import_pieces, stored.import_pieces) == (0, 8)
+    assert stored.expected_seconds < cold.expected_seconds / 2
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("policy", policies.NAMES.values(), ids=policies.NAMES)
+def test_random_faults_break_no_invariant(make_router, make_request, listed, report, seed, policy):
+    draw = random.Random(seed)
+    vms = ["vm-1", "vm-2", "vm-3"]
+    one = make_router(policy, vms=vms)
+    lives = dict.fromkeys([f"ls-{n}" for n in range(6)], 1)
+    open_attempts = []
+    now = 0.0
+    for _ in range(400):
+        now += draw.expovariate(20)
+        name = draw.choice(sorted(lives))
+        match draw.randrange(8):
+            case 0:
+                lives[name] += draw.random() < 0.3
+                life = max(1, lives[name] - draw.randrange(2))
+                one.observe_load(name, report(draw.randrange(50_000), life), now)
+            case 1:
+                names = make_request(b"%d" % draw.randrange(9)).chain.names
+                event = events.CacheEvent(draw.randrange(1, 60), events.Change.STORED, names)
+                one.observe_events(name, events.EventBatch(lives[name], (event,)), now)
+            case 2:
+                count = draw.randrange(4, 7)
+                one.configure(listed(count), draw.sample(vms, draw.randrange(1, 4)), now)
+            case 3 if open_attempts:
+                one.failed(open_attempts.pop(), now, lost=draw.random() < 0.5)
+            case 4 if open_attempts:
+                attempt = open_attempts.pop(0)
+                one.first_token(attempt, now)
+                one.finished(attempt, draw.randrange(12) * 1024, now)
+                one.finished(attempt, 1024, now)
+            case _:
+                request = make_request(b"%d" % draw.randrange(9))
+                route = one.route(request, now, draw, may_look_up=False)
+                open_attempts.append(one.dispatched(request, route, now))
+    assert one.dump()["pending"] == len(open_attempts)
