Tick the parts only when something is due

Ruled out: heartbeats and polls (4 messages a second). Change: a part says when it is due; the state machines already knew.

--- a/hollyring/node/claims_part.py
+++ b/hollyring/node/claims_part.py
@@ -15,7 +15,9 @@
 from hollyring.delivery import calls, claimlog, claims, messages, records, refusal, storage
 from hollyring.node import errors, part, platform
 
-TICK_SECONDS = 0.02
+TICK_SECONDS = 1.0
+"""Longest time between two ticks; claims and logs say when they are due before."""
+
 ASK_SECONDS = 1.0
 """Longest wait for what the owner of a claim says about it."""
 
@@ -141,6 +143,11 @@
                 message.ticket.answer(answer)
                 self._carry_out(actions)
 
+    def due(self) -> float:
+        """Return when a claim or a log has work to do."""
+        times = [log.due for log in self._logs.values()] + [self._claims.due]
+        return min([super().due(), *(time for time in times if time is not None)])
+
     def tick(self) -> None:
         """Let claims and logs do what is due."""
         self._carry_out(self._claims.tick(self.now))
--- a/hollyring/node/limits_part.py
+++ b/hollyring/node/limits_part.py
@@ -15,6 +15,9 @@
 from hollyring.node import part
 
 TICK_SECONDS = 0.02
+"""Time between two ticks while requests wait for tokens."""
+
+IDLE_TICK_SECONDS = 1.0
 
 Send = Callable[[str, object], None]
 
@@ -100,6 +103,10 @@
             case _FromPeer():
                 self._carry_out(self._limiter.receive(message.sender, message.message, self.now))
 
+    def due(self) -> float:
+        """Return when the limiter has work to do."""
+        return self._ticked + (TICK_SECONDS if self._limiter.waiting else IDLE_TICK_SECONDS)
+
     def tick(self) -> None:
         """Let the limiter do what is due."""
         self._carry_out(self._limiter.tick(self.now))
--- a/hollyring/node/membership_part.py
+++ b/hollyring/node/membership_part.py
@@ -12,7 +12,9 @@
 from hollyring.membership import actions, entry, members, messages
 from hollyring.node import errors, logs, part, platform
 
-TICK_SECONDS = 0.05
+TICK_SECONDS = 1.0
+"""Longest time between two ticks; the protocol says when it is due before."""
+
 
 LIST_SECONDS = 5.0
 """Time between two reads of the platform's list while few VMs share the work."""
@@ -165,6 +167,10 @@
                 self._members.leave()
                 self._tell_live()
 
+    def due(self) -> float:
+        """Return when the protocol has work to do."""
+        return min(super().due(), self._members.due)
+
     def tick(self) -> None:
         """Let the protocol do what is due."""
         if self._members.due <= self.now:
--- a/hollyring/node/part.py
+++ b/hollyring/node/part.py
@@ -55,11 +55,12 @@
     Parameters
     ----------
     tick_seconds
-        Time between two calls of `tick`.
+        Time between two calls of `tick`, unless `due` says otherwise.
     """
 
     def __init__(self, tick_seconds: float) -> None:
         self._tick_seconds = tick_seconds
+        self._ticked = self.now
         sender, receiver = anyio.create_memory_object_stream[Any](INBOX_MESSAGES)
         self._sender = sender
         self._receiver = receiver
@@ -84,14 +85,17 @@
 
     async def run(self) -> None:
         """Handle messages and tick until cancelled."""
-        due = self.now + self._tick_seconds
         while True:
-            with anyio.move_on_after(max(0.0, due - self.now)):
+            with anyio.move_on_after(max(0.0, self.due() - self.now)):
                 self.handle(await self._receiver.receive())
                 self._drain()
-            if self.now >= due:
+            if self.now >= self.due():
+                self._ticked = self.now
                 self.tick()
-                due = max(due + self._tick_seconds, self.now)
+
+    def due(self) -> float:
+        """Return when `tick` is to be called next; a subclass may know of less or more to do."""
+        return self._ticked + self._tick_seconds
 
     def handle(self, message: Any) -> None:
         """Take one message."""
--- a/hollyring/node/routing_part.py
+++ b/hollyring/node/routing_part.py
@@ -19,7 +19,7 @@
 from hollyring.node import part, watching
 from hollyring.routing import messages, policies, prefix, requests, router, upstreams
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.5
 
 LOOKUP_SECONDS = 0.02
 """Longest wait for the watchers' answers; then the choice is made with what is held."""
