Carry the roster's history in the configuration, for shares that may not overlap

Cause: the limiter needs to know in which revision the VMs last changed and which were removed; every VM took its first roster for number 1, so a changed roster was taken for the same one. Ruled out: deriving it from a VM's own past (one that starts later has none). Change: the configuration and each stored revision state the roster's revision and removed VMs; a removed VM that left the platform's list counts as destroyed.

--- a/hollyring/configuration/revisions.py
+++ b/hollyring/configuration/revisions.py
@@ -35,6 +35,8 @@
         Who submitted it and when, for people only.
     put, delete
         The change, object by object.
+    roster
+        `Configuration.roster` after this change.
     """
 
     revision: int
@@ -45,6 +47,7 @@
     at: str = ""
     put: tuple[objects.Object, ...] = ()
     delete: tuple[objects.Identity, ...] = ()
+    roster: state.Roster = state.Roster()
 
     @property
     def touched(self) -> list[objects.Identity]:
@@ -116,7 +119,7 @@
     if revision.previous != configuration.digest:
         raise errors.DivergedError(f"revision {revision.revision} follows another history")
     changed = configuration.changed(revision.revision, digest(value), revision.put, revision.delete)
-    if f"{changed.content:064x}" != revision.content:
+    if f"{changed.content:064x}" != revision.content or changed.roster != revision.roster:
         raise errors.UnusableRevisionError(
             f"revision {revision.revision} does not give the content it states"
         )
@@ -140,8 +143,19 @@
     '3'
     """
     number = configuration.revision + 1
-    content = configuration.changed(number, "", put, delete).content
+    changed = configuration.changed(number, "", put, delete)
+    content = changed.content
     previous = configuration.digest
     return encode(
-        Revision(number, previous, f"{content:064x}", submission, author, at, put, delete)
+        Revision(
+            number,
+            previous,
+            f"{content:064x}",
+            submission,
+            author,
+            at,
+            put,
+            delete,
+            changed.roster,
+        )
     )
--- a/hollyring/configuration/snapshots.py
+++ b/hollyring/configuration/snapshots.py
@@ -94,7 +94,7 @@
         raise errors.UnusableRevisionError(
             f"snapshot {revision.revision} does not give the content its revision states"
         )
-    return configuration
+    return dataclasses.replace(configuration, roster=revision.roster)
 
 
 def decode_pointer(value: bytes) -> Pointer | None:
--- a/hollyring/configuration/state.py
+++ b/hollyring/configuration/state.py
@@ -8,6 +8,8 @@
 import typing
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from hollyring.configuration import objects
 
 _CONTENT_MODULUS = 1 << 256
@@ -24,6 +26,43 @@
     return types.MappingProxyType({})
 
 
+RETIRED_VMS = 256
+"""Names of removed VMs that are kept, latest last: about two days of replacements."""
+
+
+class Roster(msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False):
+    """When the VMs of the configuration last changed, and which were removed.
+
+    Parameters
+    ----------
+    revision
+        Revision of the last change; 0 while there were none.
+    first
+        Revision that listed the first VMs.
+    retired
+        VMs that were removed and may still run, latest last.
+    """
+
+    revision: int = 0
+    first: int = 0
+    retired: tuple[str, ...] = ()
+
+    def changed(self, revision: int, put: Iterable[str], delete: Iterable[str]) -> Roster:
+        """Return the roster after `revision` listed some VMs and removed others.
+
+        Examples
+        --------
+        >>> Roster().changed(1, ["vm-1", "vm-2"], []).changed(4, [], ["vm-1"])
+        Roster(revision=4, first=1, retired=('vm-1',))
+        """
+        listed, removed = set(put), list(delete)
+        if not listed and not removed:
+            return self
+        kept = [name for name in self.retired if name not in listed and name not in removed]
+        retired = (*kept, *(name for name in removed if name not in listed))
+        return Roster(revision, self.first or revision, retired[-RETIRED_VMS:])
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
     """Every configured object at one revision.
@@ -37,6 +76,8 @@
     content
         Sum of the objects' SHA-256 digests modulo 2**256: equal for equal objects, and brought
         forward by a change without reading the other objects.
+    roster
+        When the VMs last changed.
 
     Examples
     --------
@@ -52,6 +93,7 @@
     revision: int = 0
     digest: str = ""
     content: int = 0
+    roster: Roster = Roster()
     _tables: Mapping[str, Table] = dataclasses.field(default_factory=_empty, repr=False)
     _keys: Mapping[str, str] = dataclasses.field(default_factory=_empty, repr=False)
 
@@ -131,6 +173,7 @@
         tables: dict[str, dict[str, objects.Object]] = {}
         keys: dict[str, str] | None = None
         content = self.content
+        put, delete = list(put), list(delete)
         for identity, item in _changes(put, delete):
             table = tables.get(identity.kind)
             if table is None:
@@ -146,6 +189,11 @@
             revision,
             digest,
             content % _CONTENT_MODULUS,
+            self.roster.changed(
+                revision,
+                [item.name for item in put if isinstance(item, objects.VM)],
+                [identity.name for identity in delete if identity.kind == "vm"],
+            ),
             {**self._tables, **tables},
             self._keys if keys is None else keys,
         )
--- a/hollyring/node/limits_part.py
+++ b/hollyring/node/limits_part.py
@@ -42,6 +42,11 @@
     configuration: state.Configuration
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Listed:
+    names: frozenset[str]
+
+
 @dataclasses.dataclass(slots=True)
 class _FromPeer:
     sender: str
@@ -65,7 +70,8 @@
         self._send = send
         self._tickets: dict[str, part.Ticket[refusal.Refusal | None]] = {}
         self._known: dict[str, holders.Limit] = {}
-        self._roster: holders.Roster | None = None
+        self._roster_revision = 0
+        self._retired: tuple[str, ...] = ()
 
     async def admit(
         self, organisation: str, tokens: int, request_id: str
@@ -83,6 +89,10 @@
         """Apply the limits and the roster of a configuration that came into force."""
         self.tell(_Configure(configuration))
 
+    def listed(self, names: frozenset[str]) -> None:
+        """Take in the VMs that the platform's list shows: one that left it is destroyed."""
+        self.tell(_Listed(names))
+
     def from_peer(self, sender: str, message: object) -> None:
         """Take a limits message from another VM."""
         self.tell(_FromPeer(sender, message))
@@ -100,6 +110,10 @@
                 self._carry_out(self._limiter.settle(message.request_id, message.used, self.now))
             case _Configure():
                 self._configure(message.configuration)
+            case _Listed():
+                gone = [name for name in self._retired if name not in message.names]
+                if message.names and gone:
+                    self._limiter.mark_destroyed(gone)
             case _FromPeer():
                 self._carry_out(self._limiter.receive(message.sender, message.message, self.now))
 
@@ -127,14 +141,18 @@
         self._limiter.configure(limiter.Update(roster, changed, removed), self.now)
 
     def _new_roster(self, configuration: state.Configuration) -> holders.Roster | None:
+        """Return the roster of a configuration if it is later than the one applied."""
+        listed = configuration.roster
+        if not configuration.vms or listed.revision <= self._roster_revision:
+            return None
+        self._roster_revision = listed.revision
+        self._retired = listed.retired
         slots = tuple(
             holders.Slot(vm.name, vm.name, vm.failure_domain, vm.region)
             for vm in sorted(configuration.vms.values(), key=lambda vm: vm.name)
         )
-        if not slots or (self._roster and self._roster.slots == slots):
-            return None
-        self._roster = holders.Roster(1, slots, settled=1)
-        return self._roster
+        settled = listed.revision if listed.revision == listed.first else 0
+        return holders.Roster(listed.revision, slots, listed.retired, settled)
 
     def _carry_out(self, effects: limits_messages.Effects) -> None:
         for outgoing in effects.messages:
--- a/hollyring/node/membership_part.py
+++ b/hollyring/node/membership_part.py
@@ -79,6 +79,8 @@
         Called when the VMs that are alive change.
     on_entry
         Called with each small value that travels between VMs and is news.
+    on_listed
+        Called with the names on the platform's list each time it is read.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         send: SendTo,
         on_live: Callable[[Live], None],
         on_entry: Callable[[messages.Entry], None],
+        on_listed: Callable[[frozenset[str]], None],
     ) -> None:
         super().__init__(TICK_SECONDS)
         self._profile = profile
@@ -96,6 +99,7 @@
         self._send = send
         self._on_live = on_live
         self._on_entry = on_entry
+        self._on_listed = on_listed
         self._log = logs.Log("member")
         draw = random.Random(f"members of {profile.name}#{profile.number}")
         self._members = members.Members(profile, seeds, draw, self.now)
@@ -156,6 +160,7 @@
                 self._act(self._members.handle(message.message, message.address, self.now))
             case _Listed():
                 self._listed = message.vms
+                self._on_listed(frozenset(message.vms))
                 leaving = {name: state == LEAVING for name, state in message.vms.items()}
                 self._act(self._members.platform_list(leaving, self.now))
                 self._tell_live()
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -94,6 +94,7 @@
             self._peers.send,
             self._on_live,
             self._on_entry,
+            lambda names: self._limits.listed(names),
         )
         self._limits = limits_part.LimitsPart(self._me, self._invariants, self._send)
         self._routing = routing_part.RoutingPart(
