--- a/hollyring/cli/config.py
+++ b/hollyring/cli/config.py
@@ -239,13 +239,12 @@
 
 def _load(client: platform.Platform, as_json: bool) -> loading.Loaded:
     reading = loading.Loading()
-    try:
-        client.run(reading, LOAD_FAILURES)
-    except errors.ConfigurationError as error:
-        _fail({"outcome": "unusable", "error": str(error)}, str(error), EXIT_BAD_INPUT, as_json)
+    client.run(reading, LOAD_FAILURES)
     if reading.loaded is None:
         text = "the platform's service is not reachable; nothing was submitted"
         _fail({"outcome": "unreachable"}, text, EXIT_UNKNOWN, as_json)
+    if reading.loaded.stopped:
+        click.echo(f"warning: the stored revisions are broken: {reading.loaded.stopped}", err=True)
     return reading.loaded
 
 
--- a/hollyring/configuration/follower.py
+++ b/hollyring/configuration/follower.py
@@ -5,7 +5,7 @@
 import dataclasses
 import typing
 
-from hollyring.configuration import choice, errors, in_force, loading, messages, revisions, store
+from hollyring.configuration import choice, in_force, loading, messages, revisions, store
 
 WATCH_SECONDS = 5.0
 """Longest wait of one watch; under `in_force.SILENCE_SECONDS`, so that the store is heard."""
@@ -95,12 +95,7 @@
             if isinstance(answered.answer, store.Failed):
                 yield self._retry()
                 continue
-            try:
-                reading.on_answer(answered.answer)
-            except errors.ConfigurationError as error:
-                self._target.raise_alarm(in_force.Alarm.UNUSABLE, str(error))
-                yield store.Pause(HOLD_SECONDS)
-                reading = loading.Loading()
+            reading.on_answer(answered.answer)
         if reading.loaded is not None:
             self._sends += self._target.on_loaded(reading.loaded, self._now)
 
@@ -115,11 +110,12 @@
                 self._sends += self._target.on_value(value, self._now)
                 if self._target.revision <= revision:
                     yield store.Pause(HOLD_SECONDS)
+                    self._verify_soon()
             case store.Absent():
                 self._target.on_store_current(revision, self._now)
             case _:
                 # What the store has may have changed while it was away.
-                self._verified = self._now - VERIFY_SECONDS
+                self._verify_soon()
                 yield self._retry()
 
     def _verify(self) -> _Steps:
@@ -177,6 +173,9 @@
         detail = f"the store has another revision {revision} than the one in force"
         self._target.raise_alarm(in_force.Alarm.DIVERGED, detail)
 
+    def _verify_soon(self) -> None:
+        self._verified = self._now - VERIFY_SECONDS
+
     def _retry(self) -> store.Pause:
         return store.Pause(RETRY_SECONDS * (0.5 + 0.5 * self._draws.fraction()))
 
--- a/hollyring/configuration/in_force.py
+++ b/hollyring/configuration/in_force.py
@@ -28,13 +28,16 @@
 GOSSIP_PEERS = 1
 """Peers asked for their revision at each tick."""
 
+QUIET_SECONDS = 3.0
+"""A VM that heard nobody for this long asks `START_PEERS` peers and the last two it heard."""
+
 PUSH_PEERS = 2
 """Peers told of a new revision as soon as it is in force."""
 
 PUSH_GAP_SECONDS = 0.25
 """Shortest time between two rounds of telling peers at once."""
 
-START_PEERS = 3
+START_PEERS = 5
 """Peers whose revisions a starting VM compares."""
 
 START_SECONDS = 1.0
@@ -43,7 +46,10 @@
 START_STORE_SECONDS = 3.0
 """A starting VM takes its peers' word for the latest only after the store was silent so long."""
 
-FETCH_SECONDS = 2.0
+NEWER_SECONDS = 10.0
+"""How long a peer's word that there is something newer keeps a VM from being caught up."""
+
+FETCH_SECONDS = 1.0
 """A fetch without an answer is given up after this long."""
 
 DELTAS_BYTES = 64_000
@@ -105,7 +111,10 @@
         "_counts",
         "_peers",
         "_draws",
+        "_last_heard",
         "_offers",
+        "_newest",
+        "_newest_at",
         "_fetch",
         "_incoming",
         "_outgoing",
@@ -125,7 +134,10 @@
         self._counts = {"from_store": 0, "from_peers": 0, "snapshots": 0, "silences": 0}
         self._peers: Sequence[str] = ()
         self._draws = choice.Draws(0)
+        self._last_heard: list[str] = []
         self._offers: dict[str, int] = {}
+        self._newest = 0
+        self._newest_at = now
         self._fetch: _Fetch | None = None
         self._incoming = transfer.Incoming()
         self._outgoing = transfer.Outgoing()
@@ -193,6 +205,8 @@
         if loaded.configuration.revision > self.revision:
             self._adopt(loaded.configuration, loaded.values)
         self._caught_up = loaded.configuration.revision >= self.revision
+        if loaded.stopped:
+            self.raise_alarm(Alarm.UNUSABLE, loaded.stopped)
         return []
 
     def on_store_current(self, revision: int, now: float) -> None:
@@ -217,6 +231,8 @@
         """Take a peer's message and return the answers."""
         self._note_silence(now)
         self._heard_peer = now
+        if sender not in self._last_heard:
+            self._last_heard = [*self._last_heard[-1:], sender]
         match message:
             case messages.Digest():
                 return self._on_digest(sender, message, now)
@@ -244,12 +260,14 @@
         if self._fetch and now - self._fetch.at > FETCH_SECONDS:
             self._offers.pop(self._fetch.peer, None)
             self._fetch = None
+        self._outgoing.drop_old(now)
         sends = [] if self.revision else self._start_fetch(now)
-        count = GOSSIP_PEERS if self.revision else START_PEERS
-        return sends + [
-            messages.Send(peer, self._digest(answer=True))
-            for peer in self._draws.some(peers, count)
-        ]
+        quiet = now - self._heard >= QUIET_SECONDS
+        count = GOSSIP_PEERS if self.revision and not quiet else START_PEERS
+        chosen = self._draws.some(peers, count)
+        if quiet:
+            chosen = sorted({*chosen, *self._last_heard} & set(peers))
+        return sends + [messages.Send(peer, self._digest(answer=True)) for peer in chosen]
 
     @property
     def _heard(self) -> float:
@@ -262,7 +280,9 @@
 
     def _note_peer_current(self, now: float) -> None:
         # A starting VM lets the store speak first, for as long as it may be up.
-        if self._store_answered or now - self._started >= START_STORE_SECONDS:
+        waited = self._store_answered or now - self._started >= START_STORE_SECONDS
+        newer = self._newest > self.revision and now - self._newest_at < NEWER_SECONDS
+        if waited and not newer:
             self._caught_up = True
 
     def _hear_store(self, now: float) -> None:
@@ -284,6 +304,8 @@
         sends = []
         if message.answer:
             sends.append(messages.Send(sender, self._digest(answer=False)))
+        if message.revision >= self._newest or now - self._newest_at >= NEWER_SECONDS:
+            self._newest, self._newest_at = message.revision, now
         if message.revision == self.revision and message.digest != self._configuration.digest:
             self.raise_alarm(Alarm.DIVERGED, f"{sender} has another revision {self.revision}")
             return sends
@@ -299,10 +321,12 @@
         wanted = min(START_PEERS, max(1, len(self._peers)))
         if len(self._offers) < wanted and now - self._started < START_SECONDS:
             return []
-        peer = max(self._offers, key=lambda name: (self._offers[name], name), default=None)
-        if peer is None or self._offers[peer] == 0:
+        highest = max(self._offers.values(), default=0)
+        if highest == 0:
             return []
-        return self._ask(peer, self._offers[peer], now)
+        # One of those that offer the highest is drawn, so that a herd does not ask the same one.
+        best = sorted(name for name, offered in self._offers.items() if offered == highest)
+        return self._ask(self._draws.some(best, 1)[0], highest, now)
 
     def _ask(self, peer: str, target: int, now: float) -> list[messages.Send]:
         if self._fetch and now - self._fetch.at <= FETCH_SECONDS:
--- a/hollyring/configuration/loading.py
+++ b/hollyring/configuration/loading.py
@@ -13,11 +13,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loaded:
-    """A configuration that was read, with the stored values that were read for it."""
+    """A configuration that was read.
+
+    Parameters
+    ----------
+    configuration
+        The latest that could be read.
+    values
+        The stored values that were read for it.
+    pointer
+        The pointer to the snapshot, if there was one.
+    stopped
+        Why the next stored revision can't follow; empty if there is none.
+    """
 
     configuration: state.Configuration
     values: retained.Retained
     pointer: store.Found | None
+    stopped: str = ""
 
 
 class Loading:
@@ -65,6 +78,7 @@
     def _run(self) -> typing.Generator[store.Call, store.Answer, None]:
         configuration, values = state.Configuration(), retained.Retained()
         pointer: store.Found | None = None
+        stopped = ""
         # A snapshot may be replaced and deleted while it is being read.
         for _ in range(POINTER_ATTEMPTS):
             answer = yield store.Read(snapshots.POINTER_KEY)
@@ -80,9 +94,13 @@
             answer = yield store.Read(revisions.key(configuration.revision + 1))
             if not isinstance(answer, store.Found):
                 break
-            configuration = revisions.advance(configuration, answer.value)
+            try:
+                configuration = revisions.advance(configuration, answer.value)
+            except errors.ConfigurationError as error:
+                stopped = str(error)
+                break
             values.append(answer.value)
-        self._loaded = Loaded(configuration, values, pointer)
+        self._loaded = Loaded(configuration, values, pointer, stopped)
 
     def _snapshot(
         self, found: store.Found
--- a/hollyring/configuration/tests/test_submission.py
+++ b/hollyring/configuration/tests/test_submission.py
@@ -149,3 +149,12 @@
     taken = snapshots.take(configuration, b"")
     assert max(map(len, taken.segments)) < revisions.MAX_VALUE_BYTES
     assert len(taken.segments) <= 8
+
+
+def test_broken_chain_is_read_up_to_the_break(memory):
+    grow(memory, 5)
+    _, other = conftest.chain(2)
+    memory.values[revisions.key(4)] = (revisions.successor(other, "x", (), ()), 99)
+    loaded = load(memory).loaded
+    assert loaded.configuration.revision == 3
+    assert "revision 3 after 3" in loaded.stopped
--- a/hollyring/configuration/transfer.py
+++ b/hollyring/configuration/transfer.py
@@ -4,8 +4,11 @@
 
 from hollyring.configuration import messages, snapshots, state
 
-GAP_SECONDS = 1.0
-"""Shortest time between two snapshots sent to peers, as each costs processor time."""
+GAP_SECONDS = 0.25
+"""Shortest time between two snapshots sent to peers."""
+
+CACHE_SECONDS = 5.0
+"""An encoded snapshot is kept this long for the next peer of a herd of restarts."""
 
 
 class Incoming:
@@ -35,11 +38,13 @@
 class Outgoing:
     """Sends snapshots to peers, at most one each `GAP_SECONDS`."""
 
-    __slots__ = ("_sent_at", "_sent")
+    __slots__ = ("_sent_at", "_sent", "_cached", "_cached_at")
 
     def __init__(self) -> None:
         self._sent_at = float("-inf")
         self._sent = 0
+        self._cached: list[messages.Segment] = []
+        self._cached_at = float("-inf")
 
     @property
     def sent(self) -> int:
@@ -49,14 +54,25 @@
     def send(
         self, configuration: state.Configuration, head: bytes, now: float
     ) -> list[messages.Segment]:
-        """Return the segments to send, none if the last snapshot was too short a time ago."""
+        """Return the segments to send, none if the last snapshot was too short a time ago.
+
+        They may be some seconds old; the receiver gets the rest as deltas.
+        """
         if now - self._sent_at < GAP_SECONDS:
             return []
         self._sent_at = now
         self._sent += 1
-        snapshot = snapshots.take(configuration, head)
-        count = len(snapshot.segments)
-        return [
-            messages.Segment(configuration.revision, head, index, count, body)
-            for index, body in enumerate(snapshot.segments)
-        ]
+        if not self._cached:
+            snapshot = snapshots.take(configuration, head)
+            count = len(snapshot.segments)
+            self._cached_at = now
+            self._cached = [
+                messages.Segment(configuration.revision, head, index, count, body)
+                for index, body in enumerate(snapshot.segments)
+            ]
+        return self._cached
+
+    def drop_old(self, now: float) -> None:
+        """Free the memory of a snapshot that was encoded some time ago."""
+        if now - self._cached_at >= CACHE_SECONDS:
+            self._cached = []
--- /dev/null
+++ b/hollyring/experiments/configuration.py
@@ -0,0 +1,440 @@
+"""Randomised run over the machines that put a configuration in force."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+
+import click
+import msgspec
+
+from hollyring.configuration import (
+    in_force,
+    loading,
+    objects,
+    publishing,
+    revisions,
+    snapshots,
+    state,
+    store,
+    submission,
+)
+from hollyring.experiments import configuration_world
+
+IN_FORCE_SECONDS = 12.0
+"""An accepted change must be in force on every connected VM after this long."""
+
+SILENCE_SECONDS = 10.0
+"""A VM that heard neither the store nor a peer for this long must not admit."""
+
+OPERATORS = 3
+ORGANISATIONS = 12
+
+GIVEN_BACK_SECONDS = 60.0
+"""A store that came back older has what it lost again after this long."""
+
+_DIGESTS = [objects.key_digest(f"demo-key-{number}") for number in range(3 * ORGANISATIONS)]
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What one run did and found.
+
+    `forks` counts revisions that were accepted twice as the store lost the first in between; a
+    run ends at the first. `lost_by_store` counts accepted revisions that the store lost and no
+    living VM held.
+    """
+
+    seed: int
+    vms: int
+    steps: int
+    simulated_seconds: float = 0.0
+    revisions: int = 0
+    accepted: int = 0
+    lost_races: int = 0
+    unknown: int = 0
+    forks: int = 0
+    lost_by_store: int = 0
+    faults: dict[str, int] = dataclasses.field(default_factory=dict)
+    checks: dict[str, dict[str, object]] = dataclasses.field(default_factory=dict)
+    messages: int = 0
+    store_calls: int = 0
+    seconds_until_everywhere: list[float] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class _Operator:
+    """An operator's tool, one call at a time."""
+
+    name: str
+    machine: loading.Loading | submission.Submission | publishing.Publishing | None = None
+    loaded: loading.Loaded | None = None
+    failures: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Past:
+    at: float
+    head: int
+    held: dict[str, tuple[int, int]]
+
+
+class Run:
+    """One run: the world, its operators and faults, and the invariants at each step."""
+
+    def __init__(self, seed: int, vms: int, steps: int) -> None:
+        self.report = Report(seed, vms, steps)
+        self._rng = random.Random(seed)
+        self._world = configuration_world.World(self._rng, vms)
+        self._accepted: dict[int, str] = {}
+        self._accepted_at: dict[int, float] = {}
+        self._digests: dict[int, tuple[str, int]] = {}
+        self._revisions: dict[tuple[str, int], int] = {}
+        self._past: collections.deque[_Past] = collections.deque()
+        self._submissions = 0
+        self._whole_at = 0.0
+        self._faults: collections.Counter[str] = collections.Counter()
+        for index in range(OPERATORS):
+            self._later(_Operator(f"op-{index}"))
+        self._world.at(5.0, self._fault)
+        self._world.at(1.0, self._look)
+
+    def run(self) -> Report:
+        """Run to the end."""
+        for _ in range(self.report.steps):
+            self._world.step()
+            self._check_step()
+            if self.report.forks:
+                break
+        report, world = self.report, self._world
+        report.simulated_seconds = round(world.now, 1)
+        report.revisions = max(self._digests, default=0)
+        report.faults = dict(sorted(self._faults.items()))
+        report.checks = world.checks.dump()
+        report.messages, report.store_calls = world.sent, world.store.calls
+        return report
+
+    def _check_step(self) -> None:
+        world = self._world
+        for vm in world.vms.values():
+            if world.now < vm.paused_until:
+                continue
+            now, configuration = world.now, vm.target.configuration
+            before = self._revisions.get((vm.name, vm.life), 0)
+            if configuration.revision != before:
+                self._check_revision(vm, before)
+            admits = vm.target.admission(now) == in_force.Admission.ADMITS
+            if admits:
+                silent = now - vm.heard
+                world.checks.check(
+                    "silent_vm_admits_nothing",
+                    silent <= SILENCE_SECONDS,
+                    f"{vm.name} after {silent:.1f} s",
+                )
+            if admits and not vm.admitted and not vm.heard_store:
+                newest = max((number for at, number in vm.newest if now - at < 9.9), default=0)
+                world.checks.check(
+                    "restarted_vm_takes_the_highest",
+                    configuration.revision >= newest,
+                    f"{vm.name} admits at {configuration.revision}, heard of {newest}",
+                )
+            vm.admitted = admits
+
+    def _check_revision(self, vm: configuration_world.VM, before: int) -> None:
+        configuration, checks = vm.target.configuration, self._world.checks
+        vm.began = min(vm.began, self._world.now)
+        number = configuration.revision
+        self._revisions[(vm.name, vm.life)] = number
+        checks.check("revision_goes_forward", number > before, f"{vm.name}: {before} to {number}")
+        same = (configuration.digest, configuration.content)
+        known = self._digests.setdefault(number, same)
+        checks.check("same_revision_same_configuration", same == known, f"{vm.name} at {number}")
+        total = state.Configuration().changed(0, "", configuration.items(), []).content
+        owners = {
+            key.digest: item for item in configuration.organisations.values() for key in item.keys
+        }
+        right = all(configuration.organisation_of(key) is owners.get(key) for key in _DIGESTS)
+        checks.check("content_is_what_is_held", total == configuration.content, vm.name)
+        checks.check("key_table_is_what_is_held", right, vm.name)
+
+    def _look(self) -> None:
+        """Each second, check that what was known long enough ago is in force."""
+        world = self._world
+        world.at(1.0, self._look)
+        self._judge_store()
+        held = {vm.name: (vm.life, vm.target.revision) for vm in world.vms.values()}
+        self._past.append(_Past(world.now, max(self._accepted, default=0), held))
+        while self._past[0].at < world.now - IN_FORCE_SECONDS - 1:
+            self._past.popleft()
+        past = self._past[0]
+        since = world.now - IN_FORCE_SECONDS
+        if past.at > since or world.grouped > since:
+            return
+        steady = [vm for vm in world.vms.values() if max(vm.disturbed, vm.began) <= past.at]
+        for vm in world.vms.values():
+            if max(vm.disturbed, vm.started) <= past.at:
+                helped = any(world.linked(vm.name, peer.name) for peer in steady)
+                world.checks.check(
+                    "restarted_vm_is_configured_in_time",
+                    vm.target.revision > 0 or not helped,
+                    f"{vm.name}, started at {vm.started:.1f} s, at {world.now:.1f} s",
+                )
+        store_steady = world.store.up and world.store_disturbed <= past.at
+        for vm in steady:
+            peers = [u for u in steady if u is not vm and world.linked(u.name, vm.name)]
+            reads = store_steady and world.linked(vm.name, "store")
+            required = past.head if reads else 0
+            for peer in peers:
+                life, number = past.held[peer.name]
+                required = max(required, number if life == peer.life else 0)
+            self._check_in_force(vm, required, bool(peers) or reads)
+
+    def _check_in_force(self, vm: configuration_world.VM, required: int, connected: bool) -> None:
+        world = self._world
+        world.checks.check(
+            "accepted_change_is_in_force_in_time",
+            vm.target.revision >= required,
+            f"{vm.name} at {vm.target.revision}, {required} was known "
+            f"{IN_FORCE_SECONDS} s ago, at {world.now:.1f} s",
+        )
+        if connected and required > 0:
+            admission = vm.target.admission(world.now)
+            world.checks.check(
+                "connected_vm_admits",
+                admission == in_force.Admission.ADMITS,
+                f"{vm.name}: {admission} at {world.now:.1f} s",
+            )
+
+    def _judge_store(self) -> None:
+        """Count the store as disturbed while it lacks what a VM has in force."""
+        world = self._world
+        numbers = {vm.target.revision for vm in world.vms.values()} | set(self._accepted)
+        newest = max(numbers, default=0)
+        missing = [n for n in range(1, newest + 1) if revisions.key(n) not in world.store.entries]
+        if missing:
+            world.store_disturbed = world.now
+        able = [
+            vm
+            for vm in world.vms.values()
+            if max(vm.disturbed, vm.began, world.grouped) < world.now - GIVEN_BACK_SECONDS
+            and world.linked(vm.name, "store")
+            and all(vm.target.stored(number) for number in missing)
+        ]
+        if not missing or not able or not world.store.up:
+            self._whole_at = world.now
+        world.checks.check(
+            "store_gets_back_what_it_lost",
+            world.now - self._whole_at <= GIVEN_BACK_SECONDS,
+            f"{missing} missing since {self._whole_at:.1f} s, at {world.now:.1f} s",
+        )
+        reached = self.report.seconds_until_everywhere
+        for number, at in list(self._accepted_at.items()):
+            if all(vm.target.revision >= number for vm in world.vms.values()):
+                reached.append(round(world.now - at, 1))
+                del self._accepted_at[number]
+
+    def _fault(self) -> None:
+        world, rng = self._world, self._rng
+        world.at(rng.uniform(1.0, 15.0), self._fault)
+        world.store.back_up()
+        kind = rng.choice(
+            ["crash", "herd", "pause", "outage", "older", "partition", "store_link", "calm"]
+        )
+        self._faults[kind] += 1
+        names = sorted(world.vms)
+        match kind:
+            case "crash" | "herd" if names:
+                count = len(names) if kind == "herd" and rng.random() < 0.2 else len(names) // 2
+                for name in rng.sample(names, 1 if kind == "crash" else max(1, count)):
+                    self._crash(name)
+            case "pause" if names:
+                world.pause(rng.choice(names), rng.uniform(1.0, 30.0))
+            case "outage" | "older" if world.store.up:
+                world.set_store(False)
+                world.at(rng.uniform(1.0, 60.0), lambda: self._return(kind == "older"))
+            case "partition":
+                world.partition({name: rng.randrange(2) for name in [*names, "store"]})
+                world.at(rng.uniform(1.0, 40.0), lambda: world.partition({}))
+            case "store_link" if names:
+                away = rng.sample(names, max(1, len(names) // 3))
+                # Those VMs hear one another and nobody else.
+                world.partition(dict.fromkeys(away, 1))
+                world.at(rng.uniform(1.0, 40.0), lambda: world.partition({}))
+
+    def _crash(self, name: str) -> None:
+        world = self._world
+        vm = world.stop(name)
+        self._forget_lost()
+        world.at(self._rng.uniform(0.1, 5.0), lambda: world.start(name, 1 - vm.life))
+
+    def _return(self, older: bool) -> None:
+        world = self._world
+        if older:
+            world.store.go_back(self._rng)
+            self._forget_lost()
+        world.set_store(True)
+
+    def _forget_lost(self) -> None:
+        """Forget what neither the store nor a living VM holds: nothing can bring it back.
+
+        Revisions that the store still has behind a gap are deleted, as the operators' page says.
+        """
+        entries = self._world.store.entries
+        top = max((vm.target.revision for vm in self._world.vms.values()), default=0)
+        while revisions.key(top + 1) in entries and all(
+            revisions.key(number) in entries for number in range(1, top + 1)
+        ):
+            top += 1
+        for number in [n for n in self._digests if n > top]:
+            del self._digests[number]
+        for number in [n for n in self._accepted if n > top]:
+            self.report.lost_by_store += 1
+            del self._accepted[number]
+            self._accepted_at.pop(number, None)
+            entries.pop(revisions.key(number), None)
+
+    def _later(self, operator: _Operator, delay: float | None = None) -> None:
+        wait = self._rng.uniform(0.5, 8.0) if delay is None else delay
+        self._world.at(wait, lambda: self._operate(operator))
+
+    def _operate(self, operator: _Operator) -> None:
+        if operator.machine is None:
+            operator.machine, operator.failures = loading.Loading(), 0
+        machine = operator.machine
+        if machine.call is None or operator.failures > submission.ATTEMPTS:
+            self._next(operator)
+            return
+        call = machine.call
+        answer = self._perform(call)
+        operator.failures += isinstance(answer, store.Failed)
+        machine.on_answer(answer)
+        self._later(operator, self._rng.uniform(0.001, 0.3))
+
+    def _perform(self, call: store.Call) -> store.Answer:
+        world, rng = self._world, self._rng
+        if isinstance(call, store.Pause):
+            return store.Waited()
+        if not world.store.up or rng.random() < configuration_world.DROP:
+            return store.Failed()
+        if isinstance(call, store.Write) and rng.random() < configuration_world.DROP:
+            world.at(rng.uniform(0.1, 3.0), lambda: self._write_late(call))
+            return store.Failed()
+        answer = world.store.perform(call)
+        if isinstance(call, store.Write) and isinstance(answer, store.Written):
+            world.appeared(call.key)
+        return store.Failed() if rng.random() < configuration_world.DROP else answer
+
+    def _write_late(self, call: store.Write) -> None:
+        # The store refuses what it is sent while it is down.
+        world = self._world
+        if world.store.up and isinstance(world.store.perform(call), store.Written):
+            world.appeared(call.key)
+
+    def _next(self, operator: _Operator) -> None:
+        """Go on to the operator's next machine."""
+        machine, operator.machine, operator.failures = operator.machine, None, 0
+        match machine:
+            case loading.Loading() if machine.loaded is not None:
+                operator.loaded = machine.loaded
+                operator.machine = self._submission(operator, machine.loaded)
+            case submission.Submission():
+                operator.machine = self._settled(operator, machine)
+        self._later(operator, None if operator.machine is None else 0.01)
+
+    def _submission(
+        self, operator: _Operator, loaded: loading.Loaded
+    ) -> submission.Submission | None:
+        base = loaded.configuration
+        # The tool asks the VMs first, so that it does not submit to a store that lost revisions.
+        if any(vm.target.revision > base.revision for vm in self._world.vms.values()):
+            return None
+        self._submissions += 1
+        number = self._rng.randrange(ORGANISATIONS)
+        name = f"o-{number}"
+        identity = objects.Identity("organisation", name)
+        if base.get(identity) is not None and self._rng.random() < 0.2:
+            change = submission.Plan(base, (), (identity,))
+        else:
+            key = objects.Key("k", self._rng.choice(_DIGESTS[3 * number : 3 * number + 3]))
+            rate = float(self._rng.randrange(1, 1000))
+            item = objects.Organisation(name, rate, 40_000, keys=(key,))
+            change = submission.Plan(base, (item,), ())
+        return submission.Submission(change, f"{operator.name}/{self._submissions}", operator.name)
+
+    def _settled(
+        self, operator: _Operator, machine: submission.Submission
+    ) -> publishing.Publishing | None:
+        match machine.outcome:
+            case submission.Accepted(revision):
+                self._accept(revision, revisions.decode(machine.value).submission)
+                return self._publication(operator, machine.value)
+            case submission.Lost():
+                self.report.lost_races += 1
+                mine = revisions.decode(machine.value)
+                held = self._world.store.entries.get(revisions.key(mine.revision), (b"", 0))[0]
+                self._world.checks.check(
+                    "lost_submission_changed_nothing", held != machine.value, mine.submission
+                )
+            case _:
+                self.report.unknown += 1
+        return None
+
+    def _accept(self, revision: int, identity: str) -> None:
+        world = self._world
+        self.report.accepted += 1
+        earlier = self._accepted.setdefault(revision, identity)
+        if earlier != identity and self._faults["older"]:
+            self.report.forks += 1
+            return
+        world.checks.check(
+            "one_submission_per_revision", earlier == identity, f"{earlier}, {identity}"
+        )
+        self._accepted_at.setdefault(revision, world.now)
+
+    def _publication(self, operator: _Operator, value: bytes) -> publishing.Publishing | None:
+        loaded = operator.loaded
+        assert loaded is not None
+        configuration = revisions.advance(loaded.configuration, value)
+        found = loaded.pointer
+        pointer = snapshots.decode_pointer(found.value) if found else None
+        if not snapshots.due(configuration.revision, pointer):
+            return None
+        return publishing.Publishing(configuration, value, found)
+
+
+def run(seed: int, vms: int = 9, steps: int = 100_000) -> Report:
+    """Run `steps` steps over `vms` VMs and return what was done.
+
+    Raises
+    ------
+    InvariantError
+        At the first step that breaks an invariant.
+    """
+    return Run(seed, vms, steps).run()
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="First seed.")
+@click.option("--seeds", default=1, show_default=True, help="Number of seeds, one run each.")
+@click.option("--vms", default=9, show_default=True)
+@click.option("--steps", default=100_000, show_default=True, help="Steps of each run.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON, one run a line.")
+def configuration(seed: int, seeds: int, vms: int, steps: int, as_json: bool) -> None:
+    """Drive the configuration's machines through random faults and check them at each step.
+
+    Example: hollyring experiment configuration --seed 7 --vms 9 --steps 100000
+    """
+    for number in range(seed, seed + seeds):
+        report = run(number, vms, steps)
+        if as_json:
+            click.echo(msgspec.json.encode(report).decode())
+            continue
+        times = sorted(report.seconds_until_everywhere) or [0.0]
+        checked = sum(int(str(entry["checks"])) for entry in report.checks.values())
+        click.echo(
+            f"seed {number}: {report.simulated_seconds:.0f} s, {report.accepted} accepted, "
+            f"{report.lost_races} races lost, {report.unknown} unknown, {report.forks} forks, "
+            f"{checked} checks held; everywhere after p50 {times[len(times) // 2]} s, "
+            f"max {times[-1]} s"
+        )
