--- /dev/null
+++ b/hollyring/configuration/gossip.py
@@ -0,0 +1,98 @@
+"""Which peers a VM talks to about the configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+
+from hollyring.configuration import choice
+
+TICK_PEERS = 1
+"""Peers asked for their revision at each tick."""
+
+START_PEERS = 5
+"""Peers whose revisions a starting VM compares, and that a quiet one asks at each tick."""
+
+START_SECONDS = 1.0
+"""Longest wait of a starting VM for more peers to answer."""
+
+PUSH_PEERS = 2
+"""Peers told of a new revision as soon as it is in force."""
+
+PUSH_GAP_SECONDS = 0.25
+"""Shortest time between two rounds of telling peers at once."""
+
+_LAST_HEARD = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A peer and the revision that it has."""
+
+    peer: str
+    revision: int
+
+
+class Gossip:
+    """Draws the peers to talk to and remembers what they offered.
+
+    The messages of a tick and of a new revision are bounded whatever the size of the fleet.
+    """
+
+    __slots__ = ("_started", "_peers", "_draws", "_last_heard", "_offers", "_pushed_at")
+
+    def __init__(self, now: float) -> None:
+        self._started = now
+        self._peers: Sequence[str] = ()
+        self._draws = choice.Draws(0)
+        self._last_heard: list[str] = []
+        self._offers: dict[str, int] = {}
+        self._pushed_at = float("-inf")
+
+    def refresh(self, peers: Sequence[str], seed: int) -> None:
+        """Take the present peers and new randomness."""
+        self._peers, self._draws = peers, choice.Draws(seed)
+
+    def hear(self, sender: str) -> None:
+        """Take that a peer spoke."""
+        if sender not in self._last_heard:
+            self._last_heard = [*self._last_heard[1 - _LAST_HEARD :], sender]
+
+    def partners(self, starting: bool, quiet: bool) -> list[str]:
+        """Return the peers to ask for their revision now.
+
+        A quiet VM may be cut off from most: it asks more, and those it heard last.
+        """
+        chosen = self._draws.some(self._peers, START_PEERS if starting or quiet else TICK_PEERS)
+        if not quiet:
+            return chosen
+        return sorted({*chosen, *self._last_heard} & set(self._peers))
+
+    def to_tell(self, now: float) -> list[str]:
+        """Return the peers to tell of a new revision, none if some were told just now."""
+        if now - self._pushed_at < PUSH_GAP_SECONDS:
+            return []
+        self._pushed_at = now
+        return self._draws.some(self._peers, PUSH_PEERS)
+
+    def offer(self, peer: str, revision: int) -> None:
+        """Take the revision that a peer has."""
+        self._offers[peer] = revision
+
+    def withdraw(self, peer: str) -> None:
+        """Forget the offer of a peer that did not keep it."""
+        self._offers.pop(peer, None)
+
+    def best(self, now: float) -> Offer | None:
+        """Return a highest offer, None while more should be waited for or there is none.
+
+        One of several equal offers is drawn, so that a herd does not ask the same peer.
+        """
+        wanted = min(START_PEERS, max(1, len(self._peers)))
+        if len(self._offers) < wanted and now - self._started < START_SECONDS:
+            return None
+        highest = max(self._offers.values(), default=0)
+        if highest == 0:
+            return None
+        best = sorted(peer for peer, revision in self._offers.items() if revision == highest)
+        return Offer(self._draws.some(best, 1)[0], highest)
--- a/hollyring/configuration/in_force.py
+++ b/hollyring/configuration/in_force.py
@@ -7,8 +7,8 @@
 from collections.abc import Sequence
 
 from hollyring.configuration import (
-    choice,
     errors,
+    gossip,
     loading,
     messages,
     retained,
@@ -25,23 +25,8 @@
 TICK_SECONDS = 1.0
 """Period at which `InForce.tick` is to be called."""
 
-GOSSIP_PEERS = 1
-"""Peers asked for their revision at each tick."""
-
 QUIET_SECONDS = 3.0
-"""A VM that heard nobody for this long asks `START_PEERS` peers and the last two it heard."""
-
-PUSH_PEERS = 2
-"""Peers told of a new revision as soon as it is in force."""
-
-PUSH_GAP_SECONDS = 0.25
-"""Shortest time between two rounds of telling peers at once."""
-
-START_PEERS = 5
-"""Peers whose revisions a starting VM compares."""
-
-START_SECONDS = 1.0
-"""Longest wait of a starting VM for more peers to answer."""
+"""A VM that heard nobody for this long asks more peers for their revision."""
 
 START_STORE_SECONDS = 3.0
 """A starting VM takes its peers' word for the latest only after the store was silent so long."""
@@ -109,16 +94,12 @@
         "_caught_up",
         "_alarms",
         "_counts",
-        "_peers",
-        "_draws",
-        "_last_heard",
-        "_offers",
+        "_gossip",
         "_newest",
         "_newest_at",
         "_fetch",
         "_incoming",
         "_outgoing",
-        "_pushed_at",
     )
 
     def __init__(self, checks: invariants.Invariants, now: float) -> None:
@@ -132,16 +113,12 @@
         self._caught_up = False
         self._alarms: dict[Alarm, str] = {}
         self._counts = {"from_store": 0, "from_peers": 0, "snapshots": 0, "silences": 0}
-        self._peers: Sequence[str] = ()
-        self._draws = choice.Draws(0)
-        self._last_heard: list[str] = []
-        self._offers: dict[str, int] = {}
+        self._gossip = gossip.Gossip(now)
         self._newest = 0
         self._newest_at = now
         self._fetch: _Fetch | None = None
         self._incoming = transfer.Incoming()
         self._outgoing = transfer.Outgoing()
-        self._pushed_at = -PUSH_GAP_SECONDS
 
     @property
     def configuration(self) -> state.Configuration:
@@ -231,8 +208,7 @@
         """Take a peer's message and return the answers."""
         self._note_silence(now)
         self._heard_peer = now
-        if sender not in self._last_heard:
-            self._last_heard = [*self._last_heard[-1:], sender]
+        self._gossip.hear(sender)
         match message:
             case messages.Digest():
                 return self._on_digest(sender, message, now)
@@ -256,17 +232,14 @@
             Random 64-bit integer, a new one each time.
         """
         self._note_silence(now)
-        self._peers, self._draws = peers, choice.Draws(seed)
+        self._gossip.refresh(peers, seed)
         if self._fetch and now - self._fetch.at > FETCH_SECONDS:
-            self._offers.pop(self._fetch.peer, None)
+            self._gossip.withdraw(self._fetch.peer)
             self._fetch = None
         self._outgoing.drop_old(now)
         sends = [] if self.revision else self._start_fetch(now)
         quiet = now - self._heard >= QUIET_SECONDS
-        count = GOSSIP_PEERS if self.revision and not quiet else START_PEERS
-        chosen = self._draws.some(peers, count)
-        if quiet:
-            chosen = sorted({*chosen, *self._last_heard} & set(peers))
+        chosen = self._gossip.partners(self.revision == 0, quiet)
         return sends + [messages.Send(peer, self._digest(answer=True)) for peer in chosen]
 
     @property
@@ -294,11 +267,8 @@
         return messages.Digest(self.revision, self._configuration.digest, answer)
 
     def _push(self, now: float) -> list[messages.Send]:
-        if now - self._pushed_at < PUSH_GAP_SECONDS:
-            return []
-        self._pushed_at = now
         digest = self._digest(answer=False)
-        return [messages.Send(peer, digest) for peer in self._draws.some(self._peers, PUSH_PEERS)]
+        return [messages.Send(peer, digest) for peer in self._gossip.to_tell(now)]
 
     def _on_digest(self, sender: str, message: messages.Digest, now: float) -> list[messages.Send]:
         sends = []
@@ -310,7 +280,7 @@
             self.raise_alarm(Alarm.DIVERGED, f"{sender} has another revision {self.revision}")
             return sends
         if self.revision == 0:
-            self._offers[sender] = message.revision
+            self._gossip.offer(sender, message.revision)
             return sends + self._start_fetch(now)
         if message.revision > self.revision:
             return sends + self._ask(sender, message.revision, now)
@@ -318,15 +288,8 @@
         return sends
 
     def _start_fetch(self, now: float) -> list[messages.Send]:
-        wanted = min(START_PEERS, max(1, len(self._peers)))
-        if len(self._offers) < wanted and now - self._started < START_SECONDS:
-            return []
-        highest = max(self._offers.values(), default=0)
-        if highest == 0:
-            return []
-        # One of those that offer the highest is drawn, so that a herd does not ask the same one.
-        best = sorted(name for name, offered in self._offers.items() if offered == highest)
-        return self._ask(self._draws.some(best, 1)[0], highest, now)
+        best = self._gossip.best(now)
+        return [] if best is None else self._ask(best.peer, best.revision, now)
 
     def _ask(self, peer: str, target: int, now: float) -> list[messages.Send]:
         if self._fetch and now - self._fetch.at <= FETCH_SECONDS:
--- a/hollyring/configuration/tests/test_in_force.py
+++ b/hollyring/configuration/tests/test_in_force.py
@@ -1,6 +1,6 @@
 import pytest
 
-from hollyring.configuration import in_force, messages, objects, revisions, state
+from hollyring.configuration import gossip, in_force, messages, objects, revisions, state
 from hollyring.configuration.tests import conftest
 from hollyring.core import invariants
 
@@ -156,9 +156,9 @@
 @pytest.mark.parametrize("fleet", [9, 90, 360])
 def test_messages_of_a_tick_do_not_grow_with_the_fleet(vm, fleet):
     peers = [f"vm-{index}" for index in range(1, fleet)]
-    assert len(vm.tick(1.0, peers, 7)) == in_force.GOSSIP_PEERS
+    assert len(vm.tick(1.0, peers, 7)) == gossip.TICK_PEERS
     value = revisions.successor(vm.configuration, "a", (), ())
-    assert len(vm.on_value(value, 2.0)) == in_force.PUSH_PEERS
+    assert len(vm.on_value(value, 2.0)) == gossip.PUSH_PEERS
 
 
 def test_dump_holds_no_key_digest(vm):
