--- /dev/null
+++ b/hollyring/experiments/limits_ways.py
@@ -0,0 +1,115 @@
+"""Two other ways to keep limits, built to be measured against escrow."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from hollyring.core import identities, invariants
+from hollyring.experiments import limits_world
+from hollyring.limits import borrower, holders, layout, messages, settings, share
+from hollyring.limits import limiter as limiters
+
+TTL_SECONDS = 3.0
+RENEW_SECONDS = 1.0
+MARGIN = 0.99
+
+
+class FixedSplit(limiters.Limiter):
+    """Every VM has 1/N of each limit and asks nobody."""
+
+    def _estimates(
+        self, state: borrower.Borrower, limit: holders.Limit, now: float
+    ) -> list[tuple[str, int]]:
+        return []
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """The store's record of one organisation's home."""
+
+    holder: identities.Incarnation
+    until: float
+
+
+class Leases:
+    """Stand-in for the store's leases; its calls fail while the store is out."""
+
+    def __init__(self) -> None:
+        self.world: limits_world.World | None = None
+        self._leases: dict[str, Lease] = {}
+
+    def acquire(self, organisation: str, vm: identities.Incarnation) -> Lease | None:
+        """Renew or take the lease if it is free; return the lease, or None in an outage."""
+        if self.world is None or not self.world.store_up:
+            return None
+        found = self._leases.get(organisation)
+        if found is None or found.until <= self.world.now or found.holder == vm:
+            found = Lease(vm, self.world.now + TTL_SECONDS)
+            self._leases[organisation] = found
+        return found
+
+
+class LeaseLayout(layout.Layout):
+    """The home of each organisation by the store's leases, as this VM knows them."""
+
+    def __init__(self, vm: identities.Incarnation, leases: Leases) -> None:
+        super().__init__(vm)
+        self.leases = leases
+        self.until: dict[str, float] = {}
+        self.since: dict[str, float] = {}
+        self.home: dict[str, str] = {}
+        self.organisations: set[str] = set()
+        self.next_renewal = 0.0
+
+    def chosen(self, organisation: str) -> tuple[holders.Slot, ...]:
+        home = self.home.get(organisation)
+        return (holders.Slot(home, home),) if home else ()
+
+    def portion(self, limit: holders.Limit) -> holders.Portion:
+        self.organisations.add(limit.organisation)
+        if limit.organisation not in self.until:
+            return holders.NOTHING
+        return holders.Portion(limit.rate, limit.burst)
+
+    def new_share(self, limit: holders.Limit, learned: float) -> share.Share:
+        start = max(self.since[limit.organisation] + settings.HOLD_SECONDS, learned)
+        return share.Share(self.portion(limit), start)
+
+    def poll(self, now: float) -> list[messages.Outgoing]:
+        for organisation, until in list(self.until.items()):
+            if now >= until:
+                del self.until[organisation]
+        if now < self.next_renewal:
+            return []
+        self.next_renewal = now + RENEW_SECONDS
+        for organisation in self.organisations:
+            lease = self.leases.acquire(organisation, self._vm)
+            if lease is None:
+                continue
+            self.home[organisation] = lease.holder.name
+            if lease.holder == self._vm:
+                if organisation not in self.until:
+                    self.since[organisation] = now
+                self.until[organisation] = now + TTL_SECONDS * MARGIN
+        return []
+
+
+class HomeLease(limiters.Limiter):
+    """One home VM per organisation under a lease; the others ask it."""
+
+    def __init__(
+        self, vm: identities.Incarnation, counted: invariants.Invariants, leases: Leases
+    ) -> None:
+        super().__init__(vm, counted)
+        self._home = LeaseLayout(vm, leases)
+        self._layout = self._home
+
+    def configure(self, update: limiters.Update, now: float) -> None:
+        super().configure(update, now)
+        self._home.organisations |= {limit.organisation for limit in update.limits}
+
+    def _share(self, organisation: str, now: float) -> share.Share | None:
+        if now >= self._home.until.get(organisation, 0.0):
+            self._shares.pop(organisation, None)
+            return None
+        return super()._share(organisation, now)
--- a/hollyring/limits/limiter.py
+++ b/hollyring/limits/limiter.py
@@ -62,6 +62,10 @@
         """The roster in force at this VM."""
         return self._layout.roster
 
+    def holders_of(self, organisation: str) -> list[str]:
+        """Return the VMs that hold shares of `organisation` by the roster in force."""
+        return [slot.vm for slot in self._layout.chosen(organisation)]
+
     def configure(self, update: Update, now: float) -> None:
         """Apply a configuration change.
 
