--- a/hollyring/limits/borrower.py
+++ b/hollyring/limits/borrower.py
@@ -71,7 +71,16 @@
 class Borrower:
     """Requests, borrowed tokens and what is known of the holders of one organisation."""
 
-    __slots__ = ("organisation", "waiting", "loans", "asked", "used_at", "_known")
+    __slots__ = (
+        "organisation",
+        "waiting",
+        "loans",
+        "asked",
+        "used_at",
+        "_available",
+        "_wanted",
+        "_known",
+    )
 
     def __init__(self, organisation: str) -> None:
         self.organisation = organisation
@@ -79,17 +88,19 @@
         self.loans: collections.deque[Loan] = collections.deque()
         self.asked: dict[int, Asked] = {}
         self.used_at = 0.0
+        self._available = 0
+        self._wanted = 0
         self._known: dict[str, _Known] = {}
 
     @property
     def available(self) -> int:
         """Borrowed tokens that are not spent."""
-        return sum(loan.left for loan in self.loans)
+        return self._available
 
     @property
     def wanted(self) -> int:
         """Tokens of all waiting requests."""
-        return sum(request.tokens for request in self.waiting)
+        return self._wanted
 
     def expected(self, now: float) -> int:
         """Return the tokens in asks that may still be answered in time."""
@@ -97,6 +108,35 @@
             ask.tokens for ask in self.asked.values() if now - ask.sent < settings.ASK_TIMEOUT
         )
 
+    def push(self, request: Waiting) -> None:
+        """Add a request behind the others."""
+        self.waiting.append(request)
+        self._wanted += request.tokens
+
+    def pop(self) -> Waiting:
+        """Remove and return the first waiting request."""
+        request = self.waiting.popleft()
+        self._wanted -= request.tokens
+        return request
+
+    def drop(self, request_id: str) -> None:
+        """Remove a request whose caller has gone."""
+        kept = [request for request in self.waiting if request.request_id != request_id]
+        self.waiting = collections.deque(kept)
+        self._wanted = sum(request.tokens for request in kept)
+
+    def add(self, loan: Loan) -> None:
+        """Take in a new loan."""
+        self.loans.append(loan)
+        self._available += loan.left
+
+    def take_loans(self) -> list[Loan]:
+        """Remove and return all loans."""
+        loans = list(self.loans)
+        self.loans.clear()
+        self._available = 0
+        return loans
+
     def spend(self, tokens: int) -> list[Part]:
         """Take `tokens` from the loans, those that expire first before the others."""
         parts = []
@@ -104,6 +144,7 @@
             loan = self.loans[0]
             taken = min(tokens, loan.left)
             loan.left -= taken
+            self._available -= taken
             tokens -= taken
             parts.append(Part(loan, taken))
             if not loan.left:
@@ -112,11 +153,10 @@
 
     def expire(self, now: float) -> list[Loan]:
         """Remove and return the loans that may not be spent any more."""
-        kept = [loan for loan in self.loans if loan.expires > now]
-        if len(kept) == len(self.loans):
-            return []
         expired = [loan for loan in self.loans if loan.expires <= now]
-        self.loans = collections.deque(kept)
+        if expired:
+            self.loans = collections.deque(loan for loan in self.loans if loan.expires > now)
+            self._available -= sum(loan.left for loan in expired)
         return expired
 
     def time_out(self, now: float) -> None:
--- a/hollyring/limits/holders.py
+++ b/hollyring/limits/holders.py
@@ -120,6 +120,10 @@
     """
     for index, slot in enumerate(chosen):
         if slot.vm == vm:
-            count = len(chosen)
-            return Portion(limit.rate / count, limit.burst // count + (index < limit.burst % count))
+            return part(limit, index, len(chosen))
     return NOTHING
+
+
+def part(limit: Limit, index: int, count: int) -> Portion:
+    """Return the part of the holder at `index` among `count`."""
+    return Portion(limit.rate / count, limit.burst // count + (index < limit.burst % count))
--- a/hollyring/limits/layout.py
+++ b/hollyring/limits/layout.py
@@ -26,6 +26,7 @@
     __slots__ = (
         "_vm",
         "_roster",
+        "_own_slot",
         "_prior",
         "_before",
         "_fresh",
@@ -43,6 +44,7 @@
     def __init__(self, vm: identities.Incarnation) -> None:
         self._vm = vm
         self._roster: holders.Roster | None = None
+        self._own_slot: holders.Slot | None = None
         self._prior: list[holders.Roster] = []
         self._before: list[holders.Roster] = []
         self._fresh = True
@@ -61,6 +63,11 @@
         """The roster in force at this VM."""
         return self._roster
 
+    @property
+    def own_slot(self) -> holders.Slot | None:
+        """The slot that this VM fills, if it fills one."""
+        return self._own_slot
+
     @property
     def settled(self) -> int:
         """Latest roster revision that every VM is known to apply."""
@@ -79,6 +86,7 @@
         else:
             self._prior.append(self._roster)
         self._roster = roster
+        self._own_slot = next((s for s in roster.slots if s.vm == self._vm.name), None)
         self._grow_at = None
         self._next_poll = now
         collectors = rendezvous.rank(str(roster.revision).encode(), roster.members)
--- a/hollyring/limits/limiter.py
+++ b/hollyring/limits/limiter.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from hollyring.core import identities, invariants
-from hollyring.limits import borrower, holders, layout, messages, settings, share
+from hollyring.limits import borrower, holders, layout, lender, messages, settings
+
+_TEMPORARY = {"not_configured", "overloaded", "rate_limited"}
+"""Codes of refusals after which trying again is of use."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,12 +22,6 @@
     removed: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Learned:
-    limit: holders.Limit
-    since: float
-
-
 class Limiter:
     """Admits requests against rates and bursts that hold across all VMs.
 
@@ -43,8 +41,7 @@
         self._vm = vm
         self._invariants = invariants
         self._layout = layout.Layout(vm)
-        self._limits: dict[str, _Learned] = {}
-        self._shares: dict[str, share.Share] = {}
+        self._lender = lender.Lender(vm, invariants, self._layout)
         self._borrowers: dict[str, borrower.Borrower] = {}
         self._waiting: dict[str, None] = {}
         self._reservations: dict[str, list[borrower.Part]] = {}
@@ -74,12 +71,11 @@
         """
         self._layout.grow(now)
         for organisation in update.removed:
-            self._limits.pop(organisation, None)
-            self._shares.pop(organisation, None)
+            self._lender.remove(organisation)
         for limit in update.limits:
-            self._set_limit(limit, now)
+            self._lender.set_limit(limit, now)
         if update.roster is not None and self._layout.adopt(update.roster, now):
-            self._resize_all(now)
+            self._lender.resize_all(now)
 
     def mark_destroyed(self, names: Iterable[str]) -> None:
         """Take in VMs that the platform has destroyed; their names are never used again."""
@@ -101,15 +97,16 @@
             The decision if there is one yet; else `receive` or `tick` will return it.
         """
         effects = messages.Effects()
-        learned = self._limits.get(organisation)
+        limit = self._lender.limit(organisation)
+        request = borrower.Waiting(request_id, tokens, now + settings.PATIENCE_SECONDS)
         if self._layout.roster is None:
-            self._refuse(organisation, request_id, "not_configured", settings.LOAN_SECONDS, effects)
-        elif learned is None:
-            self._refuse(organisation, request_id, "unknown_organisation", 0.0, effects)
-        elif tokens > learned.limit.burst:
-            self._refuse(organisation, request_id, "request_exceeds_burst", 0.0, effects)
+            self._refuse(organisation, request, "not_configured", settings.LOAN_SECONDS, effects)
+        elif limit is None:
+            self._refuse(organisation, request, "unknown_organisation", 0.0, effects)
+        elif tokens > limit.burst:
+            self._refuse(organisation, request, "request_exceeds_burst", 0.0, effects)
         else:
-            self._enqueue(organisation, tokens, request_id, now, effects)
+            self._enqueue(organisation, request, now, effects)
         return effects
 
     def receive(self, sender: str, message: messages.Message, now: float) -> messages.Effects:
@@ -117,12 +114,11 @@
         effects = messages.Effects()
         match message:
             case messages.Ask():
-                self._lend(sender, message, now, effects)
+                effects.send(sender, self._lender.lend(sender, message, now))
             case messages.Grant():
                 self._take(sender, message, now, effects)
             case messages.Return():
-                key = (sender, message.incarnation, message.ask)
-                self._give_back(key, message, now)
+                self._lender.give_back(sender, message, now)
             case _:
                 effects.messages.extend(self._layout.receive(sender, message, now))
         return effects
@@ -146,9 +142,7 @@
         state = self._borrowers.get(organisation)
         if state is None:
             return effects
-        kept = [request for request in state.waiting if request.request_id != request_id]
-        state.waiting.clear()
-        state.waiting.extend(kept)
+        state.drop(request_id)
         self._pump(state, now, effects)
         return effects
 
@@ -156,7 +150,7 @@
         """Do what is due: give up late asks, refuse at deadlines, follow roster changes."""
         effects = messages.Effects()
         if self._layout.grow(now):
-            self._resize_all(now)
+            self._lender.resize_all(now)
         effects.messages.extend(self._layout.poll(now))
         for organisation in list(self._waiting):
             self._pump(self._borrowers[organisation], now, effects)
@@ -169,8 +163,8 @@
         return {
             "roster": roster.revision if roster else 0,
             "settled": self._layout.settled,
-            "organisations": len(self._limits),
-            "shares": len(self._shares),
+            "organisations": self._lender.organisations,
+            "shares": self._lender.shares,
             "borrowers": len(self._borrowers),
             "reservations": len(self._reservations),
             "waiting": sum(len(state.waiting) for state in self._borrowers.values()),
@@ -178,44 +172,20 @@
             "refused": dict(self._refused),
         }
 
-    def _set_limit(self, limit: holders.Limit, now: float) -> None:
-        known = self._limits.get(limit.organisation)
-        if known is None:
-            since = now + settings.HOLD_SECONDS
-            self._limits[limit.organisation] = _Learned(limit, since)
-            return
-        current = self._share(limit.organisation, now)
-        self._limits[limit.organisation] = _Learned(limit, known.since)
-        if current is not None:
-            current.resize(self._layout.portion(limit), now)
-
-    def _resize_all(self, now: float) -> None:
-        for organisation, current in self._shares.items():
-            current.resize(self._layout.portion(self._limits[organisation].limit), now)
-
-    def _share(self, organisation: str, now: float) -> share.Share | None:
-        """Return this VM's share, or None where it holds nothing."""
-        found = self._shares.get(organisation)
-        if found is not None:
-            return found
-        learned = self._limits.get(organisation)
-        if learned is None or self._layout.portion(learned.limit) == holders.NOTHING:
-            return None
-        created = self._layout.new_share(learned.limit, learned.since)
-        self._shares[organisation] = created
-        return created
-
     def _enqueue(
-        self, organisation: str, tokens: int, request_id: str, now: float, effects: messages.Effects
+        self,
+        organisation: str,
+        request: borrower.Waiting,
+        now: float,
+        effects: messages.Effects,
     ) -> None:
         state = self._borrowers.pop(organisation, None) or borrower.Borrower(organisation)
         self._borrowers[organisation] = state
         state.used_at = now
         if len(state.waiting) >= settings.MAX_PENDING:
-            self._refuse(organisation, request_id, "overloaded", settings.LOAN_SECONDS, effects)
+            self._refuse(organisation, request, "overloaded", settings.LOAN_SECONDS, effects)
             return
-        deadline = now + settings.PATIENCE_SECONDS
-        state.waiting.append(borrower.Waiting(request_id, tokens, deadline))
+        state.push(request)
         self._pump(state, now, effects)
 
     def _pump(self, state: borrower.Borrower, now: float, effects: messages.Effects) -> None:
@@ -229,69 +199,66 @@
             self._waiting[state.organisation] = None
             return
         self._waiting.pop(state.organisation, None)
-        while state.loans:
-            self._release(state.loans.popleft(), now, effects)
+        for loan in state.take_loans():
+            self._release(loan, now, effects)
 
     def _serve_first(self, state: borrower.Borrower, now: float, effects: messages.Effects) -> bool:
         """Decide on the first waiting request; return False while it has to wait."""
         first = state.waiting[0]
-        self._borrow_own(state, first.tokens - state.available, now)
-        if state.available >= first.tokens:
-            state.waiting.popleft()
-            self._admit(state, first, now, effects)
+        mine = self._lender.left(state.organisation, now)
+        if state.available + mine >= first.tokens:
+            self._borrow_own(state, first.tokens - state.available, now)
+            self._admit(state, state.pop(), now, effects)
             return True
-        learned = self._limits.get(state.organisation)
-        if learned is None:
-            state.waiting.popleft()
-            self._refuse(state.organisation, first.request_id, "unknown_organisation", 0.0, effects)
+        limit = self._lender.limit(state.organisation)
+        if limit is None:
+            self._refuse(state.organisation, state.pop(), "unknown_organisation", 0.0, effects)
             return True
-        estimates = self._estimates(state, learned.limit, now)
-        reach = state.available + state.expected(now) + sum(n for _, n in estimates)
-        if now >= first.deadline or reach < first.tokens:
-            state.waiting.popleft()
-            missing = first.tokens - min(reach, first.tokens - 1)
-            after = missing / max(learned.limit.rate, 1)
-            self._refuse(state.organisation, first.request_id, "rate_limited", after, effects)
+        estimates = self._estimates(state, limit, mine, now)
+        reach = state.available + mine + state.expected(now) + sum(n for _, n in estimates)
+        rate = max(limit.rate, 1)
+        soon = state.wanted - reach <= rate * settings.WAIT_SECONDS
+        if now >= first.deadline or (reach < first.tokens and not soon):
+            after = max(0, first.tokens - reach) / rate
+            self._refuse(state.organisation, state.pop(), "rate_limited", after, effects)
             return True
-        self._ask(state, estimates, now, effects)
+        if reach >= first.tokens:
+            self._borrow_own(state, first.tokens - state.available, now)
+            self._ask(state, estimates, now, effects)
         return False
 
     def _borrow_own(self, state: borrower.Borrower, tokens: int, now: float) -> None:
-        own = self._share(state.organisation, now) if tokens > 0 else None
-        if own is None:
-            return
         self._last_ask += 1
-        given = own.lend((self._vm.name, self._vm.number, self._last_ask), tokens, now)
-        self._check(own)
+        given = self._lender.lend_own(state.organisation, self._last_ask, tokens, now)
         if given:
             expires = now + settings.LOAN_SECONDS
             loan = borrower.Loan(
                 self._vm.name, state.organisation, self._last_ask, given, given, expires
             )
-            state.loans.append(loan)
+            state.add(loan)
 
     def _estimates(
-        self, state: borrower.Borrower, limit: holders.Limit, now: float
+        self, state: borrower.Borrower, limit: holders.Limit, mine: int, now: float
     ) -> list[tuple[str, int]]:
-        """Return the other holders, near ones first, and what each may lend."""
+        """Return the other holders and what each may lend.
+
+        Near ones that can lend all that is missing come first, and of these the fullest:
+        a share at its burst loses what accrues. Then come those that can lend most.
+        """
         rows = []
-        own = self._own_slot()
-        for slot in self._layout.chosen(state.organisation):
+        own = self._layout.own_slot
+        chosen = self._layout.chosen(state.organisation)
+        for index, slot in enumerate(chosen):
             if slot.vm == self._vm.name:
                 continue
-            part = holders.portion(limit, slot.vm, self._layout.chosen(state.organisation))
+            part = holders.part(limit, index, len(chosen))
             estimate = state.estimate(slot.vm, part, now)
             if estimate > 0:
-                rows.append((_distance(own, slot), slot.vm, estimate))
-        rows.sort(key=lambda row: row[0])
+                rows.append((_is_far(own, slot), slot.vm, estimate))
+        deficit = state.wanted - state.available - state.expected(now) - mine
+        rows.sort(key=lambda row: (row[0] if row[2] >= deficit else math.inf, -row[2]))
         return [(vm, estimate) for _, vm, estimate in rows]
 
-    def _own_slot(self) -> holders.Slot | None:
-        roster = self._layout.roster
-        if roster is None:
-            return None
-        return next((slot for slot in roster.slots if slot.vm == self._vm.name), None)
-
     def _ask(
         self,
         state: borrower.Borrower,
@@ -312,16 +279,6 @@
             ask = messages.Ask(state.organisation, self._vm.number, self._last_ask, tokens)
             effects.send(holder, ask)
 
-    def _lend(self, sender: str, ask: messages.Ask, now: float, effects: messages.Effects) -> None:
-        own = self._share(ask.organisation, now)
-        given = left = 0
-        if own is not None:
-            given = own.lend((sender, ask.incarnation, ask.ask), ask.tokens, now)
-            left = own.left(now)
-            self._check(own)
-        grant = messages.Grant(ask.organisation, ask.incarnation, ask.ask, given, left)
-        effects.send(sender, grant)
-
     def _take(
         self, sender: str, grant: messages.Grant, now: float, effects: messages.Effects
     ) -> None:
@@ -337,7 +294,7 @@
             loan = borrower.Loan(
                 sender, grant.organisation, grant.ask, grant.tokens, grant.tokens, expires
             )
-            state.loans.append(loan)
+            state.add(loan)
         self._pump(state, now, effects)
 
     def _release(self, loan: borrower.Loan, now: float, effects: messages.Effects) -> None:
@@ -352,18 +309,10 @@
         spent = loan.left == 0
         back = messages.Return(loan.organisation, self._vm.number, loan.ask, loan.returned, spent)
         if loan.holder == self._vm.name:
-            key = (self._vm.name, self._vm.number, loan.ask)
-            self._give_back(key, back, now)
+            self._lender.give_back(self._vm.name, back, now)
             return
         effects.send(loan.holder, back)
 
-    def _give_back(self, key: share.LoanKey, back: messages.Return, now: float) -> None:
-        own = self._shares.get(back.organisation)
-        if own is None:
-            return
-        own.give_back(key, back.tokens, now, back.spent)
-        self._check(own)
-
     def _admit(
         self,
         state: borrower.Borrower,
@@ -386,29 +335,29 @@
     def _refuse(
         self,
         organisation: str,
-        request_id: str,
+        request: borrower.Waiting,
         code: str,
         retry_after: float,
         effects: messages.Effects,
     ) -> None:
-        if retry_after:
+        if code in _TEMPORARY:
             retry_after = min(max(retry_after, settings.MIN_RETRY_AFTER), settings.MAX_RETRY_AFTER)
         self._refused[code] = self._refused.get(code, 0) + 1
-        effects.decisions.append(messages.Refused(request_id, organisation, code, retry_after))
+        effects.decisions.append(
+            messages.Refused(request.request_id, organisation, code, retry_after)
+        )
 
     def _reports(self, loan: borrower.Loan) -> bool:
         """Tell whether the holder should learn at once that a loan is spent."""
-        learned = self._limits.get(loan.organisation)
-        if loan.left or learned is None:
+        limit = self._lender.limit(loan.organisation)
+        if loan.left or limit is None:
             return False
         if loan.holder == self._vm.name:
             return True
+        if limit.burst < limit.rate * settings.SMALL_BURST_SECONDS:
+            return True
         parts = max(1, len(self._layout.chosen(loan.organisation)))
-        return loan.given * settings.NOTICE_PART * parts > learned.limit.burst
-
-    def _check(self, own: share.Share) -> None:
-        bound = max(own.portion.burst, own.outstanding)
-        self._invariants.check("share_within_burst", own.promised <= bound + 1e-6)
+        return loan.given * 2 * parts > limit.burst
 
     def _drop_idle(self, now: float) -> None:
         while self._borrowers:
@@ -418,7 +367,5 @@
             del self._borrowers[state.organisation]
 
 
-def _distance(own: holders.Slot | None, other: holders.Slot) -> int:
-    if own is None or own.region != other.region:
-        return 2
-    return int(own.failure_domain != other.failure_domain)
+def _is_far(own: holders.Slot | None, other: holders.Slot) -> bool:
+    return own is None or own.region != other.region
--- a/hollyring/limits/settings.py
+++ b/hollyring/limits/settings.py
@@ -18,11 +18,14 @@
 PATIENCE_SECONDS = 0.25
 """Longest time in seconds that a request waits for borrowed tokens."""
 
+WAIT_SECONDS = 0.1
+"""A request whose tokens accrue within this time waits for them rather than be refused."""
+
 FANOUT = 8
 """Asks that one VM has in flight for one organisation."""
 
-NOTICE_PART = 8
-"""A borrower reports a loan as spent at once if it is more than this part of the burst."""
+SMALL_BURST_SECONDS = 10 * LOAN_SECONDS
+"""A burst that the rate fills faster would be held up by loans not reported as spent."""
 
 MAX_PENDING = 256
 """Requests of one organisation that wait at one VM for borrowed tokens."""
