--- /dev/null
+++ b/hollyring/experiments/routing.py
@@ -0,0 +1,338 @@
+"""Placement policies compared on the same traffic over real VMs and stand-in engines."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import math
+import pathlib
+import tempfile
+import time
+
+import anyio
+import click
+import httpcore
+import msgspec
+
+from hollyring import declaration
+from hollyring.configuration import objects
+from hollyring.core import pieces
+from hollyring.experiments import launcher, load, routing_report, routing_sweep, routing_workload
+from hollyring.routing import policies, prefix
+
+REGION = "experiment"
+DOMAINS = 3
+CALLER, PEER, ADMIN, ENGINE = 0, 100, 200, 300
+"""Offsets of the ports of VMs and engines from the fleet's first port."""
+
+RATE_TOKENS = 1e8
+BURST_TOKENS = 1_000_000_000
+"""Allowance of each organisation: so large that every refusal is wrongful."""
+
+SETTLE_SECONDS = 3.0
+DRAIN_SECONDS = 60.0
+CRASH_AT = 0.7
+"""Part of the run after which one engine restarts empty."""
+
+LOSS_EVERY_SECONDS = 2.0
+"""Each engine loses a cache event this often."""
+
+IDLE_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Size and traffic of a comparison.
+
+    Parameters
+    ----------
+    workload, seed
+        What is sent; the same for all policies.
+    rate, seconds
+        Requests a second and length of each policy's run.
+    vms, engines
+        Processes.
+    speed
+        How many times faster than their settings the engines work, and keep their caches shorter.
+    cache_blocks
+        Pieces that fit into an engine's cache.
+    crash, event_loss
+        Whether an engine restarts and whether cache events are lost.
+    """
+
+    workload: str = "bohari"
+    seed: int = 1
+    rate: float = 8.0
+    seconds: float = 45.0
+    vms: int = 3
+    engines: int = 6
+    speed: float = 2.0
+    cache_blocks: int = 400
+    crash: bool = True
+    event_loss: bool = True
+
+
+DEFAULT = Plan()
+
+
+def declare(plan: Plan, base_port: int) -> declaration.Deployment:
+    """Return the deployment of a comparison."""
+    workload = routing_workload.WORKLOADS[plan.workload]
+    deployment = declaration.deployment(plan.workload)
+    for number in range(len(workload.organisation_shares)):
+        name = f"{workload.name}-{number + 1}"
+        deployment.organisation(name, rate=RATE_TOKENS, burst=BURST_TOKENS)
+        deployment.key(name, f"{name}-key", secret=f"demo-key-{name}")
+    deployment.model(routing_workload.MODEL, version=routing_workload.VERSION)
+    for number in range(plan.vms):
+        ports = [f"127.0.0.1:{base_port + part + number}" for part in (CALLER, PEER, ADMIN)]
+        deployment.vm(f"vm-{number}", REGION, f"domain-{number % DOMAINS}", *ports)
+    for number in range(plan.engines):
+        deployment.upstream(
+            f"engine-{number}",
+            "engine",
+            f"http://127.0.0.1:{base_port + ENGINE + number}",
+            REGION,
+            f"domain-{number % DOMAINS}",
+            models=[routing_workload.MODEL],
+            checks_fencing=True,
+        )
+    return deployment
+
+
+class Reference:
+    """What an index that is told the truth at once would find, whatever fits into the caches.
+
+    A piece counts as held from the first token of a request that had it until it is unused for
+    the engines' idle time. An engine's restart is passed over: the reference is an upper bound.
+    """
+
+    __slots__ = ("_idle_seconds", "_used")
+
+    def __init__(self, idle_seconds: float) -> None:
+        self._idle_seconds = idle_seconds
+        self._used: dict[int, float] = {}
+
+    def depth(self, names: tuple[int, ...], now: float) -> int:
+        """Return how many leading pieces are held at `now`."""
+        for depth, name in enumerate(names):
+            if now - self._used.get(name, -math.inf) > self._idle_seconds:
+                return depth
+        return len(names)
+
+    def store(self, names: tuple[int, ...], now: float) -> None:
+        """Hold all pieces of a chain."""
+        for name in names:
+            self._used[name] = now
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    arrival: routing_workload.Arrival
+    names: tuple[int, ...]
+    started: float
+    outcome: load.Outcome
+
+
+async def compare(plan: Plan, names: list[str]) -> dict[str, routing_report.Summary]:
+    """Run each policy on the same traffic, one after the other."""
+    return {name: await run(plan, name) for name in names}
+
+
+async def run(plan: Plan, policy: str) -> routing_report.Summary:
+    """Run one policy on a fresh fleet."""
+    base_port = launcher.free_base_port()
+    options = launcher.EngineOptions(
+        speed=plan.speed, cache_blocks=plan.cache_blocks, cache_idle=IDLE_SECONDS
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = launcher.Fleet(
+            declare(plan, base_port).document,
+            pathlib.Path(folder),
+            base_port + launcher.PLATFORM_OFFSET,
+            options,
+            {"policy": policy},
+        )
+        try:
+            await fleet.start_all()
+            await anyio.sleep(SETTLE_SECONDS)
+            sent = await _drive(plan, fleet)
+            inside = await _inside(fleet)
+        finally:
+            fleet.stop()
+    return dataclasses.replace(_judge(plan, sent), **inside)
+
+
+async def _drive(plan: Plan, fleet: launcher.Fleet) -> list[_Sent]:
+    sent: list[_Sent] = []
+    client = load.Client()
+    entries = [vm.caller_address for vm in fleet.vms]
+    workload = routing_workload.WORKLOADS[plan.workload]
+    arrivals = list(routing_workload.arrivals(workload, plan.rate, plan.seconds, plan.seed))
+    started = time.monotonic()
+    with anyio.move_on_after(plan.seconds + DRAIN_SECONDS):
+        async with anyio.create_task_group() as group:
+            group.start_soon(_strike, plan, fleet)
+            for number, arrival in enumerate(arrivals):
+                await anyio.sleep(max(0.0, started + arrival.at - time.monotonic()))
+                turn = number % len(entries)
+                in_turn = entries[turn:] + entries[:turn]
+                group.start_soon(_send, client, in_turn, arrival, started, sent)
+    await client.close()
+    return sent
+
+
+async def _send(
+    client: load.Client,
+    entries: list[str],
+    arrival: routing_workload.Arrival,
+    started: float,
+    sent: list[_Sent],
+) -> None:
+    caller = load.Caller(arrival.organisation, f"demo-key-{arrival.organisation}", entries)
+    text = arrival.prompt.decode()
+    rendered = pieces.render([{"role": "user", "content": text}])
+    model, version = routing_workload.MODEL, routing_workload.VERSION
+    names = prefix.chain(arrival.organisation, model, version, rendered).names
+    one = _Sent(arrival, names, time.monotonic() - started, load.Outcome("stream", ""))
+    sent.append(one)
+    one.outcome = await client.complete(caller, model, text, arrival.answer_tokens, stream=True)
+
+
+async def _strike(plan: Plan, fleet: launcher.Fleet) -> None:
+    """Lose cache events all along, and restart one engine."""
+    engines = [upstream for upstream in fleet.upstreams if upstream.kind == "engine"]
+    crash_at = plan.seconds * CRASH_AT if plan.crash else math.inf
+    started = time.monotonic()
+    crashed = False
+    async with httpcore.AsyncConnectionPool() as pool:
+        while (elapsed := time.monotonic() - started) < plan.seconds:
+            if elapsed >= crash_at and not crashed:
+                crashed = True
+                await _fault(pool, fleet, engines[0], "restart")
+            if plan.event_loss:
+                for engine in engines:
+                    await _fault(pool, fleet, engine, "event_loss")
+            await anyio.sleep(LOSS_EVERY_SECONDS)
+
+
+async def _fault(
+    pool: httpcore.AsyncConnectionPool,
+    fleet: launcher.Fleet,
+    engine: objects.Upstream,
+    kind: str,
+) -> None:
+    content = msgspec.json.encode({"kind": kind, "count": 1})
+    await pool.request("POST", f"{fleet.control_url(engine.name)}/faults", content=content)
+
+
+async def _inside(fleet: launcher.Fleet) -> dict[str, int]:
+    """Return what the VMs counted: lookups and broken invariants."""
+    lookups = violations = 0
+    async with httpcore.AsyncConnectionPool() as pool:
+        for vm in fleet.vms:
+            response = await pool.request("GET", f"http://{vm.admin_address}/state")
+            state = msgspec.json.decode(response.content)
+            lookups += state["routing"]["counters"]["lookups"]
+            violations += sum(each["violations"] for each in state["invariants"].values())
+    return {"lookups": lookups, "violations": violations}
+
+
+def _judge(plan: Plan, sent: list[_Sent]) -> routing_report.Summary:
+    tally = routing_report.Tally()
+    reference = Reference(IDLE_SECONDS / plan.speed)
+    moments = []
+    for one in sent:
+        moments.append((one.started, 0, one))
+        if not math.isnan(one.outcome.first_token):
+            moments.append((one.started + one.outcome.first_token, 1, one))
+    moments.sort(key=lambda moment: moment[:2])
+    held: dict[int, int] = {}
+    for now, kind, one in moments:
+        if kind == 0:
+            held[id(one)] = reference.depth(one.names, now)
+            continue
+        reference.store(one.names, now)
+    for one in sent:
+        outcome = one.outcome
+        if not outcome.complete:
+            tally.refused += bool(outcome.code)
+            tally.failed += not outcome.code
+            continue
+        tally.wrong += not outcome.right
+        possible = held[id(one)] * pieces.PIECE_TOKENS
+        wasted = max(0, possible - outcome.cached_tokens)
+        tally.reference_tokens += max(possible, outcome.cached_tokens)
+        tally.add(
+            one.arrival.organisation,
+            outcome.first_token,
+            outcome.prompt_tokens,
+            outcome.cached_tokens,
+            wasted,
+        )
+    return tally.summary()
+
+
+@click.command()
+@click.option(
+    "--policies", "names", default=",".join(policies.NAMES), show_default=True, help="Compared."
+)
+@click.option("--seed", default=1, show_default=True, help="Fixes the traffic.")
+@click.option(
+    "--workload",
+    type=click.Choice(sorted(routing_workload.WORKLOADS)),
+    default="bohari",
+    show_default=True,
+    help="Shape of the traffic.",
+)
+@click.option("--rate", default=DEFAULT.rate, show_default=True, help="Requests a second.")
+@click.option("--seconds", default=DEFAULT.seconds, show_default=True, help="Length of each run.")
+@click.option("--vms", default=DEFAULT.vms, show_default=True, help="Number of VMs.")
+@click.option("--engines", default=DEFAULT.engines, show_default=True, help="Number of engines.")
+@click.option("--speed", default=DEFAULT.speed, show_default=True, help="Speed of the engines.")
+@click.option(
+    "--sweep",
+    type=click.Path(file_okay=False, path_type=pathlib.Path),
+    help="Sweep the load from 30% to 120% of --rate and draw it into this folder.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def routing(
+    names: str,
+    seed: int,
+    workload: str,
+    rate: float,
+    seconds: float,
+    vms: int,
+    engines: int,
+    speed: float,
+    sweep: pathlib.Path | None,
+    as_json: bool,
+) -> None:
+    """Compare placement policies on the same traffic over real VMs and stand-in engines.
+
+    With --sweep, --rate is what counts as 100 % of the capacity.
+
+    Example: hollyring experiment routing --policies prefix,least_loaded --seed 1 --json
+    """
+    chosen = names.split(",")
+    unknown = sorted(set(chosen) - set(policies.NAMES))
+    if unknown:
+        raise click.BadParameter(f"unknown: {', '.join(unknown)}", param_hint="--policies")
+    plan = Plan(workload, seed, rate, seconds, vms, engines, speed)
+    if sweep is None:
+        _print(anyio.run(compare, plan, chosen), plan, as_json)
+        return
+    points = []
+    for part in routing_sweep.LOADS:
+        found = anyio.run(compare, dataclasses.replace(plan, rate=rate * part), chosen)
+        points += [routing_sweep.Point(name, part, one) for name, one in found.items()]
+    routing_sweep.write(points, dataclasses.asdict(plan), sweep)
+
+
+def _print(found: dict[str, routing_report.Summary], plan: Plan, as_json: bool) -> None:
+    shown = {name: dataclasses.asdict(summary) for name, summary in found.items()}
+    if as_json:
+        click.echo(json.dumps({"plan": dataclasses.asdict(plan), "policies": shown}, indent=2))
+        return
+    for name, summary in shown.items():
+        click.echo(name + "".join(f"\n  {key}: {value}" for key, value in summary.items()))
--- a/hollyring/experiments/routing_report.py
+++ b/hollyring/experiments/routing_report.py
@@ -15,6 +15,8 @@
     prompt_tokens: int = 0
     cached_tokens: int = 0
     wasted_tokens: int = 0
+    reference_tokens: int = 0
+    wrong: int = 0
     refused: int = 0
     failed: int = 0
     lookups: int = 0
@@ -36,10 +38,13 @@
         """Return the measures."""
         every = sorted(seconds for each in self.first_tokens.values() for seconds in each)
         worst = max(
-            (quantile(sorted(each), 0.95), name) for name, each in self.first_tokens.items()
+            ((quantile(sorted(each), 0.95), name) for name, each in self.first_tokens.items()),
+            default=(0.0, ""),
         )
         return Summary(
             requests=len(every),
+            wrong=self.wrong,
+            reference_hit_rate=round(self.reference_tokens / max(1, self.prompt_tokens), 4),
             hit_rate=round(self.cached_tokens / max(1, self.prompt_tokens), 4),
             p50=round(quantile(every, 0.5), 4),
             p95=round(quantile(every, 0.95), 4),
@@ -61,6 +66,8 @@
     """The measures: times to first token in seconds, of all and of the worst-served one."""
 
     requests: int
+    wrong: int
+    reference_hit_rate: float
     hit_rate: float
     p50: float
     p95: float
@@ -74,6 +81,7 @@
     control_bytes: int
     events: int
     snapshot_blocks: int
+    violations: int = 0
 
 
 def quantile(ordered: Sequence[float], part: float) -> float:
