Bound lookups by a byte rate and drop pushed loads

Asking is now bounded to 1.5 KB/s; beyond it a VM chooses with what it holds. An upstream without an index is now answered with its load alone.

--- a/hollyring/experiments/routing.py
+++ b/hollyring/experiments/routing.py
@@ -157,10 +157,10 @@
             await fleet.start_all()
             await anyio.sleep(SETTLE_SECONDS)
             sent = await _drive(plan, fleet)
-            inside = await _inside(fleet)
+            lookups, violations = await _inside(fleet)
         finally:
             fleet.stop()
-    return dataclasses.replace(_judge(plan, sent), **inside)
+    return dataclasses.replace(_judge(plan, sent), lookups=lookups, violations=violations)
 
 
 async def _drive(plan: Plan, fleet: launcher.Fleet) -> list[_Sent]:
@@ -226,7 +226,7 @@
     await pool.request("POST", f"{fleet.control_url(engine.name)}/faults", content=content)
 
 
-async def _inside(fleet: launcher.Fleet) -> dict[str, int]:
+async def _inside(fleet: launcher.Fleet) -> tuple[int, int]:
     """Return what the VMs counted: lookups and broken invariants."""
     lookups = violations = 0
     async with httpcore.AsyncConnectionPool() as pool:
@@ -235,7 +235,7 @@
             state = msgspec.json.decode(response.content)
             lookups += state["routing"]["counters"]["lookups"]
             violations += sum(each["violations"] for each in state["invariants"].values())
-    return {"lookups": lookups, "violations": violations}
+    return lookups, violations
 
 
 def _judge(plan: Plan, sent: list[_Sent]) -> routing_report.Summary:
--- a/hollyring/experiments/routing_replay.py
+++ b/hollyring/experiments/routing_replay.py
@@ -35,9 +35,6 @@
 FRAME_BYTES = 40
 """Bytes of framing, addresses and numbers around a message."""
 
-PUSHED_BYTES = 30
-"""Bytes of one upstream's load in a push."""
-
 STATE_BYTES = 60
 """Bytes of one upstream's state in an answer."""
 
@@ -60,7 +57,6 @@
     crash_at: float = 80.0
     lookups: bool = True
     watchers: bool = True
-    push_loads_seconds: float = 0.0
     told_the_truth: bool = False
 
 
@@ -221,8 +217,6 @@
         )
         self._next_arrival(arrivals)
         self._every(REPORT_SECONDS, self._report_loads)
-        if settings.push_loads_seconds:
-            self._every(settings.push_loads_seconds, self._push_loads)
         if settings.watchers:
             self._every(POLL_SECONDS, self._poll_events)
         if 0 < settings.crash_at < settings.seconds:
@@ -231,7 +225,7 @@
             self._now, _, action = heapq.heappop(self._events)
             action()
         for one in self._routers:
-            self.report.lookups += one.counters.lookups
+            self.report.lookups += one.lookups_sent
         return self.report
 
     def _at(self, at: float, action: Callable[[], None]) -> None:
@@ -362,16 +356,6 @@
             if name in one.watched() or self._settings.told_the_truth:
                 one.observe_load(name, report, self._now)
 
-    def _push_loads(self) -> None:
-        for one in self._routers:
-            loads = one.watched_loads(self._now)
-            if not loads.states:
-                continue
-            for other in self._routers:
-                if other is not one:
-                    other.observe_loads(loads, self._now)
-                    self.report.control_bytes += FRAME_BYTES + PUSHED_BYTES * len(loads.states)
-
     def _poll_events(self) -> None:
         for name, upstream in self._fleet.items():
             batch = upstream.take_events(self._now)
--- a/hollyring/routing/load.py
+++ b/hollyring/routing/load.py
@@ -96,17 +96,6 @@
         """Return the age of the last report in seconds."""
         return now - self.reported_at
 
-    def report(self, incarnation: int, now: float) -> messages.LoadReport:
-        """Return the last report, for another VM."""
-        return messages.LoadReport(
-            incarnation,
-            self.running,
-            self.waiting,
-            int(self.queued_tokens),
-            self.prefill_tokens_per_second,
-            self.age(now),
-        )
-
     def queue_seconds(self, now: float) -> float:
         """Return how long a request sent now is expected to wait for its prefill."""
         queued = self._reported_tokens(now) + self._unreported_tokens(now)
--- /dev/null
+++ b/hollyring/routing/lookups.py
@@ -0,0 +1,163 @@
+"""Asking the watchers of a few candidates in one round trip, and answering them."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Mapping, Sequence
+
+from hollyring.routing import index, messages, placement, policies, prefix, requests
+
+LOOKUP_BYTES_PER_SECOND = 1_500.0
+"""Mean rate of this VM's lookups and their answers; beyond it a choice is made without one."""
+
+LOOKUP_BURST_BYTES = 15_000.0
+LOOKUP_BYTES = 80
+"""Framing of a lookup and its answer."""
+
+UPSTREAM_BYTES = 70
+"""Bytes of one upstream's name in a lookup and of its state in the answer."""
+
+MAX_REPORT_SECONDS = 600.0
+"""A load report older than this is none."""
+
+DEPTH_STEP = 4
+"""Ratio between the depths at which a lookup names the chain."""
+
+KNOWN_CONFIDENCE = 0.5
+"""Confidence in a held prefix below which it is worth asking about."""
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """Lookups that were sent and that the byte rate forbade."""
+
+    lookups: int = 0
+    lookups_unaffordable: int = 0
+
+
+class Asker:
+    """Decides which watchers are worth asking, within a byte rate.
+
+    Parameters
+    ----------
+    vm
+        This VM's name: what it watches itself is not asked for.
+    """
+
+    __slots__ = ("_vm", "_numbers", "_allowance", "_refilled_at", "counters")
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self._numbers = itertools.count(1)
+        self._allowance = LOOKUP_BURST_BYTES
+        self._refilled_at = 0.0
+        self.counters = Counters()
+
+    def ask(
+        self,
+        policy: policies.Prefix,
+        request: requests.RouteRequest,
+        found: Sequence[placement.Candidate],
+        watchers: Mapping[str, str],
+        now: float,
+    ) -> tuple[requests.AddressedLookup, ...]:
+        """Return the lookups to send before choosing among `found`; none if not worth it."""
+        by_vm: dict[str, list[str]] = {}
+        cheapest = sorted(found, key=lambda candidate: candidate.cost)
+        for candidate in cheapest[: policy.lookup_candidates]:
+            name = candidate.state.name
+            watcher = watchers[name]
+            if watcher == self._vm or candidate.held.confidence >= KNOWN_CONFIDENCE:
+                continue
+            by_vm.setdefault(watcher, []).append(name)
+        if not by_vm:
+            return ()
+        depths = sparse_depths(len(request.chain))
+        names = prefix.pack([request.chain.names[depth - 1] for depth in depths])
+        asked = sum(len(names) for names in by_vm.values())
+        if not self._afford(len(by_vm) * (LOOKUP_BYTES + len(names)) + asked * UPSTREAM_BYTES, now):
+            return ()
+        self.counters.lookups += len(by_vm)
+        return tuple(
+            requests.AddressedLookup(
+                vm, messages.Lookup(next(self._numbers), listed, depths, names)
+            )
+            for vm, listed in by_vm.items()
+        )
+
+    def _afford(self, cost: int, now: float) -> bool:
+        elapsed = max(0.0, now - self._refilled_at)
+        earned = self._allowance + elapsed * LOOKUP_BYTES_PER_SECOND
+        self._allowance = min(LOOKUP_BURST_BYTES, earned)
+        self._refilled_at = now
+        if cost > self._allowance:
+            self.counters.lookups_unaffordable += 1
+            return False
+        self._allowance -= cost
+        return True
+
+
+def answer(
+    lookup: messages.Lookup,
+    states: Mapping[str, placement.State],
+    cache_index: index.CacheIndex,
+    now: float,
+) -> messages.LookupAnswer:
+    """Answer another VM's lookup; upstreams unknown here are left out."""
+    names = prefix.unpack(lookup.names)
+    if len(names) != len(lookup.depths):
+        return messages.LookupAnswer(lookup.lookup_id, [])
+    known = [states[name] for name in lookup.upstreams if name in states]
+    described = [_describe(state, lookup.depths, names, cache_index, now) for state in known]
+    return messages.LookupAnswer(lookup.lookup_id, described)
+
+
+def report(about: messages.UpstreamState) -> messages.LoadReport:
+    """Return the load report inside an answer."""
+    return messages.LoadReport(
+        about.incarnation,
+        about.running,
+        about.waiting,
+        about.queued_tokens,
+        about.prefill_tokens_per_second,
+        about.age_seconds,
+    )
+
+
+def sparse_depths(pieces_count: int) -> list[int]:
+    """Return the depths at which a lookup names a chain.
+
+    Examples
+    --------
+    >>> sparse_depths(30)
+    [1, 4, 16, 30]
+    """
+    depths = []
+    depth = 1
+    while depth < pieces_count:
+        depths.append(depth)
+        depth *= DEPTH_STEP
+    return [*depths, pieces_count]
+
+
+def _describe(
+    state: placement.State,
+    depths: Sequence[int],
+    names: Sequence[int],
+    cache_index: index.CacheIndex,
+    now: float,
+) -> messages.UpstreamState:
+    held = cache_index.depth(state.name, names) or index.Depth(0, 0.0, state.incarnation)
+    age = state.load.age(now)
+    return messages.UpstreamState(
+        state.name,
+        state.incarnation,
+        depths[held.pieces - 1] if held.pieces else 0,
+        held.confidence,
+        int(state.load.queued_tokens),
+        state.load.running,
+        state.load.waiting,
+        state.load.prefill_tokens_per_second,
+        age if age < MAX_REPORT_SECONDS else -1.0,
+    )
--- a/hollyring/routing/messages.py
+++ b/hollyring/routing/messages.py
@@ -92,18 +92,3 @@
     queued_tokens: int
     prefill_tokens_per_second: float
     age_seconds: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UpstreamLoad:
-    """The last load report of one upstream."""
-
-    upstream: str
-    report: LoadReport
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loads:
-    """What a watcher tells its peers, unasked, of the upstreams that it watches."""
-
-    states: list[UpstreamLoad]
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -13,6 +13,7 @@
     health,
     index,
     load,
+    lookups,
     memory,
     messages,
     placement,
@@ -28,12 +29,6 @@
 MAX_PENDING = 20_000
 """Dispatches followed at once; the oldest is given up beyond it."""
 
-DEPTH_STEP = 4
-"""Ratio between the depths at which a lookup names the chain."""
-
-KNOWN_CONFIDENCE = 0.5
-"""Confidence in a held prefix below which it is worth asking about."""
-
 
 @dataclasses.dataclass(slots=True)
 class _Pending:
@@ -53,7 +48,6 @@
     """How routing fared."""
 
     routed: int = 0
-    lookups: int = 0
     lookup_answers: int = 0
     lookups_answered_for_others: int = 0
     late: int = 0
@@ -108,7 +102,7 @@
         self._affinity = placement.Affinity()
         self._pending: dict[int, _Pending] = {}
         self._attempts = itertools.count(1)
-        self._lookups = itertools.count(1)
+        self._asker = lookups.Asker(vm)
         self._turn = itertools.count()
         self.counters = Counters()
 
@@ -117,6 +111,11 @@
         """The placement policy."""
         return self._policy
 
+    @property
+    def lookups_sent(self) -> int:
+        """Lookups that this VM asked for."""
+        return self._asker.counters.lookups
+
     def configure(
         self, listed: Iterable[upstreams.Upstream], vms: Sequence[str], now: float
     ) -> None:
@@ -211,26 +210,8 @@
 
     def answer(self, lookup: messages.Lookup, now: float) -> messages.LookupAnswer:
         """Answer another VM's lookup from this VM's index and loads."""
-        names = prefix.unpack(lookup.names)
         self.counters.lookups_answered_for_others += 1
-        states = [self._describe(name, lookup.depths, names, now) for name in lookup.upstreams]
-        return messages.LookupAnswer(lookup.lookup_id, [state for state in states if state])
-
-    def watched_loads(self, now: float) -> messages.Loads:
-        """Return the loads of the upstreams that this VM watches, for its peers."""
-        watched = [self._states[name] for name in self._index.watched if name in self._states]
-        return messages.Loads(
-            [
-                messages.UpstreamLoad(state.name, state.load.report(state.incarnation, now))
-                for state in watched
-                if state.load.age(now) < MAX_PENDING_SECONDS
-            ]
-        )
-
-    def observe_loads(self, loads: messages.Loads, now: float) -> None:
-        """Take in the loads that another watcher pushed."""
-        for one in loads.states:
-            self.observe_load(one.upstream, one.report, now)
+        return lookups.answer(lookup, self._states, self._index, now)
 
     def observe_answer(
         self, request: requests.RouteRequest, answer: messages.LookupAnswer, now: float
@@ -242,8 +223,8 @@
             if state is None or not self._learn_incarnation(about.upstream, about.incarnation, now):
                 continue
             if about.age_seconds >= 0:
-                state.load.observe(_report(about), now)
-            if about.confidence >= KNOWN_CONFIDENCE:
+                state.load.observe(lookups.report(about), now)
+            if about.confidence >= lookups.KNOWN_CONFIDENCE:
                 names = request.chain.names[: about.depth]
                 self._memory.remember(about.upstream, about.incarnation, names, now)
 
@@ -348,7 +329,8 @@
         """Return the state for the VM's state dump."""
         return {
             "policy": type(self._policy).__name__,
-            "counters": dataclasses.asdict(self.counters),
+            "counters": dataclasses.asdict(self.counters)
+            | dataclasses.asdict(self._asker.counters),
             "pending": len(self._pending),
             "index": self._index.dump(),
             "memory": self._memory.dump(),
@@ -433,10 +415,9 @@
         )
         chosen = placement.choose(policy, found, draw)
         if may_look_up and chosen.prefill_seconds >= policy.lookup_stake_seconds:
-            lookups = self._worth_asking(policy, request, found)
-            if lookups:
-                self.counters.lookups += len(lookups)
-                return requests.NeedLookup(lookups)
+            asked = self._asker.ask(policy, request, found, self._watchers, now)
+            if asked:
+                return requests.NeedLookup(asked)
         self.counters.routed += 1
         return requests.Route(
             chosen.state.name,
@@ -464,47 +445,6 @@
         seconds = state.load.queue_seconds(now) + (request.prompt_tokens - cached) / speed
         return requests.Route(state.name, state.incarnation, cached, seconds, 0, source)
 
-    def _worth_asking(
-        self,
-        policy: policies.Prefix,
-        request: requests.RouteRequest,
-        found: Sequence[placement.Candidate],
-    ) -> tuple[requests.AddressedLookup, ...]:
-        by_vm: dict[str, list[str]] = {}
-        cheapest = sorted(found, key=lambda candidate: candidate.cost)
-        for candidate in cheapest[: policy.lookup_candidates]:
-            name = candidate.state.name
-            watcher = self._watchers[name]
-            if watcher == self._vm or candidate.held.confidence >= KNOWN_CONFIDENCE:
-                continue
-            by_vm.setdefault(watcher, []).append(name)
-        depths = _sparse_depths(len(request.chain))
-        names = prefix.pack([request.chain.names[depth - 1] for depth in depths])
-        return tuple(
-            requests.AddressedLookup(vm, messages.Lookup(next(self._lookups), asked, depths, names))
-            for vm, asked in by_vm.items()
-        )
-
-    def _describe(
-        self, upstream: str, depths: Sequence[int], names: Sequence[int], now: float
-    ) -> messages.UpstreamState | None:
-        state = self._states.get(upstream)
-        held = self._index.depth(upstream, names)
-        if state is None or held is None or len(names) != len(depths):
-            return None
-        age = state.load.age(now)
-        return messages.UpstreamState(
-            upstream,
-            state.incarnation,
-            depths[held.pieces - 1] if held.pieces else 0,
-            held.confidence,
-            int(state.load.queued_tokens),
-            state.load.running,
-            state.load.waiting,
-            state.load.prefill_tokens_per_second,
-            age if age < MAX_PENDING_SECONDS else -1.0,
-        )
-
     def _forget(self, attempt: int, failed_at: float | None = None) -> _Pending | None:
         pending = self._pending.pop(attempt, None)
         state = self._states.get(pending.upstream) if pending else None
@@ -535,23 +475,3 @@
         if state.upstream.failure_domain not in request.avoided_domains
     }
     return elsewhere or pool
-
-
-def _sparse_depths(pieces_count: int) -> list[int]:
-    depths = []
-    depth = 1
-    while depth < pieces_count:
-        depths.append(depth)
-        depth *= DEPTH_STEP
-    return [*depths, pieces_count]
-
-
-def _report(about: messages.UpstreamState) -> messages.LoadReport:
-    return messages.LoadReport(
-        about.incarnation,
-        about.running,
-        about.waiting,
-        about.queued_tokens,
-        about.prefill_tokens_per_second,
-        about.age_seconds,
-    )
--- a/hollyring/routing/tests/test_router.py
+++ b/hollyring/routing/tests/test_router.py
@@ -1,6 +1,7 @@
 import dataclasses
 import random
 
+import msgspec
 import pytest
 
 from hollyring.core import invariants, rendezvous
@@ -8,6 +9,7 @@
     events,
     health,
     load,
+    lookups,
     messages,
     placement,
     policies,
@@ -170,6 +172,19 @@
     assert isinstance(one.route(make_request(), 0.02, draw, may_look_up=False), requests.Route)
 
 
+def test_lookups_keep_to_their_byte_rate(make_router, make_request, draw):
+    vms = [f"vm-{n}" for n in range(9)]
+    one = make_router(vms=vms)
+    spent, seconds = 0, 60
+    for n in range(100 * seconds):
+        need = one.route(make_request(b"%06d" % n, 5), n / 100, draw)
+        if isinstance(need, requests.NeedLookup):
+            for addressed in need.lookups:
+                spent += len(msgspec.msgpack.encode(dataclasses.astuple(addressed.lookup)))
+    assert 0 < spent < lookups.LOOKUP_BURST_BYTES + seconds * lookups.LOOKUP_BYTES_PER_SECOND
+    assert one.dump()["counters"]["lookups_unaffordable"] > 0
+
+
 def test_malformed_lookup_gets_no_state(make_router):
     one = make_router()
     answer = one.answer(messages.Lookup(1, ["ls-1", "nobody"], [1, 2], b"x" * 8), 0.0)
