Drive membership and leases through random faults, and mend what they found

Cause: the protocols were unproved. Found by the runs and mended: - a refutation that was lost while its gossip ran out was never repeated, so a live VM stayed dead for all; it is now sent again when contradicted; - an answer to an earlier life's ping cleared the doubt of a woken VM, since both lives counted from 1; sequences of lives now lie apart; - groups of VMs that started while their seeds were down never met, and a VM's lone wrong belief was never compared; comparison now goes to a VM that differs or to a seed that isn't known, and passes on what the other lacks; - silence of a region was counted only from the first time it was asked for.

--- a/hollyring/delivery/tests/test_claimlog.py
+++ b/hollyring/delivery/tests/test_claimlog.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import pytest
 
 from hollyring.delivery import claimlog, errors, records, storage
@@ -115,6 +117,14 @@
     assert by == [claimlog.Existing(claim(1, "vm-3"), again)]
 
 
+def test_a_later_life_can_not_release_an_earlier_lifes_claim(platform):
+    add(fresh_log(), platform, claim(1))
+    later_life = dataclasses.replace(claim(1), incarnation=2)
+    add(fresh_log(), platform, later_life.release())
+    by = add(fresh_log(), platform, claim(1, "vm-3"))
+    assert by == [claimlog.Existing(claim(1, "vm-3"), claim(1))]
+
+
 def test_stale_claim_of_another_is_read_again_when_asked(platform):
     one, two = fresh_log(), fresh_log()
     add(one, platform, claim(1))
--- a/hollyring/delivery/tests/test_claims.py
+++ b/hollyring/delivery/tests/test_claims.py
@@ -89,6 +89,28 @@
     assert not vm.may_send(dispatch.sequence, 0.0, 0.0)
 
 
+def test_nothing_is_taken_back_once_a_byte_may_be_sent(vm):
+    dispatch = granted(vm, call())
+    vm.may_send(dispatch.sequence, 0.0, 0.0)
+    assert vm.not_sent(dispatch.sequence) == []
+    assert vm.begin(call("r-2"), 0.0, 0.0) == []
+
+
+@pytest.mark.parametrize("sent", [True, False])
+def test_own_earlier_claim_found_in_the_log_is_not_sent_again(vm, sent):
+    (first,) = vm.begin(call(), 0.0, 0.0)
+    (other,) = vm.begin(call("r-2", body=b"c" * 8), 0.0, 0.0)
+    (dispatch,) = vm.settle(claimlog.Granted(first.record), 0.0)
+    vm.settle(claimlog.Existing(other.record, first.record), 0.0)
+    (again,) = vm.begin(call("r-3"), 0.0, 0.0)
+    if sent:
+        vm.may_send(dispatch.sequence, 0.0, 0.0)
+    assert vm.settle(claimlog.Existing(again.record, first.record), 0.0) == []
+    vm.may_send(dispatch.sequence, 0.0, 0.0)
+    replies = vm.answered(dispatch.sequence, ANSWER)
+    assert [reply.identity for reply in replies] == ["r-1", "r-3"]
+
+
 def test_unreachable_platform_is_told_soon_and_claims_nothing_about_the_key(vm):
     vm.begin(call(), 0.0, 0.0)
     assert vm.tick(claims.CLAIM_SECONDS - 0.1) == []
--- /dev/null
+++ b/hollyring/experiments/membership.py
@@ -0,0 +1,117 @@
+"""Randomised runs and measurements of the membership protocol and the lease client."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import click
+import msgspec
+
+from hollyring.experiments import lease_world, membership_fleet
+
+QUIET_SECONDS = 90.0
+"""Time without faults after which all running VMs must agree."""
+
+FAULT_SHARE = 0.02
+LONGEST_PAUSE_SECONDS = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What one randomised run saw."""
+
+    seed: int
+    vms: int
+    steps: int
+    faults: int
+    seconds: float
+    messages: int
+    disagreements: list[str]
+    promises: dict[str, dict[str, object]]
+
+
+def run(seed: int, vms: int, steps: int, regions: int = 1) -> Report:
+    """Drive a fleet through faults of every kind, then let it come to rest.
+
+    VMs that others are told to ask at their start are up at the end: two VMs that started while
+    all of those were down have no way to find each other.
+
+    Raises
+    ------
+    InvariantError
+        If a promise is broken on the way.
+    """
+    source = random.Random(seed)
+    fleet = membership_fleet.Fleet(vms, seed, regions=regions)
+    faults = 0
+    for _ in range(steps):
+        fleet.step()
+        if source.random() < FAULT_SHARE:
+            faults += 1
+            _fault(fleet, source, vms)
+    fleet.conditions = membership_fleet.Conditions()
+    for vm in fleet.seeds:
+        if not fleet.runs(vm):
+            fleet.start(vm)
+    fleet.run(LONGEST_PAUSE_SECONDS + QUIET_SECONDS)
+    disagreements = fleet.disagreements()
+    fleet.promises.check("all_agree_after_quiet", not disagreements, "; ".join(disagreements[:3]))
+    return Report(
+        seed,
+        vms,
+        steps,
+        faults,
+        round(fleet.now, 1),
+        fleet.messages,
+        disagreements,
+        fleet.promises.dump(),
+    )
+
+
+def _fault(fleet: membership_fleet.Fleet, source: random.Random, vms: int) -> None:
+    conditions = fleet.conditions
+    vm = source.randrange(vms)
+    match source.randrange(8):
+        case 0:
+            conditions.loss = source.choice([0.0, 0.0, 0.05, 0.3])
+        case 1:
+            conditions.double = source.choice([0.0, 0.2])
+        case 2:
+            conditions.spread_seconds = source.choice([0.0, 0.2, 2.0])
+        case 3:
+            other = source.randrange(vms)
+            one, two = fleet.profile(vm), fleet.profile(other)
+            pairs = [(one.region, two.region), (one.failure_domain, two.failure_domain)]
+            conditions.cut.add(frozenset(source.choice([*pairs, (one.name, two.name)])))
+        case 4:
+            conditions.cut.clear()
+        case 5:
+            fleet.pause(vm, source.random() * LONGEST_PAUSE_SECONDS)
+        case 6:
+            fleet.crash(vm)
+        case 7:
+            fleet.start(vm)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="First seed.")
+@click.option("--seeds", default=1, show_default=True, help="Number of seeds, one run each.")
+@click.option("--vms", default=9, show_default=True, help="Number of VMs.")
+@click.option("--regions", default=1, show_default=True, help="Regions that they are spread over.")
+@click.option("--steps", default=100_000, show_default=True, help="Steps of each run.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+def membership(seed: int, seeds: int, vms: int, regions: int, steps: int, as_json: bool) -> None:
+    """Check that VMs agree who lives, and that a lease never has two holders.
+
+    Example: hollyring experiment membership --seed 7 --vms 9 --steps 100000
+    """
+    for number in range(seed, seed + seeds):
+        report = run(number, vms, steps, regions)
+        leases = lease_world.run(number, steps)
+        if as_json:
+            both = {"membership": report, "leases": leases}
+            click.echo(msgspec.json.encode(both).decode())
+            continue
+        click.echo(f"membership: {report}")
+        click.echo(f"leases: {leases}")
--- a/hollyring/experiments/tests/test_delivery.py
+++ b/hollyring/experiments/tests/test_delivery.py
@@ -11,7 +11,13 @@
 
 @pytest.mark.parametrize(
     "attempts, faults, seal_records",
-    [([ORDER], 2, 256), ([ORDER, ORDER], 1, 256), ([ORDER, OTHER], 1, 256), ([ORDER], 2, 0)],
+    [
+        ([ORDER], 2, 256),
+        ([ORDER], 2, 0),
+        ([ORDER, ORDER], 1, 256),
+        ([ORDER, OTHER], 1, 256),
+        ([ORDER, OTHER, ORDER], 0, 256),
+    ],
 )
 def test_every_order_of_messages_and_faults_keeps_the_promises(attempts, faults, seal_records):
     explored = delivery.explore(attempts, faults=faults, seal_records=seal_records)
--- a/hollyring/membership/beliefs.py
+++ b/hollyring/membership/beliefs.py
@@ -108,6 +108,11 @@
         """Return what the next heartbeat carries."""
         return self._gossip.take(len(self._table.members) + 1, first)
 
+    def pass_on(self, profile: messages.Profile) -> None:
+        """Tell the others of a life that some of them lack."""
+        self._gossip.add(profile)
+        self._gossip.add(self._table.members[profile.name].update)
+
     def contradiction(self, name: str, number: int) -> list[gossip.Item]:
         """Return what a life must hear because something else is believed of it."""
         member = self._table.members.get(name)
@@ -206,11 +211,11 @@
         """Contradict what is wrongly said of this life."""
         if update.number != self._me.number:
             return self._hear_of_me(update.number)
-        mine = (self._refutation, self._status)
-        if self._replaced or (update.refutation, update.status) <= mine:
+        if self._replaced or update.status == self._status:
             return []
-        self._counts["refuted"] += 1
-        self._refutation = update.refutation + 1
+        if update.refutation >= self._refutation:
+            self._counts["refuted"] += 1
+            self._refutation = update.refutation + 1
         self._gossip.add(self.my_update())
         return []
 
--- a/hollyring/membership/members.py
+++ b/hollyring/membership/members.py
@@ -46,7 +46,7 @@
 """Least time between two comparisons of the table with another VM."""
 
 SYNC_MISMATCHES = 3
-"""Differing digests in a row before the table is compared."""
+"""Differing digests heard before the table is compared."""
 
 SYNC_MEMBERS = 32
 """Most members in one answer to a comparison."""
@@ -54,6 +54,10 @@
 JOIN_SECONDS = 0.5
 """Pause between two questions of a VM that has just started."""
 
+LIFE_MASK = 0x7FFFFF
+LIFE_SHIFT_BITS = 32
+"""Sequences of different lives lie apart, so that no answer to an earlier life counts."""
+
 MAX_VALUE_BYTES = 64
 MAX_RELAYS = 64
 
@@ -105,6 +109,7 @@
         "_last_seen",
         "_last_sync",
         "_mismatches",
+        "_differing",
         "_heard",
         "_streak",
         "_doubted_from",
@@ -119,7 +124,7 @@
         self._seeds = [seed for seed in seeds if seed != me.address]
         self._source = source
         self._beliefs = beliefs.Beliefs(me)
-        self._sequence = 0
+        self._sequence = (me.number & LIFE_MASK) << LIFE_SHIFT_BITS
         self._probe: _Probe | None = None
         self._order: list[str] = []
         self._relays: dict[int, _Relay] = {}
@@ -128,6 +133,7 @@
         self._last_seen = now
         self._last_sync = now - SYNC_SECONDS
         self._mismatches = 0
+        self._differing = ""
         self._heard: dict[str, float] = {}
         self._streak = 0
         self._doubted_from: int | None = None
@@ -179,16 +185,18 @@
         """Tell whether this VM may act on what it knows: not replaced, not just woken.
 
         Asked before each act that another VM may have taken over meanwhile. After a pause it
-        is true again once a peer has answered a ping that was sent since.
+        is true again once a peer has answered a ping that was sent since, or while no other VM
+        is believed alive.
         """
-        fresh = now - self._last_seen <= PAUSE_SECONDS
-        return fresh and self._doubted_from is None and not self._beliefs.replaced
+        if now - self._last_seen > PAUSE_SECONDS or self._beliefs.replaced:
+            return False
+        return self._doubted_from is None or not self._beliefs.alive()
 
     def unreachable_regions(self, now: float) -> set[str]:
         """Return the other regions that have been silent for `REGION_SILENCE_SECONDS`."""
         regions = {member.profile.region for member in self.members.values()} - {self._me.region}
         limit = now - REGION_SILENCE_SECONDS
-        return {region for region in regions if self._heard.setdefault(region, now) < limit}
+        return {region for region in regions if self._heard.get(region, now) < limit}
 
     def put_entry(self, name: str, version: int, value: bytes) -> None:
         """Let a small value travel to every VM.
@@ -235,8 +243,7 @@
                 done += self._hear_news(messages.News([message.profile], [], []), now)
                 return [*done, actions.Send(address, self._sync(message))]
             case messages.Sync():
-                self._joined = self._joined or not message.more
-                return done + self._hear_news(message.news, now)
+                return done + self._synced(message, now)
 
     def connection_failed(self, name: str) -> None:
         """Take in that a connection of one's own to a member failed: it is probed next."""
@@ -265,8 +272,7 @@
             return []
         self._pauses += 1
         self._probe = None
-        if self._beliefs.alive():
-            self._doubted_from = self._sequence
+        self._doubted_from = self._sequence
         self._beliefs.forgive(gap)
         self._heard = {region: heard + gap for region, heard in self._heard.items()}
         return [actions.Paused(gap)]
@@ -274,7 +280,7 @@
     def _begin_period(self, now: float) -> Actions:
         done: Actions = []
         if self._periods % OUTSIDE_PERIODS == 0:
-            done += self._ping_outside()
+            done += self._ping_outside(now)
         done += self._compare(now)
         name = self._next_target()
         if name is None:
@@ -297,12 +303,14 @@
             self._source.shuffle(self._order)
         return None
 
-    def _ping_outside(self) -> Actions:
+    def _ping_outside(self, now: float) -> Actions:
         """Ping another region, and a member taken for dead: both may be back."""
         chosen = []
         others = [m for m in self._beliefs.alive() if m.profile.region != self._me.region]
         if others:
             regions = sorted({member.profile.region for member in others})
+            for region in regions:
+                self._heard.setdefault(region, now)
             region = regions[self._periods // OUTSIDE_PERIODS % len(regions)]
             chosen.append(self._source.choice([m for m in others if m.profile.region == region]))
         if self._beliefs.dead:
@@ -369,7 +377,8 @@
         return [actions.Send(address, ack)]
 
     def _acked(self, ack: messages.Ack) -> Actions:
-        if self._doubted_from is not None and ack.sequence > self._doubted_from:
+        since = self._doubted_from
+        if since is not None and since < ack.sequence <= self._sequence:
             self._doubted_from = None
         relay = self._relays.pop(ack.sequence, None)
         if relay is not None:
@@ -397,16 +406,28 @@
         pause = SYNC_SECONDS if self._joined else JOIN_SECONDS
         if now < self._last_sync + pause:
             return []
-        known = [member.profile.address for member in self._beliefs.alive()]
-        if known and self._joined and self._mismatches < SYNC_MISMATCHES:
-            return []
-        addresses = known if known and (self._joined or self._periods % 2) else self._seeds
-        if not addresses:
+        address = self._whom_to_compare_with()
+        if not address:
             return []
         self._last_sync = now
         self._mismatches = 0
+        self._differing = ""
         request = messages.SyncRequest(self._me, self._beliefs.known.digests)
-        return [actions.Send(self._source.choice(addresses), request)]
+        return [actions.Send(address, request)]
+
+    def _whom_to_compare_with(self) -> str:
+        """Return a peer address: of a VM whose table differs, else of a seed that isn't known.
+
+        The latter lets groups of VMs that never met find each other.
+        """
+        known = [member.profile.address for member in self._beliefs.alive()]
+        if not self._joined and known and self._periods % 2:
+            return self._source.choice(known)
+        differing = self.members.get(self._differing)
+        if differing is not None and self._mismatches >= SYNC_MISMATCHES:
+            return differing.profile.address
+        seeds = [seed for seed in self._seeds if not self._joined or seed not in known]
+        return self._source.choice(seeds) if seeds else ""
 
     def _sync(self, request: messages.SyncRequest) -> messages.Sync:
         differing = self._beliefs.known.differing(request.digests)
@@ -419,13 +440,30 @@
         entries = self._source.sample(entries, min(SYNC_MEMBERS, len(entries)))
         more = len(found) > len(chosen)
         news = messages.News(profiles, updates, entries)
-        return messages.Sync(self._me.name, self._me.number, more, news)
+        return messages.Sync(self._me.name, self._me.number, more, sorted(differing), news)
+
+    def _synced(self, sync: messages.Sync, now: float) -> Actions:
+        """Take in what another VM knows, and pass on what it lacks."""
+        self._joined = self._joined or not sync.more
+        told = {(profile.name, profile.number) for profile in sync.news.profiles}
+        done = self._hear_news(sync.news, now)
+        if sync.more:
+            return done
+        for member in self._beliefs.alive():
+            profile = member.profile
+            if table.bucket(profile.name) not in sync.buckets:
+                continue
+            if (profile.name, profile.number) not in told:
+                self._beliefs.pass_on(profile)
+        return done
 
     def _hear(self, sender: str, digest: int, news: messages.News, now: float) -> Actions:
         member = self.members.get(sender)
         if member is not None:
             self._heard[member.profile.region] = now
-        self._mismatches = self._mismatches + 1 if digest != self._beliefs.known.digest else 0
+        if digest != self._beliefs.known.digest:
+            self._mismatches += 1
+            self._differing = sender
         return self._hear_news(news, now)
 
     def _hear_news(self, news: messages.News, now: float) -> Actions:
