Keep what is left per upstream, so that a steady rollout costs nothing

Change: the difference is worked out when a state or the targets change; who serves what is built only when an order may be given, in fleet.coverage.

--- a/hollyring/experiments/rollout.py
+++ b/hollyring/experiments/rollout.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from hollyring.core import invariants
-from hollyring.experiments import rollout_world
+from hollyring.experiments import rollout_slopes, rollout_world
 from hollyring.fleet import rollout as rollouts
 
 SETTLE_SECONDS = 600.0
@@ -75,13 +75,17 @@
 @click.option("--upstreams", default=6, show_default=True)
 @click.option("--steps", default=2000, show_default=True, help="Ticks of 0.25 s under faults.")
 @click.option("--json", "as_json", is_flag=True, help="Print the report as JSON.")
-def rollout(seed: int, upstreams: int, steps: int, as_json: bool) -> None:
+@click.option("--slopes", is_flag=True, help="Measure costs per upstream instead, as JSON.")
+def rollout(seed: int, upstreams: int, steps: int, as_json: bool, slopes: bool) -> None:
     """Roll versions, adapters and roles out while holders and upstreams fail.
 
     Ends with status 1 if a promise was broken or the fleet did not converge afterwards.
 
     Example: hollyring experiment rollout --seed 7 --upstreams 9 --json
     """
+    if slopes:
+        click.echo(msgspec.json.format(msgspec.json.encode(rollout_slopes.measure())))
+        return
     report = run(seed, upstreams, steps)
     if as_json:
         click.echo(msgspec.json.encode(report))
--- /dev/null
+++ b/hollyring/experiments/rollout_slopes.py
@@ -0,0 +1,107 @@
+"""What orders to upstreams cost their holder, against the number of upstreams."""
+
+from __future__ import annotations
+
+import dataclasses
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import msgspec
+
+from hollyring.core import invariants
+from hollyring.fleet import messages, rollout, targets
+
+SIZES = (6, 60, 300, 1500)
+REPEATS = 50
+MODELS = ("m0", "m1", "m2", "m3")
+
+
+@dataclasses.dataclass(slots=True)
+class Cost:
+    """Costs with one number of upstreams; times are medians."""
+
+    upstreams: int
+    steady_step_us: float
+    rollout_step_us: float
+    observe_us: float
+    heard_us: float
+    bytes_per_upstream: float
+
+
+@dataclasses.dataclass(slots=True)
+class Slopes:
+    """Costs by size, least-squares slopes and the sizes of messages."""
+
+    costs: list[Cost]
+    steady_step_us_per_upstream: float
+    rollout_step_us_per_upstream: float
+    state_bytes: int
+    order_bytes: int
+
+
+def measure() -> Slopes:
+    """Measure every size in `SIZES`."""
+    costs = [_cost(size) for size in SIZES]
+    state = _state(0, "v1")
+    order = messages.Order("7:e1:load_model:m0:v2", 7, "e1", messages.LoadModel("m0", "v2"), 0.0)
+    return Slopes(
+        costs,
+        _slope([(cost.upstreams, cost.steady_step_us) for cost in costs]),
+        _slope([(cost.upstreams, cost.rollout_step_us) for cost in costs]),
+        len(msgspec.json.encode(state)),
+        len(msgspec.json.encode(order.body)),
+    )
+
+
+def _slope(points: list[tuple[int, float]]) -> float:
+    xs, ys = [float(x) for x, _ in points], [y for _, y in points]
+    return round(statistics.linear_regression(xs, ys).slope, 3)
+
+
+def _model(number: int) -> str:
+    return MODELS[number % len(MODELS)]
+
+
+def _state(number: int, version: str, at: float = 0.0) -> messages.UpstreamState:
+    served = [messages.ModelVersion(_model(number), version)]
+    return messages.UpstreamState(f"e{number}", 1, served, ["a1"], "both", False, at)
+
+
+def _machine(size: int, version: str) -> tuple[rollout.Rollout, float]:
+    pace = rollout.Pace(weights_concurrency=3)
+    machine = rollout.Rollout(pace, invariants.Invariants())
+    machine.declare(
+        targets.Target(f"e{n}", 1, (messages.ModelVersion(_model(n), version),), ("a1",))
+        for n in range(size)
+    )
+    machine.acquire(1, 0.0)
+    now = pace.lease_seconds + pace.flight_seconds + pace.weights_seconds
+    for number in range(size):
+        machine.observe(_state(number, "v1"), now)
+    return machine, now
+
+
+def _cost(size: int) -> Cost:
+    tracemalloc.start()
+    steady, now = _machine(size, "v1")
+    used = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    steady_us = _median_us(lambda: steady.step(10.0, now))
+    rolling, now = _machine(size, "v2")
+    rolling_us = _median_us(lambda: rolling.step(10.0, now))
+    states = iter([_state(n % size, "v1", float(n)) for n in range(REPEATS)])
+    observe_us = _median_us(lambda: steady.observe(next(states), now))
+    heard_us = _median_us(lambda: steady.heard("e1", now))
+    costs = (steady_us, rolling_us, observe_us, heard_us, used / size)
+    return Cost(size, *(round(cost, 2) for cost in costs))
+
+
+def _median_us(call: Callable[[], object]) -> float:
+    taken = []
+    for _ in range(REPEATS):
+        start = time.perf_counter_ns()
+        call()
+        taken.append((time.perf_counter_ns() - start) / 1000)
+    return statistics.median(taken)
--- a/hollyring/fleet/rollout.py
+++ b/hollyring/fleet/rollout.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 from hollyring.core import invariants
-from hollyring.fleet import errors, messages, targets
+from hollyring.fleet import coverage, errors, messages, targets
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +90,8 @@
         self._invariants = invariant_counter
         self._targets: dict[str, targets.Target] = {}
         self._observed: dict[str, _Observed] = {}
+        self._wanted: frozenset[coverage.Service] = frozenset()
+        self._left: dict[str, tuple[messages.Change, ...]] = {}
         self._given: dict[str, _Given] = {}
         self._attempts: collections.Counter[str] = collections.Counter()
         self._not_before: dict[str, float] = {}
@@ -111,8 +113,12 @@
     def declare(self, declared: Iterable[targets.Target]) -> None:
         """Replace the declared targets."""
         self._targets = {target.upstream: target for target in declared}
+        self._wanted = coverage.declared(self._targets.values())
         for upstream in [name for name in self._observed if name not in self._targets]:
             del self._observed[upstream]
+        self._left.clear()
+        for upstream in self._targets:
+            self._compare(upstream)
 
     def acquire(self, fencing: int, now: float, released: bool = False) -> None:
         """Take up the lease.
@@ -151,6 +157,7 @@
             return
         if state.upstream in self._targets:
             self._observed[state.upstream] = _Observed(state, now)
+            self._compare(state.upstream)
 
     def heard(self, upstream: str, now: float) -> None:
         """Note that the state of `upstream` was confirmed to be unchanged."""
@@ -171,6 +178,10 @@
             case _:
                 given.outcome = outcome
 
+    def quiet(self, now: float) -> bool:
+        """Tell whether no order is in flight, so that the lease may be released."""
+        return all(self._has_arrived(given, now) for given in self._given.values())
+
     def step(self, remaining: float, now: float) -> list[messages.Order]:
         """Return the orders to send now.
 
@@ -183,18 +194,26 @@
             return []
         self._settle(now)
         self._blocked.clear()
-        servers = self._servers(now)
         loading = sum(targets.loads_weights(given.order.change) for given in self._given.values())
+        served: coverage.Coverage | None = None
         orders = []
-        for target in sorted(self._targets.values(), key=self._urgency):
-            change = self._next_change(target, servers, loading, now)
-            if change is None:
+        for upstream in sorted(self._left, key=self._urgency):
+            state = self._ready_state(upstream, now)
+            if state is None:
                 continue
-            order = self._give(target, change, remaining, now)
-            loading += targets.loads_weights(change)
-            self._take_out(servers, target.upstream, change)
-            self._check(order, servers, loading, remaining)
-            orders.append(order)
+            for change in self._left[upstream]:
+                if targets.loads_weights(change) and not self._may_load(loading, now):
+                    continue
+                served = served or self._coverage(now)
+                if service := served.last_served(state, change):
+                    self._blocked[upstream] = service.name
+                    continue
+                order = self._give(self._targets[upstream], change, remaining, now)
+                loading += targets.loads_weights(change)
+                served.take_out(state, change)
+                self._check(order, state, served, loading, remaining)
+                orders.append(order)
+                break
         return orders
 
     def dump(self) -> dict[str, object]:
@@ -204,14 +223,19 @@
             "fencing": self._fencing,
             "given": {name: given.order.order_id for name, given in sorted(self._given.items())},
             "blocked": dict(sorted(self._blocked.items())),
-            "left": sum(self._differs(name) for name in self._targets),
+            "left": len(self._left) + len(self._targets.keys() - self._observed.keys()),
         }
 
-    def _differs(self, upstream: str) -> bool:
+    def _compare(self, upstream: str) -> None:
+        """Work out what is left to do at `upstream`."""
         observed = self._observed.get(upstream)
         if observed is None:
-            return True
-        return any(True for _ in targets.changes(self._targets[upstream], observed.state))
+            return
+        left = tuple(targets.changes(self._targets[upstream], observed.state))
+        if left:
+            self._left[upstream] = left
+            return
+        self._left.pop(upstream, None)
 
     def _known(self, upstream: str, now: float) -> messages.UpstreamState | None:
         observed = self._observed.get(upstream)
@@ -223,11 +247,14 @@
             return None
         return observed.state
 
+    def _has_arrived(self, given: _Given, now: float) -> bool:
+        return given.outcome is not None or now >= given.at + self._pace.arrival_seconds
+
     def _settle(self, now: float) -> None:
         """Drop the orders that were carried out, and those that can no longer be under way."""
         for upstream, given in list(self._given.items()):
             observed = self._observed.get(upstream)
-            arrived = given.outcome is not None or now >= given.at + self._pace.arrival_seconds
+            arrived = self._has_arrived(given, now)
             done = observed is not None and targets.shows(observed.state, given.order.change)
             if arrived and done:
                 del self._given[upstream]
@@ -235,115 +262,40 @@
             # A restarted upstream may have taken the order in its new life, so it counts as well.
             over_at = given.at + self._pace.order_seconds
             heard = observed is not None and observed.heard_at >= over_at
-            if now < over_at or not heard and now < over_at + self._pace.report_timeout_seconds:
+            if not heard and now < over_at + self._pace.report_timeout_seconds:
                 continue
             if given.outcome is messages.Outcome.ACCEPTED:
                 self._attempts[given.order_id] += 1
             del self._given[upstream]
 
-    def _servers(self, now: float) -> dict[tuple[str, str], set[str]]:
-        """Return the upstreams that surely serve, by model or adapter and capability."""
-        servers: dict[tuple[str, str], set[str]] = collections.defaultdict(set)
-        for upstream in self._targets:
-            state = self._known(upstream, now)
-            if state is None or state.leaving:
-                continue
-            for capability in targets.capabilities(state.role):
-                for entry in state.models:
-                    servers[entry.model, capability].add(upstream)
-            for adapter in state.adapters:
-                servers[adapter, ""].add(upstream)
+    def _coverage(self, now: float) -> coverage.Coverage:
+        """Return who surely serves what, orders under way allowed for."""
+        known = [self._known(upstream, now) for upstream in self._observed]
+        serving = [state for state in known if state is not None and not state.leaving]
+        served = coverage.Coverage(serving, self._wanted)
         for upstream, given in self._given.items():
-            self._take_out(servers, upstream, given.order.change)
-        return servers
-
-    def _take_out(
-        self,
-        servers: dict[tuple[str, str], set[str]],
-        upstream: str,
-        change: messages.Change,
-    ) -> None:
-        for key in self._lost(upstream, change):
-            servers[key].discard(upstream)
+            if observed := self._observed.get(upstream):
+                served.take_out(observed.state, given.order.change)
+        return served
 
-    def _lost(self, upstream: str, change: messages.Change) -> list[tuple[str, str]]:
-        """Return what `upstream` stops serving with `change`, for a while or for good."""
-        observed = self._observed.get(upstream)
-        if observed is None:
-            return []
-        state = observed.state
-        has = targets.capabilities(state.role)
-        match change:
-            case messages.LoadModel(model, _) if state.version(model):
-                return [(model, capability) for capability in has]
-            case messages.SetRole(role):
-                lost = has - targets.capabilities(role)
-                return [(entry.model, c) for entry in state.models for c in lost]
-            case messages.UnloadAdapter(adapter):
-                return [(adapter, "")]
-        return []
-
-    def _urgency(self, target: targets.Target) -> tuple[int, str]:
+    def _urgency(self, upstream: str) -> tuple[bool, str]:
         """Order upstreams that serve nothing first: loading there takes nobody out."""
-        observed = self._observed.get(target.upstream)
-        serving = len(observed.state.models) if observed else 0
-        return (min(serving, 1), target.upstream)
+        return (bool(self._observed[upstream].state.models), upstream)
 
-    def _next_change(
-        self,
-        target: targets.Target,
-        servers: dict[tuple[str, str], set[str]],
-        loading: int,
-        now: float,
-    ) -> messages.Change | None:
-        upstream = target.upstream
+    def _ready_state(self, upstream: str, now: float) -> messages.UpstreamState | None:
+        """Return the state of an upstream that may be given an order."""
         if upstream in self._given or now < self._not_before.get(upstream, now):
             return None
         state = self._known(upstream, now)
         if state is None or state.leaving:
             return None
-        for change in targets.changes(target, state):
-            if targets.loads_weights(change) and not self._may_load(loading, now):
-                continue
-            name = self._last_served(upstream, change, servers)
-            if name is None:
-                return change
-            self._blocked[upstream] = name
-        return None
+        return state
 
     def _may_load(self, loading: int, now: float) -> bool:
         # Loads that the last holder ordered are over by then.
         settled_at = self._ready_at + self._pace.weights_seconds
         return now >= settled_at and loading < self._pace.weights_concurrency
 
-    def _last_served(
-        self,
-        upstream: str,
-        change: messages.Change,
-        servers: dict[tuple[str, str], set[str]],
-    ) -> str | None:
-        """Return the model or adapter that `change` would leave without a server."""
-        for name, capability in self._lost(upstream, change):
-            if servers[name, capability] - {upstream}:
-                continue
-            if self._is_wanted(name, capability, change):
-                return name
-        return None
-
-    def _is_wanted(self, name: str, capability: str, change: messages.Change) -> bool:
-        """Tell whether some target keeps what `change` gives up for good."""
-        match change:
-            case messages.LoadModel():
-                return True
-            case messages.SetRole():
-                return any(
-                    capability in targets.capabilities(target.role)
-                    and any(entry.model == name for entry in target.models)
-                    for target in self._targets.values()
-                )
-            case _:
-                return any(name in target.adapters for target in self._targets.values())
-
     def _give(
         self, target: targets.Target, change: messages.Change, remaining: float, now: float
     ) -> messages.Order:
@@ -360,15 +312,15 @@
     def _check(
         self,
         order: messages.Order,
-        servers: dict[tuple[str, str], set[str]],
+        state: messages.UpstreamState,
+        served: coverage.Coverage,
         loading: int,
         remaining: float,
     ) -> None:
         check = self._invariants.check
-        check("weights_paced", loading <= self._pace.weights_concurrency, order.order_id)
+        paced = loading <= self._pace.weights_concurrency
+        check("weights_paced", paced, order.order_id)
         check("orders_within_lease", remaining > 0, order.order_id)
-        leaving = self._observed[order.upstream].state.leaving
-        check("no_order_to_leaving_upstream", not leaving, order.order_id)
-        lost = self._lost(order.upstream, order.change)
-        kept = all(servers[key] or not self._is_wanted(*key, order.change) for key in lost)
+        check("no_order_to_leaving_upstream", not state.leaving, order.order_id)
+        kept = all(served.is_kept(service) for service in coverage.lost(state, order.change))
         check("last_server_kept", kept, order.order_id)
--- a/hollyring/fleet/tests/test_rollout.py
+++ b/hollyring/fleet/tests/test_rollout.py
@@ -55,6 +55,15 @@
     assert upstreams_of(orders) == ["e0", "e1", "e2"]
 
 
+def test_state_that_may_hide_the_last_holders_orders_is_not_relied_on(holder):
+    machine = holder(targets_of(1, role="decode"), [])
+    machine.observe(state("e0"), READY)
+    now = READY + PACE.report_lag_seconds
+    assert machine.step(10.0, now) == []
+    machine.heard("e0", now)
+    assert upstreams_of(machine.step(10.0, now)) == ["e0"]
+
+
 def test_new_holder_waits_out_the_old_loads(holder):
     machine = holder(targets_of(3, V2), [state(f"e{n}", V1) for n in range(3)])
     assert machine.step(10.0, SETTLED - 0.001) == []
@@ -204,6 +213,49 @@
     assert second[0].order_id == f"{first[0].order_id}:1.1"
 
 
+def test_order_is_not_repeated_on_a_state_heard_before_its_end(holder):
+    machine = holder(targets_of(2, V2), [state("e0", V1), state("e1", V1)])
+    accept(machine, machine.step(10.0, SETTLED), SETTLED)
+    over_at = SETTLED + PACE.order_seconds
+    for n in range(2):
+        machine.heard(f"e{n}", over_at - 0.001)
+    assert machine.step(10.0, over_at) == []
+
+
+def test_unheard_order_frees_its_place_in_the_end(holder):
+    machine = holder(targets_of(4, V2), [state(f"e{n}", V1) for n in range(4)])
+    accept(machine, machine.step(10.0, SETTLED), SETTLED)
+    now = SETTLED + PACE.order_seconds + PACE.report_timeout_seconds
+    machine.heard("e2", now)
+    machine.heard("e3", now)
+    assert upstreams_of(machine.step(10.0, now)) == ["e2"]
+
+
+def test_order_in_flight_counts_though_its_upstream_came_back_with_the_weights(holder):
+    machine = holder(targets_of(6, V2), [state(f"e{n}", V1) for n in range(6)])
+    assert upstreams_of(machine.step(10.0, SETTLED)) == ["e0", "e1"]
+    machine.observe(state("e0", V2, incarnation=2), SETTLED + 0.1)
+    assert machine.step(10.0, SETTLED + 0.1) == []
+    arrived = SETTLED + PACE.arrival_seconds
+    assert upstreams_of(machine.step(10.0, arrived)) == ["e2"]
+
+
+def test_quiet_once_no_order_is_in_flight(holder):
+    machine = holder(targets_of(2, V2), [state("e0", V1), state("e1", V1)])
+    orders = machine.step(10.0, SETTLED)
+    assert not machine.quiet(SETTLED)
+    assert machine.quiet(SETTLED + PACE.arrival_seconds)
+    accept(machine, orders, SETTLED)
+    assert machine.quiet(SETTLED)
+
+
+def test_dump_tells_what_is_left(holder):
+    machine = holder(targets_of(3, V2), [state("e0", V1), state("e1", V2)])
+    machine.step(10.0, SETTLED)
+    given = {"e0": "2:e0:load_model:parish:v2"}
+    assert machine.dump() == {"holds": True, "fencing": 1, "given": given, "blocked": {}, "left": 2}
+
+
 def test_identity_rests_on_the_targets_own_revision():
     change = messages.LoadModel("parish", "v2")
     one = targets.order_id(targets.Target("e0", 2, (V2,)), change)
