Build one file that runs as one process

Cause: the users want one binary and forbid a process that starts another. Ruled out: the one-file modes of PyInstaller and Nuitka (a loader and its child), a zipapp (thrift, numpy, hdrhistogram and httptools carry compiled modules, which do not load from an archive, and the VM's Python would be counted on).

--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -96,6 +96,7 @@
         vm_settings: dict[str, object] | None = None,
     ) -> None:
         self.document = document
+        self.command = [sys.executable, "-m", "hollyring"]
         self.platform_url = f"http://127.0.0.1:{platform_port}"
         self._folder = folder
         self._engine_options = engine_options or EngineOptions()
@@ -196,7 +197,7 @@
         log = (self._folder / f"{name}.out").open("ab")
         with log:
             program.process = subprocess.Popen(
-                [sys.executable, "-m", "hollyring", *program.arguments],
+                [*self.command, *program.arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- /dev/null
+++ b/packaging/entry.py
@@ -0,0 +1,5 @@
+"""Where the built program starts."""
+
+from hollyring.cli import main
+
+main.main()
--- /dev/null
+++ b/packaging/loader.c
@@ -0,0 +1,139 @@
+/*
+ * Loader of the one-file program: unpacks the archive behind itself once and becomes the program
+ * in it by execv, so that the process stays one.
+ *
+ * Layout of the file: this program, a ustar archive, 8 bytes archive length (big-endian), 16 bytes
+ * digest in hexadecimal that names the folder.
+ */
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+enum { BLOCK = 512, LENGTH_BYTES = 8, DIGEST_BYTES = 16, PATH_BYTES = 4096 };
+
+struct header {
+    char name[100], mode[8], uid[8], gid[8], size[12], mtime[12], checksum[8], type, link[100];
+    char magic[6], version[2], owner[32], group[32], major[8], minor[8], prefix[155], pad[12];
+};
+
+static void fail(const char *what)
+{
+    fprintf(stderr, "hollyring: %s: %s\n", what, strerror(errno));
+    exit(1);
+}
+
+static void read_exactly(FILE *file, void *buffer, size_t size)
+{
+    if (fread(buffer, 1, size, file) != size)
+        fail("the program file is cut short");
+}
+
+static void make_parents(char *path)
+{
+    for (char *slash = strchr(path + 1, '/'); slash; slash = strchr(slash + 1, '/')) {
+        *slash = '\0';
+        if (mkdir(path, 0700) && errno != EEXIST)
+            fail(path);
+        *slash = '/';
+    }
+}
+
+static void copy_out(FILE *file, const char *path, uint64_t size, mode_t mode)
+{
+    static char buffer[1 << 16];
+    int out = open(path, O_WRONLY | O_CREAT | O_EXCL, mode);
+
+    if (out < 0)
+        fail(path);
+    while (size > 0) {
+        size_t part = size < sizeof buffer ? (size_t)size : sizeof buffer;
+        read_exactly(file, buffer, part);
+        if (write(out, buffer, part) != (ssize_t)part)
+            fail(path);
+        size -= part;
+    }
+    close(out);
+}
+
+static void unpack(FILE *file, uint64_t length, const char *folder)
+{
+    struct header head;
+    char path[2 * PATH_BYTES];
+    uint64_t done = 0;
+
+    while (done < length) {
+        read_exactly(file, &head, BLOCK);
+        done += BLOCK;
+        if (head.name[0] == '\0')
+            break;
+        uint64_t size = strtoull(head.size, NULL, 8);
+        mode_t mode = (mode_t)strtoul(head.mode, NULL, 8);
+        snprintf(path, sizeof path, "%s/%.155s%s%.100s", folder, head.prefix,
+                 head.prefix[0] ? "/" : "", head.name);
+        make_parents(path);
+        if (head.type == '5') {
+            if (mkdir(path, 0700) && errno != EEXIST)
+                fail(path);
+        } else if (head.type == '2') {
+            if (symlink(head.link, path))
+                fail(path);
+        } else {
+            copy_out(file, path, size, mode);
+            uint64_t rest = (BLOCK - size % BLOCK) % BLOCK;
+            if (fseeko(file, (off_t)rest, SEEK_CUR))
+                fail("seek");
+            done += size + rest;
+        }
+    }
+}
+
+int main(int argc, char **argv)
+{
+    char self[PATH_BYTES], folder[PATH_BYTES], scratch[PATH_BYTES + 16], program[PATH_BYTES + 16];
+    char digest[DIGEST_BYTES + 1] = {0};
+    unsigned char length_field[LENGTH_BYTES];
+    uint64_t length = 0;
+    const char *base = getenv("HOLLYRING_SCRATCH");
+    ssize_t got = readlink("/proc/self/exe", self, sizeof self - 1);
+
+    (void)argc;
+    if (got < 0)
+        fail("/proc/self/exe");
+    self[got] = '\0';
+    FILE *file = fopen(self, "rb");
+    if (!file || fseeko(file, -(off_t)(LENGTH_BYTES + DIGEST_BYTES), SEEK_END))
+        fail(self);
+    off_t end = ftello(file);
+    read_exactly(file, length_field, LENGTH_BYTES);
+    read_exactly(file, digest, DIGEST_BYTES);
+    for (int i = 0; i < LENGTH_BYTES; i++)
+        length = length << 8 | length_field[i];
+
+    snprintf(folder, sizeof folder, "%.3000s/hollyring-%u-%s", base ? base : "/tmp",
+             (unsigned)getuid(), digest);
+    snprintf(program, sizeof program, "%s/hollyring", folder);
+    struct stat there;
+    if (lstat(folder, &there)) {
+        snprintf(scratch, sizeof scratch, "%s.%d", folder, (int)getpid());
+        if (mkdir(scratch, 0700))
+            fail(scratch);
+        if (fseeko(file, end - (off_t)length, SEEK_SET))
+            fail("seek");
+        unpack(file, length, scratch);
+        /* Another process may have been faster: its folder holds the same. */
+        if (rename(scratch, folder) && errno != EEXIST && errno != ENOTEMPTY)
+            fail(folder);
+    } else if (!S_ISDIR(there.st_mode) || there.st_uid != getuid()) {
+        fprintf(stderr, "hollyring: %s belongs to somebody else\n", folder);
+        return 1;
+    }
+    fclose(file);
+    execv(program, argv);
+    fail(program);
+}
