--- a/hollyring/cli/config.py
+++ b/hollyring/cli/config.py
@@ -11,10 +11,9 @@
 import uuid
 
 import click
-import httpcore
 import msgspec
 
-from hollyring.cli import platform
+from hollyring.cli import platform, vms
 from hollyring.configuration import (
     checks,
     documents,
@@ -107,14 +106,22 @@
 @click.option("--author", default=getpass.getuser, help="Who submits.  [default: you]")
 @click.option("--base", type=int, help="Refuse unless this revision is the latest.")
 @click.option("--dry-run", is_flag=True, help="Print what would change and submit nothing.")
+@click.option("--admin-key", default="", envvar="HOLLYRING_ADMIN_KEY", help="Admin bearer token.")
 @_json_option
 def apply(
-    file: pathlib.Path, url: str, author: str, base: int | None, dry_run: bool, as_json: bool
+    file: pathlib.Path,
+    url: str,
+    author: str,
+    base: int | None,
+    dry_run: bool,
+    admin_key: str,
+    as_json: bool,
 ) -> None:
     """Submit the configuration in FILE.
 
     What is in force and not in FILE is deleted. Give --base in scripts, so that a change that the
-    file does not know yet is not undone.
+    file does not know yet is not undone. Some VMs are asked first whether they have a newer
+    revision than the platform's service, which then came back older than it was.
 
     \b
     Example:
@@ -125,6 +132,8 @@
     loaded = _load(client, as_json)
     if base is not None and loaded.configuration.revision != base:
         _refuse_base(client, base, loaded.configuration.revision, as_json)
+    if not dry_run:
+        _require_newest(loaded.configuration, admin_key, as_json)
     configuration = loaded.configuration
     while True:
         change = _plan(configuration, document, as_json)
@@ -179,7 +188,7 @@
 
 @config.command()
 @click.argument("revision", type=int)
-@click.option("--vm", "vms", multiple=True, help="IP:PORT of a VM's admin port; repeatable.")
+@click.option("--vm", "named", multiple=True, help="IP:PORT of a VM's admin port; repeatable.")
 @click.option(
     "--platform",
     "url",
@@ -191,7 +200,7 @@
 @_json_option
 def wait(
     revision: int,
-    vms: tuple[str, ...],
+    named: tuple[str, ...],
     url: str | None,
     admin_key: str,
     timeout: float,
@@ -206,15 +215,15 @@
       hollyring config wait 42 --platform http://127.0.0.1:9020
       hollyring config wait 42 --vm 127.0.0.1:20200 --vm 127.0.0.1:20201
     """
-    if not vms and url is None:
+    if not named and url is None:
         raise click.UsageError("give --vm or --platform")
-    addresses = list(vms) or _roster(platform.Platform(str(url)), as_json)
+    addresses = list(named) or _roster(platform.Platform(str(url)), as_json)
     until = time.monotonic() + timeout
     found: dict[str, int | None] = dict.fromkeys(addresses)
     while True:
         for address in addresses:
             if (found[address] or 0) < revision:
-                found[address] = _revision_at(address, admin_key)
+                found[address] = vms.revision_at(address, admin_key)
         behind = [address for address in addresses if (found[address] or 0) < revision]
         if not behind or time.monotonic() >= until:
             break
@@ -327,24 +336,15 @@
     return [vm.admin_address for _, vm in sorted(configuration.vms.items())]
 
 
-class _ConfigurationState(msgspec.Struct):
-    revision: int
-
-
-class _State(msgspec.Struct):
-    configuration: _ConfigurationState
-
-
-def _revision_at(address: str, admin_key: str) -> int | None:
-    headers = [("Authorization", f"Bearer {admin_key}")] if admin_key else []
-    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), platform.CALL_SECONDS)
-    try:
-        response = httpcore.request(
-            "GET", f"http://{address}/state", headers=headers, extensions={"timeout": timeouts}
+def _require_newest(configuration: state.Configuration, admin_key: str, as_json: bool) -> None:
+    ahead = vms.ahead_of(configuration, admin_key)
+    if ahead:
+        text = (
+            f"the platform's service is at revision {configuration.revision} and lost newer ones: "
+            + ", ".join(f"{name} has {number}" for name, number in ahead.items())
+            + "; the VMs give them back, try again in a minute"
         )
-        return msgspec.json.decode(response.content, type=_State).configuration.revision
-    except (*platform.FAILURES, msgspec.DecodeError):
-        return None
+        _fail({"outcome": "store_older", "ahead": ahead}, text, EXIT_UNKNOWN, as_json)
 
 
 def _plan_report(change: submission.Plan, outcome: str) -> dict[str, object]:
--- a/hollyring/cli/tests/test_config.py
+++ b/hollyring/cli/tests/test_config.py
@@ -165,5 +165,20 @@
     assert f"{address}: not reachable" in result.output
 
 
+def test_apply_refuses_a_service_that_lost_what_a_vm_has(call, served, admin, tmp_path):
+    declared = declaration.deployment("bohari")
+    free = [f"127.0.0.1:{conftest.free_port()}" for _ in range(2)]
+    declared.vm("vm-0", "dar", "dar-1", *free, admin)
+    path = tmp_path / "bohari.json"
+    path.write_text(declared.json())
+    call("apply", str(path), "--platform", served.url)
+    declared.organisation("a", rate=100, burst=40_000)
+    path.write_text(declared.json())
+    arguments = ["apply", str(path), "--platform", served.url, "--admin-key", "sesame", "--json"]
+    result = call(*arguments)
+    assert result.exit_code == config.EXIT_UNKNOWN
+    assert json.loads(result.output) == {"outcome": "store_older", "ahead": {"vm-0": 2}}
+
+
 def test_wait_needs_to_know_whom_to_ask(call):
     assert call("wait", "1").exit_code == config.EXIT_BAD_INPUT
--- /dev/null
+++ b/hollyring/cli/vms.py
@@ -0,0 +1,43 @@
+"""Asking VMs at their admin ports."""
+
+from __future__ import annotations
+
+import random
+
+import httpcore
+import msgspec
+
+from hollyring.cli import platform
+from hollyring.configuration import state
+
+ASKED_VMS = 5
+"""VMs that are asked for their revision before a change is submitted."""
+
+
+class _Configuration(msgspec.Struct):
+    revision: int
+
+
+class _State(msgspec.Struct):
+    configuration: _Configuration
+
+
+def revision_at(address: str, admin_key: str) -> int | None:
+    """Return the revision in force at a VM's admin port, None if it does not tell."""
+    headers = [("Authorization", f"Bearer {admin_key}")] if admin_key else []
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), platform.CALL_SECONDS)
+    try:
+        response = httpcore.request(
+            "GET", f"http://{address}/state", headers=headers, extensions={"timeout": timeouts}
+        )
+        return msgspec.json.decode(response.content, type=_State).configuration.revision
+    except (*platform.FAILURES, msgspec.DecodeError):
+        return None
+
+
+def ahead_of(configuration: state.Configuration, admin_key: str) -> dict[str, int]:
+    """Return the revisions of VMs that have a newer one, by name; asks `ASKED_VMS` of them."""
+    vms = sorted(configuration.vms.values(), key=lambda vm: vm.name)
+    asked = random.sample(vms, min(ASKED_VMS, len(vms)))
+    found = {vm.name: revision_at(vm.admin_address, admin_key) or 0 for vm in asked}
+    return {name: number for name, number in found.items() if number > configuration.revision}
