--- a/hollyring/routing/__init__.py
+++ b/hollyring/routing/__init__.py
@@ -1,6 +1,7 @@
 """Prefix chains, the cache index, placement, retries and deadlines."""
 
 from hollyring.routing import (
+    attempts,
     blocks,
     errors,
     events,
@@ -21,6 +22,7 @@
 )
 
 __all__ = [
+    "attempts",
     "blocks",
     "errors",
     "events",
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -9,6 +9,7 @@
 from hollyring.core import invariants as core_invariants
 from hollyring.core import pieces, rendezvous
 from hollyring.routing import (
+    attempts,
     events,
     health,
     index,
@@ -19,28 +20,11 @@
     placement,
     policies,
     popularity,
-    prefix,
     requests,
     upstreams,
 )
 
 RETRY_AFTER_SECONDS = 1.0
-MAX_PENDING_SECONDS = 600.0
-MAX_PENDING = 20_000
-"""Dispatches followed at once; the oldest is given up beyond it."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Pending:
-    upstream: str
-    incarnation: int
-    chain: prefix.Chain
-    expected_pieces: int
-    expected_seconds: float
-    source: requests.Source
-    sighting_age: float
-    at: float
-    started: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,10 +34,6 @@
     routed: int = 0
     lookup_answers: int = 0
     lookups_answered_for_others: int = 0
-    late: int = 0
-    failed: int = 0
-    expected_pieces: int = 0
-    cached_pieces: int = 0
 
 
 class Router:
@@ -73,6 +53,7 @@
     Examples
     --------
     >>> import random
+    >>> from hollyring.routing import prefix
     >>> router = Router("vm-1", policies.Prefix(), core_invariants.Invariants())
     >>> served = (upstreams.Served("parish", "v1"),)
     >>> router.configure([upstreams.Upstream("ls-1", "a", served)], ["vm-1"], now=0.0)
@@ -100,8 +81,7 @@
         self._watchers: dict[str, str] = {}
         self._pools: dict[tuple[str, str], dict[str, placement.State]] = {}
         self._affinity = placement.Affinity()
-        self._pending: dict[int, _Pending] = {}
-        self._attempts = itertools.count(1)
+        self._attempts = attempts.Attempts(self._states, self._memory, self._index)
         self._asker = lookups.Asker(vm)
         self._turn = itertools.count()
         self.counters = Counters()
@@ -127,7 +107,8 @@
         states = {}
         for upstream in listed:
             states[upstream.name] = self._state(upstream, first, now)
-        self._states = states
+        self._states.clear()
+        self._states.update(states)
         self._lives = {name: state.incarnation for name, state in states.items()}
         self._pools.clear()
         self._affinity.clear()
@@ -230,85 +211,23 @@
 
     def dispatched(self, request: requests.RouteRequest, route: requests.Route, now: float) -> int:
         """Note that `request` is being sent along `route`; return the attempt's number."""
-        state = self._states.get(route.upstream)
         self.assert_usable(request, route)
-        attempt = next(self._attempts)
         names = request.chain.names
-        expected = route.expected_cached_tokens
-        if len(self._pending) >= MAX_PENDING:
-            self._forget(next(iter(self._pending)))
-        self._pending[attempt] = _Pending(
-            route.upstream,
-            route.incarnation,
-            request.chain,
-            expected // pieces.PIECE_TOKENS,
-            route.expected_seconds,
-            route.source,
-            self._memory.age(route.upstream, names, expected // pieces.PIECE_TOKENS, now),
-            now,
-        )
-        self.counters.expected_pieces += expected // pieces.PIECE_TOKENS
-        if state is not None:
-            state.load.dispatched(attempt, request.prompt_tokens - expected, now)
-            state.health.dispatched(attempt)
-            self._memory.remember(route.upstream, route.incarnation, names, now)
         if names and isinstance(self._policy, policies.Prefix):
             self._popularity.add(request.chain.name_at(self._policy.affinity_pieces[0]), now)
-        return attempt
+        return self._attempts.dispatched(request, route, now)
 
     def first_token(self, attempt: int, now: float) -> None:
         """Note the first token of an attempt."""
-        pending = self._pending.get(attempt)
-        if pending is None or pending.started:
-            self.counters.late += pending is None
-            return
-        pending.started = True
-        state = self._states.get(pending.upstream)
-        if state is None or state.incarnation != pending.incarnation:
-            return
-        state.load.first_token(attempt, now)
-        state.health.first_token(attempt, now - pending.at, pending.expected_seconds, now)
-        self._memory.remember(pending.upstream, pending.incarnation, pending.chain.names, now)
+        self._attempts.first_token(attempt, now)
 
     def finished(self, attempt: int, cached_tokens: int | None, now: float) -> None:
         """Note the end of an attempt and the cached tokens that its answer reported, if any."""
-        pending = self._forget(attempt)
-        if pending is None:
-            self.counters.late += 1
-            return
-        if cached_tokens is None:
-            return
-        cached = cached_tokens // pieces.PIECE_TOKENS
-        self.counters.cached_pieces += cached
-        if pending.source is requests.Source.INDEX:
-            self._index.contradict(pending.upstream, pending.expected_pieces, cached)
-        if pending.source is requests.Source.MEMORY:
-            kept = cached >= pending.expected_pieces
-            self._memory.learn(pending.upstream, pending.sighting_age, kept)
+        self._attempts.finished(attempt, cached_tokens)
 
     def failed(self, attempt: int, now: float, lost: bool = True) -> None:
-        """Note that an attempt failed.
-
-        Parameters
-        ----------
-        attempt
-            Its number.
-        now
-            Present time.
-        lost
-            The connection failed or was cut, so that the upstream may have restarted; false for a
-            refusal by a living upstream.
-        """
-        pending = self._forget(attempt, now)
-        if pending is None:
-            self.counters.late += 1
-            return
-        self.counters.failed += 1
-        if lost:
-            self._memory.invalidate(pending.upstream, now)
-        else:
-            held = pending.chain.names[pending.expected_pieces :]
-            self._memory.forget(pending.upstream, held)
+        """Note that an attempt failed; see `hollyring.routing.attempts.Attempts.failed`."""
+        self._attempts.failed(attempt, now, lost)
 
     def assert_usable(self, request: requests.RouteRequest, route: requests.Route) -> bool:
         """Check that `route` relies on no dead engine, other organisation or older weights."""
@@ -327,11 +246,11 @@
 
     def dump(self) -> dict[str, object]:
         """Return the state for the VM's state dump."""
+        counted = (self.counters, self._asker.counters, self._attempts.counters)
         return {
             "policy": type(self._policy).__name__,
-            "counters": dataclasses.asdict(self.counters)
-            | dataclasses.asdict(self._asker.counters),
-            "pending": len(self._pending),
+            "counters": {name: n for one in counted for name, n in dataclasses.asdict(one).items()},
+            "pending": len(self._attempts),
             "index": self._index.dump(),
             "memory": self._memory.dump(),
             "upstreams": {
@@ -445,18 +364,6 @@
         seconds = state.load.queue_seconds(now) + (request.prompt_tokens - cached) / speed
         return requests.Route(state.name, state.incarnation, cached, seconds, 0, source)
 
-    def _forget(self, attempt: int, failed_at: float | None = None) -> _Pending | None:
-        pending = self._pending.pop(attempt, None)
-        state = self._states.get(pending.upstream) if pending else None
-        if state is None:
-            return pending
-        state.load.forget(attempt)
-        if failed_at is not None:
-            state.health.failed(attempt, failed_at)
-        else:
-            state.health.ended(attempt)
-        return pending
-
 
 def _untried(
     serving: dict[str, placement.State], request: requests.RouteRequest, now: float
