--- a/hollyring/experiments/membership_fleet.py
+++ b/hollyring/experiments/membership_fleet.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import random
+import time
 from collections.abc import Callable
 
 from hollyring.core import invariants
@@ -88,6 +89,7 @@
         self.changes: list[tuple[float, int, actions.Changed]] = []
         self.bytes = 0
         self.messages = 0
+        self.machine_seconds = 0.0
         self.lives = [self._life(number) for number in range(vms)]
         for number in range(vms):
             self._wake(number, 0.0)
@@ -142,11 +144,15 @@
             heapq.heappush(self._queue, later)
             return
         life = self.lives[event.vm]
-        if event.message is not None:
-            self._do(event.vm, life.handle(event.message, event.sender, self.now))
-            return
-        self._do(event.vm, life.tick(self.now))
-        self._wake(event.vm, max(life.due, self.now))
+        began = time.process_time()
+        if event.message is None:
+            done = life.tick(self.now)
+        else:
+            done = life.handle(event.message, event.sender, self.now)
+        self.machine_seconds += time.process_time() - began
+        self._do(event.vm, done)
+        if event.message is None:
+            self._wake(event.vm, max(life.due, self.now))
 
     def runs(self, vm: int) -> bool:
         """Tell whether a VM has not crashed."""
--- /dev/null
+++ b/hollyring/membership/tests/test_members.py
@@ -0,0 +1,152 @@
+import random
+
+import pytest
+
+from hollyring.membership import actions, errors, gossip, members, messages, table
+
+EMPTY = messages.News([], [], [])
+DEAD, SUSPECT = messages.Status.DEAD, messages.Status.SUSPECT
+
+
+def profile(name, number=1, region="r"):
+    address = f"10.0.0.{name[-1]}:7000"
+    return messages.Profile(name, number, address, address, "fd", region)
+
+
+def start(number=1, seeds=()):
+    return members.Members(profile("vm-1", number), list(seeds), random.Random(1), now=0.0)
+
+
+@pytest.fixture
+def vm():
+    """A VM that knows one other and has passed on all its news."""
+    life = start()
+    hear(life, profiles=[profile("vm-2")])
+    life._beliefs._gossip = gossip.Gossip()
+    return life
+
+
+def hear(life, profiles=(), updates=(), now=0.0, **more):
+    news = messages.News(list(profiles), list(updates), [])
+    sync = messages.Sync("", 0, False, more.get("buckets", []), news)
+    return life.handle(sync, "", now)
+
+
+def tick_until(life, seconds, begin=0.0):
+    """Tick ten times a second; return what was asked for."""
+    done = []
+    for step in range(int(begin * 10), int(seconds * 10) + 1):
+        done += life.tick(step / 10)
+    return done
+
+
+def sent(done, kind):
+    found = [action for action in done if isinstance(action, actions.Send)]
+    return [action for action in found if isinstance(action.message, kind)]
+
+
+def test_unanswered_member_is_suspected_then_taken_for_dead(vm):
+    done = tick_until(vm, 12.0)
+    changes = [one.status for one in done if isinstance(one, actions.Changed)]
+    assert changes == [SUSPECT, DEAD]
+
+
+def test_answer_of_another_life_is_no_answer(vm):
+    done = tick_until(vm, 1.0)
+    ping = sent(done, messages.Ping)[0].message
+    vm.handle(messages.Ack(ping.sequence, "vm-2", 2, 0, EMPTY), "10.0.0.2:7000", 1.0)
+    done = tick_until(vm, 3.0, begin=1.1)
+    assert any(isinstance(one, actions.Changed) and one.status is SUSPECT for one in done)
+
+
+def test_right_answer_is_believed(vm):
+    for second in range(20):
+        for send in sent(vm.tick(float(second)), messages.Ping):
+            ack = messages.Ack(send.message.sequence, "vm-2", 1, 0, EMPTY)
+            assert vm.handle(ack, "10.0.0.2:7000", second + 0.1) == []
+    assert vm.members["vm-2"].status is messages.Status.ALIVE
+
+
+def test_sequences_of_two_lives_lie_apart():
+    def first(number):
+        life = start(number)
+        hear(life, profiles=[profile("vm-2")])
+        return sent(tick_until(life, 2.0), messages.Ping)[0].message.sequence
+
+    assert first(2) - first(1) > 1_000_000
+
+
+@pytest.mark.parametrize("said", [SUSPECT, DEAD])
+def test_wrong_belief_is_contradicted_each_time_it_is_heard(vm, said):
+    wrong = messages.Update("vm-1", 1, 0, int(said))
+    for _ in range(2):
+        vm._beliefs._gossip = gossip.Gossip()
+        hear(vm, updates=[wrong])
+        ping = sent(tick_until(vm, 1.0), messages.Ping)[0].message
+        assert messages.Update("vm-1", 1, 1, 0) in ping.news.updates
+        vm._next_period = 0.0
+    assert vm.counts["refuted"] == 1
+
+
+def test_refutation_is_believed(vm):
+    hear(vm, updates=[messages.Update("vm-2", 1, 0, int(DEAD))])
+    hear(vm, updates=[messages.Update("vm-2", 1, 0, 0)])
+    assert vm.members["vm-2"].status is DEAD
+    hear(vm, updates=[messages.Update("vm-2", 1, 1, 0)])
+    assert vm.members["vm-2"].status is messages.Status.ALIVE
+
+
+def test_suspect_hears_of_it_with_each_ping(vm):
+    suspect = messages.Update("vm-2", 1, 0, int(SUSPECT))
+    hear(vm, updates=[suspect])
+    vm._beliefs._gossip = gossip.Gossip()
+    assert suspect in sent(tick_until(vm, 1.0), messages.Ping)[0].message.news.updates
+
+
+def test_dead_member_is_asked_now_and_then(vm):
+    dead = messages.Update("vm-2", 1, 0, int(DEAD))
+    hear(vm, updates=[dead])
+    pings = sent(tick_until(vm, 30.0), messages.Ping)
+    assert 4 <= len(pings) <= 8 and dead in pings[-1].message.news.updates
+
+
+def test_seed_that_is_not_known_is_asked_now_and_then():
+    life = start(seeds=["10.0.0.9:7000"])
+    hear(life, profiles=[profile("vm-2")])
+    asked = sent(tick_until(life, 60.0), messages.SyncRequest)
+    assert life.joined and {send.address for send in asked} == {"10.0.0.9:7000"}
+    assert 3 <= len(asked) <= 7
+
+
+def test_member_that_another_lacks_is_passed_on(vm):
+    hear(vm, buckets=[table.bucket("vm-2")])
+    ping = sent(tick_until(vm, 1.0), messages.Ping)[0].message
+    assert profile("vm-2") in ping.news.profiles
+
+
+def test_replaced_life_is_told_once_and_not_trusted(vm):
+    assert vm.trusted(0.0)
+    (replaced,) = hear(vm, profiles=[profile("vm-1", 2)])
+    assert replaced.by.number == 2 and not vm.trusted(0.0)
+    assert hear(vm, profiles=[profile("vm-1", 3)]) == []
+
+
+def test_failed_connection_is_probed_next():
+    life = start()
+    hear(life, profiles=[profile(f"vm-{n}") for n in range(2, 9)])
+    life.tick(1.5)
+    life.connection_failed("vm-7")
+    assert sent(life.tick(3.0), messages.Ping)[0].message.target == "vm-7"
+
+
+def test_relay_brings_the_answer_back(vm):
+    request = messages.PingRequest(77, "vm-3", 1, "vm-2", 1)
+    (ping,) = vm.handle(request, "10.0.0.3:7000", 0.0)
+    ack = messages.Ack(ping.message.sequence, "vm-2", 1, 0, EMPTY)
+    (back,) = vm.handle(ack, "10.0.0.2:7000", 0.1)
+    assert back.address == "10.0.0.3:7000" and back.message.sequence == 77
+
+
+def test_long_entry_is_refused(vm):
+    with pytest.raises(errors.EntryTooLargeError):
+        vm.put_entry("load/vm-1", 1, b"x" * (members.MAX_VALUE_BYTES + 1))
