--- a/hollyring/configuration/in_force.py
+++ b/hollyring/configuration/in_force.py
@@ -7,8 +7,8 @@
 from collections.abc import Sequence
 
 from hollyring.configuration import (
-    choice,
     errors,
+    gossip,
     loading,
     messages,
     retained,
@@ -25,25 +25,16 @@
 TICK_SECONDS = 1.0
 """Period at which `InForce.tick` is to be called."""
 
-GOSSIP_PEERS = 1
-"""Peers asked for their revision at each tick."""
-
-PUSH_PEERS = 2
-"""Peers told of a new revision as soon as it is in force."""
-
-PUSH_GAP_SECONDS = 0.25
-"""Shortest time between two rounds of telling peers at once."""
-
-START_PEERS = 3
-"""Peers whose revisions a starting VM compares."""
-
-START_SECONDS = 1.0
-"""Longest wait of a starting VM for more peers to answer."""
+QUIET_SECONDS = 3.0
+"""A VM that heard nobody for this long asks more peers for their revision."""
 
 START_STORE_SECONDS = 3.0
 """A starting VM takes its peers' word for the latest only after the store was silent so long."""
 
-FETCH_SECONDS = 2.0
+NEWER_SECONDS = 10.0
+"""How long a peer's word that there is something newer keeps a VM from being caught up."""
+
+FETCH_SECONDS = 1.0
 """A fetch without an answer is given up after this long."""
 
 DELTAS_BYTES = 64_000
@@ -103,13 +94,12 @@
         "_caught_up",
         "_alarms",
         "_counts",
-        "_peers",
-        "_draws",
-        "_offers",
+        "_gossip",
+        "_newest",
+        "_newest_at",
         "_fetch",
         "_incoming",
         "_outgoing",
-        "_pushed_at",
     )
 
     def __init__(self, checks: invariants.Invariants, now: float) -> None:
@@ -123,13 +113,12 @@
         self._caught_up = False
         self._alarms: dict[Alarm, str] = {}
         self._counts = {"from_store": 0, "from_peers": 0, "snapshots": 0, "silences": 0}
-        self._peers: Sequence[str] = ()
-        self._draws = choice.Draws(0)
-        self._offers: dict[str, int] = {}
+        self._gossip = gossip.Gossip(now)
+        self._newest = 0
+        self._newest_at = now
         self._fetch: _Fetch | None = None
         self._incoming = transfer.Incoming()
         self._outgoing = transfer.Outgoing()
-        self._pushed_at = -PUSH_GAP_SECONDS
 
     @property
     def configuration(self) -> state.Configuration:
@@ -193,6 +182,8 @@
         if loaded.configuration.revision > self.revision:
             self._adopt(loaded.configuration, loaded.values)
         self._caught_up = loaded.configuration.revision >= self.revision
+        if loaded.stopped:
+            self.raise_alarm(Alarm.UNUSABLE, loaded.stopped)
         return []
 
     def on_store_current(self, revision: int, now: float) -> None:
@@ -217,6 +208,7 @@
         """Take a peer's message and return the answers."""
         self._note_silence(now)
         self._heard_peer = now
+        self._gossip.hear(sender)
         match message:
             case messages.Digest():
                 return self._on_digest(sender, message, now)
@@ -240,16 +232,15 @@
             Random 64-bit integer, a new one each time.
         """
         self._note_silence(now)
-        self._peers, self._draws = peers, choice.Draws(seed)
+        self._gossip.refresh(peers, seed)
         if self._fetch and now - self._fetch.at > FETCH_SECONDS:
-            self._offers.pop(self._fetch.peer, None)
+            self._gossip.withdraw(self._fetch.peer)
             self._fetch = None
+        self._outgoing.drop_old(now)
         sends = [] if self.revision else self._start_fetch(now)
-        count = GOSSIP_PEERS if self.revision else START_PEERS
-        return sends + [
-            messages.Send(peer, self._digest(answer=True))
-            for peer in self._draws.some(peers, count)
-        ]
+        quiet = now - self._heard >= QUIET_SECONDS
+        chosen = self._gossip.partners(self.revision == 0, quiet)
+        return sends + [messages.Send(peer, self._digest(answer=True)) for peer in chosen]
 
     @property
     def _heard(self) -> float:
@@ -262,7 +253,9 @@
 
     def _note_peer_current(self, now: float) -> None:
         # A starting VM lets the store speak first, for as long as it may be up.
-        if self._store_answered or now - self._started >= START_STORE_SECONDS:
+        waited = self._store_answered or now - self._started >= START_STORE_SECONDS
+        newer = self._newest > self.revision and now - self._newest_at < NEWER_SECONDS
+        if waited and not newer:
             self._caught_up = True
 
     def _hear_store(self, now: float) -> None:
@@ -274,21 +267,20 @@
         return messages.Digest(self.revision, self._configuration.digest, answer)
 
     def _push(self, now: float) -> list[messages.Send]:
-        if now - self._pushed_at < PUSH_GAP_SECONDS:
-            return []
-        self._pushed_at = now
         digest = self._digest(answer=False)
-        return [messages.Send(peer, digest) for peer in self._draws.some(self._peers, PUSH_PEERS)]
+        return [messages.Send(peer, digest) for peer in self._gossip.to_tell(now)]
 
     def _on_digest(self, sender: str, message: messages.Digest, now: float) -> list[messages.Send]:
         sends = []
         if message.answer:
             sends.append(messages.Send(sender, self._digest(answer=False)))
+        if message.revision >= self._newest or now - self._newest_at >= NEWER_SECONDS:
+            self._newest, self._newest_at = message.revision, now
         if message.revision == self.revision and message.digest != self._configuration.digest:
             self.raise_alarm(Alarm.DIVERGED, f"{sender} has another revision {self.revision}")
             return sends
         if self.revision == 0:
-            self._offers[sender] = message.revision
+            self._gossip.offer(sender, message.revision)
             return sends + self._start_fetch(now)
         if message.revision > self.revision:
             return sends + self._ask(sender, message.revision, now)
@@ -296,13 +288,8 @@
         return sends
 
     def _start_fetch(self, now: float) -> list[messages.Send]:
-        wanted = min(START_PEERS, max(1, len(self._peers)))
-        if len(self._offers) < wanted and now - self._started < START_SECONDS:
-            return []
-        peer = max(self._offers, key=lambda name: (self._offers[name], name), default=None)
-        if peer is None or self._offers[peer] == 0:
-            return []
-        return self._ask(peer, self._offers[peer], now)
+        best = self._gossip.best(now)
+        return [] if best is None else self._ask(best.peer, best.revision, now)
 
     def _ask(self, peer: str, target: int, now: float) -> list[messages.Send]:
         if self._fetch and now - self._fetch.at <= FETCH_SECONDS:
--- a/hollyring/routing/tests/test_router.py
+++ b/hollyring/routing/tests/test_router.py
@@ -1,10 +1,22 @@
 import dataclasses
 import random
 
+import msgspec
 import pytest
 
-from hollyring.core import invariants
-from hollyring.routing import events, messages, policies, requests, upstreams
+from hollyring.core import invariants, rendezvous
+from hollyring.routing import (
+    events,
+    health,
+    load,
+    lookups,
+    messages,
+    placement,
+    policies,
+    prefix,
+    requests,
+    upstreams,
+)
 
 
 def send(one, request, now, draw, first_token=None, cached=None):
@@ -160,6 +172,19 @@
     assert isinstance(one.route(make_request(), 0.02, draw, may_look_up=False), requests.Route)
 
 
+def test_lookups_keep_to_their_byte_rate(make_router, make_request, draw):
+    vms = [f"vm-{n}" for n in range(9)]
+    one = make_router(vms=vms)
+    spent, seconds = 0, 60
+    for n in range(100 * seconds):
+        need = one.route(make_request(b"%06d" % n, 5), n / 100, draw)
+        if isinstance(need, requests.NeedLookup):
+            for addressed in need.lookups:
+                spent += len(msgspec.msgpack.encode(dataclasses.astuple(addressed.lookup)))
+    assert 0 < spent < lookups.LOOKUP_BURST_BYTES + seconds * lookups.LOOKUP_BYTES_PER_SECOND
+    assert one.dump()["counters"]["lookups_unaffordable"] > 0
+
+
 def test_malformed_lookup_gets_no_state(make_router):
     one = make_router()
     answer = one.answer(messages.Lookup(1, ["ls-1", "nobody"], [1, 2], b"x" * 8), 0.0)
@@ -229,3 +254,14 @@
                 route = one.route(request, now, draw, may_look_up=False)
                 open_attempts.append(one.dispatched(request, route, now))
     assert one.dump()["pending"] == len(open_attempts)
+
+
+def test_affinity_order_is_the_rendezvous_order(make_request, listed):
+    affinity = placement.Affinity()
+    serving = {
+        u.name: placement.State(u, load.Load(8000.0), health.Health(), 1) for u in listed(20)
+    }
+    for n in range(20):
+        request = make_request(b"%04d" % n)
+        expected = rendezvous.rank(prefix.pack([request.chain.name_at(4)]), serving)
+        assert [state.name for state in affinity.order(request, serving, 4)] == expected
