Cut the holder off and forget its lease in the rollout's world

Cause: with the fleet's random runs alone, the mutations that drop the wait for the old lease, its flights or its loads survived: in that world a new holder never began while the old one still believed in its lease. Change: two faults, a holder that cannot reach the service but works on, and a service that comes back older and has lost the lease; one step is split in two functions.

--- a/hollyring/experiments/rollout_world.py
+++ b/hollyring/experiments/rollout_world.py
@@ -27,6 +27,8 @@
 
     holder_crash: float = 0.01
     holder_pause: float = 0.01
+    holder_cut: float = 0.01
+    lease_forgotten: float = 0.01
     upstream_crash: float = 0.004
     upstream_leaves: float = 0.001
     failed_load: float = 0.02
@@ -37,7 +39,7 @@
     declare: float = 0.01
 
 
-NO_FAULTS = Faults(0, 0, 0, 0, 0, 0, 0, 0, 0, 0)
+NO_FAULTS = Faults(*[0.0] * len(dataclasses.fields(Faults)))
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -47,6 +49,7 @@
     machine: rollout.Rollout
     lease_until: float = 0.0
     paused_until: float = 0.0
+    cut_until: float = 0.0
     outbox: list[messages.Order] = dataclasses.field(default_factory=list)
 
 
@@ -208,6 +211,13 @@
         if self._lease is not None and self._chance(faults.holder_pause):
             self.counts["holder_pauses"] += 1
             self._lease[0].paused_until = self.now + self._random.uniform(1, 25)
+        if self._lease is not None and self._chance(faults.holder_cut):
+            self.counts["holder_cuts"] += 1
+            self._lease[0].cut_until = self.now + self._random.uniform(1, 25)
+        if self._chance(faults.lease_forgotten):
+            # The service came back older; the holder believes in its lease until it ends.
+            self.counts["leases_forgotten"] += 1
+            self._lease = None
         for upstream in self.upstreams.values():
             self._strike_upstream(upstream)
 
@@ -313,31 +323,29 @@
     def _run_lease(self) -> None:
         if self.now < self._outage_until:
             return
-        if self._lease is not None:
-            vm, until = self._lease
-            if self.now < until and vm in self._vms and self.now >= vm.paused_until:
-                vm.lease_until = self.now + self._pace.lease_seconds
-                self._lease = (vm, vm.lease_until)
-                return
-            if self.now < until:
-                return
-        awake = [vm for vm in self._vms if self.now >= vm.paused_until]
-        if not awake:
+        reaching = [vm for vm in self._vms if self.now >= max(vm.paused_until, vm.cut_until)]
+        if self._lease is not None and self.now < self._lease[1]:
+            holder = self._lease[0]
+            if holder in reaching:
+                self._prolong(holder)
+            return
+        if not reaching:
             return
-        vm = self._random.choice(awake)
+        vm = self._random.choice(reaching)
         self._fencing += 1
         self.counts["takeovers"] += 1
+        self._prolong(vm)
+        vm.machine.acquire(self._fencing, self.now)
+
+    def _prolong(self, vm: Vm) -> None:
         vm.lease_until = self.now + self._pace.lease_seconds
         self._lease = (vm, vm.lease_until)
-        vm.machine.acquire(self._fencing, self.now)
 
     def _run_vm(self, vm: Vm) -> None:
         if self.now < vm.paused_until:
             return
-        if vm.machine.holds and self.now >= vm.lease_until and self._lease is not None:
-            holder = self._lease[0]
-            if holder is not vm:
-                vm.machine.lose()
+        if self.now >= vm.lease_until:
+            vm.machine.lose()
         # What was given in the last tick is sent now, after a pause that may lie between.
         for order in vm.outbox:
             self._send(vm, order)
--- a/hollyring/fleet/rollout.py
+++ b/hollyring/fleet/rollout.py
@@ -73,6 +73,14 @@
     heard_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Step:
+    now: float
+    remaining: float
+    loading: int
+    served: coverage.Coverage | None = None
+
+
 class Rollout:
     """Gives orders while its VM holds the lease.
 
@@ -195,26 +203,9 @@
         self._settle(now)
         self._blocked.clear()
         loading = sum(targets.loads_weights(given.order.change) for given in self._given.values())
-        served: coverage.Coverage | None = None
-        orders = []
-        for upstream in sorted(self._left, key=self._urgency):
-            state = self._ready_state(upstream, now)
-            if state is None:
-                continue
-            for change in self._left[upstream]:
-                if targets.loads_weights(change) and not self._may_load(loading, now):
-                    continue
-                served = served or self._coverage(now)
-                if service := served.last_served(state, change):
-                    self._blocked[upstream] = service.name
-                    continue
-                order = self._give(self._targets[upstream], change, remaining, now)
-                loading += targets.loads_weights(change)
-                served.take_out(state, change)
-                self._check(order, state, served, loading, remaining)
-                orders.append(order)
-                break
-        return orders
+        current = _Step(now, remaining, loading)
+        given = [self._next_order(name, current) for name in sorted(self._left, key=self._urgency)]
+        return [order for order in given if order is not None]
 
     def dump(self) -> dict[str, object]:
         """Return what the state dump shows."""
@@ -296,17 +287,37 @@
         settled_at = self._ready_at + self._pace.weights_seconds
         return now >= settled_at and loading < self._pace.weights_concurrency
 
+    def _next_order(self, upstream: str, current: _Step) -> messages.Order | None:
+        """Give the first order that `upstream` may be given now."""
+        state = self._ready_state(upstream, current.now)
+        if state is None:
+            return None
+        for change in self._left[upstream]:
+            is_load = targets.loads_weights(change)
+            if is_load and not self._may_load(current.loading, current.now):
+                continue
+            current.served = current.served or self._coverage(current.now)
+            if service := current.served.last_served(state, change):
+                self._blocked[upstream] = service.name
+                continue
+            current.loading += is_load
+            current.served.take_out(state, change)
+            order = self._give(self._targets[upstream], change, current)
+            self._check(order, state, current.served, current)
+            return order
+        return None
+
     def _give(
-        self, target: targets.Target, change: messages.Change, remaining: float, now: float
+        self, target: targets.Target, change: messages.Change, current: _Step
     ) -> messages.Order:
         order_id = first_id = targets.order_id(target, change)
         if attempt := self._attempts[first_id]:
             # The upstream took the order and did not do it: the same identity does nothing.
             order_id = f"{first_id}:{self._fencing}.{attempt}"
-        send_by = now + min(remaining, self._pace.send_seconds)
+        send_by = current.now + min(current.remaining, self._pace.send_seconds)
         order = messages.Order(order_id, self._fencing, target.upstream, change, send_by)
         self._invariants.check("one_order_at_a_time", target.upstream not in self._given, order_id)
-        self._given[target.upstream] = _Given(order, first_id, now)
+        self._given[target.upstream] = _Given(order, first_id, current.now)
         return order
 
     def _check(
@@ -314,13 +325,12 @@
         order: messages.Order,
         state: messages.UpstreamState,
         served: coverage.Coverage,
-        loading: int,
-        remaining: float,
+        current: _Step,
     ) -> None:
         check = self._invariants.check
-        paced = loading <= self._pace.weights_concurrency
+        paced = current.loading <= self._pace.weights_concurrency
         check("weights_paced", paced, order.order_id)
-        check("orders_within_lease", remaining > 0, order.order_id)
+        check("orders_within_lease", current.remaining > 0, order.order_id)
         check("no_order_to_leaving_upstream", not state.leaving, order.order_id)
         kept = all(served.is_kept(service) for service in coverage.lost(state, order.change))
         check("last_server_kept", kept, order.order_id)
