Let the slow fault reach requests under way and bound the engine's counters

Cause: the fault was read only when a request came; each DELETE made a counter of its own; idle connections were closed after 5 s, which a pool meets as lost calls. Change: the batch asks at each step, counters go by kind of call, connections stay for 75 s. The test of cancelling has a guard, since without cancellation (a mutation) it never ended.

--- a/hollyring/standins/asgi.py
+++ b/hollyring/standins/asgi.py
@@ -22,6 +22,7 @@
 Send = Callable[[Message], Awaitable[None]]
 Headers = list[tuple[bytes, bytes]]
 
+KEEP_ALIVE_SECONDS = 75
 JSON: Headers = [(b"content-type", b"application/json")]
 
 
@@ -266,5 +267,6 @@
         lifespan="off",
         access_log=False,
         timeout_graceful_shutdown=1,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
     )
     return Server(config)
--- a/hollyring/standins/batching.py
+++ b/hollyring/standins/batching.py
@@ -5,6 +5,7 @@
 import dataclasses
 import heapq
 import time
+from collections.abc import Callable
 
 import anyio
 
@@ -61,16 +62,31 @@
 
 
 class Batch:
-    """Waiting and running jobs, advanced a step at a time."""
-
-    def __init__(self, pace: Pace, cache: prefix_cache.PrefixCache) -> None:
+    """Waiting and running jobs, advanced a step at a time.
+
+    Parameters
+    ----------
+    pace
+        How fast a step is.
+    cache
+        Where the prompts' blocks are looked up and stored.
+    slowdown
+        Asked at each step how many times as long it takes.
+    """
+
+    def __init__(
+        self,
+        pace: Pace,
+        cache: prefix_cache.PrefixCache,
+        slowdown: Callable[[], float] = lambda: 1.0,
+    ) -> None:
         self._pace = pace
         self._cache = cache
         self._waiting: list[tuple[int, int, Job]] = []
         self._running: list[Job] = []
         self._arrivals = 0
         self._work = anyio.Event()
-        self.slowdown = 1.0
+        self._slowdown = slowdown
 
     @property
     def running(self) -> int:
@@ -141,7 +157,7 @@
         if finished:
             self._running = [job for job in self._running if not job.done]
         seconds = self._pace.decode_step_seconds + prefilled / self._pace.prefill_tokens_per_second
-        return seconds * self.slowdown / self._pace.speed
+        return seconds * self._slowdown() / self._pace.speed
 
     def _admit(self, now: float) -> None:
         while self._waiting and len(self._running) < self._pace.max_running:
--- a/hollyring/standins/engine.py
+++ b/hollyring/standins/engine.py
@@ -87,7 +87,7 @@
         self._cache = prefix_cache.PrefixCache(
             settings.cache_blocks, settings.cache_idle_seconds / self._speed, self._loses_event
         )
-        self._batch = batching.Batch(settings.pace, self._cache)
+        self._batch = batching.Batch(settings.pace, self._cache, self.slowdown)
         self._store = model_store.ModelStore(
             settings.models, settings.role, settings.checks_fencing, self._load_weights
         )
@@ -108,7 +108,7 @@
 
     async def handle(self, request: asgi.Request) -> None:
         """Answer a call of the engine's protocol."""
-        self.counters[request.path.rsplit("/", 1)[-1]] += 1
+        self.counters[request.path.split("/")[-1 if request.method == "POST" else 1]] += 1
         match request.method, request.path:
             case "POST", "/v1/chat/completions":
                 await self._complete(request, chat=True)
@@ -151,6 +151,11 @@
             return False
         return not fault.value or self._random.random() < fault.value
 
+    def slowdown(self) -> float:
+        """Return how many times as long a step takes now."""
+        fault = self.fault("slow")
+        return fault.value if fault else 1.0
+
     def _fresh_report(self) -> dict[str, Any]:
         leaving = "leaving" in self._faults
         return {
@@ -236,8 +241,6 @@
         job = self._job(body, chat, request)
         self._jobs[job.request_id] = job
         self.counters["started"] += 1
-        slow = self.fault("slow")
-        self._batch.slowdown = slow.value if slow else 1.0
         self._batch.submit(job)
         stream = Stream(request, job, body, chat, self.fault("cut"))
         try:
--- a/hollyring/standins/tests/test_engine.py
+++ b/hollyring/standins/tests/test_engine.py
@@ -120,13 +120,15 @@
         body = chat(max_tokens=100_000, request_id="r1")
         answers.append(await call("POST", "/v1/chat/completions", body, hang_up=hang_up))
 
-    async with anyio.create_task_group() as group:
-        group.start_soon(ask)
-        while not (await call("GET", "/load")).json()["running"]:
-            await anyio.sleep(0)
-        if way == "delete":
-            await call("DELETE", "/v1/requests/r1")
-        hang_up.set()
+    # The guard only ends a run in which the work is never stopped.
+    with anyio.fail_after(30):
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            while not (await call("GET", "/load")).json()["running"]:
+                await anyio.sleep(0)
+            if way == "delete":
+                await call("DELETE", "/v1/requests/r1")
+            hang_up.set()
     assert not answers[0].whole
     assert (await call("GET", "/load")).json()["running"] == 0
 
@@ -158,6 +160,19 @@
     assert seconds == pytest.approx([0.01 + 1.024, 0.01])
 
 
+def test_slowdown_lengthens_a_step():
+    pace = batching.Pace(decode_step_seconds=0.01)
+    batch = batching.Batch(pace, prefix_cache.PrefixCache(10, 1e6), lambda: 5.0)
+    assert batch.step(0.0) == pytest.approx(0.05)
+
+
+async def test_slow_fault_slows_requests_under_way(served, fault):
+    slowdown = served[0].slowdown
+    assert slowdown() == 1.0
+    await fault(served[0], "slow", value=5)
+    assert slowdown() == 5.0
+
+
 def test_cache_evicts_least_recently_used_then_idle():
     cache = prefix_cache.PrefixCache(2, 10.0)
     cache.store([1], 0.0)
