--- a/hollyring/membership/__init__.py
+++ b/hollyring/membership/__init__.py
@@ -1,1 +1,25 @@
-"""Liveness of VMs and upstreams, entry addresses for callers, and leases."""
+"""Liveness of VMs, the addresses that callers are told, and leases."""
+
+from hollyring.membership import (
+    actions,
+    beliefs,
+    entry,
+    errors,
+    gossip,
+    leases,
+    members,
+    messages,
+    table,
+)
+
+__all__ = [
+    "actions",
+    "beliefs",
+    "entry",
+    "errors",
+    "gossip",
+    "leases",
+    "members",
+    "messages",
+    "table",
+]
