--- /dev/null
+++ b/hollyring/experiments/limits_slopes.py
@@ -0,0 +1,254 @@
+"""Processor time, memory and bytes of the limiter against VMs and organisations."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import gc
+import heapq
+import itertools
+import json
+import pathlib
+import random
+import sys
+import time
+import types
+from collections.abc import Callable
+
+import click
+from thrift.protocol import TCompactProtocol
+from thrift.Thrift import TType
+from thrift.transport import TTransport
+
+from hollyring.core import identities, invariants
+from hollyring.limits import holders, messages
+from hollyring.limits import limiter as limiters
+
+VMS = (3, 9, 30, 90, 360)
+ORGANISATIONS = (5, 500, 4700)
+REQUESTS_PER_VM = 8.6
+"""Requests a second that each VM takes."""
+
+REQUEST_TOKENS = (2_000, 14_000)
+LOAD = 0.8
+"""Traffic of each organisation as a part of its rate."""
+
+BURST_SECONDS = 5.0
+LEAST_BURST = 60_000
+WARM_SECONDS = 5.0
+RUN_SECONDS = 10.0
+REQUEST_SECONDS = 2.0
+"""Time from admission to settlement."""
+
+DELAY_SECONDS = 0.001
+FRAME_BYTES = 8
+"""Length, kind and number of a message on the peer link."""
+
+
+@dataclasses.dataclass(slots=True)
+class Slope:
+    """Means of one VM at one size of the fleet."""
+
+    vms: int
+    organisations: int
+    processor_ms_per_second: float
+    bytes_sent_per_second: float
+    messages_sent_per_second: float
+    state_bytes: int
+    refused: int
+    offered: int
+    bytes_per_message: float
+
+
+def encoded_size(message: messages.Message) -> int:
+    """Return the bytes of `message` in thrift's compact protocol.
+
+    Examples
+    --------
+    >>> encoded_size(messages.Ask("parish-1", 1, 7, 2000))
+    18
+    """
+    transport = TTransport.TMemoryBuffer()
+    protocol = TCompactProtocol.TCompactProtocol(transport)
+    protocol.writeStructBegin("")
+    for number, field in enumerate(dataclasses.fields(message), start=1):
+        value = getattr(message, field.name)
+        match value:
+            case bool():
+                protocol.writeFieldBegin(field.name, TType.BOOL, number)
+                protocol.writeBool(value)
+            case int():
+                protocol.writeFieldBegin(field.name, TType.I64, number)
+                protocol.writeI64(value)
+            case _:
+                protocol.writeFieldBegin(field.name, TType.STRING, number)
+                protocol.writeString(str(value))
+        protocol.writeFieldEnd()
+    protocol.writeFieldStop()
+    protocol.writeStructEnd()
+    return len(transport.getvalue())
+
+
+def state_size(root: object) -> int:
+    """Return the bytes of `root` and all it refers to, less code and modules."""
+    seen: set[int] = set()
+    todo = [root]
+    total = 0
+    skipped = (type, types.ModuleType, types.FunctionType, invariants.Invariants)
+    while todo:
+        item = todo.pop()
+        if id(item) in seen or isinstance(item, skipped):
+            continue
+        seen.add(id(item))
+        total += sys.getsizeof(item)
+        todo.extend(gc.get_referents(item))
+    return total
+
+
+Call = Callable[[float], messages.Effects]
+
+
+class _Fleet:
+    """Limiters that exchange messages with a fixed delay; counts time and bytes."""
+
+    def __init__(
+        self,
+        vms: int,
+        organisations: int,
+        rng: random.Random,
+        count: int = 0,
+    ) -> None:
+        self._rng = rng
+        self._queue: list[tuple[float, int, str, str, messages.Message | messages.Admitted]] = []
+        self._number = itertools.count()
+        self.processor = 0.0
+        self.sent = self.bytes = self.refused = self.offered = 0
+        self._names = [f"vm-{i}" for i in range(vms)]
+        self._limits = _limits(vms, organisations)
+        self._weights = list(itertools.accumulate(limit.rate for limit in self._limits))
+        slots = tuple(_place(i, vms) for i in range(vms))
+        self.limiters = {
+            name: limiters.Limiter(identities.Incarnation(name, 1), invariants.Invariants())
+            for name in self._names
+        }
+        update = limiters.Update(
+            holders.Roster(1, slots, settled=1, holders=count), tuple(self._limits)
+        )
+        for state in self.limiters.values():
+            state.configure(update, 0.0)
+
+    def reset(self) -> None:
+        """Forget the counts so far."""
+        self.processor = 0.0
+        self.sent = self.bytes = self.refused = self.offered = 0
+
+    def run(self, start: float, seconds: float) -> None:
+        """Offer traffic, deliver messages and tick each VM every 100 ms."""
+        rate = REQUESTS_PER_VM * len(self._names)
+        end = start + seconds
+        request = start
+        tick = start
+        while min(request, tick) < end:
+            if self._queue and self._queue[0][0] <= min(request, tick):
+                self._deliver()
+            elif tick <= request:
+                for name, state in self.limiters.items():
+                    self._apply(name, state.tick, tick)
+                tick += 0.1
+            else:
+                self._request(request)
+                request += self._rng.expovariate(rate)
+
+    def _request(self, now: float) -> None:
+        name = self._rng.choice(self._names)
+        (limit,) = self._rng.choices(self._limits, cum_weights=self._weights)
+        tokens = self._rng.randint(*REQUEST_TOKENS)
+        state = self.limiters[name]
+        number = f"r{next(self._number)}"
+        self.offered += 1
+        self._apply(name, lambda at: state.admit(limit.organisation, tokens, number, at), now)
+
+    def _deliver(self) -> None:
+        now, _, sender, receiver, item = heapq.heappop(self._queue)
+        state = self.limiters[receiver]
+        match item:
+            case messages.Admitted():
+                used = item.tokens * 9 // 10
+                self._apply(receiver, lambda at: state.settle(item.request_id, used, at), now)
+            case _:
+                self._apply(receiver, lambda at: state.receive(sender, item, at), now)
+
+    def _apply(self, name: str, call: Call, now: float) -> None:
+        began = time.perf_counter()
+        effects = call(now)
+        self.processor += time.perf_counter() - began
+        for outgoing in effects.messages:
+            self.sent += 1
+            self.bytes += encoded_size(outgoing.message) + FRAME_BYTES
+            entry = (now + DELAY_SECONDS, next(self._number), name, outgoing.receiver)
+            heapq.heappush(self._queue, (*entry, outgoing.message))
+        for decision in effects.decisions:
+            match decision:
+                case messages.Admitted():
+                    entry = (now + REQUEST_SECONDS, next(self._number), name, name)
+                    heapq.heappush(self._queue, (*entry, decision))
+                case messages.Refused():
+                    self.refused += 1
+
+
+def _limits(vms: int, organisations: int) -> list[holders.Limit]:
+    """Return limits whose rates fall off as 1/rank and add up to the traffic / `LOAD`."""
+    tokens = REQUESTS_PER_VM * vms * sum(REQUEST_TOKENS) / 2 / LOAD
+    weights = [1 / (rank + 10) for rank in range(organisations)]
+    rates = [int(tokens * weight / sum(weights)) + 1 for weight in weights]
+    return [
+        holders.Limit(f"organisation-{i}", rate, max(int(rate * BURST_SECONDS), LEAST_BURST))
+        for i, rate in enumerate(rates)
+    ]
+
+
+def _place(index: int, vms: int) -> holders.Slot:
+    domains, regions = (14, 5) if vms >= 90 else (3, 1)
+    domain = index % domains
+    return holders.Slot(f"slot-{index}", f"vm-{index}", f"fd-{domain}", f"r-{domain % regions}")
+
+
+def measure(vms: int, organisations: int, count: int = 0, seed: int = 1) -> Slope:
+    """Return the figures of one size, as means over the VMs and `RUN_SECONDS`."""
+    fleet = _Fleet(vms, organisations, random.Random(seed), count)
+    fleet.run(LEAST_BURST / 1000, WARM_SECONDS)
+    fleet.reset()
+    fleet.run(LEAST_BURST / 1000 + WARM_SECONDS, RUN_SECONDS)
+    scale = vms * RUN_SECONDS
+    return Slope(
+        vms,
+        organisations,
+        round(fleet.processor / scale * 1000, 3),
+        round(fleet.bytes / scale, 1),
+        round(fleet.sent / scale, 2),
+        state_size(fleet.limiters["vm-0"]),
+        fleet.refused,
+        fleet.offered,
+        round(fleet.bytes / max(1, fleet.sent), 1),
+    )
+
+
+@click.command("limits-slopes")
+@click.option("--output", type=click.Path(path_type=pathlib.Path), help="JSON file to write.")
+def command(output: pathlib.Path | None) -> None:
+    """Measure the limiter against the number of VMs and organisations.
+
+    Example: hollyring experiment limits-slopes --output docs/measurements/limits-slopes.json
+    """
+    slopes = [measure(vms, count) for vms in VMS for count in ORGANISATIONS]
+    report = {
+        "command": "hollyring experiment limits-slopes",
+        "date": datetime.datetime.now(datetime.UTC).date().isoformat(),
+        "encoding": "thrift compact protocol and 8 bytes of frame; state machines without I/O",
+        "slopes": [dataclasses.asdict(slope) for slope in slopes],
+    }
+    text = json.dumps(report, indent=2)
+    if output is None:
+        click.echo(text)
+    else:
+        output.write_text(text + "\n")
--- a/hollyring/limits/holders.py
+++ b/hollyring/limits/holders.py
@@ -8,8 +8,11 @@
 from hollyring.core import rendezvous
 from hollyring.limits import errors
 
-DEFAULT_HOLDERS = 9
-"""Holders of each organisation, where the fleet has as many VMs."""
+SMALL_FLEET = 9
+"""VMs up to which every VM holds a share of every organisation."""
+
+LARGE_FLEET_HOLDERS = 6
+"""Holders of each organisation in a larger fleet."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,20 +53,27 @@
         Latest roster revision known settled when this one was written. The first roster of
         a fleet has no predecessor and names itself.
     holders
-        Holders of each organisation.
+        Holders of each organisation, or 0 for the default of the fleet's size.
     """
 
     revision: int
     slots: tuple[Slot, ...]
     retiring: tuple[str, ...] = ()
     settled: int = 0
-    holders: int = DEFAULT_HOLDERS
+    holders: int = 0
 
     def __post_init__(self) -> None:
         vms = [slot.vm for slot in self.slots]
-        if not vms or len(set(vms)) < len(vms) or self.holders < 1:
+        if not vms or len(set(vms)) < len(vms) or self.holders < 0:
             raise errors.ConfigurationError(f"roster {self.revision} has no or shared slots")
 
+    @property
+    def holder_count(self) -> int:
+        """Holders of each organisation."""
+        if self.holders:
+            return self.holders
+        return SMALL_FLEET if len(self.slots) <= SMALL_FLEET else LARGE_FLEET_HOLDERS
+
     @property
     def members(self) -> frozenset[str]:
         """VMs that may spend by this roster or an earlier one."""
@@ -102,7 +112,7 @@
         domain = by_name[name].failure_domain
         rows.append((seen[domain], position, name))
         seen[domain] += 1
-    return tuple(by_name[name] for _, _, name in sorted(rows)[: roster.holders])
+    return tuple(by_name[name] for _, _, name in sorted(rows)[: roster.holder_count])
 
 
 def portion(limit: Limit, vm: str, chosen: tuple[Slot, ...]) -> Portion:
--- a/hollyring/limits/lender.py
+++ b/hollyring/limits/lender.py
@@ -111,7 +111,7 @@
             given = own.lend((sender, ask.incarnation, ask.ask), ask.tokens, now)
             left = own.left(now)
             self._check(own)
-        return messages.Grant(ask.organisation, ask.incarnation, ask.ask, given, left)
+        return messages.Grant(ask.incarnation, ask.ask, given, left)
 
     def give_back(self, sender: str, back: messages.Return, now: float) -> None:
         """Take tokens back, or the word that a loan is spent."""
--- a/hollyring/limits/limiter.py
+++ b/hollyring/limits/limiter.py
@@ -43,6 +43,7 @@
         self._layout = layout.Layout(vm)
         self._lender = lender.Lender(vm, invariants, self._layout)
         self._borrowers: dict[str, borrower.Borrower] = {}
+        self._asked: dict[int, str] = {}
         self._waiting: dict[str, None] = {}
         self._reservations: dict[str, list[borrower.Part]] = {}
         self._last_ask = 0
@@ -275,6 +276,9 @@
             tokens = min(deficit, estimate)
             deficit -= tokens
             self._last_ask += 1
+            self._asked[self._last_ask] = state.organisation
+            if len(self._asked) > settings.MAX_ASKED:
+                del self._asked[next(iter(self._asked))]
             state.asked[self._last_ask] = borrower.Asked(holder, tokens, now)
             ask = messages.Ask(state.organisation, self._vm.number, self._last_ask, tokens)
             effects.send(holder, ask)
@@ -284,7 +288,8 @@
     ) -> None:
         if grant.incarnation != self._vm.number:
             return
-        state = self._borrowers.get(grant.organisation)
+        organisation = self._asked.pop(grant.ask, "")
+        state = self._borrowers.get(organisation)
         ask = state.asked.pop(grant.ask, None) if state else None
         if state is None or ask is None:
             return
@@ -292,7 +297,7 @@
         expires = ask.sent + settings.LOAN_SECONDS
         if grant.tokens:
             loan = borrower.Loan(
-                sender, grant.organisation, grant.ask, grant.tokens, grant.tokens, expires
+                sender, organisation, grant.ask, grant.tokens, grant.tokens, expires
             )
             state.add(loan)
         self._pump(state, now, effects)
@@ -348,16 +353,20 @@
         )
 
     def _reports(self, loan: borrower.Loan) -> bool:
-        """Tell whether the holder should learn at once that a loan is spent."""
+        """Tell whether the holder should learn at once that a loan is spent.
+
+        It lapses soon by itself, which holds up only a burst that fills within seconds.
+        """
         limit = self._lender.limit(loan.organisation)
         if loan.left or limit is None:
             return False
         if loan.holder == self._vm.name:
             return True
-        if limit.burst < limit.rate * settings.SMALL_BURST_SECONDS:
+        if limit.burst < limit.rate * settings.TINY_BURST_SECONDS:
             return True
-        parts = max(1, len(self._layout.chosen(loan.organisation)))
-        return loan.given * 2 * parts > limit.burst
+        portions = max(1, len(self._layout.chosen(loan.organisation)))
+        large = loan.given * portions * settings.LARGE_LOAN > limit.burst
+        return large and limit.burst < limit.rate * settings.SMALL_BURST_SECONDS
 
     def _drop_idle(self, now: float) -> None:
         while self._borrowers:
--- a/hollyring/limits/messages.py
+++ b/hollyring/limits/messages.py
@@ -21,7 +21,6 @@
 class Grant:
     """A holder's answer: the tokens it debited, perhaps 0, and what it has left."""
 
-    organisation: str
     incarnation: int
     ask: int
     tokens: int
--- a/hollyring/limits/settings.py
+++ b/hollyring/limits/settings.py
@@ -24,8 +24,14 @@
 FANOUT = 8
 """Asks that one VM has in flight for one organisation."""
 
-SMALL_BURST_SECONDS = 10 * LOAN_SECONDS
-"""A burst that the rate fills faster would be held up by loans not reported as spent."""
+TINY_BURST_SECONDS = 4 * LOAN_SECONDS
+"""Of a burst that the rate fills faster, every loan is reported as soon as it is spent."""
+
+SMALL_BURST_SECONDS = 20 * LOAN_SECONDS
+"""Of a burst that the rate fills faster, large loans are reported as soon as they are spent."""
+
+LARGE_LOAN = 4
+"""A loan is large if it is more than this part of a share's burst."""
 
 MAX_PENDING = 256
 """Requests of one organisation that wait at one VM for borrowed tokens."""
@@ -36,6 +42,9 @@
 MAX_REFUNDABLE = 128
 """Spent loans of one organisation for which a holder still takes tokens back."""
 
+MAX_ASKED = 4096
+"""Asks in flight, over all organisations, whose answer a VM still recognises."""
+
 MAX_RESERVATIONS = 4096
 """Unsettled requests that a VM remembers."""
 
