--- a/hollyring/experiments/limits_figures.py
+++ b/hollyring/experiments/limits_figures.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
+import json
+import pathlib
 import random
 
+import click
+
 from hollyring.experiments import limits_world
 from hollyring.limits import holders, messages
 from hollyring.limits import limiter as limiters
@@ -48,6 +53,15 @@
     excess: float = 0.0
     messages: int = 0
 
+    def add(self, other: Row) -> None:
+        """Add the outcome of another seed."""
+        self.offered += other.offered
+        self.admitted += other.admitted
+        self.wrongly_refused += other.wrongly_refused
+        self.unanswered += other.unanswered
+        self.messages += other.messages
+        self.excess = max(self.excess, other.excess)
+
 
 class Ideal:
     """A single bucket that every VM could see at once: what a request may expect."""
@@ -156,25 +170,31 @@
             self.world.store_up = True
 
 
-def measure(way: str, build: limits_world.Build, fault: str, spread: str, load: float) -> Row:
-    """Return the sum of three seeds of one way under one fault."""
-    total = Row(way, fault, spread, load)
-    for seed in range(3):
-        row = Scenario(build, Row(way, fault, spread, load), seed).run()
-        total.offered += row.offered
-        total.admitted += row.admitted
-        total.wrongly_refused += row.wrongly_refused
-        total.unanswered += row.unanswered
-        total.messages += row.messages
-        total.excess = max(total.excess, row.excess)
+def measure(fault: str, spread: str, load: float, seeds: int = 3) -> Row:
+    """Return the sum over `seeds` of one fault under one spread of the traffic."""
+    total = Row("escrow", fault, spread, load)
+    for seed in range(seeds):
+        row = Row("escrow", fault, spread, load)
+        total.add(Scenario(limiters.Limiter, row, seed).run())
     return total
 
 
-def table(way: str, build: limits_world.Build, load: float) -> list[Row]:
-    """Return the rows of one way for each fault and spread."""
-    return [measure(way, build, fault, spread, load) for fault in FAULTS for spread in SPREADS]
+@click.command("limits-faults")
+@click.option("--load", default=0.8, show_default=True, help="Traffic as a part of the rate.")
+@click.option("--output", type=click.Path(path_type=pathlib.Path), help="JSON file to write.")
+def command(load: float, output: pathlib.Path | None) -> None:
+    """Measure wrongful refusals and excess admission by fault.
 
-
-def escrow_table(load: float = 0.8) -> list[Row]:
-    """Return the rows of the limiter in service."""
-    return table("escrow", limiters.Limiter, load)
+    Example: hollyring experiment limits-faults --load 0.95
+    """
+    rows = [measure(fault, spread, load) for fault in FAULTS for spread in SPREADS]
+    report = {
+        "command": f"hollyring experiment limits-faults --load {load}",
+        "date": datetime.datetime.now(datetime.UTC).date().isoformat(),
+        "rows": [dataclasses.asdict(row) for row in rows],
+    }
+    text = json.dumps(report, indent=2)
+    if output is None:
+        click.echo(text)
+    else:
+        output.write_text(text + "\n")
--- a/hollyring/experiments/limits_ways.py
+++ b/hollyring/experiments/limits_ways.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from hollyring.core import identities, invariants
-from hollyring.experiments import limits_world
+from hollyring.experiments import limits_figures, limits_world
 from hollyring.limits import borrower, holders, layout, lender, messages, settings, share
 from hollyring.limits import limiter as limiters
 
@@ -61,7 +61,6 @@
         self.organisations: set[str] = set()
         self.next_renewal = 0.0
 
-    # the docstrings of the base class hold
     def chosen(self, organisation: str) -> tuple[holders.Slot, ...]:
         home = self.home.get(organisation)
         return (holders.Slot(home, home),) if home else ()
@@ -134,3 +133,29 @@
     def configure(self, update: limiters.Update, now: float) -> None:
         super().configure(update, now)
         self._home.organisations |= {limit.organisation for limit in update.limits}
+
+
+def lease_scenario(row: limits_figures.Row, seed: int) -> limits_figures.Scenario:
+    """Return a scenario in which each organisation has one home under a lease."""
+    leases = Leases()
+    scenario = limits_figures.Scenario(lambda vm, inv: HomeLease(vm, inv, leases), row, seed)
+    leases.world = scenario.world
+    return scenario
+
+
+def compare(load: float) -> None:
+    """Print the rows of both ways beside escrow's, as run for the design note."""
+    for fault in limits_figures.FAULTS:
+        for spread in limits_figures.SPREADS:
+            for way in ("fixed", "lease", "escrow"):
+                total = limits_figures.Row(way, fault, spread, load)
+                for seed in range(3):
+                    row = limits_figures.Row(way, fault, spread, load)
+                    match way:
+                        case "lease":
+                            total.add(lease_scenario(row, seed).run())
+                        case "fixed":
+                            total.add(limits_figures.Scenario(FixedSplit, row, seed).run())
+                        case _:
+                            total.add(limits_figures.Scenario(limiters.Limiter, row, seed).run())
+                print(dataclasses.asdict(total))
