--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -218,10 +218,10 @@
             found[state.name] = evaluate(policy, request, state, about, position, reuse, now)
 
     for name in held:
-        if name in pool:
+        if name in pool and pool[name].health.usable(now):
             consider(pool[name], 0)
     if not request.chain.names:
-        for position, state in enumerate(pool.values()):
+        for position, state in enumerate(usable(pool, now).values()):
             consider(state, position and 1)
         return list(found.values())
     orders = [affinity.order(request, serving, depth) for depth in policy.affinity_pieces]
@@ -238,18 +238,29 @@
         width *= 2
 
 
+def usable(pool: Mapping[str, State], now: float) -> Mapping[str, State]:
+    """Return the upstreams of `pool` that may get a request now, or all if there are none."""
+    healthy = {name: state for name, state in pool.items() if state.health.usable(now)}
+    return healthy or pool
+
+
 def _first(
     order: Sequence[State], pool: Mapping[str, State], name: int, count: int, now: float
 ) -> list[State]:
+    """Return the first usable and warm upstreams of `order`, else cold, else unusable ones."""
     first: list[State] = []
     cold: list[State] = []
+    suspended: list[State] = []
     for state in order:
         if state.name not in pool:
             continue
+        if not state.health.usable(now):
+            suspended.append(state)
+            continue
         (first if warm(state, name, now) else cold).append(state)
         if len(first) == count:
             return first
-    return first or cold[:count]
+    return first or cold[:count] or suspended[:count]
 
 
 def _busy(policy: policies.Prefix, found: typing.Iterable[Candidate], now: float) -> bool:
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -171,22 +171,15 @@
         serving = self._pool(request.model, request.version)
         if not serving:
             return requests.NoUpstream(requests.Unroutable.NOT_SERVED, RETRY_AFTER_SECONDS)
-        pool = _untried(serving, request, now)
+        pool = _untried(serving, request)
         if not pool:
             return requests.NoUpstream(requests.Unroutable.ALL_TRIED, RETRY_AFTER_SECONDS)
         match self._policy:
             case policies.Prefix() as policy:
                 return self._route_by_prefix(policy, request, serving, pool, now, draw, may_look_up)
-            case policies.RoundRobin():
-                names = sorted(pool)
-                return self._plain(request, pool[names[next(self._turn) % len(names)]], now)
-            case policies.LeastLoaded():
-                return self._plain(request, placement.least_loaded(pool, now, draw), now)
-            case policies.HashOnly(affinity_pieces=depth):
-                if not request.chain.names:
-                    return self._plain(request, pool[draw.choice(sorted(pool))], now)
-                order = self._affinity.order(request, serving, depth)
-                state = next(state for state in order if state.name in pool)
+            case _:
+                usable = placement.usable(pool, now)
+                state = self._baseline(request, serving, usable, now, draw)
                 return self._plain(request, state, now)
 
     def answer(self, lookup: messages.Lookup, now: float) -> messages.LookupAnswer:
@@ -317,6 +310,26 @@
                 held[name] = placement.Held(about.pieces, about.confidence, source)
         return held
 
+    def _baseline(
+        self,
+        request: requests.RouteRequest,
+        serving: Mapping[str, placement.State],
+        pool: Mapping[str, placement.State],
+        now: float,
+        draw: placement.Draw,
+    ) -> placement.State:
+        names = sorted(pool)
+        match self._policy:
+            case policies.LeastLoaded():
+                return placement.least_loaded(pool, now, draw)
+            case policies.HashOnly(affinity_pieces=depth) if request.chain.names:
+                order = self._affinity.order(request, serving, depth)
+                return next(state for state in order if state.name in pool)
+            case policies.HashOnly():
+                return pool[draw.choice(names)]
+            case _:
+                return pool[names[next(self._turn) % len(names)]]
+
     def _route_by_prefix(
         self,
         policy: policies.Prefix,
@@ -366,14 +379,11 @@
 
 
 def _untried(
-    serving: dict[str, placement.State], request: requests.RouteRequest, now: float
+    serving: dict[str, placement.State], request: requests.RouteRequest
 ) -> dict[str, placement.State]:
     pool = serving
     if request.excluded:
         pool = {name: s for name, s in pool.items() if name not in request.excluded}
-    if any(state.health.on_probation for state in pool.values()):
-        usable = {name: state for name, state in pool.items() if state.health.usable(now)}
-        pool = usable or pool
     if not request.avoided_domains:
         return pool
     elsewhere = {
