--- /dev/null
+++ b/hollyring/experiments/routing_trials.py
@@ -0,0 +1,92 @@
+"""Replays of the routing decisions in several variants, as a table."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+
+import click
+
+from hollyring.experiments import routing_replay, routing_report, routing_workload
+from hollyring.routing import policies
+
+HEADER = (
+    "| workload | requests/s | variant | hit rate | p50 s | p95 s | p99 s | wasted tokens "
+    "| worst p95 s | lookup bytes/request |\n|---|---|---|---|---|---|---|---|---|---|"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variant:
+    """A policy and what it may know."""
+
+    name: str
+    policy: policies.Policy
+    lookups: bool = True
+    watchers: bool = True
+    told_the_truth: bool = False
+
+
+VARIANTS = (
+    Variant("prefix", policies.Prefix()),
+    Variant("prefix, no lookups", policies.Prefix(), lookups=False),
+    Variant("prefix, no index", policies.Prefix(), watchers=False),
+    Variant("prefix, own memory only", policies.Prefix(), lookups=False, watchers=False),
+    Variant("prefix, told the truth", policies.Prefix(), told_the_truth=True),
+    Variant("hash_only", policies.HashOnly()),
+    Variant("least_loaded", policies.LeastLoaded()),
+    Variant("round_robin", policies.RoundRobin()),
+)
+
+
+def trial(
+    variant: Variant, workload: str, rate: float, seeds: range, seconds: float = 120.0
+) -> list[routing_report.Summary]:
+    """Replay one variant with each seed."""
+    settings = routing_replay.Settings(
+        rate=rate,
+        seconds=seconds,
+        lookups=variant.lookups,
+        watchers=variant.watchers,
+        told_the_truth=variant.told_the_truth,
+    )
+    shape = routing_workload.WORKLOADS[workload]
+    return [
+        routing_replay.Replay(variant.policy, shape, settings, seed).run().summary()
+        for seed in seeds
+    ]
+
+
+def row(variant: Variant, workload: str, rate: float, found: list[routing_report.Summary]) -> str:
+    """Return a line of the table: means over the seeds."""
+
+    def mean(value: Callable[[routing_report.Summary], float]) -> float:
+        return sum(map(value, found)) / len(found)
+
+    return (
+        f"| {workload} | {rate:g} | {variant.name} | {mean(lambda s: s.hit_rate):.3f} "
+        f"| {mean(lambda s: s.p50):.2f} | {mean(lambda s: s.p95):.2f} "
+        f"| {mean(lambda s: s.p99):.2f} | {mean(lambda s: s.wasted_tokens):.0f} "
+        f"| {mean(lambda s: s.worst_p95):.2f} "
+        f"| {mean(lambda s: s.control_bytes / max(1, s.requests)):.0f} |"
+    )
+
+
+@click.command("routing-replay")
+@click.option("--workload", "workloads", multiple=True, default=tuple(routing_workload.WORKLOADS))
+@click.option("--rate", "rates", multiple=True, type=float, default=(4.0, 7.0), show_default=True)
+@click.option("--seed", default=1, show_default=True, help="First seed.")
+@click.option("--seeds", default=3, show_default=True, help="Number of seeds, averaged.")
+def routing_trials(
+    workloads: tuple[str, ...], rates: tuple[float, ...], seed: int, seeds: int
+) -> None:
+    """Replay the routing decisions of nine VMs against computed caches and queues.
+
+    Example: hollyring experiment routing-replay --workload bohari --rate 4 --seeds 3
+    """
+    click.echo(HEADER)
+    for workload in workloads:
+        for rate in rates:
+            for variant in VARIANTS:
+                found = trial(variant, workload, rate, range(seed, seed + seeds))
+                click.echo(row(variant, workload, rate, found))
--- /dev/null
+++ b/hollyring/experiments/tests/test_routing.py
@@ -0,0 +1,88 @@
+import json
+
+import pytest
+from click import testing
+
+from hollyring.experiments import (
+    routing,
+    routing_replay,
+    routing_report,
+    routing_sweep,
+    routing_trials,
+    routing_workload,
+)
+from hollyring.routing import policies
+
+
+@pytest.fixture
+def replay():
+    def build(policy, seed=1, workload="bohari", **fields):
+        settings = routing_replay.Settings(rate=4.0, seconds=40.0, crash_at=30.0, **fields)
+        shape = routing_workload.WORKLOADS[workload]
+        return routing_replay.Replay(policy, shape, settings, seed).run()
+
+    return build
+
+
+@pytest.fixture
+def summary():
+    tally = routing_report.Tally()
+    tally.add("bohari-1", 0.5, 1000, 800, 100)
+    return tally.summary()
+
+
+@pytest.mark.parametrize("policy", policies.NAMES.values(), ids=policies.NAMES)
+def test_replay_answers_every_request_once(replay, policy):
+    tally = replay(policy)
+    arrivals = list(routing_workload.arrivals(routing_workload.BOHARI, 4.0, 40.0, 1))
+    answered = sum(len(each) for each in tally.first_tokens.values())
+    assert answered + tally.refused == len(arrivals)
+    assert tally.refused == 0
+
+
+def test_same_seed_replays_the_same(replay):
+    assert replay(policies.Prefix()).summary() == replay(policies.Prefix()).summary()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_prefix_wastes_a_quarter_of_least_loaded_at_most(replay, seed):
+    prefix = replay(policies.Prefix(), seed).summary()
+    least_loaded = replay(policies.LeastLoaded(), seed).summary()
+    assert prefix.wasted_tokens <= least_loaded.wasted_tokens / 4
+    assert prefix.p99 <= least_loaded.p99
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_prefix_hits_within_three_points_of_the_truth(replay, seed):
+    known = replay(policies.Prefix(), seed).summary()
+    told = replay(policies.Prefix(), seed, told_the_truth=True).summary()
+    assert known.hit_rate >= told.hit_rate - 0.03
+
+
+def test_reference_holds_prefixes_for_the_idle_time():
+    reference = routing.Reference(idle_seconds=10.0)
+    reference.store((1, 2, 3), 0.0)
+    reference.store((1, 2), 8.0)
+    assert reference.depth((1, 2, 3, 4), 9.0) == 3
+    assert reference.depth((1, 2, 3), 12.0) == 2
+    assert reference.depth((9, 1), 9.0) == 0
+
+
+def test_unknown_policy_is_named():
+    result = testing.CliRunner().invoke(routing.routing, ["--policies", "prefix,best"])
+    assert result.exit_code == 2
+    assert "unknown: best" in result.output
+
+
+def test_sweep_writes_table_plot_and_figures(tmp_path, summary):
+    points = [routing_sweep.Point("prefix", load, summary) for load in routing_sweep.LOADS]
+    routing_sweep.write(points, {"seed": 1}, tmp_path)
+    assert len(json.loads((tmp_path / "routing-sweep.json").read_text())["points"]) == 4
+    assert (tmp_path / "routing-sweep.md").read_text().count("| prefix | 1 | 0.800 |") == 4
+    assert "<svg" in (tmp_path / "routing-sweep.svg").read_text()
+
+
+def test_replay_table_has_a_row_for_each_variant():
+    arguments = ["--workload", "hot", "--rate", "0.2", "--seeds", "1"]
+    result = testing.CliRunner().invoke(routing_trials.routing_trials, arguments)
+    assert result.output.count("\n| hot |") == len(routing_trials.VARIANTS)
