Compare tables by asking back, so that messages keep their form

Cause: Sync's new field, buckets, was not in the generated thrift code of the peer link, and VMs ended on their first Sync (seen in test_whole_path: 'MembershipSync' object has no attribute 'buckets'). Ruled out: keeping the field, which needs the generated code changed too.

--- a/hollyring/membership/beliefs.py
+++ b/hollyring/membership/beliefs.py
@@ -108,11 +108,6 @@
         """Return what the next heartbeat carries."""
         return self._gossip.take(len(self._table.members) + 1, first)
 
-    def pass_on(self, profile: messages.Profile) -> None:
-        """Tell the others of a life that some of them lack."""
-        self._gossip.add(profile)
-        self._gossip.add(self._table.members[profile.name].update)
-
     def contradiction(self, name: str, number: int) -> list[gossip.Item]:
         """Return what a life must hear because something else is believed of it."""
         member = self._table.members.get(name)
--- a/hollyring/membership/members.py
+++ b/hollyring/membership/members.py
@@ -241,9 +241,11 @@
                 return done + self._relay(message, address)
             case messages.SyncRequest():
                 done += self._hear_news(messages.News([message.profile], [], []), now)
-                return [*done, actions.Send(address, self._sync(message))]
+                done.append(actions.Send(address, self._sync(message)))
+                return done + self._ask_back(message, address, now)
             case messages.Sync():
-                return done + self._synced(message, now)
+                self._joined = self._joined or not message.more
+                return done + self._hear_news(message.news, now)
 
     def connection_failed(self, name: str) -> None:
         """Take in that a connection of one's own to a member failed: it is probed next."""
@@ -409,11 +411,22 @@
         address = self._whom_to_compare_with()
         if not address:
             return []
+        return [self._sync_request(address, now)]
+
+    def _sync_request(self, address: str, now: float) -> actions.Send:
         self._last_sync = now
         self._mismatches = 0
         self._differing = ""
         request = messages.SyncRequest(self._me, self._beliefs.known.digests)
-        return [actions.Send(address, request)]
+        return actions.Send(address, request)
+
+    def _ask_back(self, request: messages.SyncRequest, address: str, now: float) -> Actions:
+        """Ask the asker in turn, which may know of members that nobody else does."""
+        if now < self._last_sync + SYNC_SECONDS:
+            return []
+        if not self._beliefs.known.differing(request.digests):
+            return []
+        return [self._sync_request(address, now)]
 
     def _whom_to_compare_with(self) -> str:
         """Return a peer address: of a VM whose table differs, else of a seed that isn't known.
@@ -440,22 +453,7 @@
         entries = self._source.sample(entries, min(SYNC_MEMBERS, len(entries)))
         more = len(found) > len(chosen)
         news = messages.News(profiles, updates, entries)
-        return messages.Sync(self._me.name, self._me.number, more, sorted(differing), news)
-
-    def _synced(self, sync: messages.Sync, now: float) -> Actions:
-        """Take in what another VM knows, and pass on what it lacks."""
-        self._joined = self._joined or not sync.more
-        told = {(profile.name, profile.number) for profile in sync.news.profiles}
-        done = self._hear_news(sync.news, now)
-        if sync.more:
-            return done
-        for member in self._beliefs.alive():
-            profile = member.profile
-            if table.bucket(profile.name) not in sync.buckets:
-                continue
-            if (profile.name, profile.number) not in told:
-                self._beliefs.pass_on(profile)
-        return done
+        return messages.Sync(self._me.name, self._me.number, more, news)
 
     def _hear(self, sender: str, digest: int, news: messages.News, now: float) -> Actions:
         member = self.members.get(sender)
--- a/hollyring/membership/messages.py
+++ b/hollyring/membership/messages.py
@@ -152,8 +152,6 @@
         The life that answers.
     more
         Whether members had to be left out.
-    buckets
-        The buckets that differ.
     news
         The members.
     """
@@ -161,7 +159,6 @@
     sender: str
     number: int
     more: bool
-    buckets: list[int]
     news: News
 
 
