Vary the bounds of the rollout's runs by seed and test its command

Cause: with one set of bounds the waits hid behind each other: without the wait for old loads no run failed.

--- a/hollyring/experiments/rollout.py
+++ b/hollyring/experiments/rollout.py
@@ -29,6 +29,17 @@
     invariants: dict[str, dict[str, object]]
 
 
+def pace_of(seed: int) -> rollouts.Pace:
+    """Return bounds that differ by seed, so that no wait always hides behind another."""
+    return rollouts.Pace(
+        weights_concurrency=2 + seed % 2,
+        weights_seconds=(4.0, 12.0)[seed // 2 % 2],
+        lease_seconds=5.0,
+        flight_seconds=(2.0, 5.0)[seed // 4 % 2],
+        report_lag_seconds=(0.5, 3.0)[seed // 8 % 2],
+    )
+
+
 def run(
     seed: int,
     upstreams: int,
@@ -47,10 +58,9 @@
     faults
         Chances of the faults.
     """
-    pace = rollouts.Pace(weights_concurrency=2 + seed % 2, weights_seconds=4.0, lease_seconds=5.0)
     counter = invariants.Invariants(strict)
     chances = faults or rollout_world.Faults()
-    world = rollout_world.World(seed, upstreams, pace, chances, counter)
+    world = rollout_world.World(seed, upstreams, pace_of(seed), chances, counter)
     world.declare_versions()
     for _ in range(steps):
         world.step()
--- /dev/null
+++ b/hollyring/experiments/tests/test_rollout.py
@@ -0,0 +1,37 @@
+import json
+
+import click.testing
+import pytest
+
+from hollyring.experiments import rollout
+from hollyring.fleet import rollout as rollouts
+
+ARGUMENTS = ["--seed", "3", "--upstreams", "6", "--steps", "400", "--json"]
+
+
+@pytest.fixture
+def invoke():
+    return lambda: click.testing.CliRunner().invoke(rollout.rollout, ARGUMENTS)
+
+
+def test_report_is_json_and_repeatable(invoke):
+    first, second = invoke(), invoke()
+    assert first.exit_code == 0
+    assert first.output == second.output
+    report = json.loads(first.output)
+    assert (report["violations"], report["converged"]) == (0, True)
+    assert report["invariants"]["true_weights_paced"]["checks"] > 400
+
+
+def test_broken_promise_ends_with_status_1(invoke, monkeypatch):
+    monkeypatch.setattr(rollouts.Rollout, "_may_load", lambda *_: True)
+    result = invoke()
+    assert result.exit_code == 1
+    assert json.loads(result.output)["violations"] > 0
+
+
+def test_fleet_that_does_not_converge_ends_with_status_1(invoke, monkeypatch):
+    monkeypatch.setattr(rollouts.Rollout, "step", lambda *_: [])
+    result = invoke()
+    assert result.exit_code == 1
+    assert not json.loads(result.output)["converged"]
