--- a/hollyring/cli/main.py
+++ b/hollyring/cli/main.py
@@ -7,7 +7,7 @@
 import click
 
 from hollyring.cli import config, operate, standin
-from hollyring.experiments import overhead
+from hollyring.experiments import control, overhead
 
 VERSION = "0.1.0"
 EXIT_BAD_INPUT = 2
@@ -65,6 +65,7 @@
 
 
 experiment.add_command(overhead.overhead)
+experiment.add_command(control.control)
 main.add_command(config.config)
 main.add_command(standin.standin)
 main.add_command(operate.state)
--- /dev/null
+++ b/hollyring/experiments/control.py
@@ -0,0 +1,159 @@
+"""What control costs a real VM process: processor, memory, bytes and calls on the platform.
+
+Fleets of several sizes run idle as separate processes; every VM is watched through the kernel's
+books and its own state dump. The fit over the sizes gives a slope per VM of the fleet.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import pathlib
+import statistics
+import tempfile
+from typing import Any
+
+import anyio
+import click
+import httpcore
+import msgspec
+
+from hollyring.configuration import documents, objects
+from hollyring.experiments import launcher, processes, small
+
+SETTLE_SECONDS = 15.0
+MAX_VMS = 60
+TCP_IP_BYTES = 40
+"""Header bytes that each message costs besides its frame, acknowledgements left out."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """Medians over the VMs of one fleet.
+
+    Parameters
+    ----------
+    vms, organisations
+        Size of the fleet.
+    processor_percent
+        Of one core.
+    resident_mb
+        Resident memory of the process, libraries included.
+    sent_bytes, received_bytes
+        Peer link, per second, framing included, TCP/IP headers not.
+    messages
+        Sent and received per second.
+    reads, writes, watches
+        Calls on the platform per second and VM.
+    """
+
+    vms: int
+    organisations: int
+    processor_percent: float
+    resident_mb: float
+    sent_bytes: float
+    received_bytes: float
+    messages: float
+    reads: float
+    writes: float
+    watches: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """All rows, when and for how long they were measured."""
+
+    date: str
+    seconds: float
+    rows: list[Row]
+
+
+def _document(base: int, vms: int, organisations: int) -> documents.Document:
+    items = small.document(base, vms=0, engines=0, services=0).objects
+    for index in range(vms):
+        ports = [f"127.0.0.1:{base + offset + index}" for offset in (0, 100, 200)]
+        domain = small.DOMAINS[index % len(small.DOMAINS)]
+        items.append(objects.VM(f"vm-{index}", "r", domain, *ports))
+    for index in range(organisations):
+        name = f"organisation-{index}"
+        key = objects.Key("till", objects.key_digest(name))
+        items.append(objects.Organisation(name, 1_000.0, 100_000, keys=(key,)))
+    return documents.Document(items)
+
+
+async def measure(vms: int, organisations: int, seconds: float) -> Row:
+    """Run an idle fleet of `vms` processes and return what one of them costs."""
+    base = launcher.free_base_port()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="hollyring-control-"))
+    document = _document(base, vms, organisations)
+    fleet = launcher.Fleet(document, folder, base + launcher.PLATFORM_OFFSET)
+    try:
+        await fleet.start_all()
+        await anyio.sleep(SETTLE_SECONDS)
+        before = [await _look(fleet, vm) for vm in fleet.vms]
+        await anyio.sleep(seconds)
+        after = [await _look(fleet, vm) for vm in fleet.vms]
+        return _row(before, after, organisations, seconds)
+    finally:
+        fleet.stop()
+
+
+async def _look(fleet: launcher.Fleet, vm: objects.VM) -> tuple[processes.Cost, dict[str, Any]]:
+    process = fleet.programs[vm.name].process
+    assert process is not None
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request("GET", f"http://{vm.admin_address}/state")
+    return processes.cost(process.pid), msgspec.json.decode(response.content)
+
+
+def _row(
+    before: list[tuple[processes.Cost, dict[str, Any]]],
+    after: list[tuple[processes.Cost, dict[str, Any]]],
+    organisations: int,
+    seconds: float,
+) -> Row:
+    pairs = list(zip(before, after, strict=True))
+
+    def rate(part: str, name: str) -> float:
+        grown = [b[1][part][name] - a[1][part][name] for a, b in pairs]
+        return round(statistics.median(grown) / seconds, 3)
+
+    spent = [b[0].processor_seconds - a[0].processor_seconds for a, b in pairs]
+    resident = [b[0].resident_bytes / 1e6 for _, b in pairs]
+    return Row(
+        vms=len(pairs),
+        organisations=organisations,
+        processor_percent=round(100 * statistics.median(spent) / seconds, 3),
+        resident_mb=round(statistics.median(resident), 1),
+        sent_bytes=rate("peers", "sent_bytes"),
+        received_bytes=rate("peers", "received_bytes"),
+        messages=rate("peers", "sent") + rate("peers", "received"),
+        reads=rate("platform", "read"),
+        writes=rate("platform", "write"),
+        watches=rate("platform", "watch"),
+    )
+
+
+async def _measure_all(sizes: list[int], organisations: list[int], seconds: float) -> Report:
+    rows = [await measure(vms, organisations[0], seconds) for vms in sizes]
+    rows += [await measure(sizes[0], count, seconds) for count in organisations[1:]]
+    return Report(datetime.datetime.now(datetime.UTC).date().isoformat(), seconds, rows)
+
+
+@click.command()
+@click.option("--vms", default="3,9,18,36", show_default=True, help=f"Sizes, at most {MAX_VMS}.")
+@click.option("--organisations", default="5,500,4700", show_default=True, help="Numbers of them.")
+@click.option("--seconds", default=20.0, show_default=True, help="Length of each run.")
+@click.option("--out", type=click.Path(path_type=pathlib.Path), help="Also write the report here.")
+def control(vms: str, organisations: str, seconds: float, out: pathlib.Path | None) -> None:
+    """Measure what control costs idle VM processes, over fleet sizes and organisations.
+
+    Example: hollyring experiment control --vms 3,9 --organisations 5 --seconds 10
+    """
+    sizes = [min(int(part), MAX_VMS) for part in vms.split(",")]
+    counts = [int(part) for part in organisations.split(",")]
+    report = anyio.run(_measure_all, sizes, counts, min(seconds, 120.0))
+    text = msgspec.json.format(msgspec.json.encode(report), indent=1).decode()
+    click.echo(text)
+    if out is not None:
+        out.write_text(text + "\n")
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -151,7 +151,8 @@
   1: optional string sender
   2: optional i64 number
   3: optional bool more
-  4: optional MembershipNews news
+  4: optional list<i64> buckets
+  5: optional MembershipNews news
 }
 
 struct RoutingLookup {
