--- a/hollyring/experiments/demo.py
+++ b/hollyring/experiments/demo.py
@@ -12,11 +12,9 @@
 from collections.abc import Callable
 
 import anyio
-import httpcore
-import msgspec
 
 from hollyring.configuration import documents, objects
-from hollyring.experiments import launcher, load
+from hollyring.experiments import judge, launcher, load
 
 SEED = 7
 OUTPUT_TOKENS = 40
@@ -27,22 +25,11 @@
 KILL_ENGINE_AT = 0.5
 """Parts of the run after which a VM and a language server are killed."""
 
-DRAIN_SECONDS = 20.0
 ORDERS_PATH = "/orders"
-REFUSALS_EXPECTED = frozenset({"outcome_unknown"})
 
 Say = Callable[[str], None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Promise:
-    """One promise, how often it was put to the test and how often it was broken."""
-
-    name: str
-    trials: int
-    violations: int
-
-
 @dataclasses.dataclass(slots=True)
 class Report:
     """What the run saw.
@@ -62,7 +49,7 @@
     hit_rate: float = 0.0
     first_token: dict[str, float] = dataclasses.field(default_factory=dict)
     processes: int = 0
-    promises: list[Promise] = dataclasses.field(default_factory=list)
+    promises: list[judge.Promise] = dataclasses.field(default_factory=list)
 
     @property
     def kept(self) -> bool:
@@ -149,8 +136,8 @@
     cached_tokens = sum(outcome.cached_tokens for outcome in outcomes)
     report.hit_rate = cached_tokens / prompt_tokens if prompt_tokens else 0.0
     report.first_token = quantiles([o.first_token for o in outcomes])
-    executions = await _executions(fleet)
-    report.promises = _promises(outcomes, executions) + await _inside(fleet)
+    books = await judge.read_books(fleet)
+    report.promises = judge.judge(outcomes, books) + await judge.inside(fleet)
     return report
 
 
@@ -163,53 +150,6 @@
     return {f"p{q}": known[min(last, math.ceil(q / 100 * len(known)) - 1)] for q in (50, 95, 99)}
 
 
-def _promises(outcomes: list[load.Outcome], executions: collections.Counter[str]) -> list[Promise]:
-    chats = [outcome for outcome in outcomes if outcome.kind != "order"]
-    orders = [outcome for outcome in outcomes if outcome.kind == "order"]
-    whole = [outcome for outcome in chats if outcome.complete]
-    answered = [outcome for outcome in orders if outcome.complete]
-    lost = [o for o in chats if not o.complete and not o.execution]
-    ran = sum(executions.values())
-    known = {outcome.order for outcome in answered}
-    return [
-        Promise("every answer is the caller's own, whole and in order", len(whole),
-                sum(not outcome.right for outcome in whole)),
-        Promise("every chat has a final answer", len(chats), len(lost)),
-        Promise("an order runs at most once", len(executions),
-                sum(count > 1 for count in executions.values())),
-        Promise("an answered order ran", len(known), max(0, len(known) - ran)),
-        Promise("a repeated order gets the first answer or a truthful refusal", len(orders),
-                sum(not o.complete and not o.execution for o in orders)),
-    ]  # fmt: skip
-
-
-async def _executions(fleet: launcher.Fleet) -> collections.Counter[str]:
-    """Return how often the services executed each order, by their own books."""
-    total: collections.Counter[str] = collections.Counter()
-    async with httpcore.AsyncConnectionPool() as pool:
-        for upstream in fleet.upstreams:
-            if upstream.kind != "service":
-                continue
-            response = await pool.request("GET", f"{fleet.control_url(upstream.name)}/executions")
-            total.update(msgspec.json.decode(response.content, type=dict[str, int]))
-    return total
-
-
-async def _inside(fleet: launcher.Fleet) -> list[Promise]:
-    """Return the invariants that the VMs checked inside, summed over those alive."""
-    checks: collections.Counter[str] = collections.Counter()
-    violations: collections.Counter[str] = collections.Counter()
-    async with httpcore.AsyncConnectionPool() as pool:
-        for vm in fleet.vms:
-            if not fleet.running(vm.name):
-                continue
-            response = await pool.request("GET", f"http://{vm.admin_address}/state")
-            for name, counts in msgspec.json.decode(response.content)["invariants"].items():
-                checks[name] += counts["checks"]
-                violations[name] += counts["violations"]
-    return [Promise(f"inside: {name}", checks[name], violations[name]) for name in sorted(checks)]
-
-
 def render(report: Report) -> str:
     """Return the report as text for a terminal."""
     lines = [
--- a/hollyring/experiments/load.py
+++ b/hollyring/experiments/load.py
@@ -61,6 +61,8 @@
         The refusal's code, empty for an answer.
     tries
         VMs asked.
+    broken
+        The last try's connection broke off, so that nobody could say what became of it.
     first_token
         Seconds until the first token, NaN for none.
     """
@@ -78,17 +80,26 @@
     cached_tokens: int = 0
     order: str = ""
     served_by: str = ""
+    broken: bool = False
 
 
 class Client:
     """Sends requests to the VMs and judges the answers.
 
+    Parameters
+    ----------
+    patience
+        Longest silence of a VM in seconds before another is tried.
+
+    Notes
+    -----
     A failed connection is tried again at the next VM; an order keeps its ``Idempotency-Key``.
     """
 
-    __slots__ = ("_pool", "_entries", "_keep_until")
+    __slots__ = ("_pool", "_entries", "_keep_until", "_patience")
 
-    def __init__(self) -> None:
+    def __init__(self, patience: float = ANSWER_SECONDS) -> None:
+        self._patience = patience
         self._pool = httpcore.AsyncConnectionPool(max_connections=1_000, keepalive_expiry=5.0)
         self._entries: list[str] = []
         self._keep_until = 0.0
@@ -161,12 +172,13 @@
     ) -> None:
         headers = [(b"authorization", f"Bearer {caller.key}".encode())]
         headers += [(b"content-type", b"application/json"), *(extra or [])]
-        timeout = {"connect": CONNECT_SECONDS, "read": ANSWER_SECONDS, "write": ANSWER_SECONDS}
+        timeout = {"connect": CONNECT_SECONDS, "read": self._patience, "write": self._patience}
         entries = list(caller.entries)
         for number in range(TRIES):
             entry = entries[number % len(entries)]
             outcome.tries += 1
             outcome.code = ""
+            outcome.broken = False
             outcome.served_by = entry
             try:
                 request = self._pool.stream(
@@ -180,6 +192,7 @@
                     await read(response, outcome, started, wanted)
             except _FAILURES as error:
                 outcome.code = type(error).__name__
+                outcome.broken = True
                 self._avoid(entry)
                 continue
             if outcome.complete or outcome.code not in ("leaving", "configuration_stale"):
@@ -187,7 +200,10 @@
 
 
 async def _refused(response: httpcore.Response, outcome: Outcome) -> None:
-    error = msgspec.json.decode(await response.aread()).get("error", {})
+    try:
+        error = msgspec.json.decode(await response.aread()).get("error", {})
+    except msgspec.MsgspecError:
+        error = {}
     outcome.code = error.get("code", f"status_{response.status}")
     outcome.execution = error.get("execution", "")
 
--- /dev/null
+++ b/hollyring/experiments/matrix.py
@@ -0,0 +1,186 @@
+"""The fault matrix over real processes: each fault alone, twice, and in pairs, under traffic.
+
+A cell starts mixed traffic (chats, streams and orders, each order sent twice), injects its faults
+part of the way through, heals them, waits until the fleet serves again, and holds all promises
+against the judge's books.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+import time
+from collections.abc import Callable, Iterator
+
+import anyio
+
+from hollyring.experiments import faults, judge, launcher, load, small
+
+CALLERS = 6
+TRAFFIC_SECONDS = 3.0
+STRIKE_AT = 0.6
+HEAL_AT = 2.0
+OUTPUT_TOKENS = 30
+PATIENCE_SECONDS = 4.0
+"""A caller gives a silent VM up after this time."""
+
+SERVE_SECONDS = 60.0
+"""A healed fleet that does not serve within this time is broken."""
+
+VMS, ENGINES, SERVICES = 3, 3, 2
+
+FAULTS: dict[str, faults.Fault] = {
+    "engine killed": faults.Kill("engine-0"),
+    "engine restarts empty": faults.Switch("engine-1", "restart"),
+    "engine cuts streams": faults.Switch("engine-1", "cut", value=3),
+    "engine refuses": faults.Switch("engine-2", "refuse"),
+    "engine frozen": faults.Freeze("engine-2"),
+    "engine slow": faults.Switch("engine-0", "slow", value=10),
+    "engine leaves": faults.Switch("engine-0", "leaving"),
+    "cache events lost": faults.Switch("engine-1", "event_loss"),
+    "VM killed": faults.Kill("vm-0"),
+    "VM frozen": faults.Freeze("vm-1"),
+    "VM leaves": faults.Leave("vm-2"),
+    "platform down": faults.Switch("platform", "outage"),
+    "platform hangs": faults.Switch("platform", "outage", mode="hang"),
+    "platform slow": faults.Switch("platform", "slow", value=0.5),
+    "platform loses answers": faults.Switch("platform", "lost_answer"),
+    "platform over its rate": faults.Switch("platform", "limit"),
+    "service loses answers": faults.Switch("orders-0", "lost_answer"),
+    "service answers late": faults.Switch("orders-0", "late_answer", value=1.0),
+    "service cuts connections": faults.Switch("orders-1", "cut"),
+    "service killed": faults.Kill("orders-1"),
+    "operators race": faults.Race(),
+    "key withdrawn": faults.Withdraw(small.ORGANISATION),
+}
+"""Faults of the brief by the names that the matrix gives them."""
+
+
+@dataclasses.dataclass(slots=True)
+class Cell:
+    """One cell of the matrix and what came of it.
+
+    Parameters
+    ----------
+    names
+        Names of the faults, in `FAULTS`.
+    promises
+        What was held against the books.
+    recovery_seconds
+        From healing until a request was complete.
+    """
+
+    names: tuple[str, ...]
+    requests: int = 0
+    complete: int = 0
+    promises: list[judge.Promise] = dataclasses.field(default_factory=list)
+    recovery_seconds: float = 0.0
+
+    @property
+    def broken(self) -> list[judge.Promise]:
+        """The promises that were broken."""
+        return judge.broken(self.promises)
+
+
+def fleet_at(base: int, folder: launcher.pathlib.Path) -> launcher.Fleet:
+    """Return the matrix's fleet, not yet started."""
+    document = small.document(base, VMS, ENGINES, SERVICES)
+    options = launcher.EngineOptions(speed=8.0, cache_idle=60.0)
+    return launcher.Fleet(document, folder, base + launcher.PLATFORM_OFFSET, options)
+
+
+async def run_cell(fleet: launcher.Fleet, names: tuple[str, ...], seed: int) -> Cell:
+    """Run one cell on a fleet that serves, and leave it serving."""
+    cell = Cell(names)
+    outcomes: list[load.Outcome] = []
+    await serves(fleet)
+    ends = time.monotonic() + TRAFFIC_SECONDS
+    async with anyio.create_task_group() as group:
+        for number in range(CALLERS):
+            group.start_soon(_caller, fleet, f"{seed}-{'+'.join(names)}-{number}", ends, outcomes)
+        await anyio.sleep(STRIKE_AT)
+        for name in names:
+            await faults.inject(fleet, FAULTS[name])
+        await anyio.sleep(HEAL_AT - STRIKE_AT)
+        # Two faults may share a process: what is switched on is switched off before a new start.
+        for name in dict.fromkeys(names):
+            await faults.heal(fleet, FAULTS[name])
+    healed = time.monotonic()
+    await serves(fleet)
+    cell.recovery_seconds = time.monotonic() - healed
+    cell.requests = len(outcomes)
+    cell.complete = sum(outcome.complete for outcome in outcomes)
+    cell.promises = judge.judge(outcomes, await judge.read_books(fleet))
+    cell.promises += await judge.inside(fleet)
+    return cell
+
+
+async def serves(fleet: launcher.Fleet) -> None:
+    """Return once every VM completes a chat and an order.
+
+    Raises
+    ------
+    TimeoutError
+        If that takes more than `SERVE_SECONDS`.
+    """
+    with anyio.fail_after(SERVE_SECONDS):
+        for vm in fleet.vms:
+            client = load.Client(PATIENCE_SECONDS)
+            caller = load.Caller(small.ORGANISATION, small.KEY, [vm.caller_address])
+            while not (await client.complete(caller, small.MODEL, "?", 1, stream=True)).complete:
+                await anyio.sleep(0.1)
+            while not (await client.order(caller, "/orders", _fresh(vm.name))).complete:
+                await anyio.sleep(0.1)
+            await client.close()
+
+
+def _fresh(name: str) -> str:
+    return f"{name}-{time.monotonic_ns()}"
+
+
+async def _caller(
+    fleet: launcher.Fleet, seed: str, ends: float, outcomes: list[load.Outcome]
+) -> None:
+    draw = random.Random(seed)
+    client = load.Client(PATIENCE_SECONDS)
+    entries = [vm.caller_address for vm in fleet.vms]
+    draw.shuffle(entries)
+    caller = load.Caller(small.ORGANISATION, small.KEY, entries)
+    prompts = load.Prompts(draw, documents=4, parishes=3, document_bytes=12_000)
+    for counter in itertools.count():
+        if time.monotonic() >= ends:
+            break
+        match counter % 3:
+            case 0:
+                order = _fresh(seed)
+                outcomes.append(await client.order(caller, "/orders", order))
+                caller.entries.append(caller.entries.pop(0))
+                outcomes.append(await client.order(caller, "/orders", order))
+            case kind:
+                outcomes.append(
+                    await client.complete(
+                        caller, small.MODEL, prompts.next(), OUTPUT_TOKENS, stream=kind == 1
+                    )
+                )
+        await anyio.sleep(0.02 * draw.random())
+    await client.close()
+
+
+def cells() -> Iterator[tuple[str, ...]]:
+    """Yield the matrix: each fault alone, and each pair of different faults."""
+    yield from ((name,) for name in FAULTS)
+    yield from itertools.combinations(FAULTS, 2)
+
+
+def render(rows: list[Cell], write: Callable[[str], None]) -> None:
+    """Write the matrix as a table."""
+    write("| faults | requests | complete | checks | broken | serves again after |\n")
+    write("|---|---|---|---|---|---|\n")
+    for row in rows:
+        trials = sum(promise.trials for promise in row.promises)
+        broken = "; ".join(f"{p.name}: {p.violations} {p.detail}" for p in row.broken) or "none"
+        write(
+            f"| {' + '.join(row.names)} | {row.requests} | {row.complete} | {trials} | {broken} "
+            f"| {row.recovery_seconds:.1f} s |\n"
+        )
--- a/hollyring/node/front.py
+++ b/hollyring/node/front.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import urllib.parse
+from collections.abc import MutableMapping
+from typing import Any
 
 from hollyring.delivery import refusal
-from hollyring.node import asgi, completions, membership_part, outlets, rights, services, vm
+from hollyring.node import asgi, completions, logs, membership_part, outlets, rights, services, vm
 
 HTTP_OK = 200
 
@@ -13,11 +15,12 @@
 class Front:
     """ASGI application of the callers' port."""
 
-    __slots__ = ("_node", "_open")
+    __slots__ = ("_node", "_open", "_log")
 
     def __init__(self, node: vm.VM) -> None:
         self._node = node
         self._open = 0
+        self._log = logs.Log("front")
 
     @property
     def open_requests(self) -> int:
@@ -30,8 +33,20 @@
             return
         self._open += 1
         self._node.metrics.count("requests")
+        started = False
+
+        async def noting_send(message: MutableMapping[str, Any]) -> None:
+            nonlocal started
+            started = True
+            await send(message)
+
         try:
-            await self._answer(scope, receive, send)
+            await self._answer(scope, receive, noting_send)
+        except Exception:
+            self._log.failure("request failed", path=scope["path"])
+            self._node.metrics.count("internal_errors")
+            if not started:
+                await outlets.refuse(send, refusal.make("internal_error"))
         finally:
             self._open -= 1
 
--- a/hollyring/node/logs.py
+++ b/hollyring/node/logs.py
@@ -8,11 +8,14 @@
 
 import pathlib
 import sys
+import traceback
 from typing import Any, BinaryIO
 
 import eliot
 import msgspec
 
+TRACE_FRAMES = 12
+
 
 class Log:
     """The log of one part of the process.
@@ -32,6 +35,11 @@
         """Log one sentence with typed fields."""
         eliot.log_message(message_type=self._part, text=f"{self._part}: {sentence}", **fields)
 
+    def failure(self, sentence: str, **fields: Any) -> None:
+        """Log one sentence with the exception that is being handled."""
+        trace = traceback.format_exc(limit=TRACE_FRAMES)
+        self.say(sentence, trace=trace, **fields)
+
 
 class _Destination:
     """Writes one JSON line for each message."""
--- a/hollyring/standins/asgi.py
+++ b/hollyring/standins/asgi.py
@@ -14,6 +14,7 @@
 import anyio
 import msgspec
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 from hollyring.standins import errors
 
@@ -200,12 +201,15 @@
             detail = {"message": str(error), "code": error.code}
             await request.answer_json(error.status, {"error": detail}, error.headers)
         except errors.ConnectionCutError:
-            # The server closes a connection whose application returns without an answer.
-            return
+            scope.get("cut", _nothing)()
 
     return app
 
 
+def _nothing() -> None:
+    """Stand for the cut where there is no connection, as in tests of the application alone."""
+
+
 async def _read(receive: Receive) -> bytes | None:
     parts = []
     while True:
@@ -217,6 +221,15 @@
             return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
+class CuttingProtocol(httptools_impl.HttpToolsProtocol):
+    """A protocol that lets the application cut the connection without an answer."""
+
+    def on_headers_complete(self) -> None:
+        """Begin the request; its scope holds the means to cut the connection."""
+        super().on_headers_complete()
+        self.scope["cut"] = self.transport.abort  # type: ignore[typeddict-unknown-key]
+
+
 class Server(uvicorn.Server):
     """A server that leaves signals to `serve`."""
 
@@ -262,7 +275,7 @@
         host,
         port,
         log_level="critical",
-        http="httptools",
+        http=CuttingProtocol,
         loop="asyncio",
         lifespan="off",
         access_log=False,
--- a/hollyring/standins/service.py
+++ b/hollyring/standins/service.py
@@ -5,9 +5,12 @@
 import collections
 
 import anyio
+import msgspec
 
 from hollyring.standins import asgi, errors
 
+NAME_BYTES = 100
+
 
 class Service(asgi.StandIn):
     """A plain service, e.g. orders or ledger; any path answers 200 with what was run.
@@ -16,7 +19,8 @@
     is cut), ``late_answer`` (runs, then waits ``value`` seconds), ``refuse`` (503 without
     running), ``cut`` (the connection is cut without running). ``GET /executions`` on either port
     counts executions by ``X-Request-Id``, ``GET /idempotency`` on the control port by
-    ``Idempotency-Key``, ``GET /seen`` lists headers.
+    ``Idempotency-Key``, ``GET /bodies`` by the order that the body names, ``GET /seen`` lists
+    headers.
     """
 
     fault_kinds = frozenset({"slow", "lost_answer", "late_answer", "refuse", "cut"})
@@ -26,6 +30,7 @@
         self._name = name
         self._delay_seconds = delay_seconds
         self._executions: collections.Counter[str] = collections.Counter()
+        self._by_body: collections.Counter[str] = collections.Counter()
         self._by_key: collections.Counter[str] = collections.Counter()
         self._seen: collections.deque[list[str]] = collections.deque(maxlen=1000)
 
@@ -44,6 +49,7 @@
         request_id = request.header(b"x-request-id")
         self._executions[request_id] += 1
         self.counters["executions"] += 1
+        self._by_body[_named(request.body)] += 1
         if key := request.header(b"idempotency-key"):
             self._by_key[key] += 1
         if self.fault("lost_answer"):
@@ -65,9 +71,20 @@
         match request.method, request.path:
             case "GET", "/executions":
                 await request.answer_json(200, self._executions)
+            case "GET", "/bodies":
+                await request.answer_json(200, self._by_body)
             case "GET", "/idempotency":
                 await request.answer_json(200, self._by_key)
             case "GET", "/seen":
                 await request.answer_json(200, list(self._seen))
             case _:
                 await super().handle_control(request)
+
+
+def _named(body: bytes) -> str:
+    """Return the order that a body names, or the beginning of the body."""
+    try:
+        fields = msgspec.json.decode(body, type=dict)
+    except msgspec.MsgspecError:
+        fields = {}
+    return str(fields.get("order", body[:NAME_BYTES].decode("utf-8", "replace")))
