Start a load anew where the store changed under it, and check more in the run

Cause: with gossip taken out, the run showed a VM that was paused amid its load and went on with revisions of a store that had come back older meanwhile. A load that ends at a break in the chain is now made once more.

Change: the run also checks that a revision's change is applied and that the store gets back what it lost, and leaves calm spells so that the latter can be seen.

--- a/hollyring/configuration/loading.py
+++ b/hollyring/configuration/loading.py
@@ -53,7 +53,7 @@
     @property
     def loaded(self) -> Loaded | None:
         """What was read, once done."""
-        return self._loaded
+        return self._loaded if self._call is None else None
 
     @property
     def calls(self) -> int:
@@ -76,6 +76,12 @@
             self._call = None
 
     def _run(self) -> typing.Generator[store.Call, store.Answer, None]:
+        self._loaded = yield from self._read()
+        if self._loaded.stopped:
+            # The store may have come back older, or another, since the first call.
+            self._loaded = yield from self._read()
+
+    def _read(self) -> typing.Generator[store.Call, store.Answer, Loaded]:
         configuration, values = state.Configuration(), retained.Retained()
         pointer: store.Found | None = None
         stopped = ""
@@ -100,7 +106,7 @@
                 stopped = str(error)
                 break
             values.append(answer.value)
-        self._loaded = Loaded(configuration, values, pointer, stopped)
+        return Loaded(configuration, values, pointer, stopped)
 
     def _snapshot(
         self, found: store.Found
--- a/hollyring/configuration/tests/test_in_force.py
+++ b/hollyring/configuration/tests/test_in_force.py
@@ -1,6 +1,15 @@
 import pytest
 
-from hollyring.configuration import gossip, in_force, messages, objects, revisions, state
+from hollyring.configuration import (
+    gossip,
+    in_force,
+    loading,
+    messages,
+    objects,
+    retained,
+    revisions,
+    state,
+)
 from hollyring.configuration.tests import conftest
 from hollyring.core import invariants
 
@@ -108,6 +117,14 @@
     assert vm.configuration.content == other.configuration.content
 
 
+def test_load_of_an_older_store_changes_nothing(vm):
+    values, older = conftest.chain(2)
+    held = retained.Retained()
+    held.restart(2, values[1])
+    vm.on_loaded(loading.Loaded(older, held, None), 1.0)
+    assert vm.revision == 3
+
+
 def test_starting_vm_takes_the_highest_of_several_answers():
     vms = {"vm-0": fresh()}
     for index, count in enumerate([3, 5, 4]):
--- a/hollyring/experiments/configuration.py
+++ b/hollyring/experiments/configuration.py
@@ -31,6 +31,9 @@
 OPERATORS = 3
 ORGANISATIONS = 12
 
+CALM_SECONDS = 150.0
+"""Now and then no fault is added for this long, so that what has to heal can be seen to."""
+
 GIVEN_BACK_SECONDS = 60.0
 """A store that came back older has what it lost again after this long."""
 
@@ -150,6 +153,12 @@
         same = (configuration.digest, configuration.content)
         known = self._digests.setdefault(number, same)
         checks.check("same_revision_same_configuration", same == known, f"{vm.name} at {number}")
+        value = vm.target.stored(number)
+        if value is not None:
+            change = revisions.decode(value)
+            put = all(configuration.get(objects.identity(item)) == item for item in change.put)
+            deleted = all(configuration.get(name) is None for name in change.delete)
+            checks.check("change_is_applied", put and deleted, f"{vm.name} at {number}")
         total = state.Configuration().changed(0, "", configuration.items(), []).content
         owners = {
             key.digest: item for item in configuration.organisations.values() for key in item.keys
@@ -217,11 +226,12 @@
         able = [
             vm
             for vm in world.vms.values()
-            if max(vm.disturbed, vm.began, world.grouped) < world.now - GIVEN_BACK_SECONDS
+            if max(vm.disturbed, vm.began) < world.now - GIVEN_BACK_SECONDS
             and world.linked(vm.name, "store")
             and all(vm.target.stored(number) for number in missing)
         ]
-        if not missing or not able or not world.store.up:
+        cut = world.grouped > world.now - GIVEN_BACK_SECONDS
+        if not missing or not able or not world.store.up or cut:
             self._whole_at = world.now
         world.checks.check(
             "store_gets_back_what_it_lost",
@@ -236,11 +246,12 @@
 
     def _fault(self) -> None:
         world, rng = self._world, self._rng
-        world.at(rng.uniform(1.0, 15.0), self._fault)
         world.store.back_up()
         kind = rng.choice(
             ["crash", "herd", "pause", "outage", "older", "partition", "store_link", "calm"]
         )
+        calm = kind == "calm" and rng.random() < 0.3
+        world.at(CALM_SECONDS if calm else rng.uniform(1.0, 15.0), self._fault)
         self._faults[kind] += 1
         names = sorted(world.vms)
         match kind:
--- a/hollyring/experiments/tests/test_configuration.py
+++ b/hollyring/experiments/tests/test_configuration.py
@@ -8,6 +8,7 @@
 
 INVARIANTS = {
     "accepted_change_is_in_force_in_time",
+    "change_is_applied",
     "configuration_goes_forward",
     "connected_vm_admits",
     "content_is_what_is_held",
