--- a/hollyring/cli/main.py
+++ b/hollyring/cli/main.py
@@ -6,7 +6,8 @@
 
 import click
 
-from hollyring.cli import standin
+from hollyring.cli import config, operate, standin
+from hollyring.experiments import control, overhead
 
 VERSION = "0.1.0"
 EXIT_BAD_INPUT = 2
@@ -55,4 +56,18 @@
     server.serve(given)
 
 
+@main.group()
+def experiment() -> None:
+    """Measure mechanisms and try them under faults, on this machine only.
+
+    Example: hollyring experiment limits --seed 1
+    """
+
+
+experiment.add_command(overhead.overhead)
+experiment.add_command(control.control)
+main.add_command(config.config)
 main.add_command(standin.standin)
+main.add_command(operate.state)
+main.add_command(operate.load)
+main.add_command(operate.demo)
--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -16,14 +16,16 @@
 import sys
 import time
 import urllib.parse
+import uuid
 from collections.abc import Iterator
 from typing import Any
 
 import anyio
 import httpcore
 
-from hollyring.configuration import documents, objects
+from hollyring.configuration import documents, objects, state, submission
 from hollyring.experiments import errors
+from hollyring.node import platform, store_calls
 
 CONTROL_OFFSET = 50
 """A stand-in's control port is its port plus this."""
@@ -33,6 +35,10 @@
 POLL_SECONDS = 0.05
 STOP_SECONDS = 10.0
 PEER_KEY = "demonstration-peer-key"
+SEEDS = 3
+LEAVE_SECONDS = 0.5
+"""Callers of an experiment keep their answers no longer once it ends."""
+
 PORTS_PER_FLEET = 700
 
 
@@ -90,6 +96,7 @@
         vm_settings: dict[str, object] | None = None,
     ) -> None:
         self.document = document
+        self.command = [sys.executable, "-m", "hollyring"]
         self.platform_url = f"http://127.0.0.1:{platform_port}"
         self._folder = folder
         self._engine_options = engine_options or EngineOptions()
@@ -131,7 +138,9 @@
             "admin_address": vm.admin_address,
             "platform": self.platform_url,
             "peer_keys": [PEER_KEY],
+            "seeds": [other.peer_address for other in self.vms[:SEEDS]],
             "log_file": str(self._folder / f"{vm.name}.log"),
+            "limits": {"leave_seconds": LEAVE_SECONDS},
             **self._vm_settings,
         }
 
@@ -161,13 +170,34 @@
         """Return the control port's URL of a stand-in."""
         return self.programs[name].ready_url.removesuffix("/counters")
 
+    async def start_all(self) -> None:
+        """Start the platform, submit the configuration, start the rest and wait until all serve."""
+        self.start("platform")
+        await self.wait_ready(["platform"])
+        await self.submit()
+        others = [name for name in self.programs if name != "platform"]
+        for name in others:
+            self.start(name)
+        await self.wait_ready(others)
+
+    async def submit(self) -> None:
+        """Submit the declared configuration as the first revision."""
+        client = platform.Platform(self.platform_url)
+        change = submission.plan(state.Configuration(), self.document)
+        submitted = submission.Submission(change, uuid.uuid4().hex, "launcher")
+        while submitted.call is not None:
+            submitted.on_answer(await store_calls.perform(client, submitted.call))
+        await client.close()
+        if not isinstance(submitted.outcome, submission.Accepted):
+            raise errors.ExperimentError(f"configuration not accepted: {submitted.outcome}")
+
     def start(self, name: str) -> None:
         """Start one process."""
         program = self.programs[name]
         log = (self._folder / f"{name}.out").open("ab")
         with log:
             program.process = subprocess.Popen(
-                [sys.executable, "-m", "hollyring", *program.arguments],
+                [*self.command, *program.arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/hollyring/experiments/load.py
+++ b/hollyring/experiments/load.py
@@ -86,15 +86,41 @@
     A failed connection is tried again at the next VM; an order keeps its ``Idempotency-Key``.
     """
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_pool", "_entries", "_keep_until")
 
     def __init__(self) -> None:
         self._pool = httpcore.AsyncConnectionPool(max_connections=1_000, keepalive_expiry=5.0)
+        self._entries: list[str] = []
+        self._keep_until = 0.0
 
     async def close(self) -> None:
         """Close the connections."""
         await self._pool.aclose()
 
+    async def entry(self, known: list[str]) -> list[str]:
+        """Return which VMs to use, asked of the first of `known` that answers; kept a while."""
+        now = time.monotonic()
+        if self._entries and now < self._keep_until:
+            return self._entries
+        for address in self._entries or known:
+            try:
+                with anyio.fail_after(CONNECT_SECONDS):
+                    response = await self._pool.request("GET", f"http://{address}/v1/entry")
+                found = msgspec.json.decode(response.content)
+                entries = [vm["address"] for vm in found["vms"]]
+            except (*_FAILURES, msgspec.MsgspecError, KeyError):
+                continue
+            if entries:
+                self._entries = entries
+                self._keep_until = now + found["keep_seconds"]
+                return entries
+        return known
+
+    def _avoid(self, entry: str) -> None:
+        """Use an address that failed last from now on, until the answer is asked for anew."""
+        if entry in self._entries:
+            self._entries = [*(e for e in self._entries if e != entry), entry]
+
     async def complete(
         self, caller: Caller, model: str, prompt: str, max_tokens: int, stream: bool
     ) -> Outcome:
@@ -136,8 +162,9 @@
         headers = [(b"authorization", f"Bearer {caller.key}".encode())]
         headers += [(b"content-type", b"application/json"), *(extra or [])]
         timeout = {"connect": CONNECT_SECONDS, "read": ANSWER_SECONDS, "write": ANSWER_SECONDS}
+        entries = list(caller.entries)
         for number in range(TRIES):
-            entry = caller.entries[number % len(caller.entries)]
+            entry = entries[number % len(entries)]
             outcome.tries += 1
             outcome.code = ""
             outcome.served_by = entry
@@ -153,7 +180,7 @@
                     await read(response, outcome, started, wanted)
             except _FAILURES as error:
                 outcome.code = type(error).__name__
-                await anyio.sleep(0.05)
+                self._avoid(entry)
                 continue
             if outcome.complete or outcome.code not in ("leaving", "configuration_stale"):
                 return
--- /dev/null
+++ b/hollyring/limits/limiter.py
@@ -0,0 +1,380 @@
+"""The limits of all organisations as one VM takes part in them."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+from hollyring.core import identities, invariants
+from hollyring.limits import borrower, holders, layout, lender, messages, settings
+
+_TEMPORARY = {"not_configured", "overloaded", "rate_limited"}
+"""Codes of refusals after which trying again is of use."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """A change of configuration as far as limits go: a new roster, limits set or removed."""
+
+    roster: holders.Roster | None = None
+    limits: tuple[holders.Limit, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class Limiter:
+    """Admits requests against rates and bursts that hold across all VMs.
+
+    Each organisation's rate and burst are divided among a few holders. A VM takes from its
+    own share, then asks the other holders, the near ones first; a holder debits before it
+    answers. No step needs the platform's service.
+
+    Parameters
+    ----------
+    vm
+        This VM and its present life.
+    invariants
+        Where the checks of the share bound are counted.
+    """
+
+    def __init__(self, vm: identities.Incarnation, invariants: invariants.Invariants) -> None:
+        self._vm = vm
+        self._invariants = invariants
+        self._layout = layout.Layout(vm)
+        self._lender = lender.Lender(vm, invariants, self._layout)
+        self._borrowers: dict[str, borrower.Borrower] = {}
+        self._asked: dict[int, str] = {}
+        self._waiting: dict[str, None] = {}
+        self._reservations: dict[str, list[borrower.Part]] = {}
+        self._last_ask = 0
+        self._admitted = 0
+        self._refused: dict[str, int] = {}
+
+    @property
+    def waiting(self) -> bool:
+        """Whether requests wait for tokens, so that `tick` is due every few milliseconds."""
+        return bool(self._waiting)
+
+    @property
+    def roster(self) -> holders.Roster | None:
+        """The roster in force at this VM."""
+        return self._layout.roster
+
+    def holders_of(self, organisation: str) -> list[str]:
+        """Return the VMs that hold shares of `organisation` by the roster in force."""
+        return [slot.vm for slot in self._layout.chosen(organisation)]
+
+    def configure(self, update: Update, now: float) -> None:
+        """Apply a configuration change.
+
+        A new life must start from the store or from a member of the sender's own roster
+        that is configured; never from a copy that nobody vouches for.
+        """
+        self._layout.grow(now)
+        for organisation in update.removed:
+            self._lender.remove(organisation)
+        for limit in update.limits:
+            self._lender.set_limit(limit, now)
+        if update.roster is not None and self._layout.adopt(update.roster, now):
+            self._lender.resize_all(now)
+
+    def mark_destroyed(self, names: Iterable[str]) -> None:
+        """Take in VMs that the platform has destroyed; their names are never used again."""
+        self._layout.mark_destroyed(names)
+
+    def admit(
+        self, organisation: str, tokens: int, request_id: str, now: float
+    ) -> messages.Effects:
+        """Decide on a request now, or once holders have answered.
+
+        Parameters
+        ----------
+        tokens
+            Tokens of the prompt plus those reserved for the output.
+
+        Returns
+        -------
+        messages.Effects
+            The decision if there is one yet; else `receive` or `tick` will return it.
+        """
+        effects = messages.Effects()
+        limit = self._lender.limit(organisation)
+        request = borrower.Waiting(request_id, tokens, now + settings.PATIENCE_SECONDS)
+        if self._layout.roster is None:
+            self._refuse(organisation, request, "not_configured", settings.LOAN_SECONDS, effects)
+        elif limit is None:
+            self._refuse(organisation, request, "unknown_organisation", 0.0, effects)
+        elif tokens > limit.burst:
+            self._refuse(organisation, request, "request_exceeds_burst", 0.0, effects)
+        else:
+            self._enqueue(organisation, request, now, effects)
+        return effects
+
+    def receive(self, sender: str, message: messages.Message, now: float) -> messages.Effects:
+        """Handle a message from another VM."""
+        effects = messages.Effects()
+        match message:
+            case messages.Ask():
+                effects.send(sender, self._lender.lend(sender, message, now))
+            case messages.Grant():
+                self._take(sender, message, now, effects)
+            case messages.Return():
+                self._lender.give_back(sender, message, now)
+            case _:
+                effects.messages.extend(self._layout.receive(sender, message, now))
+        return effects
+
+    def settle(self, request_id: str, used: int, now: float) -> messages.Effects:
+        """Return what an admitted request reserved and did not use."""
+        effects = messages.Effects()
+        parts = self._reservations.pop(request_id, [])
+        unused = sum(part.tokens for part in parts) - used
+        for part in reversed(parts):
+            back = min(part.tokens, unused)
+            if back <= 0:
+                break
+            unused -= back
+            self._return(part.loan, back, now, effects)
+        return effects
+
+    def cancel(self, organisation: str, request_id: str, now: float) -> messages.Effects:
+        """Drop a waiting request whose caller has gone."""
+        effects = messages.Effects()
+        state = self._borrowers.get(organisation)
+        if state is None:
+            return effects
+        state.drop(request_id)
+        self._pump(state, now, effects)
+        return effects
+
+    def tick(self, now: float) -> messages.Effects:
+        """Do what is due: give up late asks, refuse at deadlines, follow roster changes."""
+        effects = messages.Effects()
+        if self._layout.grow(now):
+            self._lender.resize_all(now)
+        effects.messages.extend(self._layout.poll(now))
+        for organisation in list(self._waiting):
+            self._pump(self._borrowers[organisation], now, effects)
+        self._drop_idle(now)
+        return effects
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the operators' dump."""
+        roster = self._layout.roster
+        return {
+            "roster": roster.revision if roster else 0,
+            "settled": self._layout.settled,
+            "organisations": self._lender.organisations,
+            "shares": self._lender.shares,
+            "borrowers": len(self._borrowers),
+            "reservations": len(self._reservations),
+            "waiting": sum(len(state.waiting) for state in self._borrowers.values()),
+            "admitted": self._admitted,
+            "refused": dict(self._refused),
+        }
+
+    def _enqueue(
+        self,
+        organisation: str,
+        request: borrower.Waiting,
+        now: float,
+        effects: messages.Effects,
+    ) -> None:
+        state = self._borrowers.pop(organisation, None) or borrower.Borrower(organisation)
+        self._borrowers[organisation] = state
+        state.used_at = now
+        if len(state.waiting) >= settings.MAX_PENDING:
+            self._refuse(organisation, request, "overloaded", settings.LOAN_SECONDS, effects)
+            return
+        state.push(request)
+        self._pump(state, now, effects)
+
+    def _pump(self, state: borrower.Borrower, now: float, effects: messages.Effects) -> None:
+        """Serve waiting requests in order, as far as tokens go; ask for more or refuse."""
+        state.time_out(now)
+        for loan in state.expire(now):
+            self._release(loan, now, effects)
+        while state.waiting and self._serve_first(state, now, effects):
+            pass
+        if state.waiting:
+            self._waiting[state.organisation] = None
+            return
+        self._waiting.pop(state.organisation, None)
+        for loan in state.take_loans():
+            self._release(loan, now, effects)
+
+    def _serve_first(self, state: borrower.Borrower, now: float, effects: messages.Effects) -> bool:
+        """Decide on the first waiting request; return False while it has to wait."""
+        first = state.waiting[0]
+        mine = self._lender.left(state.organisation, now)
+        if state.available + mine >= first.tokens:
+            self._borrow_own(state, first.tokens - state.available, now)
+            self._admit(state, state.pop(), now, effects)
+            return True
+        limit = self._lender.limit(state.organisation)
+        if limit is None:
+            self._refuse(state.organisation, state.pop(), "unknown_organisation", 0.0, effects)
+            return True
+        estimates = self._estimates(state, limit, mine, now)
+        reach = state.available + mine + state.expected(now) + sum(n for _, n in estimates)
+        rate = max(limit.rate, 1)
+        soon = state.wanted - reach <= rate * settings.WAIT_SECONDS
+        if now >= first.deadline or (reach < first.tokens and not soon):
+            after = max(0, first.tokens - reach) / rate
+            self._refuse(state.organisation, state.pop(), "rate_limited", after, effects)
+            return True
+        if reach >= first.tokens:
+            self._borrow_own(state, first.tokens - state.available, now)
+            self._ask(state, estimates, now, effects)
+        return False
+
+    def _borrow_own(self, state: borrower.Borrower, tokens: int, now: float) -> None:
+        self._last_ask += 1
+        given = self._lender.lend_own(state.organisation, self._last_ask, tokens, now)
+        if given:
+            expires = now + settings.LOAN_SECONDS
+            loan = borrower.Loan(
+                self._vm.name, state.organisation, self._last_ask, given, given, expires
+            )
+            state.add(loan)
+
+    def _estimates(
+        self, state: borrower.Borrower, limit: holders.Limit, mine: int, now: float
+    ) -> list[tuple[str, int]]:
+        """Return the other holders and what each may lend.
+
+        Near ones that can lend all that is missing come first, and of these the fullest:
+        a share at its burst loses what accrues. Then come those that can lend most.
+        """
+        rows = []
+        own = self._layout.own_slot
+        chosen = self._layout.chosen(state.organisation)
+        for index, slot in enumerate(chosen):
+            if slot.vm == self._vm.name:
+                continue
+            part = holders.part(limit, index, len(chosen))
+            estimate = state.estimate(slot.vm, part, now)
+            if estimate > 0:
+                rows.append((_is_far(own, slot), slot.vm, estimate))
+        deficit = state.wanted - state.available - state.expected(now) - mine
+        rows.sort(key=lambda row: (row[0] if row[2] >= deficit else math.inf, -row[2]))
+        return [(vm, estimate) for _, vm, estimate in rows]
+
+    def _ask(
+        self,
+        state: borrower.Borrower,
+        estimates: list[tuple[str, int]],
+        now: float,
+        effects: messages.Effects,
+    ) -> None:
+        deficit = state.wanted - state.available - state.expected(now)
+        for holder, estimate in estimates:
+            if deficit <= 0 or len(state.asked) >= settings.FANOUT:
+                return
+            if state.is_asked(holder):
+                continue
+            tokens = min(deficit, estimate)
+            deficit -= tokens
+            self._last_ask += 1
+            self._asked[self._last_ask] = state.organisation
+            if len(self._asked) > settings.MAX_ASKED:
+                del self._asked[next(iter(self._asked))]
+            state.asked[self._last_ask] = borrower.Asked(holder, tokens, now)
+            ask = messages.Ask(state.organisation, self._vm.number, self._last_ask, tokens)
+            effects.send(holder, ask)
+
+    def _take(
+        self, sender: str, grant: messages.Grant, now: float, effects: messages.Effects
+    ) -> None:
+        if grant.incarnation != self._vm.number:
+            return
+        organisation = self._asked.pop(grant.ask, "")
+        state = self._borrowers.get(organisation)
+        ask = state.asked.pop(grant.ask, None) if state else None
+        if state is None or ask is None:
+            return
+        state.heard(sender, grant.left, now)
+        expires = ask.sent + settings.LOAN_SECONDS
+        if grant.tokens:
+            loan = borrower.Loan(
+                sender, organisation, grant.ask, grant.tokens, grant.tokens, expires
+            )
+            state.add(loan)
+        self._pump(state, now, effects)
+
+    def _release(self, loan: borrower.Loan, now: float, effects: messages.Effects) -> None:
+        """Return all that is left of a loan."""
+        left, loan.left = loan.left, 0
+        self._return(loan, left, now, effects)
+
+    def _return(
+        self, loan: borrower.Loan, tokens: int, now: float, effects: messages.Effects
+    ) -> None:
+        loan.returned += tokens
+        spent = loan.left == 0
+        back = messages.Return(loan.organisation, self._vm.number, loan.ask, loan.returned, spent)
+        if loan.holder == self._vm.name:
+            self._lender.give_back(self._vm.name, back, now)
+            return
+        effects.send(loan.holder, back)
+
+    def _admit(
+        self,
+        state: borrower.Borrower,
+        request: borrower.Waiting,
+        now: float,
+        effects: messages.Effects,
+    ) -> None:
+        parts = state.spend(request.tokens)
+        for part in parts:
+            if self._reports(part.loan):
+                self._return(part.loan, 0, now, effects)
+        self._reservations[request.request_id] = parts
+        if len(self._reservations) > settings.MAX_RESERVATIONS:
+            del self._reservations[next(iter(self._reservations))]
+        self._admitted += 1
+        effects.decisions.append(
+            messages.Admitted(request.request_id, state.organisation, request.tokens)
+        )
+
+    def _refuse(
+        self,
+        organisation: str,
+        request: borrower.Waiting,
+        code: str,
+        retry_after: float,
+        effects: messages.Effects,
+    ) -> None:
+        if code in _TEMPORARY:
+            retry_after = min(max(retry_after, settings.MIN_RETRY_AFTER), settings.MAX_RETRY_AFTER)
+        self._refused[code] = self._refused.get(code, 0) + 1
+        effects.decisions.append(
+            messages.Refused(request.request_id, organisation, code, retry_after)
+        )
+
+    def _reports(self, loan: borrower.Loan) -> bool:
+        """Tell whether the holder should learn at once that a loan is spent.
+
+        It lapses soon by itself, which holds up only a burst that fills within seconds.
+        """
+        limit = self._lender.limit(loan.organisation)
+        if loan.left or limit is None:
+            return False
+        if loan.holder == self._vm.name:
+            return True
+        if limit.burst < limit.rate * settings.TINY_BURST_SECONDS:
+            return True
+        portions = max(1, len(self._layout.chosen(loan.organisation)))
+        large = loan.given * portions * settings.LARGE_LOAN > limit.burst
+        return large and limit.burst < limit.rate * settings.SMALL_BURST_SECONDS
+
+    def _drop_idle(self, now: float) -> None:
+        while self._borrowers:
+            state = next(iter(self._borrowers.values()))
+            if state.waiting or now - state.used_at < settings.IDLE_SECONDS:
+                return
+            del self._borrowers[state.organisation]
+
+
+def _is_far(own: holders.Slot | None, other: holders.Slot) -> bool:
+    return own is None or own.region != other.region
--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from hollyring.configuration import messages as configuration
 from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
+from hollyring.membership import messages as membership
+from hollyring.routing import messages as routing
 
 MESSAGES: dict[str, type] = {
     f"{class_.__module__.split('.')[1]}.{class_.__name__}": class_
     for class_ in (
+        configuration.Digest,
+        configuration.Fetch,
+        configuration.Deltas,
+        configuration.Segment,
         limits.Ask,
         limits.Grant,
         limits.Return,
@@ -17,6 +24,13 @@
         limits.Settled,
         delivery.ClaimQuestion,
         delivery.ClaimAnswer,
+        membership.Ping,
+        membership.Ack,
+        membership.PingRequest,
+        membership.SyncRequest,
+        membership.Sync,
+        routing.Lookup,
+        routing.LookupAnswer,
     )
 }
 """Message classes of all parts; each belongs to the package that its wire name begins with."""
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -9,6 +9,7 @@
 import dataclasses
 import time
 import uuid
+from collections.abc import AsyncIterator
 
 import anyio
 
@@ -26,9 +27,10 @@
     routing_part,
     vm,
 )
+from hollyring.routing import retry
 
-MAX_TRIES = 3
-"""Upstreams tried for one request before it is refused."""
+READER_CHECKS = 4
+"""How often, within the bound on a slow reader, it is looked at."""
 
 
 class _GivenUpError(errors.NodeError):
@@ -61,6 +63,7 @@
 ) -> None:
     """Answer a caller's completion request."""
     arrived = time.monotonic()
+    node.retries.request()
     work = await _accept(node, scope, receive, send, chat, arrived)
     if isinstance(work, refusal.Refusal):
         node.metrics.count(f"refused_{work.code}")
@@ -127,7 +130,7 @@
         caller=caller,
         completion=completion,
         request_id=request_id,
-        outlet=outlets.Outlet(send, completion, request_id, bounds.reader_seconds),
+        outlet=outlets.Outlet(send, completion, request_id),
         stream=stream.Stream(request_id, digest, node.invariants, resumption),
         version=model.version,
         deadline=arrived + bounds.deadline_seconds,
@@ -142,23 +145,25 @@
 
 async def _run(node: vm.VM, work: _Work, receive: asgi.Receive) -> None:
     """Carry the request out until the caller has its last byte or has gone."""
-    gone = False
 
-    async def watch() -> None:
-        nonlocal gone
+    async def watch_connection() -> None:
         await asgi.wait_disconnect(receive)
-        gone = True
+        if not work.stream.ended:
+            node.metrics.count("cancelled")
+        group.cancel_scope.cancel()
+
+    async def watch_reader() -> None:
+        bound = node.settings.limits.reader_seconds
+        while work.outlet.waits(time.monotonic()) < bound:
+            await anyio.sleep(bound / READER_CHECKS)
+        node.metrics.count("slow_readers")
         group.cancel_scope.cancel()
 
     async with anyio.create_task_group() as group:
-        group.start_soon(watch)
-        try:
-            await _finish(node, work)
-        except outlets.SlowReaderError:
-            node.metrics.count("slow_readers")
+        group.start_soon(watch_connection)
+        group.start_soon(watch_reader)
+        await _finish(node, work)
         group.cancel_scope.cancel()
-    if gone and not work.stream.ended:
-        node.metrics.count("cancelled")
 
 
 async def _finish(node: vm.VM, work: _Work) -> None:
@@ -187,24 +192,52 @@
     _GivenUpError
         With the caller's final answer.
     """
-    excluded: list[str] = []
+    terms = retry.Terms(idempotent=True, resumable=True, deadline=work.deadline)
+    tries = retry.Tries()
+    wanted = _wanted(work)
+    last: frozenset[str] = frozenset()
     while True:
-        place = await node.routing.route(work.completion, work.caller, work.version, excluded)
+        place = await node.routing.route(wanted)
+        if isinstance(place, refusal.Refusal) and last:
+            # With few upstreams one that broke off may serve the next try, the last one included.
+            for fewer in (last, frozenset[str]()):
+                place = await node.routing.route(dataclasses.replace(wanted, excluded=fewer))
+                if not isinstance(place, refusal.Refusal):
+                    break
         if isinstance(place, refusal.Refusal):
             raise _GivenUpError(_truthful(work, place))
+        tries.begin(place.upstream, place.failure_domain)
+        last = frozenset({place.upstream})
         try:
             await _attempt(node, work, place)
             return
         except engines.RefusedError as error:
-            node.routing.failed(place, error)
             if error.status < engines.HTTP_SERVER_ERROR and error.status != engines.HTTP_TOO_MANY:
                 raise _GivenUpError(refusal.make("invalid_request", message=str(error))) from error
+            failure = retry.Failure(execution.Execution.NOT_RUN, work.stream.tokens)
         except errors.UpstreamError as error:
-            node.routing.failed(place, error)
-        excluded.append(place.upstream)
-        if len(excluded) >= MAX_TRIES or not node.routing.may_retry():
+            ran = execution.Execution.UNKNOWN if error.reached else execution.Execution.NOT_RUN
+            failure = retry.Failure(ran, work.stream.tokens)
+        decision = tries.decide(failure, terms, node.retries.left, time.monotonic())
+        if isinstance(decision, retry.GiveUp):
             raise _GivenUpError(_truthful(work, refusal.make("no_upstream")))
+        node.retries.take(decision.cost)
         node.metrics.count("retries")
+        wanted = dataclasses.replace(
+            wanted, excluded=decision.excluded, avoided_domains=decision.avoided_domains
+        )
+
+
+def _wanted(work: _Work) -> routing_part.Wanted:
+    return routing_part.Wanted(
+        organisation=work.caller.organisation.name,
+        model=work.completion.model,
+        version=work.version,
+        prompt=work.completion.prompt,
+        prompt_tokens=work.completion.prompt_tokens,
+        max_tokens=work.completion.max_tokens,
+        deadline=work.deadline,
+    )
 
 
 def _truthful(work: _Work, why: refusal.Refusal) -> refusal.Refusal:
@@ -213,6 +246,13 @@
 
 
 async def _attempt(node: vm.VM, work: _Work, place: routing_part.Place) -> None:
+    """Carry out one try.
+
+    Raises
+    ------
+    UpstreamError
+        If it broke off; the stream is ready for the next try.
+    """
     attempt = work.stream.begin()
     body = requests.engine_body(
         work.completion,
@@ -225,26 +265,43 @@
         ),
     )
     path = "/v1/chat/completions" if work.completion.chat else "/v1/completions"
-    node.routing.dispatched(place, work.request_id)
-    tokens = 0
+    before = work.dispatched
+    work.dispatched = True
+    work.usage = None
     try:
-        generated = node.engines.stream(place.address, path, body, work.deadline - time.monotonic())
-        work.dispatched = True
+        seconds = work.deadline - time.monotonic()
+        generated = node.engines.stream(place.address, path, body, seconds)
         async with contextlib.aclosing(generated):
-            async for item in generated:
-                if isinstance(item, engines.Usage):
-                    work.usage = item
-                    continue
-                tokens = await _item(node, work, place, attempt.number, tokens, item)
+            await _take_all(node, work, place, attempt.number, generated)
     except errors.UpstreamError as error:
-        work.dispatched = work.dispatched and (error.reached or attempt.number > 1)
+        work.dispatched = before or error.reached
         work.stream.accept(stream.Lost(attempt.number))
+        node.routing.failed(place, lost=not isinstance(error, engines.RefusedError))
         raise
-    finally:
-        node.routing.finished(place, work.request_id, work.usage)
+    except BaseException:
+        node.routing.finished(place, None)
+        raise
+    node.routing.finished(place, work.usage.cached_tokens if work.usage else None)
     await _complete(node, work)
 
 
+async def _take_all(
+    node: vm.VM,
+    work: _Work,
+    place: routing_part.Place,
+    number: int,
+    generated: AsyncIterator[engines.Token | engines.Usage],
+) -> None:
+    tokens = 0
+    async for item in generated:
+        if isinstance(item, engines.Usage):
+            work.usage = item
+            continue
+        tokens = await _item(node, work, place, number, tokens, item)
+    if not work.stream.complete:
+        raise errors.UpstreamError("ended without a finish", reached=True)
+
+
 async def _item(
     node: vm.VM,
     work: _Work,
@@ -258,7 +315,7 @@
         if not work.first_token:
             work.first_token = time.monotonic()
             node.metrics.time("first_token", work.first_token - work.arrived)
-            node.routing.first_token(place, work.request_id)
+            node.routing.first_token(place)
         await _step(work, work.stream.accept(stream.Token(number, tokens, item.text)))
         tokens += 1
     if item.finish_reason:
@@ -281,9 +338,7 @@
 
 
 async def _complete(node: vm.VM, work: _Work) -> None:
-    """Hand on the end of the answer; an engine that ended without a finish has broken off."""
-    if not work.stream.complete:
-        raise errors.UpstreamError("ended without a finish", reached=True)
+    """Hand on the end of the answer."""
     cached = work.usage.cached_tokens if work.usage else 0
     usage = answers.usage(work.completion.prompt_tokens, work.stream.tokens, cached)
     node.metrics.count("prompt_tokens", work.completion.prompt_tokens)
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -13,8 +13,10 @@
 from hollyring.configuration import state
 from hollyring.core import identities, invariants
 from hollyring.delivery import messages as delivery_messages
+from hollyring.membership import messages
 from hollyring.node import (
     admin,
+    bounded,
     catalogue,
     claims_part,
     configuration_part,
@@ -22,15 +24,18 @@
     front,
     limits_part,
     logs,
+    membership_part,
     metrics,
     peers,
     platform,
+    retries,
     routing_part,
     services,
     settings,
     vm,
     wire,
 )
+from hollyring.routing import messages as routing_messages
 
 MICROSECONDS = 1_000_000
 
@@ -70,15 +75,44 @@
         self._invariants = invariants.Invariants(strict=False)
         self._metrics = metrics.Metrics()
         self._platform = platform.Platform(given.platform)
-        self._peer_addresses: dict[str, str] = {}
         codec = wire.Wire(catalogue.MESSAGES)
         self._peers = peers.Peers(
-            self._me, given.peer_keys, codec, self._from_peer, self._peer_addresses.get
+            self._me, given.peer_keys, codec, self._from_peer, self._address_of
+        )
+        self._roster: dict[str, str] = {}
+        self._membership = membership_part.MembershipPart(
+            messages.Profile(
+                given.name,
+                self._me.number,
+                given.peer_address,
+                given.caller_address,
+                given.failure_domain,
+                given.region,
+            ),
+            given.seeds,
+            self._platform,
+            self._peers.send,
+            self._on_live,
+            self._on_entry,
+            lambda names: self._limits.listed(names),
         )
         self._limits = limits_part.LimitsPart(self._me, self._invariants, self._send)
-        self._routing = routing_part.RoutingPart()
+        self._routing = routing_part.RoutingPart(
+            self._me,
+            given.region,
+            given.failure_domain,
+            given.policy,
+            self._invariants,
+            self._ask_peer,
+            self._membership.put,
+        )
         self._configuration = configuration_part.ConfigurationPart(
-            self._platform, [self._configure, self._limits.configure, self._routing.configure]
+            self._me,
+            self._invariants,
+            self._platform,
+            self._send,
+            self._membership.live_peers,
+            [self._configure, self._limits.configure, self._routing.configure],
         )
         self._claims = claims_part.ClaimsPart(
             self._me, self._invariants, self._platform, self._ask_peer
@@ -92,28 +126,37 @@
             self._limits,
             self._routing,
             self._claims,
+            self._membership,
             self._engines,
             self._services,
+            retries.Retries(),
             self._metrics,
             self._invariants,
         )
         self._front = front.Front(self._node)
+        self._leaving = False
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish what is open."""
-        callers = self._server(self._front, self._settings.caller_address)
+        protocol = bounded.protocol(self._settings.limits)
+        callers = self._server(self._front, self._settings.caller_address, protocol)
         operators = admin.Admin(
             self._settings.admin_key, self._dump, lambda: self._ready, self._metrics
         )
         admins = self._server(operators, self._settings.admin_address)
         host, port = settings.split_address(self._settings.peer_address)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._peers.run, host, port)
+            await group.start(self._peers.run, host, port)
             group.start_soon(self._limits.run)
             group.start_soon(self._claims.run)
+            group.start_soon(self._membership.run)
+            group.start_soon(self._membership.follow_list)
+            group.start_soon(self._routing.run)
             group.start_soon(self._configuration.run)
+            group.start_soon(self._configuration.follow)
             group.start_soon(admins.serve)
             group.start_soon(self._stop_on_signal, callers)
+            group.start_soon(self._stop_when_replaced, callers)
             self._log.say("serving", incarnation=str(self._me))
             await callers.serve()
             self._log.say("all requests finished")
@@ -122,22 +165,38 @@
 
     @property
     def _ready(self) -> bool:
-        return self._configuration.refusal() is None
+        return self._configuration.refusal() is None and not self._leaving
 
     async def _stop_on_signal(self, callers: uvicorn.Server) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                self._log.say("shutting down", open_requests=self._front.open_requests)
-                callers.should_exit = True
+                await self._leave(callers)
 
-    def _server(self, app: Any, address: str) -> uvicorn.Server:
+    async def _leave(self, callers: uvicorn.Server) -> None:
+        """Take this VM out of the entry answers, then finish what is open."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._log.say("leaving", open_requests=self._front.open_requests)
+        self._membership.leave()
+        await anyio.sleep(self._settings.limits.leave_seconds)
+        self._log.say("taking no more requests", open_requests=self._front.open_requests)
+        callers.should_exit = True
+
+    async def _stop_when_replaced(self, callers: uvicorn.Server) -> None:
+        """Stop at once when a later life of this VM runs: its rights are the other's now."""
+        await self._membership.replaced()
+        callers.force_exit = True
+        callers.should_exit = True
+
+    def _server(self, app: Any, address: str, http: Any = "httptools") -> uvicorn.Server:
         host, port = settings.split_address(address)
         bounds = self._settings.limits
         config = uvicorn.Config(
             app,
             host,
             port,
-            http="httptools",
+            http=http,
             loop="asyncio",
             lifespan="off",
             access_log=False,
@@ -148,17 +207,25 @@
         return _Server(config)
 
     def _configure(self, configuration: state.Configuration) -> None:
-        self._peer_addresses.clear()
-        for item in configuration.vms.values():
-            self._peer_addresses[item.name] = item.peer_address
+        self._roster = {item.name: item.peer_address for item in configuration.vms.values()}
+
+    def _on_live(self, live: membership_part.Live) -> None:
+        self._routing.set_live(live.region_names)
+
+    def _on_entry(self, entry: messages.Entry) -> None:
+        if entry.name.startswith(routing_part.UPSTREAM_ENTRY):
+            self._routing.upstream_heard(entry.name, entry.value)
+
+    def _address_of(self, name: str) -> str | None:
+        return self._membership.address_of(name) or self._roster.get(name)
 
     def _send(self, name: str, message: object) -> None:
-        address = self._peer_addresses.get(name)
+        address = self._address_of(name)
         if address is not None:
             self._peers.send(address, message)
 
     async def _ask_peer(self, name: str, message: object, seconds: float) -> object | None:
-        address = self._peer_addresses.get(name)
+        address = self._address_of(name)
         if address is None:
             return None
         return await self._peers.ask(address, message, seconds)
@@ -166,8 +233,16 @@
     async def _from_peer(self, sender: identities.Incarnation, message: object) -> object | None:
         package = type(message).__module__.split(".")[1]
         match package:
+            case "configuration":
+                self._configuration.from_peer(sender.name, message)  # type: ignore[arg-type]
+            case "membership":
+                address = self._address_of(sender.name)
+                if address is not None:
+                    self._membership.from_peer(address, message)  # type: ignore[arg-type]
             case "limits":
                 self._limits.from_peer(sender.name, message)
+            case "routing" if isinstance(message, routing_messages.Lookup):
+                return await self._routing.answer_peer(message)
             case "delivery" if isinstance(message, delivery_messages.ClaimQuestion):
                 return await self._claims.answer_peer(message)
             case _:
@@ -180,8 +255,10 @@
             "region": self._settings.region,
             "failure_domain": self._settings.failure_domain,
             "ready": self._ready,
+            "leaving": self._leaving,
             "open_requests": self._front.open_requests,
             "configuration": self._configuration.dump(),
+            "membership": self._membership.dump(),
             "limits": self._limits.dump(),
             "claims": self._claims.dump(),
             "routing": self._routing.dump(),
--- a/hollyring/node/vm.py
+++ b/hollyring/node/vm.py
@@ -10,7 +10,9 @@
     configuration_part,
     engines,
     limits_part,
+    membership_part,
     metrics,
+    retries,
     routing_part,
     services,
     settings,
@@ -33,7 +35,9 @@
     limits: limits_part.LimitsPart
     routing: routing_part.RoutingPart
     claims: claims_part.ClaimsPart
+    membership: membership_part.MembershipPart
     engines: engines.Engines
     services: services.Services
+    retries: retries.Retries
     metrics: metrics.Metrics
     invariants: invariants.Invariants
--- a/hollyring/routing/__init__.py
+++ b/hollyring/routing/__init__.py
@@ -1,16 +1,19 @@
 """Prefix chains, the cache index, placement, retries and deadlines."""
 
 from hollyring.routing import (
+    attempts,
     blocks,
     errors,
     events,
     health,
     index,
     load,
+    lookups,
     memory,
     messages,
     placement,
     policies,
+    popularity,
     prefix,
     requests,
     retry,
@@ -19,16 +22,19 @@
 )
 
 __all__ = [
+    "attempts",
     "blocks",
     "errors",
     "events",
     "health",
     "index",
     "load",
+    "lookups",
     "memory",
     "messages",
     "placement",
     "policies",
+    "popularity",
     "prefix",
     "requests",
     "retry",
--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -6,6 +6,8 @@
 import typing
 from collections.abc import Mapping, Sequence
 
+import xxhash
+
 from hollyring.core import pieces, rendezvous
 from hollyring.routing import health, load, policies, prefix, requests, upstreams
 
@@ -86,35 +88,52 @@
 
 
 class Affinity:
-    """Orders of upstreams by rendezvous on a prefix, with the warming ones left out.
+    """Orders of upstreams by rendezvous on a prefix.
 
-    Every VM with the same pool computes the same order without talking.
+    Every VM with the same upstreams computes the same order without talking; it equals that of
+    `hollyring.core.rendezvous.rank`, with the members' bytes prepared once.
     """
 
-    __slots__ = ("_orders",)
+    __slots__ = ("_orders", "_members")
 
     def __init__(self) -> None:
         self._orders: dict[tuple[int, str, str], list[State]] = {}
+        self._members: dict[tuple[str, str], tuple[list[State], list[bytes]]] = {}
 
     def clear(self) -> None:
-        """Forget all orders, since the pools changed."""
+        """Forget all orders, since the upstreams changed."""
         self._orders.clear()
+        self._members.clear()
 
     def order(
-        self, request: requests.RouteRequest, pool: Mapping[str, State], depth: int
+        self, request: requests.RouteRequest, serving: Mapping[str, State], depth: int
     ) -> list[State]:
-        """Return the pool's upstreams for the prefix of `depth` pieces, best first."""
+        """Return all `serving` upstreams for the prefix of `depth` pieces, best first."""
         name = request.chain.name_at(depth)
         key = (name, request.model, request.version)
         order = self._orders.get(key)
         if order is None:
-            ranked = rendezvous.rank(prefix.pack([name]), pool)
-            order = [pool[member] for member in ranked]
+            order = self._rank(name, request, serving)
             if len(self._orders) >= CACHED_RANKS:
                 self._orders.clear()
             self._orders[key] = order
         return order
 
+    def _rank(
+        self, name: int, request: requests.RouteRequest, serving: Mapping[str, State]
+    ) -> list[State]:
+        members = self._members.get((request.model, request.version))
+        if members is None:
+            states = [serving[member] for member in sorted(serving)]
+            members = (states, [state.name.encode() for state in states])
+            self._members[request.model, request.version] = members
+        states, encoded = members
+        digest = xxhash.xxh3_64_intdigest
+        seed = digest(prefix.pack([name]))
+        weights = [digest(member, seed=seed) for member in encoded]
+        ranked = sorted(range(len(states)), key=weights.__getitem__, reverse=True)
+        return [states[position] for position in ranked]
+
 
 def warm(state: State, name: int, now: float) -> bool:
     """Tell whether `state` may be the first choice for the prefix `name` by now."""
@@ -131,6 +150,7 @@
     state: State,
     held: Held,
     position: int,
+    reuse: float,
     now: float,
 ) -> Candidate:
     """Return the expectations for sending `request` to one upstream.
@@ -145,6 +165,8 @@
         The upstream, and what it is thought to hold of the request's chain.
     position
         Its place in the affinity order.
+    reuse
+        Requests among which a new copy of the prefix will soon be shared.
     now
         Present time.
     """
@@ -156,8 +178,12 @@
     if imported:
         tokens = imported * pieces.PIECE_TOKENS - cached
         prefill -= tokens / speed - tokens / state.upstream.import_tokens_per_second
-    seconds = state.upstream.distance_seconds + state.load.queue_seconds(now) + prefill
-    cost = seconds + prefill * (policy.waste_weight + policy.order_weight * position)
+    queueing = state.load.queue_seconds(now)
+    seconds = state.upstream.distance_seconds + queueing + prefill
+    presumed = policy.home_presumption if position == 0 else 0.0
+    avoidable = prefill * (1.0 - presumed + policy.order_weight * position)
+    weight = policy.waste_weight + queueing / policy.crowding_seconds
+    cost = seconds + avoidable * weight / reuse
     return Candidate(state, held, cached, prefill, seconds, cost, imported)
 
 
@@ -171,53 +197,70 @@
 def candidates(
     policy: policies.Prefix,
     request: requests.RouteRequest,
+    serving: Mapping[str, State],
     pool: Mapping[str, State],
     held: Mapping[str, Held],
     affinity: Affinity,
+    reuse: float,
     now: float,
 ) -> list[Candidate]:
-    """Return the upstreams worth considering for `request`.
+    """Return the upstreams of `pool` worth considering for `request`.
 
-    They are the holders of a prefix and the first few by rendezvous; while all of these queue for
-    long, twice as many by rendezvous, so that a hot prefix spreads as its load grows.
+    `reuse` is the number of requests among which a new copy of the prefix is shared. Considered
+    are the holders of a prefix and the first few by rendezvous; while all of these queue for long,
+    twice as many by rendezvous, so that a hot prefix spreads as its load grows.
     """
     found: dict[str, Candidate] = {}
 
     def consider(state: State, position: int) -> None:
-        if state.name not in found and state.name in pool:
+        if state.name not in found:
             about = held.get(state.name, NOTHING_HELD)
-            found[state.name] = evaluate(policy, request, state, about, position, now)
+            found[state.name] = evaluate(policy, request, state, about, position, reuse, now)
 
     for name in held:
-        if name in pool:
+        if name in pool and pool[name].health.usable(now):
             consider(pool[name], 0)
     if not request.chain.names:
-        for position, state in enumerate(pool.values()):
+        for position, state in enumerate(usable(pool, now).values()):
             consider(state, position and 1)
         return list(found.values())
-    orders = [affinity.order(request, pool, depth) for depth in policy.affinity_pieces]
+    orders = [affinity.order(request, serving, depth) for depth in policy.affinity_pieces]
     hashed = [request.chain.name_at(depth) for depth in policy.affinity_pieces]
     for order, hashed_name in zip(orders[1:], hashed[1:], strict=True):
-        for state in _first(order, hashed_name, 1, now):
+        for state in _first(order, pool, hashed_name, 1, now):
             consider(state, policy.fanout)
     width = policy.fanout
     while True:
-        for position, state in enumerate(_first(orders[0], hashed[0], width, now)):
+        for position, state in enumerate(_first(orders[0], pool, hashed[0], width, now)):
             consider(state, position)
         if width >= len(orders[0]) or not _busy(policy, found.values(), now):
             return list(found.values())
         width *= 2
 
 
-def _first(order: Sequence[State], name: int, count: int, now: float) -> list[State]:
-    first = []
+def usable(pool: Mapping[str, State], now: float) -> Mapping[str, State]:
+    """Return the upstreams of `pool` that may get a request now, or all if there are none."""
+    healthy = {name: state for name, state in pool.items() if state.health.usable(now)}
+    return healthy or pool
+
+
+def _first(
+    order: Sequence[State], pool: Mapping[str, State], name: int, count: int, now: float
+) -> list[State]:
+    """Return the first usable and warm upstreams of `order`, else cold, else unusable ones."""
+    first: list[State] = []
+    cold: list[State] = []
+    suspended: list[State] = []
     for state in order:
-        if not state.health.usable(now) or not warm(state, name, now):
+        if state.name not in pool:
+            continue
+        if not state.health.usable(now):
+            suspended.append(state)
             continue
-        first.append(state)
+        (first if warm(state, name, now) else cold).append(state)
         if len(first) == count:
             return first
-    return first or list(order[:count])
+    return first or cold[:count] or suspended[:count]
 
 
 def _busy(policy: policies.Prefix, found: typing.Iterable[Candidate], now: float) -> bool:
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -9,42 +9,22 @@
 from hollyring.core import invariants as core_invariants
 from hollyring.core import pieces, rendezvous
 from hollyring.routing import (
+    attempts,
     events,
     health,
     index,
     load,
+    lookups,
     memory,
     messages,
     placement,
     policies,
-    prefix,
+    popularity,
     requests,
     upstreams,
 )
 
 RETRY_AFTER_SECONDS = 1.0
-MAX_PENDING_SECONDS = 600.0
-MAX_PENDING = 20_000
-"""Dispatches followed at once; the oldest is given up beyond it."""
-
-MAX_LOOKUP_CANDIDATES = 4
-"""Upstreams asked about for one request."""
-
-KNOWN_CONFIDENCE = 0.5
-"""Confidence in a held prefix below which it is worth asking about."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Pending:
-    upstream: str
-    incarnation: int
-    chain: prefix.Chain
-    expected_pieces: int
-    expected_seconds: float
-    source: requests.Source
-    sighting_age: float
-    at: float
-    started: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,13 +32,8 @@
     """How routing fared."""
 
     routed: int = 0
-    lookups: int = 0
     lookup_answers: int = 0
     lookups_answered_for_others: int = 0
-    late: int = 0
-    failed: int = 0
-    expected_pieces: int = 0
-    cached_pieces: int = 0
 
 
 class Router:
@@ -78,6 +53,7 @@
     Examples
     --------
     >>> import random
+    >>> from hollyring.routing import prefix
     >>> router = Router("vm-1", policies.Prefix(), core_invariants.Invariants())
     >>> served = (upstreams.Served("parish", "v1"),)
     >>> router.configure([upstreams.Upstream("ls-1", "a", served)], ["vm-1"], now=0.0)
@@ -99,14 +75,14 @@
         self._invariants = invariants
         self._index = cache_index or index.CacheIndex()
         self._memory = memory.Sightings()
+        self._popularity = popularity.Popularity()
         self._states: dict[str, placement.State] = {}
         self._lives: dict[str, int] = {}
         self._watchers: dict[str, str] = {}
         self._pools: dict[tuple[str, str], dict[str, placement.State]] = {}
         self._affinity = placement.Affinity()
-        self._pending: dict[int, _Pending] = {}
-        self._attempts = itertools.count(1)
-        self._lookups = itertools.count(1)
+        self._attempts = attempts.Attempts(self._states, self._memory, self._index)
+        self._asker = lookups.Asker(vm)
         self._turn = itertools.count()
         self.counters = Counters()
 
@@ -115,6 +91,11 @@
         """The placement policy."""
         return self._policy
 
+    @property
+    def lookups_sent(self) -> int:
+        """Lookups that this VM asked for."""
+        return self._asker.counters.lookups
+
     def configure(
         self, listed: Iterable[upstreams.Upstream], vms: Sequence[str], now: float
     ) -> None:
@@ -126,7 +107,8 @@
         states = {}
         for upstream in listed:
             states[upstream.name] = self._state(upstream, first, now)
-        self._states = states
+        self._states.clear()
+        self._states.update(states)
         self._lives = {name: state.incarnation for name, state in states.items()}
         self._pools.clear()
         self._affinity.clear()
@@ -189,30 +171,21 @@
         serving = self._pool(request.model, request.version)
         if not serving:
             return requests.NoUpstream(requests.Unroutable.NOT_SERVED, RETRY_AFTER_SECONDS)
-        pool = _untried(serving, request, now)
+        pool = _untried(serving, request)
         if not pool:
             return requests.NoUpstream(requests.Unroutable.ALL_TRIED, RETRY_AFTER_SECONDS)
         match self._policy:
             case policies.Prefix() as policy:
-                return self._route_by_prefix(policy, request, pool, now, draw, may_look_up)
-            case policies.RoundRobin():
-                names = sorted(pool)
-                return self._plain(request, pool[names[next(self._turn) % len(names)]], now)
-            case policies.LeastLoaded():
-                return self._plain(request, placement.least_loaded(pool, now, draw), now)
-            case policies.HashOnly(affinity_pieces=depth):
-                if not request.chain.names:
-                    return self._plain(request, pool[draw.choice(sorted(pool))], now)
-                order = self._affinity.order(request, serving, depth)
-                state = next(state for state in order if state.name in pool)
+                return self._route_by_prefix(policy, request, serving, pool, now, draw, may_look_up)
+            case _:
+                usable = placement.usable(pool, now)
+                state = self._baseline(request, serving, usable, now, draw)
                 return self._plain(request, state, now)
 
     def answer(self, lookup: messages.Lookup, now: float) -> messages.LookupAnswer:
         """Answer another VM's lookup from this VM's index and loads."""
-        names = prefix.unpack(lookup.names)
         self.counters.lookups_answered_for_others += 1
-        states = [self._describe(name, lookup.depths, names, now) for name in lookup.upstreams]
-        return messages.LookupAnswer(lookup.lookup_id, [state for state in states if state])
+        return lookups.answer(lookup, self._states, self._index, now)
 
     def observe_answer(
         self, request: requests.RouteRequest, answer: messages.LookupAnswer, now: float
@@ -224,90 +197,30 @@
             if state is None or not self._learn_incarnation(about.upstream, about.incarnation, now):
                 continue
             if about.age_seconds >= 0:
-                state.load.observe(_report(about), now)
-            if about.confidence >= KNOWN_CONFIDENCE:
+                state.load.observe(lookups.report(about), now)
+            if about.confidence >= lookups.KNOWN_CONFIDENCE:
                 names = request.chain.names[: about.depth]
                 self._memory.remember(about.upstream, about.incarnation, names, now)
 
     def dispatched(self, request: requests.RouteRequest, route: requests.Route, now: float) -> int:
         """Note that `request` is being sent along `route`; return the attempt's number."""
-        state = self._states.get(route.upstream)
         self.assert_usable(request, route)
-        attempt = next(self._attempts)
         names = request.chain.names
-        expected = route.expected_cached_tokens
-        if len(self._pending) >= MAX_PENDING:
-            self._forget(next(iter(self._pending)))
-        self._pending[attempt] = _Pending(
-            route.upstream,
-            route.incarnation,
-            request.chain,
-            expected // pieces.PIECE_TOKENS,
-            route.expected_seconds,
-            route.source,
-            self._memory.age(route.upstream, names, expected // pieces.PIECE_TOKENS, now),
-            now,
-        )
-        self.counters.expected_pieces += expected // pieces.PIECE_TOKENS
-        if state is not None:
-            state.load.dispatched(attempt, request.prompt_tokens - expected, now)
-            state.health.dispatched(attempt)
-            self._memory.remember(route.upstream, route.incarnation, names, now)
-        return attempt
+        if names and isinstance(self._policy, policies.Prefix):
+            self._popularity.add(request.chain.name_at(self._policy.affinity_pieces[0]), now)
+        return self._attempts.dispatched(request, route, now)
 
     def first_token(self, attempt: int, now: float) -> None:
         """Note the first token of an attempt."""
-        pending = self._pending.get(attempt)
-        if pending is None or pending.started:
-            self.counters.late += pending is None
-            return
-        pending.started = True
-        state = self._states.get(pending.upstream)
-        if state is None or state.incarnation != pending.incarnation:
-            return
-        state.load.first_token(attempt, now)
-        state.health.first_token(attempt, now - pending.at, pending.expected_seconds, now)
-        self._memory.remember(pending.upstream, pending.incarnation, pending.chain.names, now)
+        self._attempts.first_token(attempt, now)
 
     def finished(self, attempt: int, cached_tokens: int | None, now: float) -> None:
         """Note the end of an attempt and the cached tokens that its answer reported, if any."""
-        pending = self._forget(attempt)
-        if pending is None:
-            self.counters.late += 1
-            return
-        if cached_tokens is None:
-            return
-        cached = cached_tokens // pieces.PIECE_TOKENS
-        self.counters.cached_pieces += cached
-        if pending.source is requests.Source.INDEX:
-            self._index.contradict(pending.upstream, pending.expected_pieces, cached)
-        if pending.source is requests.Source.MEMORY:
-            kept = cached >= pending.expected_pieces
-            self._memory.learn(pending.upstream, pending.sighting_age, kept)
+        self._attempts.finished(attempt, cached_tokens)
 
     def failed(self, attempt: int, now: float, lost: bool = True) -> None:
-        """Note that an attempt failed.
-
-        Parameters
-        ----------
-        attempt
-            Its number.
-        now
-            Present time.
-        lost
-            The connection failed or was cut, so that the upstream may have restarted; false for a
-            refusal by a living upstream.
-        """
-        pending = self._forget(attempt, now)
-        if pending is None:
-            self.counters.late += 1
-            return
-        self.counters.failed += 1
-        if lost:
-            self._memory.invalidate(pending.upstream, now)
-        else:
-            held = pending.chain.names[pending.expected_pieces :]
-            self._memory.forget(pending.upstream, held)
+        """Note that an attempt failed; see `hollyring.routing.attempts.Attempts.failed`."""
+        self._attempts.failed(attempt, now, lost)
 
     def assert_usable(self, request: requests.RouteRequest, route: requests.Route) -> bool:
         """Check that `route` relies on no dead engine, other organisation or older weights."""
@@ -326,10 +239,11 @@
 
     def dump(self) -> dict[str, object]:
         """Return the state for the VM's state dump."""
+        counted = (self.counters, self._asker.counters, self._attempts.counters)
         return {
             "policy": type(self._policy).__name__,
-            "counters": dataclasses.asdict(self.counters),
-            "pending": len(self._pending),
+            "counters": {name: n for one in counted for name, n in dataclasses.asdict(one).items()},
+            "pending": len(self._attempts),
             "index": self._index.dump(),
             "memory": self._memory.dump(),
             "upstreams": {
@@ -396,23 +310,46 @@
                 held[name] = placement.Held(about.pieces, about.confidence, source)
         return held
 
+    def _baseline(
+        self,
+        request: requests.RouteRequest,
+        serving: Mapping[str, placement.State],
+        pool: Mapping[str, placement.State],
+        now: float,
+        draw: placement.Draw,
+    ) -> placement.State:
+        names = sorted(pool)
+        match self._policy:
+            case policies.LeastLoaded():
+                return placement.least_loaded(pool, now, draw)
+            case policies.HashOnly(affinity_pieces=depth) if request.chain.names:
+                order = self._affinity.order(request, serving, depth)
+                return next(state for state in order if state.name in pool)
+            case policies.HashOnly():
+                return pool[draw.choice(names)]
+            case _:
+                return pool[names[next(self._turn) % len(names)]]
+
     def _route_by_prefix(
         self,
         policy: policies.Prefix,
         request: requests.RouteRequest,
+        serving: Mapping[str, placement.State],
         pool: Mapping[str, placement.State],
         now: float,
         draw: placement.Draw,
         may_look_up: bool,
     ) -> requests.Decision:
         held = self._held(request, now)
-        found = placement.candidates(policy, request, pool, held, self._affinity, now)
+        reuse = self._reuse(policy, request, now)
+        found = placement.candidates(
+            policy, request, serving, pool, held, self._affinity, reuse, now
+        )
         chosen = placement.choose(policy, found, draw)
         if may_look_up and chosen.prefill_seconds >= policy.lookup_stake_seconds:
-            lookups = self._worth_asking(request, found, now)
-            if lookups:
-                self.counters.lookups += len(lookups)
-                return requests.NeedLookup(lookups)
+            asked = self._asker.ask(policy, request, found, self._watchers, now)
+            if asked:
+                return requests.NeedLookup(asked)
         self.counters.routed += 1
         return requests.Route(
             chosen.state.name,
@@ -423,6 +360,12 @@
             chosen.held.source,
         )
 
+    def _reuse(self, policy: policies.Prefix, request: requests.RouteRequest, now: float) -> float:
+        if not request.chain.names:
+            return 1.0
+        name = request.chain.name_at(policy.affinity_pieces[0])
+        return max(1.0, policy.reuse_weight * self._popularity.count(name, now))
+
     def _plain(
         self, request: requests.RouteRequest, state: placement.State, now: float
     ) -> requests.Route:
@@ -434,68 +377,13 @@
         seconds = state.load.queue_seconds(now) + (request.prompt_tokens - cached) / speed
         return requests.Route(state.name, state.incarnation, cached, seconds, 0, source)
 
-    def _worth_asking(
-        self,
-        request: requests.RouteRequest,
-        found: Sequence[placement.Candidate],
-        now: float,
-    ) -> tuple[requests.AddressedLookup, ...]:
-        by_vm: dict[str, list[str]] = {}
-        cheapest = sorted(found, key=lambda candidate: candidate.cost)
-        for candidate in cheapest[:MAX_LOOKUP_CANDIDATES]:
-            name = candidate.state.name
-            watcher = self._watchers[name]
-            if watcher == self._vm or candidate.held.confidence >= KNOWN_CONFIDENCE:
-                continue
-            by_vm.setdefault(watcher, []).append(name)
-        depths = _sparse_depths(len(request.chain))
-        names = prefix.pack([request.chain.names[depth - 1] for depth in depths])
-        return tuple(
-            requests.AddressedLookup(vm, messages.Lookup(next(self._lookups), asked, depths, names))
-            for vm, asked in by_vm.items()
-        )
-
-    def _describe(
-        self, upstream: str, depths: Sequence[int], names: Sequence[int], now: float
-    ) -> messages.UpstreamState | None:
-        state = self._states.get(upstream)
-        held = self._index.depth(upstream, names)
-        if state is None or held is None or len(names) != len(depths):
-            return None
-        age = state.load.age(now)
-        return messages.UpstreamState(
-            upstream,
-            state.incarnation,
-            depths[held.pieces - 1] if held.pieces else 0,
-            held.confidence,
-            int(state.load.queued_tokens),
-            state.load.running,
-            state.load.waiting,
-            state.load.prefill_tokens_per_second,
-            age if age < MAX_PENDING_SECONDS else -1.0,
-        )
-
-    def _forget(self, attempt: int, failed_at: float | None = None) -> _Pending | None:
-        pending = self._pending.pop(attempt, None)
-        state = self._states.get(pending.upstream) if pending else None
-        if state is None:
-            return pending
-        state.load.forget(attempt)
-        if failed_at is not None:
-            state.health.failed(attempt, failed_at)
-        else:
-            state.health.ended(attempt)
-        return pending
-
 
 def _untried(
-    serving: dict[str, placement.State], request: requests.RouteRequest, now: float
+    serving: dict[str, placement.State], request: requests.RouteRequest
 ) -> dict[str, placement.State]:
     pool = serving
     if request.excluded:
         pool = {name: s for name, s in pool.items() if name not in request.excluded}
-    usable = {name: state for name, state in pool.items() if state.health.usable(now)}
-    pool = usable or pool
     if not request.avoided_domains:
         return pool
     elsewhere = {
@@ -504,19 +392,3 @@
         if state.upstream.failure_domain not in request.avoided_domains
     }
     return elsewhere or pool
-
-
-def _sparse_depths(pieces_count: int) -> list[int]:
-    depths = [1 << power for power in range(pieces_count.bit_length())]
-    return [*(depth for depth in depths if depth < pieces_count), pieces_count]
-
-
-def _report(about: messages.UpstreamState) -> messages.LoadReport:
-    return messages.LoadReport(
-        about.incarnation,
-        about.running,
-        about.waiting,
-        about.queued_tokens,
-        about.prefill_tokens_per_second,
-        about.age_seconds,
-    )
