Measure what the configuration costs, and write the operators' page

Change: slopes against organisations and VMs with the messages as the peer link encodes them, and the operators' page, whose table of fields a test compares with the code.

--- a/hollyring/declaration/tests/test_deployment.py
+++ b/hollyring/declaration/tests/test_deployment.py
@@ -1,6 +1,7 @@
 import importlib.util
 import pathlib
 
+import msgspec
 import pytest
 
 from hollyring import declaration
@@ -61,3 +62,19 @@
 def test_second_declaration_of_an_object_is_refused(deployment):
     with pytest.raises(declaration.DeclarationError, match="organisation/kigoma is declared twice"):
         deployment.organisation("kigoma", rate=1, burst=2000)
+
+
+def documented_fields():
+    page = EXAMPLES.parent / "docs" / "operators" / "configuration.md"
+    rows = [line.split("|") for line in page.read_text().splitlines() if line.startswith("| `")]
+    named = [(row[1].strip(" `"), row[2].strip(" `")) for row in rows]
+    return [(name, default) for name, default in named if name.split(".")[0] in objects.KINDS]
+
+
+def test_operators_page_lists_every_field_with_its_default():
+    fields = []
+    for kind, type_ in objects.KINDS.items():
+        for field in msgspec.structs.fields(type_):
+            default = "required" if field.required else msgspec.json.encode(field.default).decode()
+            fields.append((f"{kind}.{field.name}", default))
+    assert documented_fields() == fields
--- /dev/null
+++ b/hollyring/experiments/configuration_slopes.py
@@ -0,0 +1,278 @@
+"""Slopes of the configuration's cost against organisations and VMs, with real encoded messages."""
+
+from __future__ import annotations
+
+import gc
+import heapq
+import pathlib
+import random
+import statistics
+import time
+import tracemalloc
+
+import click
+import msgspec
+
+from hollyring.configuration import (
+    in_force,
+    messages,
+    objects,
+    retained,
+    revisions,
+    snapshots,
+    state,
+)
+from hollyring.core import invariants
+from hollyring.node import catalogue, wire
+
+KEYS_EACH = 3
+CHANGES = 600
+"""Changes applied at each size, more than a VM retains."""
+
+ORGANISATIONS = (5, 500, 4_700)
+VMS = (3, 9, 30, 90, 360)
+GOSSIP_SECONDS = 60.0
+DELAY_SECONDS = 0.05
+DROPS = (0.0, 0.1)
+SPREADS = 20
+SEED = 1
+
+
+class OrganisationPoint(msgspec.Struct):
+    """Cost at a number of organisations, with three keys each."""
+
+    organisations: int
+    whole_bytes: int
+    segments: int
+    change_bytes: int
+    change_bytes_full_roster: int
+    change_processor_us: float
+    load_processor_ms: float
+    snapshot_processor_ms: float
+    memory_bytes: int
+    memory_full_bytes: int
+    load_peak_bytes: int
+
+
+class FleetPoint(msgspec.Struct):
+    """Gossip of one fleet, and how long a change takes from one VM to all without the store."""
+
+    vms: int
+    dropped: float
+    idle_messages_per_vm_second: float
+    idle_bytes_per_vm_second: float
+    idle_processor_ms_per_vm_second: float
+    change_bytes_per_vm: float
+    change_messages_per_vm: float
+    everywhere_p50_seconds: float
+    everywhere_max_seconds: float
+
+
+class Slopes(msgspec.Struct):
+    """All points."""
+
+    by_organisations: list[OrganisationPoint]
+    by_vms: list[FleetPoint]
+
+
+def _organisation(number: int, rate: float = 100.0) -> objects.Organisation:
+    keys = tuple(
+        objects.Key(f"key-{index}", objects.key_digest(f"demo-key-{number}-{index}"))
+        for index in range(KEYS_EACH)
+    )
+    return objects.Organisation(f"organisation-{number}", rate, 400_000, 1.0, keys)
+
+
+def _base(organisations: int) -> tuple[state.Configuration, bytes]:
+    put = (objects.Deployment("slopes"), *(_organisation(n) for n in range(organisations)))
+    configuration = state.Configuration()
+    content = configuration.changed(1, "", put, []).content
+    # The slopes start from one large revision; a submitter would split it.
+    value = msgspec.json.encode(revisions.Revision(1, "", f"{content:064x}", "base"))
+    return configuration.changed(1, revisions.digest(value), put, []), value
+
+
+def _changes(base: state.Configuration, count: int, organisations: int) -> list[bytes]:
+    rng = random.Random(SEED)
+    values = []
+    for index in range(count):
+        put = (_organisation(rng.randrange(organisations), float(index + 1)),)
+        submission = f"{rng.getrandbits(128):032x}"
+        at = "2026-01-01T00:00:00+00:00"
+        values.append(revisions.successor(base, submission, put, (), "operator", at))
+        base = revisions.advance(base, values[-1])
+    return values
+
+
+def _change_bytes_full_roster(base: state.Configuration) -> int:
+    """Return the bytes of a change after as many VMs were removed as the roster remembers."""
+    names = [f"vm-{index:04}" for index in range(state.RETIRED_VMS)]
+    address = "127.0.0.1:1"
+    vms = [objects.VM(name, "region", "domain", address, address, address) for name in names]
+    gone = [objects.identity(vm) for vm in vms]
+    retired = base.changed(2, "", vms, []).changed(3, "", [], gone)
+    return len(_changes(retired, 1, len(base.organisations))[0])
+
+
+def organisation_point(organisations: int) -> OrganisationPoint:
+    """Measure one number of organisations."""
+    base, head = _base(organisations)
+    values = _changes(base, CHANGES, organisations)
+    began = time.process_time()
+    snapshot = snapshots.take(base, head)
+    taking = time.process_time() - began
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    began = time.process_time()
+    configuration = snapshots.restore(snapshot)
+    traced_loading = tracemalloc.get_traced_memory()
+    gc.collect()
+    memory = tracemalloc.get_traced_memory()[0] - before
+    held = retained.Retained()
+    held.restart(1, head)
+    for value in values:
+        configuration = revisions.advance(configuration, value)
+        held.append(bytes(bytearray(value)))
+    gc.collect()
+    full = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del configuration
+    began = time.process_time()
+    configuration = snapshots.restore(snapshot)
+    loading = time.process_time() - began
+    costs = []
+    for value in values:
+        began = time.process_time()
+        configuration = revisions.advance(configuration, value)
+        costs.append(time.process_time() - began)
+    return OrganisationPoint(
+        organisations=organisations,
+        whole_bytes=sum(map(len, snapshot.segments)),
+        segments=len(snapshot.segments),
+        change_bytes=round(statistics.median(map(len, values))),
+        change_bytes_full_roster=_change_bytes_full_roster(base),
+        change_processor_us=round(statistics.median(costs) * 1e6, 1),
+        load_processor_ms=round(loading * 1e3, 2),
+        snapshot_processor_ms=round(taking * 1e3, 2),
+        memory_bytes=memory,
+        memory_full_bytes=full,
+        load_peak_bytes=traced_loading[1] - before,
+    )
+
+
+class _Fleet:
+    """VMs that hear one another and no store; messages are encoded and counted."""
+
+    def __init__(self, count: int, dropped: float, seed: int) -> None:
+        self.now = 0.0
+        self.bytes = 0
+        self.messages = 0
+        self._rng = random.Random(seed)
+        self._dropped = dropped
+        self._wire = wire.Wire(catalogue.MESSAGES)
+        self._due: list[tuple[float, int, str, str, bytes]] = []
+        self._order = 0
+        self.names = [f"vm-{index}" for index in range(count)]
+        self.vms = {}
+        base, head = _base(5)
+        self.next = _changes(base, 1, 5)[0]
+        segments = snapshots.take(base, head).segments
+        for name in self.names:
+            vm = self.vms[name] = in_force.InForce(invariants.Invariants(), 0.0)
+            for index, body in enumerate(segments):
+                vm.on_message("vm", messages.Segment(1, head, index, len(segments), body), 0.0)
+            self._put(self._rng.random(), name, "", b"")
+
+    def run(self, until: float) -> None:
+        """Run until a time, or until all have the next revision."""
+        while self._due[0][0] < until and not self.reached:
+            self.now, _, receiver, sender, data = heapq.heappop(self._due)
+            if not data:
+                peers = [name for name in self.names if name != receiver]
+                self.send(receiver, self.vms[receiver].tick(self.now, peers, self._random()))
+                self._put(self.now + in_force.TICK_SECONDS, receiver, "", b"")
+                continue
+            message = self._wire.decode(data)[0]
+            self.send(receiver, self.vms[receiver].on_message(sender, message, self.now))
+        self.now = max(self.now, until) if not self.reached else self.now
+
+    @property
+    def reached(self) -> bool:
+        """Whether every VM has the second revision."""
+        return all(vm.revision == 2 for vm in self.vms.values())
+
+    def send(self, sender: str, sends: list[messages.Send]) -> None:
+        """Encode messages and put them on their way."""
+        for send in sends:
+            data = self._wire.encode(send.message)
+            self.bytes += len(data)
+            self.messages += 1
+            if self._rng.random() >= self._dropped:
+                delay = self._rng.uniform(0, DELAY_SECONDS)
+                self._put(self.now + delay, send.to, sender, data)
+
+    def _put(self, at: float, receiver: str, sender: str, data: bytes) -> None:
+        self._order += 1
+        heapq.heappush(self._due, (at, self._order, receiver, sender, data))
+
+    def _random(self) -> int:
+        return self._rng.getrandbits(64)
+
+
+def fleet_point(count: int, dropped: float) -> FleetPoint:
+    """Measure one size of fleet at one share of lost messages."""
+    idle = _Fleet(count, dropped, SEED)
+    idle.run(5.0)
+    sent, octets, began = idle.messages, idle.bytes, time.process_time()
+    idle.run(5.0 + GOSSIP_SECONDS)
+    processor = time.process_time() - began
+    vm_seconds = count * GOSSIP_SECONDS
+    idle_messages = (idle.messages - sent) / vm_seconds
+    idle_bytes = (idle.bytes - octets) / vm_seconds
+    times, extra_bytes, extra_messages = [], [], []
+    for seed in range(SPREADS):
+        fleet = _Fleet(count, dropped, seed)
+        fleet.run(5.0)
+        sent, octets, started = fleet.messages, fleet.bytes, fleet.now
+        fleet.send("vm-0", fleet.vms["vm-0"].on_value(fleet.next, fleet.now))
+        fleet.run(65.0)
+        times.append(fleet.now - started)
+        took = count * times[-1]
+        extra_messages.append((fleet.messages - sent - idle_messages * took) / count)
+        extra_bytes.append((fleet.bytes - octets - idle_bytes * took) / count)
+    return FleetPoint(
+        vms=count,
+        dropped=dropped,
+        idle_messages_per_vm_second=round(idle_messages, 2),
+        idle_bytes_per_vm_second=round(idle_bytes, 1),
+        idle_processor_ms_per_vm_second=round(processor / vm_seconds * 1e3, 3),
+        change_bytes_per_vm=round(statistics.mean(extra_bytes), 1),
+        change_messages_per_vm=round(statistics.mean(extra_messages), 2),
+        everywhere_p50_seconds=round(statistics.median(times), 2),
+        everywhere_max_seconds=round(max(times), 2),
+    )
+
+
+def measure() -> Slopes:
+    """Measure all points."""
+    return Slopes(
+        [organisation_point(count) for count in ORGANISATIONS],
+        [fleet_point(count, dropped) for dropped in DROPS for count in VMS],
+    )
+
+
+@click.command("configuration-slopes")
+@click.option(
+    "--output",
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    default=pathlib.Path("docs/measurements/configuration-slopes.json"),
+    show_default=True,
+)
+def configuration_slopes(output: pathlib.Path) -> None:
+    """Measure what the configuration costs and write the points as JSON.
+
+    Example: hollyring experiment configuration-slopes --output slopes.json
+    """
+    output.write_bytes(msgspec.json.format(msgspec.json.encode(measure())) + b"\n")
+    click.echo(f"{output} written")
