--- a/hollyring/experiments/configuration_slopes.py
+++ b/hollyring/experiments/configuration_slopes.py
@@ -9,6 +9,7 @@
 import statistics
 import time
 import tracemalloc
+import typing
 
 import click
 import msgspec
@@ -84,7 +85,8 @@
 
 
 def _base(organisations: int) -> tuple[state.Configuration, bytes]:
-    put = (objects.Deployment("slopes"), *(_organisation(n) for n in range(organisations)))
+    put: list[objects.Object] = [objects.Deployment("slopes")]
+    put += (_organisation(number) for number in range(organisations))
     configuration = state.Configuration()
     content = configuration.changed(1, "", put, []).content
     # The slopes start from one large revision; a submitter would split it.
@@ -193,7 +195,7 @@
                 self.send(receiver, self.vms[receiver].tick(self.now, peers, self._random()))
                 self._put(self.now + in_force.TICK_SECONDS, receiver, "", b"")
                 continue
-            message = self._wire.decode(data)[0]
+            message = typing.cast(messages.Message, self._wire.decode(data)[0])
             self.send(receiver, self.vms[receiver].on_message(sender, message, self.now))
         self.now = max(self.now, until) if not self.reached else self.now
 
@@ -220,7 +222,7 @@
         return self._rng.getrandbits(64)
 
 
-def fleet_point(count: int, dropped: float) -> FleetPoint:
+def fleet_point(count: int, dropped: float, spreads: int = SPREADS) -> FleetPoint:
     """Measure one size of fleet at one share of lost messages."""
     idle = _Fleet(count, dropped, SEED)
     idle.run(5.0)
@@ -231,7 +233,7 @@
     idle_messages = (idle.messages - sent) / vm_seconds
     idle_bytes = (idle.bytes - octets) / vm_seconds
     times, extra_bytes, extra_messages = [], [], []
-    for seed in range(SPREADS):
+    for seed in range(spreads):
         fleet = _Fleet(count, dropped, seed)
         fleet.run(5.0)
         sent, octets, started = fleet.messages, fleet.bytes, fleet.now
