--- a/hollyring/cli/config.py
+++ b/hollyring/cli/config.py
@@ -220,14 +220,18 @@
     addresses = list(named) or _roster(platform.Platform(str(url)), as_json)
     until = time.monotonic() + timeout
     found: dict[str, int | None] = dict.fromkeys(addresses)
-    while True:
-        for address in addresses:
-            if (found[address] or 0) < revision:
+    behind = list(addresses)
+    hidden = as_json or not sys.stderr.isatty()
+    with click.progressbar(length=len(behind), file=sys.stderr, hidden=hidden) as bar:
+        while True:
+            for address in behind:
                 found[address] = vms.revision_at(address, admin_key)
-        behind = [address for address in addresses if (found[address] or 0) < revision]
-        if not behind or time.monotonic() >= until:
-            break
-        time.sleep(POLL_SECONDS)
+            still = [address for address in behind if (found[address] or 0) < revision]
+            bar.update(len(behind) - len(still))
+            behind = still
+            if not behind or time.monotonic() >= until:
+                break
+            time.sleep(POLL_SECONDS)
     shown = {a: "not reachable" if r is None else f"revision {r}" for a, r in found.items()}
     lines = [f"{address}: {text}" for address, text in shown.items()]
     lines.append(f"in force on {len(addresses) - len(behind)} of {len(addresses)} VMs")
