Give back to a lossy store, and fill a gap right below what is in force

The walk down to the newest revision that the store has began anew at each lost call, so with many revisions missing it hardly ever came to write. And a VM verified its own revision only: a submission under way during an outage writes its revision into a store that lost the ones before, and nobody noticed the gap.

Ruled out: verifying all retained revisions after each failed call, 512 reads a VM.

Change: a binary search for the newest revision that the store has, which repeats a lost call; the revision before one's own is verified, too.

--- a/hollyring/configuration/follower.py
+++ b/hollyring/configuration/follower.py
@@ -128,43 +128,60 @@
         answered = yield store.Read(revisions.key(revision))
         match answered.answer:
             case store.Found(value) if revisions.digest(value) == digest:
-                self._verified = self._now
-                self._target.clear_alarm(in_force.Alarm.STORE_OLDER)
-                self._target.clear_alarm(in_force.Alarm.DIVERGED)
+                yield from self._verify_before(revision)
             case store.Found():
                 self._verified = self._now
                 self._diverged(revision)
             case store.Absent():
-                detail = f"the store has no revision {revision}, which is in force"
-                self._target.raise_alarm(in_force.Alarm.STORE_OLDER, detail)
-                yield self._spread()
                 yield from self._give_back(revision)
             case _:
                 yield self._retry()
 
-    def _give_back(self, newest: int) -> _Steps:
-        missing = newest
-        while missing > 1:
-            held = self._target.stored(missing)
-            if held is None:
-                # Another VM may hold what is missing.
-                yield store.Pause(HOLD_SECONDS)
-                return
-            answered = yield store.Read(revisions.key(missing - 1))
-            if isinstance(answered.answer, store.Found):
-                if revisions.decode(held).previous == revisions.digest(answered.answer.value):
-                    break
-                self._diverged(missing - 1)
-                yield store.Pause(HOLD_SECONDS)
+    def _verify_before(self, revision: int) -> _Steps:
+        # A submission under way may have gone to a store that lost the revisions before it.
+        if revision > 1:
+            answered = yield store.Read(revisions.key(revision - 1))
+            if isinstance(answered.answer, store.Absent):
+                yield from self._give_back(revision - 1)
                 return
-            if not isinstance(answered.answer, store.Absent):
+            if isinstance(answered.answer, store.Failed):
                 yield self._retry()
                 return
-            missing -= 1
-        for revision in range(missing, newest + 1):
+        self._verified = self._now
+        self._target.clear_alarm(in_force.Alarm.STORE_OLDER)
+        self._target.clear_alarm(in_force.Alarm.DIVERGED)
+
+    def _give_back(self, newest: int) -> _Steps:
+        detail = f"the store has no revision {newest}, which is in force"
+        self._target.raise_alarm(in_force.Alarm.STORE_OLDER, detail)
+        yield self._spread()
+        present, missing, before = 0, newest, b""
+        # What is given back grows from the oldest, so that a search finds where to go on.
+        while missing - present > 1:
+            middle = (present + missing) // 2
+            answered = yield store.Read(revisions.key(middle))
+            match answered.answer:
+                case store.Found(value):
+                    present, before = middle, value
+                case store.Absent():
+                    missing = middle
+                case _:
+                    yield self._retry()
+        held = self._target.stored(missing)
+        if held is None:
+            # Another VM may hold what is missing.
+            yield store.Pause(HOLD_SECONDS)
+            return
+        if before and revisions.decode(held).previous != revisions.digest(before):
+            self._diverged(present)
+            yield store.Pause(HOLD_SECONDS)
+            return
+        yield from self._write_back(missing, newest)
+
+    def _write_back(self, first: int, last: int) -> _Steps:
+        for revision in range(first, last + 1):
             value = self._target.stored(revision)
             if value is None:
-                yield store.Pause(HOLD_SECONDS)
                 return
             answered = yield store.Write(revisions.key(revision), value)
             if not isinstance(answered.answer, store.Written | store.Conflict):
--- a/hollyring/configuration/tests/conftest.py
+++ b/hollyring/configuration/tests/conftest.py
@@ -1,4 +1,5 @@
 import dataclasses
+import random
 
 import pytest
 
@@ -15,10 +16,11 @@
     down: bool = False
     lose_answers: int = 0
     calls: int = 0
+    losses: random.Random | None = None
 
     def perform(self, call):
         self.calls += 1
-        if self.down:
+        if self.down or (self.losses and self.losses.random() < 0.1):
             return store.Failed()
         answer = self._perform(call)
         if self.lose_answers and not isinstance(call, store.Pause):
--- a/hollyring/configuration/tests/test_follower.py
+++ b/hollyring/configuration/tests/test_follower.py
@@ -1,3 +1,5 @@
+import random
+
 import pytest
 
 from hollyring.configuration import follower, in_force, publishing, revisions, store
@@ -100,6 +102,23 @@
     assert {n: memory.values[revisions.key(n)][0] for n in range(1, 6)} == values
 
 
+def test_gap_before_the_revision_in_force_is_filled(machine, memory):
+    values = {number: memory.values[revisions.key(number)][0] for number in range(1, 6)}
+    for number in (2, 3, 4):
+        del memory.values[revisions.key(number)]
+    machine.until(lambda: all(revisions.key(number) in memory.values for number in values))
+    assert {n: memory.values[revisions.key(n)][0] for n in values} == values
+
+
+def test_many_lost_revisions_are_given_back_to_a_store_that_often_fails(memory):
+    grow(memory, 200)
+    machine = Machine(memory)
+    machine.until(lambda: machine.target.caught_up)
+    memory.values = {key: memory.values[key] for key in map(revisions.key, range(1, 11))}
+    memory.losses = random.Random(1)
+    machine.until(lambda: len(memory.values) == 200, steps=3_000)
+
+
 def test_older_store_is_found_without_an_outage(machine, memory):
     del memory.values[revisions.key(5)]
     machine.until(lambda: revisions.key(5) in memory.values)
--- a/hollyring/experiments/tests/test_configuration.py
+++ b/hollyring/experiments/tests/test_configuration.py
@@ -68,6 +68,7 @@
     monkeypatch.setattr(in_force.InForce, "_ask", lambda self, peer, target, now: [])
     assert caught_within(10) in {
         "accepted_change_is_in_force_in_time",
+        "connected_vm_admits",
         "restarted_vm_is_configured_in_time",
     }
 
