--- a/hollyring/configuration/in_force.py
+++ b/hollyring/configuration/in_force.py
@@ -153,7 +153,7 @@
 
     @property
     def alarms(self) -> dict[Alarm, str]:
-        """What an operator should know now, with details."""
+        """Alarms that stand, with details."""
         return dict(self._alarms)
 
     def admission(self, now: float) -> Admission:
--- a/hollyring/experiments/configuration.py
+++ b/hollyring/experiments/configuration.py
@@ -11,16 +11,11 @@
 
 from hollyring.configuration import (
     in_force,
-    loading,
     objects,
-    publishing,
     revisions,
-    snapshots,
     state,
-    store,
-    submission,
 )
-from hollyring.experiments import configuration_world
+from hollyring.experiments import configuration_operators, configuration_world
 
 IN_FORCE_SECONDS = 12.0
 """An accepted change must be in force on every connected VM after this long."""
@@ -33,17 +28,12 @@
 WORD_SECONDS = 17.0
 """Nor on word that was sent or asked for longer ago: 10 s after a watch of at most 7 s."""
 
-OPERATORS = 3
-ORGANISATIONS = 12
-
 CALM_SECONDS = 150.0
 """Now and then no fault is added for this long, so that what has to heal can be seen to."""
 
 GIVEN_BACK_SECONDS = 60.0
 """A store that came back older has what it lost again after this long."""
 
-_DIGESTS = [objects.key_digest(f"demo-key-{number}") for number in range(3 * ORGANISATIONS)]
-
 
 @dataclasses.dataclass(slots=True)
 class Report:
@@ -59,9 +49,9 @@
     steps: int
     simulated_seconds: float = 0.0
     revisions: int = 0
-    accepted: int = 0
-    lost_races: int = 0
-    unknown: int = 0
+    outcomes: configuration_operators.Outcomes = dataclasses.field(
+        default_factory=configuration_operators.Outcomes
+    )
     forks: int = 0
     lost_by_store: int = 0
     faults: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -71,16 +61,6 @@
     seconds_until_everywhere: list[float] = dataclasses.field(default_factory=list)
 
 
-@dataclasses.dataclass(slots=True)
-class _Operator:
-    """An operator's tool, one call at a time."""
-
-    name: str
-    machine: loading.Loading | submission.Submission | publishing.Publishing | None = None
-    loaded: loading.Loaded | None = None
-    failures: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class _Past:
     at: float
@@ -100,11 +80,11 @@
         self._digests: dict[int, tuple[str, int]] = {}
         self._revisions: dict[tuple[str, int], int] = {}
         self._past: collections.deque[_Past] = collections.deque()
-        self._submissions = 0
         self._whole_at = 0.0
         self._faults: collections.Counter[str] = collections.Counter()
-        for index in range(OPERATORS):
-            self._later(_Operator(f"op-{index}"))
+        self._operators = configuration_operators.Operators(
+            self._world, self._rng, self.report.outcomes, self._accept
+        )
         self._world.at(5.0, self._fault)
         self._world.at(1.0, self._look)
 
@@ -172,7 +152,8 @@
         owners = {
             key.digest: item for item in configuration.organisations.values() for key in item.keys
         }
-        right = all(configuration.organisation_of(key) is owners.get(key) for key in _DIGESTS)
+        digests = configuration_operators.DIGESTS
+        right = all(configuration.organisation_of(key) is owners.get(key) for key in digests)
         checks.check("content_is_what_is_held", total == configuration.content, vm.name)
         checks.check("key_table_is_what_is_held", right, vm.name)
 
@@ -312,95 +293,8 @@
             self._accepted_at.pop(number, None)
             entries.pop(revisions.key(number), None)
 
-    def _later(self, operator: _Operator, delay: float | None = None) -> None:
-        wait = self._rng.uniform(0.5, 8.0) if delay is None else delay
-        self._world.at(wait, lambda: self._operate(operator))
-
-    def _operate(self, operator: _Operator) -> None:
-        if operator.machine is None:
-            operator.machine, operator.failures = loading.Loading(), 0
-        machine = operator.machine
-        if machine.call is None or operator.failures > submission.ATTEMPTS:
-            self._next(operator)
-            return
-        call = machine.call
-        answer = self._perform(call)
-        operator.failures += isinstance(answer, store.Failed)
-        machine.on_answer(answer)
-        self._later(operator, self._rng.uniform(0.001, 0.3))
-
-    def _perform(self, call: store.Call) -> store.Answer:
-        world, rng = self._world, self._rng
-        if isinstance(call, store.Pause):
-            return store.Waited()
-        if not world.store.up or rng.random() < configuration_world.DROP:
-            return store.Failed()
-        if isinstance(call, store.Write) and rng.random() < configuration_world.DROP:
-            world.at(rng.uniform(0.1, 3.0), lambda: self._write_late(call))
-            return store.Failed()
-        answer = world.store.perform(call)
-        if isinstance(call, store.Write) and isinstance(answer, store.Written):
-            world.appeared(call.key)
-        return store.Failed() if rng.random() < configuration_world.DROP else answer
-
-    def _write_late(self, call: store.Write) -> None:
-        # The store refuses what it is sent while it is down.
-        world = self._world
-        if world.store.up and isinstance(world.store.perform(call), store.Written):
-            world.appeared(call.key)
-
-    def _next(self, operator: _Operator) -> None:
-        """Go on to the operator's next machine."""
-        machine, operator.machine, operator.failures = operator.machine, None, 0
-        match machine:
-            case loading.Loading() if machine.loaded is not None:
-                operator.loaded = machine.loaded
-                operator.machine = self._submission(operator, machine.loaded)
-            case submission.Submission():
-                operator.machine = self._settled(operator, machine)
-        self._later(operator, None if operator.machine is None else 0.01)
-
-    def _submission(
-        self, operator: _Operator, loaded: loading.Loaded
-    ) -> submission.Submission | None:
-        base = loaded.configuration
-        # The tool asks the VMs first, so that it does not submit to a store that lost revisions.
-        if any(vm.target.revision > base.revision for vm in self._world.vms.values()):
-            return None
-        self._submissions += 1
-        number = self._rng.randrange(ORGANISATIONS)
-        name = f"o-{number}"
-        identity = objects.Identity("organisation", name)
-        if base.get(identity) is not None and self._rng.random() < 0.2:
-            change = submission.Plan(base, (), (identity,))
-        else:
-            key = objects.Key("k", self._rng.choice(_DIGESTS[3 * number : 3 * number + 3]))
-            rate = float(self._rng.randrange(1, 1000))
-            item = objects.Organisation(name, rate, 40_000, keys=(key,))
-            change = submission.Plan(base, (item,), ())
-        return submission.Submission(change, f"{operator.name}/{self._submissions}", operator.name)
-
-    def _settled(
-        self, operator: _Operator, machine: submission.Submission
-    ) -> publishing.Publishing | None:
-        match machine.outcome:
-            case submission.Accepted(revision):
-                self._accept(revision, revisions.decode(machine.value).submission)
-                return self._publication(operator, machine.value)
-            case submission.Lost():
-                self.report.lost_races += 1
-                mine = revisions.decode(machine.value)
-                held = self._world.store.entries.get(revisions.key(mine.revision), (b"", 0))[0]
-                self._world.checks.check(
-                    "lost_submission_changed_nothing", held != machine.value, mine.submission
-                )
-            case _:
-                self.report.unknown += 1
-        return None
-
     def _accept(self, revision: int, identity: str) -> None:
         world = self._world
-        self.report.accepted += 1
         earlier = self._accepted.setdefault(revision, identity)
         if earlier != identity and self._faults["older"]:
             self.report.forks += 1
@@ -410,16 +304,6 @@
         )
         self._accepted_at.setdefault(revision, world.now)
 
-    def _publication(self, operator: _Operator, value: bytes) -> publishing.Publishing | None:
-        loaded = operator.loaded
-        assert loaded is not None
-        configuration = revisions.advance(loaded.configuration, value)
-        found = loaded.pointer
-        pointer = snapshots.decode_pointer(found.value) if found else None
-        if not snapshots.due(configuration.revision, pointer):
-            return None
-        return publishing.Publishing(configuration, value, found)
-
 
 def run(seed: int, vms: int = 9, steps: int = 100_000) -> Report:
     """Run `steps` steps over `vms` VMs and return what was done.
@@ -448,11 +332,12 @@
         if as_json:
             click.echo(msgspec.json.encode(report).decode())
             continue
+        found = report.outcomes
         times = sorted(report.seconds_until_everywhere) or [0.0]
         checked = sum(int(str(entry["checks"])) for entry in report.checks.values())
         click.echo(
-            f"seed {number}: {report.simulated_seconds:.0f} s, {report.accepted} accepted, "
-            f"{report.lost_races} races lost, {report.unknown} unknown, {report.forks} forks, "
+            f"seed {number}: {report.simulated_seconds:.0f} s, {found.accepted} accepted, "
+            f"{found.lost_races} races lost, {found.unknown} unknown, {report.forks} forks, "
             f"{checked} checks held; everywhere after p50 {times[len(times) // 2]} s, "
             f"max {times[-1]} s"
         )
--- a/hollyring/experiments/tests/test_configuration.py
+++ b/hollyring/experiments/tests/test_configuration.py
@@ -29,7 +29,7 @@
 def test_invariants_hold_through_random_faults(seed):
     report = configuration.run(seed, vms=9, steps=20_000)
     assert {name for name, entry in report.checks.items() if entry["checks"]} == INVARIANTS
-    assert report.accepted > 10
+    assert report.outcomes.accepted > 10
     assert len(report.faults) > 4
 
 
