--- a/hollyring/configuration/tests/test_in_force.py
+++ b/hollyring/configuration/tests/test_in_force.py
@@ -1,6 +1,15 @@
 import pytest
 
-from hollyring.configuration import gossip, in_force, messages, objects, revisions, state
+from hollyring.configuration import (
+    gossip,
+    in_force,
+    loading,
+    messages,
+    objects,
+    retained,
+    revisions,
+    state,
+)
 from hollyring.configuration.tests import conftest
 from hollyring.core import invariants
 
@@ -64,6 +73,8 @@
 
 def test_silent_vm_stops_admitting_and_resumes_only_when_caught_up(vm):
     edge = in_force.SILENCE_SECONDS
+    for second in range(int(edge)):
+        vm.tick(float(second), [], 1)
     assert vm.admission(edge) == in_force.Admission.ADMITS
     assert vm.admission(edge + 0.1) == in_force.Admission.SILENT
     vm.on_message("vm-1", messages.Digest(4, "later", False), edge + 0.2)
@@ -74,8 +85,22 @@
 
 
 def test_paused_vm_is_silent_as_soon_as_it_wakes(vm):
-    vm.on_store_heard(1000.0)
-    assert vm.admission(1000.0) == in_force.Admission.CATCHING_UP
+    assert vm.admission(1000.0) == in_force.Admission.SILENT
+
+
+def test_paused_vm_does_not_admit_on_what_arrived_while_it_was_paused(vm):
+    digest = messages.Digest(3, vm.configuration.digest, False)
+    vm.on_store_current(3, 1.0, 61.0)  # asked before the pause
+    vm.on_message("vm-1", digest, 61.0)
+    assert vm.admission(61.0) == in_force.Admission.CATCHING_UP
+    vm.on_message("vm-1", digest, 61.0 + in_force.SETTLE_SECONDS)
+    assert vm.admission(62.0) == in_force.Admission.ADMITS
+
+
+def test_paused_vm_admits_once_the_store_was_asked_anew(vm):
+    vm.tick(61.0, PEERS, 1)
+    vm.on_store_current(3, 61.0, 61.1)
+    assert vm.admission(61.1) == in_force.Admission.ADMITS
 
 
 def test_peers_keep_a_vm_admitting_while_the_store_is_away(vm):
@@ -108,6 +133,14 @@
     assert vm.configuration.content == other.configuration.content
 
 
+def test_load_of_an_older_store_changes_nothing(vm):
+    values, older = conftest.chain(2)
+    held = retained.Retained()
+    held.restart(2, values[1])
+    vm.on_loaded(loading.Loaded(older, held, None), 0.5, 1.0)
+    assert vm.revision == 3
+
+
 def test_starting_vm_takes_the_highest_of_several_answers():
     vms = {"vm-0": fresh()}
     for index, count in enumerate([3, 5, 4]):
--- a/hollyring/experiments/configuration.py
+++ b/hollyring/experiments/configuration.py
@@ -11,31 +11,29 @@
 
 from hollyring.configuration import (
     in_force,
-    loading,
     objects,
-    publishing,
     revisions,
-    snapshots,
     state,
-    store,
-    submission,
 )
-from hollyring.experiments import configuration_world
+from hollyring.experiments import configuration_operators, configuration_world
 
 IN_FORCE_SECONDS = 12.0
 """An accepted change must be in force on every connected VM after this long."""
 
+FAULTS = ["crash", "herd", "pause", "outage", "older", "partition", "cut_off", "alone", "calm"]
+
 SILENCE_SECONDS = 10.0
-"""A VM that heard neither the store nor a peer for this long must not admit."""
+"""A VM that read nothing from the store or a peer for this long must not admit."""
+
+WORD_SECONDS = 17.0
+"""Nor on word that was sent or asked for longer ago: 10 s after a watch of at most 7 s."""
 
-OPERATORS = 3
-ORGANISATIONS = 12
+CALM_SECONDS = 150.0
+"""Now and then no fault is added for this long, so that what has to heal can be seen to."""
 
 GIVEN_BACK_SECONDS = 60.0
 """A store that came back older has what it lost again after this long."""
 
-_DIGESTS = [objects.key_digest(f"demo-key-{number}") for number in range(3 * ORGANISATIONS)]
-
 
 @dataclasses.dataclass(slots=True)
 class Report:
@@ -51,9 +49,9 @@
     steps: int
     simulated_seconds: float = 0.0
     revisions: int = 0
-    accepted: int = 0
-    lost_races: int = 0
-    unknown: int = 0
+    outcomes: configuration_operators.Outcomes = dataclasses.field(
+        default_factory=configuration_operators.Outcomes
+    )
     forks: int = 0
     lost_by_store: int = 0
     faults: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -63,16 +61,6 @@
     seconds_until_everywhere: list[float] = dataclasses.field(default_factory=list)
 
 
-@dataclasses.dataclass(slots=True)
-class _Operator:
-    """An operator's tool, one call at a time."""
-
-    name: str
-    machine: loading.Loading | submission.Submission | publishing.Publishing | None = None
-    loaded: loading.Loaded | None = None
-    failures: int = 0
-
-
 @dataclasses.dataclass(slots=True)
 class _Past:
     at: float
@@ -92,11 +80,11 @@
         self._digests: dict[int, tuple[str, int]] = {}
         self._revisions: dict[tuple[str, int], int] = {}
         self._past: collections.deque[_Past] = collections.deque()
-        self._submissions = 0
         self._whole_at = 0.0
         self._faults: collections.Counter[str] = collections.Counter()
-        for index in range(OPERATORS):
-            self._later(_Operator(f"op-{index}"))
+        self._operators = configuration_operators.Operators(
+            self._world, self._rng, self.report.outcomes, self._accept
+        )
         self._world.at(5.0, self._fault)
         self._world.at(1.0, self._look)
 
@@ -132,6 +120,10 @@
                     silent <= SILENCE_SECONDS,
                     f"{vm.name} after {silent:.1f} s",
                 )
+                old = now - vm.word_of
+                world.checks.check(
+                    "old_word_admits_nothing", old <= WORD_SECONDS, f"{vm.name} after {old:.1f} s"
+                )
             if admits and not vm.admitted and not vm.heard_store:
                 newest = max((number for at, number in vm.newest if now - at < 9.9), default=0)
                 world.checks.check(
@@ -150,11 +142,18 @@
         same = (configuration.digest, configuration.content)
         known = self._digests.setdefault(number, same)
         checks.check("same_revision_same_configuration", same == known, f"{vm.name} at {number}")
+        value = vm.target.stored(number)
+        if value is not None:
+            change = revisions.decode(value)
+            put = all(configuration.get(objects.identity(item)) == item for item in change.put)
+            deleted = all(configuration.get(name) is None for name in change.delete)
+            checks.check("change_is_applied", put and deleted, f"{vm.name} at {number}")
         total = state.Configuration().changed(0, "", configuration.items(), []).content
         owners = {
             key.digest: item for item in configuration.organisations.values() for key in item.keys
         }
-        right = all(configuration.organisation_of(key) is owners.get(key) for key in _DIGESTS)
+        digests = configuration_operators.DIGESTS
+        right = all(configuration.organisation_of(key) is owners.get(key) for key in digests)
         checks.check("content_is_what_is_held", total == configuration.content, vm.name)
         checks.check("key_table_is_what_is_held", right, vm.name)
 
@@ -217,11 +216,12 @@
         able = [
             vm
             for vm in world.vms.values()
-            if max(vm.disturbed, vm.began, world.grouped) < world.now - GIVEN_BACK_SECONDS
+            if max(vm.disturbed, vm.began) < world.now - GIVEN_BACK_SECONDS
             and world.linked(vm.name, "store")
             and all(vm.target.stored(number) for number in missing)
         ]
-        if not missing or not able or not world.store.up:
+        cut = world.grouped > world.now - GIVEN_BACK_SECONDS
+        if not missing or not able or not world.store.up or cut:
             self._whole_at = world.now
         world.checks.check(
             "store_gets_back_what_it_lost",
@@ -236,11 +236,10 @@
 
     def _fault(self) -> None:
         world, rng = self._world, self._rng
-        world.at(rng.uniform(1.0, 15.0), self._fault)
         world.store.back_up()
-        kind = rng.choice(
-            ["crash", "herd", "pause", "outage", "older", "partition", "store_link", "calm"]
-        )
+        kind = rng.choice(FAULTS)
+        calm = kind == "calm" and rng.random() < 0.3
+        world.at(CALM_SECONDS if calm else rng.uniform(1.0, 15.0), self._fault)
         self._faults[kind] += 1
         names = sorted(world.vms)
         match kind:
@@ -256,8 +255,8 @@
             case "partition":
                 world.partition({name: rng.randrange(2) for name in [*names, "store"]})
                 world.at(rng.uniform(1.0, 40.0), lambda: world.partition({}))
-            case "store_link" if names:
-                away = rng.sample(names, max(1, len(names) // 3))
+            case "cut_off" | "alone" if names:
+                away = rng.sample(names, max(1, len(names) // 3 if kind == "cut_off" else 1))
                 # Those VMs hear one another and nobody else.
                 world.partition(dict.fromkeys(away, 1))
                 world.at(rng.uniform(1.0, 40.0), lambda: world.partition({}))
@@ -294,95 +293,8 @@
             self._accepted_at.pop(number, None)
             entries.pop(revisions.key(number), None)
 
-    def _later(self, operator: _Operator, delay: float | None = None) -> None:
-        wait = self._rng.uniform(0.5, 8.0) if delay is None else delay
-        self._world.at(wait, lambda: self._operate(operator))
-
-    def _operate(self, operator: _Operator) -> None:
-        if operator.machine is None:
-            operator.machine, operator.failures = loading.Loading(), 0
-        machine = operator.machine
-        if machine.call is None or operator.failures > submission.ATTEMPTS:
-            self._next(operator)
-            return
-        call = machine.call
-        answer = self._perform(call)
-        operator.failures += isinstance(answer, store.Failed)
-        machine.on_answer(answer)
-        self._later(operator, self._rng.uniform(0.001, 0.3))
-
-    def _perform(self, call: store.Call) -> store.Answer:
-        world, rng = self._world, self._rng
-        if isinstance(call, store.Pause):
-            return store.Waited()
-        if not world.store.up or rng.random() < configuration_world.DROP:
-            return store.Failed()
-        if isinstance(call, store.Write) and rng.random() < configuration_world.DROP:
-            world.at(rng.uniform(0.1, 3.0), lambda: self._write_late(call))
-            return store.Failed()
-        answer = world.store.perform(call)
-        if isinstance(call, store.Write) and isinstance(answer, store.Written):
-            world.appeared(call.key)
-        return store.Failed() if rng.random() < configuration_world.DROP else answer
-
-    def _write_late(self, call: store.Write) -> None:
-        # The store refuses what it is sent while it is down.
-        world = self._world
-        if world.store.up and isinstance(world.store.perform(call), store.Written):
-            world.appeared(call.key)
-
-    def _next(self, operator: _Operator) -> None:
-        """Go on to the operator's next machine."""
-        machine, operator.machine, operator.failures = operator.machine, None, 0
-        match machine:
-            case loading.Loading() if machine.loaded is not None:
-                operator.loaded = machine.loaded
-                operator.machine = self._submission(operator, machine.loaded)
-            case submission.Submission():
-                operator.machine = self._settled(operator, machine)
-        self._later(operator, None if operator.machine is None else 0.01)
-
-    def _submission(
-        self, operator: _Operator, loaded: loading.Loaded
-    ) -> submission.Submission | None:
-        base = loaded.configuration
-        # The tool asks the VMs first, so that it does not submit to a store that lost revisions.
-        if any(vm.target.revision > base.revision for vm in self._world.vms.values()):
-            return None
-        self._submissions += 1
-        number = self._rng.randrange(ORGANISATIONS)
-        name = f"o-{number}"
-        identity = objects.Identity("organisation", name)
-        if base.get(identity) is not None and self._rng.random() < 0.2:
-            change = submission.Plan(base, (), (identity,))
-        else:
-            key = objects.Key("k", self._rng.choice(_DIGESTS[3 * number : 3 * number + 3]))
-            rate = float(self._rng.randrange(1, 1000))
-            item = objects.Organisation(name, rate, 40_000, keys=(key,))
-            change = submission.Plan(base, (item,), ())
-        return submission.Submission(change, f"{operator.name}/{self._submissions}", operator.name)
-
-    def _settled(
-        self, operator: _Operator, machine: submission.Submission
-    ) -> publishing.Publishing | None:
-        match machine.outcome:
-            case submission.Accepted(revision):
-                self._accept(revision, revisions.decode(machine.value).submission)
-                return self._publication(operator, machine.value)
-            case submission.Lost():
-                self.report.lost_races += 1
-                mine = revisions.decode(machine.value)
-                held = self._world.store.entries.get(revisions.key(mine.revision), (b"", 0))[0]
-                self._world.checks.check(
-                    "lost_submission_changed_nothing", held != machine.value, mine.submission
-                )
-            case _:
-                self.report.unknown += 1
-        return None
-
     def _accept(self, revision: int, identity: str) -> None:
         world = self._world
-        self.report.accepted += 1
         earlier = self._accepted.setdefault(revision, identity)
         if earlier != identity and self._faults["older"]:
             self.report.forks += 1
@@ -392,16 +304,6 @@
         )
         self._accepted_at.setdefault(revision, world.now)
 
-    def _publication(self, operator: _Operator, value: bytes) -> publishing.Publishing | None:
-        loaded = operator.loaded
-        assert loaded is not None
-        configuration = revisions.advance(loaded.configuration, value)
-        found = loaded.pointer
-        pointer = snapshots.decode_pointer(found.value) if found else None
-        if not snapshots.due(configuration.revision, pointer):
-            return None
-        return publishing.Publishing(configuration, value, found)
-
 
 def run(seed: int, vms: int = 9, steps: int = 100_000) -> Report:
     """Run `steps` steps over `vms` VMs and return what was done.
@@ -430,11 +332,12 @@
         if as_json:
             click.echo(msgspec.json.encode(report).decode())
             continue
+        found = report.outcomes
         times = sorted(report.seconds_until_everywhere) or [0.0]
         checked = sum(int(str(entry["checks"])) for entry in report.checks.values())
         click.echo(
-            f"seed {number}: {report.simulated_seconds:.0f} s, {report.accepted} accepted, "
-            f"{report.lost_races} races lost, {report.unknown} unknown, {report.forks} forks, "
+            f"seed {number}: {report.simulated_seconds:.0f} s, {found.accepted} accepted, "
+            f"{found.lost_races} races lost, {found.unknown} unknown, {report.forks} forks, "
             f"{checked} checks held; everywhere after p50 {times[len(times) // 2]} s, "
             f"max {times[-1]} s"
         )
--- a/hollyring/experiments/tests/test_configuration.py
+++ b/hollyring/experiments/tests/test_configuration.py
@@ -8,10 +8,12 @@
 
 INVARIANTS = {
     "accepted_change_is_in_force_in_time",
+    "change_is_applied",
     "configuration_goes_forward",
     "connected_vm_admits",
     "content_is_what_is_held",
     "key_table_is_what_is_held",
+    "old_word_admits_nothing",
     "lost_submission_changed_nothing",
     "one_submission_per_revision",
     "restarted_vm_is_configured_in_time",
@@ -27,7 +29,7 @@
 def test_invariants_hold_through_random_faults(seed):
     report = configuration.run(seed, vms=9, steps=20_000)
     assert {name for name, entry in report.checks.items() if entry["checks"]} == INVARIANTS
-    assert report.accepted > 10
+    assert report.outcomes.accepted > 10
     assert len(report.faults) > 4
 
 
@@ -49,6 +51,11 @@
     assert caught_within(10) == "silent_vm_admits_nothing"
 
 
+def test_run_catches_a_vm_that_wakes_and_trusts_what_had_arrived(monkeypatch):
+    monkeypatch.setattr(in_force, "PAUSE_SECONDS", 1e9)
+    assert caught_within(10) == "old_word_admits_nothing"
+
+
 def test_run_catches_a_submitter_that_takes_any_value_for_its_own(monkeypatch):
     def decide(self, value):
         return submission.Accepted(self._revision)
@@ -61,6 +68,7 @@
     monkeypatch.setattr(in_force.InForce, "_ask", lambda self, peer, target, now: [])
     assert caught_within(10) in {
         "accepted_change_is_in_force_in_time",
+        "connected_vm_admits",
         "restarted_vm_is_configured_in_time",
     }
 
