--- a/hollyring/experiments/limits.py
+++ b/hollyring/experiments/limits.py
@@ -136,6 +136,8 @@
                 used = self._rng.randint(0, reserved.tokens)  # type: ignore[union-attr]
                 self.world.settle(machine, request, used)
             machine.running.clear()
+        if self._rng.random() < 0.2:
+            self._spike()
 
     def _refresh(self) -> None:
         if self.world.awake:
@@ -216,6 +218,10 @@
         changed = holders.Roster(revision, tuple(slots), tuple(retiring), self._settled())
         self._accept(changed, self.world.document.limits)
         self._count(change)
+        for machine in self.world.awake:
+            if self._rng.random() < 0.5:
+                self.world.refresh(machine)
+        self._spike()
 
     def _settled(self) -> int:
         states = [machine.limiter.dump()["settled"] for machine in self.world.awake]
--- a/hollyring/experiments/limits_overload.py
+++ b/hollyring/experiments/limits_overload.py
@@ -157,9 +157,8 @@
         position += 1
         free = max(free, at) if not queue.waiting else free
         offer = offers[request]
-        rate = RATES[int(offer.organisation[-1])]
         deadline = offer.at + DEADLINE_SECONDS
-        waiting = fairness.Entry(request, offer.organisation, offer.tokens, deadline, rate)
+        waiting = fairness.Entry(request, offer.organisation, offer.tokens, deadline)
         if queue.push(waiting, at) is not None:
             done[request] = None
     return done
--- a/hollyring/limits/borrower.py
+++ b/hollyring/limits/borrower.py
@@ -79,6 +79,7 @@
         "used_at",
         "_available",
         "_wanted",
+        "_yield",
         "_known",
     )
 
@@ -90,6 +91,7 @@
         self.used_at = 0.0
         self._available = 0
         self._wanted = 0
+        self._yield = 1.0
         self._known: dict[str, _Known] = {}
 
     @property
@@ -169,22 +171,43 @@
             if age >= settings.LOAN_SECONDS:
                 del self.asked[number]
 
-    def heard(self, holder: str, left: int, now: float) -> None:
-        """Note what a holder has left by its own word."""
-        self._known[holder] = _Known(left, now)
+    def heard(self, ask: Asked, given: int, left: int, now: float) -> None:
+        """Note a holder's answer.
+
+        Holders that give less than expected are being asked by others too: expect a smaller
+        part of what accrues at them, so that VMs do not ask in vain all the time.
+        """
+        first = ask.holder not in self._known
+        self._known[ask.holder] = _Known(left, now)
+        if given < ask.tokens and first:
+            return
+        if given < ask.tokens:
+            self._yield = max(settings.LEAST_YIELD, self._yield / 2)
+        else:
+            self._yield = min(1.0, self._yield + settings.YIELD_STEP)
 
     def is_asked(self, holder: str) -> bool:
         """Tell whether an ask to `holder` is in flight."""
         return any(ask.holder == holder for ask in self.asked.values())
 
     def estimate(self, holder: str, portion: holders.Portion, now: float) -> int:
-        """Return the tokens that `holder` may lend beyond what it is being asked for."""
+        """Return the tokens that this VM may expect of `holder` beyond what it has asked for."""
+        return self._estimate(holder, portion, now, self._yield)
+
+    def most(self, holder: str, portion: holders.Portion, now: float) -> int:
+        """Return the tokens that `holder` can have at most beyond what it has been asked for."""
+        return self._estimate(holder, portion, now, 1.0)
+
+    def _estimate(self, holder: str, portion: holders.Portion, now: float, part: float) -> int:
         known = self._known.get(holder)
         if known is None:
             left = portion.burst
         elif now < known.blocked_until:
             left = 0
         else:
-            left = min(portion.burst, int(known.left + (now - known.at) * portion.rate))
+            age = now - known.at
+            contended = min(age, settings.CONTENDED_SECONDS)
+            accrued = (age - contended * (1 - part)) * portion.rate
+            left = min(portion.burst, int(known.left + accrued))
         asked = sum(ask.tokens for ask in self.asked.values() if ask.holder == holder)
         return max(0, left - asked)
--- a/hollyring/limits/fairness.py
+++ b/hollyring/limits/fairness.py
@@ -40,7 +40,8 @@
     deadline
         Time in seconds after which its caller has no use for an answer.
     weight
-        The organisation's part of the service against the others, its rate as a rule.
+        The organisation's part of the service against the others. Equal weights favour the
+        organisations that use little.
     """
 
     request_id: str
--- a/hollyring/limits/limiter.py
+++ b/hollyring/limits/limiter.py
@@ -217,16 +217,17 @@
             return True
         estimates = self._estimates(state, limit, mine, now)
         reach = state.available + mine + state.expected(now) + sum(n for _, n in estimates)
-        rate = max(limit.rate, 1)
-        soon = state.wanted - reach <= rate * settings.WAIT_SECONDS
-        if now >= first.deadline or (reach < first.tokens and not soon):
-            after = max(0, first.tokens - reach) / rate
-            self._refuse(state.organisation, state.pop(), "rate_limited", after, effects)
-            return True
-        if reach >= first.tokens:
+        if now < first.deadline and reach >= first.tokens:
             self._borrow_own(state, first.tokens - state.available, now)
             self._ask(state, estimates, now, effects)
-        return False
+            return False
+        rate = max(limit.rate, 1)
+        most = state.available + mine + state.expected(now) + self._most(state, limit, now)
+        if now < first.deadline and state.wanted - most <= rate * settings.WAIT_SECONDS:
+            return False
+        after = max(0, first.tokens - most) / rate
+        self._refuse(state.organisation, state.pop(), "rate_limited", after, effects)
+        return True
 
     def _borrow_own(self, state: borrower.Borrower, tokens: int, now: float) -> None:
         self._last_ask += 1
@@ -238,6 +239,15 @@
             )
             state.add(loan)
 
+    def _most(self, state: borrower.Borrower, limit: holders.Limit, now: float) -> int:
+        """Return the tokens that the other holders can have at most."""
+        chosen = self._layout.chosen(state.organisation)
+        return sum(
+            state.most(slot.vm, holders.part(limit, index, len(chosen)), now)
+            for index, slot in enumerate(chosen)
+            if slot.vm != self._vm.name
+        )
+
     def _estimates(
         self, state: borrower.Borrower, limit: holders.Limit, mine: int, now: float
     ) -> list[tuple[str, int]]:
@@ -293,7 +303,7 @@
         ask = state.asked.pop(grant.ask, None) if state else None
         if state is None or ask is None:
             return
-        state.heard(sender, grant.left, now)
+        state.heard(ask, grant.tokens, grant.left, now)
         expires = ask.sent + settings.LOAN_SECONDS
         if grant.tokens:
             loan = borrower.Loan(
--- a/hollyring/limits/settings.py
+++ b/hollyring/limits/settings.py
@@ -33,6 +33,15 @@
 LARGE_LOAN = 4
 """A loan is large if it is more than this part of a share's burst."""
 
+LEAST_YIELD = 1 / 32
+"""Least part of what accrues at a holder that a VM expects for itself."""
+
+CONTENDED_SECONDS = 0.5
+"""Seconds after an answer for which the smaller part is expected; later the whole rate is."""
+
+YIELD_STEP = 1 / 8
+"""Rise of that part with each answer that gives all that was asked."""
+
 MAX_PENDING = 256
 """Requests of one organisation that wait at one VM for borrowed tokens."""
 
--- a/hollyring/limits/tests/test_limiter.py
+++ b/hollyring/limits/tests/test_limiter.py
@@ -36,6 +36,15 @@
     return decisions
 
 
+def run(fleet, now, seconds):
+    """Tick every 100 ms and return the time after `seconds`."""
+    for _ in range(round(seconds * 10)):
+        now += 0.1
+        for vm, state in fleet.items():
+            carry(fleet, vm, state.tick(now), now)
+    return now
+
+
 def admit(fleet, vm, tokens, now, request="r"):
     for state in fleet.values():
         state.tick(now)
@@ -102,6 +111,22 @@
     assert [decision.code for decision in effects.decisions] == ["rate_limited"]
 
 
+def test_remaining_vms_grow_only_when_the_dropped_one_has_stopped(fleet):
+    slots = tuple(holders.Slot(f"s{i}", f"vm-{i}", f"fd-{i}") for i in range(2))
+    changed = holders.Roster(2, slots, ("vm-2",), settled=1)
+    now = 20.0
+    del fleet["vm-2"]
+    for state in fleet.values():
+        state.configure(limiter.Update(changed), now)
+    now = run(fleet, now, 6.0)
+    assert not admitted(admit(fleet, "vm-0", 601, now))
+    fleet["vm-0"].cancel("shop", "r", now)
+    for state in fleet.values():
+        state.mark_destroyed({"vm-2"})
+    now = run(fleet, now, 6.0)
+    assert admitted(admit(fleet, "vm-0", 900, now, "s"))
+
+
 def test_replaced_vm_must_have_stopped_before_the_new_one_grows(fleet):
     slots = tuple(
         holders.Slot(f"s{i}", name, f"fd-{i}") for i, name in enumerate(["vm-0", "vm-1", "vm-9"])
@@ -112,16 +137,10 @@
     for vm in ["vm-0", "vm-1"]:
         fleet[vm].configure(limiter.Update(changed), now)
     deaf = fleet.pop("vm-2")
-    for _ in range(60):
-        now += 0.1
-        for vm, state in fleet.items():
-            carry(fleet, vm, state.tick(now), now)
+    now = run(fleet, now, 6.0)
     assert not admitted(admit(fleet, "vm-9", 601, now))
     deaf.configure(limiter.Update(changed), now)
     fleet["vm-2"] = deaf
-    for _ in range(60):
-        now += 0.1
-        for vm, state in fleet.items():
-            carry(fleet, vm, state.tick(now), now)
+    now = run(fleet, now, 6.0)
     assert fleet["vm-9"].dump()["settled"] == 2
     assert isinstance(admit(fleet, "vm-9", 700, now, "s")[0], messages.Admitted)
