--- a/hollyring/experiments/routing_replay.py
+++ b/hollyring/experiments/routing_replay.py
@@ -12,6 +12,7 @@
 import functools
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterator
 
@@ -55,6 +56,8 @@
     rate: float = 12.0
     seconds: float = 120.0
     crash_at: float = 80.0
+    slow_at: float = math.inf
+    slow_factor: float = 5.0
     lookups: bool = True
     watchers: bool = True
     told_the_truth: bool = False
@@ -310,6 +313,8 @@
         seconds = (job.request.prompt_tokens - cached_tokens) / (
             self._settings.prefill_tokens_per_second
         ) + DECODE_SECONDS
+        if self._now >= self._settings.slow_at and upstream.name == max(self._fleet):
+            seconds *= self._settings.slow_factor
         wasted = (elsewhere - cached) * pieces.PIECE_TOKENS
         life = upstream.incarnation
 
--- a/hollyring/routing/attempts.py
+++ b/hollyring/routing/attempts.py
@@ -19,11 +19,12 @@
     incarnation: int
     chain: prefix.Chain
     expected_pieces: int
-    expected_seconds: float
+    prompt_tokens: int
+    nominal_wait: float
     source: requests.Source
     sighting_age: float
     at: float
-    started: bool = False
+    first_token: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +71,7 @@
         number = next(self._numbers)
         names = request.chain.names
         expected = route.expected_cached_tokens // pieces.PIECE_TOKENS
+        state = self._states.get(route.upstream)
         if len(self._attempts) >= MAX_ATTEMPTS:
             self._end(next(iter(self._attempts)))
         self._attempts[number] = _Attempt(
@@ -77,13 +79,13 @@
             route.incarnation,
             request.chain,
             expected,
-            route.expected_seconds,
+            request.prompt_tokens,
+            state.load.nominal_queue_seconds(now) if state else 0.0,
             route.source,
             self._memory.age(route.upstream, names, expected, now),
             now,
         )
         self.counters.expected_pieces += expected
-        state = self._states.get(route.upstream)
         if state is not None:
             uncached = request.prompt_tokens - route.expected_cached_tokens
             state.load.dispatched(number, uncached, now)
@@ -94,20 +96,22 @@
     def first_token(self, number: int, now: float) -> None:
         """Note an attempt's first token: its upstream holds the whole chain now."""
         attempt = self._attempts.get(number)
-        if attempt is None or attempt.started:
+        if attempt is None or attempt.first_token:
             self.counters.late += attempt is None
             return
-        attempt.started = True
+        attempt.first_token = now - attempt.at
         state = self._states.get(attempt.upstream)
         if state is None or state.incarnation != attempt.incarnation:
             return
         state.load.first_token(number, now)
-        state.health.first_token(number, now - attempt.at, attempt.expected_seconds, now)
         self._memory.remember(attempt.upstream, attempt.incarnation, attempt.chain.names, now)
 
-    def finished(self, number: int, cached_tokens: int | None) -> None:
-        """Note an attempt's end and compare its cached tokens with what was expected."""
-        attempt = self._end(number)
+    def finished(self, number: int, cached_tokens: int | None, now: float) -> None:
+        """Note an attempt's end and compare its cached tokens and time with the expected ones."""
+        attempt = self._attempts.get(number)
+        if attempt is not None and cached_tokens is not None:
+            self._judge(number, attempt, cached_tokens, now)
+        self._end(number)
         if attempt is None or cached_tokens is None:
             return
         cached = cached_tokens // pieces.PIECE_TOKENS
@@ -141,6 +145,15 @@
             return
         self._memory.forget(attempt.upstream, attempt.chain.names[attempt.expected_pieces :])
 
+    def _judge(self, number: int, attempt: _Attempt, cached_tokens: int, now: float) -> None:
+        state = self._states.get(attempt.upstream)
+        if state is None or state.incarnation != attempt.incarnation or not attempt.first_token:
+            return
+        uncached = max(0, attempt.prompt_tokens - cached_tokens)
+        expected = attempt.nominal_wait + uncached / state.load.prefill_tokens_per_second
+        state.load.learn(attempt.first_token, expected, now)
+        state.health.first_token(number, attempt.first_token, expected, now)
+
     def _end(self, number: int, failed_at: float | None = None) -> _Attempt | None:
         attempt = self._attempts.pop(number, None)
         if attempt is None:
--- a/hollyring/routing/load.py
+++ b/hollyring/routing/load.py
@@ -16,6 +16,14 @@
 FRESH_SECONDS = 1.0
 """A report younger than this needs no lookup."""
 
+SLOWDOWN_SECONDS = 30.0
+"""Time constant with which a slowdown is forgotten: the way back."""
+
+SLOWDOWN_WEIGHT = 0.4
+MAX_SLOWDOWN_LOG = math.log(20.0)
+FLOOR_SECONDS = 0.1
+"""Added to measured and expected times, so that short ones weigh little."""
+
 MAX_OWN_SECONDS = 60.0
 """An own dispatch without a first token stops counting as queued after so long."""
 
@@ -44,6 +52,8 @@
     waiting: int = 0
     wait_seconds: float = 0.0
     waited_at: float = float("-inf")
+    slowdown_log: float = 0.0
+    slowdown_at: float = float("-inf")
     _own: dict[int, _Own] = dataclasses.field(default_factory=dict)
 
     @property
@@ -68,6 +78,23 @@
         if report.prefill_tokens_per_second > 0:
             self.prefill_tokens_per_second = report.prefill_tokens_per_second
 
+    def slowdown(self, now: float) -> float:
+        """Return how many times slower than reported the upstream's own answers show it to be."""
+        kept = math.exp(-max(0.0, now - self.slowdown_at) / SLOWDOWN_SECONDS)
+        return math.exp(kept * self.slowdown_log)
+
+    def speed(self, now: float) -> float:
+        """Return the prompt tokens that it seems to prefill in a second."""
+        return self.prefill_tokens_per_second / self.slowdown(now)
+
+    def learn(self, measured: float, expected: float, now: float) -> None:
+        """Compare an answer's time to first token with what reported speed and queue promised."""
+        ratio = math.log((measured + FLOOR_SECONDS) / (expected + FLOOR_SECONDS))
+        known = math.log(self.slowdown(now))
+        learnt = known + SLOWDOWN_WEIGHT * (ratio - known)
+        self.slowdown_log = min(MAX_SLOWDOWN_LOG, max(0.0, learnt))
+        self.slowdown_at = now
+
     def dispatched(self, attempt: int, uncached_tokens: int, now: float) -> None:
         """Count an own dispatch until its first token or a report that covers it."""
         self._own[attempt] = _Own(now, uncached_tokens)
@@ -90,6 +117,7 @@
         self._own.clear()
         self.queued_tokens = self.mean_queued_tokens = self.wait_seconds = 0.0
         self.running = self.waiting = 0
+        self.slowdown_log = 0.0
         self.reported_at = self.waited_at = float("-inf")
 
     def age(self, now: float) -> float:
@@ -98,6 +126,10 @@
 
     def queue_seconds(self, now: float) -> float:
         """Return how long a request sent now is expected to wait for its prefill."""
+        return self.nominal_queue_seconds(now) * self.slowdown(now)
+
+    def nominal_queue_seconds(self, now: float) -> float:
+        """Return the same at the speed that the upstream reports."""
         queued = self._reported_tokens(now) + self._unreported_tokens(now)
         return queued / self.prefill_tokens_per_second + self._observed_wait(now)
 
--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -170,7 +170,7 @@
     now
         Present time.
     """
-    speed = state.load.prefill_tokens_per_second
+    speed = state.load.speed(now)
     cached = min(request.prompt_tokens, int(held.confidence * held.pieces * pieces.PIECE_TOKENS))
     uncached = request.prompt_tokens - cached
     prefill = uncached / speed
--- a/hollyring/routing/router.py
+++ b/hollyring/routing/router.py
@@ -216,7 +216,7 @@
 
     def finished(self, attempt: int, cached_tokens: int | None, now: float) -> None:
         """Note the end of an attempt and the cached tokens that its answer reported, if any."""
-        self._attempts.finished(attempt, cached_tokens)
+        self._attempts.finished(attempt, cached_tokens, now)
 
     def failed(self, attempt: int, now: float, lost: bool = True) -> None:
         """Note that an attempt failed; see `hollyring.routing.attempts.Attempts.failed`."""
@@ -252,6 +252,7 @@
                     "watcher": self._watchers[name],
                     "on_probation": state.health.on_probation,
                     "queued_tokens": state.load.queued_tokens,
+                    "slowdown": round(state.load.slowdown_log, 2),
                 }
                 for name, state in sorted(self._states.items())
             },
