Scale an upstream's estimates by the slowdown that its answers show

A slowdown is now learnt from each finished answer, at the uncached tokens that it reported, and from overdue dispatches.

--- a/hollyring/routing/attempts.py
+++ b/hollyring/routing/attempts.py
@@ -88,7 +88,7 @@
         self.counters.expected_pieces += expected
         if state is not None:
             uncached = request.prompt_tokens - route.expected_cached_tokens
-            state.load.dispatched(number, uncached, now)
+            state.load.dispatched(number, uncached, request.prompt_tokens, now)
             state.health.dispatched(number)
             self._memory.remember(route.upstream, route.incarnation, names, now)
         return number
--- a/hollyring/routing/load.py
+++ b/hollyring/routing/load.py
@@ -24,6 +24,9 @@
 FLOOR_SECONDS = 0.1
 """Added to measured and expected times, so that short ones weigh little."""
 
+OVERDUE_FACTOR = 2.0
+"""How many times its longest expected wait a dispatch may take before it shows a slowdown."""
+
 MAX_OWN_SECONDS = 60.0
 """An own dispatch without a first token stops counting as queued after so long."""
 
@@ -32,6 +35,7 @@
 class _Own:
     at: float
     tokens: int
+    longest: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -81,7 +85,7 @@
     def slowdown(self, now: float) -> float:
         """Return how many times slower than reported the upstream's own answers show it to be."""
         kept = math.exp(-max(0.0, now - self.slowdown_at) / SLOWDOWN_SECONDS)
-        return math.exp(kept * self.slowdown_log)
+        return max(math.exp(kept * self.slowdown_log), self._overdue(now))
 
     def speed(self, now: float) -> float:
         """Return the prompt tokens that it seems to prefill in a second."""
@@ -90,14 +94,18 @@
     def learn(self, measured: float, expected: float, now: float) -> None:
         """Compare an answer's time to first token with what reported speed and queue promised."""
         ratio = math.log((measured + FLOOR_SECONDS) / (expected + FLOOR_SECONDS))
-        known = math.log(self.slowdown(now))
+        kept = math.exp(-max(0.0, now - self.slowdown_at) / SLOWDOWN_SECONDS)
+        known = kept * self.slowdown_log
         learnt = known + SLOWDOWN_WEIGHT * (ratio - known)
         self.slowdown_log = min(MAX_SLOWDOWN_LOG, max(0.0, learnt))
         self.slowdown_at = now
 
-    def dispatched(self, attempt: int, uncached_tokens: int, now: float) -> None:
+    def dispatched(
+        self, attempt: int, uncached_tokens: int, prompt_tokens: int, now: float
+    ) -> None:
         """Count an own dispatch until its first token or a report that covers it."""
-        self._own[attempt] = _Own(now, uncached_tokens)
+        longest = self.nominal_queue_seconds(now) + prompt_tokens / self.prefill_tokens_per_second
+        self._own[attempt] = _Own(now, uncached_tokens, longest)
 
     def first_token(self, attempt: int, now: float) -> None:
         """Stop counting an own dispatch as queued, and learn how long it waited."""
@@ -138,6 +146,15 @@
         since = max(self.reported_at, now - MAX_OWN_SECONDS)
         return self.running + self.waiting + sum(own.at > since for own in self._own.values())
 
+    def _overdue(self, now: float) -> float:
+        """Return how many times longer than even uncached an own dispatch already waits."""
+        ratios = (
+            (now - own.at + FLOOR_SECONDS) / (own.longest + FLOOR_SECONDS)
+            for own in self._own.values()
+            if now - own.at < MAX_OWN_SECONDS
+        )
+        return max(ratios, default=1.0) / OVERDUE_FACTOR
+
     def _reported_tokens(self, now: float) -> float:
         if math.isinf(self.reported_at):
             return 0.0
--- a/hollyring/routing/tests/test_estimates.py
+++ b/hollyring/routing/tests/test_estimates.py
@@ -13,7 +13,7 @@
 
 def test_own_dispatch_counts_until_a_later_report_covers_it(estimate, report):
     estimate.observe(report(), 0.0)
-    estimate.dispatched(1, 16_000, 1.0)
+    estimate.dispatched(1, 16_000, 16_000, 1.0)
     assert estimate.queue_seconds(1.0) == pytest.approx(2.0)
     estimate.observe(report(8000, age=0.5), 1.4)
     assert estimate.queue_seconds(1.4) > 2.5
@@ -21,6 +21,23 @@
     assert estimate.queue_seconds(1.5) < 1.1
 
 
+def test_own_answers_show_a_slowdown_that_is_forgotten_again(estimate, report):
+    estimate.observe(report(8000), 0.0)
+    for now in range(5):
+        estimate.learn(measured=5.0, expected=1.0, now=float(now))
+    assert 3.0 < estimate.slowdown(4.0) < 5.0
+    assert estimate.queue_seconds(4.0) > 3.0
+    assert estimate.slowdown(200.0) < 1.1
+
+
+def test_overdue_dispatch_shows_a_slowdown_before_it_ends(estimate):
+    estimate.dispatched(1, 800, 16_000, 0.0)
+    assert estimate.slowdown(2.0) == 1.0
+    assert estimate.slowdown(20.0) > 3.0
+    estimate.forget(1)
+    assert estimate.slowdown(8.0) == 1.0
+
+
 def test_reports_out_of_order_are_ignored(estimate, report):
     estimate.observe(report(8000), 5.0)
     estimate.observe(report(0, age=3.0), 5.1)
