--- a/hollyring/routing/tests/test_router.py
+++ b/hollyring/routing/tests/test_router.py
@@ -200,6 +200,26 @@
     assert int(route.upstream[-1]) % 3 != int(first.upstream[-1]) % 3
 
 
+def test_retry_of_one_request_moves_no_other(make_router, make_request, draw):
+    home = make_router().route(make_request(), 0.0, draw).upstream
+    one = make_router()
+    one.route(make_request(excluded=frozenset({home})), 0.0, draw)
+    assert one.route(make_request(), 0.0, draw).upstream == home
+
+
+def test_failing_upstream_is_avoided_and_tried_again(make_router, make_request, draw):
+    one = make_router()
+    home = one.route(make_request(), 0.0, draw).upstream
+    for _ in range(health.FAILURES):
+        one.failed(one.dispatched(make_request(), one.route(make_request(), 0.0, draw), 0.0), 0.0)
+    assert one.route(make_request(), 0.1, draw).upstream != home
+    later = health.FIRST_SUSPENSION_SECONDS + 0.1
+    trial = one.route(make_request(), later, draw)
+    assert trial.upstream == home
+    one.dispatched(make_request(), trial, later)
+    assert one.route(make_request(), later, draw).upstream != home
+
+
 @pytest.mark.parametrize("policy", policies.NAMES.values(), ids=policies.NAMES)
 def test_reasons_for_no_upstream(make_router, make_request, draw, policy):
     one = make_router(policy, count=2)
