--- a/hollyring/limits/settings.py
+++ b/hollyring/limits/settings.py
@@ -18,11 +18,20 @@
 PATIENCE_SECONDS = 0.25
 """Longest time in seconds that a request waits for borrowed tokens."""
 
+WAIT_SECONDS = 0.1
+"""A request whose tokens accrue within this time waits for them rather than be refused."""
+
 FANOUT = 8
 """Asks that one VM has in flight for one organisation."""
 
-NOTICE_PART = 8
-"""A borrower reports a loan as spent at once if it is more than this part of the burst."""
+TINY_BURST_SECONDS = 4 * LOAN_SECONDS
+"""Of a burst that the rate fills faster, every loan is reported as soon as it is spent."""
+
+SMALL_BURST_SECONDS = 20 * LOAN_SECONDS
+"""Of a burst that the rate fills faster, large loans are reported as soon as they are spent."""
+
+LARGE_LOAN = 4
+"""A loan is large if it is more than this part of a share's burst."""
 
 MAX_PENDING = 256
 """Requests of one organisation that wait at one VM for borrowed tokens."""
@@ -33,6 +42,9 @@
 MAX_REFUNDABLE = 128
 """Spent loans of one organisation for which a holder still takes tokens back."""
 
+MAX_ASKED = 4096
+"""Asks in flight, over all organisations, whose answer a VM still recognises."""
+
 MAX_RESERVATIONS = 4096
 """Unsettled requests that a VM remembers."""
 
--- a/hollyring/membership/beliefs.py
+++ b/hollyring/membership/beliefs.py
@@ -206,11 +206,11 @@
         """Contradict what is wrongly said of this life."""
         if update.number != self._me.number:
             return self._hear_of_me(update.number)
-        mine = (self._refutation, self._status)
-        if self._replaced or (update.refutation, update.status) <= mine:
+        if self._replaced or update.status == self._status:
             return []
-        self._counts["refuted"] += 1
-        self._refutation = update.refutation + 1
+        if update.refutation >= self._refutation:
+            self._counts["refuted"] += 1
+            self._refutation = update.refutation + 1
         self._gossip.add(self.my_update())
         return []
 
