--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -14,7 +14,7 @@
 WARM_UP_SECONDS = 10.0
 """A new or returning upstream takes its share of the prefixes step by step over this time."""
 
-CACHED_RANKS = 4096
+CACHED_RANKS = 1024
 """Affinity orders kept."""
 
 _FRACTION_BITS = 20
@@ -170,7 +170,7 @@
     now
         Present time.
     """
-    speed = state.load.prefill_tokens_per_second
+    speed = state.load.speed(now)
     cached = min(request.prompt_tokens, int(held.confidence * held.pieces * pieces.PIECE_TOKENS))
     uncached = request.prompt_tokens - cached
     prefill = uncached / speed
