Say "not run" of a reused key only when that is final

Cause: the exhaustive run with three attempts (order, another body, order) and one fault found a refusal idempotency_key_reused that said "not run" although the order had run: the other body's claim, seen in the log, had been released unsent meanwhile and the order had been claimed and sent. Change: another body's claim seen in the log is asked about at its owner; the refusal says "not run" only where the claim was answered, else "unknown"; a claim never sent doesn't hold the key.

--- a/hollyring/delivery/claims.py
+++ b/hollyring/delivery/claims.py
@@ -32,6 +32,9 @@
 UNDECIDED = (calls.Phase.CLAIMING, calls.Phase.ASKING)
 """Phases in which the key may turn out to belong to another request."""
 
+UNSENT = (*UNDECIDED, calls.Phase.NOT_SENT)
+"""Phases in which this VM has not sent the call."""
+
 Final = messages.Answer | refusal.Refusal
 
 
@@ -212,6 +215,8 @@
         if state is None or state.phase is not calls.Phase.ASKING or state.holder is None:
             return []
         outcome = calls.Outcome.FORGOTTEN if answer is None else calls.Outcome(answer.outcome)
+        if state.holder.body != state.call.body and outcome is not calls.Outcome.NOT_SENT:
+            return self._reused(state, outcome)
         match outcome:
             case calls.Outcome.ANSWERED:
                 known = answer.answers if answer is not None else []
@@ -290,22 +295,33 @@
         return []
 
     def _existing(self, state: _State, by: records.Record) -> list[calls.Action]:
-        if by.body != state.call.body:
-            return self._drop(state, refusal.make("idempotency_key_reused"))
         if (by.owner, by.incarnation) == (self._owner.name, self._owner.number):
             return self._own(state, by)
         state.phase = calls.Phase.ASKING
         return [self._ask(state, by, 0.0)]
 
+    def _reused(self, state: _State, outcome: calls.Outcome) -> list[calls.Action]:
+        """Refuse a key that another request holds.
+
+        Only a claim that was sent is there for good: until then its owner may release it, and
+        this request may have run, or run soon, under a later claim.
+        """
+        if outcome is calls.Outcome.ANSWERED:
+            return self._drop(state, refusal.make("idempotency_key_reused"))
+        unknown = execution.Execution.UNKNOWN
+        return self._drop(state, refusal.make("idempotency_key_reused", ran=unknown))
+
     def _own(self, state: _State, by: records.Record) -> list[calls.Action]:
         """Go on from an earlier claim of this life, as far as that is remembered."""
         earlier = self._calls.get(by.sequence)
         if earlier is None:
             return self._drop(state, refusal.make("outcome_unknown"))
+        if earlier.phase is calls.Phase.NOT_SENT:
+            mine = _record(state, self._owner)
+            return [calls.Append(by.release()), calls.Append(mine, fresh=True)]
+        if by.body != state.call.body:
+            return self._drop(state, refusal.make("idempotency_key_reused"))
         match earlier.phase:
-            case calls.Phase.NOT_SENT:
-                mine = _record(state, self._owner)
-                return [calls.Append(by.release()), calls.Append(mine, fresh=True)]
             case calls.Phase.ANSWERED:
                 return self._drop(state, earlier.answer or refusal.make("answer_forgotten"))
             case calls.Phase.UNKNOWN:
@@ -344,7 +360,7 @@
 
     def _reply_all(self, state: _State, final: Final) -> list[calls.Action]:
         ran = final.execution if isinstance(final, refusal.Refusal) else None
-        unsent = state.phase in (calls.Phase.NOT_SENT, calls.Phase.CLAIMING)
+        unsent = state.phase in UNSENT
         truthful = ran is not execution.Execution.NOT_RUN or unsent
         self._counters.check("not_run_is_true", truthful, str(final))
         waiting, state.open = state.open, []
--- a/hollyring/delivery/events.py
+++ b/hollyring/delivery/events.py
@@ -18,7 +18,7 @@
 MAX_IDENTITY_CHARACTERS = 512
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class EventId:
     """The identity of one event of a stream.
 
--- a/hollyring/delivery/stream.py
+++ b/hollyring/delivery/stream.py
@@ -20,7 +20,8 @@
 """Small strings kept before they are joined into one."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+# Token, Deliver and EventId are made for each token, and a frozen class takes thrice the time.
+@dataclasses.dataclass(slots=True)
 class Token:
     """One generated token from an upstream.
 
@@ -77,7 +78,7 @@
     resume_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Deliver:
     """A piece of text for the caller, with the identity of its event."""
 
