Leave suspicions to a member's own region and ask twice before suspecting

Change: a suspicion is neither adopted nor passed on outside the member's region; an unanswered ping is sent a second time while others are asked.

--- a/hollyring/membership/beliefs.py
+++ b/hollyring/membership/beliefs.py
@@ -165,12 +165,16 @@
         """Take in what is said of a life, unless as much is known."""
         if update.name == self._me.name:
             return self._refute(update)
+        member = self._table.members.get(update.name)
+        if member is None or self._is_for_its_region(member, update):
+            return []
+        before = member.status
         if not self._table.apply(update):
             return []
-        member = self._table.members[update.name]
         self._suspects.discard(update.name)
         self._dead.pop(update.name, None)
-        self._gossip.add(update)
+        if self._is_near(member) or member.status is not before:
+            self._gossip.add(update)
         match member.status:
             case messages.Status.SUSPECT:
                 self._counts["suspected"] += 1
@@ -192,6 +196,13 @@
         self._gossip.add(entry)
         return [actions.EntryChanged(entry)]
 
+    def _is_near(self, member: table.Member) -> bool:
+        return member.profile.region == self._me.region
+
+    def _is_for_its_region(self, member: table.Member, update: messages.Update) -> bool:
+        """Tell whether a suspicion is left to the member's own region, to spare the others."""
+        return update.status == messages.Status.SUSPECT and not self._is_near(member)
+
     def _suspicion_seconds(self) -> float:
         doublings = math.ceil(math.log2(len(self._table.members) + 2))
         return PERIOD_SECONDS * max(LEAST_SUSPICION_PERIODS, doublings)
--- a/hollyring/membership/members.py
+++ b/hollyring/membership/members.py
@@ -22,7 +22,7 @@
 """Share by which a period varies at random."""
 
 PROBE_SECONDS = 0.3
-"""Wait for a direct answer before others are asked to try."""
+"""Wait for a direct answer before the ping is sent again and others are asked to try."""
 
 HELPERS = 3
 """Members asked to try when the direct answer is missing."""
@@ -288,10 +288,10 @@
         if name is None:
             return done
         member = self.members[name]
-        ping = self._ping(member)
+        sequence = self._next_sequence()
         number, since = member.profile.number, now + PROBE_SECONDS
-        self._probe = _Probe(self._sequence, name, number, since)
-        return [*done, ping]
+        self._probe = _Probe(sequence, name, number, since)
+        return [*done, self._ping(member, sequence)]
 
     def _next_target(self) -> str | None:
         """Return the next member to probe; each of the region has its turn in random order."""
@@ -317,13 +317,16 @@
             chosen.append(self._source.choice([m for m in others if m.profile.region == region]))
         if self._beliefs.dead:
             chosen.append(self.members[self._source.choice(self._beliefs.dead)])
-        return [self._ping(member) for member in chosen]
+        return [self._ping(member, self._next_sequence()) for member in chosen]
 
-    def _ping(self, member: table.Member) -> actions.Send:
+    def _next_sequence(self) -> int:
         self._sequence += 1
+        return self._sequence
+
+    def _ping(self, member: table.Member, sequence: int) -> actions.Send:
         profile = member.profile
         ping = messages.Ping(
-            self._sequence,
+            sequence,
             self._me.name,
             self._me.number,
             profile.name,
@@ -338,13 +341,16 @@
         if probe is None or probe.answered or probe.asked_others or now < probe.ask_others_at:
             return []
         probe.asked_others = True
+        done: Actions = []
+        if probe.name in self.members:
+            done.append(self._ping(self.members[probe.name], probe.sequence))
         helpers = self._beliefs.alive(self._me.region)
         helpers = [member for member in helpers if member.profile.name != probe.name]
         chosen = self._source.sample(helpers, min(HELPERS, len(helpers)))
         request = messages.PingRequest(
             probe.sequence, self._me.name, self._me.number, probe.name, probe.number
         )
-        return [actions.Send(member.profile.address, request) for member in chosen]
+        return done + [actions.Send(member.profile.address, request) for member in chosen]
 
     def _judge(self, now: float) -> Actions:
         """Suspect the member of the last period's probe if nothing came back."""
@@ -397,11 +403,11 @@
         member = self.members.get(request.target)
         if member is None or member.profile.number != request.target_number:
             return []
-        ping = self._ping(member)
+        sequence = self._next_sequence()
         if len(self._relays) >= MAX_RELAYS:
             del self._relays[next(iter(self._relays))]
-        self._relays[self._sequence] = _Relay(address, request.sequence)
-        return [ping]
+        self._relays[sequence] = _Relay(address, request.sequence)
+        return [self._ping(member, sequence)]
 
     def _compare(self, now: float) -> Actions:
         """Ask another VM for what this one lacks, when their digests keep differing."""
