--- a/hollyring/fleet/rollout.py
+++ b/hollyring/fleet/rollout.py
@@ -147,7 +147,6 @@
             raise errors.StaleFencingError(f"{fencing} after {self._fencing}")
         self._fencing = fencing
         self._holds = True
-        self._given.clear()
         self._attempts.clear()
         self._not_before.clear()
         wait = 0.0 if released else self._pace.lease_seconds
