--- a/hollyring/experiments/limits.py
+++ b/hollyring/experiments/limits.py
@@ -103,15 +103,26 @@
             self._inside.add(request)
 
     def _spike(self) -> None:
-        """Ask for more than a whole burst at once, at several VMs, after a rest."""
+        """Ask for more than a whole burst after a rest; perhaps again right after a fault."""
         world, rng = self.world, self._rng
-        world.run_until(world.now + rng.choice([0.0, 0.5, 3.0]))
-        if not world.awake or not world.document.limits:
+        if not world.document.limits:
             return
-        name = rng.choice(sorted(world.document.limits))
-        burst = world.document.limits[name].burst
+        limit = rng.choice(sorted(world.document.limits.values(), key=lambda x: x.organisation))
+        world.run_until(world.now + rng.choice([0.0, 0.5, 1.2 * limit.burst / limit.rate]))
+        self._flood(limit)
+        if rng.random() < 0.3:
+            rng.choice(self._faulty)()
+            world.run_until(world.now + rng.choice([0.0, 0.05]))
+            self._start()
+            world.run_until(world.now + rng.choice([0.05, 0.4]))
+            self._flood(limit)
+
+    def _flood(self, limit: holders.Limit) -> None:
+        world, rng = self.world, self._rng
         for _ in range(30):
-            world.submit(rng.choice(world.awake), name, max(1, burst // rng.choice([10, 25])))
+            if world.awake:
+                tokens = max(1, limit.burst // rng.choice([10, 25]))
+                world.submit(rng.choice(world.awake), limit.organisation, tokens)
         if self._pause in self._faulty:
             self._pause_waiting()
 
--- a/hollyring/limits/tests/test_limiter.py
+++ b/hollyring/limits/tests/test_limiter.py
@@ -65,6 +65,11 @@
     assert isinstance(admit(fleet, "vm-0", 290, START + 5, "t")[0], messages.Admitted)
 
 
+def test_new_life_has_nothing_when_its_share_opens(fleet):
+    fleet["vm-1"] = start("vm-1", 2, now=100.0)
+    assert not admitted(admit(fleet, "vm-1", 601, 100.0 + START))
+
+
 def test_new_life_starts_empty(fleet):
     fleet["vm-1"] = start("vm-1", 2, now=100.0)
     assert not admitted(admit(fleet, "vm-1", 601, 100.0))
