--- /dev/null
+++ b/hollyring/experiments/demo.py
@@ -0,0 +1,167 @@
+"""The demonstration: a deployment as separate processes, traffic, two kills, and the promises."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+import pathlib
+import random
+import signal
+import time
+from collections.abc import Callable
+
+import anyio
+
+from hollyring.configuration import documents, objects
+from hollyring.experiments import judge, launcher, load
+
+SEED = 7
+OUTPUT_TOKENS = 40
+CALLERS = 12
+PAUSE_SECONDS = 0.1
+SETTLE_SECONDS = 3.0
+KILL_VM_AT = 0.3
+KILL_ENGINE_AT = 0.5
+"""Parts of the run after which a VM and a language server are killed."""
+
+ORDERS_PATH = "/orders"
+
+Say = Callable[[str], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What the run saw.
+
+    Parameters
+    ----------
+    first_token
+        Seconds by quantile.
+    hit_rate
+        Cached part of all prompt tokens, from 0 to 1.
+    """
+
+    requests: int = 0
+    complete: int = 0
+    refused: dict[str, int] = dataclasses.field(default_factory=dict)
+    retried: int = 0
+    hit_rate: float = 0.0
+    first_token: dict[str, float] = dataclasses.field(default_factory=dict)
+    processes: int = 0
+    promises: list[judge.Promise] = dataclasses.field(default_factory=list)
+
+    @property
+    def kept(self) -> bool:
+        """Whether no promise was broken."""
+        return not any(promise.violations for promise in self.promises)
+
+
+async def run(
+    document: documents.Document,
+    folder: pathlib.Path,
+    platform_port: int,
+    seconds: float,
+    say: Say,
+) -> Report:
+    """Run the demonstration and return its report."""
+    fleet = launcher.Fleet(document, folder, platform_port, launcher.EngineOptions(speed=4.0))
+    try:
+        say(f"starting {len(fleet.programs)} processes, logs in {folder}")
+        await fleet.start_all()
+        await anyio.sleep(SETTLE_SECONDS)
+        return await _drive(fleet, seconds, say)
+    finally:
+        fleet.stop()
+
+
+async def _drive(fleet: launcher.Fleet, seconds: float, say: Say) -> Report:
+    outcomes: list[load.Outcome] = []
+    ends = time.monotonic() + seconds
+    say(f"driving chat, streams and orders for {seconds:g} s")
+    async with anyio.create_task_group() as group:
+        for number in range(CALLERS):
+            group.start_soon(_caller, fleet, number, ends, outcomes)
+        await anyio.sleep(seconds * KILL_VM_AT)
+        victim = fleet.vms[0].name
+        say(f"killing {victim}")
+        fleet.signal(victim, signal.SIGKILL)
+        await anyio.sleep(seconds * (KILL_ENGINE_AT - KILL_VM_AT))
+        engine = next(u.name for u in fleet.upstreams if u.kind == "engine")
+        say(f"killing {engine}")
+        fleet.signal(engine, signal.SIGKILL)
+    return await _report(fleet, outcomes)
+
+
+async def _caller(
+    fleet: launcher.Fleet,
+    number: int,
+    ends: float,
+    outcomes: list[load.Outcome],
+) -> None:
+    """Send requests one after the other until the time is up."""
+    draw = random.Random(f"{SEED}-{number}")
+    names = [item.name for item in fleet.document.objects if isinstance(item, objects.Organisation)]
+    organisation = names[number % len(names)]
+    model = next(item.name for item in fleet.document.objects if isinstance(item, objects.Model))
+    entries = [vm.caller_address for vm in fleet.vms]
+    caller = load.Caller(organisation, f"demo-key-{organisation}", entries)
+    prompts = load.Prompts(draw)
+    client = load.Client()
+    counter = 0
+    while time.monotonic() < ends:
+        counter += 1
+        caller.entries = await client.entry(caller.entries)
+        match counter % 3:
+            case 0:
+                identity = f"order-{number}-{counter}"
+                outcomes.append(await client.order(caller, ORDERS_PATH, identity))
+                outcomes.append(await client.order(caller, ORDERS_PATH, identity))
+            case kind:
+                outcomes.append(
+                    await client.complete(
+                        caller, model, prompts.next(), OUTPUT_TOKENS, stream=kind == 1
+                    )
+                )
+        await anyio.sleep(PAUSE_SECONDS * draw.random())
+    await client.close()
+
+
+async def _report(fleet: launcher.Fleet, outcomes: list[load.Outcome]) -> Report:
+    report = Report(requests=len(outcomes), processes=len(fleet.programs))
+    report.complete = sum(outcome.complete for outcome in outcomes)
+    report.refused = dict(collections.Counter(o.code for o in outcomes if o.code))
+    report.retried = sum(outcome.tries > 1 for outcome in outcomes)
+    prompt_tokens = sum(outcome.prompt_tokens for outcome in outcomes)
+    cached_tokens = sum(outcome.cached_tokens for outcome in outcomes)
+    report.hit_rate = cached_tokens / prompt_tokens if prompt_tokens else 0.0
+    report.first_token = quantiles([o.first_token for o in outcomes])
+    books = await judge.read_books(fleet)
+    report.promises = judge.judge(outcomes, books) + await judge.inside(fleet)
+    return report
+
+
+def quantiles(seconds: list[float]) -> dict[str, float]:
+    """Return p50, p95 and p99 of `seconds` without its NaN values; empty if none are left."""
+    known = sorted(value for value in seconds if not math.isnan(value))
+    if not known:
+        return {}
+    last = len(known) - 1
+    return {f"p{q}": known[min(last, math.ceil(q / 100 * len(known)) - 1)] for q in (50, 95, 99)}
+
+
+def render(report: Report) -> str:
+    """Return the report as text for a terminal."""
+    lines = [
+        f"processes         {report.processes}",
+        f"requests          {report.requests}",
+        f"complete          {report.complete}",
+        f"retried elsewhere {report.retried}",
+        f"refused           {report.refused or 'none'}",
+        f"hit rate          {report.hit_rate:.3f}",
+    ]
+    lines += [f"first token {q:<5} {seconds:.3f} s" for q, seconds in report.first_token.items()]
+    lines.append("")
+    lines.append(f"{'trials':>8} {'broken':>7}  promise")
+    lines += [f"{p.trials:>8} {p.violations:>7}  {p.name}" for p in report.promises]
+    return "\n".join(lines)
--- /dev/null
+++ b/hollyring/node/peer.thrift
@@ -0,0 +1,180 @@
+// Messages between VMs. Printed by bin/generate; do not edit.
+
+struct ConfigurationDigest {
+  1: optional i64 revision
+  2: optional string digest
+  3: optional bool answer
+}
+
+struct ConfigurationFetch {
+  1: optional i64 after
+}
+
+struct ConfigurationDeltas {
+  1: optional i64 after
+  2: optional list<binary> values
+}
+
+struct ConfigurationSegment {
+  1: optional i64 revision
+  2: optional binary head
+  3: optional i64 index
+  4: optional i64 count
+  5: optional binary body
+}
+
+struct LimitsAsk {
+  1: optional string organisation
+  2: optional i64 incarnation
+  3: optional i64 ask
+  4: optional i64 tokens
+}
+
+struct LimitsGrant {
+  1: optional string organisation
+  2: optional i64 incarnation
+  3: optional i64 ask
+  4: optional i64 tokens
+  5: optional i64 left
+}
+
+struct LimitsReturn {
+  1: optional string organisation
+  2: optional i64 incarnation
+  3: optional i64 ask
+  4: optional i64 tokens
+  5: optional bool spent
+}
+
+struct LimitsConfirmRequest {
+  1: optional i64 revision
+  2: optional i64 round
+}
+
+struct LimitsConfirm {
+  1: optional i64 revision
+  2: optional i64 round
+  3: optional i64 incarnation
+}
+
+struct LimitsSettledQuery {
+  1: optional i64 revision
+}
+
+struct LimitsSettled {
+  1: optional i64 revision
+}
+
+struct DeliveryClaimQuestion {
+  1: optional binary key
+  2: optional string owner
+  3: optional i64 incarnation
+  4: optional i64 sequence
+}
+
+struct DeliveryHeader {
+  1: optional string name
+  2: optional string value
+}
+
+struct DeliveryAnswer {
+  1: optional i64 status
+  2: optional list<DeliveryHeader> headers
+  3: optional binary body
+}
+
+struct DeliveryClaimAnswer {
+  1: optional string outcome
+  2: optional list<DeliveryAnswer> answers
+}
+
+struct MembershipProfile {
+  1: optional string name
+  2: optional i64 number
+  3: optional string address
+  4: optional string caller_address
+  5: optional string failure_domain
+  6: optional string region
+}
+
+struct MembershipUpdate {
+  1: optional string name
+  2: optional i64 number
+  3: optional i64 refutation
+  4: optional i64 status
+}
+
+struct MembershipEntry {
+  1: optional string name
+  2: optional i64 version
+  3: optional binary value
+}
+
+struct MembershipNews {
+  1: optional list<MembershipProfile> profiles
+  2: optional list<MembershipUpdate> updates
+  3: optional list<MembershipEntry> entries
+}
+
+struct MembershipPing {
+  1: optional i64 sequence
+  2: optional string sender
+  3: optional i64 number
+  4: optional string target
+  5: optional i64 target_number
+  6: optional i64 digest
+  7: optional MembershipNews news
+}
+
+struct MembershipAck {
+  1: optional i64 sequence
+  2: optional string sender
+  3: optional i64 number
+  4: optional i64 digest
+  5: optional MembershipNews news
+}
+
+struct MembershipPingRequest {
+  1: optional i64 sequence
+  2: optional string sender
+  3: optional i64 number
+  4: optional string target
+  5: optional i64 target_number
+}
+
+struct MembershipSyncRequest {
+  1: optional MembershipProfile profile
+  2: optional list<i64> digests
+}
+
+struct MembershipSync {
+  1: optional string sender
+  2: optional i64 number
+  3: optional bool more
+  4: optional list<i64> buckets
+  5: optional MembershipNews news
+}
+
+struct RoutingLookup {
+  1: optional i64 lookup_id
+  2: optional list<string> upstreams
+  3: optional list<i64> depths
+  4: optional binary names
+}
+
+struct RoutingUpstreamState {
+  1: optional string upstream
+  2: optional i64 incarnation
+  3: optional i64 depth
+  4: optional double confidence
+  5: optional i64 queued_tokens
+  6: optional i64 running
+  7: optional i64 waiting
+  8: optional double prefill_tokens_per_second
+  9: optional double age_seconds
+}
+
+struct RoutingLookupAnswer {
+  1: optional i64 lookup_id
+  2: optional list<RoutingUpstreamState> states
+}
--- /dev/null
+++ b/hollyring/node/server.py
@@ -0,0 +1,279 @@
+"""The VM process: starts the parts, the ports and the links, and shuts down without a cut."""
+
+from __future__ import annotations
+
+import functools
+import signal
+import time
+from typing import Any
+
+import anyio
+import uvicorn
+
+from hollyring.configuration import state
+from hollyring.core import identities, invariants
+from hollyring.delivery import messages as delivery_messages
+from hollyring.membership import messages
+from hollyring.node import (
+    admin,
+    bounded,
+    catalogue,
+    claims_part,
+    configuration_part,
+    engines,
+    front,
+    limits_part,
+    logs,
+    membership_part,
+    metrics,
+    peers,
+    platform,
+    retries,
+    routing_part,
+    services,
+    settings,
+    vm,
+    wire,
+)
+from hollyring.routing import messages as routing_messages
+
+MICROSECONDS = 1_000_000
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the process."""
+
+    def install_signal_handlers(self) -> None:
+        """Install none."""
+
+    def capture_signals(self) -> Any:
+        """Capture none."""
+        return _nothing()
+
+
+class _nothing:  # noqa: N801
+    def __enter__(self) -> None:
+        return
+
+    def __exit__(self, *_: object) -> None:
+        return
+
+
+class Process:
+    """One life of a VM process.
+
+    Parameters
+    ----------
+    given
+        The settings it was started with.
+    """
+
+    def __init__(self, given: settings.Settings) -> None:
+        self._settings = given
+        self._log = logs.Log("vm")
+        self._me = identities.Incarnation(given.name, int(time.time() * MICROSECONDS))
+        self._invariants = invariants.Invariants(strict=False)
+        self._metrics = metrics.Metrics()
+        self._platform = platform.Platform(given.platform)
+        codec = wire.Wire(catalogue.MESSAGES)
+        self._peers = peers.Peers(
+            self._me, given.peer_keys, codec, self._from_peer, self._address_of
+        )
+        self._roster: dict[str, str] = {}
+        self._membership = membership_part.MembershipPart(
+            messages.Profile(
+                given.name,
+                self._me.number,
+                given.peer_address,
+                given.caller_address,
+                given.failure_domain,
+                given.region,
+            ),
+            given.seeds,
+            self._platform,
+            self._peers.send,
+            self._on_live,
+            self._on_entry,
+            lambda names: self._limits.listed(names),
+        )
+        self._limits = limits_part.LimitsPart(self._me, self._invariants, self._send)
+        self._routing = routing_part.RoutingPart(
+            self._me,
+            given.region,
+            given.failure_domain,
+            given.policy,
+            self._invariants,
+            self._ask_peer,
+            self._membership.put,
+        )
+        self._configuration = configuration_part.ConfigurationPart(
+            self._me,
+            self._invariants,
+            self._platform,
+            self._send,
+            self._membership.live_peers,
+            [self._configure, self._limits.configure, self._routing.configure],
+        )
+        self._claims = claims_part.ClaimsPart(
+            self._me, self._invariants, self._platform, self._ask_peer
+        )
+        self._engines = engines.Engines()
+        self._services = services.Services()
+        self._node = vm.VM(
+            self._me,
+            given,
+            self._configuration,
+            self._limits,
+            self._routing,
+            self._claims,
+            self._membership,
+            self._engines,
+            self._services,
+            retries.Retries(),
+            self._metrics,
+            self._invariants,
+        )
+        self._front = front.Front(self._node)
+        self._leaving = False
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then finish what is open."""
+        protocol = bounded.protocol(self._settings.limits)
+        callers = self._server(self._front, self._settings.caller_address, protocol)
+        operators = admin.Admin(
+            self._settings.admin_key, self._dump, lambda: self._ready, self._metrics
+        )
+        admins = self._server(operators, self._settings.admin_address)
+        host, port = settings.split_address(self._settings.peer_address)
+        async with anyio.create_task_group() as group:
+            await group.start(self._peers.run, host, port)
+            group.start_soon(self._limits.run)
+            group.start_soon(self._claims.run)
+            group.start_soon(self._membership.run)
+            group.start_soon(self._membership.follow_list)
+            group.start_soon(self._routing.run)
+            group.start_soon(self._configuration.run)
+            group.start_soon(self._configuration.follow)
+            group.start_soon(admins.serve)
+            group.start_soon(self._stop_on_signal, callers)
+            group.start_soon(self._stop_when_replaced, callers)
+            self._log.say("serving", incarnation=str(self._me))
+            await callers.serve()
+            self._log.say("all requests finished")
+            admins.should_exit = True
+            group.cancel_scope.cancel()
+
+    @property
+    def _ready(self) -> bool:
+        return self._configuration.refusal() is None and not self._leaving
+
+    async def _stop_on_signal(self, callers: uvicorn.Server) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                await self._leave(callers)
+
+    async def _leave(self, callers: uvicorn.Server) -> None:
+        """Take this VM out of the entry answers, then finish what is open."""
+        if self._leaving:
+            return
+        self._leaving = True
+        self._log.say("leaving", open_requests=self._front.open_requests)
+        self._membership.leave()
+        await anyio.sleep(self._settings.limits.leave_seconds)
+        self._log.say("taking no more requests", open_requests=self._front.open_requests)
+        callers.should_exit = True
+
+    async def _stop_when_replaced(self, callers: uvicorn.Server) -> None:
+        """Stop at once when a later life of this VM runs: its rights are the other's now."""
+        await self._membership.replaced()
+        callers.force_exit = True
+        callers.should_exit = True
+
+    def _server(self, app: Any, address: str, http: Any = "httptools") -> uvicorn.Server:
+        host, port = settings.split_address(address)
+        bounds = self._settings.limits
+        config = uvicorn.Config(
+            app,
+            host,
+            port,
+            http=http,
+            loop="asyncio",
+            lifespan="off",
+            access_log=False,
+            server_header=False,
+            log_level="critical",
+            timeout_graceful_shutdown=int(bounds.shutdown_seconds),
+        )
+        return _Server(config)
+
+    def _configure(self, configuration: state.Configuration) -> None:
+        self._roster = {item.name: item.peer_address for item in configuration.vms.values()}
+
+    def _on_live(self, live: membership_part.Live) -> None:
+        self._routing.set_live(live.region_names)
+
+    def _on_entry(self, entry: messages.Entry) -> None:
+        if entry.name.startswith(routing_part.UPSTREAM_ENTRY):
+            self._routing.upstream_heard(entry.name, entry.value)
+
+    def _address_of(self, name: str) -> str | None:
+        return self._membership.address_of(name) or self._roster.get(name)
+
+    def _send(self, name: str, message: object) -> None:
+        address = self._address_of(name)
+        if address is not None:
+            self._peers.send(address, message)
+
+    async def _ask_peer(self, name: str, message: object, seconds: float) -> object | None:
+        address = self._address_of(name)
+        if address is None:
+            return None
+        return await self._peers.ask(address, message, seconds)
+
+    async def _from_peer(self, sender: identities.Incarnation, message: object) -> object | None:
+        package = type(message).__module__.split(".")[1]
+        match package:
+            case "configuration":
+                self._configuration.from_peer(sender.name, message)  # type: ignore[arg-type]
+            case "membership":
+                address = self._address_of(sender.name)
+                if address is not None:
+                    self._membership.from_peer(address, message)  # type: ignore[arg-type]
+            case "limits":
+                self._limits.from_peer(sender.name, message)
+            case "routing" if isinstance(message, routing_messages.Lookup):
+                return await self._routing.answer_peer(message)
+            case "delivery" if isinstance(message, delivery_messages.ClaimQuestion):
+                return await self._claims.answer_peer(message)
+            case _:
+                self._log.say("unexpected message", package=package)
+        return None
+
+    async def _dump(self) -> dict[str, Any]:
+        return {
+            "vm": str(self._me),
+            "region": self._settings.region,
+            "failure_domain": self._settings.failure_domain,
+            "ready": self._ready,
+            "leaving": self._leaving,
+            "open_requests": self._front.open_requests,
+            "configuration": self._configuration.dump(),
+            "membership": self._membership.dump(),
+            "limits": self._limits.dump(),
+            "claims": self._claims.dump(),
+            "routing": self._routing.dump(),
+            "peers": self._peers.counts,
+            "platform": self._platform.calls,
+            "metrics": self._metrics.dump(),
+            "invariants": self._invariants.dump(),
+        }
+
+
+def serve(given: settings.Settings) -> None:
+    """Run a VM process with the settings `given` until it is told to stop."""
+    logs.open_log(given.log_file, given.name)
+    anyio.run(functools.partial(_run, given))
+
+
+async def _run(given: settings.Settings) -> None:
+    await Process(given).run()
--- a/hollyring/routing/__init__.py
+++ b/hollyring/routing/__init__.py
@@ -1,1 +1,43 @@
 """Prefix chains, the cache index, placement, retries and deadlines."""
+
+from hollyring.routing import (
+    attempts,
+    blocks,
+    errors,
+    events,
+    health,
+    index,
+    load,
+    lookups,
+    memory,
+    messages,
+    placement,
+    policies,
+    popularity,
+    prefix,
+    requests,
+    retry,
+    router,
+    upstreams,
+)
+
+__all__ = [
+    "attempts",
+    "blocks",
+    "errors",
+    "events",
+    "health",
+    "index",
+    "load",
+    "lookups",
+    "memory",
+    "messages",
+    "placement",
+    "policies",
+    "popularity",
+    "prefix",
+    "requests",
+    "retry",
+    "router",
+    "upstreams",
+]
--- /dev/null
+++ b/hollyring/routing/load.py
@@ -0,0 +1,171 @@
+"""Estimates of upstreams' load from lagging reports and this VM's own dispatches."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+from hollyring.routing import messages
+
+SMOOTHING_SECONDS = 5.0
+"""Time constant of the mean to which an ageing report decays."""
+
+DECAY_SECONDS = 2.0
+"""Time constant with which a report's excess over the mean is forgotten."""
+
+FRESH_SECONDS = 1.0
+"""A report younger than this needs no lookup."""
+
+SLOWDOWN_SECONDS = 30.0
+"""Time constant with which a slowdown is forgotten: the way back."""
+
+SLOWDOWN_WEIGHT = 0.4
+MAX_SLOWDOWN_LOG = math.log(20.0)
+FLOOR_SECONDS = 0.1
+"""Added to measured and expected times, so that short ones weigh little."""
+
+OVERDUE_FACTOR = 2.0
+"""How many times its longest expected wait a dispatch may take before it shows a slowdown."""
+
+MAX_OWN_SECONDS = 60.0
+"""An own dispatch without a first token stops counting as queued after so long."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Own:
+    at: float
+    tokens: int
+    longest: float
+
+
+@dataclasses.dataclass(slots=True)
+class Load:
+    """What is known of one upstream's load.
+
+    Parameters
+    ----------
+    prefill_tokens_per_second
+        Its prefill speed, from the configuration until a report says more.
+    """
+
+    prefill_tokens_per_second: float
+    reported_at: float = float("-inf")
+    queued_tokens: float = 0.0
+    mean_queued_tokens: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    wait_seconds: float = 0.0
+    waited_at: float = float("-inf")
+    slowdown_log: float = 0.0
+    slowdown_at: float = float("-inf")
+    _own: dict[int, _Own] = dataclasses.field(default_factory=dict)
+
+    @property
+    def own_requests(self) -> int:
+        """This VM's dispatches that wait for their first token."""
+        return len(self._own)
+
+    def observe(self, report: messages.LoadReport, now: float) -> None:
+        """Take a report in; one older than the last is ignored."""
+        at = now - report.age_seconds
+        if at <= self.reported_at:
+            return
+        if math.isinf(self.reported_at):
+            self.mean_queued_tokens = report.queued_tokens
+        else:
+            weight = 1.0 - math.exp(-(at - self.reported_at) / SMOOTHING_SECONDS)
+            self.mean_queued_tokens += weight * (report.queued_tokens - self.mean_queued_tokens)
+        self.reported_at = at
+        self.queued_tokens = report.queued_tokens
+        self.running = report.running
+        self.waiting = report.waiting
+        if report.prefill_tokens_per_second > 0:
+            self.prefill_tokens_per_second = report.prefill_tokens_per_second
+
+    def slowdown(self, now: float) -> float:
+        """Return how many times slower than reported the upstream's own answers show it to be."""
+        kept = math.exp(-max(0.0, now - self.slowdown_at) / SLOWDOWN_SECONDS)
+        return max(math.exp(kept * self.slowdown_log), self._overdue(now))
+
+    def speed(self, now: float) -> float:
+        """Return the prompt tokens that it seems to prefill in a second."""
+        return self.prefill_tokens_per_second / self.slowdown(now)
+
+    def learn(self, measured: float, expected: float, now: float) -> None:
+        """Compare an answer's time to first token with what reported speed and queue promised."""
+        ratio = math.log((measured + FLOOR_SECONDS) / (expected + FLOOR_SECONDS))
+        kept = math.exp(-max(0.0, now - self.slowdown_at) / SLOWDOWN_SECONDS)
+        known = kept * self.slowdown_log
+        learnt = known + SLOWDOWN_WEIGHT * (ratio - known)
+        self.slowdown_log = min(MAX_SLOWDOWN_LOG, max(0.0, learnt))
+        self.slowdown_at = now
+
+    def dispatched(
+        self, attempt: int, uncached_tokens: int, prompt_tokens: int, now: float
+    ) -> None:
+        """Count an own dispatch until its first token or a report that covers it."""
+        longest = self.nominal_queue_seconds(now) + prompt_tokens / self.prefill_tokens_per_second
+        self._own[attempt] = _Own(now, uncached_tokens, longest)
+
+    def first_token(self, attempt: int, now: float) -> None:
+        """Stop counting an own dispatch as queued, and learn how long it waited."""
+        own = self._own.pop(attempt, None)
+        if own is None:
+            return
+        waited = max(0.0, now - own.at - own.tokens / self.prefill_tokens_per_second)
+        self.wait_seconds = waited
+        self.waited_at = now
+
+    def forget(self, attempt: int) -> None:
+        """Stop counting an own dispatch that failed or ended."""
+        self._own.pop(attempt, None)
+
+    def restart(self) -> None:
+        """Forget the load of an earlier life."""
+        self._own.clear()
+        self.queued_tokens = self.mean_queued_tokens = self.wait_seconds = 0.0
+        self.running = self.waiting = 0
+        self.slowdown_log = 0.0
+        self.reported_at = self.waited_at = float("-inf")
+
+    def age(self, now: float) -> float:
+        """Return the age of the last report in seconds."""
+        return now - self.reported_at
+
+    def queue_seconds(self, now: float) -> float:
+        """Return how long a request sent now is expected to wait for its prefill."""
+        return self.nominal_queue_seconds(now) * self.slowdown(now)
+
+    def nominal_queue_seconds(self, now: float) -> float:
+        """Return the same at the speed that the upstream reports."""
+        queued = self._reported_tokens(now) + self._unreported_tokens(now)
+        return queued / self.prefill_tokens_per_second + self._observed_wait(now)
+
+    def outstanding(self, now: float) -> int:
+        """Return the reported requests and this VM's own since the report."""
+        since = max(self.reported_at, now - MAX_OWN_SECONDS)
+        return self.running + self.waiting + sum(own.at > since for own in self._own.values())
+
+    def _overdue(self, now: float) -> float:
+        """Return how many times longer than even uncached an own dispatch already waits."""
+        ratios = (
+            (now - own.at + FLOOR_SECONDS) / (own.longest + FLOOR_SECONDS)
+            for own in self._own.values()
+            if now - own.at < MAX_OWN_SECONDS
+        )
+        return max(ratios, default=1.0) / OVERDUE_FACTOR
+
+    def _reported_tokens(self, now: float) -> float:
+        if math.isinf(self.reported_at):
+            return 0.0
+        kept = math.exp(-self.age(now) / DECAY_SECONDS)
+        return self.mean_queued_tokens + kept * (self.queued_tokens - self.mean_queued_tokens)
+
+    def _unreported_tokens(self, now: float) -> float:
+        since = max(self.reported_at, now - MAX_OWN_SECONDS)
+        return sum(own.tokens for own in self._own.values() if own.at > since)
+
+    def _observed_wait(self, now: float) -> float:
+        if self.waited_at <= self.reported_at:
+            return 0.0
+        return self.wait_seconds * math.exp(-(now - self.waited_at) / DECAY_SECONDS)
--- /dev/null
+++ b/hollyring/routing/router.py
@@ -0,0 +1,395 @@
+"""The routing state of one VM: what the node feeds and asks."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Iterable, Mapping, Sequence
+
+from hollyring.core import invariants as core_invariants
+from hollyring.core import pieces, rendezvous
+from hollyring.routing import (
+    attempts,
+    events,
+    health,
+    index,
+    load,
+    lookups,
+    memory,
+    messages,
+    placement,
+    policies,
+    popularity,
+    requests,
+    upstreams,
+)
+
+RETRY_AFTER_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """How routing fared."""
+
+    routed: int = 0
+    lookup_answers: int = 0
+    lookups_answered_for_others: int = 0
+
+
+class Router:
+    """Decides where requests go, with what this VM holds or can fetch in one round trip.
+
+    Parameters
+    ----------
+    vm
+        This VM's name.
+    policy
+        How upstreams are chosen.
+    invariants
+        Counts what must always hold.
+    cache_index
+        Index of the watched upstreams; by default one of the standard size.
+
+    Examples
+    --------
+    >>> import random
+    >>> from hollyring.routing import prefix
+    >>> router = Router("vm-1", policies.Prefix(), core_invariants.Invariants())
+    >>> served = (upstreams.Served("parish", "v1"),)
+    >>> router.configure([upstreams.Upstream("ls-1", "a", served)], ["vm-1"], now=0.0)
+    >>> chain = prefix.chain("bohari", "parish", "v1", bytes(9000))
+    >>> request = requests.RouteRequest("bohari", "parish", "v1", chain, 2250, 100, 30.0)
+    >>> router.route(request, 0.0, random.Random(1)).upstream
+    'ls-1'
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        policy: policies.Policy,
+        invariants: core_invariants.Invariants,
+        cache_index: index.CacheIndex | None = None,
+    ) -> None:
+        self._vm = vm
+        self._policy = policy
+        self._invariants = invariants
+        self._index = cache_index or index.CacheIndex()
+        self._memory = memory.Sightings()
+        self._popularity = popularity.Popularity()
+        self._states: dict[str, placement.State] = {}
+        self._lives: dict[str, int] = {}
+        self._watchers: dict[str, str] = {}
+        self._pools: dict[tuple[str, str], dict[str, placement.State]] = {}
+        self._affinity = placement.Affinity()
+        self._attempts = attempts.Attempts(self._states, self._memory, self._index)
+        self._asker = lookups.Asker(vm)
+        self._turn = itertools.count()
+        self.counters = Counters()
+
+    @property
+    def policy(self) -> policies.Policy:
+        """The placement policy."""
+        return self._policy
+
+    @property
+    def lookups_sent(self) -> int:
+        """Lookups that this VM asked for."""
+        return self._asker.counters.lookups
+
+    def configure(
+        self, listed: Iterable[upstreams.Upstream], vms: Sequence[str], now: float
+    ) -> None:
+        """Set the upstreams of this VM's region and the live VMs that watch them.
+
+        Upstreams that appear after the first call are filled step by step.
+        """
+        first = not self._states
+        states = {}
+        for upstream in listed:
+            states[upstream.name] = self._state(upstream, first, now)
+        self._states.clear()
+        self._states.update(states)
+        self._lives = {name: state.incarnation for name, state in states.items()}
+        self._pools.clear()
+        self._affinity.clear()
+        live = sorted({self._vm, *vms})
+        self._watchers = {name: rendezvous.rank(name.encode(), live)[0] for name in states}
+        self._index.watch(name for name, vm in self._watchers.items() if vm == self._vm)
+        for state in states.values():
+            self._learn_incarnation(state.name, state.upstream.incarnation, now)
+
+    def watched(self) -> list[str]:
+        """Return the upstreams whose events and load this VM polls."""
+        return self._index.watched
+
+    def events_after(self, upstream: str) -> int:
+        """Return the sequence number after which the node polls for events."""
+        return self._index.applied(upstream)
+
+    def due_resync(self, now: float) -> list[str]:
+        """Return the watched upstreams whose snapshot the node should fetch now."""
+        return self._index.due_resync(now)
+
+    def observe_events(self, upstream: str, batch: events.EventBatch, now: float) -> None:
+        """Take in cache events of a watched upstream."""
+        self._learn_incarnation(upstream, batch.incarnation, now)
+        self._index.observe_events(upstream, batch, now)
+
+    def observe_snapshot(self, upstream: str, snapshot: events.Snapshot, now: float) -> None:
+        """Take in a watched upstream's snapshot."""
+        self._learn_incarnation(upstream, snapshot.incarnation, now)
+        self._index.observe_snapshot(upstream, snapshot, now)
+
+    def observe_load(self, upstream: str, report: messages.LoadReport, now: float) -> None:
+        """Take in an upstream's load report; one of an earlier life is dropped."""
+        state = self._states.get(upstream)
+        if state is None or not self._learn_incarnation(upstream, report.incarnation, now):
+            return
+        state.load.observe(report, now)
+
+    def route(
+        self,
+        request: requests.RouteRequest,
+        now: float,
+        draw: placement.Draw,
+        may_look_up: bool = True,
+    ) -> requests.Decision:
+        """Choose an upstream, or say which VMs to ask first.
+
+        Parameters
+        ----------
+        request
+            The request.
+        now
+            Present time.
+        draw
+            Source of the random tie-break.
+        may_look_up
+            False once answers have come or the time for them is over: the decision is then made
+            with what is held.
+        """
+        serving = self._pool(request.model, request.version)
+        if not serving:
+            return requests.NoUpstream(requests.Unroutable.NOT_SERVED, RETRY_AFTER_SECONDS)
+        pool = _untried(serving, request)
+        if not pool:
+            return requests.NoUpstream(requests.Unroutable.ALL_TRIED, RETRY_AFTER_SECONDS)
+        match self._policy:
+            case policies.Prefix() as policy:
+                return self._route_by_prefix(policy, request, serving, pool, now, draw, may_look_up)
+            case _:
+                usable = placement.usable(pool, now)
+                state = self._baseline(request, serving, usable, now, draw)
+                return self._plain(request, state, now)
+
+    def answer(self, lookup: messages.Lookup, now: float) -> messages.LookupAnswer:
+        """Answer another VM's lookup from this VM's index and loads."""
+        self.counters.lookups_answered_for_others += 1
+        return lookups.answer(lookup, self._states, self._index, now)
+
+    def observe_answer(
+        self, request: requests.RouteRequest, answer: messages.LookupAnswer, now: float
+    ) -> None:
+        """Take in what a watcher answered about `request`."""
+        self.counters.lookup_answers += 1
+        for about in answer.states:
+            state = self._states.get(about.upstream)
+            if state is None or not self._learn_incarnation(about.upstream, about.incarnation, now):
+                continue
+            if about.age_seconds >= 0:
+                state.load.observe(lookups.report(about), now)
+            if about.confidence >= lookups.KNOWN_CONFIDENCE:
+                names = request.chain.names[: about.depth]
+                self._memory.remember(about.upstream, about.incarnation, names, now)
+
+    def dispatched(self, request: requests.RouteRequest, route: requests.Route, now: float) -> int:
+        """Note that `request` is being sent along `route`; return the attempt's number."""
+        self.assert_usable(request, route)
+        names = request.chain.names
+        if names and isinstance(self._policy, policies.Prefix):
+            self._popularity.add(request.chain.name_at(self._policy.affinity_pieces[0]), now)
+        return self._attempts.dispatched(request, route, now)
+
+    def first_token(self, attempt: int, now: float) -> None:
+        """Note the first token of an attempt."""
+        self._attempts.first_token(attempt, now)
+
+    def finished(self, attempt: int, cached_tokens: int | None, now: float) -> None:
+        """Note the end of an attempt and the cached tokens that its answer reported, if any."""
+        self._attempts.finished(attempt, cached_tokens, now)
+
+    def failed(self, attempt: int, now: float, lost: bool = True) -> None:
+        """Note that an attempt failed; see `hollyring.routing.attempts.Attempts.failed`."""
+        self._attempts.failed(attempt, now, lost)
+
+    def assert_usable(self, request: requests.RouteRequest, route: requests.Route) -> bool:
+        """Check that `route` relies on no dead engine, other organisation or older weights."""
+        state = self._states.get(route.upstream)
+        chain = request.chain
+        whose = (chain.organisation, chain.model, chain.version)
+        asked = (request.organisation, request.model, request.version)
+        live = state is not None and state.incarnation == route.incarnation
+        served = state is not None and state.upstream.serves(request.model, request.version)
+        relies = route.expected_cached_tokens > 0
+        check = self._invariants.check
+        usable = check("routing_own_organisation", whose == asked, f"{whose} for {asked}")
+        usable &= check("routing_live_incarnation", live or not relies, f"{route}")
+        usable &= check("routing_served_version", served, f"{route} for {asked}")
+        return usable
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the VM's state dump."""
+        counted = (self.counters, self._asker.counters, self._attempts.counters)
+        return {
+            "policy": type(self._policy).__name__,
+            "counters": {name: n for one in counted for name, n in dataclasses.asdict(one).items()},
+            "pending": len(self._attempts),
+            "index": self._index.dump(),
+            "memory": self._memory.dump(),
+            "upstreams": {
+                name: {
+                    "incarnation": state.incarnation,
+                    "watcher": self._watchers[name],
+                    "on_probation": state.health.on_probation,
+                    "queued_tokens": state.load.queued_tokens,
+                    "slowdown": round(state.load.slowdown_log, 2),
+                }
+                for name, state in sorted(self._states.items())
+            },
+        }
+
+    def _state(self, upstream: upstreams.Upstream, first: bool, now: float) -> placement.State:
+        state = self._states.get(upstream.name)
+        if state is None:
+            joined = float("-inf") if first else now
+            estimate = load.Load(upstream.prefill_tokens_per_second)
+            return placement.State(
+                upstream, estimate, health.Health(), upstream.incarnation, joined
+            )
+        if state.upstream.leaving and not upstream.leaving:
+            state.joined_at = now
+        state.upstream = upstream
+        return state
+
+    def _learn_incarnation(self, upstream: str, incarnation: int, now: float) -> bool:
+        state = self._states.get(upstream)
+        if state is None or incarnation < state.incarnation:
+            return False
+        if incarnation > state.incarnation:
+            if state.incarnation:
+                state.joined_at = now
+                state.load.restart()
+                state.health.restart()
+            state.incarnation = self._lives[upstream] = incarnation
+            self._index.observe_incarnation(upstream, incarnation)
+        return True
+
+    def _pool(self, model: str, version: str) -> dict[str, placement.State]:
+        pool = self._pools.get((model, version))
+        if pool is None:
+            pool = {
+                name: state
+                for name, state in self._states.items()
+                if state.upstream.serves(model, version)
+            }
+            self._pools[model, version] = pool
+        return pool
+
+    def _held(self, request: requests.RouteRequest, now: float) -> dict[str, placement.Held]:
+        names = request.chain.names
+        held = {
+            name: placement.Held(about.pieces, about.confidence, requests.Source.MEMORY)
+            for name, about in self._memory.recall(names, self._lives, now).items()
+        }
+        for name in self._index.watched:
+            about = self._index.depth(name, names)
+            if about is None or not about.pieces or about.incarnation != self._lives.get(name):
+                continue
+            known = held.get(name, placement.NOTHING_HELD)
+            if about.pieces * about.confidence > known.pieces * known.confidence:
+                source = requests.Source.INDEX
+                held[name] = placement.Held(about.pieces, about.confidence, source)
+        return held
+
+    def _baseline(
+        self,
+        request: requests.RouteRequest,
+        serving: Mapping[str, placement.State],
+        pool: Mapping[str, placement.State],
+        now: float,
+        draw: placement.Draw,
+    ) -> placement.State:
+        names = sorted(pool)
+        match self._policy:
+            case policies.LeastLoaded():
+                return placement.least_loaded(pool, now, draw)
+            case policies.HashOnly(affinity_pieces=depth) if request.chain.names:
+                order = self._affinity.order(request, serving, depth)
+                return next(state for state in order if state.name in pool)
+            case policies.HashOnly():
+                return pool[draw.choice(names)]
+            case _:
+                return pool[names[next(self._turn) % len(names)]]
+
+    def _route_by_prefix(
+        self,
+        policy: policies.Prefix,
+        request: requests.RouteRequest,
+        serving: Mapping[str, placement.State],
+        pool: Mapping[str, placement.State],
+        now: float,
+        draw: placement.Draw,
+        may_look_up: bool,
+    ) -> requests.Decision:
+        held = self._held(request, now)
+        reuse = self._reuse(policy, request, now)
+        found = placement.candidates(
+            policy, request, serving, pool, held, self._affinity, reuse, now
+        )
+        chosen = placement.choose(policy, found, draw)
+        if may_look_up and chosen.prefill_seconds >= policy.lookup_stake_seconds:
+            asked = self._asker.ask(policy, request, found, self._watchers, now)
+            if asked:
+                return requests.NeedLookup(asked)
+        self.counters.routed += 1
+        return requests.Route(
+            chosen.state.name,
+            chosen.state.incarnation,
+            chosen.cached_tokens,
+            chosen.seconds,
+            chosen.import_pieces,
+            chosen.held.source,
+        )
+
+    def _reuse(self, policy: policies.Prefix, request: requests.RouteRequest, now: float) -> float:
+        if not request.chain.names:
+            return 1.0
+        name = request.chain.name_at(policy.affinity_pieces[0])
+        return max(1.0, policy.reuse_weight * self._popularity.count(name, now))
+
+    def _plain(
+        self, request: requests.RouteRequest, state: placement.State, now: float
+    ) -> requests.Route:
+        self.counters.routed += 1
+        held = self._memory.recall(request.chain.names, self._lives, now).get(state.name)
+        cached = held.pieces * pieces.PIECE_TOKENS if held else 0
+        source = requests.Source.MEMORY if held else requests.Source.NOTHING
+        speed = state.load.prefill_tokens_per_second
+        seconds = state.load.queue_seconds(now) + (request.prompt_tokens - cached) / speed
+        return requests.Route(state.name, state.incarnation, cached, seconds, 0, source)
+
+
+def _untried(
+    serving: dict[str, placement.State], request: requests.RouteRequest
+) -> dict[str, placement.State]:
+    pool = serving
+    if request.excluded:
+        pool = {name: s for name, s in pool.items() if name not in request.excluded}
+    if not request.avoided_domains:
+        return pool
+    elsewhere = {
+        name: state
+        for name, state in pool.items()
+        if state.upstream.failure_domain not in request.avoided_domains
+    }
+    return elsewhere or pool
