Weigh crowding in full for hot prefixes too

With three VMs each sees more requests under a prefix, and the divisor for hot prefixes shrank the weight of crowding as well. It now divides the waste weight alone.

--- a/hollyring/experiments/routing.py
+++ b/hollyring/experiments/routing.py
@@ -29,6 +29,9 @@
 BURST_TOKENS = 1_000_000_000
 """Allowance of each organisation: so large that every refusal is wrongful."""
 
+FIRST_PORT = 40_000
+"""Ports are sought from here, away from those of the examples."""
+
 SETTLE_SECONDS = 3.0
 DRAIN_SECONDS = 60.0
 CRASH_AT = 0.7
@@ -141,7 +144,7 @@
 
 async def run(plan: Plan, policy: str) -> routing_report.Summary:
     """Run one policy on a fresh fleet."""
-    base_port = launcher.free_base_port()
+    base_port = launcher.free_base_port(FIRST_PORT)
     options = launcher.EngineOptions(
         speed=plan.speed, cache_blocks=plan.cache_blocks, cache_idle=IDLE_SECONDS
     )
--- a/hollyring/routing/placement.py
+++ b/hollyring/routing/placement.py
@@ -182,8 +182,8 @@
     seconds = state.upstream.distance_seconds + queueing + prefill
     presumed = policy.home_presumption if position == 0 else 0.0
     avoidable = prefill * (1.0 - presumed + policy.order_weight * position)
-    weight = policy.waste_weight + queueing / policy.crowding_seconds
-    cost = seconds + avoidable * weight / reuse
+    weight = policy.waste_weight / reuse + queueing / policy.crowding_seconds
+    cost = seconds + avoidable * weight
     return Candidate(state, held, cached, prefill, seconds, cost, imported)
 
 
