--- a/hollyring/experiments/limits.py
+++ b/hollyring/experiments/limits.py
@@ -112,6 +112,15 @@
         burst = world.document.limits[name].burst
         for _ in range(30):
             world.submit(rng.choice(world.awake), name, max(1, burst // rng.choice([10, 25])))
+        if self._pause in self._faulty:
+            self._pause_waiting()
+
+    def _pause_waiting(self) -> None:
+        """Pause the VMs whose requests wait for tokens, until their loans have lapsed."""
+        for machine in self.world.awake:
+            if machine.limiter.waiting:
+                machine.woken_at = self.world.now + self._rng.choice([0.2, 0.35, 1.0])
+                self._count("pause while waiting")
 
     def _take_ideal(self, limit: holders.Limit, tokens: int) -> bool:
         level, at = self._ideal.get(limit.organisation, (float(limit.burst), self.world.now))
@@ -127,6 +136,8 @@
                 used = self._rng.randint(0, reserved.tokens)  # type: ignore[union-attr]
                 self.world.settle(machine, request, used)
             machine.running.clear()
+        if self._rng.random() < 0.2:
+            self._spike()
 
     def _refresh(self) -> None:
         if self.world.awake:
@@ -207,6 +218,10 @@
         changed = holders.Roster(revision, tuple(slots), tuple(retiring), self._settled())
         self._accept(changed, self.world.document.limits)
         self._count(change)
+        for machine in self.world.awake:
+            if self._rng.random() < 0.5:
+                self.world.refresh(machine)
+        self._spike()
 
     def _settled(self) -> int:
         states = [machine.limiter.dump()["settled"] for machine in self.world.awake]
