--- a/hollyring/experiments/rollout_slopes.py
+++ b/hollyring/experiments/rollout_slopes.py
@@ -57,7 +57,7 @@
 
 def _slope(points: list[tuple[int, float]]) -> float:
     xs, ys = [float(x) for x, _ in points], [y for _, y in points]
-    return round(statistics.linear_regression(xs, ys).slope, 3)
+    return round(statistics.linear_regression(xs, ys).slope, 3) + 0.0
 
 
 def _model(number: int) -> str:
