--- a/hollyring/limits/settings.py
+++ b/hollyring/limits/settings.py
@@ -24,8 +24,23 @@
 FANOUT = 8
 """Asks that one VM has in flight for one organisation."""
 
-SMALL_BURST_SECONDS = 10 * LOAN_SECONDS
-"""A burst that the rate fills faster would be held up by loans not reported as spent."""
+TINY_BURST_SECONDS = 4 * LOAN_SECONDS
+"""Of a burst that the rate fills faster, every loan is reported as soon as it is spent."""
+
+SMALL_BURST_SECONDS = 20 * LOAN_SECONDS
+"""Of a burst that the rate fills faster, large loans are reported as soon as they are spent."""
+
+LARGE_LOAN = 4
+"""A loan is large if it is more than this part of a share's burst."""
+
+LEAST_YIELD = 1 / 32
+"""Least part of what accrues at a holder that a VM expects for itself."""
+
+CONTENDED_SECONDS = 0.5
+"""Seconds after an answer for which the smaller part is expected; later the whole rate is."""
+
+YIELD_STEP = 1 / 8
+"""Rise of that part with each answer that gives all that was asked."""
 
 MAX_PENDING = 256
 """Requests of one organisation that wait at one VM for borrowed tokens."""
@@ -36,6 +51,9 @@
 MAX_REFUNDABLE = 128
 """Spent loans of one organisation for which a holder still takes tokens back."""
 
+MAX_ASKED = 4096
+"""Asks in flight, over all organisations, whose answer a VM still recognises."""
+
 MAX_RESERVATIONS = 4096
 """Unsettled requests that a VM remembers."""
 
