--- a/hollyring/standins/tests/test_engine.py
+++ b/hollyring/standins/tests/test_engine.py
@@ -1,9 +1,11 @@
 import dataclasses
 
 import anyio
+import msgspec
 import pytest
 
 from hollyring.core import pieces
+from hollyring.fleet import messages
 from hollyring.standins import batching, engine, prefix_cache, text
 
 pytestmark = pytest.mark.anyio
@@ -199,6 +201,25 @@
     assert (await call("GET", "/load")).json()["models"] == {"parish": "v2"}
 
 
+async def test_orders_of_a_rollout_are_carried_out(served):
+    standin, call = served
+    changes = [
+        messages.LoadModel("parish", "v2"),
+        messages.LoadAdapter("kigoma"),
+        messages.LoadAdapter("mtwara"),
+        messages.UnloadAdapter("kigoma"),
+        messages.SetRole("decode"),
+    ]
+    for number, change in enumerate(changes):
+        order = messages.Order(f"id-{number}", 1, "engine", change, 0.0)
+        assert (await call("POST", "/orders", msgspec.json.encode(order.body))).status == 202
+    load = (await call("GET", "/load")).json()
+    while load["role"] != "decode":
+        await anyio.sleep(0)
+        load = (await call("GET", "/load")).json()
+    assert (load["models"], load["adapters"]) == ({"parish": "v2"}, ["mtwara"])
+
+
 @pytest.mark.parametrize("checks, status", [(True, 409), (False, 202)])
 async def test_stale_order(running, settings, checks, status):
     _, call = running(engine.Engine(dataclasses.replace(settings, checks_fencing=checks)))
