Let a VM that starts in an outage be answered by its peers

Cause: a VM restarted while the platform's service was away never became ready. It asked its seeds, and their answers arrived, but neither the roster nor the members named their senders yet, so the messages were dropped for want of an address. Ruled out: the seeds (the peer link counted 29 messages received), the configuration's start (no peer was known to ask). Change: a VM proves its name together with its peer address when it opens a link, and is answered there.

--- a/hollyring/cli/main.py
+++ b/hollyring/cli/main.py
@@ -6,8 +6,7 @@
 
 import click
 
-from hollyring.cli import config, operate, standin
-from hollyring.experiments import control, overhead
+from hollyring.cli import config, experiment, operate, standin
 
 VERSION = "0.1.0"
 EXIT_BAD_INPUT = 2
@@ -56,16 +55,7 @@
     server.serve(given)
 
 
-@main.group()
-def experiment() -> None:
-    """Measure mechanisms and try them under faults, on this machine only.
-
-    Example: hollyring experiment limits --seed 1
-    """
-
-
-experiment.add_command(overhead.overhead)
-experiment.add_command(control.control)
+main.add_command(experiment.experiment)
 main.add_command(config.config)
 main.add_command(standin.standin)
 main.add_command(operate.state)
--- /dev/null
+++ b/hollyring/experiments/capacity_roles.py
@@ -0,0 +1,320 @@
+"""Each role's cost at the two-year size, worked out from measured slopes.
+
+Every figure comes from a file in docs/measurements, which one command writes; nothing is entered
+by hand but the size that the users expect.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from typing import Any
+
+import msgspec
+
+MILLISECONDS = 1_000.0
+MEGABYTE = 1e6
+KILOBYTE = 1e3
+DAY_SECONDS = 86_400.0
+
+VMS = 360
+UPSTREAMS = 1_500
+REQUESTS_PER_SECOND = 3_100.0
+TOKENS_PER_SECOND = 950_000.0
+BLOCKS = 86_000_000
+EVENTS_PER_SECOND = 95_000.0
+ORGANISATIONS = 4_700
+REGIONS = 5
+CHANGES_PER_DAY = 7_600
+RESTARTS_PER_DAY = 140
+FAILURES_PER_DAY = 12
+CLAIMED_PART = 0.1
+"""Part of the requests taken to be non-idempotent; the users give none."""
+
+PROCESSOR_BUDGET_MS = 49.0
+MEMORY_BUDGET_MB = 64.0
+BYTES_BUDGET = 5_000.0
+STORE_READS = 2_000.0
+STORE_WRITES = 400.0
+"""What "several hundred writes a second" is taken to be."""
+
+IN_FORCE_SECONDS = 12.0
+EVENT_BYTES = 19
+"""A block's name in the engines' event stream: 16 hexadecimal digits, quotes and a comma."""
+
+FRAME_BYTES = 12
+TCP_IP_BYTES = 40
+GROUPS = 32
+CLAIM_RETENTION_SECONDS = 86_400.0
+LIST_SECONDS = 5.0 * VMS / 9
+WATCH_SECONDS = 5.0
+VERIFY_SECONDS = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Role:
+    """One role's cost for one VM at the two-year size.
+
+    Parameters
+    ----------
+    processor_ms
+        Milliseconds of one core per second.
+    memory_mb
+        Megabytes.
+    bytes_per_second
+        Sent and received together.
+    counted
+        Whether it counts against the control budget.
+    """
+
+    name: str
+    state: str
+    messages: str
+    processor_ms: float
+    memory_mb: float
+    bytes_per_second: float
+    mechanism: str
+    source: str
+    counted: bool = True
+
+
+class Measured:
+    """The files in docs/measurements.
+
+    Parameters
+    ----------
+    folder
+        Where they are.
+    """
+
+    __slots__ = ("_folder", "missing")
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self.missing: list[str] = []
+
+    def load(self, name: str) -> dict[str, Any]:
+        """Return a file's content, or an empty one and note that it is missing."""
+        path = self._folder / name
+        if not path.exists():
+            self.missing.append(name)
+            return {}
+        return msgspec.json.decode(path.read_bytes())
+
+
+def fit(points: list[tuple[float, float]], at: float) -> float:
+    """Return the least-squares line through `points` at `at`.
+
+    Examples
+    --------
+    >>> fit([(1.0, 3.0), (2.0, 5.0)], 10.0)
+    21.0
+    """
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread if spread else 0.0
+    return mean_y + slope * (at - mean_x)
+
+
+def roles(measured: Measured) -> list[Role]:
+    """Return every role's cost, from the measured files."""
+    found = [_process(measured), _entry(measured), *_index(measured), _limits(measured)]
+    found += [_configuration(measured), _membership(measured), _orders(measured)]
+    return [*found, _claims(measured), _streams(measured), _logs()]
+
+
+def _process(measured: Measured) -> Role:
+    rows = measured.load("control.json").get("rows", [])
+    idle = [row for row in rows if row["organisations"] == 5 and not row["engines"]]
+    points = [(row["vms"], row["processor_percent"] * 10) for row in idle]
+    memory = [(row["vms"], row["resident_mb"]) for row in idle]
+    return Role(
+        "process, idle",
+        "interpreter, libraries, event loop",
+        "all periodic messages of the parts",
+        fit(points, VMS) if points else 0.0,
+        memory[0][1] if memory else 0.0,
+        0.0,
+        "one process, parts that tick only when due",
+        "control.json, 3 to 36 VMs, extrapolated 10-fold",
+    )
+
+
+def _entry(measured: Measured) -> Role:
+    data = measured.load("routing-slopes.json")
+    decision_us = data["by_upstreams"][-1]["p50_us"] + data["by_upstreams"][-1]["chain_p50_us"]
+    per_second = REQUESTS_PER_SECOND / VMS
+    # At worst each decision asks two watchers and is asked as often: question and answer.
+    lookup_bytes = 2 * 2 * (100 + 120 + 2 * (FRAME_BYTES + TCP_IP_BYTES))
+    return Role(
+        "entry and routing",
+        "300 upstreams of the region, own dispatches",
+        f"{per_second:.1f} decisions/s, a look-up where the stake is worth it",
+        per_second * decision_us / MILLISECONDS,
+        1.0,
+        per_second * LOOKUP_PART * lookup_bytes,
+        "affinity by rendezvous, own memory, one round trip to watchers",
+        "routing-slopes.json, 6 to 300 upstreams, not extrapolated; look-ups at a part of "
+        f"{LOOKUP_PART:.0%} and 100 + 120 bytes, assumed",
+    )
+
+
+LOOKUP_PART = 0.25
+"""Part of the decisions that asks other VMs; assumed, to be measured on the fleet."""
+
+
+def _index(measured: Measured) -> list[Role]:
+    data = measured.load("routing-slopes.json")
+    row = data["index"][-1]
+    events = EVENTS_PER_SECOND / VMS
+    blocks = BLOCKS / VMS
+    control = measured.load("control.json").get("rows", [])
+    polled = [row for row in control if row["engines"]]
+    idle = [row for row in control if row["organisations"] == 5 and not row["engines"]]
+    poll_ms = max(0.0, polled[0]["processor_percent"] - idle[0]["processor_percent"]) * 10
+    return [
+        Role(
+            "cache index",
+            f"{blocks:,.0f} blocks of {UPSTREAMS / VMS:.1f} upstreams",
+            f"{events:.0f} events/s",
+            events * row["event_us"] / MILLISECONDS,
+            blocks * row["bytes_per_block"] / MEGABYTE,
+            events * EVENT_BYTES,
+            "one watcher per upstream, open-addressed table of 8-byte names",
+            "routing-slopes.json, 24,100 to 241,000 blocks, not extrapolated",
+        ),
+        Role(
+            "polls of watched upstreams",
+            "connections",
+            f"{polled[0]['polls']:.1f} polls/s",
+            poll_ms,
+            0.2,
+            polled[0]["poll_bytes"],
+            "bounded polls per VM, slower for each upstream the more are watched",
+            "control.json, 4 upstreams per VM, empty caches",
+        ),
+    ]
+
+
+def _limits(measured: Measured) -> Role:
+    rows = measured.load("limits-slopes.json").get("slopes", [])
+    row = next((r for r in rows if (r["vms"], r["organisations"]) == (VMS, ORGANISATIONS)), None)
+    if row is None:
+        return Role("limits", "", "", 0.0, 0.0, 0.0, "escrow among holders", "not measured")
+    sent = row["bytes_sent_per_second"] + row["messages_sent_per_second"] * TCP_IP_BYTES
+    return Role(
+        "limits",
+        f"shares and borrowers, {ORGANISATIONS:,} organisations",
+        f"{row['messages_sent_per_second']:.1f} messages/s sent",
+        row["processor_ms_per_second"],
+        row["state_bytes"] / MEGABYTE,
+        2 * sent,
+        "escrow among holders, donor debited first, no call on the store",
+        "limits-slopes.json, 3 to 360 machines, not extrapolated",
+    )
+
+
+def _configuration(measured: Measured) -> Role:
+    data = measured.load("configuration-slopes.json")
+    big = data["by_organisations"][-1]
+    gossip = next(r for r in data["by_vms"] if r["vms"] == VMS and not r["dropped"])
+    changes = CHANGES_PER_DAY / DAY_SECONDS
+    idle_bytes = gossip["idle_bytes_per_vm_second"]
+    idle_bytes += gossip["idle_messages_per_vm_second"] * TCP_IP_BYTES
+    change = gossip["change_bytes_per_vm"] + big["change_bytes"]
+    processor = gossip["idle_processor_ms_per_vm_second"]
+    return Role(
+        "configuration",
+        f"{big['whole_bytes'] / MEGABYTE:.1f} MB of objects, key table, retained deltas",
+        f"{gossip['idle_messages_per_vm_second']:.1f} digests/s, {changes:.3f} changes/s",
+        processor + changes * big["change_processor_us"] / MILLISECONDS,
+        big["memory_full_bytes"] / MEGABYTE,
+        2 * idle_bytes + changes * change,
+        "one key per revision, a watch on the next one, digests between VMs",
+        "configuration-slopes.json, 3 to 360 machines, 5 to 4,700 organisations",
+    )
+
+
+def _membership(measured: Measured) -> Role:
+    rows = measured.load("membership-slopes.json")
+    steady = rows.get("by_vms") or rows.get("costs") or rows.get("steady") or []
+    row = next((r for r in steady if r["vms"] == VMS), None)
+    if row is None:
+        return Role("membership", "", "", 0.0, 0.0, 0.0, "heartbeats", "not measured at 360")
+    bytes_per_second = row.get("bytes_per_second", row.get("bytes_per_vm_second", 0.0))
+    messages = row.get("messages_per_second", row.get("messages_per_vm_second", 4.0))
+    processor = row.get("processor_ms_per_second", row.get("processor_ms_per_vm_second", 0.0))
+    memory = row.get("memory_bytes", row.get("state_bytes", 0.0))
+    return Role(
+        "membership",
+        f"{VMS} members, small entries",
+        f"{messages:.1f} messages/s",
+        processor,
+        memory / MEGABYTE,
+        bytes_per_second + messages * (FRAME_BYTES + TCP_IP_BYTES),
+        "one probe a period whatever the size, news bounded in bytes",
+        "membership-slopes.json",
+    )
+
+
+def _orders(measured: Measured) -> Role:
+    data = measured.load("orders-slopes.json")
+    row = data["costs"][-1] if data else {"rollout_step_us": 0.0, "bytes_per_upstream": 0.0}
+    return Role(
+        "orders to upstreams",
+        f"{UPSTREAMS:,} upstreams, on the lease holder only",
+        "a rollout's steps while one runs",
+        row["rollout_step_us"] / MILLISECONDS,
+        row["bytes_per_upstream"] * UPSTREAMS / MEGABYTE,
+        0.0,
+        "one lease holder, state derived from what upstreams report",
+        "orders-slopes.json, to 1,500 upstreams, one step a second; not yet run by the VM",
+    )
+
+
+def _claims(measured: Measured) -> Role:
+    row = measured.load("delivery-claims.json")["logs"][-1]
+    rate = REQUESTS_PER_SECOND * CLAIMED_PART
+    kept = rate * CLAIM_RETENTION_SECONDS / GROUPS
+    per_writer = rate / GROUPS
+    return Role(
+        "claims of non-idempotent calls",
+        f"{kept:,.0f} claims of one group, on {GROUPS} of {VMS} VMs",
+        f"{per_writer:.1f} claims/s on a writer",
+        per_writer * row["microseconds_per_claim"] / MILLISECONDS,
+        kept * row["memory_bytes_per_claim"] / MEGABYTE,
+        per_writer * row["written_bytes_per_claim"],
+        "claims grouped in logs, compare-and-swap per batch",
+        f"delivery-claims.json; {CLAIMED_PART:.0%} of requests assumed non-idempotent",
+        counted=False,
+    )
+
+
+def _streams(measured: Measured) -> Role:
+    data = measured.load("overhead.json")
+    per_node = TOKENS_PER_SECOND / VMS
+    return Role(
+        "streams (data path)",
+        "one text per open stream",
+        f"{per_node:,.0f} tokens/s",
+        per_node * data["processor_us_per_token"] / MILLISECONDS if data else 0.0,
+        0.0,
+        0.0,
+        "no buffer between upstream and caller",
+        "overhead.json; not control",
+        counted=False,
+    )
+
+
+def _logs() -> Role:
+    return Role(
+        "logs and metrics",
+        "counters and histograms",
+        "a line per change, none per request",
+        0.0,
+        0.5,
+        0.0,
+        "bounded histograms; lines only on change",
+        "not measured apart: inside the process's figures",
+    )
--- a/hollyring/experiments/matrix.py
+++ b/hollyring/experiments/matrix.py
@@ -9,11 +9,14 @@
 
 import dataclasses
 import itertools
+import pathlib
 import random
+import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import anyio
+import click
 
 from hollyring.experiments import faults, judge, launcher, load, small
 
@@ -83,7 +86,7 @@
         return judge.broken(self.promises)
 
 
-def fleet_at(base: int, folder: launcher.pathlib.Path) -> launcher.Fleet:
+def fleet_at(base: int, folder: pathlib.Path) -> launcher.Fleet:
     """Return the matrix's fleet, not yet started."""
     document = small.document(base, VMS, ENGINES, SERVICES)
     options = launcher.EngineOptions(speed=8.0, cache_idle=60.0)
@@ -168,12 +171,6 @@
     await client.close()
 
 
-def cells() -> Iterator[tuple[str, ...]]:
-    """Yield the matrix: each fault alone, and each pair of different faults."""
-    yield from ((name,) for name in FAULTS)
-    yield from itertools.combinations(FAULTS, 2)
-
-
 def render(rows: list[Cell], write: Callable[[str], None]) -> None:
     """Write the matrix as a table."""
     write("| faults | requests | complete | checks | broken | serves again after |\n")
@@ -185,3 +182,42 @@
             f"| {' + '.join(row.names)} | {row.requests} | {row.complete} | {trials} | {broken} "
             f"| {row.recovery_seconds:.1f} s |\n"
         )
+
+
+async def _run(chosen: list[tuple[str, ...]], seed: int) -> list[Cell]:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="hollyring-matrix-"))
+    fleet = fleet_at(launcher.free_base_port(), folder)
+    rows = []
+    try:
+        await fleet.start_all()
+        for names in chosen:
+            rows.append(await run_cell(fleet, names, seed))
+            click.echo(f"{' + '.join(names)}: {len(rows[-1].broken)} broken", err=True)
+        return rows
+    finally:
+        fleet.stop()
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Of the traffic.")
+@click.option("--pairs", default=0, show_default=True, help="Pairs to draw besides single faults.")
+@click.option("--out", type=click.Path(path_type=pathlib.Path), help="Write the table here.")
+def matrix(seed: int, pairs: int, out: pathlib.Path | None) -> None:
+    """Run the fault matrix over real processes and print it as a table.
+
+    Exit status 1 means that a promise was broken.
+
+    Example: hollyring experiment matrix --pairs 20 --out docs/fault-matrix.md
+    """
+    singles = [(name,) for name in FAULTS]
+    twice = [(name, name) for name in FAULTS if isinstance(FAULTS[name], faults.Kill)]
+    drawn = random.Random(seed).sample(list(itertools.combinations(FAULTS, 2)), pairs)
+    rows = anyio.run(_run, [*singles, *twice, *drawn], seed)
+    text: list[str] = [f"# Fault matrix\n\nMade by `hollyring experiment matrix --seed {seed} "]
+    text.append(f"--pairs {pairs}`.\n\n")
+    render(rows, text.append)
+    click.echo("".join(text))
+    if out is not None:
+        out.write_text("".join(text))
+    if any(row.broken for row in rows):
+        raise SystemExit(1)
--- /dev/null
+++ b/hollyring/experiments/soak.py
@@ -0,0 +1,74 @@
+"""A long run over real processes: traffic and random faults, held against the judge's books."""
+
+from __future__ import annotations
+
+import pathlib
+import random
+import tempfile
+import time
+
+import anyio
+import click
+
+from hollyring.experiments import judge, launcher, matrix
+
+MAX_MINUTES = 60.0
+EXIT_BROKEN = 1
+
+
+async def _run(seconds: float, seed: int) -> tuple[list[matrix.Cell], int]:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="hollyring-soak-"))
+    fleet = matrix.fleet_at(launcher.free_base_port(), folder)
+    draw = random.Random(seed)
+    rows: list[matrix.Cell] = []
+    ends = time.monotonic() + seconds
+    try:
+        await fleet.start_all()
+        while time.monotonic() < ends:
+            names = tuple(draw.sample(sorted(matrix.FAULTS), draw.choice((1, 1, 2, 3))))
+            rows.append(await matrix.run_cell(fleet, names, draw.getrandbits(32)))
+            last = rows[-1]
+            click.echo(
+                f"{len(rows)}: {' + '.join(last.names)}: {last.complete}/{last.requests} complete, "
+                f"{len(last.broken)} promises broken",
+                err=True,
+            )
+        return rows, sum(fleet.running(name) for name in fleet.programs)
+    finally:
+        fleet.stop()
+
+
+@click.command()
+@click.option("--minutes", default=10.0, show_default=True, help=f"At most {MAX_MINUTES:g}.")
+@click.option("--seed", default=1, show_default=True, help="Of faults and traffic.")
+def soak(minutes: float, seed: int) -> None:
+    """Run random faults under traffic for a while and print trials and violations per promise.
+
+    Exit status 1 means that a promise was broken.
+
+    Example: hollyring experiment soak --minutes 10 --seed 3
+    """
+    rows, running = anyio.run(_run, min(minutes, MAX_MINUTES) * 60.0, seed)
+    requests = sum(row.requests for row in rows)
+    complete = sum(row.complete for row in rows)
+    click.echo(f"{len(rows)} cells, {requests} requests, {complete} complete, {running} processes")
+    click.echo(f"{'trials':>9} {'broken':>7}  promise")
+    for promise in totals(rows):
+        click.echo(f"{promise.trials:>9} {promise.violations:>7}  {promise.name} {promise.detail}")
+    if any(row.broken for row in rows):
+        raise SystemExit(EXIT_BROKEN)
+
+
+def totals(rows: list[matrix.Cell]) -> list[judge.Promise]:
+    """Return each promise with its trials and violations over all cells."""
+    summed: dict[str, judge.Promise] = {}
+    for row in rows:
+        for promise in row.promises:
+            before = summed.get(promise.name, judge.Promise(promise.name, 0, 0))
+            summed[promise.name] = judge.Promise(
+                promise.name,
+                before.trials + promise.trials,
+                before.violations + promise.violations,
+                promise.detail or before.detail,
+            )
+    return list(summed.values())
--- /dev/null
+++ b/hollyring/experiments/tests/test_promises.py
@@ -0,0 +1,175 @@
+"""Promises of the brief, each under the fault that it is meant for, over separate processes."""
+
+import random
+import time
+
+import anyio
+import httpcore
+import msgspec
+import pytest
+
+from hollyring.configuration import documents
+from hollyring.experiments import faults, load, matrix, small
+
+BOUND_SECONDS = 60.0
+STREAM_TOKENS = 400
+
+
+def caller_at(vm):
+    return load.Caller(small.ORGANISATION, small.KEY, [vm.caller_address])
+
+
+async def state_of(vm):
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request("GET", f"http://{vm.admin_address}/state")
+    return msgspec.json.decode(answer.content)
+
+
+async def in_force(vms, revision):
+    """Return once `revision` is in force on all `vms`."""
+    with anyio.fail_after(BOUND_SECONDS):
+        for vm in vms:
+            while (await state_of(vm))["configuration"]["revision"] < revision:
+                await anyio.sleep(0.05)
+
+
+async def stream_during(fleet, vm, act):
+    """Return the outcome of a long stream at `vm` while `act` is done in its middle."""
+    outcomes = []
+
+    async def one():
+        client = load.Client()
+        outcomes.append(
+            await client.complete(caller_at(vm), small.MODEL, "long", STREAM_TOKENS, stream=True)
+        )
+        await client.close()
+
+    for engine in ("engine-0", "engine-1", "engine-2"):
+        await faults.inject(fleet, faults.Switch(engine, "slow", value=10))
+    async with anyio.create_task_group() as group:
+        group.start_soon(one)
+        await anyio.sleep(0.7)
+        await act()
+    for engine in ("engine-0", "engine-1", "engine-2"):
+        await faults.heal(fleet, faults.Switch(engine, "slow"))
+    return outcomes[0]
+
+
+async def withdraw_during_stream(fleet):
+    await matrix.serves(fleet)
+    withdrawn = faults.without_keys(fleet.document, small.ORGANISATION)
+
+    async def withdraw():
+        await in_force(fleet.vms, await faults.submit(fleet, withdrawn))
+
+    outcome = await stream_during(fleet, fleet.vms[0], withdraw)
+    client = load.Client()
+    refused = [
+        await client.complete(caller_at(vm), small.MODEL, "?", 1, stream=False) for vm in fleet.vms
+    ]
+    await client.close()
+    await in_force(fleet.vms, await faults.submit(fleet, fleet.document))
+    await matrix.serves(fleet)
+    return outcome, refused
+
+
+def test_withdrawn_key_ends_open_streams_and_admits_no_more(portal, fleet):
+    outcome, refused = portal.call(withdraw_during_stream, fleet)
+    assert not outcome.complete
+    assert outcome.code == "key_withdrawn_midway"
+    assert [(one.code, one.execution) for one in refused] == [("invalid_key", "not_run")] * 3
+
+
+async def leave_during_stream(fleet):
+    await matrix.serves(fleet)
+    vm = fleet.vms[1]
+
+    async def leave():
+        await faults.inject(fleet, faults.Leave(vm.name))
+
+    outcome = await stream_during(fleet, vm, leave)
+    await faults.heal(fleet, faults.Leave(vm.name))
+    await matrix.serves(fleet)
+    return outcome
+
+
+def test_graceful_shutdown_cuts_no_stream(portal, fleet):
+    outcome = portal.call(leave_during_stream, fleet)
+    assert (outcome.complete, outcome.right, outcome.tries) == (True, True, 1)
+
+
+async def restart_without_platform(fleet):
+    await matrix.serves(fleet)
+    weighted = faults.with_weight(fleet.document, 9.0)
+    revision = await faults.submit(fleet, weighted)
+    await in_force(fleet.vms, revision)
+    outage = faults.Switch("platform", "outage")
+    await faults.inject(fleet, outage)
+    await faults.inject(fleet, faults.Kill("vm-2"))
+    await faults.heal(fleet, faults.Kill("vm-2"))
+    client = load.Client()
+    with anyio.fail_after(BOUND_SECONDS):
+        while True:
+            outcome = await client.complete(caller_at(fleet.vms[2]), small.MODEL, "?", 2, True)
+            if outcome.complete:
+                break
+            await anyio.sleep(0.1)
+    await client.close()
+    found = (await state_of(fleet.vms[2]))["configuration"]["revision"]
+    await faults.heal(fleet, outage)
+    await faults.submit(fleet, fleet.document)
+    await matrix.serves(fleet)
+    return revision, found, outcome
+
+
+def test_vm_restarted_during_an_outage_serves_the_accepted_configuration(portal, fleet):
+    revision, found, outcome = portal.call(restart_without_platform, fleet)
+    assert found >= revision
+    assert outcome.right
+
+
+async def press(fleet, rate, burst):
+    """Ask through all VMs for far more than the rate; return tokens admitted and seconds."""
+    items = [
+        (
+            msgspec.structs.replace(item, rate=rate, burst=burst)
+            if getattr(item, "name", "") == small.ORGANISATION
+            else item
+        )
+        for item in fleet.document.objects
+    ]
+    limited = documents.Document(items)
+    await in_force(fleet.vms, await faults.submit(fleet, limited))
+    admitted = 0
+    started = time.monotonic()
+    draw = random.Random(3)
+
+    async def one(number):
+        nonlocal admitted
+        client = load.Client()
+        entries = [vm.caller_address for vm in fleet.vms]
+        draw.shuffle(entries)
+        caller = load.Caller(small.ORGANISATION, small.KEY, entries)
+        while time.monotonic() < started + 6.0:
+            outcome = await client.complete(caller, small.MODEL, f"{number} " * 400, 8, True)
+            admitted += outcome.prompt_tokens + 8 if outcome.complete else 0
+            entries.append(entries.pop(0))
+            await anyio.sleep(0.01)
+        await client.close()
+
+    async with anyio.create_task_group() as group:
+        for number in range(8):
+            group.start_soon(one, number)
+        await anyio.sleep(2.0)
+        await faults.inject(fleet, faults.Kill("vm-0"))
+        await faults.heal(fleet, faults.Kill("vm-0"))
+    seconds = time.monotonic() - started
+    await in_force(fleet.vms, await faults.submit(fleet, fleet.document))
+    await matrix.serves(fleet)
+    return admitted, seconds
+
+
+@pytest.mark.parametrize(("rate", "burst"), [(2_000.0, 6_000)])
+def test_rate_and_burst_hold_over_all_vms_while_one_restarts(portal, fleet, rate, burst):
+    admitted, seconds = portal.call(press, fleet, rate, burst)
+    assert 0 < admitted <= burst + rate * seconds
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -80,22 +80,24 @@
     return digest.digest()
 
 
-def _hello(me: identities.Incarnation) -> bytes:
-    name = me.name.encode()
-    return struct.pack("!HQ", len(name), me.number) + name
+def _hello(me: identities.Incarnation, address: str) -> bytes:
+    name, place = me.name.encode(), address.encode()
+    return struct.pack("!HHQ", len(name), len(place), me.number) + name + place
 
 
 async def _receive_hello(
     stream: anyio.streams.buffered.BufferedByteReceiveStream,
-) -> identities.Incarnation:
-    length, number = struct.unpack("!HQ", await stream.receive_exactly(10))
-    if length > MAX_NAME_BYTES:
+) -> tuple[identities.Incarnation, str]:
+    """Return who calls and where that VM accepts links."""
+    length, place, number = struct.unpack("!HHQ", await stream.receive_exactly(12))
+    if not 0 < length <= MAX_NAME_BYTES or place > MAX_NAME_BYTES:
         raise errors.PeerError("name too long")
     try:
         name = (await stream.receive_exactly(length)).decode()
+        address = (await stream.receive_exactly(place)).decode() if place else ""
     except UnicodeDecodeError as error:
         raise errors.PeerError("name is not text") from error
-    return identities.Incarnation(name, number)
+    return identities.Incarnation(name, number), address
 
 
 _LINK_FAILURES = (
@@ -115,6 +117,8 @@
     ----------
     me
         This VM's incarnation, told to every peer.
+    address
+        Where this VM accepts links, told to every peer.
     keys
         Peer keys, newest first.
     codec
@@ -127,6 +131,8 @@
 
     __slots__ = (
         "_me",
+        "_address",
+        "_heard_from",
         "_keys",
         "_codec",
         "_receive",
@@ -141,6 +147,7 @@
     def __init__(
         self,
         me: identities.Incarnation,
+        address: str,
         keys: list[str],
         codec: wire.Wire,
         receive: Receive,
@@ -148,6 +155,8 @@
     ) -> None:
         self._address_of = address_of
         self._me = me
+        self._address = address
+        self._heard_from: dict[str, str] = {}
         self._keys = list(keys)
         self._codec = codec
         self._receive = receive
@@ -163,6 +172,10 @@
         """Messages and bytes sent, received, dropped; handshakes refused."""
         return dict(self._counts)
 
+    def address_of(self, name: str) -> str | None:
+        """Return where a VM accepts links, as known or as it said itself with proof."""
+        return self._address_of(name) or self._heard_from.get(name)
+
     def change_keys(self, keys: list[str]) -> None:
         """Use `keys` from now on; open links stay."""
         self._keys = list(keys)
@@ -252,7 +265,7 @@
         buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
         theirs = await buffered.receive_exactly(NONCE_BYTES)
         mine = secrets.token_bytes(NONCE_BYTES)
-        hello = _hello(self._me)
+        hello = _hello(self._me, self._address)
         key = self._keys[0]
         await stream.send(hello + mine + _proof(key, b"open", theirs, mine, hello))
         answer = await buffered.receive_exactly(PROOF_BYTES)
@@ -277,13 +290,14 @@
         buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
         mine = secrets.token_bytes(NONCE_BYTES)
         await stream.send(mine)
-        sender = await _receive_hello(buffered)
+        sender, address = await _receive_hello(buffered)
         theirs = await buffered.receive_exactly(NONCE_BYTES)
         proof = await buffered.receive_exactly(PROOF_BYTES)
-        hello = _hello(sender)
+        hello = _hello(sender, address)
         for key in self._keys:
             if hmac.compare_digest(proof, _proof(key, b"open", mine, theirs, hello)):
                 await stream.send(_proof(key, b"accept", mine, theirs, hello))
+                self._heard_from[sender.name] = address
                 return sender, Frames(_proof(key, b"session", mine, theirs, hello)), buffered
         raise errors.PeerError("a caller without a peer key")
 
@@ -319,6 +333,6 @@
 
     async def _reply(self, sender: identities.Incarnation, message: object, sequence: int) -> None:
         reply = await self._receive(sender, message)
-        address = self._address_of(sender.name)
+        address = self.address_of(sender.name)
         if reply is not None and address is not None:
             self._queue(address, self._codec.encode(reply, sequence, TMessageType.REPLY))
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -77,7 +77,12 @@
         self._platform = platform.Platform(given.platform)
         codec = wire.Wire(catalogue.MESSAGES)
         self._peers = peers.Peers(
-            self._me, given.peer_keys, codec, self._from_peer, self._address_of
+            self._me,
+            given.peer_address,
+            given.peer_keys,
+            codec,
+            self._from_peer,
+            self._known_address,
         )
         self._roster: dict[str, str] = {}
         self._membership = membership_part.MembershipPart(
@@ -216,16 +221,16 @@
         if entry.name.startswith(routing_part.UPSTREAM_ENTRY):
             self._routing.upstream_heard(entry.name, entry.value)
 
-    def _address_of(self, name: str) -> str | None:
+    def _known_address(self, name: str) -> str | None:
         return self._membership.address_of(name) or self._roster.get(name)
 
     def _send(self, name: str, message: object) -> None:
-        address = self._address_of(name)
+        address = self._peers.address_of(name)
         if address is not None:
             self._peers.send(address, message)
 
     async def _ask_peer(self, name: str, message: object, seconds: float) -> object | None:
-        address = self._address_of(name)
+        address = self._peers.address_of(name)
         if address is None:
             return None
         return await self._peers.ask(address, message, seconds)
@@ -236,7 +241,7 @@
             case "configuration":
                 self._configuration.from_peer(sender.name, message)  # type: ignore[arg-type]
             case "membership":
-                address = self._address_of(sender.name)
+                address = self._peers.address_of(sender.name)
                 if address is not None:
                     self._membership.from_peer(address, message)  # type: ignore[arg-type]
             case "limits":
--- a/hollyring/node/tests/test_peers.py
+++ b/hollyring/node/tests/test_peers.py
@@ -24,7 +24,7 @@
         self.arrived = anyio.Event()
         me = identities.Incarnation(name, 1)
         codec = wire.Wire(catalogue.MESSAGES)
-        self.peers = peers.Peers(me, keys, codec, self.receive, addresses.get)
+        self.peers = peers.Peers(me, "", keys, codec, self.receive, addresses.get)
 
     async def receive(self, sender, message):
         self.got.append((sender.name, message))
