--- a/hollyring/membership/gossip.py
+++ b/hollyring/membership/gossip.py
@@ -58,6 +58,9 @@
     def take(self, members: int, first: list[Item] | None = None) -> messages.News:
         """Return the news for one heartbeat: `first`, then what was sent least often.
 
+        Of those sent equally often the newest come first: when more is new than can be passed
+        on, what is old anyway waits.
+
         Parameters
         ----------
         members
@@ -68,7 +71,8 @@
         chosen = list(first or [])
         left = NEWS_BYTES - sum(size(item) for item in chosen)
         limit = transmissions(members)
-        for key, waiting in sorted(self._waiting.items(), key=lambda pair: pair[1].sent):
+        newest_first = reversed(list(self._waiting.items()))
+        for key, waiting in sorted(newest_first, key=lambda pair: pair[1].sent):
             if waiting.size > left:
                 continue
             left -= waiting.size
