--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -96,6 +96,7 @@
         vm_settings: dict[str, object] | None = None,
     ) -> None:
         self.document = document
+        self.command = [sys.executable, "-m", "hollyring"]
         self.platform_url = f"http://127.0.0.1:{platform_port}"
         self._folder = folder
         self._engine_options = engine_options or EngineOptions()
@@ -158,7 +159,8 @@
             case "cache_store":
                 return self._standin(upstream.name, "cache-store", port)
             case _:
-                return self._standin(upstream.name, "service", port)
+                ledger = self._folder / f"{upstream.name}.ledger"
+                return self._standin(upstream.name, "service", port, ["--ledger", str(ledger)])
 
     def _standin(self, name: str, kind: str, port: int, extra: list[str] | None = None) -> Program:
         control = port + CONTROL_OFFSET
@@ -196,7 +198,7 @@
         log = (self._folder / f"{name}.out").open("ab")
         with log:
             program.process = subprocess.Popen(
-                [sys.executable, "-m", "hollyring", *program.arguments],
+                [*self.command, *program.arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/hollyring/standins/service.py
+++ b/hollyring/standins/service.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import collections
+import pathlib
 
 import anyio
+import msgspec
 
 from hollyring.standins import asgi, errors
 
+NAME_BYTES = 100
+
 
 class Service(asgi.StandIn):
     """A plain service, e.g. orders or ledger; any path answers 200 with what was run.
@@ -16,18 +20,22 @@
     is cut), ``late_answer`` (runs, then waits ``value`` seconds), ``refuse`` (503 without
     running), ``cut`` (the connection is cut without running). ``GET /executions`` on either port
     counts executions by ``X-Request-Id``, ``GET /idempotency`` on the control port by
-    ``Idempotency-Key``, ``GET /seen`` lists headers.
+    ``Idempotency-Key``, ``GET /bodies`` by the order that the body names, ``GET /seen`` lists
+    headers.
     """
 
     fault_kinds = frozenset({"slow", "lost_answer", "late_answer", "refuse", "cut"})
 
-    def __init__(self, name: str = "service", delay_seconds: float = 0.0) -> None:
+    def __init__(self, name: str = "service", delay_seconds: float = 0.0, ledger: str = "") -> None:
         super().__init__()
+        self._ledger = pathlib.Path(ledger) if ledger else None
         self._name = name
         self._delay_seconds = delay_seconds
         self._executions: collections.Counter[str] = collections.Counter()
+        self._by_body: collections.Counter[str] = collections.Counter()
         self._by_key: collections.Counter[str] = collections.Counter()
         self._seen: collections.deque[list[str]] = collections.deque(maxlen=1000)
+        self._read_ledger()
 
     async def handle(self, request: asgi.Request) -> None:
         """Execute any request but ``GET /executions``."""
@@ -42,8 +50,7 @@
         slow = self.fault("slow")
         await anyio.sleep(slow.value if slow else self._delay_seconds)
         request_id = request.header(b"x-request-id")
-        self._executions[request_id] += 1
-        self.counters["executions"] += 1
+        self._execute(request_id, _named(request.body))
         if key := request.header(b"idempotency-key"):
             self._by_key[key] += 1
         if self.fault("lost_answer"):
@@ -60,14 +67,43 @@
         }
         await request.answer_json(200, answer)
 
+    def _execute(self, request_id: str, named: str) -> None:
+        self._count(request_id, named)
+        if self._ledger is not None:
+            with self._ledger.open("ab") as ledger:
+                ledger.write(msgspec.json.encode([request_id, named]) + b"\n")
+
+    def _count(self, request_id: str, named: str) -> None:
+        self._executions[request_id] += 1
+        self._by_body[named] += 1
+        self.counters["executions"] += 1
+
+    def _read_ledger(self) -> None:
+        """Count what an earlier life executed."""
+        if self._ledger is None or not self._ledger.exists():
+            return
+        for line in self._ledger.read_bytes().splitlines():
+            self._count(*msgspec.json.decode(line, type=tuple[str, str]))
+
     async def handle_control(self, request: asgi.Request) -> None:
         """Answer the control paths."""
         match request.method, request.path:
             case "GET", "/executions":
                 await request.answer_json(200, self._executions)
+            case "GET", "/bodies":
+                await request.answer_json(200, self._by_body)
             case "GET", "/idempotency":
                 await request.answer_json(200, self._by_key)
             case "GET", "/seen":
                 await request.answer_json(200, list(self._seen))
             case _:
                 await super().handle_control(request)
+
+
+def _named(body: bytes) -> str:
+    """Return the order that a body names, or the beginning of the body."""
+    try:
+        fields = msgspec.json.decode(body, type=dict)
+    except msgspec.MsgspecError:
+        fields = {}
+    return str(fields.get("order", body[:NAME_BYTES].decode("utf-8", "replace")))
--- a/hollyring/standins/tests/test_engine.py
+++ b/hollyring/standins/tests/test_engine.py
@@ -1,9 +1,11 @@
 import dataclasses
 
 import anyio
+import msgspec
 import pytest
 
 from hollyring.core import pieces
+from hollyring.fleet import messages
 from hollyring.standins import batching, engine, prefix_cache, text
 
 pytestmark = pytest.mark.anyio
@@ -120,13 +122,15 @@
         body = chat(max_tokens=100_000, request_id="r1")
         answers.append(await call("POST", "/v1/chat/completions", body, hang_up=hang_up))
 
-    async with anyio.create_task_group() as group:
-        group.start_soon(ask)
-        while not (await call("GET", "/load")).json()["running"]:
-            await anyio.sleep(0)
-        if way == "delete":
-            await call("DELETE", "/v1/requests/r1")
-        hang_up.set()
+    # The guard only ends a run in which the work is never stopped.
+    with anyio.fail_after(30):
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask)
+            while not (await call("GET", "/load")).json()["running"]:
+                await anyio.sleep(0)
+            if way == "delete":
+                await call("DELETE", "/v1/requests/r1")
+            hang_up.set()
     assert not answers[0].whole
     assert (await call("GET", "/load")).json()["running"] == 0
 
@@ -158,6 +162,19 @@
     assert seconds == pytest.approx([0.01 + 1.024, 0.01])
 
 
+def test_slowdown_lengthens_a_step():
+    pace = batching.Pace(decode_step_seconds=0.01)
+    batch = batching.Batch(pace, prefix_cache.PrefixCache(10, 1e6), lambda: 5.0)
+    assert batch.step(0.0) == pytest.approx(0.05)
+
+
+async def test_slow_fault_slows_requests_under_way(served, fault):
+    slowdown = served[0].slowdown
+    assert slowdown() == 1.0
+    await fault(served[0], "slow", value=5)
+    assert slowdown() == 5.0
+
+
 def test_cache_evicts_least_recently_used_then_idle():
     cache = prefix_cache.PrefixCache(2, 10.0)
     cache.store([1], 0.0)
@@ -184,6 +201,25 @@
     assert (await call("GET", "/load")).json()["models"] == {"parish": "v2"}
 
 
+async def test_orders_of_a_rollout_are_carried_out(served):
+    standin, call = served
+    changes = [
+        messages.LoadModel("parish", "v2"),
+        messages.LoadAdapter("kigoma"),
+        messages.LoadAdapter("mtwara"),
+        messages.UnloadAdapter("kigoma"),
+        messages.SetRole("decode"),
+    ]
+    for number, change in enumerate(changes):
+        order = messages.Order(f"id-{number}", 1, "engine", change, 0.0)
+        assert (await call("POST", "/orders", msgspec.json.encode(order.body))).status == 202
+    load = (await call("GET", "/load")).json()
+    while load["role"] != "decode":
+        await anyio.sleep(0)
+        load = (await call("GET", "/load")).json()
+    assert (load["models"], load["adapters"]) == ({"parish": "v2"}, ["mtwara"])
+
+
 @pytest.mark.parametrize("checks, status", [(True, 409), (False, 202)])
 async def test_stale_order(running, settings, checks, status):
     _, call = running(engine.Engine(dataclasses.replace(settings, checks_fencing=checks)))
