Use the fleet-wide retry budget in the request path

Cause: the VM had a budget of its own beside that of the limits package. Ruled out: keeping both. Change: each VM spends its part of the fleet's budget; a start has five retries saved. Conclusion: one mechanism.

--- a/hollyring/experiments/capacity_roles.py
+++ b/hollyring/experiments/capacity_roles.py
@@ -202,7 +202,8 @@
     row = next((r for r in rows if (r["vms"], r["organisations"]) == (VMS, ORGANISATIONS)), None)
     if row is None:
         return Role("limits", "", "", 0.0, 0.0, 0.0, "escrow among holders", "not measured")
-    sent = row["bytes_sent_per_second"] + row["messages_sent_per_second"] * TCP_IP_BYTES
+    heads = row["messages_sent_per_second"] * (FRAME_BYTES + TCP_IP_BYTES)
+    sent = row["bytes_sent_per_second"] + heads
     return Role(
         "limits",
         f"shares and borrowers, {ORGANISATIONS:,} organisations",
@@ -237,24 +238,20 @@
 
 
 def _membership(measured: Measured) -> Role:
-    rows = measured.load("membership-slopes.json")
-    steady = rows.get("by_vms") or rows.get("costs") or rows.get("steady") or []
-    row = next((r for r in steady if r["vms"] == VMS), None)
+    rows = measured.load("membership-slopes.json").get("costs", [])
+    row = next((r for r in rows if r["vms"] == VMS), None)
     if row is None:
         return Role("membership", "", "", 0.0, 0.0, 0.0, "heartbeats", "not measured at 360")
-    bytes_per_second = row.get("bytes_per_second", row.get("bytes_per_vm_second", 0.0))
-    messages = row.get("messages_per_second", row.get("messages_per_vm_second", 4.0))
-    processor = row.get("processor_ms_per_second", row.get("processor_ms_per_vm_second", 0.0))
-    memory = row.get("memory_bytes", row.get("state_bytes", 0.0))
+    messages = row["messages_per_second"]
     return Role(
         "membership",
-        f"{VMS} members, small entries",
+        f"{VMS} members of {row['regions']} regions, small entries",
         f"{messages:.1f} messages/s",
-        processor,
-        memory / MEGABYTE,
-        bytes_per_second + messages * (FRAME_BYTES + TCP_IP_BYTES),
+        row["machine_ms_per_second"] + row["codec_ms_per_second"],
+        row["memory_bytes"] / MEGABYTE,
+        row["bytes_per_second"] + messages * (FRAME_BYTES + TCP_IP_BYTES),
         "one probe a period whatever the size, news bounded in bytes",
-        "membership-slopes.json",
+        "membership-slopes.json, 9 to 360 machines, not extrapolated",
     )
 
 
--- a/hollyring/limits/budget.py
+++ b/hollyring/limits/budget.py
@@ -27,6 +27,8 @@
         Retries allowed for each first attempt.
     floor
         Retries a second of the whole fleet that need no first attempts.
+    saved
+        Retries that may be made at once at the start.
 
     Examples
     --------
@@ -39,17 +41,37 @@
     (True, False)
     """
 
-    __slots__ = ("_part", "_floor", "_saved", "_at", "_attempts", "_retries", "_denied")
+    __slots__ = (
+        "_part",
+        "_fleet_floor",
+        "_floor",
+        "_saved",
+        "_at",
+        "_attempts",
+        "_retries",
+        "_denied",
+    )
 
-    def __init__(self, vms: int, part: float = RETRY_PART, floor: float = FLOOR_PER_SECOND) -> None:
+    def __init__(
+        self,
+        vms: int,
+        part: float = RETRY_PART,
+        floor: float = FLOOR_PER_SECOND,
+        saved: float = 0.0,
+    ) -> None:
         self._part = part
+        self._fleet_floor = floor
         self._floor = floor / max(vms, 1)
-        self._saved = 0.0
+        self._saved = saved
         self._at: float | None = None
         self._attempts = 0
         self._retries = 0
         self._denied = 0
 
+    def resize(self, vms: int) -> None:
+        """Take in the number of VMs, by which this VM's part of the floor changes."""
+        self._floor = self._fleet_floor / max(vms, 1)
+
     def attempt(self, now: float) -> None:
         """Count the first attempt of a request."""
         self._attempts += 1
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -63,7 +63,7 @@
 ) -> None:
     """Answer a caller's completion request."""
     arrived = time.monotonic()
-    node.retries.request()
+    node.retries.attempt(arrived)
     work = await _accept(node, scope, receive, send, chat, arrived)
     if isinstance(work, refusal.Refusal):
         node.metrics.count(f"refused_{work.code}")
@@ -218,10 +218,10 @@
         except errors.UpstreamError as error:
             ran = execution.Execution.UNKNOWN if error.reached else execution.Execution.NOT_RUN
             failure = retry.Failure(ran, work.stream.tokens)
-        decision = tries.decide(failure, terms, node.retries.left, time.monotonic())
-        if isinstance(decision, retry.GiveUp):
+        now = time.monotonic()
+        decision = tries.decide(failure, terms, retry.RETRY_COST, now)
+        if isinstance(decision, retry.GiveUp) or not node.retries.retry(now):
             raise _GivenUpError(_truthful(work, refusal.make("no_upstream")))
-        node.retries.take(decision.cost)
         node.metrics.count("retries")
         wanted = dataclasses.replace(
             wanted, excluded=decision.excluded, avoided_domains=decision.avoided_domains
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -13,6 +13,7 @@
 from hollyring.configuration import state
 from hollyring.core import identities, invariants
 from hollyring.delivery import messages as delivery_messages
+from hollyring.limits import budget
 from hollyring.membership import messages
 from hollyring.node import (
     admin,
@@ -28,7 +29,6 @@
     metrics,
     peers,
     platform,
-    retries,
     routing_part,
     services,
     settings,
@@ -39,6 +39,12 @@
 
 MICROSECONDS = 1_000_000
 
+FIRST_FLEET = 9
+"""VMs assumed until the configuration names them."""
+
+FIRST_RETRIES = 5.0
+"""Retries that a VM may make before it has taken requests."""
+
 
 class _Server(uvicorn.Server):
     """A server that leaves signals to the process."""
@@ -122,6 +128,7 @@
         self._claims = claims_part.ClaimsPart(
             self._me, self._invariants, self._platform, self._ask_peer
         )
+        self._retries = budget.RetryBudget(FIRST_FLEET, saved=FIRST_RETRIES)
         self._engines = engines.Engines()
         self._services = services.Services()
         self._node = vm.VM(
@@ -134,7 +141,7 @@
             self._membership,
             self._engines,
             self._services,
-            retries.Retries(),
+            self._retries,
             self._metrics,
             self._invariants,
         )
@@ -212,6 +219,7 @@
         return _Server(config)
 
     def _configure(self, configuration: state.Configuration) -> None:
+        self._retries.resize(len(configuration.vms))
         self._roster = {item.name: item.peer_address for item in configuration.vms.values()}
 
     def _on_live(self, live: membership_part.Live) -> None:
@@ -264,6 +272,7 @@
             "open_requests": self._front.open_requests,
             "configuration": self._configuration.dump(),
             "membership": self._membership.dump(),
+            "retries": self._retries.dump(),
             "limits": self._limits.dump(),
             "claims": self._claims.dump(),
             "routing": self._routing.dump(),
--- a/hollyring/node/vm.py
+++ b/hollyring/node/vm.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from hollyring.core import identities, invariants
+from hollyring.limits import budget
 from hollyring.node import (
     claims_part,
     configuration_part,
@@ -12,7 +13,6 @@
     limits_part,
     membership_part,
     metrics,
-    retries,
     routing_part,
     services,
     settings,
@@ -38,6 +38,6 @@
     membership: membership_part.MembershipPart
     engines: engines.Engines
     services: services.Services
-    retries: retries.Retries
+    retries: budget.RetryBudget
     metrics: metrics.Metrics
     invariants: invariants.Invariants
