Resume at another VM after the last event, and reserve a fleet's ports

Cause: two launchers at once took the same ports (one fleet's configuration was refused as a lost race with the other's). Change: a launcher holds a port of its range for as long as it lives.

--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -263,15 +263,37 @@
             await anyio.sleep(POLL_SECONDS)
 
 
-def free_base_port(first: int = 20_000, last: int = 60_000) -> int:
-    """Return a base port from which a fleet's ports are free."""
+_reserved: list[socket.socket] = []
+"""Sockets that keep the ports of this process's fleets from other launchers."""
+
+
+def free_base_port(first: int = 20_000, last: int = 32_000) -> int:
+    """Return a base port from which a fleet's ports are free, and reserve them.
+
+    Raises
+    ------
+    ExperimentError
+        If there are none. Ports that the system gives to outgoing connections lie above `last`.
+    """
     for base in range(first, last, PORTS_PER_FLEET):
-        if all(_free(base + offset) for offset in range(0, PORTS_PER_FLEET, CONTROL_OFFSET)):
+        offsets = range(0, PORTS_PER_FLEET - CONTROL_OFFSET, CONTROL_OFFSET)
+        if _reserve(base + PORTS_PER_FLEET - 1) and all(_free(base + o) for o in offsets):
             return base
     raise errors.ExperimentError(f"no free ports between {first} and {last}")
 
 
+def _reserve(port: int) -> bool:
+    holder = socket.socket()
+    try:
+        holder.bind(("127.0.0.1", port))
+        holder.listen()
+    except OSError:
+        holder.close()
+        return False
+    _reserved.append(holder)
+    return True
+
+
 def _free(port: int) -> bool:
     with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         return probe.connect_ex(("127.0.0.1", port)) != 0
--- a/hollyring/experiments/tests/test_whole_path.py
+++ b/hollyring/experiments/tests/test_whole_path.py
@@ -91,6 +91,37 @@
     await client.close()
 
 
+async def events(entry, body, headers):
+    """Return identity and text of each event of a stream."""
+    found = []
+    async with httpcore.AsyncConnectionPool() as pool:
+        answer = await pool.request("POST", f"http://{entry}/v1/chat/completions", content=body,
+                                    headers=headers)  # fmt: skip
+    for block in answer.content.decode().split("\n\n"):
+        if not block.startswith("id: "):
+            continue
+        head, data = block.split("\n", 1)
+        chunk = msgspec.json.decode(data.removeprefix("data: "))
+        found.append((head.removeprefix("id: "), chunk["choices"][0]["delta"]["content"]))
+    return found
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("seen", [1, 7, 12])
+async def test_caller_resumes_at_another_vm_after_its_last_event(fleet, caller, seen):
+    client = load.Client()
+    await until_admitted(client, caller)
+    await client.close()
+    messages = [{"role": "user", "content": "Is Kigoma eligible?"}]
+    body = {"model": "parish", "messages": messages, "max_tokens": 12, "stream": True}
+    content = msgspec.json.encode(body)
+    key = (b"authorization", f"Bearer {caller.key}".encode())
+    whole = await events(caller.entries[0], content, [key])
+    last = (b"last-event-id", whole[seen - 1][0].encode())
+    rest = await events(caller.entries[1], content, [key, last])
+    assert [text for _, text in rest] == [text for _, text in whole[seen:]]
+
+
 @pytest.mark.anyio
 async def test_ordinary_client_library_streams_a_chat(fleet, caller):
     client = load.Client()
