Answer a caller that breaks off in its body, and say less of a repeated call at the gates

Cause: a caller that closed the connection in its body met an exception inside the VM, as the refusal was asked to claim that nothing ran, which its table forbids; and a repeat under an Idempotency-Key that was refused at the gates said not_run although an earlier attempt may have run. Change: the table's own word is given; the gates' refusals of a keyed call say unknown.

--- a/hollyring/experiments/tests/test_promises.py
+++ b/hollyring/experiments/tests/test_promises.py
@@ -173,3 +173,33 @@
 def test_rate_and_burst_hold_over_all_vms_while_one_restarts(portal, fleet, rate, burst):
     admitted, seconds = portal.call(press, fleet, rate, burst)
     assert 0 < admitted <= burst + rate * seconds
+
+
+HOSTILE = [
+    b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 900\r\n\r\n{",
+    b"POST /orders HTTP/1.1\r\nhost: x\r\nauthorization: Bearer %b\r\ncontent-length: 9\r\n\r\n{",
+    b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer %b\r\n"
+    b"content-length: 3\r\nconnection: close\r\n\r\n{]}",
+    b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer %b\r\n"
+    b'content-length: 24\r\nconnection: close\r\n\r\n{"model":1,"messages":7}',
+    b"GET /v1/entry?%ff=\x01 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+]
+
+
+async def send_hostile(fleet):
+    vm = fleet.vms[0]
+    host, _, port = vm.caller_address.rpartition(":")
+    for raw in HOSTILE:
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(raw.replace(b"%b", small.KEY.encode()))
+            with anyio.move_on_after(0.5):
+                await stream.receive()
+    await matrix.serves(fleet)
+    return await state_of(vm)
+
+
+def test_broken_requests_fail_nothing_inside_and_show_no_secret(portal, fleet):
+    state = portal.call(send_hostile, fleet)
+    assert state["metrics"]["counters"].get("internal_errors", 0) == 0
+    assert small.KEY not in str(state)
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -115,7 +115,7 @@
     except asgi.BodyTooSlowError:
         return refusal.make("header_timeout")
     except asgi.DisconnectedError:
-        return refusal.make("cancelled", ran=execution.Execution.NOT_RUN)
+        return refusal.make("cancelled")
     except requests.RequestError as error:
         code = error.code if error.code in refusal.KINDS else "invalid_request"
         return refusal.make(code, message=str(error))
--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -9,7 +9,7 @@
 import httpcore
 
 from hollyring.configuration import objects, state
-from hollyring.core import execution, pieces, rendezvous
+from hollyring.core import pieces, rendezvous
 from hollyring.delivery import calls, messages, records, refusal
 from hollyring.node import asgi, claims_part, engines, errors, outlets, rights, vm
 
@@ -133,14 +133,32 @@
 
 
 async def _answer(node: vm.VM, scope: asgi.Scope, receive: asgi.Receive) -> claims_part.Final:
-    stale = node.configuration.refusal()
-    if stale is not None:
-        return stale
     configuration = node.configuration.current
     route = configuration.route_of(scope["path"])
     if route is None or scope["method"] not in route.methods:
         return refusal.make("unknown_route")
-    caller = rights.authenticate(scope, configuration)
+    request_id = f"req-{uuid.uuid4().hex}"
+    call = await _gate(node, route, scope, receive, request_id)
+    if isinstance(call, refusal.Refusal):
+        # This attempt did not run, but an earlier one under the same key may have.
+        return call.as_unknown() if asgi.header(scope, b"idempotency-key") else call
+    if route.idempotent:
+        return await _repeatable(node, configuration, route, call, request_id)
+    return await _once(node, route, call, scope, request_id)
+
+
+async def _gate(
+    node: vm.VM,
+    route: objects.Route,
+    scope: asgi.Scope,
+    receive: asgi.Receive,
+    request_id: str,
+) -> _Call | refusal.Refusal:
+    """Return the call if its key, body and rate allow it, else why not."""
+    stale = node.configuration.refusal()
+    if stale is not None:
+        return stale
+    caller = rights.authenticate(scope, node.configuration.current)
     if isinstance(caller, refusal.Refusal) and not route.open_to_all:
         return caller
     bounds = node.settings.limits
@@ -151,19 +169,17 @@
     except asgi.BodyTooSlowError:
         return refusal.make("header_timeout")
     except asgi.DisconnectedError:
-        return refusal.make("cancelled", ran=execution.Execution.NOT_RUN)
+        return refusal.make("cancelled")
     organisation = "" if isinstance(caller, refusal.Refusal) else caller.organisation.name
     call = _Call(scope["method"], _target(scope), _passed(scope), body, organisation)
-    request_id = f"req-{uuid.uuid4().hex}"
-    if organisation:
-        tokens = 1 + pieces.token_count(body)
-        refused = await node.limits.admit(organisation, tokens, request_id)
-        if refused is not None:
-            return refused
-        node.limits.settle(organisation, request_id, tokens)
-    if route.idempotent:
-        return await _repeatable(node, configuration, route, call, request_id)
-    return await _once(node, route, call, scope, request_id)
+    if not organisation:
+        return call
+    tokens = 1 + pieces.token_count(body)
+    refused = await node.limits.admit(organisation, tokens, request_id)
+    if refused is not None:
+        return refused
+    node.limits.settle(organisation, request_id, tokens)
+    return call
 
 
 def _target(scope: asgi.Scope) -> str:
