Give every request a name of its own inside the VM

Cause: a resuming caller names its stream, and the VM took that name for the request: two that named the same stream at once shared one ticket of the limiter, and the first waited for ever (the test with three resumptions at once hung with the change taken out). Change: the name of the stream is used in event identities only.

--- a/hollyring/experiments/tests/test_whole_path.py
+++ b/hollyring/experiments/tests/test_whole_path.py
@@ -118,8 +118,16 @@
     key = (b"authorization", f"Bearer {caller.key}".encode())
     whole = await events(caller.entries[0], content, [key])
     last = (b"last-event-id", whole[seen - 1][0].encode())
-    rest = await events(caller.entries[1], content, [key, last])
-    assert [text for _, text in rest] == [text for _, text in whole[seen:]]
+    rest = []
+
+    async def resume():
+        rest.append(await events(caller.entries[1], content, [key, last]))
+
+    async with anyio.create_task_group() as group:
+        for _ in range(3):
+            group.start_soon(resume)
+    for one in rest:
+        assert [text for _, text in one] == [text for _, text in whole[seen:]]
 
 
 @pytest.mark.anyio
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -124,14 +124,17 @@
     model = configuration.models.get(completion.model)
     if model is None or not rights.permits(caller, completion.model):
         return refusal.make("unknown_model")
-    request_id = resumption.last.request if resumption else f"req-{uuid.uuid4().hex}"
+    # A resuming caller names the stream; inside the VM every request has a name of its own, so
+    # that two callers who name the same stream do not cross.
+    request_id = f"req-{uuid.uuid4().hex}"
+    stream_id = resumption.last.request if resumption else request_id
     digest = events.request_digest(completion.prompt)
     return _Work(
         caller=caller,
         completion=completion,
         request_id=request_id,
-        outlet=outlets.Outlet(send, completion, request_id),
-        stream=stream.Stream(request_id, digest, node.invariants, resumption),
+        outlet=outlets.Outlet(send, completion, stream_id),
+        stream=stream.Stream(stream_id, digest, node.invariants, resumption),
         version=model.version,
         deadline=arrived + bounds.deadline_seconds,
         arrived=arrived,
