--- a/hollyring/limits/__init__.py
+++ b/hollyring/limits/__init__.py
@@ -1,6 +1,6 @@
 """An organisation's token rate and burst, counted across all VMs."""
 
-from hollyring.limits import errors, holders, messages, settings
-from hollyring.limits.limiter import Limiter
+from hollyring.limits import budget, errors, fairness, holders, messages, settings
+from hollyring.limits.limiter import Limiter, Update
 
-__all__ = ["Limiter", "errors", "holders", "messages", "settings"]
+__all__ = ["Limiter", "Update", "budget", "errors", "fairness", "holders", "messages", "settings"]
