--- /dev/null
+++ b/hollyring/experiments/capacity.py
@@ -0,0 +1,203 @@
+"""Writes docs/CAPACITY.md from the measured files: `hollyring experiment capacity`."""
+
+from __future__ import annotations
+
+import pathlib
+
+import click
+
+from hollyring.experiments import capacity_roles as size
+
+BYTES_UNIT = "KB/s, both directions, TCP/IP headers included"
+
+
+def page(measured: size.Measured) -> str:
+    """Return the text of docs/CAPACITY.md."""
+    found = size.roles(measured)
+    counted = [role for role in found if role.counted]
+    totals = (
+        sum(role.processor_ms for role in counted),
+        sum(role.memory_mb for role in counted),
+        sum(role.bytes_per_second for role in counted),
+    )
+    parts = [_head(found, totals, measured), _table(found, totals), _store(measured)]
+    parts += [_force(measured), _day(measured), _sources(measured)]
+    return "\n".join(parts)
+
+
+def _verdict(name: str, value: float, budget: float, unit: str) -> str:
+    if value <= budget:
+        return f"- {name}: {value:.1f} of {budget:g} {unit}: fits."
+    return f"- **{name}: {value:.1f} of {budget:g} {unit}: does not fit, by {value - budget:.1f}.**"
+
+
+def _head(
+    found: list[size.Role], totals: tuple[float, float, float], measured: size.Measured
+) -> str:
+    claims = next(role for role in found if role.name.startswith("claims"))
+    index = next(role for role in found if role.name == "cache index")
+    missing = ", ".join(sorted(set(measured.missing))) or "none"
+    writer = claims.bytes_per_second / size.KILOBYTE
+    return f"""# Capacity at the two-year size
+
+Made by `bin/hollyring experiment capacity` from the files in `docs/measurements`; not edited by
+hand. Per VM, control only, against 4.9% of a core, 64 MB and 5 KB/s:
+
+{_verdict("processor", totals[0], size.PROCESSOR_BUDGET_MS, "ms/s")}
+{_verdict("memory", totals[1], size.MEMORY_BUDGET_MB, "MB, libraries included")}
+{_verdict("bytes", totals[2] / size.KILOBYTE, size.BYTES_BUDGET / size.KILOBYTE, BYTES_UNIT)}
+
+What does not fit, and what would:
+
+- **Cache events.** {index.bytes_per_second / size.KILOBYTE:.1f} KB/s of the sum are the engines' own
+  events ({size.EVENT_BYTES} bytes a block in their JSON stream). They cannot be made smaller from this
+  side of the protocol. Eight bytes a block would take
+  {size.EVENTS_PER_SECOND / size.VMS * 8 / size.KILOBYTE:.1f} KB/s. The other way is to hear only a part of the
+  upstreams' events: own dispatches and the cached tokens that each answer reports carry most of
+  the hit rate (`docs/design/routing.md`).
+- **Claims of non-idempotent calls**, if {size.CLAIMED_PART:.0%} of the requests are such (the users
+  give no figure): a writer of one of {size.GROUPS} groups would hold
+  {claims.memory_mb:,.0f} MB and write {writer:,.0f} KB/s, kept for
+  {size.CLAIM_RETENTION_SECONDS / 3600:.0f} h. More groups spread it ({size.VMS} groups:
+  {claims.memory_mb * size.GROUPS / size.VMS:,.0f} MB each), a shorter retention shrinks it in proportion,
+  and claims kept as digests in a compact table instead of objects take about a tenth. Today's
+  size is far below. Claims are left out of the sums above.
+- Files not measured yet: {missing}.
+"""
+
+
+def _table(found: list[size.Role], totals: tuple[float, float, float]) -> str:
+    lines = [
+        "## Per role and VM\n",
+        "| role | state | messages | processor ms/s | memory MB | bytes/s | mechanism | from |",
+        "|---|---|---|---|---|---|---|---|",
+    ]
+    for role in found:
+        name = role.name if role.counted else f"{role.name} (not in the sum)"
+        lines.append(
+            f"| {name} | {role.state} | {role.messages} | {role.processor_ms:.2f} "
+            f"| {role.memory_mb:.2f} | {role.bytes_per_second:,.0f} | {role.mechanism} "
+            f"| {role.source} |"
+        )
+    lines.append(
+        f"| **sum of control** | | | **{totals[0]:.1f}** of {size.PROCESSOR_BUDGET_MS:g} "
+        f"| **{totals[1]:.1f}** of {size.MEMORY_BUDGET_MB:g} | **{totals[2]:,.0f}** of "
+        f"{size.BYTES_BUDGET:,.0f} | | |"
+    )
+    note = (
+        "\nThe idle process already spends what configuration and membership spend idle; they are "
+        "counted twice, so the sum errs upwards.\n"
+    )
+    return "\n".join(lines) + "\n" + note
+
+
+def _store(measured: size.Measured) -> str:
+    big = measured.load("configuration-slopes.json")["by_organisations"][-1]
+    changes = size.CHANGES_PER_DAY / size.DAY_SECONDS
+    watches = size.VMS / size.WATCH_SECONDS + size.VMS * changes
+    verify = size.VMS / size.VERIFY_SECONDS
+    listed = size.VMS / size.LIST_SECONDS
+    claims = min(size.REQUESTS_PER_SECOND * size.CLAIMED_PART, size.GROUPS * 5.0)
+    start = big["segments"] + 2 + 100
+    herd = size.RESTARTS_PER_DAY * start
+    domain = size.VMS / 14
+    return f"""## Calls on the platform's service
+
+Against {size.STORE_READS:,.0f} reads/s (a waiting watch is a call) and {size.STORE_WRITES:g} writes/s.
+
+| kind | steady, per second | counted as |
+|---|---|---|
+| watch of the next revision, every {size.WATCH_SECONDS:g} s and at a change | {watches:.0f} | read |
+| check of the revision in force every {size.VERIFY_SECONDS:g} s | {verify:.0f} | read |
+| list of VMs | {listed:.1f} | read |
+| submissions | {changes:.3f}, and a snapshot now and then | write |
+| claims, a group at most 5 times a second | {claims:.0f} | write |
+| limits, membership, routing | 0 | |
+| sum | {watches + verify + listed:.0f} reads, {claims + changes:.0f} writes | |
+
+- A herd of {size.RESTARTS_PER_DAY} restarts: peers serve the configuration; a VM that finds none reads
+  the pointer, {big["segments"]} segments and at most 100 deltas: {start} reads, so
+  {herd:,} if no peer answers any of them, {herd / size.STORE_READS:.1f} s of the service's reads.
+- A failure domain lost and back ({domain:.0f} VMs): {domain * start:,.0f} reads at worst,
+  {domain * start / size.STORE_READS:.1f} s. A region ({size.VMS / size.REGIONS:.0f} VMs):
+  {size.VMS / size.REGIONS * start / size.STORE_READS:.1f} s. Peers in the other domains make it close to none.
+- The service returns after an outage: every VM retries within 1 s, spread over half of it:
+  {size.VMS} reads in the first second, and the steady rate from then on.
+"""
+
+
+def _force(measured: size.Measured) -> str:
+    rows = measured.load("configuration-slopes.json")["by_vms"]
+    lines = [
+        "## Until a change or a withdrawn key is in force\n",
+        f"Bound: {size.IN_FORCE_SECONDS:g} s everywhere. Through the service's watch it is one round "
+        "trip. Without the service, from VM to VM, by state machines in one process:\n",
+        "| VMs | messages lost | half of the changes, s | slowest change, s |",
+        "|---|---|---|---|",
+    ]
+    lines += [
+        f"| {row['vms']} | {row['dropped']:.0%} | {row['everywhere_p50_seconds']:.2f} "
+        f"| {row['everywhere_max_seconds']:.2f} |"
+        for row in rows
+    ]
+    lines.append(
+        "\nA withdrawn key stops when the revision is in force: each request and each token of an "
+        "open stream is checked against the configuration in force.\n"
+    )
+    return "\n".join(lines)
+
+
+def _day(measured: size.Measured) -> str:
+    big = measured.load("configuration-slopes.json")["by_organisations"][-1]
+    processor = size.CHANGES_PER_DAY * big["change_processor_us"] / 1e6
+    sent = size.CHANGES_PER_DAY * big["change_bytes"] / size.MEGABYTE
+    loads = (size.RESTARTS_PER_DAY + size.FAILURES_PER_DAY) * big["whole_bytes"] / size.MEGABYTE
+    changes = f"{size.CHANGES_PER_DAY:,} changes"
+    return f"""## A day of {size.FAILURES_PER_DAY} failures, {size.RESTARTS_PER_DAY} restarts, {changes}
+
+- Each VM applies {size.CHANGES_PER_DAY:,} changes: {processor:.0f} s of processor and
+  {sent:.1f} MB in the day.
+- {size.RESTARTS_PER_DAY + size.FAILURES_PER_DAY} starts move {loads:.0f} MB of configuration between VMs, and
+  each takes {big["load_processor_ms"]:.0f} ms of processor at both ends.
+"""
+
+
+def _sources(measured: size.Measured) -> str:
+    return """## How each file is made
+
+| file | command |
+|---|---|
+| control.json | `bin/hollyring experiment control --out docs/measurements/control.json` |
+| overhead.json | `bin/hollyring experiment overhead --out docs/measurements/overhead.json` |
+| routing-slopes.json | `bin/hollyring experiment routing-slopes` |
+| limits-slopes.json | `bin/hollyring experiment limits-slopes` |
+| configuration-slopes.json | `bin/hollyring experiment configuration-slopes` |
+| membership-slopes.json | `bin/hollyring experiment membership-slopes` |
+| delivery-claims.json | `bin/hollyring experiment delivery` |
+| orders-slopes.json | `bin/hollyring experiment rollout --slopes` |
+
+All were measured on 2026-12-03 on one machine of ten cores that other work shared; processor
+times are of the process, so they suffer less from that than elapsed times.
+"""
+
+
+@click.command()
+@click.option(
+    "--folder",
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    default=pathlib.Path("docs/measurements"),
+    show_default=True,
+)
+@click.option(
+    "--out",
+    type=click.Path(path_type=pathlib.Path),
+    default=pathlib.Path("docs/CAPACITY.md"),
+    show_default=True,
+)
+def capacity(folder: pathlib.Path, out: pathlib.Path) -> None:
+    """Work out the capacity page from the measured files.
+
+    Example: hollyring experiment capacity
+    """
+    out.write_text(page(size.Measured(folder)))
+    click.echo(f"{out}: written")
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -13,6 +13,7 @@
 from hollyring.configuration import state
 from hollyring.core import identities, invariants
 from hollyring.delivery import messages as delivery_messages
+from hollyring.limits import budget
 from hollyring.membership import messages
 from hollyring.node import (
     admin,
@@ -28,7 +29,6 @@
     metrics,
     peers,
     platform,
-    retries,
     routing_part,
     services,
     settings,
@@ -39,6 +39,12 @@
 
 MICROSECONDS = 1_000_000
 
+FIRST_FLEET = 9
+"""VMs assumed until the configuration names them."""
+
+FIRST_RETRIES = 5.0
+"""Retries that a VM may make before it has taken requests."""
+
 
 class _Server(uvicorn.Server):
     """A server that leaves signals to the process."""
@@ -77,7 +83,12 @@
         self._platform = platform.Platform(given.platform)
         codec = wire.Wire(catalogue.MESSAGES)
         self._peers = peers.Peers(
-            self._me, given.peer_keys, codec, self._from_peer, self._address_of
+            self._me,
+            given.peer_address,
+            given.peer_keys,
+            codec,
+            self._from_peer,
+            self._known_address,
         )
         self._roster: dict[str, str] = {}
         self._membership = membership_part.MembershipPart(
@@ -117,6 +128,7 @@
         self._claims = claims_part.ClaimsPart(
             self._me, self._invariants, self._platform, self._ask_peer
         )
+        self._retries = budget.RetryBudget(FIRST_FLEET, saved=FIRST_RETRIES)
         self._engines = engines.Engines()
         self._services = services.Services()
         self._node = vm.VM(
@@ -129,7 +141,7 @@
             self._membership,
             self._engines,
             self._services,
-            retries.Retries(),
+            self._retries,
             self._metrics,
             self._invariants,
         )
@@ -207,6 +219,7 @@
         return _Server(config)
 
     def _configure(self, configuration: state.Configuration) -> None:
+        self._retries.resize(len(configuration.vms))
         self._roster = {item.name: item.peer_address for item in configuration.vms.values()}
 
     def _on_live(self, live: membership_part.Live) -> None:
@@ -216,16 +229,16 @@
         if entry.name.startswith(routing_part.UPSTREAM_ENTRY):
             self._routing.upstream_heard(entry.name, entry.value)
 
-    def _address_of(self, name: str) -> str | None:
+    def _known_address(self, name: str) -> str | None:
         return self._membership.address_of(name) or self._roster.get(name)
 
     def _send(self, name: str, message: object) -> None:
-        address = self._address_of(name)
+        address = self._peers.address_of(name)
         if address is not None:
             self._peers.send(address, message)
 
     async def _ask_peer(self, name: str, message: object, seconds: float) -> object | None:
-        address = self._address_of(name)
+        address = self._peers.address_of(name)
         if address is None:
             return None
         return await self._peers.ask(address, message, seconds)
@@ -236,7 +249,7 @@
             case "configuration":
                 self._configuration.from_peer(sender.name, message)  # type: ignore[arg-type]
             case "membership":
-                address = self._address_of(sender.name)
+                address = self._peers.address_of(sender.name)
                 if address is not None:
                     self._membership.from_peer(address, message)  # type: ignore[arg-type]
             case "limits":
@@ -259,6 +272,7 @@
             "open_requests": self._front.open_requests,
             "configuration": self._configuration.dump(),
             "membership": self._membership.dump(),
+            "retries": self._retries.dump(),
             "limits": self._limits.dump(),
             "claims": self._claims.dump(),
             "routing": self._routing.dump(),
