Date load reports, say what does not fit at two years, settle before measuring control

Cause: a load report was taken for new when it arrived; the capacity page named one of three mechanisms whose bytes do not fit; the idle cost was measured while links were being opened. Change: reports carry their age, bounded; the page's first lines name events, limits, look-ups and claims with what would help; the measurement waits first.

--- a/hollyring/experiments/capacity.py
+++ b/hollyring/experiments/capacity.py
@@ -36,6 +36,8 @@
 ) -> str:
     claims = next(role for role in found if role.name.startswith("claims"))
     index = next(role for role in found if role.name == "cache index")
+    limits = next(role for role in found if role.name == "limits")
+    entry = next(role for role in found if role.name == "entry and routing")
     missing = ", ".join(sorted(set(measured.missing))) or "none"
     writer = claims.bytes_per_second / size.KILOBYTE
     return f"""# Capacity at the two-year size
@@ -62,6 +64,14 @@
   {claims.memory_mb * size.GROUPS / size.VMS:,.0f} MB each), a shorter retention shrinks it in proportion,
   and claims kept as digests in a compact table instead of objects take about a tenth. Today's
   size is far below. Claims are left out of the sums above.
+- **Limits.** {limits.bytes_per_second / size.KILOBYTE:.1f} KB/s, of which the messages themselves
+  are the smaller part: the rest is TCP/IP and frame headers, one set for each message. Fewer
+  holders for a small organisation (it now has 9, and asks several of them for one request) and
+  messages to one VM gathered into one segment would take most of it away; neither is built.
+- **Look-ups** of the router, {entry.bytes_per_second / size.KILOBYTE:.1f} KB/s, rest on an assumed
+  part of the decisions. The replays of `docs/design/routing.md` kept them under 1.5 KB/s.
+- **The idle process's processor time** is the least certain figure: it is extrapolated tenfold
+  from fleets of up to 36 real processes.
 - Files not measured yet: {missing}.
 """
 
@@ -173,7 +183,7 @@
 | limits-slopes.json | `bin/hollyring experiment limits-slopes` |
 | configuration-slopes.json | `bin/hollyring experiment configuration-slopes` |
 | membership-slopes.json | `bin/hollyring experiment membership-slopes` |
-| delivery-claims.json | `bin/hollyring experiment delivery` |
+| delivery-claims.json | `bin/hollyring experiment delivery-cost` |
 | orders-slopes.json | `bin/hollyring experiment rollout --slopes` |
 
 All were measured on 2026-12-03 on one machine of ten cores that other work shared; processor
--- a/hollyring/experiments/control.py
+++ b/hollyring/experiments/control.py
@@ -21,7 +21,6 @@
 from hollyring.configuration import documents, objects
 from hollyring.experiments import launcher, processes, small
 
-SETTLE_SECONDS = 15.0
 MAX_VMS = 60
 WATCHED = 4
 """Upstreams that each VM watches in the last row, as at the two-year size."""
@@ -69,9 +68,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """All rows, when and for how long they were measured."""
+    """All rows, when they were measured, and for how long after which time to settle."""
 
     date: str
+    settle: float
     seconds: float
     rows: list[Row]
 
@@ -89,7 +89,7 @@
     return documents.Document(items)
 
 
-async def measure(vms: int, engines: int, organisations: int, seconds: float) -> Row:
+async def measure(vms: int, engines: int, organisations: int, settle: float, seconds: float) -> Row:
     """Run an idle fleet of `vms` processes and return what one of them costs."""
     base = launcher.free_base_port()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="hollyring-control-"))
@@ -97,7 +97,7 @@
     fleet = launcher.Fleet(document, folder, base + launcher.PLATFORM_OFFSET)
     try:
         await fleet.start_all()
-        await anyio.sleep(SETTLE_SECONDS)
+        await anyio.sleep(settle)
         before = [await _look(fleet, vm) for vm in fleet.vms]
         await anyio.sleep(seconds)
         after = [await _look(fleet, vm) for vm in fleet.vms]
@@ -146,27 +146,34 @@
     )
 
 
-async def _measure_all(sizes: list[int], organisations: list[int], seconds: float) -> Report:
+async def _measure_all(
+    sizes: list[int], organisations: list[int], settle: float, seconds: float
+) -> Report:
     least = organisations[0]
-    rows = [await measure(vms, 0, least, seconds) for vms in sizes]
-    rows += [await measure(sizes[0], 0, count, seconds) for count in organisations[1:]]
-    rows.append(await measure(sizes[0], sizes[0] * WATCHED, least, seconds))
-    return Report(datetime.datetime.now(datetime.UTC).date().isoformat(), seconds, rows)
+    rows = [await measure(vms, 0, least, settle, seconds) for vms in sizes]
+    rows += [await measure(sizes[0], 0, count, settle, seconds) for count in organisations[1:]]
+    rows.append(await measure(sizes[0], sizes[0] * WATCHED, least, settle, seconds))
+    return Report(datetime.datetime.now(datetime.UTC).date().isoformat(), settle, seconds, rows)
 
 
 @click.command()
 @click.option("--vms", default="3,9,18,36", show_default=True, help=f"Sizes, at most {MAX_VMS}.")
 @click.option("--organisations", default="5,500,4700", show_default=True, help="Numbers of them.")
+@click.option("--settle", default=45.0, show_default=True, help="Wait before each run.")
 @click.option("--seconds", default=20.0, show_default=True, help="Length of each run.")
 @click.option("--out", type=click.Path(path_type=pathlib.Path), help="Also write the report here.")
-def control(vms: str, organisations: str, seconds: float, out: pathlib.Path | None) -> None:
+def control(
+    vms: str, organisations: str, settle: float, seconds: float, out: pathlib.Path | None
+) -> None:
     """Measure what control costs idle VM processes, over fleet sizes and organisations.
 
+    A fleet settles first: its VMs open their links to each other one by one.
+
     Example: hollyring experiment control --vms 3,9 --organisations 5 --seconds 10
     """
     sizes = [min(int(part), MAX_VMS) for part in vms.split(",")]
     counts = [int(part) for part in organisations.split(",")]
-    report = anyio.run(_measure_all, sizes, counts, min(seconds, 120.0))
+    report = anyio.run(_measure_all, sizes, counts, min(settle, 300.0), min(seconds, 120.0))
     text = msgspec.json.format(msgspec.json.encode(report), indent=1).decode()
     click.echo(text)
     if out is not None:
--- a/hollyring/node/watching.py
+++ b/hollyring/node/watching.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -44,6 +45,7 @@
     queued_tokens: int = 0
     prefill_tokens_per_second: float = 0.0
     leaving: bool = False
+    at: float = 0.0
 
 
 class _Event(msgspec.Struct, frozen=True):
@@ -99,6 +101,16 @@
 Observed = Loaded | Changed | Snapped | Silent
 
 
+MAX_AGE_SECONDS = 5.0
+"""A report that seems older than this tells of clocks that differ, not of its age."""
+
+
+def _age(at: float) -> float:
+    """Return how old a report is that an upstream dated `at`, in seconds since the epoch."""
+    age = time.time() - at
+    return age if 0.0 <= age <= MAX_AGE_SECONDS else 0.0
+
+
 class Watcher:
     """Watches one upstream for as long as it runs.
 
@@ -186,6 +198,7 @@
             found.waiting,
             found.queued_tokens,
             found.prefill_tokens_per_second,
+            age_seconds=_age(found.at),
         )
         return Loaded(self._name, report, found.models, found.leaving)
 
