--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import signal
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -49,20 +51,10 @@
 class _Server(uvicorn.Server):
     """A server that leaves signals to the process."""
 
-    def install_signal_handlers(self) -> None:
-        """Install none."""
-
-    def capture_signals(self) -> Any:
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
         """Capture none."""
-        return _nothing()
-
-
-class _nothing:  # noqa: N801
-    def __enter__(self) -> None:
-        return
-
-    def __exit__(self, *_: object) -> None:
-        return
+        yield
 
 
 class Process:
