Prove the hit rate of a restarted VM

Cause: nothing showed that a restart is not cold. Change: a test over processes asks for twelve documents through a VM, restarts another, and compares hit rates through it and a third. Conclusion: proved for one VM, not for herds.

--- a/hollyring/experiments/tests/test_promises.py
+++ b/hollyring/experiments/tests/test_promises.py
@@ -203,3 +203,37 @@
     state = portal.call(send_hostile, fleet)
     assert state["metrics"]["counters"].get("internal_errors", 0) == 0
     assert small.KEY not in str(state)
+
+
+DOCUMENTS = 12
+HIT_RATE_POINTS = 0.05
+"""How far the hit rate of a restarted VM may be under the others', by the stated target."""
+
+
+async def hit_rate(vm, kind):
+    """Return the cached part of the prompts of all documents, asked through `vm`."""
+    client = load.Client()
+    prompts = [f"{kind} {number} " * 3_000 for number in range(DOCUMENTS)]
+    outcomes = [
+        await client.complete(caller_at(vm), small.MODEL, prompt, 2, True) for prompt in prompts
+    ]
+    await client.close()
+    assert all(outcome.right for outcome in outcomes)
+    return sum(o.cached_tokens for o in outcomes) / sum(o.prompt_tokens for o in outcomes)
+
+
+async def hit_rates_after_restart(fleet):
+    await matrix.serves(fleet)
+    cold = await hit_rate(fleet.vms[0], "circular")
+    await faults.inject(fleet, faults.Kill("vm-2"))
+    await faults.heal(fleet, faults.Kill("vm-2"))
+    restarted = await hit_rate(fleet.vms[2], "circular")
+    other = await hit_rate(fleet.vms[1], "circular")
+    return cold, restarted, other
+
+
+def test_restarted_vm_has_the_hit_rate_of_the_others(portal, fleet):
+    cold, restarted, other = portal.call(hit_rates_after_restart, fleet)
+    assert cold == 0
+    assert other > 0.5
+    assert restarted >= other - HIT_RATE_POINTS
