Name in one place what an HTTP client raises when a connection fails

Cause: five lists of the same errors stood in five modules. Change: one module; a timeout is an OSError and needs no mention of its own.

--- a/hollyring/cli/platform.py
+++ b/hollyring/cli/platform.py
@@ -8,6 +8,7 @@
 import httpcore
 
 from hollyring.configuration import store
+from hollyring.node import failures
 
 CALL_SECONDS = 2.0
 """Longest wait for an answer."""
@@ -16,14 +17,6 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 
-FAILURES = (
-    OSError,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    httpcore.ConnectionNotAvailable,
-)
-
 
 class Machine(typing.Protocol):
     """A machine of `hollyring.configuration` that asks for calls until it is done."""
@@ -107,7 +100,7 @@
                 content=content,
                 extensions={"timeout": timeouts},
             )
-        except FAILURES:
+        except failures.FAILURES:
             response = None
         allowed = (HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT, 304)
         if response is not None and response.status in allowed:
--- a/hollyring/cli/vms.py
+++ b/hollyring/cli/vms.py
@@ -9,6 +9,7 @@
 
 from hollyring.cli import platform
 from hollyring.configuration import state
+from hollyring.node import failures
 
 ASKED_VMS = 5
 """VMs that are asked for their revision before a change is submitted."""
@@ -31,7 +32,7 @@
             "GET", f"http://{address}/state", headers=headers, extensions={"timeout": timeouts}
         )
         return msgspec.json.decode(response.content, type=_State).configuration.revision
-    except (*platform.FAILURES, msgspec.DecodeError):
+    except (*failures.FAILURES, msgspec.DecodeError):
         return None
 
 
--- a/hollyring/experiments/load.py
+++ b/hollyring/experiments/load.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from hollyring.core import pieces
+from hollyring.node import failures
 from hollyring.standins import text
 
 TRIES = 4
@@ -20,13 +21,6 @@
 ANSWER_SECONDS = 60.0
 HTTP_OK = 200
 
-_FAILURES = (
-    OSError,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-)
-
 
 @dataclasses.dataclass(slots=True)
 class Caller:
@@ -119,7 +113,7 @@
                     response = await self._pool.request("GET", f"http://{address}/v1/entry")
                 found = msgspec.json.decode(response.content)
                 entries = [vm["address"] for vm in found["vms"]]
-            except (*_FAILURES, msgspec.MsgspecError, KeyError):
+            except (*failures.FAILURES, msgspec.MsgspecError, KeyError):
                 continue
             if entries:
                 self._entries = entries
@@ -190,7 +184,7 @@
                 )
                 async with request as response:
                     await read(response, outcome, started, wanted)
-            except _FAILURES as error:
+            except failures.FAILURES as error:
                 outcome.code = type(error).__name__
                 outcome.broken = True
                 self._avoid(entry)
--- a/hollyring/node/engines.py
+++ b/hollyring/node/engines.py
@@ -10,7 +10,7 @@
 import httpcore
 import msgspec
 
-from hollyring.node import errors
+from hollyring.node import errors, failures
 
 CONNECT_SECONDS = 1.0
 """Longest wait for a connection to an upstream; nothing has been sent before it is up."""
@@ -81,14 +81,6 @@
 
 _decoder = msgspec.json.Decoder(_Chunk)
 
-FAILURES = (
-    OSError,
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    httpcore.ConnectionNotAvailable,
-)
-
 
 class Engines:
     """Connections to all language servers."""
@@ -137,7 +129,7 @@
                     yield item
         except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
             raise errors.UpstreamError(type(error).__name__, reached=False) from error
-        except FAILURES as error:
+        except failures.FAILURES as error:
             raise errors.UpstreamError(type(error).__name__, reached=True) from error
 
     async def cancel(self, address: str, request_id: str) -> None:
@@ -145,7 +137,7 @@
         with anyio.move_on_after(CONNECT_SECONDS):
             try:
                 await self._pool.request("DELETE", f"{address}/v1/requests/{request_id}")
-            except FAILURES:
+            except failures.FAILURES:
                 return
 
     async def close(self) -> None:
--- a/hollyring/node/platform.py
+++ b/hollyring/node/platform.py
@@ -13,7 +13,7 @@
 import httpcore
 import msgspec
 
-from hollyring.node import errors
+from hollyring.node import errors, failures
 
 CALL_SECONDS = 2.0
 """Longest wait for the answer to a call that is not a watch."""
@@ -146,7 +146,7 @@
         try:
             with anyio.fail_after(seconds):
                 response = await self._pool.request(method, self._url + path, content=content)
-        except (TimeoutError, OSError, *_FAILURES) as error:
+        except failures.FAILURES as error:
             self._calls["failed"] += 1
             raise errors.PlatformError(f"{method} {path}: {type(error).__name__}") from error
         if response.status == HTTP_TOO_MANY:
@@ -158,14 +158,6 @@
         raise errors.PlatformError(f"{method} {path}: status {response.status}")
 
 
-_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    httpcore.ConnectionNotAvailable,
-)
-
-
 def _version(response: httpcore.Response) -> int:
     for name, value in response.headers:
         if name.lower() == b"x-version":
--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -11,7 +11,7 @@
 from hollyring.configuration import objects, state
 from hollyring.core import pieces, rendezvous
 from hollyring.delivery import calls, messages, records, refusal
-from hollyring.node import asgi, claims_part, engines, errors, outlets, rights, vm
+from hollyring.node import asgi, claims_part, errors, failures, outlets, rights, vm
 
 CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 30.0
@@ -96,7 +96,7 @@
                 return await _whole(response)
         except _NotAllowedError as error:
             raise errors.UpstreamError("gave up before sending", reached=False) from error
-        except engines.FAILURES as error:
+        except failures.FAILURES as error:
             raise errors.UpstreamError(type(error).__name__, reached=sent) from error
 
     async def close(self) -> None:
--- a/hollyring/node/watching.py
+++ b/hollyring/node/watching.py
@@ -6,14 +6,13 @@
 import dataclasses
 import time
 from collections.abc import Callable
-from typing import Any
 
 import anyio
 import anyio.abc
 import httpcore
 import msgspec
 
-from hollyring.node import engines, logs
+from hollyring.node import failures, logs
 from hollyring.routing import errors as routing_errors
 from hollyring.routing import events
 from hollyring.routing import messages as routing_messages
@@ -222,11 +221,10 @@
             self._tell(Changed(self._name, events.EventBatch(found.incarnation, batch)))
 
     async def _get(self, path: str, seconds: float) -> bytes | None:
-        failures: tuple[Any, ...] = (TimeoutError, *engines.FAILURES)
         try:
             with anyio.fail_after(seconds):
                 response = await self._pool.request("GET", self._address + path)
-        except failures:
+        except failures.FAILURES:
             return None
         self._count(path, response)
         return response.content if response.status == HTTP_OK else None
