--- a/hollyring/node/front.py
+++ b/hollyring/node/front.py
@@ -7,7 +7,17 @@
 from typing import Any
 
 from hollyring.delivery import refusal
-from hollyring.node import asgi, completions, logs, membership_part, outlets, rights, services, vm
+from hollyring.node import (
+    asgi,
+    completions,
+    logs,
+    membership_part,
+    outlets,
+    part,
+    rights,
+    services,
+    vm,
+)
 
 HTTP_OK = 200
 
@@ -42,6 +52,10 @@
 
         try:
             await self._answer(scope, receive, noting_send)
+        except part.OverloadedError:
+            self._node.metrics.count("overloaded_parts")
+            if not started:
+                await outlets.refuse(send, refusal.make("overloaded").as_unknown())
         except Exception:
             self._log.failure("request failed", path=scope["path"])
             self._node.metrics.count("internal_errors")
