--- /dev/null
+++ b/hollyring/configuration/mirror.py
@@ -0,0 +1,120 @@
+"""A copy of the keys under one prefix of a store, which never goes back.
+
+It is fed by lists and watches of the store and, while the store is out of reach, by other VMs'
+copies. Every key keeps the revision that last changed it; news of an earlier one is ignored.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """A key, its value and the revision that last changed it."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removal:
+    """A key that was removed, and the revision that removed it."""
+
+    key: str
+    revision: int
+
+
+Change = Item | Removal
+
+
+class Mirror:
+    """What is known of the keys under one prefix.
+
+    Examples
+    --------
+    >>> mirror = Mirror()
+    >>> mirror.take_list([Item("a", b"1", 4)], revision=9)
+    {'a'}
+    >>> mirror.take_changes([Removal("a", 10)], revision=10)
+    {'a'}
+    >>> mirror.take_list([Item("a", b"1", 4)], revision=9), mirror.items
+    (set(), {})
+    """
+
+    __slots__ = ("_items", "_removed", "_revision", "_latest")
+
+    def __init__(self) -> None:
+        self._items: dict[str, Item] = {}
+        self._removed: dict[str, int] = {}
+        self._revision = 0
+        self._latest = 0
+
+    @property
+    def items(self) -> dict[str, Item]:
+        """The present items by key."""
+        return self._items
+
+    @property
+    def revision(self) -> int:
+        """The store's revision up to which every change is known; 0 before the first list."""
+        return self._revision
+
+    @property
+    def latest(self) -> int:
+        """The newest revision that changed a key here; copies that share it are alike."""
+        return self._latest
+
+    def take_list(self, items: Iterable[Item], revision: int) -> set[str]:
+        """Take in the whole content as it was at `revision` or later; return the changed keys."""
+        if revision < self._revision:
+            return set()
+        listed = {item.key: item for item in items}
+        gone = [
+            Removal(key, revision)
+            for key, item in self._items.items()
+            if key not in listed and item.revision <= revision
+        ]
+        changed = self._apply([*listed.values(), *gone])
+        self._revision = revision
+        return changed
+
+    def take_changes(self, changes: Iterable[Change], revision: int) -> set[str]:
+        """Take in the changes up to `revision`; return the changed keys."""
+        changed = self._apply(changes)
+        self._revision = max(self._revision, revision)
+        return changed
+
+    def take_copy(self, items: Iterable[Item], latest: int) -> set[str]:
+        """Take in another VM's copy whose newest change was at `latest`; return changed keys."""
+        if latest <= self._latest:
+            return set()
+        listed = {item.key: item for item in items}
+        gone = [
+            Removal(key, latest)
+            for key, item in self._items.items()
+            if key not in listed and item.revision <= latest
+        ]
+        changed = self._apply([*listed.values(), *gone])
+        self._latest = max(self._latest, latest)
+        return changed
+
+    def _apply(self, changes: Iterable[Change]) -> set[str]:
+        return {change.key for change in changes if self._apply_one(change)}
+
+    def _apply_one(self, change: Change) -> bool:
+        known = self._items.get(change.key)
+        last = known.revision if known else self._removed.get(change.key, 0)
+        if change.revision <= last:
+            return False
+        self._latest = max(self._latest, change.revision)
+        match change:
+            case Item():
+                self._items[change.key] = change
+                self._removed.pop(change.key, None)
+            case Removal():
+                self._items.pop(change.key, None)
+                self._removed[change.key] = change.revision
+        return True
--- /dev/null
+++ b/hollyring/core/asks.py
@@ -0,0 +1,99 @@
+"""A request as every layer sees it, whichever surface it came through."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+Header = tuple[bytes, bytes]
+"""Name in lower case and value of an HTTP header."""
+
+
+class Repeat(enum.Enum):
+    """How often a request may be run."""
+
+    IDEMPOTENT = enum.auto()
+    RESUMABLE = enum.auto()
+    """A stream that another upstream can continue after a given event."""
+
+    ONCE = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A piece of a prompt that several requests may share.
+
+    Parameters
+    ----------
+    name
+        Identity of the text; the same name stands for the same text.
+    tokens
+        Length of the text.
+    """
+
+    name: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """What a language server is to read and write.
+
+    Parameters
+    ----------
+    model
+        The model's name.
+    parts
+        The prompt in order; the last part belongs to this request or its session alone.
+    prompt_tokens, output_tokens
+        Tokens to read, and the most to generate.
+    """
+
+    model: str
+    parts: tuple[Part, ...]
+    prompt_tokens: int
+    output_tokens: int
+
+    @property
+    def shared(self) -> tuple[Part, ...]:
+        """The parts that other requests may share."""
+        return self.parts[:-1]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """One attempt of a caller.
+
+    Parameters
+    ----------
+    name
+        Identity that the caller gave this attempt.
+    method, target
+        As the caller sent them; `target` is path and query.
+    host, path
+        What the route is chosen by.
+    headers
+        The caller's headers that an upstream may see.
+    body
+        The whole body.
+    key
+        The caller's key, empty without one.
+    patience
+        Seconds that the caller waits, counted from arrival.
+    prompt
+        For requests to language servers.
+    resume_after
+        Number of the last event that the caller already has, or None.
+    """
+
+    name: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    key: str
+    patience: float
+    prompt: Prompt | None = None
+    resume_after: int | None = None
--- a/hollyring/delivery/errors.py
+++ b/hollyring/delivery/errors.py
@@ -23,3 +23,7 @@
 
 class UnknownCodeError(DeliveryError):
     """A refusal code that the table lacks, or a claim on execution that its entry forbids."""
+
+
+class StreamOrderError(DeliveryError):
+    """An upstream's event is missing, doubled or unreadable."""
--- a/hollyring/fleet/messages.py
+++ b/hollyring/fleet/messages.py
@@ -34,6 +34,10 @@
         Whether it is about to go.
     at
         The upstream's own clock when the state was taken, in seconds.
+    busy
+        Whether an order is being carried out.
+    accepted
+        Orders that it took since its start, or None from one that does not tell.
     """
 
     upstream: str
@@ -43,6 +47,8 @@
     role: str
     leaving: bool
     at: float
+    busy: bool = False
+    accepted: int | None = None
 
     def version(self, model: str) -> str:
         """Return the version of `model` that is served, or an empty string."""
@@ -114,6 +120,9 @@
         What it is to do.
     send_by
         The node starts to send by this time of its own clock, or drops the order.
+    expected
+        Orders that the upstream must have taken before, so that one that is carried out late
+        does nothing after a newer one; None for an upstream that does not count them.
     """
 
     order_id: str
@@ -121,6 +130,7 @@
     upstream: str
     change: Change
     send_by: float
+    expected: int | None = None
 
     @property
     def body(self) -> OrderBody:
@@ -144,4 +154,7 @@
     ACCEPTED = "accepted"
     STALE_FENCING = "stale_fencing"
     NOT_SENT = "not_sent"
+    CONFLICT = "conflict"
+    """The upstream carries out another order, or took one that the giver did not know of."""
+
     UNKNOWN = "unknown"
--- a/hollyring/fleet/rollout.py
+++ b/hollyring/fleet/rollout.py
@@ -37,6 +37,12 @@
         Wait before an order that was not sent is given again.
     send_seconds
         A given order that was not begun to be sent for so long is dropped.
+    loads_shown
+        Whether states show that an order is being carried out, so that a new holder counts the
+        last one's loads and need not wait for the longest.
+    blocked_seconds
+        An upstream that would be the last to serve a model is loaded all the same after so long:
+        nobody else serves it, and the old weights have to go.
     """
 
     weights_concurrency: int = 2
@@ -47,6 +53,8 @@
     report_timeout_seconds: float = 10.0
     retry_seconds: float = 1.0
     send_seconds: float = 0.5
+    loads_shown: bool = False
+    blocked_seconds: float = float("inf")
 
     @property
     def arrival_seconds(self) -> float:
@@ -59,6 +67,11 @@
         return self.arrival_seconds + self.weights_seconds + self.report_lag_seconds
 
 
+def with_concurrency(pace: Pace, loads: int) -> Pace:
+    """Return `pace` with `loads` loads at once."""
+    return dataclasses.replace(pace, weights_concurrency=loads)
+
+
 @dataclasses.dataclass(slots=True)
 class _Given:
     order: messages.Order
@@ -107,20 +120,33 @@
         self._holds = False
         self._ready_at = 0.0
         self._blocked: dict[str, str] = {}
+        self._blocked_since: dict[str, float] = {}
 
     @property
     def holds(self) -> bool:
         """Whether this VM gives orders."""
         return self._holds
 
+    @property
+    def given(self) -> set[str]:
+        """Upstreams with an order under way."""
+        return set(self._given)
+
     @property
     def blocked(self) -> dict[str, str]:
         """Upstreams that wait, each with the model or adapter that would lose its last server."""
         return dict(self._blocked)
 
+    def resize(self, pace: Pace) -> None:
+        """Apply other bounds, as the number of upstreams changes."""
+        self._pace = pace
+
     def declare(self, declared: Iterable[targets.Target]) -> None:
         """Replace the declared targets."""
-        self._targets = {target.upstream: target for target in declared}
+        wanted = {target.upstream: target for target in declared}
+        if wanted == self._targets:
+            return
+        self._targets = wanted
         self._wanted = coverage.declared(self._targets.values())
         for upstream in [name for name in self._observed if name not in self._targets]:
             del self._observed[upstream]
@@ -179,7 +205,7 @@
         match outcome:
             case messages.Outcome.STALE_FENCING:
                 self.lose()
-            case messages.Outcome.NOT_SENT:
+            case messages.Outcome.NOT_SENT | messages.Outcome.CONFLICT:
                 del self._given[upstream]
                 self._not_before[upstream] = now + self._pace.retry_seconds
             case _:
@@ -202,6 +228,11 @@
         self._settle(now)
         self._blocked.clear()
         loading = sum(targets.loads_weights(given.order.change) for given in self._given.values())
+        loading += sum(
+            observed.state.busy
+            for name, observed in self._observed.items()
+            if name not in self._given
+        )
         current = _Step(now, remaining, loading)
         given = [self._next_order(name, current) for name in sorted(self._left, key=self._urgency)]
         return [order for order in given if order is not None]
@@ -249,6 +280,9 @@
             if arrived and done:
                 del self._given[upstream]
                 continue
+            if self._was_lost(given, observed):
+                del self._given[upstream]
+                continue
             # A restarted upstream may have taken the order in its new life, so it counts as well.
             over_at = given.at + self._pace.order_seconds
             heard = observed is not None and observed.heard_at >= over_at
@@ -258,6 +292,17 @@
                 self._attempts[given.order_id] += 1
             del self._given[upstream]
 
+    def _was_lost(self, given: _Given, observed: _Observed | None) -> bool:
+        """Tell whether an upstream that counts its orders shows that this one did not come."""
+        if given.outcome is messages.Outcome.ACCEPTED or given.order.expected is None:
+            return False
+        if observed is None or observed.state.busy:
+            return False
+        if observed.state.accepted != given.order.expected:
+            return False
+        arrival = given.at + self._pace.arrival_seconds
+        return observed.heard_at >= arrival + self._pace.report_lag_seconds
+
     def _coverage(self, now: float) -> coverage.Coverage:
         """Return who surely serves what, orders under way allowed for."""
         known = [self._known(upstream, now) for upstream in self._observed]
@@ -277,13 +322,14 @@
         if upstream in self._given or now < self._not_before.get(upstream, now):
             return None
         state = self._known(upstream, now)
-        if state is None or state.leaving:
+        if state is None or state.leaving or state.busy:
             return None
         return state
 
     def _may_load(self, loading: int, now: float) -> bool:
         # Loads that the last holder ordered are over by then.
-        settled_at = self._ready_at + self._pace.weights_seconds
+        wait = 0.0 if self._pace.loads_shown else self._pace.weights_seconds
+        settled_at = self._ready_at + wait
         return now >= settled_at and loading < self._pace.weights_concurrency
 
     def _next_order(self, upstream: str, current: _Step) -> messages.Order | None:
@@ -296,8 +342,7 @@
             if is_load and not self._may_load(current.loading, current.now):
                 continue
             current.served = current.served or self._coverage(current.now)
-            if service := current.served.last_served(state, change):
-                self._blocked[upstream] = service.name
+            if self._is_blocked(upstream, state, change, current):
                 continue
             current.loading += is_load
             current.served.take_out(state, change)
@@ -306,6 +351,22 @@
             return order
         return None
 
+    def _is_blocked(
+        self,
+        upstream: str,
+        state: messages.UpstreamState,
+        change: messages.Change,
+        current: _Step,
+    ) -> bool:
+        """Note whether `change` would take a model's last server away."""
+        service = current.served.last_served(state, change) if current.served else None
+        if service is None:
+            self._blocked_since.pop(upstream, None)
+            return False
+        self._blocked[upstream] = service.name
+        since = self._blocked_since.setdefault(upstream, current.now)
+        return current.now - since < self._pace.blocked_seconds
+
     def _give(
         self, target: targets.Target, change: messages.Change, current: _Step
     ) -> messages.Order:
@@ -314,7 +375,8 @@
             # The upstream took the order and did not do it: the same identity does nothing.
             order_id = f"{first_id}:{self._fencing}.{attempt}"
         send_by = current.now + min(current.remaining, self._pace.send_seconds)
-        order = messages.Order(order_id, self._fencing, target.upstream, change, send_by)
+        expected = self._observed[target.upstream].state.accepted
+        order = messages.Order(order_id, self._fencing, target.upstream, change, send_by, expected)
         self._invariants.check("one_order_at_a_time", target.upstream not in self._given, order_id)
         self._given[target.upstream] = _Given(order, first_id, current.now)
         return order
@@ -332,4 +394,5 @@
         check("orders_within_lease", current.remaining > 0, order.order_id)
         check("no_order_to_leaving_upstream", not state.leaving, order.order_id)
         kept = all(served.is_kept(service) for service in coverage.lost(state, order.change))
+        kept = kept or order.upstream in self._blocked_since
         check("last_server_kept", kept, order.order_id)
--- a/hollyring/limits/budget.py
+++ b/hollyring/limits/budget.py
@@ -29,6 +29,8 @@
         Retries a second of the whole fleet that need no first attempts.
     saved
         Retries that may be made at once at the start.
+    most_saved
+        Most retries that a VM can save up.
 
     Examples
     --------
@@ -46,6 +48,7 @@
         "_fleet_floor",
         "_floor",
         "_saved",
+        "_most_saved",
         "_at",
         "_attempts",
         "_retries",
@@ -58,11 +61,13 @@
         part: float = RETRY_PART,
         floor: float = FLOOR_PER_SECOND,
         saved: float = 0.0,
+        most_saved: float = MAX_SAVED,
     ) -> None:
         self._part = part
         self._fleet_floor = floor
         self._floor = floor / max(vms, 1)
         self._saved = saved
+        self._most_saved = most_saved
         self._at: float | None = None
         self._attempts = 0
         self._retries = 0
@@ -99,4 +104,4 @@
     def _add(self, retries: float, now: float) -> None:
         elapsed = max(0.0, now - self._at) if self._at is not None else 0.0
         self._at = now if self._at is None else max(now, self._at)
-        self._saved = min(MAX_SAVED, self._saved + retries + elapsed * self._floor)
+        self._saved = min(self._most_saved, self._saved + retries + elapsed * self._floor)
--- a/hollyring/membership/__init__.py
+++ b/hollyring/membership/__init__.py
@@ -9,6 +9,7 @@
     leases,
     members,
     messages,
+    pulse,
     table,
 )
 
@@ -21,5 +22,6 @@
     "leases",
     "members",
     "messages",
+    "pulse",
     "table",
 ]
--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -6,6 +6,7 @@
 from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
 from hollyring.membership import messages as membership
+from hollyring.membership import pulse
 from hollyring.routing import messages as routing
 
 MESSAGES: dict[str, type] = {
@@ -29,6 +30,9 @@
         membership.PingRequest,
         membership.SyncRequest,
         membership.Sync,
+        pulse.Pulse,
+        pulse.CopyRequest,
+        pulse.Copy,
         routing.Lookup,
         routing.LookupAnswer,
     )
--- /dev/null
+++ b/hollyring/node/entry_settings.py
@@ -0,0 +1,47 @@
+"""Settings of a VM whose configuration comes from a store."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from hollyring.node import state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Where a VM listens and whom it talks to; every address is ``"IP:PORT"``.
+
+    Parameters
+    ----------
+    name, failure_domain, region
+        Where this VM stands.
+    caller_address, health_address, entry_address, control_address
+        Where callers, health checks, questions for entry addresses and operators connect.
+    peer_address, metrics_address
+        Where other VMs and the reader of metrics connect.
+    seeds
+        Peer addresses of some VMs.
+    store_address
+        The store.
+    grace_seconds
+        Time from the signal to stop until the process is killed.
+    keep_seconds
+        Longest time for which callers keep an entry answer.
+    retries
+        Bounds on what is sent again.
+    """
+
+    name: str
+    failure_domain: str
+    region: str
+    caller_address: str
+    health_address: str
+    entry_address: str
+    control_address: str
+    peer_address: str
+    metrics_address: str
+    seeds: tuple[str, ...]
+    store_address: str
+    grace_seconds: float
+    keep_seconds: float
+    retries: state.RetryRules
--- /dev/null
+++ b/hollyring/node/entry_vm.py
@@ -0,0 +1,350 @@
+"""The process of a VM whose configuration comes from a store: parts, ports, links, shutdown."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import random
+import signal
+import socket
+import typing
+from collections.abc import Callable
+
+import anyio
+import uvicorn
+
+from hollyring.core import asks, identities
+from hollyring.delivery import refusal
+from hollyring.membership import pulse
+from hollyring.node import (
+    asgi,
+    bounded,
+    catalogue,
+    clock,
+    entry_settings,
+    http_server,
+    links,
+    logs,
+    metrics,
+    orders_part,
+    peers,
+    ports,
+    pulse_part,
+    relay,
+    replies,
+    settings,
+    state,
+    store_part,
+    wire,
+)
+
+LIFE_BITS = 48
+PEER_KEYS = ["hollyring-vms-on-a-private-network"]
+"""The ports between VMs are closed to everybody else; the key only tells other programs apart."""
+
+LEAVE_SECONDS = 4.0
+"""A leaving VM still takes requests of callers that were told of it for so long."""
+
+EXIT_MARGIN_SECONDS = 0.6
+IDLE_SECONDS = 60.0
+BODY_SECONDS = 10.0
+MOST_ADDRESSES = 64
+KEEP_SECONDS = 1.5
+"""How long callers keep an entry answer."""
+
+BACKLOG = 1024
+TICK_SECONDS = 0.5
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+HTTP_NOT_FOUND = 404
+
+CALLER_LIMITS = settings.Limits(header_bytes=65_536, header_seconds=20.0, connections=3_000)
+"""Bounds on connections; what callers may send is in the configuration."""
+
+
+class Surface(typing.Protocol):
+    """How an adapter reads requests and writes what this VM itself answers."""
+
+    def decode(self, scope: asgi.Scope, body: bytes) -> asks.Ask:
+        """Return the request; raises `AskError` for one that can't be read."""
+
+    def encode_refusal(self, why: refusal.Refusal) -> replies.Encoded:
+        """Return a refusal."""
+
+    def is_entry_question(self, scope: asgi.Scope) -> bool:
+        """Tell whether a caller asks for entry addresses."""
+
+    def is_health_check(self, scope: asgi.Scope) -> bool:
+        """Tell whether somebody asks if this VM is ready."""
+
+    def entry_answer(self, addresses: list[str], keep_seconds: float) -> bytes:
+        """Return the body of an entry answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adapter:
+    """What the world around the VM speaks.
+
+    Parameters
+    ----------
+    reload
+        Reads the settings anew.
+    """
+
+    store: ports.Store
+    documents: ports.Documents
+    prefixes: ports.Prefixes
+    codec: ports.UpstreamCodec
+    surface: Surface
+    ask_error: type[Exception]
+    reload: Callable[[], entry_settings.EntrySettings]
+
+
+class Process:
+    """One life of a VM process.
+
+    Parameters
+    ----------
+    given
+        The settings it was started with.
+    adapter
+        What the world around it speaks.
+    """
+
+    def __init__(self, given: entry_settings.EntrySettings, adapter: Adapter) -> None:
+        self._settings = given
+        self._adapter = adapter
+        life = random.SystemRandom().getrandbits(LIFE_BITS)
+        place = pulse.Place(
+            given.name,
+            life,
+            given.caller_address,
+            given.peer_address,
+            given.failure_domain,
+            given.region,
+        )
+        self._metrics = metrics.Metrics()
+        self._state = state.State(place, adapter.documents, adapter.prefixes, given.retries)
+        self._links = links.Links()
+        self._peers = peers.Peers(
+            identities.Incarnation(given.name, life),
+            given.peer_address,
+            PEER_KEYS,
+            wire.Wire(catalogue.MESSAGES),
+            self._from_peer,
+            self._peer_address,
+        )
+        self._follower = store_part.StorePart(adapter.store, self._state, self._peers)
+        self._pulses = pulse_part.PulsePart(
+            self._state,
+            self._peers,
+            adapter.store,
+            self._follower,
+            adapter.documents,
+            list(given.seeds),
+        )
+        self._orders = orders_part.OrdersPart(
+            self._state,
+            adapter.store,
+            self._follower,
+            adapter.codec,
+            self._links,
+            self._pulses.hurry,
+        )
+        self._relay = relay.Relay(self._state, adapter.codec, self._links, self._metrics)
+        self._log = logs.Log("vm")
+        self._open = 0
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then finish what is open."""
+        given = self._settings
+        callers = self._server(self._callers_app, bounded.protocol(CALLER_LIMITS))
+        others = self._server(self._others_app, "httptools")
+        side = {given.health_address, given.entry_address, given.control_address}
+        side |= {given.metrics_address}
+        other_sockets = [_listen(address) for address in sorted(side) if address]
+        caller_sockets = [_listen(given.caller_address)]
+        host, port = settings.split_address(given.peer_address)
+        self._log.say("started", life=self._state.place_of_vm.life)
+        async with anyio.create_task_group() as group:
+            await group.start(self._peers.run, host, port)
+            group.start_soon(self._follower.run)
+            group.start_soon(self._pulses.run)
+            group.start_soon(self._pulses.register)
+            group.start_soon(self._orders.run)
+            group.start_soon(self._sweep)
+            group.start_soon(others.serve, other_sockets)
+            group.start_soon(self._on_signals, callers)
+            await callers.serve(caller_sockets)
+            self._log.say("stopped")
+            others.should_exit = True
+            group.cancel_scope.cancel()
+
+    def _server(self, app: typing.Any, protocol: typing.Any) -> uvicorn.Server:
+        grace = self._settings.grace_seconds - LEAVE_SECONDS - EXIT_MARGIN_SECONDS
+        config = uvicorn.Config(
+            app,
+            http=protocol,
+            interface="asgi3",
+            ws="none",
+            loop="asyncio",
+            lifespan="off",
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            log_level="critical",
+            backlog=BACKLOG,
+            timeout_keep_alive=int(IDLE_SECONDS),
+            timeout_graceful_shutdown=max(1, int(grace)),
+        )
+        return http_server.Server(config)
+
+    async def _on_signals(self, callers: uvicorn.Server) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload()
+                    continue
+                await self._leave(callers)
+
+    def _reload(self) -> None:
+        """Read the settings anew; addresses stay as they are for the life of the process."""
+        try:
+            found = self._adapter.reload()
+        except Exception as error:  # a bad file must not end a process that serves
+            self._log.say("settings not read", why=str(error))
+            return
+        self._settings = dataclasses.replace(self._settings, seeds=found.seeds)
+        self._log.say("settings read", seeds=len(found.seeds))
+
+    async def _leave(self, callers: uvicorn.Server) -> None:
+        if self._state.leaving:
+            return
+        self._state.leaving = True
+        self._log.say("leaving", open_requests=self._open)
+        self._pulses.hurry()
+        with anyio.move_on_after(1.0):
+            await self._orders.stop()
+        await anyio.sleep(LEAVE_SECONDS)
+        self._log.say("taking no more requests", open_requests=self._open)
+        callers.should_exit = True
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(TICK_SECONDS)
+            self._links.reap()
+
+    async def _callers_app(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        if scope["type"] != "http":
+            return
+        self._open += 1
+        try:
+            await self._answer(scope, receive, send)
+        except replies.BrokenOffError:
+            # Returning without an end has the server close the connection.
+            self._metrics.count("broken_off")
+        except Exception:
+            self._log.failure("request failed")
+            self._metrics.count("internal_errors")
+            raise
+        finally:
+            self._open -= 1
+
+    async def _answer(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        surface = self._adapter.surface
+        reply = replies.Reply(send, surface.encode_refusal, lambda: self._state.leaving)
+        try:
+            body = await asgi.read_body(receive, self._body_bytes(), BODY_SECONDS)
+            ask = surface.decode(scope, body)
+        except asgi.BodyTooLargeError:
+            await reply.refuse(refusal.make("body_too_large"))
+            return
+        except asgi.BodyTooSlowError:
+            await reply.refuse(refusal.make("header_timeout"))
+            return
+        except asgi.DisconnectedError:
+            return
+        except self._adapter.ask_error as error:
+            await reply.refuse(refusal.make("invalid_request", message=str(error)))
+            return
+        async with anyio.create_task_group() as group:
+            group.start_soon(_cancel_on_disconnect, receive, group.cancel_scope)
+            await self._relay.serve(ask, reply)
+            group.cancel_scope.cancel()
+
+    def _body_bytes(self) -> int:
+        current = self._state.deployment
+        return current.bounds.body_bytes if current else CALLER_LIMITS.body_bytes
+
+    async def _others_app(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        if scope["type"] != "http":
+            return
+        surface = self._adapter.surface
+        if surface.is_entry_question(scope):
+            await self._entry(send)
+        elif surface.is_health_check(scope):
+            status = HTTP_OK if self._state.ready else HTTP_UNAVAILABLE
+            await asgi.answer(send, status, b"", [])
+        elif scope["path"] == "/metrics":
+            await asgi.answer(send, HTTP_OK, self._page().encode(), [asgi.TEXT_TYPE])
+        else:
+            await asgi.answer(send, HTTP_NOT_FOUND, b"", [])
+
+    async def _entry(self, send: asgi.Send) -> None:
+        """Tell a caller where to connect."""
+        now = clock.now()
+        addresses = self._state.peers.caller_addresses(self._state.ready, now, MOST_ADDRESSES)
+        if not addresses:
+            await asgi.answer(send, HTTP_UNAVAILABLE, b"", [])
+            return
+        keep = min(KEEP_SECONDS, self._settings.keep_seconds)
+        body = self._adapter.surface.entry_answer(addresses, keep)
+        await asgi.answer(send, HTTP_OK, body, [asgi.JSON_TYPE])
+
+    def _page(self) -> str:
+        now = clock.now()
+        gauges = {
+            "configuration_version": self._state.version,
+            "store_age_seconds": self._state.store_age(now),
+            "vms_alive": self._state.fleet(now),
+            "upstreams": len(self._state.serving.upstreams),
+            "open_requests": self._open,
+            "upstream_connections_opened": self._links.opened,
+        }
+        lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
+        return "\n".join(lines) + "\n" + self._metrics.page()
+
+    def _peer_address(self, name: str) -> str | None:
+        peer = self._state.peers.known.get(name)
+        return peer.place.peer_address if peer else None
+
+    async def _from_peer(self, sender: identities.Incarnation, message: object) -> object | None:
+        match message:
+            case pulse.Pulse():
+                self._state.hear(message, clock.now())
+            case pulse.CopyRequest():
+                return self._follower.copy(message.prefix)
+            case _:
+                self._log.say("unexpected message", sender=sender.name)
+        return None
+
+
+async def _cancel_on_disconnect(receive: asgi.Receive, scope: anyio.CancelScope) -> None:
+    await asgi.wait_disconnect(receive)
+    scope.cancel()
+
+
+def _listen(address: str) -> socket.socket:
+    host, port = settings.split_address(address)
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    made.bind((host, port))
+    made.listen(BACKLOG)
+    made.setblocking(False)
+    return made
+
+
+def serve(given: entry_settings.EntrySettings, adapter: Adapter) -> None:
+    """Run a VM process until it is told to stop."""
+    logs.open_output(given.name)
+    anyio.run(functools.partial(Process(given, adapter).run))
--- /dev/null
+++ b/hollyring/node/orders_part.py
@@ -0,0 +1,306 @@
+"""Gives upstreams their weights while this VM holds the right to, and reads what they report."""
+
+from __future__ import annotations
+
+import anyio
+
+from hollyring.core import identities, invariants
+from hollyring.fleet import messages, rollout, targets
+from hollyring.membership import leases, pulse
+from hollyring.node import clock, links, logs, ports, state, store_part
+from hollyring.routing import serving
+
+TICK_SECONDS = 0.1
+LEASE_SECONDS = 3.0
+RANK_SECONDS = 0.4
+"""Each VM in turn waits so much longer before it tries for the lease."""
+
+REPORT_SECONDS = 0.4
+"""Time between two reports of an upstream while there is work."""
+
+ORDER_REPORT_SECONDS = 0.2
+"""The same for one that carries out an order."""
+
+CALL_SECONDS = 0.5
+ANNOUNCE_SECONDS = 0.12
+"""An order is sent so long after the other VMs were told, so that they send nothing new."""
+
+CONNECTIONS = 3
+LOAD_SHARE = 0.4
+"""Part of a service's upstreams that may take new weights at once."""
+
+PACE = rollout.Pace(
+    weights_concurrency=1,
+    weights_seconds=4.0,
+    lease_seconds=LEASE_SECONDS,
+    flight_seconds=CALL_SECONDS,
+    report_lag_seconds=0.3,
+    report_timeout_seconds=3.0,
+    retry_seconds=0.3,
+    send_seconds=0.3,
+    loads_shown=True,
+    blocked_seconds=2.0,
+)
+
+
+class OrdersPart:
+    """Owns the lease on giving orders, and one rollout for each service.
+
+    Parameters
+    ----------
+    beliefs
+        Upstreams and wanted versions.
+    store, follower
+        Where the lease lies, and who notes whether the store answers.
+    codec
+        Encodes orders and decodes reports.
+    connections
+        Connections to upstreams.
+    hurry
+        Called when the other VMs are to be told at once.
+    """
+
+    def __init__(
+        self,
+        beliefs: state.State,
+        store: ports.Store,
+        follower: store_part.StorePart,
+        codec: ports.UpstreamCodec,
+        connections: links.Links,
+        hurry: state.Hurry,
+    ) -> None:
+        place = beliefs.place_of_vm
+        self._state = beliefs
+        self._store = store
+        self._follower = follower
+        self._codec = codec
+        self._links = connections
+        self._hurry = hurry
+        self._me = identities.Incarnation(place.name, place.life)
+        self._lease = leases.Lease(beliefs.prefixes.orders, self._me, LEASE_SECONDS)
+        self._rollouts: dict[str, rollout.Rollout] = {}
+        self._reported: dict[str, float] = {}
+        self._asking: set[str] = set()
+        self._invariants = invariants.Invariants(strict=False)
+        self._free_since: float | None = None
+        self._log = logs.Log("orders")
+
+    async def run(self) -> None:
+        """Hold the lease when nobody else does, and give orders, until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            while True:
+                self._tick()
+                await anyio.sleep(TICK_SECONDS)
+
+    async def stop(self) -> None:
+        """Give the lease back."""
+        for action in self._lease.close():
+            if isinstance(action, leases.ReleaseLease) and action.lease:
+                await self._perform(action)
+
+    def _tick(self) -> None:
+        now = clock.now()
+        if self._may_try(now):
+            self._act(self._lease.tick(now))
+        fencing = self._lease.fencing(now)
+        if fencing is None:
+            return
+        for service in self._services():
+            self._step(service, now)
+
+    def _may_try(self, now: float) -> bool:
+        """Tell whether the lease's client should do what is due."""
+        if self._lease.phase is not leases.Phase.IDLE:
+            return True
+        if self._state.leaving or not self._state.ready:
+            return False
+        if self._state.prefixes.orders in self._state.mirrors[self._state.prefixes.vms].items:
+            self._free_since = None
+            return False
+        if self._free_since is None:
+            self._free_since = now
+        names = sorted(peer.place.name for peer in self._state.peers.alive(now) if peer.ready)
+        rank = sum(name < self._me.name for name in names)
+        return now - self._free_since >= rank * RANK_SECONDS
+
+    def _act(self, actions: list[leases.Action]) -> None:
+        for action in actions:
+            match action:
+                case leases.Acquired():
+                    self._log.say("holder of orders", fencing=action.fencing)
+                    self._acquired(action.fencing)
+                case leases.Lost():
+                    self._log.say("no longer holder of orders", fencing=action.fencing)
+                    for machine in self._rollouts.values():
+                        machine.lose()
+                case _:
+                    self._group.start_soon(self._perform, action)
+
+    def _acquired(self, fencing: int) -> None:
+        self._rollouts = {}
+        self._fencing = fencing
+
+    async def _perform(self, action: leases.Action) -> None:
+        try:
+            event = await self._call(action)
+        except ports.StoreError as error:
+            self._follower.failed(str(error))
+            event = leases.Failed(getattr(action, "call", 0))
+        if event is not None:
+            self._act(self._lease.handle(event, clock.now()))
+
+    async def _call(self, action: leases.Action) -> leases.Event | None:
+        match action:
+            case leases.ReadHolder():
+                item = await self._store.get(action.key)
+                value, revision = (item.value, item.revision) if item else (b"", 0)
+                return leases.Holder(action.call, value, revision)
+            case leases.GrantLease():
+                return leases.LeaseGranted(action.call, str(await self._store.grant(action.ttl)))
+            case leases.WriteHolder():
+                put = ports.Put(action.key, action.value, int(action.lease))
+                written = await self._store.commit({action.key: action.version}, [put])
+                if isinstance(written, ports.Committed):
+                    return leases.HolderWritten(action.call, written.revision)
+                return leases.Refused(action.call)
+            case leases.RenewLease():
+                renewed = await self._store.renew(int(action.lease))
+                return leases.Renewed(action.call) if renewed else leases.Refused(action.call)
+            case leases.ReleaseLease():
+                await self._store.end(int(action.lease))
+        return None
+
+    def _services(self) -> list[str]:
+        current = self._state.deployment
+        if current is None:
+            return []
+        return [name for name, service in current.services.items() if service.engine]
+
+    def _step(self, service: str, now: float) -> None:
+        """Do what is due for the upstreams of one service."""
+        known = [u for u in self._state.serving.of_service(service) if not u.entry.leaving]
+        declared = [target for u in known if (target := self._target(u)) is not None]
+        machine = self._rollouts.get(service)
+        if machine is None:
+            machine = self._rollouts[service] = rollout.Rollout(_pace(len(known)), self._invariants)
+            machine.acquire(self._fencing, now)
+        machine.resize(_pace(len(known)))
+        machine.declare(declared)
+        if all(self._is_done(u) for u in known) and not machine.given:
+            return
+        for upstream in known:
+            self._ask_report(machine, upstream, now)
+        for order in machine.step(self._lease.remaining(now), now):
+            self._group.start_soon(self._give, machine, order)
+
+    def _target(self, upstream: serving.Upstream) -> targets.Target | None:
+        wanted = [
+            self._state.wanted[model] for model in upstream.versions if model in self._state.wanted
+        ]
+        if not wanted:
+            return None
+        models = tuple(messages.ModelVersion(w.model, str(w.version)) for w in wanted)
+        return targets.Target(upstream.name, max(w.revision for w in wanted), models)
+
+    def _is_done(self, upstream: serving.Upstream) -> bool:
+        return all(
+            version >= self._state.wanted[model].version
+            for model, version in upstream.versions.items()
+            if model in self._state.wanted
+        )
+
+    def _ask_report(self, machine: rollout.Rollout, upstream: serving.Upstream, now: float) -> None:
+        name = upstream.name
+        pause = ORDER_REPORT_SECONDS if name in machine.given else REPORT_SECONDS
+        if name in self._asking or now - self._reported.get(name, 0.0) < pause:
+            return
+        self._asking.add(name)
+        self._reported[name] = now
+        self._group.start_soon(self._report, machine, upstream)
+
+    async def _report(self, machine: rollout.Rollout, upstream: serving.Upstream) -> None:
+        address = upstream.entry.address
+        try:
+            at = clock.now()
+            _, body = await self._ask(address, self._codec.report_request(address))
+        except links.LinkError as error:
+            self._log.say("no report", upstream=upstream.name, why=str(error))
+            return
+        finally:
+            self._asking.discard(upstream.name)
+        found = self._codec.report(upstream.name, upstream.entry.life, body, at)
+        if found is None:
+            self._log.say("unreadable report", upstream=upstream.name)
+            return
+        machine.observe(found, clock.now())
+        machine.heard(upstream.name, clock.now())
+        if found.busy:
+            return
+        for served in found.models:
+            version = int(served.version)
+            # An order that was announced but has not arrived must not look like one that is done.
+            if upstream.name in machine.given and version <= upstream.version(served.model):
+                continue
+            self._tell(upstream, served.model, version, loading=False)
+
+    async def _give(self, machine: rollout.Rollout, order: messages.Order) -> None:
+        """Announce an order, send it, and take in what became of it."""
+        upstream = self._state.serving.get(order.upstream)
+        outcome = messages.Outcome.NOT_SENT
+        if upstream is not None:
+            self._tell(upstream, "", 0, loading=True)
+            await anyio.sleep(ANNOUNCE_SECONDS)
+            outcome = await self._send(upstream, order)
+            if outcome is not messages.Outcome.ACCEPTED:
+                self._tell(upstream, "", 0, loading=False)
+        self._log.say(
+            "order",
+            upstream=order.upstream,
+            order=order.order_id,
+            fencing=order.fencing,
+            expected=order.expected,
+            outcome=str(outcome),
+        )
+        machine.answered(order.upstream, order.order_id, outcome, clock.now())
+
+    async def _send(self, upstream: serving.Upstream, order: messages.Order) -> messages.Outcome:
+        now = clock.now()
+        if now > order.send_by or self._lease.fencing(now, CALL_SECONDS) != order.fencing:
+            return messages.Outcome.NOT_SENT
+        address = upstream.entry.address
+        request = self._codec.order_request(address, order, self._me.name)
+        try:
+            status, _ = await self._ask(address, request)
+        except links.NotSentError:
+            return messages.Outcome.NOT_SENT
+        except links.LinkError:
+            return messages.Outcome.UNKNOWN
+        return self._codec.order_outcome(status)
+
+    async def _ask(self, address: str, request: bytes) -> tuple[int, bytes]:
+        """Return status and body of a call on an upstream."""
+        link = await self._links.take(address, CONNECTIONS + self._links.count(address))
+        try:
+            with anyio.fail_after(CALL_SECONDS):
+                exchange = link.send(request, lambda headers: True)
+                head = await exchange.head()
+                return head.status, await exchange.body()
+        except TimeoutError as error:
+            raise links.LinkError("no answer in time") from error
+        finally:
+            self._links.give_back(address, link)
+
+    def _tell(self, upstream: serving.Upstream, model: str, version: int, loading: bool) -> None:
+        """Note an upstream's weights here and at the other VMs."""
+        now = clock.now()
+        if loading == upstream.loading(now) and version <= upstream.version(model):
+            return
+        weights = pulse.Weights(upstream.name, model, version, loading)
+        self._state.take_weights(weights, now)
+        self._state.weights.append(weights)
+        self._hurry()
+
+
+def _pace(upstreams: int) -> rollout.Pace:
+    return rollout.with_concurrency(PACE, max(1, int(LOAD_SHARE * upstreams)))
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -153,6 +153,78 @@
   4: optional MembershipNews news
 }
 
+struct MembershipPlace {
+  1: optional string name
+  2: optional i64 life
+  3: optional string caller_address
+  4: optional string peer_address
+  5: optional string failure_domain
+  6: optional string region
+}
+
+struct MembershipMark {
+  1: optional string prefix
+  2: optional i64 latest
+}
+
+struct MembershipLoad {
+  1: optional string upstream
+  2: optional i64 requests
+  3: optional i64 unread_tokens
+}
+
+struct MembershipSpent {
+  1: optional string organisation
+  2: optional double total
+}
+
+struct CorePart {
+  1: optional string name
+  2: optional i64 tokens
+}
+
+struct MembershipReading {
+  1: optional string upstream
+  2: optional string salt
+  3: optional list<CorePart> parts
+  4: optional string store
+}
+
+struct MembershipWeights {
+  1: optional string upstream
+  2: optional string model
+  3: optional i64 version
+  4: optional bool loading
+}
+
+struct MembershipPulse {
+  1: optional MembershipPlace place
+  2: optional bool ready
+  3: optional bool store_reached
+  4: optional list<MembershipMark> marks
+  5: optional list<MembershipLoad> loads
+  6: optional list<MembershipSpent> spent
+  7: optional list<MembershipReading> readings
+  8: optional list<MembershipWeights> weights
+  9: optional list<string> doubts
+}
+
+struct MembershipCopyRequest {
+  1: optional string prefix
+}
+
+struct MembershipCopyItem {
+  1: optional string key
+  2: optional binary value
+  3: optional i64 revision
+}
+
+struct MembershipCopy {
+  1: optional string prefix
+  2: optional i64 latest
+  3: optional list<MembershipCopyItem> items
+}
+
 struct RoutingLookup {
   1: optional i64 lookup_id
   2: optional list<string> upstreams
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -15,7 +15,7 @@
 import hmac
 import secrets
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 import anyio.abc
@@ -24,7 +24,7 @@
 from thrift.Thrift import TMessageType
 
 from hollyring.core import identities
-from hollyring.node import errors, part, wire
+from hollyring.node import errors, part, sockets, wire
 
 NONCE_BYTES = 16
 TAG_BYTES = 8
@@ -198,6 +198,12 @@
         """Queue `message` for the peer at `address`; False if it had to be dropped."""
         return self._queue(address, self._codec.encode(message))
 
+    def broadcast(self, addresses: Iterable[str], message: object) -> None:
+        """Queue `message` for several peers; it is encoded once."""
+        payload = self._codec.encode(message)
+        for address in addresses:
+            self._queue(address, payload)
+
     async def ask(self, address: str, message: object, seconds: float) -> object | None:
         """Return the reply of the peer at `address`, or None if none came within `seconds`."""
         self._asked = (self._asked + 1) % MAX_SEQUENCE
@@ -247,6 +253,7 @@
         host, _, port = address.rpartition(":")
         with anyio.fail_after(HANDSHAKE_SECONDS):
             stream = await anyio.connect_tcp(host, int(port))
+        sockets.watch(stream.extra(anyio.abc.SocketAttribute.raw_socket))
         async with stream:
             with anyio.fail_after(HANDSHAKE_SECONDS):
                 frames = await self._open(stream)
--- /dev/null
+++ b/hollyring/node/pulse_part.py
@@ -0,0 +1,121 @@
+"""Tells the other VMs this one's news several times a second, and registers it in the store."""
+
+from __future__ import annotations
+
+import anyio
+
+from hollyring.membership import pulse
+from hollyring.node import clock, logs, peers, ports, state, store_part
+
+PULSE_SECONDS = 0.15
+PULSES_PER_SECOND = 80.0
+"""Most pulses that one VM sends a second, however many others there are."""
+
+PLACE_LEASE_SECONDS = 6.0
+RENEW_SECONDS = 2.0
+RETRY_SECONDS = 0.5
+STOOD_STILL_SECONDS = 1.0
+"""A pause between two ticks that is longer shows that the process stood still."""
+
+
+class PulsePart:
+    """Sends pulses and keeps this VM's entry in the store.
+
+    Parameters
+    ----------
+    beliefs
+        What is told.
+    links
+        Links to the other VMs.
+    store, follower
+        Where the VM registers, and who notes whether the store answers.
+    seeds
+        Peer addresses of some VMs to tell while none is known.
+    """
+
+    def __init__(
+        self,
+        beliefs: state.State,
+        links: peers.Peers,
+        store: ports.Store,
+        follower: store_part.StorePart,
+        documents: ports.Documents,
+        seeds: list[str],
+    ) -> None:
+        self._state = beliefs
+        self._links = links
+        self._store = store
+        self._follower = follower
+        self._documents = documents
+        self._seeds = seeds
+        self._log = logs.Log("pulse")
+        self._now = anyio.Event()
+
+    def hurry(self) -> None:
+        """Send the next pulse at once."""
+        self._now.set()
+
+    async def run(self) -> None:
+        """Send pulses until cancelled."""
+        last = clock.now()
+        while True:
+            now = clock.now()
+            if now - last > STOOD_STILL_SECONDS:
+                self._log.say("process stood still", seconds=round(now - last, 2))
+            last = now
+            self._state.tick(now)
+            addresses = self._addresses()
+            self._links.broadcast(addresses, self._pulse(now))
+            with anyio.move_on_after(max(PULSE_SECONDS, len(addresses) / PULSES_PER_SECOND)):
+                await self._now.wait()
+            self._now = anyio.Event()
+
+    async def register(self) -> None:
+        """Keep this VM's place in the store until cancelled."""
+        place = self._state.place_of_vm
+        key = self._state.prefixes.vms + place.name
+        value = self._documents.encode_vm(place)
+        while True:
+            try:
+                lease = await self._store.grant(PLACE_LEASE_SECONDS)
+                await self._store.commit({}, [ports.Put(key, value, lease)])
+                self._follower.succeeded()
+                while await self._store.renew(lease):
+                    self._follower.succeeded()
+                    await anyio.sleep(RENEW_SECONDS)
+            except ports.StoreError as error:
+                self._follower.failed(str(error))
+            await anyio.sleep(RETRY_SECONDS)
+
+    def _addresses(self) -> list[str]:
+        me = self._state.place_of_vm.peer_address
+        known = {peer.place.peer_address for peer in self._state.peers.known.values()}
+        return sorted((known or set(self._seeds)) - {me})
+
+    def _pulse(self, now: float) -> pulse.Pulse:
+        beliefs = self._state
+        loads = [
+            pulse.Load(
+                upstream.name,
+                upstream.open_requests,
+                sum(item.unread_tokens for item in upstream.outstanding.values()),
+            )
+            for upstream in beliefs.serving.upstreams.values()
+            if upstream.open_requests
+        ]
+        marks = [pulse.Mark(prefix, m.latest) for prefix, m in beliefs.mirrors.items()]
+        made = pulse.Pulse(
+            place=beliefs.place_of_vm,
+            ready=beliefs.ready,
+            store_reached=beliefs.store_heard_at > beliefs.store_failed_at,
+            marks=marks,
+            loads=loads,
+            spent=beliefs.spent(),
+            readings=beliefs.readings,
+            weights=beliefs.weights,
+            doubts=beliefs.doubts,
+        )
+        beliefs.readings = []
+        beliefs.weights = []
+        beliefs.doubts = []
+        return made
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import contextlib
 import functools
 import signal
 import time
-from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -25,6 +23,7 @@
     configuration_part,
     engines,
     front,
+    http_server,
     limits_part,
     logs,
     membership_part,
@@ -48,15 +47,6 @@
 """Retries that a VM may make before it has taken requests."""
 
 
-class _Server(uvicorn.Server):
-    """A server that leaves signals to the process."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Capture none."""
-        yield
-
-
 class Process:
     """One life of a VM process.
 
@@ -208,7 +198,7 @@
             log_level="critical",
             timeout_graceful_shutdown=int(bounds.shutdown_seconds),
         )
-        return _Server(config)
+        return http_server.Server(config)
 
     def _configure(self, configuration: state.Configuration) -> None:
         self._retries.resize(len(configuration.vms))
--- /dev/null
+++ b/hollyring/node/state.py
@@ -0,0 +1,388 @@
+"""What one VM believes, shared by the tasks of the process; only the event loop touches it.
+
+Every belief has one writer: the store's mirrors come through `mirror_changed`, other VMs' news
+through `hear`, what requests show through the methods that the relay calls.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Callable
+
+from hollyring.configuration import deployment, mirror
+from hollyring.core import asks
+from hollyring.limits import budget, shared_rate
+from hollyring.membership import pulse
+from hollyring.node import clock, logs, ports
+from hollyring.routing import holdings, placing, serving
+
+LAPSE_SECONDS = 1.8
+"""An upstream whose entry went while the store was in trouble counts as gone after so long."""
+
+TROUBLE_SECONDS = 4.0
+"""The store counts as in trouble for so long after a call that failed."""
+
+HEARD_SECONDS = 0.4
+"""Another VM's doubt does not count against an upstream that was heard so recently."""
+
+LOAD_SECONDS = 8.0
+"""Longest time for which an upstream counts as taking new weights."""
+
+RETRY_SHARE = 0.75
+"""Part of the allowed retries that is used, so that windows that slide stay below the bound."""
+
+Hurry = Callable[[], None]
+"""Has the other VMs told this one's news at once."""
+
+CONNECTION_SHARE = 0.9
+MIN_CONNECTIONS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryRules:
+    """What the upstreams' operators allow to be sent again.
+
+    Parameters
+    ----------
+    share
+        Sends beyond the first, as a share of the requests.
+    slack
+        Sends beyond the first in a window that are allowed besides.
+    window
+        Seconds.
+    """
+
+    share: float
+    slack: float
+    window: float
+
+
+class State:
+    """The beliefs of one VM.
+
+    Parameters
+    ----------
+    place
+        Where this VM is found.
+    documents
+        Decodes what lies in the store.
+    prefixes
+        Where it lies.
+    retries
+        Bounds on what is sent again.
+    """
+
+    def __init__(
+        self,
+        place: pulse.Place,
+        documents: ports.Documents,
+        prefixes: ports.Prefixes,
+        retries: RetryRules,
+    ) -> None:
+        self.place_of_vm = place
+        self.prefixes = prefixes
+        self.deployment: deployment.Deployment | None = None
+        self.serving = serving.Serving()
+        self.holdings = holdings.Holdings()
+        self.placing = placing.Placing(self.serving, self.holdings)
+        self.peers = pulse.Peers(place)
+        self.mirrors = {
+            prefix: mirror.Mirror()
+            for prefix in (prefixes.operator, prefixes.upstreams, prefixes.vms)
+        }
+        self.wanted: dict[str, ports.WantedVersion] = {}
+        self.leaving = False
+        self.store_heard_at = -math.inf
+        self.store_failed_at = -math.inf
+        self.readings: list[pulse.Reading] = []
+        self.doubts: list[str] = []
+        self.weights: list[pulse.Weights] = []
+        self._documents = documents
+        self._retry_rules = retries
+        self._rates: dict[str, shared_rate.SharedRate] = {}
+        self._retries: dict[str, budget.RetryBudget] = {}
+        self._peer_upstreams: dict[str, set[str]] = collections.defaultdict(set)
+        self._log = logs.Log("belief")
+
+    @property
+    def domain(self) -> str:
+        """This VM's failure domain."""
+        return self.place_of_vm.failure_domain
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 before the first."""
+        return self.deployment.version if self.deployment else 0
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        known = self.mirrors[self.prefixes.upstreams].latest > 0
+        return self.deployment is not None and known and not self.leaving
+
+    def store_age(self, now: float) -> float:
+        """Return how long ago the store was heard, in seconds; -1 for never."""
+        return -1.0 if math.isinf(self.store_heard_at) else round(now - self.store_heard_at, 3)
+
+    def fleet(self, now: float) -> int:
+        """Return the number of VMs that are alive, this one included."""
+        return len(self.peers.alive(now)) + 1
+
+    def connections(self, service: deployment.Service) -> int:
+        """Return how many connections this VM may hold to one upstream of a service."""
+        share = service.max_connections * CONNECTION_SHARE / self.fleet(clock.now())
+        return max(MIN_CONNECTIONS, int(share))
+
+    def admit(
+        self, organisation: deployment.Organisation, prompt: asks.Prompt | None, now: float
+    ) -> float:
+        """Admit a request, or return the seconds after which it may come back."""
+        if organisation.rate <= 0:
+            return 0.0
+        return self._rate_of(organisation, now).admit(organisation.cost(prompt), now)
+
+    def retries(self, service: str) -> budget.RetryBudget:
+        """Return the budget of what may be sent to a service again."""
+        found = self._retries.get(service)
+        if found is None:
+            rules = self._retry_rules
+            vms = self.fleet(clock.now())
+            found = self._retries[service] = budget.RetryBudget(
+                vms,
+                part=rules.share * RETRY_SHARE,
+                floor=rules.slack / rules.window / 4,
+                saved=rules.slack / 2 / vms,
+                most_saved=rules.slack / 2 / vms,
+            )
+        return found
+
+    def doubt(self, upstream: serving.Upstream, why: str) -> None:
+        """Avoid an upstream that did not answer, and tell the other VMs."""
+        now = clock.now()
+        if upstream.doubted(now):
+            return
+        upstream.doubt(now)
+        self.doubts.append(upstream.name)
+        self._log.say(
+            "upstream in doubt",
+            upstream=upstream.name,
+            why=why,
+            seconds=round(upstream.doubted_until - now, 2),
+            heard_ago=_ago(now, upstream.heard_at),
+        )
+
+    def replaced(self, upstream: serving.Upstream, by: str) -> None:
+        """Take in that another upstream answers at an upstream's address."""
+        self._log.say("upstream replaced", upstream=upstream.name, by=by)
+        self.drop_upstream(upstream.name)
+
+    def other_weights(
+        self, upstream: serving.Upstream, prompt: asks.Prompt | None, version: int
+    ) -> None:
+        """Take in that an upstream's weights are not those that were expected."""
+        if prompt is None:
+            return
+        wanted = self.wanted.get(prompt.model)
+        believed = upstream.version(prompt.model)
+        shown = version or (wanted.version if wanted else believed)
+        upstream.versions[prompt.model] = shown
+        self.holdings.forget(upstream.name)
+        self._log.say("other weights", upstream=upstream.name, believed=believed, version=shown)
+
+    def read(self, place: placing.Place, prompt: asks.Prompt | None) -> None:
+        """Take in that an upstream has read a prompt, and tell the other VMs."""
+        if prompt is None or not prompt.parts:
+            return
+        reading = pulse.Reading(place.upstream.name, place.salt, list(prompt.parts), place.save_to)
+        self._count_reading(reading)
+        self.readings.append(reading)
+
+    def mirror_changed(self, prefix: str, changed: set[str], now: float) -> None:
+        """Take in the keys that changed under a prefix of the store."""
+        items = self.mirrors[prefix].items
+        if prefix == self.prefixes.operator:
+            for key in changed:
+                if key in items:
+                    self._operator_changed(items[key], now)
+        elif prefix == self.prefixes.upstreams:
+            for key in changed:
+                self._upstream_changed(key, items.get(key), now)
+        elif prefix == self.prefixes.vms:
+            places = [self._documents.vm(item) for item in items.values()]
+            self.peers.listed([place for place in places if place is not None], now)
+
+    def hear(self, news: pulse.Pulse, now: float) -> None:
+        """Take in another VM's pulse."""
+        peer = self.peers.hear(news, now)
+        if peer is not None:
+            self._log.say("VM heard", vm=news.place.name, life=news.place.life)
+        name = news.place.name
+        loaded = set()
+        for load in news.loads:
+            upstream = self.serving.get(load.upstream)
+            if upstream is not None:
+                loaded.add(load.upstream)
+                upstream.peers[name] = serving.PeerLoad(load.requests, load.unread_tokens, now)
+        for gone in self._peer_upstreams[name] - loaded:
+            upstream = self.serving.get(gone)
+            if upstream is not None:
+                upstream.peers.pop(name, None)
+        self._peer_upstreams[name] = loaded
+        life = f"{name}#{news.place.life}"
+        for spent in news.spent:
+            organisation = self._organisation(spent.organisation)
+            if organisation is not None and organisation.rate > 0:
+                self._rate_of(organisation, now).hear(life, spent.total, now)
+        for reading in news.readings:
+            self._count_reading(reading)
+        for weights in news.weights:
+            self.take_weights(weights, now)
+        for doubted in news.doubts:
+            upstream = self.serving.get(doubted)
+            if upstream is not None and now - upstream.heard_at > HEARD_SECONDS:
+                upstream.doubt(now)
+
+    def take_weights(self, weights: pulse.Weights, now: float) -> None:
+        """Take in what the giver of orders knows of an upstream's weights."""
+        upstream = self.serving.get(weights.upstream)
+        if upstream is None:
+            return
+        upstream.loading_until = now + LOAD_SECONDS if weights.loading else -math.inf
+        if weights.version and upstream.learn_version(weights.model, weights.version):
+            self.holdings.forget(weights.upstream)
+            self._log.say(
+                "weights changed",
+                upstream=weights.upstream,
+                model=weights.model,
+                version=weights.version,
+            )
+
+    def drop_upstream(self, name: str) -> None:
+        """Forget an upstream that is gone."""
+        self.serving.remove(name)
+        self.holdings.forget(name)
+
+    def tick(self, now: float) -> None:
+        """Drop what is gone by now."""
+        part = self.peers.heard_part(now)
+        for bucket in self._rates.values():
+            bucket.hear_part(part, now)
+        vms = self.fleet(now)
+        for retries in self._retries.values():
+            retries.resize(vms)
+        for name in self.peers.forget_silent(now):
+            self._log.say("VM forgotten", vm=name)
+        for upstream in list(self.serving.upstreams.values()):
+            lapsed = upstream.lapsed_at
+            if lapsed is None:
+                continue
+            reached = self.store_heard_at > self.store_failed_at
+            if reached and now - max(lapsed, self.store_failed_at) > LAPSE_SECONDS:
+                self._log.say("upstream gone", upstream=upstream.name, why="did not come back")
+                self.drop_upstream(upstream.name)
+
+    def _organisation(self, name: str) -> deployment.Organisation | None:
+        return self.deployment.organisations.get(name) if self.deployment else None
+
+    def _rate_of(self, organisation: deployment.Organisation, now: float) -> shared_rate.SharedRate:
+        bucket = self._rates.get(organisation.name)
+        limit = shared_rate.Limit(organisation.rate, organisation.burst)
+        if bucket is None:
+            part = 1.0 / self.fleet(now)
+            bucket = self._rates[organisation.name] = shared_rate.SharedRate(limit, part, now)
+        bucket.change(limit, now)
+        return bucket
+
+    def spent(self) -> list[pulse.Spent]:
+        """Return what this VM admitted since its start, by organisation."""
+        return [
+            pulse.Spent(name, bucket.spent) for name, bucket in self._rates.items() if bucket.spent
+        ]
+
+    def _count_reading(self, reading: pulse.Reading) -> None:
+        upstream = self.serving.get(reading.upstream)
+        if upstream is None or self.deployment is None:
+            return
+        service = self.deployment.services.get(upstream.entry.service)
+        if service is None or service.engine is None:
+            return
+        parts = reading.parts
+        self.holdings.touch(upstream.name, service.engine.cache_tokens, reading.salt, parts)
+        for store in self.deployment.cache_stores():
+            if store.address == reading.store:
+                self.holdings.touch(store.address, store.cache_tokens, reading.salt, parts)
+
+    def _operator_changed(self, item: mirror.Item, now: float) -> None:
+        wanted = self._documents.wanted_version(item)
+        if wanted is not None:
+            self._name_version(wanted)
+            return
+        read = self._documents.deployment(item)
+        if read is None:
+            self._log.say("unreadable configuration", key=item.key, revision=item.revision)
+            return
+        if self.deployment is not None and read.version < self.deployment.version:
+            return
+        self.deployment = read
+        self.placing.configure(read)
+        for organisation in read.organisations.values():
+            if organisation.name in self._rates:
+                self._rate_of(organisation, now)
+        self._log.say(
+            "configuration in force",
+            version=read.version,
+            revision=item.revision,
+            store_age=self.store_age(now),
+        )
+
+    def _name_version(self, wanted: ports.WantedVersion) -> None:
+        known = self.wanted.get(wanted.model)
+        if known is not None and known.version >= wanted.version:
+            return
+        self.wanted[wanted.model] = wanted
+        self.placing.name_version(wanted.model, wanted.version)
+        self._log.say("weights wanted", model=wanted.model, version=wanted.version)
+
+    def _upstream_changed(self, key: str, item: mirror.Item | None, now: float) -> None:
+        name = key.removeprefix(self.prefixes.upstreams)
+        if item is None:
+            self._upstream_removed(name, now)
+            return
+        entry = self._documents.upstream(item)
+        if entry is None:
+            self._log.say("unreadable upstream", key=key, revision=item.revision)
+            return
+        known = self.serving.get(name)
+        before = dict(known.versions) if known else {}
+        left = known is None or known.entry.leaving != entry.leaving
+        if self.serving.put(entry) is not None:
+            self.holdings.forget(name)
+        elif known is not None and known.versions != before:
+            self.holdings.forget(name)
+            known.loading_until = -math.inf
+        if left:
+            self._log.say(
+                "upstream",
+                upstream=name,
+                service=entry.service,
+                leaving=entry.leaving,
+                revision=item.revision,
+            )
+
+    def _upstream_removed(self, name: str, now: float) -> None:
+        known = self.serving.get(name)
+        if known is None:
+            return
+        trouble = now - self.store_failed_at < TROUBLE_SECONDS
+        trouble = trouble or any(not peer.store_reached for peer in self.peers.alive(now))
+        if trouble and not known.entry.leaving:
+            known.lapsed_at = now
+            return
+        self._log.say("upstream gone", upstream=name, why="entry removed")
+        self.drop_upstream(name)
+
+
+def _ago(now: float, at: float) -> float:
+    return -1.0 if math.isinf(at) else round(now - at, 3)
--- /dev/null
+++ b/hollyring/platform/store.py
@@ -0,0 +1,173 @@
+"""Calls on the platform's metadata store."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import urllib.parse
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import anyio
+import httpcore
+import msgspec
+
+from hollyring.configuration import mirror
+from hollyring.node import failures, ports, sockets
+
+CALL_SECONDS = 1.5
+"""Longest wait for the answer to a call that does not watch."""
+
+WATCH_SLACK_SECONDS = 1.5
+MILLISECONDS = 1000.0
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_CONFLICT = 412
+
+
+class _Item(msgspec.Struct, frozen=True):
+    key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct, frozen=True):
+    items: list[_Item]
+    current_rev: int
+    truncated: bool = False
+
+
+class _Events(msgspec.Struct, frozen=True):
+    events: list[_Item]
+    current_rev: int
+
+
+class _Committed(msgspec.Struct, frozen=True):
+    revision: int
+
+
+class _Lease(msgspec.Struct, frozen=True):
+    lease: int
+
+
+class MetadataStore:
+    """The store at `address`; implements `hollyring.node.ports.Store`."""
+
+    def __init__(self, address: str) -> None:
+        self._url = f"http://{address}"
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=16, keepalive_expiry=30.0, socket_options=sockets.OPTIONS
+        )
+
+    async def get(self, key: str) -> mirror.Item | None:
+        """Return an item, or None if the key does not exist."""
+        status, body = await self._call("GET", "/hollyring/kv-key", {"key": key})
+        if status == HTTP_NOT_FOUND:
+            return None
+        return _item(_decode(body, _Item))
+
+    async def list(self, prefix: str) -> ports.Listing:
+        """Return the items under a prefix, page by page, as of the first page or later."""
+        items: list[mirror.Item] = []
+        revision = None
+        query = {"prefix": prefix}
+        while True:
+            _, body = await self._call("GET", "/hollyring/kv-range", query)
+            page = _decode(body, _Range)
+            items += [_item(item) for item in page.items]
+            revision = page.current_rev if revision is None else revision
+            if not page.truncated or not page.items:
+                return ports.Listing(items, revision)
+            query = {"prefix": prefix, "after": page.items[-1].key}
+
+    async def watch(self, prefix: str, after: int, seconds: float) -> ports.Changes:
+        """Return the changes after a revision, waiting up to `seconds` for one."""
+        query = {"prefix": prefix, "after": str(after)}
+        query["wait_ms"] = str(int(seconds * MILLISECONDS))
+        status, body = await self._call(
+            "GET", "/hollyring/kv-watch", query, seconds=seconds + WATCH_SLACK_SECONDS
+        )
+        if status == HTTP_GONE:
+            raise ports.HistoryGoneError(f"{prefix} after {after}")
+        news = _decode(body, _Events)
+        return ports.Changes([_change(event) for event in news.events], news.current_rev)
+
+    async def commit(self, expected: Mapping[str, int], puts: Sequence[ports.Put]) -> ports.Outcome:
+        """Write if every key is at its expected revision, 0 standing for absent."""
+        content = {
+            "expected": [{"key": key, "revision": rev} for key, rev in expected.items()],
+            "puts": [_put(put) for put in puts],
+            "remove": [],
+        }
+        status, body = await self._call("POST", "/hollyring/kv-txn", content=content)
+        if status == HTTP_CONFLICT:
+            return ports.Conflict()
+        if status == HTTP_NOT_FOUND:
+            return ports.NoLease()
+        return ports.Committed(_decode(body, _Committed).revision)
+
+    async def grant(self, seconds: float) -> int:
+        """Return a new lease."""
+        content = {"ttl_ms": int(seconds * MILLISECONDS)}
+        _, body = await self._call("POST", "/hollyring/kv-lease", content=content)
+        return _decode(body, _Lease).lease
+
+    async def renew(self, lease: int) -> bool:
+        """Renew a lease; return False if it has ended."""
+        status, _ = await self._call("POST", f"/hollyring/kv-keep/{lease}")
+        return status == HTTP_OK
+
+    async def end(self, lease: int) -> None:
+        """End a lease; its keys are removed."""
+        await self._call("DELETE", f"/hollyring/kv-lease-end/{lease}")
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: Mapping[str, str] | None = None,
+        content: Any = None,
+        seconds: float = CALL_SECONDS,
+    ) -> tuple[int, bytes]:
+        url = self._url + path
+        if query:
+            url += "?" + urllib.parse.urlencode(query)
+        headers = [(b"content-type", b"application/json")] if content is not None else []
+        data = msgspec.json.encode(content) if content is not None else None
+        try:
+            with anyio.fail_after(seconds):
+                response = await self._pool.request(method, url, headers=headers, content=data)
+        except failures.FAILURES as error:
+            raise ports.StoreError(f"{method} {path}: {type(error).__name__}") from error
+        if response.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONFLICT):
+            raise ports.StoreError(f"{method} {path}: status {response.status}")
+        return response.status, response.content
+
+
+def _decode(body: bytes, type_: type[Any]) -> Any:
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except msgspec.MsgspecError as error:
+        raise ports.StoreError(f"unreadable answer: {error}") from error
+
+
+def _item(item: _Item) -> mirror.Item:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except binascii.Error:
+        value = b""
+    return mirror.Item(item.key, value, item.revision)
+
+
+def _change(event: _Item) -> mirror.Change:
+    if event.deleted:
+        return mirror.Removal(event.key, event.revision)
+    return _item(event)
+
+
+def _put(put: ports.Put) -> dict[str, Any]:
+    value = base64.b64encode(put.value).decode()
+    return {"key": put.key, "value": value, "lease": put.lease}
--- /dev/null
+++ b/hollyring/platform/upstreams.py
@@ -0,0 +1,190 @@
+"""Requests, orders and answers as the platform's servers speak them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hollyring.core import asks
+from hollyring.fleet import messages as fleet
+from hollyring.node import links, ports
+
+MILLISECONDS = 1000.0
+MIN_DEADLINE_MS = 1
+MAX_RANK = 9
+
+HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    }
+)
+"""Headers that concern one connection; lengths are written anew."""
+
+SYSTEM_HEADERS = frozenset(
+    {
+        b"host",
+        b"expect",
+        b"authorization",
+        b"x-deadline-ms",
+        b"x-expect-instance",
+        b"x-expect-version",
+        b"x-tenant",
+        b"x-request-priority",
+        b"x-cache-salt",
+        b"x-kv-fetch",
+        b"x-kv-save",
+        b"x-kv-backup",
+        b"x-hold",
+        b"x-pin-ms",
+        b"kv-from",
+        b"last-event-id",
+    }
+)
+"""Headers of a caller that do not pass: the system sets them, or they are no server's business."""
+
+OUTCOMES = {
+    200: fleet.Outcome.ACCEPTED,
+    202: fleet.Outcome.ACCEPTED,
+    409: fleet.Outcome.CONFLICT,
+    412: fleet.Outcome.STALE_FENCING,
+    421: fleet.Outcome.CONFLICT,
+    400: fleet.Outcome.CONFLICT,
+    503: fleet.Outcome.CONFLICT,
+    429: fleet.Outcome.CONFLICT,
+}
+
+
+class _Served(msgspec.Struct, frozen=True):
+    name: str
+    version: int
+
+
+class _Report(msgspec.Struct, frozen=True):
+    """A server's report. Here `sequence` counts the orders that it accepted."""
+
+    models: list[_Served]
+    busy: bool
+    sequence: int
+    stage: str = "both"
+    state: str = "ready"
+    born: int | None = None
+
+
+class ServerCodec:
+    """Implements `hollyring.node.ports.UpstreamCodec`."""
+
+    def request(self, ask: asks.Ask, sending: ports.Sending) -> bytes:
+        """Return the bytes of a request."""
+        lines = [b"%b %b HTTP/1.1" % (ask.method, ask.target), b"Host: " + ask.host.encode()]
+        lines += [b"%b: %b" % header for header in ask.headers if passes(header[0])]
+        left = max(MIN_DEADLINE_MS, int(sending.seconds * MILLISECONDS))
+        lines.append(b"X-Deadline-Ms: %d" % left)
+        lines.append(b"X-Expect-Instance: " + sending.upstream.encode())
+        if sending.organisation:
+            lines.append(b"X-Tenant: " + sending.organisation.encode())
+        if sending.salt:
+            lines.append(b"X-Request-Priority: %d" % min(MAX_RANK, max(0, sending.rank)))
+            lines.append(b"X-Cache-Salt: " + sending.salt.encode())
+        if sending.version:
+            lines.append(b"X-Expect-Version: %d" % sending.version)
+        if sending.fetch_from:
+            lines.append(b"X-Kv-Fetch: " + sending.fetch_from.encode())
+        if sending.save_to:
+            lines.append(b"X-Kv-Save: " + sending.save_to.encode())
+        if sending.resume_after is not None:
+            lines.append(b"Last-Event-Id: %d" % sending.resume_after)
+        if ask.body or ask.method not in (b"GET", b"HEAD"):
+            lines.append(b"Content-Length: %d" % len(ask.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + ask.body
+
+    def belongs(self, ask: str) -> links.Belongs:
+        """Return what tells whether an answer belongs to the request of this name."""
+        name = ask.encode()
+
+        def check(headers: list[asks.Header]) -> bool:
+            return _find(headers, b"x-request-id") in (name, b"")
+
+        return check
+
+    def head(self, head: links.Head) -> ports.AnswerHead:
+        """Decode the head of an answer."""
+        headers = [header for header in head.headers if header[0] not in HOP_HEADERS]
+        version = _find(head.headers, b"x-weight-versions")
+        return ports.AnswerHead(
+            head.status,
+            headers,
+            genuine=bool(_find(head.headers, b"x-response-seal")),
+            not_run=bool(_find(head.headers, b"x-not-run")),
+            misdirected=head.status == 421,
+            upstream=_find(head.headers, b"x-instance-id").decode("latin-1"),
+            version=int(version) if version.isdigit() else 0,
+        )
+
+    def report_request(self, address: str) -> bytes:
+        """Return the bytes that ask a server what it serves."""
+        return b"GET /hollyring/report HTTP/1.1\r\nHost: %b\r\n\r\n" % address.encode()
+
+    def report(
+        self, upstream: str, life: int, body: bytes, at: float
+    ) -> fleet.UpstreamState | None:
+        """Decode what a server reports; None if it can't be read."""
+        try:
+            found = msgspec.json.decode(body, type=_Report)
+        except msgspec.MsgspecError:
+            return None
+        models = [fleet.ModelVersion(m.name, str(m.version)) for m in found.models]
+        return fleet.UpstreamState(
+            upstream,
+            found.born if found.born is not None else life,
+            models,
+            [],
+            found.stage,
+            found.state == "draining",
+            at,
+            found.busy,
+            found.sequence,
+        )
+
+    def order_request(self, address: str, order: fleet.Order, holder: str) -> bytes:
+        """Return the bytes of an order to change weights."""
+        assert isinstance(order.change, fleet.LoadModel)
+        content = {
+            "op": "version",
+            "model": order.change.model,
+            "version": int(order.change.version),
+            "strategy": "wait",
+            "holder": holder,
+            "fencing_token": order.fencing,
+        }
+        if order.expected is not None:
+            content["expected"] = order.expected
+        body = msgspec.json.encode(content)
+        lines = [
+            b"POST /hollyring/order HTTP/1.1",
+            b"Host: " + address.encode(),
+            b"X-Expect-Instance: " + order.upstream.encode(),
+            b"Content-Type: application/json",
+            b"Content-Length: %d" % len(body),
+        ]
+        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+    def order_outcome(self, status: int) -> fleet.Outcome:
+        """Return what a server's answer to an order means."""
+        return OUTCOMES.get(status, fleet.Outcome.UNKNOWN)
+
+
+def passes(name: bytes) -> bool:
+    """Tell whether a caller's header of this name is sent on."""
+    return name not in HOP_HEADERS and name not in SYSTEM_HEADERS
+
+
+def _find(headers: list[asks.Header], name: bytes) -> bytes:
+    return next((value for key, value in headers if key == name), b"")
--- /dev/null
+++ b/hollyring/routing/holdings.py
@@ -0,0 +1,87 @@
+"""Which parts of prompts each language server and cache store is thought to hold.
+
+Each holder's memory is followed as a least-recently-used cache of its size. A part counts as held
+once a request that reads it began to answer; it is forgotten when the holder restarts or changes
+its weights. A wrong guess costs time, never correctness: holders find parts by salt.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+from hollyring.core import asks
+
+USABLE_SHARE = 0.9
+"""Share of a memory that is counted on for cached parts."""
+
+
+class Memory:
+    """One holder's parts, the least recently used first."""
+
+    __slots__ = ("_capacity", "_held", "_tokens")
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = int(capacity * USABLE_SHARE)
+        self._held: collections.OrderedDict[tuple[str, str], int] = collections.OrderedDict()
+        self._tokens = 0
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def touch(self, salt: str, parts: Sequence[asks.Part]) -> None:
+        """Count `parts` as used now; the first ones yield last, as later ones need them."""
+        for part in reversed(parts):
+            key = (salt, part.name)
+            self._tokens += part.tokens - self._held.pop(key, 0)
+            self._held[key] = part.tokens
+        while self._tokens > self._capacity and self._held:
+            _, tokens = self._held.popitem(last=False)
+            self._tokens -= tokens
+
+    def leading_tokens(self, salt: str, parts: Sequence[asks.Part]) -> int:
+        """Return the tokens of the leading parts that are all held."""
+        tokens = 0
+        for part in parts:
+            if (salt, part.name) not in self._held:
+                return tokens
+            tokens += part.tokens
+        return tokens
+
+
+class Holdings:
+    """What all holders are thought to hold.
+
+    Examples
+    --------
+    >>> holdings = Holdings()
+    >>> parts = (asks.Part("circular", 4000), asks.Part("parish", 2000))
+    >>> holdings.touch("ls-1", 100_000, "v1", parts)
+    >>> holdings.tokens("ls-1", "v1", parts), holdings.tokens("ls-1", "v2", parts)
+    (6000, 0)
+    """
+
+    __slots__ = ("_memories",)
+
+    def __init__(self) -> None:
+        self._memories: dict[str, Memory] = {}
+
+    def touch(self, holder: str, capacity: int, salt: str, parts: Sequence[asks.Part]) -> None:
+        """Count `parts` as held and used by `holder`, whose memory has `capacity` tokens."""
+        memory = self._memories.get(holder)
+        if memory is None:
+            memory = self._memories[holder] = Memory(capacity)
+        memory.touch(salt, parts)
+
+    def tokens(self, holder: str, salt: str, parts: Sequence[asks.Part]) -> int:
+        """Return the leading tokens of `parts` that `holder` is thought to hold."""
+        memory = self._memories.get(holder)
+        return memory.leading_tokens(salt, parts) if memory else 0
+
+    def forget(self, holder: str) -> None:
+        """Forget a holder that restarted, went, or changed its weights."""
+        self._memories.pop(holder, None)
+
+    def dump(self) -> dict[str, int]:
+        """Return the parts counted at each holder."""
+        return {holder: len(memory) for holder, memory in self._memories.items()}
--- /dev/null
+++ b/hollyring/routing/placing.py
@@ -0,0 +1,310 @@
+"""Where one request goes: the upstream from which its answer is expected first.
+
+The load it answers: many requests share long prompts that fit in no single server's memory, new
+weights empty the servers one after the other, and now and then a quarter of them is away. So a
+server is chosen by the expected time to its first event: prompt tokens that wait there, tokens
+that it must read itself, and the transfer of what another server or the cache store has read
+already. Reading a shared part a second time costs far more than its transfer.
+
+A server in doubt, one that takes new weights and one with older weights are used only when no
+better one can answer in time. A request that no server can begin in its time is refused at once.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+from hollyring.configuration import deployment
+from hollyring.core import asks, rendezvous
+from hollyring.routing import holdings, serving
+
+MIN_TRANSFER_TOKENS = 128
+"""Fewer tokens than this are read again rather than fetched."""
+
+TRANSFER_SETUP_SECONDS = 0.01
+OTHER_DOMAIN_FACTOR = 2.0
+"""Transfers between failure domains take this many times as long."""
+
+OTHER_DOMAIN_SECONDS = 0.002
+OLD_WEIGHTS_SECONDS = 0.25
+"""Time to first event that newer weights are worth."""
+
+FAILURE_SECONDS = 0.6
+"""Time that one recent failure counts for."""
+
+AVOID_SECONDS = 5.0
+"""Time that a doubted or loading server counts for: it is the last choice."""
+
+SPREAD_SECONDS = 0.004
+"""Spread by which VMs that see the same load choose differently."""
+
+READ_AGAIN_SECONDS_PER_TOKEN = 2e-5
+"""Time that reading one shared token again counts for, besides the time it takes."""
+
+FULL_FACTOR = 1.0
+"""A server with this many times its slots in requests is full."""
+
+QUEUE_SHARE = 0.9
+"""Part of a caller's time that may be spent before the first event."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What is to be placed.
+
+    Parameters
+    ----------
+    request
+        The attempt's name.
+    service
+        The service that takes it.
+    prompt
+        For language servers.
+    organisation
+        Name of the organisation if it shares no cache with others, else empty.
+    domain
+        The VM's failure domain.
+    seconds
+        Time that the caller still waits.
+    excluded
+        Upstreams that were tried.
+    """
+
+    request: str
+    service: str
+    prompt: asks.Prompt | None
+    organisation: str
+    domain: str
+    seconds: float
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a request goes.
+
+    Parameters
+    ----------
+    upstream
+        The upstream.
+    version
+        Version of the weights that it must have, 0 for plain services.
+    salt
+        Name under which prompts are cached there.
+    fetch_from, save_to
+        Addresses of the holder that parts are fetched from, and of the store that they are saved
+        to; empty for none.
+    unread_tokens
+        Tokens that it must read.
+    expected
+        Seconds to the first event.
+    """
+
+    upstream: serving.Upstream
+    version: int = 0
+    salt: str = ""
+    fetch_from: str = ""
+    save_to: str = ""
+    unread_tokens: int = 0
+    expected: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoPlace:
+    """No upstream can serve the request in its time.
+
+    Parameters
+    ----------
+    retry_after
+        Seconds after which one may.
+    busy
+        Whether upstreams exist that are only too busy.
+    """
+
+    retry_after: float
+    busy: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    place: Place
+    cost: float
+
+
+NO_UPSTREAM_SECONDS = 0.5
+"""When to come back while a service has no upstream."""
+
+
+def salt_of(model: str, version: int, organisation: str) -> str:
+    """Return the name under which parts of prompts are cached.
+
+    Examples
+    --------
+    >>> salt_of("parish", 3, ""), salt_of("parish", 3, "kigoma")
+    ('parish.3', 'parish.3.kigoma')
+    """
+    return f"{model}.{version}.{organisation}" if organisation else f"{model}.{version}"
+
+
+class Placing:
+    """Chooses upstreams.
+
+    Parameters
+    ----------
+    known
+        The upstreams.
+    held
+        What they hold.
+    """
+
+    __slots__ = ("_serving", "_holdings", "_services", "_stores", "_named")
+
+    def __init__(self, known: serving.Serving, held: holdings.Holdings) -> None:
+        self._serving = known
+        self._holdings = held
+        self._services: Mapping[str, deployment.Service] = {}
+        self._stores: list[deployment.CacheStore] = []
+        self._named: dict[str, int] = {}
+
+    def configure(self, current: deployment.Deployment) -> None:
+        """Take in a configuration."""
+        self._services = current.services
+        self._stores = current.cache_stores()
+
+    def name_version(self, model: str, version: int) -> None:
+        """Take in the version of the weights that is wanted."""
+        self._named[model] = max(version, self._named.get(model, 0))
+
+    def place(self, wanted: Wanted, now: float) -> Place | NoPlace:
+        """Return where the request goes."""
+        known = [
+            upstream
+            for upstream in self._serving.of_service(wanted.service)
+            if not upstream.entry.leaving and upstream.name not in wanted.excluded
+        ]
+        choices = [self._choice(wanted, upstream, now) for upstream in known]
+        if not choices:
+            return NoPlace(NO_UPSTREAM_SECONDS, busy=False)
+        best = min(choices, key=lambda choice: choice.cost)
+        if best.place.expected > wanted.seconds * QUEUE_SHARE:
+            return NoPlace(best.place.expected - wanted.seconds * QUEUE_SHARE, busy=True)
+        return best.place
+
+    def _choice(self, wanted: Wanted, upstream: serving.Upstream, now: float) -> _Choice:
+        service = self._services.get(wanted.service)
+        engine = service.engine if service else None
+        if wanted.prompt is None or engine is None:
+            place = Place(upstream, expected=_plain_seconds(upstream, now))
+        else:
+            place = self._engine_place(wanted, wanted.prompt, upstream, engine, now)
+        cost = place.expected + _penalty(upstream, now) + _spread(wanted.request, upstream.name)
+        if upstream.entry.domain != wanted.domain:
+            cost += OTHER_DOMAIN_SECONDS
+        if wanted.prompt is not None:
+            if place.version < self._named.get(wanted.prompt.model, 0):
+                cost += OLD_WEIGHTS_SECONDS
+            if not place.version:
+                cost += AVOID_SECONDS
+        return _Choice(place, cost)
+
+    def _engine_place(
+        self,
+        wanted: Wanted,
+        prompt: asks.Prompt,
+        upstream: serving.Upstream,
+        engine: deployment.Engine,
+        now: float,
+    ) -> Place:
+        version = upstream.version(prompt.model)
+        salt = salt_of(prompt.model, version, wanted.organisation)
+        own = self._holdings.tokens(upstream.name, salt, prompt.parts)
+        source, elsewhere = self._source(upstream, salt, prompt.parts, engine, now)
+        fetched = elsewhere - own if elsewhere - own >= MIN_TRANSFER_TOKENS else 0
+        unread = max(0, prompt.prompt_tokens - own - fetched)
+        seconds = _queue_seconds(upstream, engine, now)
+        seconds += serving.FIRST_EVENT_SECONDS * upstream.pace(now)
+        seconds += unread / serving.TOKENS_PER_SECOND * upstream.pace(now)
+        if fetched:
+            same = source.domain == upstream.entry.domain
+            factor = 1.0 if same else OTHER_DOMAIN_FACTOR
+            seconds += TRANSFER_SETUP_SECONDS
+            seconds += factor * fetched * engine.token_bits / engine.link_bits
+        return Place(
+            upstream,
+            version,
+            salt,
+            source.address if fetched else "",
+            self._save_to(salt, prompt),
+            unread,
+            seconds,
+        )
+
+    def _save_to(self, salt: str, prompt: asks.Prompt) -> str:
+        """Return the store that lacks shared parts of the prompt."""
+        shared = prompt.shared
+        tokens = sum(part.tokens for part in shared)
+        if tokens < MIN_TRANSFER_TOKENS:
+            return ""
+        for store in self._stores:
+            if self._holdings.tokens(store.address, salt, shared) < tokens:
+                return store.address
+        return ""
+
+    def _source(
+        self,
+        target: serving.Upstream,
+        salt: str,
+        parts: Sequence[asks.Part],
+        engine: deployment.Engine,
+        now: float,
+    ) -> tuple[_Source, int]:
+        """Return the holder that has most of the prompt, the nearest of equals."""
+        best, most = _NOBODY, 0
+        for other in self._serving.of_service(target.entry.service):
+            if other is target or other.doubted(now) or other.loading(now):
+                continue
+            tokens = self._holdings.tokens(other.name, salt, parts)
+            near = other.entry.domain == target.entry.domain
+            if tokens > most or (tokens == most > 0 and near):
+                best, most = _Source(other.entry.address, other.entry.domain), tokens
+        for store in self._stores:
+            tokens = self._holdings.tokens(store.address, salt, parts)
+            if tokens > most:
+                best, most = _Source(store.address, store.domain), tokens
+        return best, most
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Source:
+    address: str
+    domain: str
+
+
+_NOBODY = _Source("", "")
+
+
+def _plain_seconds(upstream: serving.Upstream, now: float) -> float:
+    rounds = upstream.requests(now) / max(1, upstream.entry.slots)
+    return upstream.plain_seconds * upstream.pace(now) * (1.0 + rounds)
+
+
+def _queue_seconds(upstream: serving.Upstream, engine: deployment.Engine, now: float) -> float:
+    """Return how long a request waits at a language server before its prompt is read."""
+    pace = upstream.pace(now)
+    seconds = upstream.unread_tokens(now) / serving.TOKENS_PER_SECOND * pace
+    over = upstream.requests(now) - FULL_FACTOR * max(1, engine.slots)
+    return seconds + max(0.0, over) / max(1, engine.slots) * pace
+
+
+def _penalty(upstream: serving.Upstream, now: float) -> float:
+    penalty = upstream.failure_level(now) * FAILURE_SECONDS
+    if upstream.doubted(now) or upstream.loading(now):
+        penalty += AVOID_SECONDS
+    if upstream.silent_seconds(now) > serving.MIN_SILENCE_SECONDS:
+        penalty += AVOID_SECONDS
+    return penalty
+
+
+def _spread(request: str, upstream: str) -> float:
+    return rendezvous.weight(request.encode(), upstream) / 2.0**64 * SPREAD_SECONDS
