Empty the next servers of long streams before they take new weights

Cause: an order waits for a server's runs, and a stream of 190 events held one for up to 4.7 s; an order for a crashed server kept a place among the loads; a new holder waited out the whole lease though the earlier one's last order lay long back.

Ruled out: more loads at once (the weight store slows), cutting streams.

Change: the holder names the servers that are next, placing keeps long answers away from them; an order to an upstream that went is dropped; pulses tell when a VM gave its last order.

--- a/hollyring/fleet/rollout.py
+++ b/hollyring/fleet/rollout.py
@@ -121,6 +121,7 @@
         self._ready_at = 0.0
         self._blocked: dict[str, str] = {}
         self._blocked_since: dict[str, float] = {}
+        self._preferred: dict[str, int] = {}
 
     @property
     def holds(self) -> bool:
@@ -154,7 +155,17 @@
         for upstream in self._targets:
             self._compare(upstream)
 
-    def acquire(self, fencing: int, now: float, released: bool = False) -> None:
+    def prefer(self, upstreams: Iterable[str]) -> None:
+        """Give orders to `upstreams` before others, in this order: they have least to lose."""
+        self._preferred = {name: place for place, name in enumerate(upstreams)}
+
+    def acquire(
+        self,
+        fencing: int,
+        now: float,
+        released: bool = False,
+        last_order_at: float | None = None,
+    ) -> None:
         """Take up the lease.
 
         Parameters
@@ -163,6 +174,8 @@
             Number of this holding, above every earlier one.
         released
             The earlier holder gave the lease back and had no order in flight.
+        last_order_at
+            When the earlier holder, which gives no more, gave its last order, where that is known.
 
         Raises
         ------
@@ -176,6 +189,8 @@
         self._attempts.clear()
         self._not_before.clear()
         wait = 0.0 if released else self._pace.lease_seconds
+        if last_order_at is not None:
+            wait = min(wait, max(0.0, last_order_at + self._pace.lease_seconds - now))
         self._ready_at = now + wait + self._pace.flight_seconds
 
     def lose(self) -> None:
@@ -277,7 +292,7 @@
             observed = self._observed.get(upstream)
             arrived = self._has_arrived(given, now)
             done = observed is not None and targets.shows(observed.state, given.order.change)
-            if arrived and done:
+            if arrived and (done or upstream not in self._targets):
                 del self._given[upstream]
                 continue
             if self._was_lost(given, observed):
@@ -313,9 +328,10 @@
                 served.take_out(observed.state, given.order.change)
         return served
 
-    def _urgency(self, upstream: str) -> tuple[bool, str]:
+    def _urgency(self, upstream: str) -> tuple[bool, int, str]:
         """Order upstreams that serve nothing first: loading there takes nobody out."""
-        return (bool(self._observed[upstream].state.models), upstream)
+        serves = bool(self._observed[upstream].state.models)
+        return (serves, self._preferred.get(upstream, len(self._preferred)), upstream)
 
     def _ready_state(self, upstream: str, now: float) -> messages.UpstreamState | None:
         """Return the state of an upstream that may be given an order."""
--- a/hollyring/membership/pulse.py
+++ b/hollyring/membership/pulse.py
@@ -89,6 +89,25 @@
     loading: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Giver:
+    """What a VM says of itself as the giver of orders to upstreams.
+
+    Parameters
+    ----------
+    holds
+        Whether it may give orders.
+    ordered_ago
+        Seconds since it gave its last order; negative if it gave none.
+    reserved
+        Upstreams that are next to take new weights: long streams should go elsewhere.
+    """
+
+    holds: bool
+    ordered_ago: float
+    reserved: list[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pulse:
     """One VM's news since its last pulse, and its totals.
@@ -105,6 +124,8 @@
         Totals.
     readings, weights, doubts
         News; `doubts` names upstreams that did not answer.
+    orders
+        What the sender says of itself as a giver of orders.
     """
 
     place: Place
@@ -116,6 +137,7 @@
     readings: list[Reading]
     weights: list[Weights]
     doubts: list[str]
+    orders: Giver
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -152,6 +174,8 @@
     ready: bool = False
     store_reached: bool = True
     listed: bool = False
+    holds_orders: bool = True
+    ordered_at: float | None = None
     marks: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -202,6 +226,9 @@
         known.heard_at = now
         known.ready = pulse.ready
         known.store_reached = pulse.store_reached
+        known.holds_orders = pulse.orders.holds
+        ago = pulse.orders.ordered_ago
+        known.ordered_at = now - ago if ago >= 0 else None
         known.marks = {mark.prefix: mark.latest for mark in pulse.marks}
         return known if news else None
 
--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -25,6 +25,9 @@
 ANNOUNCE_SECONDS = 0.12
 """An order is sent so long after the other VMs were told, so that they send nothing new."""
 
+SILENT_SECONDS = 0.6
+"""An upstream that gave no report is left out for so long."""
+
 CONNECTIONS = 3
 LOAD_SHARE = 0.4
 """Part of a service's upstreams that may take new weights at once."""
@@ -83,6 +86,11 @@
         self._asking: set[str] = set()
         self._invariants = invariants.Invariants(strict=False)
         self._free_since: float | None = None
+        self._last_holder = ""
+        self._fencing = 0
+        self._ordered_at: float | None = None
+        self._last_order_at: float | None = None
+        self._silent_until: dict[str, float] = {}
         self._log = logs.Log("orders")
 
     async def run(self) -> None:
@@ -103,11 +111,14 @@
         now = clock.now()
         if self._may_try(now):
             self._act(self._lease.tick(now))
-        fencing = self._lease.fencing(now)
-        if fencing is None:
-            return
-        for service in self._services():
-            self._step(service, now)
+        holds = self._lease.fencing(now) is not None
+        reserved: list[str] = []
+        if holds:
+            for service in self._services():
+                reserved += self._step(service, now)
+            self._state.placing.reserve(reserved)
+        ago = now - self._ordered_at if self._ordered_at is not None else -1.0
+        self._state.orders = pulse.Giver(holds, ago, reserved)
 
     def _may_try(self, now: float) -> bool:
         """Tell whether the lease's client should do what is due."""
@@ -115,7 +126,9 @@
             return True
         if self._state.leaving or not self._state.ready:
             return False
-        if self._state.prefixes.orders in self._state.mirrors[self._state.prefixes.vms].items:
+        held = self._state.mirrors[self._state.prefixes.vms].items.get(self._state.prefixes.orders)
+        if held is not None:
+            self._last_holder = held.value.decode(errors="replace").partition("#")[0]
             self._free_since = None
             return False
         if self._free_since is None:
@@ -140,6 +153,15 @@
     def _acquired(self, fencing: int) -> None:
         self._rollouts = {}
         self._fencing = fencing
+        self._last_order_at = self._known_last_order(clock.now())
+        self._log.say("last order known", holder=self._last_holder, at=self._last_order_at)
+
+    def _known_last_order(self, now: float) -> float | None:
+        """Return when the earlier holder gave its last order, None if it may still give one."""
+        peer = self._state.peers.known.get(self._last_holder)
+        if peer is None or peer.holds_orders or now - peer.heard_at > pulse.ALIVE_SECONDS:
+            return None
+        return peer.ordered_at if peer.ordered_at is not None else now - LEASE_SECONDS
 
     async def _perform(self, action: leases.Action) -> None:
         try:
@@ -177,22 +199,34 @@
             return []
         return [name for name, service in current.services.items() if service.engine]
 
-    def _step(self, service: str, now: float) -> None:
-        """Do what is due for the upstreams of one service."""
+    def _step(self, service: str, now: float) -> list[str]:
+        """Do what is due for the upstreams of one service; return those that are next."""
         known = [u for u in self._state.serving.of_service(service) if not u.entry.leaving]
+        known = [u for u in known if now >= self._silent_until.get(u.name, 0.0)]
         declared = [target for u in known if (target := self._target(u)) is not None]
         machine = self._rollouts.get(service)
         if machine is None:
             machine = self._rollouts[service] = rollout.Rollout(_pace(len(known)), self._invariants)
-            machine.acquire(self._fencing, now)
+            machine.acquire(self._fencing, now, last_order_at=self._last_order_at)
         machine.resize(_pace(len(known)))
         machine.declare(declared)
+        reserved = self._next_ones(machine, known)
         if all(self._is_done(u) for u in known) and not machine.given:
-            return
+            return reserved
+        machine.prefer(reserved)
         for upstream in known:
             self._ask_report(machine, upstream, now)
         for order in machine.step(self._lease.remaining(now), now):
             self._group.start_soon(self._give, machine, order)
+        return reserved
+
+    def _next_ones(self, machine: rollout.Rollout, known: list[serving.Upstream]) -> list[str]:
+        """Return the upstreams that are to take new weights next, those reserved before first."""
+        before = self._state.orders.reserved
+        left = [u.name for u in known if not self._is_done(u) and u.name not in machine.given]
+        names = left or [u.name for u in known if u.name not in machine.given]
+        names.sort(key=lambda name: (name not in before, name))
+        return names[: _pace(len(known)).weights_concurrency]
 
     def _target(self, upstream: serving.Upstream) -> targets.Target | None:
         wanted = [
@@ -226,6 +260,7 @@
             _, body = await self._ask(address, self._codec.report_request(address))
         except links.LinkError as error:
             self._log.say("no report", upstream=upstream.name, why=str(error))
+            self._silent_until[upstream.name] = clock.now() + SILENT_SECONDS
             return
         finally:
             self._asking.discard(upstream.name)
@@ -270,6 +305,7 @@
             return messages.Outcome.NOT_SENT
         address = upstream.entry.address
         request = self._codec.order_request(address, order, self._me.name)
+        self._ordered_at = now
         try:
             status, _ = await self._ask(address, request)
         except links.NotSentError:
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -197,6 +197,12 @@
   4: optional bool loading
 }
 
+struct MembershipGiver {
+  1: optional bool holds
+  2: optional double ordered_ago
+  3: optional list<string> reserved
+}
+
 struct MembershipPulse {
   1: optional MembershipPlace place
   2: optional bool ready
@@ -207,6 +213,7 @@
   7: optional list<MembershipReading> readings
   8: optional list<MembershipWeights> weights
   9: optional list<string> doubts
+  10: optional MembershipGiver orders
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/pulse_part.py
+++ b/hollyring/node/pulse_part.py
@@ -114,6 +114,7 @@
             readings=beliefs.readings,
             weights=beliefs.weights,
             doubts=beliefs.doubts,
+            orders=beliefs.orders,
         )
         beliefs.readings = []
         beliefs.weights = []
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -99,6 +99,7 @@
         self.readings: list[pulse.Reading] = []
         self.doubts: list[str] = []
         self.weights: list[pulse.Weights] = []
+        self.orders = pulse.Giver(False, -1.0, [])
         self._documents = documents
         self._retry_rules = retries
         self._rates: dict[str, shared_rate.SharedRate] = {}
@@ -239,6 +240,8 @@
             self._count_reading(reading)
         for weights in news.weights:
             self.take_weights(weights, now)
+        if news.orders.holds:
+            self.placing.reserve(news.orders.reserved)
         for doubted in news.doubts:
             upstream = self.serving.get(doubted)
             if upstream is not None and now - upstream.heard_at > HEARD_SECONDS:
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from hollyring.configuration import deployment
 from hollyring.core import asks, rendezvous
@@ -45,6 +45,12 @@
 FULL_FACTOR = 1.0
 """A server with this many times its slots in requests is full."""
 
+LONG_TOKENS = 32
+"""Answers of more tokens than this are long."""
+
+RESERVED_SECONDS_PER_TOKEN = 0.01
+"""Time that each token of a long answer beyond `LONG_TOKENS` counts for at a reserved server."""
+
 QUEUE_SHARE = 0.9
 """Part of a caller's time that may be spent before the first event."""
 
@@ -158,7 +164,7 @@
         What they hold.
     """
 
-    __slots__ = ("_serving", "_holdings", "_services", "_stores", "_named")
+    __slots__ = ("_serving", "_holdings", "_services", "_stores", "_named", "_reserved")
 
     def __init__(self, known: serving.Serving, held: holdings.Holdings) -> None:
         self._serving = known
@@ -166,6 +172,11 @@
         self._services: Mapping[str, deployment.Service] = {}
         self._stores: list[deployment.CacheStore] = []
         self._named: dict[str, int] = {}
+        self._reserved: frozenset[str] = frozenset()
+
+    def reserve(self, upstreams: Iterable[str]) -> None:
+        """Keep long answers away from servers that are next to take new weights."""
+        self._reserved = frozenset(upstreams)
 
     def configure(self, current: deployment.Deployment) -> None:
         """Take in a configuration."""
@@ -206,6 +217,9 @@
                 cost += OLD_WEIGHTS_SECONDS
             if not place.version:
                 cost += AVOID_SECONDS
+            if upstream.name in self._reserved:
+                long = max(0, wanted.prompt.output_tokens - LONG_TOKENS)
+                cost += long * RESERVED_SECONDS_PER_TOKEN
         return _Choice(place, cost)
 
     def _engine_place(
