--- a/hollyring/node/links.py
+++ b/hollyring/node/links.py
@@ -18,6 +18,9 @@
 from hollyring.node import clock, errors, sockets
 
 CONNECT_SECONDS = 0.5
+REACH_SECONDS = 0.25
+"""An upstream whose machine is up takes a connection within this time."""
+
 IDLE_SECONDS = 3.0
 """An idle connection is not used after so long when the upstream does not say for how long."""
 
@@ -354,6 +357,16 @@
             raise NotSentError("too many connections")
         return await self._connect(address)
 
+    async def reaches(self, address: str) -> bool:
+        """Tell whether an upstream takes a new connection, which is kept."""
+        try:
+            link = await self._connect(address, REACH_SECONDS)
+        except NotSentError:
+            return False
+        link.idle_since = clock.now()
+        self._idle.setdefault(address, []).append(link)
+        return True
+
     def give_back(self, address: str, link: Link) -> None:
         """Keep a connection whose exchange is over, or close it."""
         if link.release():
@@ -372,12 +385,12 @@
                 idle.remove(link)
                 link.abort()
 
-    async def _connect(self, address: str) -> Link:
+    async def _connect(self, address: str, seconds: float = CONNECT_SECONDS) -> Link:
         host, _, port = address.rpartition(":")
         self._open[address] += 1
         made = Link(lambda link: self._lost(address, link))
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with asyncio.timeout(seconds):
                 loop = asyncio.get_running_loop()
                 await loop.create_connection(lambda: made, host, int(port))
         except (OSError, TimeoutError, ValueError) as error:
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -17,7 +17,7 @@
 from hollyring.delivery import errors as delivery_errors
 from hollyring.delivery import event_stream, refusal
 from hollyring.node import clock, links, logs, metrics, ports, replies, state
-from hollyring.routing import placing
+from hollyring.routing import placing, serving
 
 HTTP_OK = 200
 HTTP_SERVER_ERROR = 500
@@ -32,11 +32,14 @@
 MIN_ANSWER_SECONDS = 0.25
 """An idempotent call is sent elsewhere after this time, or `ANSWER_FACTOR` times the expected."""
 
-FIRST_EVENT_FACTOR = 3.0
-MIN_FIRST_EVENT_SECONDS = 0.5
-GAP_SECONDS = 0.8
+FIRST_EVENT_FACTOR = 4.0
+MIN_FIRST_EVENT_SECONDS = 1.2
+GAP_SECONDS = 1.0
 """A resumable stream goes on elsewhere when its silent upstream sends nothing for so long."""
 
+SILENT_SECONDS = 0.35
+"""An upstream that sends nothing for so long is asked for a connection to see if it is there."""
+
 LOADING_SECONDS = 0.3
 """An upstream that refused a request for its state is left alone for so long."""
 
@@ -348,31 +351,51 @@
         """
         upstream = place.upstream
         since = clock.now()
+        end = since + self._try_seconds(work, place)
+        checked = False
         while True:
-            with anyio.move_on_after(self._try_seconds(work, place)):
+            until = end if checked else min(end, since + SILENT_SECONDS)
+            with anyio.move_on_after(max(0.0, until - clock.now())):
                 return await call()
-            silent = upstream.heard_at < since
-            if work.left <= 0 or silent or work.route.repeat is not asks.Repeat.RESUMABLE:
+            now = clock.now()
+            if upstream.heard_at > since:
+                since = upstream.heard_at
+                checked = False
+                if work.route.repeat is asks.Repeat.RESUMABLE:
+                    end = since + self._try_seconds(work, place)
+            elif not checked:
+                checked = True
+                if not await self._reaches(upstream) and self._has_other_try(work):
+                    break
+            if now >= min(end, work.deadline):
                 break
-            since = upstream.heard_at
-        if silent:
+        if checked:
             upstream.failed(clock.now())
-            self._state.doubt(upstream, "no answer in time")
         raise _LateError("no answer in time")
 
+    async def _reaches(self, upstream: serving.Upstream) -> bool:
+        """Tell whether a silent upstream is still there; one that is not is put in doubt."""
+        reached = await self._links.reaches(upstream.entry.address)
+        if not reached:
+            self._state.doubt(upstream, "silent and takes no connection")
+        return reached
+
+    def _has_other_try(self, work: _Work) -> bool:
+        """Tell whether another upstream may run the request after this one did."""
+        once = work.route.repeat is asks.Repeat.ONCE
+        return not once and work.ran + 1 < work.route.max_upstreams
+
     def _try_seconds(self, work: _Work, place: placing.Place) -> float:
         """Return how long to wait for the next part of an answer."""
-        if work.ran + 1 >= work.route.max_upstreams:
+        if not self._has_other_try(work):
             return max(0.0, work.left)
         match work.route.repeat:
             case asks.Repeat.IDEMPOTENT:
                 seconds = max(MIN_ANSWER_SECONDS, ANSWER_FACTOR * place.expected)
             case asks.Repeat.RESUMABLE if work.reply.begun:
                 seconds = GAP_SECONDS
-            case asks.Repeat.RESUMABLE:
-                seconds = max(MIN_FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * place.expected)
             case _:
-                seconds = work.left
+                seconds = max(MIN_FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * place.expected)
         return max(0.0, min(seconds, work.left))
 
     async def _refused(
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -34,7 +34,11 @@
 """Time that one recent failure counts for."""
 
 AVOID_SECONDS = 5.0
-"""Time that a doubted or loading server counts for: it is the last choice."""
+"""Time that a server counts for that takes new weights or serves none: it is the last choice."""
+
+DOUBT_SECONDS = 1.5
+SILENCE_SECONDS = 0.7
+"""Time that a doubted and a silent server count for: a long queue elsewhere is worse."""
 
 SPREAD_SECONDS = 0.004
 """Spread by which VMs that see the same load choose differently."""
@@ -51,6 +55,8 @@
 RESERVED_SECONDS_PER_TOKEN = 0.01
 """Time that each token of a long answer beyond `LONG_TOKENS` counts for at a reserved server."""
 
+MOST_RESERVED_SECONDS = 0.35
+
 QUEUE_SHARE = 0.9
 """Part of a caller's time that may be spent before the first event."""
 
@@ -219,7 +225,7 @@
                 cost += AVOID_SECONDS
             if upstream.name in self._reserved:
                 long = max(0, wanted.prompt.output_tokens - LONG_TOKENS)
-                cost += long * RESERVED_SECONDS_PER_TOKEN
+                cost += min(MOST_RESERVED_SECONDS, long * RESERVED_SECONDS_PER_TOKEN)
         return _Choice(place, cost)
 
     def _engine_place(
@@ -313,10 +319,12 @@
 
 def _penalty(upstream: serving.Upstream, now: float) -> float:
     penalty = upstream.failure_level(now) * FAILURE_SECONDS
-    if upstream.doubted(now) or upstream.loading(now):
+    if upstream.loading(now):
         penalty += AVOID_SECONDS
+    if upstream.doubted(now):
+        penalty += DOUBT_SECONDS
     if upstream.silent_seconds(now) > serving.MIN_SILENCE_SECONDS:
-        penalty += AVOID_SECONDS
+        penalty += SILENCE_SECONDS
     return penalty
 
 
