--- /dev/null
+++ b/hollyring/platform/tests/conftest.py
@@ -0,0 +1,262 @@
+"""Stand-ins of the platform: its store, its servers and its callers, on loopback."""
+
+import asyncio
+import base64
+import contextlib
+import dataclasses
+import json
+
+import pytest
+
+SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@dataclasses.dataclass
+class Request:
+    method: str
+    path: str
+    query: dict
+    headers: dict
+    body: bytes
+
+
+async def read_request(reader):
+    """Return the next request on a connection, None at its end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    path, _, query = target.partition("?")
+    fields = dict(field.split("=", 1) for field in query.split("&") if "=" in field)
+    fields = {name: value.replace("%2F", "/") for name, value in fields.items()}
+    return Request(method, path, fields, headers, body)
+
+
+def answer(status, body=b"", **headers):
+    lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class Listener:
+    """Something that answers HTTP requests on loopback."""
+
+    def __init__(self):
+        self.requests = []
+        self.readers = {}
+        self.address = ""
+
+    async def handle(self, request, writer):
+        raise NotImplementedError
+
+    async def _serve(self, reader, writer):
+        self.readers[writer] = reader
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            while (request := await read_request(reader)) is not None:
+                self.requests.append(request)
+                await self.handle(request, writer)
+                await writer.drain()
+        writer.close()
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        try:
+            yield self
+        finally:
+            server.close()
+
+
+class Store(Listener):
+    """The metadata store: items, a revision, watches, leases that last until they are ended."""
+
+    def __init__(self):
+        super().__init__()
+        self.items = {}
+        self.revision = 1
+        self.events = []
+        self.changed = asyncio.Condition()
+        self.leases = set()
+        self.refuses = 0
+        self.history_from = 0
+
+    async def put(self, key, value, lease=0):
+        """Write as the operator or a server does."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        async with self.changed:
+            self.revision += 1
+            created = self.items.get(key, {}).get("created_rev", self.revision)
+            item = {"key": key, "value": base64.b64encode(data).decode()}
+            item |= {"revision": self.revision, "created_rev": created, "lease": lease}
+            self.items[key] = item
+            self.events.append(item)
+            self.changed.notify_all()
+
+    async def remove(self, key):
+        async with self.changed:
+            self.revision += 1
+            if self.items.pop(key, None) is not None:
+                self.events.append({"key": key, "revision": self.revision, "deleted": True})
+            self.changed.notify_all()
+
+    async def handle(self, request, writer):
+        if self.refuses:
+            writer.write(answer(self.refuses))
+            return
+        name = request.path.removeprefix("/hollyring/")
+        body = json.loads(request.body) if request.body else {}
+        status, found = await self._answer(name, request.query, body)
+        writer.write(answer(status, json.dumps(found).encode()))
+
+    async def _answer(self, name, query, body):
+        match name.partition("/")[0]:
+            case "kv-key":
+                item = self.items.get(query["key"])
+                return (200, item | {"current_rev": self.revision}) if item else (404, {})
+            case "kv-range":
+                items = [i for k, i in self.items.items() if k.startswith(query["prefix"])]
+                return 200, {"items": items, "truncated": False, "current_rev": self.revision}
+            case "kv-watch":
+                return await self._watch(query)
+            case "kv-txn":
+                return await self._commit(body)
+            case "kv-lease":
+                self.leases.add(len(self.leases) + 1)
+                return 200, {"lease": len(self.leases), "ttl_ms": body["ttl_ms"]}
+            case "kv-keep":
+                lease = int(name.partition("/")[2])
+                return (200, {"ttl_ms": 1}) if lease in self.leases else (404, {})
+            case "kv-lease-end":
+                await self.end(int(name.partition("/")[2]))
+                return 200, {}
+        return 404, {}
+
+    async def end(self, lease):
+        self.leases.discard(lease)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            await self.remove(key)
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        if after < self.history_from:
+            return 410, {}
+
+        def events():
+            news = [e for e in self.events if e["revision"] > after]
+            return [e for e in news if e["key"].startswith(query["prefix"])]
+
+        async with self.changed:
+            with contextlib.suppress(TimeoutError):
+                seconds = int(query["wait_ms"]) / 1000
+                await asyncio.wait_for(self.changed.wait_for(events), seconds)
+            return 200, {"events": events(), "current_rev": self.revision}
+
+    async def _commit(self, body):
+        for row in body["expected"]:
+            if self.items.get(row["key"], {}).get("revision", 0) != row["revision"]:
+                return 412, {"items": []}
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return 404, {}
+        for put in body["puts"]:
+            await self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+        return 200, {"revision": self.revision}
+
+
+class Server(Listener):
+    """A server of a service. `play` says how it answers: a name or a function."""
+
+    def __init__(self, name="i-1", play="whole", events=5):
+        super().__init__()
+        self.name = name
+        self.play = play
+        self.events = events
+        self.version = 1
+        self.sequence = 0
+        self.orders = []
+        self.closed = 0
+
+    async def handle(self, request, writer):
+        if request.path == "/hollyring/report":
+            writer.write(answer(200, json.dumps(self.report()).encode()))
+        elif request.path == "/hollyring/order":
+            writer.write(self.order(json.loads(request.body)))
+        elif self.play == "refuse":
+            writer.write(answer(503, b"", x_not_run=1))
+        elif self.play == "other":
+            writer.write(answer(421, b"", x_instance_id="i-9"))
+        elif self.play == "silent":
+            await self.until_closed(writer)
+        elif self.play == "reset":
+            writer.transport.abort()
+        elif self.play == "error":
+            writer.write(self.sealed(request, 500, b"failed"))
+        elif self.play == "unsealed":
+            writer.write(answer(200, b"fake", x_request_id=request.headers["x-request-id"]))
+        elif "x-model" in request.headers:
+            await self.stream(request, writer)
+        else:
+            writer.write(self.sealed(request, 200, b"done by " + self.name.encode()))
+
+    def report(self):
+        models = [{"name": "m", "version": self.version, "adapters": []}]
+        return {"stage": "both", "models": models, "busy": False, "sequence": self.sequence}
+
+    def order(self, body):
+        self.orders.append(body)
+        if body.get("expected", self.sequence) != self.sequence:
+            return answer(409)
+        self.sequence += 1
+        self.version = body["version"]
+        return answer(202)
+
+    def sealed(self, request, status, body):
+        name = request.headers["x-request-id"]
+        return answer(status, body, x_request_id=name, x_response_seal=SEAL)
+
+    async def stream(self, request, writer):
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        head = ["HTTP/1.1 200 OK", "content-type: text/event-stream", "transfer-encoding: chunked"]
+        head += [f"x-request-id: {request.headers['x-request-id']}", f"x-response-seal: {SEAL}"]
+        writer.write("\r\n".join([*head, "", ""]).encode())
+        for number in range(first, self.events + 1):
+            event = b"id: %d\ndata: %d\n\n" % (number, number)
+            if self.play == "breaks" and number == 3:
+                writer.write(b"%x\r\n%b\r\n" % (6, event[:6]))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+                writer.transport.abort()
+                return
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+
+    async def until_closed(self, writer):
+        with contextlib.suppress(ConnectionError):
+            await self.readers[writer].read()
+        self.closed += 1
+
+
+@pytest.fixture
+def store_type():
+    return Store
+
+
+@pytest.fixture
+def server_type():
+    return Server
--- /dev/null
+++ b/hollyring/platform/tests/test_codec.py
@@ -0,0 +1,288 @@
+import json
+
+import pytest
+
+from hollyring.configuration import mirror
+from hollyring.core import asks
+from hollyring.fleet import messages as fleet
+from hollyring.membership import pulse
+from hollyring.node import errors, links, ports
+from hollyring.platform import documents, ingress, settings, upstreams
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Jepu9.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 4000,
+            "target_latency_ms": 500,
+            "priority": 1,
+            "traffic_split": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "max_attempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 250,
+        },
+        {"name": "r-2", "host": "h", "prefix": "/", "kind": "unsafe", "timeout_ms": 1000}
+        | {"service": "s2"},
+        {"name": "r-3", "host": "h", "prefix": "/s/", "kind": "safe", "timeout_ms": 1000}
+        | {"service": "s2"},
+        {"name": "r-4", "host": "h", "prefix": "/t/", "kind": "streaming", "timeout_ms": 1000}
+        | {"service": "s2", "resumable": False},
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "max_connections": 630,
+            "engine": {
+                "slots": 128,
+                "kv_capacity": 128362,
+                "kv_token_bytes": 18432,
+                "link_mbps": 88000.0,
+                "models": [{"name": "m"}],
+            },
+        },
+        {"name": "s2", "max_connections": 110},
+        {"name": "s3", "kv_store_addr": "1.2.3.4:5", "zone": "z", "kv_capacity": 9, "link_mbps": 5},
+    ],
+    "limits": {"idle_timeout_ms": 9000},
+    "tenants": [
+        {
+            "name": "t",
+            "api_keys": ["k"],
+            "priority": 1,
+            "unit": "tokens",
+            "plain_tokens": 200,
+            "isolated": True,
+            "rate_per_s": 161655,
+            "burst": 161655,
+        }
+    ],
+}
+SERVER = {
+    "service": "s1",
+    "address": "10.128.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 128,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "stage": "both",
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "sequence": 4,
+    "born": 1788706329104,
+}
+
+
+@pytest.fixture
+def stored():
+    return documents.StoredDocuments()
+
+
+def item(key, value):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return mirror.Item(key, data, 5)
+
+
+def test_configuration(stored):
+    found = stored.deployment(item("op/config", CONFIG))
+    route = found.route_for("jepu9.example", "/a/b")
+    assert (route.repeat, route.timeout, route.target) == (asks.Repeat.RESUMABLE, 4.0, 0.5)
+    kinds = {name: found.route_for("h", path).repeat for name, path in [("u", "/x"), ("s", "/s/")]}
+    assert kinds == {"u": asks.Repeat.ONCE, "s": asks.Repeat.IDEMPOTENT}
+    assert found.route_for("h", "/t/").repeat is asks.Repeat.ONCE
+    assert found.services["s1"].engine.token_bits == 147456
+    assert found.cache_stores()[0].address == "1.2.3.4:5"
+    assert found.organisation_of("k").isolated
+    assert found.bounds.idle_seconds == 9.0
+
+
+def test_configuration_without_organisations_needs_no_key(stored):
+    plain = {name: value for name, value in CONFIG.items() if name != "tenants"}
+    assert not stored.deployment(item("op/config", plain)).secured
+
+
+def test_wanted_version(stored):
+    wanted = item("op/version/m", {"model": "m", "version": 2})
+    assert stored.wanted_version(wanted) == ports.WantedVersion("m", 2, 5)
+    assert stored.wanted_version(item("op/config", CONFIG)) is None
+
+
+def test_server_entry(stored):
+    found = stored.upstream(item("servers/i-7", SERVER))
+    assert (found.name, found.life, found.versions) == ("i-7", 1788706329104, {"m": 3})
+
+
+BROKEN = [
+    b"\xff\xfe",
+    b"{}",
+    b"[]",
+    b'"text"',
+    SERVER | {"state": "sleeping"},
+    SERVER | {"address": 5},
+    SERVER | {"address": "nowhere"},
+    SERVER | {"slots": "many"},
+    SERVER | {"service": ""},
+    SERVER | {"models": [{"name": "m"}]},
+    {name: value for name, value in SERVER.items() if name != "zone"},
+]
+
+
+@pytest.mark.parametrize("value", BROKEN, ids=range(len(BROKEN)))
+def test_entry_of_another_writer_names_no_server(stored, value):
+    assert stored.upstream(item("servers/i-7", value)) is None
+
+
+def test_place_of_a_vm_comes_back(stored):
+    place = pulse.Place("vm-1", 7, "a:1", "a:2", "dar-a", "dar")
+    assert stored.vm(item("hollyring/vm/vm-1", stored.encode_vm(place))) == place
+    assert stored.vm(item("hollyring/vm/.orders", b"vm-1#7/3")) is None
+
+
+SCOPE = {
+    "method": "POST",
+    "raw_path": b"/lepu270/2f%20x",
+    "path": "/lepu270/2f x",
+    "query_string": b"q=1",
+    "headers": [
+        (b"host", b"Jepu9.example:8606"),
+        (b"x-request-id", b"9c41"),
+        (b"last-event-id", b"12"),
+        (b"x-model", b"m"),
+        (b"x-token-counts", b"1460,80"),
+        (b"x-prompt-prefix", b"5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),
+        (b"x-deadline-ms", b"4000"),
+        (b"authorization", b"Bearer wu3"),
+    ],
+}
+
+
+def test_request_is_decoded():
+    ask = ingress.decode(SCOPE, b"body")
+    assert (ask.name, ask.host, ask.path) == ("9c41", "jepu9.example", "/lepu270/2f%20x")
+    assert ask.target == b"/lepu270/2f%20x?q=1"
+    assert (ask.key, ask.patience, ask.resume_after) == ("wu3", 4.0, 12)
+    assert (ask.prompt.prompt_tokens, ask.prompt.output_tokens) == (1460, 80)
+    assert ask.prompt.parts[1] == asks.Part("91bd3f06", 410)
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"x-deadline-ms", b"soon"),
+        (b"last-event-id", b"x"),
+        (b"x-token-counts", b"a,b"),
+        (b"x-prompt-prefix", b"a:b"),
+        (b"x-request-id", b""),
+    ],
+)
+def test_request_that_cannot_be_read(header):
+    headers = [h for h in SCOPE["headers"] if h[0] != header[0]] + [header]
+    with pytest.raises(ingress.AskError):
+        ingress.decode(SCOPE | {"headers": headers}, b"")
+
+
+def test_request_to_a_server():
+    ask = ingress.decode(SCOPE, b"body")
+    sending = ports.Sending("i-7", "1.2.3.4:5", 3.5, "org", 1, 4, "m.4", "9:9", "8:8", 14)
+    head, _, body = upstreams.ServerCodec().request(ask, sending).partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /lepu270/2f%20x?q=1 HTTP/1.1"
+    assert body == b"body"
+    for line in (b"X-Deadline-Ms: 3500", b"X-Tenant: org", b"X-Expect-Instance: i-7"):
+        assert line in lines
+    for line in (b"X-Expect-Version: 4", b"X-Kv-Fetch: 9:9", b"X-Kv-Save: 8:8"):
+        assert line in lines
+    for line in (b"Last-Event-Id: 14", b"X-Request-Priority: 1", b"Content-Length: 4"):
+        assert line in lines
+    for line in (b"x-token-counts: 1460,80", b"x-request-id: 9c41"):
+        assert line in lines
+    assert not any(line.lower().startswith(b"authorization") for line in lines)
+
+
+def test_head_of_an_answer():
+    raw = [
+        (b"x-response-seal", b"s"),
+        (b"connection", b"close"),
+        (b"x-weight-versions", b"4"),
+        (b"content-type", b"text/plain"),
+    ]
+    head = upstreams.ServerCodec().head(links.Head(200, raw))
+    assert (head.genuine, head.not_run, head.version) == (True, False, 4)
+    assert (b"content-type", b"text/plain") in head.headers
+    assert b"connection" not in dict(head.headers)
+    refused = upstreams.ServerCodec().head(links.Head(503, [(b"x-not-run", b"1")]))
+    assert refused.not_run
+
+
+def test_order_and_report():
+    codec = upstreams.ServerCodec()
+    change = fleet.LoadModel("m", "2")
+    order = fleet.Order("id", 41, "i-7", change, 1.0, expected=2)
+    body = json.loads(codec.order_request("a:1", order, "vm-1").partition(b"\r\n\r\n")[2])
+    assert body == {
+        "op": "version",
+        "model": "m",
+        "version": 2,
+        "strategy": "wait",
+        "holder": "vm-1",
+        "fencing_token": 41,
+        "expected": 2,
+    }
+    report = {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}]}
+    report |= {"busy": True, "sequence": 2, "queued": 1}
+    state = codec.report("i-7", 5, json.dumps(report).encode(), 1.5)
+    assert (state.incarnation, state.busy, state.accepted) == (5, True, 2)
+    assert codec.report("i-7", 5, b"no", 1.5) is None
+    assert codec.order_outcome(202) is fleet.Outcome.ACCEPTED
+    assert codec.order_outcome(412) is fleet.Outcome.STALE_FENCING
+    assert codec.order_outcome(500) is fleet.Outcome.UNKNOWN
+
+
+SETTINGS = """
+node_name = "front-dar-a-1"
+ip = "10.1.0.24"
+zone = "dar-a"
+region = "dar"
+internal_ports = [7600, 7615]
+seeds = ["10.1.0.24:8608", "10.2.0.3:8608"]
+something_new = 5
+[listen]
+front = "10.1.0.24:8606"
+ready = "10.1.0.24:8605"
+control = "10.1.0.24:8608"
+directory = "10.1.0.24:8603"
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_slack = 58
+[platform]
+address = "10.200.1.7:8601"
+"""
+
+
+def test_settings():
+    found = settings.parse(SETTINGS)
+    assert found.caller_address == "10.1.0.24:8606"
+    assert found.peer_address == "10.1.0.24:7600"
+    assert found.seeds == ("10.1.0.24:7600", "10.2.0.3:7600")
+    assert found.retries.slack == 58
+
+
+@pytest.mark.parametrize(
+    ("text", "names"),
+    [
+        (SETTINGS.replace('zone = "dar-a"', ""), "zone"),
+        (SETTINGS.replace('zone = "dar-a"', "zone = 5"), "zone"),
+        (SETTINGS.replace("grace_s = 8", 'grace_s = "8"'), "bounds.grace_s"),
+        (SETTINGS.replace("[7600, 7615]", "[7600]"), "internal_ports"),
+        ("not toml", "TOML"),
+    ],
+)
+def test_bad_settings_name_the_field(text, names):
+    with pytest.raises(errors.SettingsError, match=names):
+        settings.parse(text)
--- /dev/null
+++ b/hollyring/platform/tests/test_words.py
@@ -0,0 +1,69 @@
+"""Nothing outside the adapter knows a name of the platform's, or imports the adapter."""
+
+import ast
+import pathlib
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parents[2]
+ADAPTER = ROOT / "platform"
+WORDS = [
+    "x-response-seal",
+    "x-token-counts",
+    "x-prompt-prefix",
+    "x-not-run",
+    "x-expect-instance",
+    "x-expect-version",
+    "x-deadline-ms",
+    "x-request-priority",
+    "x-cache-salt",
+    "x-kv-fetch",
+    "x-kv-save",
+    "x-weight-versions",
+    "x-instance-id",
+    "kv-txn",
+    "kv-watch",
+    "kv-range",
+    "kv-lease",
+    "fencing_token",
+    "api_keys",
+    "traffic_split",
+    "hollyring_boot",
+    "hollyring/resolve",
+    "hollyring/ready",
+]
+STARTERS = {ROOT / "cli" / "main.py"}
+
+
+def sources():
+    for path in sorted(ROOT.rglob("*.py")):
+        if ADAPTER not in path.parents and "generated" not in path.parts:
+            yield path
+
+
+@pytest.mark.parametrize("word", WORDS)
+def test_word_of_the_platform_stands_in_the_adapter_only(word):
+    found = [p.name for p in sources() if word in p.read_text().lower()]
+    assert found == []
+
+
+def imports(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        if isinstance(node, ast.ImportFrom):
+            yield from (f"{node.module}.{alias.name}" for alias in node.names)
+
+
+def test_only_the_command_that_starts_a_vm_imports_the_adapter():
+    found = {p for p in sources() for name in imports(p) if name.startswith("hollyring.platform")}
+    assert found <= STARTERS
+
+
+def test_adapter_imports_no_decisions_that_it_could_make():
+    """It may know the types of the decision packages, not what decides."""
+    deciding = {"placing", "holdings", "shared_rate", "rollout", "relay", "state"}
+    for path in ADAPTER.glob("*.py"):
+        names = {name.rpartition(".")[2] for name in imports(path)}
+        allowed = {"state"} if path.name == "settings.py" else set()
+        assert names & deciding <= allowed, path.name
--- /dev/null
+++ b/hollyring/routing/tests/test_placing.py
@@ -0,0 +1,307 @@
+import random
+
+import pytest
+
+from hollyring.configuration import deployment
+from hollyring.core import asks
+from hollyring.routing import holdings, placing, serving
+
+MODEL = "parish"
+SERVICE = "ls"
+ENGINE = deployment.Engine(128, 128_000, 18_432 * 8, 88e9, (MODEL,))
+STORE = deployment.CacheStore("10.9.9.9:1", "dar-b", 1_300_000, 53e9)
+SHARED = (asks.Part("circular", 2500), asks.Part("parish", 3800))
+
+
+def entry(name, versions=None, leaving=False, life=1, domain="dar-a", service=SERVICE, slots=128):
+    if versions is None:
+        versions = {MODEL: 1}
+    return serving.Entry(
+        name, service, f"10.0.0.{len(name)}:{name[-1]}", domain, slots, leaving, life, versions
+    )
+
+
+def prompt(own="q-1", own_tokens=2900, output=10, shared=SHARED):
+    parts = (*shared, asks.Part(own, own_tokens))
+    return asks.Prompt(MODEL, parts, sum(part.tokens for part in parts), output)
+
+
+def wanted(request="r-1", what=None, organisation="", seconds=4.0, excluded=()):
+    return placing.Wanted(
+        request, SERVICE, what or prompt(), organisation, "dar-a", seconds, frozenset(excluded)
+    )
+
+
+class World:
+    """Upstreams with their holdings, and what places requests on them."""
+
+    def __init__(self):
+        self.serving = serving.Serving()
+        self.holdings = holdings.Holdings()
+        self.placing = placing.Placing(self.serving, self.holdings)
+        services = [
+            deployment.Service(SERVICE, 600, engine=ENGINE),
+            deployment.Service("keep", 100, cache_store=STORE),
+            deployment.Service("orders", 100),
+        ]
+        self.placing.configure(
+            deployment.Deployment(1, [], services, [], deployment.Bounds(), True)
+        )
+
+    def add(self, *names, **fields):
+        for name in names:
+            self.serving.put(entry(name, **fields))
+
+    def place(self, *args, now=0.0, **fields):
+        return self.placing.place(wanted(*args, **fields), now)
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_holder_of_the_prompt_is_chosen(world):
+    world.add("a1", "a2", "a3")
+    world.holdings.touch("a2", 128_000, "parish.1", SHARED)
+    place = world.place()
+    assert place.upstream.name == "a2"
+    assert place.unread_tokens == 2900
+    assert place.fetch_from == ""
+
+
+def test_busy_holder_is_left_and_its_parts_are_fetched(world):
+    world.add("a1", "a2", "a3")
+    world.holdings.touch("a2", 128_000, "parish.1", SHARED)
+    for number in range(10):
+        world.serving.get("a2").sent(f"x-{number}", 9000, 0.1, 0.0)
+    place = world.place()
+    assert place.upstream.name != "a2"
+    assert place.fetch_from == world.serving.get("a2").entry.address
+    assert place.unread_tokens == 2900
+
+
+def test_prompt_that_no_store_has_is_saved_once(world):
+    world.add("a1")
+    assert world.place().save_to == STORE.address
+    world.holdings.touch(STORE.address, STORE.cache_tokens, "parish.1", SHARED)
+    place = world.place()
+    assert place.save_to == ""
+    assert place.fetch_from == STORE.address
+
+
+def test_isolated_organisation_finds_nobody_elses_parts(world):
+    world.add("a1")
+    world.holdings.touch("a1", 128_000, "parish.1", SHARED)
+    place = world.place(organisation="kigoma")
+    assert place.salt == "parish.1.kigoma"
+    assert place.unread_tokens == prompt().prompt_tokens
+
+
+def test_parts_of_older_weights_are_not_counted_on(world):
+    world.add("a1", versions={MODEL: 2})
+    world.holdings.touch("a1", 128_000, "parish.1", SHARED)
+    place = world.place()
+    assert (place.version, place.salt) == (2, "parish.2")
+    assert place.unread_tokens == prompt().prompt_tokens
+
+
+@pytest.mark.parametrize("trouble", ["leaving", "excluded"])
+def test_leaving_or_tried_upstream_gets_nothing(world, trouble):
+    world.add("a1", leaving=trouble == "leaving")
+    excluded = ["a1"] if trouble == "excluded" else []
+    assert isinstance(world.place(excluded=excluded), placing.NoPlace)
+
+
+@pytest.mark.parametrize("trouble", ["doubt", "loading", "failures", "silence"])
+def test_upstream_in_trouble_is_avoided_while_another_stands(world, trouble):
+    world.add("a1", "a2")
+    troubled = world.serving.get("a1")
+    now = 10.0
+    if trouble == "doubt":
+        troubled.doubt(now)
+    elif trouble == "loading":
+        troubled.loading_until = now + 1.0
+    elif trouble == "failures":
+        troubled.failed(now)
+    else:
+        troubled.sent("x", 10, 0.05, now - 2.0)
+    chosen = {world.place(f"r-{n}", now=now).upstream.name for n in range(20)}
+    assert chosen == {"a2"}
+    world.serving.remove("a2")
+    assert world.place(now=now).upstream.name == "a1"
+
+
+def test_newer_weights_are_preferred_until_they_are_crowded(world):
+    world.add("a1", versions={MODEL: 1})
+    world.add("a2", versions={MODEL: 2})
+    world.placing.name_version(MODEL, 2)
+    assert world.place().upstream.name == "a2"
+    for number in range(6):
+        world.serving.get("a2").sent(f"x-{number}", 9000, 0.1, 0.0)
+    assert world.place().upstream.name == "a1"
+
+
+def test_long_answers_stay_away_from_reserved_upstreams(world):
+    world.add("a1", "a2")
+    world.placing.reserve(["a1"])
+    long = prompt(output=120)
+    assert {world.place(f"r-{n}", long).upstream.name for n in range(20)} == {"a2"}
+    short = {world.place(f"r-{n}").upstream.name for n in range(40)}
+    assert short == {"a1", "a2"}
+
+
+def test_request_that_no_upstream_can_begin_in_its_time_is_refused_at_once(world):
+    world.add("a1", "a2")
+    for name in ("a1", "a2"):
+        for number in range(100):
+            world.serving.get(name).sent(f"{name}-{number}", 9000, 0.1, 0.0)
+    found = world.place(seconds=4.0)
+    assert isinstance(found, placing.NoPlace)
+    assert found.busy
+    assert found.retry_after > 0
+
+
+def test_other_vms_load_counts_until_it_is_old(world):
+    world.add("a1", "a2")
+    world.serving.get("a1").peers["vm-2"] = serving.PeerLoad(20, 90_000, 0.0)
+    chosen = {world.place(f"r-{n}", now=0.5).upstream.name for n in range(20)}
+    assert chosen == {"a2"}
+    chosen = {world.place(f"r-{n}", now=5.0).upstream.name for n in range(40)}
+    assert chosen == {"a1", "a2"}
+
+
+def test_restarted_upstream_forgets_its_troubles(world):
+    world.add("a1")
+    world.serving.get("a1").doubt(0.0)
+    assert world.serving.put(entry("a1", life=2)) is not None
+    assert not world.serving.get("a1").doubted(0.1)
+
+
+class Played:
+    """Plays a load on six servers, two of which take new weights at a time.
+
+    Each request's first event comes when the prompt tokens before it and its own are read, at
+    112 tokens a millisecond. VMs hear of each other's loads with a lag.
+    """
+
+    SPEED = 112_000.0
+    VMS = 3
+    LAG = 0.15
+
+    def __init__(self, seed, per_second):
+        self.draw = random.Random(seed)
+        self.per_second = per_second
+        self.vms = [World() for _ in range(self.VMS)]
+        self.names = [f"s{n}" for n in range(6)]
+        for world in self.vms:
+            world.add(*self.names)
+        self.free_at = dict.fromkeys(self.names, 0.0)
+        self.events = []
+        self.waits = []
+        self.refused = 0
+        self.read_again = 0
+        self.held = set()
+
+    def play(self, seconds, loading):
+        now = next_pulse = 0.0
+        number = 0
+        while now < seconds:
+            self.finish(now)
+            self.load(now, loading)
+            if now >= next_pulse:
+                self.pulse(now)
+                next_pulse = now + self.LAG
+            self.request(number, now)
+            number += 1
+            now += self.draw.expovariate(self.per_second)
+
+    def load(self, now, loading):
+        for begin, end, name in loading:
+            if begin <= now < end:
+                self.free_at[name] = max(self.free_at[name], end)
+                for world in self.vms:
+                    world.serving.get(name).loading_until = end
+
+    def request(self, number, now):
+        world = self.draw.choice(self.vms)
+        key = f"p-{int(self.draw.random() ** 1.5 * 200)}"
+        shared = (SHARED[0], asks.Part(key, 3800))
+        what = prompt(f"q-{number}", 2900, shared=shared)
+        place = world.place(f"r-{number}", what, now=now)
+        if isinstance(place, placing.NoPlace):
+            self.refused += 1
+            return
+        name = place.upstream.name
+        if key in self.held and place.unread_tokens > 2900:
+            self.read_again += 1
+        place.upstream.sent(f"r-{number}", place.unread_tokens, place.expected, now)
+        first = max(now, self.free_at[name]) + place.unread_tokens / self.SPEED
+        self.free_at[name] = first
+        self.waits.append(first - now)
+        self.events.append((first, world, f"r-{number}", place, what, key))
+
+    def finish(self, now):
+        due = [event for event in self.events if event[0] <= now]
+        self.events = [event for event in self.events if event[0] > now]
+        for first, world, request, place, what, key in due:
+            place.upstream.began(request, first)
+            place.upstream.ended(request)
+            self.held.add(key)
+            for each in self.vms:
+                each.holdings.touch(place.upstream.name, 128_000, place.salt, what.parts)
+                if place.save_to:
+                    each.holdings.touch(STORE.address, 1_300_000, place.salt, what.parts)
+            assert world.serving.get(place.upstream.name).open_requests >= 0
+
+    def pulse(self, now):
+        for world in self.vms:
+            for number, other in enumerate(self.vms):
+                if other is world:
+                    continue
+                for name in self.names:
+                    theirs = other.serving.get(name)
+                    unread = sum(item.unread_tokens for item in theirs.outstanding.values())
+                    load = serving.PeerLoad(theirs.open_requests, unread, now)
+                    world.serving.get(name).peers[f"vm-{number}"] = load
+
+
+ROLL_OUT = [
+    (2.0 + 2.3 * wave, 4.3 + 2.3 * wave, f"s{number}")
+    for wave, pair in enumerate([(0, 1), (2, 3), (4, 5)])
+    for number in pair
+]
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_heaviest_load_during_a_roll_out_is_served_in_time(seed):
+    """45 long prompts a second on six servers, two of which take new weights at a time."""
+    played = Played(seed, per_second=45.0)
+    played.play(12.0, ROLL_OUT)
+    played.waits.sort()
+    assert played.refused == 0
+    assert played.waits[int(0.95 * len(played.waits))] < 0.5
+    assert played.read_again <= 0.05 * len(played.waits)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_choosing_by_expected_time_beats_the_prefix_hash(seed, monkeypatch):
+    """The same load placed by the prefix's hash alone waits longer at the 95th percentile."""
+    ours = Played(seed, per_second=45.0)
+    ours.play(12.0, ROLL_OUT)
+
+    def by_hash(self, wanted, now):
+        names = sorted(self._serving.upstreams)
+        usable = [n for n in names if not self._serving.get(n).loading(now)]
+        name = usable[hash(wanted.prompt.parts[1].name) % len(usable)]
+        upstream = self._serving.get(name)
+        held = self._holdings.tokens(name, "parish.1", wanted.prompt.parts)
+        return placing.Place(
+            upstream, 1, "parish.1", unread_tokens=wanted.prompt.prompt_tokens - held
+        )
+
+    monkeypatch.setattr(placing.Placing, "place", by_hash)
+    hashed = Played(seed, per_second=45.0)
+    hashed.play(12.0, ROLL_OUT)
+    late = [sorted(one.waits)[int(0.95 * len(one.waits))] for one in (ours, hashed)]
+    assert late[0] < late[1]
