--- a/hollyring/configuration/tests/test_mirror.py
+++ b/hollyring/configuration/tests/test_mirror.py
@@ -42,7 +42,7 @@
 
 @pytest.mark.parametrize("seed", range(40))
 def test_no_key_goes_back_whatever_the_order_of_news(seed):
-    """A store's history reaches a VM by lists, watches and copies of other VMs, late and doubled."""
+    """A history reaches a VM by lists, watches and other VMs' copies, late and doubled."""
     draw = random.Random(seed)
     items: dict[str, mirror.Item] = {}
     history = []
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -243,6 +243,7 @@
             work.organisation.name if isolated and work.organisation else "",
             self._state.domain,
             left,
+            work.route.target,
             frozenset(work.tried),
         )
         place = self._state.placing.place(wanted, clock.now())
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -74,7 +74,7 @@
     @contextlib.asynccontextmanager
     async def running(self):
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         try:
             yield self
         finally:
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping, Sequence
 
 from hollyring.configuration import deployment
@@ -27,8 +28,15 @@
 """Transfers between failure domains take this many times as long."""
 
 OTHER_DOMAIN_SECONDS = 0.002
-OLD_WEIGHTS_SECONDS = 0.25
-"""Time to first event that newer weights are worth."""
+OLD_WEIGHTS_SHARE = 0.4
+"""Time that newer weights are worth, as a share of the route's target."""
+
+LATE_SHARE = 1.2
+"""Time that a late answer counts for, as a share of the route's target."""
+
+LATE_CENTRE = 1.2
+LATE_WIDTH = 0.3
+"""Where, in targets, half of the answers are expected to be late, and how fast that share grows."""
 
 FAILURE_SECONDS = 0.6
 """Time that one recent failure counts for."""
@@ -79,6 +87,8 @@
         The VM's failure domain.
     seconds
         Time that the caller still waits.
+    target
+        Time within which the answer is prompt.
     excluded
         Upstreams that were tried.
     """
@@ -89,6 +99,7 @@
     organisation: str
     domain: str
     seconds: float
+    target: float
     excluded: frozenset[str] = frozenset()
 
 
@@ -144,6 +155,9 @@
     cost: float
 
 
+LATE_LIMIT = 30.0
+"""Keeps the exponential function in its range."""
+
 NO_UPSTREAM_SECONDS = 0.5
 """When to come back while a service has no upstream."""
 
@@ -216,11 +230,12 @@
         else:
             place = self._engine_place(wanted, wanted.prompt, upstream, engine, now)
         cost = place.expected + _penalty(upstream, now) + _spread(wanted.request, upstream.name)
+        cost += LATE_SHARE * wanted.target * _late_part(place.expected, wanted.target)
         if upstream.entry.domain != wanted.domain:
             cost += OTHER_DOMAIN_SECONDS
         if wanted.prompt is not None:
             if place.version < self._named.get(wanted.prompt.model, 0):
-                cost += OLD_WEIGHTS_SECONDS
+                cost += OLD_WEIGHTS_SHARE * wanted.target
             if not place.version:
                 cost += AVOID_SECONDS
             if upstream.name in self._reserved:
@@ -328,5 +343,17 @@
     return penalty
 
 
+def _late_part(expected: float, target: float) -> float:
+    """Return which part of the answers expected after `expected` seconds is late.
+
+    Examples
+    --------
+    >>> round(_late_part(0.12, 0.1), 2), _late_part(0.01, 0.1) < 0.05
+    (0.5, True)
+    """
+    beyond = (expected / max(target, 1e-3) - LATE_CENTRE) / LATE_WIDTH
+    return 1.0 / (1.0 + math.exp(-max(-LATE_LIMIT, min(LATE_LIMIT, beyond))))
+
+
 def _spread(request: str, upstream: str) -> float:
     return rendezvous.weight(request.encode(), upstream) / 2.0**64 * SPREAD_SECONDS
--- a/hollyring/routing/tests/test_placing.py
+++ b/hollyring/routing/tests/test_placing.py
@@ -26,9 +26,16 @@
     return asks.Prompt(MODEL, parts, sum(part.tokens for part in parts), output)
 
 
-def wanted(request="r-1", what=None, organisation="", seconds=4.0, excluded=()):
+def wanted(request="r-1", what=None, organisation="", seconds=4.0, target=0.5, excluded=()):
     return placing.Wanted(
-        request, SERVICE, what or prompt(), organisation, "dar-a", seconds, frozenset(excluded)
+        request,
+        SERVICE,
+        what or prompt(),
+        organisation,
+        "dar-a",
+        seconds,
+        target,
+        frozenset(excluded),
     )
 
 
@@ -142,6 +149,17 @@
     assert world.place().upstream.name == "a1"
 
 
+def test_late_answer_on_new_weights_is_worse_than_a_prompt_one_on_old(world):
+    """A target of a quarter of a second, and new weights behind 20,000 unread tokens."""
+    world.add("a1", versions={MODEL: 1})
+    world.add("a2", versions={MODEL: 2})
+    world.placing.name_version(MODEL, 2)
+    for number in range(2):
+        world.serving.get("a2").sent(f"x-{number}", 10_000, 0.1, 0.0)
+    assert world.place(target=0.25).upstream.name == "a1"
+    assert world.place(target=2.0).upstream.name == "a2"
+
+
 def test_long_answers_stay_away_from_reserved_upstreams(world):
     world.add("a1", "a2")
     world.placing.reserve(["a1"])
