Follow the holders' cache events; bound the wait in line; leave out weights that are too old

Change: one VM follows each holder's events and tells the others; a request that would wait longer than half of its caller's patience is refused at once with a spread time to return; weights older than the bound are not used; loads at once are counted by the servers that answer.

--- a/hollyring/membership/pulse.py
+++ b/hollyring/membership/pulse.py
@@ -79,6 +79,34 @@
     store: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """How many tokens of a part a holder holds now, 0 for none."""
+
+    salt: str
+    part: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheNews:
+    """What a holder of prompts took up and dropped.
+
+    Parameters
+    ----------
+    holder
+        An upstream's name, or a cache store's address.
+    reset
+        Whether it holds nothing of before, as it started again.
+    changes
+        The parts that changed, in order.
+    """
+
+    holder: str
+    reset: bool
+    changes: list[Held]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Weights:
     """What the VM that gives orders knows of an upstream's weights."""
@@ -122,7 +150,7 @@
         Whether the store answered its last call.
     marks, loads, spent
         Totals.
-    readings, weights, doubts
+    readings, caches, weights, doubts
         News; `doubts` names upstreams that did not answer.
     orders
         What the sender says of itself as a giver of orders.
@@ -135,6 +163,7 @@
     loads: list[Load]
     spent: list[Spent]
     readings: list[Reading]
+    caches: list[CacheNews]
     weights: list[Weights]
     doubts: list[str]
     orders: Giver
--- a/hollyring/node/entry_settings.py
+++ b/hollyring/node/entry_settings.py
@@ -29,6 +29,8 @@
         Longest time for which callers keep an entry answer.
     retries
         Bounds on what is sent again.
+    version_seconds
+        Time after which no request may begin on older weights than those wanted.
     """
 
     name: str
@@ -45,3 +47,4 @@
     grace_seconds: float
     keep_seconds: float
     retries: state.RetryRules
+    version_seconds: float
--- a/hollyring/node/entry_vm.py
+++ b/hollyring/node/entry_vm.py
@@ -19,6 +19,7 @@
 from hollyring.node import (
     asgi,
     bounded,
+    caches_part,
     catalogue,
     clock,
     entry_settings,
@@ -52,6 +53,9 @@
 KEEP_SECONDS = 1.5
 """How long callers keep an entry answer."""
 
+VERSION_MARGIN_SECONDS = 1.5
+"""A request may wait at its upstream for so long before it begins."""
+
 BACKLOG = 1024
 TICK_SECONDS = 0.5
 HTTP_OK = 200
@@ -124,7 +128,13 @@
             given.region,
         )
         self._metrics = metrics.Metrics()
-        self._state = state.State(place, adapter.documents, adapter.prefixes, given.retries)
+        self._state = state.State(
+            place,
+            adapter.documents,
+            adapter.prefixes,
+            given.retries,
+            given.version_seconds - VERSION_MARGIN_SECONDS,
+        )
         self._links = links.Links()
         self._peers = peers.Peers(
             identities.Incarnation(given.name, life),
@@ -151,6 +161,7 @@
             self._links,
             self._pulses.hurry,
         )
+        self._caches = caches_part.CachesPart(self._state, adapter.codec, self._links)
         self._relay = relay.Relay(self._state, adapter.codec, self._links, self._metrics)
         self._log = logs.Log("vm")
         self._open = 0
@@ -172,6 +183,7 @@
             group.start_soon(self._pulses.run)
             group.start_soon(self._pulses.register)
             group.start_soon(self._orders.run)
+            group.start_soon(self._caches.run)
             group.start_soon(self._sweep)
             group.start_soon(others.serve, other_sockets)
             group.start_soon(self._on_signals, callers)
--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -208,7 +208,8 @@
         if machine is None:
             machine = self._rollouts[service] = rollout.Rollout(_pace(len(known)), self._invariants)
             machine.acquire(self._fencing, now, last_order_at=self._last_order_at)
-        machine.resize(_pace(len(known)))
+        answering = [u for u in known if not u.doubted(now)]
+        machine.resize(_pace(len(answering)))
         machine.declare(declared)
         reserved = self._next_ones(machine, known)
         if all(self._is_done(u) for u in known) and not machine.given:
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -190,6 +190,18 @@
   4: optional string store
 }
 
+struct MembershipHeld {
+  1: optional string salt
+  2: optional string part
+  3: optional i64 tokens
+}
+
+struct MembershipCacheNews {
+  1: optional string holder
+  2: optional bool reset
+  3: optional list<MembershipHeld> changes
+}
+
 struct MembershipWeights {
   1: optional string upstream
   2: optional string model
@@ -211,9 +223,10 @@
   5: optional list<MembershipLoad> loads
   6: optional list<MembershipSpent> spent
   7: optional list<MembershipReading> readings
-  8: optional list<MembershipWeights> weights
-  9: optional list<string> doubts
-  10: optional MembershipGiver orders
+  8: optional list<MembershipCacheNews> caches
+  9: optional list<MembershipWeights> weights
+  10: optional list<string> doubts
+  11: optional MembershipGiver orders
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/ports.py
+++ b/hollyring/node/ports.py
@@ -212,6 +212,28 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """What a holder of prompts took up and dropped after an event.
+
+    Parameters
+    ----------
+    epoch
+        Changes when the holder starts again and holds nothing.
+    after
+        Where to go on.
+    gap
+        Whether events before these are lost.
+    changes
+        How much it holds now of the parts that changed.
+    """
+
+    epoch: int
+    after: int
+    gap: bool
+    changes: list[pulse.Held]
+
+
 class UpstreamCodec(typing.Protocol):
     """Turns requests, orders and answers into bytes and back."""
 
@@ -237,3 +259,9 @@
 
     def order_outcome(self, status: int) -> fleet.Outcome:
         """Return what an upstream's answer to an order means."""
+
+    def events_request(self, address: str, after: int, seconds: float) -> bytes:
+        """Return the bytes that ask a holder of prompts for its events after one."""
+
+    def events(self, body: bytes) -> CacheEvents | None:
+        """Decode a holder's events; None if they can't be read."""
--- a/hollyring/node/pulse_part.py
+++ b/hollyring/node/pulse_part.py
@@ -112,11 +112,13 @@
             loads=loads,
             spent=beliefs.spent(),
             readings=beliefs.readings,
+            caches=beliefs.caches,
             weights=beliefs.weights,
             doubts=beliefs.doubts,
             orders=beliefs.orders,
         )
         beliefs.readings = []
+        beliefs.caches = []
         beliefs.weights = []
         beliefs.doubts = []
         return made
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -40,6 +40,9 @@
 SILENT_SECONDS = 0.35
 """An upstream that sends nothing for so long is asked for a connection to see if it is there."""
 
+WAIT_SHARE = 0.5
+"""Part of the time within which callers want a first event that a request may wait in line."""
+
 LOADING_SECONDS = 0.3
 """An upstream that refused a request for its state is left alone for so long."""
 
@@ -244,6 +247,7 @@
             self._state.domain,
             left,
             work.route.target,
+            work.route.first_patience * WAIT_SHARE,
             frozenset(work.tried),
         )
         place = self._state.placing.place(wanted, clock.now())
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -72,6 +72,8 @@
         Where it lies.
     retries
         Bounds on what is sent again.
+    version_seconds
+        Time after which older weights than those wanted are not used any more.
     """
 
     def __init__(
@@ -80,13 +82,14 @@
         documents: ports.Documents,
         prefixes: ports.Prefixes,
         retries: RetryRules,
+        version_seconds: float = math.inf,
     ) -> None:
         self.place_of_vm = place
         self.prefixes = prefixes
         self.deployment: deployment.Deployment | None = None
         self.serving = serving.Serving()
         self.holdings = holdings.Holdings()
-        self.placing = placing.Placing(self.serving, self.holdings)
+        self.placing = placing.Placing(self.serving, self.holdings, version_seconds)
         self.peers = pulse.Peers(place)
         self.mirrors = {
             prefix: mirror.Mirror()
@@ -98,6 +101,7 @@
         self.store_failed_at = -math.inf
         self.readings: list[pulse.Reading] = []
         self.doubts: list[str] = []
+        self.caches: list[pulse.CacheNews] = []
         self.weights: list[pulse.Weights] = []
         self.orders = pulse.Giver(False, -1.0, [])
         self._documents = documents
@@ -238,6 +242,8 @@
                 self._rate_of(organisation, now).hear(life, spent.total, now)
         for reading in news.readings:
             self._count_reading(reading)
+        for cache in news.caches:
+            self.take_cache(cache)
         for weights in news.weights:
             self.take_weights(weights, now)
         if news.orders.holds:
@@ -247,6 +253,36 @@
             if upstream is not None and now - upstream.heard_at > HEARD_SECONDS:
                 upstream.doubt(now)
 
+    def holders(self) -> dict[str, str]:
+        """Return the addresses of all holders of prompts by the name they are counted under."""
+        if self.deployment is None:
+            return {}
+        found = {store.address: store.address for store in self.deployment.cache_stores()}
+        for service in self.deployment.services.values():
+            if service.engine is None:
+                continue
+            for upstream in self.serving.of_service(service.name):
+                found[upstream.name] = upstream.entry.address
+        return found
+
+    def take_cache(self, news: pulse.CacheNews) -> None:
+        """Take in what a holder took up and dropped."""
+        if news.reset:
+            self.holdings.forget(news.holder)
+        capacity = self._cache_tokens(news.holder)
+        for held in news.changes:
+            self.holdings.set(news.holder, capacity, held.salt, held.part, held.tokens)
+
+    def _cache_tokens(self, holder: str) -> int:
+        if self.deployment is None:
+            return 0
+        for store in self.deployment.cache_stores():
+            if store.address == holder:
+                return store.cache_tokens
+        upstream = self.serving.get(holder)
+        service = self.deployment.services.get(upstream.entry.service) if upstream else None
+        return service.engine.cache_tokens if service and service.engine else 0
+
     def take_weights(self, weights: pulse.Weights, now: float) -> None:
         """Take in what the giver of orders knows of an upstream's weights."""
         upstream = self.serving.get(weights.upstream)
@@ -320,7 +356,7 @@
     def _operator_changed(self, item: mirror.Item, now: float) -> None:
         wanted = self._documents.wanted_version(item)
         if wanted is not None:
-            self._name_version(wanted)
+            self._name_version(wanted, now)
             return
         read = self._documents.deployment(item)
         if read is None:
@@ -340,12 +376,12 @@
             store_age=self.store_age(now),
         )
 
-    def _name_version(self, wanted: ports.WantedVersion) -> None:
+    def _name_version(self, wanted: ports.WantedVersion, now: float) -> None:
         known = self.wanted.get(wanted.model)
         if known is not None and known.version >= wanted.version:
             return
         self.wanted[wanted.model] = wanted
-        self.placing.name_version(wanted.model, wanted.version)
+        self.placing.name_version(wanted.model, wanted.version, now)
         self._log.say("weights wanted", model=wanted.model, version=wanted.version)
 
     def _upstream_changed(self, key: str, item: mirror.Item | None, now: float) -> None:
--- a/hollyring/platform/settings.py
+++ b/hollyring/platform/settings.py
@@ -35,6 +35,7 @@
     budget_slack: float = 50.0
     budget_window_s: float = 10.0
     ttl_max_s: float = 5.0
+    version_ms: float = 15_000.0
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -98,4 +99,5 @@
             found.bounds.budget_slack,
             found.bounds.budget_window_s,
         ),
+        version_seconds=found.bounds.version_ms / MILLISECONDS,
     )
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -6,6 +6,7 @@
 
 from hollyring.core import asks
 from hollyring.fleet import messages as fleet
+from hollyring.membership import pulse
 from hollyring.node import links, ports
 
 MILLISECONDS = 1000.0
@@ -78,6 +79,15 @@
     born: int | None = None
 
 
+class _Events(msgspec.Struct, frozen=True):
+    """Cache events; each is [number, sign, salt, part, tokens stored now, model]."""
+
+    boot_epoch: int
+    next: int
+    lost: bool
+    events: list[tuple[int, str, str, str, int, str]]
+
+
 class ServerCodec:
     """Implements `hollyring.node.ports.UpstreamCodec`."""
 
@@ -176,6 +186,24 @@
         ]
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
+    def events_request(self, address: str, after: int, seconds: float) -> bytes:
+        """Return the bytes that ask a server or cache store for its events after one."""
+        lines = [
+            b"GET /hollyring/kv-events?since=%d HTTP/1.1" % after,
+            b"Host: " + address.encode(),
+            b"Wait-Ms: %d" % int(seconds * MILLISECONDS),
+        ]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def events(self, body: bytes) -> ports.CacheEvents | None:
+        """Decode a holder's events; None if they can't be read."""
+        try:
+            found = msgspec.json.decode(body, type=_Events)
+        except msgspec.MsgspecError:
+            return None
+        changes = [pulse.Held(salt, part, left) for _, _, salt, part, left, _ in found.events]
+        return ports.CacheEvents(found.boot_epoch, found.next, found.lost, changes)
+
     def order_outcome(self, status: int) -> fleet.Outcome:
         """Return what a server's answer to an order means."""
         return OUTCOMES.get(status, fleet.Outcome.UNKNOWN)
--- a/hollyring/routing/holdings.py
+++ b/hollyring/routing/holdings.py
@@ -1,8 +1,9 @@
 """Which parts of prompts each language server and cache store is thought to hold.
 
-Each holder's memory is followed as a least-recently-used cache of its size. A part counts as held
-once a request that reads it began to answer; it is forgotten when the holder restarts or changes
-its weights. A wrong guess costs time, never correctness: holders find parts by salt.
+A part counts as held once a request that reads it began to answer. Holders tell late what they
+took up and dropped, which corrects the guess; a holder's size bounds it. Parts are forgotten when
+their holder restarts or changes its weights. A wrong guess costs time, never correctness: holders
+find parts by salt.
 """
 
 from __future__ import annotations
@@ -12,17 +13,20 @@
 
 from hollyring.core import asks
 
-USABLE_SHARE = 0.9
-"""Share of a memory that is counted on for cached parts."""
+CAPACITY_SHARE = 1.1
+"""More than a holder's memory is never counted; evictions are told, so the bound may be loose."""
+
+BLOCK_TOKENS = 16
+"""Holders keep whole blocks: a part that lacks less than one counts as whole."""
 
 
 class Memory:
-    """One holder's parts, the least recently used first."""
+    """One holder's parts with the tokens held of each, the least recently used first."""
 
     __slots__ = ("_capacity", "_held", "_tokens")
 
     def __init__(self, capacity: int) -> None:
-        self._capacity = int(capacity * USABLE_SHARE)
+        self._capacity = int(capacity * CAPACITY_SHARE)
         self._held: collections.OrderedDict[tuple[str, str], int] = collections.OrderedDict()
         self._tokens = 0
 
@@ -32,19 +36,25 @@
     def touch(self, salt: str, parts: Sequence[asks.Part]) -> None:
         """Count `parts` as used now; the first ones yield last, as later ones need them."""
         for part in reversed(parts):
-            key = (salt, part.name)
-            self._tokens += part.tokens - self._held.pop(key, 0)
-            self._held[key] = part.tokens
+            self.set(salt, part.name, part.tokens)
+
+    def set(self, salt: str, name: str, tokens: int) -> None:
+        """Count `tokens` of a part as held, none if 0."""
+        key = (salt, name)
+        self._tokens += tokens - self._held.pop(key, 0)
+        if tokens > 0:
+            self._held[key] = tokens
         while self._tokens > self._capacity and self._held:
-            _, tokens = self._held.popitem(last=False)
-            self._tokens -= tokens
+            _, dropped = self._held.popitem(last=False)
+            self._tokens -= dropped
 
     def leading_tokens(self, salt: str, parts: Sequence[asks.Part]) -> int:
-        """Return the tokens of the leading parts that are all held."""
+        """Return the leading tokens of `parts` that are all held."""
         tokens = 0
         for part in parts:
-            if (salt, part.name) not in self._held:
-                return tokens
+            held = self._held.get((salt, part.name), 0)
+            if held < part.tokens - BLOCK_TOKENS:
+                return tokens + min(held, part.tokens)
             tokens += part.tokens
         return tokens
 
@@ -73,6 +83,13 @@
             memory = self._memories[holder] = Memory(capacity)
         memory.touch(salt, parts)
 
+    def set(self, holder: str, capacity: int, salt: str, name: str, tokens: int) -> None:
+        """Take in how much of a part `holder` holds now."""
+        memory = self._memories.get(holder)
+        if memory is None:
+            memory = self._memories[holder] = Memory(capacity)
+        memory.set(salt, name, tokens)
+
     def tokens(self, holder: str, salt: str, parts: Sequence[asks.Part]) -> int:
         """Return the leading tokens of `parts` that `holder` is thought to hold."""
         memory = self._memories.get(holder)
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -68,6 +68,10 @@
 QUEUE_SHARE = 0.9
 """Part of a caller's time that may be spent before the first event."""
 
+MIN_RETRY_SECONDS = 0.2
+RETRY_SPREAD = 1.0
+"""Callers that are refused together come back over this share of their wait."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Wanted:
@@ -89,6 +93,8 @@
         Time that the caller still waits.
     target
         Time within which the answer is prompt.
+    most_wait
+        Longest time that it may wait at an upstream before its own work begins.
     excluded
         Upstreams that were tried.
     """
@@ -100,6 +106,7 @@
     domain: str
     seconds: float
     target: float
+    most_wait: float
     excluded: frozenset[str] = frozenset()
 
 
@@ -120,6 +127,8 @@
         to; empty for none.
     unread_tokens
         Tokens that it must read.
+    wait
+        Seconds until its own work begins.
     expected
         Seconds to the first event.
     """
@@ -130,6 +139,7 @@
     fetch_from: str = ""
     save_to: str = ""
     unread_tokens: int = 0
+    wait: float = 0.0
     expected: float = 0.0
 
 
@@ -149,6 +159,12 @@
     busy: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Named:
+    version: int
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Choice:
     place: Place
@@ -182,16 +198,32 @@
         The upstreams.
     held
         What they hold.
+    version_seconds
+        Time after which older weights than those wanted are not used any more.
     """
 
-    __slots__ = ("_serving", "_holdings", "_services", "_stores", "_named", "_reserved")
-
-    def __init__(self, known: serving.Serving, held: holdings.Holdings) -> None:
+    __slots__ = (
+        "_serving",
+        "_holdings",
+        "_services",
+        "_stores",
+        "_named",
+        "_reserved",
+        "_version_seconds",
+    )
+
+    def __init__(
+        self,
+        known: serving.Serving,
+        held: holdings.Holdings,
+        version_seconds: float = math.inf,
+    ) -> None:
         self._serving = known
         self._holdings = held
         self._services: Mapping[str, deployment.Service] = {}
         self._stores: list[deployment.CacheStore] = []
-        self._named: dict[str, int] = {}
+        self._named: dict[str, _Named] = {}
+        self._version_seconds = version_seconds
         self._reserved: frozenset[str] = frozenset()
 
     def reserve(self, upstreams: Iterable[str]) -> None:
@@ -203,25 +235,40 @@
         self._services = current.services
         self._stores = current.cache_stores()
 
-    def name_version(self, model: str, version: int) -> None:
-        """Take in the version of the weights that is wanted."""
-        self._named[model] = max(version, self._named.get(model, 0))
+    def name_version(self, model: str, version: int, now: float) -> None:
+        """Take in the version of the weights that is wanted since `now`."""
+        known = self._named.get(model)
+        if known is None or known.version < version:
+            self._named[model] = _Named(version, now)
 
     def place(self, wanted: Wanted, now: float) -> Place | NoPlace:
         """Return where the request goes."""
         known = [
             upstream
             for upstream in self._serving.of_service(wanted.service)
-            if not upstream.entry.leaving and upstream.name not in wanted.excluded
+            if not upstream.entry.leaving
+            and upstream.name not in wanted.excluded
+            and not self._is_overdue(wanted, upstream, now)
         ]
         choices = [self._choice(wanted, upstream, now) for upstream in known]
         if not choices:
             return NoPlace(NO_UPSTREAM_SECONDS, busy=False)
         best = min(choices, key=lambda choice: choice.cost)
-        if best.place.expected > wanted.seconds * QUEUE_SHARE:
-            return NoPlace(best.place.expected - wanted.seconds * QUEUE_SHARE, busy=True)
+        over = best.place.expected - wanted.seconds * QUEUE_SHARE
+        over = max(over, best.place.wait - wanted.most_wait)
+        if over > 0:
+            return NoPlace(_retry_seconds(wanted, over), busy=True)
         return best.place
 
+    def _is_overdue(self, wanted: Wanted, upstream: serving.Upstream, now: float) -> bool:
+        """Tell whether an upstream's weights are too old to be used at all."""
+        if wanted.prompt is None:
+            return False
+        named = self._named.get(wanted.prompt.model)
+        if named is None or upstream.version(wanted.prompt.model) >= named.version:
+            return False
+        return now - named.at > self._version_seconds
+
     def _choice(self, wanted: Wanted, upstream: serving.Upstream, now: float) -> _Choice:
         service = self._services.get(wanted.service)
         engine = service.engine if service else None
@@ -234,7 +281,8 @@
         if upstream.entry.domain != wanted.domain:
             cost += OTHER_DOMAIN_SECONDS
         if wanted.prompt is not None:
-            if place.version < self._named.get(wanted.prompt.model, 0):
+            named = self._named.get(wanted.prompt.model)
+            if named is not None and place.version < named.version:
                 cost += OLD_WEIGHTS_SHARE * wanted.target
             if not place.version:
                 cost += AVOID_SECONDS
@@ -257,8 +305,8 @@
         source, elsewhere = self._source(upstream, salt, prompt.parts, engine, now)
         fetched = elsewhere - own if elsewhere - own >= MIN_TRANSFER_TOKENS else 0
         unread = max(0, prompt.prompt_tokens - own - fetched)
-        seconds = _queue_seconds(upstream, engine, now)
-        seconds += serving.FIRST_EVENT_SECONDS * upstream.pace(now)
+        wait = _queue_seconds(upstream, engine, now)
+        seconds = wait + serving.FIRST_EVENT_SECONDS * upstream.pace(now)
         seconds += unread / serving.TOKENS_PER_SECOND * upstream.pace(now)
         if fetched:
             same = source.domain == upstream.entry.domain
@@ -272,6 +320,7 @@
             source.address if fetched else "",
             self._save_to(salt, prompt),
             unread,
+            wait,
             seconds,
         )
 
@@ -343,6 +392,13 @@
     return penalty
 
 
+def _retry_seconds(wanted: Wanted, over: float) -> float:
+    """Return when a refused request may come back, later for some than for others."""
+    fraction = rendezvous.weight(wanted.request.encode(), "retry") / 2.0**64
+    seconds = max(MIN_RETRY_SECONDS, over + wanted.most_wait / 2)
+    return seconds * (1.0 + RETRY_SPREAD * fraction)
+
+
 def _late_part(expected: float, target: float) -> float:
     """Return which part of the answers expected after `expected` seconds is late.
 
--- a/hollyring/routing/tests/test_placing.py
+++ b/hollyring/routing/tests/test_placing.py
@@ -26,7 +26,9 @@
     return asks.Prompt(MODEL, parts, sum(part.tokens for part in parts), output)
 
 
-def wanted(request="r-1", what=None, organisation="", seconds=4.0, target=0.5, excluded=()):
+def wanted(
+    request="r-1", what=None, organisation="", seconds=4.0, target=0.5, most_wait=1.0, excluded=()
+):
     return placing.Wanted(
         request,
         SERVICE,
@@ -35,6 +37,7 @@
         "dar-a",
         seconds,
         target,
+        most_wait,
         frozenset(excluded),
     )
 
@@ -142,7 +145,7 @@
 def test_newer_weights_are_preferred_until_they_are_crowded(world):
     world.add("a1", versions={MODEL: 1})
     world.add("a2", versions={MODEL: 2})
-    world.placing.name_version(MODEL, 2)
+    world.placing.name_version(MODEL, 2, 0.0)
     assert world.place().upstream.name == "a2"
     for number in range(6):
         world.serving.get("a2").sent(f"x-{number}", 9000, 0.1, 0.0)
@@ -153,7 +156,7 @@
     """A target of a quarter of a second, and new weights behind 20,000 unread tokens."""
     world.add("a1", versions={MODEL: 1})
     world.add("a2", versions={MODEL: 2})
-    world.placing.name_version(MODEL, 2)
+    world.placing.name_version(MODEL, 2, 0.0)
     for number in range(2):
         world.serving.get("a2").sent(f"x-{number}", 10_000, 0.1, 0.0)
     assert world.place(target=0.25).upstream.name == "a1"
@@ -180,6 +183,36 @@
     assert found.retry_after > 0
 
 
+def test_request_that_would_wait_longer_than_its_caller_is_refused_at_once(world):
+    """Callers leave a stream that has not begun after two seconds."""
+    world.add("a1")
+    for number in range(16):
+        world.serving.get("a1").sent(f"x-{number}", 9000, 0.1, 0.0)
+    assert isinstance(world.place(most_wait=1.0), placing.NoPlace)
+    assert isinstance(world.place(most_wait=2.0), placing.Place)
+
+
+def test_size_of_a_prompt_is_no_reason_to_refuse_it(world):
+    world.add("a1")
+    assert isinstance(world.place("r-1", prompt(own_tokens=39_000)), placing.Place)
+
+
+def test_weights_that_are_too_old_are_not_used_at_all(world):
+    world.placing = placing.Placing(world.serving, world.holdings, version_seconds=13.5)
+    world.add("a1", versions={MODEL: 1})
+    world.placing.name_version(MODEL, 2, 0.0)
+    assert isinstance(world.place(now=13.0), placing.Place)
+    assert isinstance(world.place(now=14.0), placing.NoPlace)
+
+
+def test_refused_callers_come_back_at_different_times(world):
+    world.add("a1")
+    for number in range(30):
+        world.serving.get("a1").sent(f"x-{number}", 9000, 0.1, 0.0)
+    times = {round(world.place(f"r-{n}").retry_after, 2) for n in range(30)}
+    assert len(times) > 15
+
+
 def test_other_vms_load_counts_until_it_is_old(world):
     world.add("a1", "a2")
     world.serving.get("a1").peers["vm-2"] = serving.PeerLoad(20, 90_000, 0.0)
