Keep prompts and long answers apart

Cause: a step that reads 1,024 prompt tokens takes three times one that reads none, so on busy servers 290 steps of a long answer took 4 s instead of 1.2, their memory stayed taken and cached parts went. The cache store was full of short prompts and of what follows them.

Ruled out: wrong beliefs about caches (of the parts that holders told of, 88% were known before and every evicted one had been counted as held; a trial with more logging).

Change: prompts go where few long answers run, long answers where little is read; prompts under 1,000 shared tokens are not saved; the store goes before servers as a source; the same prompt prefers the same server at every VM.

--- a/hollyring/membership/pulse.py
+++ b/hollyring/membership/pulse.py
@@ -54,11 +54,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
-    """A VM's requests at an upstream, and the prompt tokens that it has yet to read for them."""
+    """What a VM has at an upstream.
+
+    Parameters
+    ----------
+    requests
+        Requests that are not over.
+    long_answers
+        Those of them whose answers are long.
+    unread_tokens
+        Prompt tokens that the upstream has yet to read for them.
+    reading
+        Prompt tokens a second that it was lately given to read.
+    """
 
     upstream: str
     requests: int
+    long_answers: int
     unread_tokens: int
+    reading: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -170,7 +170,9 @@
 struct MembershipLoad {
   1: optional string upstream
   2: optional i64 requests
-  3: optional i64 unread_tokens
+  3: optional i64 long_answers
+  4: optional i64 unread_tokens
+  5: optional i64 reading
 }
 
 struct MembershipSpent {
--- a/hollyring/node/pulse_part.py
+++ b/hollyring/node/pulse_part.py
@@ -98,10 +98,12 @@
             pulse.Load(
                 upstream.name,
                 upstream.open_requests,
+                upstream.long_answers,
                 sum(item.unread_tokens for item in upstream.outstanding.values()),
+                int(upstream.own_reading(now)),
             )
             for upstream in beliefs.serving.upstreams.values()
-            if upstream.open_requests
+            if upstream.open_requests or upstream.own_reading(now) >= 1.0
         ]
         marks = [pulse.Mark(prefix, m.latest) for prefix, m in beliefs.mirrors.items()]
         made = pulse.Pulse(
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -285,18 +285,19 @@
     async def _attempt(self, work: _Work, place: placing.Place) -> _Outcome:
         upstream = place.upstream
         address = upstream.entry.address
-        upstream.sent(work.name, place.unread_tokens, place.expected, clock.now())
+        long_answer = placing.is_long(work.ask.prompt)
+        upstream.sent(work.name, place.unread_tokens, place.expected, clock.now(), long_answer)
         try:
             with anyio.fail_after(max(0.0, work.left)):
                 link = await self._links.take(
                     address, self._state.connections(work.service), _fresh_seconds(work)
                 )
         except links.NotSentError as error:
-            upstream.ended(work.name)
+            upstream.ended(work.name, long_answer)
             self._state.doubt(upstream, str(error))
             return _NotRun(str(error))
         except TimeoutError:
-            upstream.ended(work.name)
+            upstream.ended(work.name, long_answer)
             return _NotRun("deadline while connecting")
         try:
             exchange = link.send(self._request(work, place), self._codec.belongs(work.name))
@@ -309,7 +310,7 @@
             upstream.failed(clock.now())
             return _Failed(str(error))
         finally:
-            upstream.ended(work.name)
+            upstream.ended(work.name, long_answer)
             self._links.give_back(address, link)
 
     def _request(self, work: _Work, place: placing.Place) -> bytes:
@@ -528,7 +529,8 @@
             upstream=place.upstream.name if place else "",
             version=place.version if place else 0,
             unread=place.unread_tokens if place else 0,
-            fetched=bool(place and place.fetch_from),
+            fetched=place.fetched_tokens if place else 0,
+            output=work.ask.prompt.output_tokens if work.ask.prompt else 0,
             expected=round(place.expected, 4) if place else 0.0,
             first=round(work.first_at - work.arrived, 4) if work.first_at else 0.0,
             seconds=round(now - work.arrived, 4),
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -229,7 +229,9 @@
             upstream = self.serving.get(load.upstream)
             if upstream is not None:
                 loaded.add(load.upstream)
-                upstream.peers[name] = serving.PeerLoad(load.requests, load.unread_tokens, now)
+                upstream.peers[name] = serving.PeerLoad(
+                    load.requests, load.long_answers, load.unread_tokens, load.reading, now
+                )
         for gone in self._peer_upstreams[name] - loaded:
             upstream = self.serving.get(gone)
             if upstream is not None:
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -48,11 +48,23 @@
 SILENCE_SECONDS = 0.7
 """Time that a doubted and a silent server count for: a long queue elsewhere is worse."""
 
-SPREAD_SECONDS = 0.004
-"""Spread by which VMs that see the same load choose differently."""
+SPREAD_SECONDS = 0.015
+"""Most that the same prompt prefers one server to another, other things being equal."""
 
-READ_AGAIN_SECONDS_PER_TOKEN = 2e-5
-"""Time that reading one shared token again counts for, besides the time it takes."""
+MIN_SAVED_TOKENS = 1000
+"""Shorter shared prompts are not saved: the store would fill with what follows them."""
+
+TRANSFER_SECONDS_PER_TOKEN = 4e-6
+"""Time that a fetched token counts for besides its transfer: copies fill the servers' memory."""
+
+STEP_SECONDS = 0.004
+"""Time in which a server that reads nothing gives every running answer a token."""
+
+STEP_FACTOR = 3.0
+"""A server that reads without a pause takes this many times longer for a step."""
+
+HARM_SHARE = 0.2
+"""Part of the time that long answers are delayed by which counts against a place."""
 
 FULL_FACTOR = 1.0
 """A server with this many times its slots in requests is full."""
@@ -125,8 +137,8 @@
     fetch_from, save_to
         Addresses of the holder that parts are fetched from, and of the store that they are saved
         to; empty for none.
-    unread_tokens
-        Tokens that it must read.
+    fetched_tokens, unread_tokens
+        Tokens that it fetches, and that it must read.
     wait
         Seconds until its own work begins.
     expected
@@ -138,6 +150,7 @@
     salt: str = ""
     fetch_from: str = ""
     save_to: str = ""
+    fetched_tokens: int = 0
     unread_tokens: int = 0
     wait: float = 0.0
     expected: float = 0.0
@@ -276,7 +289,7 @@
             place = Place(upstream, expected=_plain_seconds(upstream, now))
         else:
             place = self._engine_place(wanted, wanted.prompt, upstream, engine, now)
-        cost = place.expected + _penalty(upstream, now) + _spread(wanted.request, upstream.name)
+        cost = place.expected + _penalty(upstream, now) + _spread(wanted, upstream.name)
         cost += LATE_SHARE * wanted.target * _late_part(place.expected, wanted.target)
         if upstream.entry.domain != wanted.domain:
             cost += OTHER_DOMAIN_SECONDS
@@ -286,6 +299,8 @@
                 cost += OLD_WEIGHTS_SHARE * wanted.target
             if not place.version:
                 cost += AVOID_SECONDS
+            cost += place.fetched_tokens * TRANSFER_SECONDS_PER_TOKEN
+            cost += _harm(place, wanted.prompt, now)
             if upstream.name in self._reserved:
                 long = max(0, wanted.prompt.output_tokens - LONG_TOKENS)
                 cost += min(MOST_RESERVED_SECONDS, long * RESERVED_SECONDS_PER_TOKEN)
@@ -319,6 +334,7 @@
             salt,
             source.address if fetched else "",
             self._save_to(salt, prompt),
+            fetched,
             unread,
             wait,
             seconds,
@@ -328,7 +344,7 @@
         """Return the store that lacks shared parts of the prompt."""
         shared = prompt.shared
         tokens = sum(part.tokens for part in shared)
-        if tokens < MIN_TRANSFER_TOKENS:
+        if tokens < MIN_SAVED_TOKENS:
             return ""
         for store in self._stores:
             if self._holdings.tokens(store.address, salt, shared) < tokens:
@@ -354,7 +370,7 @@
                 best, most = _Source(other.entry.address, other.entry.domain), tokens
         for store in self._stores:
             tokens = self._holdings.tokens(store.address, salt, parts)
-            if tokens > most:
+            if tokens >= most > 0 or tokens > most:
                 best, most = _Source(store.address, store.domain), tokens
         return best, most
 
@@ -411,5 +427,29 @@
     return 1.0 / (1.0 + math.exp(-max(-LATE_LIMIT, min(LATE_LIMIT, beyond))))
 
 
-def _spread(request: str, upstream: str) -> float:
-    return rendezvous.weight(request.encode(), upstream) / 2.0**64 * SPREAD_SECONDS
+def is_long(prompt: asks.Prompt | None) -> bool:
+    """Tell whether the answer is long."""
+    return prompt is not None and prompt.output_tokens > LONG_TOKENS
+
+
+def _harm(place: Place, prompt: asks.Prompt, now: float) -> float:
+    """Return what reading and long answers at one server cost each other.
+
+    A server reads prompts between the steps of running answers. So prompts go where few long
+    answers run, and long answers where little is read.
+    """
+    upstream = place.upstream
+    reading = place.unread_tokens / serving.TOKENS_PER_SECOND
+    harm = reading * upstream.all_long_answers(now)
+    if is_long(prompt):
+        busy = min(1.0, upstream.reading(now) / serving.TOKENS_PER_SECOND)
+        harm += prompt.output_tokens * STEP_SECONDS * STEP_FACTOR * busy
+    return HARM_SHARE * harm
+
+
+def _spread(wanted: Wanted, upstream: str) -> float:
+    """Return a small difference by which all VMs prefer the same servers for the same prompt."""
+    key = wanted.request
+    if wanted.prompt is not None and wanted.prompt.shared:
+        key = wanted.prompt.shared[-1].name
+    return rendezvous.weight(key.encode(), upstream) / 2.0**64 * SPREAD_SECONDS
--- a/hollyring/routing/serving.py
+++ b/hollyring/routing/serving.py
@@ -25,6 +25,9 @@
 OVERDUE_FLOOR_SECONDS = 0.1
 """Added to measured and expected waits, so that short ones weigh little."""
 
+READING_SECONDS = 1.0
+"""Time over which the prompt tokens given to a server are averaged."""
+
 FAILURE_SECONDS = 2.5
 """Time constant with which a failure is forgotten."""
 
@@ -84,10 +87,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerLoad:
-    """What another VM has at an upstream."""
+    """What another VM has at an upstream; `reading` is in prompt tokens a second."""
 
     requests: int
+    long_answers: int
     unread_tokens: int
+    reading: float
     heard_at: float
 
 
@@ -99,6 +104,7 @@
     versions: dict[str, int] = dataclasses.field(default_factory=dict)
     outstanding: dict[str, Outstanding] = dataclasses.field(default_factory=dict)
     open_requests: int = 0
+    long_answers: int = 0
     peers: dict[str, PeerLoad] = dataclasses.field(default_factory=dict)
     slowness: float = 1.0
     plain_seconds: float = PLAIN_SECONDS
@@ -109,6 +115,8 @@
     heard_at: float = -math.inf
     loading_until: float = -math.inf
     lapsed_at: float | None = None
+    _reading: float = 0.0
+    _read_at: float = 0.0
 
     @property
     def name(self) -> str:
@@ -135,6 +143,18 @@
         own = sum(item.unread_tokens for item in self.outstanding.values())
         return own + sum(load.unread_tokens for load in self._peer_loads(now))
 
+    def all_long_answers(self, now: float) -> int:
+        """Return the long answers of all VMs that it is giving."""
+        return self.long_answers + sum(load.long_answers for load in self._peer_loads(now))
+
+    def own_reading(self, now: float) -> float:
+        """Return the prompt tokens a second that this VM lately gave it to read."""
+        return self._reading * math.exp(-max(0.0, now - self._read_at) / READING_SECONDS)
+
+    def reading(self, now: float) -> float:
+        """Return the prompt tokens a second that all VMs lately gave it to read."""
+        return self.own_reading(now) + sum(load.reading for load in self._peer_loads(now))
+
     def _peer_loads(self, now: float) -> Iterator[PeerLoad]:
         oldest = now - PEER_LOAD_SECONDS
         return (load for load in self.peers.values() if load.heard_at >= oldest)
@@ -162,10 +182,20 @@
         """Tell whether it is taking new weights."""
         return now < self.loading_until
 
-    def sent(self, request: str, unread_tokens: int, expected: float, now: float) -> None:
+    def sent(
+        self,
+        request: str,
+        unread_tokens: int,
+        expected: float,
+        now: float,
+        long_answer: bool = False,
+    ) -> None:
         """Count a request that was sent."""
         self.outstanding[request] = Outstanding(now, unread_tokens, expected)
         self.open_requests += 1
+        self.long_answers += long_answer
+        self._reading = self.own_reading(now) + unread_tokens / READING_SECONDS
+        self._read_at = now
 
     def began(self, request: str, now: float) -> None:
         """Take in the first event of an answer."""
@@ -185,10 +215,11 @@
         self.doubts = 0
         self.doubted_until = -math.inf
 
-    def ended(self, request: str) -> None:
+    def ended(self, request: str, long_answer: bool = False) -> None:
         """Stop counting a request."""
         self.outstanding.pop(request, None)
         self.open_requests -= 1
+        self.long_answers -= long_answer
 
     def failed(self, now: float) -> None:
         """Count a failure that the upstream is to blame for."""
--- a/hollyring/routing/tests/test_placing.py
+++ b/hollyring/routing/tests/test_placing.py
@@ -66,6 +66,12 @@
         return self.placing.place(wanted(*args, **fields), now)
 
 
+def place_of(world, part, **fields):
+    """Return where a prompt goes whose last shared part nobody holds."""
+    what = prompt(shared=(SHARED[0], asks.Part(part, 3800)))
+    return world.place(f"r-{part}", what, **fields).upstream.name
+
+
 @pytest.fixture
 def world():
     return World()
@@ -168,8 +174,7 @@
     world.placing.reserve(["a1"])
     long = prompt(output=120)
     assert {world.place(f"r-{n}", long).upstream.name for n in range(20)} == {"a2"}
-    short = {world.place(f"r-{n}").upstream.name for n in range(40)}
-    assert short == {"a1", "a2"}
+    assert {place_of(world, f"p-{n}") for n in range(40)} == {"a1", "a2"}
 
 
 def test_request_that_no_upstream_can_begin_in_its_time_is_refused_at_once(world):
@@ -215,10 +220,10 @@
 
 def test_other_vms_load_counts_until_it_is_old(world):
     world.add("a1", "a2")
-    world.serving.get("a1").peers["vm-2"] = serving.PeerLoad(20, 90_000, 0.0)
+    world.serving.get("a1").peers["vm-2"] = serving.PeerLoad(20, 0, 90_000, 0.0, 0.0)
     chosen = {world.place(f"r-{n}", now=0.5).upstream.name for n in range(20)}
     assert chosen == {"a2"}
-    chosen = {world.place(f"r-{n}", now=5.0).upstream.name for n in range(40)}
+    chosen = {place_of(world, f"p-{n}", now=5.0) for n in range(40)}
     assert chosen == {"a1", "a2"}
 
 
@@ -229,6 +234,32 @@
     assert not world.serving.get("a1").doubted(0.1)
 
 
+def test_prompts_are_read_where_few_long_answers_run(world):
+    world.add("a1", "a2")
+    for number in range(10):
+        world.serving.get("a1").sent(f"x-{number}", 0, 0.1, 0.0, long_answer=True)
+        world.serving.get("a1").began(f"x-{number}", 0.1)
+    assert {place_of(world, f"p-{n}", now=0.2) for n in range(20)} == {"a2"}
+
+
+def test_long_answers_go_where_little_is_read(world):
+    world.add("a1", "a2")
+    for number in range(8):
+        world.serving.get("a1").sent(f"x-{number}", 9000, 0.1, 0.0)
+        world.serving.get("a1").began(f"x-{number}", 0.1)
+    shared = (asks.Part("feast", 200),)
+    what = prompt(output=120, own_tokens=600, shared=shared)
+    assert {world.place(f"r-{n}", what, now=0.2).upstream.name for n in range(20)} == {"a2"}
+
+
+def test_same_prompt_goes_to_the_same_upstream_from_every_vm(world):
+    world.add("a1", "a2", "a3", "a4")
+    other = World()
+    other.add("a4", "a3", "a2", "a1")
+    for number in range(20):
+        assert place_of(world, f"p-{number}") == place_of(other, f"p-{number}")
+
+
 class Played:
     """Plays a load on six servers, two of which take new weights at a time.
 
@@ -313,7 +344,9 @@
                 for name in self.names:
                     theirs = other.serving.get(name)
                     unread = sum(item.unread_tokens for item in theirs.outstanding.values())
-                    load = serving.PeerLoad(theirs.open_requests, unread, now)
+                    load = serving.PeerLoad(
+                        theirs.open_requests, 0, unread, theirs.own_reading(now), now
+                    )
                     world.serving.get(name).peers[f"vm-{number}"] = load
 
 
