--- a/hollyring/configuration/__init__.py
+++ b/hollyring/configuration/__init__.py
@@ -1,41 +1,28 @@
 """Revisions of the configuration, their deltas, and what is in force on a VM."""
 
-from hollyring.configuration import (
-    checks,
-    documents,
-    errors,
-    follower,
-    in_force,
-    loading,
-    messages,
-    objects,
-    publishing,
-    revisions,
-    snapshots,
-    state,
-    store,
-    submission,
-)
-from hollyring.configuration.follower import Follower
-from hollyring.configuration.in_force import InForce
-from hollyring.configuration.state import Configuration
+from hollyring.core import lazy
 
-__all__ = [
-    "Configuration",
-    "Follower",
-    "InForce",
+__all__ = [  # noqa: F822
     "checks",
+    "choice",
+    "deployment",
     "documents",
     "errors",
     "follower",
+    "gossip",
     "in_force",
     "loading",
     "messages",
+    "mirror",
     "objects",
     "publishing",
+    "retained",
     "revisions",
     "snapshots",
     "state",
     "store",
     "submission",
+    "transfer",
 ]
+
+__getattr__ = lazy.modules(__name__, __all__)
--- a/hollyring/delivery/__init__.py
+++ b/hollyring/delivery/__init__.py
@@ -1,23 +1,13 @@
 """Stream order and resumption, at-most-once execution, refusals and their truth."""
 
-from hollyring.delivery import (
-    calls,
-    claimlog,
-    claims,
-    errors,
-    events,
-    messages,
-    records,
-    refusal,
-    storage,
-    stream,
-)
+from hollyring.core import lazy
 
-__all__ = [
+__all__ = [  # noqa: F822
     "calls",
     "claimlog",
     "claims",
     "errors",
+    "event_stream",
     "events",
     "messages",
     "records",
@@ -25,3 +15,5 @@
     "storage",
     "stream",
 ]
+
+__getattr__ = lazy.modules(__name__, __all__)
--- a/hollyring/fleet/__init__.py
+++ b/hollyring/fleet/__init__.py
@@ -1,5 +1,14 @@
 """Orders to upstreams: weights, adapters, roles, fencing, pace of a rollout, drain."""
 
-from hollyring.fleet import coverage, drain, errors, messages, rollout, targets
+from hollyring.core import lazy
 
-__all__ = ["coverage", "drain", "errors", "messages", "rollout", "targets"]
+__all__ = [  # noqa: F822
+    "coverage",
+    "drain",
+    "errors",
+    "messages",
+    "rollout",
+    "targets",
+]
+
+__getattr__ = lazy.modules(__name__, __all__)
--- a/hollyring/limits/__init__.py
+++ b/hollyring/limits/__init__.py
@@ -1,6 +1,21 @@
 """An organisation's token rate and burst, counted across all VMs."""
 
-from hollyring.limits import budget, errors, fairness, holders, messages, settings
-from hollyring.limits.limiter import Limiter, Update
+from hollyring.core import lazy
 
-__all__ = ["Limiter", "Update", "budget", "errors", "fairness", "holders", "messages", "settings"]
+__all__ = [  # noqa: F822
+    "borrower",
+    "budget",
+    "errors",
+    "fairness",
+    "fence",
+    "holders",
+    "layout",
+    "lender",
+    "limiter",
+    "messages",
+    "settings",
+    "share",
+    "shared_rate",
+]
+
+__getattr__ = lazy.modules(__name__, __all__)
--- a/hollyring/membership/__init__.py
+++ b/hollyring/membership/__init__.py
@@ -1,19 +1,8 @@
 """Liveness of VMs, the addresses that callers are told, and leases."""
 
-from hollyring.membership import (
-    actions,
-    beliefs,
-    entry,
-    errors,
-    gossip,
-    leases,
-    members,
-    messages,
-    pulse,
-    table,
-)
+from hollyring.core import lazy
 
-__all__ = [
+__all__ = [  # noqa: F822
     "actions",
     "beliefs",
     "entry",
@@ -23,5 +12,8 @@
     "members",
     "messages",
     "pulse",
+    "source",
     "table",
 ]
+
+__getattr__ = lazy.modules(__name__, __all__)
--- a/hollyring/node/caches_part.py
+++ b/hollyring/node/caches_part.py
@@ -22,7 +22,6 @@
 CALL_SECONDS = 2.0
 RETRY_SECONDS = 0.5
 TICK_SECONDS = 0.25
-CONNECTIONS = 3
 MAX_CHANGES = 400
 """Most changes told to the other VMs at once; older ones of a long list are left out."""
 
@@ -119,19 +118,10 @@
             self._state.caches.append(told)
 
     async def _ask(self, address: str, request: bytes) -> ports.CacheEvents:
-        link = await self._links.take(address, CONNECTIONS + self._links.count(address))
-        try:
-            with anyio.fail_after(CALL_SECONDS):
-                exchange = link.send(request, lambda headers: True)
-                head = await exchange.head()
-                body = await exchange.body()
-        except TimeoutError as error:
-            raise links.LinkError("no answer in time") from error
-        finally:
-            self._links.give_back(address, link)
-        found = self._codec.events(body) if head.status == HTTP_OK else None
+        status, body = await self._links.call(address, request, CALL_SECONDS)
+        found = self._codec.events(body) if status == HTTP_OK else None
         if found is None:
-            raise links.LinkError(f"status {head.status}, unreadable events")
+            raise links.LinkError(f"status {status}, unreadable events")
         return found
 
 
--- a/hollyring/node/configuration_part.py
+++ b/hollyring/node/configuration_part.py
@@ -7,8 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from hollyring import configuration
-from hollyring.configuration import in_force, messages, state, store
+from hollyring.configuration import follower, in_force, messages, state, store
 from hollyring.core import identities, invariants
 from hollyring.delivery import refusal
 from hollyring.node import logs, part, platform, store_calls
@@ -62,8 +61,8 @@
         self._live_peers = live_peers
         self._listeners = listeners
         self._log = logs.Log("config")
-        self._in_force = configuration.InForce(counters, self.now)
-        self._follower = configuration.Follower(self._in_force, self._seed(), self.now)
+        self._in_force = in_force.InForce(counters, self.now)
+        self._follower = follower.Follower(self._in_force, self._seed(), self.now)
         self._told = state.Configuration()
         self._admission = in_force.Admission.NOT_CONFIGURED
 
--- a/hollyring/node/limits_part.py
+++ b/hollyring/node/limits_part.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from hollyring import limits
 from hollyring.configuration import state
 from hollyring.core import identities, invariants
 from hollyring.delivery import refusal
@@ -54,7 +53,7 @@
 
 
 class LimitsPart(part.Part):
-    """Owns this VM's `limits.Limiter`.
+    """Owns this VM's `limiter.Limiter`.
 
     Parameters
     ----------
@@ -66,7 +65,7 @@
         self, me: identities.Incarnation, counters: invariants.Invariants, send: Send
     ) -> None:
         super().__init__(TICK_SECONDS)
-        self._limiter = limits.Limiter(me, counters)
+        self._limiter = limiter.Limiter(me, counters)
         self._send = send
         self._tickets: dict[str, part.Ticket[refusal.Refusal | None]] = {}
         self._known: dict[str, holders.Limit] = {}
--- a/hollyring/node/links.py
+++ b/hollyring/node/links.py
@@ -303,6 +303,10 @@
             self._exchange.take_end()
 
 
+def _any_answer(_: list[asks.Header]) -> bool:
+    return True
+
+
 def _keep_seconds(value: bytes) -> float:
     """Return for how long an idle connection may be used, from a ``Keep-Alive`` header."""
     for field in value.split(b","):
@@ -367,6 +371,25 @@
         self._idle.setdefault(address, []).append(link)
         return True
 
+    async def call(self, address: str, request: bytes, seconds: float) -> tuple[int, bytes]:
+        """Return status and body of a call that no caller waits for, beside the bound.
+
+        Raises
+        ------
+        LinkError
+            If no whole answer came within `seconds`.
+        """
+        link = await self.take(address, most=self._open[address] + 1)
+        try:
+            async with asyncio.timeout(seconds):
+                exchange = link.send(request, _any_answer)
+                head = await exchange.head()
+                return head.status, await exchange.body()
+        except TimeoutError as error:
+            raise LinkError("no answer in time") from error
+        finally:
+            self.give_back(address, link)
+
     def give_back(self, address: str, link: Link) -> None:
         """Keep a connection whose exchange is over, or close it."""
         if link.release():
--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -28,7 +28,6 @@
 SILENT_SECONDS = 0.6
 """An upstream that gave no report is left out for so long."""
 
-CONNECTIONS = 3
 LOAD_SHARE = 0.4
 """Part of a service's upstreams that may take new weights at once."""
 
@@ -258,7 +257,9 @@
         address = upstream.entry.address
         try:
             at = clock.now()
-            _, body = await self._ask(address, self._codec.report_request(address))
+            _, body = await self._links.call(
+                address, self._codec.report_request(address), CALL_SECONDS
+            )
         except links.LinkError as error:
             self._log.say("no report", upstream=upstream.name, why=str(error))
             self._silent_until[upstream.name] = clock.now() + SILENT_SECONDS
@@ -308,26 +309,13 @@
         request = self._codec.order_request(address, order, self._me.name)
         self._ordered_at = now
         try:
-            status, _ = await self._ask(address, request)
+            status, _ = await self._links.call(address, request, CALL_SECONDS)
         except links.NotSentError:
             return messages.Outcome.NOT_SENT
         except links.LinkError:
             return messages.Outcome.UNKNOWN
         return self._codec.order_outcome(status)
 
-    async def _ask(self, address: str, request: bytes) -> tuple[int, bytes]:
-        """Return status and body of a call on an upstream."""
-        link = await self._links.take(address, CONNECTIONS + self._links.count(address))
-        try:
-            with anyio.fail_after(CALL_SECONDS):
-                exchange = link.send(request, lambda headers: True)
-                head = await exchange.head()
-                return head.status, await exchange.body()
-        except TimeoutError as error:
-            raise links.LinkError("no answer in time") from error
-        finally:
-            self._links.give_back(address, link)
-
     def _tell(self, upstream: serving.Upstream, model: str, version: int, loading: bool) -> None:
         """Note an upstream's weights here and at the other VMs."""
         now = clock.now()
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -8,12 +8,10 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-import anyio
-import httpcore
 import msgspec
 
 from hollyring.configuration import mirror
-from hollyring.node import failures, ports, sockets
+from hollyring.node import links, ports
 
 CALL_SECONDS = 1.5
 """Longest wait for the answer to a call that does not watch."""
@@ -57,10 +55,8 @@
     """The store at `address`; implements `hollyring.node.ports.Store`."""
 
     def __init__(self, address: str) -> None:
-        self._url = f"http://{address}"
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=16, keepalive_expiry=30.0, socket_options=sockets.OPTIONS
-        )
+        self._address = address
+        self._links = links.Links()
 
     async def get(self, key: str) -> mirror.Item | None:
         """Return an item, or None if the key does not exist."""
@@ -132,19 +128,19 @@
         content: Any = None,
         seconds: float = CALL_SECONDS,
     ) -> tuple[int, bytes]:
-        url = self._url + path
-        if query:
-            url += "?" + urllib.parse.urlencode(query)
-        headers = [(b"content-type", b"application/json")] if content is not None else []
-        data = msgspec.json.encode(content) if content is not None else None
+        target = path + "?" + urllib.parse.urlencode(query) if query else path
+        body = msgspec.json.encode(content) if content is not None else b""
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
+        if body:
+            lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
+        request = "\r\n".join([*lines, "", ""]).encode() + body
         try:
-            with anyio.fail_after(seconds):
-                response = await self._pool.request(method, url, headers=headers, content=data)
-        except failures.FAILURES as error:
-            raise ports.StoreError(f"{method} {path}: {type(error).__name__}") from error
-        if response.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONFLICT):
-            raise ports.StoreError(f"{method} {path}: status {response.status}")
-        return response.status, response.content
+            status, found = await self._links.call(self._address, request, seconds)
+        except links.LinkError as error:
+            raise ports.StoreError(f"{method} {path}: {error}") from error
+        if status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONFLICT):
+            raise ports.StoreError(f"{method} {path}: status {status}")
+        return status, found
 
 
 def _decode(body: bytes, type_: type[Any]) -> Any:
--- a/hollyring/routing/__init__.py
+++ b/hollyring/routing/__init__.py
@@ -1,43 +1,29 @@
 """Prefix chains, the cache index, placement, retries and deadlines."""
 
-from hollyring.routing import (
-    attempts,
-    blocks,
-    errors,
-    events,
-    health,
-    index,
-    load,
-    lookups,
-    memory,
-    messages,
-    placement,
-    policies,
-    popularity,
-    prefix,
-    requests,
-    retry,
-    router,
-    upstreams,
-)
+from hollyring.core import lazy
 
-__all__ = [
+__all__ = [  # noqa: F822
     "attempts",
     "blocks",
     "errors",
     "events",
     "health",
+    "holdings",
     "index",
     "load",
     "lookups",
     "memory",
     "messages",
     "placement",
+    "placing",
     "policies",
     "popularity",
     "prefix",
     "requests",
     "retry",
     "router",
+    "serving",
     "upstreams",
 ]
+
+__getattr__ = lazy.modules(__name__, __all__)
