Tell long answers by the caller's hint; know since when weights are wanted, and the last order

Cause: every prompt counted as a long answer, since the most that may be generated is 205 and 955 tokens where 52 and 290 are usual; so reserved servers still had streams of 5 s. The pulse that says that a holder stopped came after its successor looked.

Change: the hint, else a quarter of the most, decides; pulses carry for how long a version is known, and a VM that starts assumes half of the bound; the last order is looked for until it is known.

--- a/hollyring/core/asks.py
+++ b/hollyring/core/asks.py
@@ -9,6 +9,10 @@
 """Name in lower case and value of an HTTP header."""
 
 
+UNHINTED_PART = 4
+"""Answers are mostly this many times shorter than they might be."""
+
+
 class Repeat(enum.Enum):
     """How often a request may be run."""
 
@@ -47,12 +51,20 @@
         The prompt in order; the last part belongs to this request or its session alone.
     prompt_tokens, output_tokens
         Tokens to read, and the most to generate.
+    hinted_tokens
+        The caller's guess at the tokens that will be generated, 0 without one.
     """
 
     model: str
     parts: tuple[Part, ...]
     prompt_tokens: int
     output_tokens: int
+    hinted_tokens: int = 0
+
+    @property
+    def likely_tokens(self) -> int:
+        """The tokens that will probably be generated."""
+        return min(self.hinted_tokens or self.output_tokens // UNHINTED_PART, self.output_tokens)
 
     @property
     def shared(self) -> tuple[Part, ...]:
--- a/hollyring/fleet/rollout.py
+++ b/hollyring/fleet/rollout.py
@@ -164,7 +164,6 @@
         fencing: int,
         now: float,
         released: bool = False,
-        last_order_at: float | None = None,
     ) -> None:
         """Take up the lease.
 
@@ -174,8 +173,6 @@
             Number of this holding, above every earlier one.
         released
             The earlier holder gave the lease back and had no order in flight.
-        last_order_at
-            When the earlier holder, which gives no more, gave its last order, where that is known.
 
         Raises
         ------
@@ -189,10 +186,13 @@
         self._attempts.clear()
         self._not_before.clear()
         wait = 0.0 if released else self._pace.lease_seconds
-        if last_order_at is not None:
-            wait = min(wait, max(0.0, last_order_at + self._pace.lease_seconds - now))
         self._ready_at = now + wait + self._pace.flight_seconds
 
+    def learn_last_order(self, at: float, now: float) -> None:
+        """Take in when the earlier holder, which gives no more, gave its last order."""
+        ready_at = max(now, at + self._pace.lease_seconds + self._pace.flight_seconds)
+        self._ready_at = min(self._ready_at, ready_at)
+
     def lose(self) -> None:
         """Stop giving orders."""
         self._holds = False
--- a/hollyring/fleet/tests/test_rollout.py
+++ b/hollyring/fleet/tests/test_rollout.py
@@ -306,3 +306,82 @@
         world.step()
     assert world.converged
     assert world.counts["takeovers"] == 2
+
+
+COUNTED = rollout.Pace(weights_concurrency=2, weights_seconds=4.0, loads_shown=True)
+
+
+def counted(upstream, *models, accepted=0, busy=False):
+    return messages.UpstreamState(upstream, 1, list(models), [], "both", False, 0.0, busy, accepted)
+
+
+def observe_all(machine, states, now):
+    for reported in states:
+        machine.observe(reported, now)
+        machine.heard(reported.upstream, now)
+
+
+def test_holder_need_not_wait_when_the_last_order_lies_back():
+    machine = rollout.Rollout(COUNTED, invariants.Invariants())
+    machine.declare(targets_of(3, V2))
+    machine.acquire(1, 100.0)
+    machine.learn_last_order(80.0, 100.1)
+    lag = COUNTED.flight_seconds + COUNTED.report_lag_seconds
+    observe_all(machine, [counted(f"e{n}", V1) for n in range(3)], 100.1 + lag)
+    assert len(machine.step(5.0, 100.1 + lag)) == 2
+
+
+def test_last_order_that_is_not_long_ago_is_waited_out():
+    machine = rollout.Rollout(COUNTED, invariants.Invariants())
+    machine.declare(targets_of(3, V2))
+    machine.acquire(1, 100.0)
+    machine.learn_last_order(99.0, 100.1)
+    ready = 99.0 + COUNTED.lease_seconds + COUNTED.flight_seconds
+    assert machine.step(5.0, ready - 0.01) == []
+
+
+def test_busy_upstreams_of_the_last_holder_count_as_loads(holder):
+    states = [counted("e0", V1, busy=True), counted("e1", V1, busy=True)]
+    states += [counted("e2", V1), counted("e3", V1)]
+    machine = holder(targets_of(4, V2), states, COUNTED)
+    assert machine.step(5.0, SETTLED) == []
+
+
+def test_order_that_was_lost_is_given_again_with_the_same_count(holder):
+    machine = holder(targets_of(3, V2), [counted(f"e{n}", V1) for n in range(3)], COUNTED)
+    first = machine.step(5.0, SETTLED)[0]
+    machine.answered(first.upstream, first.order_id, messages.Outcome.UNKNOWN, SETTLED + 0.5)
+    later = SETTLED + COUNTED.arrival_seconds + COUNTED.report_lag_seconds
+    observe_all(machine, [counted(f"e{n}", V1) for n in range(3)], later)
+    again = [o for o in machine.step(5.0, later) if o.upstream == first.upstream]
+    assert again
+    assert again[0].expected == first.expected == 0
+
+
+def test_order_to_an_upstream_that_went_holds_no_place(holder):
+    machine = holder(targets_of(3, V2), [counted(f"e{n}", V1) for n in range(3)], COUNTED)
+    first = machine.step(5.0, SETTLED)
+    for order in first:
+        machine.answered(order.upstream, order.order_id, messages.Outcome.ACCEPTED, SETTLED)
+    left = [t for t in targets_of(3, V2) if t.upstream not in {o.upstream for o in first}]
+    machine.declare(left)
+    observe_all(machine, [counted(t.upstream, V1) for t in left], SETTLED + 0.5)
+    machine.step(5.0, SETTLED + 0.5)
+    assert machine.given <= {t.upstream for t in left}
+
+
+def test_last_upstream_is_loaded_after_a_while_though_nobody_else_serves():
+    pace = rollout.Pace(weights_concurrency=1, loads_shown=True, blocked_seconds=2.0)
+    machine = rollout.Rollout(pace, invariants.Invariants())
+    machine.declare(targets_of(1, V2))
+    machine.acquire(1, 0.0)
+    observe_all(machine, [counted("e0", V1)], SETTLED)
+    assert machine.step(5.0, SETTLED) == []
+    observe_all(machine, [counted("e0", V1)], SETTLED + 2.0)
+    assert upstreams_of(machine.step(5.0, SETTLED + 2.0)) == ["e0"]
+
+
+def test_preferred_upstreams_are_first(holder):
+    machine = holder(targets_of(4, V2), [counted(f"e{n}", V1) for n in range(4)], COUNTED)
+    machine.prefer(["e3", "e2"])
+    assert upstreams_of(machine.step(5.0, SETTLED)) == ["e3", "e2"]
--- a/hollyring/membership/pulse.py
+++ b/hollyring/membership/pulse.py
@@ -52,6 +52,15 @@
     latest: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Named:
+    """For how many seconds a VM has known that a version of a model's weights is wanted."""
+
+    model: str
+    version: int
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """What a VM has at an upstream.
@@ -162,7 +171,7 @@
         Whether callers may be sent to it.
     store_reached
         Whether the store answered its last call.
-    marks, loads, spent
+    marks, named, loads, spent
         Totals.
     readings, caches, weights, doubts
         News; `doubts` names upstreams that did not answer.
@@ -174,6 +183,7 @@
     ready: bool
     store_reached: bool
     marks: list[Mark]
+    named: list[Named]
     loads: list[Load]
     spent: list[Spent]
     readings: list[Reading]
--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -102,7 +102,10 @@
 
     async def stop(self) -> None:
         """Give the lease back."""
-        for action in self._lease.close():
+        actions = self._lease.close()
+        self._tick()
+        self._hurry()
+        for action in actions:
             if isinstance(action, leases.ReleaseLease) and action.lease:
                 await self._perform(action)
 
@@ -113,6 +116,7 @@
         holds = self._lease.fencing(now) is not None
         reserved: list[str] = []
         if holds:
+            self._learn_last_order(now)
             for service in self._services():
                 reserved += self._step(service, now)
             self._state.placing.reserve(reserved)
@@ -152,11 +156,24 @@
     def _acquired(self, fencing: int) -> None:
         self._rollouts = {}
         self._fencing = fencing
-        self._last_order_at = self._known_last_order(clock.now())
-        self._log.say("last order known", holder=self._last_holder, at=self._last_order_at)
+        self._last_order_at = None
+
+    def _learn_last_order(self, now: float) -> None:
+        """Find out when the earlier holder gave its last order, once it says that it holds no more.
+
+        Its pulse that says so may come after the lease was taken up.
+        """
+        if self._last_order_at is not None:
+            return
+        self._last_order_at = self._known_last_order(now)
+        if self._last_order_at is not None:
+            ago = round(now - self._last_order_at, 2)
+            self._log.say("last order known", holder=self._last_holder, ago=ago)
 
     def _known_last_order(self, now: float) -> float | None:
         """Return when the earlier holder gave its last order, None if it may still give one."""
+        if not self._last_holder:
+            return None
         peer = self._state.peers.known.get(self._last_holder)
         if peer is None or peer.holds_orders or now - peer.heard_at > pulse.ALIVE_SECONDS:
             return None
@@ -206,7 +223,9 @@
         machine = self._rollouts.get(service)
         if machine is None:
             machine = self._rollouts[service] = rollout.Rollout(_pace(len(known)), self._invariants)
-            machine.acquire(self._fencing, now, last_order_at=self._last_order_at)
+            machine.acquire(self._fencing, now)
+        if self._last_order_at is not None:
+            machine.learn_last_order(self._last_order_at, now)
         answering = [u for u in known if not u.doubted(now)]
         machine.resize(_pace(len(answering)))
         machine.declare(declared)
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -167,6 +167,12 @@
   2: optional i64 latest
 }
 
+struct MembershipNamed {
+  1: optional string model
+  2: optional i64 version
+  3: optional double seconds
+}
+
 struct MembershipLoad {
   1: optional string upstream
   2: optional i64 requests
@@ -222,13 +228,14 @@
   2: optional bool ready
   3: optional bool store_reached
   4: optional list<MembershipMark> marks
-  5: optional list<MembershipLoad> loads
-  6: optional list<MembershipSpent> spent
-  7: optional list<MembershipReading> readings
-  8: optional list<MembershipCacheNews> caches
-  9: optional list<MembershipWeights> weights
-  10: optional list<string> doubts
-  11: optional MembershipGiver orders
+  5: optional list<MembershipNamed> named
+  6: optional list<MembershipLoad> loads
+  7: optional list<MembershipSpent> spent
+  8: optional list<MembershipReading> readings
+  9: optional list<MembershipCacheNews> caches
+  10: optional list<MembershipWeights> weights
+  11: optional list<string> doubts
+  12: optional MembershipGiver orders
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/pulse_part.py
+++ b/hollyring/node/pulse_part.py
@@ -111,6 +111,10 @@
             ready=beliefs.ready,
             store_reached=beliefs.store_heard_at > beliefs.store_failed_at,
             marks=marks,
+            named=[
+                pulse.Named(model, wanted.version, now - wanted.at)
+                for model, wanted in beliefs.placing.named.items()
+            ],
             loads=loads,
             spent=beliefs.spent(),
             readings=beliefs.readings,
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -530,7 +530,7 @@
             version=place.version if place else 0,
             unread=place.unread_tokens if place else 0,
             fetched=place.fetched_tokens if place else 0,
-            output=work.ask.prompt.output_tokens if work.ask.prompt else 0,
+            likely=work.ask.prompt.likely_tokens if work.ask.prompt else 0,
             expected=round(place.expected, 4) if place else 0.0,
             first=round(work.first_at - work.arrived, 4) if work.first_at else 0.0,
             seconds=round(now - work.arrived, 4),
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -105,6 +105,8 @@
         self.weights: list[pulse.Weights] = []
         self.orders = pulse.Giver(False, -1.0, [])
         self._documents = documents
+        self._version_seconds = version_seconds
+        self._started_late = True
         self._retry_rules = retries
         self._rates: dict[str, shared_rate.SharedRate] = {}
         self._retries: dict[str, budget.RetryBudget] = {}
@@ -211,6 +213,7 @@
             for key in changed:
                 if key in items:
                     self._operator_changed(items[key], now)
+            self._started_late = False
         elif prefix == self.prefixes.upstreams:
             for key in changed:
                 self._upstream_changed(key, items.get(key), now)
@@ -244,6 +247,10 @@
                 self._rate_of(organisation, now).hear(life, spent.total, now)
         for reading in news.readings:
             self._count_reading(reading)
+        for named in news.named:
+            wanted = self.wanted.get(named.model)
+            if wanted is not None and wanted.version == named.version:
+                self.placing.name_version(named.model, named.version, now - named.seconds)
         for cache in news.caches:
             self.take_cache(cache)
         for weights in news.weights:
@@ -383,7 +390,9 @@
         if known is not None and known.version >= wanted.version:
             return
         self.wanted[wanted.model] = wanted
-        self.placing.name_version(wanted.model, wanted.version, now)
+        # A VM that starts does not know since when the version that it finds is wanted.
+        unknown = self._version_seconds / 2 if known is None and self._started_late else 0.0
+        self.placing.name_version(wanted.model, wanted.version, now - unknown)
         self._log.say("weights wanted", model=wanted.model, version=wanted.version)
 
     def _upstream_changed(self, key: str, item: mirror.Item | None, now: float) -> None:
--- a/hollyring/platform/ingress.py
+++ b/hollyring/platform/ingress.py
@@ -98,7 +98,14 @@
     read, _, write = counts.partition(",")
     listed = _text(headers, b"x-prompt-prefix")
     parts = tuple(_part(entry) for entry in listed.split(",") if entry.strip())
-    return asks.Prompt(model, parts, int(_number(read)), int(_number(write or "0")))
+    hint = _text(headers, b"x-length-hint")
+    return asks.Prompt(
+        model,
+        parts,
+        int(_number(read)),
+        int(_number(write or "0")),
+        int(_number(hint)) if hint else 0,
+    )
 
 
 def _part(entry: str) -> asks.Part:
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -156,6 +156,7 @@
         (b"x-token-counts", b"1460,80"),
         (b"x-prompt-prefix", b"5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),
         (b"x-deadline-ms", b"4000"),
+        (b"x-length-hint", b"33"),
         (b"authorization", b"Bearer wu3"),
     ],
 }
@@ -167,6 +168,7 @@
     assert ask.target == b"/lepu270/2f%20x?q=1"
     assert (ask.key, ask.patience, ask.resume_after) == ("wu3", 4.0, 12)
     assert (ask.prompt.prompt_tokens, ask.prompt.output_tokens) == (1460, 80)
+    assert ask.prompt.likely_tokens == 33
     assert ask.prompt.parts[1] == asks.Part("91bd3f06", 410)
 
 
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -69,13 +69,11 @@
 FULL_FACTOR = 1.0
 """A server with this many times its slots in requests is full."""
 
-LONG_TOKENS = 32
-"""Answers of more tokens than this are long."""
+LONG_TOKENS = 120
+"""Answers that are likely to have more tokens than this are long."""
 
-RESERVED_SECONDS_PER_TOKEN = 0.01
-"""Time that each token of a long answer beyond `LONG_TOKENS` counts for at a reserved server."""
-
-MOST_RESERVED_SECONDS = 0.35
+RESERVED_SECONDS = 0.4
+"""Time that a reserved server counts for when the answer is long."""
 
 QUEUE_SHARE = 0.9
 """Part of a caller's time that may be spent before the first event."""
@@ -173,7 +171,9 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Named:
+class Named:
+    """A version of weights that is wanted, and since when."""
+
     version: int
     at: float
 
@@ -235,7 +235,7 @@
         self._holdings = held
         self._services: Mapping[str, deployment.Service] = {}
         self._stores: list[deployment.CacheStore] = []
-        self._named: dict[str, _Named] = {}
+        self._named: dict[str, Named] = {}
         self._version_seconds = version_seconds
         self._reserved: frozenset[str] = frozenset()
 
@@ -249,10 +249,17 @@
         self._stores = current.cache_stores()
 
     def name_version(self, model: str, version: int, now: float) -> None:
-        """Take in the version of the weights that is wanted since `now`."""
+        """Take in the version of the weights that is wanted since `now`, or since before it."""
         known = self._named.get(model)
         if known is None or known.version < version:
-            self._named[model] = _Named(version, now)
+            self._named[model] = Named(version, now)
+        elif known.version == version:
+            self._named[model] = Named(version, min(now, known.at))
+
+    @property
+    def named(self) -> Mapping[str, Named]:
+        """The wanted version of each model's weights."""
+        return self._named
 
     def place(self, wanted: Wanted, now: float) -> Place | NoPlace:
         """Return where the request goes."""
@@ -301,9 +308,8 @@
                 cost += AVOID_SECONDS
             cost += place.fetched_tokens * TRANSFER_SECONDS_PER_TOKEN
             cost += _harm(place, wanted.prompt, now)
-            if upstream.name in self._reserved:
-                long = max(0, wanted.prompt.output_tokens - LONG_TOKENS)
-                cost += min(MOST_RESERVED_SECONDS, long * RESERVED_SECONDS_PER_TOKEN)
+            if upstream.name in self._reserved and is_long(wanted.prompt):
+                cost += RESERVED_SECONDS
         return _Choice(place, cost)
 
     def _engine_place(
@@ -429,7 +435,7 @@
 
 def is_long(prompt: asks.Prompt | None) -> bool:
     """Tell whether the answer is long."""
-    return prompt is not None and prompt.output_tokens > LONG_TOKENS
+    return prompt is not None and prompt.likely_tokens > LONG_TOKENS
 
 
 def _harm(place: Place, prompt: asks.Prompt, now: float) -> float:
@@ -443,7 +449,7 @@
     harm = reading * upstream.all_long_answers(now)
     if is_long(prompt):
         busy = min(1.0, upstream.reading(now) / serving.TOKENS_PER_SECOND)
-        harm += prompt.output_tokens * STEP_SECONDS * STEP_FACTOR * busy
+        harm += prompt.likely_tokens * STEP_SECONDS * STEP_FACTOR * busy
     return HARM_SHARE * harm
 
 
--- a/hollyring/routing/tests/test_placing.py
+++ b/hollyring/routing/tests/test_placing.py
@@ -21,9 +21,9 @@
     )
 
 
-def prompt(own="q-1", own_tokens=2900, output=10, shared=SHARED):
+def prompt(own="q-1", own_tokens=2900, likely=50, shared=SHARED):
     parts = (*shared, asks.Part(own, own_tokens))
-    return asks.Prompt(MODEL, parts, sum(part.tokens for part in parts), output)
+    return asks.Prompt(MODEL, parts, sum(part.tokens for part in parts), 955, likely)
 
 
 def wanted(
@@ -172,7 +172,7 @@
 def test_long_answers_stay_away_from_reserved_upstreams(world):
     world.add("a1", "a2")
     world.placing.reserve(["a1"])
-    long = prompt(output=120)
+    long = prompt(likely=290)
     assert {world.place(f"r-{n}", long).upstream.name for n in range(20)} == {"a2"}
     assert {place_of(world, f"p-{n}") for n in range(40)} == {"a1", "a2"}
 
@@ -248,7 +248,7 @@
         world.serving.get("a1").sent(f"x-{number}", 9000, 0.1, 0.0)
         world.serving.get("a1").began(f"x-{number}", 0.1)
     shared = (asks.Part("feast", 200),)
-    what = prompt(output=120, own_tokens=600, shared=shared)
+    what = prompt(likely=290, own_tokens=600, shared=shared)
     assert {world.place(f"r-{n}", what, now=0.2).upstream.name for n in range(20)} == {"a2"}
 
 
