Refuse what would wait longer than the shortest target; keep long answers further from reading

Change: the longest wait in line is 0.8 of the shortest target of the service; the harm that reading and long answers do each other counts half instead of a fifth. Refused callers come back spread.

--- a/hollyring/configuration/deployment.py
+++ b/hollyring/configuration/deployment.py
@@ -9,10 +9,6 @@
 from hollyring.core import asks, rendezvous
 
 HASH_RANGE = 1 << 64
-MIN_PATIENCE_SECONDS = 2.0
-PATIENCE_TARGETS = 4.0
-PATIENCE_GAPS = 8.0
-"""Callers leave a stream after the longest of these without an event."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,8 +31,6 @@
         Whether answers are event streams.
     timeout, target
         Seconds after which a caller gets a final answer, and within which one is prompt.
-    gap
-        Longest pause in seconds between events with which a stream is prompt.
     rank
         Urgency; 0 comes first.
     splits
@@ -54,25 +48,17 @@
     streaming: bool
     timeout: float
     target: float
-    gap: float
     rank: int
     splits: tuple[Split, ...]
     max_upstreams: int
     open_to_all: bool
 
-    @property
-    def first_patience(self) -> float:
-        """Seconds after which callers leave a stream that has not begun, or a call."""
-        if not self.streaming:
-            return self.timeout
-        return max(MIN_PATIENCE_SECONDS, PATIENCE_TARGETS * self.target, PATIENCE_GAPS * self.gap)
-
     def service_for(self, request: str) -> str:
         """Return the service that takes the request of this name.
 
         Examples
         --------
-        >>> route = Route("r", "h", "/", asks.Repeat.ONCE, False, 1.0, 0.1, 0.2, 0,
+        >>> route = Route("r", "h", "/", asks.Repeat.ONCE, False, 1.0, 0.1, 0,
         ...               (Split("a", 9.0), Split("b", 0.0)), 1, False)
         >>> route.service_for("17")
         'a'
@@ -217,8 +203,12 @@
         self.services = {service.name: service for service in services}
         self.organisations = {item.name: item for item in organisations}
         self._hosts: dict[str, dict[str, Route]] = {}
+        self._targets: dict[str, float] = {}
         for route in routes:
             self._hosts.setdefault(route.host, {})[route.prefix] = route
+            for split in route.splits:
+                known = self._targets.get(split.service, route.target)
+                self._targets[split.service] = min(known, route.target)
 
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins `path`."""
@@ -233,6 +223,10 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def shortest_target(self, service: str, default: float) -> float:
+        """Return the shortest target of the routes to a service, in seconds."""
+        return self._targets.get(service, default)
+
     @functools.cached_property
     def _by_key(self) -> dict[str, Organisation]:
         return {key: item for item in self.organisations.values() for key in item.keys}
--- a/hollyring/configuration/tests/test_deployment.py
+++ b/hollyring/configuration/tests/test_deployment.py
@@ -13,7 +13,6 @@
         False,
         1.0,
         0.1,
-        0.2,
         0,
         tuple(deployment.Split(*split) for split in splits) or (deployment.Split("s", 1.0),),
         1,
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -40,8 +40,10 @@
 SILENT_SECONDS = 0.35
 """An upstream that sends nothing for so long is asked for a connection to see if it is there."""
 
-WAIT_SHARE = 0.5
-"""Part of the time within which callers want a first event that a request may wait in line."""
+WAIT_TARGETS = 0.8
+"""Longest wait in line at an upstream, in the shortest target of its service's routes. A longer line
+serves nobody: what waits there takes the memory in which shared prompts are kept, and they have to be
+read again."""
 
 LOADING_SECONDS = 0.3
 """An upstream that refused a request for its state is left alone for so long."""
@@ -107,6 +109,7 @@
     arrived: float
     deadline: float
     rank: int
+    shortest_target: float
     events: event_stream.EventStream
     reached: bool = False
     ran: int = 0
@@ -211,6 +214,7 @@
             arrived,
             arrived + min(ask.patience, route.timeout) - FINAL_MARGIN_SECONDS,
             rank,
+            current.shortest_target(service.name, route.target),
             event_stream.EventStream(ask.resume_after),
         )
 
@@ -247,7 +251,7 @@
             self._state.domain,
             left,
             work.route.target,
-            work.route.first_patience * WAIT_SHARE,
+            work.shortest_target * WAIT_TARGETS,
             frozenset(work.tried),
         )
         place = self._state.placing.place(wanted, clock.now())
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -44,7 +44,6 @@
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -216,7 +215,6 @@
         streaming,
         route.timeout_ms / MILLISECONDS,
         route.target_latency_ms / MILLISECONDS,
-        route.gap_aim_ms / MILLISECONDS,
         route.priority,
         tuple(splits),
         max(1, route.max_attempts),
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -70,7 +70,6 @@
                     streams,
                     timeout,
                     0.2,
-                    0.2,
                     2,
                     (deployment.Split("s", 1.0),),
                     attempts,
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -63,7 +63,7 @@
 STEP_FACTOR = 3.0
 """A server that reads without a pause takes this many times longer for a step."""
 
-HARM_SHARE = 0.2
+HARM_SHARE = 0.5
 """Part of the time that long answers are delayed by which counts against a place."""
 
 FULL_FACTOR = 1.0
