Leave a cache store that does not answer; load fewer modules at a start

Cause: a dead source of cached prompts costs some hundred milliseconds a request, and nobody noticed that the store was down; the message classes of the product's own interface were built at each start.

Change: the VM that follows a holder tells when it does not answer, and nobody fetches or saves there for 1.5 s; a catalogue of its own for the messages of these VMs.

--- a/hollyring/membership/pulse.py
+++ b/hollyring/membership/pulse.py
@@ -119,6 +119,8 @@
     ----------
     holder
         An upstream's name, or a cache store's address.
+    reachable
+        Whether it answered.
     reset
         Whether it holds nothing of before, as it started again.
     changes
@@ -126,6 +128,7 @@
     """
 
     holder: str
+    reachable: bool
     reset: bool
     changes: list[Held]
 
--- a/hollyring/node/caches_part.py
+++ b/hollyring/node/caches_part.py
@@ -90,6 +90,7 @@
                     await self._read(holder, address, first)
                 except links.LinkError as error:
                     self._log.say("no events", holder=holder, why=str(error))
+                    self._tell(pulse.CacheNews(holder, False, False, []))
                     await anyio.sleep(RETRY_SECONDS)
                     if not self._is_mine(holder):
                         self._epochs.setdefault(holder, 0)
@@ -110,12 +111,15 @@
         self._epochs[holder] = found.epoch
         self._after[holder] = found.after
         changes = _latest(found.changes)
-        if not changes and not reset:
-            return
-        self._state.take_cache(pulse.CacheNews(holder, reset, changes))
-        if not first:
-            told = pulse.CacheNews(holder, reset, changes[-MAX_CHANGES:])
-            self._state.caches.append(told)
+        if first:
+            self._state.take_cache(pulse.CacheNews(holder, True, reset, changes), clock.now())
+        elif changes or reset:
+            self._tell(pulse.CacheNews(holder, True, reset, changes[-MAX_CHANGES:]))
+
+    def _tell(self, news: pulse.CacheNews) -> None:
+        """Take news in here, and have the other VMs told."""
+        self._state.take_cache(news, clock.now())
+        self._state.caches.append(news)
 
     async def _ask(self, address: str, request: bytes) -> ports.CacheEvents:
         status, body = await self._links.call(address, request, CALL_SECONDS)
--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -6,11 +6,11 @@
 from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
 from hollyring.membership import messages as membership
-from hollyring.membership import pulse
+from hollyring.node import pulse_messages, thrift_names
 from hollyring.routing import messages as routing
 
-MESSAGES: dict[str, type] = {
-    f"{class_.__module__.split('.')[1]}.{class_.__name__}": class_
+MESSAGES: dict[str, type] = pulse_messages.MESSAGES | {
+    thrift_names.wire_name(class_): class_
     for class_ in (
         configuration.Digest,
         configuration.Fetch,
@@ -30,17 +30,8 @@
         membership.PingRequest,
         membership.SyncRequest,
         membership.Sync,
-        pulse.Pulse,
-        pulse.CopyRequest,
-        pulse.Copy,
         routing.Lookup,
         routing.LookupAnswer,
     )
 }
 """Message classes of all parts; each belongs to the package that its wire name begins with."""
-
-
-def thrift_name(class_: type) -> str:
-    """Return the thrift struct's name of a message class, e.g. ``LimitsGrant``."""
-    package = class_.__module__.split(".")[1]
-    return package.capitalize() + class_.__name__
--- a/hollyring/node/idl.py
+++ b/hollyring/node/idl.py
@@ -10,7 +10,7 @@
 import typing
 from typing import Any
 
-from hollyring.node import catalogue
+from hollyring.node import catalogue, thrift_names
 
 _SCALARS = {bool: "bool", int: "i64", float: "double", str: "string", bytes: "binary"}
 
@@ -25,7 +25,7 @@
 
 
 def _print_struct(class_: type, printed: dict[str, str]) -> None:
-    name = catalogue.thrift_name(class_)
+    name = thrift_names.thrift_name(class_)
     if name in printed:
         return
     hints = typing.get_type_hints(class_)
@@ -43,7 +43,7 @@
         return f"list<{_type(typing.get_args(hint)[0], printed)}>"
     if dataclasses.is_dataclass(hint):
         _print_struct(typing.cast(type, hint), printed)
-        return catalogue.thrift_name(typing.cast(type, hint))
+        return thrift_names.thrift_name(typing.cast(type, hint))
     return _SCALARS[hint]
 
 
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -1,5 +1,107 @@
 // Messages between VMs. Printed by bin/generate; do not edit.
 
+struct MembershipPlace {
+  1: optional string name
+  2: optional i64 life
+  3: optional string caller_address
+  4: optional string peer_address
+  5: optional string failure_domain
+  6: optional string region
+}
+
+struct MembershipMark {
+  1: optional string prefix
+  2: optional i64 latest
+}
+
+struct MembershipNamed {
+  1: optional string model
+  2: optional i64 version
+  3: optional double seconds
+}
+
+struct MembershipLoad {
+  1: optional string upstream
+  2: optional i64 requests
+  3: optional i64 long_answers
+  4: optional i64 unread_tokens
+  5: optional i64 reading
+}
+
+struct MembershipSpent {
+  1: optional string organisation
+  2: optional double total
+}
+
+struct CorePart {
+  1: optional string name
+  2: optional i64 tokens
+}
+
+struct MembershipReading {
+  1: optional string upstream
+  2: optional string salt
+  3: optional list<CorePart> parts
+  4: optional string store
+}
+
+struct MembershipHeld {
+  1: optional string salt
+  2: optional string part
+  3: optional i64 tokens
+}
+
+struct MembershipCacheNews {
+  1: optional string holder
+  2: optional bool reachable
+  3: optional bool reset
+  4: optional list<MembershipHeld> changes
+}
+
+struct MembershipWeights {
+  1: optional string upstream
+  2: optional string model
+  3: optional i64 version
+  4: optional bool loading
+}
+
+struct MembershipGiver {
+  1: optional bool holds
+  2: optional double ordered_ago
+  3: optional list<string> reserved
+}
+
+struct MembershipPulse {
+  1: optional MembershipPlace place
+  2: optional bool ready
+  3: optional bool store_reached
+  4: optional list<MembershipMark> marks
+  5: optional list<MembershipNamed> named
+  6: optional list<MembershipLoad> loads
+  7: optional list<MembershipSpent> spent
+  8: optional list<MembershipReading> readings
+  9: optional list<MembershipCacheNews> caches
+  10: optional list<MembershipWeights> weights
+  11: optional list<string> doubts
+  12: optional MembershipGiver orders
+}
+
+struct MembershipCopyRequest {
+  1: optional string prefix
+}
+
+struct MembershipCopyItem {
+  1: optional string key
+  2: optional binary value
+  3: optional i64 revision
+}
+
+struct MembershipCopy {
+  1: optional string prefix
+  2: optional i64 latest
+  3: optional list<MembershipCopyItem> items
+}
+
 struct ConfigurationDigest {
   1: optional i64 revision
   2: optional string digest
@@ -153,107 +255,6 @@
   4: optional MembershipNews news
 }
 
-struct MembershipPlace {
-  1: optional string name
-  2: optional i64 life
-  3: optional string caller_address
-  4: optional string peer_address
-  5: optional string failure_domain
-  6: optional string region
-}
-
-struct MembershipMark {
-  1: optional string prefix
-  2: optional i64 latest
-}
-
-struct MembershipNamed {
-  1: optional string model
-  2: optional i64 version
-  3: optional double seconds
-}
-
-struct MembershipLoad {
-  1: optional string upstream
-  2: optional i64 requests
-  3: optional i64 long_answers
-  4: optional i64 unread_tokens
-  5: optional i64 reading
-}
-
-struct MembershipSpent {
-  1: optional string organisation
-  2: optional double total
-}
-
-struct CorePart {
-  1: optional string name
-  2: optional i64 tokens
-}
-
-struct MembershipReading {
-  1: optional string upstream
-  2: optional string salt
-  3: optional list<CorePart> parts
-  4: optional string store
-}
-
-struct MembershipHeld {
-  1: optional string salt
-  2: optional string part
-  3: optional i64 tokens
-}
-
-struct MembershipCacheNews {
-  1: optional string holder
-  2: optional bool reset
-  3: optional list<MembershipHeld> changes
-}
-
-struct MembershipWeights {
-  1: optional string upstream
-  2: optional string model
-  3: optional i64 version
-  4: optional bool loading
-}
-
-struct MembershipGiver {
-  1: optional bool holds
-  2: optional double ordered_ago
-  3: optional list<string> reserved
-}
-
-struct MembershipPulse {
-  1: optional MembershipPlace place
-  2: optional bool ready
-  3: optional bool store_reached
-  4: optional list<MembershipMark> marks
-  5: optional list<MembershipNamed> named
-  6: optional list<MembershipLoad> loads
-  7: optional list<MembershipSpent> spent
-  8: optional list<MembershipReading> readings
-  9: optional list<MembershipCacheNews> caches
-  10: optional list<MembershipWeights> weights
-  11: optional list<string> doubts
-  12: optional MembershipGiver orders
-}
-
-struct MembershipCopyRequest {
-  1: optional string prefix
-}
-
-struct MembershipCopyItem {
-  1: optional string key
-  2: optional binary value
-  3: optional i64 revision
-}
-
-struct MembershipCopy {
-  1: optional string prefix
-  2: optional i64 latest
-  3: optional list<MembershipCopyItem> items
-}
-
 struct RoutingLookup {
   1: optional i64 lookup_id
   2: optional list<string> upstreams
--- /dev/null
+++ b/hollyring/node/pulse_messages.py
@@ -0,0 +1,11 @@
+"""The messages of VMs whose configuration comes from a store, by wire name."""
+
+from __future__ import annotations
+
+from hollyring.membership import pulse
+from hollyring.node import thrift_names
+
+MESSAGES: dict[str, type] = {
+    thrift_names.wire_name(class_): class_
+    for class_ in (pulse.Pulse, pulse.CopyRequest, pulse.Copy)
+}
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -41,9 +41,11 @@
 """An upstream that sends nothing for so long is asked for a connection to see if it is there."""
 
 WAIT_TARGETS = 0.8
-"""Longest wait in line at an upstream, in the shortest target of its service's routes. A longer line
-serves nobody: what waits there takes the memory in which shared prompts are kept, and they have to be
-read again."""
+"""Longest wait in line at an upstream, in the shortest target of its service's routes.
+
+A longer line serves nobody: what waits there takes the memory in which shared prompts are kept, and
+they have to be read again.
+"""
 
 LOADING_SECONDS = 0.3
 """An upstream that refused a request for its state is left alone for so long."""
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -27,6 +27,9 @@
 HEARD_SECONDS = 0.4
 """Another VM's doubt does not count against an upstream that was heard so recently."""
 
+UNREACHABLE_SECONDS = 1.5
+"""A cache store that did not answer is not used for so long."""
+
 LOAD_SECONDS = 8.0
 """Longest time for which an upstream counts as taking new weights."""
 
@@ -252,7 +255,7 @@
             if wanted is not None and wanted.version == named.version:
                 self.placing.name_version(named.model, named.version, now - named.seconds)
         for cache in news.caches:
-            self.take_cache(cache)
+            self.take_cache(cache, now)
         for weights in news.weights:
             self.take_weights(weights, now)
         if news.orders.holds:
@@ -274,8 +277,12 @@
                 found[upstream.name] = upstream.entry.address
         return found
 
-    def take_cache(self, news: pulse.CacheNews) -> None:
+    def take_cache(self, news: pulse.CacheNews, now: float) -> None:
         """Take in what a holder took up and dropped."""
+        if not news.reachable:
+            self.placing.leave_store(news.holder, now + UNREACHABLE_SECONDS)
+            return
+        self.placing.leave_store(news.holder, now)
         if news.reset:
             self.holdings.forget(news.holder)
         capacity = self._cache_tokens(news.holder)
--- a/hollyring/node/wire.py
+++ b/hollyring/node/wire.py
@@ -17,7 +17,7 @@
 from thrift.Thrift import TException, TMessageType
 from thrift.transport import TTransport
 
-from hollyring.node import catalogue, errors
+from hollyring.node import errors, thrift_names
 from hollyring.node.generated.peer import ttypes
 
 MAX_MESSAGE_BYTES = 4_000_000
@@ -62,7 +62,7 @@
         try:
             name, kind, sequence = protocol.readMessageBegin()
             class_ = self._classes[name]
-            struct = getattr(ttypes, catalogue.thrift_name(class_))()
+            struct = getattr(ttypes, thrift_names.thrift_name(class_))()
             struct.read(protocol)
             return _from_thrift(struct, class_), sequence, kind
         except (TException, EOFError, KeyError, ValueError, TypeError, IndexError) as error:
@@ -89,7 +89,7 @@
 
 
 def _to_thrift(message: Any) -> Any:
-    struct = getattr(ttypes, catalogue.thrift_name(type(message)))()
+    struct = getattr(ttypes, thrift_names.thrift_name(type(message)))()
     for name, nested, many in _plan(type(message)):  # type: ignore[arg-type]
         value = getattr(message, name)
         if nested and value is not None:
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -222,6 +222,7 @@
         "_stores",
         "_named",
         "_reserved",
+        "_left",
         "_version_seconds",
     )
 
@@ -238,11 +239,16 @@
         self._named: dict[str, Named] = {}
         self._version_seconds = version_seconds
         self._reserved: frozenset[str] = frozenset()
+        self._left: dict[str, float] = {}
 
     def reserve(self, upstreams: Iterable[str]) -> None:
         """Keep long answers away from servers that are next to take new weights."""
         self._reserved = frozenset(upstreams)
 
+    def leave_store(self, address: str, until: float) -> None:
+        """Use a cache store only after `until`."""
+        self._left[address] = until
+
     def configure(self, current: deployment.Deployment) -> None:
         """Take in a configuration."""
         self._services = current.services
@@ -339,24 +345,27 @@
             version,
             salt,
             source.address if fetched else "",
-            self._save_to(salt, prompt),
+            self._save_to(salt, prompt, now),
             fetched,
             unread,
             wait,
             seconds,
         )
 
-    def _save_to(self, salt: str, prompt: asks.Prompt) -> str:
+    def _save_to(self, salt: str, prompt: asks.Prompt, now: float) -> str:
         """Return the store that lacks shared parts of the prompt."""
         shared = prompt.shared
         tokens = sum(part.tokens for part in shared)
         if tokens < MIN_SAVED_TOKENS:
             return ""
-        for store in self._stores:
+        for store in self._usable_stores(now):
             if self._holdings.tokens(store.address, salt, shared) < tokens:
                 return store.address
         return ""
 
+    def _usable_stores(self, now: float) -> list[deployment.CacheStore]:
+        return [s for s in self._stores if self._left.get(s.address, now) <= now]
+
     def _source(
         self,
         target: serving.Upstream,
@@ -374,7 +383,7 @@
             near = other.entry.domain == target.entry.domain
             if tokens > most or (tokens == most > 0 and near):
                 best, most = _Source(other.entry.address, other.entry.domain), tokens
-        for store in self._stores:
+        for store in self._usable_stores(now):
             tokens = self._holdings.tokens(store.address, salt, parts)
             if tokens >= most > 0 or tokens > most:
                 best, most = _Source(store.address, store.domain), tokens
--- a/hollyring/routing/tests/test_placing.py
+++ b/hollyring/routing/tests/test_placing.py
@@ -106,6 +106,15 @@
     assert place.fetch_from == STORE.address
 
 
+def test_store_that_does_not_answer_is_left_for_a_while(world):
+    world.add("a1")
+    world.holdings.touch(STORE.address, STORE.cache_tokens, "parish.1", SHARED)
+    world.placing.leave_store(STORE.address, 5.0)
+    place = world.place(now=4.0)
+    assert (place.fetch_from, place.save_to) == ("", "")
+    assert world.place(now=5.0).fetch_from == STORE.address
+
+
 def test_isolated_organisation_finds_nobody_elses_parts(world):
     world.add("a1")
     world.holdings.touch("a1", 128_000, "parish.1", SHARED)
