Test the process, its beliefs, pulses and bounded logs

The real process under the platform's settings against stand-ins: serving, reload, graceful stop, a change in force within a second and never back, two VMs without the store, leaving and broken servers, bad settings. Beliefs: lapsed entries, ages of versions, weights, loads and doubts told by other VMs. Standard output: a reader that stops blocks nothing, waiting lines are bounded, dropped ones counted.

--- /dev/null
+++ b/hollyring/node/tests/test_output.py
@@ -0,0 +1,53 @@
+import json
+import os
+
+import pytest
+
+from hollyring.node import logs
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def read_all(reader):
+    os.set_blocking(reader, False)
+    data = b""
+    while True:
+        try:
+            part = os.read(reader, 65536)
+        except BlockingIOError:
+            return data
+        data += part
+
+
+def test_reader_that_stops_never_blocks_the_process_and_the_waiting_lines_are_bounded(pipe):
+    reader, writer = pipe
+    output = logs._Output(writer)
+    for number in range(100_000):
+        output({"number": number, "text": "x" * 100})
+    assert output._size <= logs.OUTPUT_BYTES
+    assert output._dropped > 0
+
+
+def test_lines_that_found_no_room_are_counted_once_the_reader_reads_again(pipe):
+    reader, writer = pipe
+    output = logs._Output(writer)
+    for number in range(30_000):
+        output({"number": number, "text": "x" * 100})
+    dropped = output._dropped
+    data = b""
+    for _ in range(60):
+        data += read_all(reader)
+        output._write()
+    output({"number": -1})
+    data += read_all(reader)
+    lines = [json.loads(line) for line in data.splitlines()]
+    assert {"dropped_lines": dropped} in lines
+    assert lines[-1] == {"number": -1}
+    numbers = [line["number"] for line in lines if line.get("number", -1) >= 0]
+    assert numbers == list(range(len(numbers)))
--- /dev/null
+++ b/hollyring/platform/tests/test_process.py
@@ -0,0 +1,215 @@
+"""The real process under the platform's settings, against stand-ins on loopback."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import anyio
+import httpcore
+import pytest
+
+from hollyring.platform import settings
+from hollyring.platform.tests import conftest
+
+ROOT = pathlib.Path(__file__).parents[3]
+START_SECONDS = 10.0
+KEY = (b"authorization", b"Bearer k")
+
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h.example",
+            "prefix": "/a/",
+            "kind": "unsafe",
+            "timeout_ms": 2000,
+            "target_latency_ms": 200,
+            "service": "s",
+        }
+    ],
+    "services": [{"name": "s", "max_connections": 100}],
+    "tenants": [{"name": "t", "api_keys": ["k"]}],
+}
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Vm:
+    """One process and its addresses."""
+
+    def __init__(self, folder, store_address, name="vm-1"):
+        front, ready, directory, peer = free_ports(4)
+        self.front = f"http://127.0.0.1:{front}"
+        self.ready = f"http://127.0.0.1:{ready}/hollyring/ready"
+        self.resolve = f"http://127.0.0.1:{directory}/hollyring/resolve?name=h.example"
+        self.path = folder / f"{name}.toml"
+        self.path.write_text(f"""
+            node_name = "{name}"
+            ip = "127.0.0.1"
+            zone = "dar-a"
+            region = "dar"
+            internal_ports = [{peer}, {peer + 1}]
+            [listen]
+            front = "127.0.0.1:{front}"
+            ready = "127.0.0.1:{ready}"
+            directory = "127.0.0.1:{directory}"
+            [platform]
+            address = "{store_address}"
+            """)
+        self.log = folder / f"{name}.log"
+        self.process = None
+
+    def start(self):
+        environment = os.environ | {settings.VARIABLE: str(self.path), "PYTHONPATH": str(ROOT)}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "hollyring.platform"], env=environment, stdout=log, cwd=ROOT
+            )
+
+    async def until_ready(self):
+        begun = time.monotonic()
+        while time.monotonic() - begun < START_SECONDS:
+            if await status_of(self.ready) == 200:
+                return
+            await anyio.sleep(0.05)
+        raise AssertionError("not ready in time")
+
+    def lines(self):
+        return [json.loads(line) for line in self.log.read_text().splitlines()]
+
+
+async def status_of(url):
+    with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
+        async with httpcore.AsyncConnectionPool() as pool:
+            return (await pool.request("GET", url)).status
+    return 0
+
+
+async def post(vm, name):
+    headers = [(b"host", b"h.example"), KEY, (b"x-request-id", name.encode())]
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request("POST", vm.front + "/a/b", headers=headers, content=b"body")
+
+
+@pytest.fixture
+async def world(tmp_path):
+    """A store with a configuration and a server, and a way to start VMs."""
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(conftest.Store().running())
+        server = await stack.enter_async_context(conftest.Server().running())
+        await store.put("op/config", CONFIG)
+        entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
+        await store.put("servers/i-1", entry | {"state": "ready"})
+        started = []
+
+        def start(name="vm-1"):
+            vm = Vm(tmp_path, store.address, name)
+            vm.start()
+            started.append(vm)
+            return vm
+
+        yield store, server, start
+        for vm in started:
+            if vm.process.poll() is None:
+                vm.process.kill()
+            vm.process.wait()
+
+
+@pytest.mark.anyio
+async def test_process_serves_reloads_and_stops_without_a_cut(world):
+    store, server, start = world
+    vm = start()
+    await vm.until_ready()
+    answer = await post(vm, "r-1")
+    assert (answer.status, answer.content) == (200, b"done by i-1")
+    async with httpcore.AsyncConnectionPool() as pool:
+        found = json.loads((await pool.request("GET", vm.resolve)).content)
+    assert found["addresses"] == [vm.front.removeprefix("http://")]
+    vm.process.send_signal(signal.SIGHUP)
+    await anyio.sleep(0.3)
+    assert vm.process.poll() is None
+    vm.process.send_signal(signal.SIGTERM)
+    await anyio.sleep(0.3)
+    assert await status_of(vm.ready) == 503
+    answer = await post(vm, "r-2")
+    assert answer.status == 200
+    assert (b"connection", b"close") in [(n.lower(), v) for n, v in answer.headers]
+    with anyio.fail_after(8.0):
+        while vm.process.poll() is None:
+            await anyio.sleep(0.1)
+    texts = [line.get("text", "") for line in vm.lines()]
+    for text in ("vm: started", "vm: settings read", "vm: leaving", "vm: stopped"):
+        assert text in texts
+    ended = next(line for line in vm.lines() if line.get("request") == "r-1")
+    assert (ended["outcome"], ended["upstream"]) == ("answered", "i-1")
+
+
+@pytest.mark.anyio
+async def test_change_in_the_store_is_in_force_within_a_second(world):
+    store, server, start = world
+    vm = start()
+    await vm.until_ready()
+    await store.put("op/config", CONFIG | {"version": 9, "tenants": []})
+    await anyio.sleep(1.0)
+    assert (await post(vm, "r-1")).status == 401
+    await store.put("op/config", CONFIG | {"version": 4})
+    await anyio.sleep(0.3)
+    assert (await post(vm, "r-2")).status == 401
+    assert server.requests == []
+
+
+@pytest.mark.anyio
+async def test_vms_offer_each_other_and_outlive_the_store(world):
+    store, server, start = world
+    first, second = start("vm-1"), start("vm-2")
+    await first.until_ready()
+    await second.until_ready()
+    store.refuses = 503
+    await anyio.sleep(1.5)
+    for vm in (first, second):
+        async with httpcore.AsyncConnectionPool() as pool:
+            found = json.loads((await pool.request("GET", vm.resolve)).content)
+        assert len(found["addresses"]) == 2
+        assert (await post(vm, f"r-{vm.front}")).status == 200
+    second.process.kill()
+    await anyio.sleep(1.8)
+    async with httpcore.AsyncConnectionPool() as pool:
+        found = json.loads((await pool.request("GET", first.resolve)).content)
+    assert found["addresses"] == [first.front.removeprefix("http://")]
+
+
+@pytest.mark.anyio
+async def test_leaving_and_broken_servers_get_nothing(world):
+    store, server, start = world
+    vm = start()
+    await vm.until_ready()
+    await store.put("servers/i-9", b"\xff not an entry")
+    entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
+    await store.put("servers/i-1", entry | {"state": "draining"})
+    await anyio.sleep(0.5)
+    assert (await post(vm, "r-1")).status == 503
+    assert server.requests == []
+
+
+@pytest.mark.parametrize("text", ["", "node_name = 5", "not toml"])
+def test_bad_settings_end_with_exit_status_2(tmp_path, text):
+    path = tmp_path / "bad.toml"
+    path.write_text(text)
+    environment = os.environ | {settings.VARIABLE: str(path), "PYTHONPATH": str(ROOT)}
+    command = [sys.executable, "-m", "hollyring.platform"]
+    ended = subprocess.run(command, env=environment, capture_output=True, cwd=ROOT, check=False)
+    assert ended.returncode == 2
+    assert str(path).encode() in ended.stderr
--- /dev/null
+++ b/hollyring/platform/tests/test_state.py
@@ -0,0 +1,180 @@
+"""What a VM believes, fed through the adapter's documents and other VMs' pulses."""
+
+import json
+
+import pytest
+
+from hollyring.configuration import mirror
+from hollyring.membership import pulse
+from hollyring.node import clock, state
+from hollyring.platform import documents
+
+PREFIXES = documents.PREFIXES
+GIVER = pulse.Giver(False, -1.0, [])
+CONFIG = {
+    "version": 3,
+    "routes": [],
+    "services": [
+        {
+            "name": "ls",
+            "engine": {"slots": 8, "kv_capacity": 1000, "kv_token_bytes": 8, "link_mbps": 10},
+        }
+    ],
+    "tenants": [{"name": "t", "api_keys": ["k"], "rate_per_s": 10, "burst": 10}],
+}
+ENTRY = {
+    "service": "ls",
+    "address": "1.2.3.4:5",
+    "zone": "dar-a",
+    "state": "ready",
+    "slots": 8,
+    "models": [{"name": "m", "version": 1}],
+}
+
+
+def place(name="vm-2", life=1):
+    return pulse.Place(name, life, f"{name}:1", f"{name}:2", "dar-a", "dar")
+
+
+def heard(name="vm-2", **fields):
+    lists = {"marks": [], "named": [], "loads": [], "spent": [], "readings": [], "caches": []}
+    lists |= {"weights": [], "doubts": [], "orders": GIVER, "ready": True, "store_reached": True}
+    return pulse.Pulse(place=place(name), **(lists | fields))
+
+
+class Vm:
+    def __init__(self):
+        self.beliefs = state.State(
+            place("vm-1"),
+            documents.StoredDocuments(),
+            PREFIXES,
+            state.RetryRules(0.2, 50.0, 10.0),
+            13.5,
+        )
+        self.revision = 0
+
+    def store(self, prefix, key, value, now=None):
+        """Take in a change as the store tells it."""
+        self.revision += 1
+        if value is None:
+            change = mirror.Removal(key, self.revision)
+        else:
+            change = mirror.Item(key, json.dumps(value).encode(), self.revision)
+        known = self.beliefs.mirrors[prefix]
+        changed = known.take_changes([change], self.revision)
+        self.beliefs.mirror_changed(prefix, changed, clock.now() if now is None else now)
+
+
+@pytest.fixture
+def vm():
+    made = Vm()
+    made.store(PREFIXES.operator, "op/config", CONFIG)
+    made.store(PREFIXES.upstreams, "servers/i-1", ENTRY)
+    return made
+
+
+def test_vm_is_ready_with_a_configuration_and_upstreams(vm):
+    assert vm.beliefs.ready
+    assert not Vm().beliefs.ready
+
+
+def test_older_configuration_never_comes_back(vm):
+    vm.store(PREFIXES.operator, "op/config", CONFIG | {"version": 2, "tenants": []})
+    assert vm.beliefs.deployment.version == 3
+    assert vm.beliefs.deployment.organisation_of("k") is not None
+
+
+def test_unreadable_configuration_changes_nothing(vm):
+    vm.store(PREFIXES.operator, "op/config", {"version": "x"})
+    assert vm.beliefs.version == 3
+
+
+def test_leaving_upstream_is_known_as_leaving(vm):
+    vm.store(PREFIXES.upstreams, "servers/i-1", ENTRY | {"state": "draining"})
+    assert vm.beliefs.serving.get("i-1").entry.leaving
+
+
+def test_removed_entry_is_gone_at_once_while_the_store_is_well(vm):
+    vm.beliefs.store_heard_at = clock.now()
+    vm.store(PREFIXES.upstreams, "servers/i-1", None)
+    assert vm.beliefs.serving.get("i-1") is None
+
+
+@pytest.mark.parametrize("told_by", ["own call", "other VM"])
+def test_entry_that_lapsed_while_the_store_was_away_is_kept_until_it_should_be_back(vm, told_by):
+    now = clock.now()
+    if told_by == "own call":
+        vm.beliefs.store_failed_at = now - 1.0
+    else:
+        vm.beliefs.hear(heard(store_reached=False), now)
+    vm.beliefs.store_heard_at = now
+    vm.store(PREFIXES.upstreams, "servers/i-1", None, now)
+    vm.beliefs.tick(now + 1.0)
+    assert vm.beliefs.serving.get("i-1") is not None
+    vm.beliefs.tick(now + state.LAPSE_SECONDS + 0.1)
+    assert vm.beliefs.serving.get("i-1") is None
+
+
+def test_lapsed_entry_that_comes_back_stays(vm):
+    now = clock.now()
+    vm.beliefs.store_failed_at = now - 1.0
+    vm.beliefs.store_heard_at = now
+    vm.store(PREFIXES.upstreams, "servers/i-1", None, now)
+    vm.store(PREFIXES.upstreams, "servers/i-1", ENTRY, now + 1.0)
+    vm.beliefs.tick(now + 5.0)
+    assert vm.beliefs.serving.get("i-1") is not None
+
+
+def test_started_vm_does_not_take_a_found_version_for_newly_named():
+    """A VM that restarted 14 s after a version was named used the old weights for 15 s more."""
+    started = Vm()
+    wanted = {"model": "m", "version": 2}
+    started.store(PREFIXES.operator, "op/version/m", wanted, now=100.0)
+    assert started.beliefs.placing.named["m"].at < 100.0
+    started.store(PREFIXES.operator, "op/version/m", wanted | {"version": 3}, now=110.0)
+    assert started.beliefs.placing.named["m"].at == 110.0
+
+
+def test_age_of_a_version_is_learnt_from_other_vms(vm):
+    vm.store(PREFIXES.operator, "op/version/m", {"model": "m", "version": 2}, now=100.0)
+    vm.beliefs.hear(heard(named=[pulse.Named("m", 2, 9.0)]), 101.0)
+    assert vm.beliefs.placing.named["m"].at == 92.0
+
+
+def test_weights_told_by_the_giver_of_orders_are_believed(vm):
+    vm.beliefs.holdings.set("i-1", 1000, "m.1", "p", 10)
+    vm.beliefs.hear(heard(weights=[pulse.Weights("i-1", "m", 2, False)]), clock.now())
+    assert vm.beliefs.serving.get("i-1").version("m") == 2
+    assert vm.beliefs.holdings.dump() == {}
+
+
+def test_other_vms_loads_count_and_vanish(vm):
+    now = clock.now()
+    vm.beliefs.hear(heard(loads=[pulse.Load("i-1", 4, 1, 900, 50)]), now)
+    upstream = vm.beliefs.serving.get("i-1")
+    assert (upstream.requests(now), upstream.unread_tokens(now)) == (4, 900)
+    vm.beliefs.hear(heard(), now + 0.1)
+    assert upstream.requests(now + 0.1) == 0
+
+
+def test_other_vms_doubt_counts_unless_the_upstream_was_just_heard(vm):
+    now = clock.now()
+    upstream = vm.beliefs.serving.get("i-1")
+    upstream.heard(now - 0.1)
+    vm.beliefs.hear(heard(doubts=["i-1"]), now)
+    assert not upstream.doubted(now)
+    vm.beliefs.hear(heard(doubts=["i-1"]), now + 2.0)
+    assert upstream.doubted(now + 2.1)
+
+
+def test_totals_of_other_vms_are_taken_from_the_rate(vm):
+    now = clock.now()
+    organisation = vm.beliefs.deployment.organisations["t"]
+    vm.beliefs.hear(heard(spent=[pulse.Spent("t", 30.0)]), now)
+    assert vm.beliefs.admit(organisation, None, now) > 0
+
+
+def test_restarted_upstream_under_its_old_name_holds_nothing(vm):
+    vm.beliefs.holdings.set("i-1", 1000, "m.1", "p", 10)
+    vm.store(PREFIXES.upstreams, "servers/i-1", ENTRY | {"born": 5})
+    assert vm.beliefs.holdings.dump() == {}
