--- /dev/null
+++ b/hollyring/cli/explain.py
@@ -0,0 +1,96 @@
+"""``hollyring explain``: the decisions on one request, in order, and the cause of its end."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import click
+import msgspec
+
+CAUSES = {
+    "rate_limited": "its organisation had used up its rate and burst",
+    "invalid_key": "no organisation held its key in the configuration in force",
+    "unknown_route": "no route of the configuration in force has its host and path",
+    "configuration_stale": "the VM had no configuration yet",
+    "overloaded": "no upstream could have begun it in time; it was not run",
+    "no_upstream": "no upstream was left to send it to; it was not run",
+    "upstream_failed": "an upstream failed on it and it may not be run again",
+    "deadline_exceeded": "its time passed while an upstream worked on it",
+    "caller left": "its caller closed the connection",
+    "upstream's failure": "the upstream itself answered with a failure",
+    "answered": "it was answered",
+}
+"""What the codes of the log mean for the person who asks."""
+
+_JSON = re.compile(r"\{.*\}")
+
+
+def lines_of(request: str, lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yield the log lines on a request; whatever stands before the JSON of a line is passed over.
+
+    Examples
+    --------
+    >>> log = ['3.2 vm-1 {"text":"request: ended","request":"r-1"}', "no JSON", '{"request":"r-2"}']
+    >>> list(lines_of("r-1", log))
+    [{'text': 'request: ended', 'request': 'r-1'}]
+    """
+    for line in lines:
+        if request not in line:
+            continue
+        found = _JSON.search(line)
+        if found is None:
+            continue
+        try:
+            fields = msgspec.json.decode(found[0])
+        except msgspec.DecodeError:
+            continue
+        if isinstance(fields, dict) and fields.get("request") == request:
+            yield fields
+
+
+def cause(decisions: list[dict[str, Any]]) -> str:
+    """Return why a request ended as it did, from its decisions in order.
+
+    Examples
+    --------
+    >>> cause([{"text": "request: refused", "code": "rate_limited"}])
+    'rate_limited: its organisation had used up its rate and burst'
+    """
+    if not decisions:
+        return "nothing is logged on it: it reached no VM, or the log is not whole"
+    last = decisions[-1]
+    code = last.get("code") or last.get("outcome", "")
+    text = f"{code}: {CAUSES.get(code, 'see its last line')}"
+    failures = [d for d in decisions if d.get("text") == "request: try failed"]
+    if failures and code != "answered":
+        first = failures[0]
+        text += f"; first failure at {first.get('upstream')}: {first.get('why')}"
+    if code == "answered" and last.get("first", 0) > 2 * last.get("expected", 0) > 0:
+        text += f"; late: first event after {last['first']} s, expected {last['expected']} s"
+    return text
+
+
+@click.command()
+@click.argument("request")
+@click.argument("log", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path))
+def explain(request: str, log: pathlib.Path) -> None:
+    """Print the decisions on REQUEST in the log file LOG, in order, and what ended it.
+
+    Example: hollyring explain 9c41d07be2a35f68 vm.log
+    """
+    with log.open(errors="replace") as opened:
+        decisions = list(lines_of(request, opened))
+    for fields in decisions:
+        shown = {name: value for name, value in fields.items() if name not in _PLUMBING}
+        click.echo(f"{fields.get('vm', '')} {fields.get('text', '')} {_pairs(shown)}")
+    click.echo(f"cause: {cause(decisions)}")
+
+
+_PLUMBING = {"text", "vm", "request", "timestamp", "task_uuid", "task_level", "message_type"}
+
+
+def _pairs(fields: dict[str, Any]) -> str:
+    return " ".join(f"{name}={value}" for name, value in fields.items())
--- a/hollyring/cli/main.py
+++ b/hollyring/cli/main.py
@@ -6,7 +6,7 @@
 
 import click
 
-from hollyring.cli import config, experiment, operate, standin
+from hollyring.cli import config, experiment, explain, operate, standin
 
 VERSION = "0.1.0"
 EXIT_BAD_INPUT = 2
@@ -31,16 +31,25 @@
 
 @main.command()
 @click.argument(
-    "settings_file", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+    "settings_file",
+    required=False,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
 )
 @click.option("--check", is_flag=True, help="Check the settings and leave.")
-def serve(settings_file: pathlib.Path, check: bool) -> None:
+def serve(settings_file: pathlib.Path | None, check: bool) -> None:
     """Run a VM process with the settings in SETTINGS_FILE.
 
+    Without SETTINGS_FILE, or with one in the platform's format (.toml), it runs on the users'
+    platform; the platform names the file itself.
+
     Exit status 2 means that the settings are bad; every fault is printed.
 
     Example: hollyring serve vm-1.json
     """
+    if settings_file is None or settings_file.suffix == ".toml":
+        from hollyring.platform import start
+
+        raise SystemExit(start.run(settings_file, check))
     from hollyring.node import errors, server, settings
 
     try:
@@ -55,6 +64,7 @@
     server.serve(given)
 
 
+main.add_command(explain.explain)
 main.add_command(experiment.experiment)
 main.add_command(config.config)
 main.add_command(standin.standin)
--- /dev/null
+++ b/hollyring/cli/tests/test_explain.py
@@ -0,0 +1,38 @@
+import json
+
+import pytest
+from click import testing
+
+from hollyring.cli import main
+
+
+@pytest.fixture
+def explained(tmp_path):
+    def run(request, *lines):
+        path = tmp_path / "vm.log"
+        path.write_text("".join(f" 1.5 vm-1 {json.dumps(line)}\n" for line in lines))
+        return testing.CliRunner().invoke(main.main, ["explain", request, str(path)])
+
+    return run
+
+
+ENDED = {"text": "request: ended", "request": "r-1", "vm": "vm-1"}
+FAILED = {"text": "request: try failed", "request": "r-1", "upstream": "i-7", "why": "status 500"}
+
+
+@pytest.mark.parametrize(
+    ("lines", "says"),
+    [
+        ([{"text": "request: refused", "request": "r-1", "code": "invalid_key"}], "held its key"),
+        ([FAILED, ENDED | {"outcome": "upstream_failed"}], "first failure at i-7: status 500"),
+        ([ENDED | {"outcome": "answered", "first": 0.9, "expected": 0.1}], "late: first event"),
+        ([ENDED | {"outcome": "caller left"}], "its caller closed the connection"),
+        ([], "nothing is logged"),
+    ],
+)
+def test_cause_is_named(explained, lines, says):
+    other = {"text": "request: ended", "request": "r-10", "outcome": "answered"}
+    result = explained("r-1", other, *lines)
+    assert result.exit_code == 0
+    assert says in result.output
+    assert "r-10" not in result.output
--- a/hollyring/platform/start.py
+++ b/hollyring/platform/start.py
@@ -3,10 +3,34 @@
 from __future__ import annotations
 
 import pathlib
+import sys
 
-from hollyring.node import entry_settings, entry_vm
+from hollyring.node import entry_settings, entry_vm, errors
 from hollyring.platform import documents, ingress, settings, store, upstreams
 
+EXIT_BAD_SETTINGS = 2
+
+
+def run(path: pathlib.Path | None = None, check_only: bool = False) -> int:
+    """Serve with the settings at `path`, or where the platform says; return the exit status.
+
+    Bad settings end with 2 after every fault is named on standard error.
+    """
+    path = path or settings.path()
+    if path is None:
+        print(f"{settings.VARIABLE}: missing: allowed: a path", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    try:
+        given = read(path)
+    except (errors.SettingsError, OSError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if check_only:
+        print(f"{path}: fine")
+        return 0
+    serve(path, given)
+    return 0
+
 
 def read(path: pathlib.Path) -> entry_settings.EntrySettings:
     """Return the settings in the file at `path`.
