Leave old weights after a restart of all; wait out a lost holder's lease from its end

The VMs that started again took the version for half as old as the bound and went on using the servers without it; the new holder gave its first order 4.3 s after it had the lease.

Change: while the age is guessed, old weights are left as soon as a third of the servers have the new ones; pulses tell known ages only; the wait counts from when the lease's key was seen to be gone, less the time for which a holder begins no order. A holder that stops releases after its last order arrived.

Ruled out: writing the time of naming into the store (the time of day is not for decisions).

--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -89,6 +89,7 @@
         self._fencing = 0
         self._ordered_at: float | None = None
         self._last_order_at: float | None = None
+        self._latest_order_at = 0.0
         self._silent_until: dict[str, float] = {}
         self._log = logs.Log("orders")
 
@@ -105,6 +106,9 @@
         actions = self._lease.close()
         self._tick()
         self._hurry()
+        if self._ordered_at is not None:
+            # The next holder counts from the release; by then the last order must have arrived.
+            await anyio.sleep(max(0.0, self._ordered_at + CALL_SECONDS - clock.now()))
         for action in actions:
             if isinstance(action, leases.ReleaseLease) and action.lease:
                 await self._perform(action)
@@ -156,7 +160,11 @@
     def _acquired(self, fencing: int) -> None:
         self._rollouts = {}
         self._fencing = fencing
+        # A holder begins no order in the last moments of its lease, and the lease ended before
+        # its key was seen to be gone.
+        free_since = clock.now() if self._free_since is None else self._free_since
         self._last_order_at = None
+        self._latest_order_at = free_since - CALL_SECONDS
 
     def _learn_last_order(self, now: float) -> None:
         """Find out when the earlier holder gave its last order, once it says that it holds no more.
@@ -224,8 +232,8 @@
         if machine is None:
             machine = self._rollouts[service] = rollout.Rollout(_pace(len(known)), self._invariants)
             machine.acquire(self._fencing, now)
-        if self._last_order_at is not None:
-            machine.learn_last_order(self._last_order_at, now)
+        last = self._latest_order_at if self._last_order_at is None else self._last_order_at
+        machine.learn_last_order(last, now)
         answering = [u for u in known if not u.doubted(now)]
         machine.resize(_pace(len(answering)))
         machine.declare(declared)
--- a/hollyring/node/pulse_part.py
+++ b/hollyring/node/pulse_part.py
@@ -114,6 +114,7 @@
             named=[
                 pulse.Named(model, wanted.version, now - wanted.at)
                 for model, wanted in beliefs.placing.named.items()
+                if not wanted.guessed
             ],
             loads=loads,
             spent=beliefs.spent(),
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -398,8 +398,9 @@
             return
         self.wanted[wanted.model] = wanted
         # A VM that starts does not know since when the version that it finds is wanted.
-        unknown = self._version_seconds / 2 if known is None and self._started_late else 0.0
-        self.placing.name_version(wanted.model, wanted.version, now - unknown)
+        guessed = known is None and self._started_late
+        unknown = self._version_seconds / 2 if guessed else 0.0
+        self.placing.name_version(wanted.model, wanted.version, now - unknown, guessed)
         self._log.say("weights wanted", model=wanted.model, version=wanted.version)
 
     def _upstream_changed(self, key: str, item: mirror.Item | None, now: float) -> None:
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -31,6 +31,9 @@
 OLD_WEIGHTS_SHARE = 0.4
 """Time that newer weights are worth, as a share of the route's target."""
 
+UPGRADED_SHARE = 1 / 3
+"""Where so many upstreams have the wanted weights, it may have been wanted for long."""
+
 LATE_SHARE = 1.2
 """Time that a late answer counts for, as a share of the route's target."""
 
@@ -172,10 +175,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Named:
-    """A version of weights that is wanted, and since when."""
+    """A version of weights that is wanted, and since when; `guessed` if that is not known."""
 
     version: int
     at: float
+    guessed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -254,13 +258,13 @@
         self._services = current.services
         self._stores = current.cache_stores()
 
-    def name_version(self, model: str, version: int, now: float) -> None:
-        """Take in the version of the weights that is wanted since `now`, or since before it."""
+    def name_version(self, model: str, version: int, at: float, guessed: bool = False) -> None:
+        """Take in the version of the weights that is wanted since `at`, or since before it."""
         known = self._named.get(model)
         if known is None or known.version < version:
-            self._named[model] = Named(version, now)
-        elif known.version == version:
-            self._named[model] = Named(version, min(now, known.at))
+            self._named[model] = Named(version, at, guessed)
+        elif known.version == version and not guessed:
+            self._named[model] = Named(version, at if known.guessed else min(at, known.at))
 
     @property
     def named(self) -> Mapping[str, Named]:
@@ -293,8 +297,16 @@
         named = self._named.get(wanted.prompt.model)
         if named is None or upstream.version(wanted.prompt.model) >= named.version:
             return False
+        if named.guessed and self._upgraded_share(wanted, named.version) >= UPGRADED_SHARE:
+            return True
         return now - named.at > self._version_seconds
 
+    def _upgraded_share(self, wanted: Wanted, version: int) -> float:
+        """Return which share of a service's upstreams has a version of the weights."""
+        known = self._serving.of_service(wanted.service)
+        model = wanted.prompt.model if wanted.prompt else ""
+        return sum(u.version(model) >= version for u in known) / max(1, len(known))
+
     def _choice(self, wanted: Wanted, upstream: serving.Upstream, now: float) -> _Choice:
         service = self._services.get(wanted.service)
         engine = service.engine if service else None
--- a/hollyring/routing/tests/test_placing.py
+++ b/hollyring/routing/tests/test_placing.py
@@ -219,6 +219,18 @@
     assert isinstance(world.place(now=14.0), placing.NoPlace)
 
 
+def test_old_weights_are_not_used_when_it_is_not_known_for_how_long_others_are_wanted(world):
+    """All VMs were killed 11 s after a version was named; two thirds of the servers had it."""
+    world.placing = placing.Placing(world.serving, world.holdings, version_seconds=10.5)
+    world.add("a1", versions={MODEL: 1})
+    world.placing.name_version(MODEL, 2, 0.0, guessed=True)
+    assert world.place(now=1.0).upstream.name == "a1"
+    world.add("a2", "a3", versions={MODEL: 2})
+    assert {place_of(world, f"p-{n}", now=1.0) for n in range(20)} <= {"a2", "a3"}
+    world.placing.name_version(MODEL, 2, 0.5)
+    assert not world.placing.named[MODEL].guessed
+
+
 def test_refused_callers_come_back_at_different_times(world):
     world.add("a1")
     for number in range(30):
