Catch a broken-off answer inside its task group

Change: it is caught where it is raised; a test on the real process, which failed before.

Conclusion: the caller sees the same; the log says what happened.

--- a/hollyring/node/entry_vm.py
+++ b/hollyring/node/entry_vm.py
@@ -252,9 +252,6 @@
         self._open += 1
         try:
             await self._answer(scope, receive, send)
-        except replies.BrokenOffError:
-            # Returning without an end has the server close the connection.
-            self._metrics.count("broken_off")
         except Exception:
             self._log.failure("request failed")
             self._metrics.count("internal_errors")
@@ -281,7 +278,11 @@
             return
         async with anyio.create_task_group() as group:
             group.start_soon(_cancel_on_disconnect, receive, group.cancel_scope)
-            await self._relay.serve(ask, reply)
+            try:
+                await self._relay.serve(ask, reply)
+            except replies.BrokenOffError:
+                # Returning without an end has the server close the connection.
+                self._metrics.count("broken_off")
             group.cancel_scope.cancel()
 
     def _body_bytes(self) -> int:
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -195,6 +195,10 @@
             writer.write(answer(200, json.dumps(self.report()).encode()))
         elif request.path == "/hollyring/order":
             writer.write(self.order(json.loads(request.body)))
+        elif request.path == "/hollyring/kv-events":
+            await asyncio.sleep(0.2)
+            events = {"boot_epoch": 1, "next": 0, "lost": False, "events": []}
+            writer.write(answer(200, json.dumps(events).encode()))
         elif self.play == "refuse":
             writer.write(answer(503, b"", x_not_run=1))
         elif self.play == "other":
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -191,6 +191,32 @@
     assert found["addresses"] == [first.front.removeprefix("http://")]
 
 
+@pytest.mark.anyio
+async def test_stream_that_breaks_off_closes_the_connection_and_is_no_failure_of_the_vm(world):
+    """The caller must not take it for whole; the log must not show an exception."""
+    store, server, start = world
+    server.play = "breaks"
+    engine = {"slots": 8, "kv_capacity": 9000, "kv_token_bytes": 8, "link_mbps": 10.0}
+    services = [{"name": "s", "engine": engine | {"models": [{"name": "m"}]}}]
+    routes = [CONFIG["routes"][0] | {"kind": "streaming"}]
+    changed = {"version": 4, "services": services, "routes": routes}
+    await store.put("op/config", CONFIG | changed)
+    entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
+    models = [{"name": "m", "version": 1}]
+    await store.put("servers/i-1", entry | {"state": "ready", "models": models})
+    vm = start()
+    await vm.until_ready()
+    headers = [(b"host", b"h.example"), KEY, (b"x-request-id", b"r-1"), (b"x-model", b"m")]
+    headers += [(b"x-token-counts", b"10,5"), (b"x-prompt-prefix", b"a:6,b:4")]
+    with pytest.raises(httpcore.RemoteProtocolError):
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request("POST", vm.front + "/a/b", headers=headers, content=b"x")
+    await anyio.sleep(0.2)
+    assert not [line for line in vm.lines() if "trace" in line]
+    ended = next(line for line in vm.lines() if line.get("text") == "request: ended")
+    assert ended["outcome"] == "upstream_failed"
+
+
 @pytest.mark.anyio
 async def test_leaving_and_broken_servers_get_nothing(world):
     store, server, start = world
