Put no upstream in doubt because this VM has enough connections to it

Cause: found at the last read: the bound on a VM's own connections to an upstream was taken for a failure of the upstream, which was then avoided by all VMs.

Change: an error of its own; a test that failed before.

--- a/hollyring/node/links.py
+++ b/hollyring/node/links.py
@@ -45,6 +45,10 @@
     """No byte of the request was written."""
 
 
+class TooManyError(NotSentError):
+    """This VM has as many connections to the upstream as it may; the upstream is not to blame."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
     """The head of an answer; header names in lower case."""
@@ -358,7 +362,7 @@
                 return link
             link.abort()
         if self._open[address] >= most:
-            raise NotSentError("too many connections")
+            raise TooManyError("too many connections")
         return await self._connect(address)
 
     async def reaches(self, address: str) -> bool:
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -300,7 +300,8 @@
                 )
         except links.NotSentError as error:
             upstream.ended(work.name, long_answer)
-            self._state.doubt(upstream, str(error))
+            if not isinstance(error, links.TooManyError):
+                self._state.doubt(upstream, str(error))
             return _NotRun(str(error))
         except TimeoutError:
             upstream.ended(work.name, long_answer)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -287,6 +287,18 @@
     assert (await vm.ask()).status == 503
 
 
+@pytest.mark.anyio
+async def test_upstream_is_not_in_doubt_because_this_vm_has_enough_connections(fleet):
+    vm, servers = await fleet("silent", timeout=20.0)
+    most = vm.beliefs.connections(vm.beliefs.deployment.services["s"])
+    async with anyio.create_task_group() as group:
+        for number in range(most + 5):
+            group.start_soon(vm.ask, f"r-{number}", "key", 20.0)
+        await anyio.sleep(0.2)
+        assert not vm.beliefs.serving.get("i-0").doubted(clock.now())
+        group.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_budget_bounds_what_is_sent_again(fleet):
     vm, servers = await fleet("reset", "reset", repeat=asks.Repeat.IDEMPOTENT)
