Count a server's old weights from the first version that it lacks

Change: every wanted version is remembered with its time, overtaken ones too, and told in pulses; the first one that a server lacks decides. The test failed before.

--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -252,7 +252,7 @@
             self._count_reading(reading)
         for named in news.named:
             wanted = self.wanted.get(named.model)
-            if wanted is not None and wanted.version == named.version:
+            if wanted is not None and wanted.version >= named.version:
                 self.placing.name_version(named.model, named.version, now - named.seconds)
         for cache in news.caches:
             self.take_cache(cache, now)
--- a/hollyring/routing/placing.py
+++ b/hollyring/routing/placing.py
@@ -14,7 +14,7 @@
 
 import dataclasses
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from hollyring.configuration import deployment
 from hollyring.core import asks, rendezvous
@@ -188,6 +188,9 @@
     cost: float
 
 
+MAX_VERSIONS = 16
+"""Wanted versions of one model that are remembered."""
+
 LATE_LIMIT = 30.0
 """Keeps the exponential function in its range."""
 
@@ -225,6 +228,7 @@
         "_services",
         "_stores",
         "_named",
+        "_versions",
         "_reserved",
         "_left",
         "_version_seconds",
@@ -241,6 +245,7 @@
         self._services: Mapping[str, deployment.Service] = {}
         self._stores: list[deployment.CacheStore] = []
         self._named: dict[str, Named] = {}
+        self._versions: dict[str, dict[int, Named]] = {}
         self._version_seconds = version_seconds
         self._reserved: frozenset[str] = frozenset()
         self._left: dict[str, float] = {}
@@ -260,11 +265,21 @@
 
     def name_version(self, model: str, version: int, at: float, guessed: bool = False) -> None:
         """Take in the version of the weights that is wanted since `at`, or since before it."""
-        known = self._named.get(model)
-        if known is None or known.version < version:
-            self._named[model] = Named(version, at, guessed)
-        elif known.version == version and not guessed:
-            self._named[model] = Named(version, at if known.guessed else min(at, known.at))
+        versions = self._versions.setdefault(model, {})
+        known = versions.get(version)
+        if known is None or (known.guessed and not guessed):
+            versions[version] = Named(version, at, guessed)
+        elif not guessed:
+            versions[version] = Named(version, min(at, known.at))
+        while len(versions) > MAX_VERSIONS:
+            del versions[min(versions)]
+        self._named[model] = versions[max(versions)]
+
+    @property
+    def all_named(self) -> Iterator[tuple[str, Named]]:
+        """The wanted versions of each model's weights, overtaken ones too."""
+        for model, versions in self._versions.items():
+            yield from ((model, named) for named in versions.values())
 
     @property
     def named(self) -> Mapping[str, Named]:
@@ -294,12 +309,15 @@
         """Tell whether an upstream's weights are too old to be used at all."""
         if wanted.prompt is None:
             return False
-        named = self._named.get(wanted.prompt.model)
-        if named is None or upstream.version(wanted.prompt.model) >= named.version:
-            return False
-        if named.guessed and self._upgraded_share(wanted, named.version) >= UPGRADED_SHARE:
-            return True
-        return now - named.at > self._version_seconds
+        version = upstream.version(wanted.prompt.model)
+        versions = self._versions.get(wanted.prompt.model, {})
+        # The first version that it lacks decides: a later one does not make it young again.
+        return any(
+            now - named.at > self._version_seconds
+            or (named.guessed and self._upgraded_share(wanted, named.version) >= UPGRADED_SHARE)
+            for named in versions.values()
+            if named.version > version
+        )
 
     def _upgraded_share(self, wanted: Wanted, version: int) -> float:
         """Return which share of a service's upstreams has a version of the weights."""
--- a/hollyring/routing/tests/test_placing.py
+++ b/hollyring/routing/tests/test_placing.py
@@ -219,6 +219,18 @@
     assert isinstance(world.place(now=14.0), placing.NoPlace)
 
 
+def test_overtaken_version_still_counts(world):
+    """Version 3 was named 8 s after version 2; a server on version 1 was used for 8 s too long."""
+    world.placing = placing.Placing(world.serving, world.holdings, version_seconds=13.5)
+    world.add("a1", versions={MODEL: 1})
+    world.add("a2", versions={MODEL: 2})
+    world.placing.name_version(MODEL, 2, 2.0)
+    world.placing.name_version(MODEL, 3, 10.0)
+    assert {place_of(world, f"p-{n}", now=15.0) for n in range(40)} == {"a1", "a2"}
+    assert {place_of(world, f"p-{n}", now=16.0) for n in range(40)} == {"a2"}
+    assert world.placing.named[MODEL].version == 3
+
+
 def test_old_weights_are_not_used_when_it_is_not_known_for_how_long_others_are_wanted(world):
     """All VMs were killed 11 s after a version was named; two thirds of the servers had it."""
     world.placing = placing.Placing(world.serving, world.holdings, version_seconds=10.5)
