--- /dev/null
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -0,0 +1,471 @@
+"""VMs of the real parts in one event loop whose clock stands still between events.
+
+Store, links between VMs and upstreams are held in memory; a test runs for seconds of simulated time
+in milliseconds, and always in the same way.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import math
+import pickle
+import selectors
+
+import anyio
+
+from hollyring.configuration import deployment, mirror
+from hollyring.fleet import messages
+from hollyring.membership import pulse
+from hollyring.node import (
+    caches_part,
+    clock,
+    links,
+    orders_part,
+    ports,
+    pulse_part,
+    state,
+    store_part,
+)
+from hollyring.routing import serving
+
+PREFIXES = ports.Prefixes("op/", "servers/", "vm/", "vm/.orders")
+CALL_SECONDS = 0.005
+LOAD_SECONDS = 1.5
+MODEL = "m"
+SERVICE = "ls"
+RETRIES = state.RetryRules(0.2, 50.0, 10.0)
+VERSION_SECONDS = 13.5
+
+
+class _Selector(selectors.DefaultSelector):
+    """Tells the loop to move its clock instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.skip = None
+
+    def select(self, timeout=None):
+        found = super().select(0)
+        if not found and timeout is None:
+            raise AssertionError("nothing will ever happen")
+        if not found and timeout > 0:
+            self.skip(timeout)
+        return found
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """An event loop with simulated time."""
+
+    def __init__(self):
+        selector = _Selector()
+        super().__init__(selector)
+        self._simulated = 1000.0
+        selector.skip = self._skip
+
+    def time(self):
+        return self._simulated
+
+    def _skip(self, seconds):
+        self._simulated += seconds
+
+
+class Documents:
+    """Implements `ports.Documents` for values that are pickled objects of the product."""
+
+    def deployment(self, item):
+        return self._read(item, deployment.Deployment)
+
+    def wanted_version(self, item):
+        return self._read(item, ports.WantedVersion)
+
+    def upstream(self, item):
+        return self._read(item, serving.Entry)
+
+    def vm(self, item):
+        return self._read(item, pulse.Place)
+
+    def encode_vm(self, place):
+        return pickle.dumps(place)
+
+    def _read(self, item, type_):
+        try:
+            found = pickle.loads(item.value)
+        except pickle.UnpicklingError:
+            return None
+        return found if isinstance(found, type_) else None
+
+
+class Store:
+    """What lies in the store, with revisions, leases and a history."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.changes = []
+        self.history_from = 0
+        self.leases = {}
+        self.away_for = set()
+        self.lists = collections.Counter()
+        self._changed = anyio.Event()
+        self._lease = 0
+
+    def put(self, key, value, lease=0):
+        """Write a key, as the operator or an upstream does."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else pickle.dumps(value)
+        self.items[key] = mirror.Item(key, data, self.revision)
+        self.changes.append(self.items[key])
+        if lease:
+            self.leases[lease][1].add(key)
+        self._wake()
+
+    def remove(self, key):
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self.changes.append(mirror.Removal(key, self.revision))
+        self._wake()
+
+    def drop_history(self):
+        self.history_from = self.revision
+        self._wake()
+
+    def grant(self, seconds):
+        self._lease += 1
+        self.leases[self._lease] = [clock.now() + seconds, set(), seconds]
+        return self._lease
+
+    def renew(self, lease):
+        if lease not in self.leases:
+            return False
+        self.leases[lease][0] = clock.now() + self.leases[lease][2]
+        return True
+
+    def end(self, lease):
+        _, keys, _ = self.leases.pop(lease, (0, set(), 0))
+        for key in sorted(keys):
+            self.remove(key)
+
+    async def run(self):
+        """Let leases lapse."""
+        while True:
+            await anyio.sleep(0.05)
+            for lease in [n for n, found in self.leases.items() if found[0] < clock.now()]:
+                self.end(lease)
+
+    async def changed(self):
+        await self._changed.wait()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+class StoreClient:
+    """Implements `ports.Store` for one VM."""
+
+    def __init__(self, store, vm):
+        self._store = store
+        self._vm = vm
+
+    async def get(self, key):
+        await self._reach()
+        return self._store.items.get(key)
+
+    async def list(self, prefix):
+        await self._reach()
+        self._store.lists[prefix] += 1
+        items = [item for key, item in self._store.items.items() if key.startswith(prefix)]
+        return ports.Listing(items, self._store.revision)
+
+    async def watch(self, prefix, after, seconds):
+        await self._reach()
+        with anyio.move_on_after(seconds):
+            while True:
+                if after < self._store.history_from:
+                    raise ports.HistoryGoneError(prefix)
+                found = [c for c in self._store.changes if c.revision > after]
+                found = [c for c in found if c.key.startswith(prefix)]
+                if found:
+                    return ports.Changes(found, self._store.revision)
+                await self._store.changed()
+                await self._reach()
+        return ports.Changes([], self._store.revision)
+
+    async def commit(self, expected, puts):
+        await self._reach()
+        for key, revision in expected.items():
+            item = self._store.items.get(key)
+            if (item.revision if item else 0) != revision:
+                return ports.Conflict()
+        if any(put.lease and put.lease not in self._store.leases for put in puts):
+            return ports.NoLease()
+        for put in puts:
+            self._store.put(put.key, put.value, put.lease)
+        return ports.Committed(self._store.revision)
+
+    async def grant(self, seconds):
+        await self._reach()
+        return self._store.grant(seconds)
+
+    async def renew(self, lease):
+        await self._reach()
+        return self._store.renew(lease)
+
+    async def end(self, lease):
+        await self._reach()
+        self._store.end(lease)
+
+    async def _reach(self):
+        await anyio.sleep(CALL_SECONDS)
+        if self._vm in self._store.away_for:
+            raise ports.StoreError("refused")
+
+
+@dataclasses.dataclass
+class TakenOrder:
+    at: float
+    holder: str
+    fencing: int
+    version: int
+
+
+class Upstream:
+    """A language server that takes orders and tells cache events."""
+
+    def __init__(self, name, version=1):
+        self.entry = serving.Entry(name, SERVICE, f"{name}:1", "a", 8, False, 1, {MODEL: version})
+        self.version = version
+        self.accepted = 0
+        self.orders = []
+        self.loading_until = -math.inf
+        self.silent = False
+        self.epoch = 1
+        self.events = []
+        self.event_calls = 0
+
+    @property
+    def busy(self):
+        return clock.now() < self.loading_until
+
+    def report(self, upstream, life, at):
+        shown = [] if self.busy else [messages.ModelVersion(MODEL, str(self.version))]
+        return messages.UpstreamState(
+            upstream, life, shown, [], "both", False, at, self.busy, self.accepted
+        )
+
+    def take(self, order, holder):
+        if order.expected != self.accepted or self.busy:
+            return 409
+        self.accepted += 1
+        self.version = int(order.change.version)
+        self.loading_until = clock.now() + LOAD_SECONDS
+        self.orders.append(TakenOrder(clock.now(), holder, order.fencing, self.version))
+        return 202
+
+    def hold(self, salt, part, tokens):
+        self.events.append(pulse.Held(salt, part, tokens))
+
+
+@dataclasses.dataclass
+class _Report:
+    pass
+
+
+@dataclasses.dataclass
+class _Order:
+    order: messages.Order
+    holder: str
+
+
+@dataclasses.dataclass
+class _Events:
+    after: int
+    seconds: float
+
+
+class Codec:
+    """Implements what the parts need of `ports.UpstreamCodec`, with pickled objects."""
+
+    def report_request(self, address):
+        return pickle.dumps(_Report())
+
+    def report(self, upstream, life, body, at):
+        return pickle.loads(body).report(upstream, life, at) if body else None
+
+    def order_request(self, address, order, holder):
+        return pickle.dumps(_Order(order, holder))
+
+    def order_outcome(self, status):
+        if status == 202:
+            return messages.Outcome.ACCEPTED
+        return messages.Outcome.CONFLICT
+
+    def events_request(self, address, after, seconds):
+        return pickle.dumps(_Events(after, seconds))
+
+    def events(self, body):
+        return pickle.loads(body)
+
+
+class Links:
+    """Connections to upstreams, as far as the parts call them."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+
+    async def call(self, address, request, seconds):
+        await anyio.sleep(CALL_SECONDS)
+        upstream = self._fleet.upstreams.get(address.partition(":")[0])
+        if upstream is None or upstream.silent:
+            await anyio.sleep(seconds)
+            raise links.LinkError("no answer in time")
+        match pickle.loads(request):
+            case _Report():
+                return 200, pickle.dumps(upstream)
+            case _Order(order, holder):
+                return upstream.take(order, holder), b""
+            case _Events(after, wait):
+                return 200, pickle.dumps(await self._events(upstream, after, wait))
+
+    async def _events(self, upstream, after, seconds):
+        upstream.event_calls += 1
+        end = clock.now() + seconds
+        while len(upstream.events) <= after and clock.now() < end:
+            await anyio.sleep(0.05)
+        return ports.CacheEvents(
+            upstream.epoch, len(upstream.events), False, upstream.events[after:]
+        )
+
+
+class PeerLinks:
+    """Messages between VMs."""
+
+    def __init__(self, fleet, vm):
+        self._fleet = fleet
+        self._vm = vm
+
+    def broadcast(self, addresses, message):
+        for address in addresses:
+            self._fleet.group.start_soon(self._deliver, address, message)
+
+    async def ask(self, address, message, seconds):
+        await anyio.sleep(CALL_SECONDS)
+        vm = self._reached(address)
+        return vm.follower.copy(message.prefix) if vm else None
+
+    async def _deliver(self, address, message):
+        await anyio.sleep(CALL_SECONDS)
+        vm = self._reached(address)
+        if vm is not None:
+            vm.beliefs.hear(message, clock.now())
+
+    def _reached(self, address):
+        name = address.partition(":")[0]
+        if frozenset({name, self._vm}) in self._fleet.cuts:
+            return None
+        return self._fleet.vms.get(name)
+
+
+class Vm:
+    """One life of a VM."""
+
+    def __init__(self, fleet, name, life):
+        place = pulse.Place(name, life, f"{name}:1", f"{name}:2", "a", "r")
+        documents = Documents()
+        client = StoreClient(fleet.store, name)
+        codec = Codec()
+        connections = Links(fleet)
+        peers = PeerLinks(fleet, name)
+        seeds = [f"{seed}:2" for seed in fleet.names]
+        self.name = name
+        self.begun = clock.now()
+        self.beliefs = state.State(place, documents, PREFIXES, RETRIES, VERSION_SECONDS)
+        self.follower = store_part.StorePart(client, self.beliefs, peers)
+        self.pulses = pulse_part.PulsePart(
+            self.beliefs, peers, client, self.follower, documents, seeds
+        )
+        self.orders = orders_part.OrdersPart(
+            self.beliefs, client, self.follower, codec, connections, self.pulses.hurry
+        )
+        self.caches = caches_part.CachesPart(self.beliefs, codec, connections)
+        self.scope = anyio.CancelScope()
+
+    async def run(self):
+        parts = [self.follower.run, self.pulses.run, self.pulses.register]
+        parts += [self.orders.run, self.caches.run]
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                for part in parts:
+                    group.start_soon(part)
+
+
+class Fleet:
+    """VMs, a store and upstreams."""
+
+    def __init__(self, group, names, upstreams):
+        self.group = group
+        self.names = names
+        self.store = Store()
+        self.vms = {}
+        self.cuts = set()
+        self.upstreams = {}
+        self._lives = 0
+        self.store.put("op/config", made_deployment(1))
+        for name in upstreams:
+            self.add_upstream(Upstream(name))
+        group.start_soon(self.store.run)
+
+    def add_upstream(self, upstream):
+        self.upstreams[upstream.entry.name] = upstream
+        self.store.put("servers/" + upstream.entry.name, upstream.entry)
+
+    def start(self, name):
+        self._lives += 1
+        vm = self.vms[name] = Vm(self, name, self._lives)
+        self.group.start_soon(vm.run)
+        return vm
+
+    def kill(self, name):
+        """End a VM without notice."""
+        self.vms.pop(name).scope.cancel()
+
+    async def stop(self, name):
+        """End a VM in an orderly way."""
+        vm = self.vms[name]
+        vm.beliefs.leaving = True
+        await vm.orders.stop()
+        self.kill(name)
+
+    def want(self, version):
+        """Name a version of the model's weights, as the operator does."""
+        wanted = ports.WantedVersion(MODEL, version, self.store.revision + 1)
+        self.store.put(f"op/version/{MODEL}", wanted)
+
+    def giver(self):
+        """Return the name of the one VM that may give orders, empty for none."""
+        holding = [vm.name for vm in self.vms.values() if vm.beliefs.orders.holds]
+        assert len(holding) <= 1, holding
+        return holding[0] if holding else ""
+
+    async def until(self, met, seconds):
+        """Wait until a condition is met; return the seconds that it took."""
+        begun = clock.now()
+        while not met():
+            assert clock.now() - begun < seconds, f"not met within {seconds} s"
+            await anyio.sleep(0.02)
+        return clock.now() - begun
+
+    def all_on(self, version):
+        return all(u.version == version and not u.busy for u in self.upstreams.values())
+
+    def orders(self):
+        """Return all orders that upstreams took, in the order of time."""
+        found = [order for upstream in self.upstreams.values() for order in upstream.orders]
+        return sorted(found, key=lambda order: order.at)
+
+
+def made_deployment(version):
+    engine = deployment.Engine(8, 1000, 8, 1e9, (MODEL,))
+    services = [deployment.Service(SERVICE, 100, engine)]
+    return deployment.Deployment(version, [], services, [], deployment.Bounds(), False)
--- /dev/null
+++ b/hollyring/node/tests/test_orders_part.py
@@ -0,0 +1,183 @@
+"""One VM at a time gives upstreams their weights, whatever becomes of the holder."""
+
+import anyio
+
+from hollyring.node import orders_part
+
+TAKE_OVER_SECONDS = orders_part.LEASE_SECONDS * 2 + 2.0
+"""The lease of a lost holder lapses, then its last order's time has to pass."""
+
+
+async def begin(fleet):
+    """Start all VMs and wait until one may give orders."""
+    for name in fleet.names:
+        fleet.start(name)
+    await fleet.until(lambda: fleet.giver() != "", 3.0)
+    await anyio.sleep(orders_part.LEASE_SECONDS + 1.0)
+
+
+def fencings(fleet):
+    return [order.fencing for order in fleet.orders()]
+
+
+def most_at_once(orders, seconds):
+    return max(sum(0 <= o.at - first.at < seconds for o in orders) for first in orders)
+
+
+def test_all_upstreams_get_the_weights_some_at_a_time(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        giver = fleet.giver()
+        fleet.want(2)
+        took = await fleet.until(lambda: fleet.all_on(2), 8.0)
+        orders = fleet.orders()
+        assert len(orders) == len(fleet.upstreams)
+        assert {order.holder for order in orders} == {giver}
+        most = int(orders_part.LOAD_SHARE * len(fleet.upstreams))
+        assert most_at_once(orders, 1.4) <= most
+        assert took < 7.0
+
+    simulate(play)
+
+
+def test_other_vms_know_the_weights_and_the_loads(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        fleet.want(2)
+        await fleet.until(lambda: any(u.busy for u in fleet.upstreams.values()), 2.0)
+        loading = [u.entry.name for u in fleet.upstreams.values() if u.busy]
+        for vm in fleet.vms.values():
+            found = [n for n, u in vm.beliefs.serving.upstreams.items() if u.loading(u_now())]
+            assert set(loading) <= set(found)
+        await fleet.until(lambda: fleet.all_on(2), 8.0)
+        await anyio.sleep(0.6)
+        for vm in fleet.vms.values():
+            known = vm.beliefs.serving.upstreams.values()
+            assert {upstream.version("m") for upstream in known} == {2}
+
+    def u_now():
+        return anyio.current_time()
+
+    simulate(play)
+
+
+def test_version_that_is_overtaken_is_skipped(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        fleet.want(2)
+        await anyio.sleep(1.0)
+        fleet.want(3)
+        await fleet.until(lambda: fleet.all_on(3), 9.0)
+        later = [u for u in fleet.upstreams.values() if len(u.orders) == 1]
+        assert len(later) >= 3
+
+    simulate(play)
+
+
+def test_another_vm_takes_over_from_one_that_was_killed(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        fleet.want(2)
+        await fleet.until(lambda: len(fleet.orders()) > 0, 2.0)
+        lost = fleet.giver()
+        fleet.kill(lost)
+        await fleet.until(lambda: fleet.giver() != "", TAKE_OVER_SECONDS)
+        await fleet.until(lambda: fleet.all_on(2), TAKE_OVER_SECONDS + 7.0)
+        found = fencings(fleet)
+        assert found == sorted(found)
+        first = [order for order in fleet.orders() if order.holder == lost]
+        second = [order for order in fleet.orders() if order.holder != lost]
+        assert second[0].at - first[-1].at >= orders_part.LEASE_SECONDS
+
+    simulate(play)
+
+
+def test_holder_that_stops_gives_the_lease_back(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        await fleet.stop(fleet.giver())
+        assert "vm/.orders" not in fleet.store.items
+        took = await fleet.until(lambda: fleet.giver() != "", 1.5)
+        assert took < orders_part.LEASE_SECONDS
+        fleet.want(2)
+        await fleet.until(lambda: fleet.all_on(2), 12.0)
+
+    simulate(play)
+
+
+def test_no_order_after_the_lease_could_not_be_renewed(simulate):
+    """The holder is cut off from the store; its last order must be old when another begins."""
+
+    async def play(fleet):
+        await begin(fleet)
+        refused = fleet.giver()
+        fleet.store.away_for = {refused}
+        await anyio.sleep(0.5)
+        fleet.want(2)
+        await fleet.until(lambda: fleet.giver() not in ("", refused), TAKE_OVER_SECONDS)
+        await fleet.until(lambda: fleet.all_on(2), TAKE_OVER_SECONDS + 7.0)
+        found = fencings(fleet)
+        assert found == sorted(found)
+
+    simulate(play)
+
+
+def test_silent_upstream_does_not_hold_up_the_others(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        fleet.upstreams["u-1"].silent = True
+        fleet.want(2)
+
+        def others_done():
+            others = [u for u in fleet.upstreams.values() if not u.silent]
+            return all(u.version == 2 and not u.busy for u in others)
+
+        await fleet.until(others_done, 9.0)
+        fleet.upstreams["u-1"].silent = False
+        await fleet.until(lambda: fleet.all_on(2), 12.0)
+
+    simulate(play)
+
+
+def test_upstream_that_took_an_unknown_order_is_given_the_next_with_its_new_number(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        fleet.upstreams["u-1"].accepted = 4
+        fleet.want(2)
+        await fleet.until(lambda: fleet.all_on(2), 9.0)
+        assert fleet.upstreams["u-1"].accepted == 5
+
+    simulate(play)
+
+
+def test_all_vms_restarted_in_the_middle_of_a_rollout_finish_it(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        fleet.want(2)
+        await fleet.until(lambda: len(fleet.orders()) > 0, 2.0)
+        for name in fleet.names:
+            fleet.kill(name)
+        await anyio.sleep(1.0)
+        for name in fleet.names:
+            fleet.start(name)
+        await fleet.until(lambda: fleet.all_on(2), TAKE_OVER_SECONDS + 9.0)
+        found = fencings(fleet)
+        assert found == sorted(found)
+        assert len(found) == len(fleet.upstreams)
+
+    simulate(play)
+
+
+def test_vms_cut_off_from_each_other_have_one_giver_of_orders(simulate):
+    async def play(fleet):
+        await begin(fleet)
+        giver = fleet.giver()
+        fleet.cuts = {frozenset({giver, name}) for name in fleet.names if name != giver}
+        fleet.want(2)
+        for _ in range(60):
+            await anyio.sleep(0.1)
+            fleet.giver()
+        assert fleet.all_on(2)
+        assert {order.holder for order in fleet.orders()} == {giver}
+
+    simulate(play)
