--- a/hollyring/node/tests/test_orders_part.py
+++ b/hollyring/node/tests/test_orders_part.py
@@ -1,6 +1,7 @@
 """One VM at a time gives upstreams their weights, whatever becomes of the holder."""
 
 import anyio
+import pytest
 
 from hollyring.node import orders_part
 
@@ -105,6 +106,29 @@
     simulate(play)
 
 
+@pytest.mark.parametrize("after_renewal", [0.0, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize("how", ["killed", "stopped"])
+def test_holders_do_not_take_turns_within_the_lease(simulate, how, after_renewal):
+    """The last order may have been given long after the last renewal."""
+
+    async def play(fleet):
+        await begin(fleet)
+        await anyio.sleep(after_renewal)
+        fleet.want(2)
+        await fleet.until(lambda: len(fleet.orders()) > 0, 2.0)
+        giver = fleet.giver()
+        if how == "killed":
+            fleet.kill(giver)
+        else:
+            await fleet.stop(giver)
+        await fleet.until(lambda: fleet.all_on(2), TAKE_OVER_SECONDS + 9.0)
+        first = [order for order in fleet.orders() if order.holder == giver]
+        second = [order for order in fleet.orders() if order.holder != giver]
+        assert second[0].at - first[-1].at >= orders_part.LEASE_SECONDS
+
+    simulate(play)
+
+
 def test_no_order_after_the_lease_could_not_be_renewed(simulate):
     """The holder is cut off from the store; its last order must be old when another begins."""
 
