One state machine for the tries of a request, one HTTP client towards upstreams and the store

Cause: what may be sent again, and what a refusal may claim, was decided three times: in node/relay for the platform's surface, in node/completions through routing/retry, and in node/services by a loop that did not ask the retry budget at all. Requests went out over three clients: node/links, and two pools of httpcore.

Change: delivery/tries holds the decision (terms, sends, runs, what was reached, the final refusal) for both interfaces; completions, services and the relay use it.

Ruled out for now: one pipeline also for rights, rates and placing. The product's interface promises shares without excess and revisions by digest, the platform's allows excess and names whole versions; each has its own proofs.

--- a/hollyring/node/caches_part.py
+++ b/hollyring/node/caches_part.py
@@ -122,10 +122,10 @@
         self._state.caches.append(news)
 
     async def _ask(self, address: str, request: bytes) -> ports.CacheEvents:
-        status, body = await self._links.call(address, request, CALL_SECONDS)
-        found = self._codec.events(body) if status == HTTP_OK else None
+        answer = await self._links.call(address, request, CALL_SECONDS)
+        found = self._codec.events(answer.body) if answer.status == HTTP_OK else None
         if found is None:
-            raise links.LinkError(f"status {status}, unreadable events")
+            raise links.LinkError(f"status {answer.status}, unreadable events")
         return found
 
 
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -13,9 +13,9 @@
 
 import anyio
 
-from hollyring.core import execution
+from hollyring.core import asks, execution
 from hollyring.delivery import errors as delivery_errors
-from hollyring.delivery import events, refusal, stream
+from hollyring.delivery import events, refusal, stream, tries
 from hollyring.node import (
     answers,
     asgi,
@@ -27,7 +27,9 @@
     routing_part,
     vm,
 )
-from hollyring.routing import retry
+
+MAX_RUNS = 3
+"""Most upstreams that may run one completion."""
 
 READER_CHECKS = 4
 """How often, within the bound on a slow reader, it is looked at."""
@@ -51,9 +53,8 @@
     outlet: outlets.Outlet
     stream: stream.Stream
     version: str
-    deadline: float
+    tries: tries.Tries
     arrived: float
-    dispatched: bool = False
     first_token: float = 0.0
     usage: engines.Usage | None = None
 
@@ -84,7 +85,7 @@
 
 def _used(work: _Work) -> int:
     """Return the tokens that the request really took."""
-    if not work.dispatched:
+    if not work.tries.reached:
         return 0
     return work.completion.prompt_tokens + work.stream.tokens
 
@@ -136,7 +137,9 @@
         outlet=outlets.Outlet(send, completion, stream_id),
         stream=stream.Stream(stream_id, digest, node.invariants, resumption),
         version=model.version,
-        deadline=arrived + bounds.deadline_seconds,
+        tries=tries.Tries(
+            tries.Terms(asks.Repeat.RESUMABLE, arrived + bounds.deadline_seconds, MAX_RUNS)
+        ),
         arrived=arrived,
     )
 
@@ -171,13 +174,13 @@
 
 async def _finish(node: vm.VM, work: _Work) -> None:
     why: refusal.Refusal | None = None
-    with anyio.move_on_after(work.deadline - time.monotonic()) as limit:
+    with anyio.move_on_after(work.tries.left(time.monotonic())) as limit:
         try:
             await _tries(node, work)
         except _GivenUpError as error:
             why = error.why
     if limit.cancelled_caught:
-        why = refusal.make("deadline_exceeded" if work.dispatched else "deadline_not_sent")
+        why = work.tries.final("deadline_not_sent", time.monotonic())
     if why is None:
         node.metrics.count("completed")
         return
@@ -195,43 +198,45 @@
     _GivenUpError
         With the caller's final answer.
     """
-    terms = retry.Terms(idempotent=True, resumable=True, deadline=work.deadline)
-    tries = retry.Tries()
-    wanted = _wanted(work)
-    last: frozenset[str] = frozenset()
     while True:
-        place = await node.routing.route(wanted)
-        if isinstance(place, refusal.Refusal) and last:
-            # With few upstreams one that broke off may serve the next try, the last one included.
-            for fewer in (last, frozenset[str]()):
-                place = await node.routing.route(dataclasses.replace(wanted, excluded=fewer))
-                if not isinstance(place, refusal.Refusal):
-                    break
-        if isinstance(place, refusal.Refusal):
-            raise _GivenUpError(_truthful(work, place))
-        tries.begin(place.upstream, place.failure_domain)
-        last = frozenset({place.upstream})
+        place = await _place(node, work)
+        work.tries.begin(place.upstream, place.failure_domain)
         try:
             await _attempt(node, work, place)
             return
-        except engines.RefusedError as error:
-            if error.status < engines.HTTP_SERVER_ERROR and error.status != engines.HTTP_TOO_MANY:
-                raise _GivenUpError(refusal.make("invalid_request", message=str(error))) from error
-            failure = retry.Failure(execution.Execution.NOT_RUN, work.stream.tokens)
         except errors.UpstreamError as error:
-            ran = execution.Execution.UNKNOWN if error.reached else execution.Execution.NOT_RUN
-            failure = retry.Failure(ran, work.stream.tokens)
+            if isinstance(error, engines.RefusedError) and error.final:
+                raise _GivenUpError(refusal.make("invalid_request", message=str(error))) from error
+            unknown, not_run = execution.Execution.UNKNOWN, execution.Execution.NOT_RUN
+            work.tries.failed(unknown if error.reached else not_run)
         now = time.monotonic()
-        decision = tries.decide(failure, terms, retry.RETRY_COST, now)
-        if isinstance(decision, retry.GiveUp) or not node.retries.retry(now):
-            raise _GivenUpError(_truthful(work, refusal.make("no_upstream")))
+        if not work.tries.may_repeat(now, work.outlet.started) or not node.retries.retry(now):
+            raise _GivenUpError(work.tries.final("no_upstream", now))
         node.metrics.count("retries")
-        wanted = dataclasses.replace(
-            wanted, excluded=decision.excluded, avoided_domains=decision.avoided_domains
-        )
 
 
-def _wanted(work: _Work) -> routing_part.Wanted:
+async def _place(node: vm.VM, work: _Work) -> routing_part.Place:
+    """Return where the next try goes.
+
+    Raises
+    ------
+    _GivenUpError
+        If there is no upstream.
+    """
+    excluded = [work.tries.upstreams]
+    if work.tries.sends:
+        # With few upstreams one that broke off may serve the next try, the last one included.
+        excluded += [work.tries.last, frozenset()]
+    why = refusal.make("no_upstream")
+    for names in excluded:
+        place = await node.routing.route(_wanted(work, names))
+        if isinstance(place, routing_part.Place):
+            return place
+        why = place
+    raise _GivenUpError(work.tries.final(why.code, time.monotonic(), why.retry_after))
+
+
+def _wanted(work: _Work, excluded: frozenset[str]) -> routing_part.Wanted:
     return routing_part.Wanted(
         organisation=work.caller.organisation.name,
         model=work.completion.model,
@@ -239,15 +244,12 @@
         prompt=work.completion.prompt,
         prompt_tokens=work.completion.prompt_tokens,
         max_tokens=work.completion.max_tokens,
-        deadline=work.deadline,
+        deadline=work.tries.deadline,
+        excluded=excluded,
+        avoided_domains=work.tries.domains,
     )
 
 
-def _truthful(work: _Work, why: refusal.Refusal) -> refusal.Refusal:
-    """Return `why` without a claim that nothing ran once something was dispatched."""
-    return why.as_unknown() if work.dispatched else why
-
-
 async def _attempt(node: vm.VM, work: _Work, place: routing_part.Place) -> None:
     """Carry out one try.
 
@@ -268,16 +270,13 @@
         ),
     )
     path = "/v1/chat/completions" if work.completion.chat else "/v1/completions"
-    before = work.dispatched
-    work.dispatched = True
     work.usage = None
     try:
-        seconds = work.deadline - time.monotonic()
+        seconds = work.tries.left(time.monotonic())
         generated = node.engines.stream(place.address, path, body, seconds)
         async with contextlib.aclosing(generated):
             await _take_all(node, work, place, attempt.number, generated)
     except errors.UpstreamError as error:
-        work.dispatched = before or error.reached
         work.stream.accept(stream.Lost(attempt.number))
         node.routing.failed(place, lost=not isinstance(error, engines.RefusedError))
         raise
--- a/hollyring/node/engines.py
+++ b/hollyring/node/engines.py
@@ -7,13 +7,9 @@
 from typing import Any
 
 import anyio
-import httpcore
 import msgspec
 
-from hollyring.node import errors, failures
-
-CONNECT_SECONDS = 1.0
-"""Longest wait for a connection to an upstream; nothing has been sent before it is up."""
+from hollyring.node import errors, http_request, links
 
 SILENCE_SECONDS = 10.0
 """Longest silence of an upstream that has begun to answer."""
@@ -21,8 +17,12 @@
 DRAIN_SECONDS = 0.1
 """Longest wait for the end of a body whose last event has come."""
 
+MAX_CONNECTIONS = 2_000
+"""Most connections of a VM to one engine."""
+
 ERROR_BODY_BYTES = 4_096
 MAX_LINE_BYTES = 1_000_000
+JSON_TYPE = (b"Content-Type", b"application/json")
 HTTP_OK = 200
 HTTP_TOO_MANY = 429
 HTTP_SERVER_ERROR = 500
@@ -52,6 +52,11 @@
         super().__init__(f"status {status}: {message}", reached=True)
         self.status = status
 
+    @property
+    def final(self) -> bool:
+        """Whether every engine would refuse the request alike."""
+        return self.status < HTTP_SERVER_ERROR and self.status != HTTP_TOO_MANY
+
 
 class _Delta(msgspec.Struct):
     content: str | None = None
@@ -83,24 +88,30 @@
 
 
 class Engines:
-    """Connections to all language servers."""
+    """Calls on all language servers.
+
+    Parameters
+    ----------
+    connections
+        Connections to upstreams.
+    """
 
-    __slots__ = ("_pool",)
+    __slots__ = ("_links",)
 
-    def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(max_connections=2_000, keepalive_expiry=30.0)
+    def __init__(self, connections: links.Links) -> None:
+        self._links = connections
 
     async def stream(
-        self, address: str, path: str, body: bytes, first_seconds: float
+        self, url: str, path: str, body: bytes, first_seconds: float
     ) -> AsyncGenerator[Token | Usage, None]:
-        """Yield what the engine at `address` generates, then its usage.
+        """Yield what the engine at `url` generates, then its usage.
 
         Closing the iterator closes the connection, which cancels the engine's work. The iterator
         ends normally only after the engine's last event.
 
         Parameters
         ----------
-        address
+        url
             ``"http://IP:PORT"``.
         first_seconds
             Longest wait for the head of the answer.
@@ -110,74 +121,59 @@
         UpstreamError
             If the engine cannot be reached, answers with an error, or breaks off.
         """
-        timeout = {"connect": CONNECT_SECONDS, "read": first_seconds, "write": CONNECT_SECONDS}
-        timeout["pool"] = CONNECT_SECONDS
-        request = self._pool.stream(
-            "POST",
-            address + path,
-            headers=[(b"content-type", b"application/json")],
-            content=body,
-            extensions={"timeout": timeout},
-        )
+        address = http_request.address_of(url)
+        request = http_request.encode(b"POST", path.encode(), address.encode(), [JSON_TYPE], body)
         try:
-            async with request as response:
-                if response.status != HTTP_OK:
-                    message = await _error_text(response)
-                    raise RefusedError(response.status, message)
-                timeout["read"] = max(SILENCE_SECONDS, first_seconds)
-                async for item in _items(response):
-                    yield item
-        except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
-            raise errors.UpstreamError(type(error).__name__, reached=False) from error
-        except failures.FAILURES as error:
-            raise errors.UpstreamError(type(error).__name__, reached=True) from error
-
-    async def cancel(self, address: str, request_id: str) -> None:
-        """Ask the engine to forget a request; closing its connection does the same."""
-        with anyio.move_on_after(CONNECT_SECONDS):
-            try:
-                await self._pool.request("DELETE", f"{address}/v1/requests/{request_id}")
-            except failures.FAILURES:
-                return
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._pool.aclose()
+            link = await self._links.take(address, MAX_CONNECTIONS)
+            exchange = link.send(request, links.any_answer)
+        except links.NotSentError as error:
+            raise errors.UpstreamError(str(error), reached=False) from error
+        try:
+            with anyio.fail_after(first_seconds):
+                head = await exchange.head()
+            if head.status != HTTP_OK:
+                raise RefusedError(head.status, await _error_text(exchange))
+            async for item in _items(exchange, max(SILENCE_SECONDS, first_seconds)):
+                yield item
+        except (links.LinkError, TimeoutError) as error:
+            raise errors.UpstreamError(str(error) or "silent", reached=True) from error
+        finally:
+            self._links.give_back(address, link)
 
 
-async def _error_text(response: httpcore.Response) -> str:
+async def _error_text(exchange: links.Exchange) -> str:
     body = b""
-    async for part in response.aiter_stream():
-        body += part
-        if len(body) > ERROR_BODY_BYTES:
-            break
+    while (data := await exchange.read()) is not None and len(body) <= ERROR_BODY_BYTES:
+        body += data
     return body[:ERROR_BODY_BYTES].decode(errors="replace")
 
 
-async def _items(response: httpcore.Response) -> AsyncIterator[Token | Usage]:
+async def _items(exchange: links.Exchange, gap_seconds: float) -> AsyncIterator[Token | Usage]:
     rest = b""
-    parts = response.aiter_stream()
-    async for part in parts:
-        lines = (rest + part).split(b"\n")
+    while True:
+        with anyio.fail_after(gap_seconds):
+            data = await exchange.read()
+        if data is None:
+            raise errors.UpstreamError("stream broke off", reached=True)
+        lines = (rest + data).split(b"\n")
         rest = lines.pop()
         if len(rest) > MAX_LINE_BYTES:
             raise errors.UpstreamError("event too long", reached=True)
         for line in lines:
             if not line.startswith(b"data:"):
                 continue
-            data = line[5:].strip()
-            if data == b"[DONE]":
-                await _drain(parts)
+            event = line[5:].strip()
+            if event == b"[DONE]":
+                await _drain(exchange)
                 return
-            for item in _parse(data):
+            for item in _parse(event):
                 yield item
-    raise errors.UpstreamError("stream broke off", reached=True)
 
 
-async def _drain(parts: AsyncIterator[bytes]) -> None:
+async def _drain(exchange: links.Exchange) -> None:
     """Read to the end of the body, without which the connection can't be used again."""
     with anyio.move_on_after(DRAIN_SECONDS):
-        async for _ in parts:
+        while await exchange.read() is not None:
             pass
 
 
--- a/hollyring/node/links.py
+++ b/hollyring/node/links.py
@@ -57,6 +57,19 @@
     headers: list[asks.Header]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; header names in lower case."""
+
+    status: int
+    headers: list[asks.Header]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first header `name`, empty if there is none."""
+        return next((value for key, value in self.headers if key == name), b"")
+
+
 class Exchange:
     """One request and its answer on a link."""
 
@@ -307,7 +320,8 @@
             self._exchange.take_end()
 
 
-def _any_answer(_: list[asks.Header]) -> bool:
+def any_answer(_: list[asks.Header]) -> bool:
+    """Take any answer for the request's own, as from upstreams that do not name it."""
     return True
 
 
@@ -375,8 +389,18 @@
         self._idle.setdefault(address, []).append(link)
         return True
 
-    async def call(self, address: str, request: bytes, seconds: float) -> tuple[int, bytes]:
-        """Return status and body of a call that no caller waits for, beside the bound.
+    async def fresh(self, address: str) -> Link:
+        """Return a new connection: an idle one may be closed before a request gets through.
+
+        Raises
+        ------
+        NotSentError
+            If none can be had.
+        """
+        return await self._connect(address)
+
+    async def call(self, address: str, request: bytes, seconds: float) -> Answer:
+        """Return the answer to a call that no caller waits for, beside the bound.
 
         Raises
         ------
@@ -386,9 +410,9 @@
         link = await self.take(address, most=self._open[address] + 1)
         try:
             async with asyncio.timeout(seconds):
-                exchange = link.send(request, _any_answer)
+                exchange = link.send(request, any_answer)
                 head = await exchange.head()
-                return head.status, await exchange.body()
+                return Answer(head.status, head.headers, await exchange.body())
         except TimeoutError as error:
             raise LinkError("no answer in time") from error
         finally:
@@ -404,6 +428,11 @@
         for link in self._idle.pop(address, []):
             link.abort()
 
+    def close(self) -> None:
+        """Close the idle connections."""
+        for address in list(self._idle):
+            self.drop(address)
+
     def reap(self) -> None:
         """Close connections that have been idle for too long."""
         now = clock.now()
--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -284,16 +284,15 @@
         address = upstream.entry.address
         try:
             at = clock.now()
-            _, body = await self._links.call(
-                address, self._codec.report_request(address), CALL_SECONDS
-            )
+            request = self._codec.report_request(address)
+            answer = await self._links.call(address, request, CALL_SECONDS)
         except links.LinkError as error:
             self._log.say("no report", upstream=upstream.name, why=str(error))
             self._silent_until[upstream.name] = clock.now() + SILENT_SECONDS
             return
         finally:
             self._asking.discard(upstream.name)
-        found = self._codec.report(upstream.name, upstream.entry.life, body, at)
+        found = self._codec.report(upstream.name, upstream.entry.life, answer.body, at)
         if found is None:
             self._log.say("unreadable report", upstream=upstream.name)
             return
@@ -336,12 +335,12 @@
         request = self._codec.order_request(address, order, self._me.name)
         self._ordered_at = now
         try:
-            status, _ = await self._links.call(address, request, CALL_SECONDS)
+            answer = await self._links.call(address, request, CALL_SECONDS)
         except links.NotSentError:
             return messages.Outcome.NOT_SENT
         except links.LinkError:
             return messages.Outcome.UNKNOWN
-        return self._codec.order_outcome(status)
+        return self._codec.order_outcome(answer.status)
 
     def _tell(self, upstream: serving.Upstream, model: str, version: int, loading: bool) -> None:
         """Note an upstream's weights here and at the other VMs."""
--- a/hollyring/node/platform.py
+++ b/hollyring/node/platform.py
@@ -9,11 +9,9 @@
 import dataclasses
 import urllib.parse
 
-import anyio
-import httpcore
 import msgspec
 
-from hollyring.node import errors, failures
+from hollyring.node import errors, http_request, links
 
 CALL_SECONDS = 2.0
 """Longest wait for the answer to a call that is not a watch."""
@@ -65,13 +63,15 @@
     ----------
     url
         ``"http://IP:PORT"``.
+    connections
+        Connections to share; by default its own.
     """
 
-    __slots__ = ("_url", "_pool", "_calls")
+    __slots__ = ("_address", "_links", "_calls")
 
-    def __init__(self, url: str) -> None:
-        self._url = url.rstrip("/")
-        self._pool = httpcore.AsyncConnectionPool(max_connections=64, keepalive_expiry=60.0)
+    def __init__(self, url: str, connections: links.Links | None = None) -> None:
+        self._address = http_request.address_of(url)
+        self._links = links.Links() if connections is None else connections
         self._calls = {"read": 0, "write": 0, "watch": 0, "failed": 0}
 
     @property
@@ -111,7 +111,7 @@
         """Return the identity of a new lease of `ttl` seconds."""
         content = msgspec.json.encode({"ttl": ttl})
         response = await self._call("write", "POST", "/leases", content=content)
-        return msgspec.json.decode(response.content, type=_Lease).lease
+        return msgspec.json.decode(response.body, type=_Lease).lease
 
     async def renew(self, lease: str) -> bool:
         """Renew a lease; False when it has lapsed."""
@@ -125,11 +125,11 @@
     async def vms(self) -> dict[str, str]:
         """Return the lagging list of VMs: ``"live"`` or ``"leaving"`` by name."""
         response = await self._call("read", "GET", "/vms")
-        return {vm.name: vm.state for vm in msgspec.json.decode(response.content, type=_Vms).vms}
+        return {vm.name: vm.state for vm in msgspec.json.decode(response.body, type=_Vms).vms}
 
     async def close(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        self._links.close()
 
     def _path(self, key: str) -> str:
         return "/kv/" + urllib.parse.quote(key, safe="/")
@@ -140,15 +140,17 @@
         method: str,
         path: str,
         seconds: float = CALL_SECONDS,
-        content: bytes | None = None,
-    ) -> httpcore.Response:
+        content: bytes = b"",
+    ) -> links.Answer:
         self._calls[kind] += 1
+        request = http_request.encode(
+            method.encode(), path.encode(), self._address.encode(), body=content
+        )
         try:
-            with anyio.fail_after(seconds):
-                response = await self._pool.request(method, self._url + path, content=content)
-        except failures.FAILURES as error:
+            response = await self._links.call(self._address, request, seconds)
+        except links.LinkError as error:
             self._calls["failed"] += 1
-            raise errors.PlatformError(f"{method} {path}: {type(error).__name__}") from error
+            raise errors.PlatformError(f"{method} {path}: {error}") from error
         if response.status == HTTP_TOO_MANY:
             self._calls["failed"] += 1
             raise errors.PlatformBusyError(f"{method} {path}: over the service's rate")
@@ -158,13 +160,13 @@
         raise errors.PlatformError(f"{method} {path}: status {response.status}")
 
 
-def _version(response: httpcore.Response) -> int:
-    for name, value in response.headers:
-        if name.lower() == b"x-version":
-            return int(value)
-    raise errors.PlatformError("answer without X-Version")
+def _version(response: links.Answer) -> int:
+    shown = response.header(b"x-version")
+    if not shown.isdigit():
+        raise errors.PlatformError("answer without X-Version")
+    return int(shown)
 
 
-def _entry(response: httpcore.Response) -> Entry:
+def _entry(response: links.Answer) -> Entry:
     version = _version(response)
-    return Entry(response.content if response.status == HTTP_OK else b"", version)
+    return Entry(response.body if response.status == HTTP_OK else b"", version)
--- a/hollyring/node/routing_part.py
+++ b/hollyring/node/routing_part.py
@@ -17,7 +17,7 @@
 from hollyring.core import identities, invariants, pieces
 from hollyring.delivery import refusal
 from hollyring.membership import members
-from hollyring.node import part, watching
+from hollyring.node import links, part, watching
 from hollyring.routing import messages, policies, prefix, requests, router, upstreams
 
 TICK_SECONDS = 0.5
@@ -142,6 +142,8 @@
         Asks a VM by name and returns its reply, or None.
     put_entry
         Lets a small value travel to every VM: name, version, value.
+    connections
+        Connections to upstreams.
     """
 
     def __init__(
@@ -153,9 +155,11 @@
         counters: invariants.Invariants,
         ask_peer: AskPeer,
         put_entry: PutEntry,
+        connections: links.Links,
     ) -> None:
         super().__init__(TICK_SECONDS)
         self._put_entry = put_entry
+        self._links = connections
         self._me = me
         self._region = region
         self._failure_domain = failure_domain
@@ -374,6 +378,7 @@
                 self._router.events_after,
                 lambda: len(self._watchers),
                 self._polled,
+                self._links,
             )
             scope = anyio.CancelScope()
             self._watchers[name] = (watcher, scope)
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -25,6 +25,7 @@
     front,
     http_server,
     limits_part,
+    links,
     logs,
     membership_part,
     metrics,
@@ -62,7 +63,8 @@
         self._me = identities.Incarnation(given.name, int(time.time() * MICROSECONDS))
         self._invariants = invariants.Invariants(strict=False)
         self._metrics = metrics.Metrics()
-        self._platform = platform.Platform(given.platform)
+        self._links = links.Links()
+        self._platform = platform.Platform(given.platform, self._links)
         codec = wire.Wire(catalogue.MESSAGES)
         self._peers = peers.Peers(
             self._me,
@@ -98,6 +100,7 @@
             self._invariants,
             self._ask_peer,
             self._membership.put,
+            self._links,
         )
         self._configuration = configuration_part.ConfigurationPart(
             self._me,
@@ -111,8 +114,8 @@
             self._me, self._invariants, self._platform, self._ask_peer
         )
         self._retries = budget.RetryBudget(FIRST_FLEET, saved=FIRST_RETRIES)
-        self._engines = engines.Engines()
-        self._services = services.Services()
+        self._engines = engines.Engines(self._links)
+        self._services = services.Services(self._links)
         self._node = vm.VM(
             self._me,
             given,
--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -6,25 +6,27 @@
 import time
 import uuid
 
-import httpcore
+import anyio
 
 from hollyring.configuration import objects, state
-from hollyring.core import pieces, rendezvous
-from hollyring.delivery import calls, messages, records, refusal
-from hollyring.node import asgi, claims_part, errors, failures, outlets, rights, vm
+from hollyring.core import asks, execution, pieces, rendezvous
+from hollyring.delivery import calls, messages, records, refusal, tries
+from hollyring.node import asgi, claims_part, errors, http_request, links, outlets, rights, vm
 
-CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 30.0
+MAX_RUNS = 3
+"""Most upstreams that may run one call that may be repeated."""
+
 MAX_ANSWER_BYTES = 8_000_000
+MAX_CONNECTIONS = 500
+"""Most connections of a VM to one service."""
 
 REQUEST_HEADERS = frozenset({b"accept", b"accept-language", b"content-type", b"if-match"})
 """Headers of the caller that a service sees; its key and whatever steers upstreams do not pass."""
 
-ANSWER_HEADERS = frozenset({"content-type", "content-language", "etag", "location", "retry-after"})
-
-
-class _NotAllowedError(errors.NodeError):
-    """The call may not be sent any more."""
+ANSWER_HEADERS = frozenset(
+    {b"content-type", b"content-language", b"etag", b"location", b"retry-after"}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,25 +41,28 @@
 
 
 class Services:
-    """Connections to the plain services."""
+    """Calls on the plain services.
+
+    Parameters
+    ----------
+    connections
+        Connections to upstreams.
+    """
 
-    __slots__ = ("_pool", "_single")
+    __slots__ = ("_links",)
 
-    def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(max_connections=500, keepalive_expiry=5.0)
-        # A call that may not be repeated gets a connection of its own: one that the service
-        # closed while it was idle would leave the call's outcome unknown.
-        self._single = httpcore.AsyncConnectionPool(
-            max_connections=500, max_keepalive_connections=0
-        )
+    def __init__(self, connections: links.Links) -> None:
+        self._links = connections
 
     async def send(
-        self, address: str, call: _Call, request_id: str, may_send: claims_part.MaySend | None
+        self, url: str, call: _Call, request_id: str, may_send: claims_part.MaySend | None
     ) -> messages.Answer:
         """Send `call` and return the whole answer.
 
         Parameters
         ----------
+        url
+            ``"http://IP:PORT"`` of the service.
         may_send
             Asked after the connection is up and before the first byte is written; None for a
             call that may be repeated.
@@ -67,56 +72,54 @@
         UpstreamError
             With whether a byte can have reached the service.
         """
-        sent = False
-
-        async def trace(event: str, _: object) -> None:
-            nonlocal sent
-            if event != "http11.send_request_headers.started":
-                return
-            if may_send is not None and not await may_send():
-                raise _NotAllowedError(request_id)
-            sent = True
-
-        timeout = {"connect": CONNECT_SECONDS, "read": ANSWER_SECONDS}
-        timeout |= {"write": CONNECT_SECONDS, "pool": CONNECT_SECONDS}
-        pool = self._pool if may_send is None else self._single
-        headers = [*call.headers, (b"x-request-id", request_id.encode())]
-        headers.append((b"x-organisation", call.organisation.encode()))
-        if may_send is not None:
-            headers.append((b"idempotency-key", request_id.encode()))
-        extensions = {"timeout": timeout, "trace": trace}
+        address = http_request.address_of(url)
+        request = _request(call, address, request_id, once=may_send is not None)
+        try:
+            link = await self._connect(address, may_send is None)
+        except links.NotSentError as error:
+            raise errors.UpstreamError(str(error), reached=False) from error
         try:
-            async with pool.stream(
-                call.method,
-                address + call.target,
-                headers=headers,
-                content=call.body,
-                extensions=extensions,
-            ) as response:
-                return await _whole(response)
-        except _NotAllowedError as error:
-            raise errors.UpstreamError("gave up before sending", reached=False) from error
-        except failures.FAILURES as error:
-            raise errors.UpstreamError(type(error).__name__, reached=sent) from error
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._pool.aclose()
-        await self._single.aclose()
-
-
-async def _whole(response: httpcore.Response) -> messages.Answer:
+            if may_send is not None and not await may_send():
+                raise errors.UpstreamError("gave up before sending", reached=False)
+            exchange = link.send(request, links.any_answer)
+            with anyio.fail_after(ANSWER_SECONDS):
+                return await _whole(exchange)
+        except links.NotSentError as error:
+            raise errors.UpstreamError(str(error), reached=False) from error
+        except (links.LinkError, TimeoutError) as error:
+            raise errors.UpstreamError(str(error) or "silent", reached=True) from error
+        finally:
+            self._links.give_back(address, link)
+
+    async def _connect(self, address: str, may_repeat: bool) -> links.Link:
+        if may_repeat:
+            return await self._links.take(address, MAX_CONNECTIONS)
+        # One that the service closed while it was idle would leave the call's outcome unknown.
+        return await self._links.fresh(address)
+
+
+def _request(call: _Call, address: str, request_id: str, once: bool) -> bytes:
+    headers = [*call.headers, (b"x-request-id", request_id.encode())]
+    headers.append((b"x-organisation", call.organisation.encode()))
+    if once:
+        headers.append((b"idempotency-key", request_id.encode()))
+    target = call.target.encode("latin-1")
+    return http_request.encode(call.method.encode(), target, address.encode(), headers, call.body)
+
+
+async def _whole(exchange: links.Exchange) -> messages.Answer:
+    head = await exchange.head()
     body = b""
-    async for piece in response.aiter_stream():
-        body += piece
+    while (data := await exchange.read()) is not None:
+        body += data
         if len(body) > MAX_ANSWER_BYTES:
             raise errors.UpstreamError("answer too long", reached=True)
     headers = [
-        messages.Header(name.decode("latin-1").lower(), value.decode("latin-1"))
-        for name, value in response.headers
-        if name.decode("latin-1").lower() in ANSWER_HEADERS
+        messages.Header(name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in head.headers
+        if name in ANSWER_HEADERS
     ]
-    return messages.Answer(response.status, headers, body)
+    return messages.Answer(head.status, headers, body)
 
 
 async def serve(node: vm.VM, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
@@ -138,12 +141,13 @@
     if route is None or scope["method"] not in route.methods:
         return refusal.make("unknown_route")
     request_id = f"req-{uuid.uuid4().hex}"
+    node.retries.attempt(time.monotonic())
     call = await _gate(node, route, scope, receive, request_id)
     if isinstance(call, refusal.Refusal):
         # This attempt did not run, but an earlier one under the same key may have.
         return call.as_unknown() if asgi.header(scope, b"idempotency-key") else call
     if route.idempotent:
-        return await _repeatable(node, configuration, route, call, request_id)
+        return await _repeatable(node, route, call, request_id)
     return await _once(node, route, call, scope, request_id)
 
 
@@ -202,21 +206,43 @@
 
 
 async def _repeatable(
+    node: vm.VM, route: objects.Route, call: _Call, request_id: str
+) -> claims_part.Final:
+    sent = await _send(node, route, call, request_id, None)
+    if isinstance(sent, messages.Answer):
+        return sent
+    return sent.final("upstream_unreachable", time.monotonic())
+
+
+async def _send(
     node: vm.VM,
-    configuration: state.Configuration,
     route: objects.Route,
     call: _Call,
     request_id: str,
-) -> claims_part.Final:
-    reached = False
-    for upstream in _candidates(configuration, route, request_id):
+    may_send: claims_part.MaySend | None,
+) -> messages.Answer | tries.Tries:
+    """Return the answer of the first upstream that gives one, or the tries if none did.
+
+    Parameters
+    ----------
+    may_send
+        For a call that must run at most once: asked before the first byte is written.
+    """
+    repeat = asks.Repeat.IDEMPOTENT if may_send is None else asks.Repeat.ONCE
+    deadline = time.monotonic() + ANSWER_SECONDS
+    made = tries.Tries(tries.Terms(repeat, deadline, MAX_RUNS))
+    for upstream in _candidates(node.configuration.current, route, request_id):
+        made.begin(upstream.name, upstream.failure_domain)
         try:
-            return await node.services.send(upstream.address, call, request_id, None)
+            return await node.services.send(upstream.address, call, request_id, may_send)
         except errors.UpstreamError as error:
-            node.metrics.count("service_retries")
-            reached = reached or error.reached
-    why = refusal.make("upstream_unreachable")
-    return why.as_unknown() if reached else why
+            unknown, not_run = execution.Execution.UNKNOWN, execution.Execution.NOT_RUN
+            made.failed(unknown if error.reached else not_run)
+        now = time.monotonic()
+        if not made.may_repeat(now, begun=False) or not node.retries.retry(now):
+            break
+        node.metrics.count("service_retries")
+    return made
 
 
 async def _once(
@@ -244,10 +270,7 @@
 async def _dispatch(
     node: vm.VM, route: objects.Route, call: _Call, name: str, may_send: claims_part.MaySend
 ) -> messages.Answer | claims_part.Unsent:
-    for upstream in _candidates(node.configuration.current, route, name):
-        try:
-            return await node.services.send(upstream.address, call, name, may_send)
-        except errors.UpstreamError as error:
-            if error.reached:
-                return claims_part.Unsent.LOST
-    return claims_part.Unsent.NOT_SENT
+    sent = await _send(node, route, call, name, may_send)
+    if isinstance(sent, messages.Answer):
+        return sent
+    return claims_part.Unsent.LOST if sent.reached else claims_part.Unsent.NOT_SENT
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -323,11 +323,12 @@
             raise links.LinkError("no answer in time")
         match pickle.loads(request):
             case _Report():
-                return 200, pickle.dumps(upstream)
+                return links.Answer(200, [], pickle.dumps(upstream))
             case _Order(order, holder):
-                return upstream.take(order, holder), b""
+                return links.Answer(upstream.take(order, holder), [], b"")
             case _Events(after, wait):
-                return 200, pickle.dumps(await self._events(upstream, after, wait))
+                found = await self._events(upstream, after, wait)
+                return links.Answer(200, [], pickle.dumps(found))
 
     async def _events(self, upstream, after, seconds):
         upstream.event_calls += 1
--- a/hollyring/node/watching.py
+++ b/hollyring/node/watching.py
@@ -9,10 +9,9 @@
 
 import anyio
 import anyio.abc
-import httpcore
 import msgspec
 
-from hollyring.node import failures, logs
+from hollyring.node import http_request, links, logs
 from hollyring.routing import errors as routing_errors
 from hollyring.routing import events
 from hollyring.routing import messages as routing_messages
@@ -126,6 +125,8 @@
         VM's cost is bounded.
     counts
         Counts polls and their bytes.
+    connections
+        Connections to upstreams.
     """
 
     __slots__ = (
@@ -135,7 +136,7 @@
         "_events_after",
         "_pace",
         "_counts",
-        "_pool",
+        "_links",
         "_log",
     )
 
@@ -147,19 +148,20 @@
         events_after: Callable[[str], int],
         pace: Callable[[], int],
         counts: collections.Counter[str],
+        connections: links.Links,
     ) -> None:
         self._name = name
-        self._address = address
+        self._address = http_request.address_of(address)
         self._tell = tell
         self._events_after = events_after
         self._pace = pace
         self._counts = counts
-        self._pool = httpcore.AsyncConnectionPool(max_connections=4, keepalive_expiry=60.0)
+        self._links = connections
         self._log = logs.Log("watch")
 
     async def run(self) -> None:
         """Poll until cancelled."""
-        async with self._pool, anyio.create_task_group() as group:
+        async with anyio.create_task_group() as group:
             group.start_soon(self._follow_load)
             group.start_soon(self._follow_events)
 
@@ -221,16 +223,16 @@
             self._tell(Changed(self._name, events.EventBatch(found.incarnation, batch)))
 
     async def _get(self, path: str, seconds: float) -> bytes | None:
+        request = http_request.encode(b"GET", path.encode(), self._address.encode())
         try:
-            with anyio.fail_after(seconds):
-                response = await self._pool.request("GET", self._address + path)
-        except failures.FAILURES:
+            response = await self._links.call(self._address, request, seconds)
+        except links.LinkError:
             return None
         self._count(path, response)
-        return response.content if response.status == HTTP_OK else None
+        return response.body if response.status == HTTP_OK else None
 
-    def _count(self, path: str, response: httpcore.Response) -> None:
+    def _count(self, path: str, response: links.Answer) -> None:
         asked = REQUEST_HEAD_BYTES + len(path) + len(self._address)
         head = sum(len(name) + len(value) + 4 for name, value in response.headers)
         self._counts["polls"] += 1
-        self._counts["poll_bytes"] += asked + STATUS_LINE_BYTES + head + len(response.content)
+        self._counts["poll_bytes"] += asked + STATUS_LINE_BYTES + head + len(response.body)
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from hollyring.configuration import mirror
-from hollyring.node import links, ports
+from hollyring.node import http_request, links, ports
 
 CALL_SECONDS = 1.5
 """Longest wait for the answer to a call that does not watch."""
@@ -19,6 +19,7 @@
 WATCH_SLACK_SECONDS = 1.5
 MILLISECONDS = 1000.0
 
+JSON_TYPE = (b"Content-Type", b"application/json")
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
@@ -130,17 +131,17 @@
     ) -> tuple[int, bytes]:
         target = path + "?" + urllib.parse.urlencode(query) if query else path
         body = msgspec.json.encode(content) if content is not None else b""
-        lines = [f"{method} {target} HTTP/1.1", f"Host: {self._address}"]
-        if body:
-            lines += ["Content-Type: application/json", f"Content-Length: {len(body)}"]
-        request = "\r\n".join([*lines, "", ""]).encode() + body
+        headers = [JSON_TYPE] if body else []
+        request = http_request.encode(
+            method.encode(), target.encode(), self._address.encode(), headers, body
+        )
         try:
-            status, found = await self._links.call(self._address, request, seconds)
+            answer = await self._links.call(self._address, request, seconds)
         except links.LinkError as error:
             raise ports.StoreError(f"{method} {path}: {error}") from error
-        if status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONFLICT):
-            raise ports.StoreError(f"{method} {path}: status {status}")
-        return status, found
+        if answer.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_CONFLICT):
+            raise ports.StoreError(f"{method} {path}: status {answer.status}")
+        return answer.status, answer.body
 
 
 def _decode(body: bytes, type_: type[Any]) -> Any:
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -7,7 +7,7 @@
 from hollyring.core import asks
 from hollyring.fleet import messages as fleet
 from hollyring.membership import pulse
-from hollyring.node import links, ports
+from hollyring.node import http_request, links, ports
 
 MILLISECONDS = 1000.0
 MIN_DEADLINE_MS = 1
@@ -93,27 +93,24 @@
 
     def request(self, ask: asks.Ask, sending: ports.Sending) -> bytes:
         """Return the bytes of a request."""
-        lines = [b"%b %b HTTP/1.1" % (ask.method, ask.target), b"Host: " + ask.host.encode()]
-        lines += [b"%b: %b" % header for header in ask.headers if passes(header[0])]
+        headers = [header for header in ask.headers if passes(header[0])]
         left = max(MIN_DEADLINE_MS, int(sending.seconds * MILLISECONDS))
-        lines.append(b"X-Deadline-Ms: %d" % left)
-        lines.append(b"X-Expect-Instance: " + sending.upstream.encode())
+        headers.append((b"X-Deadline-Ms", b"%d" % left))
+        headers.append((b"X-Expect-Instance", sending.upstream.encode()))
         if sending.organisation:
-            lines.append(b"X-Tenant: " + sending.organisation.encode())
+            headers.append((b"X-Tenant", sending.organisation.encode()))
         if sending.salt:
-            lines.append(b"X-Request-Priority: %d" % min(MAX_RANK, max(0, sending.rank)))
-            lines.append(b"X-Cache-Salt: " + sending.salt.encode())
+            headers.append((b"X-Request-Priority", b"%d" % min(MAX_RANK, max(0, sending.rank))))
+            headers.append((b"X-Cache-Salt", sending.salt.encode()))
         if sending.version:
-            lines.append(b"X-Expect-Version: %d" % sending.version)
+            headers.append((b"X-Expect-Version", b"%d" % sending.version))
         if sending.fetch_from:
-            lines.append(b"X-Kv-Fetch: " + sending.fetch_from.encode())
+            headers.append((b"X-Kv-Fetch", sending.fetch_from.encode()))
         if sending.save_to:
-            lines.append(b"X-Kv-Save: " + sending.save_to.encode())
+            headers.append((b"X-Kv-Save", sending.save_to.encode()))
         if sending.resume_after is not None:
-            lines.append(b"Last-Event-Id: %d" % sending.resume_after)
-        if ask.body or ask.method not in (b"GET", b"HEAD"):
-            lines.append(b"Content-Length: %d" % len(ask.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + ask.body
+            headers.append((b"Last-Event-Id", b"%d" % sending.resume_after))
+        return http_request.encode(ask.method, ask.target, ask.host.encode(), headers, ask.body)
 
     def belongs(self, ask: str) -> links.Belongs:
         """Return what tells whether an answer belongs to the request of this name."""
@@ -140,7 +137,7 @@
 
     def report_request(self, address: str) -> bytes:
         """Return the bytes that ask a server what it serves."""
-        return b"GET /hollyring/report HTTP/1.1\r\nHost: %b\r\n\r\n" % address.encode()
+        return http_request.encode(b"GET", b"/hollyring/report", address.encode())
 
     def report(
         self, upstream: str, life: int, body: bytes, at: float
@@ -177,23 +174,17 @@
         if order.expected is not None:
             content["expected"] = order.expected
         body = msgspec.json.encode(content)
-        lines = [
-            b"POST /hollyring/order HTTP/1.1",
-            b"Host: " + address.encode(),
-            b"X-Expect-Instance: " + order.upstream.encode(),
-            b"Content-Type: application/json",
-            b"Content-Length: %d" % len(body),
+        headers = [
+            (b"X-Expect-Instance", order.upstream.encode()),
+            (b"Content-Type", b"application/json"),
         ]
-        return b"\r\n".join(lines) + b"\r\n\r\n" + body
+        return http_request.encode(b"POST", b"/hollyring/order", address.encode(), headers, body)
 
     def events_request(self, address: str, after: int, seconds: float) -> bytes:
         """Return the bytes that ask a server or cache store for its events after one."""
-        lines = [
-            b"GET /hollyring/kv-events?since=%d HTTP/1.1" % after,
-            b"Host: " + address.encode(),
-            b"Wait-Ms: %d" % int(seconds * MILLISECONDS),
-        ]
-        return b"\r\n".join(lines) + b"\r\n\r\n"
+        target = b"/hollyring/kv-events?since=%d" % after
+        headers = [(b"Wait-Ms", b"%d" % int(seconds * MILLISECONDS))]
+        return http_request.encode(b"GET", target, address.encode(), headers)
 
     def events(self, body: bytes) -> ports.CacheEvents | None:
         """Decode a holder's events; None if they can't be read."""
