Refuse at a leaving VM what it may not finish, and use the whole grace

Nobody is told of a leaving VM for more than 1.5 s, so such requests are rare, but one that may outlast the VM should go elsewhere at once. The grace was also cut to whole seconds: 3 s of the 3.4 s meant.

Ruled out: closing idle connections at SIGTERM: requests that cross the close are lost to the caller.

Change: 2.5 s after it began to leave a VM answers 503, not run, to a request whose time may end after the VM's; shorter ones are served.

Before: the test that plays it fails (200 at 3.0 s with 6 s of patience left of a grace of 7.4 s).

--- a/hollyring/node/entry_vm.py
+++ b/hollyring/node/entry_vm.py
@@ -6,7 +6,6 @@
 import functools
 import random
 import signal
-import socket
 import typing
 from collections.abc import Callable
 
@@ -47,7 +46,7 @@
 """A leaving VM still takes requests of callers that were told of it for so long."""
 
 EXIT_MARGIN_SECONDS = 0.6
-IDLE_SECONDS = 60.0
+IDLE_SECONDS = 60
 BODY_SECONDS = 10.0
 MOST_ADDRESSES = 64
 KEEP_SECONDS = 1.5
@@ -56,8 +55,6 @@
 VERSION_MARGIN_SECONDS = 1.5
 """A request may wait at its upstream for so long before it begins."""
 
-BACKLOG = 1024
-TICK_SECONDS = 0.5
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 HTTP_NOT_FOUND = 404
@@ -173,8 +170,8 @@
         others = self._server(self._others_app, "httptools")
         side = {given.health_address, given.entry_address, given.control_address}
         side |= {given.metrics_address}
-        other_sockets = [_listen(address) for address in sorted(side) if address]
-        caller_sockets = [_listen(given.caller_address)]
+        other_sockets = [http_server.listen(address) for address in sorted(side) if address]
+        caller_sockets = [http_server.listen(given.caller_address)]
         host, port = settings.split_address(given.peer_address)
         self._log.say("started", life=self._state.place_of_vm.life)
         async with anyio.create_task_group() as group:
@@ -184,7 +181,7 @@
             group.start_soon(self._pulses.register)
             group.start_soon(self._orders.run)
             group.start_soon(self._caches.run)
-            group.start_soon(self._sweep)
+            group.start_soon(self._links.sweep)
             group.start_soon(others.serve, other_sockets)
             group.start_soon(self._on_signals, callers)
             await callers.serve(caller_sockets)
@@ -194,22 +191,9 @@
 
     def _server(self, app: typing.Any, protocol: typing.Any) -> uvicorn.Server:
         grace = self._settings.grace_seconds - LEAVE_SECONDS - EXIT_MARGIN_SECONDS
-        config = uvicorn.Config(
-            app,
-            http=protocol,
-            interface="asgi3",
-            ws="none",
-            loop="asyncio",
-            lifespan="off",
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            log_level="critical",
-            backlog=BACKLOG,
-            timeout_keep_alive=int(IDLE_SECONDS),
-            timeout_graceful_shutdown=max(1, int(grace)),
+        return http_server.make(
+            app, protocol, grace_seconds=max(0.0, grace), idle_seconds=IDLE_SECONDS, dated=False
         )
-        return http_server.Server(config)
 
     async def _on_signals(self, callers: uvicorn.Server) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -232,7 +216,8 @@
     async def _leave(self, callers: uvicorn.Server) -> None:
         if self._state.leaving:
             return
-        self._state.leaving = True
+        grace = self._settings.grace_seconds - EXIT_MARGIN_SECONDS
+        self._state.leave(clock.now(), grace)
         self._log.say("leaving", open_requests=self._open)
         self._pulses.hurry()
         with anyio.move_on_after(1.0):
@@ -241,11 +226,6 @@
         self._log.say("taking no more requests", open_requests=self._open)
         callers.should_exit = True
 
-    async def _sweep(self) -> None:
-        while True:
-            await anyio.sleep(TICK_SECONDS)
-            self._links.reap()
-
     async def _callers_app(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         if scope["type"] != "http":
             return
@@ -347,16 +327,6 @@
     scope.cancel()
 
 
-def _listen(address: str) -> socket.socket:
-    host, port = settings.split_address(address)
-    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    made.bind((host, port))
-    made.listen(BACKLOG)
-    made.setblocking(False)
-    return made
-
-
 def serve(given: entry_settings.EntrySettings, adapter: Adapter) -> None:
     """Run a VM process until it is told to stop."""
     logs.open_output(given.name)
--- a/hollyring/node/links.py
+++ b/hollyring/node/links.py
@@ -27,6 +27,7 @@
 IDLE_MARGIN_SECONDS = 0.8
 """A connection is left alone so long before the upstream would close it."""
 
+SWEEP_SECONDS = 0.5
 BUFFERED_BYTES = 1_000_000
 """An upstream that is so far ahead of the caller is not read until the caller has caught up."""
 
@@ -433,6 +434,12 @@
         for address in list(self._idle):
             self.drop(address)
 
+    async def sweep(self) -> None:
+        """Close connections that have been idle for too long, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.reap()
+
     def reap(self) -> None:
         """Close connections that have been idle for too long."""
         now = clock.now()
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -22,6 +22,9 @@
 FINAL_MARGIN_SECONDS = 0.02
 """Time before the end of a caller's patience at which it gets its final answer."""
 
+LEAVING_SECONDS = 0.1
+"""A caller that came to a leaving VM may go to another one after so long."""
+
 UNCONFIGURED_SECONDS = 0.3
 """A caller of a VM without a configuration may come back after so long."""
 
@@ -96,6 +99,9 @@
         organisation = current.organisation_of(ask.key) if ask.key else None
         if organisation is None and current.secured and not route.open_to_all:
             return refusal.make("invalid_key")
+        deadline = arrived + min(ask.patience, route.timeout) - FINAL_MARGIN_SECONDS
+        if not self._state.may_take(deadline, arrived):
+            return refusal.make("leaving", LEAVING_SECONDS)
         if organisation is not None:
             wait = self._state.admit(organisation, ask.prompt, arrived)
             if wait:
@@ -104,7 +110,6 @@
         if service is None:
             return refusal.make("no_upstream", placing.NO_UPSTREAM_SECONDS)
         self._state.retries(service.name).attempt(arrived)
-        deadline = arrived + min(ask.patience, route.timeout) - FINAL_MARGIN_SECONDS
         return work.Work(
             ask,
             reply,
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -40,6 +40,8 @@
 from hollyring.routing import messages as routing_messages
 
 MICROSECONDS = 1_000_000
+IDLE_SECONDS = 5
+"""An idle connection of a caller is kept for so long."""
 
 FIRST_FLEET = 9
 """VMs assumed until the configuration names them."""
@@ -136,11 +138,13 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish what is open."""
         protocol = bounded.protocol(self._settings.limits)
-        callers = self._server(self._front, self._settings.caller_address, protocol)
+        callers = self._server(self._front, protocol)
         operators = admin.Admin(
             self._settings.admin_key, self._dump, lambda: self._ready, self._metrics
         )
-        admins = self._server(operators, self._settings.admin_address)
+        admins = self._server(operators, "httptools")
+        caller_socket = http_server.listen(self._settings.caller_address)
+        admin_socket = http_server.listen(self._settings.admin_address)
         host, port = settings.split_address(self._settings.peer_address)
         async with anyio.create_task_group() as group:
             await group.start(self._peers.run, host, port)
@@ -151,11 +155,12 @@
             group.start_soon(self._routing.run)
             group.start_soon(self._configuration.run)
             group.start_soon(self._configuration.follow)
-            group.start_soon(admins.serve)
+            group.start_soon(self._links.sweep)
+            group.start_soon(admins.serve, [admin_socket])
             group.start_soon(self._stop_on_signal, callers)
             group.start_soon(self._stop_when_replaced, callers)
             self._log.say("serving", incarnation=str(self._me))
-            await callers.serve()
+            await callers.serve([caller_socket])
             self._log.say("all requests finished")
             admins.should_exit = True
             group.cancel_scope.cancel()
@@ -186,22 +191,14 @@
         callers.force_exit = True
         callers.should_exit = True
 
-    def _server(self, app: Any, address: str, http: Any = "httptools") -> uvicorn.Server:
-        host, port = settings.split_address(address)
-        bounds = self._settings.limits
-        config = uvicorn.Config(
+    def _server(self, app: Any, protocol: Any) -> uvicorn.Server:
+        return http_server.make(
             app,
-            host,
-            port,
-            http=http,
-            loop="asyncio",
-            lifespan="off",
-            access_log=False,
-            server_header=False,
-            log_level="critical",
-            timeout_graceful_shutdown=int(bounds.shutdown_seconds),
+            protocol,
+            grace_seconds=self._settings.limits.shutdown_seconds,
+            idle_seconds=IDLE_SECONDS,
+            dated=True,
         )
-        return http_server.Server(config)
 
     def _configure(self, configuration: state.Configuration) -> None:
         self._retries.resize(len(configuration.vms))
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -39,6 +39,9 @@
 Hurry = Callable[[], None]
 """Has the other VMs told this one's news at once."""
 
+LONG_SECONDS = 2.5
+"""A leaving VM takes requests for so long that may outlast it: callers keep its address a while."""
+
 CONNECTION_SHARE = 0.9
 MIN_CONNECTIONS = 4
 
@@ -100,6 +103,8 @@
         }
         self.wanted: dict[str, ports.WantedVersion] = {}
         self.leaving = False
+        self.long_until = math.inf
+        self.ends_at = math.inf
         self.store_heard_at = -math.inf
         self.store_failed_at = -math.inf
         self.readings: list[pulse.Reading] = []
@@ -132,6 +137,16 @@
         known = self.mirrors[self.prefixes.upstreams].latest > 0
         return self.deployment is not None and known and not self.leaving
 
+    def leave(self, now: float, seconds: float) -> None:
+        """Have callers go elsewhere; what is still open after `seconds` will be cut."""
+        self.leaving = True
+        self.long_until = now + LONG_SECONDS
+        self.ends_at = now + seconds
+
+    def may_take(self, deadline: float, now: float) -> bool:
+        """Tell whether a request that may last until `deadline` can be finished here."""
+        return now < self.long_until or deadline <= self.ends_at
+
     def store_age(self, now: float) -> float:
         """Return how long ago the store was heard, in seconds; -1 for never."""
         return -1.0 if math.isinf(self.store_heard_at) else round(now - self.store_heard_at, 3)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -272,6 +272,20 @@
     assert runs(servers) == 1
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("since", "patience", "status"), [(1.0, 6.0, 200), (3.0, 6.0, 503), (3.0, 3.0, 200)]
+)
+async def test_leaving_vm_refuses_late_what_it_may_not_finish(fleet, since, patience, status):
+    """A stream that a caller sent 3.8 s after SIGTERM was cut at the end of the grace."""
+    vm, servers = await fleet("whole", timeout=10.0)
+    vm.beliefs.leave(clock.now() - since, 7.4)
+    caller = await vm.ask(patience=patience)
+    assert caller.status == status
+    assert runs(servers) == (status == 200)
+    assert (b"retry-after" in caller.headers) is (status == 503)
+
+
 @pytest.mark.anyio
 async def test_vm_without_a_configuration_says_when_to_return(fleet):
     vm, _ = await fleet("whole")
