--- /dev/null
+++ b/hollyring/limits/organisation_rates.py
@@ -0,0 +1,87 @@
+"""The rates of all organisations as one VM applies them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from hollyring.configuration import deployment
+from hollyring.core import asks
+from hollyring.limits import shared_rate
+
+
+class OrganisationRates:
+    """One `shared_rate.SharedRate` for each organisation that has a rate and was met.
+
+    Examples
+    --------
+    >>> parish = deployment.Organisation("kigoma", ("k",), 1.0, 1.0, False, 0, False, None)
+    >>> rates = OrganisationRates()
+    >>> rates.admit(parish, None, part=1.0, now=0.0)
+    0.0
+    >>> rates.admit(parish, None, part=1.0, now=0.0) > 0
+    True
+    """
+
+    __slots__ = ("_rates",)
+
+    def __init__(self) -> None:
+        self._rates: dict[str, shared_rate.SharedRate] = {}
+
+    def admit(
+        self,
+        organisation: deployment.Organisation,
+        prompt: asks.Prompt | None,
+        part: float,
+        now: float,
+    ) -> float:
+        """Admit a request, or return the seconds after which it may come back.
+
+        Parameters
+        ----------
+        part
+            This VM's part of the fleet.
+        """
+        if organisation.rate <= 0:
+            return 0.0
+        return self._rate(organisation, part, now).admit(organisation.cost(prompt), now)
+
+    def hear(
+        self,
+        organisation: deployment.Organisation,
+        life: str,
+        total: float,
+        part: float,
+        now: float,
+    ) -> None:
+        """Take in what another VM, in one of its lives, admitted since its start."""
+        if organisation.rate > 0:
+            self._rate(organisation, part, now).hear(life, total, now)
+
+    def hear_part(self, part: float, now: float) -> None:
+        """Take in which part of the fleet is heard."""
+        for rate in self._rates.values():
+            rate.hear_part(part, now)
+
+    def configure(
+        self, organisations: Iterable[deployment.Organisation], part: float, now: float
+    ) -> None:
+        """Apply the rates of a configuration that came into force."""
+        for organisation in organisations:
+            if organisation.name in self._rates:
+                self._rate(organisation, part, now)
+
+    def spent(self) -> Iterator[tuple[str, float]]:
+        """Yield what this VM admitted since its start, by organisation."""
+        for name, rate in self._rates.items():
+            if rate.spent:
+                yield name, rate.spent
+
+    def _rate(
+        self, organisation: deployment.Organisation, part: float, now: float
+    ) -> shared_rate.SharedRate:
+        limit = shared_rate.Limit(organisation.rate, organisation.burst)
+        rate = self._rates.get(organisation.name)
+        if rate is None:
+            rate = self._rates[organisation.name] = shared_rate.SharedRate(limit, part, now)
+        rate.change(limit, now)
+        return rate
--- a/hollyring/node/entry_settings.py
+++ b/hollyring/node/entry_settings.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from hollyring.node import state
+from hollyring.limits import service_retries
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,5 +46,5 @@
     store_address: str
     grace_seconds: float
     keep_seconds: float
-    retries: state.RetryRules
+    retries: service_retries.RetryRules
     version_seconds: float
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -7,23 +7,19 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import math
 from collections.abc import Callable
 
 from hollyring.configuration import deployment, mirror
 from hollyring.core import asks
-from hollyring.limits import budget, shared_rate
+from hollyring.limits import budget, organisation_rates, service_retries
 from hollyring.membership import pulse
-from hollyring.node import clock, logs, ports
+from hollyring.node import clock, logs, ports, stored_news
 from hollyring.routing import holdings, placing, serving, wanted_versions
 
 LAPSE_SECONDS = 1.8
 """An upstream whose entry went while the store was in trouble counts as gone after so long."""
 
-TROUBLE_SECONDS = 4.0
-"""The store counts as in trouble for so long after a call that failed."""
-
 HEARD_SECONDS = 0.4
 """Another VM's doubt does not count against an upstream that was heard so recently."""
 
@@ -33,9 +29,6 @@
 LOAD_SECONDS = 8.0
 """Longest time for which an upstream counts as taking new weights."""
 
-RETRY_SHARE = 0.75
-"""Part of the allowed retries that is used, so that windows that slide stay below the bound."""
-
 Hurry = Callable[[], None]
 """Has the other VMs told this one's news at once."""
 
@@ -46,25 +39,6 @@
 MIN_CONNECTIONS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryRules:
-    """What the upstreams' operators allow to be sent again.
-
-    Parameters
-    ----------
-    share
-        Sends beyond the first, as a share of the requests.
-    slack
-        Sends beyond the first in a window that are allowed besides.
-    window
-        Seconds.
-    """
-
-    share: float
-    slack: float
-    window: float
-
-
 class State:
     """The beliefs of one VM.
 
@@ -87,7 +61,7 @@
         place: pulse.Place,
         documents: ports.Documents,
         prefixes: ports.Prefixes,
-        retries: RetryRules,
+        retries: service_retries.RetryRules,
         version_seconds: float = math.inf,
     ) -> None:
         self.place_of_vm = place
@@ -113,12 +87,9 @@
         self.caches: list[pulse.CacheNews] = []
         self.weights: list[pulse.Weights] = []
         self.orders = pulse.Giver(False, -1.0, [])
-        self._documents = documents
-        self._version_seconds = version_seconds
-        self._started_late = True
-        self._retry_rules = retries
-        self._rates: dict[str, shared_rate.SharedRate] = {}
-        self._retries: dict[str, budget.RetryBudget] = {}
+        self._stored = stored_news.StoredNews(self, documents, version_seconds)
+        self._rates = organisation_rates.OrganisationRates()
+        self._retries = service_retries.ServiceRetries(retries)
         self._peer_upstreams: dict[str, set[str]] = collections.defaultdict(set)
         self._log = logs.Log("belief")
 
@@ -165,24 +136,11 @@
         self, organisation: deployment.Organisation, prompt: asks.Prompt | None, now: float
     ) -> float:
         """Admit a request, or return the seconds after which it may come back."""
-        if organisation.rate <= 0:
-            return 0.0
-        return self._rate_of(organisation, now).admit(organisation.cost(prompt), now)
+        return self._rates.admit(organisation, prompt, 1.0 / self.fleet(now), now)
 
     def retries(self, service: str) -> budget.RetryBudget:
         """Return the budget of what may be sent to a service again."""
-        found = self._retries.get(service)
-        if found is None:
-            rules = self._retry_rules
-            vms = self.fleet(clock.now())
-            found = self._retries[service] = budget.RetryBudget(
-                vms,
-                part=rules.share * RETRY_SHARE,
-                floor=rules.slack / rules.window / 4,
-                saved=rules.slack / 2 / vms,
-                most_saved=rules.slack / 2 / vms,
-            )
-        return found
+        return self._retries.of(service, self.fleet(clock.now()))
 
     def doubt(self, upstream: serving.Upstream, why: str) -> None:
         """Avoid an upstream that did not answer, and tell the other VMs."""
@@ -227,18 +185,13 @@
 
     def mirror_changed(self, prefix: str, changed: set[str], now: float) -> None:
         """Take in the keys that changed under a prefix of the store."""
-        items = self.mirrors[prefix].items
-        if prefix == self.prefixes.operator:
-            for key in changed:
-                if key in items:
-                    self._operator_changed(items[key], now)
-            self._started_late = False
-        elif prefix == self.prefixes.upstreams:
-            for key in changed:
-                self._upstream_changed(key, items.get(key), now)
-        elif prefix == self.prefixes.vms:
-            places = [self._documents.vm(item) for item in items.values()]
-            self.peers.listed([place for place in places if place is not None], now)
+        self._stored.take(prefix, changed, now)
+
+    def configure(self, read: deployment.Deployment, now: float) -> None:
+        """Put a configuration in force."""
+        self.deployment = read
+        self.placing.configure(read)
+        self._rates.configure(read.organisations.values(), 1.0 / self.fleet(now), now)
 
     def hear(self, news: pulse.Pulse, now: float) -> None:
         """Take in another VM's pulse."""
@@ -262,8 +215,8 @@
         life = f"{name}#{news.place.life}"
         for spent in news.spent:
             organisation = self._organisation(spent.organisation)
-            if organisation is not None and organisation.rate > 0:
-                self._rate_of(organisation, now).hear(life, spent.total, now)
+            if organisation is not None:
+                self._rates.hear(organisation, life, spent.total, 1.0 / self.fleet(now), now)
         for reading in news.readings:
             self._count_reading(reading)
         for named in news.named:
@@ -338,11 +291,8 @@
     def tick(self, now: float) -> None:
         """Drop what is gone by now."""
         part = self.peers.heard_part(now)
-        for bucket in self._rates.values():
-            bucket.hear_part(part, now)
-        vms = self.fleet(now)
-        for retries in self._retries.values():
-            retries.resize(vms)
+        self._rates.hear_part(part, now)
+        self._retries.resize(self.fleet(now))
         for name in self.peers.forget_silent(now):
             self._log.say("VM forgotten", vm=name)
         for upstream in list(self.serving.upstreams.values()):
@@ -357,20 +307,9 @@
     def _organisation(self, name: str) -> deployment.Organisation | None:
         return self.deployment.organisations.get(name) if self.deployment else None
 
-    def _rate_of(self, organisation: deployment.Organisation, now: float) -> shared_rate.SharedRate:
-        bucket = self._rates.get(organisation.name)
-        limit = shared_rate.Limit(organisation.rate, organisation.burst)
-        if bucket is None:
-            part = 1.0 / self.fleet(now)
-            bucket = self._rates[organisation.name] = shared_rate.SharedRate(limit, part, now)
-        bucket.change(limit, now)
-        return bucket
-
     def spent(self) -> list[pulse.Spent]:
         """Return what this VM admitted since its start, by organisation."""
-        return [
-            pulse.Spent(name, bucket.spent) for name, bucket in self._rates.items() if bucket.spent
-        ]
+        return [pulse.Spent(name, total) for name, total in self._rates.spent()]
 
     def _count_reading(self, reading: pulse.Reading) -> None:
         upstream = self.serving.get(reading.upstream)
@@ -385,78 +324,6 @@
             if store.address == reading.store:
                 self.holdings.touch(store.address, store.cache_tokens, reading.salt, parts)
 
-    def _operator_changed(self, item: mirror.Item, now: float) -> None:
-        wanted = self._documents.wanted_version(item)
-        if wanted is not None:
-            self._name_version(wanted, now)
-            return
-        read = self._documents.deployment(item)
-        if read is None:
-            self._log.say("unreadable configuration", key=item.key, revision=item.revision)
-            return
-        if self.deployment is not None and read.version < self.deployment.version:
-            return
-        self.deployment = read
-        self.placing.configure(read)
-        for organisation in read.organisations.values():
-            if organisation.name in self._rates:
-                self._rate_of(organisation, now)
-        self._log.say(
-            "configuration in force",
-            version=read.version,
-            revision=item.revision,
-            store_age=self.store_age(now),
-        )
-
-    def _name_version(self, wanted: ports.WantedVersion, now: float) -> None:
-        known = self.wanted.get(wanted.model)
-        if known is not None and known.version >= wanted.version:
-            return
-        self.wanted[wanted.model] = wanted
-        # A VM that starts does not know since when the version that it finds is wanted.
-        guessed = known is None and self._started_late
-        unknown = self._version_seconds / 2 if guessed else 0.0
-        self.versions.name(wanted.model, wanted.version, now - unknown, guessed)
-        self._log.say("weights wanted", model=wanted.model, version=wanted.version)
-
-    def _upstream_changed(self, key: str, item: mirror.Item | None, now: float) -> None:
-        name = key.removeprefix(self.prefixes.upstreams)
-        if item is None:
-            self._upstream_removed(name, now)
-            return
-        entry = self._documents.upstream(item)
-        if entry is None:
-            self._log.say("unreadable upstream", key=key, revision=item.revision)
-            return
-        known = self.serving.get(name)
-        before = dict(known.versions) if known else {}
-        left = known is None or known.entry.leaving != entry.leaving
-        if self.serving.put(entry) is not None:
-            self.holdings.forget(name)
-        elif known is not None and known.versions != before:
-            self.holdings.forget(name)
-            known.loading_until = -math.inf
-        if left:
-            self._log.say(
-                "upstream",
-                upstream=name,
-                service=entry.service,
-                leaving=entry.leaving,
-                revision=item.revision,
-            )
-
-    def _upstream_removed(self, name: str, now: float) -> None:
-        known = self.serving.get(name)
-        if known is None:
-            return
-        trouble = now - self.store_failed_at < TROUBLE_SECONDS
-        trouble = trouble or any(not peer.store_reached for peer in self.peers.alive(now))
-        if trouble and not known.entry.leaving:
-            known.lapsed_at = now
-            return
-        self._log.say("upstream gone", upstream=name, why="entry removed")
-        self.drop_upstream(name)
-
 
 def _ago(now: float, at: float) -> float:
     return -1.0 if math.isinf(at) else round(now - at, 3)
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -15,6 +15,7 @@
 
 from hollyring.configuration import deployment, mirror
 from hollyring.fleet import messages
+from hollyring.limits import service_retries
 from hollyring.membership import pulse
 from hollyring.node import (
     caches_part,
@@ -33,7 +34,7 @@
 LOAD_SECONDS = 1.5
 MODEL = "m"
 SERVICE = "ls"
-RETRIES = state.RetryRules(0.2, 50.0, 10.0)
+RETRIES = service_retries.RetryRules(0.2, 50.0, 10.0)
 VERSION_SECONDS = 13.5
 
 
--- a/hollyring/platform/settings.py
+++ b/hollyring/platform/settings.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from hollyring.node import entry_settings, errors, state
+from hollyring.limits import service_retries
+from hollyring.node import entry_settings, errors
 
 VARIABLE = "HOLLYRING_BOOT"
 """Names the environment variable that holds the path of the settings file."""
@@ -94,7 +95,7 @@
         store_address=found.platform.address,
         grace_seconds=found.bounds.grace_s,
         keep_seconds=found.bounds.ttl_max_s,
-        retries=state.RetryRules(
+        retries=service_retries.RetryRules(
             found.bounds.retry_budget_ratio,
             found.bounds.budget_slack,
             found.bounds.budget_window_s,
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -7,13 +7,14 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import asks
+from hollyring.limits import service_retries
 from hollyring.membership import pulse
 from hollyring.node import clock, links, metrics, relay, replies, state
 from hollyring.platform import documents, ingress, upstreams
 from hollyring.platform.tests import conftest
 from hollyring.routing import serving
 
-SLACK = state.RetryRules(0.2, 500.0, 10.0)
+SLACK = service_retries.RetryRules(0.2, 500.0, 10.0)
 
 
 class Caller:
@@ -328,7 +329,7 @@
 @pytest.mark.anyio
 async def test_budget_bounds_what_is_sent_again(fleet):
     vm, servers = await fleet("reset", "reset", repeat=asks.Repeat.IDEMPOTENT)
-    vm.beliefs._retry_rules = state.RetryRules(0.0, 4.0, 10.0)
+    vm.beliefs._retries = service_retries.ServiceRetries(service_retries.RetryRules(0.0, 4.0, 10.0))
     for number in range(20):
         await vm.ask(f"r-{number}")
     assert 20 <= runs(servers) <= 24
