--- a/hollyring/cli/explain.py
+++ b/hollyring/cli/explain.py
@@ -17,6 +17,7 @@
     "configuration_stale": "the VM had no configuration yet",
     "overloaded": "no upstream could have begun it in time; it was not run",
     "no_upstream": "no upstream was left to send it to; it was not run",
+    "leaving": "the VM was about to stop and might not have finished it; it was not run",
     "upstream_failed": "an upstream failed on it and it may not be run again",
     "deadline_exceeded": "its time passed while an upstream worked on it",
     "caller left": "its caller closed the connection",
