Have a new holder of orders wait less: orders only early in the lease, reports of the wait count

Ruled out: taking the lease's end as the last order's time without a wait (two holders within the lease); keeping the time of the last order in the store (no clock outlives a restart of all).

Change: an order is begun only while the lease surely lasts 1.5 s more, which costs nothing while the store answers (renewed each second of three); so the next holder counts from 1.5 s before the lease's end. Reports count from when the last order must have arrived. A holder that stops gives the lease back 1.5 s after its last order, which its 4 s of leaving cover.

Before: the three plays of a holder killed 0, 0.5 and 0.9 s after a renewal fail (over 5.5 s to the next order); after: they pass, and so do the eight that hold the holders' turns apart.

--- a/hollyring/fleet/rollout.py
+++ b/hollyring/fleet/rollout.py
@@ -119,6 +119,7 @@
         self._fencing = 0
         self._holds = False
         self._ready_at = 0.0
+        self._arrived_at = 0.0
         self._blocked: dict[str, str] = {}
         self._blocked_since: dict[str, float] = {}
         self._preferred: dict[str, int] = {}
@@ -187,11 +188,13 @@
         self._not_before.clear()
         wait = 0.0 if released else self._pace.lease_seconds
         self._ready_at = now + wait + self._pace.flight_seconds
+        self._arrived_at = self._ready_at
 
     def learn_last_order(self, at: float, now: float) -> None:
         """Take in when the earlier holder, which gives no more, gave its last order."""
-        ready_at = max(now, at + self._pace.lease_seconds + self._pace.flight_seconds)
-        self._ready_at = min(self._ready_at, ready_at)
+        arrived_at = at + self._pace.flight_seconds
+        self._arrived_at = min(self._arrived_at, arrived_at)
+        self._ready_at = min(self._ready_at, max(now, arrived_at + self._pace.lease_seconds))
 
     def lose(self) -> None:
         """Stop giving orders."""
@@ -278,7 +281,7 @@
         if observed is None:
             return None
         # A state heard before this may not show what the last holder's orders did.
-        oldest = self._ready_at + self._pace.report_lag_seconds
+        oldest = self._arrived_at + self._pace.report_lag_seconds
         if observed.heard_at < max(oldest, now - self._pace.report_timeout_seconds):
             return None
         return observed.state
--- a/hollyring/fleet/tests/test_rollout.py
+++ b/hollyring/fleet/tests/test_rollout.py
@@ -331,6 +331,20 @@
     assert len(machine.step(5.0, 100.1 + lag)) == 2
 
 
+def test_states_count_from_when_the_last_order_had_arrived():
+    """They need not be asked again once the wait for the old lease is over."""
+    machine = rollout.Rollout(COUNTED, invariants.Invariants())
+    machine.declare(targets_of(4, V2))
+    machine.acquire(1, 100.0)
+    machine.learn_last_order(99.0, 100.1)
+    arrived = 99.0 + COUNTED.flight_seconds
+    heard = arrived + COUNTED.report_lag_seconds
+    observe_all(machine, [counted(f"e{n}", V1) for n in (0, 1, 3)], heard)
+    observe_all(machine, [counted("e2", V1)], heard - 0.01)
+    given = machine.step(5.0, arrived + COUNTED.lease_seconds)
+    assert upstreams_of(given) == ["e0", "e1"]
+
+
 def test_last_order_that_is_not_long_ago_is_waited_out():
     machine = rollout.Rollout(COUNTED, invariants.Invariants())
     machine.declare(targets_of(3, V2))
--- a/hollyring/node/entry_vm.py
+++ b/hollyring/node/entry_vm.py
@@ -220,9 +220,10 @@
         self._state.leave(clock.now(), grace)
         self._log.say("leaving", open_requests=self._open)
         self._pulses.hurry()
-        with anyio.move_on_after(1.0):
+        until = clock.now() + LEAVE_SECONDS
+        with anyio.move_on_after(LEAVE_SECONDS):
             await self._orders.stop()
-        await anyio.sleep(LEAVE_SECONDS)
+        await anyio.sleep(max(0.0, until - clock.now()))
         self._log.say("taking no more requests", open_requests=self._open)
         callers.should_exit = True
 
--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -12,6 +12,12 @@
 
 TICK_SECONDS = 0.1
 LEASE_SECONDS = 3.0
+LEFT_SECONDS = 1.5
+"""An order is begun only while the lease surely lasts for so long: the next holder waits the less.
+
+While the store answers, the lease is renewed well before.
+"""
+
 RANK_SECONDS = 0.4
 """Each VM in turn waits so much longer before it tries for the lease."""
 
@@ -107,8 +113,8 @@
         self._tick()
         self._hurry()
         if self._ordered_at is not None:
-            # The next holder counts from the release; by then the last order must have arrived.
-            await anyio.sleep(max(0.0, self._ordered_at + CALL_SECONDS - clock.now()))
+            # The next holder takes the last order to be so old when the lease ends.
+            await anyio.sleep(max(0.0, self._ordered_at + LEFT_SECONDS - clock.now()))
         for action in actions:
             if isinstance(action, leases.ReleaseLease) and action.lease:
                 await self._perform(action)
@@ -160,11 +166,11 @@
     def _acquired(self, fencing: int) -> None:
         self._rollouts = {}
         self._fencing = fencing
-        # A holder begins no order in the last moments of its lease, and the lease ended before
-        # its key was seen to be gone.
+        # A holder begins no order in the last part of its lease, and the lease ended before its
+        # key was seen to be gone.
         free_since = clock.now() if self._free_since is None else self._free_since
         self._last_order_at = None
-        self._latest_order_at = free_since - CALL_SECONDS
+        self._latest_order_at = free_since - LEFT_SECONDS
 
     def _learn_last_order(self, now: float) -> None:
         """Find out when the earlier holder gave its last order, once it says that it holds no more.
@@ -243,6 +249,8 @@
         machine.prefer(reserved)
         for upstream in known:
             self._ask_report(machine, upstream, now)
+        if self._lease.fencing(now, LEFT_SECONDS + ANNOUNCE_SECONDS) is None:
+            return reserved
         for order in machine.step(self._lease.remaining(now), now):
             self._group.start_soon(self._give, machine, order)
         return reserved
@@ -329,7 +337,7 @@
 
     async def _send(self, upstream: serving.Upstream, order: messages.Order) -> messages.Outcome:
         now = clock.now()
-        if now > order.send_by or self._lease.fencing(now, CALL_SECONDS) != order.fencing:
+        if now > order.send_by or self._lease.fencing(now, LEFT_SECONDS) != order.fencing:
             return messages.Outcome.NOT_SENT
         address = upstream.entry.address
         request = self._codec.order_request(address, order, self._me.name)
--- a/hollyring/node/tests/test_orders_part.py
+++ b/hollyring/node/tests/test_orders_part.py
@@ -93,6 +93,24 @@
     simulate(play)
 
 
+@pytest.mark.parametrize("after_renewal", [0.0, 0.5, 0.9])
+def test_rollout_goes_on_soon_after_its_holder_was_lost(simulate, after_renewal):
+    """The lease lapses, and the last order that it allowed becomes as old as a lease lasts."""
+
+    async def play(fleet):
+        await begin(fleet)
+        await anyio.sleep(after_renewal)
+        fleet.want(2)
+        await fleet.until(lambda: len(fleet.orders()) > 0, 2.0)
+        before = len(fleet.orders())
+        fleet.kill(fleet.giver())
+        lapse = orders_part.LEASE_SECONDS
+        wait = lapse - orders_part.LEFT_SECONDS + orders_part.CALL_SECONDS
+        await fleet.until(lambda: len(fleet.orders()) > before, lapse + wait + 0.5)
+
+    simulate(play)
+
+
 def test_holder_that_stops_gives_the_lease_back(simulate):
     async def play(fleet):
         await begin(fleet)
