Log where a request is sent when it is sent, and the status that its caller got

Change: a line "sent" for each try with the inputs of the placing decision and their age; "ended" bears the status and loses what "sent" says. `explain` names a request without an end, and an upstream's own failure.

Before: two new cases of the test fail; after: they pass.

--- a/hollyring/cli/explain.py
+++ b/hollyring/cli/explain.py
@@ -26,6 +26,8 @@
 }
 """What the codes of the log mean for the person who asks."""
 
+FIRST_FAILURE_STATUS = 500
+
 _JSON = re.compile(r"\{.*\}")
 
 
@@ -63,14 +65,21 @@
     if not decisions:
         return "nothing is logged on it: it reached no VM, or the log is not whole"
     last = decisions[-1]
+    if last.get("text") == "request: sent":
+        upstream = last.get("upstream")
+        return f"no end is logged: the VM was lost, or the log ends, while {upstream} worked on it"
     code = last.get("code") or last.get("outcome", "")
+    if code == "answered" and last.get("status", 0) >= FIRST_FAILURE_STATUS:
+        code = "upstream's failure"
     text = f"{code}: {CAUSES.get(code, 'see its last line')}"
     failures = [d for d in decisions if d.get("text") == "request: try failed"]
     if failures and code != "answered":
         first = failures[0]
         text += f"; first failure at {first.get('upstream')}: {first.get('why')}"
-    if code == "answered" and last.get("first", 0) > 2 * last.get("expected", 0) > 0:
-        text += f"; late: first event after {last['first']} s, expected {last['expected']} s"
+    sent = [d for d in decisions if d.get("text") == "request: sent"]
+    expected = sent[-1].get("expected", 0) if sent else 0
+    if code == "answered" and last.get("first", 0) > 2 * expected > 0:
+        text += f"; late: first event after {last['first']} s, expected {expected} s"
     return text
 
 
--- a/hollyring/cli/tests/test_explain.py
+++ b/hollyring/cli/tests/test_explain.py
@@ -16,6 +16,7 @@
     return run
 
 
+SENT = {"text": "request: sent", "request": "r-1", "vm": "vm-1", "upstream": "i-7"}
 ENDED = {"text": "request: ended", "request": "r-1", "vm": "vm-1"}
 FAILED = {"text": "request: try failed", "request": "r-1", "upstream": "i-7", "why": "status 500"}
 
@@ -25,7 +26,12 @@
     [
         ([{"text": "request: refused", "request": "r-1", "code": "invalid_key"}], "held its key"),
         ([FAILED, ENDED | {"outcome": "upstream_failed"}], "first failure at i-7: status 500"),
-        ([ENDED | {"outcome": "answered", "first": 0.9, "expected": 0.1}], "late: first event"),
+        (
+            [SENT | {"expected": 0.1}, ENDED | {"outcome": "answered", "first": 0.9}],
+            "late: first event after 0.9 s, expected 0.1 s",
+        ),
+        ([SENT], "no end is logged: the VM was lost, or the log ends, while i-7 worked on it"),
+        ([SENT, ENDED | {"outcome": "answered", "status": 500}], "answered with a failure"),
         ([ENDED | {"outcome": "caller left"}], "its caller closed the connection"),
         ([], "nothing is logged"),
     ],
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -128,6 +128,7 @@
         while True:
             one.place = place = self._place(one)
             one.tries.begin(place.upstream.name, place.upstream.entry.domain)
+            self._say_sent(one, place)
             outcome = await self._attempts.run(one, place)
             if isinstance(outcome, work.Done):
                 self._say_end(one, "answered")
@@ -200,6 +201,20 @@
             configuration_age=self._state.store_age(arrived),
         )
 
+    def _say_sent(self, one: work.Work, place: placing.Place) -> None:
+        self._log.say(
+            "sent",
+            request=one.name,
+            upstream=place.upstream.name,
+            version=place.version,
+            unread=place.unread_tokens,
+            fetched=place.fetched_tokens,
+            likely=one.ask.prompt.likely_tokens if one.ask.prompt else 0,
+            expected=round(place.expected, 4),
+            left=round(one.left, 3),
+            heard_ago=state.ago(clock.now(), place.upstream.heard_at),
+        )
+
     def _say_failed(
         self, one: work.Work, place: placing.Place, outcome: work.NotRun | work.Failed
     ) -> None:
@@ -218,19 +233,14 @@
     def _say_end(self, one: work.Work, outcome: str) -> None:
         now = clock.now()
         self._metrics.count(f"ended_{outcome.replace(' ', '_')}")
-        place = one.place
         self._log.say(
             "ended",
             request=one.name,
             outcome=outcome,
+            status=one.reply.status,
             route=one.route.name,
             organisation=one.organisation.name if one.organisation else "",
-            upstream=place.upstream.name if place else "",
-            version=place.version if place else 0,
-            unread=place.unread_tokens if place else 0,
-            fetched=place.fetched_tokens if place else 0,
-            likely=one.ask.prompt.likely_tokens if one.ask.prompt else 0,
-            expected=round(place.expected, 4) if place else 0.0,
+            upstream=one.place.upstream.name if one.place else "",
             first=round(one.first_at - one.arrived, 4) if one.first_at else 0.0,
             seconds=round(now - one.arrived, 4),
             sends=one.tries.sends,
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -154,7 +154,7 @@
             upstream=upstream.name,
             why=why,
             seconds=round(upstream.doubted_until - now, 2),
-            heard_ago=_ago(now, upstream.heard_at),
+            heard_ago=ago(now, upstream.heard_at),
         )
 
     def replaced(self, upstream: serving.Upstream, by: str) -> None:
@@ -325,5 +325,6 @@
                 self.holdings.touch(store.address, store.cache_tokens, reading.salt, parts)
 
 
-def _ago(now: float, at: float) -> float:
+def ago(now: float, at: float) -> float:
+    """Return how long ago something was, in seconds to the millisecond; -1 for never."""
     return -1.0 if math.isinf(at) else round(now - at, 3)
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -153,8 +153,9 @@
     texts = [line.get("text", "") for line in vm.lines()]
     for text in ("vm: started", "vm: settings read", "vm: leaving", "vm: stopped"):
         assert text in texts
-    ended = next(line for line in vm.lines() if line.get("request") == "r-1")
-    assert (ended["outcome"], ended["upstream"]) == ("answered", "i-1")
+    sent, ended = [line for line in vm.lines() if line.get("request") == "r-1"]
+    assert (sent["text"], sent["upstream"]) == ("request: sent", "i-1")
+    assert (ended["outcome"], ended["status"], ended["upstream"]) == ("answered", 200, "i-1")
 
 
 @pytest.mark.anyio
