--- a/hollyring/experiments/rollout.py
+++ b/hollyring/experiments/rollout.py
@@ -10,7 +10,7 @@
 
 from hollyring.core import invariants
 from hollyring.experiments import rollout_slopes, rollout_world
-from hollyring.fleet import rollout as rollouts
+from hollyring.fleet import pace
 
 SETTLE_SECONDS = 600.0
 
@@ -29,9 +29,9 @@
     invariants: dict[str, dict[str, object]]
 
 
-def pace_of(seed: int) -> rollouts.Pace:
+def pace_of(seed: int) -> pace.Pace:
     """Return bounds that differ by seed, so that no wait always hides behind another."""
-    return rollouts.Pace(
+    return pace.Pace(
         weights_concurrency=2 + seed % 2,
         weights_seconds=(4.0, 12.0)[seed // 2 % 2],
         lease_seconds=5.0,
--- a/hollyring/experiments/rollout_slopes.py
+++ b/hollyring/experiments/rollout_slopes.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from hollyring.core import invariants
-from hollyring.fleet import messages, rollout, targets
+from hollyring.fleet import messages, pace, rollout, targets
 
 SIZES = (6, 60, 300, 1500)
 REPEATS = 50
@@ -70,14 +70,14 @@
 
 
 def _machine(size: int, version: str) -> tuple[rollout.Rollout, float]:
-    pace = rollout.Pace(weights_concurrency=3)
-    machine = rollout.Rollout(pace, invariants.Invariants())
+    bounds = pace.Pace(weights_concurrency=3)
+    machine = rollout.Rollout(bounds, invariants.Invariants())
     machine.declare(
         targets.Target(f"e{n}", 1, (messages.ModelVersion(_model(n), version),), ("a1",))
         for n in range(size)
     )
     machine.acquire(1, 0.0)
-    now = pace.lease_seconds + pace.flight_seconds + pace.weights_seconds
+    now = bounds.lease_seconds + bounds.flight_seconds + bounds.weights_seconds
     for number in range(size):
         machine.observe(_state(number, "v1"), now)
     return machine, now
--- a/hollyring/experiments/rollout_world.py
+++ b/hollyring/experiments/rollout_world.py
@@ -12,7 +12,7 @@
 
 from hollyring.core import invariants
 from hollyring.experiments import rollout_upstreams
-from hollyring.fleet import messages, rollout, targets
+from hollyring.fleet import messages, pace, rollout, targets
 
 TICK_SECONDS = 0.25
 MODELS = ("parish", "ledger")
@@ -73,7 +73,7 @@
         Of all randomness.
     upstreams
         How many.
-    pace
+    bounds
         Bounds given to the machines; the world keeps to them.
     faults
         Chances.
@@ -85,7 +85,7 @@
         self,
         seed: int,
         upstreams: int,
-        pace: rollout.Pace,
+        bounds: pace.Pace,
         faults: Faults,
         invariant_counter: invariants.Invariants,
     ) -> None:
@@ -94,7 +94,7 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.upstreams: dict[str, rollout_upstreams.FakeUpstream] = {}
         self._random = random.Random(seed)
-        self._pace = pace
+        self._pace = bounds
         self._invariants = invariant_counter
         self._revision = 1
         self._declared: dict[str, targets.Target] = {}
--- a/hollyring/fleet/tests/test_rollout.py
+++ b/hollyring/fleet/tests/test_rollout.py
@@ -3,9 +3,9 @@
 from hollyring.core import invariants
 from hollyring.experiments import rollout as experiment
 from hollyring.experiments import rollout_world
-from hollyring.fleet import errors, messages, rollout, targets
+from hollyring.fleet import errors, messages, pace, rollout, targets
 
-PACE = rollout.Pace(weights_concurrency=2, weights_seconds=15.0)
+PACE = pace.Pace(weights_concurrency=2, weights_seconds=15.0)
 READY = PACE.lease_seconds + PACE.flight_seconds
 SETTLED = READY + PACE.weights_seconds
 V1 = messages.ModelVersion("parish", "v1")
@@ -26,8 +26,8 @@
 def holder():
     """A machine that holds the lease since time 0, with the given targets and states."""
 
-    def make(declared, states, pace=PACE):
-        machine = rollout.Rollout(pace, invariants.Invariants())
+    def make(declared, states, bounds=PACE):
+        machine = rollout.Rollout(bounds, invariants.Invariants())
         machine.declare(declared)
         machine.acquire(1, 0.0)
         for reported in states:
@@ -296,8 +296,8 @@
 @pytest.mark.parametrize("crash_tick", range(40, 400, 12))
 def test_rollout_interrupted_by_a_crash_of_its_holder_is_finished(crash_tick):
     counter = invariants.Invariants()
-    pace = rollout.Pace(weights_concurrency=2, weights_seconds=4.0, lease_seconds=5.0)
-    world = rollout_world.World(crash_tick, 6, pace, rollout_world.NO_FAULTS, counter)
+    bounds = pace.Pace(weights_concurrency=2, weights_seconds=4.0, lease_seconds=5.0)
+    world = rollout_world.World(crash_tick, 6, bounds, rollout_world.NO_FAULTS, counter)
     world.declare_versions()
     for _ in range(crash_tick):
         world.step()
@@ -308,7 +308,7 @@
     assert world.counts["takeovers"] == 2
 
 
-COUNTED = rollout.Pace(weights_concurrency=2, weights_seconds=4.0, loads_shown=True)
+COUNTED = pace.Pace(weights_concurrency=2, weights_seconds=4.0, loads_shown=True)
 
 
 def counted(upstream, *models, accepted=0, busy=False):
@@ -385,8 +385,8 @@
 
 
 def test_last_upstream_is_loaded_after_a_while_though_nobody_else_serves():
-    pace = rollout.Pace(weights_concurrency=1, loads_shown=True, blocked_seconds=2.0)
-    machine = rollout.Rollout(pace, invariants.Invariants())
+    bounds = pace.Pace(weights_concurrency=1, loads_shown=True, blocked_seconds=2.0)
+    machine = rollout.Rollout(bounds, invariants.Invariants())
     machine.declare(targets_of(1, V2))
     machine.acquire(1, 0.0)
     observe_all(machine, [counted("e0", V1)], SETTLED)
--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -5,7 +5,7 @@
 import anyio
 
 from hollyring.core import identities, invariants
-from hollyring.fleet import messages, rollout, targets
+from hollyring.fleet import messages, pace, rollout, targets
 from hollyring.membership import leases, pulse
 from hollyring.node import clock, http_link, links, logs, ports, state, store_part
 from hollyring.routing import serving
@@ -37,7 +37,7 @@
 LOAD_SHARE = 0.4
 """Part of a service's upstreams that may take new weights at once."""
 
-PACE = rollout.Pace(
+PACE = pace.Pace(
     weights_concurrency=1,
     weights_seconds=4.0,
     lease_seconds=LEASE_SECONDS,
@@ -361,5 +361,5 @@
         self._hurry()
 
 
-def _pace(upstreams: int) -> rollout.Pace:
-    return rollout.with_concurrency(PACE, max(1, int(LOAD_SHARE * upstreams)))
+def _pace(upstreams: int) -> pace.Pace:
+    return pace.with_concurrency(PACE, max(1, int(LOAD_SHARE * upstreams)))
