Remove the fair queue and the drain that no request ever met

Cause: limits/fairness (222 lines) and fleet/drain (93) were built and tested and are in neither interface's path. A leaving upstream is left out by the router and by placing, which know nothing of fleet/drain.

Change: both go, with the experiment that measured the queue (limits_overload, 175) and its tests. What these tests held beside the queue stays: the retry budget's two (test_budget), an organisation at five times its rate (now over limits_figures, no excess and an answer to all). A test of the router holds that a leaving upstream gets nothing, which proofs.md had laid to fleet/drain. The field `weight` of an organisation stays readable, and its page says that nothing depends on it.

Ruled out: putting the queue into the path; nothing waits in a VM that it could order.

--- a/hollyring/fleet/__init__.py
+++ b/hollyring/fleet/__init__.py
@@ -1,12 +1,12 @@
-"""Orders to upstreams: weights, adapters, roles, fencing, pace of a rollout, drain."""
+"""Orders to upstreams: weights, adapters, roles, fencing, pace of a rollout."""
 
 from hollyring.core import lazy
 
 __all__ = [  # noqa: F822
     "coverage",
-    "drain",
     "errors",
     "messages",
+    "pace",
     "rollout",
     "targets",
 ]
--- a/hollyring/routing/tests/test_router.py
+++ b/hollyring/routing/tests/test_router.py
@@ -46,6 +46,18 @@
     assert second.source is requests.Source.MEMORY
 
 
+@pytest.mark.parametrize("policy", [policies.Prefix(), policies.LeastLoaded()])
+def test_leaving_upstream_gets_no_new_request_though_it_holds_the_prompt(
+    make_router, make_request, listed, draw, policy
+):
+    one = make_router(policy)
+    holder = send(one, make_request(), 0.0, draw, first_token=1.3, cached=0).upstream
+    upstreams_now = [dataclasses.replace(item, leaving=item.name == holder) for item in listed(6)]
+    one.configure(upstreams_now, ("vm-1",), 2.0)
+    used = {send(one, make_request(), 2.0 + n, draw, 0.1).upstream for n in range(30)}
+    assert holder not in used
+
+
 def test_busy_holder_is_left_for_a_free_upstream(make_router, make_request, draw, report):
     one = make_router()
     first = send(one, make_request(), 0.0, draw, first_token=1.3, cached=0)
