Send an order for new weights once its upstream has begun what it was sent

Change: after that announcement the giver waits until no VM has unread requests there, for 0.6 s at most. The load waits for runs that have begun in any case.

The two plays of the test fail before.

--- a/hollyring/node/orders_part.py
+++ b/hollyring/node/orders_part.py
@@ -31,6 +31,11 @@
 ANNOUNCE_SECONDS = 0.12
 """An order is sent so long after the other VMs were told, so that they send nothing new."""
 
+QUEUE_SECONDS = 0.6
+"""Longest further wait until the upstream has begun what it was sent: it would refuse the rest."""
+
+QUEUE_TICK_SECONDS = 0.05
+
 SILENT_SECONDS = 0.6
 """An upstream that gave no report is left out for so long."""
 
@@ -45,7 +50,7 @@
     report_lag_seconds=0.3,
     report_timeout_seconds=3.0,
     retry_seconds=0.3,
-    send_seconds=0.3,
+    send_seconds=ANNOUNCE_SECONDS + QUEUE_SECONDS + 0.2,
     loads_shown=True,
     blocked_seconds=2.0,
 )
@@ -322,6 +327,7 @@
         if upstream is not None:
             self._tell(upstream, "", 0, loading=True)
             await anyio.sleep(ANNOUNCE_SECONDS)
+            await self._until_begun(upstream)
             outcome = await self._send(upstream, order)
             if outcome is not messages.Outcome.ACCEPTED:
                 self._tell(upstream, "", 0, loading=False)
@@ -335,6 +341,12 @@
         )
         machine.answered(order.upstream, order.order_id, outcome, clock.now())
 
+    async def _until_begun(self, upstream: serving.Upstream) -> None:
+        """Wait until an upstream has begun all that it was sent, but not for long."""
+        until = clock.now() + QUEUE_SECONDS
+        while upstream.unread_tokens(clock.now()) and clock.now() < until:
+            await anyio.sleep(QUEUE_TICK_SECONDS)
+
     async def _send(self, upstream: serving.Upstream, order: messages.Order) -> messages.Outcome:
         now = clock.now()
         if now > order.send_by or self._lease.fencing(now, LEFT_SECONDS) != order.fencing:
--- a/hollyring/node/tests/test_orders_part.py
+++ b/hollyring/node/tests/test_orders_part.py
@@ -62,6 +62,33 @@
     simulate(play)
 
 
+@pytest.mark.parametrize(("begins_after", "waits"), [(0.4, 0.4), (9.0, 0.6)])
+def test_order_waits_a_little_for_what_its_upstream_has_not_begun(simulate, begins_after, waits):
+    """A server that takes an order refuses what still waits there."""
+
+    async def play(fleet):
+        await begin(fleet)
+        other = next(vm for vm in fleet.vms.values() if vm.name != fleet.giver())
+        busy = other.beliefs.serving.get("u-1")
+        busy.sent("r-1", 9000, 0.1, anyio.current_time())
+        await anyio.sleep(0.3)
+        fleet.want(2)
+        fleet.group.start_soon(end, busy, begins_after)
+        wanted_at = anyio.current_time()
+        await fleet.until(lambda: len(fleet.upstreams["u-1"].orders) > 0, 8.0)
+        taken = fleet.upstreams["u-1"].orders[0].at - wanted_at
+        others = [o.at - wanted_at for u in fleet.upstreams.values() for o in u.orders]
+        announced = orders_part.ANNOUNCE_SECONDS
+        assert min(others) < announced + 0.3
+        assert waits <= taken < waits + announced + 0.5
+
+    async def end(upstream, seconds):
+        await anyio.sleep(seconds)
+        upstream.began("r-1", anyio.current_time())
+
+    simulate(play)
+
+
 def test_version_that_is_overtaken_is_skipped(simulate):
     async def play(fleet):
         await begin(fleet)
