Split the simulated fleet of the tests: its loop, its store, its VMs

Change: simulated_time (the loop), simulated_store (the store and its client), simulated_fleet (VMs, upstreams, links). No check changed.

--- a/hollyring/node/tests/conftest.py
+++ b/hollyring/node/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hollyring.node import clock
-from hollyring.node.tests import simulated_fleet
+from hollyring.node.tests import simulated_fleet, simulated_time
 
 
 @pytest.fixture
@@ -21,7 +21,7 @@
                 await play(simulated_fleet.Fleet(group, list(vms), list(upstreams)))
                 group.cancel_scope.cancel()
 
-        with contextlib.closing(simulated_fleet.Loop()) as loop:
+        with contextlib.closing(simulated_time.Loop()) as loop:
             anyio.run(main, backend_options={"loop_factory": lambda: loop})
 
     return run
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -1,19 +1,15 @@
-"""VMs of the real parts in one event loop whose clock stands still between events.
+"""VMs of the real parts over a store, links and upstreams in memory.
 
-Store, links between VMs and upstreams are held in memory; a test runs for seconds of simulated time
-in milliseconds, and always in the same way.
+A test runs for seconds of simulated time (`simulated_time`) in milliseconds, always the same way.
 """
 
-import asyncio
-import collections
 import dataclasses
 import math
 import pickle
-import selectors
 
 import anyio
 
-from hollyring.configuration import deployment, mirror
+from hollyring.configuration import deployment
 from hollyring.fleet import messages
 from hollyring.limits import service_retries
 from hollyring.membership import pulse
@@ -27,10 +23,10 @@
     state,
     store_part,
 )
+from hollyring.node.tests import simulated_store
 from hollyring.routing import serving
 
 PREFIXES = ports.Prefixes("op/", "servers/", "vm/", "vm/.orders")
-CALL_SECONDS = 0.005
 LOAD_SECONDS = 1.5
 MODEL = "m"
 SERVICE = "ls"
@@ -38,38 +34,6 @@
 VERSION_SECONDS = 13.5
 
 
-class _Selector(selectors.DefaultSelector):
-    """Tells the loop to move its clock instead of waiting."""
-
-    def __init__(self):
-        super().__init__()
-        self.skip = None
-
-    def select(self, timeout=None):
-        found = super().select(0)
-        if not found and timeout is None:
-            raise AssertionError("nothing will ever happen")
-        if not found and timeout > 0:
-            self.skip(timeout)
-        return found
-
-
-class Loop(asyncio.SelectorEventLoop):
-    """An event loop with simulated time."""
-
-    def __init__(self):
-        selector = _Selector()
-        super().__init__(selector)
-        self._simulated = 1000.0
-        selector.skip = self._skip
-
-    def time(self):
-        return self._simulated
-
-    def _skip(self, seconds):
-        self._simulated += seconds
-
-
 class Documents:
     """Implements `ports.Documents` for values that are pickled objects of the product."""
 
@@ -96,134 +60,6 @@
         return found if isinstance(found, type_) else None
 
 
-class Store:
-    """What lies in the store, with revisions, leases and a history."""
-
-    def __init__(self):
-        self.items = {}
-        self.revision = 1
-        self.changes = []
-        self.history_from = 0
-        self.leases = {}
-        self.away_for = set()
-        self.delays = {}
-        self.lists = collections.Counter()
-        self._changed = anyio.Event()
-        self._lease = 0
-
-    def put(self, key, value, lease=0):
-        """Write a key, as the operator or an upstream does."""
-        self.revision += 1
-        data = value if isinstance(value, bytes) else pickle.dumps(value)
-        self.items[key] = mirror.Item(key, data, self.revision)
-        self.changes.append(self.items[key])
-        if lease:
-            self.leases[lease][1].add(key)
-        self._wake()
-
-    def remove(self, key):
-        if self.items.pop(key, None) is None:
-            return
-        self.revision += 1
-        self.changes.append(mirror.Removal(key, self.revision))
-        self._wake()
-
-    def drop_history(self):
-        self.history_from = self.revision
-        self._wake()
-
-    def grant(self, seconds):
-        self._lease += 1
-        self.leases[self._lease] = [clock.now() + seconds, set(), seconds]
-        return self._lease
-
-    def renew(self, lease):
-        if lease not in self.leases:
-            return False
-        self.leases[lease][0] = clock.now() + self.leases[lease][2]
-        return True
-
-    def end(self, lease):
-        _, keys, _ = self.leases.pop(lease, (0, set(), 0))
-        for key in sorted(keys):
-            self.remove(key)
-
-    async def run(self):
-        """Let leases lapse."""
-        while True:
-            await anyio.sleep(0.05)
-            for lease in [n for n, found in self.leases.items() if found[0] < clock.now()]:
-                self.end(lease)
-
-    async def changed(self):
-        await self._changed.wait()
-
-    def _wake(self):
-        self._changed.set()
-        self._changed = anyio.Event()
-
-
-class StoreClient:
-    """Implements `ports.Store` for one VM."""
-
-    def __init__(self, store, vm):
-        self._store = store
-        self._vm = vm
-
-    async def get(self, key):
-        await self._reach()
-        return self._store.items.get(key)
-
-    async def list(self, prefix):
-        await self._reach()
-        self._store.lists[prefix] += 1
-        items = [item for key, item in self._store.items.items() if key.startswith(prefix)]
-        return ports.Listing(items, self._store.revision)
-
-    async def watch(self, prefix, after, seconds):
-        await self._reach()
-        with anyio.move_on_after(seconds):
-            while True:
-                if after < self._store.history_from:
-                    raise ports.HistoryGoneError(prefix)
-                found = [c for c in self._store.changes if c.revision > after]
-                found = [c for c in found if c.key.startswith(prefix)]
-                if found:
-                    return ports.Changes(found, self._store.revision)
-                await self._store.changed()
-                await self._reach()
-        return ports.Changes([], self._store.revision)
-
-    async def commit(self, expected, puts):
-        await self._reach()
-        for key, revision in expected.items():
-            item = self._store.items.get(key)
-            if (item.revision if item else 0) != revision:
-                return ports.Conflict()
-        if any(put.lease and put.lease not in self._store.leases for put in puts):
-            return ports.NoLease()
-        for put in puts:
-            self._store.put(put.key, put.value, put.lease)
-        return ports.Committed(self._store.revision)
-
-    async def grant(self, seconds):
-        await self._reach()
-        return self._store.grant(seconds)
-
-    async def renew(self, lease):
-        await self._reach()
-        return self._store.renew(lease)
-
-    async def end(self, lease):
-        await self._reach()
-        self._store.end(lease)
-
-    async def _reach(self):
-        await anyio.sleep(CALL_SECONDS + self._store.delays.get(self._vm, 0.0))
-        if self._vm in self._store.away_for:
-            raise ports.StoreError("refused")
-
-
 @dataclasses.dataclass
 class TakenOrder:
     at: float
@@ -317,7 +153,7 @@
         self._fleet = fleet
 
     async def call(self, address, request, seconds):
-        await anyio.sleep(CALL_SECONDS)
+        await anyio.sleep(simulated_store.CALL_SECONDS)
         upstream = self._fleet.upstreams.get(address.partition(":")[0])
         if upstream is None or upstream.silent:
             await anyio.sleep(seconds)
@@ -353,12 +189,12 @@
             self._fleet.group.start_soon(self._deliver, address, message)
 
     async def ask(self, address, message, seconds):
-        await anyio.sleep(CALL_SECONDS)
+        await anyio.sleep(simulated_store.CALL_SECONDS)
         vm = self._reached(address)
         return vm.follower.copy(message.prefix) if vm else None
 
     async def _deliver(self, address, message):
-        await anyio.sleep(CALL_SECONDS)
+        await anyio.sleep(simulated_store.CALL_SECONDS)
         vm = self._reached(address)
         if vm is not None:
             vm.beliefs.hear(message, clock.now())
@@ -376,7 +212,7 @@
     def __init__(self, fleet, name, life):
         place = pulse.Place(name, life, f"{name}:1", f"{name}:2", "a", "r")
         documents = Documents()
-        client = StoreClient(fleet.store, name)
+        client = simulated_store.StoreClient(fleet.store, name)
         codec = Codec()
         connections = Links(fleet)
         peers = PeerLinks(fleet, name)
@@ -409,7 +245,7 @@
     def __init__(self, group, names, upstreams):
         self.group = group
         self.names = names
-        self.store = Store()
+        self.store = simulated_store.Store()
         self.vms = {}
         self.cuts = set()
         self.upstreams = {}
--- /dev/null
+++ b/hollyring/node/tests/simulated_store.py
@@ -0,0 +1,139 @@
+"""A store with revisions, watches, leases and a history, in memory."""
+
+import collections
+import pickle
+
+import anyio
+
+from hollyring.configuration import mirror
+from hollyring.node import clock, ports
+
+CALL_SECONDS = 0.005
+
+
+class Store:
+    """What lies in the store, with revisions, leases and a history."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.changes = []
+        self.history_from = 0
+        self.leases = {}
+        self.away_for = set()
+        self.delays = {}
+        self.lists = collections.Counter()
+        self._changed = anyio.Event()
+        self._lease = 0
+
+    def put(self, key, value, lease=0):
+        """Write a key, as the operator or an upstream does."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else pickle.dumps(value)
+        self.items[key] = mirror.Item(key, data, self.revision)
+        self.changes.append(self.items[key])
+        if lease:
+            self.leases[lease][1].add(key)
+        self._wake()
+
+    def remove(self, key):
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self.changes.append(mirror.Removal(key, self.revision))
+        self._wake()
+
+    def drop_history(self):
+        self.history_from = self.revision
+        self._wake()
+
+    def grant(self, seconds):
+        self._lease += 1
+        self.leases[self._lease] = [clock.now() + seconds, set(), seconds]
+        return self._lease
+
+    def renew(self, lease):
+        if lease not in self.leases:
+            return False
+        self.leases[lease][0] = clock.now() + self.leases[lease][2]
+        return True
+
+    def end(self, lease):
+        _, keys, _ = self.leases.pop(lease, (0, set(), 0))
+        for key in sorted(keys):
+            self.remove(key)
+
+    async def run(self):
+        """Let leases lapse."""
+        while True:
+            await anyio.sleep(0.05)
+            for lease in [n for n, found in self.leases.items() if found[0] < clock.now()]:
+                self.end(lease)
+
+    async def changed(self):
+        await self._changed.wait()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+class StoreClient:
+    """Implements `ports.Store` for one VM."""
+
+    def __init__(self, store, vm):
+        self._store = store
+        self._vm = vm
+
+    async def get(self, key):
+        await self._reach()
+        return self._store.items.get(key)
+
+    async def list(self, prefix):
+        await self._reach()
+        self._store.lists[prefix] += 1
+        items = [item for key, item in self._store.items.items() if key.startswith(prefix)]
+        return ports.Listing(items, self._store.revision)
+
+    async def watch(self, prefix, after, seconds):
+        await self._reach()
+        with anyio.move_on_after(seconds):
+            while True:
+                if after < self._store.history_from:
+                    raise ports.HistoryGoneError(prefix)
+                found = [c for c in self._store.changes if c.revision > after]
+                found = [c for c in found if c.key.startswith(prefix)]
+                if found:
+                    return ports.Changes(found, self._store.revision)
+                await self._store.changed()
+                await self._reach()
+        return ports.Changes([], self._store.revision)
+
+    async def commit(self, expected, puts):
+        await self._reach()
+        for key, revision in expected.items():
+            item = self._store.items.get(key)
+            if (item.revision if item else 0) != revision:
+                return ports.Conflict()
+        if any(put.lease and put.lease not in self._store.leases for put in puts):
+            return ports.NoLease()
+        for put in puts:
+            self._store.put(put.key, put.value, put.lease)
+        return ports.Committed(self._store.revision)
+
+    async def grant(self, seconds):
+        await self._reach()
+        return self._store.grant(seconds)
+
+    async def renew(self, lease):
+        await self._reach()
+        return self._store.renew(lease)
+
+    async def end(self, lease):
+        await self._reach()
+        self._store.end(lease)
+
+    async def _reach(self):
+        await anyio.sleep(CALL_SECONDS + self._store.delays.get(self._vm, 0.0))
+        if self._vm in self._store.away_for:
+            raise ports.StoreError("refused")
