Log a late event loop, waiting times, partial events and skipped answers

The log could not tell the hypotheses on the reported GONE and MIXED apart: whether a request had lain unread while the event loop was late or had waited between attempts, whether part of an event was received by a failed attempt, and whether an upstream answered twice. No decision changes.

--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -50,6 +50,11 @@
         """Whether no event is partly received."""
         return not self._buffer.strip()
 
+    @property
+    def partial_bytes(self) -> int:
+        """Number of bytes received of an event that is not complete."""
+        return len(self._buffer)
+
     def resume(self) -> None:
         """Discard a partly received event because another upstream continues the stream."""
         self._buffer = b""
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -15,7 +15,7 @@
 import httptools
 
 from hollyring.core import request_types
-from hollyring.node import clock, errors, sockets
+from hollyring.node import clock, errors, logs, sockets
 
 DEFAULT_KEEP_ALIVE_SECONDS = 3.0
 """Idle time after which a connection is not reused if the upstream announces no timeout."""
@@ -300,6 +300,7 @@
             return
         self._unmatched = not exchange.matches(self._headers)
         if self._unmatched:
+            logs.Logger("connection").info("skipped the answer to another request", status=status)
             return
         self._in_body = True
         self._framed = self._framed or status in STATUSES_WITHOUT_BODY
--- a/hollyring/node/http_server.py
+++ b/hollyring/node/http_server.py
@@ -10,12 +10,15 @@
 
 import uvicorn
 
-from hollyring.node import settings
+from hollyring.node import clock, logs, settings
 
 BACKLOG = 1024
 EXIT_CHECK_SECONDS = 0.25
 """Time between two checks whether the server is to exit; an idle VM wakes up for each."""
 
+MIN_LOGGED_DELAY_SECONDS = 0.25
+"""Delay of the event loop above which it is logged; callers notice such a delay."""
+
 
 class Server(uvicorn.Server):
     """Server that leaves signal handling to the process."""
@@ -28,7 +31,11 @@
     async def main_loop(self) -> None:
         """Wait until the server is to exit; each check also updates the default headers."""
         while not await self.on_tick(0):
+            due = clock.now() + EXIT_CHECK_SECONDS
             await asyncio.sleep(EXIT_CHECK_SECONDS)
+            delay = clock.now() - due
+            if delay > MIN_LOGGED_DELAY_SECONDS:
+                logs.Logger("vm").info("event loop was late", seconds=round(delay, 2))
 
 
 def make_server(
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -261,6 +261,7 @@
             likely=context.request.prompt.expected_output_tokens if context.request.prompt else 0,
             expected=round(selected.expected_seconds, 4),
             left=round(context.seconds_left, 3),
+            waited=round(clock.now() - context.arrived_at, 3),
             active_ago=state.seconds_since(clock.now(), selected.upstream.last_activity_at),
         )
 
@@ -280,6 +281,7 @@
             not_run=not_run,
             sends=context.retry_state.sends,
             left=round(context.seconds_left, 3),
+            partial_event_bytes=context.events.partial_bytes,
         )
 
     def _log_end(self, context: request_context.RequestContext, outcome: str) -> None:
