Failing test: bytes of a broken attempt are joined with the next attempt's event

An upstream breaks off within the first event of a resumable stream; the caller gets 'id: 1', then the whole event 1 of the next upstream, as one event. The test that existed breaks off within the third event only.

--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -183,7 +183,7 @@
     ``complete``: a complete response or stream; ``refuse``: 503 with ``x-not-run``;
     ``misdirect``: 421 from another instance; ``silent``: no response; ``reset``: reset of the
     connection; ``error``: status 500; ``unsealed``: a response without a signature;
-    ``interrupt``: reset of the connection within the third event of a stream.
+    ``interrupt``: reset of the connection within event `interrupted_event` of a stream.
     """
 
     def __init__(self, name="i-1", behaviour="complete", events=5):
@@ -196,6 +196,7 @@
         self.orders = []
         self.closed_connections = 0
         self.delay_seconds = 0.0
+        self.interrupted_event = 3
 
     async def handle(self, request, writer):
         await asyncio.sleep(self.delay_seconds)
@@ -251,7 +252,7 @@
         writer.write("\r\n".join([*head, "", ""]).encode())
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: %d\n\n" % (number, number)
-            if self.behaviour == "interrupt" and number == 3:
+            if self.behaviour == "interrupt" and number == self.interrupted_event:
                 writer.write(b"%x\r\n%b\r\n" % (6, event[:6]))
                 await writer.drain()
                 await asyncio.sleep(0.02)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -267,6 +267,19 @@
     assert {r.headers["last-event-id"] for r in resumed} == {"2"}
 
 
+@pytest.mark.anyio
+async def test_stream_has_no_bytes_of_an_attempt_that_broke_within_its_first_event(start_vm):
+    vm, servers = await start_vm(
+        "interrupt", "complete", streaming=True, retry_safety=request_types.RetrySafety.RESUMABLE
+    )
+    servers[0].interrupted_event = 1
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    caller = await vm.send_request()
+    assert request_count(servers) == 2
+    assert caller.body == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert caller.ended
+
+
 @pytest.mark.anyio
 async def test_interrupted_at_most_once_stream_is_not_ended_or_retried(start_vm):
     vm, servers = await start_vm("interrupt", "interrupt", streaming=True)
