Failing test: requests are sent on whose callers left before they were read

The first hypothesis on the reported GONE, over a real process: while the process stands still, ten callers send a request and close; five of them on kept connections. With no open connection to the upstream none does, as connecting takes until the close is seen; so the test opens ten first.

--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -143,6 +143,16 @@
         return await pool.request("POST", vm.caller_url + "/a/b", headers=headers, content=b"body")
 
 
+def send_and_leave(vm, request_id, connection=None):
+    """Send a whole request and close the connection without waiting for the response."""
+    host, _, port = vm.caller_url.removeprefix("http://").partition(":")
+    connection = connection or socket.create_connection((host, int(port)))
+    head = f"POST /a/b HTTP/1.1\r\nhost: h.example\r\nx-request-id: {request_id}\r\n"
+    head += "authorization: Bearer k\r\ncontent-length: 4\r\n\r\n"
+    connection.sendall(head.encode() + b"body")
+    connection.close()
+
+
 @pytest.fixture
 async def cluster(tmp_path):
     """Yield a store with a configuration, a server, and a function that starts VMs."""
@@ -197,6 +207,26 @@
     assert (ended["outcome"], ended["status"], ended["upstream"]) == ("answered", 200, "i-1")
 
 
+@pytest.mark.anyio
+async def test_request_that_lay_unread_until_its_caller_left_is_not_sent_on(cluster):
+    store, server, start = cluster
+    vm = start()
+    await vm.wait_ready()
+    host, _, port = vm.caller_url.removeprefix("http://").partition(":")
+    kept = [socket.create_connection((host, int(port))) for _ in range(5)]
+    async with anyio.create_task_group() as task_group:
+        for number in range(10):
+            task_group.start_soon(post, vm, f"open-upstream-connection-{number}")
+    server.requests.clear()
+    vm.process.send_signal(signal.SIGSTOP)
+    for number in range(5):
+        send_and_leave(vm, f"r-{number}")
+        send_and_leave(vm, f"kept-{number}", kept[number])
+    vm.process.send_signal(signal.SIGCONT)
+    assert (await post(vm, "r-5")).status == 200
+    assert [request.headers["x-request-id"] for request in server.requests] == ["r-5"]
+
+
 @pytest.mark.anyio
 async def test_store_change_takes_effect_within_a_second_and_older_version_does_not(cluster):
     store, server, start = cluster
