Do not send on a request whose caller left while it lay unread

Cause: the event loop reads a request before the close that follows it, and the request is placed and written to an idle upstream connection in the step that reads it. A VM whose loop is late by seconds so sends on every request that lay in its sockets, its callers long gone. Ruled out: waiting between attempts, which the close cancels as soon as it is read; it may have added to the delay. Why this works: the state of the socket is asked (POLLRDHUP, one system call) after the request was read and again right before each attempt is sent, so the order in which the loop reads no longer matters. The class: acting on an input whose withdrawal is already in the queue behind it.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -22,6 +22,7 @@
     asgi,
     bounded_protocol,
     cache_watcher,
+    caller_connection,
     clock,
     connection_pool,
     heartbeat_messages,
@@ -310,9 +311,18 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         codec = self._adapter.caller_codec
-        response = responses.ResponseWriter(send, codec.encode_refusal, lambda: self._state.leaving)
+        response = responses.ResponseWriter(
+            send,
+            codec.encode_refusal,
+            lambda: self._state.leaving,
+            lambda: caller_connection.is_closed(scope),
+        )
         try:
             body = await asgi.read_body(receive, self._max_body_bytes(), BODY_TIMEOUT_SECONDS)
+            if response.caller_left:
+                self._log.info("caller left before its request was read")
+                await asgi.wait_disconnect(receive)
+                return
             request = codec.decode_request(scope, body)
         except asgi.BodyTooLargeError:
             await response.refuse(refusal.make("body_too_large"))
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -127,6 +127,10 @@
         except TimeoutError:
             return request_context.NotRun("deadline while connecting")
         try:
+            if context.response.caller_left:
+                # This task is cancelled when the event loop reads the close.
+                await anyio.sleep(max(0.0, context.seconds_left))
+                return request_context.NotRun("caller left")
             exchange = connection.send(
                 self._request(context, selected), self._codec.response_matcher(context.request_id)
             )
--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -9,7 +9,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from hollyring.delivery import refusal
-from hollyring.node import completion_format, settings
+from hollyring.node import caller_connection, completion_format, settings
 
 REASON_PHRASES = {408: "Request Timeout", 429: "Too Many Requests", 431: "Header Fields Too Large"}
 
@@ -24,8 +24,11 @@
         _in_head = True
         _timer: asyncio.TimerHandle | None = None
 
+        _caller_connection: caller_connection.CallerConnection
+
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
+            self._caller_connection = caller_connection.CallerConnection(transport)
             if len(self.connections) > limits.connections:
                 self._refuse(refusal.make("too_many_connections"))
                 return
@@ -45,6 +48,9 @@
 
         def on_message_begin(self) -> None:
             super().on_message_begin()
+            self.scope["extensions"] = {
+                caller_connection.SCOPE_EXTENSION: self._caller_connection  # type: ignore[dict-item]
+            }
             if not self._in_head:
                 self._start_head()
 
--- /dev/null
+++ b/hollyring/node/caller_connection.py
@@ -0,0 +1,48 @@
+"""State of a caller's connection, read from its socket rather than from the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import typing
+
+if typing.TYPE_CHECKING:
+    from hollyring.node import asgi
+
+SCOPE_EXTENSION = "hollyring.caller_connection"
+"""Key of the connection in the ``extensions`` of an ASGI scope."""
+
+
+class CallerConnection:
+    """Connection that a caller may have closed before its request was read.
+
+    The event loop reads a request before it reads the close that follows, so after a delay the
+    application would work for a caller that has left.
+
+    Parameters
+    ----------
+    transport
+        Transport of the connection.
+    """
+
+    __slots__ = ("_transport", "_poll")
+
+    def __init__(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport
+        self._poll: select.poll | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether the caller has closed or reset the connection, at the cost of a system call."""
+        if self._transport.is_closing():
+            return True
+        if self._poll is None:
+            self._poll = select.poll()
+            self._poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(self._poll.poll(0))
+
+
+def is_closed(scope: asgi.Scope) -> bool:
+    """Return whether the caller of a request has left; False for servers that cannot tell."""
+    connection = scope.get("extensions", {}).get(SCOPE_EXTENSION)
+    return connection is not None and connection.closed
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -37,16 +37,31 @@
         Encodes a refusal as a response.
     should_close
         Returns whether the connection is closed after the response.
+    has_caller_left
+        Returns whether the caller has closed the connection.
     """
 
-    __slots__ = ("_send", "_encode", "_should_close", "_started", "_ended", "status")
+    __slots__ = (
+        "_send",
+        "_encode",
+        "_should_close",
+        "_has_caller_left",
+        "_started",
+        "_ended",
+        "status",
+    )
 
     def __init__(
-        self, send: asgi.Send, encode: RefusalEncoder, should_close: Callable[[], bool]
+        self,
+        send: asgi.Send,
+        encode: RefusalEncoder,
+        should_close: Callable[[], bool],
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> None:
         self._send = send
         self._encode = encode
         self._should_close = should_close
+        self._has_caller_left = has_caller_left
         self._started = False
         self._ended = False
         self.status = 0
@@ -56,6 +71,11 @@
         """Whether a part of the response was sent."""
         return self._started
 
+    @property
+    def caller_left(self) -> bool:
+        """Whether the caller has closed the connection, at the cost of a system call."""
+        return self._has_caller_left()
+
     async def start(
         self, status: int, headers: Sequence[request_types.Header], data: bytes
     ) -> None:
