Log the software version of the upstream and the event after which a stream goes on

The hypotheses on the reported ORDER could not be told apart by the log. The version of an upstream's software is decoded from its entry; no decision uses it yet.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -256,6 +256,8 @@
             request=context.request_id,
             upstream=selected.upstream.name,
             version=selected.version,
+            software=selected.upstream.entry.software,
+            resume_after=context.events.last_number,
             unread=selected.prefill_tokens,
             fetched=selected.fetched_tokens,
             likely=context.request.prompt.expected_output_tokens if context.request.prompt else 0,
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -113,11 +113,7 @@
 
 
 class _Server(msgspec.Struct, frozen=True):
-    """An upstream's entry.
-
-    Not decoded: `version`, the version of the upstream's software, and `sequence`, the number of
-    its heartbeats.
-    """
+    """An upstream's entry. Not decoded: `sequence`, the number of its heartbeats."""
 
     service: str
     address: str
@@ -126,6 +122,7 @@
     slots: int = 1
     models: list[_ServedModel] = []
     born: int = 0  # incarnation number
+    version: str = ""  # version of its software, unlike those in `models`
 
 
 class _Vm(msgspec.Struct, frozen=True):
@@ -193,6 +190,7 @@
             leaving=server.state == "draining",
             life=server.born,
             versions={served.name: served.version for served in server.models},
+            software=server.version,
         )
 
     def decode_vm(self, item: mirror.Item) -> heartbeat.VmInfo | None:
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -64,6 +64,8 @@
         Incarnation number, which differs between starts under the same name.
     versions
         Versions of the weights by model.
+    software
+        Version of its software; empty if unknown.
     """
 
     name: str
@@ -74,6 +76,7 @@
     leaving: bool
     life: int
     versions: Mapping[str, int]
+    software: str = ""
 
 
 @dataclasses.dataclass(slots=True)
