--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -197,6 +197,7 @@
         self.closed_connections = 0
         self.delay_seconds = 0.0
         self.interrupted_event = 3
+        self.software = "v1"
 
     async def handle(self, request, writer):
         await asyncio.sleep(self.delay_seconds)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -51,7 +51,17 @@
             streaming = self.state.deployment.services["s"].engine is not None
             versions = {"m": server.version} if streaming else {}
             self.state.registry.put(
-                registry.Entry(server.name, "s", server.address, "dar-a", 8, False, 1, versions)
+                registry.Entry(
+                    server.name,
+                    "s",
+                    server.address,
+                    "dar-a",
+                    8,
+                    False,
+                    1,
+                    versions,
+                    server.software,
+                )
             )
         self.pool = connection_pool.ConnectionPool()
         self.relay = relay.Relay(
@@ -127,11 +137,13 @@
     """Yield a function that starts servers with the given behaviours and a VM."""
     async with contextlib.AsyncExitStack() as stack:
 
-        async def start(*behaviours, **route):
+        async def start(*behaviours, software=(), **route):
             stand_ins = [
                 conftest.ServerStandIn(f"i-{n}", behaviour)
                 for n, behaviour in enumerate(behaviours)
             ]
+            for stand_in, version in zip(stand_ins, software, strict=False):
+                stand_in.software = version
             running = [await stack.enter_async_context(s.running()) for s in stand_ins]
             return RelayVm(running, **route), running
 
@@ -280,6 +292,27 @@
     assert caller.ended
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("software", [("v1", "v2", "v1"), ("v1", "v2", "v2")])
+async def test_stream_does_not_go_on_at_another_software_version(start_vm, software):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        "complete",
+        software=software,
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    for server in servers[1:]:
+        vm.state.registry.get(server.name).record_failure(clock.now())
+    with anyio.fail_after(1.0):
+        caller = await vm.send_request()
+    whole = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert [len(server.requests) for server in servers] == [1, 0, software.count("v1") - 1]
+    assert caller.ended == (software.count("v1") > 1)
+    assert caller.body == (whole if caller.ended else b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+
+
 @pytest.mark.anyio
 async def test_interrupted_at_most_once_stream_is_not_ended_or_retried(start_vm):
     vm, servers = await start_vm("interrupt", "interrupt", streaming=True)
