Go on with a stream only at the software version that began it

Ruled out: an upstream that changes its version under the same name, as no entry did. Why this works: the first event that is passed on fixes the version in the context of the request, and the selection takes no upstream of another. A stream that a caller takes up at another VM is not covered by this: next.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -333,6 +333,8 @@
         if context.response.started:
             await context.response.write(events)
             return
+        if context.software is None:
+            context.software = selected.upstream.entry.software
         context.first_byte_at = clock.now()
         self._metrics.observe("first_event", context.first_byte_at - context.arrived_at)
         await context.response.start(head.status, head.headers, events)
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -180,6 +180,7 @@
             context.route.target_latency,
             context.min_target_seconds * MAX_WAIT_TARGET_RATIO,
             context.retry_state.upstreams,
+            context.software,
         )
         selected = self._state.selector.select(selection_request, now)
         if (
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -74,6 +74,9 @@
         Time at which the first part of the response was sent, in seconds of `clock.now`; 0 before.
     last_failure
         Last failed attempt that may have run, or None.
+    software
+        Software version of the upstream that began the stream, None before its first event. Only
+        upstreams of that version continue it.
     """
 
     request: request_types.Request
@@ -89,6 +92,7 @@
     selected: selection.Selection | None = None
     first_byte_at: float = 0.0
     last_failure: Failed | None = None
+    software: str | None = None
 
     @property
     def seconds_left(self) -> float:
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -77,6 +77,9 @@
         Longest time to wait in an upstream's queue.
     excluded
         Names of the upstreams already tried.
+    software
+        Software version that the upstream must have, as it began the stream that it is to continue;
+        None for any.
     """
 
     request_id: str
@@ -88,6 +91,7 @@
     target_seconds: float
     max_wait_seconds: float
     excluded: frozenset[str] = frozenset()
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,6 +227,7 @@
             for upstream in self._registry.of_service(request.service)
             if not upstream.entry.leaving
             and upstream.name not in request.excluded
+            and request.software in (None, upstream.entry.software)
             and not self._is_expired(request, upstream, now)
         ]
         candidates = [self._candidate(request, upstream, now) for upstream in upstreams]
