Failing test: events read together with an invalid one are lost, the answer ends as whole

An upstream sends events 1, 2, 2, 3 in one read; the caller gets 3, 4, 5 of the next upstream and a proper end. All four cases fail on the code as it is.

--- a/hollyring/delivery/tests/test_event_stream.py
+++ b/hollyring/delivery/tests/test_event_stream.py
@@ -49,6 +49,14 @@
         stream.feed(events(second, second))
 
 
+@pytest.mark.parametrize("bad", [events(2, 2), events(5, 5), b"id: x\ndata: a\n\n"])
+def test_events_before_an_invalid_one_in_the_same_read_are_returned(stream, bad):
+    received = stream.feed(events(1, 2) + bad + events(3, 4))
+    assert received == events(1, stream.last_number) == events(1, 2)
+    with pytest.raises(errors.StreamOrderError):
+        stream.feed(events(3, 4))
+
+
 def test_resuming_caller_gets_only_later_events():
     stream = event_stream.EventStream(5)
     assert stream.feed(events(4, 7)) == events(6, 7)
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -183,7 +183,8 @@
     ``complete``: a complete response or stream; ``refuse``: 503 with ``x-not-run``;
     ``misdirect``: 421 from another instance; ``silent``: no response; ``reset``: reset of the
     connection; ``error``: status 500; ``unsealed``: a response without a signature;
-    ``interrupt``: reset of the connection within event `interrupted_event` of a stream.
+    ``interrupt``: reset of the connection within event `interrupted_event` of a stream;
+    ``repeat``: a stream in one chunk, with its second event twice.
     """
 
     def __init__(self, name="i-1", behaviour="complete", events=5):
@@ -251,6 +252,11 @@
         head = ["HTTP/1.1 200 OK", "content-type: text/event-stream", "transfer-encoding: chunked"]
         head += [f"x-request-id: {request.headers['x-request-id']}", f"x-response-seal: {SEAL}"]
         writer.write("\r\n".join([*head, "", ""]).encode())
+        if self.behaviour == "repeat":
+            numbers = (1, 2, 2, *range(3, self.events + 1))
+            events = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in numbers)
+            writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(events), events))
+            return
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             if self.behaviour == "interrupt" and number == self.interrupted_event:
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -292,6 +292,18 @@
     assert caller.ended
 
 
+@pytest.mark.anyio
+async def test_stream_is_whole_after_an_upstream_repeated_an_event(start_vm):
+    vm, servers = await start_vm(
+        "repeat", "complete", streaming=True, retry_safety=request_types.RetrySafety.RESUMABLE
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    caller = await vm.send_request()
+    assert request_count(servers) == 2
+    assert caller.body == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert caller.ended
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("software", [("v1", "v2", "v1"), ("v1", "v2", "v2")])
 async def test_stream_does_not_go_on_at_another_software_version(start_vm, software):
