Pass on the events that precede an invalid one before the attempt fails

Cause: the number of the last event advanced for each valid event, but an invalid one in the same read discarded them all; the next upstream was asked to go on after events that nobody had received. Why this works: events are returned up to the invalid one, which is reported by the next call or at the end of the stream, so the number never counts what was not returned.

--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -33,12 +33,13 @@
     b'id: 2\\ndata: b\\n\\n'
     """
 
-    __slots__ = ("_last_number", "_buffer", "_resumed")
+    __slots__ = ("_last_number", "_buffer", "_resumed", "_error")
 
     def __init__(self, after: int | None) -> None:
         self._last_number = after
         self._buffer = b""
         self._resumed = after is not None
+        self._error: errors.StreamOrderError | None = None
 
     @property
     def last_number(self) -> int | None:
@@ -59,15 +60,20 @@
         """Discard a partly received event; what follows comes from another attempt."""
         self._buffer = b""
         self._resumed = self._last_number is not None
+        self._error = None
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that are now complete.
 
+        Events that precede an invalid one are returned, and the next call or `check_end` raises.
+
         Raises
         ------
         StreamOrderError
             If an event is missing, duplicate or unreadable; no later event may be passed on.
         """
+        if self._error is not None:
+            raise self._error
         buffered = self._buffer + data
         end = buffered.rfind(SEPARATOR)
         if end < 0:
@@ -76,8 +82,30 @@
             self._buffer = buffered
             return b""
         self._buffer = buffered[end + len(SEPARATOR) :]
-        events = buffered[: end + len(SEPARATOR)].split(SEPARATOR)[:-1]
-        return b"".join(event + SEPARATOR for event in events if self._accept(event))
+        accepted: list[bytes] = []
+        for event in buffered[: end + len(SEPARATOR)].split(SEPARATOR)[:-1]:
+            try:
+                if self._accept(event):
+                    accepted.append(event + SEPARATOR)
+            except errors.StreamOrderError as error:
+                self._error = error
+                if not accepted:
+                    raise
+                break
+        return b"".join(accepted)
+
+    def check_end(self) -> None:
+        """Check that the stream may end here.
+
+        Raises
+        ------
+        StreamOrderError
+            If an event was invalid, or the last one is incomplete.
+        """
+        if self._error is not None:
+            raise self._error
+        if not self.at_event_boundary:
+            raise errors.StreamOrderError("ended within an event")
 
     def _accept(self, event: bytes) -> bool:
         number = _event_number(event)
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -302,18 +302,16 @@
             data = await self._wait_for(context, selected, exchange.read)
             now = clock.now()
             upstream.record_activity(now)
-            if data is None:
-                break
             try:
+                if data is None:
+                    context.events.check_end()
+                    break
                 events = context.events.feed(data)
             except delivery_errors.StreamOrderError as error:
                 upstream.record_failure(now)
                 return request_context.Failed(str(error))
             if events:
                 await self._forward_events(context, selected, head, events)
-        if not context.events.at_event_boundary:
-            upstream.record_failure(now)
-            return request_context.Failed("ended within an event")
         if not context.response.started:
             await context.response.start(head.status, head.headers, b"")
         await context.response.end()
