Bound the wait for the close of a caller that has left

What an operator would see: with two unread requests on one connection that the caller closed, the handler of the first waited for ever, as uvicorn marks only the newest request as disconnected; a stop of the VM waited for it until the grace period was over. Now the wait lasts a second at most; an attempt for a caller that has left raises an error of its own, and the connection to the upstream that was to carry it goes back to the pool instead of being closed.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -321,7 +321,8 @@
             body = await asgi.read_body(receive, self._max_body_bytes(), BODY_TIMEOUT_SECONDS)
             if response.caller_left:
                 self._log.info("caller left before its request was read")
-                await asgi.wait_disconnect(receive)
+                with anyio.move_on_after(caller_connection.CLOSE_READ_SECONDS):
+                    await asgi.wait_disconnect(receive)
                 return
             request = codec.decode_request(scope, body)
         except asgi.BodyTooLargeError:
@@ -342,6 +343,8 @@
             except responses.IncompleteResponseError:
                 # uvicorn closes the connection if the app returns before the response is complete.
                 self._metrics.increment("broken_off")
+            except responses.CallerLeftError:
+                await anyio.sleep(caller_connection.CLOSE_READ_SECONDS)
             task_group.cancel_scope.cancel()
 
     def _max_body_bytes(self) -> int:
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -16,6 +16,7 @@
     interfaces,
     metrics,
     request_context,
+    responses,
     state,
 )
 from hollyring.routing import costs, registry, selection
@@ -89,7 +90,13 @@
     async def run(
         self, context: request_context.RequestContext, selected: selection.Selection
     ) -> request_context.Outcome:
-        """Send a request to an upstream and forward the response to the caller."""
+        """Send a request to an upstream and forward the response to the caller.
+
+        Raises
+        ------
+        CallerLeftError
+            If the caller has left before the request could be sent.
+        """
         long_response = costs.is_long(context.request.prompt)
         selected.upstream.record_sent(
             context.request_id,
@@ -128,9 +135,7 @@
             return request_context.NotRun("deadline while connecting")
         try:
             if context.response.caller_left:
-                # This task is cancelled when the event loop reads the close.
-                await anyio.sleep(max(0.0, context.seconds_left))
-                return request_context.NotRun("caller left")
+                raise responses.CallerLeftError(context.request_id)
             exchange = connection.send(
                 self._request(context, selected), self._codec.response_matcher(context.request_id)
             )
--- a/hollyring/node/caller_connection.py
+++ b/hollyring/node/caller_connection.py
@@ -12,6 +12,9 @@
 SCOPE_EXTENSION = "hollyring.caller_connection"
 """Key of the connection in the ``extensions`` of an ASGI scope."""
 
+CLOSE_READ_SECONDS = 1.0
+"""Time for the event loop to read a close that the socket already has."""
+
 
 class CallerConnection:
     """Connection that a caller may have closed before its request was read.
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -224,7 +224,7 @@
         """End the exchange, and return whether the connection may be reused."""
         exchange, self._exchange = self._exchange, None
         self.idle_since = clock.now()
-        if exchange is None or not exchange.ended or not self.reusable:
+        if not self.reusable or (exchange is not None and not exchange.ended):
             self.abort()
             return False
         return True
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -84,6 +84,8 @@
         ------
         IncompleteResponseError
             If the response was started and cannot be completed.
+        CallerLeftError
+            If the caller has left before the request could be sent.
         """
         arrived_at = clock.now()
         self._metrics.increment("requests")
@@ -97,7 +99,7 @@
         except _RequestRefusedError as error:
             self._log_end(admitted, error.refusal.code)
             await response.refuse(error.refusal)
-        except anyio.get_cancelled_exc_class():
+        except (responses.CallerLeftError, anyio.get_cancelled_exc_class()):
             self._log_end(admitted, "caller left")
             raise
 
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -91,6 +91,7 @@
         self.caller_url = f"http://127.0.0.1:{caller_port}"
         self.health_url = f"http://127.0.0.1:{health_port}/hollyring/ready"
         self.entry_url = f"http://127.0.0.1:{entry_port}/hollyring/resolve?name=h.example"
+        self.metrics_url = f"http://127.0.0.1:{metrics_port}/metrics"
         self.settings_path = directory / f"{name}.toml"
         self.settings_path.write_text(f"""
             node_name = "{name}"
@@ -143,13 +144,17 @@
         return await pool.request("POST", vm.caller_url + "/a/b", headers=headers, content=b"body")
 
 
+def encode_request(request_id):
+    head = f"POST /a/b HTTP/1.1\r\nhost: h.example\r\nx-request-id: {request_id}\r\n"
+    head += "authorization: Bearer k\r\ncontent-length: 4\r\n\r\n"
+    return head.encode() + b"body"
+
+
 def send_and_leave(vm, request_id, connection=None):
     """Send a whole request and close the connection without waiting for the response."""
     host, _, port = vm.caller_url.removeprefix("http://").partition(":")
     connection = connection or socket.create_connection((host, int(port)))
-    head = f"POST /a/b HTTP/1.1\r\nhost: h.example\r\nx-request-id: {request_id}\r\n"
-    head += "authorization: Bearer k\r\ncontent-length: 4\r\n\r\n"
-    connection.sendall(head.encode() + b"body")
+    connection.sendall(encode_request(request_id))
     connection.close()
 
 
@@ -227,6 +232,24 @@
     assert [request.headers["x-request-id"] for request in server.requests] == ["r-5"]
 
 
+@pytest.mark.anyio
+async def test_requests_of_one_caller_that_left_unread_do_not_hold_up_the_stop(cluster):
+    store, server, start = cluster
+    vm = start()
+    await vm.wait_ready()
+    host, _, port = vm.caller_url.removeprefix("http://").partition(":")
+    connection = socket.create_connection((host, int(port)))
+    vm.process.send_signal(signal.SIGSTOP)
+    connection.sendall(encode_request("r-1") + encode_request("r-2"))
+    connection.close()
+    vm.process.send_signal(signal.SIGCONT)
+    await anyio.sleep(1.5)
+    async with httpcore.AsyncConnectionPool() as pool:
+        page = (await pool.request("GET", vm.metrics_url)).content.decode()
+    assert "hollyring_open_requests 0\n" in page
+    assert server.requests == []
+
+
 @pytest.mark.anyio
 async def test_store_change_takes_effect_within_a_second_and_older_version_does_not(cluster):
     store, server, start = cluster
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -102,7 +102,13 @@
         self.state.selector.configure(self.state.deployment)
 
     async def send_request(
-        self, request_id="r-1", api_key="key", deadline_seconds=2.0, path="/x?y=%20", headers=()
+        self,
+        request_id="r-1",
+        api_key="key",
+        deadline_seconds=2.0,
+        path="/x?y=%20",
+        headers=(),
+        caller_left=False,
     ):
         caller = Caller()
         prompt = None
@@ -126,7 +132,9 @@
             deadline_seconds,
             prompt,
         )
-        response = responses.ResponseWriter(caller.send, ingress.encode_refusal, lambda: False)
+        response = responses.ResponseWriter(
+            caller.send, ingress.encode_refusal, lambda: False, lambda: caller_left
+        )
         with contextlib.suppress(responses.IncompleteResponseError):
             await self.relay.serve(request, response)
         return caller
@@ -344,6 +352,18 @@
     assert vm.state.registry.get("i-0").open_requests == 0
 
 
+@pytest.mark.anyio
+async def test_no_attempt_is_made_for_a_caller_that_left_and_its_connection_is_kept(start_vm):
+    vm, servers = await start_vm("complete")
+    await vm.send_request("r-1")
+    opened = vm.pool.opened
+    with pytest.raises(responses.CallerLeftError):
+        await vm.send_request("r-2", caller_left=True)
+    await vm.send_request("r-3")
+    assert [r.headers["x-request-id"] for r in servers[0].requests] == ["r-1", "r-3"]
+    assert vm.pool.opened == opened
+
+
 @pytest.mark.anyio
 async def test_final_response_is_sent_at_the_route_timeout(start_vm):
     vm, _ = await start_vm("silent", timeout=0.4)
