--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -199,6 +199,7 @@
         self.delay_seconds = 0.0
         self.interrupted_event = 3
         self.software = "v1"
+        self.event_seconds = 0.01
 
     async def handle(self, request, writer):
         await asyncio.sleep(self.delay_seconds)
@@ -267,7 +268,7 @@
                 return
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.event_seconds)
         writer.write(b"0\r\n\r\n")
 
     async def wait_closed(self, writer):
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -86,7 +86,7 @@
 class VmProcess:
     """A VM process and its addresses."""
 
-    def __init__(self, directory, store_address, name="vm-1"):
+    def __init__(self, directory, store_address, name="vm-1", contracts=()):
         caller_port, health_port, entry_port, peer_port, metrics_port = free_ports(5)
         self.caller_url = f"http://127.0.0.1:{caller_port}"
         self.health_url = f"http://127.0.0.1:{health_port}/hollyring/ready"
@@ -99,6 +99,7 @@
             zone = "dar-a"
             region = "dar"
             internal_ports = [{peer_port}, {metrics_port}]
+            contracts = {json.dumps(contracts)}
             [listen]
             front = "127.0.0.1:{caller_port}"
             ready = "127.0.0.1:{health_port}"
