Go on with a stream that a caller takes up only at the software version that began it

What callers saw: streams that they took up at another VM went on at any software version (ORDER). Cause: only the VM that began a stream could know at which version; the header that names the attempt which brought the first event was not decoded. Change: each VM keeps for 30 s at which version its streams began (delivery/stream_origins), and tells the others in its heartbeats while a service has, or had until recently, several versions; what began before is told when a second one appears, and again when another VM starts. A stream whose origin is unknown is refused, not run, while several versions serve; with a time to return by which the next heartbeats have arrived. The service follows from the first attempt's identity too, so that a split route does not change it. Ruled out: asking the other VMs on demand, as the VM that knows is often the one that was lost. What remains: streams that began less than a heartbeat (0.15 s) before their VM was lost are refused.

--- a/hollyring/core/request_types.py
+++ b/hollyring/core/request_types.py
@@ -102,6 +102,9 @@
         Prompt of a request to an inference server, else None.
     resume_after
         Number of the last event that the caller already received, or None.
+    resumed_request_id
+        Identifier of the caller's earlier request that received the first event of the stream, or
+        an empty string.
     """
 
     request_id: str
@@ -115,3 +118,9 @@
     deadline_seconds: float
     prompt: Prompt | None = None
     resume_after: int | None = None
+    resumed_request_id: str = ""
+
+    @property
+    def first_request_id(self) -> str:
+        """Identifier of the request with which the caller began, this one or an earlier one."""
+        return self.resumed_request_id or self.request_id
--- a/hollyring/delivery/__init__.py
+++ b/hollyring/delivery/__init__.py
@@ -14,6 +14,7 @@
     "refusal",
     "storage",
     "stream",
+    "stream_origins",
 ]
 
 __getattr__ = lazy.submodule_getattr(__name__, __all__)
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -209,6 +209,25 @@
     reserved: list[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigins:
+    """Streams that began at one software version of a service's upstreams.
+
+    Parameters
+    ----------
+    service
+        Name of the service.
+    software
+        Software version of the upstreams that sent the first events.
+    request_ids
+        IDs of the requests that received the first events.
+    """
+
+    service: str = dataclasses.field(metadata={"wire_name": "service_name"})
+    software: str
+    request_ids: list[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Status of a VM, sent to every serving VM several times a second.
@@ -235,6 +254,9 @@
         the others.
     requests_per_second
         Recent rate of callers' requests at the sender.
+    stream_origins
+        Streams that began at the sender since the previous heartbeat, while upstreams of several
+        software versions serve.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -254,6 +276,7 @@
     leaving: bool = False
     exchanging: bool = True
     requests_per_second: float = 0.0
+    stream_origins: list[StreamOrigins] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -338,6 +338,7 @@
             return
         if context.software is None:
             context.software = selected.upstream.entry.software
+            self._state.record_stream_origin(context.request, selected.upstream)
         context.first_byte_at = clock.now()
         self._metrics.observe("first_event", context.first_byte_at - context.arrived_at)
         await context.response.start(head.status, head.headers, events)
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -110,6 +110,7 @@
             leaving=vm_state.leaving,
             exchanging=vm_state.peers.is_exchanging,
             requests_per_second=round(vm_state.requests.rate(now), 1),
+            stream_origins=vm_state.take_stream_origins(now),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -74,6 +74,12 @@
   3: optional list<string> reserved
 }
 
+struct MembershipStreamOrigins {
+  1: optional string service_name
+  2: optional string software
+  3: optional list<string> request_ids
+}
+
 struct MembershipPulse {
   1: optional MembershipPlace place
   2: optional bool ready
@@ -90,6 +96,7 @@
   13: optional bool leaving
   14: optional bool exchanging
   15: optional double requests_per_second
+  16: optional list<MembershipStreamOrigins> stream_origins
 }
 
 struct MembershipStatusRequest {
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -8,7 +8,7 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
-from hollyring.delivery import event_stream, refusal, retry
+from hollyring.delivery import event_stream, refusal, retry, stream_origins
 from hollyring.limits import fleet_window
 from hollyring.node import (
     attempt,
@@ -39,6 +39,9 @@
 UNCONFIGURED_RETRY_AFTER_SECONDS = 0.3
 """Retry delay given to callers by a VM that has no configuration yet."""
 
+UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
+"""Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
+
 
 class _RequestRefusedError(Exception):
     """The request ended with a refusal."""
@@ -126,9 +129,12 @@
             if exceeded is not None:
                 self._log_rate_exceeded(request, organisation, exceeded, arrived_at)
                 return refusal.make("rate_limited", exceeded.retry_after)
-        service = current.services.get(route.service_for(request.request_id))
+        service = current.services.get(route.service_for(request.first_request_id))
         if service is None:
             return refusal.make("no_upstream", selection.NO_UPSTREAM_RETRY_SECONDS)
+        continuation = self._state.continuation(request, service.name)
+        if isinstance(continuation, stream_origins.NotResumable):
+            return refusal.make("no_upstream", UNKNOWN_ORIGIN_RETRY_SECONDS, continuation.reason)
         self._state.retries(service.name).record_attempt(arrived_at)
         return request_context.RequestContext(
             request,
@@ -141,6 +147,7 @@
             _priority(route, organisation),
             current.shortest_target_latency(service.name, route.target_latency),
             event_stream.EventStream(request.resume_after),
+            software=_required_software(continuation),
         )
 
     async def _run_attempts(self, context: request_context.RequestContext) -> None:
@@ -226,6 +233,7 @@
             "refused",
             request=request.request_id,
             code=rejection.code,
+            why=rejection.message,
             retry_after=round(rejection.retry_after, 3),
             configuration=self._state.configuration_version,
             configuration_age=self._state.store_age(arrived_at),
@@ -316,3 +324,11 @@
     if organisation is not None and organisation.priority is not None:
         return organisation.priority
     return route.priority
+
+
+def _required_software(continuation: stream_origins.Continuation) -> str | None:
+    match continuation:
+        case stream_origins.OnlySoftware(software=software):
+            return software
+        case _:
+            return None
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -75,8 +75,8 @@
     last_failure
         Last failed attempt that may have run, or None.
     software
-        Software version of the upstream that began the stream, None before its first event. Only
-        upstreams of that version continue it.
+        Software version that began the stream, also if an earlier request of the caller did; None
+        before its first event. Only upstreams of that version continue it.
     """
 
     request: request_types.Request
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -14,6 +14,7 @@
 
 from hollyring.configuration import deployment, mirror
 from hollyring.core import request_types
+from hollyring.delivery import stream_origins
 from hollyring.limits import (
     fleet_window,
     organisation_rates,
@@ -22,7 +23,13 @@
 )
 from hollyring.membership import heartbeat, peer_table, request_meter
 from hollyring.node import cache_updates, clock, interfaces, logs, store_changes
-from hollyring.routing import prefix_caches, registry, selection, wanted_versions
+from hollyring.routing import (
+    prefix_caches,
+    registry,
+    selection,
+    software_versions,
+    wanted_versions,
+)
 
 MISSING_UPSTREAM_TTL_SECONDS = 1.8
 """Time after which an upstream is removed if its entry disappeared while the store was failing.
@@ -91,6 +98,10 @@
         self.wanted_versions = wanted_versions.WantedVersions(max_version_age_seconds)
         self.selector = selection.Selector(self.registry, self.prefix_caches, self.wanted_versions)
         self.caches = cache_updates.CacheUpdates(self.registry, self.prefix_caches, self.selector)
+        self.stream_origins = stream_origins.StreamOrigins()
+        self.software_versions = software_versions.SoftwareVersions(
+            stream_origins.ORIGIN_TTL_SECONDS
+        )
         self.peers = peer_table.PeerTable(vm_info)
         self.requests = request_meter.RequestMeter()
         self.mirrors = {
@@ -222,6 +233,33 @@
         self.caches.touch(cached)
         self.cached_prompts.append(cached)
 
+    def record_stream_origin(
+        self, request: request_types.Request, upstream: registry.Upstream
+    ) -> None:
+        """Record that an upstream sent the first event of a stream."""
+        origin = stream_origins.Origin(upstream.entry.service, upstream.entry.software)
+        self.stream_origins.record(request.first_request_id, origin, clock.now())
+
+    def continuation(
+        self, request: request_types.Request, service: str
+    ) -> stream_origins.Continuation:
+        """Return at which upstreams of a service a caller's stream may begin or go on."""
+        if not request.resume_after:
+            return stream_origins.AnySoftware()
+        now = clock.now()
+        self.software_versions.observe(self.registry.of_service(service), now)
+        return self.stream_origins.continuation(
+            request.resumed_request_id, service, self.software_versions.of_service(service), now
+        )
+
+    def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
+        """Return the streams to report to the other VMs in the next heartbeat."""
+        unreported = self.stream_origins.take_unreported(self.software_versions.mixed_services, now)
+        return [
+            heartbeat.StreamOrigins(origin.service, origin.software, request_ids)
+            for origin, request_ids in unreported.items()
+        ]
+
     def apply_store_changes(self, prefix: str, changed: set[str], now: float) -> None:
         """Apply the keys that changed under a prefix of the store."""
         self._store_changes.apply(prefix, changed, now)
@@ -238,6 +276,7 @@
         peer = self.peers.receive(message, now)
         if peer is not None:
             self.refresh_due = True
+            self.stream_origins.report_again()
             self._log.info(
                 "heartbeats from a new or returned VM", vm=message.vm.name, life=message.vm.life
             )
@@ -252,6 +291,9 @@
             self.apply_weights(weights, now)
         if message.order_lease.held:
             self.selector.reserve(message.order_lease.reserved)
+        for begun in message.stream_origins:
+            origin = stream_origins.Origin(begun.service, begun.software)
+            self.stream_origins.record_reported(begun.request_ids, origin, now)
         for unresponsive in message.unresponsive_upstreams:
             upstream = self.registry.get(unresponsive)
             if upstream is not None and now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
@@ -288,6 +330,7 @@
     def tick(self, now: float) -> None:
         """Update what depends on the other VMs; remove silent VMs and missing upstreams."""
         self.update_peers(now)
+        self.software_versions.observe(list(self.registry.upstreams.values()), now)
         self._rates.set_reachable_fraction(self.peers.reachable_fraction(now))
         self._retries.resize(self.sharing_vms)
         for name in self.peers.remove_silent(now):
--- a/hollyring/platform/ingress.py
+++ b/hollyring/platform/ingress.py
@@ -36,6 +36,9 @@
     request_id = _header_text(headers, b"x-request-id")
     if not request_id or len(request_id) > MAX_REQUEST_ID_BYTES:
         raise RequestError("x-request-id header is missing or too long")
+    resumed_request_id = _header_text(headers, b"resumes")
+    if len(resumed_request_id) > MAX_REQUEST_ID_BYTES:
+        raise RequestError("resumes header is too long")
     raw_path = scope["raw_path"]
     query = scope["query_string"]
     deadline_ms = _header_text(headers, b"x-deadline-ms")
@@ -59,6 +62,7 @@
         ),
         prompt=_parse_prompt(headers),
         resume_after=int(_parse_number(last_event_id)) if last_event_id else None,
+        resumed_request_id=resumed_request_id,
     )
 
 
--- a/hollyring/routing/__init__.py
+++ b/hollyring/routing/__init__.py
@@ -23,6 +23,7 @@
     "retry",
     "router",
     "selection",
+    "software_versions",
     "upstreams",
 ]
 
