Do not send a request again on a connection that has carried it

What callers would see: a request that an upstream runs is refused as "not run" (REFUSED), or is sent once more and runs twice (TWICE). Cause: a request that its only upstream refused is sent there again, mostly on the same kept connection. A second refusal that comes late bears the identity of the request, so it was taken for the answer to the second sending, which the upstream ran. Evidence: the new test in test_relay.py, with a stand-in that answers twice, the second time when the next request has arrived on the connection, failed before the fix: > assert request_count(servers) == 2 E assert 3 == 2 (three sendings, the upstream ran the last two; the caller's answer was that of the third). It passes now. Why this works: a connection remembers the identities of the last 16 requests that it carried, and the pool gives it to other requests only. On a connection, an identity so names one sending. The connection is kept for the others, so a refusal costs a new connection only if no other is idle. Limit: if the VM may open no further connection to the upstream, the attempt ends as not run. The class: an identity that names a request where the sending is meant.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -117,7 +117,7 @@
             with anyio.fail_after(max(0.0, context.seconds_left)):
                 max_connections = self._state.max_connections(context.service)
                 connection = await self._pool.acquire(
-                    address, max_connections, min_keep_alive_seconds
+                    address, max_connections, min_keep_alive_seconds, context.request_id
                 )
         except http_connection.TooManyConnectionsError as error:
             return request_context.NotRun(str(error))
@@ -132,7 +132,9 @@
                 await anyio.sleep(max(0.0, context.seconds_left))
                 return request_context.NotRun("caller left")
             exchange = connection.send(
-                self._request(context, selected), self._codec.response_matcher(context.request_id)
+                self._request(context, selected),
+                self._codec.response_matcher(context.request_id),
+                context.request_id,
             )
             return await self._receive(context, selected, exchange)
         except http_connection.NotSentError as error:
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -35,7 +35,11 @@
         return self._open[address]
 
     async def acquire(
-        self, address: str, max_connections: int, min_keep_alive_seconds: float = 0.0
+        self,
+        address: str,
+        max_connections: int,
+        min_keep_alive_seconds: float = 0.0,
+        request_id: str = "",
     ) -> http_connection.HttpConnection:
         """Return an idle connection to `address`, or a new one.
 
@@ -45,19 +49,17 @@
             Maximum number of open connections to this address.
         min_keep_alive_seconds
             Remaining keep-alive time that an idle connection must have, in seconds.
+        request_id
+            Identity of a request that the connection must not have carried before.
 
         Raises
         ------
         http_connection.NotSentError
             If no connection is available.
         """
-        now = clock.now()
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.reusable and connection.idle_seconds_left(now) > min_keep_alive_seconds:
-                return connection
-            connection.abort()
+        connection = self._take_idle(address, min_keep_alive_seconds, request_id)
+        if connection is not None:
+            return connection
         if self._open[address] >= max_connections:
             raise http_connection.TooManyConnectionsError("too many connections")
         return await self._connect(address)
@@ -132,6 +134,21 @@
                 idle.remove(connection)
                 connection.abort()
 
+    def _take_idle(
+        self, address: str, min_keep_alive_seconds: float, request_id: str
+    ) -> http_connection.HttpConnection | None:
+        """Return the idle connection that was used last and is suitable, and close expired ones."""
+        now = clock.now()
+        idle = self._idle.get(address, [])
+        for index in reversed(range(len(idle))):
+            if idle[index].has_carried(request_id):
+                continue
+            connection = idle.pop(index)
+            if connection.reusable and connection.idle_seconds_left(now) > min_keep_alive_seconds:
+                return connection
+            connection.abort()
+        return None
+
     async def _connect(
         self, address: str, seconds: float = CONNECT_TIMEOUT_SECONDS
     ) -> http_connection.HttpConnection:
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -26,6 +26,9 @@
 MAX_BUFFERED_BYTES = 1_000_000
 """Unread bytes of a response above which reading from the upstream pauses (backpressure)."""
 
+REMEMBERED_REQUESTS = 16
+"""Requests that a connection remembers; a second answer to an earlier one comes no later."""
+
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -186,6 +189,7 @@
         self._framed = True
         self._unusable = False
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
+        self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
         self.idle_since = clock.now()
 
     @property
@@ -205,9 +209,26 @@
         """Return the seconds for which the idle connection may still be reused."""
         return self.idle_since + self._keep_alive_seconds - now
 
-    def send(self, request: bytes, matches: ResponseMatcher) -> Exchange:
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether the request was sent on this connection recently.
+
+        If it is sent on this connection again, a late second answer to the first sending cannot be
+        told from the answer to the second.
+        """
+        return request_id in self._carried
+
+    def send(self, request: bytes, matches: ResponseMatcher, request_id: str = "") -> Exchange:
         """Write a request and return its exchange.
 
+        Parameters
+        ----------
+        request
+            Encoded request.
+        matches
+            Recognises the response.
+        request_id
+            Identity by which the response is recognised, empty if there is none.
+
         Raises
         ------
         NotSentError
@@ -216,6 +237,8 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             raise NotSentError("connection closed")
+        if request_id:
+            self._carried.append(request_id)
         self._exchange = Exchange(self, matches)
         transport.write(request)
         return self._exchange
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -58,10 +58,10 @@
             server.close()
 
 
-async def fetch(pool, address):
-    connection = await pool.acquire(address, max_connections=10)
+async def fetch(pool, address, request_id=""):
+    connection = await pool.acquire(address, max_connections=10, request_id=request_id)
     try:
-        exchange = connection.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n", matches)
+        exchange = connection.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n", matches, request_id)
         with anyio.fail_after(2):
             head = await exchange.head()
             return head.status, await exchange.body()
@@ -78,6 +78,15 @@
         assert upstream.connections == 1
 
 
+@pytest.mark.anyio
+async def test_connection_is_reused_for_any_request_but_those_that_it_carried():
+    async with Upstream(OK, OK, OK).running() as upstream:
+        pool = connection_pool.ConnectionPool()
+        for request_id in ("r-1", "r-2", "r-1"):
+            assert await fetch(pool, upstream.address, request_id) == (200, b"hi")
+        assert upstream.connections == 2
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("extra", [b"x", OK, b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n"])
 async def test_connection_with_bytes_after_the_response_is_not_reused(extra):
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -183,7 +183,11 @@
     ``complete``: a complete response or stream; ``refuse``: 503 with ``x-not-run``;
     ``misdirect``: 421 from another instance; ``silent``: no response; ``reset``: reset of the
     connection; ``error``: status 500; ``unsealed``: a response without a signature;
-    ``interrupt``: reset of the connection within event `interrupted_event` of a stream.
+    ``interrupt``: reset of the connection within event `interrupted_event` of a stream;
+    ``refuse-first``: ``refuse`` for the first request only.
+
+    With `repeats`, the answer to a request (no stream) is sent again when its connection has
+    carried the next one, before the answer to that.
     """
 
     def __init__(self, name="i-1", behaviour="complete", events=5):
@@ -197,9 +201,12 @@
         self.closed_connections = 0
         self.delay_seconds = 0.0
         self.interrupted_event = 3
+        self.repeats = False
+        self.late_answers = {}
 
     async def handle(self, request, writer):
         await asyncio.sleep(self.delay_seconds)
+        writer.write(self.late_answers.pop(writer, b""))
         if request.path == "/hollyring/report":
             writer.write(encode_response(200, json.dumps(self.report()).encode()))
         elif request.path == "/hollyring/order":
@@ -210,6 +217,9 @@
             writer.write(encode_response(200, json.dumps(events).encode()))
         elif self.behaviour == "refuse":
             writer.write(encode_response(503, b"", x_not_run=1))
+        elif self.behaviour == "refuse-first" and len(self.requests) == 1:
+            name = request.headers["x-request-id"]
+            self.answer(writer, encode_response(503, b"", x_request_id=name, x_not_run=1))
         elif self.behaviour == "misdirect":
             writer.write(encode_response(421, b"", x_instance_id="i-9"))
         elif self.behaviour == "silent":
@@ -225,10 +235,16 @@
         elif "x-model" in request.headers:
             await self.stream(request, writer)
         else:
-            writer.write(
-                self.encode_sealed_response(request, 200, b"done by " + self.name.encode())
+            self.answer(
+                writer,
+                self.encode_sealed_response(request, 200, b"done by " + self.name.encode()),
             )
 
+    def answer(self, writer, response):
+        writer.write(response)
+        if self.repeats:
+            self.late_answers[writer] = response
+
     def report(self):
         models = [{"name": "m", "version": self.version, "adapters": []}]
         return {"stage": "both", "models": models, "busy": False, "sequence": self.sequence}
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -177,6 +177,15 @@
         assert caller.status == 200
 
 
+@pytest.mark.anyio
+async def test_late_second_refusal_is_not_the_answer_when_the_request_is_sent_again(start_vm):
+    vm, servers = await start_vm("refuse-first")
+    servers[0].repeats = True
+    caller = await vm.send_request()
+    assert (caller.status, caller.body) == (200, b"done by i-0")
+    assert request_count(servers) == 2
+
+
 @pytest.mark.anyio
 async def test_request_that_no_upstream_ran_is_refused_immediately_with_retry_after(start_vm):
     vm, _ = await start_vm("refuse", "refuse")
