Keep the connections of internal calls apart from those of requests

What callers would see: a request fails (502) though its upstream ran and answered it. Cause: reports, orders and polls of cache events shared the kept connections with requests and take any answer. A late second answer to a request was taken for the answer to a call; the call's own answer, which names no request, then came for the next request on that connection and was accepted as its answer, without a signature. The same happened after a second answer to a call. Evidence: two new tests in test_relay.py, with the stand-in that answers twice, failed before the fix: report after a request: JSONDecodeError, the body of the report was 'done by i-0' request after a report: assert (502, b'{"err...eam_failed"}') == (200, b'done by i-0') They pass now. Why this works: the pool keeps two sets of idle connections, and a connection stays in its set. On those of requests every answer is one to a request, which its identity tells from the others; no call can receive it. The VM opens at most one more connection per call that runs at the same time. A matcher for calls ('names no request') was the alternative; it would not have kept a call's answer from a request. Remains: calls still share connections among each other. The class: answers with and without an identity on one connection.

--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -7,6 +7,9 @@
 
 from hollyring.node import clock, http_connection
 
+IdleConnections = dict[str, list[http_connection.HttpConnection]]
+"""Idle connections by address, in the order in which they became idle."""
+
 CONNECT_TIMEOUT_SECONDS = 0.5
 PROBE_TIMEOUT_SECONDS = 0.25
 """Timeout of the connection that probes an upstream; a running host accepts within it."""
@@ -16,12 +19,17 @@
 
 
 class ConnectionPool:
-    """Keep-alive connections by address."""
+    """Keep-alive connections by address.
+
+    Callers' requests and internal calls never use the same connection: the answer to a call does
+    not name it, so a late second answer to a request or call could not be told from the next one.
+    """
 
-    __slots__ = ("_idle", "_open", "_opened")
+    __slots__ = ("_idle", "_idle_for_calls", "_open", "_opened")
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[http_connection.HttpConnection]] = {}
+        self._idle: IdleConnections = {}
+        self._idle_for_calls: IdleConnections = {}
         self._open: collections.Counter[str] = collections.Counter()
         self._opened = 0
 
@@ -41,7 +49,7 @@
         min_keep_alive_seconds: float = 0.0,
         request_id: str = "",
     ) -> http_connection.HttpConnection:
-        """Return an idle connection to `address`, or a new one.
+        """Return an idle connection to `address` that has carried no call, or a new one.
 
         Parameters
         ----------
@@ -57,7 +65,8 @@
         http_connection.NotSentError
             If no connection is available.
         """
-        connection = self._take_idle(address, min_keep_alive_seconds, request_id)
+        idle = self._idle.get(address, [])
+        connection = _take(idle, min_keep_alive_seconds, request_id)
         if connection is not None:
             return connection
         if self._open[address] >= max_connections:
@@ -92,7 +101,9 @@
         http_connection.HttpConnectionError
             If no complete response was received within `seconds`.
         """
-        connection = await self.acquire(address, max_connections=self._open[address] + 1)
+        connection = _take(self._idle_for_calls.get(address, []))
+        if connection is None:
+            connection = await self._connect(address)
         try:
             async with asyncio.timeout(seconds):
                 exchange = connection.send(request, http_connection.match_any)
@@ -101,21 +112,21 @@
         except TimeoutError as error:
             raise http_connection.HttpConnectionError("no answer in time") from error
         finally:
-            self.release(address, connection)
+            _put(self._idle_for_calls, address, connection)
 
     def release(self, address: str, connection: http_connection.HttpConnection) -> None:
         """Return a connection to the pool after its exchange, or close it if it is not reusable."""
-        if connection.release():
-            self._idle.setdefault(address, []).append(connection)
+        _put(self._idle, address, connection)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to one address."""
-        for connection in self._idle.pop(address, []):
-            connection.abort()
+        for connections in (self._idle, self._idle_for_calls):
+            for connection in connections.pop(address, []):
+                connection.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle):
+        for address in [*self._idle, *self._idle_for_calls]:
             self.close_idle(address)
 
     async def sweep(self) -> None:
@@ -127,28 +138,13 @@
     def close_expired(self) -> None:
         """Close expired idle connections."""
         now = clock.now()
-        for idle in self._idle.values():
+        for idle in [*self._idle.values(), *self._idle_for_calls.values()]:
             for connection in [
                 connection for connection in idle if connection.idle_seconds_left(now) <= 0
             ]:
                 idle.remove(connection)
                 connection.abort()
 
-    def _take_idle(
-        self, address: str, min_keep_alive_seconds: float, request_id: str
-    ) -> http_connection.HttpConnection | None:
-        """Return the idle connection that was used last and is suitable, and close expired ones."""
-        now = clock.now()
-        idle = self._idle.get(address, [])
-        for index in reversed(range(len(idle))):
-            if idle[index].has_carried(request_id):
-                continue
-            connection = idle.pop(index)
-            if connection.reusable and connection.idle_seconds_left(now) > min_keep_alive_seconds:
-                return connection
-            connection.abort()
-        return None
-
     async def _connect(
         self, address: str, seconds: float = CONNECT_TIMEOUT_SECONDS
     ) -> http_connection.HttpConnection:
@@ -169,6 +165,32 @@
 
     def _lost(self, address: str, connection: http_connection.HttpConnection) -> None:
         self._open[address] -= 1
-        idle = self._idle.get(address)
-        if idle and connection in idle:
-            idle.remove(connection)
+        for connections in (self._idle, self._idle_for_calls):
+            idle = connections.get(address)
+            if idle and connection in idle:
+                idle.remove(connection)
+
+
+def _take(
+    idle: list[http_connection.HttpConnection],
+    min_keep_alive_seconds: float = 0.0,
+    request_id: str = "",
+) -> http_connection.HttpConnection | None:
+    """Take the suitable connection that was used last, and close unusable ones after it."""
+    now = clock.now()
+    for index in reversed(range(len(idle))):
+        if idle[index].has_carried(request_id):
+            continue
+        connection = idle.pop(index)
+        if connection.reusable and connection.idle_seconds_left(now) > min_keep_alive_seconds:
+            return connection
+        connection.abort()
+    return None
+
+
+def _put(
+    connections: IdleConnections, address: str, connection: http_connection.HttpConnection
+) -> None:
+    """End a connection's exchange and make it idle, or close it if it is not reusable."""
+    if connection.release():
+        connections.setdefault(address, []).append(connection)
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -186,8 +186,8 @@
     ``interrupt``: reset of the connection within event `interrupted_event` of a stream;
     ``refuse-first``: ``refuse`` for the first request only.
 
-    With `repeats`, the answer to a request (no stream) is sent again when its connection has
-    carried the next one, before the answer to that.
+    With `repeats`, an answer to a request (no stream), report or order is sent again when its
+    connection has carried the next one, before the answer to that.
     """
 
     def __init__(self, name="i-1", behaviour="complete", events=5):
@@ -208,9 +208,9 @@
         await asyncio.sleep(self.delay_seconds)
         writer.write(self.late_answers.pop(writer, b""))
         if request.path == "/hollyring/report":
-            writer.write(encode_response(200, json.dumps(self.report()).encode()))
+            self.answer(writer, encode_response(200, json.dumps(self.report()).encode()))
         elif request.path == "/hollyring/order":
-            writer.write(self.order(json.loads(request.body)))
+            self.answer(writer, self.order(json.loads(request.body)))
         elif request.path == "/hollyring/kv-events":
             await asyncio.sleep(0.2)
             events = {"boot_epoch": 1, "next": 0, "lost": False, "events": []}
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of the request path with the adapter's codecs, against stand-ins."""
 
 import contextlib
+import json
 
 import anyio
 import pytest
@@ -186,6 +187,28 @@
     assert request_count(servers) == 2
 
 
+@pytest.mark.anyio
+async def test_late_second_answer_to_a_request_is_not_the_answer_to_a_call(start_vm):
+    vm, servers = await start_vm("complete")
+    servers[0].repeats = True
+    await vm.send_request("r-1")
+    request = upstreams.HttpUpstreamCodec().encode_report_request(servers[0].address)
+    report = await vm.pool.call(servers[0].address, request, 0.5)
+    caller = await vm.send_request("r-2")
+    assert json.loads(report.body) == servers[0].report()
+    assert (caller.status, caller.body) == (200, b"done by i-0")
+
+
+@pytest.mark.anyio
+async def test_late_second_answer_to_a_call_is_not_the_answer_to_a_request(start_vm):
+    vm, servers = await start_vm("complete")
+    servers[0].repeats = True
+    request = upstreams.HttpUpstreamCodec().encode_report_request(servers[0].address)
+    await vm.pool.call(servers[0].address, request, 0.5)
+    caller = await vm.send_request()
+    assert (caller.status, caller.body) == (200, b"done by i-0")
+
+
 @pytest.mark.anyio
 async def test_request_that_no_upstream_ran_is_refused_immediately_with_retry_after(start_vm):
     vm, _ = await start_vm("refuse", "refuse")
