Fail an attempt whose upstream does not answer a resumption with a stream

What callers would see: a stream that breaks off, with an internal error at the VM and no line `ended`, though another upstream could have continued it. Cause: an upstream that is asked to continue a stream may answer with another status than 200, and that answer went to the path for whole answers, which sends a head. The caller already had one. Evidence: the new tests in test_relay.py; three of four failed before the fix, within responses.ResponseWriter.send: E assert 200 is None (the second head of one answer), for status 404 always and for status 500 from the last upstream; the fourth, status 500 with attempts left, passed before. All four pass now. Why this works: after the caller has the head, such an answer is a failed attempt, whatever its status. The class: a path that assumes that it writes the first byte of the answer.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -282,10 +282,14 @@
         body = await self._wait_for(context, selected, exchange.body)
         now = clock.now()
         upstream.record_first_event(context.request_id, now)
+        failed = request_context.Failed(f"status {head.status}", head, body)
         if head.status >= HTTP_SERVER_ERROR:
             upstream.record_failure(now)
             if context.retry_state.may_run_elsewhere:
-                return request_context.Failed(f"status {head.status}", head, body)
+                return failed
+        if context.response.started:
+            # The caller has the head of a stream, which only another stream can continue.
+            return failed
         context.first_byte_at = now
         self._metrics.observe("answer", now - context.arrived_at)
         await context.response.send(head.status, head.headers, body)
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -182,7 +182,8 @@
 
     ``complete``: a complete response or stream; ``refuse``: 503 with ``x-not-run``;
     ``misdirect``: 421 from another instance; ``silent``: no response; ``reset``: reset of the
-    connection; ``error``: status 500; ``unsealed``: a response without a signature;
+    connection; ``error``: status 500; ``not-found``: status 404;
+    ``unsealed``: a response without a signature;
     ``interrupt``: reset of the connection within event `interrupted_event` of a stream;
     ``refuse-first``: ``refuse`` for the first request only.
 
@@ -228,6 +229,8 @@
             writer.transport.abort()
         elif self.behaviour == "error":
             writer.write(self.encode_sealed_response(request, 500, b"failed"))
+        elif self.behaviour == "not-found":
+            writer.write(self.encode_sealed_response(request, 404, b"none"))
         elif self.behaviour == "unsealed":
             writer.write(
                 encode_response(200, b"fake", x_request_id=request.headers["x-request-id"])
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -312,6 +312,43 @@
     assert caller.ended
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["error", "not-found"])
+async def test_started_stream_goes_on_after_an_upstream_that_answers_its_resumption_with_an_error(
+    start_vm, behaviour
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        behaviour,
+        "complete",
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+        attempts=3,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    for _ in range(2):
+        vm.state.registry.get("i-2").record_failure(clock.now())
+    caller = await vm.send_request()
+    assert [len(server.requests) for server in servers] == [1, 1, 1]
+    assert caller.body == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert caller.ended
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["error", "not-found"])
+async def test_started_stream_is_not_ended_after_its_last_upstream_answers_with_an_error(
+    start_vm, behaviour
+):
+    vm, servers = await start_vm(
+        "interrupt", behaviour, streaming=True, retry_safety=request_types.RetrySafety.RESUMABLE
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    caller = await vm.send_request()
+    assert request_count(servers) == 2
+    assert (caller.status, caller.body) == (200, b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+    assert not caller.ended
+
+
 @pytest.mark.anyio
 async def test_interrupted_at_most_once_stream_is_not_ended_or_retried(start_vm):
     vm, servers = await start_vm("interrupt", "interrupt", streaming=True)
