Read again on a connection that carried a large answer

What callers would see: a request that waits for its upstream until its deadline or its next attempt, after an answer of over 1 MB; the store and reports likewise. Cause: reading pauses above 1 MB of unread bytes. `Exchange.body` returns at the end of the answer without reading on, and the connection became idle paused: the next answer on it, late bytes and a close by the upstream stayed unread. Found by reading, when looking for bytes of one exchange that reach another; bytes left in the socket of an idle connection are such a way. Evidence: the new test (an answer of 2 MB, then a small one) failed three runs of three: TimeoutError after 2 s in the wait for the second head. It passes now, three of three. Why this works: a connection reads whenever it becomes idle, on no condition. The class: state of one exchange that stays in its connection.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -250,6 +250,7 @@
         if exchange is None or not exchange.ended or not self.reusable:
             self.abort()
             return False
+        self.resume_reading()
         return True
 
     def abort(self) -> None:
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -87,6 +87,16 @@
         assert upstream.connections == 2
 
 
+@pytest.mark.anyio
+async def test_connection_that_carried_a_large_response_still_reads():
+    body = b"x" * (2 * http_connection.MAX_BUFFERED_BYTES)
+    large = OK.replace(b"content-length: 2", b"content-length: %d" % len(body))[:-2] + body
+    async with Upstream(large, OK).running() as upstream:
+        pool = connection_pool.ConnectionPool()
+        assert await fetch(pool, upstream.address) == (200, body)
+        assert await fetch(pool, upstream.address) == (200, b"hi")
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("extra", [b"x", OK, b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n"])
 async def test_connection_with_bytes_after_the_response_is_not_reused(extra):
