Send each order on a connection of its own

What callers would see: nothing at once; a VM would take an order for accepted that the upstream refused as superseded, and announce weights on it. Cause: calls name no request, so on a connection that calls share, a late second answer to a report (200) was taken for the answer to the order that followed. Evidence: the new test in test_relay.py failed before the fix: E AssertionError: assert <Outcome.ACCEPTED: 'accepted'> is <Outcome.CONFLICT: 'conflict'> It passes now. Why this works: an order's connection carries nothing before it and nothing after it. Orders are rare; the polls (reports, cache events) keep sharing theirs, as a connection for each would be costly. Remains: a late second answer to a poll is taken for that of the next poll, which is then one poll old. The class: answers without an identity on a shared connection.

--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -105,15 +105,28 @@
         if connection is None:
             connection = await self._connect(address)
         try:
-            async with asyncio.timeout(seconds):
-                exchange = connection.send(request, http_connection.match_any)
-                head = await exchange.head()
-                return http_connection.Response(head.status, head.headers, await exchange.body())
-        except TimeoutError as error:
-            raise http_connection.HttpConnectionError("no answer in time") from error
+            return await _exchange(connection, request, seconds)
         finally:
             _put(self._idle_for_calls, address, connection)
 
+    async def call_alone(
+        self, address: str, request: bytes, seconds: float
+    ) -> http_connection.Response:
+        """Send an internal request as `call` does, but on a connection that carries nothing else.
+
+        For requests whose answer must not be that to an earlier call; a poll may be repeated.
+
+        Raises
+        ------
+        http_connection.HttpConnectionError
+            If no complete response was received within `seconds`.
+        """
+        connection = await self._connect(address)
+        try:
+            return await _exchange(connection, request, seconds)
+        finally:
+            connection.abort()
+
     def release(self, address: str, connection: http_connection.HttpConnection) -> None:
         """Return a connection to the pool after its exchange, or close it if it is not reusable."""
         _put(self._idle, address, connection)
@@ -188,6 +201,25 @@
     return None
 
 
+async def _exchange(
+    connection: http_connection.HttpConnection, request: bytes, seconds: float
+) -> http_connection.Response:
+    """Send an internal request and return the response.
+
+    Raises
+    ------
+    http_connection.HttpConnectionError
+        If no complete response was received within `seconds`.
+    """
+    try:
+        async with asyncio.timeout(seconds):
+            exchange = connection.send(request, http_connection.match_any)
+            head = await exchange.head()
+            return http_connection.Response(head.status, head.headers, await exchange.body())
+    except TimeoutError as error:
+        raise http_connection.HttpConnectionError("no answer in time") from error
+
+
 def _put(
     connections: IdleConnections, address: str, connection: http_connection.HttpConnection
 ) -> None:
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -431,7 +431,7 @@
         request = self._codec.encode_order(address, order, self._incarnation.name)
         self._own_order_at = now
         try:
-            response = await self._connections.call(address, request, CALL_TIMEOUT_SECONDS)
+            response = await self._connections.call_alone(address, request, CALL_TIMEOUT_SECONDS)
         except http_connection.NotSentError:
             return messages.Outcome.NOT_SENT
         except http_connection.HttpConnectionError:
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -170,6 +170,9 @@
                 events = await self._events(upstream, after, wait)
                 return http_connection.Response(200, [], pickle.dumps(events))
 
+    async def call_alone(self, address, request, seconds):
+        return await self.call(address, request, seconds)
+
     async def _events(self, upstream, after, seconds):
         upstream.event_polls += 1
         end = clock.now() + seconds
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -8,9 +8,18 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
+from hollyring.fleet import messages as fleet
 from hollyring.limits import service_retry_budgets
-from hollyring.membership import heartbeat
-from hollyring.node import clock, connection_pool, metrics, relay, responses, state
+from hollyring.membership import heartbeat, leases
+from hollyring.node import (
+    clock,
+    connection_pool,
+    metrics,
+    relay,
+    responses,
+    rollout_controller,
+    state,
+)
 from hollyring.platform import documents, ingress, upstreams
 from hollyring.platform.tests import conftest
 from hollyring.routing import registry
@@ -209,6 +218,23 @@
     assert (caller.status, caller.body) == (200, b"done by i-0")
 
 
+@pytest.mark.anyio
+async def test_late_second_report_is_not_the_answer_to_an_order(start_vm, monkeypatch):
+    vm, servers = await start_vm("complete")
+    servers[0].repeats = True
+    codec = upstreams.HttpUpstreamCodec()
+    request = codec.encode_report_request(servers[0].address)
+    await vm.pool.call(servers[0].address, request, 0.5)
+    monkeypatch.setattr(leases.LeaseClient, "fencing", lambda *_: 41)
+    controller = rollout_controller.RolloutController(
+        vm.state, None, None, codec, vm.pool, lambda: None
+    )
+    change = fleet.LoadModel("m", "2")
+    superseded = fleet.Order("id", 41, "i-0", change, clock.now() + 1.0, expected=7)
+    upstream = vm.state.registry.get("i-0")
+    assert await controller._send(upstream, superseded) is fleet.Outcome.CONFLICT
+
+
 @pytest.mark.anyio
 async def test_request_that_no_upstream_ran_is_refused_immediately_with_retry_after(start_vm):
     vm, _ = await start_vm("refuse", "refuse")
