--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -124,7 +124,7 @@
             with anyio.fail_after(max(0.0, context.seconds_left)):
                 max_connections = self._state.max_connections(context.service)
                 connection = await self._pool.acquire(
-                    address, max_connections, min_keep_alive_seconds
+                    address, max_connections, min_keep_alive_seconds, context.request_id
                 )
         except http_connection.TooManyConnectionsError as error:
             return request_context.NotRun(str(error))
@@ -137,7 +137,9 @@
             if context.response.caller_left:
                 raise responses.CallerLeftError(context.request_id)
             exchange = connection.send(
-                self._request(context, selected), self._codec.response_matcher(context.request_id)
+                self._request(context, selected),
+                self._codec.response_matcher(context.request_id),
+                context.request_id,
             )
             return await self._receive(context, selected, exchange)
         except http_connection.NotSentError as error:
@@ -285,10 +287,14 @@
         body = await self._wait_for(context, selected, exchange.body)
         now = clock.now()
         upstream.record_first_event(context.request_id, now)
+        failed = request_context.Failed(f"status {head.status}", head, body)
         if head.status >= HTTP_SERVER_ERROR:
             upstream.record_failure(now)
             if context.retry_state.may_run_elsewhere:
-                return request_context.Failed(f"status {head.status}", head, body)
+                return failed
+        if context.response.started:
+            # The caller has the head of a stream, which only another stream can continue.
+            return failed
         context.first_byte_at = now
         self._metrics.observe("answer", now - context.arrived_at)
         await context.response.send(head.status, head.headers, body)
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -182,9 +182,13 @@
 
     ``complete``: a complete response or stream; ``refuse``: 503 with ``x-not-run``;
     ``misdirect``: 421 from another instance; ``silent``: no response; ``reset``: reset of the
-    connection; ``error``: status 500; ``unsealed``: a response without a signature;
-    ``interrupt``: reset of the connection within event `interrupted_event` of a stream;
-    ``repeat``: a stream in one chunk, with its second event twice.
+    connection; ``error``: status 500; ``not-found``: status 404; ``unsealed``: a response without a
+    signature; ``interrupt``: reset of the connection within event `interrupted_event` of a stream;
+    ``repeat``: a stream in one chunk, with its second event twice; ``refuse-first``: ``refuse`` for
+    the first request only.
+
+    With `repeats`, an answer to a request (no stream), report or order is sent again when its
+    connection has carried the next one, before the answer to that.
     """
 
     def __init__(self, name="i-1", behaviour="complete", events=5):
@@ -200,19 +204,25 @@
         self.interrupted_event = 3
         self.software = "v1"
         self.event_seconds = 0.01
+        self.repeats = False
+        self.late_answers = {}
 
     async def handle(self, request, writer):
         await asyncio.sleep(self.delay_seconds)
+        writer.write(self.late_answers.pop(writer, b""))
         if request.path == "/hollyring/report":
-            writer.write(encode_response(200, json.dumps(self.report()).encode()))
+            self.answer(writer, encode_response(200, json.dumps(self.report()).encode()))
         elif request.path == "/hollyring/order":
-            writer.write(self.order(json.loads(request.body)))
+            self.answer(writer, self.order(json.loads(request.body)))
         elif request.path == "/hollyring/kv-events":
             await asyncio.sleep(0.2)
             events = {"boot_epoch": 1, "next": 0, "lost": False, "events": []}
             writer.write(encode_response(200, json.dumps(events).encode()))
         elif self.behaviour == "refuse":
             writer.write(encode_response(503, b"", x_not_run=1))
+        elif self.behaviour == "refuse-first" and len(self.requests) == 1:
+            name = request.headers["x-request-id"]
+            self.answer(writer, encode_response(503, b"", x_request_id=name, x_not_run=1))
         elif self.behaviour == "misdirect":
             writer.write(encode_response(421, b"", x_instance_id="i-9"))
         elif self.behaviour == "silent":
@@ -221,6 +231,8 @@
             writer.transport.abort()
         elif self.behaviour == "error":
             writer.write(self.encode_sealed_response(request, 500, b"failed"))
+        elif self.behaviour == "not-found":
+            writer.write(self.encode_sealed_response(request, 404, b"none"))
         elif self.behaviour == "unsealed":
             writer.write(
                 encode_response(200, b"fake", x_request_id=request.headers["x-request-id"])
@@ -228,10 +240,16 @@
         elif "x-model" in request.headers:
             await self.stream(request, writer)
         else:
-            writer.write(
-                self.encode_sealed_response(request, 200, b"done by " + self.name.encode())
+            self.answer(
+                writer,
+                self.encode_sealed_response(request, 200, b"done by " + self.name.encode()),
             )
 
+    def answer(self, writer, response):
+        writer.write(response)
+        if self.repeats:
+            self.late_answers[writer] = response
+
     def report(self):
         models = [{"name": "m", "version": self.version, "adapters": []}]
         return {"stage": "both", "models": models, "busy": False, "sequence": self.sequence}
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -1,15 +1,25 @@
 """Tests of the request path with the adapter's codecs, against stand-ins."""
 
 import contextlib
+import json
 
 import anyio
 import pytest
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
+from hollyring.fleet import messages as fleet
 from hollyring.limits import service_retry_budgets
-from hollyring.membership import heartbeat
-from hollyring.node import clock, connection_pool, metrics, relay, responses, state
+from hollyring.membership import heartbeat, leases
+from hollyring.node import (
+    clock,
+    connection_pool,
+    metrics,
+    relay,
+    responses,
+    rollout_controller,
+    state,
+)
 from hollyring.platform import documents, ingress, upstreams
 from hollyring.platform.tests import conftest
 from hollyring.routing import registry
@@ -197,6 +207,54 @@
         assert caller.status == 200
 
 
+@pytest.mark.anyio
+async def test_late_second_refusal_is_not_the_answer_when_the_request_is_sent_again(start_vm):
+    vm, servers = await start_vm("refuse-first")
+    servers[0].repeats = True
+    caller = await vm.send_request()
+    assert (caller.status, caller.body) == (200, b"done by i-0")
+    assert request_count(servers) == 2
+
+
+@pytest.mark.anyio
+async def test_late_second_answer_to_a_request_is_not_the_answer_to_a_call(start_vm):
+    vm, servers = await start_vm("complete")
+    servers[0].repeats = True
+    await vm.send_request("r-1")
+    request = upstreams.HttpUpstreamCodec().encode_report_request(servers[0].address)
+    report = await vm.pool.call(servers[0].address, request, 0.5)
+    caller = await vm.send_request("r-2")
+    assert json.loads(report.body) == servers[0].report()
+    assert (caller.status, caller.body) == (200, b"done by i-0")
+
+
+@pytest.mark.anyio
+async def test_late_second_answer_to_a_call_is_not_the_answer_to_a_request(start_vm):
+    vm, servers = await start_vm("complete")
+    servers[0].repeats = True
+    request = upstreams.HttpUpstreamCodec().encode_report_request(servers[0].address)
+    await vm.pool.call(servers[0].address, request, 0.5)
+    caller = await vm.send_request()
+    assert (caller.status, caller.body) == (200, b"done by i-0")
+
+
+@pytest.mark.anyio
+async def test_late_second_report_is_not_the_answer_to_an_order(start_vm, monkeypatch):
+    vm, servers = await start_vm("complete")
+    servers[0].repeats = True
+    codec = upstreams.HttpUpstreamCodec()
+    request = codec.encode_report_request(servers[0].address)
+    await vm.pool.call(servers[0].address, request, 0.5)
+    monkeypatch.setattr(leases.LeaseClient, "fencing", lambda *_: 41)
+    controller = rollout_controller.RolloutController(
+        vm.state, None, None, codec, vm.pool, lambda: None
+    )
+    change = fleet.LoadModel("m", "2")
+    superseded = fleet.Order("id", 41, "i-0", change, clock.now() + 1.0, expected=7)
+    upstream = vm.state.registry.get("i-0")
+    assert await controller._send(upstream, superseded) is fleet.Outcome.CONFLICT
+
+
 @pytest.mark.anyio
 async def test_request_that_no_upstream_ran_is_refused_immediately_with_retry_after(start_vm):
     vm, _ = await start_vm("refuse", "refuse")
@@ -333,6 +391,43 @@
     assert caller.body == (whole if caller.ended else b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["error", "not-found"])
+async def test_started_stream_goes_on_after_an_upstream_that_answers_its_resumption_with_an_error(
+    start_vm, behaviour
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        behaviour,
+        "complete",
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+        attempts=3,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    for _ in range(2):
+        vm.state.registry.get("i-2").record_failure(clock.now())
+    caller = await vm.send_request()
+    assert [len(server.requests) for server in servers] == [1, 1, 1]
+    assert caller.body == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert caller.ended
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["error", "not-found"])
+async def test_started_stream_is_not_ended_after_its_last_upstream_answers_with_an_error(
+    start_vm, behaviour
+):
+    vm, servers = await start_vm(
+        "interrupt", behaviour, streaming=True, retry_safety=request_types.RetrySafety.RESUMABLE
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    caller = await vm.send_request()
+    assert request_count(servers) == 2
+    assert (caller.status, caller.body) == (200, b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
+    assert not caller.ended
+
+
 @pytest.mark.anyio
 async def test_interrupted_at_most_once_stream_is_not_ended_or_retried(start_vm):
     vm, servers = await start_vm("interrupt", "interrupt", streaming=True)
