Do not reuse a connection to an upstream that has a close or data unread

What callers would see: a request that must not run twice fails with 502, as it was written on a connection that the upstream had closed; or a late second answer comes to lie before its own. Cause: an idle connection was reusable as long as the event loop had not read the close. The same class as the requests of callers that have left: acting on a connection while the event that makes it worthless is already queued. Why this works: the socket is asked, one system call for each connection taken from the pool.

--- a/hollyring/node/caller_connection.py
+++ b/hollyring/node/caller_connection.py
@@ -4,10 +4,8 @@
 
 import asyncio
 import select
-import typing
 
-if typing.TYPE_CHECKING:
-    from hollyring.node import asgi
+from hollyring.node import asgi, sockets
 
 SCOPE_EXTENSION = "hollyring.caller_connection"
 """Key of the connection in the ``extensions`` of an ASGI scope."""
@@ -28,21 +26,15 @@
         Transport of the connection.
     """
 
-    __slots__ = ("_transport", "_poll")
+    __slots__ = ("_closes",)
 
     def __init__(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = transport
-        self._poll: select.poll | None = None
+        self._closes = sockets.UnreadEvents(transport, select.POLLRDHUP)
 
     @property
     def closed(self) -> bool:
         """Whether the caller has closed or reset the connection, at the cost of a system call."""
-        if self._transport.is_closing():
-            return True
-        if self._poll is None:
-            self._poll = select.poll()
-            self._poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
-        return bool(self._poll.poll(0))
+        return self._closes.any()
 
 
 def is_closed(scope: asgi.Scope) -> bool:
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -195,7 +195,8 @@
         if idle[index].has_carried(request_id):
             continue
         connection = idle.pop(index)
-        if connection.reusable and connection.idle_seconds_left(now) > min_keep_alive_seconds:
+        lasts = connection.idle_seconds_left(now) > min_keep_alive_seconds
+        if lasts and connection.reusable and not connection.has_unread_data:
             return connection
         connection.abort()
     return None
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import dataclasses
+import select
 from collections.abc import Callable
 
 import httptools
@@ -180,6 +181,7 @@
     def __init__(self, on_lost: Callable[[HttpConnection], None]) -> None:
         self._on_lost = on_lost
         self._transport: asyncio.Transport | None = None
+        self._unread: sockets.UnreadEvents | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: list[request_types.Header] = []
@@ -205,6 +207,14 @@
             return False
         return transport.get_write_buffer_size() == 0
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Whether the upstream has sent data or closed the connection, which nobody has read yet.
+
+        On an idle connection this is a close or a late answer; the connection must not be reused.
+        """
+        return self._unread is not None and self._unread.any()
+
     def idle_seconds_left(self, now: float) -> float:
         """Return the seconds for which the idle connection may still be reused."""
         return self.idle_since + self._keep_alive_seconds - now
@@ -274,6 +284,7 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._unread = sockets.UnreadEvents(transport, select.POLLIN | select.POLLRDHUP)
         sockets.enable_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -1,7 +1,9 @@
-"""Socket options by which the kernel detects an unresponsive TCP peer within seconds."""
+"""Socket options by which the kernel detects an unresponsive TCP peer, and unread events."""
 
 from __future__ import annotations
 
+import asyncio
+import select
 import socket
 
 KEEPALIVE_IDLE_SECONDS = 1
@@ -26,3 +28,26 @@
     """Set `TCP_OPTIONS`, so that the kernel closes `connection` when its peer is unresponsive."""
     for option in TCP_OPTIONS:
         connection.setsockopt(*option)
+
+
+class UnreadEvents:
+    """Tells whether a socket has events that the event loop has not read yet.
+
+    Parameters
+    ----------
+    transport
+        Transport of the socket.
+    events
+        Events to look for, as for `select.poll`; a reset is always one.
+    """
+
+    __slots__ = ("_transport", "_poll")
+
+    def __init__(self, transport: asyncio.BaseTransport, events: int) -> None:
+        self._transport = transport
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket"), events)
+
+    def any(self) -> bool:
+        """Return whether there is an event or the transport is closing; costs a system call."""
+        return self._transport.is_closing() or bool(self._poll.poll(0))
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import os
 import socket
 import struct
 
@@ -28,10 +29,12 @@
         self.then = then
         self.connections = 0
         self.requests = []
+        self.sockets = []
         self.address = ""
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.sockets.append(writer.get_extra_info("socket"))
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while self.responses:
                 self.requests.append(await reader.readuntil(b"\r\n\r\n"))
@@ -97,6 +100,18 @@
         assert await fetch(pool, upstream.address) == (200, b"hi")
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("unread", [b"", OK])
+async def test_connection_with_an_unread_close_or_late_answer_is_not_reused(unread):
+    async with Upstream(OK, OK).running() as upstream:
+        pool = connection_pool.ConnectionPool()
+        assert await fetch(pool, upstream.address) == (200, b"hi")
+        os.write(upstream.sockets[0].fileno(), unread)
+        upstream.sockets[0].shutdown(socket.SHUT_WR)
+        assert await fetch(pool, upstream.address) == (200, b"hi")
+        assert upstream.connections == 2
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("extra", [b"x", OK, b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n"])
 async def test_connection_with_bytes_after_the_response_is_not_reused(extra):
