Do not admit a completion whose caller left while it lay unread

What callers would see: an organisation's rate is spent, and a retry after it refused, for requests whose callers had gone; whether they also reach an inference server depends on the order of a few steps of the event loop. Cause: as on the platform's path, the loop reads a request before the close behind it, and a completion was admitted in the steps that follow the read, before anything asks about the caller. Why this works: the state of the socket is asked after the body was read, before parsing and admission. The request ends with the refusal 'cancelled', as one whose caller leaves within the body does; waiting for the disconnect instead could wait forever, as uvicorn tells only the newest of pipelined requests. The class: acting on an input whose withdrawal is already in the queue behind it.

--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -19,6 +19,7 @@
 from hollyring.node import (
     asgi,
     auth,
+    caller_connection,
     completion_format,
     completion_requests,
     completion_writer,
@@ -111,6 +112,8 @@
         return caller
     try:
         body = await asgi.read_body(receive, bounds.body_bytes, bounds.body_seconds)
+        if caller_connection.is_closed(scope):
+            return refusal.make("cancelled")
         completion = completion_requests.parse(body, chat, bounds)
         resumption = _resumption(scope)
     except asgi.BodyTooLargeError:
