Do not claim or send on a service call whose caller left while it lay unread

What callers would see: an order that its caller gave up before the VM had read it is still carried out, and a claim on its key and a part of the organisation's rate are spent. Cause: the loop reads a request before the close behind it, and calls go on after their callers disconnect, so a call that was read is sent. Evidence: over a real VM process that stands still while ten callers send an order and leave, all ten were executed, with an Idempotency-Key and without ('executions: Left contains 10 more items'). Why this works: the socket is asked after the body was read, before the rate and the claim. A call that was claimed still goes on after its caller left, on purpose: duplicates under its key may wait for its answer. The class: acting on an input whose withdrawal is already in the queue behind it.

--- a/hollyring/experiments/tests/test_closed_callers.py
+++ b/hollyring/experiments/tests/test_closed_callers.py
@@ -117,3 +117,22 @@
     assert after["limits"]["admitted"] == before["limits"]["admitted"]
     assert after["open_requests"] == 0
     assert await caller()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("keyed", [True, False])
+async def test_order_that_lay_unread_until_its_caller_left_is_not_claimed_or_sent_on(
+    fleet, caller, keyed
+):
+    before = await vm_state(fleet)
+    await leave_unread(
+        fleet,
+        "/orders",
+        b'{"order": "left"}',
+        lambda number: (f"idempotency-key: left-{number}",) if keyed else (),
+    )
+    after = await vm_state(fleet)
+    assert await get(fleet.control_url("orders-0") + "/executions") == {}
+    assert after["limits"]["admitted"] == before["limits"]["admitted"]
+    assert after["claims"] == before["claims"]
+    assert after["open_requests"] == 0
--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -14,6 +14,7 @@
 from hollyring.node import (
     asgi,
     auth,
+    caller_connection,
     claims_actor,
     completion_writer,
     connection_pool,
@@ -186,6 +187,8 @@
         return refusal.make("header_timeout")
     except asgi.DisconnectedError:
         return refusal.make("cancelled")
+    if caller_connection.is_closed(scope):
+        return refusal.make("cancelled")
     organisation = "" if isinstance(caller, refusal.Refusal) else caller.organisation.name
     call = _Call(scope["method"], _target(scope), _forwarded_headers(scope), body, organisation)
     if not organisation:
