Ask for the caller again right before a completion is sent

What callers would see: nothing; inference servers work for callers that left after their admission, if the VM stands still or its loop is late between admission and sending. Cause: routing and an idle connection take no step in which the loop reads a close, and the state of the socket was asked only before admission. Evidence: over real sockets, a caller closes in the step of its admission; the request reached the inference server, three runs of three ('Left contains one more item: {"model":"parish",...}'). Passes three of three now, and the reserved tokens are settled with 0 used. Why this works: each attempt asks the socket after it has its connection and before its first byte, with no step of the loop between. The attempt counts as not run and the request ends as 'cancelled'. A connection on which nothing could be sent is now released to the pool as well. The class: acting on an input whose withdrawal is already in the queue behind it.

--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -7,9 +7,10 @@
 
 import contextlib
 import dataclasses
+import functools
 import time
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -55,6 +56,7 @@
     stream: stream.Stream
     version: str
     retry_state: retry.RetryState
+    has_caller_left: Callable[[], bool]
     arrived_at: float
     first_token_at: float = 0.0
     usage: engine_client.Usage | None = None
@@ -147,6 +149,7 @@
                 request_types.RetrySafety.RESUMABLE, arrived_at + bounds.deadline_seconds, MAX_RUNS
             )
         ),
+        has_caller_left=functools.partial(caller_connection.is_closed, scope),
         arrived_at=arrived_at,
     )
 
@@ -211,6 +214,9 @@
         try:
             await _run_attempt(this_vm, context, routed)
             return
+        except errors.CallerLeftError as error:
+            context.retry_state.record_failure(execution.Execution.NOT_RUN)
+            raise _RequestRefusedError(refusal.make("cancelled")) from error
         except errors.UpstreamError as error:
             if isinstance(error, engine_client.EngineStatusError) and error.final:
                 raise _RequestRefusedError(
@@ -274,6 +280,8 @@
     ------
     UpstreamError
         If the attempt failed; the stream is ready for the next one.
+    CallerLeftError
+        If the caller left before the attempt was sent.
     """
     attempt = context.stream.begin()
     body = completion_requests.engine_body(
@@ -290,7 +298,9 @@
     context.usage = None
     try:
         seconds = context.retry_state.seconds_left(time.monotonic())
-        generated = this_vm.engines.stream(routed.address, path, body, seconds)
+        generated = this_vm.engines.stream(
+            routed.address, path, body, seconds, context.has_caller_left
+        )
         async with contextlib.aclosing(generated):
             await _deliver_all(this_vm, context, routed, attempt.number, generated)
     except errors.UpstreamError as error:
--- a/hollyring/node/engine_client.py
+++ b/hollyring/node/engine_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from typing import Any
 
 import anyio
@@ -102,7 +102,12 @@
         self._pool = pool
 
     async def stream(
-        self, url: str, path: str, body: bytes, head_timeout_seconds: float
+        self,
+        url: str,
+        path: str,
+        body: bytes,
+        head_timeout_seconds: float,
+        has_caller_left: Callable[[], bool],
     ) -> AsyncGenerator[Token | Usage, None]:
         """Yield the tokens that the inference server at `url` generates, then its usage.
 
@@ -115,20 +120,26 @@
             ``"http://IP:PORT"``.
         head_timeout_seconds
             Maximum wait for the head of the response.
+        has_caller_left
+            Checked after the connection is established and before the first byte is written.
 
         Raises
         ------
         UpstreamError
             If the server is unreachable, responds with an error, or the stream is incomplete.
+        CallerLeftError
+            If the caller left before the request was sent.
         """
         address = http_request.address_of(url)
         request = http_request.encode(b"POST", path.encode(), address.encode(), [JSON_TYPE], body)
         try:
             connection = await self._pool.acquire(address, MAX_CONNECTIONS)
-            exchange = connection.send(request, http_connection.match_any)
         except http_connection.NotSentError as error:
             raise errors.UpstreamError(str(error), reached=False) from error
         try:
+            if has_caller_left():
+                raise errors.CallerLeftError("caller left before the request was sent")
+            exchange = connection.send(request, http_connection.match_any)
             with anyio.fail_after(head_timeout_seconds):
                 head = await exchange.head()
             if head.status != HTTP_OK:
@@ -137,6 +148,8 @@
                 exchange, max(READ_TIMEOUT_SECONDS, head_timeout_seconds)
             ):
                 yield item
+        except http_connection.NotSentError as error:
+            raise errors.UpstreamError(str(error), reached=False) from error
         except (http_connection.HttpConnectionError, TimeoutError) as error:
             raise errors.UpstreamError(str(error) or "response timeout", reached=True) from error
         finally:
--- a/hollyring/node/errors.py
+++ b/hollyring/node/errors.py
@@ -47,5 +47,9 @@
         self.reached = reached
 
 
+class CallerLeftError(VmError):
+    """The caller closed its connection before this attempt was sent; no byte was written."""
+
+
 class PeerError(VmError):
     """A connection to a peer failed, or the peer was not authenticated or sent invalid data."""
--- /dev/null
+++ b/hollyring/node/tests/test_completions.py
@@ -0,0 +1,89 @@
+"""Tests of completions over real sockets, with scripted upstreams, limits and routing."""
+
+import contextlib
+import json
+import socket
+
+import anyio
+import pytest
+
+from hollyring.node.tests import scripted_vm
+
+TIMEOUT_SECONDS = 5.0
+SETTLE_SECONDS = 0.2
+"""Time within which a VM has sent on what it sends on."""
+
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def start_vm(anyio_backend):
+    """Return a function that starts upstreams with scripts, and a VM that uses them in order."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def start(*scripts):
+            upstreams = [
+                await stack.enter_async_context(scripted_vm.Upstream(script).running())
+                for script in scripts
+            ]
+            vm = scripted_vm.ScriptedVm(upstreams)
+            return await stack.enter_async_context(vm.running()), upstreams
+
+        yield start
+
+
+def chunk(text, finish_reason=None):
+    event = {"choices": [{"index": 0, "text": text, "finish_reason": finish_reason}]}
+    data = b"data: " + json.dumps(event).encode() + b"\n\n"
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def generate(*chunks, done=True):
+    """Return a script that sends chunks, then the end of the stream or a broken connection."""
+
+    async def script(writer):
+        writer.write(HEAD + b"".join(chunks))
+        if done:
+            writer.write(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
+        await writer.drain()
+        return done
+
+    return script
+
+
+async def exchange(vm, request):
+    """Send a request and return all of the response, up to the end of its last chunk or body."""
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+        await stream.send(request)
+        received = b""
+        with anyio.fail_after(TIMEOUT_SECONDS), contextlib.suppress(anyio.EndOfStream):
+            while not is_whole(received):
+                received += await stream.receive()
+    return received
+
+
+def is_whole(received):
+    head, separator, body = received.partition(b"\r\n\r\n")
+    length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+    return bool(separator) and (
+        len(body) == int(length) if length else received.endswith(b"0\r\n\r\n")
+    )
+
+
+@pytest.mark.anyio
+async def test_completion_is_not_sent_on_if_its_caller_left_after_its_admission(start_vm):
+    vm, (upstream,) = await start_vm(generate(chunk("a", "stop")))
+    assert b"[DONE]" in await exchange(vm, scripted_vm.completion())
+    upstream.requests.clear()
+    caller = socket.create_connection(("127.0.0.1", vm.port))
+    vm.limits.on_admit = caller.close
+    caller.sendall(scripted_vm.completion())
+    await anyio.sleep(SETTLE_SECONDS)
+    assert upstream.requests == []
+    assert list(vm.limits.settled.values())[1:] == [0]
+    assert vm.application.open_requests == 0
