Record the first token of each attempt of a completion

What callers would see: nothing at once; after a stream went on at another inference server, placement took that server for one that still prefills the whole prompt, until the stream's end, did not renew its memory of the cached prompt, and learnt nothing from its time to the first token (read in routing/attempts, not run). Cause: whether a first token was received is kept for the request, so an attempt after one that had generated text never recorded its own. Evidence: an upstream breaks off after one token; the attempts recorded are [1], not [1, 2]. Why this works: the count of tokens that decides is that of the attempt; the time to the caller's first token is still measured once. The class: state of an abandoned attempt that the next attempt goes on with.

--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -346,6 +346,7 @@
         if not context.first_token_at:
             context.first_token_at = time.monotonic()
             this_vm.metrics.observe("first_token", context.first_token_at - context.arrived_at)
+        if not tokens:
             this_vm.routing.record_first_token(routed)
         await _apply(
             context, context.stream.accept(stream.Token(attempt_number, tokens, item.text))
--- a/hollyring/node/tests/test_completions.py
+++ b/hollyring/node/tests/test_completions.py
@@ -87,3 +87,13 @@
     assert upstream.requests == []
     assert list(vm.limits.settled.values())[1:] == [0]
     assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_first_token_of_an_attempt_is_recorded_if_an_earlier_attempt_had_one(start_vm):
+    vm, _ = await start_vm(
+        generate(chunk("a"), done=False), generate(chunk("b"), chunk("c", "stop"))
+    )
+    assert b"[DONE]" in await exchange(vm, scripted_vm.completion())
+    assert (vm.routing.failed, vm.routing.finished) == ([1], [2])
+    assert vm.routing.first_tokens == [1, 2]
