End an answer normally whose inference server breaks off after the finish

What callers would see: a stream with all of its text that never ends normally, as the connection is closed within it; without streaming, 500 internal_error instead of the whole answer. Cause: the attempt that broke off between its finish reason and its last event counted as failed, and the next one was begun on a stream that had ended, which raises StreamEndedError. Evidence: an upstream breaks off right after the finish reason; streamed, the response has no end; whole, it starts with 'HTTP/1.1 500'. Both pass now, and no second upstream is asked. Why this works: the state of the stream, not the way in which the connection ended, says whether the answer is complete. The upstream is still recorded as lost; only the reported usage may be missing. The class: state of an abandoned attempt that the next attempt goes on with.

--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -308,11 +308,14 @@
         this_vm.routing.record_failed(
             routed, lost=not isinstance(error, engine_client.EngineStatusError)
         )
-        raise
+        if not context.stream.complete:
+            raise
     except BaseException:
         this_vm.routing.record_finished(routed, None)
         raise
-    this_vm.routing.record_finished(routed, context.usage.cached_tokens if context.usage else None)
+    else:
+        cached = context.usage.cached_tokens if context.usage else None
+        this_vm.routing.record_finished(routed, cached)
     await _complete(this_vm, context)
 
 
--- a/hollyring/node/tests/test_completions.py
+++ b/hollyring/node/tests/test_completions.py
@@ -97,3 +97,14 @@
     assert b"[DONE]" in await exchange(vm, scripted_vm.completion())
     assert (vm.routing.failed, vm.routing.finished) == ([1], [2])
     assert vm.routing.first_tokens == [1, 2]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("stream", [True, False])
+async def test_answer_is_complete_if_its_upstream_breaks_after_the_finish(start_vm, stream):
+    whole = generate(chunk("a", "stop"))
+    vm, upstreams = await start_vm(generate(chunk("a", "stop"), done=False), whole)
+    received = await exchange(vm, scripted_vm.completion(stream=stream))
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert is_whole(received)
+    assert [len(upstream.requests) for upstream in upstreams] == [1, 0]
