Do not ask for zero tokens after an attempt that broke off after the last one

What callers would see: an inference server that refuses max_tokens 0 makes a whole answer end with invalid_request; one that takes 0 as its default (our stand-in does) adds tokens beyond max_tokens. Cause: the next attempt asks for max_tokens less the tokens of the attempts before; if the one before broke off between its last token and its finish reason, nothing is left to ask for, and it was sent all the same. Evidence: an upstream breaks off after 3 of 3 tokens; a second one is asked ('assert [1, 1] == [1, 0]'), streamed or not. Both pass now, with finish reason 'length'. Why this works: an answer with as many tokens as allowed can get no more, so it is finished without an upstream. If the lost finish reason was 'stop' at exactly the last allowed token, callers get 'length'. The class: state of an abandoned attempt that the next attempt goes on with.

--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -33,6 +33,9 @@
 MAX_RUNS = 3
 """Maximum number of upstreams that may run one completion."""
 
+FINISH_AT_MAX_TOKENS = "length"
+"""Finish reason of an answer that has as many tokens as its request allows."""
+
 SLOW_READER_CHECKS = 4
 """Number of checks for a blocked send during `Limits.reader_seconds`, its timeout."""
 
@@ -224,6 +227,9 @@
                 ) from error
             unknown, not_run = execution.Execution.UNKNOWN, execution.Execution.NOT_RUN
             context.retry_state.record_failure(unknown if error.reached else not_run)
+        if context.stream.tokens >= context.completion.max_tokens:
+            await _finish_at_max_tokens(this_vm, context)
+            return
         now = time.monotonic()
         if not context.retry_state.may_retry(
             now, context.writer.started
@@ -232,6 +238,14 @@
         this_vm.metrics.increment("retries")
 
 
+async def _finish_at_max_tokens(this_vm: vm.VM, context: _RequestContext) -> None:
+    """Finish an answer that lacks only its finish reason; no upstream could add a token to it."""
+    attempt = context.stream.begin()
+    finish = stream.Finish(attempt.number, 0, FINISH_AT_MAX_TOKENS)
+    await _apply(context, context.stream.accept(finish))
+    await _complete(this_vm, context)
+
+
 async def _select_upstream(this_vm: vm.VM, context: _RequestContext) -> routing_actor.RoutedAttempt:
     """Select the upstream of the next attempt.
 
--- a/hollyring/node/tests/test_completions.py
+++ b/hollyring/node/tests/test_completions.py
@@ -108,3 +108,16 @@
     assert received.startswith(b"HTTP/1.1 200 ")
     assert is_whole(received)
     assert [len(upstream.requests) for upstream in upstreams] == [1, 0]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("stream", [True, False])
+async def test_answer_is_complete_if_its_upstream_breaks_after_the_last_token(start_vm, stream):
+    text = [chunk(letter) for letter in "abc"]
+    vm, upstreams = await start_vm(
+        generate(*text, done=False), generate(*text, chunk("", "length"))
+    )
+    received = await exchange(vm, scripted_vm.completion(max_tokens=3, stream=stream))
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b'"length"' in received
+    assert [len(upstream.requests) for upstream in upstreams] == [1, 0]
