Ask for the caller of a service call again after its admission

What callers would see: an order is carried out, and rate spent, for a caller that left while the call waited for its organisation's rate, unnoticed as a service call is not watched for its caller's close. Cause: nothing asked for the caller between the wait and the claim or the sending. Evidence: over real sockets a caller closes in the step of its admission; the service got the call on both kinds of route ('assert [1] == [0]'). Why this works: the socket is asked after the wait; the tokens are settled with 0 used, before any claim. The class: acting on an input whose withdrawal is already in the queue behind it.

--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -197,6 +197,9 @@
     rejection = await this_vm.limits.admit(organisation, tokens, request_id)
     if rejection is not None:
         return rejection
+    if caller_connection.is_closed(scope):
+        this_vm.limits.settle(organisation, request_id, 0)
+        return refusal.make("cancelled")
     this_vm.limits.settle(organisation, request_id, tokens)
     return call
 
--- /dev/null
+++ b/hollyring/node/tests/test_services.py
@@ -0,0 +1,59 @@
+"""Tests of service calls over real sockets, with scripted upstreams and limits."""
+
+import contextlib
+import socket
+
+import anyio
+import pytest
+
+from hollyring.node.tests import scripted_vm
+
+SETTLE_SECONDS = 0.2
+"""Time within which a VM has sent on what it sends on."""
+
+REPLY_SECONDS = 2.0
+"""Time within which a call that no upstream can run gets its answer."""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def start_vm(anyio_backend):
+    """Return a function that starts upstreams with scripts, and a VM that uses them."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def start(*scripts):
+            upstreams = [
+                await stack.enter_async_context(scripted_vm.Upstream(script).running())
+                for script in scripts
+            ]
+            vm = scripted_vm.ScriptedVm(upstreams)
+            return await stack.enter_async_context(vm.running()), upstreams
+
+        yield start
+
+
+async def answer(writer):
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone")
+    await writer.drain()
+    return True
+
+
+def request_counts(upstreams):
+    return [len(upstream.requests) for upstream in upstreams]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+async def test_call_is_not_sent_on_if_its_caller_left_after_its_admission(start_vm, path):
+    vm, upstreams = await start_vm(answer)
+    caller = socket.create_connection(("127.0.0.1", vm.port))
+    vm.limits.on_admit = caller.close
+    caller.sendall(scripted_vm.request(path, {}))
+    await anyio.sleep(SETTLE_SECONDS)
+    assert request_counts(upstreams) == [0]
+    assert list(vm.limits.settled.values()) == [0]
+    assert vm.application.open_requests == 0
