Ask for the caller right before each attempt of a service call

What callers would see: nothing; a repeated call goes to a second upstream after its caller left, and an order without a key is carried out for a caller that left while its connection was opened (up to 0.5 s). Cause: nothing watches the caller of a service call, whose close is read but never asked for. Evidence: over real sockets, an upstream breaks off after the caller closed; a second one gets the call ('assert 2 == 1'). A caller closes while the VM connects; the service gets the call on both kinds of route ('assert [1] == [0]'). Why this works: the socket is asked after the connection is there and before the first byte. A call under an Idempotency-Key is exempt, as duplicates under its key, at any VM, may wait for its answer. The class: acting on an input whose withdrawal is already in the queue behind it.

--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import time
 import uuid
+from collections.abc import Callable
 
 import anyio
 
@@ -42,13 +44,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Call:
-    """Request of a caller to a plain service."""
+    """Request of a caller to a plain service.
+
+    `has_caller_left` returns whether the caller has left, after which the call is not sent.
+    """
 
     method: str
     target: str
     headers: asgi.Headers
     body: bytes
     organisation: str
+    has_caller_left: Callable[[], bool]
 
 
 class ServiceClient:
@@ -82,6 +88,8 @@
         ------
         UpstreamError
             If the call failed; its `reached` is whether a byte may have reached the service.
+        CallerLeftError
+            If the caller left before the call was sent.
         """
         address = http_request.address_of(url)
         request = _request(call, address, request_id, at_most_once=may_send is not None)
@@ -90,6 +98,8 @@
         except http_connection.NotSentError as error:
             raise errors.UpstreamError(str(error), reached=False) from error
         try:
+            if call.has_caller_left():
+                raise errors.CallerLeftError("caller left before the call was sent")
             if may_send is not None and not await may_send():
                 raise errors.UpstreamError("sending was no longer allowed", reached=False)
             exchange = connection.send(request, http_connection.match_any)
@@ -190,7 +200,14 @@
     if caller_connection.is_closed(scope):
         return refusal.make("cancelled")
     organisation = "" if isinstance(caller, refusal.Refusal) else caller.organisation.name
-    call = _Call(scope["method"], _target(scope), _forwarded_headers(scope), body, organisation)
+    call = _Call(
+        scope["method"],
+        _target(scope),
+        _forwarded_headers(scope),
+        body,
+        organisation,
+        functools.partial(caller_connection.is_closed, scope),
+    )
     if not organisation:
         return call
     tokens = 1 + prompt_blocks.token_count(body)
@@ -226,7 +243,10 @@
 async def _run_idempotent(
     this_vm: vm.VM, route: objects.Route, call: _Call, request_id: str
 ) -> claims_actor.CallResult:
-    result = await _send(this_vm, route, call, request_id, None)
+    try:
+        result = await _send(this_vm, route, call, request_id, None)
+    except errors.CallerLeftError:
+        return refusal.make("cancelled")
     if isinstance(result, messages.Answer):
         return result
     return result.final_refusal("upstream_unreachable", time.monotonic())
@@ -245,6 +265,11 @@
     ----------
     may_send
         For an at-most-once call: checked before the first byte is written.
+
+    Raises
+    ------
+    CallerLeftError
+        If the caller left before an attempt was sent.
     """
     retry_safety = (
         request_types.RetrySafety.IDEMPOTENT
@@ -275,6 +300,9 @@
     """Run an at-most-once call; the claims actor decides whether it is sent."""
     header = asgi.header(scope, b"idempotency-key")
     key = records.claim_key(call.organisation, route.path_prefix, header) if header else b""
+    if key:
+        # Duplicates under the key, at any VM, may wait for the answer.
+        call = dataclasses.replace(call, has_caller_left=lambda: False)
     claim = calls.Call(
         request_id=request_id,
         key=key,
@@ -298,7 +326,10 @@
     upstream_request_id: str,
     may_send: claims_actor.MaySend,
 ) -> messages.Answer | claims_actor.DispatchFailure:
-    result = await _send(this_vm, route, call, upstream_request_id, may_send)
+    try:
+        result = await _send(this_vm, route, call, upstream_request_id, may_send)
+    except errors.CallerLeftError:
+        return claims_actor.DispatchFailure.NOT_SENT
     if isinstance(result, messages.Answer):
         return result
     return (
--- a/hollyring/node/tests/test_services.py
+++ b/hollyring/node/tests/test_services.py
@@ -57,3 +57,39 @@
     assert request_counts(upstreams) == [0]
     assert list(vm.limits.settled.values()) == [0]
     assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+async def test_call_is_not_sent_on_if_its_caller_left_while_connecting(start_vm, monkeypatch, path):
+    vm, upstreams = await start_vm(answer)
+    caller = socket.create_connection(("127.0.0.1", vm.port))
+    connect = vm.pool.connect
+
+    async def connect_and_leave(*_):
+        connection = await connect(upstreams[0].address.removeprefix("http://"))
+        caller.close()
+        return connection
+
+    monkeypatch.setattr(type(vm.pool), "connect", connect_and_leave)
+    monkeypatch.setattr(type(vm.pool), "acquire", connect_and_leave)
+    caller.sendall(scripted_vm.request(path, {}))
+    await anyio.sleep(SETTLE_SECONDS)
+    assert request_counts(upstreams) == [0]
+    assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_call_is_not_sent_again_after_its_caller_left(start_vm):
+    caller = None
+
+    async def break_after_the_caller_left(writer):
+        caller.close()
+        return False
+
+    vm, upstreams = await start_vm(break_after_the_caller_left, break_after_the_caller_left)
+    caller = socket.create_connection(("127.0.0.1", vm.port))
+    caller.sendall(scripted_vm.request("/prices", {}))
+    await anyio.sleep(SETTLE_SECONDS)
+    assert sum(request_counts(upstreams)) == 1
+    assert vm.application.open_requests == 0
