Answer an at-most-once call at once if its connection closes as it is sent

What callers would see: no answer for 30 s, then 504; duplicates under the key wait as long, and the claim stays in the phase 'sent' for good. Cause: the first attempt's leave to send ('may_send') moves the call to 'sent'; if its connection closes before the first byte, the attempt counted as not reached, a next one was begun and refused leave, and the call was reported as not sent, which the claims ignore for a sent call. Evidence: over real sockets a connection closes in the step of that check; no answer within 2 s. Why this works: an attempt that had leave to send counts as one that may have reached the service, so no other follows it and the claims take its end as a lost connection. 'not run' would be true and more use to callers, but needs claims that go back from 'sent'; test_sent_call_is_never_reported_as_not_sent forbids it. The class: state of an abandoned attempt that the next attempt goes on with.

--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -106,7 +106,8 @@
             with anyio.fail_after(CALL_TIMEOUT_SECONDS):
                 return await _read_response(exchange)
         except http_connection.NotSentError as error:
-            raise errors.UpstreamError(str(error), reached=False) from error
+            # A call that `may_send` allowed counts as sent; no further attempt may send it.
+            raise errors.UpstreamError(str(error), reached=may_send is not None) from error
         except (http_connection.HttpConnectionError, TimeoutError) as error:
             raise errors.UpstreamError(str(error) or "response timeout", reached=True) from error
         finally:
--- a/hollyring/node/tests/test_services.py
+++ b/hollyring/node/tests/test_services.py
@@ -1,5 +1,6 @@
 """Tests of service calls over real sockets, with scripted upstreams and limits."""
 
+import asyncio
 import contextlib
 import socket
 
@@ -93,3 +94,24 @@
     await anyio.sleep(SETTLE_SECONDS)
     assert sum(request_counts(upstreams)) == 1
     assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_call_ends_at_once_if_its_connection_closes_before_it_is_sent(start_vm, monkeypatch):
+    """The service accepts and closes within the step of the check whether the call may be sent."""
+    vm, upstreams = await start_vm(answer)
+    connect = vm.pool.connect
+
+    async def connect_and_close(address):
+        connection = await connect(address)
+        asyncio.get_running_loop().call_soon(connection.abort)
+        return connection
+
+    monkeypatch.setattr(type(vm.pool), "connect", lambda _, address: connect_and_close(address))
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as caller:
+        await caller.send(scripted_vm.request("/orders", {}))
+        with anyio.fail_after(REPLY_SECONDS):
+            received = await caller.receive()
+    assert received.startswith(b"HTTP/1.1 409 ")
+    assert b'"code":"outcome_unknown","execution":"unknown"' in received
+    assert request_counts(upstreams) == [0]
