--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -7,9 +7,10 @@
 
 import contextlib
 import dataclasses
+import functools
 import time
 import uuid
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -19,6 +20,7 @@
 from hollyring.node import (
     asgi,
     auth,
+    caller_connection,
     completion_format,
     completion_requests,
     completion_writer,
@@ -31,6 +33,9 @@
 MAX_RUNS = 3
 """Maximum number of upstreams that may run one completion."""
 
+FINISH_AT_MAX_TOKENS = "length"
+"""Finish reason of an answer that has as many tokens as its request allows."""
+
 SLOW_READER_CHECKS = 4
 """Number of checks for a blocked send during `Limits.reader_seconds`, its timeout."""
 
@@ -54,6 +59,7 @@
     stream: stream.Stream
     version: str
     retry_state: retry.RetryState
+    has_caller_left: Callable[[], bool]
     arrived_at: float
     first_token_at: float = 0.0
     usage: engine_client.Usage | None = None
@@ -111,6 +117,8 @@
         return caller
     try:
         body = await asgi.read_body(receive, bounds.body_bytes, bounds.body_seconds)
+        if caller_connection.is_closed(scope):
+            return refusal.make("cancelled")
         completion = completion_requests.parse(body, chat, bounds)
         resumption = _resumption(scope)
     except asgi.BodyTooLargeError:
@@ -144,6 +152,7 @@
                 request_types.RetrySafety.RESUMABLE, arrived_at + bounds.deadline_seconds, MAX_RUNS
             )
         ),
+        has_caller_left=functools.partial(caller_connection.is_closed, scope),
         arrived_at=arrived_at,
     )
 
@@ -208,6 +217,9 @@
         try:
             await _run_attempt(this_vm, context, routed)
             return
+        except errors.CallerLeftError as error:
+            context.retry_state.record_failure(execution.Execution.NOT_RUN)
+            raise _RequestRefusedError(refusal.make("cancelled")) from error
         except errors.UpstreamError as error:
             if isinstance(error, engine_client.EngineStatusError) and error.final:
                 raise _RequestRefusedError(
@@ -215,6 +227,9 @@
                 ) from error
             unknown, not_run = execution.Execution.UNKNOWN, execution.Execution.NOT_RUN
             context.retry_state.record_failure(unknown if error.reached else not_run)
+        if context.stream.tokens >= context.completion.max_tokens:
+            await _finish_at_max_tokens(this_vm, context)
+            return
         now = time.monotonic()
         if not context.retry_state.may_retry(
             now, context.writer.started
@@ -223,6 +238,14 @@
         this_vm.metrics.increment("retries")
 
 
+async def _finish_at_max_tokens(this_vm: vm.VM, context: _RequestContext) -> None:
+    """Finish an answer that lacks only its finish reason; no upstream could add a token to it."""
+    attempt = context.stream.begin()
+    finish = stream.Finish(attempt.number, 0, FINISH_AT_MAX_TOKENS)
+    await _apply(context, context.stream.accept(finish))
+    await _complete(this_vm, context)
+
+
 async def _select_upstream(this_vm: vm.VM, context: _RequestContext) -> routing_actor.RoutedAttempt:
     """Select the upstream of the next attempt.
 
@@ -271,6 +294,8 @@
     ------
     UpstreamError
         If the attempt failed; the stream is ready for the next one.
+    CallerLeftError
+        If the caller left before the attempt was sent.
     """
     attempt = context.stream.begin()
     body = completion_requests.engine_body(
@@ -287,7 +312,9 @@
     context.usage = None
     try:
         seconds = context.retry_state.seconds_left(time.monotonic())
-        generated = this_vm.engines.stream(routed.address, path, body, seconds)
+        generated = this_vm.engines.stream(
+            routed.address, path, body, seconds, context.has_caller_left
+        )
         async with contextlib.aclosing(generated):
             await _deliver_all(this_vm, context, routed, attempt.number, generated)
     except errors.UpstreamError as error:
@@ -295,11 +322,14 @@
         this_vm.routing.record_failed(
             routed, lost=not isinstance(error, engine_client.EngineStatusError)
         )
-        raise
+        if not context.stream.complete:
+            raise
     except BaseException:
         this_vm.routing.record_finished(routed, None)
         raise
-    this_vm.routing.record_finished(routed, context.usage.cached_tokens if context.usage else None)
+    else:
+        cached = context.usage.cached_tokens if context.usage else None
+        this_vm.routing.record_finished(routed, cached)
     await _complete(this_vm, context)
 
 
@@ -333,6 +363,7 @@
         if not context.first_token_at:
             context.first_token_at = time.monotonic()
             this_vm.metrics.observe("first_token", context.first_token_at - context.arrived_at)
+        if not tokens:
             this_vm.routing.record_first_token(routed)
         await _apply(
             context, context.stream.accept(stream.Token(attempt_number, tokens, item.text))
--- /dev/null
+++ b/hollyring/node/tests/test_services.py
@@ -0,0 +1,117 @@
+"""Tests of service calls over real sockets, with scripted upstreams and limits."""
+
+import asyncio
+import contextlib
+import socket
+
+import anyio
+import pytest
+
+from hollyring.node.tests import scripted_vm
+
+SETTLE_SECONDS = 0.2
+"""Time within which a VM has sent on what it sends on."""
+
+REPLY_SECONDS = 2.0
+"""Time within which a call that no upstream can run gets its answer."""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+async def start_vm(anyio_backend):
+    """Return a function that starts upstreams with scripts, and a VM that uses them."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def start(*scripts):
+            upstreams = [
+                await stack.enter_async_context(scripted_vm.Upstream(script).running())
+                for script in scripts
+            ]
+            vm = scripted_vm.ScriptedVm(upstreams)
+            return await stack.enter_async_context(vm.running()), upstreams
+
+        yield start
+
+
+async def answer(writer):
+    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone")
+    await writer.drain()
+    return True
+
+
+def request_counts(upstreams):
+    return [len(upstream.requests) for upstream in upstreams]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+async def test_call_is_not_sent_on_if_its_caller_left_after_its_admission(start_vm, path):
+    vm, upstreams = await start_vm(answer)
+    caller = socket.create_connection(("127.0.0.1", vm.port))
+    vm.limits.on_admit = caller.close
+    caller.sendall(scripted_vm.request(path, {}))
+    await anyio.sleep(SETTLE_SECONDS)
+    assert request_counts(upstreams) == [0]
+    assert list(vm.limits.settled.values()) == [0]
+    assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+async def test_call_is_not_sent_on_if_its_caller_left_while_connecting(start_vm, monkeypatch, path):
+    vm, upstreams = await start_vm(answer)
+    caller = socket.create_connection(("127.0.0.1", vm.port))
+    connect = vm.pool.connect
+
+    async def connect_and_leave(*_):
+        connection = await connect(upstreams[0].address.removeprefix("http://"))
+        caller.close()
+        return connection
+
+    monkeypatch.setattr(type(vm.pool), "connect", connect_and_leave)
+    monkeypatch.setattr(type(vm.pool), "acquire", connect_and_leave)
+    caller.sendall(scripted_vm.request(path, {}))
+    await anyio.sleep(SETTLE_SECONDS)
+    assert request_counts(upstreams) == [0]
+    assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_call_is_not_sent_again_after_its_caller_left(start_vm):
+    caller = None
+
+    async def break_after_the_caller_left(writer):
+        caller.close()
+        return False
+
+    vm, upstreams = await start_vm(break_after_the_caller_left, break_after_the_caller_left)
+    caller = socket.create_connection(("127.0.0.1", vm.port))
+    caller.sendall(scripted_vm.request("/prices", {}))
+    await anyio.sleep(SETTLE_SECONDS)
+    assert sum(request_counts(upstreams)) == 1
+    assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_call_ends_at_once_if_its_connection_closes_before_it_is_sent(start_vm, monkeypatch):
+    """The service accepts and closes within the step of the check whether the call may be sent."""
+    vm, upstreams = await start_vm(answer)
+    connect = vm.pool.connect
+
+    async def connect_and_close(address):
+        connection = await connect(address)
+        asyncio.get_running_loop().call_soon(connection.abort)
+        return connection
+
+    monkeypatch.setattr(type(vm.pool), "connect", lambda _, address: connect_and_close(address))
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as caller:
+        await caller.send(scripted_vm.request("/orders", {}))
+        with anyio.fail_after(REPLY_SECONDS):
+            received = await caller.receive()
+    assert received.startswith(b"HTTP/1.1 409 ")
+    assert b'"code":"outcome_unknown","execution":"unknown"' in received
+    assert request_counts(upstreams) == [0]
