--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -25,6 +25,7 @@
     caller_connection,
     clock,
     connection_pool,
+    errors,
     heartbeat_messages,
     heartbeat_sender,
     http_server,
@@ -343,7 +344,7 @@
             except responses.IncompleteResponseError:
                 # uvicorn closes the connection if the app returns before the response is complete.
                 self._metrics.increment("broken_off")
-            except responses.CallerLeftError:
+            except errors.CallerLeftError:
                 await anyio.sleep(caller_connection.CLOSE_READ_SECONDS)
             task_group.cancel_scope.cancel()
 
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -12,11 +12,11 @@
 from hollyring.node import (
     clock,
     connection_pool,
+    errors,
     http_connection,
     interfaces,
     metrics,
     request_context,
-    responses,
     state,
 )
 from hollyring.routing import costs, registry, selection
@@ -135,7 +135,7 @@
             return request_context.NotRun("deadline while connecting")
         try:
             if context.response.caller_left:
-                raise responses.CallerLeftError(context.request_id)
+                raise errors.CallerLeftError("caller left before this attempt was sent")
             exchange = connection.send(
                 self._request(context, selected),
                 self._codec.response_matcher(context.request_id),
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -14,6 +14,7 @@
     attempt,
     clock,
     connection_pool,
+    errors,
     interfaces,
     logs,
     metrics,
@@ -102,7 +103,7 @@
         except _RequestRefusedError as error:
             self._log_end(admitted, error.refusal.code)
             await response.refuse(error.refusal)
-        except (responses.CallerLeftError, anyio.get_cancelled_exc_class()):
+        except (errors.CallerLeftError, anyio.get_cancelled_exc_class()):
             self._log_end(admitted, "caller left")
             raise
 
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -14,10 +14,6 @@
     """The response cannot be completed; the server closes the connection within the response."""
 
 
-class CallerLeftError(errors.VmError):
-    """The caller has closed the connection; nothing is sent on for it."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EncodedRefusal:
     """Response that reports a refusal, as encoded by an adapter."""
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -14,6 +14,7 @@
 from hollyring.node import (
     clock,
     connection_pool,
+    errors,
     metrics,
     relay,
     responses,
@@ -452,7 +453,7 @@
     vm, servers = await start_vm("complete")
     await vm.send_request("r-1")
     opened = vm.pool.opened
-    with pytest.raises(responses.CallerLeftError):
+    with pytest.raises(errors.CallerLeftError):
         await vm.send_request("r-2", caller_left=True)
     await vm.send_request("r-3")
     assert [r.headers["x-request-id"] for r in servers[0].requests] == ["r-1", "r-3"]
