Let a stream that goes on wait longer in an upstream's queue than a new one

What callers would see: a stream that they take up is refused as overloaded more often than a new one, as only the upstreams of one software version may continue it, and so what they have of it is lost (LOST). Refused, a new request loses nothing but time; a stream that goes on loses the part that the caller has. Now it may wait for up to a second, as long as the gap within a stream after which a VM tries another upstream. Evidence: test_resumed_stream_waits_where_a_new_one_is_refused fails before and passes now.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -31,6 +31,9 @@
 are evicted and have to be prefilled again.
 """
 
+RESUMED_MAX_WAIT_SECONDS = 1.0
+"""Maximum queueing time of a stream that goes on; refused, it would lose what the caller has."""
+
 DEADLINE_MARGIN_SECONDS = 0.02
 """Time before the caller's deadline by which the final response is sent."""
 
@@ -188,7 +191,7 @@
             self._state.failure_domain,
             context.seconds_left,
             context.route.target_latency,
-            context.min_target_seconds * MAX_WAIT_TARGET_RATIO,
+            _max_wait_seconds(context),
             context.retry_state.upstreams,
             context.software,
         )
@@ -333,3 +336,11 @@
             return software
         case _:
             return None
+
+
+def _max_wait_seconds(context: request_context.RequestContext) -> float:
+    """Return the longest time to wait in an upstream's queue."""
+    seconds = context.min_target_seconds * MAX_WAIT_TARGET_RATIO
+    if context.events.last_number is None:
+        return seconds
+    return max(seconds, RESUMED_MAX_WAIT_SECONDS)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -120,6 +120,7 @@
         path="/x?y=%20",
         headers=(),
         caller_left=False,
+        resume_after=None,
     ):
         caller = Caller()
         prompt = None
@@ -142,6 +143,7 @@
             api_key,
             deadline_seconds,
             prompt,
+            resume_after,
         )
         response = responses.ResponseWriter(
             caller.send, ingress.encode_refusal, lambda: False, lambda: caller_left
@@ -429,6 +431,19 @@
     assert not caller.ended
 
 
+@pytest.mark.anyio
+async def test_resumed_stream_waits_where_a_new_one_is_refused(start_vm):
+    vm, _ = await start_vm(
+        "complete", streaming=True, retry_safety=request_types.RetrySafety.RESUMABLE
+    )
+    queued = int(0.5 * registry.PREFILL_TOKENS_PER_SECOND)
+    load = registry.PeerLoad(8, 0, queued, 0.0, clock.now())
+    vm.state.registry.get("i-0").peers["vm-2"] = load
+    assert (await vm.send_request("r-1")).status == 503
+    resumed = await vm.send_request("r-2", resume_after=2)
+    assert resumed.body == b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(3, 6))
+
+
 @pytest.mark.anyio
 async def test_interrupted_at_most_once_stream_is_not_ended_or_retried(start_vm):
     vm, servers = await start_vm("interrupt", "interrupt", streaming=True)
