Failing tests: an upstream that refuses with Retry-After gets nothing until that time ends

What callers see: requests, retries and resumed streams still go to an upstream that refused with 503 and Retry-After, which costs them an attempt each and breaks BUDGET. Cause: nothing reads the header. The stand-ins play it (`back_off`): real connections for requests, orders and probes, simulated time for cache events, reports and whole rollouts.

--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -84,6 +84,12 @@
         self.epoch = 1
         self.events = []
         self.event_polls = 0
+        self.backoff_until = -math.inf
+        self.calls = []
+
+    def calls_by(self, vm, since, until):
+        """Return the number of calls that a VM made between two times."""
+        return sum(name == vm and since <= at < until for at, name in self.calls)
 
     @property
     def busy(self):
@@ -128,6 +134,12 @@
 class UpstreamCodec:
     """Partial implementation of `interfaces.UpstreamCodec` that pickles objects."""
 
+    def decode_head(self, head):
+        seconds = float(dict(head.headers).get(b"retry-after", 0.0))
+        return interfaces.ResponseHead(
+            head.status, [], False, head.status == 503, False, "", 0, seconds
+        )
+
     def encode_report_request(self, address):
         return pickle.dumps(_ReportRequest())
 
@@ -152,8 +164,9 @@
 class ConnectionPool:
     """Partial implementation of `connection_pool.ConnectionPool` for the simulated upstreams."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, vm):
         self._fleet = fleet
+        self._vm = vm
 
     async def call(self, address, request, seconds):
         await anyio.sleep(simulated_store.CALL_SECONDS)
@@ -161,6 +174,11 @@
         if upstream is None or upstream.silent:
             await anyio.sleep(seconds)
             raise http_connection.HttpConnectionError("no answer in time")
+        upstream.calls.append((clock.now(), self._vm))
+        seconds_left = upstream.backoff_until - clock.now()
+        if seconds_left > 0:
+            header = (b"retry-after", b"%.3f" % seconds_left)
+            return http_connection.Response(503, [header], b"")
         match pickle.loads(request):
             case _ReportRequest():
                 return http_connection.Response(200, [], pickle.dumps(upstream))
@@ -232,7 +250,7 @@
         store_codec = StoreCodec()
         client = simulated_store.StoreClient(fleet.store, name)
         codec = UpstreamCodec()
-        connections = ConnectionPool(fleet)
+        connections = ConnectionPool(fleet, name)
         peers = PeerConnections(fleet, name)
         seeds = [f"{seed}:2" for seed in fleet.names[:MAX_SEEDS]]
         self.name = name
--- a/hollyring/node/tests/test_cache_watcher.py
+++ b/hollyring/node/tests/test_cache_watcher.py
@@ -100,3 +100,19 @@
         await fleet.wait_until(lambda: all_cached(fleet, "u-1", "part-x"), 4.0)
 
     simulate(scenario)
+
+
+def test_upstream_in_backoff_gets_no_polls(simulate):
+    async def scenario(fleet):
+        await start_all(fleet)
+        upstream = fleet.upstreams["u-1"]
+        asked_at = anyio.current_time()
+        upstream.backoff_until = asked_at + 5.0
+        upstream.set_cached(SALT, "part-x", TOKENS)
+        await anyio.sleep(5.0)
+        for name in fleet.names:
+            # The poll under way ends within POLL_WAIT_SECONDS, the next one is refused.
+            assert upstream.calls_by(name, asked_at, upstream.backoff_until) <= 1
+        await fleet.wait_until(lambda: all_cached(fleet, "u-1", "part-x"), 1.0)
+
+    simulate(scenario)
--- a/hollyring/node/tests/test_rollout_controller.py
+++ b/hollyring/node/tests/test_rollout_controller.py
@@ -311,3 +311,22 @@
         assert clock.now() - started_at < 2 * round_seconds
 
     simulate(scenario)
+
+
+def test_upstream_in_backoff_gets_no_reports_or_orders(simulate):
+    async def scenario(fleet):
+        await start_all(fleet)
+        upstream = fleet.upstreams["u-1"]
+        upstream.backoff_until = anyio.current_time() + 6.0
+        fleet.set_wanted_version(2)
+        others = [u for u in fleet.upstreams.values() if u is not upstream]
+        await fleet.wait_until(lambda: all(u.version == 2 for u in others), 8.0)
+        await anyio.sleep(max(0.0, upstream.backoff_until - anyio.current_time()))
+        refused_at = min(at for at, _ in upstream.calls if at >= upstream.backoff_until - 6.0)
+        for name in fleet.names:
+            # A poll of the cache and a report may be refused, each before the other's refusal.
+            assert upstream.calls_by(name, refused_at, upstream.backoff_until) <= 2
+        assert upstream.orders == []
+        await fleet.wait_until(lambda: fleet.all_serve(2), 5.0)
+
+    simulate(scenario)
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from hollyring.node import clock
+
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
@@ -23,6 +25,7 @@
     query: dict
     headers: dict
     body: bytes
+    arrived_at: float = dataclasses.field(default_factory=clock.now)
 
 
 async def read_request(reader):
@@ -187,6 +190,9 @@
     ``repeat``: a stream in one chunk, with its second event twice; ``refuse-first``: ``refuse`` for
     the first request only.
 
+    After `back_off`, every request, report, order and poll is refused with 503 and ``retry-after``
+    until the time ends; `states_not_run` selects whether ``x-not-run`` comes with it.
+
     With `repeats`, an answer to a request (no stream), report or order is sent again when its
     connection has carried the next one, before the answer to that.
     """
@@ -206,11 +212,30 @@
         self.event_seconds = 0.01
         self.repeats = False
         self.late_answers = {}
+        self.states_not_run = True
+        self.backoff_until = 0.0
+        self.retry_after = None
+
+    def back_off(self, seconds, retry_after=None):
+        """Refuse everything for some seconds; `retry_after` replaces the remaining ones."""
+        self.backoff_until = clock.now() + seconds
+        self.retry_after = retry_after
+
+    def refuse_in_backoff(self, request):
+        seconds = self.backoff_until - clock.now()
+        headers = {"retry_after": self.retry_after or f"{seconds + 0.0005:.3f}"}
+        if "x-request-id" in request.headers:
+            headers["x_request_id"] = request.headers["x-request-id"]
+        if self.states_not_run:
+            headers["x_not_run"] = 1
+        return encode_response(503, b"", **headers)
 
     async def handle(self, request, writer):
         await asyncio.sleep(self.delay_seconds)
         writer.write(self.late_answers.pop(writer, b""))
-        if request.path == "/hollyring/report":
+        if clock.now() < self.backoff_until:
+            self.answer(writer, self.refuse_in_backoff(request))
+        elif request.path == "/hollyring/report":
             self.answer(writer, encode_response(200, json.dumps(self.report()).encode()))
         elif request.path == "/hollyring/order":
             self.answer(writer, self.order(json.loads(request.body)))
