Send no request to an upstream until the end of the backoff that it asked for

What callers see: another upstream at once; if all that could take the request are in backoff, 503 (not run) at once, with a time to return 0 to 0.5 s after the first end, by the request's identity. The selector leaves these upstreams out; no failure, suspicion or load of weights counts, so that others still fetch their prompts. The check is repeated when a connection has been found. No connection probes: a connection may hold a slot. Only this VM's own mark: the upstream asked this VM. Odd forms of the header are typed in the decoder and logged once for each upstream; log line and gauge for each backoff.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -389,6 +389,7 @@
             "upstreams": len(self._state.registry.upstreams),
             "open_requests": self._state.requests.open,
             "upstream_connections_opened": self._connections.opened,
+            "upstream_backoffs_total": self._state.backoffs.recorded,
         }
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
         return "\n".join(lines) + "\n" + self._metrics.render()
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -134,6 +134,8 @@
         except TimeoutError:
             return request_context.NotRun("deadline while connecting")
         try:
+            if self._state.backoffs.is_active(upstream):
+                return request_context.NotRun("in backoff since this request was placed")
             if context.response.caller_left:
                 raise responses.CallerLeftError(context.request_id)
             exchange = connection.send(
@@ -179,10 +181,12 @@
         upstream = selected.upstream
         head = self._codec.decode_head(await self._wait_for(context, selected, exchange.head))
         upstream.record_activity(clock.now())
+        self._state.backoffs.record(upstream, head)
         if head.misdirected or head.not_run:
             return await self._handle_refusal(context, selected, head, exchange)
         if not head.authentic:
-            upstream.record_failure(clock.now())
+            if not head.retry_after_seconds:
+                upstream.record_failure(clock.now())
             return request_context.Failed(f"status {head.status} without a signature")
         if context.request.prompt is not None and head.version:
             upstream.record_version(context.request.prompt.model, head.version)
@@ -228,7 +232,12 @@
         raise _ResponseTimeoutError("no answer in time")
 
     async def _probe(self, upstream: registry.Upstream) -> bool:
-        """Return whether a silent upstream accepts a connection; if not, mark it unresponsive."""
+        """Return whether a silent upstream accepts a connection; if not, mark it unresponsive.
+
+        One in backoff counts as alive: a connection may occupy one of its slots.
+        """
+        if self._state.backoffs.is_active(upstream):
+            return True
         connected = await self._pool.can_connect(upstream.entry.address)
         if not connected:
             self._state.mark_unresponsive(upstream, "silent and takes no connection")
@@ -266,9 +275,10 @@
         with anyio.move_on_after(REFUSAL_BODY_TIMEOUT_SECONDS):
             await exchange.body()
         if not head.misdirected:
-            upstream.loading_until = max(
-                upstream.loading_until, clock.now() + LOADING_BACKOFF_SECONDS
-            )
+            if not head.retry_after_seconds:
+                upstream.loading_until = max(
+                    upstream.loading_until, clock.now() + LOADING_BACKOFF_SECONDS
+                )
             return request_context.NotRun(f"refused with {head.status}")
         if head.upstream and head.upstream != upstream.name:
             self._state.remove_replaced(upstream, head.upstream)
@@ -289,7 +299,8 @@
         upstream.record_first_event(context.request_id, now)
         failed = request_context.Failed(f"status {head.status}", head, body)
         if head.status >= HTTP_SERVER_ERROR:
-            upstream.record_failure(now)
+            if not head.retry_after_seconds:
+                upstream.record_failure(now)
             if context.retry_state.may_run_elsewhere:
                 return failed
         if context.response.started:
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import typing
 from collections.abc import Mapping, Sequence
 
@@ -199,6 +200,15 @@
     resume_after: int | None = None
 
 
+class RetryAfterAnomaly(enum.StrEnum):
+    """Why a time that a refusal asks the VM to wait is not used as it stands."""
+
+    NOT_POSITIVE = "zero or negative"
+    DATE = "a date"
+    MALFORMED = "not a number"
+    TOO_LONG = "longer than the limit"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Decoded status and headers of an upstream's response.
@@ -217,6 +227,11 @@
         Instance id of the upstream that responded, empty if not stated.
     version
         Version of its weights, 0 if not stated.
+    retry_after_seconds
+        Time for which the upstream, which refused the request, wants nothing more from this VM; 0
+        if it does not say so.
+    retry_after_anomaly
+        Why a time that the response states is not in `retry_after_seconds`, None if it is.
     """
 
     status: int
@@ -226,6 +241,8 @@
     misdirected: bool
     upstream: str
     version: int
+    retry_after_seconds: float = 0.0
+    retry_after_anomaly: RetryAfterAnomaly | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -179,18 +179,7 @@
         now = clock.now()
         if not context.retry_state.has_time(now):
             raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
-        selection_request = selection.SelectionRequest(
-            context.request_id,
-            context.service.name,
-            context.request.prompt,
-            context.isolated_organisation,
-            self._state.failure_domain,
-            context.seconds_left,
-            context.route.target_latency,
-            context.min_target_seconds * MAX_WAIT_TARGET_RATIO,
-            context.retry_state.upstreams,
-            context.software,
-        )
+        selection_request = self._selection_request(context)
         selected = self._state.selector.select(selection_request, now)
         if (
             isinstance(selected, selection.NoUpstream)
@@ -207,6 +196,22 @@
             )
         return selected
 
+    def _selection_request(
+        self, context: request_context.RequestContext
+    ) -> selection.SelectionRequest:
+        return selection.SelectionRequest(
+            context.request_id,
+            context.service.name,
+            context.request.prompt,
+            context.isolated_organisation,
+            self._state.failure_domain,
+            context.seconds_left,
+            context.route.target_latency,
+            context.min_target_seconds * MAX_WAIT_TARGET_RATIO,
+            context.retry_state.upstreams,
+            context.software,
+        )
+
     def _may_retry(self, context: request_context.RequestContext) -> bool:
         """Return whether to make another attempt, which spends a retry of the service's budget."""
         now = clock.now()
@@ -222,8 +227,16 @@
             await context.response.send(last.head.status, last.head.headers, last.body)
             return
         now = clock.now()
-        code = "no_upstream" if context.retry_state.has_time(now) else "overloaded"
-        raise _RequestRefusedError(context.retry_state.final_refusal(code, now))
+        if not context.retry_state.has_time(now):
+            raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
+        # Nothing more is sent; the selection only tells when an upstream may have capacity.
+        unrestricted = dataclasses.replace(self._selection_request(context), excluded=frozenset())
+        selected = self._state.selector.select(unrestricted, now)
+        if isinstance(selected, selection.NoUpstream) and selected.busy:
+            raise _RequestRefusedError(
+                context.retry_state.final_refusal("overloaded", now, selected.retry_after)
+            )
+        raise _RequestRefusedError(context.retry_state.final_refusal("no_upstream", now))
 
     def _log_refused(
         self, request: request_types.Request, rejection: refusal.Refusal, arrived_at: float
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -22,7 +22,14 @@
     service_retry_budgets,
 )
 from hollyring.membership import heartbeat, peer_table, request_meter
-from hollyring.node import cache_updates, clock, interfaces, logs, store_changes
+from hollyring.node import (
+    cache_updates,
+    clock,
+    interfaces,
+    logs,
+    store_changes,
+    upstream_backoffs,
+)
 from hollyring.routing import (
     prefix_caches,
     registry,
@@ -94,6 +101,7 @@
         self.store_keys = store_keys
         self.deployment: deployment.Deployment | None = None
         self.registry = registry.Registry()
+        self.backoffs = upstream_backoffs.UpstreamBackoffs(self.registry)
         self.prefix_caches = prefix_caches.PrefixCaches()
         self.wanted_versions = wanted_versions.WantedVersions(max_version_age_seconds)
         self.selector = selection.Selector(self.registry, self.prefix_caches, self.wanted_versions)
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -1,4 +1,5 @@
 import json
+import math
 
 import pytest
 
@@ -307,3 +308,35 @@
 def test_settings_error_names_the_field(text, field):
     with pytest.raises(errors.SettingsError, match=field):
         settings.parse(text)
+
+
+@pytest.mark.parametrize(
+    ("value", "seconds", "anomaly"),
+    [
+        (b"3", 3.0, None),
+        (b"0.25", 0.25, None),
+        (b" .5 ", 0.5, None),
+        (b"9" * 400, math.inf, None),
+        (b"0", 0.0, interfaces.RetryAfterAnomaly.NOT_POSITIVE),
+        (b"-2", 0.0, interfaces.RetryAfterAnomaly.NOT_POSITIVE),
+        (b"Wed, 21 Oct 2035 07:28:00 GMT", 0.0, interfaces.RetryAfterAnomaly.DATE),
+        (b"", 0.0, interfaces.RetryAfterAnomaly.MALFORMED),
+        (b"soon", 0.0, interfaces.RetryAfterAnomaly.MALFORMED),
+        (b"nan", 0.0, interfaces.RetryAfterAnomaly.MALFORMED),
+        (b"1e3", 0.0, interfaces.RetryAfterAnomaly.MALFORMED),
+        (b"1_0", 0.0, interfaces.RetryAfterAnomaly.MALFORMED),
+        (b"\xff\x00", 0.0, interfaces.RetryAfterAnomaly.MALFORMED),
+    ],
+)
+def test_every_form_of_retry_after_has_a_meaning(value, seconds, anomaly):
+    codec = upstreams.HttpUpstreamCodec()
+    raw = [(b"retry-after", value)]
+    refused = codec.decode_head(http_connection.ResponseHead(503, raw))
+    assert (refused.retry_after_seconds, refused.retry_after_anomaly) == (seconds, anomaly)
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_retry_after_of_another_status_is_not_a_backoff(status):
+    raw = [(b"retry-after", b"3")]
+    head = upstreams.HttpUpstreamCodec().decode_head(http_connection.ResponseHead(status, raw))
+    assert (head.retry_after_seconds, head.retry_after_anomaly) == (0.0, None)
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import email.utils
+import re
+
 import msgspec
 
 from hollyring.core import request_types
@@ -9,6 +12,7 @@
 from hollyring.membership import heartbeat
 from hollyring.node import http_connection, http_request, interfaces
 
+HTTP_UNAVAILABLE = 503
 MS_PER_SECOND = 1000.0
 MIN_DEADLINE_MS = 1
 MAX_PRIORITY = 9
@@ -51,6 +55,8 @@
 )
 """Caller headers that are not forwarded: a VM sets them itself, or upstreams must not get them."""
 
+DECIMAL_NUMBER = re.compile(rb"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
+
 ORDER_OUTCOMES = {
     200: fleet.Outcome.ACCEPTED,
     202: fleet.Outcome.ACCEPTED,
@@ -138,6 +144,7 @@
         """Decode the head of a response."""
         headers = [header for header in head.headers if header[0] not in HOP_BY_HOP_HEADERS]
         version = _header_value(head.headers, b"x-weight-versions")
+        retry_after = _decode_retry_after(head)
         return interfaces.ResponseHead(
             head.status,
             headers,
@@ -146,6 +153,8 @@
             misdirected=head.status == 421,
             upstream=_header_value(head.headers, b"x-instance-id").decode("latin-1"),
             version=int(version) if version.isdigit() else 0,
+            retry_after_seconds=retry_after if isinstance(retry_after, float) else 0.0,
+            retry_after_anomaly=None if isinstance(retry_after, float) else retry_after,
         )
 
     def encode_report_request(self, address: str) -> bytes:
@@ -233,5 +242,21 @@
     return name not in HOP_BY_HOP_HEADERS and name not in RESERVED_HEADERS
 
 
+def _decode_retry_after(
+    head: http_connection.ResponseHead,
+) -> float | interfaces.RetryAfterAnomaly:
+    """Return the seconds of a refusal's `Retry-After` header, 0 for a response without one."""
+    names = [name for name, _ in head.headers]
+    if head.status != HTTP_UNAVAILABLE or b"retry-after" not in names:
+        return 0.0
+    value = _header_value(head.headers, b"retry-after").strip()
+    if DECIMAL_NUMBER.fullmatch(value):
+        seconds = float(value)
+        return seconds if seconds > 0 else interfaces.RetryAfterAnomaly.NOT_POSITIVE
+    if email.utils.parsedate(value.decode("latin-1")) is not None:
+        return interfaces.RetryAfterAnomaly.DATE
+    return interfaces.RetryAfterAnomaly.MALFORMED
+
+
 def _header_value(headers: list[request_types.Header], name: bytes) -> bytes:
     return next((value for key, value in headers if key == name), b"")
--- a/hollyring/routing/costs.py
+++ b/hollyring/routing/costs.py
@@ -45,6 +45,9 @@
 """Likely number of output tokens above which a response is long."""
 
 MIN_RETRY_SECONDS = 0.2
+BACKOFF_RETRY_SPREAD_SECONDS = 0.5
+"""Time after the end of a backoff over which rejected callers return."""
+
 RETRY_JITTER = 1.0
 """Jitter as a share of the retry delay, so that rejected callers do not retry together."""
 
@@ -90,9 +93,18 @@
     max_wait_seconds
         Longest acceptable wait.
     """
-    fraction = rendezvous.weight(request_id.encode(), "retry") / 2.0**64
     seconds = max(MIN_RETRY_SECONDS, excess_seconds + max_wait_seconds / 2)
-    return seconds * (1.0 + RETRY_JITTER * fraction)
+    return seconds * (1.0 + RETRY_JITTER * _retry_fraction(request_id))
+
+
+def backoff_retry_seconds(request_id: str, backoff_seconds: float) -> float:
+    """Return the retry delay of a request rejected during a backoff that lasts so much longer."""
+    return backoff_seconds + BACKOFF_RETRY_SPREAD_SECONDS * _retry_fraction(request_id)
+
+
+def _retry_fraction(request_id: str) -> float:
+    """Return a fraction that spreads the retries of different requests."""
+    return rendezvous.weight(request_id.encode(), "retry") / 2.0**64
 
 
 def late_fraction(expected_seconds: float, target_seconds: float) -> float:
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -6,6 +6,9 @@
 import math
 from collections.abc import Iterator, Mapping
 
+from hollyring.core import identities
+from hollyring.routing import backoffs
+
 MIN_FIRST_EVENT_SECONDS = 0.035
 """Shortest time to first event of an inference server."""
 
@@ -118,6 +121,7 @@
     last_activity_at: float = -math.inf
     loading_until: float = -math.inf
     missing_since: float | None = None
+    logged_anomalies: set[str] = dataclasses.field(default_factory=set)
     _prefill_rate: float = 0.0
     _prefill_rate_at: float = 0.0
 
@@ -126,6 +130,11 @@
         """Name of the upstream."""
         return self.entry.name
 
+    @property
+    def incarnation(self) -> identities.Incarnation:
+        """Name and incarnation number of the upstream."""
+        return identities.Incarnation(self.entry.name, self.entry.life)
+
     def version(self, model: str) -> int:
         """Return the version of the weights of `model`, or 0 if it is not served."""
         return self.versions.get(model, 0)
@@ -253,11 +262,12 @@
 
 
 class Registry:
-    """Registry of upstreams by name."""
+    """Registry of upstreams by name, with their backoffs."""
 
-    __slots__ = ("_upstreams", "_by_service")
+    __slots__ = ("backoffs", "_upstreams", "_by_service")
 
     def __init__(self) -> None:
+        self.backoffs = backoffs.Backoffs()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
 
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -11,7 +11,8 @@
 
 Penalties are added for a server that is suspect, is loading weights or has older weights; it is
 selected only if the others are expected to be slower by more than that. A request that cannot be
-started before its deadline is rejected at once.
+started before its deadline is rejected at once. An upstream in backoff has no capacity for this VM;
+the prompts that it caches may still be fetched by others.
 """
 
 from __future__ import annotations
@@ -222,17 +223,16 @@
         The request is rejected if there is no upstream, or if the expected wait or time to first
         event at the one with the lowest cost is too long.
         """
-        upstreams = [
-            upstream
-            for upstream in self._registry.of_service(request.service)
-            if not upstream.entry.leaving
-            and upstream.name not in request.excluded
-            and request.software in (None, upstream.entry.software)
-            and not self._is_expired(request, upstream, now)
-        ]
-        candidates = [self._candidate(request, upstream, now) for upstream in upstreams]
-        if not candidates:
+        suitable = self._suitable_upstreams(request, now)
+        if not suitable:
             return NoUpstream(NO_UPSTREAM_RETRY_SECONDS, busy=False)
+        upstreams = self._outside_backoff(suitable, now)
+        if not upstreams:
+            ends = (self._registry.backoffs.end(upstream.incarnation) for upstream in suitable)
+            return NoUpstream(
+                costs.backoff_retry_seconds(request.request_id, min(ends) - now), busy=True
+            )
+        candidates = [self._candidate(request, upstream, now) for upstream in upstreams]
         best = min(candidates, key=lambda candidate: candidate.cost)
         excess = (
             best.selection.expected_seconds - request.remaining_seconds * FIRST_EVENT_DEADLINE_SHARE
@@ -245,6 +245,25 @@
             )
         return best.selection
 
+    def _suitable_upstreams(self, request: SelectionRequest, now: float) -> list[registry.Upstream]:
+        """Return the upstreams that may run the request, whatever their load."""
+        return [
+            upstream
+            for upstream in self._registry.of_service(request.service)
+            if not upstream.entry.leaving
+            and upstream.name not in request.excluded
+            and request.software in (None, upstream.entry.software)
+            and not self._is_expired(request, upstream, now)
+        ]
+
+    def _outside_backoff(
+        self, upstreams: list[registry.Upstream], now: float
+    ) -> list[registry.Upstream]:
+        backoffs = self._registry.backoffs
+        if not backoffs.any_active(now):
+            return upstreams
+        return [u for u in upstreams if not backoffs.is_active(u.incarnation, now)]
+
     def _is_expired(
         self, request: SelectionRequest, upstream: registry.Upstream, now: float
     ) -> bool:
--- a/hollyring/routing/tests/test_selection.py
+++ b/hollyring/routing/tests/test_selection.py
@@ -4,7 +4,14 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
-from hollyring.routing import prefix_caches, registry, selection, wanted_versions
+from hollyring.routing import (
+    backoffs,
+    costs,
+    prefix_caches,
+    registry,
+    selection,
+    wanted_versions,
+)
 
 MODEL = "parish"
 SERVICE = "ls"
@@ -452,3 +459,72 @@
     by_hash.run(12.0, ROLLOUT)
     p95 = [sorted(run.waits)[int(0.95 * len(run.waits))] for run in (by_cost, by_hash)]
     assert p95[0] < p95[1]
+
+
+def back_off(vm, name, seconds, now=0.0):
+    vm.registry.backoffs.extend(vm.registry.get(name).incarnation, seconds, now)
+
+
+def test_upstream_in_backoff_is_not_selected_whatever_the_cost_of_the_others(vm):
+    vm.add("a1", "a2")
+    vm.caches.touch("a1", 128_000, "parish.1", SHARED)
+    for _ in range(5):
+        vm.registry.get("a2").record_failure(0.0)
+    back_off(vm, "a1", 3.0)
+    assert {vm.select(f"r-{n}", now=2.99).upstream.name for n in range(20)} == {"a2"}
+    assert vm.select(now=3.0).upstream.name == "a1"
+
+
+def test_prompt_is_fetched_from_an_upstream_in_backoff(vm):
+    vm.add("a1", "a2")
+    vm.caches.touch("a1", 128_000, "parish.1", SHARED)
+    back_off(vm, "a1", 3.0)
+    assert vm.select().fetch_from == vm.registry.get("a1").entry.address
+
+
+def test_rejected_callers_return_spread_after_the_earliest_end_of_a_backoff(vm):
+    vm.add("a1", "a2")
+    back_off(vm, "a1", 3.0)
+    back_off(vm, "a2", 8.0)
+    rejected = [vm.select(f"r-{n}", now=1.0) for n in range(100)]
+    assert all(isinstance(r, selection.NoUpstream) and r.busy for r in rejected)
+    delays = [r.retry_after for r in rejected]
+    assert min(delays) >= 2.0 and max(delays) <= 2.0 + costs.BACKOFF_RETRY_SPREAD_SECONDS
+    assert max(delays) - min(delays) > 0.4
+
+
+def test_leaving_upstream_does_not_set_the_time_to_return(vm):
+    vm.add("a1")
+    vm.add("a2", leaving=True)
+    back_off(vm, "a1", 3.0)
+    back_off(vm, "a2", 1.0)
+    assert vm.select().retry_after >= 3.0
+
+
+def test_backoff_ends_with_a_new_incarnation(vm):
+    vm.add("a1")
+    back_off(vm, "a1", 3.0)
+    vm.add("a1", life=2)
+    assert vm.select().upstream.name == "a1"
+
+
+def test_backoff_outlasts_the_removal_of_the_entry(vm):
+    vm.add("a1")
+    back_off(vm, "a1", 3.0)
+    vm.registry.remove("a1")
+    vm.add("a1")
+    assert isinstance(vm.select(), selection.NoUpstream)
+
+
+def test_later_refusal_with_a_shorter_time_does_not_shorten_a_backoff(vm):
+    vm.add("a1")
+    back_off(vm, "a1", 3.0)
+    back_off(vm, "a1", 0.5, now=1.0)
+    assert isinstance(vm.select(now=2.9), selection.NoUpstream)
+
+
+def test_backoff_is_bounded(vm):
+    vm.add("a1")
+    back_off(vm, "a1", float("inf"))
+    assert isinstance(vm.select(now=backoffs.MAX_BACKOFF_SECONDS - 0.1), selection.NoUpstream)
+    assert vm.select(now=backoffs.MAX_BACKOFF_SECONDS).upstream.name == "a1"
