Do not poll the cache events of an upstream in backoff

Why a poll counts: it is a request, and takes one of the few calls that a server holds at once. What was missed comes with the next poll, as it names the last event known. What callers see: the VMs' estimates of that one cache stand still until the end, 30 s at most. Evidence: test_upstream_in_backoff_gets_no_polls fails before and passes.

--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -3,7 +3,8 @@
 Every serving VM polls the events of each holder once, when it begins to serve or when the holder
 appears, so that it has the recent contents at once. After that, each holder is polled by only one
 VM, the ready serving one that ranks first for it by rendezvous hashing, which reports the changes
-to the others.
+to the others. An upstream in backoff is not polled: a poll occupies one of the few that it holds at
+once, and the changes missed meanwhile follow with the next one.
 """
 
 from __future__ import annotations
@@ -104,6 +105,7 @@
         """Poll the events of a holder once, and again while this VM is responsible for it."""
         with scope:
             while True:
+                await self._wait_for_backoff(holder)
                 is_first = holder not in self._epochs
                 try:
                     await self._poll(holder, address, is_first)
@@ -124,7 +126,7 @@
     async def _poll(self, holder: str, address: str, is_first: bool) -> None:
         after = self._after.get(holder, 0)
         request = self._codec.encode_events_request(address, after, POLL_WAIT_SECONDS)
-        events = await self._fetch_events(address, request)
+        events = await self._fetch_events(holder, address, request)
         reset = not is_first and events.epoch != self._epochs[holder]
         if reset:
             self._log.info("cache restarted empty", holder=holder, epoch=events.epoch)
@@ -140,13 +142,29 @@
                 heartbeat.CacheReport(holder, True, reset, changes[-MAX_REPORTED_CHANGES:])
             )
 
+    async def _wait_for_backoff(self, holder: str) -> None:
+        """Wait until an upstream's backoff ends; a cache store has none."""
+        while True:
+            upstream = self._state.registry.get(holder)
+            seconds = self._state.backoffs.seconds_left(upstream) if upstream else 0.0
+            if not seconds:
+                return
+            # Not all of it at once, as the upstream's next incarnation is not in backoff.
+            await anyio.sleep(min(seconds, TICK_SECONDS))
+
     def _report(self, report: heartbeat.CacheReport) -> None:
         """Apply a report here and queue it for the next heartbeat."""
         self._state.caches.apply_report(report, clock.now())
         self._state.cache_reports.append(report)
 
-    async def _fetch_events(self, address: str, request: bytes) -> interfaces.CacheEvents:
+    async def _fetch_events(
+        self, holder: str, address: str, request: bytes
+    ) -> interfaces.CacheEvents:
         response = await self._connections.call(address, request, CALL_TIMEOUT_SECONDS)
+        upstream = self._state.registry.get(holder)
+        if upstream is not None:
+            head = http_connection.ResponseHead(response.status, response.headers)
+            self._state.backoffs.record(upstream, self._codec.decode_head(head))
         events = self._codec.decode_events(response.body) if response.status == HTTP_OK else None
         if events is None:
             raise http_connection.HttpConnectionError(
