Send no order and no report request to an upstream in backoff

What callers see: nothing; the upstream had one report request each 0.4 s during a rollout, and orders. Cause: the rollout knew of no backoff, and did not read Retry-After in answers to its own calls. Change: an upstream in backoff is left out of the rollout as a silent one is, and the check is repeated before an order is written. A refused order or report begins a backoff, also for requests.

--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -278,6 +278,7 @@
         """Advance the rollout of one service; return the upstreams to load weights next."""
         upstreams = [u for u in self._state.registry.of_service(service) if not u.entry.leaving]
         upstreams = [u for u in upstreams if now >= self._silent_until.get(u.name, 0.0)]
+        upstreams = [u for u in upstreams if not self._state.backoffs.is_active(u)]
         declared = [target for u in upstreams if (target := self._target(u)) is not None]
         service_rollout = self._rollouts.get(service)
         if service_rollout is None:
@@ -376,6 +377,7 @@
             return
         finally:
             self._reports_in_flight.discard(upstream.name)
+        self._record_backoff(upstream, response)
         report = self._codec.decode_report(upstream.name, upstream.entry.life, response.body, at)
         if report is None:
             self._log.info("unreadable report", upstream=upstream.name)
@@ -425,6 +427,7 @@
         if (
             now > order.send_by
             or self._lease.fencing(now, MIN_LEASE_REMAINING_SECONDS) != order.fencing
+            or self._state.backoffs.is_active(upstream)
         ):
             return messages.Outcome.NOT_SENT
         address = upstream.entry.address
@@ -436,8 +439,15 @@
             return messages.Outcome.NOT_SENT
         except http_connection.HttpConnectionError:
             return messages.Outcome.UNKNOWN
+        self._record_backoff(upstream, response)
         return self._codec.decode_order_outcome(response.status)
 
+    def _record_backoff(
+        self, upstream: registry.Upstream, response: http_connection.Response
+    ) -> None:
+        head = http_connection.ResponseHead(response.status, response.headers)
+        self._state.backoffs.record(upstream, self._codec.decode_head(head))
+
     def _announce(
         self, upstream: registry.Upstream, model: str, version: int, loading: bool
     ) -> None:
