Keep upstreams that announced to leave out of use, by name and incarnation

Cause: the registry knew that an upstream leaves by its entry only; an entry that still says "ready", late or outdated, let requests go there. The announcement holds for the incarnation and earlier ones, whatever entries follow, and for a minute after the entry's removal, as an outdated entry may bring the upstream back. Orders go to no such upstream.

--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -276,7 +276,7 @@
 
     def _step(self, service: str, now: float) -> list[str]:
         """Advance the rollout of one service; return the upstreams to load weights next."""
-        upstreams = [u for u in self._state.registry.of_service(service) if not u.entry.leaving]
+        upstreams = [u for u in self._state.registry.of_service(service) if not u.leaving]
         upstreams = [u for u in upstreams if now >= self._silent_until.get(u.name, 0.0)]
         declared = [target for u in upstreams if (target := self._target(u)) is not None]
         service_rollout = self._rollouts.get(service)
--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -126,7 +126,7 @@
         store_failing = store_failing or any(
             not p.store_reached for p in self._state.peers.alive(now)
         )
-        if store_failing and not upstream.entry.leaving:
+        if store_failing and not upstream.leaving:
             upstream.missing_since = now
             return
         self._log.info("upstream removed", upstream=name, why="entry removed")
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Iterator, Mapping
 
+from hollyring.routing import departures
+
 MIN_FIRST_EVENT_SECONDS = 0.035
 """Shortest time to first event of an inference server."""
 
@@ -38,6 +40,9 @@
 PEER_LOAD_TTL_SECONDS = 1.0
 """Age up to which load reports of other VMs are used."""
 
+UNKNOWN_LIFE = 0
+"""Incarnation number of an entry that states none."""
+
 SILENCE_THRESHOLD_SECONDS = 0.6
 """Time without data after which a server with outstanding requests counts as silent."""
 
@@ -59,7 +64,7 @@
     slots
         Requests that it runs concurrently.
     leaving
-        Whether it is shutting down and accepts no new requests.
+        Whether the entry says that it is shutting down and accepts no new requests.
     life
         Incarnation number, which differs between starts under the same name.
     versions
@@ -118,6 +123,7 @@
     last_activity_at: float = -math.inf
     loading_until: float = -math.inf
     missing_since: float | None = None
+    announced_leaving: bool = False
     _prefill_rate: float = 0.0
     _prefill_rate_at: float = 0.0
 
@@ -126,6 +132,11 @@
         """Name of the upstream."""
         return self.entry.name
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it is shutting down, by its entry or by its own announcement."""
+        return self.entry.leaving or self.announced_leaving
+
     def version(self, model: str) -> int:
         """Return the version of the weights of `model`, or 0 if it is not served."""
         return self.versions.get(model, 0)
@@ -255,9 +266,10 @@
 class Registry:
     """Registry of upstreams by name."""
 
-    __slots__ = ("_upstreams", "_by_service")
+    __slots__ = ("_upstreams", "_by_service", "_departures")
 
     def __init__(self) -> None:
+        self._departures = departures.Departures()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
 
@@ -274,11 +286,35 @@
         """Return the upstreams of a service."""
         return self._by_service.get(service, [])
 
+    def accepts_requests(self, upstream: Upstream) -> bool:
+        """Return whether an upstream that was selected earlier may still be sent a request."""
+        return self._upstreams.get(upstream.name) is upstream and not upstream.leaving
+
+    def record_departure(self, name: str, life: int, now: float) -> bool:
+        """Record that an upstream announced that it leaves; return whether this is new."""
+        upstream = self._upstreams.get(name)
+        if upstream is not None and upstream.entry.life > life:
+            return False
+        if not self._departures.record(name, life, now):
+            return False
+        if upstream is not None:
+            upstream.announced_leaving = True
+        return True
+
+    def announced_departures(self) -> list[Entry]:
+        """Return the entries of the registered upstreams that announced that they leave."""
+        return [u.entry for u in self._upstreams.values() if u.announced_leaving]
+
+    def forget_departures(self, now: float) -> None:
+        """Forget the announcements of upstreams that were removed some time ago."""
+        self._departures.forget(self._upstreams.keys(), now)
+
     def put(self, entry: Entry) -> Upstream | None:
         """Add or update an entry; return the upstream if its name or incarnation is new."""
         existing = self._upstreams.get(entry.name)
         if existing is None or existing.entry.life != entry.life:
             new = Upstream(entry, dict(entry.versions))
+            new.announced_leaving = self._departures.covers(entry.name, entry.life)
             self._upstreams[entry.name] = new
             self._rebuild_index()
             return new
@@ -291,8 +327,13 @@
 
     def remove(self, name: str) -> None:
         """Remove an upstream."""
-        if self._upstreams.pop(name, None) is not None:
-            self._rebuild_index()
+        removed = self._upstreams.pop(name, None)
+        if removed is None:
+            return
+        if removed.entry.life == UNKNOWN_LIFE:
+            # A later start under the same name could not be told from this one.
+            self._departures.discard(name)
+        self._rebuild_index()
 
     def _rebuild_index(self) -> None:
         self._by_service = {}
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -225,7 +225,7 @@
         upstreams = [
             upstream
             for upstream in self._registry.of_service(request.service)
-            if not upstream.entry.leaving
+            if not upstream.leaving
             and upstream.name not in request.excluded
             and request.software in (None, upstream.entry.software)
             and not self._is_expired(request, upstream, now)
