Send nothing more to an upstream after it announced to leave in an answer

Cause: no VM read the header. A VM now records it from the head of any answer (also a refusal, a failure, one without a signature, a stream's head) and reports it in heartbeats: at once what is new, each second, and to new or returned VMs, all that it still has registered. What callers see: a request that is about to be sent, e.g. after it waited for a connection, is placed anew without a retry of the budget; so is one whose upstream was removed meanwhile. Repeats and resumed streams go elsewhere; running streams go on. If all upstreams of a service leave, callers are refused at once with 503 and a time to return.

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -123,6 +123,13 @@
         self._upstreams.append(upstream)
         self._failure_domains.append(failure_domain)
 
+    def withdraw(self) -> None:
+        """Undo the start of the last attempt, of which nothing was sent."""
+        self._sends -= 1
+        self._in_progress = False
+        self._upstreams.pop()
+        self._failure_domains.pop()
+
     def record_failure(self, ran: execution.Execution) -> None:
         """Record that the last attempt failed, and whether its upstream ran the request."""
         self._in_progress = False
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -228,6 +228,14 @@
     request_ids: list[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """Announcement of an upstream's incarnation that it leaves."""
+
+    upstream: str
+    life: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Status of a VM, sent to every serving VM several times a second.
@@ -257,6 +265,9 @@
     stream_origins
         Streams that began at the sender since the previous heartbeat, while upstreams of several
         software versions serve.
+    departures
+        Upstreams that announced that they leave: those that the sender learnt of since the previous
+        heartbeat and, at times, all others that it still has.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -277,6 +288,7 @@
     exchanging: bool = True
     requests_per_second: float = 0.0
     stream_origins: list[StreamOrigins] = dataclasses.field(default_factory=list)
+    departures: list[Departure] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -391,6 +391,10 @@
             "upstream_connections_opened": self._connections.opened,
         }
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
+        lines += [
+            f"hollyring_departures_{source}_total {count}"
+            for source, count in sorted(self._state.departure_counts.items())
+        ]
         return "\n".join(lines) + "\n" + self._metrics.render()
 
     def _peer_address(self, name: str) -> str | None:
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -111,11 +111,13 @@
             exchanging=vm_state.peers.is_exchanging,
             requests_per_second=round(vm_state.requests.rate(now), 1),
             stream_origins=vm_state.take_stream_origins(now),
+            departures=(vm_state.announced_departures() if refreshes else vm_state.departures),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
         vm_state.weights = []
         vm_state.unresponsive_upstreams = []
+        vm_state.departures = []
         return message
 
     def _loads(self, now: float) -> list[heartbeat.UpstreamLoad]:
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -217,6 +217,8 @@
         Instance id of the upstream that responded, empty if not stated.
     version
         Version of its weights, 0 if not stated.
+    leaving
+        Whether the upstream that responded announces that it leaves.
     """
 
     status: int
@@ -226,6 +228,7 @@
     misdirected: bool
     upstream: str
     version: int
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -262,6 +265,9 @@
     def decode_head(self, head: http_connection.ResponseHead) -> ResponseHead:
         """Decode the head of a response."""
 
+    def announces_leaving(self, headers: Sequence[request_types.Header]) -> bool:
+        """Return whether the upstream that sent a response announces that it leaves."""
+
     def encode_report_request(self, address: str) -> bytes:
         """Return the HTTP request for an upstream's report of what it serves."""
 
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -80,6 +80,11 @@
   3: optional list<string> request_ids
 }
 
+struct MembershipDeparture {
+  1: optional string upstream
+  2: optional i64 life
+}
+
 struct MembershipPulse {
   1: optional MembershipPlace place
   2: optional bool ready
@@ -97,6 +102,7 @@
   14: optional bool exchanging
   15: optional double requests_per_second
   16: optional list<MembershipStreamOrigins> stream_origins
+  17: optional list<MembershipDeparture> departures
 }
 
 struct MembershipStatusRequest {
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -160,6 +160,10 @@
             if isinstance(outcome, request_context.Done):
                 self._log_end(context, "answered")
                 return
+            if isinstance(outcome, request_context.Withdrawn):
+                self._log_withdrawn(context, selected)
+                context.retry_state.withdraw()
+                continue
             context.retry_state.record_failure(outcome.execution_status)
             if isinstance(outcome, request_context.Failed):
                 context.last_failure = outcome
@@ -278,6 +282,17 @@
             active_ago=state.seconds_since(clock.now(), selected.upstream.last_activity_at),
         )
 
+    def _log_withdrawn(
+        self, context: request_context.RequestContext, selected: selection.Selection
+    ) -> None:
+        self._metrics.increment("tries_withdrawn")
+        self._log.info(
+            "try withdrawn",
+            request=context.request_id,
+            upstream=selected.upstream.name,
+            leaving=selected.upstream.leaving,
+        )
+
     def _log_failed(
         self,
         context: request_context.RequestContext,
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -45,12 +45,17 @@
         return execution.Execution.NOT_RUN
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """Attempt that was not sent, as its upstream was removed or began to leave before."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Done:
     """Attempt whose response was sent to the caller completely."""
 
 
-Outcome = Done | Failed | NotRun
+Outcome = Done | Failed | NotRun | Withdrawn
 
 
 @dataclasses.dataclass(slots=True)
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -118,6 +118,8 @@
         self.cached_prompts: list[heartbeat.CachedPrompt] = []
         self.unresponsive_upstreams: list[str] = []
         self.cache_reports: list[heartbeat.CacheReport] = []
+        self.departures: list[heartbeat.Departure] = []
+        self.departure_counts: collections.Counter[str] = collections.Counter()
         self.weights: list[heartbeat.UpstreamWeights] = []
         self.order_lease = heartbeat.OrderLeaseStatus(False, -1.0, [])
         self._store_changes = store_changes.StoreChanges(self, codec, max_version_age_seconds)
@@ -194,6 +196,38 @@
             active_ago=seconds_since(now, upstream.last_activity_at),
         )
 
+    def record_answered_departure(self, upstream: registry.Upstream) -> None:
+        """Record that an answer of an upstream says that it leaves, for the other VMs too."""
+        departure = heartbeat.Departure(upstream.name, upstream.entry.life)
+        if self._record_departure(departure, "answer", clock.now()):
+            self.departures.append(departure)
+            self.departure_counts["answered"] += 1
+
+    def _record_departure(self, departure: heartbeat.Departure, source: str, now: float) -> bool:
+        """Place no more requests at an upstream that leaves; return whether this is new.
+
+        Parameters
+        ----------
+        source
+            Name of the VM that reported it, or ``"answer"``.
+        """
+        if not self.registry.record_departure(departure.upstream, departure.life, now):
+            return False
+        self._log.info(
+            "upstream announced that it leaves",
+            upstream=departure.upstream,
+            life=departure.life,
+            source=source,
+        )
+        return True
+
+    def announced_departures(self) -> list[heartbeat.Departure]:
+        """Return the upstreams of the registry that announced that they leave."""
+        return [
+            heartbeat.Departure(entry.name, entry.life)
+            for entry in self.registry.announced_departures()
+        ]
+
     def remove_replaced(self, upstream: registry.Upstream, by: str) -> None:
         """Remove an upstream at whose address another one answers."""
         self._log.info("upstream replaced", upstream=upstream.name, by=by)
@@ -294,6 +328,9 @@
         for begun in message.stream_origins:
             origin = stream_origins.Origin(begun.service, begun.software)
             self.stream_origins.record_reported(begun.request_ids, origin, now)
+        for departure in message.departures:
+            if self._record_departure(departure, message.vm.name, now):
+                self.departure_counts["reported"] += 1
         for unresponsive in message.unresponsive_upstreams:
             upstream = self.registry.get(unresponsive)
             if upstream is not None and now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
@@ -333,6 +370,7 @@
         self.software_versions.observe(list(self.registry.upstreams.values()), now)
         self._rates.set_reachable_fraction(self.peers.reachable_fraction(now))
         self._retries.resize(self.sharing_vms)
+        self.registry.forget_departures(now)
         for name in self.peers.remove_silent(now):
             self._log.info("silent VM removed", vm=name)
         for upstream in list(self.registry.upstreams.values()):
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -188,7 +188,8 @@
     the first request only.
 
     With `repeats`, an answer to a request (no stream), report or order is sent again when its
-    connection has carried the next one, before the answer to that.
+    connection has carried the next one, before the answer to that. With `leaves`, every answer says
+    that the server leaves.
     """
 
     def __init__(self, name="i-1", behaviour="complete", events=5):
@@ -205,26 +206,27 @@
         self.software = "v1"
         self.event_seconds = 0.01
         self.repeats = False
+        self.leaves = False
         self.late_answers = {}
 
     async def handle(self, request, writer):
         await asyncio.sleep(self.delay_seconds)
         writer.write(self.late_answers.pop(writer, b""))
         if request.path == "/hollyring/report":
-            self.answer(writer, encode_response(200, json.dumps(self.report()).encode()))
+            self.answer(writer, self.encode_response(200, json.dumps(self.report()).encode()))
         elif request.path == "/hollyring/order":
             self.answer(writer, self.order(json.loads(request.body)))
         elif request.path == "/hollyring/kv-events":
             await asyncio.sleep(0.2)
             events = {"boot_epoch": 1, "next": 0, "lost": False, "events": []}
-            writer.write(encode_response(200, json.dumps(events).encode()))
+            writer.write(self.encode_response(200, json.dumps(events).encode()))
         elif self.behaviour == "refuse":
-            writer.write(encode_response(503, b"", x_not_run=1))
+            writer.write(self.encode_response(503, b"", x_not_run=1))
         elif self.behaviour == "refuse-first" and len(self.requests) == 1:
             name = request.headers["x-request-id"]
-            self.answer(writer, encode_response(503, b"", x_request_id=name, x_not_run=1))
+            self.answer(writer, self.encode_response(503, b"", x_request_id=name, x_not_run=1))
         elif self.behaviour == "misdirect":
-            writer.write(encode_response(421, b"", x_instance_id="i-9"))
+            writer.write(self.encode_response(421, b"", x_instance_id="i-9"))
         elif self.behaviour == "silent":
             await self.wait_closed(writer)
         elif self.behaviour == "reset":
@@ -235,7 +237,7 @@
             writer.write(self.encode_sealed_response(request, 404, b"none"))
         elif self.behaviour == "unsealed":
             writer.write(
-                encode_response(200, b"fake", x_request_id=request.headers["x-request-id"])
+                self.encode_response(200, b"fake", x_request_id=request.headers["x-request-id"])
             )
         elif "x-model" in request.headers:
             await self.stream(request, writer)
@@ -245,6 +247,12 @@
                 self.encode_sealed_response(request, 200, b"done by " + self.name.encode()),
             )
 
+    def encode_response(self, status, body=b"", **headers):
+        return encode_response(status, body, **headers | self.leaving_header())
+
+    def leaving_header(self):
+        return {"server_leaving": 1} if self.leaves else {}
+
     def answer(self, writer, response):
         writer.write(response)
         if self.repeats:
@@ -257,19 +265,20 @@
     def order(self, body):
         self.orders.append(body)
         if body.get("expected", self.sequence) != self.sequence:
-            return encode_response(409)
+            return self.encode_response(409)
         self.sequence += 1
         self.version = body["version"]
-        return encode_response(202)
+        return self.encode_response(202)
 
     def encode_sealed_response(self, request, status, body):
         name = request.headers["x-request-id"]
-        return encode_response(status, body, x_request_id=name, x_response_seal=SEAL)
+        return self.encode_response(status, body, x_request_id=name, x_response_seal=SEAL)
 
     async def stream(self, request, writer):
         first = int(request.headers.get("last-event-id", 0)) + 1
         head = ["HTTP/1.1 200 OK", "content-type: text/event-stream", "transfer-encoding: chunked"]
         head += [f"x-request-id: {request.headers['x-request-id']}", f"x-response-seal: {SEAL}"]
+        head += [f"server-leaving: {value}" for value in self.leaving_header().values()]
         writer.write("\r\n".join([*head, "", ""]).encode())
         if self.behaviour == "repeat":
             numbers = (1, 2, 2, *range(3, self.events + 1))
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -240,6 +240,13 @@
     assert refused.not_run
 
 
+@pytest.mark.parametrize(("value", "leaving"), [(b"1", True), (b"0", False), (b"", False)])
+def test_announcement_that_an_upstream_leaves_is_decoded(value, leaving):
+    raw = [(b"content-length", b"0"), (b"server-leaving", value)]
+    head = upstreams.HttpUpstreamCodec().decode_head(http_connection.ResponseHead(503, raw))
+    assert head.leaving is leaving
+
+
 def test_order_is_encoded_and_report_and_outcome_are_decoded():
     codec = upstreams.HttpUpstreamCodec()
     change = fleet.LoadModel("m", "2")
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 
 import anyio
 import pytest
@@ -58,26 +59,29 @@
         )
         self.configure(**route)
         for server in servers:
-            streaming = self.state.deployment.services["s"].engine is not None
-            versions = {"m": server.version} if streaming else {}
-            self.state.registry.put(
-                registry.Entry(
-                    server.name,
-                    "s",
-                    server.address,
-                    "dar-a",
-                    8,
-                    False,
-                    1,
-                    versions,
-                    server.software,
-                )
-            )
+            self.register(server)
         self.pool = connection_pool.ConnectionPool()
         self.relay = relay.Relay(
             self.state, upstreams.HttpUpstreamCodec(), self.pool, metrics.Metrics()
         )
 
+    def register(self, server, life=1, leaving=False):
+        streaming = self.state.deployment.services["s"].engine is not None
+        versions = {"m": server.version} if streaming else {}
+        self.state.registry.put(
+            registry.Entry(
+                server.name,
+                "s",
+                server.address,
+                "dar-a",
+                8,
+                leaving,
+                life,
+                versions,
+                server.software,
+            )
+        )
+
     def configure(
         self,
         retry_safety=request_types.RetrySafety.AT_MOST_ONCE,
@@ -542,3 +546,125 @@
     for number in range(20):
         await vm.send_request(f"r-{number}")
     assert 20 <= request_count(servers) <= 24
+
+
+def avoid(vm, *servers):
+    """Let the VM prefer the other upstreams."""
+    for server in servers:
+        vm.state.registry.get(server.name).record_failure(clock.now())
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["complete", "refuse", "error", "not-found", "unsealed"])
+async def test_upstream_that_leaves_gets_no_request_after_its_answer(start_vm, behaviour):
+    vm, servers = await start_vm(behaviour, "complete")
+    servers[0].leaves = True
+    avoid(vm, servers[1])
+    await vm.send_request("r-0")
+    assert request_count(servers[:1]) == 1
+    vm.state.registry.get("i-0").loading_until = -math.inf
+    for number in range(1, 9):
+        assert (await vm.send_request(f"r-{number}")).body == b"done by i-1"
+    assert request_count(servers[:1]) == 1
+
+
+@pytest.mark.anyio
+async def test_upstream_that_leaves_gets_no_request_once_a_stream_has_begun_there(start_vm):
+    vm, servers = await start_vm("complete", "complete", streaming=True)
+    servers[0].leaves = True
+    servers[0].event_seconds = 0.1
+    avoid(vm, servers[1])
+    async with anyio.create_task_group() as group:
+        group.start_soon(vm.send_request, "r-0")
+        await anyio.sleep(0.1)
+        for number in range(1, 5):
+            assert (await vm.send_request(f"r-{number}")).ended
+    assert [len(server.requests) for server in servers] == [1, 4]
+
+
+@pytest.mark.anyio
+async def test_stream_is_not_resumed_at_an_upstream_that_leaves(start_vm):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        "complete",
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    servers[1].leaves = True
+    avoid(vm, servers[0], servers[2], servers[2])
+    await vm.send_request("r-0")
+    for _ in range(3):
+        avoid(vm, servers[2])
+    caller = await vm.send_request("r-1")
+    assert [len(server.requests) for server in servers] == [1, 1, 1]
+    assert "last-event-id" in servers[2].requests[0].headers
+    assert caller.ended
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("event", ["answer", "entry", "removal"])
+async def test_request_that_waits_for_a_connection_is_not_sent_to_an_upstream_that_leaves(
+    start_vm, monkeypatch, event
+):
+    """Twenty requests are placed elsewhere without a retry, of which the budget allows none."""
+    vm, servers = await start_vm("complete", "complete")
+    avoid(vm, servers[1])
+    connect = vm.pool._connect
+
+    async def connect_slowly(address, *args):
+        if address == servers[0].address:
+            await anyio.sleep(0.2)
+        return await connect(address, *args)
+
+    monkeypatch.setattr(
+        connection_pool.ConnectionPool, "_connect", lambda _, *a: connect_slowly(*a)
+    )
+    vm.state._retries = service_retry_budgets.ServiceRetryBudgets(
+        service_retry_budgets.RetryRules(0.0, 0.0, 10.0)
+    )
+    async with anyio.create_task_group() as group:
+        callers = []
+
+        async def send(request_id):
+            callers.append(await vm.send_request(request_id))
+
+        for number in range(20):
+            group.start_soon(send, f"r-{number}")
+        await anyio.sleep(0.1)
+        match event:
+            case "answer":
+                vm.state.record_answered_departure(vm.state.registry.get("i-0"))
+            case "entry":
+                vm.register(servers[0], leaving=True)
+            case "removal":
+                vm.state.remove_upstream("i-0")
+    assert [len(server.requests) for server in servers] == [0, 20]
+    assert {caller.status for caller in callers} == {200}
+
+
+@pytest.mark.anyio
+async def test_request_is_refused_at_once_when_all_upstreams_leave(start_vm):
+    vm, servers = await start_vm(
+        "error", "error", retry_safety=request_types.RetrySafety.IDEMPOTENT
+    )
+    for server in servers:
+        server.leaves = True
+    await vm.send_request("r-0")
+    with anyio.fail_after(0.2):
+        caller = await vm.send_request("r-1")
+    assert caller.status == 503
+    assert float(caller.headers[b"retry-after"]) > 0
+    assert request_count(servers) == 2
+
+
+@pytest.mark.anyio
+async def test_answer_of_another_instance_that_leaves_does_not_mark_the_one_that_was_meant(
+    start_vm,
+):
+    vm, servers = await start_vm("misdirect", "complete")
+    servers[0].leaves = True
+    avoid(vm, servers[1])
+    await vm.send_request("r-0")
+    vm.register(servers[0])
+    assert not vm.state.registry.get("i-0").leaving
--- a/hollyring/platform/tests/test_state.py
+++ b/hollyring/platform/tests/test_state.py
@@ -201,3 +201,22 @@
     vm.state.prefix_caches.set("i-1", 1000, "m.1", "p", 10)
     vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY | {"born": 5})
     assert vm.state.prefix_caches.dump() == {}
+
+
+def test_upstream_that_another_vm_reported_as_leaving_stays_so_whatever_its_entry_says(vm):
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY | {"born": 5})
+    vm.state.receive(make_heartbeat(departures=[heartbeat.Departure("i-1", 5)]), clock.now())
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY | {"born": 5, "sequence": 9})
+    assert vm.state.registry.get("i-1").leaving
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY | {"born": 6})
+    assert not vm.state.registry.get("i-1").leaving
+
+
+def test_departure_is_reported_until_the_entry_is_removed_and_then_forgotten(vm):
+    vm.state.record_answered_departure(vm.state.registry.get("i-1"))
+    assert vm.state.announced_departures() == [heartbeat.Departure("i-1", 0)]
+    vm.state.store_reached_at = clock.now()
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", None)
+    assert vm.state.announced_departures() == []
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY)
+    assert not vm.state.registry.get("i-1").leaving
--- a/hollyring/platform/tests/test_words.py
+++ b/hollyring/platform/tests/test_words.py
@@ -21,6 +21,7 @@
     "x-kv-save",
     "x-weight-versions",
     "x-instance-id",
+    "server-leaving",
     "kv-txn",
     "kv-watch",
     "kv-range",
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import msgspec
 
 from hollyring.core import request_types
@@ -146,8 +148,13 @@
             misdirected=head.status == 421,
             upstream=_header_value(head.headers, b"x-instance-id").decode("latin-1"),
             version=int(version) if version.isdigit() else 0,
+            leaving=self.announces_leaving(head.headers),
         )
 
+    def announces_leaving(self, headers: Sequence[request_types.Header]) -> bool:
+        """Return whether the upstream that sent a response announces that it leaves."""
+        return _header_value(headers, b"server-leaving").strip() == b"1"
+
     def encode_report_request(self, address: str) -> bytes:
         """Return the bytes of a request for an upstream's report."""
         return http_request.encode(b"GET", b"/hollyring/report", address.encode())
@@ -233,5 +240,5 @@
     return name not in HOP_BY_HOP_HEADERS and name not in RESERVED_HEADERS
 
 
-def _header_value(headers: list[request_types.Header], name: bytes) -> bytes:
+def _header_value(headers: Sequence[request_types.Header], name: bytes) -> bytes:
     return next((value for key, value in headers if key == name), b"")
