Take an upstream's announcement to leave from reports, orders and cache events too

Cause: the answers to a VM's own calls were read for their bodies alone, so that a VM without requests at an upstream learnt of its leaving from the store only. What callers see: requests go elsewhere from the first such answer on, at all VMs by heartbeat. Evidence: test_upstream_that_says_to_a_call_that_it_leaves_gets_no_request failed for report, order and cache events (the request was answered by the upstream that leaves), passes now. pytest of platform, routing, delivery, membership, core, configuration, limits, node, cli and fleet passes.

--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -124,7 +124,7 @@
     async def _poll(self, holder: str, address: str, is_first: bool) -> None:
         after = self._after.get(holder, 0)
         request = self._codec.encode_events_request(address, after, POLL_WAIT_SECONDS)
-        events = await self._fetch_events(address, request)
+        events = await self._fetch_events(holder, address, request)
         reset = not is_first and events.epoch != self._epochs[holder]
         if reset:
             self._log.info("cache restarted empty", holder=holder, epoch=events.epoch)
@@ -145,8 +145,13 @@
         self._state.caches.apply_report(report, clock.now())
         self._state.cache_reports.append(report)
 
-    async def _fetch_events(self, address: str, request: bytes) -> interfaces.CacheEvents:
+    async def _fetch_events(
+        self, holder: str, address: str, request: bytes
+    ) -> interfaces.CacheEvents:
         response = await self._connections.call(address, request, CALL_TIMEOUT_SECONDS)
+        upstream = self._state.registry.get(holder)
+        if upstream is not None and self._codec.announces_leaving(response.headers):
+            self._state.record_answered_departure(upstream)
         events = self._codec.decode_events(response.body) if response.status == HTTP_OK else None
         if events is None:
             raise http_connection.HttpConnectionError(
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -376,6 +376,8 @@
             return
         finally:
             self._reports_in_flight.discard(upstream.name)
+        if self._codec.announces_leaving(response.headers):
+            self._state.record_answered_departure(upstream)
         report = self._codec.decode_report(upstream.name, upstream.entry.life, response.body, at)
         if report is None:
             self._log.info("unreadable report", upstream=upstream.name)
@@ -436,6 +438,8 @@
             return messages.Outcome.NOT_SENT
         except http_connection.HttpConnectionError:
             return messages.Outcome.UNKNOWN
+        if self._codec.announces_leaving(response.headers):
+            self._state.record_answered_departure(upstream)
         return self._codec.decode_order_outcome(response.status)
 
     def _announce(
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -128,6 +128,9 @@
 class UpstreamCodec:
     """Partial implementation of `interfaces.UpstreamCodec` that pickles objects."""
 
+    def announces_leaving(self, headers):
+        return False
+
     def encode_report_request(self, address):
         return pickle.dumps(_ReportRequest())
 
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -8,11 +8,13 @@
 import pytest
 
 from hollyring.configuration import deployment
-from hollyring.core import request_types
+from hollyring.core import invariants, request_types
 from hollyring.fleet import messages as fleet
+from hollyring.fleet import rollout, rollout_limits
 from hollyring.limits import service_retry_budgets
 from hollyring.membership import heartbeat, leases
 from hollyring.node import (
+    cache_watcher,
     clock,
     connection_pool,
     metrics,
@@ -668,3 +670,35 @@
     await vm.send_request("r-0")
     vm.register(servers[0])
     assert not vm.state.registry.get("i-0").leaving
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("call", ["report", "order", "cache events"])
+async def test_upstream_that_says_to_a_call_that_it_leaves_gets_no_request(
+    start_vm, monkeypatch, call
+):
+    vm, servers = await start_vm("complete", "complete")
+    servers[0].leaves = True
+    avoid(vm, servers[1])
+    upstream = vm.state.registry.get("i-0")
+    codec = upstreams.HttpUpstreamCodec()
+    monkeypatch.setattr(leases.LeaseClient, "fencing", lambda *_: 41)
+    controller = rollout_controller.RolloutController(
+        vm.state, None, None, codec, vm.pool, lambda: None
+    )
+    match call:
+        case "report":
+            limits = rollout_limits.with_concurrency(rollout_controller.ROLLOUT_LIMITS, 1)
+            await controller._fetch_report(
+                rollout.Rollout(limits, invariants.Invariants()), upstream
+            )
+        case "order":
+            change = fleet.LoadModel("m", "2")
+            order = fleet.Order("id", 41, "i-0", change, clock.now() + 1.0, expected=0)
+            await controller._send(upstream, order)
+        case "cache events":
+            watcher = cache_watcher.CacheWatcher(vm.state, codec, vm.pool)
+            await watcher._poll("i-0", upstream.entry.address, is_first=True)
+    for number in range(4):
+        assert (await vm.send_request(f"r-{number}")).body == b"done by i-1"
+    assert upstream.leaving
