--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -393,6 +393,10 @@
             "upstream_backoffs_total": self._state.backoffs.recorded,
         }
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
+        lines += [
+            f"hollyring_departures_{source}_total {count}"
+            for source, count in sorted(self._state.departure_counts.items())
+        ]
         return "\n".join(lines) + "\n" + self._metrics.render()
 
     def _peer_address(self, name: str) -> str | None:
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -134,10 +134,10 @@
         except TimeoutError:
             return request_context.NotRun("deadline while connecting")
         try:
-            if self._state.backoffs.is_active(upstream):
-                return request_context.NotRun("in backoff since this request was placed")
             if context.response.caller_left:
                 raise errors.CallerLeftError("caller left before this attempt was sent")
+            if self._is_unusable(upstream):
+                return request_context.Withdrawn()
             exchange = connection.send(
                 self._request(context, selected),
                 self._codec.response_matcher(context.request_id),
@@ -154,6 +154,12 @@
         finally:
             self._pool.release(address, connection)
 
+    def _is_unusable(self, upstream: registry.Upstream) -> bool:
+        """Return whether an upstream has asked for no more requests since it was selected."""
+        return self._state.backoffs.is_active(
+            upstream
+        ) or not self._state.registry.accepts_requests(upstream)
+
     def _request(
         self, context: request_context.RequestContext, selected: selection.Selection
     ) -> bytes:
@@ -182,6 +188,8 @@
         head = self._codec.decode_head(await self._wait_for(context, selected, exchange.head))
         upstream.record_activity(clock.now())
         self._state.backoffs.record(upstream, head)
+        if head.leaving:
+            self._record_leaving(upstream, head)
         if head.misdirected or head.not_run:
             return await self._handle_refusal(context, selected, head, exchange)
         if not head.authentic:
@@ -194,6 +202,16 @@
             return await self._forward_stream(context, selected, head, exchange)
         return await self._forward_whole(context, selected, head, exchange)
 
+    def _record_leaving(self, upstream: registry.Upstream, head: interfaces.ResponseHead) -> None:
+        """Record that the upstream that responded leaves; it may not be the one that was meant."""
+        sender = upstream
+        if head.upstream and head.upstream != upstream.name:
+            registered = self._state.registry.get(head.upstream)
+            if registered is None:
+                return
+            sender = registered
+        self._state.record_answered_departure(sender)
+
     async def _wait_for(
         self,
         context: request_context.RequestContext,
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -232,6 +232,8 @@
         if it does not say so.
     retry_after_anomaly
         Why a time that the response states is not in `retry_after_seconds`, None if it is.
+    leaving
+        Whether the upstream that responded announces that it leaves.
     """
 
     status: int
@@ -243,6 +245,7 @@
     version: int
     retry_after_seconds: float = 0.0
     retry_after_anomaly: RetryAfterAnomaly | None = None
+    leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -279,6 +282,9 @@
     def decode_head(self, head: http_connection.ResponseHead) -> ResponseHead:
         """Decode the head of a response."""
 
+    def announces_leaving(self, headers: Sequence[request_types.Header]) -> bool:
+        """Return whether the upstream that sent a response announces that it leaves."""
+
     def encode_report_request(self, address: str) -> bytes:
         """Return the HTTP request for an upstream's report of what it serves."""
 
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -276,7 +276,7 @@
 
     def _step(self, service: str, now: float) -> list[str]:
         """Advance the rollout of one service; return the upstreams to load weights next."""
-        upstreams = [u for u in self._state.registry.of_service(service) if not u.entry.leaving]
+        upstreams = [u for u in self._state.registry.of_service(service) if not u.leaving]
         upstreams = [u for u in upstreams if now >= self._silent_until.get(u.name, 0.0)]
         upstreams = [u for u in upstreams if not self._state.backoffs.is_active(u)]
         declared = [target for u in upstreams if (target := self._target(u)) is not None]
@@ -378,6 +378,8 @@
         finally:
             self._reports_in_flight.discard(upstream.name)
         self._record_backoff(upstream, response)
+        if self._codec.announces_leaving(response.headers):
+            self._state.record_answered_departure(upstream)
         report = self._codec.decode_report(upstream.name, upstream.entry.life, response.body, at)
         if report is None:
             self._log.info("unreadable report", upstream=upstream.name)
@@ -440,6 +442,8 @@
         except http_connection.HttpConnectionError:
             return messages.Outcome.UNKNOWN
         self._record_backoff(upstream, response)
+        if self._codec.announces_leaving(response.headers):
+            self._state.record_answered_departure(upstream)
         return self._codec.decode_order_outcome(response.status)
 
     def _record_backoff(
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator, Mapping
 
 from hollyring.core import identities
-from hollyring.routing import backoffs
+from hollyring.routing import backoffs, departures
 
 MIN_FIRST_EVENT_SECONDS = 0.035
 """Shortest time to first event of an inference server."""
@@ -41,6 +41,9 @@
 PEER_LOAD_TTL_SECONDS = 1.0
 """Age up to which load reports of other VMs are used."""
 
+UNKNOWN_LIFE = 0
+"""Incarnation number of an entry that states none."""
+
 SILENCE_THRESHOLD_SECONDS = 0.6
 """Time without data after which a server with outstanding requests counts as silent."""
 
@@ -62,7 +65,7 @@
     slots
         Requests that it runs concurrently.
     leaving
-        Whether it is shutting down and accepts no new requests.
+        Whether the entry says that it is shutting down and accepts no new requests.
     life
         Incarnation number, which differs between starts under the same name.
     versions
@@ -122,6 +125,7 @@
     loading_until: float = -math.inf
     missing_since: float | None = None
     logged_anomalies: set[str] = dataclasses.field(default_factory=set)
+    announced_leaving: bool = False
     _prefill_rate: float = 0.0
     _prefill_rate_at: float = 0.0
 
@@ -135,6 +139,11 @@
         """Name and incarnation number of the upstream."""
         return identities.Incarnation(self.entry.name, self.entry.life)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it is shutting down, by its entry or by its own announcement."""
+        return self.entry.leaving or self.announced_leaving
+
     def version(self, model: str) -> int:
         """Return the version of the weights of `model`, or 0 if it is not served."""
         return self.versions.get(model, 0)
@@ -264,10 +273,11 @@
 class Registry:
     """Registry of upstreams by name, with their backoffs."""
 
-    __slots__ = ("backoffs", "_upstreams", "_by_service")
+    __slots__ = ("backoffs", "_upstreams", "_by_service", "_departures")
 
     def __init__(self) -> None:
         self.backoffs = backoffs.Backoffs()
+        self._departures = departures.Departures()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
 
@@ -284,11 +294,35 @@
         """Return the upstreams of a service."""
         return self._by_service.get(service, [])
 
+    def accepts_requests(self, upstream: Upstream) -> bool:
+        """Return whether an upstream that was selected earlier may still be sent a request."""
+        return self._upstreams.get(upstream.name) is upstream and not upstream.leaving
+
+    def record_departure(self, name: str, life: int, now: float) -> bool:
+        """Record that an upstream announced that it leaves; return whether this is new."""
+        upstream = self._upstreams.get(name)
+        if upstream is not None and upstream.entry.life > life:
+            return False
+        if not self._departures.record(name, life, now):
+            return False
+        if upstream is not None:
+            upstream.announced_leaving = True
+        return True
+
+    def announced_departures(self) -> list[Entry]:
+        """Return the entries of the registered upstreams that announced that they leave."""
+        return [u.entry for u in self._upstreams.values() if u.announced_leaving]
+
+    def forget_departures(self, now: float) -> None:
+        """Forget the announcements of upstreams that were removed some time ago."""
+        self._departures.forget(self._upstreams.keys(), now)
+
     def put(self, entry: Entry) -> Upstream | None:
         """Add or update an entry; return the upstream if its name or incarnation is new."""
         existing = self._upstreams.get(entry.name)
         if existing is None or existing.entry.life != entry.life:
             new = Upstream(entry, dict(entry.versions))
+            new.announced_leaving = self._departures.covers(entry.name, entry.life)
             self._upstreams[entry.name] = new
             self._rebuild_index()
             return new
@@ -301,8 +335,13 @@
 
     def remove(self, name: str) -> None:
         """Remove an upstream."""
-        if self._upstreams.pop(name, None) is not None:
-            self._rebuild_index()
+        removed = self._upstreams.pop(name, None)
+        if removed is None:
+            return
+        if removed.entry.life == UNKNOWN_LIFE:
+            # A later start under the same name could not be told from this one.
+            self._departures.discard(name)
+        self._rebuild_index()
 
     def _rebuild_index(self) -> None:
         self._by_service = {}
