Send silent VMs a heartbeat now and then, so that a partition heals

What callers would see: after VMs had not reached each other for two seconds, they stayed apart for good: each side sent heartbeats to the VMs that it counted as serving, and silent ones are not. Rates were then counted apart (QUOTA), and neither side learnt what the other cached or where its streams began. Evidence: test_vms_exchange_heartbeats_again_after_a_partition fails for 2 s and 10 s before (0.9 s passed) and passes now. Why this works: a VM sends a heartbeat a second to silent VMs that rank high enough to serve; one heartbeat makes the other count as alive, and both exchange again. Of two VMs the one that ranks lower always does so. At most two such heartbeats go out with one round.

--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -52,6 +52,15 @@
 More would delay the heartbeats to the serving VMs; they ask for a status instead.
 """
 
+SILENT_PROBE_SECONDS = 1.0
+"""Time between two heartbeats to a VM that is silent.
+
+Without them, VMs that did not reach each other for a while would both wait for the other.
+"""
+
+MAX_SILENT_PROBES = 2
+"""Most silent VMs that one heartbeat is sent to."""
+
 STORE_WATCHERS = 4
 """Serving VMs that watch the store; the others receive the changes from them."""
 
@@ -81,6 +90,8 @@
         Monotonic seconds until which another VM's status excludes it from serving.
     last_order_at
         Monotonic seconds at which it sent its last order, or None.
+    probed_at
+        Monotonic seconds at which it was last sent a heartbeat while silent.
     """
 
     vm: heartbeat.VmInfo
@@ -96,6 +107,7 @@
     unavailable_until: float = -math.inf
     holds_order_lease: bool = True
     last_order_at: float | None = None
+    probed_at: float = -math.inf
     requests_per_second: float = 0.0
     revisions: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -308,6 +320,26 @@
         recipients.pop(self._local.name, None)
         return [address for _, address in sorted(recipients.items())]
 
+    def silent_to_probe(self, now: float) -> list[str]:
+        """Return the peer addresses of silent VMs that are due for a heartbeat.
+
+        Only those that rank high enough to serve, as they would exchange heartbeats with this VM.
+        """
+        if not self._exchanging:
+            return []
+        _, skipped = self.status()
+        due = [
+            self._peers[name]
+            for name in skipped
+            if name in self._peers
+            and not self._peers[name].is_alive(now)
+            and now - self._peers[name].probed_at >= SILENT_PROBE_SECONDS
+        ]
+        due.sort(key=lambda peer: peer.probed_at)
+        for peer in due[:MAX_SILENT_PROBES]:
+            peer.probed_at = now
+        return [peer.vm.peer_address for peer in due[:MAX_SILENT_PROBES]]
+
     def should_watch_store(self, now: float) -> bool:
         """Return whether this VM has to watch the store because too few others do.
 
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -82,7 +82,8 @@
 
     def _addresses(self, now: float) -> list[str]:
         if self._state.peers.by_name:
-            return self._state.peers.recipients(now)
+            peers = self._state.peers
+            return peers.recipients(now) + peers.silent_to_probe(now)
         own_address = self._state.vm_info.peer_address
         return sorted(set(self._seeds) - {own_address})
 
