--- a/hollyring/configuration/mirror.py
+++ b/hollyring/configuration/mirror.py
@@ -2,7 +2,8 @@
 
 The copy is updated from lists and watches of the store and, while the store is unreachable, from
 the copies of other VMs. Each key records the revision that last changed it; changes of earlier
-revisions are ignored.
+revisions are ignored. When the store begins a new era, only a complete list or copy of that era can
+replace the items, as the changes between the two are unknown.
 """
 
 from __future__ import annotations
@@ -10,6 +11,8 @@
 import dataclasses
 from collections.abc import Iterable
 
+from hollyring.configuration import store_revision
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
@@ -17,7 +20,7 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: store_revision.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,7 +28,7 @@
     """A removed key and the revision that removed it."""
 
     key: str
-    revision: int
+    revision: store_revision.Revision
 
 
 Change = Item | Removal
@@ -36,12 +39,13 @@
 
     Examples
     --------
+    >>> at = [store_revision.Revision(1, number) for number in range(11)]
     >>> mirror = Mirror()
-    >>> mirror.apply_list([Item("a", b"1", 4)], revision=9)
+    >>> mirror.apply_list([Item("a", b"1", at[4])], revision=at[9])
     {'a'}
-    >>> mirror.apply_changes([Removal("a", 10)], revision=10)
+    >>> mirror.apply_changes([Removal("a", at[10])], revision=at[10])
     {'a'}
-    >>> mirror.apply_list([Item("a", b"1", 4)], revision=9), mirror.items
+    >>> mirror.apply_list([Item("a", b"1", at[4])], revision=at[9]), mirror.items
     (set(), {})
     """
 
@@ -55,10 +59,10 @@
 
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
-        self._removed: dict[str, int] = {}
-        self._revision = 0
-        self._last_change_revision = 0
-        self._removals_known_after: int | None = None
+        self._removed: dict[str, store_revision.Revision] = {}
+        self._revision = store_revision.NONE
+        self._last_change_revision = store_revision.NONE
+        self._removals_known_after: store_revision.Revision | None = None
 
     @property
     def items(self) -> dict[str, Item]:
@@ -66,22 +70,31 @@
         return self._items
 
     @property
-    def revision(self) -> int:
-        """Store revision up to which every change has been applied; 0 before the first list."""
+    def era(self) -> int:
+        """Era of the store from which the items come."""
+        return self._last_change_revision.era
+
+    @property
+    def revision(self) -> store_revision.Revision:
+        """Store revision up to which every change has been applied; `NONE` before the first list.
+
+        It is of an earlier era than `era` while only a copy of the new era has been applied.
+        """
         return self._revision
 
     @property
-    def last_change_revision(self) -> int:
+    def last_change_revision(self) -> store_revision.Revision:
         """Revision of the latest change of any key; mirrors with the same one are equal."""
         return self._last_change_revision
 
-    def apply_list(self, items: Iterable[Item], revision: int) -> set[str]:
+    def apply_list(self, items: Iterable[Item], revision: store_revision.Revision) -> set[str]:
         """Apply a complete list that was read at `revision` or later; return the changed keys.
 
         A list of an earlier revision than `Mirror.revision` is ignored.
         """
-        if revision < self._revision:
+        if revision < self._revision or revision.era < self.era:
             return set()
+        self._begin_era(revision.era)
         listed = {item.key: item for item in items}
         removals = [
             Removal(key, revision)
@@ -95,22 +108,32 @@
         return changed
 
     def apply_changes(
-        self, changes: Iterable[Change], revision: int, last_change_revision: int = 0
+        self,
+        changes: Iterable[Change],
+        revision: store_revision.Revision,
+        last_change_revision: store_revision.Revision = store_revision.NONE,
     ) -> set[str]:
         """Apply the changes up to `revision`; return the changed keys.
 
+        Changes of another era are ignored.
+
         Parameters
         ----------
         last_change_revision
             Revision of the latest change in another VM's copy, from which the changes come.
         """
+        if revision.era != self.era:
+            return set()
         changed = self._apply(changes)
         self._revision = max(self._revision, revision)
         self._last_change_revision = max(self._last_change_revision, last_change_revision)
         return changed
 
     def apply_copy(
-        self, items: Iterable[Item], last_change_revision: int, complete_revision: int = 0
+        self,
+        items: Iterable[Item],
+        last_change_revision: store_revision.Revision,
+        complete_revision: store_revision.Revision = store_revision.NONE,
     ) -> set[str]:
         """Apply another VM's copy if its newest change is later; return the changed keys.
 
@@ -121,6 +144,7 @@
         """
         if last_change_revision <= self._last_change_revision:
             return set()
+        self._begin_era(last_change_revision.era)
         listed = {item.key: item for item in items}
         removals = [
             Removal(key, last_change_revision)
@@ -134,7 +158,7 @@
             self._removals_known_after = last_change_revision
         return changed
 
-    def changes_after(self, revision: int) -> list[Change] | None:
+    def changes_after(self, revision: store_revision.Revision) -> list[Change] | None:
         """Return the changes after `revision`, or None if not all removals since are known."""
         if self._removals_known_after is None or revision < self._removals_known_after:
             return None
@@ -146,12 +170,20 @@
         ]
         return changes
 
+    def _begin_era(self, era: int) -> None:
+        """Prepare for a complete list or copy, which may be of a later era than the items."""
+        if era <= self.era:
+            return
+        self._last_change_revision = store_revision.Revision(era, 0)
+        self._removed.clear()
+        self._removals_known_after = None
+
     def _apply(self, changes: Iterable[Change]) -> set[str]:
         return {change.key for change in changes if self._apply_change(change)}
 
     def _apply_change(self, change: Change) -> bool:
         current = self._items.get(change.key)
-        last = current.revision if current else self._removed.get(change.key, 0)
+        last = current.revision if current else self._removed.get(change.key, store_revision.NONE)
         if change.revision <= last:
             return False
         self._last_change_revision = max(self._last_change_revision, change.revision)
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -11,6 +11,7 @@
 import dataclasses
 from typing import ClassVar
 
+from hollyring.configuration import store_revision
 from hollyring.core import request_types
 
 
@@ -52,7 +53,13 @@
     WIRE_NAME: ClassVar[str] = "Mark"
 
     prefix: str
-    revision: int = dataclasses.field(metadata={"wire_name": "latest"})
+    number: int = dataclasses.field(metadata={"wire_name": "latest"})
+    era: int = store_revision.UNKNOWN_ERA
+
+    @property
+    def revision(self) -> store_revision.Revision:
+        """The revision, perhaps of an unknown era."""
+        return store_revision.Revision(self.era, self.number)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -312,10 +319,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CopyRequest:
-    """Request for the changes of the keys under a store prefix after revision `after`."""
+    """Request for the changes of the keys under a store prefix after a revision of an era."""
 
     prefix: str
     after: int = 0
+    era: int = store_revision.UNKNOWN_ERA
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -351,6 +359,8 @@
         Keys removed after the requested revision, of a partial copy.
     partial
         Whether only the changes after the requested revision are included.
+    era
+        Era of all revisions of the copy.
     """
 
     prefix: str
@@ -359,3 +369,4 @@
     complete_revision: int = 0
     removed: list[CopyRemoval] = dataclasses.field(default_factory=list)
     partial: bool = False
+    era: int = store_revision.UNKNOWN_ERA
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -13,6 +13,7 @@
 import dataclasses
 import math
 
+from hollyring.configuration import store_revision
 from hollyring.core import rendezvous
 from hollyring.membership import heartbeat, serving_set
 
@@ -97,7 +98,7 @@
     holds_order_lease: bool = True
     last_order_at: float | None = None
     requests_per_second: float = 0.0
-    revisions: dict[str, int] = dataclasses.field(default_factory=dict)
+    revisions: dict[str, store_revision.Revision] = dataclasses.field(default_factory=dict)
 
     def is_alive(self, now: float) -> bool:
         """Return whether its last heartbeat is recent."""
@@ -377,22 +378,28 @@
             addresses.append(vm.caller_address)
         return addresses[:limit]
 
-    def peer_ahead(self, prefix: str, revision: int, now: float) -> Peer | None:
+    def peer_ahead(self, prefix: str, revision: store_revision.Revision, now: float) -> Peer | None:
         """Return a VM that has a revision of `prefix` above `revision`, or None.
 
+        A revision of unknown era counts as one of the same era.
+
         It is one whose heartbeats or statuses arrive, with the highest revision. Among several, one
         of this VM's failure domain is preferred.
         """
+
+        def known(peer: Peer) -> store_revision.Revision:
+            return peer.revisions.get(prefix, store_revision.NONE).resolved(revision.era)
+
         candidates = [
             peer
             for peer in self._peers.values()
-            if peer.revisions.get(prefix, 0) > revision
+            if known(peer) > revision
             and now - max(peer.last_heartbeat_at, peer.status_at) < ALIVE_TIMEOUT_SECONDS
         ]
         return max(
             candidates,
             key=lambda peer: (
-                peer.revisions[prefix],
+                known(peer),
                 peer.vm.failure_domain == self._local.failure_domain,
                 rendezvous.weight(self._local.name.encode(), peer.vm.name),
             ),
--- a/hollyring/membership/tests/test_peer_table.py
+++ b/hollyring/membership/tests/test_peer_table.py
@@ -1,5 +1,6 @@
 import pytest
 
+from hollyring.configuration import store_revision
 from hollyring.membership import heartbeat, peer_table, serving_set
 
 ORDER_LEASE = heartbeat.OrderLeaseStatus(True, 0.5, [])
@@ -218,15 +219,24 @@
 def test_peer_ahead_is_the_alive_vm_with_the_newest_revision(peers):
     peers.receive(heartbeat_from("vm-2", revisions=[heartbeat.PrefixRevision("config", 7)]), 10.0)
     peers.receive(heartbeat_from("vm-3", revisions=[heartbeat.PrefixRevision("config", 9)]), 10.0)
-    assert peers.peer_ahead("config", 7, 10.1).vm.name == "vm-3"
-    assert peers.peer_ahead("config", 9, 10.1) is None
-    assert peers.peer_ahead("config", 7, 20.0) is None
+    assert peers.peer_ahead("config", store_revision.Revision(1, 7), 10.1).vm.name == "vm-3"
+    assert peers.peer_ahead("config", store_revision.Revision(1, 9), 10.1) is None
+    assert peers.peer_ahead("config", store_revision.Revision(1, 7), 20.0) is None
+
+
+def test_peer_ahead_has_a_later_era_although_its_revision_is_lower(peers):
+    older = heartbeat.PrefixRevision("config", 9, 1)
+    newer = heartbeat.PrefixRevision("config", 3, 2)
+    peers.receive(heartbeat_from("vm-2", revisions=[older]), 10.0)
+    peers.receive(heartbeat_from("vm-3", revisions=[newer]), 10.0)
+    assert peers.peer_ahead("config", store_revision.Revision(1, 5), 10.1).vm.name == "vm-3"
+    assert peers.peer_ahead("config", store_revision.Revision(2, 3), 10.1) is None
 
 
 def test_revisions_that_a_heartbeat_omits_are_kept(peers):
     peers.receive(heartbeat_from("vm-2", revisions=[heartbeat.PrefixRevision("config", 7)]), 10.0)
     peers.receive(heartbeat_from("vm-2"), 10.2)
-    assert peers.peer_ahead("config", 6, 10.3).vm.name == "vm-2"
+    assert peers.peer_ahead("config", store_revision.Revision(1, 6), 10.3).vm.name == "vm-2"
 
 
 def test_last_order_of_another_vm_gets_a_local_time(peers):
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -180,6 +180,7 @@
         self._heartbeats = heartbeat_sender.HeartbeatSender(
             self._state, self._peers, list(vm_settings.seeds)
         )
+        adapter.store.set_era_listener(self._observe_store_era)
         self._store_watcher = store_watcher.StoreWatcher(
             adapter.store,
             self._state,
@@ -383,6 +384,7 @@
         gauges = {
             "configuration_version": self._state.configuration_version,
             "store_age_seconds": self._state.store_age(now),
+            "store_era": self._state.store_era.current,
             "vms_alive": len(self._state.peers.alive(now)) + 1,
             "vms_serving": len(self._state.peers.serving),
             "serving": int(self._state.peers.is_serving),
@@ -391,8 +393,12 @@
             "upstream_connections_opened": self._connections.opened,
         }
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
+        lines.append(f"hollyring_store_era_rises_total {self._state.store_era.rises}")
         return "\n".join(lines) + "\n" + self._metrics.render()
 
+    def _observe_store_era(self, era: int) -> None:
+        self._state.store_era.observe(era, "store")
+
     def _peer_address(self, name: str) -> str | None:
         peer = self._state.peers.by_name.get(name)
         return peer.vm.peer_address if peer else None
@@ -408,7 +414,7 @@
             case heartbeat.StatusRequest():
                 return self._state.fleet_status(clock.now())
             case heartbeat.CopyRequest():
-                return self._store_watcher.copy(message.prefix, message.after)
+                return self._store_watcher.copy(message)
             case _:
                 self._log.info("unexpected message", sender=sender.name)
         return None
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -44,7 +44,7 @@
         self._peers = peer_connections
         self._seeds = seeds
         self._refreshed_at = 0.0
-        self._sent_revisions: dict[str, int] = {}
+        self._sent_revisions: dict[str, heartbeat.PrefixRevision] = {}
         self._sent_totals: dict[str, float] = {}
         self._log = logs.Logger("heartbeat")
         self._send_requested = anyio.Event()
@@ -136,9 +136,9 @@
         changed = [
             revision
             for revision in self._state.mirror_revisions()
-            if self._sent_revisions.get(revision.prefix) != revision.revision
+            if self._sent_revisions.get(revision.prefix) != revision
         ]
-        self._sent_revisions |= {item.prefix: item.revision for item in changed}
+        self._sent_revisions |= {item.prefix: item for item in changed}
         return changed
 
     def _changed_usage(self, now: float) -> list[heartbeat.OrganisationUsage]:
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -7,9 +7,9 @@
 
 import dataclasses
 import typing
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
-from hollyring.configuration import deployment, mirror
+from hollyring.configuration import deployment, mirror, store_revision
 from hollyring.core import request_types
 from hollyring.fleet import messages as fleet
 from hollyring.membership import heartbeat
@@ -30,7 +30,7 @@
     """All items under a prefix, each as of `revision` or later."""
 
     items: list[mirror.Item]
-    revision: int
+    revision: store_revision.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,23 +38,40 @@
     """Changes under a prefix up to and including `revision`."""
 
     changes: list[mirror.Change]
-    revision: int
+    revision: store_revision.Revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease that the store granted in an era; in the next, its number may be given out again."""
+
+    era: int
+    number: int
+
+    def __str__(self) -> str:
+        return f"{self.era}.{self.number}"
+
+    @classmethod
+    def parse(cls, text: str) -> Lease:
+        """Return the lease that `text`, a string of a lease, identifies."""
+        era, _, number = text.partition(".")
+        return cls(int(era), int(number))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Put:
-    """A value to write, attached to a lease unless `lease` is 0."""
+    """A value to write, attached to a lease if there is one."""
 
     key: str
     value: bytes
-    lease: int = 0
+    lease: Lease | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Committed:
     """The write was committed at `revision`."""
 
-    revision: int
+    revision: store_revision.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +81,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseExpired:
-    """The lease has expired or was revoked; nothing was written."""
+    """The lease has expired, was revoked or is of an earlier era.
+
+    Nothing was written or, if the store began a new era meanwhile, perhaps under another's lease.
+    """
 
 
 CommitOutcome = Committed | Conflict | LeaseExpired
@@ -73,9 +93,12 @@
 class Store(typing.Protocol):
     """Key-value store with compare-and-swap, watches and leases.
 
-    Every method raises `StoreError` if it fails.
+    Every call raises `StoreError` if it fails.
     """
 
+    def set_era_listener(self, listener: Callable[[int], None]) -> None:
+        """Call `listener` with the era of each answer, before the answer is returned."""
+
     async def get(self, key: str) -> mirror.Item | None:
         """Return the item of a key, or None if the key does not exist."""
 
@@ -88,7 +111,7 @@
             Whether an answer of some seconds ago will do, which costs the store less.
         """
 
-    async def watch(self, prefix: str, after: int, seconds: float) -> Changes:
+    async def watch(self, prefix: str, after: store_revision.Revision, seconds: float) -> Changes:
         """Return the changes after revision `after`, waiting up to `seconds` for the first.
 
         Raises
@@ -97,17 +120,19 @@
             If the store no longer has them all.
         """
 
-    async def commit(self, expected: Mapping[str, int], puts: Sequence[Put]) -> CommitOutcome:
-        """Write `puts` if each key has its expected revision, 0 for an absent key."""
+    async def commit(
+        self, expected: Mapping[str, store_revision.Revision], puts: Sequence[Put]
+    ) -> CommitOutcome:
+        """Write `puts` if each key has its expected revision, `NONE` for an absent key."""
 
-    async def grant(self, seconds: float) -> int:
-        """Grant a lease of `seconds` and return its id."""
+    async def grant(self, seconds: float) -> Lease:
+        """Grant a lease of `seconds`."""
 
-    async def renew(self, lease: int) -> bool:
-        """Renew a lease; return False if it has expired."""
+    async def renew(self, lease: Lease) -> bool:
+        """Renew a lease; return False if it has expired or is of an earlier era."""
 
-    async def revoke(self, lease: int) -> None:
-        """Revoke a lease, which removes the keys attached to it."""
+    async def revoke(self, lease: Lease) -> None:
+        """Revoke a lease, which removes the keys attached to it, unless it is of an earlier era."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -13,6 +13,7 @@
 struct MembershipMark {
   1: optional string prefix
   2: optional i64 latest
+  3: optional i64 era
 }
 
 struct MembershipNamed {
@@ -114,6 +115,7 @@
 struct MembershipCopyRequest {
   1: optional string prefix
   2: optional i64 after
+  3: optional i64 era
 }
 
 struct MembershipCopyItem {
@@ -134,6 +136,7 @@
   4: optional i64 complete_revision
   5: optional list<MembershipCopyRemoval> removed
   6: optional bool partial
+  7: optional i64 era
 }
 
 struct ConfigurationDigest {
--- a/hollyring/node/registration.py
+++ b/hollyring/node/registration.py
@@ -50,7 +50,7 @@
         self._store = store
         self._store_watcher = watcher
         self._codec = codec
-        self._lease = 0
+        self._lease: interfaces.Lease | None = None
 
     async def run(self) -> None:
         """Keep this VM registered until cancelled."""
@@ -64,7 +64,7 @@
                 continue
             renewal_due = now + RENEW_SECONDS
             try:
-                if not self._lease or not await self._renew(watches):
+                if self._lease is None or not await self._renew(self._lease, watches):
                     await self._register()
             except interfaces.StoreError as error:
                 self._store_watcher.record_failure(str(error))
@@ -76,8 +76,8 @@
 
     async def release(self) -> None:
         """Remove the record of this VM, which is about to exit."""
-        lease, self._lease = self._lease, 0
-        if not lease:
+        lease, self._lease = self._lease, None
+        if lease is None:
             return
         with anyio.move_on_after(RELEASE_TIMEOUT_SECONDS):
             try:
@@ -87,7 +87,7 @@
 
     async def _register(self) -> None:
         vm_info = self._state.vm_info
-        self._lease = 0
+        self._lease = None
         lease = await self._store.grant(LEASE_SECONDS)
         value = self._codec.encode_vm(vm_info)
         put = interfaces.Put(self._state.store_keys.vms + vm_info.name, value, lease)
@@ -95,7 +95,7 @@
         if isinstance(outcome, interfaces.Committed):
             self._lease = lease
 
-    async def _renew(self, watches: bool) -> bool:
+    async def _renew(self, lease: interfaces.Lease, watches: bool) -> bool:
         """Renew the lease; return False if it has expired.
 
         Raises
@@ -105,5 +105,5 @@
         """
         seconds = WATCHER_CALL_TIMEOUT_SECONDS if watches else CALL_TIMEOUT_SECONDS
         with anyio.move_on_after(seconds):
-            return await self._store.renew(self._lease)
+            return await self._store.renew(lease)
         raise interfaces.StoreError("renewal: no answer in time")
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from hollyring.configuration import store_revision
 from hollyring.core import identities, invariants
 from hollyring.fleet import messages, rollout, rollout_limits, targets
 from hollyring.membership import heartbeat, leases
@@ -251,21 +252,23 @@
         match action:
             case leases.ReadHolder():
                 item = await self._store.get(action.key)
-                value, revision = (item.value, item.revision) if item else (b"", 0)
+                value, revision = (item.value, item.revision.ordinal) if item else (b"", 0)
                 return leases.HolderRead(action.call, value, revision)
             case leases.GrantLease():
                 return leases.LeaseGranted(action.call, str(await self._store.grant(action.ttl)))
             case leases.WriteHolder():
-                put = interfaces.Put(action.key, action.value, int(action.lease))
-                written = await self._store.commit({action.key: action.version}, [put])
+                lease = interfaces.Lease.parse(action.lease)
+                put = interfaces.Put(action.key, action.value, lease)
+                expected = store_revision.Revision.from_ordinal(action.version)
+                written = await self._store.commit({action.key: expected}, [put])
                 if isinstance(written, interfaces.Committed):
-                    return leases.HolderWritten(action.call, written.revision)
+                    return leases.HolderWritten(action.call, written.revision.ordinal)
                 return leases.Refused(action.call)
             case leases.RenewLease():
-                renewed = await self._store.renew(int(action.lease))
+                renewed = await self._store.renew(interfaces.Lease.parse(action.lease))
                 return leases.LeaseRenewed(action.call) if renewed else leases.Refused(action.call)
             case leases.ReleaseLease():
-                await self._store.revoke(int(action.lease))
+                await self._store.revoke(interfaces.Lease.parse(action.lease))
         return None
 
     def _engine_services(self) -> list[str]:
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Callable
 
-from hollyring.configuration import deployment, mirror
+from hollyring.configuration import deployment, mirror, store_revision
 from hollyring.core import request_types
 from hollyring.delivery import stream_origins
 from hollyring.limits import (
@@ -22,7 +22,7 @@
     service_retry_budgets,
 )
 from hollyring.membership import heartbeat, peer_table, request_meter
-from hollyring.node import cache_updates, clock, interfaces, logs, store_changes
+from hollyring.node import cache_updates, clock, interfaces, logs, store_changes, store_era
 from hollyring.routing import (
     prefix_caches,
     registry,
@@ -108,6 +108,7 @@
             prefix: mirror.Mirror()
             for prefix in (store_keys.operator, store_keys.upstreams, store_keys.vms)
         }
+        self.store_era = store_era.StoreEra()
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
         self.accept_all_until = math.inf
@@ -140,7 +141,7 @@
     @property
     def ready(self) -> bool:
         """Whether this VM accepts new callers."""
-        upstreams_listed = self.mirrors[self.store_keys.upstreams].last_change_revision > 0
+        upstreams_listed = self.mirrors[self.store_keys.upstreams].last_change_revision.number > 0
         return self.deployment is not None and upstreams_listed and not self.leaving
 
     def leave(self, now: float, seconds: float) -> None:
@@ -273,6 +274,7 @@
 
     def receive(self, message: heartbeat.Heartbeat, now: float) -> None:
         """Process a heartbeat of another VM."""
+        self._observe_eras(message.vm.name, message.revisions)
         peer = self.peers.receive(message, now)
         if peer is not None:
             self.refresh_due = True
@@ -301,6 +303,7 @@
 
     def receive_status(self, sender: str, message: heartbeat.FleetStatus, now: float) -> None:
         """Process the status that a serving VM sent to this VM, which follows."""
+        self._observe_eras(sender, message.revisions)
         self.peers.receive_status(sender, message, now)
         self.update_peers(now)
         self._record_wanted_versions(message.wanted_versions, now)
@@ -349,6 +352,11 @@
                 )
                 self.remove_upstream(upstream.name)
 
+    def _observe_eras(self, sender: str, revisions: list[heartbeat.PrefixRevision]) -> None:
+        for item in revisions:
+            if item.era != store_revision.UNKNOWN_ERA and item.number:
+                self.store_era.observe(item.era, sender)
+
     def _record_loads(self, message: heartbeat.Heartbeat, now: float) -> None:
         """Record what another VM's requests put on the upstreams; the others have none of its."""
         name = message.vm.name
@@ -411,9 +419,10 @@
 
     def mirror_revisions(self) -> list[heartbeat.PrefixRevision]:
         """Return the revisions of the newest changes in the copies of the store's prefixes."""
+        latest = {prefix: held.last_change_revision for prefix, held in self.mirrors.items()}
         return [
-            heartbeat.PrefixRevision(prefix, local_mirror.last_change_revision)
-            for prefix, local_mirror in self.mirrors.items()
+            heartbeat.PrefixRevision(prefix, revision.number, revision.era)
+            for prefix, revision in latest.items()
         ]
 
     def fleet_status(self, now: float) -> heartbeat.FleetStatus:
--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -5,7 +5,7 @@
 import math
 import typing
 
-from hollyring.configuration import deployment, mirror
+from hollyring.configuration import deployment, mirror, store_revision
 from hollyring.node import interfaces, logs
 
 if typing.TYPE_CHECKING:
@@ -63,18 +63,21 @@
             return
         current = self._codec.decode_deployment(item)
         if current is None:
-            self._log.info("unreadable configuration", key=item.key, revision=item.revision)
+            self._log.info("unreadable configuration", key=item.key, revision=item.revision.number)
             return
         self._apply_deployment(current, item.revision, now)
 
-    def _apply_deployment(self, current: deployment.Deployment, revision: int, now: float) -> None:
+    def _apply_deployment(
+        self, current: deployment.Deployment, revision: store_revision.Revision, now: float
+    ) -> None:
         if current.version < self._state.configuration_version:
             return
         self._state.configure(current, now)
         self._log.info(
             "configuration in force",
             version=current.version,
-            revision=revision,
+            revision=revision.number,
+            era=revision.era,
             store_age=self._state.store_age(now),
         )
 
@@ -99,7 +102,7 @@
             return
         entry = self._codec.decode_upstream(item)
         if entry is None:
-            self._log.info("unreadable upstream", key=key, revision=item.revision)
+            self._log.info("unreadable upstream", key=key, revision=item.revision.number)
             return
         upstream = self._state.registry.get(name)
         before = dict(upstream.versions) if upstream else {}
@@ -115,7 +118,7 @@
                 upstream=name,
                 service=entry.service,
                 leaving=entry.leaving,
-                revision=item.revision,
+                revision=item.revision.number,
             )
 
     def _upstream_deleted(self, name: str, now: float) -> None:
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -12,7 +12,7 @@
 
 import anyio
 
-from hollyring.configuration import mirror
+from hollyring.configuration import mirror, store_revision
 from hollyring.membership import heartbeat, peer_table
 from hollyring.node import clock, interfaces, logs, peers, state
 
@@ -75,6 +75,8 @@
         self._reached = False
         self._log = logs.Logger("store")
         self._rng = random.Random(str(vm_state.vm_info.life))
+        self._watches: set[anyio.CancelScope] = set()
+        vm_state.store_era.add_listener(self._end_watches)
 
     async def run(self) -> None:
         """Watch every prefix and catch up with other VMs until cancelled."""
@@ -88,33 +90,35 @@
         self._revisions_noticed.set()
         self._revisions_noticed = anyio.Event()
 
-    def copy(self, prefix: str, after: int = 0) -> heartbeat.Copy | None:
+    def copy(self, request: heartbeat.CopyRequest) -> heartbeat.Copy | None:
         """Return the changes of a prefix after a revision for another VM.
 
         If not all of them are known, the whole copy is returned, or None if this VM has none.
         """
-        local_mirror = self._state.mirrors.get(prefix)
-        if local_mirror is None or not local_mirror.last_change_revision:
+        local_mirror = self._state.mirrors.get(request.prefix)
+        if local_mirror is None or not local_mirror.last_change_revision.number:
             return None
-        changes = local_mirror.changes_after(after) if after else None
+        after = store_revision.Revision(request.era, request.after).resolved(local_mirror.era)
+        changes = local_mirror.changes_after(after) if after.number else None
         partial = changes is not None
         if changes is None:
             changes = list(local_mirror.items.values())
         return heartbeat.Copy(
-            prefix,
-            local_mirror.last_change_revision,
+            request.prefix,
+            local_mirror.last_change_revision.number,
             [
-                heartbeat.CopyItem(change.key, change.value, change.revision)
+                heartbeat.CopyItem(change.key, change.value, change.revision.number)
                 for change in changes
                 if isinstance(change, mirror.Item)
             ],
-            local_mirror.revision,
+            _complete_revision(local_mirror).number,
             [
-                heartbeat.CopyRemoval(change.key, change.revision)
+                heartbeat.CopyRemoval(change.key, change.revision.number)
                 for change in changes
                 if isinstance(change, mirror.Removal)
             ],
             partial,
+            local_mirror.era,
         )
 
     def record_success(self) -> None:
@@ -142,20 +146,22 @@
         if prefix == self._state.store_keys.vms:
             await anyio.sleep(self._vm_list_delay)
         while True:
-            if local_mirror.revision and not self._state.peers.should_watch_store(clock.now()):
+            if local_mirror.revision.number and not self._state.peers.should_watch_store(
+                clock.now()
+            ):
                 exchanging = self._state.peers.is_exchanging
                 await anyio.sleep(
                     ROLE_CHECK_SECONDS if exchanging else FOLLOWING_ROLE_CHECK_SECONDS
                 )
                 continue
-            is_first = not local_mirror.revision
+            is_first = not local_mirror.revision.number
             try:
                 changed = await self._fetch_changes(prefix, local_mirror)
             except interfaces.HistoryCompactedError:
                 self._log.info(
                     "watch history compacted, listing again",
                     prefix=prefix,
-                    after=local_mirror.revision,
+                    after=local_mirror.revision.number,
                 )
                 await self._relist(prefix, local_mirror)
                 continue
@@ -176,28 +182,61 @@
                 await anyio.sleep(vm_list_delay + FIRST_WATCH_DELAY_SECONDS)
 
     async def _fetch_changes(self, prefix: str, local_mirror: mirror.Mirror) -> set[str]:
-        if not local_mirror.revision:
+        if not local_mirror.revision.number:
             # Other VMs or a watch soon supply what a stale list of VMs or upstreams lacks.
             is_vm_list = prefix == self._state.store_keys.vms
             may_be_stale = prefix == self._state.store_keys.upstreams or (
                 is_vm_list and not self._vm_list_delay
             )
-            listing = await self._store.list(prefix, may_be_stale)
-            return local_mirror.apply_list(listing.items, listing.revision)
-        update = await self._store.watch(prefix, local_mirror.revision, WATCH_WAIT_SECONDS)
+            return await self._list(prefix, local_mirror, may_be_stale)
+        if local_mirror.revision.era < max(local_mirror.era, self._state.store_era.current):
+            return await self._list(prefix, local_mirror)
+        with anyio.CancelScope() as scope:
+            self._watches.add(scope)
+            try:
+                update = await self._store.watch(prefix, local_mirror.revision, WATCH_WAIT_SECONDS)
+            finally:
+                self._watches.discard(scope)
+        if scope.cancelled_caught:
+            return set()
         return local_mirror.apply_changes(update.changes, update.revision)
 
+    def _end_watches(self) -> None:
+        """End the watches, which go on from a revision of an earlier era."""
+        for scope in self._watches:
+            scope.cancel()
+
+    async def _list(
+        self, prefix: str, local_mirror: mirror.Mirror, may_be_stale: bool = False
+    ) -> set[str]:
+        listing = await self._store.list(prefix, may_be_stale and not self._state.store_era.rises)
+        before = local_mirror.revision
+        if listing.revision.era < self._state.store_era.current:
+            raise interfaces.StoreError(f"{prefix}: list of an earlier era")
+        changed = local_mirror.apply_list(listing.items, listing.revision)
+        if before.number and listing.revision.era > before.era:
+            self._log.info(
+                "prefix listed in a new era",
+                prefix=prefix,
+                era=listing.revision.era,
+                before=before.era,
+                revision=listing.revision.number,
+                revision_before=before.number,
+                changed=len(changed),
+            )
+        return changed
+
     async def _relist(self, prefix: str, local_mirror: mirror.Mirror) -> None:
-        """List a prefix again after the store compacted its history."""
+        """List a prefix again after the store compacted its history or began a new era."""
         try:
-            listing = await self._store.list(prefix)
+            changed = await self._list(prefix, local_mirror)
         except interfaces.StoreError as error:
             self.record_failure(str(error))
             await anyio.sleep(MIN_RETRY_SECONDS * (0.5 + self._rng.random()))
             return
         self.record_success()
-        changed = local_mirror.apply_list(listing.items, listing.revision)
         self._state.apply_store_changes(prefix, changed, clock.now())
+        self._send_heartbeat()
 
     async def _catch_up(self, prefix: str) -> None:
         """Fetch from other VMs the changes that this VM's watch has not delivered."""
@@ -216,31 +255,52 @@
         return VM_BATCH_DELAY_SECONDS if is_vm_list else BATCH_DELAY_SECONDS
 
     def _peer_ahead(self, prefix: str) -> peer_table.Peer | None:
-        revision = self._state.mirrors[prefix].last_change_revision
+        era_start = store_revision.Revision(self._state.store_era.current, 0)
+        revision = max(self._state.mirrors[prefix].last_change_revision, era_start)
         return self._state.peers.peer_ahead(prefix, revision, clock.now())
 
     async def _copy_from(self, vm: heartbeat.VmInfo, prefix: str) -> None:
         """Fetch the changes of a prefix from another VM."""
         local_mirror = self._state.mirrors[prefix]
-        request = heartbeat.CopyRequest(prefix, local_mirror.revision)
+        after = _complete_revision(local_mirror)
+        request = heartbeat.CopyRequest(prefix, after.number, after.era)
         copy = await self._peers.call(vm.peer_address, request, COPY_TIMEOUT_SECONDS)
         if not isinstance(copy, heartbeat.Copy):
             self._log.info("no copy received", prefix=prefix, vm=vm.name)
             return
-        items = [mirror.Item(i.key, i.value, i.revision) for i in copy.items]
-        if copy.partial:
-            removals = [mirror.Removal(removed.key, removed.revision) for removed in copy.removed]
-            changed = local_mirror.apply_changes(
-                [*items, *removals], copy.complete_revision, copy.revision
-            )
-        else:
-            changed = local_mirror.apply_copy(items, copy.revision, copy.complete_revision)
+        changed = self._apply_copy(local_mirror, copy)
         self._log.info(
             "copied changes from another VM",
             prefix=prefix,
             vm=vm.name,
             latest=copy.revision,
+            era=copy.era,
             changed=len(changed),
         )
         if changed:
             self._state.apply_store_changes(prefix, changed, clock.now())
+
+    def _apply_copy(self, local_mirror: mirror.Mirror, copy: heartbeat.Copy) -> set[str]:
+        """Apply another VM's copy, unless it is of an earlier era; return the changed keys."""
+        current = self._state.store_era.current
+        era = current if copy.era == store_revision.UNKNOWN_ERA else copy.era
+        if era < current:
+            return set()
+        latest = store_revision.Revision(era, copy.revision)
+        complete = store_revision.Revision(era, copy.complete_revision)
+        items = [
+            mirror.Item(item.key, item.value, store_revision.Revision(era, item.revision))
+            for item in copy.items
+        ]
+        if not copy.partial:
+            return local_mirror.apply_copy(items, latest, complete)
+        removals = [
+            mirror.Removal(removed.key, store_revision.Revision(era, removed.revision))
+            for removed in copy.removed
+        ]
+        return local_mirror.apply_changes([*items, *removals], complete, latest)
+
+
+def _complete_revision(local_mirror: mirror.Mirror) -> store_revision.Revision:
+    """Return the revision of the mirror's era up to which it has every change, number 0 if none."""
+    return max(local_mirror.revision, store_revision.Revision(local_mirror.era, 0))
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -205,7 +205,7 @@
             case heartbeat.StatusRequest():
                 return vm.state.fleet_status(clock.now())
             case heartbeat.CopyRequest():
-                return vm.store_watcher.copy(message.prefix, message.after)
+                return vm.store_watcher.copy(message)
 
     async def _deliver(self, address, message):
         await anyio.sleep(simulated_store.CALL_SECONDS)
@@ -232,6 +232,7 @@
         store_codec = StoreCodec()
         client = simulated_store.StoreClient(fleet.store, name)
         codec = UpstreamCodec()
+        client.set_era_listener(lambda era: self.state.store_era.observe(era, "store"))
         connections = ConnectionPool(fleet)
         peers = PeerConnections(fleet, name)
         seeds = [f"{seed}:2" for seed in fleet.names[:MAX_SEEDS]]
@@ -311,6 +312,15 @@
         wanted = interfaces.WantedVersion(MODEL, version, self.store.revision + 1)
         self.store.put(f"op/version/{MODEL}", wanted)
 
+    def restore_store(self, seconds, rewrite_delay=1.0):
+        """Bring the store back from an older copy; operator and upstreams write again later."""
+        self.store.restore(seconds)
+        self.group.start_soon(self._write_again, rewrite_delay)
+
+    async def _write_again(self, delay):
+        await anyio.sleep(delay)
+        self.store.write_again()
+
     def order_lease_holder(self):
         """Return the name of the only VM that holds the order lease, or an empty string."""
         holders = [vm.name for vm in self.vms.values() if vm.state.order_lease.held]
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -1,14 +1,29 @@
-"""In-memory store with revisions, watches, leases and a history that can be compacted."""
+"""In-memory store with revisions, watches, leases, and a history that can be compacted or lost."""
 
 import collections
+import dataclasses
+import math
 import pickle
 
 import anyio
 
-from hollyring.configuration import mirror
+from hollyring.configuration import mirror, store_revision
 from hollyring.node import clock, interfaces
 
 CALL_SECONDS = 0.005
+SNAPSHOT_SECONDS = 15.0
+"""Age of the oldest copy that the store can come back from."""
+
+
+@dataclasses.dataclass
+class Snapshot:
+    """Contents of the store after a change."""
+
+    at: float
+    revision: int
+    items: dict
+    leases: dict
+    last_lease: int
 
 
 class Store:
@@ -25,26 +40,72 @@
         self.delays = {}
         self.list_calls = collections.Counter()
         self.calls = 0
+        self.write_times = []
+        self.era = 1
+        self.restored_at = -math.inf
+        self._acknowledged = {}
         self._changed = anyio.Event()
         self._last_lease = 0
+        self._snapshots = []
+        self._save_snapshot()
+
+    @property
+    def current(self):
+        return store_revision.Revision(self.era, self.revision)
 
     def put(self, key, value, lease=0):
         """Write a key, as the operator, an upstream or a VM does."""
         self.revision += 1
         data = value if isinstance(value, bytes) else pickle.dumps(value)
-        self.items[key] = mirror.Item(key, data, self.revision)
+        self.items[key] = mirror.Item(key, data, self.current)
         self.changes.append(self.items[key])
         if lease:
             self.leases[lease][1].add(key)
+        else:
+            self._acknowledged[key] = data
         self._wake()
 
     def remove(self, key):
         if self.items.pop(key, None) is None:
             return
+        self._acknowledged.pop(key, None)
         self.revision += 1
-        self.changes.append(mirror.Removal(key, self.revision))
+        self.changes.append(mirror.Removal(key, self.current))
         self._wake()
 
+    def restore(self, seconds):
+        """Come back from a copy that is `seconds` old; revisions and leases are given out again."""
+        while len(self._snapshots) > 1 and self._snapshots[-1].at > clock.now() - seconds:
+            self._snapshots.pop()
+        copy = self._snapshots[-1]
+        self.era += 1
+        self.restored_at = clock.now()
+        self.revision = copy.revision
+        self.items = {key: self._in_current_era(item) for key, item in copy.items.items()}
+        changes = [change for change in self.changes if change.revision.number <= copy.revision]
+        self.changes = [self._in_current_era(change) for change in changes]
+        self.compacted_revision = min(self.compacted_revision, copy.revision)
+        self.leases = {
+            lease: [clock.now() + ttl, {key for key in keys if key in self.items}, ttl]
+            for lease, (keys, ttl) in copy.leases.items()
+        }
+        self._last_lease = copy.last_lease
+        self._wake()
+
+    def _in_current_era(self, change):
+        """Return a change as the store states it now: it has no eras of single changes."""
+        revision = store_revision.Revision(self.era, change.revision.number)
+        return dataclasses.replace(change, revision=revision)
+
+    def write_again(self):
+        """Write again what the operator and the upstreams wrote, which have no leases."""
+        leased = {key for _, keys, _ in self.leases.values() for key in keys}
+        for key in sorted(self.items.keys() - leased - self._acknowledged.keys()):
+            self.remove(key)
+        for key, data in self._acknowledged.items():
+            if key not in self.items or self.items[key].value != data:
+                self.put(key, data)
+
     def compact(self):
         self.compacted_revision = self.revision
         self._wake()
@@ -52,6 +113,7 @@
     def grant(self, seconds):
         self._last_lease += 1
         self.leases[self._last_lease] = [clock.now() + seconds, set(), seconds]
+        self._save_snapshot()
         return self._last_lease
 
     def renew(self, lease):
@@ -75,7 +137,16 @@
     async def changed(self):
         await self._changed.wait()
 
+    def _save_snapshot(self):
+        leases = {lease: (set(keys), ttl) for lease, (_, keys, ttl) in self.leases.items()}
+        self._snapshots.append(
+            Snapshot(clock.now(), self.revision, dict(self.items), leases, self._last_lease)
+        )
+        while self._snapshots[0].at < clock.now() - SNAPSHOT_SECONDS:
+            self._snapshots.pop(0)
+
     def _wake(self):
+        self._save_snapshot()
         self._changed.set()
         self._changed = anyio.Event()
 
@@ -86,6 +157,11 @@
     def __init__(self, store, vm):
         self._store = store
         self._vm = vm
+        self._era = 0
+        self._observe = None
+
+    def set_era_listener(self, listener):
+        self._observe = listener
 
     async def get(self, key):
         await self._check_reachable()
@@ -95,45 +171,57 @@
         await self._check_reachable()
         self._store.list_calls[prefix] += 1
         items = [item for key, item in self._store.items.items() if key.startswith(prefix)]
-        return interfaces.Listing(items, self._store.revision)
+        return interfaces.Listing(items, self._store.current)
 
     async def watch(self, prefix, after, seconds):
         await self._check_reachable()
+        era = self._store.era
         with anyio.move_on_after(seconds):
             while True:
-                if after < self._store.compacted_revision:
+                if self._store.era != era:
+                    raise interfaces.StoreError("cut")
+                if not self._store.compacted_revision <= after.number <= self._store.revision:
                     raise interfaces.HistoryCompactedError(prefix)
-                changes = [c for c in self._store.changes if c.revision > after]
+                changes = [c for c in self._store.changes if c.revision.number > after.number]
                 changes = [c for c in changes if c.key.startswith(prefix)]
+                if changes and after.era != era:
+                    raise interfaces.HistoryCompactedError(prefix)
                 if changes:
-                    return interfaces.Changes(changes, self._store.revision)
+                    return interfaces.Changes(changes, self._store.current)
                 await self._store.changed()
                 await self._check_reachable(is_new_call=False)
-        return interfaces.Changes([], self._store.revision)
+        if after.era != era:
+            raise interfaces.HistoryCompactedError(prefix)
+        return interfaces.Changes([], self._store.current)
 
     async def commit(self, expected, puts):
         await self._check_reachable()
+        self._store.write_times.append(clock.now())
         for key, revision in expected.items():
             item = self._store.items.get(key)
-            if (item.revision if item else 0) != revision:
+            if (item.revision.number if item else 0) != revision.number:
                 return interfaces.Conflict()
-        if any(put.lease and put.lease not in self._store.leases for put in puts):
+        if any(put.lease and put.lease.number not in self._store.leases for put in puts):
             return interfaces.LeaseExpired()
         for put in puts:
-            self._store.put(put.key, put.value, put.lease)
-        return interfaces.Committed(self._store.revision)
+            self._store.put(put.key, put.value, put.lease.number if put.lease else 0)
+        if any(put.lease and put.lease.era != self._store.era for put in puts):
+            return interfaces.LeaseExpired()
+        return interfaces.Committed(self._store.current)
 
     async def grant(self, seconds):
         await self._check_reachable()
-        return self._store.grant(seconds)
+        self._store.write_times.append(clock.now())
+        return interfaces.Lease(self._store.era, self._store.grant(seconds))
 
     async def renew(self, lease):
         await self._check_reachable()
-        return self._store.renew(lease)
+        return self._store.renew(lease.number) and lease.era == self._store.era
 
     async def revoke(self, lease):
         await self._check_reachable()
-        self._store.end(lease)
+        if lease.era == self._era:
+            self._store.end(lease.number)
 
     async def _check_reachable(self, is_new_call=True):
         self._store.calls += is_new_call
@@ -142,3 +230,5 @@
             await anyio.sleep(CALL_SECONDS)
         if self._vm in self._store.unreachable_from:
             raise interfaces.StoreError("refused")
+        self._era = max(self._era, self._store.era)
+        self._observe(self._store.era)
--- a/hollyring/node/tests/test_store_watcher.py
+++ b/hollyring/node/tests/test_store_watcher.py
@@ -60,7 +60,7 @@
         fleet.store.delays = {"vm-2": store_watcher.PEER_COPY_DELAY_SECONDS * 0.8}
         copies = []
         for vm in fleet.vms.values():
-            vm.store_watcher.copy = lambda prefix, after=0: copies.append(prefix)
+            vm.store_watcher.copy = copies.append
         for version in range(2, 30):
             fleet.store.put("op/config", simulated_fleet.make_deployment(version))
             await anyio.sleep(0.37)
--- a/hollyring/node/tests/test_wire.py
+++ b/hollyring/node/tests/test_wire.py
@@ -45,6 +45,7 @@
     complete_revision: int = 0
     removed: list[heartbeat.CopyRemoval] = dataclasses.field(default_factory=list)
     partial: bool = False
+    era: int = -1
 
 
 @pytest.mark.parametrize("message", EXAMPLES, ids=lambda m: type(m).__name__)
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -169,7 +169,7 @@
             return None
         wanted = _decode(item, _WantedVersion)
         return (
-            interfaces.WantedVersion(wanted.model, wanted.version, item.revision)
+            interfaces.WantedVersion(wanted.model, wanted.version, item.revision.ordinal)
             if wanted
             else None
         )
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -5,12 +5,12 @@
 import base64
 import binascii
 import urllib.parse
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import msgspec
 
-from hollyring.configuration import mirror
+from hollyring.configuration import mirror, store_revision
 from hollyring.node import connection_pool, http_connection, http_request, interfaces
 
 CALL_TIMEOUT_SECONDS = 1.5
@@ -22,6 +22,7 @@
 MS_PER_SECOND = 1000.0
 
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
+ERA_HEADER = b"store-era"
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
@@ -54,6 +55,12 @@
     lease: int
 
 
+class _Answer(msgspec.Struct, frozen=True):
+    status: int
+    body: bytes
+    era: int
+
+
 class MetadataStore:
     """Client of the metadata store; implements `hollyring.node.interfaces.Store`.
 
@@ -66,81 +73,111 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = connection_pool.ConnectionPool()
+        self._era = 0
+        self._era_listener: Callable[[int], None] | None = None
+
+    def set_era_listener(self, listener: Callable[[int], None]) -> None:
+        """Call `listener` with the era of each answer, before the answer is returned."""
+        self._era_listener = listener
 
     async def get(self, key: str) -> mirror.Item | None:
         """Return an item, or None if the key does not exist."""
-        status, body = await self._call("GET", "/hollyring/kv-key", {"key": key})
-        if status == HTTP_NOT_FOUND:
+        answer = await self._call("GET", "/hollyring/kv-key", {"key": key})
+        if answer.status == HTTP_NOT_FOUND:
             return None
-        return _convert_item(_decode(body, _Item))
+        return _convert_item(_decode(answer.body, _Item), answer.era)
 
     async def list(self, prefix: str, may_be_stale: bool = False) -> interfaces.Listing:
-        """Return the items under a prefix, each as of the first page's revision or later."""
+        """Return the items under a prefix, each as of the first page's revision or later.
+
+        Raises
+        ------
+        StoreError
+            If the store began a new era between two pages.
+        """
         items: list[mirror.Item] = []
         revision = None
         options = {"serializable": "1"} if may_be_stale else {}
         query = {"prefix": prefix} | options
         while True:
-            _, body = await self._call("GET", "/hollyring/kv-range", query)
-            page = _decode(body, _RangeResponse)
-            items += [_convert_item(item) for item in page.items]
-            revision = page.current_rev if revision is None else revision
+            answer = await self._call("GET", "/hollyring/kv-range", query)
+            page = _decode(answer.body, _RangeResponse)
+            items += [_convert_item(item, answer.era) for item in page.items]
+            if revision is None:
+                revision = store_revision.Revision(answer.era, page.current_rev)
+            if answer.era != revision.era:
+                raise interfaces.StoreError(f"{prefix}: pages of several eras")
             if not page.truncated or not page.items:
                 return interfaces.Listing(items, revision)
             query = {"prefix": prefix, "after": page.items[-1].key} | options
 
-    async def watch(self, prefix: str, after: int, seconds: float) -> interfaces.Changes:
+    async def watch(
+        self, prefix: str, after: store_revision.Revision, seconds: float
+    ) -> interfaces.Changes:
         """Return the changes after revision `after`, waiting up to `seconds` for the first.
 
         Raises
         ------
         HistoryCompactedError
-            If the store no longer has all changes after `after`.
+            If the store no longer has all changes after `after`, or is in another era.
         """
-        query = {"prefix": prefix, "after": str(after)}
+        query = {"prefix": prefix, "after": str(after.number)}
         query["wait_ms"] = str(int(seconds * MS_PER_SECOND))
-        status, body = await self._call(
+        answer = await self._call(
             "GET", "/hollyring/kv-watch", query, seconds=seconds + WATCH_TIMEOUT_MARGIN_SECONDS
         )
-        if status == HTTP_GONE:
+        if answer.status == HTTP_GONE or answer.era != after.era:
             raise interfaces.HistoryCompactedError(
                 f"{prefix}: changes after revision {after} are no longer available"
             )
-        response = _decode(body, _WatchResponse)
+        response = _decode(answer.body, _WatchResponse)
         return interfaces.Changes(
-            [_convert_change(event) for event in response.events], response.current_rev
+            [_convert_change(event, answer.era) for event in response.events],
+            store_revision.Revision(answer.era, response.current_rev),
         )
 
     async def commit(
-        self, expected: Mapping[str, int], puts: Sequence[interfaces.Put]
+        self,
+        expected: Mapping[str, store_revision.Revision],
+        puts: Sequence[interfaces.Put],
     ) -> interfaces.CommitOutcome:
-        """Write `puts` if every key is at its expected revision; 0 means that the key is absent."""
+        """Write `puts` if every key is at its expected revision; `NONE` if it must be absent."""
+        revisions = [rev for rev in expected.values() if rev != store_revision.NONE]
+        if any(revision.era < self._era for revision in revisions):
+            return interfaces.Conflict()
+        leases = [put.lease for put in puts if put.lease is not None]
+        if any(lease.era < self._era for lease in leases):
+            return interfaces.LeaseExpired()
         content = {
-            "expected": [{"key": key, "revision": rev} for key, rev in expected.items()],
+            "expected": [{"key": key, "revision": rev.number} for key, rev in expected.items()],
             "puts": [_encode_put(put) for put in puts],
             "remove": [],
         }
-        status, body = await self._call("POST", "/hollyring/kv-txn", content=content)
-        if status == HTTP_PRECONDITION_FAILED:
+        answer = await self._call("POST", "/hollyring/kv-txn", content=content)
+        if answer.status == HTTP_PRECONDITION_FAILED:
             return interfaces.Conflict()
-        if status == HTTP_NOT_FOUND:
+        if answer.status == HTTP_NOT_FOUND or any(lease.era != answer.era for lease in leases):
             return interfaces.LeaseExpired()
-        return interfaces.Committed(_decode(body, _TransactionResponse).revision)
+        number = _decode(answer.body, _TransactionResponse).revision
+        return interfaces.Committed(store_revision.Revision(answer.era, number))
 
-    async def grant(self, seconds: float) -> int:
-        """Grant a lease of `seconds` and return its ID."""
+    async def grant(self, seconds: float) -> interfaces.Lease:
+        """Grant a lease of `seconds`."""
         content = {"ttl_ms": int(seconds * MS_PER_SECOND)}
-        _, body = await self._call("POST", "/hollyring/kv-lease", content=content)
-        return _decode(body, _LeaseResponse).lease
+        answer = await self._call("POST", "/hollyring/kv-lease", content=content)
+        return interfaces.Lease(answer.era, _decode(answer.body, _LeaseResponse).lease)
 
-    async def renew(self, lease: int) -> bool:
-        """Renew a lease; return False if it has expired."""
-        status, _ = await self._call("POST", f"/hollyring/kv-keep/{lease}")
-        return status == HTTP_OK
+    async def renew(self, lease: interfaces.Lease) -> bool:
+        """Renew a lease; return False if it has expired or is of an earlier era."""
+        if lease.era < self._era:
+            return False
+        answer = await self._call("POST", f"/hollyring/kv-keep/{lease.number}")
+        return answer.status == HTTP_OK and answer.era == lease.era
 
-    async def revoke(self, lease: int) -> None:
-        """Revoke a lease; its keys are removed."""
-        await self._call("DELETE", f"/hollyring/kv-lease-end/{lease}")
+    async def revoke(self, lease: interfaces.Lease) -> None:
+        """Revoke a lease, unless its number may be that of another one by now."""
+        if lease.era == self._era:
+            await self._call("DELETE", f"/hollyring/kv-lease-end/{lease.number}")
 
     async def _call(
         self,
@@ -149,7 +186,7 @@
         query: Mapping[str, str] | None = None,
         content: Any = None,
         seconds: float = CALL_TIMEOUT_SECONDS,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         target = path + "?" + urllib.parse.urlencode(query) if query else path
         body = msgspec.json.encode(content) if content is not None else b""
         headers = [JSON_CONTENT_TYPE] if body else []
@@ -160,9 +197,16 @@
             response = await self._pool.call(self._address, request, seconds)
         except http_connection.HttpConnectionError as error:
             raise interfaces.StoreError(f"{method} {path}: {error}") from error
+        era = _decode_era(response.header(ERA_HEADER))
+        self._record_era(era)
         if response.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_PRECONDITION_FAILED):
             raise interfaces.StoreError(f"{method} {path}: status {response.status}")
-        return response.status, response.body
+        return _Answer(response.status, response.body, era)
+
+    def _record_era(self, era: int) -> None:
+        self._era = max(self._era, era)
+        if self._era_listener is not None:
+            self._era_listener(era)
 
 
 def _decode(body: bytes, type_: type[Any]) -> Any:
@@ -172,20 +216,26 @@
         raise interfaces.StoreError(f"unreadable response: {error}") from error
 
 
-def _convert_item(item: _Item) -> mirror.Item:
+def _decode_era(value: bytes) -> int:
+    """Return the era that a header states, 0 if there is none."""
+    return int(value) if value.isdigit() else 0
+
+
+def _convert_item(item: _Item, era: int) -> mirror.Item:
     try:
         value = base64.b64decode(item.value, validate=True)
     except binascii.Error:
         value = b""
-    return mirror.Item(item.key, value, item.revision)
+    return mirror.Item(item.key, value, store_revision.Revision(era, item.revision))
 
 
-def _convert_change(event: _Item) -> mirror.Change:
+def _convert_change(event: _Item, era: int) -> mirror.Change:
     if event.deleted:
-        return mirror.Removal(event.key, event.revision)
-    return _convert_item(event)
+        return mirror.Removal(event.key, store_revision.Revision(era, event.revision))
+    return _convert_item(event, era)
 
 
 def _encode_put(put: interfaces.Put) -> dict[str, Any]:
     value = base64.b64encode(put.value).decode()
-    return {"key": put.key, "value": value, "lease": put.lease}
+    lease = put.lease.number if put.lease is not None else 0
+    return {"key": put.key, "value": value, "lease": lease}
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -82,7 +82,10 @@
 
 
 class StoreStandIn(HttpStandIn):
-    """The metadata store with items, a revision, watches, and leases that never expire."""
+    """The metadata store with items, a revision, watches, and leases that never expire.
+
+    `copy` and `restore` play its return from an older copy.
+    """
 
     def __init__(self):
         super().__init__()
@@ -93,6 +96,19 @@
         self.leases = set()
         self.failure_status = 0
         self.history_start = 0
+        self.era = 1
+
+    def copy(self):
+        """Return a copy of the contents for `restore`."""
+        return dict(self.items), self.revision, list(self.events), set(self.leases)
+
+    async def restore(self, copy):
+        """Come back from a copy; revisions and leases since then are lost and given out again."""
+        async with self.condition:
+            items, self.revision, events, leases = copy
+            self.items, self.events, self.leases = dict(items), list(events), set(leases)
+            self.era += 1
+            self.condition.notify_all()
 
     async def put(self, key, value, lease=0):
         """Write a key as the operator or a server does."""
@@ -115,12 +131,13 @@
 
     async def handle(self, request, writer):
         if self.failure_status:
-            writer.write(encode_response(self.failure_status))
+            writer.write(encode_response(self.failure_status, store_era=self.era))
             return
         name = request.path.removeprefix("/hollyring/")
         body = json.loads(request.body) if request.body else {}
         status, document = await self._respond(name, request.query, body)
-        writer.write(encode_response(status, json.dumps(document).encode()))
+        body = json.dumps(document).encode()
+        writer.write(encode_response(status, body, store_era=self.era))
 
     async def _respond(self, name, query, body):
         match name.partition("/")[0]:
@@ -152,7 +169,7 @@
 
     async def _watch(self, query):
         after = int(query["after"])
-        if after < self.history_start:
+        if not self.history_start <= after <= self.revision:
             return 410, {}
 
         def events():
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hollyring.configuration import mirror
+from hollyring.configuration import mirror, store_revision
 from hollyring.core import request_types
 from hollyring.fleet import messages as fleet
 from hollyring.membership import heartbeat
@@ -85,7 +85,7 @@
 
 def make_item(key, value):
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
-    return mirror.Item(key, data, 5)
+    return mirror.Item(key, data, store_revision.Revision(0, 5))
 
 
 def test_configuration_is_decoded_with_units_converted(codec):
--- a/hollyring/platform/tests/test_state.py
+++ b/hollyring/platform/tests/test_state.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hollyring.configuration import mirror
+from hollyring.configuration import mirror, store_revision
 from hollyring.limits import service_retry_budgets
 from hollyring.membership import heartbeat
 from hollyring.node import clock, state
@@ -72,12 +72,13 @@
     def apply_change(self, prefix, key, value, now=None):
         """Apply a change received from the store."""
         self.revision += 1
+        revision = store_revision.Revision(0, self.revision)
         if value is None:
-            change = mirror.Removal(key, self.revision)
+            change = mirror.Removal(key, revision)
         else:
-            change = mirror.Item(key, json.dumps(value).encode(), self.revision)
+            change = mirror.Item(key, json.dumps(value).encode(), revision)
         target = self.state.mirrors[prefix]
-        changed = target.apply_changes([change], self.revision)
+        changed = target.apply_changes([change], revision)
         self.state.apply_store_changes(prefix, changed, clock.now() if now is None else now)
 
 
--- /dev/null
+++ b/hollyring/platform/tests/test_store.py
@@ -0,0 +1,91 @@
+"""Client of the metadata store, against the stand-in on loopback."""
+
+import pytest
+
+from hollyring.configuration import store_revision
+from hollyring.node import interfaces
+from hollyring.platform import store
+from hollyring.platform.tests import conftest
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+async def stand_in():
+    async with conftest.StoreStandIn().running() as running:
+        yield running
+
+
+@pytest.fixture
+def client(stand_in):
+    return store.MetadataStore(stand_in.address)
+
+
+async def test_every_answer_states_its_era(stand_in, client):
+    eras = []
+    client.set_era_listener(eras.append)
+    await stand_in.put("op/config", {})
+    listing = await client.list("op/")
+    assert listing.revision == listing.items[0].revision == store_revision.Revision(1, 2)
+    await stand_in.restore(stand_in.copy())
+    assert await client.get("op/none") is None
+    assert eras == [1, 2]
+    stand_in.failure_status = 503
+    with pytest.raises(interfaces.StoreError):
+        await client.get("op/none")
+    assert eras == [1, 2, 2]
+
+
+async def test_era_is_0_without_the_header(stand_in, client, monkeypatch):
+    monkeypatch.setattr(store, "ERA_HEADER", b"absent")
+    await stand_in.put("op/config", {})
+    assert (await client.get("op/config")).revision == store_revision.Revision(0, 2)
+
+
+async def test_watch_from_a_revision_of_an_earlier_era_fails(stand_in, client):
+    copy = stand_in.copy()
+    await stand_in.put("op/config", {})
+    listing = await client.list("op/")
+    await stand_in.restore(copy)
+    with pytest.raises(interfaces.HistoryCompactedError):
+        await client.watch("op/", listing.revision, 0.1)
+    await stand_in.put("op/config", {})
+    await stand_in.put("op/config", {})
+    with pytest.raises(interfaces.HistoryCompactedError):
+        await client.watch("op/", listing.revision, 0.1)
+
+
+async def test_lease_of_an_earlier_era_is_neither_renewed_nor_ended_nor_used(stand_in, client):
+    copy = stand_in.copy()
+    lost = await client.grant(15.0)
+    await stand_in.restore(copy)
+    given_again = await client.grant(15.0)
+    assert given_again.number == lost.number
+    assert not await client.renew(lost)
+    await client.revoke(lost)
+    assert stand_in.leases == {given_again.number}
+    put = interfaces.Put("vm/vm-1", b"", lost)
+    assert await client.commit({}, [put]) == interfaces.LeaseExpired()
+    assert stand_in.items == {}
+
+
+async def test_write_under_a_lease_that_another_vm_has_by_now_counts_as_lost(stand_in, client):
+    """The client learns of the new era from the answer to the write only."""
+    copy = stand_in.copy()
+    lost = await client.grant(15.0)
+    await stand_in.restore(copy)
+    await store.MetadataStore(stand_in.address).grant(15.0)
+    put = interfaces.Put("vm/vm-1", b"", lost)
+    assert await client.commit({}, [put]) == interfaces.LeaseExpired()
+
+
+async def test_conditional_write_uses_no_revision_of_an_earlier_era(stand_in, client):
+    copy = stand_in.copy()
+    await stand_in.put("vm/a", b"1")
+    read = await client.get("vm/a")
+    await stand_in.restore(copy)
+    await stand_in.put("vm/a", b"2")
+    assert (await client.get("vm/a")).revision.number == read.revision.number
+    written = await client.commit({"vm/a": read.revision}, [interfaces.Put("vm/a", b"3")])
+    assert written == interfaces.Conflict()
+    assert (await client.get("vm/a")).value == b"2"
