Keep in force what an older copy of the store lacks

What callers would see after the store's return from an older copy: refusals, as upstreams that registered since were dropped at once; requests to upstreams that leave, are gone, or had started anew, as the copy lists them as they were. Cause: the first list of the new era was applied as news. Change: the first entries of a new era undo neither that an upstream leaves nor its latest start; one that was removed gets no requests for 3 s unless it writes again; one that is missing is kept for 2.2 s from the return (the existing way of missing entries). Moved to node/upstream_changes. The operator's documents needed no change: their own versions decide, the reason is now stated in node/store_changes. Evidence: five of the ten new tests failed before (missing entries, leaving, earlier start, removed) and pass now; those on configuration, keys, wanted versions and other VMs' records passed before and guard it.

--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -37,6 +37,12 @@
 It counts from the disappearance or the last failure of the store, whichever is later.
 """
 
+RESTORED_UPSTREAM_TTL_SECONDS = 2.2
+"""The same after the store has returned from an older copy, counted from the return.
+
+The upstreams write their entries again within about two seconds.
+"""
+
 RATE_WINDOW_SECONDS = 8.0
 """Default window in which an organisation may use its rate and its burst."""
 
@@ -338,19 +344,22 @@
         self._retries.resize(self.sharing_vms)
         for name in self.peers.remove_silent(now):
             self._log.info("silent VM removed", vm=name)
+        self._store_changes.tick(now)
+        if self.store_reached_at > self.store_failed_at:
+            self._remove_missing_upstreams(now)
+
+    def _remove_missing_upstreams(self, now: float) -> None:
         for upstream in list(self.registry.upstreams.values()):
-            missing_since = upstream.missing_since
-            if missing_since is None:
+            if upstream.missing_since is None:
                 continue
-            reached = self.store_reached_at > self.store_failed_at
-            if (
-                reached
-                and now - max(missing_since, self.store_failed_at) > MISSING_UPSTREAM_TTL_SECONDS
-            ):
-                self._log.info(
-                    "upstream removed", upstream=upstream.name, why="entry stayed missing"
-                )
-                self.remove_upstream(upstream.name)
+            due_at = max(
+                max(upstream.missing_since, self.store_failed_at) + MISSING_UPSTREAM_TTL_SECONDS,
+                self.store_era.risen_at + RESTORED_UPSTREAM_TTL_SECONDS,
+            )
+            if now <= due_at:
+                continue
+            self._log.info("upstream removed", upstream=upstream.name, why="entry stayed missing")
+            self.remove_upstream(upstream.name)
 
     def _observe_eras(self, sender: str, revisions: list[heartbeat.PrefixRevision]) -> None:
         for item in revisions:
--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -1,19 +1,21 @@
-"""Application of changes in the store to the state of a VM."""
+"""Application of changes in the store to the state of a VM.
+
+The versions that the operator's documents state themselves decide which of two is newer, not the
+store's revisions: after the store has returned from an older copy, its latest revision is that of
+the copy until the operator has written again, whereas the operator never lowers a version. A
+configuration states its keys, limits and routes in full, so that they follow from its version.
+"""
 
 from __future__ import annotations
 
-import math
 import typing
 
 from hollyring.configuration import deployment, mirror, store_revision
-from hollyring.node import interfaces, logs
+from hollyring.node import interfaces, logs, upstream_changes
 
 if typing.TYPE_CHECKING:
     from hollyring.node import state
 
-STORE_FAILURE_WINDOW_SECONDS = 4.0
-"""Time after a failed call during which the store counts as failing."""
-
 
 class StoreChanges:
     """Applies changes in the store to the state of a VM.
@@ -38,24 +40,33 @@
         self._codec = codec
         self._max_version_age_seconds = max_version_age_seconds
         self._initial_load = True
+        self._eras: dict[str, int] = {}
+        self._upstream_changes = upstream_changes.UpstreamChanges(vm_state, codec)
         self._log = logs.Logger("state")
 
     def apply(self, prefix: str, changed: set[str], now: float) -> None:
         """Apply the keys that changed under a prefix; removed operator keys have no effect."""
         store_keys = self._state.store_keys
         items = self._state.mirrors[prefix].items
+        era = self._state.mirrors[prefix].era
+        from_copy = era > self._eras.get(prefix, era)
+        self._eras[prefix] = era
         if prefix == store_keys.operator:
             for key in changed & items.keys():
                 self._apply_operator_item(items[key], now)
             self._initial_load = False
         elif prefix == store_keys.upstreams:
-            for key in changed:
-                self._apply_upstream(key, items.get(key), now)
+            self._upstream_changes.apply(changed, items, from_copy, now)
         elif prefix == store_keys.vms:
             vms = [self._codec.decode_vm(item) for item in items.values()]
             self._state.peers.update_listed([vm for vm in vms if vm is not None], now)
             self._state.update_peers(now)
 
+    def tick(self, now: float) -> None:
+        """Apply what was held back and is due."""
+        items = self._state.mirrors[self._state.store_keys.upstreams].items
+        self._upstream_changes.tick(items, now)
+
     def _apply_operator_item(self, item: mirror.Item, now: float) -> None:
         wanted = self._codec.decode_wanted_version(item)
         if wanted is not None:
@@ -94,43 +105,3 @@
             wanted.model, wanted.version, now - assumed_age, estimated
         )
         self._log.info("new wanted version of weights", model=wanted.model, version=wanted.version)
-
-    def _apply_upstream(self, key: str, item: mirror.Item | None, now: float) -> None:
-        name = key.removeprefix(self._state.store_keys.upstreams)
-        if item is None:
-            self._upstream_deleted(name, now)
-            return
-        entry = self._codec.decode_upstream(item)
-        if entry is None:
-            self._log.info("unreadable upstream", key=key, revision=item.revision.number)
-            return
-        upstream = self._state.registry.get(name)
-        before = dict(upstream.versions) if upstream else {}
-        leaving_changed = upstream is None or upstream.entry.leaving != entry.leaving
-        if self._state.registry.put(entry) is not None:
-            self._state.prefix_caches.remove_holder(name)
-        elif upstream is not None and upstream.versions != before:
-            self._state.prefix_caches.remove_holder(name)
-            upstream.loading_until = -math.inf
-        if leaving_changed:
-            self._log.info(
-                "upstream entry changed",
-                upstream=name,
-                service=entry.service,
-                leaving=entry.leaving,
-                revision=item.revision.number,
-            )
-
-    def _upstream_deleted(self, name: str, now: float) -> None:
-        upstream = self._state.registry.get(name)
-        if upstream is None:
-            return
-        store_failing = now - self._state.store_failed_at < STORE_FAILURE_WINDOW_SECONDS
-        store_failing = store_failing or any(
-            not p.store_reached for p in self._state.peers.alive(now)
-        )
-        if store_failing and not upstream.entry.leaving:
-            upstream.missing_since = now
-            return
-        self._log.info("upstream removed", upstream=name, why="entry removed")
-        self._state.remove_upstream(name)
--- a/hollyring/node/tests/test_store_restore.py
+++ b/hollyring/node/tests/test_store_restore.py
@@ -99,3 +99,44 @@
         await fleet.wait_until(lambda: versions(fleet) == {10}, PROPAGATION_SECONDS)
 
     simulate(scenario, vms=VMS)
+
+
+def test_upstreams_missing_from_the_copy_stay_in_use_until_they_write_again(simulate):
+    async def scenario(fleet):
+        await start_all(fleet)
+        fleet.add_upstream(simulated_fleet.Upstream("u-9"))
+        await anyio.sleep(1.0)
+        fleet.restore_store(2.0, rewrite_delay=2.0)
+        returned_at = clock.now()
+        while clock.now() - returned_at < 6.0:
+            assert all("u-9" in vm.state.registry.upstreams for vm in fleet.vms.values())
+            await anyio.sleep(0.05)
+
+    simulate(scenario, vms=VMS)
+
+
+def test_upstream_that_stays_missing_from_the_copy_is_removed(simulate):
+    async def scenario(fleet):
+        await start_all(fleet)
+        fleet.add_upstream(simulated_fleet.Upstream("u-9"))
+        await anyio.sleep(1.0)
+        fleet.store.restore(2.0)
+
+        def removed():
+            return all("u-9" not in vm.state.registry.upstreams for vm in fleet.vms.values())
+
+        await fleet.wait_until(removed, 4.0)
+
+    simulate(scenario, vms=VMS)
+
+
+def test_vms_missing_from_the_copy_keep_serving(simulate):
+    async def scenario(fleet):
+        await start_all(fleet)
+        fleet.store.restore(10.0)
+        returned_at = clock.now()
+        while clock.now() - returned_at < 4.0:
+            assert all(len(vm.state.peers.serving) == len(VMS) for vm in fleet.vms.values())
+            await anyio.sleep(0.05)
+
+    simulate(scenario, vms=VMS)
--- a/hollyring/platform/tests/test_state.py
+++ b/hollyring/platform/tests/test_state.py
@@ -7,7 +7,7 @@
 from hollyring.configuration import mirror, store_revision
 from hollyring.limits import service_retry_budgets
 from hollyring.membership import heartbeat
-from hollyring.node import clock, state
+from hollyring.node import clock, state, upstream_changes
 from hollyring.platform import documents
 
 STORE_KEYS = documents.STORE_KEYS
@@ -81,6 +81,21 @@
         changed = target.apply_changes([change], revision)
         self.state.apply_store_changes(prefix, changed, clock.now() if now is None else now)
 
+    def apply_copy_of_store(self, prefix, documents_by_key, era, now=None):
+        """Apply the list of a store that returned from an older copy, with low revisions."""
+        items = [
+            mirror.Item(key, json.dumps(value).encode(), store_revision.Revision(era, 1))
+            for key, value in documents_by_key.items()
+        ]
+        changed = self.state.mirrors[prefix].apply_list(items, store_revision.Revision(era, 1))
+        self.state.apply_store_changes(prefix, changed, clock.now() if now is None else now)
+
+    def apply_change_in_era(self, prefix, key, value, era, number, now):
+        revision = store_revision.Revision(era, number)
+        change = mirror.Item(key, json.dumps(value).encode(), revision)
+        changed = self.state.mirrors[prefix].apply_changes([change], revision)
+        self.state.apply_store_changes(prefix, changed, now)
+
 
 @pytest.fixture
 def vm():
@@ -202,3 +217,71 @@
     vm.state.prefix_caches.set("i-1", 1000, "m.1", "p", 10)
     vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY | {"born": 5})
     assert vm.state.prefix_caches.dump() == {}
+
+
+def test_older_copy_of_the_store_does_not_bring_back_keys_that_were_taken_away(vm):
+    revoked = CONFIG | {"version": 4, "tenants": [CONFIG["tenants"][0] | {"api_keys": ["k2"]}]}
+    vm.apply_change(STORE_KEYS.operator, "op/config", revoked)
+    vm.apply_copy_of_store(STORE_KEYS.operator, {"op/config": CONFIG}, era=1)
+    assert vm.state.configuration_version == 4
+    assert vm.state.deployment.organisation_for_key("k") is None
+    newest = revoked | {"version": 5}
+    vm.apply_change_in_era(STORE_KEYS.operator, "op/config", newest, 1, 2, clock.now())
+    assert vm.state.configuration_version == 5
+
+
+def test_wanted_version_does_not_step_back_to_an_older_copy_of_the_store(vm):
+    key = "op/version/m"
+    vm.apply_change(STORE_KEYS.operator, key, {"model": "m", "version": 3})
+    older = {"op/config": CONFIG, key: {"model": "m", "version": 2}}
+    vm.apply_copy_of_store(STORE_KEYS.operator, older, era=1)
+    assert vm.state.latest_wanted["m"].version == 3
+    assert [version for _, version in vm.state.wanted_versions.all_versions()][-1].version == 3
+
+
+def test_upstream_missing_from_an_older_copy_of_the_store_is_kept_for_its_ttl(vm):
+    now = clock.now()
+    vm.state.store_reached_at = now
+    vm.state.store_era.observe(1, "store")
+    vm.state.store_era.observe(2, "store")
+    vm.apply_copy_of_store(STORE_KEYS.upstreams, {}, era=2, now=now)
+    vm.state.tick(now + 2.0)
+    assert vm.state.registry.get("i-1") is not None
+    vm.state.tick(now + state.RESTORED_UPSTREAM_TTL_SECONDS + 0.1)
+    assert vm.state.registry.get("i-1") is None
+
+
+def test_leaving_upstream_does_not_turn_ready_through_an_older_copy_of_the_store(vm):
+    now = clock.now()
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY | {"state": "draining"})
+    vm.apply_copy_of_store(STORE_KEYS.upstreams, {"servers/i-1": ENTRY}, era=1, now=now)
+    assert vm.state.registry.get("i-1").entry.leaving
+    restarted = ENTRY | {"born": 7}
+    vm.apply_change_in_era(STORE_KEYS.upstreams, "servers/i-1", restarted, 1, 2, now)
+    assert not vm.state.registry.get("i-1").entry.leaving
+
+
+def test_older_copy_of_the_store_does_not_bring_back_an_earlier_start_of_an_upstream(vm):
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", ENTRY | {"born": 7})
+    vm.apply_copy_of_store(STORE_KEYS.upstreams, {"servers/i-1": ENTRY | {"born": 3}}, era=1)
+    assert vm.state.registry.get("i-1").entry.life == 7
+
+
+def test_removed_upstream_in_an_older_copy_of_the_store_gets_no_requests_at_first(vm):
+    """Its entry expires again unless the upstream is alive."""
+    now = clock.now()
+    vm.state.store_reached_at = now
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", None, now)
+    vm.apply_copy_of_store(STORE_KEYS.upstreams, {"servers/i-1": ENTRY}, era=1, now=now)
+    assert vm.state.registry.get("i-1").entry.leaving
+    vm.state.tick(now + upstream_changes.RETURNED_ENTRY_HOLD_SECONDS + 0.1)
+    assert not vm.state.registry.get("i-1").entry.leaving
+
+
+def test_removed_upstream_that_writes_again_after_an_older_copy_is_used_at_once(vm):
+    now = clock.now()
+    vm.state.store_reached_at = now
+    vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", None, now)
+    vm.apply_copy_of_store(STORE_KEYS.upstreams, {"servers/i-1": ENTRY}, era=1, now=now)
+    vm.apply_change_in_era(STORE_KEYS.upstreams, "servers/i-1", ENTRY, 1, 2, now)
+    assert not vm.state.registry.get("i-1").entry.leaving
