Register and take the order lease anew when the store begins a new era

What would happen: records of VMs lost for up to 5 s; two VMs at once with the right to give orders, as the key of the holder is missing from the copy while its lease still runs; a fencing number that goes back. Change: registrations are written anew over at most 1 s (6 ms for each VM). The holder gives up its lease without ending it, as its number may be that of another one, and may acquire that of the new era at once; all others wait until a lease of the previous era has certainly ended, also a VM that starts in an era above 1. A key that an earlier acquisition of the same start left behind is written over.

--- a/hollyring/membership/leases.py
+++ b/hollyring/membership/leases.py
@@ -29,9 +29,9 @@
 class Phase(enum.Enum):
     """State of the lease client.
 
-    An acquisition starts in `IDLE` and passes through `READING`, which checks that the key is
-    absent, `GRANTING` and `WRITING` to `HELD`. `CONFIRMING` reads the key back after an unanswered
-    write. `CLOSED` is final.
+    An acquisition starts in `IDLE` and passes through `READING`, which checks that no other owner
+    has the key, `GRANTING` and `WRITING` to `HELD`. `CONFIRMING` reads the key back after an
+    unanswered write. `CLOSED` is final.
     """
 
     IDLE = enum.auto()
@@ -289,6 +289,21 @@
         self._back_off(now)
         return []
 
+    def forget(self, now: float) -> list[Action]:
+        """Give up the lease or its acquisition at once, as the service no longer knows either.
+
+        The lease is not released, as its ID may be that of another one by now.
+        """
+        if self._phase is Phase.CLOSED:
+            return []
+        held = self._phase is Phase.HELD
+        self._phase = Phase.IDLE
+        self._pending_call = 0
+        self._lease = ""
+        self._failures = 0
+        self._due_at = now
+        return [Lost(self._fencing)] if held else []
+
     def close(self) -> list[Action]:
         """Release the lease for good; to be called after the last operation under it has ended."""
         held = self._phase is Phase.HELD
@@ -298,8 +313,11 @@
         return [*actions, Lost(self._fencing)] if held else actions
 
     def _handle_holder(self, event: HolderRead, now: float) -> list[Action]:
-        """Request a lease if the key is absent, else check again after half the time to live."""
-        if event.version != 0:
+        """Request a lease if the key is absent, else check again after half the time to live.
+
+        A key that an earlier acquisition of this owner left behind is written over.
+        """
+        if event.version != 0 and not event.value.startswith(self._owner + b"/"):
             self._phase = Phase.IDLE
             self._due_at = now + self._ttl / 2
             return []
--- a/hollyring/membership/tests/test_leases.py
+++ b/hollyring/membership/tests/test_leases.py
@@ -121,3 +121,34 @@
         now = lease.due
     assert delays[0] == leases.INITIAL_RETRY_SECONDS
     assert delays == sorted(delays) and delays[-1] == round(10.0 / 6, 6)
+
+
+def test_forgotten_lease_is_not_released(lease):
+    """Its number may be that of another lease by then."""
+    acquire(lease)
+    assert lease.forget(1.0) == [leases.Lost(41)]
+    assert lease.fencing(1.0) is None
+    (read,) = lease.tick(1.0)
+    assert isinstance(read, leases.ReadHolder)
+
+
+def test_outcome_of_a_call_of_a_forgotten_acquisition_is_ignored(lease):
+    (read,) = lease.tick(0.0)
+    (grant,) = lease.handle(leases.HolderRead(read.call, b"", 0), 0.0)
+    assert lease.forget(0.1) == []
+    assert lease.handle(leases.LeaseGranted(grant.call, "L1"), 0.2) == []
+    assert lease.phase is leases.Phase.IDLE
+
+
+def test_key_that_an_earlier_acquisition_of_the_owner_left_is_taken_over(lease):
+    (read,) = lease.tick(0.0)
+    (grant,) = lease.handle(leases.HolderRead(read.call, b"vm-1#1/L0", 30), 0.0)
+    (write,) = lease.handle(leases.LeaseGranted(grant.call, "L1"), 0.1)
+    assert write.version == 30
+    assert lease.handle(leases.HolderWritten(write.call, 41), 0.2) == [leases.Acquired(41)]
+
+
+@pytest.mark.parametrize("value", [b"vm-2#1/L0", b"vm-1#2/L0", b"vm-1#1"])
+def test_key_of_another_owner_or_start_is_not_taken_over(lease, value):
+    (read,) = lease.tick(0.0)
+    assert lease.handle(leases.HolderRead(read.call, value, 30), 0.0) == []
--- a/hollyring/node/registration.py
+++ b/hollyring/node/registration.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import math
+import random
+
 import anyio
 
 from hollyring.node import clock, interfaces, state, store_watcher
@@ -21,6 +24,15 @@
 """Timeout of a renewal by a VM that watches, after which it reports that the store is silent."""
 
 RETRY_DELAY_SECONDS = 0.5
+SPREAD_SECONDS_PER_VM = 0.006
+"""Time per VM over which the VMs write their records anew after the store lost them.
+
+Each makes two writes, a lease and the record, so that the store gets some 330 in a second.
+"""
+
+MAX_SPREAD_SECONDS = 1.0
+"""Longest such time; not all VMs learn at once that the store lost their records."""
+
 RELEASE_TIMEOUT_SECONDS = 0.5
 
 
@@ -51,28 +63,60 @@
         self._store_watcher = watcher
         self._codec = codec
         self._lease: interfaces.Lease | None = None
+        self._lease_lost = anyio.Event()
+        self._register_at = -math.inf
+        self._renewal_due = -math.inf
+        self._rng = random.Random(str(vm_state.vm_info.life))
+        vm_state.store_era.add_listener(self._on_new_era)
 
     async def run(self) -> None:
         """Keep this VM registered until cancelled."""
-        renewal_due = clock.now()
         while True:
-            now = clock.now()
-            peers = self._state.peers
-            watches = peers.is_serving and peers.should_watch_store(now)
-            if not watches and now < renewal_due:
-                await anyio.sleep(WATCHER_RENEW_SECONDS)
-                continue
-            renewal_due = now + RENEW_SECONDS
+            delay = WATCHER_RENEW_SECONDS
             try:
-                if self._lease is None or not await self._renew(self._lease, watches):
-                    await self._register()
+                await self._keep_registered(clock.now())
             except interfaces.StoreError as error:
                 self._store_watcher.record_failure(str(error))
-                renewal_due = now
-                await anyio.sleep(RETRY_DELAY_SECONDS)
-                continue
-            self._store_watcher.record_success()
-            await anyio.sleep(WATCHER_RENEW_SECONDS)
+                self._renewal_due = clock.now()
+                delay = RETRY_DELAY_SECONDS
+            await self._pause(delay)
+
+    async def _keep_registered(self, now: float) -> None:
+        """Register, renew the lease if that is due, or do nothing."""
+        if self._lease is None:
+            if now < self._register_at:
+                return
+            await self._register()
+        elif self._watches(now) or now >= self._renewal_due:
+            if not await self._renew(self._lease, self._watches(now)):
+                self._lease = None
+                if clock.now() >= self._register_at:
+                    await self._register()
+        else:
+            return
+        self._renewal_due = now + RENEW_SECONDS
+        self._store_watcher.record_success()
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, at most until the record has to be written anew."""
+        until_registration = self._register_at - clock.now()
+        if self._lease is None and until_registration > 0.0:
+            seconds = min(seconds, until_registration)
+        with anyio.move_on_after(seconds):
+            await self._lease_lost.wait()
+        self._lease_lost = anyio.Event()
+
+    def _watches(self, now: float) -> bool:
+        peers = self._state.peers
+        return peers.is_serving and peers.should_watch_store(now)
+
+    def _on_new_era(self) -> None:
+        """Write the record anew, at a time that differs between VMs."""
+        vms = len(self._state.peers.by_name) + 1
+        spread = min(MAX_SPREAD_SECONDS, vms * SPREAD_SECONDS_PER_VM)
+        self._lease = None
+        self._register_at = clock.now() + spread * self._rng.random()
+        self._lease_lost.set()
 
     async def release(self) -> None:
         """Remove the record of this VM, which is about to exit."""
@@ -87,12 +131,12 @@
 
     async def _register(self) -> None:
         vm_info = self._state.vm_info
-        self._lease = None
         lease = await self._store.grant(LEASE_SECONDS)
         value = self._codec.encode_vm(vm_info)
         put = interfaces.Put(self._state.store_keys.vms + vm_info.name, value, lease)
         outcome = await self._store.commit({}, [put])
-        if isinstance(outcome, interfaces.Committed):
+        is_current = lease.era >= self._state.store_era.current
+        if isinstance(outcome, interfaces.Committed) and is_current:
             self._lease = lease
 
     async def _renew(self, lease: interfaces.Lease, watches: bool) -> bool:
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
+import math
+
 import anyio
 
 from hollyring.configuration import store_revision
@@ -129,6 +132,8 @@
         self._previous_order_at: float | None = None
         self._latest_possible_order_at = 0.0
         self._silent_until: dict[str, float] = {}
+        self._reacquire_until = -math.inf
+        vm_state.store_era.add_listener(self._on_new_era)
         self._log = logs.Logger("orders")
 
     async def run(self) -> None:
@@ -174,19 +179,43 @@
             return True
         if not self._state.ready or not self._state.peers.is_serving:
             return False
-        holder_item = self._state.mirrors[self._state.store_keys.vms].items.get(
-            self._state.store_keys.orders_lease
-        )
-        if holder_item is not None:
-            self._previous_holder = holder_item.value.decode(errors="replace").partition("#")[0]
+        holder = self._listed_holder()
+        if holder and holder != str(self._incarnation):
+            self._previous_holder = holder.partition("#")[0]
             self._lease_free_since = None
             return False
+        if now < self._reacquire_until:
+            return True
         if self._lease_free_since is None:
-            self._lease_free_since = now
+            # A holder that has not learned of the new era may act until its lease ends.
+            self._lease_free_since = max(now, self._state.store_era.risen_at + LEASE_SECONDS)
         names = sorted(peer.vm.name for peer in self._state.peers.alive(now) if peer.ready)
         rank = sum(name < self._incarnation.name for name in names)
         return now - self._lease_free_since >= rank * ACQUIRE_STAGGER_SECONDS
 
+    def _listed_holder(self) -> str:
+        """Return the incarnation that holds the lease by this VM's copy of the store, or ""."""
+        store_keys = self._state.store_keys
+        holder_item = self._state.mirrors[store_keys.vms].items.get(store_keys.orders_lease)
+        if holder_item is None:
+            return ""
+        return holder_item.value.decode(errors="replace").partition("/")[0]
+
+    def _on_new_era(self) -> None:
+        """Give up the lease, which the store may have lost, and acquire that of the new era.
+
+        All others wait until a lease of the previous era has certainly ended. Until the one that
+        this VM gives up would have ended, it need not wait.
+        """
+        now = clock.now()
+        remaining = self._lease.remaining(now)
+        if remaining:
+            self._reacquire_until = now + remaining
+            self._previous_holder = ""
+        self._lease_free_since = None
+        self._perform_actions(self._lease.forget(now))
+        self._state.order_lease = dataclasses.replace(self._state.order_lease, held=False)
+
     def _perform_actions(self, actions: list[leases.Action]) -> None:
         for action in actions:
             match action:
@@ -203,11 +232,14 @@
     def _reset_rollouts(self, fencing: int) -> None:
         self._rollouts = {}
         self._fencing = fencing
+        self._reacquire_until = -math.inf
         # A holder sends no order in the last MIN_LEASE_REMAINING_SECONDS of its lease, and the
         # lease ended before the removal of its key was observed.
         free_since = clock.now() if self._lease_free_since is None else self._lease_free_since
         self._previous_order_at = None
         self._latest_possible_order_at = free_since - MIN_LEASE_REMAINING_SECONDS
+        if self._own_order_at is not None:
+            self._latest_possible_order_at = max(self._latest_possible_order_at, self._own_order_at)
 
     def _update_previous_order(self, now: float) -> None:
         """Update the time of the previous holder's last order, once that holder reports it.
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -59,6 +59,8 @@
         data = value if isinstance(value, bytes) else pickle.dumps(value)
         self.items[key] = mirror.Item(key, data, self.current)
         self.changes.append(self.items[key])
+        for _, keys, _ in self.leases.values():
+            keys.discard(key)
         if lease:
             self.leases[lease][1].add(key)
         else:
