--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -265,6 +265,31 @@
     assert server.requests == []
 
 
+@pytest.mark.anyio
+async def test_change_with_a_reused_revision_takes_effect_after_the_store_came_back_older(cluster):
+    store, _, start = cluster
+    vms = [start("vm-1"), start("vm-2")]
+    for vm in vms:
+        await vm.wait_ready()
+    copy = store.copy()
+    for version in (4, 5, 6):
+        await store.put("op/config", CONFIG | {"version": version})
+    await anyio.sleep(1.0)
+    await store.restore(copy)
+    without_keys = CONFIG | {"version": 7, "tenants": [CONFIG["tenants"][0] | {"api_keys": ["x"]}]}
+    await store.put("op/config", without_keys)
+    await anyio.sleep(2.0)
+    for vm in vms:
+        assert (await post(vm, "r-1")).status == 401
+        rises = [
+            line
+            for line in vm.log_lines()
+            if line.get("text") == "store: store returned from an older copy"
+        ]
+        assert [(line["era"], line["before"]) for line in rises] == [(2, 1)]
+    assert {"hollyring/vm/vm-1", "hollyring/vm/vm-2"} <= store.items.keys()
+
+
 @pytest.mark.anyio
 async def test_vms_list_each_other_and_keep_serving_during_store_outage(cluster):
     store, server, start = cluster
