--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Callable
 
-from hollyring.configuration import deployment, mirror
+from hollyring.configuration import deployment, mirror, store_revision
 from hollyring.core import request_types
 from hollyring.delivery import stream_origins
 from hollyring.limits import (
@@ -28,6 +28,7 @@
     interfaces,
     logs,
     store_changes,
+    store_era,
     upstream_backoffs,
 )
 from hollyring.routing import (
@@ -44,6 +45,12 @@
 It counts from the disappearance or the last failure of the store, whichever is later.
 """
 
+RESTORED_UPSTREAM_TTL_SECONDS = 2.2
+"""The same after the store has returned from an older copy, counted from the return.
+
+The upstreams write their entries again within about two seconds.
+"""
+
 RATE_WINDOW_SECONDS = 8.0
 """Default window in which an organisation may use its rate and its burst."""
 
@@ -116,6 +123,7 @@
             prefix: mirror.Mirror()
             for prefix in (store_keys.operator, store_keys.upstreams, store_keys.vms)
         }
+        self.store_era = store_era.StoreEra()
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
         self.accept_all_until = math.inf
@@ -150,7 +158,7 @@
     @property
     def ready(self) -> bool:
         """Whether this VM accepts new callers."""
-        upstreams_listed = self.mirrors[self.store_keys.upstreams].last_change_revision > 0
+        upstreams_listed = self.mirrors[self.store_keys.upstreams].last_change_revision.number > 0
         return self.deployment is not None and upstreams_listed and not self.leaving
 
     def leave(self, now: float, seconds: float) -> None:
@@ -315,6 +323,7 @@
 
     def receive(self, message: heartbeat.Heartbeat, now: float) -> None:
         """Process a heartbeat of another VM."""
+        self._observe_eras(message.vm.name, message.revisions)
         peer = self.peers.receive(message, now)
         if peer is not None:
             self.refresh_due = True
@@ -346,6 +355,7 @@
 
     def receive_status(self, sender: str, message: heartbeat.FleetStatus, now: float) -> None:
         """Process the status that a serving VM sent to this VM, which follows."""
+        self._observe_eras(sender, message.revisions)
         self.peers.receive_status(sender, message, now)
         self.update_peers(now)
         self._record_wanted_versions(message.wanted_versions, now)
@@ -381,19 +391,27 @@
         self.registry.forget_departures(now)
         for name in self.peers.remove_silent(now):
             self._log.info("silent VM removed", vm=name)
+        self._store_changes.tick(now)
+        if self.store_reached_at > self.store_failed_at:
+            self._remove_missing_upstreams(now)
+
+    def _remove_missing_upstreams(self, now: float) -> None:
         for upstream in list(self.registry.upstreams.values()):
-            missing_since = upstream.missing_since
-            if missing_since is None:
+            if upstream.missing_since is None:
                 continue
-            reached = self.store_reached_at > self.store_failed_at
-            if (
-                reached
-                and now - max(missing_since, self.store_failed_at) > MISSING_UPSTREAM_TTL_SECONDS
-            ):
-                self._log.info(
-                    "upstream removed", upstream=upstream.name, why="entry stayed missing"
-                )
-                self.remove_upstream(upstream.name)
+            due_at = max(
+                max(upstream.missing_since, self.store_failed_at) + MISSING_UPSTREAM_TTL_SECONDS,
+                self.store_era.risen_at + RESTORED_UPSTREAM_TTL_SECONDS,
+            )
+            if now <= due_at:
+                continue
+            self._log.info("upstream removed", upstream=upstream.name, why="entry stayed missing")
+            self.remove_upstream(upstream.name)
+
+    def _observe_eras(self, sender: str, revisions: list[heartbeat.PrefixRevision]) -> None:
+        for item in revisions:
+            if item.era != store_revision.UNKNOWN_ERA and item.number:
+                self.store_era.observe(item.era, sender)
 
     def _record_loads(self, message: heartbeat.Heartbeat, now: float) -> None:
         """Record what another VM's requests put on the upstreams; the others have none of its."""
@@ -457,9 +475,10 @@
 
     def mirror_revisions(self) -> list[heartbeat.PrefixRevision]:
         """Return the revisions of the newest changes in the copies of the store's prefixes."""
+        latest = {prefix: held.last_change_revision for prefix, held in self.mirrors.items()}
         return [
-            heartbeat.PrefixRevision(prefix, local_mirror.last_change_revision)
-            for prefix, local_mirror in self.mirrors.items()
+            heartbeat.PrefixRevision(prefix, revision.number, revision.era)
+            for prefix, revision in latest.items()
         ]
 
     def fleet_status(self, now: float) -> heartbeat.FleetStatus:
