Observe what response heads say about sending more in one place

The merged parts decoded the announcement to leave twice, and each caller of an upstream recorded departures and backoffs by itself. One method of the state does both, from the decoded head.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -187,9 +187,7 @@
         upstream = selected.upstream
         head = self._codec.decode_head(await self._wait_for(context, selected, exchange.head))
         upstream.record_activity(clock.now())
-        self._state.backoffs.record(upstream, head)
-        if head.leaving:
-            self._record_leaving(upstream, head)
+        self._state.observe_head(upstream, head)
         if head.misdirected or head.not_run:
             return await self._handle_refusal(context, selected, head, exchange)
         if not head.authentic:
@@ -202,16 +200,6 @@
             return await self._forward_stream(context, selected, head, exchange)
         return await self._forward_whole(context, selected, head, exchange)
 
-    def _record_leaving(self, upstream: registry.Upstream, head: interfaces.ResponseHead) -> None:
-        """Record that the upstream that responded leaves; it may not be the one that was meant."""
-        sender = upstream
-        if head.upstream and head.upstream != upstream.name:
-            registered = self._state.registry.get(head.upstream)
-            if registered is None:
-                return
-            sender = registered
-        self._state.record_answered_departure(sender)
-
     async def _wait_for(
         self,
         context: request_context.RequestContext,
--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -164,9 +164,7 @@
         upstream = self._state.registry.get(holder)
         if upstream is not None:
             head = http_connection.ResponseHead(response.status, response.headers)
-            self._state.backoffs.record(upstream, self._codec.decode_head(head))
-        if upstream is not None and self._codec.announces_leaving(response.headers):
-            self._state.record_answered_departure(upstream)
+            self._state.observe_head(upstream, self._codec.decode_head(head))
         events = self._codec.decode_events(response.body) if response.status == HTTP_OK else None
         if events is None:
             raise http_connection.HttpConnectionError(
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -307,9 +307,6 @@
     def decode_head(self, head: http_connection.ResponseHead) -> ResponseHead:
         """Decode the head of a response."""
 
-    def announces_leaving(self, headers: Sequence[request_types.Header]) -> bool:
-        """Return whether the upstream that sent a response announces that it leaves."""
-
     def encode_report_request(self, address: str) -> bytes:
         """Return the HTTP request for an upstream's report of what it serves."""
 
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -412,9 +412,7 @@
             return
         finally:
             self._reports_in_flight.discard(upstream.name)
-        self._record_backoff(upstream, response)
-        if self._codec.announces_leaving(response.headers):
-            self._state.record_answered_departure(upstream)
+        self._observe_head(upstream, response)
         report = self._codec.decode_report(upstream.name, upstream.entry.life, response.body, at)
         if report is None:
             self._log.info("unreadable report", upstream=upstream.name)
@@ -476,16 +474,14 @@
             return messages.Outcome.NOT_SENT
         except http_connection.HttpConnectionError:
             return messages.Outcome.UNKNOWN
-        self._record_backoff(upstream, response)
-        if self._codec.announces_leaving(response.headers):
-            self._state.record_answered_departure(upstream)
+        self._observe_head(upstream, response)
         return self._codec.decode_order_outcome(response.status)
 
-    def _record_backoff(
+    def _observe_head(
         self, upstream: registry.Upstream, response: http_connection.Response
     ) -> None:
         head = http_connection.ResponseHead(response.status, response.headers)
-        self._state.backoffs.record(upstream, self._codec.decode_head(head))
+        self._state.observe_head(upstream, self._codec.decode_head(head))
 
     def _announce(
         self, upstream: registry.Upstream, model: str, version: int, loading: bool
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -212,6 +212,16 @@
             active_ago=seconds_since(now, upstream.last_activity_at),
         )
 
+    def observe_head(self, upstream: registry.Upstream, head: interfaces.ResponseHead) -> None:
+        """Record what the head of an upstream's response says about sending it more.
+
+        The response may be that of another instance at the same address, which then leaves.
+        """
+        self.backoffs.record(upstream, head)
+        sender = self.registry.get(head.upstream) if head.upstream else upstream
+        if head.leaving and sender is not None:
+            self.record_answered_departure(sender)
+
     def record_answered_departure(self, upstream: registry.Upstream) -> None:
         """Record that an answer of an upstream says that it leaves, for the other VMs too."""
         departure = heartbeat.Departure(upstream.name, upstream.entry.life)
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -140,9 +140,6 @@
             head.status, [], False, head.status == 503, False, "", 0, seconds
         )
 
-    def announces_leaving(self, headers):
-        return False
-
     def encode_report_request(self, address):
         return pickle.dumps(_ReportRequest())
 
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -156,13 +156,9 @@
             version=int(version) if version.isdigit() else 0,
             retry_after_seconds=retry_after if isinstance(retry_after, float) else 0.0,
             retry_after_anomaly=None if isinstance(retry_after, float) else retry_after,
-            leaving=self.announces_leaving(head.headers),
+            leaving=_header_value(head.headers, b"server-leaving").strip() == b"1",
         )
 
-    def announces_leaving(self, headers: Sequence[request_types.Header]) -> bool:
-        """Return whether the upstream that sent a response announces that it leaves."""
-        return _header_value(headers, b"server-leaving").strip() == b"1"
-
     def encode_report_request(self, address: str) -> bytes:
         """Return the bytes of a request for an upstream's report."""
         return http_request.encode(b"GET", b"/hollyring/report", address.encode())
