Take the store away in a test only after both VMs have registered

Traced by the VMs' logs: the stand-in began to answer 503 93 ms after the VMs' first calls, before either had its lease (why=POST /hollyring/kv-lease: status 503), so neither was ever on the list that the other could read. A VM is ready before it is registered, which is intended; the test took one for the other.

--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -296,6 +296,9 @@
     first, second = start("vm-1"), start("vm-2")
     await first.wait_ready()
     await second.wait_ready()
+    with anyio.fail_after(START_SECONDS):
+        while not {"hollyring/vm/vm-1", "hollyring/vm/vm-2"} <= store.items.keys():
+            await anyio.sleep(0.01)
     store.failure_status = 503
     await anyio.sleep(1.5)
     for vm in (first, second):
