Wait in that test until both VMs are listed, not only registered

Registered is not yet known to the other VM: its first watch may begin after the record was written.

--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -128,6 +128,16 @@
             await anyio.sleep(0.05)
         raise AssertionError("VM did not become ready in time")
 
+    async def wait_listed(self, count):
+        """Wait until callers are sent to `count` VMs."""
+        with anyio.fail_after(START_SECONDS):
+            while len(await self.entry_addresses()) != count:
+                await anyio.sleep(0.05)
+
+    async def entry_addresses(self):
+        async with httpcore.AsyncConnectionPool() as pool:
+            return json.loads((await pool.request("GET", self.entry_url)).content)["addresses"]
+
     def log_lines(self):
         return [json.loads(line) for line in self.log_path.read_text().splitlines()]
 
@@ -296,9 +306,8 @@
     first, second = start("vm-1"), start("vm-2")
     await first.wait_ready()
     await second.wait_ready()
-    with anyio.fail_after(START_SECONDS):
-        while not {"hollyring/vm/vm-1", "hollyring/vm/vm-2"} <= store.items.keys():
-            await anyio.sleep(0.01)
+    for vm in (first, second):
+        await vm.wait_listed(2)
     store.failure_status = 503
     await anyio.sleep(1.5)
     for vm in (first, second):
