--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -16,7 +16,7 @@
 """Time for which the origin of a stream is kept; longer than callers wait for an answer."""
 
 MAX_ORIGINS = 50_000
-"""Most origins kept by one VM, about 10 MB; the oldest are dropped first."""
+"""Most origins kept by one VM, under 20 MB; the oldest are dropped first."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
