Log which configuration a request was sent by, and how long replies of other VMs were awaited

The log could not tell a message that lay unread from a reply that never came in time (docs/incidents/late-configuration.md). No decision changes.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -287,6 +287,7 @@
             "sent",
             request=context.request_id,
             upstream=selected.upstream.name,
+            configuration=self._state.configuration_version,
             version=selected.version,
             software=selected.upstream.entry.software,
             resume_after=context.events.last_number,
--- a/hollyring/node/status_client.py
+++ b/hollyring/node/status_client.py
@@ -77,10 +77,16 @@
     async def _ask(self, sponsor: heartbeat.VmInfo) -> bool:
         """Ask one VM; return whether it sent a status."""
         request = heartbeat.StatusRequest(self._state.vm_info.name)
+        asked_at = clock.now()
         reply = await self._peers.call(sponsor.peer_address, request, TIMEOUT_SECONDS)
         if not isinstance(reply, heartbeat.FleetStatus) or not reply.serving:
             self._failed_until[sponsor.name] = clock.now() + FAILURE_BACKOFF_SECONDS
-            self._log.info("no status received", vm=sponsor.name, answered=reply is not None)
+            self._log.info(
+                "no status received",
+                vm=sponsor.name,
+                answered=reply is not None,
+                seconds=round(clock.now() - asked_at, 3),
+            )
             return False
         self._failed_until.pop(sponsor.name, None)
         self._state.receive_status(sponsor.name, reply, clock.now())
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -264,9 +264,16 @@
         local_mirror = self._state.mirrors[prefix]
         after = _complete_revision(local_mirror)
         request = heartbeat.CopyRequest(prefix, after.number, after.era)
+        asked_at = clock.now()
         copy = await self._peers.call(vm.peer_address, request, COPY_TIMEOUT_SECONDS)
         if not isinstance(copy, heartbeat.Copy):
-            self._log.info("no copy received", prefix=prefix, vm=vm.name)
+            self._log.info(
+                "no copy received",
+                prefix=prefix,
+                vm=vm.name,
+                after=after.number,
+                seconds=round(clock.now() - asked_at, 3),
+            )
             return
         changed = self._apply_copy(local_mirror, copy)
         self._log.info(
