--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -213,20 +213,32 @@
             self._fleet.group.start_soon(self._deliver, address, message)
 
     async def call(self, address, message, seconds):
-        await anyio.sleep(simulated_store.CALL_SECONDS)
-        vm = self._reachable_vm(address)
-        if vm is None:
-            await anyio.sleep(seconds)
-            return None
-        self._fleet.peer_calls += 1
+        with anyio.move_on_after(seconds):
+            await self._travel(address)
+            vm = self._reachable_vm(address)
+            if vm is None:
+                await anyio.sleep(seconds)
+                return None
+            self._fleet.peer_calls += 1
+            reply = self._reply(vm, message)
+            await anyio.sleep(self._fleet.delays.get(self._vm, 0.0))
+            return reply
+        return None
+
+    def _reply(self, vm, message):
         match message:
             case heartbeat.StatusRequest():
                 return vm.state.fleet_status(clock.now())
             case heartbeat.CopyRequest():
                 return vm.store_watcher.copy(message)
 
+    async def _travel(self, address):
+        """Wait until the VM at an address reads a message."""
+        name = address.partition(":")[0]
+        await anyio.sleep(simulated_store.CALL_SECONDS + self._fleet.delays.get(name, 0.0))
+
     async def _deliver(self, address, message):
-        await anyio.sleep(simulated_store.CALL_SECONDS)
+        await self._travel(address)
         vm = self._reachable_vm(address)
         if vm is not None:
             self._fleet.heartbeats += 1
@@ -285,7 +297,10 @@
 
 
 class Fleet:
-    """Simulated VMs with their store and upstreams."""
+    """Simulated VMs with their store and upstreams.
+
+    `delays` holds the seconds for which messages of other VMs lie unread at a VM.
+    """
 
     def __init__(self, group, names, upstreams):
         self.group = group
@@ -294,6 +309,7 @@
         self.vms = {}
         self.domains = {}
         self.partitions = set()
+        self.delays = {}
         self.first_start_delay = 0.0
         self.heartbeats = 0
         self.peer_calls = 0
--- /dev/null
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -0,0 +1,65 @@
+"""VMs learn of a configuration in time also while they or the others are slow, or half are gone."""
+
+import random
+
+import anyio
+import pytest
+
+from hollyring.node import adapter_server, clock
+from hollyring.node.tests import simulated_fleet
+
+VMS = [f"vm-{n:02}" for n in range(74)]
+CONFIGURATION_SECONDS = 3.0
+"""Time within which a configuration is in force everywhere, on a fleet of this size."""
+
+
+async def start_fleet(fleet, names):
+    fleet.domains = {name: f"dar-{n % 3}" for n, name in enumerate(names)}
+    fleet.first_start_delay = adapter_server.FIRST_START_DELAY_SECONDS
+    for name in names:
+        fleet.start(name)
+    fleet.first_start_delay = 0.0
+    await fleet.wait_until(lambda: all(vm.state.ready for vm in fleet.vms.values()), 2.0)
+    await anyio.sleep(5.0)
+
+
+async def wait_for_version(fleet, version):
+    fleet.store.put("op/config", simulated_fleet.make_deployment(version))
+    vms = list(fleet.vms.values())
+
+    def in_force():
+        return all(vm.state.configuration_version == version for vm in vms)
+
+    await fleet.wait_until(in_force, CONFIGURATION_SECONDS)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_configuration_reaches_vms_whose_messages_wait_longer_than_a_reply_may_take(simulate, seed):
+    async def scenario(fleet):
+        await start_fleet(fleet, VMS)
+        rng = random.Random(seed)
+        fleet.delays = {name: rng.uniform(0.5, 0.8) for name in VMS}
+        fleet.store.delays = {name: rng.uniform(0.1, 0.3) for name in VMS}
+        await anyio.sleep(3.0)
+        await wait_for_version(fleet, 2)
+
+    simulate(scenario, vms=VMS)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_configuration_reaches_vms_that_follow_when_half_of_the_vms_are_killed(simulate, seed):
+    async def scenario(fleet):
+        await start_fleet(fleet, VMS)
+        rng = random.Random(seed)
+        fleet.store.put("op/config", simulated_fleet.make_deployment(2))
+        changed_at = clock.now()
+        await anyio.sleep(rng.uniform(0.0, 0.4))
+        for name in rng.sample(VMS, len(VMS) // 2):
+            fleet.kill(name)
+        survivors = list(fleet.vms.values())
+        seconds_left = changed_at + CONFIGURATION_SECONDS - clock.now()
+        await fleet.wait_until(
+            lambda: all(vm.state.configuration_version == 2 for vm in survivors), seconds_left
+        )
+
+    simulate(scenario, vms=VMS)
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -19,6 +19,9 @@
 
 ROOT = pathlib.Path(__file__).parents[3]
 START_SECONDS = 10.0
+CONFIGURATION_SECONDS = 2.0
+"""Time within which a configuration is in force everywhere."""
+
 DRAIN_SECONDS = 2.0
 """Time within which a leaving upstream gets no more requests."""
 
@@ -169,6 +172,12 @@
     connection.close()
 
 
+def read_status(connection):
+    """Return the status of the next response on a connection, and close it."""
+    with contextlib.closing(connection):
+        return int(connection.recv(65_536).split(b" ")[1])
+
+
 @pytest.fixture
 async def cluster(tmp_path):
     """Yield a store with a configuration, a server, and a function that starts VMs."""
@@ -243,6 +252,27 @@
     assert [request.headers["x-request-id"] for request in server.requests] == ["r-5"]
 
 
+@pytest.mark.anyio
+async def test_request_read_with_a_late_event_loop_is_not_handled_by_an_older_configuration(
+    cluster,
+):
+    store, server, start = cluster
+    vm = start()
+    await vm.wait_ready()
+    host, _, port = vm.caller_url.removeprefix("http://").partition(":")
+    connections = [socket.create_connection((host, int(port))) for _ in range(10)]
+    await anyio.sleep(0.3)
+    vm.process.send_signal(signal.SIGSTOP)
+    await store.put("op/config", CONFIG | {"version": 9, "tenants": []})
+    await anyio.sleep(CONFIGURATION_SECONDS + 0.2)
+    for number, connection in enumerate(connections):
+        connection.sendall(encode_request(f"r-{number}"))
+    vm.process.send_signal(signal.SIGCONT)
+    statuses = [await anyio.to_thread.run_sync(read_status, each) for each in connections]
+    assert statuses == [401] * len(connections)
+    assert server.requests == []
+
+
 @pytest.mark.anyio
 async def test_requests_of_one_caller_that_left_unread_do_not_hold_up_the_stop(cluster):
     store, server, start = cluster
