Ask the store when the copies of it cannot be shown to be recent (CONFIG, copies that come too late)

What callers saw: changes that were acknowledged 3 s and more before were not in force at single VMs of overloaded fleets, 404 for routes that had been added.

Cause: a VM that does not watch the store learns of a change by a copy from another VM. A copy that takes longer than 0.5 s, since either VM is short of processor time or its link of a large configuration, is dropped and asked for again; while heartbeats arrive the VM never asks the store.

Change: a VM knows as of when its copies are complete, counted from its own question (configuration/freshness). Two VMs ask the store every fifth of the bound, the others ask them for a status with that age; from 0.65 of the bound on a VM asks the store itself (node/store_checker). The bound is the shorter one of config_apply_ms and drain_ms. The VMs that ask the store need no short renewals.

--- /dev/null
+++ b/hollyring/configuration/freshness.py
@@ -0,0 +1,147 @@
+"""How recent a VM's copy of the store is, and whether it may be used.
+
+The time as of which a copy is known to be complete counts from before a question was asked, of the
+store or of another VM, never from the arrival of a message: a message may have lain unread for as
+long as the event loop was late. A change that was acknowledged before that time is in the copy.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+CHECK_SHARE = 0.65
+"""Share of the bound after which a VM asks the store itself."""
+
+USE_SHARE = 0.85
+"""Share of the bound up to which the copy is used; the rest is for sending what it decides."""
+
+WATCHER_CHECK_SHARE = 0.2
+"""Share of the bound after which a VM asks the store on which the others rely."""
+
+WINDOW_SECONDS = 10.0
+"""Time over which the largest age at use is kept."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessRules:
+    """How recent the copy has to be.
+
+    Parameters
+    ----------
+    bound_seconds
+        Time after an acknowledged change from which no older copy may be used.
+    serves_without_store
+        Whether an older copy is used while the store does not answer this VM.
+    """
+
+    bound_seconds: float = 2.0
+    serves_without_store: bool = True
+
+
+class Freshness:
+    """Times as of which the copies of some prefixes of the store are known to be complete.
+
+    Parameters
+    ----------
+    prefixes
+        Prefixes whose copies decide about requests.
+    rules
+        Bound on the age of the copies.
+
+    Examples
+    --------
+    >>> freshness = Freshness(["op/"], FreshnessRules(bound_seconds=2.0))
+    >>> freshness.record("op/", 10.0)
+    >>> freshness.is_outdated(11.6), freshness.is_outdated(11.8)
+    (False, True)
+    >>> freshness.record_unanswered()
+    >>> freshness.may_use(11.8)
+    True
+    """
+
+    __slots__ = ("_complete_at", "_rules", "_unanswered", "_largest", "_previous", "_window_at")
+
+    def __init__(self, prefixes: Iterable[str], rules: FreshnessRules) -> None:
+        self._complete_at = dict.fromkeys(prefixes, -math.inf)
+        self._rules = rules
+        self._unanswered = False
+        self._largest = 0.0
+        self._previous = 0.0
+        self._window_at = -math.inf
+
+    @property
+    def rules(self) -> FreshnessRules:
+        """Bound on the age of the copies."""
+        return self._rules
+
+    @property
+    def prefixes(self) -> list[str]:
+        """Prefixes whose copies decide about requests."""
+        return list(self._complete_at)
+
+    @property
+    def store_unanswered(self) -> bool:
+        """Whether the last question to the store got no answer."""
+        return self._unanswered
+
+    def record(self, prefix: str, at: float) -> None:
+        """Record that the copy of a prefix holds every change acknowledged before `at`."""
+        if prefix in self._complete_at:
+            self._complete_at[prefix] = max(self._complete_at[prefix], at)
+
+    def record_answered(self) -> None:
+        """Record that the store answered."""
+        self._unanswered = False
+
+    def record_unanswered(self) -> None:
+        """Record that the store gave no answer."""
+        self._unanswered = True
+
+    def age_of(self, prefix: str, now: float) -> float:
+        """Return the seconds since which changes of a prefix may be missing."""
+        return now - self._complete_at.get(prefix, -math.inf)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since which changes of some prefix may be missing."""
+        return now - min(self._complete_at.values())
+
+    def check_due_at(self, watches: bool) -> float:
+        """Return when to ask the store.
+
+        Parameters
+        ----------
+        watches
+            Whether other VMs rely on this one to ask it.
+        """
+        share = WATCHER_CHECK_SHARE if watches else CHECK_SHARE
+        return min(self._complete_at.values()) + share * self._rules.bound_seconds
+
+    def is_outdated(self, now: float) -> bool:
+        """Return whether a change may be missing that has to be in force."""
+        return self.age(now) > USE_SHARE * self._rules.bound_seconds
+
+    def may_use(self, now: float) -> bool:
+        """Return whether requests may be decided by the copies."""
+        if not self.is_outdated(now):
+            return True
+        return self._unanswered and self._rules.serves_without_store
+
+    def record_use(self, now: float) -> None:
+        """Record that a request is decided by the copies."""
+        self._turn_window(now)
+        self._largest = max(self._largest, self.age(now))
+
+    def largest_age(self, now: float) -> float:
+        """Return the largest age at use in the last `WINDOW_SECONDS` or up to twice as long."""
+        self._turn_window(now)
+        return max(self._largest, self._previous)
+
+    def _turn_window(self, now: float) -> None:
+        if now - self._window_at < WINDOW_SECONDS:
+            return
+        recent = now - self._window_at < 2 * WINDOW_SECONDS
+        self._previous = self._largest if recent else 0.0
+        self._largest = 0.0
+        self._window_at = now
--- /dev/null
+++ b/hollyring/configuration/tests/test_freshness.py
@@ -0,0 +1,59 @@
+"""The age of what a VM knows of the store, and what follows from it."""
+
+import math
+
+import pytest
+
+from hollyring.configuration import freshness
+
+
+@pytest.fixture
+def fresh():
+    rules = freshness.FreshnessRules(bound_seconds=2.0)
+    made = freshness.Freshness(["op/", "servers/"], rules)
+    for prefix in made.prefixes:
+        made.record(prefix, 100.0)
+    return made
+
+
+def test_the_oldest_prefix_decides(fresh):
+    fresh.record("op/", 105.0)
+    assert fresh.age(105.0) == 5.0
+    assert fresh.age_of("op/", 105.0) == 0.0
+
+
+def test_an_earlier_time_and_an_unknown_prefix_change_nothing(fresh):
+    fresh.record("op/", 90.0)
+    fresh.record("vms/", 200.0)
+    assert fresh.age(100.0) == 0.0
+
+
+def test_copies_of_unknown_age_may_not_be_used():
+    fresh = freshness.Freshness(["op/"], freshness.FreshnessRules())
+    assert math.isinf(fresh.age(1.0))
+    assert not fresh.may_use(1.0)
+
+
+def test_the_store_is_asked_before_the_copies_are_too_old(fresh):
+    assert fresh.check_due_at(watches=True) < fresh.check_due_at(watches=False)
+    assert not fresh.is_outdated(fresh.check_due_at(watches=False))
+    assert fresh.is_outdated(100.0 + fresh.rules.bound_seconds)
+
+
+@pytest.mark.parametrize("serves", [True, False])
+def test_old_copies_are_used_without_the_store_if_the_rules_say_so(serves):
+    fresh = freshness.Freshness(["op/"], freshness.FreshnessRules(2.0, serves))
+    fresh.record_unanswered()
+    assert fresh.may_use(10.0) is serves
+    fresh.record_answered()
+    assert not fresh.may_use(10.0)
+
+
+def test_largest_age_at_use_is_kept_for_ten_to_twenty_seconds(fresh):
+    fresh.record_use(101.5)
+    assert fresh.largest_age(105.0) == 1.5
+    fresh.record("op/", 112.0)
+    fresh.record("servers/", 112.0)
+    fresh.record_use(112.0)
+    assert fresh.largest_age(112.0) == 1.5
+    assert fresh.largest_age(130.0) == 0.0
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -48,13 +48,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefixRevision:
-    """Revision of the latest change that a VM has received under a key prefix of the store."""
+    """Revision of the latest change that a VM has received under a key prefix of the store.
+
+    Parameters
+    ----------
+    age_seconds
+        Seconds since which changes may be missing in the sender's copy; negative if not stated.
+    """
 
     WIRE_NAME: ClassVar[str] = "Mark"
 
     prefix: str
     number: int = dataclasses.field(metadata={"wire_name": "latest"})
     era: int = store_revision.UNKNOWN_ERA
+    age_seconds: float = -1.0
 
     @property
     def revision(self) -> store_revision.Revision:
@@ -300,7 +307,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusRequest:
-    """Request of a VM that follows, for the status of the fleet."""
+    """Request for the status of the fleet, of a VM that does not ask the store itself."""
 
     sender: str
 
@@ -319,7 +326,7 @@
     unavailable
         Names of VMs that rank high enough to serve but are silent or leaving.
     revisions, wanted_versions
-        As in the sender's heartbeats.
+        As in the sender's heartbeats; the revisions with their ages.
     """
 
     serving: bool
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -62,6 +62,9 @@
 MAX_SILENT_PROBES = 2
 """Most silent VMs that one heartbeat is sent to."""
 
+STORE_CHECKERS = 2
+"""Serving VMs that ask the store for changes all the time, so that the others need not."""
+
 STORE_WATCHERS = 4
 """Serving VMs that watch the store; the others receive the changes from them."""
 
@@ -268,12 +271,17 @@
         return self._size.value, skipped
 
     def receive_status(self, sender: str, message: heartbeat.FleetStatus, now: float) -> None:
-        """Process the status that a serving VM sent to this VM, which follows."""
+        """Process the status that a serving VM sent to this VM.
+
+        A VM that serves knows from heartbeats how many are to serve and which are silent.
+        """
         self._status_at = now
         peer = self._peers.get(sender)
         if peer is not None:
             peer.status_at = now
             peer.revisions.update({item.prefix: item.revision for item in message.revisions})
+        if self.is_serving:
+            return
         if not self._exchanging:
             self._size.adopt(message.serving_vms)
         for name in message.unavailable:
@@ -350,14 +358,31 @@
         if not self.is_serving:
             in_touch = self._exchanging and any(peer.exchanging for peer in self.alive(now))
             return not in_touch and not self.has_status(now)
-        watchers = 0
+        return self._local.name in (vm.name for vm in self._first_at_store(STORE_WATCHERS, now))
+
+    def should_check_store(self, now: float) -> bool:
+        """Return whether other VMs rely on this one to ask the store for changes all the time."""
+        return any(vm.name == self._local.name for vm in self.store_checkers(now))
+
+    def store_checkers(self, now: float) -> list[heartbeat.VmInfo]:
+        """Return the VMs that ask the store for changes all the time."""
+        return self._first_at_store(STORE_CHECKERS, now)
+
+    def _first_at_store(self, count: int, now: float) -> list[heartbeat.VmInfo]:
+        """Return the first serving VMs that reach the store, among them perhaps this one."""
+        first: list[heartbeat.VmInfo] = []
         for vm in self._serving:
-            if vm.name == self._local.name:
-                return watchers < STORE_WATCHERS
-            peer = self._peers.get(vm.name)
-            if peer is not None:
-                watchers += peer.store_reached if peer.is_alive(now) else peer.may_serve(now)
-        return False
+            if len(first) == count:
+                break
+            if vm.name == self._local.name or self._may_reach_store(vm.name, now):
+                first.append(vm)
+        return first
+
+    def _may_reach_store(self, name: str, now: float) -> bool:
+        peer = self._peers.get(name)
+        if peer is None:
+            return False
+        return peer.store_reached if peer.is_alive(now) else peer.may_serve(now)
 
     def remove_silent(self, now: float) -> list[str]:
         """Remove VMs that are silent and not on the store's list; return their names."""
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -40,6 +40,7 @@
     settings,
     state,
     status_client,
+    store_checker,
     store_watcher,
     wire,
 )
@@ -168,6 +169,7 @@
             vm_settings.retry_rules,
             vm_settings.version_deadline_seconds - VERSION_MARGIN_SECONDS,
             organisation_rates.OrganisationRates(window_seconds, unknown_until),
+            vm_settings.freshness_rules,
         )
         self._connections = connection_pool.ConnectionPool()
         self._peers = peers.PeerConnections(
@@ -189,6 +191,9 @@
             self._heartbeats.send_now,
             vm_list_delay,
         )
+        self._store_checker = store_checker.StoreChecker(
+            adapter.store, self._state, self._store_watcher
+        )
         self._status_client = status_client.StatusClient(
             self._state, self._peers, self._store_watcher
         )
@@ -207,7 +212,10 @@
             self._state, adapter.upstream_codec, self._connections
         )
         self._relay = relay.Relay(
-            self._state, adapter.upstream_codec, self._connections, self._metrics
+            self._state,
+            adapter.upstream_codec,
+            self._connections,
+            self._metrics,
         )
         self._log = logs.Logger("vm")
 
@@ -233,6 +241,7 @@
         async with anyio.create_task_group() as task_group:
             await task_group.start(self._peers.run, host, port)
             task_group.start_soon(self._store_watcher.run)
+            task_group.start_soon(self._store_checker.run)
             task_group.start_soon(self._registration.run)
             task_group.start_soon(self._exchange)
             task_group.start_soon(self._connections.sweep)
@@ -386,6 +395,8 @@
             "configuration_version": self._state.configuration_version,
             "store_age_seconds": self._state.store_age(now),
             "store_era": self._state.store_era.current,
+            "copies_age_seconds": _finite(self._state.freshness.age(now)),
+            "copies_largest_age_at_use_seconds": _finite(self._state.freshness.largest_age(now)),
             "vms_alive": len(self._state.peers.alive(now)) + 1,
             "vms_serving": len(self._state.peers.serving),
             "serving": int(self._state.peers.is_serving),
@@ -426,6 +437,11 @@
         return None
 
 
+def _finite(seconds: float) -> float:
+    """Return `seconds`, or -1 for an age that is not known."""
+    return -1.0 if math.isinf(seconds) else round(seconds, 3)
+
+
 async def _cancel_on_disconnect(receive: asgi.Receive, scope: anyio.CancelScope) -> None:
     await asgi.wait_disconnect(receive)
     scope.cancel()
--- a/hollyring/node/adapter_settings.py
+++ b/hollyring/node/adapter_settings.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from hollyring.configuration import freshness
 from hollyring.limits import service_retry_budgets
 
 
@@ -37,6 +38,8 @@
         Whether the whole fleet starts for the first time.
     version_deadline_seconds
         Time after a change of the wanted version from which no request may begin on older weights.
+    freshness_rules
+        How recent this VM's copies of the store have to be.
     """
 
     name: str
@@ -57,3 +60,4 @@
     rate_window_seconds: float = 8.0
     capacity: float = 1.0
     first_start: bool = False
+    freshness_rules: freshness.FreshnessRules = freshness.FreshnessRules()
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -14,6 +14,7 @@
   1: optional string prefix
   2: optional i64 latest
   3: optional i64 era
+  4: optional double age_seconds
 }
 
 struct MembershipNamed {
--- a/hollyring/node/registration.py
+++ b/hollyring/node/registration.py
@@ -107,8 +107,11 @@
         self._lease_lost = anyio.Event()
 
     def _watches(self, now: float) -> bool:
+        """Return whether others rely on this VM's watch, which shows nothing of a silent store."""
         peers = self._state.peers
-        return peers.is_serving and peers.should_watch_store(now)
+        if not peers.is_serving or peers.should_check_store(now):
+            return False
+        return peers.should_watch_store(now)
 
     def _on_new_era(self) -> None:
         """Write the record anew, at a time that differs between VMs."""
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import math
 from collections.abc import Callable
 
-from hollyring.configuration import deployment, mirror, store_revision
+from hollyring.configuration import deployment, freshness, mirror, store_revision
 from hollyring.core import request_types
 from hollyring.delivery import stream_origins
 from hollyring.limits import (
@@ -93,6 +94,8 @@
         Time for which older weights are still used after a version becomes wanted.
     rates
         Rate limits of the organisations.
+    freshness_rules
+        How recent the copies of the store have to be.
     """
 
     def __init__(
@@ -103,6 +106,7 @@
         retries: service_retry_budgets.RetryRules,
         max_version_age_seconds: float = math.inf,
         rates: organisation_rates.OrganisationRates | None = None,
+        freshness_rules: freshness.FreshnessRules | None = None,
     ) -> None:
         self.vm_info = vm_info
         self.store_keys = store_keys
@@ -124,6 +128,10 @@
             for prefix in (store_keys.operator, store_keys.upstreams, store_keys.vms)
         }
         self.store_era = store_era.StoreEra()
+        self.freshness = freshness.Freshness(
+            (store_keys.operator, store_keys.upstreams),
+            freshness_rules or freshness.FreshnessRules(),
+        )
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
         self.accept_all_until = math.inf
@@ -363,13 +371,26 @@
             if upstream is not None and now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
                 upstream.mark_suspect(now)
 
-    def receive_status(self, sender: str, message: heartbeat.FleetStatus, now: float) -> None:
-        """Process the status that a serving VM sent to this VM, which follows."""
+    def receive_status(
+        self, sender: str, message: heartbeat.FleetStatus, asked_at: float, now: float
+    ) -> None:
+        """Process the status that a serving VM sent to this VM, which had asked at `asked_at`."""
         self._observe_eras(sender, message.revisions)
         self.peers.receive_status(sender, message, now)
+        self._record_freshness(message.revisions, asked_at)
         self.update_peers(now)
         self._record_wanted_versions(message.wanted_versions, now)
 
+    def _record_freshness(self, revisions: list[heartbeat.PrefixRevision], asked_at: float) -> None:
+        """Record up to when the copies are complete, as they have all that another VM has."""
+        for item in revisions:
+            mirrored = self.mirrors.get(item.prefix)
+            if mirrored is None or item.age_seconds < 0.0:
+                continue
+            revision = item.revision.resolved(mirrored.era)
+            if mirrored.last_change_revision >= revision:
+                self.freshness.record(item.prefix, asked_at - item.age_seconds)
+
     def apply_weights(self, weights: heartbeat.UpstreamWeights, now: float) -> None:
         """Apply the state of an upstream's weights as sent by the holder of the order lease."""
         upstream = self.registry.get(weights.upstream)
@@ -494,14 +515,22 @@
     def fleet_status(self, now: float) -> heartbeat.FleetStatus:
         """Return the status to send to a VM that follows."""
         serving_vms, unavailable = self.peers.status()
+        revisions = [
+            dataclasses.replace(revision, age_seconds=self._age_to_report(revision.prefix, now))
+            for revision in self.mirror_revisions()
+        ]
         return heartbeat.FleetStatus(
             self.peers.is_serving,
             serving_vms,
             unavailable,
-            self.mirror_revisions(),
+            revisions,
             self.wanted_version_ages(now),
         )
 
+    def _age_to_report(self, prefix: str, now: float) -> float:
+        age = self.freshness.age_of(prefix, now)
+        return -1.0 if math.isinf(age) else age
+
     def update_peers(self, now: float) -> None:
         """Select the serving VMs anew."""
         has_requests = self.leaving or self.requests.is_busy(now)
--- a/hollyring/node/status_client.py
+++ b/hollyring/node/status_client.py
@@ -1,4 +1,4 @@
-"""Asks serving VMs for the status of the fleet while this VM follows them."""
+"""Asks serving VMs for the status of the fleet and of the store, unless this VM asks the store."""
 
 from __future__ import annotations
 
@@ -10,6 +10,9 @@
 from hollyring.node import clock, logs, peers, state, store_watcher
 
 POLL_SECONDS = 0.6
+SERVING_POLL_SECONDS = 0.4
+"""Mean time between two polls of a VM that follows, and of one that serves."""
+
 TIMEOUT_SECONDS = 0.5
 SPONSORS = 2
 """Serving VMs that are asked by turns."""
@@ -49,10 +52,11 @@
         self._log = logs.Logger("status")
 
     async def run(self) -> None:
-        """Ask periodically while this VM does not serve, until cancelled."""
+        """Ask periodically, until cancelled."""
         while True:
-            await anyio.sleep(POLL_SECONDS * (0.75 + 0.5 * self._rng.random()))
-            if not self._state.peers.is_serving:
+            seconds = SERVING_POLL_SECONDS if self._state.peers.is_serving else POLL_SECONDS
+            await anyio.sleep(seconds * (0.75 + 0.5 * self._rng.random()))
+            if not self._state.peers.should_check_store(clock.now()):
                 await self._poll()
 
     async def _poll(self) -> None:
@@ -68,11 +72,9 @@
 
     def _usable_sponsors(self) -> list[heartbeat.VmInfo]:
         now = clock.now()
-        return [
-            vm
-            for vm in self._state.peers.sponsors(now)
-            if self._failed_until.get(vm.name, 0.0) <= now
-        ]
+        peers = self._state.peers
+        sponsors = peers.store_checkers(now) if peers.is_serving else peers.sponsors(now)
+        return [vm for vm in sponsors if self._failed_until.get(vm.name, 0.0) <= now]
 
     async def _ask(self, sponsor: heartbeat.VmInfo) -> bool:
         """Ask one VM; return whether it sent a status."""
@@ -89,6 +91,6 @@
             )
             return False
         self._failed_until.pop(sponsor.name, None)
-        self._state.receive_status(sponsor.name, reply, clock.now())
+        self._state.receive_status(sponsor.name, reply, asked_at, clock.now())
         self._store_watcher.notice_revisions()
         return True
--- /dev/null
+++ b/hollyring/node/store_checker.py
@@ -0,0 +1,164 @@
+"""Asks the store for changes when this VM cannot show otherwise that its copies are recent."""
+
+from __future__ import annotations
+
+import random
+
+import anyio
+
+from hollyring.configuration import store_revision
+from hollyring.node import clock, interfaces, logs, state, store_watcher
+
+TIMEOUT_SECONDS = 1.2
+WATCHER_TIMEOUT_SECONDS = 0.6
+"""Time for an answer; the shorter one at a VM on which others rely, which another one replaces."""
+
+RETRY_SECONDS = 0.3
+"""Mean time after a question without an answer until the next one."""
+
+UNLISTED_RETRY_SECONDS = 0.05
+"""Time between two checks whether the first lists of a starting VM have arrived."""
+
+WAIT_SECONDS = 0.4
+"""Time for which a request waits for the answer of a store that may be away."""
+
+LATE_TIMER_SECONDS = 0.05
+"""Delay of a timer from which the event loop was late and may not have read the answer yet."""
+
+ALL_PREFIXES = ""
+
+
+class StoreChecker:
+    """Keeps `State.freshness` within its bound, whatever the other VMs send.
+
+    Parameters
+    ----------
+    store
+        Store to ask.
+    vm_state
+        State whose mirrors are updated.
+    watcher
+        Lists prefixes whose changes the store no longer names.
+    """
+
+    def __init__(
+        self,
+        store: interfaces.Store,
+        vm_state: state.State,
+        watcher: store_watcher.StoreWatcher,
+    ) -> None:
+        self._store = store
+        self._state = vm_state
+        self._watcher = watcher
+        self._checked = anyio.Event()
+        self._rng = random.Random(str(vm_state.vm_info.life))
+        self._log = logs.Logger("store")
+
+    async def run(self) -> None:
+        """Ask the store whenever that is due, until cancelled."""
+        while True:
+            seconds = self._seconds_until_due()
+            if seconds > 0:
+                await anyio.sleep(seconds)
+                continue
+            await self._check()
+            if self._state.freshness.store_unanswered:
+                await anyio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
+
+    async def wait_current(self, until: float) -> bool:
+        """Wait until requests may be decided by what this VM knows.
+
+        Returns
+        -------
+        bool
+            False if they may not, after the store did not answer or at time `until`.
+        """
+        freshness = self._state.freshness
+        while not freshness.may_use(clock.now()):
+            now = clock.now()
+            if now >= until or freshness.store_unanswered:
+                return False
+            due = min(until, now + WAIT_SECONDS)
+            with anyio.move_on_after(due - now) as timer:
+                await self._checked.wait()
+            if timer.cancelled_caught and clock.now() < due + LATE_TIMER_SECONDS:
+                return freshness.rules.serves_without_store
+        return True
+
+    def _seconds_until_due(self) -> float:
+        if not all(self._mirror_revision(prefix).number for prefix in self._prefixes):
+            return UNLISTED_RETRY_SECONDS
+        now = clock.now()
+        watches = self._state.peers.should_check_store(now)
+        due_at = self._state.freshness.check_due_at(watches)
+        if watches or due_at <= now:
+            return due_at - now
+        # This VM may be asked to watch before that.
+        return min(due_at - now, self._state.freshness.rules.bound_seconds / 4)
+
+    @property
+    def _prefixes(self) -> list[str]:
+        return self._state.freshness.prefixes
+
+    def _mirror_revision(self, prefix: str) -> store_revision.Revision:
+        return self._state.mirrors[prefix].revision
+
+    async def _check(self) -> None:
+        """Ask the store for all changes since the copies were complete."""
+        freshness = self._state.freshness
+        asked_at = clock.now()
+        age = freshness.age(asked_at)
+        watches = self._state.peers.should_check_store(asked_at)
+        seconds = WATCHER_TIMEOUT_SECONDS if watches else TIMEOUT_SECONDS
+        try:
+            with anyio.fail_after(seconds):
+                is_complete = await self._fetch()
+        except (interfaces.StoreError, TimeoutError) as error:
+            self._watcher.record_failure(str(error) or "no answer in time")
+            if clock.now() < asked_at + seconds + LATE_TIMER_SECONDS:
+                freshness.record_unanswered()
+        else:
+            self._watcher.record_success()
+            freshness.record_answered()
+            if is_complete:
+                for prefix in self._prefixes:
+                    freshness.record(prefix, asked_at)
+        if age > freshness.rules.bound_seconds:
+            self._log.info(
+                "asked the store as copies were old",
+                age=round(age, 3),
+                seconds=round(clock.now() - asked_at, 3),
+                answered=not freshness.store_unanswered,
+            )
+        self._checked.set()
+        self._checked = anyio.Event()
+
+    async def _fetch(self) -> bool:
+        """Fetch the changes since the copies were complete.
+
+        Returns
+        -------
+        bool
+            Whether the store named them all; otherwise prefixes were listed, at their own times.
+        """
+        after = min(self._mirror_revision(prefix) for prefix in self._prefixes)
+        if after.era < self._state.store_era.current:
+            await self._list(after)
+            return False
+        try:
+            update = await self._store.watch(ALL_PREFIXES, after, 0.0)
+        except interfaces.HistoryCompactedError:
+            await self._list(after)
+            return False
+        for prefix, local_mirror in self._state.mirrors.items():
+            if local_mirror.revision < after:
+                continue
+            changes = [change for change in update.changes if change.key.startswith(prefix)]
+            changed = local_mirror.apply_changes(changes, update.revision)
+            self._watcher.report_changes(prefix, changed)
+        return True
+
+    async def _list(self, after: store_revision.Revision) -> None:
+        for prefix in self._prefixes:
+            if self._mirror_revision(prefix) <= after:
+                await self._watcher.list_again(prefix)
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -73,6 +73,7 @@
         self._vm_list_delay = vm_list_delay
         self._revisions_noticed = anyio.Event()
         self._reached = False
+        self._listing = {prefix: anyio.Lock() for prefix in vm_state.mirrors}
         self._log = logs.Logger("store")
         self._rng = random.Random(str(vm_state.vm_info.life))
         self._watches: set[anyio.CancelScope] = set()
@@ -139,6 +140,30 @@
             # Other VMs watch the store instead as soon as they know.
             self._send_heartbeat()
 
+    def report_changes(self, prefix: str, changed: set[str]) -> None:
+        """Apply keys of a mirror that changed to the state, and tell the other VMs."""
+        if not changed:
+            return
+        self._state.apply_store_changes(prefix, changed, clock.now())
+        if prefix != self._state.store_keys.vms:
+            self._send_heartbeat()
+
+    async def list_again(self, prefix: str) -> None:
+        """List a prefix whose changes the store does not name any more.
+
+        Raises
+        ------
+        StoreError
+            If the store does not answer.
+        """
+        local_mirror = self._state.mirrors[prefix]
+        before = local_mirror.revision
+        async with self._listing[prefix]:
+            if local_mirror.revision > before:
+                return  # listed meanwhile
+            changed = await self._list(prefix, local_mirror)
+        self.report_changes(prefix, changed)
+
     async def _watch(self, prefix: str) -> None:
         local_mirror = self._state.mirrors[prefix]
         batch_delay = self._batch_delay(prefix)
@@ -163,7 +188,7 @@
                     prefix=prefix,
                     after=local_mirror.revision.number,
                 )
-                await self._relist(prefix, local_mirror)
+                await self._relist(prefix)
                 continue
             except interfaces.StoreError as error:
                 self.record_failure(str(error))
@@ -173,9 +198,7 @@
             delay = MIN_RETRY_SECONDS
             self.record_success()
             if changed:
-                self._state.apply_store_changes(prefix, changed, clock.now())
-                if prefix != self._state.store_keys.vms:
-                    self._send_heartbeat()
+                self.report_changes(prefix, changed)
                 await anyio.sleep(batch_delay)
             if is_first:
                 vm_list_delay = 0.0 if prefix == self._state.store_keys.vms else self._vm_list_delay
@@ -183,12 +206,9 @@
 
     async def _fetch_changes(self, prefix: str, local_mirror: mirror.Mirror) -> set[str]:
         if not local_mirror.revision.number:
-            # Other VMs or a watch soon supply what a stale list of VMs or upstreams lacks.
+            # Other VMs or a watch soon supply what a stale list of VMs lacks.
             is_vm_list = prefix == self._state.store_keys.vms
-            may_be_stale = prefix == self._state.store_keys.upstreams or (
-                is_vm_list and not self._vm_list_delay
-            )
-            return await self._list(prefix, local_mirror, may_be_stale)
+            return await self._list(prefix, local_mirror, is_vm_list and not self._vm_list_delay)
         if local_mirror.revision.era < max(local_mirror.era, self._state.store_era.current):
             return await self._list(prefix, local_mirror)
         with anyio.CancelScope() as scope:
@@ -209,11 +229,15 @@
     async def _list(
         self, prefix: str, local_mirror: mirror.Mirror, may_be_stale: bool = False
     ) -> set[str]:
-        listing = await self._store.list(prefix, may_be_stale and not self._state.store_era.rises)
+        may_be_stale = may_be_stale and not self._state.store_era.rises
+        asked_at = clock.now()
+        listing = await self._store.list(prefix, may_be_stale)
         before = local_mirror.revision
         if listing.revision.era < self._state.store_era.current:
             raise interfaces.StoreError(f"{prefix}: list of an earlier era")
         changed = local_mirror.apply_list(listing.items, listing.revision)
+        if not may_be_stale:
+            self._state.freshness.record(prefix, asked_at)
         if before.number and listing.revision.era > before.era:
             self._log.info(
                 "prefix listed in a new era",
@@ -226,17 +250,15 @@
             )
         return changed
 
-    async def _relist(self, prefix: str, local_mirror: mirror.Mirror) -> None:
+    async def _relist(self, prefix: str) -> None:
         """List a prefix again after the store compacted its history or began a new era."""
         try:
-            changed = await self._list(prefix, local_mirror)
+            await self.list_again(prefix)
         except interfaces.StoreError as error:
             self.record_failure(str(error))
             await anyio.sleep(MIN_RETRY_SECONDS * (0.5 + self._rng.random()))
             return
         self.record_success()
-        self._state.apply_store_changes(prefix, changed, clock.now())
-        self._send_heartbeat()
 
     async def _catch_up(self, prefix: str) -> None:
         """Fetch from other VMs the changes that this VM's watch has not delivered."""
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from hollyring.configuration import deployment
+from hollyring.configuration import deployment, freshness
 from hollyring.fleet import messages
 from hollyring.limits import service_retry_budgets
 from hollyring.membership import heartbeat
@@ -23,6 +23,7 @@
     rollout_controller,
     state,
     status_client,
+    store_checker,
     store_watcher,
 )
 from hollyring.node.tests import simulated_store
@@ -268,11 +269,19 @@
         seeds = [f"{seed}:2" for seed in fleet.names[:MAX_SEEDS]]
         self.name = name
         self.started_at = clock.now()
-        self.state = state.State(vm_info, store_codec, STORE_KEYS, RETRIES, MAX_VERSION_AGE_SECONDS)
+        self.state = state.State(
+            vm_info,
+            store_codec,
+            STORE_KEYS,
+            RETRIES,
+            MAX_VERSION_AGE_SECONDS,
+            freshness_rules=fleet.freshness_rules,
+        )
         self.heartbeats = heartbeat_sender.HeartbeatSender(self.state, peers, seeds)
         self.store_watcher = store_watcher.StoreWatcher(
             client, self.state, peers, self.heartbeats.send_now, fleet.first_start_delay
         )
+        self.store_checker = store_checker.StoreChecker(client, self.state, self.store_watcher)
         self.status_client = status_client.StatusClient(self.state, peers, self.store_watcher)
         self.registration = registration.Registration(
             self.state, client, self.store_watcher, store_codec
@@ -290,6 +299,7 @@
         with self.scope:
             async with anyio.create_task_group() as group:
                 group.start_soon(self.store_watcher.run)
+                group.start_soon(self.store_checker.run)
                 group.start_soon(self.registration.run)
                 await anyio.sleep(self._exchange_delay)
                 for task in tasks:
@@ -310,6 +320,7 @@
         self.domains = {}
         self.partitions = set()
         self.delays = {}
+        self.freshness_rules = freshness.FreshnessRules()
         self.first_start_delay = 0.0
         self.heartbeats = 0
         self.peer_calls = 0
--- a/hollyring/node/tests/test_large_fleet.py
+++ b/hollyring/node/tests/test_large_fleet.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from hollyring.configuration import freshness
 from hollyring.membership import peer_table, serving_set
 from hollyring.node import adapter_server, clock
 from hollyring.node.tests import simulated_fleet
@@ -17,6 +18,7 @@
 
 async def start_fleet(fleet, names=VMS):
     fleet.domains = {name: f"dar-{n % 5}" for n, name in enumerate(VMS)}
+    fleet.freshness_rules = freshness.FreshnessRules(CONFIGURATION_SECONDS)
     fleet.first_start_delay = adapter_server.FIRST_START_DELAY_SECONDS
     for name in names:
         fleet.start(name)
--- a/hollyring/node/tests/test_late_knowledge.py
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from hollyring.configuration import freshness
 from hollyring.node import adapter_server, clock
 from hollyring.node.tests import simulated_fleet
 
@@ -15,6 +16,7 @@
 
 async def start_fleet(fleet, names):
     fleet.domains = {name: f"dar-{n % 3}" for n, name in enumerate(names)}
+    fleet.freshness_rules = freshness.FreshnessRules(CONFIGURATION_SECONDS)
     fleet.first_start_delay = adapter_server.FIRST_START_DELAY_SECONDS
     for name in names:
         fleet.start(name)
--- a/hollyring/platform/settings.py
+++ b/hollyring/platform/settings.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hollyring.configuration import freshness
 from hollyring.limits import service_retry_budgets
 from hollyring.node import adapter_settings, errors
 
@@ -40,6 +41,9 @@
     quota_window_s: float = 8.0  # in which an organisation may use its rate and its burst
     ttl_max_s: float = 5.0  # longest TTL of an entry response
     version_ms: float = 15_000.0  # time for which weights older than the wanted ones are used
+    config_apply_ms: float = 2000.0  # until a configuration is in force everywhere
+    drain_ms: float = 2000.0  # until an upstream that leaves gets nothing more
+    fail_closed: bool = False  # whether a VM that can't reach the store refuses requests
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -111,4 +115,8 @@
         rate_window_seconds=document.bounds.quota_window_s,
         capacity=document.limits.cpu_share * document.limits.cores,
         first_start=document.first_start,
+        freshness_rules=freshness.FreshnessRules(
+            min(document.bounds.config_apply_ms, document.bounds.drain_ms) / MS_PER_SECOND,
+            serves_without_store=not document.bounds.fail_closed,
+        ),
     )
