Decide no request by copies of the store that may be too old (CONFIG, late event loop)

What callers saw: a request handled by a configuration that had been replaced 5.2 s before, 77 ms after it was sent, at a VM whose readiness check had failed until then.

Cause: a VM whose event loop was late reads the request before the answer of the store that lies beside it. Nothing compared the age of what it knows with the bound before it acted.

Health checks wait in the same way, at most 0.5 s.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -73,6 +73,9 @@
 VERSION_MARGIN_SECONDS = 1.5
 """Part of the version deadline that is kept for requests waiting at their upstream."""
 
+HEALTH_WAIT_SECONDS = 0.5
+"""Time for which a health check waits until this VM knows the latest changes."""
+
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
 HTTP_NOT_FOUND = 404
@@ -216,6 +219,7 @@
             adapter.upstream_codec,
             self._connections,
             self._metrics,
+            self._store_checker,
         )
         self._log = logs.Logger("vm")
 
@@ -371,13 +375,19 @@
         if codec.is_entry_request(scope):
             await self._send_entry_addresses(send)
         elif codec.is_health_check(scope):
-            status = HTTP_OK if self._state.ready else HTTP_UNAVAILABLE
-            await asgi.respond(send, status, b"", [])
+            await asgi.respond(send, await self._health_status(), b"", [])
         elif scope["path"] == "/metrics":
             await asgi.respond(send, HTTP_OK, self._metrics_page().encode(), [asgi.TEXT_TYPE])
         else:
             await asgi.respond(send, HTTP_NOT_FOUND, b"", [])
 
+    async def _health_status(self) -> int:
+        """Return the status of a health check, once the copies of the store are recent."""
+        if not self._state.ready:
+            return HTTP_UNAVAILABLE
+        is_current = await self._store_checker.wait_current(clock.now() + HEALTH_WAIT_SECONDS)
+        return HTTP_OK if is_current else HTTP_UNAVAILABLE
+
     async def _send_entry_addresses(self, send: asgi.Send) -> None:
         """Respond with the addresses of VMs to connect to."""
         now = clock.now()
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 import anyio
 
@@ -47,6 +48,13 @@
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
 
+class CopyChecker(typing.Protocol):
+    """Shows that this VM's copies of the store are recent enough to decide about requests."""
+
+    async def wait_current(self, until: float) -> bool:
+        """Wait for that, at most until time `until`; return whether requests may be decided."""
+
+
 class _RequestRefusedError(Exception):
     """The request ended with a refusal."""
 
@@ -68,6 +76,8 @@
         Connections to upstreams.
     counters
         Metrics of this process.
+    checker
+        Shows that what this VM knows of the store is recent.
     """
 
     def __init__(
@@ -76,8 +86,10 @@
         codec: interfaces.UpstreamCodec,
         pool: connection_pool.ConnectionPool,
         counters: metrics.Metrics,
+        checker: CopyChecker,
     ) -> None:
         self._state = vm_state
+        self._checker = checker
         self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters)
         self._metrics = counters
         self._log = logs.Logger("request")
@@ -96,7 +108,11 @@
         """
         arrived_at = clock.now()
         self._metrics.increment("requests")
-        admitted = self._admit(request, response, arrived_at)
+        admitted: request_context.RequestContext | refusal.Refusal
+        if await self._knows_enough(arrived_at + request.deadline_seconds):
+            admitted = self._admit(request, response, arrived_at)
+        else:
+            admitted = refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
         if isinstance(admitted, refusal.Refusal):
             self._log_refused(request, admitted, arrived_at)
             await response.refuse(admitted)
@@ -110,6 +126,18 @@
             self._log_end(admitted, "caller left")
             raise
 
+    async def _knows_enough(self, until: float) -> bool:
+        """Return whether this VM may decide requests, once its copies of the store are recent."""
+        now = clock.now()
+        if self._state.deployment is None:
+            return False
+        if not self._state.freshness.may_use(now):
+            self._metrics.increment("waits_for_store")
+            if not await self._checker.wait_current(until):
+                return False
+        self._state.freshness.record_use(clock.now())
+        return True
+
     def _admit(
         self, request: request_types.Request, response: responses.ResponseWriter, arrived_at: float
     ) -> request_context.RequestContext | refusal.Refusal:
@@ -157,6 +185,9 @@
     async def _run_attempts(self, context: request_context.RequestContext) -> None:
         """Make attempts until the caller has received the whole response."""
         while True:
+            if not await self._knows_enough(context.retry_state.deadline):
+                refused = context.retry_state.final_refusal("no_upstream", clock.now())
+                raise _RequestRefusedError(refused)
             context.selected = selected = self._select(context)
             context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
             self._log_sent(context, selected)
@@ -257,7 +288,7 @@
             why=rejection.message,
             retry_after=round(rejection.retry_after, 3),
             configuration=self._state.configuration_version,
-            configuration_age=self._state.store_age(arrived_at),
+            copies_age=round(self._state.freshness.age(arrived_at), 3),
         )
 
     def _log_rate_exceeded(
@@ -288,6 +319,7 @@
             request=context.request_id,
             upstream=selected.upstream.name,
             configuration=self._state.configuration_version,
+            copies_age=round(self._state.freshness.age(clock.now()), 3),
             version=selected.version,
             software=selected.upstream.entry.software,
             resume_after=context.events.last_number,
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -50,6 +50,13 @@
         self.ended = not message.get("more_body", False)
 
 
+class AlwaysCurrent:
+    """Implementation of `relay.CopyChecker` for a VM without a store."""
+
+    async def wait_current(self, until):
+        return True
+
+
 class RelayVm:
     """A VM's state and relay, with `servers` registered."""
 
@@ -65,7 +72,11 @@
             self.register(server)
         self.pool = connection_pool.ConnectionPool()
         self.relay = relay.Relay(
-            self.state, upstreams.HttpUpstreamCodec(), self.pool, metrics.Metrics()
+            self.state,
+            upstreams.HttpUpstreamCodec(),
+            self.pool,
+            metrics.Metrics(),
+            AlwaysCurrent(),
         )
 
     def register(self, server, life=1, leaving=False):
