Fetch long changes from the store rather than from another VM (CONFIG, copies that fill links)

What callers saw: 404 for routes that had been added, 3 s and more after a configuration with 300 more routes.

Cause: a VM that does not watch the store got every change from another VM, however long. A dozen VMs on links of 10 Mbit/s send the configuration to sixty, each copy that takes over 0.5 s is asked for again, and the answers to the former questions go on filling the links.

Change: a VM that reaches the store is told to ask it if the changes are longer than 16 KB; one that does not reach it gets the copy as before (CopyRequest.store_answers, Copy.deferred; earlier builds send whole).

--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -338,11 +338,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CopyRequest:
-    """Request for the changes of the keys under a store prefix after a revision of an era."""
+    """Request for the changes of the keys under a store prefix after a revision of an era.
+
+    Parameters
+    ----------
+    store_answers
+        Whether the sender reaches the store, so that it can fetch many bytes from there.
+    """
 
     prefix: str
     after: int = 0
     era: int = store_revision.UNKNOWN_ERA
+    store_answers: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -380,6 +387,8 @@
         Whether only the changes after the requested revision are included.
     era
         Era of all revisions of the copy.
+    deferred
+        Whether nothing is included, as it is long and the receiver reaches the store.
     """
 
     prefix: str
@@ -389,3 +398,4 @@
     removed: list[CopyRemoval] = dataclasses.field(default_factory=list)
     partial: bool = False
     era: int = store_revision.UNKNOWN_ERA
+    deferred: bool = False
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -123,6 +123,7 @@
   1: optional string prefix
   2: optional i64 after
   3: optional i64 era
+  4: optional bool store_answers
 }
 
 struct MembershipCopyItem {
@@ -144,6 +145,7 @@
   5: optional list<MembershipCopyRemoval> removed
   6: optional bool partial
   7: optional i64 era
+  8: optional bool deferred
 }
 
 struct ConfigurationDigest {
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -51,8 +51,15 @@
         self._state = vm_state
         self._watcher = watcher
         self._checked = anyio.Event()
+        self._lock = anyio.Lock()
         self._rng = random.Random(str(vm_state.vm_info.life))
         self._log = logs.Logger("store")
+        watcher.set_store_check(self.check_now)
+
+    async def check_now(self) -> None:
+        """Ask the store for all changes since the copies were complete."""
+        async with self._lock:
+            await self._check()
 
     async def run(self) -> None:
         """Ask the store whenever that is due, until cancelled."""
@@ -61,7 +68,7 @@
             if seconds > 0:
                 await anyio.sleep(seconds)
                 continue
-            await self._check()
+            await self.check_now()
             if self._state.freshness.store_unanswered:
                 await anyio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
 
@@ -104,7 +111,6 @@
         return self._state.mirrors[prefix].revision
 
     async def _check(self) -> None:
-        """Ask the store for all changes since the copies were complete."""
         freshness = self._state.freshness
         asked_at = clock.now()
         age = freshness.age(asked_at)
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 
@@ -39,6 +39,8 @@
 """Time after a watch's delay for which another VM must have newer changes than this one."""
 
 COPY_TIMEOUT_SECONDS = 0.5
+MAX_COPY_BYTES = 16_384
+"""Longest copy for a VM that reaches the store, whose link is wider than those of the VMs."""
 
 
 class StoreWatcher:
@@ -73,6 +75,7 @@
         self._vm_list_delay = vm_list_delay
         self._revisions_noticed = anyio.Event()
         self._reached = False
+        self._ask_store: Callable[[], Awaitable[None]] = self._list_all
         self._listing = {prefix: anyio.Lock() for prefix in vm_state.mirrors}
         self._log = logs.Logger("store")
         self._rng = random.Random(str(vm_state.vm_info.life))
@@ -86,6 +89,10 @@
                 group.start_soon(self._watch, prefix)
                 group.start_soon(self._catch_up, prefix)
 
+    def set_store_check(self, ask_store: Callable[[], Awaitable[None]]) -> None:
+        """Fetch changes from the store by `ask_store` when another VM's copy would be long."""
+        self._ask_store = ask_store
+
     def notice_revisions(self) -> None:
         """Check whether other VMs have newer revisions, after a message that may name them."""
         self._revisions_noticed.set()
@@ -104,6 +111,9 @@
         partial = changes is not None
         if changes is None:
             changes = list(local_mirror.items.values())
+        if request.store_answers and _size(changes) > MAX_COPY_BYTES:
+            latest = local_mirror.last_change_revision
+            return heartbeat.Copy(request.prefix, latest.number, [], era=latest.era, deferred=True)
         return heartbeat.Copy(
             request.prefix,
             local_mirror.last_change_revision.number,
@@ -164,6 +174,10 @@
             changed = await self._list(prefix, local_mirror)
         self.report_changes(prefix, changed)
 
+    async def _list_all(self) -> None:
+        for prefix in self._state.mirrors:
+            await self._relist(prefix)
+
     async def _watch(self, prefix: str) -> None:
         local_mirror = self._state.mirrors[prefix]
         batch_delay = self._batch_delay(prefix)
@@ -285,7 +299,8 @@
         """Fetch the changes of a prefix from another VM."""
         local_mirror = self._state.mirrors[prefix]
         after = _complete_revision(local_mirror)
-        request = heartbeat.CopyRequest(prefix, after.number, after.era)
+        store_answers = not self._state.freshness.store_unanswered
+        request = heartbeat.CopyRequest(prefix, after.number, after.era, store_answers)
         asked_at = clock.now()
         copy = await self._peers.call(vm.peer_address, request, COPY_TIMEOUT_SECONDS)
         if not isinstance(copy, heartbeat.Copy):
@@ -297,6 +312,9 @@
                 seconds=round(clock.now() - asked_at, 3),
             )
             return
+        if copy.deferred:
+            await self._ask_store()
+            return
         changed = self._apply_copy(local_mirror, copy)
         self._log.info(
             "copied changes from another VM",
@@ -330,6 +348,11 @@
         return local_mirror.apply_changes([*items, *removals], complete, latest)
 
 
+def _size(changes: Iterable[mirror.Change]) -> int:
+    """Return the bytes of the values among some changes."""
+    return sum(len(change.value) for change in changes if isinstance(change, mirror.Item))
+
+
 def _complete_revision(local_mirror: mirror.Mirror) -> store_revision.Revision:
     """Return the revision of the mirror's era up to which it has every change, number 0 if none."""
     return max(local_mirror.revision, store_revision.Revision(local_mirror.era, 0))
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -240,7 +240,9 @@
             case heartbeat.StatusRequest():
                 return vm.state.fleet_status(clock.now())
             case heartbeat.CopyRequest():
-                return vm.store_watcher.copy(message)
+                copy = vm.store_watcher.copy(message)
+                self._fleet.copied_bytes += sum(len(item.value) for item in copy.items)
+                return copy
 
     async def _travel(self, address):
         """Wait until the VM at an address reads a message."""
--- a/hollyring/node/tests/test_late_knowledge.py
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -13,6 +13,8 @@
 CONFIGURATION_SECONDS = 3.0
 """Time within which a configuration is in force everywhere, on a fleet of this size."""
 
+LONG_BYTES = 100_000
+
 
 async def start_fleet(fleet, names):
     fleet.domains = {name: f"dar-{n % 3}" for n, name in enumerate(names)}
@@ -48,6 +50,17 @@
     simulate(scenario, vms=VMS)
 
 
+def test_long_configuration_is_fetched_from_the_store_rather_than_over_the_links_of_vms(simulate):
+    async def scenario(fleet):
+        await start_fleet(fleet, VMS)
+        before = fleet.copied_bytes
+        fleet.store.put("op/blob", b"x" * LONG_BYTES)
+        await wait_for_version(fleet, 2)
+        assert fleet.copied_bytes - before < LONG_BYTES
+
+    simulate(scenario, vms=VMS)
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_configuration_reaches_vms_that_follow_when_half_of_the_vms_are_killed(simulate, seed):
     async def scenario(fleet):
