--- a/hollyring/node/tests/test_wire.py
+++ b/hollyring/node/tests/test_wire.py
@@ -46,6 +46,7 @@
     removed: list[heartbeat.CopyRemoval] = dataclasses.field(default_factory=list)
     partial: bool = False
     era: int = -1
+    deferred: bool = False
 
 
 @pytest.mark.parametrize("message", EXAMPLES, ids=lambda m: type(m).__name__)
