--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -725,7 +725,7 @@
             await controller._send(upstream, order)
         case "cache events":
             watcher = cache_watcher.CacheWatcher(vm.state, codec, vm.pool)
-            await watcher._poll("i-0", upstream.entry.address, is_first=True)
+            await watcher._poll_first("i-0", upstream.entry.address)
     for number in range(4):
         assert (await vm.send_request(f"r-{number}")).body == b"done by i-1"
     assert upstream.leaving
