--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -250,6 +250,40 @@
     life: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashedServer:
+    """Incarnation of an inference server that crashed.
+
+    Parameters
+    ----------
+    parts
+        Hashes of the prompt parts of the requests that it broke off at the sender.
+    """
+
+    upstream: str
+    life: int
+    parts: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BlamedParts:
+    """Prompt parts of which one crashes inference servers.
+
+    Parameters
+    ----------
+    parts
+        Hashes of the parts; requests that have all of them are refused.
+    servers
+        Incarnations of the servers that crashed with them.
+    witnesses
+        Names of the VMs that saw these crashes.
+    """
+
+    parts: list[str]
+    servers: list[str]
+    witnesses: list[str]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Status of a VM, sent to every serving VM several times a second.
@@ -282,6 +316,12 @@
     departures
         Upstreams that announced that they leave: those that the sender learnt of since the previous
         heartbeat and, at times, all others that it still has.
+    crashes
+        Servers that crashed as the sender saw it, new ones and, at times, all of the last seconds.
+    sound_parts
+        Hashes of prompt parts of which an answer ended whole though they were suspected.
+    blamed_parts
+        Prompt parts that the sender began to refuse and, at times, all that it refuses.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -303,6 +343,9 @@
     requests_per_second: float = 0.0
     stream_origins: list[StreamOrigins] = dataclasses.field(default_factory=list)
     departures: list[Departure] = dataclasses.field(default_factory=list)
+    crashes: list[CrashedServer] = dataclasses.field(default_factory=list)
+    sound_parts: list[str] = dataclasses.field(default_factory=list)
+    blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -327,6 +370,8 @@
         Names of VMs that rank high enough to serve but are silent or leaving.
     revisions, wanted_versions
         As in the sender's heartbeats; the revisions with their ages.
+    blamed_parts
+        All prompt parts that the sender refuses.
     """
 
     serving: bool
@@ -334,6 +379,7 @@
     unavailable: list[str]
     revisions: list[PrefixRevision]
     wanted_versions: list[WantedVersionAge]
+    blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -25,6 +25,7 @@
     caller_connection,
     clock,
     connection_pool,
+    crash_watcher,
     errors,
     heartbeat_messages,
     heartbeat_sender,
@@ -217,6 +218,7 @@
             self._connections,
             vm_settings.link_bits_per_second,
         )
+        self._crash_watcher = crash_watcher.CrashWatcher(self._state, self._connections)
         self._relay = relay.Relay(
             self._state,
             adapter.upstream_codec,
@@ -252,6 +254,7 @@
             task_group.start_soon(self._registration.run)
             task_group.start_soon(self._exchange)
             task_group.start_soon(self._connections.sweep)
+            task_group.start_soon(self._crash_watcher.run)
             task_group.start_soon(internal_server.serve, internal_sockets)
             task_group.start_soon(self._handle_signals, caller_server)
             await caller_server.serve(caller_sockets)
@@ -423,6 +426,7 @@
             f"hollyring_departures_{source}_total {count}"
             for source, count in sorted(self._state.departure_counts.items())
         ]
+        lines += [f"hollyring_{name} {n}" for name, n in self._state.crashes.counts.items()]
         lines.append(f"hollyring_store_era_rises_total {self._state.store_era.rises}")
         return "\n".join(lines) + "\n" + self._metrics.render()
 
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -115,6 +115,7 @@
     ) -> request_context.Outcome:
         upstream = selected.upstream
         address = upstream.entry.address
+        events_before = context.events.last_number or 0
         min_keep_alive_seconds = (
             AT_MOST_ONCE_KEEP_ALIVE_SECONDS
             if context.retry_state.retry_safety is request_types.RetrySafety.AT_MOST_ONCE
@@ -150,10 +151,21 @@
             return request_context.Failed(str(error))
         except http_connection.HttpConnectionError as error:
             upstream.record_failure(clock.now())
+            self._record_broken(context, upstream, events_before)
             return request_context.Failed(str(error))
         finally:
             self._pool.release(address, connection)
 
+    def _record_broken(
+        self,
+        context: request_context.RequestContext,
+        upstream: registry.Upstream,
+        events_before: int,
+    ) -> None:
+        """Record that an upstream broke a request off, perhaps since the request crashed it."""
+        events = (context.events.last_number or 0) - events_before
+        self._state.crashes.record_broken(upstream, context.request.prompt, events)
+
     def _is_unusable(self, upstream: registry.Upstream) -> bool:
         """Return whether an upstream has asked for no more requests since it was selected."""
         return self._state.backoffs.is_active(
@@ -343,6 +355,7 @@
         if not context.response.started:
             await context.response.start(head.status, head.headers, b"")
         await context.response.end()
+        self._state.crashes.record_whole(context.request.prompt)
         self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
         return request_context.Done()
 
--- /dev/null
+++ b/hollyring/node/crash_reports.py
@@ -0,0 +1,173 @@
+"""What a VM tells and learns of crashes of inference servers and the parts blamed for them."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import anyio
+
+from hollyring.core import identities, request_types
+from hollyring.membership import heartbeat
+from hollyring.node import clock, logs
+from hollyring.routing import crashes, registry
+
+REPEAT_SECONDS = 10.0
+"""Time for which a crash that this VM saw is repeated, for VMs that missed its report."""
+
+MAX_PENDING_SERVERS = 128
+MAX_EVENTS_BEFORE_CRASH = 1
+"""Most events of an answer whose request may have crashed its server: it does so as it begins."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrokenServer:
+    """Server that broke off requests, and their parts; whether it crashed is not known yet."""
+
+    server: identities.Incarnation
+    address: str
+    parts: set[str]
+
+
+@dataclasses.dataclass(slots=True)
+class _OwnReport:
+    report: crashes.CrashReport
+    at: float
+    sent: bool = False
+
+
+class CrashReports:
+    """Crashes as seen by this VM and by the others.
+
+    Parameters
+    ----------
+    vm
+        Name of this VM.
+    """
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self._crashes = crashes.PartCrashes()
+        self._pending: dict[identities.Incarnation, BrokenServer] = {}
+        self._own: list[_OwnReport] = []
+        self._sound: set[str] = set()
+        self._new_blames: list[crashes.Blame] = []
+        self._broken = anyio.Event()
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._log = logs.Logger("crashes")
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Crashes seen by this VM, blames since the start and blames that hold."""
+        return {
+            "server_crashes_total": self._counts["crashes"],
+            "prompt_blames_total": self._counts["blamed"],
+            "prompt_blames": len(self._crashes.blames()),
+        }
+
+    def record_broken(
+        self, upstream: registry.Upstream, prompt: request_types.Prompt | None, events: int
+    ) -> None:
+        """Record that a server broke a request off after some events of its answer."""
+        if prompt is None or events > MAX_EVENTS_BEFORE_CRASH:
+            return
+        server = upstream.incarnation
+        if server not in self._pending and len(self._pending) >= MAX_PENDING_SERVERS:
+            return
+        broken = self._pending.setdefault(
+            server, BrokenServer(server, upstream.entry.address, set())
+        )
+        broken.parts.update(crashes.part_hashes(prompt))
+        self._broken.set()
+
+    async def wait_broken(self) -> list[BrokenServer]:
+        """Wait until servers have broken off requests, and return them; they stay pending."""
+        await self._broken.wait()
+        self._broken = anyio.Event()
+        return list(self._pending.values())
+
+    def resolve(self, broken: BrokenServer, crashed: bool) -> None:
+        """Record whether a server that broke off requests has crashed."""
+        self._pending.pop(broken.server, None)
+        if not crashed:
+            return
+        now = clock.now()
+        report = crashes.CrashReport(broken.server, frozenset(broken.parts))
+        self._counts["crashes"] += 1
+        self._log.info("server crashed", upstream=str(broken.server), parts=len(broken.parts))
+        self._own.append(_OwnReport(report, now))
+        self._sound |= self._crashes.record_crash(report, self._vm, now)
+
+    def record_whole(self, prompt: request_types.Prompt | None) -> None:
+        """Record that an answer ended whole, so that no part of its prompt crashes servers."""
+        suspected = self._crashes.record_sound(crashes.part_hashes(prompt), clock.now())
+        self._sound |= suspected
+
+    def blame_of(self, prompt: request_types.Prompt | None) -> crashes.Blame | None:
+        """Return the blame of a part of a prompt, None if none is blamed."""
+        if prompt is None or not self._crashes.any_blamed:
+            return None
+        return self._crashes.blamed(crashes.part_hashes(prompt), clock.now())
+
+    def tick(self, now: float) -> None:
+        """Decide which parts are to blame."""
+        for blame in self._crashes.decide(now):
+            self._new_blames.append(blame)
+            self._log_blame(blame, self._vm)
+
+    def receive(self, sender: str, message: heartbeat.Heartbeat, now: float) -> None:
+        """Process what another VM's heartbeat tells of crashes."""
+        self._crashes.record_sound(message.sound_parts, now)
+        for crashed in message.crashes:
+            server = identities.Incarnation(crashed.upstream, crashed.life)
+            report = crashes.CrashReport(server, frozenset(crashed.parts))
+            self._sound |= self._crashes.record_crash(report, sender, now)
+        self.adopt(sender, message.blamed_parts, now)
+
+    def adopt(self, sender: str, blamed: list[heartbeat.BlamedParts], now: float) -> None:
+        """Blame the parts that another VM blames."""
+        for item in blamed:
+            blame = crashes.Blame(frozenset(item.parts), tuple(item.servers), tuple(item.witnesses))
+            if self._crashes.adopt(blame, now):
+                self._log_blame(blame, sender)
+
+    def take_crashes(self, now: float, repeat: bool) -> list[heartbeat.CrashedServer]:
+        """Return the crashes to report in the next heartbeat, with those reported lately."""
+        self._own = [own for own in self._own if now - own.at <= REPEAT_SECONDS]
+        due = [own for own in self._own if repeat or not own.sent]
+        for own in due:
+            own.sent = True
+        return [
+            heartbeat.CrashedServer(
+                own.report.server.name, own.report.server.number, sorted(own.report.parts)
+            )
+            for own in due
+        ]
+
+    def take_sound_parts(self) -> list[str]:
+        """Return the parts to clear of suspicion in the next heartbeat."""
+        sound, self._sound = self._sound, set()
+        return sorted(sound)
+
+    def take_blamed_parts(self, repeat: bool) -> list[heartbeat.BlamedParts]:
+        """Return the parts to blame in the next heartbeat: the new ones or all."""
+        new, self._new_blames = self._new_blames, []
+        return [_encode(blame) for blame in (self._crashes.blames() if repeat else new)]
+
+    def blamed_parts(self) -> list[heartbeat.BlamedParts]:
+        """Return all blamed parts."""
+        return [_encode(blame) for blame in self._crashes.blames()]
+
+    def _log_blame(self, blame: crashes.Blame, source: str) -> None:
+        self._counts["blamed"] += 1
+        self._log.info(
+            "parts of prompts blamed",
+            parts=sorted(blame.parts),
+            servers=list(blame.servers),
+            witnesses=list(blame.witnesses),
+            source=source,
+        )
+
+
+def _encode(blame: crashes.Blame) -> heartbeat.BlamedParts:
+    return heartbeat.BlamedParts(sorted(blame.parts), list(blame.servers), list(blame.witnesses))
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -113,6 +113,9 @@
             requests_per_second=round(vm_state.requests.rate(now), 1),
             stream_origins=vm_state.take_stream_origins(now),
             departures=(vm_state.announced_departures() if refreshes else vm_state.departures),
+            crashes=vm_state.crashes.take_crashes(now, refreshes),
+            sound_parts=vm_state.crashes.take_sound_parts(),
+            blamed_parts=vm_state.crashes.take_blamed_parts(refreshes),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -87,6 +87,18 @@
   2: optional i64 life
 }
 
+struct MembershipCrashedServer {
+  1: optional string upstream
+  2: optional i64 life
+  3: optional list<string> parts
+}
+
+struct MembershipBlamedParts {
+  1: optional list<string> parts
+  2: optional list<string> servers
+  3: optional list<string> witnesses
+}
+
 struct MembershipPulse {
   1: optional MembershipPlace place
   2: optional bool ready
@@ -105,6 +117,9 @@
   15: optional double requests_per_second
   16: optional list<MembershipStreamOrigins> stream_origins
   17: optional list<MembershipDeparture> departures
+  18: optional list<MembershipCrashedServer> crashes
+  19: optional list<string> sound_parts
+  20: optional list<MembershipBlamedParts> blamed_parts
 }
 
 struct MembershipStatusRequest {
@@ -117,6 +132,7 @@
   3: optional list<string> unavailable
   4: optional list<MembershipMark> revisions
   5: optional list<MembershipNamed> wanted_versions
+  6: optional list<MembershipBlamedParts> blamed_parts
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -23,7 +23,7 @@
     responses,
     state,
 )
-from hollyring.routing import selection
+from hollyring.routing import crashes, selection
 
 MAX_WAIT_TARGET_RATIO = 0.8
 """Maximum queueing time at an upstream, relative to the shortest target latency of its service.
@@ -156,6 +156,9 @@
         )
         if not self._state.may_accept(deadline, arrived_at):
             return refusal.make("leaving", LEAVING_RETRY_AFTER_SECONDS)
+        blame = self._state.crashes.blame_of(request.prompt)
+        if blame is not None:
+            return refusal.make("crashing_prompt", message=_describe(blame))
         if organisation is not None:
             exceeded = self._state.admit(organisation, request.prompt, arrived_at)
             if exceeded is not None:
@@ -188,6 +191,9 @@
             if not await self._knows_enough(context.retry_state.deadline):
                 refused = context.retry_state.final_refusal("no_upstream", clock.now())
                 raise _RequestRefusedError(refused)
+            if self._state.crashes.blame_of(context.request.prompt) is not None:
+                refused = context.retry_state.final_refusal("crashing_prompt", clock.now())
+                raise _RequestRefusedError(refused)
             context.selected = selected = self._select(context)
             context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
             self._log_sent(context, selected)
@@ -385,6 +391,11 @@
         )
 
 
+def _describe(blame: crashes.Blame) -> str:
+    parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
+    return f"Part {parts} of the prompt crashed {servers}, as seen by {', '.join(blame.witnesses)}."
+
+
 def _priority(route: deployment.Route, organisation: deployment.Organisation | None) -> int:
     if organisation is not None and organisation.priority is not None:
         return organisation.priority
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -26,6 +26,7 @@
 from hollyring.node import (
     cache_updates,
     clock,
+    crash_reports,
     interfaces,
     logs,
     store_changes,
@@ -121,6 +122,7 @@
         self.software_versions = software_versions.SoftwareVersions(
             stream_origins.ORIGIN_TTL_SECONDS
         )
+        self.crashes = crash_reports.CrashReports(vm_info.name)
         self.peers = peer_table.PeerTable(vm_info)
         self.requests = request_meter.RequestMeter()
         self.mirrors = {
@@ -366,6 +368,7 @@
         for departure in message.departures:
             if self._record_departure(departure, message.vm.name, now):
                 self.departure_counts["reported"] += 1
+        self.crashes.receive(message.vm.name, message, now)
         for unresponsive in message.unresponsive_upstreams:
             upstream = self.registry.get(unresponsive)
             if upstream is not None and now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
@@ -380,6 +383,7 @@
         self._record_freshness(message.revisions, asked_at)
         self.update_peers(now)
         self._record_wanted_versions(message.wanted_versions, now)
+        self.crashes.adopt(sender, message.blamed_parts, now)
 
     def _record_freshness(self, revisions: list[heartbeat.PrefixRevision], asked_at: float) -> None:
         """Record up to when the copies are complete, as they have all that another VM has."""
@@ -416,6 +420,7 @@
     def tick(self, now: float) -> None:
         """Update what depends on the other VMs; remove silent VMs and missing upstreams."""
         self.update_peers(now)
+        self.crashes.tick(now)
         self.software_versions.observe(list(self.registry.upstreams.values()), now)
         self._rates.set_reachable_fraction(self.peers.reachable_fraction(now))
         self._retries.resize(self.sharing_vms)
@@ -525,6 +530,7 @@
             unavailable,
             revisions,
             self.wanted_version_ages(now),
+            self.crashes.blamed_parts(),
         )
 
     def _age_to_report(self, prefix: str, now: float) -> float:
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -61,6 +61,7 @@
         self.requests = []
         self.readers = {}
         self.address = ""
+        self.server = None
 
     async def handle(self, request, writer):
         raise NotImplementedError
@@ -76,12 +77,18 @@
 
     @contextlib.asynccontextmanager
     async def running(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         try:
             yield self
         finally:
-            server.close()
+            self.server.close()
+
+    def crash(self):
+        """Reset every connection and accept no other."""
+        self.server.close()
+        for writer in self.readers:
+            writer.transport.abort()
 
 
 class StoreStandIn(HttpStandIn):
@@ -205,7 +212,7 @@
     connection; ``error``: status 500; ``not-found``: status 404; ``unsealed``: a response without a
     signature; ``interrupt``: reset of the connection within event `interrupted_event` of a stream;
     ``repeat``: a stream in one chunk, with its second event twice; ``refuse-first``: ``refuse`` for
-    the first request only.
+    the first request only; ``crash``: resets of all connections, and no new ones.
 
     After `back_off`, every request, report, order and poll is refused with 503 and ``retry-after``
     until the time ends; `states_not_run` selects whether ``x-not-run`` comes with it.
@@ -273,6 +280,8 @@
             await self.wait_closed(writer)
         elif self.behaviour == "reset":
             writer.transport.abort()
+        elif self.behaviour == "crash":
+            self.crash()
         elif self.behaviour == "error":
             writer.write(self.encode_sealed_response(request, 500, b"failed"))
         elif self.behaviour == "not-found":
--- /dev/null
+++ b/hollyring/routing/crashes.py
@@ -0,0 +1,310 @@
+"""Which part of a prompt crashes the inference servers that begin to answer it.
+
+A server that crashes breaks off every request that it works on, and one of them may be the reason.
+Each crash is recorded with the parts that its broken requests shared with others. The part that
+most crashes have in common is blamed, as the requests that crash servers have nothing else in
+common; its crashes then count against no other part. Parts of an answer that ended whole around
+the crash or later cannot be the reason.
+
+Parts that always came together cannot be told apart. They are blamed together, and only requests
+that have all of them are refused; those with some of them show sooner or later which part it is.
+
+The decision needs the records of all VMs, as each may have seen a different crash. It depends on
+messages and the time only.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import hashlib
+import math
+from collections.abc import Iterable
+
+from hollyring.core import identities, request_types
+
+MIN_CRASHES = 3
+"""Crashes of different servers with parts in common from which these are blamed."""
+
+MIN_TIED_CRASHES = 5
+"""The same where other parts explain some of the crashes equally well."""
+
+SETTLE_SECONDS = 0.4
+"""Time after a crash for other VMs to name the parts that are not to blame."""
+
+SOUND_SECONDS = 2.0
+"""Time for which an answer that ended whole speaks for its parts in a later crash."""
+
+RECORD_SECONDS = 60.0
+"""Time for which a crash counts."""
+
+BLAME_SECONDS = 300.0
+"""Time for which a blamed part is refused; then one more crash is enough to blame it again."""
+
+MAX_RECORDS = 64
+MAX_PARTS_PER_RECORD = 256
+MAX_BLAMED = 64
+MAX_SOUND = 4096
+"""Bounds on what is remembered, oldest first; requests may all have different parts."""
+
+DIGEST_BYTES = 8
+
+
+def part_hash(part: request_types.Part) -> str:
+    """Return the name of a part in messages and logs, which must not show its content.
+
+    Examples
+    --------
+    >>> part_hash(request_types.Part("a", 10)) == part_hash(request_types.Part("a", 20))
+    True
+    """
+    return hashlib.blake2b(part.name.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
+
+def part_hashes(prompt: request_types.Prompt | None) -> tuple[str, ...]:
+    """Return the hashes of the parts that may crash a server: all but the last."""
+    if prompt is None:
+        return ()
+    return tuple(part_hash(part) for part in prompt.shared_parts)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Crash of a server, and the parts of the requests that it broke off at one VM."""
+
+    server: identities.Incarnation
+    parts: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Blame:
+    """Parts that are blamed for crashes, of which one is the reason.
+
+    Parameters
+    ----------
+    parts
+        Hashes of the parts; requests that have all of them are refused.
+    servers
+        Servers that crashed with them.
+    witnesses
+        Names of the VMs that saw these crashes.
+    """
+
+    parts: frozenset[str]
+    servers: tuple[str, ...]
+    witnesses: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    at: float
+    candidates: set[str]
+    witnesses: dict[str, set[str]]  # by part
+
+
+@dataclasses.dataclass(slots=True)
+class _Sentence:
+    blame: Blame
+    until: float
+
+
+_Records = dict[identities.Incarnation, _Record]
+
+
+class PartCrashes:
+    """Crashes of servers and the parts that are blamed for them.
+
+    Examples
+    --------
+    >>> crashes = PartCrashes()
+    >>> for number in range(3):
+    ...     report = CrashReport(
+    ...         identities.Incarnation(f"ls-{number}", 1), frozenset({"bad", f"other-{number}"})
+    ...     )
+    ...     _ = crashes.record_crash(report, f"vm-{number}", now=float(number))
+    >>> [sorted(blame.parts) for blame in crashes.decide(now=3.0)]
+    [['bad']]
+    >>> crashes.blamed(["good", "bad"], now=3.0).witnesses
+    ('vm-0', 'vm-1', 'vm-2')
+    """
+
+    __slots__ = ("_records", "_sound", "_blamed", "_released", "_undecided")
+
+    def __init__(self) -> None:
+        self._records: collections.OrderedDict[identities.Incarnation, _Record] = (
+            collections.OrderedDict()
+        )
+        self._sound: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._blamed: collections.OrderedDict[frozenset[str], _Sentence] = collections.OrderedDict()
+        self._released: collections.OrderedDict[frozenset[str], None] = collections.OrderedDict()
+        self._undecided = False
+
+    @property
+    def records(self) -> int:
+        """Number of crashes that count."""
+        return len(self._records)
+
+    @property
+    def any_blamed(self) -> bool:
+        """Whether a part is blamed."""
+        return bool(self._blamed)
+
+    def record_crash(self, report: CrashReport, witness: str, now: float) -> set[str]:
+        """Record a crash that a VM saw; return the parts that are known not to be the reason."""
+        record = self._records.get(report.server)
+        if record is None:
+            record = self._records[report.server] = _Record(now, set(), {})
+            _limit(self._records, MAX_RECORDS)
+        sound = {part for part in report.parts if self._speaks_for(part, record.at)}
+        for part in sorted(report.parts - sound):
+            if len(record.candidates) >= MAX_PARTS_PER_RECORD and part not in record.candidates:
+                break
+            record.candidates.add(part)
+            record.witnesses.setdefault(part, set()).add(witness)
+        self._undecided = True
+        return sound
+
+    def record_sound(self, parts: Iterable[str], now: float) -> set[str]:
+        """Record parts of an answer that ended whole; return those that were under suspicion."""
+        suspected = set()
+        for part in parts:
+            self._sound[part] = now
+            self._sound.move_to_end(part)
+            if self._clear_of_blame(part):
+                suspected.add(part)
+            for record in self._records.values():
+                if part in record.candidates:
+                    record.candidates.discard(part)
+                    suspected.add(part)
+        _limit(self._sound, MAX_SOUND)
+        return suspected
+
+    def decide(self, now: float) -> list[Blame]:
+        """Return the blames that hold from now on."""
+        self._forget(now)
+        if not self._undecided:
+            return []
+        settled = {
+            server: record
+            for server, record in self._records.items()
+            if now - record.at >= SETTLE_SECONDS
+        }
+        self._undecided = len(settled) < len(self._records)
+        found = []
+        while groups := self._groups_to_blame(settled):
+            found += [self._blame_of(parts, settled) for parts in groups]
+            settled = {
+                server: record
+                for server, record in settled.items()
+                if not any(parts <= record.candidates for parts in groups)
+            }
+        new = [blame for blame in found if blame.parts not in self._blamed]
+        for blame in new:
+            self._blame(blame, now)
+        return new
+
+    def adopt(self, blame: Blame, now: float) -> bool:
+        """Take another VM's blame, but for sound parts; return whether something is new."""
+        parts = frozenset(part for part in blame.parts if not self._speaks_for(part, now))
+        if not parts or parts in self._blamed:
+            return False
+        self._blame(dataclasses.replace(blame, parts=parts), now)
+        return True
+
+    def blamed(self, parts: Iterable[str], now: float) -> Blame | None:
+        """Return the blame of parts that a request has, None if it may be sent."""
+        if not self._blamed:
+            return None
+        present = frozenset(parts)
+        for group, sentence in self._blamed.items():
+            if group <= present and now < sentence.until:
+                return sentence.blame
+        return None
+
+    def blames(self) -> list[Blame]:
+        """Return the blames that hold."""
+        return [sentence.blame for sentence in self._blamed.values()]
+
+    def _speaks_for(self, part: str, crashed_at: float) -> bool:
+        return self._sound.get(part, -math.inf) >= crashed_at - SOUND_SECONDS
+
+    def _blame(self, blame: Blame, now: float) -> None:
+        """Begin to blame parts, and no longer a larger group that cannot be told apart."""
+        for wider in [group for group in self._blamed if group > blame.parts]:
+            del self._blamed[wider]
+        self._blamed[blame.parts] = _Sentence(blame, now + BLAME_SECONDS)
+        self._released.pop(blame.parts, None)
+        _limit(self._blamed, MAX_BLAMED)
+
+    def _clear_of_blame(self, part: str) -> bool:
+        """Blame a part no longer, but the others of its groups; return whether it was blamed."""
+        groups = [group for group in self._blamed if part in group]
+        for group in groups:
+            sentence = self._blamed.pop(group)
+            others = group - {part}
+            if others:
+                sentence.blame = dataclasses.replace(sentence.blame, parts=others)
+                self._blamed[others] = sentence
+        return bool(groups)
+
+    def _groups_to_blame(self, records: _Records) -> list[frozenset[str]]:
+        """Return the groups of parts that most crashes have in common, none if too few have."""
+        released = [
+            group
+            for group in self._released
+            if any(group <= record.candidates for record in records.values())
+        ]
+        if released:
+            return released
+        groups = _groups_by_crashes(records)
+        most = max(map(len, groups), default=0)
+        leaders = {crashed: parts for crashed, parts in groups.items() if len(crashed) == most}
+        if most < MIN_CRASHES:
+            return []
+        if most >= MIN_TIED_CRASHES:
+            return list(leaders.values())
+        return [parts for crashed, parts in leaders.items() if _is_only(crashed, leaders)]
+
+    def _blame_of(self, parts: frozenset[str], records: _Records) -> Blame:
+        counting = {s: r for s, r in records.items() if parts <= r.candidates}
+        witnesses = {
+            witness for r in counting.values() for part in parts for witness in r.witnesses[part]
+        }
+        return Blame(parts, tuple(str(server) for server in counting), tuple(sorted(witnesses)))
+
+    def _forget(self, now: float) -> None:
+        while self._records and now - next(iter(self._records.values())).at > RECORD_SECONDS:
+            self._records.popitem(last=False)
+        for group, sentence in list(self._blamed.items()):
+            if now >= sentence.until:
+                del self._blamed[group]
+                self._released[group] = None
+        _limit(self._released, MAX_BLAMED)
+
+
+def _groups_by_crashes(
+    records: _Records,
+) -> dict[frozenset[identities.Incarnation], frozenset[str]]:
+    """Return the candidates grouped by the crashes that they have in common."""
+    crashed: dict[str, set[identities.Incarnation]] = collections.defaultdict(set)
+    for server, record in records.items():
+        for part in record.candidates:
+            crashed[part].add(server)
+    groups: dict[frozenset[identities.Incarnation], set[str]] = collections.defaultdict(set)
+    for part, servers in crashed.items():
+        groups[frozenset(servers)].add(part)
+    return {servers: frozenset(parts) for servers, parts in groups.items()}
+
+
+def _is_only(
+    crashed: frozenset[identities.Incarnation],
+    leaders: Iterable[frozenset[identities.Incarnation]],
+) -> bool:
+    """Return whether no other group that as many crashes have in common explains one of them."""
+    return all(crashed == other or crashed.isdisjoint(other) for other in leaders)
+
+
+def _limit(table: collections.OrderedDict, size: int) -> None:
+    """Remove the oldest entries of a table beyond `size`."""
+    while len(table) > size:
+        table.popitem(last=False)
