--- a/hollyring/node/crash_reports.py
+++ b/hollyring/node/crash_reports.py
@@ -84,6 +84,10 @@
         """Wait until servers have broken off requests, and return them; they stay pending."""
         await self._broken.wait()
         self._broken = anyio.Event()
+        return self.pending()
+
+    def pending(self) -> list[BrokenServer]:
+        """Return the servers that broke off requests and may have crashed."""
         return list(self._pending.values())
 
     def resolve(self, broken: BrokenServer, crashed: bool) -> None:
--- /dev/null
+++ b/hollyring/node/tests/test_crashing_parts.py
@@ -0,0 +1,53 @@
+"""Parts that crash servers are found by all VMs in time, and no sound request is refused."""
+
+import pytest
+
+from hollyring.node import clock
+from hollyring.node.tests import crash_player
+
+NINE = {"vms": 9, "followers": 0, "servers": 6, "rate": 27.0}
+SIXTY = {"vms": 12, "followers": 48, "servers": 45, "rate": 240.0}
+LARGE = {"vms": 24, "followers": 171, "servers": 45, "rate": 170.0}
+TWO_PARTS = (("bad-1", 2.0, 14.0), ("bad-2", 4.0, 15.0))
+FIRST_SECONDS = 3.0
+"""Time after a part's first request in which sound ones that came with it may be refused."""
+
+CASES = {
+    "nine": crash_player.Case(**NINE),
+    "sixty": crash_player.Case(**SIXTY),
+    "large": crash_player.Case(**LARGE, seconds=14.0),
+    "ordinary crashes": crash_player.Case(
+        **SIXTY, crashes=((1.0, 5), (2.2, 8), (5.0, 15)), kills=(2.5, 6.0)
+    ),
+    "no part": crash_player.Case(
+        **SIXTY, deadly=(), crashes=tuple((n / 2, 4) for n in range(2, 30))
+    ),
+    "two parts": crash_player.Case(**SIXTY, deadly=TWO_PARTS),
+    "comes back": crash_player.Case(**NINE, deadly=(("bad", 2.0, 6.0), ("bad", 12.0, 18.0))),
+    "vms restart": crash_player.Case(**NINE, kills=(2.6, 3.2, 5.0, 9.0)),
+}
+
+
+@pytest.fixture
+def play(monkeypatch):
+    def run(case, seed):
+        player = crash_player.Player(case, seed)
+        monkeypatch.setattr(clock, "now", player.now)
+        return player.run()
+
+    return run
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("name", CASES)
+def test_part_that_crashes_servers_is_refused_in_time_and_nothing_else(play, name, seed):
+    case = CASES[name]
+    player = play(case, seed)
+    for part, _, _ in case.deadly:
+        assert len(player.late_requests(part)) <= 3
+    starts = [start for _, start, _ in case.deadly]
+    assert [
+        at
+        for at in player.refused_sound
+        if not any(start <= at < start + FIRST_SECONDS for start in starts)
+    ] == []
