Bound the bytes that one answer may take, and take no empty stream for a whole one

What callers saw: nothing yet; told by the users: bytes without end, in a head or a body, until the caller closes, and answers with neither length nor chunks. Tried before the change, 2 s each over loopback: a VM took 0.17 to 3.9 GB of a head, a status line, interim answers, a body, chunks or trailers without end, and passed a stream that closed before its first event on as whole.

Cause: only unread body bytes of streams were bounded; nothing counted what the parser or a whole body takes.

Change: 128 KiB beside the body and 32 MiB of a body that is read as a whole, then the connection is closed and the attempt has failed; a stream without an event is not whole. An answer that ends with its connection clears no part of its prompt, as a server that crashes may close it so.

--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -33,12 +33,13 @@
     b'id: 2\\ndata: b\\n\\n'
     """
 
-    __slots__ = ("_last_number", "_buffer", "_resumed", "_error")
+    __slots__ = ("_last_number", "_buffer", "_resumed", "_accepted_any", "_error")
 
     def __init__(self, after: int | None) -> None:
         self._last_number = after
         self._buffer = b""
         self._resumed = after is not None
+        self._accepted_any = False
         self._error: errors.StreamOrderError | None = None
 
     @property
@@ -100,15 +101,18 @@
         Raises
         ------
         StreamOrderError
-            If an event was invalid, or the last one is incomplete.
+            If an event was invalid, the last one is incomplete, or there was none.
         """
         if self._error is not None:
             raise self._error
+        if self._last_number is None and not self._accepted_any:
+            raise errors.StreamOrderError("ended without an event")
         if not self.at_event_boundary:
             raise errors.StreamOrderError("ended within an event")
 
     def _accept(self, event: bytes) -> bool:
         number = _event_number(event)
+        self._accepted_any = True
         if number is None:
             return True
         if self._last_number is not None:
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -337,6 +337,7 @@
         exchange: http_connection.Exchange,
     ) -> request_context.Outcome:
         upstream = selected.upstream
+        events_before = context.events.last_number or 0
         context.events.begin_attempt()
         while True:
             data = await self._wait_for(context, selected, exchange.read)
@@ -344,6 +345,9 @@
             upstream.record_activity(now)
             try:
                 if data is None:
+                    if not exchange.framed:
+                        # A server that crashes may close such an answer as if it were whole.
+                        self._record_broken(context, upstream, events_before)
                     context.events.check_end()
                     break
                 events = context.events.feed(data)
@@ -355,7 +359,8 @@
         if not context.response.started:
             await context.response.start(head.status, head.headers, b"")
         await context.response.end()
-        self._state.crashes.record_whole(context.request.prompt)
+        if exchange.framed:
+            self._state.crashes.record_whole(context.request.prompt)
         self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
         return request_context.Done()
 
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -27,6 +27,12 @@
 MAX_BUFFERED_BYTES = 1_000_000
 """Unread bytes of a response above which reading from the upstream pauses (backpressure)."""
 
+MAX_OVERHEAD_BYTES = 131_072
+"""Most bytes of one answer beside its body: interim answers, head, framing and trailers."""
+
+MAX_BODY_BYTES = 33_554_432
+"""Longest body that is read as a whole."""
+
 REMEMBERED_REQUESTS = 16
 """Requests that a connection remembers; a second answer to an earlier one comes no later."""
 
@@ -129,9 +135,23 @@
         self._connection.resume_reading()
         return data
 
+    @property
+    def framed(self) -> bool:
+        """Whether the answer states where it ends, rather than ending with its connection."""
+        return self._connection.framed
+
     async def body(self) -> bytes:
-        """Return the whole body, without the bytes that `read` returned already."""
+        """Return the whole body, without the bytes that `read` returned already.
+
+        Raises
+        ------
+        HttpConnectionError
+            If the response is incomplete or longer than `MAX_BODY_BYTES`.
+        """
         while not self._ended:
+            if self._size > MAX_BODY_BYTES:
+                self._connection.abort()
+                raise HttpConnectionError("body without end")
             await self._wait()
         return b"".join(self._chunks)
 
@@ -189,6 +209,7 @@
         self._unmatched = False
         self._in_body = False
         self._framed = True
+        self._overhead_bytes = 0
         self._unusable = False
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
@@ -199,6 +220,11 @@
         """Whether the connection was established; only then `on_lost` is called."""
         return self._transport is not None
 
+    @property
+    def framed(self) -> bool:
+        """Whether the current answer states where it ends."""
+        return self._framed
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
@@ -250,6 +276,7 @@
         if request_id:
             self._carried.append(request_id)
         self._exchange = Exchange(self, matches)
+        self._overhead_bytes = 0
         transport.write(request)
         return self._exchange
 
@@ -292,12 +319,20 @@
         if self._exchange is None:
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._unusable = True
-            if self._exchange is not None:
-                self._exchange.fail(HttpConnectionError("bytes that are no answer"))
+            self._fail("bytes that are no answer")
+            return
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail("head, framing or trailers without end")
+            self.abort()
+
+    def _fail(self, reason: str) -> None:
+        self._unusable = True
+        if self._exchange is not None:
+            self._exchange.fail(HttpConnectionError(reason))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; a response without a length is complete after a clean close."""
@@ -343,6 +378,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
+        self._overhead_bytes -= len(body)
         if self._exchange is None or self._unmatched or self._exchange.ended:
             return
         self._exchange.add_data(body)
