--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -13,7 +13,7 @@
 import math
 from collections.abc import Callable
 
-from hollyring.configuration import deployment, freshness, mirror, store_revision
+from hollyring.configuration import deployment, freshness, mirror
 from hollyring.core import request_types
 from hollyring.delivery import stream_origins
 from hollyring.limits import (
@@ -29,6 +29,7 @@
     crash_reports,
     interfaces,
     logs,
+    peer_messages,
     store_changes,
     store_era,
     upstream_backoffs,
@@ -56,9 +57,6 @@
 RATE_WINDOW_SECONDS = 8.0
 """Default window in which an organisation may use its rate and its burst."""
 
-RECENT_ACTIVITY_SECONDS = 0.4
-"""Age of an upstream's last activity up to which suspicions of other VMs are ignored."""
-
 WEIGHTS_LOAD_TIMEOUT_SECONDS = 8.0
 """Longest time for which an upstream counts as loading weights."""
 
@@ -152,7 +150,7 @@
         self._rates = rates or organisation_rates.OrganisationRates(RATE_WINDOW_SECONDS)
         self._followed = False
         self._retries = service_retry_budgets.ServiceRetryBudgets(retries)
-        self._peer_upstreams: dict[str, set[str]] = collections.defaultdict(set)
+        self._peer_messages = peer_messages.PeerMessages(self)
         self._log = logs.Logger("state")
 
     @property
@@ -235,11 +233,11 @@
     def record_answered_departure(self, upstream: registry.Upstream) -> None:
         """Record that an answer of an upstream says that it leaves, for the other VMs too."""
         departure = heartbeat.Departure(upstream.name, upstream.entry.life)
-        if self._record_departure(departure, "answer", clock.now()):
+        if self.record_departure(departure, "answer", clock.now()):
             self.departures.append(departure)
             self.departure_counts["answered"] += 1
 
-    def _record_departure(self, departure: heartbeat.Departure, source: str, now: float) -> bool:
+    def record_departure(self, departure: heartbeat.Departure, source: str, now: float) -> bool:
         """Place no more requests at an upstream that leaves; return whether this is new.
 
         Parameters
@@ -343,57 +341,24 @@
 
     def receive(self, message: heartbeat.Heartbeat, now: float) -> None:
         """Process a heartbeat of another VM."""
-        self._observe_eras(message.vm.name, message.revisions)
-        peer = self.peers.receive(message, now)
-        if peer is not None:
-            self.refresh_due = True
-            self.stream_origins.report_again()
-            self._log.info(
-                "heartbeats from a new or returned VM", vm=message.vm.name, life=message.vm.life
-            )
-        self._record_loads(message, now)
-        self._record_usage(message, now)
-        self._record_wanted_versions(message.wanted_versions, now)
-        for cached in message.cached_prompts:
-            self.caches.touch(cached)
-        for report in message.cache_reports:
-            self.caches.apply_report(report, now)
-        for weights in message.weights:
-            self.apply_weights(weights, now)
-        if message.order_lease.held:
-            self.selector.reserve(message.order_lease.reserved)
-        for begun in message.stream_origins:
-            origin = stream_origins.Origin(begun.service, begun.software)
-            self.stream_origins.record_reported(begun.request_ids, origin, now)
-        for departure in message.departures:
-            if self._record_departure(departure, message.vm.name, now):
-                self.departure_counts["reported"] += 1
-        self.crashes.receive(message.vm.name, message, now)
-        for unresponsive in message.unresponsive_upstreams:
-            upstream = self.registry.get(unresponsive)
-            if upstream is not None and now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
-                upstream.mark_suspect(now)
+        self._peer_messages.receive(message, now)
 
     def receive_status(
         self, sender: str, message: heartbeat.FleetStatus, asked_at: float, now: float
     ) -> None:
         """Process the status that a serving VM sent to this VM, which had asked at `asked_at`."""
-        self._observe_eras(sender, message.revisions)
-        self.peers.receive_status(sender, message, now)
-        self._record_freshness(message.revisions, asked_at)
-        self.update_peers(now)
-        self._record_wanted_versions(message.wanted_versions, now)
-        self.crashes.adopt(sender, message.blamed_parts, now)
-
-    def _record_freshness(self, revisions: list[heartbeat.PrefixRevision], asked_at: float) -> None:
-        """Record up to when the copies are complete, as they have all that another VM has."""
-        for item in revisions:
-            mirrored = self.mirrors.get(item.prefix)
-            if mirrored is None or item.age_seconds < 0.0:
-                continue
-            revision = item.revision.resolved(mirrored.era)
-            if mirrored.last_change_revision >= revision:
-                self.freshness.record(item.prefix, asked_at - item.age_seconds)
+        self._peer_messages.receive_status(sender, message, asked_at, now)
+
+    def record_peer_usage(
+        self, spent: heartbeat.OrganisationUsage, incarnation: str, now: float
+    ) -> None:
+        """Record what another VM admitted for an organisation."""
+        current = self.deployment
+        organisation = current.organisations.get(spent.organisation) if current else None
+        if organisation is None:
+            return
+        report = fleet_window.PeerReport(spent.total, spent.recent, spent.fleet_usage)
+        self._rates.record_peer(organisation, incarnation, report, now)
 
     def apply_weights(self, weights: heartbeat.UpstreamWeights, now: float) -> None:
         """Apply the state of an upstream's weights as sent by the holder of the order lease."""
@@ -444,56 +409,6 @@
             self._log.info("upstream removed", upstream=upstream.name, why="entry stayed missing")
             self.remove_upstream(upstream.name)
 
-    def _observe_eras(self, sender: str, revisions: list[heartbeat.PrefixRevision]) -> None:
-        for item in revisions:
-            if item.era != store_revision.UNKNOWN_ERA and item.number:
-                self.store_era.observe(item.era, sender)
-
-    def _record_loads(self, message: heartbeat.Heartbeat, now: float) -> None:
-        """Record what another VM's requests put on the upstreams; the others have none of its."""
-        name = message.vm.name
-        loaded = set()
-        for load in message.loads:
-            upstream = self.registry.get(load.upstream)
-            if upstream is None:
-                continue
-            loaded.add(load.upstream)
-            upstream.peers[name] = registry.PeerLoad(
-                load.requests,
-                load.long_answers,
-                load.unread_tokens,
-                load.prompt_tokens_per_second,
-                now,
-            )
-        for dropped in self._peer_upstreams[name] - loaded:
-            upstream = self.registry.get(dropped)
-            if upstream is not None:
-                upstream.peers.pop(name, None)
-        self._peer_upstreams[name] = loaded
-
-    def _record_usage(self, message: heartbeat.Heartbeat, now: float) -> None:
-        """Record what another VM admitted for the organisations."""
-        incarnation = f"{message.vm.name}#{message.vm.life}"
-        for spent in message.usage:
-            organisation = self._organisation(spent.organisation)
-            if organisation is None:
-                continue
-            report = fleet_window.PeerReport(spent.total, spent.recent, spent.fleet_usage)
-            self._rates.record_peer(organisation, incarnation, report, now)
-
-    def _record_wanted_versions(
-        self, versions: list[heartbeat.WantedVersionAge], now: float
-    ) -> None:
-        for wanted_age in versions:
-            wanted = self.latest_wanted.get(wanted_age.model)
-            if wanted is not None and wanted.version >= wanted_age.version:
-                self.wanted_versions.record(
-                    wanted_age.model, wanted_age.version, now - wanted_age.age_seconds
-                )
-
-    def _organisation(self, name: str) -> deployment.Organisation | None:
-        return self.deployment.organisations.get(name) if self.deployment else None
-
     def organisation_usage(self, now: float) -> list[heartbeat.OrganisationUsage]:
         """Return what this VM reports about the organisations' usage."""
         return [
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -15,6 +15,7 @@
 from hollyring.limits import service_retry_budgets
 from hollyring.membership import heartbeat
 from hollyring.node import (
+    adapter_server,
     cache_watcher,
     clock,
     heartbeat_sender,
@@ -359,6 +360,17 @@
         self.group.start_soon(vm.run)
         return vm
 
+    async def start_for_the_first_time(self, names, domains, bound_seconds):
+        """Start a whole fleet over some failure domains, and wait until it is at rest."""
+        self.domains = {name: f"dar-{n % domains}" for n, name in enumerate(names)}
+        self.freshness_rules = freshness.FreshnessRules(bound_seconds)
+        self.first_start_delay = adapter_server.FIRST_START_DELAY_SECONDS
+        for name in names:
+            self.start(name)
+        self.first_start_delay = 0.0
+        await self.wait_until(lambda: all(vm.state.ready for vm in self.vms.values()), 2.0)
+        await anyio.sleep(5.0)
+
     def kill(self, name):
         """Stop a VM abruptly, as by a crash."""
         self.vms.pop(name).scope.cancel()
--- a/hollyring/node/tests/test_large_fleet.py
+++ b/hollyring/node/tests/test_large_fleet.py
@@ -6,9 +6,8 @@
 import anyio
 import pytest
 
-from hollyring.configuration import freshness
 from hollyring.membership import peer_table, serving_set
-from hollyring.node import adapter_server, clock
+from hollyring.node import clock
 from hollyring.node.tests import simulated_fleet
 
 VMS = [f"vm-{n:03}" for n in range(195)]
@@ -17,14 +16,7 @@
 
 
 async def start_fleet(fleet, names=VMS):
-    fleet.domains = {name: f"dar-{n % 5}" for n, name in enumerate(VMS)}
-    fleet.freshness_rules = freshness.FreshnessRules(CONFIGURATION_SECONDS)
-    fleet.first_start_delay = adapter_server.FIRST_START_DELAY_SECONDS
-    for name in names:
-        fleet.start(name)
-    fleet.first_start_delay = 0.0
-    await fleet.wait_until(lambda: all(vm.state.ready for vm in fleet.vms.values()), 2.0)
-    await anyio.sleep(5.0)
+    await fleet.start_for_the_first_time(names, 5, CONFIGURATION_SECONDS)
 
 
 def serving(fleet):
--- a/hollyring/node/tests/test_late_knowledge.py
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -5,8 +5,7 @@
 import anyio
 import pytest
 
-from hollyring.configuration import freshness
-from hollyring.node import adapter_server, clock
+from hollyring.node import clock
 from hollyring.node.tests import simulated_fleet
 
 VMS = [f"vm-{n:02}" for n in range(74)]
@@ -16,15 +15,8 @@
 LONG_BYTES = 100_000
 
 
-async def start_fleet(fleet, names):
-    fleet.domains = {name: f"dar-{n % 3}" for n, name in enumerate(names)}
-    fleet.freshness_rules = freshness.FreshnessRules(CONFIGURATION_SECONDS)
-    fleet.first_start_delay = adapter_server.FIRST_START_DELAY_SECONDS
-    for name in names:
-        fleet.start(name)
-    fleet.first_start_delay = 0.0
-    await fleet.wait_until(lambda: all(vm.state.ready for vm in fleet.vms.values()), 2.0)
-    await anyio.sleep(5.0)
+async def start_fleet(fleet, names=VMS):
+    await fleet.start_for_the_first_time(names, 3, CONFIGURATION_SECONDS)
 
 
 async def wait_for_version(fleet, version):
@@ -40,7 +32,7 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_configuration_reaches_vms_whose_messages_wait_longer_than_a_reply_may_take(simulate, seed):
     async def scenario(fleet):
-        await start_fleet(fleet, VMS)
+        await start_fleet(fleet)
         rng = random.Random(seed)
         fleet.delays = {name: rng.uniform(0.5, 0.8) for name in VMS}
         fleet.store.delays = {name: rng.uniform(0.1, 0.3) for name in VMS}
@@ -52,7 +44,7 @@
 
 def test_long_configuration_is_fetched_from_the_store_rather_than_over_the_links_of_vms(simulate):
     async def scenario(fleet):
-        await start_fleet(fleet, VMS)
+        await start_fleet(fleet)
         before = fleet.copied_bytes
         fleet.store.put("op/blob", b"x" * LONG_BYTES)
         await wait_for_version(fleet, 2)
@@ -64,7 +56,7 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_configuration_reaches_vms_that_follow_when_half_of_the_vms_are_killed(simulate, seed):
     async def scenario(fleet):
-        await start_fleet(fleet, VMS)
+        await start_fleet(fleet)
         rng = random.Random(seed)
         fleet.store.put("op/config", simulated_fleet.make_deployment(2))
         changed_at = clock.now()
