Copy the contents of caches from a serving VM when a VM begins to serve

Change: it asks ready serving VMs by turns for the contents of eight caches at a time, at 0.3 of its link, and polls only those that none knows, and those that it is responsible for.

Test: test_vm_that_begins_to_serve_copies_the_contents_of_caches_from_another; without the copies not met within 3 s.

--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -445,3 +445,17 @@
     partial: bool = False
     era: int = store_revision.UNKNOWN_ERA
     deferred: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheRequest:
+    """Request of a VM that begins to serve, for the contents of some prompt caches."""
+
+    holders: list[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheContents:
+    """Contents of the requested prompt caches that the sender knows, each as one report."""
+
+    reports: list[CacheReport]
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -216,6 +216,7 @@
             self._state,
             adapter.upstream_codec,
             self._connections,
+            self._peers,
             vm_settings.link_bits_per_second,
         )
         self._crash_watcher = crash_watcher.CrashWatcher(self._state, self._connections)
@@ -449,6 +450,8 @@
                 return self._state.fleet_status(clock.now())
             case heartbeat.CopyRequest():
                 return self._store_watcher.copy(message)
+            case heartbeat.CacheRequest():
+                return self._cache_watcher.contents(message)
             case _:
                 self._log.info("unexpected message", sender=sender.name)
         return None
--- a/hollyring/node/cache_updates.py
+++ b/hollyring/node/cache_updates.py
@@ -62,6 +62,11 @@
         for held in report.changes:
             self._caches.set(report.holder, capacity, held.salt, held.part, held.tokens)
 
+    def contents(self, holder: str) -> heartbeat.CacheReport:
+        """Return the known contents of one prefix cache as a report."""
+        parts = [heartbeat.CachedPart(*part) for part in self._caches.contents(holder)]
+        return heartbeat.CacheReport(holder, True, True, parts)
+
     def touch(self, cached: heartbeat.CachedPrompt) -> None:
         """Record that an upstream, and the store that it saved to, cache a prompt."""
         upstream = self._registry.get(cached.upstream)
--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -1,12 +1,11 @@
 """Watcher of the prefix caches of upstreams and cache stores, called holders.
 
-Every serving VM polls the events of each holder once, when it begins to serve or when the holder
-appears, so that it has the recent contents at once. After that, each holder is polled by only one
-VM, the ready serving one that ranks first for it by rendezvous hashing, which reports the changes
-to the others.
+Each holder is polled by only one VM, the ready serving one that ranks first for it by rendezvous
+hashing, which reports the changes to the others. A VM that begins to serve copies the contents of
+the other caches from serving VMs, and polls only those that none of them knows.
 
-A first poll returns up to thousands of events. All at once they would fill a narrow link for
-seconds, in which nothing else reaches the VM; so they take turns and use a share of the link.
+A copy or a first poll returns up to thousands of parts. All at once they would fill a narrow link
+for seconds, in which nothing else reaches the VM; so they take turns and use a share of the link.
 
 An upstream in backoff is not polled: a poll occupies one of the few that it holds at once, and the
 changes missed meanwhile follow with the next one.
@@ -16,13 +15,22 @@
 
 import collections
 import math
+import random
 
 import anyio
 import anyio.abc
 
 from hollyring.core import rendezvous
 from hollyring.membership import heartbeat
-from hollyring.node import clock, connection_pool, http_connection, interfaces, logs, state
+from hollyring.node import (
+    clock,
+    connection_pool,
+    http_connection,
+    interfaces,
+    logs,
+    peers,
+    state,
+)
 
 POLL_WAIT_SECONDS = 1.0
 BATCH_DELAY_SECONDS = 0.1
@@ -32,6 +40,13 @@
 FIRST_POLL_LINK_SHARE = 0.3
 """Most first polls at once, and the share of the VM's link that they use in the mean."""
 
+COPIED_HOLDERS = 8
+"""Most caches whose contents are copied at once."""
+
+COPY_TIMEOUT_SECONDS = 0.5
+COPIED_PART_BYTES = 48
+"""Approximate size of one part in a copy."""
+
 FIRST_POLL_WAIT_SECONDS = 0.2
 """Time for which a first poll waits at a holder that has no events."""
 
@@ -61,6 +76,8 @@
         Encodes requests and decodes events.
     connections
         Connection pool for the holders.
+    peer_connections
+        Connections to the other VMs.
     link_bits_per_second
         Bandwidth of this VM's link.
     """
@@ -70,8 +87,10 @@
         vm_state: state.State,
         codec: interfaces.UpstreamCodec,
         connections: connection_pool.ConnectionPool,
+        peer_connections: peers.PeerConnections,
         link_bits_per_second: float = math.inf,
     ) -> None:
+        self._peers = peer_connections
         self._link_bits_per_second = link_bits_per_second
         self._first_polls = anyio.Semaphore(FIRST_POLLS_AT_ONCE)
         self._state = vm_state
@@ -79,13 +98,17 @@
         self._connections = connections
         self._epochs: dict[str, int] = {}
         self._after: dict[str, int] = {}
+        self._copied: set[str] = set()
+        self._unknown_to_others: set[str] = set()
         self._watched: dict[str, anyio.CancelScope] = {}
+        self._rng = random.Random(str(vm_state.vm_info.life))
         self._log = logs.Logger("caches")
 
     async def run(self) -> None:
         """Poll the holders until cancelled."""
         async with anyio.create_task_group() as group:
             await anyio.sleep(START_DELAY_SECONDS)
+            group.start_soon(self._copy_contents)
             while True:
                 self._tick(group)
                 serving = self._state.peers.is_serving
@@ -96,27 +119,68 @@
         for holder in [holder for holder in self._epochs if holder not in holders]:
             del self._epochs[holder]
             self._after.pop(holder, None)
+        self._copied &= holders.keys()
+        self._unknown_to_others &= holders.keys()
         for holder in [holder for holder in self._watched if holder not in holders]:
             self._watched.pop(holder).cancel()
         for holder, address in holders.items():
             if holder in self._watched:
                 continue
-            if holder in self._epochs and not self._is_responsible(holder):
+            is_first = holder in self._unknown_to_others and holder not in self._epochs
+            if not is_first and not self._is_responsible(holder):
                 continue
             scope = self._watched[holder] = anyio.CancelScope()
             group.start_soon(self._watch, holder, address, scope)
 
+    def contents(self, request: heartbeat.CacheRequest) -> heartbeat.CacheContents:
+        """Return the contents of the requested caches that this VM knows."""
+        known = [h for h in request.holders if h in self._epochs or h in self._copied]
+        reports = [self._state.caches.contents(holder) for holder in known[:COPIED_HOLDERS]]
+        return heartbeat.CacheContents(reports)
+
+    async def _copy_contents(self) -> None:
+        """Copy the contents of the caches that this VM does not know from other serving VMs."""
+        while True:
+            holders = self._state.caches.holders() if self._state.peers.is_serving else {}
+            settled = self._epochs.keys() | self._copied | self._unknown_to_others
+            unknown = [holder for holder in holders if holder not in settled]
+            if not unknown:
+                await anyio.sleep(TICK_SECONDS)
+                continue
+            wanted = self._rng.sample(unknown, min(COPIED_HOLDERS, len(unknown)))
+            parts = await self._copy_from_one_vm(wanted)
+            bits = parts * COPIED_PART_BYTES * 8
+            await anyio.sleep(bits / (self._link_bits_per_second * FIRST_POLL_LINK_SHARE))
+
+    async def _copy_from_one_vm(self, holders: list[str]) -> int:
+        """Copy the contents of some caches, or note that they must be polled; return the parts."""
+        addresses = [vm.peer_address for vm in self._serving_others()]
+        reply: object | None = None
+        if addresses:
+            request = heartbeat.CacheRequest(holders)
+            address = self._rng.choice(addresses)
+            reply = await self._peers.call(address, request, COPY_TIMEOUT_SECONDS)
+        reports = reply.reports if isinstance(reply, heartbeat.CacheContents) else []
+        for report in reports:
+            self._copied.add(report.holder)
+            self._state.caches.apply_report(report, clock.now())
+        self._unknown_to_others.update(set(holders) - self._copied)
+        return sum(len(report.changes) for report in reports)
+
+    def _serving_others(self) -> list[heartbeat.VmInfo]:
+        """Return the other ready VMs that serve."""
+        serving = {vm.name for vm in self._state.peers.serving}
+        return [
+            peer.vm
+            for peer in self._state.peers.alive(clock.now())
+            if peer.ready and peer.vm.name in serving
+        ]
+
     def _is_responsible(self, holder: str) -> bool:
         vm_state = self._state
         if not vm_state.ready:
             return False
-        serving = {vm.name for vm in vm_state.peers.serving}
-        names = [vm_state.vm_info.name]
-        names += [
-            peer.vm.name
-            for peer in vm_state.peers.alive(clock.now())
-            if peer.ready and peer.vm.name in serving
-        ]
+        names = [vm_state.vm_info.name, *(vm.name for vm in self._serving_others())]
         return rendezvous.rank(holder.encode(), names)[0] == vm_state.vm_info.name
 
     async def _watch(self, holder: str, address: str, scope: anyio.CancelScope) -> None:
--- a/hollyring/node/heartbeat_messages.py
+++ b/hollyring/node/heartbeat_messages.py
@@ -13,5 +13,7 @@
         heartbeat.FleetStatus,
         heartbeat.CopyRequest,
         heartbeat.Copy,
+        heartbeat.CacheRequest,
+        heartbeat.CacheContents,
     )
 }
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -164,6 +164,14 @@
   8: optional bool deferred
 }
 
+struct MembershipCacheRequest {
+  1: optional list<string> holders
+}
+
+struct MembershipCacheContents {
+  1: optional list<MembershipCacheNews> reports
+}
+
 struct ConfigurationDigest {
   1: optional i64 revision
   2: optional string digest
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -244,6 +244,8 @@
                 copy = vm.store_watcher.copy(message)
                 self._fleet.copied_bytes += sum(len(item.value) for item in copy.items)
                 return copy
+            case heartbeat.CacheRequest():
+                return vm.cache_watcher.contents(message)
 
     async def _travel(self, address):
         """Wait until the VM at an address reads a message."""
@@ -302,7 +304,7 @@
             self.state, client, self.store_watcher, codec, connections, self.heartbeats.send_now
         )
         self.cache_watcher = cache_watcher.CacheWatcher(
-            self.state, codec, connections, fleet.link_bits_per_second
+            self.state, codec, connections, peers, fleet.link_bits_per_second
         )
         self.scope = anyio.CancelScope()
         self._exchange_delay = fleet.first_start_delay * 1.2
--- a/hollyring/node/tests/test_cache_watcher.py
+++ b/hollyring/node/tests/test_cache_watcher.py
@@ -137,3 +137,23 @@
         assert all(upstream.event_polls for upstream in fleet.upstreams.values())
 
     simulate(scenario, vms=("vm-1",), upstreams=[f"u-{n}" for n in range(20)])
+
+
+def test_vm_that_begins_to_serve_copies_the_contents_of_caches_from_another(simulate):
+    async def scenario(fleet):
+        fleet.start("vm-1")
+        fleet.start("vm-2")
+        await anyio.sleep(1.5)
+        for name, upstream in fleet.upstreams.items():
+            upstream.set_cached(SALT, f"of-{name}", TOKENS)
+        await anyio.sleep(2.0)
+        fleet.poll_seconds = 10.0
+        new = fleet.start("vm-3")
+        await fleet.wait_until(
+            lambda: all(
+                cached_tokens(new, name, f"of-{name}") == TOKENS for name in fleet.upstreams
+            ),
+            3.0,
+        )
+
+    simulate(scenario, upstreams=[f"u-{n}" for n in range(20)])
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -724,7 +724,7 @@
             order = fleet.Order("id", 41, "i-0", change, clock.now() + 1.0, expected=0)
             await controller._send(upstream, order)
         case "cache events":
-            watcher = cache_watcher.CacheWatcher(vm.state, codec, vm.pool)
+            watcher = cache_watcher.CacheWatcher(vm.state, codec, vm.pool, None)
             await watcher._poll_first("i-0", upstream.entry.address)
     for number in range(4):
         assert (await vm.send_request(f"r-{number}")).body == b"done by i-1"
--- a/hollyring/routing/prefix_caches.py
+++ b/hollyring/routing/prefix_caches.py
@@ -52,6 +52,10 @@
             _, dropped = self._held.popitem(last=False)
             self._tokens -= dropped
 
+    def contents(self) -> list[tuple[str, str, int]]:
+        """Return salt, name and cached tokens of each part, the least recently used one first."""
+        return [(salt, name, tokens) for (salt, name), tokens in self._held.items()]
+
     def leading_tokens(self, salt: str, parts: Sequence[request_types.Part]) -> int:
         """Return the length of the cached prefix of `parts`, in tokens."""
         tokens = 0
@@ -101,6 +105,11 @@
         cache = self._caches.get(holder)
         return cache.leading_tokens(salt, parts) if cache else 0
 
+    def contents(self, holder: str) -> list[tuple[str, str, int]]:
+        """Return salt, name and cached tokens of the parts at `holder`, as `PrefixCache` does."""
+        cache = self._caches.get(holder)
+        return cache.contents() if cache else []
+
     def remove_holder(self, holder: str) -> None:
         """Drop the estimate for a holder that restarted, left or changed its weights."""
         self._caches.pop(holder, None)
