Forget blames when refusing requests has not helped the others

Seen when reading the change: servers that crash whatever they answer, as of a faulty release, leave every common part under suspicion; all requests with them would be refused for 300 s, with nothing let through that could clear them.

Change: after 20 refusals and 10 s without an answer that ended whole, a VM forgets all blames and believes none for 30 s. Test: node/tests/test_crash_reports.py; without the change the part stays refused.

--- a/hollyring/node/crash_reports.py
+++ b/hollyring/node/crash_reports.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 
 import anyio
 
@@ -15,6 +16,16 @@
 REPEAT_SECONDS = 10.0
 """Time for which a crash that this VM saw is repeated, for VMs that missed its report."""
 
+FUTILE_REFUSALS = 20
+FUTILE_SECONDS = 10.0
+"""Refusals and time without any answer that ended whole, from which blames count as wrong.
+
+Servers that crash whatever they answer, as of a faulty release, leave every part under suspicion.
+"""
+
+DISTRUST_SECONDS = 30.0
+"""Time after that for which nothing is blamed."""
+
 MAX_PENDING_SERVERS = 128
 MAX_EVENTS_BEFORE_CRASH = 1
 """Most events of an answer whose request may have crashed its server: it does so as it begins."""
@@ -52,6 +63,9 @@
         self._own: list[_OwnReport] = []
         self._sound: set[str] = set()
         self._new_blames: list[crashes.Blame] = []
+        self._refusals_since_whole = 0
+        self._whole_at = -math.inf
+        self._distrust_until = -math.inf
         self._broken = anyio.Event()
         self._counts: collections.Counter[str] = collections.Counter()
         self._log = logs.Logger("crashes")
@@ -104,21 +118,37 @@
 
     def record_whole(self, prompt: request_types.Prompt | None) -> None:
         """Record that an answer ended whole, so that no part of its prompt crashes servers."""
-        suspected = self._crashes.record_sound(crashes.part_hashes(prompt), clock.now())
-        self._sound |= suspected
+        self._whole_at = clock.now()
+        self._refusals_since_whole = 0
+        self._sound |= self._crashes.record_sound(crashes.part_hashes(prompt), self._whole_at)
 
     def blame_of(self, prompt: request_types.Prompt | None) -> crashes.Blame | None:
         """Return the blame of a part of a prompt, None if none is blamed."""
         if prompt is None or not self._crashes.any_blamed:
             return None
-        return self._crashes.blamed(crashes.part_hashes(prompt), clock.now())
+        blame = self._crashes.blamed(crashes.part_hashes(prompt), clock.now())
+        if blame is not None:
+            self._refusals_since_whole += 1
+        return blame
 
     def tick(self, now: float) -> None:
         """Decide which parts are to blame."""
+        if self._is_futile(now):
+            self._log.info("blames forgotten as no answer ends whole")
+            self._crashes.forget_all()
+            self._refusals_since_whole = 0
+            self._distrust_until = now + DISTRUST_SECONDS
+        if now < self._distrust_until:
+            return
         for blame in self._crashes.decide(now):
             self._new_blames.append(blame)
             self._log_blame(blame, self._vm)
 
+    def _is_futile(self, now: float) -> bool:
+        """Return whether refusing requests has not helped the others."""
+        refuses = self._refusals_since_whole >= FUTILE_REFUSALS
+        return refuses and now - self._whole_at > FUTILE_SECONDS
+
     def receive(self, sender: str, message: heartbeat.Heartbeat, now: float) -> None:
         """Process what another VM's heartbeat tells of crashes."""
         self._crashes.record_sound(message.sound_parts, now)
@@ -130,6 +160,8 @@
 
     def adopt(self, sender: str, blamed: list[heartbeat.BlamedParts], now: float) -> None:
         """Blame the parts that another VM blames."""
+        if now < self._distrust_until:
+            return
         for item in blamed:
             blame = crashes.Blame(frozenset(item.parts), tuple(item.servers), tuple(item.witnesses))
             if self._crashes.adopt(blame, now):
--- /dev/null
+++ b/hollyring/node/tests/test_crash_reports.py
@@ -0,0 +1,57 @@
+"""What one VM concludes from the crashes that it sees."""
+
+import pytest
+
+from hollyring.core import request_types
+from hollyring.node import clock, crash_reports
+from hollyring.routing import crashes, registry
+
+
+@pytest.fixture
+def now(monkeypatch):
+    """Return a list whose only item is the time."""
+    time = [100.0]
+    monkeypatch.setattr(clock, "now", lambda: time[0])
+    return time
+
+
+def prompt(*names):
+    return request_types.Prompt("m", tuple(request_types.Part(n, 10) for n in names), 10, 5)
+
+
+def crash(reports, number, broken):
+    entry = registry.Entry(f"ls-{number}", "s", f"h:{number}", "a", 8, False, 1, {})
+    reports.record_broken(registry.Upstream(entry), broken, 0)
+    for pending in reports.pending():
+        reports.resolve(pending, crashed=True)
+
+
+def test_blames_are_forgotten_when_servers_crash_whatever_they_answer(now):
+    reports = crash_reports.CrashReports("vm-1")
+    reports.record_whole(prompt("a", "own"))
+    now[0] += 5.0
+    for number in range(3):
+        crash(reports, number, prompt("a", "own"))
+    now[0] += crashes.SETTLE_SECONDS
+    reports.tick(now[0])
+    assert reports.blame_of(prompt("a", "x")) is not None
+    for _ in range(crash_reports.FUTILE_REFUSALS):
+        reports.blame_of(prompt("a", "x"))
+    now[0] += crash_reports.FUTILE_SECONDS
+    blamed = reports.blamed_parts()
+    reports.tick(now[0])
+    reports.adopt("vm-2", blamed, now[0])
+    assert reports.blame_of(prompt("a", "x")) is None
+
+
+def test_blame_stays_while_other_answers_end_whole(now):
+    reports = crash_reports.CrashReports("vm-1")
+    for number in range(3):
+        crash(reports, number, prompt("bad", "own"))
+    now[0] += crashes.SETTLE_SECONDS
+    reports.tick(now[0])
+    for _ in range(100):
+        now[0] += 0.5
+        assert reports.blame_of(prompt("bad", "x")) is not None
+        reports.record_whole(prompt("good", "own"))
+        reports.tick(now[0])
--- a/hollyring/routing/crashes.py
+++ b/hollyring/routing/crashes.py
@@ -225,6 +225,12 @@
         """Return the blames that hold."""
         return [sentence.blame for sentence in self._blamed.values()]
 
+    def forget_all(self) -> None:
+        """Forget all blames and crashes, as they do not explain why servers crash."""
+        self._records.clear()
+        self._blamed.clear()
+        self._released.clear()
+
     def _speaks_for(self, part: str, crashed_at: float) -> bool:
         return self._sound.get(part, -math.inf) >= crashed_at - SOUND_SECONDS
 
