Decide nothing by an old copy when another VM has named a later change (CONFIG)

Change: without the store's answer, old copies decide requests only until another VM has named a later change for half of the bound; then they are refused at once, not run, and the health check says not ready.

Tests: test_freshness, test_late_knowledge; both fail without the change.

--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -17,6 +17,9 @@
 USE_SHARE = 0.85
 """Share of the bound up to which the copy is used; the rest is for sending what it decides."""
 
+BEHIND_SHARE = 0.5
+"""Share of the bound after which a VM that knows of a later change decides nothing without it."""
+
 WATCHER_CHECK_SHARE = 0.2
 """Share of the bound after which a VM asks the store on which the others rely."""
 
@@ -33,7 +36,8 @@
     bound_seconds
         Time after an acknowledged change from which no older copy may be used.
     serves_without_store
-        Whether an older copy is used while the store does not answer this VM.
+        Whether an older copy is used while the store does not answer this VM, unless another VM
+        has named a later change.
     """
 
     bound_seconds: float = 2.0
@@ -61,10 +65,19 @@
     True
     """
 
-    __slots__ = ("_complete_at", "_rules", "_unanswered", "_largest", "_previous", "_window_at")
+    __slots__ = (
+        "_complete_at",
+        "_behind_since",
+        "_rules",
+        "_unanswered",
+        "_largest",
+        "_previous",
+        "_window_at",
+    )
 
     def __init__(self, prefixes: Iterable[str], rules: FreshnessRules) -> None:
         self._complete_at = dict.fromkeys(prefixes, -math.inf)
+        self._behind_since: dict[str, float] = {}
         self._rules = rules
         self._unanswered = False
         self._largest = 0.0
@@ -91,6 +104,15 @@
         if prefix in self._complete_at:
             self._complete_at[prefix] = max(self._complete_at[prefix], at)
 
+    def record_behind(self, prefix: str, now: float) -> None:
+        """Record that another VM has named a change that the copy of a prefix lacks."""
+        if prefix in self._complete_at:
+            self._behind_since.setdefault(prefix, now)
+
+    def record_caught_up(self, prefix: str) -> None:
+        """Record that the copy of a prefix has every change that other VMs have named."""
+        self._behind_since.pop(prefix, None)
+
     def record_answered(self) -> None:
         """Record that the store answered."""
         self._unanswered = False
@@ -126,7 +148,13 @@
         """Return whether requests may be decided by the copies."""
         if not self.is_outdated(now):
             return True
-        return self._unanswered and self._rules.serves_without_store
+        return self._unanswered and self.may_use_without_store(now)
+
+    def may_use_without_store(self, now: float) -> bool:
+        """Return whether requests may be decided by old copies as the store does not answer."""
+        behind_since = min(self._behind_since.values(), default=math.inf)
+        is_behind = now - behind_since > BEHIND_SHARE * self._rules.bound_seconds
+        return self._rules.serves_without_store and not is_behind
 
     def record_use(self, now: float) -> None:
         """Record that a request is decided by the copies."""
--- a/hollyring/configuration/tests/test_freshness.py
+++ b/hollyring/configuration/tests/test_freshness.py
@@ -57,3 +57,13 @@
     fresh.record_use(112.0)
     assert fresh.largest_age(112.0) == 1.5
     assert fresh.largest_age(130.0) == 0.0
+
+
+def test_old_copies_are_not_used_once_another_vm_has_named_a_later_change(fresh):
+    fresh.record_unanswered()
+    fresh.record_behind("op/", 110.0)
+    fresh.record_behind("op/", 110.9)
+    assert fresh.may_use(110.9)
+    assert not fresh.may_use(111.1)
+    fresh.record_caught_up("op/")
+    assert fresh.may_use(111.1)
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -89,7 +89,7 @@
             with anyio.move_on_after(due - now) as timer:
                 await self._checked.wait()
             if timer.cancelled_caught and clock.now() < due + LATE_TIMER_SECONDS:
-                return freshness.rules.serves_without_store
+                return freshness.may_use_without_store(clock.now())
         return True
 
     def _seconds_until_due(self) -> float:
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -278,13 +278,22 @@
         """Fetch from other VMs the changes that this VM's watch has not delivered."""
         while True:
             await self._revisions_noticed.wait()
-            if self._peer_ahead(prefix) is None:
+            if not self._is_behind(prefix):
                 continue
             if self._state.peers.should_watch_store(clock.now()):
                 await anyio.sleep(self._batch_delay(prefix) + PEER_COPY_DELAY_SECONDS)
             peer = self._peer_ahead(prefix)
             if peer is not None:
                 await self._copy_from(peer.vm, prefix)
+            self._is_behind(prefix)
+
+    def _is_behind(self, prefix: str) -> bool:
+        """Return, and record, whether another VM has named a change that this one lacks."""
+        if self._peer_ahead(prefix) is None:
+            self._state.freshness.record_caught_up(prefix)
+            return False
+        self._state.freshness.record_behind(prefix, clock.now())
+        return True
 
     def _batch_delay(self, prefix: str) -> float:
         is_vm_list = prefix == self._state.store_keys.vms
--- a/hollyring/node/tests/test_late_knowledge.py
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -70,3 +70,22 @@
         )
 
     simulate(scenario, vms=VMS)
+
+
+def test_vm_that_hears_of_a_change_but_gets_it_from_nobody_decides_nothing(simulate):
+    async def scenario(fleet):
+        await start_fleet(fleet, VMS[:9])
+        vm = fleet.vms["vm-08"]
+        fleet.store.unreachable_from = {"vm-08"}
+        fleet.delays = {"vm-08": 0.6}
+        await anyio.sleep(CONFIGURATION_SECONDS)
+        assert vm.state.freshness.may_use(clock.now())
+        fleet.store.put("op/config", simulated_fleet.make_deployment(2))
+        await anyio.sleep(CONFIGURATION_SECONDS)
+        assert vm.state.configuration_version == 1
+        assert not await vm.store_checker.wait_current(clock.now() + 1.0)
+        fleet.delays = {}
+        await fleet.wait_until(lambda: vm.state.configuration_version == 2, 1.5)
+        assert await vm.store_checker.wait_current(clock.now() + 1.0)
+
+    simulate(scenario, vms=VMS[:9])
