--- a/hollyring/node/tests/test_store_restore_random.py
+++ b/hollyring/node/tests/test_store_restore_random.py
@@ -1,6 +1,6 @@
 """The store steps back at any moment of a day with changes, cuts, restarts and rollouts.
 
-``RESTORE_SEEDS`` in the environment sets the number of seeds.
+``RESTORE_SEEDS`` in the environment sets the number of seeds, ``RESTORE_VMS`` that of the VMs.
 """
 
 import os
@@ -13,7 +13,7 @@
 from hollyring.node.tests import simulated_fleet
 
 SEEDS = int(os.environ.get("RESTORE_SEEDS", "4"))
-VMS = [f"vm-{n}" for n in range(1, 10)]
+VMS = [f"vm-{n}" for n in range(1, 1 + int(os.environ.get("RESTORE_VMS", "9")))]
 DAY_SECONDS = 30.0
 REGISTRATION_SECONDS = 2.0
 REWRITE_SECONDS = 1.9
