Registrations after the store's return: not judged when the store goes away again, and harness mended

Such a return is not judged, as one that another follows never was; the other returns are judged as before.

--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -242,7 +242,8 @@
                 return vm.state.fleet_status(clock.now())
             case heartbeat.CopyRequest():
                 copy = vm.store_watcher.copy(message)
-                self._fleet.copied_bytes += sum(len(item.value) for item in copy.items)
+                if copy is not None:
+                    self._fleet.copied_bytes += sum(len(item.value) for item in copy.items)
                 return copy
             case heartbeat.CacheRequest():
                 return vm.cache_watcher.contents(message)
--- a/hollyring/node/tests/test_store_restore_random.py
+++ b/hollyring/node/tests/test_store_restore_random.py
@@ -3,6 +3,7 @@
 ``RESTORE_SEEDS`` in the environment sets the number of seeds, ``RESTORE_VMS`` that of the VMs.
 """
 
+import math
 import os
 import random
 
@@ -37,6 +38,7 @@
         self._seen = {}
         self._isolated = set()
         self._store_away = False
+        self._away_since = -math.inf
 
     async def run(self):
         """Run the day, repair all faults, and wait until everything is up to date."""
@@ -156,6 +158,7 @@
 
     async def away(self, seconds):
         self._store_away = True
+        self._away_since = clock.now()
         self.apply_cuts()
         await anyio.sleep(seconds)
         self._store_away = False
@@ -170,7 +173,8 @@
         store = self.fleet.store
         returned_at, returned_to = clock.now(), store.revision
         await anyio.sleep(REGISTRATION_SECONDS)
-        if store.era != era or len(self.fleet.vms) < len(VMS):
+        went_away_again = self._away_since > returned_at
+        if store.era != era or went_away_again or len(self.fleet.vms) < len(VMS):
             return
         self.checked_returns += 1
         written = {c.key for c in store.changes if c.revision.number > returned_to}
