Let an answer that ends whole clear the blames that have expired, too

Test: test_part_that_proves_sound_after_its_blame_is_not_blamed_for_one_crash, failed before. Two classes and methods of the module have plainer names.

--- a/hollyring/routing/crashes.py
+++ b/hollyring/routing/crashes.py
@@ -33,7 +33,7 @@
 """Time after a crash for other VMs to name the parts that are not to blame."""
 
 SOUND_SECONDS = 2.0
-"""Time for which an answer that ended whole speaks for its parts in a later crash."""
+"""Time for which an answer that ended whole clears its parts of a later crash."""
 
 RECORD_SECONDS = 60.0
 """Time for which a crash counts."""
@@ -103,7 +103,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Sentence:
+class _ActiveBlame:
     blame: Blame
     until: float
 
@@ -128,15 +128,17 @@
     ('vm-0', 'vm-1', 'vm-2')
     """
 
-    __slots__ = ("_records", "_sound", "_blamed", "_released", "_undecided")
+    __slots__ = ("_records", "_sound", "_blamed", "_expired", "_undecided")
 
     def __init__(self) -> None:
         self._records: collections.OrderedDict[identities.Incarnation, _Record] = (
             collections.OrderedDict()
         )
         self._sound: collections.OrderedDict[str, float] = collections.OrderedDict()
-        self._blamed: collections.OrderedDict[frozenset[str], _Sentence] = collections.OrderedDict()
-        self._released: collections.OrderedDict[frozenset[str], None] = collections.OrderedDict()
+        self._blamed: collections.OrderedDict[frozenset[str], _ActiveBlame] = (
+            collections.OrderedDict()
+        )
+        self._expired: collections.OrderedDict[frozenset[str], None] = collections.OrderedDict()
         self._undecided = False
 
     @property
@@ -155,7 +157,7 @@
         if record is None:
             record = self._records[report.server] = _Record(now, set(), {})
             _limit(self._records, MAX_RECORDS)
-        sound = {part for part in report.parts if self._speaks_for(part, record.at)}
+        sound = {part for part in report.parts if self._is_cleared_by_answer(part, record.at)}
         for part in sorted(report.parts - sound):
             if len(record.candidates) >= MAX_PARTS_PER_RECORD and part not in record.candidates:
                 break
@@ -172,6 +174,8 @@
             self._sound.move_to_end(part)
             if self._clear_of_blame(part):
                 suspected.add(part)
+            for group in [group for group in self._expired if part in group]:
+                del self._expired[group]
             for record in self._records.values():
                 if part in record.candidates:
                     record.candidates.discard(part)
@@ -205,7 +209,7 @@
 
     def adopt(self, blame: Blame, now: float) -> bool:
         """Take another VM's blame, but for sound parts; return whether something is new."""
-        parts = frozenset(part for part in blame.parts if not self._speaks_for(part, now))
+        parts = frozenset(part for part in blame.parts if not self._is_cleared_by_answer(part, now))
         if not parts or parts in self._blamed:
             return False
         self._blame(dataclasses.replace(blame, parts=parts), now)
@@ -216,52 +220,52 @@
         if not self._blamed:
             return None
         present = frozenset(parts)
-        for group, sentence in self._blamed.items():
-            if group <= present and now < sentence.until:
-                return sentence.blame
+        for group, active in self._blamed.items():
+            if group <= present and now < active.until:
+                return active.blame
         return None
 
     def blames(self) -> list[Blame]:
         """Return the blames that hold."""
-        return [sentence.blame for sentence in self._blamed.values()]
+        return [active.blame for active in self._blamed.values()]
 
     def forget_all(self) -> None:
         """Forget all blames and crashes, as they do not explain why servers crash."""
         self._records.clear()
         self._blamed.clear()
-        self._released.clear()
+        self._expired.clear()
 
-    def _speaks_for(self, part: str, crashed_at: float) -> bool:
+    def _is_cleared_by_answer(self, part: str, crashed_at: float) -> bool:
         return self._sound.get(part, -math.inf) >= crashed_at - SOUND_SECONDS
 
     def _blame(self, blame: Blame, now: float) -> None:
         """Begin to blame parts, and no longer a larger group that cannot be told apart."""
         for wider in [group for group in self._blamed if group > blame.parts]:
             del self._blamed[wider]
-        self._blamed[blame.parts] = _Sentence(blame, now + BLAME_SECONDS)
-        self._released.pop(blame.parts, None)
+        self._blamed[blame.parts] = _ActiveBlame(blame, now + BLAME_SECONDS)
+        self._expired.pop(blame.parts, None)
         _limit(self._blamed, MAX_BLAMED)
 
     def _clear_of_blame(self, part: str) -> bool:
         """Blame a part no longer, but the others of its groups; return whether it was blamed."""
         groups = [group for group in self._blamed if part in group]
         for group in groups:
-            sentence = self._blamed.pop(group)
+            active = self._blamed.pop(group)
             others = group - {part}
             if others:
-                sentence.blame = dataclasses.replace(sentence.blame, parts=others)
-                self._blamed[others] = sentence
+                active.blame = dataclasses.replace(active.blame, parts=others)
+                self._blamed[others] = active
         return bool(groups)
 
     def _groups_to_blame(self, records: _Records) -> list[frozenset[str]]:
         """Return the groups of parts that most crashes have in common, none if too few have."""
-        released = [
+        expired = [
             group
-            for group in self._released
+            for group in self._expired
             if any(group <= record.candidates for record in records.values())
         ]
-        if released:
-            return released
+        if expired:
+            return expired
         groups = _groups_by_crashes(records)
         most = max(map(len, groups), default=0)
         leaders = {crashed: parts for crashed, parts in groups.items() if len(crashed) == most}
@@ -281,11 +285,11 @@
     def _forget(self, now: float) -> None:
         while self._records and now - next(iter(self._records.values())).at > RECORD_SECONDS:
             self._records.popitem(last=False)
-        for group, sentence in list(self._blamed.items()):
-            if now >= sentence.until:
+        for group, active in list(self._blamed.items()):
+            if now >= active.until:
                 del self._blamed[group]
-                self._released[group] = None
-        _limit(self._released, MAX_BLAMED)
+                self._expired[group] = None
+        _limit(self._expired, MAX_BLAMED)
 
 
 def _groups_by_crashes(
--- a/hollyring/routing/tests/test_crashes.py
+++ b/hollyring/routing/tests/test_crashes.py
@@ -134,6 +134,17 @@
     assert blamed(table, end + 2.0) == ["bad"]
 
 
+def test_part_that_proves_sound_after_its_blame_is_not_blamed_for_one_crash(table):
+    for number in range(3):
+        crash(table, number, {"good"}, 10.0)
+    assert blamed(table, 11.0) == ["good"]
+    end = 11.0 + crashes.BLAME_SECONDS
+    assert blamed(table, end) == []
+    table.record_sound(["good"], end + 1.0)
+    crash(table, 9, {"good"}, end + 10.0)
+    assert blamed(table, end + 11.0) == []
+
+
 def test_blame_of_another_vm_is_adopted_but_for_parts_known_to_be_sound(table):
     table.record_sound(["good"], 10.0)
     assert not table.adopt(blame_of("good"), 11.0)
