Test what settings say of old copies, and the refusal while they must not be used

Cause: read again as a newcomer, two claims had no test: that fail_closed, config_apply_ms, drain_ms and link_mbps reach their rules, and that a request which old copies must not decide gets 503 with a time to return and reaches no upstream. Change: a test each; the player's 'hear' is 'receive', as in the code that it plays.

--- a/hollyring/node/tests/crash_player.py
+++ b/hollyring/node/tests/crash_player.py
@@ -98,7 +98,7 @@
         self.deadly_sent = {part: [] for part, _, _ in case.deadly}
         self.away_until = dict.fromkeys(self.vms, 0.0)
         self.starts = dict.fromkeys(self.vms, 0)
-        self.heard_starts = {name: dict(self.starts) for name in self.vms}
+        self.known_starts = {name: dict(self.starts) for name in self.vms}
         self.refresh = set()
         self.refused_sound = []
         self.served = 0
@@ -227,7 +227,7 @@
         for name in self.rng.sample(list(self.vms), max(1, len(self.vms) // 5)):
             self.vms[name] = self._reports(name)
             self.starts[name] += 1
-            self.heard_starts[name] = dict(self.starts)
+            self.known_starts[name] = dict(self.starts)
             self.away_until[name] = self.time + START_SECONDS
 
     def beat(self, name):
@@ -246,12 +246,12 @@
         for other in self.vms:
             if other != name:
                 delay = self.rng.uniform(0.002, 0.05)
-                self.at(self.time + delay, self.hear, other, name, self.starts[name], message)
+                self.at(self.time + delay, self.receive, other, name, self.starts[name], message)
 
-    def hear(self, name, sender, start, message):
-        if self.heard_starts[name][sender] != start:
-            # As in `state.State.receive`: what another VM's start may have lost is repeated.
-            self.heard_starts[name][sender] = start
+    def receive(self, name, sender, start, message):
+        if self.known_starts[name][sender] != start:
+            # As in `peer_messages.PeerMessages`: what another VM's start may have lost is repeated.
+            self.known_starts[name][sender] = start
             self.refresh.add(name)
         self.vms[name].receive(sender, message, self.time)
 
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from hollyring.configuration import mirror, store_revision
+from hollyring.configuration import freshness, mirror, store_revision
 from hollyring.core import request_types
 from hollyring.fleet import messages as fleet
 from hollyring.membership import heartbeat
@@ -300,6 +300,16 @@
     assert vm_settings.peer_address == "10.1.0.24:7600"
     assert vm_settings.seeds == ("10.1.0.24:7600", "10.2.0.3:7600")
     assert vm_settings.retry_rules.slack == 58
+    assert vm_settings.freshness_rules == freshness.FreshnessRules(2.0, serves_without_store=True)
+    assert vm_settings.link_bits_per_second == 1e9
+
+
+def test_the_shorter_bound_limits_the_age_of_copies():
+    bounds = "[bounds]\nconfig_apply_ms = 4000\ndrain_ms = 3000\nfail_closed = true"
+    text = SETTINGS.replace("[bounds]", bounds) + "[limits]\nlink_mbps = 10.0\n"
+    vm_settings = settings.parse(text)
+    assert vm_settings.freshness_rules == freshness.FreshnessRules(3.0, serves_without_store=False)
+    assert vm_settings.link_bits_per_second == 1e7
 
 
 @pytest.mark.parametrize(
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -57,10 +57,17 @@
         return True
 
 
+class NeverCurrent:
+    """Implementation of `relay.CopyChecker` for a VM whose copies are old and must not be used."""
+
+    async def wait_current(self, until):
+        return False
+
+
 class RelayVm:
     """A VM's state and relay, with `servers` registered."""
 
-    def __init__(self, servers, **route):
+    def __init__(self, servers, checker=None, **route):
         self.state = state.State(
             heartbeat.VmInfo("vm-1", 1, "c", "p", "dar-a", "dar"),
             documents.DocumentCodec(),
@@ -76,7 +83,7 @@
             upstreams.HttpUpstreamCodec(),
             self.pool,
             metrics.Metrics(),
-            AlwaysCurrent(),
+            checker or AlwaysCurrent(),
         )
 
     def register(self, server, life=1, leaving=False):
@@ -729,3 +736,12 @@
     for number in range(4):
         assert (await vm.send_request(f"r-{number}")).body == b"done by i-1"
     assert upstream.leaving
+
+
+@pytest.mark.anyio
+async def test_request_is_refused_at_once_while_old_copies_must_not_be_used(start_vm):
+    vm, servers = await start_vm("complete", checker=NeverCurrent())
+    caller = await vm.send_request()
+    assert caller.status == 503
+    assert float(caller.headers[b"retry-after"]) > 0.0
+    assert request_count(servers) == 0
