--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -219,7 +219,8 @@
 
     With `repeats`, an answer to a request (no stream), report or order is sent again when its
     connection has carried the next one, before the answer to that. With `leaves`, every answer says
-    that the server leaves.
+    that the server leaves; with a `request_limit`, every answer names it as the requests a second
+    that the server takes from all VMs together.
     """
 
     def __init__(self, name="i-1", behaviour="complete", events=5):
@@ -237,6 +238,7 @@
         self.event_seconds = 0.01
         self.repeats = False
         self.leaves = False
+        self.request_limit = None
         self.late_answers = {}
         self.states_not_run = True
         self.backoff_until = 0.0
@@ -299,10 +301,12 @@
             )
 
     def encode_response(self, status, body=b"", **headers):
-        return encode_response(status, body, **headers | self.leaving_header())
+        return encode_response(status, body, **headers | self.own_headers())
 
-    def leaving_header(self):
-        return {"server_leaving": 1} if self.leaves else {}
+    def own_headers(self):
+        leaving = {"server_leaving": 1} if self.leaves else {}
+        limit = {} if self.request_limit is None else {"server_limit": self.request_limit}
+        return leaving | limit
 
     def answer(self, writer, response):
         writer.write(response)
@@ -329,7 +333,7 @@
         first = int(request.headers.get("last-event-id", 0)) + 1
         head = ["HTTP/1.1 200 OK", "content-type: text/event-stream", "transfer-encoding: chunked"]
         head += [f"x-request-id: {request.headers['x-request-id']}", f"x-response-seal: {SEAL}"]
-        head += [f"server-leaving: {value}" for value in self.leaving_header().values()]
+        head += [f"{name.replace('_', '-')}: {v}" for name, v in self.own_headers().items()]
         writer.write("\r\n".join([*head, "", ""]).encode())
         if self.behaviour == "repeat":
             numbers = (1, 2, 2, *range(3, self.events + 1))
