Read, log and tell the request limits that upstreams name

An answer may name the requests a second that its upstream takes from all VMs together. Answers of all calls are read; heartbeats and statuses carry what is known with its age, and the latest observation wins, so that an ended limit is not taken up again.

--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -284,6 +284,25 @@
     witnesses: list[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamRequestLimit:
+    """Request limit that an incarnation of an upstream named, or its end.
+
+    Parameters
+    ----------
+    per_second
+        Requests per second that the upstream takes from all VMs together; negative if it names no
+        limit any more.
+    age_seconds
+        Time since the answer that the sender learnt it from.
+    """
+
+    upstream: str
+    life: int
+    per_second: float
+    age_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Status of a VM, sent to every serving VM several times a second.
@@ -322,6 +341,9 @@
         Hashes of prompt parts of which an answer ended whole though they were suspected.
     blamed_parts
         Prompt parts that the sender began to refuse and, at times, all that it refuses.
+    request_limits
+        Limits that upstreams began to name, changed or ended since the previous heartbeat and, at
+        times, all that the sender knows.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -346,6 +368,7 @@
     crashes: list[CrashedServer] = dataclasses.field(default_factory=list)
     sound_parts: list[str] = dataclasses.field(default_factory=list)
     blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
+    request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -372,6 +395,8 @@
         As in the sender's heartbeats; the revisions with their ages.
     blamed_parts
         All prompt parts that the sender refuses.
+    request_limits
+        All request limits of upstreams that the sender knows.
     """
 
     serving: bool
@@ -380,6 +405,7 @@
     revisions: list[PrefixRevision]
     wanted_versions: list[WantedVersionAge]
     blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
+    request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -421,6 +421,7 @@
             "open_requests": self._state.requests.open,
             "upstream_connections_opened": self._connections.opened,
             "upstream_backoffs_total": self._state.backoffs.recorded,
+            "upstream_limits_named_total": self._state.request_limits.named,
         }
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
         lines += [
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -139,12 +139,13 @@
                 raise errors.CallerLeftError("caller left before this attempt was sent")
             if self._is_unusable(upstream):
                 return request_context.Withdrawn()
+            sent_at = clock.now()
             exchange = connection.send(
                 self._request(context, selected),
                 self._codec.response_matcher(context.request_id),
                 context.request_id,
             )
-            return await self._receive(context, selected, exchange)
+            return await self._receive(context, selected, exchange, sent_at)
         except http_connection.NotSentError as error:
             return request_context.NotRun(str(error))
         except _ResponseTimeoutError as error:
@@ -194,12 +195,13 @@
         context: request_context.RequestContext,
         selected: selection.Selection,
         exchange: http_connection.Exchange,
+        sent_at: float,
     ) -> request_context.Outcome:
         """Receive the response; every wait ends at the deadline or the attempt's timeout."""
         upstream = selected.upstream
         head = self._codec.decode_head(await self._wait_for(context, selected, exchange.head))
         upstream.record_activity(clock.now())
-        self._state.observe_head(upstream, head)
+        self._state.observe_head(upstream, head, sent_at)
         if head.misdirected or head.not_run:
             return await self._handle_refusal(context, selected, head, exchange)
         if not head.authentic:
--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -264,11 +264,12 @@
         """
         after = self._after.get(holder, 0)
         request = self._codec.encode_events_request(address, after, seconds)
+        sent_at = clock.now()
         response = await self._connections.call(address, request, CALL_TIMEOUT_SECONDS)
         upstream = self._state.registry.get(holder)
         if upstream is not None:
             head = http_connection.ResponseHead(response.status, response.headers)
-            self._state.observe_head(upstream, self._codec.decode_head(head))
+            self._state.observe_head(upstream, self._codec.decode_head(head), sent_at)
         events = self._codec.decode_events(response.body) if response.status == HTTP_OK else None
         if events is None:
             raise http_connection.HttpConnectionError(
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -259,6 +259,8 @@
         Why a time that the response states is not in `retry_after_seconds`, None if it is.
     leaving
         Whether the upstream that responded announces that it leaves.
+    request_limit
+        Requests per second that the upstream takes from all VMs together, None if it names none.
     """
 
     status: int
@@ -271,6 +273,7 @@
     retry_after_seconds: float = 0.0
     retry_after_anomaly: RetryAfterAnomaly | None = None
     leaving: bool = False
+    request_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -99,6 +99,13 @@
   3: optional list<string> witnesses
 }
 
+struct MembershipUpstreamRequestLimit {
+  1: optional string upstream
+  2: optional i64 life
+  3: optional double per_second
+  4: optional double age_seconds
+}
+
 struct MembershipPulse {
   1: optional MembershipPlace place
   2: optional bool ready
@@ -120,6 +127,7 @@
   18: optional list<MembershipCrashedServer> crashes
   19: optional list<string> sound_parts
   20: optional list<MembershipBlamedParts> blamed_parts
+  21: optional list<MembershipUpstreamRequestLimit> request_limits
 }
 
 struct MembershipStatusRequest {
@@ -133,6 +141,7 @@
   4: optional list<MembershipMark> revisions
   5: optional list<MembershipNamed> wanted_versions
   6: optional list<MembershipBlamedParts> blamed_parts
+  7: optional list<MembershipUpstreamRequestLimit> request_limits
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -412,7 +412,7 @@
             return
         finally:
             self._reports_in_flight.discard(upstream.name)
-        self._observe_head(upstream, response)
+        self._observe_head(upstream, response, at)
         report = self._codec.decode_report(upstream.name, upstream.entry.life, response.body, at)
         if report is None:
             self._log.info("unreadable report", upstream=upstream.name)
@@ -474,14 +474,14 @@
             return messages.Outcome.NOT_SENT
         except http_connection.HttpConnectionError:
             return messages.Outcome.UNKNOWN
-        self._observe_head(upstream, response)
+        self._observe_head(upstream, response, now)
         return self._codec.decode_order_outcome(response.status)
 
     def _observe_head(
-        self, upstream: registry.Upstream, response: http_connection.Response
+        self, upstream: registry.Upstream, response: http_connection.Response, sent_at: float
     ) -> None:
         head = http_connection.ResponseHead(response.status, response.headers)
-        self._state.observe_head(upstream, self._codec.decode_head(head))
+        self._state.observe_head(upstream, self._codec.decode_head(head), sent_at)
 
     def _announce(
         self, upstream: registry.Upstream, model: str, version: int, loading: bool
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -33,6 +33,7 @@
     store_changes,
     store_era,
     upstream_backoffs,
+    upstream_limits,
 )
 from hollyring.routing import (
     prefix_caches,
@@ -112,6 +113,7 @@
         self.deployment: deployment.Deployment | None = None
         self.registry = registry.Registry()
         self.backoffs = upstream_backoffs.UpstreamBackoffs(self.registry)
+        self.request_limits = upstream_limits.UpstreamLimits(self.registry)
         self.prefix_caches = prefix_caches.PrefixCaches()
         self.wanted_versions = wanted_versions.WantedVersions(max_version_age_seconds)
         self.selector = selection.Selector(self.registry, self.prefix_caches, self.wanted_versions)
@@ -220,13 +222,22 @@
             active_ago=seconds_since(now, upstream.last_activity_at),
         )
 
-    def observe_head(self, upstream: registry.Upstream, head: interfaces.ResponseHead) -> None:
-        """Record what the head of an upstream's response says about sending it more.
+    def observe_head(
+        self, upstream: registry.Upstream, head: interfaces.ResponseHead, sent_at: float
+    ) -> None:
+        """Record what the head of a response says about sending its upstream more.
+
+        Parameters
+        ----------
+        sent_at
+            Time at which the request or call was sent.
 
         The response may be that of another instance at the same address, which then leaves.
         """
         self.backoffs.record(upstream, head)
         sender = self.registry.get(head.upstream) if head.upstream else upstream
+        if sender is not None:
+            self.request_limits.record(sender, head, sent_at, clock.now())
         if head.leaving and sender is not None:
             self.record_answered_departure(sender)
 
@@ -390,6 +401,7 @@
         self._rates.set_reachable_fraction(self.peers.reachable_fraction(now))
         self._retries.resize(self.sharing_vms)
         self.registry.forget_departures(now)
+        self.registry.request_limits.forget(now)
         for name in self.peers.remove_silent(now):
             self._log.info("silent VM removed", vm=name)
         self._store_changes.tick(now)
@@ -446,6 +458,7 @@
             revisions,
             self.wanted_version_ages(now),
             self.crashes.blamed_parts(),
+            self.request_limits.all(now),
         )
 
     def _age_to_report(self, prefix: str, now: float) -> float:
--- /dev/null
+++ b/hollyring/node/upstream_limits.py
@@ -0,0 +1,92 @@
+"""Recording of the request limits that upstreams name in their answers."""
+
+from __future__ import annotations
+
+from hollyring.core import identities
+from hollyring.membership import heartbeat
+from hollyring.node import interfaces, logs
+from hollyring.routing import registry, request_limits
+
+NO_LIMIT = -1.0
+"""Rate in messages that tell of the end of a limit."""
+
+
+class UpstreamLimits:
+    """Records limits, logs them and tells the other VMs.
+
+    Parameters
+    ----------
+    upstreams
+        Registry whose limits are updated.
+    """
+
+    __slots__ = ("_limits", "_news", "_named", "_log")
+
+    def __init__(self, upstreams: registry.Registry) -> None:
+        self._limits = upstreams.request_limits
+        self._news: set[identities.Incarnation] = set()
+        self._named = 0
+        self._log = logs.Logger("limits")
+
+    @property
+    def named(self) -> int:
+        """Number of limits that upstreams named or changed since the start, as this VM knows."""
+        return self._named
+
+    def record(
+        self,
+        upstream: registry.Upstream,
+        head: interfaces.ResponseHead,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Record what an answer to a request that was sent at `sent_at` says of the limit."""
+        if head.request_limit is None and not (head.authentic or head.not_run):
+            # Answers to other calls than requests need not name a limit that holds.
+            return
+        if self._limits.record(upstream.incarnation, head.request_limit, sent_at, now):
+            self._news.add(upstream.incarnation)
+            self._log_change(upstream.incarnation, "answer")
+
+    def receive(
+        self, sender: str, reported: list[heartbeat.UpstreamRequestLimit], now: float
+    ) -> None:
+        """Take what another VM tells of limits."""
+        for item in reported:
+            upstream = identities.Incarnation(item.upstream, item.life)
+            per_second = item.per_second if item.per_second > 0.0 else None
+            observed = request_limits.ObservedLimit(per_second, now - item.age_seconds)
+            if self._limits.adopt(upstream, observed):
+                self._log_change(upstream, sender)
+
+    def take_news(self, now: float, repeat: bool) -> list[heartbeat.UpstreamRequestLimit]:
+        """Return what to tell in the next heartbeat: what has changed, or all that is known."""
+        news, self._news = self._news, set()
+        return [item for item in self.all(now) if repeat or _incarnation(item) in news]
+
+    def all(self, now: float) -> list[heartbeat.UpstreamRequestLimit]:
+        """Return all that is known of limits."""
+        return [
+            heartbeat.UpstreamRequestLimit(
+                upstream.name,
+                upstream.number,
+                NO_LIMIT if observed.per_second is None else observed.per_second,
+                round(now - observed.at, 3),
+            )
+            for upstream, observed in self._limits.observations()
+        ]
+
+    def _log_change(self, upstream: identities.Incarnation, source: str) -> None:
+        per_second = self._limits.per_second(upstream)
+        self._named += per_second is not None
+        self._log.info(
+            "upstream ended its limit" if per_second is None else "upstream named a limit",
+            upstream=upstream.name,
+            life=upstream.number,
+            per_second=per_second,
+            source=source,
+        )
+
+
+def _incarnation(item: heartbeat.UpstreamRequestLimit) -> identities.Incarnation:
+    return identities.Incarnation(item.upstream, item.life)
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -56,6 +56,7 @@
 )
 """Caller headers that are not forwarded: a VM sets them itself, or upstreams must not get them."""
 
+NON_NEGATIVE_NUMBER = re.compile(rb"[0-9]+\.?[0-9]*|\.[0-9]+")
 DECIMAL_NUMBER = re.compile(rb"[+-]?([0-9]+\.?[0-9]*|\.[0-9]+)")
 
 ORDER_OUTCOMES = {
@@ -157,6 +158,7 @@
             retry_after_seconds=retry_after if isinstance(retry_after, float) else 0.0,
             retry_after_anomaly=None if isinstance(retry_after, float) else retry_after,
             leaving=_header_value(head.headers, b"server-leaving").strip() == b"1",
+            request_limit=_decode_request_limit(head),
         )
 
     def encode_report_request(self, address: str) -> bytes:
@@ -260,5 +262,16 @@
     return interfaces.RetryAfterAnomaly.MALFORMED
 
 
+def _decode_request_limit(head: http_connection.ResponseHead) -> float | None:
+    """Return the requests per second that a response names as its server's limit, if it does.
+
+    A limit that cannot be read counts as the lowest one.
+    """
+    if b"server-limit" not in [name for name, _ in head.headers]:
+        return None
+    value = _header_value(head.headers, b"server-limit").strip()
+    return float(value) if NON_NEGATIVE_NUMBER.fullmatch(value) else 0.0
+
+
 def _header_value(headers: Sequence[request_types.Header], name: bytes) -> bytes:
     return next((value for key, value in headers if key == name), b"")
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator, Mapping
 
 from hollyring.core import identities
-from hollyring.routing import backoffs, departures
+from hollyring.routing import backoffs, departures, request_limits
 
 MIN_FIRST_EVENT_SECONDS = 0.035
 """Shortest time to first event of an inference server."""
@@ -271,12 +271,13 @@
 
 
 class Registry:
-    """Registry of upstreams by name, with their backoffs."""
+    """Registry of upstreams by name, with their backoffs and request limits."""
 
-    __slots__ = ("backoffs", "_upstreams", "_by_service", "_departures")
+    __slots__ = ("backoffs", "request_limits", "_upstreams", "_by_service", "_departures")
 
     def __init__(self) -> None:
         self.backoffs = backoffs.Backoffs()
+        self.request_limits = request_limits.RequestLimits()
         self._departures = departures.Departures()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
