--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -473,6 +473,32 @@
     deferred: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """Request for a permit to send one request to an upstream that named a request limit.
+
+    Parameters
+    ----------
+    per_second
+        The limit as the sender knows it, for a receiver that does not know it yet.
+    urgent
+        Whether the permit may be taken in advance.
+    """
+
+    upstream: str
+    life: int
+    per_second: float
+    urgent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitReply:
+    """Whether a request may be sent; if not, seconds after which to ask again."""
+
+    granted: bool
+    retry_after: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheRequest:
     """Request of a VM that begins to serve, for the contents of some prompt caches."""
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -308,6 +308,16 @@
             ),
         )
 
+    def may_answer(self, name: str, now: float) -> bool:
+        """Return whether another VM is likely to answer a call.
+
+        A VM that follows hears no heartbeats and relies on the statuses of serving VMs.
+        """
+        peer = self._peers.get(name)
+        if peer is None:
+            return False
+        return peer.is_alive(now) if self._exchanging else now >= peer.unavailable_until
+
     def recipients(self, now: float) -> list[str]:
         """Return the peer addresses to send heartbeats to.
 
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -38,6 +38,7 @@
     relay,
     responses,
     rollout_controller,
+    send_permits,
     settings,
     state,
     status_client,
@@ -204,6 +205,7 @@
         self._registration = registration.Registration(
             self._state, adapter.store, self._store_watcher, adapter.store_codec
         )
+        self._permits = send_permits.SendPermits(self._state, self._peers)
         self._rollout = rollout_controller.RolloutController(
             self._state,
             adapter.store,
@@ -211,12 +213,14 @@
             adapter.upstream_codec,
             self._connections,
             self._heartbeats.send_now,
+            self._permits,
         )
         self._cache_watcher = cache_watcher.CacheWatcher(
             self._state,
             adapter.upstream_codec,
             self._connections,
             self._peers,
+            self._permits,
             vm_settings.link_bits_per_second,
         )
         self._crash_watcher = crash_watcher.CrashWatcher(self._state, self._connections)
@@ -226,6 +230,7 @@
             self._connections,
             self._metrics,
             self._store_checker,
+            self._permits,
         )
         self._log = logs.Logger("vm")
 
@@ -451,6 +456,8 @@
                 return self._state.fleet_status(clock.now())
             case heartbeat.CopyRequest():
                 return self._store_watcher.copy(message)
+            case heartbeat.PermitRequest():
+                return self._permits.answer(message)
             case heartbeat.CacheRequest():
                 return self._cache_watcher.contents(message)
             case _:
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -17,6 +17,7 @@
     interfaces,
     metrics,
     request_context,
+    send_permits,
     state,
 )
 from hollyring.routing import costs, registry, selection
@@ -73,6 +74,8 @@
         Connections to upstreams.
     counters
         Metrics of this process.
+    permits
+        Permits to send requests to upstreams that named a request limit.
     """
 
     def __init__(
@@ -81,11 +84,13 @@
         codec: interfaces.UpstreamCodec,
         pool: connection_pool.ConnectionPool,
         counters: metrics.Metrics,
+        permits: send_permits.SendPermits,
     ) -> None:
         self._state = vm_state
         self._codec = codec
         self._pool = pool
         self._metrics = counters
+        self._permits = permits
 
     async def run(
         self, context: request_context.RequestContext, selected: selection.Selection
@@ -121,6 +126,9 @@
             if context.retry_state.retry_safety is request_types.RetrySafety.AT_MOST_ONCE
             else 0.0
         )
+        permit = await self._permits.acquire(upstream)
+        if permit is None:
+            return request_context.Withdrawn()
         try:
             with anyio.fail_after(max(0.0, context.seconds_left)):
                 max_connections = self._state.max_connections(context.service)
@@ -137,7 +145,7 @@
         try:
             if context.response.caller_left:
                 raise errors.CallerLeftError("caller left before this attempt was sent")
-            if self._is_unusable(upstream):
+            if self._is_unusable(upstream) or not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
             sent_at = clock.now()
             exchange = connection.send(
--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -29,6 +29,7 @@
     interfaces,
     logs,
     peers,
+    send_permits,
     state,
 )
 
@@ -59,6 +60,9 @@
 START_DELAY_SECONDS = 0.5
 """Delay after the start, within which a VM learns whether it serves."""
 
+LIMITED_POLL_SECONDS = 5.0
+"""Time before each poll of an upstream that named a request limit, which requests need more."""
+
 MAX_REPORTED_CHANGES = 400
 """Most changes in one report to the other VMs; the oldest ones of a longer list are left out."""
 
@@ -78,6 +82,8 @@
         Connection pool for the holders.
     peer_connections
         Connections to the other VMs.
+    permits
+        Permits to call upstreams that named a request limit.
     link_bits_per_second
         Bandwidth of this VM's link.
     """
@@ -88,11 +94,13 @@
         codec: interfaces.UpstreamCodec,
         connections: connection_pool.ConnectionPool,
         peer_connections: peers.PeerConnections,
+        permits: send_permits.SendPermits,
         link_bits_per_second: float = math.inf,
     ) -> None:
         self._peers = peer_connections
         self._link_bits_per_second = link_bits_per_second
         self._first_polls = anyio.Semaphore(FIRST_POLLS_AT_ONCE)
+        self._permits = permits
         self._state = vm_state
         self._codec = codec
         self._connections = connections
@@ -188,6 +196,7 @@
         with scope:
             while True:
                 await self._wait_for_backoff(holder)
+                await self._wait_for_permit(holder)
                 try:
                     if holder in self._epochs:
                         await self._poll(holder, address)
@@ -247,6 +256,17 @@
             # Not all of it at once, as the upstream's next incarnation is not in backoff.
             await anyio.sleep(min(seconds, TICK_SECONDS))
 
+    async def _wait_for_permit(self, holder: str) -> None:
+        """Wait until an upstream that named a request limit may be polled."""
+        while True:
+            upstream = self._state.registry.get(holder)
+            limits = self._state.registry.request_limits
+            if upstream is None or limits.per_second(upstream.incarnation) is None:
+                return
+            await anyio.sleep(LIMITED_POLL_SECONDS)
+            if await self._permits.acquire(upstream) is not None:
+                return
+
     def _report(self, report: heartbeat.CacheReport) -> None:
         """Apply a report here and queue it for the next heartbeat."""
         self._state.caches.apply_report(report, clock.now())
--- a/hollyring/node/heartbeat_messages.py
+++ b/hollyring/node/heartbeat_messages.py
@@ -13,6 +13,8 @@
         heartbeat.FleetStatus,
         heartbeat.CopyRequest,
         heartbeat.Copy,
+        heartbeat.PermitRequest,
+        heartbeat.PermitReply,
         heartbeat.CacheRequest,
         heartbeat.CacheContents,
     )
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -173,6 +173,18 @@
   8: optional bool deferred
 }
 
+struct MembershipPermitRequest {
+  1: optional string upstream
+  2: optional i64 life
+  3: optional double per_second
+  4: optional bool urgent
+}
+
+struct MembershipPermitReply {
+  1: optional bool granted
+  2: optional double retry_after
+}
+
 struct MembershipCacheRequest {
   1: optional list<string> holders
 }
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -21,6 +21,7 @@
     metrics,
     request_context,
     responses,
+    send_permits,
     state,
 )
 from hollyring.routing import crashes, selection
@@ -78,6 +79,8 @@
         Metrics of this process.
     checker
         Shows that what this VM knows of the store is recent.
+    permits
+        Permits to send requests to upstreams that named a request limit.
     """
 
     def __init__(
@@ -87,10 +90,11 @@
         pool: connection_pool.ConnectionPool,
         counters: metrics.Metrics,
         checker: CopyChecker,
+        permits: send_permits.SendPermits,
     ) -> None:
         self._state = vm_state
         self._checker = checker
-        self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters)
+        self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters, permits)
         self._metrics = counters
         self._log = logs.Logger("request")
 
@@ -347,6 +351,7 @@
             request=context.request_id,
             upstream=selected.upstream.name,
             leaving=selected.upstream.leaving,
+            limit=self._state.registry.request_limits.per_second(selected.upstream.incarnation),
         )
 
     def _log_failed(
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -17,6 +17,7 @@
     http_connection,
     interfaces,
     logs,
+    send_permits,
     state,
     store_watcher,
 )
@@ -44,6 +45,9 @@
 ORDER_REPORT_POLL_SECONDS = 0.2
 """Time between two polls of an upstream that executes an order."""
 
+LIMITED_REPORT_POLL_SECONDS = 2.0
+"""Time between two polls of an upstream that named a request limit."""
+
 CALL_TIMEOUT_SECONDS = 0.5
 ANNOUNCE_DELAY_SECONDS = 0.12
 """Delay between the announcement of an order and its sending.
@@ -99,6 +103,8 @@
         Connection pool for the upstreams.
     send_heartbeat
         Sends a heartbeat to the other VMs at once.
+    permits
+        Permits to call upstreams that named a request limit.
     """
 
     def __init__(
@@ -109,6 +115,7 @@
         codec: interfaces.UpstreamCodec,
         connections: connection_pool.ConnectionPool,
         send_heartbeat: state.SendHeartbeat,
+        permits: send_permits.SendPermits,
     ) -> None:
         vm_info = vm_state.vm_info
         self._state = vm_state
@@ -117,6 +124,7 @@
         self._codec = codec
         self._connections = connections
         self._send_heartbeat = send_heartbeat
+        self._permits = permits
         self._incarnation = identities.Incarnation(vm_info.name, vm_info.life)
         self._lease = leases.LeaseClient(
             vm_state.store_keys.orders_lease, self._incarnation, LEASE_SECONDS
@@ -384,11 +392,7 @@
         self, service_rollout: rollout.Rollout, upstream: registry.Upstream, now: float
     ) -> None:
         name = upstream.name
-        interval = (
-            ORDER_REPORT_POLL_SECONDS
-            if name in service_rollout.in_progress
-            else REPORT_POLL_SECONDS
-        )
+        interval = self._report_interval(upstream, name in service_rollout.in_progress)
         if (
             name in self._reports_in_flight
             or now - self._report_requested_at.get(name, 0.0) < interval
@@ -398,11 +402,18 @@
         self._report_requested_at[name] = now
         self._task_group.start_soon(self._fetch_report, service_rollout, upstream)
 
+    def _report_interval(self, upstream: registry.Upstream, has_order: bool) -> float:
+        if self._state.registry.request_limits.per_second(upstream.incarnation) is not None:
+            return LIMITED_REPORT_POLL_SECONDS
+        return ORDER_REPORT_POLL_SECONDS if has_order else REPORT_POLL_SECONDS
+
     async def _fetch_report(
         self, service_rollout: rollout.Rollout, upstream: registry.Upstream
     ) -> None:
         address = upstream.entry.address
         try:
+            if await self._permits.acquire(upstream, urgent=True) is None:
+                return
             at = clock.now()
             request = self._codec.encode_report_request(address)
             response = await self._connections.call(address, request, CALL_TIMEOUT_SECONDS)
@@ -458,6 +469,8 @@
             await anyio.sleep(QUEUE_POLL_SECONDS)
 
     async def _send(self, upstream: registry.Upstream, order: messages.Order) -> messages.Outcome:
+        if await self._permits.acquire(upstream, urgent=True) is None:
+            return messages.Outcome.NOT_SENT
         now = clock.now()
         if (
             now > order.send_by
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -23,6 +23,7 @@
     interfaces,
     registration,
     rollout_controller,
+    send_permits,
     state,
     status_client,
     store_checker,
@@ -134,6 +135,11 @@
     seconds: float
 
 
+def answer_with_limit(per_second):
+    """Return the decoded head of an answer to a request that names a limit, or none."""
+    return interfaces.ResponseHead(200, [], True, False, False, "", 0, request_limit=per_second)
+
+
 class UpstreamCodec:
     """Partial implementation of `interfaces.UpstreamCodec` that pickles objects."""
 
@@ -245,6 +251,8 @@
                 if copy is not None:
                     self._fleet.copied_bytes += sum(len(item.value) for item in copy.items)
                 return copy
+            case heartbeat.PermitRequest():
+                return vm.permits.answer(message)
             case heartbeat.CacheRequest():
                 return vm.cache_watcher.contents(message)
 
@@ -301,11 +309,18 @@
         self.registration = registration.Registration(
             self.state, client, self.store_watcher, store_codec
         )
+        self.permits = send_permits.SendPermits(self.state, peers)
         self.rollouts = rollout_controller.RolloutController(
-            self.state, client, self.store_watcher, codec, connections, self.heartbeats.send_now
+            self.state,
+            client,
+            self.store_watcher,
+            codec,
+            connections,
+            self.heartbeats.send_now,
+            self.permits,
         )
         self.cache_watcher = cache_watcher.CacheWatcher(
-            self.state, codec, connections, peers, fleet.link_bits_per_second
+            self.state, codec, connections, peers, self.permits, fleet.link_bits_per_second
         )
         self.scope = anyio.CancelScope()
         self._exchange_delay = fleet.first_start_delay * 1.2
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -22,6 +22,7 @@
     relay,
     responses,
     rollout_controller,
+    send_permits,
     state,
 )
 from hollyring.platform import documents, ingress, upstreams
@@ -78,12 +79,14 @@
         for server in servers:
             self.register(server)
         self.pool = connection_pool.ConnectionPool()
+        self.permits = send_permits.SendPermits(self.state, None)
         self.relay = relay.Relay(
             self.state,
             upstreams.HttpUpstreamCodec(),
             self.pool,
             metrics.Metrics(),
             checker or AlwaysCurrent(),
+            self.permits,
         )
 
     def register(self, server, life=1, leaving=False):
@@ -274,7 +277,7 @@
     await vm.pool.call(servers[0].address, request, 0.5)
     monkeypatch.setattr(leases.LeaseClient, "fencing", lambda *_: 41)
     controller = rollout_controller.RolloutController(
-        vm.state, None, None, codec, vm.pool, lambda: None
+        vm.state, None, None, codec, vm.pool, lambda: None, vm.permits
     )
     change = fleet.LoadModel("m", "2")
     superseded = fleet.Order("id", 41, "i-0", change, clock.now() + 1.0, expected=7)
@@ -718,7 +721,7 @@
     codec = upstreams.HttpUpstreamCodec()
     monkeypatch.setattr(leases.LeaseClient, "fencing", lambda *_: 41)
     controller = rollout_controller.RolloutController(
-        vm.state, None, None, codec, vm.pool, lambda: None
+        vm.state, None, None, codec, vm.pool, lambda: None, vm.permits
     )
     match call:
         case "report":
@@ -731,7 +734,7 @@
             order = fleet.Order("id", 41, "i-0", change, clock.now() + 1.0, expected=0)
             await controller._send(upstream, order)
         case "cache events":
-            watcher = cache_watcher.CacheWatcher(vm.state, codec, vm.pool, None)
+            watcher = cache_watcher.CacheWatcher(vm.state, codec, vm.pool, None, vm.permits)
             await watcher._poll_first("i-0", upstream.entry.address)
     for number in range(4):
         assert (await vm.send_request(f"r-{number}")).body == b"done by i-1"
--- a/hollyring/platform/tests/test_upstream_backoff.py
+++ b/hollyring/platform/tests/test_upstream_backoff.py
@@ -178,7 +178,7 @@
     vm, servers = await start_vm("complete")
     monkeypatch.setattr(leases.LeaseClient, "fencing", lambda *_: 41)
     controller = rollout_controller.RolloutController(
-        vm.state, None, None, upstreams.HttpUpstreamCodec(), vm.pool, lambda: None
+        vm.state, None, None, upstreams.HttpUpstreamCodec(), vm.pool, lambda: None, vm.permits
     )
     order = fleet.Order("id", 41, "i-0", fleet.LoadModel("m", "2"), clock.now() + 5.0)
     upstream = vm.state.registry.get("i-0")
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -299,6 +299,10 @@
         """Return whether an upstream that was selected earlier may still be sent a request."""
         return self._upstreams.get(upstream.name) is upstream and not upstream.leaving
 
+    def opens_at(self, upstream: identities.Incarnation) -> float:
+        """Return from when on an upstream may be sent requests, minus infinity if it always was."""
+        return max(self.backoffs.end(upstream), self.request_limits.closed_until(upstream))
+
     def record_departure(self, name: str, life: int, now: float) -> bool:
         """Record that an upstream announced that it leaves; return whether this is new."""
         upstream = self._upstreams.get(name)
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -11,8 +11,9 @@
 
 Penalties are added for a server that is suspect, is loading weights or has older weights; it is
 selected only if the others are expected to be slower by more than that. A request that cannot be
-started before its deadline is rejected at once. An upstream in backoff has no capacity for this VM;
-the prompts that it caches may still be fetched by others.
+started before its deadline is rejected at once. An upstream in backoff, or one whose request
+limit leaves this VM nothing for now, has no capacity for it; the prompts that it caches may still
+be fetched by others.
 """
 
 from __future__ import annotations
@@ -226,11 +227,11 @@
         suitable = self._suitable_upstreams(request, now)
         if not suitable:
             return NoUpstream(NO_UPSTREAM_RETRY_SECONDS, busy=False)
-        upstreams = self._outside_backoff(suitable, now)
+        upstreams = self._open_upstreams(suitable, now)
         if not upstreams:
-            ends = (self._registry.backoffs.end(upstream.incarnation) for upstream in suitable)
+            opens_at = min(self._registry.opens_at(upstream.incarnation) for upstream in suitable)
             return NoUpstream(
-                costs.backoff_retry_seconds(request.request_id, min(ends) - now), busy=True
+                costs.backoff_retry_seconds(request.request_id, opens_at - now), busy=True
             )
         candidates = [self._candidate(request, upstream, now) for upstream in upstreams]
         best = min(candidates, key=lambda candidate: candidate.cost)
@@ -256,13 +257,14 @@
             and not self._is_expired(request, upstream, now)
         ]
 
-    def _outside_backoff(
+    def _open_upstreams(
         self, upstreams: list[registry.Upstream], now: float
     ) -> list[registry.Upstream]:
-        backoffs = self._registry.backoffs
-        if not backoffs.any_active(now):
+        """Return the upstreams that have asked for a pause neither by time nor by rate."""
+        upstreams_are_open = not self._registry.backoffs.any_active(now)
+        if upstreams_are_open and not self._registry.request_limits.any_closed():
             return upstreams
-        return [u for u in upstreams if not backoffs.is_active(u.incarnation, now)]
+        return [u for u in upstreams if self._registry.opens_at(u.incarnation) <= now]
 
     def _is_expired(
         self, request: SelectionRequest, upstream: registry.Upstream, now: float
