--- a/hollyring/cli/explain.py
+++ b/hollyring/cli/explain.py
@@ -14,7 +14,7 @@
     "rate_limited": "its organisation had used up its rate and burst",
     "invalid_key": "no organisation held its key in the configuration in force",
     "unknown_route": "no route of the configuration in force has its host and path",
-    "crashing_prompt": "a part of its prompt crashes the servers that answer it; it was not run",
+    "crashing_request": "it crashes the servers that answer it; it was not run",
     "configuration_stale": "the VM had no configuration yet",
     "overloaded": "no upstream could have begun it in time; it was not run",
     "no_upstream": "no upstream was left to send it to; it was not run",
--- a/hollyring/delivery/refusal.py
+++ b/hollyring/delivery/refusal.py
@@ -67,7 +67,7 @@
     kind.code: kind
     for kind in (
         Kind("invalid_request", 400, _NOT_RUN, 0, "The request can't be read."),
-        Kind("crashing_prompt", 400, _NOT_RUN, 0, "A part of the prompt crashes the servers."),
+        Kind("crashing_request", 400, _NOT_RUN, 0, "The request crashes the servers."),
         Kind("invalid_key", 401, _NOT_RUN, 0, "No valid key came with the request."),
         Kind("key_withdrawn", 401, _NOT_RUN, 0, "The key has been withdrawn."),
         Kind("key_withdrawn_midway", 401, _UNKNOWN, 0, "The key was withdrawn during the answer."),
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -173,7 +173,7 @@
     ) -> None:
         """Record that an upstream broke a request off, perhaps since the request crashed it."""
         events = (context.events.last_number or 0) - events_before
-        self._state.crashes.record_broken(upstream, context.request.prompt, events)
+        self._state.crashes.record_broken(upstream, context.suspects, events)
 
     def _is_unusable(self, upstream: registry.Upstream) -> bool:
         """Return whether an upstream has asked for no more requests since it was selected."""
@@ -334,6 +334,8 @@
         if context.response.started:
             # The caller has the head of a stream, which only another stream can continue.
             return failed
+        if exchange.framed and head.status < HTTP_SERVER_ERROR:
+            self._state.crashes.record_whole(context.suspects)
         context.first_byte_at = now
         self._metrics.observe("answer", now - context.arrived_at)
         await context.response.send(head.status, head.headers, body)
@@ -370,7 +372,7 @@
             await context.response.start(head.status, head.headers, b"")
         await context.response.end()
         if exchange.framed:
-            self._state.crashes.record_whole(context.request.prompt)
+            self._state.crashes.record_whole(context.suspects)
         self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
         return request_context.Done()
 
--- a/hollyring/node/crash_reports.py
+++ b/hollyring/node/crash_reports.py
@@ -1,14 +1,15 @@
-"""What a VM tells and learns of crashes of inference servers and the parts blamed for them."""
+"""What a VM tells and learns of crashes of servers and of what is blamed for them."""
 
 from __future__ import annotations
 
 import collections
 import dataclasses
 import math
+from collections.abc import Iterable
 
 import anyio
 
-from hollyring.core import identities, request_types
+from hollyring.core import identities
 from hollyring.membership import heartbeat
 from hollyring.node import clock, logs
 from hollyring.routing import crashes, registry
@@ -80,10 +81,16 @@
         }
 
     def record_broken(
-        self, upstream: registry.Upstream, prompt: request_types.Prompt | None, events: int
+        self, upstream: registry.Upstream, suspects: Iterable[str], events: int
     ) -> None:
-        """Record that a server broke a request off after some events of its answer."""
-        if prompt is None or events > MAX_EVENTS_BEFORE_CRASH:
+        """Record that a server broke a request off after some events of its answer.
+
+        Parameters
+        ----------
+        suspects
+            Hashes of what may have crashed the server; see `crashes.suspects`.
+        """
+        if events > MAX_EVENTS_BEFORE_CRASH:
             return
         server = upstream.incarnation
         if server not in self._pending and len(self._pending) >= MAX_PENDING_SERVERS:
@@ -91,7 +98,7 @@
         broken = self._pending.setdefault(
             server, BrokenServer(server, upstream.entry.address, set())
         )
-        broken.parts.update(crashes.part_hashes(prompt))
+        broken.parts.update(suspects)
         self._broken.set()
 
     async def wait_broken(self) -> list[BrokenServer]:
@@ -116,17 +123,17 @@
         self._own.append(_OwnReport(report, now))
         self._sound |= self._crashes.record_crash(report, self._vm, now)
 
-    def record_whole(self, prompt: request_types.Prompt | None) -> None:
-        """Record that an answer ended whole, so that no part of its prompt crashes servers."""
+    def record_whole(self, suspects: Iterable[str]) -> None:
+        """Record that an answer ended whole, so that nothing of its request crashes servers."""
         self._whole_at = clock.now()
         self._refusals_since_whole = 0
-        self._sound |= self._crashes.record_sound(crashes.part_hashes(prompt), self._whole_at)
+        self._sound |= self._crashes.record_sound(suspects, self._whole_at)
 
-    def blame_of(self, prompt: request_types.Prompt | None) -> crashes.Blame | None:
-        """Return the blame of a part of a prompt, None if none is blamed."""
-        if prompt is None or not self._crashes.any_blamed:
+    def blame_of(self, suspects: Iterable[str]) -> crashes.Blame | None:
+        """Return the blame of a request or a part of its prompt, None if neither is blamed."""
+        if not self._crashes.any_blamed:
             return None
-        blame = self._crashes.blamed(crashes.part_hashes(prompt), clock.now())
+        blame = self._crashes.blamed(suspects, clock.now())
         if blame is not None:
             self._refusals_since_whole += 1
         return blame
@@ -197,7 +204,7 @@
     def _log_blame(self, blame: crashes.Blame, source: str) -> None:
         self._counts["blamed"] += 1
         self._log.info(
-            "parts of prompts blamed",
+            "requests blamed",
             parts=sorted(blame.parts),
             servers=list(blame.servers),
             witnesses=list(blame.witnesses),
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -160,9 +160,11 @@
         )
         if not self._state.may_accept(deadline, arrived_at):
             return refusal.make("leaving", LEAVING_RETRY_AFTER_SECONDS)
-        blame = self._state.crashes.blame_of(request.prompt)
+        organisation_name = organisation.name if organisation is not None else ""
+        suspects = crashes.suspects(request, organisation_name)
+        blame = self._state.crashes.blame_of(suspects)
         if blame is not None:
-            return refusal.make("crashing_prompt", message=_describe(blame))
+            return refusal.make("crashing_request", message=_describe(blame))
         if organisation is not None:
             exceeded = self._state.admit(organisation, request.prompt, arrived_at)
             if exceeded is not None:
@@ -187,6 +189,7 @@
             current.shortest_target_latency(service.name, route.target_latency),
             event_stream.EventStream(request.resume_after),
             software=_required_software(continuation),
+            suspects=suspects,
         )
 
     async def _run_attempts(self, context: request_context.RequestContext) -> None:
@@ -195,8 +198,8 @@
             if not await self._knows_enough(context.retry_state.deadline):
                 refused = context.retry_state.final_refusal("no_upstream", clock.now())
                 raise _RequestRefusedError(refused)
-            if self._state.crashes.blame_of(context.request.prompt) is not None:
-                refused = context.retry_state.final_refusal("crashing_prompt", clock.now())
+            if self._state.crashes.blame_of(context.suspects) is not None:
+                refused = context.retry_state.final_refusal("crashing_request", clock.now())
                 raise _RequestRefusedError(refused)
             context.selected = selected = self._select(context)
             context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
@@ -371,6 +374,7 @@
             sends=context.retry_state.sends,
             left=round(context.seconds_left, 3),
             partial_event_bytes=context.events.partial_bytes,
+            whole=context.suspects[-1],
         )
 
     def _log_end(self, context: request_context.RequestContext, outcome: str) -> None:
@@ -398,7 +402,7 @@
 
 def _describe(blame: crashes.Blame) -> str:
     parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
-    return f"Part {parts} of the prompt crashed {servers}, as seen by {', '.join(blame.witnesses)}."
+    return f"{parts} of the request crashed {servers}, as seen by {', '.join(blame.witnesses)}."
 
 
 def _priority(route: deployment.Route, organisation: deployment.Organisation | None) -> int:
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -82,6 +82,8 @@
     software
         Software version that began the stream, also if an earlier request of the caller did; None
         before its first event. Only upstreams of that version continue it.
+    suspects
+        Hashes of what may crash an upstream: the request as a whole and parts of its prompt.
     """
 
     request: request_types.Request
@@ -98,6 +100,7 @@
     first_byte_at: float = 0.0
     last_failure: Failed | None = None
     software: str | None = None
+    suspects: tuple[str, ...] = ()
 
     @property
     def seconds_left(self) -> float:
--- a/hollyring/routing/crashes.py
+++ b/hollyring/routing/crashes.py
@@ -1,13 +1,19 @@
-"""Which part of a prompt crashes the inference servers that begin to answer it.
+"""Which requests crash the servers that begin to answer them, as a whole or by a prompt part.
 
 A server that crashes breaks off every request that it works on, and one of them may be the reason.
-Each crash is recorded with the parts that its broken requests shared with others. The part that
-most crashes have in common is blamed, as the requests that crash servers have nothing else in
-common; its crashes then count against no other part. Parts of an answer that ended whole around
-the crash or later cannot be the reason.
+Each crash is recorded with the parts of its broken requests: the parts of prompts that others may
+share, and each request as a whole, known by its caller, path and body. The part that most crashes
+have in common is blamed, as the requests that crash servers have nothing else in common; its
+crashes then count against no other part. Parts of an answer that ended whole around the crash or
+later cannot be the reason.
 
 Parts that always came together cannot be told apart. They are blamed together, and only requests
 that have all of them are refused; those with some of them show sooner or later which part it is.
+Nor are parts blamed while one request as a whole, sent again and again, explains all their crashes.
+
+A whole request that three crashes have in common is blamed, whatever else they have in common.
+Sound ones may follow the one that is the reason from server to server, until their tries are used
+up; to refuse such a request, which is no other, costs little and ends after a minute.
 
 The decision needs the records of all VMs, as each may have seen a different crash. It depends on
 messages and the time only.
@@ -41,13 +47,18 @@
 BLAME_SECONDS = 300.0
 """Time for which a blamed part is refused; then one more crash is enough to blame it again."""
 
+FIRST_REQUEST_BLAME_SECONDS = 60.0
+"""The same for a whole request that is blamed for the first time, perhaps beside the reason."""
+
 MAX_RECORDS = 64
-MAX_PARTS_PER_RECORD = 256
+MAX_PARTS_PER_RECORD = 1024
 MAX_BLAMED = 64
 MAX_SOUND = 4096
 """Bounds on what is remembered, oldest first; requests may all have different parts."""
 
 DIGEST_BYTES = 8
+REQUEST_PREFIX = "r-"
+"""Prefix of the hashes of whole requests, which tells them from those of prompt parts."""
 
 
 def part_hash(part: request_types.Part) -> str:
@@ -68,9 +79,38 @@
     return tuple(part_hash(part) for part in prompt.shared_parts)
 
 
+def request_hash(path: str, organisation: str, body: bytes) -> str:
+    """Return the hash of a request as a whole, which is the same whenever the request comes again.
+
+    Examples
+    --------
+    >>> request_hash("/a", "kigoma", b"x") == request_hash("/a", "kigoma", b"x")
+    True
+    >>> request_hash("/a", "kigoma", b"x") == request_hash("/a", "mtwara", b"x")
+    False
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for field in (path.encode(), organisation.encode()):
+        digest.update(b"%d:%b" % (len(field), field))
+    digest.update(body)
+    return REQUEST_PREFIX + digest.hexdigest()
+
+
+def suspects(request: request_types.Request, organisation: str) -> tuple[str, ...]:
+    """Return the hashes of what may crash a server: the parts of the prompt and the whole request.
+
+    Parameters
+    ----------
+    organisation
+        Name of the caller's organisation, empty if it has none.
+    """
+    whole = request_hash(request.path, organisation, request.body)
+    return (*part_hashes(request.prompt), whole)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashReport:
-    """Crash of a server, and the parts of the requests that it broke off at one VM."""
+    """Crash of a server, and the hashes of the parts of the requests that it broke off at a VM."""
 
     server: identities.Incarnation
     parts: frozenset[str]
@@ -112,7 +152,7 @@
 
 
 class PartCrashes:
-    """Crashes of servers and the parts that are blamed for them.
+    """Crashes of servers and the parts, whole requests among them, that are blamed for them.
 
     Examples
     --------
@@ -194,7 +234,11 @@
             if now - record.at >= SETTLE_SECONDS
         }
         self._undecided = len(settled) < len(self._records)
-        found = []
+        found = [
+            self._blame_of(frozenset({request}), settled)
+            for request, crashed in _crashes_of_requests(settled).items()
+            if len(crashed) >= MIN_CRASHES
+        ]
         while groups := self._groups_to_blame(settled):
             found += [self._blame_of(parts, settled) for parts in groups]
             settled = {
@@ -242,7 +286,10 @@
         """Begin to blame parts, and no longer a larger group that cannot be told apart."""
         for wider in [group for group in self._blamed if group > blame.parts]:
             del self._blamed[wider]
-        self._blamed[blame.parts] = _ActiveBlame(blame, now + BLAME_SECONDS)
+        is_first = blame.parts not in self._expired
+        is_short = is_first and any(map(_is_whole_request, blame.parts))
+        seconds = FIRST_REQUEST_BLAME_SECONDS if is_short else BLAME_SECONDS
+        self._blamed[blame.parts] = _ActiveBlame(blame, now + seconds)
         self._expired.pop(blame.parts, None)
         _limit(self._blamed, MAX_BLAMED)
 
@@ -266,7 +313,12 @@
         ]
         if expired:
             return expired
-        groups = _groups_by_crashes(records)
+        crashed_by_requests = set(_crashes_of_requests(records).values())
+        groups = {
+            crashed: parts
+            for crashed, parts in _groups_by_crashes(records).items()
+            if not any(crashed <= by_request for by_request in crashed_by_requests)
+        }
         most = max(map(len, groups), default=0)
         leaders = {crashed: parts for crashed, parts in groups.items() if len(crashed) == most}
         if most < MIN_CRASHES:
@@ -295,17 +347,35 @@
 def _groups_by_crashes(
     records: _Records,
 ) -> dict[frozenset[identities.Incarnation], frozenset[str]]:
-    """Return the candidates grouped by the crashes that they have in common."""
-    crashed: dict[str, set[identities.Incarnation]] = collections.defaultdict(set)
-    for server, record in records.items():
-        for part in record.candidates:
-            crashed[part].add(server)
+    """Return the parts of prompts grouped by the crashes that they have in common."""
     groups: dict[frozenset[identities.Incarnation], set[str]] = collections.defaultdict(set)
-    for part, servers in crashed.items():
-        groups[frozenset(servers)].add(part)
+    for part, servers in _crashes_by_candidate(records).items():
+        if not _is_whole_request(part):
+            groups[servers].add(part)
     return {servers: frozenset(parts) for servers, parts in groups.items()}
 
 
+def _crashes_of_requests(records: _Records) -> dict[str, frozenset[identities.Incarnation]]:
+    """Return the crashes at which each whole request was broken off."""
+    return {
+        request: servers
+        for request, servers in _crashes_by_candidate(records).items()
+        if _is_whole_request(request)
+    }
+
+
+def _crashes_by_candidate(records: _Records) -> dict[str, frozenset[identities.Incarnation]]:
+    crashed: dict[str, set[identities.Incarnation]] = collections.defaultdict(set)
+    for server, record in records.items():
+        for candidate in record.candidates:
+            crashed[candidate].add(server)
+    return {candidate: frozenset(servers) for candidate, servers in crashed.items()}
+
+
+def _is_whole_request(candidate: str) -> bool:
+    return candidate.startswith(REQUEST_PREFIX)
+
+
 def _is_only(
     crashed: frozenset[identities.Incarnation],
     leaders: Iterable[frozenset[identities.Incarnation]],
--- /dev/null
+++ b/hollyring/routing/tests/test_crashing_whole_requests.py
@@ -0,0 +1,70 @@
+"""Decisions about whole requests that crash servers."""
+
+import pytest
+
+from hollyring.core import identities
+from hollyring.routing import crashes
+
+BAD = crashes.request_hash("/a", "org", b"bad")
+OTHER = crashes.request_hash("/a", "org", b"other")
+
+
+@pytest.fixture
+def table():
+    return crashes.PartCrashes()
+
+
+def crash(table, number, *parts, at=0.0, vm="vm-1"):
+    server = identities.Incarnation(f"s-{number}", 1)
+    table.record_crash(crashes.CrashReport(server, frozenset(parts)), vm, at)
+
+
+def decide(table, at):
+    return [blame.parts for blame in table.decide(at + crashes.SETTLE_SECONDS + 0.1)]
+
+
+def test_request_that_a_sound_one_followed_from_server_to_server_is_blamed_all_the_same(table):
+    for number in range(3):
+        crash(table, number, BAD, OTHER)
+    assert sorted(decide(table, 0.0), key=sorted) == sorted([{BAD}, {OTHER}], key=sorted)
+    assert table.blamed([BAD], 1.0) is not None
+
+
+def test_two_crashes_blame_no_request(table):
+    for number in range(2):
+        crash(table, number, BAD)
+    assert decide(table, 0.0) == []
+
+
+def test_one_request_sent_again_and_again_leaves_the_parts_of_its_prompt_alone(table):
+    for number in range(3):
+        crash(table, number, "document", BAD)
+    assert decide(table, 0.0) == [{BAD}]
+    assert table.blamed(["document", OTHER], 1.0) is None
+
+
+def test_part_that_another_request_has_too_is_blamed(table):
+    for number in range(3):
+        crash(table, number, "bad-part", BAD)
+    crash(table, 3, "bad-part", OTHER)
+    assert {"bad-part"} in decide(table, 0.0)
+    assert table.blamed(["bad-part", "another"], 1.0) is not None
+
+
+def test_request_that_was_answered_whole_is_not_blamed(table):
+    table.record_sound([OTHER], 0.0)
+    for number in range(3):
+        crash(table, number, BAD, OTHER, at=0.5)
+    assert decide(table, 0.5) == [{BAD}]
+
+
+def test_one_more_crash_after_a_minute_blames_the_request_for_longer(table):
+    for number in range(3):
+        crash(table, number, BAD)
+    assert decide(table, 0.0) == [{BAD}]
+    again = crashes.FIRST_REQUEST_BLAME_SECONDS + 1.0
+    assert decide(table, again) == []
+    assert table.blamed([BAD], again + 1.0) is None
+    crash(table, 4, BAD, at=again + 1.0)
+    assert decide(table, again + 1.0) == [{BAD}]
+    assert table.blamed([BAD], again + 200.0) is not None
