--- a/hollyring/node/send_permits.py
+++ b/hollyring/node/send_permits.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from hollyring.core import identities, rendezvous
@@ -65,14 +66,13 @@
     async def acquire(self, upstream: registry.Upstream, urgent: bool = False) -> SendPermit | None:
         """Return a permit to send a request, or None and close the upstream for a while.
 
-        A permit for an upstream without a limit holds until one is known.
+        A permit for an upstream without a limit ends when one becomes known.
         """
         limits = self._state.registry.request_limits
         per_second = limits.per_second(upstream.incarnation)
-        asked_at = clock.now()
-        permit = SendPermit(upstream.incarnation, asked_at + PERMIT_TTL_SECONDS)
         if per_second is None:
-            return permit
+            return SendPermit(upstream.incarnation, -math.inf)
+        permit = SendPermit(upstream.incarnation, clock.now() + PERMIT_TTL_SECONDS)
         answer = await self._ask(upstream.incarnation, per_second, urgent)
         if answer.granted:
             return permit
--- a/hollyring/node/upstream_limits.py
+++ b/hollyring/node/upstream_limits.py
@@ -41,7 +41,8 @@
         now: float,
     ) -> None:
         """Record what an answer to a request that was sent at `sent_at` says of the limit."""
-        if head.request_limit is None and not (head.authentic or head.not_run):
+        is_own_answer = head.authentic or (head.not_run and not head.misdirected)
+        if head.request_limit is None and not is_own_answer:
             # Answers to other calls than requests need not name a limit that holds.
             return
         if self._limits.record(upstream.incarnation, head.request_limit, sent_at, now):
