Let a blame end at all VMs although they learnt of it at different times

Found in the read-through: VMs repeat their blames each second, and one that had learnt of it later told those whose blame had just ended, for the whole time again, so that a request blamed for a minute stayed refused for good. The message now says for how long the sender goes on refusing (BlamedParts.seconds, optional), and one that ends within a second is not taken. Test: node/tests/test_crash_reports.py, failed before.

--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -277,11 +277,14 @@
         Incarnations of the servers that crashed with them.
     witnesses
         Names of the VMs that saw these crashes.
+    seconds
+        Time for which the sender goes on refusing; negative if it does not say so.
     """
 
     parts: list[str]
     servers: list[str]
     witnesses: list[str]
+    seconds: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/crash_reports.py
+++ b/hollyring/node/crash_reports.py
@@ -171,7 +171,8 @@
             return
         for item in blamed:
             blame = crashes.Blame(frozenset(item.parts), tuple(item.servers), tuple(item.witnesses))
-            if self._crashes.adopt(blame, now):
+            seconds = item.seconds if item.seconds >= 0.0 else crashes.BLAME_SECONDS
+            if self._crashes.adopt(blame, now, seconds):
                 self._log_blame(blame, sender)
 
     def take_crashes(self, now: float, repeat: bool) -> list[heartbeat.CrashedServer]:
@@ -195,11 +196,11 @@
     def take_blamed_parts(self, repeat: bool) -> list[heartbeat.BlamedParts]:
         """Return the parts to blame in the next heartbeat: the new ones or all."""
         new, self._new_blames = self._new_blames, []
-        return [_encode(blame) for blame in (self._crashes.blames() if repeat else new)]
+        return [self._encode(blame) for blame in (self._crashes.blames() if repeat else new)]
 
     def blamed_parts(self) -> list[heartbeat.BlamedParts]:
         """Return all blamed parts."""
-        return [_encode(blame) for blame in self._crashes.blames()]
+        return [self._encode(blame) for blame in self._crashes.blames()]
 
     def _log_blame(self, blame: crashes.Blame, source: str) -> None:
         self._counts["blamed"] += 1
@@ -211,6 +212,8 @@
             source=source,
         )
 
-
-def _encode(blame: crashes.Blame) -> heartbeat.BlamedParts:
-    return heartbeat.BlamedParts(sorted(blame.parts), list(blame.servers), list(blame.witnesses))
+    def _encode(self, blame: crashes.Blame) -> heartbeat.BlamedParts:
+        seconds = self._crashes.seconds_left(blame, clock.now())
+        return heartbeat.BlamedParts(
+            sorted(blame.parts), list(blame.servers), list(blame.witnesses), round(seconds, 3)
+        )
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -97,6 +97,7 @@
   1: optional list<string> parts
   2: optional list<string> servers
   3: optional list<string> witnesses
+  4: optional double seconds
 }
 
 struct MembershipUpstreamRequestLimit {
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -227,12 +227,12 @@
     ) -> None:
         """Record what the head of a response says about sending its upstream more.
 
+        The response may be that of another instance at the same address, which then leaves.
+
         Parameters
         ----------
         sent_at
             Time at which the request or call was sent.
-
-        The response may be that of another instance at the same address, which then leaves.
         """
         self.backoffs.record(upstream, head)
         sender = self.registry.get(head.upstream) if head.upstream else upstream
--- a/hollyring/node/tests/test_crash_reports.py
+++ b/hollyring/node/tests/test_crash_reports.py
@@ -55,3 +55,26 @@
         assert reports.blame_of(crashes.part_hashes(prompt("bad", "x"))) is not None
         reports.record_whole(crashes.part_hashes(prompt("good", "own")))
         reports.tick(now[0])
+
+
+def test_blame_ends_although_the_vms_tell_each_other_of_it_at_different_times(now):
+    first, second = crash_reports.CrashReports("vm-1"), crash_reports.CrashReports("vm-2")
+    request = ("r-bad",)
+    for number in range(3):
+        entry = registry.Entry(f"s-{number}", "s", f"h:{number}", "a", 8, False, 1, {})
+        first.record_broken(registry.Upstream(entry), request, 0)
+        for pending in first.pending():
+            first.resolve(pending, crashed=True)
+    now[0] += crashes.SETTLE_SECONDS + 0.1
+    first.tick(now[0])
+    end = now[0] + crashes.FIRST_REQUEST_BLAME_SECONDS
+    now[0] += 0.9
+    second.adopt("vm-1", first.take_blamed_parts(repeat=True), now[0])
+    assert second.blame_of(request) is not None
+    now[0] = end + 0.2
+    first.tick(now[0])
+    first.adopt("vm-2", second.take_blamed_parts(repeat=True), now[0])
+    second.adopt("vm-1", first.take_blamed_parts(repeat=True), now[0])
+    now[0] = end + 1.0
+    assert first.blame_of(request) is None
+    assert second.blame_of(request) is None
--- a/hollyring/routing/crashes.py
+++ b/hollyring/routing/crashes.py
@@ -50,6 +50,9 @@
 FIRST_REQUEST_BLAME_SECONDS = 60.0
 """The same for a whole request that is blamed for the first time, perhaps beside the reason."""
 
+MIN_ADOPTED_SECONDS = 1.0
+"""Time for which another VM's blame must still hold to be taken."""
+
 MAX_RECORDS = 64
 MAX_PARTS_PER_RECORD = 1024
 MAX_BLAMED = 64
@@ -248,15 +251,24 @@
             }
         new = [blame for blame in found if blame.parts not in self._blamed]
         for blame in new:
-            self._blame(blame, now)
+            self._blame(blame, now, self._seconds_to_blame(blame))
         return new
 
-    def adopt(self, blame: Blame, now: float) -> bool:
-        """Take another VM's blame, but for sound parts; return whether something is new."""
+    def adopt(self, blame: Blame, now: float, seconds: float = BLAME_SECONDS) -> bool:
+        """Take another VM's blame, but for sound parts; return whether something is new.
+
+        Parameters
+        ----------
+        seconds
+            Time for which it still holds there. One that ends soon is not taken, so that VMs which
+            learnt of it at different times do not renew it for each other.
+        """
+        if seconds < MIN_ADOPTED_SECONDS:
+            return False
         parts = frozenset(part for part in blame.parts if not self._is_cleared_by_answer(part, now))
         if not parts or parts in self._blamed:
             return False
-        self._blame(dataclasses.replace(blame, parts=parts), now)
+        self._blame(dataclasses.replace(blame, parts=parts), now, seconds)
         return True
 
     def blamed(self, parts: Iterable[str], now: float) -> Blame | None:
@@ -273,6 +285,11 @@
         """Return the blames that hold."""
         return [active.blame for active in self._blamed.values()]
 
+    def seconds_left(self, blame: Blame, now: float) -> float:
+        """Return the time for which a blame holds from now on, 0 if it does not."""
+        active = self._blamed.get(blame.parts)
+        return 0.0 if active is None else max(0.0, active.until - now)
+
     def forget_all(self) -> None:
         """Forget all blames and crashes, as they do not explain why servers crash."""
         self._records.clear()
@@ -282,13 +299,16 @@
     def _is_cleared_by_answer(self, part: str, crashed_at: float) -> bool:
         return self._sound.get(part, -math.inf) >= crashed_at - SOUND_SECONDS
 
-    def _blame(self, blame: Blame, now: float) -> None:
+    def _seconds_to_blame(self, blame: Blame) -> float:
+        is_first = blame.parts not in self._expired
+        if is_first and any(map(_is_whole_request, blame.parts)):
+            return FIRST_REQUEST_BLAME_SECONDS
+        return BLAME_SECONDS
+
+    def _blame(self, blame: Blame, now: float, seconds: float) -> None:
         """Begin to blame parts, and no longer a larger group that cannot be told apart."""
         for wider in [group for group in self._blamed if group > blame.parts]:
             del self._blamed[wider]
-        is_first = blame.parts not in self._expired
-        is_short = is_first and any(map(_is_whole_request, blame.parts))
-        seconds = FIRST_REQUEST_BLAME_SECONDS if is_short else BLAME_SECONDS
         self._blamed[blame.parts] = _ActiveBlame(blame, now + seconds)
         self._expired.pop(blame.parts, None)
         _limit(self._blamed, MAX_BLAMED)
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -261,8 +261,8 @@
         self, upstreams: list[registry.Upstream], now: float
     ) -> list[registry.Upstream]:
         """Return the upstreams that have asked for a pause neither by time nor by rate."""
-        upstreams_are_open = not self._registry.backoffs.any_active(now)
-        if upstreams_are_open and not self._registry.request_limits.any_closed():
+        has_backoff = self._registry.backoffs.any_active(now)
+        if not has_backoff and not self._registry.request_limits.any_closed():
             return upstreams
         return [u for u in upstreams if self._registry.opens_at(u.incarnation) <= now]
 
