Send a blamed whole request once on trial, so that a sound one is refused for seconds

The first of the VMs that saw the crashes now sends such a request once, 8 s later and without a second try; a whole answer ends the blame everywhere. A whole request is blamed for 300 s from the start, as its end let one that crashes servers reach several within the 0.4 s in which a crash settles.

--- a/hollyring/node/crash_reports.py
+++ b/hollyring/node/crash_reports.py
@@ -138,6 +138,14 @@
             self._refusals_since_whole += 1
         return blame
 
+    def reason_to_refuse(self, suspects: Iterable[str]) -> crashes.Blame | None:
+        """Return the blame of a new request, None if it may be sent, also on trial."""
+        blame = self.blame_of(suspects)
+        if blame is None or not self._crashes.begin_trial(blame, self._vm, clock.now()):
+            return blame
+        self._log.info("blamed request sent on trial", parts=sorted(blame.parts))
+        return None
+
     def tick(self, now: float) -> None:
         """Decide which parts are to blame."""
         if self._is_futile(now):
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -162,7 +162,7 @@
             return refusal.make("leaving", LEAVING_RETRY_AFTER_SECONDS)
         organisation_name = organisation.name if organisation is not None else ""
         suspects = crashes.suspects(request, organisation_name)
-        blame = self._state.crashes.blame_of(suspects)
+        blame = self._state.crashes.reason_to_refuse(suspects)
         if blame is not None:
             return refusal.make("crashing_request", message=_describe(blame))
         if organisation is not None:
@@ -198,7 +198,7 @@
             if not await self._knows_enough(context.retry_state.deadline):
                 refused = context.retry_state.final_refusal("no_upstream", clock.now())
                 raise _RequestRefusedError(refused)
-            if self._state.crashes.blame_of(context.suspects) is not None:
+            if context.retry_state.sends and self._is_blamed(context):
                 refused = context.retry_state.final_refusal("crashing_request", clock.now())
                 raise _RequestRefusedError(refused)
             context.selected = selected = self._select(context)
@@ -220,6 +220,9 @@
                 await self._finish_failed(context)
                 return
 
+    def _is_blamed(self, context: request_context.RequestContext) -> bool:
+        return self._state.crashes.blame_of(context.suspects) is not None
+
     def _select(self, context: request_context.RequestContext) -> selection.Selection:
         """Select the upstream of the next attempt.
 
--- a/hollyring/routing/crashes.py
+++ b/hollyring/routing/crashes.py
@@ -13,7 +13,8 @@
 
 A whole request that three crashes have in common is blamed, whatever else they have in common.
 Sound ones may follow the one that is the reason from server to server, until their tries are used
-up; to refuse such a request, which is no other, costs little and ends after a minute.
+up. After some time one VM, the first of those that saw the crashes, therefore sends one such
+request on trial: a whole answer ends the blame.
 
 The decision needs the records of all VMs, as each may have seen a different crash. It depends on
 messages and the time only.
@@ -47,8 +48,8 @@
 BLAME_SECONDS = 300.0
 """Time for which a blamed part is refused; then one more crash is enough to blame it again."""
 
-FIRST_REQUEST_BLAME_SECONDS = 60.0
-"""The same for a whole request that is blamed for the first time, perhaps beside the reason."""
+TRIAL_AFTER_SECONDS = 8.0
+"""Time after which a blamed whole request is sent once on trial."""
 
 MIN_ADOPTED_SECONDS = 1.0
 """Time for which another VM's blame must still hold to be taken."""
@@ -148,7 +149,9 @@
 @dataclasses.dataclass(slots=True)
 class _ActiveBlame:
     blame: Blame
+    since: float
     until: float
+    tried: bool = False
 
 
 _Records = dict[identities.Incarnation, _Record]
@@ -251,7 +254,7 @@
             }
         new = [blame for blame in found if blame.parts not in self._blamed]
         for blame in new:
-            self._blame(blame, now, self._seconds_to_blame(blame))
+            self._blame(blame, now, BLAME_SECONDS)
         return new
 
     def adopt(self, blame: Blame, now: float, seconds: float = BLAME_SECONDS) -> bool:
@@ -281,6 +284,22 @@
                 return active.blame
         return None
 
+    def begin_trial(self, blame: Blame, vm: str, now: float) -> bool:
+        """Return whether a VM may send a request that is blamed as a whole, which it may do once.
+
+        Parameters
+        ----------
+        vm
+            Name of the VM.
+        """
+        active = self._blamed.get(blame.parts)
+        if active is None or active.tried or not all(map(_is_whole_request, blame.parts)):
+            return False
+        if blame.witnesses[:1] != (vm,) or now - active.since < TRIAL_AFTER_SECONDS:
+            return False
+        active.tried = True
+        return True
+
     def blames(self) -> list[Blame]:
         """Return the blames that hold."""
         return [active.blame for active in self._blamed.values()]
@@ -299,17 +318,11 @@
     def _is_cleared_by_answer(self, part: str, crashed_at: float) -> bool:
         return self._sound.get(part, -math.inf) >= crashed_at - SOUND_SECONDS
 
-    def _seconds_to_blame(self, blame: Blame) -> float:
-        is_first = blame.parts not in self._expired
-        if is_first and any(map(_is_whole_request, blame.parts)):
-            return FIRST_REQUEST_BLAME_SECONDS
-        return BLAME_SECONDS
-
     def _blame(self, blame: Blame, now: float, seconds: float) -> None:
         """Begin to blame parts, and no longer a larger group that cannot be told apart."""
         for wider in [group for group in self._blamed if group > blame.parts]:
             del self._blamed[wider]
-        self._blamed[blame.parts] = _ActiveBlame(blame, now + seconds)
+        self._blamed[blame.parts] = _ActiveBlame(blame, now, now + seconds)
         self._expired.pop(blame.parts, None)
         _limit(self._blamed, MAX_BLAMED)
 
