Name what is still to be told of request limits by the field's words

Cause: private names and docstrings of the new files used figurative words. Change: names and texts only; nothing on the wire, in logs or in metrics. The tests of limits and permits passed with the renames (the fleet of 60 VMs was not rerun).

--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -311,7 +311,7 @@
     def may_answer(self, name: str, now: float) -> bool:
         """Return whether another VM is likely to answer a call.
 
-        A VM that follows hears no heartbeats and relies on the statuses of serving VMs.
+        A VM that follows receives no heartbeats and relies on the statuses of serving VMs.
         """
         peer = self._peers.get(name)
         if peer is None:
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -116,7 +116,7 @@
             crashes=vm_state.crashes.take_crashes(now, refreshes),
             sound_parts=vm_state.crashes.take_sound_parts(),
             blamed_parts=vm_state.crashes.take_blamed_parts(refreshes),
-            request_limits=vm_state.request_limits.take_news(now, refreshes),
+            request_limits=vm_state.request_limits.take_unreported(now, refreshes),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
--- a/hollyring/node/send_permits.py
+++ b/hollyring/node/send_permits.py
@@ -2,8 +2,8 @@
 
 Every VM ranks the serving VMs alike for an upstream, and the first one issues. A VM that is asked
 though it ranks another one first denies, so that two VMs issue at once only while two hold
-different VMs for silent. An issuer that hears most of the fleet issues the whole limit, so
-that VMs that are gone cost nothing; one that hears half or less issues that part of it.
+different VMs for silent. An issuer that reaches most of the fleet issues the whole limit, so
+that VMs that are gone cost nothing; one that reaches half or less issues that part of it.
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 """Time after asking within which a permit has to be used, by the clock of the VM that asked."""
 
 MAJORITY = 0.5
-"""Share of the serving VMs beyond which no other part of a divided fleet can hear as many."""
+"""Share of the serving VMs beyond which no other part of a divided fleet can reach as many."""
 
 UNANSWERED_RETRY_SECONDS = 0.3
 """Time for which an upstream is not used after its issuer did not answer or is another VM."""
--- a/hollyring/node/tests/test_send_permits.py
+++ b/hollyring/node/tests/test_send_permits.py
@@ -96,7 +96,7 @@
 
 @pytest.mark.parametrize("vms", [9, 60])
 @pytest.mark.parametrize(
-    "fault", ["herd killed", "restarts", "partition", "slow to hear", "issuer killed"]
+    "fault", ["herd killed", "restarts", "partition", "late messages", "issuer killed"]
 )
 def test_faults_of_vms_add_nothing_to_what_an_upstream_gets(simulate, fault, vms):
     async def scenario(fleet):
@@ -135,7 +135,7 @@
             fleet.partitions = {frozenset({a, b}) for a in inside for b in outside}
             await anyio.sleep(8.0)
             fleet.partitions = set()
-        case "slow to hear":
+        case "late messages":
             fleet.delays = dict.fromkeys(serving[::3], 1.0)
             await anyio.sleep(8.0)
             fleet.delays = {}
--- a/hollyring/node/upstream_limits.py
+++ b/hollyring/node/upstream_limits.py
@@ -20,11 +20,11 @@
         Registry whose limits are updated.
     """
 
-    __slots__ = ("_limits", "_news", "_named", "_log")
+    __slots__ = ("_limits", "_unreported", "_named", "_log")
 
     def __init__(self, upstreams: registry.Registry) -> None:
         self._limits = upstreams.request_limits
-        self._news: set[identities.Incarnation] = set()
+        self._unreported: set[identities.Incarnation] = set()
         self._named = 0
         self._log = logs.Logger("limits")
 
@@ -46,7 +46,7 @@
             # Answers to other calls than requests need not name a limit that holds.
             return
         if self._limits.record(upstream.incarnation, head.request_limit, sent_at, now):
-            self._news.add(upstream.incarnation)
+            self._unreported.add(upstream.incarnation)
             self._log_change(upstream.incarnation, "answer")
 
     def receive(
@@ -60,10 +60,10 @@
             if self._limits.adopt(upstream, observed):
                 self._log_change(upstream, sender)
 
-    def take_news(self, now: float, repeat: bool) -> list[heartbeat.UpstreamRequestLimit]:
+    def take_unreported(self, now: float, repeat: bool) -> list[heartbeat.UpstreamRequestLimit]:
         """Return what to tell in the next heartbeat: what has changed, or all that is known."""
-        news, self._news = self._news, set()
-        return [item for item in self.all(now) if repeat or _incarnation(item) in news]
+        unreported, self._unreported = self._unreported, set()
+        return [item for item in self.all(now) if repeat or _incarnation(item) in unreported]
 
     def all(self, now: float) -> list[heartbeat.UpstreamRequestLimit]:
         """Return all that is known of limits."""
--- a/hollyring/routing/request_limits.py
+++ b/hollyring/routing/request_limits.py
@@ -2,7 +2,7 @@
 
 An upstream names its limit in its answers for as long as it holds, and an answer without one ends
 it. What VMs observed is ordered by the time of observation, so that a limit that has ended is not
-taken up again from a VM that has not heard of it.
+taken up again from a VM that does not know of it.
 
 A request to such an upstream needs a permit (`hollyring.limits.send_permits`). After a denial the
 upstream is closed for this VM until it may ask again.
@@ -67,7 +67,7 @@
         sent_at: float,
         now: float,
     ) -> bool:
-        """Record an answer to a request that was sent at `sent_at`; return whether it is news.
+        """Record an answer to a request that was sent at `sent_at`; return whether it is new.
 
         An answer without a limit may have overtaken, or been overtaken by, one that names it. It
         ends a limit only if its request was sent after the last answer that named one.
@@ -84,7 +84,7 @@
         return known is None or known.per_second != rate
 
     def adopt(self, upstream: identities.Incarnation, observed: ObservedLimit) -> bool:
-        """Take what another VM observed if it is later; return whether it is news."""
+        """Take what another VM observed if it is later; return whether it is new."""
         known = self._observed.get(upstream)
         if known is not None and known.at >= observed.at:
             return False
