--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -22,7 +22,7 @@
     retry_budget,
     service_retry_budgets,
 )
-from hollyring.membership import heartbeat, peer_table, request_meter
+from hollyring.membership import forwarding_targets, heartbeat, peer_table, request_meter
 from hollyring.node import (
     cache_updates,
     clock,
@@ -37,6 +37,7 @@
 )
 from hollyring.routing import (
     prefix_caches,
+    reachability,
     registry,
     selection,
     software_versions,
@@ -124,6 +125,8 @@
         )
         self.crashes = crash_reports.CrashReports(vm_info.name)
         self.peers = peer_table.PeerTable(vm_info)
+        self.reachability = reachability.Reachability()
+        self.forwarding = forwarding_targets.ForwardingTargets(self.peers)
         self.requests = request_meter.RequestMeter()
         self.mirrors = {
             prefix: mirror.Mirror()
