Log each end of a request, and how long its upstream had been silent

A failed attempt did not say how long its upstream had been silent, and four ways in which a request can end left no line at all: not decodable, body too large, not HTTP, caller left within its body.

Change: `request: try failed` has `silent`, the seconds since the upstream's last byte; each of the four ends logs one line.

All were answered or left by their callers, before too: callers saw no difference.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -352,16 +352,18 @@
                     await asgi.wait_disconnect(receive)
                 return
             request = codec.decode_request(scope, body)
-        except asgi.BodyTooLargeError:
-            await response.refuse(refusal.make("body_too_large"))
+        except asgi.BodyTooLargeError as error:
+            await self._refuse(response, refusal.make("body_too_large"), error)
             return
-        except asgi.BodyTooSlowError:
-            await response.refuse(refusal.make("header_timeout"))
+        except asgi.BodyTooSlowError as error:
+            await self._refuse(response, refusal.make("header_timeout"), error)
             return
         except asgi.DisconnectedError:
+            self._log.info("caller left within its request")
             return
         except self._adapter.request_error as error:
-            await response.refuse(refusal.make("invalid_request", message=str(error)))
+            rejection = refusal.make("invalid_request", message=str(error))
+            await self._refuse(response, rejection, error)
             return
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(_cancel_on_disconnect, receive, task_group.cancel_scope)
@@ -374,6 +376,13 @@
                 await anyio.sleep(caller_connection.CLOSE_READ_SECONDS)
             task_group.cancel_scope.cancel()
 
+    async def _refuse(
+        self, response: responses.ResponseWriter, rejection: refusal.Refusal, error: Exception
+    ) -> None:
+        """Refuse a request that could not be read or decoded."""
+        self._log.info("request not read", code=rejection.code, why=str(error))
+        await response.refuse(rejection)
+
     def _max_body_bytes(self) -> int:
         current = self._state.deployment
         return current.limits.body_bytes if current else CALLER_LIMITS.body_bytes
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -157,11 +157,11 @@
         except http_connection.NotSentError as error:
             return request_context.NotRun(str(error))
         except _ResponseTimeoutError as error:
-            return request_context.Failed(str(error))
+            return request_context.Failed(str(error), silent_seconds=exchange.silent_seconds)
         except http_connection.HttpConnectionError as error:
             upstream.record_failure(clock.now())
             self._record_broken(context, upstream, events_before)
-            return request_context.Failed(str(error))
+            return request_context.Failed(str(error), silent_seconds=exchange.silent_seconds)
         finally:
             self._pool.release(address, connection)
 
--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -9,7 +9,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from hollyring.delivery import refusal
-from hollyring.node import caller_connection, completion_format, settings
+from hollyring.node import caller_connection, completion_format, logs, settings
 
 REASON_PHRASES = {408: "Request Timeout", 429: "Too Many Requests", 431: "Header Fields Too Large"}
 
@@ -59,6 +59,10 @@
             self._stop_timer()
             super().on_headers_complete()
 
+        def send_400_response(self, msg: str) -> None:
+            logs.Logger("connection").info("refused", code="invalid_request", why=msg)
+            super().send_400_response(msg)
+
         def _start_head(self) -> None:
             self._head_bytes = 0
             self._in_head = True
@@ -79,6 +83,7 @@
 
         def _refuse(self, rejection: refusal.Refusal) -> None:
             """Write a complete response without calling the application, then close."""
+            logs.Logger("connection").info("refused", code=rejection.code)
             body = msgspec.json.encode(
                 completion_format.error(rejection.code, rejection.message, rejection.execution)
             )
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -87,6 +87,7 @@
         "_ended",
         "_failure",
         "_waiter",
+        "_received_at",
         "matches",
     )
 
@@ -99,6 +100,12 @@
         self._ended = False
         self._failure: HttpConnectionError | None = None
         self._waiter: asyncio.Future[None] | None = None
+        self._received_at = clock.now()
+
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds since the last part of the response arrived, or since the request was written."""
+        return clock.now() - self._received_at
 
     @property
     def ended(self) -> bool:
@@ -158,11 +165,13 @@
     def set_head(self, head: ResponseHead) -> None:
         """Record the head of the response."""
         self._head = head
+        self._received_at = clock.now()
         self._wake()
 
     def add_data(self, data: bytes) -> None:
         """Append a part of the body."""
         self._chunks.append(data)
+        self._received_at = clock.now()
         self._size += len(data)
         if self._size > MAX_BUFFERED_BYTES:
             self._connection.pause_reading()
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -367,6 +367,7 @@
         outcome: request_context.NotRun | request_context.Failed,
     ) -> None:
         not_run = isinstance(outcome, request_context.NotRun)
+        silent = 0.0 if isinstance(outcome, request_context.NotRun) else outcome.silent_seconds
         self._metrics.increment("tries_not_run" if not_run else "tries_failed")
         self._log.info(
             "try failed",
@@ -376,6 +377,7 @@
             not_run=not_run,
             sends=context.retry_state.sends,
             left=round(context.seconds_left, 3),
+            silent=round(silent, 3),
             partial_event_bytes=context.events.partial_bytes,
             whole=context.suspects[-1],
         )
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -21,11 +21,14 @@
         Text for the log.
     head, body
         The upstream's own error response, if it sent one.
+    silent_seconds
+        Seconds without data from the upstream, up to the end of the attempt.
     """
 
     reason: str
     head: interfaces.ResponseHead | None = None
     body: bytes = b""
+    silent_seconds: float = 0.0
 
     @property
     def execution_status(self) -> execution.Execution:
