Keep an exchange open while its upstream's host is silent

Callers saw: the answer of a request that may run once only, or a stream under way, ended without an answer or with a 502 two seconds after its upstream fell silent, although the upstream went on.

Cause: connections to upstreams had keep-alive (1 s idle, 1 s interval, 2 probes) and a TCP_USER_TIMEOUT of 2 s, during exchanges too. By the user timeout Linux ends keep-alive at the probe after 2 s, whatever the count, and ends a connection whose peer has not read for 2 s.

Change: while an exchange of a caller's request is open, the kernel's detection is off; the sender has a deadline. It is on again as soon as the connection is idle, so that a dead one is found within 2 s. Internal calls (store, reports, orders, polls of caches) keep it: they are repeated, and a watch of the store must notice a cut link early. Links between VMs keep it: they are connected again, and no request rides on them.

--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -232,7 +232,7 @@
     """
     try:
         async with asyncio.timeout(seconds):
-            exchange = connection.send(request, http_connection.match_any)
+            exchange = connection.send(request, http_connection.match_any, outlasts_silence=False)
             head = await exchange.head()
             return http_connection.Response(head.status, head.headers, await exchange.body())
     except TimeoutError as error:
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -220,6 +220,7 @@
         self._framed = True
         self._overhead_bytes = 0
         self._unusable = False
+        self._detects_silence = True
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
         self.idle_since = clock.now()
@@ -262,7 +263,13 @@
         """
         return request_id in self._carried
 
-    def send(self, request: bytes, matches: ResponseMatcher, request_id: str = "") -> Exchange:
+    def send(
+        self,
+        request: bytes,
+        matches: ResponseMatcher,
+        request_id: str = "",
+        outlasts_silence: bool = True,
+    ) -> Exchange:
         """Write a request and return its exchange.
 
         Parameters
@@ -273,6 +280,9 @@
             Recognises the response.
         request_id
             Identity by which the response is recognised, empty if there is none.
+        outlasts_silence
+            Whether the exchange goes on while the upstream's host is silent, until the sender
+            gives it up. A call that is simply repeated does without.
 
         Raises
         ------
@@ -284,6 +294,9 @@
             raise NotSentError("connection closed")
         if request_id:
             self._carried.append(request_id)
+        if outlasts_silence:
+            sockets.disable_keepalive(transport.get_extra_info("socket"))
+            self._detects_silence = False
         self._exchange = Exchange(self, matches)
         self._overhead_bytes = 0
         transport.write(request)
@@ -296,6 +309,8 @@
         if not self.reusable or (exchange is not None and not exchange.ended):
             self.abort()
             return False
+        if not self._detects_silence:
+            self._detect_silence()
         self.resume_reading()
         return True
 
@@ -321,7 +336,13 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._unread = sockets.UnreadEvents(transport, select.POLLIN | select.POLLRDHUP)
-        sockets.enable_keepalive(transport.get_extra_info("socket"))
+        self._detect_silence()
+
+    def _detect_silence(self) -> None:
+        """Let the kernel close the connection when the upstream's host is silent."""
+        assert self._transport is not None
+        sockets.enable_keepalive(self._transport.get_extra_info("socket"))
+        self._detects_silence = True
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes; bytes outside an exchange close the connection."""
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -10,7 +10,10 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2_000
-"""Time without acknowledgement of sent data after which the connection is closed."""
+"""Time without acknowledgement of sent data after which the connection is closed.
+
+Linux also ends keep-alive by it, whatever `KEEPALIVE_PROBES` is.
+"""
 
 Option = tuple[int, int, int]
 
@@ -30,6 +33,12 @@
         connection.setsockopt(*option)
 
 
+def disable_keepalive(connection: socket.socket) -> None:
+    """Keep `connection` open while its peer is unresponsive; its user has a timeout of its own."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
+
 class UnreadEvents:
     """Tells whether a socket has events that the event loop has not read yet.
 
