Show with three VM processes that a VM without upstreams serves none of its callers

One of three VMs reaches the servers no more: its connections hang, are reset, or live on while new ones are refused.

--- /dev/null
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -0,0 +1,221 @@
+"""Tests of VM processes of which one reaches no upstream, while callers and other VMs reach it."""
+
+import asyncio
+import base64
+import contextlib
+import enum
+import json
+import socket
+
+import anyio
+import pytest
+
+from hollyring.platform.tests import conftest, test_process
+
+CONTACT_SECONDS = 1.0
+"""Time after the cut from which callers of the cut VM are served like the others."""
+
+MEASURED_SECONDS = 2.0
+REQUESTS_PER_SECOND = 20
+MAX_SHARE_LESS = 0.05
+"""Most by which the share of first tries served at the cut VM may lie below that of the others."""
+
+SERVERS = 3
+SLOWER_SECONDS = 0.3
+"""Time a server takes after the cut, so that the connections opened before it do not suffice."""
+
+
+class Cut(enum.Enum):
+    """What a VM that reaches no upstream sees of its connections."""
+
+    HANGING = enum.auto()
+    RESET = enum.auto()
+    ONLY_NEW_REFUSED = enum.auto()
+
+
+class UpstreamProxy:
+    """Loopback proxy through which one VM reaches one server."""
+
+    def __init__(self, target):
+        self.target = target
+        self.address = ""
+        self._port = 0
+        self._server = None
+        self._writers = set()
+        self._passes = asyncio.Event()
+        self._passes.set()
+        self._full = contextlib.ExitStack()
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        await self._listen()
+        try:
+            yield self
+        finally:
+            self._full.close()
+            self._server.close()
+            self._abort()
+
+    async def _listen(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{self._port}"
+
+    async def cut(self, form):
+        self._server.close()
+        match form:
+            case Cut.HANGING:
+                self._passes.clear()
+                self._fill_backlog()
+            case Cut.RESET:
+                self._abort()
+
+    async def restore(self):
+        self._full.close()
+        self._passes.set()
+        await self._listen()
+
+    def _fill_backlog(self):
+        """Listen without accepting, so that connecting takes for ever."""
+        listener = self._full.enter_context(socket.socket())
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self._port))
+        listener.listen(0)
+        for _ in range(3):
+            filler = self._full.enter_context(socket.socket())
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(("127.0.0.1", self._port))
+
+    def _abort(self):
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def _serve(self, reader, writer):
+        host, _, port = self.target.rpartition(":")
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            self._writers |= {writer, far_writer}
+            await asyncio.gather(self._copy(reader, far_writer), self._copy(far_reader, writer))
+
+    async def _copy(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                await self._passes.wait()
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
+class StoreView(conftest.HttpStandIn):
+    """The store as one VM sees it: with other addresses of the servers."""
+
+    def __init__(self, store, addresses):
+        super().__init__()
+        self._store = store
+        self._addresses = addresses
+
+    async def handle(self, request, writer):
+        name = request.path.removeprefix("/hollyring/")
+        body = json.loads(request.body) if request.body else {}
+        status, document = await self._store._respond(name, request.query, body)
+        for field in ("items", "events"):
+            if field in document:
+                document = document | {field: [self._shown(item) for item in document[field]]}
+        data = json.dumps(self._shown(document)).encode()
+        writer.write(conftest.encode_response(status, data, store_era=self._store.era))
+
+    def _shown(self, item):
+        if not item.get("key", "").startswith("servers/") or "value" not in item:
+            return item
+        value = json.loads(base64.b64decode(item["value"]))
+        value["address"] = self._addresses[value["address"]]
+        return item | {"value": base64.b64encode(json.dumps(value).encode()).decode()}
+
+
+class Fleet:
+    """VM processes, each of which reaches the servers through proxies of its own."""
+
+    def __init__(self, servers, vms, proxies):
+        self.servers = servers
+        self.vms = vms
+        self.proxies = proxies
+
+    async def cut(self, vm, form):
+        for proxy in self.proxies[vm]:
+            await proxy.cut(form)
+
+    async def served(self, vm, seconds):
+        """Send requests at a steady rate; return the share that was served, and the statuses."""
+        statuses = []
+
+        async def send(number):
+            response = await test_process.post(vm, f"{vm.caller_url[-5:]}-{number}-{id(statuses)}")
+            statuses.append(response.status)
+
+        async with anyio.create_task_group() as group:
+            for number in range(int(seconds * REQUESTS_PER_SECOND)):
+                group.start_soon(send, number)
+                await anyio.sleep(1.0 / REQUESTS_PER_SECOND)
+        return statuses.count(200) / len(statuses), sorted(statuses)
+
+
+@pytest.fixture
+async def start_fleet(tmp_path):
+    """Yield a function that starts `count` VM processes before three servers."""
+    async with contextlib.AsyncExitStack() as stack:
+        started = []
+
+        async def start(count):
+            store = await stack.enter_async_context(conftest.StoreStandIn().running())
+            servers = [conftest.ServerStandIn(f"i-{n}") for n in range(SERVERS)]
+            await store.put("op/config", test_process.CONFIG)
+            for server in servers:
+                await stack.enter_async_context(server.running())
+                entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
+                await store.put(f"servers/{server.name}", entry | {"state": "ready"})
+            proxies = {}
+            for number in range(1, count + 1):
+                own = [UpstreamProxy(server.address) for server in servers]
+                for proxy in own:
+                    await stack.enter_async_context(proxy.running())
+                addresses = {proxy.target: proxy.address for proxy in own}
+                view = await stack.enter_async_context(StoreView(store, addresses).running())
+                vm = test_process.VmProcess(tmp_path, view.address, f"vm-{number}")
+                vm.start()
+                started.append(vm)
+                proxies[vm] = own
+            for vm in started:
+                await vm.wait_ready()
+            for vm in started:
+                await vm.wait_listed(count)
+            return Fleet(servers, started, proxies)
+
+        yield start
+        for vm in started:
+            vm.process.kill()
+            vm.process.wait()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("form", list(Cut), ids=lambda form: form.name.lower())
+async def test_callers_of_a_vm_without_upstreams_are_served_like_others(start_fleet, form):
+    fleet = await start_fleet(3)
+    cut_vm, *others = fleet.vms
+    shares = {}
+
+    async def measure(vm):
+        shares[vm] = await fleet.served(vm, MEASURED_SECONDS)
+
+    for vm in fleet.vms:
+        assert (await fleet.served(vm, 0.5))[0] == 1.0
+    await fleet.cut(cut_vm, form)
+    for server in fleet.servers:
+        server.delay_seconds = SLOWER_SECONDS
+    await fleet.served(cut_vm, CONTACT_SECONDS)
+    async with anyio.create_task_group() as group:
+        for vm in fleet.vms:
+            group.start_soon(measure, vm)
+    lowest = min(shares[vm][0] for vm in others)
+    assert shares[cut_vm][0] >= lowest - MAX_SHARE_LESS, shares[cut_vm]
