Let an attempt without a connection spend no retry of the budget

Now an attempt of which no byte was written spends none; such attempts have a bound of their own (5 of one request), beside the 5 that arrive.

test_attempt_without_a_connection_spends_no_retry on the code before: with a budget of no retries and one of two servers refusing connections, the fourth of ten requests was refused with 503 (At index 3 diff: 503 != 200); now ten of ten are answered by the other server.

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -16,6 +16,9 @@
 MAX_SENDS = 5
 """Maximum number of times one request is sent, including those that upstreams refuse."""
 
+MAX_UNSENT = 5
+"""Maximum number of attempts of one request of which no byte is sent, for want of a connection."""
+
 MIN_SECONDS_LEFT = 0.03
 """Nothing is sent with less time than this left before the deadline."""
 
@@ -57,6 +60,7 @@
     __slots__ = (
         "_policy",
         "_sends",
+        "_unsent",
         "_runs",
         "_in_progress",
         "_reached",
@@ -67,6 +71,7 @@
     def __init__(self, policy: RetryPolicy) -> None:
         self._policy = policy
         self._sends = 0
+        self._unsent = 0
         self._runs = 0
         self._in_progress = False
         self._reached = False
@@ -85,9 +90,14 @@
 
     @property
     def sends(self) -> int:
-        """Number of times the request was sent."""
+        """Number of attempts, those included of which no byte was sent."""
         return self._sends
 
+    @property
+    def arrivals(self) -> int:
+        """Number of times that bytes of the request were sent to an upstream."""
+        return self._sends - self._unsent
+
     @property
     def reached(self) -> bool:
         """Whether an upstream may have run the request, or may be running it."""
@@ -123,6 +133,10 @@
         self._upstreams.append(upstream)
         self._failure_domains.append(failure_domain)
 
+    def record_unsent(self) -> None:
+        """Record that no byte of the last attempt was sent."""
+        self._unsent += 1
+
     def withdraw(self) -> None:
         """Undo the start of the last attempt, of which nothing was sent."""
         self._sends -= 1
@@ -154,7 +168,7 @@
         answer_started
             Whether the caller has received a part of the answer.
         """
-        if self._sends >= MAX_SENDS or not self.has_time(now):
+        if self.arrivals >= MAX_SENDS or self._unsent >= MAX_UNSENT or not self.has_time(now):
             return False
         if not self.reached:
             return True
--- a/hollyring/delivery/tests/test_retry.py
+++ b/hollyring/delivery/tests/test_retry.py
@@ -48,6 +48,17 @@
     assert state.may_retry(0.0, answer_started) is allowed
 
 
+def test_attempts_of_which_nothing_was_sent_are_bounded_on_their_own(begun_state):
+    state = begun_state()
+    for _ in range(retry.MAX_UNSENT):
+        assert state.may_retry(0.0, False)
+        state.record_unsent()
+        state.record_failure(NOT_RUN)
+        state.begin("ls-2", "b")
+    assert (state.arrivals, state.sends) == (1, 1 + retry.MAX_UNSENT)
+    assert not state.may_retry(0.0, False)
+
+
 def test_attempted_upstreams_and_failure_domains_are_recorded(begun_state):
     state = begun_state()
     state.record_failure(UNKNOWN)
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -136,12 +136,12 @@
                     address, max_connections, min_keep_alive_seconds, context.request_id
                 )
         except http_connection.TooManyConnectionsError as error:
-            return request_context.NotRun(str(error))
+            return request_context.NotRun(str(error), written=False)
         except http_connection.NotSentError as error:
             self._state.mark_unresponsive(upstream, str(error))
-            return request_context.NotRun(str(error))
+            return request_context.NotRun(str(error), written=False)
         except TimeoutError:
-            return request_context.NotRun("deadline while connecting")
+            return request_context.NotRun("deadline while connecting", written=False)
         try:
             if context.response.caller_left:
                 raise errors.CallerLeftError("caller left before this attempt was sent")
@@ -155,7 +155,7 @@
             )
             return await self._receive(context, selected, exchange, sent_at)
         except http_connection.NotSentError as error:
-            return request_context.NotRun(str(error))
+            return request_context.NotRun(str(error), written=False)
         except _ResponseTimeoutError as error:
             return request_context.Failed(str(error))
         except http_connection.HttpConnectionError as error:
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -212,11 +212,13 @@
                 self._log_withdrawn(context, selected)
                 context.retry_state.withdraw()
                 continue
+            if isinstance(outcome, request_context.NotRun) and not outcome.written:
+                context.retry_state.record_unsent()
             context.retry_state.record_failure(outcome.execution_status)
             if isinstance(outcome, request_context.Failed):
                 context.last_failure = outcome
             self._log_failed(context, selected, outcome)
-            if not self._may_retry(context):
+            if not self._may_retry(context, outcome):
                 await self._finish_failed(context)
                 return
 
@@ -267,11 +269,20 @@
             context.software,
         )
 
-    def _may_retry(self, context: request_context.RequestContext) -> bool:
-        """Return whether to make another attempt, which spends a retry of the service's budget."""
+    def _may_retry(
+        self,
+        context: request_context.RequestContext,
+        outcome: request_context.Failed | request_context.NotRun,
+    ) -> bool:
+        """Return whether to make another attempt.
+
+        It spends a retry of the service's budget if the last one arrived at an upstream.
+        """
         now = clock.now()
         if not context.retry_state.may_retry(now, context.response.started):
             return False
+        if isinstance(outcome, request_context.NotRun) and not outcome.written:
+            return True
         return self._state.retries(context.service.name).try_retry(now)
 
     async def _finish_failed(self, context: request_context.RequestContext) -> None:
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -35,9 +35,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotRun:
-    """Attempt that the upstream certainly did not run."""
+    """Attempt that the upstream certainly did not run.
+
+    Parameters
+    ----------
+    reason
+        Text for the log.
+    written
+        Whether a byte of the request may have arrived at an upstream.
+    """
 
     reason: str
+    written: bool = True
 
     @property
     def execution_status(self) -> execution.Execution:
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -587,6 +587,18 @@
     assert 20 <= request_count(servers) <= 24
 
 
+@pytest.mark.anyio
+async def test_attempt_without_a_connection_spends_no_retry(start_vm):
+    vm, servers = await start_vm("complete", "complete")
+    vm.state._retries = service_retry_budgets.ServiceRetryBudgets(
+        service_retry_budgets.RetryRules(0.0, 0.0, 10.0)
+    )
+    servers[0].crash()
+    callers = [await vm.send_request(f"r-{number}") for number in range(10)]
+    assert [caller.status for caller in callers] == [200] * 10
+    assert len(servers[1].requests) == 10
+
+
 def avoid(vm, *servers):
     """Let the VM prefer the other upstreams."""
     for server in servers:
