Add links between VMs that carry a forwarded request and its answer

This is the transport: typed messages (delivery/forwarded), and a connection of the peer port that carries sealed frames both ways (each direction with a key of its own) once its first message is a ForwardedRequest. The kernel's probes close a link to a host that is gone; no user timeout is set on it, since a caller that reads slowly may keep the window closed.

--- a/hollyring/node/catalogue.py
+++ b/hollyring/node/catalogue.py
@@ -6,7 +6,7 @@
 from hollyring.delivery import messages as delivery
 from hollyring.limits import messages as limits
 from hollyring.membership import messages as membership
-from hollyring.node import heartbeat_messages, thrift_names
+from hollyring.node import forwarded_messages, heartbeat_messages, thrift_names
 from hollyring.routing import messages as routing
 
 MESSAGES: dict[str, type] = heartbeat_messages.MESSAGES | {
@@ -34,4 +34,5 @@
         routing.LookupAnswer,
     )
 }
+MESSAGES |= forwarded_messages.MESSAGES
 """All message classes; a wire name begins with the package that handles the message."""
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -370,3 +370,71 @@
   1: optional i64 lookup_id
   2: optional list<RoutingUpstreamState> states
 }
+
+struct DeliveryForwardedHeader {
+  1: optional binary name
+  2: optional binary value
+}
+
+struct CorePrompt {
+  1: optional string model
+  2: optional list<CorePart> parts
+  3: optional i64 prompt_tokens
+  4: optional i64 output_tokens
+  5: optional i64 output_tokens_hint
+}
+
+struct DeliveryForwardedRequest {
+  1: optional string request_id
+  2: optional string resumed_request_id
+  3: optional binary method
+  4: optional binary target
+  5: optional string host
+  6: optional string path
+  7: optional list<DeliveryForwardedHeader> headers
+  8: optional binary body
+  9: optional i64 body_bytes
+  10: optional double seconds_left
+  11: optional string service
+  12: optional string organisation
+  13: optional i64 priority
+  14: optional i64 runs_left
+  15: optional i64 sends_left
+  16: optional list<string> excluded_upstreams
+  17: optional CorePrompt prompt
+  18: optional i64 resume_after
+  19: optional string software
+}
+
+struct DeliveryForwardedRefusal {
+  1: optional string code
+  2: optional double retry_after
+  3: optional string execution
+  4: optional i64 sends
+  5: optional list<string> upstreams
+}
+
+struct DeliveryForwardedHead {
+  1: optional i64 status
+  2: optional list<DeliveryForwardedHeader> headers
+  3: optional bool streaming
+  4: optional string upstream
+  5: optional string software
+  6: optional i64 sends
+}
+
+struct DeliveryForwardedData {
+  1: optional binary data
+}
+
+struct DeliveryForwardedWait {
+  1: optional i64 sends
+}
+
+struct DeliveryForwardedEnd {
+  1: optional i64 body_bytes
+}
+
+struct DeliveryForwardedBreak {
+  1: optional string reason
+}
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -1,7 +1,8 @@
 """TCP connections between VMs: a handshake with mutual authentication, then authenticated frames.
 
 A connection carries messages in one direction, from the VM that opened it to the VM that accepted
-it. Each outgoing connection is served by one task, which owns the socket and reads a bounded
+it, unless its first message hands it over to `LinkHandler`, which answers on the same connection.
+Each outgoing connection is served by one task, which owns the socket and reads a bounded
 queue. A message that finds the queue full is dropped; senders have to cope with that anyway, since
 the network may lose messages.
 
@@ -13,6 +14,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 import hmac
 import secrets
@@ -44,6 +46,9 @@
 MessageHandler = Callable[[identities.Incarnation, object], Awaitable[object | None]]
 """Handles a message; its return value is sent as the reply if the sender waits for one."""
 
+LinkHandler = Callable[["Session", object], Awaitable[None]]
+"""Serves a connection that carries frames both ways, given its first message."""
+
 
 class FrameAuthenticator:
     """Seals or verifies the numbered frames of one connection.
@@ -114,7 +119,7 @@
     return identities.Incarnation(name, number), address
 
 
-_CONNECTION_ERRORS = (
+CONNECTION_ERRORS = (
     OSError,
     TimeoutError,
     anyio.EndOfStream,
@@ -122,6 +127,28 @@
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
 )
+"""Errors of a connection that could not be opened or was lost."""
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """Connection after its handshake.
+
+    Parameters
+    ----------
+    opener
+        VM that opened the connection.
+    stream, buffered
+        The connection, and its bytes that were received with the handshake or follow.
+    outgoing, incoming
+        Authenticators of the frames that this VM sends and receives.
+    """
+
+    opener: identities.Incarnation
+    stream: anyio.abc.SocketStream
+    buffered: anyio.streams.buffered.BufferedByteReceiveStream
+    outgoing: FrameAuthenticator
+    incoming: FrameAuthenticator
 
 
 class PeerConnections:
@@ -141,6 +168,8 @@
         Handler, awaited with the sender and the message for each received message.
     known_address
         Returns the peer address of a VM by its name, None for an unknown VM.
+    link_opener
+        Class of the first message of a connection that carries frames both ways.
     """
 
     __slots__ = (
@@ -157,6 +186,8 @@
         "_last_sequence",
         "_known_address",
         "_failed_addresses",
+        "_link_opener",
+        "_serve_link",
         "_log",
     )
 
@@ -168,7 +199,10 @@
         codec: wire.Codec,
         receive: MessageHandler,
         known_address: Callable[[str], str | None],
+        link_opener: type | None = None,
     ) -> None:
+        self._link_opener = link_opener
+        self._serve_link: LinkHandler | None = None
         self._known_address = known_address
         self._failed_addresses: set[str] = set()
         self._log = logs.Logger("peers")
@@ -198,6 +232,10 @@
         """
         return self._known_address(name) or self._reported_addresses.get(name)
 
+    def set_link_handler(self, handler: LinkHandler) -> None:
+        """Serve connections that carry frames both ways."""
+        self._serve_link = handler
+
     def set_keys(self, keys: list[str]) -> None:
         """Use `keys` for new handshakes; open connections stay open."""
         self._keys = list(keys)
@@ -267,7 +305,7 @@
     ) -> None:
         try:
             await self._send_queued(address, queue_receiver)
-        except (*_CONNECTION_ERRORS, errors.PeerError, ValueError) as error:
+        except (*CONNECTION_ERRORS, errors.PeerError, ValueError) as error:
             self._counts["dropped"] += 1
             if address not in self._failed_addresses:
                 self._failed_addresses.add(address)
@@ -281,13 +319,10 @@
     async def _send_queued(
         self, address: str, queue_receiver: memory.MemoryObjectReceiveStream[bytes]
     ) -> None:
-        host, _, port = address.rpartition(":")
         with anyio.fail_after(IO_TIMEOUT_SECONDS):
-            stream = await anyio.connect_tcp(host, int(port))
-        sockets.enable_keepalive(stream.extra(anyio.abc.SocketAttribute.raw_socket))
-        async with stream:
-            with anyio.fail_after(IO_TIMEOUT_SECONDS):
-                frames = await self._open_handshake(stream)
+            session = await self.open_session(address)
+        async with session.stream:
+            sockets.enable_keepalive(session.stream.extra(anyio.abc.SocketAttribute.raw_socket))
             self._failed_addresses.discard(address)
             while True:
                 with anyio.move_on_after(IDLE_TIMEOUT_SECONDS) as idle:
@@ -295,11 +330,29 @@
                 if idle.cancelled_caught:
                     return
                 with anyio.fail_after(IO_TIMEOUT_SECONDS):
-                    await stream.send(frames.seal(payload))
+                    await session.stream.send(session.outgoing.seal(payload))
                 self._counts["sent"] += 1
                 self._counts["sent_bytes"] += len(payload) + TAG_BYTES + 4
 
-    async def _open_handshake(self, stream: anyio.abc.ByteStream) -> FrameAuthenticator:
+    async def open_session(self, address: str) -> Session:
+        """Connect to the VM at `address` and run the handshake.
+
+        Raises
+        ------
+        PeerError
+            If the VM does not prove that it holds the key; `CONNECTION_ERRORS` if the connection
+            cannot be opened.
+        """
+        host, _, port = address.rpartition(":")
+        stream = await anyio.connect_tcp(host, int(port))
+        try:
+            sockets.enable_probes(stream.extra(anyio.abc.SocketAttribute.raw_socket))
+            return await self._open_handshake(stream)
+        except BaseException:
+            await anyio.aclose_forcefully(stream)
+            raise
+
+    async def _open_handshake(self, stream: anyio.abc.SocketStream) -> Session:
         """Run the client side of the handshake, in which both ends prove that they hold the key."""
         buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
         peer_nonce = await buffered.receive_exactly(NONCE_BYTES)
@@ -314,25 +367,27 @@
             proof, _handshake_mac(key, b"accept", peer_nonce, own_nonce, hello)
         ):
             raise errors.PeerError("accepting peer failed mutual authentication")
-        return FrameAuthenticator(_handshake_mac(key, b"session", peer_nonce, own_nonce, hello))
+        return Session(
+            self._incarnation,
+            stream,
+            buffered,
+            FrameAuthenticator(_handshake_mac(key, b"session", peer_nonce, own_nonce, hello)),
+            FrameAuthenticator(_handshake_mac(key, b"answers", peer_nonce, own_nonce, hello)),
+        )
 
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
             try:
                 with anyio.fail_after(IO_TIMEOUT_SECONDS):
-                    sender, frames, buffered = await self._accept_handshake(stream)
-                await self._receive_frames(sender, frames, buffered)
+                    session = await self._accept_handshake(stream)
+                await self._receive_frames(session)
             except errors.PeerError as error:
                 self._counts["refused"] += 1
                 self._log.info("connection from a VM refused", why=str(error))
-            except _CONNECTION_ERRORS:
+            except CONNECTION_ERRORS:
                 return
 
-    async def _accept_handshake(
-        self, stream: anyio.abc.SocketStream
-    ) -> tuple[
-        identities.Incarnation, FrameAuthenticator, anyio.streams.buffered.BufferedByteReceiveStream
-    ]:
+    async def _accept_handshake(self, stream: anyio.abc.SocketStream) -> Session:
         buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
         own_nonce = secrets.token_bytes(NONCE_BYTES)
         await stream.send(own_nonce)
@@ -346,31 +401,34 @@
             ):
                 await stream.send(_handshake_mac(key, b"accept", own_nonce, peer_nonce, hello))
                 self._reported_addresses[sender.name] = address
-                return (
+                nonces = own_nonce, peer_nonce
+                return Session(
                     sender,
-                    FrameAuthenticator(
-                        _handshake_mac(key, b"session", own_nonce, peer_nonce, hello)
-                    ),
+                    stream,
                     buffered,
+                    FrameAuthenticator(_handshake_mac(key, b"answers", *nonces, hello)),
+                    FrameAuthenticator(_handshake_mac(key, b"session", *nonces, hello)),
                 )
         raise errors.PeerError("connecting peer has none of the peer keys")
 
-    async def _receive_frames(
-        self,
-        sender: identities.Incarnation,
-        frames: FrameAuthenticator,
-        buffered: anyio.streams.buffered.BufferedByteReceiveStream,
-    ) -> None:
+    async def _receive_frames(self, session: Session) -> None:
+        buffered = session.buffered
         while True:
             header = await buffered.receive_exactly(4 + TAG_BYTES)
             (length,) = struct.unpack("!I", header[:4])
             if length > wire.MAX_MESSAGE_BYTES:
                 raise errors.PeerError(f"frame of {length} bytes exceeds the size limit")
-            payload = frames.open(header[4:], await buffered.receive_exactly(length))
+            payload = session.incoming.open(header[4:], await buffered.receive_exactly(length))
             message, sequence, message_type = self._codec.decode(payload)
             self._counts["received"] += 1
             self._counts["received_bytes"] += length + TAG_BYTES + 4
-            await self._dispatch(sender, message, sequence, message_type)
+            if self._serve_link is not None and self._opens_link(message):
+                await self._serve_link(session, message)
+                return
+            await self._dispatch(session.opener, message, sequence, message_type)
+
+    def _opens_link(self, message: object) -> bool:
+        return self._link_opener is not None and isinstance(message, self._link_opener)
 
     async def _dispatch(
         self, sender: identities.Incarnation, message: object, sequence: int, message_type: int
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -30,6 +30,16 @@
         connection.setsockopt(*option)
 
 
+def enable_probes(connection: socket.socket) -> None:
+    """Let the kernel close `connection` when its peer answers no probes.
+
+    Unlike `enable_keepalive` it does so only then, not when the peer's window stays closed.
+    """
+    for option in TCP_OPTIONS:
+        if option[1] != socket.TCP_USER_TIMEOUT:
+            connection.setsockopt(*option)
+
+
 class UnreadEvents:
     """Tells whether a socket has events that the event loop has not read yet.
 
