--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 
 from hollyring.core import execution, request_types
 from hollyring.delivery import refusal
@@ -35,16 +36,26 @@
         Monotonic second by which the caller must have the final answer.
     max_runs
         Maximum number of upstreams that may run the request.
+    max_sends
+        Maximum number of times that bytes of the request are sent to an upstream.
     """
 
     retry_safety: request_types.RetrySafety
     deadline: float
     max_runs: int
+    max_sends: int = MAX_SENDS
 
 
 class RetryState:
     """Consecutive attempts of one request.
 
+    Parameters
+    ----------
+    policy
+        Limits on the attempts.
+    tried_elsewhere
+        Names of upstreams that another VM tried.
+
     Examples
     --------
     >>> policy = RetryPolicy(request_types.RetrySafety.IDEMPOTENT, deadline=2.0, max_runs=2)
@@ -59,6 +70,7 @@
 
     __slots__ = (
         "_policy",
+        "_tried_elsewhere",
         "_sends",
         "_unsent",
         "_runs",
@@ -68,8 +80,9 @@
         "_failure_domains",
     )
 
-    def __init__(self, policy: RetryPolicy) -> None:
+    def __init__(self, policy: RetryPolicy, tried_elsewhere: Iterable[str] = ()) -> None:
         self._policy = policy
+        self._tried_elsewhere = frozenset(tried_elsewhere)
         self._sends = 0
         self._unsent = 0
         self._runs = 0
@@ -93,20 +106,35 @@
         """Number of attempts, those included of which no byte was sent."""
         return self._sends
 
+    @property
+    def reached(self) -> bool:
+        """Whether an upstream may have run the request, or may be running it."""
+        return self._reached or self._in_progress
+
+    @property
+    def runs_left(self) -> int:
+        """Number of upstreams that may still run the request."""
+        return self._policy.max_runs - self._runs
+
     @property
     def arrivals(self) -> int:
         """Number of times that bytes of the request were sent to an upstream."""
         return self._sends - self._unsent
 
     @property
-    def reached(self) -> bool:
-        """Whether an upstream may have run the request, or may be running it."""
-        return self._reached or self._in_progress
+    def sends_left(self) -> int:
+        """Number of times that bytes of the request may still be sent."""
+        return self._policy.max_sends - self.arrivals
+
+    @property
+    def tried_elsewhere(self) -> frozenset[str]:
+        """Names of the upstreams that other VMs tried."""
+        return self._tried_elsewhere
 
     @property
     def upstreams(self) -> frozenset[str]:
-        """Names of the upstreams of all attempts."""
-        return frozenset(self._upstreams)
+        """Names of the upstreams of all attempts, those of other VMs included."""
+        return self._tried_elsewhere | frozenset(self._upstreams)
 
     @property
     def failure_domains(self) -> frozenset[str]:
@@ -133,6 +161,22 @@
         self._upstreams.append(upstream)
         self._failure_domains.append(failure_domain)
 
+    def begin_forward(self) -> None:
+        """Record that another VM makes the next attempts."""
+        self._sends += 1
+        self._in_progress = True
+
+    def record_forward(self, sends: int, upstreams: Iterable[str] = ()) -> None:
+        """Record how often another VM sent the request, and the upstreams that it tried.
+
+        It follows `begin_forward`; whether the request ran is for `record_failure` to say.
+        """
+        self._tried_elsewhere |= frozenset(upstreams)
+        if not sends:
+            self.record_unsent()
+            return
+        self._sends += sends - 1
+
     def record_unsent(self) -> None:
         """Record that no byte of the last attempt was sent."""
         self._unsent += 1
@@ -168,7 +212,7 @@
         answer_started
             Whether the caller has received a part of the answer.
         """
-        if self.arrivals >= MAX_SENDS or self._unsent >= MAX_UNSENT or not self.has_time(now):
+        if self.sends_left <= 0 or self._unsent >= MAX_UNSENT or not self.has_time(now):
             return False
         if not self.reached:
             return True
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -14,7 +14,7 @@
 import uvicorn
 
 from hollyring.core import identities, request_types
-from hollyring.delivery import refusal
+from hollyring.delivery import forwarded, refusal
 from hollyring.limits import organisation_rates
 from hollyring.membership import heartbeat
 from hollyring.node import (
@@ -27,6 +27,10 @@
     connection_pool,
     crash_watcher,
     errors,
+    forward_client,
+    forward_links,
+    forward_server,
+    forwarded_messages,
     heartbeat_messages,
     heartbeat_sender,
     http_server,
@@ -177,13 +181,15 @@
             vm_settings.freshness_rules,
         )
         self._connections = connection_pool.ConnectionPool()
+        codec = wire.Codec(heartbeat_messages.MESSAGES | forwarded_messages.MESSAGES)
         self._peers = peers.PeerConnections(
             identities.Incarnation(vm_settings.name, incarnation),
             vm_settings.peer_address,
             PEER_KEYS,
-            wire.Codec(heartbeat_messages.MESSAGES),
+            codec,
             self._on_peer_message,
             self._peer_address,
+            forwarded.ForwardedRequest,
         )
         self._heartbeats = heartbeat_sender.HeartbeatSender(
             self._state, self._peers, list(vm_settings.seeds)
@@ -224,6 +230,7 @@
             vm_settings.link_bits_per_second,
         )
         self._crash_watcher = crash_watcher.CrashWatcher(self._state, self._connections)
+        self._forward_links = forward_links.ForwardLinks(self._peers, codec)
         self._relay = relay.Relay(
             self._state,
             adapter.upstream_codec,
@@ -231,7 +238,14 @@
             self._metrics,
             self._store_checker,
             self._permits,
+            forward_client.ForwardClient(
+                self._state, adapter.upstream_codec, self._forward_links, self._metrics
+            ),
         )
+        self._forward_server = forward_server.ForwardServer(
+            self._relay, codec, self._metrics, vm_settings.capacity
+        )
+        self._peers.set_link_handler(self._forward_server.serve)
         self._log = logs.Logger("vm")
 
     async def run(self) -> None:
@@ -260,10 +274,13 @@
             task_group.start_soon(self._registration.run)
             task_group.start_soon(self._exchange)
             task_group.start_soon(self._connections.sweep)
+            task_group.start_soon(self._forward_links.sweep)
             task_group.start_soon(self._crash_watcher.run)
             task_group.start_soon(internal_server.serve, internal_sockets)
             task_group.start_soon(self._handle_signals, caller_server)
             await caller_server.serve(caller_sockets)
+            if self._state.leaving:
+                await self._forward_server.drain(self._state.shutdown_at)
             await self._registration.release()
             self._log.info("stopped")
             internal_server.should_exit = True
@@ -424,6 +441,7 @@
             "serving": int(self._state.peers.is_serving),
             "upstreams": len(self._state.registry.upstreams),
             "open_requests": self._state.requests.open,
+            "open_requests_of_other_vms": self._forward_server.open_requests,
             "upstream_connections_opened": self._connections.opened,
             "upstream_backoffs_total": self._state.backoffs.recorded,
             "upstream_limits_named_total": self._state.request_limits.named,
--- /dev/null
+++ b/hollyring/node/forward_client.py
@@ -0,0 +1,308 @@
+"""Admitting side of forwarded requests: another VM makes the attempts, this one has the caller."""
+
+from __future__ import annotations
+
+import anyio
+
+from hollyring.core import execution
+from hollyring.delivery import errors as delivery_errors
+from hollyring.delivery import forwarded, refusal, stream_origins
+from hollyring.membership import heartbeat
+from hollyring.node import (
+    clock,
+    errors,
+    forward_links,
+    interfaces,
+    metrics,
+    peer_link,
+    request_context,
+    state,
+    taken_requests,
+)
+
+SILENCE_SECONDS = 1.2
+"""Time without a message after which the executing VM counts as lost; it sends some when idle."""
+
+HTTP_SERVER_ERROR = 500
+MAX_BODY_BYTES = 33_554_432
+"""Longest body that is kept until it is whole."""
+
+
+class _NotAnsweredError(Exception):
+    """The executing VM sent no whole answer, and does not say that the request was not run."""
+
+
+class ForwardClient:
+    """Forwards requests to VMs that reach the upstreams of their service.
+
+    Parameters
+    ----------
+    vm_state
+        State of this VM.
+    codec
+        Selects the headers that other VMs may get.
+    links
+        Links to other VMs.
+    counters
+        Metrics of this process.
+    """
+
+    def __init__(
+        self,
+        vm_state: state.State,
+        codec: interfaces.UpstreamCodec,
+        links: forward_links.ForwardLinks,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._state = vm_state
+        self._codec = codec
+        self._links = links
+        self._metrics = counters
+
+    def target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
+        """Return the VM to make the next attempts of a request, None if no VM is known to."""
+        return self._state.forwarding.choose(context.service.name, context.avoided_vms, clock.now())
+
+    async def run(
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+    ) -> request_context.Outcome:
+        """Have a VM make attempts of a request, and send its answer to the caller.
+
+        Raises
+        ------
+        CallerLeftError
+            If the caller has left before the request could be sent.
+        """
+        context.retry_state.begin_forward()
+        context.forwarded_to = target.name
+        self._state.forwarding.record_begin(target.name)
+        try:
+            return await self._run(context, target)
+        finally:
+            self._state.forwarding.record_end(target.name)
+
+    async def _run(
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+    ) -> request_context.Outcome:
+        try:
+            link = await self._links.acquire(target.peer_address)
+        except peer_link.LinkLostError as error:
+            context.avoided_vms.append(target.name)
+            context.retry_state.record_forward(0)
+            return request_context.NotRun(str(error), written=False)
+        exchange = _Exchange(link, self._codec, self._state, self._metrics, context)
+        bytes_before = link.sent_bytes + link.received_bytes
+        is_whole = False
+        try:
+            outcome = await exchange.run()
+            is_whole = exchange.is_whole
+            return outcome
+        except _NotAnsweredError as error:
+            context.retry_state.record_forward(max(1, exchange.sends))
+            return request_context.Failed(str(error))
+        except peer_link.LinkLostError as error:
+            context.avoided_vms.append(target.name)
+            if not exchange.is_written:
+                context.retry_state.record_forward(0)
+                return request_context.NotRun(str(error), written=False)
+            context.retry_state.record_forward(max(1, exchange.sends))
+            return request_context.Failed(str(error))
+        finally:
+            carried = link.sent_bytes + link.received_bytes - bytes_before
+            self._metrics.increment("forwarded_bytes", carried)
+            with anyio.CancelScope(shield=True):
+                if is_whole:
+                    await self._links.release(target.peer_address, link)
+                else:
+                    await link.close()
+
+
+class _Exchange:
+    """One forwarded request and its answer on a link."""
+
+    def __init__(
+        self,
+        link: peer_link.Link,
+        codec: interfaces.UpstreamCodec,
+        vm_state: state.State,
+        counters: metrics.Metrics,
+        context: request_context.RequestContext,
+    ) -> None:
+        self._link = link
+        self._codec = codec
+        self._state = vm_state
+        self._metrics = counters
+        self._context = context
+        self.sends = 0
+        self.is_written = False
+        self.is_whole = False
+
+    async def run(self) -> request_context.Outcome:
+        """Send the request and forward the answer to the caller."""
+        context = self._context
+        if context.response.caller_left:
+            raise errors.CallerLeftError("caller left before this attempt was sent")
+        await self._send_request()
+        answer = await self._receive()
+        match answer:
+            case forwarded.ForwardedRefusal():
+                self.is_whole = True
+                return self._refused(answer)
+            case forwarded.ForwardedHead(streaming=True):
+                self.sends = max(self.sends, answer.sends)
+                return await self._forward_stream(answer)
+            case forwarded.ForwardedHead():
+                self.sends = max(self.sends, answer.sends)
+                return await self._forward_whole(answer)
+            case _:
+                raise peer_link.LinkLostError(f"unexpected {type(answer).__name__}")
+
+    async def _send_request(self) -> None:
+        """Send the request; the executing VM does not begin it before it has the last message."""
+        context = self._context
+        request = context.request
+        parts = list(taken_requests.split(request.body)) or [b""]
+        message = forwarded.ForwardedRequest(
+            request.request_id,
+            request.resumed_request_id,
+            request.method,
+            request.target,
+            request.host,
+            request.path,
+            forwarded.to_wire(self._codec.upstream_headers(request.headers)),
+            parts[0],
+            len(request.body),
+            context.seconds_left,
+            context.service.name,
+            context.organisation.name if context.organisation else "",
+            context.priority,
+            context.retry_state.runs_left,
+            context.retry_state.sends_left,
+            sorted(context.retry_state.tried_elsewhere),
+            request.prompt,
+            context.events.last_number,
+            context.software,
+        )
+        messages = [message, *(forwarded.ForwardedData(part) for part in parts[1:])]
+        for earlier in messages[:-1]:
+            await self._send(earlier)
+        self.is_written = True
+        await self._send(messages[-1])
+
+    async def _send(self, message: object) -> None:
+        with anyio.move_on_after(max(0.0, self._context.seconds_left)):
+            await self._link.send(message)
+            return
+        raise peer_link.LinkLostError("deadline while sending")
+
+    async def _receive(self) -> object:
+        """Return the next message that is more than a sign of life.
+
+        Raises
+        ------
+        _NotAnsweredError
+            At the deadline.
+        LinkLostError
+            If the link is lost, or the executing VM is silent and another one may take over.
+        """
+        context = self._context
+        while True:
+            seconds = context.seconds_left
+            is_bounded = context.retry_state.may_run_elsewhere and seconds > SILENCE_SECONDS
+            message = None
+            with anyio.move_on_after(SILENCE_SECONDS if is_bounded else max(0.0, seconds)):
+                message = await self._link.receive()
+            if message is None and is_bounded:
+                raise peer_link.LinkLostError("executing VM is silent")
+            if message is None:
+                raise _NotAnsweredError("no answer in time")
+            if not isinstance(message, forwarded.ForwardedWait):
+                return message
+            self.sends = max(self.sends, message.sends)
+
+    def _refused(self, answer: forwarded.ForwardedRefusal) -> request_context.Outcome:
+        context = self._context
+        context.retry_state.record_forward(answer.sends, answer.upstreams)
+        is_known = answer.code in refusal.KINDS
+        code = answer.code if is_known else "no_upstream"
+        if answer.execution != execution.Execution.NOT_RUN.value:
+            return request_context.Failed(f"refused: {answer.code}")
+        rejection = refusal.make(code, answer.retry_after)
+        context.avoided_vms.append(context.forwarded_to)
+        context.declined.append(rejection)
+        return request_context.Declined(rejection, written=answer.sends > 0)
+
+    async def _forward_whole(self, head: forwarded.ForwardedHead) -> request_context.Outcome:
+        context = self._context
+        parts, size = [], 0
+        while True:
+            message = await self._receive()
+            match message:
+                case forwarded.ForwardedData(data=data):
+                    parts.append(data)
+                    size += len(data)
+                    if size > MAX_BODY_BYTES:
+                        raise peer_link.LinkLostError("body exceeds the maximum size")
+                case forwarded.ForwardedEnd(body_bytes=body_bytes) if body_bytes == size:
+                    break
+                case forwarded.ForwardedBreak(reason=reason):
+                    raise _NotAnsweredError(f"broken off: {reason}")
+                case _:
+                    raise peer_link.LinkLostError(f"unexpected {type(message).__name__}")
+        self.is_whole = True
+        headers = forwarded.from_wire(head.headers)
+        body = b"".join(parts)
+        is_error = head.status >= HTTP_SERVER_ERROR
+        if context.response.started or (is_error and context.retry_state.may_run_elsewhere):
+            context.retry_state.record_forward(max(1, self.sends), [head.upstream])
+            shown = interfaces.ResponseHead(
+                head.status, headers, True, False, False, head.upstream, 0
+            )
+            return request_context.Failed(f"status {head.status}", shown, body)
+        context.first_byte_at = clock.now()
+        self._metrics.observe("answer", context.first_byte_at - context.arrived_at)
+        await context.response.send(head.status, headers, body)
+        return request_context.Done()
+
+    async def _forward_stream(self, head: forwarded.ForwardedHead) -> request_context.Outcome:
+        context = self._context
+        if context.software is not None and head.software != context.software:
+            raise peer_link.LinkLostError("stream continued at another software version")
+        context.events.begin_attempt()
+        while True:
+            message = await self._receive()
+            try:
+                match message:
+                    case forwarded.ForwardedData(data=data):
+                        events = context.events.feed(data)
+                        if events:
+                            await self._forward_events(head, events)
+                    case forwarded.ForwardedEnd():
+                        context.events.check_end()
+                        break
+                    case forwarded.ForwardedBreak(reason=reason):
+                        raise _NotAnsweredError(f"broken off: {reason}")
+                    case _:
+                        raise peer_link.LinkLostError(f"unexpected {type(message).__name__}")
+            except delivery_errors.StreamOrderError as error:
+                raise _NotAnsweredError(str(error)) from error
+        self.is_whole = True
+        if not context.response.started:
+            await context.response.start(head.status, forwarded.from_wire(head.headers), b"")
+        await context.response.end()
+        self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
+        return request_context.Done()
+
+    async def _forward_events(self, head: forwarded.ForwardedHead, events: bytes) -> None:
+        context = self._context
+        if context.response.started:
+            await context.response.write(events)
+            return
+        now = clock.now()
+        if context.software is None:
+            context.software = head.software
+            origin = stream_origins.Origin(context.service.name, head.software)
+            self._state.stream_origins.record(context.request.first_request_id, origin, now)
+        context.first_byte_at = now
+        self._metrics.observe("first_event", now - context.arrived_at)
+        await context.response.start(head.status, forwarded.from_wire(head.headers), events)
--- /dev/null
+++ b/hollyring/node/forward_server.py
@@ -0,0 +1,174 @@
+"""Executing side of forwarded requests: one link carries one request at a time."""
+
+from __future__ import annotations
+
+import contextlib
+
+import anyio
+
+from hollyring.delivery import forwarded, refusal
+from hollyring.limits import taken_room
+from hollyring.node import (
+    clock,
+    logs,
+    metrics,
+    peer_link,
+    peers,
+    relay,
+    responses,
+    taken_requests,
+    wire,
+)
+
+IDLE_SECONDS = 10.0
+"""Time without a request after which a link is closed; longer than the other VM keeps it."""
+
+BODY_SECONDS = 5.0
+"""Timeout of the rest of a request's body."""
+
+WAIT_SECONDS = 0.4
+"""Time between two messages that say that this VM is alive."""
+
+MAX_BODY_BYTES = 33_554_432
+"""Longest body of a request; the admitting VM has checked the configured limit."""
+
+
+class ForwardServer:
+    """Executes requests for other VMs.
+
+    Parameters
+    ----------
+    request_relay
+        Makes the attempts.
+    codec
+        Encodes and decodes messages.
+    counters
+        Metrics of this process.
+    capacity
+        Processor capacity of this VM, in cores.
+    """
+
+    def __init__(
+        self,
+        request_relay: relay.Relay,
+        codec: wire.Codec,
+        counters: metrics.Metrics,
+        capacity: float,
+    ) -> None:
+        self._relay = request_relay
+        self._codec = codec
+        self._metrics = counters
+        self._room = taken_room.TakenRoom(capacity)
+        self._log = logs.Logger("forwarding")
+
+    @property
+    def open_requests(self) -> int:
+        """Number of requests in progress for other VMs."""
+        return self._room.open
+
+    async def drain(self, until: float) -> None:
+        """Wait until no request is in progress for another VM, at most until time `until`."""
+        while self._room.open and clock.now() < until:
+            await anyio.sleep(0.02)
+
+    async def serve(self, session: peers.Session, message: object) -> None:
+        """Serve a link, whose first message is given, until it is closed or idle for long."""
+        link = peer_link.Link(session, self._codec)
+        try:
+            while isinstance(message, forwarded.ForwardedRequest):
+                await self._execute(link, message)
+                with anyio.fail_after(IDLE_SECONDS):
+                    message = await link.receive()
+        except (peer_link.LinkLostError, TimeoutError):
+            return
+        finally:
+            self._metrics.increment("taken_bytes", link.sent_bytes + link.received_bytes)
+            await link.close()
+
+    async def _execute(self, link: peer_link.Link, message: forwarded.ForwardedRequest) -> None:
+        """Execute a request; the admitting VM closes the link to give it up.
+
+        Raises
+        ------
+        LinkLostError
+            If the link is lost or the request was given up.
+        """
+        with anyio.fail_after(BODY_SECONDS):
+            body = await _receive_body(link, message)
+        response = taken_requests.TakenResponse(link)
+        retry_after = self._room.begin(clock.now())
+        if retry_after is not None:
+            self._metrics.increment("declined_full")
+            self._log.info(
+                "no room for another VM's request",
+                request=message.request_id,
+                admitted_by=link.peer,
+                retry_after=round(retry_after, 3),
+            )
+            await response.refuse(refusal.make("overloaded", retry_after))
+            return
+        try:
+            await self._run(link, message, body, response)
+        finally:
+            self._room.end(clock.now())
+
+    async def _run(
+        self,
+        link: peer_link.Link,
+        message: forwarded.ForwardedRequest,
+        body: bytes,
+        response: taken_requests.TakenResponse,
+    ) -> None:
+        async def cancel_when_closed() -> None:
+            with contextlib.suppress(peer_link.LinkLostError):
+                await link.wait_data()
+            if not response.ended:
+                task_group.cancel_scope.cancel()
+
+        async def say_waiting() -> None:
+            with contextlib.suppress(peer_link.LinkLostError):
+                while True:
+                    await anyio.sleep(WAIT_SECONDS)
+                    await response.say_waiting()
+
+        with anyio.move_on_after(message.seconds_left):
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(cancel_when_closed)
+                task_group.start_soon(say_waiting)
+                await self._answer(message, body, link.peer, response)
+                task_group.cancel_scope.cancel()
+        if not response.complete:
+            raise peer_link.LinkLostError("not answered, as it was given up or late")
+
+    async def _answer(
+        self,
+        message: forwarded.ForwardedRequest,
+        body: bytes,
+        sender: str,
+        response: taken_requests.TakenResponse,
+    ) -> None:
+        """Answer the admitting VM; no answer is complete after a lost link or an internal error."""
+        try:
+            await self._relay.serve_taken(message, body, sender, response)
+        except responses.IncompleteResponseError as error:
+            with contextlib.suppress(peer_link.LinkLostError):
+                await response.break_off(str(error))
+        except peer_link.LinkLostError:
+            return
+        except Exception:
+            self._log.exception("request of another VM failed", request=message.request_id)
+            self._metrics.increment("internal_errors")
+
+
+async def _receive_body(link: peer_link.Link, message: forwarded.ForwardedRequest) -> bytes:
+    """Return the whole body of a request, whose first bytes came with the message."""
+    if message.body_bytes > MAX_BODY_BYTES:
+        raise peer_link.LinkLostError("body exceeds the maximum size")
+    parts, size = [message.body], len(message.body)
+    while size < message.body_bytes:
+        part = await link.receive()
+        if not isinstance(part, forwarded.ForwardedData):
+            raise peer_link.LinkLostError("part of a body expected")
+        parts.append(part.data)
+        size += len(part.data)
+    return b"".join(parts)
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -304,6 +304,11 @@
     def encode_request(self, request: request_types.Request, context: ForwardingContext) -> bytes:
         """Return the HTTP request that forwards `request`."""
 
+    def upstream_headers(
+        self, headers: Sequence[request_types.Header]
+    ) -> list[request_types.Header]:
+        """Return those of a caller's headers that upstreams and other VMs may get."""
+
     def response_matcher(self, request_id: str) -> http_connection.ResponseMatcher:
         """Return a predicate on headers: whether a response belongs to request `request_id`."""
 
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -9,20 +9,24 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
-from hollyring.delivery import event_stream, refusal, retry, stream_origins
+from hollyring.delivery import event_stream, forwarded, refusal, retry, stream_origins
 from hollyring.limits import fleet_window
+from hollyring.membership import heartbeat
 from hollyring.node import (
     attempt,
     clock,
     connection_pool,
     errors,
+    forward_client,
     interfaces,
     logs,
     metrics,
+    peer_link,
     request_context,
     responses,
     send_permits,
     state,
+    taken_requests,
 )
 from hollyring.routing import crashes, selection
 
@@ -45,6 +49,12 @@
 UNCONFIGURED_RETRY_AFTER_SECONDS = 0.3
 """Retry delay given to callers by a VM that has no configuration yet."""
 
+MAX_COPIES_WAIT = 0.3
+"""Longest wait in seconds for recent copies of the store, for a request of another VM."""
+
+MAX_DECLINED = 2
+"""VMs that are asked to execute a request before it is refused."""
+
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
@@ -81,6 +91,8 @@
         Shows that what this VM knows of the store is recent.
     permits
         Permits to send requests to upstreams that named a request limit.
+    forwards
+        Forwards requests to other VMs; None for a VM that forwards none.
     """
 
     def __init__(
@@ -91,7 +103,9 @@
         counters: metrics.Metrics,
         checker: CopyChecker,
         permits: send_permits.SendPermits,
+        forwards: forward_client.ForwardClient | None = None,
     ) -> None:
+        self._forwards = forwards
         self._state = vm_state
         self._checker = checker
         self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters, permits)
@@ -130,6 +144,44 @@
             self._log_end(admitted, "caller left")
             raise
 
+    async def serve_taken(
+        self,
+        message: forwarded.ForwardedRequest,
+        body: bytes,
+        sender: str,
+        response: taken_requests.TakenResponse,
+    ) -> None:
+        """Make the attempts of a request that another VM admitted, and answer that VM.
+
+        Raises
+        ------
+        IncompleteResponseError
+            If the response was started and cannot be completed.
+        LinkLostError
+            If that VM has gone.
+        """
+        arrived_at = clock.now()
+        context: request_context.RequestContext | refusal.Refusal
+        if await self._knows_enough(arrived_at + min(MAX_COPIES_WAIT, message.seconds_left)):
+            context = taken_requests.admit(
+                self._state, message, body, sender, response, clock.now()
+            )
+        else:
+            context = refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
+        if isinstance(context, refusal.Refusal):
+            self._log_declined(message.request_id, sender, context)
+            await response.refuse(context)
+            return
+        self._log_taken(context)
+        try:
+            await self._run_attempts(context)
+        except _RequestRefusedError as error:
+            self._log_end(context, error.refusal.code)
+            await response.refuse(error.refusal)
+        except (peer_link.LinkLostError, anyio.get_cancelled_exc_class()):
+            self._log_end(context, "caller left")
+            raise
+
     async def _knows_enough(self, until: float) -> bool:
         """Return whether this VM may decide requests, once its copies of the store are recent."""
         now = clock.now()
@@ -201,27 +253,100 @@
             if context.retry_state.sends and self._is_blamed(context):
                 refused = context.retry_state.final_refusal("crashing_request", clock.now())
                 raise _RequestRefusedError(refused)
-            context.selected = selected = self._select(context)
-            context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
-            self._log_sent(context, selected)
-            outcome = await self._attempt_runner.run(context, selected)
+            target = self._target(context)
+            if target is not None:
+                outcome = await self._run_forward(context, target)
+                where = target.name
+            else:
+                outcome = await self._run_attempt(context)
+                where = context.selected.upstream.name if context.selected else ""
             if isinstance(outcome, request_context.Done):
                 self._log_end(context, "answered")
                 return
             if isinstance(outcome, request_context.Withdrawn):
-                self._log_withdrawn(context, selected)
                 context.retry_state.withdraw()
                 continue
-            if isinstance(outcome, request_context.NotRun) and not outcome.written:
-                context.retry_state.record_unsent()
             context.retry_state.record_failure(outcome.execution_status)
             if isinstance(outcome, request_context.Failed):
                 context.last_failure = outcome
-            self._log_failed(context, selected, outcome)
+            self._log_failed(context, where, outcome)
+            if isinstance(outcome, request_context.Declined):
+                self._check_declined(context, outcome)
             if not self._may_retry(context, outcome):
                 await self._finish_failed(context)
                 return
 
+    def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
+        """Return the VM to make the next attempts, None for this VM.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If this VM reaches no upstream and no VM is left to ask.
+        """
+        if self._forwards is None or context.taken_from:
+            return None
+        if not self._state.reachability.is_cut_off(context.service.name):
+            return None
+        target = self._forwards.target(context)
+        if target is None and context.declined:
+            raise self._declined_error(context)
+        return target
+
+    async def _run_attempt(
+        self, context: request_context.RequestContext
+    ) -> request_context.Outcome:
+        """Make one attempt at an upstream."""
+        context.selected = selected = self._select(context)
+        context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
+        self._log_sent(context, selected)
+        outcome = await self._attempt_runner.run(context, selected)
+        if isinstance(outcome, request_context.Withdrawn):
+            self._log_withdrawn(context, selected)
+        if isinstance(outcome, request_context.NotRun) and not outcome.written:
+            context.retry_state.record_unsent()
+        return outcome
+
+    async def _run_forward(
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+    ) -> request_context.Outcome:
+        """Have another VM make the next attempts.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If the deadline is too near.
+        """
+        now = clock.now()
+        if self._forwards is None or not context.retry_state.has_time(now):
+            raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
+        self._log_forwarded(context, target)
+        return await self._forwards.run(context, target)
+
+    def _check_declined(
+        self, context: request_context.RequestContext, outcome: request_context.Declined
+    ) -> None:
+        """Refuse a request that other VMs declined, unless one more may be asked.
+
+        Raises
+        ------
+        _RequestRefusedError
+            With the shortest time to return that the VMs stated.
+        """
+        now = clock.now()
+        code = outcome.rejection.code
+        if code == "crashing_request":
+            raise _RequestRefusedError(context.retry_state.final_refusal(code, now))
+        if len(context.declined) >= MAX_DECLINED:
+            raise self._declined_error(context)
+
+    def _declined_error(self, context: request_context.RequestContext) -> _RequestRefusedError:
+        """Return a refusal with the shortest time to return that other VMs stated."""
+        soonest = min(context.declined, key=lambda rejection: rejection.retry_after)
+        return _RequestRefusedError(
+            context.retry_state.final_refusal(soonest.code, clock.now(), soonest.retry_after)
+        )
+
     def _is_blamed(self, context: request_context.RequestContext) -> bool:
         return self._state.crashes.blame_of(context.suspects) is not None
 
@@ -272,7 +397,7 @@
     def _may_retry(
         self,
         context: request_context.RequestContext,
-        outcome: request_context.Failed | request_context.NotRun,
+        outcome: request_context.Failed | request_context.NotRun | request_context.Declined,
     ) -> bool:
         """Return whether to make another attempt.
 
@@ -281,7 +406,9 @@
         now = clock.now()
         if not context.retry_state.may_retry(now, context.response.started):
             return False
-        if isinstance(outcome, request_context.NotRun) and not outcome.written:
+        if context.taken_from and context.retry_state.reached:
+            return False
+        if not isinstance(outcome, request_context.Failed) and not outcome.written:
             return True
         return self._state.retries(context.service.name).try_retry(now)
 
@@ -359,6 +486,46 @@
             active_ago=state.seconds_since(clock.now(), selected.upstream.last_activity_at),
         )
 
+    def _log_forwarded(
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+    ) -> None:
+        self._metrics.increment("forwarded")
+        self._log.info(
+            "forwarded",
+            request=context.request_id,
+            to=target.name,
+            service=context.service.name,
+            runs_left=context.retry_state.runs_left,
+            resume_after=context.events.last_number,
+            software=context.software,
+            left=round(context.seconds_left, 3),
+            waited=round(clock.now() - context.arrived_at, 3),
+        )
+
+    def _log_taken(self, context: request_context.RequestContext) -> None:
+        self._metrics.increment("taken")
+        self._log.info(
+            "taken from another VM",
+            request=context.request_id,
+            admitted_by=context.taken_from,
+            service=context.service.name,
+            runs_left=context.retry_state.runs_left,
+            resume_after=context.events.last_number,
+            software=context.software,
+            left=round(context.seconds_left, 3),
+        )
+
+    def _log_declined(self, request_id: str, sender: str, rejection: refusal.Refusal) -> None:
+        self._metrics.increment(f"declined_{rejection.code}")
+        self._log.info(
+            "declined for another VM",
+            request=request_id,
+            admitted_by=sender,
+            code=rejection.code,
+            why=rejection.message,
+            retry_after=round(rejection.retry_after, 3),
+        )
+
     def _log_withdrawn(
         self, context: request_context.RequestContext, selected: selection.Selection
     ) -> None:
@@ -374,15 +541,15 @@
     def _log_failed(
         self,
         context: request_context.RequestContext,
-        selected: selection.Selection,
-        outcome: request_context.NotRun | request_context.Failed,
+        where: str,
+        outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
     ) -> None:
-        not_run = isinstance(outcome, request_context.NotRun)
+        not_run = not isinstance(outcome, request_context.Failed)
         self._metrics.increment("tries_not_run" if not_run else "tries_failed")
         self._log.info(
             "try failed",
             request=context.request_id,
-            upstream=selected.upstream.name,
+            upstream=where,
             why=outcome.reason,
             not_run=not_run,
             sends=context.retry_state.sends,
@@ -402,6 +569,8 @@
             route=context.route.name,
             organisation=context.organisation.name if context.organisation else "",
             upstream=context.selected.upstream.name if context.selected else "",
+            through=context.forwarded_to,
+            admitted_by=context.taken_from,
             first=(
                 round(context.first_byte_at - context.arrived_at, 4)
                 if context.first_byte_at
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -6,7 +6,7 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import execution, request_types
-from hollyring.delivery import event_stream, retry
+from hollyring.delivery import event_stream, refusal, retry
 from hollyring.node import clock, interfaces, responses
 from hollyring.routing import selection
 
@@ -54,6 +54,32 @@
         return execution.Execution.NOT_RUN
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declined:
+    """Forwarded request that the executing VM states that no upstream ran.
+
+    Parameters
+    ----------
+    rejection
+        What the executing VM answered.
+    written
+        Whether a byte of the request arrived at an upstream.
+    """
+
+    rejection: refusal.Refusal
+    written: bool
+
+    @property
+    def reason(self) -> str:
+        """Text for the log."""
+        return f"declined: {self.rejection.code}"
+
+    @property
+    def execution_status(self) -> execution.Execution:
+        """Whether an upstream ran the request."""
+        return execution.Execution.NOT_RUN
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdrawn:
     """Attempt that was not sent, as its upstream was removed or began to leave before."""
@@ -64,7 +90,7 @@
     """Attempt whose response was sent to the caller completely."""
 
 
-Outcome = Done | Failed | NotRun | Withdrawn
+Outcome = Done | Failed | NotRun | Declined | Withdrawn
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,10 +119,19 @@
         before its first event. Only upstreams of that version continue it.
     suspects
         Hashes of what may crash an upstream: the request as a whole and parts of its prompt.
+    taken_from
+        Name of the VM that admitted the request, empty if this VM did. A request that was taken
+        from another VM is not forwarded, and this VM lets one upstream run it.
+    forwarded_to
+        Name of the VM that last executed the request for this VM, empty if none did.
+    avoided_vms
+        Names of VMs that declined the request or lost it.
+    declined
+        What VMs answered that declined the request.
     """
 
     request: request_types.Request
-    response: responses.ResponseWriter
+    response: responses.Response
     route: deployment.Route
     organisation: deployment.Organisation | None
     service: deployment.Service
@@ -110,6 +145,10 @@
     last_failure: Failed | None = None
     software: str | None = None
     suspects: tuple[str, ...] = ()
+    taken_from: str = ""
+    forwarded_to: str = ""
+    avoided_vms: list[str] = dataclasses.field(default_factory=list)
+    declined: list[refusal.Refusal] = dataclasses.field(default_factory=list)
 
     @property
     def seconds_left(self) -> float:
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 from collections.abc import Callable, Sequence
 
 from hollyring.core import request_types
@@ -26,6 +27,37 @@
 RefusalEncoder = Callable[[refusal.Refusal], EncodedRefusal]
 
 
+class Response(typing.Protocol):
+    """Receives the response to one request."""
+
+    status: int
+
+    @property
+    def started(self) -> bool:
+        """Whether a part of the response was sent."""
+
+    @property
+    def caller_left(self) -> bool:
+        """Whether the caller has closed the connection."""
+
+    async def start(
+        self, status: int, headers: Sequence[request_types.Header], data: bytes
+    ) -> None:
+        """Send the head and the first bytes of a response."""
+
+    async def write(self, data: bytes) -> None:
+        """Send more of the body."""
+
+    async def end(self) -> None:
+        """End the response."""
+
+    async def send(self, status: int, headers: Sequence[request_types.Header], body: bytes) -> None:
+        """Send a complete response."""
+
+    async def refuse(self, rejection: refusal.Refusal) -> None:
+        """Send a refusal, or raise `IncompleteResponseError` if a response was started."""
+
+
 class ResponseWriter:
     """Writes one response to a caller.
 
--- /dev/null
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -0,0 +1,622 @@
+"""Tests of the promises that hold for a request whose attempts another VM makes."""
+
+import contextlib
+import itertools
+
+import anyio
+import pytest
+
+from hollyring.core import identities, request_types
+from hollyring.delivery import forwarded, stream_origins
+from hollyring.membership import heartbeat
+from hollyring.node import (
+    clock,
+    forward_client,
+    forward_links,
+    forward_server,
+    forwarded_messages,
+    heartbeat_messages,
+    metrics,
+    peer_link,
+    peers,
+    relay,
+    wire,
+)
+from hollyring.platform import upstreams
+from hollyring.platform.tests import conftest, test_relay
+
+AT_MOST_ONCE = request_types.RetrySafety.AT_MOST_ONCE
+IDEMPOTENT = request_types.RetrySafety.IDEMPOTENT
+RESUMABLE = request_types.RetrySafety.RESUMABLE
+TIMEOUT_SECONDS = 5.0
+
+
+class ScriptedReachability:
+    """Replacement of `reachability.Reachability`."""
+
+    def __init__(self):
+        self.cut = False
+
+    def is_cut_off(self, service):
+        return self.cut
+
+
+class NeverFresh:
+    """Replacement of `freshness.Freshness` of a VM whose copies are old."""
+
+    def may_use(self, now):
+        return False
+
+    def age(self, now):
+        return 9.0
+
+
+class ScriptedTargets:
+    """Replacement of `forwarding_targets.ForwardingTargets`: VMs in the order of choice."""
+
+    def __init__(self):
+        self.vms = []
+        self.in_progress = []
+
+    def choose(self, service, excluded, now):
+        return next((vm for vm in self.vms if vm.name not in excluded), None)
+
+    def record_begin(self, vm):
+        self.in_progress.append(vm)
+
+    def record_end(self, vm):
+        self.in_progress.remove(vm)
+
+
+class ForwardingVm(test_relay.RelayVm):
+    """A VM that forwards requests and executes those of others."""
+
+    def __init__(self, name, servers, checker=None, **route):
+        super().__init__(servers, checker, **route)
+        self.state.reachability = ScriptedReachability()
+        self.state.forwarding = ScriptedTargets()
+        self.codec = wire.Codec(heartbeat_messages.MESSAGES | forwarded_messages.MESSAGES)
+        self.peers = peers.PeerConnections(
+            identities.Incarnation(name, 1),
+            "",
+            ["a-peer-key-of-sixteen-bytes"],
+            self.codec,
+            self.receive,
+            {}.get,
+            forwarded.ForwardedRequest,
+        )
+        self.links = forward_links.ForwardLinks(self.peers, self.codec)
+        self.metrics = metrics.Metrics()
+        upstream_codec = upstreams.HttpUpstreamCodec()
+        self.relay = relay.Relay(
+            self.state,
+            upstream_codec,
+            self.pool,
+            self.metrics,
+            checker or test_relay.AlwaysCurrent(),
+            self.permits,
+            forward_client.ForwardClient(self.state, upstream_codec, self.links, self.metrics),
+        )
+        self.server = forward_server.ForwardServer(self.relay, self.codec, self.metrics, 1.0)
+        self.peers.set_link_handler(self.serve_link)
+        self.messages = []
+        self.info = heartbeat.VmInfo(name, 1, "c", "", "dar-a", "dar")
+        self.scope = anyio.CancelScope()
+
+    async def receive(self, sender, message):
+        return None
+
+    async def serve_link(self, session, message):
+        self.messages.append(message)
+        await self.server.serve(session, message)
+
+    async def run(self, *, task_status):
+        """Accept connections until `kill`."""
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                port = await group.start(self.peers.run, "127.0.0.1", 0)
+                self.info = heartbeat.VmInfo(
+                    self.info.name, 1, "c", f"127.0.0.1:{port}", "dar-a", "dar"
+                )
+                task_status.started()
+
+    def kill(self):
+        self.scope.cancel()
+
+
+class ScriptedVm(ForwardingVm):
+    """A VM that answers each forwarded request by a script, and closes the link then."""
+
+    def __init__(self, name, script):
+        super().__init__(name, [])
+        self.script = script
+
+    async def serve_link(self, session, message):
+        self.messages.append(message)
+        link = peer_link.Link(session, self.codec)
+        with contextlib.suppress(peer_link.LinkLostError):
+            for step in self.script:
+                if isinstance(step, float):
+                    await anyio.sleep(step)
+                else:
+                    await link.send(step)
+        await link.close()
+
+
+class Fleet:
+    """A VM that is cut off from all servers, and the VMs that execute its requests."""
+
+    def __init__(self, group, servers, route):
+        self.servers = servers
+        self.route = route
+        self.executing = []
+        self.cut = ForwardingVm("vm-cut", servers, **route)
+        self.cut.state.reachability.cut = True
+        self._group = group
+
+    async def add(self, vm=None, servers=None):
+        """Add a VM that executes requests."""
+        name = f"vm-{len(self.executing)}"
+        vm = vm or ForwardingVm(name, servers or self.servers, **self.route)
+        await self._group.start(vm.run)
+        self.executing.append(vm)
+        self.cut.state.forwarding.vms.append(vm.info)
+        return vm
+
+    async def add_scripted(self, *script):
+        return await self.add(ScriptedVm(f"vm-{len(self.executing)}", script))
+
+    @property
+    def requests(self):
+        """Requests that arrived at the servers."""
+        return [request for server in self.servers for request in server.requests]
+
+
+@pytest.fixture
+async def start_fleet():
+    """Yield a function that starts servers, a VM that is cut off and `count` others."""
+    async with contextlib.AsyncExitStack() as stack, anyio.create_task_group() as group:
+
+        async def start(*behaviours, count=1, software=(), **route):
+            servers = [
+                conftest.ServerStandIn(f"i-{n}", behaviour)
+                for n, behaviour in enumerate(behaviours)
+            ]
+            for server, version in zip(servers, software, strict=False):
+                server.software = version
+            for server in servers:
+                await stack.enter_async_context(server.running())
+            fleet = Fleet(group, servers, route)
+            await group.start(fleet.cut.run)
+            for _ in range(count):
+                await fleet.add()
+            return fleet
+
+        yield start
+        group.cancel_scope.cancel()
+
+
+def stream_body(first, last):
+    return b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(first, last + 1))
+
+
+def head(status=200, streaming=False, software="v1"):
+    return forwarded.ForwardedHead(status, [], streaming, "i-0", software, 1)
+
+
+@pytest.mark.anyio
+async def test_answer_comes_through_another_vm_unchanged_and_without_the_key(start_fleet):
+    fleet = await start_fleet("complete")
+    headers = [(b"authorization", b"Bearer key"), (b"x-other", b"kept")]
+    caller = await fleet.cut.send_request(headers=headers)
+    assert (caller.status, caller.body, caller.ended) == (200, b"done by i-0", True)
+    assert caller.headers[b"x-response-seal"] == conftest.SEAL.encode()
+    received = fleet.requests[0]
+    assert (received.path, received.query, received.body) == ("/x", {"y": "%20"}, b"body")
+    assert (received.headers["x-tenant"], received.headers["x-other"]) == ("org", "kept")
+    assert 1000 < int(received.headers["x-deadline-ms"]) < 1970
+    message = fleet.executing[0].messages[0]
+    assert b"Bearer key" not in fleet.cut.codec.encode(message)
+    assert fleet.cut.state.forwarding.in_progress == []
+
+
+@pytest.mark.anyio
+async def test_large_bodies_are_forwarded_whole(start_fleet):
+    fleet = await start_fleet("complete")
+    body = bytes(range(256)) * 4000
+    fleet.servers[0].name = "x" * 700_000
+    caller = await send(fleet.cut, body)
+    assert fleet.requests[0].body == body
+    assert caller.body == b"done by " + b"x" * 700_000
+
+
+async def send(vm, body):
+    caller = test_relay.Caller()
+    request = request_types.Request(
+        "r-1", b"POST", b"/x", "h", "/x", ((b"x-request-id", b"r-1"),), body, "key", 2.0
+    )
+    response = test_relay.responses.ResponseWriter(
+        caller.send, test_relay.ingress.encode_refusal, lambda: False
+    )
+    await vm.relay.serve(request, response)
+    return caller
+
+
+@pytest.mark.anyio
+async def test_stream_comes_through_another_vm_with_its_origin(start_fleet):
+    fleet = await start_fleet("complete", software=("v7",), streaming=True, retry_safety=RESUMABLE)
+    caller = await fleet.cut.send_request()
+    assert (caller.body, caller.ended) == (stream_body(1, 5), True)
+    origins = fleet.cut.state.stream_origins
+    expected = stream_origins.OnlySoftware("v7")
+    assert origins.continuation("r-1", "s", {"v1", "v7"}, clock.now()) == expected
+
+
+@pytest.mark.anyio
+async def test_links_are_kept_for_the_next_request(start_fleet):
+    fleet = await start_fleet("complete")
+    for number in range(5):
+        assert (await fleet.cut.send_request(f"r-{number}")).status == 200
+    assert len(fleet.executing[0].messages) == 1
+    assert len(fleet.requests) == 5
+
+
+@pytest.mark.anyio
+async def test_rate_and_first_attempt_are_recorded_at_the_admitting_vm_only(start_fleet):
+    fleet = await start_fleet("complete", rate=1.0)
+    await fleet.cut.send_request()
+    now = clock.now()
+    attempts = [vm.state.retries("s").dump()["attempts"] for vm in (fleet.cut, fleet.executing[0])]
+    assert attempts == [1, 0]
+    assert sum(item.total for item in fleet.cut.state.organisation_usage(now)) > 0
+    assert sum(item.total for item in fleet.executing[0].state.organisation_usage(now)) == 0
+
+
+@pytest.mark.anyio
+async def test_request_is_not_forwarded_twice(start_fleet):
+    fleet = await start_fleet("complete")
+    first = fleet.executing[0]
+    first.state.reachability.cut = True
+    first.state.forwarding.vms.append(fleet.cut.info)
+    caller = await fleet.cut.send_request()
+    assert caller.status == 503
+    assert fleet.requests == fleet.cut.messages == []
+
+
+@pytest.mark.anyio
+async def test_vms_that_take_each_other_for_reachable_do_not_send_a_request_in_circles(
+    start_fleet,
+):
+    fleet = await start_fleet("complete", count=2)
+    vms = [fleet.cut, *fleet.executing]
+    for vm in vms:
+        vm.state.reachability.cut = True
+        vm.state.forwarding.vms = [other.info for other in vms if other is not vm]
+    caller = await fleet.cut.send_request()
+    assert caller.status == 503
+    assert [len(vm.messages) for vm in vms] == [0, 1, 1]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "script", [[], [head()], [head(), forwarded.ForwardedBreak("late")]], ids=len
+)
+async def test_unsafe_request_whose_answer_is_lost_may_have_run(start_fleet, script):
+    fleet = await start_fleet("complete", count=0)
+    await fleet.add_scripted(*script)
+    await fleet.add()
+    caller = await fleet.cut.send_request()
+    assert caller.status == 502
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_unsafe_request_without_an_answer_ends_at_the_deadline(start_fleet):
+    fleet = await start_fleet("silent")
+    started_at = clock.now()
+    caller = await fleet.cut.send_request(deadline_seconds=0.6)
+    assert caller.status == 504
+    assert clock.now() - started_at < 0.65
+    assert len(fleet.requests) == 1
+
+
+@pytest.mark.anyio
+async def test_unsafe_request_at_a_silent_vm_ends_at_the_deadline(start_fleet):
+    fleet = await start_fleet("complete", count=0)
+    await fleet.add_scripted(5.0)
+    await fleet.add()
+    caller = await fleet.cut.send_request(deadline_seconds=0.5)
+    assert caller.status == 504
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_idempotent_request_at_a_silent_vm_goes_to_another_one(start_fleet):
+    fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=9.0)
+    await fleet.add_scripted(9.0)
+    await fleet.add()
+    started_at = clock.now()
+    caller = await fleet.cut.send_request(deadline_seconds=9.0)
+    assert caller.status == 200
+    assert clock.now() - started_at < 2 * forward_client.SILENCE_SECONDS
+
+
+@pytest.mark.anyio
+async def test_vm_that_waits_for_its_upstream_is_not_taken_for_silent(start_fleet):
+    fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=9.0)
+    waiting = [0.8, forwarded.ForwardedWait(1)]
+    end = [head(), forwarded.ForwardedData(b"late"), forwarded.ForwardedEnd(4)]
+    await fleet.add_scripted(*waiting, *waiting, *end)
+    await fleet.add()
+    caller = await fleet.cut.send_request(deadline_seconds=9.0)
+    assert (caller.status, caller.body) == (200, b"late")
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_executing_vm_says_that_it_waits_for_its_upstream(start_fleet):
+    fleet = await start_fleet("silent", timeout=9.0)
+    with anyio.move_on_after(0.1):
+        await fleet.cut.send_request(deadline_seconds=9.0)
+    link = await fleet.cut.links.acquire(fleet.executing[0].info.peer_address)
+    await link.send(fleet.executing[0].messages[0])
+    with anyio.fail_after(forward_client.SILENCE_SECONDS / 2):
+        assert await link.receive() == forwarded.ForwardedWait(1)
+    await link.close()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("retry_safety", list(request_types.RetrySafety))
+async def test_request_that_no_byte_was_sent_of_goes_to_another_vm(start_fleet, retry_safety):
+    fleet = await start_fleet("complete", count=2, retry_safety=retry_safety)
+    fleet.executing[0].kill()
+    await anyio.sleep(0.05)
+    caller = await fleet.cut.send_request()
+    assert caller.status == 200
+    assert len(fleet.requests) == 1
+
+
+@pytest.mark.anyio
+async def test_declined_request_goes_to_one_more_vm(start_fleet):
+    fleet = await start_fleet("complete", count=2)
+    fleet.executing[0].state.leave(clock.now() - 10.0, 0.0)
+    caller = await fleet.cut.send_request()
+    assert caller.status == 200
+    assert len(fleet.executing[0].messages) == 1
+
+
+@pytest.mark.anyio
+async def test_request_that_two_vms_decline_is_refused_with_the_shorter_time(start_fleet):
+    fleet = await start_fleet("complete", count=0)
+    for seconds in (2.0, 0.7):
+        await fleet.add_scripted(
+            forwarded.ForwardedRefusal("overloaded", seconds, "not_run", 0, [])
+        )
+    await fleet.add()
+    caller = await fleet.cut.send_request()
+    assert (caller.status, float(caller.headers[b"retry-after"])) == (503, 0.7)
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_refusal_after_a_possible_run_does_not_say_not_run(start_fleet):
+    fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, attempts=3)
+    await fleet.add_scripted()
+    for _ in range(2):
+        await fleet.add_scripted(forwarded.ForwardedRefusal("overloaded", 1.0, "not_run", 0, []))
+    caller = await fleet.cut.send_request()
+    assert caller.status == 502
+
+
+@pytest.mark.anyio
+async def test_vm_without_room_declines_at_once_with_the_time_to_return(start_fleet):
+    fleet = await start_fleet("complete")
+    room = fleet.executing[0].server._room
+    taken = list(itertools.takewhile(lambda seconds: seconds is None, iter(room_begin(room), 0)))
+    assert taken
+    started_at = clock.now()
+    caller = await fleet.cut.send_request()
+    assert caller.status == 503
+    assert float(caller.headers[b"retry-after"]) > 0.0
+    assert clock.now() - started_at < 0.2
+    assert fleet.requests == []
+
+
+def room_begin(room):
+    return lambda: room.begin(0.0)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("lacking", ["route", "service", "organisation", "configuration", "copies"])
+async def test_vm_that_does_not_know_enough_declines(start_fleet, lacking):
+    fleet = await start_fleet("complete")
+    vm = fleet.executing[0]
+    match lacking:
+        case "route":
+            vm.state.deployment.route_for = lambda host, path: None
+        case "service":
+            vm.state.deployment.services.clear()
+        case "organisation":
+            vm.state.deployment.organisations.clear()
+        case "configuration":
+            vm.state.deployment = None
+        case "copies":
+            vm.relay._checker = test_relay.NeverCurrent()
+            vm.state.freshness = NeverFresh()
+    caller = await fleet.cut.send_request()
+    assert caller.status == 503
+    assert float(caller.headers[b"retry-after"]) > 0.0
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_caller_that_leaves_ends_the_request_at_the_upstream(start_fleet):
+    fleet = await start_fleet("silent", timeout=9.0)
+    with anyio.move_on_after(0.3):
+        await fleet.cut.send_request(deadline_seconds=9.0)
+    with anyio.fail_after(1.0):
+        while not fleet.servers[0].closed_connections:
+            await anyio.sleep(0.01)
+    await anyio.sleep(0.05)
+    assert fleet.executing[0].server.open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_no_request_is_forwarded_for_a_caller_that_left(start_fleet):
+    fleet = await start_fleet("complete")
+    with pytest.raises(test_relay.errors.CallerLeftError):
+        await fleet.cut.send_request(caller_left=True)
+    await anyio.sleep(0.05)
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_stream_goes_on_at_another_vm_after_the_executing_one_is_killed(start_fleet):
+    fleet = await start_fleet("complete", count=2, streaming=True, retry_safety=RESUMABLE)
+    fleet.servers[0].events, fleet.servers[0].event_seconds = 40, 0.02
+    async with anyio.create_task_group() as group:
+        callers = []
+
+        async def call():
+            callers.append(await fleet.cut.send_request(deadline_seconds=3.0))
+
+        group.start_soon(call)
+        await anyio.sleep(0.3)
+        fleet.executing[0].kill()
+    assert (callers[0].body, callers[0].ended) == (stream_body(1, 40), True)
+    second = fleet.executing[1].messages[0]
+    assert second.resume_after > 0
+    assert (second.software, second.runs_left) == ("v1", 1)
+
+
+@pytest.mark.anyio
+async def test_stream_goes_on_at_this_vm_once_it_reaches_the_upstreams(start_fleet):
+    fleet = await start_fleet("complete", streaming=True, retry_safety=RESUMABLE)
+    fleet.servers[0].events, fleet.servers[0].event_seconds = 40, 0.02
+    async with anyio.create_task_group() as group:
+        callers = []
+
+        async def call():
+            callers.append(await fleet.cut.send_request(deadline_seconds=3.0))
+
+        group.start_soon(call)
+        await anyio.sleep(0.3)
+        fleet.cut.state.reachability.cut = False
+        fleet.executing[0].kill()
+    assert (callers[0].body, callers[0].ended) == (stream_body(1, 40), True)
+
+
+@pytest.mark.anyio
+async def test_forwarded_stream_does_not_go_on_at_another_software_version(start_fleet):
+    fleet = await start_fleet(
+        "interrupt", "complete", software=("v1", "v2"), streaming=True, retry_safety=RESUMABLE
+    )
+    test_relay.avoid(fleet.executing[0], fleet.servers[1])
+    caller = await fleet.cut.send_request()
+    assert caller.body == stream_body(1, 2)
+    assert not caller.ended
+
+
+@pytest.mark.anyio
+async def test_events_of_another_software_version_are_not_passed_on(start_fleet):
+    fleet = await start_fleet("complete", count=0, streaming=True, retry_safety=RESUMABLE)
+    begun = forwarded.ForwardedData(stream_body(1, 2))
+    await fleet.add_scripted(head(streaming=True), begun)
+    rest = forwarded.ForwardedData(stream_body(3, 5))
+    await fleet.add_scripted(head(streaming=True, software="v2"), rest)
+    caller = await fleet.cut.send_request()
+    assert (caller.body, caller.ended) == (stream_body(1, 2), False)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("streaming", [False, True])
+@pytest.mark.parametrize("attempts", [1, 2, 3])
+async def test_upstreams_run_a_forwarded_request_no_more_often_than_allowed(
+    start_fleet, attempts, streaming
+):
+    safety = RESUMABLE if streaming else IDEMPOTENT
+    fleet = await start_fleet(
+        *["interrupt" if streaming else "reset"] * 5,
+        count=3,
+        attempts=attempts,
+        streaming=streaming,
+        retry_safety=safety,
+    )
+    await fleet.cut.send_request()
+    assert len(fleet.requests) == attempts
+
+
+@pytest.mark.anyio
+async def test_upstream_that_failed_is_not_tried_again_through_another_vm(start_fleet):
+    fleet = await start_fleet("reset", "complete", count=2, retry_safety=IDEMPOTENT)
+    test_relay.avoid(fleet.executing[0], fleet.servers[1])
+    caller = await fleet.cut.send_request()
+    assert (caller.status, caller.body) == (200, b"done by i-1")
+    assert [len(server.requests) for server in fleet.servers] == [1, 1]
+
+
+@pytest.mark.anyio
+async def test_error_of_the_last_upstream_is_forwarded(start_fleet):
+    fleet = await start_fleet("error", attempts=1, retry_safety=IDEMPOTENT)
+    caller = await fleet.cut.send_request()
+    assert (caller.status, caller.body) == (500, b"failed")
+
+
+@pytest.mark.anyio
+async def test_repeated_event_of_another_vm_is_not_passed_on(start_fleet):
+    fleet = await start_fleet("complete", count=0, streaming=True, retry_safety=RESUMABLE)
+    await fleet.add_scripted(
+        head(streaming=True), forwarded.ForwardedData(stream_body(1, 2) + stream_body(2, 5))
+    )
+    await fleet.add()
+    caller = await fleet.cut.send_request()
+    assert (caller.body, caller.ended) == (stream_body(1, 5), True)
+
+
+@pytest.mark.anyio
+async def test_slow_caller_holds_up_the_upstream_and_receives_everything(start_fleet):
+    fleet = await start_fleet("complete", streaming=True, retry_safety=RESUMABLE, timeout=9.0)
+    fleet.servers[0].events, fleet.servers[0].event_seconds = 300, 0.0
+    caller = test_relay.Caller()
+    record = caller.send
+
+    async def send_slowly(message):
+        await anyio.sleep(0.005)
+        await record(message)
+
+    caller.send = send_slowly
+    request = request_types.Request(
+        "r-1",
+        b"POST",
+        b"/x",
+        "h",
+        "/x",
+        ((b"x-request-id", b"r-1"), (b"x-model", b"m")),
+        b"",
+        "key",
+        9.0,
+        request_types.Prompt("m", (request_types.Part("b", 10),), 10, 5),
+    )
+    response = test_relay.responses.ResponseWriter(
+        caller.send, test_relay.ingress.encode_refusal, lambda: False
+    )
+    await fleet.cut.relay.serve(request, response)
+    assert (caller.body, caller.ended) == (stream_body(1, 300), True)
+
+
+@pytest.mark.anyio
+async def test_nothing_is_forwarded_while_no_vm_is_known_to_reach_the_service(start_fleet):
+    fleet = await start_fleet("complete")
+    fleet.cut.state.forwarding.vms.clear()
+    assert (await fleet.cut.send_request()).status == 200
+    assert fleet.executing[0].messages == []
+
+
+@pytest.mark.anyio
+async def test_internal_error_of_the_executing_vm_ends_one_request_only(start_fleet, monkeypatch):
+    fleet = await start_fleet("complete")
+    vm = fleet.executing[0]
+    with monkeypatch.context() as patched:
+        patched.setattr(vm.relay, "serve_taken", None)
+        assert (await fleet.cut.send_request("r-1")).status == 502
+    assert (await fleet.cut.send_request("r-2")).status == 200
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -103,7 +103,7 @@
         self, request: request_types.Request, context: interfaces.ForwardingContext
     ) -> bytes:
         """Return the bytes of a request to an upstream."""
-        headers = [header for header in request.headers if is_forwarded(header[0])]
+        headers = self.upstream_headers(request.headers)
         deadline_ms = max(MIN_DEADLINE_MS, int(context.remaining_seconds * MS_PER_SECOND))
         headers.append((b"X-Deadline-Ms", b"%d" % deadline_ms))
         headers.append((b"X-Expect-Instance", context.upstream.encode()))
@@ -130,6 +130,12 @@
             request.body,
         )
 
+    def upstream_headers(
+        self, headers: Sequence[request_types.Header]
+    ) -> list[request_types.Header]:
+        """Return those of a caller's headers that upstreams and other VMs may get."""
+        return [header for header in headers if is_forwarded(header[0])]
+
     def response_matcher(self, request_id: str) -> http_connection.ResponseMatcher:
         """Return a predicate on the headers of a response to the request `request_id`.
 
