--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -39,6 +39,16 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
 
 
+def enable_probes(connection: socket.socket) -> None:
+    """Let the kernel close `connection` when its peer answers no probes.
+
+    Unlike `enable_keepalive` it does so only then, not when the peer's window stays closed.
+    """
+    for option in TCP_OPTIONS:
+        if option[1] != socket.TCP_USER_TIMEOUT:
+            connection.setsockopt(*option)
+
+
 class UnreadEvents:
     """Tells whether a socket has events that the event loop has not read yet.
 
