--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -125,7 +125,7 @@
         )
         self.crashes = crash_reports.CrashReports(vm_info.name)
         self.peers = peer_table.PeerTable(vm_info)
-        self.reachability = reachability.Reachability()
+        self.reachability = reachability.Reachability(self.registry, vm_info.name)
         self.forwarding = forwarding_targets.ForwardingTargets(self.peers)
         self.requests = request_meter.RequestMeter()
         self.mirrors = {
