--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -44,6 +44,7 @@
     status_client,
     store_checker,
     store_watcher,
+    upstream_prober,
     wire,
 )
 
@@ -224,6 +225,9 @@
             vm_settings.link_bits_per_second,
         )
         self._crash_watcher = crash_watcher.CrashWatcher(self._state, self._connections)
+        self._upstream_prober = upstream_prober.UpstreamProber(
+            self._state, self._connections, self._heartbeats.send_now
+        )
         self._relay = relay.Relay(
             self._state,
             adapter.upstream_codec,
@@ -261,6 +265,7 @@
             task_group.start_soon(self._exchange)
             task_group.start_soon(self._connections.sweep)
             task_group.start_soon(self._crash_watcher.run)
+            task_group.start_soon(self._upstream_prober.run)
             task_group.start_soon(internal_server.serve, internal_sockets)
             task_group.start_soon(self._handle_signals, caller_server)
             await caller_server.serve(caller_sockets)
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import typing
 
 from hollyring.node import clock, http_connection
 
@@ -17,10 +18,41 @@
 LATE_TIMEOUT_SECONDS = 0.05
 """Delay of a timeout from which the event loop was late and may have missed the connect."""
 
+LATE_CONNECT_SECONDS = 0.1
+"""Time after which a connection that is not open yet is reported; most take milliseconds."""
+
 SWEEP_INTERVAL_SECONDS = 0.5
 """Interval at which expired idle connections are closed."""
 
 
+class ConnectionListener(typing.Protocol):
+    """Learns how the connections of a pool fare, by address."""
+
+    def connected(self, address: str) -> None:
+        """Process that a new connection was opened."""
+
+    def late(self, address: str) -> None:
+        """Process that a new connection is not open yet after `LATE_CONNECT_SECONDS`."""
+
+    def failed(self, address: str) -> None:
+        """Process that a connection could not be opened, or was lost otherwise than by a close."""
+
+
+class _NoListener:
+    """Listener of a pool that nobody listens to."""
+
+    __slots__ = ()
+
+    def connected(self, address: str) -> None:
+        """Ignore a new connection."""
+
+    def late(self, address: str) -> None:
+        """Ignore a late connection."""
+
+    def failed(self, address: str) -> None:
+        """Ignore a failed connection."""
+
+
 class ConnectionPool:
     """Keep-alive connections by address.
 
@@ -28,19 +60,24 @@
     not name it, so a late second answer to a request or call could not be told from the next one.
     """
 
-    __slots__ = ("_idle", "_idle_for_calls", "_open", "_opened")
+    __slots__ = ("_idle", "_idle_for_calls", "_open", "_opened", "_listener")
 
     def __init__(self) -> None:
         self._idle: IdleConnections = {}
         self._idle_for_calls: IdleConnections = {}
         self._open: collections.Counter[str] = collections.Counter()
         self._opened = 0
+        self._listener: ConnectionListener = _NoListener()
 
     @property
     def opened(self) -> int:
         """Number of connections opened since the start."""
         return self._opened
 
+    def set_listener(self, listener: ConnectionListener) -> None:
+        """Tell a listener how all connections fare from now on."""
+        self._listener = listener
+
     def open_connections(self, address: str) -> int:
         """Return the number of open connections to `address`."""
         return self._open[address]
@@ -170,32 +207,40 @@
             return await self._try_connect(address, seconds)
         except TimeoutError as error:
             if clock.now() < due + LATE_TIMEOUT_SECONDS:
+                self._listener.failed(address)
                 raise http_connection.NotSentError("no connection: TimeoutError") from error
         try:
             return await self._try_connect(address, seconds)
         except TimeoutError as error:
+            self._listener.failed(address)
             raise http_connection.NotSentError("no connection: TimeoutError") from error
 
     async def _try_connect(self, address: str, seconds: float) -> http_connection.HttpConnection:
         host, _, port = address.rpartition(":")
         self._open[address] += 1
         connection = http_connection.HttpConnection(lambda lost: self._lost(address, lost))
+        loop = asyncio.get_running_loop()
+        late = loop.call_later(LATE_CONNECT_SECONDS, self._listener.late, address)
         try:
             async with asyncio.timeout(seconds):
-                loop = asyncio.get_running_loop()
                 await loop.create_connection(lambda: connection, host, int(port))
         except TimeoutError:
             raise
         except (OSError, ValueError) as error:
+            self._listener.failed(address)
             raise http_connection.NotSentError(f"no connection: {type(error).__name__}") from error
         finally:
+            late.cancel()
             if not connection.was_connected:
                 self._open[address] -= 1
         self._opened += 1
+        self._listener.connected(address)
         return connection
 
     def _lost(self, address: str, connection: http_connection.HttpConnection) -> None:
         self._open[address] -= 1
+        if connection.was_broken:
+            self._listener.failed(address)
         for connections in (self._idle, self._idle_for_calls):
             idle = connections.get(address)
             if idle and connection in idle:
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -211,6 +211,7 @@
         self._framed = True
         self._overhead_bytes = 0
         self._unusable = False
+        self._broken = False
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
         self.idle_since = clock.now()
@@ -220,6 +221,11 @@
         """Whether the connection was established; only then `on_lost` is called."""
         return self._transport is not None
 
+    @property
+    def was_broken(self) -> bool:
+        """Whether the connection was lost otherwise than by a close, for example by a reset."""
+        return self._broken
+
     @property
     def framed(self) -> bool:
         """Whether the current answer states where it ends."""
@@ -337,6 +343,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; a response without a length is complete after a clean close."""
         self._unusable = True
+        self._broken = exc is not None
         exchange = self._exchange
         if exchange is not None:
             if exc is None and self._in_body and not self._framed and not self._unmatched:
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -273,7 +273,14 @@
 class Registry:
     """Registry of upstreams by name, with their backoffs and request limits."""
 
-    __slots__ = ("backoffs", "request_limits", "_upstreams", "_by_service", "_departures")
+    __slots__ = (
+        "backoffs",
+        "request_limits",
+        "_upstreams",
+        "_by_service",
+        "_by_address",
+        "_departures",
+    )
 
     def __init__(self) -> None:
         self.backoffs = backoffs.Backoffs()
@@ -281,6 +288,7 @@
         self._departures = departures.Departures()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
+        self._by_address: dict[str, Upstream] = {}
 
     @property
     def upstreams(self) -> Mapping[str, Upstream]:
@@ -295,6 +303,10 @@
         """Return the upstreams of a service."""
         return self._by_service.get(service, [])
 
+    def at_address(self, address: str) -> Upstream | None:
+        """Return the upstream that is registered last with an address, or None."""
+        return self._by_address.get(address)
+
     def accepts_requests(self, upstream: Upstream) -> bool:
         """Return whether an upstream that was selected earlier may still be sent a request."""
         return self._upstreams.get(upstream.name) is upstream and not upstream.leaving
@@ -350,5 +362,6 @@
 
     def _rebuild_index(self) -> None:
         self._by_service = {}
+        self._by_address = {u.entry.address: u for u in self._upstreams.values()}
         for upstream in self._upstreams.values():
             self._by_service.setdefault(upstream.entry.service, []).append(upstream)
