--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -347,6 +347,10 @@
     request_limits
         Limits that upstreams began to name, changed or ended since the previous heartbeat and, at
         times, all that the sender knows.
+    unreachable_services
+        Services whose upstreams take no new connection of the sender.
+    accepts_forwarded
+        Whether the sender executes requests that other VMs forward.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -372,6 +376,8 @@
     sound_parts: list[str] = dataclasses.field(default_factory=list)
     blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
     request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
+    unreachable_services: list[str] = dataclasses.field(default_factory=list)
+    accepts_forwarded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -400,6 +406,8 @@
         All prompt parts that the sender refuses.
     request_limits
         All request limits of upstreams that the sender knows.
+    reaching_vms
+        Names of some serving VMs that execute forwarded requests and reach all services.
     """
 
     serving: bool
@@ -409,6 +417,7 @@
     wanted_versions: list[WantedVersionAge]
     blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
     request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
+    reaching_vms: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -62,6 +62,9 @@
 MAX_SILENT_PROBES = 2
 """Most silent VMs that one heartbeat is sent to."""
 
+REPORTED_REACHING_VMS = 4
+"""Most VMs to forward requests to that a status names; a VM that follows asks two others."""
+
 STORE_CHECKERS = 2
 """Serving VMs that ask the store for changes all the time, so that the others need not."""
 
@@ -82,6 +85,10 @@
     ready, leaving, store_reached, exchanging, holds_order_lease, requests_per_second, revisions
         Copied from its last heartbeat; until the first one, the VM counts as not ready and as
         holding the order lease.
+    unreachable_services, accepts_forwarded
+        Copied from its last heartbeat too.
+    reaches_until
+        Monotonic seconds until which requests may be forwarded to it, by another VM's status.
     listed
         Whether the VM is on the store's list.
     delisted_at
@@ -114,11 +121,22 @@
     probed_at: float = -math.inf
     requests_per_second: float = 0.0
     revisions: dict[str, store_revision.Revision] = dataclasses.field(default_factory=dict)
+    unreachable_services: frozenset[str] = frozenset()
+    accepts_forwarded: bool = False
+    reaches_until: float = -math.inf
 
     def is_alive(self, now: float) -> bool:
         """Return whether its last heartbeat is recent."""
         return now - self.last_heartbeat_at < ALIVE_TIMEOUT_SECONDS
 
+    def executes(self, service: str, now: float) -> bool:
+        """Return whether requests for a service may be forwarded to the VM."""
+        if not self.is_alive(now):
+            return now < self.reaches_until
+        if not self.ready or self.leaving or not self.accepts_forwarded:
+            return False
+        return service not in self.unreachable_services
+
     def may_serve(self, now: float) -> bool:
         """Return whether the VM can be selected to serve."""
         if self.is_alive(now):
@@ -151,6 +169,7 @@
         "_exchanging",
         "_status_at",
         "_served_at",
+        "_is_cut_off",
     )
 
     def __init__(self, local: heartbeat.VmInfo) -> None:
@@ -163,6 +182,12 @@
         self._exchanging = False
         self._status_at = -math.inf
         self._served_at = -math.inf
+        self._is_cut_off = False
+
+    @property
+    def local(self) -> heartbeat.VmInfo:
+        """This VM."""
+        return self._local
 
     @property
     def by_name(self) -> dict[str, Peer]:
@@ -217,6 +242,8 @@
         peer.store_reached = message.store_reached
         peer.exchanging = message.exchanging
         peer.requests_per_second = message.requests_per_second
+        peer.unreachable_services = frozenset(message.unreachable_services)
+        peer.accepts_forwarded = message.accepts_forwarded
         peer.holds_order_lease = message.order_lease.held
         age = message.order_lease.last_order_age
         peer.last_order_at = now - age if age >= 0 else None
@@ -280,6 +307,9 @@
         if peer is not None:
             peer.status_at = now
             peer.revisions.update({item.prefix: item.revision for item in message.revisions})
+        for name in message.reaching_vms:
+            if name in self._peers:
+                self._peers[name].reaches_until = now + STATUS_TTL_SECONDS
         if self.is_serving:
             return
         if not self._exchanging:
@@ -431,19 +461,49 @@
             reached += peer.is_alive(now) or awaited
         return reached / expected
 
+    def set_cut_off(self, is_cut_off: bool) -> None:
+        """Record whether this VM is cut off from the upstreams of a service."""
+        self._is_cut_off = is_cut_off
+
+    def executing(self, service: str, now: float) -> list[Peer]:
+        """Return the VMs that requests for a service may be forwarded to.
+
+        Serving ones if there are any, as the others have few connections and know few caches.
+        """
+        suitable = [peer for peer in self._peers.values() if peer.executes(service, now)]
+        serving = [peer for peer in suitable if peer.vm.name in self._serving_names]
+        return serving or suitable
+
+    def reaching_vms(self, now: float) -> list[str]:
+        """Return some serving VMs for requests of VMs that follow; other VMs return others."""
+        reaching = [
+            peer.vm.name
+            for peer in self.alive(now)
+            if peer.vm.name in self._serving_names
+            and peer.ready
+            and not peer.leaving
+            and peer.accepts_forwarded
+            and not peer.unreachable_services
+        ]
+        return rendezvous.rank(self._local.name.encode(), reaching)[:REPORTED_REACHING_VMS]
+
     def caller_addresses(self, self_ready: bool, now: float, limit: int) -> list[str]:
-        """Return at most `limit` addresses of VMs for callers, this VM's first if it serves."""
-        addresses = []
+        """Return at most `limit` addresses of VMs for callers, this VM's first if it serves.
+
+        Those that are cut off from the upstreams of a service come last.
+        """
+        addresses: list[str] = []
+        cut_off: list[str] = []
         if self_ready and (self.is_serving or not self._serving):
-            addresses.append(self._local.caller_address)
+            (cut_off if self._is_cut_off else addresses).append(self._local.caller_address)
         for vm in self._serving:
             peer = self._peers.get(vm.name)
             if peer is None:
                 continue
             if self._exchanging and not (peer.is_alive(now) and peer.ready):
                 continue
-            addresses.append(vm.caller_address)
-        return addresses[:limit]
+            (cut_off if peer.unreachable_services else addresses).append(vm.caller_address)
+        return [*addresses, *cut_off][:limit]
 
     def peer_ahead(self, prefix: str, revision: store_revision.Revision, now: float) -> Peer | None:
         """Return a VM that has a revision of `prefix` above `revision`, or None.
--- a/hollyring/membership/tests/test_peer_table.py
+++ b/hollyring/membership/tests/test_peer_table.py
@@ -69,6 +69,20 @@
     assert peers.caller_addresses(True, 12.0, 64) == ["vm-1:1"]
 
 
+def test_callers_are_sent_to_vms_that_are_cut_off_from_upstreams_last(peers):
+    peers.update_listed([vm_info("vm-1"), vm_info("vm-2"), vm_info("vm-3")], 0.0)
+    update(peers, 9.0)
+    peers.receive(heartbeat_from("vm-2", unreachable_services=["ls"]), 10.0)
+    peers.receive(heartbeat_from("vm-3"), 10.0)
+    update(peers, 10.1)
+    assert peers.caller_addresses(True, 10.1, 64) == ["vm-1:1", "vm-3:1", "vm-2:1"]
+    peers.set_cut_off(True)
+    assert peers.caller_addresses(True, 10.1, 64) == ["vm-3:1", "vm-1:1", "vm-2:1"]
+    peers.receive(heartbeat_from("vm-3", unreachable_services=["ls"]), 10.1)
+    assert peers.caller_addresses(True, 10.1, 64) == ["vm-1:1", "vm-3:1", "vm-2:1"]
+    assert peers.caller_addresses(True, 10.1, 1) == ["vm-1:1"]
+
+
 def test_vms_lost_from_the_store_stay_while_their_heartbeats_arrive(peers):
     peers.update_listed([vm_info("vm-2")], 0.0)
     peers.receive(heartbeat_from("vm-2"), 10.0)
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -117,6 +117,8 @@
             sound_parts=vm_state.crashes.take_sound_parts(),
             blamed_parts=vm_state.crashes.take_blamed_parts(refreshes),
             request_limits=vm_state.request_limits.take_unreported(now, refreshes),
+            unreachable_services=vm_state.reachability.unreachable_services,
+            accepts_forwarded=True,
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -129,6 +129,8 @@
   19: optional list<string> sound_parts
   20: optional list<MembershipBlamedParts> blamed_parts
   21: optional list<MembershipUpstreamRequestLimit> request_limits
+  22: optional list<string> unreachable_services
+  23: optional bool accepts_forwarded
 }
 
 struct MembershipStatusRequest {
@@ -143,6 +145,7 @@
   5: optional list<MembershipNamed> wanted_versions
   6: optional list<MembershipBlamedParts> blamed_parts
   7: optional list<MembershipUpstreamRequestLimit> request_limits
+  8: optional list<string> reaching_vms
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -462,8 +462,15 @@
             self.wanted_version_ages(now),
             self.crashes.blamed_parts(),
             self.request_limits.all(now),
+            self._reaching_vms(now),
         )
 
+    def _reaching_vms(self, now: float) -> list[str]:
+        """Return the VMs for forwarded requests to name to VMs that follow, perhaps this one."""
+        others = self.peers.reaching_vms(now)
+        reaches = self.ready and self.peers.is_serving and not self.reachability.is_doubtful
+        return [self.vm_info.name, *others] if reaches else others
+
     def _age_to_report(self, prefix: str, now: float) -> float:
         age = self.freshness.age_of(prefix, now)
         return -1.0 if math.isinf(age) else age
--- a/hollyring/node/tests/test_wire.py
+++ b/hollyring/node/tests/test_wire.py
@@ -19,6 +19,16 @@
     delivery.ClaimAnswer("answered", [delivery.Answer(201, [delivery.Header("a", "b")], b"7")]),
     routing.Lookup(3, ["engine-1"], [1, 2], b"\0" * 16),
     routing.LookupAnswer(3, [STATE]),
+    heartbeat.Heartbeat(
+        heartbeat.VmInfo("vm-1", 7, "vm-1:1", "vm-1:2", "dar-a", "dar"),
+        True,
+        True,
+        *([], [], [], [], [], [], [], []),
+        heartbeat.OrderLeaseStatus(False, -1.0, []),
+        unreachable_services=["ls", "hunt"],
+        accepts_forwarded=True,
+    ),
+    heartbeat.FleetStatus(True, 12, [], [], [], reaching_vms=["vm-1", "vm-2"]),
 ]
 
 
--- a/hollyring/node/upstream_prober.py
+++ b/hollyring/node/upstream_prober.py
@@ -84,4 +84,5 @@
         unreachable = self._state.reachability.unreachable_services
         if unreachable != self._reported:
             self._reported = unreachable
+            self._state.peers.set_cut_off(bool(unreachable))
             self._send_heartbeat()
