--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -545,7 +545,7 @@
         outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
     ) -> None:
         not_run = not isinstance(outcome, request_context.Failed)
-        silent = 0.0 if not_run else outcome.silent_seconds
+        silent = outcome.silent_seconds if isinstance(outcome, request_context.Failed) else 0.0
         self._metrics.increment("tries_not_run" if not_run else "tries_failed")
         self._log.info(
             "try failed",
