Forward a request that found no open connection while new ones are refused

Where a VM's open connections to upstreams live on and new ones are refused, it isn't cut off: requests that find an idle connection are served. One that finds none failed unsent, again and again, till its attempts were used up: with the two halves of forwarding joined, 35% of first tries were served at such a VM (test_unreachable_upstreams[only_new_refused]). Such a request is now forwarded; all three forms of the test pass.

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -116,6 +116,11 @@
         """Number of upstreams that may still run the request."""
         return self._policy.max_runs - self._runs
 
+    @property
+    def unsent(self) -> int:
+        """Number of attempts of which no byte was sent."""
+        return self._unsent
+
     @property
     def arrivals(self) -> int:
         """Number of times that bytes of the request were sent to an upstream."""
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -286,13 +286,25 @@
         """
         if self._forwards is None or context.taken_from:
             return None
-        if not self._state.reachability.is_cut_off(context.service.name):
+        if not self._needs_other_vm(context):
             return None
         target = self._forwards.target(context)
         if target is None and context.declined:
             raise self._declined_error(context)
         return target
 
+    def _needs_other_vm(self, context: request_context.RequestContext) -> bool:
+        """Return whether this VM cannot send a request to an upstream.
+
+        Where open connections live on while new ones are refused, the request that found none open
+        is the one that needs another VM.
+        """
+        reachability = self._state.reachability
+        if reachability.is_cut_off(context.service.name):
+            return True
+        takes_connections = reachability.takes_connections(context.service.name)
+        return context.retry_state.unsent and not takes_connections
+
     async def _run_attempt(
         self, context: request_context.RequestContext
     ) -> request_context.Outcome:
