--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -303,7 +303,7 @@
         if reachability.is_cut_off(context.service.name):
             return True
         takes_connections = reachability.takes_connections(context.service.name)
-        return context.retry_state.unsent and not takes_connections
+        return context.retry_state.unsent > 0 and not takes_connections
 
     async def _run_attempt(
         self, context: request_context.RequestContext
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -40,6 +40,9 @@
     def is_cut_off(self, service):
         return self.cut
 
+    def takes_connections(self, service):
+        return not self.cut
+
 
 class NeverFresh:
     """Replacement of `freshness.Freshness` of a VM whose copies are old."""
