Tell the story of a forwarded request from both VMs

Lines 'forwarded', 'taken from another VM', 'declined for another VM' and 'ended' carry the same request id and name the other VM; counters of requests and bytes. explain takes several logs, joins them by time, and takes the cause from the VM that had the caller: before, the last line decided, which may be the executing VM's.

--- a/hollyring/cli/explain.py
+++ b/hollyring/cli/explain.py
@@ -29,6 +29,9 @@
 
 MIN_FAILURE_STATUS = 500
 
+_EXECUTING_TEXTS = {"request: taken from another VM", "request: declined for another VM"}
+"""Texts that a VM logs only on requests which another VM admitted."""
+
 _JSON = re.compile(r"\{.*\}")
 
 
@@ -55,6 +58,19 @@
             yield fields
 
 
+def admitting_decisions(decisions: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the records of the VM that admitted a request, or all if it logged none.
+
+    Examples
+    --------
+    >>> taken = {"vm": "vm-2", "text": "request: taken from another VM"}
+    >>> admitting_decisions([{"vm": "vm-1", "text": "request: forwarded"}, taken])
+    [{'vm': 'vm-1', 'text': 'request: forwarded'}]
+    """
+    executing = {d.get("vm") for d in decisions if d.get("text") in _EXECUTING_TEXTS}
+    return [d for d in decisions if d.get("vm") not in executing] or decisions
+
+
 def explain_outcome(decisions: list[dict[str, Any]]) -> str:
     """Return the cause of a request's outcome, given its log records in order.
 
@@ -65,7 +81,10 @@
     """
     if not decisions:
         return "nothing is logged on it: it reached no VM, or the log is not whole"
-    last = decisions[-1]
+    admitting = admitting_decisions(decisions)
+    last = admitting[-1]
+    if last.get("text") == "request: forwarded":
+        return f"no end is logged: the VM was lost, or the log ends, while {last.get('to')} had it"
     if last.get("text") == "request: sent":
         upstream = last.get("upstream")
         return f"no end is logged: the VM was lost, or the log ends, while {upstream} worked on it"
@@ -74,6 +93,8 @@
         code = "upstream's failure"
     text = f"{code}: {CAUSES.get(code, 'see its last line')}"
     failures = [d for d in decisions if d.get("text") == "request: try failed"]
+    if last.get("through"):
+        text += f"; through {last['through']}"
     if failures and code != "answered":
         first = failures[0]
         text += f"; first failure at {first.get('upstream')}: {first.get('why')}"
@@ -86,14 +107,26 @@
 
 @click.command()
 @click.argument("request")
-@click.argument("log", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path))
-def explain(request: str, log: pathlib.Path) -> None:
-    """Print the decisions on REQUEST in the log file LOG, in order, and the cause of its outcome.
-
-    Example: hollyring explain 9c41d07be2a35f68 vm.log
+@click.argument(
+    "logs",
+    nargs=-1,
+    required=True,
+    metavar="LOG...",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
+def explain(request: str, logs: tuple[pathlib.Path, ...]) -> None:
+    """Print the decisions on REQUEST in the log files, in order, and the cause of its outcome.
+
+    With the logs of several VMs, those of one that executed it for another are among them.
+
+    Example: hollyring explain 9c41d07be2a35f68 vm-1.log vm-2.log
     """
-    with log.open(errors="replace") as log_file:
-        decisions = list(request_records(request, log_file))
+    decisions: list[dict[str, Any]] = []
+    for log in logs:
+        with log.open(errors="replace") as log_file:
+            decisions += request_records(request, log_file)
+    if len(logs) > 1:
+        decisions.sort(key=lambda fields: fields.get("timestamp", 0.0))
     for fields in decisions:
         shown = {name: value for name, value in fields.items() if name not in _HIDDEN_FIELDS}
         click.echo(f"{fields.get('vm', '')} {fields.get('text', '')} {_format_fields(shown)}")
--- a/hollyring/cli/tests/test_explain.py
+++ b/hollyring/cli/tests/test_explain.py
@@ -42,3 +42,56 @@
     assert result.exit_code == 0
     assert expected in result.output
     assert "r-10" not in result.output
+
+
+FORWARDED = {"text": "request: forwarded", "request": "r-1", "vm": "vm-1", "to": "vm-2"}
+TAKEN = {"text": "request: taken from another VM", "request": "r-1", "vm": "vm-2"}
+SENT_THERE = SENT | {"vm": "vm-2"}
+ENDED_THERE = ENDED | {"vm": "vm-2", "admitted_by": "vm-1", "outcome": "answered"}
+
+
+@pytest.mark.parametrize(
+    ("lines", "expected"),
+    [
+        (
+            [FORWARDED, TAKEN, SENT_THERE, ENDED_THERE, ENDED | {"outcome": "answered"}],
+            "cause: answered: it was answered\n",
+        ),
+        (
+            [FORWARDED, TAKEN, ENDED | {"outcome": "answered", "through": "vm-2"}, ENDED_THERE],
+            "cause: answered: it was answered; through vm-2\n",
+        ),
+        (
+            [
+                FORWARDED,
+                TAKEN,
+                ENDED | {"outcome": "deadline_exceeded", "through": "vm-2"},
+                ENDED_THERE | {"outcome": "caller left"},
+            ],
+            "its time passed while an upstream worked on it; through vm-2",
+        ),
+        ([FORWARDED, TAKEN, SENT_THERE], "while vm-2 had it"),
+        ([TAKEN, SENT_THERE], "while i-7 worked on it"),
+    ],
+)
+def test_explain_tells_of_both_vms(run_explain, lines, expected):
+    assert expected in run_explain("r-1", *lines).output
+
+
+def test_explain_orders_the_logs_of_several_vms_by_time(tmp_path):
+    logs = {
+        "vm-1": [FORWARDED | {"timestamp": 1.0}, ENDED | {"timestamp": 4.0, "outcome": "answered"}],
+        "vm-2": [TAKEN | {"timestamp": 2.0}, ENDED_THERE | {"timestamp": 3.0}],
+    }
+    paths = []
+    for vm, lines in logs.items():
+        paths.append(tmp_path / vm)
+        paths[-1].write_text("".join(json.dumps(line) + "\n" for line in lines))
+    result = testing.CliRunner().invoke(main.main, ["explain", "r-1", *map(str, paths)])
+    assert [line.split(" ", 1)[0] for line in result.output.splitlines()] == [
+        "vm-1",
+        "vm-2",
+        "vm-2",
+        "vm-1",
+        "cause:",
+    ]
--- a/hollyring/node/forward_server.py
+++ b/hollyring/node/forward_server.py
@@ -82,7 +82,6 @@
         except (peer_link.LinkLostError, TimeoutError):
             return
         finally:
-            self._metrics.increment("taken_bytes", link.sent_bytes + link.received_bytes)
             await link.close()
 
     async def _execute(self, link: peer_link.Link, message: forwarded.ForwardedRequest) -> None:
@@ -107,10 +106,13 @@
             )
             await response.refuse(refusal.make("overloaded", retry_after))
             return
+        bytes_before = link.sent_bytes
         try:
             await self._run(link, message, body, response)
         finally:
             self._room.end(clock.now())
+            carried = len(body) + link.sent_bytes - bytes_before
+            self._metrics.increment("taken_bytes", carried)
 
     async def _run(
         self,
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -569,8 +569,6 @@
             route=context.route.name,
             organisation=context.organisation.name if context.organisation else "",
             upstream=context.selected.upstream.name if context.selected else "",
-            through=context.forwarded_to,
-            admitted_by=context.taken_from,
             first=(
                 round(context.first_byte_at - context.arrived_at, 4)
                 if context.first_byte_at
@@ -580,9 +578,17 @@
             sends=context.retry_state.sends,
             reached=context.retry_state.reached,
             configuration=self._state.configuration_version,
+            **_other_vm(context),
         )
 
 
+def _other_vm(context: request_context.RequestContext) -> dict[str, str]:
+    """Return the log fields that name the VM which executed or admitted the request."""
+    if context.taken_from:
+        return {"admitted_by": context.taken_from}
+    return {"through": context.forwarded_to} if context.forwarded_to else {}
+
+
 def _describe(blame: crashes.Blame) -> str:
     parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
     return f"{parts} of the request crashed {servers}, as seen by {', '.join(blame.witnesses)}."
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -4,6 +4,7 @@
 import itertools
 
 import anyio
+import eliot
 import pytest
 
 from hollyring.core import identities, request_types
@@ -620,3 +621,35 @@
         patched.setattr(vm.relay, "serve_taken", None)
         assert (await fleet.cut.send_request("r-1")).status == 502
     assert (await fleet.cut.send_request("r-2")).status == 200
+
+
+@pytest.mark.anyio
+async def test_both_vms_log_and_count_a_forwarded_request(start_fleet):
+    fleet = await start_fleet("complete")
+    lines = []
+    eliot.add_destinations(lines.append)
+    try:
+        await fleet.cut.send_request("r-77")
+        await anyio.sleep(0.05)
+    finally:
+        eliot.remove_destination(lines.append)
+    of_request = [line for line in lines if line.get("request") == "r-77"]
+    assert [line["text"] for line in of_request if "ended" not in line["text"]] == [
+        "request: forwarded",
+        "request: taken from another VM",
+        "request: sent",
+    ]
+    ends = [line for line in of_request if line["text"] == "request: ended"]
+    assert {line.get("through") for line in ends} == {"vm-0", None}
+    assert {line.get("admitted_by") for line in ends} == {"vm-cut", None}
+    assert "hollyring_forwarded_total 1\n" in fleet.cut.metrics.render()
+    assert "hollyring_taken_total 1\n" in fleet.executing[0].metrics.render()
+    assert fleet.cut.metrics.dump()["counters"]["forwarded_bytes"] > 100
+
+
+@pytest.mark.anyio
+async def test_bytes_that_a_vm_carried_for_others_are_counted_after_each_request(start_fleet):
+    fleet = await start_fleet("complete")
+    await fleet.cut.send_request()
+    await anyio.sleep(0.05)
+    assert fleet.executing[0].metrics.dump()["counters"]["taken_bytes"] > 100
