Send no request on that its admitting VM gave up before it was read

After a pause an executing VM reads a forwarded request before it reads that the link was closed, and ran it for a caller that had long got 504. It now looks at the link's socket before each attempt, as it does for its own callers. test_request_that_lay_unread_until_it_was_given_up_is_not_sent_on failed before: five requests, each given up at once, arrived at the server (len(fleet.requests) == 1 did not hold).

--- a/hollyring/node/forward_server.py
+++ b/hollyring/node/forward_server.py
@@ -10,6 +10,7 @@
 from hollyring.limits import taken_room
 from hollyring.node import (
     clock,
+    errors,
     logs,
     metrics,
     peer_link,
@@ -155,7 +156,7 @@
         except responses.IncompleteResponseError as error:
             with contextlib.suppress(peer_link.LinkLostError):
                 await response.break_off(str(error))
-        except peer_link.LinkLostError:
+        except (errors.CallerLeftError, peer_link.LinkLostError):
             return
         except Exception:
             self._log.exception("request of another VM failed", request=message.request_id)
--- a/hollyring/node/peer_link.py
+++ b/hollyring/node/peer_link.py
@@ -63,7 +63,7 @@
 
     @property
     def is_stale(self) -> bool:
-        """Whether an idle link was closed or has unexpected data, at the cost of a system call."""
+        """Whether a link that expects nothing was closed or has data, at a system call's cost."""
         return bool(self._buffer) or bool(self._poll.poll(0))
 
     async def send(self, *messages: object) -> None:
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -157,8 +157,8 @@
         ------
         IncompleteResponseError
             If the response was started and cannot be completed.
-        LinkLostError
-            If that VM has gone.
+        CallerLeftError, LinkLostError
+            If that VM gave the request up or has gone.
         """
         arrived_at = clock.now()
         context: request_context.RequestContext | refusal.Refusal
@@ -178,7 +178,11 @@
         except _RequestRefusedError as error:
             self._log_end(context, error.refusal.code)
             await response.refuse(error.refusal)
-        except (peer_link.LinkLostError, anyio.get_cancelled_exc_class()):
+        except (
+            errors.CallerLeftError,
+            peer_link.LinkLostError,
+            anyio.get_cancelled_exc_class(),
+        ):
             self._log_end(context, "caller left")
             raise
 
--- a/hollyring/node/taken_requests.py
+++ b/hollyring/node/taken_requests.py
@@ -59,8 +59,11 @@
 
     @property
     def caller_left(self) -> bool:
-        """Whether the admitting VM gave the request up; the link's reader cancels it then."""
-        return False
+        """Whether the admitting VM gave the request up, at the cost of a system call.
+
+        The event loop may read that later than the request, and cancels the request then.
+        """
+        return self._link.is_stale
 
     async def start(
         self, status: int, headers: Sequence[request_types.Header], data: bytes
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -471,6 +471,20 @@
     assert fleet.requests == []
 
 
+@pytest.mark.anyio
+async def test_request_that_lay_unread_until_it_was_given_up_is_not_sent_on(start_fleet):
+    fleet = await start_fleet("complete")
+    await fleet.cut.send_request("r-0")
+    vm = fleet.executing[0]
+    links = [await fleet.cut.links.acquire(vm.info.peer_address) for _ in range(5)]
+    for link in links:
+        await link.send(vm.messages[0])
+        await link.close()
+    await anyio.sleep(0.2)
+    assert len(fleet.requests) == 1
+    assert vm.server.open_requests == 0
+
+
 @pytest.mark.anyio
 async def test_stream_goes_on_at_another_vm_after_the_executing_one_is_killed(start_fleet):
     fleet = await start_fleet("complete", count=2, streaming=True, retry_safety=RESUMABLE)
