--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -110,6 +110,8 @@
         finally:
             carried = link.sent_bytes + link.received_bytes - bytes_before
             self._metrics.increment("forwarded_bytes", carried)
+            if target.failure_domain != self._state.failure_domain:
+                self._metrics.increment("forwarded_bytes_between_failure_domains", carried)
             with anyio.CancelScope(shield=True):
                 if is_whole:
                     await self._links.release(target.peer_address, link)
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -1,6 +1,7 @@
 """Tests of the promises that hold for a request whose attempts another VM makes."""
 
 import contextlib
+import dataclasses
 import itertools
 
 import anyio
@@ -658,7 +659,20 @@
     assert {line.get("admitted_by") for line in ends} == {"vm-cut", None}
     assert "hollyring_forwarded_total 1\n" in fleet.cut.metrics.render()
     assert "hollyring_taken_total 1\n" in fleet.executing[0].metrics.render()
-    assert fleet.cut.metrics.dump()["counters"]["forwarded_bytes"] > 100
+    counters = fleet.cut.metrics.dump()["counters"]
+    assert counters["forwarded_bytes"] > 100
+    assert "forwarded_bytes_between_failure_domains" not in counters
+
+
+@pytest.mark.anyio
+async def test_bytes_that_leave_the_failure_domain_are_counted(start_fleet):
+    fleet = await start_fleet("complete")
+    [info] = fleet.cut.state.forwarding.vms
+    fleet.cut.state.forwarding.vms = [dataclasses.replace(info, failure_domain="dar-b")]
+    await fleet.cut.send_request()
+    counters = fleet.cut.metrics.dump()["counters"]
+    far_bytes = counters["forwarded_bytes_between_failure_domains"]
+    assert far_bytes == counters["forwarded_bytes"] > 100
 
 
 @pytest.mark.anyio
--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -146,6 +146,15 @@
         for proxy in self.proxies[vm]:
             await proxy.cut(form)
 
+    async def restore(self, vm):
+        for proxy in self.proxies[vm]:
+            await proxy.restore()
+
+    def forwarded(self):
+        """Return the log lines of forwarded requests, of all VMs."""
+        lines = [line for vm in self.vms for line in vm.log_lines()]
+        return [line for line in lines if line.get("text") == "request: forwarded"]
+
     async def served(self, vm, seconds):
         """Send requests at a steady rate; return the share that was served, and the statuses."""
         statuses = []
@@ -219,3 +228,32 @@
             group.start_soon(measure, vm)
     lowest = min(shares[vm][0] for vm in others)
     assert shares[cut_vm][0] >= lowest - MAX_SHARE_LESS, shares[cut_vm]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("form", [Cut.HANGING, Cut.RESET], ids=lambda form: form.name.lower())
+async def test_nothing_is_forwarded_while_all_vms_reach_no_upstream(start_fleet, form):
+    fleet = await start_fleet(2)
+    for vm in fleet.vms:
+        await fleet.served(vm, 0.5)
+        await fleet.cut(vm, form)
+    await fleet.served(fleet.vms[0], CONTACT_SECONDS)
+    already = len(fleet.forwarded())
+    share, statuses = await fleet.served(fleet.vms[0], MEASURED_SECONDS)
+    assert (share, set(statuses)) == (0.0, {503})
+    assert len(fleet.forwarded()) == already
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("form", list(Cut), ids=lambda form: form.name.lower())
+async def test_vm_that_reaches_its_upstreams_again_forwards_no_more(start_fleet, form):
+    fleet = await start_fleet(2)
+    cut_vm = fleet.vms[0]
+    await fleet.served(cut_vm, 0.5)
+    await fleet.cut(cut_vm, form)
+    await fleet.served(cut_vm, MEASURED_SECONDS)
+    await fleet.restore(cut_vm)
+    await fleet.served(cut_vm, CONTACT_SECONDS)
+    already = len(fleet.forwarded())
+    assert (await fleet.served(cut_vm, MEASURED_SECONDS))[0] == 1.0
+    assert len(fleet.forwarded()) == already
