--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -157,8 +157,8 @@
         ------
         IncompleteResponseError
             If the response was started and cannot be completed.
-        LinkLostError
-            If that VM has gone.
+        CallerLeftError, LinkLostError
+            If that VM gave the request up or has gone.
         """
         arrived_at = clock.now()
         context: request_context.RequestContext | refusal.Refusal
@@ -178,7 +178,11 @@
         except _RequestRefusedError as error:
             self._log_end(context, error.refusal.code)
             await response.refuse(error.refusal)
-        except (peer_link.LinkLostError, anyio.get_cancelled_exc_class()):
+        except (
+            errors.CallerLeftError,
+            peer_link.LinkLostError,
+            anyio.get_cancelled_exc_class(),
+        ):
             self._log_end(context, "caller left")
             raise
 
@@ -583,8 +587,6 @@
             route=context.route.name,
             organisation=context.organisation.name if context.organisation else "",
             upstream=context.selected.upstream.name if context.selected else "",
-            through=context.forwarded_to,
-            admitted_by=context.taken_from,
             first=(
                 round(context.first_byte_at - context.arrived_at, 4)
                 if context.first_byte_at
@@ -594,9 +596,17 @@
             sends=context.retry_state.sends,
             reached=context.retry_state.reached,
             configuration=self._state.configuration_version,
+            **_other_vm(context),
         )
 
 
+def _other_vm(context: request_context.RequestContext) -> dict[str, str]:
+    """Return the log fields that name the VM which executed or admitted the request."""
+    if context.taken_from:
+        return {"admitted_by": context.taken_from}
+    return {"through": context.forwarded_to} if context.forwarded_to else {}
+
+
 def _describe(blame: crashes.Blame) -> str:
     parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
     return f"{parts} of the request crashed {servers}, as seen by {', '.join(blame.witnesses)}."
