Record the software versions of upstreams in the store, so that no stream is joined after all VMs restarted

Callers saw (reported): after all VMs were killed at once, streams that they took up were answered 200 and ran to the end, the first part of one software version, the rest of another.

Cause: where streams began and which versions served recently was known to the VMs only. A VM that had just started took the versions that it saw registered for all that there were, so that a stream of a version that had left meanwhile went on at the one that was left.

Change: the first VM that reaches the store keeps a record without a lease of the versions that the upstreams of each service have or had within 30 s. A VM reads it with the list of the VMs, at no call of its own, and refuses streams of unknown origin (503, not run) while the record and the entries together name several versions, while it has not read the record, and for 30 s where the record may lack versions (unreadable, or of an earlier era of the store).

The test failed before, over real VM processes: test_stream_is_not_joined_with_the_version_that_replaced_its_own_while_no_vm_ran E assert [200, 200, 200, 200, 200, 200] == [503, 503, 503, 503, 503, 503] Now: 6 of 6 refused, none sent to the new version. With one version, 6 of 6 go on after a restart of all VMs, before and after.

--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -98,7 +98,7 @@
             _append(self._records, request_id, record)
 
     def continuation(
-        self, request_id: str, service: str, recent_software: Collection[str], now: float
+        self, request_id: str, service: str, recent_software: Collection[str] | None, now: float
     ) -> Continuation:
         """Return where a stream may be continued.
 
@@ -109,7 +109,8 @@
         service
             Service that the stream is to be continued at.
         recent_software
-            Software versions that upstreams of the service have had within `ORIGIN_TTL_SECONDS`.
+            Software versions that upstreams of the service have had within `ORIGIN_TTL_SECONDS`,
+            None if there may have been others than those known.
         now
             Monotonic seconds.
         """
@@ -118,6 +119,8 @@
             if record.origin.service != service:
                 return NotResumable("began at another service")
             return OnlySoftware(record.origin.software)
+        if recent_software is None:
+            return NotResumable("unknown origin, earlier software versions not known yet")
         if len(recent_software) > 1:
             return NotResumable("unknown origin")
         return AnySoftware()
--- a/hollyring/delivery/tests/test_stream_origins.py
+++ b/hollyring/delivery/tests/test_stream_origins.py
@@ -21,6 +21,12 @@
     assert isinstance(unknown, stream_origins.NotResumable)
 
 
+def test_stream_of_unknown_origin_is_not_resumable_while_earlier_versions_are_not_known(origins):
+    assert isinstance(origins.continuation("r", "chat", None, 0.0), stream_origins.NotResumable)
+    origins.record("r", V1, 0.0)
+    assert origins.continuation("r", "chat", None, 1.0) == stream_origins.OnlySoftware("v1")
+
+
 def test_known_version_is_required_even_if_no_upstream_has_it_any_more(origins):
     origins.record("r", V1, 0.0)
     assert origins.continuation("r", "chat", {"v2"}, 5.0) == stream_origins.OnlySoftware("v1")
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -40,6 +40,7 @@
     rollout_controller,
     send_permits,
     settings,
+    software_record,
     state,
     status_client,
     store_checker,
@@ -205,6 +206,9 @@
         self._registration = registration.Registration(
             self._state, adapter.store, self._store_watcher, adapter.store_codec
         )
+        self._software_record = software_record.SoftwareRecord(
+            self._state, adapter.store, self._store_watcher, adapter.store_codec, vm_list_delay
+        )
         self._permits = send_permits.SendPermits(self._state, self._peers)
         self._rollout = rollout_controller.RolloutController(
             self._state,
@@ -277,6 +281,7 @@
             task_group.start_soon(self._status_client.run)
             task_group.start_soon(self._rollout.run)
             task_group.start_soon(self._cache_watcher.run)
+            task_group.start_soon(self._software_record.run)
 
     def _make_server(self, app: typing.Any, protocol: typing.Any) -> uvicorn.Server:
         grace_seconds = self._settings.grace_seconds - DRAIN_SECONDS - EXIT_MARGIN_SECONDS
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -15,7 +15,7 @@
 from hollyring.fleet import messages as fleet
 from hollyring.membership import heartbeat
 from hollyring.node import errors, http_connection
-from hollyring.routing import registry
+from hollyring.routing import registry, software_versions
 
 
 class StoreError(errors.VmError):
@@ -147,15 +147,18 @@
     upstreams
         Prefix of the records that upstreams register.
     vms
-        Prefix of the records that VMs register, attached to leases.
+        Prefix of the records that VMs register, attached to leases, and of the two keys below.
     orders_lease
         Key of the lease whose holder sends orders to upstreams.
+    software
+        Key of the record of the upstreams' software versions, which has no lease.
     """
 
     operator: str
     upstreams: str
     vms: str
     orders_lease: str
+    software: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +188,12 @@
     def encode_vm(self, vm_info: heartbeat.VmInfo) -> bytes:
         """Return the record to register for a VM."""
 
+    def decode_software(self, item: mirror.Item) -> software_versions.Record | None:
+        """Return the record of the upstreams' software versions."""
+
+    def encode_software(self, record: software_versions.Record) -> bytes:
+        """Return the stored form of a record of software versions."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardingContext:
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -144,6 +144,7 @@
         self.store_reached_at = -math.inf
         self.store_failed_at = -math.inf
         self.refresh_due = False
+        self.software_due_at = -math.inf
         self.cached_prompts: list[heartbeat.CachedPrompt] = []
         self.unresponsive_upstreams: list[str] = []
         self.cache_reports: list[heartbeat.CacheReport] = []
@@ -172,7 +173,9 @@
     def ready(self) -> bool:
         """Whether this VM accepts new callers."""
         upstreams_listed = self.mirrors[self.store_keys.upstreams].last_change_revision.number > 0
-        return self.deployment is not None and upstreams_listed and not self.leaving
+        if self.deployment is None or not upstreams_listed or self.leaving:
+            return False
+        return not self.software_versions.awaits_record or clock.now() >= self.software_due_at
 
     def leave(self, now: float, seconds: float) -> None:
         """Stop accepting new callers; requests still open after `seconds` will be aborted."""
@@ -330,9 +333,10 @@
             return stream_origins.AnySoftware()
         now = clock.now()
         self.software_versions.observe(self.registry.of_service(service), now)
-        return self.stream_origins.continuation(
-            request.resumed_request_id, service, self.software_versions.of_service(service), now
-        )
+        recent = None
+        if self.software_versions.is_complete(now):
+            recent = self.software_versions.of_service(service)
+        return self.stream_origins.continuation(request.resumed_request_id, service, recent, now)
 
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -11,7 +11,8 @@
 import typing
 
 from hollyring.configuration import deployment, mirror, store_revision
-from hollyring.node import interfaces, logs, upstream_changes
+from hollyring.node import interfaces, logs, store_era, upstream_changes
+from hollyring.routing import software_versions
 
 if typing.TYPE_CHECKING:
     from hollyring.node import state
@@ -61,12 +62,32 @@
             vms = [self._codec.decode_vm(item) for item in items.values()]
             self._state.peers.update_listed([vm for vm in vms if vm is not None], now)
             self._state.update_peers(now)
+            if store_keys.software in changed or self._state.software_versions.awaits_record:
+                self._apply_software(items.get(store_keys.software), era, now)
 
     def tick(self, now: float) -> None:
         """Apply what was held back and is due."""
         items = self._state.mirrors[self._state.store_keys.upstreams].items
         self._upstream_changes.tick(items, now)
 
+    def _apply_software(self, item: mirror.Item | None, era: int, now: float) -> None:
+        """Apply the record of software versions, `item`, or its absence in an era of the store.
+
+        A record of an earlier era may lack some that were written before the store returned from
+        its copy. No record in the first era means that no VM has run that writes one.
+        """
+        record = self._codec.decode_software(item) if item is not None else None
+        if record is not None:
+            complete = record.era >= era
+        else:
+            complete = item is None and era <= store_era.FIRST_ERA
+        self._state.software_versions.restore(record, complete, now)
+        self._log.info(
+            "software versions read",
+            versions=software_versions.listed(record) if record is not None else {},
+            complete=self._state.software_versions.is_complete(now),
+        )
+
     def _apply_operator_item(self, item: mirror.Item, now: float) -> None:
         wanted = self._codec.decode_wanted_version(item)
         if wanted is not None:
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -24,15 +24,16 @@
     registration,
     rollout_controller,
     send_permits,
+    software_record,
     state,
     status_client,
     store_checker,
     store_watcher,
 )
 from hollyring.node.tests import simulated_store
-from hollyring.routing import registry
+from hollyring.routing import registry, software_versions
 
-STORE_KEYS = interfaces.StoreKeys("op/", "servers/", "vm/", "vm/.orders")
+STORE_KEYS = interfaces.StoreKeys("op/", "servers/", "vm/", "vm/.orders", "vm/.software")
 WEIGHTS_LOAD_SECONDS = 1.5
 MODEL = "m"
 SERVICE = "ls"
@@ -59,6 +60,12 @@
     def encode_vm(self, vm_info):
         return pickle.dumps(vm_info)
 
+    def decode_software(self, item):
+        return self._decode(item, software_versions.Record)
+
+    def encode_software(self, record):
+        return pickle.dumps(record)
+
     def _decode(self, item, type_):
         try:
             value = pickle.loads(item.value)
@@ -309,6 +316,9 @@
         self.registration = registration.Registration(
             self.state, client, self.store_watcher, store_codec
         )
+        self.software_record = software_record.SoftwareRecord(
+            self.state, client, self.store_watcher, store_codec, fleet.first_start_delay
+        )
         self.permits = send_permits.SendPermits(self.state, peers)
         self.rollouts = rollout_controller.RolloutController(
             self.state,
@@ -327,7 +337,7 @@
 
     async def run(self):
         tasks = [self.heartbeats.run, self.status_client.run]
-        tasks += [self.rollouts.run, self.cache_watcher.run]
+        tasks += [self.rollouts.run, self.cache_watcher.run, self.software_record.run]
         with self.scope:
             async with anyio.create_task_group() as group:
                 group.start_soon(self.store_watcher.run)
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -44,6 +44,7 @@
         self.era = 1
         self.restored_at = -math.inf
         self._acknowledged = {}
+        self._unleased_by_vms = set()
         self._changed = anyio.Event()
         self._last_lease = 0
         self._snapshots = []
@@ -53,7 +54,7 @@
     def current(self):
         return store_revision.Revision(self.era, self.revision)
 
-    def put(self, key, value, lease=0):
+    def put(self, key, value, lease=0, by_vm=False):
         """Write a key, as the operator, an upstream or a VM does."""
         self.revision += 1
         data = value if isinstance(value, bytes) else pickle.dumps(value)
@@ -63,6 +64,8 @@
             keys.discard(key)
         if lease:
             self.leases[lease][1].add(key)
+        elif by_vm:
+            self._unleased_by_vms.add(key)
         else:
             self._acknowledged[key] = data
         self._wake()
@@ -101,8 +104,9 @@
 
     def write_again(self):
         """Write again what the operator and the upstreams wrote, which have no leases."""
-        leased = {key for _, keys, _ in self.leases.values() for key in keys}
-        for key in sorted(self.items.keys() - leased - self._acknowledged.keys()):
+        by_vms = {key for _, keys, _ in self.leases.values() for key in keys}
+        by_vms |= self._unleased_by_vms
+        for key in sorted(self.items.keys() - by_vms - self._acknowledged.keys()):
             self.remove(key)
         for key, data in self._acknowledged.items():
             if key not in self.items or self.items[key].value != data:
@@ -206,7 +210,8 @@
         if any(put.lease and put.lease.number not in self._store.leases for put in puts):
             return interfaces.LeaseExpired()
         for put in puts:
-            self._store.put(put.key, put.value, put.lease.number if put.lease else 0)
+            lease = put.lease.number if put.lease else 0
+            self._store.put(put.key, put.value, lease, by_vm=True)
         if any(put.lease and put.lease.era != self._store.era for put in puts):
             return interfaces.LeaseExpired()
         return interfaces.Committed(self._store.current)
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -14,7 +14,7 @@
 from hollyring.core import request_types
 from hollyring.membership import heartbeat
 from hollyring.node import interfaces
-from hollyring.routing import registry
+from hollyring.routing import registry, software_versions
 
 CONFIGURATION_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
@@ -23,6 +23,7 @@
     upstreams="servers/",
     vms="hollyring/vm/",
     orders_lease="hollyring/vm/.orders",
+    software="hollyring/vm/.software",
 )
 MS_PER_SECOND = 1000.0
 BITS_PER_MEGABIT = 1_000_000.0
@@ -135,6 +136,13 @@
     capacity: float = 1.0  # cores
 
 
+class _Software(msgspec.Struct, frozen=True):
+    """Record of the upstreams' software versions by service."""
+
+    era: int
+    versions: dict[str, list[str]]
+
+
 class DocumentCodec:
     """Codec of the stored documents; implements `hollyring.node.interfaces.StoreCodec`.
 
@@ -202,6 +210,18 @@
         """Return the stored form of the record of a VM."""
         return msgspec.json.encode(vm_info)
 
+    def decode_software(self, item: mirror.Item) -> software_versions.Record | None:
+        """Return the record of the upstreams' software versions, or None if it is invalid."""
+        stored = _decode(item, _Software)
+        if stored is None:
+            return None
+        versions = {service: frozenset(names) for service, names in stored.versions.items()}
+        return software_versions.Record(stored.era, versions)
+
+    def encode_software(self, record: software_versions.Record) -> bytes:
+        """Return the stored form of a record of software versions."""
+        return msgspec.json.encode(_Software(record.era, software_versions.listed(record)))
+
 
 def _decode(item: mirror.Item, type_: type[Any]) -> Any:
     try:
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -9,6 +9,7 @@
 from hollyring.membership import heartbeat
 from hollyring.node import errors, http_connection, interfaces
 from hollyring.platform import documents, ingress, settings, upstreams
+from hollyring.routing import software_versions
 
 CONFIG = {
     "version": 7,
@@ -147,6 +148,23 @@
     assert codec.decode_upstream(make_item("servers/i-7", value)) is None
 
 
+def test_record_of_software_versions_round_trips_and_is_not_a_vm(codec):
+    versions = {"chat": frozenset({"v1", "v2"}), "search": frozenset({"v1"})}
+    record = software_versions.Record(2, versions)
+    item = mirror.Item(
+        documents.STORE_KEYS.software, codec.encode_software(record), store_revision.Revision(2, 5)
+    )
+    assert item.key.startswith(documents.STORE_KEYS.vms)
+    assert codec.decode_software(item) == record
+    assert codec.decode_vm(item) is None
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b"[]", b'{"era":"1","versions":{}}', b"\xff"])
+def test_malformed_record_of_software_versions_is_ignored(codec, value):
+    item = make_item(documents.STORE_KEYS.software, value)
+    assert codec.decode_software(item) is None
+
+
 def test_vm_record_round_trips_and_order_lease_is_not_a_vm(codec):
     vm_info = heartbeat.VmInfo("vm-1", 7, "a:1", "a:2", "dar-a", "dar")
     assert codec.decode_vm(make_item("hollyring/vm/vm-1", codec.encode_vm(vm_info))) == vm_info
--- a/hollyring/platform/tests/test_resumed_streams.py
+++ b/hollyring/platform/tests/test_resumed_streams.py
@@ -75,11 +75,17 @@
 
 
 @pytest.fixture
-async def start_fleet(tmp_path):
+async def store():
+    """Yield a running store with a configuration."""
+    async with conftest.StoreStandIn().running() as running:
+        await running.put("op/config", CONFIG)
+        yield running
+
+
+@pytest.fixture
+async def start_fleet(tmp_path, store):
     """Yield a function that starts upstreams of the given software versions, and two VMs."""
     async with contextlib.AsyncExitStack() as stack:
-        store = await stack.enter_async_context(conftest.StoreStandIn().running())
-        await store.put("op/config", CONFIG)
         vms = [
             test_process.VmProcess(tmp_path, store.address, name, contracts=["engine"])
             for name in ("vm-1", "vm-2")
@@ -133,6 +139,26 @@
     return streams
 
 
+async def restart_all(vms, while_down):
+    """Kill all VMs, await `while_down`, and start them again."""
+    for vm in vms:
+        vm.process.kill()
+        vm.process.wait()
+    await while_down()
+    for vm in vms:
+        vm.start()
+    for vm in vms:
+        await vm.wait_ready()
+
+
+async def resume(vm, stream, number):
+    """Continue a stream at a VM after the last event that its caller has received."""
+    resumed = Stream(f"resumed-{number}")
+    names = (b"last-event-id", b"%d" % stream.last_event), (b"resumes", stream.request_id.encode())
+    await resumed.receive(vm, *names)
+    return resumed
+
+
 @pytest.mark.anyio
 async def test_stream_taken_up_at_another_vm_goes_on_at_its_software_version(
     start_fleet,
@@ -169,3 +195,40 @@
     resumed = Stream("second")
     await resumed.receive(vms[1], (b"last-event-id", b"3"), (b"resumes", b"never-heard-of"))
     assert (resumed.status, resumed.whole, resumed.last_event) == (200, True, EVENTS)
+
+
+@pytest.mark.anyio
+async def test_stream_is_not_joined_with_the_version_that_replaced_its_own_while_no_vm_ran(
+    start_fleet, store
+):
+    servers, vms = await start_fleet("v1", "v1")
+    streams = await begin_streams(vms[0], 6)
+    assert all(0 < stream.last_event < EVENTS for stream in streams)
+    newer = conftest.ServerStandIn("i-new", events=EVENTS)
+    newer.software = "v2"
+
+    async def replace():
+        for server in servers:
+            await store.remove(f"servers/{server.name}")
+        await store.put("servers/i-new", entry(newer))
+
+    async with newer.running():
+        await restart_all(vms, replace)
+        resumed = [await resume(vms[n % 2], stream, n) for n, stream in enumerate(streams)]
+        new = Stream("new")
+        await new.receive(vms[0])
+    assert [stream.status for stream in resumed] == [503] * len(streams)
+    assert {request.headers.get("x-request-id") for request in newer.requests} <= {"new", None}
+    assert (new.status, new.whole) == (200, True)
+
+
+@pytest.mark.anyio
+async def test_all_streams_go_on_after_all_vms_restarted_where_one_version_serves(
+    start_fleet,
+):
+    servers, vms = await start_fleet("v1", "v1")
+    streams = await begin_streams(vms[0], 6)
+    await restart_all(vms, anyio.lowlevel.checkpoint)
+    resumed = [await resume(vms[n % 2], stream, n) for n, stream in enumerate(streams)]
+    assert [(stream.status, stream.whole) for stream in resumed] == [(200, True)] * len(streams)
+    assert {stream.last_event for stream in resumed} == {EVENTS}
--- a/hollyring/routing/tests/test_software_versions.py
+++ b/hollyring/routing/tests/test_software_versions.py
@@ -1,3 +1,5 @@
+import pytest
+
 from hollyring.routing import registry, software_versions
 
 TTL_SECONDS = 30.0
@@ -31,3 +33,59 @@
     versions.observe([upstream("i-1", "v1")], 0.0)
     versions.observe([upstream("i-1", "v2")], 1.0)
     assert versions.mixed_services == {"chat"}
+
+
+def chat(*names):
+    return software_versions.Record(1, {"chat": frozenset(names)})
+
+
+@pytest.fixture
+def starting():
+    """Versions of a VM that has just started and awaits the record."""
+    versions = software_versions.SoftwareVersions(TTL_SECONDS)
+    versions.await_record()
+    return versions
+
+
+def test_versions_are_incomplete_until_the_record_has_been_read(starting):
+    starting.observe([upstream("i-1", "v2")], 0.0)
+    assert starting.awaits_record and not starting.is_complete(1000.0)
+    starting.restore(chat("v1"), True, 5.0)
+    assert not starting.awaits_record and starting.is_complete(5.0)
+    assert starting.of_service("chat") == {"v1", "v2"}
+    assert starting.mixed_services == {"chat"}
+
+
+def test_recorded_version_without_an_upstream_is_forgotten(starting):
+    starting.restore(chat("v1"), True, 0.0)
+    starting.observe([upstream("i-1", "v2")], TTL_SECONDS)
+    assert starting.of_service("chat") == {"v1", "v2"}
+    starting.observe([upstream("i-1", "v2")], TTL_SECONDS + 0.1)
+    assert starting.record(1) == chat("v2")
+
+
+@pytest.mark.parametrize("record", [None, chat("v1")])
+def test_versions_are_complete_late_where_the_record_may_lack_some(starting, record):
+    starting.restore(record, False, 0.0)
+    assert not starting.is_complete(TTL_SECONDS - 0.1)
+    assert starting.is_complete(TTL_SECONDS)
+
+
+def test_only_what_a_later_record_adds_counts_anew(starting):
+    starting.restore(chat("v1"), True, 0.0)
+    starting.restore(chat("v1", "v2"), True, 20.0)
+    starting.observe([], TTL_SECONDS + 0.1)
+    assert starting.of_service("chat") == {"v2"}
+
+
+def test_later_record_does_not_make_versions_incomplete(starting):
+    starting.restore(chat("v1"), True, 0.0)
+    starting.restore(None, False, 1.0)
+    assert starting.is_complete(1.0)
+
+
+def test_services_without_recent_versions_are_not_recorded():
+    versions = software_versions.SoftwareVersions(TTL_SECONDS)
+    versions.observe([upstream("i-1", "v1")], 0.0)
+    versions.observe([], TTL_SECONDS + 0.1)
+    assert versions.record(3) == software_versions.Record(3, {})
