Wait on at a silent upstream while looking for another one

Callers saw: a resumable stream whose upstream was silent for a second was cut with status 200 and no end, and a call or a stream not yet begun got 502, 504 or another upstream's error, where no other upstream could take over: none of its software version, none at all, no retry left, or one that refused, broke off, failed or was silent too. The answer that came a moment later was thrown away.

Cause: the attempt ended itself after its patience (1 s between events, 1.2 s before the first, 0.25 s for a call), and only then the relay asked whether anything could go on.

Change: the attempts of a request are tasks (`open_attempts`). A silent one says so and stays open until the deadline. While all open attempts are silent, the relay looks for another upstream every 0.25 s, within the retry budget, `max_runs` and `MAX_SENDS`; attempts in progress count as runs. The first attempt that has something for the caller takes over; the others are closed at once. Each attempt reads its own copy of the event stream, so that a part of an event survives. The probe of a silent upstream runs beside the wait instead of holding up data. At-most-once requests are sent once as before.

--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import copy
+
 from hollyring.delivery import errors
 
 SEPARATOR = b"\n\n"
@@ -57,6 +59,12 @@
         """Number of bytes received of an event that is not complete."""
         return len(self._buffer)
 
+    def for_attempt(self) -> EventStream:
+        """Return a stream for an attempt that continues after the last event of this one."""
+        attempt = copy.copy(self)
+        attempt.begin_attempt()
+        return attempt
+
     def begin_attempt(self) -> None:
         """Discard a partly received event; what follows comes from another attempt."""
         self._buffer = b""
--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -1,5 +1,7 @@
 """Attempts of one request: whether it may be sent again, and what a refusal may state.
 
+Several attempts may be in progress, when another upstream is tried while one is silent.
+
 The execution status of a refusal depends on `RetryState.reached`: whether an upstream may have run
 the request. An attempt counts as a possible run from its start, unless it turns out that its
 upstream received no byte of the request or did not run it. While `reached` is true, no final
@@ -40,7 +42,7 @@
 
 
 class RetryState:
-    """Consecutive attempts of one request.
+    """Attempts of one request.
 
     Examples
     --------
@@ -68,7 +70,7 @@
         self._policy = policy
         self._sends = 0
         self._runs = 0
-        self._in_progress = False
+        self._in_progress = 0
         self._reached = False
         self._upstreams: list[str] = []
         self._failure_domains: list[str] = []
@@ -91,7 +93,7 @@
     @property
     def reached(self) -> bool:
         """Whether an upstream may have run the request, or may be running it."""
-        return self._reached or self._in_progress
+        return self._reached or self._in_progress > 0
 
     @property
     def upstreams(self) -> frozenset[str]:
@@ -119,20 +121,20 @@
     def begin(self, upstream: str, failure_domain: str = "") -> None:
         """Record the start of an attempt at an upstream in a failure domain."""
         self._sends += 1
-        self._in_progress = True
+        self._in_progress += 1
         self._upstreams.append(upstream)
         self._failure_domains.append(failure_domain)
 
     def withdraw(self) -> None:
         """Undo the start of the last attempt, of which nothing was sent."""
         self._sends -= 1
-        self._in_progress = False
+        self._in_progress -= 1
         self._upstreams.pop()
         self._failure_domains.pop()
 
     def record_failure(self, ran: execution.Execution) -> None:
-        """Record that the last attempt failed, and whether its upstream ran the request."""
-        self._in_progress = False
+        """Record that an attempt failed or was closed, and whether its upstream ran the request."""
+        self._in_progress -= 1
         if ran is execution.Execution.NOT_RUN:
             return
         self._reached = True
@@ -140,9 +142,10 @@
 
     @property
     def may_run_elsewhere(self) -> bool:
-        """Whether another upstream may run the request if the current one fails."""
+        """Whether another upstream may run the request beside those of the open attempts."""
         at_most_once = self._policy.retry_safety is request_types.RetrySafety.AT_MOST_ONCE
-        return not at_most_once and self._runs + 1 < self._policy.max_runs
+        runs = self._runs + max(1, self._in_progress)
+        return not at_most_once and runs < self._policy.max_runs
 
     def may_retry(self, now: float, answer_started: bool) -> bool:
         """Return whether the request may be sent again; the retry budget is checked separately.
@@ -158,7 +161,7 @@
             return False
         if not self.reached:
             return True
-        if self._runs >= self._policy.max_runs:
+        if self._runs + self._in_progress >= self._policy.max_runs:
             return False
         match self._policy.retry_safety:
             case request_types.RetrySafety.AT_MOST_ONCE:
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -16,6 +16,7 @@
     http_connection,
     interfaces,
     metrics,
+    open_attempts,
     request_context,
     send_permits,
     state,
@@ -93,15 +94,21 @@
         self._permits = permits
 
     async def run(
-        self, context: request_context.RequestContext, selected: selection.Selection
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
         """Send a request to an upstream and forward the response to the caller.
 
+        An upstream that is silent does not end the attempt before the deadline; the silence is
+        recorded, so that another attempt may be made and take over.
+
         Raises
         ------
         CallerLeftError
             If the caller has left before the request could be sent.
+        SupersededError
+            If another attempt has taken over the response.
         """
+        selected = attempt.selected
         long_response = costs.is_long(context.request.prompt)
         selected.upstream.record_sent(
             context.request_id,
@@ -111,13 +118,14 @@
             long_response,
         )
         try:
-            return await self._run(context, selected)
+            return await self._run(context, attempt)
         finally:
             selected.upstream.record_end(context.request_id, long_response)
 
     async def _run(
-        self, context: request_context.RequestContext, selected: selection.Selection
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
+        selected = attempt.selected
         upstream = selected.upstream
         address = upstream.entry.address
         events_before = context.events.last_number or 0
@@ -148,12 +156,13 @@
             if self._is_unusable(upstream) or not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
             sent_at = clock.now()
+            attempt.sent = True
             exchange = connection.send(
                 self._request(context, selected),
                 self._codec.response_matcher(context.request_id),
                 context.request_id,
             )
-            return await self._receive(context, selected, exchange, sent_at)
+            return await self._receive(context, attempt, exchange, sent_at)
         except http_connection.NotSentError as error:
             return request_context.NotRun(str(error))
         except _ResponseTimeoutError as error:
@@ -201,13 +210,14 @@
     async def _receive(
         self,
         context: request_context.RequestContext,
-        selected: selection.Selection,
+        attempt: open_attempts.OpenAttempt,
         exchange: http_connection.Exchange,
         sent_at: float,
     ) -> request_context.Outcome:
-        """Receive the response; every wait ends at the deadline or the attempt's timeout."""
+        """Receive the response; every wait ends at the deadline."""
+        selected = attempt.selected
         upstream = selected.upstream
-        head = self._codec.decode_head(await self._wait_for(context, selected, exchange.head))
+        head = self._codec.decode_head(await self._wait_for(context, attempt, exchange.head))
         upstream.record_activity(clock.now())
         self._state.observe_head(upstream, head, sent_at)
         if head.misdirected or head.not_run:
@@ -219,62 +229,71 @@
         if context.request.prompt is not None and head.version:
             upstream.record_version(context.request.prompt.model, head.version)
         if context.route.streaming and head.status == HTTP_OK:
-            return await self._forward_stream(context, selected, head, exchange)
-        return await self._forward_whole(context, selected, head, exchange)
+            return await self._forward_stream(context, attempt, head, exchange)
+        return await self._forward_whole(context, attempt, head, exchange)
 
     async def _wait_for(
         self,
         context: request_context.RequestContext,
-        selected: selection.Selection,
+        attempt: open_attempts.OpenAttempt,
         call: Callable[[], Awaitable[T]],
     ) -> T:
-        """Return the next part of a response, and probe an upstream that sends nothing.
+        """Return the next part of a response; probe an upstream that sends nothing meanwhile.
 
         Raises
         ------
         _ResponseTimeoutError
-            If the part did not arrive within the timeout of the attempt.
+            If the part did not arrive before the deadline.
         """
-        upstream = selected.upstream
+        upstream = attempt.selected.upstream
+        deadline = context.retry_state.deadline
         since = clock.now()
-        end = since + self._timeout_seconds(context, selected)
+        end = since + self._patience_seconds(context, attempt.selected)
         probed = False
         while True:
-            until = end if probed else min(end, since + PROBE_AFTER_SECONDS)
+            check_at = end if probed else min(end, since + PROBE_AFTER_SECONDS)
+            until = deadline if attempt.silent else min(check_at, deadline)
             with anyio.move_on_after(max(0.0, until - clock.now())):
-                return await call()
+                part = await call()
+                attempt.silent = False
+                return part
             now = clock.now()
-            if upstream.last_activity_at > since:
+            if not attempt.silent and upstream.last_activity_at > since:
                 since = upstream.last_activity_at
                 probed = False
                 if context.retry_state.retry_safety is request_types.RetrySafety.RESUMABLE:
-                    end = since + self._timeout_seconds(context, selected)
-            elif not probed:
+                    end = since + self._patience_seconds(context, attempt.selected)
+            elif not attempt.silent and not probed:
                 probed = True
-                if not await self._probe(upstream) and context.retry_state.may_run_elsewhere:
-                    break
-            if now >= min(end, context.retry_state.deadline):
-                break
-        if probed:
-            upstream.record_failure(clock.now())
-        raise _ResponseTimeoutError("no answer in time")
-
-    async def _probe(self, upstream: registry.Upstream) -> bool:
-        """Return whether a silent upstream accepts a connection; if not, mark it unresponsive.
+                attempt.start_soon(self._probe, context, attempt)
+            if now >= end and not attempt.silent:
+                if probed:
+                    upstream.record_failure(now)
+                attempt.record_silence()
+            if now >= deadline:
+                raise _ResponseTimeoutError("no answer in time")
+
+    async def _probe(
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
+    ) -> None:
+        """Mark a silent upstream unresponsive if it accepts no connection.
 
         One in backoff counts as alive: a connection may occupy one of its slots.
         """
+        upstream = attempt.selected.upstream
         if self._state.backoffs.is_active(upstream):
-            return True
-        connected = await self._pool.can_connect(upstream.entry.address)
-        if not connected:
-            self._state.mark_unresponsive(upstream, "silent and takes no connection")
-        return connected
+            return
+        if await self._pool.can_connect(upstream.entry.address):
+            return
+        self._state.mark_unresponsive(upstream, "silent and takes no connection")
+        if context.retry_state.may_run_elsewhere and not attempt.silent:
+            upstream.record_failure(clock.now())
+            attempt.record_silence()
 
-    def _timeout_seconds(
+    def _patience_seconds(
         self, context: request_context.RequestContext, selected: selection.Selection
     ) -> float:
-        """Return the timeout of the next part of a response."""
+        """Return the time without a part of the response after which another upstream is tried."""
         if not context.retry_state.may_run_elsewhere:
             return max(0.0, context.seconds_left)
         match context.retry_state.retry_safety:
@@ -317,23 +336,24 @@
     async def _forward_whole(
         self,
         context: request_context.RequestContext,
-        selected: selection.Selection,
+        attempt: open_attempts.OpenAttempt,
         head: interfaces.ResponseHead,
         exchange: http_connection.Exchange,
     ) -> request_context.Outcome:
-        upstream = selected.upstream
-        body = await self._wait_for(context, selected, exchange.body)
+        upstream = attempt.selected.upstream
+        body = await self._wait_for(context, attempt, exchange.body)
         now = clock.now()
         upstream.record_first_event(context.request_id, now)
         failed = request_context.Failed(f"status {head.status}", head, body)
         if head.status >= HTTP_SERVER_ERROR:
             if not head.retry_after_seconds:
                 upstream.record_failure(now)
-            if context.retry_state.may_run_elsewhere:
+            if context.retry_state.may_run_elsewhere or attempt.has_others:
                 return failed
         if context.response.started:
             # The caller has the head of a stream, which only another stream can continue.
             return failed
+        _take_over(context, attempt)
         if exchange.framed and head.status < HTTP_SERVER_ERROR:
             self._state.crashes.record_whole(context.suspects)
         context.first_byte_at = now
@@ -344,15 +364,15 @@
     async def _forward_stream(
         self,
         context: request_context.RequestContext,
-        selected: selection.Selection,
+        attempt: open_attempts.OpenAttempt,
         head: interfaces.ResponseHead,
         exchange: http_connection.Exchange,
     ) -> request_context.Outcome:
-        upstream = selected.upstream
+        upstream = attempt.selected.upstream
         events_before = context.events.last_number or 0
-        context.events.begin_attempt()
+        attempt.events = stream = context.events.for_attempt()
         while True:
-            data = await self._wait_for(context, selected, exchange.read)
+            data = await self._wait_for(context, attempt, exchange.read)
             now = clock.now()
             upstream.record_activity(now)
             try:
@@ -360,14 +380,17 @@
                     if not exchange.framed:
                         # A server that crashes may close such an answer as if it were whole.
                         self._record_broken(context, upstream, events_before)
-                    context.events.check_end()
+                    stream.check_end()
                     break
-                events = context.events.feed(data)
+                events = stream.feed(data)
             except delivery_errors.StreamOrderError as error:
                 upstream.record_failure(now)
                 return request_context.Failed(str(error))
             if events:
-                await self._forward_events(context, selected, head, events)
+                _take_over(context, attempt)
+                context.events = stream
+                await self._forward_events(context, attempt, head, events)
+        _take_over(context, attempt)
         if not context.response.started:
             await context.response.start(head.status, head.headers, b"")
         await context.response.end()
@@ -379,10 +402,11 @@
     async def _forward_events(
         self,
         context: request_context.RequestContext,
-        selected: selection.Selection,
+        attempt: open_attempts.OpenAttempt,
         head: interfaces.ResponseHead,
         events: bytes,
     ) -> None:
+        selected = attempt.selected
         if context.request_id in selected.upstream.outstanding:
             selected.upstream.record_first_event(context.request_id, clock.now())
             self._state.record_cached_prompt(selected, context.request.prompt)
@@ -395,3 +419,15 @@
         context.first_byte_at = clock.now()
         self._metrics.observe("first_event", context.first_byte_at - context.arrived_at)
         await context.response.start(head.status, head.headers, events)
+
+
+def _take_over(context: request_context.RequestContext, attempt: open_attempts.OpenAttempt) -> None:
+    """Let an attempt write the response, and close the others.
+
+    Raises
+    ------
+    SupersededError
+        If another attempt has taken over before.
+    """
+    attempt.take_over()
+    context.selected = attempt.selected
--- /dev/null
+++ b/hollyring/node/open_attempts.py
@@ -0,0 +1,183 @@
+"""Attempts of one request that are in progress: one, or several while the others are silent.
+
+An upstream that falls silent may go on, so its attempt stays open while another one is made. The
+first attempt that has something for the caller takes over the response, and the others are closed.
+"""
+
+from __future__ import annotations
+
+import collections
+import math
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from hollyring.delivery import event_stream
+from hollyring.node import clock, errors, request_context
+from hollyring.routing import selection
+
+LOOK_AGAIN_SECONDS = 0.25
+"""Interval at which a request whose upstreams are silent looks for another one."""
+
+
+class SupersededError(errors.VmError):
+    """Another attempt has taken over the response."""
+
+
+class OpenAttempt:
+    """One attempt in progress.
+
+    Parameters
+    ----------
+    attempts
+        All attempts in progress of the same request.
+    selected
+        Its upstream.
+
+    Attributes
+    ----------
+    scope
+        Ends the attempt when cancelled.
+    outcome, error
+        How it finished: with an outcome or an exception.
+    events
+        Events of its stream, None before the head of a stream.
+    sent
+        Whether the request may have been written.
+    silent
+        Whether its upstream has sent nothing for so long that another one may be tried.
+    """
+
+    __slots__ = ("_attempts", "selected", "scope", "outcome", "error", "events", "sent", "silent")
+
+    def __init__(self, attempts: OpenAttempts, selected: selection.Selection) -> None:
+        self._attempts = attempts
+        self.selected = selected
+        self.scope = anyio.CancelScope()
+        self.outcome: request_context.Outcome | None = None
+        self.error: Exception | None = None
+        self.events: event_stream.EventStream | None = None
+        self.sent = False
+        self.silent = False
+
+    @property
+    def has_others(self) -> bool:
+        """Whether another attempt of the request is in progress."""
+        return len(self._attempts.open) > 1
+
+    def start_soon(self, task: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
+        """Run a task beside the attempt, until the request ends at the latest."""
+        self._attempts.start_soon(task, *args)
+
+    def record_silence(self) -> None:
+        """Record that the upstream has sent nothing for so long that another one may be tried."""
+        self.silent = True
+        self._attempts.notify()
+
+    def take_over(self) -> None:
+        """Close the other attempts; from now on, only this one may write to the caller.
+
+        Raises
+        ------
+        SupersededError
+            If another attempt has taken over before.
+        """
+        self._attempts.take_over(self)
+
+
+class OpenAttempts:
+    """The attempts in progress of one request.
+
+    Parameters
+    ----------
+    task_group
+        Runs the attempts.
+    on_superseded
+        Called for each attempt that is closed since another one has taken over.
+    """
+
+    __slots__ = ("_task_group", "_on_superseded", "_finished", "_changed", "_look_again_at", "open")
+
+    def __init__(
+        self,
+        task_group: anyio.abc.TaskGroup,
+        on_superseded: Callable[[OpenAttempt], None],
+    ) -> None:
+        self._task_group = task_group
+        self._on_superseded = on_superseded
+        self._finished: collections.deque[OpenAttempt] = collections.deque()
+        self._changed = anyio.Event()
+        self._look_again_at = -math.inf
+        self.open: list[OpenAttempt] = []
+
+    @property
+    def all_silent(self) -> bool:
+        """Whether attempts are in progress, and all their upstreams are silent."""
+        return not self._finished and all(attempt.silent for attempt in self.open)
+
+    def start(
+        self,
+        selected: selection.Selection,
+        run: Callable[[OpenAttempt], Awaitable[request_context.Outcome]],
+    ) -> None:
+        """Start an attempt."""
+        attempt = OpenAttempt(self, selected)
+        self.open.append(attempt)
+        self._task_group.start_soon(self._run, attempt, run)
+
+    async def next_finished(self) -> OpenAttempt | None:
+        """Wait for an attempt to finish and return it; None if all are silent, every so often."""
+        while not self._finished:
+            wait_seconds = math.inf
+            if self.all_silent:
+                now = clock.now()
+                if now >= self._look_again_at:
+                    self._look_again_at = now + LOOK_AGAIN_SECONDS
+                    return None
+                wait_seconds = self._look_again_at - now
+            self._changed = anyio.Event()
+            with anyio.move_on_after(wait_seconds):
+                await self._changed.wait()
+        return self._finished.popleft()
+
+    def take_over(self, attempt: OpenAttempt) -> None:
+        """Close all attempts but one.
+
+        Raises
+        ------
+        SupersededError
+            If that one is closed already.
+        """
+        if attempt not in self.open:
+            raise SupersededError("another attempt has taken over")
+        attempt.silent = False
+        others = [other for other in self.open if other is not attempt]
+        self.open = [attempt]
+        for other in others:
+            other.scope.cancel()
+            self._on_superseded(other)
+
+    def start_soon(self, task: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
+        """Run a task until the request ends at the latest."""
+        self._task_group.start_soon(task, *args)
+
+    def notify(self) -> None:
+        """Wake up `next_finished`."""
+        self._changed.set()
+
+    async def _run(
+        self,
+        attempt: OpenAttempt,
+        run: Callable[[OpenAttempt], Awaitable[request_context.Outcome]],
+    ) -> None:
+        with attempt.scope:
+            try:
+                attempt.outcome = await run(attempt)
+            except Exception as error:  # raised where the request waits for its attempts
+                attempt.error = error
+        if attempt in self.open:
+            self.open.remove(attempt)
+            self._finished.append(attempt)
+            self.notify()
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import typing
 
 import anyio
 
 from hollyring.configuration import deployment
-from hollyring.core import request_types
+from hollyring.core import execution, request_types
 from hollyring.delivery import event_stream, refusal, retry, stream_origins
 from hollyring.limits import fleet_window
 from hollyring.node import (
@@ -19,6 +20,7 @@
     interfaces,
     logs,
     metrics,
+    open_attempts,
     request_context,
     responses,
     send_permits,
@@ -194,31 +196,118 @@
 
     async def _run_attempts(self, context: request_context.RequestContext) -> None:
         """Make attempts until the caller has received the whole response."""
+        failure: Exception | None = None
+        async with anyio.create_task_group() as task_group:
+            attempts = open_attempts.OpenAttempts(
+                task_group, functools.partial(self._record_superseded, context)
+            )
+            try:
+                await self._make_attempts(context, attempts)
+            except Exception as error:  # the group would wrap it
+                failure = error
+            task_group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _make_attempts(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        await self._start_next(context, attempts)
         while True:
-            if not await self._knows_enough(context.retry_state.deadline):
-                refused = context.retry_state.final_refusal("no_upstream", clock.now())
-                raise _RequestRefusedError(refused)
-            if context.retry_state.sends and self._is_blamed(context):
-                refused = context.retry_state.final_refusal("crashing_request", clock.now())
-                raise _RequestRefusedError(refused)
-            context.selected = selected = self._select(context)
-            context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
-            self._log_sent(context, selected)
-            outcome = await self._attempt_runner.run(context, selected)
+            finished = await attempts.next_finished()
+            if finished is None:
+                await self._look_elsewhere(context, attempts)
+                continue
+            if finished.error is not None:
+                raise finished.error
+            outcome = finished.outcome
             if isinstance(outcome, request_context.Done):
                 self._log_end(context, "answered")
                 return
             if isinstance(outcome, request_context.Withdrawn):
-                self._log_withdrawn(context, selected)
+                self._log_withdrawn(context, finished.selected)
                 context.retry_state.withdraw()
+            elif outcome is not None:
+                self._record_failed(context, finished, outcome)
+            if attempts.open:
                 continue
-            context.retry_state.record_failure(outcome.execution_status)
-            if isinstance(outcome, request_context.Failed):
-                context.last_failure = outcome
-            self._log_failed(context, selected, outcome)
-            if not self._may_retry(context):
+            if not isinstance(outcome, request_context.Withdrawn) and not self._may_retry(context):
                 await self._finish_failed(context)
                 return
+            await self._start_next(context, attempts)
+
+    async def _start_next(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start the next attempt.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If none can be made.
+        """
+        if not await self._knows_enough(context.retry_state.deadline):
+            refused = context.retry_state.final_refusal("no_upstream", clock.now())
+            raise _RequestRefusedError(refused)
+        if context.retry_state.sends and self._is_blamed(context):
+            refused = context.retry_state.final_refusal("crashing_request", clock.now())
+            raise _RequestRefusedError(refused)
+        self._start(context, attempts, self._select(context))
+
+    async def _look_elsewhere(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start one more attempt beside those that are silent, if another upstream is free."""
+        if not context.retry_state.may_retry(clock.now(), context.response.started):
+            return
+        if not await self._knows_enough(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
+            return
+        if self._is_blamed(context) or not attempts.all_silent:
+            return
+        now = clock.now()
+        selected = self._state.selector.select(self._selection_request(context), now)
+        if isinstance(selected, selection.NoUpstream):
+            return
+        if self._state.retries(context.service.name).try_retry(now):
+            self._start(context, attempts, selected)
+
+    def _start(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        selected: selection.Selection,
+    ) -> None:
+        if not attempts.open:
+            context.selected = selected
+        context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
+        self._log_sent(context, selected, len(attempts.open))
+        attempts.start(selected, functools.partial(self._attempt_runner.run, context))
+
+    def _record_failed(
+        self,
+        context: request_context.RequestContext,
+        finished: open_attempts.OpenAttempt,
+        outcome: request_context.NotRun | request_context.Failed,
+    ) -> None:
+        context.retry_state.record_failure(outcome.execution_status)
+        if isinstance(outcome, request_context.Failed):
+            context.last_failure = outcome
+        self._log_failed(context, finished, outcome)
+
+    def _record_superseded(
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
+    ) -> None:
+        """Record an attempt that is closed since another one has taken over."""
+        ran = execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
+        context.retry_state.record_failure(ran)
+        self._metrics.increment("tries_superseded")
+        self._log.info(
+            "try superseded",
+            request=context.request_id,
+            upstream=attempt.selected.upstream.name,
+            silent=attempt.silent,
+            sends=context.retry_state.sends,
+        )
 
     def _is_blamed(self, context: request_context.RequestContext) -> bool:
         return self._state.crashes.blame_of(context.suspects) is not None
@@ -328,7 +417,7 @@
         )
 
     def _log_sent(
-        self, context: request_context.RequestContext, selected: selection.Selection
+        self, context: request_context.RequestContext, selected: selection.Selection, beside: int
     ) -> None:
         self._log.info(
             "sent",
@@ -344,6 +433,7 @@
             likely=context.request.prompt.expected_output_tokens if context.request.prompt else 0,
             expected=round(selected.expected_seconds, 4),
             left=round(context.seconds_left, 3),
+            beside=beside,
             waited=round(clock.now() - context.arrived_at, 3),
             active_ago=state.seconds_since(clock.now(), selected.upstream.last_activity_at),
         )
@@ -363,7 +453,7 @@
     def _log_failed(
         self,
         context: request_context.RequestContext,
-        selected: selection.Selection,
+        finished: open_attempts.OpenAttempt,
         outcome: request_context.NotRun | request_context.Failed,
     ) -> None:
         not_run = isinstance(outcome, request_context.NotRun)
@@ -372,13 +462,13 @@
         self._log.info(
             "try failed",
             request=context.request_id,
-            upstream=selected.upstream.name,
+            upstream=finished.selected.upstream.name,
             why=outcome.reason,
             not_run=not_run,
             sends=context.retry_state.sends,
             left=round(context.seconds_left, 3),
             silent=round(silent, 3),
-            partial_event_bytes=context.events.partial_bytes,
+            partial_event_bytes=finished.events.partial_bytes if finished.events else 0,
             whole=context.suspects[-1],
         )
 
--- /dev/null
+++ b/hollyring/platform/tests/test_silent_servers.py
@@ -0,0 +1,231 @@
+"""Tests of requests whose server falls silent for a while and goes on."""
+
+import asyncio
+import contextlib
+
+import anyio
+import pytest
+
+from hollyring.core import request_types
+from hollyring.limits import service_retry_budgets
+from hollyring.node import clock
+from hollyring.platform.tests import conftest, test_relay
+
+EVENTS = 5
+CLOSE_SECONDS = 0.2
+"""Time within which a server that another has replaced sees its connection closed."""
+
+
+class PausingServer(conftest.ServerStandIn):
+    """Server that is silent for `pause_seconds` after event `pause_after` of its streams.
+
+    Calls are answered after `pause_seconds`. `events_at` and `closed_at` are the times at which it
+    sent events and at which its connection was closed during a request.
+    """
+
+    def __init__(self, name, pause_seconds=0.0, pause_after=2, behaviour="complete"):
+        super().__init__(name, behaviour, EVENTS)
+        self.pause_seconds = pause_seconds
+        self.pause_after = pause_after
+        self.events_at = []
+        self.closed_at = []
+
+    async def handle(self, request, writer):
+        if self.behaviour != "complete":
+            await super().handle(request, writer)
+            return
+        work = asyncio.ensure_future(self.work(request, writer))
+        closed = asyncio.ensure_future(self.readers[writer].read(1))
+        await asyncio.wait([work, closed], return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            self.closed_at.append(clock.now())
+            work.cancel()
+        closed.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await closed
+        self.readers[writer]._waiter = None
+
+    async def work(self, request, writer):
+        if "x-model" not in request.headers:
+            await asyncio.sleep(self.pause_seconds)
+            body = b"done by " + self.name.encode()
+            writer.write(self.encode_sealed_response(request, 200, body))
+            return
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        head = ["HTTP/1.1 200 OK", "content-type: text/event-stream", "transfer-encoding: chunked"]
+        head += [f"x-request-id: {request.headers['x-request-id']}"]
+        head += [f"x-response-seal: {conftest.SEAL}", "", ""]
+        if self.pause_after == 0:
+            await asyncio.sleep(self.pause_seconds)
+        writer.write("\r\n".join(head).encode())
+        for number in range(first, EVENTS + 1):
+            event = b"id: %d\ndata: %d\n\n" % (number, number)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            self.events_at.append(clock.now())
+            await asyncio.sleep(self.pause_seconds if number == self.pause_after else 0.01)
+        writer.write(b"0\r\n\r\n")
+
+
+@pytest.fixture
+async def start_vm():
+    """Yield a function that starts a VM with the given servers, of which it prefers the first."""
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def start(*servers, **route):
+            for server in servers:
+                await stack.enter_async_context(server.running())
+            vm = test_relay.RelayVm(servers, **route)
+            for number, server in enumerate(servers):
+                for _ in range(2 * number):
+                    vm.state.registry.get(server.name).record_failure(clock.now())
+            return vm
+
+        yield start
+
+
+WHOLE = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+RESUMABLE = {"streaming": True, "retry_safety": request_types.RetrySafety.RESUMABLE}
+IDEMPOTENT = {"retry_safety": request_types.RetrySafety.IDEMPOTENT}
+AT_MOST_ONCE = {"retry_safety": request_types.RetrySafety.AT_MOST_ONCE}
+NO_RETRIES = service_retry_budgets.RetryRules(0.0, 0.0, 10.0)
+
+
+def make_servers(first, hindrance):
+    """Return the servers of a VM at which nothing can take over from `first`."""
+    if hindrance == "no other server":
+        return [first]
+    other = PausingServer("i-1")
+    if hindrance == "other software":
+        other.software = "v2"
+    if hindrance == "other refuses":
+        other.behaviour = "refuse"
+    if hindrance == "other resets":
+        other.behaviour = "reset"
+    if hindrance == "other fails":
+        other.behaviour = "error"
+    if hindrance == "other is silent":
+        other.behaviour = "silent"
+    return [first, other]
+
+
+def hinder(vm, hindrance):
+    if hindrance == "no retries left":
+        vm.state._retries = service_retry_budgets.ServiceRetryBudgets(NO_RETRIES)
+
+
+HINDRANCES = [
+    "no other server",
+    "no retries left",
+    "other refuses",
+    "other resets",
+    "other fails",
+    "other is silent",
+]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("hindrance", [*HINDRANCES, "other software"])
+@pytest.mark.parametrize("pause_seconds", [1.2, 2.4])
+async def test_stream_goes_on_after_a_silence_in_which_nothing_took_over(
+    start_vm, hindrance, pause_seconds
+):
+    servers = make_servers(PausingServer("i-0", pause_seconds), hindrance)
+    vm = await start_vm(*servers, timeout=6.0, **RESUMABLE)
+    hinder(vm, hindrance)
+    caller = await vm.send_request(deadline_seconds=6.0)
+    assert (caller.status, caller.body, caller.ended) == (200, WHOLE, True)
+    assert len(servers[0].requests) == 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("hindrance", HINDRANCES)
+async def test_stream_begins_after_a_silence_in_which_nothing_took_over(start_vm, hindrance):
+    servers = make_servers(PausingServer("i-0", 1.9, pause_after=0), hindrance)
+    vm = await start_vm(*servers, timeout=6.0, **RESUMABLE)
+    hinder(vm, hindrance)
+    caller = await vm.send_request(deadline_seconds=6.0)
+    assert (caller.status, caller.body, caller.ended) == (200, WHOLE, True)
+    assert len(servers[0].requests) == 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("hindrance", HINDRANCES)
+async def test_late_answer_of_a_call_is_delivered_if_nothing_took_over(start_vm, hindrance):
+    servers = make_servers(PausingServer("i-0", 0.7), hindrance)
+    vm = await start_vm(*servers, **IDEMPOTENT)
+    hinder(vm, hindrance)
+    caller = await vm.send_request()
+    assert (caller.status, caller.body) == (200, b"done by i-0")
+    assert len(servers[0].requests) == 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("streaming", [False, True])
+async def test_at_most_once_request_is_sent_once_to_a_silent_server_and_answered(
+    start_vm, streaming
+):
+    servers = [PausingServer("i-0", 2.3), PausingServer("i-1")]
+    vm = await start_vm(*servers, timeout=6.0, streaming=streaming, **AT_MOST_ONCE)
+    caller = await vm.send_request(deadline_seconds=6.0)
+    assert (caller.status, caller.body) == (200, WHOLE if streaming else b"done by i-0")
+    assert [len(server.requests) for server in servers] == [1, 0]
+
+
+@pytest.mark.anyio
+async def test_silent_stream_is_closed_only_when_another_server_has_taken_over(start_vm):
+    silent, other = PausingServer("i-0", 5.0), PausingServer("i-1")
+    vm = await start_vm(silent, other, timeout=6.0, **RESUMABLE)
+    caller = await vm.send_request(deadline_seconds=6.0)
+    assert (caller.status, caller.body, caller.ended) == (200, WHOLE, True)
+    await anyio.sleep(CLOSE_SECONDS)
+    assert other.requests[0].headers["last-event-id"] == "2"
+    assert 0.0 <= silent.closed_at[0] - other.events_at[0] < CLOSE_SECONDS
+    assert vm.state.registry.get("i-0").open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_silent_call_is_closed_when_another_server_has_answered(start_vm):
+    silent, other = PausingServer("i-0", 1.5), PausingServer("i-1")
+    vm = await start_vm(silent, other, **IDEMPOTENT)
+    caller = await vm.send_request()
+    assert (caller.status, caller.body) == (200, b"done by i-1")
+    await anyio.sleep(CLOSE_SECONDS)
+    assert len(silent.closed_at) == 1
+    assert vm.state.registry.get("i-0").open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_second_server_is_closed_when_the_silent_one_goes_on(start_vm):
+    first, second = PausingServer("i-0", 1.4), PausingServer("i-1", 3.0, pause_after=0)
+    vm = await start_vm(first, second, timeout=6.0, **RESUMABLE)
+    caller = await vm.send_request(deadline_seconds=6.0)
+    assert (caller.body, caller.ended) == (WHOLE, True)
+    await anyio.sleep(CLOSE_SECONDS)
+    assert second.events_at == []
+    assert second.closed_at[0] - first.events_at[2] < CLOSE_SECONDS
+    assert vm.state.registry.get("i-1").open_requests == 0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("attempts", [1, 2, 3])
+@pytest.mark.parametrize("route", [RESUMABLE, IDEMPOTENT])
+async def test_silent_servers_count_as_runs_until_the_deadline(start_vm, attempts, route):
+    servers = [PausingServer(f"i-{number}", behaviour="silent") for number in range(4)]
+    vm = await start_vm(*servers, timeout=4.5, attempts=attempts, **route)
+    with anyio.fail_after(4.7):
+        caller = await vm.send_request(deadline_seconds=4.5)
+    assert caller.status == 504
+    assert sum(len(server.requests) for server in servers) == attempts
+    await anyio.sleep(CLOSE_SECONDS)
+    assert sum(server.closed_connections for server in servers) == attempts
+
+
+@pytest.mark.anyio
+async def test_caller_that_leaves_closes_every_server_of_its_request(start_vm):
+    servers = [PausingServer(f"i-{number}", behaviour="silent") for number in range(2)]
+    vm = await start_vm(*servers, **IDEMPOTENT)
+    with anyio.move_on_after(1.0):
+        await vm.send_request()
+    await anyio.sleep(CLOSE_SECONDS)
+    assert [server.closed_connections for server in servers] == [1, 1]
+    assert {upstream.open_requests for upstream in vm.state.registry.upstreams.values()} == {0}
