--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -14,6 +14,7 @@
     forward_links,
     interfaces,
     metrics,
+    open_attempts,
     peer_link,
     request_context,
     state,
@@ -64,7 +65,7 @@
         return self._state.forwarding.choose(context.service.name, context.avoided_vms, clock.now())
 
     async def run(
-        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
         """Have a VM make attempts of a request, and send its answer to the caller.
 
@@ -72,25 +73,26 @@
         ------
         CallerLeftError
             If the caller has left before the request could be sent.
+        SupersededError
+            If another attempt has taken over the response.
         """
-        context.retry_state.begin_forward()
-        context.forwarded_to = target.name
+        target = attempt.target
         self._state.forwarding.record_begin(target.name)
         try:
-            return await self._run(context, target)
+            return await self._run(context, attempt)
         finally:
             self._state.forwarding.record_end(target.name)
 
     async def _run(
-        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
+        target = attempt.target
         try:
             link = await self._links.acquire(target.peer_address)
         except peer_link.LinkLostError as error:
             context.avoided_vms.append(target.name)
-            context.retry_state.record_forward(0)
             return request_context.NotRun(str(error), written=False)
-        exchange = _Exchange(link, self._codec, self._state, self._metrics, context)
+        exchange = _Exchange(link, self._codec, self._state, self._metrics, context, attempt)
         bytes_before = link.sent_bytes + link.received_bytes
         is_whole = False
         try:
@@ -102,8 +104,7 @@
             return request_context.Failed(str(error))
         except peer_link.LinkLostError as error:
             context.avoided_vms.append(target.name)
-            if not exchange.is_written:
-                context.retry_state.record_forward(0)
+            if not attempt.sent:
                 return request_context.NotRun(str(error), written=False)
             context.retry_state.record_forward(max(1, exchange.sends))
             return request_context.Failed(str(error))
@@ -129,14 +130,15 @@
         vm_state: state.State,
         counters: metrics.Metrics,
         context: request_context.RequestContext,
+        attempt: open_attempts.OpenAttempt,
     ) -> None:
         self._link = link
         self._codec = codec
         self._state = vm_state
         self._metrics = counters
         self._context = context
+        self._attempt = attempt
         self.sends = 0
-        self.is_written = False
         self.is_whole = False
 
     async def run(self) -> request_context.Outcome:
@@ -188,7 +190,7 @@
         messages = [message, *(forwarded.ForwardedData(part) for part in parts[1:])]
         for earlier in messages[:-1]:
             await self._send(earlier)
-        self.is_written = True
+        self._attempt.sent = True
         await self._send(messages[-1])
 
     async def _send(self, message: object) -> None:
@@ -230,7 +232,7 @@
         if answer.execution != execution.Execution.NOT_RUN.value:
             return request_context.Failed(f"refused: {answer.code}")
         rejection = refusal.make(code, answer.retry_after)
-        context.avoided_vms.append(context.forwarded_to)
+        context.avoided_vms.append(self._attempt.where)
         context.declined.append(rejection)
         return request_context.Declined(rejection, written=answer.sends > 0)
 
@@ -255,12 +257,14 @@
         headers = forwarded.from_wire(head.headers)
         body = b"".join(parts)
         is_error = head.status >= HTTP_SERVER_ERROR
-        if context.response.started or (is_error and context.retry_state.may_run_elsewhere):
+        may_be_better = context.retry_state.may_run_elsewhere or self._attempt.has_others
+        if context.response.started or (is_error and may_be_better):
             context.retry_state.record_forward(max(1, self.sends), [head.upstream])
             shown = interfaces.ResponseHead(
                 head.status, headers, True, False, False, head.upstream, 0
             )
             return request_context.Failed(f"status {head.status}", shown, body)
+        self._take_over()
         context.first_byte_at = clock.now()
         self._metrics.observe("answer", context.first_byte_at - context.arrived_at)
         await context.response.send(head.status, headers, body)
@@ -270,17 +274,19 @@
         context = self._context
         if context.software is not None and head.software != context.software:
             raise peer_link.LinkLostError("stream continued at another software version")
-        context.events.begin_attempt()
+        self._attempt.events = stream = context.events.for_attempt()
         while True:
             message = await self._receive()
             try:
                 match message:
                     case forwarded.ForwardedData(data=data):
-                        events = context.events.feed(data)
+                        events = stream.feed(data)
                         if events:
+                            self._take_over()
+                            context.events = stream
                             await self._forward_events(head, events)
                     case forwarded.ForwardedEnd():
-                        context.events.check_end()
+                        stream.check_end()
                         break
                     case forwarded.ForwardedBreak(reason=reason):
                         raise _NotAnsweredError(f"broken off: {reason}")
@@ -289,12 +295,24 @@
             except delivery_errors.StreamOrderError as error:
                 raise _NotAnsweredError(str(error)) from error
         self.is_whole = True
+        self._take_over()
         if not context.response.started:
             await context.response.start(head.status, forwarded.from_wire(head.headers), b"")
         await context.response.end()
         self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
         return request_context.Done()
 
+    def _take_over(self) -> None:
+        """Let this attempt write the response, and close the others.
+
+        Raises
+        ------
+        SupersededError
+            If another attempt has taken over before.
+        """
+        self._attempt.take_over()
+        self._context.forwarded_to = self._attempt.where
+
     async def _forward_events(self, head: forwarded.ForwardedHead, events: bytes) -> None:
         context = self._context
         if context.response.started:
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import typing
 
 import anyio
 
 from hollyring.configuration import deployment
-from hollyring.core import request_types
+from hollyring.core import execution, request_types
 from hollyring.delivery import event_stream, forwarded, refusal, retry, stream_origins
 from hollyring.limits import fleet_window
 from hollyring.membership import heartbeat
@@ -21,6 +22,7 @@
     interfaces,
     logs,
     metrics,
+    open_attempts,
     peer_link,
     request_context,
     responses,
@@ -250,82 +252,108 @@
 
     async def _run_attempts(self, context: request_context.RequestContext) -> None:
         """Make attempts until the caller has received the whole response."""
+        failure: Exception | None = None
+        async with anyio.create_task_group() as task_group:
+            attempts = open_attempts.OpenAttempts(
+                task_group, functools.partial(self._record_superseded, context)
+            )
+            try:
+                await self._make_attempts(context, attempts)
+            except Exception as error:  # the group would wrap it
+                failure = error
+            task_group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _make_attempts(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        await self._start_next(context, attempts)
         while True:
-            if not await self._knows_enough(context.retry_state.deadline):
-                refused = context.retry_state.final_refusal("no_upstream", clock.now())
-                raise _RequestRefusedError(refused)
-            if context.retry_state.sends and self._is_blamed(context):
-                refused = context.retry_state.final_refusal("crashing_request", clock.now())
-                raise _RequestRefusedError(refused)
-            target = self._target(context)
-            if target is not None:
-                outcome = await self._run_forward(context, target)
-                where = target.name
-            else:
-                outcome = await self._run_attempt(context)
-                where = context.selected.upstream.name if context.selected else ""
-            if isinstance(outcome, request_context.Done):
+            finished = await attempts.next_finished()
+            if finished is None:
+                await self._look_elsewhere(context, attempts)
+                continue
+            if finished.error is not None:
+                raise finished.error
+            outcome = finished.outcome
+            if outcome is None or isinstance(outcome, request_context.Done):
                 self._log_end(context, "answered")
                 return
-            if isinstance(outcome, request_context.Withdrawn):
-                context.retry_state.withdraw()
+            self._record_end(context, finished, outcome)
+            if attempts.open:
                 continue
-            context.retry_state.record_failure(outcome.execution_status)
-            if isinstance(outcome, request_context.Failed):
-                context.last_failure = outcome
-            self._log_failed(context, where, outcome)
-            if isinstance(outcome, request_context.Declined):
-                self._check_declined(context, outcome)
-            if not self._may_retry(context, outcome):
+            if not self._may_go_on(context, outcome):
                 await self._finish_failed(context)
                 return
+            await self._start_next(context, attempts)
 
-    def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
-        """Return the VM to make the next attempts, None for this VM.
+    async def _start_next(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start the next attempt.
 
         Raises
         ------
         _RequestRefusedError
-            If this VM reaches no upstream and no VM is left to ask.
+            If none can be made.
         """
-        if self._forwards is None or context.taken_from:
-            return None
-        if not self._needs_other_vm(context):
-            return None
-        target = self._forwards.target(context)
-        if target is None and context.declined:
+        if not await self._knows_enough(context.retry_state.deadline):
+            refused = context.retry_state.final_refusal("no_upstream", clock.now())
+            raise _RequestRefusedError(refused)
+        if context.retry_state.sends and self._is_blamed(context):
+            refused = context.retry_state.final_refusal("crashing_request", clock.now())
+            raise _RequestRefusedError(refused)
+        target = self._target(context)
+        if target is not None:
+            self._start_forward(context, attempts, target)
+        elif self._needs_other_vm(context) and context.declined:
             raise self._declined_error(context)
-        return target
-
-    def _needs_other_vm(self, context: request_context.RequestContext) -> bool:
-        """Return whether this VM cannot send a request to an upstream.
+        else:
+            self._start(context, attempts, self._select(context))
 
-        Where open connections live on while new ones are refused, the request that found none open
-        is the one that needs another VM.
-        """
-        reachability = self._state.reachability
-        if reachability.is_cut_off(context.service.name):
-            return True
-        takes_connections = reachability.takes_connections(context.service.name)
-        return context.retry_state.unsent > 0 and not takes_connections
+    async def _look_elsewhere(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start one more attempt beside those that are silent, if an upstream or VM is free."""
+        if not context.retry_state.may_retry(clock.now(), context.response.started):
+            return
+        if not await self._knows_enough(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
+            return
+        if self._is_blamed(context) or not attempts.all_silent:
+            return
+        now = clock.now()
+        budget = self._state.retries(context.service.name)
+        target = self._target(context)
+        if target is not None:
+            if budget.try_retry(now):
+                self._start_forward(context, attempts, target)
+            return
+        selected = self._state.selector.select(self._selection_request(context), now)
+        if isinstance(selected, selection.NoUpstream):
+            return
+        if budget.try_retry(now):
+            self._start(context, attempts, selected)
 
-    async def _run_attempt(
-        self, context: request_context.RequestContext
-    ) -> request_context.Outcome:
-        """Make one attempt at an upstream."""
-        context.selected = selected = self._select(context)
+    def _start(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        selected: selection.Selection,
+    ) -> None:
+        """Start an attempt at an upstream."""
+        if not attempts.open:
+            context.selected = selected
         context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
-        self._log_sent(context, selected)
-        outcome = await self._attempt_runner.run(context, selected)
-        if isinstance(outcome, request_context.Withdrawn):
-            self._log_withdrawn(context, selected)
-        if isinstance(outcome, request_context.NotRun) and not outcome.written:
-            context.retry_state.record_unsent()
-        return outcome
-
-    async def _run_forward(
-        self, context: request_context.RequestContext, target: heartbeat.VmInfo
-    ) -> request_context.Outcome:
+        self._log_sent(context, selected, len(attempts.open))
+        attempts.start(selected, functools.partial(self._attempt_runner.run, context))
+
+    def _start_forward(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        target: heartbeat.VmInfo,
+    ) -> None:
         """Have another VM make the next attempts.
 
         Raises
@@ -336,8 +364,80 @@
         now = clock.now()
         if self._forwards is None or not context.retry_state.has_time(now):
             raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
-        self._log_forwarded(context, target)
-        return await self._forwards.run(context, target)
+        context.retry_state.begin_forward()
+        self._log_forwarded(context, target, len(attempts.open))
+        attempts.start(target, functools.partial(self._forwards.run, context))
+
+    def _record_end(
+        self,
+        context: request_context.RequestContext,
+        finished: open_attempts.OpenAttempt,
+        outcome: request_context.Unanswered,
+    ) -> None:
+        """Record an attempt that ended without an answer to the caller."""
+        if isinstance(outcome, request_context.Withdrawn):
+            self._log_withdrawn(context, finished)
+            context.retry_state.withdraw()
+            return
+        context.retry_state.record_failure(outcome.execution_status)
+        match outcome:
+            case request_context.Failed():
+                context.last_failure = outcome
+            case request_context.NotRun(written=False):
+                context.retry_state.record_unsent()
+        self._log_failed(context, finished, outcome)
+
+    def _may_go_on(
+        self, context: request_context.RequestContext, outcome: request_context.Unanswered
+    ) -> bool:
+        """Return whether to start another attempt after the last open one.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If the VMs that were asked declined the request.
+        """
+        match outcome:
+            case request_context.Withdrawn():
+                return True
+            case request_context.Declined():
+                self._check_declined(context, outcome)
+        return self._may_retry(context, outcome)
+
+    def _record_superseded(
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
+    ) -> None:
+        """Record an attempt that is closed since another one has taken over."""
+        ran = execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
+        context.retry_state.record_failure(ran)
+        self._metrics.increment("tries_superseded")
+        self._log.info(
+            "try superseded",
+            request=context.request_id,
+            upstream=attempt.where,
+            silent=attempt.silent,
+            sends=context.retry_state.sends,
+        )
+
+    def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
+        """Return the VM to make the next attempts, None for this VM."""
+        if self._forwards is None or not self._needs_other_vm(context):
+            return None
+        return self._forwards.target(context)
+
+    def _needs_other_vm(self, context: request_context.RequestContext) -> bool:
+        """Return whether this VM cannot send a request to an upstream.
+
+        Where open connections live on while new ones are refused, the request that found none open
+        is the one that needs another VM.
+        """
+        if context.taken_from:
+            return False
+        reachability = self._state.reachability
+        if reachability.is_cut_off(context.service.name):
+            return True
+        takes_connections = reachability.takes_connections(context.service.name)
+        return context.retry_state.unsent > 0 and not takes_connections
 
     def _check_declined(
         self, context: request_context.RequestContext, outcome: request_context.Declined
@@ -482,7 +582,7 @@
         )
 
     def _log_sent(
-        self, context: request_context.RequestContext, selected: selection.Selection
+        self, context: request_context.RequestContext, selected: selection.Selection, beside: int
     ) -> None:
         self._log.info(
             "sent",
@@ -498,12 +598,13 @@
             likely=context.request.prompt.expected_output_tokens if context.request.prompt else 0,
             expected=round(selected.expected_seconds, 4),
             left=round(context.seconds_left, 3),
+            beside=beside,
             waited=round(clock.now() - context.arrived_at, 3),
             active_ago=state.seconds_since(clock.now(), selected.upstream.last_activity_at),
         )
 
     def _log_forwarded(
-        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo, beside: int
     ) -> None:
         self._metrics.increment("forwarded")
         self._log.info(
@@ -515,6 +616,7 @@
             resume_after=context.events.last_number,
             software=context.software,
             left=round(context.seconds_left, 3),
+            beside=beside,
             waited=round(clock.now() - context.arrived_at, 3),
         )
 
@@ -543,21 +645,22 @@
         )
 
     def _log_withdrawn(
-        self, context: request_context.RequestContext, selected: selection.Selection
+        self, context: request_context.RequestContext, finished: open_attempts.OpenAttempt
     ) -> None:
+        upstream = finished.selected.upstream
         self._metrics.increment("tries_withdrawn")
         self._log.info(
             "try withdrawn",
             request=context.request_id,
-            upstream=selected.upstream.name,
-            leaving=selected.upstream.leaving,
-            limit=self._state.registry.request_limits.per_second(selected.upstream.incarnation),
+            upstream=upstream.name,
+            leaving=upstream.leaving,
+            limit=self._state.registry.request_limits.per_second(upstream.incarnation),
         )
 
     def _log_failed(
         self,
         context: request_context.RequestContext,
-        where: str,
+        finished: open_attempts.OpenAttempt,
         outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
     ) -> None:
         not_run = not isinstance(outcome, request_context.Failed)
@@ -566,13 +669,13 @@
         self._log.info(
             "try failed",
             request=context.request_id,
-            upstream=where,
+            upstream=finished.where,
             why=outcome.reason,
             not_run=not_run,
             sends=context.retry_state.sends,
             left=round(context.seconds_left, 3),
             silent=round(silent, 3),
-            partial_event_bytes=context.events.partial_bytes,
+            partial_event_bytes=finished.events.partial_bytes if finished.events else 0,
             whole=context.suspects[-1],
         )
 
