--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -133,7 +133,11 @@
             with anyio.fail_after(max(0.0, context.seconds_left)):
                 max_connections = self._state.max_connections(context.service)
                 connection = await self._pool.acquire(
-                    address, max_connections, min_keep_alive_seconds, context.request_id
+                    address,
+                    max_connections,
+                    min_keep_alive_seconds,
+                    context.request_id,
+                    new=self._needs_new_connection(context),
                 )
         except http_connection.TooManyConnectionsError as error:
             return request_context.NotRun(str(error))
@@ -175,6 +179,12 @@
         events = (context.events.last_number or 0) - events_before
         self._state.crashes.record_broken(upstream, context.suspects, events)
 
+    def _needs_new_connection(self, context: request_context.RequestContext) -> bool:
+        """Return whether a request that may run only once could be lost on an idle connection."""
+        if context.retry_state.retry_safety is not request_types.RetrySafety.AT_MOST_ONCE:
+            return False
+        return self._state.reachability.open_may_hang(context.service.name)
+
     def _is_unusable(self, upstream: registry.Upstream) -> bool:
         """Return whether an upstream has asked for no more requests since it was selected."""
         return self._state.backoffs.is_active(
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -88,6 +88,7 @@
         max_connections: int,
         min_keep_alive_seconds: float = 0.0,
         request_id: str = "",
+        new: bool = False,
     ) -> http_connection.HttpConnection:
         """Return an idle connection to `address` that has carried no call, or a new one.
 
@@ -99,13 +100,15 @@
             Remaining keep-alive time that an idle connection must have, in seconds.
         request_id
             Identity of a request that the connection must not have carried before.
+        new
+            Whether an idle connection will not do.
 
         Raises
         ------
         http_connection.NotSentError
             If no connection is available.
         """
-        idle = self._idle.get(address, [])
+        idle = [] if new else self._idle.get(address, [])
         connection = _take(idle, min_keep_alive_seconds, request_id)
         if connection is not None:
             return connection
@@ -113,6 +116,11 @@
             raise http_connection.TooManyConnectionsError("too many connections")
         return await self._connect(address)
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether a connection to `address` is free for a request."""
+        now = clock.now()
+        return any(idle.idle_seconds_left(now) > 0.0 for idle in self._idle.get(address, ()))
+
     async def can_connect(self, address: str) -> bool:
         """Return whether an upstream accepts a new connection, which is then kept idle."""
         try:
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -214,3 +214,16 @@
             await anyio.sleep(0)
             time.sleep(connection_pool.CONNECT_TIMEOUT_SECONDS + 0.2)
         assert len(upstream.requests) == 1
+
+
+@pytest.mark.anyio
+async def test_new_connection_leaves_the_idle_one_for_later():
+    async with Upstream(OK, OK, OK).running() as upstream:
+        pool = connection_pool.ConnectionPool()
+        assert not pool.has_idle(upstream.address)
+        await fetch(pool, upstream.address)
+        assert pool.has_idle(upstream.address)
+        connection = await pool.acquire(upstream.address, 10, new=True)
+        assert upstream.connections == pool.opened == 2
+        assert pool.has_idle(upstream.address)
+        connection.abort()
--- a/hollyring/node/upstream_prober.py
+++ b/hollyring/node/upstream_prober.py
@@ -38,6 +38,8 @@
         self._wake = anyio.Event()
         self._log = logs.Logger("reachability")
         pool.set_listener(self)
+        vm_state.reachability.set_free_connections(lambda u: pool.has_idle(u.entry.address))
+        vm_state.selector.set_reach(vm_state.reachability.may_send)
 
     def connected(self, address: str) -> None:
         """Record that a new connection was opened."""
--- a/hollyring/routing/reachability.py
+++ b/hollyring/routing/reachability.py
@@ -4,8 +4,8 @@
 Then a few other upstreams are connected to, and if none of them answers, some more. One that takes
 a connection resolves the doubt; if none does, the VM takes itself for cut off until one does.
 
-Open connections may go on carrying the service while new ones are refused. So bytes on them neither
-resolve a doubt nor is the VM cut off while they arrive.
+Open connections may go on carrying the service while new ones are refused. Bytes on them don't
+resolve a doubt, but while they arrive requests are sent on open connections that are free.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 import enum
 import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from hollyring.core import rendezvous
 from hollyring.routing import registry
@@ -58,6 +58,10 @@
 """Most probes of one VM at once and in the mean, whatever fails; 60 VMs do the same together."""
 
 
+FreeConnections = Callable[[registry.Upstream], bool]
+"""Returns whether an open connection to an upstream is free for a request."""
+
+
 class Phase(enum.Enum):
     """What is known of the upstreams of a service."""
 
@@ -104,6 +108,11 @@
     late: set[str] = dataclasses.field(default_factory=set)
     witnesses: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the upstreams are reached and no doubt is due."""
+        return self.phase is Phase.REACHED and math.isinf(self.due_at)
+
 
 class Reachability:
     """Reachability of upstreams by service.
@@ -123,6 +132,7 @@
         "_explained_until",
         "_changes",
         "_turn",
+        "_has_free_connection",
         "_allowance",
         "_allowance_at",
     )
@@ -134,9 +144,14 @@
         self._explained_until: dict[str, float] = {}
         self._changes: list[PhaseChange] = []
         self._turn = 0
+        self._has_free_connection: FreeConnections = _assume_free
         self._allowance = PROBE_BURST
         self._allowance_at = -math.inf
 
+    def set_free_connections(self, has_free_connection: FreeConnections) -> None:
+        """Ask `has_free_connection` where requests may be sent while new connections fail."""
+        self._has_free_connection = has_free_connection
+
     @property
     def unreachable_services(self) -> list[str]:
         """Services whose upstreams take no new connection of this VM."""
@@ -144,8 +159,8 @@
 
     @property
     def is_doubtful(self) -> bool:
-        """Whether this VM may be cut off, so that what it sees says little of the upstreams."""
-        return any(known.phase is not Phase.REACHED for known in self._services.values())
+        """Whether this VM is or may be cut off from the upstreams of a service."""
+        return any(not known.is_settled for known in self._services.values())
 
     @property
     def due_at(self) -> float:
@@ -153,16 +168,48 @@
         return min((known.due_at for known in self._services.values()), default=math.inf)
 
     def is_cut_off(self, service: str) -> bool:
-        """Return whether this VM reaches no upstream of a service."""
-        return self._phase(service) is Phase.CUT_OFF
+        """Return whether this VM can send no request to an upstream of a service now."""
+        match self._phase(service):
+            case Phase.CUT_OFF:
+                return True
+            case Phase.OPEN_ONLY:
+                return not any(map(self._has_free_connection, self._usable(service)))
+            case _:
+                return False
+
+    def may_send(self, upstream: registry.Upstream) -> bool:
+        """Return whether a request sent to an upstream now needs no connection that will fail."""
+        if self._phase(upstream.entry.service) is not Phase.OPEN_ONLY:
+            return True
+        return self._has_free_connection(upstream)
+
+    def open_may_hang(self, service: str) -> bool:
+        """Return whether open connections to upstreams of a service may lead nowhere.
+
+        An unsafe request needs a new one then, as it may not be repeated once it is written.
+        """
+        return self.is_doubted(service) and self._phase(service) is not Phase.OPEN_ONLY
 
     def takes_connections(self, service: str) -> bool:
         """Return whether upstreams of a service take new connections, as far as is known."""
         return self._phase(service) in (Phase.REACHED, Phase.DOUBTED)
 
     def is_doubted(self, service: str) -> bool:
-        """Return whether open connections to upstreams of a service may lead nowhere."""
-        return self._phase(service) is not Phase.REACHED
+        """Return whether this VM is or may be cut off from the upstreams of a service."""
+        known = self._services.get(service)
+        return known is not None and not known.is_settled
+
+    def may_be_cut_off(self, service: str) -> bool:
+        """Return whether failures at upstreams of a service may show a cut and no fault of theirs.
+
+        A VM that reaches another service is not cut off; then the upstreams are down.
+        """
+        if not self.is_doubted(service):
+            return False
+        if self.takes_connections(service):
+            return True
+        others = (name for name in self._services if name != service and self._usable(name))
+        return all(self.is_doubted(name) for name in others)
 
     def record_connected(self, upstream: registry.Upstream, now: float) -> None:
         """Record that an upstream took a new connection."""
@@ -349,6 +396,10 @@
         return self._allowance
 
 
+def _assume_free(_: registry.Upstream) -> bool:
+    return True
+
+
 def _hasten(known: _Service, now: float) -> None:
     """Advance a doubt at once if its probes have failed, or are late while others may follow."""
     if known.phase is not Phase.DOUBTED:
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -19,7 +19,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
@@ -189,6 +189,7 @@
         "_versions",
         "_reserved",
         "_suspended_until",
+        "_may_send",
     )
 
     def __init__(
@@ -204,6 +205,11 @@
         self._versions = versions
         self._reserved: frozenset[str] = frozenset()
         self._suspended_until: dict[str, float] = {}
+        self._may_send: Callable[[registry.Upstream], bool] = _always
+
+    def set_reach(self, may_send: Callable[[registry.Upstream], bool]) -> None:
+        """Select, if there is one, an upstream for which `may_send` returns true."""
+        self._may_send = may_send
 
     def reserve(self, upstreams: Iterable[str]) -> None:
         """Avoid `upstreams`, the next ones to load weights, for requests with long responses."""
@@ -233,7 +239,8 @@
             return NoUpstream(
                 costs.backoff_retry_seconds(request.request_id, opens_at - now), busy=True
             )
-        candidates = [self._candidate(request, upstream, now) for upstream in upstreams]
+        reached = [upstream for upstream in upstreams if self._may_send(upstream)]
+        candidates = [self._candidate(request, u, now) for u in reached or upstreams]
         best = min(candidates, key=lambda candidate: candidate.cost)
         excess = (
             best.selection.expected_seconds - request.remaining_seconds * FIRST_EVENT_DEADLINE_SHARE
@@ -403,3 +410,7 @@
 
 
 _NO_SOURCE = _Source("", "")
+
+
+def _always(_: registry.Upstream) -> bool:
+    return True
--- a/hollyring/routing/tests/test_reachability.py
+++ b/hollyring/routing/tests/test_reachability.py
@@ -135,6 +135,52 @@
     assert network.reachability.unreachable_services == ["ls"]
 
 
+def test_only_requests_with_a_free_connection_are_sent_while_new_ones_are_refused():
+    network = Network()
+    free = {"ls-5", "ls-7"}
+    network.reachability.set_free_connections(lambda upstream: upstream.name in free)
+    network.cut = "refused"
+    network.connect("ls-0")
+    network.run(0.1)
+    assert network.cut_off()
+    network.receive("ls-5")
+    network.run(0.3)
+    assert not network.cut_off()
+    sent = [u for u in network.registry.of_service("ls") if network.reachability.may_send(u)]
+    assert {upstream.name for upstream in sent} == free
+    assert not network.reachability.open_may_hang("ls")
+    free.clear()
+    assert network.cut_off()
+
+
+@pytest.mark.parametrize("form", ["refused", "hang"])
+def test_open_connections_may_hang_from_the_first_sign_to_the_end_of_a_cut(form):
+    network = Network()
+    assert not network.reachability.open_may_hang("ls")
+    network.cut = form
+    network.connect("ls-0")
+    network.run(0.1)
+    assert network.reachability.open_may_hang("ls")
+    network.run(1.0)
+    assert network.reachability.open_may_hang("ls")
+    network.cut = ""
+    network.run(0.5)
+    assert not network.reachability.open_may_hang("ls")
+
+
+@pytest.mark.parametrize("down", ["one", "all"])
+def test_upstreams_that_are_down_are_told_from_a_cut_by_other_services(down):
+    network = Network(services=("ls", "hunt"), upstreams=3)
+    network.down = {"ls-0"} if down == "one" else {"ls-0", "ls-1", "ls-2"}
+    network.connect("ls-0")
+    assert not network.reachability.may_be_cut_off("ls")
+    network.run(0.002)
+    assert network.reachability.may_be_cut_off("ls")
+    network.run(0.5)
+    assert network.cut_off() == (down == "all")
+    assert not network.reachability.may_be_cut_off("ls")
+
+
 def test_vm_is_cut_off_once_the_open_connections_have_ended_too():
     network = Network()
     network.cut = "refused"
--- a/hollyring/routing/tests/test_selection.py
+++ b/hollyring/routing/tests/test_selection.py
@@ -528,3 +528,12 @@
     back_off(vm, "a1", float("inf"))
     assert isinstance(vm.select(now=backoffs.MAX_BACKOFF_SECONDS - 0.1), selection.NoUpstream)
     assert vm.select(now=backoffs.MAX_BACKOFF_SECONDS).upstream.name == "a1"
+
+
+def test_upstream_that_a_request_reaches_is_selected_before_the_others(vm):
+    vm.add("a1", "a2", "a3")
+    vm.caches.touch("a2", 128_000, "parish.1", SHARED)
+    vm.selector.set_reach(lambda upstream: upstream.name == "a3")
+    assert vm.select().upstream.name == "a3"
+    vm.selector.set_reach(lambda upstream: False)
+    assert vm.select().upstream.name == "a2"
