--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -87,8 +87,6 @@
         holding the order lease.
     unreachable_services, accepts_forwarded
         Copied from its last heartbeat too.
-    reaches_until
-        Monotonic seconds until which requests may be forwarded to it, by another VM's status.
     listed
         Whether the VM is on the store's list.
     delisted_at
@@ -123,16 +121,15 @@
     revisions: dict[str, store_revision.Revision] = dataclasses.field(default_factory=dict)
     unreachable_services: frozenset[str] = frozenset()
     accepts_forwarded: bool = False
-    reaches_until: float = -math.inf
 
     def is_alive(self, now: float) -> bool:
         """Return whether its last heartbeat is recent."""
         return now - self.last_heartbeat_at < ALIVE_TIMEOUT_SECONDS
 
     def executes(self, service: str, now: float) -> bool:
-        """Return whether requests for a service may be forwarded to the VM."""
+        """Return whether requests for a service may be forwarded to the VM, by its heartbeats."""
         if not self.is_alive(now):
-            return now < self.reaches_until
+            return False
         if not self.ready or self.leaving or not self.accepts_forwarded:
             return False
         return service not in self.unreachable_services
@@ -170,6 +167,7 @@
         "_status_at",
         "_served_at",
         "_is_cut_off",
+        "_reaching",
     )
 
     def __init__(self, local: heartbeat.VmInfo) -> None:
@@ -183,6 +181,7 @@
         self._status_at = -math.inf
         self._served_at = -math.inf
         self._is_cut_off = False
+        self._reaching: list[str] = []
 
     @property
     def local(self) -> heartbeat.VmInfo:
@@ -307,9 +306,7 @@
         if peer is not None:
             peer.status_at = now
             peer.revisions.update({item.prefix: item.revision for item in message.revisions})
-        for name in message.reaching_vms:
-            if name in self._peers:
-                self._peers[name].reaches_until = now + STATUS_TTL_SECONDS
+        self._reaching = message.reaching_vms
         if self.is_serving:
             return
         if not self._exchanging:
@@ -470,10 +467,18 @@
 
         Serving ones if there are any, as the others have few connections and know few caches.
         """
+        if not self._exchanging or not self.alive(now):
+            return self._named_by_status(now)
         suitable = [peer for peer in self._peers.values() if peer.executes(service, now)]
         serving = [peer for peer in suitable if peer.vm.name in self._serving_names]
         return serving or suitable
 
+    def _named_by_status(self, now: float) -> list[Peer]:
+        """Return the VMs that the latest status names, for a VM that hears no heartbeats."""
+        if not self.has_status(now):
+            return []
+        return [self._peers[name] for name in self._reaching if name in self._peers]
+
     def reaching_vms(self, now: float) -> list[str]:
         """Return some serving VMs for requests of VMs that follow; other VMs return others."""
         reaching = [
