--- a/hollyring/membership/leases.py
+++ b/hollyring/membership/leases.py
@@ -304,6 +304,16 @@
         self._due_at = now
         return [Lost(self._fencing)] if held else []
 
+    def release(self, now: float) -> list[Action]:
+        """Release the lease, which may be acquired again later.
+
+        To be called after the last operation under it has ended.
+        """
+        if self._phase is not Phase.HELD:
+            return []
+        self._pending_call = 0
+        return self._lose(now)
+
     def close(self) -> list[Action]:
         """Release the lease for good; to be called after the last operation under it has ended."""
         held = self._phase is Phase.HELD
--- a/hollyring/membership/tests/test_leases.py
+++ b/hollyring/membership/tests/test_leases.py
@@ -152,3 +152,14 @@
 def test_key_of_another_owner_or_start_is_not_taken_over(lease, value):
     (read,) = lease.tick(0.0)
     assert lease.handle(leases.HolderRead(read.call, value, 30), 0.0) == []
+
+
+def test_released_lease_can_be_acquired_again(lease):
+    acquire(lease)
+    (renew,) = lease.tick(4.0)
+    assert lease.release(4.1) == [leases.Lost(41), leases.ReleaseLease("L1")]
+    assert lease.fencing(4.1) is None
+    assert lease.handle(leases.LeaseRenewed(renew.call), 4.2) == []
+    assert lease.release(4.2) == []
+    acquire(lease, 8.0)
+    assert lease.fencing(8.1) == 41
--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -268,9 +268,13 @@
                 return
 
     def _report(self, report: heartbeat.CacheReport) -> None:
-        """Apply a report here and queue it for the next heartbeat."""
+        """Apply a report here and queue it for the next heartbeat.
+
+        That a holder doesn't answer says nothing of it while this VM may be cut off.
+        """
         self._state.caches.apply_report(report, clock.now())
-        self._state.cache_reports.append(report)
+        if report.reachable or not self._state.reachability.is_doubtful:
+            self._state.cache_reports.append(report)
 
     async def _fetch_events(
         self, holder: str, address: str, seconds: float
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -106,7 +106,7 @@
             cached_prompts=vm_state.cached_prompts,
             cache_reports=vm_state.cache_reports,
             weights=vm_state.weights,
-            unresponsive_upstreams=vm_state.unresponsive_upstreams,
+            unresponsive_upstreams=vm_state.take_unresponsive(),
             order_lease=vm_state.order_lease,
             leaving=vm_state.leaving,
             exchanging=vm_state.peers.is_exchanging,
@@ -123,7 +123,6 @@
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
         vm_state.weights = []
-        vm_state.unresponsive_upstreams = []
         vm_state.departures = []
         return message
 
--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -48,7 +48,8 @@
         for cached in message.cached_prompts:
             self._state.caches.touch(cached)
         for report in message.cache_reports:
-            self._state.caches.apply_report(report, now)
+            if report.reachable or not message.unreachable_services:
+                self._state.caches.apply_report(report, now)
         for weights in message.weights:
             self._state.apply_weights(weights, now)
         if message.order_lease.held:
@@ -61,9 +62,15 @@
                 self._state.departure_counts["reported"] += 1
         self._state.crashes.receive(message.vm.name, message, now)
         self._state.request_limits.receive(message.vm.name, message.request_limits, now)
+        self._record_suspicions(message, now)
+
+    def _record_suspicions(self, message: heartbeat.Heartbeat, now: float) -> None:
+        """Suspect what another VM suspects, unless it doesn't reach the service at all."""
         for unresponsive in message.unresponsive_upstreams:
             upstream = self._state.registry.get(unresponsive)
-            if upstream is not None and now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
+            if upstream is None or upstream.entry.service in message.unreachable_services:
+                continue
+            if now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
                 upstream.mark_suspect(now)
 
     def receive_status(
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -169,11 +169,14 @@
 
     def _tick(self) -> None:
         now = clock.now()
+        yields = self._yields(now)
+        if yields:
+            self._release_if_idle(now)
         if self._may_acquire(now):
             self._perform_actions(self._lease.tick(now))
         holds = self._lease.fencing(now) is not None
         reserved: list[str] = []
-        if holds:
+        if holds and not yields:
             self._update_previous_order(now)
             for service in self._engine_services():
                 reserved += self._step(service, now)
@@ -181,11 +184,29 @@
         age = now - self._own_order_at if self._own_order_at is not None else -1.0
         self._state.order_lease = heartbeat.OrderLeaseStatus(holds, age, reserved)
 
+    def _yields(self, now: float) -> bool:
+        """Return whether this VM doesn't reach inference servers to which another VM may order."""
+        unreachable = set(self._state.reachability.unreachable_services)
+        services = unreachable.intersection(self._engine_services())
+        return any(self._state.peers.executing(service, now) for service in services)
+
+    def _release_if_idle(self, now: float) -> None:
+        """Release the lease once the last order is `MIN_LEASE_REMAINING_SECONDS` old."""
+        if self._lease.fencing(now) is None:
+            return
+        # The next holder assumes that the last order is at least this old when the lease ends.
+        last_order_at = self._own_order_at
+        if last_order_at is not None and now < last_order_at + MIN_LEASE_REMAINING_SECONDS:
+            return
+        self._log.info("gave up the order lease, as upstreams are unreachable")
+        self._perform_actions(self._lease.release(now))
+        self._send_heartbeat()
+
     def _may_acquire(self, now: float) -> bool:
         """Return whether the lease client may run, that is hold the lease or try to acquire it."""
         if self._lease.phase is not leases.Phase.IDLE:
             return True
-        if not self._state.ready or not self._state.peers.is_serving:
+        if not self._state.ready or not self._state.peers.is_serving or self._yields(now):
             return False
         holder = self._listed_holder()
         if holder and holder != str(self._incarnation):
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -225,6 +225,24 @@
             active_ago=seconds_since(now, upstream.last_activity_at),
         )
 
+    def take_unresponsive(self) -> list[str]:
+        """Return the suspected upstreams to name in the next heartbeat.
+
+        Those of a service in doubt wait until it is settled, and are forgotten if this VM is cut
+        off.
+        """
+        suspected, self.unresponsive_upstreams = self.unresponsive_upstreams, []
+        told = []
+        for name in suspected:
+            upstream = self.registry.get(name)
+            if upstream is None:
+                continue
+            if not self.reachability.may_be_cut_off(upstream.entry.service):
+                told.append(name)
+            elif self.reachability.takes_connections(upstream.entry.service):
+                self.unresponsive_upstreams.append(name)
+        return told
+
     def observe_head(
         self, upstream: registry.Upstream, head: interfaces.ResponseHead, sent_at: float
     ) -> None:
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -16,8 +16,11 @@
 from hollyring.membership import heartbeat
 from hollyring.node import (
     adapter_server,
+    attempt,
     cache_watcher,
     clock,
+    connection_pool,
+    crash_watcher,
     heartbeat_sender,
     http_connection,
     interfaces,
@@ -28,6 +31,7 @@
     status_client,
     store_checker,
     store_watcher,
+    upstream_prober,
 )
 from hollyring.node.tests import simulated_store
 from hollyring.routing import registry
@@ -39,6 +43,8 @@
 RETRIES = service_retry_budgets.RetryRules(0.2, 50.0, 10.0)
 MAX_VERSION_AGE_SECONDS = 13.5
 MAX_SEEDS = 3
+OPEN_CONNECTIONS = 4
+"""Connections that live on in a cut of the form ``"open"``."""
 
 
 class StoreCodec:
@@ -85,6 +91,7 @@
         self.orders = []
         self.loading_until = -math.inf
         self.silent = False
+        self.crashed = False
         self.epoch = 1
         self.events = []
         self.event_polls = 0
@@ -176,8 +183,72 @@
     def __init__(self, fleet, vm):
         self._fleet = fleet
         self._vm = vm
+        self._listener = None
+        self.open = set()
+        self.connects = []
+
+    def set_listener(self, listener):
+        self._listener = listener
+
+    def reset(self):
+        """Lose all open connections by a reset."""
+        for address in sorted(self.open):
+            self._listener.failed(address)
+        self.open.clear()
+
+    def close_all_but(self, count):
+        """Close most of the open connections, as when they were idle."""
+        self.open = set(sorted(self.open)[:count])
+
+    def has_idle(self, address):
+        return address in self.open
+
+    async def can_connect(self, address):
+        try:
+            await self._connect(address, connection_pool.PROBE_TIMEOUT_SECONDS)
+        except http_connection.NotSentError:
+            return False
+        return True
+
+    async def use(self, address):
+        """Return whether a request gets an answer, on an open connection or a new one."""
+        if address not in self.open:
+            try:
+                await self._connect(address, connection_pool.CONNECT_TIMEOUT_SECONDS)
+            except http_connection.NotSentError:
+                return False
+        await anyio.sleep(simulated_store.CALL_SECONDS)
+        if self._form() != "hang" and not self._upstream(address).crashed:
+            return True
+        await anyio.sleep(attempt.PROBE_AFTER_SECONDS)
+        if not await self.can_connect(address):
+            self.open.discard(address)
+        return False
+
+    async def _connect(self, address, seconds):
+        self.connects.append(clock.now())
+        if self._form() == "hang":
+            await anyio.sleep(connection_pool.LATE_CONNECT_SECONDS)
+            self._listener.late(address)
+            await anyio.sleep(seconds - connection_pool.LATE_CONNECT_SECONDS)
+        if self._form() or self._upstream(address).crashed:
+            self._listener.failed(address)
+            raise http_connection.NotSentError("no connection")
+        self.open.add(address)
+        self._listener.connected(address)
+
+    def _form(self):
+        return self._fleet.cut.get(self._vm, "")
+
+    def _upstream(self, address):
+        return self._fleet.upstreams[address.partition(":")[0]]
 
     async def call(self, address, request, seconds):
+        if address not in self.open and address.partition(":")[0] in self._fleet.upstreams:
+            await self._connect(address, connection_pool.CONNECT_TIMEOUT_SECONDS)
+        if self._form() == "hang":
+            await anyio.sleep(seconds)
+            raise http_connection.HttpConnectionError("no answer in time")
         await anyio.sleep(simulated_store.CALL_SECONDS)
         upstream = self._fleet.upstreams.get(address.partition(":")[0])
         if upstream is None or upstream.silent:
@@ -322,6 +393,11 @@
         self.cache_watcher = cache_watcher.CacheWatcher(
             self.state, codec, connections, peers, self.permits, fleet.link_bits_per_second
         )
+        self.connections = connections
+        self.prober = upstream_prober.UpstreamProber(
+            self.state, connections, self.heartbeats.send_now
+        )
+        self.crash_watcher = crash_watcher.CrashWatcher(self.state, connections)
         self.scope = anyio.CancelScope()
         self._exchange_delay = fleet.first_start_delay * 1.2
 
@@ -333,6 +409,8 @@
                 group.start_soon(self.store_watcher.run)
                 group.start_soon(self.store_checker.run)
                 group.start_soon(self.registration.run)
+                group.start_soon(self.prober.run)
+                group.start_soon(self.crash_watcher.run)
                 await anyio.sleep(self._exchange_delay)
                 for task in tasks:
                     group.start_soon(task)
@@ -341,7 +419,9 @@
 class Fleet:
     """Simulated VMs with their store and upstreams.
 
-    `delays` holds the seconds for which messages of other VMs lie unread at a VM.
+    `delays` holds the seconds for which messages of other VMs lie unread at a VM, `cut` how the
+    connections of VMs to upstreams fail: ``"hang"``, ``"refused"``, or ``"open"`` if open ones live
+    on while new ones are refused.
     """
 
     def __init__(self, group, names, upstreams):
@@ -352,6 +432,7 @@
         self.domains = {}
         self.partitions = set()
         self.delays = {}
+        self.cut = {}
         self.freshness_rules = freshness.FreshnessRules()
         self.first_start_delay = 0.0
         self.heartbeats = 0
@@ -389,6 +470,20 @@
         await self.wait_until(lambda: all(vm.state.ready for vm in self.vms.values()), 2.0)
         await anyio.sleep(5.0)
 
+    def cut_off(self, names, form):
+        """Cut VMs off from all upstreams."""
+        self.cut |= dict.fromkeys(names, form)
+        for name in names:
+            if form == "refused":
+                self.vms[name].connections.reset()
+            elif form == "open":
+                self.vms[name].connections.close_all_but(OPEN_CONNECTIONS)
+
+    def heal(self, names):
+        """Let VMs reach the upstreams again."""
+        for name in names:
+            del self.cut[name]
+
     def kill(self, name):
         """Stop a VM abruptly, as by a crash."""
         self.vms.pop(name).scope.cancel()
@@ -431,6 +526,15 @@
     def all_serve(self, version):
         return all(u.version == version and not u.busy for u in self.upstreams.values())
 
+    def false_crashes(self):
+        """Return how many servers each VM saw crash, for days on which none did."""
+        seen = {vm.name: vm.state.crashes.counts for vm in self.vms.values()}
+        return {
+            name: counts["server_crashes_total"]
+            for name, counts in seen.items()
+            if counts["server_crashes_total"]
+        }
+
     def orders(self):
         """Return all orders that upstreams accepted, by time."""
         accepted = [order for upstream in self.upstreams.values() for order in upstream.orders]
