--- a/hollyring/node/tests/test_forward_links.py
+++ b/hollyring/node/tests/test_forward_links.py
@@ -17,6 +17,7 @@
     heartbeat_messages,
     peer_link,
     peers,
+    sockets,
     wire,
 )
 
@@ -222,12 +223,12 @@
 
 
 @pytest.mark.anyio
-async def test_sender_waits_while_the_other_vm_does_not_read(vms):
+async def test_sender_waits_longer_than_a_user_timeout_while_the_other_vm_does_not_read(vms):
     first, second = await vms("vm-1"), await vms("vm-2")
     second.answer = [forwarded.ForwardedData(bytes(200_000))] * 200
     link = await first.links.acquire(second.address)
     await link.send(REQUEST)
-    await anyio.sleep(0.3)
+    await anyio.sleep(sockets.USER_TIMEOUT_MS / 1000 + 1.0)
     assert second.sent < 100
     received = 0
     with anyio.fail_after(TIMEOUT_SECONDS):
