--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -230,6 +230,18 @@
     assert shares[cut_vm][0] >= lowest - MAX_SHARE_LESS, shares[cut_vm]
 
 
+@pytest.mark.anyio
+async def test_callers_of_a_cut_vm_are_served_after_a_vm_that_executes_is_killed(start_fleet):
+    fleet = await start_fleet(3)
+    cut_vm, killed_vm, _ = fleet.vms
+    await fleet.served(cut_vm, 0.5)
+    await fleet.cut(cut_vm, Cut.RESET)
+    await fleet.served(cut_vm, CONTACT_SECONDS)
+    killed_vm.process.kill()
+    share, statuses = await fleet.served(cut_vm, MEASURED_SECONDS)
+    assert share >= 1.0 - MAX_SHARE_LESS, statuses
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("form", [Cut.HANGING, Cut.RESET], ids=lambda form: form.name.lower())
 async def test_nothing_is_forwarded_while_all_vms_reach_no_upstream(start_fleet, form):
