Continue a stream of unknown origin only at the version that was the only one when it was admitted

Callers could get: a stream that they took up, answered 200 and whole, its last part of a version that registered while the request waited or after its first attempt had failed.

Cause: a stream of unknown origin that may go on, as its service has had one software version only, was admitted for any version. The version was fixed by the first event passed on, so that an upstream of another one that registered between admission and that event could be selected, in the queue or for the second attempt.

Change: such a stream is admitted for the one version. With no recent version at all it still expects any.

--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -76,6 +76,8 @@
     OnlySoftware(software='v1')
     >>> origins.continuation("r-1", "chat", {"v1", "v2"}, now=40.0)
     NotResumable(reason='unknown origin')
+    >>> origins.continuation("r-1", "chat", {"v2"}, now=40.0)
+    OnlySoftware(software='v2')
     """
 
     __slots__ = ("_records", "_own", "_unreported")
@@ -123,7 +125,10 @@
             return NotResumable("unknown origin, earlier software versions not known yet")
         if len(recent_software) > 1:
             return NotResumable("unknown origin")
-        return AnySoftware()
+        if not recent_software:
+            return AnySoftware()
+        (software,) = recent_software
+        return OnlySoftware(software)
 
     def report_again(self) -> None:
         """Report all streams that began at this VM once more, as another VM has started."""
--- a/hollyring/delivery/tests/test_stream_origins.py
+++ b/hollyring/delivery/tests/test_stream_origins.py
@@ -15,7 +15,8 @@
 
 
 def test_stream_of_unknown_origin_is_resumable_only_with_one_version(origins):
-    assert origins.continuation("r", "chat", {"v1"}, 0.0) == stream_origins.AnySoftware()
+    only = stream_origins.OnlySoftware("v1")
+    assert origins.continuation("r", "chat", {"v1"}, 0.0) == only
     assert origins.continuation("r", "chat", set(), 0.0) == stream_origins.AnySoftware()
     unknown = origins.continuation("r", "chat", BOTH, 0.0)
     assert isinstance(unknown, stream_origins.NotResumable)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -421,6 +421,32 @@
     assert caller.body == (whole if caller.ended else b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["refuse", "reset"])
+async def test_stream_taken_up_does_not_go_on_at_a_version_that_appears_after_its_admission(
+    start_vm, behaviour
+):
+    vm, servers = await start_vm(
+        behaviour,
+        "complete",
+        software=("v1", "v2"),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    servers[0].delay_seconds = 0.1
+    vm.state.registry.remove(servers[1].name)
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(register_later, vm, servers[1], 0.05)
+        caller = await vm.send_request(resume_after=2)
+    assert servers[1].requests == []
+    assert caller.status in (502, 503)
+
+
+async def register_later(vm, server, seconds):
+    await anyio.sleep(seconds)
+    vm.register(server)
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("behaviour", ["error", "not-found"])
 async def test_started_stream_goes_on_after_an_upstream_that_answers_its_resumption_with_an_error(
