Let a silence that began on an idle connection not end the request sent there

Callers saw: a request that was sent on a connection idle for a second and a half of silence ended 502 after 1.5 s more.

Cause: with the detection of idle connections at 2 s, a silence that begins while a connection is idle can still end the exchange that begins on it.

Change: the kernel gives up an idle connection to an upstream 5 s after its last byte, by the count of probes and without a user timeout. Most are given up before by their keep-alive time of 3 s. Instead, when a silent upstream takes no new connection, its idle connections are closed at once, so that the next request does not ride on one. Calls that are only repeated keep the detection at 2 s while they are open, and links between VMs always.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -278,6 +278,7 @@
     ) -> None:
         """Mark a silent upstream unresponsive if it accepts no connection.
 
+        No other request is sent on its idle connections, where it could not be taken back.
         One in backoff counts as alive: a connection may occupy one of its slots.
         """
         upstream = attempt.selected.upstream
@@ -286,6 +287,7 @@
         if await self._pool.can_connect(upstream.entry.address):
             return
         self._state.mark_unresponsive(upstream, "silent and takes no connection")
+        self._pool.close_idle(upstream.entry.address)
         if context.retry_state.may_run_elsewhere and not attempt.silent:
             upstream.record_failure(clock.now())
             attempt.record_silence()
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import dataclasses
+import enum
 import select
 from collections.abc import Callable
 
@@ -76,6 +77,14 @@
         return next((value for key, value in self.headers if key == name), b"")
 
 
+class _Silence(enum.Enum):
+    """What the kernel does with a connection whose peer is silent."""
+
+    END = enum.auto()
+    END_LATE = enum.auto()
+    OUTLAST = enum.auto()
+
+
 class Exchange:
     """One request and its response on a connection."""
 
@@ -220,7 +229,7 @@
         self._framed = True
         self._overhead_bytes = 0
         self._unusable = False
-        self._detects_silence = True
+        self._silence: _Silence | None = None
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
         self.idle_since = clock.now()
@@ -294,9 +303,7 @@
             raise NotSentError("connection closed")
         if request_id:
             self._carried.append(request_id)
-        if outlasts_silence:
-            sockets.disable_keepalive(transport.get_extra_info("socket"))
-            self._detects_silence = False
+        self._watch_silence(_Silence.OUTLAST if outlasts_silence else _Silence.END)
         self._exchange = Exchange(self, matches)
         self._overhead_bytes = 0
         transport.write(request)
@@ -309,8 +316,7 @@
         if not self.reusable or (exchange is not None and not exchange.ended):
             self.abort()
             return False
-        if not self._detects_silence:
-            self._detect_silence()
+        self._watch_silence(_Silence.END_LATE)
         self.resume_reading()
         return True
 
@@ -336,13 +342,22 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._unread = sockets.UnreadEvents(transport, select.POLLIN | select.POLLRDHUP)
-        self._detect_silence()
+        self._watch_silence(_Silence.END_LATE)
 
-    def _detect_silence(self) -> None:
-        """Let the kernel close the connection when the upstream's host is silent."""
+    def _watch_silence(self, silence: _Silence) -> None:
+        """Set what the kernel does when the upstream's host is silent."""
+        if silence is self._silence:
+            return
         assert self._transport is not None
-        sockets.enable_keepalive(self._transport.get_extra_info("socket"))
-        self._detects_silence = True
+        connection = self._transport.get_extra_info("socket")
+        self._silence = silence
+        match silence:
+            case _Silence.END:
+                sockets.enable_keepalive(connection)
+            case _Silence.END_LATE:
+                sockets.enable_slow_keepalive(connection)
+            case _Silence.OUTLAST:
+                sockets.disable_keepalive(connection)
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes; bytes outside an exchange close the connection."""
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -9,6 +9,9 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+SLOW_KEEPALIVE_PROBES = 4
+"""Probes after which an idle connection to an upstream is closed, 5 s after its last byte."""
+
 USER_TIMEOUT_MS = 2_000
 """Time without acknowledgement of sent data after which the connection is closed.
 
@@ -33,6 +36,17 @@
         connection.setsockopt(*option)
 
 
+def enable_slow_keepalive(connection: socket.socket) -> None:
+    """Let the kernel close an idle `connection` once its peer is silent for longer than a pause.
+
+    A request may be sent on the connection at the end of that time, which has to be longer than the
+    silences after which a peer goes on.
+    """
+    enable_keepalive(connection)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SLOW_KEEPALIVE_PROBES)
+
+
 def disable_keepalive(connection: socket.socket) -> None:
     """Keep `connection` open while its peer is unresponsive; its user has a timeout of its own."""
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
--- a/hollyring/platform/tests/test_silent_servers.py
+++ b/hollyring/platform/tests/test_silent_servers.py
@@ -8,7 +8,7 @@
 
 from hollyring.core import request_types
 from hollyring.limits import service_retry_budgets
-from hollyring.node import clock
+from hollyring.node import clock, connection_pool
 from hollyring.platform.tests import conftest, test_relay
 
 EVENTS = 5
@@ -229,3 +229,25 @@
     await anyio.sleep(CLOSE_SECONDS)
     assert [server.closed_connections for server in servers] == [1, 1]
     assert {upstream.open_requests for upstream in vm.state.registry.upstreams.values()} == {0}
+
+
+@pytest.mark.anyio
+async def test_no_request_is_sent_on_idle_connections_to_a_server_that_takes_no_connection(
+    start_vm, monkeypatch
+):
+    server = PausingServer("i-0", 0.1)
+    vm = await start_vm(server, **AT_MOST_ONCE)
+    async with anyio.create_task_group() as group:
+        for number in range(5):
+            group.start_soon(vm.send_request, f"r-{number}")
+    assert vm.pool.open_connections(server.address) == 5
+
+    async def refuse(*_):
+        return False
+
+    monkeypatch.setattr(connection_pool.ConnectionPool, "can_connect", refuse)
+    server.pause_seconds = 1.0
+    async with anyio.create_task_group() as group:
+        group.start_soon(vm.send_request, "r-5")
+        await anyio.sleep(0.6)
+        assert vm.pool.open_connections(server.address) == 1
