--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -290,13 +290,25 @@
         """
         if self._forwards is None or context.taken_from:
             return None
-        if not self._state.reachability.is_cut_off(context.service.name):
+        if not self._needs_other_vm(context):
             return None
         target = self._forwards.target(context)
         if target is None and context.declined:
             raise self._declined_error(context)
         return target
 
+    def _needs_other_vm(self, context: request_context.RequestContext) -> bool:
+        """Return whether this VM cannot send a request to an upstream.
+
+        Where open connections live on while new ones are refused, the request that found none open
+        is the one that needs another VM.
+        """
+        reachability = self._state.reachability
+        if reachability.is_cut_off(context.service.name):
+            return True
+        takes_connections = reachability.takes_connections(context.service.name)
+        return context.retry_state.unsent > 0 and not takes_connections
+
     async def _run_attempt(
         self, context: request_context.RequestContext
     ) -> request_context.Outcome:
@@ -549,6 +561,7 @@
         outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
     ) -> None:
         not_run = not isinstance(outcome, request_context.Failed)
+        silent = outcome.silent_seconds if isinstance(outcome, request_context.Failed) else 0.0
         self._metrics.increment("tries_not_run" if not_run else "tries_failed")
         self._log.info(
             "try failed",
@@ -558,6 +571,7 @@
             not_run=not_run,
             sends=context.retry_state.sends,
             left=round(context.seconds_left, 3),
+            silent=round(silent, 3),
             partial_event_bytes=context.events.partial_bytes,
             whole=context.suspects[-1],
         )
