--- a/hollyring/routing/reachability.py
+++ b/hollyring/routing/reachability.py
@@ -53,6 +53,9 @@
 CARRIED_SECONDS = 0.5
 """Time after its last byte for which open connections count as carrying a service."""
 
+MAX_OTHER_FAILURES = 1
+"""Upstreams that refuse or reset at a VM whose connections are only slow; one may be down."""
+
 PROBE_BURST = 60.0
 PROBES_PER_SECOND = 30.0
 """Most probes of one VM at once and in the mean, whatever fails; 60 VMs do the same together."""
@@ -235,8 +238,10 @@
 
     def record_late(self, upstream: registry.Upstream, now: float) -> None:
         """Record that an upstream has not yet taken a connection, though most do in less time."""
-        if self._phase(upstream.entry.service) is Phase.REACHED:
+        known = self._services.get(upstream.entry.service)
+        if known is None or known.is_settled:
             self.record_failed(upstream, now)
+            self._services[upstream.entry.service].late.add(upstream.name)
         for known in self._services.values():
             if upstream.name in known.pending:
                 known.late.add(upstream.name)
@@ -324,9 +329,20 @@
         if len(known.failed | known.pending) < MIN_WITNESSES or not self._usable(service):
             self._resolve(service, known, now)
             return []
+        if self._is_congested(service, known, now):
+            self._resolve(service, known, now)
+            return []
         self._cut_off(service, known, now)
         return []
 
+    def _is_congested(self, service: str, known: _Service, now: float) -> bool:
+        """Return whether connections are only slow, as bytes arrive on open ones.
+
+        A path that is cut refuses new connections where open ones live on.
+        """
+        refused = known.failed - known.late
+        return len(refused) <= MAX_OTHER_FAILURES and self._is_carried(service, known, now)
+
     def _cut_off(self, service: str, known: _Service, now: float) -> None:
         known.failed |= known.pending
         known.pending.clear()
@@ -353,10 +369,14 @@
                 other.due_at = now
 
     def _judge_open_connections(self, service: str, known: _Service, now: float) -> None:
-        since = max(known.doubted_at, now - CARRIED_SECONDS)
-        carried = any(u.last_activity_at > since for u in self._registry.of_service(service))
+        carried = self._is_carried(service, known, now)
         self._change(service, known, Phase.OPEN_ONLY if carried else Phase.CUT_OFF)
 
+    def _is_carried(self, service: str, known: _Service, now: float) -> bool:
+        """Return whether bytes arrive on open connections to upstreams of a service."""
+        since = max(known.doubted_at, now - CARRIED_SECONDS)
+        return any(u.last_activity_at > since for u in self._registry.of_service(service))
+
     def _usable(self, service: str) -> list[registry.Upstream]:
         return [u for u in self._registry.of_service(service) if not u.leaving]
 
--- a/hollyring/routing/tests/test_reachability.py
+++ b/hollyring/routing/tests/test_reachability.py
@@ -181,6 +181,20 @@
     assert not network.reachability.may_be_cut_off("ls")
 
 
+@pytest.mark.parametrize("down", [(), ("ls-0",)])
+def test_slow_connections_are_no_cut_while_bytes_arrive_on_open_ones(down):
+    """As on a full link, or at upstreams whose queues of new connections are full."""
+    network = Network()
+    network.cut = "hang"
+    network.down = set(down)
+    for turn in range(60):
+        if turn % 5 == 0:
+            network.connect(f"ls-{turn % 24}")
+        network.run(0.05)
+        network.receive(f"ls-{turn % 7}")
+        assert network.reachability.unreachable_services == []
+
+
 def test_vm_is_cut_off_once_the_open_connections_have_ended_too():
     network = Network()
     network.cut = "refused"
