End exchanges with a silent host late where another upstream can take over

With the kernel's detection off, a stream whose host is silent for good would instead be held until its deadline or for 10 s, and an idempotent call for 30 s, where another upstream could serve them.

Change: the sender states what a silence does: callers' requests on a platform outlast it (the relay looks elsewhere meanwhile), streams of inference servers and idempotent calls end after 5 s, after which they go on elsewhere, at-most-once calls outlast it, repeated calls end after 2 s.

Looked at and left: the head and read timeouts of these clients are the deadline or at least 10 s, so nothing else there ends an answer for a second's silence. Unlike the relay, they don't look elsewhere before they give a silent upstream up.

--- a/hollyring/node/engine_client.py
+++ b/hollyring/node/engine_client.py
@@ -139,7 +139,10 @@
         try:
             if has_caller_left():
                 raise errors.CallerLeftError("caller left before the request was sent")
-            exchange = connection.send(request, http_connection.match_any)
+            # Another server can continue the stream if the host of this one is silent for good.
+            exchange = connection.send(
+                request, http_connection.match_any, silence=http_connection.Silence.END_LATE
+            )
             with anyio.fail_after(head_timeout_seconds):
                 head = await exchange.head()
             if head.status != HTTP_OK:
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -77,8 +77,12 @@
         return next((value for key, value in self.headers if key == name), b"")
 
 
-class _Silence(enum.Enum):
-    """What the kernel does with a connection whose peer is silent."""
+class Silence(enum.Enum):
+    """What the kernel does with a connection whose peer's host is silent.
+
+    It ends it after 2 s, or late: after 5 s, when a peer that only paused has gone on; or the
+    exchange outlasts the silence until its sender gives it up.
+    """
 
     END = enum.auto()
     END_LATE = enum.auto()
@@ -229,7 +233,7 @@
         self._framed = True
         self._overhead_bytes = 0
         self._unusable = False
-        self._silence: _Silence | None = None
+        self._silence: Silence | None = None
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
         self.idle_since = clock.now()
@@ -277,7 +281,7 @@
         request: bytes,
         matches: ResponseMatcher,
         request_id: str = "",
-        outlasts_silence: bool = True,
+        silence: Silence = Silence.OUTLAST,
     ) -> Exchange:
         """Write a request and return its exchange.
 
@@ -289,9 +293,8 @@
             Recognises the response.
         request_id
             Identity by which the response is recognised, empty if there is none.
-        outlasts_silence
-            Whether the exchange goes on while the upstream's host is silent, until the sender
-            gives it up. A call that is simply repeated does without.
+        silence
+            What a silence of the upstream's host does to the exchange.
 
         Raises
         ------
@@ -303,7 +306,7 @@
             raise NotSentError("connection closed")
         if request_id:
             self._carried.append(request_id)
-        self._watch_silence(_Silence.OUTLAST if outlasts_silence else _Silence.END)
+        self._watch_silence(silence)
         self._exchange = Exchange(self, matches)
         self._overhead_bytes = 0
         transport.write(request)
@@ -316,7 +319,7 @@
         if not self.reusable or (exchange is not None and not exchange.ended):
             self.abort()
             return False
-        self._watch_silence(_Silence.END_LATE)
+        self._watch_silence(Silence.END_LATE)
         self.resume_reading()
         return True
 
@@ -342,9 +345,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._unread = sockets.UnreadEvents(transport, select.POLLIN | select.POLLRDHUP)
-        self._watch_silence(_Silence.END_LATE)
+        self._watch_silence(Silence.END_LATE)
 
-    def _watch_silence(self, silence: _Silence) -> None:
+    def _watch_silence(self, silence: Silence) -> None:
         """Set what the kernel does when the upstream's host is silent."""
         if silence is self._silence:
             return
@@ -352,11 +355,11 @@
         connection = self._transport.get_extra_info("socket")
         self._silence = silence
         match silence:
-            case _Silence.END:
+            case Silence.END:
                 sockets.enable_keepalive(connection)
-            case _Silence.END_LATE:
+            case Silence.END_LATE:
                 sockets.enable_slow_keepalive(connection)
-            case _Silence.OUTLAST:
+            case Silence.OUTLAST:
                 sockets.disable_keepalive(connection)
 
     def data_received(self, data: bytes) -> None:
--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -93,6 +93,8 @@
         """
         address = http_request.address_of(url)
         request = _request(call, address, request_id, at_most_once=may_send is not None)
+        silences = http_connection.Silence
+        silence = silences.END_LATE if may_send is None else silences.OUTLAST
         try:
             connection = await self._connect(address, may_send is None)
         except http_connection.NotSentError as error:
@@ -102,7 +104,7 @@
                 raise errors.CallerLeftError("caller left before the call was sent")
             if may_send is not None and not await may_send():
                 raise errors.UpstreamError("sending was no longer allowed", reached=False)
-            exchange = connection.send(request, http_connection.match_any)
+            exchange = connection.send(request, http_connection.match_any, silence=silence)
             with anyio.fail_after(CALL_TIMEOUT_SECONDS):
                 return await _read_response(exchange)
         except http_connection.NotSentError as error:
--- a/hollyring/node/tests/test_silent_upstream.py
+++ b/hollyring/node/tests/test_silent_upstream.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from hollyring.node import connection_pool
+from hollyring.node import connection_pool, engine_client, errors, http_connection, services
 
 SILENT_SECONDS = 2.8
 BODY_BYTES = 16_000_000
@@ -106,5 +106,49 @@
 
     async with upstream(serve) as address:
         connection = await connection_pool.ConnectionPool().connect(address)
-        connection.send(b"GET / HTTP/1.1\r\n\r\n", lambda _: True, outlasts_silence=False)
+        connection.send(
+            b"GET / HTTP/1.1\r\n\r\n", lambda _: True, silence=http_connection.Silence.END
+        )
         assert seconds_until_given_up(connection) <= 3
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("client", "fewest", "most"),
+    [("engine", 4, 6), ("idempotent call", 4, 6), ("at-most-once call", 30, float("inf"))],
+)
+async def test_kernel_gives_up_what_another_upstream_can_take_over(
+    monkeypatch, client, fewest, most
+):
+    """A host that is silent for good would otherwise hold a stream until its deadline."""
+    seen = []
+    write = http_connection.HttpConnection.send
+
+    def send(connection, *args, **options):
+        exchange = write(connection, *args, **options)
+        seen.append(seconds_until_given_up(connection))
+        return exchange
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+
+    async def may_send():
+        return True
+
+    monkeypatch.setattr(http_connection.HttpConnection, "send", send)
+    async with upstream(serve) as address:
+        pool = connection_pool.ConnectionPool()
+        with contextlib.suppress(errors.UpstreamError):
+            if client == "engine":
+                stream = engine_client.EngineClient(pool).stream(
+                    f"http://{address}", "/", b"", 1.0, lambda: False
+                )
+                async for _ in stream:
+                    pass
+            else:
+                call = services._Call("GET", "/", [], b"", "o", lambda: False)
+                check = may_send if client == "at-most-once call" else None
+                await services.ServiceClient(pool).send(f"http://{address}", call, "r-1", check)
+    assert len(seen) == 1
+    assert fewest <= seen[0] <= most
