Change one socket option at the start and end of an exchange instead of eight

The options that don't differ are set once, when the connection is made. No difference for callers. The tests of the options and of the connections pass.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -233,7 +233,7 @@
         self._framed = True
         self._overhead_bytes = 0
         self._unusable = False
-        self._silence: Silence | None = None
+        self._silence = Silence.END_LATE
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
         self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
         self.idle_since = clock.now()
@@ -345,22 +345,19 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._unread = sockets.UnreadEvents(transport, select.POLLIN | select.POLLRDHUP)
-        self._watch_silence(Silence.END_LATE)
+        sockets.enable_slow_keepalive(transport.get_extra_info("socket"))
 
     def _watch_silence(self, silence: Silence) -> None:
-        """Set what the kernel does when the upstream's host is silent."""
-        if silence is self._silence:
+        """Set what the kernel does in a silence; it is `END_LATE` between exchanges."""
+        before, self._silence = self._silence, silence
+        if silence is before:
             return
         assert self._transport is not None
         connection = self._transport.get_extra_info("socket")
-        self._silence = silence
-        match silence:
-            case Silence.END:
-                sockets.enable_keepalive(connection)
-            case Silence.END_LATE:
-                sockets.enable_slow_keepalive(connection)
-            case Silence.OUTLAST:
-                sockets.disable_keepalive(connection)
+        if Silence.END in (before, silence):
+            sockets.set_user_timeout(connection, silence is Silence.END)
+        if Silence.OUTLAST in (before, silence):
+            sockets.set_keepalive(connection, silence is not Silence.OUTLAST)
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes; bytes outside an exchange close the connection."""
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -43,14 +43,19 @@
     silences after which a peer goes on.
     """
     enable_keepalive(connection)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SLOW_KEEPALIVE_PROBES)
+    set_user_timeout(connection, False)
 
 
-def disable_keepalive(connection: socket.socket) -> None:
-    """Keep `connection` open while its peer is unresponsive; its user has a timeout of its own."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+def set_user_timeout(connection: socket.socket, on: bool) -> None:
+    """Let `USER_TIMEOUT_MS` decide when the kernel gives up the peer, or no longer."""
+    milliseconds = USER_TIMEOUT_MS if on else 0
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def set_keepalive(connection: socket.socket, on: bool) -> None:
+    """Send probes to the peer while `connection` is silent, or no longer."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(on))
 
 
 class UnreadEvents:
