--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -26,6 +26,7 @@
 )
 from hollyring.platform import upstreams
 from hollyring.platform.tests import conftest, test_relay
+from hollyring.routing import reachability
 
 AT_MOST_ONCE = request_types.RetrySafety.AT_MOST_ONCE
 IDEMPOTENT = request_types.RetrySafety.IDEMPOTENT
@@ -33,10 +34,11 @@
 TIMEOUT_SECONDS = 5.0
 
 
-class ScriptedReachability:
-    """Replacement of `reachability.Reachability`."""
+class ScriptedReachability(reachability.Reachability):
+    """Reachability of which a test says whether the VM is cut off."""
 
-    def __init__(self):
+    def __init__(self, upstreams):
+        super().__init__(upstreams, "vm")
         self.cut = False
 
     def is_cut_off(self, service):
@@ -78,7 +80,7 @@
 
     def __init__(self, name, servers, checker=None, **route):
         super().__init__(servers, checker, **route)
-        self.state.reachability = ScriptedReachability()
+        self.state.reachability = ScriptedReachability(self.state.registry)
         self.state.forwarding = ScriptedTargets()
         self.codec = wire.Codec(heartbeat_messages.MESSAGES | forwarded_messages.MESSAGES)
         self.peers = peers.PeerConnections(
