--- a/hollyring/platform/tests/test_upstream_backoff.py
+++ b/hollyring/platform/tests/test_upstream_backoff.py
@@ -118,8 +118,8 @@
     acquire = connection_pool.ConnectionPool.acquire
     refused = anyio.Event()
 
-    async def acquire_late(pool, address, limit, keep_alive_seconds, request_id):
-        connection = await acquire(pool, address, limit, keep_alive_seconds, request_id)
+    async def acquire_late(pool, address, limit, keep_alive_seconds, request_id, **options):
+        connection = await acquire(pool, address, limit, keep_alive_seconds, request_id, **options)
         if request_id == "r-waiting":
             await refused.wait()
         return connection
