--- a/hollyring/node/open_attempts.py
+++ b/hollyring/node/open_attempts.py
@@ -33,8 +33,10 @@
     ----------
     attempts
         All attempts in progress of the same request.
+    where
+        Name of its upstream, or of the VM that the request is forwarded to.
     selected
-        Its upstream.
+        Its upstream, None if the request is forwarded.
 
     Attributes
     ----------
@@ -50,11 +52,24 @@
         Whether its upstream has sent nothing for so long that another one may be tried.
     """
 
-    __slots__ = ("_attempts", "selected", "scope", "outcome", "error", "events", "sent", "silent")
+    __slots__ = (
+        "_attempts",
+        "_selected",
+        "where",
+        "scope",
+        "outcome",
+        "error",
+        "events",
+        "sent",
+        "silent",
+    )
 
-    def __init__(self, attempts: OpenAttempts, selected: selection.Selection) -> None:
+    def __init__(
+        self, attempts: OpenAttempts, where: str, selected: selection.Selection | None
+    ) -> None:
         self._attempts = attempts
-        self.selected = selected
+        self._selected = selected
+        self.where = where
         self.scope = anyio.CancelScope()
         self.outcome: request_context.Outcome | None = None
         self.error: Exception | None = None
@@ -62,11 +77,29 @@
         self.sent = False
         self.silent = False
 
+    @property
+    def selected(self) -> selection.Selection:
+        """The upstream of an attempt that is not forwarded."""
+        assert self._selected is not None
+        return self._selected
+
+    @property
+    def is_forward(self) -> bool:
+        """Whether another VM makes the attempt."""
+        return self._selected is None
+
     @property
     def has_others(self) -> bool:
         """Whether another attempt of the request is in progress."""
         return len(self._attempts.open) > 1
 
+    def result(self) -> request_context.Outcome:
+        """Return the outcome of an attempt that has finished, or raise its exception."""
+        if self.error is not None:
+            raise self.error
+        assert self.outcome is not None
+        return self.outcome
+
     def start_soon(self, task: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
         """Run a task beside the attempt, until the request ends at the latest."""
         self._attempts.start_soon(task, *args)
@@ -119,11 +152,12 @@
 
     def start(
         self,
-        selected: selection.Selection,
+        where: str,
+        selected: selection.Selection | None,
         run: Callable[[OpenAttempt], Awaitable[request_context.Outcome]],
     ) -> None:
-        """Start an attempt."""
-        attempt = OpenAttempt(self, selected)
+        """Start an attempt; the parameters are those of `OpenAttempt`, and what runs it."""
+        attempt = OpenAttempt(self, where, selected)
         self.open.append(attempt)
         self._task_group.start_soon(self._run, attempt, run)
 
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -10,21 +10,25 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import execution, request_types
-from hollyring.delivery import event_stream, refusal, retry, stream_origins
+from hollyring.delivery import event_stream, forwarded, refusal, retry, stream_origins
 from hollyring.limits import fleet_window
+from hollyring.membership import heartbeat
 from hollyring.node import (
     attempt,
     clock,
     connection_pool,
     errors,
+    forward_client,
     interfaces,
     logs,
     metrics,
     open_attempts,
+    peer_link,
     request_context,
     responses,
     send_permits,
     state,
+    taken_requests,
 )
 from hollyring.routing import crashes, selection
 
@@ -47,6 +51,12 @@
 UNCONFIGURED_RETRY_AFTER_SECONDS = 0.3
 """Retry delay given to callers by a VM that has no configuration yet."""
 
+MAX_COPIES_WAIT = 0.3
+"""Longest wait in seconds for recent copies of the store, for a request of another VM."""
+
+MAX_DECLINED = 2
+"""VMs that are asked to execute a request before it is refused."""
+
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
@@ -83,6 +93,8 @@
         Shows that what this VM knows of the store is recent.
     permits
         Permits to send requests to upstreams that named a request limit.
+    forwards
+        Forwards requests to other VMs; None for a VM that forwards none.
     """
 
     def __init__(
@@ -93,7 +105,9 @@
         counters: metrics.Metrics,
         checker: CopyChecker,
         permits: send_permits.SendPermits,
+        forwards: forward_client.ForwardClient | None = None,
     ) -> None:
+        self._forwards = forwards
         self._state = vm_state
         self._checker = checker
         self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters, permits)
@@ -132,6 +146,44 @@
             self._log_end(admitted, "caller left")
             raise
 
+    async def serve_taken(
+        self,
+        message: forwarded.ForwardedRequest,
+        body: bytes,
+        sender: str,
+        response: taken_requests.TakenResponse,
+    ) -> None:
+        """Make the attempts of a request that another VM admitted, and answer that VM.
+
+        Raises
+        ------
+        IncompleteResponseError
+            If the response was started and cannot be completed.
+        LinkLostError
+            If that VM has gone.
+        """
+        arrived_at = clock.now()
+        context: request_context.RequestContext | refusal.Refusal
+        if await self._knows_enough(arrived_at + min(MAX_COPIES_WAIT, message.seconds_left)):
+            context = taken_requests.admit(
+                self._state, message, body, sender, response, clock.now()
+            )
+        else:
+            context = refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
+        if isinstance(context, refusal.Refusal):
+            self._log_declined(message.request_id, sender, context)
+            await response.refuse(context)
+            return
+        self._log_taken(context)
+        try:
+            await self._run_attempts(context)
+        except _RequestRefusedError as error:
+            self._log_end(context, error.refusal.code)
+            await response.refuse(error.refusal)
+        except (peer_link.LinkLostError, anyio.get_cancelled_exc_class()):
+            self._log_end(context, "caller left")
+            raise
+
     async def _knows_enough(self, until: float) -> bool:
         """Return whether this VM may decide requests, once its copies of the store are recent."""
         now = clock.now()
@@ -218,20 +270,22 @@
             if finished is None:
                 await self._look_elsewhere(context, attempts)
                 continue
-            if finished.error is not None:
-                raise finished.error
-            outcome = finished.outcome
+            outcome = finished.result()
             if isinstance(outcome, request_context.Done):
                 self._log_end(context, "answered")
                 return
             if isinstance(outcome, request_context.Withdrawn):
                 self._log_withdrawn(context, finished.selected)
                 context.retry_state.withdraw()
-            elif outcome is not None:
-                self._record_failed(context, finished, outcome)
+                if not attempts.open:
+                    await self._start_next(context, attempts)
+                continue
+            self._record_failed(context, finished, outcome)
             if attempts.open:
                 continue
-            if not isinstance(outcome, request_context.Withdrawn) and not self._may_retry(context):
+            if isinstance(outcome, request_context.Declined):
+                self._check_declined(context, outcome)
+            if not self._may_retry(context, outcome):
                 await self._finish_failed(context)
                 return
             await self._start_next(context, attempts)
@@ -252,19 +306,37 @@
         if context.retry_state.sends and self._is_blamed(context):
             refused = context.retry_state.final_refusal("crashing_request", clock.now())
             raise _RequestRefusedError(refused)
-        self._start(context, attempts, self._select(context))
+        target = self._target(context)
+        if target is not None:
+            self._start_forward(context, attempts, target)
+        else:
+            self._start(context, attempts, self._select(context))
 
     async def _look_elsewhere(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
-        """Start one more attempt beside those that are silent, if another upstream is free."""
+        """Start one more attempt beside those that are silent, if another upstream is free.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If the VM that admitted the request can look elsewhere instead.
+        """
         if not context.retry_state.may_retry(clock.now(), context.response.started):
             return
+        if context.taken_from:
+            refused = context.retry_state.final_refusal("no_upstream", clock.now())
+            raise _RequestRefusedError(refused)
         if not await self._knows_enough(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
             return
         if self._is_blamed(context) or not attempts.all_silent:
             return
         now = clock.now()
+        if self._needs_other_vm(context):
+            target = self._forwards.target(context) if self._forwards is not None else None
+            if target is not None and self._state.retries(context.service.name).try_retry(now):
+                self._start_forward(context, attempts, target)
+            return
         selected = self._state.selector.select(self._selection_request(context), now)
         if isinstance(selected, selection.NoUpstream):
             return
@@ -277,18 +349,43 @@
         attempts: open_attempts.OpenAttempts,
         selected: selection.Selection,
     ) -> None:
+        """Start an attempt at an upstream."""
         if not attempts.open:
             context.selected = selected
-        context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
+        name = selected.upstream.name
+        context.retry_state.begin(name, selected.upstream.entry.domain)
         self._log_sent(context, selected, len(attempts.open))
-        attempts.start(selected, functools.partial(self._attempt_runner.run, context))
+        attempts.start(name, selected, functools.partial(self._attempt_runner.run, context))
+
+    def _start_forward(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        target: heartbeat.VmInfo,
+    ) -> None:
+        """Have another VM make the next attempts.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If the deadline is too near.
+        """
+        now = clock.now()
+        if self._forwards is None or not context.retry_state.has_time(now):
+            raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
+        self._log_forwarded(context, target)
+        context.retry_state.begin_forward()
+        attempts.start(target.name, None, functools.partial(self._forwards.run, context, target))
 
     def _record_failed(
         self,
         context: request_context.RequestContext,
         finished: open_attempts.OpenAttempt,
-        outcome: request_context.NotRun | request_context.Failed,
+        outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
     ) -> None:
+        is_unsent = isinstance(outcome, request_context.NotRun) and not outcome.written
+        if is_unsent and not finished.is_forward:
+            context.retry_state.record_unsent()
         context.retry_state.record_failure(outcome.execution_status)
         if isinstance(outcome, request_context.Failed):
             context.last_failure = outcome
@@ -304,11 +401,64 @@
         self._log.info(
             "try superseded",
             request=context.request_id,
-            upstream=attempt.selected.upstream.name,
+            upstream=attempt.where,
             silent=attempt.silent,
             sends=context.retry_state.sends,
         )
 
+    def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
+        """Return the VM to make the next attempts, None for this VM.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If this VM reaches no upstream and no VM is left to ask.
+        """
+        if self._forwards is None or context.taken_from:
+            return None
+        if not self._needs_other_vm(context):
+            return None
+        target = self._forwards.target(context)
+        if target is None and context.declined:
+            raise self._declined_error(context)
+        return target
+
+    def _needs_other_vm(self, context: request_context.RequestContext) -> bool:
+        """Return whether this VM cannot send a request to an upstream.
+
+        Where open connections live on while new ones are refused, the request that found none open
+        is the one that needs another VM.
+        """
+        reachability = self._state.reachability
+        if reachability.is_cut_off(context.service.name):
+            return True
+        takes_connections = reachability.takes_connections(context.service.name)
+        return context.retry_state.unsent > 0 and not takes_connections
+
+    def _check_declined(
+        self, context: request_context.RequestContext, outcome: request_context.Declined
+    ) -> None:
+        """Refuse a request that other VMs declined, unless one more may be asked.
+
+        Raises
+        ------
+        _RequestRefusedError
+            With the shortest time to return that the VMs stated.
+        """
+        now = clock.now()
+        code = outcome.rejection.code
+        if code == "crashing_request":
+            raise _RequestRefusedError(context.retry_state.final_refusal(code, now))
+        if len(context.declined) >= MAX_DECLINED:
+            raise self._declined_error(context)
+
+    def _declined_error(self, context: request_context.RequestContext) -> _RequestRefusedError:
+        """Return a refusal with the shortest time to return that other VMs stated."""
+        soonest = min(context.declined, key=lambda rejection: rejection.retry_after)
+        return _RequestRefusedError(
+            context.retry_state.final_refusal(soonest.code, clock.now(), soonest.retry_after)
+        )
+
     def _is_blamed(self, context: request_context.RequestContext) -> bool:
         return self._state.crashes.blame_of(context.suspects) is not None
 
@@ -356,11 +506,22 @@
             context.software,
         )
 
-    def _may_retry(self, context: request_context.RequestContext) -> bool:
-        """Return whether to make another attempt, which spends a retry of the service's budget."""
+    def _may_retry(
+        self,
+        context: request_context.RequestContext,
+        outcome: request_context.Failed | request_context.NotRun | request_context.Declined,
+    ) -> bool:
+        """Return whether to make another attempt.
+
+        It spends a retry of the service's budget if the last one arrived at an upstream.
+        """
         now = clock.now()
         if not context.retry_state.may_retry(now, context.response.started):
             return False
+        if context.taken_from and context.retry_state.reached:
+            return False
+        if not isinstance(outcome, request_context.Failed) and not outcome.written:
+            return True
         return self._state.retries(context.service.name).try_retry(now)
 
     async def _finish_failed(self, context: request_context.RequestContext) -> None:
@@ -438,6 +599,46 @@
             active_ago=state.seconds_since(clock.now(), selected.upstream.last_activity_at),
         )
 
+    def _log_forwarded(
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+    ) -> None:
+        self._metrics.increment("forwarded")
+        self._log.info(
+            "forwarded",
+            request=context.request_id,
+            to=target.name,
+            service=context.service.name,
+            runs_left=context.retry_state.runs_left,
+            resume_after=context.events.last_number,
+            software=context.software,
+            left=round(context.seconds_left, 3),
+            waited=round(clock.now() - context.arrived_at, 3),
+        )
+
+    def _log_taken(self, context: request_context.RequestContext) -> None:
+        self._metrics.increment("taken")
+        self._log.info(
+            "taken from another VM",
+            request=context.request_id,
+            admitted_by=context.taken_from,
+            service=context.service.name,
+            runs_left=context.retry_state.runs_left,
+            resume_after=context.events.last_number,
+            software=context.software,
+            left=round(context.seconds_left, 3),
+        )
+
+    def _log_declined(self, request_id: str, sender: str, rejection: refusal.Refusal) -> None:
+        self._metrics.increment(f"declined_{rejection.code}")
+        self._log.info(
+            "declined for another VM",
+            request=request_id,
+            admitted_by=sender,
+            code=rejection.code,
+            why=rejection.message,
+            retry_after=round(rejection.retry_after, 3),
+        )
+
     def _log_withdrawn(
         self, context: request_context.RequestContext, selected: selection.Selection
     ) -> None:
@@ -454,15 +655,15 @@
         self,
         context: request_context.RequestContext,
         finished: open_attempts.OpenAttempt,
-        outcome: request_context.NotRun | request_context.Failed,
+        outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
     ) -> None:
-        not_run = isinstance(outcome, request_context.NotRun)
-        silent = 0.0 if isinstance(outcome, request_context.NotRun) else outcome.silent_seconds
+        not_run = not isinstance(outcome, request_context.Failed)
+        silent = outcome.silent_seconds if isinstance(outcome, request_context.Failed) else 0.0
         self._metrics.increment("tries_not_run" if not_run else "tries_failed")
         self._log.info(
             "try failed",
             request=context.request_id,
-            upstream=finished.selected.upstream.name,
+            upstream=finished.where,
             why=outcome.reason,
             not_run=not_run,
             sends=context.retry_state.sends,
@@ -483,6 +684,8 @@
             route=context.route.name,
             organisation=context.organisation.name if context.organisation else "",
             upstream=context.selected.upstream.name if context.selected else "",
+            through=context.forwarded_to,
+            admitted_by=context.taken_from,
             first=(
                 round(context.first_byte_at - context.arrived_at, 4)
                 if context.first_byte_at
