--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -115,8 +115,9 @@
 
     @property
     def runs_left(self) -> int:
-        """Number of upstreams that may still run the request."""
-        return self._policy.max_runs - self._runs
+        """Number of upstreams that may still run the request, that of the last attempt included."""
+        others = max(0, self._in_progress - 1)
+        return self._policy.max_runs - self._runs - others
 
     @property
     def unsent(self) -> int:
@@ -171,7 +172,7 @@
     def begin_forward(self) -> None:
         """Record that another VM makes the next attempts."""
         self._sends += 1
-        self._in_progress = True
+        self._in_progress += 1
 
     def record_forward(self, sends: int, upstreams: Iterable[str] = ()) -> None:
         """Record how often another VM sent the request, and the upstreams that it tried.
