Refuse what another VM declined with its time to return, also after the last send

Where the executing VM had used up the sends that were left, the caller got the default of 1 s instead of its time, and where other VMs declined after a possible run, 502 instead of the failure that an upstream had answered. test_refusal_after_the_last_send_states_the_executing_vms_time_to_return failed before: (503, 1.0) == (503, 0.4). Tests beside it: sends are bounded over all VMs; an upstream's own error is the answer; a request that another VM knows to crash upstreams is refused at once.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -274,11 +274,12 @@
             if isinstance(outcome, request_context.Failed):
                 context.last_failure = outcome
             self._log_failed(context, where, outcome)
-            if isinstance(outcome, request_context.Declined):
-                self._check_declined(context, outcome)
-            if not self._may_retry(context, outcome):
-                await self._finish_failed(context)
-                return
+            if self._may_retry(context, outcome):
+                continue
+            if isinstance(outcome, request_context.Declined) and not context.retry_state.reached:
+                raise self._declined_error(context)
+            await self._finish_failed(context)
+            return
 
     def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
         """Return the VM to make the next attempts, None for this VM.
@@ -339,23 +340,6 @@
         self._log_forwarded(context, target)
         return await self._forwards.run(context, target)
 
-    def _check_declined(
-        self, context: request_context.RequestContext, outcome: request_context.Declined
-    ) -> None:
-        """Refuse a request that other VMs declined, unless one more may be asked.
-
-        Raises
-        ------
-        _RequestRefusedError
-            With the shortest time to return that the VMs stated.
-        """
-        now = clock.now()
-        code = outcome.rejection.code
-        if code == "crashing_request":
-            raise _RequestRefusedError(context.retry_state.final_refusal(code, now))
-        if len(context.declined) >= MAX_DECLINED:
-            raise self._declined_error(context)
-
     def _declined_error(self, context: request_context.RequestContext) -> _RequestRefusedError:
         """Return a refusal with the shortest time to return that other VMs stated."""
         soonest = min(context.declined, key=lambda rejection: rejection.retry_after)
@@ -424,6 +408,8 @@
             return False
         if context.taken_from and context.retry_state.reached:
             return False
+        if len(context.declined) >= MAX_DECLINED or _is_crashing(outcome):
+            return False
         if not isinstance(outcome, request_context.Failed) and not outcome.written:
             return True
         return self._state.retries(context.service.name).try_retry(now)
@@ -607,6 +593,14 @@
     return {"through": context.forwarded_to} if context.forwarded_to else {}
 
 
+def _is_crashing(outcome: request_context.Outcome) -> bool:
+    """Return whether another VM declined a request since it crashes upstreams."""
+    return (
+        isinstance(outcome, request_context.Declined)
+        and outcome.rejection.code == "crashing_request"
+    )
+
+
 def _describe(blame: crashes.Blame) -> str:
     parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
     return f"{parts} of the request crashed {servers}, as seen by {', '.join(blame.witnesses)}."
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hollyring.core import identities, request_types
-from hollyring.delivery import forwarded, stream_origins
+from hollyring.delivery import forwarded, retry, stream_origins
 from hollyring.membership import heartbeat
 from hollyring.node import (
     clock,
@@ -61,10 +61,15 @@
 
     def __init__(self):
         self.vms = []
+        self.once = ""  # name of a VM that is chosen once only
         self.in_progress = []
 
     def choose(self, service, excluded, now):
-        return next((vm for vm in self.vms if vm.name not in excluded), None)
+        suitable = [vm for vm in self.vms if vm.name not in excluded]
+        chosen = next(iter(suitable), None)
+        if chosen is not None and chosen.name == self.once:
+            self.vms.remove(chosen)
+        return chosen
 
     def record_begin(self, vm):
         self.in_progress.append(vm)
@@ -413,6 +418,29 @@
     assert caller.status == 502
 
 
+@pytest.mark.anyio
+async def test_request_that_another_vm_knows_to_crash_upstreams_is_refused_at_once(start_fleet):
+    fleet = await start_fleet("complete", count=0)
+    refused = forwarded.ForwardedRefusal("crashing_request", 0.0, "not_run", 0, [])
+    await fleet.add_scripted(refused)
+    await fleet.add()
+    assert (await fleet.cut.send_request()).status == 400
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_error_of_an_upstream_is_the_answer_after_other_vms_declined(start_fleet):
+    fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, attempts=3)
+    failed = [head(500), forwarded.ForwardedData(b"failed"), forwarded.ForwardedEnd(6)]
+    await fleet.add_scripted(*failed)
+    refused = forwarded.ForwardedRefusal("overloaded", 1.0, "not_run", 0, [])
+    for _ in range(2):
+        await fleet.add_scripted(refused)
+    fleet.cut.state.forwarding.once = "vm-0"
+    caller = await fleet.cut.send_request()
+    assert (caller.status, caller.body) == (500, b"failed")
+
+
 @pytest.mark.anyio
 async def test_vm_without_room_declines_at_once_with_the_time_to_return(start_fleet):
     fleet = await start_fleet("complete")
@@ -565,6 +593,26 @@
     assert len(fleet.requests) == attempts
 
 
+@pytest.mark.anyio
+async def test_sends_are_bounded_over_all_vms(start_fleet):
+    fleet = await start_fleet(*["refuse"] * 8, count=3, retry_safety=IDEMPOTENT)
+    caller = await fleet.cut.send_request()
+    assert caller.status == 503
+    assert 1 < len(fleet.requests) <= retry.MAX_SENDS
+
+
+@pytest.mark.anyio
+async def test_refusal_after_the_last_send_states_the_executing_vms_time_to_return(start_fleet):
+    fleet = await start_fleet("complete", count=0)
+    sends = retry.MAX_SENDS
+    refused = forwarded.ForwardedRefusal("overloaded", 0.4, "not_run", sends, ["i-0"])
+    await fleet.add_scripted(refused)
+    await fleet.add()
+    caller = await fleet.cut.send_request()
+    assert (caller.status, float(caller.headers[b"retry-after"])) == (503, 0.4)
+    assert fleet.requests == []
+
+
 @pytest.mark.anyio
 async def test_upstream_that_failed_is_not_tried_again_through_another_vm(start_fleet):
     fleet = await start_fleet("reset", "complete", count=2, retry_safety=IDEMPOTENT)
