--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -283,10 +283,13 @@
             self._record_end(context, finished, outcome)
             if attempts.open:
                 continue
-            if not self._may_go_on(context, outcome):
-                await self._finish_failed(context)
-                return
-            await self._start_next(context, attempts)
+            if self._may_go_on(context, outcome):
+                await self._start_next(context, attempts)
+                continue
+            if isinstance(outcome, request_context.Declined) and not context.retry_state.reached:
+                raise self._declined_error(context)
+            await self._finish_failed(context)
+            return
 
     async def _start_next(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
@@ -390,18 +393,9 @@
     def _may_go_on(
         self, context: request_context.RequestContext, outcome: request_context.Unanswered
     ) -> bool:
-        """Return whether to start another attempt after the last open one.
-
-        Raises
-        ------
-        _RequestRefusedError
-            If the VMs that were asked declined the request.
-        """
-        match outcome:
-            case request_context.Withdrawn():
-                return True
-            case request_context.Declined():
-                self._check_declined(context, outcome)
+        """Return whether to start another attempt after the last open one."""
+        if isinstance(outcome, request_context.Withdrawn):
+            return True
         return self._may_retry(context, outcome)
 
     def _record_superseded(
@@ -439,23 +433,6 @@
         takes_connections = reachability.takes_connections(context.service.name)
         return context.retry_state.unsent > 0 and not takes_connections
 
-    def _check_declined(
-        self, context: request_context.RequestContext, outcome: request_context.Declined
-    ) -> None:
-        """Refuse a request that other VMs declined, unless one more may be asked.
-
-        Raises
-        ------
-        _RequestRefusedError
-            With the shortest time to return that the VMs stated.
-        """
-        now = clock.now()
-        code = outcome.rejection.code
-        if code == "crashing_request":
-            raise _RequestRefusedError(context.retry_state.final_refusal(code, now))
-        if len(context.declined) >= MAX_DECLINED:
-            raise self._declined_error(context)
-
     def _declined_error(self, context: request_context.RequestContext) -> _RequestRefusedError:
         """Return a refusal with the shortest time to return that other VMs stated."""
         soonest = min(context.declined, key=lambda rejection: rejection.retry_after)
@@ -524,6 +501,8 @@
             return False
         if context.taken_from and context.retry_state.reached:
             return False
+        if len(context.declined) >= MAX_DECLINED or _is_crashing(outcome):
+            return False
         if not isinstance(outcome, request_context.Failed) and not outcome.written:
             return True
         return self._state.retries(context.service.name).try_retry(now)
@@ -710,6 +689,14 @@
     return {"through": context.forwarded_to} if context.forwarded_to else {}
 
 
+def _is_crashing(outcome: request_context.Outcome) -> bool:
+    """Return whether another VM declined a request since it crashes upstreams."""
+    return (
+        isinstance(outcome, request_context.Declined)
+        and outcome.rejection.code == "crashing_request"
+    )
+
+
 def _describe(blame: crashes.Blame) -> str:
     parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
     return f"{parts} of the request crashed {servers}, as seen by {', '.join(blame.witnesses)}."
