--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -10,7 +10,10 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 2_000
-"""Time without acknowledgement of sent data after which the connection is closed."""
+"""Time without acknowledgement of sent data after which the connection is closed.
+
+Linux also ends keep-alive by it, whatever `KEEPALIVE_PROBES` is.
+"""
 
 Option = tuple[int, int, int]
 
@@ -30,6 +33,22 @@
         connection.setsockopt(*option)
 
 
+def disable_keepalive(connection: socket.socket) -> None:
+    """Keep `connection` open while its peer is unresponsive; its user has a timeout of its own."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
+
+def enable_probes(connection: socket.socket) -> None:
+    """Let the kernel close `connection` when its peer answers no probes.
+
+    Unlike `enable_keepalive` it does so only then, not when the peer's window stays closed.
+    """
+    for option in TCP_OPTIONS:
+        if option[1] != socket.TCP_USER_TIMEOUT:
+            connection.setsockopt(*option)
+
+
 class UnreadEvents:
     """Tells whether a socket has events that the event loop has not read yet.
 
