--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -47,6 +47,9 @@
     def takes_connections(self, service):
         return not self.cut
 
+    def open_may_hang(self, service):
+        return self.cut
+
 
 class NeverFresh:
     """Replacement of `freshness.Freshness` of a VM whose copies are old."""
