Read, log and tell how many rejections upstreams stand

Cause: upstreams name in their answers the rejections for want of room that they stand in a second; nothing read it, so no VM and no log knew of it.

Change: the header is decoded beside the request limit, recorded per incarnation by the same rules (the latest observation wins, an answer without it ends it only if its request was sent after the last that named it), told with heartbeats and statuses (`rejection_limits`), and logged with `of` = "rejections". Requests are sent as before: nothing is decided by it yet, and callers see no difference.

--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -289,13 +289,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamRequestLimit:
-    """Request limit that an incarnation of an upstream named, or its end.
+    """Limit of requests or of rejections that an incarnation of an upstream named, or its end.
 
     Parameters
     ----------
     per_second
-        Requests per second that the upstream takes from all VMs together; negative if it names no
-        limit any more.
+        Requests per second that the upstream takes from all VMs together, or rejections for want of
+        room that it stands; negative if it names no limit any more.
     age_seconds
         Time since the answer that the sender learnt it from.
     """
@@ -347,6 +347,8 @@
     request_limits
         Limits that upstreams began to name, changed or ended since the previous heartbeat and, at
         times, all that the sender knows.
+    rejection_limits
+        The same of the rejections for want of room that upstreams stand.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -372,6 +374,7 @@
     sound_parts: list[str] = dataclasses.field(default_factory=list)
     blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
     request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
+    rejection_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -400,6 +403,8 @@
         All prompt parts that the sender refuses.
     request_limits
         All request limits of upstreams that the sender knows.
+    rejection_limits
+        All limits of rejections that the sender knows.
     """
 
     serving: bool
@@ -409,6 +414,7 @@
     wanted_versions: list[WantedVersionAge]
     blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
     request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
+    rejection_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -427,6 +427,7 @@
             "upstream_connections_opened": self._connections.opened,
             "upstream_backoffs_total": self._state.backoffs.recorded,
             "upstream_limits_named_total": self._state.request_limits.named,
+            "upstream_rejection_limits_named_total": self._state.rejection_limits.named,
         }
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
         lines += [
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -117,6 +117,7 @@
             sound_parts=vm_state.crashes.take_sound_parts(),
             blamed_parts=vm_state.crashes.take_blamed_parts(refreshes),
             request_limits=vm_state.request_limits.take_unreported(now, refreshes),
+            rejection_limits=vm_state.rejection_limits.take_unreported(now, refreshes),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -261,6 +261,9 @@
         Whether the upstream that responded announces that it leaves.
     request_limit
         Requests per second that the upstream takes from all VMs together, None if it names none.
+    rejection_limit
+        Rejections for want of room per second, of all VMs together, beyond which the upstream
+        fails; None if it names none.
     """
 
     status: int
@@ -274,6 +277,7 @@
     retry_after_anomaly: RetryAfterAnomaly | None = None
     leaving: bool = False
     request_limit: float | None = None
+    rejection_limit: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -129,6 +129,7 @@
   19: optional list<string> sound_parts
   20: optional list<MembershipBlamedParts> blamed_parts
   21: optional list<MembershipUpstreamRequestLimit> request_limits
+  22: optional list<MembershipUpstreamRequestLimit> rejection_limits
 }
 
 struct MembershipStatusRequest {
@@ -143,6 +144,7 @@
   5: optional list<MembershipNamed> wanted_versions
   6: optional list<MembershipBlamedParts> blamed_parts
   7: optional list<MembershipUpstreamRequestLimit> request_limits
+  8: optional list<MembershipUpstreamRequestLimit> rejection_limits
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -61,6 +61,7 @@
                 self._state.departure_counts["reported"] += 1
         self._state.crashes.receive(message.vm.name, message, now)
         self._state.request_limits.receive(message.vm.name, message.request_limits, now)
+        self._state.rejection_limits.receive(message.vm.name, message.rejection_limits, now)
         for unresponsive in message.unresponsive_upstreams:
             upstream = self._state.registry.get(unresponsive)
             if upstream is not None and now - upstream.last_activity_at > RECENT_ACTIVITY_SECONDS:
@@ -77,6 +78,7 @@
         self._record_wanted_versions(message.wanted_versions, now)
         self._state.crashes.adopt(sender, message.blamed_parts, now)
         self._state.request_limits.receive(sender, message.request_limits, now)
+        self._state.rejection_limits.receive(sender, message.rejection_limits, now)
 
     def _record_freshness(self, revisions: list[heartbeat.PrefixRevision], asked_at: float) -> None:
         """Record up to when the copies are complete, as they have all that another VM has."""
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -114,7 +114,12 @@
         self.deployment: deployment.Deployment | None = None
         self.registry = registry.Registry()
         self.backoffs = upstream_backoffs.UpstreamBackoffs(self.registry)
-        self.request_limits = upstream_limits.UpstreamLimits(self.registry)
+        self.request_limits = upstream_limits.UpstreamLimits(
+            self.registry.request_limits, upstream_limits.Kind.REQUESTS
+        )
+        self.rejection_limits = upstream_limits.UpstreamLimits(
+            self.registry.rejection_limits, upstream_limits.Kind.REJECTIONS
+        )
         self.prefix_caches = prefix_caches.PrefixCaches()
         self.wanted_versions = wanted_versions.WantedVersions(max_version_age_seconds)
         self.selector = selection.Selector(self.registry, self.prefix_caches, self.wanted_versions)
@@ -241,6 +246,7 @@
         sender = self.registry.get(head.upstream) if head.upstream else upstream
         if sender is not None:
             self.request_limits.record(sender, head, sent_at, clock.now())
+            self.rejection_limits.record(sender, head, sent_at, clock.now())
         if head.leaving and sender is not None:
             self.record_answered_departure(sender)
 
@@ -405,6 +411,7 @@
         self._retries.resize(self.sharing_vms)
         self.registry.forget_departures(now)
         self.registry.request_limits.forget(now)
+        self.registry.rejection_limits.forget(now)
         for name in self.peers.remove_silent(now):
             self._log.info("silent VM removed", vm=name)
         self._store_changes.tick(now)
@@ -462,6 +469,7 @@
             self.wanted_version_ages(now),
             self.crashes.blamed_parts(),
             self.request_limits.all(now),
+            self.rejection_limits.all(now),
         )
 
     def _age_to_report(self, prefix: str, now: float) -> float:
--- a/hollyring/node/upstream_limits.py
+++ b/hollyring/node/upstream_limits.py
@@ -1,7 +1,9 @@
-"""Recording of the request limits that upstreams name in their answers."""
+"""Recording of the limits that upstreams name in their answers: of requests and of rejections."""
 
 from __future__ import annotations
 
+import enum
+
 from hollyring.core import identities
 from hollyring.membership import heartbeat
 from hollyring.node import interfaces, logs
@@ -11,19 +13,29 @@
 """Rate in messages that tell of the end of a limit."""
 
 
+class Kind(enum.Enum):
+    """What a limit counts: requests, or rejections for want of room."""
+
+    REQUESTS = "requests"
+    REJECTIONS = "rejections"
+
+
 class UpstreamLimits:
-    """Records limits, logs them and tells the other VMs.
+    """Records limits of one kind, logs them and tells the other VMs.
 
     Parameters
     ----------
-    upstreams
-        Registry whose limits are updated.
+    limits
+        Limits of the registry that are updated.
+    kind
+        What is limited, for the log.
     """
 
-    __slots__ = ("_limits", "_unreported", "_named", "_log")
+    __slots__ = ("_limits", "_kind", "_unreported", "_named", "_log")
 
-    def __init__(self, upstreams: registry.Registry) -> None:
-        self._limits = upstreams.request_limits
+    def __init__(self, limits: request_limits.RequestLimits, kind: Kind) -> None:
+        self._limits = limits
+        self._kind = kind
         self._unreported: set[identities.Incarnation] = set()
         self._named = 0
         self._log = logs.Logger("limits")
@@ -41,11 +53,12 @@
         now: float,
     ) -> None:
         """Record what an answer to a request that was sent at `sent_at` says of the limit."""
+        limit = self._named_in(head)
         is_own_answer = head.authentic or (head.not_run and not head.misdirected)
-        if head.request_limit is None and not is_own_answer:
+        if limit is None and not is_own_answer:
             # Answers to other calls than requests need not name a limit that holds.
             return
-        if self._limits.record(upstream.incarnation, head.request_limit, sent_at, now):
+        if self._limits.record(upstream.incarnation, limit, sent_at, now):
             self._unreported.add(upstream.incarnation)
             self._log_change(upstream.incarnation, "answer")
 
@@ -77,6 +90,13 @@
             for upstream, observed in self._limits.observations()
         ]
 
+    def _named_in(self, head: interfaces.ResponseHead) -> float | None:
+        match self._kind:
+            case Kind.REQUESTS:
+                return head.request_limit
+            case Kind.REJECTIONS:
+                return head.rejection_limit
+
     def _log_change(self, upstream: identities.Incarnation, source: str) -> None:
         per_second = self._limits.per_second(upstream)
         self._named += per_second is not None
@@ -84,6 +104,7 @@
             "upstream ended its limit" if per_second is None else "upstream named a limit",
             upstream=upstream.name,
             life=upstream.number,
+            of=self._kind.value,
             per_second=per_second,
             source=source,
         )
--- a/hollyring/platform/tests/test_request_limit.py
+++ b/hollyring/platform/tests/test_request_limit.py
@@ -84,3 +84,10 @@
 def test_answer_without_a_limit_names_none():
     head = http_connection.ResponseHead(200, [(b"x-request-id", b"r-1")])
     assert upstreams.HttpUpstreamCodec().decode_head(head).request_limit is None
+
+
+@pytest.mark.parametrize(("value", "expected"), [(b"3", 3.0), (b" 1.5 ", 1.5), (b"few", 0.0)])
+def test_rejections_that_a_server_stands_are_decoded_apart_from_its_request_limit(value, expected):
+    head = http_connection.ResponseHead(503, [(b"server-brittle", value)])
+    decoded = upstreams.HttpUpstreamCodec().decode_head(head)
+    assert (decoded.rejection_limit, decoded.request_limit) == (expected, None)
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -158,7 +158,8 @@
             retry_after_seconds=retry_after if isinstance(retry_after, float) else 0.0,
             retry_after_anomaly=None if isinstance(retry_after, float) else retry_after,
             leaving=_header_value(head.headers, b"server-leaving").strip() == b"1",
-            request_limit=_decode_request_limit(head),
+            request_limit=_decode_limit(head, b"server-limit"),
+            rejection_limit=_decode_limit(head, b"server-brittle"),
         )
 
     def encode_report_request(self, address: str) -> bytes:
@@ -262,14 +263,14 @@
     return interfaces.RetryAfterAnomaly.MALFORMED
 
 
-def _decode_request_limit(head: http_connection.ResponseHead) -> float | None:
-    """Return the requests per second that a response names as its server's limit, if it does.
+def _decode_limit(head: http_connection.ResponseHead, name: bytes) -> float | None:
+    """Return the number per second that a response names as a limit of its server, if it does.
 
     A limit that cannot be read counts as the lowest one.
     """
-    if b"server-limit" not in [name for name, _ in head.headers]:
+    if name not in [key for key, _ in head.headers]:
         return None
-    value = _header_value(head.headers, b"server-limit").strip()
+    value = _header_value(head.headers, name).strip()
     return float(value) if NON_NEGATIVE_NUMBER.fullmatch(value) else 0.0
 
 
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -271,13 +271,21 @@
 
 
 class Registry:
-    """Registry of upstreams by name, with their backoffs and request limits."""
+    """Registry of upstreams by name, with their backoffs and the limits that they named."""
 
-    __slots__ = ("backoffs", "request_limits", "_upstreams", "_by_service", "_departures")
+    __slots__ = (
+        "backoffs",
+        "request_limits",
+        "rejection_limits",
+        "_upstreams",
+        "_by_service",
+        "_departures",
+    )
 
     def __init__(self) -> None:
         self.backoffs = backoffs.Backoffs()
         self.request_limits = request_limits.RequestLimits()
+        self.rejection_limits = request_limits.RequestLimits()
         self._departures = departures.Departures()
         self._upstreams: dict[str, Upstream] = {}
         self._by_service: dict[str, list[Upstream]] = {}
--- a/hollyring/routing/request_limits.py
+++ b/hollyring/routing/request_limits.py
@@ -1,4 +1,5 @@
-"""Request limits that upstreams in need name: the requests a second that they take from the fleet.
+"""Limits that upstreams in need name: the requests a second that they take from the fleet, and the
+rejections for want of room in a second beyond which they fail.
 
 An upstream names its limit in its answers for as long as it holds, and an answer without one ends
 it. What VMs observed is ordered by the time of observation, so that a limit that has ended is not
@@ -30,7 +31,7 @@
     Parameters
     ----------
     per_second
-        Requests per second that it takes from the whole fleet; None if it named no limit any more.
+        Requests or rejections per second, of the whole fleet; None if it named no limit any more.
     at
         Time of the answer in seconds.
     """
@@ -40,7 +41,7 @@
 
 
 class RequestLimits:
-    """Latest observations by incarnation of the upstream, of those that have named a limit.
+    """Latest observations of one kind of limit, by incarnation of the upstreams that named one.
 
     Examples
     --------
