--- a/hollyring/limits/send_permits.py
+++ b/hollyring/limits/send_permits.py
@@ -1,4 +1,7 @@
-"""Permits to send requests to an upstream that takes only so many a second from the whole fleet.
+"""Permits to send requests to an upstream that limits what it gets from the whole fleet.
+
+It takes only so many requests a second, or it fails if it has to reject too many for want of room
+(`upstream_places`), or both.
 
 One VM issues the permits of an upstream; the others ask it before each request. The load that this
 answers: an upstream in need takes two or three requests a second, a small part of what dozens of
@@ -13,6 +16,7 @@
 import dataclasses
 
 from hollyring.core import identities
+from hollyring.limits import upstream_places
 
 BURST_SECONDS = 0.25
 """Time of the rate that is saved up beyond one permit while nobody asks."""
@@ -37,10 +41,13 @@
         Whether the request may be sent.
     retry_after
         Seconds after which to ask again if not.
+    doubtful
+        Whether the upstream may reject the request for want of room.
     """
 
     granted: bool
     retry_after: float = 0.0
+    doubtful: bool = False
 
 
 GRANTED = Permit(True)
@@ -60,14 +67,17 @@
     --------
     >>> issuer = PermitIssuer()
     >>> upstream = identities.Incarnation("i-1", 1)
-    >>> issuer.issue(upstream, 2.0, now=0.0), issuer.issue(upstream, 2.0, now=0.5)
-    (Permit(granted=False, retry_after=0.5), Permit(granted=True, retry_after=0.0))
+    >>> issuer.issue(upstream, 2.0, now=0.0)
+    Permit(granted=False, retry_after=0.5, doubtful=False)
+    >>> issuer.issue(upstream, 2.0, now=0.5).granted
+    True
     """
 
-    __slots__ = ("_accounts",)
+    __slots__ = ("_accounts", "_places")
 
     def __init__(self) -> None:
         self._accounts: dict[identities.Incarnation, _Account] = {}
+        self._places: dict[identities.Incarnation, upstream_places.Places] = {}
 
     def issue(
         self, upstream: identities.Incarnation, per_second: float, now: float, urgent: bool = False
@@ -91,8 +101,41 @@
         account.denied = min(account.denied + 1.0, per_second * MAX_ORDER_SECONDS)
         return Permit(False, seconds)
 
+    def take_place(
+        self,
+        upstream: identities.Incarnation,
+        place: str,
+        room: upstream_places.Room,
+        seconds: float,
+        now: float,
+    ) -> Permit:
+        """Grant or deny a place for one request of at most `seconds`."""
+        places = self._places.get(upstream)
+        if places is None:
+            places = self._places[upstream] = upstream_places.Places(room, now)
+        match places.take(place, room, seconds, now):
+            case upstream_places.PlaceGranted(doubtful):
+                return Permit(True, doubtful=doubtful)
+            case upstream_places.PlaceDenied(retry_after):
+                return Permit(False, retry_after)
+
+    def end_place(
+        self,
+        upstream: identities.Incarnation,
+        place: str,
+        outcome: upstream_places.Outcome,
+        now: float,
+    ) -> None:
+        """Record what became of the request that took a place."""
+        places = self._places.get(upstream)
+        if places is not None:
+            places.end(place, outcome, now)
+
     def forget(self, now: float) -> None:
         """Forget the upstreams that nobody has asked for lately."""
+        for upstream, places in list(self._places.items()):
+            if now - places.updated_at > UNUSED_SECONDS:
+                del self._places[upstream]
         for upstream, account in list(self._accounts.items()):
             if now - account.updated_at > UNUSED_SECONDS:
                 del self._accounts[upstream]
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -484,28 +484,64 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitRequest:
-    """Request for a permit to send one request to an upstream that named a request limit.
+    """Request for a permit to send one request to an upstream that named a limit.
 
     Parameters
     ----------
     per_second
-        The limit as the sender knows it, for a receiver that does not know it yet.
+        The request limit as the sender knows it, for a receiver that does not know it yet.
     urgent
         Whether the permit may be taken in advance.
+    limited
+        Whether the upstream named a request limit; if not, `per_second` is for earlier builds only.
+    rejections_per_second
+        Rejections for want of room that the upstream stands, as the sender knows it; negative if
+        the request takes no place there.
+    place
+        Name of the place that the request takes, given by the sender.
+    seconds
+        Longest time for which it takes the place.
     """
 
     upstream: str
     life: int
     per_second: float
     urgent: bool = False
+    limited: bool = True
+    rejections_per_second: float = -1.0
+    place: str = ""
+    seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitReply:
-    """Whether a request may be sent; if not, seconds after which to ask again."""
+    """Whether a request may be sent; if not, seconds after which to ask again.
+
+    Parameters
+    ----------
+    doubtful
+        Whether the upstream may reject it for want of room, so that its issuer waits for news.
+    """
 
     granted: bool
     retry_after: float = 0.0
+    doubtful: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceReport:
+    """What became of a request that took a place at an upstream.
+
+    Parameters
+    ----------
+    outcome
+        Value of `hollyring.limits.upstream_places.Outcome`.
+    """
+
+    upstream: str
+    life: int
+    place: str
+    outcome: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -459,6 +459,8 @@
                 return self._store_watcher.copy(message)
             case heartbeat.PermitRequest():
                 return self._permits.answer(message)
+            case heartbeat.PlaceReport():
+                self._permits.receive_report(message)
             case heartbeat.CacheRequest():
                 return self._cache_watcher.contents(message)
             case _:
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -114,6 +114,7 @@
             return await self._run(context, selected)
         finally:
             selected.upstream.record_end(context.request_id, long_response)
+            self._permits.release(context.request_id)
 
     async def _run(
         self, context: request_context.RequestContext, selected: selection.Selection
@@ -126,7 +127,8 @@
             if context.retry_state.retry_safety is request_types.RetrySafety.AT_MOST_ONCE
             else 0.0
         )
-        permit = await self._permits.acquire(upstream)
+        seconds = context.seconds_left
+        permit = await self._permits.acquire(upstream, False, context.request_id, seconds)
         if permit is None:
             return request_context.Withdrawn()
         try:
@@ -210,6 +212,7 @@
         head = self._codec.decode_head(await self._wait_for(context, selected, exchange.head))
         upstream.record_activity(clock.now())
         self._state.observe_head(upstream, head, sent_at)
+        self._permits.record_answer(context.request_id, head)
         if head.misdirected or head.not_run:
             return await self._handle_refusal(context, selected, head, exchange)
         if not head.authentic:
--- a/hollyring/node/heartbeat_messages.py
+++ b/hollyring/node/heartbeat_messages.py
@@ -15,6 +15,7 @@
         heartbeat.Copy,
         heartbeat.PermitRequest,
         heartbeat.PermitReply,
+        heartbeat.PlaceReport,
         heartbeat.CacheRequest,
         heartbeat.CacheContents,
     )
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -181,11 +181,23 @@
   2: optional i64 life
   3: optional double per_second
   4: optional bool urgent
+  5: optional bool limited
+  6: optional double rejections_per_second
+  7: optional string place
+  8: optional double seconds
 }
 
 struct MembershipPermitReply {
   1: optional bool granted
   2: optional double retry_after
+  3: optional bool doubtful
+}
+
+struct MembershipPlaceReport {
+  1: optional string upstream
+  2: optional i64 life
+  3: optional string place
+  4: optional string outcome
 }
 
 struct MembershipCacheRequest {
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -144,6 +144,7 @@
         )
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
+        self.serving_since = clock.now()
         self.accept_all_until = math.inf
         self.shutdown_at = math.inf
         self.store_reached_at = -math.inf
@@ -482,6 +483,7 @@
         served = self.peers.is_serving
         self.peers.update(self.leaving, has_requests, self.requests.rate(now), now)
         if self.peers.is_serving != served:
+            self.serving_since = now
             self._log.info(
                 "selected to serve" if self.peers.is_serving else "no longer selected to serve",
                 serving=len(self.peers.serving),
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -265,10 +265,16 @@
         await self._travel(address)
         vm = self._reachable_vm(address)
         if vm is not None:
-            self._fleet.heartbeats += 1
-            vm.state.receive(message, clock.now())
-            if message.revisions:
-                vm.store_watcher.notice_revisions()
+            self._receive(vm, message)
+
+    def _receive(self, vm, message):
+        if isinstance(message, heartbeat.PlaceReport):
+            vm.permits.receive_report(message)
+            return
+        self._fleet.heartbeats += 1
+        vm.state.receive(message, clock.now())
+        if message.revisions:
+            vm.store_watcher.notice_revisions()
 
     def _reachable_vm(self, address):
         name = address.partition(":")[0]
