Test that the messages of places survive the peer link

PlaceReport and the new fields of PermitRequest and PermitReply were only played as objects by the simulated fleet. A request of an earlier build, which has none of them, takes no place.

--- a/hollyring/node/tests/test_upstream_limits.py
+++ b/hollyring/node/tests/test_upstream_limits.py
@@ -4,7 +4,9 @@
 import functools
 
 import anyio
+import pytest
 
+from hollyring.limits import upstream_places
 from hollyring.membership import heartbeat
 from hollyring.node import clock, heartbeat_messages, wire
 from hollyring.node.tests import simulated_fleet
@@ -47,3 +49,20 @@
     limit = heartbeat.UpstreamRequestLimit("i-1", 1, 3.0, 0.5)
     status = heartbeat.FleetStatus(True, 1, [], [], [], rejection_limits=[limit])
     assert CODEC.decode(CODEC.encode(status))[0] == status
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        heartbeat.PermitRequest("i-1", 1, 0.2, False, False, 3.0, "vm-1/1/1", 2.0),
+        heartbeat.PermitReply(True, 0.0, True),
+        heartbeat.PlaceReport("i-1", 1, "vm-1/1/1", upstream_places.Outcome.REJECTED.value),
+    ],
+)
+def test_messages_of_places_survive_encoding_and_decoding(message):
+    assert CODEC.decode(CODEC.encode(message))[0] == message
+
+
+def test_request_for_a_permit_of_an_earlier_build_takes_no_place():
+    request = heartbeat.PermitRequest("i-1", 1, 2.0)
+    assert (request.limited, request.place, request.rejections_per_second) == (True, "", -1.0)
