--- a/hollyring/delivery/forwarded.py
+++ b/hollyring/delivery/forwarded.py
@@ -66,7 +66,7 @@
     body: bytes
     body_bytes: int
     seconds_left: float
-    service: str
+    service: str = dataclasses.field(metadata={"wire_name": "service_name"})
     organisation: str
     priority: int
     runs_left: int
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -289,13 +289,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamRequestLimit:
-    """Request limit that an incarnation of an upstream named, or its end.
+    """Limit of requests or of rejections that an incarnation of an upstream named, or its end.
 
     Parameters
     ----------
     per_second
-        Requests per second that the upstream takes from all VMs together; negative if it names no
-        limit any more.
+        Requests per second that the upstream takes from all VMs together, or rejections for want of
+        room that it stands; negative if it names no limit any more.
     age_seconds
         Time since the answer that the sender learnt it from.
     """
@@ -351,6 +351,8 @@
         Services whose upstreams take no new connection of the sender.
     accepts_forwarded
         Whether the sender executes requests that other VMs forward.
+    rejection_limits
+        The same of the rejections for want of room that upstreams stand.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -378,6 +380,7 @@
     request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
     unreachable_services: list[str] = dataclasses.field(default_factory=list)
     accepts_forwarded: bool = False
+    rejection_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -408,6 +411,8 @@
         All request limits of upstreams that the sender knows.
     reaching_vms
         Names of some serving VMs that execute forwarded requests and reach all services.
+    rejection_limits
+        All limits of rejections that the sender knows.
     """
 
     serving: bool
@@ -418,6 +423,7 @@
     blamed_parts: list[BlamedParts] = dataclasses.field(default_factory=list)
     request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
     reaching_vms: list[str] = dataclasses.field(default_factory=list)
+    rejection_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -487,28 +493,64 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitRequest:
-    """Request for a permit to send one request to an upstream that named a request limit.
+    """Request for a permit to send one request to an upstream that named a limit.
 
     Parameters
     ----------
     per_second
-        The limit as the sender knows it, for a receiver that does not know it yet.
+        The request limit as the sender knows it, for a receiver that does not know it yet.
     urgent
         Whether the permit may be taken in advance.
+    limited
+        Whether the upstream named a request limit; if not, `per_second` is for earlier builds only.
+    rejections_per_second
+        Rejections for want of room that the upstream stands, as the sender knows it; negative if
+        the request takes no place there.
+    place
+        Name of the place that the request takes, given by the sender.
+    seconds
+        Longest time for which it takes the place.
     """
 
     upstream: str
     life: int
     per_second: float
     urgent: bool = False
+    limited: bool = True
+    rejections_per_second: float = -1.0
+    place: str = ""
+    seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PermitReply:
-    """Whether a request may be sent; if not, seconds after which to ask again."""
+    """Whether a request may be sent; if not, seconds after which to ask again.
+
+    Parameters
+    ----------
+    doubtful
+        Whether the upstream may reject it for want of room, so that its issuer waits for news.
+    """
 
     granted: bool
     retry_after: float = 0.0
+    doubtful: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlaceReport:
+    """What became of a request that took a place at an upstream.
+
+    Parameters
+    ----------
+    outcome
+        Value of `hollyring.limits.upstream_places.Outcome`.
+    """
+
+    upstream: str
+    life: int
+    place: str
+    outcome: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -464,6 +464,7 @@
             "upstream_connections_opened": self._connections.opened,
             "upstream_backoffs_total": self._state.backoffs.recorded,
             "upstream_limits_named_total": self._state.request_limits.named,
+            "upstream_rejection_limits_named_total": self._state.rejection_limits.named,
         }
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
         lines += [
@@ -495,6 +496,8 @@
                 return self._store_watcher.copy(message)
             case heartbeat.PermitRequest():
                 return self._permits.answer(message)
+            case heartbeat.PlaceReport():
+                self._permits.receive_report(message)
             case heartbeat.CacheRequest():
                 return self._cache_watcher.contents(message)
             case _:
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -121,6 +121,7 @@
             return await self._run(context, attempt)
         finally:
             selected.upstream.record_end(context.request_id, long_response)
+            self._permits.release(context.request_id)
 
     async def _run(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
@@ -134,7 +135,8 @@
             if context.retry_state.retry_safety is request_types.RetrySafety.AT_MOST_ONCE
             else 0.0
         )
-        permit = await self._permits.acquire(upstream)
+        seconds = context.seconds_left
+        permit = await self._permits.acquire(upstream, False, context.request_id, seconds)
         if permit is None:
             return request_context.Withdrawn()
         try:
@@ -230,6 +232,7 @@
         head = self._codec.decode_head(await self._wait_for(context, attempt, exchange.head))
         upstream.record_activity(clock.now())
         self._state.observe_head(upstream, head, sent_at)
+        self._permits.record_answer(context.request_id, head)
         if head.misdirected or head.not_run:
             return await self._handle_refusal(context, selected, head, exchange)
         if not head.authentic:
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -119,6 +119,7 @@
             request_limits=vm_state.request_limits.take_unreported(now, refreshes),
             unreachable_services=vm_state.reachability.unreachable_services,
             accepts_forwarded=True,
+            rejection_limits=vm_state.rejection_limits.take_unreported(now, refreshes),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -131,6 +131,7 @@
   21: optional list<MembershipUpstreamRequestLimit> request_limits
   22: optional list<string> unreachable_services
   23: optional bool accepts_forwarded
+  24: optional list<MembershipUpstreamRequestLimit> rejection_limits
 }
 
 struct MembershipStatusRequest {
@@ -146,6 +147,7 @@
   6: optional list<MembershipBlamedParts> blamed_parts
   7: optional list<MembershipUpstreamRequestLimit> request_limits
   8: optional list<string> reaching_vms
+  9: optional list<MembershipUpstreamRequestLimit> rejection_limits
 }
 
 struct MembershipCopyRequest {
@@ -182,11 +184,23 @@
   2: optional i64 life
   3: optional double per_second
   4: optional bool urgent
+  5: optional bool limited
+  6: optional double rejections_per_second
+  7: optional string place
+  8: optional double seconds
 }
 
 struct MembershipPermitReply {
   1: optional bool granted
   2: optional double retry_after
+  3: optional bool doubtful
+}
+
+struct MembershipPlaceReport {
+  1: optional string upstream
+  2: optional i64 life
+  3: optional string place
+  4: optional string outcome
 }
 
 struct MembershipCacheRequest {
@@ -398,7 +412,7 @@
   8: optional binary body
   9: optional i64 body_bytes
   10: optional double seconds_left
-  11: optional string service
+  11: optional string service_name
   12: optional string organisation
   13: optional i64 priority
   14: optional i64 runs_left
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -114,7 +114,12 @@
         self.deployment: deployment.Deployment | None = None
         self.registry = registry.Registry()
         self.backoffs = upstream_backoffs.UpstreamBackoffs(self.registry)
-        self.request_limits = upstream_limits.UpstreamLimits(self.registry)
+        self.request_limits = upstream_limits.UpstreamLimits(
+            self.registry.request_limits, upstream_limits.Kind.REQUESTS
+        )
+        self.rejection_limits = upstream_limits.UpstreamLimits(
+            self.registry.rejection_limits, upstream_limits.Kind.REJECTIONS
+        )
         self.prefix_caches = prefix_caches.PrefixCaches()
         self.wanted_versions = wanted_versions.WantedVersions(max_version_age_seconds)
         self.selector = selection.Selector(self.registry, self.prefix_caches, self.wanted_versions)
@@ -139,6 +144,7 @@
         )
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
+        self.serving_since = clock.now()
         self.accept_all_until = math.inf
         self.shutdown_at = math.inf
         self.store_reached_at = -math.inf
@@ -262,6 +268,7 @@
         sender = self.registry.get(head.upstream) if head.upstream else upstream
         if sender is not None:
             self.request_limits.record(sender, head, sent_at, clock.now())
+            self.rejection_limits.record(sender, head, sent_at, clock.now())
         if head.leaving and sender is not None:
             self.record_answered_departure(sender)
 
@@ -427,6 +434,7 @@
         self._retries.resize(self.sharing_vms)
         self.registry.forget_departures(now)
         self.registry.request_limits.forget(now)
+        self.registry.rejection_limits.forget(now)
         for name in self.peers.remove_silent(now):
             self._log.info("silent VM removed", vm=name)
         self._store_changes.tick(now)
@@ -485,6 +493,7 @@
             self.crashes.blamed_parts(),
             self.request_limits.all(now),
             self._reaching_vms(now),
+            self.rejection_limits.all(now),
         )
 
     def _reaching_vms(self, now: float) -> list[str]:
@@ -503,6 +512,7 @@
         served = self.peers.is_serving
         self.peers.update(self.leaving, has_requests, self.requests.rate(now), now)
         if self.peers.is_serving != served:
+            self.serving_since = now
             self._log.info(
                 "selected to serve" if self.peers.is_serving else "no longer selected to serve",
                 serving=len(self.peers.serving),
