--- a/hollyring/delivery/tests/test_retry.py
+++ b/hollyring/delivery/tests/test_retry.py
@@ -139,3 +139,11 @@
     state.record_failure(NOT_RUN)
     assert not state.reached
     assert state.final_refusal("deadline_not_sent", 9.99).execution is NOT_RUN
+
+
+def test_forward_beside_an_open_attempt_is_not_granted_the_run_of_that_attempt(begun_state):
+    state = begun_state(max_runs=2)
+    assert state.runs_left == 2
+    state.begin_forward()
+    assert state.runs_left == 1
+    assert not state.may_run_elsewhere
