--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -65,15 +65,10 @@
         return self._state.forwarding.choose(context.service.name, context.avoided_vms, clock.now())
 
     async def run(
-        self,
-        context: request_context.RequestContext,
-        target: heartbeat.VmInfo,
-        attempt: open_attempts.OpenAttempt,
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
         """Have a VM make attempts of a request, and send its answer to the caller.
 
-        `RetryState.begin_forward` was called before.
-
         Raises
         ------
         CallerLeftError
@@ -81,24 +76,21 @@
         SupersededError
             If another attempt has taken over the response.
         """
-        context.forwarded_to = target.name
+        target = attempt.target
         self._state.forwarding.record_begin(target.name)
         try:
-            return await self._run(context, target, attempt)
+            return await self._run(context, attempt)
         finally:
             self._state.forwarding.record_end(target.name)
 
     async def _run(
-        self,
-        context: request_context.RequestContext,
-        target: heartbeat.VmInfo,
-        attempt: open_attempts.OpenAttempt,
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
+        target = attempt.target
         try:
             link = await self._links.acquire(target.peer_address)
         except peer_link.LinkLostError as error:
             context.avoided_vms.append(target.name)
-            context.retry_state.record_forward(0)
             return request_context.NotRun(str(error), written=False)
         exchange = _Exchange(link, self._codec, self._state, self._metrics, context, attempt)
         bytes_before = link.sent_bytes + link.received_bytes
@@ -112,14 +104,15 @@
             return request_context.Failed(str(error))
         except peer_link.LinkLostError as error:
             context.avoided_vms.append(target.name)
-            if not exchange.is_written:
-                context.retry_state.record_forward(0)
+            if not attempt.sent:
                 return request_context.NotRun(str(error), written=False)
             context.retry_state.record_forward(max(1, exchange.sends))
             return request_context.Failed(str(error))
         finally:
             carried = link.sent_bytes + link.received_bytes - bytes_before
             self._metrics.increment("forwarded_bytes", carried)
+            if target.failure_domain != self._state.failure_domain:
+                self._metrics.increment("forwarded_bytes_between_failure_domains", carried)
             with anyio.CancelScope(shield=True):
                 if is_whole:
                     await self._links.release(target.peer_address, link)
@@ -139,14 +132,13 @@
         context: request_context.RequestContext,
         attempt: open_attempts.OpenAttempt,
     ) -> None:
-        self._attempt = attempt
         self._link = link
         self._codec = codec
         self._state = vm_state
         self._metrics = counters
         self._context = context
+        self._attempt = attempt
         self.sends = 0
-        self.is_written = False
         self.is_whole = False
 
     async def run(self) -> request_context.Outcome:
@@ -198,7 +190,6 @@
         messages = [message, *(forwarded.ForwardedData(part) for part in parts[1:])]
         for earlier in messages[:-1]:
             await self._send(earlier)
-        self.is_written = True
         self._attempt.sent = True
         await self._send(messages[-1])
 
@@ -241,7 +232,7 @@
         if answer.execution != execution.Execution.NOT_RUN.value:
             return request_context.Failed(f"refused: {answer.code}")
         rejection = refusal.make(code, answer.retry_after)
-        context.avoided_vms.append(context.forwarded_to)
+        context.avoided_vms.append(self._attempt.where)
         context.declined.append(rejection)
         return request_context.Declined(rejection, written=answer.sends > 0)
 
@@ -266,15 +257,14 @@
         headers = forwarded.from_wire(head.headers)
         body = b"".join(parts)
         is_error = head.status >= HTTP_SERVER_ERROR
-        if context.response.started or (
-            is_error and (context.retry_state.may_run_elsewhere or self._attempt.has_others)
-        ):
+        may_be_better = context.retry_state.may_run_elsewhere or self._attempt.has_others
+        if context.response.started or (is_error and may_be_better):
             context.retry_state.record_forward(max(1, self.sends), [head.upstream])
             shown = interfaces.ResponseHead(
                 head.status, headers, True, False, False, head.upstream, 0
             )
             return request_context.Failed(f"status {head.status}", shown, body)
-        self._attempt.take_over()
+        self._take_over()
         context.first_byte_at = clock.now()
         self._metrics.observe("answer", context.first_byte_at - context.arrived_at)
         await context.response.send(head.status, headers, body)
@@ -292,7 +282,7 @@
                     case forwarded.ForwardedData(data=data):
                         events = stream.feed(data)
                         if events:
-                            self._attempt.take_over()
+                            self._take_over()
                             context.events = stream
                             await self._forward_events(head, events)
                     case forwarded.ForwardedEnd():
@@ -304,14 +294,25 @@
                         raise peer_link.LinkLostError(f"unexpected {type(message).__name__}")
             except delivery_errors.StreamOrderError as error:
                 raise _NotAnsweredError(str(error)) from error
-        self._attempt.take_over()
         self.is_whole = True
+        self._take_over()
         if not context.response.started:
             await context.response.start(head.status, forwarded.from_wire(head.headers), b"")
         await context.response.end()
         self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
         return request_context.Done()
 
+    def _take_over(self) -> None:
+        """Let this attempt write the response, and close the others.
+
+        Raises
+        ------
+        SupersededError
+            If another attempt has taken over before.
+        """
+        self._attempt.take_over()
+        self._context.forwarded_to = self._attempt.where
+
     async def _forward_events(self, head: forwarded.ForwardedHead, events: bytes) -> None:
         context = self._context
         if context.response.started:
--- a/hollyring/node/open_attempts.py
+++ b/hollyring/node/open_attempts.py
@@ -15,6 +15,7 @@
 import anyio.abc
 
 from hollyring.delivery import event_stream
+from hollyring.membership import heartbeat
 from hollyring.node import clock, errors, request_context
 from hollyring.routing import selection
 
@@ -22,6 +23,10 @@
 """Interval at which a request whose upstreams are silent looks for another one."""
 
 
+Place = selection.Selection | heartbeat.VmInfo
+"""Where an attempt is made: at an upstream, or at a VM that selects one."""
+
+
 class SupersededError(errors.VmError):
     """Another attempt has taken over the response."""
 
@@ -33,10 +38,8 @@
     ----------
     attempts
         All attempts in progress of the same request.
-    where
-        Name of its upstream, or of the VM that the request is forwarded to.
-    selected
-        Its upstream, None if the request is forwarded.
+    place
+        The upstream that was selected, or the VM that the request is forwarded to.
 
     Attributes
     ----------
@@ -52,24 +55,11 @@
         Whether its upstream has sent nothing for so long that another one may be tried.
     """
 
-    __slots__ = (
-        "_attempts",
-        "_selected",
-        "where",
-        "scope",
-        "outcome",
-        "error",
-        "events",
-        "sent",
-        "silent",
-    )
+    __slots__ = ("_attempts", "place", "scope", "outcome", "error", "events", "sent", "silent")
 
-    def __init__(
-        self, attempts: OpenAttempts, where: str, selected: selection.Selection | None
-    ) -> None:
+    def __init__(self, attempts: OpenAttempts, place: Place) -> None:
         self._attempts = attempts
-        self._selected = selected
-        self.where = where
+        self.place = place
         self.scope = anyio.CancelScope()
         self.outcome: request_context.Outcome | None = None
         self.error: Exception | None = None
@@ -79,27 +69,30 @@
 
     @property
     def selected(self) -> selection.Selection:
-        """The upstream of an attempt that is not forwarded."""
-        assert self._selected is not None
-        return self._selected
+        """The upstream of an attempt that this VM makes."""
+        assert isinstance(self.place, selection.Selection)
+        return self.place
 
     @property
-    def is_forward(self) -> bool:
-        """Whether another VM makes the attempt."""
-        return self._selected is None
+    def target(self) -> heartbeat.VmInfo:
+        """The VM of an attempt that is forwarded."""
+        assert isinstance(self.place, heartbeat.VmInfo)
+        return self.place
+
+    @property
+    def where(self) -> str:
+        """Name of the upstream or VM."""
+        match self.place:
+            case selection.Selection(upstream=upstream):
+                return upstream.name
+            case vm:
+                return vm.name
 
     @property
     def has_others(self) -> bool:
         """Whether another attempt of the request is in progress."""
         return len(self._attempts.open) > 1
 
-    def result(self) -> request_context.Outcome:
-        """Return the outcome of an attempt that has finished, or raise its exception."""
-        if self.error is not None:
-            raise self.error
-        assert self.outcome is not None
-        return self.outcome
-
     def start_soon(self, task: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
         """Run a task beside the attempt, until the request ends at the latest."""
         self._attempts.start_soon(task, *args)
@@ -152,12 +145,11 @@
 
     def start(
         self,
-        where: str,
-        selected: selection.Selection | None,
+        place: Place,
         run: Callable[[OpenAttempt], Awaitable[request_context.Outcome]],
     ) -> None:
-        """Start an attempt; the parameters are those of `OpenAttempt`, and what runs it."""
-        attempt = OpenAttempt(self, where, selected)
+        """Start an attempt at an upstream or through another VM."""
+        attempt = OpenAttempt(self, place)
         self.open.append(attempt)
         self._task_group.start_soon(self._run, attempt, run)
 
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -159,8 +159,8 @@
         ------
         IncompleteResponseError
             If the response was started and cannot be completed.
-        LinkLostError
-            If that VM has gone.
+        CallerLeftError, LinkLostError
+            If that VM gave the request up or has gone.
         """
         arrived_at = clock.now()
         context: request_context.RequestContext | refusal.Refusal
@@ -180,7 +180,11 @@
         except _RequestRefusedError as error:
             self._log_end(context, error.refusal.code)
             await response.refuse(error.refusal)
-        except (peer_link.LinkLostError, anyio.get_cancelled_exc_class()):
+        except (
+            errors.CallerLeftError,
+            peer_link.LinkLostError,
+            anyio.get_cancelled_exc_class(),
+        ):
             self._log_end(context, "caller left")
             raise
 
@@ -270,22 +274,16 @@
             if finished is None:
                 await self._look_elsewhere(context, attempts)
                 continue
-            outcome = finished.result()
-            if isinstance(outcome, request_context.Done):
+            if finished.error is not None:
+                raise finished.error
+            outcome = finished.outcome
+            if outcome is None or isinstance(outcome, request_context.Done):
                 self._log_end(context, "answered")
                 return
-            if isinstance(outcome, request_context.Withdrawn):
-                self._log_withdrawn(context, finished.selected)
-                context.retry_state.withdraw()
-                if not attempts.open:
-                    await self._start_next(context, attempts)
-                continue
-            self._record_failed(context, finished, outcome)
+            self._record_end(context, finished, outcome)
             if attempts.open:
                 continue
-            if isinstance(outcome, request_context.Declined):
-                self._check_declined(context, outcome)
-            if not self._may_retry(context, outcome):
+            if not self._may_go_on(context, outcome):
                 await self._finish_failed(context)
                 return
             await self._start_next(context, attempts)
@@ -309,38 +307,32 @@
         target = self._target(context)
         if target is not None:
             self._start_forward(context, attempts, target)
+        elif self._needs_other_vm(context) and context.declined:
+            raise self._declined_error(context)
         else:
             self._start(context, attempts, self._select(context))
 
     async def _look_elsewhere(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
-        """Start one more attempt beside those that are silent, if another upstream is free.
-
-        Raises
-        ------
-        _RequestRefusedError
-            If the VM that admitted the request can look elsewhere instead.
-        """
+        """Start one more attempt beside those that are silent, if an upstream or VM is free."""
         if not context.retry_state.may_retry(clock.now(), context.response.started):
             return
-        if context.taken_from:
-            refused = context.retry_state.final_refusal("no_upstream", clock.now())
-            raise _RequestRefusedError(refused)
         if not await self._knows_enough(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
             return
         if self._is_blamed(context) or not attempts.all_silent:
             return
         now = clock.now()
-        if self._needs_other_vm(context):
-            target = self._forwards.target(context) if self._forwards is not None else None
-            if target is not None and self._state.retries(context.service.name).try_retry(now):
+        budget = self._state.retries(context.service.name)
+        target = self._target(context)
+        if target is not None:
+            if budget.try_retry(now):
                 self._start_forward(context, attempts, target)
             return
         selected = self._state.selector.select(self._selection_request(context), now)
         if isinstance(selected, selection.NoUpstream):
             return
-        if self._state.retries(context.service.name).try_retry(now):
+        if budget.try_retry(now):
             self._start(context, attempts, selected)
 
     def _start(
@@ -352,10 +344,9 @@
         """Start an attempt at an upstream."""
         if not attempts.open:
             context.selected = selected
-        name = selected.upstream.name
-        context.retry_state.begin(name, selected.upstream.entry.domain)
+        context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
         self._log_sent(context, selected, len(attempts.open))
-        attempts.start(name, selected, functools.partial(self._attempt_runner.run, context))
+        attempts.start(selected, functools.partial(self._attempt_runner.run, context))
 
     def _start_forward(
         self,
@@ -373,24 +364,46 @@
         now = clock.now()
         if self._forwards is None or not context.retry_state.has_time(now):
             raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
-        self._log_forwarded(context, target)
         context.retry_state.begin_forward()
-        attempts.start(target.name, None, functools.partial(self._forwards.run, context, target))
+        self._log_forwarded(context, target, len(attempts.open))
+        attempts.start(target, functools.partial(self._forwards.run, context))
 
-    def _record_failed(
+    def _record_end(
         self,
         context: request_context.RequestContext,
         finished: open_attempts.OpenAttempt,
-        outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
+        outcome: request_context.Unanswered,
     ) -> None:
-        is_unsent = isinstance(outcome, request_context.NotRun) and not outcome.written
-        if is_unsent and not finished.is_forward:
-            context.retry_state.record_unsent()
+        """Record an attempt that ended without an answer to the caller."""
+        if isinstance(outcome, request_context.Withdrawn):
+            self._log_withdrawn(context, finished)
+            context.retry_state.withdraw()
+            return
         context.retry_state.record_failure(outcome.execution_status)
-        if isinstance(outcome, request_context.Failed):
-            context.last_failure = outcome
+        match outcome:
+            case request_context.Failed():
+                context.last_failure = outcome
+            case request_context.NotRun(written=False):
+                context.retry_state.record_unsent()
         self._log_failed(context, finished, outcome)
 
+    def _may_go_on(
+        self, context: request_context.RequestContext, outcome: request_context.Unanswered
+    ) -> bool:
+        """Return whether to start another attempt after the last open one.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If the VMs that were asked declined the request.
+        """
+        match outcome:
+            case request_context.Withdrawn():
+                return True
+            case request_context.Declined():
+                self._check_declined(context, outcome)
+        return self._may_retry(context, outcome)
+
     def _record_superseded(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
@@ -407,21 +420,10 @@
         )
 
     def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
-        """Return the VM to make the next attempts, None for this VM.
-
-        Raises
-        ------
-        _RequestRefusedError
-            If this VM reaches no upstream and no VM is left to ask.
-        """
-        if self._forwards is None or context.taken_from:
+        """Return the VM to make the next attempts, None for this VM."""
+        if self._forwards is None or not self._needs_other_vm(context):
             return None
-        if not self._needs_other_vm(context):
-            return None
-        target = self._forwards.target(context)
-        if target is None and context.declined:
-            raise self._declined_error(context)
-        return target
+        return self._forwards.target(context)
 
     def _needs_other_vm(self, context: request_context.RequestContext) -> bool:
         """Return whether this VM cannot send a request to an upstream.
@@ -429,6 +431,8 @@
         Where open connections live on while new ones are refused, the request that found none open
         is the one that needs another VM.
         """
+        if context.taken_from:
+            return False
         reachability = self._state.reachability
         if reachability.is_cut_off(context.service.name):
             return True
@@ -600,7 +604,7 @@
         )
 
     def _log_forwarded(
-        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo, beside: int
     ) -> None:
         self._metrics.increment("forwarded")
         self._log.info(
@@ -612,6 +616,7 @@
             resume_after=context.events.last_number,
             software=context.software,
             left=round(context.seconds_left, 3),
+            beside=beside,
             waited=round(clock.now() - context.arrived_at, 3),
         )
 
@@ -640,15 +645,16 @@
         )
 
     def _log_withdrawn(
-        self, context: request_context.RequestContext, selected: selection.Selection
+        self, context: request_context.RequestContext, finished: open_attempts.OpenAttempt
     ) -> None:
+        upstream = finished.selected.upstream
         self._metrics.increment("tries_withdrawn")
         self._log.info(
             "try withdrawn",
             request=context.request_id,
-            upstream=selected.upstream.name,
-            leaving=selected.upstream.leaving,
-            limit=self._state.registry.request_limits.per_second(selected.upstream.incarnation),
+            upstream=upstream.name,
+            leaving=upstream.leaving,
+            limit=self._state.registry.request_limits.per_second(upstream.incarnation),
         )
 
     def _log_failed(
@@ -684,8 +690,6 @@
             route=context.route.name,
             organisation=context.organisation.name if context.organisation else "",
             upstream=context.selected.upstream.name if context.selected else "",
-            through=context.forwarded_to,
-            admitted_by=context.taken_from,
             first=(
                 round(context.first_byte_at - context.arrived_at, 4)
                 if context.first_byte_at
@@ -695,9 +699,17 @@
             sends=context.retry_state.sends,
             reached=context.retry_state.reached,
             configuration=self._state.configuration_version,
+            **_other_vm(context),
         )
 
 
+def _other_vm(context: request_context.RequestContext) -> dict[str, str]:
+    """Return the log fields that name the VM which executed or admitted the request."""
+    if context.taken_from:
+        return {"admitted_by": context.taken_from}
+    return {"through": context.forwarded_to} if context.forwarded_to else {}
+
+
 def _describe(blame: crashes.Blame) -> str:
     parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
     return f"{parts} of the request crashed {servers}, as seen by {', '.join(blame.witnesses)}."
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -93,7 +93,10 @@
     """Attempt whose response was sent to the caller completely."""
 
 
-Outcome = Done | Failed | NotRun | Declined | Withdrawn
+Unanswered = Failed | NotRun | Declined | Withdrawn
+"""Outcomes after which the caller still waits for an answer."""
+
+Outcome = Done | Unanswered
 
 
 @dataclasses.dataclass(slots=True)
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -1,9 +1,11 @@
 """Tests of the promises that hold for a request whose attempts another VM makes."""
 
 import contextlib
+import dataclasses
 import itertools
 
 import anyio
+import eliot
 import pytest
 
 from hollyring.core import identities, request_types
@@ -24,6 +26,7 @@
 )
 from hollyring.platform import upstreams
 from hollyring.platform.tests import conftest, test_relay
+from hollyring.routing import reachability
 
 AT_MOST_ONCE = request_types.RetrySafety.AT_MOST_ONCE
 IDEMPOTENT = request_types.RetrySafety.IDEMPOTENT
@@ -31,10 +34,11 @@
 TIMEOUT_SECONDS = 5.0
 
 
-class ScriptedReachability:
-    """Replacement of `reachability.Reachability`."""
+class ScriptedReachability(reachability.Reachability):
+    """Reachability of which a test says whether the VM is cut off."""
 
-    def __init__(self):
+    def __init__(self, upstreams):
+        super().__init__(upstreams, "vm")
         self.cut = False
 
     def is_cut_off(self, service):
@@ -76,7 +80,7 @@
 
     def __init__(self, name, servers, checker=None, **route):
         super().__init__(servers, checker, **route)
-        self.state.reachability = ScriptedReachability()
+        self.state.reachability = ScriptedReachability(self.state.registry)
         self.state.forwarding = ScriptedTargets()
         self.codec = wire.Codec(heartbeat_messages.MESSAGES | forwarded_messages.MESSAGES)
         self.peers = peers.PeerConnections(
@@ -473,6 +477,20 @@
     assert fleet.requests == []
 
 
+@pytest.mark.anyio
+async def test_request_that_lay_unread_until_it_was_given_up_is_not_sent_on(start_fleet):
+    fleet = await start_fleet("complete")
+    await fleet.cut.send_request("r-0")
+    vm = fleet.executing[0]
+    links = [await fleet.cut.links.acquire(vm.info.peer_address) for _ in range(5)]
+    for link in links:
+        await link.send(vm.messages[0])
+        await link.close()
+    await anyio.sleep(0.2)
+    assert len(fleet.requests) == 1
+    assert vm.server.open_requests == 0
+
+
 @pytest.mark.anyio
 async def test_stream_goes_on_at_another_vm_after_the_executing_one_is_killed(start_fleet):
     fleet = await start_fleet("complete", count=2, streaming=True, retry_safety=RESUMABLE)
@@ -623,3 +641,48 @@
         patched.setattr(vm.relay, "serve_taken", None)
         assert (await fleet.cut.send_request("r-1")).status == 502
     assert (await fleet.cut.send_request("r-2")).status == 200
+
+
+@pytest.mark.anyio
+async def test_both_vms_log_and_count_a_forwarded_request(start_fleet):
+    fleet = await start_fleet("complete")
+    lines = []
+    eliot.add_destinations(lines.append)
+    try:
+        await fleet.cut.send_request("r-77")
+        await anyio.sleep(0.05)
+    finally:
+        eliot.remove_destination(lines.append)
+    of_request = [line for line in lines if line.get("request") == "r-77"]
+    assert [line["text"] for line in of_request if "ended" not in line["text"]] == [
+        "request: forwarded",
+        "request: taken from another VM",
+        "request: sent",
+    ]
+    ends = [line for line in of_request if line["text"] == "request: ended"]
+    assert {line.get("through") for line in ends} == {"vm-0", None}
+    assert {line.get("admitted_by") for line in ends} == {"vm-cut", None}
+    assert "hollyring_forwarded_total 1\n" in fleet.cut.metrics.render()
+    assert "hollyring_taken_total 1\n" in fleet.executing[0].metrics.render()
+    counters = fleet.cut.metrics.dump()["counters"]
+    assert counters["forwarded_bytes"] > 100
+    assert "forwarded_bytes_between_failure_domains" not in counters
+
+
+@pytest.mark.anyio
+async def test_bytes_that_leave_the_failure_domain_are_counted(start_fleet):
+    fleet = await start_fleet("complete")
+    [info] = fleet.cut.state.forwarding.vms
+    fleet.cut.state.forwarding.vms = [dataclasses.replace(info, failure_domain="dar-b")]
+    await fleet.cut.send_request()
+    counters = fleet.cut.metrics.dump()["counters"]
+    far_bytes = counters["forwarded_bytes_between_failure_domains"]
+    assert far_bytes == counters["forwarded_bytes"] > 100
+
+
+@pytest.mark.anyio
+async def test_bytes_that_a_vm_carried_for_others_are_counted_after_each_request(start_fleet):
+    fleet = await start_fleet("complete")
+    await fleet.cut.send_request()
+    await anyio.sleep(0.05)
+    assert fleet.executing[0].metrics.dump()["counters"]["taken_bytes"] > 100
