--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -132,13 +132,12 @@
         try:
             with anyio.fail_after(max(0.0, context.seconds_left)):
                 max_connections = self._state.max_connections(context.service)
-                connection = await self._pool.acquire(
-                    address,
-                    max_connections,
-                    min_keep_alive_seconds,
-                    context.request_id,
-                    new=self._needs_new_connection(context),
-                )
+                if self._needs_new_connection(context):
+                    connection = await self._pool.acquire_new(address, max_connections)
+                else:
+                    connection = await self._pool.acquire(
+                        address, max_connections, min_keep_alive_seconds, context.request_id
+                    )
         except http_connection.TooManyConnectionsError as error:
             return request_context.NotRun(str(error), written=False)
         except http_connection.NotSentError as error:
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -88,7 +88,6 @@
         max_connections: int,
         min_keep_alive_seconds: float = 0.0,
         request_id: str = "",
-        new: bool = False,
     ) -> http_connection.HttpConnection:
         """Return an idle connection to `address` that has carried no call, or a new one.
 
@@ -100,18 +99,28 @@
             Remaining keep-alive time that an idle connection must have, in seconds.
         request_id
             Identity of a request that the connection must not have carried before.
-        new
-            Whether an idle connection will not do.
 
         Raises
         ------
         http_connection.NotSentError
             If no connection is available.
         """
-        idle = [] if new else self._idle.get(address, [])
+        idle = self._idle.get(address, [])
         connection = _take(idle, min_keep_alive_seconds, request_id)
         if connection is not None:
             return connection
+        return await self.acquire_new(address, max_connections)
+
+    async def acquire_new(
+        self, address: str, max_connections: int
+    ) -> http_connection.HttpConnection:
+        """Return a new connection to `address`, of which at most `max_connections` are open.
+
+        Raises
+        ------
+        http_connection.NotSentError
+            If no connection is available.
+        """
         if self._open[address] >= max_connections:
             raise http_connection.TooManyConnectionsError("too many connections")
         return await self._connect(address)
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -223,7 +223,7 @@
         assert not pool.has_idle(upstream.address)
         await fetch(pool, upstream.address)
         assert pool.has_idle(upstream.address)
-        connection = await pool.acquire(upstream.address, 10, new=True)
+        connection = await pool.acquire_new(upstream.address, 10)
         assert upstream.connections == pool.opened == 2
         assert pool.has_idle(upstream.address)
         connection.abort()
