--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -76,6 +76,8 @@
     OnlySoftware(software='v1')
     >>> origins.continuation("r-1", "chat", {"v1", "v2"}, now=40.0)
     NotResumable(reason='unknown origin')
+    >>> origins.continuation("r-1", "chat", {"v2"}, now=40.0)
+    OnlySoftware(software='v2')
     """
 
     __slots__ = ("_records", "_own", "_unreported")
@@ -98,7 +100,7 @@
             _append(self._records, request_id, record)
 
     def continuation(
-        self, request_id: str, service: str, recent_software: Collection[str], now: float
+        self, request_id: str, service: str, recent_software: Collection[str] | None, now: float
     ) -> Continuation:
         """Return where a stream may be continued.
 
@@ -109,7 +111,8 @@
         service
             Service that the stream is to be continued at.
         recent_software
-            Software versions that upstreams of the service have had within `ORIGIN_TTL_SECONDS`.
+            Software versions that upstreams of the service have had within `ORIGIN_TTL_SECONDS`,
+            None if there may have been others than those known.
         now
             Monotonic seconds.
         """
@@ -118,9 +121,14 @@
             if record.origin.service != service:
                 return NotResumable("began at another service")
             return OnlySoftware(record.origin.software)
+        if recent_software is None:
+            return NotResumable("unknown origin, earlier software versions not known yet")
         if len(recent_software) > 1:
             return NotResumable("unknown origin")
-        return AnySoftware()
+        if not recent_software:
+            return AnySoftware()
+        (software,) = recent_software
+        return OnlySoftware(software)
 
     def report_again(self) -> None:
         """Report all streams that began at this VM once more, as another VM has started."""
--- a/hollyring/node/forward_server.py
+++ b/hollyring/node/forward_server.py
@@ -10,6 +10,7 @@
 from hollyring.limits import taken_room
 from hollyring.node import (
     clock,
+    errors,
     logs,
     metrics,
     peer_link,
@@ -82,7 +83,6 @@
         except (peer_link.LinkLostError, TimeoutError):
             return
         finally:
-            self._metrics.increment("taken_bytes", link.sent_bytes + link.received_bytes)
             await link.close()
 
     async def _execute(self, link: peer_link.Link, message: forwarded.ForwardedRequest) -> None:
@@ -107,10 +107,13 @@
             )
             await response.refuse(refusal.make("overloaded", retry_after))
             return
+        bytes_before = link.sent_bytes
         try:
             await self._run(link, message, body, response)
         finally:
             self._room.end(clock.now())
+            carried = len(body) + link.sent_bytes - bytes_before
+            self._metrics.increment("taken_bytes", carried)
 
     async def _run(
         self,
@@ -153,7 +156,7 @@
         except responses.IncompleteResponseError as error:
             with contextlib.suppress(peer_link.LinkLostError):
                 await response.break_off(str(error))
-        except peer_link.LinkLostError:
+        except (errors.CallerLeftError, peer_link.LinkLostError):
             return
         except Exception:
             self._log.exception("request of another VM failed", request=message.request_id)
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -9,6 +9,9 @@
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
+SLOW_KEEPALIVE_PROBES = 4
+"""Probes after which an idle connection to an upstream is closed, 5 s after its last byte."""
+
 USER_TIMEOUT_MS = 2_000
 """Time without acknowledgement of sent data after which the connection is closed.
 
@@ -33,10 +36,26 @@
         connection.setsockopt(*option)
 
 
-def disable_keepalive(connection: socket.socket) -> None:
-    """Keep `connection` open while its peer is unresponsive; its user has a timeout of its own."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 0)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+def enable_slow_keepalive(connection: socket.socket) -> None:
+    """Let the kernel close an idle `connection` once its peer is silent for longer than a pause.
+
+    A request may be sent on the connection at the end of that time, which has to be longer than the
+    silences after which a peer goes on.
+    """
+    enable_keepalive(connection)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SLOW_KEEPALIVE_PROBES)
+    set_user_timeout(connection, False)
+
+
+def set_user_timeout(connection: socket.socket, on: bool) -> None:
+    """Let `USER_TIMEOUT_MS` decide when the kernel gives up the peer, or no longer."""
+    milliseconds = USER_TIMEOUT_MS if on else 0
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def set_keepalive(connection: socket.socket, on: bool) -> None:
+    """Send probes to the peer while `connection` is silent, or no longer."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(on))
 
 
 def enable_probes(connection: socket.socket) -> None:
