--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -259,6 +259,7 @@
         """
         upstream = attempt.selected.upstream
         deadline = context.retry_state.deadline
+        attempt.begin_wait()
         since = clock.now()
         end = since + self._patience_seconds(context, attempt.selected)
         probed = False
@@ -267,7 +268,7 @@
             until = deadline if attempt.silent else min(check_at, deadline)
             with anyio.move_on_after(max(0.0, until - clock.now())):
                 part = await call()
-                attempt.silent = False
+                attempt.end_wait()
                 return part
             now = clock.now()
             if not attempt.silent and upstream.last_activity_at > since:
@@ -290,13 +291,15 @@
     ) -> None:
         """Mark a silent upstream unresponsive if it accepts no connection.
 
+        What it sends meanwhile shows that it is not silent.
         No other request is sent on its idle connections, where it could not be taken back.
         One in backoff counts as alive: a connection may occupy one of its slots.
         """
         upstream = attempt.selected.upstream
+        wait = attempt.wait
         if self._state.backoffs.is_active(upstream):
             return
-        if await self._pool.can_connect(upstream.entry.address):
+        if await self._pool.can_connect(upstream.entry.address) or attempt.wait != wait:
             return
         self._state.mark_unresponsive(upstream, "silent and takes no connection")
         self._pool.close_idle(upstream.entry.address)
--- a/hollyring/node/open_attempts.py
+++ b/hollyring/node/open_attempts.py
@@ -53,9 +53,21 @@
         Whether the request may have been written.
     silent
         Whether its upstream has sent nothing for so long that another one may be tried.
+    wait
+        Number of the wait for the next part of the response; another one while none is awaited.
     """
 
-    __slots__ = ("_attempts", "place", "scope", "outcome", "error", "events", "sent", "silent")
+    __slots__ = (
+        "_attempts",
+        "place",
+        "scope",
+        "outcome",
+        "error",
+        "events",
+        "sent",
+        "silent",
+        "wait",
+    )
 
     def __init__(self, attempts: OpenAttempts, place: Place) -> None:
         self._attempts = attempts
@@ -66,6 +78,7 @@
         self.events: event_stream.EventStream | None = None
         self.sent = False
         self.silent = False
+        self.wait = 0
 
     @property
     def selected(self) -> selection.Selection:
@@ -97,6 +110,15 @@
         """Run a task beside the attempt, until the request ends at the latest."""
         self._attempts.start_soon(task, *args)
 
+    def begin_wait(self) -> None:
+        """Record that the next part of the response is awaited."""
+        self.wait += 1
+
+    def end_wait(self) -> None:
+        """Record that the awaited part has arrived, so that the upstream is not silent."""
+        self.wait += 1
+        self.silent = False
+
     def record_silence(self) -> None:
         """Record that the upstream has sent nothing for so long that another one may be tried."""
         self.silent = True
--- a/hollyring/platform/tests/test_silent_servers.py
+++ b/hollyring/platform/tests/test_silent_servers.py
@@ -251,3 +251,39 @@
         group.start_soon(vm.send_request, "r-5")
         await anyio.sleep(0.6)
         assert vm.pool.open_connections(server.address) == 1
+
+
+@pytest.mark.anyio
+async def test_probe_that_fails_after_the_server_went_on_replaces_it_by_no_other(
+    start_vm, monkeypatch
+):
+    first, second = PausingServer("i-0", 0.5), PausingServer("i-1")
+    vm = await start_vm(first, second, **RESUMABLE)
+
+    async def connect_late(pool, address):
+        while len(first.events_at) < first.pause_after + 2:
+            await anyio.sleep(0.001)
+        return False
+
+    monkeypatch.setattr(connection_pool.ConnectionPool, "can_connect", connect_late)
+    caller = await vm.send_request()
+    assert (caller.status, caller.body) == (200, WHOLE)
+    assert not vm.state.registry.get("i-0").is_suspect(clock.now())
+    assert vm.state.unresponsive_upstreams == []
+    assert second.requests == []
+
+
+@pytest.mark.anyio
+async def test_servers_failure_is_the_answer_also_if_another_attempt_breaks_off_later(start_vm):
+    first = PausingServer("i-0", 0.6, behaviour="silent")
+    second = PausingServer("i-1", behaviour="error")
+    vm = await start_vm(first, second, **IDEMPOTENT)
+
+    async def break_off():
+        await anyio.sleep(0.8)
+        first.crash()
+
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(break_off)
+        caller = await vm.send_request()
+    assert (caller.status, caller.body) == (500, b"failed")
