Hold permits for each attempt of a request, not for the request

Found by the reviewer: two open attempts of a request shared one place in the accounts of upstreams that stand few rejections, so that the end of one gave back the place of the other. No test shows it.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -121,7 +121,7 @@
             return await self._run(context, attempt)
         finally:
             selected.upstream.record_end(context.request_id, long_response)
-            self._permits.release(context.request_id)
+            self._permits.release(_permit_holder(context, selected))
 
     async def _run(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
@@ -135,8 +135,9 @@
             if context.retry_state.retry_safety is request_types.RetrySafety.AT_MOST_ONCE
             else 0.0
         )
+        holder = _permit_holder(context, selected)
         seconds = context.seconds_left
-        permit = await self._permits.acquire(upstream, False, context.request_id, seconds)
+        permit = await self._permits.acquire(upstream, False, holder, seconds)
         if permit is None:
             return request_context.Withdrawn()
         try:
@@ -231,7 +232,7 @@
         head = self._codec.decode_head(await self._wait_for(context, attempt, exchange.head))
         upstream.record_activity(clock.now())
         self._state.observe_head(upstream, head, sent_at)
-        self._permits.record_answer(context.request_id, head)
+        self._permits.record_answer(_permit_holder(context, selected), head)
         if head.misdirected or head.not_run:
             return await self._handle_refusal(context, selected, head, exchange)
         if not head.authentic:
@@ -438,6 +439,11 @@
         await context.response.start(head.status, head.headers, events)
 
 
+def _permit_holder(context: request_context.RequestContext, selected: selection.Selection) -> str:
+    """Return who holds a permit: an attempt, as several attempts of a request may be open."""
+    return f"{context.request_id} {selected.upstream.name}"
+
+
 def _take_over(context: request_context.RequestContext, attempt: open_attempts.OpenAttempt) -> None:
     """Let an attempt write the response, and close the others.
 
