Let the executing VM look for another upstream beside a silent one, and count that run

It may use the runs that the message grants; a forward that breaks off counts as many runs as the executing VM has sent.

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -174,11 +174,16 @@
         self._sends += 1
         self._in_progress += 1
 
-    def record_forward(self, sends: int, upstreams: Iterable[str] = ()) -> None:
+    def record_forward(
+        self, sends: int, upstreams: Iterable[str] = (), may_have_run: bool = False
+    ) -> None:
         """Record how often another VM sent the request, and the upstreams that it tried.
 
-        It follows `begin_forward`; whether the request ran is for `record_failure` to say.
+        It follows `begin_forward`; `record_failure` counts one run, and each further send may have
+        been another, at a second upstream that was tried while the first was silent.
         """
+        if may_have_run:
+            self._runs += max(0, sends - 1)
         self._tried_elsewhere |= frozenset(upstreams)
         if not sends:
             self.record_unsent()
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -100,13 +100,13 @@
             is_whole = exchange.is_whole
             return outcome
         except _NotAnsweredError as error:
-            context.retry_state.record_forward(max(1, exchange.sends))
+            context.retry_state.record_forward(max(1, exchange.sends), may_have_run=True)
             return request_context.Failed(str(error))
         except peer_link.LinkLostError as error:
             context.avoided_vms.append(target.name)
             if not attempt.sent:
                 return request_context.NotRun(str(error), written=False)
-            context.retry_state.record_forward(max(1, exchange.sends))
+            context.retry_state.record_forward(max(1, exchange.sends), may_have_run=True)
             return request_context.Failed(str(error))
         finally:
             carried = link.sent_bytes + link.received_bytes - bytes_before
@@ -226,10 +226,11 @@
 
     def _refused(self, answer: forwarded.ForwardedRefusal) -> request_context.Outcome:
         context = self._context
-        context.retry_state.record_forward(answer.sends, answer.upstreams)
+        may_have_run = answer.execution != execution.Execution.NOT_RUN.value
+        context.retry_state.record_forward(answer.sends, answer.upstreams, may_have_run)
         is_known = answer.code in refusal.KINDS
         code = answer.code if is_known else "no_upstream"
-        if answer.execution != execution.Execution.NOT_RUN.value:
+        if may_have_run:
             return request_context.Failed(f"refused: {answer.code}")
         rejection = refusal.make(code, answer.retry_after)
         context.avoided_vms.append(self._attempt.where)
@@ -259,7 +260,7 @@
         is_error = head.status >= HTTP_SERVER_ERROR
         may_be_better = context.retry_state.may_run_elsewhere or self._attempt.has_others
         if context.response.started or (is_error and may_be_better):
-            context.retry_state.record_forward(max(1, self.sends), [head.upstream])
+            context.retry_state.record_forward(max(1, self.sends), [head.upstream], True)
             shown = interfaces.ResponseHead(
                 head.status, headers, True, False, False, head.upstream, 0
             )
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -318,12 +318,7 @@
     async def _look_elsewhere(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
-        """Start one more attempt beside those that are silent, if an upstream or VM is free.
-
-        Whether another upstream may run a request is for the VM to say that admitted it.
-        """
-        if context.taken_from:
-            return
+        """Start one more attempt beside those that are silent, if an upstream or VM is free."""
         if not context.retry_state.may_retry(clock.now(), context.response.started):
             return
         if not await self._knows_enough(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
