--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -384,6 +384,8 @@
             return
         context.retry_state.record_failure(outcome.execution_status)
         match outcome:
+            case request_context.Failed(head=None) if context.last_failure is not None:
+                pass
             case request_context.Failed():
                 context.last_failure = outcome
             case request_context.NotRun(written=False):
