Log the end of a request once, with the status that its caller got

Change: the end is logged once a request, as "answered" if its response had ended when the cancellation came; refusals and upstreams' failures are logged after they are sent.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -11,7 +11,6 @@
 from hollyring.configuration import deployment
 from hollyring.core import execution, request_types
 from hollyring.delivery import event_stream, forwarded, refusal, retry, stream_origins
-from hollyring.limits import fleet_window
 from hollyring.membership import heartbeat
 from hollyring.node import (
     attempt,
@@ -20,11 +19,11 @@
     errors,
     forward_client,
     interfaces,
-    logs,
     metrics,
     open_attempts,
     peer_link,
     request_context,
+    request_log,
     responses,
     send_permits,
     state,
@@ -112,7 +111,7 @@
         self._checker = checker
         self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters, permits)
         self._metrics = counters
-        self._log = logs.Logger("request")
+        self._log = request_log.RequestLog(vm_state, counters)
 
     async def serve(
         self, request: request_types.Request, response: responses.ResponseWriter
@@ -134,16 +133,15 @@
         else:
             admitted = refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
         if isinstance(admitted, refusal.Refusal):
-            self._log_refused(request, admitted, arrived_at)
+            self._log.refused(request, admitted, arrived_at)
             await response.refuse(admitted)
             return
         try:
             await self._run_attempts(admitted)
         except _RequestRefusedError as error:
-            self._log_end(admitted, error.refusal.code)
-            await response.refuse(error.refusal)
+            await self._refuse(admitted, error.refusal)
         except (errors.CallerLeftError, anyio.get_cancelled_exc_class()):
-            self._log_end(admitted, "caller left")
+            self._log_cancelled(admitted)
             raise
 
     async def serve_taken(
@@ -171,23 +169,35 @@
         else:
             context = refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
         if isinstance(context, refusal.Refusal):
-            self._log_declined(message.request_id, sender, context)
+            self._log.declined(message.request_id, sender, context)
             await response.refuse(context)
             return
-        self._log_taken(context)
+        self._log.taken(context)
         try:
             await self._run_attempts(context)
         except _RequestRefusedError as error:
-            self._log_end(context, error.refusal.code)
-            await response.refuse(error.refusal)
+            await self._refuse(context, error.refusal)
         except (
             errors.CallerLeftError,
             peer_link.LinkLostError,
             anyio.get_cancelled_exc_class(),
         ):
-            self._log_end(context, "caller left")
+            self._log_cancelled(context)
             raise
 
+    async def _refuse(
+        self, context: request_context.RequestContext, rejection: refusal.Refusal
+    ) -> None:
+        """Refuse an admitted request, and log its end with the status that its caller got."""
+        try:
+            await context.response.refuse(rejection)
+        finally:
+            self._log.ended(context, rejection.code)
+
+    def _log_cancelled(self, context: request_context.RequestContext) -> None:
+        """Log the end of a request that was cancelled, perhaps after its response was complete."""
+        self._log.ended(context, "answered" if context.response.ended else "caller left")
+
     async def _knows_enough(self, until: float) -> bool:
         """Return whether this VM may decide requests, once its copies of the store are recent."""
         now = clock.now()
@@ -226,7 +236,7 @@
         if organisation is not None:
             exceeded = self._state.admit(organisation, request.prompt, arrived_at)
             if exceeded is not None:
-                self._log_rate_exceeded(request, organisation, exceeded, arrived_at)
+                self._log.rate_exceeded(request, organisation, exceeded, arrived_at)
                 return refusal.make("rate_limited", exceeded.retry_after)
         service = current.services.get(route.service_for(request.first_request_id))
         if service is None:
@@ -278,7 +288,7 @@
                 raise finished.error
             outcome = finished.outcome
             if outcome is None or isinstance(outcome, request_context.Done):
-                self._log_end(context, "answered")
+                self._log.ended(context, "answered")
                 return
             self._record_end(context, finished, outcome)
             if attempts.open:
@@ -348,7 +358,7 @@
         if not attempts.open:
             context.selected = selected
         context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
-        self._log_sent(context, selected, len(attempts.open))
+        self._log.sent(context, selected, len(attempts.open))
         attempts.start(selected, functools.partial(self._attempt_runner.run, context))
 
     def _start_forward(
@@ -368,7 +378,7 @@
         if self._forwards is None or not context.retry_state.has_time(now):
             raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
         context.retry_state.begin_forward()
-        self._log_forwarded(context, target, len(attempts.open))
+        self._log.forwarded(context, target, len(attempts.open))
         attempts.start(target, functools.partial(self._forwards.run, context))
 
     def _record_end(
@@ -379,7 +389,7 @@
     ) -> None:
         """Record an attempt that ended without an answer to the caller."""
         if isinstance(outcome, request_context.Withdrawn):
-            self._log_withdrawn(context, finished)
+            self._log.withdrawn(context, finished)
             context.retry_state.withdraw()
             return
         context.retry_state.record_failure(outcome.execution_status)
@@ -390,7 +400,7 @@
                 context.last_failure = outcome
             case request_context.NotRun(written=False):
                 context.retry_state.record_unsent()
-        self._log_failed(context, finished, outcome)
+        self._log.failed(context, finished, outcome)
 
     def _may_go_on(
         self, context: request_context.RequestContext, outcome: request_context.Unanswered
@@ -406,14 +416,7 @@
         """Record an attempt that is closed since another one has taken over."""
         ran = execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
         context.retry_state.record_failure(ran)
-        self._metrics.increment("tries_superseded")
-        self._log.info(
-            "try superseded",
-            request=context.request_id,
-            upstream=attempt.where,
-            silent=attempt.silent,
-            sends=context.retry_state.sends,
-        )
+        self._log.superseded(context, attempt)
 
     def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
         """Return the VM to make the next attempts, None for this VM."""
@@ -513,8 +516,8 @@
         """Send the final response after the last attempt."""
         last = context.last_failure
         if last is not None and last.head is not None and not context.response.started:
-            self._log_end(context, "upstream's failure")
             await context.response.send(last.head.status, last.head.headers, last.body)
+            self._log.ended(context, "upstream's failure")
             return
         now = clock.now()
         if not context.retry_state.has_time(now):
@@ -528,168 +531,6 @@
             )
         raise _RequestRefusedError(context.retry_state.final_refusal("no_upstream", now))
 
-    def _log_refused(
-        self, request: request_types.Request, rejection: refusal.Refusal, arrived_at: float
-    ) -> None:
-        self._metrics.increment(f"refused_{rejection.code}")
-        self._log.info(
-            "refused",
-            request=request.request_id,
-            code=rejection.code,
-            why=rejection.message,
-            retry_after=round(rejection.retry_after, 3),
-            configuration=self._state.configuration_version,
-            copies_age=round(self._state.freshness.age(arrived_at), 3),
-        )
-
-    def _log_rate_exceeded(
-        self,
-        request: request_types.Request,
-        organisation: deployment.Organisation,
-        exceeded: fleet_window.RateExceeded,
-        now: float,
-    ) -> None:
-        self._log.info(
-            "rate exceeded",
-            request=request.request_id,
-            organisation=organisation.name,
-            cost=exceeded.cost,
-            used=round(exceeded.used),
-            unreported=round(exceeded.unreported),
-            allowed=round(exceeded.allowed),
-            rate=organisation.rate,
-            known=exceeded.known,
-            reachable=round(self._state.peers.reachable_fraction(now), 3),
-        )
-
-    def _log_sent(
-        self, context: request_context.RequestContext, selected: selection.Selection, beside: int
-    ) -> None:
-        self._log.info(
-            "sent",
-            request=context.request_id,
-            upstream=selected.upstream.name,
-            configuration=self._state.configuration_version,
-            copies_age=round(self._state.freshness.age(clock.now()), 3),
-            version=selected.version,
-            software=selected.upstream.entry.software,
-            resume_after=context.events.last_number,
-            unread=selected.prefill_tokens,
-            fetched=selected.fetched_tokens,
-            likely=context.request.prompt.expected_output_tokens if context.request.prompt else 0,
-            expected=round(selected.expected_seconds, 4),
-            left=round(context.seconds_left, 3),
-            beside=beside,
-            waited=round(clock.now() - context.arrived_at, 3),
-            active_ago=state.seconds_since(clock.now(), selected.upstream.last_activity_at),
-        )
-
-    def _log_forwarded(
-        self, context: request_context.RequestContext, target: heartbeat.VmInfo, beside: int
-    ) -> None:
-        self._metrics.increment("forwarded")
-        self._log.info(
-            "forwarded",
-            request=context.request_id,
-            to=target.name,
-            service=context.service.name,
-            runs_left=context.retry_state.runs_left,
-            resume_after=context.events.last_number,
-            software=context.software,
-            left=round(context.seconds_left, 3),
-            beside=beside,
-            waited=round(clock.now() - context.arrived_at, 3),
-        )
-
-    def _log_taken(self, context: request_context.RequestContext) -> None:
-        self._metrics.increment("taken")
-        self._log.info(
-            "taken from another VM",
-            request=context.request_id,
-            admitted_by=context.taken_from,
-            service=context.service.name,
-            runs_left=context.retry_state.runs_left,
-            resume_after=context.events.last_number,
-            software=context.software,
-            left=round(context.seconds_left, 3),
-        )
-
-    def _log_declined(self, request_id: str, sender: str, rejection: refusal.Refusal) -> None:
-        self._metrics.increment(f"declined_{rejection.code}")
-        self._log.info(
-            "declined for another VM",
-            request=request_id,
-            admitted_by=sender,
-            code=rejection.code,
-            why=rejection.message,
-            retry_after=round(rejection.retry_after, 3),
-        )
-
-    def _log_withdrawn(
-        self, context: request_context.RequestContext, finished: open_attempts.OpenAttempt
-    ) -> None:
-        upstream = finished.selected.upstream
-        self._metrics.increment("tries_withdrawn")
-        self._log.info(
-            "try withdrawn",
-            request=context.request_id,
-            upstream=upstream.name,
-            leaving=upstream.leaving,
-            limit=self._state.registry.request_limits.per_second(upstream.incarnation),
-        )
-
-    def _log_failed(
-        self,
-        context: request_context.RequestContext,
-        finished: open_attempts.OpenAttempt,
-        outcome: request_context.NotRun | request_context.Failed | request_context.Declined,
-    ) -> None:
-        not_run = not isinstance(outcome, request_context.Failed)
-        silent = outcome.silent_seconds if isinstance(outcome, request_context.Failed) else 0.0
-        self._metrics.increment("tries_not_run" if not_run else "tries_failed")
-        self._log.info(
-            "try failed",
-            request=context.request_id,
-            upstream=finished.where,
-            why=outcome.reason,
-            not_run=not_run,
-            sends=context.retry_state.sends,
-            left=round(context.seconds_left, 3),
-            silent=round(silent, 3),
-            partial_event_bytes=finished.events.partial_bytes if finished.events else 0,
-            whole=context.suspects[-1],
-        )
-
-    def _log_end(self, context: request_context.RequestContext, outcome: str) -> None:
-        now = clock.now()
-        self._metrics.increment(f"ended_{outcome.replace(' ', '_')}")
-        self._log.info(
-            "ended",
-            request=context.request_id,
-            outcome=outcome,
-            status=context.response.status,
-            route=context.route.name,
-            organisation=context.organisation.name if context.organisation else "",
-            upstream=context.selected.upstream.name if context.selected else "",
-            first=(
-                round(context.first_byte_at - context.arrived_at, 4)
-                if context.first_byte_at
-                else 0.0
-            ),
-            seconds=round(now - context.arrived_at, 4),
-            sends=context.retry_state.sends,
-            reached=context.retry_state.reached,
-            configuration=self._state.configuration_version,
-            **_other_vm(context),
-        )
-
-
-def _other_vm(context: request_context.RequestContext) -> dict[str, str]:
-    """Return the log fields that name the VM which executed or admitted the request."""
-    if context.taken_from:
-        return {"admitted_by": context.taken_from}
-    return {"through": context.forwarded_to} if context.forwarded_to else {}
-
 
 def _is_crashing(outcome: request_context.Outcome) -> bool:
     """Return whether another VM declined a request since it crashes upstreams."""
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -134,6 +134,8 @@
         Names of VMs that declined the request or lost it.
     declined
         What VMs answered that declined the request.
+    outcome
+        How the request ended, as logged; empty while it is in progress.
     """
 
     request: request_types.Request
@@ -155,6 +157,7 @@
     forwarded_to: str = ""
     avoided_vms: list[str] = dataclasses.field(default_factory=list)
     declined: list[refusal.Refusal] = dataclasses.field(default_factory=list)
+    outcome: str = ""
 
     @property
     def seconds_left(self) -> float:
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -36,6 +36,10 @@
     def started(self) -> bool:
         """Whether a part of the response was sent."""
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last part of the response was sent or is being sent."""
+
     @property
     def caller_left(self) -> bool:
         """Whether the caller has closed the connection."""
@@ -103,6 +107,11 @@
         """Whether a part of the response was sent."""
         return self._started
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last part of the response was sent or is being sent."""
+        return self._ended
+
     @property
     def caller_left(self) -> bool:
         """Whether the caller has closed the connection, at the cost of a system call."""
