--- a/packaging/check.py
+++ b/packaging/check.py
@@ -4,6 +4,8 @@
 as more than one process or does not become ready.
 """
 
+import dataclasses
+import os
 import pathlib
 import subprocess
 import sys
@@ -12,9 +14,41 @@
 
 import anyio
 
-from hollyring.experiments import launcher, process_usage, small_deployment
+from hollyring.experiments import launcher, small_deployment
 
 SERVE_SECONDS = 3.0
+BYTES_PER_MB = 1e6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """What a process uses.
+
+    Parameters
+    ----------
+    children
+        Number of its child processes.
+    resident_bytes
+        Resident memory of the process itself, in bytes.
+    """
+
+    children: int
+    resident_bytes: int
+
+
+def read_usage(pid: int) -> Usage:
+    """Return what a running process uses, from ``/proc``.
+
+    Raises
+    ------
+    OSError
+        If there is no such process.
+    """
+    directory = pathlib.Path("/proc") / str(pid)
+    lists = (directory / "task").glob("*/children")
+    children = sum(len(path.read_text().split()) for path in lists)
+    resident_pages = int((directory / "statm").read_text().split()[1])
+    return Usage(children, resident_pages * os.sysconf("SC_PAGE_SIZE"))
 
 
 async def check(binary: str) -> int:
@@ -30,16 +64,24 @@
         ready_seconds = time.monotonic() - started_at
         await anyio.sleep(SERVE_SECONDS)
         process = fleet.programs["vm-0"].process
-        usage = process_usage.read_usage(process.pid)
-        print(f"size {pathlib.Path(binary).stat().st_size / 1e6:.0f} MB")
+        assert process is not None
+        usage = read_usage(process.pid)
+        print(f"size {pathlib.Path(binary).stat().st_size / BYTES_PER_MB:.0f} MB")
         print(f"platform, engine and VM ready after {ready_seconds:.1f} s")
-        print(f"VM: processes {1 + usage.children}, resident {usage.resident_bytes / 1e6:.0f} MB")
+        resident = usage.resident_bytes / BYTES_PER_MB
+        print(f"VM: processes {1 + usage.children}, resident {resident:.0f} MB")
         return 0 if usage.children == 0 else 1
     finally:
         fleet.stop()
 
 
-started_at = time.monotonic()
-subprocess.run([sys.argv[1], "version"], check=True)
-print(f"start {time.monotonic() - started_at:.2f} s")
-sys.exit(anyio.run(check, sys.argv[1]))
+def main() -> None:
+    """Check the program that the first argument names, and exit."""
+    started_at = time.monotonic()
+    subprocess.run([sys.argv[1], "version"], check=True)
+    print(f"start {time.monotonic() - started_at:.2f} s")
+    sys.exit(anyio.run(check, sys.argv[1]))
+
+
+if __name__ == "__main__":
+    main()
