--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -35,12 +35,13 @@
     b'id: 2\\ndata: b\\n\\n'
     """
 
-    __slots__ = ("_last_number", "_buffer", "_resumed", "_events", "_error")
+    __slots__ = ("_last_number", "_buffer", "_resumed", "_events", "_unnumbered", "_error")
 
     def __init__(self, after: int | None) -> None:
         self._last_number = after
         self._buffer = b""
         self._resumed = after is not None
+        self._unnumbered = False
         self._events = 0
         self._error: errors.StreamOrderError | None = None
 
@@ -49,6 +50,11 @@
         """Number of the last event returned, or None before the first."""
         return self._last_number
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether another upstream may continue the stream: all its events have numbers."""
+        return not self._unnumbered
+
     @property
     def events(self) -> int:
         """Number of complete events of this attempt, those included that the caller had."""
@@ -128,10 +134,14 @@
                 return whole
 
     def _accept(self, event: bytes) -> bool:
+        if _is_comment(event):
+            return True
         number = _event_number(event)
         self._events += 1
         if number is None:
-            return True
+            return self._accept_unnumbered()
+        if self._unnumbered:
+            raise errors.StreamOrderError(f"event {number} follows one without a number")
         if self._last_number is not None:
             if self._resumed and number <= self._last_number:
                 return False
@@ -140,6 +150,18 @@
         self._last_number = number
         return True
 
+    def _accept_unnumbered(self) -> bool:
+        """Accept an event without a number where no event has one, as in an error's text."""
+        if self._last_number is not None:
+            raise errors.StreamOrderError("event without a number")
+        self._unnumbered = True
+        return True
+
+
+def _is_comment(event: bytes) -> bool:
+    """Return whether a block has comments only, with which servers keep a connection open."""
+    return all(line.startswith(b":") for line in event.strip(b"\n").split(b"\n"))
+
 
 def _event_number(event: bytes) -> int | None:
     for line in event.split(b"\n"):
--- a/hollyring/delivery/tests/test_event_stream.py
+++ b/hollyring/delivery/tests/test_event_stream.py
@@ -70,3 +70,31 @@
 
 def test_events_without_id_are_passed_through(stream):
     assert stream.feed(b": hello\n\n") == b": hello\n\n"
+
+
+@pytest.mark.parametrize("after", [None, 2])
+def test_text_without_a_number_is_no_event_of_a_numbered_stream(after):
+    stream = event_stream.EventStream(after)
+    first = (after or 0) + 1
+    assert stream.feed(events(first, first)) == events(first, first)
+    with pytest.raises(errors.StreamOrderError):
+        stream.feed(b"no room for this model\n\n")
+
+
+def test_text_without_a_number_does_not_continue_a_stream():
+    stream = event_stream.EventStream(2)
+    with pytest.raises(errors.StreamOrderError):
+        stream.feed(b"no room for this model\n\n")
+
+
+def test_stream_whose_events_have_no_numbers_is_not_continued(stream):
+    assert stream.feed(b"data: a\n\n") == b"data: a\n\n"
+    assert not stream.may_continue
+    with pytest.raises(errors.StreamOrderError):
+        stream.feed(events(1, 1))
+
+
+def test_comments_are_passed_through_everywhere(stream):
+    for data in (b": hello\n\n", events(1, 1), b": still here\n\n", events(2, 2)):
+        assert stream.feed(data) == data
+    assert stream.may_continue
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -329,7 +329,7 @@
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
         """Start one more attempt beside those that are silent, if an upstream or VM is free."""
-        if not context.retry_state.may_retry(clock.now(), context.response.started):
+        if not context.may_retry():
             return
         if not await self._knows_enough(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
             return
@@ -501,8 +501,7 @@
 
         It spends a retry of the service's budget if the last one arrived at an upstream.
         """
-        now = clock.now()
-        if not context.retry_state.may_retry(now, context.response.started):
+        if not context.may_retry():
             return False
         if context.taken_from and context.retry_state.reached:
             return False
@@ -510,7 +509,7 @@
             return False
         if not isinstance(outcome, request_context.Failed) and not outcome.written:
             return True
-        return self._state.retries(context.service.name).try_retry(now)
+        return self._state.retries(context.service.name).try_retry(clock.now())
 
     async def _finish_failed(self, context: request_context.RequestContext) -> None:
         """Send the final response after the last attempt."""
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -164,6 +164,12 @@
         """Seconds until the caller must have the final response."""
         return self.retry_state.seconds_left(clock.now())
 
+    def may_retry(self) -> bool:
+        """Return whether the request may be sent again; the retry budget is checked separately."""
+        if not self.events.may_continue:
+            return False
+        return self.retry_state.may_retry(clock.now(), self.response.started)
+
     @property
     def request_id(self) -> str:
         """Identifier that the caller assigned to the request."""
