--- a/hollyring/node/cache_watcher.py
+++ b/hollyring/node/cache_watcher.py
@@ -273,7 +273,7 @@
         That a holder doesn't answer says nothing of it while this VM may be cut off.
         """
         self._state.caches.apply_report(report, clock.now())
-        if report.reachable or not self._state.reachability.is_doubtful:
+        if report.reachable or not self._state.reachability.is_any_suspected:
             self._state.cache_reports.append(report)
 
     async def _fetch_events(
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -237,7 +237,7 @@
     def take_unresponsive(self) -> list[str]:
         """Return the suspected upstreams to name in the next heartbeat.
 
-        Those of a service in doubt wait until it is settled, and are forgotten if this VM is cut
+        Those of a suspected service wait until it is settled, and are forgotten if this VM is cut
         off.
         """
         suspected, self.unresponsive_upstreams = self.unresponsive_upstreams, []
@@ -499,7 +499,7 @@
     def _reaching_vms(self, now: float) -> list[str]:
         """Return the VMs for forwarded requests to name to VMs that follow, perhaps this one."""
         others = self.peers.reaching_vms(now)
-        reaches = self.ready and self.peers.is_serving and not self.reachability.is_doubtful
+        reaches = self.ready and self.peers.is_serving and not self.reachability.is_any_suspected
         return [self.vm_info.name, *others] if reaches else others
 
     def _age_to_report(self, prefix: str, now: float) -> float:
--- a/hollyring/node/tests/test_upstream_prober.py
+++ b/hollyring/node/tests/test_upstream_prober.py
@@ -167,7 +167,7 @@
 
 
 @pytest.mark.anyio
-async def test_connections_that_upstreams_close_raise_no_doubt(vm):
+async def test_connections_that_upstreams_close_raise_no_suspicion(vm):
     for number, upstream in enumerate(vm.upstreams):
         upstream.take()
         assert await vm.connect(number)
@@ -176,5 +176,5 @@
     for upstream in vm.upstreams:
         upstream.accepted.pop().close()
     await anyio.sleep(0.1)
-    assert not vm.state.reachability.is_doubtful
+    assert not vm.state.reachability.is_any_suspected
     assert vm.pool.opened == opened
--- a/hollyring/platform/tests/test_doubted_connections.py
+++ b/hollyring/platform/tests/test_suspected_connections.py
@@ -14,7 +14,7 @@
     ("retry_safety", "connections"),
     [(request_types.RetrySafety.AT_MOST_ONCE, 2), (request_types.RetrySafety.IDEMPOTENT, 1)],
 )
-async def test_unsafe_request_in_doubt_is_not_written_to_an_idle_connection(
+async def test_unsafe_request_to_a_suspected_service_is_not_written_to_an_idle_connection(
     start_vm, retry_safety, connections
 ):
     vm, _ = await start_vm("complete", retry_safety=retry_safety)
--- a/hollyring/routing/reachability.py
+++ b/hollyring/routing/reachability.py
@@ -1,11 +1,12 @@
 """Whether this VM reaches the upstreams of a service, as far as its connections show.
 
-A connection that an upstream refuses, leaves unanswered or resets raises a doubt about its service.
-Then a few other upstreams are connected to, and if none of them answers, some more. One that takes
-a connection resolves the doubt; if none does, the VM takes itself for cut off until one does.
+A connection that an upstream refuses, leaves unanswered or resets raises a suspicion about its
+service. Then a few other upstreams are connected to, and if none of them answers, some more. One
+that takes a connection resolves the suspicion; if none does, the VM takes itself for cut off until
+one does.
 
 Open connections may go on carrying the service while new ones are refused. Bytes on them don't
-resolve a doubt, but while they arrive requests are sent on open connections that are free.
+resolve a suspicion, but while they arrive requests are sent on open connections that are free.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
 from hollyring.routing import registry
 
 FIRST_PROBES = 3
-"""Upstreams that a doubt begins with; usually the first of them resolves it."""
+"""Upstreams that a suspicion begins with; usually the first of them resolves it."""
 
 MORE_PROBES = 8
 """Further upstreams if none of the first answers, so that a lost failure domain is no cut."""
@@ -31,11 +32,11 @@
 The only server of a service may just be restarting.
 """
 
-DOUBT_INTERVAL_SECONDS = 0.5
-"""Shortest time from the end of a doubt about a service to the next one."""
+SUSPICION_INTERVAL_SECONDS = 0.5
+"""Shortest time from the end of a suspicion about a service to the next one."""
 
 EXPLAINED_SECONDS = 2.0
-"""Time for which an upstream that failed while another answered raises no doubt again."""
+"""Time for which an upstream that failed while another answered raises no suspicion again."""
 
 ROUND_TIMEOUT_SECONDS = 0.6
 """Longest time to wait for the outcomes of probes; one that a late event loop repeats takes it."""
@@ -69,7 +70,7 @@
     """What is known of the upstreams of a service."""
 
     REACHED = "reached"
-    DOUBTED = "doubted"
+    SUSPECTED = "suspected"
     OPEN_ONLY = "open connections only"
     CUT_OFF = "cut off"
 
@@ -89,7 +90,7 @@
     Parameters
     ----------
     failed
-        Names of the upstreams that have failed since the doubt began.
+        Names of the upstreams that have failed since the suspicion began.
     """
 
     service: str
@@ -99,11 +100,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Service:
-    """What is known of a service; all but `phase` and `resolved_at` is of the current doubt."""
+    """What is known of a service; all but `phase` and `resolved_at` is of the current suspicion."""
 
     phase: Phase = Phase.REACHED
     resolved_at: float = -math.inf
-    doubted_at: float = -math.inf
+    suspected_at: float = -math.inf
     due_at: float = math.inf
     rounds: int = 0
     failed: set[str] = dataclasses.field(default_factory=set)
@@ -113,7 +114,7 @@
 
     @property
     def is_settled(self) -> bool:
-        """Whether the upstreams are reached and no doubt is due."""
+        """Whether the upstreams are reached and no suspicion is due."""
         return self.phase is Phase.REACHED and math.isinf(self.due_at)
 
 
@@ -161,7 +162,7 @@
         return sorted(name for name in self._services if not self.takes_connections(name))
 
     @property
-    def is_doubtful(self) -> bool:
+    def is_any_suspected(self) -> bool:
         """Whether this VM is or may be cut off from the upstreams of a service."""
         return any(not known.is_settled for known in self._services.values())
 
@@ -191,13 +192,13 @@
 
         An unsafe request needs a new one then, as it may not be repeated once it is written.
         """
-        return self.is_doubted(service) and self._phase(service) is not Phase.OPEN_ONLY
+        return self.is_suspected(service) and self._phase(service) is not Phase.OPEN_ONLY
 
     def takes_connections(self, service: str) -> bool:
         """Return whether upstreams of a service take new connections, as far as is known."""
-        return self._phase(service) in (Phase.REACHED, Phase.DOUBTED)
+        return self._phase(service) in (Phase.REACHED, Phase.SUSPECTED)
 
-    def is_doubted(self, service: str) -> bool:
+    def is_suspected(self, service: str) -> bool:
         """Return whether this VM is or may be cut off from the upstreams of a service."""
         known = self._services.get(service)
         return known is not None and not known.is_settled
@@ -207,12 +208,12 @@
 
         A VM that reaches another service is not cut off; then the upstreams are down.
         """
-        if not self.is_doubted(service):
+        if not self.is_suspected(service):
             return False
         if self.takes_connections(service):
             return True
         others = (name for name in self._services if name != service and self._usable(name))
-        return all(self.is_doubted(name) for name in others)
+        return all(self.is_suspected(name) for name in others)
 
     def record_connected(self, upstream: registry.Upstream, now: float) -> None:
         """Record that an upstream took a new connection."""
@@ -233,8 +234,8 @@
         known = self._services.setdefault(upstream.entry.service, _Service())
         known.failed.add(upstream.name)
         if known.phase is Phase.REACHED:
-            doubt_at = max(now, known.resolved_at + DOUBT_INTERVAL_SECONDS)
-            known.due_at = min(known.due_at, doubt_at)
+            suspect_at = max(now, known.resolved_at + SUSPICION_INTERVAL_SECONDS)
+            known.due_at = min(known.due_at, suspect_at)
 
     def record_late(self, upstream: registry.Upstream, now: float) -> None:
         """Record that an upstream has not yet taken a connection, though most do in less time."""
@@ -271,7 +272,7 @@
         self._changes.append(PhaseChange(service, phase, tuple(sorted(known.failed))))
 
     def _resolve(self, service: str, known: _Service, now: float) -> None:
-        """End a doubt or a cut."""
+        """End a suspicion or a cut."""
         if known.phase is not Phase.REACHED:
             self._explain_failures(service, known, now)
             self._change(service, known, Phase.REACHED)
@@ -283,8 +284,8 @@
         known.witnesses.clear()
 
     def _explain_failures(self, service: str, known: _Service, now: float) -> None:
-        """Hold the failures of a doubt against the upstreams, unless most failed, as in a cut."""
-        if known.phase is not Phase.DOUBTED:
+        """Hold a suspicion's failures against the upstreams, unless most failed, as in a cut."""
+        if known.phase is not Phase.SUSPECTED:
             return
         if len(known.failed) > max(1, len(self._usable(service)) // 2):
             return
@@ -294,24 +295,24 @@
     def _advance(self, service: str, known: _Service, now: float) -> list[Probe]:
         match known.phase:
             case Phase.REACHED:
-                self._begin_doubt(service, known, now)
-                return self._advance_doubt(service, known, now)
-            case Phase.DOUBTED:
-                return self._advance_doubt(service, known, now)
+                self._begin_suspicion(service, known, now)
+                return self._advance_suspicion(service, known, now)
+            case Phase.SUSPECTED:
+                return self._advance_suspicion(service, known, now)
             case _:
                 return self._repeat(service, known, now)
 
-    def _begin_doubt(self, service: str, known: _Service, now: float) -> None:
-        if known.resolved_at + DOUBT_INTERVAL_SECONDS >= now:
-            # The doubt was put off, and what failed before it may be back.
+    def _begin_suspicion(self, service: str, known: _Service, now: float) -> None:
+        if known.resolved_at + SUSPICION_INTERVAL_SECONDS >= now:
+            # The suspicion was put off, and what failed before it may be back.
             known.failed.clear()
-        self._change(service, known, Phase.DOUBTED)
-        known.doubted_at = now
+        self._change(service, known, Phase.SUSPECTED)
+        known.suspected_at = now
         known.rounds = 0
         known.due_at = now
 
-    def _advance_doubt(self, service: str, known: _Service, now: float) -> list[Probe]:
-        """Begin the next round of probes, or end the doubt as none has been answered."""
+    def _advance_suspicion(self, service: str, known: _Service, now: float) -> list[Probe]:
+        """Begin the next round of probes, or end the suspicion as none has been answered."""
         if now - known.due_at > LATE_SECONDS:
             known.due_at = now + ROUND_TIMEOUT_SECONDS
             return []
@@ -349,7 +350,7 @@
         self._change(service, known, Phase.CUT_OFF)
         self._judge_open_connections(service, known, now)
         known.due_at = now + REPEAT_SECONDS
-        self._doubt_others(now)
+        self._suspect_others(now)
 
     def _repeat(self, service: str, known: _Service, now: float) -> list[Probe]:
         """Probe again while cut off, unless the service has no upstream any more."""
@@ -361,11 +362,14 @@
         candidates = self._candidates(service, known, set(), now)
         return self._round(known, candidates, REPEATED_PROBES, now)
 
-    def _doubt_others(self, now: float) -> None:
-        """Doubt the other services too, before their next requests find out."""
+    def _suspect_others(self, now: float) -> None:
+        """Suspect the other services too, before their next requests find out."""
         for service in {upstream.entry.service for upstream in self._registry.upstreams.values()}:
             other = self._services.setdefault(service, _Service())
-            if other.phase is Phase.REACHED and now - other.resolved_at >= DOUBT_INTERVAL_SECONDS:
+            if (
+                other.phase is Phase.REACHED
+                and now - other.resolved_at >= SUSPICION_INTERVAL_SECONDS
+            ):
                 other.due_at = now
 
     def _judge_open_connections(self, service: str, known: _Service, now: float) -> None:
@@ -374,7 +378,7 @@
 
     def _is_carried(self, service: str, known: _Service, now: float) -> bool:
         """Return whether bytes arrive on open connections to upstreams of a service."""
-        since = max(known.doubted_at, now - CARRIED_SECONDS)
+        since = max(known.suspected_at, now - CARRIED_SECONDS)
         return any(u.last_activity_at > since for u in self._registry.of_service(service))
 
     def _usable(self, service: str) -> list[registry.Upstream]:
@@ -421,8 +425,8 @@
 
 
 def _hasten(known: _Service, now: float) -> None:
-    """Advance a doubt at once if its probes have failed, or are late while others may follow."""
-    if known.phase is not Phase.DOUBTED:
+    """Advance a suspicion at once if its probes failed, or are late while others may follow."""
+    if known.phase is not Phase.SUSPECTED:
         return
     if not known.pending or (known.rounds == 1 and known.pending <= known.late):
         known.due_at = min(known.due_at, now)
--- a/hollyring/routing/tests/test_reachability.py
+++ b/hollyring/routing/tests/test_reachability.py
@@ -117,7 +117,7 @@
     network.cut = ""
     network.run(0.5)
     assert not network.cut_off()
-    assert not network.reachability.is_doubtful
+    assert not network.reachability.is_any_suspected
     probes = len(network.probes)
     network.run(5.0)
     assert len(network.probes) == probes
@@ -286,7 +286,7 @@
         network.registry.remove(name)
     network.run(0.5)
     assert not network.cut_off()
-    assert not network.reachability.is_doubtful
+    assert not network.reachability.is_any_suspected
 
 
 def test_process_that_was_paused_does_not_take_unread_answers_for_silence():
@@ -294,7 +294,7 @@
     network.frozen = {"ls-0"}
     network.connect("ls-0")
     network.run(0.1)
-    assert network.reachability.is_doubtful
+    assert network.reachability.is_any_suspected
     network.events = []
     network.now += 5.0
     assert network.reachability.take_probes(network.now) == []
@@ -336,7 +336,7 @@
             network.connect(rng.choice([n for n in names if n.startswith(service)]))
         network.run(rng.choice([0.02, 0.05, 0.1]))
         for service in services:
-            # A doubt that was put off, its two rounds, and the request that shows the cut.
+            # A suspicion that was put off, its two rounds, and the request that shows the cut.
             if network.now - since > 1.5:
                 assert network.cut_off(service) == bool(network.cut), (seed, network.now)
     for at, _ in network.probes:
@@ -344,7 +344,7 @@
         assert in_second <= reachability.PROBE_BURST + reachability.PROBES_PER_SECOND
     network.cut, network.down, network.frozen = "", set(), set()
     network.run(2.0)
-    assert not network.reachability.is_doubtful
+    assert not network.reachability.is_any_suspected
     probes = len(network.probes)
     network.run(10.0)
     assert len(network.probes) == probes
