Reserve the ports of tests and fleets until they are no longer used

Seen: in a parallel run, set-ups of experiments/tests failed ("no free port range between 20000 and 32000"), and a test of standins/tests/test_serving.py ("address already in use").

Cause: a process kept each port range of a fleet until its end, also after the fleet had stopped, and a range found in use stayed reserved too. The tests of one process take 16 of the 18 ranges of the host, so that no second process finds enough. Class: a port is looked for, let go, and used later. VM processes of platform/tests chose ports at an offset of 100 for each process id, and neighbouring workers take more than 100.

Ruled out: two workers choosing one range at the same moment; the last port of a range is bound before the others are looked at.

Change: `port_ranges` holds ranges of ports by a listening socket, and releases them. `Fleet.stop` releases its range. VM processes of platform/tests take ports from reserved ranges of 100. Stand-ins are served on sockets that listen already; tests bind port 0 and hand the sockets on. An address at which nothing listens is held by a bound socket, and so is the port of a proxy while it refuses connections.

--- a/hollyring/cli/tests/conftest.py
+++ b/hollyring/cli/tests/conftest.py
@@ -11,10 +11,17 @@
 from hollyring.standins import platform as platforms
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+@pytest.fixture
+def unused_address():
+    """Return a function that returns an address at which nothing listens during the test."""
+    with contextlib.ExitStack() as held:
+
+        def hold():
+            bound = held.enter_context(socket.socket())
+            bound.bind(("127.0.0.1", 0))
+            return f"127.0.0.1:{bound.getsockname()[1]}"
+
+        yield hold
 
 
 class PlatformStandIn:
@@ -33,21 +40,13 @@
         self.post("/faults", {"kind": kind, **fields})
 
 
-def _is_listening(port):
-    with contextlib.suppress(OSError), socket.create_connection(("127.0.0.1", port), 1):
-        return True
-    return False
-
-
 @pytest.fixture
 def standin():
-    port, control_port = free_port(), free_port()
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+    url, control_url = [f"http://127.0.0.1:{s.getsockname()[1]}" for s in listeners]
     with anyio.from_thread.start_blocking_portal("asyncio") as portal:
         stop = portal.call(anyio.Event)
-        app = platforms.Platform()
-        serving = portal.start_task_soon(asgi.serve, app, "127.0.0.1", port, control_port, stop)
-        while not (_is_listening(port) and _is_listening(control_port)):
-            portal.call(anyio.sleep, 0.01)
-        yield PlatformStandIn(f"http://127.0.0.1:{port}", f"http://127.0.0.1:{control_port}")
+        serving = portal.start_task_soon(asgi.serve, platforms.Platform(), *listeners, stop)
+        yield PlatformStandIn(url, control_url)
         portal.call(stop.set)
         serving.result()
--- a/hollyring/cli/tests/test_config.py
+++ b/hollyring/cli/tests/test_config.py
@@ -8,7 +8,6 @@
 
 from hollyring import declaration
 from hollyring.cli import config, sync_client
-from hollyring.cli.tests import conftest
 from hollyring.configuration import store
 
 
@@ -158,17 +157,18 @@
     assert json.loads(result.output)["vms"] == {admin: 2}
 
 
-def test_wait_counts_unreachable_vm_as_behind(call):
-    address = f"127.0.0.1:{conftest.free_port()}"
+def test_wait_counts_unreachable_vm_as_behind(call, unused_address):
+    address = unused_address()
     result = call("wait", "1", "--vm", address, "--timeout", "0")
     assert result.exit_code == config.EXIT_UNKNOWN
     assert f"{address}: not reachable" in result.output
 
 
-def test_apply_refuses_store_that_is_older_than_a_vm(call, standin, admin, tmp_path):
+def test_apply_refuses_store_that_is_older_than_a_vm(
+    call, standin, admin, unused_address, tmp_path
+):
     declared = declaration.deployment("bohari")
-    free = [f"127.0.0.1:{conftest.free_port()}" for _ in range(2)]
-    declared.vm("vm-0", "dar", "dar-1", *free, admin)
+    declared.vm("vm-0", "dar", "dar-1", unused_address(), unused_address(), admin)
     path = tmp_path / "bohari.json"
     path.write_text(declared.json())
     call("apply", str(path), "--platform", standin.url)
--- a/hollyring/experiments/launcher.py
+++ b/hollyring/experiments/launcher.py
@@ -24,7 +24,7 @@
 import httpcore
 
 from hollyring.configuration import documents, objects, state, submission
-from hollyring.experiments import errors
+from hollyring.experiments import errors, port_ranges
 from hollyring.node import platform_client, store_calls
 
 CONTROL_PORT_OFFSET = 50
@@ -115,6 +115,7 @@
         self.document = document
         self.command = [sys.executable, "-m", "hollyring"]
         self.platform_url = f"http://127.0.0.1:{platform_port}"
+        self._base_port = platform_port - PLATFORM_PORT_OFFSET
         self._folder = folder
         self._engine_options = engine_options or EngineOptions()
         self._extra_vm_settings = vm_settings or {}
@@ -250,7 +251,10 @@
         return process is not None and process.poll() is None
 
     def stop(self) -> None:
-        """Stop all processes with SIGTERM, and with SIGKILL after `STOP_TIMEOUT_SECONDS`."""
+        """Stop all processes with SIGTERM, and with SIGKILL after `STOP_TIMEOUT_SECONDS`.
+
+        The port range is released if `free_base_port` had reserved it.
+        """
         for name in self.programs:
             self.signal(name, signal.SIGCONT)
             self.signal(name, signal.SIGTERM)
@@ -263,6 +267,7 @@
             except subprocess.TimeoutExpired:
                 program.process.kill()
                 program.process.wait()
+        port_ranges.release(self._base_port)
 
     async def wait_ready(self, names: list[str]) -> None:
         """Wait until all processes in `names` serve.
@@ -290,12 +295,8 @@
             await anyio.sleep(POLL_SECONDS)
 
 
-_reserved_sockets: list[socket.socket] = []
-"""Listening sockets that reserve the port ranges of this process against other launchers."""
-
-
 def free_base_port(first: int = 20_000, last: int = 32_000) -> int:
-    """Return the base port of a free port range for a fleet, and reserve the range.
+    """Return the base port of a free port range for a fleet, and reserve it until the fleet stops.
 
     The default of `last` lies below the ephemeral ports of outgoing connections. Only the last
     port of a range and those at multiples of `CONTROL_PORT_OFFSET` are probed.
@@ -305,25 +306,18 @@
     ExperimentError
         If no range is free.
     """
-    for base in range(first, last, PORTS_PER_FLEET):
-        offsets = range(0, PORTS_PER_FLEET - CONTROL_PORT_OFFSET, CONTROL_PORT_OFFSET)
-        if _reserve_port(base + PORTS_PER_FLEET - 1) and all(_is_free(base + o) for o in offsets):
-            return base
-    raise errors.ExperimentError(f"no free port range between {first} and {last}")
-
-
-def _reserve_port(port: int) -> bool:
-    reservation = socket.socket()
-    try:
-        reservation.bind(("127.0.0.1", port))
-        reservation.listen()
-    except OSError:
-        reservation.close()
-        return False
-    _reserved_sockets.append(reservation)
-    return True
-
-
-def _is_free(port: int) -> bool:
+    bases = range(first, last, PORTS_PER_FLEET)
+    base = port_ranges.reserve(bases, PORTS_PER_FLEET, _is_free)
+    if base is None:
+        raise errors.ExperimentError(f"no free port range between {first} and {last}")
+    return base
+
+
+def _is_free(base: int) -> bool:
+    offsets = range(0, PORTS_PER_FLEET - CONTROL_PORT_OFFSET, CONTROL_PORT_OFFSET)
+    return not any(_is_listening(base + offset) for offset in offsets)
+
+
+def _is_listening(port: int) -> bool:
     with socket.socket() as probe:
-        return probe.connect_ex(("127.0.0.1", port)) != 0
+        return probe.connect_ex(("127.0.0.1", port)) == 0
--- a/hollyring/node/tests/test_forward_links.py
+++ b/hollyring/node/tests/test_forward_links.py
@@ -162,11 +162,12 @@
 @pytest.mark.anyio
 async def test_vm_that_does_not_listen_or_has_another_key_gives_no_link(vms):
     first, second = await vms("vm-1"), await vms("vm-2", key="another-key-of-sixteen-bytes")
-    with socket.create_server(("127.0.0.1", 0)) as unused:
-        port = unused.getsockname()[1]
-    for address in (f"127.0.0.1:{port}", second.address, "no address"):
-        with pytest.raises(peer_link.LinkLostError):
-            await first.links.acquire(address)
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        unused_address = f"127.0.0.1:{unused.getsockname()[1]}"
+        for address in (unused_address, second.address, "no address"):
+            with pytest.raises(peer_link.LinkLostError):
+                await first.links.acquire(address)
     assert second.requests == []
 
 
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -14,6 +14,7 @@
 import httpcore
 import pytest
 
+from hollyring.experiments import port_ranges
 from hollyring.platform import settings
 from hollyring.platform.tests import conftest
 
@@ -29,8 +30,8 @@
 LAST_PORT = 19_999
 """Ports of VMs are below the ephemeral range, whose ports an outgoing connection could take."""
 
-PORTS_PER_RUN = 100
-"""Ports between the offsets of successive process ids; a run of this file takes 30 ports."""
+PORTS_PER_RANGE = 100
+"""Ports that a process reserves at once; the last one holds the reservation."""
 
 KEY = (b"authorization", b"Bearer k")
 
@@ -52,16 +53,6 @@
 }
 
 
-def untried_ports():
-    """Yield each port of the range once, from an offset that depends on the process id."""
-    offset = os.getpid() * PORTS_PER_RUN % (LAST_PORT - FIRST_PORT + 1)
-    yield from range(FIRST_PORT + offset, LAST_PORT + 1)
-    yield from range(FIRST_PORT, FIRST_PORT + offset)
-
-
-UNTRIED_PORTS = untried_ports()
-
-
 def is_free(port):
     try:
         socket.create_server(("127.0.0.1", port)).close()
@@ -70,13 +61,27 @@
     return True
 
 
+def range_is_free(base):
+    return all(is_free(port) for port in range(base, base + PORTS_PER_RANGE - 1))
+
+
+def reserved_ports():
+    """Yield ports that only this process gets, in ascending order within each reserved range."""
+    bases = range(FIRST_PORT, LAST_PORT + 1, PORTS_PER_RANGE)
+    while (base := port_ranges.reserve(bases, PORTS_PER_RANGE, range_is_free)) is not None:
+        yield from range(base, base + PORTS_PER_RANGE - 1)
+
+
+RESERVED_PORTS = reserved_ports()
+
+
 def free_ports(count):
     """Return `count` free ports that this process has not returned before.
 
     They are consecutive, as the second internal port of a VM is its first plus one.
     """
     ports = []
-    for port in UNTRIED_PORTS:
+    for port in RESERVED_PORTS:
         if ports and port != ports[-1] + 1:
             ports = []
         if is_free(port):
--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -48,18 +48,22 @@
 
     @contextlib.asynccontextmanager
     async def running(self):
-        await self._listen()
-        try:
-            yield self
-        finally:
-            self._full.close()
-            self._server.close()
-            self._abort()
+        with socket.socket() as held:
+            # While the proxy does not listen, no other process gets its port.
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            held.bind(("127.0.0.1", 0))
+            self._port = held.getsockname()[1]
+            self.address = f"127.0.0.1:{self._port}"
+            await self._listen()
+            try:
+                yield self
+            finally:
+                self._full.close()
+                self._server.close()
+                self._abort()
 
     async def _listen(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{self._port}"
 
     async def cut(self, form):
         self._server.close()
--- a/hollyring/standins/asgi.py
+++ b/hollyring/standins/asgi.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import signal
+import socket
 import time
 import urllib.parse
 from collections.abc import Awaitable, Callable, Iterator, MutableMapping
@@ -242,20 +243,23 @@
 
 
 async def serve(
-    standin: StandIn, host: str, port: int, control_port: int, stop: anyio.Event
+    standin: StandIn, listener: socket.socket, control_listener: socket.socket, stop: anyio.Event
 ) -> None:
-    """Serve `standin` and its control application until `stop` is set."""
+    """Serve `standin` and its control application on the sockets until `stop` is set.
+
+    The sockets are closed at the end.
+    """
     servers = [
-        _create_server(application(standin.handle), host, port),
-        _create_server(application(standin.handle_control), host, control_port),
+        (_create_server(application(standin.handle)), listener),
+        (_create_server(application(standin.handle_control)), control_listener),
     ]
     async with anyio.create_task_group() as background:
         background.start_soon(standin.run)
         async with anyio.create_task_group() as group:
-            for server in servers:
-                group.start_soon(server.serve)
+            for server, socket_ in servers:
+                group.start_soon(server.serve, [socket_])
             await stop.wait()
-            for server in servers:
+            for server, _ in servers:
                 server.should_exit = True
         background.cancel_scope.cancel()
 
@@ -263,19 +267,19 @@
 async def serve_until_signal(standin: StandIn, host: str, port: int, control_port: int) -> None:
     """Serve `standin` until the process receives SIGTERM or SIGINT."""
     stop = anyio.Event()
+    listener = socket.create_server((host, port))
+    control_listener = socket.create_server((host, control_port))
     async with anyio.create_task_group() as group:
-        group.start_soon(serve, standin, host, port, control_port, stop)
+        group.start_soon(serve, standin, listener, control_listener, stop)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
                 stop.set()
                 return
 
 
-def _create_server(app: Callable[..., Any], host: str, port: int) -> Server:
+def _create_server(app: Callable[..., Any]) -> Server:
     config = uvicorn.Config(
         app,
-        host,
-        port,
         log_level="critical",
         http=AbortableProtocol,
         loop="asyncio",
--- a/hollyring/standins/tests/test_serving.py
+++ b/hollyring/standins/tests/test_serving.py
@@ -18,29 +18,15 @@
     async with anyio.create_task_group() as group:
 
         async def start(standin):
-            ports = []
-            for _ in range(2):
-                with socket.socket() as probe:
-                    probe.bind(("127.0.0.1", 0))
-                    ports.append(probe.getsockname()[1])
-            group.start_soon(asgi.serve, standin, "127.0.0.1", *ports, stop)
-            for port in ports:
-                await wait_until_listening(port)
-            return f"http://127.0.0.1:{ports[0]}"
+            listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(2)]
+            port = listeners[0].getsockname()[1]
+            group.start_soon(asgi.serve, standin, *listeners, stop)
+            return f"http://127.0.0.1:{port}"
 
         yield start
         stop.set()
 
 
-async def wait_until_listening(port):
-    while True:
-        try:
-            async with await anyio.connect_tcp("127.0.0.1", port):
-                return
-        except OSError:
-            await anyio.sleep(0.01)
-
-
 async def test_stream_over_a_socket(serve_standin, settings):
     url = await serve_standin(engine.Engine(settings))
     body = b'{"model": "parish", "prompt": "Kigoma", "max_tokens": 500, "stream": true}'
