Move the test of the request log to the platform's tests, and let it read its own lines only

Seen: a whole run failed in test_only_the_command_line_imports_the_adapter and in test_answered_request_is_not_logged_again_as_left_by_its_caller, whose lists of ends had 274 more than its own.

Eliot keeps what is logged before a process has a destination, and gives it to the first one: the test saw the requests of the tests before it in the same process. Alone, or behind a test that had added a destination, it passed.

Change: the file moves to platform/tests; the fixture forgets the lines from before the test. What is checked is unchanged.

--- a/hollyring/node/tests/test_request_log.py
+++ b/hollyring/platform/tests/test_request_log.py
@@ -19,6 +19,8 @@
     """Return a function that returns the outcome and status of each logged end of a request."""
     messages = []
     eliot.add_destinations(messages.append)
+    # The first destination of a process gets what was logged before it.
+    messages.clear()
     yield lambda: [
         (m["outcome"], m["status"]) for m in messages if m.get("text") == "request: ended"
     ]
