Play the tests in up to six processes at once

Seen: bin/test takes 20 minutes and more in one process.

Files that start VM processes form two groups, so that no more than two sets of such processes run at once. No test, check, bound or seed is changed.

--- a/hollyring/experiments/tests/test_closed_callers.py
+++ b/hollyring/experiments/tests/test_closed_callers.py
@@ -11,6 +11,8 @@
 from hollyring.experiments import launcher, load_generator, small_deployment
 from hollyring.node import settings
 
+pytestmark = pytest.mark.xdist_group("experiments-processes")
+
 ADMISSION_TIMEOUT_SECONDS = 20.0
 SETTLE_SECONDS = 1.0
 """Time within which a VM that goes on has sent on what it sends on."""
--- a/hollyring/experiments/tests/test_faults.py
+++ b/hollyring/experiments/tests/test_faults.py
@@ -1,9 +1,12 @@
 """Scenarios of the fault matrix with separate processes."""
 
+import pytest
 import pytest_bdd
 
 from hollyring.experiments import matrix
 
+pytestmark = pytest.mark.xdist_group("experiments-processes")
+
 SEED = 1
 
 pytest_bdd.scenarios("features/faults.feature")
--- a/hollyring/experiments/tests/test_promises.py
+++ b/hollyring/experiments/tests/test_promises.py
@@ -11,6 +11,8 @@
 from hollyring.configuration import documents
 from hollyring.experiments import faults, load_generator, matrix, small_deployment
 
+pytestmark = pytest.mark.xdist_group("experiments-processes")
+
 TIMEOUT_SECONDS = 60.0
 STREAM_TOKENS = 400
 
--- a/hollyring/experiments/tests/test_whole_path.py
+++ b/hollyring/experiments/tests/test_whole_path.py
@@ -10,6 +10,8 @@
 
 from hollyring.experiments import launcher, load_generator, small_deployment
 
+pytestmark = pytest.mark.xdist_group("experiments-processes")
+
 ADMISSION_TIMEOUT_SECONDS = 20.0
 
 
--- a/hollyring/platform/tests/test_configuration_changes.py
+++ b/hollyring/platform/tests/test_configuration_changes.py
@@ -9,6 +9,8 @@
 
 from hollyring.platform.tests import conftest, test_process
 
+pytestmark = pytest.mark.xdist_group("platform-processes")
+
 SERVER_SECONDS = 1.2
 """Time after which the server answers; the change is in force long before."""
 
--- a/hollyring/platform/tests/test_leaving_upstreams.py
+++ b/hollyring/platform/tests/test_leaving_upstreams.py
@@ -8,6 +8,8 @@
 
 from hollyring.platform.tests import conftest, test_process
 
+pytestmark = pytest.mark.xdist_group("platform-processes")
+
 VMS_MEET_SECONDS = 1.0
 """Time in which VMs that are ready exchange their first heartbeats."""
 
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -18,6 +18,8 @@
 from hollyring.platform import settings
 from hollyring.platform.tests import conftest
 
+pytestmark = pytest.mark.xdist_group("platform-processes")
+
 ROOT = pathlib.Path(__file__).parents[3]
 START_SECONDS = 10.0
 CONFIGURATION_SECONDS = 2.0
--- a/hollyring/platform/tests/test_request_ends.py
+++ b/hollyring/platform/tests/test_request_ends.py
@@ -8,6 +8,8 @@
 
 from hollyring.platform.tests import conftest, test_process
 
+pytestmark = pytest.mark.xdist_group("platform-processes")
+
 HEAD = b"POST /a/b HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k\r\n"
 ID = b"x-request-id: r-1\r\n"
 LENGTH = b"content-length: 4\r\n\r\n"
--- a/hollyring/platform/tests/test_resumed_streams.py
+++ b/hollyring/platform/tests/test_resumed_streams.py
@@ -8,6 +8,8 @@
 
 from hollyring.platform.tests import conftest, test_process
 
+pytestmark = pytest.mark.xdist_group("platform-processes")
+
 EVENTS = 30
 EVENT_SECONDS = 0.05
 VMS_MEET_SECONDS = 1.0
--- a/hollyring/platform/tests/test_soak.py
+++ b/hollyring/platform/tests/test_soak.py
@@ -11,6 +11,8 @@
 
 from hollyring.platform.tests import soak
 
+pytestmark = pytest.mark.xdist_group("platform-processes")
+
 SEEDS = range(int(os.environ.get("SOAK_FIRST_SEED", "0")), int(os.environ.get("SOAK_SEEDS", "1")))
 SECONDS = float(os.environ.get("SOAK_SECONDS", "12"))
 VMS = int(os.environ.get("SOAK_VMS", "3"))
--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -12,6 +12,8 @@
 
 from hollyring.platform.tests import conftest, test_process
 
+pytestmark = pytest.mark.xdist_group("platform-processes")
+
 CONTACT_SECONDS = 1.0
 """Time after the cut from which callers of the cut VM are served like the others."""
 
