Pass on an answer that states no end without one, and reset it where it breaks off

Here too: of an answer without a length that ends with its connection, "hal" reached the caller with Content-Length: 3, and no body with Content-Length: 0; a stream without chunks that ended behind an event got its last chunk.

Cause: the VM wrote the framing anew from what it had received. What only the end of a connection tells became a statement of the VM. Class: the framing of one hop is taken for that of the next.

Weighed: asking again where a request may run twice costs a run for each answer of a server that never states a length, and helps no other request; a failure loses answers that are whole. So the answer is passed on as it came: without a length, ended with the caller's connection (Connection: close). A VM that dies, or an upstream that resets, must not look like that end, so the caller's connection is reset, not closed, until the last part is written (SO_LINGER; the last part is written once nothing is buffered in the process). A response whose head promised chunks is not ended by a continuation without a stated end: the stream goes on elsewhere, or breaks off. A failure of an upstream and a forwarded answer (ForwardedHead.states_end, true if an earlier build does not send it) are told likewise.

--- a/hollyring/delivery/answers.py
+++ b/hollyring/delivery/answers.py
@@ -147,7 +147,9 @@
     return Whole(is_proved=framing is not Framing.CONNECTION)
 
 
-def judge_stream_end(framing: Framing, events: int, partial: bool, begun: bool) -> EndVerdict:
+def judge_stream_end(
+    framing: Framing, events: int, partial: bool, begun: bool, promised: bool
+) -> EndVerdict:
     """Return what the end of a stream proves, which was not reset.
 
     A stream that goes on may have no event left, if the upstream before it broke off behind the
@@ -163,9 +165,13 @@
         Whether it ended within an event.
     begun
         Whether the caller had a part of the stream before.
+    promised
+        Whether the response to the caller states where it ends, so that its end says it is whole.
     """
     if partial:
         return Failed("ended within an event")
     if events == 0 and not (begun and framing is Framing.CHUNKS):
         return Failed("ended without an event")
+    if promised and framing is Framing.CONNECTION:
+        return Failed("ended without stating its end")
     return Whole(is_proved=framing is not Framing.CONNECTION)
--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -116,8 +116,8 @@
                 break
         return b"".join(accepted)
 
-    def check_end(self, framing: answers.Framing) -> answers.Whole:
-        """Return what the end of an attempt's answer proves, which ends as `framing` says.
+    def check_end(self, framing: answers.Framing, promised: bool) -> answers.Whole:
+        """Return what the end of an attempt's answer proves, see `answers.judge_stream_end`.
 
         Raises
         ------
@@ -127,7 +127,7 @@
         if self._error is not None:
             raise self._error
         partial = not self.at_event_boundary
-        match answers.judge_stream_end(framing, self._events, partial, self._resumed):
+        match answers.judge_stream_end(framing, self._events, partial, self._resumed, promised):
             case answers.Failed(reason=reason):
                 raise errors.StreamOrderError(reason)
             case whole:
@@ -160,7 +160,7 @@
 
 def _is_comment(event: bytes) -> bool:
     """Return whether a block has comments only, with which servers keep a connection open."""
-    return all(line.startswith(b":") for line in event.strip(b"\n").split(b"\n"))
+    return all(not line or line.startswith(b":") for line in event.split(b"\n"))
 
 
 def _event_number(event: bytes) -> int | None:
--- a/hollyring/delivery/forwarded.py
+++ b/hollyring/delivery/forwarded.py
@@ -112,6 +112,8 @@
         Name and software version of the upstream that answers.
     sends
         Number of times the request was sent to upstreams.
+    states_end
+        Whether the upstream stated where its answer ends, so that `ForwardedEnd` proves it whole.
     """
 
     status: int
@@ -120,6 +122,7 @@
     upstream: str
     software: str
     sends: int
+    states_end: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/delivery/tests/test_answers.py
+++ b/hollyring/delivery/tests/test_answers.py
@@ -64,15 +64,19 @@
 @pytest.mark.parametrize("framing", answers.Framing)
 @pytest.mark.parametrize("begun", FLAGS)
 @pytest.mark.parametrize("events", [0, 1, 5])
-def test_stream_that_ends_within_an_event_is_never_whole(framing, events, begun):
-    verdict = answers.judge_stream_end(framing, events, True, begun)
+@pytest.mark.parametrize("promised", FLAGS)
+def test_stream_that_ends_within_an_event_is_never_whole(framing, events, begun, promised):
+    verdict = answers.judge_stream_end(framing, events, True, begun, promised)
     assert isinstance(verdict, answers.Failed)
 
 
 @pytest.mark.parametrize("framing", answers.Framing)
 @pytest.mark.parametrize("begun", FLAGS)
-def test_stream_without_an_event_is_whole_only_as_the_stated_end_of_one_that_began(framing, begun):
-    verdict = answers.judge_stream_end(framing, 0, False, begun)
+@pytest.mark.parametrize("promised", FLAGS)
+def test_stream_without_an_event_is_whole_only_as_the_stated_end_of_one_that_began(
+    framing, begun, promised
+):
+    verdict = answers.judge_stream_end(framing, 0, False, begun, promised)
     is_whole = isinstance(verdict, answers.Whole)
     assert is_whole == (begun and framing is answers.Framing.CHUNKS)
 
@@ -81,4 +85,11 @@
 def test_end_is_proved_only_where_it_is_stated(framing):
     stated = framing is not answers.Framing.CONNECTION
     assert answers.judge_body_end(framing) == answers.Whole(stated)
-    assert answers.judge_stream_end(framing, 1, False, False) == answers.Whole(stated)
+    assert answers.judge_stream_end(framing, 1, False, False, False) == answers.Whole(stated)
+
+
+@pytest.mark.parametrize("framing", answers.Framing)
+@pytest.mark.parametrize("begun", FLAGS)
+def test_response_that_states_its_end_is_ended_only_by_an_answer_that_does(framing, begun):
+    verdict = answers.judge_stream_end(framing, 1, False, begun, True)
+    assert isinstance(verdict, answers.Whole) == (framing is not answers.Framing.CONNECTION)
--- a/hollyring/delivery/tests/test_event_stream.py
+++ b/hollyring/delivery/tests/test_event_stream.py
@@ -98,3 +98,12 @@
     for data in (b": hello\n\n", events(1, 1), b": still here\n\n", events(2, 2)):
         assert stream.feed(data) == data
     assert stream.may_continue
+
+
+def test_empty_block_is_no_event():
+    stream = event_stream.EventStream(None)
+    assert stream.feed(events(1, 1) + b"\n\n" + events(2, 2)) == events(1, 1) + b"\n\n" + events(
+        2, 2
+    )
+    assert stream.events == 2
+    assert stream.may_continue
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -49,6 +49,7 @@
     status_client,
     store_checker,
     store_watcher,
+    unstated_end,
     upstream_prober,
     wire,
 )
@@ -370,6 +371,7 @@
             codec.encode_refusal,
             lambda: self._state.leaving,
             lambda: caller_connection.is_closed(scope),
+            unstated_end.sender(scope),
         )
         try:
             body = await asgi.read_body(receive, self._max_body_bytes(), BODY_TIMEOUT_SECONDS)
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -377,7 +377,8 @@
         body = await self._wait_for(context, attempt, exchange.body)
         now = clock.now()
         upstream.record_first_event(context.request_id, now)
-        failed = request_context.Failed(f"status {head.status}", head, body)
+        ended = answers.judge_body_end(exchange.framing)
+        failed = request_context.Failed(f"status {head.status}", head, body, ended.is_proved)
         if head.status >= HTTP_SERVER_ERROR:
             if not head.retry_after_seconds:
                 upstream.record_failure(now)
@@ -387,12 +388,11 @@
             # The caller has the head of a stream, which only another stream can continue.
             return failed
         _take_over(context, attempt)
-        ended = answers.judge_body_end(exchange.framing)
         if ended.is_proved and head.status < HTTP_SERVER_ERROR:
             self._state.crashes.record_whole(context.suspects)
         context.first_byte_at = now
         self._metrics.observe("answer", now - context.arrived_at)
-        await context.response.send(head.status, head.headers, body)
+        await context.response.send(head.status, head.headers, body, ended.is_proved)
         return request_context.Done()
 
     async def _forward_stream(
@@ -414,7 +414,8 @@
                     if exchange.framing is answers.Framing.CONNECTION:
                         # A server that crashes may close such an answer as if it were whole.
                         self._record_broken(context, upstream, events_before)
-                    ended = stream.check_end(exchange.framing)
+                    promised = context.response.started and context.response.states_end
+                    ended = stream.check_end(exchange.framing, promised)
                     break
                 events = stream.feed(data)
             except delivery_errors.StreamOrderError as error:
@@ -423,10 +424,10 @@
             if events:
                 _take_over(context, attempt)
                 context.events = stream
-                await self._forward_events(context, attempt, head, events)
+                await self._forward_events(context, attempt, head, exchange, events)
         _take_over(context, attempt)
         if not context.response.started:
-            await context.response.start(head.status, head.headers, b"")
+            await context.response.start(head.status, head.headers, b"", ended.is_proved)
         await context.response.end()
         if ended.is_proved:
             self._state.crashes.record_whole(context.suspects)
@@ -438,6 +439,7 @@
         context: request_context.RequestContext,
         attempt: open_attempts.OpenAttempt,
         head: interfaces.ResponseHead,
+        exchange: http_connection.Exchange,
         events: bytes,
     ) -> None:
         selected = attempt.selected
@@ -452,7 +454,8 @@
             self._state.record_stream_origin(context.request, selected.upstream)
         context.first_byte_at = clock.now()
         self._metrics.observe("first_event", context.first_byte_at - context.arrived_at)
-        await context.response.start(head.status, head.headers, events)
+        states_end = exchange.framing is not answers.Framing.CONNECTION
+        await context.response.start(head.status, head.headers, events, states_end)
 
 
 def _permit_holder(context: request_context.RequestContext, selected: selection.Selection) -> str:
--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -9,7 +9,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from hollyring.delivery import refusal
-from hollyring.node import caller_connection, completion_format, logs, settings
+from hollyring.node import caller_connection, completion_format, logs, settings, unstated_end
 
 REASON_PHRASES = {408: "Request Timeout", 429: "Too Many Requests", 431: "Header Fields Too Large"}
 
@@ -58,6 +58,8 @@
             self._in_head = False
             self._stop_timer()
             super().on_headers_complete()
+            extensions: dict[str, Any] = self.scope["extensions"]
+            extensions[unstated_end.SCOPE_EXTENSION] = unstated_end.Sender(self.cycle)
 
         def send_400_response(self, msg: str) -> None:
             logs.Logger("connection").info("refused", code="invalid_request", why=msg)
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -264,11 +264,11 @@
             shown = interfaces.ResponseHead(
                 head.status, headers, True, False, False, head.upstream, 0
             )
-            return request_context.Failed(f"status {head.status}", shown, body)
+            return request_context.Failed(f"status {head.status}", shown, body, head.states_end)
         self._take_over()
         context.first_byte_at = clock.now()
         self._metrics.observe("answer", context.first_byte_at - context.arrived_at)
-        await context.response.send(head.status, headers, body)
+        await context.response.send(head.status, headers, body, head.states_end)
         return request_context.Done()
 
     async def _forward_stream(self, head: forwarded.ForwardedHead) -> request_context.Outcome:
@@ -287,7 +287,8 @@
                             context.events = stream
                             await self._forward_events(head, events)
                     case forwarded.ForwardedEnd():
-                        stream.check_end(answers.Framing.CHUNKS)
+                        promised = context.response.started and context.response.states_end
+                        stream.check_end(_framing(head), promised)
                         break
                     case forwarded.ForwardedBreak(reason=reason):
                         raise _NotAnsweredError(f"broken off: {reason}")
@@ -298,7 +299,8 @@
         self.is_whole = True
         self._take_over()
         if not context.response.started:
-            await context.response.start(head.status, forwarded.from_wire(head.headers), b"")
+            headers = forwarded.from_wire(head.headers)
+            await context.response.start(head.status, headers, b"", head.states_end)
         await context.response.end()
         self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
         return request_context.Done()
@@ -326,4 +328,10 @@
             self._state.stream_origins.record(context.request.first_request_id, origin, now)
         context.first_byte_at = now
         self._metrics.observe("first_event", now - context.arrived_at)
-        await context.response.start(head.status, forwarded.from_wire(head.headers), events)
+        headers = forwarded.from_wire(head.headers)
+        await context.response.start(head.status, headers, events, head.states_end)
+
+
+def _framing(head: forwarded.ForwardedHead) -> answers.Framing:
+    """Return how a forwarded stream states its end; its own messages leave no doubt about it."""
+    return answers.Framing.CHUNKS if head.states_end else answers.Framing.CONNECTION
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -438,6 +438,7 @@
   4: optional string upstream
   5: optional string software
   6: optional i64 sends
+  7: optional bool states_end
 }
 
 struct DeliveryForwardedData {
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -515,7 +515,8 @@
         """Send the final response after the last attempt."""
         last = context.last_failure
         if last is not None and last.head is not None and not context.response.started:
-            await context.response.send(last.head.status, last.head.headers, last.body)
+            head = last.head
+            await context.response.send(head.status, head.headers, last.body, last.states_end)
             self._log.ended(context, "upstream's failure")
             return
         now = clock.now()
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -19,8 +19,8 @@
     ----------
     reason
         Text for the log.
-    head, body
-        The upstream's own error response, if it sent one.
+    head, body, states_end
+        The upstream's own error response, if it sent one, and whether that states its end.
     silent_seconds
         Seconds without data from the upstream, up to the end of the attempt.
     """
@@ -28,6 +28,7 @@
     reason: str
     head: interfaces.ResponseHead | None = None
     body: bytes = b""
+    states_end: bool = True
     silent_seconds: float = 0.0
 
     @property
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -40,14 +40,22 @@
     def ended(self) -> bool:
         """Whether the last part of the response was sent or is being sent."""
 
+    @property
+    def states_end(self) -> bool:
+        """Whether the response states where it ends, so that only a whole one may be ended."""
+
     @property
     def caller_left(self) -> bool:
         """Whether the caller has closed the connection."""
 
     async def start(
-        self, status: int, headers: Sequence[request_types.Header], data: bytes
+        self,
+        status: int,
+        headers: Sequence[request_types.Header],
+        data: bytes,
+        states_end: bool = True,
     ) -> None:
-        """Send the head and the first bytes of a response."""
+        """Send the head and the first bytes of a response, which may end with the connection."""
 
     async def write(self, data: bytes) -> None:
         """Send more of the body."""
@@ -55,8 +63,14 @@
     async def end(self) -> None:
         """End the response."""
 
-    async def send(self, status: int, headers: Sequence[request_types.Header], body: bytes) -> None:
-        """Send a complete response."""
+    async def send(
+        self,
+        status: int,
+        headers: Sequence[request_types.Header],
+        body: bytes,
+        states_end: bool = True,
+    ) -> None:
+        """Send a response, which is whole if it states its end."""
 
     async def refuse(self, rejection: refusal.Refusal) -> None:
         """Send a refusal, or raise `IncompleteResponseError` if a response was started."""
@@ -75,6 +89,8 @@
         Returns whether the connection is closed after the response.
     has_caller_left
         Returns whether the caller has closed the connection.
+    send_unstated
+        ASGI send callable of a response that ends with the connection; `send` if there is none.
     """
 
     __slots__ = (
@@ -82,6 +98,8 @@
         "_encode",
         "_should_close",
         "_has_caller_left",
+        "_send_unstated",
+        "_states_end",
         "_started",
         "_ended",
         "status",
@@ -93,11 +111,14 @@
         encode: RefusalEncoder,
         should_close: Callable[[], bool],
         has_caller_left: Callable[[], bool] = lambda: False,
+        send_unstated: asgi.Send | None = None,
     ) -> None:
         self._send = send
         self._encode = encode
         self._should_close = should_close
         self._has_caller_left = has_caller_left
+        self._send_unstated = send_unstated or send
+        self._states_end = True
         self._started = False
         self._ended = False
         self.status = 0
@@ -112,17 +133,29 @@
         """Whether the last part of the response was sent or is being sent."""
         return self._ended
 
+    @property
+    def states_end(self) -> bool:
+        """Whether the response states where it ends, so that only a whole one may be ended."""
+        return self._states_end
+
     @property
     def caller_left(self) -> bool:
         """Whether the caller has closed the connection, at the cost of a system call."""
         return self._has_caller_left()
 
     async def start(
-        self, status: int, headers: Sequence[request_types.Header], data: bytes
+        self,
+        status: int,
+        headers: Sequence[request_types.Header],
+        data: bytes,
+        states_end: bool = True,
     ) -> None:
-        """Send the head and the first bytes of a response."""
+        """Send the head and the first bytes of a response, which may end with the connection."""
         self._started = True
         self.status = status
+        self._states_end = states_end
+        if not states_end:
+            self._send = self._send_unstated
         await asgi.start_response(self._send, status, self._with_close(headers))
         if data:
             await asgi.write_body(self._send, data)
@@ -136,10 +169,20 @@
         self._ended = True
         await asgi.write_body(self._send, b"", more=False)
 
-    async def send(self, status: int, headers: Sequence[request_types.Header], body: bytes) -> None:
-        """Send a complete response."""
+    async def send(
+        self,
+        status: int,
+        headers: Sequence[request_types.Header],
+        body: bytes,
+        states_end: bool = True,
+    ) -> None:
+        """Send a response, which is whole if it states its end."""
         self._started = self._ended = True
         self.status = status
+        if not states_end:
+            await self.start(status, headers, body, states_end=False)
+            await self.end()
+            return
         await asgi.respond(self._send, status, body, self._with_close(headers))
 
     async def refuse(self, rejection: refusal.Refusal) -> None:
@@ -156,4 +199,5 @@
         await self.send(encoded.status, encoded.headers, encoded.body)
 
     def _with_close(self, headers: Sequence[request_types.Header]) -> list[request_types.Header]:
-        return [*headers, (b"connection", b"close")] if self._should_close() else list(headers)
+        closes = self._should_close() or not self._states_end
+        return [*headers, (b"connection", b"close")] if closes else list(headers)
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import struct
 
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -18,6 +19,10 @@
 Linux also ends keep-alive by it, whatever `KEEPALIVE_PROBES` is.
 """
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_GRACEFULLY = struct.pack("ii", 0, 0)
+"""Values of ``SO_LINGER``: whether a close resets a connection, also that at a process's end."""
+
 Option = tuple[int, int, int]
 
 TCP_OPTIONS: list[Option] = [
@@ -58,6 +63,12 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, int(on))
 
 
+def set_reset_on_close(connection: socket.socket, on: bool) -> None:
+    """Reset `connection` when it is closed, also by the end of the process, or no longer."""
+    value = RESET_ON_CLOSE if on else CLOSE_GRACEFULLY
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
 def enable_probes(connection: socket.socket) -> None:
     """Let the kernel close `connection` when its peer answers no probes.
 
--- a/hollyring/node/taken_requests.py
+++ b/hollyring/node/taken_requests.py
@@ -31,13 +31,23 @@
         Link to the VM that admitted the request.
     """
 
-    __slots__ = ("_link", "_started", "_ended", "_complete", "_bytes", "context", "status")
+    __slots__ = (
+        "_link",
+        "_started",
+        "_ended",
+        "_complete",
+        "_states_end",
+        "_bytes",
+        "context",
+        "status",
+    )
 
     def __init__(self, link: peer_link.Link) -> None:
         self._link = link
         self._started = False
         self._ended = False
         self._complete = False
+        self._states_end = True
         self._bytes = 0
         self.context: request_context.RequestContext | None = None
         self.status = 0
@@ -57,6 +67,11 @@
         """Whether the last message was sent, so that the link may carry another request."""
         return self._complete
 
+    @property
+    def states_end(self) -> bool:
+        """Whether the response states where it ends, so that only a whole one may be ended."""
+        return self._states_end
+
     @property
     def caller_left(self) -> bool:
         """Whether the admitting VM gave the request up, at the cost of a system call.
@@ -66,9 +81,14 @@
         return self._link.is_stale
 
     async def start(
-        self, status: int, headers: Sequence[request_types.Header], data: bytes
+        self,
+        status: int,
+        headers: Sequence[request_types.Header],
+        data: bytes,
+        states_end: bool = True,
     ) -> None:
-        """Send the head and the first events of a stream."""
+        """Send the head and the first events of a stream, which may end with its connection."""
+        self._states_end = states_end
         await self._link.send(self._head(status, headers, streaming=True), *self._parts(data))
 
     async def write(self, data: bytes) -> None:
@@ -80,8 +100,15 @@
         """End the stream."""
         await self._send_last(forwarded.ForwardedEnd(self._bytes))
 
-    async def send(self, status: int, headers: Sequence[request_types.Header], body: bytes) -> None:
-        """Send a complete response."""
+    async def send(
+        self,
+        status: int,
+        headers: Sequence[request_types.Header],
+        body: bytes,
+        states_end: bool = True,
+    ) -> None:
+        """Send a response, which is whole if it states its end."""
+        self._states_end = states_end
         head = self._head(status, headers, streaming=False)
         first, *rest = self._parts(body) or [forwarded.ForwardedData(b"")]
         if not rest:
@@ -145,6 +172,7 @@
             selected.upstream.name if selected is not None else "",
             selected.upstream.entry.software if selected is not None else "",
             context.retry_state.arrivals if context is not None else 0,
+            self._states_end,
         )
 
     def _parts(self, data: bytes) -> list[forwarded.ForwardedData]:
