Judge an answer by its head, never by its trailers

Cause: the parser reports trailers like headers, and the list of headers that the exchange had been given was the one to which they were added. Whether they counted depended on whether they arrived with the head.

Change: only headers before the end of the head are recorded.

Evidence: test_trailers_are_no_part_of_the_head failed for X-Not-Run and another header, and test_seal_in_a_trailer_is_none failed before; all pass now, with the tests of the connection pool, relay, endless answers, doubted connections and silent servers.

More rows that passed before too, kept as tests: a second refusal that comes 1, 2 or 40 answers later, several interim answers around it, five kinds of answers that name no request on a used connection (signed success and failure, refusal, 421, 204), 204 and 304 without a length, a refusal, 421, 500 and 404 after the beginning of a stream.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -250,6 +250,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: list[request_types.Header] = []
+        self._in_head = False
         self._interim = False
         self._unmatched = False
         self._in_body = False
@@ -421,12 +422,15 @@
     def on_message_begin(self) -> None:
         """Start a response."""
         self._headers = []
+        self._in_head = True
         self._framing = answers.Framing.CONNECTION
         if self._exchange is None or self._exchange.ended:
             self._unusable = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
+        """Record a header; trailers, which come when the head was judged, are ignored."""
+        if not self._in_head:
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name == b"content-length":
@@ -442,6 +446,7 @@
         After an answer that names no request, a repetition of it could not be told from the answer
         to the next request, so the connection carries no other.
         """
+        self._in_head = False
         status = self._parser.get_status_code()
         self._interim = status < FIRST_FINAL_STATUS
         exchange = self._exchange
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -154,3 +154,113 @@
 ):
     caller = await resume_at(OddContinuation(CONTINUATIONS[continuation], framing, content_type))
     assert (caller.status, caller.body, caller.ended) == (200, FIRST_EVENTS, False)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("behaviour", ["refuse", "misdirect", "error", "not-found"])
+async def test_stream_is_not_ended_by_an_answer_that_is_no_stream(behaviour):
+    caller = await resume_at(conftest.ServerStandIn("i-1", behaviour))
+    assert (caller.status, caller.body, caller.ended) == (200, FIRST_EVENTS, False)
+
+
+class ScriptedServer(conftest.ServerStandIn):
+    """Server that answers each request with the next of some bytes, where NAME is its id."""
+
+    def __init__(self, *answers):
+        super().__init__("i-0")
+        self.answers = list(answers)
+
+    async def handle(self, request, writer):
+        name = request.headers["x-request-id"].encode()
+        writer.write(self.answers.pop(0).replace(b"NAME", name))
+
+
+async def send_all(server, **route):
+    """Return what the callers get whose requests are sent one after another on one connection."""
+    count = len(server.answers)
+    async with server.running():
+        vm = test_relay.RelayVm([server], attempts=1, **route)
+        callers = [
+            await asyncio.wait_for(vm.send_request(f"r-{n}", deadline_seconds=1.0), 3.0)
+            for n in range(count)
+        ]
+    assert vm.pool.opened == 1
+    return callers
+
+
+def encode(status, *lines, body=b"", names=True):
+    head = [b"HTTP/1.1 %d X" % status, *lines]
+    head += [b"x-request-id: NAME"] if names else []
+    return b"\r\n".join([*head, b"", b""]) + body
+
+
+SEALED_ANSWER = encode(200, SEAL_HEADER, b"content-length: 4", body=b"done")
+INTERIM = encode(103, b"link: x", names=False)
+EARLIER_REFUSAL = (
+    b"HTTP/1.1 503 X\r\nx-request-id: r-0\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("exchanges", [1, 2, 40])
+async def test_second_refusal_that_comes_many_answers_later_is_not_taken(exchanges):
+    server = ScriptedServer(*[SEALED_ANSWER] * exchanges, EARLIER_REFUSAL + SEALED_ANSWER)
+    callers = await send_all(server)
+    assert [caller.status for caller in callers] == [200] * (exchanges + 1)
+    assert callers[-1].body == b"done"
+
+
+@pytest.mark.anyio
+async def test_interim_answers_around_a_repeated_refusal_change_nothing():
+    answer = INTERIM * 3 + EARLIER_REFUSAL + INTERIM * 2 + SEALED_ANSWER
+    callers = await send_all(ScriptedServer(SEALED_ANSWER, answer))
+    assert [(caller.status, caller.body) for caller in callers] == [(200, b"done")] * 2
+
+
+NAMELESS = {
+    "signed success": encode(200, SEAL_HEADER, b"content-length: 4", body=b"fake", names=False),
+    "signed failure": encode(500, SEAL_HEADER, b"content-length: 4", body=b"fake", names=False),
+    "refusal": encode(503, b"x-not-run: 1", b"content-length: 0", names=False),
+    "misdirected": encode(421, b"x-instance-id: i-9", b"content-length: 0", names=False),
+    "no content": encode(204, SEAL_HEADER, names=False),
+}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("answer", NAMELESS)
+async def test_answer_that_names_no_request_is_not_taken_on_a_used_connection(answer):
+    callers = await send_all(ScriptedServer(SEALED_ANSWER, NAMELESS[answer]))
+    assert [caller.status for caller in callers] == [200, 502]
+    assert b"retry-after" not in callers[1].headers
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "trailer",
+    [b"x-not-run: 1", b"x-request-id: r-9", b"retry-after: 9", b"x-hold: 1"],
+)
+async def test_trailers_are_no_part_of_the_head(trailer):
+    chunks = b"4\r\ndone\r\n0\r\n" + trailer + b"\r\n\r\n"
+    answer = encode(200, SEAL_HEADER, b"transfer-encoding: chunked", body=chunks)
+    callers = await send_all(ScriptedServer(answer, answer))
+    for caller in callers:
+        assert (caller.status, caller.body, caller.ended) == (200, b"done", True)
+        assert caller.headers[b"content-length"] == b"4"
+        assert b"x-hold" not in caller.headers
+
+
+@pytest.mark.anyio
+async def test_seal_in_a_trailer_is_none():
+    chunks = b"4\r\ndone\r\n0\r\n" + SEAL_HEADER + b"\r\n\r\n"
+    answer = encode(200, b"transfer-encoding: chunked", body=chunks)
+    (caller,) = await send_all(ScriptedServer(answer))
+    assert caller.status == 502
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("status", [204, 304])
+async def test_answer_that_cannot_have_a_body_is_whole_without_a_length(status):
+    answer = encode(status, SEAL_HEADER)
+    callers = await send_all(ScriptedServer(answer, answer, SEALED_ANSWER))
+    assert [caller.status for caller in callers] == [status, status, 200]
+    assert [caller.body for caller in callers] == [b"", b"", b"done"]
