Let a connection remember all requests that it has carried, and retire it after 256

The connection remembered its last 16 requests only; 16 short requests pass in a fraction of the time for which a refused request waits.

Cause: a bound on memory that was a guess about time. Change: a connection remembers what it has carried without exception, and carries at most 256 requests, which bounds the memory and costs one new connection for 256 requests.

Evidence: the test (requests between the two sendings: twice the bound and ten) failed before, with the bound of 16, and passes now, with those of the connection pool, relay and repeated answers.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -35,8 +35,8 @@
 MAX_BODY_BYTES = 33_554_432
 """Longest body that is read as a whole."""
 
-REMEMBERED_REQUESTS = 16
-"""Requests that a connection remembers; a second answer to an earlier one comes no later."""
+MAX_REQUESTS = 256
+"""Requests after which a connection carries no other; it remembers which it has carried."""
 
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -261,7 +261,7 @@
         self._silence = Silence.END_LATE
         self._broken = False
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
-        self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
+        self._carried: set[str] = set()
         self.idle_since = clock.now()
 
     @property
@@ -280,6 +280,8 @@
         transport = self._transport
         if self._unusable or transport is None or transport.is_closing():
             return False
+        if len(self._carried) >= MAX_REQUESTS:
+            return False
         return transport.get_write_buffer_size() == 0
 
     @property
@@ -295,7 +297,7 @@
         return self.idle_since + self._keep_alive_seconds - now
 
     def has_carried(self, request_id: str) -> bool:
-        """Return whether the request was sent on this connection recently.
+        """Return whether the request was sent on this connection.
 
         If it is sent on this connection again, a late second answer to the first sending cannot be
         told from the answer to the second.
@@ -331,7 +333,7 @@
         if transport is None or transport.is_closing():
             raise NotSentError("connection closed")
         if request_id:
-            self._carried.append(request_id)
+            self._carried.add(request_id)
         self._watch_silence(silence)
         self._exchange = Exchange(self, read_naming, alone=not self._has_carried_any)
         self._has_carried_any = True
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -231,3 +231,24 @@
         assert upstream.connections == pool.opened == 2
         assert pool.has_idle(upstream.address)
         connection.abort()
+
+
+@pytest.mark.anyio
+async def test_request_is_never_sent_again_on_a_connection_that_carried_it_long_ago():
+    count = 2 * http_connection.MAX_REQUESTS + 10
+    answers_by_name = [OK.replace(b"x-request-id: r-1\r\n", b"") for _ in range(count + 2)]
+    pool = connection_pool.ConnectionPool()
+    async with Upstream(*answers_by_name).running() as upstream:
+        carried_by = set()
+        for name in ["again", *(f"other-{n}" for n in range(count))]:
+            connection = await pool.acquire(upstream.address, 10, request_id=name)
+            exchange = connection.send(
+                b"GET / HTTP/1.1\r\nhost: h\r\n\r\n", http_connection.accept_any, name
+            )
+            await exchange.body()
+            if name == "again":
+                carried_by.add(connection)
+            pool.release(upstream.address, connection)
+        connection = await pool.acquire(upstream.address, 10, request_id="again")
+        assert connection not in carried_by
+        pool.close()
