Take no answer for a call or a completion that may be the one to an earlier one

Cause: engine_client and services took any answer on a kept connection for that to the request (accept_any). Class: as in the relay, an answer counts by where it stands.

Change: both send X-Request-Id and judge the head by delivery/answers, as the relay does: an answer that names another request is skipped; one that names none is taken only on a connection that carried nothing before, and its connection carries nothing after. So an inference server or service that echoes no X-Request-Id costs a new connection for each request; the stand-ins echo it now.

Ruled out: a call that runs at most once had a connection of its own already. A completion's stream without a length is complete only after its last event ([DONE]); the test for that passed before.

Evidence: the four cases that use a kept connection (two of idempotent calls, two of completions) failed before, all pass now. Open, in KNOWN-RED: a plain service's answer without a length gets one (two tests); a completion whose caller leaves while a connection is opened is charged its prompt (the test's server names its requests now, so that it still tests a kept connection; the case of one that does not is listed). Run: tests of services, completions, silent upstream, stand-ins, connection pool, relay, repeated answers.

--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -298,10 +298,11 @@
         If the caller left before the attempt was sent.
     """
     attempt = context.stream.begin()
+    attempt_id = f"{context.request_id}-{attempt.number}"
     body = completion_requests.engine_body(
         context.completion,
         completion_requests.EngineOptions(
-            request_id=f"{context.request_id}-{attempt.number}",
+            request_id=attempt_id,
             cache_salt=routed.salt,
             priority=0,
             resume_text=attempt.resume_text,
@@ -313,7 +314,7 @@
     try:
         seconds = context.retry_state.seconds_left(time.monotonic())
         generated = this_vm.engines.stream(
-            routed.address, path, body, seconds, context.has_caller_left
+            routed.address, path, body, attempt_id, seconds, context.has_caller_left
         )
         async with contextlib.aclosing(generated):
             await _deliver_all(this_vm, context, routed, attempt.number, generated)
--- a/hollyring/node/engine_client.py
+++ b/hollyring/node/engine_client.py
@@ -106,6 +106,7 @@
         url: str,
         path: str,
         body: bytes,
+        request_id: str,
         head_timeout_seconds: float,
         has_caller_left: Callable[[], bool],
     ) -> AsyncGenerator[Token | Usage, None]:
@@ -118,6 +119,8 @@
         ----------
         url
             ``"http://IP:PORT"``.
+        request_id
+            Identity of the attempt, by which its answer is recognised if the server names it.
         head_timeout_seconds
             Maximum wait for the head of the response.
         has_caller_left
@@ -131,7 +134,8 @@
             If the caller left before the request was sent.
         """
         address = http_request.address_of(url)
-        request = http_request.encode(b"POST", path.encode(), address.encode(), [JSON_TYPE], body)
+        headers = [JSON_TYPE, (b"X-Request-Id", request_id.encode())]
+        request = http_request.encode(b"POST", path.encode(), address.encode(), headers, body)
         try:
             connection = await self._pool.acquire(address, MAX_CONNECTIONS)
         except http_connection.NotSentError as error:
@@ -141,10 +145,12 @@
                 raise errors.CallerLeftError("caller left before the request was sent")
             # Another server can continue the stream if the host of this one is silent for good.
             exchange = connection.send(
-                request, http_connection.accept_any, silence=http_connection.Silence.END_LATE
+                request,
+                http_connection.naming_reader(request_id),
+                silence=http_connection.Silence.END_LATE,
             )
             with anyio.fail_after(head_timeout_seconds):
-                head = await exchange.head()
+                head = await exchange.own_head()
             if head.status != HTTP_OK:
                 raise EngineStatusError(head.status, await _error_text(exchange))
             async for item in _parse_stream(
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -78,6 +78,10 @@
         return next((value for key, value in self.headers if key == name), b"")
 
 
+class UnnamedResponseError(HttpConnectionError):
+    """A response names no request, and the connection has carried another one."""
+
+
 class Silence(enum.Enum):
     """What the kernel does with a connection whose peer's host is silent.
 
@@ -161,6 +165,21 @@
             await self._wait()
         return self._head
 
+    async def own_head(self) -> ResponseHead:
+        """Return the head of a response that can belong to this request only, signed or not.
+
+        Raises
+        ------
+        HttpConnectionError
+            If the connection is lost before, or the response may be that to another request.
+        """
+        head = await self.head()
+        facts = answers.Head(head.status, self.naming, self.alone, authentic=True)
+        match answers.judge_head(facts, streaming=False, begun=False):
+            case answers.Failed(reason=reason):
+                raise UnnamedResponseError(reason)
+        return head
+
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, or None at its end.
 
@@ -487,6 +506,19 @@
             self._exchange.finish()
 
 
+def naming_reader(request_id: str) -> NamingReader:
+    """Return a function that tells whether a response's ``X-Request-Id`` names a request."""
+    expected = request_id.encode()
+
+    def read(headers: list[request_types.Header]) -> answers.Naming:
+        named = next((value for name, value in headers if name == b"x-request-id"), b"")
+        if not named:
+            return answers.Naming.NONE
+        return answers.Naming.THIS if named == expected else answers.Naming.OTHER
+
+    return read
+
+
 def accept_any(_: list[request_types.Header]) -> answers.Naming:
     """Take any response for that to the request, for calls, whose answers name none."""
     return answers.Naming.THIS
--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -104,7 +104,9 @@
                 raise errors.CallerLeftError("caller left before the call was sent")
             if may_send is not None and not await may_send():
                 raise errors.UpstreamError("sending was no longer allowed", reached=False)
-            exchange = connection.send(request, http_connection.accept_any, silence=silence)
+            exchange = connection.send(
+                request, http_connection.naming_reader(request_id), silence=silence
+            )
             with anyio.fail_after(CALL_TIMEOUT_SECONDS):
                 return await _read_response(exchange)
         except http_connection.NotSentError as error:
@@ -132,7 +134,7 @@
 
 
 async def _read_response(exchange: http_connection.Exchange) -> messages.Answer:
-    head = await exchange.head()
+    head = await exchange.own_head()
     body = b""
     while (data := await exchange.read()) is not None:
         body += data
--- a/hollyring/node/tests/scripted_vm.py
+++ b/hollyring/node/tests/scripted_vm.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import inspect
 import json
 import socket
 import types
@@ -35,8 +36,8 @@
 class Upstream:
     """Upstream on a socket, with one script for each request; the last one is repeated.
 
-    A script is called with the writer of the connection and writes the response; it returns
-    whether the connection stays open.
+    A script is called with the writer of the connection, and with the id of the request if it takes
+    one, and writes the response; it returns whether the connection stays open.
     """
 
     def __init__(self, *scripts):
@@ -58,7 +59,9 @@
                 length = head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]
                 self.requests.append(await reader.readexactly(int(length or 0)))
                 script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
-                if not await script(writer):
+                names = head.lower().partition(b"x-request-id: ")[2].partition(b"\r\n")[:1]
+                takes_name = "request_id" in inspect.signature(script).parameters
+                if not await script(writer, *names[: int(takes_name)]):
                     break
         writer.close()
 
--- a/hollyring/node/tests/test_completions.py
+++ b/hollyring/node/tests/test_completions.py
@@ -43,11 +43,15 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-def generate(*chunks, done=True):
-    """Return a script that sends chunks, then the end of the stream or a broken connection."""
+def generate(*chunks, done=True, names=True):
+    """Return a script that sends chunks, then the end of the stream or a broken connection.
 
-    async def script(writer):
-        writer.write(HEAD + b"".join(chunks))
+    `names` selects whether the answer names its request.
+    """
+
+    async def script(writer, request_id=b""):
+        naming = b"x-request-id: %b\r\n" % request_id if names else b""
+        writer.write(HEAD[:-2] + naming + b"\r\n" + b"".join(chunks))
         if done:
             writer.write(b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
         await writer.drain()
@@ -76,8 +80,9 @@
 
 
 @pytest.mark.anyio
-async def test_completion_is_not_sent_on_if_its_caller_left_after_its_admission(start_vm):
-    vm, (upstream,) = await start_vm(generate(chunk("a", "stop")))
+@pytest.mark.parametrize("names", [True, False])
+async def test_completion_is_not_sent_on_if_its_caller_left_after_its_admission(start_vm, names):
+    vm, (upstream,) = await start_vm(generate(chunk("a", "stop"), names=names))
     assert b"[DONE]" in await exchange(vm, scripted_vm.completion())
     upstream.requests.clear()
     caller = socket.create_connection(("127.0.0.1", vm.port))
@@ -121,3 +126,52 @@
     assert received.startswith(b"HTTP/1.1 200 ")
     assert b'"length"' in received
     assert [len(upstream.requests) for upstream in upstreams] == [1, 0]
+
+
+class RepeatingServer:
+    """Inference server that sends each answer once more, ahead of the next one on its connection.
+
+    `names` selects whether its answers name their request.
+    """
+
+    def __init__(self, names):
+        self.names = names
+        self.count = 0
+        self.earlier = {}
+
+    async def __call__(self, writer, request_id=b""):
+        self.count += 1
+        naming = b"x-request-id: %b\r\n" % request_id if self.names else b""
+        head = HEAD[:-2] + naming + b"\r\n"
+        end = b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"
+        answer = head + chunk(f"answer {self.count}", "stop") + end
+        writer.write(self.earlier.get(writer, b"") + answer)
+        self.earlier[writer] = answer
+        await writer.drain()
+        return True
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("names", [False, True])
+async def test_second_answer_to_a_completion_is_not_the_answer_to_the_next(start_vm, names):
+    vm, upstreams = await start_vm(RepeatingServer(names))
+    for number in range(1, 5):
+        received = await exchange(vm, scripted_vm.completion())
+        assert f"answer {number}".encode() in received
+        assert received.count(b"answer") == 1
+    assert len(upstreams[0].requests) == 4
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("end", [b"", b"data: {}\n\n"])
+async def test_stream_without_a_length_and_without_its_last_event_is_not_complete(start_vm, end):
+    async def script(writer):
+        event = b'data: {"choices": [{"index": 0, "text": "a"}]}\n\n'
+        writer.write(HEAD.replace(b"transfer-encoding: chunked\r\n", b"") + event + end)
+        await writer.drain()
+        return False
+
+    vm, _ = await start_vm(script)
+    received = await exchange(vm, scripted_vm.completion(max_tokens=50))
+    assert b"event: error" in received
+    assert b"[DONE]" not in received
--- a/hollyring/node/tests/test_services.py
+++ b/hollyring/node/tests/test_services.py
@@ -115,3 +115,56 @@
     assert received.startswith(b"HTTP/1.1 409 ")
     assert b'"code":"outcome_unknown","execution":"unknown"' in received
     assert request_counts(upstreams) == [0]
+
+
+class RepeatingService:
+    """Service that sends each answer once more, ahead of the next one on its connection.
+
+    `names` selects whether its answers name their request.
+    """
+
+    def __init__(self, names):
+        self.names = names
+        self.count = 0
+        self.earlier = {}
+
+    async def __call__(self, writer, request_id=b""):
+        self.count += 1
+        naming = b"x-request-id: %b\r\n" % request_id if self.names else b""
+        body = b"answer %d" % self.count
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n%b\r\n" % (len(body), naming)
+        writer.write(self.earlier.get(writer, b"") + head + body)
+        self.earlier[writer] = head + body
+        await writer.drain()
+        return True
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("names", [False, True])
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+async def test_second_answer_to_a_call_is_not_the_answer_to_the_next_call(start_vm, path, names):
+    vm, upstreams = await start_vm(RepeatingService(names))
+    for number in range(1, 5):
+        async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+            await stream.send(scripted_vm.request(path, {}))
+            with anyio.fail_after(REPLY_SECONDS):
+                assert (await stream.receive()).endswith(b"answer %d" % number)
+    assert request_counts(upstreams) == [4]
+
+
+async def answer_without_a_length(writer):
+    writer.write(b"HTTP/1.1 200 OK\r\n\r\nhal")
+    await writer.drain()
+    return False
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+async def test_answer_of_a_service_without_a_length_reaches_its_caller_without_one(start_vm, path):
+    vm, _ = await start_vm(answer_without_a_length)
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+        await stream.send(scripted_vm.request(path, {}))
+        with anyio.fail_after(REPLY_SECONDS):
+            received = await stream.receive()
+    assert received.endswith(b"\r\n\r\nhal")
+    assert b"content-length" not in received
--- a/hollyring/node/tests/test_silent_upstream.py
+++ b/hollyring/node/tests/test_silent_upstream.py
@@ -142,7 +142,7 @@
         with contextlib.suppress(errors.UpstreamError):
             if client == "engine":
                 stream = engine_client.EngineClient(pool).stream(
-                    f"http://{address}", "/", b"", 1.0, lambda: False
+                    f"http://{address}", "/", b"", "r-1", 1.0, lambda: False
                 )
                 async for _ in stream:
                     pass
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from hollyring.core import request_types
-from hollyring.delivery import answers
 from hollyring.fleet import messages as fleet
 from hollyring.membership import heartbeat
 from hollyring.node import http_connection, http_request, interfaces
@@ -141,15 +140,7 @@
 
     def naming_reader(self, request_id: str) -> http_connection.NamingReader:
         """Return a function that tells whether a response's headers name `request_id`."""
-        expected = request_id.encode()
-
-        def read(headers: list[request_types.Header]) -> answers.Naming:
-            named = _header_value(headers, b"x-request-id")
-            if not named:
-                return answers.Naming.NONE
-            return answers.Naming.THIS if named == expected else answers.Naming.OTHER
-
-        return read
+        return http_connection.naming_reader(request_id)
 
     def decode_head(self, head: http_connection.ResponseHead) -> interfaces.ResponseHead:
         """Decode the head of a response."""
--- a/hollyring/standins/asgi.py
+++ b/hollyring/standins/asgi.py
@@ -57,8 +57,11 @@
             raise errors.StandInError(400, "bad_json", str(error)) from error
 
     async def start_response(self, status: int, headers: Headers) -> None:
-        """Send the status and the headers of the response."""
-        await self.send({"type": "http.response.start", "status": status, "headers": headers})
+        """Send the status and the headers of the response, which names its request if it can."""
+        named = [header for header in self.headers if header[0] == b"x-request-id"]
+        await self.send(
+            {"type": "http.response.start", "status": status, "headers": [*headers, *named]}
+        )
 
     async def write(self, body: bytes, more: bool = True) -> None:
         """Send a part of the response body."""
