Take the head of an answer to HEAD for all of it

The parser waits for the body that the head describes; on a kept connection the bytes of the next answer would be taken for it.

Change: the answer to HEAD ends with its head, and its connection carries nothing after. The caller gets no length, as a length of 0 would be wrong, and its connection is closed.

Weighed: passing the upstream's length on, and keeping the callers' connection, needs a response whose length is not that of its body; HEAD is rare, so not done.

Evidence: three cases (length, chunks, neither) got 504 before and 200 now; tests of repeated answers, connection pool and relay pass.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -270,6 +270,7 @@
         self._exchange: Exchange | None = None
         self._headers: list[request_types.Header] = []
         self._in_head = False
+        self._has_no_body = False
         self._interim = False
         self._unmatched = False
         self._in_body = False
@@ -357,6 +358,7 @@
         self._exchange = Exchange(self, read_naming, alone=not self._has_carried_any)
         self._has_carried_any = True
         self._overhead_bytes = 0
+        self._has_no_body = request.startswith(b"HEAD ")
         transport.write(request)
         return self._exchange
 
@@ -483,7 +485,13 @@
         self._in_body = True
         if status in STATUSES_WITHOUT_BODY:
             self._framing = answers.Framing.LENGTH
+        if self._has_no_body:
+            self._framing = answers.Framing.CONNECTION
         exchange.set_head(ResponseHead(status, self._headers), naming, self._framing)
+        if self._has_no_body:
+            # The parser waits for the body that the head describes.
+            self._unusable = True
+            exchange.finish()
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -148,6 +148,7 @@
         headers=(),
         caller_left=False,
         resume_after=None,
+        method=b"POST",
     ):
         caller = Caller()
         prompt = None
@@ -161,7 +162,7 @@
             all_headers += ((b"x-model", b"m"),)
         request = request_types.Request(
             request_id,
-            b"POST",
+            method,
             path.encode(),
             "h",
             path.partition("?")[0],
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -257,6 +257,18 @@
     assert caller.status == 502
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("length", [b"content-length: 4", b"transfer-encoding: chunked", b"x: y"])
+async def test_answer_to_head_is_whole_without_the_body_that_it_describes(length):
+    server = ScriptedServer(encode(200, SEAL_HEADER, length), SEALED_ANSWER)
+    async with server.running():
+        vm = test_relay.RelayVm([server], attempts=1)
+        caller = await vm.send_request("r-1", method=b"HEAD", deadline_seconds=1.0)
+        assert (caller.status, caller.body, caller.ended) == (200, b"", True)
+        assert b"content-length" not in caller.headers
+        assert (await vm.send_request("r-2")).body == b"done"
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("status", [204, 304])
 async def test_answer_that_cannot_have_a_body_is_whole_without_a_length(status):
