--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -35,8 +35,8 @@
 MAX_BODY_BYTES = 33_554_432
 """Longest body that is read as a whole."""
 
-REMEMBERED_REQUESTS = 16
-"""Requests that a connection remembers; a second answer to an earlier one comes no later."""
+MAX_REQUESTS = 256
+"""Requests after which a connection carries no other; it remembers which it has carried."""
 
 FIRST_FINAL_STATUS = 200
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -78,6 +78,10 @@
         return next((value for key, value in self.headers if key == name), b"")
 
 
+class UnnamedResponseError(HttpConnectionError):
+    """A response names no request, and the connection has carried another one."""
+
+
 class Silence(enum.Enum):
     """What the kernel does with a connection whose peer's host is silent.
 
@@ -161,6 +165,21 @@
             await self._wait()
         return self._head
 
+    async def own_head(self) -> ResponseHead:
+        """Return the head of a response that can belong to this request only, signed or not.
+
+        Raises
+        ------
+        HttpConnectionError
+            If the connection is lost before, or the response may be that to another request.
+        """
+        head = await self.head()
+        facts = answers.Head(head.status, self.naming, self.alone, authentic=True)
+        match answers.judge_head(facts, streaming=False, begun=False):
+            case answers.Failed(reason=reason):
+                raise UnnamedResponseError(reason)
+        return head
+
     async def read(self) -> bytes | None:
         """Return the next bytes of the body, or None at its end.
 
@@ -250,6 +269,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: list[request_types.Header] = []
+        self._in_head = False
+        self._has_no_body = False
         self._interim = False
         self._unmatched = False
         self._in_body = False
@@ -260,7 +281,7 @@
         self._silence = Silence.END_LATE
         self._broken = False
         self._keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
-        self._carried: collections.deque[str] = collections.deque(maxlen=REMEMBERED_REQUESTS)
+        self._carried: set[str] = set()
         self.idle_since = clock.now()
 
     @property
@@ -279,6 +300,8 @@
         transport = self._transport
         if self._unusable or transport is None or transport.is_closing():
             return False
+        if len(self._carried) >= MAX_REQUESTS:
+            return False
         return transport.get_write_buffer_size() == 0
 
     @property
@@ -294,7 +317,7 @@
         return self.idle_since + self._keep_alive_seconds - now
 
     def has_carried(self, request_id: str) -> bool:
-        """Return whether the request was sent on this connection recently.
+        """Return whether the request was sent on this connection.
 
         If it is sent on this connection again, a late second answer to the first sending cannot be
         told from the answer to the second.
@@ -330,11 +353,12 @@
         if transport is None or transport.is_closing():
             raise NotSentError("connection closed")
         if request_id:
-            self._carried.append(request_id)
+            self._carried.add(request_id)
         self._watch_silence(silence)
         self._exchange = Exchange(self, read_naming, alone=not self._has_carried_any)
         self._has_carried_any = True
         self._overhead_bytes = 0
+        self._has_no_body = request.startswith(b"HEAD ")
         transport.write(request)
         return self._exchange
 
@@ -421,12 +445,15 @@
     def on_message_begin(self) -> None:
         """Start a response."""
         self._headers = []
+        self._in_head = True
         self._framing = answers.Framing.CONNECTION
         if self._exchange is None or self._exchange.ended:
             self._unusable = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header."""
+        """Record a header; trailers, which come when the head was judged, are ignored."""
+        if not self._in_head:
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name == b"content-length":
@@ -442,6 +469,7 @@
         After an answer that names no request, a repetition of it could not be told from the answer
         to the next request, so the connection carries no other.
         """
+        self._in_head = False
         status = self._parser.get_status_code()
         self._interim = status < FIRST_FINAL_STATUS
         exchange = self._exchange
@@ -457,7 +485,13 @@
         self._in_body = True
         if status in STATUSES_WITHOUT_BODY:
             self._framing = answers.Framing.LENGTH
+        if self._has_no_body:
+            self._framing = answers.Framing.CONNECTION
         exchange.set_head(ResponseHead(status, self._headers), naming, self._framing)
+        if self._has_no_body:
+            # The parser waits for the body that the head describes.
+            self._unusable = True
+            exchange.finish()
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
@@ -480,6 +514,19 @@
             self._exchange.finish()
 
 
+def naming_reader(request_id: str) -> NamingReader:
+    """Return a function that tells whether a response's ``X-Request-Id`` names a request."""
+    expected = request_id.encode()
+
+    def read(headers: list[request_types.Header]) -> answers.Naming:
+        named = next((value for name, value in headers if name == b"x-request-id"), b"")
+        if not named:
+            return answers.Naming.NONE
+        return answers.Naming.THIS if named == expected else answers.Naming.OTHER
+
+    return read
+
+
 def accept_any(_: list[request_types.Header]) -> answers.Naming:
     """Take any response for that to the request, for calls, whose answers name none."""
     return answers.Naming.THIS
