Answer a caller that closes only its sending side

What callers saw: after a whole request and a half close the connection was closed with neither an answer nor a refusal, also while an upstream worked on the request.

Cause: at the end of what a caller sends, uvicorn lets the transport close, and the application takes it for a caller that has left. A half close and a close look alike until something is written: the FIN is the same.

Weighed: (a) tell them apart by what follows: a closed socket answers data with a reset, but there is nothing to write before the answer, and the rule on callers that have left allows half a second. (b) Stop the work as for a caller that has left, and write the final refusal before closing: what a closed socket gets is dropped, a half closed caller reads it. (c) An interim answer (102) as a probe of the socket, repeated while the request runs, so that half closed callers are served: not every client takes interim answers, and each caller that leaves costs a probe and a wait.

Change: the end of a caller's bytes keeps the connection open while a request that was read whole is unanswered; the application sees a disconnect (`caller_connection.until_end`), cancels its attempts, and writes 503 `caller_ended` where nothing was sent, otherwise 502 or 504. A cancelled attempt counts as not run only if nothing of it was written. A request that lay unread until the half close is refused likewise. A stream that has begun is broken off, as by a caller that cancels it.

Conclusion: fixed for the callers' port of the VM process.

--- a/hollyring/cli/explain.py
+++ b/hollyring/cli/explain.py
@@ -21,6 +21,7 @@
     "leaving": "the VM was about to stop and might not have finished it; it was not run",
     "upstream_failed": "an upstream failed on it and it may not be run again",
     "deadline_exceeded": "its time passed while an upstream worked on it",
+    "caller_ended": "its caller closed the connection or its sending side; it was not run",
     "caller left": "its caller closed the connection",
     "upstream's failure": "the upstream itself answered with a failure",
     "answered": "it was answered",
--- a/hollyring/delivery/refusal.py
+++ b/hollyring/delivery/refusal.py
@@ -97,6 +97,7 @@
         Kind("no_upstream", 503, _NOT_RUN, 1, "No upstream can serve this now."),
         Kind("overloaded", 503, _NOT_RUN, 1, "The deadline can't be met at this load."),
         Kind("leaving", 503, _NOT_RUN, 0, "The VM is leaving; use another."),
+        Kind("caller_ended", 503, _NOT_RUN, 0, "The caller closed its sending side."),
         Kind("configuration_stale", 503, _NOT_RUN, 5, "The VM can't tell which keys are valid."),
         Kind("deadline_exceeded", 504, _UNKNOWN, 1, "The deadline passed before the answer."),
         Kind("deadline_not_sent", 504, _NOT_RUN, 1, "The deadline passed before dispatch."),
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -375,8 +375,7 @@
             body = await asgi.read_body(receive, self._max_body_bytes(), BODY_TIMEOUT_SECONDS)
             if response.caller_left:
                 self._log.info("caller left before its request was read")
-                with anyio.move_on_after(caller_connection.CLOSE_READ_SECONDS):
-                    await asgi.wait_disconnect(receive)
+                await response.refuse(refusal.make("caller_ended"))
                 return
             request = codec.decode_request(scope, body)
         except asgi.BodyTooLargeError as error:
@@ -400,7 +399,7 @@
                 # uvicorn closes the connection if the app returns before the response is complete.
                 self._metrics.increment("broken_off")
             except errors.CallerLeftError:
-                await anyio.sleep(caller_connection.CLOSE_READ_SECONDS)
+                pass
             task_group.cancel_scope.cancel()
 
     async def _refuse(
--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -25,6 +25,7 @@
         _timer: asyncio.TimerHandle | None = None
 
         _caller_connection: caller_connection.CallerConnection
+        _running: httptools_impl.RequestResponseCycle | None = None
 
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
@@ -38,6 +39,16 @@
             self._stop_timer()
             super().connection_lost(exc)
 
+        def eof_received(self) -> bool | None:  # type: ignore[override]
+            """Keep the connection open for the answer to a request that was read whole."""
+            running = self._running
+            if running is None or running.response_complete or running.more_body:
+                return None
+            running.keep_alive = False
+            self._caller_connection.ended = True
+            running.message_event.set()
+            return True
+
         def data_received(self, data: bytes) -> None:
             if self.transport.is_closing():
                 return
@@ -59,6 +70,15 @@
             self._stop_timer()
             super().on_headers_complete()
 
+        def _start_asgi_task(self, cycle: httptools_impl.RequestResponseCycle, app: Any) -> None:
+            async def run(scope: Any, receive: Any, send: Any) -> None:
+                await app(
+                    scope, caller_connection.until_end(self._caller_connection, receive), send
+                )
+
+            self._running = cycle
+            super()._start_asgi_task(cycle, run)
+
         def send_400_response(self, msg: str) -> None:
             logs.Logger("connection").info("refused", code="invalid_request", why=msg)
             super().send_400_response(msg)
--- a/hollyring/node/caller_connection.py
+++ b/hollyring/node/caller_connection.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import select
+from collections.abc import MutableMapping
+from typing import Any
 
 from hollyring.node import asgi, sockets
 
 SCOPE_EXTENSION = "hollyring.caller_connection"
 """Key of the connection in the ``extensions`` of an ASGI scope."""
 
-CLOSE_READ_SECONDS = 1.0
-"""Time for the event loop to read a close that the socket already has."""
-
 
 class CallerConnection:
     """Connection that a caller may have closed before its request was read.
@@ -24,12 +23,18 @@
     ----------
     transport
         Transport of the connection.
+
+    Attributes
+    ----------
+    ended
+        Whether the event loop has read the end of what the caller sends.
     """
 
-    __slots__ = ("_closes",)
+    __slots__ = ("_closes", "ended")
 
     def __init__(self, transport: asyncio.BaseTransport) -> None:
         self._closes = sockets.UnreadEvents(transport, select.POLLRDHUP)
+        self.ended = False
 
     @property
     def closed(self) -> bool:
@@ -41,3 +46,24 @@
     """Return whether the caller of a request has left; False for servers that cannot tell."""
     connection = scope.get("extensions", {}).get(SCOPE_EXTENSION)
     return connection is not None and connection.closed
+
+
+def until_end(connection: CallerConnection, receive: asgi.Receive) -> asgi.Receive:
+    """Return a `receive` that reports a disconnect once the caller sends no more.
+
+    The application may still answer: a caller that has closed only its sending side reads the
+    answer. A request that was read whole is passed on before the disconnect.
+    """
+    is_whole = False
+
+    async def receive_until_end() -> MutableMapping[str, Any]:
+        nonlocal is_whole
+        if connection.ended and is_whole:
+            return {"type": "http.disconnect"}
+        message = await receive()
+        if connection.ended and is_whole:
+            return {"type": "http.disconnect"}
+        is_whole = not message.get("more_body", False)
+        return message
+
+    return receive_until_end
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -56,6 +56,9 @@
 MAX_DECLINED = 2
 """VMs that are asked to execute a request before it is refused."""
 
+FINAL_REFUSAL_SECONDS = 0.2
+"""Longest time to write the refusal of a request that is cancelled."""
+
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
@@ -127,11 +130,7 @@
         """
         arrived_at = clock.now()
         self._metrics.increment("requests")
-        admitted: request_context.RequestContext | refusal.Refusal
-        if await self._knows_enough(arrived_at + request.deadline_seconds):
-            admitted = self._admit(request, response, arrived_at)
-        else:
-            admitted = refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
+        admitted = await self._decide(request, response, arrived_at)
         if isinstance(admitted, refusal.Refusal):
             self._log.refused(request, admitted, arrived_at)
             await response.refuse(admitted)
@@ -141,9 +140,25 @@
         except _RequestRefusedError as error:
             await self._refuse(admitted, error.refusal)
         except (errors.CallerLeftError, anyio.get_cancelled_exc_class()):
-            self._log_cancelled(admitted)
+            await self._end_cancelled(admitted)
             raise
 
+    async def _decide(
+        self, request: request_types.Request, response: responses.ResponseWriter, arrived_at: float
+    ) -> request_context.RequestContext | refusal.Refusal:
+        """Return the context of the request if it is admitted, once this VM may decide."""
+        try:
+            may_decide = await self._knows_enough(arrived_at + request.deadline_seconds)
+        except anyio.get_cancelled_exc_class():
+            with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
+                rejection = refusal.make("caller_ended")
+                self._log.refused(request, rejection, arrived_at)
+                await response.refuse(rejection)
+            raise
+        if may_decide:
+            return self._admit(request, response, arrived_at)
+        return refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
+
     async def serve_taken(
         self,
         message: forwarded.ForwardedRequest,
@@ -194,6 +209,21 @@
         finally:
             self._log.ended(context, rejection.code)
 
+    async def _end_cancelled(self, context: request_context.RequestContext) -> None:
+        """End a request whose caller may still read a refusal, as it perhaps only sends no more."""
+        outcome = "answered" if context.response.ended else "caller left"
+        try:
+            if not context.response.started:
+                await self._refuse_shielded(context)
+        finally:
+            self._log.ended(context, outcome)
+
+    async def _refuse_shielded(self, context: request_context.RequestContext) -> None:
+        """Refuse a cancelled request."""
+        rejection = context.retry_state.final_refusal("caller_ended", clock.now())
+        with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
+            await context.response.refuse(rejection)
+
     def _log_cancelled(self, context: request_context.RequestContext) -> None:
         """Log the end of a request that was cancelled, perhaps after its response was complete."""
         self._log.ended(context, "answered" if context.response.ended else "caller left")
@@ -263,15 +293,21 @@
     async def _run_attempts(self, context: request_context.RequestContext) -> None:
         """Make attempts until the caller has received the whole response."""
         failure: Exception | None = None
-        async with anyio.create_task_group() as task_group:
-            attempts = open_attempts.OpenAttempts(
-                task_group, functools.partial(self._record_superseded, context)
-            )
-            try:
-                await self._make_attempts(context, attempts)
-            except Exception as error:  # the group would wrap it
-                failure = error
-            task_group.cancel_scope.cancel()
+        attempts: open_attempts.OpenAttempts | None = None
+        try:
+            async with anyio.create_task_group() as task_group:
+                attempts = open_attempts.OpenAttempts(
+                    task_group, functools.partial(self._record_superseded, context)
+                )
+                try:
+                    await self._make_attempts(context, attempts)
+                except Exception as error:  # the group would wrap it
+                    failure = error
+                task_group.cancel_scope.cancel()
+        except anyio.get_cancelled_exc_class():
+            for attempt in attempts.open if attempts else ():
+                context.retry_state.record_failure(_execution_of(attempt))
+            raise
         if failure is not None:
             raise failure
 
@@ -284,6 +320,8 @@
             if finished is None:
                 await self._look_elsewhere(context, attempts)
                 continue
+            if isinstance(finished.error, errors.CallerLeftError):
+                context.retry_state.record_failure(execution.Execution.NOT_RUN)
             if finished.error is not None:
                 raise finished.error
             outcome = finished.outcome
@@ -414,8 +452,7 @@
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
         """Record an attempt that is closed since another one has taken over."""
-        ran = execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
-        context.retry_state.record_failure(ran)
+        context.retry_state.record_failure(_execution_of(attempt))
         self._log.superseded(context, attempt)
 
     def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
@@ -531,6 +568,11 @@
         raise _RequestRefusedError(context.retry_state.final_refusal("no_upstream", now))
 
 
+def _execution_of(attempt: open_attempts.OpenAttempt) -> execution.Execution:
+    """Return whether an attempt that is closed early may have run."""
+    return execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
+
+
 def _is_crashing(outcome: request_context.Outcome) -> bool:
     """Return whether another VM declined a request since it crashes upstreams."""
     return (
