Answer a request that runs whatever its caller sends behind it

What callers saw: bytes that are no request, a head that is too large or too slow, or a bad body behind a request that an upstream had: the request that ran was answered 400, 431 or 408 and its connection closed; within a stream that was written into the middle of it.

Cause: the protocol answers what it can't read as if it were the only thing on the connection.

Change: while a request that was read whole is unanswered, such bytes only end the reading (`_close_after_answers`): what was read whole before them is answered, nothing behind them is run, then the connection is closed. The close of a caller is told to the request that runs, not only to the newest one that was read, and is seen while one request waits behind it: uvicorn pauses reading then, so one may now wait before it does.

Ruled out: answering the bad bytes after the request; the connection is closed, and no request was read.

With two or more requests waiting behind the one that runs, a close is still seen only after its answer.

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -13,6 +13,9 @@
 
 REASON_PHRASES = {408: "Request Timeout", 429: "Too Many Requests", 431: "Header Fields Too Large"}
 
+MAX_WAITING_WHILE_READING = 1
+"""Requests that may wait behind one that runs before no more is read from their caller."""
+
 
 def protocol_class(limits: settings.Limits) -> type[httptools_impl.HttpToolsProtocol]:
     """Return a protocol class that enforces `limits`."""
@@ -26,6 +29,15 @@
 
         _caller_connection: caller_connection.CallerConnection
         _running: httptools_impl.RequestResponseCycle | None = None
+        _ignores_input = False
+
+        @property
+        def _whole_running(self) -> httptools_impl.RequestResponseCycle | None:
+            """The request that was read whole and is being answered, if any."""
+            running = self._running
+            if running is None or running.response_complete or running.more_body:
+                return None
+            return running
 
         def connection_made(self, transport: Any) -> None:
             super().connection_made(transport)
@@ -37,12 +49,16 @@
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._stop_timer()
+            running = self._running
+            if running is not None and not running.response_complete:
+                running.disconnected = True
+                running.message_event.set()
             super().connection_lost(exc)
 
         def eof_received(self) -> bool | None:  # type: ignore[override]
             """Keep the connection open for the answer to a request that was read whole."""
-            running = self._running
-            if running is None or running.response_complete or running.more_body:
+            running = self._whole_running
+            if running is None:
                 return None
             running.keep_alive = False
             self._caller_connection.ended = True
@@ -50,7 +66,7 @@
             return True
 
         def data_received(self, data: bytes) -> None:
-            if self.transport.is_closing():
+            if self.transport.is_closing() or self._ignores_input:
                 return
             self._head_bytes += len(data) if self._in_head else 0
             super().data_received(data)
@@ -69,6 +85,8 @@
             self._in_head = False
             self._stop_timer()
             super().on_headers_complete()
+            if 0 < len(self.pipeline) <= MAX_WAITING_WHILE_READING:
+                self.flow.resume_reading()  # a close is not seen while nothing is read
 
         def _start_asgi_task(self, cycle: httptools_impl.RequestResponseCycle, app: Any) -> None:
             async def run(scope: Any, receive: Any, send: Any) -> None:
@@ -81,7 +99,30 @@
 
         def send_400_response(self, msg: str) -> None:
             logs.Logger("connection").info("refused", code="invalid_request", why=msg)
-            super().send_400_response(msg)
+            if not self._close_after_answers():
+                super().send_400_response(msg)
+
+        def _close_after_answers(self) -> bool:
+            """Read no more, and close the connection once each request read before is answered.
+
+            Returns
+            -------
+            bool
+                False if there is no request to answer.
+            """
+            last = self._whole_running
+            if last is None:
+                return False
+            self._ignores_input = True
+            self.flow.resume_reading()
+            self._stop_timer()
+            whole = [waiting for waiting in self.pipeline if not waiting[0].more_body]
+            self.pipeline.clear()
+            self.pipeline.extend(whole)
+            if whole:
+                last = whole[0][0]
+            last.keep_alive = False
+            return True
 
         def _start_head(self) -> None:
             self._head_bytes = 0
@@ -91,7 +132,7 @@
 
         def _on_head_timeout(self) -> None:
             self._timer = None
-            if self._head_bytes:
+            if self._head_bytes or self._whole_running is not None:
                 self._refuse(refusal.make("header_timeout"))
                 return
             self.transport.close()
@@ -104,6 +145,8 @@
         def _refuse(self, rejection: refusal.Refusal) -> None:
             """Write a complete response without calling the application, then close."""
             logs.Logger("connection").info("refused", code=rejection.code)
+            if self._close_after_answers():
+                return
             body = msgspec.json.encode(
                 completion_format.error(rejection.code, rejection.message, rejection.execution)
             )
--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import anyio
 import pytest
 import uvicorn
@@ -18,10 +20,11 @@
     await send({"type": "http.response.body", "body": b"fine"})
 
 
-@pytest.fixture
-async def port(anyio_backend):
+@contextlib.asynccontextmanager
+async def serving(served_application):
+    """Serve an application on a port of its own."""
     config = uvicorn.Config(
-        application,
+        served_application,
         "127.0.0.1",
         0,
         http=bounded_protocol.protocol_class(LIMITS),
@@ -38,6 +41,12 @@
         server.should_exit = True
 
 
+@pytest.fixture
+async def port(anyio_backend):
+    async with serving(application) as served_port:
+        yield served_port
+
+
 async def read_response(stream):
     response = b""
     with anyio.fail_after(TIMEOUT_SECONDS):
@@ -73,3 +82,94 @@
     assert b'"execution":"not_run"' in response
     for stream in streams:
         await stream.aclose()
+
+
+FIRST = b"GET /first HTTP/1.1\r\nhost: x\r\n\r\n"
+SECOND = b"GET /second HTTP/1.1\r\nhost: x\r\n\r\n"
+SLOW_SECONDS = 0.5
+
+BEHIND = {
+    "no request": b"what\r\n\r\n" + SECOND,
+    "bad body": b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nwhat\r\n" + SECOND,
+    "large head": b"GET / HTTP/1.1\r\nx: " + b"y" * 1_000,
+    "slow head": b"GET / HTTP/1.1\r\n",
+}
+
+
+class SlowApplication:
+    """Responds after a time, in two parts, and records its requests and their disconnects."""
+
+    def __init__(self):
+        self.paths = []
+        self.disconnected = []
+
+    async def __call__(self, scope, receive, send):
+        self.paths.append(scope["path"])
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.watch, scope["path"], receive, group.cancel_scope)
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await send({"type": "http.response.body", "body": b"begun ", "more_body": True})
+            await anyio.sleep(SLOW_SECONDS)
+            await send({"type": "http.response.body", "body": scope["path"].encode()})
+            group.cancel_scope.cancel()
+
+    async def watch(self, path, receive, scope):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        self.disconnected.append(path)
+        scope.cancel()
+
+
+@pytest.fixture
+async def slow(anyio_backend):
+    slow_application = SlowApplication()
+    async with serving(slow_application) as served_port:
+        yield slow_application, served_port
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("behind", BEHIND)
+@pytest.mark.parametrize("parts", [1, 2])
+async def test_request_that_runs_is_answered_whole_whatever_comes_behind_it(slow, behind, parts):
+    slow_application, served_port = slow
+    async with await anyio.connect_tcp("127.0.0.1", served_port) as stream:
+        await stream.send(FIRST + BEHIND[behind] if parts == 1 else FIRST)
+        await anyio.sleep(0.1)
+        if parts == 2:
+            await stream.send(BEHIND[behind])
+        for _ in range(2 * (behind == "large head")):
+            await anyio.sleep(0.05)
+            await stream.send(b"y" * 1_000)
+        response = await read_response(stream)
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert response.count(b"HTTP/1.1") == 1
+    assert response.endswith(b"6\r\n/first\r\n0\r\n\r\n")
+    assert slow_application.paths == ["/first"]
+
+
+@pytest.mark.anyio
+async def test_each_request_read_before_bytes_that_are_none_is_answered(slow):
+    slow_application, served_port = slow
+    async with await anyio.connect_tcp("127.0.0.1", served_port) as stream:
+        await stream.send(FIRST + SECOND + b"what\r\n\r\n" + FIRST)
+        response = await read_response(stream)
+    assert response.count(b"HTTP/1.1 200 ") == response.count(b"HTTP/1.1") == 2
+    assert response.endswith(b"7\r\n/second\r\n0\r\n\r\n")
+    assert slow_application.paths == ["/first", "/second"]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("behind", [SECOND, *BEHIND.values()], ids=["request", *BEHIND])
+@pytest.mark.parametrize("wait_seconds", [0.0, 0.1])
+async def test_request_that_runs_is_ended_by_its_callers_close_whatever_comes_behind_it(
+    slow, behind, wait_seconds
+):
+    slow_application, served_port = slow
+    stream = await anyio.connect_tcp("127.0.0.1", served_port)
+    await stream.send(FIRST)
+    await anyio.sleep(wait_seconds)
+    await stream.send(behind)
+    await anyio.sleep(0.1)
+    await stream.aclose()
+    await anyio.sleep(0.25)
+    assert slow_application.disconnected == ["/first"]
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -291,6 +291,20 @@
     assert server.requests == []
 
 
+@pytest.mark.anyio
+async def test_request_at_an_upstream_is_answered_when_bytes_that_are_no_request_follow_it(cluster):
+    store, server, start = cluster
+    server.delay_seconds = 0.5
+    vm = start()
+    await vm.wait_ready()
+    host, _, port = vm.caller_url.removeprefix("http://").partition(":")
+    connection = socket.create_connection((host, int(port)))
+    connection.sendall(encode_request("r-1") + b"what\r\n\r\n" + encode_request("r-2"))
+    assert await anyio.to_thread.run_sync(read_status, connection) == 200
+    await anyio.sleep(0.2)
+    assert [request.headers["x-request-id"] for request in server.requests] == ["r-1"]
+
+
 @pytest.mark.anyio
 async def test_store_change_takes_effect_within_a_second_and_older_version_does_not(cluster):
     store, server, start = cluster
