Give open requests their final answers at the end of the grace period

What callers saw: what was still open when the grace period of a leaving VM ended got a plain 500 or, within a stream, a cut; the log said `caller left`, though the VM had cancelled it.

Cause: uvicorn cancelled the tasks of its connections after its own time. A request could not tell that from its caller's close.

Change: at `shutdown_at`, before uvicorn's time ends, the process stops its relay: each open request is refused, 503 `leaving` if nothing of it was sent (also while it waits for the store), else 502 or 504, and logged as `grace period over`; a stream that has begun is broken off and logged so. `vm: grace period over` says how many were open.

Conclusion: fixed for requests of the VM's own callers. A forwarded request that the executing VM still has at that moment loses its link; the admitting VM answers it.

--- a/hollyring/cli/explain.py
+++ b/hollyring/cli/explain.py
@@ -23,6 +23,7 @@
     "deadline_exceeded": "its time passed while an upstream worked on it",
     "caller_ended": "its caller closed the connection or its sending side; it was not run",
     "caller left": "its caller closed the connection",
+    "grace period over": "its VM stopped before it was answered",
     "upstream's failure": "the upstream itself answered with a failure",
     "answered": "it was answered",
 }
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -254,6 +254,7 @@
             self._relay, codec, self._metrics, vm_settings.capacity
         )
         self._peers.set_link_handler(self._forward_server.serve)
+        self._leaving = anyio.Event()
         self._log = logs.Logger("vm")
 
     async def run(self) -> None:
@@ -287,6 +288,7 @@
             task_group.start_soon(self._upstream_prober.run)
             task_group.start_soon(internal_server.serve, internal_sockets)
             task_group.start_soon(self._handle_signals, caller_server)
+            task_group.start_soon(self._end_requests)
             await caller_server.serve(caller_sockets)
             if self._state.leaving:
                 await self._forward_server.drain(self._state.shutdown_at)
@@ -334,11 +336,19 @@
         self._heartbeats.set_seeds(list(reloaded.seeds))
         self._log.info("settings read", seeds=len(reloaded.seeds))
 
+    async def _end_requests(self) -> None:
+        """Give open requests their final answers at the end of the grace period."""
+        await self._leaving.wait()
+        await anyio.sleep(max(0.0, self._state.shutdown_at - clock.now()))
+        self._log.info("grace period over", open_requests=self._state.requests.open)
+        self._relay.stop()
+
     async def _shut_down(self, caller_server: uvicorn.Server) -> None:
         if self._state.leaving:
             return
         grace_seconds = self._settings.grace_seconds - EXIT_MARGIN_SECONDS
         self._state.leave(clock.now(), grace_seconds)
+        self._leaving.set()
         self._log.info("leaving", open_requests=self._state.requests.open)
         self._heartbeats.send_now()
         deadline = clock.now() + DRAIN_SECONDS
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -115,6 +115,14 @@
         self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters, permits)
         self._metrics = counters
         self._log = request_log.RequestLog(vm_state, counters)
+        self._open: set[anyio.CancelScope] = set()
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Give every open request of a caller its final answer now, as the process is to end."""
+        self._stopped = True
+        for scope in self._open:
+            scope.cancel()
 
     async def serve(
         self, request: request_types.Request, response: responses.ResponseWriter
@@ -128,6 +136,18 @@
         CallerLeftError
             If the caller has left before the request could be sent.
         """
+        with anyio.CancelScope() as scope:
+            self._open.add(scope)
+            try:
+                await self._serve(request, response)
+            finally:
+                self._open.remove(scope)
+        if scope.cancelled_caught and not response.ended:
+            raise responses.IncompleteResponseError("grace period over")
+
+    async def _serve(
+        self, request: request_types.Request, response: responses.ResponseWriter
+    ) -> None:
         arrived_at = clock.now()
         self._metrics.increment("requests")
         admitted = await self._decide(request, response, arrived_at)
@@ -151,7 +171,7 @@
             may_decide = await self._knows_enough(arrived_at + request.deadline_seconds)
         except anyio.get_cancelled_exc_class():
             with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
-                rejection = refusal.make("caller_ended")
+                rejection = refusal.make(self._cancel_code)
                 self._log.refused(request, rejection, arrived_at)
                 await response.refuse(rejection)
             raise
@@ -211,16 +231,22 @@
 
     async def _end_cancelled(self, context: request_context.RequestContext) -> None:
         """End a request whose caller may still read a refusal, as it perhaps only sends no more."""
-        outcome = "answered" if context.response.ended else "caller left"
+        reason = "grace period over" if self._stopped else "caller left"
+        outcome = "answered" if context.response.ended else reason
         try:
             if not context.response.started:
                 await self._refuse_shielded(context)
         finally:
             self._log.ended(context, outcome)
 
+    @property
+    def _cancel_code(self) -> str:
+        """Code for a request that is cancelled before anything of it was sent."""
+        return "leaving" if self._stopped else "caller_ended"
+
     async def _refuse_shielded(self, context: request_context.RequestContext) -> None:
         """Refuse a cancelled request."""
-        rejection = context.retry_state.final_refusal("caller_ended", clock.now())
+        rejection = context.retry_state.final_refusal(self._cancel_code, clock.now())
         with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
             await context.response.refuse(rejection)
 
--- /dev/null
+++ b/hollyring/platform/tests/test_end_of_grace_period.py
@@ -0,0 +1,96 @@
+"""Tests that a VM process answers what is open when its grace period ends."""
+
+import contextlib
+import signal
+import socket
+
+import anyio
+import pytest
+
+from hollyring.platform.tests import test_process
+
+GRACE_SECONDS = 5.0
+LONG_ROUTE = test_process.CONFIG["routes"][0] | {"timeout_ms": 20_000}
+ENGINE = {"slots": 8, "kv_capacity": 9000, "kv_token_bytes": 8, "link_mbps": 10.0}
+MODEL_HEADERS = b"x-model: m\r\nx-token-counts: 10,5\r\nx-prompt-prefix: a:6,b:4\r\n"
+cluster = test_process.cluster
+
+
+def send(vm, request_id, headers=b""):
+    host, _, port = vm.caller_url.removeprefix("http://").partition(":")
+    connection = socket.create_connection((host, int(port)), timeout=10.0)
+    request = test_process.encode_request(request_id)
+    request = request.replace(b"x-request-id", b"x-deadline-ms: 20000\r\nx-request-id")
+    connection.sendall(request.replace(b"content-length", headers + b"content-length"))
+    return connection
+
+
+def read_all(connection):
+    received = b""
+    with contextlib.closing(connection):
+        while data := connection.recv(65_536):
+            received += data
+    return received
+
+
+async def stop_and_read(vm, connections):
+    """Send SIGTERM and return what arrives on each connection until it is closed."""
+    received = [b""] * len(connections)
+
+    async def read(index):
+        received[index] = await anyio.to_thread.run_sync(read_all, connections[index])
+
+    vm.process.send_signal(signal.SIGTERM)
+    with anyio.fail_after(GRACE_SECONDS):
+        async with anyio.create_task_group() as task_group:
+            for index in range(len(connections)):
+                task_group.start_soon(read, index)
+        while vm.process.poll() is None:
+            await anyio.sleep(0.02)
+    return received
+
+
+def end_of(vm, request_id):
+    (ended,) = [
+        line
+        for line in vm.log_lines()
+        if line.get("text") == "request: ended" and line["request"] == request_id
+    ]
+    return ended["outcome"], ended["status"]
+
+
+@pytest.mark.anyio
+async def test_requests_open_at_the_end_of_the_grace_period_are_answered(cluster):
+    store, server, start = cluster
+    await store.put("op/config", test_process.CONFIG | {"version": 4, "routes": [LONG_ROUTE]})
+    server.behaviour = "silent"
+    vm = start(grace_seconds=GRACE_SECONDS)
+    await vm.wait_ready()
+    connections = [send(vm, f"r-{number}") for number in range(5)]
+    with anyio.fail_after(2.0):
+        while len(server.requests) < len(connections):
+            await anyio.sleep(0.01)
+    received = await stop_and_read(vm, connections)
+    assert [response.split(b" ")[1:2] for response in received] == [[b"502"]] * 5
+    assert {end_of(vm, f"r-{number}") for number in range(5)} == {("grace period over", 502)}
+
+
+@pytest.mark.anyio
+async def test_stream_open_at_the_end_of_the_grace_period_is_logged_as_broken_off_by_it(cluster):
+    store, server, start = cluster
+    services = [{"name": "s", "engine": ENGINE | {"models": [{"name": "m"}]}}]
+    routes = [LONG_ROUTE | {"kind": "streaming"}]
+    changed = {"version": 4, "services": services, "routes": routes}
+    await store.put("op/config", test_process.CONFIG | changed)
+    entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
+    models = [{"name": "m", "version": 1}]
+    await store.put("servers/i-1", entry | {"state": "ready", "models": models})
+    server.events, server.event_seconds = 1_000, 0.1
+    vm = start(grace_seconds=GRACE_SECONDS)
+    await vm.wait_ready()
+    connection = send(vm, "r-1", MODEL_HEADERS)
+    await anyio.sleep(0.5)
+    (received,) = await stop_and_read(vm, [connection])
+    assert received.startswith(b"HTTP/1.1 200")
+    assert not received.endswith(b"0\r\n\r\n")
+    assert end_of(vm, "r-1") == ("grace period over", 200)
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -89,7 +89,7 @@
 class VmProcess:
     """A VM process and its addresses."""
 
-    def __init__(self, directory, store_address, name="vm-1", contracts=()):
+    def __init__(self, directory, store_address, name="vm-1", contracts=(), grace_seconds=8.0):
         caller_port, health_port, entry_port, peer_port, metrics_port = free_ports(5)
         self.caller_url = f"http://127.0.0.1:{caller_port}"
         self.health_url = f"http://127.0.0.1:{health_port}/hollyring/ready"
@@ -109,6 +109,8 @@
             directory = "127.0.0.1:{entry_port}"
             [platform]
             address = "{store_address}"
+            [bounds]
+            grace_s = {grace_seconds}
             """)
         self.log_path = directory / f"{name}.log"
         self.process = None
@@ -189,8 +191,8 @@
         await store.put("servers/i-1", entry | {"state": "ready"})
         started = []
 
-        def start(name="vm-1"):
-            vm = VmProcess(tmp_path, store.address, name)
+        def start(name="vm-1", **options):
+            vm = VmProcess(tmp_path, store.address, name, **options)
             vm.start()
             started.append(vm)
             return vm
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import math
+import socket
 
 import anyio
 import pytest
@@ -58,6 +59,13 @@
         return True
 
 
+class NotYetCurrent:
+    """Implementation of `relay.CopyChecker` for a VM that waits for its store."""
+
+    async def wait_current(self, until):
+        await anyio.sleep_forever()
+
+
 class NeverCurrent:
     """Implementation of `relay.CopyChecker` for a VM whose copies are old and must not be used."""
 
@@ -516,6 +524,62 @@
     assert vm.state.registry.get("i-0").open_requests == 0
 
 
+@contextlib.contextmanager
+def unreachable_address():
+    """Yield an address on which connections are neither accepted nor refused."""
+    with socket.socket() as listener, socket.socket() as first, socket.socket() as second:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        address = listener.getsockname()
+        for waiting in (first, second):
+            waiting.setblocking(False)
+            waiting.connect_ex(address)
+        yield f"127.0.0.1:{address[1]}"
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("reachable", "code"), [(True, b"upstream_failed"), (False, b"leaving")], ids=["sent", "unsent"]
+)
+async def test_request_open_when_the_process_ends_is_refused_as_run_only_if_it_was_sent(
+    start_vm, reachable, code
+):
+    vm, servers = await start_vm("silent")
+    callers = []
+
+    async def send():
+        callers.append(await vm.send_request())
+
+    with unreachable_address() as address, anyio.fail_after(1.0):
+        if not reachable:
+            servers[0].address = address
+            vm.register(servers[0], life=2)
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(send)
+            await anyio.sleep(0.1)
+            vm.relay.stop()
+    assert (callers[0].ended, callers[0].status) == (True, 502 if reachable else 503)
+    assert callers[0].body == b'{"error":"%s"}' % code
+    assert request_count(servers) == int(reachable)
+
+
+@pytest.mark.anyio
+async def test_request_that_waits_for_the_store_is_refused_when_the_process_ends(start_vm):
+    vm, servers = await start_vm("complete", checker=NotYetCurrent())
+    callers = []
+
+    async def send():
+        callers.append(await vm.send_request())
+
+    with anyio.fail_after(1.0):
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(send)
+            await anyio.sleep(0.1)
+            vm.relay.stop()
+    assert callers[0].status == 503
+    assert request_count(servers) == 0
+
+
 @pytest.mark.anyio
 async def test_no_attempt_is_made_for_a_caller_that_left_and_its_connection_is_kept(start_vm):
     vm, servers = await start_vm("complete")
