Let a stream that broke off wait for room at another upstream

What callers saw: a stream that had begun was cut within milliseconds after its upstream broke it off, although another upstream of its software version was there and had room a moment later.

Cause: the next attempt was chosen once; with no room at that moment the request ended with a refusal, which within a stream is a cut.

The retry was granted by the budget before, and `max_attempts` is asked at each look. Counter `waits_for_upstream`. A request of which the caller has nothing yet is refused at once as before.

Ruled out: waiting where no upstream of the software version is there at all.

Where the retry budget is spent at that moment, a stream is still cut at once.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -71,11 +71,20 @@
 
 
 class _RequestRefusedError(Exception):
-    """The request ended with a refusal."""
+    """The request ended with a refusal.
 
-    def __init__(self, rejection: refusal.Refusal) -> None:
+    Parameters
+    ----------
+    rejection
+        What the caller is told.
+    is_busy
+        Whether there are upstreams for the request, which only have no room for it now.
+    """
+
+    def __init__(self, rejection: refusal.Refusal, is_busy: bool = False) -> None:
         super().__init__(rejection.code)
         self.refusal = rejection
+        self.is_busy = is_busy
 
 
 class Relay:
@@ -358,13 +367,33 @@
             if attempts.open:
                 continue
             if self._may_go_on(context, outcome):
-                await self._start_next(context, attempts)
+                await self._start_when_free(context, attempts)
                 continue
             if isinstance(outcome, request_context.Declined) and not context.retry_state.reached:
                 raise self._declined_error(context)
             await self._finish_failed(context)
             return
 
+    async def _start_when_free(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start the next attempt; a response that was begun waits for room until its deadline.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If none can be made.
+        """
+        while True:
+            try:
+                await self._start_next(context, attempts)
+                return
+            except _RequestRefusedError as error:
+                if not (error.is_busy and context.response.started and context.may_retry()):
+                    raise
+            self._metrics.increment("waits_for_upstream")
+            await anyio.sleep(min(open_attempts.LOOK_AGAIN_SECONDS, context.seconds_left))
+
     async def _start_next(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
@@ -535,7 +564,7 @@
         if isinstance(selected, selection.NoUpstream):
             code = "overloaded" if selected.busy else "no_upstream"
             raise _RequestRefusedError(
-                context.retry_state.final_refusal(code, now, selected.retry_after)
+                context.retry_state.final_refusal(code, now, selected.retry_after), selected.busy
             )
         return selected
 
--- /dev/null
+++ b/hollyring/platform/tests/test_waiting_streams.py
@@ -0,0 +1,62 @@
+"""Tests of streams that broke off while the other upstreams had no room to continue them."""
+
+import anyio
+import pytest
+
+from hollyring.core import request_types
+from hollyring.node import clock
+from hollyring.platform.tests import test_relay
+
+BUSY_SECONDS = 0.6
+"""Time for which no upstream has room; a stream that was broken off has some seconds left."""
+
+RESUMABLE = request_types.RetrySafety.RESUMABLE
+start_vm = test_relay.start_vm
+
+
+def whole_stream(events=5):
+    return b"".join(b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, events + 1))
+
+
+def fill(vm, server, seconds):
+    """Leave no room at a server, which says so, for some seconds."""
+    upstream = vm.state.registry.get(server.name)
+    vm.state.registry.backoffs.extend(upstream.incarnation, seconds, clock.now())
+
+
+@pytest.mark.anyio
+async def test_broken_stream_waits_for_an_upstream_that_has_room_later(start_vm):
+    vm, servers = await start_vm("interrupt", "complete", retry_safety=RESUMABLE, streaming=True)
+    fill(vm, servers[1], BUSY_SECONDS)
+    caller = await vm.send_request(deadline_seconds=3.0)
+    assert (caller.body, caller.ended) == (whole_stream(), True)
+    assert [len(server.requests) for server in servers] == [1, 1]
+
+
+@pytest.mark.anyio
+async def test_broken_stream_ends_at_its_deadline_if_no_upstream_gets_room(start_vm):
+    vm, servers = await start_vm("interrupt", "complete", retry_safety=RESUMABLE, streaming=True)
+    fill(vm, servers[1], 5.0)
+    started_at = clock.now()
+    caller = await vm.send_request(deadline_seconds=1.0)
+    assert not caller.ended
+    assert 0.9 <= clock.now() - started_at < 1.1
+
+
+@pytest.mark.anyio
+async def test_broken_stream_does_not_wait_when_its_attempts_are_used_up(start_vm):
+    route = {"retry_safety": RESUMABLE, "streaming": True, "attempts": 1}
+    vm, servers = await start_vm("interrupt", "complete", **route)
+    fill(vm, servers[1], BUSY_SECONDS)
+    with anyio.fail_after(0.3):
+        caller = await vm.send_request(deadline_seconds=3.0)
+    assert not caller.ended
+
+
+@pytest.mark.anyio
+async def test_request_that_has_not_begun_is_refused_at_once_if_no_upstream_has_room(start_vm):
+    vm, servers = await start_vm("reset", "complete", retry_safety=RESUMABLE, streaming=True)
+    fill(vm, servers[1], BUSY_SECONDS)
+    with anyio.fail_after(0.3):
+        caller = await vm.send_request(deadline_seconds=3.0)
+    assert caller.status == 502
