--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -356,6 +356,17 @@
     assert clock.now() - started_at < 2 * forward_client.SILENCE_SECONDS
 
 
+@pytest.mark.anyio
+async def test_forward_to_a_silent_vm_that_goes_on_is_answered_if_nothing_can_replace_it(
+    start_fleet,
+):
+    fleet = await start_fleet("refuse", count=0, retry_safety=IDEMPOTENT, timeout=5.0)
+    body = forwarded.ForwardedData(b"late")
+    await fleet.add_scripted(1.7, head(), body, forwarded.ForwardedEnd(len(body.data)))
+    caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert (caller.status, caller.body) == (200, b"late")
+
+
 @pytest.mark.anyio
 async def test_vm_that_waits_for_its_upstream_is_not_taken_for_silent(start_fleet):
     fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=9.0)
--- a/hollyring/platform/tests/test_silent_servers.py
+++ b/hollyring/platform/tests/test_silent_servers.py
@@ -12,6 +12,9 @@
 from hollyring.platform.tests import conftest, test_relay
 
 EVENTS = 5
+OVERLAP_SECONDS = 0.4
+"""Time for which a server may work on a request that goes on at another one."""
+
 CLOSE_SECONDS = 0.2
 """Time within which a server that another has replaced sees its connection closed."""
 
@@ -183,6 +186,20 @@
     assert vm.state.registry.get("i-0").open_requests == 0
 
 
+@pytest.mark.anyio
+async def test_silent_server_works_no_longer_than_400_ms_beside_one_that_reads_its_prompt(start_vm):
+    silent, other = PausingServer("i-0", 5.0), PausingServer("i-1", 1.2, pause_after=0)
+    vm = await start_vm(silent, other, timeout=6.0, **RESUMABLE)
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(vm.send_request)
+        with anyio.fail_after(3.0):
+            while not other.requests:
+                await anyio.sleep(0.01)
+        await anyio.sleep(OVERLAP_SECONDS)
+        assert len(silent.closed_at) == 1
+        task_group.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 async def test_silent_call_is_closed_when_another_server_has_answered(start_vm):
     silent, other = PausingServer("i-0", 1.5), PausingServer("i-1")
