--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -255,6 +255,7 @@
             self._relay, codec, self._metrics, vm_settings.capacity
         )
         self._peers.set_link_handler(self._forward_server.serve)
+        self._leaving = anyio.Event()
         self._log = logs.Logger("vm")
 
     async def run(self) -> None:
@@ -288,6 +289,7 @@
             task_group.start_soon(self._upstream_prober.run)
             task_group.start_soon(internal_server.serve, internal_sockets)
             task_group.start_soon(self._handle_signals, caller_server)
+            task_group.start_soon(self._end_requests)
             await caller_server.serve(caller_sockets)
             if self._state.leaving:
                 await self._forward_server.drain(self._state.shutdown_at)
@@ -335,11 +337,19 @@
         self._heartbeats.set_seeds(list(reloaded.seeds))
         self._log.info("settings read", seeds=len(reloaded.seeds))
 
+    async def _end_requests(self) -> None:
+        """Give open requests their final answers at the end of the grace period."""
+        await self._leaving.wait()
+        await anyio.sleep(max(0.0, self._state.shutdown_at - clock.now()))
+        self._log.info("grace period over", open_requests=self._state.requests.open)
+        self._relay.stop()
+
     async def _shut_down(self, caller_server: uvicorn.Server) -> None:
         if self._state.leaving:
             return
         grace_seconds = self._settings.grace_seconds - EXIT_MARGIN_SECONDS
         self._state.leave(clock.now(), grace_seconds)
+        self._leaving.set()
         self._log.info("leaving", open_requests=self._state.requests.open)
         self._heartbeats.send_now()
         deadline = clock.now() + DRAIN_SECONDS
@@ -377,8 +387,7 @@
             body = await asgi.read_body(receive, self._max_body_bytes(), BODY_TIMEOUT_SECONDS)
             if response.caller_left:
                 self._log.info("caller left before its request was read")
-                with anyio.move_on_after(caller_connection.CLOSE_READ_SECONDS):
-                    await asgi.wait_disconnect(receive)
+                await response.refuse(refusal.make("caller_ended"))
                 return
             request = codec.decode_request(scope, body)
         except asgi.BodyTooLargeError as error:
@@ -402,7 +411,7 @@
                 # uvicorn closes the connection if the app returns before the response is complete.
                 self._metrics.increment("broken_off")
             except errors.CallerLeftError:
-                await anyio.sleep(caller_connection.CLOSE_READ_SECONDS)
+                pass
             task_group.cancel_scope.cancel()
 
     async def _refuse(
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -56,6 +56,9 @@
 MAX_DECLINED = 2
 """VMs that are asked to execute a request before it is refused."""
 
+FINAL_REFUSAL_SECONDS = 0.2
+"""Longest time to write the refusal of a request that is cancelled."""
+
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
@@ -68,11 +71,20 @@
 
 
 class _RequestRefusedError(Exception):
-    """The request ended with a refusal."""
+    """The request ended with a refusal.
+
+    Parameters
+    ----------
+    rejection
+        What the caller is told.
+    is_busy
+        Whether there are upstreams for the request, which only have no room for it now.
+    """
 
-    def __init__(self, rejection: refusal.Refusal) -> None:
+    def __init__(self, rejection: refusal.Refusal, is_busy: bool = False) -> None:
         super().__init__(rejection.code)
         self.refusal = rejection
+        self.is_busy = is_busy
 
 
 class Relay:
@@ -112,6 +124,14 @@
         self._attempt_runner = attempt.AttemptRunner(vm_state, codec, pool, counters, permits)
         self._metrics = counters
         self._log = request_log.RequestLog(vm_state, counters)
+        self._open: set[anyio.CancelScope] = set()
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Give every open request of a caller its final answer now, as the process is to end."""
+        self._stopped = True
+        for scope in self._open:
+            scope.cancel()
 
     async def serve(
         self, request: request_types.Request, response: responses.ResponseWriter
@@ -125,13 +145,21 @@
         CallerLeftError
             If the caller has left before the request could be sent.
         """
+        with anyio.CancelScope() as scope:
+            self._open.add(scope)
+            try:
+                await self._serve(request, response)
+            finally:
+                self._open.remove(scope)
+        if scope.cancelled_caught and not response.ended:
+            raise responses.IncompleteResponseError("grace period over")
+
+    async def _serve(
+        self, request: request_types.Request, response: responses.ResponseWriter
+    ) -> None:
         arrived_at = clock.now()
         self._metrics.increment("requests")
-        admitted: request_context.RequestContext | refusal.Refusal
-        if await self._knows_enough(arrived_at + request.deadline_seconds):
-            admitted = self._admit(request, response, arrived_at)
-        else:
-            admitted = refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
+        admitted = await self._decide(request, response, arrived_at)
         if isinstance(admitted, refusal.Refusal):
             self._log.refused(request, admitted, arrived_at)
             await response.refuse(admitted)
@@ -141,9 +169,25 @@
         except _RequestRefusedError as error:
             await self._refuse(admitted, error.refusal)
         except (errors.CallerLeftError, anyio.get_cancelled_exc_class()):
-            self._log_cancelled(admitted)
+            await self._end_cancelled(admitted)
             raise
 
+    async def _decide(
+        self, request: request_types.Request, response: responses.ResponseWriter, arrived_at: float
+    ) -> request_context.RequestContext | refusal.Refusal:
+        """Return the context of the request if it is admitted, once this VM may decide."""
+        try:
+            may_decide = await self._knows_enough(arrived_at + request.deadline_seconds)
+        except anyio.get_cancelled_exc_class():
+            with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
+                rejection = refusal.make(self._cancel_code)
+                self._log.refused(request, rejection, arrived_at)
+                await response.refuse(rejection)
+            raise
+        if may_decide:
+            return self._admit(request, response, arrived_at)
+        return refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
+
     async def serve_taken(
         self,
         message: forwarded.ForwardedRequest,
@@ -194,6 +238,27 @@
         finally:
             self._log.ended(context, rejection.code)
 
+    async def _end_cancelled(self, context: request_context.RequestContext) -> None:
+        """End a request whose caller may still read a refusal, as it perhaps only sends no more."""
+        reason = "grace period over" if self._stopped else "caller left"
+        outcome = "answered" if context.response.ended else reason
+        try:
+            if not context.response.started:
+                await self._refuse_shielded(context)
+        finally:
+            self._log.ended(context, outcome)
+
+    @property
+    def _cancel_code(self) -> str:
+        """Code for a request that is cancelled before anything of it was sent."""
+        return "leaving" if self._stopped else "caller_ended"
+
+    async def _refuse_shielded(self, context: request_context.RequestContext) -> None:
+        """Refuse a cancelled request."""
+        rejection = context.retry_state.final_refusal(self._cancel_code, clock.now())
+        with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
+            await context.response.refuse(rejection)
+
     def _log_cancelled(self, context: request_context.RequestContext) -> None:
         """Log the end of a request that was cancelled, perhaps after its response was complete."""
         self._log.ended(context, "answered" if context.response.ended else "caller left")
@@ -263,15 +328,21 @@
     async def _run_attempts(self, context: request_context.RequestContext) -> None:
         """Make attempts until the caller has received the whole response."""
         failure: Exception | None = None
-        async with anyio.create_task_group() as task_group:
-            attempts = open_attempts.OpenAttempts(
-                task_group, functools.partial(self._record_superseded, context)
-            )
-            try:
-                await self._make_attempts(context, attempts)
-            except Exception as error:  # the group would wrap it
-                failure = error
-            task_group.cancel_scope.cancel()
+        attempts: open_attempts.OpenAttempts | None = None
+        try:
+            async with anyio.create_task_group() as task_group:
+                attempts = open_attempts.OpenAttempts(
+                    task_group, functools.partial(self._record_superseded, context)
+                )
+                try:
+                    await self._make_attempts(context, attempts)
+                except Exception as error:  # the group would wrap it
+                    failure = error
+                task_group.cancel_scope.cancel()
+        except anyio.get_cancelled_exc_class():
+            for attempt in attempts.open if attempts else ():
+                context.retry_state.record_failure(_execution_of(attempt))
+            raise
         if failure is not None:
             raise failure
 
@@ -284,6 +355,8 @@
             if finished is None:
                 await self._look_elsewhere(context, attempts)
                 continue
+            if isinstance(finished.error, errors.CallerLeftError):
+                context.retry_state.record_failure(execution.Execution.NOT_RUN)
             if finished.error is not None:
                 raise finished.error
             outcome = finished.outcome
@@ -294,13 +367,33 @@
             if attempts.open:
                 continue
             if self._may_go_on(context, outcome):
-                await self._start_next(context, attempts)
+                await self._start_when_free(context, attempts)
                 continue
             if isinstance(outcome, request_context.Declined) and not context.retry_state.reached:
                 raise self._declined_error(context)
             await self._finish_failed(context)
             return
 
+    async def _start_when_free(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start the next attempt; a response that was begun waits for room until its deadline.
+
+        Raises
+        ------
+        _RequestRefusedError
+            If none can be made.
+        """
+        while True:
+            try:
+                await self._start_next(context, attempts)
+                return
+            except _RequestRefusedError as error:
+                if not (error.is_busy and context.response.started and context.may_retry()):
+                    raise
+            self._metrics.increment("waits_for_upstream")
+            await anyio.sleep(min(open_attempts.LOOK_AGAIN_SECONDS, context.seconds_left))
+
     async def _start_next(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
@@ -414,8 +507,7 @@
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
         """Record an attempt that is closed since another one has taken over."""
-        ran = execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
-        context.retry_state.record_failure(ran)
+        context.retry_state.record_failure(_execution_of(attempt))
         self._log.superseded(context, attempt)
 
     def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
@@ -472,7 +564,7 @@
         if isinstance(selected, selection.NoUpstream):
             code = "overloaded" if selected.busy else "no_upstream"
             raise _RequestRefusedError(
-                context.retry_state.final_refusal(code, now, selected.retry_after)
+                context.retry_state.final_refusal(code, now, selected.retry_after), selected.busy
             )
         return selected
 
@@ -532,6 +624,11 @@
         raise _RequestRefusedError(context.retry_state.final_refusal("no_upstream", now))
 
 
+def _execution_of(attempt: open_attempts.OpenAttempt) -> execution.Execution:
+    """Return whether an attempt that is closed early may have run."""
+    return execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
+
+
 def _is_crashing(outcome: request_context.Outcome) -> bool:
     """Return whether another VM declined a request since it crashes upstreams."""
     return (
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -96,7 +96,7 @@
 class VmProcess:
     """A VM process and its addresses."""
 
-    def __init__(self, directory, store_address, name="vm-1", contracts=()):
+    def __init__(self, directory, store_address, name="vm-1", contracts=(), grace_seconds=8.0):
         caller_port, health_port, entry_port, peer_port, metrics_port = free_ports(5)
         self.caller_url = f"http://127.0.0.1:{caller_port}"
         self.health_url = f"http://127.0.0.1:{health_port}/hollyring/ready"
@@ -116,6 +116,8 @@
             directory = "127.0.0.1:{entry_port}"
             [platform]
             address = "{store_address}"
+            [bounds]
+            grace_s = {grace_seconds}
             """)
         self.log_path = directory / f"{name}.log"
         self.process = None
@@ -196,8 +198,8 @@
         await store.put("servers/i-1", entry | {"state": "ready"})
         started = []
 
-        def start(name="vm-1"):
-            vm = VmProcess(tmp_path, store.address, name)
+        def start(name="vm-1", **options):
+            vm = VmProcess(tmp_path, store.address, name, **options)
             vm.start()
             started.append(vm)
             return vm
@@ -298,6 +300,20 @@
     assert server.requests == []
 
 
+@pytest.mark.anyio
+async def test_request_at_an_upstream_is_answered_when_bytes_that_are_no_request_follow_it(cluster):
+    store, server, start = cluster
+    server.delay_seconds = 0.5
+    vm = start()
+    await vm.wait_ready()
+    host, _, port = vm.caller_url.removeprefix("http://").partition(":")
+    connection = socket.create_connection((host, int(port)))
+    connection.sendall(encode_request("r-1") + b"what\r\n\r\n" + encode_request("r-2"))
+    assert await anyio.to_thread.run_sync(read_status, connection) == 200
+    await anyio.sleep(0.2)
+    assert [request.headers["x-request-id"] for request in server.requests] == ["r-1"]
+
+
 @pytest.mark.anyio
 async def test_store_change_takes_effect_within_a_second_and_older_version_does_not(cluster):
     store, server, start = cluster
