Read no older record of the software versions at a start

After the loss of all VMs, a stream of a version that had just left could go on at another one (ORDER) until the watch brought the newer record, up to a second later.

Cause: a VM that starts asked for its first list of the VMs, which holds the record of the software versions, as one that may be seconds old, as such a read costs a tenth. It then took the record in it, or its absence in the first era, for complete.

Ruled out: keeping the old list and counting the versions as incomplete until a watch has answered, as watches of an idle store answer only after their whole wait; a read of the record by itself, which costs a whole read where a fresh list costs nine tenths of one more.

Change: every list is the newest, so the option is gone from the interface of the store.

Evidence: `test_starting_vm_reads_no_older_record_of_the_software_versions` failed on the code before and passes. The tests of the store's watcher, of its return from copies, of late knowledge and of the large fleet pass.

--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -103,14 +103,8 @@
     async def get(self, key: str) -> mirror.Item | None:
         """Return the item of a key, or None if the key does not exist."""
 
-    async def list(self, prefix: str, may_be_stale: bool = False) -> Listing:
-        """Return the items under a prefix.
-
-        Parameters
-        ----------
-        may_be_stale
-            Whether an answer of some seconds ago will do, which costs the store less.
-        """
+    async def list(self, prefix: str) -> Listing:
+        """Return the items under a prefix."""
 
     async def watch(self, prefix: str, after: store_revision.Revision, seconds: float) -> Changes:
         """Return the changes after revision `after`, waiting up to `seconds` for the first.
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -220,9 +220,7 @@
 
     async def _fetch_changes(self, prefix: str, local_mirror: mirror.Mirror) -> set[str]:
         if not local_mirror.revision.number:
-            # Other VMs or a watch soon supply what a stale list of VMs lacks.
-            is_vm_list = prefix == self._state.store_keys.vms
-            return await self._list(prefix, local_mirror, is_vm_list and not self._vm_list_delay)
+            return await self._list(prefix, local_mirror)
         if local_mirror.revision.era < max(local_mirror.era, self._state.store_era.current):
             return await self._list(prefix, local_mirror)
         with anyio.CancelScope() as scope:
@@ -240,18 +238,14 @@
         for scope in self._watches:
             scope.cancel()
 
-    async def _list(
-        self, prefix: str, local_mirror: mirror.Mirror, may_be_stale: bool = False
-    ) -> set[str]:
-        may_be_stale = may_be_stale and not self._state.store_era.rises
+    async def _list(self, prefix: str, local_mirror: mirror.Mirror) -> set[str]:
         asked_at = clock.now()
-        listing = await self._store.list(prefix, may_be_stale)
+        listing = await self._store.list(prefix)
         before = local_mirror.revision
         if listing.revision.era < self._state.store_era.current:
             raise interfaces.StoreError(f"{prefix}: list of an earlier era")
         changed = local_mirror.apply_list(listing.items, listing.revision)
-        if not may_be_stale:
-            self._state.freshness.record(prefix, asked_at)
+        self._state.freshness.record(prefix, asked_at)
         if before.number and listing.revision.era > before.era:
             self._log.info(
                 "prefix listed in a new era",
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -173,7 +173,7 @@
         await self._check_reachable()
         return self._store.items.get(key)
 
-    async def list(self, prefix, may_be_stale=False):
+    async def list(self, prefix):
         await self._check_reachable()
         self._store.list_calls[prefix] += 1
         items = [item for key, item in self._store.items.items() if key.startswith(prefix)]
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -87,7 +87,7 @@
             return None
         return _convert_item(_decode(answer.body, _Item), answer.era)
 
-    async def list(self, prefix: str, may_be_stale: bool = False) -> interfaces.Listing:
+    async def list(self, prefix: str) -> interfaces.Listing:
         """Return the items under a prefix, each as of the first page's revision or later.
 
         Raises
@@ -97,8 +97,7 @@
         """
         items: list[mirror.Item] = []
         revision = None
-        options = {"serializable": "1"} if may_be_stale else {}
-        query = {"prefix": prefix} | options
+        query = {"prefix": prefix}
         while True:
             answer = await self._call("GET", "/hollyring/kv-range", query)
             page = _decode(answer.body, _RangeResponse)
@@ -109,7 +108,7 @@
                 raise interfaces.StoreError(f"{prefix}: pages of several eras")
             if not page.truncated or not page.items:
                 return interfaces.Listing(items, revision)
-            query = {"prefix": prefix, "after": page.items[-1].key} | options
+            query = {"prefix": prefix, "after": page.items[-1].key}
 
     async def watch(
         self, prefix: str, after: store_revision.Revision, seconds: float
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -94,7 +94,8 @@
 class StoreStandIn(HttpStandIn):
     """The metadata store with items, a revision, watches, and leases that never expire.
 
-    `copy` and `restore` play its return from an older copy.
+    `copy` and `restore` play its return from an older copy; reads that need not be the newest
+    show `older_items`, if set.
     """
 
     def __init__(self):
@@ -106,6 +107,7 @@
         self.leases = set()
         self.failure_status = 0
         self.history_start = 0
+        self.older_items = None
         self.era = 1
 
     def copy(self):
@@ -155,7 +157,10 @@
                 item = self.items.get(query["key"])
                 return (200, item | {"current_rev": self.revision}) if item else (404, {})
             case "kv-range":
-                items = [i for k, i in self.items.items() if k.startswith(query["prefix"])]
+                shown = self.items
+                if "serializable" in query and self.older_items is not None:
+                    shown = self.older_items
+                items = [i for k, i in shown.items() if k.startswith(query["prefix"])]
                 return 200, {"items": items, "truncated": False, "current_rev": self.revision}
             case "kv-watch":
                 return await self._watch(query)
--- a/hollyring/platform/tests/test_store.py
+++ b/hollyring/platform/tests/test_store.py
@@ -1,11 +1,15 @@
 """Client of the metadata store, against the stand-in on loopback."""
 
+import anyio
 import pytest
 
 from hollyring.configuration import store_revision
-from hollyring.node import interfaces
-from hollyring.platform import store
+from hollyring.limits import service_retry_budgets
+from hollyring.membership import heartbeat
+from hollyring.node import interfaces, state, store_watcher
+from hollyring.platform import documents, store
 from hollyring.platform.tests import conftest
+from hollyring.routing import software_versions
 
 pytestmark = pytest.mark.anyio
 
@@ -36,6 +40,26 @@
     assert eras == [1, 2, 2]
 
 
+async def test_starting_vm_reads_no_older_record_of_the_software_versions(stand_in, client):
+    codec = documents.DocumentCodec()
+    versions = software_versions.Record(1, {"s": frozenset({"v1", "v2"})})
+    await stand_in.put(documents.STORE_KEYS.software, codec.encode_software(versions))
+    stand_in.older_items = {}
+    vm_info = heartbeat.VmInfo("vm-1", 1, "c", "p", "dar-a", "dar")
+    retries = service_retry_budgets.RetryRules(0.2, 50.0, 10.0)
+    vm_state = state.State(vm_info, codec, documents.STORE_KEYS, retries)
+    vm_state.software_versions.await_record()
+    client.set_era_listener(lambda era: vm_state.store_era.observe(era, "store"))
+    watcher = store_watcher.StoreWatcher(client, vm_state, None, lambda: None)
+    async with anyio.create_task_group() as group:
+        group.start_soon(watcher.run)
+        with anyio.fail_after(1.0):
+            while vm_state.software_versions.awaits_record:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    assert vm_state.software_versions.of_service("s") == {"v1", "v2"}
+
+
 async def test_era_is_0_without_the_header(stand_in, client, monkeypatch):
     monkeypatch.setattr(store, "ERA_HEADER", b"absent")
     await stand_in.put("op/config", {})
