--- /dev/null
+++ b/hollyring/node/tests/test_pipelined_requests.py
@@ -0,0 +1,64 @@
+"""Requests that a caller sends one behind another on a connection, over real sockets."""
+
+import anyio
+import pytest
+import uvicorn
+
+from hollyring.node import asgi, bounded_protocol, settings
+
+LIMITS = settings.Limits()
+TIMEOUT_SECONDS = 5.0
+REQUEST = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Application:
+    """Application that works on each request until its caller has left."""
+
+    def __init__(self):
+        self.begun = 0
+        self.left = 0
+
+    async def __call__(self, scope, receive, send):
+        self.begun += 1
+        await asgi.wait_disconnect(receive)
+        self.left += 1
+
+
+@pytest.fixture
+async def serving(anyio_backend):
+    """Yield a running application and its port."""
+    application = Application()
+    protocol = bounded_protocol.protocol_class(LIMITS)
+    config = uvicorn.Config(
+        application, "127.0.0.1", 0, http=protocol, lifespan="off", log_level="error"
+    )
+    server = uvicorn.Server(config)
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve)
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while not server.started:
+                await anyio.sleep(0.01)
+        yield application, server.servers[0].sockets[0].getsockname()[1]
+        server.force_exit = server.should_exit = True
+
+
+async def wait_until(condition, seconds):
+    with anyio.move_on_after(seconds):
+        while not condition():
+            await anyio.sleep(0.01)
+    return condition()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("requests", [1, 2, 3])
+async def test_close_ends_the_request_that_runs_ahead_of_pipelined_ones(serving, requests):
+    application, port = serving
+    async with await anyio.connect_tcp("127.0.0.1", port) as caller:
+        await caller.send(requests * REQUEST)
+        assert await wait_until(lambda: application.begun == 1, TIMEOUT_SECONDS)
+    assert await wait_until(lambda: application.left == 1, 0.5)
