--- a/hollyring/node/tests/test_software_record.py
+++ b/hollyring/node/tests/test_software_record.py
@@ -8,7 +8,7 @@
 
 from hollyring.core import request_types
 from hollyring.delivery import stream_origins
-from hollyring.node import clock
+from hollyring.node import clock, heartbeat_sender
 from hollyring.node.tests import simulated_fleet
 
 VMS = [f"vm-{n}" for n in range(1, 10)]
@@ -59,10 +59,10 @@
     return set(codec.decode_software(fleet.store.items[KEY]).versions[SERVICE])
 
 
-def continuation(vm, resumed_request_id="unknown"):
-    """Return where a VM continues a stream that began elsewhere."""
+def continuation(vm, resumed_request_id="unknown", resume_after=3):
+    """Return where a VM continues a stream that began elsewhere, or begins one."""
     request = request_types.Request(
-        "r", b"POST", b"/", "h", "/", (), b"", "", 5.0, None, 3, resumed_request_id
+        "r", b"POST", b"/", "h", "/", (), b"", "", 5.0, None, resume_after, resumed_request_id
     )
     return vm.state.continuation(request, SERVICE)
 
@@ -201,6 +201,62 @@
     simulate(scenario, vms=VMS, upstreams=())
 
 
+def test_loss_of_all_vms_with_two_versions_refuses_what_is_taken_up_and_nothing_else(simulate):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        add_upstream(fleet, "u-2", "v2")
+        await start_all(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        await kill_all(fleet)
+        await start_all(fleet)
+        assert refusing(fleet) == set(VMS)
+        begun = [continuation(vm, resume_after=None) for vm in fleet.vms.values()]
+        assert set(begun) == {stream_origins.AnySoftware()}
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+@pytest.mark.parametrize("registered_seconds", [0.1, 0.3])
+def test_stream_is_not_joined_where_its_version_came_and_left_just_before_all_vms_were_lost(
+    simulate, registered_seconds
+):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        await start_all(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        add_upstream(fleet, "u-2", "v2")
+        await anyio.sleep(registered_seconds)
+        assert all("u-2" in vm.state.registry.upstreams for vm in fleet.vms.values())
+        await kill_all(fleet)
+        remove_upstream(fleet, "u-2")
+        await start_all(fleet)
+        assert refusing(fleet) == set(VMS)
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+def test_stream_of_a_vm_lost_within_a_heartbeat_of_its_start_is_refused_and_a_later_one_goes_on(
+    simulate,
+):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        add_upstream(fleet, "u-2", "v2")
+        await start_all(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        lost = fleet.vms["vm-1"]
+        began_at_v2 = stream_origins.Origin(SERVICE, "v2")
+        lost.state.stream_origins.record("told", began_at_v2, clock.now())
+        await anyio.sleep(2 * heartbeat_sender.HEARTBEAT_SECONDS)
+        lost.state.stream_origins.record("untold", began_at_v2, clock.now())
+        fleet.kill("vm-1")
+        await anyio.sleep(2 * heartbeat_sender.HEARTBEAT_SECONDS)
+        for vm in fleet.vms.values():
+            assert isinstance(continuation(vm, "untold"), stream_origins.NotResumable)
+            assert continuation(vm, "told") == stream_origins.OnlySoftware("v2")
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_no_stream_goes_on_at_another_version_whatever_restarts_and_returns(simulate, seed):
     rng = random.Random(seed)
@@ -259,3 +315,19 @@
 
     simulate(scenario, vms=VMS[:4], upstreams=())
     assert answers["continued"] and answers["refused"]
+
+
+def test_vm_that_does_not_serve_refuses_streams_of_unknown_origin_and_no_caller_is_sent_there(
+    simulate,
+):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        add_upstream(fleet, "u-2", "v2")
+        await fleet.start_for_the_first_time(fleet.names, 3, 4.0)
+        following = {vm.name for vm in fleet.vms.values() if not vm.state.peers.is_serving}
+        assert following and following <= refusing(fleet)
+        for vm in fleet.vms.values():
+            addresses = vm.state.peers.caller_addresses(True, clock.now(), 64)
+            assert not {address.partition(":")[0] for address in addresses} & following
+
+    simulate(scenario, vms=[f"vm-{n:02}" for n in range(60)], upstreams=())
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -140,6 +140,7 @@
     SERVER | {"service": ""},
     SERVER | {"models": [{"name": "m"}]},
     {name: value for name, value in SERVER.items() if name != "zone"},
+    {name: value for name, value in SERVER.items() if name != "version"},
 ]
 
 
