--- a/hollyring/node/tests/test_send_permits.py
+++ b/hollyring/node/tests/test_send_permits.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from hollyring.membership import peer_table
 from hollyring.node import clock
 from hollyring.node.tests import simulated_fleet
 
@@ -14,6 +15,9 @@
 """Time after its first answer with the limit from which a VM is bound by it."""
 
 CONTACT_SECONDS = 3.0
+ISSUER_CHANGE_SECONDS = 0.5
+"""Time for the VMs to ask the next issuer, once the last one counts as gone."""
+
 UPSTREAM = "u-1"
 
 
@@ -145,6 +149,24 @@
                 await anyio.sleep(2.0)
 
 
+def test_limited_upstream_is_used_again_soon_after_its_issuer_was_lost(simulate):
+    async def scenario(fleet):
+        await start_fleet(fleet)
+        limited = LimitedUpstream(fleet, 55.0)
+        async with anyio.create_task_group() as group:
+            group.start_soon(limited.run, 20.0, 1)
+            for _ in range(3):
+                await anyio.sleep(4.0)
+                fleet.kill(issuer(fleet))
+                lost_at = clock.now()
+                bound = peer_table.ALIVE_TIMEOUT_SECONDS + 1.0 / LIMIT + ISSUER_CHANGE_SECONDS
+                await anyio.sleep(bound)
+                assert limited.sent_per_second(lost_at, lost_at + bound) > 0.0
+        assert limited.most_in_window() <= allowed(LIMIT)
+
+    simulate(scenario, vms=names(9))
+
+
 def issuer(fleet):
     """Return the name of the VM that issues the permits, as the VMs that live see it."""
     vm = next(vm for vm in fleet.vms.values() if vm.state.peers.is_serving)
