--- a/hollyring/node/tests/test_crash_reports.py
+++ b/hollyring/node/tests/test_crash_reports.py
@@ -26,6 +26,17 @@
         reports.resolve(pending, crashed=True)
 
 
+def test_vm_that_starts_anew_blames_a_part_after_three_more_crashes(now):
+    for vm in ("vm-1", "vm-1 after the loss of all VMs"):
+        reports = crash_reports.CrashReports(vm)
+        assert reports.blame_of(crashes.part_hashes(prompt("bad", "x"))) is None
+        for number in range(3):
+            crash(reports, number, prompt("bad", f"own-{number}"))
+        now[0] += crashes.SETTLE_SECONDS
+        reports.tick(now[0])
+        assert reports.blame_of(crashes.part_hashes(prompt("bad", "x"))) is not None
+
+
 def test_blames_are_forgotten_when_servers_crash_whatever_they_answer(now):
     reports = crash_reports.CrashReports("vm-1")
     reports.record_whole(crashes.part_hashes(prompt("a", "own")))
--- a/hollyring/node/tests/test_unreachable_upstreams.py
+++ b/hollyring/node/tests/test_unreachable_upstreams.py
@@ -10,9 +10,10 @@
 import anyio
 import pytest
 
+from hollyring.core import request_types
 from hollyring.node import clock
 from hollyring.node.tests import simulated_fleet
-from hollyring.routing import reachability
+from hollyring.routing import crashes, reachability
 
 SEEDS = int(os.environ.get("REACH_SEEDS", "1"))
 SERVICE = simulated_fleet.SERVICE
@@ -22,6 +23,17 @@
 SETTLE_SECONDS = 1.0
 """Time after a cut from which callers of cut VMs must be served as well as the others."""
 
+CACHES_KNOWN_SECONDS = 5.0
+"""Time after a cut within which every VM knows the contents of all caches."""
+
+BLAME_KNOWN_SECONDS = 2.0
+"""Time after three crashes within which the parts of their requests are blamed."""
+
+PROMPT = request_types.Prompt(
+    "m", (request_types.Part("bad", 10), request_types.Part("own", 10)), 20, 5
+)
+PART_HASHES = crashes.part_hashes(PROMPT)
+
 REQUEST_SECONDS = 0.05
 REQUESTS_PER_SECOND = 20.0
 MARGIN = 0.05
@@ -260,6 +272,94 @@
     simulate(scenario, vms=names(9), upstreams=UPSTREAMS)
 
 
+@pytest.mark.parametrize("form", FORMS)
+def test_callers_of_a_cut_domain_are_served_while_a_server_crashes_and_a_vm_and_servers_change(
+    simulate, form
+):
+    async def scenario(fleet):
+        traffic = await start(fleet, 1, 9)
+        cut = choose_cut(fleet, traffic, "domain")
+        others = set(traffic.vms) - set(cut)
+        fleet.cut_off(cut, form)
+        await anyio.sleep(SETTLE_SECONDS)
+        began = clock.now()
+        fleet.upstreams["u-0"].crashed = True
+        await anyio.sleep(1.0)
+        fleet.add_upstream(simulated_fleet.Upstream("u-new"))
+        fleet.store.remove("servers/u-1")
+        await anyio.sleep(1.0)
+        fleet.store.put("op/config", simulated_fleet.make_deployment(2))
+        await anyio.sleep(1.0)
+        restarted = sorted(others)[0]
+        fleet.kill(restarted)
+        fleet.start(restarted)
+        await fleet.wait_until(lambda: fleet.vms[restarted].state.ready, 1.0)
+        await anyio.sleep(2.0)
+        until = clock.now()
+        await anyio.sleep(1.0)
+        shares = [traffic.share(vms, began, until) for vms in (set(cut), others - {restarted})]
+        print("served at the cut VMs and the others:", shares)
+        assert shares[0] >= shares[1] - MARGIN
+        assert {vm.state.configuration_version for vm in fleet.vms.values()} == {2}
+
+    simulate(scenario, vms=names(9), upstreams=UPSTREAMS)
+
+
+async def crash_three_servers(fleet, vm):
+    """Let three servers crash with requests of one VM that have a part in common."""
+    for number in range(3):
+        upstream = vm.state.registry.get(f"u-{number}")
+        fleet.upstreams[upstream.name].crashed = True
+        vm.state.requests.begin(clock.now())
+        vm.state.crashes.record_broken(upstream, PART_HASHES, 0)
+        await anyio.sleep(0.2)
+        vm.state.requests.end()
+    await anyio.sleep(BLAME_KNOWN_SECONDS)
+
+
+def test_part_that_crashed_servers_at_a_vm_that_follows_is_blamed_there(simulate):
+    async def scenario(fleet):
+        await fleet.start_for_the_first_time(names(60), DOMAINS, 4.0)
+        follower = next(vm for vm in fleet.vms.values() if not vm.state.peers.is_serving)
+        await crash_three_servers(fleet, follower)
+        assert follower.state.crashes.blame_of(PART_HASHES) is not None
+
+    simulate(scenario, vms=names(60), upstreams=UPSTREAMS)
+
+
+def test_serving_vms_learn_of_a_part_that_crashed_servers_at_a_vm_that_follows(simulate):
+    async def scenario(fleet):
+        await fleet.start_for_the_first_time(names(60), DOMAINS, 4.0)
+        follower = next(vm for vm in fleet.vms.values() if not vm.state.peers.is_serving)
+        await crash_three_servers(fleet, follower)
+        for vm in fleet.vms.values():
+            if vm.state.peers.is_serving:
+                assert vm.state.crashes.blame_of(PART_HASHES) is not None
+
+    simulate(scenario, vms=names(60), upstreams=UPSTREAMS)
+
+
+@pytest.mark.parametrize("form", ["hang", "refused"])
+def test_cache_that_a_cut_vm_polls_is_known_again_after_the_cut(simulate, form):
+    async def scenario(fleet):
+        traffic = await start(fleet, 1, 9)
+        cut = choose_cut(fleet, traffic, "third")
+        fleet.cut_off(cut, form)
+        await anyio.sleep(4.0)
+        for upstream in fleet.upstreams.values():
+            upstream.set_cached("m.1", "part-x", 100)
+        await anyio.sleep(2.0)
+        fleet.heal(cut)
+        await anyio.sleep(CACHES_KNOWN_SECONDS)
+        for vm in fleet.vms.values():
+            caches = vm.state.prefix_caches
+            parts = [request_types.Part("part-x", 100)]
+            known = [caches.cached_tokens(name, "m.1", parts) for name in fleet.upstreams]
+            assert known == [100] * len(fleet.upstreams)
+
+    simulate(scenario, vms=names(9), upstreams=UPSTREAMS)
+
+
 @pytest.mark.parametrize("form", ["hang", "refused"])
 def test_cut_vms_make_no_other_vm_avoid_the_caches_that_they_poll(simulate, form):
     async def scenario(fleet):
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -287,6 +287,17 @@
     assert sum(item.total for item in fleet.executing[0].state.organisation_usage(now)) == 0
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("refusing", [1, 3])
+async def test_each_send_beyond_the_first_spends_a_retry_at_one_of_the_vms(start_fleet, refusing):
+    fleet = await start_fleet(*["refuse"] * refusing, "complete", retry_safety=IDEMPOTENT)
+    test_relay.avoid(fleet.executing[0], fleet.servers[-1])
+    await fleet.cut.send_request()
+    vms = (fleet.cut, *fleet.executing)
+    spent = sum(vm.state.retries("s").dump()["retries"] for vm in vms)
+    assert spent == len(fleet.requests) - 1 > 0
+
+
 @pytest.mark.anyio
 async def test_request_is_not_forwarded_twice(start_fleet):
     fleet = await start_fleet("complete")
--- a/hollyring/routing/tests/test_crashing_whole_requests.py
+++ b/hollyring/routing/tests/test_crashing_whole_requests.py
@@ -72,6 +72,27 @@
     assert table.blamed([BAD], due + 0.4) is None
 
 
+def test_request_whose_trial_ends_with_another_crash_is_refused_until_its_blame_ends(table):
+    for number in range(3):
+        crash(table, number, BAD)
+    table.decide(0.5)
+    due = 0.5 + crashes.TRIAL_AFTER_SECONDS
+    assert table.begin_trial(table.blamed([BAD], due), "vm-1", due)
+    crash(table, 3, BAD, at=due)
+    table.decide(due + crashes.SETTLE_SECONDS + 0.1)
+    blame = table.blamed([BAD], due + 1.0)
+    assert not table.begin_trial(blame, "vm-1", due + crashes.TRIAL_AFTER_SECONDS)
+    assert table.blamed([BAD], 0.5 + crashes.BLAME_SECONDS - 0.1) is not None
+    assert table.blamed([BAD], due + 0.2 + crashes.BLAME_SECONDS) is None
+
+
+def test_requests_that_differ_in_path_or_body_are_not_blamed_for_each_other(table):
+    for number in range(3):
+        crash(table, number, crashes.request_hash("/a", "org", b"%d" % number))
+        crash(table, 10 + number, crashes.request_hash(f"/{number}", "org", b"bad"))
+    assert decide(table, 0.0) == []
+
+
 def test_blamed_part_of_a_prompt_is_not_sent_on_trial(table):
     for number in range(3):
         crash(table, number, "bad-part", crashes.request_hash("/a", "org", b"%d" % number))
