Tell other VMs of crashes that a VM which follows has seen

What callers would see: in a large fleet, three crashes at a VM that follows were told to nobody, so the serving VMs lost three more servers to the same part of a prompt.

Cause: a VM that neither serves nor is busy exchanges no heartbeats, and these carry the crashes.

Ruled out: a status that the serving VM asks for, as the asking goes the other way.

Change: a VM that saw a crash exchanges heartbeats for the 10 s for which it repeats the report.

A crash that very many VMs see at once was not played; many busy VMs that follow are (`test_requests_at_many_vms_that_do_not_serve_leave_the_heartbeats_fast`).

Conclusion: mended.

--- a/hollyring/node/crash_reports.py
+++ b/hollyring/node/crash_reports.py
@@ -80,6 +80,10 @@
             "prompt_blames": len(self._crashes.blames()),
         }
 
+    def has_recent(self, now: float) -> bool:
+        """Return whether this VM lately saw a crash, which it tells the other VMs."""
+        return any(now - own.at <= REPEAT_SECONDS for own in self._own)
+
     def record_broken(
         self, upstream: registry.Upstream, suspects: Iterable[str], events: int
     ) -> None:
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -508,7 +508,7 @@
 
     def update_peers(self, now: float) -> None:
         """Select the serving VMs anew."""
-        has_requests = self.leaving or self.requests.is_busy(now)
+        has_requests = self.leaving or self.requests.is_busy(now) or self.crashes.has_recent(now)
         served = self.peers.is_serving
         self.peers.update(self.leaving, has_requests, self.requests.rate(now), now)
         if self.peers.is_serving != served:
