Print what fails in the soak at once, with the request and the end of its VM's log

Change: a failed check, or a failure of the run itself, prints the seed, the check and the traceback when it happens, past pytest's capture. The checks of runs and streams describe the request as the check of ends did: signals of its VM, the log lines that name it, and now the last 20 lines of the VM's log. No check or bound has changed; the check that most requests are answered has a function of its own.

--- a/hollyring/platform/tests/soak.py
+++ b/hollyring/platform/tests/soak.py
@@ -153,6 +153,7 @@
     """
 
     def __init__(self, directory, seed, seconds, vms=3, callers=12):
+        self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
         self.calls = []
--- a/hollyring/platform/tests/test_soak.py
+++ b/hollyring/platform/tests/test_soak.py
@@ -4,8 +4,11 @@
 run, `SOAK_VMS` and `SOAK_CALLERS` its size.
 """
 
+import contextlib
 import os
 import signal
+import sys
+import traceback
 
 import pytest
 
@@ -21,10 +24,26 @@
 TIMEOUT_MARGIN_SECONDS = 0.05
 """Time before the timeout of its route at which a VM ends a request."""
 
+LOG_TAIL_LINES = 20
+
+
+@contextlib.contextmanager
+def failures_printed(capfd, seed, check):
+    """Print a failure at once, as runs of many seeds may be ended before pytest prints them."""
+    try:
+        yield
+    except Exception as error:
+        with capfd.disabled():
+            print(f"\nsoak: seed {seed}: {check}", flush=True)
+            traceback.print_exception(error, file=sys.stdout)
+        raise
+
 
 @pytest.fixture(params=SEEDS)
-async def played(request, tmp_path):
-    return await soak.Soak(tmp_path, request.param, SECONDS, VMS, CALLERS).run()
+async def played(request, tmp_path, capfd):
+    run = soak.Soak(tmp_path, request.param, SECONDS, VMS, CALLERS)
+    with failures_printed(capfd, request.param, "run"):
+        return await run.run()
 
 
 def was_killed(run, call):
@@ -40,16 +59,21 @@
     return call.ended_at - call.sent_at >= soak.SHORTEST_TIMEOUT_SECONDS - TIMEOUT_MARGIN_SECONDS
 
 
+def lines_of_vm(run, call):
+    log = next(vm.log_path for vm in run.vms if vm.log_path.stem == call.vm)
+    return log.read_text().splitlines()
+
+
 def log_of(run, call):
     """Return the lines of the VM's log that name the request, which it then has read."""
-    log = next(vm.log_path for vm in run.vms if vm.log_path.stem == call.vm)
-    return [line for line in log.read_text().splitlines() if f'"{call.request_id}"' in line]
+    return [line for line in lines_of_vm(run, call) if f'"{call.request_id}"' in line]
 
 
 def describe(run, call):
     """Return what led to the end of a request, for a failed check."""
     signals = [sent for sent in run.signals if sent.vm == call.vm]
-    return "\n".join(map(str, [call, *signals, *log_of(run, call)]))
+    tail = ["end of the log:", *lines_of_vm(run, call)[-LOG_TAIL_LINES:]]
+    return "\n".join(map(str, [call, *signals, *log_of(run, call), *tail]))
 
 
 def runs(run, call):
@@ -61,6 +85,11 @@
     ]
 
 
+def check_answers(run):
+    answered = [call for call in run.calls if call.status == 200]
+    assert len(answered) > len(run.calls) / 2
+
+
 def check_ends(run):
     lost = [
         call
@@ -77,9 +106,9 @@
     for call in run.calls:
         ran = runs(run, call)
         if call.route in ("order", "stream"):
-            assert len(ran) <= 1, call
+            assert len(ran) <= 1, describe(run, call)
         if call.status in (429, 503):
-            assert call.route in ("look", "resumable") or ran == [], call
+            assert call.route in ("look", "resumable") or ran == [], describe(run, call)
 
 
 def check_streams(run):
@@ -87,7 +116,7 @@
     for call in run.calls:
         streamed = call.route in ("stream", "resumable")
         if streamed and call.outcome == "answered" and call.status == 200:
-            assert call.body == whole, call
+            assert call.body == whole, describe(run, call)
 
 
 def check_secrets(run):
@@ -95,11 +124,11 @@
         assert not any("authorization" in request.headers for request in server.requests)
 
 
+CHECKS = (check_answers, check_ends, check_runs, check_streams, check_secrets)
+
+
 @pytest.mark.anyio
-async def test_no_request_is_lost_or_run_twice_under_overlapping_faults(played):
-    answered = [call for call in played.calls if call.status == 200]
-    assert len(answered) > len(played.calls) / 2
-    check_ends(played)
-    check_runs(played)
-    check_streams(played)
-    check_secrets(played)
+async def test_no_request_is_lost_or_run_twice_under_overlapping_faults(played, capfd):
+    for check in CHECKS:
+        with failures_printed(capfd, played.seed, check.__name__):
+            check(played)
