Answer with the failure that an upstream gave, where no other takes the request

Cause: the failure was the answer only where no further attempt was made, and forgotten where one was granted and could not be started. One place refuses admitted requests now, and it answers with the failure that is known.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -232,7 +232,16 @@
     async def _refuse(
         self, context: request_context.RequestContext, rejection: refusal.Refusal
     ) -> None:
-        """Refuse an admitted request, and log its end with the status that its caller got."""
+        """Refuse an admitted request, and log its end with the status that its caller got.
+
+        An upstream's own failure is the answer rather than one of this VM that says no more.
+        """
+        last = context.last_failure
+        if last is not None and last.head is not None and not context.response.started:
+            head = last.head
+            await context.response.send(head.status, head.headers, last.body, last.states_end)
+            self._log.ended(context, "upstream's failure")
+            return
         try:
             await context.response.refuse(rejection)
         finally:
@@ -371,8 +380,7 @@
                 continue
             if isinstance(outcome, request_context.Declined) and not context.retry_state.reached:
                 raise self._declined_error(context)
-            await self._finish_failed(context)
-            return
+            self._raise_refusal(context)
 
     async def _start_when_free(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
@@ -603,14 +611,14 @@
             return True
         return self._state.retries(context.service.name).try_retry(clock.now())
 
-    async def _finish_failed(self, context: request_context.RequestContext) -> None:
-        """Send the final response after the last attempt."""
-        last = context.last_failure
-        if last is not None and last.head is not None and not context.response.started:
-            head = last.head
-            await context.response.send(head.status, head.headers, last.body, last.states_end)
-            self._log.ended(context, "upstream's failure")
-            return
+    def _raise_refusal(self, context: request_context.RequestContext) -> typing.NoReturn:
+        """Refuse a request of which no more attempts are made.
+
+        Raises
+        ------
+        _RequestRefusedError
+            Always, with the time after which an upstream may have capacity.
+        """
         now = clock.now()
         if not context.retry_state.has_time(now):
             raise _RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
