Refuse a request that is read after the end of the grace period

It is refused with 503 now. test_request_after_the_end_of_the_grace_period_is_refused_at_once failed before and passes.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -145,6 +145,9 @@
         CallerLeftError
             If the caller has left before the request could be sent.
         """
+        if self._stopped:
+            await response.refuse(refusal.make("leaving", LEAVING_RETRY_AFTER_SECONDS))
+            return
         with anyio.CancelScope() as scope:
             self._open.add(scope)
             try:
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -851,3 +851,12 @@
     assert caller.status == 503
     assert float(caller.headers[b"retry-after"]) > 0.0
     assert request_count(servers) == 0
+
+
+@pytest.mark.anyio
+async def test_request_after_the_end_of_the_grace_period_is_refused_at_once(start_vm):
+    vm, servers = await start_vm("complete")
+    vm.relay.stop()
+    caller = await vm.send_request()
+    assert caller.status == 503
+    assert request_count(servers) == 0
