Run no body of a request that asks for another protocol as a request of its own

Cause: the parser stops at the end of such a head and takes what follows for the other protocol; uvicorn calls the request whole, drops the rest of the packet and parses the next one as a new request.

Weighed: reading the body in spite of the header is not possible with this parser. A request with a body is refused with 400, not run; one without is answered, as the header may be ignored, and its connection closed.

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -8,10 +8,18 @@
 import msgspec
 from uvicorn.protocols.http import httptools_impl
 
+from hollyring.core import request_types
 from hollyring.delivery import refusal
 from hollyring.node import caller_connection, completion_format, logs, settings, unstated_end
 
-REASON_PHRASES = {408: "Request Timeout", 429: "Too Many Requests", 431: "Header Fields Too Large"}
+REASON_PHRASES = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    429: "Too Many Requests",
+    431: "Header Fields Too Large",
+}
+
+UPGRADE_WITH_BODY = "A request with a body cannot ask for another protocol."
 
 MAX_WAITING_WHILE_READING = 1
 """Requests that may wait behind one that runs before no more is read from their caller."""
@@ -84,12 +92,28 @@
         def on_headers_complete(self) -> None:
             self._in_head = False
             self._stop_timer()
+            if self.parser.should_upgrade() and _has_body(self.headers):
+                # The parser takes what follows such a head for another protocol.
+                self._refuse(refusal.make("invalid_request", message=UPGRADE_WITH_BODY))
+                self._ignores_input = True
+                return
             super().on_headers_complete()
             extensions: dict[str, Any] = self.scope["extensions"]
             extensions[unstated_end.SCOPE_EXTENSION] = unstated_end.Sender(self.cycle)
             if 0 < len(self.pipeline) <= MAX_WAITING_WHILE_READING:
                 self.flow.resume_reading()  # a close is not seen while nothing is read
 
+        def on_body(self, body: bytes) -> None:
+            if not self._ignores_input:
+                super().on_body(body)
+
+        def on_message_complete(self) -> None:
+            if self._ignores_input:
+                return
+            super().on_message_complete()
+            if self.parser.should_upgrade():
+                self._close_after_answers()
+
         def _start_asgi_task(self, cycle: httptools_impl.RequestResponseCycle, app: Any) -> None:
             async def run(scope: Any, receive: Any, send: Any) -> None:
                 await app(
@@ -163,3 +187,9 @@
             self.transport.close()
 
     return BoundedProtocol
+
+
+def _has_body(headers: list[request_types.Header]) -> bool:
+    """Return whether a body follows the head of a request."""
+    lengths = [value for name, value in headers if name == b"content-length"]
+    return any(name == b"transfer-encoding" for name, _ in headers) or lengths not in ([], [b"0"])
