Answer each request that waits when its caller closes its sending side

Found by a fresh reader: of two requests on a connection that is then half closed, the second, read whole but not begun, got nothing, as the connection was closed behind the first. It is refused with 503 now; the close follows the last whole request. test_each_request_that_waits_when_its_caller_half_closes_is_answered failed on (one 502 and the close) and passes.

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -66,9 +66,8 @@
         def eof_received(self) -> bool | None:  # type: ignore[override]
             """Keep the connection open for the answer to a request that was read whole."""
             running = self._whole_running
-            if running is None:
+            if running is None or not self._close_after_answers():
                 return None
-            running.keep_alive = False
             self._caller_connection.ended = True
             running.message_event.set()
             return True
--- a/hollyring/platform/tests/test_half_closed_callers.py
+++ b/hollyring/platform/tests/test_half_closed_callers.py
@@ -93,3 +93,21 @@
     sent = {request.headers["x-request-id"] for request in server.requests}
     assert None not in statuses.values()
     assert not {name for name in sent if statuses[name] == NOT_RUN_STATUS}
+
+
+@pytest.mark.anyio
+async def test_each_request_that_waits_when_its_caller_half_closes_is_answered(cluster):
+    _, server, start = cluster
+    server.behaviour = "silent"
+    vm = start()
+    await vm.wait_ready()
+    connection = connect(vm)
+    connection.sendall(test_process.encode_request("r-1"))
+    with anyio.fail_after(2.0):
+        while not server.requests:
+            await anyio.sleep(0.01)
+    send_half_closed(connection, "r-2")
+    received = await anyio.to_thread.run_sync(read_all, connection)
+    statuses = [part.split(b" ")[0] for part in received.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [b"502", b"503"]
+    assert len(server.requests) == 1
