--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -1,4 +1,6 @@
 import contextlib
+import socket
+import time
 
 import anyio
 import pytest
@@ -173,3 +175,39 @@
     await stream.aclose()
     await anyio.sleep(0.25)
     assert slow_application.disconnected == ["/first"]
+
+
+LONG_BODY = b"z" * 300_000
+
+
+async def answer_at_length(scope, receive, send):
+    while (await receive()).get("more_body"):
+        pass
+    await anyio.sleep(SLOW_SECONDS)
+    length = (b"content-length", b"%d" % len(LONG_BODY))
+    await send({"type": "http.response.start", "status": 200, "headers": [length]})
+    await send({"type": "http.response.body", "body": LONG_BODY})
+
+
+def read_slowly_while_sending(port):
+    """Return the bytes of a response read slowly by a caller that sends on behind its request."""
+    received = b""
+    with contextlib.closing(socket.create_connection(("127.0.0.1", port))) as caller:
+        caller.settimeout(TIMEOUT_SECONDS)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 20_000)
+        caller.sendall(FIRST + b"what\r\n\r\n")
+        time.sleep(2 * SLOW_SECONDS)
+        with contextlib.suppress(ConnectionError):
+            while data := caller.recv(10_000):
+                received += data
+                time.sleep(0.002)
+                if len(received) < len(LONG_BODY) // 3:
+                    caller.sendall(b"y" * 10)
+    return received
+
+
+@pytest.mark.anyio
+async def test_long_answer_is_not_cut_by_what_its_caller_goes_on_sending(anyio_backend):
+    async with serving(answer_at_length) as served_port:
+        received = await anyio.to_thread.run_sync(read_slowly_while_sending, served_port)
+    assert received.endswith(LONG_BODY)
--- a/hollyring/platform/tests/test_half_closed_callers.py
+++ b/hollyring/platform/tests/test_half_closed_callers.py
@@ -111,3 +111,22 @@
     statuses = [part.split(b" ")[0] for part in received.split(b"HTTP/1.1 ")[1:]]
     assert statuses == [b"502", b"503"]
     assert len(server.requests) == 1
+
+
+@pytest.mark.anyio
+async def test_close_is_seen_while_two_later_requests_wait_behind_the_one_that_runs(cluster):
+    _, server, start = cluster
+    server.behaviour = "silent"
+    vm = start()
+    await vm.wait_ready()
+    connection = connect(vm)
+    connection.sendall(test_process.encode_request("r-1"))
+    with anyio.fail_after(2.0):
+        while not server.requests:
+            await anyio.sleep(0.01)
+    connection.sendall(test_process.encode_request("r-2") + test_process.encode_request("r-3"))
+    await anyio.sleep(0.2)
+    connection.close()
+    with anyio.fail_after(GONE_SECONDS):
+        while not server.closed_connections:
+            await anyio.sleep(0.01)
