--- a/hollyring/limits/tests/simulated_places.py
+++ b/hollyring/limits/tests/simulated_places.py
@@ -85,7 +85,7 @@
             call(*arguments)
 
     def restart_issuer(self, number):
-        """Let another VM issue the places of a server, by loads that it heard of a while ago."""
+        """Let another VM issue the places of a server, by loads that it was told of a while ago."""
         known = self._known_load(number)
         room = upstream_places.Room(self.stands, self.declared_slots, known)
         self.issuers[number] = upstream_places.Places(room, self.now)
--- a/hollyring/limits/upstream_places.py
+++ b/hollyring/limits/upstream_places.py
@@ -10,7 +10,7 @@
   is unknown and the rejections of the last second stay together within what the upstream stands,
   less a margin.
 
-So rejections stay within it even if their news arrives late or never. A doubtful place that is
+So rejections stay within it even if reports of them arrive late or never. A doubtful place that is
 accepted raises the proven number, up to a little more than the slots; a rejection below it
 ends what is proven, and any rejection lowers the ceiling, which rises again slowly. As room can
 fall between two rejections, the places granted in the last moment count as doubtful too.
@@ -37,7 +37,7 @@
 """Share of the rejections that an upstream stands which is used; the rest covers what is unseen."""
 
 FRESH_SECONDS = 0.01
-"""Time from granting a place within which the news of a rejection usually arrives."""
+"""Time from granting a place within which the report of a rejection usually arrives."""
 
 SETTLE_SECONDS = 0.1
 """Time after an unexpected rejection in which nothing is granted, as more may be on the way."""
@@ -104,7 +104,7 @@
     slots
         Requests that it runs concurrently.
     in_progress
-        Requests that all VMs have in progress there, as far as this VM has heard.
+        Requests that all VMs have in progress there, as far as this VM knows.
     """
 
     rejections_per_second: float
@@ -240,7 +240,7 @@
             case Outcome.REJECTED:
                 self._reject(place, now)
             case Outcome.UNKNOWN:
-                # The upstream may still reject it, so that a doubt remains.
+                # The upstream may still reject it, so its outcome stays unknown.
                 self._release(place, now, answered=False)
 
     def interrupt(self) -> None:
@@ -283,7 +283,7 @@
         return max(1, math.floor(per_second / 2.0 if is_new else per_second))
 
     def _unresolved(self, now: float) -> int:
-        """Return the rejections of the last second, and the places whose news may be on the way."""
+        """Return the rejections of the last second, and the places with a report on the way."""
         fresh = itertools.takewhile(
             lambda place: now - self._held[place].granted_at < FRESH_SECONDS, reversed(self._held)
         )
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -529,7 +529,7 @@
     Parameters
     ----------
     doubtful
-        Whether the upstream may reject it for want of room, so that its issuer waits for news.
+        Whether the upstream may reject it for want of room, so that its issuer waits for a report.
     """
 
     granted: bool
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -333,5 +333,5 @@
 
 
 def _framing(head: forwarded.ForwardedHead) -> answers.Framing:
-    """Return how a forwarded stream states its end; its own messages leave no doubt about it."""
+    """Return how a forwarded stream states its end; its own messages always do."""
     return answers.Framing.CHUNKS if head.states_end else answers.Framing.CONNECTION
