Reserve a port range although closed connections lie at its last port

Cause: the socket that holds a reservation was bound without SO_REUSEADDR, so a port counts as used for a minute after a connection there was closed by the listening side (TIME_WAIT). The tests reserve small ranges at ports which the fleets of earlier tests in the same run had used.

Ruled out: a process that still listens; free_base_port had probed and reserved the same range.

Change: SO_REUSEADDR.

--- a/hollyring/experiments/port_ranges.py
+++ b/hollyring/experiments/port_ranges.py
@@ -47,6 +47,8 @@
 
 def _listen(port: int) -> socket.socket | None:
     reservation = socket.socket()
+    # Closed connections of an earlier process keep a port in TIME_WAIT; nobody listens there then.
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         reservation.bind(("127.0.0.1", port))
         reservation.listen()
--- a/hollyring/experiments/tests/test_port_ranges.py
+++ b/hollyring/experiments/tests/test_port_ranges.py
@@ -1,5 +1,7 @@
 """Reservation of port ranges against other processes of the host."""
 
+import socket
+
 import pytest
 
 from hollyring.experiments import launcher, port_ranges, small_deployment
@@ -39,3 +41,12 @@
 def test_range_with_a_used_port_is_not_left_reserved(bases):
     assert port_ranges.reserve(bases, SIZE, lambda base: base == bases[2]) == bases[2]
     assert port_ranges.reserve(bases, SIZE, lambda _: True) == bases[0]
+
+
+def test_range_whose_last_port_only_has_a_closed_connection_is_reserved(bases):
+    with socket.create_server(("127.0.0.1", bases[0] + SIZE - 1)) as server:
+        with socket.create_connection(server.getsockname()) as client:
+            accepted, _ = server.accept()
+            accepted.close()
+            client.recv(1)
+    assert port_ranges.reserve(bases, SIZE, lambda _: True) == bases[0]
