Encode and decode messages between VMs by thrift's own extension

What describes a field is worked out once for each class. Limits of strings and lists bound what a malformed message can make it allocate; OverflowError, which the extension raises for malformed numbers, is a malformed message.

--- a/hollyring/node/tests/test_wire.py
+++ b/hollyring/node/tests/test_wire.py
@@ -1,8 +1,12 @@
 import dataclasses
 import pathlib
+import random
 import typing
 
+import hypothesis
 import pytest
+from hypothesis import strategies
+from thrift.protocol import TCompactProtocol
 from thrift.Thrift import TMessageType
 
 from hollyring.delivery import messages as delivery
@@ -76,6 +80,59 @@
         assert decoded != message
 
 
+@pytest.mark.parametrize("message", EXAMPLES, ids=lambda m: type(m).__name__)
+def test_malformed_message_is_rejected_or_read_as_another(message):
+    generator = random.Random(1)
+    data = CODEC.encode(message)
+    for _ in range(2_000):
+        malformed = bytearray(data)
+        for _ in range(generator.randint(1, 5)):
+            malformed[generator.randrange(len(malformed))] = generator.randrange(256)
+        try:
+            decoded, _, _ = CODEC.decode(bytes(malformed))
+        except errors.PeerError:
+            continue
+        assert type(decoded) in catalogue.MESSAGES.values()
+
+
+SCALARS = {
+    bool: strategies.booleans(),
+    int: strategies.integers(-(2**31), 2**31 - 1),
+    float: strategies.floats(allow_nan=False),
+    str: strategies.text(max_size=8),
+    bytes: strategies.binary(max_size=8),
+}
+
+
+def values(hint):
+    """Return a strategy for the values of a field with this type."""
+    if hint in SCALARS:
+        return SCALARS[hint]
+    if dataclasses.is_dataclass(hint):
+        hints = typing.get_type_hints(hint)
+        fields = dataclasses.fields(hint)
+        return strategies.builds(hint, **{f.name: values(hints[f.name]) for f in fields})
+    if typing.get_origin(hint) in (list, tuple):
+        return strategies.lists(values(typing.get_args(hint)[0]), max_size=2)
+    inner, _ = typing.get_args(hint)
+    return strategies.none() | values(inner)
+
+
+@pytest.mark.parametrize("class_", catalogue.MESSAGES.values(), ids=lambda c: c.__name__)
+@hypothesis.given(data=strategies.data())
+@hypothesis.settings(max_examples=15, deadline=None, derandomize=True, database=None)
+def test_bytes_and_messages_are_those_of_the_protocol_without_its_extension(class_, data):
+    message = data.draw(values(class_))
+    encoded = CODEC.encode(message, 5)
+    decoded = CODEC.decode(encoded)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            TCompactProtocol, "TCompactProtocolAccelerated", TCompactProtocol.TCompactProtocol
+        )
+        assert CODEC.encode(message, 5) == encoded
+        assert CODEC.decode(encoded) == decoded == (message, 5, TMessageType.ONEWAY)
+
+
 def test_committed_definition_matches_the_data_classes():
     committed = pathlib.Path(idl.__file__).with_name("peer.thrift").read_text()
     assert committed == idl.definition()
--- a/hollyring/node/wire.py
+++ b/hollyring/node/wire.py
@@ -23,6 +23,9 @@
 MAX_MESSAGE_BYTES = 4_000_000
 """Maximum size of a message that is accepted from a peer."""
 
+_UNREADABLE = (TException, EOFError, LookupError, ValueError, TypeError, OverflowError)
+"""What the reading of malformed bytes raises."""
+
 
 class Codec:
     """Encoder and decoder of a set of message classes.
@@ -44,7 +47,7 @@
     ) -> bytes:
         """Return the bytes of `message`; a call and its reply have the same `sequence`."""
         buffer = TTransport.TMemoryBuffer()
-        protocol = TCompactProtocol.TCompactProtocol(buffer)
+        protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
         protocol.writeMessageBegin(self._names[type(message)], message_type, sequence)
         _to_thrift(message).write(protocol)
         protocol.writeMessageEnd()
@@ -60,36 +63,63 @@
         """
         if len(data) > MAX_MESSAGE_BYTES:
             raise errors.PeerError(f"message is too long: {len(data)} bytes")
-        protocol = TCompactProtocol.TCompactProtocol(TTransport.TMemoryBuffer(data))
+        protocol = TCompactProtocol.TCompactProtocolAccelerated(
+            TTransport.TMemoryBuffer(data),
+            string_length_limit=MAX_MESSAGE_BYTES,
+            container_length_limit=MAX_MESSAGE_BYTES,
+        )
         try:
             name, message_type, sequence = protocol.readMessageBegin()
             class_ = self._classes[name]
-            struct = getattr(ttypes, thrift_names.thrift_name(class_))()
+            struct = _struct_class(class_)()
             struct.read(protocol)
             return _from_thrift(struct, class_), sequence, message_type
-        except (TException, EOFError, KeyError, ValueError, TypeError, IndexError) as error:
+        except _UNREADABLE as error:
             raise errors.PeerError(f"unreadable message: {type(error).__name__}") from error
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Field:
+    """How a field of a data class is copied.
+
+    Parameters
+    ----------
+    name, wire_name
+        Its names in the data class and in the thrift struct.
+    nested
+        Data class of its value, or of the items of its value; None for other values.
+    is_list
+        Whether its value is a list.
+    is_optional
+        Whether it has a default value, which stands for one that an earlier build does not send.
+    """
+
+    name: str
+    wire_name: str
+    nested: type | None
+    is_list: bool
+    is_optional: bool
+
+
 @functools.cache
-def _field_plan(class_: type) -> list[tuple[str, str, type | None, bool]]:
-    """Return for each field: attribute, wire name, nested data class, and whether it is a list."""
+def _fields(class_: type) -> list[_Field]:
     hints = typing.get_type_hints(class_)
     return [
-        (f.name, thrift_names.field_name(f), *_nested(hints[f.name]))
+        _Field(f.name, thrift_names.field_name(f), *_nested(hints[f.name]), _has_default(f))
         for f in dataclasses.fields(class_)
     ]
 
 
+def _has_default(field: dataclasses.Field[Any]) -> bool:
+    missing = dataclasses.MISSING
+    return field.default is not missing or field.default_factory is not missing
+
+
 @functools.cache
-def _optional_fields(class_: type) -> frozenset[str]:
-    """Return the fields with a default value, which earlier builds do not send."""
-    return frozenset(
-        field.name
-        for field in dataclasses.fields(class_)
-        if field.default is not dataclasses.MISSING
-        or field.default_factory is not dataclasses.MISSING
-    )
+def _struct_class(class_: type) -> type:
+    """Return the generated class of the thrift struct that corresponds to a data class."""
+    struct_class: type = getattr(ttypes, thrift_names.thrift_name(class_))
+    return struct_class
 
 
 def _nested(hint: Any) -> tuple[type | None, bool]:
@@ -106,26 +136,30 @@
 
 
 def _to_thrift(message: Any) -> Any:
-    struct = getattr(ttypes, thrift_names.thrift_name(type(message)))()
-    for name, wire_name, nested, is_list in _field_plan(type(message)):  # type: ignore[arg-type]
-        value = getattr(message, name)
-        if nested and value is not None:
-            value = [_to_thrift(item) for item in value] if is_list else _to_thrift(value)
-        setattr(struct, wire_name, list(value) if is_list and value is not None else value)
+    class_: Any = type(message)
+    struct = _struct_class(class_)()
+    for field in _fields(class_):
+        value = getattr(message, field.name)
+        if value is not None and field.is_list:
+            value = [_to_thrift(item) for item in value] if field.nested else list(value)
+        elif value is not None and field.nested:
+            value = _to_thrift(value)
+        setattr(struct, field.wire_name, value)
     return struct
 
 
 def _from_thrift(struct: Any, class_: type) -> Any:
     values = {}
-    for name, wire_name, nested, is_list in _field_plan(class_):
-        value = getattr(struct, wire_name)
-        if value is None and name in _optional_fields(class_):
+    for field in _fields(class_):
+        value = getattr(struct, field.wire_name)
+        if value is None and field.is_optional:
             continue
-        if nested and value is not None:
+        if value is not None and field.nested:
+            nested = field.nested
             value = (
                 [_from_thrift(item, nested) for item in value]
-                if is_list
+                if field.is_list
                 else _from_thrift(value, nested)
             )
-        values[name] = value
+        values[field.name] = value
     return class_(**values)
