--- a/hollyring/experiments/tests/test_port_ranges.py
+++ b/hollyring/experiments/tests/test_port_ranges.py
@@ -44,9 +44,9 @@
 
 
 def test_range_whose_last_port_only_has_a_closed_connection_is_reserved(bases):
-    with socket.create_server(("127.0.0.1", bases[0] + SIZE - 1)) as server:
-        with socket.create_connection(server.getsockname()) as client:
-            accepted, _ = server.accept()
-            accepted.close()
-            client.recv(1)
+    listening = socket.create_server(("127.0.0.1", bases[0] + SIZE - 1))
+    with listening, socket.create_connection(listening.getsockname()) as client:
+        accepted, _ = listening.accept()
+        accepted.close()
+        client.recv(1)
     assert port_ranges.reserve(bases, SIZE, lambda _: True) == bases[0]
