Tests of log lines see only what was logged since their start

Cause: eliot keeps the last 1,000 messages of a process until its first destination is added, and hands them to that destination. A test of test_relay sends a hundred requests, one of them named r-77 as well; where no other test had added a destination before, its lines counted as the forwarded request's.

Ruled out: stalls of the event loop; 100 runs with random ones of up to 1.5 s passed.

Change: one fixture for such tests, which drops what was logged before; two tests had their own, one of them with the same fault.

Result: pytest test_relay.py test_forwarded_requests.py -k "reaches_its_connection_limit or test_both_vms" failed before ("request: sent" in front), passes now.

--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 
+import eliot
 import pytest
 
 from hollyring.node import clock
@@ -18,6 +19,17 @@
     return "asyncio"
 
 
+@pytest.fixture
+def log_messages():
+    """Yield the log messages of this process since the fixture was set up."""
+    messages = []
+    eliot.add_destinations(messages.append)
+    # The first destination of a process gets what was logged before it.
+    messages.clear()
+    yield messages
+    eliot.remove_destination(messages.append)
+
+
 @dataclasses.dataclass
 class Request:
     method: str
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -5,7 +5,6 @@
 import itertools
 
 import anyio
-import eliot
 import pytest
 
 from hollyring.core import identities, request_types
@@ -717,16 +716,11 @@
 
 
 @pytest.mark.anyio
-async def test_both_vms_log_and_count_a_forwarded_request(start_fleet):
+async def test_both_vms_log_and_count_a_forwarded_request(start_fleet, log_messages):
     fleet = await start_fleet("complete")
-    lines = []
-    eliot.add_destinations(lines.append)
-    try:
-        await fleet.cut.send_request("r-77")
-        await anyio.sleep(0.05)
-    finally:
-        eliot.remove_destination(lines.append)
-    of_request = [line for line in lines if line.get("request") == "r-77"]
+    await fleet.cut.send_request("r-77")
+    await anyio.sleep(0.05)
+    of_request = [line for line in log_messages if line.get("request") == "r-77"]
     assert [line["text"] for line in of_request if "ended" not in line["text"]] == [
         "request: forwarded",
         "request: taken from another VM",
--- a/hollyring/platform/tests/test_request_log.py
+++ b/hollyring/platform/tests/test_request_log.py
@@ -3,7 +3,6 @@
 import contextlib
 
 import anyio
-import eliot
 import pytest
 
 from hollyring.core import request_types
@@ -15,16 +14,11 @@
 
 
 @pytest.fixture
-def ends():
+def ends(log_messages):
     """Return a function that returns the outcome and status of each logged end of a request."""
-    messages = []
-    eliot.add_destinations(messages.append)
-    # The first destination of a process gets what was logged before it.
-    messages.clear()
-    yield lambda: [
-        (m["outcome"], m["status"]) for m in messages if m.get("text") == "request: ended"
+    return lambda: [
+        (m["outcome"], m["status"]) for m in log_messages if m.get("text") == "request: ended"
     ]
-    eliot.remove_destination(messages.append)
 
 
 @pytest.mark.anyio
--- a/hollyring/platform/tests/test_upstream_backoff.py
+++ b/hollyring/platform/tests/test_upstream_backoff.py
@@ -1,7 +1,6 @@
 """Tests that an upstream that refuses with ``retry-after`` gets nothing until that time ends."""
 
 import anyio
-import eliot
 import pytest
 
 from hollyring.core import request_types
@@ -21,12 +20,9 @@
 
 
 @pytest.fixture
-def logged():
+def logged(log_messages):
     """Return a function that returns the texts logged so far."""
-    messages = []
-    eliot.add_destinations(messages.append)
-    yield lambda: [message.get("text") for message in messages]
-    eliot.remove_destination(messages.append)
+    return lambda: [message.get("text") for message in log_messages]
 
 
 def arrivals(server, since, until):
