Ignore entries of upstreams that state no software version or no slots

Callers: none reported; an entry of another writer with a field missing was used, so a request could be sent to an address that names no upstream. Cause: `version` and `slots` of an entry had defaults. Evidence: test_malformed_upstream_entry_is_ignored [11] (known red) and [12] (new) failed on the code before: an Entry instead of None. Why it works: the decoder asks for both fields and gives None, as for other missing fields. Tests: the entries of five tests lacked `version`, so they were entries that name no upstream; nine places wrote entries of their own. All of these take one whole entry from conftest.make_entry now; what they check is the same. That of a draining upstream would else have passed because its entry was ignored.

--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -120,10 +120,10 @@
     address: str
     zone: str  # failure domain
     state: str
-    slots: int = 1
+    version: str  # version of its software, unlike those in `models`
+    slots: int
     models: list[_ServedModel] = []
     born: int = 0  # incarnation number
-    version: str = ""  # version of its software, unlike those in `models`
 
 
 class _Vm(msgspec.Struct, frozen=True):
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -18,6 +18,12 @@
     return "asyncio"
 
 
+def make_entry(address, **fields):
+    """Return the entry of a server in the store, with other values for some of its fields."""
+    entry = {"service": "s", "address": address, "zone": "dar-a", "version": "v1", "slots": 8}
+    return entry | {"state": "ready", "cold_left_ms": 0, "sequence": 1} | fields
+
+
 @dataclasses.dataclass
 class Request:
     method: str
--- a/hollyring/platform/tests/soak.py
+++ b/hollyring/platform/tests/soak.py
@@ -188,9 +188,9 @@
 
     def _entry(self, number, server):
         service = "engines" if number % 2 else "plain"
-        entry = {"service": service, "address": server.address, "zone": "dar-a", "slots": 16}
         models = [{"name": "m", "version": 1, "adapters": []}]
-        return entry | {"state": "ready", "version": "v1", "models": models, "stage": "both"}
+        fields = {"service": service, "slots": 16, "models": models, "stage": "both"}
+        return conftest.make_entry(server.address, **fields)
 
     async def _play(self, store):
         self._ends_at = clock.now() + self.seconds
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -141,6 +141,7 @@
     SERVER | {"models": [{"name": "m"}]},
     {name: value for name, value in SERVER.items() if name != "zone"},
     {name: value for name, value in SERVER.items() if name != "version"},
+    {name: value for name, value in SERVER.items() if name != "slots"},
 ]
 
 
--- a/hollyring/platform/tests/test_configuration_changes.py
+++ b/hollyring/platform/tests/test_configuration_changes.py
@@ -81,8 +81,7 @@
         server = await stack.enter_async_context(conftest.ServerStandIn().running())
         server.delay_seconds = SERVER_SECONDS
         await store.put("op/config", CONFIG)
-        entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-        entry |= {"state": "ready", "born": 1}
+        entry = conftest.make_entry(server.address, born=1)
         await store.put("servers/i-1", entry)
         vm = test_process.VmProcess(tmp_path, store.address)
         vm.start()
--- a/hollyring/platform/tests/test_end_of_grace_period.py
+++ b/hollyring/platform/tests/test_end_of_grace_period.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from hollyring.platform.tests import test_process
+from hollyring.platform.tests import conftest, test_process
 
 GRACE_SECONDS = 5.0
 LONG_ROUTE = test_process.CONFIG["routes"][0] | {"timeout_ms": 20_000}
@@ -82,9 +82,8 @@
     routes = [LONG_ROUTE | {"kind": "streaming"}]
     changed = {"version": 4, "services": services, "routes": routes}
     await store.put("op/config", test_process.CONFIG | changed)
-    entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
     models = [{"name": "m", "version": 1}]
-    await store.put("servers/i-1", entry | {"state": "ready", "models": models})
+    await store.put("servers/i-1", conftest.make_entry(server.address, models=models))
     server.events, server.event_seconds = 1_000, 0.1
     vm = start(grace_seconds=GRACE_SECONDS)
     await vm.wait_ready()
--- a/hollyring/platform/tests/test_leaving_upstreams.py
+++ b/hollyring/platform/tests/test_leaving_upstreams.py
@@ -44,8 +44,7 @@
 
 
 def entry(server, born=1):
-    document = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-    return document | {"state": "ready", "born": born}
+    return conftest.make_entry(server.address, born=born)
 
 
 async def post_until_reached(vm, server):
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -194,8 +194,7 @@
         store = await stack.enter_async_context(conftest.StoreStandIn().running())
         server = await stack.enter_async_context(conftest.ServerStandIn().running())
         await store.put("op/config", CONFIG)
-        entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-        await store.put("servers/i-1", entry | {"state": "ready"})
+        await store.put("servers/i-1", conftest.make_entry(server.address))
         started = []
 
         def start(name="vm-1", **options):
@@ -385,9 +384,8 @@
     routes = [CONFIG["routes"][0] | {"kind": "streaming"}]
     changed = {"version": 4, "services": services, "routes": routes}
     await store.put("op/config", CONFIG | changed)
-    entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
     models = [{"name": "m", "version": 1}]
-    await store.put("servers/i-1", entry | {"state": "ready", "models": models})
+    await store.put("servers/i-1", conftest.make_entry(server.address, models=models))
     vm = start()
     await vm.wait_ready()
     headers = [(b"host", b"h.example"), KEY, (b"x-request-id", b"r-1"), (b"x-model", b"m")]
@@ -407,8 +405,7 @@
     vm = start()
     await vm.wait_ready()
     await store.put("servers/i-9", b"\xff not an entry")
-    entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-    await store.put("servers/i-1", entry | {"state": "draining"})
+    await store.put("servers/i-1", conftest.make_entry(server.address, state="draining"))
     await anyio.sleep(DRAIN_SECONDS)
     assert (await post(vm, "r-1")).status == 503
     assert server.requests == []
--- a/hollyring/platform/tests/test_request_ends.py
+++ b/hollyring/platform/tests/test_request_ends.py
@@ -71,8 +71,7 @@
         store = await stack.enter_async_context(conftest.StoreStandIn().running())
         server = await stack.enter_async_context(conftest.ServerStandIn().running())
         await store.put("op/config", CONFIG)
-        entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-        await store.put("servers/i-1", entry | {"state": "ready"})
+        await store.put("servers/i-1", conftest.make_entry(server.address))
         process = test_process.VmProcess(tmp_path, store.address)
         process.start()
         await process.wait_ready()
--- a/hollyring/platform/tests/test_resumed_streams.py
+++ b/hollyring/platform/tests/test_resumed_streams.py
@@ -115,9 +115,8 @@
 
 
 def entry(server):
-    document = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-    document |= {"state": "ready", "version": server.software, "born": 1}
-    return document | {"models": [{"name": "m", "version": 1}]}
+    models = [{"name": "m", "version": 1}]
+    return conftest.make_entry(server.address, version=server.software, born=1, models=models)
 
 
 def software_of(servers, request_id):
--- a/hollyring/platform/tests/test_state.py
+++ b/hollyring/platform/tests/test_state.py
@@ -27,6 +27,7 @@
     "service": "ls",
     "address": "1.2.3.4:5",
     "zone": "dar-a",
+    "version": "v1",
     "state": "ready",
     "slots": 8,
     "models": [{"name": "m", "version": 1}],
--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -188,8 +188,7 @@
             await store.put("op/config", test_process.CONFIG)
             for server in servers:
                 await stack.enter_async_context(server.running())
-                entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-                await store.put(f"servers/{server.name}", entry | {"state": "ready"})
+                await store.put(f"servers/{server.name}", conftest.make_entry(server.address))
             proxies = {}
             for number in range(1, count + 1):
                 own = [UpstreamProxy(server.address) for server in servers]
--- a/hollyring/platform/tests/test_unstated_ends.py
+++ b/hollyring/platform/tests/test_unstated_ends.py
@@ -155,8 +155,7 @@
 
 
 async def put_server(store, server, **fields):
-    entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
-    await store.put("servers/i-1", entry | {"state": "ready"} | fields)
+    await store.put("servers/i-1", conftest.make_entry(server.address, **fields))
 
 
 def encode_stream_request(request_id):
