Keep a forward to a silent VM open until another attempt can replace it

Callers of a VM that reaches no upstream got 502 when the executing VM said nothing for 1.2 s, though it went on and answered 0.5 s later, and though no other VM could run the request.

Cause: the forward was closed at the end of SILENCE_SECONDS whatever could follow it: nothing may be known that replaces it, and the retry budget may be spent.

Change: the silence is recorded (OpenAttempt.record_silence), and the relay looks elsewhere every 0.25 s as it does beside silent upstreams. A forward is not kept beside the attempt that replaces it: the silent VM was granted all runs that are left and may use them when it goes on, which would exceed max_attempts. So it ends, as it did after 1.2 s, once another place is known and the budget has a retry; its end starts the next attempt. A VM that goes on may be chosen again. While the VM is cut off and no other VM is known, its own upstreams are not tried beside the forward, as they cannot replace it.

--- a/hollyring/limits/retry_budget.py
+++ b/hollyring/limits/retry_budget.py
@@ -39,8 +39,8 @@
     >>> budget.try_retry(now=0.0)
     False
     >>> budget.record_attempt(now=0.0)
-    >>> budget.try_retry(now=0.0), budget.try_retry(now=0.0)
-    (True, False)
+    >>> budget.has_retry(now=0.0), budget.try_retry(now=0.0), budget.has_retry(now=0.0)
+    (True, True, False)
     """
 
     __slots__ = (
@@ -87,14 +87,18 @@
 
         If none was, the caller of this method fails the request with its last error.
         """
-        self._credit(0.0, now)
-        if self._balance < 1.0:
+        if not self.has_retry(now):
             self._denied += 1
             return False
         self._balance -= 1.0
         self._retries += 1
         return True
 
+    def has_retry(self, now: float) -> bool:
+        """Return whether `try_retry` would find a retry; none is spent."""
+        self._credit(0.0, now)
+        return self._balance >= 1.0
+
     def dump(self) -> dict[str, object]:
         """Return the state for the operators' dump."""
         return {
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -22,7 +22,7 @@
 )
 
 SILENCE_SECONDS = 1.2
-"""Time without a message after which the executing VM counts as lost; it sends some when idle."""
+"""Time without a message after which the executing VM counts as silent; it sends some when idle."""
 
 HTTP_SERVER_ERROR = 500
 MAX_BODY_BYTES = 33_554_432
@@ -207,23 +207,46 @@
         _NotAnsweredError
             At the deadline.
         LinkLostError
-            If the link is lost, or the executing VM is silent and another one may take over.
+            If the link is lost, or another attempt replaces that at a silent VM.
         """
-        context = self._context
         while True:
-            seconds = context.seconds_left
-            is_bounded = context.retry_state.may_run_elsewhere and seconds > SILENCE_SECONDS
-            message = None
-            with anyio.move_on_after(SILENCE_SECONDS if is_bounded else max(0.0, seconds)):
-                message = await self._link.receive()
-            if message is None and is_bounded:
-                raise peer_link.LinkLostError("executing VM is silent")
-            if message is None:
-                raise _NotAnsweredError("no answer in time")
+            message = await self._receive_any()
             if not isinstance(message, forwarded.ForwardedWait):
                 return message
             self.sends = max(self.sends, message.sends)
 
+    async def _receive_any(self) -> object:
+        """Return the next message; the silence of the executing VM is recorded meanwhile.
+
+        Raises
+        ------
+        _NotAnsweredError, LinkLostError
+            As for `_receive`.
+        """
+        context = self._context
+        if context.retry_state.may_run_elsewhere and context.seconds_left > SILENCE_SECONDS:
+            with anyio.move_on_after(SILENCE_SECONDS):
+                return await self._link.receive()
+            return await self._receive_late()
+        with anyio.move_on_after(max(0.0, context.seconds_left)):
+            return await self._link.receive()
+        raise _NotAnsweredError("no answer in time")
+
+    async def _receive_late(self) -> object:
+        """Return the next message of a silent VM, unless another attempt replaces this one."""
+        context, name = self._context, self._attempt.where
+        context.avoided_vms.append(name)
+        with anyio.move_on_after(max(0.0, context.seconds_left)) as scope:
+            self._attempt.record_silence(replaceable=scope)
+            message = await self._link.receive()
+            self._attempt.end_wait()
+            context.avoided_vms.remove(name)
+            return message
+        self._attempt.replaceable = None
+        if context.retry_state.has_time(clock.now()):
+            raise peer_link.LinkLostError("executing VM is silent")
+        raise _NotAnsweredError("no answer in time")
+
     def _refused(self, answer: forwarded.ForwardedRefusal) -> request_context.Outcome:
         context = self._context
         may_have_run = answer.execution != execution.Execution.NOT_RUN.value
--- a/hollyring/node/open_attempts.py
+++ b/hollyring/node/open_attempts.py
@@ -2,6 +2,8 @@
 
 An upstream that falls silent may go on, so its attempt stays open while another one is made. The
 first attempt that has something for the caller takes over the response, and the others are closed.
+A VM that falls silent may go on, too, but it was granted all runs that the request has left, so its
+attempt ends when another one can be made.
 """
 
 from __future__ import annotations
@@ -52,7 +54,9 @@
     sent
         Whether the request may have been written.
     silent
-        Whether its upstream has sent nothing for so long that another one may be tried.
+        Whether its upstream or VM has sent nothing for so long that another one may be tried.
+    replaceable
+        Ends the wait for a silent VM when cancelled, None if the attempt may stay beside another.
     wait
         Number of the wait for the next part of the response; another one while none is awaited.
     """
@@ -66,6 +70,7 @@
         "events",
         "sent",
         "silent",
+        "replaceable",
         "wait",
     )
 
@@ -78,6 +83,7 @@
         self.events: event_stream.EventStream | None = None
         self.sent = False
         self.silent = False
+        self.replaceable: anyio.CancelScope | None = None
         self.wait = 0
 
     @property
@@ -118,10 +124,19 @@
         """Record that the awaited part has arrived, so that the upstream is not silent."""
         self.wait += 1
         self.silent = False
+        self.replaceable = None
 
-    def record_silence(self) -> None:
-        """Record that the upstream has sent nothing for so long that another one may be tried."""
+    def record_silence(self, replaceable: anyio.CancelScope | None = None) -> None:
+        """Record that nothing has arrived for so long that another attempt may be made.
+
+        Parameters
+        ----------
+        replaceable
+            Scope of the wait, which is cancelled before another attempt is made; None for an
+            attempt that stays open beside another one.
+        """
         self.silent = True
+        self.replaceable = replaceable
         self._attempts.notify()
 
     def take_over(self) -> None:
@@ -165,6 +180,17 @@
         """Whether attempts are in progress, and all their upstreams are silent."""
         return not self._finished and all(attempt.silent for attempt in self.open)
 
+    @property
+    def replaceable(self) -> list[OpenAttempt]:
+        """The silent attempts that have to end before another one is made."""
+        return [attempt for attempt in self.open if attempt.replaceable is not None]
+
+    def end_replaceable(self) -> None:
+        """End the silent attempts that another one replaces; they finish as failed."""
+        for attempt in self.replaceable:
+            assert attempt.replaceable is not None
+            attempt.replaceable.cancel()
+
     def start(
         self,
         place: Place,
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -432,7 +432,10 @@
     async def _look_elsewhere(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
-        """Start one more attempt beside those that are silent, if an upstream or VM is free."""
+        """Start one more attempt beside those that are silent, if an upstream or VM is free.
+
+        Silent attempts that cannot stay beside it are ended first; their end starts it.
+        """
         if not context.may_retry():
             return
         if not await self._knows_enough(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
@@ -440,17 +443,36 @@
         if self._is_blamed(context) or not attempts.all_silent:
             return
         now = clock.now()
+        place = self._other_place(context, attempts, now)
+        if place is None:
+            return
         budget = self._state.retries(context.service.name)
+        if attempts.replaceable:
+            if budget.has_retry(now):
+                attempts.end_replaceable()
+            return
+        if not budget.try_retry(now):
+            return
+        match place:
+            case selection.Selection():
+                self._start(context, attempts, place)
+            case heartbeat.VmInfo():
+                self._start_forward(context, attempts, place)
+
+    def _other_place(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        now: float,
+    ) -> open_attempts.Place | None:
+        """Return where another attempt can be made than those that are silent, if anywhere."""
         target = self._target(context)
         if target is not None:
-            if budget.try_retry(now):
-                self._start_forward(context, attempts, target)
-            return
+            return target
+        if attempts.replaceable and self._needs_other_vm(context):
+            return None
         selected = self._state.selector.select(self._selection_request(context), now)
-        if isinstance(selected, selection.NoUpstream):
-            return
-        if budget.try_retry(now):
-            self._start(context, attempts, selected)
+        return None if isinstance(selected, selection.NoUpstream) else selected
 
     def _start(
         self,
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -10,6 +10,7 @@
 
 from hollyring.core import identities, request_types
 from hollyring.delivery import forwarded, retry, stream_origins
+from hollyring.limits import retry_budget
 from hollyring.membership import heartbeat
 from hollyring.node import (
     clock,
@@ -158,6 +159,22 @@
         await link.close()
 
 
+class SilentVm(ForwardingVm):
+    """A VM that never answers, and records whether the request was given up meanwhile."""
+
+    def __init__(self, name):
+        super().__init__(name, [])
+        self.given_up = False
+
+    async def serve_link(self, session, message):
+        link = peer_link.Link(session, self.codec)
+        with anyio.move_on_after(2 * forward_client.SILENCE_SECONDS):
+            while not self.given_up:
+                await anyio.sleep(0.01)
+                self.given_up = link.is_stale
+        await link.close()
+
+
 class Fleet:
     """A VM that is cut off from all servers, and the VMs that execute its requests."""
 
@@ -378,6 +395,47 @@
     assert (caller.status, caller.body) == (200, b"late")
 
 
+LATE = [head(), forwarded.ForwardedData(b"late"), forwarded.ForwardedEnd(4)]
+
+
+@pytest.mark.anyio
+async def test_forward_to_a_silent_vm_is_not_given_up_without_a_retry_left_in_the_budget(
+    start_fleet,
+):
+    fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=5.0)
+    fleet.cut.state.retries = lambda service: retry_budget.RetryBudget(1, 0.0, 0.0)
+    await fleet.add_scripted(1.7, *LATE)
+    await fleet.add()
+    caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert (caller.status, caller.body) == (200, b"late")
+    assert fleet.requests == []
+
+
+@pytest.mark.anyio
+async def test_silent_vm_that_goes_on_is_not_granted_a_run_beside_the_vm_that_replaced_it(
+    start_fleet,
+):
+    fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=5.0)
+    silent = await fleet.add(SilentVm("vm-0"))
+    await fleet.add()
+    caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert caller.status == 200
+    assert silent.given_up
+    assert len(fleet.requests) == 1
+
+
+@pytest.mark.anyio
+async def test_silent_vm_that_went_on_may_be_asked_again(start_fleet):
+    fleet = await start_fleet(
+        "complete", count=0, streaming=True, retry_safety=RESUMABLE, timeout=5.0
+    )
+    broken = [forwarded.ForwardedData(stream_body(1, 2)), forwarded.ForwardedBreak("broken off")]
+    await fleet.add_scripted(1.5, head(streaming=True), *broken)
+    with anyio.move_on_after(4.0):
+        await fleet.cut.send_request(deadline_seconds=4.0)
+    assert [message.resume_after for message in fleet.executing[0].messages] == [None, 2]
+
+
 @pytest.mark.anyio
 async def test_vm_that_waits_for_its_upstream_is_not_taken_for_silent(start_fleet):
     fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=9.0)
