End the sending side of a caller's connection before it is closed

Callers that sent bytes which are no request behind their request, and went on sending, got 65 kB of an answer of 300 kB and then a reset.

Cause: what such a caller sends is ignored, and the connection is closed once the request is answered. The kernel resets a connection that is closed with unread bytes or gets bytes after its close, and drops what is not sent yet.

Change: on the callers' port the transport of a connection whose input is ignored (bytes that are no request, a refused head) ends its sending side first, discards what arrives for at most 1 MiB, and closes once the caller closes, or after 1 s in which it received no more of what was written. Only a whole response ends so: one that was broken off is closed at once, and one that ends with its connection is still reset. A connection above the limit is closed at once too, as it counts until it is closed.

Result: test_long_answer_is_not_cut_by_what_its_caller_goes_on_sending failed before and passes now, so does the bound on what is discarded.

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -10,7 +10,14 @@
 
 from hollyring.core import request_types
 from hollyring.delivery import refusal
-from hollyring.node import caller_connection, completion_format, logs, settings, unstated_end
+from hollyring.node import (
+    caller_connection,
+    completion_format,
+    lingering_transport,
+    logs,
+    settings,
+    unstated_end,
+)
 
 REASON_PHRASES = {
     400: "Bad Request",
@@ -35,6 +42,7 @@
         _in_head = True
         _timer: asyncio.TimerHandle | None = None
 
+        transport: lingering_transport.LingeringTransport
         _caller_connection: caller_connection.CallerConnection
         _running: httptools_impl.RequestResponseCycle | None = None
         _ignores_input = False
@@ -48,15 +56,22 @@
             return running
 
         def connection_made(self, transport: Any) -> None:
-            super().connection_made(transport)
+            lingering = lingering_transport.LingeringTransport(transport, self._may_linger)
+            super().connection_made(lingering)
             self._caller_connection = caller_connection.CallerConnection(transport)
             if len(self.connections) > limits.connections:
-                self._refuse(refusal.make("too_many_connections"))
+                self._refuse(refusal.make("too_many_connections"), lingers=False)
                 return
             self._start_head()
 
+        def _may_linger(self) -> bool:
+            """Return whether the last response is whole and unread bytes may follow the request."""
+            is_whole = self._running is None or self._running.response_complete
+            return is_whole and self._ignores_input and not self._caller_connection.ended
+
         def connection_lost(self, exc: Exception | None) -> None:
             self._stop_timer()
+            self.transport.end()
             running = self._running
             if running is not None and not running.response_complete:
                 running.disconnected = True
@@ -73,7 +88,10 @@
             return True
 
         def data_received(self, data: bytes) -> None:
-            if self.transport.is_closing() or self._ignores_input:
+            if self.transport.is_closing():
+                self.transport.discard(len(data))
+                return
+            if self._ignores_input:
                 return
             self._head_bytes += len(data) if self._in_head else 0
             super().data_received(data)
@@ -94,7 +112,6 @@
             if self.parser.should_upgrade() and _has_body(self.headers):
                 # The parser takes what follows such a head for another protocol.
                 self._refuse(refusal.make("invalid_request", message=UPGRADE_WITH_BODY))
-                self._ignores_input = True
                 return
             super().on_headers_complete()
             extensions: dict[str, Any] = self.scope["extensions"]
@@ -125,6 +142,7 @@
         def send_400_response(self, msg: str) -> None:
             logs.Logger("connection").info("refused", code="invalid_request", why=msg)
             if not self._close_after_answers():
+                self._ignores_input = True
                 super().send_400_response(msg)
 
         def _close_after_answers(self) -> bool:
@@ -167,11 +185,13 @@
                 self._timer.cancel()
                 self._timer = None
 
-        def _refuse(self, rejection: refusal.Refusal) -> None:
+        def _refuse(self, rejection: refusal.Refusal, lingers: bool = True) -> None:
             """Write a complete response without calling the application, then close."""
             logs.Logger("connection").info("refused", code=rejection.code)
             if self._close_after_answers():
                 return
+            self._ignores_input = lingers
+            self._stop_timer()
             body = msgspec.json.encode(
                 completion_format.error(rejection.code, rejection.message, rejection.execution)
             )
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import sys
+import termios
 
 KEEPALIVE_IDLE_SECONDS = 1
 KEEPALIVE_INTERVAL_SECONDS = 1
@@ -69,6 +72,12 @@
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
 
+def unacknowledged_bytes(connection: socket.socket) -> int:
+    """Return the number of bytes that were written to `connection` and not acknowledged."""
+    size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int.from_bytes(size, sys.byteorder)
+
+
 def enable_probes(connection: socket.socket) -> None:
     """Let the kernel close `connection` when its peer answers no probes.
 
--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -6,7 +6,7 @@
 import pytest
 import uvicorn
 
-from hollyring.node import bounded_protocol, settings
+from hollyring.node import bounded_protocol, lingering_transport, settings
 
 LIMITS = settings.Limits(header_bytes=2_000, header_seconds=0.2, connections=3)
 TIMEOUT_SECONDS = 5.0
@@ -211,3 +211,24 @@
     async with serving(answer_at_length) as served_port:
         received = await anyio.to_thread.run_sync(read_slowly_while_sending, served_port)
     assert received.endswith(LONG_BODY)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("sends_much", [False, True])
+async def test_caller_that_sends_on_after_its_answer_is_closed_after_a_bounded_time_and_amount(
+    port, sends_much
+):
+    longest = lingering_transport.LINGER_SECONDS + 0.5
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        await stream.send(b"GET / HTTP/1.1\r\nx: " + b"y" * 3_000)
+        await read_response(stream)
+        started_at = time.monotonic()
+        sent_bytes = 0
+        with anyio.fail_after(longest), contextlib.suppress(anyio.BrokenResourceError):
+            while True:
+                await stream.send(b"y" * (100_000 if sends_much else 10))
+                sent_bytes += 100_000 if sends_much else 10
+                await anyio.sleep(0.01)
+    if sends_much:
+        assert time.monotonic() - started_at < lingering_transport.LINGER_SECONDS / 2
+        assert sent_bytes > lingering_transport.MAX_DISCARDED_BYTES
