Streams: a silent upstream works 0.25 s beside the next one

A stream whose upstream fell silent was sent to a second one, and the first attempt stayed open until the second one's first event: 1.2 s where that read its prompt for 1.2 s. The users' page bounds the time for which two servers work on a request to 0.4 s, and does not except a server that is silent.

Cause: only what arrives closed an attempt; nothing said how long attempts may overlap.

`delivery/overlap` decides it from facts, without I/O: once the second upstream has had the request for 0.25 s and neither refused nor failed, the first attempt is closed, or the second one if the first has gone on without an event yet. If the second one refuses or fails sooner, the first stays open. A forward counts from the last message of the executing VM before the one that says that an upstream is tried; that VM says so for the first time after 0.15 s instead of 0.4 s. Calls are not gone on with elsewhere, and theirs overlap as before.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -163,7 +163,7 @@
             if self._is_unusable(upstream) or not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
             sent_at = clock.now()
-            attempt.sent = True
+            attempt.record_sent(sent_at)
             exchange = connection.send(
                 self._request(context, selected),
                 self._codec.naming_reader(context.request_id),
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -138,6 +138,7 @@
         self._metrics = counters
         self._context = context
         self._attempt = attempt
+        self._unsent_at = 0.0
         self.sends = 0
         self.is_whole = False
 
@@ -191,6 +192,7 @@
         for earlier in messages[:-1]:
             await self._send(earlier)
         self._attempt.sent = True
+        self._unsent_at = clock.now()
         await self._send(messages[-1])
 
     async def _send(self, message: object) -> None:
@@ -222,7 +224,15 @@
                 raise _NotAnsweredError("no answer in time")
             if not isinstance(message, forwarded.ForwardedWait):
                 return message
-            self.sends = max(self.sends, message.sends)
+            self._record_wait(message)
+
+    def _record_wait(self, message: forwarded.ForwardedWait) -> None:
+        """Record whether an upstream has the request; it got it after the last message before."""
+        self.sends = max(self.sends, message.sends)
+        if not self.sends:
+            self._unsent_at = clock.now()
+        elif self._attempt.sent_at is None:
+            self._attempt.record_sent(self._unsent_at)
 
     def _refused(self, answer: forwarded.ForwardedRefusal) -> request_context.Outcome:
         context = self._context
--- a/hollyring/node/forward_server.py
+++ b/hollyring/node/forward_server.py
@@ -27,6 +27,12 @@
 BODY_SECONDS = 5.0
 """Timeout of the rest of a request's body."""
 
+FIRST_WAIT_SECONDS = 0.15
+"""Time until the first message that says that this VM is alive, and whether an upstream is tried.
+
+The admitting VM needs it before the overlap with its own silent attempt ends.
+"""
+
 WAIT_SECONDS = 0.4
 """Time between two messages that say that this VM is alive."""
 
@@ -130,9 +136,10 @@
 
         async def say_waiting() -> None:
             with contextlib.suppress(peer_link.LinkLostError):
+                await anyio.sleep(FIRST_WAIT_SECONDS)
                 while True:
-                    await anyio.sleep(WAIT_SECONDS)
                     await response.say_waiting()
+                    await anyio.sleep(WAIT_SECONDS)
 
         with anyio.move_on_after(message.seconds_left):
             async with anyio.create_task_group() as task_group:
--- a/hollyring/node/open_attempts.py
+++ b/hollyring/node/open_attempts.py
@@ -2,6 +2,7 @@
 
 An upstream that falls silent may go on, so its attempt stays open while another one is made. The
 first attempt that has something for the caller takes over the response, and the others are closed.
+`delivery.overlap` decides how long the attempts of a stream stay open beside each other.
 """
 
 from __future__ import annotations
@@ -14,7 +15,7 @@
 import anyio
 import anyio.abc
 
-from hollyring.delivery import event_stream
+from hollyring.delivery import event_stream, overlap
 from hollyring.membership import heartbeat
 from hollyring.node import clock, errors, request_context
 from hollyring.routing import selection
@@ -51,6 +52,8 @@
         Events of its stream, None before the head of a stream.
     sent
         Whether the request may have been written.
+    sent_at
+        Time at which an upstream got the request, as far as is known; None before.
     silent
         Whether its upstream has sent nothing for so long that another one may be tried.
     wait
@@ -65,6 +68,7 @@
         "error",
         "events",
         "sent",
+        "sent_at",
         "silent",
         "wait",
     )
@@ -77,6 +81,7 @@
         self.error: Exception | None = None
         self.events: event_stream.EventStream | None = None
         self.sent = False
+        self.sent_at: float | None = None
         self.silent = False
         self.wait = 0
 
@@ -110,6 +115,12 @@
         """Run a task beside the attempt, until the request ends at the latest."""
         self._attempts.start_soon(task, *args)
 
+    def record_sent(self, at: float) -> None:
+        """Record that an upstream got the request at time `at`."""
+        self.sent = True
+        self.sent_at = at
+        self._attempts.notify()
+
     def begin_wait(self) -> None:
         """Record that the next part of the response is awaited."""
         self.wait += 1
@@ -144,17 +155,29 @@
         Runs the attempts.
     on_superseded
         Called for each attempt that is closed since another one has taken over.
+    streaming
+        Whether the request is one for a stream, so that its attempts overlap for a bounded time.
     """
 
-    __slots__ = ("_task_group", "_on_superseded", "_finished", "_changed", "_look_again_at", "open")
+    __slots__ = (
+        "_task_group",
+        "_on_superseded",
+        "_streaming",
+        "_finished",
+        "_changed",
+        "_look_again_at",
+        "open",
+    )
 
     def __init__(
         self,
         task_group: anyio.abc.TaskGroup,
         on_superseded: Callable[[OpenAttempt], None],
+        streaming: bool,
     ) -> None:
         self._task_group = task_group
         self._on_superseded = on_superseded
+        self._streaming = streaming
         self._finished: collections.deque[OpenAttempt] = collections.deque()
         self._changed = anyio.Event()
         self._look_again_at = -math.inf
@@ -178,15 +201,15 @@
     async def next_finished(self) -> OpenAttempt | None:
         """Wait for an attempt to finish and return it; None if all are silent, every so often."""
         while not self._finished:
-            wait_seconds = math.inf
+            now = clock.now()
+            wake_at = self._end_overlap(now)
             if self.all_silent:
-                now = clock.now()
                 if now >= self._look_again_at:
                     self._look_again_at = now + LOOK_AGAIN_SECONDS
                     return None
-                wait_seconds = self._look_again_at - now
+                wake_at = min(wake_at, self._look_again_at)
             self._changed = anyio.Event()
-            with anyio.move_on_after(wait_seconds):
+            with anyio.move_on_after(wake_at - now):
                 await self._changed.wait()
         return self._finished.popleft()
 
@@ -201,11 +224,7 @@
         if attempt not in self.open:
             raise SupersededError("another attempt has taken over")
         attempt.silent = False
-        others = [other for other in self.open if other is not attempt]
-        self.open = [attempt]
-        for other in others:
-            other.scope.cancel()
-            self._on_superseded(other)
+        self._close([other for other in self.open if other is not attempt])
 
     def start_soon(self, task: Callable[..., Coroutine[Any, Any, None]], *args: object) -> None:
         """Run a task until the request ends at the latest."""
@@ -215,6 +234,23 @@
         """Wake up `next_finished`."""
         self._changed.set()
 
+    def _end_overlap(self, now: float) -> float:
+        """Close the attempts whose overlap has ended, and return when that of others ends."""
+        if not self._streaming:
+            return math.inf
+        while True:
+            facts = [overlap.Attempt(attempt.sent_at, attempt.silent) for attempt in self.open]
+            judged = overlap.judge(facts)
+            if now < judged.ends_at:
+                return judged.ends_at
+            self._close([self.open[position] for position in judged.closed])
+
+    def _close(self, attempts: list[OpenAttempt]) -> None:
+        self.open = [attempt for attempt in self.open if attempt not in attempts]
+        for attempt in attempts:
+            attempt.scope.cancel()
+            self._on_superseded(attempt)
+
     async def _run(
         self,
         attempt: OpenAttempt,
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -344,7 +344,9 @@
         try:
             async with anyio.create_task_group() as task_group:
                 attempts = open_attempts.OpenAttempts(
-                    task_group, functools.partial(self._record_superseded, context)
+                    task_group,
+                    functools.partial(self._record_superseded, context),
+                    context.route.streaming,
                 )
                 try:
                     await self._make_attempts(context, attempts)
