Pass on a service's answer that states no end without a length on the own interface too

Cause: the answer is kept and sent between VMs as `delivery.messages.Answer`, which had no field for how the body states its end. It has one now (`states_end`, judged by `delivery/answers`), also on the link, as field 4; a message of an earlier build lacks it and counts as one with a stated end, and an earlier build skips it. Such an answer goes out as the relay's do: without a length, `Connection: close`, reset until its last part is written.

--- a/hollyring/delivery/messages.py
+++ b/hollyring/delivery/messages.py
@@ -25,11 +25,14 @@
         Headers that are passed on to the caller.
     body
         Complete body.
+    states_end
+        Whether the upstream stated where the body ends; otherwise it may be a part of the whole.
     """
 
     status: int
     headers: list[Header]
     body: bytes
+    states_end: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/asgi.py
+++ b/hollyring/node/asgi.py
@@ -16,6 +16,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 JSON_TYPE = (b"content-type", b"application/json")
+CLOSE = (b"connection", b"close")
 TEXT_TYPE = (b"content-type", b"text/plain; charset=utf-8")
 
 
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -291,6 +291,7 @@
   1: optional i64 status
   2: optional list<DeliveryHeader> headers
   3: optional binary body
+  4: optional bool states_end
 }
 
 struct DeliveryClaimAnswer {
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -200,4 +200,4 @@
 
     def _with_close(self, headers: Sequence[request_types.Header]) -> list[request_types.Header]:
         closes = self._should_close() or not self._states_end
-        return [*headers, (b"connection", b"close")] if closes else list(headers)
+        return [*headers, asgi.CLOSE] if closes else list(headers)
--- a/hollyring/node/services.py
+++ b/hollyring/node/services.py
@@ -12,7 +12,7 @@
 
 from hollyring.configuration import objects, state
 from hollyring.core import execution, prompt_blocks, rendezvous, request_types
-from hollyring.delivery import calls, messages, records, refusal, retry
+from hollyring.delivery import answers, calls, messages, records, refusal, retry
 from hollyring.node import (
     asgi,
     auth,
@@ -23,6 +23,7 @@
     errors,
     http_connection,
     http_request,
+    unstated_end,
     vm,
 )
 
@@ -145,7 +146,8 @@
         for name, value in head.headers
         if name in RESPONSE_HEADERS
     ]
-    return messages.Answer(head.status, headers, body)
+    states_end = answers.judge_body_end(exchange.framing).is_proved
+    return messages.Answer(head.status, headers, body, states_end)
 
 
 async def serve(this_vm: vm.VM, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
@@ -157,8 +159,19 @@
             await completion_writer.refuse(send, outcome)
         case messages.Answer():
             this_vm.metrics.increment("service_answers")
-            headers = [(h.name.encode(), h.value.encode("latin-1")) for h in outcome.headers]
-            await asgi.respond(send, outcome.status, outcome.body, headers)
+            await _respond(scope, send, outcome)
+
+
+async def _respond(scope: asgi.Scope, send: asgi.Send, answer: messages.Answer) -> None:
+    """Pass on an answer, without a length where the upstream stated none."""
+    headers = [(h.name.encode(), h.value.encode("latin-1")) for h in answer.headers]
+    if answer.states_end:
+        await asgi.respond(send, answer.status, answer.body, headers)
+        return
+    send_unstated = unstated_end.sender(scope) or send
+    await asgi.start_response(send_unstated, answer.status, [*headers, asgi.CLOSE])
+    await asgi.write_body(send_unstated, answer.body)
+    await asgi.write_body(send_unstated, b"", more=False)
 
 
 async def _handle(
--- a/hollyring/node/tests/test_wire.py
+++ b/hollyring/node/tests/test_wire.py
@@ -102,6 +102,24 @@
     assert wire._from_thrift(struct, heartbeat.CopyRequest) == heartbeat.CopyRequest("config", 0)
 
 
+def test_answer_of_an_earlier_build_states_its_end():
+    data = (
+        b"\x82\x81\x00\x14delivery.ClaimAnswer\x18\x08answered"
+        b"\x19\x1c\x16\x92\x03\x19\x1c\x18\x01a\x18\x01b\x00\x18\x017\x00\x00"
+    )
+    answer = delivery.Answer(201, [delivery.Header("a", "b")], b"7", states_end=True)
+    assert CODEC.decode(data)[0] == delivery.ClaimAnswer("answered", [answer])
+
+
+def test_answer_without_a_stated_end_adds_to_the_message_of_an_earlier_build_one_field_only():
+    sent = delivery.Answer(201, [delivery.Header("a", "b")], b"7", states_end=False)
+    data = CODEC.encode(delivery.ClaimAnswer("answered", [sent]))
+    assert CODEC.decode(data)[0] == delivery.ClaimAnswer("answered", [sent])
+    earlier = b"\x16\x92\x03\x19\x1c\x18\x01a\x18\x01b\x00\x18\x017"
+    false_as_next_field, stop = b"\x12", b"\x00"
+    assert data.endswith(earlier + false_as_next_field + stop + stop)
+
+
 def test_every_message_is_a_frozen_data_class_with_slots():
     for class_ in catalogue.MESSAGES.values():
         assert dataclasses.is_dataclass(class_)
