Drop an upstream whose entry was removed at once unless the store was away for half of the VMs

Cause: a removal counted as doubtful, and the upstream stayed in use for 1.8 s after each VM had learned of it, if the VM itself had one failed call to the store within 4 s or any other VM said that it does not reach the store. A VM that starts says so until its first list, and one whose own path to the store is cut says so all the while. Each later failed call of a VM, such as a watch that was cut, began the 1.8 s anew. Evidence: test_removed_upstream_is_dropped_in_time_beside_a_vm_that_the_store_does_not_answer, messages and answers of the store 0.2 s late, failed on the code before in all three cases: 2 s after the removal the upstream was in use at one of nine VMs (the one cut off from the store), at eight (beside one that starts), at nine (3 s after the end of an outage). Why it works: membership/store_outages counts the VMs that the store does not answer. Entries that expire in an outage are still waited for (test_upstreams_whose_entries_expire_while_the_store_is_away_stay_in_use, which passes before and after).

--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -22,7 +22,13 @@
     retry_budget,
     service_retry_budgets,
 )
-from hollyring.membership import forwarding_targets, heartbeat, peer_table, request_meter
+from hollyring.membership import (
+    forwarding_targets,
+    heartbeat,
+    peer_table,
+    request_meter,
+    store_outages,
+)
 from hollyring.node import (
     cache_updates,
     clock,
@@ -45,9 +51,9 @@
 )
 
 MISSING_UPSTREAM_TTL_SECONDS = 1.8
-"""Time after which an upstream is removed if its entry disappeared while the store was failing.
+"""Time after which an upstream is removed if its entry disappeared while the store was away.
 
-It counts from the disappearance or the last failure of the store, whichever is later.
+It counts from the disappearance or the end of the outage, whichever is later.
 """
 
 RESTORED_UPSTREAM_TTL_SECONDS = 2.2
@@ -138,6 +144,7 @@
             for prefix in (store_keys.operator, store_keys.upstreams, store_keys.vms)
         }
         self.store_era = store_era.StoreEra()
+        self._store_outages = store_outages.StoreOutages()
         self.freshness = freshness.Freshness(
             (store_keys.operator, store_keys.upstreams),
             freshness_rules or freshness.FreshnessRules(),
@@ -438,15 +445,31 @@
         for name in self.peers.remove_silent(now):
             self._log.info("silent VM removed", vm=name)
         self._store_changes.tick(now)
-        if self.store_reached_at > self.store_failed_at:
-            self._remove_missing_upstreams(now)
+        self._remove_missing_upstreams(now)
+
+    def entries_may_have_expired(self, now: float) -> bool:
+        """Return whether entries of upstreams may have expired as the store was away."""
+        failed_recently = now - self.store_failed_at < store_outages.RECENT_SECONDS
+        self._observe_store(failed_recently, now)
+        return self._store_outages.is_recent(now)
+
+    def _observe_store(self, is_unanswered: bool, now: float) -> bool:
+        """Record which VMs the store does not answer; return whether it is away."""
+        others = self.peers.alive(now)
+        unanswered = is_unanswered + sum(not peer.store_reached for peer in others)
+        return self._store_outages.observe(unanswered, 1 + len(others), now)
 
     def _remove_missing_upstreams(self, now: float) -> None:
+        is_unanswered = self.store_failed_at > self.store_reached_at
+        is_away = self._observe_store(is_unanswered, now) and is_unanswered
         for upstream in list(self.registry.upstreams.values()):
             if upstream.missing_since is None:
                 continue
+            if is_away:
+                upstream.missing_since = now
+                continue
             due_at = max(
-                max(upstream.missing_since, self.store_failed_at) + MISSING_UPSTREAM_TTL_SECONDS,
+                upstream.missing_since + MISSING_UPSTREAM_TTL_SECONDS,
                 self.store_era.risen_at + RESTORED_UPSTREAM_TTL_SECONDS,
             )
             if now <= due_at:
--- a/hollyring/node/tests/test_store_watcher.py
+++ b/hollyring/node/tests/test_store_watcher.py
@@ -1,6 +1,7 @@
 """VMs receive changes through watches of the store, or copies from other VMs if it fails."""
 
 import anyio
+import pytest
 
 from hollyring.membership import peer_table
 from hollyring.node import clock, store_watcher
@@ -9,6 +10,9 @@
 DRAIN_SECONDS = 2.0
 """Time within which a leaving upstream gets no more requests, on the smallest sites."""
 
+STABLE_SECONDS = 3.0
+"""Time after an outage from which on the store counts as stable."""
+
 
 def start_all(fleet):
     for name in fleet.names:
@@ -199,3 +203,61 @@
             assert vm.state.registry.get("u-1") is None, vm.name
 
     simulate(scenario, vms=[f"vm-{n}" for n in range(1, 10)])
+
+
+@pytest.mark.parametrize("unanswered", ["one VM", "one VM that starts", "none any more"])
+def test_removed_upstream_is_dropped_in_time_beside_a_vm_that_the_store_does_not_answer(
+    simulate, unanswered
+):
+    async def scenario(fleet):
+        start_all(fleet)
+        await fleet.wait_until(all_ready(fleet), 1.0)
+        await anyio.sleep(3.0)
+        fleet.delays = dict.fromkeys(fleet.names, 0.2)
+        fleet.store.delays = dict.fromkeys(fleet.names, 0.2)
+        match unanswered:
+            case "one VM":
+                fleet.store.unreachable_from = {"vm-5"}
+                await anyio.sleep(1.0)
+            case "one VM that starts":
+                fleet.kill("vm-5")
+                fleet.store.silent_to = {"vm-5"}
+                fleet.start("vm-5")
+                await anyio.sleep(1.0)
+            case "none any more":
+                fleet.store.unreachable_from = set(fleet.names)
+                await anyio.sleep(1.0)
+                fleet.store.unreachable_from = set()
+                await anyio.sleep(STABLE_SECONDS)
+        fleet.store.remove("servers/u-1")
+        await anyio.sleep(DRAIN_SECONDS)
+        states = [vm.state for vm in fleet.vms.values()]
+        using = [s.vm_info.name for s in states if s.freshness.may_use(clock.now())]
+        assert len(using) > len(fleet.names) // 2
+        assert [s.vm_info.name for s in states if s.registry.get("u-1")] == []
+
+    simulate(scenario, vms=[f"vm-{n}" for n in range(1, 10)])
+
+
+def test_upstreams_whose_entries_expire_while_the_store_is_away_stay_in_use(simulate):
+    async def scenario(fleet):
+        start_all(fleet)
+        await fleet.wait_until(all_ready(fleet), 1.0)
+        await anyio.sleep(2.0)
+        fleet.store.unreachable_from = set(fleet.names)
+        await anyio.sleep(5.0)
+        for name in list(fleet.upstreams):
+            fleet.store.remove(f"servers/{name}")
+        await anyio.sleep(1.0)
+        fleet.store.unreachable_from = set()
+        for _ in range(15):
+            await anyio.sleep(0.1)
+            for vm in fleet.vms.values():
+                assert vm.state.registry.upstreams.keys() == fleet.upstreams.keys(), vm.name
+        for name, upstream in fleet.upstreams.items():
+            fleet.store.put(f"servers/{name}", upstream.entry)
+        await anyio.sleep(3.0)
+        for vm in fleet.vms.values():
+            assert vm.state.registry.upstreams.keys() == fleet.upstreams.keys(), vm.name
+
+    simulate(scenario, vms=[f"vm-{n}" for n in range(1, 10)])
--- a/hollyring/node/upstream_changes.py
+++ b/hollyring/node/upstream_changes.py
@@ -14,9 +14,6 @@
 if typing.TYPE_CHECKING:
     from hollyring.node import state
 
-STORE_FAILURE_WINDOW_SECONDS = 4.0
-"""Time after a failed call during which the store counts as failing."""
-
 RETURNED_ENTRY_HOLD_SECONDS = 3.0
 """Time for which a removed upstream that an older copy of the store lists again gets no requests.
 
@@ -131,11 +128,8 @@
         upstream = self._state.registry.get(name)
         if upstream is None:
             return
-        store_failing = now - self._state.store_failed_at < STORE_FAILURE_WINDOW_SECONDS
-        store_failing = store_failing or any(
-            not p.store_reached for p in self._state.peers.alive(now)
-        )
-        if (store_failing or from_copy) and not upstream.leaving:
+        in_doubt = from_copy or self._state.entries_may_have_expired(now)
+        if in_doubt and not upstream.leaving:
             upstream.missing_since = now
             return
         self._held_until.pop(name, None)
