Go on beside the entry of an upstream whose port does not exist

Callers saw: with an entry of an inference server at port 99999, the VM ended by itself, and what it had read got 502 or nothing (one of six requests answered, with 502; the other five found no VM). With an entry of a plain service, each request that was placed there got a plain 500.

Cause: a connect to a port above 65535 raises OverflowError, which neither OSError nor ValueError covers. In a request it was an unknown error; in the tasks that probe, poll and order it ended the process, as any error of a task does. All VMs read the same entry, so all of them would have ended.

Evidence: test_unusable_entries over a VM process, both services: failed before, as above. Ruled out by the same test: port 0, no digits, hosts that cannot be resolved. By hand, without a finding: entries with slots, born or version of weights below 0 or over 64 bits, no models, unknown service (18 cases, one VM).

Change: an entry whose port does not exist names no upstream (platform), and the pool says "not sent" for any address that cannot be connected to. Each of the two has a test of its own, which failed before.

--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -243,7 +243,7 @@
                 await loop.create_connection(lambda: connection, host, int(port))
         except TimeoutError:
             raise
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             self._listener.failed(address)
             raise http_connection.NotSentError(f"no connection: {type(error).__name__}") from error
         finally:
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -175,6 +175,15 @@
     assert pool.open_connections("127.0.0.1:1") == 0
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("port", ["0", "65536", "99999", "\u00b2"])
+async def test_connection_to_a_port_that_does_not_exist_raises_not_sent(port):
+    pool = connection_pool.ConnectionPool()
+    with pytest.raises(http_connection.NotSentError):
+        await pool.acquire(f"127.0.0.1:{port}", 1)
+    assert not await pool.can_connect(f"127.0.0.1:{port}")
+
+
 @pytest.mark.anyio
 async def test_connection_limit_raises_not_sent():
     async with Upstream(OK, OK).running() as upstream:
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import msgspec
@@ -28,6 +29,8 @@
 MS_PER_SECOND = 1000.0
 BITS_PER_MEGABIT = 1_000_000.0
 BITS_PER_BYTE = 8
+PORT = re.compile("[0-9]{1,5}")
+MAX_PORT = 65_535
 UPSTREAM_STATES = ("ready", "draining")
 
 
@@ -232,7 +235,7 @@
 
 def _is_address(text: str) -> bool:
     host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
+    return bool(host) and bool(PORT.fullmatch(port)) and 0 < int(port) <= MAX_PORT
 
 
 def _convert_route(route: _Route) -> deployment.Route:
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -144,6 +144,12 @@
 ]
 
 
+@pytest.mark.parametrize("port", ["0", "65536", "99999", "\u00b2", "\u0661"])
+def test_upstream_entry_with_a_port_that_does_not_exist_is_ignored(codec, port):
+    entry = SERVER | {"address": f"10.2.1.7:{port}"}
+    assert codec.decode_upstream(make_item("servers/i-7", entry)) is None
+
+
 @pytest.mark.parametrize("value", INVALID_SERVERS, ids=range(len(INVALID_SERVERS)))
 def test_malformed_upstream_entry_is_ignored(codec, value):
     assert codec.decode_upstream(make_item("servers/i-7", value)) is None
