End an attempt, not its request, with an error that no code expects

Callers saw: a plain 500 for a request that another upstream could serve, or a stream cut although its upstream only was silent: the error of the attempt beside it ended both. The log had no end of the request.

Cause: each exception of an attempt that was not an outcome ended the request, with all its attempts.

Change: such an error is logged ("request: attempt failed", with a trace) and counts as a failure of its attempt: not run if nothing was sent, else it may have run. The request goes on as after any failure. An error of the attempt that writes the response, or outside of attempts ("request: failed"), ends the request with a refusal, or within the response if it was begun; "request: ended" is logged. A request counts as sent only once it is encoded.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -16,6 +16,7 @@
     errors,
     http_connection,
     interfaces,
+    logs,
     metrics,
     open_attempts,
     request_context,
@@ -56,6 +57,8 @@
 AT_MOST_ONCE_KEEP_ALIVE_SECONDS = 1.0
 """Remaining keep-alive time that an idle connection needs to carry an at-most-once request."""
 
+INTERNAL_ERROR = "internal error"
+
 T = typing.TypeVar("T")
 
 
@@ -93,6 +96,7 @@
         self._pool = pool
         self._metrics = counters
         self._permits = permits
+        self._log = logs.Logger("request")
 
     async def run(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
@@ -120,10 +124,32 @@
         )
         try:
             return await self._run(context, attempt)
+        except errors.VmError:
+            raise
+        except Exception:
+            return self._fail(context, attempt)
         finally:
             selected.upstream.record_end(context.request_id, long_response)
             self._permits.release(_permit_holder(context, selected))
 
+    def _fail(
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
+    ) -> request_context.Outcome:
+        """Log the unexpected error being handled, and end the attempt rather than the request.
+
+        An attempt that writes the response cannot be replaced, as it may have written any part; its
+        error is raised again.
+        """
+        self._log.exception(
+            "attempt failed", request=context.request_id, upstream=attempt.selected.upstream.name
+        )
+        self._metrics.increment("internal_errors")
+        if context.response.started and not attempt.has_others:
+            raise
+        if not attempt.sent:
+            return request_context.NotRun(INTERNAL_ERROR, written=False)
+        return request_context.Failed(INTERNAL_ERROR)
+
     async def _run(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
@@ -162,10 +188,11 @@
                 raise errors.CallerLeftError("caller left before this attempt was sent")
             if self._is_unusable(upstream) or not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
+            request = self._request(context, selected)
             sent_at = clock.now()
             attempt.sent = True
             exchange = connection.send(
-                self._request(context, selected),
+                request,
                 self._codec.naming_reader(context.request_id),
                 context.request_id,
             )
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -174,6 +174,8 @@
         except (errors.CallerLeftError, anyio.get_cancelled_exc_class()):
             await self._end_cancelled(admitted)
             raise
+        except Exception:
+            await self._end_unexpectedly(admitted)
 
     async def _decide(
         self, request: request_types.Request, response: responses.ResponseWriter, arrived_at: float
@@ -260,6 +262,21 @@
         finally:
             self._log.ended(context, outcome)
 
+    async def _end_unexpectedly(self, context: request_context.RequestContext) -> None:
+        """Refuse a request that failed with the unexpected error being handled, and log it.
+
+        Raises
+        ------
+        IncompleteResponseError
+            If a part of a response was sent already.
+        """
+        self._log.failed_unexpectedly(context)
+        rejection = context.retry_state.final_refusal("internal_error", clock.now())
+        try:
+            await context.response.refuse(rejection)
+        finally:
+            self._log.ended(context, rejection.code)
+
     @property
     def _cancel_code(self) -> str:
         """Code for a request that is cancelled before anything of it was sent."""
--- a/hollyring/node/request_log.py
+++ b/hollyring/node/request_log.py
@@ -169,6 +169,11 @@
             whole=context.suspects[-1],
         )
 
+    def failed_unexpectedly(self, context: request_context.RequestContext) -> None:
+        """Log the unexpected error being handled, which ends a request."""
+        self._metrics.increment("internal_errors")
+        self._logger.exception("failed", request=context.request_id)
+
     def superseded(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
