Refuse a completion whose caller closes only its sending side

Callers of the product's own interface that closed only their sending side while an upstream worked got uvicorn's plain 500, or a stream that stopped without its end.

Cause: the end of what a caller sends cancels the completion, and nothing was written then. Since the connection is kept open for the answer to a request that was read whole, uvicorn answered in its place.

Change: after the cancellation the final refusal is written, as the relay does: an HTTP status where nothing was sent, else an error event that ends the stream; "not run" only where no upstream may have run it. A caller that has left altogether gets nothing. The time to write it is bounded (responses.FINAL_REFUSAL_SECONDS, now shared with the relay). Calls of plain services are not cancelled by the end of what their caller sends; they were answered before, too.

--- a/hollyring/node/completion_writer.py
+++ b/hollyring/node/completion_writer.py
@@ -34,7 +34,15 @@
         Id of the request.
     """
 
-    __slots__ = ("_send", "_completion", "_chunks", "_started", "_texts", "_blocked_since")
+    __slots__ = (
+        "_send",
+        "_completion",
+        "_chunks",
+        "_started",
+        "_ended",
+        "_texts",
+        "_blocked_since",
+    )
 
     def __init__(
         self,
@@ -49,6 +57,7 @@
             request_id, completion.chat, completion.model, created
         )
         self._started = False
+        self._ended = False
         self._texts: list[str] = []
         self._blocked_since: float | None = None
 
@@ -57,6 +66,11 @@
         """Whether a part of the response was sent."""
         return self._started
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last part of the response was sent or is being sent."""
+        return self._ended
+
     def seconds_blocked(self, now: float) -> float:
         """Return the seconds for which the current send has been blocked by the caller."""
         return 0.0 if self._blocked_since is None else now - self._blocked_since
@@ -70,6 +84,7 @@
 
     async def complete(self, finish_reason: str, event_id: str, usage: dict[str, Any]) -> None:
         """Send the end of a complete response."""
+        self._ended = True
         if not self._completion.stream:
             body = self._chunks.whole("".join(self._texts), finish_reason, usage)
             await self._send_timed(asgi.respond_json(self._send, 200, body))
@@ -81,6 +96,7 @@
 
     async def fail(self, rejection: refusal.Refusal) -> None:
         """Send a final error: an HTTP status if nothing was sent yet, else an error event."""
+        self._ended = True
         if not self._started:
             await self._send_timed(refuse(self._send, rejection))
             return
--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -26,6 +26,7 @@
     completion_writer,
     engine_client,
     errors,
+    responses,
     routing_actor,
     vm,
 )
@@ -163,12 +164,16 @@
 
 
 async def _run(this_vm: vm.VM, context: _RequestContext, receive: asgi.Receive) -> None:
-    """Run the request until its response is sent, or the caller disconnects or reads too slowly."""
+    """Run the request until its response is sent, or the caller sends no more or reads too slowly.
+
+    A caller that only sends no more may still read, so it is told how its request ended.
+    """
+    caller_ended = False
 
     async def watch_connection() -> None:
+        nonlocal caller_ended
         await asgi.wait_disconnect(receive)
-        if not context.stream.ended:
-            this_vm.metrics.increment("cancelled")
+        caller_ended = True
         group.cancel_scope.cancel()
 
     async def watch_reader() -> None:
@@ -183,6 +188,11 @@
         group.start_soon(watch_reader)
         await _run_until_deadline(this_vm, context)
         group.cancel_scope.cancel()
+    if caller_ended and not context.writer.ended:
+        this_vm.metrics.increment("cancelled")
+        with anyio.move_on_after(responses.FINAL_REFUSAL_SECONDS):
+            rejection = context.retry_state.final_refusal("caller_ended", time.monotonic())
+            await _fail(context, rejection)
 
 
 async def _run_until_deadline(this_vm: vm.VM, context: _RequestContext) -> None:
@@ -198,6 +208,11 @@
         this_vm.metrics.increment("completed")
         return
     this_vm.metrics.increment(f"refused_{rejection.code}")
+    await _fail(context, rejection)
+
+
+async def _fail(context: _RequestContext, rejection: refusal.Refusal) -> None:
+    """End the response with a refusal."""
     if not context.stream.ended:
         context.stream.fail(rejection)
     await context.writer.fail(rejection)
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -56,9 +56,6 @@
 MAX_DECLINED = 2
 """VMs that are asked to execute a request before it is refused."""
 
-FINAL_REFUSAL_SECONDS = 0.2
-"""Longest time to write the refusal of a request that is cancelled."""
-
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
@@ -182,7 +179,7 @@
         try:
             may_decide = await self._knows_enough(arrived_at + request.deadline_seconds)
         except anyio.get_cancelled_exc_class():
-            with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
+            with anyio.move_on_after(responses.FINAL_REFUSAL_SECONDS, shield=True):
                 rejection = refusal.make(self._cancel_code)
                 self._log.refused(request, rejection, arrived_at)
                 await response.refuse(rejection)
@@ -268,7 +265,7 @@
     async def _refuse_shielded(self, context: request_context.RequestContext) -> None:
         """Refuse a cancelled request."""
         rejection = context.retry_state.final_refusal(self._cancel_code, clock.now())
-        with anyio.move_on_after(FINAL_REFUSAL_SECONDS, shield=True):
+        with anyio.move_on_after(responses.FINAL_REFUSAL_SECONDS, shield=True):
             await context.response.refuse(rejection)
 
     def _log_cancelled(self, context: request_context.RequestContext) -> None:
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -10,6 +10,9 @@
 from hollyring.delivery import refusal
 from hollyring.node import asgi, errors
 
+FINAL_REFUSAL_SECONDS = 0.2
+"""Longest time to write the refusal of a request that is cancelled."""
+
 
 class IncompleteResponseError(errors.VmError):
     """The response cannot be completed; the server closes the connection within the response."""
--- a/hollyring/node/tests/test_completions.py
+++ b/hollyring/node/tests/test_completions.py
@@ -175,3 +175,69 @@
     received = await exchange(vm, scripted_vm.completion(max_tokens=50))
     assert b"event: error" in received
     assert b"[DONE]" not in received
+
+
+async def half_close(vm, upstream, request, begun=b""):
+    """Close a caller's sending side after an upstream got its request; return the response."""
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+        await stream.send(request)
+        received = b""
+        with anyio.fail_after(TIMEOUT_SECONDS), contextlib.suppress(anyio.EndOfStream):
+            while not upstream.requests:
+                await anyio.sleep(0.01)
+            while begun not in received:
+                received += await stream.receive()
+            await stream.send_eof()
+            while True:
+                received += await stream.receive()
+    return received
+
+
+def go_silent(*chunks):
+    """Return a script that sends chunks if there are any, and then nothing more."""
+
+    async def script(writer, request_id):
+        if chunks:
+            naming = b"x-request-id: %b\r\n\r\n" % request_id
+            writer.write(HEAD[:-2] + naming + b"".join(chunks))
+        await anyio.sleep(TIMEOUT_SECONDS)
+
+    return script
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("stream", [True, False])
+async def test_caller_that_only_closes_its_sending_side_is_refused_in_the_usual_format(
+    start_vm, stream
+):
+    vm, (upstream,) = await start_vm(go_silent())
+    received = await half_close(vm, upstream, scripted_vm.completion(stream=stream))
+    assert received.startswith(b"HTTP/1.1 502 ")
+    assert b'"execution":"unknown"' in received
+    assert b"HTTP/1.1" not in received[1:]
+    assert vm.routing.finished == [1]
+    assert vm.application.open_requests == 0
+
+
+@pytest.mark.anyio
+async def test_stream_whose_caller_closes_its_sending_side_ends_with_an_error_event(start_vm):
+    vm, (upstream,) = await start_vm(go_silent(chunk("a")))
+    received = await half_close(vm, upstream, scripted_vm.completion(), b'"a"')
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert b"event: error" in received
+    assert received.endswith(b"0\r\n\r\n")
+    assert b"[DONE]" not in received
+
+
+@pytest.mark.anyio
+async def test_caller_that_leaves_ends_its_completion_without_an_internal_error(start_vm):
+    vm, (upstream,) = await start_vm(go_silent())
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+        await stream.send(scripted_vm.completion())
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while not upstream.requests:
+                await anyio.sleep(0.01)
+    with anyio.fail_after(0.5):
+        while vm.application.open_requests:
+            await anyio.sleep(0.01)
+    assert "internal_errors" not in vm.metrics.render()
--- a/hollyring/node/tests/test_services.py
+++ b/hollyring/node/tests/test_services.py
@@ -168,3 +168,24 @@
             received = await stream.receive()
     assert received.endswith(b"\r\n\r\nhal")
     assert b"content-length" not in received
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+async def test_call_whose_caller_closes_its_sending_side_while_it_runs_is_answered(start_vm, path):
+    async def answer_late(writer):
+        await anyio.sleep(SETTLE_SECONDS)
+        return await answer(writer)
+
+    vm, (upstream,) = await start_vm(answer_late)
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+        await stream.send(scripted_vm.request(path, {}))
+        received = b""
+        with anyio.fail_after(REPLY_SECONDS), contextlib.suppress(anyio.EndOfStream):
+            while not upstream.requests:
+                await anyio.sleep(0.01)
+            await stream.send_eof()
+            while True:
+                received += await stream.receive()
+    assert received.startswith(b"HTTP/1.1 200 ")
+    assert received.endswith(b"done")
