See the close of a caller while several requests wait behind the one that runs

An upstream went on working for a caller that had left, until its answer, if two or more requests or a large one waited behind the request that ran.

Cause: nothing is read from a caller while that many requests wait, so the event loop does not tell of the close.

Change: while nothing is read, the socket is looked at every 0.25 s (POLLRDHUP, as before each attempt). Once the close has arrived, the rest is read, which the buffers of the connection bound, and the end of the input is handled as ever: what was read whole is answered or refused.

Open: a close behind more bytes than the buffers hold does not arrive before they are read (test with 400 kB behind: not seen within 0.5 s, dropped from the tests; 100 kB passes).

Result: test_close_is_seen_while_two_later_requests_wait_behind_the_one_that_runs and five new cases of test_pipelined_requests failed before and pass now; test_half_closed_callers, test_bounded_protocol, test_caller_connection, test_unstated_ends, test_process, test_request_ends, test_closed_callers, test_upgrade_requests and test_end_of_grace_period passed once.

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -32,6 +32,10 @@
 """Requests that may wait behind one that runs before no more is read from their caller."""
 
 
+CLOSE_CHECK_SECONDS = 0.25
+"""Interval at which the close of a caller is looked for while nothing is read from it."""
+
+
 def protocol_class(limits: settings.Limits) -> type[httptools_impl.HttpToolsProtocol]:
     """Return a protocol class that enforces `limits`."""
 
@@ -41,6 +45,8 @@
         _head_bytes = 0
         _in_head = True
         _timer: asyncio.TimerHandle | None = None
+        _close_timer: asyncio.TimerHandle | None = None
+        _close_seen = False
 
         transport: lingering_transport.LingeringTransport
         _caller_connection: caller_connection.CallerConnection
@@ -71,6 +77,8 @@
 
         def connection_lost(self, exc: Exception | None) -> None:
             self._stop_timer()
+            if self._close_timer is not None:
+                self._close_timer.cancel()
             self.transport.end()
             running = self._running
             if running is not None and not running.response_complete:
@@ -97,6 +105,19 @@
             super().data_received(data)
             if self._in_head and self._head_bytes > limits.header_bytes:
                 self._refuse(refusal.make("headers_too_large"))
+            self._watch_for_close()
+
+        def _watch_for_close(self) -> None:
+            """Look for a close while nothing is read; after it the rest is read up to its end."""
+            if self._close_seen:
+                self.flow.resume_reading()
+            elif self.flow.read_paused and self._close_timer is None:
+                self._close_timer = self.loop.call_later(CLOSE_CHECK_SECONDS, self._check_close)
+
+        def _check_close(self) -> None:
+            self._close_timer = None
+            self._close_seen = self._caller_connection.closed
+            self._watch_for_close()
 
         def on_message_begin(self) -> None:
             super().on_message_begin()
