--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -35,6 +35,7 @@
     heartbeat_sender,
     http_server,
     interfaces,
+    internal_app,
     logs,
     metrics,
     peers,
@@ -66,10 +67,6 @@
 
 KEEPALIVE_TIMEOUT_SECONDS = 60
 BODY_TIMEOUT_SECONDS = 10.0
-MAX_ENTRY_ADDRESSES = 64
-ENTRY_TTL_SECONDS = 1.5
-"""Longest time for which callers may cache an entry response."""
-
 FIRST_START_DELAY_SECONDS = 1.0
 """Time for all VMs to register when the whole fleet starts for the first time.
 
@@ -82,13 +79,6 @@
 VERSION_MARGIN_SECONDS = 1.5
 """Part of the version deadline that is kept for requests waiting at their upstream."""
 
-HEALTH_WAIT_SECONDS = 0.5
-"""Time for which a health check waits until this VM knows the latest changes."""
-
-HTTP_OK = 200
-HTTP_UNAVAILABLE = 503
-HTTP_NOT_FOUND = 404
-
 CALLER_LIMITS = settings.Limits(header_bytes=65_536, header_seconds=20.0, connections=3_000)
 """Limits on callers' connections; the configuration limits the size of requests."""
 
@@ -264,7 +254,7 @@
         caller_server = self._make_server(
             self._caller_app, bounded_protocol.protocol_class(CALLER_LIMITS)
         )
-        internal_server = self._make_server(self._internal_app, "httptools")
+        internal_server = self._make_server(self._internal_app(), "httptools")
         internal_addresses = {
             vm_settings.health_address,
             vm_settings.entry_address,
@@ -308,6 +298,17 @@
             task_group.start_soon(self._cache_watcher.run)
             task_group.start_soon(self._software_record.run)
 
+    def _internal_app(self) -> internal_app.InternalApp:
+        return internal_app.InternalApp(
+            self._state,
+            self._adapter.caller_codec,
+            self._store_checker,
+            self._connections,
+            self._forward_server,
+            self._metrics,
+            self._settings.max_entry_ttl_seconds,
+        )
+
     def _make_server(self, app: typing.Any, protocol: typing.Any) -> uvicorn.Server:
         grace_seconds = self._settings.grace_seconds - DRAIN_SECONDS - EXIT_MARGIN_SECONDS
         return http_server.make_server(
@@ -425,67 +426,6 @@
         current = self._state.deployment
         return current.limits.body_bytes if current else CALLER_LIMITS.body_bytes
 
-    async def _internal_app(
-        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
-    ) -> None:
-        if scope["type"] != "http":
-            return
-        codec = self._adapter.caller_codec
-        if codec.is_entry_request(scope):
-            await self._send_entry_addresses(send)
-        elif codec.is_health_check(scope):
-            await asgi.respond(send, await self._health_status(), b"", [])
-        elif scope["path"] == "/metrics":
-            await asgi.respond(send, HTTP_OK, self._metrics_page().encode(), [asgi.TEXT_TYPE])
-        else:
-            await asgi.respond(send, HTTP_NOT_FOUND, b"", [])
-
-    async def _health_status(self) -> int:
-        """Return the status of a health check, once the copies of the store are recent."""
-        if not self._state.ready:
-            return HTTP_UNAVAILABLE
-        is_current = await self._store_checker.wait_current(clock.now() + HEALTH_WAIT_SECONDS)
-        return HTTP_OK if is_current else HTTP_UNAVAILABLE
-
-    async def _send_entry_addresses(self, send: asgi.Send) -> None:
-        """Respond with the addresses of VMs to connect to."""
-        now = clock.now()
-        addresses = self._state.peers.caller_addresses(self._state.ready, now, MAX_ENTRY_ADDRESSES)
-        if not addresses:
-            await asgi.respond(send, HTTP_UNAVAILABLE, b"", [])
-            return
-        ttl_seconds = min(ENTRY_TTL_SECONDS, self._settings.max_entry_ttl_seconds)
-        body = self._adapter.caller_codec.encode_entry_response(addresses, ttl_seconds)
-        await asgi.respond(send, HTTP_OK, body, [asgi.JSON_TYPE])
-
-    def _metrics_page(self) -> str:
-        now = clock.now()
-        gauges = {
-            "configuration_version": self._state.configuration_version,
-            "store_age_seconds": self._state.store_age(now),
-            "store_era": self._state.store_era.current,
-            "copies_age_seconds": _finite(self._state.freshness.age(now)),
-            "copies_largest_age_at_use_seconds": _finite(self._state.freshness.largest_age(now)),
-            "vms_alive": len(self._state.peers.alive(now)) + 1,
-            "vms_serving": len(self._state.peers.serving),
-            "serving": int(self._state.peers.is_serving),
-            "upstreams": len(self._state.registry.upstreams),
-            "open_requests": self._state.requests.open,
-            "open_requests_of_other_vms": self._forward_server.open_requests,
-            "upstream_connections_opened": self._connections.opened,
-            "upstream_backoffs_total": self._state.backoffs.recorded,
-            "upstream_limits_named_total": self._state.request_limits.named,
-            "upstream_rejection_limits_named_total": self._state.rejection_limits.named,
-        }
-        lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
-        lines += [
-            f"hollyring_departures_{source}_total {count}"
-            for source, count in sorted(self._state.departure_counts.items())
-        ]
-        lines += [f"hollyring_{name} {n}" for name, n in self._state.crashes.counts.items()]
-        lines.append(f"hollyring_store_era_rises_total {self._state.store_era.rises}")
-        return "\n".join(lines) + "\n" + self._metrics.render()
-
     def _observe_store_era(self, era: int) -> None:
         self._state.store_era.observe(era, "store")
 
@@ -516,11 +456,6 @@
         return None
 
 
-def _finite(seconds: float) -> float:
-    """Return `seconds`, or -1 for an age that is not known."""
-    return -1.0 if math.isinf(seconds) else round(seconds, 3)
-
-
 async def _cancel_on_disconnect(receive: asgi.Receive, scope: anyio.CancelScope) -> None:
     await asgi.wait_disconnect(receive)
     scope.cancel()
