Judge what a silent VM was granted when the VM that replaces it has the request

test_silent_vm_that_goes_on_is_not_granted_a_run_beside_the_vm_that_replaced_it failed once in a run of six processes: the request was answered, but the silent VM had not been given up.

Cause: a race in the test, not in the product. The silent VM of the test looked every 10 ms whether its link was closed, and the test asked for its last look once the caller had the answer.

Change: the check reads the link itself, by a system call, when the other VM has got the request. It is stricter: a forward that is closed only because the other attempt has answered passes the old check if the answer takes longer than 10 ms, and fails this one. The silent VM never closes its link now, so nothing but the product can.

--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -159,19 +159,33 @@
 
 
 class SilentVm(ForwardingVm):
-    """A VM that never answers, and records whether the request was given up meanwhile."""
+    """A VM that never answers, and keeps the link of the request open."""
 
     def __init__(self, name):
         super().__init__(name, [])
-        self.given_up = False
+        self.link = None
 
     async def serve_link(self, session, message):
-        link = peer_link.Link(session, self.codec)
-        with anyio.move_on_after(2 * forward_client.SILENCE_SECONDS):
-            while not self.given_up:
-                await anyio.sleep(0.01)
-                self.given_up = link.is_stale
-        await link.close()
+        self.link = peer_link.Link(session, self.codec)
+        await anyio.sleep_forever()
+
+    @property
+    def given_up(self):
+        """Whether the other VM has closed the link, by now."""
+        return self.link.is_stale
+
+
+class ReplacingVm(ForwardingVm):
+    """A VM that records whether the request was given up at a silent VM when it got it."""
+
+    def __init__(self, name, servers, silent, **route):
+        super().__init__(name, servers, **route)
+        self.silent = silent
+        self.was_given_up = None
+
+    async def serve_link(self, session, message):
+        self.was_given_up = self.silent.given_up
+        await super().serve_link(session, message)
 
 
 class Fleet:
@@ -416,10 +430,10 @@
 ):
     fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=5.0)
     silent = await fleet.add(SilentVm("vm-0"))
-    await fleet.add()
+    replacing = await fleet.add(ReplacingVm("vm-1", fleet.servers, silent, **fleet.route))
     caller = await fleet.cut.send_request(deadline_seconds=4.0)
     assert caller.status == 200
-    assert silent.given_up
+    assert replacing.was_given_up
     assert len(fleet.requests) == 1
 
 
