Close the connections of the tests' upstreams before their event loop ends

Cause: upstreams of the tests left their end of a connection open when the caller was gone, when a request broke off or when the event loop cancelled them. The writer was freed in a later test, after its event loop, and pytest printed PytestUnraisableExceptionWarning ("Event loop is closed") for whichever test ran then: ten in one parallel run of the suite, among them tests without any socket.

Change: the upstreams of test_connection_pool, test_silent_upstream, scripted_vm and the stand-ins of the platform's tests close their end at the end of the upstream or of its task, however that ends. Those of test_silent_upstream stay open until the end of the test, as before. No check is changed.

--- a/hollyring/node/tests/scripted_vm.py
+++ b/hollyring/node/tests/scripted_vm.py
@@ -31,6 +31,7 @@
 MODEL = "parish"
 INITIAL_RETRIES = 5.0
 START_TIMEOUT_SECONDS = 5.0
+LOST_ERRORS = (ConnectionError, asyncio.IncompleteReadError)
 
 
 class Upstream:
@@ -53,7 +54,7 @@
             yield self
 
     async def _serve(self, reader, writer):
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        with contextlib.closing(writer), contextlib.suppress(*LOST_ERRORS):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]
@@ -63,7 +64,6 @@
                 takes_name = "request_id" in inspect.signature(script).parameters
                 if not await script(writer, *names[: int(takes_name)]):
                     break
-        writer.close()
 
 
 class Limits:
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -35,11 +35,13 @@
         self.connections = 0
         self.requests = []
         self.sockets = []
+        self.writers = []
         self.address = ""
 
     async def _serve(self, reader, writer):
         self.connections += 1
         self.sockets.append(writer.get_extra_info("socket"))
+        self.writers.append(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while self.responses:
                 self.requests.append(await reader.readuntil(b"\r\n\r\n"))
@@ -64,6 +66,8 @@
             yield self
         finally:
             server.close()
+            for writer in self.writers:
+                writer.close()
 
 
 async def fetch(pool, address, request_id=""):
--- a/hollyring/node/tests/test_silent_upstream.py
+++ b/hollyring/node/tests/test_silent_upstream.py
@@ -28,7 +28,13 @@
     """Run an upstream with a small receive buffer, and yield its address."""
     listener = socket.create_server(("127.0.0.1", 0))
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-    server = await asyncio.start_server(serve, sock=listener, limit=4096)
+
+    async def accept(reader, writer):
+        with contextlib.closing(writer):
+            await serve(reader, writer)
+            await anyio.sleep_forever()  # The connection stays open to the end of the test.
+
+    server = await asyncio.start_server(accept, sock=listener, limit=4096)
     try:
         yield f"127.0.0.1:{listener.getsockname()[1]}"
     finally:
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -86,12 +86,12 @@
 
     async def _serve(self, reader, writer):
         self.readers[writer] = reader
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+        lost = (ConnectionError, asyncio.CancelledError)
+        with contextlib.closing(writer), contextlib.suppress(*lost):
             while (request := await read_request(reader)) is not None:
                 self.requests.append(request)
                 await self.handle(request, writer)
                 await writer.drain()
-        writer.close()
 
     @contextlib.asynccontextmanager
     async def running(self):
