Completions: an attempt that was certainly not written has not run

Callers of the product's own interface who gave a completion up while its connection to the inference server was opened were charged its prompt; one that only closed its sending side got 502 "unknown" where 503 "not run" is true, and one whose deadline passed meanwhile 504 "unknown".

Cause: an attempt counted as a possible run from its start until an error said that it was none. A cancellation says nothing, so the attempt stayed "in progress" for ever, whether or not a byte was written. The relay asks the attempt (`OpenAttempt.sent`) when it is cancelled; completions had no such fact.

Now the engine client says when the first byte is about to be written, and an attempt that ends in any other way than by its answer before that moment is recorded as not run.

--- a/hollyring/node/completions.py
+++ b/hollyring/node/completions.py
@@ -62,9 +62,14 @@
     retry_state: retry.RetryState
     has_caller_left: Callable[[], bool]
     arrived_at: float
+    sent: bool = False
     first_token_at: float = 0.0
     usage: engine_client.Usage | None = None
 
+    def record_sent(self) -> None:
+        """Record that the current attempt may have been written to its upstream."""
+        self.sent = True
+
 
 async def serve(
     this_vm: vm.VM, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send, chat: bool
@@ -229,6 +234,7 @@
     while True:
         routed = await _select_upstream(this_vm, context)
         context.retry_state.begin(routed.upstream, routed.failure_domain)
+        context.sent = False
         try:
             await _run_attempt(this_vm, context, routed)
             return
@@ -242,6 +248,10 @@
                 ) from error
             unknown, not_run = execution.Execution.UNKNOWN, execution.Execution.NOT_RUN
             context.retry_state.record_failure(unknown if error.reached else not_run)
+        except BaseException:
+            if not context.sent:
+                context.retry_state.record_failure(execution.Execution.NOT_RUN)
+            raise
         if context.stream.tokens >= context.completion.max_tokens:
             await _finish_at_max_tokens(this_vm, context)
             return
@@ -329,7 +339,13 @@
     try:
         seconds = context.retry_state.seconds_left(time.monotonic())
         generated = this_vm.engines.stream(
-            routed.address, path, body, attempt_id, seconds, context.has_caller_left
+            routed.address,
+            path,
+            body,
+            attempt_id,
+            seconds,
+            context.has_caller_left,
+            context.record_sent,
         )
         async with contextlib.aclosing(generated):
             await _deliver_all(this_vm, context, routed, attempt.number, generated)
--- a/hollyring/node/engine_client.py
+++ b/hollyring/node/engine_client.py
@@ -109,6 +109,7 @@
         request_id: str,
         head_timeout_seconds: float,
         has_caller_left: Callable[[], bool],
+        record_sent: Callable[[], None] = lambda: None,
     ) -> AsyncGenerator[Token | Usage, None]:
         """Yield the tokens that the inference server at `url` generates, then its usage.
 
@@ -125,6 +126,8 @@
             Maximum wait for the head of the response.
         has_caller_left
             Checked after the connection is established and before the first byte is written.
+        record_sent
+            Called just before the first byte is written; until then the server has not run it.
 
         Raises
         ------
@@ -143,6 +146,7 @@
         try:
             if has_caller_left():
                 raise errors.CallerLeftError("caller left before the request was sent")
+            record_sent()
             # Another server can continue the stream if the host of this one is silent for good.
             exchange = connection.send(
                 request,
--- a/hollyring/node/tests/scripted_vm.py
+++ b/hollyring/node/tests/scripted_vm.py
@@ -111,7 +111,7 @@
 class ScriptedVm:
     """VM whose route ``/orders`` runs calls at most once, and ``/prices`` repeats them."""
 
-    def __init__(self, upstreams):
+    def __init__(self, upstreams, bounds=None):
         self.limits, self.routing = Limits(), Routing(upstreams)
         self.pool = connection_pool.ConnectionPool()
         self.metrics = metrics.Metrics()
@@ -135,7 +135,7 @@
         self.application = api.Application(
             vm.VM(
                 incarnation,
-                types.SimpleNamespace(limits=settings.Limits()),
+                types.SimpleNamespace(limits=bounds or settings.Limits()),
                 configuration,
                 self.limits,
                 self.routing,
--- a/hollyring/node/tests/test_completions.py
+++ b/hollyring/node/tests/test_completions.py
@@ -3,10 +3,12 @@
 import contextlib
 import json
 import socket
+import types
 
 import anyio
 import pytest
 
+from hollyring.node import settings
 from hollyring.node.tests import scripted_vm
 
 TIMEOUT_SECONDS = 5.0
@@ -94,6 +96,41 @@
     assert vm.application.open_requests == 0
 
 
+@contextlib.asynccontextmanager
+async def connecting_vm(**bounds):
+    """Yield a VM whose only upstream neither accepts nor refuses connections."""
+    async with contextlib.AsyncExitStack() as stack:
+        listener, *fillers = [stack.enter_context(socket.socket()) for _ in range(3)]
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        upstream = types.SimpleNamespace(address=f"http://127.0.0.1:{listener.getsockname()[1]}")
+        vm = scripted_vm.ScriptedVm([upstream], settings.Limits(**bounds))
+        yield await stack.enter_async_context(vm.running())
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("deadline_seconds", "status"), [(5.0, b"503"), (0.2, b"504")], ids=["ended", "deadline"]
+)
+async def test_completion_given_up_while_its_connection_is_opened_counts_as_not_run(
+    deadline_seconds, status
+):
+    async with connecting_vm(deadline_seconds=deadline_seconds) as vm:
+        async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+            await stream.send(scripted_vm.completion())
+            await anyio.sleep(SETTLE_SECONDS / 2)
+            if deadline_seconds > 1.0:
+                await stream.send_eof()
+            with anyio.fail_after(TIMEOUT_SECONDS):
+                received = await stream.receive()
+        assert received.startswith(b"HTTP/1.1 %b " % status)
+        assert b'"execution":"not_run"' in received
+        assert list(vm.limits.settled.values()) == [0]
+
+
 @pytest.mark.anyio
 async def test_first_token_of_an_attempt_is_recorded_if_an_earlier_attempt_had_one(start_vm):
     vm, _ = await start_vm(
