Streams: an event whose number is too long to read is an error of its stream

A request whose next upstream sent an event with a number of 5,000 digits ended with an internal error instead of going on at another upstream.

Cause: int() raises ValueError from 4,300 digits on, which is none of the errors that an attempt's stream may have; the attempt had begun the response, so the whole request failed. Numbers have 18 digits at most now.

Before: the two cases "a long number" of test_nothing_beside_one_event_with_a_number_is_taken_for_one raised ValueError.

--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -14,11 +14,12 @@
 
 SEPARATOR = b"\n\n"
 MAX_EVENT_BYTES = 1_000_000
+MAX_NUMBER_DIGITS = 18
 
 FIELDS = frozenset({b"", b"data", b"event", b"id", b"retry"})
 """Names of the fields that an event may have; that of a comment is empty."""
 
-PLAIN_EVENT = re.compile(rb"id: ?([0-9]+)(?:\n(?:data|event):[^\r\n]*)+")
+PLAIN_EVENT = re.compile(rb"id: ?([0-9]{1,%d})(?:\n(?:data|event):[^\r\n]*)+" % MAX_NUMBER_DIGITS)
 """Form of nearly all events, which is matched faster than their lines are read."""
 
 
@@ -191,6 +192,6 @@
         raise errors.StreamOrderError("event with several numbers")
     if any(name not in FIELDS for name, _, _ in fields):
         raise errors.StreamOrderError("event with a line that is no field of one")
-    if not numbers[0].isdigit():
+    if not numbers[0].isdigit() or len(numbers[0]) > MAX_NUMBER_DIGITS:
         raise errors.StreamOrderError("event ID is not a number")
     return int(numbers[0])
--- a/hollyring/delivery/tests/test_event_stream.py
+++ b/hollyring/delivery/tests/test_event_stream.py
@@ -74,6 +74,8 @@
     "a signed number": b"id: +2\ndata: a\n\n",
     "a negative number": b"id: -2\ndata: a\n\n",
     "a fraction": b"id: 2.0\ndata: a\n\n",
+    "a long number": b"id: %b\ndata: a\n\n" % (b"2" * 5000),
+    "a long number without text": b"id: %b\n\n" % (b"2" * 5000),
 }
 
 
