Streams: a continuation that goes back behind its first new event is an error

Callers could get pieces of two runs joined: where a next upstream sent 4 to 7 and, after them, earlier events of another run up to a new one, the earlier ones were dropped in silence and the new one was passed on.

Cause: events that the caller has are dropped in a continuation wherever they come. They can only come ahead of the first new one; behind it the order is checked as in any other stream.

Before: the three cases of test_event_that_goes_back_behind_the_first_new_one_is_an_error raised nothing.

--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -43,12 +43,21 @@
     b'id: 2\\ndata: b\\n\\n'
     """
 
-    __slots__ = ("_last_number", "_buffer", "_resumed", "_events", "_unnumbered", "_error")
+    __slots__ = (
+        "_last_number",
+        "_buffer",
+        "_resumed",
+        "_has_new",
+        "_events",
+        "_unnumbered",
+        "_error",
+    )
 
     def __init__(self, after: int | None) -> None:
         self._last_number = after
         self._buffer = b""
         self._resumed = after is not None
+        self._has_new = False
         self._unnumbered = False
         self._events = 0
         self._error: errors.StreamOrderError | None = None
@@ -88,6 +97,7 @@
         """Discard a partly received event; what follows comes from another attempt."""
         self._buffer = b""
         self._resumed = self._last_number is not None
+        self._has_new = False
         self._events = 0
         self._error = None
 
@@ -152,11 +162,12 @@
         if self._unnumbered:
             raise errors.StreamOrderError(f"event {number} follows one without a number")
         if self._last_number is not None:
-            if self._resumed and number <= self._last_number:
+            if self._resumed and not self._has_new and number <= self._last_number:
                 return False
             if number != self._last_number + 1:
                 raise errors.StreamOrderError(f"event {number} follows event {self._last_number}")
         self._last_number = number
+        self._has_new = True
         return True
 
     def _accept_unnumbered(self) -> bool:
--- a/hollyring/delivery/tests/test_event_stream.py
+++ b/hollyring/delivery/tests/test_event_stream.py
@@ -98,6 +98,14 @@
     assert stream.feed(events(4, 7)) == events(6, 7)
 
 
+@pytest.mark.parametrize("second", [4, 6, 7])
+def test_event_that_goes_back_behind_the_first_new_one_is_an_error(second):
+    stream = event_stream.EventStream(5)
+    assert stream.feed(events(4, 7)) == events(6, 7)
+    with pytest.raises(errors.StreamOrderError):
+        stream.feed(events(second, 8))
+
+
 def test_gap_after_a_resumption_is_an_error():
     stream = event_stream.EventStream(5)
     with pytest.raises(errors.StreamOrderError):
