Streams: an answer that ends before what the caller has does not end its stream

Callers whose stream broke off behind event 2 were told that it was complete where the next upstream's answer had event 1 and its end only.

Cause: an answer counted as whole if it brought any event, those included that the caller had. One that ends before the last of these is of another, shorter run and proves nothing about the caller's; `judge_stream_end` has that fact now.

--- a/hollyring/delivery/answers.py
+++ b/hollyring/delivery/answers.py
@@ -152,7 +152,12 @@
 
 
 def judge_stream_end(
-    framing: Framing, events: int, partial: bool, begun: bool, promised: bool
+    framing: Framing,
+    events: int,
+    partial: bool,
+    begun: bool,
+    promised: bool,
+    behind: bool = False,
 ) -> EndVerdict:
     """Return what the end of a stream proves, which was not reset.
 
@@ -171,9 +176,13 @@
         Whether the caller had a part of the stream before.
     promised
         Whether the response to the caller states where it ends, so that its end says it is whole.
+    behind
+        Whether its last event is one before the last that the caller had, which shows another run.
     """
     if partial:
         return Failed("ended within an event")
+    if behind:
+        return Failed("ended before the last event that the caller has")
     if events == 0 and not (begun and framing is Framing.CHUNKS):
         return Failed("ended without an event")
     if promised and framing is Framing.CONNECTION:
--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -48,6 +48,7 @@
         "_buffer",
         "_resumed",
         "_has_new",
+        "_is_behind",
         "_events",
         "_unnumbered",
         "_error",
@@ -58,6 +59,7 @@
         self._buffer = b""
         self._resumed = after is not None
         self._has_new = False
+        self._is_behind = False
         self._unnumbered = False
         self._events = 0
         self._error: errors.StreamOrderError | None = None
@@ -98,6 +100,7 @@
         self._buffer = b""
         self._resumed = self._last_number is not None
         self._has_new = False
+        self._is_behind = False
         self._events = 0
         self._error = None
 
@@ -145,7 +148,9 @@
         if self._error is not None:
             raise self._error
         partial = not self.at_event_boundary
-        match answers.judge_stream_end(framing, self._events, partial, self._resumed, promised):
+        match answers.judge_stream_end(
+            framing, self._events, partial, self._resumed, promised, self._is_behind
+        ):
             case answers.Failed(reason=reason):
                 raise errors.StreamOrderError(reason)
             case whole:
@@ -163,11 +168,13 @@
             raise errors.StreamOrderError(f"event {number} follows one without a number")
         if self._last_number is not None:
             if self._resumed and not self._has_new and number <= self._last_number:
+                self._is_behind = number < self._last_number
                 return False
             if number != self._last_number + 1:
                 raise errors.StreamOrderError(f"event {number} follows event {self._last_number}")
         self._last_number = number
         self._has_new = True
+        self._is_behind = False
         return True
 
     def _accept_unnumbered(self) -> bool:
--- a/hollyring/delivery/tests/test_answers.py
+++ b/hollyring/delivery/tests/test_answers.py
@@ -75,6 +75,16 @@
     assert isinstance(verdict, answers.Failed)
 
 
+@pytest.mark.parametrize("framing", answers.Framing)
+@pytest.mark.parametrize("events", [1, 5])
+@pytest.mark.parametrize("promised", FLAGS)
+def test_stream_that_ends_before_the_last_event_of_its_caller_is_never_whole(
+    framing, events, promised
+):
+    verdict = answers.judge_stream_end(framing, events, False, True, promised, behind=True)
+    assert isinstance(verdict, answers.Failed)
+
+
 @pytest.mark.parametrize("framing", answers.Framing)
 @pytest.mark.parametrize("begun", FLAGS)
 @pytest.mark.parametrize("promised", FLAGS)
--- a/hollyring/delivery/tests/test_event_stream.py
+++ b/hollyring/delivery/tests/test_event_stream.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hollyring.delivery import errors, event_stream
+from hollyring.delivery import answers, errors, event_stream
 
 
 def events(first, last):
@@ -106,6 +106,17 @@
         stream.feed(events(second, 8))
 
 
+@pytest.mark.parametrize(("last", "is_whole"), [(4, False), (5, True), (6, True)])
+def test_continuation_is_whole_only_if_it_reaches_the_last_event_of_the_caller(last, is_whole):
+    stream = event_stream.EventStream(5)
+    assert stream.feed(events(3, last)) == events(6, last)
+    if is_whole:
+        assert stream.check_end(answers.Framing.CHUNKS, True) == answers.Whole(True)
+        return
+    with pytest.raises(errors.StreamOrderError):
+        stream.check_end(answers.Framing.CHUNKS, True)
+
+
 def test_gap_after_a_resumption_is_an_error():
     stream = event_stream.EventStream(5)
     with pytest.raises(errors.StreamOrderError):
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -122,6 +122,7 @@
     "a line of an error, then the next event": b"no room for this model\n" + LAST_EVENTS,
     "an event behind carriage returns": b"id: 3\ndata: 3\r\n\r\nid: 9\ndata: 9\n\n",
     "an event with two numbers": b"id: 3\nid: 9\ndata: 3\n\n",
+    "a run that ended before": EVENTS[: EVENTS.index(b"id: 2")],
     "an event that is too late": LAST_EVENTS[LAST_EVENTS.index(b"id: 4") :],
 }
 
