Answers: a status that promises "not run" is passed on only where it is stated

Callers of requests that may run once got a server's own 408, 429 or 503 where the server did not state that it had not run the request. To a caller these statuses promise that; PROTOCOL says that no response without `X-Not-Run` does.

Cause: a signed answer counted as the answer whatever its status, so the VM made a promise on a word that nobody had given. Such an answer counts as failed now, may have run: another upstream is tried where that is allowed, else the caller gets 502. 421 states by itself that another instance was meant.

Calls of plain services pass their statuses on as before: whether an answer can be that to the request is a question of its own now (`judge_origin`), and a new test holds it.

--- a/hollyring/delivery/answers.py
+++ b/hollyring/delivery/answers.py
@@ -15,6 +15,9 @@
 FINAL_STATUSES = range(200, 600)
 """Statuses that the answer to a request may have."""
 
+PROMISES = (408, 421, 429, 503)
+"""Statuses that tell a caller that its request was not run and never will be."""
+
 
 class Naming(enum.Enum):
     """Which request the head of an answer names."""
@@ -129,14 +132,13 @@
     >>> judge_head(dataclasses.replace(refusal, alone=False), streaming=False, begun=False)
     Failed(reason='names no request on a connection that carried another')
     """
-    if head.naming is Naming.OTHER:
-        return Foreign()
-    if head.naming is Naming.NONE and not head.alone:
-        return Failed("names no request on a connection that carried another")
-    if head.status not in FINAL_STATUSES:
-        return Failed(f"status {head.status}, which HTTP does not have")
+    origin = judge_origin(head)
+    if origin is not None:
+        return origin
     if head.misdirected or head.not_run:
         return NotRun(head.misdirected)
+    if head.status in PROMISES:
+        return Failed(f"status {head.status} without a statement that it was not run")
     if not head.authentic:
         return Failed(f"status {head.status} without a signature")
     if streaming and head.status == HTTP_OK and head.has_events:
@@ -146,6 +148,17 @@
     return Body()
 
 
+def judge_origin(head: Head) -> Foreign | Failed | None:
+    """Return why an answer does not count as that to the request, None if it can be no other's."""
+    if head.naming is Naming.OTHER:
+        return Foreign()
+    if head.naming is Naming.NONE and not head.alone:
+        return Failed("names no request on a connection that carried another")
+    if head.status not in FINAL_STATUSES:
+        return Failed(f"status {head.status}, which HTTP does not have")
+    return None
+
+
 def judge_body_end(framing: Framing) -> Whole:
     """Return what the end of a body proves, which was neither cut short nor reset."""
     return Whole(is_proved=framing is not Framing.CONNECTION)
--- a/hollyring/delivery/tests/test_answers.py
+++ b/hollyring/delivery/tests/test_answers.py
@@ -7,7 +7,7 @@
 from hollyring.delivery import answers
 
 FLAGS = (False, True)
-STATUSES = (0, 99, 200, 204, 404, 421, 429, 500, 503, 599, 600, 999)
+STATUSES = (0, 99, 200, 204, 404, 408, 421, 429, 500, 503, 599, 600, 999)
 HEADS = [
     answers.Head(*facts)
     for facts in itertools.product(STATUSES, answers.Naming, FLAGS, FLAGS, FLAGS, FLAGS, FLAGS)
@@ -30,6 +30,15 @@
     assert len(of_type(answers.Foreign)) == len(others) > 0
 
 
+@pytest.mark.parametrize("head", HEADS[:: len(HEADS) // 97])
+def test_answer_of_doubtful_origin_is_never_judged_otherwise(head):
+    origin = answers.judge_origin(head)
+    for streaming, begun in REQUESTS:
+        verdict = answers.judge_head(head, streaming, begun)
+        assert isinstance(origin, answers.Foreign) == isinstance(verdict, answers.Foreign)
+        assert origin is None or verdict == origin
+
+
 def test_not_run_is_concluded_only_from_an_answer_that_can_belong_to_this_request_only():
     rows = of_type(answers.NotRun)
     assert rows
@@ -54,6 +63,11 @@
     assert {head.status for head, *_ in rows} == set(STATUSES) - {0, 99, 600, 999}
 
 
+def test_no_status_that_promises_not_run_reaches_a_caller_as_an_answer():
+    statuses = {head.status for head, *_ in of_type(answers.Body, answers.Events)}
+    assert statuses == {200, 204, 404, 500, 599}
+
+
 def test_only_a_stream_of_events_with_status_200_is_passed_on_as_it_arrives():
     for head, streaming, *_ in of_type(answers.Events):
         assert streaming
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -174,8 +174,7 @@
             If the connection is lost before, or the response may be that to another request.
         """
         head = await self.head()
-        facts = answers.Head(head.status, self.naming, self.alone, authentic=True)
-        match answers.judge_head(facts, streaming=False, begun=False):
+        match answers.judge_origin(answers.Head(head.status, self.naming, self.alone)):
             case answers.Failed(reason=reason):
                 raise UnnamedResponseError(reason)
         return head
--- a/hollyring/node/tests/test_services.py
+++ b/hollyring/node/tests/test_services.py
@@ -189,3 +189,21 @@
                 received += await stream.receive()
     assert received.startswith(b"HTTP/1.1 200 ")
     assert received.endswith(b"done")
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_status_of_a_plain_service_reaches_its_caller_as_it_is(start_vm, status, path):
+    async def answer_with_status(writer):
+        writer.write(b"HTTP/1.1 %d X\r\ncontent-length: 4\r\n\r\nbusy" % status)
+        return True
+
+    vm, upstreams = await start_vm(answer_with_status)
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+        await stream.send(scripted_vm.request(path, {}))
+        with anyio.fail_after(REPLY_SECONDS):
+            received = await stream.receive()
+    assert received.startswith(b"HTTP/1.1 %d " % status)
+    assert received.endswith(b"busy")
+    assert request_counts(upstreams) == [1]
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -242,6 +242,18 @@
     assert b"retry-after" not in callers[1].headers
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("safety", request_types.RetrySafety)
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_status_that_promises_not_run_is_not_passed_on_where_the_upstream_states_nothing(
+    status, safety
+):
+    answer = encode(status, SEAL_HEADER, b"content-length: 4", body=b"done")
+    (caller,) = await send_all(ScriptedServer(answer), retry_safety=safety)
+    assert caller.status == 502
+    assert b"x-response-seal" not in caller.headers
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     "trailer",
