Answers: a success that states "not run" proves neither

A request that may run once was sent again, up to five times, where an upstream answered 200, 204 or 304, signed, with `X-Not-Run`: the answer contradicts itself, and what was run once could run twice. Such an answer counts as failed, may have run.

Before: the three cases of test_success_that_states_not_run_proves_neither were sent more than once (three connections where one is due).

--- a/hollyring/delivery/answers.py
+++ b/hollyring/delivery/answers.py
@@ -12,6 +12,7 @@
 import enum
 
 HTTP_OK = 200
+HTTP_CLIENT_ERROR = 400
 FINAL_STATUSES = range(200, 600)
 """Statuses that the answer to a request may have."""
 
@@ -135,6 +136,8 @@
     origin = judge_origin(head)
     if origin is not None:
         return origin
+    if head.not_run and head.status < HTTP_CLIENT_ERROR:
+        return Failed(f"status {head.status} that states that it was not run")
     if head.misdirected or head.not_run:
         return NotRun(head.misdirected)
     if head.status in PROMISES:
--- a/hollyring/delivery/tests/test_answers.py
+++ b/hollyring/delivery/tests/test_answers.py
@@ -49,6 +49,11 @@
         )
 
 
+def test_success_that_states_not_run_proves_neither():
+    rows = [row for row in VERDICTS if row[0].not_run and row[0].status in (200, 204)]
+    assert {type(verdict) for *_, verdict in rows} == {answers.Foreign, answers.Failed}
+
+
 def test_nothing_without_a_signature_reaches_a_caller():
     assert all(head.authentic for head, *_ in of_type(answers.Body, answers.Events))
 
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -254,6 +254,14 @@
     assert b"x-response-seal" not in caller.headers
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("status", [200, 204, 304])
+async def test_success_that_states_not_run_proves_neither(status):
+    answer = encode(status, SEAL_HEADER, b"x-not-run: 1", b"content-length: 0")
+    (caller,) = await send_all(ScriptedServer(answer))
+    assert caller.status == 502
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     "trailer",
