Answers: a body with an encoding is not the server's body

Callers got, as a success, bytes that the server had encoded: with a `Content-Encoding` that nobody asked for, or coded in transfer (`gzip, chunked`), where the coding was dropped with the other headers of one connection and the coded bytes were passed on. Callers of plain services got them without any header that says so, as only a few headers of a service are passed on.

Cause: whether the bytes are the body was asked nowhere. It is a fact about the head now (`Head.encoded`), judged for the relay and, by `judge_content`, for calls and completions. A refusal stays one, as its body is not used.

Before: the nine cases of test_answer_with_an_encoded_body_is_not_passed_on got 200, 404 and 500 with the coded body, and four of test_encoded_answer_does_not_reach_a_caller_without_its_encoding got 200.

--- a/hollyring/delivery/answers.py
+++ b/hollyring/delivery/answers.py
@@ -56,6 +56,8 @@
         Whether it states that another upstream, or one with other weights, was meant.
     has_events
         Whether its content type is that of a stream of events.
+    encoded
+        Whether its body is encoded, which no request asks for, so that it is not the server's.
     """
 
     status: int
@@ -65,6 +67,7 @@
     not_run: bool = False
     misdirected: bool = False
     has_events: bool = False
+    encoded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +147,9 @@
         return Failed(f"status {head.status} without a statement that it was not run")
     if not head.authentic:
         return Failed(f"status {head.status} without a signature")
+    content = judge_content(head)
+    if content is not None:
+        return content
     if streaming and head.status == HTTP_OK and head.has_events:
         return Events()
     if begun and head.status == HTTP_OK:
@@ -162,6 +168,11 @@
     return None
 
 
+def judge_content(head: Head) -> Failed | None:
+    """Return why the body that follows is not the server's own, None if it may be."""
+    return Failed("body with an encoding") if head.encoded else None
+
+
 def judge_body_end(framing: Framing) -> Whole:
     """Return what the end of a body proves, which was neither cut short nor reset."""
     return Whole(is_proved=framing is not Framing.CONNECTION)
--- a/hollyring/delivery/tests/test_answers.py
+++ b/hollyring/delivery/tests/test_answers.py
@@ -9,8 +9,7 @@
 FLAGS = (False, True)
 STATUSES = (0, 99, 200, 204, 404, 408, 421, 429, 500, 503, 599, 600, 999)
 HEADS = [
-    answers.Head(*facts)
-    for facts in itertools.product(STATUSES, answers.Naming, FLAGS, FLAGS, FLAGS, FLAGS, FLAGS)
+    answers.Head(*facts) for facts in itertools.product(STATUSES, answers.Naming, *[FLAGS] * 6)
 ]
 REQUESTS = list(itertools.product(FLAGS, FLAGS))
 VERDICTS = [
@@ -58,6 +57,10 @@
     assert all(head.authentic for head, *_ in of_type(answers.Body, answers.Events))
 
 
+def test_nothing_with_an_encoded_body_reaches_a_caller():
+    assert not any(head.encoded for head, *_ in of_type(answers.Body, answers.Events))
+
+
 def test_nothing_that_names_no_request_reaches_a_caller_unless_the_connection_was_new():
     for head, *_ in of_type(answers.Body, answers.Events):
         assert head.naming is answers.Naming.THIS or head.alone
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -512,6 +512,7 @@
         head.not_run,
         head.misdirected,
         head.has_events,
+        exchange.encoded,
     )
     return answers.judge_head(facts, context.route.streaming, context.response.started)
 
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -78,8 +78,8 @@
         return next((value for key, value in self.headers if key == name), b"")
 
 
-class UnnamedResponseError(HttpConnectionError):
-    """A response names no request, and the connection has carried another one."""
+class UnusableResponseError(HttpConnectionError):
+    """A response may be that to another request, or its body is not the server's own."""
 
 
 class Silence(enum.Enum):
@@ -112,6 +112,8 @@
         Which request the response names, once its head was received.
     framing
         How the response states where it ends, once its head was received.
+    encoded
+        Whether the body is encoded otherwise than in chunks, once its head was received.
     """
 
     __slots__ = (
@@ -127,6 +129,7 @@
         "alone",
         "naming",
         "framing",
+        "encoded",
     )
 
     def __init__(self, connection: HttpConnection, read_naming: NamingReader, alone: bool) -> None:
@@ -135,6 +138,7 @@
         self.alone = alone
         self.naming = answers.Naming.NONE
         self.framing = answers.Framing.CONNECTION
+        self.encoded = False
         self._head: ResponseHead | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._size = 0
@@ -171,12 +175,14 @@
         Raises
         ------
         HttpConnectionError
-            If the connection is lost before, or the response may be that to another request.
+            If the connection is lost before, or the response may be that to another request or has
+            an encoded body.
         """
         head = await self.head()
-        match answers.judge_origin(answers.Head(head.status, self.naming, self.alone)):
+        facts = answers.Head(head.status, self.naming, self.alone, encoded=self.encoded)
+        match answers.judge_origin(facts) or answers.judge_content(facts):
             case answers.Failed(reason=reason):
-                raise UnnamedResponseError(reason)
+                raise UnusableResponseError(reason)
         return head
 
     async def read(self) -> bytes | None:
@@ -219,6 +225,7 @@
         self._head = head
         self.naming = naming
         self.framing = framing
+        self.encoded = any(_is_encoding(name, value) for name, value in head.headers)
         self._received_at = clock.now()
         self._wake()
 
@@ -531,6 +538,13 @@
     return answers.Naming.THIS
 
 
+def _is_encoding(name: bytes, value: bytes) -> bool:
+    """Return whether a header states that the body is encoded otherwise than in chunks."""
+    if name == b"content-encoding":
+        return True
+    return name == b"transfer-encoding" and value.strip().lower() != b"chunked"
+
+
 def _keep_alive_seconds(value: bytes) -> float:
     """Return the seconds for which an idle connection is reusable, from a ``Keep-Alive`` value."""
     for field in value.split(b","):
--- a/hollyring/node/tests/test_services.py
+++ b/hollyring/node/tests/test_services.py
@@ -207,3 +207,23 @@
     assert received.startswith(b"HTTP/1.1 %d " % status)
     assert received.endswith(b"busy")
     assert request_counts(upstreams) == [1]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("path", ["/orders", "/prices"])
+@pytest.mark.parametrize("name", [b"content-encoding", b"transfer-encoding"])
+async def test_encoded_answer_does_not_reach_a_caller_without_its_encoding(start_vm, name, path):
+    async def answer_encoded(writer):
+        framing = b"transfer-encoding: chunked\r\n" if name.startswith(b"content") else b""
+        head = b"HTTP/1.1 200 OK\r\n%b%b: gzip, chunked\r\n\r\n" % (framing, name)
+        writer.write(head + b"4\r\ndone\r\n0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    vm, _ = await start_vm(answer_encoded)
+    async with await anyio.connect_tcp("127.0.0.1", vm.port) as stream:
+        await stream.send(scripted_vm.request(path, {}))
+        with anyio.fail_after(REPLY_SECONDS):
+            received = await stream.receive()
+    assert not received.startswith(b"HTTP/1.1 2")
+    assert b"done" not in received
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -262,6 +262,20 @@
     assert caller.status == 502
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "coding",
+    [b"content-encoding: gzip", b"content-encoding: identity", b"transfer-encoding: gzip, chunked"],
+)
+@pytest.mark.parametrize("status", [200, 404, 500])
+async def test_answer_with_an_encoded_body_is_not_passed_on(status, coding):
+    framing = b"x: y" if b"chunked" in coding else b"transfer-encoding: chunked"
+    body = b"4\r\ndone\r\n0\r\n\r\n"
+    answer = encode(status, SEAL_HEADER, coding, framing, body=body)
+    (caller,) = await send_all(ScriptedServer(answer))
+    assert (caller.status, caller.body) == (502, b'{"error":"upstream_failed"}')
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     "trailer",
