Connections: a head that begins within another one is no answer

Callers could get a success where the server had answered with a failure, and a request that may run once could be sent again: an upstream that writes a part of an earlier head, up to the middle of a value, and then the answer, makes one head of both, with the status of the first and the name, signature and body of the second. HTTP's grammar allows any text in a value.

A status line within a value or behind the status is now treated like other bytes that are no answer: the request failed, may have run, and the connection closes.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -11,6 +11,7 @@
 import collections
 import dataclasses
 import enum
+import re
 import select
 from collections.abc import Callable
 
@@ -41,6 +42,8 @@
 INTERIM_STATUSES = range(100, 200)
 STATUSES_WITHOUT_BODY = (204, 304)
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [0-9]{3}")
+
 NamingReader = Callable[[list[request_types.Header]], answers.Naming]
 """Returns which request the headers of a response name."""
 
@@ -275,6 +278,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: list[request_types.Header] = []
+        self._reason = b""
         self._in_head = False
         self._has_no_body = False
         self._interim = False
@@ -451,15 +455,21 @@
     def on_message_begin(self) -> None:
         """Start a response."""
         self._headers = []
+        self._reason = b""
         self._in_head = True
         self._framing = answers.Framing.CONNECTION
         if self._exchange is None or self._exchange.ended:
             self._unusable = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Record the text behind the status, or a part of it."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Record a header; trailers, which come when the head was judged, are ignored."""
         if not self._in_head:
             return
+        _check_is_one_head(value)
         name = name.lower()
         self._headers.append((name, value))
         if name == b"content-length":
@@ -476,6 +486,7 @@
         to the next request, so the connection carries no other.
         """
         self._in_head = False
+        _check_is_one_head(self._reason)
         status = self._parser.get_status_code()
         self._interim = status in INTERIM_STATUSES
         exchange = self._exchange
@@ -538,6 +549,18 @@
     return answers.Naming.THIS
 
 
+def _check_is_one_head(text: bytes) -> None:
+    """Check that no other head begins within a line, after one that was not written to its end.
+
+    Raises
+    ------
+    HttpConnectionError
+        If one does; the answer then has the status of one head and the headers of the other.
+    """
+    if STATUS_LINE.search(text):
+        raise HttpConnectionError("head within a head")
+
+
 def _is_encoding(name: bytes, value: bytes) -> bool:
     """Return whether a header states that the body is encoded otherwise than in chunks."""
     if name == b"content-encoding":
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -276,6 +276,34 @@
     assert (caller.status, caller.body) == (502, b'{"error":"upstream_failed"}')
 
 
+class SlowWriter(ScriptedServer):
+    """Server that writes its answers in two parts, of which the first has `size` bytes."""
+
+    size = 0
+
+    async def handle(self, request, writer):
+        name = request.headers["x-request-id"].encode()
+        answer = self.answers.pop(0).replace(b"NAME", name)
+        writer.write(answer[: self.size])
+        await writer.drain()
+        await asyncio.sleep(0.01 if self.size else 0.0)
+        writer.write(answer[self.size :])
+
+
+JOINED = [b"HTTP/1.1 200 OK\r\ndate: Mon", b"HTTP/1.1 503 X\r\nx-not-run: 1", b"HTTP/1.1 200 "]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("earlier", JOINED)
+@pytest.mark.parametrize("size", [0, 1])
+async def test_answer_whose_head_begins_within_another_head_is_not_taken(earlier, size):
+    answer = earlier + encode(500, SEAL_HEADER, b"content-length: 4", body=b"fail")
+    server = SlowWriter(SEALED_ANSWER, answer)
+    server.size = size and len(earlier) + 4
+    callers = await send_all(server)
+    assert [caller.status for caller in callers] == [200, 502]
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     "trailer",
