Answer the requests that were read behind one whose answer closes the connection

A caller that sends several requests at once to a VM that is leaving got an answer to the first one only, and the connection was closed: the others, read whole, got neither an answer nor a refusal.

Cause: every answer of a leaving VM states that the connection closes, and uvicorn closes it after such an answer without starting the requests that wait behind it.

An answer now leaves 'connection: close' out while requests that were read wait behind it; the last one says so. Requests that arrive after an answer has stated the close are still not served: they crossed it. Answers that end with their connection close it as before.

The test failed before (one answer of three).

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import MutableMapping
 from typing import Any
 
 import msgspec
@@ -11,6 +12,7 @@
 from hollyring.core import request_types
 from hollyring.delivery import refusal
 from hollyring.node import (
+    asgi,
     caller_connection,
     completion_format,
     lingering_transport,
@@ -28,6 +30,8 @@
 
 UPGRADE_WITH_BODY = "A request with a body cannot ask for another protocol."
 
+CLOSE_NAME, _ = asgi.CLOSE
+
 MAX_WAITING_WHILE_READING = 1
 """Requests that may wait behind one that runs before no more is read from their caller."""
 
@@ -153,13 +157,23 @@
 
         def _start_asgi_task(self, cycle: httptools_impl.RequestResponseCycle, app: Any) -> None:
             async def run(scope: Any, receive: Any, send: Any) -> None:
-                await app(
-                    scope, caller_connection.until_end(self._caller_connection, receive), send
-                )
+                until_end = caller_connection.until_end(self._caller_connection, receive)
+                await app(scope, until_end, self._open_for_waiting(send))
 
             self._running = cycle
             super()._start_asgi_task(cycle, run)
 
+        def _open_for_waiting(self, send: asgi.Send) -> asgi.Send:
+            """Return a `send` of responses that close no connection on which requests wait."""
+
+            async def send_open(message: MutableMapping[str, Any]) -> None:
+                if self.pipeline and message["type"] == "http.response.start":
+                    headers = [item for item in message["headers"] if item[0].lower() != CLOSE_NAME]
+                    message = {**message, "headers": headers}
+                await send(message)
+
+            return send_open
+
         def send_400_response(self, msg: str) -> None:
             logs.Logger("connection").info("refused", code="invalid_request", why=msg)
             if not self._close_after_answers():
--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -160,6 +160,29 @@
     assert slow_application.paths == ["/first", "/second"]
 
 
+async def answer_and_close(scope, receive, send):
+    """Answer as a VM that is leaving does."""
+    headers = [(b"content-length", b"7"), (b"Connection", b"close")]
+    await anyio.sleep(SLOW_SECONDS / 5)
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": scope["path"].encode().ljust(7)})
+
+
+@pytest.mark.anyio
+async def test_requests_read_behind_one_whose_answer_closes_the_connection_are_answered(
+    anyio_backend,
+):
+    async with (
+        serving(answer_and_close) as served_port,
+        await anyio.connect_tcp("127.0.0.1", served_port) as stream,
+    ):
+        await stream.send(FIRST + SECOND + FIRST)
+        response = await read_response(stream)
+    assert response.count(b"HTTP/1.1 200 ") == 3
+    assert response.lower().count(b"connection: close") == 1
+    assert response.endswith(b"/first ")
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("behind", [SECOND, *BEHIND.values()], ids=["request", *BEHIND])
 @pytest.mark.parametrize("wait_seconds", [0.0, 0.1])
