Let a stream that broke off wait for recent copies of the store

A resumable stream whose upstream had broken it off was cut at once if the VM's copies of the store were too old at that moment, though they were recent 0.6 s later, another upstream was ready and seconds of its time were left.

Cause: the state of something larger, the copies at one instant, ended a request that shares it. A stream that finds no room at one instant has waited since; old copies were refused as a lasting reason. Both may pass soon, and the refusal says so now. Nothing is sent on old copies, and a request of which the caller has nothing yet is refused at once as before, as it can be sent to another VM.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -68,14 +68,15 @@
     ----------
     rejection
         What the caller is told.
-    is_busy
-        Whether there are upstreams for the request, which only have no room for it now.
+    is_temporary
+        Whether the reason may pass soon: the upstreams only have no room for the request now, or
+        this VM's copies of the store are too old.
     """
 
-    def __init__(self, rejection: refusal.Refusal, is_busy: bool = False) -> None:
+    def __init__(self, rejection: refusal.Refusal, is_temporary: bool = False) -> None:
         super().__init__(rejection.code)
         self.refusal = rejection
-        self.is_busy = is_busy
+        self.is_temporary = is_temporary
 
 
 class Relay:
@@ -388,7 +389,7 @@
     async def _start_when_free(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
-        """Start the next attempt; a response that was begun waits for room until its deadline.
+        """Start the next attempt; a response that was begun waits for it until its deadline.
 
         Raises
         ------
@@ -400,7 +401,8 @@
                 await self._start_next(context, attempts)
                 return
             except _RequestRefusedError as error:
-                if not (error.is_busy and context.response.started and context.may_retry()):
+                waits = context.response.started and context.may_retry()
+                if not (error.is_temporary and waits):
                     raise
             self._metrics.increment("waits_for_upstream")
             await anyio.sleep(min(open_attempts.LOOK_AGAIN_SECONDS, context.seconds_left))
@@ -417,7 +419,7 @@
         """
         if not await self._copies.may_decide(context.retry_state.deadline):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
-            raise _RequestRefusedError(refused)
+            raise _RequestRefusedError(refused, is_temporary=True)
         if context.retry_state.sends and self._is_blamed(context):
             refused = context.retry_state.final_refusal("crashing_request", clock.now())
             raise _RequestRefusedError(refused)
--- a/hollyring/platform/tests/test_waiting_streams.py
+++ b/hollyring/platform/tests/test_waiting_streams.py
@@ -60,3 +60,37 @@
     with anyio.fail_after(0.3):
         caller = await vm.send_request(deadline_seconds=3.0)
     assert caller.status == 502
+
+
+class OldWhileBroken:
+    """Implementation of `recent_copies.CopyChecker`: old copies for some seconds from a request."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.server = None
+
+    async def wait_current(self, until):
+        requests = self.server.requests
+        return not requests or clock.now() >= requests[0].arrived_at + self.seconds
+
+
+@pytest.mark.anyio
+async def test_broken_stream_waits_for_recent_copies_of_the_store(start_vm):
+    checker = OldWhileBroken(BUSY_SECONDS)
+    route = {"retry_safety": RESUMABLE, "streaming": True}
+    vm, servers = await start_vm("interrupt", "complete", checker=checker, **route)
+    checker.server = next(server for server in servers if server.behaviour == "interrupt")
+    caller = await vm.send_request(deadline_seconds=3.0)
+    assert (caller.body, caller.ended) == (whole_stream(), True)
+    assert [len(server.requests) for server in servers] == [1, 1]
+
+
+@pytest.mark.anyio
+async def test_request_that_has_not_begun_is_refused_at_once_by_a_vm_with_old_copies(start_vm):
+    checker = OldWhileBroken(BUSY_SECONDS)
+    route = {"retry_safety": RESUMABLE, "streaming": True}
+    vm, servers = await start_vm("reset", "complete", checker=checker, **route)
+    checker.server = servers[0]
+    with anyio.fail_after(0.3):
+        caller = await vm.send_request(deadline_seconds=3.0)
+    assert caller.status == 502
