Hold SIGHUP back while a VM process starts and ends

A VM that got SIGHUP while it started was ended by it: the signal has no handler until the process has imported its modules, and the kernel then ends the process. Callers were without that VM until the platform started it again.

The signal is blocked before the imports and delivered once the handler is there, so that the change of the file is not missed either; the same at the end, when the handler is taken away. Between the start of the interpreter and the first statement the signal still ends the process.

The test failed before (the VM was never ready); it sends SIGHUP once the process has loaded msgspec. Passed after: that test and the one of reload and stop (test_process).

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -33,6 +33,7 @@
     forwarded_messages,
     heartbeat_messages,
     heartbeat_sender,
+    held_signals,
     http_server,
     interfaces,
     internal_app,
@@ -320,7 +321,8 @@
         )
 
     async def _handle_signals(self, caller_server: uvicorn.Server) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        handled = anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with handled as signals, held_signals.delivered():
             async for number in signals:
                 if number == signal.SIGHUP:
                     self._reload_settings()
--- a/hollyring/platform/__main__.py
+++ b/hollyring/platform/__main__.py
@@ -4,7 +4,16 @@
 
 import sys
 
-from hollyring.platform import start
+from hollyring.node import held_signals
+
+
+def main() -> int:
+    """Run a VM process and return its exit status."""
+    held_signals.hold()
+    from hollyring.platform import start  # takes a while, in which signals may come
+
+    return start.run()
+
 
 if __name__ == "__main__":
-    sys.exit(start.run())
+    sys.exit(main())
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -240,6 +240,24 @@
     assert (ended["outcome"], ended["status"], ended["upstream"]) == ("answered", 200, "i-1")
 
 
+async def wait_loaded(vm, library):
+    """Wait until a starting process has loaded a library that it imports early."""
+    maps = pathlib.Path(f"/proc/{vm.process.pid}/maps")
+    with anyio.fail_after(START_SECONDS):
+        while library not in maps.read_text():
+            await anyio.sleep(0.001)
+
+
+@pytest.mark.anyio
+async def test_starting_process_is_not_ended_by_a_signal_to_read_its_settings_again(cluster):
+    store, server, start = cluster
+    vm = start()
+    await wait_loaded(vm, "msgspec")
+    vm.process.send_signal(signal.SIGHUP)
+    await vm.wait_ready()
+    assert "vm: settings read" in [line.get("text") for line in vm.log_lines()]
+
+
 @pytest.mark.anyio
 async def test_request_that_lay_unread_until_its_caller_left_is_not_sent_on(cluster):
     store, server, start = cluster
