Begin no resumable stream at a software version before it is in the record

What callers saw: a software version whose upstreams registered less than 0.5 s (2 s after another change) before all VMs were lost, and which left meanwhile, was not in the store's record. Streams that began there were continued at another version after the restart, answered 200 (ORDER).

Cause: the record was written after its versions were in use: one VM compared it every 0.5 s, and wrote every 2 s at the soonest.

The record is now written ahead. A VM selects for a stream that may be resumed and has not begun only upstreams whose version it has seen in the record, while an upstream of such a version serves; however long the store takes no write, as it costs only the upstreams that registered just before. Where none serves, the request waits for 1 s at most after the VM first saw the version, and is then sent: nothing but the store outlives the VMs, and a service that serves nothing is worse. Nothing is withheld without a record, or by a VM in doubt, as the next start is then in doubt too.

Tests: simulated_store gets VMs whose writes it refuses. Not changed: any existing check.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -205,7 +205,7 @@
             self._state, adapter.store, self._store_watcher, adapter.store_codec
         )
         self._software_record = software_record.SoftwareRecord(
-            self._state, adapter.store, self._store_watcher, adapter.store_codec, vm_list_delay
+            self._state, adapter.store, adapter.store_codec, vm_list_delay
         )
         self._permits = send_permits.SendPermits(self._state, self._peers)
         self._rollout = rollout_controller.RolloutController(
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -30,7 +30,7 @@
     state,
     taken_requests,
 )
-from hollyring.routing import crashes, selection
+from hollyring.routing import crashes, selection, software_versions
 
 MAX_WAIT_TARGET_RATIO = 0.8
 """Maximum queueing time at an upstream, relative to the shortest target latency of its service.
@@ -57,6 +57,9 @@
 MAX_DECLINED = 2
 """VMs that are asked to execute a request before it is refused."""
 
+RECORD_POLL_SECONDS = 0.02
+"""Time between two looks whether the software version of the only upstreams is recorded."""
+
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
@@ -415,6 +418,7 @@
         _RequestRefusedError
             If none can be made.
         """
+        await self._await_record(context)
         if not await self._copies.may_decide(context.retry_state.deadline):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
             raise _RequestRefusedError(refused)
@@ -615,8 +619,30 @@
             _max_wait_seconds(context),
             context.retry_state.upstreams,
             context.software,
+            self._withheld_software(context),
         )
 
+    def _withheld_software(self, context: request_context.RequestContext) -> frozenset[str]:
+        """Return the software versions at which the request must not begin a stream yet."""
+        is_resumable = context.retry_state.retry_safety is request_types.RetrySafety.RESUMABLE
+        if not is_resumable or context.software is not None:
+            return frozenset()
+        return self._state.withheld_software(context.service.name, clock.now())
+
+    async def _await_record(self, context: request_context.RequestContext) -> None:
+        """Wait while the only upstreams are of software versions that are not recorded yet."""
+        give_up_at = clock.now() + software_versions.MAX_UNRECORDED_SECONDS
+        while clock.now() < give_up_at and context.retry_state.has_time(clock.now()):
+            request = self._selection_request(context)
+            if not request.withheld_software:
+                return
+            unrestricted = dataclasses.replace(request, withheld_software=frozenset())
+            selector, now = self._state.selector, clock.now()
+            if selector.is_served(request, now) or not selector.is_served(unrestricted, now):
+                return
+            self._metrics.increment("waits_for_record")
+            await anyio.sleep(RECORD_POLL_SECONDS)
+
     def _may_retry(
         self,
         context: request_context.RequestContext,
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -158,6 +158,7 @@
         self.store_failed_at = -math.inf
         self.refresh_due = False
         self.software_due_at = -math.inf
+        self._software_listener: Callable[[], None] = _ignore
         self.cached_prompts: list[heartbeat.CachedPrompt] = []
         self.unresponsive_upstreams: list[str] = []
         self.cache_reports: list[heartbeat.CacheReport] = []
@@ -370,6 +371,22 @@
             recent = self.software_versions.of_service(service)
         return self.stream_origins.continuation(request.resumed_request_id, service, recent, now)
 
+    def set_software_listener(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when upstreams appear whose software version is not in the record."""
+        self._software_listener = listener
+
+    def observe_software(self, now: float) -> None:
+        """Record the software versions of the registered upstreams."""
+        self.software_versions.observe(list(self.registry.upstreams.values()), now)
+        if not math.isinf(self.software_versions.unrecorded_since):
+            self._software_listener()
+
+    def withheld_software(self, service: str, now: float) -> frozenset[str]:
+        """Return the software versions at which no resumable stream of a service begins yet."""
+        upstreams = self.registry.of_service(service)
+        serving = {upstream.entry.software for upstream in upstreams if not upstream.leaving}
+        return self.software_versions.withheld(service, serving, now)
+
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
         unreported = self.stream_origins.take_unreported(self.software_versions.mixed_services, now)
@@ -436,7 +453,7 @@
         """Update what depends on the other VMs; remove silent VMs and missing upstreams."""
         self.update_peers(now)
         self.crashes.tick(now)
-        self.software_versions.observe(list(self.registry.upstreams.values()), now)
+        self.observe_software(now)
         self._rates.set_reachable_fraction(self.peers.reachable_fraction(now))
         self._retries.resize(self.sharing_vms)
         self.registry.forget_departures(now)
@@ -553,3 +570,7 @@
 def seconds_since(now: float, at: float) -> float:
     """Return the seconds from `at` to `now`, rounded to milliseconds; -1 if `at` is infinite."""
     return -1.0 if math.isinf(at) else round(now - at, 3)
+
+
+def _ignore() -> None:
+    pass
--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -58,6 +58,7 @@
             self._initial_load = False
         elif prefix == store_keys.upstreams:
             self._upstream_changes.apply(changed, items, from_copy, now)
+            self._state.observe_software(now)
         elif prefix == store_keys.vms:
             vms = [self._codec.decode_vm(item) for item in items.values()]
             self._state.peers.update_listed([vm for vm in vms if vm is not None], now)
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -394,7 +394,7 @@
             self.state, client, self.store_watcher, store_codec
         )
         self.software_record = software_record.SoftwareRecord(
-            self.state, client, self.store_watcher, store_codec, fleet.first_start_delay
+            self.state, client, store_codec, fleet.first_start_delay
         )
         self.permits = send_permits.SendPermits(self.state, peers)
         self.rollouts = rollout_controller.RolloutController(
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -37,6 +37,8 @@
         self.leases = {}
         self.unreachable_from = set()
         self.silent_to = set()
+        self.read_only_to = set()
+        self.refused_writes = 0
         self.delays = {}
         self.list_calls = collections.Counter()
         self.calls = 0
@@ -202,6 +204,9 @@
 
     async def commit(self, expected, puts):
         await self._check_reachable()
+        if self._vm in self._store.read_only_to:
+            self._store.refused_writes += 1
+            raise interfaces.StoreError("no writes")
         self._store.write_times.append(clock.now())
         for key, revision in expected.items():
             item = self._store.items.get(key)
--- a/hollyring/node/tests/test_software_record.py
+++ b/hollyring/node/tests/test_software_record.py
@@ -1,6 +1,7 @@
 """The record of software versions outlives the VMs, over simulated VMs and their store."""
 
 import dataclasses
+import functools
 import random
 
 import anyio
@@ -10,6 +11,7 @@
 from hollyring.delivery import stream_origins
 from hollyring.node import clock, heartbeat_sender
 from hollyring.node.tests import simulated_fleet
+from hollyring.routing import software_versions
 
 VMS = [f"vm-{n}" for n in range(1, 10)]
 SERVICE = simulated_fleet.SERVICE
@@ -18,6 +20,9 @@
 SETTLED_SECONDS = 4.0
 """Time within which a change of the versions is in the record."""
 
+MAX_OPENING_SECONDS = 1.0
+"""Time within which streams begin at a new version while the store answers."""
+
 
 async def start_all(fleet, names=()):
     for name in names or fleet.names:
@@ -67,6 +72,17 @@
     return vm.state.continuation(request, SERVICE)
 
 
+def open_versions(vm):
+    """Return the software versions at which a VM begins streams that may be continued."""
+    upstreams = vm.state.registry.of_service(SERVICE)
+    withheld = vm.state.withheld_software(SERVICE, clock.now())
+    return {upstream.entry.software for upstream in upstreams} - withheld
+
+
+def serving(fleet):
+    return [vm for vm in fleet.vms.values() if vm.state.peers.is_serving]
+
+
 def refusing(fleet):
     """Return the VMs that refuse a stream of unknown origin."""
     return {
@@ -235,6 +251,95 @@
     simulate(scenario, vms=VMS, upstreams=())
 
 
+@pytest.mark.parametrize("store_seconds", [0.0, 0.4, 2.0])
+def test_no_stream_begins_at_a_version_that_a_loss_of_all_vms_would_make_unknown(
+    simulate, store_seconds
+):
+    began = set()
+
+    async def scenario(fleet, seconds_until_lost):
+        add_upstream(fleet, "u-1", "v1")
+        await start_all(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        fleet.store.delays = dict.fromkeys(fleet.names, store_seconds)
+        add_upstream(fleet, "u-2", "v2")
+        lost_at = clock.now() + seconds_until_lost
+        has_begun = False
+        while clock.now() < lost_at:
+            await anyio.sleep(0.002)
+            has_begun |= any("v2" in open_versions(vm) for vm in fleet.vms.values())
+        began.add(has_begun)
+        await kill_all(fleet)
+        fleet.store.delays = {}
+        remove_upstream(fleet, "u-2")
+        await start_all(fleet)
+        assert not has_begun or refusing(fleet) == set(fleet.names)
+
+    for step in range(12):
+        seconds_until_lost = 0.004 * 1.7**step * (1.0 + store_seconds)
+        lost = functools.partial(scenario, seconds_until_lost=seconds_until_lost)
+        simulate(lost, vms=VMS[:4], upstreams=())
+    assert began == {False, True}
+
+
+@pytest.mark.parametrize("read_only_to", [{"vm-1"}, set(VMS)])
+def test_new_version_waits_for_the_record_where_another_one_serves(simulate, read_only_to):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        await start_all(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        calls = fleet.store.refused_writes
+        fleet.store.read_only_to = read_only_to
+        add_upstream(fleet, "u-2", "v2")
+        await anyio.sleep(SETTLED_SECONDS)
+        expected = {"v1"} if len(read_only_to) == len(VMS) else {"v1", "v2"}
+        assert all(open_versions(vm) == expected for vm in fleet.vms.values())
+        assert fleet.store.refused_writes - calls <= 2 * SETTLED_SECONDS
+        fleet.store.read_only_to = set()
+        await anyio.sleep(SETTLED_SECONDS)
+        assert all(open_versions(vm) == {"v1", "v2"} for vm in fleet.vms.values())
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+def test_only_version_is_used_soon_although_the_store_takes_no_record(simulate):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        await start_all(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        fleet.store.read_only_to = set(VMS)
+        replace_upstreams(fleet, "v2")
+        await anyio.sleep(0.2)
+        assert all(open_versions(vm) == set() for vm in fleet.vms.values())
+        await anyio.sleep(software_versions.MAX_UNRECORDED_SECONDS)
+        assert all(open_versions(vm) == {"v2"} for vm in fleet.vms.values())
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+def test_new_version_costs_a_large_fleet_one_write_and_gets_streams_within_a_second(simulate):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        await fleet.start_for_the_first_time(fleet.names, 3, 4.0)
+        for version in ("v2", "v3"):
+            before = writes(fleet)
+            add_upstream(fleet, f"u-{version}", version)
+            fleet.group.start_soon(add_more, fleet, version)
+            await fleet.wait_until(
+                lambda version=version: all(version in open_versions(vm) for vm in serving(fleet)),
+                MAX_OPENING_SECONDS,
+            )
+            await anyio.sleep(SETTLED_SECONDS)
+            assert writes(fleet) - before == 1
+
+    async def add_more(fleet, version):
+        for number in range(8):
+            await anyio.sleep(0.05)
+            add_upstream(fleet, f"u-{version}-{number}", version)
+
+    simulate(scenario, vms=[f"vm-{n:03}" for n in range(60)], upstreams=())
+
+
 def test_stream_of_a_vm_lost_within_a_heartbeat_of_its_start_is_refused_and_a_later_one_goes_on(
     simulate,
 ):
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -28,7 +28,7 @@
 )
 from hollyring.platform import documents, ingress, upstreams
 from hollyring.platform.tests import conftest
-from hollyring.routing import registry
+from hollyring.routing import registry, software_versions
 
 RETRY_RULES = service_retry_budgets.RetryRules(0.2, 500.0, 10.0)
 
@@ -462,6 +462,65 @@
     assert caller.status in (502, 503)
 
 
+def record_software(vm, *versions):
+    """Let the VM know which software versions are in the record."""
+    vm.state.observe_software(clock.now())
+    record = software_versions.Record(1, {"s": frozenset(versions)})
+    vm.state.software_versions.restore(record, True, clock.now())
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("retry_safety", "sent"),
+    [
+        (request_types.RetrySafety.RESUMABLE, [6, 0]),
+        (request_types.RetrySafety.AT_MOST_ONCE, [0, 6]),
+    ],
+)
+async def test_no_resumable_stream_begins_at_a_version_that_is_not_recorded_yet(
+    start_vm, retry_safety, sent
+):
+    vm, servers = await start_vm(
+        "complete", "complete", software=("v1", "v2"), streaming=True, retry_safety=retry_safety
+    )
+    record_software(vm, "v1")
+    vm.state.registry.get("i-0").record_failure(clock.now())
+    for number in range(6):
+        caller = await vm.send_request(f"r-{number}")
+        assert caller.status == 200
+    assert [len(server.requests) for server in servers] == sent
+    record_software(vm, "v1", "v2")
+    await vm.send_request("r-9")
+    assert len(servers[1].requests) == sent[1] + 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("recorded_after", [0.3, math.inf])
+async def test_stream_waits_for_the_record_of_the_only_version_and_not_for_long(
+    start_vm, recorded_after
+):
+    vm, servers = await start_vm(
+        "complete",
+        software=("v2",),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    record_software(vm, "v1")
+    started_at = clock.now()
+    async with anyio.create_task_group() as task_group:
+        if recorded_after < math.inf:
+            task_group.start_soon(record_later, vm, recorded_after)
+        caller = await vm.send_request()
+    assert caller.ended and caller.status == 200 and len(servers[0].requests) == 1
+    waited = min(recorded_after, software_versions.MAX_UNRECORDED_SECONDS)
+    assert waited <= clock.now() - started_at < waited + 0.5
+
+
+async def record_later(vm, seconds):
+    await anyio.sleep(seconds)
+    record_software(vm, "v1", "v2")
+
+
 async def register_later(vm, server, seconds):
     await anyio.sleep(seconds)
     vm.register(server)
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -82,6 +82,8 @@
     software
         Software version that the upstream must have, as it began the stream that it is to continue;
         None for any.
+    withheld_software
+        Software versions that the upstream must not have, as no stream may begin there yet.
     """
 
     request_id: str
@@ -94,6 +96,7 @@
     max_wait_seconds: float
     excluded: frozenset[str] = frozenset()
     software: str | None = None
+    withheld_software: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -253,6 +256,10 @@
             )
         return best.selection
 
+    def is_served(self, request: SelectionRequest, now: float) -> bool:
+        """Return whether there is an upstream that may run the request, whatever its load."""
+        return bool(self._suitable_upstreams(request, now))
+
     def _suitable_upstreams(self, request: SelectionRequest, now: float) -> list[registry.Upstream]:
         """Return the upstreams that may run the request, whatever their load."""
         return [
@@ -261,6 +268,7 @@
             if not upstream.leaving
             and upstream.name not in request.excluded
             and request.software in (None, upstream.entry.software)
+            and upstream.entry.software not in request.withheld_software
             and not self._is_expired(request, upstream, now)
         ]
 
--- a/hollyring/routing/software_versions.py
+++ b/hollyring/routing/software_versions.py
@@ -1,17 +1,24 @@
 """Software versions that the upstreams of each service have or had until recently.
 
 A VM that starts does not see what has left before. The VMs keep a record of these versions outside
-of their processes, from which it learns them.
+of their processes, from which it learns them. No stream that may be continued begins at a version
+that is not in the record yet.
 """
 
 from __future__ import annotations
 
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from hollyring.routing import registry
 
+MAX_UNRECORDED_SECONDS = 1.0
+"""Time after which a version that is not recorded is used where no other one serves.
+
+By then the store does not take the record, and a service that serves is worth more.
+"""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
@@ -51,13 +58,19 @@
     ({'v1'}, set())
     """
 
-    __slots__ = ("_ttl_seconds", "_seen_at", "_complete_at", "_recorded")
+    __slots__ = ("_ttl_seconds", "_seen_at", "_complete_at", "_recorded", "_unrecorded_since")
 
     def __init__(self, ttl_seconds: float) -> None:
         self._ttl_seconds = ttl_seconds
         self._seen_at: dict[str, dict[str, float]] = {}
         self._complete_at = -math.inf
-        self._recorded: Mapping[str, frozenset[str]] = {}
+        self._recorded: Mapping[str, frozenset[str]] | None = None
+        self._unrecorded_since: dict[tuple[str, str], float] = {}
+
+    @property
+    def unrecorded_since(self) -> float:
+        """Time since which a version has not been in the record, infinity if all are."""
+        return min(self._unrecorded_since.values(), default=math.inf)
 
     @property
     def mixed_services(self) -> set[str]:
@@ -73,6 +86,36 @@
         """Return the software versions of a service."""
         return set(self._seen_at.get(service, ()))
 
+    def withheld(self, service: str, serving: Collection[str], now: float) -> frozenset[str]:
+        """Return the versions at which no stream that may be continued can begin yet.
+
+        Where a version that is in the record serves, all others wait until they are in it as well,
+        however long; where none does, they wait for `MAX_UNRECORDED_SECONDS` at most. Nothing waits
+        while there is no record, or one of which a VM that starts would not believe that it names
+        all versions.
+
+        Parameters
+        ----------
+        service
+            Name of the service.
+        serving
+            Software versions of its upstreams that may be selected.
+        now
+            Monotonic seconds.
+        """
+        if self._recorded is None or not self.is_complete(now):
+            return frozenset()
+        recorded = self._recorded.get(service, frozenset())
+        unrecorded = frozenset(serving) - recorded
+        if not recorded.isdisjoint(serving):
+            return unrecorded
+        since = self._unrecorded_since
+        return frozenset(
+            software
+            for software in unrecorded
+            if now - since.get((service, software), now) < MAX_UNRECORDED_SECONDS
+        )
+
     def is_complete(self, now: float) -> bool:
         """Return whether no version that is not known here can have had an upstream recently."""
         return now >= self._complete_at
@@ -97,12 +140,14 @@
             Whether the record names all recent versions. If the first one does not, these versions
             are complete once any other has had no upstream for long enough.
         """
-        before, self._recorded = self._recorded, record.versions if record else {}
-        for service, recorded in self._recorded.items():
+        before = self._recorded or {}
+        self._recorded = record.versions if record is not None else None
+        for service, recorded in (self._recorded or {}).items():
             added = recorded - before.get(service, frozenset())
             self._seen_at.setdefault(service, {}).update(dict.fromkeys(added, now))
         if self.awaits_record:
             self._complete_at = now if complete else now + self._ttl_seconds
+        self._update_unrecorded(now)
 
     def observe(self, upstreams: list[registry.Upstream], now: float) -> None:
         """Record the registered upstreams; forget versions that had none for too long."""
@@ -114,3 +159,14 @@
                 software for software, at in seen_at.items() if now - at > self._ttl_seconds
             ]:
                 del seen_at[software]
+        self._update_unrecorded(now)
+
+    def _update_unrecorded(self, now: float) -> None:
+        """Note which versions are not in the record, and since when."""
+        recorded = self._recorded or {}
+        self._unrecorded_since = {
+            (service, software): self._unrecorded_since.get((service, software), now)
+            for service, seen_at in self._seen_at.items()
+            for software in seen_at
+            if software not in recorded.get(service, ())
+        }
--- a/hollyring/routing/tests/test_software_versions.py
+++ b/hollyring/routing/tests/test_software_versions.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from hollyring.routing import registry, software_versions
@@ -89,3 +91,31 @@
     versions.observe([upstream("i-1", "v1")], 0.0)
     versions.observe([], TTL_SECONDS + 0.1)
     assert versions.record(3) == software_versions.Record(3, {})
+
+
+def test_version_is_withheld_until_it_is_recorded_where_a_recorded_one_serves(starting):
+    starting.restore(chat("v1"), True, 0.0)
+    starting.observe([upstream("i-1", "v1"), upstream("i-2", "v2")], 1.0)
+    assert starting.unrecorded_since == 1.0
+    assert starting.withheld("chat", {"v1", "v2"}, 1000.0) == {"v2"}
+    starting.restore(chat("v1", "v2"), True, 1001.0)
+    assert starting.withheld("chat", {"v1", "v2"}, 1001.0) == frozenset()
+    assert starting.unrecorded_since == math.inf
+
+
+@pytest.mark.parametrize("recorded", [chat("v1"), software_versions.Record(1, {})])
+def test_version_that_serves_alone_is_withheld_for_a_bounded_time(starting, recorded):
+    starting.restore(recorded, True, 0.0)
+    starting.observe([upstream("i-2", "v2")], 1.0)
+    until = 1.0 + software_versions.MAX_UNRECORDED_SECONDS
+    assert starting.withheld("chat", {"v2"}, until - 0.01) == {"v2"}
+    assert starting.withheld("chat", {"v2"}, until) == frozenset()
+
+
+@pytest.mark.parametrize(("record", "complete"), [(None, True), (None, False), (chat("v1"), False)])
+def test_nothing_is_withheld_without_a_record_that_a_starting_vm_would_believe(
+    starting, record, complete
+):
+    starting.restore(record, complete, 0.0)
+    starting.observe([upstream("i-1", "v1"), upstream("i-2", "v2")], 1.0)
+    assert starting.withheld("chat", {"v1", "v2"}, 1.0) == frozenset()
