Known red: streams joined where all VMs were lost before the first record of versions

At the first start of a fleet the record of software versions is written about 5 s after the start, once the VMs have listed each other. If all VMs are lost before, and the only version is replaced meanwhile, the VMs take the missing record for a sign that no stream has begun, and continue streams of unknown origin at the new version (ORDER).

--- a/hollyring/node/tests/test_software_record.py
+++ b/hollyring/node/tests/test_software_record.py
@@ -9,7 +9,7 @@
 
 from hollyring.core import request_types
 from hollyring.delivery import stream_origins
-from hollyring.node import clock, heartbeat_sender
+from hollyring.node import adapter_server, clock, heartbeat_sender
 from hollyring.node.tests import simulated_fleet
 from hollyring.routing import software_versions
 
@@ -251,6 +251,22 @@
     simulate(scenario, vms=VMS, upstreams=())
 
 
+def test_stream_is_not_joined_where_all_vms_were_lost_before_the_first_record(simulate):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-1", "v1")
+        fleet.first_start_delay = adapter_server.FIRST_START_DELAY_SECONDS
+        await start_all(fleet)
+        await anyio.sleep(1.0)
+        assert all(open_versions(vm) == {"v1"} for vm in fleet.vms.values())
+        fleet.first_start_delay = 0.0
+        await kill_all(fleet)
+        replace_upstreams(fleet, "v2")
+        await start_all(fleet)
+        assert refusing(fleet) == set(VMS)
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
 @pytest.mark.parametrize("store_seconds", [0.0, 0.4, 2.0])
 def test_no_stream_begins_at_a_version_that_a_loss_of_all_vms_would_make_unknown(
     simulate, store_seconds
