Test a cut failure domain over VM processes, with streams, a change and a restart

Four VM processes, two of which form a failure domain that reaches the upstreams through loopback proxies: both are cut (hanging, or reset) in the middle of streams; a configuration with a new route comes during the cut; one of them is stopped by SIGTERM and started again. All streams end whole, and the new route is answered by both, from 1 s after the cut or the restart.

Changes to fixtures, no check touched: start_fleet of test_unreachable_upstreams takes failure domains, and registers its servers with the entry of test_resumed_streams, which names a model; VmProcess takes its failure domain.

--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -96,7 +96,15 @@
 class VmProcess:
     """A VM process and its addresses."""
 
-    def __init__(self, directory, store_address, name="vm-1", contracts=(), grace_seconds=8.0):
+    def __init__(
+        self,
+        directory,
+        store_address,
+        name="vm-1",
+        contracts=(),
+        grace_seconds=8.0,
+        domain="dar-a",
+    ):
         caller_port, health_port, entry_port, peer_port, metrics_port = free_ports(5)
         self.caller_url = f"http://127.0.0.1:{caller_port}"
         self.health_url = f"http://127.0.0.1:{health_port}/hollyring/ready"
@@ -106,7 +114,7 @@
         self.settings_path.write_text(f"""
             node_name = "{name}"
             ip = "127.0.0.1"
-            zone = "dar-a"
+            zone = "{domain}"
             region = "dar"
             internal_ports = [{peer_port}, {metrics_port}]
             contracts = {json.dumps(contracts)}
--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -5,12 +5,14 @@
 import contextlib
 import enum
 import json
+import signal
 import socket
 
 import anyio
+import httpcore
 import pytest
 
-from hollyring.platform.tests import conftest, test_process
+from hollyring.platform.tests import conftest, test_process, test_resumed_streams
 
 pytestmark = pytest.mark.xdist_group("platform-processes")
 
@@ -27,6 +29,20 @@
 """Time a server takes after the cut, so that the connections opened before it do not suffice."""
 
 
+EVENTS = 30
+EVENT_SECONDS = 0.03
+
+
+def make_config(version, *more_prefixes):
+    """Return a configuration with streams that may be resumed and plain routes."""
+    streams = test_resumed_streams.CONFIG
+    (plain,) = test_process.CONFIG["routes"]
+    routes = [streams["routes"][0] | {"prefix": "/a/"}, plain | {"name": "p", "prefix": "/p/"}]
+    for prefix in more_prefixes:
+        routes.append(plain | {"name": prefix, "prefix": prefix})
+    return streams | {"version": version, "routes": routes}
+
+
 class Cut(enum.Enum):
     """What a VM that reaches no upstream sees of its connections."""
 
@@ -143,7 +159,8 @@
 class Fleet:
     """VM processes, each of which reaches the servers through proxies of its own."""
 
-    def __init__(self, servers, vms, proxies):
+    def __init__(self, store, servers, vms, proxies):
+        self.store = store
         self.servers = servers
         self.vms = vms
         self.proxies = proxies
@@ -178,17 +195,21 @@
 
 @pytest.fixture
 async def start_fleet(tmp_path):
-    """Yield a function that starts `count` VM processes before three servers."""
+    """Yield a function that starts `count` VM processes before three servers.
+
+    `domains` names the failure domain of each, for an engine service whose streams may be resumed.
+    """
     async with contextlib.AsyncExitStack() as stack:
         started = []
 
-        async def start(count):
+        async def start(count, domains=()):
             store = await stack.enter_async_context(conftest.StoreStandIn().running())
             servers = [conftest.ServerStandIn(f"i-{n}") for n in range(SERVERS)]
-            await store.put("op/config", test_process.CONFIG)
+            await store.put("op/config", make_config(3) if domains else test_process.CONFIG)
             for server in servers:
+                server.events, server.event_seconds = EVENTS, EVENT_SECONDS
                 await stack.enter_async_context(server.running())
-                await store.put(f"servers/{server.name}", conftest.make_entry(server.address))
+                await store.put(f"servers/{server.name}", test_resumed_streams.entry(server))
             proxies = {}
             for number in range(1, count + 1):
                 own = [UpstreamProxy(server.address) for server in servers]
@@ -196,7 +217,13 @@
                     await stack.enter_async_context(proxy.running())
                 addresses = {proxy.target: proxy.address for proxy in own}
                 view = await stack.enter_async_context(StoreView(store, addresses).running())
-                vm = test_process.VmProcess(tmp_path, view.address, f"vm-{number}")
+                vm = test_process.VmProcess(
+                    tmp_path,
+                    view.address,
+                    f"vm-{number}",
+                    contracts=["engine"] if domains else (),
+                    domain=domains[number - 1] if domains else "dar-a",
+                )
                 vm.start()
                 started.append(vm)
                 proxies[vm] = own
@@ -204,7 +231,7 @@
                 await vm.wait_ready()
             for vm in started:
                 await vm.wait_listed(count)
-            return Fleet(servers, started, proxies)
+            return Fleet(store, servers, started, proxies)
 
         yield start
         for vm in started:
@@ -274,3 +301,65 @@
     already = len(fleet.forwarded())
     assert (await fleet.served(cut_vm, MEASURED_SECONDS))[0] == 1.0
     assert len(fleet.forwarded()) == already
+
+
+async def post(vm, path, request_id):
+    headers = [(b"host", b"h.example"), test_process.KEY, (b"x-request-id", request_id.encode())]
+    async with httpcore.AsyncConnectionPool() as pool:
+        return await pool.request("POST", vm.caller_url + path, headers=headers, content=b"body")
+
+
+async def receive_streams(vms, name, seconds=0.0, count=4):
+    """Begin streams at some VMs, `seconds` apart; return them when all have ended."""
+    streams = []
+    async with anyio.create_task_group() as group:
+        for number in range(count):
+            for vm in vms:
+                streams.append(test_resumed_streams.Stream(f"{name}-{vm.log_path.stem}-{number}"))
+                group.start_soon(streams[-1].receive, vm)
+            await anyio.sleep(seconds)
+    return streams
+
+
+def not_whole(streams):
+    return [
+        (stream.request_id, stream.status, stream.last_event)
+        for stream in streams
+        if (stream.status, stream.whole, stream.last_event) != (200, True, EVENTS)
+    ]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("form", [Cut.HANGING, Cut.RESET], ids=lambda form: form.name.lower())
+async def test_cut_failure_domain_serves_streams_a_change_and_a_restarted_vm_through_other_vms(
+    start_fleet, form
+):
+    fleet = await start_fleet(4, ["dar-a", "dar-a", "dar-b", "dar-b"])
+    cut_vms = kept, restarted = fleet.vms[:2]
+    ended = {}
+
+    async def receive(name, *args):
+        ended[name] = not_whole(await receive_streams(cut_vms, name, *args))
+
+    assert not_whole(await receive_streams(fleet.vms, "before", count=1)) == []
+    async with anyio.create_task_group() as group:
+        group.start_soon(receive, "begun")
+        await anyio.sleep(EVENTS * EVENT_SECONDS / 3)
+        for vm in cut_vms:
+            await fleet.cut(vm, form)
+        await anyio.sleep(CONTACT_SECONDS)
+        group.start_soon(receive, "cut", 0.1)
+        await fleet.store.put("op/config", make_config(4, "/new/"))
+        await anyio.sleep(test_process.CONFIGURATION_SECONDS)
+        for vm in cut_vms:
+            assert (await post(vm, "/new/x", f"new-{vm.log_path.stem}")).status == 200
+    restarted.process.send_signal(signal.SIGTERM)
+    ended["one"] = not_whole(await receive_streams([kept], "one"))
+    await anyio.to_thread.run_sync(restarted.process.wait)
+    restarted.start()
+    await restarted.wait_ready()
+    await receive_streams([restarted], "first", count=1)
+    await anyio.sleep(CONTACT_SECONDS)
+    await receive("back", 0.1)
+    assert ended == {name: [] for name in ("begun", "cut", "one", "back")}
+    assert fleet.forwarded()
