--- a/hollyring/platform/tests/test_silent_servers.py
+++ b/hollyring/platform/tests/test_silent_servers.py
@@ -70,6 +70,18 @@
         writer.write(b"0\r\n\r\n")
 
 
+class SlottedServer(PausingServer):
+    """Server that works on a few calls at a time."""
+
+    def __init__(self, name, pause_seconds, slots):
+        super().__init__(name, pause_seconds)
+        self.slots = asyncio.Semaphore(slots)
+
+    async def work(self, request, writer):
+        async with self.slots:
+            await super().work(request, writer)
+
+
 @pytest.fixture
 async def start_vm():
     """Yield a function that starts a VM with the given servers, of which it prefers the first."""
@@ -91,6 +103,8 @@
 RESUMABLE = {"streaming": True, "retry_safety": request_types.RetrySafety.RESUMABLE}
 IDEMPOTENT = {"retry_safety": request_types.RetrySafety.IDEMPOTENT}
 AT_MOST_ONCE = {"retry_safety": request_types.RetrySafety.AT_MOST_ONCE}
+OVERLOAD_REQUESTS = 80
+OVERLOADED_SLOTS = 5
 NO_RETRIES = service_retry_budgets.RetryRules(0.0, 0.0, 10.0)
 
 
@@ -310,6 +324,36 @@
     assert sum(server.closed_connections for server in servers) == attempts
 
 
+async def play_overload(start_vm, rules):
+    """Send more calls than silent servers have slots for; return the sends and the statuses."""
+    servers = [SlottedServer(f"i-{n}", 1.2, OVERLOADED_SLOTS) for n in range(4)]
+    vm = await start_vm(*servers, timeout=4.0, attempts=3, **IDEMPOTENT)
+    vm.state._retries = service_retry_budgets.ServiceRetryBudgets(rules)
+    statuses = []
+
+    async def send(number):
+        caller = await vm.send_request(f"r-{number}", deadline_seconds=4.0)
+        statuses.append(caller.status)
+
+    async with anyio.create_task_group() as group:
+        for number in range(OVERLOAD_REQUESTS):
+            group.start_soon(send, number)
+            await anyio.sleep(0.02)
+    return sum(len(server.requests) for server in servers), statuses
+
+
+@pytest.mark.anyio
+async def test_attempts_beside_silent_ones_cost_no_more_answers_than_the_retry_budget_allows(
+    start_vm,
+):
+    rules = service_retry_budgets.RetryRules(0.2, 10.0, 10.0)
+    sent_alone, alone = await play_overload(start_vm, NO_RETRIES)
+    sent, beside = await play_overload(start_vm, rules)
+    assert sent_alone <= OVERLOAD_REQUESTS < sent
+    assert sent <= OVERLOAD_REQUESTS * (1.0 + rules.ratio) + rules.slack
+    assert alone.count(200) - beside.count(200) <= sent - OVERLOAD_REQUESTS
+
+
 @pytest.mark.anyio
 async def test_caller_that_leaves_closes_every_server_of_its_request(start_vm):
     servers = [PausingServer(f"i-{number}", behaviour="silent") for number in range(2)]
