--- a/hollyring/platform/tests/test_waiting_streams.py
+++ b/hollyring/platform/tests/test_waiting_streams.py
@@ -60,3 +60,34 @@
     with anyio.fail_after(0.3):
         caller = await vm.send_request(deadline_seconds=3.0)
     assert caller.status == 502
+
+
+@pytest.mark.anyio
+async def test_all_streams_of_a_crashed_server_go_on_and_new_ones_begin_beside_two_versions(
+    start_vm,
+):
+    route = {"retry_safety": RESUMABLE, "streaming": True}
+    vm, servers = await start_vm(*["complete"] * 4, software=("v1", "v1", "v2", "v2"), **route)
+    for server in servers:
+        server.events, server.event_seconds = 30, 0.03
+    callers = []
+
+    async def send(number):
+        callers.append(await vm.send_request(f"r-{number}", deadline_seconds=4.0))
+
+    async with anyio.create_task_group() as group:
+        for number in range(24):
+            group.start_soon(send, number)
+        await anyio.sleep(0.4)
+        crashed = max(servers, key=lambda server: len(server.requests))
+        (twin,) = [s for s in servers if s.software == crashed.software and s is not crashed]
+        began = [request.headers["x-request-id"] for request in crashed.requests]
+        crashed.crash()
+        for number in range(24, 40):
+            group.start_soon(send, number)
+            await anyio.sleep(0.05)
+    assert len(began) >= 3
+    assert [caller.status for caller in callers] == [200] * 40
+    assert {(caller.body, caller.ended) for caller in callers} == {(whole_stream(30), True)}
+    went_on = [request for request in twin.requests if "last-event-id" in request.headers]
+    assert sorted(request.headers["x-request-id"] for request in went_on) == sorted(began)
