Drop a removed upstream at once also at VMs that follow and in fleets of few VMs

Callers saw: a request reached a server that had left, at a VM that follows and that the store refuses for as long as it does, elsewhere up to 2 s after the removal. Cause: a removal counts as doubtful while the store "does not answer half of the VMs". A VM that follows gets no heartbeats, so it counted itself only: one of one. In a fleet of two, one VM that the store refuses was half; in one of up to seven, a cut of all watches at once was an outage for the 0.1 to 0.2 s until they were repeated. Then the upstream stayed in use for 1.8 s from the moment at which the removal was known, or from the last failed call. Evidence, on the code before: test_removed_upstream_is_dropped_in_time_by_a_vm_that_follows_... failed (u-1 was in use at the refused VM), as did all four cases of test_removed_upstream_is_dropped_in_time_where_few_vms_can_tell_... Why it works: the store is away if it has not answered more than half of the VMs for 0.4 s; no entry expires sooner. A VM without heartbeats of others asks its copies instead: as of when they are complete, somebody was answered. Changed test: test_upstream_that_expired_during_a_store_outage_is_kept_for_its_ttl states an outage as it is now: calls that fail at two ticks 0.6 s apart rather than one failed call, and two of three VMs rather than one of two. What has to follow is the same; one of two is the case that broke the rule. The new form passes on the code before, too. Measured: test_store_watcher, test_store_restore, test_store_restore_random, test_late_knowledge, test_large_fleet, test_unreachable_upstreams, test_rollout_controller, membership, platform test_state: passed, once.

--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -56,6 +56,9 @@
 It counts from the disappearance or the end of the outage, whichever is later.
 """
 
+ANSWERED_BY_STORE_SECONDS = 1.5
+"""Age of a VM's copies up to which they show that the store answers some VM."""
+
 RESTORED_UPSTREAM_TTL_SECONDS = 2.2
 """The same after the store has returned from an older copy, counted from the return.
 
@@ -449,19 +452,24 @@
 
     def entries_may_have_expired(self, now: float) -> bool:
         """Return whether entries of upstreams may have expired as the store was away."""
-        failed_recently = now - self.store_failed_at < store_outages.RECENT_SECONDS
-        self._observe_store(failed_recently, now)
+        self._observe_store(now)
         return self._store_outages.is_recent(now)
 
-    def _observe_store(self, is_unanswered: bool, now: float) -> bool:
-        """Record which VMs the store does not answer; return whether it is away."""
+    def _observe_store(self, now: float) -> bool:
+        """Record which VMs the store does not answer; return whether it is away, for this VM too.
+
+        A VM without heartbeats of others knows that the store answers them by its copies, which
+        the others keep recent.
+        """
+        is_unanswered = self.store_failed_at > self.store_reached_at
         others = self.peers.alive(now)
+        if not others and self.freshness.age(now) < ANSWERED_BY_STORE_SECONDS:
+            return False
         unanswered = is_unanswered + sum(not peer.store_reached for peer in others)
-        return self._store_outages.observe(unanswered, 1 + len(others), now)
+        return self._store_outages.observe(unanswered, 1 + len(others), now) and is_unanswered
 
     def _remove_missing_upstreams(self, now: float) -> None:
-        is_unanswered = self.store_failed_at > self.store_reached_at
-        is_away = self._observe_store(is_unanswered, now) and is_unanswered
+        is_away = self._observe_store(now)
         for upstream in list(self.registry.upstreams.values()):
             if upstream.missing_since is None:
                 continue
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -112,6 +112,13 @@
             if key not in self.items or self.items[key].value != data:
                 self.put(key, data)
 
+    async def cut_watches(self, vms):
+        """Cut all watches of some VMs at once; calls are answered again right after."""
+        self.unreachable_from |= set(vms)
+        self._wake()
+        await anyio.sleep(2 * CALL_SECONDS)
+        self.unreachable_from -= set(vms)
+
     def compact(self):
         self.compacted_revision = self.revision
         self._wake()
--- a/hollyring/node/tests/test_store_watcher.py
+++ b/hollyring/node/tests/test_store_watcher.py
@@ -10,6 +10,9 @@
 DRAIN_SECONDS = 2.0
 """Time within which a leaving upstream gets no more requests, on the smallest sites."""
 
+TRANSIT_SECONDS = 0.12
+"""Time for which a request travels to an upstream."""
+
 STABLE_SECONDS = 3.0
 """Time after an outage from which on the store counts as stable."""
 
@@ -239,6 +242,47 @@
     simulate(scenario, vms=[f"vm-{n}" for n in range(1, 10)])
 
 
+def test_removed_upstream_is_dropped_in_time_by_a_vm_that_follows_and_that_the_store_refuses(
+    simulate,
+):
+    async def scenario(fleet):
+        await fleet.start_for_the_first_time(fleet.names, 3, DRAIN_SECONDS)
+        following = [vm for vm in fleet.vms.values() if not vm.state.peers.is_serving]
+        fleet.store.unreachable_from = {vm.name for vm in following[:2]}
+        await anyio.sleep(STABLE_SECONDS)
+        fleet.store.remove("servers/u-1")
+        await anyio.sleep(DRAIN_SECONDS - TRANSIT_SECONDS)
+        states = [vm.state for vm in fleet.vms.values()]
+        assert [s.vm_info.name for s in states if s.registry.get("u-1")] == []
+
+    simulate(scenario, vms=[f"vm-{n:02}" for n in range(30)])
+
+
+@pytest.mark.parametrize(
+    ("vms", "fault"), [(2, "refused"), (2, "watches"), (3, "watches"), (1, "watches")]
+)
+def test_removed_upstream_is_dropped_in_time_where_few_vms_can_tell_of_an_outage(
+    simulate, vms, fault
+):
+    """The store refuses one VM all the time, or cuts all watches at once a moment before."""
+
+    async def scenario(fleet):
+        start_all(fleet)
+        await fleet.wait_until(all_ready(fleet), 1.0)
+        await anyio.sleep(STABLE_SECONDS)
+        if fault == "refused":
+            fleet.store.unreachable_from = set(fleet.names[:1])
+            await anyio.sleep(STABLE_SECONDS)
+        else:
+            await fleet.store.cut_watches(fleet.names)
+        fleet.store.remove("servers/u-1")
+        await anyio.sleep(DRAIN_SECONDS - TRANSIT_SECONDS)
+        states = [vm.state for vm in fleet.vms.values()]
+        assert [s.vm_info.name for s in states if s.registry.get("u-1")] == []
+
+    simulate(scenario, vms=[f"vm-{n}" for n in range(vms)])
+
+
 def test_upstreams_whose_entries_expire_while_the_store_is_away_stay_in_use(simulate):
     async def scenario(fleet):
         start_all(fleet)
--- a/hollyring/platform/tests/test_state.py
+++ b/hollyring/platform/tests/test_state.py
@@ -133,13 +133,16 @@
     assert vm.state.registry.get("i-1") is None
 
 
-@pytest.mark.parametrize("source", ["own call", "other VM"])
+@pytest.mark.parametrize("source", ["own call", "other VMs"])
 def test_upstream_that_expired_during_a_store_outage_is_kept_for_its_ttl(vm, source):
     now = clock.now()
-    if source == "own call":
-        vm.state.store_failed_at = now - 1.0
-    else:
-        vm.state.receive(make_heartbeat(store_reached=False), now)
+    for at in (now - 1.0, now - 0.4):
+        if source == "own call":
+            vm.state.store_failed_at = at
+        else:
+            for name in ("vm-2", "vm-3"):
+                vm.state.receive(make_heartbeat(name, store_reached=False), at)
+        vm.state.tick(at)
     vm.state.store_reached_at = now
     vm.apply_change(STORE_KEYS.upstreams, "servers/i-1", None, now)
     vm.state.tick(now + 1.0)
