Wait for the log line of a request's end where a test reads it after the answer

Two cases of test_unusable_answers failed in a run of six processes at a load of 15 to 33 on 8 cores: the caller had its 502, but no "request: ended" was in the log.

Cause: a race of the tests. A VM logs the end of a request after it has sent the answer, in another process than the test, which read the log at once.

Change: VmProcess.wait_logged waits for the line, for at most 5 s, in test_unusable_answers, test_half_closed_callers and test_interrupted_stream_closes_the_connection_and_logs_no_exception, which had the same race.

--- a/hollyring/platform/tests/test_half_closed_callers.py
+++ b/hollyring/platform/tests/test_half_closed_callers.py
@@ -60,7 +60,7 @@
         while not server.closed_connections:
             await anyio.sleep(0.01)
     assert status == 502
-    (ended,) = [line for line in vm.log_lines() if line.get("text") == "request: ended"]
+    (ended,) = await vm.wait_logged("request: ended")
     assert (ended["outcome"], ended["status"]) == ("caller left", 502)
 
 
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -22,6 +22,9 @@
 
 ROOT = pathlib.Path(__file__).parents[3]
 START_SECONDS = 10.0
+LOG_SECONDS = 5.0
+"""Time for a VM to log the end of a request after its caller has the answer."""
+
 CONFIGURATION_SECONDS = 2.0
 """Time within which a configuration is in force everywhere."""
 
@@ -161,6 +164,13 @@
     def log_lines(self):
         return [json.loads(line) for line in self.log_path.read_text().splitlines()]
 
+    async def wait_logged(self, text):
+        """Wait until a line with `text` is logged, and return all such lines."""
+        with anyio.fail_after(LOG_SECONDS):
+            while not (lines := [line for line in self.log_lines() if line.get("text") == text]):
+                await anyio.sleep(0.01)
+        return lines
+
 
 async def get_status(url):
     with contextlib.suppress(httpcore.NetworkError, httpcore.ProtocolError):
@@ -419,9 +429,9 @@
     with pytest.raises(httpcore.RemoteProtocolError):
         async with httpcore.AsyncConnectionPool() as pool:
             await pool.request("POST", vm.caller_url + "/a/b", headers=headers, content=b"x")
+    ended, *_ = await vm.wait_logged("request: ended")
     await anyio.sleep(0.2)
     assert not [line for line in vm.log_lines() if "trace" in line]
-    ended = next(line for line in vm.log_lines() if line.get("text") == "request: ended")
     assert ended["outcome"] == "upstream_failed"
 
 
--- a/hollyring/platform/tests/test_unusable_answers.py
+++ b/hollyring/platform/tests/test_unusable_answers.py
@@ -59,5 +59,5 @@
     server.status = status
     with anyio.fail_after(1.5):
         assert await anyio.to_thread.run_sync(exchange, vm, "r-1") == 502
-    ended = [line for line in vm.log_lines() if line.get("text") == "request: ended"]
+    ended = await vm.wait_logged("request: ended")
     assert [line["outcome"] for line in ended] == ["upstream_failed"]
