Spread the tests in simulated time over the processes of a parallel run

A file was played by one process, which bounds a run by its longest files: of a run of six processes beside load, test_unreachable_upstreams took 495 s, test_places 406 s and test_crash_player 372 s, of 4402 s in all.

Change: tests that use the fixtures simulate or play share nothing and do not depend on how fast they are played, so any process may take any of them.

Result: from the durations of that run, whose tests took 864 s, six processes would end after 734 s and not 811 s, eight after 550 s and not 635 s (calculated).

--- a/hollyring/conftest.py
+++ b/hollyring/conftest.py
@@ -2,11 +2,16 @@
 
 import pytest
 
+SIMULATED_TIME_FIXTURES = {"play", "simulate"}
+"""Fixtures of tests that share nothing and do not depend on how fast they are played."""
+
 
 @pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Keep the tests of a file together, but for those that name another group."""
+    """Keep the tests of a file together, but for those in simulated time or another group."""
     for item in items:
-        if item.get_closest_marker("xdist_group") is None:
+        if item.get_closest_marker("xdist_group") is not None:
+            continue
+        if SIMULATED_TIME_FIXTURES.isdisjoint(getattr(item, "fixturenames", ())):
             path = item.nodeid.partition("::")[0]
             item.add_marker(pytest.mark.xdist_group(path))
