Play the tests that start fleets of VM processes beside those that start one

Their fixtures belong to one test each, and the ports of their VMs are reserved between processes, so the two groups share nothing.

--- a/hollyring/platform/tests/test_leaving_upstreams.py
+++ b/hollyring/platform/tests/test_leaving_upstreams.py
@@ -8,7 +8,7 @@
 
 from hollyring.platform.tests import conftest, test_process
 
-pytestmark = pytest.mark.xdist_group("platform-processes")
+pytestmark = pytest.mark.xdist_group("platform-fleets")
 
 VMS_MEET_SECONDS = 1.0
 """Time in which VMs that are ready exchange their first heartbeats."""
--- a/hollyring/platform/tests/test_resumed_streams.py
+++ b/hollyring/platform/tests/test_resumed_streams.py
@@ -8,7 +8,7 @@
 
 from hollyring.platform.tests import conftest, test_process
 
-pytestmark = pytest.mark.xdist_group("platform-processes")
+pytestmark = pytest.mark.xdist_group("platform-fleets")
 
 EVENTS = 30
 EVENT_SECONDS = 0.05
--- a/hollyring/platform/tests/test_soak.py
+++ b/hollyring/platform/tests/test_soak.py
@@ -14,7 +14,7 @@
 
 from hollyring.platform.tests import soak, soak_configurations
 
-pytestmark = pytest.mark.xdist_group("platform-processes")
+pytestmark = pytest.mark.xdist_group("platform-fleets")
 
 SEEDS = range(int(os.environ.get("SOAK_FIRST_SEED", "0")), int(os.environ.get("SOAK_SEEDS", "1")))
 SECONDS = float(os.environ.get("SOAK_SECONDS", "12"))
--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -14,7 +14,7 @@
 
 from hollyring.platform.tests import conftest, test_process, test_resumed_streams
 
-pytestmark = pytest.mark.xdist_group("platform-processes")
+pytestmark = pytest.mark.xdist_group("platform-fleets")
 
 CONTACT_SECONDS = 1.0
 """Time after the cut from which callers of the cut VM are served like the others."""
--- a/hollyring/platform/tests/test_unusable_entries.py
+++ b/hollyring/platform/tests/test_unusable_entries.py
@@ -7,7 +7,7 @@
 
 from hollyring.platform.tests import test_process
 
-pytestmark = pytest.mark.xdist_group("platform-processes")
+pytestmark = pytest.mark.xdist_group("platform-fleets")
 
 ADDRESSES = [
     "127.0.0.1:99999",
