Hold the request that runs while the tests send bytes behind it

Cause: the test. The first request ended by itself after 0.5 s. On a late event loop the bytes that were to come behind it while it ran came when it was nearly over, so that their head became too slow after its answer, where a refusal is due.

Change: the application answers once the test releases it: after the bytes behind it were sent, and after twice the time that a head may take. In the test of a caller's close it never answers, so that its answer cannot come before the close. Checks are as before.

--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -99,9 +99,10 @@
 
 
 class SlowApplication:
-    """Responds after a time, in two parts, and records its requests and their disconnects."""
+    """Responds in two parts, the second when released; records its requests and disconnects."""
 
     def __init__(self):
+        self.released = anyio.Event()
         self.paths = []
         self.disconnected = []
 
@@ -111,7 +112,7 @@
             group.start_soon(self.watch, scope["path"], receive, group.cancel_scope)
             await send({"type": "http.response.start", "status": 200, "headers": []})
             await send({"type": "http.response.body", "body": b"begun ", "more_body": True})
-            await anyio.sleep(SLOW_SECONDS)
+            await self.released.wait()
             await send({"type": "http.response.body", "body": scope["path"].encode()})
             group.cancel_scope.cancel()
 
@@ -142,6 +143,8 @@
         for _ in range(2 * (behind == "large head")):
             await anyio.sleep(0.05)
             await stream.send(b"y" * 1_000)
+        await anyio.sleep(2 * LIMITS.header_seconds)
+        slow_application.released.set()
         response = await read_response(stream)
     assert response.startswith(b"HTTP/1.1 200 ")
     assert response.count(b"HTTP/1.1") == 1
@@ -154,6 +157,8 @@
     slow_application, served_port = slow
     async with await anyio.connect_tcp("127.0.0.1", served_port) as stream:
         await stream.send(FIRST + SECOND + b"what\r\n\r\n" + FIRST)
+        await anyio.sleep(SLOW_SECONDS)
+        slow_application.released.set()
         response = await read_response(stream)
     assert response.count(b"HTTP/1.1 200 ") == response.count(b"HTTP/1.1") == 2
     assert response.endswith(b"7\r\n/second\r\n0\r\n\r\n")
