Calls: a report that another answer follows is not the answer to the next call

An upstream that writes a report once more, ahead of the next one, was taken to have the state of the earlier report at the time of the later call; polls of events likewise.

Cause: answers to calls name none, so the next one on the connection counted. Where another answer has begun behind it, and the connection has carried a call before, the first is likely the earlier one: the call fails now, as it does when nothing comes, and the next one has a new connection.

Before: test_late_second_report_is_not_the_next_report got the earlier report.

--- a/hollyring/delivery/answers.py
+++ b/hollyring/delivery/answers.py
@@ -173,6 +173,22 @@
     return Failed("body with an encoding") if head.encoded else None
 
 
+def judge_call_end(alone: bool, followed: bool) -> EndVerdict:
+    """Return what the end of an answer to a call proves, whose answers name none.
+
+    Parameters
+    ----------
+    alone
+        Whether the connection carried nothing before this call.
+    followed
+        Whether another answer has begun behind it, so that it may be one to an earlier call, that
+        was written once more.
+    """
+    if followed and not alone:
+        return Failed("another answer follows on a connection that carried another call")
+    return Whole(is_proved=True)
+
+
 def judge_body_end(framing: Framing) -> Whole:
     """Return what the end of a body proves, which was neither cut short nor reset."""
     return Whole(is_proved=framing is not Framing.CONNECTION)
--- a/hollyring/delivery/tests/test_answers.py
+++ b/hollyring/delivery/tests/test_answers.py
@@ -130,3 +130,11 @@
 def test_response_that_states_its_end_is_ended_only_by_an_answer_that_does(framing, begun):
     verdict = answers.judge_stream_end(framing, 1, False, begun, True)
     assert isinstance(verdict, answers.Whole) == (framing is not answers.Framing.CONNECTION)
+
+
+@pytest.mark.parametrize(("alone", "followed"), itertools.product(FLAGS, FLAGS))
+def test_answer_to_a_call_that_another_answer_follows_proves_nothing_on_a_used_connection(
+    alone, followed
+):
+    verdict = answers.judge_call_end(alone, followed)
+    assert isinstance(verdict, answers.Failed) == (followed and not alone)
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -6,6 +6,7 @@
 import collections
 import typing
 
+from hollyring.delivery import answers
 from hollyring.node import clock, http_connection
 
 IdleConnections = dict[str, list[http_connection.HttpConnection]]
@@ -290,7 +291,7 @@
     Raises
     ------
     http_connection.HttpConnectionError
-        If no complete response was received within `seconds`.
+        If no complete response was received within `seconds`, or it may be that to another call.
     """
     try:
         async with asyncio.timeout(seconds):
@@ -298,9 +299,13 @@
                 request, http_connection.accept_any, silence=http_connection.Silence.END
             )
             head = await exchange.head()
-            return http_connection.Response(head.status, head.headers, await exchange.body())
+            response = http_connection.Response(head.status, head.headers, await exchange.body())
     except TimeoutError as error:
         raise http_connection.HttpConnectionError("no answer in time") from error
+    match answers.judge_call_end(exchange.alone, exchange.followed):
+        case answers.Failed(reason=reason):
+            raise http_connection.UnusableResponseError(reason)
+    return response
 
 
 def _put(
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -117,6 +117,8 @@
         How the response states where it ends, once its head was received.
     encoded
         Whether the body is encoded otherwise than in chunks, once its head was received.
+    followed
+        Whether another answer has begun behind the response.
     """
 
     __slots__ = (
@@ -133,6 +135,7 @@
         "naming",
         "framing",
         "encoded",
+        "followed",
     )
 
     def __init__(self, connection: HttpConnection, read_naming: NamingReader, alone: bool) -> None:
@@ -142,6 +145,7 @@
         self.naming = answers.Naming.NONE
         self.framing = answers.Framing.CONNECTION
         self.encoded = False
+        self.followed = False
         self._head: ResponseHead | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._size = 0
@@ -458,8 +462,11 @@
         self._reason = b""
         self._in_head = True
         self._framing = answers.Framing.CONNECTION
-        if self._exchange is None or self._exchange.ended:
+        if self._exchange is None:
+            self._unusable = True
+        elif self._exchange.ended:
             self._unusable = True
+            self._exchange.followed = True
 
     def on_status(self, reason: bytes) -> None:
         """Record the text behind the status, or a part of it."""
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -1,6 +1,7 @@
 """Tests of the request path with the adapter's codecs, against stand-ins."""
 
 import contextlib
+import functools
 import json
 import math
 import socket
@@ -19,6 +20,7 @@
     clock,
     connection_pool,
     errors,
+    http_connection,
     metrics,
     relay,
     responses,
@@ -288,6 +290,39 @@
     assert (caller.status, caller.body) == (200, b"done by i-0")
 
 
+@pytest.mark.anyio
+async def test_late_second_report_is_not_the_next_report(start_vm):
+    vm, servers = await start_vm("complete")
+    servers[0].repeats = True
+    request = upstreams.HttpUpstreamCodec().encode_report_request(servers[0].address)
+    await vm.pool.call(servers[0].address, request, 0.5)
+    servers[0].version = 2
+    with pytest.raises(http_connection.HttpConnectionError):
+        await vm.pool.call(servers[0].address, request, 0.5)
+    report = await vm.pool.call(servers[0].address, request, 0.5)
+    assert json.loads(report.body) == servers[0].report()
+
+
+@pytest.mark.anyio
+async def test_second_report_whose_follower_is_late_counts_for_one_call_only(start_vm):
+    vm, servers = await start_vm("complete")
+    request = upstreams.HttpUpstreamCodec().encode_report_request(servers[0].address)
+    first = await vm.pool.call(servers[0].address, request, 0.5)
+    (writer,) = servers[0].readers
+    servers[0].handle, answer = functools.partial(repeat, first.body), servers[0].handle
+    servers[0].version = 2
+    assert (await vm.pool.call(servers[0].address, request, 0.5)).body == first.body
+    await answer(servers[0].requests[-1], writer)
+    servers[0].handle = answer
+    await anyio.sleep(0.05)
+    report = await vm.pool.call(servers[0].address, request, 0.5)
+    assert json.loads(report.body) == servers[0].report()
+
+
+async def repeat(body, request, writer):
+    writer.write(conftest.encode_response(200, body))
+
+
 @pytest.mark.anyio
 async def test_late_second_report_is_not_the_answer_to_an_order(start_vm, monkeypatch):
     vm, servers = await start_vm("complete")
