Calls: a value of the platform's service without a stated end is no value

A value whose answer has no length and was cut counted as the whole value: the beginning of a configuration, a key or a lease's record would have been read as all of it.

Cause: a call's answer that ends with its connection is whole as far as anyone can tell, and values are raw bytes, unlike reports, polls and the answers of the metadata store, which are JSON: cut at any byte, they are unreadable, which tests show now. `Response.states_end` says what the end proves.

Before: test_value_of_the_platforms_service_without_a_stated_end_is_no_value got the bytes as version 7 of the value.

--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -299,13 +299,14 @@
                 request, http_connection.accept_any, silence=http_connection.Silence.END
             )
             head = await exchange.head()
-            response = http_connection.Response(head.status, head.headers, await exchange.body())
+            body = await exchange.body()
     except TimeoutError as error:
         raise http_connection.HttpConnectionError("no answer in time") from error
     match answers.judge_call_end(exchange.alone, exchange.followed):
         case answers.Failed(reason=reason):
             raise http_connection.UnusableResponseError(reason)
-    return response
+    states_end = answers.judge_body_end(exchange.framing).is_proved
+    return http_connection.Response(head.status, head.headers, body, states_end)
 
 
 def _put(
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -70,11 +70,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """Complete response; header names in lower case."""
+    """Complete response; header names in lower case.
+
+    Without a stated end, `body` may be the beginning of one only.
+    """
 
     status: int
     headers: list[request_types.Header]
     body: bytes
+    states_end: bool = True
 
     def header(self, name: bytes) -> bytes:
         """Return the value of the first header `name`, or an empty value."""
--- a/hollyring/node/platform_client.py
+++ b/hollyring/node/platform_client.py
@@ -173,4 +173,6 @@
 
 def _decode_value(response: http_connection.Response) -> VersionedValue:
     version = _decode_version(response)
+    if response.status == HTTP_OK and not response.states_end:
+        raise errors.PlatformError("value without a stated end, which may be cut")
     return VersionedValue(response.body if response.status == HTTP_OK else b"", version)
--- a/hollyring/platform/tests/test_cut_answers.py
+++ b/hollyring/platform/tests/test_cut_answers.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from hollyring.node import clock
+from hollyring.node import (
+    clock,
+    connection_pool,
+    errors,
+    http_request,
+    interfaces,
+    platform_client,
+)
+from hollyring.platform import store, upstreams
 from hollyring.platform.tests import (
     conftest,
     test_forwarded_requests,
@@ -187,3 +195,76 @@
         for number in range(2):
             caller = await vm.send_request(f"r-{number}", deadline_seconds=0.5)
             assert (caller.status, caller.body, caller.ended) == (status, b"", True)
+
+
+class CuttingCallServer(conftest.HttpStandIn):
+    """Server that writes the first `size` bytes of a body without a length and closes."""
+
+    def __init__(self, body):
+        super().__init__()
+        self.body = body
+        self.size = len(body)
+
+    async def handle(self, request, writer):
+        head = b"HTTP/1.1 200 OK\r\nx-version: 7\r\n\r\n"
+        writer.write(head + self.body[: self.size])
+        await writer.drain()
+        writer.close()
+
+
+def decode_report(body):
+    return upstreams.HttpUpstreamCodec().decode_report("i-1", 1, body, 0.0)
+
+
+def decode_events(body):
+    return upstreams.HttpUpstreamCodec().decode_events(body)
+
+
+CALLS = {
+    "report": (
+        decode_report,
+        b'{"stage":"both","models":[{"name":"m","version":2}],"busy":false,"sequence":12}',
+    ),
+    "events": (
+        decode_events,
+        b'{"boot_epoch":7,"next":120,"lost":false,"events":[[119,"+","s","p",800,"m"]]}',
+    ),
+}
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("call", CALLS)
+async def test_answer_to_a_call_that_is_cut_without_a_length_is_unreadable(call):
+    decode, body = CALLS[call]
+    server = CuttingCallServer(body)
+    async with server.running():
+        pool = connection_pool.ConnectionPool()
+        for size in range(len(body) + 1):
+            server.size = size
+            request = http_request.encode(b"GET", b"/x", server.address.encode())
+            response = await pool.call(server.address, request, 1.0)
+            assert (decode(response.body) is not None) == (size == len(body)), response.body
+
+
+@pytest.mark.anyio
+async def test_answer_of_the_store_that_is_cut_without_a_length_is_unreadable():
+    server = CuttingCallServer(
+        b'{"key":"k","value":"aGFs","revision":12,"created_rev":3,"lease":0}'
+    )
+    async with server.running():
+        client = store.MetadataStore(server.address)
+        assert (await client.get("k")).value == b"hal"
+        for size in range(len(server.body)):
+            server.size = size
+            with pytest.raises(interfaces.StoreError):
+                await client.get("k")
+
+
+@pytest.mark.anyio
+async def test_value_of_the_platforms_service_without_a_stated_end_is_no_value():
+    server = CuttingCallServer(b"half of a value")
+    async with server.running():
+        client = platform_client.PlatformClient(f"http://{server.address}")
+        with pytest.raises(errors.PlatformError):
+            await client.get("k")
+        await client.close()
