--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -70,11 +70,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
-    """Complete response; header names in lower case."""
+    """Complete response; header names in lower case.
+
+    Without a stated end, `body` may be the beginning of one only.
+    """
 
     status: int
     headers: list[request_types.Header]
     body: bytes
+    states_end: bool = True
 
     def header(self, name: bytes) -> bytes:
         """Return the value of the first header `name`, or an empty value."""
@@ -117,6 +121,8 @@
         How the response states where it ends, once its head was received.
     encoded
         Whether the body is encoded otherwise than in chunks, once its head was received.
+    followed
+        Whether another answer has begun behind the response.
     """
 
     __slots__ = (
@@ -133,6 +139,7 @@
         "naming",
         "framing",
         "encoded",
+        "followed",
     )
 
     def __init__(self, connection: HttpConnection, read_naming: NamingReader, alone: bool) -> None:
@@ -142,6 +149,7 @@
         self.naming = answers.Naming.NONE
         self.framing = answers.Framing.CONNECTION
         self.encoded = False
+        self.followed = False
         self._head: ResponseHead | None = None
         self._chunks: collections.deque[bytes] = collections.deque()
         self._size = 0
@@ -458,8 +466,11 @@
         self._reason = b""
         self._in_head = True
         self._framing = answers.Framing.CONNECTION
-        if self._exchange is None or self._exchange.ended:
+        if self._exchange is None:
+            self._unusable = True
+        elif self._exchange.ended:
             self._unusable = True
+            self._exchange.followed = True
 
     def on_status(self, reason: bytes) -> None:
         """Record the text behind the status, or a part of it."""
