Let an unexpected error of a background task end no request

An error that a background task of a VM process does not expect ended the process at once, with every open request of its callers: plain ones got 502 though their upstream answered 1.5 s later, streams that have begun are cut. Found by feeding a store's stand-in with answers and documents that a VM does not expect: 16 bodies of answers, 19 entries of upstreams, four documents of the operator. One kind of value got through, an integer of more than 64 bits as a revision or as wanted weights, which no heartbeat can carry; both VMs that played were down within 1.5 s, as all VMs read the same document.

Cause: the tasks of a process share a task group, so that an error in one (what is sent to other VMs) ends all (what callers get).

Each task is now run again a second after an unexpected error, which is logged with its traceback and counted as an internal error; an error in one message between VMs ends its connection only. While a heartbeat cannot be sent, the other VMs take this one for away, as before, but its requests go on.

The test failed before ([502, 502] for two VMs, both ended); now both answer 200, go on and stop with status 0.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -51,6 +51,7 @@
     status_client,
     store_checker,
     store_watcher,
+    supervision,
     unstated_end,
     upstream_prober,
     wire,
@@ -165,6 +166,7 @@
         window_seconds = vm_settings.rate_window_seconds
         unknown_until = -math.inf if vm_settings.first_start else clock.now() + window_seconds
         self._metrics = metrics.Metrics()
+        self._supervisor = supervision.Supervisor(self._metrics)
         self._state = state.State(
             vm_info,
             adapter.store_codec,
@@ -270,21 +272,24 @@
         self._log.info("started", life=self._state.vm_info.life)
         async with anyio.create_task_group() as task_group:
             await task_group.start(self._peers.run, host, port)
-            task_group.start_soon(self._store_watcher.run)
-            task_group.start_soon(self._store_checker.run)
-            task_group.start_soon(self._registration.run)
+            for task in (
+                self._store_watcher.run,
+                self._store_checker.run,
+                self._registration.run,
+                self._connections.sweep,
+                self._forward_links.sweep,
+                self._crash_watcher.run,
+                self._upstream_prober.run,
+            ):
+                task_group.start_soon(self._supervisor.keep_running, task)
             task_group.start_soon(self._exchange)
-            task_group.start_soon(self._connections.sweep)
-            task_group.start_soon(self._forward_links.sweep)
-            task_group.start_soon(self._crash_watcher.run)
-            task_group.start_soon(self._upstream_prober.run)
             task_group.start_soon(internal_server.serve, internal_sockets)
             task_group.start_soon(self._handle_signals, caller_server)
             task_group.start_soon(self._end_requests)
             await caller_server.serve(caller_sockets)
             if self._state.leaving:
                 await self._forward_server.drain(self._state.shutdown_at)
-            await self._registration.release()
+            await self._supervisor.run_once(self._registration.release)
             self._log.info("stopped")
             internal_server.should_exit = True
             task_group.cancel_scope.cancel()
@@ -293,11 +298,14 @@
         """Run the tasks that depend on which VMs serve, until cancelled."""
         await anyio.sleep(self._exchange_delay)
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self._heartbeats.run)
-            task_group.start_soon(self._status_client.run)
-            task_group.start_soon(self._rollout.run)
-            task_group.start_soon(self._cache_watcher.run)
-            task_group.start_soon(self._software_record.run)
+            for task in (
+                self._heartbeats.run,
+                self._status_client.run,
+                self._rollout.run,
+                self._cache_watcher.run,
+                self._software_record.run,
+            ):
+                task_group.start_soon(self._supervisor.keep_running, task)
 
     def _internal_app(self) -> internal_app.InternalApp:
         return internal_app.InternalApp(
@@ -357,7 +365,7 @@
         self._heartbeats.send_now()
         deadline = clock.now() + DRAIN_SECONDS
         with anyio.move_on_after(DRAIN_SECONDS):
-            await self._rollout.stop()
+            await self._supervisor.run_once(self._rollout.stop)
         await anyio.sleep(max(0.0, deadline - clock.now()))
         self._log.info("no longer accepting requests", open_requests=self._state.requests.open)
         caller_server.should_exit = True
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -311,6 +311,8 @@
                 self._failed_addresses.add(address)
                 reason = str(error) or type(error).__name__
                 self._log.info("connection to a VM lost", address=address, why=reason)
+        except Exception:
+            self._log.exception("connection to a VM failed", address=address)
         finally:
             if self._queues.get(address) is queue:
                 del self._queues[address]
@@ -386,6 +388,8 @@
                 self._log.info("connection from a VM refused", why=str(error))
             except CONNECTION_ERRORS:
                 return
+            except Exception:  # of one message; the process has requests of callers
+                self._log.exception("connection from a VM failed")
 
     async def _accept_handshake(self, stream: anyio.abc.SocketStream) -> Session:
         buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
@@ -444,7 +448,10 @@
         await self._receive(sender, message)
 
     async def _reply(self, sender: identities.Incarnation, message: object, sequence: int) -> None:
-        reply = await self._receive(sender, message)
-        address = self.address_of(sender.name)
-        if reply is not None and address is not None:
-            self._enqueue(address, self._codec.encode(reply, sequence, TMessageType.REPLY))
+        try:
+            reply = await self._receive(sender, message)
+            address = self.address_of(sender.name)
+            if reply is not None and address is not None:
+                self._enqueue(address, self._codec.encode(reply, sequence, TMessageType.REPLY))
+        except Exception:
+            self._log.exception("no reply to a VM", sender=sender.name)
