Decide nothing by a document whose successor was not applied

The store's changes are applied in a background task, which an unexpected error no longer ends. The mirror has the change by then, so it would never be applied, and requests would be decided by the document before it (CONFIG, DRAIN). After such an error a VM now has no configuration in force until the next one is applied: new requests get 503 configuration_stale and health checks fail, as at its start, while requests that were admitted go on. An upstream whose entry could not be applied is removed, as it may be leaving. No document that does this is known.

--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -54,7 +54,7 @@
         self._eras[prefix] = era
         if prefix == store_keys.operator:
             for key in changed & items.keys():
-                self._apply_operator_item(items[key], now)
+                self._apply_operator_item_or_stop(items[key], now)
             self._initial_load = False
         elif prefix == store_keys.upstreams:
             self._upstream_changes.apply(changed, items, from_copy, now)
@@ -89,6 +89,14 @@
             complete=self._state.software_versions.is_complete(now),
         )
 
+    def _apply_operator_item_or_stop(self, item: mirror.Item, now: float) -> None:
+        """Apply a document; after an unexpected error, decide nothing by the ones before it."""
+        try:
+            self._apply_operator_item(item, now)
+        except Exception:
+            self._log.exception("document not applied", key=item.key)
+            self._state.deployment = None
+
     def _apply_operator_item(self, item: mirror.Item, now: float) -> None:
         wanted = self._codec.decode_wanted_version(item)
         if wanted is not None:
--- a/hollyring/node/upstream_changes.py
+++ b/hollyring/node/upstream_changes.py
@@ -64,11 +64,17 @@
             Whether these are the first entries of a new era.
         """
         for key in changed:
-            item = items.get(key)
-            if item is None:
-                self._apply_removal(self._name(key), from_copy, now)
-            else:
-                self._apply_item(item, from_copy, now)
+            try:
+                self._apply_key(key, items.get(key), from_copy, now)
+            except Exception:  # the upstream may leave or be another one
+                self._log.exception("upstream entry not applied", key=key)
+                self._state.remove_upstream(self._name(key))
+
+    def _apply_key(self, key: str, item: mirror.Item | None, from_copy: bool, now: float) -> None:
+        if item is None:
+            self._apply_removal(self._name(key), from_copy, now)
+        else:
+            self._apply_item(item, from_copy, now)
 
     def tick(self, items: Mapping[str, mirror.Item], now: float) -> None:
         """Use the returned upstreams whose hold has ended and that are still listed."""
--- a/hollyring/platform/tests/test_background_errors.py
+++ b/hollyring/platform/tests/test_background_errors.py
@@ -6,7 +6,8 @@
 import pytest
 
 from hollyring.node import metrics, supervision
-from hollyring.platform.tests import test_end_of_grace_period, test_process
+from hollyring.platform.tests import test_end_of_grace_period, test_process, test_state
+from hollyring.routing import registry
 
 pytestmark = pytest.mark.xdist_group("platform-processes")
 
@@ -65,3 +66,38 @@
     await supervision.Supervisor(counters).keep_running(fail_twice)
     assert len(runs) == 3
     assert "hollyring_internal_errors_total 2" in counters.render()
+
+
+def fail(*_args, **_kwargs):
+    raise ValueError
+
+
+@pytest.fixture
+def vm():
+    started = test_state.StateVm()
+    started.apply_change(test_state.STORE_KEYS.operator, "op/config", test_state.CONFIG, now=1.0)
+    for name in ("i-1", "i-2"):
+        key = test_state.STORE_KEYS.upstreams + name
+        started.apply_change(test_state.STORE_KEYS.upstreams, key, test_state.ENTRY, now=1.0)
+    return started
+
+
+def test_nothing_is_decided_by_a_configuration_whose_successor_was_not_applied(vm, monkeypatch):
+    changed = test_state.CONFIG | {"version": 4}
+    with monkeypatch.context() as patch:
+        patch.setattr(vm.state, "configure", fail)
+        vm.apply_change(test_state.STORE_KEYS.operator, "op/config", changed, now=2.0)
+    assert not vm.state.ready
+    assert vm.state.deployment is None
+    vm.apply_change(test_state.STORE_KEYS.operator, "op/config", changed | {"version": 5}, now=3.0)
+    assert vm.state.configuration_version == 5
+
+
+def test_upstream_whose_changed_entry_was_not_applied_gets_no_requests(vm, monkeypatch):
+    key = test_state.STORE_KEYS.upstreams + "i-1"
+    with monkeypatch.context() as patch:
+        patch.setattr(registry.Registry, "put", fail)
+        vm.apply_change(
+            test_state.STORE_KEYS.upstreams, key, test_state.ENTRY | {"state": "draining"}, now=2.0
+        )
+    assert list(vm.state.registry.upstreams) == ["i-2"]
