Take a missing record of software versions for doubt unless the fleet starts for the first time

Cause: no record in the store's first era was taken to show that no stream had begun. It shows that only where the settings say that the whole fleet starts for the first time.

A VM that finds no record at another start refuses unknown origins for 30 s, or until a VM that is not in doubt has written one: what such a record names is complete, so this also ends the other doubts sooner.

Fixtures, no check touched: simulated fleets start for the first time until a VM was killed; start_fleet of test_resumed_streams puts a record, as its settings say that its fleet has run before.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -205,6 +205,7 @@
         self._registration = registration.Registration(
             self._state, adapter.store, self._store_watcher, adapter.store_codec
         )
+        self._state.first_start = vm_settings.first_start
         self._software_record = software_record.SoftwareRecord(
             self._state, adapter.store, adapter.store_codec, vm_list_delay
         )
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -160,6 +160,7 @@
         self.store_reached_at = -math.inf
         self.store_failed_at = -math.inf
         self.refresh_due = False
+        self.first_start = False
         self.software_due_at = -math.inf
         self._software_listener: Callable[[], None] = _ignore
         self.cached_prompts: list[heartbeat.CachedPrompt] = []
--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -75,13 +75,15 @@
         """Apply the record of software versions, `item`, or its absence in an era of the store.
 
         A record of an earlier era may lack some that were written before the store returned from
-        its copy. No record in the first era means that no VM has run that writes one.
+        its copy. That there is none shows only at the first start of the whole fleet that no stream
+        has begun; else all VMs may have been lost before they wrote it.
         """
         record = self._codec.decode_software(item) if item is not None else None
         if record is not None:
             complete = record.era >= era
         else:
-            complete = item is None and era <= store_era.FIRST_ERA
+            is_first = self._state.first_start and era <= store_era.FIRST_ERA
+            complete = item is None and is_first
         self._state.software_versions.restore(record, complete, now)
         self._log.info(
             "software versions read",
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -393,6 +393,7 @@
         self.registration = registration.Registration(
             self.state, client, self.store_watcher, store_codec
         )
+        self.state.first_start = fleet.first_start
         self.software_record = software_record.SoftwareRecord(
             self.state, client, store_codec, fleet.first_start_delay
         )
@@ -451,6 +452,7 @@
         self.cut = {}
         self.freshness_rules = freshness.FreshnessRules()
         self.first_start_delay = 0.0
+        self.first_start = True
         self.heartbeats = 0
         self.peer_calls = 0
         self.upstreams = {}
@@ -503,6 +505,7 @@
     def kill(self, name):
         """Stop a VM abruptly, as by a crash."""
         self.vms.pop(name).scope.cancel()
+        self.first_start = False
 
     async def stop(self, name):
         """Shut a VM down gracefully."""
--- a/hollyring/platform/tests/test_resumed_streams.py
+++ b/hollyring/platform/tests/test_resumed_streams.py
@@ -6,7 +6,9 @@
 import httpcore
 import pytest
 
+from hollyring.platform import documents
 from hollyring.platform.tests import conftest, test_process
+from hollyring.routing import software_versions
 
 pytestmark = pytest.mark.xdist_group("platform-processes")
 
@@ -86,7 +88,10 @@
 
 @pytest.fixture
 async def start_fleet(tmp_path, store):
-    """Yield a function that starts upstreams of the given software versions, and two VMs."""
+    """Yield a function that starts upstreams of the given software versions, and two VMs.
+
+    The VMs are those of a fleet that has run before, with these versions.
+    """
     async with contextlib.AsyncExitStack() as stack:
         vms = [
             test_process.VmProcess(tmp_path, store.address, name, contracts=["engine"])
@@ -94,6 +99,9 @@
         ]
 
         async def start(*versions):
+            record = software_versions.Record(1, {"s": frozenset(versions)})
+            record = documents.DocumentCodec().encode_software(record)
+            await store.put(documents.STORE_KEYS.software, record)
             servers = []
             for number, version in enumerate(versions):
                 server = conftest.ServerStandIn(f"i-{number}", events=EVENTS)
--- a/hollyring/routing/software_versions.py
+++ b/hollyring/routing/software_versions.py
@@ -138,7 +138,7 @@
             Current record, None if there is none that can be read.
         complete
             Whether the record names all recent versions. If the first one does not, these versions
-            are complete once any other has had no upstream for long enough.
+            are complete once a later one does, or any other has had no upstream for long enough.
         """
         before = self._recorded or {}
         self._recorded = record.versions if record is not None else None
@@ -147,6 +147,8 @@
             self._seen_at.setdefault(service, {}).update(dict.fromkeys(added, now))
         if self.awaits_record:
             self._complete_at = now if complete else now + self._ttl_seconds
+        elif complete and record is not None:
+            self._complete_at = min(self._complete_at, now)
         self._update_unrecorded(now)
 
     def observe(self, upstreams: list[registry.Upstream], now: float) -> None:
--- a/hollyring/routing/tests/test_software_versions.py
+++ b/hollyring/routing/tests/test_software_versions.py
@@ -119,3 +119,12 @@
     starting.restore(record, complete, 0.0)
     starting.observe([upstream("i-1", "v1"), upstream("i-2", "v2")], 1.0)
     assert starting.withheld("chat", {"v1", "v2"}, 1.0) == frozenset()
+
+
+def test_versions_in_doubt_are_complete_once_a_record_names_all(starting):
+    starting.restore(None, False, 0.0)
+    starting.restore(chat("v1"), False, 1.0)
+    assert not starting.is_complete(2.0)
+    starting.restore(chat("v1", "v2"), True, 3.0)
+    assert starting.is_complete(3.0)
+    assert starting.of_service("chat") == {"v1", "v2"}
