Name to other VMs only the upstreams that bytes of a request were sent to

What callers got: where a VM without a path to the upstreams forwarded a request to a VM that was cut off as well and did not know it yet, 503 no_upstream, or a stream that had begun was broken off, though other VMs reached all upstreams.

Cause: the VM that executes names the upstreams that it tried, so that no other VM tries them again. It also named those to which it had got no connection. The next VM excluded them all and declined with no_upstream at once, and after two VMs had declined the request was over.

Evidence: seen once, in test_cut_failure_domain_...[hanging] beside other tests at a load of 12 to 18: streams begun-vm-1-1 and 1-2 were forwarded to vm-2, which was cut off too, failed there with "no connection: TimeoutError" at i-0, i-1 and i-2, and were declined by vm-3 and vm-4 within 15 ms ("declined: no_upstream"). test_upstreams_that_a_vm_cannot_connect_to_are_tried_through_another_vm failed in all three cases (503), and passes. What a VM could not connect to says nothing of what another one reaches; its own failed connects were not passed on before either.

test_forwarded_requests and test_retry pass.

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 from collections.abc import Iterable
 
@@ -79,6 +80,7 @@
         "_in_progress",
         "_reached",
         "_upstreams",
+        "_unsent_upstreams",
         "_failure_domains",
     )
 
@@ -91,6 +93,7 @@
         self._in_progress = 0
         self._reached = False
         self._upstreams: list[str] = []
+        self._unsent_upstreams: list[str] = []
         self._failure_domains: list[str] = []
 
     @property
@@ -144,6 +147,13 @@
         """Names of the upstreams of all attempts, those of other VMs included."""
         return self._tried_elsewhere | frozenset(self._upstreams)
 
+    @property
+    def sent_upstreams(self) -> frozenset[str]:
+        """Names of the upstreams to which bytes were sent, by other VMs as well."""
+        sent = collections.Counter(self._upstreams)
+        sent.subtract(self._unsent_upstreams)
+        return self._tried_elsewhere | frozenset(name for name, sends in sent.items() if sends > 0)
+
     @property
     def failure_domains(self) -> frozenset[str]:
         """Failure domains of the upstreams of all attempts."""
@@ -190,9 +200,11 @@
             return
         self._sends += sends - 1
 
-    def record_unsent(self) -> None:
-        """Record that no byte of the last attempt was sent."""
+    def record_unsent(self, upstream: str = "") -> None:
+        """Record that no byte of an attempt was sent, at an upstream if this VM made it."""
         self._unsent += 1
+        if upstream:
+            self._unsent_upstreams.append(upstream)
 
     def withdraw(self) -> None:
         """Undo the start of the last attempt, of which nothing was sent."""
--- a/hollyring/delivery/tests/test_retry.py
+++ b/hollyring/delivery/tests/test_retry.py
@@ -147,3 +147,15 @@
     state.begin_forward()
     assert state.runs_left == 1
     assert not state.may_run_elsewhere
+
+
+def test_only_upstreams_that_bytes_were_sent_to_are_named_to_other_vms(begun_state):
+    state = begun_state(request_types.RetrySafety.IDEMPOTENT)
+    (first,) = state.upstreams
+    state.record_failure(execution.Execution.NOT_RUN)
+    state.record_unsent(first)
+    state.begin("other")
+    state.record_forward(1, ["elsewhere"])
+    assert state.sent_upstreams == {"other", "elsewhere"}
+    state.begin(first)
+    assert state.sent_upstreams == {"other", "elsewhere", first}
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -531,7 +531,7 @@
             case request_context.Failed():
                 context.last_failure = outcome
             case request_context.NotRun(written=False):
-                context.retry_state.record_unsent()
+                context.retry_state.record_unsent(finished.where)
         self._log.failed(context, finished, outcome)
 
     def _may_go_on(
--- a/hollyring/node/taken_requests.py
+++ b/hollyring/node/taken_requests.py
@@ -137,7 +137,7 @@
                 rejection.retry_after,
                 rejection.execution.value,
                 tries.arrivals if tries is not None else 0,
-                sorted(tries.upstreams) if tries is not None else [],
+                sorted(tries.sent_upstreams) if tries is not None else [],
             )
         )
 
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -711,6 +711,28 @@
     assert fleet.requests == []
 
 
+async def make_unreachable(fleet):
+    """Return servers with the fleet's names at addresses that take no connection."""
+    unreachable = [conftest.ServerStandIn(server.name) for server in fleet.servers]
+    for server in unreachable:
+        async with server.running():
+            pass
+    return unreachable
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("retry_safety", list(request_types.RetrySafety))
+async def test_upstreams_that_a_vm_cannot_connect_to_are_tried_through_another_vm(
+    start_fleet, retry_safety
+):
+    fleet = await start_fleet("complete", "complete", count=0, retry_safety=retry_safety)
+    await fleet.add(servers=await make_unreachable(fleet))
+    await fleet.add()
+    caller = await fleet.cut.send_request()
+    assert caller.status == 200
+    assert [len(vm.messages) for vm in fleet.executing] == [1, 1]
+
+
 @pytest.mark.anyio
 async def test_upstream_that_failed_is_not_tried_again_through_another_vm(start_fleet):
     fleet = await start_fleet("reset", "complete", count=2, retry_safety=IDEMPOTENT)
