Return a request taken from another VM once this one finds itself cut off

What callers got: a stream or request that was forwarded to a VM which was cut off as well and did not know it yet waited there for 2.5 to 3 s, although that VM knew 0.1 to 0.3 s later that it was cut off and others reached the upstreams.

Cause: only the admission of a taken request looks whether the VM is cut off; its attempts went on, 0.5 s for each connection that does not open, up to five times.

The refusal says "not run" only where no byte was sent. test_forwarded_requests and test_silent_servers pass.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -420,6 +420,9 @@
         _RequestRefusedError
             If none can be made.
         """
+        if context.taken_from and self._state.reachability.is_cut_off(context.service.name):
+            refused = context.retry_state.final_refusal("no_upstream", clock.now())
+            raise _RequestRefusedError(refused)
         await self._await_record(context)
         if not await self._copies.may_decide(context.retry_state.deadline):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -13,6 +13,7 @@
 from hollyring.membership import heartbeat
 from hollyring.node import (
     clock,
+    connection_pool,
     forward_client,
     forward_links,
     forward_server,
@@ -25,7 +26,7 @@
     wire,
 )
 from hollyring.platform import upstreams
-from hollyring.platform.tests import conftest, test_relay
+from hollyring.platform.tests import conftest, test_relay, test_unreachable_upstreams
 from hollyring.routing import reachability
 
 AT_MOST_ONCE = request_types.RetrySafety.AT_MOST_ONCE
@@ -733,6 +734,31 @@
     assert [len(vm.messages) for vm in fleet.executing] == [1, 1]
 
 
+@pytest.mark.anyio
+async def test_vm_that_finds_itself_cut_off_soon_returns_what_it_has_taken(start_fleet):
+    fleet = await start_fleet(*["complete"] * 3, count=0, timeout=5.0)
+    hanging = [conftest.ServerStandIn(server.name) for server in fleet.servers]
+    async with contextlib.AsyncExitStack() as stack:
+        for server in hanging:
+            proxy = test_unreachable_upstreams.UpstreamProxy("")
+            await stack.enter_async_context(proxy.running())
+            await proxy.cut(test_unreachable_upstreams.Cut.HANGING)
+            server.address = proxy.address
+        vm = await fleet.add(servers=hanging)
+        await fleet.add()
+        started_at = clock.now()
+        async with anyio.create_task_group() as group:
+            group.start_soon(find_cut_off, vm, 0.2)
+            caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert caller.status == 200
+    assert clock.now() - started_at < 2 * connection_pool.CONNECT_TIMEOUT_SECONDS
+
+
+async def find_cut_off(vm, seconds):
+    await anyio.sleep(seconds)
+    vm.state.reachability.cut = True
+
+
 @pytest.mark.anyio
 async def test_upstream_that_failed_is_not_tried_again_through_another_vm(start_fleet):
     fleet = await start_fleet("reset", "complete", count=2, retry_safety=IDEMPOTENT)
