Send the last run of a request on a new connection while open ones may hang

What callers got: a stream that may be resumed, on a route of two attempts, whose VM was cut off in its middle, stood still until its deadline and was broken off, though other VMs reached the upstreams.

Cause: its second attempt, beside the silent first one, was written to another kept connection that hung as well, between the first suspicion and its proof 0.1 to 0.25 s later. It counted as the second run, so that no forward was allowed any more. Only requests that may run once were kept off such connections.

A connect that fails has sent no byte and is no run; while nothing is suspected kept connections are used as before. test_forwarded_requests, test_silent_servers and test_relay pass.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -227,8 +227,9 @@
         self._state.crashes.record_broken(upstream, context.suspects, events)
 
     def _needs_new_connection(self, context: request_context.RequestContext) -> bool:
-        """Return whether a request that may run only once could be lost on an idle connection."""
-        if context.retry_state.retry_safety is not request_types.RetrySafety.AT_MOST_ONCE:
+        """Return whether the last run that a request has could be lost on an idle connection."""
+        at_most_once = context.retry_state.retry_safety is request_types.RetrySafety.AT_MOST_ONCE
+        if not at_most_once and context.retry_state.runs_left > 1:
             return False
         return self._state.reachability.open_may_hang(context.service.name)
 
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -41,6 +41,7 @@
     def __init__(self, upstreams):
         super().__init__(upstreams, "vm")
         self.cut = False
+        self.suspected = False
 
     def is_cut_off(self, service):
         return self.cut
@@ -49,7 +50,7 @@
         return not self.cut
 
     def open_may_hang(self, service):
-        return self.cut
+        return self.cut or self.suspected
 
 
 class NeverFresh:
@@ -754,11 +755,33 @@
     assert clock.now() - started_at < 2 * connection_pool.CONNECT_TIMEOUT_SECONDS
 
 
-async def find_cut_off(vm, seconds):
+async def find_cut_off(vm, seconds, suspected_seconds=0.0):
     await anyio.sleep(seconds)
+    vm.state.reachability.suspected = True
+    await anyio.sleep(suspected_seconds)
     vm.state.reachability.cut = True
 
 
+@pytest.mark.anyio
+async def test_suspected_vm_uses_up_no_run_on_a_second_connection_that_hangs(start_fleet):
+    route = {"streaming": True, "retry_safety": RESUMABLE, "timeout": 5.0, "attempts": 2}
+    fleet = await start_fleet("complete", "complete", count=1, **route)
+    silent = [conftest.ServerStandIn(server.name, "silent") for server in fleet.servers]
+    async with contextlib.AsyncExitStack() as stack:
+        for server in silent:
+            await stack.enter_async_context(server.running())
+            fleet.cut.register(server, life=2)
+            connection = await fleet.cut.pool.acquire(server.address, 9, 0.0, "")
+            fleet.cut.pool.release(server.address, connection)
+            server.server.close()
+        fleet.cut.state.reachability.cut = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(find_cut_off, fleet.cut, 0.1, 1.5)
+            caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert sum(len(server.requests) for server in silent) == 1
+    assert caller.ended and len(fleet.requests) == 1
+
+
 @pytest.mark.anyio
 async def test_upstream_that_failed_is_not_tried_again_through_another_vm(start_fleet):
     fleet = await start_fleet("reset", "complete", count=2, retry_safety=IDEMPOTENT)
