--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -420,6 +420,9 @@
         _RequestRefusedError
             If none can be made.
         """
+        if context.taken_from and self._state.reachability.is_cut_off(context.service.name):
+            refused = context.retry_state.final_refusal("no_upstream", clock.now())
+            raise _RequestRefusedError(refused)
         await self._await_record(context)
         if not await self._copies.may_decide(context.retry_state.deadline):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
@@ -531,7 +534,7 @@
             case request_context.Failed():
                 context.last_failure = outcome
             case request_context.NotRun(written=False):
-                context.retry_state.record_unsent()
+                context.retry_state.record_unsent(finished.where)
         self._log.failed(context, finished, outcome)
 
     def _may_go_on(
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -13,6 +13,7 @@
 from hollyring.membership import heartbeat
 from hollyring.node import (
     clock,
+    connection_pool,
     forward_client,
     forward_links,
     forward_server,
@@ -25,7 +26,7 @@
     wire,
 )
 from hollyring.platform import upstreams
-from hollyring.platform.tests import conftest, test_relay
+from hollyring.platform.tests import conftest, test_relay, test_unreachable_upstreams
 from hollyring.routing import reachability
 
 AT_MOST_ONCE = request_types.RetrySafety.AT_MOST_ONCE
@@ -40,6 +41,7 @@
     def __init__(self, upstreams):
         super().__init__(upstreams, "vm")
         self.cut = False
+        self.suspected = False
 
     def is_cut_off(self, service):
         return self.cut
@@ -48,7 +50,7 @@
         return not self.cut
 
     def open_may_hang(self, service):
-        return self.cut
+        return self.cut or self.suspected
 
 
 class NeverFresh:
@@ -711,6 +713,75 @@
     assert fleet.requests == []
 
 
+async def make_unreachable(fleet):
+    """Return servers with the fleet's names at addresses that take no connection."""
+    unreachable = [conftest.ServerStandIn(server.name) for server in fleet.servers]
+    for server in unreachable:
+        async with server.running():
+            pass
+    return unreachable
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("retry_safety", list(request_types.RetrySafety))
+async def test_upstreams_that_a_vm_cannot_connect_to_are_tried_through_another_vm(
+    start_fleet, retry_safety
+):
+    fleet = await start_fleet("complete", "complete", count=0, retry_safety=retry_safety)
+    await fleet.add(servers=await make_unreachable(fleet))
+    await fleet.add()
+    caller = await fleet.cut.send_request()
+    assert caller.status == 200
+    assert [len(vm.messages) for vm in fleet.executing] == [1, 1]
+
+
+@pytest.mark.anyio
+async def test_vm_that_finds_itself_cut_off_soon_returns_what_it_has_taken(start_fleet):
+    fleet = await start_fleet(*["complete"] * 3, count=0, timeout=5.0)
+    hanging = [conftest.ServerStandIn(server.name) for server in fleet.servers]
+    async with contextlib.AsyncExitStack() as stack:
+        for server in hanging:
+            proxy = test_unreachable_upstreams.UpstreamProxy("")
+            await stack.enter_async_context(proxy.running())
+            await proxy.cut(test_unreachable_upstreams.Cut.HANGING)
+            server.address = proxy.address
+        vm = await fleet.add(servers=hanging)
+        await fleet.add()
+        started_at = clock.now()
+        async with anyio.create_task_group() as group:
+            group.start_soon(find_cut_off, vm, 0.2)
+            caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert caller.status == 200
+    assert clock.now() - started_at < 2 * connection_pool.CONNECT_TIMEOUT_SECONDS
+
+
+async def find_cut_off(vm, seconds, suspected_seconds=0.0):
+    await anyio.sleep(seconds)
+    vm.state.reachability.suspected = True
+    await anyio.sleep(suspected_seconds)
+    vm.state.reachability.cut = True
+
+
+@pytest.mark.anyio
+async def test_suspected_vm_uses_up_no_run_on_a_second_connection_that_hangs(start_fleet):
+    route = {"streaming": True, "retry_safety": RESUMABLE, "timeout": 5.0, "attempts": 2}
+    fleet = await start_fleet("complete", "complete", count=1, **route)
+    silent = [conftest.ServerStandIn(server.name, "silent") for server in fleet.servers]
+    async with contextlib.AsyncExitStack() as stack:
+        for server in silent:
+            await stack.enter_async_context(server.running())
+            fleet.cut.register(server, life=2)
+            connection = await fleet.cut.pool.acquire(server.address, 9, 0.0, "")
+            fleet.cut.pool.release(server.address, connection)
+            server.server.close()
+        fleet.cut.state.reachability.cut = False
+        async with anyio.create_task_group() as group:
+            group.start_soon(find_cut_off, fleet.cut, 0.1, 1.5)
+            caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert sum(len(server.requests) for server in silent) == 1
+    assert caller.ended and len(fleet.requests) == 1
+
+
 @pytest.mark.anyio
 async def test_upstream_that_failed_is_not_tried_again_through_another_vm(start_fleet):
     fleet = await start_fleet("reset", "complete", count=2, retry_safety=IDEMPOTENT)
