Take the store for away only if it has left a question unanswered lately

Cause: whether the store answers a VM was kept as a flag until the next question. A VM whose copies other VMs keep recent asks no more, so one question without an answer, at its start or in a cut minutes ago, stayed. When its event loop was late for 2 s, or messages stayed away, copies of any age were used at once, in place of a wait for the answer of the store. Evidence: test_question_without_an_answer_long_ago_does_not_excuse_old_copies_after_a_late_event_loop failed on the code before: configuration 1 in place of 2 decided, 3.0 s after the change. Why it works: the question counts from when it was given up, for one bound (2 to 4 s). A VM with old copies asks again 1.65 s later at most, so in an outage nothing changes; where a late event loop delays that, requests wait up to 0.4 s.

--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -60,16 +60,16 @@
     >>> freshness.record("op/", 10.0)
     >>> freshness.is_outdated(11.6), freshness.is_outdated(11.8)
     (False, True)
-    >>> freshness.record_unanswered()
-    >>> freshness.may_use(11.8)
-    True
+    >>> freshness.record_unanswered(11.8)
+    >>> freshness.may_use(11.8), freshness.may_use(14.0)
+    (True, False)
     """
 
     __slots__ = (
         "_complete_at",
         "_behind_since",
         "_rules",
-        "_unanswered",
+        "_unanswered_at",
         "_largest",
         "_previous",
         "_window_at",
@@ -79,7 +79,7 @@
         self._complete_at = dict.fromkeys(prefixes, -math.inf)
         self._behind_since: dict[str, float] = {}
         self._rules = rules
-        self._unanswered = False
+        self._unanswered_at = -math.inf
         self._largest = 0.0
         self._previous = 0.0
         self._window_at = -math.inf
@@ -97,7 +97,7 @@
     @property
     def store_unanswered(self) -> bool:
         """Whether the last question to the store got no answer."""
-        return self._unanswered
+        return not math.isinf(self._unanswered_at)
 
     def record(self, prefix: str, at: float) -> None:
         """Record that the copy of a prefix holds every change acknowledged before `at`."""
@@ -115,11 +115,11 @@
 
     def record_answered(self) -> None:
         """Record that the store answered."""
-        self._unanswered = False
+        self._unanswered_at = -math.inf
 
-    def record_unanswered(self) -> None:
-        """Record that the store gave no answer."""
-        self._unanswered = True
+    def record_unanswered(self, now: float) -> None:
+        """Record that the store gave no answer in time to a question."""
+        self._unanswered_at = now
 
     def age_of(self, prefix: str, now: float) -> float:
         """Return the seconds since which changes of a prefix may be missing."""
@@ -144,11 +144,19 @@
         """Return whether a change may be missing that has to be in force."""
         return self.age(now) > USE_SHARE * self._rules.bound_seconds
 
+    def is_store_away(self, now: float) -> bool:
+        """Return whether a question got no answer lately.
+
+        A VM with old copies asks again and again; while others keep them recent, it does not, and
+        a question that got no answer says nothing any more.
+        """
+        return now - self._unanswered_at <= self._rules.bound_seconds
+
     def may_use(self, now: float) -> bool:
         """Return whether requests may be decided by the copies."""
         if not self.is_outdated(now):
             return True
-        return self._unanswered and self.may_use_without_store(now)
+        return self.is_store_away(now) and self.may_use_without_store(now)
 
     def may_use_without_store(self, now: float) -> bool:
         """Return whether requests may be decided by old copies as the store does not answer."""
--- a/hollyring/configuration/tests/test_freshness.py
+++ b/hollyring/configuration/tests/test_freshness.py
@@ -43,7 +43,7 @@
 @pytest.mark.parametrize("serves", [True, False])
 def test_old_copies_are_used_without_the_store_if_the_rules_say_so(serves):
     fresh = freshness.Freshness(["op/"], freshness.FreshnessRules(2.0, serves))
-    fresh.record_unanswered()
+    fresh.record_unanswered(10.0)
     assert fresh.may_use(10.0) is serves
     fresh.record_answered()
     assert not fresh.may_use(10.0)
@@ -60,10 +60,16 @@
 
 
 def test_old_copies_are_not_used_once_another_vm_has_named_a_later_change(fresh):
-    fresh.record_unanswered()
+    fresh.record_unanswered(110.0)
     fresh.record_behind("op/", 110.0)
     fresh.record_behind("op/", 110.9)
     assert fresh.may_use(110.9)
     assert not fresh.may_use(111.1)
     fresh.record_caught_up("op/")
     assert fresh.may_use(111.1)
+
+
+def test_question_without_an_answer_excuses_old_copies_for_no_longer_than_the_bound(fresh):
+    fresh.record_unanswered(110.0)
+    assert fresh.may_use(110.0 + fresh.rules.bound_seconds)
+    assert not fresh.may_use(110.1 + fresh.rules.bound_seconds)
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -83,7 +83,7 @@
         freshness = self._state.freshness
         while not freshness.may_use(clock.now()):
             now = clock.now()
-            if now >= until or freshness.store_unanswered:
+            if now >= until or freshness.is_store_away(now):
                 return False
             due = min(until, now + WAIT_SECONDS)
             with anyio.move_on_after(due - now) as timer:
@@ -122,7 +122,7 @@
         except (interfaces.StoreError, TimeoutError) as error:
             self._watcher.record_failure(str(error) or "no answer in time")
             if clock.now() < asked_at + seconds + LATE_TIMER_SECONDS:
-                freshness.record_unanswered()
+                freshness.record_unanswered(clock.now())
         else:
             self._watcher.record_success()
             freshness.record_answered()
--- a/hollyring/node/tests/simulated_time.py
+++ b/hollyring/node/tests/simulated_time.py
@@ -32,5 +32,9 @@
     def time(self):
         return self._now
 
+    def pass_unused(self, seconds):
+        """Let time pass in which nothing runs, as when the event loop is late."""
+        self._now += seconds
+
     def _advance(self, seconds):
         self._now += seconds
--- a/hollyring/node/tests/test_late_knowledge.py
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -3,9 +3,10 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import pytest
 
-from hollyring.node import clock
+from hollyring.node import clock, metrics, recent_copies
 from hollyring.node.tests import simulated_fleet
 
 VMS = [f"vm-{n:02}" for n in range(74)]
@@ -89,3 +90,26 @@
         assert await vm.store_checker.wait_current(clock.now() + 1.0)
 
     simulate(scenario, vms=VMS[:9])
+
+
+def test_question_without_an_answer_long_ago_does_not_excuse_old_copies_after_a_late_event_loop(
+    simulate,
+):
+    async def scenario(fleet):
+        await start_fleet(fleet, VMS[:9])
+        vm = fleet.vms["vm-08"]
+        fleet.store.unreachable_from = {"vm-08"}
+        fleet.delays = {"vm-08": 0.6}
+        await anyio.sleep(CONFIGURATION_SECONDS)
+        fleet.delays = {}
+        await anyio.sleep(CONFIGURATION_SECONDS)
+        fleet.store.unreachable_from = set()
+        await anyio.sleep(2 * CONFIGURATION_SECONDS)
+        assert vm.state.freshness.age(clock.now()) < CONFIGURATION_SECONDS / 2
+        fleet.store.put("op/config", simulated_fleet.make_deployment(2))
+        anyio.lowlevel.current_token().native_token.pass_unused(CONFIGURATION_SECONDS)
+        copies = recent_copies.RecentCopies(vm.state, vm.store_checker, metrics.Metrics())
+        assert await copies.may_decide(clock.now() + 1.0)
+        assert vm.state.configuration_version == 2
+
+    simulate(scenario, vms=VMS[:9])
