Keep the configuration in force where a document about weights could not be applied

Callers would have got 503 from every VM, as all read the same document, until the operator wrote the next configuration: an unexpected error in any document of the operator left no configuration in force since. Only a configuration that was not applied makes the one before it too old to decide by; for weights the error is logged, and the versions that were wanted before hold on.

test_weights_that_were_not_applied_leave_the_configuration_in_force failed before and passes.

--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -54,7 +54,7 @@
         self._eras[prefix] = era
         if prefix == store_keys.operator:
             for key in changed & items.keys():
-                self._apply_operator_item_or_stop(items[key], now)
+                self._apply_operator_item(items[key], now)
             self._initial_load = False
         elif prefix == store_keys.upstreams:
             self._upstream_changes.apply(changed, items, from_copy, now)
@@ -91,19 +91,21 @@
             complete=self._state.software_versions.is_complete(now),
         )
 
-    def _apply_operator_item_or_stop(self, item: mirror.Item, now: float) -> None:
-        """Apply a document; after an unexpected error, decide nothing by the ones before it."""
+    def _apply_operator_item(self, item: mirror.Item, now: float) -> None:
+        """Apply a document; after an unexpected error, an older configuration decides nothing."""
+        wanted = None
         try:
-            self._apply_operator_item(item, now)
+            wanted = self._codec.decode_wanted_version(item)
+            if wanted is not None:
+                self._apply_wanted_version(wanted, now)
+            else:
+                self._apply_configuration(item, now)
         except Exception:
             self._log.exception("document not applied", key=item.key)
-            self._state.deployment = None
+            if wanted is None:
+                self._state.deployment = None
 
-    def _apply_operator_item(self, item: mirror.Item, now: float) -> None:
-        wanted = self._codec.decode_wanted_version(item)
-        if wanted is not None:
-            self._apply_wanted_version(wanted, now)
-            return
+    def _apply_configuration(self, item: mirror.Item, now: float) -> None:
         current = self._codec.decode_deployment(item)
         if current is None:
             self._log.info("unreadable configuration", key=item.key, revision=item.revision.number)
--- a/hollyring/platform/tests/test_background_errors.py
+++ b/hollyring/platform/tests/test_background_errors.py
@@ -93,6 +93,14 @@
     assert vm.state.configuration_version == 5
 
 
+def test_weights_that_were_not_applied_leave_the_configuration_in_force(vm, monkeypatch):
+    with monkeypatch.context() as patch:
+        patch.setattr(type(vm.state.wanted_versions), "record", fail)
+        wanted = {"model": "m", "version": 2}
+        vm.apply_change(test_state.STORE_KEYS.operator, "op/version/m", wanted, now=2.0)
+    assert vm.state.deployment is not None
+
+
 def test_upstream_whose_changed_entry_was_not_applied_gets_no_requests(vm, monkeypatch):
     key = test_state.STORE_KEYS.upstreams + "i-1"
     with monkeypatch.context() as patch:
