Split node/relay: admission and end of a request, its attempts, and where they are made

It keeps what a request goes through once: admission, refusal, its end. node/attempt_series decides when another attempt is started and which one answers, and node/attempt_places whether that is at an upstream or at another VM, one decision now (choose) in place of three calls. Nothing else changes; the code is moved.

--- /dev/null
+++ b/hollyring/node/attempt_places.py
@@ -0,0 +1,189 @@
+"""Where the next attempt of a request is made: at an upstream, or at a VM that selects one."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from hollyring.core import request_types
+from hollyring.delivery import refusal
+from hollyring.membership import heartbeat
+from hollyring.node import clock, forward_client, open_attempts, request_context, state
+from hollyring.routing import selection
+
+MAX_WAIT_TARGET_RATIO = 0.8
+"""Maximum queueing time at an upstream, relative to the shortest target latency of its service.
+
+A longer queue costs prefill work: waiting requests occupy KV cache memory, so that shared prompts
+are evicted and have to be prefilled again.
+"""
+
+RESUMED_MAX_WAIT_SECONDS = 1.0
+"""Maximum queueing time of a stream that goes on; refused, it would lose what the caller has."""
+
+
+class RequestRefusedError(Exception):
+    """The request ended with a refusal.
+
+    Parameters
+    ----------
+    rejection
+        What the caller is told.
+    is_temporary
+        Whether the reason may pass soon: the upstreams only have no room for the request now, or
+        this VM's copies of the store are too old.
+    """
+
+    def __init__(self, rejection: refusal.Refusal, is_temporary: bool = False) -> None:
+        super().__init__(rejection.code)
+        self.refusal = rejection
+        self.is_temporary = is_temporary
+
+
+class AttemptPlaces:
+    """Chooses the upstream or the VM of each attempt.
+
+    Parameters
+    ----------
+    vm_state
+        State of the upstreams and the other VMs, as known to this VM.
+    forwards
+        Forwards requests to other VMs; None for a VM that forwards none.
+    """
+
+    def __init__(
+        self, vm_state: state.State, forwards: forward_client.ForwardClient | None
+    ) -> None:
+        self._state = vm_state
+        self._forwards = forwards
+
+    def choose(self, context: request_context.RequestContext) -> open_attempts.Place:
+        """Return where to make the next attempt.
+
+        Raises
+        ------
+        RequestRefusedError
+            If none can be made.
+        """
+        target = self._target(context)
+        if target is not None:
+            return target
+        if self._needs_other_vm(context) and context.declined:
+            raise self.declined_error(context)
+        return self._select(context)
+
+    def choose_beside(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        now: float,
+    ) -> open_attempts.Place | None:
+        """Return where another attempt can be made than those that are silent, if anywhere."""
+        target = self._target(context)
+        if target is not None:
+            return target
+        if attempts.replaceable and self._needs_other_vm(context):
+            return None
+        selected = self._state.selector.select(self.selection_request(context), now)
+        return None if isinstance(selected, selection.NoUpstream) else selected
+
+    def declined_error(self, context: request_context.RequestContext) -> RequestRefusedError:
+        """Return a refusal with the shortest time to return that other VMs stated."""
+        soonest = min(context.declined, key=lambda rejection: rejection.retry_after)
+        return RequestRefusedError(
+            context.retry_state.final_refusal(soonest.code, clock.now(), soonest.retry_after)
+        )
+
+    def final_error(self, context: request_context.RequestContext) -> RequestRefusedError:
+        """Return a refusal with the time after which an upstream may have capacity."""
+        now = clock.now()
+        if not context.retry_state.has_time(now):
+            return RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
+        # Nothing more is sent; the selection only tells when an upstream may have capacity.
+        unrestricted = dataclasses.replace(self.selection_request(context), excluded=frozenset())
+        selected = self._state.selector.select(unrestricted, now)
+        if isinstance(selected, selection.NoUpstream) and selected.busy:
+            return RequestRefusedError(
+                context.retry_state.final_refusal("overloaded", now, selected.retry_after)
+            )
+        return RequestRefusedError(context.retry_state.final_refusal("no_upstream", now))
+
+    def selection_request(
+        self, context: request_context.RequestContext
+    ) -> selection.SelectionRequest:
+        """Return what is asked of the selector for the next attempt."""
+        return selection.SelectionRequest(
+            context.request_id,
+            context.service.name,
+            context.request.prompt,
+            context.isolated_organisation,
+            self._state.failure_domain,
+            context.seconds_left,
+            context.route.target_latency,
+            _max_wait_seconds(context),
+            context.retry_state.upstreams,
+            context.software,
+            self._withheld_software(context),
+        )
+
+    def _target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
+        """Return the VM to make the next attempts, None for this VM."""
+        if self._forwards is None or not self._needs_other_vm(context):
+            return None
+        return self._forwards.target(context)
+
+    def _needs_other_vm(self, context: request_context.RequestContext) -> bool:
+        """Return whether this VM cannot send a request to an upstream.
+
+        Where open connections live on while new ones are refused, the request that found none open
+        is the one that needs another VM.
+        """
+        if context.taken_from:
+            return False
+        reachability = self._state.reachability
+        if reachability.is_cut_off(context.service.name):
+            return True
+        takes_connections = reachability.takes_connections(context.service.name)
+        return context.retry_state.unsent > 0 and not takes_connections
+
+    def _select(self, context: request_context.RequestContext) -> selection.Selection:
+        """Select the upstream of the next attempt.
+
+        Raises
+        ------
+        RequestRefusedError
+            If no upstream can serve the request before its deadline.
+        """
+        now = clock.now()
+        if not context.retry_state.has_time(now):
+            raise RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
+        selection_request = self.selection_request(context)
+        selected = self._state.selector.select(selection_request, now)
+        if (
+            isinstance(selected, selection.NoUpstream)
+            and context.retry_state.sends
+            and not context.retry_state.reached
+        ):
+            # No other upstream is left, and one that refused earlier may accept the request now.
+            unrestricted = dataclasses.replace(selection_request, excluded=frozenset())
+            selected = self._state.selector.select(unrestricted, now)
+        if isinstance(selected, selection.NoUpstream):
+            code = "overloaded" if selected.busy else "no_upstream"
+            raise RequestRefusedError(
+                context.retry_state.final_refusal(code, now, selected.retry_after), selected.busy
+            )
+        return selected
+
+    def _withheld_software(self, context: request_context.RequestContext) -> frozenset[str]:
+        """Return the software versions at which the request must not begin a stream yet."""
+        is_resumable = context.retry_state.retry_safety is request_types.RetrySafety.RESUMABLE
+        if not is_resumable or context.software is not None:
+            return frozenset()
+        return self._state.withheld_software(context.service.name, clock.now())
+
+
+def _max_wait_seconds(context: request_context.RequestContext) -> float:
+    """Return the longest time to wait in an upstream's queue."""
+    seconds = context.min_target_seconds * MAX_WAIT_TARGET_RATIO
+    if context.events.last_number is None:
+        return seconds
+    return max(seconds, RESUMED_MAX_WAIT_SECONDS)
--- /dev/null
+++ b/hollyring/node/attempt_series.py
@@ -0,0 +1,326 @@
+"""The attempts of one admitted request: when another one is started, and which one is answered."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+import anyio
+
+from hollyring.core import execution
+from hollyring.membership import heartbeat
+from hollyring.node import (
+    attempt,
+    attempt_places,
+    clock,
+    errors,
+    forward_client,
+    metrics,
+    open_attempts,
+    recent_copies,
+    request_context,
+    request_log,
+    state,
+)
+from hollyring.routing import selection, software_versions
+
+MAX_DECLINED = 2
+"""VMs that are asked to execute a request before it is refused."""
+
+RECORD_POLL_SECONDS = 0.02
+"""Time between two looks whether the software version of the only upstreams is recorded."""
+
+
+class AttemptSeries:
+    """Makes attempts of requests until one is answered or none can be made any more.
+
+    Parameters
+    ----------
+    vm_state
+        State of the upstreams and the other VMs, as known to this VM.
+    runner
+        Makes single attempts at upstreams.
+    copies
+        Copies of the store, which are asked for before each attempt.
+    counters
+        Metrics of this process.
+    log
+        Log of the requests.
+    forwards
+        Forwards requests to other VMs; None for a VM that forwards none.
+    """
+
+    def __init__(
+        self,
+        vm_state: state.State,
+        runner: attempt.AttemptRunner,
+        copies: recent_copies.RecentCopies,
+        counters: metrics.Metrics,
+        log: request_log.RequestLog,
+        forwards: forward_client.ForwardClient | None,
+    ) -> None:
+        self._state = vm_state
+        self._runner = runner
+        self._copies = copies
+        self._metrics = counters
+        self._log = log
+        self._forwards = forwards
+        self._places = attempt_places.AttemptPlaces(vm_state, forwards)
+
+    async def run(self, context: request_context.RequestContext) -> None:
+        """Make attempts until the caller has received the whole response."""
+        failure: Exception | None = None
+        attempts: open_attempts.OpenAttempts | None = None
+        try:
+            async with anyio.create_task_group() as task_group:
+                attempts = open_attempts.OpenAttempts(
+                    task_group,
+                    functools.partial(self._record_superseded, context),
+                    context.route.streaming,
+                )
+                try:
+                    await self._make_attempts(context, attempts)
+                except Exception as error:  # the group would wrap it
+                    failure = error
+                task_group.cancel_scope.cancel()
+        except anyio.get_cancelled_exc_class():
+            for attempt in attempts.open if attempts else ():
+                context.retry_state.record_failure(_execution_of(attempt))
+            raise
+        if failure is not None:
+            raise failure
+
+    async def _make_attempts(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        await self._start_next(context, attempts)
+        while True:
+            finished = await attempts.next_finished()
+            if finished is None:
+                await self._look_elsewhere(context, attempts)
+                continue
+            if isinstance(finished.error, errors.CallerLeftError):
+                context.retry_state.record_failure(execution.Execution.NOT_RUN)
+            if finished.error is not None:
+                raise finished.error
+            outcome = finished.outcome
+            if outcome is None or isinstance(outcome, request_context.Done):
+                self._log.ended(context, "answered")
+                return
+            self._record_end(context, finished, outcome)
+            if attempts.open:
+                continue
+            if self._may_go_on(context, outcome):
+                await self._start_when_free(context, attempts)
+                continue
+            if isinstance(outcome, request_context.Declined) and not context.retry_state.reached:
+                raise self._places.declined_error(context)
+            raise self._places.final_error(context)
+
+    async def _start_when_free(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start the next attempt; a response that was begun waits for it until its deadline.
+
+        Raises
+        ------
+        RequestRefusedError
+            If none can be made.
+        """
+        while True:
+            try:
+                await self._start_next(context, attempts)
+                return
+            except attempt_places.RequestRefusedError as error:
+                waits = context.response.started and context.may_retry()
+                if not (error.is_temporary and waits):
+                    raise
+            self._metrics.increment("waits_for_upstream")
+            await anyio.sleep(min(open_attempts.LOOK_AGAIN_SECONDS, context.seconds_left))
+
+    async def _start_next(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start the next attempt.
+
+        Raises
+        ------
+        RequestRefusedError
+            If none can be made.
+        """
+        if context.taken_from and self._state.reachability.is_cut_off(context.service.name):
+            refused = context.retry_state.final_refusal("no_upstream", clock.now())
+            raise attempt_places.RequestRefusedError(refused)
+        await self._await_record(context)
+        if not await self._copies.may_decide(context.retry_state.deadline):
+            refused = context.retry_state.final_refusal("no_upstream", clock.now())
+            raise attempt_places.RequestRefusedError(refused, is_temporary=True)
+        if context.retry_state.sends and self._is_blamed(context):
+            refused = context.retry_state.final_refusal("crashing_request", clock.now())
+            raise attempt_places.RequestRefusedError(refused)
+        self._start_at(context, attempts, self._places.choose(context))
+
+    async def _look_elsewhere(
+        self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
+    ) -> None:
+        """Start one more attempt beside those that are silent, if an upstream or VM is free.
+
+        Silent attempts that cannot stay beside it are ended first; their end starts it.
+        """
+        if not context.may_retry():
+            return
+        if not await self._copies.may_decide(clock.now() + open_attempts.LOOK_AGAIN_SECONDS):
+            return
+        if self._is_blamed(context) or not attempts.all_silent:
+            return
+        now = clock.now()
+        place = self._places.choose_beside(context, attempts, now)
+        if place is None:
+            return
+        budget = self._state.retries(context.service.name)
+        if attempts.replaceable:
+            if budget.has_retry(now):
+                attempts.end_replaceable()
+            return
+        if not budget.try_retry(now):
+            return
+        self._start_at(context, attempts, place)
+
+    def _start_at(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        place: open_attempts.Place,
+    ) -> None:
+        """Start an attempt.
+
+        Raises
+        ------
+        RequestRefusedError
+            If the deadline is too near.
+        """
+        match place:
+            case selection.Selection():
+                self._start(context, attempts, place)
+            case heartbeat.VmInfo():
+                self._start_forward(context, attempts, place)
+
+    def _start(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        selected: selection.Selection,
+    ) -> None:
+        """Start an attempt at an upstream."""
+        if not attempts.open:
+            context.selected = selected
+        context.retry_state.begin(selected.upstream.name, selected.upstream.entry.domain)
+        self._log.sent(context, selected, len(attempts.open))
+        attempts.start(selected, functools.partial(self._runner.run, context))
+
+    def _start_forward(
+        self,
+        context: request_context.RequestContext,
+        attempts: open_attempts.OpenAttempts,
+        target: heartbeat.VmInfo,
+    ) -> None:
+        """Have another VM make the next attempts.
+
+        Raises
+        ------
+        RequestRefusedError
+            If the deadline is too near.
+        """
+        now = clock.now()
+        if self._forwards is None or not context.retry_state.has_time(now):
+            raise attempt_places.RequestRefusedError(
+                context.retry_state.final_refusal("overloaded", now)
+            )
+        context.retry_state.begin_forward()
+        self._log.forwarded(context, target, len(attempts.open))
+        attempts.start(target, functools.partial(self._forwards.run, context))
+
+    def _record_end(
+        self,
+        context: request_context.RequestContext,
+        finished: open_attempts.OpenAttempt,
+        outcome: request_context.Unanswered,
+    ) -> None:
+        """Record an attempt that ended without an answer to the caller."""
+        if isinstance(outcome, request_context.Withdrawn):
+            self._log.withdrawn(context, finished)
+            context.retry_state.withdraw()
+            return
+        context.retry_state.record_failure(outcome.execution_status)
+        match outcome:
+            case request_context.Failed(head=None) if context.last_failure is not None:
+                pass
+            case request_context.Failed():
+                context.last_failure = outcome
+            case request_context.NotRun(written=False):
+                context.retry_state.record_unsent(finished.where)
+        self._log.failed(context, finished, outcome)
+
+    def _may_go_on(
+        self, context: request_context.RequestContext, outcome: request_context.Unanswered
+    ) -> bool:
+        """Return whether to start another attempt after the last open one."""
+        if isinstance(outcome, request_context.Withdrawn):
+            return True
+        return self._may_retry(context, outcome)
+
+    def _record_superseded(
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
+    ) -> None:
+        """Record an attempt that is closed since another one has taken over."""
+        context.retry_state.record_failure(_execution_of(attempt))
+        self._log.superseded(context, attempt)
+
+    def _is_blamed(self, context: request_context.RequestContext) -> bool:
+        return self._state.crashes.blame_of(context.suspects) is not None
+
+    async def _await_record(self, context: request_context.RequestContext) -> None:
+        """Wait while the only upstreams are of software versions that are not recorded yet."""
+        give_up_at = clock.now() + software_versions.MAX_UNRECORDED_SECONDS
+        while clock.now() < give_up_at and context.retry_state.has_time(clock.now()):
+            request = self._places.selection_request(context)
+            if not request.withheld_software:
+                return
+            unrestricted = dataclasses.replace(request, withheld_software=frozenset())
+            selector, now = self._state.selector, clock.now()
+            if selector.is_served(request, now) or not selector.is_served(unrestricted, now):
+                return
+            self._metrics.increment("waits_for_record")
+            await anyio.sleep(RECORD_POLL_SECONDS)
+
+    def _may_retry(
+        self,
+        context: request_context.RequestContext,
+        outcome: request_context.Failed | request_context.NotRun | request_context.Declined,
+    ) -> bool:
+        """Return whether to make another attempt.
+
+        It spends a retry of the service's budget if the last one arrived at an upstream.
+        """
+        if not context.may_retry():
+            return False
+        if context.taken_from and context.retry_state.reached:
+            return False
+        if len(context.declined) >= MAX_DECLINED or _is_crashing(outcome):
+            return False
+        if not isinstance(outcome, request_context.Failed) and not outcome.written:
+            return True
+        return self._state.retries(context.service.name).try_retry(clock.now())
+
+
+def _execution_of(attempt: open_attempts.OpenAttempt) -> execution.Execution:
+    """Return whether an attempt that is closed early may have run."""
+    return execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
+
+
+def _is_crashing(outcome: request_context.Outcome) -> bool:
+    """Return whether another VM declined a request since it crashes upstreams."""
+    return (
+        isinstance(outcome, request_context.Declined)
+        and outcome.rejection.code == "crashing_request"
+    )
