Say delegated for requests that a VM executes for the one that admitted them

"taken" was the name of these requests, of the room for them and of the response to them; a reader cannot tell it from "taken up" or "taken over". Modules are node/delegated_requests and limits/delegation_room, the admitting VM is admitted_by as in the log. Log lines and counters keep their names.

--- a/hollyring/limits/taken_room.py
+++ b/hollyring/limits/delegation_room.py
@@ -17,7 +17,7 @@
 """Weight of the last time between two ends in their moving average."""
 
 
-class TakenRoom:
+class DelegationRoom:
     """Room for the requests of other VMs.
 
     Parameters
@@ -27,7 +27,7 @@
 
     Examples
     --------
-    >>> room = TakenRoom(capacity=0.01)
+    >>> room = DelegationRoom(capacity=0.01)
     >>> [room.begin(0.0) for _ in range(16)] == [None] * 16
     True
     >>> room.begin(0.0)
@@ -64,7 +64,7 @@
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds))
 
     def end(self, now: float) -> None:
-        """Record the end of a request that was taken."""
+        """Record the end of a delegated request."""
         self._open -= 1
         self._refused = max(0, self._refused - 1)
         if self._ended_at is not None:
--- a/hollyring/node/attempt_places.py
+++ b/hollyring/node/attempt_places.py
@@ -137,7 +137,7 @@
         Where open connections live on while new ones are refused, the request that found none open
         is the one that needs another VM.
         """
-        if context.taken_from:
+        if context.admitted_by:
             return False
         reachability = self._state.reachability
         if reachability.is_cut_off(context.service.name):
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -148,7 +148,7 @@
         RequestRefusedError
             If none can be made.
         """
-        if context.taken_from and self._state.reachability.is_cut_off(context.service.name):
+        if context.admitted_by and self._state.reachability.is_cut_off(context.service.name):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
             raise attempt_places.RequestRefusedError(refused)
         await self._await_record(context)
@@ -304,7 +304,7 @@
         """
         if not context.may_retry():
             return False
-        if context.taken_from and context.retry_state.reached:
+        if context.admitted_by and context.retry_state.reached:
             return False
         if len(context.declined) >= MAX_DECLINED or _is_crashing(outcome):
             return False
--- a/hollyring/node/taken_requests.py
+++ b/hollyring/node/delegated_requests.py
@@ -22,8 +22,8 @@
 """Largest part of a body in one message, a few of which fit into the buffers of a connection."""
 
 
-class TakenResponse:
-    """Response to a taken request; implements `responses.Response`.
+class DelegatedResponse:
+    """Response to a delegated request; implements `responses.Response`.
 
     Parameters
     ----------
@@ -197,7 +197,7 @@
     message: forwarded.ForwardedRequest,
     body: bytes,
     sender: str,
-    response: TakenResponse,
+    response: DelegatedResponse,
     now: float,
 ) -> request_context.RequestContext | refusal.Refusal:
     """Return the context of a request that another VM admitted, or why this VM declines it.
@@ -239,7 +239,7 @@
         event_stream.EventStream(message.resume_after),
         software=message.software,
         suspects=suspects,
-        taken_from=sender,
+        admitted_by=sender,
     )
     return response.context
 
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -10,6 +10,7 @@
 from hollyring.membership import heartbeat
 from hollyring.node import (
     clock,
+    delegated_requests,
     errors,
     forward_links,
     interfaces,
@@ -18,7 +19,6 @@
     peer_link,
     request_context,
     state,
-    taken_requests,
 )
 
 SILENCE_SECONDS = 1.2
@@ -166,7 +166,7 @@
         """Send the request; the executing VM does not begin it before it has the last message."""
         context = self._context
         request = context.request
-        parts = list(taken_requests.split(request.body)) or [b""]
+        parts = list(delegated_requests.split(request.body)) or [b""]
         message = forwarded.ForwardedRequest(
             request.request_id,
             request.resumed_request_id,
--- a/hollyring/node/forward_server.py
+++ b/hollyring/node/forward_server.py
@@ -7,9 +7,10 @@
 import anyio
 
 from hollyring.delivery import forwarded, refusal
-from hollyring.limits import taken_room
+from hollyring.limits import delegation_room
 from hollyring.node import (
     clock,
+    delegated_requests,
     errors,
     logs,
     metrics,
@@ -17,7 +18,6 @@
     peers,
     relay,
     responses,
-    taken_requests,
     wire,
 )
 
@@ -65,7 +65,7 @@
         self._relay = request_relay
         self._codec = codec
         self._metrics = counters
-        self._room = taken_room.TakenRoom(capacity)
+        self._room = delegation_room.DelegationRoom(capacity)
         self._log = logs.Logger("forwarding")
 
     @property
@@ -101,7 +101,7 @@
         """
         with anyio.fail_after(BODY_SECONDS):
             body = await _receive_body(link, message)
-        response = taken_requests.TakenResponse(link)
+        response = delegated_requests.DelegatedResponse(link)
         retry_after = self._room.begin(clock.now())
         if retry_after is not None:
             self._metrics.increment("declined_full")
@@ -126,7 +126,7 @@
         link: peer_link.Link,
         message: forwarded.ForwardedRequest,
         body: bytes,
-        response: taken_requests.TakenResponse,
+        response: delegated_requests.DelegatedResponse,
     ) -> None:
         async def cancel_when_closed() -> None:
             with contextlib.suppress(peer_link.LinkLostError):
@@ -155,11 +155,11 @@
         message: forwarded.ForwardedRequest,
         body: bytes,
         sender: str,
-        response: taken_requests.TakenResponse,
+        response: delegated_requests.DelegatedResponse,
     ) -> None:
         """Answer the admitting VM; no answer is complete after a lost link or an internal error."""
         try:
-            await self._relay.serve_taken(message, body, sender, response)
+            await self._relay.serve_delegated(message, body, sender, response)
         except responses.IncompleteResponseError as error:
             with contextlib.suppress(peer_link.LinkLostError):
                 await response.break_off(str(error))
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -13,6 +13,7 @@
     attempt_series,
     clock,
     connection_pool,
+    delegated_requests,
     errors,
     forward_client,
     interfaces,
@@ -24,7 +25,6 @@
     responses,
     send_permits,
     state,
-    taken_requests,
 )
 from hollyring.routing import crashes, selection
 
@@ -152,12 +152,12 @@
             return self._admit(request, response, arrived_at)
         return refusal.make("configuration_stale", UNCONFIGURED_RETRY_AFTER_SECONDS)
 
-    async def serve_taken(
+    async def serve_delegated(
         self,
         message: forwarded.ForwardedRequest,
         body: bytes,
         sender: str,
-        response: taken_requests.TakenResponse,
+        response: delegated_requests.DelegatedResponse,
     ) -> None:
         """Make the attempts of a request that another VM admitted, and answer that VM.
 
@@ -171,7 +171,7 @@
         arrived_at = clock.now()
         context: request_context.RequestContext | refusal.Refusal
         if await self._copies.may_decide(arrived_at + min(MAX_COPIES_WAIT, message.seconds_left)):
-            context = taken_requests.admit(
+            context = delegated_requests.admit(
                 self._state, message, body, sender, response, clock.now()
             )
         else:
@@ -180,7 +180,7 @@
             self._log.declined(message.request_id, sender, context)
             await response.refuse(context)
             return
-        self._log.taken(context)
+        self._log.delegated(context)
         try:
             await self._attempts.run(context)
         except attempt_places.RequestRefusedError as error:
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -126,9 +126,9 @@
         before its first event. Only upstreams of that version continue it.
     suspects
         Hashes of what may crash an upstream: the request as a whole and parts of its prompt.
-    taken_from
-        Name of the VM that admitted the request, empty if this VM did. A request that was taken
-        from another VM is not forwarded, and this VM lets one upstream run it.
+    admitted_by
+        Name of the VM that admitted the request, empty if this VM did. A request that was delegated
+        to this VM is not forwarded, and this VM lets one upstream run it.
     forwarded_to
         Name of the VM that last executed the request for this VM, empty if none did.
     avoided_vms
@@ -154,7 +154,7 @@
     last_failure: Failed | None = None
     software: str | None = None
     suspects: tuple[str, ...] = ()
-    taken_from: str = ""
+    admitted_by: str = ""
     forwarded_to: str = ""
     avoided_vms: list[str] = dataclasses.field(default_factory=list)
     declined: list[refusal.Refusal] = dataclasses.field(default_factory=list)
--- a/hollyring/node/request_log.py
+++ b/hollyring/node/request_log.py
@@ -106,13 +106,13 @@
             waited=round(clock.now() - context.arrived_at, 3),
         )
 
-    def taken(self, context: request_context.RequestContext) -> None:
+    def delegated(self, context: request_context.RequestContext) -> None:
         """Log that this VM makes the attempts of a request that another VM admitted."""
         self._metrics.increment("taken")
         self._logger.info(
             "taken from another VM",
             request=context.request_id,
-            admitted_by=context.taken_from,
+            admitted_by=context.admitted_by,
             service=context.service.name,
             runs_left=context.retry_state.runs_left,
             resume_after=context.events.last_number,
@@ -217,6 +217,6 @@
 
 def _other_vm(context: request_context.RequestContext) -> dict[str, str]:
     """Return the log fields that name the VM which executed or admitted the request."""
-    if context.taken_from:
-        return {"admitted_by": context.taken_from}
+    if context.admitted_by:
+        return {"admitted_by": context.admitted_by}
     return {"through": context.forwarded_to} if context.forwarded_to else {}
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -853,7 +853,7 @@
     fleet = await start_fleet("complete")
     vm = fleet.executing[0]
     with monkeypatch.context() as patched:
-        patched.setattr(vm.relay, "serve_taken", None)
+        patched.setattr(vm.relay, "serve_delegated", None)
         assert (await fleet.cut.send_request("r-1")).status == 502
     assert (await fleet.cut.send_request("r-2")).status == 200
 
