Play the fault matrix beside the other tests of fleets of processes

experiments-processes was the second of the longest groups of a parallel run: 362 s of a run of 607 s at a load of 12 to 24, of which test_faults took 192 s. Each file starts a fleet of its own on a reserved port range.

Change: test_faults is a group of its own, experiments-faults.

--- a/hollyring/experiments/tests/test_faults.py
+++ b/hollyring/experiments/tests/test_faults.py
@@ -5,7 +5,7 @@
 
 from hollyring.experiments import matrix
 
-pytestmark = pytest.mark.xdist_group("experiments-processes")
+pytestmark = pytest.mark.xdist_group("experiments-faults")
 
 SEED = 1
 
