--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -8,11 +8,13 @@
 
 from hollyring.core import request_types
 from hollyring.node import clock
-from hollyring.platform.tests import conftest, test_relay
+from hollyring.platform.tests import conftest, test_forwarded_requests, test_relay
 
 SEAL_HEADER = f"x-response-seal: {conftest.SEAL}".encode()
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
 FIRST_EVENTS = EVENTS[: EVENTS.index(b"id: 3")]
+TICK_SECONDS = 0.01
+start_fleet = test_forwarded_requests.start_fleet
 RESUMABLE = {"streaming": True, "retry_safety": request_types.RetrySafety.RESUMABLE}
 
 
@@ -59,6 +61,21 @@
     assert len(server.runs) == len(set(server.runs)) > 0
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("names", [False, True])
+async def test_repeated_refusal_never_says_not_run_of_a_forwarded_request_that_runs(
+    start_fleet, names
+):
+    server = RepeatingServer(names)
+    async with server.running():
+        fleet = await start_fleet(count=0, attempts=1)
+        await fleet.add(servers=[server])
+        callers = [(f"r-{n}", await fleet.cut.send_request(f"r-{n}")) for n in range(8)]
+    refused = {name for name, caller in callers if caller.status in (408, 421, 429, 503)}
+    assert refused & set(server.runs) == set()
+    assert len(server.runs) == len(set(server.runs)) > 0
+
+
 class NamelessServer(conftest.ServerStandIn):
     """Server whose answers name no request at all."""
 
@@ -127,15 +144,43 @@
 }
 
 
+class Lateness:
+    """Measures how late the event loop is, as a second attempt needs time before its deadline."""
+
+    def __init__(self):
+        self.total = 0.0
+        self.longest = 0.0
+
+    async def watch(self):
+        while True:
+            due = clock.now() + TICK_SECONDS
+            await asyncio.sleep(TICK_SECONDS)
+            late = clock.now() - due
+            self.total += late
+            self.longest = max(self.longest, late)
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        task = asyncio.create_task(self.watch())
+        yield self
+        task.cancel()
+
+    def __repr__(self):
+        return f"event loop late by {self.longest:.3f} s at most, {self.total:.3f} s in all"
+
+
 async def resume_at(server, **route):
     """Return what a caller gets whose stream broke off after event 2 and is resumed at `server`."""
     async with contextlib.AsyncExitStack() as stack:
+        late = await stack.enter_async_context(Lateness().running())
         first = conftest.ServerStandIn("i-0", "interrupt")
         servers = [await stack.enter_async_context(s.running()) for s in (first, server)]
         vm = test_relay.RelayVm(servers, **RESUMABLE | route)
         vm.state.registry.get(server.name).record_failure(clock.now())
+        started_at = clock.now()
         caller = await asyncio.wait_for(vm.send_request(deadline_seconds=1.0), 3.0)
-    assert len(server.requests) >= 1
+        seconds = clock.now() - started_at
+    assert len(server.requests) >= 1, (late, seconds, caller.body, caller.ended)
     return caller
 
 
@@ -218,6 +263,31 @@
     assert callers[-1].body == b"done"
 
 
+NAMELESS_REFUSAL = EARLIER_REFUSAL.replace(b"x-request-id: r-0\r\n", b"")
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("count", [2, 5])
+async def test_several_repeated_answers_are_all_skipped(count):
+    earlier = (EARLIER_REFUSAL + SEALED_ANSWER.replace(b"NAME", b"r-0")) * count
+    callers = await send_all(ScriptedServer(SEALED_ANSWER, earlier + SEALED_ANSWER))
+    assert [(caller.status, caller.body) for caller in callers] == [(200, b"done")] * 2
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("repeated", [EARLIER_REFUSAL, NAMELESS_REFUSAL], ids=["named", "nameless"])
+@pytest.mark.parametrize("size", [1, 12, 30, None])
+async def test_answer_that_begins_behind_another_in_one_packet_is_not_that_to_the_next_request(
+    repeated, size
+):
+    server = ScriptedServer(SEALED_ANSWER + repeated[:size], SEALED_ANSWER, SEALED_ANSWER)
+    async with server.running():
+        vm = test_relay.RelayVm([server], attempts=1)
+        callers = [await vm.send_request(f"r-{n}", deadline_seconds=1.0) for n in range(3)]
+    assert [(caller.status, caller.body) for caller in callers] == [(200, b"done")] * 3
+    assert vm.pool.opened == 2
+
+
 @pytest.mark.anyio
 async def test_interim_answers_around_a_repeated_refusal_change_nothing():
     answer = INTERIM * 3 + EARLIER_REFUSAL + INTERIM * 2 + SEALED_ANSWER
