Write the answers of attempts and of forwarded requests in one module

`attempt` and `forward_client` each took over the response, started it, wrote the events, ended it and recorded the first part and the whole; a change of one had to be made twice. `node/answer_writer` does it for both. What differs stays where it was: what is learned of an upstream, what the other VM is told to have run. Behaviour is meant to be unchanged; `State.record_stream_origin` is gone, as the writer records where a stream began for both.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -11,6 +11,7 @@
 from hollyring.delivery import answers
 from hollyring.delivery import errors as delivery_errors
 from hollyring.node import (
+    answer_writer,
     clock,
     connection_pool,
     errors,
@@ -26,9 +27,6 @@
 )
 from hollyring.routing import costs, registry, selection
 
-HTTP_OK = 200
-HTTP_SERVER_ERROR = 500
-
 IDEMPOTENT_TIMEOUT_FACTOR = 4.0
 MIN_IDEMPOTENT_TIMEOUT_SECONDS = 0.25
 """Minimum timeout of an idempotent call, after which it is sent to another upstream.
@@ -413,22 +411,16 @@
         body = await self._wait_for(context, attempt, exchange.body)
         now = clock.now()
         upstream.record_first_event(context.request_id, now)
-        ended = answers.judge_body_end(exchange.framing)
-        failed = request_context.Failed(f"status {head.status}", head, body, ended.is_proved)
-        if head.status >= HTTP_SERVER_ERROR:
-            if not head.retry_after_seconds:
-                upstream.record_failure(now)
-            if context.retry_state.may_run_elsewhere or attempt.has_others:
-                return failed
-        if context.response.started:
-            # The caller has the head of a stream, which only another stream can continue.
-            return failed
-        _take_over(context, attempt)
-        if ended.is_proved and head.status < HTTP_SERVER_ERROR:
+        is_error = head.status >= answer_writer.HTTP_SERVER_ERROR
+        if is_error and not head.retry_after_seconds:
+            upstream.record_failure(now)
+        writer = self._writer(context, attempt, head, exchange)
+        if not writer.may_send:
+            return request_context.Failed(f"status {head.status}", head, body, writer.states_end)
+        writer.take_over()
+        if writer.states_end and not is_error:
             self._state.crashes.record_whole(context.suspects)
-        context.first_byte_at = now
-        self._metrics.observe("answer", now - context.arrived_at)
-        await context.response.send(head.status, head.headers, body, ended.is_proved)
+        await writer.send(body)
         return request_context.Done()
 
     async def _forward_stream(
@@ -440,58 +432,49 @@
     ) -> request_context.Outcome:
         upstream = attempt.selected.upstream
         events_before = context.events.last_number or 0
-        attempt.events = stream = context.events.for_attempt()
+        writer = self._writer(context, attempt, head, exchange)
+        writer.begin_stream()
         while True:
             data = await self._wait_for(context, attempt, exchange.read)
             now = clock.now()
             upstream.record_activity(now)
             try:
                 if data is None:
-                    if exchange.framing is answers.Framing.CONNECTION:
+                    if not writer.states_end:
                         # A server that crashes may close such an answer as if it were whole.
                         self._record_broken(context, upstream, events_before)
-                    promised = context.response.started and context.response.states_end
-                    ended = stream.check_end(exchange.framing, promised)
+                    writer.check_end()
                     break
-                events = stream.feed(data)
+                events = writer.accept(data)
             except delivery_errors.StreamOrderError as error:
                 upstream.record_failure(now)
                 return request_context.Failed(str(error))
             if events:
-                _take_over(context, attempt)
-                context.events = stream
-                await self._forward_events(context, attempt, head, exchange, events)
-        _take_over(context, attempt)
-        if not context.response.started:
-            await context.response.start(head.status, head.headers, b"", ended.is_proved)
-        await context.response.end()
-        if ended.is_proved:
+                self._record_first_event(context, attempt.selected)
+                await writer.write(events)
+        await writer.end()
+        if writer.states_end:
             self._state.crashes.record_whole(context.suspects)
-        self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
         return request_context.Done()
 
-    async def _forward_events(
+    def _record_first_event(
+        self, context: request_context.RequestContext, selected: selection.Selection
+    ) -> None:
+        """Record that an upstream has read the prompt, unless an earlier event has shown it."""
+        if context.request_id in selected.upstream.outstanding:
+            selected.upstream.record_first_event(context.request_id, clock.now())
+            self._state.record_cached_prompt(selected, context.request.prompt)
+
+    def _writer(
         self,
         context: request_context.RequestContext,
         attempt: open_attempts.OpenAttempt,
         head: interfaces.ResponseHead,
         exchange: http_connection.Exchange,
-        events: bytes,
-    ) -> None:
-        selected = attempt.selected
-        if context.request_id in selected.upstream.outstanding:
-            selected.upstream.record_first_event(context.request_id, clock.now())
-            self._state.record_cached_prompt(selected, context.request.prompt)
-        if context.response.started:
-            await context.response.write(events)
-            return
-        if context.software is None:
-            context.software = selected.upstream.entry.software
-            self._state.record_stream_origin(context.request, selected.upstream)
-        context.first_byte_at = clock.now()
-        self._metrics.observe("first_event", context.first_byte_at - context.arrived_at)
-        states_end = exchange.framing is not answers.Framing.CONNECTION
-        await context.response.start(head.status, head.headers, events, states_end)
+    ) -> answer_writer.AnswerWriter:
+        software = attempt.selected.upstream.entry.software
+        passed_on = answer_writer.Head(head.status, head.headers, exchange.framing, software)
+        return answer_writer.AnswerWriter(context, attempt, passed_on, self._state, self._metrics)
 
 
 def _permit_holder(context: request_context.RequestContext, selected: selection.Selection) -> str:
@@ -516,15 +499,3 @@
         exchange.encoded,
     )
     return answers.judge_head(facts, context.route.streaming, context.response.started)
-
-
-def _take_over(context: request_context.RequestContext, attempt: open_attempts.OpenAttempt) -> None:
-    """Let an attempt write the response, and close the others.
-
-    Raises
-    ------
-    SupersededError
-        If another attempt has taken over before.
-    """
-    attempt.take_over()
-    context.selected = attempt.selected
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -5,10 +5,11 @@
 import anyio
 
 from hollyring.core import execution
-from hollyring.delivery import answers, forwarded, refusal, stream_origins
+from hollyring.delivery import answers, forwarded, refusal
 from hollyring.delivery import errors as delivery_errors
 from hollyring.membership import heartbeat
 from hollyring.node import (
+    answer_writer,
     clock,
     delegated_requests,
     errors,
@@ -24,7 +25,6 @@
 SILENCE_SECONDS = 1.2
 """Time without a message after which the executing VM counts as silent; it sends some when idle."""
 
-HTTP_SERVER_ERROR = 500
 MAX_BODY_BYTES = 33_554_432
 """Longest body that is kept until it is whole."""
 
@@ -288,40 +288,34 @@
                 case _:
                     raise peer_link.LinkLostError(f"unexpected {type(message).__name__}")
         self.is_whole = True
-        headers = forwarded.from_wire(head.headers)
         body = b"".join(parts)
-        is_error = head.status >= HTTP_SERVER_ERROR
-        may_be_better = context.retry_state.may_run_elsewhere or self._attempt.has_others
-        if context.response.started or (is_error and may_be_better):
+        writer = self._writer(head)
+        if not writer.may_send:
             context.retry_state.record_forward(max(1, self.sends), [head.upstream], True)
+            headers = forwarded.from_wire(head.headers)
             shown = interfaces.ResponseHead(
                 head.status, headers, True, False, False, head.upstream, 0
             )
             return request_context.Failed(f"status {head.status}", shown, body, head.states_end)
-        self._take_over()
-        context.first_byte_at = clock.now()
-        self._metrics.observe("answer", context.first_byte_at - context.arrived_at)
-        await context.response.send(head.status, headers, body, head.states_end)
+        await writer.send(body)
         return request_context.Done()
 
     async def _forward_stream(self, head: forwarded.ForwardedHead) -> request_context.Outcome:
         context = self._context
         if context.software is not None and head.software != context.software:
             raise peer_link.LinkLostError("stream continued at another software version")
-        self._attempt.events = stream = context.events.for_attempt()
+        writer = self._writer(head)
+        writer.begin_stream()
         while True:
             message = await self._receive()
             try:
                 match message:
                     case forwarded.ForwardedData(data=data):
-                        events = stream.feed(data)
+                        events = writer.accept(data)
                         if events:
-                            self._take_over()
-                            context.events = stream
-                            await self._forward_events(head, events)
+                            await writer.write(events)
                     case forwarded.ForwardedEnd():
-                        promised = context.response.started and context.response.states_end
-                        stream.check_end(_framing(head), promised)
+                        writer.check_end()
                         break
                     case forwarded.ForwardedBreak(reason=reason):
                         raise _NotAnsweredError(f"broken off: {reason}")
@@ -330,41 +324,17 @@
             except delivery_errors.StreamOrderError as error:
                 raise _NotAnsweredError(str(error)) from error
         self.is_whole = True
-        self._take_over()
-        if not context.response.started:
-            headers = forwarded.from_wire(head.headers)
-            await context.response.start(head.status, headers, b"", head.states_end)
-        await context.response.end()
-        self._metrics.observe("whole_stream", clock.now() - context.arrived_at)
+        await writer.end()
         return request_context.Done()
 
-    def _take_over(self) -> None:
-        """Let this attempt write the response, and close the others.
-
-        Raises
-        ------
-        SupersededError
-            If another attempt has taken over before.
-        """
-        self._attempt.take_over()
-        self._context.forwarded_to = self._attempt.where
-
-    async def _forward_events(self, head: forwarded.ForwardedHead, events: bytes) -> None:
-        context = self._context
-        if context.response.started:
-            await context.response.write(events)
-            return
-        now = clock.now()
-        if context.software is None:
-            context.software = head.software
-            origin = stream_origins.Origin(context.service.name, head.software)
-            self._state.stream_origins.record(context.request.first_request_id, origin, now)
-        context.first_byte_at = now
-        self._metrics.observe("first_event", now - context.arrived_at)
+    def _writer(self, head: forwarded.ForwardedHead) -> answer_writer.AnswerWriter:
         headers = forwarded.from_wire(head.headers)
-        await context.response.start(head.status, headers, events, head.states_end)
+        passed_on = answer_writer.Head(head.status, headers, _framing(head), head.software)
+        return answer_writer.AnswerWriter(
+            self._context, self._attempt, passed_on, self._state, self._metrics
+        )
 
 
 def _framing(head: forwarded.ForwardedHead) -> answers.Framing:
-    """Return how a forwarded stream states its end; its own messages always do."""
+    """Return how a forwarded answer states its end; its own messages always do."""
     return answers.Framing.CHUNKS if head.states_end else answers.Framing.CONNECTION
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -355,13 +355,6 @@
         self.caches.touch(cached)
         self.cached_prompts.append(cached)
 
-    def record_stream_origin(
-        self, request: request_types.Request, upstream: registry.Upstream
-    ) -> None:
-        """Record that an upstream sent the first event of a stream."""
-        origin = stream_origins.Origin(upstream.entry.service, upstream.entry.software)
-        self.stream_origins.record(request.first_request_id, origin, clock.now())
-
     def continuation(
         self, request: request_types.Request, service: str
     ) -> stream_origins.Continuation:
