Answers: a stream that its caller takes up is continued by events only

A caller that took its stream up at `Last-Event-ID` got 200 and an empty or short body as a whole answer where the upstream answered with a success that is no stream of events; to the caller the stream was complete.

Cause: whether the caller has the beginning of a stream was taken from the response that this VM has begun. Of a stream that was begun elsewhere the caller has the beginning as well, and the VM knows its last event.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -498,4 +498,6 @@
         head.has_events,
         exchange.encoded,
     )
-    return answers.judge_head(facts, context.route.streaming, context.response.started)
+    streaming = context.route.streaming
+    is_taken_up = streaming and context.events.last_number is not None
+    return answers.judge_head(facts, streaming, context.response.started or is_taken_up)
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -209,6 +209,20 @@
     assert (caller.status, caller.body, caller.ended) == (200, FIRST_EVENTS, False)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("framing", ["length", "connection"])
+@pytest.mark.parametrize("body", [b"", ERROR_TEXT], ids=["nothing", "text"])
+@pytest.mark.parametrize("content_type", [STREAM_TYPE, "text/plain"])
+async def test_stream_that_its_caller_takes_up_is_not_ended_by_an_answer_that_is_no_stream(
+    framing, body, content_type
+):
+    server = OddContinuation(body, framing, content_type)
+    async with server.running():
+        vm = test_relay.RelayVm([server], **RESUMABLE)
+        caller = await vm.send_request(resume_after=2, deadline_seconds=0.5)
+    assert caller.status == 502
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("behaviour", ["refuse", "misdirect", "error", "not-found"])
 async def test_stream_is_not_ended_by_an_answer_that_is_no_stream(behaviour):
