Connections: spaces around a header's value are no part of it

An answer whose `X-Request-Id` has a space behind it counted as that to another request: it was skipped, and its caller waited for one that never came.

Cause: HTTP's parser keeps spaces and tabs behind a value; by RFC 9110 they are no part of it.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -481,7 +481,7 @@
         if not self._in_head:
             return
         _check_is_one_head(value)
-        name = name.lower()
+        name, value = name.lower(), value.strip(b" \t")
         self._headers.append((name, value))
         if name == b"content-length":
             self._framing = answers.Framing.LENGTH
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -388,6 +388,16 @@
     assert [caller.status for caller in callers] == [200, 502]
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "name", [b"x-request-id: NAME ", b"x-request-id:\tNAME\t ", b"X-Request-ID:NAME"]
+)
+async def test_space_around_the_name_of_a_request_is_no_part_of_it(name):
+    answer = encode(200, name, SEAL_HEADER, b"content-length: 4", body=b"done", names=False)
+    callers = await send_all(ScriptedServer(answer, answer))
+    assert [(caller.status, caller.body) for caller in callers] == [(200, b"done")] * 2
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     "trailer",
