Connections: a number of thousands of digits in a head fails no request

A request was answered with 502, and a stream that had begun would have failed as a whole, where the head of the next upstream's answer has a version of its weights or a keep-alive time of 5,000 digits.

Cause: int() raises ValueError from 4,300 digits on, as for the numbers of events; the same class elsewhere. Numbers in a head have 18 digits at most; longer ones count as none.

Before: the cases x-weight-versions and keep-alive of test_number_of_many_digits_in_a_head_fails_no_request got 502, or lost their connection.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -39,6 +39,9 @@
 MAX_REQUESTS = 256
 """Requests after which a connection carries no other; it remembers which it has carried."""
 
+MAX_NUMBER_DIGITS = 18
+"""Digits of a number in a head; one with more is no number that is meant."""
+
 INTERIM_STATUSES = range(100, 200)
 STATUSES_WITHOUT_BODY = (204, 304)
 
@@ -583,6 +586,6 @@
     """Return the seconds for which an idle connection is reusable, from a ``Keep-Alive`` value."""
     for field in value.split(b","):
         name, _, number = field.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
+        if name.lower() == b"timeout" and number.isdigit() and len(number) <= MAX_NUMBER_DIGITS:
             return max(0.0, int(number) - KEEP_ALIVE_MARGIN_SECONDS)
     return DEFAULT_KEEP_ALIVE_SECONDS
--- a/hollyring/platform/tests/test_repeated_answers.py
+++ b/hollyring/platform/tests/test_repeated_answers.py
@@ -398,6 +398,26 @@
     assert [(caller.status, caller.body) for caller in callers] == [(200, b"done")] * 2
 
 
+LONG = b"9" * 5000
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"x-weight-versions: " + LONG,
+        b"keep-alive: timeout=" + LONG,
+        b"server-limit: " + LONG,
+        b"retry-after: " + LONG,
+    ],
+    ids=lambda header: header.partition(b":")[0].decode(),
+)
+async def test_number_of_many_digits_in_a_head_fails_no_request(header):
+    answer = encode(200, SEAL_HEADER, header, b"content-length: 4", body=b"done")
+    callers = await send_all(ScriptedServer(answer, answer))
+    assert [(caller.status, caller.body) for caller in callers] == [(200, b"done")] * 2
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     "trailer",
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -154,7 +154,7 @@
             not_run=bool(_header_value(head.headers, b"x-not-run")),
             misdirected=head.status == 421,
             upstream=_header_value(head.headers, b"x-instance-id").decode("latin-1"),
-            version=int(version) if version.isdigit() else 0,
+            version=_decode_number(version),
             retry_after_seconds=retry_after if isinstance(retry_after, float) else 0.0,
             retry_after_anomaly=None if isinstance(retry_after, float) else retry_after,
             leaving=_header_value(head.headers, b"server-leaving").strip() == b"1",
@@ -264,6 +264,12 @@
     return interfaces.RetryAfterAnomaly.MALFORMED
 
 
+def _decode_number(value: bytes) -> int:
+    """Return a whole number, 0 for what is none."""
+    is_number = value.isdigit() and len(value) <= http_connection.MAX_NUMBER_DIGITS
+    return int(value) if is_number else 0
+
+
 def _decode_limit(head: http_connection.ResponseHead, name: bytes) -> float | None:
     """Return the number per second that a response names as a limit of its server, if it does.
 
