Ingress: a header with a number that is too large is malformed

A caller whose `Last-Event-ID` or token count is beyond what a float holds got an internal error: int() of infinity raises OverflowError, which is not the error of a malformed header.

Before: the four new cases of test_malformed_request_header_raises failed, three with OverflowError, one without any error.

--- a/hollyring/platform/ingress.py
+++ b/hollyring/platform/ingress.py
@@ -17,6 +17,9 @@
 DEFAULT_DEADLINE_SECONDS = 30.0
 """Deadline of a request without an ``x-deadline-ms`` header."""
 
+MAX_NUMBER = 2**53
+"""Largest whole number in a header, up to which a float is exact."""
+
 MAX_REQUEST_ID_BYTES = 200
 
 
@@ -61,7 +64,7 @@
             _parse_number(deadline_ms) / MS_PER_SECOND if deadline_ms else DEFAULT_DEADLINE_SECONDS
         ),
         prompt=_parse_prompt(headers),
-        resume_after=int(_parse_number(last_event_id)) if last_event_id else None,
+        resume_after=_parse_whole_number(last_event_id) if last_event_id else None,
         resumed_request_id=resumed_request_id,
     )
 
@@ -102,6 +105,13 @@
         raise RequestError(f"header value is not a number: {text[:40]}") from error
 
 
+def _parse_whole_number(text: str) -> int:
+    number = _parse_number(text)
+    if number > MAX_NUMBER:
+        raise RequestError(f"header value is too large: {text[:40]}")
+    return int(number)
+
+
 def _bearer_token(headers: list[request_types.Header]) -> str:
     scheme, _, key = _header_text(headers, b"authorization").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
@@ -119,12 +129,12 @@
     return request_types.Prompt(
         model,
         parts,
-        int(_parse_number(prompt_tokens)),
-        int(_parse_number(output_tokens or "0")),
-        int(_parse_number(length_hint)) if length_hint else 0,
+        _parse_whole_number(prompt_tokens),
+        _parse_whole_number(output_tokens or "0"),
+        _parse_whole_number(length_hint) if length_hint else 0,
     )
 
 
 def _parse_part(entry: str) -> request_types.Part:
     name, _, tokens = entry.strip().rpartition(":")
-    return request_types.Part(urllib.parse.unquote(name), int(_parse_number(tokens)))
+    return request_types.Part(urllib.parse.unquote(name), _parse_whole_number(tokens))
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -220,6 +220,10 @@
         (b"x-token-counts", b"a,b"),
         (b"x-prompt-prefix", b"a:b"),
         (b"x-request-id", b""),
+        (b"last-event-id", b"9" * 400),
+        (b"last-event-id", b"inf"),
+        (b"x-token-counts", b"1e400,5"),
+        (b"x-prompt-prefix", b"a:1e30"),
     ],
 )
 def test_malformed_request_header_raises(header):
