Test what ends a stream that has begun: a spent retry budget, a half close

Both pass, they guard what is decided: a stream that its upstream broke off does not wait for the retry budget, since the caller may resume it at once by a request of its own; and a half close ends a stream that has begun, as it cannot be told from a cancel. test_end_of_grace_period's set-up of a streaming route is a function now; its tests are unchanged.

--- a/hollyring/platform/tests/test_end_of_grace_period.py
+++ b/hollyring/platform/tests/test_end_of_grace_period.py
@@ -50,6 +50,16 @@
     return received
 
 
+async def configure_streams(store, server):
+    """Make the route one of streams, and its server one with a model."""
+    services = [{"name": "s", "engine": ENGINE | {"models": [{"name": "m"}]}}]
+    routes = [LONG_ROUTE | {"kind": "streaming"}]
+    changed = {"version": 4, "services": services, "routes": routes}
+    await store.put("op/config", test_process.CONFIG | changed)
+    models = [{"name": "m", "version": 1}]
+    await store.put("servers/i-1", conftest.make_entry(server.address, models=models))
+
+
 def end_of(vm, request_id):
     (ended,) = [
         line
@@ -78,12 +88,7 @@
 @pytest.mark.anyio
 async def test_stream_open_at_the_end_of_the_grace_period_is_logged_as_broken_off_by_it(cluster):
     store, server, start = cluster
-    services = [{"name": "s", "engine": ENGINE | {"models": [{"name": "m"}]}}]
-    routes = [LONG_ROUTE | {"kind": "streaming"}]
-    changed = {"version": 4, "services": services, "routes": routes}
-    await store.put("op/config", test_process.CONFIG | changed)
-    models = [{"name": "m", "version": 1}]
-    await store.put("servers/i-1", conftest.make_entry(server.address, models=models))
+    await configure_streams(store, server)
     server.events, server.event_seconds = 1_000, 0.1
     vm = start(grace_seconds=GRACE_SECONDS)
     await vm.wait_ready()
--- a/hollyring/platform/tests/test_half_closed_callers.py
+++ b/hollyring/platform/tests/test_half_closed_callers.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from hollyring.platform.tests import test_process
+from hollyring.platform.tests import test_end_of_grace_period, test_process
 
 GONE_SECONDS = 0.5
 """Time within which the work for a caller that has left is stopped."""
@@ -64,6 +64,23 @@
     assert (ended["outcome"], ended["status"]) == ("caller left", 502)
 
 
+@pytest.mark.anyio
+async def test_stream_that_has_begun_is_broken_off_by_a_half_close(cluster):
+    store, server, start = cluster
+    await test_end_of_grace_period.configure_streams(store, server)
+    server.events, server.event_seconds = 1_000, 0.05
+    vm = start()
+    await vm.wait_ready()
+    connection = test_end_of_grace_period.send(vm, "r-1", test_end_of_grace_period.MODEL_HEADERS)
+    await anyio.sleep(0.3)
+    connection.shutdown(socket.SHUT_WR)
+    with anyio.fail_after(GONE_SECONDS):
+        received = await anyio.to_thread.run_sync(read_all, connection)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert not received.endswith(b"0\r\n\r\n")
+    assert test_end_of_grace_period.end_of(vm, "r-1") == ("caller left", 200)
+
+
 @pytest.mark.anyio
 async def test_half_closed_caller_whose_request_lay_unread_is_told_that_it_did_not_run(cluster):
     _, server, start = cluster
--- a/hollyring/platform/tests/test_waiting_streams.py
+++ b/hollyring/platform/tests/test_waiting_streams.py
@@ -53,6 +53,19 @@
     assert not caller.ended
 
 
+@pytest.mark.anyio
+async def test_broken_stream_does_not_wait_for_a_spent_retry_budget(start_vm):
+    vm, servers = await start_vm("interrupt", "complete", retry_safety=RESUMABLE, streaming=True)
+    budget = vm.state.retries("s")
+    while budget.try_retry(clock.now()):
+        pass
+    fill(vm, servers[1], 0.1)
+    with anyio.fail_after(0.3):
+        caller = await vm.send_request(deadline_seconds=3.0)
+    assert not caller.ended
+    assert [len(server.requests) for server in servers] == [1, 0]
+
+
 @pytest.mark.anyio
 async def test_request_that_has_not_begun_is_refused_at_once_if_no_upstream_has_room(start_vm):
     vm, servers = await start_vm("reset", "complete", retry_safety=RESUMABLE, streaming=True)
