--- a/hollyring/platform/tests/soak.py
+++ b/hollyring/platform/tests/soak.py
@@ -36,6 +36,7 @@
 LEAVE_SECONDS = (0.02, 1.0)
 """Share of the requests whose caller leaves, and the time after which it does."""
 
+LOG_TAIL_LINES = 20
 OTHER_KEY_SHARE = 0.2
 """Share of the requests with a key that was added and will be taken away."""
 
@@ -119,7 +120,7 @@
                 vm.start()
                 self.vms.append(vm)
             for vm in self.vms:
-                await vm.wait_ready()
+                await _wait_ready(vm)
             await self._play(store)
         return self
 
@@ -190,7 +191,7 @@
             await asyncio.sleep(0.05)
         await asyncio.sleep(RESTART_SECONDS)
         vm.start()
-        await vm.wait_ready()
+        await _wait_ready(vm)
         self._away.discard(vm.log_path.stem)
 
     async def _call_repeatedly(self, number):
@@ -240,6 +241,17 @@
         return usable
 
 
+async def _wait_ready(vm):
+    """Wait until a VM is ready; if it is not in time, say what it did."""
+    try:
+        await vm.wait_ready()
+    except AssertionError as error:
+        error.add_note(f"{vm.log_path.stem}: exit status {vm.process.poll()}; end of its log:")
+        for line in vm.log_path.read_text().splitlines()[-LOG_TAIL_LINES:]:
+            error.add_note(line)
+        raise
+
+
 def _encode(call):
     lines = [
         f"POST /{call.route}/x HTTP/1.1",
--- a/hollyring/platform/tests/test_soak.py
+++ b/hollyring/platform/tests/test_soak.py
@@ -32,7 +32,6 @@
 LAST_SIXTH_SECONDS = soak.GRACE_SECONDS * 5 / 6
 """Time after a SIGTERM from which a server at work on a request makes it outlast the period."""
 
-LOG_TAIL_LINES = 20
 ONCE = ("order", "stream", "reply")
 """Routes whose requests may run once only."""
 
@@ -111,7 +110,7 @@
 def describe(run, call):
     """Return what led to the end of a request, for a failed check."""
     signals = [sent for sent in run.signals if sent.vm == call.vm]
-    tail = ["end of the log:", *lines_of_vm(run, call)[-LOG_TAIL_LINES:]]
+    tail = ["end of the log:", *lines_of_vm(run, call)[-soak.LOG_TAIL_LINES :]]
     work = work_of(run, call)
     return "\n".join(map(str, [call, *work, *signals, *log_of(run, call), *tail]))
 
