Give up a forward to a silent VM only for a VM to which there is a link

What callers got: 502 after 1.6 s with 6.4 s left, for a stream forwarded by a VM without upstreams while both VMs that reach them stood still for 1 s.

Cause: the silent VM was given up as soon as another one was known. That one took no link within 0.4 s; no VM was left to ask, and the cut VM's own three connects were refused. The silent VM had the answer 0.03 s later.

What stays: the other VM may fall silent behind its link.

--- a/hollyring/node/attempt_places.py
+++ b/hollyring/node/attempt_places.py
@@ -86,6 +86,14 @@
         selected = self._state.selector.select(self.selection_request(context), now)
         return None if isinstance(selected, selection.NoUpstream) else selected
 
+    async def is_usable(
+        self, context: request_context.RequestContext, place: open_attempts.Place
+    ) -> bool:
+        """Return whether an attempt can be made at a place, for which a silent VM is given up."""
+        if self._forwards is None or isinstance(place, selection.Selection):
+            return True
+        return await self._forwards.is_linked(context, place)
+
     def declined_error(self, context: request_context.RequestContext) -> RequestRefusedError:
         """Return a refusal with the shortest time to return that other VMs stated."""
         soonest = min(context.declined, key=lambda rejection: rejection.retry_after)
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -179,7 +179,7 @@
             return
         budget = self._state.retries(context.service.name)
         if attempts.replaceable:
-            if budget.has_retry(now):
+            if budget.has_retry(now) and await self._places.is_usable(context, place):
                 attempts.end_replaceable()
             return
         if not budget.try_retry(now):
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -64,6 +64,18 @@
         """Return the VM to make the next attempts of a request, None if no VM is known to."""
         return self._state.forwarding.choose(context.service.name, context.avoided_vms, clock.now())
 
+    async def is_linked(
+        self, context: request_context.RequestContext, target: heartbeat.VmInfo
+    ) -> bool:
+        """Return whether there is a link to a VM for a request, which avoids that VM if not."""
+        try:
+            link = await self._links.acquire(target.peer_address)
+        except peer_link.LinkLostError:
+            context.avoided_vms.append(target.name)
+            return False
+        await self._links.release(target.peer_address, link)
+        return True
+
     async def run(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> request_context.Outcome:
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -426,6 +426,17 @@
     assert fleet.requests == []
 
 
+@pytest.mark.anyio
+async def test_forward_to_a_silent_vm_is_not_given_up_for_a_vm_that_takes_no_link(start_fleet):
+    fleet = await start_fleet("complete", count=0, retry_safety=IDEMPOTENT, timeout=5.0)
+    await fleet.add_scripted(1.9, *LATE)
+    (await fleet.add()).kill()
+    await anyio.sleep(0.05)
+    caller = await fleet.cut.send_request(deadline_seconds=4.0)
+    assert (caller.status, caller.body) == (200, b"late")
+    assert fleet.requests == []
+
+
 @pytest.mark.anyio
 async def test_silent_vm_that_goes_on_is_not_granted_a_run_beside_the_vm_that_replaced_it(
     start_fleet,
