Ask VMs that follow for limits too, as all serving VMs may have just started

What callers could see: in a large fleet whose serving VMs were all killed at once and came back, the first requests went to an upstream beyond the request or rejection limit that it had named, after which it may fail for seconds.

Cause: a VM that starts asks only serving VMs for limits; where all of them have just started too, only VMs that follow know them, from the statuses before. design/limits.md listed it as not covered.

--- a/hollyring/node/first_limits.py
+++ b/hollyring/node/first_limits.py
@@ -1,9 +1,9 @@
-"""Limits of upstreams that a VM which has just started asks the serving VMs for.
+"""Limits of upstreams that a VM which has just started asks other VMs for.
 
 Heartbeats and statuses tell it of them only after some tenths of a second, and a herd of restarted
 VMs sends dozens of requests until then. All serving VMs are asked, as some of them may have just
-started too. Where none knows of a limit, as after a restart of the whole fleet, requests go on as
-soon as all have answered.
+started too, and a few that follow, as all serving ones may have. Where none knows of a limit, as
+after a restart of the whole fleet, requests go on as soon as all have answered.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 
 import anyio
 
+from hollyring.core import rendezvous
 from hollyring.membership import heartbeat
 from hollyring.node import clock, state
 
@@ -19,7 +20,10 @@
 """Time after the start from which heartbeats and statuses have told of all limits."""
 
 ASK_TIMEOUT_SECONDS = 0.15
-"""Longest wait for the answers of the serving VMs."""
+"""Longest wait for the answers of the other VMs."""
+
+MAX_FOLLOWING = 3
+"""VMs that follow that are asked; each VM that starts asks others, chosen by its name."""
 
 
 class Caller(typing.Protocol):
@@ -30,7 +34,7 @@
 
 
 class FirstLimits:
-    """Asks each serving VM once, when the first requests are sent after the start.
+    """Asks each serving VM and a few others once, when the first requests are sent after the start.
 
     Parameters
     ----------
@@ -50,7 +54,7 @@
         self._asking: anyio.Event | None = None
 
     async def wait(self) -> None:
-        """Return when the serving VMs have been asked, at once if that is long ago."""
+        """Return when the other VMs have been asked, at once if that is long ago."""
         while clock.now() < self._ends_at:
             if self._asking is not None:
                 await self._asking.wait()
@@ -62,8 +66,12 @@
 
     def _unasked(self) -> list[heartbeat.VmInfo]:
         own_name = self._state.vm_info.name
-        serving = self._state.peers.serving
-        return [vm for vm in serving if vm.name != own_name and vm.name not in self._asked]
+        peers = self._state.peers
+        serving = {vm.name: vm for vm in peers.serving if vm.name != own_name}
+        names = rendezvous.rank(own_name.encode(), peers.by_name.keys() - serving.keys())
+        following = {name: peers.by_name[name].vm for name in names[:MAX_FOLLOWING]}
+        asked = {} if self._asked else following
+        return [vm for vm in (serving | asked).values() if vm.name not in self._asked]
 
     async def _ask_all(self, vms: list[heartbeat.VmInfo]) -> None:
         self._asking = anyio.Event()
--- a/hollyring/node/tests/test_first_limits.py
+++ b/hollyring/node/tests/test_first_limits.py
@@ -91,3 +91,18 @@
         assert seconds == 0.0
 
     simulate(scenario, vms=["vm-1"])
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 3.0])
+def test_limit_that_only_vms_that_follow_know_holds_when_all_serving_vms_restart(simulate, seconds):
+    async def scenario(fleet):
+        await start_named_fleet(fleet)
+        serving = [name for name, vm in fleet.vms.items() if vm.state.peers.is_serving]
+        assert len(serving) < len(fleet.names)
+        restarted = await restart(fleet, serving, seconds)
+        async with anyio.create_task_group() as group:
+            for vm in restarted:
+                group.start_soon(acquire, vm)
+        assert all(map(knows_limit, restarted))
+
+    simulate(scenario, vms=test_send_permits.names(60))
