Take nothing that lies unread for silence of the other VMs after a late event loop

Callers saw: a VM whose event loop had been late by 1.2 s or more named itself only in its list of VMs, and so sent all that asked to the one VM that was short of processor time; until their list ended (1.5 s). Cause: a VM is alive if its last heartbeat came within 1.2 s. Right after the event loop was late, heartbeats of all others lie unread beside the request for the list; all of them counted as dead, also for the choice of serving VMs, of those that watch the store and for shares of rates. The class is that of late-configuration: acting on knowledge of unknown age. Why it works: the periodic work of a VM states when it is due. While it is late, and for 0.3 s after it began late, silence is counted up to the moment at which it was due. A VM that does fall silent then is dropped as before (the same test).

--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -20,6 +20,12 @@
 ALIVE_TIMEOUT_SECONDS = 1.2
 """A VM whose last heartbeat is older does not count as alive, and callers are not sent to it."""
 
+MIN_LATE_SECONDS = 0.1
+"""Delay of a VM's periodic work from which heartbeats may lie unread, as its loop was late."""
+
+READ_SECONDS = 0.3
+"""Time in which what lay unread is read, and VMs that were late too send again."""
+
 FIRST_HEARTBEAT_TIMEOUT_SECONDS = 2.0
 """Time for the first heartbeat of a VM that is selected to serve; it may be starting."""
 
@@ -168,6 +174,9 @@
         "_served_at",
         "_is_cut_off",
         "_reaching",
+        "_turn_due_at",
+        "_lateness",
+        "_late_until",
     )
 
     def __init__(self, local: heartbeat.VmInfo) -> None:
@@ -182,6 +191,9 @@
         self._served_at = -math.inf
         self._is_cut_off = False
         self._reaching: list[str] = []
+        self._turn_due_at = math.inf
+        self._lateness = 0.0
+        self._late_until = -math.inf
 
     @property
     def local(self) -> heartbeat.VmInfo:
@@ -215,7 +227,7 @@
             peer = self._peers.get(name)
             if peer is None:
                 self._peers[name] = Peer(vm)
-            elif peer.vm.life != vm.life and not peer.is_alive(now):
+            elif peer.vm.life != vm.life and not self._is_alive(peer, now):
                 self._peers[name] = Peer(vm, last_order_at=peer.last_order_at)
         for name, peer in self._peers.items():
             if peer.listed and name not in listed:
@@ -229,7 +241,7 @@
         if vm.name == self._local.name:
             return None
         peer = self._peers.get(vm.name)
-        is_new = peer is None or peer.vm.life != vm.life or not peer.is_alive(now)
+        is_new = peer is None or peer.vm.life != vm.life or not self._is_alive(peer, now)
         if peer is None:
             peer = self._peers[vm.name] = Peer(vm, delisted_at=now)
         if peer.vm != vm or (is_new and not peer.listed):
@@ -283,6 +295,37 @@
                 if selected is not None and selected.expected_since is None:
                     selected.expected_since = now
 
+    def begin_turn(self, now: float) -> None:
+        """Record that this VM does its periodic work, which was due as `expect_turn` says.
+
+        If it is late, so is whatever the other VMs have sent: their messages lie unread, which is
+        not taken for silence until there was time to read them.
+        """
+        lateness = self._seconds_late(now)
+        if lateness:
+            self._lateness = lateness
+            self._late_until = now + READ_SECONDS
+        self._turn_due_at = math.inf
+
+    def expect_turn(self, due_at: float) -> None:
+        """Record when the periodic work is due next."""
+        self._turn_due_at = due_at
+
+    def _seconds_late(self, now: float) -> float:
+        late = now - self._turn_due_at
+        return late if late > MIN_LATE_SECONDS else 0.0
+
+    def _heard_until(self, now: float) -> float:
+        """Return until when this VM has read what the other VMs sent."""
+        kept = self._lateness if now < self._late_until else 0.0
+        return now - max(kept, self._seconds_late(now))
+
+    def _is_alive(self, peer: Peer, now: float) -> bool:
+        return peer.is_alive(self._heard_until(now))
+
+    def _may_serve(self, peer: Peer, now: float) -> bool:
+        return peer.may_serve(self._heard_until(now))
+
     def status(self) -> tuple[int, list[str]]:
         """Return the number of VMs that are to serve, and the names that the selection skipped."""
         skipped: list[str] = []
@@ -343,7 +386,7 @@
         peer = self._peers.get(name)
         if peer is None:
             return False
-        return peer.is_alive(now) if self._exchanging else now >= peer.unavailable_until
+        return self._is_alive(peer, now) if self._exchanging else now >= peer.unavailable_until
 
     def recipients(self, now: float) -> list[str]:
         """Return the peer addresses to send heartbeats to.
@@ -360,7 +403,7 @@
         recipients = {vm.name: vm.peer_address for vm in others[:MAX_OTHER_RECIPIENTS]}
         for vm in self._serving:
             peer = self._peers.get(vm.name)
-            answers = peer is not None and peer.is_alive(now) and peer.exchanging
+            answers = peer is not None and self._is_alive(peer, now) and peer.exchanging
             if self._exchanging or answers:
                 recipients[vm.name] = vm.peer_address
         recipients.pop(self._local.name, None)
@@ -378,7 +421,7 @@
             self._peers[name]
             for name in skipped
             if name in self._peers
-            and not self._peers[name].is_alive(now)
+            and not self._is_alive(self._peers[name], now)
             and now - self._peers[name].probed_at >= SILENT_PROBE_SECONDS
         ]
         due.sort(key=lambda peer: peer.probed_at)
@@ -419,7 +462,7 @@
         peer = self._peers.get(name)
         if peer is None:
             return False
-        return peer.store_reached if peer.is_alive(now) else peer.may_serve(now)
+        return peer.store_reached if self._is_alive(peer, now) else self._may_serve(peer, now)
 
     def remove_silent(self, now: float) -> list[str]:
         """Remove VMs that are silent and not on the store's list; return their names."""
@@ -436,7 +479,7 @@
 
     def alive(self, now: float) -> list[Peer]:
         """Return the VMs whose last heartbeat is recent enough."""
-        return [peer for peer in self._peers.values() if peer.is_alive(now)]
+        return [peer for peer in self._peers.values() if self._is_alive(peer, now)]
 
     def reachable_fraction(self, now: float) -> float:
         """Return the fraction of the VMs that should serve whose heartbeats arrive.
@@ -449,13 +492,13 @@
         expected, reached = 1, 1
         for vm in self._ranking():
             peer = self._peers.get(vm.name)
-            if peer is None or not (peer.listed or peer.is_alive(now)):
+            if peer is None or not (peer.listed or self._is_alive(peer, now)):
                 continue
             if expected == self._size.value:
                 break
             expected += 1
-            awaited = math.isinf(peer.last_heartbeat_at) and peer.may_serve(now)
-            reached += peer.is_alive(now) or awaited
+            awaited = math.isinf(peer.last_heartbeat_at) and self._may_serve(peer, now)
+            reached += self._is_alive(peer, now) or awaited
         return reached / expected
 
     def set_cut_off(self, is_cut_off: bool) -> None:
@@ -505,7 +548,7 @@
             peer = self._peers.get(vm.name)
             if peer is None:
                 continue
-            if self._exchanging and not (peer.is_alive(now) and peer.ready):
+            if self._exchanging and not (self._is_alive(peer, now) and peer.ready):
                 continue
             (cut_off if peer.unreachable_services else addresses).append(vm.caller_address)
         return [*addresses, *cut_off][:limit]
@@ -548,7 +591,7 @@
     def _select(self, leaving: bool, now: float) -> None:
         def is_available(vm: heartbeat.VmInfo) -> bool:
             peer = self._peers.get(vm.name)
-            return not leaving if peer is None else peer.may_serve(now)
+            return not leaving if peer is None else self._may_serve(peer, now)
 
         self._serving = serving_set.select(self._ranking(), is_available, self._size.value)
         self._serving_names = frozenset(vm.name for vm in self._serving)
--- a/hollyring/membership/tests/test_peer_table.py
+++ b/hollyring/membership/tests/test_peer_table.py
@@ -69,6 +69,21 @@
     assert peers.caller_addresses(True, 12.0, 64) == ["vm-1:1"]
 
 
+def test_silence_that_a_late_event_loop_explains_takes_no_vm_from_the_list(peers):
+    peers.update_listed([vm_info("vm-1"), vm_info("vm-2")], 0.0)
+    update(peers, 9.0)
+    peers.receive(heartbeat_from("vm-2"), 10.0)
+    peers.expect_turn(10.2)
+    assert peers.caller_addresses(True, 13.0, 64) == ["vm-1:1", "vm-2:1"]
+    peers.begin_turn(13.0)
+    update(peers, 13.0)
+    assert peers.caller_addresses(True, 13.0, 64) == ["vm-1:1", "vm-2:1"]
+    peers.expect_turn(13.2)
+    peers.begin_turn(13.2 + peer_table.READ_SECONDS)
+    update(peers, 13.2 + peer_table.READ_SECONDS)
+    assert peers.caller_addresses(True, 14.2, 64) == ["vm-1:1"]
+
+
 def test_callers_are_sent_to_vms_that_are_cut_off_from_upstreams_last(peers):
     peers.update_listed([vm_info("vm-1"), vm_info("vm-2"), vm_info("vm-3")], 0.0)
     update(peers, 9.0)
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -64,12 +64,14 @@
             now = clock.now()
             if now - due > PAUSE_THRESHOLD_SECONDS:
                 self._log.info("process was paused", seconds=round(now - due, 2))
+            self._state.peers.begin_turn(now)
             self._state.tick(now)
             addresses = self._addresses(now)
             if addresses:
                 self._peers.broadcast(addresses, self._heartbeat(now))
             interval = self._interval(len(addresses))
             due = now + interval
+            self._state.peers.expect_turn(due)
             with anyio.move_on_after(interval):
                 await self._send_requested.wait()
             self._send_requested = anyio.Event()
--- a/hollyring/node/tests/test_late_knowledge.py
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -6,6 +6,7 @@
 import anyio.lowlevel
 import pytest
 
+from hollyring.membership import peer_table
 from hollyring.node import clock, metrics, recent_copies
 from hollyring.node.tests import simulated_fleet
 
@@ -113,3 +114,21 @@
         assert vm.state.configuration_version == 2
 
     simulate(scenario, vms=VMS[:9])
+
+
+def test_vms_list_each_other_also_right_after_their_event_loops_were_late(simulate):
+    def listed(fleet):
+        tables = [vm.state.peers for vm in fleet.vms.values()]
+        return {len(table.caller_addresses(True, clock.now(), 64)) for table in tables}
+
+    async def scenario(fleet):
+        await start_fleet(fleet, VMS[:9])
+        anyio.lowlevel.current_token().native_token.pass_unused(2.0)
+        for _ in range(100):
+            assert listed(fleet) == {9}
+            await anyio.sleep(0.01)
+        fleet.kill("vm-08")
+        await anyio.sleep(peer_table.ALIVE_TIMEOUT_SECONDS + 0.5)
+        assert listed(fleet) == {8}
+
+    simulate(scenario, vms=VMS[:9])
