--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -64,12 +64,14 @@
             now = clock.now()
             if now - due > PAUSE_THRESHOLD_SECONDS:
                 self._log.info("process was paused", seconds=round(now - due, 2))
+            self._state.peers.begin_turn(now)
             self._state.tick(now)
             addresses = self._addresses(now)
             if addresses:
                 self._peers.broadcast(addresses, self._heartbeat(now))
             interval = self._interval(len(addresses))
             due = now + interval
+            self._state.peers.expect_turn(due)
             with anyio.move_on_after(interval):
                 await self._send_requested.wait()
             self._send_requested = anyio.Event()
@@ -120,6 +122,7 @@
             unreachable_services=vm_state.reachability.unreachable_services,
             accepts_forwarded=True,
             rejection_limits=vm_state.rejection_limits.take_unreported(now, refreshes),
+            answered_requests=vm_state.crashes.take_answered_requests(),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
