Answer the requests read behind one that runs when its server is shut down

A caller that sends a request behind one that runs, to a VM that no longer accepts connections (4 s after SIGTERM), got an answer to the first one only, and the connection was closed: the second one was read whole and got neither an answer nor a refusal. It had not been sent to an upstream.

Cause: uvicorn's shutdown marks the last request that was read by then as the last one of its connection.

Now a shutdown closes the connections without an open request, as before, and the last request is chosen when an answer is written: the one behind which none waits. A request that arrives after the head of an answer has stated the close still crosses it and is not served.

Evidence: 8 of the 12 new cases failed before (0 or 20 bytes of the second request sent before the shutdown; one answer of two); the other four and the three cases of connections that are to be closed at once passed before and pass now.

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -56,6 +56,7 @@
         _caller_connection: caller_connection.CallerConnection
         _running: httptools_impl.RequestResponseCycle | None = None
         _ignores_input = False
+        _shuts_down = False
 
         @property
         def _whole_running(self) -> httptools_impl.RequestResponseCycle | None:
@@ -99,6 +100,12 @@
             running.message_event.set()
             return True
 
+        def shutdown(self) -> None:
+            """Close the connection behind the last request that was read before its answer."""
+            self._shuts_down = True
+            if self.cycle is None or self.cycle.response_complete:
+                self.transport.close()
+
         def data_received(self, data: bytes) -> None:
             if self.transport.is_closing():
                 self.transport.discard(len(data))
@@ -158,15 +165,19 @@
         def _start_asgi_task(self, cycle: httptools_impl.RequestResponseCycle, app: Any) -> None:
             async def run(scope: Any, receive: Any, send: Any) -> None:
                 until_end = caller_connection.until_end(self._caller_connection, receive)
-                await app(scope, until_end, self._open_for_waiting(send))
+                await app(scope, until_end, self._open_for_waiting(cycle, send))
 
             self._running = cycle
             super()._start_asgi_task(cycle, run)
 
-        def _open_for_waiting(self, send: asgi.Send) -> asgi.Send:
+        def _open_for_waiting(
+            self, cycle: httptools_impl.RequestResponseCycle, send: asgi.Send
+        ) -> asgi.Send:
             """Return a `send` of responses that close no connection on which requests wait."""
 
             async def send_open(message: MutableMapping[str, Any]) -> None:
+                if self._shuts_down and not self.pipeline:
+                    cycle.keep_alive = False
                 if self.pipeline and message["type"] == "http.response.start":
                     headers = [item for item in message["headers"] if item[0].lower() != CLOSE_NAME]
                     message = {**message, "headers": headers}
--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -6,7 +6,7 @@
 import pytest
 import uvicorn
 
-from hollyring.node import bounded_protocol, lingering_transport, settings
+from hollyring.node import asgi, bounded_protocol, lingering_transport, settings
 
 LIMITS = settings.Limits(header_bytes=2_000, header_seconds=0.2, connections=3)
 TIMEOUT_SECONDS = 5.0
@@ -23,13 +23,13 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(served_application):
-    """Serve an application on a port of its own."""
+async def started(served_application, limits=LIMITS):
+    """Serve an application on a port of its own, and yield the server and the port."""
     config = uvicorn.Config(
         served_application,
         "127.0.0.1",
         0,
-        http=bounded_protocol.protocol_class(LIMITS),
+        http=bounded_protocol.protocol_class(limits),
         lifespan="off",
         log_level="error",
     )
@@ -39,10 +39,17 @@
         with anyio.fail_after(TIMEOUT_SECONDS):
             while not server.started:
                 await anyio.sleep(0.01)
-        yield server.servers[0].sockets[0].getsockname()[1]
+        yield server, server.servers[0].sockets[0].getsockname()[1]
         server.should_exit = True
 
 
+@contextlib.asynccontextmanager
+async def serving(served_application):
+    """Serve an application on a port of its own."""
+    async with started(served_application) as (_, served_port):
+        yield served_port
+
+
 @pytest.fixture
 async def port(anyio_backend):
     async with serving(application) as served_port:
@@ -188,6 +195,64 @@
     assert response.endswith(b"/first ")
 
 
+@contextlib.asynccontextmanager
+async def shutting_down(served_application, sent):
+    """Yield a connection that its server shuts down, as when it stops, after some bytes."""
+    async with (
+        started(served_application, settings.Limits()) as (server, served_port),
+        await anyio.connect_tcp("127.0.0.1", served_port) as stream,
+    ):
+        await stream.send(sent)
+        await anyio.sleep(0.1)
+        for connection in list(server.server_state.connections):
+            connection.shutdown()
+        yield stream
+
+
+class WholeApplication(SlowApplication):
+    """Reads a whole request, and responds in one part when released."""
+
+    async def __call__(self, scope, receive, send):
+        await asgi.read_body(receive, 1_000_000, TIMEOUT_SECONDS)
+        await self.released.wait()
+        await asgi.respond(send, 200, scope["path"].encode(), [])
+
+
+def large(path):
+    head = b"POST %s HTTP/1.1\r\nhost: x\r\ncontent-length: 100000\r\n\r\n" % path
+    return head + b"y" * 100_000
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("second", [SECOND, large(b"/second")], ids=["small", "large"])
+@pytest.mark.parametrize("sent_before_bytes", [0, 20, 10_000])
+@pytest.mark.parametrize("application_class", [WholeApplication, SlowApplication])
+async def test_requests_read_behind_one_that_runs_when_its_server_is_shut_down_are_answered(
+    anyio_backend, second, sent_before_bytes, application_class
+):
+    served_application = application_class()
+    before, after = second[:sent_before_bytes], second[sent_before_bytes:]
+    async with shutting_down(served_application, FIRST + before) as stream:
+        await stream.send(after)
+        await anyio.sleep(SLOW_SECONDS)
+        served_application.released.set()
+        response = await read_response(stream)
+    assert response.count(b"HTTP/1.1 200 ") == 2
+    assert response.removesuffix(b"\r\n0\r\n\r\n").endswith(b"/second")
+    assert response.lower().count(b"connection: close") == 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("sent", [b"", b"GET / HTT", SECOND])
+async def test_connection_on_which_no_request_waits_is_closed_when_its_server_is_shut_down(
+    anyio_backend, sent
+):
+    async with shutting_down(application, sent) as stream:
+        with anyio.fail_after(SLOW_SECONDS):
+            response = await read_response(stream)
+    assert response.count(b"HTTP/1.1 200 ") == (sent == SECOND)
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("behind", [SECOND, *BEHIND.values()], ids=["request", *BEHIND])
 @pytest.mark.parametrize("wait_seconds", [0.0, 0.1])
