End the probe, not its request, with an error that no code expects

Callers would see: a stream that had begun cut, or a plain failure, where their upstream was silent for over 0.35 s and would have gone on: an unexpected error of the probe of that upstream ended the request. No such error is known to have happened; the test makes one.

Evidence: three cases (a call that may run once, one that may be repeated, a resumable stream) at an upstream that is silent for 0.8 s. All failed before; test_unexpected_errors passes.

Such an error is now logged ("request: probe failed", with a trace) and counted. The upstream counts as silent by its time alone, as where the probe succeeds.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -340,6 +340,16 @@
 
     async def _probe(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
+    ) -> None:
+        """Probe a silent upstream; an unexpected error ends the probe, not its request."""
+        try:
+            await self._find_unresponsive(context, attempt)
+        except Exception:
+            self._metrics.increment("internal_errors")
+            self._log.exception("probe failed", request=context.request_id, upstream=attempt.where)
+
+    async def _find_unresponsive(
+        self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
         """Mark a silent upstream unresponsive if it accepts no connection.
 
--- a/hollyring/platform/tests/test_unexpected_errors.py
+++ b/hollyring/platform/tests/test_unexpected_errors.py
@@ -3,6 +3,7 @@
 import pytest
 
 from hollyring.core import request_types
+from hollyring.node import connection_pool
 from hollyring.platform import upstreams
 from hollyring.platform.tests import test_silent_servers
 from hollyring.routing import selection
@@ -87,3 +88,22 @@
     caller = await vm.send_request()
     assert (caller.status, caller.ended) == (500, True)
     assert b"internal_error" in caller.body
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("route", [AT_MOST_ONCE, IDEMPOTENT, RESUMABLE])
+async def test_request_at_a_silent_server_is_answered_after_an_error_of_its_probe(
+    start_vm, monkeypatch, route
+):
+    server = test_silent_servers.PausingServer("i-0", pause_seconds=0.8)
+    vm = await start_vm(server, **route)
+    probes = []
+
+    async def fail(self, address):
+        probes.append(address)
+        raise UnexpectedError
+
+    monkeypatch.setattr(connection_pool.ConnectionPool, "can_connect", fail)
+    caller = await vm.send_request()
+    assert probes
+    assert (caller.status, caller.ended) == (200, True)
