End a forward, not its request, with an error that no code expects

Callers would see: a begun stream cut although its upstream only was silent, as the forward that was tried beside it failed with an unexpected error; or a 502 for a request that may run once only and was never sent, where another VM could execute it. No such error is known to have happened; the tests make one.

The forward now counts as not run if nothing of it was sent, else it may have run; the VM is not asked again for this request, and the error is logged ("request: forward failed", with a trace) and counted. As for attempts at upstreams, an error of the one that alone writes a begun response still ends it.

--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -14,6 +14,7 @@
     errors,
     forward_links,
     interfaces,
+    logs,
     metrics,
     open_attempts,
     peer_link,
@@ -24,6 +25,8 @@
 SILENCE_SECONDS = 1.2
 """Time without a message after which the executing VM counts as silent; it sends some when idle."""
 
+INTERNAL_ERROR = "internal error"
+
 HTTP_SERVER_ERROR = 500
 MAX_BODY_BYTES = 33_554_432
 """Longest body that is kept until it is whole."""
@@ -59,6 +62,7 @@
         self._codec = codec
         self._links = links
         self._metrics = counters
+        self._log = logs.Logger("request")
 
     def target(self, context: request_context.RequestContext) -> heartbeat.VmInfo | None:
         """Return the VM to make the next attempts of a request, None if no VM is known to."""
@@ -108,6 +112,10 @@
                 return request_context.NotRun(str(error), written=False)
             context.retry_state.record_forward(max(1, exchange.sends), may_have_run=True)
             return request_context.Failed(str(error))
+        except errors.VmError:
+            raise
+        except Exception:
+            return self._fail(context, attempt, exchange.sends)
         finally:
             carried = link.sent_bytes + link.received_bytes - bytes_before
             self._metrics.increment("forwarded_bytes", carried)
@@ -119,6 +127,27 @@
                 else:
                     await link.close()
 
+    def _fail(
+        self,
+        context: request_context.RequestContext,
+        attempt: open_attempts.OpenAttempt,
+        sends: int,
+    ) -> request_context.Outcome:
+        """Log the unexpected error being handled, and end the attempt rather than the request.
+
+        An attempt that writes the response cannot be replaced, as it may have written any part; its
+        error is raised again.
+        """
+        self._log.exception("forward failed", request=context.request_id, to=attempt.where)
+        self._metrics.increment("internal_errors")
+        context.avoided_vms.append(attempt.where)
+        if not attempt.sent:
+            return request_context.NotRun(INTERNAL_ERROR, written=False)
+        if context.response.started and not attempt.has_others:
+            raise
+        context.retry_state.record_forward(max(1, sends), may_have_run=True)
+        return request_context.Failed(INTERNAL_ERROR)
+
 
 class _Exchange:
     """One forwarded request and its answer on a link."""
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -26,7 +26,12 @@
     wire,
 )
 from hollyring.platform import upstreams
-from hollyring.platform.tests import conftest, test_relay, test_unreachable_upstreams
+from hollyring.platform.tests import (
+    conftest,
+    test_relay,
+    test_silent_servers,
+    test_unreachable_upstreams,
+)
 from hollyring.routing import reachability
 
 AT_MOST_ONCE = request_types.RetrySafety.AT_MOST_ONCE
@@ -896,3 +901,67 @@
     await fleet.cut.send_request()
     await anyio.sleep(0.05)
     assert fleet.executing[0].metrics.dump()["counters"]["taken_bytes"] > 100
+
+
+class UnexpectedError(Exception):
+    """An error that no code expects."""
+
+
+def fail_to_forward(monkeypatch, times):
+    """Make the first requests to other VMs fail before they are sent."""
+    to_wire = forwarded.to_wire
+    failed = []
+
+    def fail(headers):
+        if len(failed) < times:
+            failed.append(headers)
+            raise UnexpectedError
+        return to_wire(headers)
+
+    monkeypatch.setattr(forwarded, "to_wire", fail)
+    return failed
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("retry_safety", [AT_MOST_ONCE, IDEMPOTENT])
+async def test_request_goes_to_another_vm_after_an_error_before_it_is_forwarded(
+    start_fleet, monkeypatch, retry_safety
+):
+    fleet = await start_fleet("complete", count=2, retry_safety=retry_safety)
+    fail_to_forward(monkeypatch, 1)
+    caller = await fleet.cut.send_request()
+    assert (caller.status, caller.body, caller.ended) == (200, b"done by i-0", True)
+
+
+@pytest.mark.anyio
+async def test_request_is_refused_after_an_error_of_the_answer_through_another_vm(
+    start_fleet, monkeypatch
+):
+    fleet = await start_fleet("complete", retry_safety=AT_MOST_ONCE)
+    monkeypatch.setattr(forwarded, "from_wire", None)
+    caller = await fleet.cut.send_request()
+    assert (caller.status, caller.ended) == (502, True)
+
+
+@pytest.mark.anyio
+async def test_silent_stream_goes_on_after_an_error_of_the_forward_beside_it(
+    start_fleet, monkeypatch
+):
+    fleet = await start_fleet(streaming=True, retry_safety=RESUMABLE)
+    failed = fail_to_forward(monkeypatch, 9)
+    server = test_silent_servers.PausingServer("i-0", pause_seconds=1.6)
+    callers = []
+    async with server.running(), anyio.create_task_group() as group:
+        fleet.cut.register(server)
+        fleet.cut.state.reachability.cut = False
+
+        async def send():
+            callers.append(await fleet.cut.send_request(deadline_seconds=5.0))
+
+        group.start_soon(send)
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while not server.events_at:
+                await anyio.sleep(0.01)
+        fleet.cut.state.reachability.cut = True
+    assert failed
+    assert (callers[0].body, callers[0].ended) == (test_silent_servers.WHOLE, True)
