Let a broken stream go elsewhere after an unexpected error before it is sent again

Callers would see: a stream that its upstream broke off cut for good, as the attempt to continue it at a second upstream failed with an unexpected error before it was sent, though a third one could continue it. No such error is known to have happened; the test makes one.

Cause: the rule of, that an error of the attempt which writes the response ends the request, was applied by the response ("a part was written") and not by the attempt. One of which nothing was sent has written nothing.

Evidence: the test failed before (the third upstream got no request); test_unexpected_errors passes.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -149,10 +149,10 @@
             "attempt failed", request=context.request_id, upstream=attempt.selected.upstream.name
         )
         self._metrics.increment("internal_errors")
-        if context.response.started and not attempt.has_others:
-            raise
         if not attempt.sent:
             return request_context.NotRun(INTERNAL_ERROR, written=False)
+        if context.response.started and not attempt.has_others:
+            raise
         return request_context.Failed(INTERNAL_ERROR)
 
     async def _run(
--- a/hollyring/platform/tests/test_unexpected_errors.py
+++ b/hollyring/platform/tests/test_unexpected_errors.py
@@ -5,7 +5,7 @@
 from hollyring.core import request_types
 from hollyring.node import connection_pool
 from hollyring.platform import upstreams
-from hollyring.platform.tests import test_silent_servers
+from hollyring.platform.tests import conftest, test_silent_servers
 from hollyring.routing import selection
 
 IDEMPOTENT = {"retry_safety": request_types.RetrySafety.IDEMPOTENT}
@@ -107,3 +107,16 @@
     caller = await vm.send_request()
     assert probes
     assert (caller.status, caller.ended) == (200, True)
+
+
+@pytest.mark.anyio
+async def test_broken_stream_goes_on_elsewhere_after_an_error_before_it_is_sent_again(
+    start_vm, monkeypatch
+):
+    broken = conftest.ServerStandIn("i-0", "interrupt")
+    others = [test_silent_servers.PausingServer(f"i-{n}") for n in (1, 2)]
+    vm = await start_vm(broken, *others, attempts=4, **RESUMABLE)
+    fail_to_encode(monkeypatch, "i-1")
+    caller = await vm.send_request()
+    assert len(broken.requests) == len(others[1].requests) == 1
+    assert (caller.body, caller.ended) == (test_silent_servers.WHOLE, True)
