End the VM processes of fixtures also if they do not become ready

In a run of six processes at a load of 19 to 31 a VM of test_configuration_changes did not become ready within 10 s, and its process ran on for 15 minutes, until it was ended by hand. Later in that run test_callers_of_a_vm_without_upstreams_are_served_like_others[reset] failed: 65 requests without an id reached a server, which no VM sends to servers.

Cause: three fixtures ended their VMs after the yield only, which a failed start does not reach. Such a VM keeps asking its store, whose port another stand-in may get by then. That the requests came from this VM is likely; their paths were not recorded.

Change: VmProcess.running starts a process and ends it with the context. The fixtures of test_configuration_changes, test_leaving_upstreams, test_request_ends and test_unusable_answers use it.

--- a/hollyring/platform/tests/test_configuration_changes.py
+++ b/hollyring/platform/tests/test_configuration_changes.py
@@ -84,11 +84,9 @@
         entry = conftest.make_entry(server.address, born=1)
         await store.put("servers/i-1", entry)
         vm = test_process.VmProcess(tmp_path, store.address)
-        vm.start()
+        stack.enter_context(vm.running())
         await vm.wait_ready()
         yield vm, store, server, entry
-        vm.process.kill()
-        vm.process.wait()
 
 
 async def apply(store, entry, change):
--- a/hollyring/platform/tests/test_leaving_upstreams.py
+++ b/hollyring/platform/tests/test_leaving_upstreams.py
@@ -33,14 +33,11 @@
             await store.put(f"servers/{name}", entry(server))
         vms = [test_process.VmProcess(tmp_path, store.address, f"vm-{n}") for n in (1, 2)]
         for vm in vms:
-            vm.start()
+            stack.enter_context(vm.running())
         for vm in vms:
             await vm.wait_ready()
         await anyio.sleep(VMS_MEET_SECONDS)
         yield store, servers, vms
-        for vm in vms:
-            vm.process.kill()
-            vm.process.wait()
 
 
 def entry(server, born=1):
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -143,6 +143,16 @@
                 [sys.executable, "-m", "hollyring.platform"], env=environment, stdout=log, cwd=ROOT
             )
 
+    @contextlib.contextmanager
+    def running(self):
+        """Start the process, and end it with the context, also if it did not become ready."""
+        self.start()
+        try:
+            yield self
+        finally:
+            self.process.kill()
+            self.process.wait()
+
     async def wait_ready(self):
         started_at = time.monotonic()
         while time.monotonic() - started_at < START_SECONDS:
--- a/hollyring/platform/tests/test_request_ends.py
+++ b/hollyring/platform/tests/test_request_ends.py
@@ -73,11 +73,9 @@
         await store.put("op/config", CONFIG)
         await store.put("servers/i-1", conftest.make_entry(server.address))
         process = test_process.VmProcess(tmp_path, store.address)
-        process.start()
+        stack.enter_context(process.running())
         await process.wait_ready()
         yield process, server
-        process.process.kill()
-        process.process.wait()
 
 
 @pytest.mark.anyio
--- a/hollyring/platform/tests/test_unusable_answers.py
+++ b/hollyring/platform/tests/test_unusable_answers.py
@@ -32,9 +32,7 @@
         entry = {"service": "s", "address": server.address, "zone": "dar-a", "slots": 8}
         await store.put("servers/i-1", entry | {"state": "ready", "version": "v1"})
         vm = test_process.VmProcess(tmp_path, store.address)
-        vm.start()
-        stack.callback(vm.process.wait)
-        stack.callback(vm.process.kill)
+        stack.enter_context(vm.running())
         await vm.wait_ready()
         yield vm, server
 
