Ignore the trailers of a caller's request

A server would have got a header that its caller sent behind a chunked body as one of the request's headers: a second X-Model, say, or one that the caller left out of the head and that the VM reads, such as the key. No caller of the platform is known to send trailers.

Cause: uvicorn adds trailers to the list that the application reads the headers from. (For answers of upstreams they were ignored already.) RFC 9110, section 6.5.1, forbids to merge them.

Evidence: the test failed before (x-model among the headers).

--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -138,6 +138,11 @@
             if not self._in_head:
                 self._start_head()
 
+        def on_header(self, name: bytes, value: bytes) -> None:
+            """Record a header; trailers, which come behind the body, are ignored."""
+            if self._in_head:
+                super().on_header(name, value)
+
         def on_headers_complete(self) -> None:
             self._in_head = False
             self._stop_timer()
--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -325,3 +325,22 @@
     if sends_much:
         assert time.monotonic() - started_at < lingering_transport.LINGER_SECONDS / 2
         assert sent_bytes > lingering_transport.MAX_DISCARDED_BYTES
+
+
+@pytest.mark.anyio
+async def test_trailers_of_a_request_are_not_among_its_headers(anyio_backend):
+    names = []
+
+    async def record_headers(scope, receive, send):
+        await asgi.read_body(receive, 1_000, TIMEOUT_SECONDS)
+        names.extend(name for name, _ in scope["headers"])
+        await asgi.respond(send, 200, b"", [])
+
+    async with (
+        serving(record_headers) as served_port,
+        await anyio.connect_tcp("127.0.0.1", served_port) as stream,
+    ):
+        head = b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n"
+        await stream.send(head + b"connection: close\r\n\r\n0\r\nx-model: other\r\n\r\n")
+        assert b" 200 " in await read_response(stream)
+    assert names == [b"host", b"transfer-encoding", b"connection"]
