--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -17,6 +17,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 HOST = "jepu9.example"
+STORE_ANSWER_S = 0.004
+REPORT_LAG_S = 0.2
 
 
 class Record:
@@ -121,7 +123,7 @@
         self.leases = {}
         self.next_lease = 1
         self.renewed_at = {}
-        self.era = None
+        self.era = 1
         self.changed = asyncio.Condition()
 
     async def expire(self):
@@ -177,10 +179,9 @@
         query = {k: v.replace("%2F", "/").replace("%3A", ":") for k, v in query.items()}
         name = path.removeprefix("/hollyring/")
         status, document = await self._answer(name, query, json.loads(body) if body else {})
-        era = {} if self.era is None else {"store_era": self.era}
-        writer.write(
-            response(status, json.dumps(document).encode(), content_type="application/json", **era)
-        )
+        body, era = json.dumps(document).encode(), self.era
+        await asyncio.sleep(STORE_ANSWER_S)
+        writer.write(response(status, body, content_type="application/json", store_era=era))
 
     async def _answer(self, name, query, body):
         match name.partition("/")[0]:
@@ -271,6 +272,7 @@
         self.software = "v1"
         self.state = "ready"
         self.sequence = 0
+        self.born = int(time.time() * 1000)
         self.running = 0
         self.runs = []
         self.arrivals = []
@@ -287,6 +289,7 @@
             "state": self.state,
             "cold_left_ms": 0,
             "sequence": self.sequence,
+            "born": self.born,
         }
 
     async def handle(self, method, target, headers, body, reader, writer):
@@ -337,6 +340,12 @@
 class EngineServer(Server):
     """A language server: streams events and keeps parts of prompts under their salt."""
 
+    by_address = {}
+
+    async def start(self, port=0):
+        await super().start(port)
+        EngineServer.by_address[self.address] = self
+
     def __init__(self, record, name, service, model, **kinds):
         super().__init__(record, name, service, **kinds)
         self.model = model
@@ -348,6 +357,7 @@
         self.event_s = 0.02
         self.parts = {}
         self.events = []
+        self.shown = [(0.0, 1, False, 0)]
         self.boot = random.randrange(1, 2**30)
         self.uses = []
 
@@ -369,9 +379,11 @@
     async def call(self, method, target, headers, body, writer):
         path, _, text = target.partition("?")
         if path == "/hollyring/report":
-            models = [{"name": self.model, "version": self.version, "adapters": []}]
-            document = {"stage": "both", "models": models, "busy": self.busy}
-            document |= {"sequence": self.order_count, "queued": 0, "running": self.running}
+            until = time.monotonic() - REPORT_LAG_S
+            _, version, busy, count = [state for state in self.shown if state[0] <= until][-1]
+            models = [{"name": self.model, "version": version, "adapters": []}]
+            document = {"stage": "both", "models": models, "busy": busy, "born": self.born}
+            document |= {"sequence": count, "queued": 0, "running": self.running}
             document |= {"kv_used": 0, "kv_total": 128362, "handles": 0, "runs": []}
         elif path == "/hollyring/order":
             writer.write(response(self.order(json.loads(body)), **self.extra))
@@ -383,10 +395,12 @@
                 await asyncio.sleep(0.02)
             events = [[n + 1, *e] for n, e in enumerate(self.events)][since:]
             document = {"boot_epoch": self.boot, "next": len(self.events), "lost": False}
+            document["born"] = self.born
             document |= {"events": events}
         elif path == "/hollyring/kv-list":
             held = [[salt, part, size, self.model] for (salt, part), (size, _) in self.parts.items()]
             document = {"boot_epoch": self.boot, "next": len(self.events), "held": held}
+            document["born"] = self.born
         else:
             writer.write(response(404, **self.extra))
             return
@@ -407,6 +421,7 @@
         if status == 202:
             self.order_count += 1
             self.busy = True
+            self._show()
             asyncio.get_running_loop().create_task(self._load(body["version"]))
         return status
 
@@ -415,10 +430,15 @@
             await asyncio.sleep(0.01)
         await asyncio.sleep(self.load_s)
         self.version, self.parts, self.busy = version, {}, False
+        self._show()
+
+    def _show(self):
+        self.shown.append((time.monotonic(), self.version, self.busy, self.order_count))
 
     def read_prompt(self, request_id, headers):
         """Read the prompt: use the parts that are kept under the salt, and keep all of them."""
         salt, tenant = headers.get("x-cache-salt", ""), headers.get("x-tenant", "")
+        self.fetch(headers.get("x-kv-fetch", ""), salt, headers.get("x-prompt-prefix", ""))
         usable = True
         for entry in headers.get("x-prompt-prefix", "").split(","):
             part, _, tokens = entry.partition(":")
@@ -431,6 +451,17 @@
             self.parts[salt, part] = int(tokens), (request_id, tenant, self.version)
             self.events.append(["+", salt, part, int(tokens), self.model])
 
+    def fetch(self, address, salt, prefix):
+        """Copy what the server at an address keeps of a prompt, as a transfer does."""
+        source = EngineServer.by_address.get(address)
+        for entry in prefix.split(",") if source is not None else ():
+            key = salt, entry.partition(":")[0]
+            if key not in source.parts:
+                return
+            if key not in self.parts:
+                self.parts[key] = source.parts[key]
+                self.events.append(["+", *key, source.parts[key][0], self.model])
+
     async def run(self, method, target, request_id, headers, body, reader, writer):
         self.running += 1
         self.runs.append((request_id, headers, target, body, time.monotonic()))
@@ -572,6 +603,12 @@
                 return int(line.split()[1]) / 1000
         return 0.0
 
+    async def addresses(self):
+        """Return the addresses that this VM tells clients to connect to."""
+        path = f"/hollyring/resolve?name={HOST}&region=dar&zone={self.zone}"
+        answer = await Client(self.directory).send("GET", path, {}, seconds=1.0)
+        return json.loads(answer.body)["addresses"]
+
     async def is_ready(self):
         answer = await Client(self.ready).send("GET", "/hollyring/ready", {}, seconds=1.0)
         return answer.status == 200
@@ -724,6 +761,8 @@
     document = {"name": name, "host": HOST, "prefix": prefix, "kind": kind, "service": service}
     document |= {"timeout_ms": timeout_ms, "target_latency_ms": 200, "priority": 1}
     document |= {"max_attempts": 1, "public": False, "sticky": False, "resumable": False}
+    if kind == "streaming":
+        document["gap_aim_ms"] = 250
     return document | fields
 
 
@@ -736,14 +775,16 @@
 
 
 def plain_service(name):
-    return {"name": name, "health_path": "/health", "max_connections": 110}
+    document = {"name": name, "health_path": "/health", "max_connections": 110}
+    return document | {"protocol": "h1", "tls": False}
 
 
 def engine_service(name, model):
     engine = {"slots": 128, "kv_capacity": 128362, "kv_token_bytes": 18432, "link_mbps": 88000.0}
     engine |= {"moves": True, "backups": True, "stride": 5, "max_inflight": 12}
     engine |= {"pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": [{"name": model}]}
-    return {"name": name, "health_path": "/health", "max_connections": 630, "engine": engine}
+    document = {"name": name, "health_path": "/health", "max_connections": 630}
+    return document | {"protocol": "h1", "tls": False, "engine": engine}
 
 
 def tenant(name, key, **fields):
