Tests: make a background task fail by a process of its own, not by a value

The test of a failed background task named a version of weights that fits no heartbeat. A VM process with one patched method raises it while a certain version is wanted. What the test asks of the process is unchanged.

--- a/hollyring/platform/tests/test_background_errors.py
+++ b/hollyring/platform/tests/test_background_errors.py
@@ -6,7 +6,12 @@
 import pytest
 
 from hollyring.node import metrics, supervision
-from hollyring.platform.tests import test_end_of_grace_period, test_process, test_state
+from hollyring.platform.tests import (
+    failing_vm,
+    test_end_of_grace_period,
+    test_process,
+    test_state,
+)
 from hollyring.routing import registry
 
 pytestmark = pytest.mark.xdist_group("platform-processes")
@@ -14,8 +19,7 @@
 SERVER_SECONDS = 2.0
 """Time after which the server answers; the background task fails before."""
 
-UNENCODABLE_VERSION = 10**30
-"""Version of weights that does not fit into a heartbeat, which no operator names."""
+FAILING_VM = "hollyring.platform.tests.failing_vm"
 
 cluster = test_process.cluster
 
@@ -30,13 +34,13 @@
     routes = [test_process.CONFIG["routes"][0] | {"timeout_ms": 9000}]
     await store.put("op/config", test_process.CONFIG | {"version": 4, "routes": routes})
     server.delay_seconds = SERVER_SECONDS
-    vms = [start(), start("vm-2")]
+    vms = [start(name, module=FAILING_VM) for name in ("vm-1", "vm-2")]
     for vm in vms:
         await vm.wait_ready()
         await vm.wait_listed(len(vms))
     connections = [test_end_of_grace_period.send(vm, f"r-{vm.log_path.stem}") for vm in vms]
     await anyio.sleep(SERVER_SECONDS / 4)
-    await name_version(store, UNENCODABLE_VERSION)
+    await name_version(store, failing_vm.FAILING_VERSION)
     statuses = [
         await anyio.to_thread.run_sync(test_process.read_status, connection)
         for connection in connections
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -107,7 +107,9 @@
         contracts=(),
         grace_seconds=8.0,
         domain="dar-a",
+        module="hollyring.platform",
     ):
+        self.module = module
         caller_port, health_port, entry_port, peer_port, metrics_port = free_ports(5)
         self.caller_url = f"http://127.0.0.1:{caller_port}"
         self.health_url = f"http://127.0.0.1:{health_port}/hollyring/ready"
@@ -140,7 +142,7 @@
         }
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "hollyring.platform"], env=environment, stdout=log, cwd=ROOT
+                [sys.executable, "-m", self.module], env=environment, stdout=log, cwd=ROOT
             )
 
     @contextlib.contextmanager
