Judge an entry of the store in one place, by what it means

What callers saw: one odd record among those of the VMs, nested 200,000 levels in a field that nobody reads, kept every VM from listing others that started after it, for as long as it stood; so did an odd record of software versions. One odd document under op/version/ made every VM drop its configuration and refuse all requests. A version of weights beyond 64 bits silenced all VMs: no heartbeat could be encoded, 13 restarts of that task in 13 s, and a VM that started then was listed nowhere. Of many odd servers at once, some were taken for usable and requests ended with 503.

Cause: the decoder caught the errors of its JSON library, but a text that is nested too deeply raises RecursionError, which is none of them. It ended the task that watches the store, with the watches of all prefixes, and as all records of VMs are decoded at every change among them, each later change raised it again. For documents of the operator the net took any error for a configuration that could not be applied. Numbers, ports and names were held to what JSON can express, not to what the entry means: a number that no message between VMs can carry, a port out of range, a name that a header cannot carry.

Class: bytes from another process are judged by the errors of the library that reads them, and by nothing after it. decoding.decode gives every failure one type; whole numbers, names, addresses and ports have their ranges there. A record counts for a VM only under the key of that VM. An odd record of a VM is logged once, not at each change.

--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import typing
+from collections.abc import Iterable
 
 from hollyring.configuration import deployment, mirror, store_revision
 from hollyring.node import interfaces, logs, store_era, upstream_changes
@@ -60,9 +61,7 @@
             self._upstream_changes.apply(changed, items, from_copy, now)
             self._state.observe_software(now)
         elif prefix == store_keys.vms:
-            vms = [self._codec.decode_vm(item) for item in items.values()]
-            self._state.peers.update_listed([vm for vm in vms if vm is not None], now)
-            self._state.update_peers(now)
+            self._apply_vms(changed, items.values(), now)
             if store_keys.software in changed or self._state.software_versions.awaits_record:
                 self._apply_software(items.get(store_keys.software), era, now)
 
@@ -71,6 +70,20 @@
         items = self._state.mirrors[self._state.store_keys.upstreams].items
         self._upstream_changes.tick(items, now)
 
+    def _apply_vms(self, changed: set[str], items: Iterable[mirror.Item], now: float) -> None:
+        """Apply the list of the VMs; what is no record of a VM lists none."""
+        listed = []
+        for item in items:
+            if item.key in (self._state.store_keys.orders_lease, self._state.store_keys.software):
+                continue
+            vm = self._codec.decode_vm(item)
+            if vm is not None:
+                listed.append(vm)
+            elif item.key in changed:
+                self._log.info("unreadable VM", key=item.key, revision=item.revision.number)
+        self._state.peers.update_listed(listed, now)
+        self._state.update_peers(now)
+
     def _apply_software(self, item: mirror.Item | None, era: int, now: float) -> None:
         """Apply the record of software versions, `item`, or its absence in an era of the store.
 
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import Any
 
 import msgspec
@@ -15,6 +14,7 @@
 from hollyring.core import request_types
 from hollyring.membership import heartbeat
 from hollyring.node import interfaces
+from hollyring.platform import decoding
 from hollyring.routing import registry, software_versions
 
 CONFIGURATION_KEY = "op/config"
@@ -29,8 +29,6 @@
 MS_PER_SECOND = 1000.0
 BITS_PER_MEGABIT = 1_000_000.0
 BITS_PER_BYTE = 8
-PORT = re.compile("[0-9]{1,5}")
-MAX_PORT = 65_535
 UPSTREAM_STATES = ("ready", "draining")
 
 
@@ -107,43 +105,43 @@
 
 
 class _WantedVersion(msgspec.Struct, frozen=True):
-    model: str
-    version: int
+    model: decoding.Name
+    version: decoding.WholeNumber
 
 
 class _ServedModel(msgspec.Struct, frozen=True):
-    name: str
-    version: int
+    name: decoding.Name
+    version: decoding.WholeNumber
 
 
 class _Server(msgspec.Struct, frozen=True):
     """An upstream's entry. Not decoded: `sequence`, the number of its heartbeats."""
 
-    service: str
+    service: decoding.Name
     address: str
-    zone: str  # failure domain
+    zone: decoding.Name  # failure domain
     state: str
-    version: str  # version of its software, unlike those in `models`
-    slots: int
+    version: decoding.Name  # version of its software, unlike those in `models`
+    slots: decoding.WholeNumber
     models: list[_ServedModel] = []
-    born: int = 0  # incarnation number
+    born: decoding.WholeNumber = 0  # incarnation number
 
 
 class _Vm(msgspec.Struct, frozen=True):
-    name: str
-    life: int  # incarnation number
+    name: decoding.Name
+    life: decoding.WholeNumber  # incarnation number
     caller_address: str
     peer_address: str
-    failure_domain: str
-    region: str
+    failure_domain: decoding.Name
+    region: decoding.Name
     capacity: float = 1.0  # cores
 
 
 class _Software(msgspec.Struct, frozen=True):
     """Record of the upstreams' software versions by service."""
 
-    era: int
-    versions: dict[str, list[str]]
+    era: decoding.WholeNumber
+    versions: dict[decoding.Name, list[decoding.Name]]
 
 
 class DocumentCodec:
@@ -190,10 +188,13 @@
         server = _decode(item, _Server)
         if server is None or server.state not in UPSTREAM_STATES:
             return None
-        if not _is_address(server.address) or not server.service:
+        name = item.key.removeprefix(STORE_KEYS.upstreams)
+        if not decoding.is_address(server.address) or not server.service:
+            return None
+        if not decoding.is_name(name):
             return None
         return registry.Entry(
-            name=item.key.removeprefix(STORE_KEYS.upstreams),
+            name=name,
             service=server.service,
             address=server.address,
             domain=server.zone,
@@ -207,7 +208,13 @@
     def decode_vm(self, item: mirror.Item) -> heartbeat.VmInfo | None:
         """Return the record of a VM, or None if it is invalid."""
         record = _decode(item, _Vm)
-        return heartbeat.VmInfo(**msgspec.structs.asdict(record)) if record else None
+        if record is None or item.key != STORE_KEYS.vms + record.name:
+            return None
+        if not decoding.is_address(record.caller_address):
+            return None
+        if not decoding.is_address(record.peer_address):
+            return None
+        return heartbeat.VmInfo(**msgspec.structs.asdict(record))
 
     def encode_vm(self, vm_info: heartbeat.VmInfo) -> bytes:
         """Return the stored form of the record of a VM."""
@@ -228,16 +235,11 @@
 
 def _decode(item: mirror.Item, type_: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(item.value, type=type_)
-    except msgspec.MsgspecError:
+        return decoding.decode(item.value, type_)
+    except decoding.UnreadableError:
         return None
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and bool(PORT.fullmatch(port)) and 0 < int(port) <= MAX_PORT
-
-
 def _convert_route(route: _Route) -> deployment.Route:
     splits = [deployment.Split(split.service, split.weight) for split in route.traffic_split]
     if not splits and route.service:
--- /dev/null
+++ b/hollyring/platform/tests/test_odd_entries.py
@@ -0,0 +1,111 @@
+"""Tests that odd entries in the store neither end what reads them nor hide the others."""
+
+import json
+
+import pytest
+
+from hollyring.configuration import mirror, store_revision
+from hollyring.platform import documents
+from hollyring.platform.tests import odd_values, test_codec, test_state
+
+KEYS = test_state.STORE_KEYS
+VM = {"name": "vm-2", "life": 3, "caller_address": "127.0.0.1:80", "peer_address": "127.0.0.1:81"}
+VM |= {"failure_domain": "dar-a", "region": "dar", "capacity": 1.0}
+SOFTWARE = {"era": 1, "versions": {"s": ["v1"]}}
+WANTED = {"model": "m", "version": 3}
+DEEP = odd_values.VALUES["deep lists"]
+
+DECODERS = {
+    "upstream": ("servers/i-1", test_codec.SERVER, "decode_upstream"),
+    "VM": ("hollyring/vm/vm-2", VM, "decode_vm"),
+    "software": (KEYS.software, SOFTWARE, "decode_software"),
+    "weights": ("op/version/m", WANTED, "decode_wanted_version"),
+}
+
+
+def make_item(key, value, number=5):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return mirror.Item(key, data, store_revision.Revision(0, number))
+
+
+def apply_bytes(vm, prefix, key, value):
+    """Apply a change of the store to the bytes `value`."""
+    vm.revision += 1
+    item = make_item(key, value, vm.revision)
+    changed = vm.state.mirrors[prefix].apply_changes([item], item.revision)
+    vm.state.apply_store_changes(prefix, changed, 2.0)
+
+
+@pytest.fixture
+def vm():
+    started = test_state.StateVm()
+    started.apply_change(KEYS.operator, "op/config", test_state.CONFIG, now=1.0)
+    started.apply_change(KEYS.upstreams, "servers/i-1", test_state.ENTRY, now=1.0)
+    return started
+
+
+@pytest.mark.parametrize("name", DECODERS)
+def test_every_odd_document_is_decoded_or_counts_as_unreadable(name):
+    key, document, decoder = DECODERS[name]
+    decode = getattr(documents.DocumentCodec(), decoder)
+    assert decode(make_item(key, document)) is not None
+    for description, data in odd_values.documents(document):
+        try:
+            decode(make_item(key, data))
+        except Exception as error:
+            pytest.fail(f"{description}: {error!r}")
+
+
+@pytest.mark.parametrize("path", [("slots",), ("born",), ("models", 0, "version")])
+@pytest.mark.parametrize("value", ["negative", "2^63", "10^30", "10^400", "fraction", "1e400"])
+def test_upstream_whose_number_fits_nothing_that_it_means_is_not_used(path, value):
+    data = odd_values.put(test_codec.SERVER, path, odd_values.VALUES[value])
+    assert documents.DocumentCodec().decode_upstream(make_item("servers/i-1", data)) is None
+
+
+@pytest.mark.parametrize("field", ["service", "zone", "version"])
+def test_upstream_with_an_endless_name_is_not_used(field):
+    entry = test_codec.SERVER | {field: "x" * 201}
+    assert documents.DocumentCodec().decode_upstream(make_item("servers/i-1", entry)) is None
+
+
+@pytest.mark.parametrize("name", ["", "\0", "a\r\nx-tenant: t", "x" * 201])
+def test_upstream_whose_name_no_header_can_carry_is_not_used(name):
+    item = make_item("servers/" + name, test_codec.SERVER)
+    assert documents.DocumentCodec().decode_upstream(item) is None
+
+
+@pytest.mark.parametrize("address", odd_values.ADDRESSES)
+def test_entries_without_a_usable_address_name_no_upstream_and_no_vm(address):
+    codec = documents.DocumentCodec()
+    entry = test_codec.SERVER | {"address": address}
+    assert codec.decode_upstream(make_item("servers/i-1", entry)) is None
+    for field in ("caller_address", "peer_address"):
+        item = make_item("hollyring/vm/vm-2", VM | {field: address})
+        assert codec.decode_vm(item) is None
+
+
+def test_record_of_a_vm_under_the_key_of_another_lists_none():
+    assert documents.DocumentCodec().decode_vm(make_item("hollyring/vm/vm-3", VM)) is None
+
+
+def test_vms_are_listed_beside_an_odd_record_among_theirs(vm, log_messages):
+    apply_bytes(vm, KEYS.vms, "hollyring/vm/odd", odd_values.put(VM, ("unknown",), DEEP))
+    for name in ("vm-2", "vm-3"):
+        apply_bytes(vm, KEYS.vms, f"hollyring/vm/{name}", json.dumps(VM | {"name": name}).encode())
+    assert sorted(vm.state.peers.by_name) == ["vm-2", "vm-3"]
+    assert sum("unreadable VM" in message.get("text", "") for message in log_messages) == 1
+
+
+def test_odd_record_of_software_versions_leaves_the_list_of_vms_in_use(vm):
+    apply_bytes(vm, KEYS.vms, KEYS.software, odd_values.put(SOFTWARE, ("unknown",), DEEP))
+    apply_bytes(vm, KEYS.vms, "hollyring/vm/vm-2", json.dumps(VM).encode())
+    assert list(vm.state.peers.by_name) == ["vm-2"]
+
+
+@pytest.mark.parametrize("key", ["op/version/m", "op/unknown", "op/version/"])
+@pytest.mark.parametrize("value", odd_values.VALUES)
+def test_configuration_stays_in_force_beside_an_odd_document(vm, key, value):
+    for path in [(), ("unknown",), ("version",)]:
+        apply_bytes(vm, KEYS.operator, key, odd_values.put(WANTED, path, odd_values.VALUES[value]))
+    assert vm.state.deployment is not None
--- /dev/null
+++ b/hollyring/platform/tests/test_odd_entries_of_vms.py
@@ -0,0 +1,111 @@
+"""Tests over VM processes that odd entries in the store keep no VM from following what comes after.
+
+Each VM has to answer, to use a server that joins afterwards and to list a VM that starts then.
+"""
+
+import itertools
+import json
+
+import anyio
+import pytest
+
+from hollyring.platform.tests import conftest, odd_values, test_odd_entries, test_process
+
+pytestmark = pytest.mark.xdist_group("platform-fleets")
+
+FOLLOWING_SECONDS = 3.0
+REQUESTS_AT_ONCE = 6
+NUMBERS = itertools.count()
+DEEP = odd_values.VALUES["deep lists"]
+ROUTES = [test_process.CONFIG["routes"][0] | {"kind": "safe", "max_attempts": 2}]
+CONFIG = test_process.CONFIG | {"version": 4, "routes": ROUTES}
+SERVER = conftest.make_entry("127.0.0.1:9", models=[{"name": "m", "version": 1}], born=5)
+cluster = test_process.cluster
+
+
+def deep(document):
+    return odd_values.put(document, ("unknown",), DEEP)
+
+
+def odd_servers():
+    """Return entries under keys of their own, each odd in another way."""
+    values = {"deep": deep(SERVER)}
+    for path in [("slots",), ("born",), ("models", 0, "version"), ("models",), ("zone",), ()]:
+        for name, value in odd_values.VALUES.items():
+            values[f"{path[:1]}{name}".replace(" ", "-")] = odd_values.put(SERVER, path, value)
+    for number, address in enumerate(odd_values.ADDRESSES):
+        values[f"address-{number}"] = json.dumps(SERVER | {"address": address}).encode()
+    return {f"servers/{name}"[:200]: value for name, value in values.items()}
+
+
+ENTRIES = {
+    "server": {"servers/odd": deep(SERVER)},
+    "all odd servers at once": odd_servers(),
+    "server of another name": {"servers/a\r\nx-tenant: t": json.dumps(SERVER).encode()},
+    "VM": {"hollyring/vm/odd": deep(test_odd_entries.VM | {"name": "odd"})},
+    "VM with a huge life": {
+        "hollyring/vm/vm-9": json.dumps(test_odd_entries.VM | {"life": 10**30}).encode()
+    },
+    "VM without a port": {
+        "hollyring/vm/vm-9": json.dumps(
+            test_odd_entries.VM | {"name": "vm-9", "peer_address": "127.0.0.1"}
+        ).encode()
+    },
+    "software": {"hollyring/vm/.software": deep(test_odd_entries.SOFTWARE)},
+    "software of a huge era": {
+        "hollyring/vm/.software": json.dumps(test_odd_entries.SOFTWARE | {"era": 10**30}).encode()
+    },
+    "order lease": {"hollyring/vm/.orders": b"\xff\xfe#" + b"9" * 5000},
+    "unknown key": {"hollyring/vm/": b"[", "hollyring/vm/a/b\0": DEEP},
+    "weights": {"op/version/m": deep(test_odd_entries.WANTED)},
+    "huge version of weights": {"op/version/m": b'{"model":"m","version":%d}' % 10**30},
+    "unknown document": {"op/unknown": DEEP},
+}
+
+
+async def wait_served_by(vms, server, seconds=FOLLOWING_SECONDS):
+    """Wait until each VM has sent a server a request; return the statuses of all requests."""
+    statuses = []
+
+    async def call(vm):
+        statuses.append((await test_process.post(vm, f"r-{next(NUMBERS)}")).status)
+
+    with anyio.fail_after(seconds):
+        for vm in vms:
+            before = len(server.requests)
+            while len(server.requests) == before:
+                async with anyio.create_task_group() as callers:
+                    for _ in range(REQUESTS_AT_ONCE):
+                        callers.start_soon(call, vm)
+    return statuses
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("name", ENTRIES)
+async def test_vms_follow_what_comes_after_an_odd_entry(cluster, name):
+    store, server, start = cluster
+    await store.put("op/config", CONFIG)
+    server.delay_seconds = 0.02
+    vms = [start(), start("vm-2")]
+    for vm in vms:
+        await vm.wait_ready()
+        await vm.wait_listed(2)
+    for key, value in ENTRIES[name].items():
+        await store.put(key, value)
+    await anyio.sleep(1.5)
+    async with conftest.ServerStandIn("i-2").running() as joined:
+        await store.put("servers/i-2", conftest.make_entry(joined.address))
+        statuses = await wait_served_by(vms, joined)
+        vms.append(start("vm-3"))
+        await vms[2].wait_ready()
+        for vm in vms:
+            await vm.wait_listed(3)
+        statuses += await wait_served_by(vms, joined)
+    assert set(statuses) == {200}
+    for vm in vms:
+        texts = [line.get("text") for line in vm.log_lines()]
+        assert vm.process.poll() is None
+        assert texts.count("vm: started") == 1
+        assert "vm: background task failed" not in texts
+        assert not [text for text in texts if text and "not applied" in text]
+        assert not [line for line in vm.log_lines() if "trace" in line]
