Stop using a server whose entry has become unreadable

What callers saw: nothing ended, but a server whose entry another writer had replaced by an odd one went on getting requests by its earlier entry, for as long as the odd one stood, also after it had left; a VM that started then didn't know it. Where the decoder raised something unforeseen, the server was dropped at once: the outcome depended on how odd the entry was.

Cause: what cannot be read was skipped instead of applied. By PROTOCOL, Service discovery, such an entry names no server to use. It is taken for the removal of the entry now, with the same delay while the store is in doubt; the server writes its own entry again with its next heartbeat.

Evidence: test_upstream_whose_entry_became_odd_gets_no_requests_until_it_is_sound_again failed for all four values before ('i-1' still listed).

--- a/hollyring/node/upstream_changes.py
+++ b/hollyring/node/upstream_changes.py
@@ -91,6 +91,7 @@
         entry = self._codec.decode_upstream(item)
         if entry is None:
             self._log.info("unreadable upstream", key=item.key, revision=item.revision.number)
+            self._apply_removal(self._name(item.key), from_copy, now)
             return
         name = self._name(item.key)
         upstream = self._state.registry.get(name)
--- a/hollyring/platform/tests/test_odd_entries.py
+++ b/hollyring/platform/tests/test_odd_entries.py
@@ -109,3 +109,16 @@
     for path in [(), ("unknown",), ("version",)]:
         apply_bytes(vm, KEYS.operator, key, odd_values.put(WANTED, path, odd_values.VALUES[value]))
     assert vm.state.deployment is not None
+
+
+@pytest.mark.parametrize("value", ["deep lists", "deep objects", "no UTF-8", "negative"])
+def test_upstream_whose_entry_became_odd_gets_no_requests_until_it_is_sound_again(
+    vm, value, log_messages
+):
+    vm.apply_change(KEYS.upstreams, "servers/i-2", test_state.ENTRY, now=1.0)
+    data = odd_values.put(test_state.ENTRY, ("slots",), odd_values.VALUES[value])
+    apply_bytes(vm, KEYS.upstreams, "servers/i-1", data)
+    assert list(vm.state.registry.upstreams) == ["i-2"]
+    assert sum("unreadable upstream" in each.get("text", "") for each in log_messages) == 1
+    vm.apply_change(KEYS.upstreams, "servers/i-1", test_state.ENTRY, now=3.0)
+    assert sorted(vm.state.registry.upstreams) == ["i-1", "i-2"]
