Bound the numbers of a configuration by what is reckoned with

What callers saw: with a configuration that states 1e308 bytes for a token, the VMs dropped the configuration and refused everything ('document not applied', OverflowError of an infinite number); whole numbers beyond 64 bits went into messages and products.

Cause: conversions of units make some finite numbers infinite, and whole numbers of JSON have no bound. A valid configuration has to be followed: what exceeds the numbers that messages carry or that sums stay finite with is taken for the largest of those.

Evidence: test_every_odd_document_is_decoded_or_counts_as_unreadable[configuration] failed before with OverflowError at kv_token_bytes 1e308.

--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -30,6 +30,8 @@
 BITS_PER_MEGABIT = 1_000_000.0
 BITS_PER_BYTE = 8
 UPSTREAM_STATES = ("ready", "draining")
+MAX_QUANTITY = 1e15
+"""Largest rate, weight, bandwidth or time that is reckoned with, so that no sum is infinite."""
 
 
 class _Split(msgspec.Struct, frozen=True):
@@ -164,10 +166,10 @@
             [_convert_service(service) for service in config.services],
             [_convert_organisation(tenant) for tenant in config.tenants or []],
             deployment.RequestLimits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.header_timeout_ms / MS_PER_SECOND,
-                limits.idle_timeout_ms / MS_PER_SECOND,
+                _count(limits.max_header_bytes),
+                _count(limits.max_body_bytes),
+                _quantity(limits.header_timeout_ms) / MS_PER_SECOND,
+                _quantity(limits.idle_timeout_ms) / MS_PER_SECOND,
             ),
             requires_keys=config.tenants is not None,
         )
@@ -240,8 +242,21 @@
         return None
 
 
+def _count(number: float) -> int:
+    """Return a whole number of the configuration, or the largest one that messages carry."""
+    limit = decoding.MAX_WHOLE_NUMBER
+    return int(number) if -limit < number < limit else limit if number > 0 else -limit
+
+
+def _quantity(number: float) -> float:
+    """Return a number of the configuration, or the largest one that is reckoned with."""
+    return max(-MAX_QUANTITY, min(number, MAX_QUANTITY))
+
+
 def _convert_route(route: _Route) -> deployment.Route:
-    splits = [deployment.Split(split.service, split.weight) for split in route.traffic_split]
+    splits = [
+        deployment.Split(split.service, _quantity(split.weight)) for split in route.traffic_split
+    ]
     if not splits and route.service:
         splits = [deployment.Split(route.service, 1.0)]
     streaming = route.kind == "streaming"
@@ -256,11 +271,11 @@
         route.prefix,
         retry_safety,
         streaming,
-        route.timeout_ms / MS_PER_SECOND,
-        route.target_latency_ms / MS_PER_SECOND,
-        route.priority,
+        _quantity(route.timeout_ms) / MS_PER_SECOND,
+        _quantity(route.target_latency_ms) / MS_PER_SECOND,
+        _count(route.priority),
         tuple(splits),
-        max(1, route.max_attempts),
+        max(1, _count(route.max_attempts)),
         route.public,
     )
 
@@ -269,13 +284,13 @@
     engine = service.engine
     return deployment.Service(
         service.name,
-        service.max_connections,
+        _count(service.max_connections),
         (
             deployment.Engine(
-                engine.slots,
-                engine.kv_capacity,
-                int(engine.kv_token_bytes * BITS_PER_BYTE),
-                engine.link_mbps * BITS_PER_MEGABIT,
+                _count(engine.slots),
+                _count(engine.kv_capacity),
+                _count(engine.kv_token_bytes * BITS_PER_BYTE),
+                _quantity(engine.link_mbps * BITS_PER_MEGABIT),
                 tuple(model.name for model in engine.models),
             )
             if engine
@@ -285,8 +300,8 @@
             deployment.CacheStore(
                 service.kv_store_addr,
                 service.zone,
-                service.kv_capacity,
-                service.link_mbps * BITS_PER_MEGABIT,
+                _count(service.kv_capacity),
+                _quantity(service.link_mbps * BITS_PER_MEGABIT),
             )
             if service.kv_store_addr
             else None
@@ -298,10 +313,10 @@
     return deployment.Organisation(
         tenant.name,
         tuple(tenant.api_keys),
-        tenant.rate_per_s,
-        tenant.burst,
+        _quantity(tenant.rate_per_s),
+        _quantity(tenant.burst),
         tenant.unit == "tokens",
-        tenant.plain_tokens,
+        _count(tenant.plain_tokens),
         tenant.isolated,
-        tenant.priority,
+        None if tenant.priority is None else _count(tenant.priority),
     )
--- a/hollyring/platform/tests/test_odd_entries.py
+++ b/hollyring/platform/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Tests that odd entries in the store neither end what reads them nor hide the others."""
 
 import json
+import math
 
 import pytest
 
@@ -19,6 +20,7 @@
     "upstream": ("servers/i-1", test_codec.SERVER, "decode_upstream"),
     "VM": ("hollyring/vm/vm-2", VM, "decode_vm"),
     "software": (KEYS.software, SOFTWARE, "decode_software"),
+    "configuration": ("op/config", test_codec.CONFIG, "decode_deployment"),
     "weights": ("op/version/m", WANTED, "decode_wanted_version"),
 }
 
@@ -122,3 +124,22 @@
     assert sum("unreadable upstream" in each.get("text", "") for each in log_messages) == 1
     vm.apply_change(KEYS.upstreams, "servers/i-1", test_state.ENTRY, now=3.0)
     assert sorted(vm.state.registry.upstreams) == ["i-1", "i-2"]
+
+
+@pytest.mark.parametrize("value", ["1e308", "10^30", "2^64", "2^63"])
+def test_huge_numbers_of_a_configuration_can_be_reckoned_with(value):
+    codec = documents.DocumentCodec()
+    for path in odd_values.paths(test_codec.CONFIG):
+        data = odd_values.put(test_codec.CONFIG, path, odd_values.VALUES[value])
+        decoded = codec.decode_deployment(make_item("op/config", data))
+        if decoded is None:
+            continue
+        vm = test_state.StateVm()
+        vm.state.configure(decoded, 1.0)
+        vm.state.tick(1.1)
+        for service in decoded.services.values():
+            assert vm.state.max_connections(service) > 0
+        for organisation in decoded.organisations.values():
+            vm.state.admit(organisation, None, 1.2)
+        for _, usage in vm.state._rates.reports(1.3):
+            assert math.isfinite(usage.total)
