--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import Any
 
 import msgspec
@@ -15,6 +14,7 @@
 from hollyring.core import request_types
 from hollyring.membership import heartbeat
 from hollyring.node import interfaces
+from hollyring.platform import decoding
 from hollyring.routing import registry, software_versions
 
 CONFIGURATION_KEY = "op/config"
@@ -29,9 +29,9 @@
 MS_PER_SECOND = 1000.0
 BITS_PER_MEGABIT = 1_000_000.0
 BITS_PER_BYTE = 8
-PORT = re.compile("[0-9]{1,5}")
-MAX_PORT = 65_535
 UPSTREAM_STATES = ("ready", "draining")
+MAX_QUANTITY = 1e15
+"""Largest rate, weight, bandwidth or time that is reckoned with, so that no sum is infinite."""
 
 
 class _Split(msgspec.Struct, frozen=True):
@@ -107,43 +107,43 @@
 
 
 class _WantedVersion(msgspec.Struct, frozen=True):
-    model: str
-    version: int
+    model: decoding.Name
+    version: decoding.WholeNumber
 
 
 class _ServedModel(msgspec.Struct, frozen=True):
-    name: str
-    version: int
+    name: decoding.Name
+    version: decoding.WholeNumber
 
 
 class _Server(msgspec.Struct, frozen=True):
     """An upstream's entry. Not decoded: `sequence`, the number of its heartbeats."""
 
-    service: str
+    service: decoding.Name
     address: str
-    zone: str  # failure domain
+    zone: decoding.Name  # failure domain
     state: str
-    version: str  # version of its software, unlike those in `models`
-    slots: int
+    version: decoding.Name  # version of its software, unlike those in `models`
+    slots: decoding.WholeNumber
     models: list[_ServedModel] = []
-    born: int = 0  # incarnation number
+    born: decoding.WholeNumber = 0  # incarnation number
 
 
 class _Vm(msgspec.Struct, frozen=True):
-    name: str
-    life: int  # incarnation number
+    name: decoding.Name
+    life: decoding.WholeNumber  # incarnation number
     caller_address: str
     peer_address: str
-    failure_domain: str
-    region: str
+    failure_domain: decoding.Name
+    region: decoding.Name
     capacity: float = 1.0  # cores
 
 
 class _Software(msgspec.Struct, frozen=True):
     """Record of the upstreams' software versions by service."""
 
-    era: int
-    versions: dict[str, list[str]]
+    era: decoding.WholeNumber
+    versions: dict[decoding.Name, list[decoding.Name]]
 
 
 class DocumentCodec:
@@ -166,10 +166,10 @@
             [_convert_service(service) for service in config.services],
             [_convert_organisation(tenant) for tenant in config.tenants or []],
             deployment.RequestLimits(
-                limits.max_header_bytes,
-                limits.max_body_bytes,
-                limits.header_timeout_ms / MS_PER_SECOND,
-                limits.idle_timeout_ms / MS_PER_SECOND,
+                _count(limits.max_header_bytes),
+                _count(limits.max_body_bytes),
+                _quantity(limits.header_timeout_ms) / MS_PER_SECOND,
+                _quantity(limits.idle_timeout_ms) / MS_PER_SECOND,
             ),
             requires_keys=config.tenants is not None,
         )
@@ -190,10 +190,13 @@
         server = _decode(item, _Server)
         if server is None or server.state not in UPSTREAM_STATES:
             return None
-        if not _is_address(server.address) or not server.service:
+        name = item.key.removeprefix(STORE_KEYS.upstreams)
+        if not decoding.is_address(server.address) or not server.service:
+            return None
+        if not decoding.is_name(name):
             return None
         return registry.Entry(
-            name=item.key.removeprefix(STORE_KEYS.upstreams),
+            name=name,
             service=server.service,
             address=server.address,
             domain=server.zone,
@@ -207,7 +210,13 @@
     def decode_vm(self, item: mirror.Item) -> heartbeat.VmInfo | None:
         """Return the record of a VM, or None if it is invalid."""
         record = _decode(item, _Vm)
-        return heartbeat.VmInfo(**msgspec.structs.asdict(record)) if record else None
+        if record is None or item.key != STORE_KEYS.vms + record.name:
+            return None
+        if not decoding.is_address(record.caller_address):
+            return None
+        if not decoding.is_address(record.peer_address):
+            return None
+        return heartbeat.VmInfo(**msgspec.structs.asdict(record))
 
     def encode_vm(self, vm_info: heartbeat.VmInfo) -> bytes:
         """Return the stored form of the record of a VM."""
@@ -228,18 +237,26 @@
 
 def _decode(item: mirror.Item, type_: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(item.value, type=type_)
-    except msgspec.MsgspecError:
+        return decoding.decode(item.value, type_)
+    except decoding.UnreadableError:
         return None
 
 
-def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
-    return bool(host) and bool(PORT.fullmatch(port)) and 0 < int(port) <= MAX_PORT
+def _count(number: float) -> int:
+    """Return a whole number of the configuration, or the largest one that messages carry."""
+    limit = decoding.MAX_WHOLE_NUMBER
+    return int(number) if -limit < number < limit else limit if number > 0 else -limit
+
+
+def _quantity(number: float) -> float:
+    """Return a number of the configuration, or the largest one that is reckoned with."""
+    return max(-MAX_QUANTITY, min(number, MAX_QUANTITY))
 
 
 def _convert_route(route: _Route) -> deployment.Route:
-    splits = [deployment.Split(split.service, split.weight) for split in route.traffic_split]
+    splits = [
+        deployment.Split(split.service, _quantity(split.weight)) for split in route.traffic_split
+    ]
     if not splits and route.service:
         splits = [deployment.Split(route.service, 1.0)]
     streaming = route.kind == "streaming"
@@ -254,11 +271,11 @@
         route.prefix,
         retry_safety,
         streaming,
-        route.timeout_ms / MS_PER_SECOND,
-        route.target_latency_ms / MS_PER_SECOND,
-        route.priority,
+        _quantity(route.timeout_ms) / MS_PER_SECOND,
+        _quantity(route.target_latency_ms) / MS_PER_SECOND,
+        _count(route.priority),
         tuple(splits),
-        max(1, route.max_attempts),
+        max(1, _count(route.max_attempts)),
         route.public,
     )
 
@@ -267,13 +284,13 @@
     engine = service.engine
     return deployment.Service(
         service.name,
-        service.max_connections,
+        _count(service.max_connections),
         (
             deployment.Engine(
-                engine.slots,
-                engine.kv_capacity,
-                int(engine.kv_token_bytes * BITS_PER_BYTE),
-                engine.link_mbps * BITS_PER_MEGABIT,
+                _count(engine.slots),
+                _count(engine.kv_capacity),
+                _count(engine.kv_token_bytes * BITS_PER_BYTE),
+                _quantity(engine.link_mbps * BITS_PER_MEGABIT),
                 tuple(model.name for model in engine.models),
             )
             if engine
@@ -283,8 +300,8 @@
             deployment.CacheStore(
                 service.kv_store_addr,
                 service.zone,
-                service.kv_capacity,
-                service.link_mbps * BITS_PER_MEGABIT,
+                _count(service.kv_capacity),
+                _quantity(service.link_mbps * BITS_PER_MEGABIT),
             )
             if service.kv_store_addr
             else None
@@ -296,10 +313,10 @@
     return deployment.Organisation(
         tenant.name,
         tuple(tenant.api_keys),
-        tenant.rate_per_s,
-        tenant.burst,
+        _quantity(tenant.rate_per_s),
+        _quantity(tenant.burst),
         tenant.unit == "tokens",
-        tenant.plain_tokens,
+        _count(tenant.plain_tokens),
         tenant.isolated,
-        tenant.priority,
+        None if tenant.priority is None else _count(tenant.priority),
     )
