Take a request in a planned stop only if its caller can have its answer

What callers saw: in a planned stop of one VM, in calm, requests sent up to 2.5 s after the SIGTERM were passed on, whatever their deadline. Those whose work outlasted the grace period were cut at 7.4 s of 8: 502 for plain ones, a cut stream for streams, among them requests that may run once only, whose callers can't know whether they ran.

Cause: the admission looked at the clock, not at the request: State.may_accept took everything for 2.5 s. The executing side of forwarded requests used the same bool.

Evidence: two VM processes, routes of 10 s, servers that work 6.5 s, one request of each kind every half second (docs/incidents/planned-stop.md): those of 1.0, 1.5 and 2.0 s were cut, none sent later. On test_leaving_vm_passes_on_no_request_that_may_run_once_and_outlasts_its_grace_period fails with 200, 200, 200, 200, 502 ... for 503, and test_leaving_vm_declines_a_request_of_another_that_may_run_once_and_outlast_it with the messages [1, 0] for [1, 1].

Change: delivery/grace_period, a table without I/O, gives a verdict for each kind. WHOLE: the deadline (the smaller of the caller's and the route's) lies before the end. REPEATABLE: taken while callers have the address, if the caller has time to go on elsewhere after the end: for a request that begins anew as long as it had here, for a stream that goes on one second. REFUSED: all else, 503 not run, Retry-After 0.1 s, Connection: close. What may run once is never REPEATABLE. It is decided by the time of the decision, no more by that of the arrival, which lies before a wait for the store.

Why it works: the deadline bounds a taken request on all paths, so one that may run once ends with its own answer or a 504 before the process ends. The refused ones keep nearly all their time: the test sends each to the VM that stays, which answers 200.

Ruled out: handing such requests whole to a VM that stays. The caller's connection still ends with the leaving process, so the answer has no way to the caller; a refusal sends the caller there itself.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -289,7 +289,7 @@
             task_group.start_soon(self._end_requests)
             await caller_server.serve(caller_sockets)
             if self._state.leaving:
-                await self._forward_server.drain(self._state.shutdown_at)
+                await self._forward_server.drain(self._state.grace_period.ends_at)
             await self._supervisor.run_once(self._registration.release)
             self._log.info("stopped")
             internal_server.should_exit = True
@@ -352,7 +352,7 @@
     async def _end_requests(self) -> None:
         """Give open requests their final answers at the end of the grace period."""
         await self._leaving.wait()
-        await anyio.sleep(max(0.0, self._state.shutdown_at - clock.now()))
+        await anyio.sleep(max(0.0, self._state.grace_period.ends_at - clock.now()))
         self._log.info("grace period over", open_requests=self._state.requests.open)
         self._relay.stop()
 
--- a/hollyring/node/delegated_requests.py
+++ b/hollyring/node/delegated_requests.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Sequence
 
 from hollyring.core import request_types
-from hollyring.delivery import event_stream, forwarded, refusal, retry
+from hollyring.delivery import event_stream, forwarded, grace_period, refusal, retry
 from hollyring.node import peer_link, request_context, responses, state
 from hollyring.routing import crashes, selection
 
@@ -15,9 +15,6 @@
 UNKNOWN_SERVICE_RETRY_SECONDS = 0.3
 """Retry delay while two VMs have different configurations; they soon have the same."""
 
-LEAVING_RETRY_SECONDS = 0.1
-"""Retry delay given by a leaving VM; the admitting VM soon knows that it leaves."""
-
 MAX_PART_BYTES = 262_144
 """Largest part of a body in one message, a few of which fit into the buffers of a connection."""
 
@@ -219,8 +216,9 @@
     if vm_state.reachability.is_cut_off(service.name):
         return refusal.make("no_upstream", selection.NO_UPSTREAM_RETRY_SECONDS, "cut off too")
     deadline = now + message.seconds_left - RETURN_SECONDS
-    if not vm_state.may_accept(deadline, now):
-        return refusal.make("leaving", LEAVING_RETRY_SECONDS)
+    verdict = vm_state.grace_period.verdict(route.retry_safety, deadline, now)
+    if verdict is grace_period.Verdict.REFUSED:
+        return refusal.make("leaving", grace_period.RETRY_AFTER_SECONDS)
     request = _request(message, body)
     suspects = crashes.suspects(request, message.organisation)
     if vm_state.crashes.reason_to_refuse(suspects) is not None:
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -6,7 +6,14 @@
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
-from hollyring.delivery import event_stream, forwarded, refusal, retry, stream_origins
+from hollyring.delivery import (
+    event_stream,
+    forwarded,
+    grace_period,
+    refusal,
+    retry,
+    stream_origins,
+)
 from hollyring.node import (
     attempt,
     attempt_places,
@@ -31,9 +38,6 @@
 DEADLINE_MARGIN_SECONDS = 0.02
 """Time before the caller's deadline by which the final response is sent."""
 
-LEAVING_RETRY_AFTER_SECONDS = 0.1
-"""Retry delay given to callers by a leaving VM; they retry at another VM."""
-
 UNCONFIGURED_RETRY_AFTER_SECONDS = 0.3
 """Retry delay given to callers by a VM that has no configuration yet."""
 
@@ -105,7 +109,7 @@
             If the caller has left before the request could be sent.
         """
         if self._stopped:
-            await response.refuse(refusal.make("leaving", LEAVING_RETRY_AFTER_SECONDS))
+            await response.refuse(refusal.make("leaving", grace_period.RETRY_AFTER_SECONDS))
             return
         with anyio.CancelScope() as scope:
             self._open.add(scope)
@@ -267,8 +271,9 @@
         deadline = (
             arrived_at + min(request.deadline_seconds, route.timeout) - DEADLINE_MARGIN_SECONDS
         )
-        if not self._state.may_accept(deadline, arrived_at):
-            return refusal.make("leaving", LEAVING_RETRY_AFTER_SECONDS)
+        verdict = self._state.grace_period.verdict(route.retry_safety, deadline, clock.now())
+        if verdict is grace_period.Verdict.REFUSED:
+            return refusal.make("leaving", grace_period.RETRY_AFTER_SECONDS)
         organisation_name = organisation.name if organisation is not None else ""
         suspects = crashes.suspects(request, organisation_name)
         blame = self._state.crashes.reason_to_refuse(suspects)
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -15,7 +15,7 @@
 
 from hollyring.configuration import deployment, freshness, mirror
 from hollyring.core import request_types
-from hollyring.delivery import stream_origins
+from hollyring.delivery import grace_period, stream_origins
 from hollyring.limits import (
     fleet_window,
     organisation_rates,
@@ -74,12 +74,6 @@
 SendHeartbeat = Callable[[], None]
 """Sends a heartbeat to the other VMs at once."""
 
-LEAVING_ACCEPT_SECONDS = 2.5
-"""Time for which a leaving VM still accepts requests that it may be unable to finish.
-
-This is necessary because callers cache its address for a while.
-"""
-
 CONNECTION_SHARE = 0.9
 """Share of a service's `max_connections` that is divided among the VMs."""
 
@@ -155,8 +149,7 @@
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
         self.serving_since = clock.now()
-        self.accept_all_until = math.inf
-        self.shutdown_at = math.inf
+        self.grace_period = grace_period.GracePeriod()
         self.store_reached_at = -math.inf
         self.store_failed_at = -math.inf
         self.refresh_due = False
@@ -198,12 +191,7 @@
     def leave(self, now: float, seconds: float) -> None:
         """Stop accepting new callers; requests still open after `seconds` will be aborted."""
         self.leaving = True
-        self.accept_all_until = now + LEAVING_ACCEPT_SECONDS
-        self.shutdown_at = now + seconds
-
-    def may_accept(self, deadline: float, now: float) -> bool:
-        """Return whether to accept a request that may last until `deadline`."""
-        return now < self.accept_all_until or deadline <= self.shutdown_at
+        self.grace_period = grace_period.GracePeriod(now, now + seconds)
 
     def store_age(self, now: float) -> float:
         """Return the seconds since the store last answered; -1 if it never has."""
