Send a request before the end of a VM only if it can end there, also later

What callers saw: a request that may run once, taken by a VM before it got SIGTERM, was refused by an upstream as not run, or waited for a connection, and was sent (again) within the grace period though its deadline lay behind the end: 502 at the end, or 200 by luck, where 503 not run was still true.

Cause: the decision is older than the sending. A request was decided once, at its arrival; the attempts asked only for its deadline.

Change: GracePeriod.may_send is asked before each attempt is placed, at the moment of sending to an upstream, and at that of sending to another VM. What may run once and could outlast the process is then refused as not run. What may be repeated or resumed is sent on until the end.

Why it works: before a byte was written the refusal is true, and between the check and the write nothing is awaited.

Ruled out: sending it with an earlier deadline. The server would stop at the end of the grace period, but the request would have run.

--- a/hollyring/delivery/grace_period.py
+++ b/hollyring/delivery/grace_period.py
@@ -1,8 +1,8 @@
-"""Whether a VM that leaves takes a request.
+"""Whether a VM that leaves takes a request, and whether it may still send one to an upstream.
 
 At the end of its grace period the process ends, and with it the connections of its callers. A
 request that is open then gets an answer that can't say whether it ran. So one that may run only
-once is taken only if its deadline lies before that end; otherwise it is refused as not
+once is taken and sent only if its deadline lies before that end; otherwise it is refused as not
 run, and its caller asks a VM that stays, with most of its time left. What may be repeated or
 resumed is taken on while callers still have the address, if its caller would have time to go on
 elsewhere after the end.
@@ -79,6 +79,11 @@
             return Verdict.REFUSED
         return Verdict.REPEATABLE
 
+    def may_send(self, retry_safety: request_types.RetrySafety, deadline: float) -> bool:
+        """Return whether a request that was taken may be sent, the first time or once more."""
+        at_most_once = retry_safety is request_types.RetrySafety.AT_MOST_ONCE
+        return deadline <= self.ends_at or not at_most_once
+
     def _seconds_to_go_on(self, retry_safety: request_types.RetrySafety, now: float) -> float:
         """Return the least time in which a caller may have the rest of a request elsewhere."""
         match retry_safety:
--- a/hollyring/delivery/tests/test_grace_period.py
+++ b/hollyring/delivery/tests/test_grace_period.py
@@ -1,4 +1,6 @@
-"""Tests of what a VM that leaves takes."""
+"""Tests of what a VM that leaves takes and sends."""
+
+import math
 
 import hypothesis
 import pytest
@@ -41,16 +43,17 @@
 
 
 @hypothesis.given(safeties, seconds, seconds)
-def test_vm_that_stays_takes_everything(retry_safety, now, duration):
+def test_vm_that_stays_takes_and_sends_everything(retry_safety, now, duration):
     period = grace_period.GracePeriod()
     assert period.verdict(retry_safety, now + duration, now) is WHOLE
+    assert period.may_send(retry_safety, math.inf)
 
 
 @hypothesis.given(seconds, seconds)
-def test_request_that_may_run_once_is_not_taken_to_outlast_the_period(now, duration):
+def test_request_that_may_run_once_is_neither_taken_nor_sent_to_outlast_the_period(now, duration):
     deadline = now + duration
     taken = PERIOD.verdict(ONCE, deadline, now) is not REFUSED
-    assert taken == (deadline <= PERIOD.ends_at)
+    assert taken == PERIOD.may_send(ONCE, deadline) == (deadline <= PERIOD.ends_at)
 
 
 @hypothesis.given(safeties, seconds, seconds)
@@ -59,3 +62,4 @@
     if PERIOD.verdict(retry_safety, deadline, now) is REPEATABLE:
         assert now < grace_period.ACCEPT_SECONDS
         assert deadline - PERIOD.ends_at >= grace_period.RESUME_SECONDS
+        assert PERIOD.may_send(retry_safety, deadline)
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -190,7 +190,8 @@
             may_decide = await self._copies.may_decide(context.retry_state.deadline)
             if context.response.caller_left:
                 raise errors.CallerLeftError("caller left before this attempt was sent")
-            if not may_decide or self._is_unusable(upstream):
+            may_send = may_decide and self._state.may_send(context.retry_state)
+            if not may_send or self._is_unusable(upstream):
                 return request_context.Withdrawn()
             if not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -8,6 +8,7 @@
 import anyio
 
 from hollyring.core import execution
+from hollyring.delivery import grace_period
 from hollyring.membership import heartbeat
 from hollyring.node import (
     attempt,
@@ -155,6 +156,10 @@
         if not await self._copies.may_decide(context.retry_state.deadline):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
             raise attempt_places.RequestRefusedError(refused, is_temporary=True)
+        if not self._state.may_send(context.retry_state):
+            now, seconds = clock.now(), grace_period.RETRY_AFTER_SECONDS
+            refused = context.retry_state.final_refusal("leaving", now, seconds)
+            raise attempt_places.RequestRefusedError(refused)
         if context.retry_state.sends and self._is_blamed(context):
             refused = context.retry_state.final_refusal("crashing_request", clock.now())
             raise attempt_places.RequestRefusedError(refused)
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -187,6 +187,9 @@
         context = self._context
         if context.response.caller_left:
             raise errors.CallerLeftError("caller left before this attempt was sent")
+        if not self._state.may_send(context.retry_state):
+            self.is_whole = True
+            return request_context.NotRun("this VM leaves before the deadline", written=False)
         await self._send_request()
         answer = await self._receive()
         match answer:
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -15,7 +15,7 @@
 
 from hollyring.configuration import deployment, freshness, mirror
 from hollyring.core import request_types
-from hollyring.delivery import grace_period, stream_origins
+from hollyring.delivery import grace_period, retry, stream_origins
 from hollyring.limits import (
     fleet_window,
     organisation_rates,
@@ -193,6 +193,10 @@
         self.leaving = True
         self.grace_period = grace_period.GracePeriod(now, now + seconds)
 
+    def may_send(self, tries: retry.RetryState) -> bool:
+        """Return whether a request may be sent before this VM ends, the first time or again."""
+        return self.grace_period.may_send(tries.retry_safety, tries.deadline)
+
     def store_age(self, now: float) -> float:
         """Return the seconds since the store last answered; -1 if it never has."""
         return -1.0 if math.isinf(self.store_reached_at) else round(now - self.store_reached_at, 3)
