Tell callers when to ask another VM also at the end of a grace period

What callers saw: a request that was not sent to any upstream until its VM ended got 503 leaving without Retry-After, while one that is refused during the grace period gets 0.1 s.

Cause: the final refusal at the end was made with the value of its kind, 0, which writes no header.

Evidence: both cases of test_request_that_is_not_sent_until_its_vm_ends_is_told_when_to_ask_another failed before with KeyError: b'retry-after'.

--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -148,7 +148,7 @@
             may_decide = await self._copies.may_decide(arrived_at + request.deadline_seconds)
         except anyio.get_cancelled_exc_class():
             with anyio.move_on_after(responses.FINAL_REFUSAL_SECONDS, shield=True):
-                rejection = refusal.make(self._cancel_code)
+                rejection = refusal.make(self._cancel_code, self._cancel_retry_after)
                 self._log.refused(request, rejection, arrived_at)
                 await response.refuse(rejection)
             raise
@@ -245,9 +245,16 @@
         """Code for a request that is cancelled before anything of it was sent."""
         return "leaving" if self._stopped else "caller_ended"
 
+    @property
+    def _cancel_retry_after(self) -> float | None:
+        """Seconds after which the caller of such a request may ask another VM, if it may."""
+        return grace_period.RETRY_AFTER_SECONDS if self._stopped else None
+
     async def _refuse_shielded(self, context: request_context.RequestContext) -> None:
         """Refuse a cancelled request."""
-        rejection = context.retry_state.final_refusal(self._cancel_code, clock.now())
+        rejection = context.retry_state.final_refusal(
+            self._cancel_code, clock.now(), self._cancel_retry_after
+        )
         with anyio.move_on_after(responses.FINAL_REFUSAL_SECONDS, shield=True):
             await context.response.refuse(rejection)
 
--- a/hollyring/platform/tests/test_leaving_vms.py
+++ b/hollyring/platform/tests/test_leaving_vms.py
@@ -82,3 +82,28 @@
     caller = await fleet.cut.send_request()
     assert (caller.status, caller.headers[b"retry-after"]) == (503, b"0.100")
     assert fleet.executing[0].messages == []
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("checker", [None, test_relay.NotYetCurrent()], ids=["sends", "decides"])
+async def test_request_that_is_not_sent_until_its_vm_ends_is_told_when_to_ask_another(
+    start_vm, monkeypatch, checker
+):
+    vm, _ = await start_vm("complete", checker=checker)
+    if checker is not None:
+        vm.state.freshness = test_forwarded_requests.NeverFresh()
+
+    async def never_connect(*_):
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(connection_pool.ConnectionPool, "_connect", never_connect)
+    callers = []
+
+    async def send():
+        callers.append(await vm.send_request())
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(send)
+        await anyio.sleep(0.1)
+        vm.relay.stop()
+    assert (callers[0].status, callers[0].headers[b"retry-after"]) == (503, b"0.100")
