Fail one call of the store by an odd answer, and nothing after it

What callers saw: one answer of the store with a revision of 10^18, or with a Store-Era of 30 digits, and the VM followed the store no more: good answers counted as older than what it knew, and a server that joined afterwards got no request. An answer nested too deeply, or an era of 5,000 digits, ended the tasks that watch and ask the store, once a second. A list whose pages don't end kept a task busy and its memory growing.

Cause: the client caught the errors of its JSON library, not those of nesting, of digits and of base64, and took any number for a revision or an era. A number is kept as the latest, so one that is wrong decides over all that come after.

Class: a maximum is kept of a value that nobody bounds. A revision above REVISIONS_PER_ERA, an era whose ordinals don't fit the integers of JSON, a list whose keys don't advance and a key that was not asked for fail the call as no answer would. What remains: a wrong number within these bounds can't be told from a right one.

--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import urllib.parse
-from collections.abc import Callable, Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Annotated, Any
 
 import msgspec
 
 from hollyring.configuration import mirror, store_revision
 from hollyring.node import connection_pool, http_connection, http_request, interfaces
+from hollyring.platform import decoding
 
 CALL_TIMEOUT_SECONDS = 1.5
 """Timeout of calls other than watches."""
@@ -23,36 +23,43 @@
 
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 ERA_HEADER = b"store-era"
+MAX_ERA = 2**53 // store_revision.REVISIONS_PER_ERA - 1
+"""Highest era of a store, whose revisions' ordinals fit the integers that JSON carries."""
+
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
 
 
+_Number = Annotated[int, msgspec.Meta(ge=0, lt=store_revision.REVISIONS_PER_ERA)]
+"""Revision of the store."""
+
+
 class _Item(msgspec.Struct, frozen=True):
     key: str
-    revision: int
+    revision: _Number
     value: str = ""  # Base64
     deleted: bool = False
 
 
 class _RangeResponse(msgspec.Struct, frozen=True):
     items: list[_Item]
-    current_rev: int
+    current_rev: _Number
     truncated: bool = False
 
 
 class _WatchResponse(msgspec.Struct, frozen=True):
     events: list[_Item]
-    current_rev: int
+    current_rev: _Number
 
 
 class _TransactionResponse(msgspec.Struct, frozen=True):
-    revision: int
+    revision: _Number
 
 
 class _LeaseResponse(msgspec.Struct, frozen=True):
-    lease: int
+    lease: decoding.WholeNumber
 
 
 class _Answer(msgspec.Struct, frozen=True):
@@ -93,7 +100,7 @@
         Raises
         ------
         StoreError
-            If the store began a new era between two pages.
+            If the store began a new era between two pages, or the pages do not end.
         """
         items: list[mirror.Item] = []
         revision = None
@@ -101,6 +108,7 @@
         while True:
             answer = await self._call("GET", "/hollyring/kv-range", query)
             page = _decode(answer.body, _RangeResponse)
+            _check_keys(page.items, prefix)
             items += [_convert_item(item, answer.era) for item in page.items]
             if revision is None:
                 revision = store_revision.Revision(answer.era, page.current_rev)
@@ -108,7 +116,10 @@
                 raise interfaces.StoreError(f"{prefix}: pages of several eras")
             if not page.truncated or not page.items:
                 return interfaces.Listing(items, revision)
-            query = {"prefix": prefix, "after": page.items[-1].key}
+            last_key = page.items[-1].key
+            if last_key <= query.get("after", ""):
+                raise interfaces.StoreError(f"{prefix}: pages without end")
+            query = {"prefix": prefix, "after": last_key}
 
     async def watch(
         self, prefix: str, after: store_revision.Revision, seconds: float
@@ -130,6 +141,7 @@
                 f"{prefix}: changes after revision {after} are no longer available"
             )
         response = _decode(answer.body, _WatchResponse)
+        _check_keys(response.events, prefix)
         return interfaces.Changes(
             [_convert_change(event, answer.era) for event in response.events],
             store_revision.Revision(answer.era, response.current_rev),
@@ -210,20 +222,37 @@
 
 def _decode(body: bytes, type_: type[Any]) -> Any:
     try:
-        return msgspec.json.decode(body, type=type_)
-    except msgspec.MsgspecError as error:
+        return decoding.decode(body, type_)
+    except decoding.UnreadableError as error:
         raise interfaces.StoreError(f"unreadable response: {error}") from error
 
 
+def _check_keys(items: Iterable[_Item], prefix: str) -> None:
+    for item in items:
+        if not item.key.startswith(prefix):
+            raise interfaces.StoreError(f"{prefix}: key that was not asked for")
+
+
 def _decode_era(value: bytes) -> int:
-    """Return the era that a header states, 0 if there is none."""
-    return int(value) if value.isdigit() else 0
+    """Return the era that a header states, 0 if there is none.
+
+    Raises
+    ------
+    StoreError
+        If the header states no era that a store can reach.
+    """
+    if not value:
+        return 0
+    is_number = value.isdigit() and len(value) <= http_connection.MAX_NUMBER_DIGITS
+    if not is_number or int(value) > MAX_ERA:
+        raise interfaces.StoreError(f"unreadable era: {value[:40]!r}")
+    return int(value)
 
 
 def _convert_item(item: _Item, era: int) -> mirror.Item:
     try:
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         value = b""
     return mirror.Item(item.key, value, store_revision.Revision(era, item.revision))
 
