Send a number beyond 64 bits as the nearest that fits

What callers saw: a VM whose heartbeat holds one number beyond 64 bits sends none at all, counts as dead at the others and is listed nowhere, as long as that number stands. One caller is enough: a prompt may state up to 2^53 tokens, and a heartbeat carries their sum over all requests that a server has not begun to answer.

Cause: messages are thrift structs with 64-bit numbers, and Python's have no bound; the encoder raises, and nothing of the message is sent. Numbers from other processes are bounded where they are decoded (documents, answers of the store); sums of them are not.

Class: one value decides over a message with many. A message that can't be encoded is encoded once more with the numbers that don't fit at the bounds; the usual message costs nothing more.

--- a/hollyring/node/wire.py
+++ b/hollyring/node/wire.py
@@ -23,6 +23,9 @@
 MAX_MESSAGE_BYTES = 4_000_000
 """Maximum size of a message that is accepted from a peer."""
 
+MAX_WHOLE_NUMBER = 2**63 - 1
+MIN_WHOLE_NUMBER = -(2**63)
+
 _UNREADABLE = (TException, EOFError, LookupError, ValueError, TypeError, OverflowError)
 """What the reading of malformed bytes raises."""
 
@@ -45,13 +48,17 @@
     def encode(
         self, message: object, sequence: int = 0, message_type: int = TMessageType.ONEWAY
     ) -> bytes:
-        """Return the bytes of `message`; a call and its reply have the same `sequence`."""
-        buffer = TTransport.TMemoryBuffer()
-        protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
-        protocol.writeMessageBegin(self._names[type(message)], message_type, sequence)
-        _to_thrift(message).write(protocol)
-        protocol.writeMessageEnd()
-        return buffer.getvalue()
+        """Return the bytes of `message`; a call and its reply have the same `sequence`.
+
+        A whole number that does not fit into 64 bits, such as a sum, is sent as the nearest that
+        does.
+        """
+        name, struct = self._names[type(message)], _to_thrift(message)
+        try:
+            return _write(name, struct, sequence, message_type)
+        except OverflowError:
+            _fit_numbers(struct)
+            return _write(name, struct, sequence, message_type)
 
     def decode(self, data: bytes) -> tuple[object, int, int]:
         """Return the message in `data`, its sequence number and its message type (`TMessageType`).
@@ -135,6 +142,41 @@
     return nested, False
 
 
+def _write(name: str, struct: Any, sequence: int, message_type: int) -> bytes:
+    """Return the bytes of a thrift struct as a message.
+
+    Raises
+    ------
+    OverflowError
+        If one of its numbers has more than 64 bits.
+    """
+    buffer = TTransport.TMemoryBuffer()
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
+    protocol.writeMessageBegin(name, message_type, sequence)
+    struct.write(protocol)
+    protocol.writeMessageEnd()
+    return buffer.getvalue()
+
+
+def _fit_numbers(struct: Any) -> None:
+    """Replace the whole numbers of a thrift struct that have more than 64 bits."""
+    for name in struct.__slots__:
+        setattr(struct, name, _fitting(getattr(struct, name)))
+
+
+def _fitting(value: Any) -> Any:
+    match value:
+        case bool() | float() | str() | bytes() | None:
+            return value
+        case int():
+            return max(MIN_WHOLE_NUMBER, min(value, MAX_WHOLE_NUMBER))
+        case list():
+            return [_fitting(item) for item in value]
+        case _:
+            _fit_numbers(value)
+            return value
+
+
 def _to_thrift(message: Any) -> Any:
     class_: Any = type(message)
     struct = _struct_class(class_)()
