Take no revision from another VM that no store can reach

What callers saw: one VM that has a revision or an era of 2^62, by a broken answer of the store or as an older build, names it to the others with its heartbeats. They take the era for that of the store, and from then on every answer of the store for one of an earlier era: the whole fleet follows neither the store nor one another any more, and all VMs write their records anew.

Cause: the latest revision and era are maxima over what anybody states.

What is out of bounds is left out, the rest of the message holds; a copy with such a revision is not applied. What remains: a wrong number within the bounds.

--- a/hollyring/configuration/store_revision.py
+++ b/hollyring/configuration/store_revision.py
@@ -10,6 +10,9 @@
 REVISIONS_PER_ERA = 2**40
 """Upper bound of the revisions of one era; 8000 eras then fit the integers that JSON carries."""
 
+MAX_ERA = 2**53 // REVISIONS_PER_ERA - 1
+"""Highest era of a store, so that the ordinals fit those integers."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Revision:
@@ -39,6 +42,11 @@
         """Integer with the same order, which equals the number in era 0."""
         return self.era * REVISIONS_PER_ERA + self.number
 
+    @property
+    def is_possible(self) -> bool:
+        """Whether a store can reach this revision, whose era may be unknown."""
+        return UNKNOWN_ERA <= self.era <= MAX_ERA and 0 <= self.number < REVISIONS_PER_ERA
+
     def resolved(self, era: int) -> Revision:
         """Return this revision, in `era` if its own era is unknown."""
         return Revision(era, self.number) if self.era == UNKNOWN_ERA else self
--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import typing
 
 from hollyring.configuration import store_revision
@@ -34,6 +35,7 @@
 
     def receive(self, message: heartbeat.Heartbeat, now: float) -> None:
         """Process a heartbeat of another VM."""
+        message = dataclasses.replace(message, revisions=_possible(message.revisions))
         self._observe_eras(message.vm.name, message.revisions)
         peer = self._state.peers.receive(message, now)
         if peer is not None:
@@ -78,6 +80,7 @@
         self, sender: str, message: heartbeat.FleetStatus, asked_at: float, now: float
     ) -> None:
         """Process the status that a serving VM sent to this VM, which had asked at `asked_at`."""
+        message = dataclasses.replace(message, revisions=_possible(message.revisions))
         self._observe_eras(sender, message.revisions)
         self._state.peers.receive_status(sender, message, now)
         self._record_freshness(message.revisions, asked_at)
@@ -139,3 +142,8 @@
                 self._state.wanted_versions.record(
                     wanted_age.model, wanted_age.version, now - wanted_age.age_seconds
                 )
+
+
+def _possible(revisions: list[heartbeat.PrefixRevision]) -> list[heartbeat.PrefixRevision]:
+    """Return the revisions that a store can reach; one that it can't would stay the latest."""
+    return [item for item in revisions if item.revision.is_possible]
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -334,7 +334,7 @@
         """Apply another VM's copy, unless it is of an earlier era; return the changed keys."""
         current = self._state.store_era.current
         era = current if copy.era == store_revision.UNKNOWN_ERA else copy.era
-        if era < current:
+        if era < current or not _is_possible(copy, era):
             return set()
         latest = store_revision.Revision(era, copy.revision)
         complete = store_revision.Revision(era, copy.complete_revision)
@@ -351,6 +351,14 @@
         return local_mirror.apply_changes([*items, *removals], complete, latest)
 
 
+def _is_possible(copy: heartbeat.Copy, era: int) -> bool:
+    """Return whether a store can reach all revisions of a copy."""
+    numbers = [copy.revision, copy.complete_revision]
+    numbers += [item.revision for item in copy.items]
+    numbers += [removed.revision for removed in copy.removed]
+    return all(store_revision.Revision(era, number).is_possible for number in numbers)
+
+
 def _size(changes: Iterable[mirror.Change]) -> int:
     """Return the bytes of the values among some changes."""
     return sum(len(change.value) for change in changes if isinstance(change, mirror.Item))
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -23,9 +23,6 @@
 
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 ERA_HEADER = b"store-era"
-MAX_ERA = 2**53 // store_revision.REVISIONS_PER_ERA - 1
-"""Highest era of a store, whose revisions' ordinals fit the integers that JSON carries."""
-
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
@@ -244,7 +241,7 @@
     if not value:
         return 0
     is_number = value.isdigit() and len(value) <= http_connection.MAX_NUMBER_DIGITS
-    if not is_number or int(value) > MAX_ERA:
+    if not is_number or int(value) > store_revision.MAX_ERA:
         raise interfaces.StoreError(f"unreadable era: {value[:40]!r}")
     return int(value)
 
--- a/hollyring/platform/tests/test_odd_messages.py
+++ b/hollyring/platform/tests/test_odd_messages.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hollyring.configuration import store_revision
 from hollyring.core import request_types
 from hollyring.membership import heartbeat
 from hollyring.node import (
@@ -16,6 +17,7 @@
     forwarded_messages,
     heartbeat_messages,
     heartbeat_sender,
+    store_watcher,
     wire,
 )
 from hollyring.platform.tests import test_state
@@ -150,3 +152,36 @@
         CODEC.encode(vm.state.fleet_status(now))
         for organisation in vm.state.deployment.organisations.values():
             vm.state.admit(organisation, None, now)
+    assert vm.state.store_era.current <= store_revision.MAX_ERA
+    for peer in vm.state.peers.by_name.values():
+        for revision in peer.revisions.values():
+            assert revision.number < store_revision.REVISIONS_PER_ERA
+
+
+def test_revision_that_no_store_reaches_is_not_taken_from_another_vm(vm):
+    marks = [
+        heartbeat.PrefixRevision(KEYS.upstreams, 2**62, 0),
+        heartbeat.PrefixRevision(KEYS.vms, 5, 2**62),
+        heartbeat.PrefixRevision(KEYS.operator, 5, 0),
+    ]
+    vm.state.receive(test_state.make_heartbeat(revisions=marks), 2.0)
+    assert vm.state.store_era.current == 0
+    assert list(vm.state.peers.by_name["vm-2"].revisions) == [KEYS.operator]
+
+
+@pytest.mark.parametrize("field", ["revision", "complete_revision", "era", "item", "removal"])
+def test_copy_with_a_revision_that_no_store_reaches_is_not_applied(vm, field):
+    watcher = store_watcher.StoreWatcher(None, vm.state, None, None)
+    fields = {"revision": 50, "complete_revision": 50, "era": 0, "item": 50, "removal": 50}
+    fields[field] = 2**62
+    copy = heartbeat.Copy(
+        KEYS.vms,
+        fields["revision"],
+        [heartbeat.CopyItem("hollyring/vm/vm-2", b"{}", fields["item"])],
+        fields["complete_revision"],
+        [heartbeat.CopyRemoval("hollyring/vm/vm-3", fields["removal"])],
+        True,
+        fields["era"],
+    )
+    assert watcher._apply_copy(vm.state.mirrors[KEYS.vms], copy) == set()
+    assert vm.state.mirrors[KEYS.vms].last_change_revision == store_revision.NONE
