--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -97,7 +97,7 @@
 
 
 class VmProcess:
-    """A VM process and its addresses."""
+    """A VM process and its addresses. `root` is the checkout that its next start runs from."""
 
     def __init__(
         self,
@@ -107,7 +107,9 @@
         contracts=(),
         grace_seconds=8.0,
         domain="dar-a",
+        root=ROOT,
     ):
+        self.root = root
         caller_port, health_port, entry_port, peer_port, metrics_port = free_ports(5)
         self.caller_url = f"http://127.0.0.1:{caller_port}"
         self.health_url = f"http://127.0.0.1:{health_port}/hollyring/ready"
@@ -136,11 +138,14 @@
     def start(self):
         environment = os.environ | {
             settings.ENVIRONMENT_VARIABLE: str(self.settings_path),
-            "PYTHONPATH": str(ROOT),
+            "PYTHONPATH": str(self.root),
         }
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "hollyring.platform"], env=environment, stdout=log, cwd=ROOT
+                [sys.executable, "-m", "hollyring.platform"],
+                env=environment,
+                stdout=log,
+                cwd=self.root,
             )
 
     @contextlib.contextmanager
