Read an answer of an earlier build as one whose end is not stated

That build ends what was cut short like what is whole.

Cause: the default of an added field was a promise on behalf of a build that knows nothing of it. Class: a conclusion from the absence of a statement. Why this works: what is not stated is passed on without a length, and the caller's connection ends with it.

The head of test_forwarded_requests states the end, as a VM of this build does.

Cost: while an old build executes for a cut VM, each forwarded answer ends its caller's connection, and a stream that began with a stated end is not ended by a continuation through the old build. Not mended: an old build that admits a request promises an end also where this build says that there is none.

--- a/hollyring/delivery/forwarded.py
+++ b/hollyring/delivery/forwarded.py
@@ -114,6 +114,7 @@
         Number of times the request was sent to upstreams.
     states_end
         Whether the upstream stated where its answer ends, so that `ForwardedEnd` proves it whole.
+        An earlier build, which does not say, ends others alike.
     """
 
     status: int
@@ -122,7 +123,7 @@
     upstream: str
     software: str
     sends: int
-    states_end: bool = True
+    states_end: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/delivery/messages.py
+++ b/hollyring/delivery/messages.py
@@ -32,7 +32,7 @@
     status: int
     headers: list[Header]
     body: bytes
-    states_end: bool = True
+    states_end: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/tests/test_wire.py
+++ b/hollyring/node/tests/test_wire.py
@@ -159,22 +159,25 @@
     assert wire._from_thrift(struct, heartbeat.CopyRequest) == heartbeat.CopyRequest("config", 0)
 
 
-def test_answer_of_an_earlier_build_states_its_end():
+def test_answer_of_an_earlier_build_states_no_end():
     data = (
         b"\x82\x81\x00\x14delivery.ClaimAnswer\x18\x08answered"
         b"\x19\x1c\x16\x92\x03\x19\x1c\x18\x01a\x18\x01b\x00\x18\x017\x00\x00"
     )
-    answer = delivery.Answer(201, [delivery.Header("a", "b")], b"7", states_end=True)
+    answer = delivery.Answer(201, [delivery.Header("a", "b")], b"7", states_end=False)
     assert CODEC.decode(data)[0] == delivery.ClaimAnswer("answered", [answer])
 
 
-def test_answer_without_a_stated_end_adds_to_the_message_of_an_earlier_build_one_field_only():
-    sent = delivery.Answer(201, [delivery.Header("a", "b")], b"7", states_end=False)
+@pytest.mark.parametrize(("states_end", "next_field"), [(True, b"\x11"), (False, b"\x12")])
+def test_end_of_an_answer_adds_to_the_message_of_an_earlier_build_one_field_only(
+    states_end, next_field
+):
+    sent = delivery.Answer(201, [delivery.Header("a", "b")], b"7", states_end)
     data = CODEC.encode(delivery.ClaimAnswer("answered", [sent]))
     assert CODEC.decode(data)[0] == delivery.ClaimAnswer("answered", [sent])
     earlier = b"\x16\x92\x03\x19\x1c\x18\x01a\x18\x01b\x00\x18\x017"
-    false_as_next_field, stop = b"\x12", b"\x00"
-    assert data.endswith(earlier + false_as_next_field + stop + stop)
+    stop = b"\x00"
+    assert data.endswith(earlier + next_field + stop + stop)
 
 
 def test_every_message_is_a_frozen_data_class_with_slots():
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -253,7 +253,7 @@
 
 
 def head(status=200, streaming=False, software="v1"):
-    return forwarded.ForwardedHead(status, [], streaming, "i-0", software, 1)
+    return forwarded.ForwardedHead(status, [], streaming, "i-0", software, 1, states_end=True)
 
 
 @pytest.mark.anyio
--- a/hollyring/platform/tests/test_unstated_ends.py
+++ b/hollyring/platform/tests/test_unstated_ends.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hollyring.core import request_types
+from hollyring.delivery import forwarded
 from hollyring.node import clock, sockets
 from hollyring.platform.tests import (
     conftest,
@@ -92,6 +93,18 @@
     assert not states_an_end(caller)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("streaming", [False, True])
+async def test_answer_through_an_earlier_build_promises_its_caller_no_end(start_fleet, streaming):
+    fleet = await start_fleet(count=0, **(RESUMABLE if streaming else {}))
+    head = forwarded.ForwardedHead(200, [], streaming, "i-0", "v1", 1)
+    end = forwarded.ForwardedEnd(len(EVENTS))
+    await fleet.add_scripted(head, forwarded.ForwardedData(EVENTS), end)
+    caller = await fleet.cut.send_request(deadline_seconds=1.0)
+    assert (caller.status, caller.body, caller.ended) == (200, EVENTS, True)
+    assert not states_an_end(caller)
+
+
 @pytest.mark.anyio
 async def test_answer_with_a_length_keeps_it_and_its_connection(start_fleet):
     fleet = await start_fleet("complete")
