--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -197,14 +197,15 @@
 async def start_fleet(tmp_path):
     """Yield a function that starts `count` VM processes before three servers.
 
-    `domains` names the failure domain of each, for an engine service whose streams may be resumed.
+    `domains` names the failure domain of each, for an engine service whose streams may be resumed,
+    `roots` the checkout that each runs from, `servers` other servers.
     """
     async with contextlib.AsyncExitStack() as stack:
         started = []
 
-        async def start(count, domains=()):
+        async def start(count, domains=(), roots=(), servers=()):
             store = await stack.enter_async_context(conftest.StoreStandIn().running())
-            servers = [conftest.ServerStandIn(f"i-{n}") for n in range(SERVERS)]
+            servers = servers or [conftest.ServerStandIn(f"i-{n}") for n in range(SERVERS)]
             await store.put("op/config", make_config(3) if domains else test_process.CONFIG)
             for server in servers:
                 server.events, server.event_seconds = EVENTS, EVENT_SECONDS
@@ -223,6 +224,7 @@
                     f"vm-{number}",
                     contracts=["engine"] if domains else (),
                     domain=domains[number - 1] if domains else "dar-a",
+                    root=roots[number - 1] if roots else test_process.ROOT,
                 )
                 vm.start()
                 started.append(vm)
