Soak: play planned stops in calm, beside requests that outlast them

The soak had no request whose work is longer than what is left of a grace period, and it excused each one that a server was still at work on at the end if it was sent up to 3 s after the SIGTERM, as the users' page does: that is the reported failure.

A second play has SIGTERM (each twice) and SIGHUP alone, beside plain requests of 2 to 7 s and streams of 6 s, of each kind; half of its callers prefer leaving VMs. Two checks are new: no request that may run once and was sent later than 0.3 s after the SIGTERM of its VM ends with "grace period over" (both plays), and each that ran ends with its 200, its deadline or its caller's leaving (the calm one). No check was narrowed.

--- a/hollyring/platform/tests/soak.py
+++ b/hollyring/platform/tests/soak.py
@@ -17,11 +17,13 @@
 CALLER_PAUSE_SECONDS = 0.12
 """Longest pause of a caller between two requests."""
 
-EVENTS = {"stream": 12, "resumable": 12, "reply": 35}
+EVENTS = {"stream": 12, "resumable": 12, "reply": 35, "long-stream": 60, "long-resumable": 60}
 """Number of events of the streams of each route."""
 
-CALLED_ROUTES = (*soak_configurations.ROUTES, "order", "look", "resumable", "resumable")
-"""Routes that callers choose from, some with a larger share."""
+SHORT_ROUTES = ("order", "look", "stream", "resumable", "reply")
+CALLED_ROUTES = (*SHORT_ROUTES, "order", "look", "resumable", "resumable")
+CALM_ROUTES = (*SHORT_ROUTES, "long-order", "long-look", "long-stream", "long-resumable")
+"""Routes that callers choose from, some with a larger share; the latter in a calm run."""
 
 GRACE_SECONDS = 8.0
 RESTART_SECONDS = 0.3
@@ -29,6 +31,13 @@
 """Longest time between a SIGTERM and a SIGHUP that follows it."""
 
 DEADLINE_SECONDS = 10.0
+CALM_DEADLINES_SECONDS = (2.5, 5.0, 10.0, 10.0)
+"""Times that callers wait in a calm run, some with a larger share."""
+
+CALM_CALLERS_FACTOR = 2
+LEAVING_SHARE = 0.5
+"""In a calm run: callers for each one of another, and their share that prefers leaving VMs."""
+
 ANSWER_SECONDS = 12.0
 """Time after which a caller gives up; longer than any timeout of a route."""
 
@@ -37,6 +46,8 @@
 """Share of the requests whose caller leaves, and the time after which it does."""
 
 LOG_TAIL_LINES = 20
+SIGNALS = (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGKILL)
+CALM_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM)
 OTHER_KEY_SHARE = 0.2
 """Share of the requests with a key that was added and will be taken away."""
 
@@ -59,6 +70,7 @@
     vm: str
     key: str
     sent_at: float
+    deadline_seconds: float = DEADLINE_SECONDS
     ended_at: float = 0.0
     outcome: str = "late"
     status: int = 0
@@ -85,19 +97,22 @@
         Time in which faults begin; open requests then get time to end.
     vms, callers
         Numbers of VM processes and of callers.
+    calm
+        Whether nothing happens but stops and reloads, beside requests that take long.
     """
 
-    def __init__(self, directory, seed, seconds, vms=3, callers=16):
+    def __init__(self, directory, seed, seconds, vms=3, callers=16, calm=False):
         self.seed = seed
         self.random = random.Random(seed)
         self.seconds = seconds
+        self.calm = calm
         self.calls = []
         self.signals = []
         self.vms = []
         self.configurations = soak_configurations.Configurations(self.random)
         self.fleet = None
         self._vm_count = vms
-        self._caller_count = callers
+        self._caller_count = callers * CALM_CALLERS_FACTOR if calm else callers
         self._directory = directory
         self._ends_at = 0.0
         self._away = set()
@@ -134,11 +149,13 @@
         async with asyncio.TaskGroup() as tasks:
             for number in range(self._caller_count):
                 tasks.create_task(self._call_repeatedly(number))
+            tasks.create_task(self._signal_vms())
+            if self.calm:
+                return
             tasks.create_task(self._repeat(1.0, self._change_configuration, store))
             tasks.create_task(self._repeat(1.5, self.fleet.silence))
             tasks.create_task(self._repeat(3.0, self.fleet.replace_one))
             tasks.create_task(self._repeat(5.0, self.fleet.name_version))
-            tasks.create_task(self._signal_vms())
 
     def _end_vms(self):
         for vm in self.vms:
@@ -169,9 +186,7 @@
                 await self._pause(2.5)
                 here = [vm for vm in self.vms if vm.log_path.stem not in self._away]
                 vm = self.random.choice(here)
-                number = self.random.choice(
-                    (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGKILL)
-                )
+                number = self.random.choice(CALM_SIGNALS if self.calm else SIGNALS)
                 if number == signal.SIGHUP:
                     self._send(vm, number)
                 elif len(here) > 1:
@@ -187,6 +202,8 @@
         await self._pause(RELOAD_SECONDS)
         if number == signal.SIGTERM:
             self._send(vm, signal.SIGHUP)
+            if self.calm:
+                vm.process.send_signal(signal.SIGTERM)
         while vm.process.poll() is None:
             await asyncio.sleep(0.05)
         await asyncio.sleep(RESTART_SECONDS)
@@ -197,7 +214,7 @@
     async def _call_repeatedly(self, number):
         sequence = 0
         while clock.now() < self._ends_at:
-            vm = self.random.choice(self.vms)
+            vm = self._choose_vm()
             host, _, port = vm.caller_url.removeprefix("http://").partition(":")
             try:
                 reader, writer = await asyncio.open_connection(host, int(port))
@@ -207,13 +224,20 @@
             usable = True
             while usable and clock.now() < self._ends_at:
                 sequence += 1
-                route = self.random.choice(CALLED_ROUTES)
+                route = self.random.choice(CALM_ROUTES if self.calm else CALLED_ROUTES)
                 request_id = f"{number}-{sequence}"
                 call = Call(request_id, route, vm.log_path.stem, self._key(), clock.now())
+                if self.calm:
+                    call.deadline_seconds = self.random.choice(CALM_DEADLINES_SECONDS)
                 usable = await self._call(call, reader, writer)
                 await self._pause(CALLER_PAUSE_SECONDS)
             writer.close()
 
+    def _choose_vm(self):
+        leaving = [vm for vm in self.vms if vm.log_path.stem in self._away]
+        prefers_leaving = self.calm and self.random.random() < LEAVING_SHARE
+        return self.random.choice(leaving if leaving and prefers_leaving else self.vms)
+
     def _key(self):
         others = self.configurations.settings.keys
         if others and self.random.random() < OTHER_KEY_SHARE:
@@ -258,7 +282,7 @@
         f"host: {soak_configurations.HOST}",
         f"x-request-id: {call.request_id}",
         f"authorization: Bearer {call.key}",
-        f"x-deadline-ms: {DEADLINE_SECONDS * 1000:.0f}",
+        f"x-deadline-ms: {call.deadline_seconds * 1000:.0f}",
         "content-length: 4",
     ]
     if call.route in soak_configurations.STREAMS:
--- a/hollyring/platform/tests/soak_configurations.py
+++ b/hollyring/platform/tests/soak_configurations.py
@@ -29,8 +29,17 @@
         "max_attempts": 2,
     },
     "reply": {"kind": "streaming", "service": "engines"},
+    "long-order": {"kind": "unsafe", "service": "plain"},
+    "long-look": {"kind": "safe", "service": "plain", "max_attempts": 2},
+    "long-stream": {"kind": "streaming", "service": "engines"},
+    "long-resumable": {
+        "kind": "streaming",
+        "resumable": True,
+        "service": "engines",
+        "max_attempts": 2,
+    },
 }
-STREAMS = ("stream", "resumable", "reply")
+STREAMS = ("stream", "resumable", "reply", "long-stream", "long-resumable")
 ENGINE = {
     "slots": 16,
     "kv_capacity": 100_000,
--- a/hollyring/platform/tests/soak_servers.py
+++ b/hollyring/platform/tests/soak_servers.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 import math
+import random
 
 from hollyring.node import clock
 from hollyring.platform.tests import conftest
@@ -21,6 +22,9 @@
 EVENT_SECONDS = 0.06
 REPLY_EVENT_SECONDS = 0.1
 ANSWER_DELAY_SECONDS = 0.01
+LONG_ANSWER_SECONDS = (2.0, 7.0)
+"""Time for the answer to a plain request of a long route, chosen by its ID."""
+
 LOAD_SECONDS = 0.3
 """Time for which a server loads other weights, once its runs have ended."""
 
@@ -120,7 +124,7 @@
 
     async def _run(self, work, request, writer):
         """Answer a request; one that waits for its run may run, until it is refused."""
-        await self._wait(writer, clock.now() + ANSWER_DELAY_SECONDS)
+        await self._wait(writer, clock.now() + _answer_seconds(request))
         refused = self._refusal(request)
         if refused is not None:
             self.work.remove(work)
@@ -147,7 +151,8 @@
 
     async def stream(self, request, writer):
         route = request.path.split("/")[1]
-        gap_seconds = REPLY_EVENT_SECONDS if route == "reply" else EVENT_SECONDS
+        slow = route in ("reply", "long-stream", "long-resumable")
+        gap_seconds = REPLY_EVENT_SECONDS if slow else EVENT_SECONDS
         first = int(request.headers.get("last-event-id", 0)) + 1
         head = ["HTTP/1.1 200 OK", "content-type: text/event-stream", "transfer-encoding: chunked"]
         head += [f"x-request-id: {request.headers['x-request-id']}"]
@@ -199,6 +204,12 @@
             await self._on_loaded(self)
 
 
+def _answer_seconds(request):
+    if not request.path.startswith("/long") or "x-model" in request.headers:
+        return ANSWER_DELAY_SECONDS
+    return random.Random(request.headers["x-request-id"]).uniform(*LONG_ANSWER_SECONDS)
+
+
 class Fleet:
     """The servers of all services.
 
--- a/hollyring/platform/tests/test_soak.py
+++ b/hollyring/platform/tests/test_soak.py
@@ -29,10 +29,13 @@
 LATEST_SENT_SECONDS = 3.0
 """Time after a SIGTERM until which a request is sent that may outlast the grace period."""
 
+SIGNAL_SECONDS = 0.3
+"""Time within which a VM handles a SIGTERM."""
+
 LAST_SIXTH_SECONDS = soak.GRACE_SECONDS * 5 / 6
 """Time after a SIGTERM from which a server at work on a request makes it outlast the period."""
 
-ONCE = ("order", "stream", "reply")
+ONCE = ("order", "stream", "reply", "long-order", "long-stream")
 """Routes whose requests may run once only."""
 
 
@@ -48,11 +51,20 @@
         raise
 
 
+async def play(seed, directory, capfd, calm=False):
+    run = soak.Soak(directory, seed, SECONDS, VMS, CALLERS, calm)
+    with failures_printed(capfd, seed, "run"):
+        return await run.run()
+
+
 @pytest.fixture(params=SEEDS)
 async def played(request, tmp_path, capfd):
-    run = soak.Soak(tmp_path, request.param, SECONDS, VMS, CALLERS)
-    with failures_printed(capfd, request.param, "run"):
-        return await run.run()
+    return await play(request.param, tmp_path, capfd)
+
+
+@pytest.fixture(params=SEEDS)
+async def played_calm(request, tmp_path, capfd):
+    return await play(request.param, tmp_path, capfd, calm=True)
 
 
 def was_killed(run, call):
@@ -68,7 +80,7 @@
     """Return whether the shortest time that the request may have had was over."""
     settings = run.configurations.in_force(call.sent_at)
     seconds = min(one.timeout_seconds(call.route) for one in settings)
-    seconds = min(seconds, soak.DEADLINE_SECONDS) - TIMEOUT_MARGIN_SECONDS
+    seconds = min(seconds, call.deadline_seconds) - TIMEOUT_MARGIN_SECONDS
     return call.ended_at - call.sent_at >= seconds
 
 
@@ -97,6 +109,17 @@
     )
 
 
+def was_sent_before_stop(run, call):
+    """Return whether the VM may have read the request before its last SIGTERM."""
+    return any(
+        sent.vm == call.vm
+        and sent.number == signal.SIGTERM
+        and call.sent_at <= sent.at + SIGNAL_SECONDS
+        and call.ended_at >= sent.at
+        for sent in run.signals
+    )
+
+
 def lines_of_vm(run, call):
     log = next(vm.log_path for vm in run.vms if vm.log_path.stem == call.vm)
     return log.read_text().splitlines()
@@ -166,7 +189,33 @@
         assert not any("authorization" in request.headers for request in server.requests)
 
 
-CHECKS = (check_answers, check_ends, check_runs, check_streams, check_keys, check_secrets)
+def check_stops(run):
+    """Check that what may run once is not taken by a leaving VM that ends before it."""
+    for call in run.calls:
+        over = any('"grace period over"' in line for line in log_of(run, call))
+        if call.route in ONCE and over:
+            assert was_sent_before_stop(run, call), describe(run, call)
+
+
+def check_calm(run):
+    """Check that what may run once and ran ends with its answer, where nothing else happens."""
+    for call in run.calls:
+        if call.route not in ONCE or not runs(run, call) or call.outcome == "left":
+            continue
+        if reached_timeout(run, call) or was_sent_before_stop(run, call):
+            continue
+        assert (call.outcome, call.status) == ("answered", 200), describe(run, call)
+
+
+CHECKS = (
+    check_answers,
+    check_ends,
+    check_runs,
+    check_stops,
+    check_streams,
+    check_keys,
+    check_secrets,
+)
 
 
 @pytest.mark.anyio
@@ -174,3 +223,10 @@
     for check in CHECKS:
         with failures_printed(capfd, played.seed, check.__name__):
             check(played)
+
+
+@pytest.mark.anyio
+async def test_no_request_that_may_run_once_is_cut_by_planned_stops_in_calm(played_calm, capfd):
+    for check in (check_ends, check_runs, check_stops, check_calm, check_streams):
+        with failures_printed(capfd, played_calm.seed, check.__name__):
+            check(played_calm)
