Begin no request of another VM once those before have ended in a stop

A leaving VM waits until it executes no request for another VM, which may be long before the end of its grace period, then takes its entry from the store and ends. A request that another VM hands over in between was begun and cut by the end of the process, though its deadline lay within the grace period.

Cause: the end of the wait was no state, so nothing declined what came after it.

Other VMs choose no VM that says that it leaves, so it takes lost heartbeats for four seconds to come to this.

Change: after the wait every request is declined as not run; between the last look and that nothing is awaited.

--- a/hollyring/node/forward_server.py
+++ b/hollyring/node/forward_server.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from hollyring.delivery import forwarded, refusal
+from hollyring.delivery import forwarded, grace_period, refusal
 from hollyring.limits import delegation_room
 from hollyring.node import (
     clock,
@@ -66,6 +66,7 @@
         self._codec = codec
         self._metrics = counters
         self._room = delegation_room.DelegationRoom(capacity)
+        self._drained = False
         self._log = logs.Logger("forwarding")
 
     @property
@@ -74,9 +75,13 @@
         return self._room.open
 
     async def drain(self, until: float) -> None:
-        """Wait until no request is in progress for another VM, at most until time `until`."""
+        """Wait until no request is in progress for another VM, at most until time `until`.
+
+        Then none is begun any more, as this VM ends.
+        """
         while self._room.open and clock.now() < until:
             await anyio.sleep(0.02)
+        self._drained = True
 
     async def serve(self, session: peers.Session, message: object) -> None:
         """Serve a link, whose first message is given, until it is closed or idle for long."""
@@ -102,6 +107,9 @@
         with anyio.fail_after(BODY_SECONDS):
             body = await _receive_body(link, message)
         response = delegated_requests.DelegatedResponse(link)
+        if self._drained:
+            await response.refuse(refusal.make("leaving", grace_period.RETRY_AFTER_SECONDS))
+            return
         retry_after = self._room.begin(clock.now())
         if retry_after is not None:
             self._metrics.increment("declined_full")
--- a/hollyring/platform/tests/test_leaving_vms.py
+++ b/hollyring/platform/tests/test_leaving_vms.py
@@ -107,3 +107,14 @@
         await anyio.sleep(0.1)
         vm.relay.stop()
     assert (callers[0].status, callers[0].headers[b"retry-after"]) == (503, b"0.100")
+
+
+@pytest.mark.anyio
+async def test_vm_that_has_ended_its_requests_of_others_begins_no_more_until_it_ends(start_fleet):
+    fleet = await start_fleet("complete", count=2)
+    leaving = fleet.executing[0]
+    leaving.state.leave(clock.now(), 7.4)
+    await leaving.server.drain(clock.now() + 7.4)
+    caller = await fleet.cut.send_request()
+    assert caller.status == 200
+    assert [len(vm.messages) for vm in fleet.executing] == [1, 1]
