Bound the numbers that upstreams state by what messages carry

What callers saw: a report of a server with a version of weights beyond 64 bits went into the next heartbeat of the VM that orders, which could not be encoded; the entry stayed in the list of what to tell, so that VM sent no heartbeat again. So did a cache event with such a number of tokens. A report or events nested too deeply ended the task that asks, with the polls of all other servers, once a second. A Server-Limit of 400 digits became an infinite rate, and a name of a prompt part of 1 MB went to all VMs.

A limit above what is reckoned with is that one; Retry-After is limited where it is used already.

--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -12,11 +12,17 @@
 from hollyring.fleet import messages as fleet
 from hollyring.membership import heartbeat
 from hollyring.node import http_connection, http_request, interfaces
+from hollyring.platform import decoding
 
 HTTP_UNAVAILABLE = 503
 MS_PER_SECOND = 1000.0
 MIN_DEADLINE_MS = 1
 MAX_PRIORITY = 9
+MAX_RATE = 1e15
+"""Largest limit that a header names; a larger one stands for this one."""
+
+MAX_PART_CHARACTERS = 1_000
+"""Longest name of a prompt part that is told to other VMs."""
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -74,8 +80,8 @@
 
 
 class _ServedModel(msgspec.Struct, frozen=True):
-    name: str
-    version: int
+    name: decoding.Name
+    version: decoding.WholeNumber
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -83,19 +89,19 @@
 
     models: list[_ServedModel]
     busy: bool
-    sequence: int  # number of accepted orders, unlike `sequence` of an upstream's entry
+    sequence: decoding.WholeNumber  # accepted orders, unlike `sequence` of an upstream's entry
     stage: str = "both"  # role
     state: str = "ready"
-    born: int | None = None  # incarnation number
+    born: decoding.WholeNumber | None = None  # incarnation number
 
 
 class _Events(msgspec.Struct, frozen=True):
     """Cache events; each is [number, sign, salt, part, tokens now stored, model]."""
 
-    boot_epoch: int
-    next: int  # number after which the next request continues
+    boot_epoch: decoding.WholeNumber
+    next: decoding.WholeNumber  # number after which the next request continues
     lost: bool
-    events: list[tuple[int, str, str, str, int, str]]
+    events: list[tuple[int, str, str, str, decoding.WholeNumber, str]]
 
 
 class HttpUpstreamCodec:
@@ -184,8 +190,8 @@
             Time at which the report was requested, in seconds.
         """
         try:
-            report = msgspec.json.decode(body, type=_Report)
-        except msgspec.MsgspecError:
+            report = decoding.decode(body, _Report)
+        except decoding.UnreadableError:
             return None
         models = [fleet.ModelVersion(m.name, str(m.version)) for m in report.models]
         return fleet.UpstreamState(
@@ -227,14 +233,18 @@
         return http_request.encode(b"GET", target, address.encode(), headers)
 
     def decode_events(self, body: bytes) -> interfaces.CacheEvents | None:
-        """Return the cache events of an upstream or cache store, or None if they are malformed."""
+        """Return the cache events of an upstream or cache store, or None if they are malformed.
+
+        Parts with endless names are left out.
+        """
         try:
-            response = msgspec.json.decode(body, type=_Events)
-        except msgspec.MsgspecError:
+            response = decoding.decode(body, _Events)
+        except decoding.UnreadableError:
             return None
         changes = [
             heartbeat.CachedPart(salt, part, tokens)
             for _, _, salt, part, tokens, _ in response.events
+            if max(len(salt), len(part)) <= MAX_PART_CHARACTERS
         ]
         return interfaces.CacheEvents(response.boot_epoch, response.next, response.lost, changes)
 
@@ -278,7 +288,7 @@
     if name not in [key for key, _ in head.headers]:
         return None
     value = _header_value(head.headers, name).strip()
-    return float(value) if NON_NEGATIVE_NUMBER.fullmatch(value) else 0.0
+    return min(float(value), MAX_RATE) if NON_NEGATIVE_NUMBER.fullmatch(value) else 0.0
 
 
 def _media_type(head: http_connection.ResponseHead) -> bytes:
