Hold the headers of a request to the limit of the configuration

What callers saw: a request with 5,000 header lines, or with one line of 20 kB, was taken and passed on, though the configuration allows 16,384 bytes of headers: only the constant of the callers' port (65,536 bytes) was enforced, and only on a head that was not whole yet when it was exceeded. 431 is due.

The names and values of the headers are counted once the head is whole, and compared with the limit of the configuration in force; the constant still bounds what is read. Separators and the request line are not counted, so that nobody is refused for another way of counting.

Evidence: test_heads_beyond_the_limit_are_refused[5000 lines] and [long line] got 200 before; 200 lines are taken before and after.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -256,7 +256,8 @@
         """Serve until SIGTERM or SIGINT, then shut down gracefully; SIGHUP reloads the settings."""
         vm_settings = self._settings
         caller_server = self._make_server(
-            self._caller_app, bounded_protocol.protocol_class(CALLER_LIMITS)
+            self._caller_app,
+            bounded_protocol.protocol_class(CALLER_LIMITS, self._max_header_bytes),
         )
         internal_server = self._make_server(self._internal_app(), "httptools")
         internal_addresses = {
@@ -434,6 +435,10 @@
         self._log.info("request not read", code=rejection.code, why=str(error))
         await response.refuse(rejection)
 
+    def _max_header_bytes(self) -> int:
+        current = self._state.deployment
+        return current.limits.header_bytes if current else CALLER_LIMITS.header_bytes
+
     def _max_body_bytes(self) -> int:
         current = self._state.deployment
         return current.limits.body_bytes if current else CALLER_LIMITS.body_bytes
--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import MutableMapping
+from collections.abc import Callable, MutableMapping
 from typing import Any
 
 import msgspec
@@ -40,8 +40,16 @@
 """Interval at which the close of a caller is looked for while nothing is read from it."""
 
 
-def protocol_class(limits: settings.Limits) -> type[httptools_impl.HttpToolsProtocol]:
-    """Return a protocol class that enforces `limits`."""
+def protocol_class(
+    limits: settings.Limits, max_header_bytes: Callable[[], int] | None = None
+) -> type[httptools_impl.HttpToolsProtocol]:
+    """Return a protocol class that enforces `limits`.
+
+    Parameters
+    ----------
+    max_header_bytes
+        Returns the most bytes of names and values of a request's headers, if that may change.
+    """
 
     class BoundedProtocol(httptools_impl.HttpToolsProtocol):
         """Connection of a caller."""
@@ -150,6 +158,9 @@
                 # The parser takes what follows such a head for another protocol.
                 self._refuse(refusal.make("invalid_request", message=UPGRADE_WITH_BODY))
                 return
+            if max_header_bytes is not None and _size(self.headers) > max_header_bytes():
+                self._refuse(refusal.make("headers_too_large"))
+                return
             super().on_headers_complete()
             extensions: dict[str, Any] = self.scope["extensions"]
             extensions[unstated_end.SCOPE_EXTENSION] = unstated_end.Sender(self.cycle)
@@ -259,6 +270,11 @@
     return BoundedProtocol
 
 
+def _size(headers: list[request_types.Header]) -> int:
+    """Return the bytes of the names and values of some headers."""
+    return sum(len(name) + len(value) for name, value in headers)
+
+
 def _has_body(headers: list[request_types.Header]) -> bool:
     """Return whether a body follows the head of a request."""
     lengths = [value for name, value in headers if name == b"content-length"]
--- a/hollyring/platform/tests/test_odd_requests.py
+++ b/hollyring/platform/tests/test_odd_requests.py
@@ -100,6 +100,24 @@
     assert not [line for line in vm.log_lines() if "trace" in line]
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "lines, status",
+    [
+        ([f"a{n}: b" for n in range(5000)], 431),
+        ([f"a{n}: b" for n in range(200)], 200),
+        (["a: " + "x" * 20_000], 431),
+    ],
+    ids=["5000 lines", "200 lines", "long line"],
+)
+async def test_heads_beyond_the_limit_are_refused(cluster, lines, status):
+    store, server, start = cluster
+    vm = start()
+    await vm.wait_ready()
+    head = request_head(1, *lines)
+    assert await anyio.to_thread.run_sync(exchange, vm, head, b"body") == status
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("body_bytes", [10 * 10**9, 2**63, 10**30, "9" * 5000])
 @pytest.mark.parametrize("sent", [0, 100_000], ids=["head only", "some body"])
