--- a/hollyring/platform/settings.py
+++ b/hollyring/platform/settings.py
@@ -83,10 +83,10 @@
     """
     try:
         document = msgspec.convert(tomllib.loads(text), _SettingsFile)
-    except tomllib.TOMLDecodeError as error:
-        raise errors.SettingsError([f"settings: invalid TOML: {error}"]) from error
     except msgspec.ValidationError as error:
         raise errors.SettingsError([f"settings: {error}"]) from error
+    except (ValueError, RecursionError) as error:  # whatever the parser finds wrong
+        raise errors.SettingsError([f"settings: invalid TOML: {error}"]) from error
     if (
         len(document.internal_ports) < 2
         or document.internal_ports[1] - document.internal_ports[0] < 1
