Keep no entry that is too long to be one, and list what is too much to watch

What callers saw: nothing yet but a late event loop. 500 entries of 1 MB each under servers/ or among the records of the VMs took 0.3 s (texts) to 2.9 s (lists in a field that nobody reads) to apply, among the records of the VMs again at each change; the VM kept all 500 MB. A watch that names more than 32 MB failed, and so did each one after it, as it asks for the same changes again: the VM follows nothing more.

Cause: an entry takes some hundred bytes, and nothing held it to that; the store takes 1 MB. Entries of servers and VMs above 16 kB are kept as empty ones and are unreadable. An answer to a watch that is too long to be read counts like a history that the store has no longer: the prefix is listed, in pages.

That a watch of over 32 MB fails again and again is by reading; its mend is tested at the client.

--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -55,6 +55,10 @@
     """A connection to an upstream could not be opened, was lost, or received invalid data."""
 
 
+class BodyTooLongError(HttpConnectionError):
+    """A body that is read as a whole exceeds `MAX_BODY_BYTES`."""
+
+
 class NotSentError(HttpConnectionError):
     """No byte of the request was written."""
 
@@ -223,12 +227,12 @@
         Raises
         ------
         HttpConnectionError
-            If the response is incomplete or longer than `MAX_BODY_BYTES`.
+            If the response is incomplete, or `BodyTooLongError` if it exceeds `MAX_BODY_BYTES`.
         """
         while not self._ended:
             if self._size > MAX_BODY_BYTES:
                 self._connection.abort()
-                raise HttpConnectionError("body without end")
+                raise BodyTooLongError("body without end")
             await self._wait()
         return b"".join(self._chunks)
 
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -17,6 +17,9 @@
 from hollyring.platform import decoding
 from hollyring.routing import registry, software_versions
 
+MAX_ENTRY_BYTES = 16_384
+"""Longest entry of an upstream or VM, which takes some hundred bytes; longer ones are not kept."""
+
 CONFIGURATION_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
 STORE_KEYS = interfaces.StoreKeys(
@@ -235,9 +238,18 @@
         return msgspec.json.encode(_Software(record.era, software_versions.listed(record)))
 
 
+def kept_value(key: str, value: bytes) -> bytes:
+    """Return the value to keep of a key, empty for an entry that is too long to be used.
+
+    Hundreds of long ones would fill the memory of a VM and take its event loop seconds to read.
+    """
+    is_entry = key.startswith((STORE_KEYS.upstreams, STORE_KEYS.vms)) and key != STORE_KEYS.software
+    return b"" if is_entry and len(value) > MAX_ENTRY_BYTES else value
+
+
 def _decode(item: mirror.Item, type_: type[Any]) -> Any:
     try:
-        return decoding.decode(item.value, type_)
+        return decoding.decode(kept_value(item.key, item.value), type_)
     except decoding.UnreadableError:
         return None
 
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -11,7 +11,7 @@
 
 from hollyring.configuration import mirror, store_revision
 from hollyring.node import connection_pool, http_connection, http_request, interfaces
-from hollyring.platform import decoding
+from hollyring.platform import decoding, documents
 
 CALL_TIMEOUT_SECONDS = 1.5
 """Timeout of calls other than watches."""
@@ -65,6 +65,10 @@
     era: int
 
 
+class _TooLongError(interfaces.StoreError):
+    """An answer is longer than what is read at once."""
+
+
 class MetadataStore:
     """Client of the metadata store; implements `hollyring.node.interfaces.Store`.
 
@@ -126,13 +130,16 @@
         Raises
         ------
         HistoryCompactedError
-            If the store no longer has all changes after `after`, or is in another era.
+            If the store no longer has all changes after `after`, is in another era, or names more
+            than can be read at once.
         """
         query = {"prefix": prefix, "after": str(after.number)}
         query["wait_ms"] = str(int(seconds * MS_PER_SECOND))
-        answer = await self._call(
-            "GET", "/hollyring/kv-watch", query, seconds=seconds + WATCH_TIMEOUT_MARGIN_SECONDS
-        )
+        seconds += WATCH_TIMEOUT_MARGIN_SECONDS
+        try:
+            answer = await self._call("GET", "/hollyring/kv-watch", query, seconds=seconds)
+        except _TooLongError as error:
+            raise interfaces.HistoryCompactedError(f"{prefix}: too many changes") from error
         if answer.status == HTTP_GONE or answer.era != after.era:
             raise interfaces.HistoryCompactedError(
                 f"{prefix}: changes after revision {after} are no longer available"
@@ -203,6 +210,8 @@
         )
         try:
             response = await self._pool.call(self._address, request, seconds)
+        except http_connection.BodyTooLongError as error:
+            raise _TooLongError(f"{method} {path}: {error}") from error
         except http_connection.HttpConnectionError as error:
             raise interfaces.StoreError(f"{method} {path}: {error}") from error
         era = _decode_era(response.header(ERA_HEADER))
@@ -251,7 +260,8 @@
         value = base64.b64decode(item.value, validate=True)
     except ValueError:
         value = b""
-    return mirror.Item(item.key, value, store_revision.Revision(era, item.revision))
+    revision = store_revision.Revision(era, item.revision)
+    return mirror.Item(item.key, documents.kept_value(item.key, value), revision)
 
 
 def _convert_change(event: _Item, era: int) -> mirror.Change:
--- a/hollyring/platform/tests/test_odd_entries.py
+++ b/hollyring/platform/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import time
 
 import pytest
 
@@ -15,6 +16,8 @@
 SOFTWARE = {"era": 1, "versions": {"s": ["v1"]}}
 WANTED = {"model": "m", "version": 3}
 DEEP = odd_values.VALUES["deep lists"]
+LONG = 500_000
+MAX_HELD_UP_SECONDS = 0.3
 
 DECODERS = {
     "upstream": ("servers/i-1", test_codec.SERVER, "decode_upstream"),
@@ -25,6 +28,11 @@
 }
 
 
+def repr_start(value):
+    """Return the beginning of a long parameter of a test."""
+    return repr(value[:20])
+
+
 def make_item(key, value, number=5):
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
     return mirror.Item(key, data, store_revision.Revision(0, number))
@@ -77,7 +85,7 @@
     assert documents.DocumentCodec().decode_upstream(item) is None
 
 
-@pytest.mark.parametrize("address", odd_values.ADDRESSES)
+@pytest.mark.parametrize("address", odd_values.ADDRESSES, ids=repr_start)
 def test_entries_without_a_usable_address_name_no_upstream_and_no_vm(address):
     codec = documents.DocumentCodec()
     entry = test_codec.SERVER | {"address": address}
@@ -143,3 +151,20 @@
             vm.state.admit(organisation, None, 1.2)
         for _, usage in vm.state._rates.reports(1.3):
             assert math.isfinite(usage.total)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"[" * LONG, b'"' + b"x" * LONG + b'"', b"[" + b"1," * LONG],
+    ids=["nested", "text", "list"],
+)
+@pytest.mark.parametrize("prefix", [KEYS.upstreams, KEYS.vms])
+def test_hundreds_of_long_entries_do_not_hold_up_the_event_loop(vm, prefix, value):
+    document = VM if prefix == KEYS.vms else test_state.ENTRY
+    data = odd_values.put(document, ("unknown",), value)
+    items = [make_item(f"{prefix}odd-{number}", data, number + 10) for number in range(500)]
+    changed = vm.state.mirrors[prefix].apply_changes(items, items[-1].revision)
+    started_at = time.monotonic()
+    vm.state.apply_store_changes(prefix, changed, 2.0)
+    assert time.monotonic() - started_at < MAX_HELD_UP_SECONDS
+    assert list(vm.state.registry.upstreams) == ["i-1"]
--- a/hollyring/platform/tests/test_odd_requests.py
+++ b/hollyring/platform/tests/test_odd_requests.py
@@ -119,7 +119,11 @@
 
 
 @pytest.mark.anyio
-@pytest.mark.parametrize("body_bytes", [10 * 10**9, 2**63, 10**30, "9" * 5000])
+@pytest.mark.parametrize(
+    "body_bytes",
+    [10 * 10**9, 2**63, 10**30, "9" * 5000],
+    ids=["10 GB", "2^63", "10^30", "5000 digits"],
+)
 @pytest.mark.parametrize("sent", [0, 100_000], ids=["head only", "some body"])
 async def test_claimed_body_beyond_the_limit_is_refused_with_an_answer(cluster, body_bytes, sent):
     store, server, start = cluster
--- a/hollyring/platform/tests/test_odd_store_answers.py
+++ b/hollyring/platform/tests/test_odd_store_answers.py
@@ -1,5 +1,6 @@
 """Tests that odd answers of the store fail one call and nothing else."""
 
+import base64
 import contextlib
 import json
 
@@ -12,6 +13,7 @@
 from hollyring.platform.tests import (
     conftest,
     odd_values,
+    test_odd_entries,
     test_odd_entries_of_vms,
     test_process,
 )
@@ -95,7 +97,11 @@
 
 
 @pytest.mark.anyio
-@pytest.mark.parametrize("era", [b"9" * 5000, b"9" * 40, b"10000000", b"-1", b"x", b"\xb2", b"1.0"])
+@pytest.mark.parametrize(
+    "era",
+    [b"9" * 5000, b"9" * 40, b"10000000", b"-1", b"x", b"\xb2", b"1.0"],
+    ids=test_odd_entries.repr_start,
+)
 @pytest.mark.parametrize("name", CALLS)
 async def test_odd_era_fails_the_call_and_is_not_taken_for_the_latest(client, name, era):
     document, call = CALLS[name]
@@ -130,6 +136,28 @@
         await call(client)
 
 
+@pytest.mark.anyio
+async def test_long_entries_are_neither_kept_nor_hide_the_others(client):
+    long = base64.b64encode(b"[" * 1_000_000).decode()
+    keys = ["servers/a", "servers/b", "hollyring/vm/c", "hollyring/vm/.software", "op/config"]
+    body = {"events": [ITEM | {"key": key, "value": long} for key in keys], "current_rev": 4}
+    client._pool.body = json.dumps(body).encode()
+    changes = (await client.watch("", AT, 0.0)).changes
+    assert [len(change.value) for change in changes] == [0, 0, 0, 1_000_000, 1_000_000]
+
+
+@pytest.mark.anyio
+async def test_prefix_is_listed_again_when_its_changes_are_too_many_to_be_read(client):
+    async def call(address, request, seconds):
+        raise http_connection.BodyTooLongError("body without end")
+
+    client._pool.call = call
+    with pytest.raises(interfaces.HistoryCompactedError):
+        await client.watch("servers/", AT, 0.0)
+    with pytest.raises(interfaces.StoreError):
+        await client.list("servers/")
+
+
 def odd_answer(body, *lines):
     head = [b"HTTP/1.1 200 OK", *(lines or [b"store-era: 1", b"content-length: %d" % len(body)])]
     return b"\r\n".join([*head, b"", b""]) + body
--- a/hollyring/platform/tests/test_odd_upstream_answers.py
+++ b/hollyring/platform/tests/test_odd_upstream_answers.py
@@ -7,7 +7,7 @@
 
 from hollyring.node import http_connection
 from hollyring.platform import upstreams
-from hollyring.platform.tests import odd_values
+from hollyring.platform.tests import odd_values, test_odd_entries
 
 CODEC = upstreams.HttpUpstreamCodec()
 REPORT = {"models": [{"name": "m", "version": 3}], "busy": False, "sequence": 3, "born": 4}
@@ -48,7 +48,7 @@
     assert decode(odd_values.put(document, path, odd_values.VALUES[value])) is None
 
 
-@pytest.mark.parametrize("value", NUMBERS)
+@pytest.mark.parametrize("value", NUMBERS, ids=test_odd_entries.repr_start)
 @pytest.mark.parametrize("status", [200, 429, 503])
 @pytest.mark.parametrize(
     "name",
@@ -62,7 +62,7 @@
         assert limit is None or math.isfinite(limit)
 
 
-@pytest.mark.parametrize("value", NUMBERS)
+@pytest.mark.parametrize("value", NUMBERS, ids=test_odd_entries.repr_start)
 def test_odd_time_to_keep_a_connection_is_finite(value):
     assert math.isfinite(http_connection._keep_alive_seconds(b"timeout=" + value))
 
