--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -211,7 +211,8 @@
     held
         Whether the VM holds the lease and may send orders.
     last_order_age
-        Seconds since the VM sent its last order; negative if it has sent none.
+        Seconds since the VM sent its last order; negative if it has sent none. For earlier builds
+        only: the statement of one VM doesn't show that no other one held the lease after it.
     reserved
         Upstreams that are to load new weights next and should get no long streams.
     """
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -88,9 +88,8 @@
         Name, incarnation, addresses and location.
     last_heartbeat_at
         Monotonic seconds at which its last heartbeat arrived, -inf before the first.
-    ready, leaving, store_reached, exchanging, holds_order_lease, requests_per_second, revisions
-        Copied from its last heartbeat; until the first one, the VM counts as not ready and as
-        holding the order lease.
+    ready, leaving, store_reached, exchanging, requests_per_second, revisions
+        Copied from its last heartbeat; until the first one, the VM counts as not ready.
     unreachable_services, accepts_forwarded
         Copied from its last heartbeat too.
     listed
@@ -103,8 +102,6 @@
         Monotonic seconds since which heartbeats from it are expected, or None.
     unavailable_until
         Monotonic seconds until which another VM's status excludes it from serving.
-    last_order_at
-        Monotonic seconds at which it sent its last order, or None.
     probed_at
         Monotonic seconds at which it was last sent a heartbeat while silent.
     """
@@ -120,8 +117,6 @@
     status_at: float = -math.inf
     expected_since: float | None = None
     unavailable_until: float = -math.inf
-    holds_order_lease: bool = True
-    last_order_at: float | None = None
     probed_at: float = -math.inf
     requests_per_second: float = 0.0
     revisions: dict[str, store_revision.Revision] = dataclasses.field(default_factory=dict)
@@ -225,10 +220,8 @@
         listed = {vm.name: vm for vm in vms if vm.name != self._local.name}
         for name, vm in listed.items():
             peer = self._peers.get(name)
-            if peer is None:
+            if peer is None or (peer.vm.life != vm.life and not self._is_alive(peer, now)):
                 self._peers[name] = Peer(vm)
-            elif peer.vm.life != vm.life and not self._is_alive(peer, now):
-                self._peers[name] = Peer(vm, last_order_at=peer.last_order_at)
         for name, peer in self._peers.items():
             if peer.listed and name not in listed:
                 peer.delisted_at = now
@@ -255,9 +248,6 @@
         peer.requests_per_second = message.requests_per_second
         peer.unreachable_services = frozenset(message.unreachable_services)
         peer.accepts_forwarded = message.accepts_forwarded
-        peer.holds_order_lease = message.order_lease.held
-        age = message.order_lease.last_order_age
-        peer.last_order_at = now - age if age >= 0 else None
         # A heartbeat carries only the revisions that changed lately.
         peer.revisions.update({item.prefix: item.revision for item in message.revisions})
         return peer if is_new else None
--- a/hollyring/membership/tests/test_peer_table.py
+++ b/hollyring/membership/tests/test_peer_table.py
@@ -266,11 +266,3 @@
     peers.receive(heartbeat_from("vm-2", revisions=[heartbeat.PrefixRevision("config", 7)]), 10.0)
     peers.receive(heartbeat_from("vm-2"), 10.2)
     assert peers.peer_ahead("config", store_revision.Revision(1, 6), 10.3).vm.name == "vm-2"
-
-
-def test_last_order_of_another_vm_gets_a_local_time(peers):
-    peers.receive(
-        heartbeat_from("vm-2", order_lease=heartbeat.OrderLeaseStatus(False, 4.0, [])), 10.0
-    )
-    assert peers.by_name["vm-2"].last_order_at == 6.0
-    assert not peers.by_name["vm-2"].holds_order_lease
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -134,10 +134,8 @@
         self._reports_in_flight: set[str] = set()
         self._invariants = invariants.Invariants(strict=False)
         self._lease_free_since: float | None = None
-        self._previous_holder = ""
         self._fencing = 0
         self._own_order_at: float | None = None
-        self._previous_order_at: float | None = None
         self._latest_possible_order_at = 0.0
         self._silent_until: dict[str, float] = {}
         self._reacquire_until = -math.inf
@@ -177,7 +175,6 @@
         holds = self._lease.fencing(now) is not None
         reserved: list[str] = []
         if holds and not yields:
-            self._update_previous_order(now)
             for service in self._engine_services():
                 reserved += self._step(service, now)
             self._state.selector.reserve(reserved)
@@ -210,7 +207,6 @@
             return False
         holder = self._listed_holder()
         if holder and holder != str(self._incarnation):
-            self._previous_holder = holder.partition("#")[0]
             self._lease_free_since = None
             return False
         if now < self._reacquire_until:
@@ -240,7 +236,6 @@
         remaining = self._lease.remaining(now)
         if remaining:
             self._reacquire_until = now + remaining
-            self._previous_holder = ""
         self._lease_free_since = None
         self._perform_actions(self._lease.forget(now))
         self._state.order_lease = dataclasses.replace(self._state.order_lease, held=False)
@@ -262,44 +257,12 @@
         self._rollouts = {}
         self._fencing = fencing
         self._reacquire_until = -math.inf
-        # A holder sends no order in the last MIN_LEASE_REMAINING_SECONDS of its lease, and the
-        # lease ended before the removal of its key was observed.
-        free_since = clock.now() if self._lease_free_since is None else self._lease_free_since
-        self._previous_order_at = None
-        self._latest_possible_order_at = free_since - MIN_LEASE_REMAINING_SECONDS
+        # Whichever VM held the lease before, its lease had ended when this one was acquired, and it
+        # sent no order in the last MIN_LEASE_REMAINING_SECONDS of it.
+        self._latest_possible_order_at = clock.now() - MIN_LEASE_REMAINING_SECONDS
         if self._own_order_at is not None:
             self._latest_possible_order_at = max(self._latest_possible_order_at, self._own_order_at)
 
-    def _update_previous_order(self, now: float) -> None:
-        """Update the time of the previous holder's last order, once that holder reports it.
-
-        Its heartbeat that reports the end of its lease may arrive after this VM has acquired the
-        lease.
-        """
-        if self._previous_order_at is not None:
-            return
-        self._previous_order_at = self._find_previous_order(now)
-        if self._previous_order_at is not None:
-            age = round(now - self._previous_order_at, 2)
-            self._log.info(
-                "last order of the previous holder determined",
-                holder=self._previous_holder,
-                ago=age,
-            )
-
-    def _find_previous_order(self, now: float) -> float | None:
-        """Return the time of the previous holder's last order, None while it is not known.
-
-        It is known if the previous holder is alive and reports that it no longer holds the lease.
-        If it reports no order, the time `LEASE_SECONDS` ago is returned.
-        """
-        if not self._previous_holder:
-            return None
-        peer = self._state.peers.by_name.get(self._previous_holder)
-        if peer is None or peer.holds_order_lease or not peer.is_alive(now):
-            return None
-        return peer.last_order_at if peer.last_order_at is not None else now - LEASE_SECONDS
-
     async def _perform(self, action: leases.Action) -> None:
         try:
             event = await self._call_store(action)
@@ -350,12 +313,7 @@
                 _rollout_limits(len(upstreams)), self._invariants
             )
             service_rollout.acquire_lease(self._fencing, now)
-        previous = (
-            self._latest_possible_order_at
-            if self._previous_order_at is None
-            else self._previous_order_at
-        )
-        service_rollout.record_last_order(previous, now)
+        service_rollout.record_last_order(self._latest_possible_order_at, now)
         answering = [u for u in upstreams if not u.is_suspect(now)]
         service_rollout.set_limits(_rollout_limits(len(answering)))
         service_rollout.set_targets(declared)
--- a/hollyring/node/tests/test_rollout_controller.py
+++ b/hollyring/node/tests/test_rollout_controller.py
@@ -1,5 +1,7 @@
 """Only the holder of the order lease sends orders, also when the holder fails or stops."""
 
+import itertools
+
 import anyio
 import pytest
 
@@ -10,9 +12,9 @@
 """Time until the lease of a failed holder expires and its last order can no longer have effect."""
 
 
-async def start_all(fleet):
+async def start_all(fleet, names=None):
     """Start all VMs and wait until one holds the order lease and may send orders."""
-    for name in fleet.names:
+    for name in names or fleet.names:
         fleet.start(name)
     await fleet.wait_until(lambda: fleet.order_lease_holder() != "", 3.0)
     await anyio.sleep(rollout_controller.LEASE_SECONDS + 1.0)
@@ -22,6 +24,16 @@
     return [order.fencing for order in fleet.orders()]
 
 
+def assert_successive_holders_are_a_lease_duration_apart(fleet):
+    orders = fleet.orders()
+    gaps = [
+        order.at - before.at
+        for before, order in itertools.pairwise(orders)
+        if before.holder != order.holder
+    ]
+    assert min(gaps) >= rollout_controller.LEASE_SECONDS
+
+
 def max_orders_within(orders, seconds):
     return max(sum(0 <= o.at - first.at < seconds for o in orders) for first in orders)
 
@@ -179,6 +191,56 @@
     simulate(scenario)
 
 
+@pytest.mark.parametrize("after_renewal", [0.0, 0.3, 0.6, 0.9, 1.0, 1.05])
+@pytest.mark.parametrize("restart_seconds", [0.1, 0.5, 2.0])
+def test_restart_of_a_killed_holder_does_not_bring_the_next_holders_order_forward(
+    simulate, restart_seconds, after_renewal
+):
+    async def scenario(fleet):
+        holder = fleet.names[-1]
+        fleet.start(holder)
+        await fleet.wait_until(lambda: fleet.order_lease_holder() == holder, 3.0)
+        await start_all(fleet, fleet.names[:-1])
+        await anyio.sleep(after_renewal)
+        fleet.set_wanted_version(2)
+        await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
+        fleet.kill(holder)
+        await anyio.sleep(restart_seconds)
+        fleet.start(holder)
+        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 9.0)
+        assert_successive_holders_are_a_lease_duration_apart(fleet)
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize("after_renewal", [0.0, 0.3, 0.6, 0.9])
+def test_order_waits_for_a_holder_of_which_the_next_one_never_learnt(simulate, after_renewal):
+    """The next holder saw the lease free and was cut off while another VM held it."""
+
+    async def scenario(fleet):
+        first, between, last = fleet.names[-1], *fleet.names[:-1]
+        fleet.start(first)
+        await fleet.wait_until(lambda: fleet.order_lease_holder() == first, 3.0)
+        await start_all(fleet, [between, last])
+        await fleet.stop(first)
+        await fleet.wait_until(lambda: "vm/.orders" not in fleet.store.items, 4.0)
+        await anyio.sleep(0.1)
+        fleet.store.unreachable_from = {last}
+        fleet.partitions = {frozenset({between, last})}
+        await fleet.wait_until(lambda: fleet.order_lease_holder() == between, 3.0)
+        await anyio.sleep(rollout_controller.LEASE_SECONDS + after_renewal)
+        fleet.set_wanted_version(2)
+        await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
+        fleet.kill(between)
+        await fleet.wait_until(lambda: "vm/.orders" not in fleet.store.items, 4.0)
+        fleet.store.unreachable_from = set()
+        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 9.0)
+        assert {order.holder for order in fleet.orders()} == {between, last}
+        assert_successive_holders_are_a_lease_duration_apart(fleet)
+
+    simulate(scenario)
+
+
 def test_holder_cut_off_from_the_store_sends_no_order_after_its_lease_expires(simulate):
     """Its last order must be too old to have effect when the next holder sends the first one."""
 
