Name the shared cache salt after the isolated organisations, and judge it when a request is sent (WALL)

Cause: the salt of all organisations that are not isolated was model and version only, so it stayed the same when one of them was isolated. A second form: a request that was admitted or selected before the change was sent after it with the salt of before. Change: Deployment.cache_group. An isolated organisation is a group of its own, as before; all others are one group, named by a digest of the names of the isolated ones, empty without any. What is made under a digest is made by organisations outside that set and found only while the set is the same. The group is that of the configuration in force at sending: a try whose group changed between selection and writing is withdrawn, not run, and selected anew. Stateless, so restarts, cache stores and VMs one version behind need nothing.

--- a/hollyring/configuration/deployment.py
+++ b/hollyring/configuration/deployment.py
@@ -4,12 +4,17 @@
 
 import dataclasses
 import functools
+import hashlib
+import json
 from collections.abc import Iterable
 
 from hollyring.core import rendezvous, request_types
 
 HASH_RANGE = 1 << 64
 
+CACHE_GROUP_BYTES = 8
+"""Length of the digest that names the organisations that are not isolated."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Split:
@@ -242,6 +247,33 @@
         """Return the organisation that has this key, or None."""
         return self._organisations_by_key.get(key)
 
+    def cache_group(self, organisation: Organisation | None) -> str:
+        """Return the name of the group that shares cached prompts with an organisation.
+
+        An isolated organisation is a group of its own, of its name; all other requests form one.
+        That one is named after the isolated organisations, so that nothing cached by an
+        organisation before it was isolated, or while it was not, is found by others while it is.
+
+        Parameters
+        ----------
+        organisation
+            Organisation of a request, perhaps as of an earlier configuration; None for none.
+        """
+        if organisation is not None:
+            organisation = self.organisations.get(organisation.name, organisation)
+            if organisation.isolated:
+                return organisation.name
+        return self._shared_cache_group
+
+    @functools.cached_property
+    def _shared_cache_group(self) -> str:
+        """Empty without isolated organisations, else a digest of their names."""
+        isolated = sorted(item.name for item in self.organisations.values() if item.isolated)
+        if not isolated:
+            return ""
+        names = json.dumps(isolated).encode()
+        return "+" + hashlib.blake2b(names, digest_size=CACHE_GROUP_BYTES).hexdigest()
+
     def cache_stores(self) -> list[CacheStore]:
         """Return the KV cache stores of all services."""
         found = [service.cache_store for service in self.services.values()]
--- a/hollyring/configuration/tests/test_deployment.py
+++ b/hollyring/configuration/tests/test_deployment.py
@@ -1,3 +1,5 @@
+import random
+
 import pytest
 
 from hollyring.configuration import deployment
@@ -65,3 +67,46 @@
     assert current.organisations["a"].cost(prompt) == 1540.0
     assert current.organisations["a"].cost(None) == 200.0
     assert current.organisations["b"].cost(prompt) == 1.0
+
+
+def with_organisations(isolated_by_name):
+    organisations = [
+        deployment.Organisation(name, (name,), 0.0, 0.0, False, 0, is_isolated, None)
+        for name, is_isolated in isolated_by_name.items()
+    ]
+    return deployment.Deployment(1, [], [], organisations, deployment.RequestLimits(), True)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_isolated_organisation_shares_no_cached_prompt_whatever_was_in_force_before(seed):
+    """Organisations come, go, are isolated and released; VMs may still have the version before."""
+    rng = random.Random(seed)
+    makers = {}
+    before = with_organisations({})
+    for _ in range(60):
+        names = rng.sample("abcd", rng.randint(1, 4))
+        isolated = {name: rng.random() < 0.4 for name in names}
+        current = with_organisations(isolated)
+        for name in names:
+            found = makers.setdefault(current.cache_group(current.organisations[name]), set())
+            for maker in found - {name}:
+                assert not isolated[name]
+                assert not isolated.get(maker, False)
+        for of in (before, current):
+            for organisation in of.organisations.values():
+                makers.setdefault(of.cache_group(organisation), set()).add(organisation.name)
+        before = current
+
+
+def test_cache_group_of_an_organisation_is_that_of_the_configuration_in_force():
+    before = with_organisations({"a": False, "b": False})
+    current = with_organisations({"a": True})
+    assert current.cache_group(before.organisations["a"]) == "a"
+    assert current.cache_group(before.organisations["b"]) == current.cache_group(None)
+    assert current.cache_group(None) != before.cache_group(None) == ""
+
+
+def test_cache_group_does_not_depend_on_the_order_of_organisations():
+    one = with_organisations({"a": True, "b": True, "c": False})
+    other = with_organisations({"c": False, "b": True, "a": True})
+    assert one.cache_group(None) == other.cache_group(None)
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -192,6 +192,8 @@
                 raise errors.CallerLeftError("caller left before this attempt was sent")
             if not may_decide or self._is_unusable(upstream):
                 return request_context.Withdrawn()
+            if selected.cache_group != context.cache_group(self._state.deployment):
+                return request_context.Withdrawn()
             if not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
             request = self._request(context, selected)
--- a/hollyring/node/attempt_places.py
+++ b/hollyring/node/attempt_places.py
@@ -123,7 +123,7 @@
             context.request_id,
             context.service.name,
             context.request.prompt,
-            context.isolated_organisation,
+            context.cache_group(self._state.deployment),
             self._state.failure_domain,
             context.seconds_left,
             context.route.target_latency,
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -176,8 +176,6 @@
         """Identifier that the caller assigned to the request."""
         return self.request.request_id
 
-    @property
-    def isolated_organisation(self) -> str:
-        """Name of an organisation that shares no cached prompts with others, otherwise empty."""
-        organisation = self.organisation
-        return organisation.name if organisation is not None and organisation.isolated else ""
+    def cache_group(self, current: deployment.Deployment | None) -> str:
+        """Return the group whose cached prompts the request may use by a configuration."""
+        return current.cache_group(self.organisation) if current is not None else ""
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -67,8 +67,8 @@
         Name of the service that handles it.
     prompt
         Prompt for an inference server, None for any other service.
-    organisation
-        Name of the organisation if its cache is isolated from others, else empty.
+    cache_group
+        Name of the organisations that share cached prompts with the request's; empty for all.
     domain
         Failure domain of this VM.
     remaining_seconds
@@ -89,7 +89,7 @@
     request_id: str
     service: str
     prompt: request_types.Prompt | None
-    organisation: str
+    cache_group: str
     domain: str
     remaining_seconds: float
     target_seconds: float
@@ -112,6 +112,8 @@
         upstream lacks the model.
     salt
         Cache salt of the prompt.
+    cache_group
+        Organisations that share this salt, as requested.
     fetch_from, save_to
         Addresses of the server or cache store to fetch prompt parts from, and of the cache store
         to save them to; empty for none.
@@ -132,6 +134,7 @@
     prefill_tokens: int = 0
     wait_seconds: float = 0.0
     expected_seconds: float = 0.0
+    cache_group: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,15 +163,15 @@
 """Retry delay for a service without an available upstream."""
 
 
-def cache_salt(model: str, version: int, organisation: str) -> str:
-    """Return the salt under which prompt parts are cached.
+def cache_salt(model: str, version: int, cache_group: str) -> str:
+    """Return the salt under which a group of organisations caches prompt parts.
 
     Examples
     --------
     >>> cache_salt("parish", 3, ""), cache_salt("parish", 3, "kigoma")
     ('parish.3', 'parish.3.kigoma')
     """
-    return f"{model}.{version}.{organisation}" if organisation else f"{model}.{version}"
+    return f"{model}.{version}.{cache_group}" if cache_group else f"{model}.{version}"
 
 
 class Selector:
@@ -301,7 +304,11 @@
         service = self._services.get(request.service)
         engine = service.engine if service else None
         if request.prompt is None or engine is None:
-            selection = Selection(upstream, expected_seconds=costs.call_seconds(upstream, now))
+            selection = Selection(
+                upstream,
+                expected_seconds=costs.call_seconds(upstream, now),
+                cache_group=request.cache_group,
+            )
         else:
             selection = self._engine_selection(request, request.prompt, upstream, engine, now)
         cost = (
@@ -339,7 +346,7 @@
         now: float,
     ) -> Selection:
         version = upstream.version(prompt.model)
-        salt = cache_salt(prompt.model, version, request.organisation)
+        salt = cache_salt(prompt.model, version, request.cache_group)
         own_tokens = self._caches.cached_tokens(upstream.name, salt, prompt.parts)
         source, source_tokens = self._transfer_source(upstream, salt, prompt.parts, engine, now)
         fetched_tokens = (
@@ -366,6 +373,7 @@
             prefill_tokens,
             wait_seconds,
             seconds,
+            request.cache_group,
         )
 
     def _store_to_save(self, salt: str, prompt: request_types.Prompt, now: float) -> str:
