Let VMs that do not reach each other share one retry budget, not one each (BUDGET)

What upstreams saw (simulated VMs): in one window of 10 s, six VMs cut off from each other used 96 retries of a service, or 222 if its budget was first used during the cut, where the fleet may use 50; two parts of three VMs used 72 in the latter case. Cause: the budget is divided by the serving VMs, and silent ones are left out after 1.2 s: "no other VM uses it" was concluded from silence, of VMs that may go on. A silent VM counts until its entry in the store has ended (15 s), so survivors get the whole budget then. Connections stay divided by the VMs that are reached: too many are reset by the upstream, and survivors of a crash need them at once.

--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -173,6 +173,7 @@
         self._store_changes = store_changes.StoreChanges(self, codec, max_version_age_seconds)
         self._rates = rates or organisation_rates.OrganisationRates(RATE_WINDOW_SECONDS)
         self._followed = False
+        self._reachable_fraction = 1.0
         self._retries = service_retry_budgets.ServiceRetryBudgets(retries)
         self._peer_messages = peer_messages.PeerMessages(self)
         self._log = logs.Logger("state")
@@ -216,6 +217,16 @@
             return len(self.peers.serving)
         return len(self.peers.by_name) + 1
 
+    @property
+    def retry_sharing_vms(self) -> int:
+        """Number of VMs that share the retry budgets, also those that this VM doesn't reach.
+
+        A VM that is silent may use its share until its entry in the store has ended.
+        """
+        if not self.peers.is_serving:
+            return self.sharing_vms
+        return round(self.sharing_vms / self._reachable_fraction)
+
     def max_connections(self, service: deployment.Service) -> int:
         """Return the most connections that this VM may open to one upstream of a service."""
         connections = service.max_connections * CONNECTION_SHARE / self.sharing_vms
@@ -229,7 +240,7 @@
 
     def retries(self, service: str) -> retry_budget.RetryBudget:
         """Return the retry budget of a service."""
-        return self._retries.get(service, self.sharing_vms)
+        return self._retries.get(service, self.retry_sharing_vms)
 
     def mark_unresponsive(self, upstream: registry.Upstream, reason: str) -> None:
         """Suspect an upstream that did not answer, and queue this for the next heartbeat."""
@@ -451,8 +462,9 @@
         self.update_peers(now)
         self.crashes.tick(now)
         self.observe_software(now)
-        self._rates.set_reachable_fraction(self.peers.reachable_fraction(now))
-        self._retries.resize(self.sharing_vms)
+        self._reachable_fraction = self.peers.reachable_fraction(now)
+        self._rates.set_reachable_fraction(self._reachable_fraction)
+        self._retries.resize(self.retry_sharing_vms)
         self.registry.forget_departures(now)
         self.registry.request_limits.forget(now)
         self.registry.rejection_limits.forget(now)
