Resize what a VM may save of the retry budget with the fleet, not only its rate (BUDGET)

What upstreams saw (machines without I/O): twelve VMs that first used a service's budget as the fleet grew from one to twelve used 102 retries in a window of 10 s where 60 are allowed; two VMs that are left of twelve got 4 of the 30 that they may save. Cause: the largest balance was fixed at the number of VMs at the first request for the service, and never changed: "no other VM uses it", as of then, for ever. Only the minimum rate was resized. Change: resize sets the largest balance, too, and cuts a larger one. Evidence: both tests failed before (102 of 60; 4 of 30).

--- a/hollyring/limits/retry_budget.py
+++ b/hollyring/limits/retry_budget.py
@@ -73,9 +73,12 @@
         self._retries = 0
         self._denied = 0
 
-    def resize(self, vms: int) -> None:
-        """Set the number of VMs among which `min_rate` is divided."""
+    def resize(self, vms: int, max_balance: float | None = None) -> None:
+        """Set the number of VMs among which `min_rate` is divided, and perhaps another balance."""
         self._min_rate = self._fleet_min_rate / max(vms, 1)
+        if max_balance is not None:
+            self._max_balance = max_balance
+            self._balance = min(self._balance, max_balance)
 
     def record_attempt(self, now: float) -> None:
         """Record the first attempt of a request."""
--- a/hollyring/limits/service_retry_budgets.py
+++ b/hollyring/limits/service_retry_budgets.py
@@ -54,12 +54,11 @@
     def resize(self, vms: int) -> None:
         """Set the number of VMs in the fleet."""
         for budget in self._budgets.values():
-            budget.resize(vms)
+            budget.resize(vms, self._max_balance(vms))
 
     def _make(self, vms: int) -> retry_budget.RetryBudget:
         rules = self._rules
-        # Over all VMs, balance and minimum rate add up to 3/4 of the slack in each window.
-        balance = rules.slack / 2 / vms
+        balance = self._max_balance(vms)
         return retry_budget.RetryBudget(
             vms,
             ratio=rules.ratio * SAFETY_FACTOR,
@@ -67,3 +66,10 @@
             initial_balance=balance,
             max_balance=balance,
         )
+
+    def _max_balance(self, vms: int) -> float:
+        """Return a VM's largest balance.
+
+        Over all VMs, balance and minimum rate add up to 3/4 of the slack in each window.
+        """
+        return self._rules.slack / 2 / vms
