--- a/hollyring/node/crash_reports.py
+++ b/hollyring/node/crash_reports.py
@@ -186,11 +186,15 @@
         self._answered |= answered
 
     def adopt(self, sender: str, blamed: list[heartbeat.BlamedParts], now: float) -> None:
-        """Blame the parts that another VM blames."""
+        """Blame the parts that another VM blames, and tell it of those that are sound.
+
+        It may have concluded alone, while it did not reach the VMs that could clear them.
+        """
         if now < self._distrust_until:
             return
         for item in blamed:
             blame = crashes.Blame(frozenset(item.parts), tuple(item.servers), tuple(item.witnesses))
+            self._sound |= self._crashes.cleared_by_answers(blame, now)
             seconds = item.seconds if item.seconds >= 0.0 else crashes.BLAME_SECONDS
             if self._crashes.adopt(blame, now, seconds):
                 self._log_blame(blame, sender)
--- a/hollyring/node/tests/test_crash_reports.py
+++ b/hollyring/node/tests/test_crash_reports.py
@@ -119,3 +119,31 @@
         answered_requests=reports.take_answered_requests(),
         blamed_parts=reports.take_blamed_parts(False),
     )
+
+
+@pytest.mark.parametrize("cut_seconds", [1.0, crash_reports.REPEAT_SECONDS + 1.0, 60.0])
+@pytest.mark.parametrize("answers_at_other", [True, False])
+def test_blame_of_a_vm_that_was_cut_off_ends_once_another_one_answers_such_requests(
+    now, cut_seconds, answers_at_other
+):
+    cut_off, other = crash_reports.CrashReports("vm-1"), crash_reports.CrashReports("vm-2")
+    for number in range(3):
+        crash(cut_off, number, prompt("shared", f"own-{number}"))
+    now[0] += crashes.SETTLE_SECONDS
+    cut_off.tick(now[0])
+    assert cut_off.blame_of(crashes.part_hashes(prompt("shared", "x"))) is not None
+    now[0] += cut_seconds
+    if answers_at_other:
+        other.record_whole(crashes.part_hashes(prompt("shared", "own")))
+    other.adopt("vm-1", cut_off.take_blamed_parts(repeat=True), now[0])
+    cut_off.receive("vm-2", sound_parts_message(other), now[0])
+    for reports in (cut_off, other):
+        blame = reports.blame_of(crashes.part_hashes(prompt("shared", "x")))
+        assert (blame is None) == answers_at_other
+
+
+def sound_parts_message(reports):
+    """Return what a heartbeat says of parts that are sound."""
+    return types.SimpleNamespace(
+        sound_parts=reports.take_sound_parts(), answered_requests=[], crashes=[], blamed_parts=[]
+    )
--- a/hollyring/routing/crashes.py
+++ b/hollyring/routing/crashes.py
@@ -287,12 +287,16 @@
         """
         if seconds < MIN_ADOPTED_SECONDS:
             return False
-        parts = frozenset(part for part in blame.parts if not self._is_cleared_by_answer(part, now))
+        parts = blame.parts - self.cleared_by_answers(blame, now)
         if not parts or parts in self._blamed or self._is_excused(blame, now):
             return False
         self._blame(dataclasses.replace(blame, parts=parts), now, seconds)
         return True
 
+    def cleared_by_answers(self, blame: Blame, now: float) -> set[str]:
+        """Return the parts of another VM's blame of which answers have just ended whole."""
+        return {part for part in blame.parts if self._is_cleared_by_answer(part, now)}
+
     def blamed(self, parts: Iterable[str], now: float) -> Blame | None:
         """Return the blame of parts that a request has, None if it may be sent."""
         if not self._blamed:
