--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -193,6 +193,8 @@
             may_send = may_decide and self._state.may_send(context.retry_state)
             if not may_send or self._is_unusable(upstream):
                 return request_context.Withdrawn()
+            if selected.cache_group != context.cache_group(self._state.deployment):
+                return request_context.Withdrawn()
             if not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
             request = self._request(context, selected)
