--- a/hollyring/node/tests/test_earlier_builds.py
+++ b/hollyring/node/tests/test_earlier_builds.py
@@ -197,9 +197,10 @@
         b'{"name":"vm-1","life":7,"caller_address":"10.0.0.1:80","peer_address":"10.0.0.1:90",'
         b'"failure_domain":"dar-a","region":"dar","capacity":2.0}'
     )
-    item = mirror.Item("k", software, store_revision.NONE)
+    item = mirror.Item(documents.STORE_KEYS.software, software, store_revision.NONE)
+    vm_item = mirror.Item(documents.STORE_KEYS.vms + VM.name, vm, store_revision.NONE)
     record = software_versions.Record(era, {"s": frozenset({"v1", "v2"})})
     assert codec.decode_software(item) == record
     assert codec.encode_software(record) == software
-    assert codec.decode_vm(mirror.Item("k", vm, store_revision.NONE)) == VM
+    assert codec.decode_vm(vm_item) == VM
     assert codec.encode_vm(VM) == vm
--- a/hollyring/platform/tests/test_mixed_fleets.py
+++ b/hollyring/platform/tests/test_mixed_fleets.py
@@ -34,7 +34,7 @@
 LIMITED_SECONDS = 5.0
 QUOTA_SECONDS = 8.0
 QUOTA_OVERAGE = 1.1
-"""Window of an organisation's requests, and how many there may be for each of its rate and burst."""
+"""Window of an organisation's requests, and their number for each that its limit names."""
 
 SAVED_SECONDS = send_permits.BURST_SECONDS
 UNDER_WAY = 2
