Log as of when a VM knows the software versions of upstreams

The lines `sent` and `refused` told the age of the configuration and the upstreams only; whether a stream was taken up by old knowledge of software versions could not be told from them. `versions_age` names it: the copies of the upstreams' entries and of the VMs' records, where the record of versions lies, are complete as of then. It counts from before a question to the store or to another VM, as `copies_age` does. Nothing decides by it yet. The decisions about versions of streams are moved to node/stream_versions unchanged.

--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -53,6 +53,8 @@
         Prefixes whose copies decide about requests.
     rules
         Bound on the age of the copies.
+    others
+        Prefixes whose age is known, too, and bounds nothing.
 
     Examples
     --------
@@ -67,6 +69,7 @@
 
     __slots__ = (
         "_complete_at",
+        "_others_complete_at",
         "_behind_since",
         "_rules",
         "_unanswered_at",
@@ -75,8 +78,11 @@
         "_window_at",
     )
 
-    def __init__(self, prefixes: Iterable[str], rules: FreshnessRules) -> None:
+    def __init__(
+        self, prefixes: Iterable[str], rules: FreshnessRules, others: Iterable[str] = ()
+    ) -> None:
         self._complete_at = dict.fromkeys(prefixes, -math.inf)
+        self._others_complete_at = dict.fromkeys(others, -math.inf)
         self._behind_since: dict[str, float] = {}
         self._rules = rules
         self._unanswered_at = -math.inf
@@ -101,8 +107,9 @@
 
     def record(self, prefix: str, at: float) -> None:
         """Record that the copy of a prefix holds every change acknowledged before `at`."""
-        if prefix in self._complete_at:
-            self._complete_at[prefix] = max(self._complete_at[prefix], at)
+        for complete_at in (self._complete_at, self._others_complete_at):
+            if prefix in complete_at:
+                complete_at[prefix] = max(complete_at[prefix], at)
 
     def record_behind(self, prefix: str, now: float) -> None:
         """Record that another VM has named a change that the copy of a prefix lacks."""
@@ -123,7 +130,8 @@
 
     def age_of(self, prefix: str, now: float) -> float:
         """Return the seconds since which changes of a prefix may be missing."""
-        return now - self._complete_at.get(prefix, -math.inf)
+        complete_at = self._complete_at | self._others_complete_at
+        return now - complete_at.get(prefix, -math.inf)
 
     def age(self, now: float) -> float:
         """Return the seconds since which changes of some prefix may be missing."""
--- a/hollyring/node/request_log.py
+++ b/hollyring/node/request_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from hollyring.configuration import deployment
 from hollyring.core import request_types
 from hollyring.delivery import refusal
@@ -42,6 +44,8 @@
             retry_after=round(rejection.retry_after, 3),
             configuration=self._state.configuration_version,
             copies_age=round(self._state.freshness.age(arrived_at), 3),
+            versions_age=_rounded(self._state.stream_versions.age(arrived_at)),
+            resume_after=request.resume_after,
         )
 
     def rate_exceeded(
@@ -75,6 +79,7 @@
             upstream=selected.upstream.name,
             configuration=self._state.configuration_version,
             copies_age=round(self._state.freshness.age(clock.now()), 3),
+            versions_age=_rounded(self._state.stream_versions.age(clock.now())),
             version=selected.version,
             software=selected.upstream.entry.software,
             resume_after=context.events.last_number,
@@ -215,6 +220,11 @@
         )
 
 
+def _rounded(age: float) -> float:
+    """Return an age in seconds, rounded; -1 if it is infinite."""
+    return -1.0 if math.isinf(age) else round(age, 3)
+
+
 def _other_vm(context: request_context.RequestContext) -> dict[str, str]:
     """Return the log fields that name the VM which executed or admitted the request."""
     if context.admitted_by:
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -38,6 +38,7 @@
     peer_messages,
     store_changes,
     store_era,
+    stream_versions,
     upstream_backoffs,
     upstream_limits,
 )
@@ -151,6 +152,10 @@
         self.freshness = freshness.Freshness(
             (store_keys.operator, store_keys.upstreams),
             freshness_rules or freshness.FreshnessRules(),
+            others=(store_keys.vms,),
+        )
+        self.stream_versions = stream_versions.StreamVersions(
+            self.registry, self.software_versions, self.stream_origins, self.freshness, store_keys
         )
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
@@ -359,14 +364,7 @@
         self, request: request_types.Request, service: str
     ) -> stream_origins.Continuation:
         """Return at which upstreams of a service a caller's stream may begin or go on."""
-        if not request.resume_after:
-            return stream_origins.AnySoftware()
-        now = clock.now()
-        self.software_versions.observe(self.registry.of_service(service), now)
-        recent = None
-        if self.software_versions.is_complete(now):
-            recent = self.software_versions.of_service(service)
-        return self.stream_origins.continuation(request.resumed_request_id, service, recent, now)
+        return self.stream_versions.continuation(request, service)
 
     def set_software_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` when upstreams appear whose software version is not in the record."""
@@ -380,9 +378,7 @@
 
     def withheld_software(self, service: str, now: float) -> frozenset[str]:
         """Return the software versions at which no resumable stream of a service begins yet."""
-        upstreams = self.registry.of_service(service)
-        serving = {upstream.entry.software for upstream in upstreams if not upstream.leaving}
-        return self.software_versions.withheld(service, serving, now)
+        return self.stream_versions.withheld(service, now)
 
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -118,7 +118,7 @@
         seconds = WATCHER_TIMEOUT_SECONDS if watches else TIMEOUT_SECONDS
         try:
             with anyio.fail_after(seconds):
-                is_complete = await self._fetch()
+                complete = await self._fetch()
         except (interfaces.StoreError, TimeoutError) as error:
             self._watcher.record_failure(str(error) or "no answer in time")
             if clock.now() < asked_at + seconds + LATE_TIMER_SECONDS:
@@ -126,9 +126,8 @@
         else:
             self._watcher.record_success()
             freshness.record_answered()
-            if is_complete:
-                for prefix in self._prefixes:
-                    freshness.record(prefix, asked_at)
+            for prefix in complete:
+                freshness.record(prefix, asked_at)
         if age > freshness.rules.bound_seconds:
             self._log.info(
                 "asked the store as copies were old",
@@ -139,32 +138,45 @@
         self._checked.set()
         self._checked = anyio.Event()
 
-    async def _fetch(self) -> bool:
+    async def _fetch(self) -> list[str]:
         """Fetch the changes since the copies were complete.
 
         Returns
         -------
-        bool
-            Whether the store named them all; otherwise prefixes were listed, at their own times.
+        list[str]
+            Prefixes of which the store named all changes; others may have been listed, at their own
+            times.
         """
         after = min(self._mirror_revision(prefix) for prefix in self._prefixes)
         if after.era < self._state.store_era.current:
-            await self._list(after)
-            return False
+            await self._list(self._prefixes, after)
+            return []
+        after = min([after, *map(self._mirror_revision, self._others_listed(after.era))])
         try:
             update = await self._store.watch(ALL_PREFIXES, after, 0.0)
         except interfaces.HistoryCompactedError:
-            await self._list(after)
-            return False
+            await self._list([*self._prefixes, *self._others_listed(after.era)], after)
+            return []
+        complete = []
         for prefix, local_mirror in self._state.mirrors.items():
             if local_mirror.revision < after:
                 continue
             changes = [change for change in update.changes if change.key.startswith(prefix)]
             changed = local_mirror.apply_changes(changes, update.revision)
             self._watcher.report_changes(prefix, changed)
-        return True
-
-    async def _list(self, after: store_revision.Revision) -> None:
-        for prefix in self._prefixes:
+            if local_mirror.era == update.revision.era:
+                complete.append(prefix)
+        return complete
+
+    def _others_listed(self, era: int) -> list[str]:
+        """Return the prefixes that bound nothing and have been listed in an era of the store."""
+        return [
+            prefix
+            for prefix, held in self._state.mirrors.items()
+            if prefix not in self._prefixes and held.revision.number and held.revision.era >= era
+        ]
+
+    async def _list(self, prefixes: list[str], after: store_revision.Revision) -> None:
+        for prefix in prefixes:
             if self._mirror_revision(prefix) <= after:
                 await self._watcher.list_again(prefix)
--- /dev/null
+++ b/hollyring/node/stream_versions.py
@@ -0,0 +1,66 @@
+"""Software versions at which streams begin and go on, by what this VM knows of them."""
+
+from __future__ import annotations
+
+from hollyring.configuration import freshness
+from hollyring.core import request_types
+from hollyring.delivery import stream_origins
+from hollyring.node import clock, interfaces
+from hollyring.routing import registry, software_versions
+
+
+class StreamVersions:
+    """Decides where streams begin and go on.
+
+    Parameters
+    ----------
+    upstreams
+        Upstreams that are registered.
+    versions
+        Their software versions, and those that they had until recently.
+    origins
+        Versions at which recent streams began.
+    copies
+        Ages of the copies of the store from which the versions are known.
+    store_keys
+        Keys and prefixes in the store.
+    """
+
+    __slots__ = ("_upstreams", "_versions", "_origins", "_copies", "_prefixes")
+
+    def __init__(
+        self,
+        upstreams: registry.Registry,
+        versions: software_versions.SoftwareVersions,
+        origins: stream_origins.StreamOrigins,
+        copies: freshness.Freshness,
+        store_keys: interfaces.StoreKeys,
+    ) -> None:
+        self._upstreams = upstreams
+        self._versions = versions
+        self._origins = origins
+        self._copies = copies
+        self._prefixes = (store_keys.upstreams, store_keys.vms)
+
+    def age(self, now: float) -> float:
+        """Return the seconds since which upstreams or the record of versions may have changed."""
+        return max(self._copies.age_of(prefix, now) for prefix in self._prefixes)
+
+    def continuation(
+        self, request: request_types.Request, service: str
+    ) -> stream_origins.Continuation:
+        """Return at which upstreams of a service a caller's stream may begin or go on."""
+        if not request.resume_after:
+            return stream_origins.AnySoftware()
+        now = clock.now()
+        self._versions.observe(self._upstreams.of_service(service), now)
+        recent = None
+        if self._versions.is_complete(now):
+            recent = self._versions.of_service(service)
+        return self._origins.continuation(request.resumed_request_id, service, recent, now)
+
+    def withheld(self, service: str, now: float) -> frozenset[str]:
+        """Return the software versions at which no resumable stream of a service begins yet."""
+        upstreams = self._upstreams.of_service(service)
+        serving = {upstream.entry.software for upstream in upstreams if not upstream.leaving}
+        return self._versions.withheld(service, serving, now)
