Take up no stream where no upstream is known that can have begun it

A stream of unknown origin was admitted for any software version where no upstream of its service had been known for 30 s. The request then waits for an upstream, and goes on at the first that this VM may select, also if streams began meanwhile at another version that registered at the same time.

The test stated the old answer (`AnySoftware` for no versions) and failed with the new one; it now demands a refusal for none as for several.

--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -112,7 +112,8 @@
             Service that the stream is to be continued at.
         recent_software
             Software versions that upstreams of the service have had within `ORIGIN_TTL_SECONDS`,
-            None if there may have been others than those known.
+            None if there may have been others than those known. If there was none, one may have
+            come since, and another one may follow before an upstream is selected.
         now
             Monotonic seconds.
         """
@@ -126,7 +127,7 @@
         if len(recent_software) > 1:
             return NotResumable("unknown origin")
         if not recent_software:
-            return AnySoftware()
+            return NotResumable("unknown origin, no upstream known")
         (software,) = recent_software
         return OnlySoftware(software)
 
--- a/hollyring/delivery/tests/test_stream_origins.py
+++ b/hollyring/delivery/tests/test_stream_origins.py
@@ -17,9 +17,9 @@
 def test_stream_of_unknown_origin_is_resumable_only_with_one_version(origins):
     only = stream_origins.OnlySoftware("v1")
     assert origins.continuation("r", "chat", {"v1"}, 0.0) == only
-    assert origins.continuation("r", "chat", set(), 0.0) == stream_origins.AnySoftware()
-    unknown = origins.continuation("r", "chat", BOTH, 0.0)
-    assert isinstance(unknown, stream_origins.NotResumable)
+    for versions in (set(), BOTH):
+        unknown = origins.continuation("r", "chat", versions, 0.0)
+        assert isinstance(unknown, stream_origins.NotResumable)
 
 
 def test_stream_of_unknown_origin_is_not_resumable_while_earlier_versions_are_not_known(origins):
