Conclude that a service has no other software version from recent knowledge only

What callers saw: two reports. Another operator's: a VM was out of step for a few seconds while upstreams of a new version joined; streams that had begun there through other VMs were taken up at that VM and went on at another version (ORDER). The users': 22 and 6 cases of ORDER without logs, of which this may be one cause; that it is isn't shown.

Cause: State.continuation asked whether the record of versions had been read once, which stays true for ever. How old the copies of the upstreams' entries and of the record were was asked by nothing, so a VM without the store and the other VMs took the one version that it knew for all that there were.

Why this works: a resumable stream begins at a version only 0.8 s after the VM knows that it is in the record, unless it is the only one; that there is no other is concluded only from copies complete as of less than 0.7 s ago. A VM with older copies asks the store first.

--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -131,6 +131,11 @@
         (software,) = recent_software
         return OnlySoftware(software)
 
+    def knows(self, request_id: str, now: float) -> bool:
+        """Return whether it is known where a stream began."""
+        record = self._records.get(request_id)
+        return record is not None and now - record.recorded_at <= ORIGIN_TTL_SECONDS
+
     def report_again(self) -> None:
         """Report all streams that began at this VM once more, as another VM has started."""
         self._unreported = self._own.copy()
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -28,7 +28,7 @@
 """VMs that are asked to execute a request before it is refused."""
 
 RECORD_POLL_SECONDS = 0.02
-"""Time between two looks whether the software version of the only upstreams is recorded."""
+"""Time between two looks whether streams may begin at the only upstreams."""
 
 
 class AttemptSeries:
@@ -280,8 +280,8 @@
         return self._state.crashes.blame_of(context.suspects) is not None
 
     async def _await_record(self, context: request_context.RequestContext) -> None:
-        """Wait while the only upstreams are of software versions that are not recorded yet."""
-        give_up_at = clock.now() + software_versions.MAX_UNRECORDED_SECONDS
+        """Wait while no stream may begin yet at the software versions of the only upstreams."""
+        give_up_at = clock.now() + software_versions.MAX_WITHHELD_SECONDS
         while clock.now() < give_up_at and context.retry_state.has_time(clock.now()):
             request = self._places.selection_request(context)
             if not request.withheld_software:
--- a/hollyring/node/recent_copies.py
+++ b/hollyring/node/recent_copies.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from hollyring.core import request_types
 from hollyring.node import clock, metrics, state
 
 
@@ -13,6 +14,9 @@
     async def wait_current(self, until: float) -> bool:
         """Wait for that, at most until time `until`; return whether requests may be decided."""
 
+    async def wait_versions(self, until: float) -> None:
+        """Wait until the upstreams' software versions are known as of now, if the store answers."""
+
 
 class RecentCopies:
     """Copies of the store that are asked for before each decision about a request.
@@ -50,3 +54,12 @@
                 return False
         self._state.freshness.record_use(clock.now())
         return True
+
+    async def await_versions(self, request: request_types.Request, until: float) -> None:
+        """Wait for what decides at which software version a caller's stream goes on.
+
+        It is decided afterwards whether that has come.
+        """
+        if self._state.stream_versions.needs_recent(request, clock.now()):
+            self._metrics.increment("waits_for_versions")
+            await self._checker.wait_versions(until)
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -141,7 +141,10 @@
     ) -> request_context.RequestContext | refusal.Refusal:
         """Return the context of the request if it is admitted, once this VM may decide."""
         try:
-            may_decide = await self._copies.may_decide(arrived_at + request.deadline_seconds)
+            until = arrived_at + request.deadline_seconds
+            may_decide = await self._copies.may_decide(until)
+            if may_decide:
+                await self._copies.await_versions(request, until)
         except anyio.get_cancelled_exc_class():
             with anyio.move_on_after(responses.FINAL_REFUSAL_SECONDS, shield=True):
                 rejection = refusal.make(self._cancel_code)
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -382,7 +382,9 @@
 
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
-        unreported = self.stream_origins.take_unreported(self.software_versions.mixed_services, now)
+        is_away = not all(peer.store_reached for peer in self.peers.alive(now))
+        is_away = is_away or self.store_failed_at > self.store_reached_at
+        unreported = self.stream_versions.take_origins(is_away, now)
         return [
             heartbeat.StreamOrigins(origin.service, origin.software, request_ids)
             for origin, request_ids in unreported.items()
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -51,6 +51,7 @@
         self._state = vm_state
         self._watcher = watcher
         self._checked = anyio.Event()
+        self._wanted = anyio.Event()
         self._lock = anyio.Lock()
         self._rng = random.Random(str(vm_state.vm_info.life))
         self._log = logs.Logger("store")
@@ -64,10 +65,16 @@
     async def run(self) -> None:
         """Ask the store whenever that is due, until cancelled."""
         while True:
+            if not self._is_listed:
+                await anyio.sleep(UNLISTED_RETRY_SECONDS)
+                continue
             seconds = self._seconds_until_due()
             if seconds > 0:
-                await anyio.sleep(seconds)
-                continue
+                with anyio.move_on_after(seconds):
+                    await self._wanted.wait()
+                if not self._wanted.is_set():
+                    continue
+            self._wanted = anyio.Event()
             await self.check_now()
             if self._state.freshness.store_unanswered:
                 await anyio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
@@ -92,9 +99,20 @@
                 return freshness.may_use_without_store(clock.now())
         return True
 
+    async def wait_versions(self, until: float) -> None:
+        """Ask the store unless what is known of software versions is recent enough.
+
+        It is not awaited for longer than `WAIT_SECONDS`, nor while it is known not to answer.
+        """
+        versions, freshness = self._state.stream_versions, self._state.freshness
+        with anyio.move_on_after(min(WAIT_SECONDS, until - clock.now())):
+            while not versions.is_recent(clock.now()):
+                if freshness.store_unanswered and freshness.is_store_away(clock.now()):
+                    return
+                self._wanted.set()
+                await self._checked.wait()
+
     def _seconds_until_due(self) -> float:
-        if not all(self._mirror_revision(prefix).number for prefix in self._prefixes):
-            return UNLISTED_RETRY_SECONDS
         now = clock.now()
         watches = self._state.peers.should_check_store(now)
         due_at = self._state.freshness.check_due_at(watches)
@@ -103,6 +121,10 @@
         # This VM may be asked to watch before that.
         return min(due_at - now, self._state.freshness.rules.bound_seconds / 4)
 
+    @property
+    def _is_listed(self) -> bool:
+        return all(self._mirror_revision(prefix).number for prefix in self._prefixes)
+
     @property
     def _prefixes(self) -> list[str]:
         return self._state.freshness.prefixes
--- a/hollyring/node/stream_versions.py
+++ b/hollyring/node/stream_versions.py
@@ -8,6 +8,9 @@
 from hollyring.node import clock, interfaces
 from hollyring.routing import registry, software_versions
 
+REPORT_AGE_SECONDS = 1.0
+"""Age of what is known of versions above which this VM reports where all its streams began."""
+
 
 class StreamVersions:
     """Decides where streams begin and go on.
@@ -54,13 +57,43 @@
             return stream_origins.AnySoftware()
         now = clock.now()
         self._versions.observe(self._upstreams.of_service(service), now)
-        recent = None
-        if self._versions.is_complete(now):
-            recent = self._versions.of_service(service)
-        return self._origins.continuation(request.resumed_request_id, service, recent, now)
+        age = self.age(now)
+        recent = self._versions.recent(service, age, now)
+        found = self._origins.continuation(request.resumed_request_id, service, recent, now)
+        if recent is None and isinstance(found, stream_origins.NotResumable):
+            return stream_origins.NotResumable(f"{found.reason} (as of {age:.3f} s ago)")
+        return found
+
+    def is_recent(self, now: float) -> bool:
+        """Return whether what this VM knows of the versions is recent enough to conclude by."""
+        return self.age(now) <= software_versions.MAX_KNOWLEDGE_AGE_SECONDS
+
+    def needs_recent(self, request: request_types.Request, now: float) -> bool:
+        """Return whether a stream can be taken up only by recent knowledge that this VM lacks."""
+        if not request.resume_after or self._origins.knows(request.resumed_request_id, now):
+            return False
+        return not self.is_recent(now)
+
+    def take_origins(
+        self, is_store_away: bool, now: float
+    ) -> dict[stream_origins.Origin, list[str]]:
+        """Return the streams that began at this VM to report to the other VMs.
+
+        Parameters
+        ----------
+        is_store_away
+            Whether the store does not answer this or another VM, which cannot show then that a
+            service has one version only.
+        """
+        services = self._versions.mixed_services
+        if is_store_away or self.age(now) > REPORT_AGE_SECONDS:
+            services = self._versions.services
+        return self._origins.take_unreported(services, now)
 
     def withheld(self, service: str, now: float) -> frozenset[str]:
         """Return the software versions at which no resumable stream of a service begins yet."""
         upstreams = self._upstreams.of_service(service)
         serving = {upstream.entry.software for upstream in upstreams if not upstream.leaving}
+        if not serving <= self._versions.of_service(service):
+            self._versions.observe(upstreams, now)
         return self._versions.withheld(service, serving, now)
--- /dev/null
+++ b/hollyring/node/tests/test_stale_versions.py
@@ -0,0 +1,256 @@
+"""VMs that are out of step take up no stream at another software version, over simulated VMs."""
+
+import collections
+import dataclasses
+import random
+
+import anyio
+import pytest
+
+from hollyring.core import request_types
+from hollyring.delivery import stream_origins
+from hollyring.node import clock
+from hollyring.node.tests import simulated_fleet
+from hollyring.routing import software_versions
+
+VMS = [f"vm-{n}" for n in range(1, 6)]
+SERVICE = simulated_fleet.SERVICE
+SETTLED_SECONDS = 4.0
+STREAM_SECONDS = 8.0
+"""Longest time from the start of a stream until its caller takes it up."""
+
+
+def add_upstream(fleet, name, software):
+    upstream = simulated_fleet.Upstream(name)
+    upstream.entry = dataclasses.replace(upstream.entry, software=software)
+    fleet.add_upstream(upstream)
+
+
+def remove_upstream(fleet, name):
+    del fleet.upstreams[name]
+    fleet.store.remove("servers/" + name)
+
+
+async def start_all(fleet):
+    add_upstream(fleet, "u-0", "v0")
+    for name in fleet.names:
+        fleet.start(name)
+    await anyio.sleep(SETTLED_SECONDS)
+
+
+def cut_from_vms(fleet, name):
+    fleet.partitions |= {frozenset({name, other}) for other in fleet.names if other != name}
+
+
+def cut(fleet, name, form):
+    if form != "vms":
+        cut_from_store = fleet.store.silent_to if form == "silent" else fleet.store.unreachable_from
+        cut_from_store.add(name)
+    if form != "store":
+        cut_from_vms(fleet, name)
+
+
+def heal(fleet):
+    fleet.partitions.clear()
+    fleet.store.unreachable_from.clear()
+    fleet.store.silent_to.clear()
+
+
+def begin_stream(vm, request_id, rng):
+    """Begin a stream that may be resumed; return its software version, None if none may begin."""
+    upstreams = vm.state.registry.of_service(SERVICE)
+    withheld = vm.state.withheld_software(SERVICE, clock.now())
+    usable = {u.entry.software for u in upstreams if not u.leaving} - withheld
+    if not vm.state.ready or not usable:
+        return None
+    software = rng.choice(sorted(usable))
+    origin = stream_origins.Origin(SERVICE, software)
+    vm.state.stream_origins.record(request_id, origin, clock.now())
+    return software
+
+
+async def take_up(vm, request_id):
+    """Return where a VM goes on with a stream, as its relay decides it."""
+    request = request_types.Request(
+        "r", b"POST", b"/", "h", "/", (), b"", "", 5.0, None, 3, request_id
+    )
+    if vm.state.stream_versions.needs_recent(request, clock.now()):
+        await vm.store_checker.wait_versions(clock.now() + 5.0)
+    return vm.state.continuation(request, SERVICE)
+
+
+def refuses(continuation):
+    return isinstance(continuation, stream_origins.NotResumable)
+
+
+@pytest.mark.parametrize("form", ["both", "silent"])
+@pytest.mark.parametrize("seconds", [1.0, 5.0])
+def test_cut_vm_refuses_streams_that_began_at_a_version_that_joined_meanwhile(
+    simulate, form, seconds
+):
+    async def scenario(fleet):
+        await start_all(fleet)
+        cut(fleet, "vm-5", form)
+        add_upstream(fleet, "u-1", "v1")
+        begun_at = None
+        rng = random.Random(0)
+        until = clock.now() + seconds
+        while clock.now() < until:
+            for number, name in enumerate(VMS[:4]):
+                if begin_stream(fleet.vms[name], f"{name}-{clock.now()}", rng) == "v1":
+                    begun_at = begun_at or clock.now()
+                    assert refuses(await take_up(fleet.vms["vm-5"], "unknown")), number
+            await anyio.sleep(0.02)
+        assert begun_at is not None
+        assert refuses(await take_up(fleet.vms["vm-5"], "unknown"))
+        heal(fleet)
+        for _ in range(100):
+            assert refuses(await take_up(fleet.vms["vm-5"], "unknown"))
+            await anyio.sleep(0.01)
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+@pytest.mark.parametrize("form", ["vms", "store"])
+def test_vm_cut_on_one_side_only_takes_up_streams_where_one_version_serves(simulate, form):
+    async def scenario(fleet):
+        await start_all(fleet)
+        cut(fleet, "vm-5", form)
+        await anyio.sleep(3.0)
+        rng = random.Random(0)
+        for number in range(20):
+            assert begin_stream(fleet.vms["vm-1"], f"r-{number}", rng) == "v0"
+            await anyio.sleep(0.3)
+            found = await take_up(fleet.vms["vm-5"], f"r-{number}")
+            assert found == stream_origins.OnlySoftware("v0")
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+def test_store_outage_of_all_vms_refuses_streams_of_one_version_for_less_than_a_second(simulate):
+    refused = []
+
+    async def scenario(fleet):
+        await start_all(fleet)
+        fleet.store.unreachable_from = set(VMS)
+        rng = random.Random(0)
+        began_at = clock.now()
+        while clock.now() - began_at < 12.0:
+            request_id = f"r-{clock.now()}"
+            begin_stream(fleet.vms["vm-1"], request_id, rng)
+            await anyio.sleep(0.3)
+            if refuses(await take_up(fleet.vms["vm-5"], request_id)):
+                refused.append(clock.now() - began_at)
+
+    simulate(scenario, vms=VMS, upstreams=())
+    assert not refused or max(refused) < 2.0
+
+
+def test_vm_in_touch_takes_up_every_stream_where_one_version_serves(simulate):
+    async def scenario(fleet):
+        await start_all(fleet)
+        calls = fleet.store.calls
+        rng = random.Random(0)
+        for number in range(400):
+            vm = fleet.vms[rng.choice(VMS)]
+            assert await take_up(vm, f"unknown-{number}") == stream_origins.OnlySoftware("v0")
+            await anyio.sleep(0.05)
+        in_20_seconds = fleet.store.calls - calls
+        assert in_20_seconds < 20 * len(VMS) / software_versions.MAX_KNOWLEDGE_AGE_SECONDS * 2
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+def test_vms_of_a_large_fleet_that_do_not_serve_join_no_versions_after_a_cut(simulate):
+    names = [f"vm-{n:02}" for n in range(60)]
+
+    async def scenario(fleet):
+        add_upstream(fleet, "u-0", "v0")
+        await fleet.start_for_the_first_time(names, 3, 4.0)
+        following = [vm for vm in fleet.vms.values() if not vm.state.peers.is_serving]
+        for vm in following:
+            assert await take_up(vm, "unknown") == stream_origins.OnlySoftware("v0")
+        cut_off = {vm.name for vm in following[:5]}
+        fleet.store.unreachable_from |= cut_off
+        fleet.partitions |= {frozenset({a, b}) for a in cut_off for b in names if a != b}
+        add_upstream(fleet, "u-1", "v1")
+        await anyio.sleep(software_versions.SETTLE_SECONDS)
+        for vm in following:
+            assert refuses(await take_up(vm, "unknown"))
+
+    simulate(scenario, vms=names, upstreams=())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_no_stream_goes_on_at_another_version_whatever_is_cut_and_joins(simulate, seed):
+    rng = random.Random(seed)
+    streams = []
+    counts = collections.Counter()
+
+    def begin(fleet):
+        request_id = f"r-{clock.now():.4f}"
+        software = begin_stream(rng.choice(list(fleet.vms.values())), request_id, rng)
+        counts["begun" if software else "not begun"] += 1
+        if software:
+            streams.append((request_id, software, clock.now()))
+
+    async def resume(fleet):
+        request_id, software, began_at = rng.choice(streams[-60:])
+        vm = rng.choice(list(fleet.vms.values()))
+        if clock.now() - began_at > STREAM_SECONDS or not vm.state.ready:
+            return
+        if rng.random() < 0.3:
+            request_id = ""
+        found = await take_up(vm, request_id)
+        if refuses(found):
+            counts["refused"] += 1
+            return
+        counts["continued"] += 1
+        assert found == stream_origins.OnlySoftware(software), (vm.name, began_at, clock.now())
+
+    async def play(fleet):
+        while True:
+            await anyio.sleep(0.02)
+            begin(fleet)
+            if streams:
+                fleet.group.start_soon(resume, fleet)
+
+    async def disturb(fleet, step):
+        """Cut some VMs around the time at which a version joins, and restart or heal some."""
+        for name in rng.sample(VMS, rng.choice([1, 1, 2, 5])):
+            cut(fleet, name, rng.choice(["both", "both", "silent", "store", "vms"]))
+        await anyio.sleep(rng.choice([0.0, 0.1, 0.5, 2.0]))
+        add_upstream(fleet, f"u-{step}", f"v{step}")
+        if rng.random() < 0.3:
+            remove_upstream(fleet, f"u-{step - 1}")
+        await anyio.sleep(rng.choice([0.1, 0.5, 1.0, 2.0]))
+        if rng.random() < 0.3:
+            fleet.kill(rng.choice(VMS))
+        await anyio.sleep(rng.choice([0.1, 0.5, 1.0, 4.0]))
+        heal(fleet)
+        for name in set(VMS) - set(fleet.vms):
+            fleet.start(name)
+        if rng.random() < 0.3:
+            remove_upstream(fleet, f"u-{step}")
+            add_upstream(fleet, f"u-{step + 1}", f"v{step + 1}")
+        await anyio.sleep(2.0)
+
+    async def leave_one_version(fleet):
+        for name in sorted(fleet.upstreams)[:-1]:
+            remove_upstream(fleet, name)
+        await anyio.sleep(stream_origins.ORIGIN_TTL_SECONDS + SETTLED_SECONDS)
+
+    async def scenario(fleet):
+        await start_all(fleet)
+        for step in range(10, 50, 10):
+            newest = sorted(fleet.upstreams)[-1]
+            remove_upstream(fleet, newest)
+            add_upstream(fleet, f"u-{step - 1}", f"v{step - 1}")
+            await leave_one_version(fleet)
+            async with anyio.create_task_group() as group:
+                group.start_soon(play, fleet)
+                await disturb(fleet, step)
+                group.cancel_scope.cancel()
+
+    simulate(scenario, vms=VMS, upstreams=())
+    assert counts["continued"] and counts["refused"]
--- a/hollyring/platform/tests/test_waiting_streams.py
+++ b/hollyring/platform/tests/test_waiting_streams.py
@@ -6,6 +6,7 @@
 from hollyring.core import request_types
 from hollyring.node import clock
 from hollyring.platform.tests import test_relay
+from hollyring.routing import software_versions
 
 BUSY_SECONDS = 0.6
 """Time for which no upstream has room; a stream that was broken off has some seconds left."""
@@ -118,6 +119,8 @@
     for server in servers:
         server.events, server.event_seconds = 30, 0.03
     callers = []
+    vm.state.observe_software(clock.now())
+    await anyio.sleep(software_versions.SETTLE_SECONDS)
 
     async def send(number):
         callers.append(await vm.send_request(f"r-{number}", deadline_seconds=4.0))
--- a/hollyring/routing/software_versions.py
+++ b/hollyring/routing/software_versions.py
@@ -3,6 +3,10 @@
 A VM that starts does not see what has left before. The VMs keep a record of these versions outside
 of their processes, from which it learns them. No stream that may be continued begins at a version
 that is not in the record yet.
+
+A VM that is out of step does not see what came meanwhile. Where a service has several versions, no
+such stream begins at one before it has been known for `SETTLE_SECONDS`; so no stream began at a
+version that is missing in knowledge which was complete less than `MAX_KNOWLEDGE_AGE_SECONDS` ago.
 """
 
 from __future__ import annotations
@@ -20,6 +24,22 @@
 """
 
 
+SETTLE_SECONDS = 0.8
+"""Time for which a version is known before streams begin at it, unless it is the only one.
+
+Not longer than `MAX_UNRECORDED_SECONDS`.
+"""
+
+MAX_WITHHELD_SECONDS = MAX_UNRECORDED_SECONDS + SETTLE_SECONDS
+"""Longest time for which all versions of a service are withheld after the first was seen."""
+
+MAX_KNOWLEDGE_AGE_SECONDS = 0.7
+"""Age of what a VM knows of versions up to which it concludes that there is no other.
+
+It is shorter than `SETTLE_SECONDS`, as the clocks of VMs run at slightly different rates.
+"""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
     """Software versions by service that outlive the VMs.
@@ -58,7 +78,14 @@
     ({'v1'}, set())
     """
 
-    __slots__ = ("_ttl_seconds", "_seen_at", "_complete_at", "_recorded", "_unrecorded_since")
+    __slots__ = (
+        "_ttl_seconds",
+        "_seen_at",
+        "_complete_at",
+        "_recorded",
+        "_unrecorded_since",
+        "_settled_at",
+    )
 
     def __init__(self, ttl_seconds: float) -> None:
         self._ttl_seconds = ttl_seconds
@@ -66,6 +93,7 @@
         self._complete_at = -math.inf
         self._recorded: Mapping[str, frozenset[str]] | None = None
         self._unrecorded_since: dict[tuple[str, str], float] = {}
+        self._settled_at: dict[tuple[str, str], float] = {}
 
     @property
     def unrecorded_since(self) -> float:
@@ -82,6 +110,28 @@
         """Whether the record of earlier versions is expected and has not arrived yet."""
         return math.isinf(self._complete_at) and self._complete_at > 0.0
 
+    @property
+    def services(self) -> set[str]:
+        """Services that have or recently had upstreams."""
+        return {service for service, seen_at in self._seen_at.items() if seen_at}
+
+    def recent(self, service: str, age: float, now: float) -> set[str] | None:
+        """Return all versions at which recent streams of a service can have begun.
+
+        Parameters
+        ----------
+        age
+            Seconds since which changes of the versions and of their record may be missing here.
+
+        Returns
+        -------
+        set[str] | None
+            None if there may be others than those known.
+        """
+        if age > MAX_KNOWLEDGE_AGE_SECONDS or not self.is_complete(now):
+            return None
+        return self.of_service(service)
+
     def of_service(self, service: str) -> set[str]:
         """Return the software versions of a service."""
         return set(self._seen_at.get(service, ()))
@@ -89,10 +139,10 @@
     def withheld(self, service: str, serving: Collection[str], now: float) -> frozenset[str]:
         """Return the versions at which no stream that may be continued can begin yet.
 
-        Where a version that is in the record serves, all others wait until they are in it as well,
-        however long; where none does, they wait for `MAX_UNRECORDED_SECONDS` at most. Nothing waits
-        while there is no record, or one of which a VM that starts would not believe that it names
-        all versions.
+        Where a version that is in the record and settled serves, all others wait until they are
+        so as well, however long; where none does, they wait until they are settled, or for
+        `MAX_UNRECORDED_SECONDS`. No version waits for the record while there is none, or one of
+        which a VM that starts would not take it that it names all versions.
 
         Parameters
         ----------
@@ -103,16 +153,17 @@
         now
             Monotonic seconds.
         """
-        if self._recorded is None or not self.is_complete(now):
-            return frozenset()
-        recorded = self._recorded.get(service, frozenset())
-        unrecorded = frozenset(serving) - recorded
-        if not recorded.isdisjoint(serving):
-            return unrecorded
+        settled = {
+            software
+            for software in serving
+            if self._settled_at.get((service, software), math.inf) <= now
+        }
+        if settled:
+            return frozenset(serving) - settled
         since = self._unrecorded_since
         return frozenset(
             software
-            for software in unrecorded
+            for software in serving
             if now - since.get((service, software), now) < MAX_UNRECORDED_SECONDS
         )
 
@@ -150,6 +201,7 @@
         elif complete and record is not None:
             self._complete_at = min(self._complete_at, now)
         self._update_unrecorded(now)
+        self._update_settled(now)
 
     def observe(self, upstreams: list[registry.Upstream], now: float) -> None:
         """Record the registered upstreams; forget versions that had none for too long."""
@@ -162,6 +214,7 @@
             ]:
                 del seen_at[software]
         self._update_unrecorded(now)
+        self._update_settled(now)
 
     def _update_unrecorded(self, now: float) -> None:
         """Note which versions are not in the record, and since when."""
@@ -172,3 +225,19 @@
             for software in seen_at
             if software not in recorded.get(service, ())
         }
+
+    def _update_settled(self, now: float) -> None:
+        """Note since when streams begin at each version, or from when on.
+
+        All VMs whose knowledge is recent have the only version of a service in it, if any.
+        """
+        needs_record = self._recorded is not None and self.is_complete(now)
+        settled_at = self._settled_at
+        self._settled_at = {}
+        for service, seen_at in self._seen_at.items():
+            due_at = now + (SETTLE_SECONDS if len(seen_at) > 1 else 0.0)
+            for software in seen_at:
+                key = (service, software)
+                if needs_record and key in self._unrecorded_since:
+                    continue
+                self._settled_at[key] = settled_at.get(key, due_at)
