--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -112,7 +112,8 @@
             Service that the stream is to be continued at.
         recent_software
             Software versions that upstreams of the service have had within `ORIGIN_TTL_SECONDS`,
-            None if there may have been others than those known.
+            None if there may have been others than those known. If there was none, one may have
+            come since, and another one may follow before an upstream is selected.
         now
             Monotonic seconds.
         """
@@ -126,10 +127,15 @@
         if len(recent_software) > 1:
             return NotResumable("unknown origin")
         if not recent_software:
-            return AnySoftware()
+            return NotResumable("unknown origin, no upstream known")
         (software,) = recent_software
         return OnlySoftware(software)
 
+    def knows(self, request_id: str, now: float) -> bool:
+        """Return whether it is known where a stream began."""
+        record = self._records.get(request_id)
+        return record is not None and now - record.recorded_at <= ORIGIN_TTL_SECONDS
+
     def report_again(self) -> None:
         """Report all streams that began at this VM once more, as another VM has started."""
         self._unreported = self._own.copy()
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -51,6 +51,7 @@
         self._state = vm_state
         self._watcher = watcher
         self._checked = anyio.Event()
+        self._wanted = anyio.Event()
         self._lock = anyio.Lock()
         self._rng = random.Random(str(vm_state.vm_info.life))
         self._log = logs.Logger("store")
@@ -64,10 +65,16 @@
     async def run(self) -> None:
         """Ask the store whenever that is due, until cancelled."""
         while True:
+            if not self._is_listed:
+                await anyio.sleep(UNLISTED_RETRY_SECONDS)
+                continue
             seconds = self._seconds_until_due()
             if seconds > 0:
-                await anyio.sleep(seconds)
-                continue
+                with anyio.move_on_after(seconds):
+                    await self._wanted.wait()
+                if not self._wanted.is_set():
+                    continue
+            self._wanted = anyio.Event()
             await self.check_now()
             if self._state.freshness.store_unanswered:
                 await anyio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
@@ -92,9 +99,20 @@
                 return freshness.may_use_without_store(clock.now())
         return True
 
+    async def wait_versions(self, until: float) -> None:
+        """Ask the store unless what is known of software versions is recent enough.
+
+        It is not awaited for longer than `WAIT_SECONDS`, nor while it is known not to answer.
+        """
+        versions, freshness = self._state.stream_versions, self._state.freshness
+        with anyio.move_on_after(min(WAIT_SECONDS, until - clock.now())):
+            while not versions.is_recent(clock.now()):
+                if freshness.store_unanswered and freshness.is_store_away(clock.now()):
+                    return
+                self._wanted.set()
+                await self._checked.wait()
+
     def _seconds_until_due(self) -> float:
-        if not all(self._mirror_revision(prefix).number for prefix in self._prefixes):
-            return UNLISTED_RETRY_SECONDS
         now = clock.now()
         watches = self._state.peers.should_check_store(now)
         due_at = self._state.freshness.check_due_at(watches)
@@ -103,6 +121,10 @@
         # This VM may be asked to watch before that.
         return min(due_at - now, self._state.freshness.rules.bound_seconds / 4)
 
+    @property
+    def _is_listed(self) -> bool:
+        return all(self._mirror_revision(prefix).number for prefix in self._prefixes)
+
     @property
     def _prefixes(self) -> list[str]:
         return self._state.freshness.prefixes
@@ -118,7 +140,7 @@
         seconds = WATCHER_TIMEOUT_SECONDS if watches else TIMEOUT_SECONDS
         try:
             with anyio.fail_after(seconds):
-                is_complete = await self._fetch()
+                complete = await self._fetch()
         except (interfaces.StoreError, TimeoutError) as error:
             self._watcher.record_failure(str(error) or "no answer in time")
             if clock.now() < asked_at + seconds + LATE_TIMER_SECONDS:
@@ -126,9 +148,8 @@
         else:
             self._watcher.record_success()
             freshness.record_answered()
-            if is_complete:
-                for prefix in self._prefixes:
-                    freshness.record(prefix, asked_at)
+            for prefix in complete:
+                freshness.record(prefix, asked_at)
         if age > freshness.rules.bound_seconds:
             self._log.info(
                 "asked the store as copies were old",
@@ -139,32 +160,45 @@
         self._checked.set()
         self._checked = anyio.Event()
 
-    async def _fetch(self) -> bool:
+    async def _fetch(self) -> list[str]:
         """Fetch the changes since the copies were complete.
 
         Returns
         -------
-        bool
-            Whether the store named them all; otherwise prefixes were listed, at their own times.
+        list[str]
+            Prefixes of which the store named all changes; others may have been listed, at their own
+            times.
         """
         after = min(self._mirror_revision(prefix) for prefix in self._prefixes)
         if after.era < self._state.store_era.current:
-            await self._list(after)
-            return False
+            await self._list(self._prefixes, after)
+            return []
+        after = min([after, *map(self._mirror_revision, self._others_listed(after.era))])
         try:
             update = await self._store.watch(ALL_PREFIXES, after, 0.0)
         except interfaces.HistoryCompactedError:
-            await self._list(after)
-            return False
+            await self._list([*self._prefixes, *self._others_listed(after.era)], after)
+            return []
+        complete = []
         for prefix, local_mirror in self._state.mirrors.items():
             if local_mirror.revision < after:
                 continue
             changes = [change for change in update.changes if change.key.startswith(prefix)]
             changed = local_mirror.apply_changes(changes, update.revision)
             self._watcher.report_changes(prefix, changed)
-        return True
-
-    async def _list(self, after: store_revision.Revision) -> None:
-        for prefix in self._prefixes:
+            if local_mirror.era == update.revision.era:
+                complete.append(prefix)
+        return complete
+
+    def _others_listed(self, era: int) -> list[str]:
+        """Return the prefixes that bound nothing and have been listed in an era of the store."""
+        return [
+            prefix
+            for prefix, held in self._state.mirrors.items()
+            if prefix not in self._prefixes and held.revision.number and held.revision.era >= era
+        ]
+
+    async def _list(self, prefixes: list[str], after: store_revision.Revision) -> None:
+        for prefix in prefixes:
             if self._mirror_revision(prefix) <= after:
                 await self._watcher.list_again(prefix)
