--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -35,7 +35,9 @@
 
     def receive(self, message: heartbeat.Heartbeat, now: float) -> None:
         """Process a heartbeat of another VM."""
-        message = dataclasses.replace(message, revisions=_possible(message.revisions))
+        revisions = _possible(message.revisions)
+        if len(revisions) < len(message.revisions):
+            message = dataclasses.replace(message, revisions=revisions)
         self._observe_eras(message.vm.name, message.revisions)
         peer = self._state.peers.receive(message, now)
         if peer is not None:
