Read no report and no cache events above 4 MB

What callers saw: nothing yet but a late event loop: 500,000 cache events of one answer (21 MB, up to 32 MB are received) took 1.33 s to decode by hand, at a load of 9 on 8 cores. Such an answer is unreadable now, as one that is no JSON.

Evidence: test_long_answer_to_a_call_does_not_hold_up_the_event_loop, bound 0.3 s.

--- a/hollyring/platform/tests/test_odd_upstream_answers.py
+++ b/hollyring/platform/tests/test_odd_upstream_answers.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import time
 
 import pytest
 
@@ -17,6 +18,7 @@
     "report": (REPORT, lambda body: CODEC.decode_report("i-1", 1, body, 1.0)),
     "events": (EVENTS, CODEC.decode_events),
 }
+MAX_HELD_UP_SECONDS = 0.3
 NUMBERS = [b"", b"-1", b"0", b"-0.0", b"1.5", b"nan", b"inf", b"1e400", b"10" * 40, b"9" * 5000]
 NUMBERS += [b"\xb2", b"\xff", b"0x10", b"1_0", b" 1 ", b".", b"[" * 60_000, b"a" * 60_000]
 
@@ -71,3 +73,13 @@
     long_event = [118, "+", "s1", "x" * 1_000_000, 800, "m"]
     body = json.dumps(EVENTS | {"events": [long_event, *EVENTS["events"]]}).encode()
     assert [change.part for change in CODEC.decode_events(body).changes] == ["5c"]
+
+
+@pytest.mark.parametrize("name, field", [("report", "models"), ("events", "events")])
+def test_long_answer_to_a_call_does_not_hold_up_the_event_loop(name, field):
+    document, decode = DECODERS[name]
+    for number in (50_000, 500_000):
+        body = json.dumps(document | {field: document[field] * number}).encode()
+        started_at = time.monotonic()
+        decode(body)
+        assert time.monotonic() - started_at < MAX_HELD_UP_SECONDS
--- a/hollyring/platform/upstreams.py
+++ b/hollyring/platform/upstreams.py
@@ -5,6 +5,7 @@
 import email.utils
 import re
 from collections.abc import Sequence
+from typing import Any
 
 import msgspec
 
@@ -21,6 +22,9 @@
 MAX_RATE = 1e15
 """Largest limit that a header names; a larger one stands for this one."""
 
+MAX_REPORT_BYTES = 4_000_000
+"""Longest report or list of cache events that is read, which holds up the event loop meanwhile."""
+
 MAX_PART_CHARACTERS = 1_000
 """Longest name of a prompt part that is told to other VMs."""
 
@@ -190,7 +194,7 @@
             Time at which the report was requested, in seconds.
         """
         try:
-            report = decoding.decode(body, _Report)
+            report = _decode(body, _Report)
         except decoding.UnreadableError:
             return None
         models = [fleet.ModelVersion(m.name, str(m.version)) for m in report.models]
@@ -238,7 +242,7 @@
         Parts with endless names are left out.
         """
         try:
-            response = decoding.decode(body, _Events)
+            response = _decode(body, _Events)
         except decoding.UnreadableError:
             return None
         changes = [
@@ -258,6 +262,12 @@
     return name not in HOP_BY_HOP_HEADERS and name not in RESERVED_HEADERS
 
 
+def _decode(body: bytes, type_: type[Any]) -> Any:
+    if len(body) > MAX_REPORT_BYTES:
+        raise decoding.UnreadableError(f"{len(body)} bytes are too long")
+    return decoding.decode(body, type_)
+
+
 def _decode_retry_after(
     head: http_connection.ResponseHead,
 ) -> float | interfaces.RetryAfterAnomaly:
