Test VMs that start beside odd entries, and entries with the address of another

An entry with the address of a sound server or of a VM itself passed on as well: requests that reach a VM by it go on to a server.

--- a/hollyring/platform/tests/test_odd_entries_of_vms.py
+++ b/hollyring/platform/tests/test_odd_entries_of_vms.py
@@ -15,6 +15,7 @@
 
 FOLLOWING_SECONDS = 3.0
 REQUESTS_AT_ONCE = 6
+HERD = 4
 NUMBERS = itertools.count()
 DEEP = odd_values.VALUES["deep lists"]
 ROUTES = [test_process.CONFIG["routes"][0] | {"kind": "safe", "max_attempts": 2}]
@@ -109,3 +110,45 @@
         assert "vm: background task failed" not in texts
         assert not [text for text in texts if text and "not applied" in text]
         assert not [line for line in vm.log_lines() if "trace" in line]
+
+
+@pytest.mark.anyio
+async def test_vms_that_start_beside_odd_entries_serve_and_list_each_other(cluster):
+    store, server, start = cluster
+    server.delay_seconds = 0.02
+    await store.put("op/config", CONFIG)
+    for entries in ENTRIES.values():
+        for key, value in entries.items():
+            await store.put(key, value)
+    vms = [start(f"vm-{number}") for number in range(1, HERD + 1)]
+    for vm in vms:
+        await vm.wait_ready()
+    for vm in vms:
+        await vm.wait_listed(HERD)
+    assert set(await wait_served_by(vms, server)) == {200}
+    for vm in vms:
+        assert vm.process.poll() is None
+        assert not [line for line in vm.log_lines() if "trace" in line]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("whose", ["server", "VM"])
+async def test_requests_are_answered_beside_an_entry_with_the_address_of_another(cluster, whose):
+    store, server, start = cluster
+    server.delay_seconds = 0.02
+    routes = [CONFIG["routes"][0] | {"public": True}]
+    await store.put("op/config", CONFIG | {"routes": routes})
+    vms = [start(), start("vm-2")]
+    for vm in vms:
+        await vm.wait_ready()
+        await vm.wait_listed(2)
+    vm_address = vms[0].caller_url.removeprefix("http://")
+    address = {"server": server.address, "VM": vm_address}[whose]
+    await store.put("servers/odd", conftest.make_entry(address))
+    await anyio.sleep(1.0)
+    before = len(server.requests)
+    statuses = await wait_served_by(vms * 5, server, seconds=10.0)
+    assert set(statuses) == {200}
+    assert len(server.requests) - before < 2 * len(statuses)
+    for vm in vms:
+        assert not [line for line in vm.log_lines() if "trace" in line]
