--- a/hollyring/platform/tests/test_odd_entries_of_vms.py
+++ b/hollyring/platform/tests/test_odd_entries_of_vms.py
@@ -3,8 +3,11 @@
 Each VM has to answer, to use a server that joins afterwards and to list a VM that starts then.
 """
 
+import base64
+import contextlib
 import itertools
 import json
+import urllib.parse
 
 import anyio
 import pytest
@@ -16,6 +19,7 @@
 FOLLOWING_SECONDS = 3.0
 REQUESTS_AT_ONCE = 6
 HERD = 4
+PAGE_BYTES = 1_400_000
 NUMBERS = itertools.count()
 DEEP = odd_values.VALUES["deep lists"]
 ROUTES = [test_process.CONFIG["routes"][0] | {"kind": "safe", "max_attempts": 2}]
@@ -152,3 +156,49 @@
     assert len(server.requests) - before < 2 * len(statuses)
     for vm in vms:
         assert not [line for line in vm.log_lines() if "trace" in line]
+
+
+class PagingStore(conftest.StoreStandIn):
+    """The store, whose lists come in pages of about 1 MB."""
+
+    async def put_at_once(self, items):
+        """Write items so that a watch that waits names them all."""
+        async with self.condition:
+            for key, value in items.items():
+                self.revision += 1
+                item = {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+                self.items[key] = item | {"revision": self.revision, "created_rev": self.revision}
+                self.events.append(self.items[key])
+            self.condition.notify_all()
+
+    async def _respond(self, name, query, body):
+        status, document = await super()._respond(name, query, body)
+        if name == "kv-range":
+            after = urllib.parse.unquote(query.get("after", ""))
+            rest = sorted(
+                (i for i in document["items"] if i["key"] > after), key=lambda i: i["key"]
+            )
+            sizes = itertools.accumulate(len(item["value"]) for item in rest)
+            page = [i for i, size in zip(rest, sizes, strict=True) if size <= PAGE_BYTES]
+            page = page or rest[:1]
+            document |= {"items": page, "truncated": len(page) < len(rest)}
+        return status, document
+
+
+@pytest.mark.anyio
+async def test_vm_follows_after_more_changes_than_one_answer_holds(tmp_path):
+    async with contextlib.AsyncExitStack() as stack:
+        store = await stack.enter_async_context(PagingStore().running())
+        server = await stack.enter_async_context(conftest.ServerStandIn().running())
+        joined = await stack.enter_async_context(conftest.ServerStandIn("i-2").running())
+        server.delay_seconds = 0.02
+        await store.put("op/config", CONFIG)
+        await store.put("servers/i-1", conftest.make_entry(server.address))
+        vm = stack.enter_context(test_process.VmProcess(tmp_path, store.address).running())
+        await vm.wait_ready()
+        await store.put_at_once({f"servers/odd-{n}": b"[" * 1_000_000 for n in range(30)})
+        await anyio.sleep(1.0)
+        await store.put("servers/i-2", conftest.make_entry(joined.address))
+        statuses = await wait_served_by([vm], joined, seconds=8.0)
+        assert set(statuses) == {200}
+        assert not [line for line in vm.log_lines() if "trace" in line]
