Doubt the software versions when the store returns from an older copy

What callers would see: a VM was cut off while a version joined, the store then came back from a copy older than that version, and the VM got its list: recent, and without the version. It took a stream of unknown origin up at the version it knew (ORDER).

Cause: whether a record of an earlier era names all versions was asked at a start only. A VM that ran on stayed sure, though what it had not followed before the return is missing in the store that came back.

Evidence: test_vm_that_missed_a_version_concludes_nothing_from_a_store_that_returned_from_an_older_copy failed before in all three cases (healed 0, 0.3 and 1.5 s after the return; the other VMs were killed).

Why this works: a VM that learns of a new era is in doubt for 30 s, as after a start with a record of an earlier era, or until another VM, which is not, has written the record in the new era; for 2.2 s if its copies were complete less than 0.7 s before, as upstreams register again within two seconds. In doubt, it tells the others where all its streams began, so that they can be taken up.

Cost: unknown origins are refused for up to 30 s after such a return where the store had been away before, as then every VM is in doubt; origins that a living VM knows are told. The record is written 2.2 s after the return at the soonest, 30 s after it in that case; a loss of all VMs before finds a record of an earlier era, which is doubted as well.

--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -157,6 +157,7 @@
         self.stream_versions = stream_versions.StreamVersions(
             self.registry, self.software_versions, self.stream_origins, self.freshness, store_keys
         )
+        self.store_era.add_listener(self.stream_versions.record_new_era)
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
         self.serving_since = clock.now()
--- a/hollyring/node/stream_versions.py
+++ b/hollyring/node/stream_versions.py
@@ -45,6 +45,11 @@
         self._copies = copies
         self._prefixes = (store_keys.upstreams, store_keys.vms)
 
+    def record_new_era(self) -> None:
+        """Record that the store has returned from an older copy."""
+        now = clock.now()
+        self._versions.doubt(self.age(now), now)
+
     def age(self, now: float) -> float:
         """Return the seconds since which upstreams or the record of versions may have changed."""
         return max(self._copies.age_of(prefix, now) for prefix in self._prefixes)
@@ -86,7 +91,8 @@
             service has one version only.
         """
         services = self._versions.mixed_services
-        if is_store_away or self.age(now) > REPORT_AGE_SECONDS:
+        is_known = self._versions.is_complete(now) and self.age(now) <= REPORT_AGE_SECONDS
+        if is_store_away or not is_known:
             services = self._versions.services
         return self._origins.take_unreported(services, now)
 
--- a/hollyring/node/tests/test_stale_versions.py
+++ b/hollyring/node/tests/test_stale_versions.py
@@ -254,3 +254,25 @@
 
     simulate(scenario, vms=VMS, upstreams=())
     assert counts["continued"] and counts["refused"]
+
+
+@pytest.mark.parametrize("healed_after", [0.0, 0.3, 1.5])
+def test_vm_that_missed_a_version_concludes_nothing_from_a_store_that_returned_from_an_older_copy(
+    simulate, healed_after
+):
+    async def scenario(fleet):
+        await start_all(fleet)
+        cut(fleet, "vm-5", "both")
+        add_upstream(fleet, "u-1", "v1")
+        await anyio.sleep(3.0)
+        for name in VMS[:4]:
+            fleet.kill(name)
+        fleet.restore_store(4.0)
+        await anyio.sleep(healed_after)
+        remove_upstream(fleet, "u-1")
+        heal(fleet)
+        for _ in range(20):
+            assert refuses(await take_up(fleet.vms["vm-5"], "unknown"))
+            await anyio.sleep(0.1)
+
+    simulate(scenario, vms=VMS, upstreams=())
--- a/hollyring/routing/software_versions.py
+++ b/hollyring/routing/software_versions.py
@@ -39,6 +39,9 @@
 It is shorter than `SETTLE_SECONDS`, as the clocks of VMs run at slightly different rates.
 """
 
+REGISTRATION_SECONDS = 2.2
+"""Time within which upstreams register again after the store has returned from an older copy."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
@@ -180,6 +183,23 @@
         """Expect `restore`; until then the versions are incomplete."""
         self._complete_at = math.inf
 
+    def doubt(self, age: float, now: float) -> None:
+        """Count these versions as incomplete, as the store has returned from an older copy.
+
+        It may lack what registered just before, until that has registered again, and more if this
+        VM had not followed it for a while.
+
+        Parameters
+        ----------
+        age
+            Seconds since which changes may be missing here.
+        """
+        if self.awaits_record:
+            return
+        is_recent = age <= MAX_KNOWLEDGE_AGE_SECONDS
+        seconds = REGISTRATION_SECONDS if is_recent else self._ttl_seconds
+        self._complete_at = max(self._complete_at, now + seconds)
+
     def restore(self, record: Record | None, complete: bool, now: float) -> None:
         """Add what a record names and its predecessor did not, as having had upstreams until now.
 
--- a/hollyring/routing/tests/test_software_versions.py
+++ b/hollyring/routing/tests/test_software_versions.py
@@ -169,3 +169,20 @@
     starting.restore(chat("v1", "v2"), True, 3.0)
     assert starting.is_complete(3.0)
     assert starting.of_service("chat") == {"v1", "v2"}
+
+
+@pytest.mark.parametrize(
+    ("age", "seconds"),
+    [(0.5, software_versions.REGISTRATION_SECONDS), (0.8, TTL_SECONDS), (math.inf, TTL_SECONDS)],
+)
+def test_versions_are_incomplete_after_the_store_has_returned_from_an_older_copy(
+    starting, age, seconds
+):
+    starting.doubt(age, 0.0)
+    assert starting.awaits_record
+    starting.restore(chat("v1"), True, 1.0)
+    starting.doubt(age, 10.0)
+    assert not starting.is_complete(10.0 + seconds - 0.01)
+    assert starting.is_complete(10.0 + seconds)
+    starting.restore(chat("v1", "v2"), True, 10.5)
+    assert starting.is_complete(10.5)
