--- a/hollyring/platform/tests/test_planned_stop.py
+++ b/hollyring/platform/tests/test_planned_stop.py
@@ -169,8 +169,11 @@
 
 
 @pytest.mark.anyio
-async def test_leaving_vm_serves_what_ends_within_its_grace_period_also_beside_more_signals(fleet):
-    (leaving, _), plain, engine = fleet
+@pytest.mark.parametrize("all_leave", [False, True], ids=["another stays", "all leave"])
+async def test_leaving_vm_serves_what_ends_within_its_grace_period_also_beside_more_signals(
+    fleet, all_leave
+):
+    (leaving, other), plain, engine = fleet
     plain.delay_seconds = WORK_SECONDS / 20
     engine.event_seconds = WORK_SECONDS / 20 / EVENTS
 
@@ -179,6 +182,8 @@
             await anyio.sleep(0.9)
             leaving.process.send_signal(number)
 
+    if all_leave:
+        other.process.send_signal(signal.SIGTERM)
     again = asyncio.create_task(signal_again())
     calls = await play(leaving, KINDS, deadline_seconds=3.5)
     await again
