--- a/hollyring/platform/tests/test_planned_stop.py
+++ b/hollyring/platform/tests/test_planned_stop.py
@@ -223,3 +223,26 @@
     unanswered = {call.request_id for call in calls if not call.status}
     assert {call.status for call in calls} == {0, 200}
     assert unanswered.isdisjoint(arrived(plain))
+
+
+@pytest.mark.anyio
+async def test_request_half_read_at_the_sigterm_is_decided_when_it_is_whole(fleet):
+    (leaving, _), plain, _ = fleet
+    plain.delay_seconds = 0.3
+    host, _, port = leaving.caller_url.removeprefix("http://").partition(":")
+    calls = [Call("unsafe", moment, clock.now()) for moment in (0.0, 0.5)]
+    connections = [await asyncio.open_connection(host, int(port)) for _ in calls]
+    requests = [
+        encode(call, seconds, "") for call, seconds in zip(calls, (ROUTE_SECONDS, 3.5), strict=True)
+    ]
+    for (_, writer), request in zip(connections, requests, strict=True):
+        writer.write(request[:-2])
+    await anyio.sleep(0.2)
+    leaving.process.send_signal(signal.SIGTERM)
+    await anyio.sleep(0.5)
+    for call, (reader, writer), request in zip(calls, connections, requests, strict=True):
+        with contextlib.closing(writer):
+            writer.write(request[-2:])
+            await read_answer(call, reader)
+    assert [call.status for call in calls] == [503, 200]
+    assert arrived(plain) == {calls[1].request_id}
