Let a VM that starts take the highest use of a rate that it is told of, not the first (QUOTA)

What callers saw (machines without I/O): a VM that started as another one went on after standing still for 6 s took that one's view of an organisation's use, which lacked 6 s of all others, and admitted 790 tokens where 170 were left: 1,540 in a window of 8 s where 1,100 are allowed. Cause: "the fleet used this much" was taken from the first VM that states it; nothing says as of when a VM has the others' reports. Change: within the second after the first view (ADOPTION_SECONDS) a higher one replaces it.

--- a/hollyring/limits/fleet_window.py
+++ b/hollyring/limits/fleet_window.py
@@ -192,22 +192,34 @@
         """Leave out what other VMs admitted, because this VM may use only a share of its own."""
         self._peer_totals.clear()
         self._others.clear()
-        self._known_from = -math.inf
+        self._known_from = self._adopted_at = -math.inf
 
     def record_peer(self, peer: str, report: PeerReport, now: float) -> None:
         """Record what incarnation `peer` of another VM reports."""
         known_total = self._peer_totals.get(peer)
         self._peer_totals[peer] = max(report.total, known_total or 0.0)
-        if now < self._known_from and report.fleet_usage != UNKNOWN:
+        if report.fleet_usage != UNKNOWN and self._is_adoptable(report.fleet_usage, now):
             self._adopt(report.fleet_usage, now)
         elif known_total is not None:
             self._count(report.total - known_total, now)
         elif now > self._adopted_at + ADOPTION_SECONDS:
             self._spread(report.recent, now)
 
+    def _is_adoptable(self, fleet_usage: float, now: float) -> bool:
+        """Return whether to adopt another VM's view: the first, or soon after it a higher one.
+
+        The first may be of a VM that did not receive the others' reports for a while.
+        """
+        if now < self._known_from:
+            return True
+        if now > self._adopted_at + ADOPTION_SECONDS:
+            return False
+        return fleet_usage > self._sum(self._own, now) + self._sum(self._others, now)
+
     def _adopt(self, fleet_usage: float, now: float) -> None:
         """Replace the assumed usage by another VM's `fleet_usage`, which covers all other VMs."""
-        self._known_from = self._adopted_at = now
+        if now < self._known_from:
+            self._known_from = self._adopted_at = now
         self._others.clear()
         self._spread(fleet_usage - self._sum(self._own, now), now)
 
--- a/hollyring/limits/tests/test_fleet_window.py
+++ b/hollyring/limits/tests/test_fleet_window.py
@@ -187,3 +187,25 @@
 def test_zero_rate_disables_the_limit():
     window = fleet_window.FleetWindow(fleet_window.Limit(0.0, 0.0), 8.0)
     assert all(window.admit(1e6, 0.0) is None for _ in range(10))
+
+
+@pytest.mark.parametrize("stopped_first", [True, False])
+@pytest.mark.parametrize("seconds_apart", [0.0, 0.1, 0.5])
+def test_vm_that_starts_does_not_rely_on_a_vm_that_received_no_reports_for_a_while(
+    seconds_apart, stopped_first
+):
+    limit = fleet_window.Limit(rate=100.0, burst=200.0)
+    busy, stopped = (fleet_window.FleetWindow(limit, 8.0) for _ in range(2))
+    for tenth in range(160):
+        now = tenth / 10
+        busy.admit(10.0, now)
+        if now < 10.0:
+            stopped.record_peer("busy#1", busy.report(now), now)
+    started = fleet_window.FleetWindow(limit, 8.0, unknown_until=24.0)
+    reports = [("stopped#1", stopped.report(16.0)), ("busy#1", busy.report(16.0))]
+    for number, (vm, report) in enumerate(reports if stopped_first else reversed(reports)):
+        started.record_peer(vm, report, 16.0 + number * seconds_apart)
+    admitted = 0.0
+    while started.admit(10.0, 16.6) is None:
+        admitted += 10.0
+    assert busy.report(16.6).recent + admitted <= 1.1 * (100.0 * 8.0 + 200.0)
