--- a/hollyring/platform/tests/test_mixed_fleets.py
+++ b/hollyring/platform/tests/test_mixed_fleets.py
@@ -171,7 +171,7 @@
     def __init__(self, name):
         self.name = name
         self.parts = []
-        self.refused = 0
+        self.attempts = []
         self.body = b""
         self.whole = False
 
@@ -183,8 +183,8 @@
             seconds = rng.uniform(0.2, 0.9) if len(self.parts) < 3 else 8.0
             vm = rng.choice(fleet.vms)
             part = await receive_part(vm, f"{self.name}-{attempt}", seconds, *headers)
+            self.attempts.append((vm.log_path.stem, part.status, part.last_event))
             if part.status != 200 or not (part.last_event or part.whole):
-                self.refused += part.status == 503
                 await anyio.sleep(0.3)
                 continue
             complete, separator, _ = part.body.rpartition(b"\n\n")
@@ -233,9 +233,10 @@
         if len(versions := versions_of(fleet.servers, chain)) > 1
     ]
     taken_up = sum(max(0, len(chain.parts) - 1) for chain in chains)
-    refused = sum(chain.refused for chain in chains)
+    refused = sum(status == 503 for chain in chains for _, status, _ in chain.attempts)
     whole = sum(chain.whole for chain in chains)
     print(f"streams {len(chains)}, whole {whole}, taken up {taken_up}, refused {refused}")
+    print("not whole:", [(c.name, c.attempts) for c in chains if not c.whole])
     assert joined == []
     assert [c.name for c in chains if c.body != b"".join(NUMBERS[: c.body.count(b"id:")])] == []
     assert taken_up > VMS * CALLERS
