Keep longer entries of upstreams, and a plainer name in software_versions

An entry lists models and adapters, of which a deployment may have hundreds; one of 16 kB and more would have been dropped with its server. The bound is 64 kB now; 500 entries of 1 MB are still dropped, and test_hundreds_of_long_entries_do_not_hold_up_the_event_loop passes. SoftwareVersions.doubt is mark_incomplete. The tests of odd entries, software versions, limits and stale versions pass.

--- a/hollyring/node/stream_versions.py
+++ b/hollyring/node/stream_versions.py
@@ -48,7 +48,7 @@
     def record_new_era(self) -> None:
         """Record that the store has returned from an older copy."""
         now = clock.now()
-        self._versions.doubt(self.age(now), now)
+        self._versions.mark_incomplete(self.age(now), now)
 
     def age(self, now: float) -> float:
         """Return the seconds since which upstreams or the record of versions may have changed."""
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -17,8 +17,8 @@
 from hollyring.platform import decoding
 from hollyring.routing import registry, software_versions
 
-MAX_ENTRY_BYTES = 16_384
-"""Longest entry of an upstream or VM, which takes some hundred bytes; longer ones are not kept."""
+MAX_ENTRY_BYTES = 65_536
+"""Longest entry of an upstream or VM that is kept; most take some hundred bytes."""
 
 CONFIGURATION_KEY = "op/config"
 VERSION_PREFIX = "op/version/"
--- a/hollyring/routing/software_versions.py
+++ b/hollyring/routing/software_versions.py
@@ -183,7 +183,7 @@
         """Expect `restore`; until then the versions are incomplete."""
         self._complete_at = math.inf
 
-    def doubt(self, age: float, now: float) -> None:
+    def mark_incomplete(self, age: float, now: float) -> None:
         """Count these versions as incomplete, as the store has returned from an older copy.
 
         It may lack what registered just before, until that has registered again, and more if this
