--- a/hollyring/node/tests/test_stale_versions_second.py
+++ b/hollyring/node/tests/test_stale_versions_second.py
@@ -45,3 +45,34 @@
 
     simulate(scenario, vms=VMS, upstreams=())
     assert not joined, (joined[0], joined[-1], refused[:1], refused[-1:], len(joined))
+
+
+@pytest.mark.parametrize("begun_at", ["serving", "following"])
+@pytest.mark.parametrize("taken_up_at", ["serving", "following"])
+def test_store_outage_of_a_large_fleet_refuses_no_stream_of_the_only_version(
+    simulate, begun_at, taken_up_at
+):
+    """As the test of five VMs, which all serve; here most follow and get no heartbeats."""
+    names = [f"vm-{n:02}" for n in range(60)]
+    refused = []
+
+    async def scenario(fleet):
+        stale.add_upstream(fleet, "u-0", "v0")
+        await fleet.start_for_the_first_time(names, 3, 4.0)
+        vms = {
+            kind: [vm for vm in fleet.vms.values() if vm.state.peers.is_serving is serves]
+            for kind, serves in (("serving", True), ("following", False))
+        }
+        rng = random.Random(0)
+        began_at = clock.now()
+        fleet.store.unreachable_from.update(names)
+        while clock.now() - began_at < 10.0:
+            first, second = rng.choice(vms[begun_at]), rng.choice(vms[taken_up_at])
+            request_id = f"r-{clock.now()}"
+            assert stale.begin_stream(first, request_id, rng) == "v0"
+            await anyio.sleep(0.6)
+            if stale.refuses(await stale.take_up(second, request_id)):
+                refused.append(round(clock.now() - began_at, 1))
+
+    simulate(scenario, vms=names, upstreams=())
+    assert not refused or max(refused) < 2.0, (len(refused), refused)
--- a/hollyring/routing/tests/test_software_versions.py
+++ b/hollyring/routing/tests/test_software_versions.py
@@ -169,3 +169,11 @@
     starting.restore(chat("v1", "v2"), True, 3.0)
     assert starting.is_complete(3.0)
     assert starting.of_service("chat") == {"v1", "v2"}
+
+
+def test_version_listed_before_the_record_that_names_another_waits_until_it_is_settled(starting):
+    starting.observe([upstream("i-2", "v2")], 0.9)
+    starting.restore(chat("v1", "v2"), True, 1.0)
+    settled_at = 1.0 + software_versions.SETTLE_SECONDS
+    assert starting.withheld("chat", {"v2"}, settled_at - 0.01) == {"v2"}
+    assert starting.withheld("chat", {"v2"}, settled_at) == frozenset()
