--- a/hollyring/routing/tests/test_software_versions.py
+++ b/hollyring/routing/tests/test_software_versions.py
@@ -186,3 +186,11 @@
     assert starting.is_complete(10.0 + seconds)
     starting.restore(chat("v1", "v2"), True, 10.5)
     assert starting.is_complete(10.5)
+
+
+def test_version_listed_before_the_record_that_names_another_waits_until_it_is_settled(starting):
+    starting.observe([upstream("i-2", "v2")], 0.9)
+    starting.restore(chat("v1", "v2"), True, 1.0)
+    settled_at = 1.0 + software_versions.SETTLE_SECONDS
+    assert starting.withheld("chat", {"v2"}, settled_at - 0.01) == {"v2"}
+    assert starting.withheld("chat", {"v2"}, settled_at) == frozenset()
