--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -190,7 +190,8 @@
         if not self._state.may_send(context.retry_state):
             self.is_whole = True
             return request_context.NotRun("this VM leaves before the deadline", written=False)
-        await self._send_request()
+        if not await self._send_request():
+            return request_context.NotRun("this VM leaves before the deadline", written=False)
         answer = await self._receive()
         match answer:
             case forwarded.ForwardedRefusal():
@@ -205,8 +206,14 @@
             case _:
                 raise peer_link.LinkLostError(f"unexpected {type(answer).__name__}")
 
-    async def _send_request(self) -> None:
-        """Send the request; the executing VM does not begin it before it has the last message."""
+    async def _send_request(self) -> bool:
+        """Send the request; the executing VM does not begin it before it has the last message.
+
+        Returns
+        -------
+        bool
+            Whether the last message was sent.
+        """
         context = self._context
         request = context.request
         parts = list(delegated_requests.split(request.body)) or [b""]
@@ -234,9 +241,12 @@
         messages = [message, *(forwarded.ForwardedData(part) for part in parts[1:])]
         for earlier in messages[:-1]:
             await self._send(earlier)
+        if not self._state.may_send(context.retry_state):
+            return False
         self._attempt.sent = True
         self._unsent_at = clock.now()
         await self._send(messages[-1])
+        return True
 
     async def _send(self, message: object) -> None:
         with anyio.move_on_after(max(0.0, self._context.seconds_left)):
--- a/hollyring/platform/tests/test_leaving_vms.py
+++ b/hollyring/platform/tests/test_leaving_vms.py
@@ -4,7 +4,13 @@
 import pytest
 
 from hollyring.core import request_types
-from hollyring.node import clock, connection_pool, forward_links
+from hollyring.node import (
+    clock,
+    connection_pool,
+    delegated_requests,
+    forward_client,
+    forward_links,
+)
 from hollyring.platform.tests import test_forwarded_requests, test_relay
 
 AT_MOST_ONCE = request_types.RetrySafety.AT_MOST_ONCE
@@ -118,3 +124,20 @@
     caller = await fleet.cut.send_request()
     assert caller.status == 200
     assert [len(vm.messages) for vm in fleet.executing] == [1, 1]
+
+
+@pytest.mark.anyio
+async def test_request_that_may_run_once_is_not_forwarded_whole_if_its_vm_leaves_amid_the_body(
+    start_fleet, monkeypatch
+):
+    fleet = await start_fleet("complete")
+    send = forward_client._Exchange._send
+
+    async def send_slowly(exchange, message):
+        await send(exchange, message)
+        fleet.cut.state.leave(clock.now(), 1.0)
+
+    monkeypatch.setattr(forward_client._Exchange, "_send", send_slowly)
+    monkeypatch.setattr(delegated_requests, "MAX_PART_BYTES", 2)
+    caller = await fleet.cut.send_request()
+    assert (caller.status, fleet.requests) == (503, [])
