Follow a list of the store in which the key of one item is no Unicode

Cause: the decoder of an answer fails as a whole, and a key can't be left out before it is decoded. Change: where an answer can't be decoded, it is read once more with such characters replaced, and items with such keys are left out. The next page begins behind such a key as well. Whether a store takes such keys is not known to us.

--- a/hollyring/platform/decoding.py
+++ b/hollyring/platform/decoding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -15,6 +16,8 @@
 MAX_HOST_CHARACTERS = 253
 MAX_PORT = 65_535
 PORT_DIGITS = 5
+REPLACEMENT = "\ufffd"
+"""Character that stands for bytes that are no UTF-8."""
 
 WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
@@ -49,6 +52,45 @@
         raise UnreadableError(str(error)) from error
 
 
+def decode_with_odd_text(data: bytes, type_: type[_Decoded]) -> _Decoded:
+    """Return the value of `type_` that `data` encodes, also if a text in it is not Unicode.
+
+    Such a text comes with characters for which `is_text` is false.
+
+    Raises
+    ------
+    UnreadableError
+        If `data` cannot be decoded for another reason.
+
+    Examples
+    --------
+    >>> is_text(decode_with_odd_text(b'"a\\xff"', str))
+    False
+    """
+    try:
+        return decode(data, type_)
+    except UnreadableError:
+        return _decode_replacing(data, type_)
+
+
+def _decode_replacing(data: bytes, type_: type[_Decoded]) -> _Decoded:
+    try:
+        return msgspec.convert(json.loads(data.decode(errors="replace")), type_)
+    except (msgspec.MsgspecError, RecursionError, ValueError, OverflowError) as error:
+        raise UnreadableError(str(error)) from error
+
+
+def is_text(text: str) -> bool:
+    """Return whether `text` is Unicode as far as can be told: without a surrogate or a replacement.
+
+    Examples
+    --------
+    >>> is_text("servers/i-1"), is_text("servers/" + chr(0xD800)), is_text("servers/" + chr(0xFFFD))
+    (True, False, False)
+    """
+    return not any(char == REPLACEMENT or "\ud800" <= char <= "\udfff" for char in text)
+
+
 def is_name(text: str) -> bool:
     """Return whether `text` can name something: it is not empty, and a header can carry it.
 
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -109,8 +109,7 @@
         while True:
             answer = await self._call("GET", "/hollyring/kv-range", query)
             page = _decode(answer.body, _RangeResponse)
-            _check_keys(page.items, prefix)
-            items += [_convert_item(item, answer.era) for item in page.items]
+            items += [_convert_item(item, answer.era) for item in _readable(page.items, prefix)]
             if revision is None:
                 revision = store_revision.Revision(answer.era, page.current_rev)
             if answer.era != revision.era:
@@ -145,9 +144,9 @@
                 f"{prefix}: changes after revision {after} are no longer available"
             )
         response = _decode(answer.body, _WatchResponse)
-        _check_keys(response.events, prefix)
+        events = _readable(response.events, prefix)
         return interfaces.Changes(
-            [_convert_change(event, answer.era) for event in response.events],
+            [_convert_change(event, answer.era) for event in events],
             store_revision.Revision(answer.era, response.current_rev),
         )
 
@@ -202,7 +201,9 @@
         content: Any = None,
         seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> _Answer:
-        target = path + "?" + urllib.parse.urlencode(query) if query else path
+        target = (
+            path + "?" + urllib.parse.urlencode(query, errors="surrogatepass") if query else path
+        )
         body = msgspec.json.encode(content) if content is not None else b""
         headers = [JSON_CONTENT_TYPE] if body else []
         request = http_request.encode(
@@ -228,15 +229,23 @@
 
 def _decode(body: bytes, type_: type[Any]) -> Any:
     try:
-        return decoding.decode(body, type_)
+        return decoding.decode_with_odd_text(body, type_)
     except decoding.UnreadableError as error:
         raise interfaces.StoreError(f"unreadable response: {error}") from error
 
 
-def _check_keys(items: Iterable[_Item], prefix: str) -> None:
-    for item in items:
-        if not item.key.startswith(prefix):
-            raise interfaces.StoreError(f"{prefix}: key that was not asked for")
+def _readable(items: Iterable[_Item], prefix: str) -> list[_Item]:
+    """Return the items whose keys are Unicode; others name nothing.
+
+    Raises
+    ------
+    StoreError
+        If one lies under another prefix.
+    """
+    readable = [item for item in items if decoding.is_text(item.key)]
+    if not all(item.key.startswith(prefix) for item in readable):
+        raise interfaces.StoreError(f"{prefix}: key that was not asked for")
+    return readable
 
 
 def _decode_era(value: bytes) -> int:
--- a/hollyring/platform/tests/test_odd_store_answers.py
+++ b/hollyring/platform/tests/test_odd_store_answers.py
@@ -136,6 +136,28 @@
         await call(client)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("name, field", [("list", "items"), ("watch", "events")])
+@pytest.mark.parametrize("key", [b"\\ud800", b"\xed\xa0\x80", b"\xff"])
+async def test_item_whose_key_is_not_unicode_does_not_hide_the_others(client, name, field, key):
+    document, call = CALLS[name]
+    odd = ITEM | {"key": "servers/ODD"}
+    body = json.dumps(document | {field: [odd, ITEM, odd]}).encode()
+    client._pool.body = body.replace(b"ODD", key)
+    found = await call(client)
+    items = found.items if name == "list" else found.changes
+    assert [item.key for item in items] == [ITEM["key"]]
+
+
+@pytest.mark.anyio
+async def test_list_goes_on_behind_an_item_whose_key_is_not_unicode(client):
+    page = {"items": [ITEM, ITEM | {"key": "servers/j-ODD"}], "truncated": True, "current_rev": 4}
+    client._pool.body = json.dumps(page).encode().replace(b"ODD", b"\\ud800")
+    with pytest.raises(interfaces.StoreError, match="pages without end"):
+        await client.list("servers/")
+    assert client._pool.calls == 2
+
+
 @pytest.mark.anyio
 async def test_long_entries_are_neither_kept_nor_hide_the_others(client):
     long = base64.b64encode(b"[" * 1_000_000).decode()
