Keep how far a response has been sent in one class

ResponseWriter and DelegatedResponse had the same four attributes and three properties each. ResponseProgress has them now; what they do is unchanged.

--- a/hollyring/node/delegated_requests.py
+++ b/hollyring/node/delegated_requests.py
@@ -19,7 +19,7 @@
 """Largest part of a body in one message, a few of which fit into the buffers of a connection."""
 
 
-class DelegatedResponse:
+class DelegatedResponse(responses.ResponseProgress):
     """Response to a delegated request; implements `responses.Response`.
 
     Parameters
@@ -28,47 +28,20 @@
         Link to the VM that admitted the request.
     """
 
-    __slots__ = (
-        "_link",
-        "_started",
-        "_ended",
-        "_complete",
-        "_states_end",
-        "_bytes",
-        "context",
-        "status",
-    )
+    __slots__ = ("_link", "_complete", "_bytes", "context")
 
     def __init__(self, link: peer_link.Link) -> None:
+        super().__init__()
         self._link = link
-        self._started = False
-        self._ended = False
         self._complete = False
-        self._states_end = True
         self._bytes = 0
         self.context: request_context.RequestContext | None = None
-        self.status = 0
-
-    @property
-    def started(self) -> bool:
-        """Whether a part of the response was sent."""
-        return self._started
-
-    @property
-    def ended(self) -> bool:
-        """Whether the last message was sent or is being sent."""
-        return self._ended
 
     @property
     def complete(self) -> bool:
         """Whether the last message was sent, so that the link may carry another request."""
         return self._complete
 
-    @property
-    def states_end(self) -> bool:
-        """Whether the response states where it ends, so that only a whole one may be ended."""
-        return self._states_end
-
     @property
     def caller_left(self) -> bool:
         """Whether the admitting VM gave the request up, at the cost of a system call.
--- a/hollyring/node/responses.py
+++ b/hollyring/node/responses.py
@@ -79,7 +79,40 @@
         """Send a refusal, or raise `IncompleteResponseError` if a response was started."""
 
 
-class ResponseWriter:
+class ResponseProgress:
+    """How far a response has been sent.
+
+    Attributes
+    ----------
+    status
+        HTTP status that was sent, 0 before.
+    """
+
+    __slots__ = ("_started", "_ended", "_states_end", "status")
+
+    def __init__(self) -> None:
+        self._started = False
+        self._ended = False
+        self._states_end = True
+        self.status = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether a part of the response was sent."""
+        return self._started
+
+    @property
+    def ended(self) -> bool:
+        """Whether the last part of the response was sent or is being sent."""
+        return self._ended
+
+    @property
+    def states_end(self) -> bool:
+        """Whether the response states where it ends, so that only a whole one may be ended."""
+        return self._states_end
+
+
+class ResponseWriter(ResponseProgress):
     """Writes one response to a caller.
 
     Parameters
@@ -96,17 +129,7 @@
         ASGI send callable of a response that ends with the connection; `send` if there is none.
     """
 
-    __slots__ = (
-        "_send",
-        "_encode",
-        "_should_close",
-        "_has_caller_left",
-        "_send_unstated",
-        "_states_end",
-        "_started",
-        "_ended",
-        "status",
-    )
+    __slots__ = ("_send", "_encode", "_should_close", "_has_caller_left", "_send_unstated")
 
     def __init__(
         self,
@@ -116,30 +139,12 @@
         has_caller_left: Callable[[], bool] = lambda: False,
         send_unstated: asgi.Send | None = None,
     ) -> None:
+        super().__init__()
         self._send = send
         self._encode = encode
         self._should_close = should_close
         self._has_caller_left = has_caller_left
         self._send_unstated = send_unstated or send
-        self._states_end = True
-        self._started = False
-        self._ended = False
-        self.status = 0
-
-    @property
-    def started(self) -> bool:
-        """Whether a part of the response was sent."""
-        return self._started
-
-    @property
-    def ended(self) -> bool:
-        """Whether the last part of the response was sent or is being sent."""
-        return self._ended
-
-    @property
-    def states_end(self) -> bool:
-        """Whether the response states where it ends, so that only a whole one may be ended."""
-        return self._states_end
 
     @property
     def caller_left(self) -> bool:
