Configuration: one base class for the state machines that make one store call after the other

Loader, Submission and SnapshotWriter each had the same generator, property and handling of an answer. store.CallSequence has them now; what they do is unchanged.

--- a/hollyring/configuration/loader.py
+++ b/hollyring/configuration/loader.py
@@ -33,7 +33,7 @@
     error: str = ""
 
 
-class Loader:
+class Loader(store.CallSequence):
     """State machine that loads the configuration, one store call at a time.
 
     It reads the pointer, the snapshot's revision, each segment, and each revision after the
@@ -42,13 +42,12 @@
     snapshot is unusable, all revisions are read from the first.
     """
 
-    __slots__ = ("_calls", "_steps", "_call", "_result")
+    __slots__ = ("_calls", "_result")
 
     def __init__(self) -> None:
         self._calls = 0
         self._result: LoadResult | None = None
-        self._steps = self._run()
-        self._call: store.Call | None = next(self._steps)
+        super().__init__()
 
     @property
     def result(self) -> LoadResult | None:
@@ -60,20 +59,12 @@
         """Number of calls answered so far, not counting `Failed`."""
         return self._calls
 
-    @property
-    def call(self) -> store.Call | None:
-        """Next call to make, or None when loading is done."""
-        return self._call
-
     def on_answer(self, answer: store.Answer) -> None:
         """Process the answer to `call`; after `Failed`, `call` stays the same for a retry."""
         if isinstance(answer, store.Failed):
             return
         self._calls += 1
-        try:
-            self._call = self._steps.send(answer)
-        except StopIteration:
-            self._call = None
+        super().on_answer(answer)
 
     def _run(self) -> typing.Generator[store.Call, store.Answer, None]:
         self._result = yield from self._load()
--- a/hollyring/configuration/snapshot_writer.py
+++ b/hollyring/configuration/snapshot_writer.py
@@ -9,12 +9,13 @@
 from hollyring.configuration import snapshots, state, store
 
 
-class SnapshotWriter:
+class SnapshotWriter(store.CallSequence):
     """State machine that writes a snapshot, updates the pointer, and deletes an old snapshot.
 
     The new snapshot and the previous one are kept; the one before these is deleted. The writer may
     stop after any step: the pointer is updated only after all segments are stored, and until then
-    the next submitter finds that a snapshot is due.
+    the next submitter finds that a snapshot is due. It stops after `Failed`; a later submitter
+    retries.
 
     Parameters
     ----------
@@ -24,7 +25,7 @@
         Pointer as last read from the store, or None if it was absent.
     """
 
-    __slots__ = ("_snapshot", "_revision", "_stored_pointer", "_done", "_steps", "_call")
+    __slots__ = ("_snapshot", "_revision", "_stored_pointer", "_done")
 
     def __init__(
         self, configuration: state.Configuration, revision_value: bytes, pointer: store.Found | None
@@ -33,26 +34,13 @@
         self._revision = configuration.revision
         self._stored_pointer = pointer
         self._done = False
-        self._steps = self._run()
-        self._call: store.Call | None = next(self._steps)
-
-    @property
-    def call(self) -> store.Call | None:
-        """Next call to make, or None when finished or stopped."""
-        return self._call
+        super().__init__()
 
     @property
     def done(self) -> bool:
         """Whether the pointer was updated."""
         return self._done
 
-    def on_answer(self, answer: store.Answer) -> None:
-        """Process the answer to `call`; stop after `Failed`, so that a later submitter retries."""
-        try:
-            self._call = self._steps.send(answer)
-        except StopIteration:
-            self._call = None
-
     def _run(self) -> typing.Generator[store.Call, store.Answer, None]:
         previous = (
             snapshots.decode_pointer(self._stored_pointer.value) if self._stored_pointer else None
--- a/hollyring/configuration/store.py
+++ b/hollyring/configuration/store.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import abc
 import dataclasses
+import typing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,3 +92,33 @@
 
 Answer = Found | Absent | Written | Conflict | Failed | Waited
 """Any answer to a call."""
+
+
+class CallSequence(abc.ABC):
+    """State machine that makes one call after the other, each decided by the answers before.
+
+    A subclass sets up what `_run` needs before it calls `__init__`, which determines the first
+    call.
+    """
+
+    __slots__ = ("_steps", "_call")
+
+    def __init__(self) -> None:
+        self._steps = self._run()
+        self._call: Call | None = next(self._steps)
+
+    @property
+    def call(self) -> Call | None:
+        """Next call to make, None when none is left."""
+        return self._call
+
+    def on_answer(self, answer: Answer) -> None:
+        """Process the answer to `call`."""
+        try:
+            self._call = self._steps.send(answer)
+        except StopIteration:
+            self._call = None
+
+    @abc.abstractmethod
+    def _run(self) -> typing.Generator[Call, Answer, None]:
+        """Yield each call, and receive its answer."""
--- a/hollyring/configuration/submission.py
+++ b/hollyring/configuration/submission.py
@@ -129,7 +129,7 @@
     )
 
 
-class Submission:
+class Submission(store.CallSequence):
     """State machine that submits a plan, one store call at a time, until it has an outcome.
 
     Parameters
@@ -148,7 +148,7 @@
     retries the same write, which is idempotent because the key is created only if absent.
     """
 
-    __slots__ = ("_key", "_value", "_identity", "_revision", "_outcome", "_steps", "_call")
+    __slots__ = ("_key", "_value", "_identity", "_revision", "_outcome")
 
     def __init__(self, change: Plan, identity: str, author: str = "", at: str = "") -> None:
         self._revision = change.base.revision + 1
@@ -158,13 +158,7 @@
             change.base, identity, change.put, change.delete, author, at
         )
         self._outcome: Outcome | None = None
-        self._steps = self._run()
-        self._call: store.Call | None = next(self._steps)
-
-    @property
-    def call(self) -> store.Call | None:
-        """Next call to make, or None when there is an outcome."""
-        return self._call
+        super().__init__()
 
     @property
     def outcome(self) -> Outcome | None:
@@ -176,13 +170,6 @@
         """Stored value of the new revision if the submission is accepted."""
         return self._value
 
-    def on_answer(self, answer: store.Answer) -> None:
-        """Process the answer to `call`."""
-        try:
-            self._call = self._steps.send(answer)
-        except StopIteration:
-            self._call = None
-
     def _run(self) -> typing.Generator[store.Call, store.Answer, None]:
         failures = 0
         call: store.Call = store.Write(self._key, self._value)
