Look each prompt cache up once in a selection, not once for every upstream

Cause: a selection asked, for each candidate, the cache of every other upstream where parts of the prompt could be fetched: 8,809 lookups with 120 upstreams and one cache store, the square of the upstreams. The store to save to was found again for each candidate, too.

Change: `cached_prefixes` looks each cache up once for a cache salt and keeps the upstreams with the two longest prefixes, of which one is another than the candidate. What is selected, fetched and saved is the same.

--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -19,11 +19,17 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
-from hollyring.routing import costs, prefix_caches, registry, wanted_versions
+from hollyring.routing import (
+    cached_prefixes,
+    costs,
+    prefix_caches,
+    registry,
+    wanted_versions,
+)
 
 MIN_TRANSFER_TOKENS = 128
 """Smallest number of tokens to transfer; fewer are prefilled again."""
@@ -39,12 +45,6 @@
 LATE_PENALTY_SHARE = 1.2
 """Penalty for a response that is certain to be late, as a share of the target latency."""
 
-MIN_SAVED_TOKENS = 1000
-"""Least number of shared tokens for which a prompt is saved to a cache store.
-
-All parts of the prompt are saved. With fewer shared tokens, unshared ones would fill the store.
-"""
-
 TRANSFER_PENALTY_SECONDS_PER_TOKEN = 4e-6
 """Penalty per token besides its transfer time, as copies use up the caches of the servers."""
 
@@ -246,7 +246,8 @@
                 costs.backoff_retry_seconds(request.request_id, opens_at - now), busy=True
             )
         reached = [upstream for upstream in upstreams if self._may_send(upstream)]
-        candidates = [self._candidate(request, u, now) for u in reached or upstreams]
+        lookups = self._lookups(request, now)
+        candidates = [self._candidate(request, u, lookups, now) for u in reached or upstreams]
         best = min(candidates, key=lambda candidate: candidate.cost)
         excess = (
             best.selection.expected_seconds - request.remaining_seconds * FIRST_EVENT_DEADLINE_SHARE
@@ -298,19 +299,32 @@
 
         return self._versions.is_expired(model, upstream.version(model), now, share_with)
 
+    def _lookups(self, request: SelectionRequest, now: float) -> cached_prefixes.Lookups | None:
+        if request.prompt is None:
+            return None
+        upstreams = self._registry.of_service(request.service)
+        stores = self._usable_stores(now)
+        return cached_prefixes.Lookups(request.prompt, upstreams, stores, self._caches, now)
+
     def _candidate(
-        self, request: SelectionRequest, upstream: registry.Upstream, now: float
+        self,
+        request: SelectionRequest,
+        upstream: registry.Upstream,
+        lookups: cached_prefixes.Lookups | None,
+        now: float,
     ) -> _Candidate:
         service = self._services.get(request.service)
         engine = service.engine if service else None
-        if request.prompt is None or engine is None:
+        if request.prompt is None or lookups is None or engine is None:
             selection = Selection(
                 upstream,
                 expected_seconds=costs.call_seconds(upstream, now),
                 cache_group=request.cache_group,
             )
         else:
-            selection = self._engine_selection(request, request.prompt, upstream, engine, now)
+            selection = self._engine_selection(
+                request, request.prompt, upstream, engine, lookups, now
+            )
         cost = (
             selection.expected_seconds
             + costs.penalty(upstream, now)
@@ -343,12 +357,14 @@
         prompt: request_types.Prompt,
         upstream: registry.Upstream,
         engine: deployment.Engine,
+        lookups: cached_prefixes.Lookups,
         now: float,
     ) -> Selection:
         version = upstream.version(prompt.model)
         salt = cache_salt(prompt.model, version, request.cache_group)
-        own_tokens = self._caches.cached_tokens(upstream.name, salt, prompt.parts)
-        source, source_tokens = self._transfer_source(upstream, salt, prompt.parts, engine, now)
+        prefixes = lookups.prefixes(salt)
+        own_tokens = prefixes.tokens(upstream)
+        source, source_tokens = prefixes.source(upstream)
         fetched_tokens = (
             source_tokens - own_tokens if source_tokens - own_tokens >= MIN_TRANSFER_TOKENS else 0
         )
@@ -368,7 +384,7 @@
             version,
             salt,
             source.address if fetched_tokens else "",
-            self._store_to_save(salt, prompt, now),
+            lookups.store_to_save(salt),
             fetched_tokens,
             prefill_tokens,
             wait_seconds,
@@ -376,57 +392,9 @@
             request.cache_group,
         )
 
-    def _store_to_save(self, salt: str, prompt: request_types.Prompt, now: float) -> str:
-        """Return the address of a store that lacks shared parts of `prompt`, or an empty string."""
-        shared = prompt.shared_parts
-        tokens = sum(part.tokens for part in shared)
-        if tokens < MIN_SAVED_TOKENS:
-            return ""
-        for store in self._usable_stores(now):
-            if self._caches.cached_tokens(store.address, salt, shared) < tokens:
-                return store.address
-        return ""
-
     def _usable_stores(self, now: float) -> list[deployment.CacheStore]:
         return [s for s in self._stores if self._suspended_until.get(s.address, now) <= now]
 
-    def _transfer_source(
-        self,
-        upstream: registry.Upstream,
-        salt: str,
-        parts: Sequence[request_types.Part],
-        engine: deployment.Engine,
-        now: float,
-    ) -> tuple[_Source, int]:
-        """Return the source with the longest cached prefix of `parts`, and its length in tokens.
-
-        The source is another server or a cache store. Suspect servers and those that are loading
-        weights are skipped. Among equals, a cache store comes first, then a server in the failure
-        domain of `upstream`.
-        """
-        source, most_tokens = _NO_SOURCE, 0
-        for other in self._registry.of_service(upstream.entry.service):
-            if other is upstream or other.is_suspect(now) or other.is_loading(now):
-                continue
-            tokens = self._caches.cached_tokens(other.name, salt, parts)
-            same_domain = other.entry.domain == upstream.entry.domain
-            if tokens > most_tokens or (tokens == most_tokens > 0 and same_domain):
-                source, most_tokens = _Source(other.entry.address, other.entry.domain), tokens
-        for store in self._usable_stores(now):
-            tokens = self._caches.cached_tokens(store.address, salt, parts)
-            if tokens >= most_tokens > 0 or tokens > most_tokens:
-                source, most_tokens = _Source(store.address, store.failure_domain), tokens
-        return source, most_tokens
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Source:
-    address: str
-    domain: str
-
-
-_NO_SOURCE = _Source("", "")
-
 
 def _always(_: registry.Upstream) -> bool:
     return True
