Compare the store's revisions of the VMs that are heard of only

Seen: in the same profile, 9,040 calls of `PeerTable.peer_ahead` compared 534,000 revisions.

Cause: for each status and each prefix of the store, the revisions of all VMs of the table were compared before it was asked whether the VM is heard of. A VM that follows hears two of them.

Change: the other way round; the same VM is found.

Test: one VM of 194 is heard of (failed before: 784 function calls, where less than 20 are asked).

--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -559,8 +559,8 @@
         candidates = [
             peer
             for peer in self._peers.values()
-            if known(peer) > revision
-            and now - max(peer.last_heartbeat_at, peer.status_at) < ALIVE_TIMEOUT_SECONDS
+            if now - max(peer.last_heartbeat_at, peer.status_at) < ALIVE_TIMEOUT_SECONDS
+            and known(peer) > revision
         ]
         return max(
             candidates,
--- a/hollyring/membership/tests/test_peer_table.py
+++ b/hollyring/membership/tests/test_peer_table.py
@@ -307,3 +307,14 @@
         table.receive(heartbeat_from(name), 100.0)
     assert len(table.alive(100.1)) == len(table.by_name)
     assert count_calls(lambda: table.alive(100.1)) < len(table.by_name) + 10
+
+
+def test_revisions_of_silent_vms_are_not_compared(fleet):
+    table = fleet[0]
+    newer = [heartbeat.PrefixRevision("vm/", 7)]
+    for name in table.by_name:
+        table.receive(heartbeat_from(name, revisions=newer), 100.0)
+    table.receive(heartbeat_from("vm-100", revisions=newer), 110.0)
+    behind = store_revision.Revision(store_revision.UNKNOWN_ERA, 6)
+    assert table.peer_ahead("vm/", behind, 110.1).vm.name == "vm-100"
+    assert count_calls(lambda: table.peer_ahead("vm/", behind, 110.1)) < 20
