Work an upstream's load out in one pass over the other VMs' reports, not in three

Cause: each sum ran over all reports by two generators, and three slowdowns were worked out for each candidate.

Change: `Upstream.total_load` gives the sums in one pass, and the slowdown is worked out once. `costs` takes both; no cost changes. The methods for long responses and for the rate alone are gone, as nothing else used them.

--- a/hollyring/membership/tests/test_peer_table.py
+++ b/hollyring/membership/tests/test_peer_table.py
@@ -1,9 +1,9 @@
 import random
-import sys
 
 import pytest
 
 from hollyring.configuration import store_revision
+from hollyring.core.tests import python_calls
 from hollyring.membership import heartbeat, peer_table, serving_set
 
 ORDER_LEASE = heartbeat.OrderLeaseStatus(True, 0.5, [])
@@ -271,22 +271,6 @@
     assert peers.peer_ahead("config", store_revision.Revision(1, 6), 10.3).vm.name == "vm-2"
 
 
-def count_calls(function):
-    """Return how many Python functions a call of `function` calls, itself included."""
-    calls = 0
-
-    def count(frame, event, argument):
-        nonlocal calls
-        calls += event == "call"
-
-    sys.setprofile(count)
-    try:
-        function()
-    finally:
-        sys.setprofile(None)
-    return calls
-
-
 def test_alive_vms_are_those_heard_of_until_this_vm_was_late(fleet):
     table = fleet[0]
     rng = random.Random(1)
@@ -306,7 +290,7 @@
     for name in table.by_name:
         table.receive(heartbeat_from(name), 100.0)
     assert len(table.alive(100.1)) == len(table.by_name)
-    assert count_calls(lambda: table.alive(100.1)) < len(table.by_name) + 10
+    assert python_calls.count(lambda: table.alive(100.1)) < len(table.by_name) + 10
 
 
 def test_revisions_of_silent_vms_are_not_compared(fleet):
@@ -317,4 +301,4 @@
     table.receive(heartbeat_from("vm-100", revisions=newer), 110.0)
     behind = store_revision.Revision(store_revision.UNKNOWN_ERA, 6)
     assert table.peer_ahead("vm/", behind, 110.1).vm.name == "vm-100"
-    assert count_calls(lambda: table.peer_ahead("vm/", behind, 110.1)) < 20
+    assert python_calls.count(lambda: table.peer_ahead("vm/", behind, 110.1)) < 20
--- a/hollyring/routing/costs.py
+++ b/hollyring/routing/costs.py
@@ -55,17 +55,16 @@
 """Limit of the exponent that prevents a floating-point overflow."""
 
 
-def call_seconds(upstream: registry.Upstream, now: float) -> float:
+def call_seconds(upstream: registry.Upstream, load: registry.TotalLoad, now: float) -> float:
     """Return the expected time of a call to a service that is not an inference server."""
-    queue_ratio = upstream.requests(now) / max(1, upstream.entry.slots)
+    queue_ratio = load.requests / max(1, upstream.entry.slots)
     return upstream.call_seconds * upstream.slowdown(now) * (1.0 + queue_ratio)
 
 
-def queue_seconds(upstream: registry.Upstream, engine: deployment.Engine, now: float) -> float:
+def queue_seconds(load: registry.TotalLoad, slowdown: float, engine: deployment.Engine) -> float:
     """Return the expected queueing time of a request at an inference server before its prefill."""
-    slowdown = upstream.slowdown(now)
-    seconds = upstream.queued_prefill_tokens(now) / registry.PREFILL_TOKENS_PER_SECOND * slowdown
-    excess = upstream.requests(now) - QUEUEING_RATIO * max(1, engine.slots)
+    seconds = load.queued_prefill_tokens / registry.PREFILL_TOKENS_PER_SECOND * slowdown
+    excess = load.requests - QUEUEING_RATIO * max(1, engine.slots)
     return seconds + max(0.0, excess) / max(1, engine.slots) * slowdown
 
 
@@ -125,7 +124,7 @@
 
 
 def interference_seconds(
-    upstream: registry.Upstream, prefill_tokens: int, prompt: request_types.Prompt, now: float
+    load: registry.TotalLoad, prefill_tokens: int, prompt: request_types.Prompt
 ) -> float:
     """Return the cost of interference between prefill and the decoding of long responses.
 
@@ -134,9 +133,9 @@
     prefill.
     """
     prefill_seconds = prefill_tokens / registry.PREFILL_TOKENS_PER_SECOND
-    seconds = prefill_seconds * upstream.total_long_responses(now)
+    seconds = prefill_seconds * load.long_responses
     if is_long(prompt):
-        utilisation = min(1.0, upstream.prefill_rate(now) / registry.PREFILL_TOKENS_PER_SECOND)
+        utilisation = min(1.0, load.prefill_rate / registry.PREFILL_TOKENS_PER_SECOND)
         seconds += (
             prompt.expected_output_tokens * DECODE_STEP_SECONDS * PREFILL_STEP_FACTOR * utilisation
         )
--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -105,6 +105,28 @@
     received_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class TotalLoad:
+    """Load of an upstream by the requests of all VMs.
+
+    Parameters
+    ----------
+    requests
+        Number of requests.
+    queued_prefill_tokens
+        Prompt tokens that wait for prefill.
+    long_responses
+        Number of long responses in progress.
+    prefill_rate
+        Recent rate of prefill tokens sent to it, per second.
+    """
+
+    requests: int
+    queued_prefill_tokens: int
+    long_responses: int
+    prefill_rate: float
+
+
 @dataclasses.dataclass(slots=True)
 class Upstream:
     """Mutable state of one upstream, with the load and health observed by this VM."""
@@ -164,19 +186,31 @@
         own = sum(pending.prefill_tokens for pending in self.outstanding.values())
         return own + sum(load.prefill_tokens for load in self._peer_loads(now))
 
-    def total_long_responses(self, now: float) -> int:
-        """Return the number of long responses in progress for all VMs."""
-        return self.long_responses + sum(load.long_responses for load in self._peer_loads(now))
-
     def own_prefill_rate(self, now: float) -> float:
         """Return the recent rate of prefill tokens sent by this VM, per second."""
         return self._prefill_rate * math.exp(
             -max(0.0, now - self._prefill_rate_at) / PREFILL_RATE_SECONDS
         )
 
-    def prefill_rate(self, now: float) -> float:
-        """Return the recent rate of prefill tokens sent by all VMs, per second."""
-        return self.own_prefill_rate(now) + sum(load.prefill_rate for load in self._peer_loads(now))
+    def total_load(self, now: float) -> TotalLoad:
+        """Return the load by all VMs, in one pass over what they report."""
+        oldest = now - PEER_LOAD_TTL_SECONDS
+        requests, tokens, long_responses, rate = 0, 0, 0, 0.0
+        for load in self.peers.values():
+            if load.received_at < oldest:
+                continue
+            requests += load.requests
+            tokens += load.prefill_tokens
+            long_responses += load.long_responses
+            rate += load.prefill_rate
+        for pending in self.outstanding.values():
+            tokens += pending.prefill_tokens
+        return TotalLoad(
+            self.open_requests + requests,
+            tokens,
+            self.long_responses + long_responses,
+            self.own_prefill_rate(now) + rate,
+        )
 
     def _peer_loads(self, now: float) -> Iterator[PeerLoad]:
         oldest = now - PEER_LOAD_TTL_SECONDS
--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -315,15 +315,16 @@
     ) -> _Candidate:
         service = self._services.get(request.service)
         engine = service.engine if service else None
+        load = upstream.total_load(now)
         if request.prompt is None or lookups is None or engine is None:
             selection = Selection(
                 upstream,
-                expected_seconds=costs.call_seconds(upstream, now),
+                expected_seconds=costs.call_seconds(upstream, load, now),
                 cache_group=request.cache_group,
             )
         else:
             selection = self._engine_selection(
-                request, request.prompt, upstream, engine, lookups, now
+                request, request.prompt, upstream, load, engine, lookups, now
             )
         cost = (
             selection.expected_seconds
@@ -344,9 +345,7 @@
             if not selection.version:
                 cost += costs.UNAVAILABLE_MODEL_PENALTY_SECONDS
             cost += selection.fetched_tokens * TRANSFER_PENALTY_SECONDS_PER_TOKEN
-            cost += costs.interference_seconds(
-                upstream, selection.prefill_tokens, request.prompt, now
-            )
+            cost += costs.interference_seconds(load, selection.prefill_tokens, request.prompt)
             if upstream.name in self._reserved and costs.is_long(request.prompt):
                 cost += RESERVED_PENALTY_SECONDS
         return _Candidate(selection, cost)
@@ -356,6 +355,7 @@
         request: SelectionRequest,
         prompt: request_types.Prompt,
         upstream: registry.Upstream,
+        load: registry.TotalLoad,
         engine: deployment.Engine,
         lookups: cached_prefixes.Lookups,
         now: float,
@@ -369,9 +369,10 @@
             source_tokens - own_tokens if source_tokens - own_tokens >= MIN_TRANSFER_TOKENS else 0
         )
         prefill_tokens = max(0, prompt.prompt_tokens - own_tokens - fetched_tokens)
-        wait_seconds = costs.queue_seconds(upstream, engine, now)
-        seconds = wait_seconds + registry.MIN_FIRST_EVENT_SECONDS * upstream.slowdown(now)
-        seconds += prefill_tokens / registry.PREFILL_TOKENS_PER_SECOND * upstream.slowdown(now)
+        slowdown = upstream.slowdown(now)
+        wait_seconds = costs.queue_seconds(load, slowdown, engine)
+        seconds = wait_seconds + registry.MIN_FIRST_EVENT_SECONDS * slowdown
+        seconds += prefill_tokens / registry.PREFILL_TOKENS_PER_SECOND * slowdown
         if fetched_tokens:
             same_domain = source.domain == upstream.entry.domain
             factor = 1.0 if same_domain else CROSS_DOMAIN_TRANSFER_FACTOR
