Check the order lease again with the order's connection in hand, so that a holder that stood still sends nothing late

Another VM gives orders by then, so two holders take turns within lease_ms (ONE). The same without a stop: a holder that releases its lease while an order waits for its connection (up to 1 s, two tries) writes it afterwards.

Cause: the lease was checked before the connection was opened, and the time of the last order was taken there too. The clock is not the cause: it is CLOCK_BOOTTIME already (hollyring/node/clock.py).

Change: ConnectionPool.call_alone asks with the connection in hand whether the order may still be sent; nothing waits between that and the write. send_by is checked there as well, so that the time to send an order now includes the connection (1.37 s instead of 0.92 s); otherwise slow connections would keep orders from upstreams with a full queue.

Simulated upstreams now record refused orders too, so the check of successive holders is stricter than before. Simulated VMs do not stop as a whole: the holder's connection takes that long, and the store does not answer it meanwhile.

Left open: a stop between the check and the kernel's write; the next holder's wait covers 0.5 s of it.

The calls to the store for a lease moved to node/lease_calls.

--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import typing
+from collections.abc import Callable
 
 from hollyring.delivery import answers
 from hollyring.node import clock, http_connection
@@ -168,19 +169,28 @@
             _put(self._idle_for_calls, address, connection)
 
     async def call_alone(
-        self, address: str, request: bytes, seconds: float
+        self, address: str, request: bytes, seconds: float, may_send: Callable[[], bool]
     ) -> http_connection.Response:
         """Send an internal request as `call` does, but on a connection that carries nothing else.
 
         For requests whose answer must not be that to an earlier call; a poll may be repeated.
 
+        Parameters
+        ----------
+        may_send
+            Asked with the connection in hand, as nothing waits between that and the write.
+
         Raises
         ------
+        http_connection.NotSentError
+            If there was no connection, or the request may not be sent any more.
         http_connection.HttpConnectionError
             If no complete response was received within `seconds`.
         """
         connection = await self._connect(address)
         try:
+            if not may_send():
+                raise http_connection.NotSentError("may not be sent any more")
             return await _exchange(connection, request, seconds)
         finally:
             connection.abort()
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -7,7 +7,6 @@
 
 import anyio
 
-from hollyring.configuration import store_revision
 from hollyring.core import identities, invariants
 from hollyring.fleet import messages, rollout, rollout_limits, targets
 from hollyring.membership import heartbeat, leases
@@ -16,6 +15,7 @@
     connection_pool,
     http_connection,
     interfaces,
+    lease_calls,
     logs,
     send_permits,
     state,
@@ -80,7 +80,12 @@
     report_lag_seconds=0.3,
     report_timeout_seconds=3.0,
     retry_seconds=0.3,
-    send_timeout_seconds=ANNOUNCE_DELAY_SECONDS + MAX_QUEUE_WAIT_SECONDS + 0.2,
+    send_timeout_seconds=(
+        ANNOUNCE_DELAY_SECONDS
+        + MAX_QUEUE_WAIT_SECONDS
+        + send_permits.ASK_TIMEOUT_SECONDS
+        + connection_pool.CONNECT_TIMEOUT_SECONDS
+    ),
     reports_show_loads=True,
     max_blocked_seconds=2.0,
 )
@@ -265,36 +270,13 @@
 
     async def _perform(self, action: leases.Action) -> None:
         try:
-            event = await self._call_store(action)
+            event = await lease_calls.call(self._store, action)
         except interfaces.StoreError as error:
             self._store_watcher.record_failure(str(error))
             event = leases.Failed(getattr(action, "call", 0))
         if event is not None:
             self._perform_actions(self._lease.handle(event, clock.now()))
 
-    async def _call_store(self, action: leases.Action) -> leases.Event | None:
-        match action:
-            case leases.ReadHolder():
-                item = await self._store.get(action.key)
-                value, revision = (item.value, item.revision.ordinal) if item else (b"", 0)
-                return leases.HolderRead(action.call, value, revision)
-            case leases.GrantLease():
-                return leases.LeaseGranted(action.call, str(await self._store.grant(action.ttl)))
-            case leases.WriteHolder():
-                lease = interfaces.Lease.parse(action.lease)
-                put = interfaces.Put(action.key, action.value, lease)
-                expected = store_revision.Revision.from_ordinal(action.version)
-                written = await self._store.commit({action.key: expected}, [put])
-                if isinstance(written, interfaces.Committed):
-                    return leases.HolderWritten(action.call, written.revision.ordinal)
-                return leases.Refused(action.call)
-            case leases.RenewLease():
-                renewed = await self._store.renew(interfaces.Lease.parse(action.lease))
-                return leases.LeaseRenewed(action.call) if renewed else leases.Refused(action.call)
-            case leases.ReleaseLease():
-                await self._store.revoke(interfaces.Lease.parse(action.lease))
-        return None
-
     def _engine_services(self) -> list[str]:
         current = self._state.deployment
         if current is None:
@@ -450,25 +432,40 @@
     async def _send(self, upstream: registry.Upstream, order: messages.Order) -> messages.Outcome:
         if await self._permits.acquire(upstream, urgent=True) is None:
             return messages.Outcome.NOT_SENT
-        now = clock.now()
-        if (
-            now > order.send_by
-            or self._lease.fencing(now, MIN_LEASE_REMAINING_SECONDS) != order.fencing
-            or self._state.backoffs.is_active(upstream)
-        ):
+        if not self._may_send(upstream, order):
             return messages.Outcome.NOT_SENT
+
+        def begin_to_send() -> bool:
+            """Return whether the order may still be sent, and record that it is."""
+            if not self._may_send(upstream, order):
+                return False
+            self._own_order_at = clock.now()
+            return True
+
         address = upstream.entry.address
         request = self._codec.encode_order(address, order, self._incarnation.name)
-        self._own_order_at = now
+        asked_at = clock.now()
         try:
-            response = await self._connections.call_alone(address, request, CALL_TIMEOUT_SECONDS)
+            response = await self._connections.call_alone(
+                address, request, CALL_TIMEOUT_SECONDS, begin_to_send
+            )
         except http_connection.NotSentError:
             return messages.Outcome.NOT_SENT
         except http_connection.HttpConnectionError:
             return messages.Outcome.UNKNOWN
-        self._observe_head(upstream, response, now)
+        self._observe_head(upstream, response, asked_at)
         return self._codec.decode_order_outcome(response.status)
 
+    def _may_send(self, upstream: registry.Upstream, order: messages.Order) -> bool:
+        """Return whether an order may be sent now.
+
+        Without a wait between this and the write, an order is late only if the process stops there.
+        """
+        now = clock.now()
+        if now > order.send_by or self._state.backoffs.is_active(upstream):
+            return False
+        return self._lease.fencing(now, MIN_LEASE_REMAINING_SECONDS) == order.fencing
+
     def _observe_head(
         self, upstream: registry.Upstream, response: http_connection.Response, sent_at: float
     ) -> None:
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -81,7 +81,7 @@
 
 
 @dataclasses.dataclass
-class AcceptedOrder:
+class ReceivedOrder:
     at: float
     holder: str
     fencing: int
@@ -96,6 +96,7 @@
         self.version = version
         self.accepted = 0
         self.orders = []
+        self.arrivals = []
         self.loading_until = -math.inf
         self.silent = False
         self.crashed = False
@@ -120,12 +121,14 @@
         )
 
     def accept(self, order, holder):
+        version = int(order.change.version)
+        self.arrivals.append(ReceivedOrder(clock.now(), holder, order.fencing, version))
         if order.expected != self.accepted or self.busy:
             return 409
         self.accepted += 1
-        self.version = int(order.change.version)
+        self.version = version
         self.loading_until = clock.now() + WEIGHTS_LOAD_SECONDS
-        self.orders.append(AcceptedOrder(clock.now(), holder, order.fencing, self.version))
+        self.orders.append(self.arrivals[-1])
         return 202
 
     def set_cached(self, salt, part, tokens):
@@ -283,7 +286,10 @@
         open_polls = self._fleet.open_polls[self._vm]
         self._fleet.most_open_polls = max(self._fleet.most_open_polls, open_polls)
 
-    async def call_alone(self, address, request, seconds):
+    async def call_alone(self, address, request, seconds, may_send):
+        await anyio.sleep(self._fleet.connect_seconds.get(self._vm, 0.0))
+        if not may_send():
+            raise http_connection.NotSentError("may not be sent any more")
         return await self.call(address, request, seconds)
 
     async def _events(self, upstream, after, seconds):
@@ -438,7 +444,7 @@
 
     `delays` holds the seconds for which messages of other VMs lie unread at a VM, `cut` how the
     connections of VMs to upstreams fail: ``"hang"``, ``"refused"``, or ``"open"`` if open ones live
-    on while new ones are refused.
+    on while new ones are refused, `connect_seconds` how long VMs wait for an order's connection.
     """
 
     def __init__(self, group, names, upstreams):
@@ -450,6 +456,7 @@
         self.partitions = set()
         self.delays = {}
         self.cut = {}
+        self.connect_seconds = {}
         self.freshness_rules = freshness.FreshnessRules()
         self.first_start_delay = 0.0
         self.first_start = True
@@ -554,6 +561,11 @@
             if counts["server_crashes_total"]
         }
 
+    def arrived_orders(self):
+        """Return all orders that upstreams received, accepted or not, by time."""
+        arrived = [order for upstream in self.upstreams.values() for order in upstream.arrivals]
+        return sorted(arrived, key=lambda order: order.at)
+
     def orders(self):
         """Return all orders that upstreams accepted, by time."""
         accepted = [order for upstream in self.upstreams.values() for order in upstream.orders]
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -265,3 +265,15 @@
         connection = await pool.acquire(upstream.address, 10, request_id="again")
         assert connection not in carried_by
         pool.close()
+
+
+@pytest.mark.anyio
+async def test_call_that_may_not_be_sent_once_it_has_its_connection_writes_nothing():
+    async with Upstream(OK).running() as upstream:
+        pool = connection_pool.ConnectionPool()
+        with pytest.raises(http_connection.NotSentError):
+            request = b"GET / HTTP/1.1\r\n\r\n"
+            await pool.call_alone(upstream.address, request, 1.0, lambda: not pool.opened)
+        assert pool.opened == 1
+        await anyio.sleep(0.05)
+        assert not upstream.requests
--- a/hollyring/node/tests/test_rollout_controller.py
+++ b/hollyring/node/tests/test_rollout_controller.py
@@ -1,46 +1,23 @@
 """Only the holder of the order lease sends orders, also when the holder fails or stops."""
 
-import itertools
-
 import anyio
 import pytest
 
 from hollyring.node import clock, rollout_controller
-from hollyring.node.tests import simulated_fleet
-
-TAKEOVER_SECONDS = rollout_controller.LEASE_SECONDS * 2 + 2.0
-"""Time until the lease of a failed holder expires and its last order can no longer have effect."""
-
-
-async def start_all(fleet, names=None):
-    """Start all VMs and wait until one holds the order lease and may send orders."""
-    for name in names or fleet.names:
-        fleet.start(name)
-    await fleet.wait_until(lambda: fleet.order_lease_holder() != "", 3.0)
-    await anyio.sleep(rollout_controller.LEASE_SECONDS + 1.0)
+from hollyring.node.tests import order_steps, simulated_fleet
 
 
 def fencing_numbers(fleet):
     return [order.fencing for order in fleet.orders()]
 
 
-def assert_successive_holders_are_a_lease_duration_apart(fleet):
-    orders = fleet.orders()
-    gaps = [
-        order.at - before.at
-        for before, order in itertools.pairwise(orders)
-        if before.holder != order.holder
-    ]
-    assert min(gaps) >= rollout_controller.LEASE_SECONDS
-
-
 def max_orders_within(orders, seconds):
     return max(sum(0 <= o.at - first.at < seconds for o in orders) for first in orders)
 
 
 def test_rollout_reaches_all_upstreams_within_the_concurrency_limit(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         holder = fleet.order_lease_holder()
         fleet.set_wanted_version(2)
         elapsed = await fleet.wait_until(lambda: fleet.all_serve(2), 8.0)
@@ -56,7 +33,7 @@
 
 def test_other_vms_receive_weight_versions_and_loads(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: any(u.busy for u in fleet.upstreams.values()), 2.0)
         loading = [u.entry.name for u in fleet.upstreams.values() if u.busy]
@@ -80,7 +57,7 @@
     """An upstream that accepts an order refuses its queued requests."""
 
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         other = next(vm for vm in fleet.vms.values() if vm.name != fleet.order_lease_holder())
         busy = other.state.registry.get("u-1")
         busy.record_sent("r-1", 9000, 0.1, anyio.current_time())
@@ -104,7 +81,7 @@
 
 def test_superseded_version_is_not_loaded(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.set_wanted_version(2)
         await anyio.sleep(1.0)
         fleet.set_wanted_version(3)
@@ -117,13 +94,15 @@
 
 def test_another_vm_takes_over_after_the_lease_holder_is_killed(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
         killed = fleet.order_lease_holder()
         fleet.kill(killed)
-        await fleet.wait_until(lambda: fleet.order_lease_holder() != "", TAKEOVER_SECONDS)
-        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 7.0)
+        await fleet.wait_until(
+            lambda: fleet.order_lease_holder() != "", order_steps.TAKEOVER_SECONDS
+        )
+        await fleet.wait_until(lambda: fleet.all_serve(2), order_steps.TAKEOVER_SECONDS + 7.0)
         numbers = fencing_numbers(fleet)
         assert numbers == sorted(numbers)
         first_orders = [order for order in fleet.orders() if order.holder == killed]
@@ -138,7 +117,7 @@
     """The next holder waits until the lease expires and the last order is a lease duration old."""
 
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         await anyio.sleep(after_renewal)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
@@ -157,7 +136,7 @@
 
 def test_stopping_lease_holder_releases_the_lease(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         await fleet.stop(fleet.order_lease_holder())
         assert "vm/.orders" not in fleet.store.items
         elapsed = await fleet.wait_until(lambda: fleet.order_lease_holder() != "", 1.5)
@@ -174,7 +153,7 @@
     """The last order may be sent long after the last renewal, and so shortly before the expiry."""
 
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         await anyio.sleep(after_renewal)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
@@ -183,7 +162,7 @@
             fleet.kill(holder)
         else:
             await fleet.stop(holder)
-        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 9.0)
+        await fleet.wait_until(lambda: fleet.all_serve(2), order_steps.TAKEOVER_SECONDS + 9.0)
         first_orders = [order for order in fleet.orders() if order.holder == holder]
         later_orders = [order for order in fleet.orders() if order.holder != holder]
         assert later_orders[0].at - first_orders[-1].at >= rollout_controller.LEASE_SECONDS
@@ -200,15 +179,15 @@
         holder = fleet.names[-1]
         fleet.start(holder)
         await fleet.wait_until(lambda: fleet.order_lease_holder() == holder, 3.0)
-        await start_all(fleet, fleet.names[:-1])
+        await order_steps.start_all(fleet, fleet.names[:-1])
         await anyio.sleep(after_renewal)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
         fleet.kill(holder)
         await anyio.sleep(restart_seconds)
         fleet.start(holder)
-        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 9.0)
-        assert_successive_holders_are_a_lease_duration_apart(fleet)
+        await fleet.wait_until(lambda: fleet.all_serve(2), order_steps.TAKEOVER_SECONDS + 9.0)
+        order_steps.assert_successive_holders_are_a_lease_duration_apart(fleet)
 
     simulate(scenario)
 
@@ -221,7 +200,7 @@
         first, between, last = fleet.names[-1], *fleet.names[:-1]
         fleet.start(first)
         await fleet.wait_until(lambda: fleet.order_lease_holder() == first, 3.0)
-        await start_all(fleet, [between, last])
+        await order_steps.start_all(fleet, [between, last])
         await fleet.stop(first)
         await fleet.wait_until(lambda: "vm/.orders" not in fleet.store.items, 4.0)
         await anyio.sleep(0.1)
@@ -234,9 +213,9 @@
         fleet.kill(between)
         await fleet.wait_until(lambda: "vm/.orders" not in fleet.store.items, 4.0)
         fleet.store.unreachable_from = set()
-        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 9.0)
+        await fleet.wait_until(lambda: fleet.all_serve(2), order_steps.TAKEOVER_SECONDS + 9.0)
         assert {order.holder for order in fleet.orders()} == {between, last}
-        assert_successive_holders_are_a_lease_duration_apart(fleet)
+        order_steps.assert_successive_holders_are_a_lease_duration_apart(fleet)
 
     simulate(scenario)
 
@@ -245,15 +224,15 @@
     """Its last order must be too old to have effect when the next holder sends the first one."""
 
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         cut_off = fleet.order_lease_holder()
         fleet.store.unreachable_from = {cut_off}
         await anyio.sleep(0.5)
         fleet.set_wanted_version(2)
         await fleet.wait_until(
-            lambda: fleet.order_lease_holder() not in ("", cut_off), TAKEOVER_SECONDS
+            lambda: fleet.order_lease_holder() not in ("", cut_off), order_steps.TAKEOVER_SECONDS
         )
-        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 7.0)
+        await fleet.wait_until(lambda: fleet.all_serve(2), order_steps.TAKEOVER_SECONDS + 7.0)
         numbers = fencing_numbers(fleet)
         assert numbers == sorted(numbers)
 
@@ -262,7 +241,7 @@
 
 def test_silent_upstream_does_not_block_the_rollout(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.upstreams["u-1"].silent = True
         fleet.set_wanted_version(2)
 
@@ -281,7 +260,7 @@
     """After one order to it fails, the concurrency limit counts only the other upstreams."""
 
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
         left = [u for u in fleet.upstreams.values() if not u.orders]
@@ -298,7 +277,7 @@
 
 def test_order_states_the_accepted_count_that_the_upstream_reports(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.upstreams["u-1"].accepted = 4
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: fleet.all_serve(2), 9.0)
@@ -309,7 +288,7 @@
 
 def test_rollout_finishes_after_all_vms_restart(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
         for name in fleet.names:
@@ -317,7 +296,7 @@
         await anyio.sleep(1.0)
         for name in fleet.names:
             fleet.start(name)
-        await fleet.wait_until(lambda: fleet.all_serve(2), TAKEOVER_SECONDS + 9.0)
+        await fleet.wait_until(lambda: fleet.all_serve(2), order_steps.TAKEOVER_SECONDS + 9.0)
         numbers = fencing_numbers(fleet)
         assert numbers == sorted(numbers)
         assert len(numbers) == len(fleet.upstreams)
@@ -327,7 +306,7 @@
 
 def test_partitioned_vms_have_one_order_lease_holder(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         holder = fleet.order_lease_holder()
         fleet.partitions = {frozenset({holder, name}) for name in fleet.names if name != holder}
         fleet.set_wanted_version(2)
@@ -344,7 +323,7 @@
     """Those left behind by a superseded version reach the deadline of that version first."""
 
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) >= 2, 4.0)
         behind = {name for name, u in fleet.upstreams.items() if u.version == 1}
@@ -360,7 +339,7 @@
 
 def test_crash_with_an_order_in_progress_does_not_hold_up_the_others(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: any(u.busy for u in fleet.upstreams.values()), 4.0)
         crashed = next(u for u in fleet.upstreams.values() if u.busy)
@@ -377,7 +356,7 @@
 
 def test_upstream_in_backoff_gets_no_reports_or_orders(simulate):
     async def scenario(fleet):
-        await start_all(fleet)
+        await order_steps.start_all(fleet)
         upstream = fleet.upstreams["u-1"]
         upstream.backoff_until = anyio.current_time() + 6.0
         fleet.set_wanted_version(2)
