Log why no further try follows one that failed

`request: no further try` says it once, with what decided: why, the upstreams tried and those listed, the runs, sends and retries left, the time left. `hollyring explain` names the reason, counters gave_up_* count them. The decision after the last open try moved to retry_decisions, which returns the reason; no decision changed.

--- a/hollyring/cli/explain.py
+++ b/hollyring/cli/explain.py
@@ -95,6 +95,9 @@
         code = "upstream's failure"
     text = f"{code}: {CAUSES.get(code, 'see its last line')}"
     failures = [d for d in decisions if d.get("text") == "request: try failed"]
+    ends = [d for d in admitting if d.get("text") == "request: no further try"]
+    if ends and code != "answered":
+        text += f"; no further try: {ends[-1].get('why')}"
     if last.get("through"):
         text += f"; through {last['through']}"
     if failures and code != "answered":
--- a/hollyring/cli/tests/test_explain.py
+++ b/hollyring/cli/tests/test_explain.py
@@ -19,6 +19,7 @@
 SENT = {"text": "request: sent", "request": "r-1", "vm": "vm-1", "upstream": "i-7"}
 ENDED = {"text": "request: ended", "request": "r-1", "vm": "vm-1"}
 FAILED = {"text": "request: try failed", "request": "r-1", "upstream": "i-7", "why": "status 500"}
+GAVE_UP = {"text": "request: no further try", "request": "r-1", "why": "retry budget spent"}
 
 
 @pytest.mark.parametrize(
@@ -26,6 +27,10 @@
     [
         ([{"text": "request: refused", "request": "r-1", "code": "invalid_key"}], "held its key"),
         ([FAILED, ENDED | {"outcome": "upstream_failed"}], "first failure at i-7: status 500"),
+        (
+            [FAILED, GAVE_UP, ENDED | {"outcome": "upstream_failed"}],
+            "no further try: retry budget spent; first failure at i-7: status 500",
+        ),
         (
             [SENT | {"expected": 0.1}, ENDED | {"outcome": "answered", "first": 0.9}],
             "late: first event after 0.9 s, expected 0.1 s",
--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -12,6 +12,7 @@
 
 import collections
 import dataclasses
+import enum
 from collections.abc import Iterable
 
 from hollyring.core import execution, request_types
@@ -27,6 +28,17 @@
 """Nothing is sent with less time than this left before the deadline."""
 
 
+class Denial(enum.StrEnum):
+    """Why a request may not be sent again."""
+
+    SENDS_USED_UP = "sends used up"
+    CONNECTS_USED_UP = "connects used up"
+    NO_TIME = "no time"
+    RUNS_USED_UP = "runs used up"
+    RUNS_ONCE = "may run once"
+    ANSWER_STARTED = "answer started"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryPolicy:
     """Limits on the attempts of a request.
@@ -238,19 +250,26 @@
         answer_started
             Whether the caller has received a part of the answer.
         """
-        if self.sends_left <= 0 or self._unsent >= MAX_UNSENT or not self.has_time(now):
-            return False
+        return self.denial(now, answer_started) is None
+
+    def denial(self, now: float, answer_started: bool) -> Denial | None:
+        """Return why the request may not be sent again, None if it may; see `may_retry`."""
+        if self.sends_left <= 0:
+            return Denial.SENDS_USED_UP
+        if self._unsent >= MAX_UNSENT:
+            return Denial.CONNECTS_USED_UP
+        if not self.has_time(now):
+            return Denial.NO_TIME
         if not self.reached:
-            return True
+            return None
         if self._runs + self._in_progress >= self._policy.max_runs:
-            return False
+            return Denial.RUNS_USED_UP
         match self._policy.retry_safety:
             case request_types.RetrySafety.AT_MOST_ONCE:
-                return False
-            case request_types.RetrySafety.IDEMPOTENT:
-                return not answer_started
-            case request_types.RetrySafety.RESUMABLE:
-                return True
+                return Denial.RUNS_ONCE
+            case request_types.RetrySafety.IDEMPOTENT if answer_started:
+                return Denial.ANSWER_STARTED
+        return None
 
     def final_refusal(
         self, code: str, now: float, retry_after: float | None = None
--- a/hollyring/limits/retry_budget.py
+++ b/hollyring/limits/retry_budget.py
@@ -73,6 +73,11 @@
         self._retries = 0
         self._denied = 0
 
+    @property
+    def balance(self) -> float:
+        """Retries that are available, as of the last call."""
+        return self._balance
+
     def resize(self, vms: int, max_balance: float | None = None) -> None:
         """Set the number of VMs among which `min_rate` is divided, and perhaps another balance."""
         self._min_rate = self._fleet_min_rate / max(vms, 1)
--- a/hollyring/node/attempt_places.py
+++ b/hollyring/node/attempt_places.py
@@ -7,7 +7,14 @@
 from hollyring.core import request_types
 from hollyring.delivery import refusal
 from hollyring.membership import heartbeat
-from hollyring.node import clock, forward_client, open_attempts, request_context, state
+from hollyring.node import (
+    clock,
+    forward_client,
+    open_attempts,
+    request_context,
+    retry_decisions,
+    state,
+)
 from hollyring.routing import selection
 
 MAX_WAIT_TARGET_RATIO = 0.8
@@ -28,14 +35,22 @@
     ----------
     rejection
         What the caller is told.
+    reason
+        Why no attempt is made.
     is_temporary
         Whether the reason may pass soon: the upstreams only have no room for the request now, or
         this VM's copies of the store are too old.
     """
 
-    def __init__(self, rejection: refusal.Refusal, is_temporary: bool = False) -> None:
+    def __init__(
+        self,
+        rejection: refusal.Refusal,
+        reason: retry_decisions.Denial,
+        is_temporary: bool = False,
+    ) -> None:
         super().__init__(rejection.code)
         self.refusal = rejection
+        self.reason = reason
         self.is_temporary = is_temporary
 
 
@@ -68,7 +83,7 @@
         if target is not None:
             return target
         if self._needs_other_vm(context) and context.declined:
-            raise self.declined_error(context)
+            raise self.declined_error(context, retry_decisions.Reason.DECLINED)
         return self._select(context)
 
     def choose_beside(
@@ -94,26 +109,31 @@
             return True
         return await self._forwards.is_linked(context, place)
 
-    def declined_error(self, context: request_context.RequestContext) -> RequestRefusedError:
+    def declined_error(
+        self, context: request_context.RequestContext, reason: retry_decisions.Denial
+    ) -> RequestRefusedError:
         """Return a refusal with the shortest time to return that other VMs stated."""
         soonest = min(context.declined, key=lambda rejection: rejection.retry_after)
         return RequestRefusedError(
-            context.retry_state.final_refusal(soonest.code, clock.now(), soonest.retry_after)
+            context.retry_state.final_refusal(soonest.code, clock.now(), soonest.retry_after),
+            reason,
         )
 
-    def final_error(self, context: request_context.RequestContext) -> RequestRefusedError:
+    def final_error(
+        self, context: request_context.RequestContext, reason: retry_decisions.Denial
+    ) -> RequestRefusedError:
         """Return a refusal with the time after which an upstream may have capacity."""
         now = clock.now()
         if not context.retry_state.has_time(now):
-            return RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
+            return RequestRefusedError(context.retry_state.final_refusal("overloaded", now), reason)
         # Nothing more is sent; the selection only tells when an upstream may have capacity.
         unrestricted = dataclasses.replace(self.selection_request(context), excluded=frozenset())
         selected = self._state.selector.select(unrestricted, now)
         if isinstance(selected, selection.NoUpstream) and selected.busy:
             return RequestRefusedError(
-                context.retry_state.final_refusal("overloaded", now, selected.retry_after)
+                context.retry_state.final_refusal("overloaded", now, selected.retry_after), reason
             )
-        return RequestRefusedError(context.retry_state.final_refusal("no_upstream", now))
+        return RequestRefusedError(context.retry_state.final_refusal("no_upstream", now), reason)
 
     def selection_request(
         self, context: request_context.RequestContext
@@ -163,7 +183,8 @@
         """
         now = clock.now()
         if not context.retry_state.has_time(now):
-            raise RequestRefusedError(context.retry_state.final_refusal("overloaded", now))
+            refused = context.retry_state.final_refusal("overloaded", now)
+            raise RequestRefusedError(refused, retry_decisions.Reason.NO_TIME)
         selection_request = self.selection_request(context)
         selected = self._state.selector.select(selection_request, now)
         if (
@@ -175,10 +196,7 @@
             unrestricted = dataclasses.replace(selection_request, excluded=frozenset())
             selected = self._state.selector.select(unrestricted, now)
         if isinstance(selected, selection.NoUpstream):
-            code = "overloaded" if selected.busy else "no_upstream"
-            raise RequestRefusedError(
-                context.retry_state.final_refusal(code, now, selected.retry_after), selected.busy
-            )
+            raise _no_upstream_error(context, selected, now)
         return selected
 
     def _withheld_software(self, context: request_context.RequestContext) -> frozenset[str]:
@@ -189,6 +207,17 @@
         return self._state.withheld_software(context.service.name, clock.now())
 
 
+def _no_upstream_error(
+    context: request_context.RequestContext, found: selection.NoUpstream, now: float
+) -> RequestRefusedError:
+    """Return a refusal that states whether upstreams are there and have no room."""
+    code = "overloaded" if found.busy else "no_upstream"
+    reasons = retry_decisions.Reason
+    reason = reasons.NO_ROOM if found.busy else reasons.NO_UPSTREAM
+    refused = context.retry_state.final_refusal(code, now, found.retry_after)
+    return RequestRefusedError(refused, reason, is_temporary=found.busy)
+
+
 def _max_wait_seconds(context: request_context.RequestContext) -> float:
     """Return the longest time to wait in an upstream's queue."""
     seconds = context.min_target_seconds * MAX_WAIT_TARGET_RATIO
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -21,13 +21,11 @@
     recent_copies,
     request_context,
     request_log,
+    retry_decisions,
     state,
 )
 from hollyring.routing import selection, software_versions
 
-MAX_DECLINED = 2
-"""VMs that are asked to execute a request before it is refused."""
-
 RECORD_POLL_SECONDS = 0.02
 """Time between two looks whether streams may begin at the only upstreams."""
 
@@ -111,12 +109,14 @@
             self._record_end(context, finished, outcome)
             if attempts.open:
                 continue
-            if self._may_go_on(context, outcome):
+            denied = retry_decisions.denial(self._state, context, outcome)
+            if denied is None:
                 await self._start_when_free(context, attempts)
                 continue
+            self._log.gave_up(context, denied)
             if isinstance(outcome, request_context.Declined) and not context.retry_state.reached:
-                raise self._places.declined_error(context)
-            raise self._places.final_error(context)
+                raise self._places.declined_error(context, denied)
+            raise self._places.final_error(context, denied)
 
     async def _start_when_free(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
@@ -135,6 +135,7 @@
             except attempt_places.RequestRefusedError as error:
                 waits = context.response.started and context.may_retry()
                 if not (error.is_temporary and waits):
+                    self._log.gave_up(context, error.reason)
                     raise
             self._metrics.increment("waits_for_upstream")
             await anyio.sleep(min(open_attempts.LOOK_AGAIN_SECONDS, context.seconds_left))
@@ -151,18 +152,20 @@
         """
         if context.admitted_by and self._state.reachability.is_cut_off(context.service.name):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
-            raise attempt_places.RequestRefusedError(refused)
+            reason = retry_decisions.Reason.CUT_OFF
+            raise attempt_places.RequestRefusedError(refused, reason)
         await self._await_record(context)
         if not await self._copies.may_decide(context.retry_state.deadline):
             refused = context.retry_state.final_refusal("no_upstream", clock.now())
-            raise attempt_places.RequestRefusedError(refused, is_temporary=True)
+            reason = retry_decisions.Reason.OLD_COPIES
+            raise attempt_places.RequestRefusedError(refused, reason, is_temporary=True)
         if not self._state.may_send(context.retry_state):
             now, seconds = clock.now(), grace_period.RETRY_AFTER_SECONDS
             refused = context.retry_state.final_refusal("leaving", now, seconds)
-            raise attempt_places.RequestRefusedError(refused)
+            raise attempt_places.RequestRefusedError(refused, retry_decisions.Reason.LEAVING)
         if context.retry_state.sends and self._is_blamed(context):
             refused = context.retry_state.final_refusal("crashing_request", clock.now())
-            raise attempt_places.RequestRefusedError(refused)
+            raise attempt_places.RequestRefusedError(refused, retry_decisions.Reason.CRASHING)
         self._start_at(context, attempts, self._places.choose(context))
 
     async def _look_elsewhere(
@@ -239,7 +242,8 @@
         now = clock.now()
         if self._forwards is None or not context.retry_state.has_time(now):
             raise attempt_places.RequestRefusedError(
-                context.retry_state.final_refusal("overloaded", now)
+                context.retry_state.final_refusal("overloaded", now),
+                retry_decisions.Reason.NO_TIME,
             )
         context.retry_state.begin_forward()
         self._log.forwarded(context, target, len(attempts.open))
@@ -266,14 +270,6 @@
                 context.retry_state.record_unsent(finished.where)
         self._log.failed(context, finished, outcome)
 
-    def _may_go_on(
-        self, context: request_context.RequestContext, outcome: request_context.Unanswered
-    ) -> bool:
-        """Return whether to start another attempt after the last open one."""
-        if isinstance(outcome, request_context.Withdrawn):
-            return True
-        return self._may_retry(context, outcome)
-
     def _record_superseded(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
@@ -298,34 +294,7 @@
             self._metrics.increment("waits_for_record")
             await anyio.sleep(RECORD_POLL_SECONDS)
 
-    def _may_retry(
-        self,
-        context: request_context.RequestContext,
-        outcome: request_context.Failed | request_context.NotRun | request_context.Declined,
-    ) -> bool:
-        """Return whether to make another attempt.
-
-        It spends a retry of the service's budget if the last one arrived at an upstream.
-        """
-        if not context.may_retry():
-            return False
-        if context.admitted_by and context.retry_state.reached:
-            return False
-        if len(context.declined) >= MAX_DECLINED or _is_crashing(outcome):
-            return False
-        if not isinstance(outcome, request_context.Failed) and not outcome.written:
-            return True
-        return self._state.retries(context.service.name).try_retry(clock.now())
-
 
 def _execution_of(attempt: open_attempts.OpenAttempt) -> execution.Execution:
     """Return whether an attempt that is closed early may have run."""
     return execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
-
-
-def _is_crashing(outcome: request_context.Outcome) -> bool:
-    """Return whether another VM declined a request since it crashes upstreams."""
-    return (
-        isinstance(outcome, request_context.Declined)
-        and outcome.rejection.code == "crashing_request"
-    )
--- a/hollyring/node/request_context.py
+++ b/hollyring/node/request_context.py
@@ -167,9 +167,11 @@
 
     def may_retry(self) -> bool:
         """Return whether the request may be sent again; the retry budget is checked separately."""
-        if not self.events.may_continue:
-            return False
-        return self.retry_state.may_retry(clock.now(), self.response.started)
+        return self.events.may_continue and self.retry_denial() is None
+
+    def retry_denial(self) -> retry.Denial | None:
+        """Return why the limits on its attempts end the request, None if they do not."""
+        return self.retry_state.denial(clock.now(), self.response.started)
 
     @property
     def request_id(self) -> str:
--- a/hollyring/node/request_log.py
+++ b/hollyring/node/request_log.py
@@ -9,7 +9,15 @@
 from hollyring.delivery import refusal
 from hollyring.limits import fleet_window
 from hollyring.membership import heartbeat
-from hollyring.node import clock, logs, metrics, open_attempts, request_context, state
+from hollyring.node import (
+    clock,
+    logs,
+    metrics,
+    open_attempts,
+    request_context,
+    retry_decisions,
+    state,
+)
 from hollyring.routing import selection
 
 
@@ -174,6 +182,33 @@
             whole=context.suspects[-1],
         )
 
+    def gave_up(
+        self, context: request_context.RequestContext, reason: retry_decisions.Denial
+    ) -> None:
+        """Log why no attempt follows those that have ended without an answer to the caller."""
+        tries = context.retry_state
+        self._metrics.increment(f"gave_up_{reason.replace(' ', '_')}")
+        self._logger.info(
+            "no further try",
+            request=context.request_id,
+            why=reason,
+            tried=sorted(tries.upstreams),
+            listed=self._listed(context),
+            software=context.software,
+            runs_left=tries.runs_left,
+            sends_left=tries.sends_left,
+            unsent=tries.unsent,
+            left=round(context.seconds_left, 3),
+            retries_left=round(self._state.retries(context.service.name).balance, 3),
+            reached=tries.reached,
+            started=context.response.started,
+        )
+
+    def _listed(self, context: request_context.RequestContext) -> list[str]:
+        """Return the names of the service's upstreams that do not leave."""
+        upstreams = self._state.registry.of_service(context.service.name)
+        return sorted(upstream.name for upstream in upstreams if not upstream.leaving)
+
     def failed_unexpectedly(self, context: request_context.RequestContext) -> None:
         """Log the unexpected error being handled, which ends a request."""
         self._metrics.increment("internal_errors")
--- /dev/null
+++ b/hollyring/node/retry_decisions.py
@@ -0,0 +1,76 @@
+"""Whether another attempt of a request is made after the last open one, and if not, why."""
+
+from __future__ import annotations
+
+import enum
+
+from hollyring.delivery import retry
+from hollyring.node import clock, request_context, state
+
+MAX_DECLINED = 2
+"""VMs that are asked to execute a request before it is refused."""
+
+
+class Reason(enum.StrEnum):
+    """Why no further attempt of a request is made, beside those in `retry.Denial`."""
+
+    STREAM_CANNOT_CONTINUE = "stream cannot continue"
+    ADMITTED_ELSEWHERE = "admitted elsewhere"
+    DECLINED = "declined by other VMs"
+    CRASHING = "crashes upstreams"
+    RETRY_BUDGET_SPENT = "retry budget spent"
+    CUT_OFF = "cut off from the upstreams"
+    OLD_COPIES = "copies of the store too old"
+    LEAVING = "VM is leaving"
+    NO_UPSTREAM = "no upstream"
+    NO_ROOM = "no room at the upstreams"
+    NO_TIME = "no time"
+
+
+Denial = retry.Denial | Reason
+
+
+def denial(
+    vm_state: state.State,
+    context: request_context.RequestContext,
+    outcome: request_context.Unanswered,
+) -> Denial | None:
+    """Return why no attempt follows the last open one, None if one does.
+
+    It spends a retry of the service's budget if the last one arrived at an upstream.
+
+    Parameters
+    ----------
+    vm_state
+        State of this VM, with its retry budgets.
+    context
+        The request.
+    outcome
+        Outcome of the last open attempt.
+    """
+    if isinstance(outcome, request_context.Withdrawn):
+        return None
+    denied = context.retry_denial()
+    if denied is not None:
+        return denied
+    if not context.events.may_continue:
+        return Reason.STREAM_CANNOT_CONTINUE
+    if context.admitted_by and context.retry_state.reached:
+        return Reason.ADMITTED_ELSEWHERE
+    if len(context.declined) >= MAX_DECLINED:
+        return Reason.DECLINED
+    if _is_crashing(outcome):
+        return Reason.CRASHING
+    if not isinstance(outcome, request_context.Failed) and not outcome.written:
+        return None
+    if not vm_state.retries(context.service.name).try_retry(clock.now()):
+        return Reason.RETRY_BUDGET_SPENT
+    return None
+
+
+def _is_crashing(outcome: request_context.Outcome) -> bool:
+    """Return whether another VM declined a request since it crashes upstreams."""
+    return (
+        isinstance(outcome, request_context.Declined)
+        and outcome.rejection.code == "crashing_request"
+    )
