--- a/hollyring/node/forward_server.py
+++ b/hollyring/node/forward_server.py
@@ -12,10 +12,10 @@
     clock,
     delegated_requests,
     errors,
+    handshake,
     logs,
     metrics,
     peer_link,
-    peers,
     relay,
     responses,
     wire,
@@ -83,7 +83,7 @@
             await anyio.sleep(0.02)
         self._drained = True
 
-    async def serve(self, session: peers.Session, message: object) -> None:
+    async def serve(self, session: handshake.Session, message: object) -> None:
         """Serve a link, whose first message is given, until it is closed or idle for long."""
         link = peer_link.Link(session, self._codec)
         try:
--- a/hollyring/node/peer_link.py
+++ b/hollyring/node/peer_link.py
@@ -8,9 +8,8 @@
 import anyio
 import anyio.abc
 
-from hollyring.node import errors, peers, sockets, wire
+from hollyring.node import errors, handshake, peers, sockets, wire
 
-HEADER_BYTES = 4 + peers.TAG_BYTES
 CLOSE_EVENTS = select.POLLIN | select.POLLRDHUP
 
 
@@ -39,7 +38,7 @@
         "received_bytes",
     )
 
-    def __init__(self, session: peers.Session, codec: wire.Codec) -> None:
+    def __init__(self, session: handshake.Session, codec: wire.Codec) -> None:
         self._session = session
         self._codec = codec
         self._buffer = bytearray(session.buffered.buffer)
@@ -120,15 +119,16 @@
 
     def _next_payload(self) -> bytes | None:
         """Return the payload of the next frame, None if it is not whole."""
-        if len(self._buffer) < HEADER_BYTES:
+        if len(self._buffer) < handshake.HEADER_BYTES:
             return None
         (length,) = struct.unpack_from("!I", self._buffer)
         if length > wire.MAX_MESSAGE_BYTES:
             raise LinkLostError(f"frame of {length} bytes exceeds the size limit")
-        end = HEADER_BYTES + length
+        end = handshake.HEADER_BYTES + length
         if len(self._buffer) < end:
             return None
-        tag, payload = bytes(self._buffer[4:HEADER_BYTES]), bytes(self._buffer[HEADER_BYTES:end])
+        tag = bytes(self._buffer[handshake.LENGTH_BYTES : handshake.HEADER_BYTES])
+        payload = bytes(self._buffer[handshake.HEADER_BYTES : end])
         del self._buffer[:end]
         try:
             return self._session.incoming.open(tag, payload)
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -5,34 +5,21 @@
 Each outgoing connection is served by one task, which owns the socket and reads a bounded
 queue. A message that finds the queue full is dropped; senders have to cope with that anyway, since
 the network may lose messages.
-
-A frame consists of the payload's length (4 bytes), an authentication tag (`TAG_BYTES`) and the
-payload. The tag is a digest of the frame's number and payload, keyed with the session key. That key
-is derived from both ends' nonces and a peer key, so that nobody without a peer key can open a
-connection or insert a frame.
 """
 
 from __future__ import annotations
 
-import dataclasses
-import hashlib
-import hmac
-import secrets
 import struct
 from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 import anyio.abc
-import anyio.streams.buffered
 from anyio.streams import memory
 from thrift.Thrift import TMessageType
 
 from hollyring.core import identities
-from hollyring.node import actor, errors, logs, sockets, wire
+from hollyring.node import actor, errors, handshake, logs, sockets, wire
 
-NONCE_BYTES = 16
-TAG_BYTES = 8
-PROOF_BYTES = 32
 IO_TIMEOUT_SECONDS = 2.0
 """Timeout of connecting, of the handshake and of sending one frame."""
 
@@ -40,85 +27,15 @@
 """Time without messages after which an outgoing connection is closed."""
 
 MAX_QUEUED_MESSAGES = 256
-MAX_HELLO_FIELD_BYTES = 256
 MAX_SEQUENCE = 1 << 31
 
 MessageHandler = Callable[[identities.Incarnation, object], Awaitable[object | None]]
 """Handles a message; its return value is sent as the reply if the sender waits for one."""
 
-LinkHandler = Callable[["Session", object], Awaitable[None]]
+LinkHandler = Callable[[handshake.Session, object], Awaitable[None]]
 """Serves a connection that carries frames both ways, given its first message."""
 
 
-class FrameAuthenticator:
-    """Seals or verifies the numbered frames of one connection.
-
-    Parameters
-    ----------
-    key
-        Session key of the connection.
-    """
-
-    __slots__ = ("_key", "_number")
-
-    def __init__(self, key: bytes) -> None:
-        self._key = key
-        self._number = 0
-
-    def next_tag(self, payload: bytes) -> bytes:
-        """Return the authentication tag of the next frame and increment the frame number."""
-        prefix = struct.pack("!Q", self._number)
-        self._number += 1
-        return hashlib.blake2b(prefix + payload, key=self._key, digest_size=TAG_BYTES).digest()
-
-    def seal(self, payload: bytes) -> bytes:
-        """Return the frame that carries `payload`."""
-        return struct.pack("!I", len(payload)) + self.next_tag(payload) + payload
-
-    def open(self, tag: bytes, payload: bytes) -> bytes:
-        """Return `payload` if `tag` is the authentication tag of the next frame with it.
-
-        Raises
-        ------
-        PeerError
-            If the tag does not match.
-        """
-        if not hmac.compare_digest(tag, self.next_tag(payload)):
-            raise errors.PeerError("authentication tag of a frame does not match")
-        return payload
-
-
-def _handshake_mac(key: str, label: bytes, *fields: bytes) -> bytes:
-    digest = hmac.new(key.encode(), label, hashlib.sha256)
-    for field in fields:
-        digest.update(struct.pack("!I", len(field)) + field)
-    return digest.digest()
-
-
-def _encode_hello(incarnation: identities.Incarnation, address: str) -> bytes:
-    encoded_name, encoded_address = incarnation.name.encode(), address.encode()
-    return (
-        struct.pack("!HHQ", len(encoded_name), len(encoded_address), incarnation.number)
-        + encoded_name
-        + encoded_address
-    )
-
-
-async def _receive_hello(
-    stream: anyio.streams.buffered.BufferedByteReceiveStream,
-) -> tuple[identities.Incarnation, str]:
-    """Return the incarnation of the connecting VM and the address where it accepts connections."""
-    name_length, address_length, number = struct.unpack("!HHQ", await stream.receive_exactly(12))
-    if not 0 < name_length <= MAX_HELLO_FIELD_BYTES or address_length > MAX_HELLO_FIELD_BYTES:
-        raise errors.PeerError("peer name is empty, or the name or address is too long")
-    try:
-        name = (await stream.receive_exactly(name_length)).decode()
-        address = (await stream.receive_exactly(address_length)).decode() if address_length else ""
-    except UnicodeDecodeError as error:
-        raise errors.PeerError("peer name or address is not valid UTF-8") from error
-    return identities.Incarnation(name, number), address
-
-
 CONNECTION_ERRORS = (
     OSError,
     TimeoutError,
@@ -130,27 +47,6 @@
 """Errors of a connection that could not be opened or was lost."""
 
 
-@dataclasses.dataclass(slots=True)
-class Session:
-    """Connection after its handshake.
-
-    Parameters
-    ----------
-    opener
-        VM that opened the connection.
-    stream, buffered
-        The connection, and its bytes that were received with the handshake or follow.
-    outgoing, incoming
-        Authenticators of the frames that this VM sends and receives.
-    """
-
-    opener: identities.Incarnation
-    stream: anyio.abc.SocketStream
-    buffered: anyio.streams.buffered.BufferedByteReceiveStream
-    outgoing: FrameAuthenticator
-    incoming: FrameAuthenticator
-
-
 class PeerConnections:
     """Connections of this VM to and from the other VMs.
 
@@ -334,9 +230,9 @@
                 with anyio.fail_after(IO_TIMEOUT_SECONDS):
                     await session.stream.send(session.outgoing.seal(payload))
                 self._counts["sent"] += 1
-                self._counts["sent_bytes"] += len(payload) + TAG_BYTES + 4
+                self._counts["sent_bytes"] += len(payload) + handshake.HEADER_BYTES
 
-    async def open_session(self, address: str) -> Session:
+    async def open_session(self, address: str) -> handshake.Session:
         """Connect to the VM at `address` and run the handshake.
 
         Raises
@@ -349,39 +245,19 @@
         stream = await anyio.connect_tcp(host, int(port))
         try:
             sockets.enable_probes(stream.extra(anyio.abc.SocketAttribute.raw_socket))
-            return await self._open_handshake(stream)
+            return await handshake.open_session(
+                stream, self._incarnation, self._address, self._keys[0]
+            )
         except BaseException:
             await anyio.aclose_forcefully(stream)
             raise
 
-    async def _open_handshake(self, stream: anyio.abc.SocketStream) -> Session:
-        """Run the client side of the handshake, in which both ends prove that they hold the key."""
-        buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
-        peer_nonce = await buffered.receive_exactly(NONCE_BYTES)
-        own_nonce = secrets.token_bytes(NONCE_BYTES)
-        hello = _encode_hello(self._incarnation, self._address)
-        key = self._keys[0]
-        await stream.send(
-            hello + own_nonce + _handshake_mac(key, b"open", peer_nonce, own_nonce, hello)
-        )
-        proof = await buffered.receive_exactly(PROOF_BYTES)
-        if not hmac.compare_digest(
-            proof, _handshake_mac(key, b"accept", peer_nonce, own_nonce, hello)
-        ):
-            raise errors.PeerError("accepting peer failed mutual authentication")
-        return Session(
-            self._incarnation,
-            stream,
-            buffered,
-            FrameAuthenticator(_handshake_mac(key, b"session", peer_nonce, own_nonce, hello)),
-            FrameAuthenticator(_handshake_mac(key, b"answers", peer_nonce, own_nonce, hello)),
-        )
-
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
             try:
                 with anyio.fail_after(IO_TIMEOUT_SECONDS):
-                    session = await self._accept_handshake(stream)
+                    session, address = await handshake.accept_session(stream, self._keys)
+                self._reported_addresses[session.opener.name] = address
                 await self._receive_frames(session)
             except errors.PeerError as error:
                 self._counts["refused"] += 1
@@ -391,41 +267,19 @@
             except Exception:  # of one message; the process has requests of callers
                 self._log.exception("connection from a VM failed")
 
-    async def _accept_handshake(self, stream: anyio.abc.SocketStream) -> Session:
-        buffered = anyio.streams.buffered.BufferedByteReceiveStream(stream)
-        own_nonce = secrets.token_bytes(NONCE_BYTES)
-        await stream.send(own_nonce)
-        sender, address = await _receive_hello(buffered)
-        peer_nonce = await buffered.receive_exactly(NONCE_BYTES)
-        proof = await buffered.receive_exactly(PROOF_BYTES)
-        hello = _encode_hello(sender, address)
-        for key in self._keys:
-            if hmac.compare_digest(
-                proof, _handshake_mac(key, b"open", own_nonce, peer_nonce, hello)
-            ):
-                await stream.send(_handshake_mac(key, b"accept", own_nonce, peer_nonce, hello))
-                self._reported_addresses[sender.name] = address
-                nonces = own_nonce, peer_nonce
-                return Session(
-                    sender,
-                    stream,
-                    buffered,
-                    FrameAuthenticator(_handshake_mac(key, b"answers", *nonces, hello)),
-                    FrameAuthenticator(_handshake_mac(key, b"session", *nonces, hello)),
-                )
-        raise errors.PeerError("connecting peer has none of the peer keys")
-
-    async def _receive_frames(self, session: Session) -> None:
+    async def _receive_frames(self, session: handshake.Session) -> None:
         buffered = session.buffered
         while True:
-            header = await buffered.receive_exactly(4 + TAG_BYTES)
-            (length,) = struct.unpack("!I", header[:4])
+            header = await buffered.receive_exactly(handshake.HEADER_BYTES)
+            (length,) = struct.unpack("!I", header[: handshake.LENGTH_BYTES])
             if length > wire.MAX_MESSAGE_BYTES:
                 raise errors.PeerError(f"frame of {length} bytes exceeds the size limit")
-            payload = session.incoming.open(header[4:], await buffered.receive_exactly(length))
+            payload = session.incoming.open(
+                header[handshake.LENGTH_BYTES :], await buffered.receive_exactly(length)
+            )
             message, sequence, message_type = self._codec.decode(payload)
             self._counts["received"] += 1
-            self._counts["received_bytes"] += length + TAG_BYTES + 4
+            self._counts["received_bytes"] += length + handshake.HEADER_BYTES
             if self._serve_link is not None and self._opens_link(message):
                 await self._serve_link(session, message)
                 return
--- a/hollyring/node/tests/test_forward_links.py
+++ b/hollyring/node/tests/test_forward_links.py
@@ -14,6 +14,7 @@
     clock,
     forward_links,
     forwarded_messages,
+    handshake,
     heartbeat_messages,
     peer_link,
     peers,
@@ -203,7 +204,7 @@
     frame = session.outgoing.seal(CODEC.encode(REQUEST))
     match damage:
         case "tag":
-            frame = frame[:4] + bytes(peers.TAG_BYTES) + frame[4 + peers.TAG_BYTES :]
+            frame = frame[:4] + bytes(handshake.TAG_BYTES) + frame[4 + handshake.TAG_BYTES :]
         case "length":
             frame = struct.pack("!I", wire.MAX_MESSAGE_BYTES + 1) + frame[4:]
         case "replayed":
--- a/hollyring/node/tests/test_peers.py
+++ b/hollyring/node/tests/test_peers.py
@@ -3,7 +3,7 @@
 
 from hollyring.core import identities
 from hollyring.limits import messages
-from hollyring.node import catalogue, errors, peers, wire
+from hollyring.node import catalogue, errors, handshake, peers, wire
 
 KEY = "a-peer-key-of-sixteen-bytes"
 OTHER_KEY = "another-key-of-sixteen-bytes"
@@ -85,11 +85,11 @@
 
 
 def test_reordered_or_modified_frame_is_rejected():
-    senders = [peers.FrameAuthenticator(b"k" * 32) for _ in range(2)]
+    senders = [handshake.FrameAuthenticator(b"k" * 32) for _ in range(2)]
     first, second = senders[0].seal(b"one"), senders[0].seal(b"two")
     with pytest.raises(errors.PeerError):
         senders[1].open(second[4:12], b"two")
-    receiver = peers.FrameAuthenticator(b"k" * 32)
+    receiver = handshake.FrameAuthenticator(b"k" * 32)
     assert receiver.open(first[4:12], b"one") == b"one"
     with pytest.raises(errors.PeerError):
         receiver.open(second[4:12], b"twp")
