Tell VMs that follow where streams began, and let them tell it, in the statuses that they ask for

Callers saw 503 (not run) for streams of the only version that they took up at a VM that follows, or that had begun at one, while the store answered nobody: 17 of 17, 17 of 17 and 16 of 17 over 10 s (60 simulated VMs).

Cause: a VM that follows gets and sends no heartbeats, in which the others tell where streams began while the store is away, and its copies are too old to conclude that there is one version only.

Ruled out: heartbeats of VMs that follow (each is taken for a VM that returned, and every VM tells all of its origins again); all origins in each status (most VMs that follow need none); a new kind of message (an earlier build closes the connection on it).

A VM that follows tells a serving VM where streams began at it, of services with several versions, and of all while the store does not answer it or another VM; and asks for the stream that it takes up. An origin that is left out says nothing.

--- a/hollyring/delivery/stream_origins.py
+++ b/hollyring/delivery/stream_origins.py
@@ -10,6 +10,7 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Collection, Iterable
 
 ORIGIN_TTL_SECONDS = 30.0
@@ -136,21 +137,48 @@
         record = self._records.get(request_id)
         return record is not None and now - record.recorded_at <= ORIGIN_TTL_SECONDS
 
+    def known(self, request_ids: Iterable[str], now: float) -> dict[Origin, list[str]]:
+        """Return where streams began, of those of which it is known."""
+        found: dict[Origin, list[str]] = {}
+        for request_id in request_ids:
+            if self.knows(request_id, now):
+                found.setdefault(self._records[request_id].origin, []).append(request_id)
+        return found
+
     def report_again(self) -> None:
         """Report all streams that began at this VM once more, as another VM has started."""
         self._unreported = self._own.copy()
 
-    def take_unreported(self, services: Collection[str], now: float) -> dict[Origin, list[str]]:
-        """Return the unreported streams of `services`, which count as reported from now on."""
+    def put_back(self, request_ids: Iterable[str]) -> None:
+        """Count streams that were taken to be reported as unreported, as that has failed."""
+        for request_id in request_ids:
+            record = self._own.get(request_id)
+            if record is not None:
+                _append(self._unreported, request_id, record)
+
+    def take_unreported(
+        self, services: Collection[str], now: float, limit: int = MAX_ORIGINS
+    ) -> dict[Origin, list[str]]:
+        """Return the unreported streams of `services`, which count as reported from now on.
+
+        Parameters
+        ----------
+        limit
+            Most streams to return, the oldest first.
+        """
         for records in (self._records, self._own, self._unreported):
             _remove_expired(records, now)
         taken: dict[Origin, list[str]] = {}
         if not services:
             return taken
-        for request_id, record in list(self._unreported.items()):
-            if record.origin.service in services:
-                taken.setdefault(record.origin, []).append(request_id)
-                del self._unreported[request_id]
+        due = (
+            (request_id, record)
+            for request_id, record in list(self._unreported.items())
+            if record.origin.service in services
+        )
+        for request_id, record in itertools.islice(due, limit):
+            taken.setdefault(record.origin, []).append(request_id)
+            del self._unreported[request_id]
         return taken
 
 
--- a/hollyring/delivery/tests/test_stream_origins.py
+++ b/hollyring/delivery/tests/test_stream_origins.py
@@ -100,3 +100,20 @@
                     assert software == origin.software
                 case result:
                     assert isinstance(result, stream_origins.NotResumable)
+
+
+def test_streams_that_could_not_be_reported_are_reported_with_the_next_ones(origins):
+    chat = stream_origins.Origin("chat", "v1")
+    for number in range(5):
+        origins.record(f"r-{number}", chat, float(number))
+    assert origins.take_unreported({"chat"}, 5.0, limit=3) == {chat: ["r-0", "r-1", "r-2"]}
+    origins.put_back(["r-1", "unknown"])
+    assert origins.take_unreported({"chat"}, 5.0) == {chat: ["r-3", "r-4", "r-1"]}
+
+
+def test_only_origins_that_are_known_and_not_expired_are_named(origins):
+    chat = stream_origins.Origin("chat", "v1")
+    origins.record("r-1", chat, 0.0)
+    origins.record_reported(["r-2"], chat, 20.0)
+    assert origins.known(["r-1", "r-2", "r-3"], 20.0) == {chat: ["r-1", "r-2"]}
+    assert origins.known(["r-1", "r-2", "r-3"], 40.0) == {chat: ["r-2"]}
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -390,9 +390,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StatusRequest:
-    """Request for the status of the fleet, of a VM that does not ask the store itself."""
+    """Request for the status of the fleet, of a VM that does not ask the store itself.
+
+    Parameters
+    ----------
+    begun
+        Streams that began at the sender, which follows, since it told a serving VM last, as far as
+        the versions that serve may not show where they began.
+    sought
+        IDs of the requests whose streams callers take up at the sender, which does not know where
+        they began.
+    """
 
     sender: str
+    begun: list[StreamOrigins] = dataclasses.field(default_factory=list)
+    sought: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -418,6 +430,12 @@
         Names of some serving VMs that execute forwarded requests and reach all services.
     rejection_limits
         All limits of rejections that the sender knows.
+    stream_origins
+        Where the streams that were sought began, as far as the sender knows. Of those left out
+        nothing is said.
+    wants_origins
+        Whether the sender is to be told where all streams begin at a VM that follows, as the store
+        does not answer some VM. If it isn't, the receiver decides that by what it knows itself.
     """
 
     serving: bool
@@ -429,6 +447,8 @@
     request_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
     reaching_vms: list[str] = dataclasses.field(default_factory=list)
     rejection_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
+    stream_origins: list[StreamOrigins] = dataclasses.field(default_factory=list)
+    wants_origins: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -244,6 +244,7 @@
             forward_client.ForwardClient(
                 self._state, adapter.upstream_codec, self._forward_links, self._metrics
             ),
+            self._status_client,
         )
         self._forward_server = forward_server.ForwardServer(
             self._relay, codec, self._metrics, vm_settings.capacity
@@ -459,7 +460,7 @@
                 if message.revisions:
                     self._store_watcher.notice_revisions()
             case heartbeat.StatusRequest():
-                return self._state.fleet_status(clock.now())
+                return self._state.answer_status(message, clock.now())
             case heartbeat.CopyRequest():
                 return self._store_watcher.copy(message)
             case heartbeat.PermitRequest():
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -137,6 +137,8 @@
 
 struct MembershipStatusRequest {
   1: optional string sender
+  2: optional list<MembershipStreamOrigins> begun
+  3: optional list<string> sought
 }
 
 struct MembershipFleetStatus {
@@ -149,6 +151,8 @@
   7: optional list<MembershipUpstreamRequestLimit> request_limits
   8: optional list<string> reaching_vms
   9: optional list<MembershipUpstreamRequestLimit> rejection_limits
+  10: optional list<MembershipStreamOrigins> stream_origins
+  11: optional bool wants_origins
 }
 
 struct MembershipCopyRequest {
--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -91,6 +91,7 @@
         self._state.crashes.adopt(sender, message.blamed_parts, now)
         self._state.request_limits.receive(sender, message.request_limits, now)
         self._state.rejection_limits.receive(sender, message.rejection_limits, now)
+        self._state.told_origins.receive(message, now)
 
     def _record_freshness(self, revisions: list[heartbeat.PrefixRevision], asked_at: float) -> None:
         """Record up to when the copies are complete, as they have all that another VM has."""
--- a/hollyring/node/recent_copies.py
+++ b/hollyring/node/recent_copies.py
@@ -18,6 +18,13 @@
         """Wait until the upstreams' software versions are known as of now, if the store answers."""
 
 
+class OriginSource(typing.Protocol):
+    """Asks other VMs where streams began."""
+
+    async def find_origin(self, request_id: str, until: float) -> None:
+        """Ask where a stream began, if this VM is not told; wait for it until `until` at most."""
+
+
 class RecentCopies:
     """Copies of the store that are asked for before each decision about a request.
 
@@ -29,13 +36,20 @@
         Asks the store when the copies are too old.
     counters
         Metrics of this process.
+    origins
+        Asks other VMs where streams began, None if there are none.
     """
 
     def __init__(
-        self, vm_state: state.State, checker: CopyChecker, counters: metrics.Metrics
+        self,
+        vm_state: state.State,
+        checker: CopyChecker,
+        counters: metrics.Metrics,
+        origins: OriginSource | None = None,
     ) -> None:
         self._state = vm_state
         self._checker = checker
+        self._origins = origins
         self._metrics = counters
 
     async def may_decide(self, until: float) -> bool:
@@ -60,6 +74,9 @@
 
         It is decided afterwards whether that has come.
         """
-        if self._state.stream_versions.needs_recent(request, clock.now()):
+        versions = self._state.stream_versions
+        if self._origins is not None and versions.needs_origin(request, clock.now()):
+            await self._origins.find_origin(request.resumed_request_id, until)
+        if versions.needs_recent(request, clock.now()):
             self._metrics.increment("waits_for_versions")
             await self._checker.wait_versions(until)
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -67,6 +67,8 @@
         Permits to send requests to upstreams that named a request limit.
     forwards
         Forwards requests to other VMs; None for a VM that forwards none.
+    origins
+        Asks other VMs where streams began; None for a VM that asks none.
     """
 
     def __init__(
@@ -78,9 +80,10 @@
         checker: recent_copies.CopyChecker,
         permits: send_permits.SendPermits,
         forwards: forward_client.ForwardClient | None = None,
+        origins: recent_copies.OriginSource | None = None,
     ) -> None:
         self._state = vm_state
-        self._copies = recent_copies.RecentCopies(vm_state, checker, counters)
+        self._copies = recent_copies.RecentCopies(vm_state, checker, counters, origins)
         self._metrics = counters
         self._log = request_log.RequestLog(vm_state, counters)
         runner = attempt.AttemptRunner(vm_state, codec, pool, counters, permits, self._copies)
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -39,6 +39,7 @@
     store_changes,
     store_era,
     stream_versions,
+    told_origins,
     upstream_backoffs,
     upstream_limits,
 )
@@ -152,6 +153,7 @@
             self.registry, self.software_versions, self.stream_origins, self.freshness, store_keys
         )
         self.store_era.add_listener(self.stream_versions.record_new_era)
+        self.told_origins = told_origins.ToldOrigins(self)
         self.latest_wanted: dict[str, interfaces.WantedVersion] = {}
         self.leaving = False
         self.serving_since = clock.now()
@@ -386,13 +388,14 @@
 
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
-        is_away = not all(peer.store_reached for peer in self.peers.alive(now))
-        is_away = is_away or self.store_failed_at > self.store_reached_at
-        unreported = self.stream_versions.take_origins(is_away, now)
-        return [
-            heartbeat.StreamOrigins(origin.service, origin.software, request_ids)
-            for origin, request_ids in unreported.items()
-        ]
+        unreported = self.stream_versions.take_origins(self._is_store_away_for_any(now), now)
+        return told_origins.to_messages(unreported)
+
+    def _is_store_away_for_any(self, now: float) -> bool:
+        """Return whether the store does not answer this VM or another one."""
+        if self.store_failed_at > self.store_reached_at:
+            return True
+        return not all(peer.store_reached for peer in self.peers.alive(now))
 
     def apply_store_changes(self, prefix: str, changed: set[str], now: float) -> None:
         """Apply the keys that changed under a prefix of the store."""
@@ -539,8 +542,16 @@
             self.request_limits.all(now),
             self._reaching_vms(now),
             self.rejection_limits.all(now),
+            wants_origins=self._is_store_away_for_any(now),
         )
 
+    def answer_status(self, request: heartbeat.StatusRequest, now: float) -> heartbeat.FleetStatus:
+        """Process a VM's request for the status; return the status to send to it."""
+        status = self.fleet_status(now)
+        if not status.serving:
+            return status
+        return dataclasses.replace(status, stream_origins=self.told_origins.answer(request, now))
+
     def _reaching_vms(self, now: float) -> list[str]:
         """Return the VMs for forwarded requests to name to VMs that follow, perhaps this one."""
         others = self.peers.reaching_vms(now)
--- a/hollyring/node/status_client.py
+++ b/hollyring/node/status_client.py
@@ -23,6 +23,12 @@
 FAILURE_BACKOFF_SECONDS = 2.0
 """Time for which a VM that did not answer, or that does not serve, is not asked."""
 
+TELL_SECONDS = 0.15
+"""Shortest time between two polls, of which the second tells where streams began."""
+
+FIND_SECONDS = 0.3
+"""Longest wait of a request for the answer where its stream began."""
+
 
 class StatusClient:
     """Client of the serving VMs.
@@ -48,16 +54,55 @@
         self._store_watcher = watcher
         self._failed_until: dict[str, float] = {}
         self._turn = 0
+        self._untold: list[heartbeat.StreamOrigins] = []
+        self._sought: dict[str, None] = {}
+        self._lock = anyio.Lock()
         self._rng = random.Random(str(vm_state.vm_info.life))
         self._log = logs.Logger("status")
 
     async def run(self) -> None:
         """Ask periodically, until cancelled."""
         while True:
-            seconds = SERVING_POLL_SECONDS if self._state.peers.is_serving else POLL_SECONDS
-            await anyio.sleep(seconds * (0.75 + 0.5 * self._rng.random()))
+            await self._wait_due()
             if not self._state.peers.should_check_store(clock.now()):
-                await self._poll()
+                async with self._lock:
+                    await self._poll()
+
+    async def find_origin(self, request_id: str, until: float) -> None:
+        """Ask serving VMs where a stream began, unless they tell this VM anyway.
+
+        Requests that wait for it at the same time share a question.
+        """
+        if self._state.peers.is_exchanging:
+            return
+        self._sought[request_id] = None
+        try:
+            with anyio.move_on_after(min(FIND_SECONDS, until - clock.now())):
+                async with self._lock:
+                    if request_id in self._sought:
+                        await self._find()
+        finally:
+            self._sought.pop(request_id, None)
+
+    async def _wait_due(self) -> None:
+        """Wait until the next poll is due, at once if there are streams to tell of."""
+        seconds = SERVING_POLL_SECONDS if self._state.peers.is_serving else POLL_SECONDS
+        due_at = clock.now() + seconds * (0.75 + 0.5 * self._rng.random())
+        while (seconds_left := due_at - clock.now()) > 0:
+            may_tell = self._state.told_origins.may_tell(clock.now())
+            await anyio.sleep(min(TELL_SECONDS, seconds_left) if may_tell else seconds_left)
+            self._take_untold()
+            if self._untold:
+                return
+
+    def _take_untold(self) -> None:
+        """Take the streams to tell of; those that were not told go into heartbeats, if any."""
+        told_origins = self._state.told_origins
+        if self._untold and self._state.peers.is_exchanging:
+            told_origins.put_back(self._untold)
+            self._untold = []
+        if not self._untold:
+            self._untold = told_origins.take(clock.now())
 
     async def _poll(self) -> None:
         """Ask one of the preferred VMs, and others at once if it has no status."""
@@ -70,15 +115,27 @@
             if await self._ask(sponsors[turn]):
                 return
 
+    async def _find(self) -> None:
+        """Ask the VMs first whose copies of the store are the most recent ones."""
+        checkers = self._state.peers.store_checkers(clock.now())
+        for _ in range(MAX_TRIES):
+            sponsors = self._usable(checkers) or self._usable_sponsors()
+            if not sponsors or await self._ask(sponsors[0]):
+                return
+
     def _usable_sponsors(self) -> list[heartbeat.VmInfo]:
         now = clock.now()
         peers = self._state.peers
-        sponsors = peers.store_checkers(now) if peers.is_serving else peers.sponsors(now)
-        return [vm for vm in sponsors if self._failed_until.get(vm.name, 0.0) <= now]
+        return self._usable(peers.store_checkers(now) if peers.is_serving else peers.sponsors(now))
+
+    def _usable(self, vms: list[heartbeat.VmInfo]) -> list[heartbeat.VmInfo]:
+        now = clock.now()
+        return [vm for vm in vms if self._failed_until.get(vm.name, 0.0) <= now]
 
     async def _ask(self, sponsor: heartbeat.VmInfo) -> bool:
         """Ask one VM; return whether it sent a status."""
-        request = heartbeat.StatusRequest(self._state.vm_info.name)
+        sought, untold = list(self._sought), self._untold
+        request = heartbeat.StatusRequest(self._state.vm_info.name, untold, sought)
         asked_at = clock.now()
         reply = await self._peers.call(sponsor.peer_address, request, TIMEOUT_SECONDS)
         if not isinstance(reply, heartbeat.FleetStatus) or not reply.serving:
@@ -91,6 +148,10 @@
             )
             return False
         self._failed_until.pop(sponsor.name, None)
+        if self._untold is untold:
+            self._untold = []
+        for request_id in sought:
+            self._sought.pop(request_id, None)
         self._state.receive_status(sponsor.name, reply, asked_at, clock.now())
         self._store_watcher.notice_revisions()
         return True
--- a/hollyring/node/stream_versions.py
+++ b/hollyring/node/stream_versions.py
@@ -79,6 +79,12 @@
             return False
         return not self.is_recent(now)
 
+    def needs_origin(self, request: request_types.Request, now: float) -> bool:
+        """Return whether where a stream began decides where it goes on, and is not known here."""
+        if not request.resume_after or self._origins.knows(request.resumed_request_id, now):
+            return False
+        return not self.is_recent(now) or bool(self._versions.mixed_services)
+
     def take_origins(
         self, is_store_away: bool, now: float
     ) -> dict[stream_origins.Origin, list[str]]:
@@ -96,6 +102,18 @@
             services = self._versions.services
         return self._origins.take_unreported(services, now)
 
+    def services_to_tell(self, is_wanted: bool, now: float) -> set[str]:
+        """Return the services of which a VM that follows tells where streams began.
+
+        Parameters
+        ----------
+        is_wanted
+            Whether that is all services, not only those with several versions.
+        """
+        if is_wanted or not self._versions.is_complete(now):
+            return self._versions.services
+        return self._versions.mixed_services
+
     def withheld(self, service: str, now: float) -> frozenset[str]:
         """Return the software versions at which no resumable stream of a service begins yet."""
         upstreams = self._upstreams.of_service(service)
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -24,6 +24,8 @@
     heartbeat_sender,
     http_connection,
     interfaces,
+    metrics,
+    recent_copies,
     registration,
     rollout_controller,
     send_permits,
@@ -323,7 +325,7 @@
     def _reply(self, vm, message):
         match message:
             case heartbeat.StatusRequest():
-                return vm.state.fleet_status(clock.now())
+                return vm.state.answer_status(message, clock.now())
             case heartbeat.CopyRequest():
                 copy = vm.store_watcher.copy(message)
                 if copy is not None:
@@ -390,6 +392,9 @@
         )
         self.store_checker = store_checker.StoreChecker(client, self.state, self.store_watcher)
         self.status_client = status_client.StatusClient(self.state, peers, self.store_watcher)
+        self.copies = recent_copies.RecentCopies(
+            self.state, self.store_checker, metrics.Metrics(), self.status_client
+        )
         self.registration = registration.Registration(
             self.state, client, self.store_watcher, store_codec
         )
--- a/hollyring/node/tests/test_wire.py
+++ b/hollyring/node/tests/test_wire.py
@@ -17,6 +17,7 @@
 
 CODEC = wire.Codec(catalogue.MESSAGES)
 STATE = routing.UpstreamState("engine-1", 7, 3, 0.5, 100, 2, 1, 8000.0, 0.25)
+ORIGINS = heartbeat.StreamOrigins("chat", "v1", ["r-1", "r-2"])
 EXAMPLES = [
     limits.Ask("kigoma", 1, 2, 30_000),
     delivery.ClaimQuestion(b"k" * 16, "vm-1", 5, 9),
@@ -33,6 +34,8 @@
         accepts_forwarded=True,
     ),
     heartbeat.FleetStatus(True, 12, [], [], [], reaching_vms=["vm-1", "vm-2"]),
+    heartbeat.FleetStatus(True, 1, [], [], [], stream_origins=[ORIGINS], wants_origins=True),
+    heartbeat.StatusRequest("vm-1", [ORIGINS], ["r-3"]),
 ]
 
 
