Replace a text under the key of the order lease that has no lease, once every earlier holder has noticed it

Seen (read before, now in simulated VMs): another writer puts the key of the order lease without a lease. Nothing removes it, so every VM takes it for a holder and no upstream gets new weights until somebody removes it. A VM that held the lease goes on renewing it, as a renewal does not read the key; so writing the text over would have given the right to two VMs.

Change: a renewal also reads the key, and is refused unless the key has the revision that this holder wrote (not the value: a writer may put the same value). A right therefore ends one time to live after the other writer's change. The lease client notes when it first got an answer that shows a key without a lease (the store states the lease of each item), and replaces it one time to live and the drift of clocks later, under the condition of its revision. A VM reads the key only if no VM has said for 5 s that it holds the lease: this bounds the reads, and leaves holders of earlier builds alone, which do not read the key. One more read a second for the whole fleet.

--- a/hollyring/configuration/mirror.py
+++ b/hollyring/configuration/mirror.py
@@ -16,11 +16,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Item:
-    """A key with its value and the revision that last changed it."""
+    """A key with its value and the revision that last changed it.
+
+    Parameters
+    ----------
+    unleased
+        Whether the store states that no lease removes the key; items of other VMs do not tell.
+    """
 
     key: str
     value: bytes
     revision: store_revision.Revision
+    unleased: bool = dataclasses.field(default=False, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/experiments/lease_simulation.py
+++ b/hollyring/experiments/lease_simulation.py
@@ -22,6 +22,12 @@
 CLOSE_PROBABILITY = 0.002
 """Probabilities per step that a client is paused, crashes, or releases its lease and restarts."""
 
+OVERWRITE_PROBABILITY = 0.001
+"""Probability per step that another writer puts the key without a lease."""
+
+ECHO_SHARE = 0.3
+"""Share of these in which the value stays the same."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
@@ -31,12 +37,15 @@
     ----------
     acquired
         Number of times that a client acquired the lease.
+    overwritten
+        Number of times that another writer put the key without a lease.
     held_share
         Share of steps at which a client held the lease.
     """
 
     seed: int
     acquired: int
+    overwritten: int
     held_share: float
     promises: dict[str, dict[str, object]]
 
@@ -64,7 +73,8 @@
 class Simulation:
     """Lease clients, the key-value store that grants leases, and the calls in flight."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, overwrite_probability: float = OVERWRITE_PROBABILITY) -> None:
+        self._overwrite_probability = overwrite_probability
         self._rng = random.Random(seed)
         self._clients = [_Client(self._create_lease_client(n, 1), 1) for n in range(CLIENT_COUNT)]
         self._calls: list[_Call] = []
@@ -75,6 +85,7 @@
         self.now = 0.0
         self.acquired = 0
         self.held_steps = 0
+        self.overwritten = 0
         self.checks = invariants.Invariants()
 
     def step(self) -> None:
@@ -126,6 +137,15 @@
             self._clients[number] = _Client(
                 self._create_lease_client(number, client.incarnation + 1), client.incarnation + 1
             )
+        elif draw > 1.0 - self._overwrite_probability:
+            self._overwrite()
+
+    def _overwrite(self) -> None:
+        """Put the key without a lease, at times with the value that it has."""
+        self._version += 1
+        value = self._entry[0] if self._rng.random() < ECHO_SHARE else b"a text"
+        self._entry = (value, self._version, "")
+        self.overwritten += 1
 
     def _perform(self, number: int, actions: list[leases.Action]) -> None:
         for action in actions:
@@ -157,7 +177,8 @@
         self._expire_leases()
         match action:
             case leases.ReadHolder(call):
-                return leases.HolderRead(call, *self._entry[:2])
+                value, current, lease = self._entry
+                return leases.HolderRead(call, value, current, bool(current) and not lease)
             case leases.GrantLease(call, ttl):
                 lease = f"L{call}-{len(self._lease_expiry)}-{self.now}"
                 self._lease_expiry[lease] = self.now + ttl
@@ -168,10 +189,12 @@
                 self._version += 1
                 self._entry = (value, self._version, lease)
                 return leases.HolderWritten(call, self._version)
-            case leases.RenewLease(call, lease):
+            case leases.RenewLease(call, lease, _, version):
                 if lease not in self._lease_expiry:
                     return leases.Refused(call)
                 self._lease_expiry[lease] = self.now + TTL_SECONDS
+                if version != self._entry[1]:
+                    return leases.Refused(call)
                 return leases.LeaseRenewed(call)
             case leases.ReleaseLease(lease):
                 self._lease_expiry[lease] = self.now
@@ -187,7 +210,7 @@
                 self._entry = (b"", 0, "")
 
 
-def run(seed: int, steps: int) -> Report:
+def run(seed: int, steps: int, overwrite_probability: float = OVERWRITE_PROBABILITY) -> Report:
     """Run the simulation for `steps` steps.
 
     Raises
@@ -195,8 +218,8 @@
     InvariantError
         If two clients hold the lease at once, or a fencing token decreases.
     """
-    simulation = Simulation(seed)
+    simulation = Simulation(seed, overwrite_probability)
     for _ in range(steps):
         simulation.step()
     held = round(simulation.held_steps / steps, 3)
-    return Report(seed, simulation.acquired, held, simulation.checks.dump())
+    return Report(seed, simulation.acquired, simulation.overwritten, held, simulation.checks.dump())
--- a/hollyring/experiments/tests/test_membership.py
+++ b/hollyring/experiments/tests/test_membership.py
@@ -19,6 +19,12 @@
     assert report.acquired > 3 and report.held_share > 0.3
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_lease_whose_key_another_writer_puts_has_one_holder_and_finds_the_next(seed):
+    report = lease_simulation.run(seed, 4_000, overwrite_probability=0.003)
+    assert report.overwritten > 3 and report.acquired > 3 and report.held_share > 0.2
+
+
 def test_command_prints_json():
     arguments = ["--steps", "300", "--vms", "3", "--json"]
     result = testing.CliRunner().invoke(membership.membership, arguments)
--- a/hollyring/membership/leases.py
+++ b/hollyring/membership/leases.py
@@ -11,6 +11,7 @@
 import enum
 
 from hollyring.core import identities
+from hollyring.membership import unleased_keys
 
 CLOCK_DRIFT_RATIO = 0.02
 """Fraction of the time to live by which the clocks of holder and service may drift apart."""
@@ -75,10 +76,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RenewLease:
-    """Renew a lease; outcomes `LeaseRenewed`, `Refused` if it has expired, and `Failed`."""
+    """Renew a lease and read its key; outcomes `LeaseRenewed`, `Refused`, `Failed`.
+
+    It is refused if the lease has expired, or if the key's version is not `version` any more.
+    """
 
     call: int
     lease: str
+    key: str
+    version: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,11 +113,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HolderRead:
-    """Value and version of the key; version 0 if the key is absent."""
+    """Value and version of the key; version 0 if the key is absent.
+
+    Parameters
+    ----------
+    unleased
+        Whether no lease removes the key, which another writer has put then.
+    """
 
     call: int
     value: bytes
     version: int
+    unleased: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +145,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseRenewed:
-    """The lease was renewed."""
+    """The lease was renewed, and its key had its version after the call was sent."""
 
     call: int
 
@@ -195,6 +208,7 @@
         "_due_at",
         "_failures",
         "_read_version",
+        "_unleased",
     )
 
     def __init__(self, key: str, owner: identities.Incarnation, ttl: float) -> None:
@@ -212,6 +226,7 @@
         self._due_at = 0.0
         self._failures = 0
         self._read_version = 0
+        self._unleased = unleased_keys.UnleasedKey(ttl * (1.0 + CLOCK_DRIFT_RATIO))
 
     @property
     def due(self) -> float | None:
@@ -250,7 +265,7 @@
             return [ReadHolder(self._next_call(), self._key)]
         if self._phase is Phase.HELD:
             self._renew_sent_at = now
-            return [RenewLease(self._next_call(), self._lease)]
+            return [RenewLease(self._next_call(), self._lease, self._key, self._fencing)]
         return []
 
     def handle(self, event: Event, now: float) -> list[Action]:
@@ -323,11 +338,16 @@
         return [*actions, Lost(self._fencing)] if held else actions
 
     def _handle_holder(self, event: HolderRead, now: float) -> list[Action]:
-        """Request a lease if the key is absent, else check again after half the time to live.
+        """Request a lease if the key is free, else check again after half the time to live.
 
-        A key that an earlier acquisition of this owner left behind is written over.
+        A key that an earlier acquisition of this owner left behind is written over, and so is one
+        without a lease, once whoever held the lease before it has certainly seen it.
         """
-        if event.version != 0 and not event.value.startswith(self._owner + b"/"):
+        if event.unleased:
+            is_free = self._unleased.observe(event.version, now)
+        else:
+            is_free = event.version == 0 or event.value.startswith(self._owner + b"/")
+        if not is_free:
             self._phase = Phase.IDLE
             self._due_at = now + self._ttl / 2
             return []
--- a/hollyring/membership/tests/test_leases.py
+++ b/hollyring/membership/tests/test_leases.py
@@ -163,3 +163,33 @@
     assert lease.release(4.2) == []
     acquire(lease, 8.0)
     assert lease.fencing(8.1) == 41
+
+
+def test_renewal_names_the_version_that_was_written(lease):
+    """The holder must notice that another writer put its key, as its lease goes on."""
+    acquire(lease)
+    (renew,) = lease.tick(4.0)
+    assert (renew.key, renew.version) == ("leases/orders", 41)
+
+
+def read_until_granted(lease, version, until):
+    """Read an unleased key at each due time; return the time and version of the write, if any."""
+    while lease.due < until:
+        now = lease.due
+        (read,) = lease.tick(now)
+        for grant in lease.handle(leases.HolderRead(read.call, b"a text", version, True), now):
+            (write,) = lease.handle(leases.LeaseGranted(grant.call, "L1"), now)
+            return now, write.version
+    return None
+
+
+def test_key_without_a_lease_is_replaced_after_any_lease_has_ended(lease):
+    replaced_at, version = read_until_granted(lease, 7, 60.0)
+    assert version == 7
+    assert 10.0 * (1 + leases.CLOCK_DRIFT_RATIO) <= replaced_at < 16.0
+
+
+def test_key_without_a_lease_that_changes_is_left_for_longer(lease):
+    assert read_until_granted(lease, 7, 9.0) is None
+    replaced_at, _ = read_until_granted(lease, 8, 60.0)
+    assert replaced_at > 19.0
--- a/hollyring/node/lease_calls.py
+++ b/hollyring/node/lease_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from hollyring.configuration import store_revision
 from hollyring.membership import leases
 from hollyring.node import interfaces
@@ -18,20 +20,29 @@
     match action:
         case leases.ReadHolder():
             item = await store.get(action.key)
-            value, revision = (item.value, item.revision.ordinal) if item else (b"", 0)
-            return leases.HolderRead(action.call, value, revision)
+            if item is None:
+                return leases.HolderRead(action.call, b"", 0)
+            ordinal = item.revision.ordinal
+            return leases.HolderRead(action.call, item.value, ordinal, item.unleased)
         case leases.GrantLease():
             return leases.LeaseGranted(action.call, str(await store.grant(action.ttl)))
         case leases.WriteHolder():
             return await _write(store, action)
         case leases.RenewLease():
-            renewed = await store.renew(interfaces.Lease.parse(action.lease))
-            return leases.LeaseRenewed(action.call) if renewed else leases.Refused(action.call)
+            return await _renew(store, action)
         case leases.ReleaseLease():
             await store.revoke(interfaces.Lease.parse(action.lease))
     return None
 
 
+async def _renew(store: interfaces.Store, action: leases.RenewLease) -> leases.Event:
+    lease = interfaces.Lease.parse(action.lease)
+    renewed, item = await asyncio.gather(store.renew(lease), store.get(action.key))
+    if renewed and item is not None and item.revision.ordinal == action.version:
+        return leases.LeaseRenewed(action.call)
+    return leases.Refused(action.call)
+
+
 async def _write(store: interfaces.Store, action: leases.WriteHolder) -> leases.Event:
     put = interfaces.Put(action.key, action.value, interfaces.Lease.parse(action.lease))
     expected = store_revision.Revision.from_ordinal(action.version)
--- /dev/null
+++ b/hollyring/node/listed_holder.py
@@ -0,0 +1,53 @@
+"""Holder of the order lease by this VM's copy of the store and the statements of other VMs."""
+
+from __future__ import annotations
+
+from hollyring.core import identities
+from hollyring.node import state
+
+LEASE_SECONDS = 3.0
+
+UNCLAIMED_SECONDS = LEASE_SECONDS + 2.0
+"""Time after a holder's last statement when its lease has ended, unless it is cut off or not ours.
+
+A heartbeat may be a second older than the last renewal.
+"""
+
+
+class ListedHolder:
+    """Tells when it is worth reading in the store whether the order lease can be acquired.
+
+    Parameters
+    ----------
+    vm_state
+        State with the copy of the store and the latest statement of a holder.
+    """
+
+    __slots__ = ("_state", "_incarnation", "_listed_since")
+
+    def __init__(self, vm_state: state.State) -> None:
+        vm_info = vm_state.vm_info
+        self._state = vm_state
+        self._incarnation = str(identities.Incarnation(vm_info.name, vm_info.life))
+        self._listed_since: float | None = None
+
+    def may_be_none(self, now: float) -> bool:
+        """Return whether no holder is listed but this VM, or one that no VM has said to be of late.
+
+        Whether the key of the latter has a lease is for the lease client to read.
+        """
+        if self._name() in ("", self._incarnation):
+            self._listed_since = None
+            return True
+        if self._listed_since is None:
+            self._listed_since = now
+        heard_at = max(self._listed_since, self._state.order_holder_heard_at)
+        return now - heard_at > UNCLAIMED_SECONDS
+
+    def _name(self) -> str:
+        """Return the incarnation that holds the lease by this VM's copy of the store, or ""."""
+        store_keys = self._state.store_keys
+        item = self._state.mirrors[store_keys.vms].items.get(store_keys.orders_lease)
+        if item is None:
+            return ""
+        return item.value.decode(errors="replace").partition("/")[0]
--- a/hollyring/node/rollout_controller.py
+++ b/hollyring/node/rollout_controller.py
@@ -16,6 +16,7 @@
     http_connection,
     interfaces,
     lease_calls,
+    listed_holder,
     logs,
     send_permits,
     state,
@@ -27,7 +28,7 @@
 IDLE_TICK_SECONDS = 1.0
 """Tick of a VM that does not serve, which does not compete for the lease."""
 
-LEASE_SECONDS = 3.0
+LEASE_SECONDS = listed_holder.LEASE_SECONDS
 MIN_LEASE_REMAINING_SECONDS = 1.5
 """Remaining time of the lease below which no order is sent.
 
@@ -139,6 +140,7 @@
         self._reports_in_flight: set[str] = set()
         self._invariants = invariants.Invariants(strict=False)
         self._lease_free_since: float | None = None
+        self._listed_holder = listed_holder.ListedHolder(vm_state)
         self._fencing = 0
         self._own_order_at: float | None = None
         self._latest_possible_order_at = 0.0
@@ -210,8 +212,7 @@
             return True
         if not self._state.ready or not self._state.peers.is_serving or self._yields(now):
             return False
-        holder = self._listed_holder()
-        if holder and holder != str(self._incarnation):
+        if not self._listed_holder.may_be_none(now):
             self._lease_free_since = None
             return False
         if now < self._reacquire_until:
@@ -223,14 +224,6 @@
         rank = sum(name < self._incarnation.name for name in names)
         return now - self._lease_free_since >= rank * ACQUIRE_STAGGER_SECONDS
 
-    def _listed_holder(self) -> str:
-        """Return the incarnation that holds the lease by this VM's copy of the store, or ""."""
-        store_keys = self._state.store_keys
-        holder_item = self._state.mirrors[store_keys.vms].items.get(store_keys.orders_lease)
-        if holder_item is None:
-            return ""
-        return holder_item.value.decode(errors="replace").partition("/")[0]
-
     def _on_new_era(self) -> None:
         """Give up the lease, which the store may have lost, and acquire that of the new era.
 
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -169,6 +169,7 @@
         self.departure_counts: collections.Counter[str] = collections.Counter()
         self.weights: list[heartbeat.UpstreamWeights] = []
         self.order_lease = heartbeat.OrderLeaseStatus(False, -1.0, [])
+        self.order_holder_heard_at = -math.inf
         self._store_changes = store_changes.StoreChanges(self, codec, max_version_age_seconds)
         self._rates = rates or organisation_rates.OrganisationRates(RATE_WINDOW_SECONDS)
         self._followed = False
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -60,7 +60,7 @@
         """Write a key, as the operator, an upstream or a VM does."""
         self.revision += 1
         data = value if isinstance(value, bytes) else pickle.dumps(value)
-        self.items[key] = mirror.Item(key, data, self.current)
+        self.items[key] = mirror.Item(key, data, self.current, unleased=not lease)
         self.changes.append(self.items[key])
         for _, keys, _ in self.leases.values():
             keys.discard(key)
--- /dev/null
+++ b/hollyring/node/tests/test_overwritten_lease.py
@@ -0,0 +1,83 @@
+"""Another writer puts the key of the order lease, without a lease that would remove it."""
+
+import anyio
+import pytest
+
+from hollyring.node import rollout_controller
+from hollyring.node.tests import order_steps
+
+KEY = "vm/.orders"
+REPLACED_SECONDS = 4 * rollout_controller.LEASE_SECONDS
+"""The holder's renewal, silence of its statements, the wait for its lease, and two polls."""
+
+TEXTS = [b"a text", b"", b"/", b"x" * 20000, bytes(range(256))]
+
+
+def overwrite(fleet, text):
+    """Put the key without a lease; None keeps the text that it has."""
+    fleet.store.put(KEY, fleet.store.items[KEY].value if text is None else text)
+
+
+def assert_order_gaps(fleet):
+    gaps = order_steps.gaps_between_holders(fleet)
+    assert all(gap >= rollout_controller.LEASE_SECONDS for gap in gaps)
+
+
+@pytest.mark.parametrize("text", TEXTS, ids=range(len(TEXTS)))
+def test_text_under_the_lease_key_keeps_orders_away_for_a_limited_time(simulate, text):
+    async def scenario(fleet):
+        overwrite(fleet, text)
+        for name in fleet.names:
+            fleet.start(name)
+        await fleet.wait_until(lambda: fleet.order_lease_holder() != "", REPLACED_SECONDS)
+        fleet.set_wanted_version(2)
+        await fleet.wait_until(lambda: fleet.all_serve(2), order_steps.TAKEOVER_SECONDS + 7.0)
+        assert_order_gaps(fleet)
+
+    simulate(scenario)
+
+
+@pytest.mark.parametrize("after_renewal", [0.0, 0.3, 0.6, 0.9])
+@pytest.mark.parametrize("text", [b"a text", None], ids=["other", "same"])
+@pytest.mark.parametrize("heard", [True, False])
+def test_text_over_a_held_lease_does_not_let_two_vms_give_orders(
+    simulate, heard, text, after_renewal
+):
+    """The other VMs reach the store, and hear the holder or do not."""
+
+    async def scenario(fleet):
+        await order_steps.start_all(fleet)
+        await anyio.sleep(after_renewal)
+        holder = fleet.order_lease_holder()
+        if not heard:
+            fleet.partitions = {frozenset({holder, name}) for name in fleet.names if name != holder}
+        fleet.set_wanted_version(2)
+        await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
+        overwrite(fleet, text)
+        wanted = 2
+        until = anyio.current_time() + 2 * REPLACED_SECONDS
+        while anyio.current_time() < until:
+            await anyio.sleep(0.1)
+            fleet.order_lease_holder()
+            if fleet.all_serve(wanted):
+                wanted += 1
+                fleet.set_wanted_version(wanted)
+        assert wanted > 3
+        assert len({order.fencing for order in fleet.orders()}) == 2
+        assert_order_gaps(fleet)
+
+    simulate(scenario)
+
+
+def test_key_of_a_lease_that_another_vm_holds_is_not_replaced(simulate):
+    """The VMs that do not hear the holder read a key that a lease removes."""
+
+    async def scenario(fleet):
+        await order_steps.start_all(fleet)
+        holder = fleet.order_lease_holder()
+        fleet.partitions = {frozenset({holder, name}) for name in fleet.names if name != holder}
+        for _ in range(30):
+            await anyio.sleep(rollout_controller.LEASE_SECONDS / 6)
+            assert fleet.order_lease_holder() == holder
+
+    simulate(scenario)
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -23,6 +23,7 @@
 
 JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 ERA_HEADER = b"store-era"
+NO_LEASE = 0
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
@@ -37,6 +38,7 @@
     key: str
     revision: _Number
     value: str = ""  # Base64
+    lease: Any = None
     deleted: bool = False
 
 
@@ -270,7 +272,8 @@
     except ValueError:
         value = b""
     revision = store_revision.Revision(era, item.revision)
-    return mirror.Item(item.key, documents.kept_value(item.key, value), revision)
+    unleased = type(item.lease) is int and item.lease == NO_LEASE
+    return mirror.Item(item.key, documents.kept_value(item.key, value), revision, unleased)
 
 
 def _convert_change(event: _Item, era: int) -> mirror.Change:
@@ -281,5 +284,5 @@
 
 def _encode_put(put: interfaces.Put) -> dict[str, Any]:
     value = base64.b64encode(put.value).decode()
-    lease = put.lease.number if put.lease is not None else 0
+    lease = put.lease.number if put.lease is not None else NO_LEASE
     return {"key": put.key, "value": value, "lease": lease}
--- a/hollyring/platform/tests/test_store.py
+++ b/hollyring/platform/tests/test_store.py
@@ -113,3 +113,16 @@
     written = await client.commit({"vm/a": read.revision}, [interfaces.Put("vm/a", b"3")])
     assert written == interfaces.Conflict()
     assert (await client.get("vm/a")).value == b"2"
+
+
+async def test_key_that_another_writer_put_without_a_lease_is_told_from_a_leased_one(
+    stand_in, client
+):
+    await client.grant(3.0)
+    await stand_in.put("vm/leased", "", lease=1)
+    await stand_in.put("vm/unleased", "", lease=0)
+    await stand_in.put("vm/odd", "", lease=False)
+    items = [await client.get(f"vm/{name}") for name in ("leased", "unleased", "odd")]
+    assert [item.unleased for item in items] == [False, True, False]
+    listing = await client.list("vm/")
+    assert {item.key: item.unleased for item in listing.items}["vm/unleased"]
