Send a stream again to an upstream that refused it, when none is left that was not tried

Cause: a request that may have run was never sent to an upstream that it had been sent to before, also not to one that had stated that it did not run it. With few upstreams, of which one is silent and one loads weights, none is left. The limit on servers does not ask for that: a server that did not run it is no further one.

Change: once no upstream is left that was not tried, second choices are those that did not run the request, then those that fell silent and were closed, never one that broke it off. A stream of which the caller has a part waits for that, 0.3, 0.6 and 1.2 s after a refusal, within its sends, its runs, the retry budget and its deadline.

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -13,6 +13,7 @@
 import collections
 import dataclasses
 import enum
+import math
 from collections.abc import Iterable
 
 from hollyring.core import execution, request_types
@@ -24,6 +25,12 @@
 MAX_UNSENT = 5
 """Maximum number of attempts of one request of which no byte is sent, for want of a connection."""
 
+MIN_ASK_AGAIN_SECONDS = 0.3
+"""Time after its first refusal by an upstream for which a request that ran is not sent there again.
+
+It doubles with each refusal, as an upstream that loads weights refuses until it has them.
+"""
+
 MIN_SECONDS_LEFT = 0.03
 """Nothing is sent with less time than this left before the deadline."""
 
@@ -91,6 +98,10 @@
         "_runs",
         "_in_progress",
         "_reached",
+        "_refusals",
+        "_refused_at",
+        "_ran",
+        "_broke_off",
         "_upstreams",
         "_unsent_upstreams",
         "_failure_domains",
@@ -104,6 +115,10 @@
         self._runs = 0
         self._in_progress = 0
         self._reached = False
+        self._refusals = 0
+        self._refused_at = -math.inf
+        self._ran: set[str] = set()
+        self._broke_off: set[str] = set()
         self._upstreams: list[str] = []
         self._unsent_upstreams: list[str] = []
         self._failure_domains: list[str] = []
@@ -166,6 +181,24 @@
         sent.subtract(self._unsent_upstreams)
         return self._tried_elsewhere | frozenset(name for name, sends in sent.items() if sends > 0)
 
+    @property
+    def second_choices(self) -> tuple[frozenset[str], ...]:
+        """Which upstreams not to ask again, by preference, once none is left that was not tried.
+
+        One that did not run the request may run it now, and is no further one that runs it. One
+        that fell silent and was closed comes next, one that broke the request off never.
+        """
+        if not self.reached:
+            return (frozenset(),)
+        return (self._tried_elsewhere | self._ran, self._tried_elsewhere | self._broke_off)
+
+    @property
+    def ask_again_at(self) -> float:
+        """Monotonic second from which an upstream that was tried may be asked again."""
+        if not self.reached:
+            return -math.inf
+        return self._refused_at + MIN_ASK_AGAIN_SECONDS * 2.0 ** (self._refusals - 1)
+
     @property
     def failure_domains(self) -> frozenset[str]:
         """Failure domains of the upstreams of all attempts."""
@@ -225,13 +258,31 @@
         self._upstreams.pop()
         self._failure_domains.pop()
 
-    def record_failure(self, ran: execution.Execution) -> None:
-        """Record that an attempt failed or was closed, and whether its upstream ran the request."""
+    def record_failure(self, ran: execution.Execution, upstream: str = "") -> None:
+        """Record that an attempt failed or was closed, and whether its upstream ran the request.
+
+        Parameters
+        ----------
+        ran
+            Whether it ran the request.
+        upstream
+            Name of the upstream, empty if another VM made the attempt.
+        """
         self._in_progress -= 1
         if ran is execution.Execution.NOT_RUN:
             return
         self._reached = True
         self._runs += 1
+        self._ran.add(upstream)
+
+    def record_broken_off(self, upstream: str) -> None:
+        """Record that an upstream failed the request, beside `record_failure`."""
+        self._broke_off.add(upstream)
+
+    def record_refusal(self, now: float) -> None:
+        """Record that an upstream stated that it did not run it, beside `record_failure`."""
+        self._refusals += 1
+        self._refused_at = now
 
     @property
     def may_run_elsewhere(self) -> bool:
--- a/hollyring/delivery/tests/test_retry.py
+++ b/hollyring/delivery/tests/test_retry.py
@@ -159,3 +159,33 @@
     assert state.sent_upstreams == {"other", "elsewhere"}
     state.begin(first)
     assert state.sent_upstreams == {"other", "elsewhere", first}
+
+
+def test_upstreams_that_did_not_run_a_request_may_be_asked_again_before_those_that_did(begun_state):
+    state = begun_state(RESUMABLE, max_runs=5)
+    state.record_failure(UNKNOWN, "ls-1")
+    state.begin("ls-2")
+    state.record_failure(NOT_RUN, "ls-2")
+    state.begin("ls-3")
+    state.record_failure(UNKNOWN, "ls-3")
+    state.record_broken_off("ls-3")
+    assert state.second_choices == ({"ls-1", "ls-3"}, {"ls-3"})
+
+
+def test_request_that_did_not_run_may_be_sent_to_any_upstream_again_at_once(begun_state):
+    state = begun_state(RESUMABLE)
+    state.record_failure(NOT_RUN, "ls-1")
+    state.record_refusal(1.0)
+    assert state.second_choices == (frozenset(),)
+    assert state.ask_again_at < 1.0
+
+
+def test_request_that_ran_is_sent_again_after_times_that_double_with_each_refusal(begun_state):
+    state = begun_state(RESUMABLE)
+    state.record_failure(UNKNOWN, "ls-1")
+    assert state.ask_again_at < 0.0
+    waits = []
+    for now in (1.0, 2.0, 3.0):
+        state.record_refusal(now)
+        waits.append(round(state.ask_again_at - now, 6))
+    assert waits == [0.3, 0.6, 1.2]
--- a/hollyring/node/attempt_places.py
+++ b/hollyring/node/attempt_places.py
@@ -187,18 +187,32 @@
             raise RequestRefusedError(refused, retry_decisions.Reason.NO_TIME)
         selection_request = self.selection_request(context)
         selected = self._state.selector.select(selection_request, now)
-        if (
-            isinstance(selected, selection.NoUpstream)
-            and context.retry_state.sends
-            and not context.retry_state.reached
-        ):
-            # No other upstream is left, and one that refused earlier may accept the request now.
-            unrestricted = dataclasses.replace(selection_request, excluded=frozenset())
-            selected = self._state.selector.select(unrestricted, now)
+        if isinstance(selected, selection.NoUpstream) and context.retry_state.sends:
+            selected = self._select_again(context, selection_request, now) or selected
         if isinstance(selected, selection.NoUpstream):
             raise _no_upstream_error(context, selected, now)
         return selected
 
+    def _select_again(
+        self,
+        context: request_context.RequestContext,
+        request: selection.SelectionRequest,
+        now: float,
+    ) -> selection.Selection | selection.NoUpstream | None:
+        """Select among the upstreams that were tried, None if none of them may be asked again.
+
+        One that refused earlier may accept the request now, though perhaps not yet.
+        """
+        for excluded in context.retry_state.second_choices:
+            again = dataclasses.replace(request, excluded=excluded)
+            if not self._state.selector.is_served(again, now):
+                continue
+            wait_seconds = context.retry_state.ask_again_at - now
+            if wait_seconds > 0:
+                return selection.NoUpstream(wait_seconds, busy=True)
+            return self._state.selector.select(again, now)
+        return None
+
     def _withheld_software(self, context: request_context.RequestContext) -> frozenset[str]:
         """Return the software versions at which the request must not begin a stream yet."""
         is_resumable = context.retry_state.retry_safety is request_types.RetrySafety.RESUMABLE
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -260,21 +260,24 @@
             self._log.withdrawn(context, finished)
             context.retry_state.withdraw()
             return
-        context.retry_state.record_failure(outcome.execution_status)
+        tries = context.retry_state
+        tries.record_failure(outcome.execution_status, finished.where)
         match outcome:
-            case request_context.Failed(head=None) if context.last_failure is not None:
-                pass
             case request_context.Failed():
-                context.last_failure = outcome
+                tries.record_broken_off(finished.where)
+                if outcome.head is not None or context.last_failure is None:
+                    context.last_failure = outcome
             case request_context.NotRun(written=False):
-                context.retry_state.record_unsent(finished.where)
+                tries.record_unsent(finished.where)
+            case request_context.NotRun():
+                tries.record_refusal(clock.now())
         self._log.failed(context, finished, outcome)
 
     def _record_superseded(
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
         """Record an attempt that is closed since another one has taken over."""
-        context.retry_state.record_failure(_execution_of(attempt))
+        context.retry_state.record_failure(_execution_of(attempt), attempt.where)
         self._log.superseded(context, attempt)
 
     def _is_blamed(self, context: request_context.RequestContext) -> bool:
