Tests: hold the ports of servers that are to take no connection

test_upstreams_that_a_vm_cannot_connect_to_are_tried_through_another_vm got 502 once. Its servers had ended before the test, so their ports were free: any process on the host could get them. The ports are bound and not listened at now, so that a connection is refused and no other process can have them; what the test asks for is the same.

--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import itertools
+import socket
 
 import anyio
 import pytest
@@ -743,13 +744,19 @@
     assert fleet.requests == []
 
 
-async def make_unreachable(fleet):
-    """Return servers with the fleet's names at addresses that take no connection."""
+@contextlib.contextmanager
+def unreachable_servers(fleet):
+    """Yield servers with the fleet's names at addresses that take no connection.
+
+    Their ports are bound, so that no other process can listen there meanwhile.
+    """
     unreachable = [conftest.ServerStandIn(server.name) for server in fleet.servers]
-    for server in unreachable:
-        async with server.running():
-            pass
-    return unreachable
+    with contextlib.ExitStack() as held:
+        for server in unreachable:
+            port = held.enter_context(socket.socket())
+            port.bind(("127.0.0.1", 0))
+            server.address = f"127.0.0.1:{port.getsockname()[1]}"
+        yield unreachable
 
 
 @pytest.mark.anyio
@@ -758,9 +765,10 @@
     start_fleet, retry_safety
 ):
     fleet = await start_fleet("complete", "complete", count=0, retry_safety=retry_safety)
-    await fleet.add(servers=await make_unreachable(fleet))
-    await fleet.add()
-    caller = await fleet.cut.send_request()
+    with unreachable_servers(fleet) as unreachable:
+        await fleet.add(servers=unreachable)
+        await fleet.add()
+        caller = await fleet.cut.send_request()
     assert caller.status == 200
     assert [len(vm.messages) for vm in fleet.executing] == [1, 1]
 
