Find the expired versions of weights once in a selection, not once for every upstream

Cause: the share of upstreams that have a wanted version or a later one was worked out for each candidate with older weights, if the time since which the version is wanted is estimated.

Change: the versions that are served are judged once each, and the candidates looked up in the result.

--- a/hollyring/routing/selection.py
+++ b/hollyring/routing/selection.py
@@ -266,6 +266,8 @@
 
     def _suitable_upstreams(self, request: SelectionRequest, now: float) -> list[registry.Upstream]:
         """Return the upstreams that may run the request, whatever their load."""
+        model = request.prompt.model if request.prompt else ""
+        expired = self._expired_versions(request, now)
         return [
             upstream
             for upstream in self._registry.of_service(request.service)
@@ -273,7 +275,7 @@
             and upstream.name not in request.excluded
             and request.software in (None, upstream.entry.software)
             and upstream.entry.software not in request.withheld_software
-            and not self._is_expired(request, upstream, now)
+            and upstream.version(model) not in expired
         ]
 
     def _open_upstreams(
@@ -285,19 +287,21 @@
             return upstreams
         return [u for u in upstreams if self._registry.opens_at(u.incarnation) <= now]
 
-    def _is_expired(
-        self, request: SelectionRequest, upstream: registry.Upstream, now: float
-    ) -> bool:
-        """Return whether the weights of an upstream are too old to be used at all."""
+    def _expired_versions(self, request: SelectionRequest, now: float) -> frozenset[int]:
+        """Return the served versions of the weights that are too old to be used at all."""
         if request.prompt is None:
-            return False
+            return frozenset()
         model = request.prompt.model
-        upstreams = self._registry.of_service(request.service)
+        served = [u.version(model) for u in self._registry.of_service(request.service)]
 
         def share_with(version: int) -> float:
-            return sum(u.version(model) >= version for u in upstreams) / max(1, len(upstreams))
+            return sum(has >= version for has in served) / len(served)
 
-        return self._versions.is_expired(model, upstream.version(model), now, share_with)
+        return frozenset(
+            version
+            for version in set(served)
+            if self._versions.is_expired(model, version, now, share_with)
+        )
 
     def _lookups(self, request: SelectionRequest, now: float) -> cached_prefixes.Lookups | None:
         if request.prompt is None:
--- a/hollyring/routing/tests/test_selection.py
+++ b/hollyring/routing/tests/test_selection.py
@@ -1,9 +1,11 @@
+import functools
 import random
 
 import pytest
 
 from hollyring.configuration import deployment
 from hollyring.core import request_types
+from hollyring.core.tests import python_calls
 from hollyring.routing import (
     backoffs,
     costs,
@@ -269,6 +271,34 @@
     assert not vm.versions.newest(MODEL).estimated
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_upstreams_with_expired_weights_are_found_by_a_step_for_each(vm, seed):
+    rng = random.Random(seed)
+    vm.limit_version_age(10.0)
+    for version in range(1, 5):
+        since = 10.0 * rng.random()
+        vm.versions.record(MODEL, version, since, estimated=rng.random() < 0.5)
+    steps = []
+    for count in (20, 200):
+        vm.add(*(f"u-{n}" for n in range(count)))
+        upstreams = vm.registry.of_service(SERVICE)
+        for upstream in upstreams:
+            upstream.versions[MODEL] = rng.randrange(5)
+
+        def share_with(version, of=tuple(upstreams)):
+            return sum(upstream.version(MODEL) >= version for upstream in of) / len(of)
+
+        names = {upstream.name for upstream in upstreams}
+        for upstream in upstreams[:20]:
+            alone = selection_request(excluded=names - {upstream.name})
+            version = upstream.version(MODEL)
+            is_expired = vm.versions.is_expired(MODEL, version, 15.0, share_with)
+            assert vm.selector.is_served(alone, 15.0) != is_expired
+        ask = functools.partial(vm.selector.is_served, selection_request(), 15.0)
+        steps.append(python_calls.count(ask))
+    assert steps[1] < 20 * steps[0]
+
+
 def test_rejected_requests_get_different_retry_delays(vm):
     vm.add("a1")
     for number in range(30):
