Command line: what hollyring config prints stands in a module of its own

config had 437 lines with commands and their texts; config_reports has the texts. The output is unchanged.

--- a/hollyring/cli/config.py
+++ b/hollyring/cli/config.py
@@ -11,9 +11,8 @@
 import uuid
 
 import click
-import msgspec
 
-from hollyring.cli import admin_client, sync_client
+from hollyring.cli import admin_client, config_reports, sync_client
 from hollyring.configuration import (
     documents,
     errors,
@@ -81,7 +80,7 @@
     Example: hollyring config check bohari.json
     """
     document = _read_document(file, as_json)
-    _print_report(
+    config_reports.print_report(
         {"outcome": "fine", "objects": len(document.objects)},
         f"{file}: fine, {len(document.objects)} objects",
         as_json,
@@ -141,7 +140,11 @@
     while True:
         change = _plan(configuration, document, as_json)
         if dry_run or (change.is_empty and configuration is loaded.configuration):
-            _print_report(_plan_report(change, "nothing submitted"), _plan_summary(change), as_json)
+            config_reports.print_report(
+                config_reports.plan_report(change, "nothing submitted"),
+                config_reports.plan_text(change),
+                as_json,
+            )
             return
         if change.is_empty:
             return
@@ -171,7 +174,7 @@
     }
     lines = [f"revision {configuration.revision}"]
     lines += [f"{count:6} {kind}" for kind, count in counts.items()]
-    _print_report(report, "\n".join(lines), as_json)
+    config_reports.print_report(report, "\n".join(lines), as_json)
 
 
 @config.command()
@@ -186,9 +189,9 @@
     client = sync_client.SyncPlatformClient(url)
     newest = _load_configuration(client, as_json).configuration.revision
     found = _read_revisions(client, range(newest, max(0, newest - limit), -1))
-    _print_report(
-        [_revision_report(item) for item in found],
-        "\n".join(_revision_text(item) for item in found),
+    config_reports.print_report(
+        [config_reports.revision_report(item) for item in found],
+        "\n".join(config_reports.revision_text(item) for item in found),
         as_json,
     )
 
@@ -250,7 +253,7 @@
     }
     lines = [f"{address}: {text}" for address, text in shown.items()]
     lines.append(f"in force on {len(addresses) - len(behind)} of {len(addresses)} VMs")
-    _print_report(
+    config_reports.print_report(
         {"revision": revision, "vms": revision_by_address, "behind": behind},
         "\n".join(lines),
         as_json,
@@ -265,7 +268,7 @@
         validation.require_valid(document.objects)
     except errors.InvalidConfigurationError as error:
         text = "\n".join(f"{file}: {finding}" for finding in error.findings)
-        _exit_with_report(
+        config_reports.exit_with_report(
             {"outcome": "invalid", "findings": error.findings}, text, EXIT_BAD_INPUT, as_json
         )
     return document
@@ -276,7 +279,7 @@
     client.run(configuration_loader, MAX_LOAD_FAILURES)
     if configuration_loader.result is None:
         text = "the platform's service is not reachable; nothing was submitted"
-        _exit_with_report({"outcome": "unreachable"}, text, EXIT_UNKNOWN, as_json)
+        config_reports.exit_with_report({"outcome": "unreachable"}, text, EXIT_UNKNOWN, as_json)
     if configuration_loader.result.error:
         click.echo(
             f"warning: a stored revision cannot be applied: {configuration_loader.result.error}",
@@ -292,7 +295,7 @@
         return submission.plan(configuration, document)
     except errors.ConfigurationError as error:
         report = {"outcome": "invalid", "findings": [str(error)]}
-        _exit_with_report(report, str(error), EXIT_BAD_INPUT, as_json)
+        config_reports.exit_with_report(report, str(error), EXIT_BAD_INPUT, as_json)
 
 
 def _submit(
@@ -304,9 +307,11 @@
     revision = change.base.revision + 1
     match submitted.outcome:
         case submission.Accepted():
-            report = {**_plan_report(change, "accepted"), "revision": revision}
-            _print_report(
-                report, f"{_plan_summary(change)}\naccepted as revision {revision}", as_json
+            report = {**config_reports.plan_report(change, "accepted"), "revision": revision}
+            config_reports.print_report(
+                report,
+                f"{config_reports.plan_text(change)}\naccepted as revision {revision}",
+                as_json,
             )
         case submission.Rejected(winner):
             _exit_lost_race([winner], change, as_json)
@@ -315,7 +320,7 @@
                 f"outcome unknown: the change may become revision {revision}, now or later\n"
                 "Find out with: hollyring config history --limit 1; applying again is safe."
             )
-            _exit_with_report(
+            config_reports.exit_with_report(
                 {"outcome": "unknown", "revision": revision}, text, EXIT_UNKNOWN, as_json
             )
     return submitted.value
@@ -338,7 +343,9 @@
 ) -> None:
     text = f"the latest revision is {newest}, not {base}"
     if newest < base:
-        _exit_with_report({"outcome": "lost", "changes": []}, text, EXIT_LOST_RACE, as_json)
+        config_reports.exit_with_report(
+            {"outcome": "lost", "changes": []}, text, EXIT_LOST_RACE, as_json
+        )
     click.echo(text, err=True)
     _exit_lost_race(_read_revisions(client, range(base + 1, newest + 1)), None, as_json)
 
@@ -350,14 +357,17 @@
     own_identities |= set(change.delete) if change else set()
     lines = ["this change was refused because these were accepted first:"]
     for winner in winners:
-        lines.append(_revision_text(winner))
+        lines.append(config_reports.revision_text(winner))
         lines += [
             f"  you change {name}, too"
             for name in winner.changed_identities
             if name in own_identities
         ]
-    report = {"outcome": "lost", "changes": [_revision_report(winner) for winner in winners]}
-    _exit_with_report(report, "\n".join(lines), EXIT_LOST_RACE, as_json)
+    report = {
+        "outcome": "lost",
+        "changes": [config_reports.revision_report(winner) for winner in winners],
+    }
+    config_reports.exit_with_report(report, "\n".join(lines), EXIT_LOST_RACE, as_json)
 
 
 def _read_revisions(
@@ -387,51 +397,6 @@
             + ", ".join(f"{name} has {number}" for name, number in ahead.items())
             + "; the VMs restore them, try again in a minute"
         )
-        _exit_with_report({"outcome": "store_older", "ahead": ahead}, text, EXIT_UNKNOWN, as_json)
-
-
-def _plan_report(change: submission.Plan, outcome: str) -> dict[str, object]:
-    return {
-        "outcome": outcome,
-        "base": change.base.revision,
-        "added": [str(name) for name in change.added],
-        "changed": [str(name) for name in change.replaced],
-        "deleted": [str(name) for name in change.delete],
-    }
-
-
-def _plan_summary(change: submission.Plan) -> str:
-    if change.is_empty:
-        return f"nothing to change, revision {change.base.revision} is as declared"
-    lines = [f"+ {name}" for name in change.added]
-    lines += [f"~ {name}" for name in change.replaced]
-    lines += [f"- {name}" for name in change.delete]
-    return "\n".join(lines)
-
-
-def _revision_report(revision: revisions.Revision) -> dict[str, object]:
-    return {
-        "revision": revision.revision,
-        "author": revision.author,
-        "at": revision.at,
-        "submission": revision.submission,
-        "put": [str(objects.identity(item)) for item in revision.put],
-        "deleted": [str(name) for name in revision.delete],
-    }
-
-
-def _revision_text(revision: revisions.Revision) -> str:
-    names = ", ".join(str(name) for name in revision.changed_identities)
-    return f"revision {revision.revision} by {revision.author} at {revision.at}: {names}"
-
-
-def _print_report(report: object, text: str, as_json: bool) -> None:
-    click.echo(msgspec.json.encode(report).decode() if as_json else text)
-
-
-def _exit_with_report(report: object, text: str, status: int, as_json: bool) -> typing.NoReturn:
-    if as_json:
-        _print_report(report, text, as_json)
-    else:
-        click.echo(text, err=True)
-    sys.exit(status)
+        config_reports.exit_with_report(
+            {"outcome": "store_older", "ahead": ahead}, text, EXIT_UNKNOWN, as_json
+        )
