Settle the only version too where a VM has not read the record, or is in doubt

A VM that takes callers 0.5 s after its start without the record, or one in doubt, began streams that may be resumed at its only version at once, as the only one is taken to be known to all recent copies. Others may have had upstreams before it started, so it may have just joined, and a VM with copies of up to 0.7 s ago may know the other one only.

test_vm_that_has_not_read_the_record_begins_no_stream_at_a_version_that_others_may_lack (simulated VMs) failed with the first stream 0.10 s after the version's entry, the two cases of test_only_version_at_a_vm_that_may_lack_others_waits_until_it_is_settled with frozenset() for {'v1'}. That a stream was joined was not seen: the VM that was cut off refused in the test.

Change: the only version settles at once only if no other may be missing. A record that names all versions ends the wait (test_only_version_that_the_record_confirms_does_not_wait_any_more).

--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -27,7 +27,10 @@
 
 
 class Store:
-    """Contents of the store, shared by the clients of all VMs."""
+    """Contents of the store, shared by the clients of all VMs.
+
+    `unlisted` holds the prefixes that it does not list, each with the VM.
+    """
 
     def __init__(self):
         self.items = {}
@@ -40,6 +43,7 @@
         self.read_only_to = set()
         self.refused_writes = 0
         self.delays = {}
+        self.unlisted = set()
         self.list_calls = collections.Counter()
         self.calls = 0
         self.write_times = []
@@ -184,6 +188,8 @@
 
     async def list(self, prefix):
         await self._check_reachable()
+        if (self._vm, prefix) in self._store.unlisted:
+            raise interfaces.StoreError("no list")
         self._store.list_calls[prefix] += 1
         items = [item for key, item in self._store.items.items() if key.startswith(prefix)]
         return interfaces.Listing(items, self._store.current)
--- a/hollyring/node/tests/test_stale_versions.py
+++ b/hollyring/node/tests/test_stale_versions.py
@@ -12,7 +12,7 @@
 from hollyring.membership import heartbeat
 from hollyring.node import clock, status_client
 from hollyring.node.tests import simulated_fleet
-from hollyring.routing import software_versions
+from hollyring.routing import registry, software_versions
 
 VMS = [f"vm-{n}" for n in range(1, 6)]
 SERVICE = simulated_fleet.SERVICE
@@ -454,3 +454,33 @@
         assert refuses(await take_up(following[1], "r-1"))
 
     simulate(scenario, vms=LARGE, upstreams=())
+
+
+def test_vm_that_has_not_read_the_record_begins_no_stream_at_a_version_that_others_may_lack(
+    simulate,
+):
+    begun = []
+
+    async def scenario(fleet):
+        await start_all(fleet)
+        other = registry.Entry("u-9", "another", "u-9:1", "a", 8, False, 1, {}, "v9")
+        fleet.store.put("servers/u-9", other)
+        fleet.kill("vm-1")
+        remove_upstream(fleet, "u-0")
+        fleet.store.unlisted.add(("vm-1", "vm/"))
+        cut_from_vms(fleet, "vm-1")
+        starting = fleet.start("vm-1")
+        await fleet.wait_until(lambda: starting.state.ready, 2.0)
+        cut(fleet, "vm-5", "both")
+        add_upstream(fleet, "u-1", "v1")
+        joined_at = clock.now()
+        while clock.now() - joined_at < 2.0:
+            assert starting.state.software_versions.awaits_record
+            if begin_stream(starting, f"r-{clock.now()}", random.Random(0)):
+                begun.append(clock.now() - joined_at)
+                found = await take_up(fleet.vms["vm-5"], "unknown")
+                assert refuses(found), (found, clock.now() - joined_at)
+            await anyio.sleep(0.02)
+
+    simulate(scenario, vms=VMS, upstreams=())
+    assert software_versions.SETTLE_SECONDS <= min(begun) < software_versions.MAX_WITHHELD_SECONDS
--- a/hollyring/routing/software_versions.py
+++ b/hollyring/routing/software_versions.py
@@ -250,13 +250,16 @@
     def _update_settled(self, now: float) -> None:
         """Note since when streams begin at each version, or from when on.
 
-        All VMs whose knowledge is recent have the only version of a service in it, if any.
+        All VMs whose knowledge is recent have the only version of a service in it, if any; but
+        while others may be missing here, the only one that is known may have just joined.
         """
-        needs_record = self._recorded is not None and self.is_complete(now)
+        is_complete = self.is_complete(now)
+        needs_record = self._recorded is not None and is_complete
         settled_at = self._settled_at
         self._settled_at = {}
         for service, seen_at in self._seen_at.items():
-            due_at = now + (SETTLE_SECONDS if len(seen_at) > 1 else 0.0)
+            is_only = is_complete and len(seen_at) == 1
+            due_at = now + (0.0 if is_only else SETTLE_SECONDS)
             for software in seen_at:
                 key = (service, software)
                 if needs_record and key in self._unrecorded_since:
--- a/hollyring/routing/tests/test_software_versions.py
+++ b/hollyring/routing/tests/test_software_versions.py
@@ -194,3 +194,19 @@
     settled_at = 1.0 + software_versions.SETTLE_SECONDS
     assert starting.withheld("chat", {"v2"}, settled_at - 0.01) == {"v2"}
     assert starting.withheld("chat", {"v2"}, settled_at) == frozenset()
+
+
+@pytest.mark.parametrize("in_doubt", [False, True])
+def test_only_version_at_a_vm_that_may_lack_others_waits_until_it_is_settled(starting, in_doubt):
+    if in_doubt:
+        starting.restore(None, False, 0.0)
+    starting.observe([upstream("i-1", "v1")], 1.0)
+    settled_at = 1.0 + software_versions.SETTLE_SECONDS
+    assert starting.withheld("chat", {"v1"}, settled_at - 0.01) == {"v1"}
+    assert starting.withheld("chat", {"v1"}, settled_at) == frozenset()
+
+
+def test_only_version_that_the_record_confirms_does_not_wait_any_more(starting):
+    starting.observe([upstream("i-1", "v1")], 1.0)
+    starting.restore(chat("v1"), True, 1.1)
+    assert starting.withheld("chat", {"v1"}, 1.1) == frozenset()
