--- a/hollyring/node/tests/test_divided_fleet.py
+++ b/hollyring/node/tests/test_divided_fleet.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hollyring.node import registration
-from hollyring.node.tests import simulated_fleet, test_rollout_controller
+from hollyring.node.tests import order_steps, simulated_fleet
 
 VMS = tuple(f"vm-{n}" for n in range(1, 7))
 SERVICES = ("used before the division", "used first during it")
@@ -40,7 +40,7 @@
     simulate, parts, service
 ):
     async def scenario(fleet):
-        await test_rollout_controller.start_all(fleet)
+        await order_steps.start_all(fleet)
         for vm in fleet.vms.values():
             vm.state.retries(SERVICES[0])
         divide(fleet, parts)
@@ -53,7 +53,7 @@
 
 def test_survivors_use_the_whole_retry_budget_once_the_others_are_known_to_be_gone(simulate):
     async def scenario(fleet):
-        await test_rollout_controller.start_all(fleet)
+        await order_steps.start_all(fleet)
         for name in VMS[2:]:
             fleet.kill(name)
         await anyio.sleep(registration.LEASE_SECONDS + 2.0)
