Keep a retry of the budget of which nothing was sent, for the next attempt or another request

Callers of a VM that had lost its path to all upstreams had streams broken off that had begun before: test_cut_failure_domain_serves_streams_..._through_other_vms[hanging], three of eight in one run of 17, after 9, 28 and 28 of 30 events.

Timeline of a run with its logs (the test prints those of a failure now): 0.87 s after the start, a VM that does not know yet that it is cut off sends a silent stream to a second upstream, beside the first; a retry is spent. Half a second later that ends, "no connection", and a second retry is spent on the forward to another VM. With a balance of 6.25 for four streams at a VM, two such detours are one too many: the others wait for retries that come back at 0.31 a second, until their deadline after 8 s, or go on too late to end (28 of 30 events fits that; the logs of that run are lost).

Cause: an attempt that followed one of which nothing was sent cost nothing only if none was silent beside it; an attempt beside a silent one always spent a retry, also if it never got a connection.

Change: an attempt of which nothing was sent leaves its retry to the next one of its request; what a request has got and not used is given back when it ends. BUDGET counts arrivals, of which there are as many as before per retry.

The three places where a retry was spent are one function now.

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -95,6 +95,8 @@
         "_tried_elsewhere",
         "_sends",
         "_unsent",
+        "_paid",
+        "_bought",
         "_runs",
         "_in_progress",
         "_reached",
@@ -112,6 +114,8 @@
         self._tried_elsewhere = frozenset(tried_elsewhere)
         self._sends = 0
         self._unsent = 0
+        self._paid = 1  # the first attempt costs no retry
+        self._bought = 0
         self._runs = 0
         self._in_progress = 0
         self._reached = False
@@ -217,8 +221,27 @@
         """Return whether there is time for another attempt."""
         return self.seconds_left(now) >= MIN_SECONDS_LEFT
 
+    @property
+    def needs_retry(self) -> bool:
+        """Whether the next attempt costs a retry of the budget.
+
+        One that followed an attempt of which nothing was sent uses the retry of that.
+        """
+        return self._paid <= 0
+
+    @property
+    def unused_retries(self) -> int:
+        """Number of retries of the budget that the request got and did not use."""
+        return min(self._bought, self._paid)
+
+    def record_retry(self) -> None:
+        """Record that the request got a retry of the budget, for its next attempt."""
+        self._paid += 1
+        self._bought += 1
+
     def begin(self, upstream: str, failure_domain: str = "") -> None:
         """Record the start of an attempt at an upstream in a failure domain."""
+        self._paid = max(0, self._paid - 1)
         self._sends += 1
         self._in_progress += 1
         self._upstreams.append(upstream)
@@ -226,6 +249,7 @@
 
     def begin_forward(self) -> None:
         """Record that another VM makes the next attempts."""
+        self._paid = max(0, self._paid - 1)
         self._sends += 1
         self._in_progress += 1
 
@@ -248,11 +272,13 @@
     def record_unsent(self, upstream: str = "") -> None:
         """Record that no byte of an attempt was sent, at an upstream if this VM made it."""
         self._unsent += 1
+        self._paid += 1
         if upstream:
             self._unsent_upstreams.append(upstream)
 
     def withdraw(self) -> None:
         """Undo the start of the last attempt, of which nothing was sent."""
+        self._paid += 1
         self._sends -= 1
         self._in_progress -= 1
         self._upstreams.pop()
--- a/hollyring/delivery/tests/test_retry.py
+++ b/hollyring/delivery/tests/test_retry.py
@@ -189,3 +189,33 @@
         state.record_refusal(now)
         waits.append(round(state.ask_again_at - now, 6))
     assert waits == [0.3, 0.6, 1.2]
+
+
+def test_attempt_after_one_of_which_nothing_was_sent_costs_no_other_retry(begun_state):
+    state = begun_state(RESUMABLE)
+    assert state.needs_retry
+    state.record_retry()
+    state.begin("ls-2")
+    state.record_failure(NOT_RUN, "ls-2")
+    state.record_unsent("ls-2")
+    assert not state.needs_retry
+    assert state.unused_retries == 1
+    state.begin("ls-3")
+    assert state.needs_retry
+    assert state.unused_retries == 0
+
+
+def test_first_attempt_is_no_unused_retry(begun_state):
+    state = begun_state()
+    state.withdraw()
+    assert not state.needs_retry
+    assert state.unused_retries == 0
+
+
+@pytest.mark.parametrize(("sends", "needs_retry"), [(0, False), (1, True), (2, True)])
+def test_forward_costs_a_retry_unless_the_other_vm_sent_nothing(begun_state, sends, needs_retry):
+    state = begun_state()
+    state.withdraw()
+    state.begin_forward()
+    state.record_forward(sends)
+    assert state.needs_retry is needs_retry
--- a/hollyring/limits/retry_budget.py
+++ b/hollyring/limits/retry_budget.py
@@ -102,6 +102,11 @@
         self._retries += 1
         return True
 
+    def give_back(self, retries: int) -> None:
+        """Return retries that `try_retry` has spent and that were not used."""
+        self._balance = min(self._max_balance, self._balance + retries)
+        self._retries -= retries
+
     def has_retry(self, now: float) -> bool:
         """Return whether `try_retry` would find a retry; none is spent."""
         self._credit(0.0, now)
--- a/hollyring/limits/tests/test_retry_budget.py
+++ b/hollyring/limits/tests/test_retry_budget.py
@@ -40,3 +40,16 @@
         each.get("s", 12).has_retry(0.0)
         each.resize(2)
     assert sum(each.get("s", 2).try_retry(100.0) for each in budgets for _ in range(60)) == 30
+
+
+def test_retries_that_are_given_back_are_there_again_up_to_the_balance():
+    budget = retry_budget.RetryBudget(
+        1, ratio=0.0, min_rate=0.0, initial_balance=2.0, max_balance=2.0
+    )
+    assert budget.try_retry(0.0)
+    assert budget.try_retry(0.0)
+    budget.give_back(1)
+    assert budget.try_retry(0.0)
+    assert not budget.try_retry(0.0)
+    budget.give_back(3)
+    assert sum(budget.try_retry(0.0) for _ in range(5)) == 2
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -84,8 +84,11 @@
                 task_group.cancel_scope.cancel()
         except anyio.get_cancelled_exc_class():
             for attempt in attempts.open if attempts else ():
-                context.retry_state.record_failure(_execution_of(attempt))
+                _record_closed(context, attempt)
             raise
+        finally:
+            unused = context.retry_state.unused_retries
+            self._state.retries(context.service.name).give_back(unused)
         if failure is not None:
             raise failure
 
@@ -181,16 +184,15 @@
             return
         if self._is_blamed(context) or not attempts.all_silent:
             return
-        now = clock.now()
-        place = self._places.choose_beside(context, attempts, now)
+        place = self._places.choose_beside(context, attempts, clock.now())
         if place is None:
             return
-        budget = self._state.retries(context.service.name)
         if attempts.replaceable:
-            if budget.has_retry(now) and await self._places.is_usable(context, place):
+            has_retry = retry_decisions.has_retry(self._state, context)
+            if has_retry and await self._places.is_usable(context, place):
                 attempts.end_replaceable()
             return
-        if not budget.try_retry(now):
+        if not retry_decisions.get_retry(self._state, context):
             return
         self._start_at(context, attempts, place)
 
@@ -277,7 +279,7 @@
         self, context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
     ) -> None:
         """Record an attempt that is closed since another one has taken over."""
-        context.retry_state.record_failure(_execution_of(attempt), attempt.where)
+        _record_closed(context, attempt)
         self._log.superseded(context, attempt)
 
     def _is_blamed(self, context: request_context.RequestContext) -> bool:
@@ -298,6 +300,12 @@
             await anyio.sleep(RECORD_POLL_SECONDS)
 
 
-def _execution_of(attempt: open_attempts.OpenAttempt) -> execution.Execution:
-    """Return whether an attempt that is closed early may have run."""
-    return execution.Execution.UNKNOWN if attempt.sent else execution.Execution.NOT_RUN
+def _record_closed(
+    context: request_context.RequestContext, attempt: open_attempts.OpenAttempt
+) -> None:
+    """Record an attempt that is closed early, and whether it may have run."""
+    if attempt.sent:
+        context.retry_state.record_failure(execution.Execution.UNKNOWN, attempt.where)
+        return
+    context.retry_state.record_failure(execution.Execution.NOT_RUN)
+    context.retry_state.record_unsent(attempt.where)
--- a/hollyring/node/retry_decisions.py
+++ b/hollyring/node/retry_decisions.py
@@ -37,7 +37,7 @@
 ) -> Denial | None:
     """Return why no attempt follows the last open one, None if one does.
 
-    It spends a retry of the service's budget if the last one arrived at an upstream.
+    It spends a retry of the service's budget if the next one costs one.
 
     Parameters
     ----------
@@ -61,13 +61,34 @@
         return Reason.DECLINED
     if _is_crashing(outcome):
         return Reason.CRASHING
-    if not isinstance(outcome, request_context.Failed) and not outcome.written:
-        return None
-    if not vm_state.retries(context.service.name).try_retry(clock.now()):
+    if not get_retry(vm_state, context):
         return Reason.RETRY_BUDGET_SPENT
     return None
 
 
+def has_retry(vm_state: state.State, context: request_context.RequestContext) -> bool:
+    """Return whether `get_retry` would succeed; none is spent."""
+    if not context.retry_state.needs_retry:
+        return True
+    return vm_state.retries(context.service.name).has_retry(clock.now())
+
+
+def get_retry(vm_state: state.State, context: request_context.RequestContext) -> bool:
+    """Spend a retry of the service's budget if the next attempt costs one.
+
+    Returns
+    -------
+    bool
+        Whether the next attempt may be made.
+    """
+    if not context.retry_state.needs_retry:
+        return True
+    if not vm_state.retries(context.service.name).try_retry(clock.now()):
+        return False
+    context.retry_state.record_retry()
+    return True
+
+
 def _is_crashing(outcome: request_context.Outcome) -> bool:
     """Return whether another VM declined a request since it crashes upstreams."""
     return (
--- a/hollyring/platform/tests/test_unreachable_upstreams.py
+++ b/hollyring/platform/tests/test_unreachable_upstreams.py
@@ -29,6 +29,9 @@
 """Time a server takes after the cut, so that the connections opened before it do not suffice."""
 
 
+FLEET_TEXTS = ("state: ", "peers: ", "reachability: ", "forwarding: ", "vm: ")
+"""Beginnings of the log lines that a failure prints beside those on its requests."""
+
 EVENTS = 30
 EVENT_SECONDS = 0.03
 
@@ -178,6 +181,17 @@
         lines = [line for vm in self.vms for line in vm.log_lines()]
         return [line for line in lines if line.get("text") == "request: forwarded"]
 
+    def lines_about(self, request_ids):
+        """Return the log lines of all VMs on some requests and on their reach, by time."""
+        shown = [
+            line
+            for vm in self.vms
+            for line in vm.log_lines()
+            if line.get("request") in request_ids or line.get("text", "").startswith(FLEET_TEXTS)
+        ]
+        shown.sort(key=lambda line: line.get("timestamp", 0.0))
+        return "\n".join(json.dumps(line) for line in shown)
+
     async def served(self, vm, seconds):
         """Send requests at a steady rate; return the share that was served, and the statuses."""
         statuses = []
@@ -363,5 +377,7 @@
     await receive_streams([restarted], "first", count=1)
     await anyio.sleep(CONTACT_SECONDS)
     await receive("back", 0.1)
-    assert ended == {name: [] for name in ("begun", "cut", "one", "back")}
+    ids = {request_id for streams in ended.values() for request_id, *_ in streams}
+    all_whole = {name: [] for name in ("begun", "cut", "one", "back")}
+    assert ended == all_whole, f"{ended}\n{fleet.lines_about(ids)}"
     assert fleet.forwarded()
