Tests: a watch at the stand-in of the store does not hang the test process at the end of a test

A trial of test_end_of_grace_period on a held-up machine stood still for nine minutes at the end of its failed test, with no connection open and no timer set. Traced by the tasks of that process: a `Condition.wait_for` that waits for a lock, and two `_serve` ended with "Lock is not acquired". `asyncio.wait_for` waits for the condition in a task of its own; if a watch is cancelled, as at the end of each test, in the step in which its wait_ms ends, it leaves without that task, which then takes the lock and keeps it.

`asyncio.timeout` cancels the wait in the task that holds the lock.

--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -211,8 +211,9 @@
 
         async with self.condition:
             with contextlib.suppress(TimeoutError):
-                seconds = int(query["wait_ms"]) / 1000
-                await asyncio.wait_for(self.condition.wait_for(events), seconds)
+                # `asyncio.wait_for` would wait, and take the lock, in a task of its own.
+                async with asyncio.timeout(int(query["wait_ms"]) / 1000):
+                    await self.condition.wait_for(events)
             return 200, {"events": events(), "current_rev": self.revision}
 
     async def _commit(self, body):
