Decode the record of a VM when it changes, not those of all VMs at each change of one

Cause: each change under the prefix of the VMs decoded the records of all VMs, at every VM: when all restart, the cube of their number.

Change: what a record says is kept with its item and used while the mirror holds that very item.

Tests: after the change of one of 20 records, no other one is decoded (failed before: all were); a record that was removed and written again is read.

--- a/hollyring/node/store_changes.py
+++ b/hollyring/node/store_changes.py
@@ -8,10 +8,12 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 from collections.abc import Iterable
 
 from hollyring.configuration import deployment, mirror, store_revision
+from hollyring.membership import heartbeat
 from hollyring.node import interfaces, logs, store_era, upstream_changes
 from hollyring.routing import software_versions
 
@@ -19,6 +21,14 @@
     from hollyring.node import state
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DecodedVm:
+    """Item of a VM's record, and what it says; None if it can't be read."""
+
+    item: mirror.Item
+    vm: heartbeat.VmInfo | None
+
+
 class StoreChanges:
     """Applies changes in the store to the state of a VM.
 
@@ -43,6 +53,7 @@
         self._max_version_age_seconds = max_version_age_seconds
         self._initial_load = True
         self._eras: dict[str, int] = {}
+        self._decoded_vms: dict[str, _DecodedVm] = {}
         self._upstream_changes = upstream_changes.UpstreamChanges(vm_state, codec)
         self._log = logs.Logger("state")
 
@@ -72,15 +83,21 @@
 
     def _apply_vms(self, changed: set[str], items: Iterable[mirror.Item], now: float) -> None:
         """Apply the list of the VMs; what is no record of a VM lists none."""
-        listed = []
+        others = (self._state.store_keys.orders_lease, self._state.store_keys.software)
+        decoded: dict[str, _DecodedVm] = {}
         for item in items:
-            if item.key in (self._state.store_keys.orders_lease, self._state.store_keys.software):
+            if item.key in others:
                 continue
-            vm = self._codec.decode_vm(item)
-            if vm is not None:
-                listed.append(vm)
-            elif item.key in changed:
+            before = self._decoded_vms.get(item.key)
+            if before is not None and before.item is item:
+                vm = before.vm
+            else:
+                vm = self._codec.decode_vm(item)
+            decoded[item.key] = _DecodedVm(item, vm)
+            if vm is None and item.key in changed:
                 self._log.info("unreadable VM", key=item.key, revision=item.revision.number)
+        self._decoded_vms = decoded
+        listed = [record.vm for record in decoded.values() if record.vm is not None]
         self._state.peers.update_listed(listed, now)
         self._state.update_peers(now)
 
--- a/hollyring/node/tests/test_store_watcher.py
+++ b/hollyring/node/tests/test_store_watcher.py
@@ -1,5 +1,7 @@
 """VMs receive changes through watches of the store, or copies from other VMs if it fails."""
 
+import dataclasses
+
 import anyio
 import pytest
 
@@ -305,3 +307,41 @@
             assert vm.state.registry.upstreams.keys() == fleet.upstreams.keys(), vm.name
 
     simulate(scenario, vms=[f"vm-{n}" for n in range(1, 10)])
+
+
+def test_change_of_one_vm_has_only_its_record_decoded_again(simulate, monkeypatch):
+    names = [f"vm-{n:02}" for n in range(20)]
+    decode = simulated_fleet.StoreCodec.decode_vm
+    decoded = []
+
+    def counted(codec, item):
+        decoded.append(item.key)
+        return decode(codec, item)
+
+    async def scenario(fleet):
+        await fleet.start_for_the_first_time(names, 2, 4.0)
+        monkeypatch.setattr(simulated_fleet.StoreCodec, "decode_vm", counted)
+        life = fleet.vms["vm-07"].state.vm_info.life
+        record = dataclasses.replace(fleet.vms["vm-07"].state.vm_info, life=life + 100)
+        fleet.store.put("vm/vm-07", record)
+        await anyio.sleep(3.0)
+        assert set(decoded) == {"vm/vm-07"}
+        assert len(decoded) <= len(names)
+        assert all(len(vm.state.peers.by_name) == len(names) - 1 for vm in fleet.vms.values())
+
+    simulate(scenario, vms=names)
+
+
+def test_record_of_a_vm_that_was_removed_and_written_again_is_read(simulate):
+    async def scenario(fleet):
+        start_all(fleet)
+        await fleet.wait_until(all_ready(fleet), 1.0)
+        await anyio.sleep(1.0)
+        other = fleet.vms["vm-1"].state.peers.by_name["vm-2"]
+        record = fleet.vms["vm-2"].state.vm_info
+        fleet.store.remove("vm/vm-2")
+        await fleet.wait_until(lambda: not other.listed, 2.0)
+        fleet.store.put("vm/vm-2", record)
+        await fleet.wait_until(lambda: other.listed, 2.0)
+
+    simulate(scenario)
