Keep the registry's index when an entry appears or changes, and not its service or address

Change: a new name is added to the list of its service, and an entry with the same service and address leaves both as they are. A list that is in use does not change. All else, as an upstream with another incarnation or that is removed, builds them anew as before.

--- a/hollyring/routing/registry.py
+++ b/hollyring/routing/registry.py
@@ -377,13 +377,17 @@
             new = Upstream(entry, dict(entry.versions))
             new.announced_leaving = self._departures.covers(entry.name, entry.life)
             self._upstreams[entry.name] = new
-            self._rebuild_index()
+            if existing is None:
+                self._add_last_to_index(new)
+            else:
+                self._rebuild_index()
             return new
-        existing.entry = entry
+        before, existing.entry = existing.entry, entry
         existing.missing_since = None
         for model, version in entry.versions.items():
             existing.record_version(model, version)
-        self._rebuild_index()
+        if (entry.service, entry.address) != (before.service, before.address):
+            self._rebuild_index()
         return None
 
     def remove(self, name: str) -> None:
@@ -396,6 +400,11 @@
             self._departures.discard(name)
         self._rebuild_index()
 
+    def _add_last_to_index(self, upstream: Upstream) -> None:
+        entry = upstream.entry
+        self._by_service[entry.service] = [*self.of_service(entry.service), upstream]
+        self._by_address[entry.address] = upstream
+
     def _rebuild_index(self) -> None:
         self._by_service = {}
         self._by_address = {u.entry.address: u for u in self._upstreams.values()}
