Begin no resumable stream at a VM that is cut off from the store and most VMs for over 15 s

A VM cut off from everything went on beginning streams at a version whose entries were gone from the store while its upstreams still served.

Cause: a conclusion of the kind "the others know this version" without a bound on its age.

Ruled out: to withhold by the age of the copies alone, as an outage of the store for all would end all such streams after 15 s; to keep versions for 60 s, as an upstream that is cut off together with the VM serves for longer than that.

Change: with copies over 15 s old, a VM that hears at most half of the VMs that should serve refuses such streams (503, not run). While the store is away for all, or only the other VMs are, it begins them for all the 40 s of test_vm_that_reaches_most_others_or_the_store_begins_streams_however_long_it_lacks_the_rest.

--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -491,6 +491,17 @@
             reached += self._is_alive(peer, now) or awaited
         return reached / expected
 
+    def hears_most(self, now: float) -> bool:
+        """Return whether this VM hears most VMs that should serve, or is the only one.
+
+        A VM that follows hears one of them, which has a recent status for it.
+        """
+        if not self._peers:
+            return True
+        if not self._exchanging:
+            return self.has_status(now)
+        return self.reachable_fraction(now) > 0.5
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Record whether this VM is cut off from the upstreams of a service."""
         self._is_cut_off = is_cut_off
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -47,6 +47,8 @@
 UNKNOWN_ORIGIN_RETRY_SECONDS = 0.3
 """Retry delay for a stream of unknown origin; by then this VM has the next heartbeats."""
 
+CUT_OFF_REASON = "cut off for too long to begin a stream that another VM may have to go on with"
+
 
 class Relay:
     """Forwards requests to upstreams and responses to callers.
@@ -303,6 +305,8 @@
         continuation = self._state.continuation(request, service.name)
         if isinstance(continuation, stream_origins.NotResumable):
             return refusal.make("no_upstream", UNKNOWN_ORIGIN_RETRY_SECONDS, continuation.reason)
+        if self._is_withheld(request, route):
+            return refusal.make("no_upstream", UNKNOWN_ORIGIN_RETRY_SECONDS, CUT_OFF_REASON)
         self._state.retries(service.name).record_attempt(arrived_at)
         return request_context.RequestContext(
             request,
@@ -319,6 +323,12 @@
             suspects=suspects,
         )
 
+    def _is_withheld(self, request: request_types.Request, route: deployment.Route) -> bool:
+        """Return whether a request asks for a stream that must not begin at this VM."""
+        is_resumable = route.retry_safety is request_types.RetrySafety.RESUMABLE
+        begins = is_resumable and not request.resume_after
+        return begins and not self._state.may_begin_streams(clock.now())
+
 
 def _describe(blame: crashes.Blame) -> str:
     parts, servers = " and ".join(sorted(blame.parts)), ", ".join(blame.servers)
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -386,6 +386,15 @@
         """Return the software versions at which no resumable stream of a service begins yet."""
         return self.stream_versions.withheld(service, now)
 
+    def may_begin_streams(self, now: float) -> bool:
+        """Return whether streams that may be resumed begin at this VM.
+
+        One that is cut off from the store and from most VMs does not see which versions have gone,
+        and nobody learns of it where its streams began.
+        """
+        age = self.stream_versions.age(now)
+        return age <= software_versions.MAX_BEGIN_AGE_SECONDS or self.peers.hears_most(now)
+
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
         unreported = self.stream_versions.take_origins(self._is_store_away_for_any(now), now)
--- a/hollyring/node/tests/test_stale_versions.py
+++ b/hollyring/node/tests/test_stale_versions.py
@@ -62,7 +62,7 @@
     upstreams = vm.state.registry.of_service(SERVICE)
     withheld = vm.state.withheld_software(SERVICE, clock.now())
     usable = {u.entry.software for u in upstreams if not u.leaving} - withheld
-    if not vm.state.ready or not usable:
+    if not vm.state.ready or not usable or not vm.state.may_begin_streams(clock.now()):
         return None
     software = rng.choice(sorted(usable))
     origin = stream_origins.Origin(SERVICE, software)
@@ -484,3 +484,80 @@
 
     simulate(scenario, vms=VMS, upstreams=())
     assert software_versions.SETTLE_SECONDS <= min(begun) < software_versions.MAX_WITHHELD_SECONDS
+
+
+def test_vm_cut_off_for_long_begins_no_stream_at_a_version_that_the_others_have_forgotten(simulate):
+    begun, joined = [], []
+
+    async def scenario(fleet):
+        await start_all(fleet)
+        cut(fleet, "vm-5", "both")
+        cut_at = clock.now()
+        add_upstream(fleet, "u-1", "v1")
+        remove_upstream(fleet, "u-0")
+        rng = random.Random(0)
+        while clock.now() - cut_at < 45.0:
+            request_id = f"r-{clock.now()}"
+            if begin_stream(fleet.vms["vm-5"], request_id, rng) is not None:
+                begun.append((request_id, clock.now() - cut_at))
+            for request_id, began_at in begun:
+                if clock.now() - cut_at - began_at < 12.0:
+                    found = await take_up(fleet.vms["vm-1"], request_id)
+                    if not refuses(found) and found.software != "v0":
+                        joined.append((began_at, clock.now() - cut_at, found))
+            await anyio.sleep(1.0)
+        heal(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        assert begin_stream(fleet.vms["vm-5"], "later", rng) == "v1"
+
+    simulate(scenario, vms=VMS, upstreams=())
+    assert not joined, (len(joined), joined[0])
+    assert max(began_at for _, began_at in begun) > 10.0
+
+
+@pytest.mark.parametrize("form", ["vms", "store", "store for all", "silent for all"])
+def test_vm_that_reaches_most_others_or_the_store_begins_streams_however_long_it_lacks_the_rest(
+    simulate, form
+):
+    async def scenario(fleet):
+        await start_all(fleet)
+        if form == "silent for all":
+            fleet.store.silent_to = set(VMS)
+        elif form == "store for all":
+            fleet.store.unreachable_from = set(VMS)
+        else:
+            cut(fleet, "vm-5", form)
+        for _ in range(40):
+            await anyio.sleep(1.0)
+            assert begin_stream(fleet.vms["vm-5"], f"r-{clock.now()}", random.Random(0)) == "v0"
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+@pytest.mark.parametrize("kind", ["serving", "following"])
+def test_vms_of_a_large_fleet_begin_streams_while_the_store_is_away_unless_cut_off(simulate, kind):
+    async def scenario(fleet):
+        serving, following = await start_large(fleet)
+        vms = serving if kind == "serving" else following
+        fleet.store.unreachable_from.update(LARGE)
+        await anyio.sleep(30.0)
+        for vm in vms:
+            assert begin_stream(vm, "r-1", random.Random(0)) == "v0"
+        cut_from_vms(fleet, vms[0].name)
+        await anyio.sleep(3.0)
+        assert begin_stream(vms[0], "r-2", random.Random(0)) is None
+        assert begin_stream(vms[1], "r-2", random.Random(0)) == "v0"
+
+    simulate(scenario, vms=LARGE, upstreams=())
+
+
+def test_only_vm_of_a_fleet_begins_streams_without_the_store(simulate):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-0", "v0")
+        vm = fleet.start("vm-1")
+        await anyio.sleep(SETTLED_SECONDS)
+        fleet.store.unreachable_from = {"vm-1"}
+        await anyio.sleep(40.0)
+        assert begin_stream(vm, "r-1", random.Random(0)) == "v0"
+
+    simulate(scenario, vms=["vm-1"], upstreams=())
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -14,7 +14,7 @@
 from hollyring.fleet import messages as fleet
 from hollyring.fleet import rollout, rollout_limits
 from hollyring.limits import service_retry_budgets
-from hollyring.membership import heartbeat, leases
+from hollyring.membership import heartbeat, leases, peer_table
 from hollyring.node import (
     cache_watcher,
     clock,
@@ -537,6 +537,27 @@
     assert len(servers[1].requests) == sent[1] + 1
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("retry_safety", "status"),
+    [(request_types.RetrySafety.RESUMABLE, 503), (request_types.RetrySafety.AT_MOST_ONCE, 200)],
+)
+async def test_vm_that_is_cut_off_for_long_begins_no_stream_that_another_vm_may_go_on_with(
+    start_vm, monkeypatch, retry_safety, status
+):
+    vm, servers = await start_vm("complete", streaming=True, retry_safety=retry_safety)
+    cut_at = clock.now() - software_versions.MAX_BEGIN_AGE_SECONDS - 0.1
+    monkeypatch.setattr(peer_table.PeerTable, "hears_most", lambda *_: False)
+    for prefix in (documents.STORE_KEYS.upstreams, documents.STORE_KEYS.vms):
+        vm.state.freshness.record(prefix, cut_at)
+    caller = await vm.send_request("r-1")
+    assert caller.status == status
+    assert request_count(servers) == (status == 200)
+    for prefix in (documents.STORE_KEYS.upstreams, documents.STORE_KEYS.vms):
+        vm.state.freshness.record(prefix, clock.now())
+    assert (await vm.send_request("r-2")).status == 200
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("recorded_after", [0.3, math.inf])
 async def test_stream_waits_for_the_record_of_the_only_version_and_not_for_long(
--- a/hollyring/routing/software_versions.py
+++ b/hollyring/routing/software_versions.py
@@ -39,6 +39,13 @@
 It is shorter than `SETTLE_SECONDS`, as the clocks of VMs run at slightly different rates.
 """
 
+MAX_BEGIN_AGE_SECONDS = 15.0
+"""Age of what a VM that is cut off knows of versions up to which it begins streams at them.
+
+Others forget a version 30 s after its last entry has gone. So a stream that began there is not
+taken for one of another version within 15 s, longer than callers of such streams wait.
+"""
+
 REGISTRATION_SECONDS = 2.2
 """Time within which upstreams register again after the store has returned from an older copy."""
 
