Take up streams of unknown origin beside an earlier build only by what the store says after their requests

Cause: the bound on the age of knowledge relies on the other VMs' settling of versions, which an earlier build does not do, and which was taken for granted of each VM.

Ruled out: to refuse all unknown origins beside an earlier build: it doesn't tell where streams of the only version began, so each upgrade would refuse those.

Change: a VM states in its entry and heartbeats that it settles versions (VmInfo.settles_versions, not written where it isn't so). While another one does not state it, copies count only if they are complete as of the arrival of the request; else the store is asked, and without its answer the stream is refused.

Tests: RecentCopies.await_versions and CopyChecker.wait_versions take the time of arrival, so the stand-ins in test_relay and test_forwarded_requests have one more parameter.

--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -33,6 +33,10 @@
         Location of the VM.
     capacity
         Processor capacity in cores.
+    settles_versions
+        Whether the VM begins streams that may be resumed at a software version only some time after
+        it knows that version, unless it is the only one. If it isn't stated, streams may begin at
+        once.
     """
 
     WIRE_NAME: ClassVar[str] = "Place"
@@ -44,6 +48,7 @@
     failure_domain: str
     region: str
     capacity: float = 1.0
+    settles_versions: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -491,6 +491,11 @@
             reached += self._is_alive(peer, now) or awaited
         return reached / expected
 
+    @property
+    def all_settle_versions(self) -> bool:
+        """Whether each other VM, or its last incarnation, states that it settles versions."""
+        return all(peer.vm.settles_versions for peer in self._peers.values())
+
     def hears_most(self, now: float) -> bool:
         """Return whether this VM hears most VMs that should serve, or is the only one.
 
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -160,6 +160,7 @@
             vm_settings.failure_domain,
             vm_settings.region,
             vm_settings.capacity,
+            settles_versions=True,
         )
         vm_list_delay = FIRST_START_DELAY_SECONDS if vm_settings.first_start else 0.0
         self._exchange_delay = vm_list_delay + FIRST_LIST_SECONDS if vm_list_delay else 0.0
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -8,6 +8,7 @@
   5: optional string failure_domain
   6: optional string region
   7: optional double capacity
+  8: optional bool settles_versions
 }
 
 struct MembershipMark {
--- a/hollyring/node/recent_copies.py
+++ b/hollyring/node/recent_copies.py
@@ -14,8 +14,11 @@
     async def wait_current(self, until: float) -> bool:
         """Wait for that, at most until time `until`; return whether requests may be decided."""
 
-    async def wait_versions(self, until: float) -> None:
-        """Wait until the upstreams' software versions are known as of now, if the store answers."""
+    async def wait_versions(self, until: float, taken_up_at: float) -> None:
+        """Wait until the software versions are known that decide about a stream taken up then.
+
+        Not for long if the store does not answer.
+        """
 
 
 class OriginSource(typing.Protocol):
@@ -69,14 +72,16 @@
         self._state.freshness.record_use(clock.now())
         return True
 
-    async def await_versions(self, request: request_types.Request, until: float) -> None:
+    async def await_versions(
+        self, request: request_types.Request, until: float, arrived_at: float
+    ) -> None:
         """Wait for what decides at which software version a caller's stream goes on.
 
         It is decided afterwards whether that has come.
         """
         versions = self._state.stream_versions
-        if self._origins is not None and versions.needs_origin(request, clock.now()):
+        if self._origins is not None and versions.needs_origin(request, clock.now(), arrived_at):
             await self._origins.find_origin(request.resumed_request_id, until)
-        if versions.needs_recent(request, clock.now()):
+        if versions.needs_recent(request, clock.now(), arrived_at):
             self._metrics.increment("waits_for_versions")
-            await self._checker.wait_versions(until)
+            await self._checker.wait_versions(until, arrived_at)
--- a/hollyring/node/relay.py
+++ b/hollyring/node/relay.py
@@ -153,7 +153,7 @@
             until = arrived_at + request.deadline_seconds
             may_decide = await self._copies.may_decide(until)
             if may_decide:
-                await self._copies.await_versions(request, until)
+                await self._copies.await_versions(request, until, arrived_at)
         except anyio.get_cancelled_exc_class():
             with anyio.move_on_after(responses.FINAL_REFUSAL_SECONDS, shield=True):
                 rejection = refusal.make(self._cancel_code, self._cancel_retry_after)
@@ -302,7 +302,7 @@
         service = current.services.get(route.service_for(request.first_request_id))
         if service is None:
             return refusal.make("no_upstream", selection.NO_UPSTREAM_RETRY_SECONDS)
-        continuation = self._state.continuation(request, service.name)
+        continuation = self._state.continuation(request, service.name, arrived_at)
         if isinstance(continuation, stream_origins.NotResumable):
             return refusal.make("no_upstream", UNKNOWN_ORIGIN_RETRY_SECONDS, continuation.reason)
         if self._is_withheld(request, route):
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -150,7 +150,12 @@
             others=(store_keys.vms,),
         )
         self.stream_versions = stream_versions.StreamVersions(
-            self.registry, self.software_versions, self.stream_origins, self.freshness, store_keys
+            self.registry,
+            self.software_versions,
+            self.stream_origins,
+            self.freshness,
+            store_keys,
+            self.peers,
         )
         self.store_era.add_listener(self.stream_versions.record_new_era)
         self.told_origins = told_origins.ToldOrigins(self)
@@ -367,10 +372,16 @@
         self.cached_prompts.append(cached)
 
     def continuation(
-        self, request: request_types.Request, service: str
+        self, request: request_types.Request, service: str, arrived_at: float | None = None
     ) -> stream_origins.Continuation:
-        """Return at which upstreams of a service a caller's stream may begin or go on."""
-        return self.stream_versions.continuation(request, service)
+        """Return at which upstreams of a service a caller's stream may begin or go on.
+
+        Parameters
+        ----------
+        arrived_at
+            Time at which the request arrived, now if None.
+        """
+        return self.stream_versions.continuation(request, service, arrived_at)
 
     def set_software_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` when upstreams appear whose software version is not in the record."""
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -99,14 +99,21 @@
                 return freshness.may_use_without_store(clock.now())
         return True
 
-    async def wait_versions(self, until: float) -> None:
+    async def wait_versions(self, until: float, taken_up_at: float) -> None:
         """Ask the store unless what is known of software versions is recent enough.
 
         It is not awaited for longer than `WAIT_SECONDS`, nor while it is known not to answer.
+
+        Parameters
+        ----------
+        until
+            Time until which to wait at most.
+        taken_up_at
+            Time at which the stream was taken up that is to be decided about.
         """
         versions, freshness = self._state.stream_versions, self._state.freshness
         with anyio.move_on_after(min(WAIT_SECONDS, until - clock.now())):
-            while not versions.is_recent(clock.now()):
+            while not versions.is_recent(clock.now(), taken_up_at):
                 if freshness.store_unanswered and freshness.is_store_away(clock.now()):
                     return
                 self._wanted.set()
--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -368,7 +368,10 @@
 
     def __init__(self, fleet, name, life):
         domain = fleet.domains.get(name, "a")
-        vm_info = heartbeat.VmInfo(name, life, f"{name}:1", f"{name}:2", domain, "r")
+        is_current = name not in fleet.of_earlier_build
+        vm_info = heartbeat.VmInfo(
+            name, life, f"{name}:1", f"{name}:2", domain, "r", settles_versions=is_current
+        )
         store_codec = StoreCodec()
         client = simulated_store.StoreClient(fleet.store, name)
         codec = UpstreamCodec()
@@ -443,7 +446,7 @@
 
     `delays` holds the seconds for which messages of other VMs lie unread at a VM, `cut` how the
     connections of VMs to upstreams fail: ``"hang"``, ``"refused"``, or ``"open"`` if open ones live
-    on while new ones are refused.
+    on while new ones are refused. VMs `of_earlier_build` do not state that they settle versions.
     """
 
     def __init__(self, group, names, upstreams):
@@ -455,6 +458,7 @@
         self.partitions = set()
         self.delays = {}
         self.cut = {}
+        self.of_earlier_build = set()
         self.freshness_rules = freshness.FreshnessRules()
         self.first_start_delay = 0.0
         self.first_start = True
--- a/hollyring/node/tests/test_stale_versions.py
+++ b/hollyring/node/tests/test_stale_versions.py
@@ -75,8 +75,9 @@
     request = request_types.Request(
         "r", b"POST", b"/", "h", "/", (), b"", "", 5.0, None, 3, request_id
     )
-    await vm.copies.await_versions(request, clock.now() + 5.0)
-    return vm.state.continuation(request, SERVICE)
+    arrived_at = clock.now()
+    await vm.copies.await_versions(request, arrived_at + 5.0, arrived_at)
+    return vm.state.continuation(request, SERVICE, arrived_at)
 
 
 def refuses(continuation):
@@ -561,3 +562,56 @@
         assert begin_stream(vm, "r-1", random.Random(0)) == "v0"
 
     simulate(scenario, vms=["vm-1"], upstreams=())
+
+
+def begin_as_earlier_build(fleet, vm, request_id):
+    """Begin a stream at the newest version that is in the record as this VM knows it."""
+    item = vm.state.mirrors["vm/"].items.get("vm/.software")
+    recorded = simulated_fleet.StoreCodec().decode_software(item).versions[SERVICE]
+    listed = {upstream.entry.software for upstream in vm.state.registry.of_service(SERVICE)}
+    software = max(recorded & listed)
+    origin = stream_origins.Origin(SERVICE, software)
+    vm.state.stream_origins.record(request_id, origin, clock.now())
+    return software
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_vm_beside_one_of_an_earlier_build_joins_no_stream_that_began_there_at_once(simulate, seed):
+    joined, begun = [], []
+
+    async def take_up_at(vm, request_id):
+        found = await take_up(vm, request_id)
+        if found == stream_origins.OnlySoftware("v0"):
+            joined.append(request_id)
+
+    async def scenario(fleet):
+        rng = random.Random(seed)
+        fleet.of_earlier_build = {"vm-1"}
+        await start_all(fleet)
+        await anyio.sleep(rng.random())
+        cut(fleet, "vm-5", "both")
+        joined_at = clock.now()
+        add_upstream(fleet, "u-1", "v1")
+        while clock.now() - joined_at < 1.0:
+            request_id = f"r-{clock.now() - joined_at:.3f}"
+            if begin_as_earlier_build(fleet, fleet.vms["vm-1"], request_id) == "v1":
+                begun.append(request_id)
+                fleet.group.start_soon(take_up_at, fleet.vms["vm-5"], request_id)
+            await anyio.sleep(0.02)
+        await anyio.sleep(1.0)
+
+    simulate(scenario, vms=VMS, upstreams=())
+    assert begun and not joined, (len(begun), len(joined), joined[:1], joined[-1:])
+
+
+def test_vms_beside_one_of_an_earlier_build_take_up_streams_of_the_only_version(simulate):
+    async def scenario(fleet):
+        fleet.of_earlier_build = {"vm-1"}
+        await start_all(fleet)
+        for number in range(40):
+            for name in VMS[1:]:
+                found = await take_up(fleet.vms[name], f"unknown-{number}")
+                assert found == stream_origins.OnlySoftware("v0")
+            await anyio.sleep(0.1)
+
+    simulate(scenario, vms=VMS, upstreams=())
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Any
 
 import msgspec
@@ -140,6 +141,7 @@
     failure_domain: decoding.Name
     region: decoding.Name
     capacity: float = 1.0  # cores
+    settles_versions: bool = False  # earlier builds state nothing
 
 
 class _Software(msgspec.Struct, frozen=True):
@@ -223,7 +225,10 @@
 
     def encode_vm(self, vm_info: heartbeat.VmInfo) -> bytes:
         """Return the stored form of the record of a VM."""
-        return msgspec.json.encode(vm_info)
+        stored = dataclasses.asdict(vm_info)
+        if not vm_info.settles_versions:
+            del stored["settles_versions"]  # not stated
+        return msgspec.json.encode(stored)
 
     def decode_software(self, item: mirror.Item) -> software_versions.Record | None:
         """Return the record of the upstreams' software versions, or None if it is invalid."""
--- a/hollyring/platform/tests/test_earlier_builds.py
+++ b/hollyring/platform/tests/test_earlier_builds.py
@@ -1,5 +1,7 @@
 """Values in the store that VMs of build 282d1af wrote, and that its VMs read."""
 
+import dataclasses
+
 import pytest
 
 from hollyring.configuration import mirror, store_revision
@@ -25,3 +27,12 @@
     assert codec.encode_software(record) == software
     assert codec.decode_vm(vm_item) == VM
     assert codec.encode_vm(VM) == vm
+
+
+def test_what_a_vm_states_of_software_versions_is_added_behind_the_fields_of_an_earlier_build():
+    codec = documents.DocumentCodec()
+    stating = dataclasses.replace(VM, settles_versions=True)
+    stored = codec.encode_vm(stating)
+    assert stored == codec.encode_vm(VM)[:-1] + b',"settles_versions":true}'
+    item = mirror.Item(documents.STORE_KEYS.vms + VM.name, stored, store_revision.NONE)
+    assert codec.decode_vm(item) == stating
--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -308,7 +308,7 @@
 async def test_stream_of_unknown_origin_is_not_forwarded_by_a_vm_with_old_versions(
     start_fleet, monkeypatch
 ):
-    async def wait_versions(checker, until):
+    async def wait_versions(checker, until, taken_up_at):
         await anyio.lowlevel.checkpoint()
 
     monkeypatch.setattr(test_relay.AlwaysCurrent, "wait_versions", wait_versions)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -63,7 +63,7 @@
     async def wait_current(self, until):
         return True
 
-    async def wait_versions(self, until):
+    async def wait_versions(self, until, taken_up_at):
         for prefix in (documents.STORE_KEYS.upstreams, documents.STORE_KEYS.vms):
             self._state.freshness.record(prefix, clock.now())
 
