Pass on no resumable stream of an upstream that is known to have started again before its answer

No answer states the software version of its upstream; it is taken from the entry. Where an upstream starts again under its name and address with another version, a stream went on there with events of the other version though the VM had the new entry before the answer's head arrived: test_stream_of_an_upstream_that_started_again_before_its_answer_is_not_passed_on[v2] failed with all five events. Such an answer counts as failed now, and the stream is tried elsewhere.

Not mended: the same while the VM has the old entry only. A new entry that is known before the request is written was heeded before: test_request_for_an_upstream_that_is_known_to_have_started_again_is_not_sent.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -274,6 +274,8 @@
         match _judge_head(context, head, exchange):
             case answers.NotRun():
                 return await self._handle_refusal(context, selected, head, exchange)
+            case answers.Events() if self._has_started_again(context, upstream):
+                return request_context.Failed("the upstream has started again")
             case answers.Events():
                 self._record_version(context, upstream, head)
                 return await self._forward_stream(context, attempt, head, exchange)
@@ -287,6 +289,18 @@
             case answers.Foreign():
                 raise AssertionError("the connection skips answers to other requests")
 
+    def _has_started_again(
+        self, context: request_context.RequestContext, upstream: registry.Upstream
+    ) -> bool:
+        """Return whether a stream that may be resumed may come from a later start of its upstream.
+
+        No answer states its software version, which may differ between starts under one name.
+        """
+        if context.retry_state.retry_safety is not request_types.RetrySafety.RESUMABLE:
+            return False
+        registered = self._state.registry.get(upstream.name)
+        return registered is not None and registered is not upstream
+
     def _record_version(
         self,
         context: request_context.RequestContext,
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -258,6 +258,7 @@
         self.delay_seconds = 0.0
         self.interrupted_event = 3
         self.software = "v1"
+        self.born = None
         self.event_seconds = 0.01
         self.repeats = False
         self.leaves = False
@@ -338,7 +339,8 @@
 
     def report(self):
         models = [{"name": "m", "version": self.version, "adapters": []}]
-        return {"stage": "both", "models": models, "busy": False, "sequence": self.sequence}
+        report = {"stage": "both", "models": models, "busy": False, "sequence": self.sequence}
+        return report if self.born is None else report | {"born": self.born}
 
     def order(self, body):
         self.orders.append(body)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -483,6 +483,82 @@
     assert caller.body == (whole if caller.ended else b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 
 
+@pytest.mark.anyio
+async def test_stream_does_not_go_on_at_an_upstream_that_started_again_with_another_version(
+    start_vm,
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        software=("v1", "v1"),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    servers[0].born = 1
+    servers[1].software, servers[1].born = "v2", 2
+    caller = await vm.send_request()
+    assert caller.body == b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+    assert not caller.ended
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("software", ["v1", "v2"])
+async def test_stream_of_an_upstream_that_started_again_before_its_answer_is_not_passed_on(
+    start_vm, software
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        software=("v1", "v1"),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    servers[1].delay_seconds = 0.3
+
+    async def start_again():
+        while not servers[1].requests:
+            await anyio.sleep(0.01)
+        servers[1].software = software
+        vm.register(servers[1], life=2)
+
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(start_again)
+        caller = await vm.send_request()
+    whole = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert caller.body in (b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", whole)
+    assert software == "v1" or caller.body != whole
+
+
+@pytest.mark.anyio
+async def test_request_for_an_upstream_that_is_known_to_have_started_again_is_not_sent(
+    start_vm, monkeypatch
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        software=("v1", "v1"),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    connect = vm.pool._connect
+
+    async def connect_after_restart(address, *args):
+        if address == servers[1].address and servers[1].software == "v1":
+            servers[1].software = "v2"
+            vm.register(servers[1], life=2)
+        return await connect(address, *args)
+
+    monkeypatch.setattr(
+        connection_pool.ConnectionPool, "_connect", lambda _, *a: connect_after_restart(*a)
+    )
+    caller = await vm.send_request()
+    assert servers[1].software == "v2" and not servers[1].requests
+    assert caller.body == b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("behaviour", ["refuse", "reset"])
 async def test_stream_taken_up_does_not_go_on_at_a_version_that_appears_after_its_admission(
