--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -492,6 +492,22 @@
             reached += self._is_alive(peer, now) or awaited
         return reached / expected
 
+    @property
+    def all_settle_versions(self) -> bool:
+        """Whether each other VM, or its last incarnation, states that it settles versions."""
+        return all(peer.vm.settles_versions for peer in self._peers.values())
+
+    def hears_most(self, now: float) -> bool:
+        """Return whether this VM hears most VMs that should serve, or is the only one.
+
+        A VM that follows hears one of them, which has a recent status for it.
+        """
+        if not self._peers:
+            return True
+        if not self._exchanging:
+            return self.has_status(now)
+        return self.reachable_fraction(now) > 0.5
+
     def set_cut_off(self, is_cut_off: bool) -> None:
         """Record whether this VM is cut off from the upstreams of a service."""
         self._is_cut_off = is_cut_off
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -150,7 +150,12 @@
             others=(store_keys.vms,),
         )
         self.stream_versions = stream_versions.StreamVersions(
-            self.registry, self.software_versions, self.stream_origins, self.freshness, store_keys
+            self.registry,
+            self.software_versions,
+            self.stream_origins,
+            self.freshness,
+            store_keys,
+            self.peers,
         )
         self.store_era.add_listener(self.stream_versions.record_new_era)
         self.told_origins = told_origins.ToldOrigins(self)
@@ -368,10 +373,16 @@
         self.cached_prompts.append(cached)
 
     def continuation(
-        self, request: request_types.Request, service: str
+        self, request: request_types.Request, service: str, arrived_at: float | None = None
     ) -> stream_origins.Continuation:
-        """Return at which upstreams of a service a caller's stream may begin or go on."""
-        return self.stream_versions.continuation(request, service)
+        """Return at which upstreams of a service a caller's stream may begin or go on.
+
+        Parameters
+        ----------
+        arrived_at
+            Time at which the request arrived, now if None.
+        """
+        return self.stream_versions.continuation(request, service, arrived_at)
 
     def set_software_listener(self, listener: Callable[[], None]) -> None:
         """Call `listener` when upstreams appear whose software version is not in the record."""
@@ -387,6 +398,15 @@
         """Return the software versions at which no resumable stream of a service begins yet."""
         return self.stream_versions.withheld(service, now)
 
+    def may_begin_streams(self, now: float) -> bool:
+        """Return whether streams that may be resumed begin at this VM.
+
+        One that is cut off from the store and from most VMs does not see which versions have gone,
+        and nobody learns of it where its streams began.
+        """
+        age = self.stream_versions.age(now)
+        return age <= software_versions.MAX_BEGIN_AGE_SECONDS or self.peers.hears_most(now)
+
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
         unreported = self.stream_versions.take_origins(self._is_store_away_for_any(now), now)
--- a/hollyring/node/tests/test_stale_versions.py
+++ b/hollyring/node/tests/test_stale_versions.py
@@ -62,7 +62,7 @@
     upstreams = vm.state.registry.of_service(SERVICE)
     withheld = vm.state.withheld_software(SERVICE, clock.now())
     usable = {u.entry.software for u in upstreams if not u.leaving} - withheld
-    if not vm.state.ready or not usable:
+    if not vm.state.ready or not usable or not vm.state.may_begin_streams(clock.now()):
         return None
     software = rng.choice(sorted(usable))
     origin = stream_origins.Origin(SERVICE, software)
@@ -75,8 +75,9 @@
     request = request_types.Request(
         "r", b"POST", b"/", "h", "/", (), b"", "", 5.0, None, 3, request_id
     )
-    await vm.copies.await_versions(request, clock.now() + 5.0)
-    return vm.state.continuation(request, SERVICE)
+    arrived_at = clock.now()
+    await vm.copies.await_versions(request, arrived_at + 5.0, arrived_at)
+    return vm.state.continuation(request, SERVICE, arrived_at)
 
 
 def refuses(continuation):
@@ -484,3 +485,133 @@
 
     simulate(scenario, vms=VMS, upstreams=())
     assert software_versions.SETTLE_SECONDS <= min(begun) < software_versions.MAX_WITHHELD_SECONDS
+
+
+def test_vm_cut_off_for_long_begins_no_stream_at_a_version_that_the_others_have_forgotten(simulate):
+    begun, joined = [], []
+
+    async def scenario(fleet):
+        await start_all(fleet)
+        cut(fleet, "vm-5", "both")
+        cut_at = clock.now()
+        add_upstream(fleet, "u-1", "v1")
+        remove_upstream(fleet, "u-0")
+        rng = random.Random(0)
+        while clock.now() - cut_at < 45.0:
+            request_id = f"r-{clock.now()}"
+            if begin_stream(fleet.vms["vm-5"], request_id, rng) is not None:
+                begun.append((request_id, clock.now() - cut_at))
+            for request_id, began_at in begun:
+                if clock.now() - cut_at - began_at < 12.0:
+                    found = await take_up(fleet.vms["vm-1"], request_id)
+                    if not refuses(found) and found.software != "v0":
+                        joined.append((began_at, clock.now() - cut_at, found))
+            await anyio.sleep(1.0)
+        heal(fleet)
+        await anyio.sleep(SETTLED_SECONDS)
+        assert begin_stream(fleet.vms["vm-5"], "later", rng) == "v1"
+
+    simulate(scenario, vms=VMS, upstreams=())
+    assert not joined, (len(joined), joined[0])
+    assert max(began_at for _, began_at in begun) > 10.0
+
+
+@pytest.mark.parametrize("form", ["vms", "store", "store for all", "silent for all"])
+def test_vm_that_reaches_most_others_or_the_store_begins_streams_however_long_it_lacks_the_rest(
+    simulate, form
+):
+    async def scenario(fleet):
+        await start_all(fleet)
+        if form == "silent for all":
+            fleet.store.silent_to = set(VMS)
+        elif form == "store for all":
+            fleet.store.unreachable_from = set(VMS)
+        else:
+            cut(fleet, "vm-5", form)
+        for _ in range(40):
+            await anyio.sleep(1.0)
+            assert begin_stream(fleet.vms["vm-5"], f"r-{clock.now()}", random.Random(0)) == "v0"
+
+    simulate(scenario, vms=VMS, upstreams=())
+
+
+@pytest.mark.parametrize("kind", ["serving", "following"])
+def test_vms_of_a_large_fleet_begin_streams_while_the_store_is_away_unless_cut_off(simulate, kind):
+    async def scenario(fleet):
+        serving, following = await start_large(fleet)
+        vms = serving if kind == "serving" else following
+        fleet.store.unreachable_from.update(LARGE)
+        await anyio.sleep(30.0)
+        for vm in vms:
+            assert begin_stream(vm, "r-1", random.Random(0)) == "v0"
+        cut_from_vms(fleet, vms[0].name)
+        await anyio.sleep(3.0)
+        assert begin_stream(vms[0], "r-2", random.Random(0)) is None
+        assert begin_stream(vms[1], "r-2", random.Random(0)) == "v0"
+
+    simulate(scenario, vms=LARGE, upstreams=())
+
+
+def test_only_vm_of_a_fleet_begins_streams_without_the_store(simulate):
+    async def scenario(fleet):
+        add_upstream(fleet, "u-0", "v0")
+        vm = fleet.start("vm-1")
+        await anyio.sleep(SETTLED_SECONDS)
+        fleet.store.unreachable_from = {"vm-1"}
+        await anyio.sleep(40.0)
+        assert begin_stream(vm, "r-1", random.Random(0)) == "v0"
+
+    simulate(scenario, vms=["vm-1"], upstreams=())
+
+
+def begin_as_earlier_build(fleet, vm, request_id):
+    """Begin a stream at the newest version that is in the record as this VM knows it."""
+    item = vm.state.mirrors["vm/"].items.get("vm/.software")
+    recorded = simulated_fleet.StoreCodec().decode_software(item).versions[SERVICE]
+    listed = {upstream.entry.software for upstream in vm.state.registry.of_service(SERVICE)}
+    software = max(recorded & listed)
+    origin = stream_origins.Origin(SERVICE, software)
+    vm.state.stream_origins.record(request_id, origin, clock.now())
+    return software
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_vm_beside_one_of_an_earlier_build_joins_no_stream_that_began_there_at_once(simulate, seed):
+    joined, begun = [], []
+
+    async def take_up_at(vm, request_id):
+        found = await take_up(vm, request_id)
+        if found == stream_origins.OnlySoftware("v0"):
+            joined.append(request_id)
+
+    async def scenario(fleet):
+        rng = random.Random(seed)
+        fleet.of_earlier_build = {"vm-1"}
+        await start_all(fleet)
+        await anyio.sleep(rng.random())
+        cut(fleet, "vm-5", "both")
+        joined_at = clock.now()
+        add_upstream(fleet, "u-1", "v1")
+        while clock.now() - joined_at < 1.0:
+            request_id = f"r-{clock.now() - joined_at:.3f}"
+            if begin_as_earlier_build(fleet, fleet.vms["vm-1"], request_id) == "v1":
+                begun.append(request_id)
+                fleet.group.start_soon(take_up_at, fleet.vms["vm-5"], request_id)
+            await anyio.sleep(0.02)
+        await anyio.sleep(1.0)
+
+    simulate(scenario, vms=VMS, upstreams=())
+    assert begun and not joined, (len(begun), len(joined), joined[:1], joined[-1:])
+
+
+def test_vms_beside_one_of_an_earlier_build_take_up_streams_of_the_only_version(simulate):
+    async def scenario(fleet):
+        fleet.of_earlier_build = {"vm-1"}
+        await start_all(fleet)
+        for number in range(40):
+            for name in VMS[1:]:
+                found = await take_up(fleet.vms[name], f"unknown-{number}")
+                assert found == stream_origins.OnlySoftware("v0")
+            await anyio.sleep(0.1)
+
+    simulate(scenario, vms=VMS, upstreams=())
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -14,7 +14,7 @@
 from hollyring.fleet import messages as fleet
 from hollyring.fleet import rollout, rollout_limits
 from hollyring.limits import service_retry_budgets
-from hollyring.membership import heartbeat, leases
+from hollyring.membership import heartbeat, leases, peer_table
 from hollyring.node import (
     cache_watcher,
     clock,
@@ -63,7 +63,7 @@
     async def wait_current(self, until):
         return True
 
-    async def wait_versions(self, until):
+    async def wait_versions(self, until, taken_up_at):
         for prefix in (documents.STORE_KEYS.upstreams, documents.STORE_KEYS.vms):
             self._state.freshness.record(prefix, clock.now())
 
@@ -483,6 +483,82 @@
     assert caller.body == (whole if caller.ended else b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n")
 
 
+@pytest.mark.anyio
+async def test_stream_does_not_go_on_at_an_upstream_that_started_again_with_another_version(
+    start_vm,
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        software=("v1", "v1"),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    servers[0].born = 1
+    servers[1].software, servers[1].born = "v2", 2
+    caller = await vm.send_request()
+    assert caller.body == b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+    assert not caller.ended
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("software", ["v1", "v2"])
+async def test_stream_of_an_upstream_that_started_again_before_its_answer_is_not_passed_on(
+    start_vm, software
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        software=("v1", "v1"),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    servers[1].delay_seconds = 0.3
+
+    async def start_again():
+        while not servers[1].requests:
+            await anyio.sleep(0.01)
+        servers[1].software = software
+        vm.register(servers[1], life=2)
+
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(start_again)
+        caller = await vm.send_request()
+    whole = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert caller.body in (b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n", whole)
+    assert software == "v1" or caller.body != whole
+
+
+@pytest.mark.anyio
+async def test_request_for_an_upstream_that_is_known_to_have_started_again_is_not_sent(
+    start_vm, monkeypatch
+):
+    vm, servers = await start_vm(
+        "interrupt",
+        "complete",
+        software=("v1", "v1"),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    vm.state.registry.get("i-1").record_failure(clock.now())
+    connect = vm.pool._connect
+
+    async def connect_after_restart(address, *args):
+        if address == servers[1].address and servers[1].software == "v1":
+            servers[1].software = "v2"
+            vm.register(servers[1], life=2)
+        return await connect(address, *args)
+
+    monkeypatch.setattr(
+        connection_pool.ConnectionPool, "_connect", lambda _, *a: connect_after_restart(*a)
+    )
+    caller = await vm.send_request()
+    assert servers[1].software == "v2" and not servers[1].requests
+    assert caller.body == b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("behaviour", ["refuse", "reset"])
 async def test_stream_taken_up_does_not_go_on_at_a_version_that_appears_after_its_admission(
@@ -537,6 +613,27 @@
     assert len(servers[1].requests) == sent[1] + 1
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("retry_safety", "status"),
+    [(request_types.RetrySafety.RESUMABLE, 503), (request_types.RetrySafety.AT_MOST_ONCE, 200)],
+)
+async def test_vm_that_is_cut_off_for_long_begins_no_stream_that_another_vm_may_go_on_with(
+    start_vm, monkeypatch, retry_safety, status
+):
+    vm, servers = await start_vm("complete", streaming=True, retry_safety=retry_safety)
+    cut_at = clock.now() - software_versions.MAX_BEGIN_AGE_SECONDS - 0.1
+    monkeypatch.setattr(peer_table.PeerTable, "hears_most", lambda *_: False)
+    for prefix in (documents.STORE_KEYS.upstreams, documents.STORE_KEYS.vms):
+        vm.state.freshness.record(prefix, cut_at)
+    caller = await vm.send_request("r-1")
+    assert caller.status == status
+    assert request_count(servers) == (status == 200)
+    for prefix in (documents.STORE_KEYS.upstreams, documents.STORE_KEYS.vms):
+        vm.state.freshness.record(prefix, clock.now())
+    assert (await vm.send_request("r-2")).status == 200
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("recorded_after", [0.3, math.inf])
 async def test_stream_waits_for_the_record_of_the_only_version_and_not_for_long(
