Let a stream whose runs are used up go back to an upstream that was closed while it ran it

Two runs of two were used up: upstream_failed, "runs used up".

Cause: the limit on servers was counted in runs, so one that was closed early was lost as well as spent. A stream that goes on at an upstream that had it before has been sent to no further server.

Change: once its runs are used up and the last one has ended, a stream that may be resumed goes back to an upstream that ran it and was closed (never one that broke it off), and to no other; each return spends a retry and a send, and it is not forwarded for it. While an attempt is open, and for every other kind of request, the limit is as before.

Failing before: test_stream_goes_back_to_the_second_server_when_the_first_went_on_and_then_crashed (cut after event 3 of 5).

--- a/hollyring/delivery/retry.py
+++ b/hollyring/delivery/retry.py
@@ -196,6 +196,16 @@
             return (frozenset(),)
         return (self._tried_elsewhere | self._ran, self._tried_elsewhere | self._broke_off)
 
+    @property
+    def closed_upstreams(self) -> frozenset[str]:
+        """Upstreams that may run a stream again once its runs are used up, as no further ones.
+
+        These are the ones that ran it and were closed early, of a stream that may be resumed.
+        """
+        if self._policy.retry_safety is not request_types.RetrySafety.RESUMABLE:
+            return frozenset()
+        return frozenset(self._ran - self._broke_off)
+
     @property
     def ask_again_at(self) -> float:
         """Monotonic second from which an upstream that was tried may be asked again."""
--- a/hollyring/delivery/tests/test_retry.py
+++ b/hollyring/delivery/tests/test_retry.py
@@ -219,3 +219,16 @@
     state.begin_forward()
     state.record_forward(sends)
     assert state.needs_retry is needs_retry
+
+
+@pytest.mark.parametrize(
+    ("retry_safety", "closed"), [(RESUMABLE, {"ls-2"}), (IDEMPOTENT, set()), (AT_MOST_ONCE, set())]
+)
+def test_only_a_resumable_stream_goes_back_where_it_was_closed(begun_state, retry_safety, closed):
+    state = begun_state(retry_safety)
+    state.begin("ls-2")
+    state.record_failure(UNKNOWN, "ls-2")
+    state.record_failure(UNKNOWN, "ls-1")
+    state.record_broken_off("ls-1")
+    assert not state.may_retry(0.0, answer_started=True)
+    assert state.closed_upstreams == closed
--- a/hollyring/node/attempt_places.py
+++ b/hollyring/node/attempt_places.py
@@ -79,6 +79,8 @@
         RequestRefusedError
             If none can be made.
         """
+        if context.retry_state.runs_left <= 0:
+            return self._select_closed(context)
         target = self._target(context)
         if target is not None:
             return target
@@ -193,6 +195,23 @@
             raise _no_upstream_error(context, selected, now)
         return selected
 
+    def _select_closed(self, context: request_context.RequestContext) -> selection.Selection:
+        """Select among the upstreams that ran a stream and were closed, its runs being used up.
+
+        Raises
+        ------
+        RequestRefusedError
+            If none of them can serve the request before its deadline.
+        """
+        now = clock.now()
+        upstreams = self._state.registry.of_service(context.service.name)
+        others = {upstream.name for upstream in upstreams} - context.retry_state.closed_upstreams
+        request = dataclasses.replace(self.selection_request(context), excluded=frozenset(others))
+        selected = self._state.selector.select(request, now)
+        if isinstance(selected, selection.NoUpstream):
+            raise _no_upstream_error(context, selected, now)
+        return selected
+
     def _select_again(
         self,
         context: request_context.RequestContext,
--- a/hollyring/node/retry_decisions.py
+++ b/hollyring/node/retry_decisions.py
@@ -51,7 +51,8 @@
     if isinstance(outcome, request_context.Withdrawn):
         return None
     denied = context.retry_denial()
-    if denied is not None:
+    is_used_up = denied is retry.Denial.RUNS_USED_UP
+    if denied is not None and not (is_used_up and _may_go_back(vm_state, context)):
         return denied
     if not context.events.may_continue:
         return Reason.STREAM_CANNOT_CONTINUE
@@ -89,6 +90,13 @@
     return True
 
 
+def _may_go_back(vm_state: state.State, context: request_context.RequestContext) -> bool:
+    """Return whether there is an upstream that ran a stream and was closed early."""
+    closed = context.retry_state.closed_upstreams
+    upstreams = vm_state.registry.of_service(context.service.name)
+    return any(upstream.name in closed and not upstream.leaving for upstream in upstreams)
+
+
 def _is_crashing(outcome: request_context.Outcome) -> bool:
     """Return whether another VM declined a request since it crashes upstreams."""
     return (
--- a/hollyring/platform/tests/test_refused_streams.py
+++ b/hollyring/platform/tests/test_refused_streams.py
@@ -74,3 +74,34 @@
     assert 2 <= len(busy.requests) <= 4
     gaps = [b.arrived_at - a.arrived_at for a, b in itertools.pairwise(busy.requests)]
     assert min(gaps) >= 0.25
+
+
+class CrashingServer(test_silent_servers.PausingServer):
+    """Server that falls silent, goes on, and crashes `crash_seconds` later within its stream."""
+
+    def __init__(self, name, pause_seconds, crash_seconds):
+        super().__init__(name, pause_seconds)
+        self.crash_seconds = crash_seconds
+        self.crash_after = self.pause_after + 1
+
+    async def work(self, request, writer):
+        work = asyncio.ensure_future(super().work(request, writer))
+        while len(self.events_at) < self.crash_after:
+            await asyncio.sleep(0.001)
+        work.cancel()
+        await asyncio.sleep(self.crash_seconds)
+        writer.transport.abort()
+
+
+@pytest.mark.anyio
+async def test_stream_goes_back_to_the_second_server_when_the_first_went_on_and_then_crashed(
+    start_vm,
+):
+    first = CrashingServer("i-0", 1.15, 0.1)
+    second = test_silent_servers.PausingServer("i-1", 0.6, pause_after=0)
+    third = test_silent_servers.PausingServer("i-2")
+    vm = await start_vm(first, second, third, timeout=DEADLINE_SECONDS, **RESUMABLE)
+    caller = await vm.send_request(deadline_seconds=DEADLINE_SECONDS)
+    assert (caller.status, caller.body, caller.ended) == (200, WHOLE, True)
+    assert [request.headers.get("last-event-id") for request in second.requests] == ["2", "3"]
+    assert third.requests == []
