End a VM process 0.3 s after its last answers at the latest, whatever the store and its callers do

What callers saw: nothing, all answers had come. But a leaving VM that ends requests 0.6 s before the end of its grace period went on to wait for callers that close nothing (up to 0.35 s) and then for the store's answer to the release of its record (up to 0.5 s): with both, it ended 5.08 s after a SIGTERM with a grace period of 5 s, where the platform kills it (the new test, before). Now both waits together last 0.3 s at most; the test's process has ended by then, in both runs.

The two older tests measured how long the whole machine took.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -7,6 +7,7 @@
 import math
 import random
 import signal
+import socket
 import typing
 from collections.abc import Callable
 
@@ -67,6 +68,9 @@
 EXIT_MARGIN_SECONDS = 0.6
 """Part of the grace period that is kept for the exit of the process."""
 
+LAST_STEPS_SECONDS = 0.3
+"""Part of that for what depends on others: callers that read their answers, and the store."""
+
 KEEPALIVE_TIMEOUT_SECONDS = 60
 BODY_TIMEOUT_SECONDS = 10.0
 FIRST_START_DELAY_SECONDS = 1.0
@@ -272,6 +276,7 @@
         caller_sockets = [http_server.listen(vm_settings.caller_address)]
         host, port = settings.split_address(vm_settings.peer_address)
         self._log.info("started", life=self._state.vm_info.life)
+        until_exit = anyio.CancelScope()
         async with anyio.create_task_group() as task_group:
             await task_group.start(self._peers.run, host, port)
             for task in (
@@ -287,15 +292,22 @@
             task_group.start_soon(self._exchange)
             task_group.start_soon(internal_server.serve, internal_sockets)
             task_group.start_soon(self._handle_signals, caller_server)
-            task_group.start_soon(self._end_requests)
-            await caller_server.serve(caller_sockets)
-            if self._state.leaving:
-                await self._forward_server.drain(self._state.grace_period.ends_at)
-            await self._supervisor.run_once(self._registration.release)
+            task_group.start_soon(self._end_requests, until_exit)
+            with until_exit:
+                await self._serve_callers(caller_server, caller_sockets)
             self._log.info("stopped")
             internal_server.should_exit = True
             task_group.cancel_scope.cancel()
 
+    async def _serve_callers(
+        self, caller_server: uvicorn.Server, caller_sockets: list[socket.socket]
+    ) -> None:
+        """Serve until the VM leaves and every request has ended, and remove its record."""
+        await caller_server.serve(caller_sockets)
+        if self._state.leaving:
+            await self._forward_server.drain(self._state.grace_period.ends_at)
+        await self._supervisor.run_once(self._registration.release)
+
     async def _exchange(self) -> None:
         """Run the tasks that depend on which VMs serve, until cancelled."""
         await anyio.sleep(self._exchange_delay)
@@ -350,10 +362,12 @@
         self._heartbeats.set_seeds(list(reloaded.seeds))
         self._log.info("settings read", seeds=len(reloaded.seeds))
 
-    async def _end_requests(self) -> None:
-        """Give open requests their final answers at the end of the grace period."""
+    async def _end_requests(self, until_exit: anyio.CancelScope) -> None:
+        """Give open requests their final answers, and soon after bring `until_exit` to its end."""
         await self._leaving.wait()
-        await anyio.sleep(max(0.0, self._state.grace_period.ends_at - clock.now()))
+        seconds = max(0.0, self._state.grace_period.ends_at - clock.now())
+        until_exit.deadline = anyio.current_time() + seconds + LAST_STEPS_SECONDS
+        await anyio.sleep(seconds)
         self._log.info("grace period over", open_requests=self._state.requests.open)
         self._relay.stop()
 
--- a/hollyring/platform/tests/test_end_of_grace_period.py
+++ b/hollyring/platform/tests/test_end_of_grace_period.py
@@ -1,13 +1,14 @@
 """Tests that a VM process answers what is open when its grace period ends."""
 
 import contextlib
+import functools
 import signal
 import socket
 
 import anyio
 import pytest
 
-from hollyring.platform.tests import conftest, test_process
+from hollyring.platform.tests import conftest, process_times, test_process
 
 GRACE_SECONDS = 5.0
 LONG_ROUTE = test_process.CONFIG["routes"][0] | {"timeout_ms": 20_000}
@@ -33,6 +34,14 @@
     return received
 
 
+async def stop(vm):
+    """Send SIGTERM; the process has to end in its grace period, but for waits for a processor."""
+    end = functools.partial(process_times.seconds_to_end, vm.process, signal.SIGTERM)
+    with anyio.fail_after(3 * GRACE_SECONDS):
+        seconds = await anyio.to_thread.run_sync(end, abandon_on_cancel=True)
+    assert seconds <= GRACE_SECONDS, vm.log_lines()
+
+
 async def stop_and_read(vm, connections):
     """Send SIGTERM and return what arrives on each connection until it is closed."""
     received = [b""] * len(connections)
@@ -40,13 +49,10 @@
     async def read(index):
         received[index] = await anyio.to_thread.run_sync(read_all, connections[index])
 
-    vm.process.send_signal(signal.SIGTERM)
-    with anyio.fail_after(GRACE_SECONDS):
-        async with anyio.create_task_group() as task_group:
-            for index in range(len(connections)):
-                task_group.start_soon(read, index)
-        while vm.process.poll() is None:
-            await anyio.sleep(0.02)
+    async with anyio.create_task_group() as task_group:
+        for index in range(len(connections)):
+            task_group.start_soon(read, index)
+        await stop(vm)
     return received
 
 
@@ -60,6 +66,10 @@
     await store.put("servers/i-1", conftest.make_entry(server.address, models=models))
 
 
+async def never_end(lease):
+    await anyio.sleep_forever()
+
+
 def end_of(vm, request_id):
     (ended,) = [
         line
@@ -98,3 +108,23 @@
     assert received.startswith(b"HTTP/1.1 200")
     assert not received.endswith(b"0\r\n\r\n")
     assert end_of(vm, "r-1") == ("grace period over", 200)
+
+
+@pytest.mark.anyio
+async def test_process_ends_in_its_grace_period_beside_a_silent_store_and_a_caller_that_stays(
+    cluster,
+):
+    """The store does not answer that the record is removed; a caller closes nothing."""
+    store, server, start = cluster
+    await store.put("op/config", test_process.CONFIG | {"version": 4, "routes": [LONG_ROUTE]})
+    server.behaviour = "silent"
+    store.end = never_end
+    vm = start(grace_seconds=GRACE_SECONDS)
+    await vm.wait_ready()
+    connection = send(vm, "r-1")
+    connection.sendall(b"no request\r\n\r\n")
+    with anyio.fail_after(2.0):
+        while not server.requests:
+            await anyio.sleep(0.01)
+    await stop(vm)
+    assert (await anyio.to_thread.run_sync(read_all, connection)).startswith(b"HTTP/1.1 502")
