Tests: streams of both builds are taken up together, within the time for which their origins are kept

Cause, of the test: it took up 24 streams one after the other, each for about a second, so the last one after 20 s and more of the 30 s for which an origin is kept; and each stream was left after 0.7 s, whether or not it had begun.

Change: a stream is left after 12 events, and all are taken up together; 24 of 24 have to go on, as before.

--- a/hollyring/platform/tests/test_mixed_fleets.py
+++ b/hollyring/platform/tests/test_mixed_fleets.py
@@ -27,6 +27,10 @@
 
 ROLLOUT_SECONDS = 40.0
 HANDOVERS = 6
+EVENTS_UNTIL_LEFT = 12
+"""Events of a stream within which the other VMs are told where it began: 0.6 s of events."""
+
+BEGIN_SECONDS = 6.0
 CALLERS = 8
 TAKE_UP_ATTEMPTS = 12
 SERVER_LIMIT = 20.0
@@ -131,6 +135,17 @@
     return stream
 
 
+async def receive_events(vm, request_id, number):
+    """Begin a stream at a VM and leave it after some events."""
+    stream = test_resumed_streams.Stream(request_id)
+    async with anyio.create_task_group() as group:
+        group.start_soon(stream.receive, vm)
+        while stream.last_event < number:
+            await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    return stream
+
+
 def position(first, last_event):
     """Return the headers with which a caller takes up the stream that its first request began."""
     return (b"last-event-id", b"%d" % last_event), (b"resumes", first.encode())
@@ -142,16 +157,17 @@
     begun = []
 
     async def begin(vm, other, number):
-        stream = await receive_part(vm, f"first-{number}", 0.7)
+        stream = await receive_events(vm, f"first-{number}", EVENTS_UNTIL_LEFT)
         begun.append((stream, other))
 
-    async with anyio.create_task_group() as group:
-        for number in range(24):
-            index = number % VMS
-            group.start_soon(begin, mixed.vms[index], mixed.vms[index ^ 1], number)
-    went_on = 0
-    for number, (stream, other) in enumerate(begun):
-        assert stream.last_event
+    with anyio.fail_after(BEGIN_SECONDS):
+        async with anyio.create_task_group() as group:
+            for number in range(24):
+                index = number % VMS
+                group.start_soon(begin, mixed.vms[index], mixed.vms[index ^ 1], number)
+    went_on = []
+
+    async def take_up(stream, other, number):
         rest = await receive_part(
             other, f"second-{number}", 6.0, *position(stream.request_id, stream.last_event)
         )
@@ -160,9 +176,13 @@
         if rest.status == 200:
             assert test_resumed_streams.software_of(mixed.servers, rest.request_id) == versions
             assert (rest.whole, rest.last_event) == (True, EVENTS)
-            went_on += 1
-    print("went on:", went_on, "of", len(begun))
-    assert went_on == len(begun) == 24
+            went_on.append(number)
+
+    async with anyio.create_task_group() as group:
+        for number, (stream, other) in enumerate(begun):
+            group.start_soon(take_up, stream, other, number)
+    print("went on:", len(went_on), "of", len(begun))
+    assert len(went_on) == len(begun) == 24
 
 
 class Chain:
