Bound the blames of prompt parts and of whole requests each, so that many requests do not displace the part they have

Its requests, which their callers send again, are then blamed as a whole too, more than 60 within a second, and push the part's blame out of the one table of 64. VMs adopt one another's blames and displace them again, many times a second; in the end no VM has the part's.

Change: 64 blames of parts and 64 of whole requests, also of those that ended (routing/bounded_tables).

--- a/hollyring/node/tests/test_crash_player.py
+++ b/hollyring/node/tests/test_crash_player.py
@@ -51,8 +51,11 @@
 
 
 SEEDS = [(name, seed) for name in CASES for seed in range(3)]
-SEEDS += [("plain, two requests", 108)]
-"""Seed 108: a sound request is at three crashes by another one, 4 s after its last answer."""
+SEEDS += [("plain, two requests", 108), ("two parts", 106), ("ordinary crashes", 137)]
+"""Seed 108: a sound request is at three crashes by another one, 4 s after its last answer.
+
+Seeds 106 and 137: more requests than blames are kept are blamed as a whole, and have the same part.
+"""
 
 
 @pytest.mark.parametrize(("name", "seed"), SEEDS)
--- a/hollyring/routing/crashes.py
+++ b/hollyring/routing/crashes.py
@@ -30,6 +30,7 @@
 from collections.abc import Iterable
 
 from hollyring.core import identities, request_types
+from hollyring.routing import bounded_tables
 
 MIN_CRASHES = 3
 """Crashes of different servers with parts in common from which these are blamed."""
@@ -62,7 +63,10 @@
 MAX_PARTS_PER_RECORD = 1024
 MAX_BLAMED = 64
 MAX_SOUND = 4096
-"""Bounds on what is remembered, oldest first; requests may all have different parts."""
+"""Bounds on what is remembered, oldest first; blames of parts and of whole requests each.
+
+Requests may all have different parts, and dozens that are blamed as a whole may have the same one.
+"""
 
 DIGEST_BYTES = 8
 REQUEST_PREFIX = "r-"
@@ -231,7 +235,7 @@
             cleared = record.candidates.intersection(sound)
             record.candidates -= cleared
             suspected |= cleared
-        _limit(self._sound, MAX_SOUND)
+        bounded_tables.limit(self._sound, MAX_SOUND)
         return suspected
 
     def answered_earlier(self, report: CrashReport, now: float) -> set[str]:
@@ -247,7 +251,7 @@
         for request in requests:
             self._earlier[request] = now
             self._earlier.move_to_end(request)
-        _limit(self._earlier, MAX_SOUND)
+        bounded_tables.limit(self._earlier, MAX_SOUND)
 
     def decide(self, now: float) -> list[Blame]:
         """Return the blames that hold from now on."""
@@ -316,7 +320,7 @@
             Name of the VM.
         """
         active = self._blamed.get(blame.parts)
-        if active is None or active.tried or not all(map(_is_whole_request, blame.parts)):
+        if active is None or active.tried or not _is_of_requests(blame.parts):
             return False
         if blame.witnesses[:1] != (vm,) or now - active.since < TRIAL_AFTER_SECONDS:
             return False
@@ -347,7 +351,7 @@
             del self._blamed[wider]
         self._blamed[blame.parts] = _ActiveBlame(blame, now, now + seconds)
         self._expired.pop(blame.parts, None)
-        _limit(self._blamed, MAX_BLAMED)
+        bounded_tables.limit_each(self._blamed, MAX_BLAMED, _is_of_requests)
 
     def _clear_of_blame(self, part: str) -> bool:
         """Blame a part no longer, but the others of its groups; return whether it was blamed."""
@@ -429,7 +433,7 @@
             if now >= active.until:
                 del self._blamed[group]
                 self._expired[group] = None
-        _limit(self._expired, MAX_BLAMED)
+        bounded_tables.limit_each(self._expired, MAX_BLAMED, _is_of_requests)
 
     def _forget_oldest_crash(self) -> None:
         del self._records[next(iter(self._records))]
@@ -467,15 +471,13 @@
     return candidate.startswith(REQUEST_PREFIX)
 
 
+def _is_of_requests(group: frozenset[str]) -> bool:
+    return all(map(_is_whole_request, group))
+
+
 def _is_only(
     crashed: frozenset[identities.Incarnation],
     leaders: Iterable[frozenset[identities.Incarnation]],
 ) -> bool:
     """Return whether no other group that as many crashes have in common explains one of them."""
     return all(crashed == other or crashed.isdisjoint(other) for other in leaders)
-
-
-def _limit(table: collections.OrderedDict, size: int) -> None:
-    """Remove the oldest entries of a table beyond `size`."""
-    while len(table) > size:
-        table.popitem(last=False)
--- a/hollyring/routing/tests/test_crashing_whole_requests.py
+++ b/hollyring/routing/tests/test_crashing_whole_requests.py
@@ -137,3 +137,15 @@
     table.decide(0.5)
     blame = table.blamed(["bad-part"], 1.0)
     assert not table.begin_trial(blame, "vm-1", 0.5 + crashes.TRIAL_AFTER_SECONDS + 0.1)
+
+
+@pytest.mark.parametrize("blamed_first", [{"bad-part"}, {BAD}], ids=["part", "request"])
+def test_many_blames_of_one_kind_do_not_displace_one_of_the_other(table, blamed_first):
+    """Requests with a blamed part may each be blamed as a whole, too."""
+    is_part = blamed_first == {"bad-part"}
+    table.adopt(crashes.Blame(frozenset(blamed_first), (), ()), 0.0)
+    for number in range(2 * crashes.MAX_BLAMED):
+        name = crashes.request_hash("/a", "org", b"%d" % number) if is_part else f"part-{number}"
+        table.adopt(crashes.Blame(frozenset({name}), (), ()), 1.0)
+    assert table.blamed(blamed_first, 2.0) is not None
+    assert len(table.blames()) == crashes.MAX_BLAMED + 1
