Tests: an issuer of permits that stands still for 1.3 to 6 s adds nothing to what an upstream gets or rejects

Not reproduced, nothing changed in the product.

Limits: questions to the standing VM that timed out are not answered as it goes on (grants that nobody uses would only lower what it grants); no 60 VMs.

"No request is on trial elsewhere" stays read, not shown.

--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -344,6 +344,7 @@
         """Wait until the VM at an address reads a message."""
         name = address.partition(":")[0]
         await anyio.sleep(simulated_store.CALL_SECONDS + self._fleet.delays.get(name, 0.0))
+        await self._fleet.until_it_runs(name)
 
     async def _deliver(self, address, message):
         await self._travel(address)
@@ -438,6 +439,12 @@
                 for task in tasks:
                     group.start_soon(task)
 
+    async def run_on(self):
+        """Run again after a standstill, with what this VM knew before."""
+        self.scope = anyio.CancelScope()
+        self._exchange_delay = 0.0
+        await self.run()
+
 
 class Fleet:
     """Simulated VMs with their store and upstreams.
@@ -457,6 +464,7 @@
         self.delays = {}
         self.cut = {}
         self.connect_seconds = {}
+        self.standing = set()
         self.freshness_rules = freshness.FreshnessRules()
         self.first_start_delay = 0.0
         self.first_start = True
@@ -514,6 +522,20 @@
         self.vms.pop(name).scope.cancel()
         self.first_start = False
 
+    async def stand_still(self, name, seconds):
+        """Let a VM stand still, as when its process is stopped; messages to it wait."""
+        vm = self.vms[name]
+        self.standing.add(name)
+        vm.scope.cancel()
+        await anyio.sleep(seconds)
+        self.standing.discard(name)
+        self.group.start_soon(vm.run_on)
+
+    async def until_it_runs(self, name):
+        """Wait while a VM stands still."""
+        while name in self.standing:
+            await anyio.sleep(0.005)
+
     async def stop(self, name):
         """Shut a VM down gracefully."""
         vm = self.vms[name]
--- a/hollyring/node/tests/test_places.py
+++ b/hollyring/node/tests/test_places.py
@@ -42,7 +42,7 @@
         end = clock.now() + seconds
         while clock.now() < end:
             await anyio.sleep(rng.expovariate(self.requests_per_second))
-            vm = self.fleet.vms[rng.choice(sorted(self.fleet.vms))]
+            vm = self.fleet.vms[rng.choice(sorted(self.fleet.vms.keys() - self.fleet.standing))]
             names = rng.sample(UPSTREAMS, len(UPSTREAMS))
             self.fleet.group.start_soon(self.send, vm, names, rng.expovariate(1 / RUN_SECONDS))
 
@@ -58,6 +58,7 @@
             upstream.record_sent(request_id, 0, 0.1, clock.now())
             try:
                 permit = await vm.permits.acquire(upstream, False, request_id, 2.0)
+                await self.fleet.until_it_runs(vm.name)
                 if not self.is_running(vm):
                     return
                 if permit is not None and vm.permits.may_send(upstream, permit):
@@ -80,6 +81,7 @@
             self.rejected[upstream.name].append(clock.now())
         else:
             await self.execute(upstream.name, run_seconds)
+        await self.fleet.until_it_runs(vm.name)
         if not self.is_running(vm):
             return
         head = simulated_fleet.answer_with_limit(None)
--- a/hollyring/node/tests/test_send_permits.py
+++ b/hollyring/node/tests/test_send_permits.py
@@ -38,7 +38,7 @@
         end = clock.now() + seconds
         while clock.now() < end:
             await anyio.sleep(rng.expovariate(self.requests_per_second))
-            vm = self.fleet.vms[rng.choice(sorted(self.fleet.vms))]
+            vm = self.fleet.vms[rng.choice(sorted(self.fleet.vms.keys() - self.fleet.standing))]
             self.fleet.group.start_soon(self.send, vm)
 
     async def send(self, vm):
@@ -48,6 +48,7 @@
         if upstream is None or registry.opens_at(upstream.incarnation) > clock.now():
             return
         permit = await vm.permits.acquire(upstream)
+        await self.fleet.until_it_runs(vm.name)
         if permit is None or not vm.permits.may_send(upstream, permit):
             return
         sent_at = clock.now()
