Wait before a stream that went back to an upstream is sent there again after a refusal

A stream whose runs are used up goes back to an upstream that was closed while it ran it; refused there (503, not run), it was sent again at once: three sends and three retries of the budget within 9 ms (of the five sends), and the stream was broken off with over 5 s left.

Cause: the wait of (0.3, 0.6 and 1.2 s after a refusal) is in the second choices only, and a stream that has begun waits for room only while its runs are not used up.

Change: both ways of asking an upstream again share the wait, and a begun stream whose runs are used up waits as long as it may go back.

Failing before: test_stream_that_went_back_and_was_refused_there_waits_before_it_is_sent_again[0.2, 0.8], cut after event 3 of 5.

--- a/hollyring/node/attempt_places.py
+++ b/hollyring/node/attempt_places.py
@@ -207,7 +207,7 @@
         upstreams = self._state.registry.of_service(context.service.name)
         others = {upstream.name for upstream in upstreams} - context.retry_state.closed_upstreams
         request = dataclasses.replace(self.selection_request(context), excluded=frozenset(others))
-        selected = self._state.selector.select(request, now)
+        selected = self._select_when_due(context, request, now)
         if isinstance(selected, selection.NoUpstream):
             raise _no_upstream_error(context, selected, now)
         return selected
@@ -226,12 +226,21 @@
             again = dataclasses.replace(request, excluded=excluded)
             if not self._state.selector.is_served(again, now):
                 continue
-            wait_seconds = context.retry_state.ask_again_at - now
-            if wait_seconds > 0:
-                return selection.NoUpstream(wait_seconds, busy=True)
-            return self._state.selector.select(again, now)
+            return self._select_when_due(context, again, now)
         return None
 
+    def _select_when_due(
+        self,
+        context: request_context.RequestContext,
+        request: selection.SelectionRequest,
+        now: float,
+    ) -> selection.Selection | selection.NoUpstream:
+        """Select among upstreams that were tried, none before they may be asked again."""
+        wait_seconds = context.retry_state.ask_again_at - now
+        if wait_seconds > 0:
+            return selection.NoUpstream(wait_seconds, busy=True)
+        return self._state.selector.select(request, now)
+
     def _withheld_software(self, context: request_context.RequestContext) -> frozenset[str]:
         """Return the software versions at which the request must not begin a stream yet."""
         is_resumable = context.retry_state.retry_safety is request_types.RetrySafety.RESUMABLE
--- a/hollyring/node/attempt_series.py
+++ b/hollyring/node/attempt_series.py
@@ -136,13 +136,18 @@
                 await self._start_next(context, attempts)
                 return
             except attempt_places.RequestRefusedError as error:
-                waits = context.response.started and context.may_retry()
-                if not (error.is_temporary and waits):
+                if not (error.is_temporary and self._may_wait(context)):
                     self._log.gave_up(context, error.reason)
                     raise
             self._metrics.increment("waits_for_upstream")
             await anyio.sleep(min(open_attempts.LOOK_AGAIN_SECONDS, context.seconds_left))
 
+    def _may_wait(self, context: request_context.RequestContext) -> bool:
+        """Return whether a request without an open attempt may wait for an upstream."""
+        if not context.response.started or not context.events.may_continue:
+            return False
+        return retry_decisions.limits_denial(self._state, context) is None
+
     async def _start_next(
         self, context: request_context.RequestContext, attempts: open_attempts.OpenAttempts
     ) -> None:
--- a/hollyring/node/retry_decisions.py
+++ b/hollyring/node/retry_decisions.py
@@ -50,9 +50,8 @@
     """
     if isinstance(outcome, request_context.Withdrawn):
         return None
-    denied = context.retry_denial()
-    is_used_up = denied is retry.Denial.RUNS_USED_UP
-    if denied is not None and not (is_used_up and _may_go_back(vm_state, context)):
+    denied = limits_denial(vm_state, context)
+    if denied is not None:
         return denied
     if not context.events.may_continue:
         return Reason.STREAM_CANNOT_CONTINUE
@@ -67,6 +66,16 @@
     return None
 
 
+def limits_denial(
+    vm_state: state.State, context: request_context.RequestContext
+) -> retry.Denial | None:
+    """Return why the limits on its attempts end a request without an open one, None if not."""
+    denied = context.retry_denial()
+    if denied is retry.Denial.RUNS_USED_UP and _may_go_back(vm_state, context):
+        return None
+    return denied
+
+
 def has_retry(vm_state: state.State, context: request_context.RequestContext) -> bool:
     """Return whether `get_retry` would succeed; none is spent."""
     if not context.retry_state.needs_retry:
--- a/hollyring/platform/tests/test_refused_streams.py
+++ b/hollyring/platform/tests/test_refused_streams.py
@@ -105,3 +105,33 @@
     assert (caller.status, caller.body, caller.ended) == (200, WHOLE, True)
     assert [request.headers.get("last-event-id") for request in second.requests] == ["2", "3"]
     assert third.requests == []
+
+
+class ReturningServer(test_silent_servers.PausingServer):
+    """Server that refuses each request for `busy_seconds` after the first that goes back to it."""
+
+    def __init__(self, name, pause_seconds, busy_seconds):
+        super().__init__(name, pause_seconds, pause_after=0)
+        self.busy_seconds = busy_seconds
+
+    async def work(self, request, writer):
+        returns = self.requests[1:]
+        if returns and clock.now() < returns[0].arrived_at + self.busy_seconds:
+            name = request.headers["x-request-id"]
+            writer.write(self.encode_response(503, b"", x_request_id=name, x_not_run=1))
+            return
+        await super().work(request, writer)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("busy_seconds", [0.2, 0.8])
+async def test_stream_that_went_back_and_was_refused_there_waits_before_it_is_sent_again(
+    start_vm, busy_seconds
+):
+    first = CrashingServer("i-0", 1.15, 0.1)
+    second = ReturningServer("i-1", 0.6, busy_seconds)
+    vm = await start_vm(first, second, timeout=DEADLINE_SECONDS, **RESUMABLE)
+    caller = await vm.send_request(deadline_seconds=DEADLINE_SECONDS)
+    times = [request.arrived_at for request in second.requests[1:]]
+    assert (caller.status, caller.body, caller.ended) == (200, WHOLE, True), (caller.body, times)
+    assert all(b - a >= 0.25 for a, b in itertools.pairwise(times)), times
