Send nothing of an attempt that was closed as not sent

When a silent attempt goes on, the others are closed; one that was not sent yet counts as not run, and its retry goes to the next attempt or back to the budget. Its task, if it was ready to run (its connection was there, or it had just been started), ran on until its next wait and wrote the request: cancellation is delivered at a wait only. So an arrival counted as no arrival and as no run. An event loop that is late reads the events and starts the second attempt in one step.

Change: an attempt checks that it is still open in the step in which it begins to write, at an upstream and on a link to a VM.

Failing before (state machine, no sockets): test_attempt_that_was_closed_as_not_sent_is_not_sent_afterwards, both cases. That a server got such a request was not seen.

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -198,6 +198,7 @@
             if not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
             request = self._request(context, selected)
+            attempt.begin_send()
             sent_at = clock.now()
             attempt.record_sent(sent_at)
             exchange = connection.send(
--- a/hollyring/node/forward_client.py
+++ b/hollyring/node/forward_client.py
@@ -243,7 +243,7 @@
             await self._send(earlier)
         if not self._state.may_send(context.retry_state):
             return False
-        self._attempt.sent = True
+        self._attempt.begin_send()
         self._unsent_at = clock.now()
         await self._send(messages[-1])
         return True
--- a/hollyring/node/open_attempts.py
+++ b/hollyring/node/open_attempts.py
@@ -121,6 +121,18 @@
         """Run a task beside the attempt, until the request ends at the latest."""
         self._attempts.start_soon(task, *args)
 
+    def begin_send(self) -> None:
+        """Record that the request may be written from now on.
+
+        Raises
+        ------
+        SupersededError
+            If the attempt was closed, which counts as not sent; its task may run on until it waits.
+        """
+        if self not in self._attempts.open:
+            raise SupersededError("another attempt has taken over")
+        self.sent = True
+
     def record_sent(self, at: float) -> None:
         """Record that an upstream got the request at time `at`."""
         self.sent = True
