Pass on a resumable stream of an upstream whose entry was away and came back with the same start

Where an upstream's entry was removed and put again while it worked on a stream (its link to the store was cut for longer than its lease, or the store returned from an older copy), its answer was taken for one of another start: the stream failed, the upstream counted as one that broke it off, and with no other one the caller got 502.

Cause: the upstream's object in the registry was compared, which is another one after a removal, not its incarnation.

Change: the incarnations are compared; an upstream that states none counts as started again, as before.

Failing before: test_stream_of_an_upstream_whose_entry_was_away_for_a_while_is_passed_on (502).

--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -300,7 +300,10 @@
         if context.retry_state.retry_safety is not request_types.RetrySafety.RESUMABLE:
             return False
         registered = self._state.registry.get(upstream.name)
-        return registered is not None and registered is not upstream
+        if registered is None or registered is upstream:
+            return False
+        is_known = upstream.entry.life != registry.UNKNOWN_LIFE
+        return not is_known or registered.incarnation != upstream.incarnation
 
     def _record_version(
         self,
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -1097,3 +1097,27 @@
     caller = await vm.send_request()
     assert caller.status == 503
     assert request_count(servers) == 0
+
+
+@pytest.mark.anyio
+async def test_stream_of_an_upstream_whose_entry_was_away_for_a_while_is_passed_on(start_vm):
+    vm, (server,) = await start_vm(
+        "complete",
+        software=("v1",),
+        streaming=True,
+        retry_safety=request_types.RetrySafety.RESUMABLE,
+    )
+    server.delay_seconds = 0.3
+
+    async def lose_entry():
+        while not server.requests:
+            await anyio.sleep(0.01)
+        vm.state.remove_upstream(server.name)
+        vm.register(server)
+
+    async with anyio.create_task_group() as task_group:
+        task_group.start_soon(lose_entry)
+        caller = await vm.send_request()
+    whole = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 6))
+    assert (caller.status, caller.body, caller.ended) == (200, whole, True)
+    assert len(server.requests) == 1
