Known red: another writer that removes the key of a held order lease lets two VMs give orders within its duration

Not mended here: a VM can't tell the removal from a lease that was given up or ended, so that it would have to wait after each; the holder's last statement would tell, unless it is not heard.

The check of the gaps says now which they were; its bound is the same.

--- a/hollyring/node/tests/test_overwritten_lease.py
+++ b/hollyring/node/tests/test_overwritten_lease.py
@@ -20,7 +20,7 @@
 
 def assert_order_gaps(fleet):
     gaps = order_steps.gaps_between_holders(fleet)
-    assert all(gap >= rollout_controller.LEASE_SECONDS for gap in gaps)
+    assert all(gap >= rollout_controller.LEASE_SECONDS for gap in gaps), gaps
 
 
 @pytest.mark.parametrize("text", TEXTS, ids=range(len(TEXTS)))
@@ -81,3 +81,22 @@
             assert fleet.order_lease_holder() == holder
 
     simulate(scenario)
+
+
+def test_removal_of_the_key_of_a_held_lease_does_not_let_two_vms_give_orders(simulate):
+    async def scenario(fleet):
+        await order_steps.start_all(fleet)
+        fleet.set_wanted_version(2)
+        await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
+        fleet.store.remove(KEY)
+        wanted = 2
+        until = anyio.current_time() + REPLACED_SECONDS
+        while anyio.current_time() < until:
+            await anyio.sleep(0.02)
+            if fleet.all_serve(wanted):
+                wanted += 1
+                fleet.set_wanted_version(wanted)
+        assert len({order.fencing for order in fleet.orders()}) == 2
+        assert_order_gaps(fleet)
+
+    simulate(scenario)
