--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -198,6 +198,7 @@
             if not self._permits.may_send(upstream, permit):
                 return request_context.Withdrawn()
             request = self._request(context, selected)
+            attempt.begin_send()
             sent_at = clock.now()
             attempt.record_sent(sent_at)
             exchange = connection.send(
@@ -299,7 +300,10 @@
         if context.retry_state.retry_safety is not request_types.RetrySafety.RESUMABLE:
             return False
         registered = self._state.registry.get(upstream.name)
-        return registered is not None and registered is not upstream
+        if registered is None or registered is upstream:
+            return False
+        is_known = upstream.entry.life != registry.UNKNOWN_LIFE
+        return not is_known or registered.incarnation != upstream.incarnation
 
     def _record_version(
         self,
