Tests: no wait of a test within one process ends because the process had no processor

Nine entries were tests in real time that play a VM and its servers in one event loop and failed once or twice beside load. Each failure is one of a process that stands still: their deadlines, silences and bounds of 0.05 to 2 s went on meanwhile. So the product did what its clock told it.

Those tests run now on an event loop and a clock without the time in which their thread was ready to run and did not, which Linux counts (schedstat). Work of the product, blocking calls and all waits count as before, and no bound changed. It applies to the tests of the platform that start no processes, and to test_pipelined_requests; the others keep the machine's time.

Not shown: that a wait for a processor, and no other hold-up (of the host, say, which Linux does not count), was the reason each time.

--- a/hollyring/node/tests/test_pipelined_requests.py
+++ b/hollyring/node/tests/test_pipelined_requests.py
@@ -7,17 +7,14 @@
 import uvicorn
 
 from hollyring.node import asgi, bounded_protocol, settings
+from hollyring.node.tests import held_time
 
+anyio_backend = held_time.anyio_backend
 LIMITS = settings.Limits()
 TIMEOUT_SECONDS = 5.0
 REQUEST = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n"
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Application:
     """Application that works on each request until its caller has left."""
 
--- a/hollyring/platform/tests/conftest.py
+++ b/hollyring/platform/tests/conftest.py
@@ -10,15 +10,12 @@
 import pytest
 
 from hollyring.node import clock
+from hollyring.node.tests import held_time
 
+anyio_backend = held_time.anyio_backend
 SEAL = "3e1b.07.5a2.600.0.c9f2a4d1"
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture
 def log_messages():
     """Yield the log messages of this process since the fixture was set up."""
@@ -43,7 +40,7 @@
     query: dict
     headers: dict
     body: bytes
-    arrived_at: float = dataclasses.field(default_factory=clock.now)
+    arrived_at: float = dataclasses.field(default_factory=lambda: clock.now())
 
 
 async def read_request(reader):
