Tests: test_request_ends waits for the line that states an end, and then for a second one

It read the log 0.3 s after its caller had left or was answered; at a load of 21 on 8 cores there was none yet, once. Reproduced: a VM that stands still (SIGSTOP) for 0.7 s as a caller leaves has logged no end by then, two runs of two on ("left within its body" first; its line then counted for "left while it runs"). The test waits now up to 5 s for the line (as test_process does), then 0.3 s as before for a second one: two runs of two with that hold-up passed, and one without. What the line says is compared as before.

--- a/hollyring/platform/tests/test_request_ends.py
+++ b/hollyring/platform/tests/test_request_ends.py
@@ -86,7 +86,8 @@
         server.behaviour = behaviour
         before = len(process.log_lines())
         received = await anyio.to_thread.run_sync(exchange, process, sent, status is None)
-        await anyio.sleep(0.3)
+        await wait_end_logged(process, before)
+        await anyio.sleep(0.3)  # time for a second line
         lines = [line for line in process.log_lines()[before:] if is_end(line)]
         ends = [(line["text"], line.get("outcome")) for line in lines]
         seen[name] = (received, ends)
@@ -94,6 +95,13 @@
     assert {name: (s, [shorten(e) for e in ends]) for name, (s, ends) in seen.items()} == expected
 
 
+async def wait_end_logged(process, before):
+    """Wait until a line behind the first `before` ones states the end of a request."""
+    with anyio.move_on_after(test_process.LOG_SECONDS):
+        while not any(is_end(line) for line in process.log_lines()[before:]):
+            await anyio.sleep(0.01)
+
+
 def is_end(line):
     return line.get("text", "").startswith(
         (ENDED, REFUSED, NOT_READ, "connection: refused", "vm: caller left", "vm: request failed")
