Tests: what ends a request by a change, or by bytes behind it, is not the route's timeout

test_configuration_changes [shorter idle time] and test_request_at_an_upstream_is_answered_when_bytes_that_are_no_request_follow_it got 504 once each beside load: their servers answer after 1.2 and 0.5 s, their route ends a request after 2 s, and neither is about that time. Reproduced on: with the VM standing still (SIGSTOP) for 2.1 s three of the changes got 504, the listed one among them; with the test's process, and so its server, standing still for 2 s the other got 504, two runs of two (not with the VM standing still: the answer that lies there is read first). Their route allows 20 s now, so that only the change or the bytes can end the request; they ask for 200, as before. With the same hold-ups all of them passed; both files passed once without.

--- a/hollyring/platform/tests/test_configuration_changes.py
+++ b/hollyring/platform/tests/test_configuration_changes.py
@@ -14,7 +14,11 @@
 SERVER_SECONDS = 1.2
 """Time after which the server answers; the change is in force long before."""
 
+ROUTE = test_process.CONFIG["routes"][0] | {"timeout_ms": 20_000}
+"""Route on which a request ends by a change, if at all, as its time is far longer than the test."""
+
 CONFIG = test_process.CONFIG | {
+    "routes": [ROUTE],
     "limits": {
         "max_header_bytes": 10_000,
         "max_body_bytes": 10_000,
@@ -22,7 +26,6 @@
         "idle_timeout_ms": 5_000,
     }
 }
-ROUTE = CONFIG["routes"][0]
 LIMITS = CONFIG["limits"]
 
 
--- a/hollyring/platform/tests/test_process.py
+++ b/hollyring/platform/tests/test_process.py
@@ -356,6 +356,8 @@
 async def test_request_at_an_upstream_is_answered_when_bytes_that_are_no_request_follow_it(cluster):
     store, server, start = cluster
     server.delay_seconds = 0.5
+    route = CONFIG["routes"][0] | {"timeout_ms": 20_000}
+    await store.put("op/config", CONFIG | {"version": 4, "routes": [route]})
     vm = start()
     await vm.wait_ready()
     host, _, port = vm.caller_url.removeprefix("http://").partition(":")
