--- a/hollyring/platform/tests/test_configuration_changes.py
+++ b/hollyring/platform/tests/test_configuration_changes.py
@@ -24,7 +24,7 @@
         "max_body_bytes": 10_000,
         "header_timeout_ms": 5_000,
         "idle_timeout_ms": 5_000,
-    }
+    },
 }
 LIMITS = CONFIG["limits"]
 
