--- a/hollyring/membership/members.py
+++ b/hollyring/membership/members.py
@@ -114,7 +114,7 @@
         "_last_sync_at",
         "_digest_mismatches",
         "_differing_member",
-        "_region_heard_at",
+        "_region_contact_at",
         "_failed_probes",
         "_pause_sequence",
         "_joined",
@@ -138,7 +138,7 @@
         self._last_sync_at = now - SYNC_INTERVAL_SECONDS
         self._digest_mismatches = 0
         self._differing_member = ""
-        self._region_heard_at: dict[str, float] = {}
+        self._region_contact_at: dict[str, float] = {}
         self._failed_probes = 0
         self._pause_sequence: int | None = None
         self._joined = not self._seeds
@@ -202,9 +202,11 @@
     def unreachable_regions(self, now: float) -> set[str]:
         """Return the other regions that have been silent for `REGION_TIMEOUT_SECONDS`."""
         regions = {member.profile.region for member in self.members.values()} - {self._local.region}
-        heard_before = now - REGION_TIMEOUT_SECONDS
+        contact_before = now - REGION_TIMEOUT_SECONDS
         return {
-            region for region in regions if self._region_heard_at.get(region, now) < heard_before
+            region
+            for region in regions
+            if self._region_contact_at.get(region, now) < contact_before
         }
 
     def put_entry(self, name: str, version: int, value: bytes) -> None:
@@ -292,8 +294,8 @@
         self._probe = None
         self._pause_sequence = self._sequence
         self._view.extend_suspicions(gap)
-        self._region_heard_at = {
-            region: heard + gap for region, heard in self._region_heard_at.items()
+        self._region_contact_at = {
+            region: contact_at + gap for region, contact_at in self._region_contact_at.items()
         }
         return [actions.Paused(gap)]
 
@@ -330,7 +332,7 @@
         if others:
             regions = sorted({member.profile.region for member in others})
             for region in regions:
-                self._region_heard_at.setdefault(region, now)
+                self._region_contact_at.setdefault(region, now)
             region = regions[self._period_count // REMOTE_PROBE_PERIODS % len(regions)]
             chosen.append(self._rng.choice([m for m in others if m.profile.region == region]))
         if self._view.dead:
@@ -494,7 +496,7 @@
     def _receive(self, sender: str, digest: int, received: messages.Gossip, now: float) -> Actions:
         member = self.members.get(sender)
         if member is not None:
-            self._region_heard_at[member.profile.region] = now
+            self._region_contact_at[member.profile.region] = now
         if digest != self._view.member_table.digest:
             self._digest_mismatches += 1
             self._differing_member = sender
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -305,16 +305,16 @@
         late = now - self._turn_due_at
         return late if late > MIN_LATE_SECONDS else 0.0
 
-    def _heard_until(self, now: float) -> float:
+    def _read_until(self, now: float) -> float:
         """Return until when this VM has read what the other VMs sent."""
         kept = self._lateness if now < self._late_until else 0.0
         return now - max(kept, self._seconds_late(now))
 
     def _is_alive(self, peer: Peer, now: float) -> bool:
-        return peer.is_alive(self._heard_until(now))
+        return peer.is_alive(self._read_until(now))
 
     def _may_serve(self, peer: Peer, now: float) -> bool:
-        return peer.may_serve(self._heard_until(now))
+        return peer.may_serve(self._read_until(now))
 
     def status(self) -> tuple[int, list[str]]:
         """Return the number of VMs that are to serve, and the names that the selection skipped."""
@@ -469,8 +469,8 @@
 
     def alive(self, now: float) -> list[Peer]:
         """Return the VMs whose last heartbeat is recent enough."""
-        heard_until = self._heard_until(now)
-        return [peer for peer in self._peers.values() if peer.is_alive(heard_until)]
+        read_until = self._read_until(now)
+        return [peer for peer in self._peers.values() if peer.is_alive(read_until)]
 
     def reachable_fraction(self, now: float) -> float:
         """Return the fraction of the VMs that should serve whose heartbeats arrive.
@@ -497,10 +497,10 @@
         """Whether each other VM, or its last incarnation, states that it settles versions."""
         return all(peer.vm.settles_versions for peer in self._peers.values())
 
-    def hears_most(self, now: float) -> bool:
-        """Return whether this VM hears most VMs that should serve, or is the only one.
+    def reaches_most(self, now: float) -> bool:
+        """Return whether this VM reaches most VMs that should serve, or is the only one.
 
-        A VM that follows hears one of them, which has a recent status for it.
+        A VM that follows reaches one of them, which has a recent status for it.
         """
         if not self._peers:
             return True
--- a/hollyring/node/listed_holder.py
+++ b/hollyring/node/listed_holder.py
@@ -41,8 +41,8 @@
             return True
         if self._listed_since is None:
             self._listed_since = now
-        heard_at = max(self._listed_since, self._state.order_holder_heard_at)
-        return now - heard_at > UNCLAIMED_SECONDS
+        stated_at = max(self._listed_since, self._state.order_holder_stated_at)
+        return now - stated_at > UNCLAIMED_SECONDS
 
     def _name(self) -> str:
         """Return the incarnation that holds the lease by this VM's copy of the store, or ""."""
--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -57,7 +57,7 @@
         for weights in message.weights:
             self._state.apply_weights(weights, now)
         if message.order_lease.held:
-            self._state.order_holder_heard_at = now
+            self._state.order_holder_stated_at = now
             self._state.selector.reserve(message.order_lease.reserved)
         for begun in message.stream_origins:
             origin = stream_origins.Origin(begun.service, begun.software)
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -176,7 +176,7 @@
         self.departure_counts: collections.Counter[str] = collections.Counter()
         self.weights: list[heartbeat.UpstreamWeights] = []
         self.order_lease = heartbeat.OrderLeaseStatus(False, -1.0, [])
-        self.order_holder_heard_at = -math.inf
+        self.order_holder_stated_at = -math.inf
         self._store_changes = store_changes.StoreChanges(self, codec, max_version_age_seconds)
         self._rates = rates or organisation_rates.OrganisationRates(RATE_WINDOW_SECONDS)
         self._followed = False
@@ -405,7 +405,7 @@
         and nobody learns of it where its streams began.
         """
         age = self.stream_versions.age(now)
-        return age <= software_versions.MAX_BEGIN_AGE_SECONDS or self.peers.hears_most(now)
+        return age <= software_versions.MAX_BEGIN_AGE_SECONDS or self.peers.reaches_most(now)
 
     def take_stream_origins(self, now: float) -> list[heartbeat.StreamOrigins]:
         """Return the streams to report to the other VMs in the next heartbeat."""
--- a/hollyring/node/tests/test_overwritten_lease.py
+++ b/hollyring/node/tests/test_overwritten_lease.py
@@ -39,17 +39,17 @@
 
 @pytest.mark.parametrize("after_renewal", [0.0, 0.3, 0.6, 0.9])
 @pytest.mark.parametrize("text", [b"a text", None], ids=["other", "same"])
-@pytest.mark.parametrize("heard", [True, False])
+@pytest.mark.parametrize("reached", [True, False])
 def test_text_over_a_held_lease_does_not_let_two_vms_give_orders(
-    simulate, heard, text, after_renewal
+    simulate, reached, text, after_renewal
 ):
-    """The other VMs reach the store, and hear the holder or do not."""
+    """The other VMs reach the store, and the holder reaches them or does not."""
 
     async def scenario(fleet):
         await order_steps.start_all(fleet)
         await anyio.sleep(after_renewal)
         holder = fleet.order_lease_holder()
-        if not heard:
+        if not reached:
             fleet.partitions = {frozenset({holder, name}) for name in fleet.names if name != holder}
         fleet.set_wanted_version(2)
         await fleet.wait_until(lambda: len(fleet.orders()) > 0, 2.0)
--- a/hollyring/platform/tests/test_relay.py
+++ b/hollyring/platform/tests/test_relay.py
@@ -623,7 +623,7 @@
 ):
     vm, servers = await start_vm("complete", streaming=True, retry_safety=retry_safety)
     cut_at = clock.now() - software_versions.MAX_BEGIN_AGE_SECONDS - 0.1
-    monkeypatch.setattr(peer_table.PeerTable, "hears_most", lambda *_: False)
+    monkeypatch.setattr(peer_table.PeerTable, "reaches_most", lambda *_: False)
     for prefix in (documents.STORE_KEYS.upstreams, documents.STORE_KEYS.vms):
         vm.state.freshness.record(prefix, cut_at)
     caller = await vm.send_request("r-1")
