Read no settings file with a line of over 5,000 dots, which held up the event loop

Cause: a key of 20,000 parts (40 kB) takes 0.975 s of processor time to be parsed, in the event loop; the time grows with the square of the parts. So the requests of that VM waited for a second, on a busy machine for two.

Change: a line with over 5,000 dots is refused before it is parsed, the seeds of 1,666 VMs in one line are not.

Also the return type of a fixture in conftest, without which the type checker fails since.

--- a/hollyring/conftest.py
+++ b/hollyring/conftest.py
@@ -29,7 +29,7 @@
 
 
 @pytest.fixture(scope="module", autouse=True)
-def heap_of_one_module():
+def heap_of_one_module() -> None:
     """Keep the garbage collector from the objects of the modules before, which no VM has."""
     gc.unfreeze()
     gc.collect()
--- a/hollyring/platform/settings.py
+++ b/hollyring/platform/settings.py
@@ -17,6 +17,8 @@
 
 MS_PER_SECOND = 1000.0
 BITS_PER_MEGABIT = 1e6
+MAX_DOTS_PER_LINE = 5_000
+"""Most dots of one line, three for each seed; the time to parse a key grows with their square."""
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -81,6 +83,8 @@
     SettingsError
         If a field is missing or invalid; the message names it.
     """
+    if any(line.count(".") > MAX_DOTS_PER_LINE for line in text.splitlines()):
+        raise errors.SettingsError([f"settings: a line with over {MAX_DOTS_PER_LINE} dots"])
     try:
         document = msgspec.convert(tomllib.loads(text), _SettingsFile)
     except msgspec.ValidationError as error:
--- a/hollyring/platform/tests/test_odd_settings.py
+++ b/hollyring/platform/tests/test_odd_settings.py
@@ -1,13 +1,14 @@
 """Tests that a settings file that became unreadable leaves a running VM as it is."""
 
 import signal
+import time
 
 import anyio
 import pytest
 
 from hollyring.node import errors
 from hollyring.platform import settings
-from hollyring.platform.tests import test_process
+from hollyring.platform.tests import test_odd_upstream_answers, test_process
 
 pytestmark = pytest.mark.xdist_group("platform-processes")
 
@@ -22,6 +23,8 @@
     "huge port": b'internal_ports = [1, 99999999999999999999]\nnode_name = "vm-1"',
     "directory": None,
 }
+LONGEST_KEY = "[" + ".".join(["a"] * (settings.MAX_DOTS_PER_LINE + 1)) + "]"
+MAX_HELD_UP_SECONDS = test_odd_upstream_answers.MAX_HELD_UP_SECONDS
 
 
 @pytest.mark.parametrize("name", [name for name, text in TEXTS.items() if text is not None])
@@ -33,6 +36,16 @@
     pytest.fail("taken for settings")
 
 
+@pytest.mark.parametrize(
+    "text", [TEXTS["deep tables"].decode(), LONGEST_KEY], ids=["deep tables", "longest key"]
+)
+def test_key_of_many_parts_does_not_hold_up_the_event_loop(text):
+    started_at = time.thread_time()
+    with pytest.raises(errors.SettingsError):
+        settings.parse(text)
+    assert time.thread_time() - started_at < MAX_HELD_UP_SECONDS
+
+
 @pytest.mark.anyio
 async def test_vm_serves_while_its_settings_are_unreadable_and_takes_the_next_ones(cluster):
     store, server, start = cluster
