Observability: how recent the copies of other VMs are, beside a VM's own, in the lines of requests

Cause: a line `request: sent` tells the age of the VM's own copies of the store, but not whether the store answered others at that moment.

Change: heartbeats state the age of the sender's copies, statuses had it; a VM keeps the most recent time and logs its age as `others_copies_age`. No decision uses it yet.

--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -73,6 +73,7 @@
         "_behind_since",
         "_rules",
         "_unanswered_at",
+        "_others_answered_at",
         "_largest",
         "_previous",
         "_window_at",
@@ -86,6 +87,7 @@
         self._behind_since: dict[str, float] = {}
         self._rules = rules
         self._unanswered_at = -math.inf
+        self._others_answered_at = -math.inf
         self._largest = 0.0
         self._previous = 0.0
         self._window_at = -math.inf
@@ -120,6 +122,13 @@
         """Record that the copy of a prefix has every change that other VMs have named."""
         self._behind_since.pop(prefix, None)
 
+    def record_copies_of_another(self, at: float) -> None:
+        """Record that the copies of another VM were complete as of `at`.
+
+        So the store answered that VM, or one before it, at that time.
+        """
+        self._others_answered_at = max(self._others_answered_at, at)
+
     def record_answered(self) -> None:
         """Record that the store answered."""
         self._unanswered_at = -math.inf
@@ -137,6 +146,10 @@
         """Return the seconds since which changes of some prefix may be missing."""
         return now - min(self._complete_at.values())
 
+    def others_age(self, now: float) -> float:
+        """Return the age of the most recent copies of another VM that this one was told of."""
+        return now - self._others_answered_at
+
     def check_due_at(self, watches: bool) -> float:
         """Return when to ask the store.
 
--- a/hollyring/configuration/tests/test_freshness.py
+++ b/hollyring/configuration/tests/test_freshness.py
@@ -73,3 +73,10 @@
     fresh.record_unanswered(110.0)
     assert fresh.may_use(110.0 + fresh.rules.bound_seconds)
     assert not fresh.may_use(110.1 + fresh.rules.bound_seconds)
+
+
+def test_age_of_the_most_recent_copies_of_other_vms_is_known(fresh):
+    assert math.isinf(fresh.others_age(100.0))
+    fresh.record_copies_of_another(99.0)
+    fresh.record_copies_of_another(98.0)
+    assert fresh.others_age(100.0) == 1.0
--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -362,6 +362,9 @@
     answered_requests
         Hashes of requests of which the sender got whole answers some time before servers crashed
         that also had them.
+    copies_age_seconds
+        Seconds since which changes may be missing in the sender's copies that decide about
+        requests; negative if not stated.
     """
 
     WIRE_NAME: ClassVar[str] = "Pulse"
@@ -391,6 +394,7 @@
     accepts_forwarded: bool = False
     rejection_limits: list[UpstreamRequestLimit] = dataclasses.field(default_factory=list)
     answered_requests: list[str] = dataclasses.field(default_factory=list)
+    copies_age_seconds: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/node/heartbeat_sender.py
+++ b/hollyring/node/heartbeat_sender.py
@@ -123,6 +123,7 @@
             accepts_forwarded=True,
             rejection_limits=vm_state.rejection_limits.take_unreported(now, refreshes),
             answered_requests=vm_state.crashes.take_answered_requests(),
+            copies_age_seconds=vm_state.copies_age_to_report(now),
         )
         vm_state.cached_prompts = []
         vm_state.cache_reports = []
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -134,6 +134,7 @@
   23: optional bool accepts_forwarded
   24: optional list<MembershipUpstreamRequestLimit> rejection_limits
   25: optional list<string> answered_requests
+  26: optional double copies_age_seconds
 }
 
 struct MembershipStatusRequest {
--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -40,6 +40,8 @@
             message = dataclasses.replace(message, revisions=revisions)
         self._observe_eras(message.vm.name, message.revisions)
         peer = self._state.peers.receive(message, now)
+        if message.copies_age_seconds >= 0.0:
+            self._state.freshness.record_copies_of_another(now - message.copies_age_seconds)
         if peer is not None:
             self._state.refresh_due = True
             self._state.stream_origins.report_again()
@@ -103,6 +105,10 @@
             revision = item.revision.resolved(mirrored.era)
             if mirrored.last_change_revision >= revision:
                 self._state.freshness.record(item.prefix, asked_at - item.age_seconds)
+        deciding = self._state.freshness.prefixes
+        ages = [item.age_seconds for item in revisions if item.prefix in deciding]
+        if len(ages) == len(deciding) and min(ages) >= 0.0:
+            self._state.freshness.record_copies_of_another(asked_at - max(ages))
 
     def _observe_eras(self, sender: str, revisions: list[heartbeat.PrefixRevision]) -> None:
         for item in revisions:
--- a/hollyring/node/request_log.py
+++ b/hollyring/node/request_log.py
@@ -52,6 +52,7 @@
             retry_after=round(rejection.retry_after, 3),
             configuration=self._state.configuration_version,
             copies_age=round(self._state.freshness.age(arrived_at), 3),
+            others_copies_age=_rounded(self._state.freshness.others_age(arrived_at)),
             versions_age=_rounded(self._state.stream_versions.age(arrived_at)),
             resume_after=request.resume_after,
         )
@@ -87,6 +88,7 @@
             upstream=selected.upstream.name,
             configuration=self._state.configuration_version,
             copies_age=round(self._state.freshness.age(clock.now()), 3),
+            others_copies_age=_rounded(self._state.freshness.others_age(clock.now())),
             versions_age=_rounded(self._state.stream_versions.age(clock.now())),
             version=selected.version,
             software=selected.upstream.entry.software,
--- a/hollyring/node/tests/test_earlier_builds.py
+++ b/hollyring/node/tests/test_earlier_builds.py
@@ -48,6 +48,7 @@
     accepts_forwarded=False,
     rejection_limits=[],
     answered_requests=[],
+    copies_age_seconds=-1.0,
 )
 STATUS = heartbeat.FleetStatus(True, 3, ["vm-2"], [], [], [], [], reaching_vms=[])
 COPY = heartbeat.Copy(
