--- a/hollyring/node/tests/simulated_fleet.py
+++ b/hollyring/node/tests/simulated_fleet.py
@@ -349,7 +349,9 @@
     async def _travel(self, address):
         """Wait until the VM at an address reads a message."""
         name = address.partition(":")[0]
-        await anyio.sleep(simulated_store.CALL_SECONDS + self._fleet.delays.get(name, 0.0))
+        sending = self._fleet.send_delays.get(self._vm, 0.0)
+        reading = self._fleet.delays.get(name, 0.0)
+        await anyio.sleep(simulated_store.CALL_SECONDS + sending + reading)
         await self._fleet.until_it_runs(name)
 
     async def _deliver(self, address, message):
@@ -461,9 +463,10 @@
 class Fleet:
     """Simulated VMs with their store and upstreams.
 
-    `delays` holds the seconds for which messages of other VMs lie unread at a VM, `cut` how the
-    connections of VMs to upstreams fail: ``"hang"``, ``"refused"``, or ``"open"`` if open ones live
-    on while new ones are refused, `connect_seconds` how long VMs wait for an order's connection.
+    `delays` holds the seconds for which messages of other VMs lie unread at a VM, `send_delays`
+    those for which its own wait before they leave it, `cut` how the connections of VMs to upstreams
+    fail: ``"hang"``, ``"refused"``, or ``"open"`` if open ones live on while new ones are refused,
+    `connect_seconds` how long VMs wait for an order's connection.
     VMs `of_earlier_build` do not state that they settle versions.
     """
 
@@ -475,6 +478,7 @@
         self.domains = {}
         self.partitions = set()
         self.delays = {}
+        self.send_delays = {}
         self.cut = {}
         self.connect_seconds = {}
         self.of_earlier_build = set()
