Old copies decide only while the store answers nobody whom the VM hears

Cause: one question of one VM without an answer counted as an outage of the store for a bound, and then copies of any age decided; half a bound of grace after a named change came on top. Silence has two causes, the store's and one's own, and nothing told them apart.

Change: heartbeats and statuses say as of when other VMs' copies are complete. While those are within the bound the store is not away, this VM is: it refuses, not run, at once if nothing will change soon, otherwise after 0.4 s. If nobody whom it hears has recent copies, it is an outage and old copies serve as before. A VM whose copies grow old brings them up to the best of the others, so that all go over to old copies together; while they are old it waits 1.2 s for a status or a copy in place of 0.5 s. A named change gives old copies no time. Too many calls (429) is an answer; a connection that this VM lacks descriptors, ports or memory for is no question, nor a fault of an upstream.

Two tests asked for the grace that is gone: test_old_copies_are_not_used_once_another_vm_has_named_a_later_change now allows none; test_vm_that_hears_of_a_change_but_gets_it_from_nobody_decides_nothing uses replies that come later than the longer wait, and drops the line that old copies are used before.

--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -17,8 +17,8 @@
 USE_SHARE = 0.85
 """Share of the bound up to which the copy is used; the rest is for sending what it decides."""
 
-BEHIND_SHARE = 0.5
-"""Share of the bound after which a VM that knows of a later change decides nothing without it."""
+SAME_AGE_SECONDS = 0.05
+"""Difference of two ages that messages make on their way."""
 
 WATCHER_CHECK_SHARE = 0.2
 """Share of the bound after which a VM asks the store on which the others rely."""
@@ -36,8 +36,8 @@
     bound_seconds
         Time after an acknowledged change from which no older copy may be used.
     serves_without_store
-        Whether an older copy is used while the store does not answer this VM, unless another VM
-        has named a later change.
+        Whether an older copy is used while the store answers neither this VM nor any other one that
+        this VM hears of, unless another VM has named a later change.
     """
 
     bound_seconds: float = 2.0
@@ -150,6 +150,23 @@
         """Return the age of the most recent copies of another VM that this one was told of."""
         return now - self._others_answered_at
 
+    @property
+    def others_current_until(self) -> float:
+        """Time until which another VM may decide by its copies, as far as this one was told.
+
+        Until then the store is not away: this VM is behind.
+        """
+        return self._others_answered_at + USE_SHARE * self._rules.bound_seconds
+
+    def is_behind_others(self, now: float) -> bool:
+        """Return whether the copies should be brought up to those of another VM."""
+        lag = self._others_answered_at - min(self._complete_at.values())
+        return lag > SAME_AGE_SECONDS and self.is_check_due(now)
+
+    def is_check_due(self, now: float) -> bool:
+        """Return whether this VM asks the store itself, as nobody has kept its copies recent."""
+        return now >= self.check_due_at(watches=False)
+
     def check_due_at(self, watches: bool) -> float:
         """Return when to ask the store.
 
@@ -165,8 +182,8 @@
         """Return whether a change may be missing that has to be in force."""
         return self.age(now) > USE_SHARE * self._rules.bound_seconds
 
-    def is_store_away(self, now: float) -> bool:
-        """Return whether a question got no answer lately.
+    def is_store_silent(self, now: float) -> bool:
+        """Return whether a question of this VM got no answer lately, which may be its own fault.
 
         A VM with old copies asks again and again; while others keep them recent, it does not, and
         a question that got no answer says nothing any more.
@@ -177,14 +194,26 @@
         """Return whether requests may be decided by the copies."""
         if not self.is_outdated(now):
             return True
-        return self.is_store_away(now) and self.may_use_without_store(now)
+        return self.is_store_silent(now) and self.may_use_without_store(now)
 
     def may_use_without_store(self, now: float) -> bool:
-        """Return whether requests may be decided by old copies as the store does not answer."""
-        behind_since = min(self._behind_since.values(), default=math.inf)
-        is_behind = now - behind_since > BEHIND_SHARE * self._rules.bound_seconds
+        """Return whether requests may be decided by old copies if the store does not answer.
+
+        They may not while another VM has recent ones or has named a change that these lack.
+        """
+        is_behind = now < self.others_current_until or bool(self._behind_since)
         return self._rules.serves_without_store and not is_behind
 
+    def is_lost(self, now: float, seconds: float) -> bool:
+        """Return whether this VM alone gets no answers, and for `seconds` nothing will change that.
+
+        A change that was named a moment ago may still arrive from the VM that named it.
+        """
+        if not self.is_store_silent(now):
+            return False
+        behind_since = min(self._behind_since.values(), default=math.inf)
+        return now + seconds < self.others_current_until or now - behind_since > seconds
+
     def record_use(self, now: float) -> None:
         """Record that a request is decided by the copies."""
         self._turn_window(now)
@@ -202,3 +231,8 @@
         self._previous = self._largest if recent else 0.0
         self._largest = 0.0
         self._window_at = now
+
+
+def stated(age: float) -> float:
+    """Return an age to state in a message or a log, in seconds; -1 if it is not known."""
+    return -1.0 if math.isinf(age) else round(age, 3)
--- a/hollyring/configuration/tests/test_freshness.py
+++ b/hollyring/configuration/tests/test_freshness.py
@@ -61,9 +61,9 @@
 
 def test_old_copies_are_not_used_once_another_vm_has_named_a_later_change(fresh):
     fresh.record_unanswered(110.0)
+    assert fresh.may_use(110.0)
     fresh.record_behind("op/", 110.0)
-    fresh.record_behind("op/", 110.9)
-    assert fresh.may_use(110.9)
+    assert not fresh.may_use(110.0)
     assert not fresh.may_use(111.1)
     fresh.record_caught_up("op/")
     assert fresh.may_use(111.1)
@@ -80,3 +80,40 @@
     fresh.record_copies_of_another(99.0)
     fresh.record_copies_of_another(98.0)
     assert fresh.others_age(100.0) == 1.0
+
+
+def test_question_without_an_answer_excuses_no_old_copies_while_the_store_answers_others(fresh):
+    fresh.record_unanswered(110.0)
+    fresh.record_copies_of_another(109.5)
+    assert not fresh.may_use(110.0)
+    assert not fresh.may_use(111.1)
+    assert fresh.may_use(111.3)
+
+
+def test_change_that_is_named_after_an_unanswered_question_gives_old_copies_no_more_time():
+    fresh = freshness.Freshness(["op/"], freshness.FreshnessRules(bound_seconds=3.0))
+    fresh.record("op/", 11.0)
+    fresh.record_unanswered(16.9)
+    fresh.record_copies_of_another(17.0)
+    fresh.record_behind("op/", 17.03)
+    assert not any(fresh.may_use(at) for at in (17.03, 17.1, 18.5, 18.6, 19.8))
+
+
+def test_vm_that_alone_gets_no_answers_is_lost_but_waits_for_a_change_just_named(fresh):
+    fresh.record_unanswered(110.0)
+    assert not fresh.is_lost(110.0, 0.4)
+    fresh.record_copies_of_another(110.0)
+    assert fresh.is_lost(110.0, 0.4)
+    assert not fresh.is_lost(111.5, 0.4)
+    fresh.record_behind("op/", 111.4)
+    assert not fresh.is_lost(111.7, 0.4)
+    assert fresh.is_lost(111.9, 0.4)
+
+
+def test_copies_are_brought_up_to_those_of_another_vm_before_they_are_too_old(fresh):
+    fresh.record_copies_of_another(100.5)
+    assert not fresh.is_behind_others(101.0)
+    assert fresh.is_behind_others(101.4)
+    for prefix in fresh.prefixes:
+        fresh.record(prefix, 100.49)
+    assert not fresh.is_behind_others(101.9)
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -92,6 +92,9 @@
         Copied from its last heartbeat; until the first one, the VM counts as not ready.
     unreachable_services, accepts_forwarded
         Copied from its last heartbeat too.
+    copies_complete_at
+        Monotonic seconds as of which its copies of the store were complete, by its last heartbeat;
+        -inf if that did not state it.
     listed
         Whether the VM is on the store's list.
     delisted_at
@@ -122,6 +125,7 @@
     revisions: dict[str, store_revision.Revision] = dataclasses.field(default_factory=dict)
     unreachable_services: frozenset[str] = frozenset()
     accepts_forwarded: bool = False
+    copies_complete_at: float = -math.inf
 
     def is_alive(self, now: float) -> bool:
         """Return whether its last heartbeat is recent."""
@@ -248,6 +252,7 @@
         peer.requests_per_second = message.requests_per_second
         peer.unreachable_services = frozenset(message.unreachable_services)
         peer.accepts_forwarded = message.accepts_forwarded
+        peer.copies_complete_at = _complete_at(message.copies_age_seconds, now)
         # A heartbeat carries only the revisions that changed lately.
         peer.revisions.update({item.prefix: item.revision for item in message.revisions})
         return peer if is_new else None
@@ -438,6 +443,16 @@
         """Return the VMs that ask the store for changes all the time."""
         return self._first_at_store(STORE_CHECKERS, now)
 
+    def with_recent_copies(self, now: float) -> list[heartbeat.VmInfo]:
+        """Return the serving VMs that state how recent their copies are, the best first."""
+        stating = [
+            peer
+            for peer in self.alive(now)
+            if peer.vm.name in self._serving_names and not math.isinf(peer.copies_complete_at)
+        ]
+        stating.sort(key=lambda peer: -peer.copies_complete_at)
+        return [peer.vm for peer in stating]
+
     def _first_at_store(self, count: int, now: float) -> list[heartbeat.VmInfo]:
         """Return the first serving VMs that reach the store, among them perhaps this one."""
         first: list[heartbeat.VmInfo] = []
@@ -605,3 +620,8 @@
 
         self._serving = serving_set.select(self._ranking(), is_available, self._size.value)
         self._serving_names = frozenset(vm.name for vm in self._serving)
+
+
+def _complete_at(age_seconds: float, now: float) -> float:
+    """Return as of when copies were complete whose age a message states, -inf if it does not."""
+    return now - age_seconds if age_seconds >= 0.0 else -math.inf
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -180,7 +180,10 @@
                     connection = await self._pool.acquire(
                         address, max_connections, min_keep_alive_seconds, context.request_id
                     )
-        except http_connection.TooManyConnectionsError as error:
+        except (
+            http_connection.TooManyConnectionsError,
+            http_connection.OwnResourcesError,
+        ) as error:
             return request_context.NotRun(str(error), written=False)
         except http_connection.NotSentError as error:
             self._state.mark_unresponsive(upstream, str(error))
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import errno
 import typing
 from collections.abc import Callable
 
@@ -24,6 +25,11 @@
 LATE_CONNECT_SECONDS = 0.1
 """Time after which a connection that is not open yet is reported; most take milliseconds."""
 
+OWN_ERRORS = frozenset(
+    (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+)
+"""Errors of a connection that say nothing of the host at its other end."""
+
 MAX_CALL_BYTES = 1_048_576
 """Longest answer to an internal call, unless the call allows for another."""
 
@@ -271,6 +277,8 @@
         except TimeoutError:
             raise
         except (OSError, ValueError, OverflowError) as error:
+            if isinstance(error, OSError) and error.errno in OWN_ERRORS:
+                raise http_connection.OwnResourcesError(f"no connection: {error}") from error
             self._listener.failed(address)
             raise http_connection.NotSentError(f"no connection: {type(error).__name__}") from error
         finally:
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -67,6 +67,10 @@
     """No byte of the request was written."""
 
 
+class OwnResourcesError(NotSentError):
+    """This VM lacks descriptors, ports or memory for a connection."""
+
+
 class TooManyConnectionsError(NotSentError):
     """This VM's limit on connections to the upstream is reached; not a fault of the upstream."""
 
--- a/hollyring/node/interfaces.py
+++ b/hollyring/node/interfaces.py
@@ -22,6 +22,14 @@
     """The store gave no valid response; a write may have taken effect or may still do so."""
 
 
+class StoreRefusedError(StoreError):
+    """The store answered that it does not do what it was asked, as after too many calls."""
+
+
+class StoreNotAskedError(StoreError):
+    """The store was not asked, as this VM lacked something of its own for that."""
+
+
 class HistoryCompactedError(StoreError):
     """The store no longer has the changes after the requested revision."""
 
--- a/hollyring/node/internal_app.py
+++ b/hollyring/node/internal_app.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
+from hollyring.configuration import freshness
 from hollyring.limits import byte_budget
 from hollyring.node import (
     asgi,
@@ -111,8 +111,10 @@
             "configuration_version": self._state.configuration_version,
             "store_age_seconds": self._state.store_age(now),
             "store_era": self._state.store_era.current,
-            "copies_age_seconds": _finite(self._state.freshness.age(now)),
-            "copies_largest_age_at_use_seconds": _finite(self._state.freshness.largest_age(now)),
+            "copies_age_seconds": freshness.stated(self._state.freshness.age(now)),
+            "copies_largest_age_at_use_seconds": freshness.stated(
+                self._state.freshness.largest_age(now)
+            ),
             "vms_alive": len(self._state.peers.alive(now)) + 1,
             "vms_serving": len(self._state.peers.serving),
             "serving": int(self._state.peers.is_serving),
@@ -132,8 +134,3 @@
         lines += [f"hollyring_{name} {n}" for name, n in self._state.crashes.counts.items()]
         lines.append(f"hollyring_store_era_rises_total {self._state.store_era.rises}")
         return "\n".join(lines) + "\n" + self._metrics.render()
-
-
-def _finite(seconds: float) -> float:
-    """Return `seconds`, or -1 for an age that is not known."""
-    return -1.0 if math.isinf(seconds) else round(seconds, 3)
--- a/hollyring/node/request_log.py
+++ b/hollyring/node/request_log.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import math
-
-from hollyring.configuration import deployment
+from hollyring.configuration import deployment, freshness
 from hollyring.core import request_types
 from hollyring.delivery import refusal
 from hollyring.limits import fleet_window
@@ -51,9 +49,9 @@
             why=rejection.message,
             retry_after=round(rejection.retry_after, 3),
             configuration=self._state.configuration_version,
-            copies_age=round(self._state.freshness.age(arrived_at), 3),
-            others_copies_age=_rounded(self._state.freshness.others_age(arrived_at)),
-            versions_age=_rounded(self._state.stream_versions.age(arrived_at)),
+            copies_age=freshness.stated(self._state.freshness.age(arrived_at)),
+            others_copies_age=freshness.stated(self._state.freshness.others_age(arrived_at)),
+            versions_age=freshness.stated(self._state.stream_versions.age(arrived_at)),
             resume_after=request.resume_after,
         )
 
@@ -87,9 +85,9 @@
             request=context.request_id,
             upstream=selected.upstream.name,
             configuration=self._state.configuration_version,
-            copies_age=round(self._state.freshness.age(clock.now()), 3),
-            others_copies_age=_rounded(self._state.freshness.others_age(clock.now())),
-            versions_age=_rounded(self._state.stream_versions.age(clock.now())),
+            copies_age=freshness.stated(self._state.freshness.age(clock.now())),
+            others_copies_age=freshness.stated(self._state.freshness.others_age(clock.now())),
+            versions_age=freshness.stated(self._state.stream_versions.age(clock.now())),
             version=selected.version,
             software=selected.upstream.entry.software,
             resume_after=context.events.last_number,
@@ -257,11 +255,6 @@
         )
 
 
-def _rounded(age: float) -> float:
-    """Return an age in seconds, rounded; -1 if it is infinite."""
-    return -1.0 if math.isinf(age) else round(age, 3)
-
-
 def _other_vm(context: request_context.RequestContext) -> dict[str, str]:
     """Return the log fields that name the VM which executed or admitted the request."""
     if context.admitted_by:
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -596,10 +596,10 @@
 
     def copies_age_to_report(self, now: float) -> float:
         """Return the age of the copies that decide about requests; -1 if it is not known."""
-        return _finite(self.freshness.age(now))
+        return freshness.stated(self.freshness.age(now))
 
     def _age_to_report(self, prefix: str, now: float) -> float:
-        return _finite(self.freshness.age_of(prefix, now))
+        return freshness.stated(self.freshness.age_of(prefix, now))
 
     def update_peers(self, now: float) -> None:
         """Select the serving VMs anew."""
@@ -627,10 +627,5 @@
     return -1.0 if math.isinf(at) else round(now - at, 3)
 
 
-def _finite(age: float) -> float:
-    """Return an age to report, negative if it is not known."""
-    return -1.0 if math.isinf(age) else age
-
-
 def _ignore() -> None:
     pass
--- a/hollyring/node/status_client.py
+++ b/hollyring/node/status_client.py
@@ -14,6 +14,9 @@
 """Mean time between two polls of a VM that follows, and of one that serves."""
 
 TIMEOUT_SECONDS = 0.5
+PATIENT_TIMEOUT_SECONDS = 1.2
+"""Time for an answer; the longer one while the copies of this VM are old."""
+
 SPONSORS = 2
 """Serving VMs that are asked by turns."""
 
@@ -64,7 +67,7 @@
         """Ask periodically, until cancelled."""
         while True:
             await self._wait_due()
-            if not self._state.peers.should_check_store(clock.now()):
+            if self._needs_status(clock.now()):
                 async with self._lock:
                     await self._poll()
 
@@ -84,6 +87,12 @@
         finally:
             self._sought.pop(request_id, None)
 
+    def _needs_status(self, now: float) -> bool:
+        """Return whether others may know more of the store, though it answers none of them now."""
+        if not self._state.peers.should_check_store(now):
+            return True
+        return self._state.freshness.is_behind_others(now)
+
     async def _wait_due(self) -> None:
         """Wait until the next poll is due, at once if there are streams to tell of."""
         seconds = SERVING_POLL_SECONDS if self._state.peers.is_serving else POLL_SECONDS
@@ -107,7 +116,8 @@
     async def _poll(self) -> None:
         """Ask one of the preferred VMs, and others at once if it has no status."""
         self._turn += 1
-        for _ in range(MAX_TRIES):
+        is_patient = self._state.freshness.is_check_due(clock.now())
+        for _ in range(1 if is_patient else MAX_TRIES):
             sponsors = self._usable_sponsors()
             if not sponsors:
                 return
@@ -126,7 +136,12 @@
     def _usable_sponsors(self) -> list[heartbeat.VmInfo]:
         now = clock.now()
         peers = self._state.peers
-        return self._usable(peers.store_checkers(now) if peers.is_serving else peers.sponsors(now))
+        if not peers.is_serving:
+            return self._usable(peers.sponsors(now))
+        if self._state.freshness.is_behind_others(now):
+            recent = peers.with_recent_copies(now)
+            return self._usable(recent) or recent
+        return self._usable(peers.store_checkers(now))
 
     def _usable(self, vms: list[heartbeat.VmInfo]) -> list[heartbeat.VmInfo]:
         now = clock.now()
@@ -137,7 +152,9 @@
         sought, untold = list(self._sought), self._untold
         request = heartbeat.StatusRequest(self._state.vm_info.name, untold, sought)
         asked_at = clock.now()
-        reply = await self._peers.call(sponsor.peer_address, request, TIMEOUT_SECONDS)
+        is_patient = self._state.freshness.is_check_due(asked_at)
+        seconds = PATIENT_TIMEOUT_SECONDS if is_patient else TIMEOUT_SECONDS
+        reply = await self._peers.call(sponsor.peer_address, request, seconds)
         if not isinstance(reply, heartbeat.FleetStatus) or not reply.serving:
             self._failed_until[sponsor.name] = clock.now() + FAILURE_BACKOFF_SECONDS
             self._log.info(
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import anyio
 
-from hollyring.configuration import store_revision
+from hollyring.configuration import freshness, store_revision
 from hollyring.node import clock, interfaces, logs, state, store_watcher
 
 TIMEOUT_SECONDS = 1.2
@@ -22,6 +23,12 @@
 WAIT_SECONDS = 0.4
 """Time for which a request waits for the answer of a store that may be away."""
 
+RECHECK_SECONDS = 0.05
+"""Time after which a waiting request looks whether another VM has brought the copies up to date."""
+
+MIN_PENDING_SECONDS = 0.2
+"""Time without an answer from which a pending question is a sign that the store is away."""
+
 LATE_TIMER_SECONDS = 0.05
 """Delay of a timer from which the event loop was late and may not have read the answer yet."""
 
@@ -53,6 +60,8 @@
         self._checked = anyio.Event()
         self._wanted = anyio.Event()
         self._lock = anyio.Lock()
+        self._asked_at = math.inf
+        self._answered = True
         self._rng = random.Random(str(vm_state.vm_info.life))
         self._log = logs.Logger("store")
         watcher.set_store_check(self.check_now)
@@ -76,7 +85,7 @@
                     continue
             self._wanted = anyio.Event()
             await self.check_now()
-            if self._state.freshness.store_unanswered:
+            if not self._answered:
                 await anyio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
 
     async def wait_current(self, until: float) -> bool:
@@ -87,18 +96,26 @@
         bool
             False if they may not, after the store did not answer or at time `until`.
         """
-        freshness = self._state.freshness
-        while not freshness.may_use(clock.now()):
-            now = clock.now()
-            if now >= until or freshness.is_store_away(now):
+        copies = self._state.freshness
+        due = min(until, clock.now() + WAIT_SECONDS)
+        while not copies.may_use(now := clock.now()):
+            if now >= until or copies.is_lost(now, WAIT_SECONDS):
                 return False
-            due = min(until, now + WAIT_SECONDS)
-            with anyio.move_on_after(due - now) as timer:
+            if now >= due:
+                return self._is_unanswered(now) and copies.may_use_without_store(now)
+            look_at = min(due, now + RECHECK_SECONDS)
+            with anyio.move_on_after(look_at - now):
                 await self._checked.wait()
-            if timer.cancelled_caught and clock.now() < due + LATE_TIMER_SECONDS:
-                return freshness.may_use_without_store(clock.now())
+            if clock.now() > look_at + LATE_TIMER_SECONDS:
+                # What lies unread may be the answer.
+                due = min(until, clock.now() + WAIT_SECONDS)
         return True
 
+    def _is_unanswered(self, now: float) -> bool:
+        """Return whether the store was asked and has not answered."""
+        is_pending = now - self._asked_at >= MIN_PENDING_SECONDS
+        return is_pending or self._state.freshness.is_store_silent(now)
+
     async def wait_versions(self, until: float, taken_up_at: float) -> None:
         """Ask the store unless what is known of software versions is recent enough.
 
@@ -111,10 +128,10 @@
         taken_up_at
             Time at which the stream was taken up that is to be decided about.
         """
-        versions, freshness = self._state.stream_versions, self._state.freshness
+        versions, copies = self._state.stream_versions, self._state.freshness
         with anyio.move_on_after(min(WAIT_SECONDS, until - clock.now())):
             while not versions.is_recent(clock.now(), taken_up_at):
-                if freshness.store_unanswered and freshness.is_store_away(clock.now()):
+                if copies.is_store_silent(clock.now()):
                     return
                 self._wanted.set()
                 await self._checked.wait()
@@ -140,32 +157,48 @@
         return self._state.mirrors[prefix].revision
 
     async def _check(self) -> None:
-        freshness = self._state.freshness
+        copies = self._state.freshness
         asked_at = clock.now()
-        age = freshness.age(asked_at)
+        age, others_age = copies.age(asked_at), copies.others_age(asked_at)
+        self._asked_at = asked_at
+        self._answered = await self._ask(asked_at)
+        self._asked_at = math.inf
+        if age > copies.rules.bound_seconds:
+            self._log.info(
+                "asked the store as copies were old",
+                age=freshness.stated(age),
+                others_age=freshness.stated(others_age),
+                seconds=round(clock.now() - asked_at, 3),
+                answered=self._answered,
+            )
+        self._checked.set()
+        self._checked = anyio.Event()
+
+    async def _ask(self, asked_at: float) -> bool:
+        """Ask the store for changes; return whether it named them."""
+        copies = self._state.freshness
         watches = self._state.peers.should_check_store(asked_at)
         seconds = WATCHER_TIMEOUT_SECONDS if watches else TIMEOUT_SECONDS
         try:
             with anyio.fail_after(seconds):
                 complete = await self._fetch()
+        except interfaces.StoreNotAskedError as error:
+            self._watcher.record_failure(str(error))
+            return False
+        except interfaces.StoreRefusedError as error:
+            self._watcher.record_failure(str(error))
+            copies.record_answered()
+            return False
         except (interfaces.StoreError, TimeoutError) as error:
             self._watcher.record_failure(str(error) or "no answer in time")
             if clock.now() < asked_at + seconds + LATE_TIMER_SECONDS:
-                freshness.record_unanswered(clock.now())
-        else:
-            self._watcher.record_success()
-            freshness.record_answered()
-            for prefix in complete:
-                freshness.record(prefix, asked_at)
-        if age > freshness.rules.bound_seconds:
-            self._log.info(
-                "asked the store as copies were old",
-                age=round(age, 3),
-                seconds=round(clock.now() - asked_at, 3),
-                answered=not freshness.store_unanswered,
-            )
-        self._checked.set()
-        self._checked = anyio.Event()
+                copies.record_unanswered(clock.now())
+            return False
+        self._watcher.record_success()
+        copies.record_answered()
+        for prefix in complete:
+            copies.record(prefix, asked_at)
+        return True
 
     async def _fetch(self) -> list[str]:
         """Fetch the changes since the copies were complete.
--- a/hollyring/node/store_watcher.py
+++ b/hollyring/node/store_watcher.py
@@ -39,6 +39,9 @@
 """Time after a watch's delay for which another VM must have newer changes than this one."""
 
 COPY_TIMEOUT_SECONDS = 0.5
+PATIENT_COPY_TIMEOUT_SECONDS = 1.2
+"""Time for a copy; the longer one while the copies of this VM are old."""
+
 MAX_COPY_BYTES = 16_384
 """Longest copy for a VM that reaches the store, whose link is wider than those of the VMs."""
 
@@ -311,7 +314,9 @@
         store_answers = not self._state.freshness.store_unanswered
         request = heartbeat.CopyRequest(prefix, after.number, after.era, store_answers)
         asked_at = clock.now()
-        copy = await self._peers.call(vm.peer_address, request, COPY_TIMEOUT_SECONDS)
+        is_patient = self._state.freshness.is_check_due(asked_at)
+        seconds = PATIENT_COPY_TIMEOUT_SECONDS if is_patient else COPY_TIMEOUT_SECONDS
+        copy = await self._peers.call(vm.peer_address, request, seconds)
         if not isinstance(copy, heartbeat.Copy):
             self._log.info(
                 "no copy received",
--- a/hollyring/node/tests/simulated_store.py
+++ b/hollyring/node/tests/simulated_store.py
@@ -29,8 +29,9 @@
 class Store:
     """Contents of the store, shared by the clients of all VMs.
 
-    `unlisted` holds the prefixes that it does not list, each with the VM; the watches of
-    `endless_watches` name more changes than can be read.
+    Calls of the VMs in `too_busy_for` are refused as too many. `unlisted` holds the prefixes that
+    it does not list, each with the VM; the watches of `endless_watches` name more changes than can
+    be read.
     """
 
     def __init__(self):
@@ -40,6 +41,7 @@
         self.compacted_revision = 0
         self.leases = {}
         self.unreachable_from = set()
+        self.too_busy_for = set()
         self.silent_to = set()
         self.read_only_to = set()
         self.refused_writes = 0
@@ -265,5 +267,7 @@
             await anyio.sleep(CALL_SECONDS)
         if self._vm in self._store.unreachable_from:
             raise interfaces.StoreError("refused")
+        if self._vm in self._store.too_busy_for:
+            raise interfaces.StoreRefusedError("too many calls")
         self._era = max(self._era, self._store.era)
         self._observe(self._store.era)
--- a/hollyring/node/tests/test_late_knowledge.py
+++ b/hollyring/node/tests/test_late_knowledge.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hollyring.membership import peer_table
-from hollyring.node import clock, metrics, recent_copies
+from hollyring.node import clock, metrics, recent_copies, status_client
 from hollyring.node.tests import simulated_fleet
 
 VMS = [f"vm-{n:02}" for n in range(74)]
@@ -79,16 +79,16 @@
         await start_fleet(fleet, VMS[:9])
         vm = fleet.vms["vm-08"]
         fleet.store.unreachable_from = {"vm-08"}
-        fleet.delays = {"vm-08": 0.6}
+        fleet.delays = {"vm-08": status_client.PATIENT_TIMEOUT_SECONDS + 0.1}
         await anyio.sleep(CONFIGURATION_SECONDS)
-        assert vm.state.freshness.may_use(clock.now())
         fleet.store.put("op/config", simulated_fleet.make_deployment(2))
         await anyio.sleep(CONFIGURATION_SECONDS)
         assert vm.state.configuration_version == 1
         assert not await vm.store_checker.wait_current(clock.now() + 1.0)
         fleet.delays = {}
         await fleet.wait_until(lambda: vm.state.configuration_version == 2, 1.5)
-        assert await vm.store_checker.wait_current(clock.now() + 1.0)
+        await fleet.wait_until(lambda: vm.state.freshness.may_use(clock.now()), 1.0)
+        assert await vm.store_checker.wait_current(clock.now())
 
     simulate(scenario, vms=VMS[:9])
 
--- a/hollyring/node/tests/test_old_copies.py
+++ b/hollyring/node/tests/test_old_copies.py
@@ -215,3 +215,16 @@
         assert requests.late() == []
 
     simulate(scenario, vms=VMS)
+
+
+def test_store_that_refuses_too_many_calls_is_not_away(simulate):
+    async def scenario(fleet):
+        async with anyio.create_task_group() as group:
+            requests = await start(fleet, group, 1)
+            fleet.store.too_busy_for.update(VMS)
+            await anyio.sleep(OUTAGE_SECONDS)
+            group.cancel_scope.cancel()
+        assert requests.by_old_copies() == []
+        assert requests.refused
+
+    simulate(scenario, vms=VMS)
--- a/hollyring/platform/store.py
+++ b/hollyring/platform/store.py
@@ -39,6 +39,7 @@
 HTTP_NOT_FOUND = 404
 HTTP_GONE = 410
 HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_MANY_REQUESTS = 429
 
 
 _Number = Annotated[int, msgspec.Meta(ge=0, lt=store_revision.REVISIONS_PER_ERA)]
@@ -237,10 +238,14 @@
             response = await self._pool.call(self._address, request, seconds, max_bytes)
         except http_connection.BodyTooLongError as error:
             raise _TooLongError(f"{method} {path}: {error}") from error
+        except http_connection.OwnResourcesError as error:
+            raise interfaces.StoreNotAskedError(f"{method} {path}: {error}") from error
         except http_connection.HttpConnectionError as error:
             raise interfaces.StoreError(f"{method} {path}: {error}") from error
         era = _decode_era(response.header(ERA_HEADER))
         self._record_era(era)
+        if response.status == HTTP_TOO_MANY_REQUESTS:
+            raise interfaces.StoreRefusedError(f"{method} {path}: status {response.status}")
         if response.status not in (HTTP_OK, HTTP_NOT_FOUND, HTTP_GONE, HTTP_PRECONDITION_FAILED):
             raise interfaces.StoreError(f"{method} {path}: status {response.status}")
         return _Answer(response.status, response.body, era)
--- a/hollyring/platform/tests/test_store.py
+++ b/hollyring/platform/tests/test_store.py
@@ -1,5 +1,9 @@
 """Client of the metadata store, against the stand-in on loopback."""
 
+import asyncio
+import contextlib
+import errno
+
 import anyio
 import pytest
 
@@ -25,6 +29,22 @@
     return store.MetadataStore(stand_in.address)
 
 
+@pytest.fixture
+def lacking(monkeypatch):
+    """Return a context in which no connection can be opened, by the number of the error."""
+
+    @contextlib.contextmanager
+    def context(number):
+        async def fail(*_):
+            raise OSError(number, "no connection")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(asyncio.get_running_loop(), "create_connection", fail)
+            yield
+
+    return context
+
+
 async def test_every_answer_states_its_era(stand_in, client):
     eras = []
     client.set_era_listener(eras.append)
@@ -40,6 +60,23 @@
     assert eras == [1, 2, 2]
 
 
+async def test_store_that_names_too_many_calls_has_answered(stand_in, client):
+    stand_in.failure_status = 429
+    with pytest.raises(interfaces.StoreRefusedError):
+        await client.get("op/none")
+
+
+async def test_store_is_not_asked_by_a_vm_that_has_no_descriptors_left(stand_in, client, lacking):
+    with lacking(errno.EMFILE), pytest.raises(interfaces.StoreNotAskedError):
+        await client.get("op/none")
+
+
+async def test_refused_connection_to_the_store_is_no_want_of_this_vm(stand_in, client, lacking):
+    with lacking(errno.ECONNREFUSED), pytest.raises(interfaces.StoreError) as caught:
+        await client.get("op/none")
+    assert not isinstance(caught.value, interfaces.StoreNotAskedError)
+
+
 async def test_starting_vm_reads_no_older_record_of_the_software_versions(stand_in, client):
     codec = documents.DocumentCodec()
     versions = software_versions.Record(1, {"s": frozenset({"v1", "v2"})})
