Callers are given VMs by what their links bear

VMs with narrow links fell behind under load: their links were full, so they heard neither the store nor the others and decided by old copies (CONFIG), or answered too late.

Cause: callers choose at random among the addresses that they are given, and all were given the same ones, so a VM with a twentieth of the link got as many callers as the others. The bandwidth of its link was known to each VM and used for nothing of this.

Change: a VM states the bandwidth of its link. The order in which VMs serve, and how many do, count no more of a VM's cores than its link can keep busy.

--- a/hollyring/membership/heartbeat.py
+++ b/hollyring/membership/heartbeat.py
@@ -37,6 +37,8 @@
         Whether the VM begins streams that may be resumed at a software version only some time after
         it knows that version, unless it is the only one. If it isn't stated, streams may begin at
         once.
+    link_bits_per_second
+        Bandwidth of the VM's link, 0 if it isn't stated.
     """
 
     WIRE_NAME: ClassVar[str] = "Place"
@@ -49,6 +51,7 @@
     region: str
     capacity: float = 1.0
     settles_versions: bool = False
+    link_bits_per_second: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hollyring/membership/peer_table.py
+++ b/hollyring/membership/peer_table.py
@@ -15,7 +15,7 @@
 
 from hollyring.configuration import store_revision
 from hollyring.core import rendezvous
-from hollyring.membership import heartbeat, serving_set
+from hollyring.membership import caller_shares, heartbeat, serving_set
 
 ALIVE_TIMEOUT_SECONDS = 1.2
 """A VM whose last heartbeat is older does not count as alive, and callers are not sent to it."""
@@ -557,23 +557,32 @@
         ]
         return rendezvous.rank(self._local.name.encode(), reaching)[:REPORTED_REACHING_VMS]
 
-    def caller_addresses(self, self_ready: bool, now: float, limit: int) -> list[str]:
+    def caller_addresses(
+        self, self_ready: bool, now: float, limit: int, domain: str | None = None
+    ) -> list[str]:
         """Return at most `limit` addresses of VMs for callers, this VM's first if it serves.
 
         Those that are cut off from the upstreams of a service come last.
+
+        Parameters
+        ----------
+        domain
+            Failure domain of the caller, empty if unknown; None for the addresses of all of them.
         """
-        addresses: list[str] = []
-        cut_off: list[str] = []
+        vms: list[heartbeat.VmInfo] = []
+        cut_off: list[heartbeat.VmInfo] = []
         if self_ready and (self.is_serving or not self._serving):
-            (cut_off if self._is_cut_off else addresses).append(self._local.caller_address)
+            (cut_off if self._is_cut_off else vms).append(self._local)
         for vm in self._serving:
             peer = self._peers.get(vm.name)
             if peer is None:
                 continue
             if self._exchanging and not (self._is_alive(peer, now) and peer.ready):
                 continue
-            (cut_off if peer.unreachable_services else addresses).append(vm.caller_address)
-        return [*addresses, *cut_off][:limit]
+            (cut_off if peer.unreachable_services else vms).append(vm)
+        if domain is not None:
+            vms = caller_shares.named_to(domain, vms)
+        return [vm.caller_address for vm in [*vms, *cut_off][:limit]]
 
     def peer_ahead(self, prefix: str, revision: store_revision.Revision, now: float) -> Peer | None:
         """Return a VM that has a revision of `prefix` above `revision`, or None.
--- a/hollyring/membership/serving_set.py
+++ b/hollyring/membership/serving_set.py
@@ -30,6 +30,9 @@
 A core forwards several times as many; the rest is for bursts and for the loss of VMs.
 """
 
+BITS_PER_REQUEST = 160_000.0
+"""Bits that a request with its answer puts on the VM's link."""
+
 SHRINK_MARGIN = 1.4
 """Factor by which the traffic must be below what a smaller set would carry before it shrinks."""
 
@@ -43,7 +46,7 @@
     """Return VMs in the order in which they are selected to serve.
 
     Failure domains take turns, so that every prefix of the order is spread evenly. Within a domain,
-    VMs with more capacity come first, and a hash orders those of equal capacity.
+    VMs that carry more come first, and a hash orders those that carry the same.
 
     Examples
     --------
@@ -59,12 +62,19 @@
         domains[vm.failure_domain].append(vm)
     places: list[tuple[int, str, heartbeat.VmInfo]] = []
     for domain, members in domains.items():
-        members.sort(key=lambda vm: (-vm.capacity, -rendezvous.weight(_RANKING_KEY, vm.name)))
+        members.sort(key=lambda vm: (-cores(vm), -rendezvous.weight(_RANKING_KEY, vm.name)))
         places += [(place, domain, vm) for place, vm in enumerate(members)]
     places.sort(key=lambda item: item[:2])
     return [vm for _, _, vm in places]
 
 
+def cores(vm: heartbeat.VmInfo) -> float:
+    """Return the cores of a VM that its link, if its bandwidth is stated, can keep busy."""
+    if vm.link_bits_per_second <= 0.0:
+        return vm.capacity
+    return min(vm.capacity, vm.link_bits_per_second / (REQUESTS_PER_CORE * BITS_PER_REQUEST))
+
+
 def select(
     ranked: Sequence[heartbeat.VmInfo], is_available: Callable[[heartbeat.VmInfo], bool], size: int
 ) -> list[heartbeat.VmInfo]:
@@ -125,10 +135,10 @@
 def _count(ranked: Sequence[heartbeat.VmInfo], request_rate: float) -> int:
     """Return how many VMs from the start of `ranked` carry `request_rate`."""
     cores_needed = request_rate / REQUESTS_PER_CORE
-    count, cores = 0, 0.0
+    count, counted = 0, 0.0
     for vm in ranked:
-        if cores >= cores_needed:
+        if counted >= cores_needed:
             break
-        cores += vm.capacity
+        counted += cores(vm)
         count += 1
     return min(MAX_SERVING_VMS, max(MIN_SERVING_VMS, count))
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -108,6 +108,9 @@
     def is_entry_request(self, scope: asgi.Scope) -> bool:
         """Return whether this is a request for entry addresses."""
 
+    def decode_entry_domain(self, scope: asgi.Scope) -> str:
+        """Return the failure domain that a request for entry addresses names, or an empty one."""
+
     def is_health_check(self, scope: asgi.Scope) -> bool:
         """Return whether this is a health check."""
 
@@ -173,6 +176,7 @@
             vm_settings.region,
             vm_settings.capacity,
             settles_versions=True,
+            link_bits_per_second=vm_settings.link_bits_per_second,
         )
         vm_list_delay = FIRST_START_DELAY_SECONDS if vm_settings.first_start else 0.0
         self._exchange_delay = vm_list_delay + FIRST_LIST_SECONDS if vm_list_delay else 0.0
--- a/hollyring/node/internal_app.py
+++ b/hollyring/node/internal_app.py
@@ -80,7 +80,7 @@
         if scope["type"] != "http":
             return
         if self._codec.is_entry_request(scope):
-            await self._send_entry_addresses(send)
+            await self._send_entry_addresses(send, self._codec.decode_entry_domain(scope))
         elif self._codec.is_health_check(scope):
             await asgi.respond(send, await self._health_status(), b"", [])
         elif scope["path"] == "/metrics":
@@ -95,10 +95,12 @@
         is_current = await self._checker.wait_current(clock.now() + HEALTH_WAIT_SECONDS)
         return HTTP_OK if is_current else HTTP_UNAVAILABLE
 
-    async def _send_entry_addresses(self, send: asgi.Send) -> None:
-        """Respond with the addresses of VMs to connect to."""
+    async def _send_entry_addresses(self, send: asgi.Send, domain: str) -> None:
+        """Respond with the addresses of VMs to connect to, for a caller of a failure domain."""
         now = clock.now()
-        addresses = self._state.peers.caller_addresses(self._state.ready, now, MAX_ENTRY_ADDRESSES)
+        addresses = self._state.peers.caller_addresses(
+            self._state.ready, now, MAX_ENTRY_ADDRESSES, domain
+        )
         if not addresses:
             await asgi.respond(send, HTTP_UNAVAILABLE, b"", [])
             return
--- a/hollyring/node/peer.thrift
+++ b/hollyring/node/peer.thrift
@@ -9,6 +9,7 @@
   6: optional string region
   7: optional double capacity
   8: optional bool settles_versions
+  9: optional double link_bits_per_second
 }
 
 struct MembershipMark {
--- a/hollyring/platform/documents.py
+++ b/hollyring/platform/documents.py
@@ -142,6 +142,7 @@
     region: decoding.Name
     capacity: float = 1.0  # cores
     settles_versions: bool = False  # earlier builds state nothing
+    link_bits_per_second: float = 0.0
 
 
 class _Software(msgspec.Struct, frozen=True):
@@ -228,6 +229,8 @@
         stored = dataclasses.asdict(vm_info)
         if not vm_info.settles_versions:
             del stored["settles_versions"]  # not stated
+        if not vm_info.link_bits_per_second:
+            del stored["link_bits_per_second"]  # not stated
         return msgspec.json.encode(stored)
 
     def decode_software(self, item: mirror.Item) -> software_versions.Record | None:
--- a/hollyring/platform/ingress.py
+++ b/hollyring/platform/ingress.py
@@ -84,6 +84,12 @@
     return scope["path"] == "/hollyring/resolve"
 
 
+def decode_entry_domain(scope: asgi.Scope) -> str:
+    """Return the failure domain of a caller that requests entry addresses, empty if unstated."""
+    query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+    return query.get("zone", [""])[-1]
+
+
 def is_health_check(scope: asgi.Scope) -> bool:
     """Return whether the platform checks that this VM is ready."""
     return scope["path"] == "/hollyring/ready"
--- a/hollyring/platform/tests/test_codec.py
+++ b/hollyring/platform/tests/test_codec.py
@@ -123,6 +123,21 @@
     assert codec.decode_wanted_version(make_item("op/config", CONFIG)) is None
 
 
+@pytest.mark.parametrize(
+    ("query", "domain"),
+    [
+        (b"name=h.example&region=r&zone=dar-a", "dar-a"),
+        (b"name=h.example", ""),
+        (b"zone=%zz&zone=dar%2Db", "dar-b"),
+        (b"\xff=\xfe&zone", ""),
+    ],
+)
+def test_failure_domain_of_a_caller_that_asks_for_addresses_is_decoded(query, domain):
+    scope = {"path": "/hollyring/resolve", "query_string": query}
+    assert ingress.is_entry_request(scope)
+    assert ingress.decode_entry_domain(scope) == domain
+
+
 def test_upstream_entry_is_decoded(codec):
     entry = codec.decode_upstream(make_item("servers/i-7", SERVER))
     assert (entry.name, entry.life, entry.versions) == ("i-7", 1788706329104, {"m": 3})
--- a/hollyring/platform/tests/test_earlier_builds.py
+++ b/hollyring/platform/tests/test_earlier_builds.py
@@ -36,3 +36,12 @@
     assert stored == codec.encode_vm(VM)[:-1] + b',"settles_versions":true}'
     item = mirror.Item(documents.STORE_KEYS.vms + VM.name, stored, store_revision.NONE)
     assert codec.decode_vm(item) == stating
+
+
+def test_link_that_a_vm_states_is_added_behind_the_fields_of_an_earlier_build():
+    codec = documents.DocumentCodec()
+    stating = dataclasses.replace(VM, link_bits_per_second=1e7)
+    stored = codec.encode_vm(stating)
+    assert stored == codec.encode_vm(VM)[:-1] + b',"link_bits_per_second":10000000.0}'
+    item = mirror.Item(documents.STORE_KEYS.vms + VM.name, stored, store_revision.NONE)
+    assert codec.decode_vm(item) == stating
