--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -149,9 +149,14 @@
         return any(idle.idle_seconds_left(now) > 0.0 for idle in self._idle.get(address, ()))
 
     async def can_connect(self, address: str) -> bool:
-        """Return whether an upstream accepts a new connection, which is then kept idle."""
+        """Return whether an upstream accepts a new connection, which is then kept idle.
+
+        What this VM lacks of its own for a connection shows nothing of the upstream.
+        """
         try:
             connection = await self._connect(address, PROBE_TIMEOUT_SECONDS)
+        except http_connection.OwnResourcesError:
+            return True
         except http_connection.NotSentError:
             return False
         connection.idle_since = clock.now()
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import errno
 import os
 import socket
 import struct
@@ -277,3 +278,35 @@
         assert pool.opened == 1
         await anyio.sleep(0.05)
         assert not upstream.requests
+
+
+class Listener:
+    """Counts the connections that fail."""
+
+    def __init__(self):
+        self.failures = 0
+
+    def connected(self, address):
+        pass
+
+    def late(self, address):
+        pass
+
+    def failed(self, address):
+        self.failures += 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(("number", "is_own"), [(errno.EMFILE, True), (errno.ECONNREFUSED, False)])
+async def test_want_of_descriptors_is_no_failure_of_an_upstream(monkeypatch, number, is_own):
+    async def fail(*_):
+        raise OSError(number, "no connection")
+
+    monkeypatch.setattr(asyncio.get_running_loop(), "create_connection", fail)
+    pool, listener = connection_pool.ConnectionPool(), Listener()
+    pool.set_listener(listener)
+    assert await pool.can_connect("127.0.0.1:1") is is_own
+    with pytest.raises(http_connection.NotSentError) as caught:
+        await pool.acquire("127.0.0.1:1", 1)
+    assert isinstance(caught.value, http_connection.OwnResourcesError) is is_own
+    assert listener.failures == (0 if is_own else 2)
