Settings of hollyring serve name the memory of its process

Change: memory_mb, 0 for any amount; the budget of the process follows from it as on the platform.

Test: test_process_holds_no_more_of_answers_than_its_memory_allows, which had no setting to name before.

--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -13,7 +13,7 @@
 from hollyring.configuration import state
 from hollyring.core import identities, invariants
 from hollyring.delivery import messages as delivery_messages
-from hollyring.limits import retry_budget
+from hollyring.limits import byte_budget, retry_budget
 from hollyring.membership import messages
 from hollyring.node import (
     admin,
@@ -67,7 +67,9 @@
         )
         self._invariants = invariants.Invariants(strict=False)
         self._metrics = metrics.Metrics()
-        self._connections = connection_pool.ConnectionPool()
+        memory_bytes = vm_settings.memory_mb * byte_budget.BYTES_PER_MEGABYTE
+        self._budget = byte_budget.ByteBudget(byte_budget.limit_for(memory_bytes))
+        self._connections = connection_pool.ConnectionPool(self._budget)
         self._platform = platform_client.PlatformClient(vm_settings.platform, self._connections)
         codec = wire.Codec(catalogue.MESSAGES)
         self._peers = peers.PeerConnections(
@@ -137,6 +139,11 @@
         self._api = api.Application(self._vm)
         self._leaving = False
 
+    @property
+    def budget(self) -> byte_budget.ByteBudget:
+        """Bytes that this process may hold of the answers of upstreams."""
+        return self._budget
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         protocol = bounded_protocol.protocol_class(self._settings.limits)
--- a/hollyring/node/settings.py
+++ b/hollyring/node/settings.py
@@ -56,6 +56,8 @@
         Routing policy.
     log_file
         File to which logs are appended; if empty, they are written to standard error.
+    memory_mb
+        Megabytes that the process may use; 0 for any amount.
     """
 
     name: str
@@ -70,6 +72,7 @@
     admin_key: str = ""
     policy: str = "prefix"
     log_file: str = ""
+    memory_mb: int = 0
     limits: Limits = Limits()
 
 
@@ -123,6 +126,8 @@
     allowed = ("prefix", "least_loaded", "round_robin", "hash_only")
     if settings.policy not in allowed:
         findings.append(f'policy: "{settings.policy}": allowed: {", ".join(allowed)}')
+    if settings.memory_mb < 0:
+        findings.append(f"memory_mb: {settings.memory_mb}: allowed: 0 or more")
     for field in Limits.__struct_fields__:
         value = getattr(settings.limits, field)
         if value <= 0:
--- a/hollyring/node/tests/test_settings.py
+++ b/hollyring/node/tests/test_settings.py
@@ -4,7 +4,7 @@
 import msgspec
 import pytest
 
-from hollyring.node import errors, settings
+from hollyring.node import errors, server, settings
 
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "operators" / "install.md"
 VALID = {
@@ -32,6 +32,7 @@
         ({"peer_keys": []}, "peer_keys: []"),
         ({"peer_keys": ["short"]}, "peer_keys: (hidden)"),
         ({"policy": "best"}, 'policy: "best"'),
+        ({"memory_mb": -1}, "memory_mb: -1"),
         ({"limits": {"connections": 0}}, "limits.connections: 0"),
         ({"limits": {"connections": "many"}}, 'limits.connections: "many"'),
         ({"limits": {"colour": 1}}, "limits.colour: unknown field"),
@@ -46,6 +47,12 @@
     assert "short" not in str(raised.value)
 
 
+@pytest.mark.parametrize(("megabytes", "limit"), [(150, 46_800_000), (0, 256_000_000)])
+def test_process_holds_no_more_of_answers_than_its_memory_allows(megabytes, limit):
+    vm_settings = settings.parse(json.dumps(VALID | {"memory_mb": megabytes}))
+    assert server.Process(vm_settings).budget.limit == limit
+
+
 def default_rows(type_, prefix=""):
     for field in msgspec.structs.fields(type_):
         if field.type is settings.Limits:
