VMs that follow an outage of the store ask it at once when it is back for others

Change: news that others are current, less than 0.4 s old, lets requests wait, and the first of them makes the VM ask the store at once.

--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -74,6 +74,7 @@
         "_rules",
         "_unanswered_at",
         "_others_answered_at",
+        "_others_current_since",
         "_largest",
         "_previous",
         "_window_at",
@@ -88,6 +89,7 @@
         self._rules = rules
         self._unanswered_at = -math.inf
         self._others_answered_at = -math.inf
+        self._others_current_since = -math.inf
         self._largest = 0.0
         self._previous = 0.0
         self._window_at = -math.inf
@@ -122,11 +124,13 @@
         """Record that the copy of a prefix has every change that other VMs have named."""
         self._behind_since.pop(prefix, None)
 
-    def record_copies_of_another(self, at: float) -> None:
+    def record_copies_of_another(self, at: float, now: float) -> None:
         """Record that the copies of another VM were complete as of `at`.
 
         So the store answered that VM, or one before it, at that time.
         """
+        if now >= self.others_current_until:
+            self._others_current_since = now
         self._others_answered_at = max(self._others_answered_at, at)
 
     def record_answered(self) -> None:
@@ -158,6 +162,11 @@
         """
         return self._others_answered_at + USE_SHARE * self._rules.bound_seconds
 
+    @property
+    def others_current_since(self) -> float:
+        """Time at which this VM was told so after a time in which it was not."""
+        return self._others_current_since
+
     def is_behind_others(self, now: float) -> bool:
         """Return whether the copies should be brought up to those of another VM."""
         lag = self._others_answered_at - min(self._complete_at.values())
@@ -207,12 +216,16 @@
     def is_lost(self, now: float, seconds: float) -> bool:
         """Return whether this VM alone gets no answers, and for `seconds` nothing will change that.
 
-        A change that was named a moment ago may still arrive from the VM that named it.
+        The store may be back, or a change may still arrive from another VM, if this one was told
+        less than `seconds` ago.
         """
         if not self.is_store_silent(now):
             return False
         behind_since = min(self._behind_since.values(), default=math.inf)
-        return now + seconds < self.others_current_until or now - behind_since > seconds
+        if now - behind_since > seconds:
+            return True
+        told_ago = now - self._others_current_since
+        return told_ago > seconds and now + seconds < self.others_current_until
 
     def record_use(self, now: float) -> None:
         """Record that a request is decided by the copies."""
--- a/hollyring/node/peer_messages.py
+++ b/hollyring/node/peer_messages.py
@@ -41,7 +41,8 @@
         self._observe_eras(message.vm.name, message.revisions)
         peer = self._state.peers.receive(message, now)
         if message.copies_age_seconds >= 0.0:
-            self._state.freshness.record_copies_of_another(now - message.copies_age_seconds)
+            complete_at = now - message.copies_age_seconds
+            self._state.freshness.record_copies_of_another(complete_at, now)
         if peer is not None:
             self._state.refresh_due = True
             self._state.stream_origins.report_again()
@@ -88,7 +89,7 @@
         message = dataclasses.replace(message, revisions=_possible(message.revisions))
         self._observe_eras(sender, message.revisions)
         self._state.peers.receive_status(sender, message, now)
-        self._record_freshness(message.revisions, asked_at)
+        self._record_freshness(message.revisions, asked_at, now)
         self._state.update_peers(now)
         self._record_wanted_versions(message.wanted_versions, now)
         self._state.crashes.adopt(sender, message.blamed_parts, now)
@@ -96,7 +97,9 @@
         self._state.rejection_limits.receive(sender, message.rejection_limits, now)
         self._state.told_origins.receive(message, now)
 
-    def _record_freshness(self, revisions: list[heartbeat.PrefixRevision], asked_at: float) -> None:
+    def _record_freshness(
+        self, revisions: list[heartbeat.PrefixRevision], asked_at: float, now: float
+    ) -> None:
         """Record up to when the copies are complete, as they have all that another VM has."""
         for item in revisions:
             mirrored = self._state.mirrors.get(item.prefix)
@@ -108,7 +111,7 @@
         deciding = self._state.freshness.prefixes
         ages = [item.age_seconds for item in revisions if item.prefix in deciding]
         if len(ages) == len(deciding) and min(ages) >= 0.0:
-            self._state.freshness.record_copies_of_another(asked_at - max(ages))
+            self._state.freshness.record_copies_of_another(asked_at - max(ages), now)
 
     def _observe_eras(self, sender: str, revisions: list[heartbeat.PrefixRevision]) -> None:
         for item in revisions:
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -59,8 +59,10 @@
         self._watcher = watcher
         self._checked = anyio.Event()
         self._wanted = anyio.Event()
+        self._store_back = anyio.Event()
         self._lock = anyio.Lock()
         self._asked_at = math.inf
+        self._last_asked_at = -math.inf
         self._answered = True
         self._rng = random.Random(str(vm_state.vm_info.life))
         self._log = logs.Logger("store")
@@ -86,7 +88,8 @@
             self._wanted = anyio.Event()
             await self.check_now()
             if not self._answered:
-                await anyio.sleep(RETRY_SECONDS * (0.5 + self._rng.random()))
+                with anyio.move_on_after(RETRY_SECONDS * (0.5 + self._rng.random())):
+                    await self._store_back.wait()
 
     async def wait_current(self, until: float) -> bool:
         """Wait until requests may be decided by what this VM knows.
@@ -99,6 +102,8 @@
         copies = self._state.freshness
         due = min(until, clock.now() + WAIT_SECONDS)
         while not copies.may_use(now := clock.now()):
+            if self._last_asked_at < copies.others_current_since:
+                self._store_back.set()
             if now >= until or copies.is_lost(now, WAIT_SECONDS):
                 return False
             if now >= due:
@@ -160,7 +165,8 @@
         copies = self._state.freshness
         asked_at = clock.now()
         age, others_age = copies.age(asked_at), copies.others_age(asked_at)
-        self._asked_at = asked_at
+        self._asked_at = self._last_asked_at = asked_at
+        self._store_back = anyio.Event()
         self._answered = await self._ask(asked_at)
         self._asked_at = math.inf
         if age > copies.rules.bound_seconds:
