A link that keeps its VM's cores busy is not narrow, however wide others are

Cause: by reading. Beside three VMs of 1,000 Mbit/s, VMs of 100 Mbit/s and a core would have counted as narrow, and the three would have got twice their share for links that nobody fills.

Test: test_link_that_keeps_its_cores_busy_is_not_narrow_beside_wider_ones, failed before.

--- a/hollyring/membership/tests/test_caller_shares.py
+++ b/hollyring/membership/tests/test_caller_shares.py
@@ -48,6 +48,11 @@
     assert all(caller_shares.named_to(domain, vms) == vms for domain in DOMAINS)
 
 
+def test_link_that_keeps_its_cores_busy_is_not_narrow_beside_wider_ones():
+    vms = [make_vm(f"w-{n}", DOMAINS[n], 1e9) for n in range(3)] + [make_vm("v", "dar-a", 1e8)]
+    assert all(caller_shares.named_to(domain, vms) == vms for domain in DOMAINS)
+
+
 def test_vms_that_state_no_link_are_named_to_all_callers():
     vms = [*make_fleet(3, 3), make_vm("earlier", "dar-a")]
     assert all(vms[-1] in caller_shares.named_to(domain, vms) for domain in DOMAINS)
