--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -213,11 +213,11 @@
         is_behind = now < self.others_current_until or bool(self._behind_since)
         return self._rules.serves_without_store and not is_behind
 
-    def is_lost(self, now: float, seconds: float) -> bool:
-        """Return whether this VM alone gets no answers, and for `seconds` nothing will change that.
+    def stays_behind(self, now: float, seconds: float) -> bool:
+        """Return whether this VM alone gets no answers and will not catch up within `seconds`.
 
-        The store may be back, or a change may still arrive from another VM, if this one was told
-        less than `seconds` ago.
+        If it was told of newer copies or of a change less than `seconds` ago, the store may be back,
+        or another VM may bring the change.
         """
         if not self.is_store_silent(now):
             return False
--- a/hollyring/configuration/tests/test_freshness.py
+++ b/hollyring/configuration/tests/test_freshness.py
@@ -99,16 +99,16 @@
     assert not any(fresh.may_use(at) for at in (17.03, 17.1, 18.5, 18.6, 19.8))
 
 
-def test_vm_that_alone_gets_no_answers_is_lost_but_waits_for_a_change_just_named(fresh):
+def test_vm_that_alone_gets_no_answers_stays_behind_but_waits_for_a_change_just_named(fresh):
     fresh.record_unanswered(110.0)
-    assert not fresh.is_lost(110.0, 0.4)
+    assert not fresh.stays_behind(110.0, 0.4)
     fresh.record_copies_of_another(110.0, 110.0)
-    assert not fresh.is_lost(110.3, 0.4)
-    assert fresh.is_lost(110.5, 0.4)
-    assert not fresh.is_lost(111.5, 0.4)
+    assert not fresh.stays_behind(110.3, 0.4)
+    assert fresh.stays_behind(110.5, 0.4)
+    assert not fresh.stays_behind(111.5, 0.4)
     fresh.record_behind("op/", 111.4)
-    assert not fresh.is_lost(111.7, 0.4)
-    assert fresh.is_lost(111.9, 0.4)
+    assert not fresh.stays_behind(111.7, 0.4)
+    assert fresh.stays_behind(111.9, 0.4)
 
 
 def test_copies_are_brought_up_to_those_of_another_vm_before_they_are_too_old(fresh):
--- a/hollyring/node/store_checker.py
+++ b/hollyring/node/store_checker.py
@@ -104,7 +104,7 @@
         while not copies.may_use(now := clock.now()):
             if self._last_asked_at < copies.others_current_since:
                 self._store_back.set()
-            if now >= until or copies.is_lost(now, WAIT_SECONDS):
+            if now >= until or copies.stays_behind(now, WAIT_SECONDS):
                 return False
             if now >= due:
                 return self._is_unanswered(now) and copies.may_use_without_store(now)
