--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -214,7 +214,7 @@
         return self._rules.serves_without_store and not is_behind
 
     def stays_behind(self, now: float, seconds: float) -> bool:
-        """Return whether this VM alone gets no answers and won't catch up within `seconds`.
+        """Return whether this VM alone gets no answers, and that stays so for `seconds`.
 
         If it was told of newer copies or of a change less than `seconds` ago, the store may be back,
         or another VM may bring the change.
