--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -216,8 +216,8 @@
     def stays_behind(self, now: float, seconds: float) -> bool:
         """Return whether this VM alone gets no answers, and that stays so for `seconds`.
 
-        If it was told of newer copies or of a change less than `seconds` ago, the store may be back,
-        or another VM may bring the change.
+        If it was told of newer copies or of a change less than `seconds` ago, the store may be
+        back, or another VM may bring the change.
         """
         if not self.is_store_silent(now):
             return False
