Tests: the replacement of old copies tells the age of others' copies, too

Cause: bin/test on failed in one of 4,769 cases, test_request_that_is_not_sent_until_ its_vm_ends_is_told_when_to_ask_another[decides]: the log line of a refusal has others_copies_age since, and the test's replacement of Freshness had no such method. Not a fault of the process, whose Freshness has it; no check is changed.

--- a/hollyring/platform/tests/test_forwarded_requests.py
+++ b/hollyring/platform/tests/test_forwarded_requests.py
@@ -70,6 +70,9 @@
     def age(self, now):
         return 9.0
 
+    def others_age(self, now):
+        return 1.0
+
 
 class ScriptedTargets:
     """Replacement of `forwarding_targets.ForwardingTargets`: VMs in the order of choice."""
