Test that fails: a fleet that restarts admits its rate again after it was used late in the window

Cause: VMs that all start at once assume that an organisation's rate was used evenly over the window before; if it was used late, up to that much more is admitted (QUOTA).

--- a/hollyring/limits/tests/test_fleet_window.py
+++ b/hollyring/limits/tests/test_fleet_window.py
@@ -234,3 +234,12 @@
     assert window.report(7.0).fleet_usage == 4000.0
     assert window.report(14.7).fleet_usage == 4000.0
     assert window.report(15.3).fleet_usage == 0.0
+
+
+def test_fleet_that_restarts_after_it_used_its_rate_late_in_the_window_stays_within_a_tenth(fleet):
+    simulated = fleet(0, usage_known=True)
+    simulated.simulate(4.5, per_second=3 * RATE / 50.0)
+    for vm in simulated.windows:
+        simulated.restart(vm)
+    simulated.simulate(8.0, per_second=3 * RATE / 50.0)
+    assert simulated.max_admitted(8.0) <= (RATE * 8 + BURST) * 1.1
