--- a/hollyring/configuration/freshness.py
+++ b/hollyring/configuration/freshness.py
@@ -37,7 +37,7 @@
         Time after an acknowledged change from which no older copy may be used.
     serves_without_store
         Whether an older copy is used while the store answers neither this VM nor any other one that
-        this VM hears of, unless another VM has named a later change.
+        this VM reaches, unless another VM has named a later change.
     """
 
     bound_seconds: float = 2.0
--- a/hollyring/configuration/tests/test_freshness.py
+++ b/hollyring/configuration/tests/test_freshness.py
@@ -118,3 +118,11 @@
     for prefix in fresh.prefixes:
         fresh.record(prefix, 100.49)
     assert not fresh.is_behind_others(101.9)
+
+
+def test_vm_whose_copies_grew_too_old_a_moment_ago_waits_for_the_next_status(fresh):
+    fresh.record_copies_of_another(100.1, 100.1)
+    fresh.record_unanswered(101.0)
+    fresh.record_copies_of_another(101.6, 101.6)
+    assert fresh.is_outdated(101.75)
+    assert not fresh.stays_behind(101.75, 0.4)
--- a/hollyring/node/tests/test_old_copies.py
+++ b/hollyring/node/tests/test_old_copies.py
@@ -21,8 +21,8 @@
 """Time between two requests at one VM."""
 
 OUTAGE_SECONDS = 8.0
-HEARD_SECONDS = 1.0
-"""Time within which a VM hears of the others again."""
+REACHED_SECONDS = 1.0
+"""Time within which messages of the others reach a VM again."""
 
 
 @dataclasses.dataclass
@@ -66,7 +66,7 @@
             self.decided.append(Decision(vm.name, sent_at, version, age))
 
     def forget(self, since, until):
-        """Judge no requests that are sent within a time in which their VM hears of nobody."""
+        """Judge no requests that are sent within a time in which no message reaches their VM."""
         self._forgotten.append((since, until))
 
     def _is_forgotten(self, sent_at):
@@ -153,7 +153,7 @@
                 await anyio.sleep(rng.uniform(0.0, 1.0))
                 cut_at = clock.now()
                 await lose_messages(fleet, slow, rng.uniform(2.0, 5.0))
-                requests.forget(cut_at, clock.now() + HEARD_SECONDS)
+                requests.forget(cut_at, clock.now() + REACHED_SECONDS)
                 await anyio.sleep(rng.uniform(1.0, 3.0))
                 for heal in HEALED[order]:
                     heal(fleet)
