--- a/hollyring/platform/tests/test_held_bytes.py
+++ b/hollyring/platform/tests/test_held_bytes.py
@@ -136,14 +136,15 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(tmp_path, servers, memory_mb=MEMORY_MB, vms=1):
-    """Yield VMs whose service has some servers."""
+async def serving(tmp_path, servers, memory_mb=MEMORY_MB, vms=1, config=CONFIG, **entry_fields):
+    """Yield VMs whose service has some servers, whose entries have other fields, too."""
     async with contextlib.AsyncExitStack() as stack:
         store = await stack.enter_async_context(conftest.StoreStandIn().running())
-        await store.put("op/config", CONFIG)
+        await store.put("op/config", config)
         for server in servers:
             await stack.enter_async_context(server.running())
-            await store.put(f"servers/{server.name}", conftest.make_entry(server.address))
+            entry = conftest.make_entry(server.address, **entry_fields)
+            await store.put(f"servers/{server.name}", entry)
         started = []
         for number in range(vms):
             vm = test_process.VmProcess(tmp_path, store.address, f"vm-{number}")
