--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -60,6 +60,7 @@
     upstream_prober,
     wire,
 )
+from hollyring.routing import prefix_caches
 
 INCARNATION_BITS = 48
 PEER_KEYS = ["hollyring-vms-on-a-private-network"]
@@ -203,6 +204,7 @@
             organisation_rates.OrganisationRates(window_seconds, unknown_until),
             vm_settings.freshness_rules,
             vm_settings.release_rules,
+            prefix_caches.max_parts_for(vm_settings.memory_bytes),
         )
         self._budget = budget
         self._heads = head_budget.HeadBudget(head_budget.limit_for(vm_settings.memory_bytes))
--- a/hollyring/node/state.py
+++ b/hollyring/node/state.py
@@ -106,6 +106,8 @@
         How recent the copies of the store have to be.
     release_rules
         Bounds on what a bad software version may get; None to take no part in releases.
+    max_cached_parts
+        Most prompt parts of all estimates of cached prompts.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         rates: organisation_rates.OrganisationRates | None = None,
         freshness_rules: freshness.FreshnessRules | None = None,
         release_rules: messages.ReleaseRules | None = None,
+        max_cached_parts: int = prefix_caches.MAX_PARTS,
     ) -> None:
         self.vm_info = vm_info
         self.store_keys = store_keys
@@ -130,7 +133,7 @@
         self.rejection_limits = upstream_limits.UpstreamLimits(
             self.registry.rejection_limits, upstream_limits.Kind.REJECTIONS
         )
-        self.prefix_caches = prefix_caches.PrefixCaches()
+        self.prefix_caches = prefix_caches.PrefixCaches(max_cached_parts)
         self.wanted_versions = wanted_versions.WantedVersions(max_version_age_seconds)
         self.selector = selection.Selector(self.registry, self.prefix_caches, self.wanted_versions)
         self.caches = cache_updates.CacheUpdates(self.registry, self.prefix_caches, self.selector)
