A part of an event is charged to the byte budget until the event is complete

Cause: bytes of an answer left the budget when they were passed on to `EventStream`, which keeps up to 1 MB of an event that is not complete for each stream. An ended stream kept them as well: its exception refers to the frames that hold them, until the collector comes. Change: the exchange charges what the reader keeps (`Exchange.keep`), so that the largest unfinished answer goes as for other bytes, and a stream that ends frees its part at once. Only new bytes are searched for the end of an event.

--- a/hollyring/delivery/event_stream.py
+++ b/hollyring/delivery/event_stream.py
@@ -46,6 +46,7 @@
     __slots__ = (
         "_last_number",
         "_buffer",
+        "_forgotten_bytes",
         "_resumed",
         "_has_new",
         "_is_behind",
@@ -56,7 +57,8 @@
 
     def __init__(self, after: int | None) -> None:
         self._last_number = after
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._forgotten_bytes = 0
         self._resumed = after is not None
         self._has_new = False
         self._is_behind = False
@@ -87,7 +89,7 @@
     @property
     def partial_bytes(self) -> int:
         """Number of bytes received of an event that is not complete."""
-        return len(self._buffer)
+        return len(self._buffer) or self._forgotten_bytes
 
     def for_attempt(self) -> EventStream:
         """Return a stream for an attempt that continues after the last event of this one."""
@@ -95,9 +97,15 @@
         attempt.begin_attempt()
         return attempt
 
+    def forget_partial(self) -> None:
+        """Discard a partly received event; `partial_bytes` still tells how long it was."""
+        self._forgotten_bytes = len(self._buffer)
+        self._buffer = bytearray()
+
     def begin_attempt(self) -> None:
         """Discard a partly received event; what follows comes from another attempt."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._forgotten_bytes = 0
         self._resumed = self._last_number is not None
         self._has_new = False
         self._is_behind = False
@@ -117,16 +125,18 @@
         """
         if self._error is not None:
             raise self._error
-        buffered = self._buffer + data
-        end = buffered.rfind(SEPARATOR)
+        # Only what is new is searched: a long event may come in very many parts.
+        searched = max(0, len(self._buffer) + 1 - len(SEPARATOR))
+        self._buffer += data
+        end = self._buffer.rfind(SEPARATOR, searched)
         if end < 0:
-            if len(buffered) > MAX_EVENT_BYTES:
+            if len(self._buffer) > MAX_EVENT_BYTES:
                 raise errors.StreamOrderError("event exceeds the maximum size")
-            self._buffer = buffered
             return b""
-        self._buffer = buffered[end + len(SEPARATOR) :]
+        complete = bytes(self._buffer[:end])
+        del self._buffer[: end + len(SEPARATOR)]
         accepted: list[bytes] = []
-        for event in buffered[: end + len(SEPARATOR)].split(SEPARATOR)[:-1]:
+        for event in complete.split(SEPARATOR):
             try:
                 if self._accept(event):
                     accepted.append(event + SEPARATOR)
--- a/hollyring/delivery/tests/test_event_stream.py
+++ b/hollyring/delivery/tests/test_event_stream.py
@@ -162,3 +162,21 @@
     )
     assert stream.events == 2
     assert stream.may_continue
+
+
+def test_long_event_in_very_many_parts_is_returned_whole():
+    stream = event_stream.EventStream(None)
+    event = b"id: 1\ndata: " + b"x" * 900_000 + b"\n\n"
+    parts = [event[start : start + 50] for start in range(0, len(event), 50)]
+    assert all(stream.feed(part) == b"" for part in parts[:-1])
+    assert stream.partial_bytes == len(event) - len(parts[-1])
+    assert stream.feed(parts[-1]) == event
+    assert stream.partial_bytes == 0
+
+
+def test_forgotten_part_of_an_event_is_freed_and_still_counted():
+    stream = event_stream.EventStream(None)
+    stream.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    stream.forget_partial()
+    assert stream.partial_bytes == len(b"id: 2\nda")
+    assert stream.at_event_boundary
--- a/hollyring/node/answer_writer.py
+++ b/hollyring/node/answer_writer.py
@@ -111,6 +111,16 @@
             return
         raise responses.IncompleteResponseError("answer not read by the deadline")
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of an event that is not complete, which are kept until it is."""
+        return self._stream.partial_bytes if self._stream is not None else 0
+
+    def forget_partial(self) -> None:
+        """Free an event that will not be completed; whatever raised an error may refer to it."""
+        if self._stream is not None:
+            self._stream.forget_partial()
+
     def begin_stream(self) -> None:
         """Expect the events of a stream that goes on after the last one that the caller has."""
         self._attempt.events = self._stream = self._context.events.for_attempt()
--- a/hollyring/node/attempt.py
+++ b/hollyring/node/attempt.py
@@ -513,11 +513,24 @@
         head: interfaces.ResponseHead,
         exchange: http_connection.Exchange,
     ) -> request_context.Outcome:
+        writer = self._writer(context, attempt, head, exchange)
+        writer.begin_stream()
+        try:
+            return await self._forward_events(context, attempt, exchange, writer)
+        finally:
+            writer.forget_partial()
+
+    async def _forward_events(
+        self,
+        context: request_context.RequestContext,
+        attempt: open_attempts.OpenAttempt,
+        exchange: http_connection.Exchange,
+        writer: answer_writer.AnswerWriter,
+    ) -> request_context.Outcome:
+        """Pass on the events of a stream until its end."""
         upstream = attempt.selected.upstream
         events_before = context.events.last_number or 0
         seconds: float | None = None
-        writer = self._writer(context, attempt, head, exchange)
-        writer.begin_stream()
         while True:
             data = await self._wait_for(context, attempt, exchange.read)
             now = clock.now()
@@ -530,6 +543,7 @@
                     writer.check_end()
                     break
                 events = writer.accept(data)
+                exchange.keep(writer.partial_bytes)
             except delivery_errors.StreamOrderError as error:
                 upstream.record_failure(now)
                 return request_context.Failed(str(error))
--- a/hollyring/node/held_body.py
+++ b/hollyring/node/held_body.py
@@ -55,6 +55,7 @@
         "_buffer",
         "_waits_for_room",
         "_timer",
+        "_kept",
         "declared_bytes",
     )
 
@@ -75,6 +76,7 @@
         self._buffer = bytearray()
         self._waits_for_room = False
         self._timer: asyncio.TimerHandle | None = None
+        self._kept = 0
         self.declared_bytes: int | None = None
 
     @property
@@ -133,6 +135,15 @@
         self._holding.give_back(len(data))
         return data
 
+    def keep(self, size: int) -> bool:
+        """Charge the `size` bytes passed on that the reader keeps; return False without room."""
+        growth = size - self._kept
+        self._kept = size
+        if growth > 0:
+            return self._holding.take(growth)
+        self._holding.give_back(-growth)
+        return True
+
     def settle(self) -> None:
         """Record that nothing more will arrive."""
         self._stop_waiting()
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -268,6 +268,14 @@
         """Give back what the body is charged; nothing is read any more."""
         self._body.close()
 
+    def keep(self, size: int) -> None:
+        """Charge `size` bytes that were read and that the reader keeps, such as part of an event.
+
+        Without room the response is ended, or another one; `read` raises `NoRoomError` then.
+        """
+        if not self._body.keep(size) and self._failure is None and not self._ended:
+            self._end_for_room()
+
     def _end_too_long(self) -> None:
         """End the response, as its body is too long."""
         declared, limit = self._body.declared_bytes, self._body.max_bytes
