A close of a connection that its client has reset raises nothing and waits for nobody

Seen: "Fatal error: protocol.data_received() call failed" for each client that reset its connection while it was being refused, and connections that stayed open for good where a client read none of the answer. Cause: `write_eof` raises ENOTCONN on a connection that was reset; the error passed through the parser's callback, and the next write raised as well. After the wait for such a client `close` waited again, for its written bytes to be received. Change: both abort the connection. Reading may be held back apart from the application's flow control (`hold_reading`), for the turns that follow. Evidence: the log of test_held_connections had dozens of these errors, and has none.

--- a/hollyring/node/lingering_transport.py
+++ b/hollyring/node/lingering_transport.py
@@ -31,7 +31,15 @@
         Returns, at a close, whether the peer may go on sending after it was answered whole.
     """
 
-    __slots__ = ("_transport", "_may_linger", "_timer", "_unsent_bytes", "_discarded_bytes")
+    __slots__ = (
+        "_transport",
+        "_may_linger",
+        "_timer",
+        "_unsent_bytes",
+        "_discarded_bytes",
+        "_is_paused",
+        "_is_held",
+    )
 
     def __init__(self, transport: asyncio.Transport, may_linger: Callable[[], bool]) -> None:
         super().__init__()
@@ -40,6 +48,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._unsent_bytes = 0
         self._discarded_bytes = 0
+        self._is_paused = False
+        self._is_held = False
 
     def close(self) -> None:
         """Close the connection, at once or after what was written has been received."""
@@ -48,8 +58,13 @@
         if self._transport.is_closing() or not self._may_linger():
             self._transport.close()
             return
-        self._transport.write_eof()
-        self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError:  # the peer has reset the connection, which the event loop has yet to see
+            self._transport.abort()
+            return
+        self._is_held = False
+        self.resume_reading()
         self._unsent_bytes = self._count_unsent()
         self._start_timer()
 
@@ -74,13 +89,33 @@
         if self._timer is None:
             self._transport.write(data)
 
+    def abort(self) -> None:
+        """Close the connection at once, whatever the peer has not received."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._transport.abort()
+
     def pause_reading(self) -> None:
         """Receive no more."""
+        self._is_paused = True
         self._transport.pause_reading()
 
     def resume_reading(self) -> None:
-        """Receive again."""
-        self._transport.resume_reading()
+        """Receive again, unless `hold_reading` forbids it."""
+        self._is_paused = False
+        if not self._is_held:
+            self._transport.resume_reading()
+
+    def hold_reading(self) -> None:
+        """Receive no more until `release_reading`, whatever `resume_reading` says."""
+        self._is_held = True
+        self._transport.pause_reading()
+
+    def release_reading(self) -> None:
+        """Receive again, unless `pause_reading` forbids it."""
+        self._is_held = False
+        if not self._is_paused:
+            self._transport.resume_reading()
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
         """Set the sizes of the write buffer at which the protocol pauses and resumes writing."""
@@ -105,4 +140,7 @@
             self._unsent_bytes = unsent_bytes
             self._start_timer()
             return
+        if unsent_bytes:
+            self.abort()  # a close would wait until the peer has received it
+            return
         self.end()
