Requests that are not read whole make room for others, the longest held first

Seen by callers: 300 connections that each send 120 KB of a long body and nothing more fill the byte budget; ordinary requests get 503 for up to ten seconds, or an unfinished answer is ended for them. Cause: only answers could be ended for others. A request whose body is being read has not run, and was kept until its time was over. Change: where the sum is exceeded, the request goes first that is read without a reservation and has been held for longest; one that has been read for over a second also goes for a body that waits for room.

--- a/hollyring/limits/byte_budget.py
+++ b/hollyring/limits/byte_budget.py
@@ -3,8 +3,9 @@
 Whoever holds bytes opens a `Holding`, takes what arrives and closes it at the end. A bound for each
 answer does not bound their sum, so a long one reserves its room before it is read further, in the
 order of asking; what does not fit waits, with its socket unread. Short ones never wait for long
-ones. Where the sum exceeds the budget all the same, the unfinished answer that holds most goes
-first, before others one that did not declare its length.
+ones. Where the sum exceeds the budget all the same, a request goes first that is read without a
+reservation, the longest held of these, as it has not run; then the unfinished answer that holds
+most, before others one that did not declare its length.
 
 A long answer that declares no length grows by steps. The room that the longest of them may still
 need is kept free of the others, so that they never wait for each other (the banker's algorithm with
@@ -68,9 +69,20 @@
     on_evicted
         Called without arguments to end this holding for the sake of others, and closes it; None
         while it cannot be ended.
+    is_slow
+        Whether the bytes come so slowly that others which wait for room need not wait for them.
     """
 
-    __slots__ = ("_budget", "_kind", "_bytes", "_reserved", "_grows", "declared", "on_evicted")
+    __slots__ = (
+        "_budget",
+        "_kind",
+        "_bytes",
+        "_reserved",
+        "_grows",
+        "declared",
+        "on_evicted",
+        "is_slow",
+    )
 
     def __init__(
         self, budget: ByteBudget, kind: Kind, on_evicted: Callable[[], None] | None
@@ -81,6 +93,7 @@
         self._reserved = 0
         self._grows = False
         self.declared = False
+        self.is_slow = False
         self.on_evicted = on_evicted
 
     @property
@@ -223,7 +236,7 @@
         self._limit = limit
         self._held = 0
         self._held_by_kind = dict.fromkeys(Kind, 0)
-        self._holdings: set[Holding] = set()
+        self._holdings: dict[Holding, None] = {}
         self._waiting: collections.OrderedDict[Holding, tuple[int, Callable[[], None]]] = (
             collections.OrderedDict()
         )
@@ -278,7 +291,7 @@
     def open(self, kind: Kind, on_evicted: Callable[[], None] | None = None) -> Holding:
         """Return a holding without any bytes."""
         holding = Holding(self, kind, on_evicted)
-        self._holdings.add(holding)
+        self._holdings[holding] = None
         return holding
 
     def charge(self, holding: Holding, size: int) -> bool:
@@ -321,6 +334,7 @@
             return
         self._waits += 1
         self._waiting[holding] = (size, on_granted)
+        self._end_slow_requests(holding, size)
         self._grant()
 
     def cancel_wait(self, holding: Holding) -> None:
@@ -334,7 +348,7 @@
             return
         self._add(holding, -holding.charged)
         holding.clear()
-        self._holdings.remove(holding)
+        del self._holdings[holding]
         self._waiting.pop(holding, None)
         self._grant()
 
@@ -394,8 +408,20 @@
     def _victim(self) -> Holding | None:
         """Return the holding to end next, None if none can be ended."""
         candidates = [holding for holding in self._holdings if holding.on_evicted]
+        for holding in candidates:
+            if holding.kind in REQUEST_KINDS and not holding.reserved and holding.bytes:
+                return holding
         return max(candidates, key=_eviction_rank, default=None)
 
+    def _end_slow_requests(self, holding: Holding, size: int) -> None:
+        """End requests that are read slowly, the longest held first, until there is room."""
+        for other in list(self._holdings):
+            if self._fits(holding, size):
+                return
+            is_request = other.kind in REQUEST_KINDS and other.on_evicted is not None
+            if is_request and other.is_slow and other is not holding:
+                self._evict(other)
+
     def _evict(self, holding: Holding) -> None:
         self._evictions += 1
         on_evicted, holding.on_evicted = holding.on_evicted, None
--- a/hollyring/limits/tests/test_byte_budget.py
+++ b/hollyring/limits/tests/test_byte_budget.py
@@ -151,3 +151,46 @@
         largest_copy = byte_budget.ByteBudget(limit).max_answer_bytes
         needed = byte_budget.OWN_BYTES + limit + largest_copy
         assert needed <= memory_mb * byte_budget.BYTES_PER_MEGABYTE
+
+
+class Request:
+    """A request whose body is being read, and has not run."""
+
+    def __init__(self, budget):
+        self.ended = False
+        self.holding = budget.open(KIND.REQUEST, self.end)
+
+    def end(self):
+        self.ended = True
+
+
+def test_requests_that_are_held_unfinished_go_before_answers_the_longest_held_first():
+    """The load: many callers that send the beginning of a body each, and nothing more."""
+    budget = byte_budget.ByteBudget(LIMIT)
+    answer = Answer(budget, 10_000_000, declared=False)
+    answer.holding.take(5_000_000)
+    held = [Request(budget) for _ in range(200)]
+    for request in held:
+        request.holding.take(240_000)
+    ordinary = Request(budget)
+    assert ordinary.holding.take(8_000)
+    assert not answer.evicted
+    assert not ordinary.ended
+    ended = [request.ended for request in held]
+    assert ended == sorted(ended, reverse=True)
+    assert 0 < sum(ended) < len(held)
+    assert budget.held <= LIMIT
+
+
+def test_request_that_is_read_slowly_ends_for_one_that_waits_for_room():
+    budget = byte_budget.ByteBudget(LIMIT)
+    slow, quick, waiting = Request(budget), Request(budget), Request(budget)
+    for request in (slow, quick):
+        assert request.holding.try_reserve(6_000_000)
+    granted = []
+    waiting.holding.await_room(7_000_000, lambda: granted.append(True))
+    assert not granted
+    waiting.holding.stop_waiting()
+    slow.holding.is_slow = True
+    waiting.holding.await_room(7_000_000, lambda: granted.append(True))
+    assert (granted, slow.ended, quick.ended) == ([True], True, False)
--- a/hollyring/node/request_bodies.py
+++ b/hollyring/node/request_bodies.py
@@ -5,7 +5,7 @@
 import anyio
 
 from hollyring.limits import byte_budget
-from hollyring.node import asgi, errors, held_bytes
+from hollyring.node import asgi, clock, errors, held_bytes
 
 COPIES = 2
 """Copies of a body that are held at once: the caller's, and the request to an upstream."""
@@ -17,6 +17,9 @@
 """Retry delay of a request whose body finds no room; long bodies are passed on faster."""
 
 
+SLOW_SECONDS = 1.0
+"""Time after which a body that is not whole yields to others that wait for room."""
+
 UNREAD_BYTES = 131_072
 """Bytes of a body that the event loop holds at most while the rest waits for room."""
 
@@ -53,7 +56,24 @@
     declared = asgi.declared_length(headers)
     if declared is not None and declared > limit:
         raise asgi.BodyTooLargeError(f"declared request body exceeds {limit} bytes")
+    with anyio.CancelScope() as scope:
+        holding.on_evicted = scope.cancel
+        try:
+            return await _read(holding, declared, receive, limit, seconds)
+        finally:
+            holding.on_evicted = None
+    raise NoRoomError("a request that was not read whole was ended for others")
+
+
+async def _read(
+    holding: byte_budget.Holding,
+    declared: int | None,
+    receive: asgi.Receive,
+    limit: int,
+    seconds: float,
+) -> bytes:
     body = bytearray()
+    slow_at = clock.now() + SLOW_SECONDS
     try:
         with anyio.fail_after(seconds):
             if declared is not None and declared > byte_budget.SHORT_BYTES:
@@ -64,6 +84,7 @@
                     raise asgi.DisconnectedError("caller disconnected before the end of the body")
                 part = message.get("body", b"")
                 body += part
+                holding.is_slow = clock.now() > slow_at
                 if len(body) > limit:
                     raise asgi.BodyTooLargeError(f"request body exceeds {limit} bytes")
                 if not holding.take(COPIES * len(part)):
