All that a client sends is counted from its first byte, at every address; connections and costly input have bounds of their own

Seen by callers: a client ended a process in seconds with a head, a target, a header line or trailers without end; at the directory also with legal heads or requests ahead, at 9 GB with 80 connections. Chunks of one byte kept everyone waiting for seconds after the crowd had gone, and the other VMs without heartbeats. 300 connections that send nothing, or half a message, took all of the callers' connections: 429 for everyone. Cause: memory was counted when a line or a head was parsed, at the callers' address only. The parser keeps a line until it ends and says nothing; the directory, health and metrics addresses, and the admin port of `hollyring serve`, had uvicorn's own protocol without any limit. A read of 64 KB may hold eleven thousand chunks. A new connection was refused, never an old one closed. Change: one protocol for all addresses. `limits/intake` counts what is read of each stage (blank lines, head, framing and trailers beside a body) before or as the parser gets it, in reads of 4 KB; `limits/head_budget` takes its memory from one sum, and ends unfinished heads that are held for long; `limits/read_pace` and `limits/turns` give a connection some 256 events a read, and costly ones one read a round; `limits/connection_slots` closes the connection that carries no whole request for longest; `node/listening` shares descriptors and memory among the addresses. What a connection has read is freed when it is lost. 32 connections are accepted a round. A client that receives nothing for 20 s is cut; log lines are at most 20 a second. test_connection_above_the_limit_is_refused held that silent connections keep new ones out, which is this fault; two tests replace it: a connection is refused if each of the others carries a request, and one is served in place of the oldest that sent nothing.

--- a/hollyring/limits/head_budget.py
+++ b/hollyring/limits/head_budget.py
@@ -1,12 +1,15 @@
-"""Budget of the memory that the heads of callers' requests take, as a sum.
+"""Budget of the memory that heads and unfinished lines of messages take, as a sum.
 
-A head of many short header lines takes ten to sixty times its bytes. The load that this answers:
-many callers at once whose heads are as long as the limits allow, or that send requests ahead of
-the answers. What ordinary requests take is not counted, so that they are not refused beside them.
+A head of many short header lines takes ten to sixty times its bytes, and a line without end is kept
+by the parser. The load that this answers: many peers at once whose heads are as long as the limits
+allow, that send requests ahead of the answers, or that hold a message that they never end. What
+ordinary messages take is not counted, so that they are not refused beside them.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from hollyring.limits import byte_budget
 
 LINE_BYTES = 400
@@ -25,6 +28,9 @@
 STEP_BYTES = 24_000
 """Step by which the memory of a head grows."""
 
+UNFINISHED_SECONDS = 0.5
+"""Time after which an unfinished head may be ended for others; a sound one takes milliseconds."""
+
 MEMORY_SHARE = 0.15
 """Share of what a process has beside its own memory."""
 
@@ -32,30 +38,76 @@
 MAX_LIMIT_BYTES = 64 * byte_budget.BYTES_PER_MEGABYTE
 
 
+class HeadHolding:
+    """Memory that the heads of one connection take; made by `HeadBudget.open`."""
+
+    __slots__ = ("_budget", "_bytes", "on_evicted")
+
+    def __init__(self, budget: HeadBudget, on_evicted: Callable[[], None]) -> None:
+        self._budget = budget
+        self._bytes = 0
+        self.on_evicted = on_evicted
+
+    @property
+    def bytes(self) -> int:
+        """Bytes that are held."""
+        return self._bytes
+
+    def take(self, size: int, now: float) -> bool:
+        """Take `size` bytes more, for a head that is not whole; return False without room.
+
+        Unfinished heads of others that have been held for longer than `UNFINISHED_SECONDS` are
+        ended for it, the longest held first.
+
+        Parameters
+        ----------
+        now
+            Time in seconds, of a clock that never goes back.
+        """
+        return self._budget.take(self, size, now)
+
+    def finish(self) -> None:
+        """Record that what was taken belongs to whole heads, which are not ended for others."""
+        self._budget.finish(self)
+
+    def give_back(self, size: int) -> None:
+        """Give bytes back."""
+        self._budget.give_back(self, size)
+
+    def add(self, size: int) -> None:
+        """Record a change that the budget has made."""
+        self._bytes += size
+
+
 class HeadBudget:
-    """Memory that heads of callers' requests may take at the same time.
+    """Memory that unfinished lines and the heads of messages may take at the same time.
 
     Parameters
     ----------
     limit
-        Most bytes, unless a single head alone takes more.
+        Most bytes, unless a single connection alone takes more.
 
     Examples
     --------
     >>> budget = HeadBudget(limit=1_000_000)
-    >>> budget.take(900_000, held=0), budget.take(900_000, held=0), budget.held
+    >>> first = budget.open(lambda: first.give_back(900_000))
+    >>> second = budget.open(lambda: second.give_back(900_000))
+    >>> first.take(900_000, now=0.0), second.take(900_000, now=0.1), budget.held
     (True, False, 900000)
-    >>> budget.give_back(900_000)
-    >>> budget.take(2_000_000, held=0)
+    >>> second.take(900_000, now=5.0), first.bytes, budget.held
+    (True, 0, 900000)
+    >>> second.take(2_000_000, now=5.0)
     True
     """
 
-    __slots__ = ("_limit", "_held", "_refusals")
+    __slots__ = ("_limit", "_held", "_refusals", "_evictions", "_unfinished")
 
     def __init__(self, limit: int = MAX_LIMIT_BYTES) -> None:
         self._limit = limit
         self._held = 0
         self._refusals = 0
+        self._evictions = 0
+        self._unfinished: dict[HeadHolding, float] = {}
 
     @property
     def limit(self) -> int:
@@ -72,20 +124,62 @@
         """Number of heads since the start for which there was no room."""
         return self._refusals
 
-    def take(self, size: int, held: int) -> bool:
-        """Take `size` bytes for a connection that has `held` already; return False without room.
-
-        A connection that is the only one gets what it needs.
+    @property
+    def evictions(self) -> int:
+        """Number of unfinished heads since the start that were ended for others."""
+        return self._evictions
+
+    def open(self, on_evicted: Callable[[], None]) -> HeadHolding:
+        """Return a holding without any bytes.
+
+        Parameters
+        ----------
+        on_evicted
+            Called to end the unfinished head of the connection for the sake of others; gives back
+            what it took.
         """
-        if self._held > held and self._held + size > self._limit:
-            self._refusals += 1
-            return False
+        return HeadHolding(self, on_evicted)
+
+    def take(self, holding: HeadHolding, size: int, now: float) -> bool:
+        """Take bytes for a holding, as `HeadHolding.take` says."""
+        while not self._has_room(holding, size):
+            victim = self._victim(holding, now)
+            if victim is None:
+                self._refusals += 1
+                return False
+            self._evict(victim)
         self._held += size
+        holding.add(size)
+        self._unfinished.setdefault(holding, now)
         return True
 
-    def give_back(self, size: int) -> None:
-        """Give bytes back."""
+    def finish(self, holding: HeadHolding) -> None:
+        """Record that a holding has whole heads only."""
+        self._unfinished.pop(holding, None)
+
+    def give_back(self, holding: HeadHolding, size: int) -> None:
+        """Give bytes of a holding back."""
         self._held -= size
+        holding.add(-size)
+        if not holding.bytes:
+            self._unfinished.pop(holding, None)
+
+    def _has_room(self, holding: HeadHolding, size: int) -> bool:
+        is_only_one = self._held <= holding.bytes
+        return is_only_one or self._held + size <= self._limit
+
+    def _victim(self, holding: HeadHolding, now: float) -> HeadHolding | None:
+        """Return the unfinished head that has been held for longest, if that is long."""
+        others = (other for other in self._unfinished if other is not holding)
+        oldest = next(others, None)
+        if oldest is None or now - self._unfinished[oldest] <= UNFINISHED_SECONDS:
+            return None
+        return oldest
+
+    def _evict(self, holding: HeadHolding) -> None:
+        self._evictions += 1
+        del self._unfinished[holding]
+        holding.on_evicted()
 
 
 def is_ordinary(head_bytes: int, lines: int) -> bool:
--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -12,7 +12,6 @@
 from collections.abc import Callable
 
 import anyio
-import msgspec
 import uvicorn
 
 from hollyring.core import identities, request_types
@@ -39,6 +38,7 @@
     http_server,
     interfaces,
     internal_app,
+    listening,
     logs,
     metrics,
     peers,
@@ -89,16 +89,8 @@
 VERSION_MARGIN_SECONDS = 1.5
 """Part of the version deadline that is kept for requests waiting at their upstream."""
 
-CALLER_LIMITS = settings.Limits(header_bytes=65_536, header_seconds=20.0, connections=3_000)
-"""Limits on callers' connections; the configuration limits the size of requests."""
-
-CALLER_DESCRIPTOR_SHARE = 0.6
-"""Share of the descriptors that callers' connections may take; the rest is for all others."""
-
-OWN_DESCRIPTORS = 200
-"""Descriptors that sockets can't have."""
-
-MIN_CALLER_CONNECTIONS = 64
+CLIENT_LIMITS = settings.Limits(header_bytes=65_536, header_seconds=20.0)
+"""Limits on what clients send at any address; the configuration limits the size of requests."""
 
 
 class CallerCodec(typing.Protocol):
@@ -208,6 +200,8 @@
         )
         self._budget = budget
         self._heads = head_budget.HeadBudget(head_budget.limit_for(vm_settings.memory_bytes))
+        self._limits = listening.ListeningLimits(vm_settings.descriptors, vm_settings.memory_bytes)
+        self._shared = bounded_protocol.Shared(self._heads, self._limits.slots(vm_settings))
         self._connections = connection_pool.ConnectionPool(budget)
         codec = wire.Codec(heartbeat_messages.MESSAGES | forwarded_messages.MESSAGES)
         self._peers = peers.PeerConnections(
@@ -291,13 +285,11 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully; SIGHUP reloads the settings."""
         vm_settings = self._settings
-        caller_server = self._make_server(
-            self._caller_app,
-            bounded_protocol.protocol_class(
-                self._caller_limits(), self._max_header_bytes, self._heads
-            ),
+        protocol = bounded_protocol.protocol_class(
+            CLIENT_LIMITS, self._max_header_bytes, self._shared
         )
-        internal_server = self._make_server(self._internal_app(), "httptools")
+        caller_server = self._make_server(self._caller_app, protocol)
+        internal_server = self._make_server(self._internal_app(), protocol)
         internal_addresses = {
             vm_settings.health_address,
             vm_settings.entry_address,
@@ -366,7 +358,7 @@
             self._metrics,
             self._settings.max_entry_ttl_seconds,
             self._budget,
-            self._heads,
+            self._shared,
         )
 
     def _make_server(self, app: typing.Any, protocol: typing.Any) -> uvicorn.Server:
@@ -497,19 +489,13 @@
         self._log.info("request not read", code=rejection.code, why=str(error))
         await response.refuse(rejection)
 
-    def _caller_limits(self) -> settings.Limits:
-        """Return the limits on callers' connections, of which the descriptors bear as many."""
-        usable = CALLER_DESCRIPTOR_SHARE * (self._settings.descriptors - OWN_DESCRIPTORS)
-        connections = max(MIN_CALLER_CONNECTIONS, min(CALLER_LIMITS.connections, int(usable)))
-        return msgspec.structs.replace(CALLER_LIMITS, connections=connections)
-
     def _max_header_bytes(self) -> int:
         current = self._state.deployment
-        return current.limits.header_bytes if current else CALLER_LIMITS.header_bytes
+        return current.limits.header_bytes if current else CLIENT_LIMITS.header_bytes
 
     def _max_body_bytes(self) -> int:
         current = self._state.deployment
-        return current.limits.body_bytes if current else CALLER_LIMITS.body_bytes
+        return current.limits.body_bytes if current else CLIENT_LIMITS.body_bytes
 
     def _observe_store_era(self, era: int) -> None:
         self._state.store_era.observe(era, "store")
--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -1,37 +1,37 @@
-"""HTTP protocol of the callers' port, with limits on connections, header size and header time."""
+"""HTTP protocol of the addresses that clients reach, with bounds on all that they may send.
+
+What is read is counted by `limits/intake` from its first byte, its memory is taken from
+`limits/head_budget`, and `limits/read_pace` says how much is read at once. How many connections
+may be open, and which goes first, is decided by `limits/connection_slots`.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, MutableMapping
+import dataclasses
+from collections.abc import Callable, Mapping, MutableMapping
 from typing import Any
 
-import msgspec
 from uvicorn.protocols.http import httptools_impl
 
 from hollyring.core import request_types
 from hollyring.delivery import refusal
-from hollyring.limits import head_budget
+from hollyring.limits import connection_slots, head_budget, intake, read_pace
 from hollyring.node import (
     asgi,
     caller_connection,
-    completion_format,
+    clock,
+    connection_refusals,
+    input_turns,
     lingering_transport,
-    logs,
     settings,
     sockets,
     unstated_end,
 )
 
-REASON_PHRASES = {
-    400: "Bad Request",
-    408: "Request Timeout",
-    429: "Too Many Requests",
-    431: "Header Fields Too Large",
-    503: "Service Unavailable",
-}
-
 UPGRADE_WITH_BODY = "A request with a body cannot ask for another protocol."
+BLANK_LINES = "Empty lines are not a request."
+LONG_FRAMING = "A chunk's line or the trailers are longer than allowed."
 
 CLOSE_NAME, _ = asgi.CLOSE
 
@@ -47,11 +47,63 @@
 CLOSE_CHECK_SECONDS = 0.25
 """Interval at which the close of a caller is looked for while nothing is read from it."""
 
+MAX_BLANK_BYTES = 4_096
+"""Bytes of empty lines before a request."""
+
+RAW_FACTOR = 4
+"""Bytes of the shortest header line for each byte of its name and value."""
+
+REST_SECONDS = 10.0
+"""Time for the rest of a request that was answered before it was read whole."""
+
+UNSENT_BYTES = 16_384
+"""Bytes that a client has not received above which nothing more is written to it."""
+
+STALL_SECONDS = 20.0
+"""Time after which a client is cut that has received nothing of what was written."""
+
+Slots = connection_slots.ConnectionSlots[Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Shared:
+    """What the connections of one server share.
+
+    Parameters
+    ----------
+    heads
+        Memory that heads and unfinished lines of all connections may take.
+    slots
+        Connections that may be open, by the port that they were accepted on; those on another port
+        share the limit on connections of the settings.
+    turns
+        Turns of connections whose input costs much time.
+    """
+
+    heads: head_budget.HeadBudget = dataclasses.field(default_factory=head_budget.HeadBudget)
+    slots: Mapping[int, Slots] = dataclasses.field(default_factory=dict)
+    turns: input_turns.InputTurns = dataclasses.field(default_factory=input_turns.InputTurns)
+
+    def gauges(self) -> dict[str, int]:
+        """Return what the connections hold, by metric name without its prefix."""
+        slots = self.slots.values()
+        return {
+            "held_heads_bytes": self.heads.held,
+            "held_heads_limit": self.heads.limit,
+            "held_heads_refusals_total": self.heads.refusals,
+            "held_heads_evictions_total": self.heads.evictions,
+            "client_connections": sum(len(some) for some in slots),
+            "client_connections_limit": sum(some.limit for some in slots),
+            "client_connections_closed_for_others_total": sum(
+                some.closed_for_others for some in slots
+            ),
+        }
+
 
 def protocol_class(
     limits: settings.Limits,
     max_header_bytes: Callable[[], int] | None = None,
-    heads: head_budget.HeadBudget | None = None,
+    shared: Shared | None = None,
 ) -> type[httptools_impl.HttpToolsProtocol]:
     """Return a protocol class that enforces `limits`.
 
@@ -59,18 +111,20 @@
     ----------
     max_header_bytes
         Returns the most bytes of names and values of a request's headers, if that may change.
-    heads
-        Memory that the heads of all connections may take.
+    shared
+        What the connections share with those of other classes.
     """
-    budget = heads or head_budget.HeadBudget()
+    common = shared or Shared()
+    other_slots: Slots = connection_slots.ConnectionSlots(limits.connections)
+    log = connection_refusals.ConnectionLog()
 
     class BoundedProtocol(httptools_impl.HttpToolsProtocol):
-        """Connection of a caller."""
+        """Connection of a client."""
 
-        _head_bytes = 0
-        _in_head = True
         _timer: asyncio.TimerHandle | None = None
         _close_timer: asyncio.TimerHandle | None = None
+        _stall_timer: asyncio.TimerHandle | None = None
+        _unsent_bytes = 0
         _close_seen = False
 
         transport: lingering_transport.LingeringTransport
@@ -79,7 +133,7 @@
         _ignores_input = False
         _shuts_down = False
         _fields_bytes = 0
-        _head_held = 0
+        _stage_held = 0
 
         @property
         def _whole_running(self) -> httptools_impl.RequestResponseCycle | None:
@@ -89,16 +143,41 @@
                 return None
             return running
 
+        @property
+        def _stage_limits(self) -> intake.Limits:
+            legal = RAW_FACTOR * max_header_bytes() if max_header_bytes is not None else 0
+            most = max(limits.header_bytes, legal)
+            return intake.Limits(MAX_BLANK_BYTES, most, most)
+
         def connection_made(self, transport: Any) -> None:
-            sockets.limit_reads(transport)
+            self._socket_transport = transport
+            self._intake = intake.Intake()
+            self._pace = read_pace.ReadPace()
+            self._holding = common.heads.open(self._make_room)
+            self._held: dict[httptools_impl.RequestResponseCycle, int] = {}
+            sockets.limit_reads(transport, self._pace.size)
+            transport.set_write_buffer_limits(high=UNSENT_BYTES)
             lingering = lingering_transport.LingeringTransport(transport, self._may_linger)
             super().connection_made(lingering)
-            self._held: dict[httptools_impl.RequestResponseCycle, int] = {}
             self._caller_connection = caller_connection.CallerConnection(transport)
-            if len(self.connections) > limits.connections:
+            self._slots = common.slots.get(transport.get_extra_info("sockname")[1], other_slots)
+            match self._slots.open(self):
+                case connection_slots.Refused():
+                    self._refuse(refusal.make("too_many_connections"), lingers=False)
+                    return
+                case connection_slots.AdmittedInstead(closed=other):
+                    other.make_way()
+            self._start_timer()
+
+        def make_way(self) -> None:
+            """Close this connection, which carries no whole request, for another one."""
+            if self.transport.is_closing():
+                self.transport.abort()
+            elif self._intake.stage is not intake.Stage.BETWEEN:
                 self._refuse(refusal.make("too_many_connections"), lingers=False)
-                return
-            self._start_head()
+            else:
+                self._ignores_input = True
+                self.transport.end()
 
         def _may_linger(self) -> bool:
             """Return whether the last response is whole and unread bytes may follow the request."""
@@ -106,18 +185,23 @@
             return is_whole and self._ignores_input and not self._caller_connection.ended
 
         def connection_lost(self, exc: Exception | None) -> None:
+            self._slots.close(self)
+            common.turns.leave(self.transport)
             self._stop_timer()
-            budget.give_back(self._head_held + sum(self._held.values()))
-            self._head_held = 0
+            self._holding.finish()
+            self._holding.give_back(self._holding.bytes)
+            self._stage_held = 0
             self._held.clear()
-            if self._close_timer is not None:
-                self._close_timer.cancel()
+            for timer in (self._close_timer, self._stall_timer):
+                if timer is not None:
+                    timer.cancel()
             self.transport.end()
             running = self._running
             if running is not None and not running.response_complete:
                 running.disconnected = True
                 running.message_event.set()
             super().connection_lost(exc)
+            self._forget_requests()
 
         def eof_received(self) -> bool | None:  # type: ignore[override]
             """Keep the connection open for the answer to a request that was read whole."""
@@ -134,18 +218,66 @@
             if self.cycle is None or self.cycle.response_complete:
                 self.transport.close()
 
+        def pause_writing(self) -> None:
+            """Write no more, and cut a client that receives nothing for long."""
+            super().pause_writing()
+            self._unsent_bytes = self._socket_transport.get_write_buffer_size()
+            if self._stall_timer is None:
+                self._stall_timer = self.loop.call_later(STALL_SECONDS, self._check_stall)
+
+        def resume_writing(self) -> None:
+            """Write again."""
+            super().resume_writing()
+            if self._stall_timer is not None:
+                self._stall_timer.cancel()
+                self._stall_timer = None
+
+        def _check_stall(self) -> None:
+            self._stall_timer = None
+            if self._socket_transport.get_write_buffer_size() >= self._unsent_bytes:
+                log.info("cut", why="receives nothing")
+                self.transport.abort()
+                return
+            self.pause_writing()
+
         def data_received(self, data: bytes) -> None:
             if self.transport.is_closing():
                 self.transport.discard(len(data))
                 return
             if self._ignores_input:
                 return
-            self._head_bytes += len(data) if self._in_head else 0
+            self._intake.receive(len(data))
+            if self._intake.stage is not intake.Stage.BODY and not self._hold_stage():
+                self._refuse_stage(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
+                return
             super().data_received(data)
-            if self._in_head and self._head_bytes > limits.header_bytes:
-                self._refuse(refusal.make("headers_too_large"))
+            if not self._ignores_input and not self.transport.is_closing():
+                self._check_stage()
+                self._end_turn(len(data))
             self._watch_for_close()
 
+        def _check_stage(self) -> None:
+            """Refuse a message of which a stage has no end, or for which there is no room."""
+            if self._intake.exceeds(self._stage_limits):
+                self._refuse_stage(self._stage_refusal())
+            elif not self._hold_stage():
+                self._refuse_stage(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
+
+        def _stage_refusal(self) -> refusal.Refusal:
+            match self._intake.stage:
+                case intake.Stage.BETWEEN:
+                    return refusal.make("invalid_request", message=BLANK_LINES)
+                case intake.Stage.HEAD:
+                    return refusal.make("headers_too_large")
+                case intake.Stage.BODY:
+                    return refusal.make("invalid_request", message=LONG_FRAMING)
+
+        def _end_turn(self, size: int) -> None:
+            """Say how much is read next, and let others have their turn after costly input."""
+            if self._pace.record(size, self._intake.events):
+                common.turns.wait(self.transport)
+            sockets.limit_reads(self._socket_transport, self._pace.size)
+
         def _watch_for_close(self) -> None:
             """Look for a close while nothing is read; after it the rest is read up to its end."""
             if self._close_seen:
@@ -165,69 +297,105 @@
             self.scope["extensions"] = {
                 caller_connection.SCOPE_EXTENSION: self._caller_connection  # type: ignore[dict-item]
             }
-            if not self._in_head:
-                self._start_head()
+            self._intake.begin_head()
+            self._fields_bytes = 0
+            if self._timer is None:
+                self._start_timer()
 
         def on_header(self, name: bytes, value: bytes) -> None:
             """Record a header; trailers, which come behind the body, are ignored."""
-            if not self._in_head or self._ignores_input:
+            if self._ignores_input:
+                return
+            self._intake.add_line()
+            if self._intake.stage is not intake.Stage.HEAD:
                 return
             super().on_header(name, value)
             self._fields_bytes += len(name) + len(value)
-            if not head_budget.is_ordinary(self._fields_bytes, len(self.headers)):
+            if self._intake.cost:
                 self._check_long_head()
 
         def _check_long_head(self) -> None:
-            if max_header_bytes is not None and self._fields_bytes > max_header_bytes():
-                self._refuse_head(refusal.make("headers_too_large"))
-            elif not self._hold_head():
-                self._refuse_head(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
+            if self._has_too_many_fields():
+                self._refuse_stage(refusal.make("headers_too_large"))
+            elif not self._hold_stage():
+                self._refuse_stage(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
+
+        def _has_too_many_fields(self) -> bool:
+            return max_header_bytes is not None and self._fields_bytes > max_header_bytes()
 
         def on_url(self, url: bytes) -> None:
             if not self._ignores_input:
                 super().on_url(url)
 
-        def _hold_head(self) -> bool:
-            """Take the memory for the head that is being read; return False without room."""
-            size = head_budget.cost(self._fields_bytes, len(self.headers))
-            growth = size - self._head_held
+        def _hold_stage(self) -> bool:
+            """Take the memory of the stage that is being read; return False without room."""
+            cost = self._intake.cost
+            if not cost and self._intake.stage is intake.Stage.BODY:
+                self._release_stage()
+            growth = cost - self._stage_held
             if growth <= 0:
                 return True
             # In steps, so that not each line is counted by itself.
             growth = max(growth, head_budget.STEP_BYTES)
-            if not budget.take(growth, self._head_held + sum(self._held.values())):
+            if not self._holding.take(growth, clock.now()):
                 return False
-            self._head_held += growth
+            self._stage_held += growth
             return True
 
-        def _refuse_head(self, rejection: refusal.Refusal) -> None:
-            """Refuse the request whose head is being read, and forget what was read of it."""
+        def _release_stage(self) -> None:
+            if self._stage_held:
+                self._holding.give_back(self._stage_held)
+                self._stage_held = 0
+
+        def _refuse_stage(self, rejection: refusal.Refusal) -> None:
+            """Refuse the message that is being read, and forget what was read of it."""
+            if self._intake.stage is intake.Stage.HEAD:
+                self._forget_head()
             self._refuse(rejection)
             self._ignores_input = True
+            self._release_stage()
+
+        def _forget_head(self) -> None:
+            """Free what was read of a head."""
             self.headers.clear()
-            budget.give_back(self._head_held)
-            self._head_held = 0
+            self.url = b""
+
+        def _forget_requests(self) -> None:
+            """Free what was read; what refers to itself would wait long to be collected."""
+            if self._intake.stage is intake.Stage.HEAD:
+                self._forget_head()
+            for cycle in [self.cycle, self._running, *(waiting for waiting, _ in self.pipeline)]:
+                if cycle is not None:
+                    cycle.body = bytearray()
+                    _forget_sender(cycle)
+            self.pipeline.clear()
+            self.cycle = self._running = None  # type: ignore[assignment]
+            self.scope = self.headers = None  # type: ignore[assignment]
+
+        def _make_room(self) -> None:
+            """End the message that is being read for the sake of others."""
+            if not self._ignores_input:
+                self._refuse_stage(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
+            self._release_stage()
 
         def _may_wait(self) -> bool:
             """Take the memory for a request that waits for others; return False without room."""
             if len(self.pipeline) >= MAX_WAITING:
                 return False
-            held = self._head_held + sum(self._held.values())
-            if not budget.take(head_budget.REQUEST_BYTES, held):
+            if not self._holding.take(head_budget.REQUEST_BYTES, clock.now()):
                 return False
-            self._head_held += head_budget.REQUEST_BYTES
+            self._stage_held += head_budget.REQUEST_BYTES
             return True
 
         def _release(self, cycle: httptools_impl.RequestResponseCycle) -> None:
-            budget.give_back(self._held.pop(cycle, 0))
+            self._holding.give_back(self._held.pop(cycle, 0))
 
         def on_headers_complete(self) -> None:
             if self._ignores_input:
                 return
-            self._in_head = False
             self._stop_timer()
-            if max_header_bytes is not None and self._fields_bytes > max_header_bytes():
-                self._refuse_head(refusal.make("headers_too_large"))
+            if self._has_too_many_fields():
+                self._refuse_stage(refusal.make("headers_too_large"))
                 return
             if self.parser.should_upgrade() and _has_body(self.headers):
                 # The parser takes what follows such a head for another protocol.
@@ -235,32 +403,88 @@
                 return
             waits = self.cycle is not None and not self.cycle.response_complete
             if waits and not self._may_wait():
-                logs.Logger("connection").info("reads no further", waiting=len(self.pipeline))
-                self._refuse_head(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
+                log.info("reads no further", waiting=len(self.pipeline))
+                self._refuse_stage(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
                 return
+            self._begin_body()
             super().on_headers_complete()
-            self._held[self.cycle] = self._head_held
-            self._head_held = 0
+            self._held[self.cycle] = self._stage_held
+            self._stage_held = 0
+            self._slots.reads_body(self)
             extensions: dict[str, Any] = self.scope["extensions"]
             extensions[unstated_end.SCOPE_EXTENSION] = unstated_end.Sender(self.cycle)
             if 0 < len(self.pipeline) <= MAX_WAITING_WHILE_READING:
                 self.flow.resume_reading()  # a close is not seen while nothing is read
 
+        def _begin_body(self) -> None:
+            self._intake.end_head()
+            self._holding.finish()
+            self._pace.begin_body(asgi.declared_length(self.headers))
+
         def on_body(self, body: bytes) -> None:
-            if not self._ignores_input:
-                super().on_body(body)
+            if self._ignores_input:
+                return
+            self._intake.add_body(len(body))
+            super().on_body(body)
+            if self.cycle is not self._running and not self.cycle.response_complete:
+                self._hold_waiting(len(body))
+
+        def _hold_waiting(self, size: int) -> None:
+            """Take the memory for a part of the body of a request that waits for others."""
+            if self._holding.take(size, clock.now()):
+                self._held[self.cycle] += size
+            else:
+                self._refuse_stage(refusal.make("overloaded", NO_ROOM_RETRY_SECONDS))
 
         def on_message_complete(self) -> None:
             if self._ignores_input:
                 return
+            self._release_stage()
+            self._intake.end_message()
+            self._holding.finish()
+            self._pace.end_body()
+            if self.cycle.response_complete:
+                self._stop_timer()
+                self._slots.becomes_idle(self)
+            else:
+                self._slots.carries_request(self)
             super().on_message_complete()
             if self.parser.should_upgrade():
                 self._close_after_answers()
 
         def on_response_complete(self) -> None:
-            if self._running is not None:
-                self._release(self._running)
+            running = self._running
+            if running is not None:
+                self._release(running)
+                _forget_sender(running)
             super().on_response_complete()
+            if self.transport.is_closing():
+                self._slots.is_closing(self)
+            elif running is not None and running.more_body:
+                self._slots.is_closing(self)
+                self._limit_rest()
+            else:
+                self._slots.becomes_idle(self)
+                self._note_next()
+
+        def _note_next(self) -> None:
+            """Note whether the request that is answered next, if any, was read whole."""
+            running = self._running
+            if running is None or running.response_complete:
+                return
+            if running.more_body:
+                self._slots.reads_body(self)
+            else:
+                self._slots.carries_request(self)
+
+        def _limit_rest(self) -> None:
+            """Limit the time for the rest of a request that is answered already."""
+            self._stop_timer()
+            self._timer = self.loop.call_later(REST_SECONDS, self._close)
+
+        def _close(self) -> None:
+            self._slots.is_closing(self)
+            self.transport.close()
 
         def _start_asgi_task(self, cycle: httptools_impl.RequestResponseCycle, app: Any) -> None:
             async def run(scope: Any, receive: Any, send: Any) -> None:
@@ -286,10 +510,18 @@
             return send_open
 
         def send_400_response(self, msg: str) -> None:
-            logs.Logger("connection").info("refused", code="invalid_request", why=msg)
+            log.info("refused", code="invalid_request", why=msg)
             if not self._close_after_answers():
                 self._ignores_input = True
-                super().send_400_response(msg)
+                self._release_stage()
+                if not self._has_begun_answer():
+                    super().send_400_response(msg)
+                self._close()
+
+        def _has_begun_answer(self) -> bool:
+            """Return whether a request that was not read whole is being answered already."""
+            running = self._running
+            return running is not None and running.more_body and running.response_started
 
         def _close_after_answers(self) -> bool:
             """Read no more, and close the connection once each request read before is answered.
@@ -316,19 +548,16 @@
             last.keep_alive = False
             return True
 
-        def _start_head(self) -> None:
-            self._head_bytes = 0
-            self._fields_bytes = 0
-            self._in_head = True
+        def _start_timer(self) -> None:
             self._stop_timer()
             self._timer = self.loop.call_later(limits.header_seconds, self._on_head_timeout)
 
         def _on_head_timeout(self) -> None:
             self._timer = None
-            if self._head_bytes or self._whole_running is not None:
+            if self._intake.stage_bytes or self._whole_running is not None:
                 self._refuse(refusal.make("header_timeout"))
                 return
-            self.transport.close()
+            self._close()
 
         def _stop_timer(self) -> None:
             if self._timer is not None:
@@ -337,27 +566,24 @@
 
         def _refuse(self, rejection: refusal.Refusal, lingers: bool = True) -> None:
             """Write a complete response without calling the application, then close."""
-            logs.Logger("connection").info("refused", code=rejection.code)
+            log.info("refused", code=rejection.code)
             if self._close_after_answers():
                 return
             self._ignores_input = lingers
             self._stop_timer()
-            body = msgspec.json.encode(
-                completion_format.error(rejection.code, rejection.message, rejection.execution)
-            )
-            head = [
-                f"HTTP/1.1 {rejection.status} {REASON_PHRASES[rejection.status]}",
-                "connection: close",
-            ]
-            head += ["content-type: application/json", f"content-length: {len(body)}"]
-            for name, value in completion_format.retry_after(rejection.retry_after or None):
-                head.append(f"{name.decode()}: {value.decode()}")
-            self.transport.write("\r\n".join([*head, "", ""]).encode() + body)
-            self.transport.close()
+            if not self._has_begun_answer():
+                self.transport.write(connection_refusals.encode(rejection))
+            self._close()
 
     return BoundedProtocol
 
 
+def _forget_sender(cycle: httptools_impl.RequestResponseCycle) -> None:
+    """Let a request no longer refer to itself, so that it is freed at once."""
+    extensions: dict[str, Any] = cycle.scope["extensions"]
+    extensions.pop(unstated_end.SCOPE_EXTENSION, None)
+
+
 def _has_body(headers: list[request_types.Header]) -> bool:
     """Return whether a body follows the head of a request."""
     lengths = [value for name, value in headers if name == b"content-length"]
--- a/hollyring/node/http_server.py
+++ b/hollyring/node/http_server.py
@@ -13,6 +13,12 @@
 from hollyring.node import clock, logs, settings
 
 BACKLOG = 1024
+ACCEPTED_AT_ONCE = 32
+"""Connections that are accepted in one round of the event loop."""
+
+RECEIVE_BUFFER_BYTES = 131_072
+"""Bytes of a client that the kernel keeps unread; a crowd's would fill the machine's memory."""
+
 EXIT_CHECK_SECONDS = 0.25
 """Time between two checks whether the server is to exit; an idle VM wakes up for each."""
 
@@ -28,6 +34,12 @@
         """Install no signal handlers."""
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen, with a long queue, of which the event loop accepts a few in each round."""
+        await super().startup(sockets)
+        for listener in sockets or []:
+            listener.listen(BACKLOG)
+
     async def main_loop(self) -> None:
         """Wait until the server is to exit; each check also updates the default headers."""
         while not await self.on_tick(0):
@@ -70,7 +82,7 @@
         server_header=False,
         date_header=date_header,
         log_level="critical",
-        backlog=BACKLOG,
+        backlog=ACCEPTED_AT_ONCE,
         timeout_keep_alive=idle_seconds,
         # Declared as int, but passed to `asyncio.timeout`, which accepts fractions of a second.
         timeout_graceful_shutdown=typing.cast(int, grace_seconds),
@@ -83,6 +95,7 @@
     host, port = settings.split_address(address)
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     listener.bind((host, port))
     listener.listen(BACKLOG)
     listener.setblocking(False)
--- a/hollyring/node/internal_app.py
+++ b/hollyring/node/internal_app.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from hollyring.configuration import freshness
-from hollyring.limits import byte_budget, head_budget
+from hollyring.limits import byte_budget
 from hollyring.node import (
     asgi,
+    bounded_protocol,
     clock,
     connection_pool,
     forward_server,
@@ -53,8 +54,8 @@
         Longest time that the platform lets callers cache an entry response.
     budget
         Bytes that this VM may hold.
-    heads
-        Memory that the heads of callers' requests may take.
+    shared
+        What the connections of clients share.
     """
 
     def __init__(
@@ -67,10 +68,10 @@
         counters: metrics.Metrics,
         max_entry_ttl_seconds: float,
         budget: byte_budget.ByteBudget,
-        heads: head_budget.HeadBudget,
+        shared: bounded_protocol.Shared,
     ) -> None:
         self._budget = budget
-        self._heads = heads
+        self._shared = shared
         self._state = vm_state
         self._codec = caller_codec
         self._checker = checker
@@ -131,10 +132,9 @@
             "upstream_backoffs_total": self._state.backoffs.recorded,
             "upstream_limits_named_total": self._state.request_limits.named,
             "upstream_rejection_limits_named_total": self._state.rejection_limits.named,
-            "held_heads_bytes": self._heads.held,
-            "held_heads_limit": self._heads.limit,
-            "held_heads_refusals_total": self._heads.refusals,
-        } | held_bytes.gauges(self._budget)
+            "cached_parts": self._state.prefix_caches.parts,
+        }
+        gauges |= held_bytes.gauges(self._budget) | self._shared.gauges()
         lines = [f"hollyring_{name} {value}" for name, value in gauges.items()]
         lines += [
             f"hollyring_departures_{source}_total {count}"
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import anyio
+import msgspec
 import uvicorn
 
 from hollyring.configuration import state
@@ -43,6 +44,8 @@
 KEEPALIVE_TIMEOUT_SECONDS = 5
 """Time after which an idle connection of a caller is closed."""
 
+MAX_ADMIN_CONNECTIONS = 100
+
 INITIAL_VM_COUNT = 9
 """Number of VMs assumed by the retry budget until a configuration is in force."""
 
@@ -69,6 +72,7 @@
         self._metrics = metrics.Metrics()
         self._memory_bytes = vm_settings.memory_mb * byte_budget.BYTES_PER_MEGABYTE
         self._budget = byte_budget.ByteBudget(byte_budget.limit_for(self._memory_bytes))
+        self._heads = head_budget.HeadBudget(head_budget.limit_for(self._memory_bytes))
         self._connections = connection_pool.ConnectionPool(self._budget)
         self._platform = platform_client.PlatformClient(vm_settings.platform, self._connections)
         codec = wire.Codec(catalogue.MESSAGES)
@@ -146,13 +150,18 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        heads = head_budget.HeadBudget(head_budget.limit_for(self._memory_bytes))
-        protocol = bounded_protocol.protocol_class(self._settings.limits, heads=heads)
-        caller_server = self._make_server(self._api, protocol)
+        shared = bounded_protocol.Shared(self._heads)
+        limits = self._settings.limits
+        caller_server = self._make_server(
+            self._api, bounded_protocol.protocol_class(limits, shared=shared)
+        )
         admin_app = admin.AdminApp(
             self._settings.admin_key, self._dump, lambda: self._ready, self._metrics
         )
-        admin_server = self._make_server(admin_app, "httptools")
+        admin_limits = msgspec.structs.replace(limits, connections=MAX_ADMIN_CONNECTIONS)
+        admin_server = self._make_server(
+            admin_app, bounded_protocol.protocol_class(admin_limits, shared=shared)
+        )
         caller_socket = http_server.listen(self._settings.caller_address)
         admin_socket = http_server.listen(self._settings.admin_address)
         host, port = settings.split_address(self._settings.peer_address)
--- a/hollyring/node/sockets.py
+++ b/hollyring/node/sockets.py
@@ -41,10 +41,10 @@
 ]
 
 
-def limit_reads(transport: asyncio.BaseTransport) -> None:
-    """Let a transport of the event loop read at most `READ_BYTES` at once."""
+def limit_reads(transport: asyncio.BaseTransport, size: int = READ_BYTES) -> None:
+    """Let a transport of the event loop read at most `size` bytes at once."""
     if hasattr(transport, "max_size"):
-        transport.max_size = READ_BYTES
+        transport.max_size = size
 
 
 def enable_keepalive(connection: socket.socket) -> None:
