Heads of answers and their unfinished lines are charged to the head budget; connections to upstreams have a bound

Cause: each line of a head was kept at some 25 times its bytes up to 131,072 bytes, for each answer, and no budget counted it. Change: an answer's head and lines are counted by `limits/intake` as those of clients are, and take room in the same budget. Without room the answer ends (another try, or 502); one that has not ended for 0.5 s while others need room counts as a failure of its upstream. Upstreams are read at the same pace. Callers' requests have 0.25 of the descriptors for connections to upstreams; the longest idle one goes first.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -202,7 +202,9 @@
         self._heads = head_budget.HeadBudget(head_budget.limit_for(vm_settings.memory_bytes))
         self._limits = listening.ListeningLimits(vm_settings.descriptors, vm_settings.memory_bytes)
         self._shared = bounded_protocol.Shared(self._heads, self._limits.slots(vm_settings))
-        self._connections = connection_pool.ConnectionPool(budget)
+        self._connections = connection_pool.ConnectionPool(
+            budget, self._heads, self._limits.upstream_connections
+        )
         codec = wire.Codec(heartbeat_messages.MESSAGES | forwarded_messages.MESSAGES)
         self._peers = peers.PeerConnections(
             identities.Incarnation(vm_settings.name, incarnation),
--- a/hollyring/node/connection_pool.py
+++ b/hollyring/node/connection_pool.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from hollyring.delivery import answers
-from hollyring.limits import byte_budget
+from hollyring.limits import byte_budget, head_budget
 from hollyring.node import clock, http_connection
 
 IdleConnections = dict[str, list[http_connection.HttpConnection]]
@@ -33,6 +33,9 @@
 MAX_CALL_BYTES = 1_048_576
 """Longest answer to an internal call, unless the call allows for another."""
 
+MAX_CONNECTIONS = 10_000
+"""Connections of a process whose descriptors are not known."""
+
 SWEEP_INTERVAL_SECONDS = 0.5
 """Interval at which expired idle connections are closed."""
 
@@ -75,12 +78,33 @@
     ----------
     budget
         Bytes that this VM may hold; by default those of a process with any amount of memory.
+    heads
+        Memory that heads and unfinished lines may take; by default that of such a process.
+    max_connections
+        Most connections for callers' requests, to all addresses; calls of the VM's own may have
+        more.
     """
 
-    __slots__ = ("_budget", "_idle", "_idle_for_calls", "_open", "_opened", "_listener")
-
-    def __init__(self, budget: byte_budget.ByteBudget | None = None) -> None:
+    __slots__ = (
+        "_budget",
+        "_heads",
+        "_max_connections",
+        "_idle",
+        "_idle_for_calls",
+        "_open",
+        "_opened",
+        "_listener",
+    )
+
+    def __init__(
+        self,
+        budget: byte_budget.ByteBudget | None = None,
+        heads: head_budget.HeadBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
         self._budget = byte_budget.ByteBudget() if budget is None else budget
+        self._heads = head_budget.HeadBudget() if heads is None else heads
+        self._max_connections = max_connections
         self._idle: IdleConnections = {}
         self._idle_for_calls: IdleConnections = {}
         self._open: collections.Counter[str] = collections.Counter()
@@ -141,8 +165,18 @@
         """
         if self._open[address] >= max_connections:
             raise http_connection.TooManyConnectionsError("too many connections")
+        if self._open.total() >= self._max_connections and not self._close_longest_idle():
+            raise http_connection.TooManyConnectionsError("too many connections of this VM")
         return await self._connect(address)
 
+    def _close_longest_idle(self) -> bool:
+        """Close the connection that has been idle for longest; return False if none is idle."""
+        kept = [connections for connections in self._idle.values() if connections]
+        if not kept:
+            return False
+        min(kept, key=lambda connections: connections[0].idle_since).pop(0).abort()
+        return True
+
     def has_idle(self, address: str) -> bool:
         """Return whether a connection to `address` is free for a request."""
         now = clock.now()
@@ -272,7 +306,7 @@
         host, _, port = address.rpartition(":")
         self._open[address] += 1
         connection = http_connection.HttpConnection(
-            lambda lost: self._lost(address, lost), self._budget
+            lambda lost: self._lost(address, lost), self._budget, self._heads
         )
         loop = asyncio.get_running_loop()
         late = loop.call_later(LATE_CONNECT_SECONDS, self._listener.late, address)
--- a/hollyring/node/http_connection.py
+++ b/hollyring/node/http_connection.py
@@ -18,7 +18,7 @@
 
 from hollyring.core import request_types
 from hollyring.delivery import answers
-from hollyring.limits import byte_budget
+from hollyring.limits import byte_budget, head_budget, intake, read_pace
 from hollyring.node import clock, errors, held_body, logs, sockets
 
 DEFAULT_KEEP_ALIVE_SECONDS = 3.0
@@ -276,6 +276,11 @@
         if not self._body.keep(size) and self._failure is None and not self._ended:
             self._end_for_room()
 
+    def end_without_room(self) -> None:
+        """End the response, for whose head there is no room."""
+        logs.Logger("connection").info("answer ended for want of room", head=True)
+        self._break_off(NoRoomError("no room for the head of the answer"))
+
     def _end_too_long(self) -> None:
         """End the response, as its body is too long."""
         declared, limit = self._body.declared_bytes, self._body.max_bytes
@@ -367,13 +372,21 @@
         Called once when an established connection is lost.
     budget
         Bytes that this VM may hold.
+    heads
+        Memory that heads and unfinished lines may take.
     """
 
     def __init__(
-        self, on_lost: Callable[[HttpConnection], None], budget: byte_budget.ByteBudget
+        self,
+        on_lost: Callable[[HttpConnection], None],
+        budget: byte_budget.ByteBudget,
+        heads: head_budget.HeadBudget | None = None,
     ) -> None:
         self._on_lost = on_lost
         self._budget = budget
+        self._intake = intake.Intake()
+        self._pace = read_pace.ReadPace()
+        self._holding = (heads or head_budget.HeadBudget()).open(self._end_head_for_others)
         self._unwritten = memoryview(b"")
         self._writing_paused = False
         self._declared_bytes: int | None = None
@@ -489,6 +502,7 @@
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
             exchange.close()
+        self._release_head()
         self.idle_since = clock.now()
         if not self.reusable or (exchange is not None and not exchange.ended):
             self.abort()
@@ -536,7 +550,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._unread = sockets.UnreadEvents(transport, select.POLLIN | select.POLLRDHUP)
-        sockets.limit_reads(transport)
+        sockets.limit_reads(transport, self._pace.size)
         sockets.enable_slow_keepalive(transport.get_extra_info("socket"))
 
     def _watch_silence(self, silence: Silence) -> None:
@@ -557,6 +571,7 @@
             self.abort()
             return
         self._overhead_bytes += len(data)
+        self._intake.receive(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -565,6 +580,37 @@
         if self._overhead_bytes > MAX_OVERHEAD_BYTES:
             self._fail("head, framing or trailers without end")
             self.abort()
+        elif not self._hold_head():
+            self._end_head_for_room()
+        self._pace.record(len(data), self._intake.events)
+        if self._transport is not None:
+            sockets.limit_reads(self._transport, self._pace.size)
+
+    def _hold_head(self) -> bool:
+        """Take the memory of the head or line that is being read; return False without room."""
+        if self._exchange is None:
+            return True
+        growth = self._intake.cost - self._holding.bytes
+        if growth <= 0:
+            return True
+        return self._holding.take(max(growth, head_budget.STEP_BYTES), clock.now())
+
+    def _release_head(self) -> None:
+        self._headers = []
+        self._holding.finish()
+        self._holding.give_back(self._holding.bytes)
+
+    def _end_head_for_room(self) -> None:
+        """End the answer, for whose head there is no room; not a fault of the upstream."""
+        self._release_head()
+        if self._exchange is not None:
+            self._exchange.end_without_room()
+
+    def _end_head_for_others(self) -> None:
+        """End an answer whose head, or a line behind it, has not ended for long."""
+        self._release_head()
+        self._fail("head, framing or trailers not ended while others need room")
+        self.abort()
 
     def _fail(self, reason: str) -> None:
         self._unusable = True
@@ -576,6 +622,8 @@
         self._unusable = True
         self._unwritten = memoryview(b"")
         self._broken = exc is not None
+        self._holding.finish()
+        self._holding.give_back(self._holding.bytes)
         exchange = self._exchange
         if exchange is not None:
             ends_with_connection = self._framing is answers.Framing.CONNECTION
@@ -587,6 +635,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response."""
+        self._intake.begin_head()
         self._headers = []
         self._reason = b""
         self._in_head = True
@@ -603,9 +652,19 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header; trailers, which come when the head was judged, are ignored."""
+        """Record a header; trailers, which come when the head was judged, are ignored.
+
+        Raises
+        ------
+        NoRoomError
+            If there is no room for the head.
+        """
+        self._intake.add_line()
         if not self._in_head:
             return
+        if self._intake.cost and not self._hold_head():
+            self._end_head_for_room()
+            raise NoRoomError("no room for the head of an answer")
         _check_is_one_head(value)
         name, value = name.lower(), value.strip(b" \t")
         self._headers.append((name, value))
@@ -625,6 +684,8 @@
         to the next request, so the connection carries no other.
         """
         self._in_head = False
+        self._intake.end_head()
+        self._holding.finish()
         _check_is_one_head(self._reason)
         status = self._parser.get_status_code()
         self._interim = status in INTERIM_STATUSES
@@ -644,6 +705,7 @@
         if self._has_no_body:
             self._framing = answers.Framing.CONNECTION
         declared = self._declared_bytes if self._framing is answers.Framing.LENGTH else None
+        self._pace.begin_body(declared)
         exchange.set_head(ResponseHead(status, self._headers), naming, self._framing, declared)
         if self._has_no_body:
             # The parser waits for the body that the head describes.
@@ -653,12 +715,15 @@
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
         self._overhead_bytes -= len(body)
+        self._intake.add_body(len(body))
         if self._exchange is None or self._unmatched or self._exchange.ended:
             return
         self._exchange.add_data(body)
 
     def on_message_complete(self) -> None:
         """End the response, unless it belongs to an earlier request."""
+        self._intake.end_message()
+        self._pace.end_body()
         if self._interim:
             return
         if self._unmatched:
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -73,7 +73,7 @@
         self._memory_bytes = vm_settings.memory_mb * byte_budget.BYTES_PER_MEGABYTE
         self._budget = byte_budget.ByteBudget(byte_budget.limit_for(self._memory_bytes))
         self._heads = head_budget.HeadBudget(head_budget.limit_for(self._memory_bytes))
-        self._connections = connection_pool.ConnectionPool(self._budget)
+        self._connections = connection_pool.ConnectionPool(self._budget, self._heads)
         self._platform = platform_client.PlatformClient(vm_settings.platform, self._connections)
         codec = wire.Codec(catalogue.MESSAGES)
         self._peers = peers.PeerConnections(
--- a/hollyring/node/tests/test_connection_pool.py
+++ b/hollyring/node/tests/test_connection_pool.py
@@ -310,3 +310,20 @@
         await pool.acquire("127.0.0.1:1", 1)
     assert isinstance(caught.value, http_connection.OwnResourcesError) is is_own
     assert listener.failures == (0 if is_own else 2)
+
+
+@pytest.mark.anyio
+async def test_connections_to_all_upstreams_are_bounded_and_idle_ones_make_room():
+    pool = connection_pool.ConnectionPool(max_connections=2)
+    async with Upstream(OK).running() as first, Upstream(OK).running() as second:
+        idle = await pool.acquire_new(first.address, 10)
+        busy = await pool.acquire_new(second.address, 10)
+        exchange = idle.send(b"GET / HTTP/1.1\r\n\r\n", read_naming, "r-1")
+        await exchange.body()
+        pool.release(first.address, idle)
+        third = await pool.acquire_new(second.address, 10)
+        with pytest.raises(http_connection.TooManyConnectionsError):
+            await pool.acquire_new(second.address, 10)
+        assert pool.open_connections(first.address) == 0
+        for connection in (busy, third):
+            connection.abort()
