A VM outlasts a want of descriptors when another VM connects, and connections that never end their handshake

Cause: an error of accept left `PeerConnections.run` and ended the process. Connections without a handshake were bounded in time only.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -214,6 +214,7 @@
             self._on_peer_message,
             self._peer_address,
             forwarded.ForwardedRequest,
+            self._limits.handshakes,
         )
         self._heartbeats = heartbeat_sender.HeartbeatSender(
             self._state, self._peers, list(vm_settings.seeds)
--- a/hollyring/node/peers.py
+++ b/hollyring/node/peers.py
@@ -18,7 +18,8 @@
 from thrift.Thrift import TMessageType
 
 from hollyring.core import identities
-from hollyring.node import actor, errors, handshake, logs, sockets, wire
+from hollyring.limits import connection_slots
+from hollyring.node import actor, connection_refusals, errors, handshake, logs, sockets, wire
 
 IO_TIMEOUT_SECONDS = 2.0
 """Timeout of connecting, of the handshake and of sending one frame."""
@@ -26,6 +27,10 @@
 IDLE_TIMEOUT_SECONDS = 600.0
 """Time without messages after which an outgoing connection is closed."""
 
+ACCEPT_PAUSE_SECONDS = 0.25
+"""Time until connections are accepted again after an error, such as a want of descriptors."""
+
+MAX_HANDSHAKES = 256
 MAX_QUEUED_MESSAGES = 256
 MAX_SEQUENCE = 1 << 31
 
@@ -66,6 +71,8 @@
         Returns the peer address of a VM by its name, None for an unknown VM.
     link_opener
         Class of the first message of a connection that carries frames both ways.
+    max_handshakes
+        Most accepted connections whose handshake has not ended; beyond them the oldest goes.
     """
 
     __slots__ = (
@@ -84,7 +91,9 @@
         "_failed_addresses",
         "_link_opener",
         "_serve_link",
+        "_handshakes",
         "_log",
+        "_connection_log",
     )
 
     def __init__(
@@ -96,12 +105,17 @@
         receive: MessageHandler,
         known_address: Callable[[str], str | None],
         link_opener: type | None = None,
+        max_handshakes: int = MAX_HANDSHAKES,
     ) -> None:
+        self._handshakes: connection_slots.ConnectionSlots[anyio.CancelScope] = (
+            connection_slots.ConnectionSlots(max_handshakes)
+        )
         self._link_opener = link_opener
         self._serve_link: LinkHandler | None = None
         self._known_address = known_address
         self._failed_addresses: set[str] = set()
         self._log = logs.Logger("peers")
+        self._connection_log = connection_refusals.ConnectionLog("peers")
         self._incarnation = incarnation
         self._address = address
         self._reported_addresses: dict[str, str] = {}
@@ -148,7 +162,22 @@
         async with listener, anyio.create_task_group() as group:
             self._task_group = group
             task_status.started(listener.extra(anyio.abc.SocketAttribute.local_port))
-            await listener.serve(self._serve_connection, group)
+            for one in listener.listeners:
+                group.start_soon(self._accept, one, group)
+            await anyio.sleep_forever()
+
+    async def _accept(
+        self, listener: anyio.abc.Listener[anyio.abc.SocketStream], group: anyio.abc.TaskGroup
+    ) -> None:
+        """Accept connections until cancelled; without descriptors, again after a pause."""
+        while True:
+            try:
+                stream = await listener.accept()  # type: ignore[attr-defined]
+            except OSError as error:
+                self._log.info("no connection of a VM accepted", why=str(error))
+                await anyio.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            group.start_soon(self._serve_connection, stream)
 
     def send(self, address: str, message: object) -> bool:
         """Queue `message` for the peer at `address`; return False if it was dropped."""
@@ -252,16 +281,36 @@
             await anyio.aclose_forcefully(stream)
             raise
 
+    async def _accept_session(
+        self, stream: anyio.abc.SocketStream
+    ) -> tuple[handshake.Session, str]:
+        """Run the handshake of an accepted connection, unless too many others begin meanwhile.
+
+        Raises
+        ------
+        PeerError
+            If the other end is no VM, or was given up for another connection.
+        """
+        with anyio.CancelScope() as scope:
+            match self._handshakes.open(scope):
+                case connection_slots.AdmittedInstead(closed=other):
+                    other.cancel()
+            try:
+                with anyio.fail_after(IO_TIMEOUT_SECONDS):
+                    return await handshake.accept_session(stream, self._keys)
+            finally:
+                self._handshakes.close(scope)
+        raise errors.PeerError("too many handshakes at once")
+
     async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
             try:
-                with anyio.fail_after(IO_TIMEOUT_SECONDS):
-                    session, address = await handshake.accept_session(stream, self._keys)
+                session, address = await self._accept_session(stream)
                 self._reported_addresses[session.opener.name] = address
                 await self._receive_frames(session)
             except errors.PeerError as error:
                 self._counts["refused"] += 1
-                self._log.info("connection from a VM refused", why=str(error))
+                self._connection_log.info("connection from a VM refused", why=str(error))
             except CONNECTION_ERRORS:
                 return
             except Exception:  # of one message; the process has requests of callers
--- a/hollyring/node/tests/test_peers.py
+++ b/hollyring/node/tests/test_peers.py
@@ -1,3 +1,6 @@
+import asyncio
+import errno
+
 import anyio
 import pytest
 
@@ -19,12 +22,14 @@
 class Peer:
     """A VM that records received messages and replies to every call with `Settled`."""
 
-    def __init__(self, name, keys, addresses):
+    def __init__(self, name, keys, addresses, max_handshakes=peers.MAX_HANDSHAKES):
         self.received = []
         self.message_received = anyio.Event()
         me = identities.Incarnation(name, 1)
         codec = wire.Codec(catalogue.MESSAGES)
-        self.peers = peers.PeerConnections(me, "", keys, codec, self.receive, addresses.get)
+        self.peers = peers.PeerConnections(
+            me, "", keys, codec, self.receive, addresses.get, max_handshakes=max_handshakes
+        )
 
     async def receive(self, sender, message):
         self.received.append((sender.name, message))
@@ -93,3 +98,45 @@
     assert receiver.open(first[4:12], b"one") == b"one"
     with pytest.raises(errors.PeerError):
         receiver.open(second[4:12], b"twp")
+
+
+@pytest.mark.anyio
+async def test_accept_without_descriptors_pauses_the_listener_and_ends_nothing(monkeypatch):
+    """An error of accept ended the listener, and the process with it."""
+    monkeypatch.setattr(peers, "ACCEPT_PAUSE_SECONDS", 0.01)
+    addresses = {}
+    loop = asyncio.get_running_loop()
+    accept, failures = loop.sock_accept, iter([errno.EMFILE, errno.ENFILE, errno.ECONNABORTED])
+
+    async def sock_accept(listener):
+        number = next(failures, None)
+        if number is not None:
+            raise OSError(number, "no descriptor")
+        return await accept(listener)
+
+    monkeypatch.setattr(loop, "sock_accept", sock_accept)
+    async with anyio.create_task_group() as group:
+        first, second = Peer("vm-1", [KEY], addresses), Peer("vm-2", [KEY], addresses)
+        addresses |= {"vm-1": await serve(group, first), "vm-2": await serve(group, second)}
+        assert first.peers.send(addresses["vm-2"], MESSAGE)
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            await second.message_received.wait()
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_peer_is_accepted_beside_connections_that_never_end_their_handshake():
+    addresses = {}
+    async with anyio.create_task_group() as group:
+        first, second = Peer("vm-1", [KEY], addresses), Peer("vm-2", [KEY], addresses, 4)
+        addresses |= {"vm-1": await serve(group, first), "vm-2": await serve(group, second)}
+        host, _, port = addresses["vm-2"].partition(":")
+        held = [await anyio.connect_tcp(host, int(port)) for _ in range(12)]
+        assert first.peers.send(addresses["vm-2"], MESSAGE)
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            await second.message_received.wait()
+            while second.peers.counts["refused"] < 12 - 4:
+                await anyio.sleep(0.01)
+        for stream in held:
+            await stream.aclose()
+        group.cancel_scope.cancel()
