Client connections: what they share and the watch for stalled clients are modules; an early answer ends with its request

Read as a newcomer: `bounded_protocol` had what all connections share, and a timer of its own for clients that receive nothing; both are modules now (`client_connections`, `stall_timer`). A request that was answered before it was read whole stayed unfinished in its connection's eyes for good, so that a refusal behind it was not written; it ends with its last byte. Two tests: such a request is followed by another one and by a refusal, and its rest has a time.

--- a/hollyring/node/adapter_server.py
+++ b/hollyring/node/adapter_server.py
@@ -24,6 +24,7 @@
     bounded_protocol,
     cache_watcher,
     caller_connection,
+    client_connections,
     clock,
     connection_pool,
     crash_watcher,
@@ -201,7 +202,7 @@
         self._budget = budget
         self._heads = head_budget.HeadBudget(head_budget.limit_for(vm_settings.memory_bytes))
         self._limits = listening.ListeningLimits(vm_settings.descriptors, vm_settings.memory_bytes)
-        self._shared = bounded_protocol.Shared(self._heads, self._limits.slots(vm_settings))
+        self._shared = client_connections.Shared(self._heads, self._limits.slots(vm_settings))
         self._connections = connection_pool.ConnectionPool(
             budget, self._heads, self._limits.upstream_connections
         )
--- a/hollyring/node/bounded_protocol.py
+++ b/hollyring/node/bounded_protocol.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-from collections.abc import Callable, Mapping, MutableMapping
+from collections.abc import Callable, MutableMapping
 from typing import Any
 
 from uvicorn.protocols.http import httptools_impl
@@ -20,12 +19,13 @@
 from hollyring.node import (
     asgi,
     caller_connection,
+    client_connections,
     clock,
     connection_refusals,
-    input_turns,
     lingering_transport,
     settings,
     sockets,
+    stall_timer,
     unstated_end,
 )
 
@@ -59,51 +59,11 @@
 UNSENT_BYTES = 16_384
 """Bytes that a client has not received above which nothing more is written to it."""
 
-STALL_SECONDS = 20.0
-"""Time after which a client is cut that has received nothing of what was written."""
-
-Slots = connection_slots.ConnectionSlots[Any]
-
-
-@dataclasses.dataclass(slots=True)
-class Shared:
-    """What the connections of one server share.
-
-    Parameters
-    ----------
-    heads
-        Memory that heads and unfinished lines of all connections may take.
-    slots
-        Connections that may be open, by the port that they were accepted on; those on another port
-        share the limit on connections of the settings.
-    turns
-        Turns of connections whose input costs much time.
-    """
-
-    heads: head_budget.HeadBudget = dataclasses.field(default_factory=head_budget.HeadBudget)
-    slots: Mapping[int, Slots] = dataclasses.field(default_factory=dict)
-    turns: input_turns.InputTurns = dataclasses.field(default_factory=input_turns.InputTurns)
-
-    def gauges(self) -> dict[str, int]:
-        """Return what the connections hold, by metric name without its prefix."""
-        slots = self.slots.values()
-        return {
-            "held_heads_bytes": self.heads.held,
-            "held_heads_limit": self.heads.limit,
-            "held_heads_refusals_total": self.heads.refusals,
-            "held_heads_evictions_total": self.heads.evictions,
-            "client_connections": sum(len(some) for some in slots),
-            "client_connections_limit": sum(some.limit for some in slots),
-            "client_connections_closed_for_others_total": sum(
-                some.closed_for_others for some in slots
-            ),
-        }
-
 
 def protocol_class(
     limits: settings.Limits,
     max_header_bytes: Callable[[], int] | None = None,
-    shared: Shared | None = None,
+    shared: client_connections.Shared | None = None,
 ) -> type[httptools_impl.HttpToolsProtocol]:
     """Return a protocol class that enforces `limits`.
 
@@ -114,8 +74,8 @@
     shared
         What the connections share with those of other classes.
     """
-    common = shared or Shared()
-    other_slots: Slots = connection_slots.ConnectionSlots(limits.connections)
+    common = shared or client_connections.Shared()
+    other_slots: client_connections.Slots = connection_slots.ConnectionSlots(limits.connections)
     log = connection_refusals.ConnectionLog()
 
     class BoundedProtocol(httptools_impl.HttpToolsProtocol):
@@ -123,8 +83,6 @@
 
         _timer: asyncio.TimerHandle | None = None
         _close_timer: asyncio.TimerHandle | None = None
-        _stall_timer: asyncio.TimerHandle | None = None
-        _unsent_bytes = 0
         _close_seen = False
 
         transport: lingering_transport.LingeringTransport
@@ -155,6 +113,7 @@
             self._pace = read_pace.ReadPace()
             self._holding = common.heads.open(self._make_room)
             self._held: dict[httptools_impl.RequestResponseCycle, int] = {}
+            self._stall_timer = stall_timer.StallTimer(transport, self._cut)
             sockets.limit_reads(transport, self._pace.size)
             transport.set_write_buffer_limits(high=UNSENT_BYTES)
             lingering = lingering_transport.LingeringTransport(transport, self._may_linger)
@@ -192,9 +151,9 @@
             self._holding.give_back(self._holding.bytes)
             self._stage_held = 0
             self._held.clear()
-            for timer in (self._close_timer, self._stall_timer):
-                if timer is not None:
-                    timer.cancel()
+            self._stall_timer.stop()
+            if self._close_timer is not None:
+                self._close_timer.cancel()
             self.transport.end()
             running = self._running
             if running is not None and not running.response_complete:
@@ -221,24 +180,16 @@
         def pause_writing(self) -> None:
             """Write no more, and cut a client that receives nothing for long."""
             super().pause_writing()
-            self._unsent_bytes = self._socket_transport.get_write_buffer_size()
-            if self._stall_timer is None:
-                self._stall_timer = self.loop.call_later(STALL_SECONDS, self._check_stall)
+            self._stall_timer.start()
 
         def resume_writing(self) -> None:
             """Write again."""
             super().resume_writing()
-            if self._stall_timer is not None:
-                self._stall_timer.cancel()
-                self._stall_timer = None
-
-        def _check_stall(self) -> None:
-            self._stall_timer = None
-            if self._socket_transport.get_write_buffer_size() >= self._unsent_bytes:
-                log.info("cut", why="receives nothing")
-                self.transport.abort()
-                return
-            self.pause_writing()
+            self._stall_timer.stop()
+
+        def _cut(self) -> None:
+            log.info("cut", why="receives nothing")
+            self.transport.abort()
 
         def data_received(self, data: bytes) -> None:
             if self.transport.is_closing():
@@ -444,8 +395,7 @@
             self._holding.finish()
             self._pace.end_body()
             if self.cycle.response_complete:
-                self._stop_timer()
-                self._slots.becomes_idle(self)
+                self._end_rest()
             else:
                 self._slots.carries_request(self)
             super().on_message_complete()
@@ -482,6 +432,12 @@
             self._stop_timer()
             self._timer = self.loop.call_later(REST_SECONDS, self._close)
 
+        def _end_rest(self) -> None:
+            """Keep the connection, as the rest of a request that is answered was read whole."""
+            self.cycle.more_body = False
+            self._stop_timer()
+            self._slots.becomes_idle(self)
+
         def _close(self) -> None:
             self._slots.is_closing(self)
             self.transport.close()
--- a/hollyring/node/internal_app.py
+++ b/hollyring/node/internal_app.py
@@ -8,7 +8,7 @@
 from hollyring.limits import byte_budget
 from hollyring.node import (
     asgi,
-    bounded_protocol,
+    client_connections,
     clock,
     connection_pool,
     forward_server,
@@ -68,7 +68,7 @@
         counters: metrics.Metrics,
         max_entry_ttl_seconds: float,
         budget: byte_budget.ByteBudget,
-        shared: bounded_protocol.Shared,
+        shared: client_connections.Shared,
     ) -> None:
         self._budget = budget
         self._shared = shared
--- a/hollyring/node/listening.py
+++ b/hollyring/node/listening.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from hollyring.limits import byte_budget, connection_slots
-from hollyring.node import adapter_settings, bounded_protocol, settings
+from hollyring.node import adapter_settings, client_connections, settings
 
 OWN_DESCRIPTORS = 200
 """Descriptors that sockets can't have."""
@@ -95,7 +95,7 @@
 
     def slots(
         self, vm_settings: adapter_settings.AdapterSettings
-    ) -> dict[int, bounded_protocol.Slots]:
+    ) -> dict[int, client_connections.Slots]:
         """Return the slots of each listening address by port, the larger of one that serves two."""
         limits = {
             vm_settings.metrics_address: self.internal_connections,
--- a/hollyring/node/server.py
+++ b/hollyring/node/server.py
@@ -22,6 +22,7 @@
     bounded_protocol,
     catalogue,
     claims_actor,
+    client_connections,
     configuration_actor,
     connection_pool,
     engine_client,
@@ -150,7 +151,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
-        shared = bounded_protocol.Shared(self._heads)
+        shared = client_connections.Shared(self._heads)
         limits = self._settings.limits
         caller_server = self._make_server(
             self._api, bounded_protocol.protocol_class(limits, shared=shared)
--- a/hollyring/node/tests/test_bounded_protocol.py
+++ b/hollyring/node/tests/test_bounded_protocol.py
@@ -370,3 +370,30 @@
         await stream.send(head + b"connection: close\r\n\r\n0\r\nx-model: other\r\n\r\n")
         assert b" 200 " in await read_response(stream)
     assert names == [b"host", b"transfer-encoding", b"connection"]
+
+
+LATE_BODY = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbo"
+
+
+@pytest.mark.anyio
+async def test_request_that_is_answered_early_may_end_and_be_followed_by_another(port):
+    """Behind it a refusal is written again, as no answer has begun."""
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        await stream.send(LATE_BODY)
+        assert b"fine" in await stream.receive()
+        await stream.send(b"dy" + FIRST)
+        with anyio.fail_after(TIMEOUT_SECONDS):
+            while b"fine" not in await stream.receive():
+                pass
+        await stream.send(b"what\r\n\r\n")
+        assert b" 400 " in await read_response(stream)
+
+
+@pytest.mark.anyio
+async def test_rest_of_a_request_that_is_answered_early_has_a_time(port, monkeypatch):
+    monkeypatch.setattr(bounded_protocol, "REST_SECONDS", 0.1)
+    async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+        await stream.send(LATE_BODY)
+        response = await read_response(stream)
+        assert response.count(b"HTTP/1.1") == 1
+        assert b"fine" in response
--- a/hollyring/node/tests/test_client_bytes.py
+++ b/hollyring/node/tests/test_client_bytes.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from hollyring.limits import byte_budget, connection_slots, head_budget, read_pace
-from hollyring.node import asgi, bounded_protocol, http_connection, settings
+from hollyring.node import asgi, bounded_protocol, client_connections, http_connection, settings
 
 LIMITS = settings.Limits(header_bytes=16_384)
 HEADS_LIMIT = 30_000
@@ -155,7 +155,7 @@
 async def play_requests(contents, parts):
     heads = head_budget.HeadBudget(HEADS_LIMIT)
     slots = connection_slots.ConnectionSlots(CONNECTIONS - 1)
-    shared = bounded_protocol.Shared(heads, {PORT: slots})
+    shared = client_connections.Shared(heads, {PORT: slots})
     config = uvicorn.Config(application, lifespan="off", log_level="critical")
     config.load()
     state = uvicorn.server.ServerState()
