--- a/hollyring/limits/head_budget.py
+++ b/hollyring/limits/head_budget.py
@@ -29,7 +29,7 @@
 """Step by which the memory of a head grows."""
 
 UNFINISHED_SECONDS = 0.5
-"""Time after which an unfinished head may be ended for others; a sound one takes milliseconds."""
+"""Time after which an unfinished head may be ended for others."""
 
 MEMORY_SHARE = 0.15
 """Share of what a process has beside its own memory."""
--- a/hollyring/limits/read_pace.py
+++ b/hollyring/limits/read_pace.py
@@ -15,7 +15,7 @@
 LONGEST_BYTES = 65_536
 
 EVENTS_PER_READ = 256
-"""Events that a read is to hold at most; they take about half a millisecond."""
+"""Events that a read is to hold at most."""
 
 COSTLY_EVENTS = 128
 """Events of a read after which its connection waits until others had their turn."""
--- a/hollyring/node/input_turns.py
+++ b/hollyring/node/input_turns.py
@@ -1,8 +1,8 @@
 """Turns of connections whose input costs much time: one of them is read in each round of the loop.
 
-In each round the event loop reads from every connection that has data. A read of costly input takes
-up to a millisecond, and a crowd of such connections would keep all others waiting for seconds. So
-each of them is not read again until those before it had their turn.
+In each round the event loop reads from every connection that has data. A crowd whose input is
+costly would keep all others waiting in each round. So each of its connections is not read again
+until those before it had their turn.
 """
 
 from __future__ import annotations
