A stream whose events come whole settles no budget for each of them

What callers saw: nothing; processor time only. Each event of a stream gave back 0 bytes to the byte budget, which then looked for somebody to grant them to. Now nothing is given back where nothing was kept.

--- a/hollyring/node/held_body.py
+++ b/hollyring/node/held_body.py
@@ -141,7 +141,8 @@
         self._kept = size
         if growth > 0:
             return self._holding.take(growth)
-        self._holding.give_back(-growth)
+        if growth < 0:
+            self._holding.give_back(-growth)
         return True
 
     def settle(self) -> None:
